--- a/src/main/java/windroute/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -1,4 +1,4 @@
-package windroute;
+package lilaclever;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,14 +9,14 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import windroute.State.Call;
-import windroute.State.Due;
-import windroute.State.Endpoint;
-import windroute.State.Limit;
-import windroute.State.Line;
-import windroute.State.Message;
-import windroute.State.Pick;
-import windroute.State.Queue;
+import lilaclever.State.Call;
+import lilaclever.State.Due;
+import lilaclever.State.Endpoint;
+import lilaclever.State.Limit;
+import lilaclever.State.Line;
+import lilaclever.State.Message;
+import lilaclever.State.Pick;
+import lilaclever.State.Queue;
 
 /**
  * All decisions of a relay. The interface (settings, events, actions, outcomes) is in Relay.java.
--- a/src/main/java/windroute/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -1,4 +1,4 @@
-package windroute;
+package lilaclever;
 
 import java.util.List;
 
--- a/src/main/java/windroute/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -1,10 +1,10 @@
-package windroute;
+package lilaclever;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import windroute.Relay.MessageClass;
+import lilaclever.Relay.MessageClass;
 
 /** What a relay remembers: fields only. What they mean and how they change is decided in Decide.java. */
 final class State {
--- a/src/main/java/windroute/benchlink/Main.java
+++ b/src/main/java/lilaclever/benchlink/Main.java
@@ -1,4 +1,4 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
@@ -14,7 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import windroute.Relay;
+import lilaclever.Relay;
 
 /** Plays relays on the bench's wire: standard input to events, actions to standard output. */
 public final class Main {
@@ -23,7 +23,7 @@
     /** Starts the adapter; the only argument is {@code benchlink}. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar windroute.jar benchlink");
+            System.err.println("usage: java -jar lilaclever.jar benchlink");
             System.exit(2);
         }
         System.exit(run(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out), System.err));
@@ -36,10 +36,10 @@
                     new WireWriter(new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8), 1 << 16)));
             return 0;
         } catch (WireException e) {
-            err.println("windroute: " + e.getMessage());
+            err.println("lilaclever: " + e.getMessage());
             return 1;
         } catch (IOException e) {
-            err.println("windroute: input or output broke: " + e.getMessage());
+            err.println("lilaclever: input or output broke: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/windroute/benchlink/SettingsReader.java
+++ b/src/main/java/lilaclever/benchlink/SettingsReader.java
@@ -1,4 +1,4 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -9,10 +9,10 @@
 import java.math.RoundingMode;
 import java.util.ArrayList;
 import java.util.List;
-import windroute.Relay;
-import windroute.Relay.Group;
-import windroute.Relay.Repeat;
-import windroute.Relay.Weights;
+import lilaclever.Relay;
+import lilaclever.Relay.Group;
+import lilaclever.Relay.Repeat;
+import lilaclever.Relay.Weights;
 
 /** Turns the settings of a HELLO into a relay. Keys that are not known are skipped. */
 final class SettingsReader {
--- a/src/main/java/windroute/benchlink/WireException.java
+++ b/src/main/java/lilaclever/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 /** Input that does not follow the wire; the message names the line and the field. */
 final class WireException extends Exception {
--- a/src/main/java/windroute/benchlink/WireReader.java
+++ b/src/main/java/lilaclever/benchlink/WireReader.java
@@ -1,4 +1,4 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -7,13 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import windroute.Relay;
-import windroute.Relay.Ending;
-import windroute.Relay.Entry;
-import windroute.Relay.Event;
-import windroute.Relay.ListingKind;
-import windroute.Relay.Presence;
-import windroute.Relay.Report;
+import lilaclever.Relay;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Entry;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Presence;
+import lilaclever.Relay.Report;
 
 /** Reads batches of events off the wire. */
 final class WireReader {
--- a/src/main/java/windroute/benchlink/WireWriter.java
+++ b/src/main/java/lilaclever/benchlink/WireWriter.java
@@ -1,10 +1,10 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 import java.io.IOException;
 import java.io.Writer;
 import java.util.HexFormat;
 import java.util.List;
-import windroute.Relay.Action;
+import lilaclever.Relay.Action;
 
 /** Writes actions as lines of the wire; a reply is flushed once, at its end. */
 final class WireWriter {
--- a/src/test/java/windroute/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -1,15 +1,15 @@
-package windroute;
+package lilaclever;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static windroute.Rig.KEYED;
-import static windroute.Rig.MS;
-import static windroute.Rig.S;
-import static windroute.Rig.SAFE;
-import static windroute.Rig.UNSAFE;
-import static windroute.Rig.ZONED;
+import static lilaclever.Rig.KEYED;
+import static lilaclever.Rig.MS;
+import static lilaclever.Rig.S;
+import static lilaclever.Rig.SAFE;
+import static lilaclever.Rig.UNSAFE;
+import static lilaclever.Rig.ZONED;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,12 +20,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Entry;
-import windroute.Relay.Event;
-import windroute.Relay.ListingKind;
-import windroute.Relay.Presence;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Entry;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Presence;
 
 /** Scripted cases: the design's steps and limits, each rule, each outcome for each repeat class. */
 class DecideTest {
--- a/src/test/java/windroute/FleetTest.java
+++ b/src/test/java/lilaclever/FleetTest.java
@@ -1,9 +1,9 @@
-package windroute;
+package lilaclever;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static windroute.Rig.MS;
-import static windroute.Rig.S;
-import static windroute.Rig.SAFE;
+import static lilaclever.Rig.MS;
+import static lilaclever.Rig.S;
+import static lilaclever.Rig.SAFE;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,11 +16,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Event;
-import windroute.Relay.ListingKind;
-import windroute.Relay.Report;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Report;
 
 /** Many relays, each with a message now and then for one destination: what they do together. */
 class FleetTest {
--- a/src/test/java/windroute/RandomSequenceTest.java
+++ b/src/test/java/lilaclever/RandomSequenceTest.java
@@ -1,9 +1,9 @@
-package windroute;
+package lilaclever;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static windroute.Rig.MS;
-import static windroute.Rig.S;
+import static lilaclever.Rig.MS;
+import static lilaclever.Rig.S;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -13,13 +13,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Entry;
-import windroute.Relay.Event;
-import windroute.Relay.ListingKind;
-import windroute.Relay.Presence;
-import windroute.Relay.Report;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Entry;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Presence;
+import lilaclever.Relay.Report;
 
 /** Random events from fixed seeds, with no model of a destination behind them: the rules hold whatever comes. */
 class RandomSequenceTest {
--- a/src/test/java/windroute/Rig.java
+++ b/src/test/java/lilaclever/Rig.java
@@ -1,19 +1,19 @@
-package windroute;
+package lilaclever;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Entry;
-import windroute.Relay.Event;
-import windroute.Relay.Group;
-import windroute.Relay.Kind;
-import windroute.Relay.ListingKind;
-import windroute.Relay.MessageClass;
-import windroute.Relay.Presence;
-import windroute.Relay.Repeat;
-import windroute.Relay.Settings;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Entry;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.Group;
+import lilaclever.Relay.Kind;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.MessageClass;
+import lilaclever.Relay.Presence;
+import lilaclever.Relay.Repeat;
+import lilaclever.Relay.Settings;
 
 /** A relay under test with its checker: hands in events, keeps the actions of the last round. */
 final class Rig {
--- a/src/test/java/windroute/RuleChecker.java
+++ b/src/test/java/lilaclever/RuleChecker.java
@@ -1,4 +1,4 @@
-package windroute;
+package lilaclever;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Event;
-import windroute.Relay.Group;
-import windroute.Relay.MessageClass;
-import windroute.Relay.Presence;
-import windroute.Relay.Repeat;
-import windroute.Relay.Settings;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.Group;
+import lilaclever.Relay.MessageClass;
+import lilaclever.Relay.Presence;
+import lilaclever.Relay.Repeat;
+import lilaclever.Relay.Settings;
 
 /**
  * Watches the events a relay gets and the actions it takes, and notes each breach of the six rules. It holds no model
--- a/src/test/java/windroute/RuleCheckerTest.java
+++ b/src/test/java/lilaclever/RuleCheckerTest.java
@@ -1,18 +1,18 @@
-package windroute;
+package lilaclever;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static windroute.Rig.MS;
-import static windroute.Rig.S;
+import static lilaclever.Rig.MS;
+import static lilaclever.Rig.S;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import windroute.Relay.Action;
-import windroute.Relay.Ending;
-import windroute.Relay.Entry;
-import windroute.Relay.Event;
-import windroute.Relay.ListingKind;
-import windroute.Relay.Presence;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Entry;
+import lilaclever.Relay.Event;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Presence;
 
 /** The checker finds each kind of breach, and none in what is allowed. */
 class RuleCheckerTest {
--- a/src/test/java/windroute/SizeTest.java
+++ b/src/test/java/lilaclever/SizeTest.java
@@ -1,4 +1,4 @@
-package windroute;
+package lilaclever;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,7 +16,7 @@
 
     @Test
     void theModuleStaysWithinItsSize() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/windroute/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/lilaclever/Decide.java"));
         long full = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(full <= MOST_LINES, "Decide.java has " + full + " lines that are not blank");
         assertEquals(List.of(), lines.stream().filter(line -> line.length() > MOST_COLUMNS).toList());
--- a/src/test/java/windroute/benchlink/MainTest.java
+++ b/src/test/java/lilaclever/benchlink/MainTest.java
@@ -1,4 +1,4 @@
-package windroute.benchlink;
+package lilaclever.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -85,6 +85,6 @@
         String out = run(START + lines.replace(';', '\n') + "\n");
         assertEquals("FINISHED\n", out);
         assertEquals(1, code);
-        assertEquals("windroute: " + message, err);
+        assertEquals("lilaclever: " + message, err);
     }
 }
