--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -143,6 +143,7 @@
     private long now;
     private long order;
     private long wakeAt = NEVER;
+    private long stopAt = NEVER;
     private int slotsOut;
     private int held;
     private double usualLatency;
@@ -178,6 +179,8 @@
                 outcome(e);
             } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
                 over(messages.get(e.id()));
+            } else if (event instanceof Event.Stopping e) {
+                stopAt = e.untilMicros();
             } else if (event instanceof Event.Timer) {
                 wakeAt = wakeAt <= now ? NEVER : wakeAt;
             }
@@ -273,12 +276,30 @@
         messages.put(m.id, m);
         held++;
         await(m);
+        if (e.prior() != null && resumed(m, e.prior())) {
+            return;
+        }
         dues.add(new Due(m.deadline - LEAST_LEFT, order++, m));
         if (held > HOLD_PART * settings.limits().maxOpen()) {
             refuseLeastWorth();
         }
     }
 
+    /** Takes over what an earlier life did with a message; true if that has ended it. */
+    private boolean resumed(Message m, Prior prior) {
+        m.attempts = prior.attempts();
+        m.mayHaveRun = prior.mayHaveRun();
+        m.riskAt = prior.riskAtMicros();
+        m.riskZone = prior.riskZone();
+        if (m.attempts >= settings.limits().maxAttempts() || outsideWindow(m, now)
+                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
+            end(m);
+        } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
+            dues.add(new Due(m.riskAt + m.kind.repeatWindowMicros(), order++, m));
+        }
+        return m.over;
+    }
+
     private boolean overShare(int tenant) {
         if (tenant < 0 || tenant >= tenantTokens.length) return false;
         double quota = settings.tenants().get(tenant).quotaPerSecond();
@@ -426,6 +447,10 @@
                 || m.line.restOwner != m && now < m.line.restUntil)) {
             return false;
         }
+        // A call that the end of the program could cut may have run: what can't come back in time stays held.
+        if (stopAt < NEVER && now + patience(m, endpoint.limit) > stopAt) {
+            return false;
+        }
         if (m.mayHaveRun) {
             if (m.kind.repeat() == Repeat.UNSAFE) {
                 return false;
@@ -577,6 +602,10 @@
         }
         if (m.over || e.over() || e.ending() == Ending.DELIVERED) {
             over(m);
+        } else if (e.ending() == Ending.REJECTED) {
+            // The design: a permanent failure ends a row at once.
+            actions.add(new Action.Fail(m.id));
+            over(m);
         } else {
             retry(m);
         }
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -46,7 +46,9 @@
     /** How an attempt or a probe ended. */
     enum Ending {
         DELIVERED(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), RESET(false),
-        CANCELED(false), NOT_SENT(true);
+        CANCELED(false), NOT_SENT(true),
+        /** Turned down for good: no further attempt of this message can succeed. */
+        REJECTED(true);
 
         private final boolean neverRan;
 
@@ -123,14 +125,29 @@
     /** What a destination told of its limit: share of the allowance left, and calls a second; 0 where unknown. */
     record Report(double left, double perSecond) { }
 
+    /** Attempts of an earlier life; if one may have run: where and when the first of these was sent. */
+    record Prior(int attempts, boolean mayHaveRun, String riskHost, int riskZone, long riskAtMicros) { }
+
     /** What has happened. */
     sealed interface Event {
         /** News of the list of endpoints. */
         record Listing(ListingKind kind, long version, List<Entry> entries) implements Event { }
 
-        /** A new message; {@code key} is null where the class keeps no order. */
+        /**
+         * A new message; {@code key} is null where the class keeps no order. {@code prior} is null but for one that
+         * the host program took on before it was restarted.
+         */
         record Submit(String id, int messageClass, int destination, int tenant, String key, boolean again,
-                boolean inherited, long budgetMicros) implements Event { }
+                boolean inherited, long budgetMicros, Prior prior) implements Event {
+            /** A message that no attempt was made for. */
+            public Submit(String id, int messageClass, int destination, int tenant, String key, boolean again,
+                    boolean inherited, long budgetMicros) {
+                this(id, messageClass, destination, tenant, key, again, inherited, budgetMicros, null);
+            }
+        }
+
+        /** The program ends: by the given time all calls that were started must have come back. */
+        record Stopping(long untilMicros) implements Event { }
 
         /** An attempt ended. {@code over}: the message is finished; {@code noSlot}: it was not sent for want of one. */
         record Outcome(String id, String host, int attempt, Ending ending, long elapsedMicros, long waitMicros,
--- a/src/main/java/lilaclever/benchlink/WireException.java
+++ b/src/main/java/lilaclever/benchlink/WireException.java
@@ -1,10 +1,25 @@
 package lilaclever.benchlink;
 
 /** Input that does not follow the wire; the message names the line and the field. */
-final class WireException extends Exception {
+public final class WireException extends Exception {
     private static final long serialVersionUID = 1L;
 
+    private final String field;
+    private final String problem;
+
     WireException(long line, String field, String problem) {
         super("line " + line + ", field " + field + ": " + problem);
+        this.field = field;
+        this.problem = problem;
+    }
+
+    /** The field that is at fault. */
+    public String field() {
+        return field;
+    }
+
+    /** What is wrong with it. */
+    public String problem() {
+        return problem;
     }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/program/Config.java
@@ -0,0 +1,162 @@
+package lilaclever.program;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lilaclever.Relay;
+import lilaclever.benchlink.SettingsReader;
+import lilaclever.benchlink.WireException;
+import lilaclever.transport.Transport;
+
+/**
+ * The one place where configuration is read, checked and given defaults. The file is named by {@code ROUTER_CONFIG};
+ * the other variables override it.
+ */
+record Config(String name, String listen, String discovery, Path state, long seed, long diskBytes,
+        Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known) {
+    private static final long MEGABYTE = 1024 * 1024;
+    private static final double DEFAULT_DISK_MB = 3;
+
+    /** A configuration that can't be used; the message names the key at fault. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String key, String problem) {
+            super(key + ": " + problem);
+        }
+    }
+
+    /** Reads the configuration that the variables name. */
+    static Config read(Map<String, String> variables) throws Bad {
+        String path = variables.get("ROUTER_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new Bad("ROUTER_CONFIG", "not set");
+        }
+        String text;
+        try {
+            text = Files.readString(Path.of(path));
+        } catch (IOException e) {
+            throw new Bad("ROUTER_CONFIG", "can't be read: " + e);
+        }
+        return parse(text, variables);
+    }
+
+    static Config parse(String text, Map<String, String> variables) throws Bad {
+        JsonObject root = object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
+        JsonObject settings = root.has("settings") ? object("settings", root.get("settings")) : new JsonObject();
+        JsonObject limits = root.has("limits") ? object("limits", root.get("limits")) : new JsonObject();
+        Relay.Settings read;
+        try {
+            read = SettingsReader.read(settings.toString(), 0);
+        } catch (WireException e) {
+            throw new Bad(e.field().replaceFirst("^conf", "settings"), e.problem());
+        } catch (IllegalArgumentException e) {
+            throw new Bad("settings", e.getMessage());
+        }
+        List<String> classNames = new ArrayList<>();
+        for (JsonElement c : list("settings.requestClasses", settings, "requestClasses")) {
+            classNames.add(text("settings.requestClasses.name", object("settings.requestClasses", c), "name", null));
+        }
+        double disk = number("limits.disk_mb", limits, "disk_mb", DEFAULT_DISK_MB);
+        if (disk <= 0) {
+            throw new Bad("limits.disk_mb", "must be above 0");
+        }
+        JsonObject known = root.has("known") && !root.get("known").isJsonNull()
+                ? object("known", root.get("known")) : null;
+        return new Config(value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
+                address(value(variables, "ROUTER_LISTEN", root, "listen", null), "listen"),
+                address(value(variables, "ROUTER_DISCOVERY", root, "discovery", null), "discovery"),
+                Path.of(value(variables, "ROUTER_STATE", root, "state", null)),
+                seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), read, classNames,
+                strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known);
+    }
+
+    private static String value(Map<String, String> variables, String variable, JsonObject root, String key,
+            String otherwise) throws Bad {
+        String set = variables.get(variable);
+        return set != null && !set.isEmpty() ? set : text(key, root, key, otherwise);
+    }
+
+    private static String address(String value, String key) throws Bad {
+        try {
+            Transport.address(value);
+            return value;
+        } catch (IllegalArgumentException e) {
+            throw new Bad(key, e.getMessage());
+        }
+    }
+
+    private static long seed(String hex) throws Bad {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new Bad("seed", "not hex digits: " + hex);
+        }
+    }
+
+    // ---- JSON -------------------------------------------------------------------------------------------
+    static JsonElement parseJson(String key, String text) throws Bad {
+        try {
+            return JsonParser.parseString(text);
+        } catch (JsonParseException e) {
+            throw new Bad(key, "no JSON: " + e.getMessage());
+        }
+    }
+
+    static JsonObject object(String key, JsonElement value) throws Bad {
+        if (value == null || !value.isJsonObject()) {
+            throw new Bad(key, "not an object");
+        }
+        return value.getAsJsonObject();
+    }
+
+    static JsonArray list(String path, JsonObject in, String key) throws Bad {
+        JsonElement value = in.get(key);
+        if (value != null && !value.isJsonArray()) {
+            throw new Bad(path, "not a list");
+        }
+        return value == null ? new JsonArray() : value.getAsJsonArray();
+    }
+
+    static List<String> strings(String path, JsonObject in, String key) throws Bad {
+        List<String> all = new ArrayList<>();
+        for (JsonElement e : list(path, in, key)) {
+            if (!e.isJsonPrimitive()) {
+                throw new Bad(path, "holds something that is no text");
+            }
+            all.add(e.getAsString());
+        }
+        return all;
+    }
+
+    static String text(String path, JsonObject in, String key, String otherwise) throws Bad {
+        JsonElement value = in.get(key);
+        if (value == null || value.isJsonNull()) {
+            if (otherwise == null) {
+                throw new Bad(path, "missing");
+            }
+            return otherwise;
+        }
+        if (!value.isJsonPrimitive()) {
+            throw new Bad(path, "not a text");
+        }
+        return value.getAsString();
+    }
+
+    static double number(String path, JsonObject in, String key, double otherwise) throws Bad {
+        String value = text(path, in, key, Double.toString(otherwise));
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new Bad(path, "not a number: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -0,0 +1,89 @@
+package lilaclever.program;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lilaclever.Relay;
+import lilaclever.protocol.http.Directory;
+import lilaclever.protocol.http.HttpDeliverer;
+import lilaclever.protocol.http.HttpFront;
+import lilaclever.protocol.http.Notices;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
+import lilaclever.routing.Journal;
+import lilaclever.transport.Transport;
+
+/** The parts of the serving program, put together, started and stopped. */
+final class Forwarder {
+    /** After the signal: so long clients still come, so long calls may be out, and then the end. */
+    private static final long ACCEPT = 500_000, CALLS_BY = 3_200_000, END = 3_400_000;
+    private static final long LOOK = 20_000;
+    /** How long the end of a message is given again to whoever resends it. */
+    private static final long REMEMBER = 3_600_000_000L;
+
+    private final Transport transport;
+    private final Journal journal;
+    private final Core core;
+    private final HttpFront front;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private SocketAddress address;
+
+    private Forwarder(Config config) throws IOException {
+        Relay.Settings settings = config.settings();
+        long connect = settings.limits().connectTimeoutMicros();
+        long keep = settings.limits().keepAliveMicros();
+        transport = new Transport();
+        journal = new Journal(config.state(), config.diskBytes());
+        core = new Core(settings, config.seed(), journal, new Counters(), REMEMBER);
+        HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep);
+        Notices notices = new Notices(core, transport, config.discovery(), connect, keep);
+        Directory directory = new Directory(core, transport, config.discovery(), deliverer,
+                new Directory.Names(config.kinds(), config.zones(),
+                        settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
+        front = new HttpFront(core, config.classNames(), notices);
+        core.add(front);
+        Directory.Known known = config.known() == null ? null : directory.read(config.known());
+        deliverer.start();
+        directory.start(known == null ? -1 : known.index());
+        core.start(known == null ? java.util.List.of() : known.listed(), known == null ? 0 : known.index());
+        address = front.listen(transport, Transport.address(config.listen()));
+    }
+
+    static Forwarder start(Config config) throws IOException {
+        Forwarder forwarder = new Forwarder(config);
+        System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.address);
+        return forwarder;
+    }
+
+    /** Ends well: nothing that the coming kill could cut is started, and the journal has the rest. */
+    void stop() {
+        try {
+            core.post(this::stopping);
+            stopped.await(END + ACCEPT, TimeUnit.MICROSECONDS);
+            core.end();
+            System.err.print(core.counters().text());
+            journal.close();
+            transport.close();
+        } catch (InterruptedException | IOException e) {
+            System.err.println("lilaclever: at the end: " + e);
+        }
+    }
+
+    private void stopping() {
+        long told = core.now();
+        core.deadlines().at(told + ACCEPT, () -> {
+            core.stopBy(told + CALLS_BY);
+            front.close();
+            untilQuiet(told + END);
+        });
+    }
+
+    private void untilQuiet(long end) {
+        if (core.now() >= end || core.quiet()) {
+            stopped.countDown();
+        } else {
+            core.deadlines().at(core.now() + LOOK, () -> untilQuiet(end));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/program/Main.java
@@ -0,0 +1,92 @@
+package lilaclever.program;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line: one sub-command, each with options of its own. */
+public final class Main {
+    /** What a sub-command does; gives the exit code, or null while the program goes on running. */
+    interface Command {
+        Integer run() throws Exception;
+    }
+
+    @Argument(required = true, metaVar = "serve|simhost|check-config|version", handler = SubCommandHandler.class,
+            usage = "what to do")
+    @SubCommands({
+        @SubCommand(name = "serve", impl = ServeCommand.class),
+        @SubCommand(name = "simhost", impl = SimhostCommand.class),
+        @SubCommand(name = "check-config", impl = CheckCommand.class),
+        @SubCommand(name = "version", impl = VersionCommand.class)
+    })
+    private Command command;
+
+    private Main() { }
+
+    /** Runs the sub-command that the arguments name. */
+    public static void main(String[] args) throws Exception {
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println("lilaclever: " + e.getMessage());
+            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|version [options]");
+            e.getParser().printUsage(System.err);
+            System.exit(2);
+        }
+        Integer code;
+        try {
+            code = main.command.run();
+        } catch (Config.Bad e) {
+            System.err.println("lilaclever: configuration: " + e.getMessage());
+            code = 2;
+        }
+        if (code != null) {
+            System.exit(code);
+        }
+    }
+
+    /** Serves until the process is told to end. */
+    public static final class ServeCommand implements Command {
+        @Override
+        public Integer run() throws Exception {
+            Forwarder forwarder = Forwarder.start(Config.read(System.getenv()));
+            Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
+            return null;
+        }
+    }
+
+    /** Plays the decision module on the simulator's wire. */
+    public static final class SimhostCommand implements Command {
+        @Override
+        public Integer run() {
+            return lilaclever.benchlink.Main.run();
+        }
+    }
+
+    /** Reads and checks the configuration that serve would use. */
+    public static final class CheckCommand implements Command {
+        @Override
+        public Integer run() throws Config.Bad {
+            Config config = Config.read(System.getenv());
+            System.out.println("configuration of " + config.name() + " is good: " + config.classNames().size()
+                    + " classes, " + config.settings().limits().slots() + " slots, journal up to "
+                    + config.diskBytes() + " bytes in " + config.state());
+            return 0;
+        }
+    }
+
+    /** Tells the version. */
+    public static final class VersionCommand implements Command {
+        @Override
+        public Integer run() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("lilaclever " + (version == null ? "(not packaged)" : version));
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -0,0 +1,118 @@
+package lilaclever.protocol.http;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lilaclever.Relay;
+import lilaclever.routing.Call;
+import lilaclever.routing.Core;
+import lilaclever.routing.Deadlines;
+import lilaclever.routing.Deliverer;
+import lilaclever.transport.Transport;
+
+/** Watches the platform's list of endpoints. Loop thread. */
+public final class Directory {
+    /** A watch waits so long at the most; what it does not bring counts as told 2 s after that. */
+    private static final long WAIT = 10_000_000;
+    private static final long ANSWER_BY = WAIT + 1_500_000;
+    /** Well within the 200 ms in which the next call must come. */
+    private static final long PAUSE = 50_000;
+
+    /** A list as the platform writes it. */
+    public record Known(long index, boolean whole, List<Core.Listed> listed) { }
+
+    private final Core core;
+    private final HttpClient client;
+    private final String address;
+    private final Deliverer deliverer;
+    private final Names names;
+    private long index = -1;
+
+    /** What the settings call kinds and zones, in order. */
+    public record Names(List<String> kinds, List<String> zones, List<Integer> batches) { }
+
+    /** Watches the list at the address. */
+    public Directory(Core core, Transport transport, String address, Deliverer deliverer, Names names,
+            long connectMicros, long keepAliveMicros) {
+        this.core = core;
+        this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros);
+        this.address = address;
+        this.deliverer = deliverer;
+        this.names = names;
+    }
+
+    /** Starts to watch after the list that is known; without one it is fetched whole. */
+    public void start(long knownIndex) {
+        index = knownIndex;
+        watch();
+    }
+
+    private void watch() {
+        String path = "/registry/instances"
+                + (index < 0 ? "" : "?after=" + index + "&wait_ms=" + WAIT / 1000);
+        HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
+        Deadlines.Key late = core.deadlines().at(core.now() + ANSWER_BY, () -> {
+            exchange[0].close();
+            watch(); // the agent is silent while discovery is down
+        });
+        exchange[0] = client.send(address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
+            @Override
+            public void answered(int status, Map<String, String> headers, byte[] body) {
+                core.deadlines().cancel(late);
+                try {
+                    if (status != 200) {
+                        throw new JsonParseException("answered with " + status);
+                    }
+                    Known news = read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                            .getAsJsonObject());
+                    if (index < 0 || news.whole() || !news.listed().isEmpty()) {
+                        core.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
+                                news.listed());
+                    }
+                    index = news.index();
+                    watch();
+                } catch (JsonParseException | IllegalStateException | IllegalArgumentException
+                        | NullPointerException | UnsupportedOperationException e) {
+                    System.err.println("lilaclever: directory: " + e);
+                    index = -1; // start over with the whole list
+                    core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+                }
+            }
+
+            @Override
+            public void broke(boolean written) {
+                core.deadlines().cancel(late);
+                core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+            }
+        });
+    }
+
+    /** Reads a list in the platform's form. */
+    public Known read(JsonObject list) {
+        List<Core.Listed> all = new ArrayList<>();
+        for (JsonElement element : list.getAsJsonArray("endpoints")) {
+            JsonObject e = element.getAsJsonObject();
+            int kind = names.kinds().indexOf(e.get("type").getAsString());
+            int zone = Math.max(0, names.zones().indexOf(e.get("zone").getAsString()));
+            Relay.Presence presence = switch (e.get("status").getAsString()) {
+                case "active" -> Relay.Presence.ACTIVE;
+                case "leaving" -> Relay.Presence.LEAVING;
+                default -> Relay.Presence.LEFT;
+            };
+            String host = e.get("name").getAsString();
+            long since = e.has("since_ms") ? e.get("since_ms").getAsLong() : 0;
+            long sinceMicros = since == 0 ? 0
+                    : Math.max(1, core.now() - (System.currentTimeMillis() - since) * 1000);
+            double weight = e.has("weight") ? e.get("weight").getAsDouble() : 1;
+            int batch = kind >= 0 && kind < names.batches().size() ? names.batches().get(kind) : 1;
+            all.add(new Core.Listed(new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight,
+                    sinceMicros), new Call.Endpoint(host, e.get("address").getAsString(), zone, batch, deliverer)));
+        }
+        return new Known(list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), all);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -0,0 +1,179 @@
+package lilaclever.protocol.http;
+
+import java.io.ByteArrayOutputStream;
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import lilaclever.Relay.Ending;
+import lilaclever.routing.Call;
+import lilaclever.routing.Core;
+import lilaclever.routing.Deadlines;
+import lilaclever.routing.Deliverer;
+import lilaclever.routing.Message;
+import lilaclever.transport.Transport;
+
+/** Calls over the platform's protocol: requests out, answers to endings. */
+public final class HttpDeliverer implements Deliverer {
+    private static final byte[] NOTHING = {};
+    private static final byte[] CRLF = {'\r', '\n'};
+
+    private final Core core;
+    private final HttpClient client;
+    private final long probeMicros;
+
+    /** A deliverer with connections of its own. */
+    public HttpDeliverer(Core core, Transport transport, long connectMicros, long keepAliveMicros) {
+        this.core = core;
+        this.probeMicros = connectMicros;
+        this.client = new HttpClient(core, transport, "calls", connectMicros, keepAliveMicros);
+    }
+
+    /** Starts its housekeeping. */
+    public void start() {
+        client.start();
+    }
+
+    @Override
+    public void start(Call call) {
+        List<Message> messages = call.messages;
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Req-Deadline", seconds(Math.max(0, call.dropAt - call.startedAt)));
+        HttpClient.Listener listener = new HttpClient.Listener() {
+            @Override
+            public void answered(int status, Map<String, String> answer, byte[] body) {
+                outcomes(call, status, answer, body);
+            }
+
+            @Override
+            public void broke(boolean written) {
+                // Before the last byte the endpoint has not begun; after it nobody knows.
+                all(call, written ? Ending.RESET : Ending.NO_CONNECTION, 0, false, false);
+            }
+        };
+        if (messages.size() == 1) {
+            Message m = messages.get(0);
+            headers.put("Req-Id", m.id());
+            if (m.handin.key() != null) {
+                headers.put("Idempotency-Key", m.handin.key());
+            }
+            call.attachment = client.send(call.endpoint.address(), "POST", "/receive", headers, m.handin.body(),
+                    listener);
+        } else {
+            call.attachment = client.send(call.endpoint.address(), "POST", "/receive-many", headers, many(messages),
+                    listener);
+        }
+    }
+
+    private static byte[] many(List<Message> messages) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (Message m : messages) {
+            String key = m.handin.key() == null ? "-" : m.handin.key();
+            out.writeBytes((m.id() + ' ' + key + ' ' + m.handin.body().length)
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            out.writeBytes(CRLF);
+            out.writeBytes(m.handin.body());
+            out.writeBytes(CRLF);
+        }
+        return out.toByteArray();
+    }
+
+    private void outcomes(Call call, int status, Map<String, String> headers, byte[] body) {
+        long wait = wait(headers);
+        switch (status) {
+            case 200 -> {
+                if (call.messages.size() == 1) {
+                    all(call, Ending.DELIVERED, 0, false, false);
+                } else {
+                    each(call, wait, new String(body, StandardCharsets.ISO_8859_1));
+                }
+            }
+            case 429, 503 -> {
+                boolean noSlot = "1".equals(headers.get("x-no-slot"));
+                all(call, noSlot ? Ending.NOT_SENT : Ending.FULL, wait, noSlot, false);
+            }
+            case 504, 413, 400 -> all(call, Ending.NOT_SENT, 0, false, false);
+            case 410 -> all(call, Ending.NOT_SENT, 0, false, true);
+            default -> all(call, Ending.ERROR, 0, false, false);
+        }
+    }
+
+    private void each(Call call, long wait, String text) {
+        Map<String, String> ends = new HashMap<>();
+        for (String line : text.split("\r?\n")) {
+            int space = line.indexOf(' ');
+            if (space > 0) {
+                ends.put(line.substring(0, space), line.substring(space + 1).trim());
+            }
+        }
+        for (Message m : List.copyOf(call.messages)) {
+            String end = ends.getOrDefault(m.id(), "fault"); // not told: it may have run
+            switch (end) {
+                case "accepted" -> core.outcome(call, m, Ending.DELIVERED, 0, false, false);
+                case "deferred" -> core.outcome(call, m, Ending.FULL, wait, false, false);
+                case "expired" -> core.outcome(call, m, Ending.NOT_SENT, 0, false, true);
+                case "no_more" -> core.outcome(call, m, Ending.NOT_SENT, 0, false, false);
+                default -> core.outcome(call, m, Ending.ERROR, 0, false, false);
+            }
+        }
+    }
+
+    private static long wait(Map<String, String> headers) {
+        try {
+            return Math.max(0, new BigDecimal(headers.getOrDefault("x-retry-in-ms", "0").trim())
+                    .movePointRight(3).longValue());
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private void all(Call call, Ending ending, long wait, boolean noSlot, boolean over) {
+        List.copyOf(call.messages).forEach(m -> core.outcome(call, m, ending, wait, noSlot, over));
+    }
+
+    /** Seconds with decimals, as the protocol writes them. */
+    static String seconds(long micros) {
+        return String.format(Locale.ROOT, "%.3f", micros / 1e6);
+    }
+
+    @Override
+    public void giveUp(Call call) {
+        boolean written = call.attachment instanceof HttpClient.Exchange exchange && exchange.close();
+        all(call, written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0, false, false);
+    }
+
+    @Override
+    public void closeIdle(String address) {
+        client.closeIdle(address);
+    }
+
+    @Override
+    public void probe(Call.Endpoint endpoint) {
+        long started = core.now();
+        HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
+        Deadlines.Key late = core.deadlines().at(started + probeMicros, () -> {
+            exchange[0].close();
+            core.probed(endpoint.host(), Ending.TIMED_OUT, core.now() - started);
+        });
+        exchange[0] = client.send(endpoint.address(), "GET", "/health/live", Map.of(), NOTHING,
+                new HttpClient.Listener() {
+            @Override
+            public void answered(int status, Map<String, String> headers, byte[] body) {
+                end(status == 200 ? Ending.DELIVERED : status == 503 ? Ending.FULL : Ending.ERROR);
+            }
+
+            @Override
+            public void broke(boolean written) {
+                end(written ? Ending.RESET : Ending.NO_CONNECTION);
+            }
+
+            private void end(Ending ending) {
+                core.deadlines().cancel(late);
+                core.probed(endpoint.host(), ending, core.now() - started);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -0,0 +1,27 @@
+package lilaclever.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One call to an endpoint: one message, or several where the endpoint's kind takes several. */
+public final class Call {
+    /** The endpoint's name in the list and where it is. */
+    public final Endpoint endpoint;
+    /** What travels in it. */
+    public final List<Message> messages = new ArrayList<>();
+    /** When to give it up, and when it was started. */
+    public final long dropAt, startedAt;
+    /** What the deliverer keeps for it. */
+    public Object attachment;
+    int open;
+    Deadlines.Key deadline;
+
+    /** An endpoint of the list, with the deliverer that reaches it. */
+    public record Endpoint(String host, String address, int zone, int batch, Deliverer deliverer) { }
+
+    Call(Endpoint endpoint, long dropAt, long startedAt) {
+        this.endpoint = endpoint;
+        this.dropAt = dropAt;
+        this.startedAt = startedAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -0,0 +1,483 @@
+package lilaclever.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.Relay;
+import lilaclever.Relay.Action;
+import lilaclever.Relay.Ending;
+import lilaclever.Relay.Event;
+import lilaclever.routing.Counters.Name;
+import lilaclever.routing.Verdict.Kind;
+
+/**
+ * The core: knows messages, endpoints and deadlines, and no wire. One thread, the loop, owns all of it. Each turn it
+ * runs what is ready, sweeps the deadlines, hands all events to the decision module in one go and carries out the
+ * actions in their order. Other threads come in by {@link #post} alone.
+ */
+public final class Core {
+    /** What a client is told where the module was not asked: no room here, or the program ends. */
+    private static final long COME_BACK = 1_000_000;
+    private static final long LONGEST_SLEEP = 1_000_000;
+    /** An end this long after a message's time is a broken rule. */
+    private static final long OVERDUE = 250_000;
+
+    /** An endpoint as the directory lists it. */
+    public record Listed(Relay.Entry entry, Call.Endpoint endpoint) { }
+
+    private final Relay.Settings settings;
+    private final Relay relay;
+    private final Journal journal;
+    private final Counters counters;
+    private final Deadlines deadlines = new Deadlines();
+    private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
+    private final Map<String, Front> fronts = new HashMap<>();
+    private final Map<String, Message> held = new LinkedHashMap<>();
+    private final Map<String, Message> byIdentity = new HashMap<>();
+    private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
+    /** Endpoints that stand in our own configuration and in no directory. */
+    private final List<Listed> fixed = new ArrayList<>();
+    private final Set<Call> calls = new HashSet<>();
+    private final List<Message> fresh = new ArrayList<>();
+    private final long rememberMicros;
+    private List<Event> events = new ArrayList<>();
+    private Thread thread;
+    private volatile boolean ended;
+    private boolean closing;
+    private int unsettled;
+    private long now = micros();
+
+    /** A core that holds nothing yet. */
+    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, long rememberMicros) {
+        this.settings = settings;
+        this.relay = Relay.create(settings, seed);
+        this.journal = journal;
+        this.counters = counters;
+        this.rememberMicros = rememberMicros;
+    }
+
+    // ---- what others use --------------------------------------------------------------------------------
+    /** Has the loop run the task in its next turn. From any thread. */
+    public void post(Runnable task) {
+        ready.add(task);
+    }
+
+    /** The clock of this turn, microseconds; only goes forward. */
+    public long now() {
+        return now;
+    }
+
+    /** All deadlines. */
+    public Deadlines deadlines() {
+        return deadlines;
+    }
+
+    /** The counters. */
+    public Counters counters() {
+        return counters;
+    }
+
+    /** The monotonic clock, microseconds. */
+    public static long micros() {
+        return System.nanoTime() / 1000;
+    }
+
+    private static long wall() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    /** Adds a front; before {@link #start}. */
+    public void add(Front front) {
+        fronts.put(front.name(), front);
+    }
+
+    /** Adds an endpoint of our own configuration; before {@link #start}. */
+    public void add(Listed own) {
+        fixed.add(own);
+        endpoints.put(own.entry().host(), own.endpoint());
+    }
+
+    /** Starts the loop: first what the journal says is owed, with the list as last known. */
+    public void start(List<Listed> known, long version) {
+        listing(Relay.ListingKind.REMEMBERED, version, known);
+        long wall = wall();
+        for (Journal.Entry e : List.copyOf(journal.owed.values())) {
+            resume(e, wall);
+        }
+        turn();
+        thread = new Thread(this::loop, "loop");
+        thread.start();
+    }
+
+    private void resume(Journal.Entry e, long wall) {
+        Front front = fronts.get(e.front);
+        Message m = new Message(e.handin, front, e.deadlineWall);
+        if (front == null) {
+            System.err.println("lilaclever: nobody to answer for " + m.id() + ": no front " + e.front);
+            journal.ended(m.id());
+            return;
+        }
+        counters.add(Name.RESUMED);
+        m.journaled = true;
+        m.resumed = true;
+        if (e.verdict != null) {
+            m.over = true;
+            answer(m, e.verdict);
+            return;
+        }
+        if (e.out) {
+            // The call was out when the process ended: it may have run.
+            e.risk();
+            e.out = false;
+            journal.outcome(m.id(), false);
+        }
+        m.attempts = e.attempts;
+        if (e.mayHaveRun) {
+            m.mayHaveRun(e.riskHost, e.riskZone, e.riskWall);
+        }
+        hold(m);
+        events.add(m.submit(now, wall));
+    }
+
+    /** Takes a hand-in from a front; the front hears of it by the end of the turn. Loop thread. */
+    public Message handIn(Front front, Handin handin) {
+        counters.add(Name.HANDED_IN);
+        long wall = wall();
+        Message m = new Message(handin, front, wall + handin.budgetMicros());
+        Message same = handin.identity() == null ? held.get(handin.id()) : byIdentity.get(handin.identity());
+        if (same != null) {
+            return same;
+        }
+        Journal.Remembered earlier = handin.identity() == null ? null : journal.remembered.get(handin.identity());
+        if (earlier != null && earlier.untilWall() > wall) {
+            m.over = true;
+            m.verdict = earlier.verdict();
+            front.turnedDown(m, m.verdict);
+            return m;
+        }
+        if (closing || held.size() >= settings.limits().maxOpen()) {
+            turnDown(m, new Verdict(Kind.REFUSED, COME_BACK, "no room"));
+            return m;
+        }
+        hold(m);
+        fresh.add(m);
+        events.add(m.submit(now, wall));
+        return m;
+    }
+
+    /** The client is gone before it heard that its message is taken on. Loop thread. */
+    public void clientGone(Message m) {
+        if (!m.over) {
+            counters.add(Name.WITHDRAWN);
+            events.add(new Event.Withdrawn(m.id()));
+            release(m);
+            journal.ended(m.id());
+        }
+    }
+
+    /** News of the list. Loop thread. */
+    public void listing(Relay.ListingKind kind, long version, List<Listed> listed) {
+        counters.add(Name.LISTINGS);
+        boolean whole = kind == Relay.ListingKind.ALL || kind == Relay.ListingKind.REMEMBERED;
+        List<Listed> all = new ArrayList<>(listed);
+        if (whole) {
+            all.addAll(fixed);
+            Map<String, Call.Endpoint> old = new HashMap<>(endpoints);
+            endpoints.clear();
+            all.forEach(x -> old.remove(x.entry().host()));
+            old.values().forEach(x -> x.deliverer().closeIdle(x.address()));
+        }
+        List<Relay.Entry> entries = new ArrayList<>();
+        for (Listed x : all) {
+            entries.add(x.entry());
+            endpoints.put(x.entry().host(), x.endpoint());
+            if (x.entry().presence() == Relay.Presence.LEFT) {
+                x.endpoint().deliverer().closeIdle(x.endpoint().address());
+                endpoints.remove(x.entry().host());
+            }
+        }
+        events.add(new Event.Listing(kind, version, entries));
+    }
+
+    /** One attempt of a call has ended. Loop thread. {@code over}: the endpoint says that nothing more is owed. */
+    public void outcome(Call call, Message m, Ending ending, long waitMicros, boolean noSlot, boolean over) {
+        if (m.out != call) {
+            return;
+        }
+        m.out = null;
+        if (--call.open == 0) {
+            deadlines.cancel(call.deadline);
+            calls.remove(call);
+        }
+        counters.ending(ending.name());
+        if (!ending.neverRan()) {
+            m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), wall());
+        }
+        events.add(new Event.Outcome(m.id(), call.endpoint.host(), m.attempts - 1, ending, now - call.startedAt,
+                waitMicros, noSlot, over || ending == Ending.DELIVERED, null));
+        if (m.over) {
+            return;
+        }
+        if (ending == Ending.DELIVERED) {
+            counters.add(Name.DELIVERED);
+            end(m, Verdict.of(Kind.DELIVERED));
+        } else if (over) {
+            end(m, Verdict.of(Kind.GONE));
+        } else {
+            journal.outcome(m.id(), ending.neverRan());
+        }
+    }
+
+    /** A probe has ended. Loop thread. */
+    public void probed(String host, Ending ending, long elapsedMicros) {
+        events.add(new Event.Probed(host, ending, elapsedMicros, null));
+    }
+
+    /** Takes nothing new from now on, and starts no call that could be out at the given time. Loop thread. */
+    public void stopBy(long atMicros) {
+        closing = true;
+        events.add(new Event.Stopping(atMicros));
+    }
+
+    /** True if no call is out and every end has been told. Loop thread. */
+    public boolean quiet() {
+        return calls.isEmpty() && unsettled == 0;
+    }
+
+    /** Ends the loop after this turn; the journal has what is left. From any thread. */
+    public void end() throws InterruptedException {
+        ended = true;
+        post(() -> { });
+        if (thread != null) {
+            thread.join();
+        }
+    }
+
+    // ---- the loop ---------------------------------------------------------------------------------------
+    private void loop() {
+        while (!ended) {
+            try {
+                long until = deadlines.soonest(now + LONGEST_SLEEP);
+                Runnable first = ready.poll(Math.max(0, until - micros()), TimeUnit.MICROSECONDS);
+                // Turns keep the module's least spacing: what comes close together is decided together.
+                long early = now + settings.roundMicros() - micros();
+                if (early > 0) {
+                    TimeUnit.MICROSECONDS.sleep(early);
+                }
+                now = micros();
+                run(first);
+                turn();
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void run(Runnable task) {
+        try {
+            if (task != null) {
+                task.run();
+            }
+        } catch (RuntimeException e) {
+            // One bad message must not end the others.
+            counters.add(Name.TASKS_FAILED);
+            e.printStackTrace();
+        }
+    }
+
+    private void turn() {
+        counters.add(Name.TURNS);
+        for (int n = ready.size(); n > 0; n--) {
+            run(ready.poll());
+        }
+        run(() -> deadlines.sweep(now));
+        if (!events.isEmpty()) {
+            List<Event> batch = events;
+            events = new ArrayList<>();
+            carryOut(relay.decide(now, batch));
+        }
+        run(() -> journal.tidy(wall()));
+    }
+
+    private void carryOut(List<Action> actions) {
+        takeOn(actions);
+        Map<String, Call> starting = new LinkedHashMap<>();
+        for (Action action : actions) {
+            if (action instanceof Action.Send a) {
+                send(a, starting, actions);
+                continue;
+            }
+            run(() -> carryOut(action));
+        }
+        starting.values().forEach(this::start);
+    }
+
+    /** What came in this turn and was not ended in it goes into the journal, and its client is told. */
+    private void takeOn(List<Action> actions) {
+        if (fresh.isEmpty()) {
+            return;
+        }
+        Set<String> endedNow = new HashSet<>();
+        for (Action action : actions) {
+            if (action instanceof Action.Refuse a) {
+                endedNow.add(a.id());
+            } else if (action instanceof Action.Fail a) {
+                endedNow.add(a.id());
+            }
+        }
+        for (Message m : fresh) {
+            if (m.over || endedNow.contains(m.id())) {
+                continue;
+            }
+            m.journaled = journal.taken(m, wall());
+            if (m.journaled) {
+                counters.add(Name.TAKEN);
+                run(() -> m.front.taken(m));
+            } else {
+                counters.add(Name.JOURNAL_FULL);
+                events.add(new Event.Withdrawn(m.id()));
+                turnDown(m, new Verdict(Kind.REFUSED, COME_BACK, "no room on disk"));
+            }
+        }
+        fresh.clear();
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Action.Refuse a) {
+            ended(a.id(), new Verdict(Kind.REFUSED, a.comeBackMicros(), ""));
+        } else if (action instanceof Action.Fail a) {
+            ended(a.id(), Verdict.of(Kind.FAILED));
+        } else if (action instanceof Action.Cancel a) {
+            Message m = held.get(a.id());
+            if (m != null && m.out != null && m.attempts - 1 == a.attempt()) {
+                m.out.endpoint.deliverer().giveUp(m.out);
+            }
+        } else if (action instanceof Action.CloseIdle a && endpoints.containsKey(a.host())) {
+            Call.Endpoint endpoint = endpoints.get(a.host());
+            endpoint.deliverer().closeIdle(endpoint.address());
+        } else if (action instanceof Action.Wake a) {
+            deadlines.at(now + a.afterMicros(), () -> events.add(new Event.Timer(a.token())));
+        } else if (action instanceof Action.Probe a && endpoints.containsKey(a.host())) {
+            endpoints.get(a.host()).deliverer().probe(endpoints.get(a.host()));
+        } else if (action instanceof Action.Log a) {
+            System.err.println("lilaclever: " + a.text());
+        }
+        // Watch and FetchList: the directory is watched all the time. Tell: nobody to tell.
+    }
+
+    private void ended(String id, Verdict verdict) {
+        Message m = held.get(id);
+        if (m == null) {
+            return;
+        }
+        Verdict told = new Verdict(verdict.kind(), verdict.comeBackMicros(), m.lastWord);
+        if (m.journaled) {
+            counters.add(told.kind() == Kind.REFUSED ? Name.REFUSED : Name.FAILED);
+            counters.holds(m.resumed || wall() <= m.deadlineWall + OVERDUE, m.id() + " ended in time");
+            end(m, told);
+        } else {
+            turnDown(m, told);
+        }
+    }
+
+    private void send(Action.Send a, Map<String, Call> starting, List<Action> actions) {
+        Message m = held.get(a.id());
+        Call.Endpoint endpoint = endpoints.get(a.host());
+        if (m == null || endpoint == null || m.out != null) {
+            // Not held any more, as its client has gone: the module must still hear of this attempt.
+            counters.holds(m == null || m.out == null, a.id() + " has one attempt out at most");
+            int attempt = m == null ? 0 : m.attempts++;
+            events.add(new Event.Outcome(a.id(), a.host(), attempt, Ending.NOT_SENT, 0, 0, false, m == null, null));
+            return;
+        }
+        Call call = starting.get(a.host());
+        if (call != null && call.messages.size() >= endpoint.batch()) {
+            start(call);
+            call = null;
+        }
+        if (call == null) {
+            // The call is one fate: it waits as long as any of its messages may.
+            long dropAt = a.dropAtMicros();
+            for (Action other : actions) {
+                dropAt = other instanceof Action.Send b && b.host().equals(a.host())
+                        ? Math.max(dropAt, b.dropAtMicros()) : dropAt;
+            }
+            call = new Call(endpoint, dropAt, now);
+            starting.put(a.host(), call);
+        }
+        counters.holds(endpoint.equals(call.endpoint), a.id() + " goes where its call goes");
+        m.attempts++;
+        m.out = call;
+        call.messages.add(m);
+        call.open++;
+    }
+
+    /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
+    private void start(Call call) {
+        long wall = wall();
+        boolean written = true;
+        for (Message m : call.messages) {
+            written &= journal.attempt(m.id(), call.endpoint.host(), call.endpoint.zone(), wall);
+            counters.add(Name.ATTEMPTS);
+        }
+        calls.add(call);
+        if (!written) {
+            counters.add(Name.JOURNAL_FULL);
+            List.copyOf(call.messages).forEach(m -> outcome(call, m, Ending.NOT_SENT, 0, false, false));
+            return;
+        }
+        counters.add(Name.CALLS);
+        call.deadline = deadlines.at(call.dropAt, () -> call.endpoint.deliverer().giveUp(call));
+        run(() -> call.endpoint.deliverer().start(call));
+    }
+
+    // ---- messages ---------------------------------------------------------------------------------------
+    private void hold(Message m) {
+        held.put(m.id(), m);
+        if (m.handin.identity() != null) {
+            byIdentity.put(m.handin.identity(), m);
+        }
+    }
+
+    private void release(Message m) {
+        m.over = true;
+        held.remove(m.id());
+        if (m.handin.identity() != null) {
+            byIdentity.remove(m.handin.identity(), m);
+        }
+    }
+
+    private void turnDown(Message m, Verdict verdict) {
+        counters.add(Name.TURNED_DOWN);
+        release(m);
+        m.verdict = verdict;
+        run(() -> m.front.turnedDown(m, verdict));
+    }
+
+    private void end(Message m, Verdict verdict) {
+        release(m);
+        String identity = m.handin.identity();
+        if (identity != null && (verdict.kind() == Kind.DELIVERED || verdict.kind() == Kind.FAILED)) {
+            journal.remember(identity, verdict, wall() + rememberMicros);
+        }
+        if (verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE) {
+            journal.verdict(m.id(), verdict);
+        }
+        answer(m, verdict);
+    }
+
+    private void answer(Message m, Verdict verdict) {
+        m.verdict = verdict;
+        unsettled++;
+        run(() -> m.front.ended(m, verdict, () -> {
+            unsettled--;
+            journal.ended(m.id());
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -0,0 +1,59 @@
+package lilaclever.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** What the program took in, sent and answered, and what should have held and did not. */
+public final class Counters {
+    /** What is counted. */
+    public enum Name {
+        HANDED_IN, TAKEN, TURNED_DOWN, REFUSED, FAILED, DELIVERED, WITHDRAWN, RESUMED, CALLS, ATTEMPTS, CONNECTIONS,
+        NOTICES, LISTINGS, JOURNAL_FULL, BROKEN_INVARIANTS, TASKS_FAILED, TURNS
+    }
+
+    private final Map<Name, LongAdder> values = new EnumMap<>(Name.class);
+    private final Map<String, LongAdder> endings = new TreeMap<>();
+
+    /** All at nothing. */
+    public Counters() {
+        for (Name name : Name.values()) {
+            values.put(name, new LongAdder());
+        }
+    }
+
+    /** One more. */
+    public void add(Name name) {
+        values.get(name).increment();
+    }
+
+    /** One attempt ended so. */
+    synchronized void ending(String ending) {
+        endings.computeIfAbsent(ending, e -> new LongAdder()).increment();
+    }
+
+    /** The count. */
+    public long get(Name name) {
+        return values.get(name).sum();
+    }
+
+    /** What must hold: asserted where assertions are on, counted and told elsewhere. */
+    public void holds(boolean good, String what) {
+        assert good : what;
+        if (!good) {
+            add(Name.BROKEN_INVARIANTS);
+            System.err.println("lilaclever: does not hold: " + what);
+        }
+    }
+
+    /** One line a count. */
+    public synchronized String text() {
+        StringBuilder all = new StringBuilder();
+        values.forEach((name, value) -> all.append(name.name().toLowerCase()).append(' ').append(value.sum())
+                .append('\n'));
+        endings.forEach((name, value) -> all.append("ending_").append(name.toLowerCase()).append(' ')
+                .append(value.sum()).append('\n'));
+        return all.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Deadlines.java
@@ -0,0 +1,45 @@
+package lilaclever.routing;
+
+import java.util.TreeMap;
+
+/** All deadlines of the program, in order; the loop sweeps them each turn. Used from the loop thread only. */
+public final class Deadlines {
+    /** One entry; needed only to take it back. */
+    public record Key(long atMicros, long order) implements Comparable<Key> {
+        @Override
+        public int compareTo(Key other) {
+            int byTime = Long.compare(atMicros, other.atMicros);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final TreeMap<Key, Runnable> entries = new TreeMap<>();
+    private long order;
+
+    /** Runs the action in the first turn at or past the time. */
+    public Key at(long micros, Runnable action) {
+        Key key = new Key(micros, order++);
+        entries.put(key, action);
+        return key;
+    }
+
+    /** Takes an entry back; null and what has run are passed over. */
+    public void cancel(Key key) {
+        if (key != null) {
+            entries.remove(key);
+        }
+    }
+
+    /** The earliest time, or the given one if that is sooner. */
+    long soonest(long otherwise) {
+        return entries.isEmpty() ? otherwise : Math.min(otherwise, entries.firstKey().atMicros());
+    }
+
+    /** Runs what is due, in order; what an action adds for the past waits for the next sweep. */
+    void sweep(long nowMicros) {
+        long last = order;
+        while (!entries.isEmpty() && entries.firstKey().atMicros() <= nowMicros && entries.firstKey().order() < last) {
+            entries.pollFirstEntry().getValue().run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -0,0 +1,16 @@
+package lilaclever.routing;
+
+/** Carries calls to endpoints. All is called on the loop thread; outcomes go to {@link Core#outcome}. */
+public interface Deliverer {
+    /** Starts a call. Each of its messages gets one outcome. */
+    void start(Call call);
+
+    /** Stops waiting for a call and closes its connection; the outcomes follow at once. */
+    void giveUp(Call call);
+
+    /** Closes idle connections to an endpoint. */
+    void closeIdle(String host);
+
+    /** Checks an endpoint; the answer goes to {@link Core#probed}. */
+    void probe(Call.Endpoint endpoint);
+}
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -0,0 +1,62 @@
+package lilaclever.routing;
+
+import lilaclever.Relay;
+
+/** A message in the core's hands. */
+public final class Message {
+    /** What the front handed in. */
+    public final Handin handin;
+    /** Where it came from. */
+    public final Front front;
+    /** When its time is up, on the wall clock, microseconds: this outlasts the process. */
+    final long deadlineWall;
+    boolean journaled;
+    boolean over;
+    boolean resumed;
+    int attempts;
+    Call out;
+    boolean mayHaveRun;
+    String riskHost = "";
+    int riskZone;
+    long riskWall;
+    Verdict verdict;
+    /** What the last endpoint said, for people. */
+    public String lastWord = "";
+
+    Message(Handin handin, Front front, long deadlineWall) {
+        this.handin = handin;
+        this.front = front;
+        this.deadlineWall = deadlineWall;
+    }
+
+    /** The id. */
+    public String id() {
+        return handin.id();
+    }
+
+    /** True until the message has ended. */
+    public boolean isOpen() {
+        return !over;
+    }
+
+    /** How it ended; null while it is open. */
+    public Verdict verdict() {
+        return verdict;
+    }
+
+    void mayHaveRun(String host, int zone, long wall) {
+        if (!mayHaveRun) {
+            mayHaveRun = true;
+            riskHost = host;
+            riskZone = zone;
+            riskWall = wall;
+        }
+    }
+
+    Relay.Event.Submit submit(long nowMono, long nowWall) {
+        Relay.Prior prior = attempts == 0 ? null
+                : new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - (nowWall - riskWall));
+        return new Relay.Event.Submit(id(), handin.messageClass(), handin.destination(), 0, null, handin.again(),
+                handin.inherited(), Math.max(0, deadlineWall - nowWall), prior);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -0,0 +1,103 @@
+package lilaclever.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** All sockets of the program: one selector thread, on which filters run; they hand on what they read. */
+public final class Transport implements AutoCloseable {
+    private static final int BACKLOG = 512;
+    private static final int BUFFER = 16 * 1024;
+
+    private final TCPNIOTransport tcp;
+
+    /** Starts the selector thread. */
+    public Transport() throws IOException {
+        ThreadPoolConfig selector = ThreadPoolConfig.defaultConfig().copy().setPoolName("sockets").setCorePoolSize(1)
+                .setMaxPoolSize(1).setDaemon(true);
+        tcp = TCPNIOTransportBuilder.newInstance().setName("sockets").setSelectorRunnersCount(1)
+                .setSelectorThreadPoolConfig(selector).setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setReuseAddress(true).setTcpNoDelay(true).setServerConnectionBackLog(BACKLOG)
+                .setReadBufferSize(BUFFER).setWriteBufferSize(BUFFER).build();
+        tcp.start();
+    }
+
+    /** A chain of the socket itself and the given filters. */
+    public static FilterChain chain(Filter... filters) {
+        FilterChainBuilder builder = FilterChainBuilder.stateless().add(new TransportFilter());
+        for (Filter filter : filters) {
+            builder.add(filter);
+        }
+        return builder.build();
+    }
+
+    /** Listens on the address; each connection gets the chain. */
+    public TCPNIOServerConnection listen(SocketAddress address, FilterChain chain) throws IOException {
+        return TCPNIOBindingHandler.builder(tcp).processor(chain).build().bind(address, BACKLOG);
+    }
+
+    /** Opens a connection; one of the two is called, on any thread. */
+    @SuppressWarnings("rawtypes")
+    public void connect(InetSocketAddress address, FilterChain chain, Consumer<Connection<?>> up,
+            Consumer<Throwable> failed) {
+        TCPNIOConnectorHandler.builder(tcp).processor(chain).build().connect(address,
+                new EmptyCompletionHandler<Connection>() {
+                    @Override
+                    public void completed(Connection connection) {
+                        up.accept(connection);
+                    }
+
+                    @Override
+                    public void failed(Throwable problem) {
+                        failed.accept(problem);
+                    }
+                });
+    }
+
+    /** Writes a message through the connection's filters; one of the two is run, on any thread. */
+    @SuppressWarnings("unchecked")
+    public static <M> void write(Connection<?> connection, M message, Runnable written, Runnable failed) {
+        ((Connection<SocketAddress>) connection).write(message,
+                new EmptyCompletionHandler<WriteResult<M, SocketAddress>>() {
+                    @Override
+                    public void completed(WriteResult<M, SocketAddress> result) {
+                        written.run();
+                    }
+
+                    @Override
+                    public void failed(Throwable problem) {
+                        failed.run();
+                    }
+                });
+    }
+
+    /** The address that "host:port" names; no names are looked up. */
+    public static InetSocketAddress address(String hostAndPort) {
+        int colon = hostAndPort.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("not host:port: " + hostAndPort);
+        }
+        return new InetSocketAddress(hostAndPort.substring(0, colon),
+                Integer.parseInt(hostAndPort.substring(colon + 1)));
+    }
+
+    @Override
+    public void close() throws IOException {
+        tcp.shutdownNow();
+    }
+}
