--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -9,11 +9,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import lilaclever.Relay;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
+import lilaclever.protocol.mail.MailSettings;
 import lilaclever.transport.Transport;
 
 /**
@@ -102,6 +104,104 @@
         }
     }
 
+    // ---- the mail file ------------------------------------------------------------------------------------
+    private static final String DEFAULT_CLASS_HEADER = "X-Message-Class";
+    private static final int DEFAULT_MOST_BYTES = 64 * 1024;
+    private static final int DEFAULT_MOST_RECIPIENTS = 100;
+    private static final double DEFAULT_IDLE_SECONDS = 300;
+    /** Numbers under this are the platform's: mail must not go to its endpoints, nor its messages to ours. */
+    private static final int FIRST_MAIL_DESTINATION = 1_000_000;
+
+    /** Reads the mail file; its classes are those of the settings. */
+    MailSettings readMail(Path path) throws Bad {
+        try {
+            return parseMail(Files.readString(path));
+        } catch (IOException e) {
+            throw new Bad("--mail", "can't be read: " + e);
+        }
+    }
+
+    MailSettings parseMail(String text) throws Bad {
+        JsonObject root = object("mail", parseJson("mail", text));
+        List<MailSettings.Listener> listeners = new ArrayList<>();
+        for (JsonElement e : list("mail.listeners", root, "listeners")) {
+            JsonObject o = object("mail.listeners", e);
+            listeners.add(new MailSettings.Listener(protocol("mail.listeners.protocol", o),
+                    address(text("mail.listeners.address", o, "address", null), "mail.listeners.address")));
+        }
+        List<MailSettings.Route> routes = new ArrayList<>();
+        for (JsonElement e : list("mail.routes", root, "routes")) {
+            JsonObject o = object("mail.routes", e);
+            int destination = whole("mail.routes.destination", o, "destination", 0);
+            if (destination < FIRST_MAIL_DESTINATION) {
+                throw new Bad("mail.routes.destination", "must be " + FIRST_MAIL_DESTINATION + " or more");
+            }
+            List<String> addresses = strings("mail.routes.addresses", o, "addresses");
+            if (addresses.isEmpty()) {
+                throw new Bad("mail.routes.addresses", "must not be empty");
+            }
+            for (String a : addresses) {
+                address(a, "mail.routes.addresses");
+            }
+            routes.add(new MailSettings.Route(text("mail.routes.domain", o, "domain", null), destination,
+                    protocol("mail.routes.protocol", o), addresses));
+        }
+        Map<String, Integer> classes = new HashMap<>();
+        if (root.has("classes")) {
+            for (Map.Entry<String, JsonElement> e : object("mail.classes", root.get("classes")).entrySet()) {
+                classes.put(e.getKey(), classNumber("mail.classes." + e.getKey(), e.getValue().getAsString()));
+            }
+        }
+        int otherwise = unsafeClass();
+        String dsn = text("mail.reportClass", root, "reportClass", "");
+        int mostBytes = whole("mail.mostBytes", root, "mostBytes", DEFAULT_MOST_BYTES);
+        int mostRecipients = whole("mail.mostRecipients", root, "mostRecipients", DEFAULT_MOST_RECIPIENTS);
+        double idle = number("mail.idleSeconds", root, "idleSeconds", DEFAULT_IDLE_SECONDS);
+        if (mostBytes <= 0 || mostRecipients <= 0 || idle <= 0) {
+            throw new Bad(mostBytes <= 0 ? "mail.mostBytes" : mostRecipients <= 0 ? "mail.mostRecipients"
+                    : "mail.idleSeconds", "must be above 0");
+        }
+        return new MailSettings(text("mail.hostName", root, "hostName", name), listeners, routes,
+                text("mail.classHeader", root, "classHeader", DEFAULT_CLASS_HEADER), classes, otherwise,
+                dsn.isEmpty() ? otherwise : classNumber("mail.reportClass", dsn), mostBytes, mostRecipients,
+                (long) (idle * 1e6),
+                settings.classes().stream().map(Relay.MessageClass::deadlineMicros).toList());
+    }
+
+    private int unsafeClass() throws Bad {
+        for (int i = 0; i < settings.classes().size(); i++) {
+            if (settings.classes().get(i).repeat() == Relay.Repeat.UNSAFE) {
+                return i;
+            }
+        }
+        throw new Bad("settings.requestClasses", "mail of no known class needs one that must not be repeated");
+    }
+
+    private int classNumber(String key, String className) throws Bad {
+        int number = classNames.indexOf(className);
+        if (number < 0) {
+            throw new Bad(key, "no class of the settings: " + className);
+        }
+        return number;
+    }
+
+    private static MailSettings.Protocol protocol(String key, JsonObject in) throws Bad {
+        String value = text(key, in, "protocol", null);
+        return switch (value) {
+            case "smtp" -> MailSettings.Protocol.SMTP;
+            case "lmtp" -> MailSettings.Protocol.LMTP;
+            default -> throw new Bad(key, "smtp or lmtp, not " + value);
+        };
+    }
+
+    private static int whole(String path, JsonObject in, String key, int otherwise) throws Bad {
+        double value = number(path, in, key, otherwise);
+        if (value != (int) value) {
+            throw new Bad(path, "not a whole number");
+        }
+        return (int) value;
+    }
+
     // ---- JSON -------------------------------------------------------------------------------------------
     static JsonElement parseJson(String key, String text) throws Bad {
         try {
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
@@ -9,6 +11,9 @@
 import lilaclever.protocol.http.HttpDeliverer;
 import lilaclever.protocol.http.HttpFront;
 import lilaclever.protocol.http.Notices;
+import lilaclever.protocol.mail.MailDeliverer;
+import lilaclever.protocol.mail.MailFront;
+import lilaclever.protocol.mail.MailSettings;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Journal;
@@ -27,9 +32,10 @@
     private final Core core;
     private final HttpFront front;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private SocketAddress address;
+    private final List<MailFront> mailFronts = new ArrayList<>();
+    private final List<SocketAddress> addresses = new ArrayList<>();
 
-    private Forwarder(Config config) throws IOException {
+    private Forwarder(Config config, MailSettings mail) throws IOException {
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
@@ -43,19 +49,35 @@
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
         front = new HttpFront(core, config.classNames(), notices);
         core.add(front);
+        if (mail != null) {
+            for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
+                mailFronts.add(new MailFront(core, mail, protocol));
+            }
+            mailFronts.forEach(core::add);
+            new MailDeliverer(core, transport, mail, settings.zone(), connect, keep).start();
+        }
         Directory.Known known = config.known() == null ? null : directory.read(config.known());
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
-        core.start(known == null ? java.util.List.of() : known.listed(), known == null ? 0 : known.index());
-        address = front.listen(transport, Transport.address(config.listen()));
+        core.start(known == null ? List.of() : known.listed(), known == null ? 0 : known.index());
+        addresses.add(front.listen(transport, Transport.address(config.listen())));
+        for (MailFront each : mailFronts) {
+            addresses.addAll(each.listen(transport));
+        }
     }
 
-    static Forwarder start(Config config) throws IOException {
-        Forwarder forwarder = new Forwarder(config);
-        System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.address);
+    /** Starts all parts; {@code mail} is null where the mail front is off. */
+    static Forwarder start(Config config, MailSettings mail) throws IOException {
+        Forwarder forwarder = new Forwarder(config, mail);
+        System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
 
+    /** Where it listens: HTTP first, then SMTP and LMTP in the order of the mail file. */
+    List<SocketAddress> addresses() {
+        return addresses;
+    }
+
     /** Ends well: nothing that the coming kill could cut is started, and the journal has the rest. */
     void stop() {
         try {
@@ -75,6 +97,7 @@
         core.deadlines().at(told + ACCEPT, () -> {
             core.stopBy(told + CALLS_BY);
             front.close();
+            mailFronts.forEach(MailFront::close);
             untilQuiet(told + END);
         });
     }
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -1,8 +1,11 @@
 package lilaclever.program;
 
+import java.nio.file.Path;
+import lilaclever.protocol.mail.MailSettings;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
@@ -52,9 +55,13 @@
 
     /** Serves until the process is told to end. */
     public static final class ServeCommand implements Command {
+        @Option(name = "--mail", metaVar = "FILE", usage = "speak SMTP and LMTP too, as this file says")
+        private Path mail;
+
         @Override
         public Integer run() throws Exception {
-            Forwarder forwarder = Forwarder.start(Config.read(System.getenv()));
+            Config config = Config.read(System.getenv());
+            Forwarder forwarder = Forwarder.start(config, mail == null ? null : config.readMail(mail));
             Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
             return null;
         }
@@ -70,9 +77,17 @@
 
     /** Reads and checks the configuration that serve would use. */
     public static final class CheckCommand implements Command {
+        @Option(name = "--mail", metaVar = "FILE", usage = "check this mail file too")
+        private Path mail;
+
         @Override
         public Integer run() throws Config.Bad {
             Config config = Config.read(System.getenv());
+            if (mail != null) {
+                MailSettings read = config.readMail(mail);
+                System.out.println("mail file is good: " + read.listeners().size() + " listeners, "
+                        + read.routes().size() + " routes");
+            }
             System.out.println("configuration of " + config.name() + " is good: " + config.classNames().size()
                     + " classes, " + config.settings().limits().slots() + " slots, journal up to "
                     + config.diskBytes() + " bytes in " + config.state());
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/LineFilter.java
@@ -0,0 +1,54 @@
+package lilaclever.protocol.mail;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * The wire of SMTP and LMTP: lines that end in CRLF, one octet a character. A read gives all whole lines as one list;
+ * a text is written as it is. A CR or LF alone stays in its line, so that nobody takes it for an end.
+ */
+final class LineFilter extends BaseFilter {
+    /** Longer than any line that the standards allow. */
+    private static final int LONGEST = 16 * 1024;
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        Buffer buffer = context.getMessage();
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        List<String> lines = new ArrayList<>();
+        int from = 0;
+        for (int i = 1; i < bytes.length; i++) {
+            if (bytes[i] == '\n' && bytes[i - 1] == '\r' && i - 1 >= from) {
+                lines.add(new String(bytes, from, i - 1 - from, StandardCharsets.ISO_8859_1));
+                from = i + 1;
+            }
+        }
+        if (bytes.length - from > LONGEST) {
+            context.getConnection().closeSilently();
+            return context.getStopAction();
+        }
+        Buffer rest = from < bytes.length
+                ? Buffers.wrap(context.getMemoryManager(), bytes, from, bytes.length - from) : null;
+        buffer.tryDispose();
+        if (lines.isEmpty()) {
+            return context.getStopAction(rest);
+        }
+        context.setMessage(lines);
+        return context.getInvokeAction(rest, null);
+    }
+
+    @Override
+    public NextAction handleWrite(FilterChainContext context) throws IOException {
+        String text = context.getMessage();
+        context.setMessage(Buffers.wrap(context.getMemoryManager(), text.getBytes(StandardCharsets.ISO_8859_1)));
+        return context.getInvokeAction();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/Mail.java
@@ -0,0 +1,48 @@
+package lilaclever.protocol.mail;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** One message for one recipient: the core's body. Its lines end in CRLF and are not stuffed. */
+record Mail(String reversePath, String recipient, String content) {
+    byte[] encode() {
+        return (reversePath + '\n' + recipient + '\n' + content).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    static Mail decode(byte[] body) {
+        String all = new String(body, StandardCharsets.ISO_8859_1);
+        int first = all.indexOf('\n');
+        int second = all.indexOf('\n', first + 1);
+        return new Mail(all.substring(0, first), all.substring(first + 1, second), all.substring(second + 1));
+    }
+
+    /** The content as it travels after DATA: no line of its own can end it. */
+    String stuffed() {
+        String stuffed = content.replace("\r\n.", "\r\n..");
+        return (stuffed.startsWith(".") ? "." : "") + stuffed + (stuffed.endsWith("\r\n") || stuffed.isEmpty() ? "" : "\r\n")
+                + ".\r\n";
+    }
+
+    /** The first header field of that name, unfolded, or null. */
+    static String header(String content, String name) {
+        StringBuilder value = null;
+        for (String line : content.split("\r\n", -1)) {
+            if (line.isEmpty()) {
+                break;
+            }
+            if (value != null) {
+                if (line.charAt(0) != ' ' && line.charAt(0) != '\t') {
+                    break;
+                }
+                value.append(' ').append(line.strip());
+            } else if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ':')) {
+                value = new StringBuilder(line.substring(name.length() + 1).strip());
+            }
+        }
+        return value == null ? null : value.toString();
+    }
+
+    static boolean eightBit(String content) {
+        return content.chars().anyMatch(c -> c > 127);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -0,0 +1,340 @@
+package lilaclever.protocol.mail;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import lilaclever.Relay;
+import lilaclever.Relay.Ending;
+import lilaclever.routing.Call;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
+import lilaclever.routing.Deadlines;
+import lilaclever.routing.Deliverer;
+import lilaclever.routing.Message;
+import lilaclever.transport.ConnectionPool;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * Delivers to SMTP and LMTP servers: one message for one recipient a transaction, on connections that are kept for the
+ * next. Any 4xx reply: it never ran. Any 5xx: refused for good. Before the last byte of the content is written it
+ * can't have run; after it only a reply says whether it has.
+ */
+public final class MailDeliverer implements Deliverer {
+    private static final long SWEEP = 500_000;
+    private static final int MOST_LINES = 200;
+
+    private enum Step { GREETING, HELLO, HELO, MAIL, RCPT, DATA, CONTENT }
+
+    private final Core core;
+    private final Transport transport;
+    private final MailSettings settings;
+    private final int zone;
+    private final long connectMicros;
+    private final ConnectionPool pool;
+    private final FilterChain chain;
+    private final Attribute<Session> sessions =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MailDeliverer.session");
+    private final Map<String, MailSettings.Protocol> protocols = new HashMap<>();
+
+    /** A deliverer for the routes of the mail file. */
+    public MailDeliverer(Core core, Transport transport, MailSettings settings, int zone, long connectMicros,
+            long keepAliveMicros) {
+        this.core = core;
+        this.transport = transport;
+        this.settings = settings;
+        this.zone = zone;
+        this.connectMicros = connectMicros;
+        this.pool = new ConnectionPool(keepAliveMicros / 2);
+        this.chain = Transport.chain(new LineFilter(), new SessionFilter());
+    }
+
+    /** Adds the routes' endpoints to the core, and starts to drop idle connections. Before the core starts. */
+    public void start() {
+        for (MailSettings.Route route : settings.routes()) {
+            for (String address : route.addresses()) {
+                String host = route.host(address);
+                protocols.put(host, route.protocol());
+                core.add(new Core.Listed(new Relay.Entry(host, route.destination(), zone, -1,
+                        Relay.Presence.ACTIVE, 1, 0), new Call.Endpoint(host, address, zone, 1, this)));
+            }
+        }
+        sweep();
+    }
+
+    private void sweep() {
+        pool.sweep(core.now());
+        core.deadlines().at(core.now() + SWEEP, this::sweep);
+    }
+
+    @Override
+    public void start(Call call) {
+        Session idle = null;
+        Connection<?> kept = pool.take(call.endpoint.host(), core.now());
+        while (kept != null && idle == null) {
+            idle = sessions.get(kept); // null once its server has said farewell
+            kept = idle == null ? pool.take(call.endpoint.host(), core.now()) : kept;
+        }
+        Session session = idle != null ? idle : new Session(call.endpoint);
+        call.attachment = session;
+        session.begin(call);
+    }
+
+    @Override
+    public void giveUp(Call call) {
+        if (call.attachment instanceof Session session && session.call == call) {
+            session.end(session.written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, "");
+        }
+    }
+
+    @Override
+    public void closeIdle(String address) {
+        protocols.keySet().stream().filter(host -> host.endsWith('/' + address)).forEach(pool::closeIdle);
+    }
+
+    /** There is no probe but a connection: one is opened and greeted. */
+    @Override
+    public void probe(Call.Endpoint endpoint) {
+        long started = core.now();
+        transport.connect(Transport.address(endpoint.address()), chain, up -> {
+            up.closeSilently();
+            core.post(() -> core.probed(endpoint.host(), Ending.DELIVERED, core.now() - started));
+        }, problem -> core.post(() -> core.probed(endpoint.host(), Ending.NO_CONNECTION, core.now() - started)));
+    }
+
+    /** One connection to a server, and the transaction on it. Loop thread, but for {@link #written}. */
+    private final class Session {
+        private final Call.Endpoint endpoint;
+        private final boolean lmtp;
+        private final ArrayDeque<Step> expected = new ArrayDeque<>();
+        private final Set<String> offers = new HashSet<>();
+        /** Lines that came before the connection was told to be up. */
+        private final ArrayDeque<String> early = new ArrayDeque<>();
+        private Connection<?> connection;
+        private Deadlines.Key connectBy;
+        private Call call;
+        private Mail mail;
+        private int lines;
+        private long mostBytes;
+        /** The last byte of the content has been written: set by the writing thread before any close is posted. */
+        private volatile boolean written;
+
+        Session(Call.Endpoint endpoint) {
+            this.endpoint = endpoint;
+            this.lmtp = protocols.get(endpoint.host()) == MailSettings.Protocol.LMTP;
+        }
+
+        void begin(Call next) {
+            call = next;
+            written = false;
+            mail = Mail.decode(next.messages.get(0).handin.body());
+            if (connection != null) {
+                transaction();
+                return;
+            }
+            core.counters().add(Counters.Name.CONNECTIONS);
+            connectBy = core.deadlines().at(core.now() + connectMicros, () -> end(Ending.NO_CONNECTION, ""));
+            transport.connect(Transport.address(endpoint.address()), chain, up -> {
+                sessions.set(up, this); // before the greeting can be read
+                core.post(() -> connected(up));
+            }, problem -> core.post(() -> end(Ending.NO_CONNECTION, "")));
+        }
+
+        private void connected(Connection<?> up) {
+            core.deadlines().cancel(connectBy);
+            connection = up;
+            if (call == null) {
+                close();
+            } else if (!up.isOpen()) {
+                closed();
+            } else {
+                expected.add(Step.GREETING);
+                early.forEach(this::line);
+                early.clear();
+            }
+        }
+
+        void lines(List<String> all) {
+            if (connection == null) {
+                early.addAll(all);
+            } else {
+                all.forEach(this::line);
+            }
+        }
+
+        private void line(String line) {
+            if (call == null) {
+                close(); // an unasked word on an idle connection, as a rule a farewell
+                return;
+            }
+            Reply reply = Reply.parse(line);
+            if (reply == null || expected.isEmpty() || ++lines > MOST_LINES) {
+                end(written ? Ending.ERROR : Ending.NO_CONNECTION, "");
+                return;
+            }
+            Step step = expected.peek();
+            if (step == Step.HELLO && reply.code() == 250) {
+                offers.add(reply.text().toUpperCase(Locale.ROOT));
+            }
+            if (line.length() > 3 && line.charAt(3) == '-') {
+                return; // more of the same reply follows
+            }
+            expected.remove();
+            lines = 0;
+            reply(step, reply);
+        }
+
+        private void reply(Step step, Reply reply) {
+            if (step == Step.HELLO && !lmtp && reply.permanent()) {
+                write("HELO " + settings.hostName() + "\r\n", Step.HELO);
+                return;
+            }
+            boolean good = step == Step.DATA ? reply.code() == 354 : reply.code() / 100 == 2;
+            if (!good) {
+                refused(step, reply);
+                return;
+            }
+            switch (step) {
+                case GREETING -> write((lmtp ? "LHLO " : "EHLO ") + settings.hostName() + "\r\n", Step.HELLO);
+                case HELLO, HELO -> transaction();
+                case MAIL -> {
+                    if (expected.isEmpty()) {
+                        write(rcpt(), Step.RCPT);
+                    }
+                }
+                case RCPT -> write("DATA\r\n", Step.DATA);
+                case DATA -> {
+                    expected.add(Step.CONTENT);
+                    Transport.write(connection, mail.stuffed(), () -> written = true, this::broken);
+                }
+                default -> delivered(reply);
+            }
+        }
+
+        private void refused(Step step, Reply reply) {
+            boolean odd = reply.code() < 400 || reply.code() > 599;
+            Ending ending = odd ? written ? Ending.ERROR : Ending.NO_CONNECTION
+                    : reply.permanent() ? Ending.REJECTED : Ending.FULL;
+            if (step != Step.GREETING) {
+                Transport.write(connection, "QUIT\r\n", () -> { }, () -> { });
+            }
+            end(ending, reply.code() + " " + reply.text());
+        }
+
+        private void delivered(Reply reply) {
+            Call done = call;
+            call = null;
+            pool.giveBack(endpoint.host(), connection, core.now());
+            tell(done, Ending.DELIVERED, reply.code() + " " + reply.text());
+        }
+
+        private void transaction() {
+            mostBytes = 0;
+            boolean eightBit = false;
+            boolean pipelining = false;
+            boolean size = false;
+            for (String offer : offers) {
+                eightBit |= offer.equals("8BITMIME");
+                pipelining |= offer.equals("PIPELINING");
+                if (offer.equals("SIZE") || offer.startsWith("SIZE ")) {
+                    size = true;
+                    mostBytes = offer.matches("SIZE \\d{1,15}") ? Long.parseLong(offer.substring(5)) : 0;
+                }
+            }
+            int length = mail.content().length();
+            if (mostBytes > 0 && length > mostBytes) {
+                end(Ending.REJECTED, "552 5.3.4 larger than the server's limit of " + mostBytes);
+                return;
+            }
+            String from = "MAIL FROM:<" + mail.reversePath() + '>' + (size ? " SIZE=" + length : "")
+                    + (eightBit && Mail.eightBit(mail.content()) ? " BODY=8BITMIME" : "") + "\r\n";
+            if (pipelining) {
+                write(from + rcpt(), Step.MAIL, Step.RCPT);
+            } else {
+                write(from, Step.MAIL);
+            }
+        }
+
+        private String rcpt() {
+            return "RCPT TO:<" + mail.recipient() + ">\r\n";
+        }
+
+        private void write(String text, Step... answers) {
+            expected.addAll(List.of(answers));
+            Transport.write(connection, text, () -> { }, this::broken);
+        }
+
+        private void broken() {
+            core.post(this::closed);
+        }
+
+        void closed() {
+            if (call == null) {
+                close();
+            } else if (connection != null) {
+                end(written ? Ending.RESET : Ending.NO_CONNECTION, "");
+            }
+        }
+
+        /** Ends the call; the connection's state is not certain any more, so it goes too. */
+        private void end(Ending ending, String said) {
+            Call done = call;
+            call = null;
+            core.deadlines().cancel(connectBy);
+            close();
+            if (done != null) {
+                tell(done, ending, said);
+            }
+        }
+
+        private void tell(Call done, Ending ending, String said) {
+            for (Message m : List.copyOf(done.messages)) {
+                m.lastWord = said;
+                core.outcome(done, m, ending, 0, false, false);
+            }
+        }
+
+        private void close() {
+            if (connection != null) {
+                sessions.remove(connection);
+                connection.closeSilently();
+            }
+        }
+    }
+
+    private final class SessionFilter extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            List<String> lines = context.getMessage();
+            Session session = sessions.get(context.getConnection());
+            if (session != null) {
+                core.post(() -> session.lines(lines));
+            }
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            Session session = sessions.get(context.getConnection());
+            if (session != null) {
+                core.post(session::closed);
+            }
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext context, Throwable error) {
+            context.getConnection().closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -0,0 +1,245 @@
+package lilaclever.protocol.mail;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.time.ZoneOffset;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import lilaclever.protocol.mail.MailSettings.Protocol;
+import lilaclever.routing.Core;
+import lilaclever.routing.Front;
+import lilaclever.routing.Handin;
+import lilaclever.routing.Message;
+import lilaclever.routing.Verdict;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The front of one of the two mail protocols. A mail for several recipients is one core message for each. SMTP: the
+ * client hears 250 once they are in the journal, and a later failure goes to the reverse path. LMTP: the client hears
+ * each recipient's final answer, in the order of its RCPT commands. Loop thread, but for the filter.
+ */
+public final class MailFront implements Front {
+    private static final int MOST_CONNECTIONS = 100;
+    private static final long RETRY = 1_000_000;
+
+    private final Core core;
+    private final MailSettings settings;
+    private final Protocol protocol;
+    private final Map<Message, List<Waiter>> waiters = new HashMap<>();
+    private final Set<ServerSession> sessions = new HashSet<>();
+    private final Attribute<ServerSession> sessionOf =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MailFront.session");
+    private final List<Connection<?>> listeners = new ArrayList<>();
+    private final String life = Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+    private boolean closing;
+    private long count;
+
+    /** Waits for the first answer to a hand-in: a {@link Reply} that says it is taken on, or its end. */
+    private record Waiter(Consumer<Reply> answer) { }
+
+    /** A front that listens nowhere yet. */
+    public MailFront(Core core, MailSettings settings, Protocol protocol) {
+        this.core = core;
+        this.settings = settings;
+        this.protocol = protocol;
+    }
+
+    @Override
+    public String name() {
+        return protocol.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Listens at the addresses that the mail file has for this protocol; gives those bound. */
+    public List<SocketAddress> listen(Transport transport) throws IOException {
+        List<SocketAddress> bound = new ArrayList<>();
+        FilterChain chain = Transport.chain(new LineFilter(), new SessionFilter());
+        for (MailSettings.Listener listener : settings.listeners()) {
+            if (listener.protocol() == protocol) {
+                var server = transport.listen(Transport.address(listener.address()), chain);
+                listeners.add(server);
+                bound.add(server.getLocalAddress());
+            }
+        }
+        return bound;
+    }
+
+    /** Accepts no more; idle sessions are told so, the others after their answers. */
+    public void close() {
+        closing = true;
+        listeners.forEach(Connection::closeSilently);
+        List.copyOf(sessions).forEach(ServerSession::closing);
+    }
+
+    // ---- hand-ins ---------------------------------------------------------------------------------------
+    /** Hands a mail in for one recipient; the answer is given once, maybe at once. */
+    void handIn(Mail mail, Consumer<Reply> answer) {
+        String messageId = Mail.header(mail.content(), "Message-ID");
+        String identity = messageId == null ? null : messageId + ' ' + mail.recipient();
+        String named = Mail.header(mail.content(), settings.classHeader());
+        int messageClass = named == null ? settings.otherwise()
+                : settings.classes().getOrDefault(named, settings.otherwise());
+        handIn(mail, identity, messageClass, answer);
+    }
+
+    private void handIn(Mail mail, String identity, int messageClass, Consumer<Reply> answer) {
+        String id = name() + '-' + life + '-' + Long.toString(count++, Character.MAX_RADIX);
+        Handin handin = new Handin(id, identity, messageClass, settings.route(mail.recipient()).destination(),
+                identity, mail.encode(), false, false, settings.budgets().get(messageClass));
+        Message m = core.handIn(this, handin);
+        if (!m.isOpen()) {
+            answer.accept(protocol == Protocol.SMTP && m.verdict().kind() == Verdict.Kind.DELIVERED
+                    ? new Reply(250, "2.0.0 taken on before") : Reply.of(m.verdict()));
+        } else if (m.front != this) {
+            // The same mail is under way for a client of the other protocol: its end is known soon.
+            answer.accept(new Reply(451, "4.3.0 already under way, come again"));
+        } else if (protocol == Protocol.SMTP && m.isTakenOn()) {
+            answer.accept(new Reply(250, "2.0.0 taken on before"));
+        } else {
+            waiters.computeIfAbsent(m, x -> new ArrayList<>()).add(new Waiter(answer));
+        }
+    }
+
+    private void tell(Message message, Reply reply) {
+        List<Waiter> all = waiters.remove(message);
+        if (all != null) {
+            all.forEach(w -> w.answer().accept(reply));
+        }
+    }
+
+    @Override
+    public void taken(Message message) {
+        if (protocol == Protocol.SMTP) {
+            tell(message, new Reply(250, "2.0.0 taken on"));
+        }
+    }
+
+    @Override
+    public void turnedDown(Message message, Verdict verdict) {
+        tell(message, Reply.of(verdict));
+    }
+
+    @Override
+    public void ended(Message message, Verdict verdict, Runnable settled) {
+        if (protocol == Protocol.LMTP) {
+            // Whoever has dropped the connection hands it in again, and hears the end that is remembered.
+            tell(message, Reply.of(verdict));
+            settled.run();
+        } else if (verdict.kind() == Verdict.Kind.REFUSED || verdict.kind() == Verdict.Kind.FAILED) {
+            report(message.id(), Mail.decode(message.handin.body()), verdict, settled);
+        } else {
+            settled.run();
+        }
+    }
+
+    // ---- reports ----------------------------------------------------------------------------------------
+    /** Sends a failure to the reverse path, again and again until the report is in the journal. */
+    private void report(String failed, Mail mail, Verdict verdict, Runnable settled) {
+        if (mail.reversePath().isEmpty()) {
+            settled.run(); // no report of a report
+            return;
+        }
+        if (settings.route(mail.reversePath()) == null) {
+            System.err.println("lilaclever: no route for the report of " + failed + " to " + mail.reversePath());
+            settled.run();
+            return;
+        }
+        Mail report = Report.of(settings.hostName(), mail, verdict, failed, date());
+        handIn(report, "report " + failed, settings.dsnClass(), reply -> {
+            if (reply.positive() || reply.permanent()) {
+                settled.run();
+            } else {
+                core.deadlines().at(core.now() + RETRY, () -> report(failed, mail, verdict, settled));
+            }
+        });
+    }
+
+    /** Reports a recipient that was turned down while others of its mail were taken on. */
+    void turnedDownAlone(Mail mail, Runnable reported) {
+        report("turned-down-" + life + '-' + count++, mail, Verdict.of(Verdict.Kind.REFUSED), reported);
+    }
+
+    static String date() {
+        return DateTimeFormatter.RFC_1123_DATE_TIME.format(ZonedDateTime.now(ZoneOffset.UTC)).replace("GMT", "+0000");
+    }
+
+    // ---- connections ------------------------------------------------------------------------------------
+    MailSettings settings() {
+        return settings;
+    }
+
+    Protocol protocol() {
+        return protocol;
+    }
+
+    Core core() {
+        return core;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    void forget(ServerSession session) {
+        sessions.remove(session);
+    }
+
+    private void opened(ServerSession session) {
+        if (closing || sessions.size() >= MOST_CONNECTIONS) {
+            session.close("421 4.3.2 " + settings.hostName() + " takes no more connections\r\n");
+            return;
+        }
+        sessions.add(session);
+        session.greet();
+    }
+
+    private final class SessionFilter extends BaseFilter {
+        @Override
+        public NextAction handleAccept(FilterChainContext context) {
+            Connection<?> connection = context.getConnection();
+            String peer = connection.getPeerAddress() instanceof InetSocketAddress a
+                    ? a.getAddress().getHostAddress() : "unknown";
+            ServerSession session = new ServerSession(MailFront.this, connection, peer);
+            sessionOf.set(connection, session);
+            core.post(() -> opened(session));
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            List<String> lines = context.getMessage();
+            ServerSession session = sessionOf.get(context.getConnection());
+            core.post(() -> session.lines(lines));
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            ServerSession session = sessionOf.get(context.getConnection());
+            if (session != null) {
+                core.post(session::gone);
+            }
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext context, Throwable error) {
+            context.getConnection().closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/Reply.java
@@ -0,0 +1,54 @@
+package lilaclever.protocol.mail;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.routing.Verdict;
+
+/** A reply of SMTP or LMTP: a code, and a text that may begin with an enhanced status code. */
+record Reply(int code, String text) {
+    private static final Pattern STATUS = Pattern.compile("^([245]\\.\\d{1,3}\\.\\d{1,3})\\b.*");
+    private static final int LONGEST = 400;
+
+    boolean positive() {
+        return code >= 200 && code < 400;
+    }
+
+    boolean permanent() {
+        return code >= 500;
+    }
+
+    String line() {
+        return code + " " + text + "\r\n";
+    }
+
+    /** A line of a reply, or null if it is none. */
+    static Reply parse(String line) {
+        if (line.length() < 3 || !line.substring(0, 3).chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return null;
+        }
+        String text = line.length() > 4 ? line.substring(4) : "";
+        return new Reply(Integer.parseInt(line.substring(0, 3)),
+                text.length() > LONGEST ? text.substring(0, LONGEST) : text);
+    }
+
+    /** The enhanced status code in its text, or the most general one of its class. */
+    String status() {
+        Matcher m = STATUS.matcher(text);
+        return m.matches() ? m.group(1) : code / 100 + ".0.0";
+    }
+
+    /**
+     * The final answer to one recipient. Refused: nothing ran, or a repeat is harmless, so come again. Failed without
+     * a word of the server: it may have run, so whoever hands it in again must not be invited to.
+     */
+    static Reply of(Verdict verdict) {
+        Reply said = parse(verdict.detail());
+        return switch (verdict.kind()) {
+            case DELIVERED -> new Reply(250, "2.1.5 delivered");
+            case REFUSED, GONE -> new Reply(451, "4.4.7 not delivered, come again"
+                    + (verdict.comeBackMicros() > 0 ? " in " + (verdict.comeBackMicros() / 1_000_000 + 1) + " s" : ""));
+            case FAILED -> said != null && said.permanent() ? said
+                    : new Reply(554, "5.4.0 delivery not confirmed; it may have happened");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/Report.java
@@ -0,0 +1,42 @@
+package lilaclever.protocol.mail;
+
+import lilaclever.routing.Verdict;
+
+/** Delivery status notifications: what a sender is told of a failure (RFC 3464). */
+final class Report {
+    private Report() { }
+
+    static Mail of(String hostName, Mail failed, Verdict verdict, String id, String date) {
+        Reply said = Reply.parse(verdict.detail());
+        boolean permanent = said != null && said.permanent() && verdict.kind() == Verdict.Kind.FAILED;
+        String status = permanent ? said.status() : verdict.kind() == Verdict.Kind.REFUSED ? "4.4.7" : "5.4.0";
+        String why = permanent ? "The next server refused it: " + verdict.detail()
+                : verdict.kind() == Verdict.Kind.REFUSED ? "It could not be delivered in time, and was not."
+                : "Its delivery was not confirmed. It may have happened, so it was not tried again.";
+        String boundary = "report-" + id;
+        StringBuilder text = new StringBuilder();
+        add(text, "From: Mail Delivery System <postmaster@" + hostName + '>', "To: <" + failed.reversePath() + '>',
+                "Subject: Delivery failed for " + failed.recipient(), "Date: " + date,
+                "Message-ID: <" + boundary + '@' + hostName + '>', "Auto-Submitted: auto-replied",
+                "MIME-Version: 1.0",
+                "Content-Type: multipart/report; report-type=delivery-status;", "\tboundary=\"" + boundary + '"', "",
+                "--" + boundary, "Content-Type: text/plain; charset=us-ascii", "",
+                "Your message to <" + failed.recipient() + "> has failed.", why, "",
+                "--" + boundary, "Content-Type: message/delivery-status", "",
+                "Reporting-MTA: dns; " + hostName, "",
+                "Final-Recipient: rfc822; " + failed.recipient(), "Action: failed", "Status: " + status);
+        if (said != null) {
+            add(text, "Diagnostic-Code: smtp; " + verdict.detail());
+        }
+        add(text, "", "--" + boundary, "Content-Type: text/rfc822-headers", "");
+        int end = failed.content().indexOf("\r\n\r\n");
+        add(text, end < 0 ? failed.content() : failed.content().substring(0, end), "", "--" + boundary + "--");
+        return new Mail("", failed.reversePath(), text.toString());
+    }
+
+    private static void add(StringBuilder text, String... lines) {
+        for (String line : lines) {
+            text.append(line).append("\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -0,0 +1,302 @@
+package lilaclever.protocol.mail;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.protocol.mail.MailSettings.Protocol;
+import lilaclever.routing.Deadlines;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+
+/** One client's connection: the commands of SMTP and LMTP, one transaction after the other. Loop thread. */
+final class ServerSession {
+    private static final Pattern PATH = Pattern.compile("(?i)(?:FROM|TO):\\s*<(?:@[^:>]*:)?([^<>\\s]*)>(.*)");
+    private static final int MOST_WAITING = 4_000;
+
+    private final MailFront front;
+    private final MailSettings settings;
+    private final Connection<?> connection;
+    private final String peer;
+    private final boolean lmtp;
+    /** Lines that came while an answer is awaited: they are read after it. */
+    private final ArrayDeque<String> ahead = new ArrayDeque<>();
+    private final List<String> recipients = new ArrayList<>();
+    private Reply[] replies;
+    private String hello;
+    private String reversePath;
+    private String text;
+    private StringBuilder content;
+    private boolean tooLarge, bareEnd, awaiting, over;
+    private Deadlines.Key idle;
+
+    ServerSession(MailFront front, Connection<?> connection, String peer) {
+        this.front = front;
+        this.settings = front.settings();
+        this.connection = connection;
+        this.peer = peer;
+        this.lmtp = front.protocol() == Protocol.LMTP;
+    }
+
+    // ---- the connection ---------------------------------------------------------------------------------
+    void greet() {
+        write("220 " + settings.hostName() + (lmtp ? " LMTP" : " ESMTP") + " lilaclever ready\r\n");
+        rest();
+    }
+
+    void lines(List<String> lines) {
+        ahead.addAll(lines);
+        read();
+    }
+
+    private void read() {
+        while (!awaiting && !over && !ahead.isEmpty()) {
+            String line = ahead.remove();
+            if (content != null) {
+                contentLine(line);
+            } else {
+                command(line);
+            }
+        }
+        if (awaiting && ahead.size() > MOST_WAITING) {
+            close("421 4.3.0 too much at once\r\n");
+        }
+        rest();
+    }
+
+    /** A client that says nothing for long is sent away. */
+    private void rest() {
+        front.core().deadlines().cancel(idle);
+        if (!over && !awaiting) {
+            idle = front.core().deadlines().at(front.core().now() + settings.idleMicros(),
+                    () -> close("421 4.4.2 nothing came for too long\r\n"));
+        }
+    }
+
+    void closing() {
+        if (!awaiting) {
+            close("421 4.3.2 " + settings.hostName() + " is stopping\r\n");
+        }
+    }
+
+    void close(String farewell) {
+        over = true;
+        Transport.write(connection, farewell, connection::closeSilently, connection::closeSilently);
+        gone();
+    }
+
+    void gone() {
+        over = true;
+        front.core().deadlines().cancel(idle);
+        front.forget(this);
+    }
+
+    private void write(String text) {
+        if (!over) {
+            Transport.write(connection, text, () -> { }, connection::closeSilently);
+        }
+    }
+
+    private void reply(int code, String text) {
+        write(new Reply(code, text).line());
+    }
+
+    // ---- commands ---------------------------------------------------------------------------------------
+    private void command(String line) {
+        int space = line.indexOf(' ');
+        String word = (space < 0 ? line : line.substring(0, space)).toUpperCase(Locale.ROOT);
+        String rest = space < 0 ? "" : line.substring(space + 1).strip();
+        switch (word) {
+            case "LHLO" -> hello(lmtp, rest, true);
+            case "EHLO" -> hello(!lmtp, rest, true);
+            case "HELO" -> hello(!lmtp, rest, false);
+            case "MAIL" -> mail(rest);
+            case "RCPT" -> rcpt(rest);
+            case "DATA" -> data();
+            case "RSET" -> {
+                reset();
+                reply(250, "2.0.0 reset");
+            }
+            case "NOOP" -> reply(250, "2.0.0 done");
+            case "VRFY" -> reply(252, "2.1.5 try to send to it");
+            case "HELP" -> reply(214, "2.0.0 see RFC 5321 and RFC 2033");
+            case "QUIT" -> close("221 2.0.0 " + settings.hostName() + " closes\r\n");
+            default -> reply(500, "5.5.1 unknown command");
+        }
+    }
+
+    private void hello(boolean mine, String name, boolean extended) {
+        if (!mine) {
+            reply(500, "5.5.1 not in " + (lmtp ? "LMTP" : "SMTP"));
+        } else if (name.isEmpty()) {
+            reply(501, "5.5.4 who are you?");
+        } else {
+            reset();
+            hello = name;
+            String host = settings.hostName();
+            write(!extended ? "250 " + host + "\r\n" : "250-" + host + "\r\n250-PIPELINING\r\n250-8BITMIME\r\n250-SIZE "
+                    + settings.mostBytes() + "\r\n250 ENHANCEDSTATUSCODES\r\n");
+        }
+    }
+
+    private void mail(String rest) {
+        Matcher path = PATH.matcher(rest);
+        if (hello == null || reversePath != null) {
+            reply(503, "5.5.1 " + (hello == null ? "a greeting" : "the end of the last mail") + " comes first");
+        } else if (!rest.toUpperCase(Locale.ROOT).startsWith("FROM:") || !path.matches()) {
+            reply(501, "5.5.4 MAIL FROM:<path>");
+        } else {
+            long size = 0;
+            for (String parameter : path.group(2).strip().split("\\s+")) {
+                String upper = parameter.toUpperCase(Locale.ROOT);
+                if (upper.matches("SIZE=\\d{1,15}")) {
+                    size = Long.parseLong(upper.substring(5));
+                } else if (!upper.isEmpty() && !upper.equals("BODY=8BITMIME") && !upper.equals("BODY=7BIT")) {
+                    reply(555, "5.5.4 unknown parameter " + parameter);
+                    return;
+                }
+            }
+            if (size > settings.mostBytes()) {
+                reply(552, "5.3.4 at most " + settings.mostBytes() + " bytes");
+                return;
+            }
+            reversePath = path.group(1);
+            reply(250, "2.1.0 sender taken");
+        }
+    }
+
+    private void rcpt(String rest) {
+        Matcher path = PATH.matcher(rest);
+        if (reversePath == null) {
+            reply(503, "5.5.1 MAIL comes first");
+        } else if (!rest.toUpperCase(Locale.ROOT).startsWith("TO:") || !path.matches() || path.group(1).isEmpty()) {
+            reply(501, "5.5.4 RCPT TO:<path>");
+        } else if (!path.group(2).isBlank()) {
+            reply(555, "5.5.4 unknown parameter");
+        } else if (settings.route(path.group(1)) == null) {
+            reply(550, "5.1.2 no route to this domain");
+        } else if (recipients.size() >= settings.mostRecipients()) {
+            reply(452, "4.5.3 too many recipients");
+        } else {
+            recipients.add(path.group(1));
+            reply(250, "2.1.5 recipient taken");
+        }
+    }
+
+    private void data() {
+        if (recipients.isEmpty()) {
+            reply(503, "5.5.1 " + (reversePath == null ? "MAIL and RCPT come" : "a valid RCPT comes") + " first");
+        } else {
+            content = new StringBuilder();
+            tooLarge = false;
+            bareEnd = false;
+            write("354 end with a dot on a line of its own\r\n");
+        }
+    }
+
+    private void reset() {
+        reversePath = null;
+        recipients.clear();
+        content = null;
+        replies = null;
+    }
+
+    // ---- the content ------------------------------------------------------------------------------------
+    private void contentLine(String line) {
+        if (line.equals(".")) {
+            complete();
+            return;
+        }
+        String plain = line.startsWith(".") ? line.substring(1) : line;
+        // A CR or LF alone would be an end of a line to some servers: a second mail could hide behind it.
+        bareEnd |= plain.indexOf('\n') >= 0 || plain.indexOf('\r') >= 0;
+        tooLarge |= content.length() + plain.length() + 2 > settings.mostBytes();
+        if (!tooLarge) {
+            content.append(plain).append("\r\n");
+        }
+    }
+
+    private void complete() {
+        Reply refusal = tooLarge ? new Reply(552, "5.3.4 at most " + settings.mostBytes() + " bytes")
+                : bareEnd ? new Reply(550, "5.6.0 a line ends in CR or LF alone") : null;
+        text = "Received: from " + hello + " ([" + peer + "]) by " + settings.hostName() + " with "
+                + (lmtp ? "LMTP" : "ESMTP") + "; " + MailFront.date() + "\r\n" + content;
+        awaiting = true;
+        content = null;
+        Reply[] mine = new Reply[recipients.size()];
+        replies = mine;
+        for (int i = 0; i < mine.length; i++) {
+            int index = i;
+            if (refusal != null) {
+                answered(mine, index, refusal);
+            } else {
+                front.handIn(new Mail(reversePath, recipients.get(i), text), r -> answered(mine, index, r));
+            }
+        }
+    }
+
+    /** One recipient's answer is here; LMTP passes them on in order, SMTP says one word for all. */
+    private void answered(Reply[] mine, int index, Reply reply) {
+        mine[index] = reply;
+        if (mine != replies) {
+            return;
+        }
+        for (Reply each : mine) {
+            if (each == null) {
+                return;
+            }
+        }
+        if (lmtp) {
+            for (Reply each : mine) {
+                write(each.line());
+            }
+            next();
+        } else {
+            Reply word = forAll(mine);
+            int[] open = {1};
+            Runnable one = () -> {
+                if (--open[0] == 0) {
+                    write(word.line());
+                    next();
+                }
+            };
+            if (word.positive()) {
+                // With 250 all recipients are ours: whoever was turned down is reported before it is said.
+                for (int i = 0; i < mine.length; i++) {
+                    if (mine[i].code() / 100 == 4) {
+                        open[0]++;
+                        front.turnedDownAlone(new Mail(reversePath, recipients.get(i), text), one);
+                    }
+                }
+            }
+            one.run();
+        }
+    }
+
+    private void next() {
+        awaiting = false;
+        reset();
+        if (front.isClosing()) {
+            closing();
+        } else {
+            front.core().post(this::read); // not from here: this may run inside read
+        }
+    }
+
+    /**
+     * SMTP has one answer for the mail. Where some recipients were taken on and others turned down for now, a mail
+     * that can be known again is asked for again: those taken on get no second message.
+     */
+    private Reply forAll(Reply[] mine) {
+        Reply good = null;
+        Reply later = null;
+        for (Reply each : mine) {
+            good = each.positive() ? each : good;
+            later = each.code() / 100 == 4 ? each : later;
+        }
+        boolean known = Mail.header(text, "Message-ID") != null;
+        return later != null && (known || good == null) ? later : good != null ? good : mine[0];
+    }
+}
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -39,6 +39,11 @@
         return !over;
     }
 
+    /** True once it is in the journal. */
+    public boolean isTakenOn() {
+        return journaled;
+    }
+
     /** How it ended; null while it is open. */
     public Verdict verdict() {
         return verdict;
