--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -684,4 +684,41 @@
                 () -> Relay.create(Rig.settings(0, 50, 6, false), 1));
         assertTrue(e.getMessage().contains("slots"));
     }
+
+    // ---- a program that restarts or ends ----
+    private Event.Submit resumed(int messageClass, int attempts, boolean mayHaveRun, long riskAgo) {
+        return new Event.Submit("r", messageClass, 1, 0, null, false, false, 20 * S,
+                new Relay.Prior(attempts, mayHaveRun, "a1", 0, rig.now - riskAgo));
+    }
+
+    @Test
+    void anUnsafeMessageThatMayHaveRunInAnEarlierLifeFailsAtOnce() {
+        assertTrue(rig.round(resumed(UNSAFE, 1, true, S)).failed("r"));
+        assertTrue(rig.round(resumed(UNSAFE, 1, false, 0)).sent("r"), "one that never ran is sent");
+    }
+
+    @Test
+    void aKeyedMessageOfAnEarlierLifeKeepsItsWindow() {
+        assertTrue(rig.round(resumed(Rig.KEYED, 1, true, 4 * S)).sent("r"));
+        rig = Rig.started();
+        assertTrue(rig.round(resumed(Rig.KEYED, 1, true, 6 * S)).refused("r"));
+    }
+
+    @Test
+    void attemptsOfAnEarlierLifeCount() {
+        assertTrue(rig.round(resumed(SAFE, 6, false, 0)).refused("r"));
+    }
+
+    @Test
+    void aPermanentRefusalEndsTheMessageAtOnce() {
+        String id = rig.submit(SAFE, 1);
+        assertTrue(rig.outcome(id, "a1", 0, Ending.REJECTED).failed(id));
+    }
+
+    @Test
+    void nothingIsStartedThatTheEndOfTheProgramCouldCut() {
+        rig.round(new Event.Stopping(rig.now + 2 * S));
+        assertTrue(!rig.sent(rig.submit(UNSAFE, 1)), "its call may take longer than that");
+        assertTrue(rig.sent(rig.submit(SAFE, 1)), "its call is given up sooner");
+    }
 }
--- /dev/null
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -0,0 +1,279 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Stories of the forwarder between scripted clients, endpoints and a platform. */
+class ForwarderTest {
+    @TempDir
+    private Path state;
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private Forwarder forwarder;
+    private Process process;
+    private SocketAddress address;
+
+    @AfterEach
+    void end() {
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void serve(String platform, String endpoint) throws Exception {
+        forwarder = Forwarder.start(Setup.config(platform, state, endpoint), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    /** Starts the program in a process and waits until it serves. */
+    private BufferedReader start(String platform, String endpoint) throws IOException {
+        process = Setup.process(state, Setup.text(platform, state, endpoint, 3));
+        BufferedReader log = process.errorReader();
+        String line = log.readLine();
+        while (line != null && !line.contains("serves at")) {
+            line = log.readLine();
+        }
+        int port = Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1"));
+        address = new InetSocketAddress("127.0.0.1", port);
+        return log;
+    }
+
+    private Peer endpoint(Peer.Script afterRequest) throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                calls.add(r.path() + ' ' + r.headers().get("req-id") + ' ' + r.headers().get("idempotency-key") + ' '
+                        + r.body());
+                afterRequest.talk(wire);
+            }
+        });
+    }
+
+    private Peer good() throws IOException {
+        return endpoint(wire -> wire.answer("200 OK", ""));
+    }
+
+    @Test
+    void aMessagePassesUnchangedOnAConnectionThatIsKept() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
+                connections.incrementAndGet();
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    calls.add(r.headers().get("req-id") + r.headers().get("idempotency-key") + r.body());
+                    wire.answer("200 OK", "fine");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                for (String id : new String[] {"a", "b", "c"}) {
+                    assertTrue(client.handIn(id, "order", 5, "x\r\n\0" + id).startsWith("202"));
+                    assertEquals(id + "k-" + id + "x\r\n\0" + id, Peer.next(calls));
+                }
+                assertTrue(client.handIn("d", "no-such", 5, "").startsWith("400"));
+            }
+            assertEquals(1, connections.get());
+        }
+    }
+
+    /** What comes back decides what may be sent again: a reset or an error may have run, a full one never did. */
+    @ParameterizedTest
+    @CsvSource({"payment, 503, 2, ''", "payment, 500, 1, undeliverable", "payment, drop, 1, undeliverable",
+        "status, drop, 2, ''", "order, 500, 2, ''", "payment, 410, 1, ''", "payment, 504, 2, ''"})
+    void outcomesDecideWhetherAMessageIsSentAgain(String kind, String first, int sent, String notice)
+            throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
+                if (count.getAndIncrement() > 0) {
+                    wire.answer("200 OK", "");
+                } else if (first.equals("drop")) {
+                    wire.close();
+                } else {
+                    wire.answer(first + " no", "");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", kind, 20, "").startsWith("202"));
+                for (int i = 0; i < sent; i++) {
+                    Peer.next(calls);
+                }
+                if (!notice.isEmpty()) {
+                    assertEquals("{\"id\":\"a\",\"status\":\"" + notice + "\"}", Peer.next(notices));
+                }
+                // One more message goes through: nothing of the first came in between.
+                assertTrue(client.handIn("z", "status", 6, "").startsWith("202"));
+                assertTrue(Peer.next(calls).startsWith("/receive z "));
+            }
+        }
+    }
+
+    @Test
+    void aSilentEndpointIsGivenUpByClosingAndAPaymentIsNotSentAgain() throws Exception {
+        LinkedBlockingQueue<String> closed = new LinkedBlockingQueue<>();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
+                try {
+                    wire.hang();
+                } finally {
+                    closed.add("closed");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 0.5, "").startsWith("202"));
+                assertTrue(Peer.next(notices).contains("undeliverable"));
+                Peer.next(closed);
+                assertEquals(1, calls.size());
+            }
+        }
+    }
+
+    @Test
+    void whereNothingListensAPaymentNeverRanAndTheClientIsToldToComeAgain() throws Exception {
+        String nobody;
+        try (ServerSocket gone = new ServerSocket(0)) {
+            nobody = "127.0.0.1:" + gone.getLocalPort();
+        }
+        try (Peer platform = Peer.platform("", notices)) {
+            serve(platform.address(), nobody);
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 1.5, "").startsWith("202"));
+                assertTrue(Peer.next(notices).startsWith("{\"id\":\"a\",\"status\":\"deferred\",\"again_ms\":"));
+            }
+        }
+    }
+
+    @Test
+    void whatGoesToOneEndpointInOneTurnSharesACall() throws Exception {
+        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        try (Peer endpoint = endpoint(wire -> wire.answer("200 OK", "b fault\r\na accepted\r\nc deferred\r\n"));
+                Peer platform = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        if (r.path().equals("/status")) {
+                            notices.add(r.body());
+                            wire.answer("204 No Content", "");
+                        } else if (!r.path().contains("?")) {
+                            try {
+                                Peer.next(watches); // told once all three are held
+                            } catch (InterruptedException e) {
+                                return;
+                            }
+                            wire.answer("200 OK", Setup.list(endpoint.address()));
+                        }
+                    }
+                })) {
+            serve(platform.address(), null);
+            try (Wire client = Wire.to(address)) {
+                for (String id : new String[] {"a", "b", "c"}) {
+                    assertTrue(client.handIn(id, "payment", 20, "body-" + id).startsWith("202"));
+                }
+            }
+            watches.add("now");
+            assertEquals("/receive-many null null a k-a 6\r\nbody-a\r\nb k-b 6\r\nbody-b\r\nc k-c 6\r\nbody-c\r\n",
+                    Peer.next(calls));
+            assertTrue(Peer.next(notices).contains("{\"id\":\"b\",\"status\":\"undeliverable\"}"));
+            assertTrue(Peer.next(calls).startsWith("/receive c "), "only what never ran comes again");
+        }
+    }
+
+    @Test
+    void whatWasTakenOnOutlastsAKill() throws Exception {
+        LinkedBlockingQueue<String> hanging = new LinkedBlockingQueue<>();
+        AtomicInteger life = new AtomicInteger();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
+                if (life.get() == 0) {
+                    hanging.add("out");
+                    wire.hang();
+                } else {
+                    wire.answer("200 OK", "");
+                }
+            })) {
+            start(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("pay", "payment", 28, "").startsWith("202"));
+                Peer.next(hanging);
+                assertTrue(client.handIn("tell", "status", 28, "again").startsWith("202"));
+                Peer.next(hanging);
+            }
+            process.destroyForcibly().waitFor();
+            life.set(1);
+            calls.clear();
+            Path journal = state.resolve("journal");
+            Files.write(journal, new byte[] {0, 0, 1, 0, 7, 7}, StandardOpenOption.APPEND); // a torn record
+            start(platform.address(), endpoint.address());
+            assertEquals("{\"id\":\"pay\",\"status\":\"undeliverable\"}", Peer.next(notices), "it may have run");
+            assertEquals("/receive tell k-tell again", Peer.next(calls), "safe to repeat");
+        }
+    }
+
+    @Test
+    void atTheSignalItTakesNothingNewAndKeepsWhatItCanNotFinish() throws Exception {
+        String nobody;
+        try (ServerSocket gone = new ServerSocket(0)) {
+            nobody = "127.0.0.1:" + gone.getLocalPort();
+        }
+        try (Peer platform = Peer.platform("", notices); Peer good = good()) {
+            BufferedReader log = start(platform.address(), nobody);
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("held", "payment", 28, "").startsWith("202"));
+                process.toHandle().destroy(); // Process.destroy would close its output too
+                assertEquals("closed", client.request() == null ? "closed" : "answered", "an idle connection is closed");
+            }
+            assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+            assertTrue(log.lines().anyMatch("taken 1"::equals), "counters are printed at the end");
+            assertThrows(IOException.class, () -> Wire.to(address));
+            start(platform.address(), good.address());
+            assertTrue(Peer.next(calls).startsWith("/receive held "));
+        }
+    }
+
+    @Test
+    void aFullDiskRefusesNewWorkAndNothingElse() throws Exception {
+        try (Peer platform = Peer.platform("", notices)) {
+            forwarder = Forwarder.start(Config.parse(Setup.text(platform.address(), state, null, 0.4), Map.of()), null);
+            address = forwarder.addresses().get(0);
+            int taken = 0;
+            String answer = "202";
+            try (Wire client = Wire.to(address)) {
+                while (answer.startsWith("202")) {
+                    answer = client.handIn("m" + taken++, "payment", 28, "x".repeat(30_000));
+                }
+                assertTrue(answer.startsWith("503") && answer.toLowerCase().contains("retry-after"), answer);
+            }
+            assertTrue(taken > 2 && Files.size(state.resolve("journal")) <= 0.4 * 1024 * 1024, taken + " taken");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"roundS\": 0.002 | \"roundS\": \"x\" | settings.roundS",
+        "\"disk_mb\": 3.0 | \"disk_mb\": -1 | limits.disk_mb", "\"listen\": \"127.0.0.1:0\" | \"listen\": \"x\" | listen",
+        "\"callSlots\": 20 | \"callSlots\": 0 | limits.slots", "\"seed\": \"0b\" | \"seed\": \"zz\" | seed"})
+    void aFaultyKeyIsNamed(String good, String bad, String key) {
+        String text = Setup.text("127.0.0.1:1", state, null, 3);
+        assertTrue(text.contains(good));
+        assertTrue(assertThrows(Config.Bad.class, () -> Config.parse(text.replace(good, bad), Map.of())).getMessage()
+                .contains(key));
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -0,0 +1,245 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of the mail front between scripted clients and servers of SMTP and LMTP. */
+class MailTest {
+    @TempDir
+    private Path state;
+    private final LinkedBlockingQueue<String> mails = new LinkedBlockingQueue<>();
+    private Forwarder forwarder;
+    private SocketAddress smtp, lmtp;
+
+    @AfterEach
+    void end() {
+        forwarder.stop();
+    }
+
+    private static String route(String domain, int number, String protocol, String address) {
+        return "{\"domain\":\"" + domain + "\",\"destination\":" + (1_000_000 + number) + ",\"protocol\":\"" + protocol
+                + "\",\"addresses\":[\"" + address + "\"]}";
+    }
+
+    private void serve(String... routes) throws Exception {
+        try (Peer platform = Peer.platform("", new LinkedBlockingQueue<>())) {
+            Config config = Setup.config(platform.address(), state, null);
+            forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))));
+        }
+        smtp = forwarder.addresses().get(1);
+        lmtp = forwarder.addresses().get(2);
+    }
+
+    /** What the stand-in server does with a content, or with a recipient: a reply, or null for a drop. */
+    interface Fate {
+        String of(String text) throws IOException;
+    }
+
+    /** A stand-in server of either protocol: offers all, keeps what came whole. */
+    private Peer server(Fate recipient, Fate content) throws IOException {
+        return new Peer(wire -> {
+            wire.say("220 stand-in\r\n");
+            for (String line = wire.line(); line != null; line = wire.line()) {
+                String reply = "250 2.0.0 good";
+                if (line.startsWith("EHLO") || line.startsWith("LHLO")) {
+                    reply = "250-stand-in\r\n250-PIPELINING\r\n250 SIZE 100000";
+                } else if (line.startsWith("RCPT")) {
+                    reply = recipient.of(line);
+                } else if (line.equals("DATA")) {
+                    wire.say("354 go on\r\n");
+                    StringBuilder text = new StringBuilder();
+                    for (line = wire.line(); !line.equals("."); line = wire.line()) {
+                        text.append(line).append('\n');
+                    }
+                    reply = content.of(text.toString());
+                }
+                if (reply == null) {
+                    return;
+                }
+                wire.say(reply + "\r\n");
+            }
+        });
+    }
+
+    private Peer good() throws IOException {
+        return server(r -> "250 2.1.5 good", text -> {
+            mails.add(text);
+            return "250 2.0.0 kept";
+        });
+    }
+
+    private static void greet(Wire wire, String hello) throws IOException {
+        assertTrue(wire.reply().startsWith("220"));
+        assertTrue(wire.ask(hello + " client").startsWith("250"));
+    }
+
+    /** Sends one mail, all commands in one group, and gives the replies to its content. */
+    private static List<String> send(Wire wire, String from, String content, String... to) throws IOException {
+        StringBuilder group = new StringBuilder("MAIL FROM:<" + from + ">\r\n");
+        for (String each : to) {
+            group.append("RCPT TO:<").append(each).append(">\r\n");
+        }
+        wire.say(group + "DATA\r\n");
+        for (int i = 0; i <= to.length; i++) {
+            assertTrue(wire.reply().startsWith("250"));
+        }
+        assertTrue(wire.reply().startsWith("354"));
+        wire.say(content + "\r\n.\r\n");
+        return new ArrayList<>(List.of(wire.reply()));
+    }
+
+    private static String payment(String id) {
+        return "Message-ID: <" + id + ">\r\nX-Message-Class: payment\r\n\r\npay";
+    }
+
+    /** The server has the whole payment and drops: it may have run. It is never sent again, and always answered. */
+    @Test
+    void aThousandDropsAfterTheEndOfDataPayNothingTwice() throws Exception {
+        int lanes = 8;
+        int each = 125;
+        Map<String, AtomicInteger> paid = new ConcurrentHashMap<>();
+        AtomicInteger drops = new AtomicInteger();
+        try (Peer server = server(r -> "250 good", text -> {
+                String id = text.replaceAll("(?s).*Message-ID: <(.*?)>.*", "$1");
+                paid.computeIfAbsent(id, x -> new AtomicInteger()).incrementAndGet();
+                if (id.startsWith("drop")) {
+                    drops.incrementAndGet();
+                    return null;
+                }
+                return "250 2.0.0 kept";
+            })) {
+            String[] routes = new String[lanes];
+            for (int i = 0; i < lanes; i++) {
+                routes[i] = route("lane" + i + ".test", i, "lmtp", server.address());
+            }
+            serve(routes);
+            ExecutorService clients = Executors.newFixedThreadPool(lanes);
+            List<Future<Integer>> answered = new ArrayList<>();
+            for (int lane = 0; lane < lanes; lane++) {
+                String to = "till@lane" + lane + ".test";
+                Callable<Integer> client = () -> {
+                    int answers = 0;
+                    try (Wire wire = Wire.to(lmtp)) {
+                        greet(wire, "LHLO");
+                        for (int i = 0; i < each; i++) {
+                            // One that is kept after each that is dropped: the server is not taken for dead.
+                            for (String kind : new String[] {"drop", "keep"}) {
+                                String content = payment(kind + i + to);
+                                String first = send(wire, "a@b.test", content, to).get(0);
+                                assertTrue(first.startsWith(kind.equals("drop") ? "554 5.4.0" : "250"), first);
+                                assertEquals(first, send(wire, "a@b.test", content, to).get(0), "its resending");
+                                answers += 2;
+                            }
+                        }
+                    }
+                    return answers;
+                };
+                answered.add(clients.submit(client));
+            }
+            int answers = 0;
+            for (Future<Integer> f : answered) {
+                answers += f.get();
+            }
+            clients.shutdown();
+            assertEquals(4 * lanes * each, answers);
+            assertEquals(1000, drops.get());
+            assertEquals(2000, paid.size());
+            assertTrue(paid.values().stream().allMatch(n -> n.get() == 1), "each payment came once");
+        }
+    }
+
+    @Test
+    void eachLmtpRecipientGetsItsOwnFinalAnswerInOrder() throws Exception {
+        try (Peer server = server(r -> r.contains("bad@") ? "550 5.1.1 nobody" : "250 good", t -> "250 2.0.0 kept")) {
+            serve(route("a.test", 1, "lmtp", server.address()), route("b.test", 2, "smtp", server.address()));
+            try (Wire wire = Wire.to(lmtp)) {
+                greet(wire, "LHLO");
+                List<String> replies = send(wire, "", payment("x"), "good@a.test", "bad@a.test", "good@b.test");
+                replies.add(wire.reply());
+                replies.add(wire.reply());
+                assertEquals(List.of("250 2.1.5 delivered", "550 5.1.1 nobody", "250 2.1.5 delivered"), replies);
+            }
+        }
+    }
+
+    @Test
+    void beforeTheEndOfDataAndAfterAny4xxAPaymentNeverRanAndIsSentAgain() throws Exception {
+        AtomicInteger tries = new AtomicInteger();
+        try (Peer server = server(r -> tries.incrementAndGet() == 1 ? null : "250 good",
+                t -> tries.get() == 2 ? "451 4.3.0 later" : "250 2.0.0 kept")) {
+            serve(route("a.test", 1, "smtp", server.address()));
+            try (Wire wire = Wire.to(lmtp)) {
+                greet(wire, "LHLO");
+                assertTrue(send(wire, "", payment("x"), "till@a.test").get(0).startsWith("250"));
+                assertEquals(3, tries.get());
+            }
+        }
+    }
+
+    @Test
+    void aFinalFailureAfterSmtpTookItIsReportedToTheReversePathOnce() throws Exception {
+        try (Peer bad = server(r -> "550 5.1.1 nobody here", t -> "250 kept"); Peer good = good()) {
+            serve(route("bad.test", 1, "lmtp", bad.address()), route("sender.test", 2, "smtp", good.address()));
+            try (Wire wire = Wire.to(smtp)) {
+                greet(wire, "EHLO");
+                assertEquals("250 2.0.0 taken on", send(wire, "", payment("n"), "x@bad.test").get(0));
+                assertEquals("250 2.0.0 taken on", send(wire, "me@sender.test", payment("m"), "x@bad.test").get(0));
+                String report = Peer.next(mails);
+                for (String part : List.of("To: <me@sender.test>", "report-type=delivery-status", "Status: 5.1.1",
+                        "Final-Recipient: rfc822; x@bad.test", "Diagnostic-Code: smtp; 550 5.1.1 nobody here",
+                        "Message-ID: <m>")) {
+                    assertTrue(report.contains(part), part + " in " + report);
+                }
+                assertTrue(send(wire, "me@sender.test", payment("m"), "x@bad.test").get(0).startsWith("550 5.1.1"),
+                        "its resending hears the end");
+                assertTrue(send(wire, "me@sender.test", payment("o"), "y@sender.test").get(0).startsWith("250"));
+                assertTrue(Peer.next(mails).contains("Message-ID: <o>"), "no other report came in between");
+            }
+        }
+    }
+
+    @Test
+    void theServerKeepsToItsProtocol() throws Exception {
+        try (Peer good = good()) {
+            serve(route("a.test", 1, "smtp", good.address()));
+            try (Wire wire = Wire.to(smtp)) {
+                assertTrue(wire.reply().startsWith("220 mx.test ESMTP"));
+                String[][] talk = {{"MAIL FROM:<a@b>", "503 5.5.1"}, {"LHLO x", "500 5.5.1"}, {"EHLO x", "250 ENH"},
+                    {"RCPT TO:<x@a.test>", "503 5.5.1"}, {"MAIL FROM:<a@b> SIZE=99999999", "552 5.3.4"},
+                    {"MAIL FROM:a", "501 5.5.4"}, {"MAIL FROM:<a@b> SIZE=10 BODY=8BITMIME", "250 2.1.0"},
+                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"}, {"NOPE", "500 5.5.1"},
+                    {"RCPT TO:<x@a.test>", "250 2.1.5"}, {"RSET", "250 2.0.0"}, {"DATA", "503 5.5.1"},
+                    {"VRFY x", "252 2.1.5"}};
+                for (String[] turn : talk) {
+                    String reply = wire.ask(turn[0]);
+                    assertTrue(reply.startsWith(turn[1]), turn[0] + " gave " + reply);
+                }
+                assertTrue(send(wire, "", "a\n.\nMAIL FROM:<smuggled>", "x@a.test").get(0).startsWith("550 5.6.0"));
+                assertTrue(send(wire, "", "x".repeat(70_000).replaceAll("(.{900})", "$1\r\n"), "x@a.test").get(0)
+                        .startsWith("552 5.3.4"));
+                assertTrue(send(wire, "", "S: s\r\n\r\n..dot\r\n...\r\nend", "x@a.test").get(0).startsWith("250"));
+                assertTrue(Peer.next(mails).endsWith("S: s\n\n..dot\n...\nend\n"), "dots travel stuffed");
+                assertTrue(wire.ask("QUIT").startsWith("221 2.0.0"));
+                assertEquals(null, wire.line());
+            }
+        }
+    }
+}
