Keep room for ends on a full disk, and close gaps found in a review of the wires

Also: the program ended early at SIGTERM while held messages could still be sent (Core.quiet); an overlong Message-ID could end the loop (MailFront, Core.loop); a lone CR or LF in a reply or command passed on (Reply, ServerSession); an answer before the request was out gave its connection back (HttpClient); a second request before the first answer could mix answers up (IntakeFilter); a broken 'known' gave a stack trace in place of its key (Forwarder); addresses that are names were looked up (Transport).

--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -35,7 +35,7 @@
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
-    private Forwarder(Config config, MailSettings mail) throws IOException {
+    private Forwarder(Config config, MailSettings mail) throws IOException, Config.Bad {
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
@@ -56,7 +56,7 @@
             mailFronts.forEach(core::add);
             new MailDeliverer(core, transport, mail, settings.zone(), connect, keep).start();
         }
-        Directory.Known known = config.known() == null ? null : directory.read(config.known());
+        Directory.Known known = known(config, directory);
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
         core.start(known == null ? List.of() : known.listed(), known == null ? 0 : known.index());
@@ -66,8 +66,16 @@
         }
     }
 
+    private static Directory.Known known(Config config, Directory directory) throws Config.Bad {
+        try {
+            return config.known() == null ? null : directory.read(config.known());
+        } catch (RuntimeException e) {
+            throw new Config.Bad("known", "not a list of endpoints: " + e.getMessage());
+        }
+    }
+
     /** Starts all parts; {@code mail} is null where the mail front is off. */
-    static Forwarder start(Config config, MailSettings mail) throws IOException {
+    static Forwarder start(Config config, MailSettings mail) throws IOException, Config.Bad {
         Forwarder forwarder = new Forwarder(config, mail);
         System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
         return forwarder;
@@ -82,7 +90,7 @@
     void stop() {
         try {
             core.post(this::stopping);
-            stopped.await(END + ACCEPT, TimeUnit.MICROSECONDS);
+            stopped.await(END, TimeUnit.MICROSECONDS);
             core.end();
             System.err.print(core.counters().text());
             journal.close();
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -137,7 +137,8 @@
 
         private void answered(int status, Map<String, String> headers, byte[] body, boolean keep) {
             Connection<?> used = connection;
-            if (!done && keep && used.isOpen()) {
+            // An answer that came before the request was out leaves the rest of it on the connection.
+            if (!done && keep && written && used.isOpen()) {
                 exchanges.remove(used);
                 pool.giveBack(address, used, core.now());
                 connection = null;
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -101,11 +101,16 @@
         HttpContent content = context.getMessage();
         HttpRequestPacket head = (HttpRequestPacket) content.getHttpHeader();
         Connection<?> connection = context.getConnection();
-        if (open.get(connection) == null) {
-            open.set(connection, new Exchange(connection, head));
+        Exchange exchange = open.get(connection);
+        if (exchange == null) {
+            exchange = new Exchange(connection, head);
+            open.set(connection, exchange);
+        } else if (exchange.response != head.getResponse()) {
+            connection.closeSilently(); // a second request before the answer to the first: answers could be mixed up
+            return context.getStopAction();
         }
         if (content.getContent().remaining() > LARGEST) {
-            open.get(connection).answer(413, Map.of("Connection", "close"), NOTHING, () -> { });
+            exchange.answer(413, Map.of("Connection", "close"), NOTHING, () -> { });
             connection.closeSilently();
             return context.getStopAction();
         }
@@ -115,7 +120,7 @@
         Map<String, String> headers = new LinkedHashMap<>();
         head.getHeaders().names().forEach(name -> headers.put(name.toLowerCase(), head.getHeader(name)));
         handler.accept(new Request(head.getMethod().getMethodString(), head.getRequestURI(), headers,
-                HttpFilters.bytes(content), System.nanoTime() / 1000, open.get(connection)));
+                HttpFilters.bytes(content), System.nanoTime() / 1000, exchange));
         return context.getStopAction();
     }
 
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -37,6 +37,8 @@
 public final class MailFront implements Front {
     private static final int MOST_CONNECTIONS = 100;
     private static final long RETRY = 1_000_000;
+    /** A Message-ID is one line; what is longer is none, and too long for the journal. */
+    private static final int LONGEST_ID = 998;
 
     private final Core core;
     private final MailSettings settings;
@@ -87,10 +89,16 @@
     }
 
     // ---- hand-ins ---------------------------------------------------------------------------------------
+    /** True if a mail that comes again can be told from a new one. */
+    static boolean isKnowable(String content) {
+        String messageId = Mail.header(content, "Message-ID");
+        return messageId != null && messageId.length() <= LONGEST_ID;
+    }
+
     /** Hands a mail in for one recipient; the answer is given once, maybe at once. */
     void handIn(Mail mail, Consumer<Reply> answer) {
-        String messageId = Mail.header(mail.content(), "Message-ID");
-        String identity = messageId == null ? null : messageId + ' ' + mail.recipient();
+        String identity = isKnowable(mail.content())
+                ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient() : null;
         String named = Mail.header(mail.content(), settings.classHeader());
         int messageClass = named == null ? settings.otherwise()
                 : settings.classes().getOrDefault(named, settings.otherwise());
--- a/src/main/java/lilaclever/protocol/mail/Reply.java
+++ b/src/main/java/lilaclever/protocol/mail/Reply.java
@@ -26,7 +26,8 @@
         if (line.length() < 3 || !line.substring(0, 3).chars().allMatch(c -> c >= '0' && c <= '9')) {
             return null;
         }
-        String text = line.length() > 4 ? line.substring(4) : "";
+        // A CR or LF alone must not pass on into replies and reports of ours.
+        String text = line.length() > 4 ? line.substring(4).replaceAll("\\p{Cntrl}", " ") : "";
         return new Reply(Integer.parseInt(line.substring(0, 3)),
                 text.length() > LONGEST ? text.substring(0, LONGEST) : text);
     }
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -105,6 +105,10 @@
 
     // ---- commands ---------------------------------------------------------------------------------------
     private void command(String line) {
+        if (line.indexOf('\r') >= 0 || line.indexOf('\n') >= 0) {
+            reply(500, "5.5.2 a line ends in CR or LF alone");
+            return;
+        }
         int space = line.indexOf(' ');
         String word = (space < 0 ? line : line.substring(0, space)).toUpperCase(Locale.ROOT);
         String rest = space < 0 ? "" : line.substring(space + 1).strip();
@@ -296,7 +300,7 @@
             good = each.positive() ? each : good;
             later = each.code() / 100 == 4 ? each : later;
         }
-        boolean known = Mail.header(text, "Message-ID") != null;
+        boolean known = MailFront.isKnowable(text);
         return later != null && (known || good == null) ? later : good != null ? good : mine[0];
     }
 }
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -105,6 +105,7 @@
 
     /** Starts the loop: first what the journal says is owed, with the list as last known. */
     public void start(List<Listed> known, long version) {
+        now = micros();
         listing(Relay.ListingKind.REMEMBERED, version, known);
         long wall = wall();
         for (Journal.Entry e : List.copyOf(journal.owed.values())) {
@@ -245,9 +246,9 @@
         events.add(new Event.Stopping(atMicros));
     }
 
-    /** True if no call is out and every end has been told. Loop thread. */
+    /** True if nothing is held and every end has been told. Loop thread. */
     public boolean quiet() {
-        return calls.isEmpty() && unsettled == 0;
+        return held.isEmpty() && calls.isEmpty() && unsettled == 0;
     }
 
     /** Ends the loop after this turn; the journal has what is left. From any thread. */
@@ -272,7 +273,7 @@
                 }
                 now = micros();
                 run(first);
-                turn();
+                run(this::turn);
             } catch (InterruptedException e) {
                 return;
             }
@@ -335,7 +336,7 @@
             if (m.over || endedNow.contains(m.id())) {
                 continue;
             }
-            m.journaled = journal.taken(m, wall());
+            run(() -> m.journaled = journal.taken(m, wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
                 run(() -> m.front.taken(m));
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -226,9 +226,10 @@
         return size + live + 2 * record + RESERVE + 2 * BLOCK <= most;
     }
 
-    /** Writes the file anew if most of it is past; called once a turn, which keeps both files small. */
+    /** Writes the file anew if most of it is past, or if the room for ends gets short; called once a turn. */
     void tidy(long nowWall) {
-        if (size > SMALL && size > 3 * live) {
+        boolean scarce = size + live + RESERVE > most && size > live + RESERVE / 4;
+        if (size > SMALL && size > 3 * live || scarce) {
             compactAgain(nowWall);
         }
     }
@@ -240,6 +241,7 @@
             return true;
         } catch (IOException e) {
             System.err.println("lilaclever: journal: " + e);
+            unfinished().toFile().delete(); // a part of it would take room from the file that counts
             return false;
         }
     }
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -23,6 +24,7 @@
 public final class Transport implements AutoCloseable {
     private static final int BACKLOG = 512;
     private static final int BUFFER = 16 * 1024;
+    private static final Pattern LITERAL = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]");
 
     private final TCPNIOTransport tcp;
 
@@ -86,11 +88,11 @@
                 });
     }
 
-    /** The address that "host:port" names; no names are looked up. */
+    /** The address in a text such as 127.0.0.1:25 or [::1]:25; there are no names to look up. */
     public static InetSocketAddress address(String hostAndPort) {
         int colon = hostAndPort.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("not host:port: " + hostAndPort);
+        if (colon <= 0 || !LITERAL.matcher(hostAndPort.substring(0, colon)).matches()) {
+            throw new IllegalArgumentException("not an IP address and a port: " + hostAndPort);
         }
         return new InetSocketAddress(hostAndPort.substring(0, colon),
                 Integer.parseInt(hostAndPort.substring(colon + 1)));
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -165,6 +165,27 @@
         }
     }
 
+    @Test
+    void aNoticeIsToldUntilThePlatformSaysThatItHasHeard() throws Exception {
+        AtomicInteger told = new AtomicInteger();
+        try (Peer platform = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    if (r.path().equals("/status") && told.incrementAndGet() == 1) {
+                        wire.close();
+                    } else if (r.path().equals("/status")) {
+                        notices.add(r.body());
+                        wire.answer(told.get() == 2 ? "500 not now" : "204 No Content", "");
+                    }
+                }
+            }); Peer endpoint = endpoint(wire -> wire.answer("500 no", ""))) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                assertEquals(Peer.next(notices), Peer.next(notices));
+            }
+        }
+    }
+
     @Test
     void whatGoesToOneEndpointInOneTurnSharesACall() throws Exception {
         LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -216,6 +216,26 @@
         }
     }
 
+    @Test
+    void whatSmtpTookOnOutlastsTheProcess() throws Exception {
+        AtomicInteger life = new AtomicInteger();
+        try (Peer server = server(r -> life.get() == 0 ? "450 4.2.1 not\rnow" : "250 good", text -> {
+                mails.add(text);
+                return "250 2.0.0 kept";
+            })) {
+            String route = route("a.test", 1, "smtp", server.address());
+            serve(route);
+            try (Wire wire = Wire.to(smtp)) {
+                greet(wire, "EHLO");
+                assertEquals("250 2.0.0 taken on", send(wire, "", payment("x"), "till@a.test").get(0));
+            }
+            forwarder.stop();
+            life.set(1);
+            serve(route);
+            assertTrue(Peer.next(mails).contains("Message-ID: <x>"));
+        }
+    }
+
     @Test
     void theServerKeepsToItsProtocol() throws Exception {
         try (Peer good = good()) {
@@ -225,7 +245,7 @@
                 String[][] talk = {{"MAIL FROM:<a@b>", "503 5.5.1"}, {"LHLO x", "500 5.5.1"}, {"EHLO x", "250 ENH"},
                     {"RCPT TO:<x@a.test>", "503 5.5.1"}, {"MAIL FROM:<a@b> SIZE=99999999", "552 5.3.4"},
                     {"MAIL FROM:a", "501 5.5.4"}, {"MAIL FROM:<a@b> SIZE=10 BODY=8BITMIME", "250 2.1.0"},
-                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"}, {"NOPE", "500 5.5.1"},
+                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"}, {"NOPE", "500 5.5.1"}, {"NOOP\nRSET", "500 5.5.2"},
                     {"RCPT TO:<x@a.test>", "250 2.1.5"}, {"RSET", "250 2.0.0"}, {"DATA", "503 5.5.1"},
                     {"VRFY x", "252 2.1.5"}};
                 for (String[] turn : talk) {
