Test silence after the end of data for each class, and the counters on request

Checked: a payment or unknown class is sent once and answered 554, an order and a status are sent again and answered 250, each with a stand-in LMTP server that takes the content and is silent.

--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -93,6 +93,8 @@
                     assertEquals(id + "k-" + id + "x\r\n\0" + id, Peer.next(calls));
                 }
                 assertTrue(client.handIn("d", "no-such", 5, "").startsWith("400"));
+                client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                assertTrue(client.request().body().contains("\ntaken 3\n"));
             }
             assertEquals(1, connections.get());
         }
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Stories of the mail front between scripted clients and servers of SMTP and LMTP. */
 class MailTest {
@@ -216,6 +219,38 @@
         }
     }
 
+    /** The hard case: the whole content is accepted, then nothing comes. Sent again only as the class allows. */
+    @ParameterizedTest
+    @CsvSource({"payment, 1, 554 5.4.0", "unheard-of, 1, 554 5.4.0", "order, 2, 250 2.1.5", "status, 2, 250 2.1.5"})
+    void silenceAfterTheEndOfDataMayHaveRun(String kind, int sent, String answer) throws Exception {
+        AtomicInteger tries = new AtomicInteger();
+        CountDownLatch never = new CountDownLatch(1);
+        try (Peer server = server(r -> "250 good", text -> {
+                if (tries.incrementAndGet() == 1) {
+                    await(never);
+                }
+                return "250 2.0.0 kept";
+            })) {
+            serve(route("a.test", 1, "lmtp", server.address()));
+            try (Wire wire = Wire.to(lmtp)) {
+                greet(wire, "LHLO");
+                String reply = send(wire, "", payment("x").replace("payment", kind), "till@a.test").get(0);
+                assertTrue(reply.startsWith(answer), reply);
+                assertEquals(sent, tries.get());
+            }
+        } finally {
+            never.countDown();
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     @Test
     void whatSmtpTookOnOutlastsTheProcess() throws Exception {
         AtomicInteger life = new AtomicInteger();
