End at once what is handed in for a mail route without an envelope

Seen in review: the HTTP front takes any destination number, also a mail route's; Mail.decode then threw inside MailDeliverer.start, and the message hung until its call's time-out, each time anew. Now it is refused for good at the first attempt. A story shows it: notice at once.

--- a/src/main/java/lilaclever/protocol/mail/Mail.java
+++ b/src/main/java/lilaclever/protocol/mail/Mail.java
@@ -13,14 +13,17 @@
         String all = new String(body, StandardCharsets.ISO_8859_1);
         int first = all.indexOf('\n');
         int second = all.indexOf('\n', first + 1);
+        if (first < 0 || second < 0) {
+            throw new IllegalArgumentException("no mail: it has no envelope");
+        }
         return new Mail(all.substring(0, first), all.substring(first + 1, second), all.substring(second + 1));
     }
 
     /** The content as it travels after DATA: no line of its own can end it. */
     String stuffed() {
         String stuffed = content.replace("\r\n.", "\r\n..");
-        return (stuffed.startsWith(".") ? "." : "") + stuffed + (stuffed.endsWith("\r\n") || stuffed.isEmpty() ? "" : "\r\n")
-                + ".\r\n";
+        boolean ends = stuffed.isEmpty() || stuffed.endsWith("\r\n");
+        return (stuffed.startsWith(".") ? "." : "") + stuffed + (ends ? "" : "\r\n") + ".\r\n";
     }
 
     /** The first header field of that name, unfolded, or null. */
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -79,6 +79,14 @@
 
     @Override
     public void start(Call call) {
+        Mail mail;
+        try {
+            mail = Mail.decode(call.messages.get(0).handin.body());
+        } catch (IllegalArgumentException e) {
+            // Handed in by a front that knows no envelopes: no attempt can ever succeed.
+            core.outcome(call, call.messages.get(0), Ending.REJECTED, 0, false, false);
+            return;
+        }
         Session idle = null;
         Connection<?> kept = pool.take(call.endpoint.host(), core.now());
         while (kept != null && idle == null) {
@@ -87,7 +95,7 @@
         }
         Session session = idle != null ? idle : new Session(call.endpoint);
         call.attachment = session;
-        session.begin(call);
+        session.begin(call, mail);
     }
 
     @Override
@@ -134,10 +142,10 @@
             this.lmtp = protocols.get(endpoint.host()) == MailSettings.Protocol.LMTP;
         }
 
-        void begin(Call next) {
+        void begin(Call next, Mail nextMail) {
             call = next;
             written = false;
-            mail = Mail.decode(next.messages.get(0).handin.body());
+            mail = nextMail;
             if (connection != null) {
                 transaction();
                 return;
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -262,7 +262,7 @@
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("held", "payment", 28, "").startsWith("202"));
                 process.toHandle().destroy(); // Process.destroy would close its output too
-                assertEquals("closed", client.request() == null ? "closed" : "answered", "an idle connection is closed");
+                assertEquals(null, client.request(), "an idle connection is closed");
             }
             assertTrue(process.waitFor(10, TimeUnit.SECONDS));
             assertTrue(log.lines().anyMatch("taken 1"::equals), "counters are printed at the end");
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,12 +30,20 @@
     @TempDir
     private Path state;
     private final LinkedBlockingQueue<String> mails = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private Peer platform;
     private Forwarder forwarder;
-    private SocketAddress smtp, lmtp;
+    private SocketAddress http, smtp, lmtp;
+
+    @BeforeEach
+    void begin() throws IOException {
+        platform = Peer.platform("", notices);
+    }
 
     @AfterEach
-    void end() {
+    void end() throws IOException {
         forwarder.stop();
+        platform.close();
     }
 
     private static String route(String domain, int number, String protocol, String address) {
@@ -43,10 +52,9 @@
     }
 
     private void serve(String... routes) throws Exception {
-        try (Peer platform = Peer.platform("", new LinkedBlockingQueue<>())) {
-            Config config = Setup.config(platform.address(), state, null);
-            forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))));
-        }
+        Config config = Setup.config(platform.address(), state, null);
+        forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))));
+        http = forwarder.addresses().get(0);
         smtp = forwarder.addresses().get(1);
         lmtp = forwarder.addresses().get(2);
     }
@@ -271,6 +279,17 @@
         }
     }
 
+    @Test
+    void aMessageWithoutAnEnvelopeEndsAtOnceWhereOnlyMailIsTaken() throws Exception {
+        try (Peer good = good()) {
+            serve(route("a.test", 1, "smtp", good.address()));
+            try (Wire client = Wire.to(http)) {
+                assertTrue(client.handIn("a", "payment", 1_000_001, 20, "no mail").startsWith("202"));
+                assertEquals("{\"id\":\"a\",\"status\":\"undeliverable\"}", Peer.next(notices));
+            }
+        }
+    }
+
     @Test
     void theServerKeepsToItsProtocol() throws Exception {
         try (Peer good = good()) {
@@ -280,7 +299,8 @@
                 String[][] talk = {{"MAIL FROM:<a@b>", "503 5.5.1"}, {"LHLO x", "500 5.5.1"}, {"EHLO x", "250 ENH"},
                     {"RCPT TO:<x@a.test>", "503 5.5.1"}, {"MAIL FROM:<a@b> SIZE=99999999", "552 5.3.4"},
                     {"MAIL FROM:a", "501 5.5.4"}, {"MAIL FROM:<a@b> SIZE=10 BODY=8BITMIME", "250 2.1.0"},
-                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"}, {"NOPE", "500 5.5.1"}, {"NOOP\nRSET", "500 5.5.2"},
+                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"},
+                    {"NOPE", "500 5.5.1"}, {"NOOP\nRSET", "500 5.5.2"},
                     {"RCPT TO:<x@a.test>", "250 2.1.5"}, {"RSET", "250 2.0.0"}, {"DATA", "503 5.5.1"},
                     {"VRFY x", "252 2.1.5"}};
                 for (String[] turn : talk) {
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -158,9 +158,13 @@
 
         /** Hands a message in and gives the answer's first line and headers. */
         String handIn(String id, String kind, double deadline, String body) throws IOException {
+            return handIn(id, kind, 7, deadline, body);
+        }
+
+        String handIn(String id, String kind, int destination, double deadline, String body) throws IOException {
             say("POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: "
-                    + deadline + "\r\nIdempotency-Key: k-" + id + "\r\nX-Envelope: dest=7\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body);
+                    + deadline + "\r\nIdempotency-Key: k-" + id + "\r\nX-Envelope: dest=" + destination
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
             Request answer = request();
             return answer == null ? "closed" : answer.path + ' ' + answer.headers;
         }
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -11,7 +11,8 @@
 
     static final String MAIL = """
             {"hostName": "mx.test", "classes": {"order": "order", "status": "status"}, "reportClass": "status",
-             "listeners": [{"protocol": "smtp", "address": "127.0.0.1:0"}, {"protocol": "lmtp", "address": "127.0.0.1:0"}],
+             "listeners": [{"protocol": "smtp", "address": "127.0.0.1:0"},
+              {"protocol": "lmtp", "address": "127.0.0.1:0"}],
              "routes": [%s]}""";
 
     static String list(String endpoint) {
