Tell a time-out one turn after the close, so that its slot is free for the next call

Ruled out: answers, whose slot is free once written, and connects, which hold none. At fault: HttpDeliverer.giveUp reported the time-out in the turn of the close, so the next call could reach the other side before it had seen that close.

--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -142,7 +142,8 @@
     @Override
     public void giveUp(Call call) {
         boolean written = call.attachment instanceof HttpClient.Exchange exchange && exchange.close();
-        all(call, written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0, false, false);
+        // The slot is free once the other side has seen the close: a call in this same turn would find none.
+        core.post(() -> all(call, written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0, false, false));
     }
 
     @Override
--- a/src/main/java/lilaclever/routing/Deliverer.java
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -5,7 +5,7 @@
     /** Starts a call. Each of its messages gets one outcome. */
     void start(Call call);
 
-    /** Stops waiting for a call and closes its connection; the outcomes follow at once. */
+    /** Stops waiting for a call and closes its connection; the outcomes follow by the next turn. */
     void giveUp(Call call);
 
     /** Closes idle connections to an endpoint. */
