Read the configuration again at SIGHUP: watch and notices move, nothing is lost

Tested and ruled out: memory (41 of 144 MB), descriptors (76 of 384), an exception in the loop (tasks_failed 0). At fault: Main.ServeCommand installed no handler, and a JVM ends on SIGHUP. Forwarder gave Directory and Notices an address that could not change, and Config lets ROUTER_DISCOVERY, which stays old in a running process, override the file. Now: a handler before readiness; Config.reread takes discovery from the file; a faulty file is told with its key and changes nothing; Directory.move asks the new agent for the whole list at once, so what vanished is noticed; a whole list that does not come is asked for again after 1 s, not 11.5 s; Notices.move tells the new address what is still open.

--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -51,6 +51,38 @@
         return parse(text, variables);
     }
 
+    /**
+     * Reads the file again. What it says of discovery wins over the variable, which a running process keeps as it was
+     * at its start.
+     */
+    static Config reread(Map<String, String> variables) throws Bad {
+        Map<String, String> others = new HashMap<>(variables);
+        others.remove("ROUTER_DISCOVERY");
+        return read(others);
+    }
+
+    /** The keys, but for discovery, whose values differ from those of a configuration in use: they need a restart. */
+    List<String> restartNeeded(Config used) {
+        List<String> keys = new ArrayList<>();
+        if (!name.equals(used.name)) {
+            keys.add("name");
+        }
+        if (!listen.equals(used.listen)) {
+            keys.add("listen");
+        }
+        if (!state.equals(used.state)) {
+            keys.add("state");
+        }
+        if (diskBytes != used.diskBytes) {
+            keys.add("limits.disk_mb");
+        }
+        if (!settings.equals(used.settings) || !classNames.equals(used.classNames) || !kinds.equals(used.kinds)
+                || !zones.equals(used.zones)) {
+            keys.add("settings");
+        }
+        return keys;
+    }
+
     static Config parse(String text, Map<String, String> variables) throws Bad {
         JsonObject root = object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
         JsonObject settings = root.has("settings") ? object("settings", root.get("settings")) : new JsonObject();
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
@@ -31,11 +32,15 @@
     private final Journal journal;
     private final Core core;
     private final HttpFront front;
+    private final Config config;
+    private final Notices notices;
+    private final Directory directory;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
     private Forwarder(Config config, MailSettings mail) throws IOException, Config.Bad {
+        this.config = config;
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
@@ -43,8 +48,8 @@
         journal = new Journal(config.state(), config.diskBytes());
         core = new Core(settings, config.seed(), journal, new Counters(), REMEMBER);
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep);
-        Notices notices = new Notices(core, transport, config.discovery(), connect, keep);
-        Directory directory = new Directory(core, transport, config.discovery(), deliverer,
+        notices = new Notices(core, transport, config.discovery(), connect, keep);
+        directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
         front = new HttpFront(core, config.classNames(), notices);
@@ -86,6 +91,23 @@
         return addresses;
     }
 
+    /** Takes a new configuration file on; a faulty one changes nothing. Any thread, one at a time. */
+    synchronized void reload(Map<String, String> variables) {
+        try {
+            Config read = Config.reread(variables);
+            for (String key : read.restartNeeded(config)) {
+                System.err.println("lilaclever: configuration: " + key + ": a change needs a restart; the old one stays");
+            }
+            core.post(() -> {
+                directory.move(read.discovery());
+                notices.move(read.discovery());
+            });
+            System.err.println("lilaclever: configuration read again, discovery at " + read.discovery());
+        } catch (Config.Bad e) {
+            System.err.println("lilaclever: configuration: " + e.getMessage() + "; the old one stays");
+        }
+    }
+
     /** Ends well: nothing that the coming kill could cut is started, and the journal has the rest. */
     void stop() {
         try {
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -1,6 +1,7 @@
 package lilaclever.program;
 
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import lilaclever.protocol.mail.MailSettings;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -61,8 +62,12 @@
         @Override
         public Integer run() throws Exception {
             Config config = Config.read(System.getenv());
+            CompletableFuture<Forwarder> serving = new CompletableFuture<>();
+            // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
+            Signals.onHangup(() -> serving.thenAccept(f -> f.reload(System.getenv())).join());
             Forwarder forwarder = Forwarder.start(config, mail == null ? null : config.readMail(mail));
             Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
+            serving.complete(forwarder);
             return null;
         }
     }
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -20,6 +20,7 @@
     /** A watch waits so long at the most; what it does not bring counts as told 2 s after that. */
     private static final long WAIT = 10_000_000;
     private static final long ANSWER_BY = WAIT + 1_500_000;
+    private static final long WHOLE_BY = 1_000_000;
     /** Well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
 
@@ -28,10 +29,13 @@
 
     private final Core core;
     private final HttpClient client;
-    private final String address;
     private final Deliverer deliverer;
     private final Names names;
+    private String address;
     private long index = -1;
+    /** The call that is out, and when it is given up or made again. */
+    private HttpClient.Exchange asking;
+    private Deadlines.Key again;
 
     /** What the settings call kinds and zones, in order. */
     public record Names(List<String> kinds, List<String> zones, List<Integer> batches) { }
@@ -52,18 +56,33 @@
         watch();
     }
 
+    /**
+     * Watches at the new address at once. Another agent may count other versions, so it is asked for the whole list:
+     * what is not in it has gone. Until it answers the list stays as it is.
+     */
+    public void move(String to) {
+        client.closeIdle(address);
+        address = to;
+        index = -1;
+        core.deadlines().cancel(again);
+        if (asking != null) {
+            asking.close();
+        }
+        watch();
+    }
+
     private void watch() {
         String path = "/registry/instances"
                 + (index < 0 ? "" : "?after=" + index + "&wait_ms=" + WAIT / 1000);
-        HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        Deadlines.Key late = core.deadlines().at(core.now() + ANSWER_BY, () -> {
-            exchange[0].close();
+        // The whole list comes at once or, while discovery is down, not at all: then it is asked for again soon.
+        again = core.deadlines().at(core.now() + (index < 0 ? WHOLE_BY : ANSWER_BY), () -> {
+            asking.close();
             watch(); // the agent is silent while discovery is down
         });
-        exchange[0] = client.send(address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
+        asking = client.send(address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
-                core.deadlines().cancel(late);
+                core.deadlines().cancel(again);
                 try {
                     if (status != 200) {
                         throw new JsonParseException("answered with " + status);
@@ -80,14 +99,14 @@
                         | NullPointerException | UnsupportedOperationException e) {
                     System.err.println("lilaclever: directory: " + e);
                     index = -1; // start over with the whole list
-                    core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+                    again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
                 }
             }
 
             @Override
             public void broke(boolean written) {
-                core.deadlines().cancel(late);
-                core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+                core.deadlines().cancel(again);
+                again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
             }
         });
     }
--- a/src/main/java/lilaclever/protocol/http/Notices.java
+++ b/src/main/java/lilaclever/protocol/http/Notices.java
@@ -20,9 +20,12 @@
 
     private final Core core;
     private final HttpClient client;
-    private final String address;
     private final List<Notice> open = new ArrayList<>();
+    private String address;
     private boolean busy;
+    /** The batch that is on its way, and when it is given up or sent again. */
+    private HttpClient.Exchange sending;
+    private Deadlines.Key again;
 
     /** Notices to the address. */
     public Notices(Core core, Transport transport, String address, long connectMicros, long keepAliveMicros) {
@@ -41,11 +44,25 @@
         open.add(new Notice(line.toString() + '\n', settled));
         if (!busy) {
             busy = true;
-            core.post(this::send); // with what else ends in this turn
+            again = core.deadlines().at(core.now() + 1, this::send); // with what else ends in this turn
+        }
+    }
+
+    /** Tells the new address from now on, what the old one has not confirmed too: a second notice does no harm. */
+    public void move(String to) {
+        client.closeIdle(address);
+        address = to;
+        if (busy) {
+            core.deadlines().cancel(again);
+            if (sending != null) {
+                sending.close();
+            }
+            send();
         }
     }
 
     private void send() {
+        sending = null;
         if (open.isEmpty()) {
             busy = false;
             return;
@@ -53,16 +70,15 @@
         List<Notice> batch = List.copyOf(open.subList(0, Math.min(MOST, open.size())));
         StringBuilder body = new StringBuilder();
         batch.forEach(n -> body.append(n.line()));
-        HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        Deadlines.Key late = core.deadlines().at(core.now() + ANSWER_BY, () -> {
-            exchange[0].close();
+        again = core.deadlines().at(core.now() + ANSWER_BY, () -> {
+            sending.close();
             later();
         });
-        exchange[0] = client.send(address, "POST", "/status", Map.of("Content-Type", "application/json"),
+        sending = client.send(address, "POST", "/status", Map.of("Content-Type", "application/json"),
                 body.toString().getBytes(StandardCharsets.UTF_8), new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] answer) {
-                core.deadlines().cancel(late);
+                core.deadlines().cancel(again);
                 if (status != 204) {
                     System.err.println("lilaclever: notices answered with " + status);
                     later();
@@ -78,13 +94,14 @@
 
             @Override
             public void broke(boolean written) {
-                core.deadlines().cancel(late);
+                core.deadlines().cancel(again);
                 later();
             }
         });
     }
 
     private void later() {
-        core.deadlines().at(core.now() + PAUSE, this::send);
+        sending = null;
+        again = core.deadlines().at(core.now() + PAUSE, this::send);
     }
 }
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -272,6 +272,51 @@
         }
     }
 
+    @Test
+    void atSighupTheNewFilesDiscoveryTakesOverAndNothingIsLost() throws Exception {
+        LinkedBlockingQueue<String> moved = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<String> fresh = new LinkedBlockingQueue<>();
+        try (Peer first = endpoint(wire -> wire.answer("500 no", "")); Peer second = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    fresh.add(r.headers().get("req-id"));
+                    wire.answer("200 OK", "");
+                }
+            }); Peer before = new Peer(Wire::hang); // takes the watch and the notice, and answers neither
+                Peer after = Peer.platform(Setup.list(second.address()).replace("e1", "e2"), moved)) {
+            Path file = state.resolve("config.json");
+            BufferedReader log = start(before.address(), first.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                assertTrue(Peer.next(calls).startsWith("/receive a "));
+                Files.writeString(file, Setup.text("nowhere", state, null, 3));
+                hangUp();
+                assertTrue(until(log, "configuration: discovery: ").contains("stays"));
+                Files.writeString(file, Setup.text(after.address(), state, null, 3));
+                hangUp();
+                assertEquals("{\"id\":\"a\",\"status\":\"undeliverable\"}", Peer.next(moved), "still owed");
+                assertTrue(client.handIn("b", "status", 6, "").startsWith("202"));
+                assertEquals("b", Peer.next(fresh), "at the latest after the first endpoint has failed it");
+                for (String id : new String[] {"c", "d", "e", "f", "g"}) {
+                    assertTrue(client.handIn(id, "payment", 6, "").startsWith("202"));
+                    assertEquals(id, Peer.next(fresh), "the first endpoint is not in the new list");
+                }
+            }
+        }
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static String until(BufferedReader log, String part) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(part)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "the program has ended before it said: " + part);
+        return line;
+    }
+
     @Test
     void aFullDiskRefusesNewWorkAndNothingElse() throws Exception {
         try (Peer platform = Peer.platform("", notices)) {
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -49,6 +49,7 @@
                 "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "lilaclever.program.Main", "serve");
         builder.environment().put("ROUTER_CONFIG", file.toString());
+        builder.environment().put("ROUTER_DISCOVERY", config.replaceAll("(?s).*\"discovery\": \"([^\"]*)\".*", "$1"));
         return builder.start();
     }
 }
