--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -23,9 +23,12 @@
  * the other variables override it.
  */
 record Config(String name, String listen, String discovery, Path state, long seed, long diskBytes,
-        Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known) {
+        int sockets, Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known) {
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
+    private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
+    /** Descriptors that the machine itself needs, and some for files of the journal. */
+    private static final int OWN_SOCKETS = 36;
 
     /** A configuration that can't be used; the message names the key at fault. */
     static final class Bad extends Exception {
@@ -61,6 +64,16 @@
         return read(others);
     }
 
+    /** Connections of clients at most: of the descriptors that are left more than half, as they come unasked. */
+    int mostClients() {
+        return (sockets - OWN_SOCKETS) * 11 / 20;
+    }
+
+    /** Idle connections to endpoints at most: what clients and calls leave. */
+    int mostIdle() {
+        return Math.max(1, sockets - OWN_SOCKETS - mostClients() - settings.limits().slots());
+    }
+
     /** The keys, but for discovery, whose values differ from those of a configuration in use: they need a restart. */
     List<String> restartNeeded(Config used) {
         List<String> keys = new ArrayList<>();
@@ -76,6 +89,9 @@
         if (diskBytes != used.diskBytes) {
             keys.add("limits.disk_mb");
         }
+        if (sockets != used.sockets) {
+            keys.add("limits.sockets");
+        }
         if (!settings.equals(used.settings) || !classNames.equals(used.classNames) || !kinds.equals(used.kinds)
                 || !zones.equals(used.zones)) {
             keys.add("settings");
@@ -103,13 +119,17 @@
         if (disk <= 0) {
             throw new Bad("limits.disk_mb", "must be above 0");
         }
+        int sockets = whole("limits.sockets", limits, "sockets", DEFAULT_SOCKETS);
+        if (sockets < LEAST_SOCKETS) {
+            throw new Bad("limits.sockets", "must be " + LEAST_SOCKETS + " or more");
+        }
         JsonObject known = root.has("known") && !root.get("known").isJsonNull()
                 ? object("known", root.get("known")) : null;
         return new Config(value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
                 address(value(variables, "ROUTER_LISTEN", root, "listen", null), "listen"),
                 address(value(variables, "ROUTER_DISCOVERY", root, "discovery", null), "discovery"),
                 Path.of(value(variables, "ROUTER_STATE", root, "state", null)),
-                seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), read, classNames,
+                seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), sockets, read, classNames,
                 strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known);
     }
 
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -47,12 +47,12 @@
         transport = new Transport();
         journal = new Journal(config.state(), config.diskBytes());
         core = new Core(settings, config.seed(), journal, new Counters(), REMEMBER);
-        HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep);
+        HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
-        front = new HttpFront(core, config.classNames(), notices);
+        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(), notices);
         core.add(front);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
@@ -82,6 +82,9 @@
     /** Starts all parts; {@code mail} is null where the mail front is off. */
     static Forwarder start(Config config, MailSettings mail) throws IOException, Config.Bad {
         Forwarder forwarder = new Forwarder(config, mail);
+        System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
+                + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
+                + config.mostClients() + " for clients, " + config.mostIdle() + " idle to endpoints");
         System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -23,6 +23,7 @@
     private static final long WHOLE_BY = 1_000_000;
     /** Well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
+    private static final int MOST_ANSWER = 1 << 20;
 
     /** A list as the platform writes it. */
     public record Known(long index, boolean whole, List<Core.Listed> listed) { }
@@ -44,7 +45,7 @@
     public Directory(Core core, Transport transport, String address, Deliverer deliverer, Names names,
             long connectMicros, long keepAliveMicros) {
         this.core = core;
-        this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros);
+        this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros, 1, MOST_ANSWER);
         this.address = address;
         this.deliverer = deliverer;
         this.names = names;
@@ -79,7 +80,7 @@
             asking.close();
             watch(); // the agent is silent while discovery is down
         });
-        asking = client.send(address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
+        asking = client.send(address, address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
                 core.deadlines().cancel(again);
@@ -104,7 +105,7 @@
             }
 
             @Override
-            public void broke(boolean written) {
+            public void broke(boolean written, int status) {
                 core.deadlines().cancel(again);
                 again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
             }
@@ -130,7 +131,8 @@
             double weight = e.has("weight") ? e.get("weight").getAsDouble() : 1;
             int batch = kind >= 0 && kind < names.batches().size() ? names.batches().get(kind) : 1;
             all.add(new Core.Listed(new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight,
-                    sinceMicros), new Call.Endpoint(host, e.get("address").getAsString(), zone, batch, deliverer)));
+                    sinceMicros), new Call.Endpoint(host, e.get("address").getAsString(),
+                    e.get("group").getAsInt(), zone, batch, deliverer)));
         }
         return new Known(list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), all);
     }
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/Figures.java
@@ -0,0 +1,30 @@
+package lilaclever.protocol.http;
+
+import java.math.BigDecimal;
+import java.util.regex.Pattern;
+
+/** Texts from outside: what may be a number or an id here. */
+final class Figures {
+    /** Bounded before it is computed with: a short text such as 1e999999999 is a number of a billion digits. */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{0,12})?");
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
+    /** Ids and keys travel in heads, in lines with spaces between, and in the journal. */
+    private static final Pattern WORD = Pattern.compile("[!-~]{1,128}");
+
+    private Figures() { }
+
+    /** A decimal, not negative, with the point moved to the right; null if it is none. */
+    static Long decimal(String text, int places) {
+        return DECIMAL.matcher(text).matches() ? new BigDecimal(text).movePointRight(places).longValue() : null;
+    }
+
+    /** A whole number, not negative; null if it is none. */
+    static Integer whole(String text) {
+        return WHOLE.matcher(text).matches() ? Integer.valueOf(text) : null;
+    }
+
+    /** True if the text can be an id or a key. */
+    static boolean isWord(String text) {
+        return WORD.matcher(text).matches();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/Head.java
@@ -0,0 +1,62 @@
+package lilaclever.protocol.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** Writes a head and its body as one piece of bytes. */
+final class Head {
+    private final StringBuilder text;
+
+    private Head(String first) {
+        text = new StringBuilder(256).append(first).append("\r\n");
+    }
+
+    /** A request; the body's length is told even if it is nothing. */
+    static byte[] request(String method, String path, String host, Map<String, String> headers, byte[] body) {
+        return new Head(method + ' ' + path + " HTTP/1.1").with("Host", host).with(headers).end(body);
+    }
+
+    /** An answer. */
+    static byte[] answer(int status, Map<String, String> headers, boolean close, byte[] body) {
+        Head head = new Head("HTTP/1.1 " + status + ' ' + reason(status)).with(headers);
+        return (close ? head.with("Connection", "close") : head).end(body);
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 202 -> "Accepted";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 408 -> "Request Timeout";
+            case 411 -> "Length Required";
+            case 413 -> "Content Too Large";
+            case 431 -> "Request Header Fields Too Large";
+            case 501 -> "Not Implemented";
+            case 503 -> "Service Unavailable";
+            case 505 -> "HTTP Version Not Supported";
+            default -> status < 500 ? "Refused" : "Failed";
+        };
+    }
+
+    private Head with(Map<String, String> headers) {
+        headers.forEach(this::with);
+        return this;
+    }
+
+    private Head with(String name, String value) {
+        // What reached us from outside was checked where it came in: a line's end here would forge a header.
+        assert value.chars().allMatch(c -> c >= ' ' && c != 0x7f) : name;
+        text.append(name).append(": ").append(value).append("\r\n");
+        return this;
+    }
+
+    private byte[] end(byte[] body) {
+        byte[] head = text.append("Content-Length: ").append(body.length).append("\r\n\r\n").toString()
+                .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = new byte[head.length + body.length];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        return all;
+    }
+}
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -1,14 +1,11 @@
 package lilaclever.protocol.http;
 
-import java.io.IOException;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
 import lilaclever.transport.ConnectionPool;
 import lilaclever.transport.Transport;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -16,48 +13,47 @@
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.http.HttpClientFilter;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.Method;
-import org.glassfish.grizzly.http.Protocol;
-import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
  * Requests over HTTP/1.1, one at a time on a connection. Nothing is ever sent twice: a request that breaks is told
- * to its owner. Used from the loop thread; what comes in on the selector thread is posted there.
+ * to its owner. Used from the loop thread; requests are written and answers read on the selector thread.
  */
 final class HttpClient {
     private static final long SWEEP = 500_000;
     /** Part of the time that an endpoint keeps an idle connection after which it is dropped here. */
     private static final double KEEP_PART = 0.8;
+    /** Once a first line is here the rest follows at once, or the answer is spoilt. */
+    private static final long REST_BY = 250_000;
 
     /** How a request went; one of the two is called, once, on the loop thread. */
     interface Listener {
         /** The whole answer is here. */
         void answered(int status, Map<String, String> headers, byte[] body);
 
-        /** No answer will come. {@code written}: the request's last byte had been written. */
-        void broke(boolean written);
+        /**
+         * No answer will come, or none that can be read. {@code written}: the request's last byte had been written.
+         * {@code status}: what the answer's first line said, else 0.
+         */
+        void broke(boolean written, int status);
     }
 
     private final Core core;
     private final Transport transport;
     private final long connectMicros;
+    private final int mostAnswer;
     private final ConnectionPool pool;
-    private final FilterChain chain;
-    private final Attribute<Exchange> exchanges;
+    private final FilterChain chain = Transport.chain(new AnswerFilter());
+    private final Attribute<Link> links;
 
-    HttpClient(Core core, Transport transport, String name, long connectMicros, long keepAliveMicros) {
+    /** A client whose answers have bodies up to so many bytes. */
+    HttpClient(Core core, Transport transport, String name, long connectMicros, long keepAliveMicros, int mostIdle,
+            int mostAnswer) {
         this.core = core;
         this.transport = transport;
         this.connectMicros = connectMicros;
-        this.pool = new ConnectionPool((long) (KEEP_PART * keepAliveMicros));
-        this.exchanges = Grizzly.DEFAULT_ATTRIBUTE_BUILDER
-                .createAttribute("HttpClient." + name);
-        this.chain = Transport.chain(new HttpClientFilter(), new AnswerFilter());
+        this.mostAnswer = mostAnswer;
+        this.pool = new ConnectionPool((long) (KEEP_PART * keepAliveMicros), mostIdle);
+        this.links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpClient." + name);
     }
 
     /** Starts to drop connections that were idle for too long. */
@@ -66,133 +62,220 @@
         core.deadlines().at(core.now() + SWEEP, this::start);
     }
 
-    void closeIdle(String address) {
-        pool.closeIdle(address);
+    /** Closes what is idle under the name. */
+    void closeIdle(String name) {
+        pool.closeIdle(name);
     }
 
-    /** Sends a request; headers by name. */
-    Exchange send(String address, String method, String path, Map<String, String> headers, byte[] body,
+    /** Sends a request; headers by name. Connections are kept and found again under the owner's name. */
+    Exchange send(String owner, String address, String method, String path, Map<String, String> headers, byte[] body,
             Listener listener) {
-        HttpRequestPacket.Builder head = HttpRequestPacket.builder().method(Method.valueOf(method)).uri(path)
-                .protocol(Protocol.HTTP_1_1).header("Host", address).contentLength(body.length);
-        headers.forEach(head::header);
-        Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body);
-        Exchange exchange = new Exchange(address, head.build().httpContentBuilder().content(content).last(true).build(),
-                listener);
-        Connection<?> idle = pool.take(address, core.now());
-        if (idle != null) {
-            exchange.write(idle);
-        } else {
-            exchange.connect();
-        }
+        Exchange exchange = new Exchange(owner, address, Head.request(method, path, address, headers, body), listener);
+        exchange.begin();
         return exchange;
     }
 
+    /** A connection, and what is read from it. Selector thread. */
+    private final class Link {
+        private final Connection<?> connection;
+        private final MessageReader reader = new MessageReader(true, mostAnswer);
+        private volatile Exchange current;
+        /** More came than was asked for: nobody may ask here again. */
+        private volatile boolean spoilt;
+
+        Link(Connection<?> connection) {
+            this.connection = connection;
+        }
+
+        /** Writes the request, unless it was given up meanwhile or the connection is not as it should be. */
+        boolean take(Exchange exchange) {
+            if (spoilt || !Transport.isQuiet(connection)) {
+                // Its idle time was used to close it, or for a word too many: that must not answer this request.
+                connection.closeSilently();
+                return false;
+            }
+            current = exchange;
+            exchange.write(this);
+            return true;
+        }
+
+        void bytes(byte[] in) {
+            Exchange exchange = current;
+            if (exchange == null || !exchange.written) {
+                // Nobody asked, or has asked yet: what follows can't be told from an answer.
+                spoilt = true;
+                connection.closeSilently();
+                return;
+            }
+            try {
+                int at = reader.read(in, 0, in.length);
+                exchange.status = reader.status();
+                if (reader.isComplete()) {
+                    complete(exchange, reader.keeps() && at == in.length);
+                } else if (exchange.status != 0) {
+                    exchange.begun();
+                }
+            } catch (MessageReader.Spoilt e) {
+                exchange.status = reader.status();
+                spoilt = true;
+                connection.closeSilently();
+            }
+        }
+
+        private void complete(Exchange exchange, boolean keep) {
+            // From now on whatever comes is one too many, also before the loop has seen this answer.
+            current = null;
+            spoilt |= !keep;
+            int status = reader.status();
+            Map<String, String> headers = reader.headers();
+            byte[] body = reader.body();
+            reader.next();
+            core.post(() -> exchange.answered(status, headers, body));
+        }
+
+        void closed() {
+            Exchange exchange = current;
+            current = null;
+            spoilt = true;
+            if (exchange != null && reader.status() != 0 && reader.ends()) {
+                complete(exchange, false);
+            } else if (exchange != null) {
+                core.post(exchange::broke);
+            }
+        }
+    }
+
     /** One request and what becomes of it. */
     final class Exchange {
-        private final String address;
-        private final HttpContent request;
+        private final String owner, address;
+        private final byte[] request;
         private final Listener listener;
-        private Connection<?> connection;
-        private Deadlines.Key connectBy;
+        private Deadlines.Key due;
         private boolean done;
-        /** Set by the thread that writes, before any close of the connection is posted. */
+        /** Guarded by this: a request that was given up is not written, one that is being written is not unsent. */
+        private boolean givenUp;
+        private Link link;
+        /** Set on the selector thread before the answer can be read there. */
         private volatile boolean written;
+        private volatile int status;
 
-        private Exchange(String address, HttpContent request, Listener listener) {
+        private Exchange(String owner, String address, byte[] request, Listener listener) {
+            this.owner = owner;
             this.address = address;
             this.request = request;
             this.listener = listener;
         }
 
+        /** On an idle connection if there is one that is good, else on a new one. */
+        private void begin() {
+            if (done) {
+                return;
+            }
+            Connection<?> idle = pool.take(owner, core.now());
+            if (idle == null) {
+                connect();
+                return;
+            }
+            Link kept = links.get(idle);
+            Transport.onSelector(idle, () -> {
+                if (!kept.take(this)) {
+                    core.post(this::begin); // nothing was written: another one
+                }
+            });
+        }
+
         private void connect() {
-            connectBy = core.deadlines().at(core.now() + connectMicros, () -> finish(() -> listener.broke(false)));
+            due = core.deadlines().at(core.now() + connectMicros, this::broke);
             core.counters().add(Counters.Name.CONNECTIONS);
-            transport.connect(Transport.address(address), chain, up -> core.post(() -> {
-                core.deadlines().cancel(connectBy);
-                if (done) {
-                    up.closeSilently();
-                } else {
-                    write(up);
-                }
-            }), problem -> core.post(() -> finish(() -> listener.broke(false))));
+            transport.connect(Transport.address(address), chain, up -> {
+                Link fresh = new Link(up);
+                links.set(up, fresh);
+                core.post(() -> core.deadlines().cancel(due));
+                Transport.onSelector(up, () -> {
+                    if (!fresh.take(this)) {
+                        core.post(this::broke);
+                    }
+                });
+            }, problem -> core.post(this::broke));
         }
 
-        private void write(Connection<?> to) {
-            connection = to;
-            exchanges.set(to, this);
-            if (!to.isOpen()) {
-                closed(); // closed before it was ours: its close was told to nobody
+        private synchronized void write(Link on) {
+            if (givenUp) {
+                on.connection.closeSilently();
                 return;
             }
-            Transport.write(to, request, () -> written = true, () -> {
-                to.closeSilently();
-                core.post(this::closed);
-            });
+            link = on;
+            Transport.write(on.connection, request, () -> written = true, on.connection::closeSilently);
         }
 
-        private void closed() {
-            finish(() -> listener.broke(written));
+        /** The first line is here. Selector thread. */
+        private void begun() {
+            core.post(() -> {
+                if (!done) {
+                    core.deadlines().cancel(due);
+                    due = core.deadlines().at(core.now() + REST_BY, this::broke);
+                }
+            });
         }
 
-        private void answered(int status, Map<String, String> headers, byte[] body, boolean keep) {
-            Connection<?> used = connection;
-            // An answer that came before the request was out leaves the rest of it on the connection.
-            if (!done && keep && written && used.isOpen()) {
-                exchanges.remove(used);
-                pool.giveBack(address, used, core.now());
-                connection = null;
+        private void answered(int said, Map<String, String> headers, byte[] body) {
+            if (!done) {
+                done = true;
+                core.deadlines().cancel(due);
+                if (link.spoilt || !link.connection.isOpen()) {
+                    link.connection.closeSilently();
+                } else {
+                    pool.giveBack(owner, link.connection, core.now());
+                }
+                listener.answered(said, headers, body);
             }
-            finish(() -> listener.answered(status, headers, body));
         }
 
-        private void finish(Runnable tell) {
+        private void broke() {
             if (!done) {
                 close();
-                tell.run();
+                listener.broke(written, status);
             }
         }
 
-        /** Gives the request up by closing its connection; true if its last byte had been written. */
+        /** What the first line of the answer has said so far; else 0. */
+        int status() {
+            return status;
+        }
+
+        /** Gives the request up by closing its connection; true if its last byte may have been written. */
         boolean close() {
             done = true;
-            core.deadlines().cancel(connectBy);
-            if (connection != null) {
-                exchanges.remove(connection);
-                connection.closeSilently();
+            core.deadlines().cancel(due);
+            synchronized (this) {
+                givenUp = true;
+                if (link != null) {
+                    link.connection.closeSilently();
+                }
+                return link != null;
             }
-            return written;
         }
     }
 
-    /** Gathers an answer and hands it to its exchange. */
+    /** Hands what is read to its link. */
     private final class AnswerFilter extends BaseFilter {
         @Override
-        public NextAction handleRead(FilterChainContext context) throws IOException {
-            HttpContent content = context.getMessage();
-            if (!content.isLast()) {
-                return context.getStopAction(content);
-            }
-            HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            Map<String, String> headers = new LinkedHashMap<>();
-            head.getHeaders().names().forEach(name -> headers.put(name.toLowerCase(), head.getHeader(name)));
-            byte[] body = HttpFilters.bytes(content);
-            int status = head.getStatus();
-            boolean keep = head.getProcessingState().isKeepAlive();
-            Exchange exchange = exchanges.get(context.getConnection());
-            if (exchange == null) {
-                context.getConnection().closeSilently(); // an answer that nobody asked for
+        public NextAction handleRead(FilterChainContext context) {
+            Link link = links.get(context.getConnection());
+            byte[] bytes = Transport.bytes(context.getMessage());
+            if (link == null) {
+                context.getConnection().closeSilently(); // it spoke before it was asked
             } else {
-                core.post(() -> exchange.answered(status, headers, body, keep));
+                link.bytes(bytes);
             }
             return context.getStopAction();
         }
 
         @Override
-        public NextAction handleClose(FilterChainContext context) throws IOException {
-            Exchange exchange = exchanges.get(context.getConnection());
-            if (exchange != null) {
-                core.post(exchange::closed);
+        public NextAction handleClose(FilterChainContext context) {
+            Link link = links.get(context.getConnection());
+            if (link != null) {
+                link.closed();
             }
             return context.getInvokeAction();
         }
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -1,7 +1,6 @@
 package lilaclever.protocol.http;
 
 import java.io.ByteArrayOutputStream;
-import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -11,6 +10,7 @@
 import lilaclever.Relay.Ending;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
@@ -20,16 +20,18 @@
 public final class HttpDeliverer implements Deliverer {
     private static final byte[] NOTHING = {};
     private static final byte[] CRLF = {'\r', '\n'};
+    /** What an endpoint has to say is short; whatever says more is spoilt. */
+    private static final int MOST_ANSWER = 64 * 1024;
 
     private final Core core;
     private final HttpClient client;
     private final long probeMicros;
 
     /** A deliverer with connections of its own. */
-    public HttpDeliverer(Core core, Transport transport, long connectMicros, long keepAliveMicros) {
+    public HttpDeliverer(Core core, Transport transport, long connectMicros, long keepAliveMicros, int mostIdle) {
         this.core = core;
         this.probeMicros = connectMicros;
-        this.client = new HttpClient(core, transport, "calls", connectMicros, keepAliveMicros);
+        this.client = new HttpClient(core, transport, "calls", connectMicros, keepAliveMicros, mostIdle, MOST_ANSWER);
     }
 
     /** Starts its housekeeping. */
@@ -49,9 +51,14 @@
             }
 
             @Override
-            public void broke(boolean written) {
-                // Before the last byte the endpoint has not begun; after it nobody knows.
-                all(call, written ? Ending.RESET : Ending.NO_CONNECTION, 0, false, false);
+            public void broke(boolean written, int status) {
+                // Before the last byte the endpoint has not begun; after it nobody knows, but for a call of one
+                // message whose answer's first line still says that it is delivered.
+                if (status != 0) {
+                    core.counters().add(Counters.Name.SPOILT_ANSWERS);
+                }
+                all(call, saysDelivered(call, status) ? Ending.DELIVERED : written ? Ending.RESET
+                        : Ending.NO_CONNECTION, 0, false, false);
             }
         };
         if (messages.size() == 1) {
@@ -60,14 +67,18 @@
             if (m.handin.key() != null) {
                 headers.put("Idempotency-Key", m.handin.key());
             }
-            call.attachment = client.send(call.endpoint.address(), "POST", "/receive", headers, m.handin.body(),
+            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive", headers, m.handin.body(),
                     listener);
         } else {
-            call.attachment = client.send(call.endpoint.address(), "POST", "/receive-many", headers, many(messages),
+            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive-many", headers, many(messages),
                     listener);
         }
     }
 
+    private static boolean saysDelivered(Call call, int status) {
+        return status == 200 && call.messages.size() == 1;
+    }
+
     private static byte[] many(List<Message> messages) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (Message m : messages) {
@@ -121,13 +132,10 @@
         }
     }
 
+    /** The wait that an answer tells, microseconds; what is no number, or none of a wait, is none. */
     private static long wait(Map<String, String> headers) {
-        try {
-            return Math.max(0, new BigDecimal(headers.getOrDefault("x-retry-in-ms", "0").trim())
-                    .movePointRight(3).longValue());
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+        Long wait = Figures.decimal(headers.getOrDefault("x-retry-in-ms", ""), 3);
+        return wait == null ? 0 : wait;
     }
 
     private void all(Call call, Ending ending, long wait, boolean noSlot, boolean over) {
@@ -141,14 +149,22 @@
 
     @Override
     public void giveUp(Call call) {
-        boolean written = call.attachment instanceof HttpClient.Exchange exchange && exchange.close();
+        HttpClient.Exchange exchange = (HttpClient.Exchange) call.attachment;
+        boolean written = exchange != null && exchange.close();
+        boolean delivered = exchange != null && saysDelivered(call, exchange.status());
         // The slot is free once the other side has seen the close: a call in this same turn would find none.
-        core.post(() -> all(call, written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0, false, false));
+        core.post(() -> all(call, delivered ? Ending.DELIVERED : written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0,
+                false, false));
     }
 
     @Override
-    public void closeIdle(String address) {
-        client.closeIdle(address);
+    public void closeIdle(Call.Endpoint endpoint) {
+        client.closeIdle(owner(endpoint));
+    }
+
+    /** Whose connections are found again: an endpoint that comes to the address of another inherits none. */
+    private static String owner(Call.Endpoint endpoint) {
+        return endpoint.host() + '@' + endpoint.address();
     }
 
     @Override
@@ -159,7 +175,7 @@
             exchange[0].close();
             core.probed(endpoint.host(), Ending.TIMED_OUT, core.now() - started);
         });
-        exchange[0] = client.send(endpoint.address(), "GET", "/health/live", Map.of(), NOTHING,
+        exchange[0] = client.send(owner(endpoint), endpoint.address(), "GET", "/health/live", Map.of(), NOTHING,
                 new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
@@ -167,7 +183,7 @@
             }
 
             @Override
-            public void broke(boolean written) {
+            public void broke(boolean written, int status) {
                 end(written ? Ending.RESET : Ending.NO_CONNECTION);
             }
 
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -1,39 +1,45 @@
 package lilaclever.protocol.http;
 
 import java.io.IOException;
-import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import lilaclever.Relay;
 import lilaclever.routing.Core;
+import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Front;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
 import lilaclever.routing.Verdict;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.KeepAlive;
 
 /** The platform's front: clients hand in over HTTP; later ends go to the platform as notices. */
 public final class HttpFront implements Front {
     private static final byte[] NOTHING = {};
-    private static final int HEADERS = 8 * 1024;
+    /** Nobody waits for longer. */
+    private static final long LONGEST = 3_600_000_000L;
 
     private final Core core;
     private final List<String> classNames;
+    private final List<Relay.MessageClass> classes;
     private final Notices notices;
-    private final IntakeFilter intake = new IntakeFilter(this::request);
-    private final Map<Message, IntakeFilter.Exchange> waiting = new HashMap<>();
+    private final IntakeFilter intake;
+    /** Who waits to hear that a message is taken on: more than one where it came again meanwhile. */
+    private final Map<Message, List<IntakeFilter.Exchange>> waiting = new HashMap<>();
     private Connection<?> listener;
 
-    /** Classes by the name that clients use. */
-    public HttpFront(Core core, List<String> classNames, Notices notices) {
+    /** Classes by the name that clients use; at most so many connections of clients. */
+    public HttpFront(Core core, List<String> classNames, List<Relay.MessageClass> classes, int mostClients,
+            Notices notices) {
         this.core = core;
         this.classNames = List.copyOf(classNames);
+        this.classes = List.copyOf(classes);
+        this.intake = new IntakeFilter(core, mostClients, this::request);
         this.notices = notices;
     }
 
@@ -42,13 +48,9 @@
         return "http";
     }
 
-    /** Listens from now on. All constructors of the server's filter are marked as deprecated in Grizzly 4. */
-    @SuppressWarnings("deprecation")
+    /** Listens from now on. */
     public SocketAddress listen(Transport transport, SocketAddress address) throws IOException {
-        KeepAlive forEver = new KeepAlive();
-        forEver.setMaxRequestsCount(-1);
-        var server = transport.listen(address, Transport.chain(
-                new HttpServerFilter(true, HEADERS, null, forEver, null), intake));
+        var server = transport.listen(address, Transport.chain(intake));
         listener = server;
         return server.getLocalAddress();
     }
@@ -64,7 +66,7 @@
     // ---- requests: on the selector thread until they are posted -------------------------------------------
     private void request(IntakeFilter.Request request) {
         switch (request.method() + ' ' + request.path()) {
-            case "POST /api" -> core.post(() -> handIn(request));
+            case "POST /api" -> check(request);
             case "GET /health/ready", "GET /health/live" -> answer(request.exchange(), 200, Map.of(), "ready\n");
             case "GET /counters" -> answer(request.exchange(), 200, Map.of(), core.counters().text());
             default -> answer(request.exchange(), 404, Map.of(), "");
@@ -75,78 +77,99 @@
         exchange.answer(status, headers, body.getBytes(StandardCharsets.UTF_8), () -> { });
     }
 
-    private void handIn(IntakeFilter.Request request) {
-        if (request.exchange().gone()) {
-            return; // the client has stopped waiting and hands it in again
-        }
+    /** What can't be a message is turned away here: nonsense that comes fast must not take the loop's time. */
+    private void check(IntakeFilter.Request request) {
         Handin handin;
         try {
             handin = handin(request);
-        } catch (IllegalArgumentException | ArithmeticException e) {
+        } catch (IllegalArgumentException e) {
+            core.counters().add(Name.BAD_REQUESTS);
             answer(request.exchange(), 400, Map.of(), e.getMessage() + "\n");
             return;
         }
+        core.post(() -> handIn(request, handin));
+    }
+
+    private void handIn(IntakeFilter.Request request, Handin handin) {
+        IntakeFilter.Exchange exchange = request.exchange();
+        if (exchange.gone()) {
+            return; // the client has stopped waiting and hands it in again
+        }
+        if (!core.knows(handin.destination())) {
+            // Discovery is seconds late: it may be new. Held it would wait for nothing, and its room is scarce.
+            answer(exchange, 503, Map.of(), "X-Envelope: dest: no such destination\n");
+            return;
+        }
         Message m = core.handIn(this, handin);
-        if (m.handin != handin) {
-            accept(request.exchange(), m); // handed in under the same id before: it is already taken on
+        if (m.isTakenOn()) {
+            // Handed in under the same id before: it makes no second message, whoever asks.
+            exchange.answer(202, Map.of(), NOTHING, () -> { });
         } else if (m.isOpen()) {
-            waiting.put(m, request.exchange());
+            waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(exchange);
         } else {
-            refuse(request.exchange(), m.verdict());
+            refuse(exchange, m.verdict());
         }
     }
 
     private Handin handin(IntakeFilter.Request request) {
         Map<String, String> headers = request.headers();
-        int messageClass = classNames.indexOf(needed(headers, "req-kind"));
-        if (messageClass < 0) {
-            throw new IllegalArgumentException("Req-Kind: unknown class " + headers.get("req-kind"));
-        }
+        String id = needed(headers, "req-id");
+        check(Figures.isWord(id), "Req-Id: not an id");
+        int number = classNames.indexOf(needed(headers, "req-kind"));
+        check(number >= 0, "Req-Kind: unknown class");
         Integer destination = null;
         for (String part : needed(headers, "x-envelope").split("[,; ]+")) {
             if (part.startsWith("dest=")) {
-                destination = Integer.valueOf(part.substring(5));
+                check(destination == null, "X-Envelope: more than one dest");
+                destination = Figures.whole(part.substring(5));
+                check(destination != null, "X-Envelope: dest: not a whole number");
             }
         }
-        if (destination == null) {
-            throw new IllegalArgumentException("X-Envelope: no dest");
-        }
-        long budget = new BigDecimal(needed(headers, "req-deadline").trim()).movePointRight(6).longValue()
-                - Math.max(0, core.now() - request.arrivedMicros());
+        check(destination != null, "X-Envelope: no dest");
+        Long deadline = Figures.decimal(needed(headers, "req-deadline"), 6);
+        check(deadline != null && deadline <= LONGEST, "Req-Deadline: not a time to wait for");
+        String key = headers.get("idempotency-key");
+        // Among others a message without a key is written with a '-' in its place.
+        check(key == null ? classes.get(number).repeat() != Relay.Repeat.KEYED : Figures.isWord(key) && !key.equals("-"),
+                "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
-        return new Handin(needed(headers, "req-id"), null, messageClass, destination,
-                headers.get("idempotency-key"), request.body(), !retry.isEmpty(), retry.equals("again"),
-                Math.max(0, budget));
+        return new Handin(id, null, number, destination, key, request.body(), !retry.isEmpty(), retry.equals("again"),
+                Math.max(0, deadline - Math.max(0, Core.micros() - request.arrivedMicros())));
+    }
+
+    private static void check(boolean good, String problem) {
+        if (!good) {
+            throw new IllegalArgumentException(problem);
+        }
     }
 
     private static String needed(Map<String, String> headers, String name) {
         String value = headers.get(name);
-        if (value == null || value.isBlank()) {
-            throw new IllegalArgumentException(name + ": missing");
-        }
+        check(value != null && !value.isEmpty(), name + ": missing");
         return value;
     }
 
     // ---- answers: on the loop thread ----------------------------------------------------------------------
     @Override
     public void taken(Message message) {
-        IntakeFilter.Exchange exchange = waiting.remove(message);
-        if (exchange.gone()) {
-            core.clientGone(message);
-        } else {
-            accept(exchange, message);
+        List<IntakeFilter.Exchange> all = waiting.remove(message);
+        // Nobody is left to hear of it: it is handed in again. One is enough, as one message may have come twice,
+        // on a connection that was closed as it came and on the next one.
+        int[] lost = {0};
+        for (IntakeFilter.Exchange exchange : all) {
+            exchange.answer(202, Map.of(), NOTHING, () -> core.post(() -> {
+                if (++lost[0] == all.size()) {
+                    core.clientGone(message);
+                }
+            }));
         }
     }
 
-    private void accept(IntakeFilter.Exchange exchange, Message message) {
-        exchange.answer(202, Map.of(), NOTHING, () -> core.post(() -> core.clientGone(message)));
-    }
-
     @Override
     public void turnedDown(Message message, Verdict verdict) {
-        IntakeFilter.Exchange exchange = waiting.remove(message);
-        if (exchange != null) {
-            refuse(exchange, verdict);
+        List<IntakeFilter.Exchange> all = waiting.remove(message);
+        if (all != null) {
+            all.forEach(exchange -> refuse(exchange, verdict));
         }
     }
 
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -1,126 +1,284 @@
 package lilaclever.protocol.http;
 
-import java.io.IOException;
-import java.util.LinkedHashMap;
+import java.io.ByteArrayOutputStream;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters.Name;
 import lilaclever.transport.Transport;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.http.HttpContent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.memory.MemoryManager;
 
-/** The server's side of HTTP: gathers requests and writes answers; knows which connections are idle. */
+/**
+ * The server's side of HTTP: gathers requests and writes answers, one after the other on a connection. Whoever says
+ * nothing, half a request or nonsense is answered with an error or closed in good time, and is not let take the room
+ * of those who ask: so many connections, so many bytes of requests that are not whole, so much time for each.
+ */
 final class IntakeFilter extends BaseFilter {
-    private static final int LARGEST = 64 * 1024;
+    static final int LARGEST_BODY = 64 * 1024;
+    /** Bytes of further requests kept while one is answered. */
+    private static final int MOST_AHEAD = 16 * 1024;
+    /** Bytes of requests that are not whole, over all connections. */
+    private static final long MOST_GATHERED = 6 << 20;
+    /** A connection that has said nothing is closed after this, and a request must be whole after this. */
+    private static final long SILENT = 2_000_000, WHOLE_BY = 2_000_000;
+    /** A connection with no open request is closed after so long, and sooner where many are open. */
+    private static final long IDLE = 15_000_000, IDLE_CROWDED = 2_200_000;
+    private static final long LOOK = 500_000, LEAST_LOOK = 20_000;
+    private static final double CROWDED = 0.5;
     private static final byte[] NOTHING = {};
 
     /** One request; headers by lower-case name. */
     record Request(String method, String path, Map<String, String> headers, byte[] body, long arrivedMicros,
             Exchange exchange) { }
 
+    private final Core core;
+    private final int most;
     private final Consumer<Request> handler;
-    private final Set<Connection<?>> connections = ConcurrentHashMap.newKeySet();
-    private final Attribute<Exchange> open =
-            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("IntakeFilter.exchange");
+    private final Set<Client> clients = new LinkedHashSet<>();
+    private final Attribute<Client> clientOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("IntakeFilter.client");
+    private final AtomicLong gathered = new AtomicLong();
     private volatile boolean closing;
 
-    /** The handler is called on the selector thread. */
-    IntakeFilter(Consumer<Request> handler) {
+    /** At most so many connections; the handler is called on the selector thread. */
+    IntakeFilter(Core core, int most, Consumer<Request> handler) {
+        this.core = core;
+        this.most = most;
         this.handler = handler;
     }
 
+    /** One connection. Bytes come on the selector thread, answers go out on the loop's: one of them at a time is in. */
+    private final class Client {
+        private final Connection<?> connection;
+        private final MessageReader reader = new MessageReader(false, LARGEST_BODY);
+        private final ByteArrayOutputStream ahead = new ByteArrayOutputStream(0);
+        private final AtomicLong counted = new AtomicLong();
+        /** Since when it is as it is: opened, or the first byte of a request, or the end of an answer. */
+        private volatile long since = Core.micros();
+        private volatile boolean asked, partial, answering, ended;
+
+        Client(Connection<?> connection) {
+            this.connection = connection;
+        }
+
+        synchronized void bytes(byte[] in) {
+            int at = 0;
+            while (at < in.length && !ended) {
+                if (answering) {
+                    // Another request before the answer to the first waits for its turn, as far as there is room.
+                    if (ahead.size() + in.length - at > MOST_AHEAD) {
+                        ended = true;
+                    } else {
+                        ahead.write(in, at, in.length - at);
+                    }
+                    return;
+                }
+                at = read(in, at);
+            }
+        }
+
+        private int read(byte[] in, int from) {
+            if (!partial) {
+                partial = true;
+                since = asked ? Core.micros() : since; // the first one is due since the connection opened
+            }
+            try {
+                int at = reader.read(in, from, in.length);
+                count(reader.isComplete() ? 0 : reader.size());
+                if (gathered.get() > MOST_GATHERED) {
+                    refuse(503);
+                } else if (reader.isComplete()) {
+                    whole();
+                } else if (reader.awaitsContinue()) {
+                    Transport.write(connection, "HTTP/1.1 100 Continue\r\n\r\n".getBytes(), () -> { }, () -> { });
+                }
+                return at;
+            } catch (MessageReader.Spoilt e) {
+                refuse(e.status);
+                return in.length;
+            }
+        }
+
+        private void count(long size) {
+            gathered.addAndGet(size - counted.getAndSet(size));
+        }
+
+        private void whole() {
+            partial = false;
+            asked = true;
+            answering = true;
+            Request request = new Request(reader.method(), reader.path(), reader.headers(), reader.body(),
+                    Core.micros(), new Exchange(this, reader.keeps()));
+            reader.next();
+            handler.accept(request);
+        }
+
+        /** Tells what is wrong and closes: what follows on the connection can't be told from the rest of this. */
+        private synchronized void refuse(int status) {
+            if (!ended) {
+                ended = true;
+                core.counters().add(Name.BAD_REQUESTS);
+                Transport.write(connection, Head.answer(status, Map.of(), true, NOTHING), connection::closeSilently,
+                        connection::closeSilently);
+            }
+        }
+
+        private synchronized void answered() {
+            since = Core.micros();
+            answering = false;
+            byte[] waiting = ahead.toByteArray();
+            ahead.reset();
+            bytes(waiting);
+        }
+
+        private boolean isIdle() {
+            return !answering && !partial;
+        }
+
+        /** When it has to go if it stays as it is. */
+        private long due() {
+            if (answering) {
+                return Long.MAX_VALUE;
+            }
+            long time = partial ? WHOLE_BY : !asked ? SILENT : clients() > CROWDED * most ? IDLE_CROWDED : IDLE;
+            return since + time;
+        }
+
+        /** Looks at it until it is closed. Loop thread. */
+        private void look() {
+            if (!connection.isOpen()) {
+                return;
+            }
+            long now = core.now();
+            if (now >= due()) {
+                if (partial && !ended) {
+                    refuse(408);
+                } else {
+                    connection.closeSilently();
+                    return;
+                }
+            }
+            core.deadlines().at(now + Math.max(LEAST_LOOK, Math.min(LOOK, due() - now)), this::look);
+        }
+    }
+
     /** One request's answer. */
     final class Exchange {
-        private final Connection<?> connection;
-        private final HttpResponsePacket response;
+        private final Client client;
         private final boolean keep;
 
-        private Exchange(Connection<?> connection, HttpRequestPacket request) {
-            this.connection = connection;
-            this.response = request.getResponse();
-            this.keep = request.getProcessingState().isKeepAlive();
+        private Exchange(Client client, boolean keep) {
+            this.client = client;
+            this.keep = keep;
         }
 
         boolean gone() {
-            return !connection.isOpen();
+            return !client.connection.isOpen();
         }
 
         /** Writes the answer; {@code lost} is run if it could not be written. */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
-            boolean stay = keep && !closing;
-            response.setStatus(status);
-            headers.forEach(response::setHeader);
-            response.setContentLength(body.length);
-            if (!stay) {
-                response.setHeader("Connection", "close");
-            }
-            open.remove(connection);
-            Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body);
-            Transport.write(connection, response.httpContentBuilder().content(content).last(true).build(), () -> {
-                if (!stay) {
-                    connection.closeSilently();
+            boolean stay = keep && !closing && !client.ended;
+            Transport.write(client.connection, Head.answer(status, headers, !stay, body), () -> {
+                if (stay) {
+                    client.answered();
+                } else {
+                    client.connection.closeSilently();
                 }
             }, () -> {
-                connection.closeSilently();
+                client.connection.closeSilently();
                 lost.run();
             });
         }
     }
 
+    private int clients() {
+        synchronized (clients) {
+            return clients.size();
+        }
+    }
+
     /** Closes idle connections, and each other one after its answer. */
     void closeIdle() {
         closing = true;
-        connections.stream().filter(c -> open.get(c) == null).forEach(Connection::closeSilently);
+        List<Client> all;
+        synchronized (clients) {
+            all = List.copyOf(clients);
+        }
+        all.stream().filter(Client::isIdle).forEach(c -> c.connection.closeSilently());
+    }
+
+    /**
+     * The one to close where there is no more room: the oldest that has never asked, as the request of a new one may
+     * be on its way; then one that is idle for long.
+     */
+    private Client leastWanted(Client newest) {
+        long now = Core.micros();
+        Client idle = null;
+        synchronized (clients) {
+            for (Client c : clients) {
+                if (!c.asked && c != newest) {
+                    return c;
+                }
+                if (idle == null && c.isIdle() && now - c.since > IDLE_CROWDED) {
+                    idle = c;
+                }
+            }
+        }
+        return idle != null ? idle : newest;
     }
 
     @Override
-    public NextAction handleAccept(FilterChainContext context) throws IOException {
-        connections.add(context.getConnection());
+    public NextAction handleAccept(FilterChainContext context) {
+        Client client = new Client(context.getConnection());
+        clientOf.set(client.connection, client);
+        boolean full;
+        synchronized (clients) {
+            clients.add(client);
+            full = clients.size() > most;
+        }
+        if (full) {
+            Client out = leastWanted(client);
+            core.counters().add(Name.CROWDED_OUT);
+            forget(out);
+            out.ended = true;
+            out.connection.closeSilently();
+        }
+        core.post(client::look);
         return context.getInvokeAction();
     }
 
+    private void forget(Client client) {
+        client.count(0);
+        synchronized (clients) {
+            clients.remove(client);
+        }
+    }
+
     @Override
-    public NextAction handleClose(FilterChainContext context) throws IOException {
-        connections.remove(context.getConnection());
+    public NextAction handleClose(FilterChainContext context) {
+        Client client = clientOf.get(context.getConnection());
+        if (client != null) {
+            forget(client);
+        }
         return context.getInvokeAction();
     }
 
     @Override
-    public NextAction handleRead(FilterChainContext context) throws IOException {
-        HttpContent content = context.getMessage();
-        HttpRequestPacket head = (HttpRequestPacket) content.getHttpHeader();
-        Connection<?> connection = context.getConnection();
-        Exchange exchange = open.get(connection);
-        if (exchange == null) {
-            exchange = new Exchange(connection, head);
-            open.set(connection, exchange);
-        } else if (exchange.response != head.getResponse()) {
-            connection.closeSilently(); // a second request before the answer to the first: answers could be mixed up
-            return context.getStopAction();
-        }
-        if (content.getContent().remaining() > LARGEST) {
-            exchange.answer(413, Map.of("Connection", "close"), NOTHING, () -> { });
-            connection.closeSilently();
-            return context.getStopAction();
-        }
-        if (!content.isLast()) {
-            return context.getStopAction(content);
-        }
-        Map<String, String> headers = new LinkedHashMap<>();
-        head.getHeaders().names().forEach(name -> headers.put(name.toLowerCase(), head.getHeader(name)));
-        handler.accept(new Request(head.getMethod().getMethodString(), head.getRequestURI(), headers,
-                HttpFilters.bytes(content), System.nanoTime() / 1000, exchange));
+    public NextAction handleRead(FilterChainContext context) {
+        Client client = clientOf.get(context.getConnection());
+        byte[] bytes = Transport.bytes(context.getMessage());
+        if (client != null) {
+            client.bytes(bytes);
+        }
         return context.getStopAction();
     }
 
--- a/src/main/java/lilaclever/protocol/http/Notices.java
+++ b/src/main/java/lilaclever/protocol/http/Notices.java
@@ -15,6 +15,7 @@
     private static final long ANSWER_BY = 1_000_000;
     private static final long PAUSE = 100_000;
     private static final int MOST = 200;
+    private static final int MOST_ANSWER = 16 * 1024;
 
     private record Notice(String line, Runnable settled) { }
 
@@ -30,7 +31,7 @@
     /** Notices to the address. */
     public Notices(Core core, Transport transport, String address, long connectMicros, long keepAliveMicros) {
         this.core = core;
-        this.client = new HttpClient(core, transport, "notices", connectMicros, keepAliveMicros);
+        this.client = new HttpClient(core, transport, "notices", connectMicros, keepAliveMicros, 1, MOST_ANSWER);
         this.address = address;
     }
 
@@ -74,7 +75,7 @@
             sending.close();
             later();
         });
-        sending = client.send(address, "POST", "/status", Map.of("Content-Type", "application/json"),
+        sending = client.send(address, address, "POST", "/status", Map.of("Content-Type", "application/json"),
                 body.toString().getBytes(StandardCharsets.UTF_8), new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] answer) {
@@ -93,7 +94,7 @@
             }
 
             @Override
-            public void broke(boolean written) {
+            public void broke(boolean written, int status) {
                 core.deadlines().cancel(again);
                 later();
             }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -32,7 +32,7 @@
  */
 public final class MailDeliverer implements Deliverer {
     private static final long SWEEP = 500_000;
-    private static final int MOST_LINES = 200;
+    private static final int MOST_LINES = 200, MOST_IDLE = 50;
 
     private enum Step { GREETING, HELLO, HELO, MAIL, RCPT, DATA, CONTENT }
 
@@ -55,7 +55,7 @@
         this.settings = settings;
         this.zone = zone;
         this.connectMicros = connectMicros;
-        this.pool = new ConnectionPool(keepAliveMicros / 2);
+        this.pool = new ConnectionPool(keepAliveMicros / 2, MOST_IDLE);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
@@ -66,7 +66,8 @@
                 String host = route.host(address);
                 protocols.put(host, route.protocol());
                 core.add(new Core.Listed(new Relay.Entry(host, route.destination(), zone, -1,
-                        Relay.Presence.ACTIVE, 1, 0), new Call.Endpoint(host, address, zone, 1, this)));
+                        Relay.Presence.ACTIVE, 1, 0), new Call.Endpoint(host, address, route.destination(),
+                                zone, 1, this)));
             }
         }
         sweep();
@@ -106,8 +107,8 @@
     }
 
     @Override
-    public void closeIdle(String address) {
-        protocols.keySet().stream().filter(host -> host.endsWith('/' + address)).forEach(pool::closeIdle);
+    public void closeIdle(Call.Endpoint endpoint) {
+        pool.closeIdle(endpoint.host());
     }
 
     /** There is no probe but a connection: one is opened and greeted. */
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -17,7 +17,7 @@
     Deadlines.Key deadline;
 
     /** An endpoint of the list, with the deliverer that reaches it. */
-    public record Endpoint(String host, String address, int zone, int batch, Deliverer deliverer) { }
+    public record Endpoint(String host, String address, int destination, int zone, int batch, Deliverer deliverer) { }
 
     Call(Endpoint endpoint, long dropAt, long startedAt) {
         this.endpoint = endpoint;
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -25,6 +25,7 @@
     /** What a client is told where the module was not asked: no room here, or the program ends. */
     private static final long COME_BACK = 1_000_000;
     private static final long LONGEST_SLEEP = 1_000_000;
+    private static final long REMEMBER_DESTINATION = 60_000_000;
     /** An end this long after a message's time is a broken rule. */
     private static final long OVERDUE = 250_000;
 
@@ -41,6 +42,8 @@
     private final Map<String, Message> held = new LinkedHashMap<>();
     private final Map<String, Message> byIdentity = new HashMap<>();
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
+    /** Destinations that the list has named, and when last: one that has no endpoint now may have one soon. */
+    private final Map<Integer, Long> destinations = new HashMap<>();
     /** Endpoints that stand in our own configuration and in no directory. */
     private final List<Listed> fixed = new ArrayList<>();
     private final Set<Call> calls = new HashSet<>();
@@ -146,6 +149,11 @@
         events.add(m.submit(now, wall));
     }
 
+    /** False if the list has not named the destination for long. Without any list nothing is known. Loop thread. */
+    public boolean knows(int destination) {
+        return destinations.isEmpty() || destinations.containsKey(destination);
+    }
+
     /** Takes a hand-in from a front; the front hears of it by the end of the turn. Loop thread. */
     public Message handIn(Front front, Handin handin) {
         counters.add(Name.HANDED_IN);
@@ -192,17 +200,24 @@
             Map<String, Call.Endpoint> old = new HashMap<>(endpoints);
             endpoints.clear();
             all.forEach(x -> old.remove(x.entry().host()));
-            old.values().forEach(x -> x.deliverer().closeIdle(x.address()));
+            old.values().forEach(x -> x.deliverer().closeIdle(x));
         }
         List<Relay.Entry> entries = new ArrayList<>();
         for (Listed x : all) {
             entries.add(x.entry());
-            endpoints.put(x.entry().host(), x.endpoint());
+            Call.Endpoint before = endpoints.put(x.entry().host(), x.endpoint());
+            if (x.entry().presence() != Relay.Presence.ACTIVE) {
+                // Nothing new goes there: what is idle to it only takes room, here and there.
+                x.endpoint().deliverer().closeIdle(before == null ? x.endpoint() : before);
+            }
             if (x.entry().presence() == Relay.Presence.LEFT) {
-                x.endpoint().deliverer().closeIdle(x.endpoint().address());
                 endpoints.remove(x.entry().host());
             }
         }
+        all.forEach(x -> destinations.put(x.entry().destination(), now));
+        Set<Integer> served = new HashSet<>();
+        endpoints.values().forEach(x -> served.add(x.destination()));
+        destinations.entrySet().removeIf(d -> !served.contains(d.getKey()) && d.getValue() < now - REMEMBER_DESTINATION);
         events.add(new Event.Listing(kind, version, entries));
     }
 
@@ -285,8 +300,10 @@
             if (task != null) {
                 task.run();
             }
-        } catch (RuntimeException e) {
-            // One bad message must not end the others.
+        } catch (AssertionError e) {
+            throw e; // what must hold does not: a debug build ends here
+        } catch (RuntimeException | Error e) {
+            // One bad message, or one that needed more memory than there was, must not end the others.
             counters.add(Name.TASKS_FAILED);
             e.printStackTrace();
         }
@@ -361,7 +378,7 @@
             }
         } else if (action instanceof Action.CloseIdle a && endpoints.containsKey(a.host())) {
             Call.Endpoint endpoint = endpoints.get(a.host());
-            endpoint.deliverer().closeIdle(endpoint.address());
+            endpoint.deliverer().closeIdle(endpoint);
         } else if (action instanceof Action.Wake a) {
             deadlines.at(now + a.afterMicros(), () -> events.add(new Event.Timer(a.token())));
         } else if (action instanceof Action.Probe a && endpoints.containsKey(a.host())) {
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -10,7 +10,7 @@
     /** What is counted. */
     public enum Name {
         HANDED_IN, TAKEN, TURNED_DOWN, REFUSED, FAILED, DELIVERED, WITHDRAWN, RESUMED, CALLS, ATTEMPTS, CONNECTIONS,
-        NOTICES, LISTINGS, JOURNAL_FULL, BROKEN_INVARIANTS, TASKS_FAILED, TURNS
+        NOTICES, LISTINGS, BAD_REQUESTS, CROWDED_OUT, SPOILT_ANSWERS, JOURNAL_FULL, BROKEN_INVARIANTS, TASKS_FAILED, TURNS
     }
 
     private final Map<Name, LongAdder> values = new EnumMap<>(Name.class);
--- a/src/main/java/lilaclever/routing/Deliverer.java
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -9,7 +9,7 @@
     void giveUp(Call call);
 
     /** Closes idle connections to an endpoint. */
-    void closeIdle(String host);
+    void closeIdle(Call.Endpoint endpoint);
 
     /** Checks an endpoint; the answer goes to {@link Core#probed}. */
     void probe(Call.Endpoint endpoint);
--- a/src/main/java/lilaclever/transport/ConnectionPool.java
+++ b/src/main/java/lilaclever/transport/ConnectionPool.java
@@ -14,11 +14,14 @@
     private record Idle(Connection<?> connection, long sinceMicros) { }
 
     private final long keepMicros;
+    private final int most;
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
+    private int count;
 
-    /** Keeps connections for so long. */
-    public ConnectionPool(long keepMicros) {
+    /** Keeps connections for so long, and so many of them: descriptors are few. */
+    public ConnectionPool(long keepMicros, int most) {
         this.keepMicros = keepMicros;
+        this.most = most;
     }
 
     /** An idle connection to the endpoint, or null. */
@@ -26,6 +29,7 @@
         ArrayDeque<Idle> all = idle.get(endpoint);
         while (all != null && !all.isEmpty()) {
             Idle last = all.pollLast();
+            count--;
             if (last.connection().isOpen() && nowMicros - last.sinceMicros() < keepMicros) {
                 return last.connection();
             }
@@ -37,12 +41,32 @@
     /** Keeps a connection whose call is over. */
     public void giveBack(String endpoint, Connection<?> connection, long nowMicros) {
         idle.computeIfAbsent(endpoint, e -> new ArrayDeque<>()).addLast(new Idle(connection, nowMicros));
+        if (++count > most) {
+            dropOldest();
+        }
+    }
+
+    private void dropOldest() {
+        ArrayDeque<Idle> oldest = null;
+        for (ArrayDeque<Idle> all : idle.values()) {
+            if (!all.isEmpty() && (oldest == null || all.peekFirst().sinceMicros() < oldest.peekFirst().sinceMicros())) {
+                oldest = all;
+            }
+        }
+        oldest.pollFirst().connection().closeSilently();
+        count--;
+    }
+
+    /** How many are idle. */
+    public int size() {
+        return count;
     }
 
     /** Closes what is idle to the endpoint. */
     public void closeIdle(String endpoint) {
         ArrayDeque<Idle> all = idle.remove(endpoint);
         if (all != null) {
+            count -= all.size();
             all.forEach(x -> x.connection().closeSilently());
         }
     }
@@ -56,7 +80,9 @@
                 if (old) {
                     x.connection().closeSilently();
                 }
-                return old || !x.connection().isOpen();
+                boolean out = old || !x.connection().isOpen();
+                count -= out ? 1 : 0;
+                return out;
             });
             if (all.isEmpty()) {
                 i.remove();
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -3,15 +3,22 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -71,6 +78,37 @@
                 });
     }
 
+    /** Has the task run on the selector thread, where the connection's bytes are read: never at once. */
+    public static void onSelector(Connection<?> connection, Runnable task) {
+        connection.executeInEventThread(IOEvent.WRITE, task);
+    }
+
+    /**
+     * True if the connection is open and the other side has said nothing more and has not closed it. On the selector
+     * thread alone, since it reads.
+     */
+    public static boolean isQuiet(Connection<?> connection) {
+        try {
+            return connection.isOpen() && ((SocketChannel) ((NIOConnection) connection).getChannel())
+                    .read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** The bytes of a message from the socket; the buffer goes back to its pool. */
+    public static byte[] bytes(Buffer buffer) {
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        buffer.tryDispose();
+        return bytes;
+    }
+
+    /** Writes bytes; one of the two is run, on any thread. */
+    public static void write(Connection<?> connection, byte[] bytes, Runnable written, Runnable failed) {
+        write(connection, Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes), written, failed);
+    }
+
     /** Writes a message through the connection's filters; one of the two is run, on any thread. */
     @SuppressWarnings("unchecked")
     public static <M> void write(Connection<?> connection, M message, Runnable written, Runnable failed) {
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -12,6 +12,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -51,17 +53,17 @@
 
     /** Starts the program in a process and waits until it serves. */
     private BufferedReader start(String platform, String endpoint) throws IOException {
-        process = Setup.process(state, Setup.text(platform, state, endpoint, 3));
+        process = Setup.process(state, Setup.text(platform, state, endpoint, 3), 1024);
         BufferedReader log = process.errorReader();
-        String line = log.readLine();
-        while (line != null && !line.contains("serves at")) {
-            line = log.readLine();
-        }
-        int port = Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1"));
-        address = new InetSocketAddress("127.0.0.1", port);
+        address = address(log);
         return log;
     }
 
+    private static SocketAddress address(BufferedReader log) throws IOException {
+        return new InetSocketAddress("127.0.0.1",
+                Integer.parseInt(until(log, "serves at").replaceAll(".*:(\\d+)]", "$1")));
+    }
+
     private Peer endpoint(Peer.Script afterRequest) throws IOException {
         return new Peer(wire -> {
             for (Request r = wire.request(); r != null; r = wire.request()) {
@@ -91,10 +93,10 @@
                 for (String id : new String[] {"a", "b", "c"}) {
                     assertTrue(client.handIn(id, "order", 5, "x\r\n\0" + id).startsWith("202"));
                     assertEquals(id + "k-" + id + "x\r\n\0" + id, Peer.next(calls));
+                    untilDelivered(client, id.charAt(0) - 'a' + 1);
                 }
                 assertTrue(client.handIn("d", "no-such", 5, "").startsWith("400"));
-                client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
-                assertTrue(client.request().body().contains("\ntaken 3\n"));
+                assertTrue(counters(client).contains("\ntaken 3\n"));
             }
             assertEquals(1, connections.get());
         }
@@ -317,6 +319,122 @@
         return line;
     }
 
+    /** Whoever can't be understood is told so, and nothing of it goes anywhere. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"Req-Id: x~ | | 400", "Req-Id: x | Req-Id: a b | 400",
+        "Req-Kind: order | Req-Kind: no-such | 400", "dest=7 | dest=8 | 503", "dest=7 | dest=-7 | 400",
+        "Req-Deadline: 5 | Req-Deadline: soon | 400", "Req-Deadline: 5 | Req-Deadline: 1e999999999 | 400",
+        "Req-Deadline: 5 | Req-Deadline: -1 | 400", "Key: k | Key: k#z | 400", "Key: k | Key: - | 400",
+        "Idempotency-Key: k | X: y | 400", "Content-Length: 2 | Content-Length: 60000000 | 413",
+        "Content-Length: 2 | Content-Length: 2~Transfer-Encoding: chunked | 400"})
+    void aBadRequestIsToldSoAndGoesNowhere(String part, String instead, String status) throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+            serve(platform.address(), endpoint.address());
+            String good = "POST /api HTTP/1.1~Req-Id: x~Req-Kind: order~Req-Deadline: 5~Idempotency-Key: k~X-Envelope: dest=7~"
+                    + "Content-Length: 2~~ok";
+            assertTrue(good.contains(part));
+            try (Wire client = Wire.to(address)) {
+                client.say(good.replace(part, instead == null ? "" : instead).replace("~", "\r\n").replace("#", "\0"));
+                assertEquals(status, client.request().path());
+            }
+            try (Wire client = Wire.to(address)) {
+                client.say(good.replace("~", "\r\n"));
+                assertEquals("202", client.request().path());
+            }
+            assertEquals("/receive x k ok", Peer.next(calls));
+            assertEquals(0, calls.size());
+        }
+    }
+
+    @Test
+    void silenceAndHalfARequestAreEndedAndAnOpenIdMakesNoSecondMessage() throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(Wire::hang)) {
+            serve(platform.address(), endpoint.address());
+            long began = System.nanoTime();
+            try (Wire silent = Wire.to(address); Wire half = Wire.to(address); Wire client = Wire.to(address);
+                    Wire other = Wire.to(address)) {
+                half.say("POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+                assertTrue(client.handIn("a", "payment", 20, "mine").startsWith("202"));
+                assertTrue(other.handIn("a", "payment", 20, "another's").startsWith("202"));
+                assertEquals("408", half.request().path());
+                assertEquals(null, half.request());
+                assertEquals(null, silent.request());
+                assertTrue(System.nanoTime() - began < 3_000_000_000L, "within 3 s");
+                assertEquals("/receive a k-a mine", Peer.next(calls));
+                assertEquals(0, calls.size());
+                assertTrue(client.handIn("b", "status", 20, "").startsWith("202"), "a usual connection stays");
+            }
+        }
+    }
+
+    @Test
+    void aCrowdOfSilentConnectionsTakesNobodysRoom() throws Exception {
+        List<Wire> crowd = new ArrayList<>();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+            process = Setup.process(state, Setup.text(platform.address(), state, endpoint.address(), 3)
+                    .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"), 100);
+            address = address(process.errorReader());
+            for (int i = 0; i < 300; i++) {
+                crowd.add(Wire.to(address));
+                if (i % 30 == 0) {
+                    try (Wire client = Wire.to(address)) {
+                        assertTrue(client.handIn("m" + i, "payment", 20, "").startsWith("202"), "after " + i);
+                        assertTrue(Peer.next(calls).startsWith("/receive m" + i + ' '));
+                    }
+                }
+            }
+        } finally {
+            for (Wire wire : crowd) {
+                wire.close();
+            }
+        }
+    }
+
+    /** A spoilt answer may have run; but to one message a first line with 200 is the truth. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"noise# | undeliverable", "HTTP/1.1 200 OK~what | ", "HTTP/1.1 503 no~what | undeliverable",
+        "HTTP/1.1 200 OK~Content-Length: 3000000000~~many | ", "HTTP/1.1 200 OK~a: | ", "HTTP/1.1 429 no~Content-Length: 9~~ | undeliverable",
+        "HTTP/1.1 100 Go on~~HTTP/1.1 500 no~Content-Length: 0~~ | undeliverable",
+        "HTTP/1.1 200 OK~Srv-Load: x0=?~Content-Length: 0~~HTTP/1.1 200 OK~Content-Length: 0~~ | "})
+    void aSpoiltAnswerMayHaveRunAndItsConnectionIsNotUsedAgain(String answer, String notice) throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
+                int connection = connections.incrementAndGet();
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    calls.add(connection + r.headers().get("req-id"));
+                    wire.say(r.headers().get("req-id").equals("a") ? answer.replace("~", "\r\n").replace("#", "\0")
+                            : "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                assertEquals("1a", Peer.next(calls));
+                if (notice == null) {
+                    untilDelivered(client, 1);
+                } else {
+                    assertEquals("{\"id\":\"a\",\"status\":\"" + notice + "\"}", Peer.next(notices));
+                }
+                assertTrue(client.handIn("b", "payment", 20, "").startsWith("202"));
+                if (!answer.contains("500")) {
+                    assertEquals("2b", Peer.next(calls));
+                }
+                assertEquals("{\"id\":\"b\",\"status\":\"undeliverable\"}", Peer.next(notices), "no other answer's end");
+            }
+        }
+    }
+
+    private static void untilDelivered(Wire client, int count) throws IOException {
+        while (!counters(client).contains("\ndelivered " + count + '\n')) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static String counters(Wire client) throws IOException {
+        client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        return client.request().body();
+    }
+
     @Test
     void aFullDiskRefusesNewWorkAndNothingElse() throws Exception {
         try (Peer platform = Peer.platform("", notices)) {
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -42,10 +42,11 @@
         return Config.parse(text(discovery, state, endpoint, 3), Map.of());
     }
 
-    /** The real program in a process of its own, which can be killed. */
-    static Process process(Path folder, String config) throws IOException {
+    /** The real program in a process of its own, which can be killed, with so many descriptors. */
+    static Process process(Path folder, String config, int descriptors) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+                "ulimit -n " + descriptors + " && exec \"$@\"", "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "lilaclever.program.Main", "serve");
         builder.environment().put("ROUTER_CONFIG", file.toString());
