Give up calls far beyond usual when all slots are taken, and check picks before they go

Traced with the module's picture every 0.5 s beside every call: 5 slots; 8,378 deliveries took 25 ms in the median, 159 ms at 99%, 542 ms at 99.9%; endpoints of seven destinations hung at once, and the slots were held by 12 calls of 1.2 to 4 s. At 46.1 s all five were at endpoints that were known to hang, though these share 30% of the slots, here one. Tested and ruled out: memory, descriptors, CPU (6.6 s in 65 s), lists told late (what hung was active throughout). At fault: Decide.patience (a payment waits at least 2 x 0.5 x its aim, whoever needs the slot); sendAll computed a pick for each queue and then sent all of them, so that each part of the slots was checked before any of it was used. Now: relieve() cancels calls out for 8 times the usual (unsafe: 24 times, 1 s at least), only with all slots taken and as many as waiting messages could use; picks pass the gate again before they go; the gate has no check of slots any more, as its callers have one (with it nothing was ever picked while all slots were taken); an endpoint that has just hung gets no message that can't be repeated while others could go. Tests fail without either change; a first form of relieve() gave up five calls where one waited, and the test shows it. Conclusion: few slots make a hung call dear; the calls' ages must count against what waits.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -89,6 +89,9 @@
     private static final double UNSAFE_PATIENCE = 2;
     /** And part of that for a call that takes the last slot, where the next would wait for it. */
     private static final double SCARCE_PATIENCE = 0.6;
+    /** All slots taken, a call is given up after so many times the usual answer time, at the least this. */
+    private static final double BEARABLE = 8, UNSAFE_BEARABLE = 24;
+    private static final long LEAST_BEARABLE = 400_000, UNSAFE_LEAST_BEARABLE = 1_000_000;
     /** Part of its window that a keyed message's first attempt may take, so that a repeat fits in. */
     private static final double WINDOW_PART = 0.5;
     /** Weight of one answer in the mean answer time. */
@@ -349,7 +352,10 @@
                 best = p.rank() > best.rank() ? p : best;
             }
             picks.remove(best);
-            sendCall(best);
+            // What went since it was picked may have taken its part of the slots.
+            if (gate(best.message(), best.endpoint())) {
+                sendCall(best);
+            }
             Pick again = pick(best.message().queue);
             if (again != null) {
                 picks.add(again);
@@ -358,6 +364,37 @@
         for (Queue queue : busy) {
             next = Math.min(next, queue.lookAt);
         }
+        return picks.isEmpty() ? next : Math.min(next, relieve(picks.size()));
+    }
+
+    /**
+     * All slots are taken, and something could go: calls out for far longer than usual make room, at most as
+     * many as could be used. Guards against endpoints that hang at several destinations at once: each would
+     * hold a slot for a whole time-out, a hundred times what another message needs. May lose an unsafe one
+     * that is only slow.
+     */
+    private long relieve(int wanted) {
+        long next = NEVER;
+        int left = settings.limits().cancel() ? wanted : 0;
+        for (Call call : calls) {
+            left -= call.dropped ? 1 : 0;
+        }
+        for (Call call : calls) {
+            if (left > 0 && !call.dropped) {
+                boolean unsafe = call.messages.stream().anyMatch(m -> m.kind.repeat() == Repeat.UNSAFE);
+                double usual = Math.max(usualLatency, call.endpoint.limit.latency);
+                long bearable = (long) (unsafe ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
+                        : Math.max(LEAST_BEARABLE, BEARABLE * usual));
+                if (call.sentAt + bearable > now) {
+                    next = Math.min(next, call.sentAt + bearable);
+                } else {
+                    call.dropped = true;
+                    left--;
+                    call.messages.stream().filter(m -> m.call == call)
+                            .forEach(m -> actions.add(new Action.Cancel(m.id, m.attempts - 1)));
+                }
+            }
+        }
         return next;
     }
 
@@ -409,7 +446,7 @@
         if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
             worth *= 4; // its window is running: later is too late
         }
-        if (endpoint.outage && m.kind.repeat() != Repeat.SAFE && !m.mayHaveRun) {
+        if ((endpoint.outage || endpoint.hung) && m.kind.repeat() != Repeat.SAFE && !m.mayHaveRun) {
             // A call that fails may have run. Try a sick limit with what can be repeated.
             worth *= m.kind.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
         }
@@ -434,13 +471,13 @@
     }
 
     // ---- sending ----------------------------------------------------------------------------------------
-    /** Every send passes here: effects, windows, drains, waits, order, attempts, slots. */
+    /** Every send passes here: effects, windows, drains, waits, order, attempts; its call has a slot. */
     private boolean gate(Message m, Endpoint endpoint) {
         if (m.over || m.out != null || m.attempts >= settings.limits().maxAttempts()
                 || now < m.notBefore || m.deadline - now < LEAST_LEFT || endpoint.queue != m.queue) {
             return false;
         }
-        if (!endpoint.active || now < endpoint.limit.waitUntil || slotsOut >= settings.limits().slots()) {
+        if (!endpoint.active || now < endpoint.limit.waitUntil) {
             return false;
         }
         if (m.line != null && (m.line.messages.peek() != m
@@ -501,6 +538,7 @@
         m.attempts++;
         m.out = endpoint;
         m.call = call;
+        call.messages.add(m);
         m.sentAt = now;
         m.lastHost = endpoint;
         call.left++;
@@ -730,7 +768,7 @@
         switch (first ? e.ending() : Ending.NOT_SENT) {
             case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
             case FULL -> refused(limit, endpoint, e);
-            case ERROR, TIMED_OUT, RESET, NO_CONNECTION ->
+            case ERROR, TIMED_OUT, RESET, NO_CONNECTION, CANCELED ->
                 failed(limit, endpoint, e.ending(), e.elapsedMicros());
             default -> { }
         }
@@ -827,7 +865,8 @@
      * A call failed hard. Health is the endpoint's, as one may be bad alone; failures at several of a limit,
      * nothing taken between, speak of all. May hurt where all endpoints fail with successes between.
      */
-    private void failed(Limit limit, Endpoint endpoint, Ending ending, long elapsed) {
+    private void failed(Limit limit, Endpoint endpoint, Ending how, long elapsed) {
+        Ending ending = how == Ending.CANCELED ? Ending.TIMED_OUT : how; // given up for want of an answer too
         limit.badSince = limit.badSince == 0 ? now : limit.badSince;
         limit.lasted = now - limit.badSince;
         limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -16,7 +16,9 @@
 
     /** A call that is out: messages without an outcome, and whether it has told anything. */
     static final class Call {
+        final List<Message> messages = new ArrayList<>(1);
         Endpoint endpoint;
+        boolean dropped;
         int left;
         long sentAt;
         boolean told;
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -314,6 +314,69 @@
         assertTrue(rig.sent(rig.submit(SAFE, 2)));
     }
 
+    /** One message for each of so many destinations, all handed in and sent in one round; then what is out hangs. */
+    private List<String> sentTogether(int slots, int messageClass) {
+        rig = new Rig(Rig.settings(slots, 100, 6, false));
+        Entry[] entries = new Entry[10];
+        for (int d = 0; d < entries.length; d++) {
+            entries[d] = Rig.entry("h" + d, d, 0, 0);
+        }
+        rig.list(ListingKind.REMEMBERED, entries);
+        for (int i = 0; i < 10; i++) {
+            String id = rig.submit(SAFE, 9);
+            rig.now += 50 * MS;
+            rig.outcome(id, "h9", 0, Ending.DELIVERED); // what is usual
+        }
+        List<String> ids = new ArrayList<>();
+        Event[] submits = new Event[6];
+        for (int d = 0; d < submits.length; d++) {
+            ids.add("d" + d);
+            submits[d] = new Event.Submit("d" + d, messageClass, d, 0, null, false, false, 20 * S);
+        }
+        rig.round(submits);
+        return ids;
+    }
+
+    @Test
+    void callsFarBeyondUsualGiveUpSlotsThatOthersCouldUse() {
+        for (int messageClass : new int[] {SAFE, UNSAFE}) {
+            sentTogether(5, messageClass);
+            assertEquals(5, rig.sentTo().size());
+            rig.pass(5 * S);
+            long given = rig.actions.stream().filter(Action.Cancel.class::isInstance).count();
+            assertEquals(1, given, "one waits: one is given up, not all five");
+            rig = Rig.started();
+        }
+    }
+
+    @Test
+    void callsBeyondUsualStayWhereNobodyNeedsTheirSlots() {
+        sentTogether(10, UNSAFE);
+        assertEquals(6, rig.sentTo().size());
+        rig.pass(1900 * MS);
+        assertTrue(rig.actions.stream().noneMatch(Action.Cancel.class::isInstance));
+    }
+
+    @Test
+    void theShareOfSlotsForHangingEndpointsHoldsWithinOneRound() {
+        List<String> ids = sentTogether(20, SAFE);
+        rig.now += 2 * S;
+        Event[] ends = new Event[6];
+        for (int d = 0; d < ends.length; d++) {
+            ends[d] = new Event.Outcome(ids.get(d), "h" + d, 0, Ending.TIMED_OUT, 2 * S, 0, false, false, null);
+        }
+        rig.round(ends);
+        rig.now += 400 * MS; // all six may go again now, each to one that hung
+        rig.round();
+        assertEquals(6, rig.sentTo().size(), "20 slots have room for six");
+        sentTogether(10, SAFE);
+        rig.now += 2 * S;
+        rig.round(ends);
+        rig.now += 400 * MS;
+        rig.round();
+        assertEquals(3, rig.sentTo().size(), "three of ten slots, also where all are picked in one round");
+    }
+
     @Test
     void severalHangingDestinationsTogetherLeaveSlotsForTheRest() {
         rig.list(ListingKind.CHANGES, Rig.entry("d1", 4, 0, 0), Rig.entry("e1", 5, 0, 0));
