Rank messages by what they are worth if they go now, and pace what comes after a hold

Refusals came in bursts of 8 to 17 right after a hold had ended or its pace had grown back. The design's ten a second and five quiet seconds are as they were. Conclusion: where more comes than goes, order decides; what is left at limits is finding their rate.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -52,9 +52,12 @@
     /** And no slower than this part of the usual rate: a limit may shrink, but seldom to nothing. */
     private static final double LEAST_PART = 0.5;
     /** A refusal lowers the pace to this part of what was lately taken, or of a pace that was not used up. */
-    private static final double CUT = 0.9, CUT_PACE = 0.7;
+    private static final double CUT = 0.8, CUT_PACE = 0.6;
     /** Pace gained by a call taken while held, calls a second: finds lost room again in a few seconds. */
     private static final double GAIN = 0.2;
+    /** Growth, in a second, of the pace that is kept to after a hold, and how long that is, microseconds. */
+    private static final double ROOF_GROWTH = 1.1;
+    private static final long ROOF_LASTS = 15_000_000;
     /** Refusals within this time cut the pace once, microseconds: they are one piece of news. */
     private static final long CUT_APART = 500_000;
     /** Memory of the rate lately taken, microseconds: a few of the spans in which limits are counted. */
@@ -115,8 +118,10 @@
     private static final long LEAST_LEFT = 60_000;
     /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
     private static final double HOLD_PART = 0.95;
+    /** What a message at the end of its aim is preferred by over a fresh one. */
+    private static final double EDGE = 0.5;
     /** Messages looked at for one send: bounds the work of a long queue. */
-    private static final int LOOK = 64;
+    private static final int LOOK = 500;
     /** Messages of a tenant beyond its quota that pass at once, seconds of its quota. */
     private static final double TENANT_BURST = 3;
     /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
@@ -439,10 +444,25 @@
         return best;
     }
 
-    /** Worth for a slot's time. What has waited longer goes first among equals. */
+    /**
+     * What a message is worth if it goes now, and a little more the closer its aim is. Where more waits than
+     * goes, what is late already must not make all that is fresh late too.
+     */
+    private double worthNow(Message m) {
+        MessageClass c = m.kind;
+        double late = (now - m.takenAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
+        if (late < 0) {
+            return m.worth * (1 + EDGE * (1 + late));
+        }
+        double rest = c.halves() ? Math.pow(0.5, late)
+                : 1 - late * c.aimMicros() / Math.max(1, c.deadlineMicros() - c.aimMicros());
+        return m.worth * Math.max(c.lateShare(), rest);
+    }
+
+    /** Worth for a slot's time. */
     private double rank(Message m, Endpoint endpoint) {
         Limit limit = endpoint.limit;
-        double worth = m.worth * (1 + (double) (now - m.takenAt) / m.kind.deadlineMicros());
+        double worth = worthNow(m);
         if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
             worth *= 4; // its window is running: later is too late
         }
@@ -815,6 +835,7 @@
         limit.usedUp = usedUp;
         if (now >= limit.holdUntil) {
             limit.pace = CUT * limit.recent / CUT_PACE;
+            limit.roof = Math.max(CUT * limit.recent, HOLD_PER_SECOND);
         }
         limit.badSince = limit.badSince == 0 ? now : limit.badSince;
         limit.lasted = now - limit.badSince;
@@ -976,7 +997,13 @@
 
     /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
     private double held(Limit limit) {
-        return now < limit.holdUntil ? Math.min(HOLD_PER_SECOND, limit.pace) : NEVER;
+        if (now < limit.holdUntil) {
+            return Math.min(HOLD_PER_SECOND, limit.pace);
+        }
+        // What waited must not come at once when the hold is over: it would be refused again.
+        long after = now - limit.holdUntil;
+        return limit.roof == 0 || after > ROOF_LASTS ? NEVER
+                : limit.roof * Math.pow(ROOF_GROWTH, after / SECOND);
     }
 
     /** Calls a second that an endpoint may get in an outage and on its return; unbounded otherwise. */
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -62,9 +62,18 @@
         }
     }
 
-    /** A class of messages: when it is wanted, what it is worth and how it may be repeated. */
+    /**
+     * A class of messages: when it is wanted, what it is worth and how it may be repeated. After the aim its worth
+     * falls to {@code lateShare}: by half with each further aim, or evenly up to the deadline.
+     */
     record MessageClass(long aimMicros, long deadlineMicros, double worth, Repeat repeat, Group group,
-            long repeatWindowMicros, boolean ordered) {
+            long repeatWindowMicros, boolean ordered, double lateShare, boolean halves) {
+        /** A class whose worth falls evenly after the aim, to nothing at the deadline. */
+        public MessageClass(long aimMicros, long deadlineMicros, double worth, Repeat repeat, Group group,
+                long repeatWindowMicros, boolean ordered) {
+            this(aimMicros, deadlineMicros, worth, repeat, group, repeatWindowMicros, ordered, 0, false);
+        }
+
         public MessageClass {
             require(aimMicros >= 0 && deadlineMicros > 0, "classes: aim and deadline must be above 0");
             require(repeatWindowMicros >= 0, "classes.repeatWindow must not be negative");
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -96,7 +96,7 @@
         long lastSend = Long.MIN_VALUE / 4;
         long waitUntil, opensAt, holdUntil, shortWaitAt = Long.MIN_VALUE / 4, noRoomAt = Long.MIN_VALUE / 4;
         long cutAt = Long.MIN_VALUE / 4;
-        double pace, jitter = 1;
+        double pace, roof, jitter = 1;
         double told, left, recent, usual;
         long countedAt;
         double latency;
--- a/src/main/java/lilaclever/benchlink/SettingsReader.java
+++ b/src/main/java/lilaclever/benchlink/SettingsReader.java
@@ -84,7 +84,8 @@
                 default -> throw c.bad("group", "unknown value");
             };
             classes.add(new Relay.MessageClass(c.time("aimS"), c.time("deadlineS"), c.real("credit", 1),
-                    repeat, group, c.time("repeatWindowS"), c.bool("byArrival")));
+                    repeat, group, c.time("repeatWindowS"), c.bool("byArrival"), c.real("lateShare", 0),
+                    family.text("decay", "line").equals("halves")));
         }
         List<Relay.Tenant> tenants = new ArrayList<>();
         for (SettingsReader t : children("tenants")) {
