Take the usual rate as the mean of what was seen, not of a memory that is empty at first

Now: usual() divides by the part of the memory that has been seen. Conclusion: memories longer than a life need their own weight.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -63,7 +63,7 @@
     /** Memory of the rate lately taken, microseconds: a few of the spans in which limits are counted. */
     private static final double RECENT = 2_000_000;
     /** Memory of the usual rate, microseconds: long beside a clump, short beside a day. */
-    private static final double USUAL = 15_000_000;
+    private static final double USUAL = 15_000_000, LEAST_SEEN = 0.1;
     /** Limits are in calls a second, so room comes back within about that; a longer wait means shut. */
     private static final long SHUT_WAIT = 2_500_000;
     /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
@@ -572,7 +572,7 @@
      * room. Costs a handshake in KEEP_CALLS of the calls there, or after an outage.
      */
     private void closeUnused(Endpoint endpoint) {
-        double others = endpoint.limit.usual / endpoint.limit.endpoints.size() - SECOND / USUAL;
+        double others = usual(endpoint.limit) / endpoint.limit.endpoints.size() - SECOND / USUAL;
         boolean rare = others * settings.limits().keepAliveMicros() < KEEP_CALLS * SECOND;
         if ((rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
                 && endpoint.queue.waiting.isEmpty()) {
@@ -769,7 +769,7 @@
 
     /** Calls a second that an endpoint is likely to take. */
     private double flow(Endpoint endpoint) {
-        return Math.min(endpoint.limit.usual, Math.min(held(endpoint.limit), healed(endpoint)));
+        return Math.min(usual(endpoint.limit), Math.min(held(endpoint.limit), healed(endpoint)));
     }
 
     // ---- limits and health ------------------------------------------------------------------------------
@@ -874,7 +874,7 @@
         int quarters = Math.min(Math.max(0, limit.fulls - 1), 6);
         double least = Math.min(MOST_LEAST_PACE, shares * fair(limit)) / (1 << 2 * quarters);
         least = Math.max(least, Math.max(LEAST_PACE, Math.min(fair(limit), MOST_LEAST_PACE)));
-        return Math.max(LEAST_PART * limit.usual, least);
+        return Math.max(LEAST_PART * usual(limit), least);
     }
 
     /** This relay's even share of a limit, calls a second. */
@@ -1029,18 +1029,24 @@
         // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
         double first = once ? LONG_OUTAGE * part / (1 + 1 / part) : TRIAL_FIRST;
         double alone = SECOND / Math.max(first, limit.lasted);
-        return part * Math.max(Math.max(limit.usual, fair(limit)), alone);
+        return part * Math.max(Math.max(usual(limit), fair(limit)), alone);
     }
 
     private void decay(Limit limit, Endpoint endpoint) {
-        double past = now - limit.countedAt;
+        double past = limit.countedAt == 0 ? 0 : now - limit.countedAt;
         limit.recent *= Math.exp(-past / RECENT);
         if (!endpoint.outage && !ramping(endpoint)) {
             limit.usual *= Math.exp(-past / USUAL);
+            limit.unseen *= Math.exp(-past / USUAL);
         }
         limit.countedAt = now;
     }
 
+    /** Calls a second usually taken: the mean of what was seen, as the memory is empty at first. */
+    private double usual(Limit limit) {
+        return limit.usual / Math.max(LEAST_SEEN, 1 - limit.unseen);
+    }
+
     private void count(Limit limit, Endpoint endpoint) {
         decay(limit, endpoint);
         limit.recent += SECOND / RECENT;
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -97,7 +97,7 @@
         long waitUntil, opensAt, holdUntil, shortWaitAt = Long.MIN_VALUE / 4, noRoomAt = Long.MIN_VALUE / 4;
         long cutAt = Long.MIN_VALUE / 4;
         double pace, roof, jitter = 1;
-        double told, left, recent, usual;
+        double told, left, recent, usual, unseen = 1;
         long countedAt;
         double latency;
         double patience = 1;
