--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -18,12 +18,13 @@
         Integer run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "serve|simhost|check-config|version", handler = SubCommandHandler.class,
+    @Argument(required = true, metaVar = "serve|simhost|check-config|selftest|version", handler = SubCommandHandler.class,
             usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = ServeCommand.class),
         @SubCommand(name = "simhost", impl = SimhostCommand.class),
         @SubCommand(name = "check-config", impl = CheckCommand.class),
+        @SubCommand(name = "selftest", impl = SelfTestCommand.class),
         @SubCommand(name = "version", impl = VersionCommand.class)
     })
     private Command command;
@@ -38,7 +39,7 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("lilaclever: " + e.getMessage());
-            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|version [options]");
+            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|selftest|version [options]");
             e.getParser().printUsage(System.err);
             System.exit(2);
         }
@@ -100,6 +101,14 @@
         }
     }
 
+    /** Delivers one message on the loopback. */
+    public static final class SelfTestCommand implements Command {
+        @Override
+        public Integer run() throws Exception {
+            return SelfTest.run();
+        }
+    }
+
     /** Tells the version. */
     public static final class VersionCommand implements Command {
         @Override
--- /dev/null
+++ b/src/main/java/lilaclever/program/SelfTest.java
@@ -0,0 +1,118 @@
+package lilaclever.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * Shows that the program can start and deliver on this machine: a forwarder with a made-up configuration on the
+ * loopback, one message, and one peer that is its platform and its endpoint. The build runs it too, to note which
+ * classes a start needs: with these in an archive a start takes half the processor time.
+ */
+final class SelfTest {
+    private static final String CONFIG = """
+            {"name": "selftest", "listen": "127.0.0.1:0", "discovery": "%1$s", "state": "%2$s", "seed": "1",
+             "known": %3$s,
+             "settings": {"roundS": 0.005, "groupSize": 1, "shapes": ["any"], "zones": ["z"],
+              "familyInfo": {"callSlots": 4, "kindBatch": [1], "ownLimits": [false]},
+              "limits": {"maxAttempts": 2, "openCap": 10, "connectTimeoutS": 1.5, "keepaliveS": 15},
+              "requestClasses": [{"name": "any", "aimS": 1, "deadlineS": 5, "repeat": "read_like"}],
+              "rules": {"answerSlackS": 0.02, "coldFrom": 0.2, "tipMultiple": 1.5, "rampTimeS": 9, "overloadForS": 3,
+               "drainGraceS": 0.5, "askWithinS": 10}}}""";
+    private static final String LIST = """
+            {"index": 1, "snapshot": true, "endpoints": [{"name": "peer", "address": "%s", "zone": "z", "type": "any",
+             "group": 1, "status": "active"}]}""";
+
+    private final CountDownLatch delivered = new CountDownLatch(1);
+    private final ServerSocket peer;
+    private final String list;
+
+    private SelfTest() throws IOException {
+        peer = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+        list = LIST.formatted(address());
+    }
+
+    private String address() {
+        return "127.0.0.1:" + peer.getLocalPort();
+    }
+
+    /** The exit code. */
+    static int run() throws IOException, InterruptedException, Config.Bad {
+        Path state = Files.createTempDirectory("lilaclever");
+        try {
+            boolean good = new SelfTest().passes(state);
+            System.out.println("selftest: " + (good ? "a message went through" : "no message came through"));
+            return good ? 0 : 1;
+        } finally {
+            try (Stream<Path> files = Files.walk(state)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+    }
+
+    private boolean passes(Path state) throws IOException, InterruptedException, Config.Bad {
+        Thread accepting = new Thread(this::accept, "peer");
+        accepting.setDaemon(true);
+        accepting.start();
+        Forwarder forwarder = Forwarder.start(Config.parse(CONFIG.formatted(address(), state, list), Map.of()), null);
+        Signals.onHangup(() -> { });
+        try (Socket client = new Socket()) {
+            client.connect(forwarder.addresses().get(0), 5_000);
+            client.getOutputStream().write(("POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: any\r\nReq-Deadline: 5\r\n"
+                    + "X-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nhi").getBytes(StandardCharsets.US_ASCII));
+            return reader(client).readLine().contains(" 202 ") && delivered.await(5, TimeUnit.SECONDS);
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = peer.accept();
+                Thread talk = new Thread(() -> talk(socket), "talk");
+                talk.setDaemon(true);
+                talk.start();
+            }
+        } catch (IOException e) {
+            System.err.println("selftest: " + e);
+        }
+    }
+
+    private void talk(Socket socket) {
+        try (socket) {
+            BufferedReader in = reader(socket);
+            for (String first = in.readLine(); first != null; first = in.readLine()) {
+                int length = 0;
+                for (String h = in.readLine(); h != null && !h.isEmpty(); h = in.readLine()) {
+                    length = h.startsWith("Content-Length: ") ? Integer.parseInt(h.substring(16)) : length;
+                }
+                in.skip(length);
+                boolean watch = first.startsWith("GET") && first.contains("wait_ms");
+                if (!watch) { // nothing ever changes
+                    String body = first.startsWith("GET") ? list : "";
+                    socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                            + body).getBytes(StandardCharsets.US_ASCII));
+                }
+                if (first.startsWith("POST /receive ")) {
+                    delivered.countDown();
+                }
+            }
+        } catch (IOException e) {
+            System.err.println("selftest: " + e);
+        }
+    }
+
+    private static BufferedReader reader(Socket socket) throws IOException {
+        return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    }
+}
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -435,6 +435,11 @@
         return client.request().body();
     }
 
+    @Test
+    void theSelfTestDeliversAndLeavesNothing() throws Exception {
+        assertEquals(0, SelfTest.run());
+    }
+
     @Test
     void aFullDiskRefusesNewWorkAndNothingElse() throws Exception {
         try (Peer platform = Peer.platform("", notices)) {
