Keep no idle client connection in a crowd, and end by SIGTERM only when none is left

Tested: a trace of clients' connections showed the cap full of connections that had asked once, idle for less than 2.2 s, and newcomers closed; a trace of first bytes showed those that were closed had their request on the way. At fault: IntakeFilter.leastWanted (newest closed where none was idle for 2.2 s), Config.mostClients (11/20 of what is left), Client.look (closing from the loop thread raced with reading, and lost requests), Forwarder.untilQuiet (the loop could end with requests read and not answered). Now: above a sixth of the descriptors an answer closes its connection and idle ones go after 2.2 s; time-outs are decided where bytes are read; the end waits until no client's connection is left.

--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -28,7 +28,7 @@
     private static final double DEFAULT_DISK_MB = 3;
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
     /** Descriptors that the machine itself needs, and some for files of the journal. */
-    private static final int OWN_SOCKETS = 36;
+    private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6;
 
     /** A configuration that can't be used; the message names the key at fault. */
     static final class Bad extends Exception {
@@ -64,14 +64,19 @@
         return read(others);
     }
 
-    /** Connections of clients at most: of the descriptors that are left more than half, as they come unasked. */
+    /** Idle connections to endpoints at most. */
+    int mostIdle() {
+        return sockets / IDLE_PART;
+    }
+
+    /** Connections of clients at most: what the program itself, calls and idle connections leave. */
     int mostClients() {
-        return (sockets - OWN_SOCKETS) * 11 / 20;
+        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle());
     }
 
-    /** Idle connections to endpoints at most: what clients and calls leave. */
-    int mostIdle() {
-        return Math.max(1, sockets - OWN_SOCKETS - mostClients() - settings.limits().slots());
+    /** With more connections of clients than this none stays idle. */
+    int crowd() {
+        return sockets / CROWD_PART;
     }
 
     /** The keys, but for discovery, whose values differ from those of a configuration in use: they need a restart. */
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -52,7 +52,8 @@
         directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
-        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(), notices);
+        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(), config.crowd(),
+                notices);
         core.add(front);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
@@ -136,7 +137,7 @@
     }
 
     private void untilQuiet(long end) {
-        if (core.now() >= end || core.quiet()) {
+        if (core.now() >= end || core.quiet() && front.isClosed()) {
             stopped.countDown();
         } else {
             core.deadlines().at(core.now() + LOOK, () -> untilQuiet(end));
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -33,13 +33,13 @@
     private final Map<Message, List<IntakeFilter.Exchange>> waiting = new HashMap<>();
     private Connection<?> listener;
 
-    /** Classes by the name that clients use; at most so many connections of clients. */
+    /** Classes by the name that clients use; at most so many connections of clients, none idle above a crowd. */
     public HttpFront(Core core, List<String> classNames, List<Relay.MessageClass> classes, int mostClients,
-            Notices notices) {
+            int crowd, Notices notices) {
         this.core = core;
         this.classNames = List.copyOf(classNames);
         this.classes = List.copyOf(classes);
-        this.intake = new IntakeFilter(core, mostClients, this::request);
+        this.intake = new IntakeFilter(core, mostClients, crowd, this::request);
         this.notices = notices;
     }
 
@@ -60,7 +60,12 @@
         if (listener != null) {
             listener.closeSilently();
         }
-        intake.closeIdle();
+        intake.close();
+    }
+
+    /** True once it has closed and no client waits for an answer. */
+    public boolean isClosed() {
+        return intake.isClosed();
     }
 
     // ---- requests: on the selector thread until they are posted -------------------------------------------
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -33,7 +33,8 @@
     /** A connection with no open request is closed after so long, and sooner where many are open. */
     private static final long IDLE = 15_000_000, IDLE_CROWDED = 2_200_000;
     private static final long LOOK = 500_000, LEAST_LOOK = 20_000;
-    private static final double CROWDED = 0.5;
+    /** How long the first request of a new connection may be on its way when room is made. */
+    private static final long NEW = 100_000;
     private static final byte[] NOTHING = {};
 
     /** One request; headers by lower-case name. */
@@ -41,17 +42,21 @@
             Exchange exchange) { }
 
     private final Core core;
-    private final int most;
+    private final int most, crowd;
     private final Consumer<Request> handler;
     private final Set<Client> clients = new LinkedHashSet<>();
     private final Attribute<Client> clientOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("IntakeFilter.client");
     private final AtomicLong gathered = new AtomicLong();
     private volatile boolean closing;
 
-    /** At most so many connections; the handler is called on the selector thread. */
-    IntakeFilter(Core core, int most, Consumer<Request> handler) {
+    /**
+     * At most so many connections. With more than {@code crowd} of them none stays idle: a platform with few
+     * descriptors has none left for the next client otherwise. The handler is called on the selector thread.
+     */
+    IntakeFilter(Core core, int most, int crowd, Consumer<Request> handler) {
         this.core = core;
         this.most = most;
+        this.crowd = crowd;
         this.handler = handler;
     }
 
@@ -148,10 +153,31 @@
             if (answering) {
                 return Long.MAX_VALUE;
             }
-            long time = partial ? WHOLE_BY : !asked ? SILENT : clients() > CROWDED * most ? IDLE_CROWDED : IDLE;
+            long time = partial ? WHOLE_BY : !asked ? SILENT : clients() > crowd ? IDLE_CROWDED : IDLE;
             return since + time;
         }
 
+        /**
+         * Ends it if it still has to go. On the selector thread alone, where requests are read: what is there and is
+         * not read yet is sent again on another connection, what was read would be lost.
+         */
+        private void over() {
+            if (Core.micros() >= due()) {
+                if (partial && !ended) {
+                    refuse(408);
+                } else {
+                    connection.closeSilently();
+                }
+            }
+        }
+
+        /** The same for one that is idle, whatever the time. */
+        private void closeIfIdle() {
+            if (isIdle()) {
+                connection.closeSilently();
+            }
+        }
+
         /** Looks at it until it is closed. Loop thread. */
         private void look() {
             if (!connection.isOpen()) {
@@ -159,12 +185,7 @@
             }
             long now = core.now();
             if (now >= due()) {
-                if (partial && !ended) {
-                    refuse(408);
-                } else {
-                    connection.closeSilently();
-                    return;
-                }
+                Transport.onSelector(connection, this::over);
             }
             core.deadlines().at(now + Math.max(LEAST_LOOK, Math.min(LOOK, due() - now)), this::look);
         }
@@ -186,7 +207,7 @@
 
         /** Writes the answer; {@code lost} is run if it could not be written. */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
-            boolean stay = keep && !closing && !client.ended;
+            boolean stay = keep && !closing && !client.ended && clients() <= crowd;
             Transport.write(client.connection, Head.answer(status, headers, !stay, body), () -> {
                 if (stay) {
                     client.answered();
@@ -206,34 +227,40 @@
         }
     }
 
-    /** Closes idle connections, and each other one after its answer. */
-    void closeIdle() {
+    /** Closes idle connections, each other one after its answer, and new ones at once. */
+    void close() {
         closing = true;
         List<Client> all;
         synchronized (clients) {
             all = List.copyOf(clients);
         }
-        all.stream().filter(Client::isIdle).forEach(c -> c.connection.closeSilently());
+        all.forEach(c -> Transport.onSelector(c.connection, c::closeIfIdle));
+    }
+
+    /** True once no connection is left: until then a request may be read that still wants its answer. */
+    boolean isClosed() {
+        return clients() == 0;
     }
 
     /**
-     * The one to close where there is no more room: the oldest that has never asked, as the request of a new one may
-     * be on its way; then one that is idle for long.
+     * The one to close where there is no more room: the oldest that has never asked, if it had the time to; then the
+     * one that is idle for longest, as its client comes again on a new connection; then whoever has not asked. A
+     * newcomer only where all others wait for an answer: its request would have failed.
      */
     private Client leastWanted(Client newest) {
         long now = Core.micros();
-        Client idle = null;
+        Client silent = null, idle = null;
         synchronized (clients) {
             for (Client c : clients) {
-                if (!c.asked && c != newest) {
-                    return c;
+                if (!c.asked && c != newest && silent == null) {
+                    silent = c; // in the order of opening: the first is the oldest
                 }
-                if (idle == null && c.isIdle() && now - c.since > IDLE_CROWDED) {
+                if (c.asked && c.isIdle() && (idle == null || c.since < idle.since)) {
                     idle = c;
                 }
             }
         }
-        return idle != null ? idle : newest;
+        return silent != null && (now - silent.since > NEW || idle == null) ? silent : idle != null ? idle : newest;
     }
 
     @Override
@@ -252,6 +279,9 @@
             out.ended = true;
             out.connection.closeSilently();
         }
+        if (closing) {
+            client.connection.closeSilently(); // it was accepted while the listener closed: nobody will read it
+        }
         core.post(client::look);
         return context.getInvokeAction();
     }
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -367,20 +367,21 @@
         }
     }
 
-    @Test
-    void aCrowdOfSilentConnectionsTakesNobodysRoom() throws Exception {
+    /** Neither connections that say nothing nor such as asked once and stay open take the room of who comes next. */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void aCrowdTakesNobodysRoom(boolean asksOnce) throws Exception {
         List<Wire> crowd = new ArrayList<>();
         try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
             process = Setup.process(state, Setup.text(platform.address(), state, endpoint.address(), 3)
                     .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"), 100);
             address = address(process.errorReader());
             for (int i = 0; i < 300; i++) {
-                crowd.add(Wire.to(address));
-                if (i % 30 == 0) {
-                    try (Wire client = Wire.to(address)) {
-                        assertTrue(client.handIn("m" + i, "payment", 20, "").startsWith("202"), "after " + i);
-                        assertTrue(Peer.next(calls).startsWith("/receive m" + i + ' '));
-                    }
+                Wire wire = Wire.to(address);
+                crowd.add(wire);
+                if (asksOnce || i % 30 == 0) {
+                    assertTrue(wire.handIn("m" + i, "payment", 20, "").startsWith("202"), "after " + i);
+                    assertTrue(Peer.next(calls).startsWith("/receive m" + i + ' '));
                 }
             }
         } finally {
