Bound mail sessions in time, commands, content and bytes unread; keep a reloaded discovery

Seen in a reading: a mail session that sends a line now and then, commands without a mail or a content without end stays for ever, and what comes while an answer is awaited was bounded in lines (4,000 of up to 16 KiB), not in bytes; 100 sessions of each front and 50 idle connections stood beside the descriptors that the other front counts as its own. A restart after SIGHUP took ROUTER_DISCOVERY again, which may name the old address. At fault: ServerSession.rest/read, MailFront.MOST_CONNECTIONS, MailDeliverer.MOST_IDLE, Config.parse. Now: a content has idleSeconds in all and four times the most bytes, 100 commands beside recipients without a mail, 64 KiB beside a mail unread; mail connections get a sixteenth of the descriptors each, taken off the clients' share; the discovery taken on at SIGHUP is noted in the state folder and wins while the file still says the same. Ruled out: replies that nobody reads (the write queue is bounded and ends the connection).

--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -27,8 +27,11 @@
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
+    private static final String NOTE = "discovery";
+    /** What the note takes on disk. */
+    static final long NOTE_BYTES = 512;
     /** Descriptors that the machine itself needs, and some for files of the journal. */
-    private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6;
+    private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
     /** A configuration that can't be used; the message names the key at fault. */
     static final class Bad extends Exception {
@@ -54,6 +57,26 @@
         return parse(text, variables);
     }
 
+    /**
+     * Notes that the file's discovery was taken on in place of the variable's. A start with the same file goes by the
+     * note: the variable may still be what it was at the first start.
+     */
+    void noteDiscovery(Path state) throws IOException {
+        Files.writeString(state.resolve(NOTE), discovery);
+    }
+
+    private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
+        try {
+            if (root.has("discovery") && Files.exists(state.resolve(NOTE))
+                    && Files.readString(state.resolve(NOTE)).equals(text("discovery", root, "discovery", null))) {
+                return text("discovery", root, "discovery", null);
+            }
+        } catch (IOException e) {
+            System.err.println("lilaclever: " + NOTE + " can't be read: " + e); // as if there were none
+        }
+        return value(variables, "ROUTER_DISCOVERY", root, "discovery", null);
+    }
+
     /**
      * Reads the file again. What it says of discovery wins over the variable, which a running process keeps as it was
      * at its start.
@@ -69,9 +92,14 @@
         return sockets / IDLE_PART;
     }
 
-    /** Connections of clients at most: what the program itself, calls and idle connections leave. */
-    int mostClients() {
-        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle());
+    /** Mail connections of each sort at most: SMTP clients, LMTP clients, idle ones to servers. */
+    int mostMail() {
+        return sockets / MAIL_PART;
+    }
+
+    /** Connections of clients at most: what the program itself, calls, idle connections and mail leave. */
+    int mostClients(boolean mail) {
+        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0));
     }
 
     /** With more connections of clients than this none stays idle. */
@@ -130,10 +158,10 @@
         }
         JsonObject known = root.has("known") && !root.get("known").isJsonNull()
                 ? object("known", root.get("known")) : null;
+        Path state = Path.of(value(variables, "ROUTER_STATE", root, "state", null));
         return new Config(value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
                 address(value(variables, "ROUTER_LISTEN", root, "listen", null), "listen"),
-                address(value(variables, "ROUTER_DISCOVERY", root, "discovery", null), "discovery"),
-                Path.of(value(variables, "ROUTER_STATE", root, "state", null)),
+                address(discovery(variables, root, state), "discovery"), state,
                 seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), sockets, read, classNames,
                 strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known);
     }
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -45,22 +45,22 @@
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
-        journal = new Journal(config.state(), config.diskBytes());
+        journal = new Journal(config.state(), config.diskBytes() - Config.NOTE_BYTES);
         core = new Core(settings, config.seed(), journal, new Counters(), REMEMBER);
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
-        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(), config.crowd(),
+        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null), config.crowd(),
                 notices);
         core.add(front);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
-                mailFronts.add(new MailFront(core, mail, protocol));
+                mailFronts.add(new MailFront(core, mail, protocol, config.mostMail()));
             }
             mailFronts.forEach(core::add);
-            new MailDeliverer(core, transport, mail, settings.zone(), connect, keep).start();
+            new MailDeliverer(core, transport, mail, settings.zone(), connect, keep, config.mostMail()).start();
         }
         Directory.Known known = known(config, directory);
         deliverer.start();
@@ -85,7 +85,7 @@
         Forwarder forwarder = new Forwarder(config, mail);
         System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
                 + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
-                + config.mostClients() + " for clients, " + config.mostIdle() + " idle to endpoints");
+                + config.mostClients(mail != null) + " for clients, " + config.mostIdle() + " idle to endpoints");
         System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
@@ -102,6 +102,11 @@
             for (String key : read.restartNeeded(config)) {
                 System.err.println("lilaclever: configuration: " + key + ": a change needs a restart; the old one stays");
             }
+            try {
+                read.noteDiscovery(config.state());
+            } catch (IOException e) {
+                System.err.println("lilaclever: a restart may go to the old discovery: " + e);
+            }
             core.post(() -> {
                 directory.move(read.discovery());
                 notices.move(read.discovery());
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -32,7 +32,7 @@
  */
 public final class MailDeliverer implements Deliverer {
     private static final long SWEEP = 500_000;
-    private static final int MOST_LINES = 200, MOST_IDLE = 50;
+    private static final int MOST_LINES = 200;
 
     private enum Step { GREETING, HELLO, HELO, MAIL, RCPT, DATA, CONTENT }
 
@@ -49,13 +49,13 @@
 
     /** A deliverer for the routes of the mail file. */
     public MailDeliverer(Core core, Transport transport, MailSettings settings, int zone, long connectMicros,
-            long keepAliveMicros) {
+            long keepAliveMicros, int mostIdle) {
         this.core = core;
         this.transport = transport;
         this.settings = settings;
         this.zone = zone;
         this.connectMicros = connectMicros;
-        this.pool = new ConnectionPool(keepAliveMicros / 2, MOST_IDLE);
+        this.pool = new ConnectionPool(keepAliveMicros / 2, mostIdle);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -35,7 +35,6 @@
  * each recipient's final answer, in the order of its RCPT commands. Loop thread, but for the filter.
  */
 public final class MailFront implements Front {
-    private static final int MOST_CONNECTIONS = 100;
     private static final long RETRY = 1_000_000;
     /** A Message-ID is one line; what is longer is none, and too long for the journal. */
     private static final int LONGEST_ID = 998;
@@ -43,6 +42,7 @@
     private final Core core;
     private final MailSettings settings;
     private final Protocol protocol;
+    private final int mostSessions;
     private final Map<Message, List<Waiter>> waiters = new HashMap<>();
     private final Set<ServerSession> sessions = new HashSet<>();
     private final Attribute<ServerSession> sessionOf =
@@ -55,11 +55,12 @@
     /** Waits for the first answer to a hand-in: a {@link Reply} that says it is taken on, or its end. */
     private record Waiter(Consumer<Reply> answer) { }
 
-    /** A front that listens nowhere yet. */
-    public MailFront(Core core, MailSettings settings, Protocol protocol) {
+    /** A front that listens nowhere yet, with so many clients at most. */
+    public MailFront(Core core, MailSettings settings, Protocol protocol, int mostSessions) {
         this.core = core;
         this.settings = settings;
         this.protocol = protocol;
+        this.mostSessions = mostSessions;
     }
 
     @Override
@@ -208,7 +209,7 @@
     }
 
     private void opened(ServerSession session) {
-        if (closing || sessions.size() >= MOST_CONNECTIONS) {
+        if (closing || sessions.size() >= mostSessions) {
             session.close("421 4.3.2 " + settings.hostName() + " takes no more connections\r\n");
             return;
         }
@@ -232,7 +233,7 @@
         public NextAction handleRead(FilterChainContext context) {
             List<String> lines = context.getMessage();
             ServerSession session = sessionOf.get(context.getConnection());
-            core.post(() -> session.lines(lines));
+            session.received(lines);
             return context.getStopAction();
         }
 
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import lilaclever.protocol.mail.MailSettings.Protocol;
@@ -14,7 +15,12 @@
 /** One client's connection: the commands of SMTP and LMTP, one transaction after the other. Loop thread. */
 final class ServerSession {
     private static final Pattern PATH = Pattern.compile("(?i)(?:FROM|TO):\\s*<(?:@[^:>]*:)?([^<>\\s]*)>(.*)");
-    private static final int MOST_WAITING = 4_000;
+    /** Characters that came and are not read yet, beside those of one mail. */
+    private static final int MOST_UNREAD = 64 * 1024;
+    /** Commands without a mail at the end of them, beside one for each recipient. */
+    private static final int MOST_COMMANDS = 100;
+    /** A content that goes on for so many times the most that a mail may have is not awaited any longer. */
+    private static final int MOST_CONTENTS = 4;
 
     private final MailFront front;
     private final MailSettings settings;
@@ -24,13 +30,17 @@
     /** Lines that came while an answer is awaited: they are read after it. */
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
     private final List<String> recipients = new ArrayList<>();
+    private final AtomicLong unread = new AtomicLong();
     private Reply[] replies;
     private String hello;
     private String reversePath;
     private String text;
     private StringBuilder content;
     private boolean tooLarge, bareEnd, awaiting, over;
-    private Deadlines.Key idle;
+    private volatile boolean full;
+    private int commands;
+    private long came;
+    private Deadlines.Key idle, whole;
 
     ServerSession(MailFront front, Connection<?> connection, String peer) {
         this.front = front;
@@ -46,7 +56,27 @@
         rest();
     }
 
-    void lines(List<String> lines) {
+    /** Lines from the socket: whoever sends faster than they can be read does not fill the memory. Selector thread. */
+    void received(List<String> lines) {
+        if (full) {
+            return;
+        }
+        long size = 0;
+        for (String line : lines) {
+            size += size(line);
+        }
+        full = unread.addAndGet(size) > MOST_UNREAD + settings.mostBytes();
+        front.core().post(full ? () -> close("421 4.3.0 too much at once\r\n") : () -> lines(lines));
+    }
+
+    private static int size(String line) {
+        return line.length() + 2;
+    }
+
+    private void lines(List<String> lines) {
+        if (over) {
+            return;
+        }
         ahead.addAll(lines);
         read();
     }
@@ -54,15 +84,13 @@
     private void read() {
         while (!awaiting && !over && !ahead.isEmpty()) {
             String line = ahead.remove();
+            unread.addAndGet(-size(line));
             if (content != null) {
                 contentLine(line);
             } else {
                 command(line);
             }
         }
-        if (awaiting && ahead.size() > MOST_WAITING) {
-            close("421 4.3.0 too much at once\r\n");
-        }
         rest();
     }
 
@@ -82,6 +110,9 @@
     }
 
     void close(String farewell) {
+        if (over) {
+            return;
+        }
         over = true;
         Transport.write(connection, farewell, connection::closeSilently, connection::closeSilently);
         gone();
@@ -90,6 +121,9 @@
     void gone() {
         over = true;
         front.core().deadlines().cancel(idle);
+        front.core().deadlines().cancel(whole);
+        ahead.clear();
+        content = null;
         front.forget(this);
     }
 
@@ -105,6 +139,10 @@
 
     // ---- commands ---------------------------------------------------------------------------------------
     private void command(String line) {
+        if (++commands > MOST_COMMANDS + settings.mostRecipients()) {
+            close("421 4.7.0 too many commands without a mail\r\n");
+            return;
+        }
         if (line.indexOf('\r') >= 0 || line.indexOf('\n') >= 0) {
             reply(500, "5.5.2 a line ends in CR or LF alone");
             return;
@@ -196,6 +234,10 @@
             content = new StringBuilder();
             tooLarge = false;
             bareEnd = false;
+            came = 0;
+            // A line now and then keeps the connection from being idle: all of them have a time as well.
+            whole = front.core().deadlines().at(front.core().now() + settings.idleMicros(),
+                    () -> close("421 4.4.2 the mail took too long\r\n"));
             write("354 end with a dot on a line of its own\r\n");
         }
     }
@@ -217,12 +259,19 @@
         // A CR or LF alone would be an end of a line to some servers: a second mail could hide behind it.
         bareEnd |= plain.indexOf('\n') >= 0 || plain.indexOf('\r') >= 0;
         tooLarge |= content.length() + plain.length() + 2 > settings.mostBytes();
+        came += size(line);
+        if (came > MOST_CONTENTS * (long) settings.mostBytes()) {
+            close("421 4.3.0 at most " + settings.mostBytes() + " bytes\r\n");
+            return;
+        }
         if (!tooLarge) {
             content.append(plain).append("\r\n");
         }
     }
 
     private void complete() {
+        front.core().deadlines().cancel(whole);
+        commands = 0;
         Reply refusal = tooLarge ? new Reply(552, "5.3.4 at most " + settings.mostBytes() + " bytes")
                 : bareEnd ? new Reply(550, "5.6.0 a line ends in CR or LF alone") : null;
         text = "Received: from " + hello + " ([" + peer + "]) by " + settings.hostName() + " with "
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -303,6 +303,10 @@
                     assertEquals(id, Peer.next(fresh), "the first endpoint is not in the new list");
                 }
             }
+            // The next start has the variables of the first one, and the file as it is now.
+            Map<String, String> variables = Map.of("ROUTER_DISCOVERY", before.address());
+            assertEquals(after.address(), Config.parse(Files.readString(file), variables).discovery());
+            assertEquals(before.address(), Config.parse(Setup.text("127.0.0.1:9", state, null, 3), variables).discovery());
         }
     }
 
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.SocketException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -52,8 +54,13 @@
     }
 
     private void serve(String... routes) throws Exception {
+        serve(300, routes);
+    }
+
+    private void serve(int idleSeconds, String... routes) throws Exception {
         Config config = Setup.config(platform.address(), state, null);
-        forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))));
+        forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))
+                .replace("{\"hostName\"", "{\"idleSeconds\": " + idleSeconds + ", \"hostName\"")));
         http = forwarder.addresses().get(0);
         smtp = forwarder.addresses().get(1);
         lmtp = forwarder.addresses().get(2);
@@ -61,7 +68,7 @@
 
     /** What the stand-in server does with a content, or with a recipient: a reply, or null for a drop. */
     interface Fate {
-        String of(String text) throws IOException;
+        String of(String text) throws IOException, InterruptedException;
     }
 
     /** A stand-in server of either protocol: offers all, keeps what came whole. */
@@ -317,4 +324,42 @@
             }
         }
     }
+
+    /** Commands without a mail, a content that is far too long or too slow, more while an answer is awaited. */
+    @ParameterizedTest
+    @CsvSource({"300, , NOOP, 1000, 0, ", "300, DATA, x, 200000, 0, ", "1, DATA, x, 40, 200, 421 4.4.2 the mail",
+        "300, ., NOOP, 100000, 0, "})
+    void whoeverSendsWithoutEndIsSentAway(int idle, String last, String line, int times, int pause, String farewell)
+            throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (Peer slow = server(r -> "250 good", t -> answer.await(60, TimeUnit.SECONDS) ? "250 late" : "250 later")) {
+            serve(idle, route("a.test", 1, "smtp", slow.address()));
+            try (Wire wire = Wire.to(lmtp)) {
+                greet(wire, "LHLO");
+                wire.say(last == null ? "" : "MAIL FROM:<a@b>\r\nRCPT TO:<x@a.test>\r\nDATA\r\n");
+                if (".".equals(last)) {
+                    wire.say("\r\nx\r\n.\r\n");
+                }
+                String said = "";
+                try {
+                    for (int i = 0; i < times; i += pause == 0 ? 100 : 1) {
+                        wire.say((line + "\r\n").repeat(pause == 0 ? 100 : 1));
+                        Thread.sleep(pause);
+                    }
+                } catch (SocketException e) {
+                    // closed meanwhile: what it said is read below
+                }
+                try {
+                    for (String reply = wire.line(); reply != null; reply = wire.line()) {
+                        said = reply;
+                    }
+                } catch (SocketException e) {
+                    // the end as well
+                }
+                assertTrue(farewell == null || said.startsWith(farewell), said);
+            } finally {
+                answer.countDown();
+            }
+        }
+    }
 }
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -17,7 +17,7 @@
 /** A scripted peer on a loopback socket: each connection is talked to by the script on a thread of its own. */
 final class Peer implements AutoCloseable {
     interface Script {
-        void talk(Wire wire) throws IOException;
+        void talk(Wire wire) throws IOException, InterruptedException;
     }
 
     private final ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
@@ -36,14 +36,14 @@
     }
 
     private interface Task {
-        void run() throws IOException;
+        void run() throws IOException, InterruptedException;
     }
 
     private static void start(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 // a closed socket ends a script
             }
         });
