Count the entries of maps in /counters, and test that what is over leaves none

One run of the tests failed: atTheSignalItTakesNothingNew ended its first process after 1.5 s instead of 3.4 s, so the message was over there. Tested: the same story four times alone, green; its refusing address was a port that had been closed again, which another peer of the same story (or a connection to itself) may get. At fault: the stories' own ServerSocket(0), closed before use.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -53,6 +53,7 @@
         this.connectMicros = connectMicros;
         this.mostAnswer = mostAnswer;
         this.pool = new ConnectionPool((long) (KEEP_PART * keepAliveMicros), mostIdle);
+        core.counters().gauge("idle_" + name, pool::size);
         this.links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpClient." + name);
     }
 
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -42,6 +42,8 @@
         this.classes = List.copyOf(classes);
         this.intake = new IntakeFilter(core, mostClients, crowd, this::request);
         this.notices = notices;
+        core.counters().gauge("waiting_clients", waiting::size);
+        core.counters().gauge("clients", intake::size);
     }
 
     @Override
@@ -74,7 +76,7 @@
         switch (request.method() + ' ' + request.path()) {
             case "POST /api" -> check(request);
             case "GET /health/ready", "GET /health/live" -> answer(request.exchange(), 200, Map.of(), "ready\n");
-            case "GET /counters" -> answer(request.exchange(), 200, Map.of(), core.counters().text());
+            case "GET /counters" -> core.post(() -> answer(request.exchange(), 200, Map.of(), core.counters().text()));
             default -> answer(request.exchange(), 404, Map.of(), "");
         }
     }
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -153,7 +153,7 @@
             if (answering) {
                 return Long.MAX_VALUE;
             }
-            long time = partial ? WHOLE_BY : !asked ? SILENT : clients() > crowd ? IDLE_CROWDED : IDLE;
+            long time = partial ? WHOLE_BY : !asked ? SILENT : size() > crowd ? IDLE_CROWDED : IDLE;
             return since + time;
         }
 
@@ -207,7 +207,7 @@
 
         /** Writes the answer; {@code lost} is run if it could not be written. */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
-            boolean stay = keep && !closing && !client.ended && clients() <= crowd;
+            boolean stay = keep && !closing && !client.ended && size() <= crowd;
             Transport.write(client.connection, Head.answer(status, headers, !stay, body), () -> {
                 if (stay) {
                     client.answered();
@@ -221,7 +221,8 @@
         }
     }
 
-    private int clients() {
+    /** How many connections there are. */
+    int size() {
         synchronized (clients) {
             return clients.size();
         }
@@ -239,7 +240,7 @@
 
     /** True once no connection is left: until then a request may be read that still wants its answer. */
     boolean isClosed() {
-        return clients() == 0;
+        return size() == 0;
     }
 
     /**
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -63,6 +63,14 @@
         this.journal = journal;
         this.counters = counters;
         this.rememberMicros = rememberMicros;
+        counters.gauge("held", held::size);
+        counters.gauge("identities", byIdentity::size);
+        counters.gauge("endpoints", endpoints::size);
+        counters.gauge("destinations", destinations::size);
+        counters.gauge("calls", calls::size);
+        counters.gauge("deadlines", deadlines::size);
+        counters.gauge("owed", journal.owed::size);
+        counters.gauge("remembered", journal.remembered::size);
     }
 
     // ---- what others use --------------------------------------------------------------------------------
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.IntSupplier;
 
 /** What the program took in, sent and answered, and what should have held and did not. */
 public final class Counters {
@@ -15,6 +16,7 @@
 
     private final Map<Name, LongAdder> values = new EnumMap<>(Name.class);
     private final Map<String, LongAdder> endings = new TreeMap<>();
+    private final Map<String, IntSupplier> gauges = new TreeMap<>();
 
     /** All at nothing. */
     public Counters() {
@@ -33,6 +35,11 @@
         endings.computeIfAbsent(ending, e -> new LongAdder()).increment();
     }
 
+    /** How many entries a map or a list has now: what grows on a long day is seen without guessing. */
+    public synchronized void gauge(String name, IntSupplier entries) {
+        gauges.put(name, entries);
+    }
+
     /** The count. */
     public long get(Name name) {
         return values.get(name).sum();
@@ -47,13 +54,15 @@
         }
     }
 
-    /** One line a count. */
+    /** One line a count. Loop thread, as it alone changes what is counted in entries, or after its end. */
     public synchronized String text() {
         StringBuilder all = new StringBuilder();
         values.forEach((name, value) -> all.append(name.name().toLowerCase()).append(' ').append(value.sum())
                 .append('\n'));
         endings.forEach((name, value) -> all.append("ending_").append(name.toLowerCase()).append(' ')
                 .append(value.sum()).append('\n'));
+        gauges.forEach((name, entries) -> all.append("entries_").append(name).append(' ').append(entries.getAsInt())
+                .append('\n'));
         return all.toString();
     }
 }
--- a/src/main/java/lilaclever/routing/Deadlines.java
+++ b/src/main/java/lilaclever/routing/Deadlines.java
@@ -30,6 +30,11 @@
         }
     }
 
+    /** How many there are. */
+    int size() {
+        return entries.size();
+    }
+
     /** The earliest time, or the given one if that is sooner. */
     long soonest(long otherwise) {
         return entries.isEmpty() ? otherwise : Math.min(otherwise, entries.firstKey().atMicros());
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -6,8 +6,9 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -154,14 +155,17 @@
         }
     }
 
+    /** Its port is nobody else's, and connections to it are refused. */
+    private static Socket bound() throws IOException {
+        Socket socket = new Socket();
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        return socket;
+    }
+
     @Test
     void whereNothingListensAPaymentNeverRanAndTheClientIsToldToComeAgain() throws Exception {
-        String nobody;
-        try (ServerSocket gone = new ServerSocket(0)) {
-            nobody = "127.0.0.1:" + gone.getLocalPort();
-        }
-        try (Peer platform = Peer.platform("", notices)) {
-            serve(platform.address(), nobody);
+        try (Peer platform = Peer.platform("", notices); Socket nobody = bound()) {
+            serve(platform.address(), "127.0.0.1:" + nobody.getLocalPort());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 1.5, "").startsWith("202"));
                 assertTrue(Peer.next(notices).startsWith("{\"id\":\"a\",\"status\":\"deferred\",\"again_ms\":"));
@@ -255,12 +259,8 @@
 
     @Test
     void atTheSignalItTakesNothingNewAndKeepsWhatItCanNotFinish() throws Exception {
-        String nobody;
-        try (ServerSocket gone = new ServerSocket(0)) {
-            nobody = "127.0.0.1:" + gone.getLocalPort();
-        }
-        try (Peer platform = Peer.platform("", notices); Peer good = good()) {
-            BufferedReader log = start(platform.address(), nobody);
+        try (Peer platform = Peer.platform("", notices); Peer good = good(); Socket nobody = bound()) {
+            BufferedReader log = start(platform.address(), "127.0.0.1:" + nobody.getLocalPort());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("held", "payment", 28, "").startsWith("202"));
                 process.toHandle().destroy(); // Process.destroy would close its output too
@@ -440,6 +440,29 @@
         return client.request().body();
     }
 
+    /** Ever-new clients, ids and keys: of those that are over nothing is kept but the keys' ends, for their time. */
+    @Test
+    void whatIsOverLeavesNoEntries() throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+            serve(platform.address(), endpoint.address());
+            for (int i = 0; i < 200; i++) {
+                try (Wire client = Wire.to(address)) {
+                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "order" : "status", 20, "").startsWith("202"));
+                }
+            }
+            try (Wire client = Wire.to(address)) {
+                untilDelivered(client, 200);
+                List<String> grown = List.of("unread");
+                for (long end = System.nanoTime() + 10_000_000_000L; !grown.isEmpty() && System.nanoTime() < end;) {
+                    grown = counters(client).lines().filter(x -> x.startsWith("entries_") && !x.contains("_remembered "))
+                            .filter(x -> Integer.parseInt(x.substring(x.indexOf(' ') + 1)) > 10).toList();
+                }
+                assertEquals(List.of(), grown);
+                assertTrue(counters(client).contains("\nentries_held 0\n"));
+            }
+        }
+    }
+
     @Test
     void theSelfTestDeliversAndLeavesNothing() throws Exception {
         assertEquals(0, SelfTest.run());
