--- /dev/null
+++ b/src/main/java/lilaclever/journal/Durability.java
@@ -0,0 +1,18 @@
+package lilaclever.journal;
+
+/**
+ * When records are forced to the disk. A killed process loses nothing in any case; this is for a machine that fails.
+ *
+ * @param how the rule
+ * @param everyMicros with INTERVAL, the time between two forcings
+ */
+public record Durability(How how, long everyMicros) {
+    /**
+     * NONE: never. INTERVAL: every so often, and nothing waits for it. GROUP: all records of a turn together, and
+     * nothing that a record comes before happens until then.
+     */
+    public enum How { NONE, INTERVAL, GROUP }
+
+    /** The platform's choice: its folder goes with its machine. */
+    public static final Durability NONE = new Durability(How.NONE, 0);
+}
--- /dev/null
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -0,0 +1,176 @@
+package lilaclever.journal;
+
+import com.google.gson.stream.JsonWriter;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.Base64;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import lilaclever.journal.Format.Type;
+import lilaclever.routing.Handin;
+import lilaclever.routing.Journal.Remembered;
+import lilaclever.routing.Owed;
+import lilaclever.routing.Verdict;
+
+/**
+ * What people do with the folder of a program that is stopped: look into it, check it, make it small, and read out what
+ * it holds. All but {@link #compact} only reads.
+ */
+public final class Inspection {
+    /** Exit codes: all is well; damage was found; the folder can't be used. */
+    public static final int GOOD = 0, DAMAGED = 1, UNUSABLE = 2;
+
+    private final Path folder;
+    private final PrintStream out;
+
+    /** Of this folder; what is found is printed there. */
+    public Inspection(Path folder, PrintStream out) {
+        this.folder = folder;
+        this.out = out;
+    }
+
+    private FolderDisk take() throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new JournalException(folder + " is not a folder");
+        }
+        return FolderDisk.take(folder);
+    }
+
+    /** Prints each file with what is in it, and what the whole says. */
+    public int inspect() throws IOException {
+        try (FolderDisk disk = take()) {
+            Held held = new Held();
+            Recovery recovery = new Recovery(disk, held, line -> { });
+            Recovery.Report report = recovery.scan();
+            out.printf("%-26s %9s %9s %9s %7s  %s%n", "file", "bytes", "used", "live", "records", "of which");
+            for (Recovery.Found f : recovery.found()) {
+                Segment s = f.segment();
+                Map<String, Integer> counts = new TreeMap<>();
+                f.counts().forEach((type, n) -> counts.put(type.name().toLowerCase(), n));
+                out.printf("%-26s %9d %9d %9d %7d  %s%s%n", s.name, s.length, s.used, s.liveBytes,
+                        f.counts().values().stream().mapToInt(Integer::intValue).sum(),
+                        f.header() == null ? s.sequence == Segment.LEGACY ? "format 0" : "no header" : counts,
+                        s.damaged ? " damaged" : "");
+            }
+            for (String name : disk.names()) {
+                if (name.startsWith(SegmentLog.SPARE) || name.startsWith(SegmentLog.DAMAGED)) {
+                    out.printf("%-26s %9d%n", name, disk.length(name));
+                }
+            }
+            long out1 = held.owed.values().stream().filter(s -> s.value.isOut()).count();
+            long risky = held.owed.values().stream().filter(s -> s.value.mayHaveRun()).count();
+            long ends = held.owed.values().stream().filter(s -> s.value.verdict() != null).count();
+            out.println("owed " + held.owed.size() + ", of which out " + out1 + ", possibly run " + risky
+                    + ", end decided " + ends);
+            out.println("remembered ends " + held.remembered.size());
+            return told(report);
+        }
+    }
+
+    /** Reads all and prints only what is wrong. */
+    public int verify() throws IOException {
+        try (FolderDisk disk = take()) {
+            return told(new Recovery(disk, new Held(), line -> { }).scan());
+        }
+    }
+
+    private int told(Recovery.Report report) {
+        for (Recovery.Damage d : report.damages()) {
+            out.println("damaged " + d.file() + " from byte " + d.from() + " to " + d.to());
+        }
+        if (report.missing() > 0) {
+            out.println("missing files " + report.missing());
+        }
+        boolean good = report.damages().isEmpty() && report.missing() == 0;
+        out.println((good ? "good: " : "not good: ") + report.records() + " records in " + report.segments()
+                + " segments");
+        return good ? GOOD : DAMAGED;
+    }
+
+    /** Writes what is live into as few files as hold it; damaged files are kept aside. */
+    public int compact(long mostBytes) throws IOException {
+        FolderDisk disk = take();
+        try (SegmentedJournal journal = new SegmentedJournal(disk, mostBytes,
+                new Durability(Durability.How.GROUP, 0), () -> System.nanoTime() / 1000, new SplittableRandom())) {
+            long before = journal.allocated();
+            journal.compactAll();
+            out.println("bytes before " + before + ", now " + journal.allocated() + ", files " + journal.files());
+            return told(journal.recovered());
+        } catch (IOException e) {
+            disk.close();
+            throw e;
+        }
+    }
+
+    /** Prints what is owed and what is remembered, one JSON object a line. */
+    public int export() throws IOException {
+        try (FolderDisk disk = take()) {
+            Held held = new Held();
+            Recovery.Report report = new Recovery(disk, held, System.err::println).scan();
+            for (Held.Slot<Owed> slot : held.owed.values()) {
+                line(json -> owed(json, slot.value));
+            }
+            for (Map.Entry<String, Held.Slot<Remembered>> e : held.remembered.entrySet()) {
+                line(json -> {
+                    json.name("remembered").value(e.getKey());
+                    json.name("until").value(instant(e.getValue().value.untilWall()));
+                    verdict(json, e.getValue().value.verdict());
+                });
+            }
+            return report.damages().isEmpty() && report.missing() == 0 ? GOOD : DAMAGED;
+        }
+    }
+
+    private interface Content {
+        void write(JsonWriter json) throws IOException;
+    }
+
+    private void line(Content content) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonWriter json = new JsonWriter(new PrintWriter(text))) {
+            json.beginObject();
+            content.write(json);
+            json.endObject();
+        }
+        out.println(text);
+    }
+
+    private static void owed(JsonWriter json, Owed o) throws IOException {
+        Handin h = o.handin();
+        json.name("owed").value(h.id()).name("front").value(o.front());
+        json.name("class").value(h.messageClass()).name("destination").value(h.destination());
+        if (h.identity() != null) {
+            json.name("identity").value(h.identity());
+        }
+        if (h.key() != null) {
+            json.name("key").value(h.key());
+        }
+        json.name("deadline").value(instant(o.deadlineWall()));
+        json.name("attempts").value(o.attempts()).name("out").value(o.isOut());
+        json.name("possibly_run").value(o.mayHaveRun() || o.isOut());
+        if (o.attempts() > 0) {
+            json.name("last_endpoint").value(o.host());
+        }
+        if (o.verdict() != null) {
+            verdict(json, o.verdict());
+        }
+        json.name("body").value(Base64.getEncoder().encodeToString(h.body()));
+    }
+
+    private static void verdict(JsonWriter json, Verdict v) throws IOException {
+        json.name("end").value(v.kind().name().toLowerCase());
+        if (!v.detail().isEmpty()) {
+            json.name("detail").value(v.detail());
+        }
+    }
+
+    private static String instant(long wallMicros) {
+        return Instant.ofEpochMilli(wallMicros / 1000).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -0,0 +1,134 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+import lilaclever.routing.Handin;
+import lilaclever.routing.Journal.Remembered;
+import lilaclever.routing.Owed;
+import lilaclever.routing.Verdict;
+
+/**
+ * Reads the one file of the first format: length, CRC32, content; no version and no marks, so nothing can be read
+ * behind the first bad record. The file is only ever read: its live records are copied forward like a segment's.
+ */
+final class LegacyReader {
+    static final String NAME = "journal", UNFINISHED = "journal.new";
+    private static final int HEAD = 8, LARGEST = 1 << 20;
+    private static final int TAKEN = 0, ATTEMPT = 1, OUTCOME = 2, VERDICT = 3, REMEMBERED = 5, PAST = 6;
+
+    private final Held held;
+    private final Segment segment;
+    private boolean damaged;
+
+    LegacyReader(Held held, Segment segment) {
+        this.held = held;
+        this.segment = segment;
+    }
+
+    /** Applies all records up to the first that is torn or bad; gives its position. */
+    long read(Disk disk) throws IOException {
+        long length = disk.length(NAME);
+        long at = 0;
+        try (Disk.DiskFile file = disk.open(NAME)) {
+            ByteBuffer head = ByteBuffer.allocate(HEAD);
+            while (fill(file, head.clear(), at)) {
+                int size = head.getInt(0);
+                if (size <= 0 || size > LARGEST || size > length - at - HEAD) {
+                    break;
+                }
+                ByteBuffer content = ByteBuffer.allocate(size);
+                fill(file, content, at + HEAD);
+                CRC32 crc = new CRC32();
+                crc.update(content.flip().duplicate());
+                if ((int) crc.getValue() != head.getInt(4)) {
+                    damaged = true; // it is there whole, so its consequence may have happened
+                    break;
+                }
+                apply(content, size + HEAD);
+                at += HEAD + size;
+            }
+        }
+        return at;
+    }
+
+    /** True if the reading ended before a record that was written whole. */
+    boolean damaged() {
+        return damaged;
+    }
+
+    private static boolean fill(Disk.DiskFile file, ByteBuffer into, long position) throws IOException {
+        long at = position;
+        while (into.hasRemaining()) {
+            int n = file.read(into, at);
+            if (n <= 0) {
+                return false;
+            }
+            at += n;
+        }
+        return true;
+    }
+
+    private void apply(ByteBuffer in, int size) {
+        int type = in.get();
+        if (type == TAKEN) {
+            held.put(readTaken(in), segment, size);
+            return;
+        }
+        String id = text(in);
+        if (type == REMEMBERED) {
+            held.put(id, new Remembered(readVerdict(in), in.getLong()), segment, size);
+            return;
+        }
+        Held.Slot<Owed> slot = held.owed.get(id);
+        if (slot == null) {
+            return;
+        }
+        Owed owed = slot.value;
+        switch (type) {
+            case ATTEMPT -> owed.attempt(text(in), in.getInt(), in.getLong());
+            case OUTCOME -> owed.outcome(in.get() != 0);
+            case PAST -> {
+                owed.past(in.getInt(), in.get() != 0, text(in), in.getInt(), in.getLong());
+                boolean mayHaveRun = in.get() != 0;
+                String host = text(in);
+                int zone = in.getInt();
+                long wall = in.getLong();
+                if (mayHaveRun) {
+                    owed.risk(host, zone, wall);
+                }
+            }
+            case VERDICT -> owed.verdict(readVerdict(in));
+            default -> held.drop(id);
+        }
+    }
+
+    private static Owed readTaken(ByteBuffer in) {
+        String front = text(in);
+        String id = text(in);
+        String identity = text(in);
+        int messageClass = in.getInt();
+        int destination = in.getInt();
+        String key = text(in);
+        boolean again = in.get() != 0;
+        boolean inherited = in.get() != 0;
+        long budget = in.getLong();
+        long deadline = in.getLong();
+        byte[] body = new byte[in.getInt()];
+        in.get(body);
+        return new Owed(front, new Handin(id, identity.isEmpty() ? null : identity, messageClass, destination,
+                key.isEmpty() ? null : key, body, again, inherited, budget), deadline);
+    }
+
+    private static Verdict readVerdict(ByteBuffer in) {
+        return new Verdict(Verdict.Kind.values()[in.get()], in.getLong(), text(in));
+    }
+
+    /** As DataOutput.writeUTF writes it; ids of that time were plain. */
+    private static String text(ByteBuffer in) {
+        byte[] bytes = new byte[in.getShort() & 0xffff];
+        in.get(bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -0,0 +1,166 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import lilaclever.journal.Format.Type;
+
+/**
+ * Reads a folder into the state, and changes nothing in it. Segments are read in their order, through a window, so the
+ * memory that it takes is that of what is live. Every header is looked at first: a folder of a newer version is refused
+ * before anything else. {@link #settle} then hands the files to the log; being killed in it does no harm, as it changes
+ * nothing that the next reading would miss.
+ */
+public final class Recovery {
+    /** A part of a file that could not be read. */
+    public record Damage(String file, long from, long to) { }
+
+    /** What was found: whole records, files, damage, and the last file that must be left behind. */
+    public record Report(long records, int segments, List<Damage> damages, int missing, boolean carriedOver,
+            long cleanUpTo) { }
+
+    /** One segment that was read, and how many records of each type it has. */
+    record Found(Segment segment, Format.Header header, EnumMap<Type, Integer> counts) { }
+
+    private final Disk disk;
+    private final Held held;
+    private final Consumer<String> log;
+    private final List<Damage> damages = new ArrayList<>();
+    private final List<Found> found = new ArrayList<>();
+    private List<String> names = List.of();
+    private long records;
+    private int missing;
+    private boolean carriedOver;
+    private long cleanUpTo = -1;
+
+    /** {@code log} hears of each damage, a line each. */
+    Recovery(Disk disk, Held held, Consumer<String> log) {
+        this.disk = disk;
+        this.held = held;
+        this.log = log;
+    }
+
+    /** Reads all. */
+    Report scan() throws IOException {
+        names = disk.names();
+        TreeMap<Long, String> segments = new TreeMap<>();
+        for (String name : names) {
+            long sequence = Segment.sequence(name);
+            if (sequence > 0) {
+                segments.put(sequence, name);
+                refuseNewer(name);
+            }
+        }
+        carriedOver = names.contains(LegacyReader.NAME);
+        if (carriedOver) {
+            carryOver();
+        }
+        read(segments, carriedOver);
+        return new Report(records, segments.size(), List.copyOf(damages), missing, carriedOver, cleanUpTo);
+    }
+
+    /** The segments in their order. */
+    List<Found> found() {
+        return found;
+    }
+
+    /** Hands what was found to the log, and ends what an earlier life had begun. */
+    void settle(SegmentLog to) throws IOException {
+        found.forEach(f -> to.found(f.segment()));
+        for (String name : names) {
+            if (name.startsWith(SegmentLog.DAMAGED)) {
+                to.foundAside(name);
+            } else if (name.equals(LegacyReader.UNFINISHED)) {
+                disk.delete(name);
+            } else if (name.startsWith(SegmentLog.SPARE)) {
+                to.foundSpare(name);
+            }
+        }
+    }
+
+    private void refuseNewer(String name) throws IOException {
+        try (SegmentReader reader = new SegmentReader(disk, name)) {
+            if (reader.header() != null && reader.header().version() > Format.VERSION) {
+                throw new JournalException(name + " is of format " + reader.header().version()
+                        + ", and this program knows formats up to " + Format.VERSION + "; nothing was changed");
+            }
+        }
+    }
+
+    /** The one file of the first format is read as the oldest segment, and copied forward like any other. */
+    private void carryOver() throws IOException {
+        Segment all = new Segment(Segment.LEGACY, LegacyReader.NAME,
+                Plan.blocks(disk.length(LegacyReader.NAME)));
+        LegacyReader reader = new LegacyReader(held, all);
+        all.used = reader.read(disk);
+        cleanUpTo = Segment.LEGACY;
+        if (reader.damaged()) {
+            damage(all, all.used, disk.length(LegacyReader.NAME));
+        }
+        found.add(new Found(all, null, new EnumMap<>(Type.class)));
+    }
+
+    private void read(TreeMap<Long, String> segments, boolean legacy) throws IOException {
+        long expected = legacy && !segments.isEmpty() ? 1 : -1;
+        for (Map.Entry<Long, String> entry : segments.entrySet()) {
+            long gap = expected > 0 ? entry.getKey() - expected : 0;
+            if (gap > 0) {
+                missing += (int) gap;
+                log.accept(gap + " files missing before " + entry.getValue()
+                        + "; what was out before counts as possibly run");
+                held.doubt();
+            }
+            read(entry.getKey(), entry.getValue(), endOf(entry.getKey(), segments));
+            expected = entry.getKey() + 1;
+        }
+    }
+
+    /** Where a segment ends as the next one says; -1 if there is none or it does not say. */
+    private long endOf(long sequence, TreeMap<Long, String> segments) throws IOException {
+        String next = segments.get(sequence + 1);
+        if (next == null) {
+            return -1;
+        }
+        try (SegmentReader reader = new SegmentReader(disk, next)) {
+            return reader.endOfPrevious();
+        }
+    }
+
+    private void read(long sequence, String name, long end) throws IOException {
+        Segment segment = new Segment(sequence, name, Plan.blocks(disk.length(name)));
+        EnumMap<Type, Integer> counts = new EnumMap<>(Type.class);
+        try (SegmentReader reader = new SegmentReader(disk, name)) {
+            found.add(new Found(segment, reader.header(), counts));
+            segment.used = reader.read(end, new SegmentReader.Listener() {
+                @Override
+                public boolean record(Type type, ByteBuffer content, long position, int size) {
+                    records++;
+                    counts.merge(type, 1, Integer::sum);
+                    return held.apply(type, content, segment, size);
+                }
+
+                @Override
+                public void damage(long from, long to) {
+                    Recovery.this.damage(segment, from, to);
+                }
+            });
+        }
+        if (end > 0) {
+            segment.used = end;
+        }
+    }
+
+    private void damage(Segment segment, long from, long to) {
+        segment.damaged = true;
+        cleanUpTo = Math.max(cleanUpTo, segment.sequence);
+        damages.add(new Damage(segment.name, from, to));
+        log.accept(segment.name + " can't be read from byte " + from + " to " + to
+                + "; what follows is read, and what was out before counts as possibly run");
+        held.doubt();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -0,0 +1,360 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import lilaclever.journal.Format.Writer;
+
+/**
+ * The files of the log: full ones in their order, the one in use, and spare ones. A file is allocated in full, with
+ * zeros, before it is used, and given another name when its use changes; so room that was promised can't be taken by
+ * others, and a kill at any moment leaves each file as one thing or the other.
+ */
+final class SegmentLog {
+    static final String SPARE = "spare-", DAMAGED = "damaged-";
+    private static final int ZEROS = 64 * 1024;
+
+    /** A file without content, ready for use. */
+    private record Spare(String name, long length) { }
+
+    private final Disk disk;
+    private final Plan plan;
+    private final long most;
+    private final RandomGenerator random;
+    private final ArrayDeque<Segment> full = new ArrayDeque<>();
+    private final ArrayDeque<Spare> spares = new ArrayDeque<>();
+    /** Files that hold records which may not outlast the machine yet. */
+    private final List<Disk.DiskFile> unforced = new ArrayList<>();
+    private final boolean forces;
+    private boolean namesChanged;
+    private Segment active;
+    private Disk.DiskFile activeFile;
+    private long salt;
+    private long allocated;
+    private long nextSequence = 1;
+    private long nextSpare;
+    private long asideBytes;
+    private boolean cannotGrow;
+
+    /** {@code forces}: files are to be forced, so they are kept open until then. */
+    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces) {
+        this.disk = disk;
+        this.plan = plan;
+        this.most = most;
+        this.random = random;
+        this.forces = forces;
+    }
+
+    // ---- opening ----------------------------------------------------------------------------------------
+    /** A segment of an earlier life. In order. */
+    void found(Segment s) {
+        full.add(s);
+        allocated += s.length;
+        nextSequence = Math.max(nextSequence, s.sequence + 1);
+    }
+
+    /** An empty file of an earlier life: it is made ready again, or given up. */
+    void foundSpare(String name) throws IOException {
+        nextSpare = Math.max(nextSpare, 1 + number(name));
+        long length = disk.length(name);
+        allocated += Plan.blocks(length);
+        ready(name, length);
+    }
+
+    /** A file that was kept aside for people to look at. */
+    void foundAside(String name) throws IOException {
+        asideBytes += Plan.blocks(disk.length(name));
+        allocated += Plan.blocks(disk.length(name));
+    }
+
+    private static long number(String spare) {
+        try {
+            return Long.parseLong(spare.substring(SPARE.length()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    // ---- figures ----------------------------------------------------------------------------------------
+    Plan.Space space(Held held) {
+        long free = active == null ? 0 : active.length - active.used;
+        for (Spare s : spares) {
+            free += s.length() - Format.OVERHEAD;
+        }
+        // What can't grow now has all the room it will get.
+        return new Plan.Space((cannotGrow ? allocated : most) - asideBytes, allocated - asideBytes, free, held.live(),
+                held.growth(), held.largest(), spares.size());
+    }
+
+    long allocated() {
+        return allocated;
+    }
+
+    int files() {
+        return full.size() + spares.size() + (active == null ? 0 : 1);
+    }
+
+    Segment active() {
+        return active;
+    }
+
+    Segment oldest() {
+        return full.peekFirst();
+    }
+
+    /** The sequence number of the newest file that is not in use any more; -1 if there is none. */
+    long newest() {
+        return full.isEmpty() ? -1 : full.peekLast().sequence;
+    }
+
+    /** True if the bytes fit into the file in use. */
+    boolean fits(long bytes) {
+        return active != null && active.used + bytes <= active.length;
+    }
+
+    /** What the file in use still has room for. */
+    long left() {
+        return active == null ? 0 : active.length - active.used;
+    }
+
+    // ---- writing ----------------------------------------------------------------------------------------
+    /** Writes the records behind the others; on a failure the file in use is left as it is, and none is in use. */
+    void write(Writer records) throws IOException {
+        try {
+            activeFile.write(records.sealed(salt), active.used);
+        } catch (IOException e) {
+            cut();
+            leave();
+            throw e;
+        }
+        active.used += records.size();
+    }
+
+    /** What a failed write left of a record must not pass for one: its consequence has not happened. */
+    private void cut() {
+        try {
+            activeFile.truncate(active.used);
+        } catch (IOException e) {
+            System.err.println("lilaclever: journal: " + active.name + " could not be cut off: " + e);
+        }
+    }
+
+    /** Takes a file into use that has room for so many bytes, and notes in it where the last one ended. */
+    void roll(long bytes) throws IOException {
+        leave();
+        Spare spare = take(bytes);
+        long sequence = nextSequence;
+        Segment next = new Segment(sequence, Segment.name(sequence), spare.length());
+        Disk.DiskFile file = null;
+        try {
+            long nextSalt = random.nextLong();
+            file = disk.open(spare.name());
+            file.write(Format.header(new Format.Header(Format.VERSION, sequence, nextSalt, 0)), 0);
+            Segment last = full.peekLast();
+            Writer first = new Writer();
+            Held.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
+            file.write(first.sealed(nextSalt), Format.HEADER);
+            disk.rename(spare.name(), next.name);
+            namesChanged = true;
+            nextSequence++;
+            next.used = Format.OVERHEAD;
+            active = next;
+            activeFile = file;
+            salt = nextSalt;
+        } catch (IOException e) {
+            close(file);
+            spares.addLast(spare);
+            throw e;
+        }
+    }
+
+    /** Nothing more goes into the file in use. */
+    private void leave() {
+        if (active == null) {
+            return;
+        }
+        if (forces) {
+            unforced.add(activeFile);
+        } else {
+            close(activeFile);
+        }
+        full.add(active);
+        active = null;
+        activeFile = null;
+    }
+
+    private static void close(Disk.DiskFile file) {
+        if (file != null) {
+            try {
+                file.close();
+            } catch (IOException e) {
+                System.err.println("lilaclever: journal: a file did not close: " + e);
+            }
+        }
+    }
+
+    // ---- files ------------------------------------------------------------------------------------------
+    private Spare take(long bytes) throws IOException {
+        long needed = bytes + Format.OVERHEAD;
+        for (Iterator<Spare> all = spares.iterator(); all.hasNext();) {
+            Spare spare = all.next();
+            if (spare.length() >= needed) {
+                all.remove();
+                return spare;
+            }
+        }
+        long length = plan.lengthFor(bytes);
+        while (allocated + length > most && !spares.isEmpty()) {
+            // Spare files that are too short for this one record make way for a longer one.
+            Spare shortest = spares.pollFirst();
+            disk.delete(shortest.name());
+            allocated -= Plan.blocks(shortest.length());
+        }
+        if (allocated + length > most) {
+            length = (most - allocated) / Format.BLOCK * Format.BLOCK;
+        }
+        if (length < needed) {
+            throw new NoRoom();
+        }
+        grow(length);
+        Spare made = spares.pollLast();
+        if (made == null || made.length() < needed) {
+            throw new NoRoom();
+        }
+        return made;
+    }
+
+    /** No file is left to write to. */
+    static final class NoRoom extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        NoRoom() {
+            super("no room left in the journal's files");
+        }
+    }
+
+    /** Makes a further spare file; false if the disk gives no room for it. */
+    boolean grow(long length) {
+        String name = SPARE + nextSpare++;
+        cannotGrow = true;
+        try (Disk.DiskFile file = disk.open(name)) {
+            zero(file, 0, length);
+            cannotGrow = false;
+        } catch (IOException e) {
+            quietlyDelete(name);
+            return false;
+        }
+        namesChanged = true;
+        allocated += Plan.blocks(length);
+        spares.add(new Spare(name, length));
+        return true;
+    }
+
+    /** Forgets that the disk gave no room, so that it is asked again. */
+    void mayGrowAgain() {
+        cannotGrow = false;
+    }
+
+    private static void zero(Disk.DiskFile file, long from, long to) throws IOException {
+        ByteBuffer zeros = ByteBuffer.allocate((int) Math.min(ZEROS, to - from));
+        for (long at = from; at < to; at += zeros.capacity()) {
+            file.write(zeros.clear().limit((int) Math.min(zeros.capacity(), to - at)), at);
+        }
+    }
+
+    private void quietlyDelete(String name) {
+        try {
+            disk.delete(name);
+        } catch (IOException e) {
+            System.err.println("lilaclever: journal: " + name + " could not be deleted: " + e);
+        }
+    }
+
+    /** Takes the oldest file, on which nothing rests any more, out of the log. */
+    void release(Held held) throws IOException {
+        Segment s = full.peekFirst();
+        assert s.liveRecords == 0 : s.name;
+        if (s.damaged && asideBytes + s.length <= most / 8) {
+            disk.rename(s.name, DAMAGED + s.name);
+            full.pollFirst();
+            asideBytes += s.length;
+        } else if (s.damaged || s.sequence == Segment.LEGACY || plan.surplus(space(held), s.length)) {
+            disk.delete(s.name);
+            full.pollFirst();
+            allocated -= s.length;
+        } else {
+            String name = SPARE + nextSpare++;
+            disk.rename(s.name, name);
+            full.pollFirst();
+            ready(name, s.length);
+        }
+        namesChanged = true;
+    }
+
+    /** Fills a file with zeros; where that fails it is cut off there, and used if it is worth it. */
+    private void ready(String name, long length) throws IOException {
+        long good = length;
+        try (Disk.DiskFile file = disk.open(name)) {
+            try {
+                zero(file, 0, length);
+            } catch (IOException e) {
+                good = firstThatFails(file, length) / Format.BLOCK * Format.BLOCK;
+                file.truncate(good);
+            }
+        }
+        allocated -= Plan.blocks(length) - Plan.blocks(good);
+        if (good <= 2 * Format.OVERHEAD) {
+            disk.delete(name);
+            allocated -= Plan.blocks(good);
+        } else {
+            spares.add(new Spare(name, good));
+        }
+    }
+
+    private static long firstThatFails(Disk.DiskFile file, long length) {
+        long at = 0;
+        try {
+            for (; at < length; at += Format.BLOCK) {
+                file.write(ByteBuffer.allocate((int) Math.min(Format.BLOCK, length - at)), at);
+            }
+        } catch (IOException e) {
+            return at;
+        }
+        return length;
+    }
+
+    // ---- durability -------------------------------------------------------------------------------------
+    /** What must be forced so that all written so far outlasts the machine. */
+    record Pending(List<Disk.DiskFile> full, Disk.DiskFile active, boolean names) { }
+
+    /** Hands over what is to be forced; the full files are closed by whoever forces them. */
+    Pending pending() {
+        Pending p = new Pending(List.copyOf(unforced), activeFile, namesChanged);
+        unforced.clear();
+        namesChanged = false;
+        return p;
+    }
+
+    /** Deletes all files that are empty. */
+    void giveUpSpares() throws IOException {
+        for (Spare s = spares.pollFirst(); s != null; s = spares.pollFirst()) {
+            disk.delete(s.name());
+            allocated -= Plan.blocks(s.length());
+        }
+    }
+
+    /** The file in use is not trusted any more. */
+    void giveUpActive() {
+        leave();
+    }
+
+    void close() {
+        leave();
+        unforced.forEach(SegmentLog::close);
+        unforced.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -0,0 +1,153 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * Forces records to the disk on a thread of its own, all that came together in one go, and runs on the loop what waited
+ * for it. All but the forcing itself is on the loop thread.
+ */
+final class Syncer {
+    private final Durability durability;
+    private final Disk disk;
+    private final Runnable onFailure;
+    private ExecutorService thread;
+    private Executor loop = Runnable::run;
+    private List<Runnable> waiting = new ArrayList<>();
+    private boolean running;
+    private boolean written;
+    private long begun, done;
+    private long lastBegun;
+    private long failures;
+
+    /** {@code onFailure}: what was to be forced must be written again, elsewhere. */
+    Syncer(Durability durability, Disk disk, Runnable onFailure) {
+        this.durability = durability;
+        this.disk = disk;
+        this.onFailure = onFailure;
+    }
+
+    void attach(Executor toLoop) {
+        loop = toLoop;
+    }
+
+    boolean forces() {
+        return durability.how() != Durability.How.NONE;
+    }
+
+    /** Forcings begun so far: what is written now is covered by the next. */
+    long begun() {
+        return begun;
+    }
+
+    /** True if a forcing that began after the given count has ended well. */
+    boolean coversAfter(long count) {
+        return !forces() || done > count;
+    }
+
+    long failures() {
+        return failures;
+    }
+
+    void wrote() {
+        written = true;
+    }
+
+    void whenDurable(Runnable consequence) {
+        if (durability.how() == Durability.How.GROUP) {
+            waiting.add(consequence);
+        } else {
+            consequence.run();
+        }
+    }
+
+    /** Begins a forcing if one is due and none is under way. */
+    void turn(long nowMicros, SegmentLog log) {
+        boolean due = durability.how() == Durability.How.GROUP ? written || !waiting.isEmpty()
+                : durability.how() == Durability.How.INTERVAL && written
+                        && nowMicros - lastBegun >= durability.everyMicros();
+        if (!due || running) {
+            return;
+        }
+        begin(nowMicros, log);
+    }
+
+    private void begin(long nowMicros, SegmentLog log) {
+        if (thread == null) {
+            thread = Executors.newSingleThreadExecutor(r -> {
+                Thread t = new Thread(r, "journal-sync");
+                t.setDaemon(true);
+                return t;
+            });
+        }
+        running = true;
+        written = false;
+        lastBegun = nowMicros;
+        long number = ++begun;
+        List<Runnable> covered = waiting;
+        waiting = new ArrayList<>();
+        SegmentLog.Pending pending = log.pending();
+        thread.execute(() -> {
+            IOException failure = force(disk, pending);
+            loop.execute(() -> ended(number, covered, failure));
+        });
+    }
+
+    private void ended(long number, List<Runnable> covered, IOException failure) {
+        running = false;
+        if (failure == null) {
+            done = number;
+            covered.forEach(Runnable::run);
+            return;
+        }
+        // The system may have dropped what it could not write: a second forcing of the same file would prove nothing.
+        System.err.println("lilaclever: journal: could not be forced to the disk, written again: " + failure);
+        failures++;
+        covered.addAll(waiting);
+        waiting = covered;
+        written = true;
+        onFailure.run();
+    }
+
+    /** Forces the files, closes those that are full; gives what failed first, or null. */
+    static IOException force(Disk disk, SegmentLog.Pending pending) {
+        IOException failure = null;
+        try {
+            for (Disk.DiskFile file : pending.full()) {
+                file.force();
+            }
+            if (pending.active() != null) {
+                pending.active().force();
+            }
+            if (pending.names()) {
+                disk.forceNames();
+            }
+        } catch (IOException e) {
+            failure = e;
+        }
+        for (Disk.DiskFile file : pending.full()) {
+            try {
+                file.close();
+            } catch (IOException e) {
+                failure = failure == null ? e : failure;
+            }
+        }
+        return failure;
+    }
+
+    /** Ends the thread; what is left is forced by the caller. */
+    void close() {
+        if (thread != null) {
+            thread.shutdown();
+            try {
+                thread.awaitTermination(10, java.util.concurrent.TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -5,9 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
+import lilaclever.journal.FolderDisk;
+import lilaclever.journal.SegmentedJournal;
 import lilaclever.protocol.http.Directory;
 import lilaclever.protocol.http.HttpDeliverer;
 import lilaclever.protocol.http.HttpFront;
@@ -17,7 +20,6 @@
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
-import lilaclever.routing.Journal;
 import lilaclever.transport.Transport;
 
 /** The parts of the serving program, put together, started and stopped. */
@@ -25,11 +27,9 @@
     /** After the signal: so long clients still come, so long calls may be out, and then the end. */
     private static final long ACCEPT = 500_000, CALLS_BY = 3_200_000, END = 3_400_000;
     private static final long LOOK = 20_000;
-    /** How long the end of a message is given again to whoever resends it. */
-    private static final long REMEMBER = 3_600_000_000L;
 
     private final Transport transport;
-    private final Journal journal;
+    private final SegmentedJournal journal;
     private final Core core;
     private final HttpFront front;
     private final Config config;
@@ -39,14 +39,17 @@
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
-    private Forwarder(Config config, MailSettings mail) throws IOException, Config.Bad {
+    private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, Config.Bad {
         this.config = config;
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
-        journal = new Journal(config.state(), config.diskBytes() - Config.NOTE_BYTES);
-        core = new Core(settings, config.seed(), journal, new Counters(), REMEMBER);
+        journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - Config.NOTE_BYTES,
+                operator.journal().durability(), Core::micros, new SplittableRandom(config.seed() ^ System.nanoTime()));
+        Counters counters = new Counters();
+        figures(journal, counters);
+        core = new Core(settings, config.seed(), journal, counters, operator.journal().rememberMicros());
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
@@ -72,6 +75,15 @@
         }
     }
 
+    private static void figures(SegmentedJournal journal, Counters counters) {
+        counters.gauge("unwritten", journal::unwritten);
+        counters.figure("journal_files", journal::files);
+        counters.figure("journal_bytes", journal::allocated);
+        counters.figure("journal_bytes_copied", journal::copied);
+        counters.figure("journal_failures", journal::failures);
+        counters.figure("journal_damages", () -> journal.recovered().damages().size());
+    }
+
     private static Directory.Known known(Config config, Directory directory) throws Config.Bad {
         try {
             return config.known() == null ? null : directory.read(config.known());
@@ -80,9 +92,14 @@
         }
     }
 
-    /** Starts all parts; {@code mail} is null where the mail front is off. */
+    /** Starts all parts as the platform has them; {@code mail} is null where the mail front is off. */
     static Forwarder start(Config config, MailSettings mail) throws IOException, Config.Bad {
-        Forwarder forwarder = new Forwarder(config, mail);
+        return start(config, Operator.none(), mail);
+    }
+
+    /** Starts all parts. */
+    static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Config.Bad {
+        Forwarder forwarder = new Forwarder(config, operator, mail);
         System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
                 + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
                 + config.mostClients(mail != null) + " for clients, " + config.mostIdle() + " idle to endpoints");
--- /dev/null
+++ b/src/main/java/lilaclever/program/JournalCommand.java
@@ -0,0 +1,48 @@
+package lilaclever.program;
+
+import java.io.BufferedOutputStream;
+import java.io.FileOutputStream;
+import java.io.FileDescriptor;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import lilaclever.journal.Inspection;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** {@code journal inspect|verify|compact|export FOLDER}: on the state folder of a program that is stopped. */
+public final class JournalCommand implements Main.Command {
+    private static final long MEGABYTE = 1024 * 1024;
+
+    /** What to do with the folder. */
+    enum What { INSPECT, VERIFY, COMPACT, EXPORT }
+
+    @Argument(index = 0, required = true, metaVar = "inspect|verify|compact|export", usage = "what to do")
+    private What what;
+
+    @Argument(index = 1, required = true, metaVar = "FOLDER", usage = "the state folder")
+    private Path folder;
+
+    @Option(name = "--disk-mb", metaVar = "N", usage = "what the files may take together while compact works"
+            + " (default 1024)")
+    private long diskMegabytes = 1024;
+
+    @Override
+    public Integer run() {
+        try (PrintStream out = new PrintStream(new BufferedOutputStream(new FileOutputStream(FileDescriptor.out)), false,
+                StandardCharsets.UTF_8)) {
+            Inspection inspection = new Inspection(folder, out);
+            return switch (what) {
+                case INSPECT -> inspection.inspect();
+                case VERIFY -> inspection.verify();
+                case COMPACT -> inspection.compact(diskMegabytes * MEGABYTE);
+                case EXPORT -> inspection.export();
+            };
+        } catch (IOException e) {
+            System.err.println("lilaclever: journal: " + (e instanceof lilaclever.journal.JournalException
+                    ? e.getMessage() : e.toString()));
+            return Inspection.UNUSABLE;
+        }
+    }
+}
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -18,12 +18,13 @@
         Integer run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "serve|simhost|check-config|selftest|version", handler = SubCommandHandler.class,
+    @Argument(required = true, metaVar = "serve|simhost|check-config|journal|selftest|version", handler = SubCommandHandler.class,
             usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = ServeCommand.class),
         @SubCommand(name = "simhost", impl = SimhostCommand.class),
         @SubCommand(name = "check-config", impl = CheckCommand.class),
+        @SubCommand(name = "journal", impl = JournalCommand.class),
         @SubCommand(name = "selftest", impl = SelfTestCommand.class),
         @SubCommand(name = "version", impl = VersionCommand.class)
     })
@@ -39,7 +40,7 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("lilaclever: " + e.getMessage());
-            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|selftest|version [options]");
+            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|journal|selftest|version [options]");
             e.getParser().printUsage(System.err);
             System.exit(2);
         }
@@ -60,13 +61,17 @@
         @Option(name = "--mail", metaVar = "FILE", usage = "speak SMTP and LMTP too, as this file says")
         private Path mail;
 
+        @Option(name = "--conf", metaVar = "FILE", usage = "the operator's settings")
+        private Path conf;
+
         @Override
         public Integer run() throws Exception {
             Config config = Config.read(System.getenv());
+            Operator operator = conf == null ? Operator.none() : Operator.read(conf);
             CompletableFuture<Forwarder> serving = new CompletableFuture<>();
             // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
             Signals.onHangup(() -> serving.thenAccept(f -> f.reload(System.getenv())).join());
-            Forwarder forwarder = Forwarder.start(config, mail == null ? null : config.readMail(mail));
+            Forwarder forwarder = Forwarder.start(config, operator, mail == null ? null : config.readMail(mail));
             Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
             serving.complete(forwarder);
             return null;
@@ -86,6 +91,9 @@
         @Option(name = "--mail", metaVar = "FILE", usage = "check this mail file too")
         private Path mail;
 
+        @Option(name = "--conf", metaVar = "FILE", usage = "check this operator's file too")
+        private Path conf;
+
         @Override
         public Integer run() throws Config.Bad {
             Config config = Config.read(System.getenv());
@@ -94,6 +102,11 @@
                 System.out.println("mail file is good: " + read.listeners().size() + " listeners, "
                         + read.routes().size() + " routes");
             }
+            if (conf != null) {
+                Operator read = Operator.read(conf);
+                System.out.println("operator's file is good: journal durability "
+                        + read.journal().durability().how().name().toLowerCase());
+            }
             System.out.println("configuration of " + config.name() + " is good: " + config.classNames().size()
                     + " classes, " + config.settings().limits().slots() + " slots, journal up to "
                     + config.diskBytes() + " bytes in " + config.state());
--- /dev/null
+++ b/src/main/java/lilaclever/program/OperatorFile.java
@@ -0,0 +1,330 @@
+package lilaclever.program;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import lilaclever.program.Config.Bad;
+
+/**
+ * Reads the operator's file: sections in brackets, a key and its value on a line, {@code #} begins a comment. A line
+ * that begins with white space continues the value of the one before, as in the files of classic daemons. What a
+ * section's keys mean is not known here; each is asked for by name, and what nobody has asked for is an error. All
+ * messages name file, line and key.
+ */
+final class OperatorFile {
+    private static final int LONGEST_LINE = 8192, MOST_LINES = 100_000;
+
+    /** One setting and where it stands. */
+    private record Entry(int line, String value) { }
+
+    private final String name;
+    private final Map<String, Section> sections = new LinkedHashMap<>();
+
+    private OperatorFile(String name) {
+        this.name = name;
+    }
+
+    /** A file that sets nothing. */
+    static OperatorFile empty() {
+        return new OperatorFile("(no file)");
+    }
+
+    /** Reads the file. */
+    static OperatorFile read(Path path) throws Bad {
+        try {
+            return parse(path.toString(), Files.readAllLines(path));
+        } catch (CharacterCodingException e) {
+            throw new Bad("--conf", path + " is not UTF-8");
+        } catch (IOException e) {
+            throw new Bad("--conf", path + " can't be read: " + e);
+        }
+    }
+
+    static OperatorFile parse(String name, List<String> lines) throws Bad {
+        OperatorFile file = new OperatorFile(name);
+        file.parse(lines);
+        return file;
+    }
+
+    private void parse(List<String> lines) throws Bad {
+        if (lines.size() > MOST_LINES) {
+            throw fault(MOST_LINES, "", "too many lines");
+        }
+        Section section = null;
+        String key = null;
+        for (int i = 0; i < lines.size(); i++) {
+            int number = i + 1;
+            String raw = lines.get(i);
+            if (raw.length() > LONGEST_LINE) {
+                throw fault(number, "", "longer than " + LONGEST_LINE + " characters");
+            }
+            String line = raw.strip();
+            if (line.isEmpty() || line.startsWith("#")) {
+                continue;
+            }
+            if (Character.isWhitespace(raw.charAt(0))) {
+                if (key == null) {
+                    throw fault(number, "", "continues nothing: a key begins its line without a space");
+                }
+                section.extend(key, line);
+            } else if (line.startsWith("[")) {
+                section = section(number, line);
+                key = null;
+            } else {
+                if (section == null) {
+                    throw fault(number, line.split("\\s", 2)[0], "stands before the first [section]");
+                }
+                key = section.add(number, line);
+            }
+        }
+    }
+
+    private Section section(int line, String text) throws Bad {
+        if (!text.matches("\\[[a-z][a-z0-9-]*( [^\\]\\s]+)?\\]")) {
+            throw fault(line, text, "not a section: [name] or [name which], in small letters");
+        }
+        String title = text.substring(1, text.length() - 1);
+        Section earlier = sections.get(title);
+        if (earlier != null) {
+            throw fault(line, text, "stands here again, first at line " + earlier.line);
+        }
+        Section made = new Section(title, line);
+        sections.put(title, made);
+        return made;
+    }
+
+    private Bad fault(int line, String key, String problem) {
+        return new Bad(name + ":" + line + (key.isEmpty() ? "" : ": " + key), problem);
+    }
+
+    /** The section of that name; an empty one if the file has none. */
+    Section section(String title) {
+        return sections.getOrDefault(title, new Section(title, 0));
+    }
+
+    /** The sections {@code [kind which]}, in the file's order. */
+    List<Section> sections(String kind) {
+        return sections.values().stream().filter(s -> s.title.startsWith(kind + " ")).toList();
+    }
+
+    /** Throws if anything stands in the file that nobody has asked for; to be called when all is read. */
+    void refuseUnknown(Set<String> kinds) throws Bad {
+        for (Section s : sections.values()) {
+            String kind = s.title.split(" ")[0];
+            if (!kinds.contains(kind)) {
+                throw fault(s.line, "[" + s.title + "]", "no such section" + nearest(kind, kinds));
+            }
+            for (Map.Entry<String, Entry> e : s.entries.entrySet()) {
+                if (!s.asked.contains(e.getKey())) {
+                    throw fault(e.getValue().line(), s.title + "." + e.getKey(), "no such key"
+                            + nearest(e.getKey(), s.asked));
+                }
+            }
+        }
+    }
+
+    /** The known word that needs the fewest changes, if that is a few. */
+    static String nearest(String word, Set<String> known) {
+        String best = null;
+        int least = Math.max(2, word.length() / 2) + 1;
+        for (String k : known) {
+            int d = distance(word, k);
+            if (d < least) {
+                least = d;
+                best = k;
+            }
+        }
+        return best == null ? "; known are " + String.join(", ", new java.util.TreeSet<>(known))
+                : "; is " + best + " meant?";
+    }
+
+    /** Letters to change, add or leave out (Levenshtein's distance). */
+    private static int distance(String a, String b) {
+        int[] before = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            before[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int[] row = new int[b.length() + 1];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int change = before[j - 1] + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                row[j] = Math.min(change, 1 + Math.min(before[j], row[j - 1]));
+            }
+            before = row;
+        }
+        return before[b.length()];
+    }
+
+    /** One section. Values are asked for by key, with the value that holds where the key is absent. */
+    final class Section {
+        private final String title;
+        private final int line;
+        private final Map<String, Entry> entries = new LinkedHashMap<>();
+        private final Set<String> asked = new HashSet<>();
+
+        private Section(String title, int line) {
+            this.title = title;
+            this.line = line;
+        }
+
+        /** What stands behind the kind in {@code [kind which]}. */
+        String which() {
+            return title.contains(" ") ? title.split(" ")[1] : "";
+        }
+
+        /** True if the file has it. */
+        boolean isThere() {
+            return line > 0;
+        }
+
+        private String add(int number, String text) throws Bad {
+            String[] parts = text.split("\\s+", 2);
+            if (!parts[0].matches("[a-z][a-z0-9-]*")) {
+                throw fault(number, parts[0], "not a key: small letters, digits and '-'");
+            }
+            if (parts.length < 2) {
+                throw fault(number, title + "." + parts[0], "has no value");
+            }
+            Entry earlier = entries.get(parts[0]);
+            if (earlier != null) {
+                throw fault(number, title + "." + parts[0], "stands here again, first at line " + earlier.line());
+            }
+            entries.put(parts[0], new Entry(number, parts[1]));
+            return parts[0];
+        }
+
+        private void extend(String key, String more) {
+            Entry e = entries.get(key);
+            entries.put(key, new Entry(e.line(), e.value() + ' ' + more));
+        }
+
+        /** An error of this key: with its line, or the section's where the key is absent. */
+        Bad bad(String key, String problem) {
+            Entry e = entries.get(key);
+            return fault(e == null ? line : e.line(), title + "." + key, problem);
+        }
+
+        /** True if the file sets the key. */
+        boolean has(String key) {
+            return entries.containsKey(key);
+        }
+
+        private String value(String key) {
+            asked.add(key);
+            Entry e = entries.get(key);
+            return e == null ? null : e.value();
+        }
+
+        /** The text; {@code otherwise} may be null. */
+        String text(String key, String otherwise) {
+            String value = value(key);
+            return value == null ? otherwise : value;
+        }
+
+        /** The words, separated by white space or commas. */
+        List<String> words(String key) {
+            String value = value(key);
+            return value == null ? List.of() : new ArrayList<>(List.of(value.split("[\\s,]+")));
+        }
+
+        /** One of the constants' names, in small letters. */
+        <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) throws Bad {
+            String value = value(key);
+            if (value == null) {
+                return otherwise;
+            }
+            List<String> names = new ArrayList<>();
+            for (E constant : type.getEnumConstants()) {
+                String n = constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+                if (n.equals(value)) {
+                    return constant;
+                }
+                names.add(n);
+            }
+            throw bad(key, "one of " + String.join(", ", names) + ", not " + value);
+        }
+
+        /** yes or no. */
+        boolean flag(String key, boolean otherwise) throws Bad {
+            String value = value(key);
+            if (value == null) {
+                return otherwise;
+            }
+            if (!value.equals("yes") && !value.equals("no")) {
+                throw bad(key, "yes or no, not " + value);
+            }
+            return value.equals("yes");
+        }
+
+        /** A whole number within bounds. */
+        long whole(String key, long otherwise, long least, long most) throws Bad {
+            String value = value(key);
+            if (value == null) {
+                return otherwise;
+            }
+            try {
+                long number = Long.parseLong(value);
+                if (number >= least && number <= most) {
+                    return number;
+                }
+            } catch (NumberFormatException e) {
+                // told below
+            }
+            throw bad(key, "a whole number from " + least + " to " + most + ", not " + value);
+        }
+
+        /** A time with its unit (us, ms, s, m, h, d), microseconds, within bounds. */
+        long time(String key, long otherwise, long least, long most) throws Bad {
+            String value = value(key);
+            if (value == null) {
+                return otherwise;
+            }
+            java.util.regex.Matcher m = java.util.regex.Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?) ?(us|ms|s|m|h|d)")
+                    .matcher(value);
+            if (!m.matches()) {
+                throw bad(key, "a time with its unit (us, ms, s, m, h or d), not " + value);
+            }
+            double unit = switch (m.group(2)) {
+                case "us" -> 1;
+                case "ms" -> 1e3;
+                case "s" -> 1e6;
+                case "m" -> 60e6;
+                case "h" -> 3600e6;
+                default -> 86_400e6;
+            };
+            double micros = Double.parseDouble(m.group(1)) * unit;
+            if (micros < least || micros > most) {
+                throw bad(key, "from " + least / 1000.0 + " ms to " + most / 1000.0 + " ms, not " + value);
+            }
+            return (long) micros;
+        }
+
+        /** A size with its unit (B, KiB, MiB, GiB), bytes, within bounds. */
+        long size(String key, long otherwise, long least, long most) throws Bad {
+            String value = value(key);
+            if (value == null) {
+                return otherwise;
+            }
+            java.util.regex.Matcher m = java.util.regex.Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?) ?(B|KiB|MiB|GiB)")
+                    .matcher(value);
+            if (!m.matches()) {
+                throw bad(key, "a size with its unit (B, KiB, MiB or GiB), not " + value);
+            }
+            double unit = Math.pow(1024, List.of("B", "KiB", "MiB", "GiB").indexOf(m.group(2)));
+            double bytes = Double.parseDouble(m.group(1)) * unit;
+            if (bytes < least || bytes > most) {
+                throw bad(key, "from " + least + " B to " + most + " B, not " + value);
+            }
+            return (long) bytes;
+        }
+    }
+}
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -14,6 +14,8 @@
     /** What the deliverer keeps for it. */
     public Object attachment;
     int open;
+    /** True once the deliverer has it: its attempts are in the journal. */
+    boolean started;
     Deadlines.Key deadline;
 
     /** An endpoint of the list, with the deliverer that reaches it. */
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -69,8 +69,9 @@
         counters.gauge("destinations", destinations::size);
         counters.gauge("calls", calls::size);
         counters.gauge("deadlines", deadlines::size);
-        counters.gauge("owed", journal.owed::size);
-        counters.gauge("remembered", journal.remembered::size);
+        counters.gauge("owed", () -> journal.owed().size());
+        counters.gauge("remembered", journal::rememberedCount);
+        journal.attach(this::post);
     }
 
     // ---- what others use --------------------------------------------------------------------------------
@@ -119,7 +120,7 @@
         now = micros();
         listing(Relay.ListingKind.REMEMBERED, version, known);
         long wall = wall();
-        for (Journal.Entry e : List.copyOf(journal.owed.values())) {
+        for (Owed e : List.copyOf(journal.owed())) {
             resume(e, wall);
         }
         turn();
@@ -127,31 +128,30 @@
         thread.start();
     }
 
-    private void resume(Journal.Entry e, long wall) {
-        Front front = fronts.get(e.front);
-        Message m = new Message(e.handin, front, e.deadlineWall);
+    private void resume(Owed e, long wall) {
+        Front front = fronts.get(e.front());
+        Message m = new Message(e.handin(), front, e.deadlineWall());
         if (front == null) {
-            System.err.println("lilaclever: nobody to answer for " + m.id() + ": no front " + e.front);
+            System.err.println("lilaclever: nobody to answer for " + m.id() + ": no front " + e.front());
             journal.ended(m.id());
             return;
         }
         counters.add(Name.RESUMED);
         m.journaled = true;
+        m.told = true;
         m.resumed = true;
-        if (e.verdict != null) {
+        if (e.verdict() != null) {
             m.over = true;
-            answer(m, e.verdict);
+            answer(m, e.verdict());
             return;
         }
-        if (e.out) {
+        if (e.isOut()) {
             // The call was out when the process ended: it may have run.
-            e.risk();
-            e.out = false;
             journal.outcome(m.id(), false);
         }
-        m.attempts = e.attempts;
-        if (e.mayHaveRun) {
-            m.mayHaveRun(e.riskHost, e.riskZone, e.riskWall);
+        m.attempts = e.attempts();
+        if (e.mayHaveRun()) {
+            m.mayHaveRun(e.riskHost(), e.riskZone(), e.riskWall());
         }
         hold(m);
         events.add(m.submit(now, wall));
@@ -171,7 +171,7 @@
         if (same != null) {
             return same;
         }
-        Journal.Remembered earlier = handin.identity() == null ? null : journal.remembered.get(handin.identity());
+        Journal.Remembered earlier = handin.identity() == null ? null : journal.remembered(handin.identity());
         if (earlier != null && earlier.untilWall() > wall) {
             m.over = true;
             m.verdict = earlier.verdict();
@@ -361,10 +361,13 @@
             if (m.over || endedNow.contains(m.id())) {
                 continue;
             }
-            run(() -> m.journaled = journal.taken(m, wall()));
+            run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
-                run(() -> m.front.taken(m));
+                journal.whenDurable(() -> {
+                    m.told = true;
+                    run(() -> m.front.taken(m));
+                });
             } else {
                 counters.add(Name.JOURNAL_FULL);
                 events.add(new Event.Withdrawn(m.id()));
@@ -382,7 +385,7 @@
         } else if (action instanceof Action.Cancel a) {
             Message m = held.get(a.id());
             if (m != null && m.out != null && m.attempts - 1 == a.attempt()) {
-                m.out.endpoint.deliverer().giveUp(m.out);
+                giveUp(m.out);
             }
         } else if (action instanceof Action.CloseIdle a && endpoints.containsKey(a.host())) {
             Call.Endpoint endpoint = endpoints.get(a.host());
@@ -459,8 +462,21 @@
             return;
         }
         counters.add(Name.CALLS);
-        call.deadline = deadlines.at(call.dropAt, () -> call.endpoint.deliverer().giveUp(call));
-        run(() -> call.endpoint.deliverer().start(call));
+        call.deadline = deadlines.at(call.dropAt, () -> giveUp(call));
+        journal.whenDurable(() -> {
+            if (call.open > 0) { // else it was given up before its attempts were on the disk
+                call.started = true;
+                run(() -> call.endpoint.deliverer().start(call));
+            }
+        });
+    }
+
+    private void giveUp(Call call) {
+        if (call.started) {
+            call.endpoint.deliverer().giveUp(call);
+        } else {
+            List.copyOf(call.messages).forEach(m -> outcome(call, m, Ending.NOT_SENT, 0, false, false));
+        }
     }
 
     // ---- messages ---------------------------------------------------------------------------------------
@@ -501,9 +517,9 @@
     private void answer(Message m, Verdict verdict) {
         m.verdict = verdict;
         unsettled++;
-        run(() -> m.front.ended(m, verdict, () -> {
+        journal.whenDurable(() -> run(() -> m.front.ended(m, verdict, () -> {
             unsettled--;
             journal.ended(m.id());
-        }));
+        })));
     }
 }
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 
 /** What the program took in, sent and answered, and what should have held and did not. */
 public final class Counters {
@@ -17,6 +18,7 @@
     private final Map<Name, LongAdder> values = new EnumMap<>(Name.class);
     private final Map<String, LongAdder> endings = new TreeMap<>();
     private final Map<String, IntSupplier> gauges = new TreeMap<>();
+    private final Map<String, LongSupplier> figures = new TreeMap<>();
 
     /** All at nothing. */
     public Counters() {
@@ -40,6 +42,11 @@
         gauges.put(name, entries);
     }
 
+    /** A figure of a subsystem's, as it is now. */
+    public synchronized void figure(String name, LongSupplier value) {
+        figures.put(name, value);
+    }
+
     /** The count. */
     public long get(Name name) {
         return values.get(name).sum();
@@ -63,6 +70,7 @@
                 .append(value.sum()).append('\n'));
         gauges.forEach((name, entries) -> all.append("entries_").append(name).append(' ').append(entries.getAsInt())
                 .append('\n'));
+        figures.forEach((name, value) -> all.append(name).append(' ').append(value.getAsLong()).append('\n'));
         return all.toString();
     }
 }
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -11,6 +11,7 @@
     /** When its time is up, on the wall clock, microseconds: this outlasts the process. */
     final long deadlineWall;
     boolean journaled;
+    boolean told;
     boolean over;
     boolean resumed;
     int attempts;
@@ -39,9 +40,9 @@
         return !over;
     }
 
-    /** True once it is in the journal. */
+    /** True once it is in the journal for good: whoever asks may be told. */
     public boolean isTakenOn() {
-        return journaled;
+        return told;
     }
 
     /** How it ended; null while it is open. */
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Owed.java
@@ -0,0 +1,137 @@
+package lilaclever.routing;
+
+/** What the journal knows of a message that was taken on and has not ended. Used from one thread at a time. */
+public final class Owed {
+    private final String front;
+    private final Handin handin;
+    private final long deadlineWall;
+    private int attempts;
+    private boolean out;
+    private String host = "";
+    private int zone;
+    private long sentWall;
+    private boolean mayHaveRun;
+    private String riskHost = "";
+    private int riskZone;
+    private long riskWall;
+    private Verdict verdict;
+
+    /** A message just taken on; the deadline on the wall clock, microseconds. */
+    public Owed(String front, Handin handin, long deadlineWall) {
+        this.front = front;
+        this.handin = handin;
+        this.deadlineWall = deadlineWall;
+    }
+
+    /** The name of the front that it came from. */
+    public String front() {
+        return front;
+    }
+
+    /** What was handed in. */
+    public Handin handin() {
+        return handin;
+    }
+
+    /** When its time is up, on the wall clock, microseconds. */
+    public long deadlineWall() {
+        return deadlineWall;
+    }
+
+    /** Attempts made so far. */
+    public int attempts() {
+        return attempts;
+    }
+
+    /** True while an attempt is out. */
+    public boolean isOut() {
+        return out;
+    }
+
+    /** The endpoint of the last attempt. */
+    public String host() {
+        return host;
+    }
+
+    /** The zone of the last attempt. */
+    public int zone() {
+        return zone;
+    }
+
+    /** When the last attempt was made, on the wall clock. */
+    public long sentWall() {
+        return sentWall;
+    }
+
+    /** True if an attempt that has ended may have run. */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** The endpoint of the first attempt that may have run; empty if not known. */
+    public String riskHost() {
+        return riskHost;
+    }
+
+    /** Its zone. */
+    public int riskZone() {
+        return riskZone;
+    }
+
+    /** When it was made, on the wall clock. */
+    public long riskWall() {
+        return riskWall;
+    }
+
+    /** The end that is decided and not yet told, or null. */
+    public Verdict verdict() {
+        return verdict;
+    }
+
+    /** An attempt is made. */
+    public void attempt(String toHost, int toZone, long wall) {
+        attempts++;
+        out = true;
+        host = toHost;
+        zone = toZone;
+        sentWall = wall;
+    }
+
+    /** The attempt that was out has ended. */
+    public void outcome(boolean neverRan) {
+        out = false;
+        if (!neverRan) {
+            risk(host, zone, sentWall);
+        }
+    }
+
+    /** An attempt may have run; only the first counts. */
+    public void risk(String atHost, int atZone, long atWall) {
+        if (!mayHaveRun) {
+            mayHaveRun = true;
+            riskHost = atHost;
+            riskZone = atZone;
+            riskWall = atWall;
+        }
+    }
+
+    /** Records are lost, an attempt's among them perhaps: it counts as one made, and run, as early as can be. */
+    public void doubt() {
+        attempts = Math.max(1, attempts);
+        risk(host, zone, deadlineWall - handin.budgetMicros());
+    }
+
+    /** The end is decided. */
+    public void verdict(Verdict end) {
+        verdict = end;
+    }
+
+    /** Sets all that attempts have left behind, as a record of the whole message has it. */
+    public void past(int made, boolean isOut, String lastHost, int lastZone, long lastWall) {
+        attempts = made;
+        out = isOut;
+        host = lastHost;
+        zone = lastZone;
+        sentWall = lastWall;
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -0,0 +1,146 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import lilaclever.routing.Handin;
+import lilaclever.routing.Journal.Remembered;
+import lilaclever.routing.Owed;
+import lilaclever.routing.Verdict;
+
+/** A random run of a journal beside a plain model of what it must know. */
+final class Script {
+    private static final long BUDGET = 1000;
+
+    /** What the model says after some step, and how many operations the disk had seen by then. */
+    record Mark(int ops, String state) { }
+
+    final List<Mark> marks = new ArrayList<>();
+    private final SimDisk disk;
+    private final SplittableRandom random;
+    private final TreeMap<String, Owed> owed = new TreeMap<>();
+    private final TreeMap<String, Remembered> remembered = new TreeMap<>();
+    private SegmentedJournal journal;
+    private int next;
+    long now;
+    int refused;
+
+    Script(SimDisk disk, long seed) {
+        this.disk = disk;
+        random = new SplittableRandom(seed);
+    }
+
+    static SegmentedJournal open(SimDisk disk, long most, Durability durability) throws IOException {
+        return new SegmentedJournal(disk, most, durability, () -> 0, new SplittableRandom(7));
+    }
+
+    void use(SegmentedJournal opened) {
+        journal = opened;
+        mark();
+    }
+
+    /** So many steps, bodies up to so many bytes; about so many messages are held. */
+    void run(int steps, int largest, int hold) {
+        for (int i = 0; i < steps; i++) {
+            step(largest, hold);
+            mark();
+        }
+    }
+
+    private void mark() {
+        marks.add(new Mark(disk.ops.size(), text(owed, remembered)));
+    }
+
+    private void step(int largest, int hold) {
+        now++;
+        String one = owed.isEmpty() ? null : (String) owed.keySet().toArray()[random.nextInt(owed.size())];
+        if (one == null || random.nextInt(100) < (owed.size() < hold ? 50 : 15)) {
+            take(largest);
+        } else {
+            change(one, owed.get(one));
+        }
+        if (random.nextInt(3) == 0) {
+            journal.tidy(now);
+            remembered.values().removeIf(r -> r.untilWall() <= now);
+        }
+    }
+
+    private void take(int largest) {
+        byte[] body = new byte[random.nextInt(20) == 0 ? largest : random.nextInt(80)];
+        new java.util.Random(next).nextBytes(body);
+        Handin h = new Handin("m" + next, next % 3 == 0 ? "identity-" + next : null, next % 3, 7,
+                next % 2 == 0 ? "key\u00e9" : null, body, false, true, BUDGET);
+        if (journal.taken("http", h, next + BUDGET, now)) {
+            owed.put(h.id(), new Owed("http", h, next + BUDGET));
+        } else {
+            refused++;
+        }
+        next++;
+    }
+
+    private void change(String id, Owed o) {
+        switch (random.nextInt(4)) {
+            case 0 -> {
+                if (!o.isOut() && o.verdict() == null) {
+                    if (journal.attempt(id, "host-" + next % 5, 2, now)) {
+                        o.attempt("host-" + next % 5, 2, now);
+                    }
+                }
+            }
+            case 1 -> {
+                if (o.isOut()) {
+                    boolean neverRan = random.nextBoolean();
+                    journal.outcome(id, neverRan);
+                    o.outcome(neverRan);
+                }
+            }
+            case 2 -> {
+                Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
+                if (o.handin().identity() != null && random.nextBoolean()) {
+                    journal.remember(o.handin().identity(), v, now + 40);
+                    remembered.put(o.handin().identity(), new Remembered(v, now + 40));
+                } else {
+                    journal.verdict(id, v);
+                    o.verdict(v);
+                }
+            }
+            default -> {
+                if (o.deadlineWall() % 5 > 0) { // the others stay, and must be copied forward again and again
+                    journal.ended(id);
+                    owed.remove(id);
+                }
+            }
+        }
+    }
+
+    static String text(SegmentedJournal j, long now) {
+        TreeMap<String, Owed> owed = new TreeMap<>();
+        j.owed().forEach(o -> owed.put(o.handin().id(), o));
+        TreeMap<String, Remembered> kept = new TreeMap<>();
+        for (int i = 0; i < 10_000; i += 3) {
+            Remembered r = j.remembered("identity-" + i);
+            if (r != null) {
+                kept.put("identity-" + i, r);
+            }
+        }
+        return text(owed, kept);
+    }
+
+    static String text(Map<String, Owed> owed, Map<String, Remembered> remembered) {
+        StringBuilder all = new StringBuilder();
+        owed.values().forEach(o -> all.append(text(o)).append('\n'));
+        return all.append(remembered).toString();
+    }
+
+    static String text(Owed o) {
+        Handin h = o.handin();
+        return String.join(" ", o.front(), h.id(), h.identity(), h.key(), h.messageClass() + "/" + h.destination(),
+                "" + java.util.Arrays.hashCode(h.body()), "" + h.budgetMicros(), "" + o.deadlineWall(),
+                o.attempts() + (o.isOut() ? " out" : "") + (o.attempts() > 0 ? " " + o.host() + o.sentWall() : ""),
+                o.mayHaveRun() ? "risk " + o.riskHost() + o.riskZone() + "@" + o.riskWall() : "",
+                String.valueOf(o.verdict()));
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/journal/SimDisk.java
@@ -0,0 +1,236 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * A folder in memory that remembers each operation, so that a run can be cut after any of them, inside any write, and
+ * with what was not forced lost; and that fails operations as real disks do.
+ */
+final class SimDisk implements Disk {
+    /** What is done to the content of a file, by its number, or to names. */
+    record Op(Kind kind, int file, String name, String to, long position, byte[] bytes) { }
+
+    enum Kind { CREATE, WRITE, TRUNCATE, RENAME, DELETE, FORCE, FORCE_NAMES }
+
+    final List<Op> ops = new ArrayList<>();
+    /** Bytes that all files may take together, and each; more is a failure of the system's. */
+    long most = Long.MAX_VALUE, mostOfAFile = Long.MAX_VALUE;
+    /** Every write fails, and every forcing. */
+    boolean writesFail, forcesFail;
+    private final TreeMap<String, Integer> names = new TreeMap<>();
+    private final Map<Integer, byte[]> contents = new HashMap<>();
+    private int nextFile;
+
+    private void apply(Op op) {
+        switch (op.kind()) {
+            case CREATE -> {
+                names.put(op.name(), op.file());
+                contents.put(op.file(), new byte[0]);
+                nextFile = Math.max(nextFile, op.file() + 1);
+            }
+            case WRITE -> {
+                byte[] old = contents.getOrDefault(op.file(), new byte[0]);
+                long end = op.position() + op.bytes().length;
+                byte[] now = end <= old.length ? old : Arrays.copyOf(old, (int) end);
+                System.arraycopy(op.bytes(), 0, now, (int) op.position(), op.bytes().length);
+                contents.put(op.file(), now);
+            }
+            case TRUNCATE -> {
+                byte[] old = contents.get(op.file());
+                contents.put(op.file(), Arrays.copyOf(old, (int) Math.min(old.length, op.position())));
+            }
+            case RENAME -> names.put(op.to(), names.remove(op.name()));
+            case DELETE -> names.remove(op.name());
+            default -> { }
+        }
+    }
+
+    private void add(Kind kind, int file, String name, String to, long position, byte[] bytes) {
+        Op op = new Op(kind, file, name, to, position, bytes);
+        ops.add(op);
+        apply(op);
+    }
+
+    // ---- crashes ----------------------------------------------------------------------------------------
+    /** The folder as a kill leaves it: so many operations, and so many bytes of the next if that is a write. */
+    static SimDisk killed(List<Op> ops, int done, int bytesOfNext) {
+        SimDisk disk = new SimDisk();
+        ops.subList(0, done).forEach(disk::apply);
+        if (bytesOfNext > 0 && done < ops.size() && ops.get(done).kind() == Kind.WRITE) {
+            disk.apply(part(ops.get(done), 0, bytesOfNext));
+        }
+        return disk;
+    }
+
+    private static Op part(Op op, int from, int to) {
+        return new Op(op.kind(), op.file(), op.name(), op.to(), op.position() + from,
+                Arrays.copyOfRange(op.bytes(), from, Math.min(to, op.bytes().length)));
+    }
+
+    /**
+     * The folder as a failure of the machine leaves it: what was not forced is there in part, in any order, 512 bytes
+     * at a time; names change in their order, as a file system's own journal keeps them, up to any of them.
+     */
+    static SimDisk powerCut(List<Op> ops, int done, SplittableRandom random) {
+        int namesForced = 0;
+        Map<Integer, Integer> forced = new HashMap<>();
+        for (int i = 0; i < done; i++) {
+            if (ops.get(i).kind() == Kind.FORCE_NAMES) {
+                namesForced = i;
+            } else if (ops.get(i).kind() == Kind.FORCE) {
+                forced.put(ops.get(i).file(), i);
+            }
+        }
+        int namesUntil = namesForced + random.nextInt(done - namesForced + 1);
+        SimDisk disk = new SimDisk();
+        Set<Integer> known = new HashSet<>();
+        for (int i = 0; i < done; i++) {
+            Op op = ops.get(i);
+            boolean ofNames = op.kind() == Kind.CREATE || op.kind() == Kind.RENAME || op.kind() == Kind.DELETE;
+            if (ofNames && i < namesUntil) {
+                disk.apply(op);
+                known.add(op.file());
+            } else if (!ofNames && known.contains(op.file())) {
+                if (i < forced.getOrDefault(op.file(), -1) || op.kind() == Kind.TRUNCATE) {
+                    disk.apply(op);
+                } else if (op.kind() == Kind.WRITE) {
+                    for (int at = 0; at < op.bytes().length;) {
+                        int to = at + Format.BLOCK - (int) ((op.position() + at) % Format.BLOCK);
+                        if (random.nextBoolean()) {
+                            disk.apply(part(op, at, to));
+                        }
+                        at = to;
+                    }
+                }
+            }
+        }
+        return disk;
+    }
+
+    // ---- as the journal sees it -------------------------------------------------------------------------
+    long total() {
+        return names.values().stream().mapToLong(f -> Plan.blocks(contents.get(f).length)).sum();
+    }
+
+    byte[] content(String name) {
+        return contents.get(names.get(name));
+    }
+
+    void put(String name, byte[] content) {
+        add(Kind.CREATE, nextFile, name, null, 0, null);
+        add(Kind.WRITE, names.get(name), name, null, 0, content);
+    }
+
+    @Override
+    public List<String> names() {
+        return List.copyOf(names.keySet());
+    }
+
+    @Override
+    public long length(String name) {
+        return content(name).length;
+    }
+
+    @Override
+    public DiskFile open(String name) {
+        if (!names.containsKey(name)) {
+            add(Kind.CREATE, nextFile, name, null, 0, null);
+        }
+        return new File(names.get(name));
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        if (!names.containsKey(from)) {
+            throw new IOException("no file " + from);
+        }
+        add(Kind.RENAME, names.get(from), from, to, 0, null);
+    }
+
+    @Override
+    public void delete(String name) {
+        if (names.containsKey(name)) {
+            add(Kind.DELETE, names.get(name), name, null, 0, null);
+        }
+    }
+
+    @Override
+    public void forceNames() throws IOException {
+        if (forcesFail) {
+            throw new IOException("Input/output error");
+        }
+        add(Kind.FORCE_NAMES, -1, null, null, 0, null);
+    }
+
+    @Override
+    public void close() { }
+
+    private final class File implements DiskFile {
+        private final int number;
+
+        File(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public int read(ByteBuffer into, long position) {
+            byte[] all = contents.get(number);
+            int n = (int) Math.min(into.remaining(), all.length - position);
+            if (n <= 0) {
+                return -1;
+            }
+            into.put(all, (int) position, n);
+            return n;
+        }
+
+        @Override
+        public void write(ByteBuffer bytes, long position) throws IOException {
+            if (writesFail) {
+                throw new IOException("Input/output error");
+            }
+            long length = contents.get(number).length;
+            long room = Math.min(mostOfAFile - position, bytes.remaining());
+            if (most < Long.MAX_VALUE && position + room > length) {
+                room = Math.min(room, Plan.blocks(length) + Math.max(0, most - total()) - position);
+            }
+            byte[] all = new byte[(int) Math.max(0, room)];
+            int asked = bytes.remaining();
+            bytes.get(all);
+            if (all.length > 0) {
+                add(Kind.WRITE, number, null, null, position, all);
+            }
+            if (all.length < asked) {
+                throw new IOException(position + all.length >= mostOfAFile ? "File too large"
+                        : "No space left on device");
+            }
+        }
+
+        @Override
+        public void truncate(long length) {
+            if (length < contents.get(number).length) {
+                add(Kind.TRUNCATE, number, null, null, length, null);
+            }
+        }
+
+        @Override
+        public void force() throws IOException {
+            if (forcesFail) {
+                throw new IOException("Input/output error");
+            }
+            add(Kind.FORCE, number, null, null, 0, null);
+        }
+
+        @Override
+        public void close() { }
+    }
+}
