--- /dev/null
+++ b/bench/java/lilaclever/journal/JournalBench.java
@@ -0,0 +1,101 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * One turn of the loop as the journal sees it, with so many messages held: one is taken, attempted, ended, and the
+ * store's own work is done. So compaction runs all the time, at the pace that the load needs.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 3)
+@Measurement(iterations = 4, time = 5)
+@Fork(value = 1, jvmArgsAppend = {"-Xmx10g", "-XX:+UseZGC"})
+public class JournalBench {
+    private static final int BODY = 300;
+
+    /** The store. */
+    @Param({"segments", "one-file", "mvstore"})
+    public String store;
+
+    /** Messages held all the time. */
+    @Param({"1000", "10000", "100000", "1000000"})
+    public int held;
+
+    private Path folder;
+    private long writtenBefore;
+    private Store open;
+    private long next;
+    private final byte[] body = new byte[BODY];
+
+    /** Fills the store. */
+    @Setup(Level.Trial)
+    public void fill() throws IOException {
+        new Random(1).nextBytes(body);
+        folder = Files.createTempDirectory("journal-bench");
+        open = Store.open(store, folder);
+        writtenBefore = written();
+        while (next < held) {
+            open.taken("message-" + next++, body);
+            if (next % 100 == 0) {
+                open.turn();
+            }
+        }
+        open.turn();
+    }
+
+    /** One turn. */
+    @Benchmark
+    public void turn() {
+        open.taken("message-" + next, body);
+        open.attempt("message-" + next);
+        open.outcome("message-" + next);
+        open.ended("message-" + (next - held));
+        next++;
+        open.turn();
+    }
+
+    /** Bytes that the process has handed to the system, by its own account. */
+    private static long written() throws IOException {
+        return Files.readAllLines(Path.of("/proc/self/io")).stream().filter(l -> l.startsWith("wchar: "))
+                .mapToLong(l -> Long.parseLong(l.substring(7))).findFirst().orElse(0);
+    }
+
+    /** Prints bytes a message, and how long opening takes. */
+    @TearDown(Level.Trial)
+    public void end() throws IOException {
+        System.out.printf("%nFIGURE %s %d bytes-a-message %d%n", store, held, (written() - writtenBefore) / next);
+        open.close();
+        System.gc();
+        for (int i = 0; i < 3; i++) {
+            long began = System.nanoTime();
+            try (Store again = Store.open(store, folder)) {
+                System.out.printf("FIGURE %s %d open-ms %d owed %d%n", store, held,
+                        (System.nanoTime() - began) / 1_000_000, again.owed());
+            }
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+    }
+}
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.IntUnaryOperator;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
@@ -20,7 +21,8 @@
 
     final List<Mark> marks = new ArrayList<>();
     private final SimDisk disk;
-    private final SplittableRandom random;
+    /** Gives a number below the bound. */
+    private final IntUnaryOperator random;
     private final TreeMap<String, Owed> owed = new TreeMap<>();
     private final TreeMap<String, Remembered> remembered = new TreeMap<>();
     private SegmentedJournal journal;
@@ -29,8 +31,12 @@
     int refused;
 
     Script(SimDisk disk, long seed) {
+        this(disk, new SplittableRandom(seed)::nextInt);
+    }
+
+    Script(SimDisk disk, IntUnaryOperator random) {
         this.disk = disk;
-        random = new SplittableRandom(seed);
+        this.random = random;
     }
 
     static SegmentedJournal open(SimDisk disk, long most, Durability durability) throws IOException {
@@ -56,20 +62,20 @@
 
     private void step(int largest, int hold) {
         now++;
-        String one = owed.isEmpty() ? null : (String) owed.keySet().toArray()[random.nextInt(owed.size())];
-        if (one == null || random.nextInt(100) < (owed.size() < hold ? 50 : 15)) {
+        String one = owed.isEmpty() ? null : (String) owed.keySet().toArray()[random.applyAsInt(owed.size())];
+        if (one == null || random.applyAsInt(100) < (owed.size() < hold ? 50 : 15)) {
             take(largest);
         } else {
             change(one, owed.get(one));
         }
-        if (random.nextInt(3) == 0) {
+        if (random.applyAsInt(3) == 0) {
             journal.tidy(now);
             remembered.values().removeIf(r -> r.untilWall() <= now);
         }
     }
 
     private void take(int largest) {
-        byte[] body = new byte[random.nextInt(20) == 0 ? largest : random.nextInt(80)];
+        byte[] body = new byte[random.applyAsInt(20) == 0 ? largest : random.applyAsInt(80)];
         new java.util.Random(next).nextBytes(body);
         Handin h = new Handin("m" + next, next % 3 == 0 ? "identity-" + next : null, next % 3, 7,
                 next % 2 == 0 ? "key\u00e9" : null, body, false, true, BUDGET);
@@ -82,7 +88,7 @@
     }
 
     private void change(String id, Owed o) {
-        switch (random.nextInt(4)) {
+        switch (random.applyAsInt(4)) {
             case 0 -> {
                 if (!o.isOut() && o.verdict() == null) {
                     if (journal.attempt(id, "host-" + next % 5, 2, now)) {
@@ -92,14 +98,14 @@
             }
             case 1 -> {
                 if (o.isOut()) {
-                    boolean neverRan = random.nextBoolean();
+                    boolean neverRan = random.applyAsInt(2) == 0;
                     journal.outcome(id, neverRan);
                     o.outcome(neverRan);
                 }
             }
             case 2 -> {
                 Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
-                if (o.handin().identity() != null && random.nextBoolean()) {
+                if (o.handin().identity() != null && random.applyAsInt(2) == 0) {
                     journal.remember(o.handin().identity(), v, now + 40);
                     remembered.put(o.handin().identity(), new Remembered(v, now + 40));
                 } else {
@@ -116,6 +122,11 @@
         }
     }
 
+    /** What the model says now, without ends that may be forgotten at any time. */
+    String model() {
+        return text(owed, Map.of());
+    }
+
     static String text(SegmentedJournal j, long now) {
         TreeMap<String, Owed> owed = new TreeMap<>();
         j.owed().forEach(o -> owed.put(o.handin().id(), o));
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -103,6 +103,26 @@
         }
     }
 
+    /** With records forced before their consequence, all goes as without, and a client that left is forgotten. */
+    @Test
+    void aGroupCommitHoldsNothingBackForGood() throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+            Operator operator = Operator.of(OperatorFile.parse("f", List.of("[journal]", "durability group")));
+            forwarder = Forwarder.start(Setup.config(platform.address(), state, endpoint.address()), operator, null);
+            address = forwarder.addresses().get(0);
+            try (Wire client = Wire.to(address)) {
+                for (int i = 0; i < 20; i++) {
+                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "payment" : "status", 5, "x").startsWith("202"));
+                    assertTrue(Peer.next(calls).startsWith("/receive m" + i + " "));
+                }
+                untilDelivered(client, 20);
+                while (!counters(client).contains("\nentries_owed 0\n")) {
+                    continue; // the last end is being forced
+                }
+            }
+        }
+    }
+
     /** What comes back decides what may be sent again: a reset or an error may have run, a full one never did. */
     @ParameterizedTest
     @CsvSource({"payment, 503, 2, ''", "payment, 500, 1, undeliverable", "payment, drop, 1, undeliverable",
--- /dev/null
+++ b/src/test/java/lilaclever/program/StrainRun.java
@@ -0,0 +1,416 @@
+package lilaclever.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+
+/**
+ * The journal under strain, outside CI: real processes under load, killed at random moments, or with a disk that fills,
+ * or with a bit flipped while they are down; then every message's story is checked. {@code bench/strain} starts it.
+ *
+ * <p>A lane is one process with its clients, endpoints and platform. Messages have short deadlines so that a run ends.
+ */
+final class StrainRun {
+    private static final int CLIENTS = 6, SENDS_A_SECOND = 20;
+    private static final long MS = 1_000_000, NOTICE_GRACE = 400 * MS, RESTART_GRACE = 1500 * MS, WINDOW = 5_000 * MS;
+    /** Of a thousand calls: so many are refused, up to so many fail, up to so many have their connection dropped. */
+    private static final int FULL = 1, FAULT = 10, DROP = 20;
+    private static final int DESTINATIONS = 6, FIRST = 7;
+    private static final String[] CLASSES = {"order", "status", "payment"};
+    private static final double[] DEADLINES = {8, 4, 9};
+
+    /** One message's story; times in nanoseconds. */
+    private static final class Story {
+        final int kind;
+        final long sentAt;
+        long takenAt, deliveredAt, noticeAt;
+        int open;
+        final List<String> events = new ArrayList<>();
+        final List<Long> mayHaveRunAt = new ArrayList<>();
+
+        Story(int kind, long sentAt) {
+            this.kind = kind;
+            this.sentAt = sentAt;
+        }
+
+        synchronized void add(long at, String what) {
+            events.add((at - sentAt) / MS + " ms " + what);
+        }
+    }
+
+    /** What a lane found. */
+    private static final class Findings {
+        final TreeMap<String, Long> counts = new TreeMap<>();
+        final List<String> stories = new ArrayList<>();
+        final List<Long> readyMs = new ArrayList<>(), latencyMs = new ArrayList<>(), backMs = new ArrayList<>();
+
+        synchronized void add(String what, long n) {
+            counts.merge(what, n, Long::sum);
+        }
+
+        synchronized void broken(String rule, String id, Story s) {
+            add("BROKEN " + rule, 1);
+            if (stories.size() < 10) {
+                stories.add(rule + ": " + id + " " + CLASSES[s.kind] + " " + s.events);
+            }
+        }
+    }
+
+    private final Findings findings;
+    private final SplittableRandom random;
+    private final String mode;
+    private final Path folder;
+    private final Map<String, Story> stories = new ConcurrentHashMap<>();
+    private final AtomicLong ids = new AtomicLong();
+    private final List<long[]> downs = new ArrayList<>();
+    private volatile InetSocketAddress address;
+    private volatile boolean ended;
+    private Process process;
+
+    private StrainRun(String mode, long seed, Findings findings) throws IOException {
+        this.mode = mode;
+        this.findings = findings;
+        random = new SplittableRandom(seed);
+        folder = Files.createTempDirectory("strain");
+    }
+
+    // ---- peers ------------------------------------------------------------------------------------------
+    private Peer endpoint(long seed) throws IOException {
+        SplittableRandom own = new SplittableRandom(seed);
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                Story s = stories.get(r.headers().getOrDefault("req-id", ""));
+                int draw;
+                synchronized (own) {
+                    draw = own.nextInt(1000);
+                }
+                if (s == null || !r.path().equals("/receive")) {
+                    wire.answer("400 what", "");
+                    continue;
+                }
+                long now = System.nanoTime();
+                synchronized (s) {
+                    if (s.open > 0) {
+                        findings.broken("two attempts out", r.headers().get("req-id"), s);
+                    }
+                    if (s.noticeAt > 0 && now - s.noticeAt > 50 * MS) {
+                        findings.broken("called after its end", r.headers().get("req-id"), s);
+                    }
+                    if (draw >= FULL) {
+                        mayRun(r.headers().get("req-id"), s, now);
+                    }
+                    s.open++;
+                }
+                s.add(now, "call " + draw);
+                answer(wire, s, draw);
+            }
+        });
+    }
+
+    private void mayRun(String id, Story s, long now) {
+        if (!s.mayHaveRunAt.isEmpty()) {
+            if (s.kind == 2) {
+                findings.broken("payment sent twice", id, s);
+            } else if (s.kind == 0 && now - s.mayHaveRunAt.get(0) > WINDOW + 50 * MS) {
+                findings.broken("order sent again after its window", id, s);
+            }
+        }
+        s.mayHaveRunAt.add(now);
+    }
+
+    private static void answer(Wire wire, Story s, int draw) throws IOException, InterruptedException {
+        try {
+            Thread.sleep(draw < 950 ? 5 + draw % 20 : 300);
+            if (draw < FULL) {
+                wire.answer("503 full", "");
+            } else if (draw < FAULT) {
+                wire.answer("500 fault", "");
+            } else if (draw < DROP) {
+                wire.close();
+            } else {
+                long now = System.nanoTime();
+                synchronized (s) {
+                    s.deliveredAt = s.deliveredAt == 0 ? now : s.deliveredAt;
+                }
+                s.add(now, "200");
+                wire.answer("200 OK", "");
+            }
+        } finally {
+            synchronized (s) {
+                s.open--;
+            }
+        }
+    }
+
+    private Peer platform(String list) throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                if (r.path().equals("/status")) {
+                    long now = System.nanoTime();
+                    r.body().lines().forEach(l -> notice(l, now));
+                    wire.answer("204 No Content", "");
+                } else if (!r.path().contains("?")) {
+                    wire.answer("200 OK", list);
+                }
+            }
+        });
+    }
+
+    private void notice(String line, long now) {
+        Story s = stories.get(line.replaceAll(".*\"id\":\"([^\"]*)\".*", "$1"));
+        if (s != null) {
+            synchronized (s) {
+                s.noticeAt = s.noticeAt == 0 ? now : s.noticeAt;
+            }
+            s.add(now, line);
+        }
+    }
+
+    private void client(long seed) {
+        SplittableRandom own = new SplittableRandom(seed);
+        Wire wire = null;
+        long next = System.nanoTime();
+        while (!ended) {
+            next += (long) (2 * own.nextDouble() * 1000 / SENDS_A_SECOND * MS);
+            try {
+                TimeUnit.NANOSECONDS.sleep(next - System.nanoTime());
+                if (wire == null) {
+                    wire = Wire.to(address);
+                }
+                int draw = own.nextInt(100);
+                int kind = draw < 57 ? 0 : draw < 80 ? 1 : 2;
+                String id = "m" + ids.getAndIncrement();
+                Story s = new Story(kind, System.nanoTime());
+                stories.put(id, s);
+                String answer = wire.handIn(id, CLASSES[kind], FIRST + own.nextInt(DESTINATIONS),
+                        DEADLINES[kind], "x".repeat(200 + own.nextInt(200)));
+                long now = System.nanoTime();
+                s.add(now, answer.split(" ")[0]);
+                if (answer.startsWith("202")) {
+                    s.takenAt = now;
+                } else if (answer.equals("closed")) {
+                    wire = null;
+                }
+            } catch (IOException e) {
+                wire = null;
+                next = Math.max(next, System.nanoTime() - 100 * MS); // no burst of what could not be sent
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    // ---- the process ------------------------------------------------------------------------------------
+    private void start(String config) throws IOException {
+        long began = System.nanoTime();
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:SharedArchiveFile="
+                + "target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve")
+                .redirectErrorStream(true);
+        builder.environment().put("ROUTER_CONFIG", file.toString());
+        process = builder.start();
+        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            note(line);
+            if (line.contains("serves at")) {
+                address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
+                findings.readyMs.add((System.nanoTime() - began) / MS);
+                Thread drain = new Thread(() -> log.lines().forEach(this::note));
+                drain.setDaemon(true);
+                drain.start();
+                return;
+            }
+        }
+        throw new IOException("the program did not start");
+    }
+
+    private void note(String line) {
+        if (line.contains("Exception") || line.contains("does not hold") || line.contains("can't be read")) {
+            findings.add("log: " + line.replaceAll("segment-\\S+|\\d+", "#").replaceAll("^(.{60}).*", "$1"), 1);
+        }
+    }
+
+    private void kill() throws IOException, InterruptedException {
+        long at = System.nanoTime();
+        process.destroyForcibly().waitFor();
+        downs.add(new long[] {at, Long.MAX_VALUE});
+    }
+
+    private void up() {
+        downs.get(downs.size() - 1)[1] = System.nanoTime() + RESTART_GRACE;
+    }
+
+    /** Flips one bit in the used part of one segment. */
+    private void flip() throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.list(folder.resolve("state"))) {
+            files = all.filter(f -> f.getFileName().toString().startsWith("segment-")).sorted().toList();
+        }
+        Path file = files.get(random.nextInt(files.size()));
+        byte[] content = Files.readAllBytes(file);
+        int used = content.length;
+        while (used > 0 && content[used - 1] == 0) {
+            used--;
+        }
+        if (used > 0) {
+            content[random.nextInt(used)] ^= (byte) (1 << random.nextInt(8));
+            Files.write(file, content);
+        }
+    }
+
+    private void limitFiles(String bytes) throws IOException, InterruptedException {
+        new ProcessBuilder("prlimit", "--pid", "" + process.pid(), "--fsize=" + bytes + ":unlimited").inheritIO()
+                .start().waitFor();
+    }
+
+    private void run(int cycles) throws IOException, InterruptedException {
+        try (Peer one = endpoint(random.nextLong()); Peer two = endpoint(random.nextLong());
+                Peer platform = platform("")) {
+            StringBuilder list = new StringBuilder("{\"index\":1,\"snapshot\":true,\"endpoints\":[");
+            for (int d = 0; d < DESTINATIONS; d++) {
+                for (Peer peer : List.of(one, two)) {
+                    list.append(list.toString().endsWith("[") ? "" : ",").append(("{\"name\":\"e%d-%s\",\"address\":\"%s\","
+                            + "\"zone\":\"z\",\"type\":\"lab\",\"group\":%d,\"status\":\"active\"}")
+                            .formatted(d, peer == one ? "a" : "b", peer.address(), FIRST + d));
+                }
+            }
+            String config = Setup.text(platform.address(), folder.resolve("state"), null, 3)
+                    .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"known\": null", "\"known\": "
+                    + list.append("]}"));
+            start(config);
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                long seed = random.nextLong();
+                clients.add(new Thread(() -> client(seed)));
+            }
+            clients.forEach(Thread::start);
+            for (int i = 0; i < cycles; i++) {
+                if (mode.equals("full")) {
+                    fill();
+                }
+                Thread.sleep(mode.equals("full") ? 500 : 200 + random.nextInt(1800));
+                kill();
+                if (mode.equals("flip")) {
+                    flip();
+                }
+                start(config);
+                up();
+                findings.add(mode + " kills", 1);
+            }
+            Thread.sleep(1000);
+            ended = true;
+            for (Thread t : clients) {
+                t.join();
+            }
+            Thread.sleep(10_000); // every deadline is past, and every end told
+            process.destroyForcibly().waitFor();
+            check();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** The disk fills in the middle of the load, stays so for some seconds, and has room again. */
+    private void fill() throws IOException, InterruptedException {
+        Thread.sleep(2000);
+        limitFiles("" + (random.nextBoolean() ? 4096 : 20_000));
+        Thread.sleep(3000 + random.nextInt(3000));
+        limitFiles("unlimited");
+        long freed = System.nanoTime();
+        // Back to normal: within one second nine in ten were taken, and delivered as fast as usual.
+        while (System.nanoTime() - freed < 40_000 * MS) {
+            Thread.sleep(500);
+            long from = System.nanoTime() - 1500 * MS;
+            List<Story> lately = stories.values().stream()
+                    .filter(s -> s.sentAt > from && s.sentAt < from + 1000 * MS && s.sentAt > freed).toList();
+            long good = lately.stream().filter(s -> s.deliveredAt > 0 && s.deliveredAt - s.sentAt < 500 * MS).count();
+            if (lately.size() > 40 && good > 0.8 * lately.size()) {
+                break;
+            }
+        }
+        findings.backMs.add((System.nanoTime() - freed) / MS);
+    }
+
+    // ---- the rules --------------------------------------------------------------------------------------
+    private void check() {
+        stories.forEach((id, s) -> {
+            findings.add("handed in", 1);
+            if (s.takenAt == 0) {
+                return;
+            }
+            findings.add("taken", 1);
+            findings.add(s.deliveredAt > 0 ? "delivered" : s.noticeAt > 0 ? "ended by notice" : "no end", 1);
+            long due = s.sentAt + (long) (DEADLINES[s.kind] * 1000 * MS) + NOTICE_GRACE;
+            if (s.deliveredAt == 0 && s.noticeAt == 0) {
+                findings.broken(mode.equals("flip") ? "lost (its record was hit)" : "lost", id, s);
+            } else if (Math.min(s.deliveredAt > 0 ? s.deliveredAt : Long.MAX_VALUE,
+                    s.noticeAt > 0 ? s.noticeAt : Long.MAX_VALUE) > due
+                    && downs.stream().noneMatch(d -> d[0] < due && due < d[1])) {
+                findings.broken("ended late", id, s);
+            }
+            if (s.deliveredAt > 0 && downs.stream().noneMatch(d -> d[0] < s.deliveredAt && s.sentAt < d[1])) {
+                findings.latencyMs.add((s.deliveredAt - s.sentAt) / MS);
+            }
+        });
+    }
+
+    private static String spread(List<Long> values) {
+        long[] all = values.stream().mapToLong(Long::longValue).sorted().toArray();
+        return all.length == 0 ? "none" : "median " + all[all.length / 2] + ", 99th percentile "
+                + all[(int) (0.99 * (all.length - 1))] + ", most " + all[all.length - 1] + " (of " + all.length + ")";
+    }
+
+    /** Arguments: kill, flip or full; how many cycles in all; lanes; seed. Exit code 1 if a rule was broken. */
+    public static void main(String[] args) throws Exception {
+        String mode = args[0];
+        int cycles = Integer.parseInt(args[1]);
+        int lanes = Integer.parseInt(args[2]);
+        SplittableRandom seeds = new SplittableRandom(Long.parseLong(args[3]));
+        Findings findings = new Findings();
+        List<Thread> threads = new ArrayList<>();
+        LinkedBlockingQueue<Throwable> failures = new LinkedBlockingQueue<>();
+        for (int i = 0; i < lanes; i++) {
+            StrainRun lane = new StrainRun(mode, seeds.nextLong(), findings);
+            Thread t = new Thread(() -> {
+                try {
+                    lane.run((cycles + lanes - 1) / lanes);
+                } catch (IOException | InterruptedException | RuntimeException e) {
+                    failures.add(e);
+                }
+            });
+            threads.add(t);
+            t.start();
+        }
+        for (Thread t : threads) {
+            t.join();
+        }
+        System.out.println("| " + String.join(" ", Arrays.asList(args)) + " | |\n| --- | --- |");
+        findings.counts.forEach((what, n) -> System.out.println("| " + what + " | " + n + " |"));
+        System.out.println("| ready after a start, ms | " + spread(findings.readyMs) + " |");
+        System.out.println("| handed in to delivered, no restart between, ms | " + spread(findings.latencyMs) + " |");
+        if (mode.equals("full")) {
+            System.out.println("| room again to normal service, ms | " + spread(findings.backMs) + " |");
+        }
+        findings.stories.forEach(System.out::println);
+        failures.forEach(Throwable::printStackTrace);
+        System.exit(failures.isEmpty() && findings.counts.keySet().stream().noneMatch(k -> k.startsWith("BROKEN")
+                && !k.contains("record was hit")) ? 0 : 1);
+    }
+}
