Move times of an earlier life when the wall clock was set between two lives

A clock set back by more than a restart takes made an attempt look younger, so that an order could go out again after its window, and gave held messages more time than their budget.

Change: each segment's header tells the boot and the wall clock's distance from the machine's start (/proc/uptime); walls that are read are moved by what that distance changed within a boot. The core's wall clock does not jump within a life, a message never gets more than its budget, and an attempt from the future counts as long ago.

--- a/bench/java/lilaclever/journal/Store.java
+++ b/bench/java/lilaclever/journal/Store.java
@@ -48,7 +48,8 @@
         private final Journal journal;
 
         Segments(Path folder) throws IOException {
-            journal = new SegmentedJournal(FolderDisk.take(folder), MOST, Durability.NONE, () -> System.nanoTime() / 1000,
+            journal = new SegmentedJournal(FolderDisk.take(folder), MOST, Durability.NONE,
+                    new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                     new SplittableRandom(1));
         }
 
--- a/src/main/java/lilaclever/journal/Format.java
+++ b/src/main/java/lilaclever/journal/Format.java
@@ -6,7 +6,7 @@
 
 /**
  * The bytes of a segment. It begins with two copies of a header, 64 bytes apart: magic, format version, sequence
- * number, salt, time of making, CRC32C. Records follow, to the first byte that is none:
+ * number, salt, time of making, which start of the machine and the wall clock's distance from it, CRC32C. Records follow, to the first byte that is none:
  * <pre>
  *   marker (2) | type (1) | length of the content (4) | CRC32C (4) | content | length again (4) | end (1)
  * </pre>
@@ -31,7 +31,7 @@
     static final int BLOCK = 512;
 
     private static final long MAGIC = 0x4c494c41434a4e4cL;
-    private static final int COPY = 64, HEADER_CONTENT = 36;
+    private static final int COPY = 64, HEADER_CONTENT = 52;
     private static final short MARKER = (short) 0x4ca7;
     private static final int TRAILER = 5;
     /** The last byte of each record, never zero. */
@@ -62,7 +62,7 @@
     }
 
     /** What a segment's header says. */
-    record Header(int version, long sequence, long salt, long madeWall) { }
+    record Header(int version, long sequence, long salt, long madeWall, BootClock clock) { }
 
     private Format() { }
 
@@ -71,6 +71,7 @@
         for (int at = 0; at < HEADER; at += COPY) {
             all.position(at);
             all.putLong(MAGIC).putInt(h.version()).putLong(h.sequence()).putLong(h.salt()).putLong(h.madeWall());
+            all.putLong(h.clock().boot()).putLong(h.clock().offsetMicros());
             all.putInt(sum(all, at));
         }
         return all.position(0);
@@ -88,7 +89,7 @@
             if (bytes.limit() >= at + HEADER_CONTENT + 4 && bytes.getLong(at) == MAGIC
                     && bytes.getInt(at + HEADER_CONTENT) == sum(bytes, at)) {
                 return new Header(bytes.getInt(at + 8), bytes.getLong(at + 12), bytes.getLong(at + 20),
-                        bytes.getLong(at + 28));
+                        bytes.getLong(at + 28), new BootClock(bytes.getLong(at + 36), bytes.getLong(at + 44)));
             }
         }
         return null;
--- a/src/main/java/lilaclever/journal/Held.java
+++ b/src/main/java/lilaclever/journal/Held.java
@@ -48,6 +48,8 @@
     /** Counts of live records by the bits of their size: the largest is known without a sorted map. */
     private final int[] sizes = new int[Integer.SIZE];
     private long live, growth;
+    /** What to add to walls that are read. */
+    private long shift;
 
     // ---- figures ----------------------------------------------------------------------------------------
     /** Bytes that are live. */
@@ -226,6 +228,15 @@
     }
 
     // ---- reading ----------------------------------------------------------------------------------------
+    /** The wall clock was set by so much since what is read from now on was written. */
+    void shiftWalls(long micros) {
+        shift = micros;
+    }
+
+    private long wall(ByteBuffer in) {
+        return in.getLong() + shift;
+    }
+
     /** Applies a record; false if its content makes no sense. */
     boolean apply(Type type, ByteBuffer in, Segment segment, int size) {
         try {
@@ -238,7 +249,7 @@
                 }
                 case REMEMBERED -> {
                     String identity = Format.text(in);
-                    put(identity, new Remembered(readEnd(in), in.getLong()), segment, size);
+                    put(identity, new Remembered(readEnd(in), wall(in)), segment, size);
                 }
                 case ENDED -> drop(Format.text(in));
                 case PREVIOUS -> { }
@@ -256,13 +267,13 @@
             return; // its message has ended, or a later record tells all of it
         }
         switch (type) {
-            case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), in.getLong());
+            case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), wall(in));
             case OUTCOME -> slot.value.outcome(Format.flag(in));
             default -> slot.value.verdict(readEnd(in));
         }
     }
 
-    private static Owed readWhole(ByteBuffer in) {
+    private Owed readWhole(ByteBuffer in) {
         String front = Format.text(in);
         String id = Format.text(in);
         String identity = Format.flag(in) ? Format.text(in) : null;
@@ -272,17 +283,17 @@
         boolean again = Format.flag(in);
         boolean inherited = Format.flag(in);
         long budget = in.getLong();
-        long deadline = in.getLong();
+        long deadline = wall(in);
         return new Owed(front, new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again,
                 inherited, budget), deadline);
     }
 
-    private static void readPast(ByteBuffer in, Owed o) {
-        o.past(in.getInt(), Format.flag(in), Format.text(in), in.getInt(), in.getLong());
+    private void readPast(ByteBuffer in, Owed o) {
+        o.past(in.getInt(), Format.flag(in), Format.text(in), in.getInt(), wall(in));
         boolean mayHaveRun = Format.flag(in);
         String host = Format.text(in);
         int zone = in.getInt();
-        long wall = in.getLong();
+        long wall = wall(in);
         if (mayHaveRun) {
             o.risk(host, zone, wall);
         }
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -46,7 +46,7 @@
     public int inspect() throws IOException {
         try (FolderDisk disk = take()) {
             Held held = new Held();
-            Recovery recovery = new Recovery(disk, held, line -> { });
+            Recovery recovery = new Recovery(disk, held, BootClock.UNKNOWN, line -> { });
             Recovery.Report report = recovery.scan();
             out.printf("%-26s %9s %9s %9s %7s  %s%n", "file", "bytes", "used", "live", "records", "of which");
             for (Recovery.Found f : recovery.found()) {
@@ -76,7 +76,7 @@
     /** Reads all and prints only what is wrong. */
     public int verify() throws IOException {
         try (FolderDisk disk = take()) {
-            return told(new Recovery(disk, new Held(), line -> { }).scan());
+            return told(new Recovery(disk, new Held(), BootClock.UNKNOWN, line -> { }).scan());
         }
     }
 
@@ -97,7 +97,7 @@
     public int compact(long mostBytes) throws IOException {
         FolderDisk disk = take();
         try (SegmentedJournal journal = new SegmentedJournal(disk, mostBytes,
-                new Durability(Durability.How.GROUP, 0), () -> System.nanoTime() / 1000, new SplittableRandom())) {
+                new Durability(Durability.How.GROUP, 0), times(), new SplittableRandom())) {
             long before = journal.allocated();
             journal.compactAll();
             out.println("bytes before " + before + ", now " + journal.allocated() + ", files " + journal.files());
@@ -108,11 +108,16 @@
         }
     }
 
+    private static Times times() {
+        long wall = System.currentTimeMillis() * 1000;
+        return new Times(() -> System.nanoTime() / 1000, () -> wall, BootClock.read(wall));
+    }
+
     /** Prints what is owed and what is remembered, one JSON object a line. */
     public int export() throws IOException {
         try (FolderDisk disk = take()) {
             Held held = new Held();
-            Recovery.Report report = new Recovery(disk, held, System.err::println).scan();
+            Recovery.Report report = new Recovery(disk, held, BootClock.UNKNOWN, System.err::println).scan();
             for (Held.Slot<Owed> slot : held.owed.values()) {
                 line(json -> owed(json, slot.value));
             }
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -29,6 +29,7 @@
 
     private final Disk disk;
     private final Held held;
+    private final BootClock clock;
     private final Consumer<String> log;
     private final List<Damage> damages = new ArrayList<>();
     private final List<Found> found = new ArrayList<>();
@@ -39,9 +40,10 @@
     private long cleanUpTo = -1;
 
     /** {@code log} hears of each damage, a line each. */
-    Recovery(Disk disk, Held held, Consumer<String> log) {
+    Recovery(Disk disk, Held held, BootClock clock, Consumer<String> log) {
         this.disk = disk;
         this.held = held;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -136,6 +138,7 @@
         EnumMap<Type, Integer> counts = new EnumMap<>(Type.class);
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             found.add(new Found(segment, reader.header(), counts));
+            held.shiftWalls(reader.header() == null ? 0 : clock.shiftFrom(reader.header().clock()));
             segment.used = reader.read(end, new SegmentReader.Listener() {
                 @Override
                 public boolean record(Type type, ByteBuffer content, long position, int size) {
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -25,6 +25,7 @@
     private final Plan plan;
     private final long most;
     private final RandomGenerator random;
+    private final Times times;
     private final ArrayDeque<Segment> full = new ArrayDeque<>();
     private final ArrayDeque<Spare> spares = new ArrayDeque<>();
     /** Files that hold records which may not outlast the machine yet. */
@@ -41,12 +42,13 @@
     private boolean cannotGrow;
 
     /** {@code forces}: files are to be forced, so they are kept open until then. */
-    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces) {
+    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces, Times times) {
         this.disk = disk;
         this.plan = plan;
         this.most = most;
         this.random = random;
         this.forces = forces;
+        this.times = times;
     }
 
     // ---- opening ----------------------------------------------------------------------------------------
@@ -153,7 +155,8 @@
         try {
             long nextSalt = random.nextLong();
             file = disk.open(spare.name());
-            file.write(Format.header(new Format.Header(Format.VERSION, sequence, nextSalt, 0)), 0);
+            file.write(Format.header(new Format.Header(Format.VERSION, sequence, nextSalt, times.wall().getAsLong(),
+                    times.boot())), 0);
             Segment last = full.peekLast();
             Writer first = new Writer();
             Held.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -48,17 +48,16 @@
      * Opens the journal in the folder and reads what an earlier life left.
      *
      * @param mostBytes what all its files may take together, each in whole blocks of 512 bytes
-     * @param micros a clock that only goes forward
      * @param random where salts come from
      */
-    public SegmentedJournal(Disk disk, long mostBytes, Durability durability, LongSupplier micros,
-            RandomGenerator random) throws IOException {
+    public SegmentedJournal(Disk disk, long mostBytes, Durability durability, Times times, RandomGenerator random) throws IOException {
         this.disk = disk;
-        this.micros = micros;
+        micros = times.micros();
         plan = new Plan(mostBytes);
         syncer = new Syncer(durability, disk, this::writeAllAgain);
-        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces());
-        Recovery recovery = new Recovery(disk, held, line -> System.err.println("lilaclever: journal: " + line));
+        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
+        Recovery recovery = new Recovery(disk, held, times.boot(),
+                line -> System.err.println("lilaclever: journal: " + line));
         recovered = recovery.scan();
         recovery.settle(log);
         carryOver(recovered.cleanUpTo());
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
+import lilaclever.journal.BootClock;
 import lilaclever.journal.FolderDisk;
 import lilaclever.journal.SegmentedJournal;
+import lilaclever.journal.Times;
 import lilaclever.protocol.http.Directory;
 import lilaclever.protocol.http.HttpDeliverer;
 import lilaclever.protocol.http.HttpFront;
@@ -46,7 +48,9 @@
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
         journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - Config.NOTE_BYTES,
-                operator.journal().durability(), Core::micros, new SplittableRandom(config.seed() ^ System.nanoTime()));
+                operator.journal().durability(),
+                new Times(Core::micros, Core::wall, BootClock.read(Core.wall())),
+                new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
         core = new Core(settings, config.seed(), journal, counters, operator.journal().rememberMicros());
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -29,6 +29,8 @@
     /** An end this long after a message's time is a broken rule. */
     private static final long OVERDUE = 250_000;
 
+    private static final long WALL_AT_START = System.currentTimeMillis() * 1000 - micros();
+
     /** An endpoint as the directory lists it. */
     public record Listed(Relay.Entry entry, Call.Endpoint endpoint) { }
 
@@ -100,8 +102,12 @@
         return System.nanoTime() / 1000;
     }
 
-    private static long wall() {
-        return System.currentTimeMillis() * 1000;
+    /**
+     * The wall clock, microseconds, as it was when this life began and went on from there: it does not jump when
+     * somebody sets it. What outlasts the process is told in it.
+     */
+    public static long wall() {
+        return WALL_AT_START + micros();
     }
 
     /** Adds a front; before {@link #start}. */
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -4,6 +4,8 @@
 
 /** A message in the core's hands. */
 public final class Message {
+    private static final long LONG_AGO = 86_400_000_000L;
+
     /** What the front handed in. */
     public final Handin handin;
     /** Where it came from. */
@@ -60,9 +62,11 @@
     }
 
     Relay.Event.Submit submit(long nowMono, long nowWall) {
+        // An attempt can't be younger than now: the clock was set back, and it may be of any age.
+        long since = nowWall < riskWall ? LONG_AGO : nowWall - riskWall;
         Relay.Prior prior = attempts == 0 ? null
-                : new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - (nowWall - riskWall));
+                : new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since);
         return new Relay.Event.Submit(id(), handin.messageClass(), handin.destination(), 0, null, handin.again(),
-                handin.inherited(), Math.max(0, deadlineWall - nowWall), prior);
+                handin.inherited(), Math.max(0, Math.min(handin.budgetMicros(), deadlineWall - nowWall)), prior);
     }
 }
--- a/src/test/java/lilaclever/journal/InspectionTest.java
+++ b/src/test/java/lilaclever/journal/InspectionTest.java
@@ -29,7 +29,7 @@
     private Inspection inspection;
 
     private SegmentedJournal open() throws IOException {
-        return new SegmentedJournal(FolderDisk.take(folder), 1 << 20, Durability.NONE, () -> 0, new SplittableRandom(1));
+        return new SegmentedJournal(FolderDisk.take(folder), 1 << 20, Durability.NONE, Script.times(() -> 0), new SplittableRandom(1));
     }
 
     @BeforeEach
--- a/src/test/java/lilaclever/journal/JournalProperties.java
+++ b/src/test/java/lilaclever/journal/JournalProperties.java
@@ -69,7 +69,7 @@
     }
 
     private static SegmentedJournal open(SimDisk disk, long[] clock) throws IOException {
-        return new SegmentedJournal(disk, MOST, Durability.NONE, () -> clock[0], new SplittableRandom(9));
+        return new SegmentedJournal(disk, MOST, Durability.NONE, Script.times(() -> clock[0]), new SplittableRandom(9));
     }
 
     private static String owed(SegmentedJournal journal) {
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
+import java.util.function.LongSupplier;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
@@ -40,7 +41,11 @@
     }
 
     static SegmentedJournal open(SimDisk disk, long most, Durability durability) throws IOException {
-        return new SegmentedJournal(disk, most, durability, () -> 0, new SplittableRandom(7));
+        return new SegmentedJournal(disk, most, durability, times(() -> 0), new SplittableRandom(7));
+    }
+
+    static Times times(LongSupplier micros) {
+        return new Times(micros, micros, BootClock.UNKNOWN);
     }
 
     void use(SegmentedJournal opened) {
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -35,7 +35,7 @@
     }
 
     private SegmentedJournal open(long most) throws IOException {
-        return new SegmentedJournal(disk, most, Durability.NONE, () -> clock, new SplittableRandom(3));
+        return new SegmentedJournal(disk, most, Durability.NONE, Script.times(() -> clock), new SplittableRandom(3));
     }
 
     private static boolean take(SegmentedJournal journal, String id, int size) {
@@ -244,7 +244,7 @@
 
     @Test
     void aNewerFormatIsRefusedAndNothingIsTouched() throws IOException {
-        disk.put(Segment.name(1), Format.header(new Format.Header(Format.VERSION + 1, 1, 5, 0)).array());
+        disk.put(Segment.name(1), Format.header(new Format.Header(Format.VERSION + 1, 1, 5, 0, BootClock.UNKNOWN)).array());
         disk.put("journal.new", new byte[3]);
         int before = disk.ops.size();
         JournalException e = assertThrows(JournalException.class, this::open);
@@ -261,6 +261,38 @@
         FolderDisk.take(folder).close();
     }
 
+    // ---- clocks -----------------------------------------------------------------------------------------
+    /**
+     * The clock is set back by an hour between two lives: an attempt must not look younger than it is, or an order
+     * would go out again after its window, and no message may live for an hour more.
+     */
+    @Test
+    void whatIsKeptMovesWithAClockThatWasSetBetweenTwoLives() throws IOException {
+        long hour = 3_600_000_000L;
+        long[] walls = {5 * hour, 4 * hour + 7_000_000, 4 * hour + 9_000_000};
+        long[] ups = {hour, hour + 7_000_000, 1_000};
+        long[] boots = {77, 77, 78};
+        for (int life = 0; life < 3; life++) {
+            long wall = walls[life];
+            Times times = new Times(() -> 0, () -> wall, new BootClock(boots[life], wall - ups[life]));
+            try (SegmentedJournal journal = new SegmentedJournal(disk, MOST, Durability.NONE, times,
+                    new SplittableRandom(life))) {
+                if (life == 0) {
+                    journal.taken("http", new Handin("m", null, 2, 7, null, new byte[3], false, false, 28_000_000),
+                            wall + 28_000_000, wall);
+                    journal.attempt("m", "a", 0, wall + 1_000_000);
+                    journal.remember("i", Verdict.of(Verdict.Kind.DELIVERED), wall + hour);
+                } else {
+                    // The second life is 7 s later by the machine's clock. The third has started the machine anew,
+                    // and must believe the wall clock of the segment that it finds.
+                    assertEquals(4 * hour + 28_000_000, owed(journal, "m").deadlineWall() + (life == 2 ? -hour : 0));
+                    assertEquals(4 * hour + 1_000_000, owed(journal, "m").sentWall() + (life == 2 ? -hour : 0));
+                    assertEquals(5 * hour, journal.remembered("i").untilWall() + (life == 2 ? -hour : 0));
+                }
+            }
+        }
+    }
+
     // ---- room -------------------------------------------------------------------------------------------
     /** With the disk full of what is held, all its attempts must still be written; only new work is refused. */
     @ParameterizedTest
@@ -370,7 +402,7 @@
     @Test
     void afterAFailedForcingAllIsWrittenAgainBeforeAnythingHappens() throws Exception {
         try (SegmentedJournal journal = new SegmentedJournal(disk, MOST, new Durability(Durability.How.GROUP, 0),
-                () -> clock, new SplittableRandom(3))) {
+                Script.times(() -> clock), new SplittableRandom(3))) {
             java.util.concurrent.LinkedBlockingQueue<Runnable> loop = new java.util.concurrent.LinkedBlockingQueue<>();
             journal.attach(loop::add);
             take(journal, "m", 10);
