--- /dev/null
+++ b/bench/java/lilaclever/journal/OpeningRun.java
@@ -0,0 +1,74 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Random;
+
+/**
+ * How long a folder takes to open, and with how much memory, in a process of its own: {@code fill KIND HELD FOLDER}
+ * makes a folder with so many messages held and three times as many past, {@code remember HELD FOLDER} one with so many
+ * remembered ends, {@code open KIND FOLDER} opens it and prints milliseconds and the most memory that the process had.
+ */
+final class OpeningRun {
+    private OpeningRun() { }
+
+    public static void main(String[] args) throws IOException {
+        switch (args[0]) {
+            case "fill" -> fill(args[1], Integer.parseInt(args[2]), Path.of(args[3]));
+            case "remember" -> remember(Integer.parseInt(args[1]), Path.of(args[2]));
+            default -> open(args[1], Path.of(args[2]));
+        }
+    }
+
+    private static void fill(String kind, int held, Path folder) throws IOException {
+        byte[] body = new byte[300];
+        new Random(1).nextBytes(body);
+        try (Store store = Store.open(kind, folder)) {
+            for (int i = 0; i < 4 * held; i++) {
+                store.taken("message-" + i, body);
+                store.attempt("message-" + i);
+                if (i >= held) {
+                    store.ended("message-" + (i - held));
+                }
+                if (i % 10 == 0) {
+                    store.turn();
+                }
+            }
+            store.turn();
+        }
+    }
+
+    private static void remember(int ends, Path folder) throws IOException {
+        try (SegmentedJournal journal = new SegmentedJournal(FolderDisk.take(folder), Store.MOST, Durability.NONE,
+                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN), new java.util.SplittableRandom())) {
+            long longest = 0;
+            for (int i = 0; i < ends; i++) {
+                journal.remember("<" + i + "@mail.example> frames@supplier.example", new lilaclever.routing.Verdict(
+                        lilaclever.routing.Verdict.Kind.DELIVERED, 0, "250 2.0.0 queued"), i < ends / 2 ? 1 : 1000);
+                long began = System.nanoTime();
+                journal.tidy(0);
+                longest = i > 5000 ? Math.max(longest, System.nanoTime() - began) : 0;
+            }
+            System.out.println("remembered " + journal.rememberedCount() + ", longest slice us " + longest / 1000);
+            longest = 0;
+            int turns = 0;
+            for (; journal.rememberedCount() > ends / 2; turns++) {
+                long began = System.nanoTime();
+                journal.tidy(2);
+                longest = Math.max(longest, System.nanoTime() - began);
+            }
+            System.out.println("half of them past and forgotten in " + turns + " turns, longest us " + longest / 1000);
+        }
+    }
+
+    private static void open(String kind, Path folder) throws IOException {
+        long began = System.nanoTime();
+        try (Store store = Store.open(kind, folder)) {
+            long ms = (System.nanoTime() - began) / 1_000_000;
+            String peak = Files.readAllLines(Path.of("/proc/self/status")).stream().filter(l -> l.startsWith("VmHWM"))
+                    .findFirst().orElse("?");
+            System.out.println(kind + " owed " + store.owed() + " opened in " + ms + " ms, " + peak.replaceAll("\\s+", " "));
+        }
+    }
+}
--- a/src/main/java/lilaclever/journal/Plan.java
+++ b/src/main/java/lilaclever/journal/Plan.java
@@ -18,6 +18,8 @@
     private static final int PARTS = 64, RESERVED = 4;
     /** Spare files that only copying may use. */
     private static final int FOR_COPIES = 2;
+    /** Files emptied for each that is taken into use, where room is scarce. */
+    private static final int FORCED = 2;
     private static final long SLICE = 64 * 1024, HASTY_SLICE = 256 * 1024;
     /** How long to leave a disk alone that has failed a write, microseconds. */
     static final long PAUSE = 200_000;
@@ -110,6 +112,15 @@
         return past > 2 * s.live() + RESERVED * segment ? SLICE : 0;
     }
 
+    /**
+     * How many files to empty at once before a further one is taken into use. Nearly always the slices of the turns have
+     * done it. But records that grow when they are copied need more room than they give back until what is past is
+     * reached, so this begins while there is still that room.
+     */
+    int forced(Space s, int files) {
+        return mustClean(s) ? files : scarce(s) && growth(s, 0) == 0 ? FORCED : 0;
+    }
+
     /** True if no further file may be taken into use but for copying, by which files become free. */
     boolean mustClean(Space s) {
         return s.spares() <= FOR_COPIES && growth(s, 0) == 0;
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -264,10 +264,10 @@
     }
 
     // ---- emptying ---------------------------------------------------------------------------------------
-    /** Empties files until there are spare ones for the next pass; each is passed once at most. */
+    /** Empties files where that can't wait for the turn's slice. */
     private void makeRoom() throws IOException {
-        for (int files = log.files(); files > 0 && plan.mustClean(log.space(held)) && log.oldest() != null; files--) {
-            if (!copy(Long.MAX_VALUE) || !releaseEmpty()) {
+        for (int n = plan.forced(log.space(held), log.files()); n > 0 && log.oldest() != null; n--) {
+            if (!copy(Long.MAX_VALUE) || !releaseEmpty() || plan.forced(log.space(held), 1) == 0) {
                 return;
             }
         }
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -150,6 +150,26 @@
         }
     }
 
+    /** Only the newest file may end in a torn record: one that lost its end before that has lost something. */
+    @Test
+    void aFileThatWasCutShortIsDamagedUnlessItIsTheNewest() throws IOException {
+        try (SegmentedJournal journal = open()) {
+            for (int i = 0; i < 60; i++) {
+                take(journal, "m" + i, 300);
+            }
+        }
+        byte[] first = disk.content(Segment.name(1));
+        int used = first.length;
+        while (first[used - 1] == 0) {
+            used--;
+        }
+        disk.put(Segment.name(1), java.util.Arrays.copyOf(first, used - 30));
+        try (SegmentedJournal journal = open()) {
+            assertEquals(59, journal.owed().size());
+            assertEquals(1, journal.recovered().damages().size());
+        }
+    }
+
     @Test
     void aMissingFileHasAllBeforeItCountAsPossiblyRun() throws IOException {
         try (SegmentedJournal journal = open()) {
@@ -328,6 +348,27 @@
         }
     }
 
+    /** Within one turn more may be written than the spare files hold: then files are emptied at once. */
+    @Test
+    void manyRecordsInOneTurnFindRoomToo() throws IOException {
+        try (SegmentedJournal journal = open()) {
+            int held = 0;
+            while (take(journal, "m" + held, 300)) {
+                held++;
+            }
+            for (int attempt = 0; attempt < 16; attempt++) {
+                for (int i = 0; i < held; i++) {
+                    assertTrue(journal.attempt("m" + i, "an-endpoint", 0, 1), attempt + " m" + i);
+                    journal.outcome("m" + i, false);
+                }
+            }
+            assertTrue(journal.copied() > 0 && disk.total() <= MOST);
+        }
+        try (SegmentedJournal journal = open()) {
+            journal.owed().forEach(o -> assertEquals(16, o.attempts()));
+        }
+    }
+
     /** Others fill the disk: what was taken has its room, what is new is refused, and room that comes back is used. */
     @ParameterizedTest
     @ValueSource(strings = {"space", "file size"})
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -175,6 +175,24 @@
             socket.close();
         }
 
+        /** True if the other side has not closed it; only where nothing is expected from there now. */
+        boolean isOpen() {
+            try {
+                socket.setSoTimeout(1);
+                return in.read() >= 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return true;
+            } catch (IOException e) {
+                return false;
+            } finally {
+                try {
+                    socket.setSoTimeout(30_000);
+                } catch (IOException e) {
+                    // closed on this side
+                }
+            }
+        }
+
         void hang() throws IOException {
             while (line() != null) {
                 continue; // takes everything, says nothing
