Never use up the spare files for one long record, and test room over all sizes

Change: a record that is not a copy is taken only where two spare files stay (canTake), and files are emptied until then; a property over sizes from 100 bytes to 64 KiB and up to 600 held checks that no attempt and no end lacks room.

--- a/src/main/java/lilaclever/journal/Plan.java
+++ b/src/main/java/lilaclever/journal/Plan.java
@@ -17,7 +17,7 @@
     private static final long SHORTEST = 16 * 1024, LONGEST = 1024 * 1024;
     private static final int PARTS = 64, RESERVED = 4;
     /** Spare files that only copying may use. */
-    private static final int FOR_COPIES = 2;
+    static final int FOR_COPIES = 2;
     /** Files emptied for each that is taken into use, where room is scarce. */
     private static final int FORCED = 2;
     private static final long SLICE = 64 * 1024, HASTY_SLICE = 256 * 1024;
@@ -113,16 +113,11 @@
     }
 
     /**
-     * How many files to empty at once before a further one is taken into use. Nearly always the slices of the turns have
-     * done it. But records that grow when they are copied need more room than they give back until what is past is
-     * reached, so this begins while there is still that room.
+     * How many files to empty at once before a further one is taken into use, at least. Nearly always the slices of the
+     * turns have done it. But records that grow when they are copied need more room than they give back until what is
+     * past is reached, so this begins while there is still that room.
      */
-    int forced(Space s, int files) {
-        return mustClean(s) ? files : scarce(s) && growth(s, 0) == 0 ? FORCED : 0;
-    }
-
-    /** True if no further file may be taken into use but for copying, by which files become free. */
-    boolean mustClean(Space s) {
-        return s.spares() <= FOR_COPIES && growth(s, 0) == 0;
+    int forced(Space s) {
+        return scarce(s) && growth(s, 0) == 0 ? FORCED : 0;
     }
 }
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -118,6 +118,19 @@
         return active != null && active.used + bytes <= active.length;
     }
 
+    /** True if a file for so many bytes can be had that leaves at least so many spare ones. */
+    boolean canTake(long bytes, int keep) {
+        long room = most - allocated;
+        int left = spares.size();
+        for (Spare s : spares) {
+            if (s.length() >= bytes + Format.OVERHEAD && spares.size() > keep) {
+                return true;
+            }
+            room += left-- > keep ? s.length() : 0; // it could make way for a longer one
+        }
+        return room >= plan.lengthFor(bytes);
+    }
+
     /** What the file in use still has room for. */
     long left() {
         return active == null ? 0 : active.length - active.used;
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -215,10 +215,10 @@
         for (int tries = log.files() + 2; tries > 0; tries--) {
             try {
                 if (!log.fits(records.size()) && !copying) {
-                    makeRoom();
+                    makeRoom(records.size());
                 }
                 if (!log.fits(records.size())) {
-                    if (!copying && plan.mustClean(log.space(held))) {
+                    if (!copying && !log.canTake(records.size(), Plan.FOR_COPIES)) {
                         throw new SegmentLog.NoRoom();
                     }
                     log.roll(records.size());
@@ -265,9 +265,10 @@
 
     // ---- emptying ---------------------------------------------------------------------------------------
     /** Empties files where that can't wait for the turn's slice. */
-    private void makeRoom() throws IOException {
-        for (int n = plan.forced(log.space(held), log.files()); n > 0 && log.oldest() != null; n--) {
-            if (!copy(Long.MAX_VALUE) || !releaseEmpty() || plan.forced(log.space(held), 1) == 0) {
+    private void makeRoom(long bytes) throws IOException {
+        int wanted = plan.forced(log.space(held));
+        for (int n = log.files(); n > 0 && log.oldest() != null; n--) {
+            if (wanted-- <= 0 && log.canTake(bytes, Plan.FOR_COPIES) || !copy(Long.MAX_VALUE) || !releaseEmpty()) {
                 return;
             }
         }
--- a/src/test/java/lilaclever/journal/JournalProperties.java
+++ b/src/test/java/lilaclever/journal/JournalProperties.java
@@ -68,6 +68,20 @@
         assertEquals(script.model(), owed(open(disk, clock)));
     }
 
+    /** On a disk that works no attempt and no end ever lacks room, whatever the sizes, also without a turn between. */
+    @Property(tries = 30, seed = "4711", shrinking = ShrinkingMode.BOUNDED)
+    void whatWasTakenNeverLacksRoom(@ForAll @IntRange(min = 100, max = 66_000) int largest,
+            @ForAll @IntRange(min = 10, max = 600) int hold, @ForAll long seed) throws IOException {
+        SimDisk disk = new SimDisk();
+        Script script = new Script(disk, seed);
+        try (SegmentedJournal journal = Script.open(disk, 3 * MOST, Durability.NONE)) {
+            script.use(journal);
+            script.runOn(2500, largest, hold);
+            assertEquals(0, script.attemptsRefused + journal.unwritten() + (int) journal.failures());
+            assertTrue(disk.total() <= 3 * MOST);
+        }
+    }
+
     private static SegmentedJournal open(SimDisk disk, long[] clock) throws IOException {
         return new SegmentedJournal(disk, MOST, Durability.NONE, Script.times(() -> clock[0]), new SplittableRandom(9));
     }
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -29,7 +29,7 @@
     private SegmentedJournal journal;
     private int next;
     long now;
-    int refused;
+    int refused, attemptsRefused;
 
     Script(SimDisk disk, long seed) {
         this(disk, new SplittableRandom(seed)::nextInt);
@@ -61,6 +61,13 @@
         }
     }
 
+    /** The same without a note of each step's state. */
+    void runOn(int steps, int largest, int hold) {
+        for (int i = 0; i < steps; i++) {
+            step(largest, hold);
+        }
+    }
+
     private void mark() {
         marks.add(new Mark(disk.ops.size(), text(owed, remembered)));
     }
@@ -98,6 +105,8 @@
                 if (!o.isOut() && o.verdict() == null) {
                     if (journal.attempt(id, "host-" + next % 5, 2, now)) {
                         o.attempt("host-" + next % 5, 2, now);
+                    } else {
+                        attemptsRefused++;
                     }
                 }
             }
