--- a/src/main/java/lilaclever/journal/Plan.java
+++ b/src/main/java/lilaclever/journal/Plan.java
@@ -14,7 +14,7 @@
  * has room for (next-fit), so at most half is lost, and no more than the largest record.
  */
 final class Plan {
-    private static final long SHORTEST = 16 * 1024, LONGEST = 1024 * 1024;
+    private static final long SHORTEST = 16 * 1024, LONGEST = 256 * 1024;
     private static final int PARTS = 64, RESERVED = 4;
     /** Spare files that only copying may use. */
     static final int FOR_COPIES = 2;
