--- a/src/main/java/lilaclever/journal/Disk.java
+++ b/src/main/java/lilaclever/journal/Disk.java
@@ -32,6 +32,19 @@
         /** Reads at the position; gives the bytes read, or -1 at the end. */
         int read(ByteBuffer into, long position) throws IOException;
 
+        /** Reads until the buffer is full; false if the file ends before. */
+        default boolean fill(ByteBuffer into, long position) throws IOException {
+            long at = position;
+            while (into.hasRemaining()) {
+                int n = read(into, at);
+                if (n <= 0) {
+                    return false;
+                }
+                at += n;
+            }
+            return true;
+        }
+
         /** Writes all of the buffer at the position, or fails with any part of it written. */
         void write(ByteBuffer bytes, long position) throws IOException;
 
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -33,13 +33,13 @@
         long at = 0;
         try (Disk.DiskFile file = disk.open(NAME)) {
             ByteBuffer head = ByteBuffer.allocate(HEAD);
-            while (fill(file, head.clear(), at)) {
+            while (file.fill(head.clear(), at)) {
                 int size = head.getInt(0);
                 if (size <= 0 || size > LARGEST || size > length - at - HEAD) {
                     break;
                 }
                 ByteBuffer content = ByteBuffer.allocate(size);
-                fill(file, content, at + HEAD);
+                file.fill(content, at + HEAD);
                 CRC32 crc = new CRC32();
                 crc.update(content.flip().duplicate());
                 if ((int) crc.getValue() != head.getInt(4)) {
@@ -58,18 +58,6 @@
         return damaged;
     }
 
-    private static boolean fill(Disk.DiskFile file, ByteBuffer into, long position) throws IOException {
-        long at = position;
-        while (into.hasRemaining()) {
-            int n = file.read(into, at);
-            if (n <= 0) {
-                return false;
-            }
-            at += n;
-        }
-        return true;
-    }
-
     private void apply(ByteBuffer in, int size) {
         int type = in.get();
         if (type == TAKEN) {
--- a/src/main/java/lilaclever/journal/SegmentReader.java
+++ b/src/main/java/lilaclever/journal/SegmentReader.java
@@ -32,7 +32,7 @@
         try {
             length = disk.length(name);
             ByteBuffer bytes = ByteBuffer.allocate(Format.HEADER);
-            fill(bytes, 0);
+            file.fill(bytes, 0);
             header = Format.readHeader(bytes.flip());
         } catch (IOException | RuntimeException e) {
             file.close();
@@ -127,7 +127,7 @@
         long last = lastByte(at);
         ByteBuffer trailer = ByteBuffer.allocate(5);
         if (last - at >= trailer.capacity()) {
-            fill(trailer, last + 1 - trailer.capacity());
+            file.fill(trailer, last + 1 - trailer.capacity());
         }
         return Format.endsWhole(last + 1 - at, trailer.flip());
     }
@@ -158,22 +158,11 @@
             window = ByteBuffer.allocate(capacity);
         }
         window.clear();
-        fill(window, at);
+        file.fill(window, at);
         window.flip();
         windowAt = at;
     }
 
-    private void fill(ByteBuffer into, long position) throws IOException {
-        long at = position;
-        while (into.hasRemaining()) {
-            int n = file.read(into, at);
-            if (n <= 0) {
-                return;
-            }
-            at += n;
-        }
-    }
-
     @Override
     public void close() throws IOException {
         file.close();
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -1,7 +1,6 @@
 package lilaclever.journal;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.AbstractCollection;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -277,12 +276,12 @@
     /** Copies live records of the oldest file forward, so many bytes of them; false if they could not be written. */
     private boolean copy(long most) {
         Segment from = log.oldest();
-        return copy(held.owed, from, most, Held::snapshot)
-                && copy(held.remembered, from, most, null);
+        return copy(held.owed, from, most, (out, id, o) -> Held.snapshot(out, o))
+                && copy(held.remembered, from, most, Held::remembered);
     }
 
     private interface Snapshot<T> {
-        void write(Writer out, T value);
+        void write(Writer out, String key, T value);
     }
 
     private <T> boolean copy(Map<String, Held.Slot<T>> map, Segment from, long most, Snapshot<T> how) {
@@ -297,11 +296,7 @@
                     break;
                 }
                 int before = copies.size();
-                if (how == null) {
-                    Held.remembered(copies, e.getKey(), (Remembered) slot.value);
-                } else {
-                    how.write(copies, slot.value);
-                }
+                how.write(copies, e.getKey(), slot.value);
                 if (!keys.isEmpty() && copies.size() > log.left()) {
                     copies.cut(before); // it goes into the next file, and none of this one's room is lost to a batch
                     break;
