--- /dev/null
+++ b/bench/java/lilaclever/journal/TurnRun.java
@@ -0,0 +1,278 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Stream;
+import lilaclever.routing.Handin;
+
+/**
+ * Turns of the journal, and what the longest of them were spent on: each operation on the disk is timed, so that what
+ * the system took is told from what the code took. {@code TurnRun turns HELD TURNS}: back to back, no forcing.
+ * {@code TurnRun durability HOW RATE SECONDS}: turns at a steady rate, as the loop has them; how long a turn takes, and
+ * how long what waits for the disk has to wait.
+ */
+public final class TurnRun {
+    private static final int BODY = 300, LONGEST = 12;
+    private static final long MOST = 4L << 30;
+
+    /** What a turn took, nanoseconds: in all, of the processor, in the disk's operations, and in the longest of these. */
+    private record Turn(long all, long cpu, long disk, long longest, String operation) { }
+
+    private final TimedDisk disk;
+    private final SegmentedJournal journal;
+    private final ConcurrentLinkedQueue<Runnable> loop = new ConcurrentLinkedQueue<>();
+    private final byte[] body = new byte[BODY];
+    private long next;
+
+    private TurnRun(Path folder, Durability durability) throws IOException {
+        new Random(1).nextBytes(body);
+        disk = new TimedDisk(FolderDisk.take(folder));
+        journal = new SegmentedJournal(disk, MOST, durability,
+                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN), new SplittableRandom(1));
+        journal.attach(loop::add);
+    }
+
+    /** Runs what the arguments name. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("turn-run");
+        try {
+            if (args[0].equals("turns")) {
+                new TurnRun(folder, Durability.NONE).turns(Integer.parseInt(args[1]), Long.parseLong(args[2]));
+            } else {
+                Durability.How how = Durability.How.valueOf(args[1].toUpperCase(java.util.Locale.ROOT));
+                new TurnRun(folder, new Durability(how, 50_000)).steady(args[1], Integer.parseInt(args[2]),
+                        Integer.parseInt(args[3]));
+            }
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+    }
+
+    private void turn(int held, Runnable durable) {
+        take();
+        journal.whenDurable(durable);
+        journal.attempt("message-" + next, "endpoint-7", 0, 1);
+        journal.outcome("message-" + next, true);
+        journal.ended("message-" + (next - held));
+        next++;
+        journal.tidy(0);
+    }
+
+    private void take() {
+        String id = "message-" + next;
+        if (!journal.taken("http", new Handin(id, null, 1, 7, "k-" + id, body, false, false, 20_000_000), 99, 0)) {
+            throw new IllegalStateException("no room");
+        }
+    }
+
+    private void fill(int held) {
+        while (next < held) {
+            take();
+            next++;
+            journal.tidy(0);
+        }
+    }
+
+    private void turns(int held, long turns) throws IOException {
+        fill(held);
+        for (long i = 0; i < turns / 4; i++) {
+            turn(held, () -> { });
+        }
+        PriorityQueue<Turn> longest = new PriorityQueue<>(Comparator.comparingLong(Turn::all));
+        java.lang.management.ThreadMXBean thread = java.lang.management.ManagementFactory.getThreadMXBean();
+        long mostCpu = 0, over = 0, overCpu = 0;
+        for (long i = 0; i < turns; i++) {
+            disk.begin();
+            long cpuBegan = thread.getCurrentThreadCpuTime();
+            long began = System.nanoTime();
+            turn(held, () -> { });
+            long all = System.nanoTime() - began;
+            long cpu = thread.getCurrentThreadCpuTime() - cpuBegan;
+            mostCpu = Math.max(mostCpu, cpu);
+            over += all > 2_000_000 ? 1 : 0;
+            overCpu += cpu > 2_000_000 ? 1 : 0;
+            longest.add(new Turn(all, cpu, disk.spent, disk.longest, disk.operation));
+            if (longest.size() > LONGEST) {
+                longest.poll();
+            }
+        }
+        System.out.printf("held %d, turns %d: over 2 ms %d, by the processor's time (the system's for it included) %d; "
+                + "most of the processor's time %.0f us%n", held, turns, over, overCpu, mostCpu / 1e3);
+        List<Turn> sorted = new ArrayList<>(longest);
+        sorted.sort(Comparator.comparingLong(Turn::all).reversed());
+        for (Turn t : sorted) {
+            System.out.printf("  %6.0f us in all, %6.0f of the processor, %6.0f in the disk's operations, the longest %s %6.0f%n", t.all / 1e3,
+                    t.cpu / 1e3, t.disk / 1e3, t.operation, t.longest / 1e3);
+        }
+        journal.close();
+    }
+
+    private void steady(String how, int rate, int seconds) throws IOException {
+        int held = 1000;
+        fill(held);
+        int turns = rate * seconds;
+        long[] took = new long[turns], waited = new long[turns];
+        long start = System.nanoTime() + 1_000_000_000L;
+        for (int i = 0; i < turns; ) {
+            for (Runnable task = loop.poll(); task != null; task = loop.poll()) {
+                task.run();
+            }
+            if (System.nanoTime() < start + i * 1_000_000_000L / rate) {
+                Thread.onSpinWait();
+                continue;
+            }
+            long began = System.nanoTime();
+            int index = i++;
+            turn(held, () -> waited[index] = System.nanoTime() - began);
+            took[index] = System.nanoTime() - began;
+        }
+        long until = System.nanoTime() + 2_000_000_000L;
+        while (System.nanoTime() < until) {
+            for (Runnable task = loop.poll(); task != null; task = loop.poll()) {
+                task.run();
+            }
+        }
+        System.out.printf("%s at %d turns a second: turn %s; until it may be told %s; forcings %d, each %s us%n", how, rate,
+                figures(took), figures(waited), disk.forcings.size(),
+                figures(disk.forcings.stream().mapToLong(Long::longValue).toArray()));
+        journal.close();
+    }
+
+    private static String figures(long[] nanos) {
+        long[] sorted = nanos.clone();
+        Arrays.sort(sorted);
+        return sorted.length == 0 ? "-" : String.format("%.0f / %.0f / %.0f us", sorted[sorted.length / 2] / 1e3,
+                sorted[sorted.length * 99 / 100] / 1e3, sorted[sorted.length - 1] / 1e3);
+    }
+
+    /** A disk that times its operations. */
+    private static final class TimedDisk implements Disk {
+        private final Disk real;
+        private final ConcurrentLinkedQueue<Long> forcings = new ConcurrentLinkedQueue<>();
+        private long spent, longest;
+        private String operation = "";
+
+        TimedDisk(Disk real) {
+            this.real = real;
+        }
+
+        void begin() {
+            spent = 0;
+            longest = 0;
+            operation = "none";
+        }
+
+        private interface Step<T> {
+            T run() throws IOException;
+        }
+
+        private <T> T timed(String name, Step<T> step) throws IOException {
+            long began = System.nanoTime();
+            T result = step.run();
+            long took = System.nanoTime() - began;
+            spent += took;
+            if (took > longest) {
+                longest = took;
+                operation = name;
+            }
+            return result;
+        }
+
+        @Override
+        public List<String> names() throws IOException {
+            return real.names();
+        }
+
+        @Override
+        public long length(String name) throws IOException {
+            return real.length(name);
+        }
+
+        @Override
+        public DiskFile open(String name) throws IOException {
+            return new TimedFile(timed("open", () -> real.open(name)));
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            timed("rename", () -> {
+                real.rename(from, to);
+                return null;
+            });
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            timed("delete", () -> {
+                real.delete(name);
+                return null;
+            });
+        }
+
+        @Override
+        public void forceNames() throws IOException {
+            real.forceNames();
+        }
+
+        @Override
+        public void close() throws IOException {
+            real.close();
+        }
+
+        private final class TimedFile implements DiskFile {
+            private final DiskFile file;
+
+            TimedFile(DiskFile file) {
+                this.file = file;
+            }
+
+            @Override
+            public int read(ByteBuffer into, long position) throws IOException {
+                return file.read(into, position);
+            }
+
+            @Override
+            public void write(ByteBuffer bytes, long position) throws IOException {
+                timed("write of " + bytes.remaining(), () -> {
+                    file.write(bytes, position);
+                    return null;
+                });
+            }
+
+            @Override
+            public void truncate(long length) throws IOException {
+                timed("truncate", () -> {
+                    file.truncate(length);
+                    return null;
+                });
+            }
+
+            @Override
+            public void force() throws IOException {
+                long began = System.nanoTime(); // on the forcing thread
+                file.force();
+                forcings.add(System.nanoTime() - began);
+            }
+
+            @Override
+            public void close() throws IOException {
+                timed("close", () -> {
+                    file.close();
+                    return null;
+                });
+            }
+        }
+    }
+}
