--- /dev/null
+++ b/src/main/java/lilaclever/identity/Fingerprint.java
@@ -0,0 +1,20 @@
+package lilaclever.identity;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/** What a message says, in 16 bytes: the first half of a SHA-256 over class, destination and body. */
+public record Fingerprint(long high, long low) {
+    /** The fingerprint of a message. */
+    public static Fingerprint of(int messageClass, int destination, byte[] body) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(ByteBuffer.allocate(8).putInt(messageClass).putInt(destination).flip());
+            ByteBuffer sum = ByteBuffer.wrap(digest.digest(body));
+            return new Fingerprint(sum.getLong(), sum.getLong());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/identity/Identities.java
@@ -0,0 +1,96 @@
+package lilaclever.identity;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Decides who a hand-in is: a new message, one that is held, one that has ended, or another one under a name that is
+ * taken. No I/O, no clock, no thread: times are told, and what outlasts the process is behind {@link Memory}.
+ *
+ * <p>The rules:
+ * <ul>
+ * <li>What is held wins over what is remembered: a message that was refused may be under way again.
+ * <li>An end is given again for the window of its class, counted from the end; later the identity is free.
+ * <li>A refusal is not remembered: handing in again is what it asks for.
+ * <li>With other content an identity clashes for as long as it is held or remembered. Neither message changes.
+ * <li>Where more ends come than there is room for, the one whose time is up soonest is forgotten first. What is held is
+ * never forgotten.
+ * </ul>
+ */
+public final class Identities<M, E> {
+    private record Held<M>(M message, Fingerprint content) { }
+
+    private final Windows windows;
+    private final Memory<E> memory;
+    private final Map<String, Held<M>> held = new HashMap<>();
+    private long forgottenEarly;
+
+    /** Nothing is held yet. */
+    public Identities(Windows windows, Memory<E> memory) {
+        this.windows = windows;
+        this.memory = memory;
+    }
+
+    /**
+     * What the hand-in is.
+     *
+     * @param content what it says; null where that is not compared
+     */
+    public Ruling<M, E> rule(String identity, Fingerprint content, long nowWall) {
+        Held<M> under = held.get(identity);
+        if (under != null) {
+            return differs(content, under.content()) ? new Ruling.Clash<>(true) : new Ruling.Joins<>(under.message());
+        }
+        Past<E> past = memory.past(identity);
+        if (past == null || past.untilWall() <= nowWall) {
+            return new Ruling.Fresh<>();
+        }
+        return differs(content, past.content()) ? new Ruling.Clash<>(false) : new Ruling.Again<>(past.end());
+    }
+
+    private static boolean differs(Fingerprint a, Fingerprint b) {
+        return a != null && b != null && !a.equals(b);
+    }
+
+    /** The message is held from now on. Nothing else may be held under its identity. */
+    public void hold(String identity, Fingerprint content, M message) {
+        Held<M> before = held.put(identity, new Held<>(message, content));
+        assert before == null || before.message() == message : identity + " is held twice";
+    }
+
+    /** The message is held no more; passed over if another one is held under the identity. */
+    public void release(String identity, M message) {
+        Held<M> under = held.get(identity);
+        if (under != null && under.message() == message) {
+            held.remove(identity);
+        }
+    }
+
+    /** The message has ended so that whoever asks again gets this end. */
+    public void ended(String identity, Fingerprint content, int messageClass, E end, long nowWall) {
+        Past<E> before = memory.past(identity);
+        if (before == null) {
+            while (memory.size() >= windows.most()) {
+                memory.forgetSoonest();
+                forgottenEarly++;
+            }
+        }
+        memory.keep(identity, new Past<>(end, content, nowWall + windows.of(identity, messageClass)));
+    }
+
+    /** The message that is held under the identity, or null. */
+    public M held(String identity) {
+        Held<M> under = held.get(identity);
+        return under == null ? null : under.message();
+    }
+
+    /** Identities held. */
+    public int size() {
+        return held.size();
+    }
+
+    /** Ends forgotten before their time, for want of room. */
+    public long forgottenEarly() {
+        return forgottenEarly;
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/identity/IdentitiesTest.java
@@ -0,0 +1,174 @@
+package lilaclever.identity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Who a hand-in is, by rule and by random sequences against a plain model. */
+class IdentitiesTest {
+    private static final Fingerprint A = Fingerprint.of(0, 7, new byte[] {1}), B = Fingerprint.of(0, 7, new byte[] {2});
+    private static final String ONE = new Identity("north", "k1").text(), TWO = new Identity("south", "k1").text();
+
+    /** Memory in a map. */
+    private static final class Plain implements Memory<String> {
+        final Map<String, Past<String>> all = new HashMap<>();
+
+        @Override
+        public Past<String> past(String identity) {
+            return all.get(identity);
+        }
+
+        @Override
+        public int size() {
+            return all.size();
+        }
+
+        @Override
+        public void keep(String identity, Past<String> past) {
+            all.put(identity, past);
+        }
+
+        @Override
+        public void forgetSoonest() {
+            all.remove(all.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().untilWall())).orElseThrow()
+                    .getKey());
+        }
+    }
+
+    private final Plain memory = new Plain();
+    private final Identities<String, String> identities =
+            new Identities<>(new Windows(List.of(100L, 10L), 50, 3), memory);
+
+    @Test
+    void aMessageIsFreshThenHeldThenOver() {
+        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 0));
+        identities.hold(ONE, A, "m");
+        assertEquals(new Ruling.Joins<>("m"), identities.rule(ONE, A, 0));
+        identities.release(ONE, "m");
+        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 0)); // it was refused, say
+        identities.ended(ONE, A, 0, "delivered", 5);
+        assertEquals(new Ruling.Again<>("delivered"), identities.rule(ONE, A, 104));
+        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 105));
+    }
+
+    /** Guards against two practices that number their messages alike being taken for one. */
+    @Test
+    void practicesShareNoKeys() {
+        identities.hold(ONE, A, "m");
+        assertEquals(new Ruling.Fresh<>(), identities.rule(TWO, A, 0));
+    }
+
+    /** Guards against a second message vanishing behind the first one's answer. */
+    @Test
+    void otherContentClashesForAsLongAsTheFirstIsKnown() {
+        identities.hold(ONE, A, "m");
+        assertEquals(new Ruling.Clash<>(true), identities.rule(ONE, B, 0));
+        identities.release(ONE, "m");
+        identities.ended(ONE, A, 1, "delivered", 0);
+        assertEquals(new Ruling.Clash<>(false), identities.rule(ONE, B, 9));
+        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, B, 10));
+    }
+
+    /** Mail has no fingerprint, nor has what the first format remembered. */
+    @Test
+    void whatIsNotComparedNeverClashes() {
+        identities.ended("<1@x> a@b", null, 1, "delivered", 0);
+        assertEquals(new Ruling.Again<>("delivered"), identities.rule("<1@x> a@b", null, 49));
+        assertEquals(new Ruling.Again<>("delivered"), identities.rule("<1@x> a@b", A, 49));
+        assertEquals(new Ruling.Fresh<>(), identities.rule("<1@x> a@b", null, 50));
+    }
+
+    /** What is held is never forgotten for want of room, and what is forgotten is what would have gone first. */
+    @Test
+    void roomIsMadeByForgettingTheSoonest() {
+        identities.ended("a", null, 0, "1", 0);
+        identities.ended(ONE, A, 0, "2", 0);
+        identities.ended(TWO, A, 1, "3", 0);
+        identities.ended("b", null, 0, "4", 0);
+        assertEquals(3, memory.size());
+        assertEquals(1, identities.forgottenEarly());
+        assertFalse(memory.all.containsKey(TWO)); // the window of its class is the shortest
+        identities.ended("b", null, 0, "5", 1);
+        assertEquals(1, identities.forgottenEarly()); // one that is there already takes no room
+    }
+
+    @Test
+    void identitiesAreBoundedWords() {
+        assertEquals(new Identity("a", "b/c"), Identity.parse(new Identity("a", "b/c").text()));
+        assertTrue(Identity.isShared(ONE));
+        assertFalse(Identity.isShared("<1@x> a@b"));
+        assertFalse(Identity.isShared(null));
+        for (String bad : List.of("", "a b", "a\r", "a/b", "x".repeat(65))) {
+            assertThrows(IllegalArgumentException.class, () -> new Identity(bad, "k"));
+        }
+        assertThrows(IllegalArgumentException.class, () -> new Identity("a", "x".repeat(257)));
+        assertThrows(IllegalArgumentException.class, () -> Identity.parse("id/nothing"));
+    }
+
+    /** One step: what happens to one of a few identities. */
+    record Step(int what, int identity, boolean other, int messageClass, int time) { }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<Integer> few = Arbitraries.integers().between(0, 4);
+        return Combinators.combine(Arbitraries.integers().between(0, 2), few, Arbitraries.of(true, false),
+                Arbitraries.integers().between(0, 1), Arbitraries.integers().between(0, 30)).as(Step::new).list()
+                .ofMaxSize(80);
+    }
+
+    /** Guards against a message delivered twice, an end given to the wrong one, and room that is not kept to. */
+    @Property(tries = 500, seed = "-1")
+    void itSaysWhatAPlainModelSays(@ForAll("steps") List<Step> steps) {
+        Plain kept = new Plain();
+        Identities<String, String> tested = new Identities<>(new Windows(List.of(100L, 10L), 50, 3), kept);
+        Map<String, Fingerprint> held = new HashMap<>();
+        long now = 0;
+        for (Step s : steps) {
+            now += s.time();
+            String id = new Identity("p", "k" + s.identity()).text().intern(); // it is the message too
+            Fingerprint content = s.other() ? B : A;
+            Past<String> past = kept.all.get(id);
+            boolean known = past != null && past.untilWall() > now;
+            switch (s.what()) {
+                case 0 -> {
+                    Ruling<String, String> is = tested.rule(id, content, now);
+                    Ruling<String, String> should = held.containsKey(id)
+                            ? held.get(id).equals(content) ? new Ruling.Joins<>(id) : new Ruling.Clash<>(true)
+                            : !known ? new Ruling.Fresh<>()
+                            : past.content().equals(content) ? new Ruling.Again<>(past.end()) : new Ruling.Clash<>(false);
+                    assertEquals(should, is);
+                    if (is instanceof Ruling.Fresh<String, String>) {
+                        tested.hold(id, content, id);
+                        held.put(id, content);
+                    }
+                }
+                case 1 -> {
+                    tested.release(id, id);
+                    if (held.containsKey(id)) {
+                        tested.ended(id, held.remove(id), s.messageClass(), "end at " + now, now);
+                        assertEquals(now + (s.messageClass() == 0 ? 100 : 10), kept.all.get(id).untilWall());
+                    }
+                }
+                default -> {
+                    tested.release(id, id);
+                    held.remove(id);
+                }
+            }
+            assertEquals(held.size(), tested.size());
+            assertTrue(kept.size() <= 3);
+        }
+    }
+}
