Read and acknowledge HL7 v2 in MLLP frames, and keep what is owed to clients that are away

Need: older clinic systems speak HL7 in MLLP frames and nothing newer.

Change: frames read a byte once, however they are cut; the header by its delimiters, other fields by HAPI's pre-parser, which is handed one segment; faults with code, segment and field; batches; acknowledgements of both modes in the sender's version, delimiters and characters; a module for ends that are owed; sets of networks in a trie (ipaddress).

--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/Batch.java
@@ -0,0 +1,100 @@
+package lilaclever.protocol.mllp;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import lilaclever.protocol.mllp.Hl7Fault.Code;
+
+/**
+ * Messages that came in one frame between BHS and BTS, and FHS and FTS around them. Each is a message of its own with an
+ * acknowledgement of its own; a batch that is not whole is refused whole, before any of it is taken on.
+ */
+final class Batch {
+    private static final int MOST = 100;
+
+    private Batch() { }
+
+    /** True if the frame holds a batch. */
+    static boolean is(byte[] frame) {
+        return frame.length > 3 && (startsWith(frame, 0, "BHS") || startsWith(frame, 0, "FHS"));
+    }
+
+    /** The messages of a batch, each with all its bytes. */
+    static List<byte[]> split(byte[] frame) throws Hl7Fault {
+        List<byte[]> messages = new ArrayList<>();
+        int message = -1, counted = 0;
+        boolean file = startsWith(frame, 0, "FHS"), inBatch = false, over = false;
+        for (int start = 0; start < frame.length; ) {
+            int end = start;
+            while (end < frame.length && frame[end] != '\r') {
+                end++;
+            }
+            String name = end - start < 3 ? "" : new String(frame, start, 3, StandardCharsets.ISO_8859_1);
+            if (over && end > start) {
+                throw new Hl7Fault(Code.SEGMENT_SEQUENCE, name, 0, "something follows the end");
+            }
+            if (name.equals("MSH") || name.equals("BTS") || name.equals("FTS") || name.equals("BHS")) {
+                if (message >= 0) {
+                    messages.add(Arrays.copyOfRange(frame, message, start));
+                    counted++;
+                }
+                message = -1;
+            }
+            switch (name) {
+                case "MSH" -> {
+                    if (!inBatch) {
+                        throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "MSH", 0, "a message outside of a batch");
+                    }
+                    message = start;
+                }
+                case "FHS" -> {
+                    if (start > 0) {
+                        throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "FHS", 0, "a file within a file");
+                    }
+                }
+                case "BHS" -> {
+                    if (inBatch) {
+                        throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "BHS", 0, "a batch within a batch");
+                    }
+                    inBatch = true;
+                    counted = 0;
+                }
+                case "BTS" -> {
+                    checkCount(frame, start, end, counted, inBatch);
+                    inBatch = false;
+                    over = !file;
+                }
+                case "FTS" -> over = true;
+                default -> {
+                    if (message < 0 && end > start) {
+                        throw new Hl7Fault(Code.SEGMENT_SEQUENCE, name, 0, "a segment of no message");
+                    }
+                }
+            }
+            if (messages.size() > MOST) {
+                throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "MSH", 0, "more than " + MOST + " messages");
+            }
+            start = end + 1;
+        }
+        if (inBatch || !over) {
+            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, inBatch ? "BTS" : "FTS", 0, "the end is missing");
+        }
+        return messages;
+    }
+
+    /** BTS-1, where it is there, is how many messages the batch has. */
+    private static void checkCount(byte[] frame, int start, int end, int counted, boolean inBatch) throws Hl7Fault {
+        String[] fields = new String(frame, start, end - start, StandardCharsets.ISO_8859_1).split("[^A-Za-z0-9]", 3);
+        if (!inBatch) {
+            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "BTS", 0, "the end of no batch");
+        }
+        if (fields.length > 1 && !fields[1].isEmpty() && !fields[1].equals(Integer.toString(counted))) {
+            throw new Hl7Fault(Code.DATA_TYPE, "BTS", 1, "the batch has " + counted + " messages");
+        }
+    }
+
+    private static boolean startsWith(byte[] frame, int at, String name) {
+        return frame[at] == name.charAt(0) && frame[at + 1] == name.charAt(1) && frame[at + 2] == name.charAt(2);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/Header.java
@@ -0,0 +1,118 @@
+package lilaclever.protocol.mllp;
+
+import java.nio.charset.Charset;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.regex.Pattern;
+import lilaclever.protocol.mllp.Hl7Fault.Code;
+
+/** The first segment of a message: the fields as they were sent, in the sender's characters and delimiters. */
+final class Header {
+    private static final int LONGEST = 4096, FIELDS = 12, MOST_FIELDS = 40;
+    /** HL7's table 0211, as far as one byte or UTF-8 goes. */
+    private static final Map<String, Charset> CHARSETS = Map.of("", StandardCharsets.ISO_8859_1,
+            "ASCII", StandardCharsets.ISO_8859_1, "8859/1", StandardCharsets.ISO_8859_1,
+            "8859/2", Charset.forName("ISO-8859-2"), "8859/15", Charset.forName("ISO-8859-15"),
+            "UNICODE", StandardCharsets.UTF_8, "UNICODE UTF-8", StandardCharsets.UTF_8);
+
+    private final char separator;
+    private final String[] fields;
+    private final Charset charset;
+
+    private Header(char separator, String[] fields, Charset charset) {
+        this.separator = separator;
+        this.fields = fields;
+        this.charset = charset;
+    }
+
+    /** A header for whoever sent nothing that can be read. */
+    static Header none() {
+        return new Header('|', split("MSH|^~\\&||||||||||2.5", '|'), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads the header of a message; as lenient as an answer to it needs. */
+    static Header read(byte[] message) throws Hl7Fault {
+        if (message.length < 8 || message[0] != 'M' || message[1] != 'S' || message[2] != 'H') {
+            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "MSH", 0, "the message does not begin with MSH");
+        }
+        int end = 0;
+        while (end < message.length && message[end] != '\r' && end < LONGEST) {
+            end++;
+        }
+        if (end == LONGEST) {
+            throw new Hl7Fault(Code.DATA_TYPE, "MSH", 0, "a header of more than " + LONGEST + " bytes");
+        }
+        if (end < 8) {
+            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, "MSH", 0, "a header without fields");
+        }
+        String text = new String(message, 0, end, StandardCharsets.ISO_8859_1);
+        char separator = text.charAt(3);
+        if (Character.isLetterOrDigit(separator) || separator <= ' ' || separator == 0x7f) {
+            throw new Hl7Fault(Code.DATA_TYPE, "MSH", 1, "not a field separator");
+        }
+        String[] raw = split(text, separator);
+        if (raw.length > MOST_FIELDS) {
+            throw new Hl7Fault(Code.DATA_TYPE, "MSH", MOST_FIELDS, "more than " + MOST_FIELDS + " fields");
+        }
+        if (raw[1].length() < 4 || raw[1].chars().distinct().count() < raw[1].length()
+                || raw[1].chars().anyMatch(c -> c <= ' ' || c == 0x7f || Character.isLetterOrDigit(c))) {
+            throw new Hl7Fault(Code.DATA_TYPE, "MSH", 2, "not four different encoding characters");
+        }
+        String named = raw.length > 17 ? split(raw[17], raw[1].charAt(1))[0] : "";
+        Charset charset = CHARSETS.get(named);
+        return charset == null ? new Header(separator, raw, StandardCharsets.ISO_8859_1)
+                : new Header(separator, split(new String(message, 0, end, charset), separator), charset);
+    }
+
+    private static String[] split(String text, char separator) {
+        return text.split(Pattern.quote(String.valueOf(separator)), -1);
+    }
+
+    /** Faults that need no more than the header: an answer to them has the sender's own header. */
+    void check() throws Hl7Fault {
+        if (fields.length < FIELDS || field(12).isEmpty()) {
+            throw new Hl7Fault(Code.MISSING, "MSH", 12, "no version");
+        }
+        for (int needed : new int[] {9, 10, 11}) {
+            if (field(needed).isEmpty()) {
+                throw new Hl7Fault(Code.MISSING, "MSH", needed, "a field that is needed");
+            }
+        }
+        if (!CHARSETS.containsKey(split(field(18), encoding().charAt(1))[0])) {
+            throw new Hl7Fault(Code.NOT_IN_TABLE, "MSH", 18, "a character set that is not read here");
+        }
+        if (Arrays.stream(fields).anyMatch(f -> f.chars().anyMatch(c -> c < ' ' || c == 0x7f))) {
+            throw new Hl7Fault(Code.DATA_TYPE, "MSH", 0, "a control character");
+        }
+    }
+
+    /** MSH-n as it was sent; empty where there is none. MSH-1 is the separator itself. */
+    String field(int n) {
+        return n == 1 ? String.valueOf(separator) : n - 1 < fields.length ? fields[n - 1] : "";
+    }
+
+    char separator() {
+        return separator;
+    }
+
+    /** The encoding characters: component, repetition, escape, subcomponent. */
+    String encoding() {
+        return field(2);
+    }
+
+    /** The first component of MSH-n. */
+    String first(int n) {
+        return split(field(n), encoding().charAt(0))[0];
+    }
+
+    /** The second component of MSH-n; empty where there is none. */
+    String second(int n) {
+        String[] parts = split(field(n), encoding().charAt(0));
+        return parts.length > 1 ? parts[1] : "";
+    }
+
+    Charset charset() {
+        return charset;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
@@ -0,0 +1,223 @@
+package lilaclever.protocol.mllp;
+
+import ca.uhn.hl7v2.HL7Exception;
+import ca.uhn.hl7v2.preparser.PreParser;
+import java.math.BigDecimal;
+import java.time.DateTimeException;
+import java.time.LocalDateTime;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.Base64;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.identity.Fingerprint;
+import lilaclever.protocol.mllp.Hl7Fault.Code;
+import lilaclever.protocol.mllp.MllpSettings.Field;
+
+/**
+ * Reads HL7 messages as far as they concern us: the header, and the fields that the settings name. The rest is checked
+ * for what could not be passed on, and never taken apart: a message of 64 KiB costs little more than a small one.
+ */
+final class Hl7Reader {
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,6})?");
+    private static final Pattern TIMESTAMP = Pattern.compile("([0-9]{14})(?:\\.([0-9]{1,4}))?([+-][0-9]{4})?");
+    private static final long LONGEST = 3_600_000_000L;
+    private static final int MOST_KEY = 200;
+
+    private final MllpSettings settings;
+    private final LongSupplier micros, wall;
+
+    /** Times are the loop's: the monotonic clock, and the wall clock, microseconds. */
+    Hl7Reader(MllpSettings settings, LongSupplier micros, LongSupplier wall) {
+        this.settings = settings;
+        this.micros = micros;
+        this.wall = wall;
+    }
+
+    /** Puts a message in our terms. */
+    Request read(Header header, byte[] message) throws Hl7Fault {
+        header.check();
+        check(header);
+        checkBytes(header, message);
+        String practice = practice(header);
+        String event = header.first(9) + '^' + header.second(9);
+        Integer messageClass = settings.events().get(event);
+        messageClass = messageClass == null ? settings.events().get(header.first(9)) : messageClass;
+        if (messageClass == null && settings.unsafe() < 0) {
+            throw new Hl7Fault(Code.EVENT, "MSH", 9, "no class for " + event);
+        }
+        int number = messageClass == null ? settings.unsafe() : messageClass;
+        Integer destination = MllpSettings.find(settings.destinations(), header.first(5), '|', header.first(6));
+        if (destination == null) {
+            throw new Hl7Fault(Code.UNKNOWN_KEY, "MSH", 5, "no such receiver");
+        }
+        return new Request(header, message, practice, key(header, message), number, destination,
+                budget(header, message, settings.budgets().get(number)), micros.getAsLong());
+    }
+
+    private void check(Header header) throws Hl7Fault {
+        if (!settings.versions().contains(header.first(12))) {
+            throw new Hl7Fault(Code.VERSION, "MSH", 12, "versions read here are "
+                    + String.join(", ", settings.versions()));
+        }
+        if (!settings.processing().contains(header.first(11))) {
+            throw new Hl7Fault(Code.PROCESSING_ID, "MSH", 11, "processing ids taken here are "
+                    + String.join(", ", settings.processing()));
+        }
+    }
+
+    /** Segments end in CR, have names, and hold no control characters: what a partner could read in two ways is not passed on. */
+    private static void checkBytes(Header header, byte[] message) throws Hl7Fault {
+        int start = 0;
+        for (int i = 0; i <= message.length; i++) {
+            byte b = i < message.length ? message[i] : (byte) '\r';
+            if (b == '\r') {
+                checkName(header, message, start, i);
+                start = i + 1;
+            } else if (b >= 0 && b < ' ' && b != '\n' && b != '\t') {
+                throw new Hl7Fault(Code.DATA_TYPE, name(message, start, i), 0, "a control character");
+            }
+        }
+    }
+
+    private static void checkName(Header header, byte[] message, int from, int to) throws Hl7Fault {
+        int start = from;
+        if (start < to && message[start] == '\n') {
+            start++; // CR LF ends a segment with some senders
+        }
+        if (start == to) {
+            return;
+        }
+        boolean good = to - start >= 3 && isLetter(message[start]) && isLetterOrDigit(message[start + 1])
+                && isLetterOrDigit(message[start + 2])
+                && (to - start == 3 || message[start + 3] == (byte) header.separator());
+        if (!good || start > 0 && message[start] == 'M' && message[start + 1] == 'S' && message[start + 2] == 'H') {
+            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, name(message, start, to), 0,
+                    good ? "a second header" : "a segment without a name");
+        }
+        for (int i = start; i < to; i++) {
+            if (message[i] == '\n') {
+                throw new Hl7Fault(Code.SEGMENT_SEQUENCE, name(message, start, to), 0, "segments end in CR, not in LF");
+            }
+        }
+    }
+
+    private static String name(byte[] message, int from, int to) {
+        StringBuilder name = new StringBuilder();
+        for (int i = from; i < Math.min(to, from + 3); i++) {
+            name.append(isLetterOrDigit(message[i]) ? (char) message[i] : '?');
+        }
+        return name.length() == 3 ? name.toString() : "";
+    }
+
+    private static boolean isLetter(byte b) {
+        return b >= 'A' && b <= 'Z';
+    }
+
+    private static boolean isLetterOrDigit(byte b) {
+        return isLetter(b) || b >= '0' && b <= '9';
+    }
+
+    private String practice(Header header) throws Hl7Fault {
+        String known = MllpSettings.find(settings.practices(), header.first(3), '|', header.first(4));
+        if (known != null) {
+            return known;
+        }
+        if (!settings.anySender()) {
+            throw new Hl7Fault(Code.UNKNOWN_KEY, "MSH", 3, "no such sender");
+        }
+        String own = header.first(3) + '|' + header.first(4);
+        if (own.length() == 1) {
+            throw new Hl7Fault(Code.MISSING, "MSH", 3, "no sender");
+        }
+        return word(own.replace('/', '%'), 64); // a practice's name has no '/'
+    }
+
+    private String key(Header header, byte[] message) throws Hl7Fault {
+        Field field = settings.key();
+        String value = field.path().equals("MSH-10") ? header.field(10) : field(header, message, field);
+        if (value.isEmpty()) {
+            throw missing(field);
+        }
+        if (value.length() > MOST_KEY) {
+            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "longer than " + MOST_KEY);
+        }
+        return word(value, MOST_KEY);
+    }
+
+    /** The same text for the same value, fit for the journal and for a header of HTTP; a readable value stays itself. */
+    static String word(String value, int most) {
+        if (value.length() <= most && value.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '%')) {
+            return value;
+        }
+        Fingerprint sum = Fingerprint.of(0, 0, value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return "%" + Base64.getUrlEncoder().withoutPadding().encodeToString(
+                java.nio.ByteBuffer.allocate(16).putLong(sum.high()).putLong(sum.low()).array());
+    }
+
+    private static Hl7Fault missing(Field field) {
+        return new Hl7Fault(Code.MISSING, field.segment(), number(field), "a field that is needed");
+    }
+
+    private static int number(Field field) {
+        return Integer.parseInt(field.path().split("-")[1]);
+    }
+
+    /** A field's value, escapes undone; empty where there is none. The library sees the header and that segment alone. */
+    private static String field(Header header, byte[] message, Field field) throws Hl7Fault {
+        String segment = segment(header, message, field.segment());
+        if (segment == null) {
+            return "";
+        }
+        try {
+            String value = PreParser.getFields("MSH" + header.separator() + header.encoding() + header.separator()
+                    + "A" + header.separator() + "B" + header.separator() + "C" + header.separator() + "D"
+                    + String.valueOf(header.separator()).repeat(6) + header.first(12) + '\r' + segment, field.path())[0];
+            return value == null ? "" : Acknowledgements.ESCAPING.unescape(value, Acknowledgements.delimiters(header));
+        } catch (HL7Exception e) {
+            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "can't be read");
+        }
+    }
+
+    /** The first segment of that name. */
+    private static String segment(Header header, byte[] message, String name) {
+        for (int start = 0; start < message.length; ) {
+            int end = start;
+            while (end < message.length && message[end] != '\r') {
+                end++;
+            }
+            int from = start < end && message[start] == '\n' ? start + 1 : start;
+            if (end - from >= 3 && message[from] == name.charAt(0) && message[from + 1] == name.charAt(1)
+                    && message[from + 2] == name.charAt(2)) {
+                return new String(message, from, end - from, header.charset());
+            }
+            start = end + 1;
+        }
+        return null;
+    }
+
+    private long budget(Header header, byte[] message, long most) throws Hl7Fault {
+        Field field = settings.deadline();
+        String value = field == null ? "" : field(header, message, field);
+        if (value.isEmpty()) {
+            return most;
+        }
+        if (SECONDS.matcher(value).matches()) {
+            return Math.min(LONGEST, new BigDecimal(value).movePointRight(6).longValue());
+        }
+        Matcher m = TIMESTAMP.matcher(value);
+        try {
+            if (m.matches()) {
+                LocalDateTime time = LocalDateTime.parse(m.group(1), DateTimeFormatter.ofPattern("yyyyMMddHHmmss"));
+                ZoneId zone = m.group(3) == null ? ZoneId.systemDefault() : ZoneOffset.of(m.group(3));
+                long at = time.atZone(zone).toInstant().toEpochMilli() * 1000;
+                return Math.max(0, Math.min(LONGEST, at - wall.getAsLong()));
+            }
+        } catch (DateTimeException e) {
+            // told below
+        }
+        throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "neither seconds nor a time");
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/mllp/FrameReaderTest.java
@@ -0,0 +1,79 @@
+package lilaclever.protocol.mllp;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import lilaclever.protocol.mllp.FrameReader.Spoilt;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Frames, whole and spoilt, in pieces of any size. */
+class FrameReaderTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+
+    /** Guards against reading on behind what can't be told from noise: another message could hide there. */
+    @ParameterizedTest
+    @ValueSource(strings = {"MSH", "\u000bMSH\u000b", "\u000bMSH\u001cX", "\u000b0123456789", "\u000bA\u001c\rnoise"})
+    void whatIsNoFrameSpoilsTheConnection(String text) {
+        assertThrows(Spoilt.class, () -> new FrameReader(8).read(bytes(text)));
+    }
+
+    @Provide
+    Arbitrary<List<byte[]>> messages() {
+        return Arbitraries.bytes().filter(b -> b != FrameReader.VT && b != FrameReader.FS).array(byte[].class)
+                .ofMaxSize(1200).list().ofMaxSize(5);
+    }
+
+    /** However they are cut, all messages come out whole and in order, and nothing is left. */
+    @Property(tries = 300, seed = "-1")
+    void anyPiecesGiveTheSameMessages(@ForAll("messages") List<byte[]> messages, @ForAll("cuts") List<Integer> cuts)
+            throws Spoilt {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] m : messages) {
+            all.writeBytes(FrameReader.frame(m));
+            all.writeBytes(bytes("\r\n")); // some senders add it
+        }
+        byte[] wire = all.toByteArray();
+        FrameReader reader = new FrameReader(1200);
+        List<byte[]> read = new ArrayList<>();
+        int at = 0;
+        for (int i = 0; at < wire.length; i++) {
+            int to = Math.min(wire.length, at + (cuts.isEmpty() ? wire.length : cuts.get(i % cuts.size())));
+            read.addAll(reader.read(Arrays.copyOfRange(wire, at, to)));
+            at = to;
+        }
+        assertEquals(messages.size(), read.size());
+        for (int i = 0; i < read.size(); i++) {
+            assertArrayEquals(messages.get(i), read.get(i));
+        }
+        assertFalse(reader.isPartial());
+    }
+
+    @Provide
+    Arbitrary<List<Integer>> cuts() {
+        return Arbitraries.integers().between(1, 700).list().ofMaxSize(6);
+    }
+
+    /** A half frame shows, so that it can be given up in time. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\u000b", "\u000bMSH", "\u000bMSH\u001c"})
+    void aHalfFrameShows(String text) throws Spoilt {
+        FrameReader reader = new FrameReader(8);
+        assertTrue(reader.read(bytes(text)).isEmpty());
+        assertTrue(reader.isPartial());
+    }
+}
