--- a/src/main/java/lilaclever/journal/Format.java
+++ b/src/main/java/lilaclever/journal/Format.java
@@ -16,7 +16,8 @@
  * recycled file held before never passes either. All numbers are big-endian.
  */
 final class Format {
-    static final int VERSION = 1;
+    /** 2: a message may be owed to several, and remembered ends have the fingerprint of what they ended. */
+    static final int VERSION = 2;
     /** Where the records begin. */
     static final int HEADER = 128;
     /** Of a record, all but its content. */
@@ -40,9 +41,9 @@
 
     /** What a record says. The numbers are part of the format. */
     enum Type {
-        TAKEN(1), ATTEMPT(2), OUTCOME(3), VERDICT(4), ENDED(5), REMEMBERED(6), SNAPSHOT(7), PREVIOUS(8);
+        TAKEN(1), ATTEMPT(2), OUTCOME(3), VERDICT(4), ENDED(5), REMEMBERED(6), SNAPSHOT(7), PREVIOUS(8), JOINED(9);
 
-        private static final Type[] BY_CODE = new Type[9];
+        private static final Type[] BY_CODE = new Type[10];
 
         static {
             for (Type t : values()) {
--- a/src/main/java/lilaclever/journal/Held.java
+++ b/src/main/java/lilaclever/journal/Held.java
@@ -1,13 +1,14 @@
 package lilaclever.journal;
 
 import java.nio.ByteBuffer;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeSet;
+import lilaclever.identity.Fingerprint;
+import lilaclever.identity.Past;
 import lilaclever.journal.Format.Type;
 import lilaclever.journal.Format.Writer;
 import lilaclever.routing.Handin;
-import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
 
@@ -44,13 +45,24 @@
     }
 
     final Map<String, Slot<Owed>> owed = new LinkedHashMap<>();
-    final Map<String, Slot<Remembered>> remembered = new LinkedHashMap<>();
+    final Map<String, Slot<Past<Verdict>>> remembered = new LinkedHashMap<>();
+    /** The same by their time: windows differ, so the order of writing tells nothing of it. */
+    private final TreeSet<Expiry> expiries = new TreeSet<>();
     /** Counts of live records by the bits of their size: the largest is known without a sorted map. */
     private final int[] sizes = new int[Integer.SIZE];
     private long live, growth;
     /** What to add to walls that are read. */
     private long shift;
 
+    /** When a remembered end is forgotten. */
+    private record Expiry(long untilWall, String identity) implements Comparable<Expiry> {
+        @Override
+        public int compareTo(Expiry other) {
+            int byTime = Long.compare(untilWall, other.untilWall);
+            return byTime != 0 ? byTime : identity.compareTo(other.identity);
+        }
+    }
+
     // ---- figures ----------------------------------------------------------------------------------------
     /** Bytes that are live. */
     long live() {
@@ -77,8 +89,21 @@
         return GROWTH + (h.identity() == null ? 0 : rememberedSize(h.identity()));
     }
 
+    /** What a claim on a message's end adds to its record. */
+    static long growth(Owed.Claim claim) {
+        return 3 * (long) (claim.front().length() + claim.id().length()) + 8;
+    }
+
+    private static long growth(Owed o) {
+        long all = growth(o.handin());
+        for (Owed.Claim claim : o.joined()) {
+            all += growth(claim);
+        }
+        return all;
+    }
+
     private static long rememberedSize(String identity) {
-        return Format.FRAME + 3 * (long) (identity.length() + MOST_DETAIL) + 32;
+        return Format.FRAME + 3 * (long) (identity.length() + MOST_DETAIL) + 52;
     }
 
     private <T> void rest(Slot<T> slot, Segment on, int size) {
@@ -98,13 +123,21 @@
     }
 
     // ---- changes ----------------------------------------------------------------------------------------
+    /** A message is taken on. What ended under its identity was past its time: it is not this one's end. */
+    void taken(Owed o, Segment base, int size) {
+        if (o.handin().identity() != null) {
+            forget(o.handin().identity());
+        }
+        put(o, base, size);
+    }
+
     /** A message, or all that is known of one, stands in a record of the segment. */
     void put(Owed o, Segment base, int size) {
         String id = o.handin().id();
         drop(id);
         Slot<Owed> slot = new Slot<>(o);
         owed.put(id, slot);
-        growth += growth(o.handin());
+        growth += growth(o);
         rest(slot, base, size);
     }
 
@@ -112,27 +145,43 @@
     void drop(String id) {
         Slot<Owed> slot = owed.remove(id);
         if (slot != null) {
-            growth -= growth(slot.value.handin());
+            growth -= growth(slot.value);
             rest(slot, null, 0);
         }
     }
 
+    /** Somebody else is owed the end of a message. */
+    void join(Owed o, Owed.Claim claim) {
+        growth -= growth(o);
+        o.join(claim);
+        growth += growth(o);
+    }
+
     /** An end that is remembered stands in a record of the segment. */
-    void put(String identity, Remembered r, Segment base, int size) {
+    void put(String identity, Past<Verdict> p, Segment base, int size) {
         forget(identity);
-        Slot<Remembered> slot = new Slot<>(r);
+        Slot<Past<Verdict>> slot = new Slot<>(p);
         remembered.put(identity, slot);
+        expiries.add(new Expiry(p.untilWall(), identity));
         rest(slot, base, size);
     }
 
     /** The end is remembered no more. */
     void forget(String identity) {
-        Slot<Remembered> slot = remembered.remove(identity);
+        Slot<Past<Verdict>> slot = remembered.remove(identity);
         if (slot != null) {
+            expiries.remove(new Expiry(slot.value.untilWall(), identity));
             rest(slot, null, 0);
         }
     }
 
+    /** Forgets the end whose time is up soonest. */
+    void forgetSoonest() {
+        if (!expiries.isEmpty()) {
+            forget(expiries.first().identity());
+        }
+    }
+
     /** The slot's record has been written anew: it goes to the end of its map. */
     <T> void moved(Map<String, Slot<T>> map, String key, Segment base, int size) {
         Slot<T> slot = map.remove(key);
@@ -140,17 +189,11 @@
         rest(slot, base, size);
     }
 
-    /** Forgets what is past its time among the oldest of the remembered; gives how many. */
+    /** Forgets ends whose time is up, so many at most; gives how many. */
     int expire(long nowWall, int most) {
         int gone = 0;
-        Iterator<Map.Entry<String, Slot<Remembered>>> all = remembered.entrySet().iterator();
-        while (gone < most && all.hasNext()) {
-            Slot<Remembered> slot = all.next().getValue();
-            if (slot.value.untilWall() > nowWall) {
-                break;
-            }
-            all.remove();
-            rest(slot, null, 0);
+        while (gone < most && !expiries.isEmpty() && expiries.first().untilWall() <= nowWall) {
+            forgetSoonest();
             gone++;
         }
         return gone;
@@ -186,10 +229,18 @@
         out.begin(Type.ENDED).text(id).end();
     }
 
-    static void remembered(Writer out, String identity, Remembered r) {
+    static void remembered(Writer out, String identity, Past<Verdict> p) {
         out.begin(Type.REMEMBERED).text(identity);
-        end(out, r.verdict());
-        out.number(r.untilWall()).end();
+        end(out, p.end());
+        out.number(p.untilWall()).flag(p.content() != null);
+        if (p.content() != null) {
+            out.number(p.content().high()).number(p.content().low());
+        }
+        out.end();
+    }
+
+    static void joined(Writer out, String id, Owed.Claim claim) {
+        out.begin(Type.JOINED).text(id).text(claim.front()).text(claim.id()).end();
     }
 
     /** All that is known of a message, in one record. */
@@ -202,6 +253,8 @@
         if (o.verdict() != null) {
             end(out, o.verdict());
         }
+        out.small(o.joined().size());
+        o.joined().forEach(claim -> out.text(claim.front()).text(claim.id()));
         out.end();
     }
 
@@ -241,7 +294,7 @@
     boolean apply(Type type, ByteBuffer in, Segment segment, int size) {
         try {
             switch (type) {
-                case TAKEN -> put(readWhole(in), segment, size);
+                case TAKEN -> taken(readWhole(in), segment, size);
                 case SNAPSHOT -> {
                     Owed o = readWhole(in);
                     readPast(in, o);
@@ -249,7 +302,12 @@
                 }
                 case REMEMBERED -> {
                     String identity = Format.text(in);
-                    put(identity, new Remembered(readEnd(in), wall(in)), segment, size);
+                    Verdict end = readEnd(in);
+                    long until = wall(in);
+                    // Version 1 has no fingerprint.
+                    boolean compared = in.hasRemaining() && Format.flag(in);
+                    put(identity, new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
+                            segment, size);
                 }
                 case ENDED -> drop(Format.text(in));
                 case PREVIOUS -> { }
@@ -269,6 +327,7 @@
         switch (type) {
             case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), wall(in));
             case OUTCOME -> slot.value.outcome(Format.flag(in));
+            case JOINED -> join(slot.value, new Owed.Claim(Format.text(in), Format.text(in)));
             default -> slot.value.verdict(readEnd(in));
         }
     }
@@ -300,6 +359,9 @@
         if (Format.flag(in)) {
             o.verdict(readEnd(in));
         }
+        for (int n = in.hasRemaining() ? in.getInt() : 0; n > 0; n--) { // version 1 knows nobody else
+            o.join(new Owed.Claim(Format.text(in), Format.text(in)));
+        }
     }
 
     private static Verdict readEnd(ByteBuffer in) {
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -12,9 +12,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import lilaclever.identity.Past;
 import lilaclever.journal.Format.Type;
 import lilaclever.routing.Handin;
-import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
 
@@ -121,11 +121,11 @@
             for (Held.Slot<Owed> slot : held.owed.values()) {
                 line(json -> owed(json, slot.value));
             }
-            for (Map.Entry<String, Held.Slot<Remembered>> e : held.remembered.entrySet()) {
+            for (Map.Entry<String, Held.Slot<Past<Verdict>>> e : held.remembered.entrySet()) {
                 line(json -> {
                     json.name("remembered").value(e.getKey());
                     json.name("until").value(instant(e.getValue().value.untilWall()));
-                    verdict(json, e.getValue().value.verdict());
+                    verdict(json, e.getValue().value.end());
                 });
             }
             return report.damages().isEmpty() && report.missing() == 0 ? GOOD : DAMAGED;
@@ -165,6 +165,13 @@
         if (o.verdict() != null) {
             verdict(json, o.verdict());
         }
+        if (!o.joined().isEmpty()) {
+            json.name("owed_also_to").beginArray();
+            for (Owed.Claim claim : o.joined()) {
+                json.value(claim.front() + ' ' + claim.id());
+            }
+            json.endArray();
+        }
         json.name("body").value(Base64.getEncoder().encodeToString(h.body()));
     }
 
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -4,8 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
+import lilaclever.identity.Past;
 import lilaclever.routing.Handin;
-import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
 
@@ -66,7 +66,7 @@
         }
         String id = text(in);
         if (type == REMEMBERED) {
-            held.put(id, new Remembered(readVerdict(in), in.getLong()), segment, size);
+            held.put(id, new Past<>(readVerdict(in), null, in.getLong()), segment, size);
             return;
         }
         Held.Slot<Owed> slot = held.owed.get(id);
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import lilaclever.journal.Format.Writer;
+import lilaclever.identity.Past;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Journal;
 import lilaclever.routing.Owed;
@@ -98,7 +99,7 @@
         if (size > Format.LARGEST || !hasRoom(size, Held.growth(handin)) || !append()) {
             return false;
         }
-        held.put(owed, log.active(), size);
+        held.taken(owed, log.active(), size);
         return true;
     }
 
@@ -145,21 +146,40 @@
     }
 
     @Override
-    public void remember(String identity, Verdict verdict, long untilWall) {
-        Remembered r = new Remembered(verdict, untilWall);
-        Held.remembered(writer.clear(), identity, r);
+    public boolean joined(String id, String front, String claim) {
+        Held.Slot<Owed> slot = held.owed.get(id);
+        if (slot == null) {
+            return false;
+        }
+        Owed.Claim joins = new Owed.Claim(front, claim);
+        Held.joined(writer.clear(), id, joins);
+        if (unwritten.contains(id) || !hasRoom(writer.size(), Held.growth(joins)) || !append()) {
+            return false;
+        }
+        held.join(slot.value, joins);
+        return true;
+    }
+
+    @Override
+    public void remember(String identity, Past<Verdict> past) {
+        Held.remembered(writer.clear(), identity, past);
         int size = writer.size();
         if (append()) {
-            held.put(identity, r, log.active(), size);
+            held.put(identity, past, log.active(), size);
         } else {
-            held.put(identity, r, null, 0);
+            held.put(identity, past, null, 0);
             unwrittenEnds.add(identity);
         }
     }
 
     @Override
-    public Remembered remembered(String identity) {
-        Held.Slot<Remembered> slot = held.remembered.get(identity);
+    public void forgetSoonest() {
+        held.forgetSoonest();
+    }
+
+    @Override
+    public Past<Verdict> remembered(String identity) {
+        Held.Slot<Past<Verdict>> slot = held.remembered.get(identity);
         return slot == null ? null : slot.value;
     }
 
@@ -384,7 +404,7 @@
         }
         while (!unwrittenEnds.isEmpty()) {
             String identity = unwrittenEnds.iterator().next();
-            Held.Slot<Remembered> slot = held.remembered.get(identity);
+            Held.Slot<Past<Verdict>> slot = held.remembered.get(identity);
             if (slot != null) {
                 Held.remembered(writer.clear(), identity, slot.value);
                 int size = writer.size();
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -97,9 +97,10 @@
         return sockets / MAIL_PART;
     }
 
-    /** Connections of clients at most: what the program itself, calls, idle connections and mail leave. */
-    int mostClients(boolean mail) {
-        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0));
+    /** Connections of clients at most: what the program itself, calls, idle connections, mail and other fronts leave. */
+    int mostClients(boolean mail, int otherFronts) {
+        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0)
+                - otherFronts);
     }
 
     /** With more connections of clients than this none stays idle. */
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -20,6 +20,7 @@
 import lilaclever.protocol.mail.MailDeliverer;
 import lilaclever.protocol.mail.MailFront;
 import lilaclever.protocol.mail.MailSettings;
+import lilaclever.protocol.mllp.MllpFront;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.transport.Transport;
@@ -38,6 +39,7 @@
     private final Notices notices;
     private final Directory directory;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private MllpFront mllpFront;
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
@@ -53,14 +55,14 @@
                 new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
-        core = new Core(settings, config.seed(), journal, counters, operator.journal().rememberMicros());
+        core = new Core(settings, config.seed(), journal, counters, operator.identity().windows());
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
                         settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
-        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null), config.crowd(),
-                notices);
+        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null, operator.mllpConnections()), config.crowd(),
+                notices, operator.identity().practiceHeader());
         core.add(front);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
@@ -69,6 +71,10 @@
             mailFronts.forEach(core::add);
             new MailDeliverer(core, transport, mail, settings.zone(), connect, keep, config.mostMail()).start();
         }
+        if (operator.mllp() != null) {
+            mllpFront = new MllpFront(core, operator.mllp());
+            core.add(mllpFront);
+        }
         Directory.Known known = known(config, directory);
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
@@ -77,6 +83,9 @@
         for (MailFront each : mailFronts) {
             addresses.addAll(each.listen(transport));
         }
+        if (mllpFront != null) {
+            addresses.addAll(mllpFront.listen(transport));
+        }
     }
 
     private static void figures(SegmentedJournal journal, Counters counters) {
@@ -98,7 +107,7 @@
 
     /** Starts all parts as the platform has them; {@code mail} is null where the mail front is off. */
     static Forwarder start(Config config, MailSettings mail) throws IOException, Config.Bad {
-        return start(config, Operator.none(), mail);
+        return start(config, Operator.none(config), mail);
     }
 
     /** Starts all parts. */
@@ -106,12 +115,12 @@
         Forwarder forwarder = new Forwarder(config, operator, mail);
         System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
                 + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
-                + config.mostClients(mail != null) + " for clients, " + config.mostIdle() + " idle to endpoints");
+                + config.mostClients(mail != null, operator.mllpConnections()) + " for clients, " + config.mostIdle() + " idle to endpoints");
         System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
 
-    /** Where it listens: HTTP first, then SMTP and LMTP in the order of the mail file. */
+    /** Where it listens: HTTP first, then SMTP and LMTP in the order of the mail file, then HL7. */
     List<SocketAddress> addresses() {
         return addresses;
     }
@@ -158,12 +167,15 @@
             core.stopBy(told + CALLS_BY);
             front.close();
             mailFronts.forEach(MailFront::close);
+            if (mllpFront != null) {
+                mllpFront.close();
+            }
             untilQuiet(told + END);
         });
     }
 
     private void untilQuiet(long end) {
-        if (core.now() >= end || core.quiet() && front.isClosed()) {
+        if (core.now() >= end || core.quiet(mllpFront == null ? 0 : mllpFront.away()) && front.isClosed()) {
             stopped.countDown();
         } else {
             core.deadlines().at(core.now() + LOOK, () -> untilQuiet(end));
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -67,7 +67,7 @@
         @Override
         public Integer run() throws Exception {
             Config config = Config.read(System.getenv());
-            Operator operator = conf == null ? Operator.none() : Operator.read(conf);
+            Operator operator = conf == null ? Operator.none(config) : Operator.read(conf, config);
             CompletableFuture<Forwarder> serving = new CompletableFuture<>();
             // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
             Signals.onHangup(() -> serving.thenAccept(f -> f.reload(System.getenv())).join());
@@ -103,7 +103,7 @@
                         + read.routes().size() + " routes");
             }
             if (conf != null) {
-                Operator read = Operator.read(conf);
+                Operator read = Operator.read(conf, config);
                 System.out.println("operator's file is good: journal durability "
                         + read.journal().durability().how().name().toLowerCase());
             }
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -1,40 +1,80 @@
 package lilaclever.program;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
 import java.util.Set;
+import lilaclever.Relay;
+import lilaclever.identity.Windows;
 import lilaclever.journal.Durability;
 import lilaclever.program.Config.Bad;
+import lilaclever.protocol.mllp.MllpSettings;
 
 /**
  * The operator's settings: what {@code serve --conf FILE} adds to what the platform tells. Each subsystem has a section
  * and a record here; a file that is absent leaves all as the platform has it.
  */
-record Operator(JournalSettings journal) {
+record Operator(JournalSettings journal, IdentitySettings identity, MllpSettings mllp) {
     private static final long SECOND = 1_000_000, HOUR = 3600 * SECOND;
 
     /** {@code [journal]}: when records are forced, and how long the end of a message is remembered. */
     record JournalSettings(Durability durability, long rememberMicros) { }
 
+    /**
+     * {@code [identity]}: whether a message is known again on all ports, the header that names its practice on HTTP
+     * (null: HTTP has none), and how long ends are remembered.
+     */
+    record IdentitySettings(boolean shared, String practiceHeader, Windows windows) { }
+
+    /** Connections that the HL7 ports may have. */
+    int mllpConnections() {
+        return mllp == null ? 0 : mllp.listeners().stream().mapToInt(MllpSettings.Listener::connections).sum();
+    }
+
     /** What holds without a file. */
-    static Operator none() {
+    static Operator none(Config config) {
         try {
-            return of(OperatorFile.empty());
+            return of(OperatorFile.empty(), config);
         } catch (Bad e) {
             throw new IllegalStateException("the defaults are good", e);
         }
     }
 
-    /** Reads and checks the file. */
-    static Operator read(Path path) throws Bad {
-        return of(OperatorFile.read(path));
+    /** Reads and checks the file; classes and destinations are those of the platform's settings. */
+    static Operator read(Path path, Config config) throws Bad {
+        return of(OperatorFile.read(path), config);
     }
 
-    static Operator of(OperatorFile file) throws Bad {
-        Operator read = new Operator(journal(file.section("journal")));
-        file.refuseUnknown(Set.of("journal"));
+    static Operator of(OperatorFile file, Config config) throws Bad {
+        JournalSettings journal = journal(file.section("journal"));
+        IdentitySettings identity = identity(file.section("identity"), config, journal.rememberMicros());
+        Operator read = new Operator(journal, identity, new MllpSections(file, config, identity.shared()).read());
+        Set<String> kinds = new HashSet<>(MllpSections.KINDS);
+        kinds.addAll(Set.of("journal", "identity"));
+        file.refuseUnknown(kinds);
         return read;
     }
 
+    private static IdentitySettings identity(OperatorFile.Section s, Config config, long remember) throws Bad {
+        boolean shared = s.flag("shared", false);
+        String header = s.text("http-practice", null);
+        if (header != null && !header.matches("[A-Za-z0-9-]{1,64}")) {
+            throw s.bad("http-practice", "not the name of a header: " + header);
+        }
+        if (header != null && !shared) {
+            throw s.bad("http-practice", "needs shared yes");
+        }
+        List<Long> windows = new ArrayList<>();
+        for (int i = 0; i < config.classNames().size(); i++) {
+            boolean unsafe = config.settings().classes().get(i).repeat() == Relay.Repeat.UNSAFE;
+            windows.add(s.time("window-" + config.classNames().get(i), unsafe ? 24 * HOUR : HOUR, SECOND, 240 * HOUR));
+        }
+        return new IdentitySettings(shared, header == null ? null : header.toLowerCase(Locale.ROOT),
+                new Windows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
+    }
+
     private static JournalSettings journal(OperatorFile.Section s) throws Bad {
         Durability.How how = s.choice("durability", Durability.How.class, Durability.How.NONE);
         long every = s.time("interval", 50_000, 1000, 60 * SECOND);
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import lilaclever.Relay;
+import lilaclever.identity.Identity;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Front;
@@ -31,13 +32,22 @@
     private final Notices notices;
     private final IntakeFilter intake;
     /** Who waits to hear that a message is taken on: more than one where it came again meanwhile. */
-    private final Map<Message, List<IntakeFilter.Exchange>> waiting = new HashMap<>();
+    private final Map<Message, List<Waiting>> waiting = new HashMap<>();
+    /** The header that names the practice, in lower case, where identities are shared with other ports; else null. */
+    private final String practiceHeader;
     private Connection<?> listener;
 
-    /** Classes by the name that clients use; at most so many connections of clients, none idle above a crowd. */
+    /** A request that waits, under the id that it came with. */
+    private record Waiting(IntakeFilter.Exchange exchange, String id) { }
+
+    /**
+     * Classes by the name that clients use; at most so many connections of clients, none idle above a crowd. Requests
+     * with the header for the practice and a key are the same message as those with both on another port; null: none.
+     */
     public HttpFront(Core core, List<String> classNames, List<Relay.MessageClass> classes, int mostClients,
-            int crowd, Notices notices) {
+            int crowd, Notices notices, String practiceHeader) {
         this.core = core;
+        this.practiceHeader = practiceHeader;
         this.classNames = List.copyOf(classNames);
         this.classes = List.copyOf(classes);
         this.intake = new IntakeFilter(core, mostClients, crowd, this::request);
@@ -111,9 +121,9 @@
         Message m = core.handIn(this, handin);
         if (m.isTakenOn()) {
             // Handed in under the same id before: it makes no second message, whoever asks.
-            exchange.answer(202, Map.of(), NOTHING, () -> { });
+            core.whenDurable(() -> exchange.answer(202, Map.of(), NOTHING, () -> { }));
         } else if (m.isOpen()) {
-            waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(exchange);
+            waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(new Waiting(exchange, handin.id()));
         } else {
             refuse(exchange, m.verdict());
         }
@@ -141,10 +151,22 @@
         check(key == null ? classes.get(number).repeat() != Relay.Repeat.KEYED : Figures.isWord(key) && !key.equals("-"),
                 "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
-        return new Handin(id, null, number, destination, key, request.body(), !retry.isEmpty(), retry.equals("again"),
+        return new Handin(id, identity(headers, key), number, destination, key, request.body(), !retry.isEmpty(), retry.equals("again"),
                 budget(deadline, Core.micros() - request.arrivedMicros()));
     }
 
+    private String identity(Map<String, String> headers, String key) {
+        String practice = practiceHeader == null ? null : headers.get(practiceHeader);
+        if (practice == null || key == null) {
+            return null;
+        }
+        try {
+            return new Identity(practice, key).text();
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(practiceHeader + ": " + e.getMessage(), e);
+        }
+    }
+
     /**
      * How long the message may still take. It may have lain in the socket for longer than is known: a client waits
      * 400 ms to hear that it is taken on, and just after a start that much goes by, while its end is lost when told
@@ -169,14 +191,18 @@
     // ---- answers: on the loop thread ----------------------------------------------------------------------
     @Override
     public void taken(Message message) {
-        List<IntakeFilter.Exchange> all = waiting.remove(message);
+        List<Waiting> all = waiting.remove(message);
+        if (all == null) {
+            return; // it came on another port, and a client of this one joined it and has left
+        }
         // Nobody is left to hear of it: it is handed in again. One is enough, as one message may have come twice,
         // on a connection that was closed as it came and on the next one.
-        int[] lost = {0};
-        for (IntakeFilter.Exchange exchange : all) {
-            exchange.answer(202, Map.of(), NOTHING, () -> core.post(() -> {
-                if (++lost[0] == all.size()) {
-                    core.clientGone(message);
+        Map<String, Integer> lost = new HashMap<>();
+        all.forEach(w -> lost.merge(w.id(), 1, Integer::sum));
+        for (Waiting w : all) {
+            w.exchange().answer(202, Map.of(), NOTHING, () -> core.post(() -> {
+                if (lost.merge(w.id(), -1, Integer::sum) == 0) {
+                    core.clientGone(message, this, w.id());
                 }
             }));
         }
@@ -184,12 +210,19 @@
 
     @Override
     public void turnedDown(Message message, Verdict verdict) {
-        List<IntakeFilter.Exchange> all = waiting.remove(message);
+        List<Waiting> all = waiting.remove(message);
         if (all != null) {
-            all.forEach(exchange -> refuse(exchange, verdict));
+            all.forEach(w -> refuse(w.exchange(), verdict));
         }
     }
 
+    @Override
+    public void notJoined(Message message, String id, Verdict verdict) {
+        List<Waiting> all = waiting.getOrDefault(message, List.of());
+        all.stream().filter(w -> w.id().equals(id)).forEach(w -> refuse(w.exchange(), verdict));
+        all.removeIf(w -> w.id().equals(id));
+    }
+
     private static void refuse(IntakeFilter.Exchange exchange, Verdict verdict) {
         if (verdict.kind() == Verdict.Kind.REFUSED) {
             Map<String, String> headers = new LinkedHashMap<>();
@@ -197,16 +230,20 @@
                 headers.put("Retry-After", HttpDeliverer.seconds(verdict.comeBackMicros()));
             }
             answer(exchange, 503, headers, "");
+        } else if (verdict.kind() == Verdict.Kind.DELIVERED) {
+            answer(exchange, 200, Map.of(), ""); // it came before, and nothing more is owed
+        } else if (verdict.kind() == Verdict.Kind.CLASH) {
+            answer(exchange, 409, Map.of(), "Idempotency-Key: another message has it\n");
         } else {
             answer(exchange, 500, Map.of(), "");
         }
     }
 
     @Override
-    public void ended(Message message, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
         switch (verdict.kind()) {
-            case REFUSED -> notices.add(message.id(), "deferred", verdict.comeBackMicros(), settled);
-            case FAILED -> notices.add(message.id(), "undeliverable", 0, settled);
+            case REFUSED -> notices.add(id, "deferred", verdict.comeBackMicros(), settled);
+            case FAILED -> notices.add(id, "undeliverable", 0, settled);
             default -> settled.run();
         }
     }
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -144,13 +144,13 @@
     }
 
     @Override
-    public void ended(Message message, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
         if (protocol == Protocol.LMTP) {
             // Whoever has dropped the connection hands it in again, and hears the end that is remembered.
             tell(message, Reply.of(verdict));
             settled.run();
         } else if (verdict.kind() == Verdict.Kind.REFUSED || verdict.kind() == Verdict.Kind.FAILED) {
-            report(message.id(), Mail.decode(message.handin.body()), verdict, settled);
+            report(id, Mail.decode(message.handin.body()), verdict, settled);
         } else {
             settled.run();
         }
--- a/src/main/java/lilaclever/protocol/mail/Reply.java
+++ b/src/main/java/lilaclever/protocol/mail/Reply.java
@@ -48,7 +48,7 @@
             case DELIVERED -> new Reply(250, "2.1.5 delivered");
             case REFUSED, GONE -> new Reply(451, "4.4.7 not delivered, come again"
                     + (verdict.comeBackMicros() > 0 ? " in " + (verdict.comeBackMicros() / 1_000_000 + 1) + " s" : ""));
-            case FAILED -> said != null && said.permanent() ? said
+            case FAILED, CLASH -> said != null && said.permanent() ? said
                     : new Reply(554, "5.4.0 delivery not confirmed; it may have happened");
         };
     }
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,9 @@
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Event;
+import lilaclever.identity.Identity;
+import lilaclever.identity.Ruling;
+import lilaclever.identity.Windows;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Verdict.Kind;
 
@@ -42,7 +46,7 @@
     private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
     private final Map<String, Front> fronts = new HashMap<>();
     private final Map<String, Message> held = new LinkedHashMap<>();
-    private final Map<String, Message> byIdentity = new HashMap<>();
+    private final Claims claims;
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
     /** Destinations that the list has named, and when last: one that has no endpoint now may have one soon. */
     private final Map<Integer, Long> destinations = new HashMap<>();
@@ -50,7 +54,6 @@
     private final List<Listed> fixed = new ArrayList<>();
     private final Set<Call> calls = new HashSet<>();
     private final List<Message> fresh = new ArrayList<>();
-    private final long rememberMicros;
     private List<Event> events = new ArrayList<>();
     private Thread thread;
     private volatile boolean ended;
@@ -59,14 +62,13 @@
     private long now = micros();
 
     /** A core that holds nothing yet. */
-    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, long rememberMicros) {
+    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, Windows windows) {
         this.settings = settings;
         this.relay = Relay.create(settings, seed);
         this.journal = journal;
         this.counters = counters;
-        this.rememberMicros = rememberMicros;
+        this.claims = new Claims(windows, journal, counters);
         counters.gauge("held", held::size);
-        counters.gauge("identities", byIdentity::size);
         counters.gauge("endpoints", endpoints::size);
         counters.gauge("destinations", destinations::size);
         counters.gauge("calls", calls::size);
@@ -146,9 +148,16 @@
         m.journaled = true;
         m.told = true;
         m.resumed = true;
-        if (e.verdict() != null) {
+        for (Owed.Claim claim : e.joined()) {
+            if (fronts.containsKey(claim.front())) {
+                m.claims.add(new Claims.Claim(fronts.get(claim.front()), claim.id()));
+            }
+        }
+        // A kill may have come between the remembering of its end and the record that the end is decided.
+        Verdict end = e.verdict() != null ? e.verdict() : claims.earlierEnd(m);
+        if (end != null) {
             m.over = true;
-            answer(m, e.verdict());
+            answer(m, end);
             return;
         }
         if (e.isOut()) {
@@ -173,16 +182,20 @@
         counters.add(Name.HANDED_IN);
         long wall = wall();
         Message m = new Message(handin, front, wall + handin.budgetMicros());
-        Message same = handin.identity() == null ? held.get(handin.id()) : byIdentity.get(handin.identity());
-        if (same != null) {
-            return same;
+        Message under = held.get(handin.id());
+        if (under != null && (handin.identity() == null || !handin.identity().equals(under.handin.identity()))) {
+            return handin.identity() == null ? under : clash(m);
         }
-        Journal.Remembered earlier = handin.identity() == null ? null : journal.remembered(handin.identity());
-        if (earlier != null && earlier.untilWall() > wall) {
-            m.over = true;
-            m.verdict = earlier.verdict();
-            front.turnedDown(m, m.verdict);
-            return m;
+        Ruling<Message, Verdict> ruling = claims.rule(m, wall);
+        if (ruling instanceof Ruling.Joins<Message, Verdict> joins) {
+            return join(joins.held(), m);
+        }
+        if (ruling instanceof Ruling.Again<Message, Verdict> again) {
+            counters.add(Name.TOLD_AGAIN);
+            return notHeld(m, again.end());
+        }
+        if (ruling instanceof Ruling.Clash<Message, Verdict>) {
+            return clash(m);
         }
         if (closing || held.size() >= settings.limits().maxOpen()) {
             turnDown(m, new Verdict(Kind.REFUSED, COME_BACK, "no room"));
@@ -194,9 +207,36 @@
         return m;
     }
 
-    /** The client is gone before it heard that its message is taken on. Loop thread. */
-    public void clientGone(Message m) {
-        if (!m.over) {
+    /** Another hand-in of a message that is held: its front tells the end there too, where identities are shared. */
+    private Message join(Message held, Message comer) {
+        if (Identity.isShared(held.handin.identity()) && !claims.join(held, comer.front, comer.id())) {
+            return notHeld(comer, new Verdict(Kind.REFUSED, COME_BACK, "already under way"));
+        }
+        return held;
+    }
+
+    private Message clash(Message m) {
+        counters.add(Name.CLASHES);
+        return notHeld(m, Verdict.of(Kind.CLASH));
+    }
+
+    /** Answers a hand-in that makes no message. */
+    private static Message notHeld(Message m, Verdict verdict) {
+        m.over = true;
+        m.verdict = verdict;
+        m.front.turnedDown(m, verdict);
+        return m;
+    }
+
+    /** Runs what must not happen before all that is written so far would outlast the machine. Loop thread. */
+    public void whenDurable(Runnable consequence) {
+        journal.whenDurable(() -> run(consequence));
+    }
+
+    /** A client is gone before it heard that its message is taken on. Loop thread. */
+    public void clientGone(Message m, Front front, String id) {
+        m.claims.remove(new Claims.Claim(front, id));
+        if (!m.over && m.claims.isEmpty()) {
             counters.add(Name.WITHDRAWN);
             events.add(new Event.Withdrawn(m.id()));
             release(m);
@@ -275,9 +315,9 @@
         events.add(new Event.Stopping(atMicros));
     }
 
-    /** True if nothing is held and every end has been told. Loop thread. */
-    public boolean quiet() {
-        return held.isEmpty() && calls.isEmpty() && unsettled == 0;
+    /** True if nothing is held and every end has been told, but for so many owed to clients that are away. Loop thread. */
+    public boolean quiet(int away) {
+        return held.isEmpty() && calls.isEmpty() && unsettled <= away;
     }
 
     /** Ends the loop after this turn; the journal has what is left. From any thread. */
@@ -370,9 +410,10 @@
             run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
+                refuse(claims.written(m), m);
                 journal.whenDurable(() -> {
                     m.told = true;
-                    run(() -> m.front.taken(m));
+                    fronts(m).forEach(front -> run(() -> front.taken(m)));
                 });
             } else {
                 counters.add(Name.JOURNAL_FULL);
@@ -383,6 +424,19 @@
         fresh.clear();
     }
 
+    /** Those who joined it and could not be written hear that they are not owed its end. */
+    private void refuse(List<Claims.Claim> refused, Message m) {
+        for (Claims.Claim claim : refused) {
+            run(() -> claim.front().notJoined(m, claim.id(), new Verdict(Kind.REFUSED, COME_BACK, "no room on disk")));
+        }
+    }
+
+    private static Set<Front> fronts(Message m) {
+        Set<Front> all = new LinkedHashSet<>();
+        m.claims.forEach(claim -> all.add(claim.front()));
+        return all;
+    }
+
     private void carryOut(Action action) {
         if (action instanceof Action.Refuse a) {
             ended(a.id(), new Verdict(Kind.REFUSED, a.comeBackMicros(), ""));
@@ -488,33 +542,27 @@
     // ---- messages ---------------------------------------------------------------------------------------
     private void hold(Message m) {
         held.put(m.id(), m);
-        if (m.handin.identity() != null) {
-            byIdentity.put(m.handin.identity(), m);
-        }
+        claims.hold(m);
     }
 
     private void release(Message m) {
         m.over = true;
         held.remove(m.id());
-        if (m.handin.identity() != null) {
-            byIdentity.remove(m.handin.identity(), m);
-        }
+        claims.release(m);
     }
 
     private void turnDown(Message m, Verdict verdict) {
         counters.add(Name.TURNED_DOWN);
         release(m);
         m.verdict = verdict;
-        run(() -> m.front.turnedDown(m, verdict));
+        fronts(m).forEach(front -> run(() -> front.turnedDown(m, verdict)));
     }
 
     private void end(Message m, Verdict verdict) {
         release(m);
-        String identity = m.handin.identity();
-        if (identity != null && (verdict.kind() == Kind.DELIVERED || verdict.kind() == Kind.FAILED)) {
-            journal.remember(identity, verdict, wall() + rememberMicros);
-        }
-        if (verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE) {
+        claims.ended(m, verdict, wall());
+        boolean told = verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE;
+        if (told || Identity.isShared(m.handin.identity())) { // a client that is away may be owed that it was delivered
             journal.verdict(m.id(), verdict);
         }
         answer(m, verdict);
@@ -522,10 +570,19 @@
 
     private void answer(Message m, Verdict verdict) {
         m.verdict = verdict;
-        unsettled++;
-        journal.whenDurable(() -> run(() -> m.front.ended(m, verdict, () -> {
-            unsettled--;
+        if (m.claims.isEmpty()) {
             journal.ended(m.id());
-        })));
+            return;
+        }
+        int[] open = {m.claims.size()};
+        for (Claims.Claim claim : m.claims) {
+            unsettled++;
+            journal.whenDurable(() -> run(() -> claim.front().ended(m, claim.id(), verdict, () -> {
+                unsettled--;
+                if (--open[0] == 0) {
+                    journal.ended(m.id());
+                }
+            })));
+        }
     }
 }
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -11,6 +11,20 @@
     /** The message was turned down in the turn of its hand-in; nothing is owed. */
     void turnedDown(Message message, Verdict verdict);
 
-    /** A message taken on has ended. Runs {@code settled} when nothing more is owed to the client. */
-    void ended(Message message, Verdict verdict, Runnable settled);
+    /** True where a message that comes again is asked for by the same client: one claim on its end is enough. */
+    default boolean asksAgain() {
+        return false;
+    }
+
+    /** A hand-in that joined a message could not be owed its end after all; of fronts whose identities are shared. */
+    default void notJoined(Message message, String id, Verdict verdict) {
+        throw new IllegalStateException(name() + " shares no identities");
+    }
+
+    /**
+     * A message taken on has ended. Runs {@code settled} when nothing more is owed to the client.
+     *
+     * @param id the id under which it was handed in here: the message's own, or that of a hand-in that joined it
+     */
+    void ended(Message message, String id, Verdict verdict, Runnable settled);
 }
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.concurrent.Executor;
+import lilaclever.identity.Past;
 
 /**
  * What the core asks of the log that outlasts the process: each record is written before its consequence. All is
@@ -29,11 +30,25 @@
     /** Nothing more is owed. */
     void ended(String id);
 
-    /** The end is to be given again to whoever resends the message, until the given time on the wall clock. */
-    void remember(String identity, Verdict verdict, long untilWall);
+    /**
+     * Somebody else has handed in a message that is held, and is owed its end too under an id of their own; false if
+     * that could not be written, and then nothing is owed.
+     */
+    boolean joined(String id, String front, String claim);
+
+    /** The end is to be given again to whoever resends the message, until its time. */
+    void remember(String identity, Past<Verdict> past);
+
+    /** The same for an end whose message is not compared. */
+    default void remember(String identity, Verdict verdict, long untilWall) {
+        remember(identity, new Past<>(verdict, null, untilWall));
+    }
 
     /** The end that is remembered of a message, or null. */
-    Remembered remembered(String identity);
+    Past<Verdict> remembered(String identity);
+
+    /** Forgets the remembered end whose time is up soonest. */
+    void forgetSoonest();
 
     /** All that is owed an end, in the order of taking on or later. */
     Collection<Owed> owed();
@@ -52,7 +67,4 @@
 
     @Override
     void close() throws IOException;
-
-    /** The end of a message whose resending gets it again, and when that is forgotten (wall clock, microseconds). */
-    record Remembered(Verdict verdict, long untilWall) { }
 }
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -1,6 +1,10 @@
 package lilaclever.routing;
 
+import java.util.ArrayList;
+import java.util.List;
 import lilaclever.Relay;
+import lilaclever.identity.Fingerprint;
+import lilaclever.identity.Identity;
 
 /** A message in the core's hands. */
 public final class Message {
@@ -12,6 +16,9 @@
     public final Front front;
     /** When its time is up, on the wall clock, microseconds: this outlasts the process. */
     final long deadlineWall;
+    /** Who is owed its end: whoever handed it in, and whoever handed in the same since. */
+    final List<Claims.Claim> claims = new ArrayList<>(1);
+    private Fingerprint content;
     boolean journaled;
     boolean told;
     boolean over;
@@ -30,6 +37,15 @@
         this.handin = handin;
         this.front = front;
         this.deadlineWall = deadlineWall;
+        claims.add(new Claims.Claim(front, handin.id()));
+    }
+
+    /** What it says, where that is compared; else null. */
+    Fingerprint content() {
+        if (content == null && Identity.isShared(handin.identity())) {
+            content = Fingerprint.of(handin.messageClass(), handin.destination(), handin.body());
+        }
+        return content;
     }
 
     /** The id. */
--- a/src/main/java/lilaclever/routing/Owed.java
+++ b/src/main/java/lilaclever/routing/Owed.java
@@ -1,7 +1,14 @@
 package lilaclever.routing;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
 /** What the journal knows of a message that was taken on and has not ended. Used from one thread at a time. */
 public final class Owed {
+    /** Somebody who is owed the end, beside whoever handed the message in first: a front, and its id there. */
+    public record Claim(String front, String id) { }
+
     private final String front;
     private final Handin handin;
     private final long deadlineWall;
@@ -15,6 +22,7 @@
     private int riskZone;
     private long riskWall;
     private Verdict verdict;
+    private List<Claim> joined = List.of();
 
     /** A message just taken on; the deadline on the wall clock, microseconds. */
     public Owed(String front, Handin handin, long deadlineWall) {
@@ -88,6 +96,21 @@
         return verdict;
     }
 
+    /** Who else is owed the end. */
+    public List<Claim> joined() {
+        return Collections.unmodifiableList(joined);
+    }
+
+    /** Somebody else is owed the end; passed over if that is known. */
+    public void join(Claim claim) {
+        if (joined.isEmpty()) {
+            joined = new ArrayList<>(1); // most messages have none
+        }
+        if (!joined.contains(claim)) {
+            joined.add(claim);
+        }
+    }
+
     /** An attempt is made. */
     public void attempt(String toHost, int toZone, long wall) {
         attempts++;
--- a/src/main/java/lilaclever/routing/Verdict.java
+++ b/src/main/java/lilaclever/routing/Verdict.java
@@ -2,8 +2,11 @@
 
 /** How a message ended; {@code comeBackMicros} goes with REFUSED (0: no advice). {@code detail} is for people. */
 public record Verdict(Kind kind, long comeBackMicros, String detail) {
-    /** The three ends, and GONE: the client has withdrawn, nothing is owed. */
-    public enum Kind { DELIVERED, REFUSED, FAILED, GONE }
+    /**
+     * The three ends; GONE: the client has withdrawn, nothing is owed; CLASH: not taken on, as another message has the
+     * same identity. The order is part of the journal's format.
+     */
+    public enum Kind { DELIVERED, REFUSED, FAILED, GONE, CLASH }
 
     /** An end with nothing more to say. */
     public static Verdict of(Kind kind) {
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -8,8 +8,9 @@
 import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
+import lilaclever.identity.Fingerprint;
+import lilaclever.identity.Past;
 import lilaclever.routing.Handin;
-import lilaclever.routing.Journal.Remembered;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
 
@@ -25,7 +26,7 @@
     /** Gives a number below the bound. */
     private final IntUnaryOperator random;
     private final TreeMap<String, Owed> owed = new TreeMap<>();
-    private final TreeMap<String, Remembered> remembered = new TreeMap<>();
+    private final TreeMap<String, Past<Verdict>> remembered = new TreeMap<>();
     private SegmentedJournal journal;
     private int next;
     long now;
@@ -111,7 +112,12 @@
                 }
             }
             case 1 -> {
-                if (o.isOut()) {
+                if (!o.isOut()) {
+                    Owed.Claim claim = new Owed.Claim("other", "claim-" + now);
+                    if (o.joined().size() < 3 && journal.joined(id, claim.front(), claim.id())) {
+                        o.join(claim);
+                    }
+                } else {
                     boolean neverRan = random.applyAsInt(2) == 0;
                     journal.outcome(id, neverRan);
                     o.outcome(neverRan);
@@ -120,8 +126,10 @@
             case 2 -> {
                 Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
                 if (o.handin().identity() != null && random.applyAsInt(2) == 0) {
-                    journal.remember(o.handin().identity(), v, now + 40);
-                    remembered.put(o.handin().identity(), new Remembered(v, now + 40));
+                    Past<Verdict> past = new Past<>(v, random.applyAsInt(2) == 0 ? null
+                            : new Fingerprint(now, next), now + 20 + random.applyAsInt(40)); // windows differ
+                    journal.remember(o.handin().identity(), past);
+                    remembered.put(o.handin().identity(), past);
                 } else {
                     journal.verdict(id, v);
                     o.verdict(v);
@@ -144,9 +152,9 @@
     static String text(SegmentedJournal j, long now) {
         TreeMap<String, Owed> owed = new TreeMap<>();
         j.owed().forEach(o -> owed.put(o.handin().id(), o));
-        TreeMap<String, Remembered> kept = new TreeMap<>();
+        TreeMap<String, Past<Verdict>> kept = new TreeMap<>();
         for (int i = 0; i < 10_000; i += 3) {
-            Remembered r = j.remembered("identity-" + i);
+            Past<Verdict> r = j.remembered("identity-" + i);
             if (r != null) {
                 kept.put("identity-" + i, r);
             }
@@ -154,7 +162,7 @@
         return text(owed, kept);
     }
 
-    static String text(Map<String, Owed> owed, Map<String, Remembered> remembered) {
+    static String text(Map<String, Owed> owed, Map<String, Past<Verdict>> remembered) {
         StringBuilder all = new StringBuilder();
         owed.values().forEach(o -> all.append(text(o)).append('\n'));
         return all.append(remembered).toString();
@@ -166,6 +174,6 @@
                 "" + java.util.Arrays.hashCode(h.body()), "" + h.budgetMicros(), "" + o.deadlineWall(),
                 o.attempts() + (o.isOut() ? " out" : "") + (o.attempts() > 0 ? " " + o.host() + o.sentWall() : ""),
                 o.mayHaveRun() ? "risk " + o.riskHost() + o.riskZone() + "@" + o.riskWall() : "",
-                String.valueOf(o.verdict()));
+                String.valueOf(o.verdict()), o.joined().toString());
     }
 }
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -268,10 +269,63 @@
         disk.put("journal.new", new byte[3]);
         int before = disk.ops.size();
         JournalException e = assertThrows(JournalException.class, this::open);
-        assertTrue(e.getMessage().contains(Segment.name(1) + " is of format 2"), e.getMessage());
+        assertTrue(e.getMessage().contains(Segment.name(1) + " is of format " + (Format.VERSION + 1)), e.getMessage());
         assertEquals(before, disk.ops.size());
     }
 
+    /** Version 1 knew no fingerprints and nobody but the first to whom an end is owed. */
+    @Test
+    void whatVersionOneWroteIsRead() throws IOException {
+        Format.Writer out = new Format.Writer();
+        Held.previous(out, 0, 0);
+        out.begin(Format.Type.REMEMBERED).text("i").small(Verdict.Kind.FAILED.ordinal()).number(0).text("why").number(77).end();
+        out.begin(Format.Type.SNAPSHOT).text("http").text("s").flag(false).small(1).small(7).flag(false).flag(false).flag(false)
+                .number(20).number(99).bytes(new byte[3]).small(2).flag(true).text("h").small(0).number(5).flag(false).text("")
+                .small(0).number(0).flag(false).end();
+        java.nio.ByteBuffer all = java.nio.ByteBuffer.allocate(16 * 1024);
+        all.put(Format.header(new Format.Header(1, 1, 5, 0, BootClock.UNKNOWN))).put(out.sealed(5));
+        disk.put(Segment.name(1), all.array());
+        try (SegmentedJournal journal = open()) {
+            assertEquals(List.of(), journal.recovered().damages());
+            assertEquals(new lilaclever.identity.Past<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
+                    journal.remembered("i"));
+            assertTrue(owed(journal, "s").isOut() && owed(journal, "s").attempts() == 2 && owed(journal, "s").joined().isEmpty());
+            assertTrue(journal.joined("s", "mllp", "x"));
+        }
+        try (SegmentedJournal journal = open()) {
+            assertEquals(List.of(new lilaclever.routing.Owed.Claim("mllp", "x")), owed(journal, "s").joined());
+        }
+    }
+
+    /** Windows differ: guards against an end that is over being kept, and told, since one before it is not. */
+    @Test
+    void remembersByTimeAndNotByOrder() throws IOException {
+        try (SegmentedJournal journal = open()) {
+            journal.remember("long", Verdict.of(Verdict.Kind.DELIVERED), 1000);
+            journal.remember("short", Verdict.of(Verdict.Kind.DELIVERED), 10);
+            journal.remember("middle", Verdict.of(Verdict.Kind.DELIVERED), 500);
+            journal.tidy(10);
+            assertNull(journal.remembered("short"));
+            journal.forgetSoonest();
+            assertNull(journal.remembered("middle"));
+            assertEquals(1, journal.rememberedCount());
+        }
+    }
+
+    /** Guards against the end of an earlier message being given to one that came under its identity later. */
+    @Test
+    void aNewMessageHasNotEndedThoughAnEarlierOneHas() throws IOException {
+        Handin h = new Handin("m2", "i", 0, 7, null, new byte[1], false, false, 20);
+        try (SegmentedJournal journal = open()) {
+            journal.remember("i", Verdict.of(Verdict.Kind.DELIVERED), 10);
+            assertTrue(journal.taken("mllp", h, 99, 11)); // before the tidying that would have forgotten it
+            assertNull(journal.remembered("i"));
+        }
+        try (SegmentedJournal journal = open()) {
+            assertNull(journal.remembered("i"));
+        }
+    }
+
     @Test
     void aFolderIsForOneProgramAtATime(@TempDir Path folder) throws IOException {
         FolderDisk first = FolderDisk.take(folder);
@@ -435,7 +489,7 @@
                     journal.owed().stream().map(o -> o.handin().id()).sorted().toList());
             assertEquals(Verdict.Kind.FAILED, owed(journal, "fails").verdict().kind());
             assertTrue(owed(journal, "stays").mayHaveRun() && !owed(journal, "stays").isOut());
-            assertEquals(Verdict.Kind.DELIVERED, journal.remembered("identity").verdict().kind());
+            assertEquals(Verdict.Kind.DELIVERED, journal.remembered("identity").end().kind());
         }
     }
 
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -107,8 +107,9 @@
     @Test
     void aGroupCommitHoldsNothingBackForGood() throws Exception {
         try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
-            Operator operator = Operator.of(OperatorFile.parse("f", List.of("[journal]", "durability group")));
-            forwarder = Forwarder.start(Setup.config(platform.address(), state, endpoint.address()), operator, null);
+            Config config = Setup.config(platform.address(), state, endpoint.address());
+            Operator operator = Operator.of(OperatorFile.parse("f", List.of("[journal]", "durability group")), config);
+            forwarder = Forwarder.start(config, operator, null);
             address = forwarder.addresses().get(0);
             try (Wire client = Wire.to(address)) {
                 for (int i = 0; i < 20; i++) {
--- /dev/null
+++ b/src/test/java/lilaclever/program/MixedRun.java
@@ -0,0 +1,429 @@
+package lilaclever.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+
+/**
+ * Both client ports over capacity with a kill in the middle, outside CI: {@code bench/mixed}. The same plan of
+ * arrivals, drawn ahead, is played by HTTP alone or half by HL7; one message in twenty is handed in twice, on the other port
+ * in the mixed run. Then each message's story is checked: one end, told once to each hand-in that was taken on, and
+ * nothing delivered twice.
+ */
+final class MixedRun {
+    private static final long MS = 1_000_000;
+    private static final int DESTINATIONS = 6, FIRST = 7, AT_ONCE = 2, SERVICE_MS = 100, MLLP_LINES = 8;
+    /** Two endpoints for each destination, each with so many calls at once. */
+    private static final double CAPACITY = DESTINATIONS * 2 * AT_ONCE * 1000.0 / SERVICE_MS;
+    private static final String[] CLASSES = {"order", "status", "payment"};
+    private static final String[] EVENTS = {"ORM^O01", "ORU^R01", "DFT^P03"};
+    private static final double[] DEADLINES = {8, 4, 9};
+
+    /** One arrival of the plan: when, what, and on which port; {@code again}: its number is that of an earlier one. */
+    private record Arrival(long at, int number, int kind, int destination, boolean hl7, boolean again) { }
+
+    /** What became of one message. */
+    private static final class Story {
+        final int kind;
+        final AtomicInteger calls = new AtomicInteger(), delivered = new AtomicInteger(), asks = new AtomicInteger(),
+                finals = new AtomicInteger(), notices = new AtomicInteger(), httpTaken = new AtomicInteger(),
+                hl7Taken = new AtomicInteger();
+        volatile boolean mayHaveRun, refusedAtOnce, told;
+        volatile String ends = "";
+
+        Story(int kind) {
+            this.kind = kind;
+        }
+
+        synchronized void end(String what) {
+            ends += what + ' ';
+        }
+    }
+
+    private final boolean mixed;
+    private final SplittableRandom random;
+    private final Path folder;
+    private final Map<Integer, Story> stories = new ConcurrentHashMap<>();
+    private final Map<String, Integer> httpIds = new ConcurrentHashMap<>();
+    private final List<Long> httpMs = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final List<Long> hl7Ms = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final TreeMap<String, Long> counts = new TreeMap<>();
+    private final AtomicLong ids = new AtomicLong();
+    private volatile InetSocketAddress http, hl7;
+    private volatile boolean ended;
+    private Process process;
+
+    private MixedRun(boolean mixed, long seed) throws IOException {
+        this.mixed = mixed;
+        random = new SplittableRandom(seed);
+        folder = Files.createTempDirectory("mixed");
+    }
+
+    private synchronized void count(String what) {
+        counts.merge(what, 1L, Long::sum);
+    }
+
+    // ---- the plan ---------------------------------------------------------------------------------------
+    private List<Arrival> plan(int seconds, double load) {
+        List<Arrival> all = new ArrayList<>();
+        double rate = CAPACITY * load;
+        double t = 0;
+        for (int n = 0; t < seconds; n++) {
+            t += -Math.log(1 - random.nextDouble()) / rate;
+            int draw = random.nextInt(100);
+            int kind = draw < 57 ? 0 : draw < 80 ? 1 : 2;
+            int destination = FIRST + random.nextInt(DESTINATIONS);
+            boolean onHl7 = random.nextBoolean(), twice = random.nextInt(20) == 0;
+            long later = (long) ((t + 0.9 * random.nextDouble()) * 1e9);
+            stories.put(n, new Story(kind));
+            all.add(new Arrival((long) (t * 1e9), n, kind, destination, mixed && onHl7, false));
+            if (twice) {
+                all.add(new Arrival(later, n, kind, destination, mixed && !onHl7, true));
+            }
+        }
+        all.sort(Comparator.comparingLong(Arrival::at));
+        return all;
+    }
+
+    private static String body(Arrival a) {
+        return "MSH|^~\\&|APP|F|LAB" + a.destination() + "|L|20260101||" + EVENTS[a.kind()] + "|M" + a.number()
+                + "|P|2.5|||AL|AL\rORC|NW|1\rNTE|" + "x".repeat(200) + '\r';
+    }
+
+    // ---- peers ------------------------------------------------------------------------------------------
+    private static int number(String text) {
+        return Integer.parseInt(text.replaceAll("(?s).*?\\|M(\\d+)(?:\\||\\s).*", "$1"));
+    }
+
+    private Peer endpoint() throws IOException {
+        Semaphore slots = new Semaphore(AT_ONCE);
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                Story s = stories.get(number(r.body()));
+                s.calls.incrementAndGet();
+                if (!slots.tryAcquire()) {
+                    wire.answer("503 full", "");
+                    continue;
+                }
+                if (s.kind == 2 && s.mayHaveRun) {
+                    count("BROKEN payment sent again");
+                }
+                s.mayHaveRun = true;
+                try {
+                    Thread.sleep(SERVICE_MS);
+                    s.delivered.incrementAndGet();
+                    wire.answer("200 OK", "");
+                } finally {
+                    slots.release();
+                }
+            }
+        });
+    }
+
+    private Peer platform() throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                if (r.path().equals("/status")) {
+                    r.body().lines().forEach(l -> {
+                        Integer n = httpIds.remove(l.replaceAll(".*\"id\":\"([^\"]*)\".*", "$1"));
+                        if (n != null) { // else told before: the platform passes a second notice over
+                            stories.get(n).notices.incrementAndGet();
+                            stories.get(n).end("notice " + (l.contains("deferred") ? "refused" : "failed"));
+                        }
+                    });
+                    wire.answer("204 No Content", "");
+                } else if (!r.path().contains("?")) {
+                    wire.answer("200 OK", "");
+                }
+            }
+        });
+    }
+
+    // ---- clients ----------------------------------------------------------------------------------------
+    private final ThreadLocal<Wire> kept = new ThreadLocal<>();
+
+    /** Hands in over HTTP; what had no answer is handed in again, as after a forwarder's death. */
+    private void overHttp(Arrival a, long due) {
+        Story s = stories.get(a.number());
+        for (int i = 0; i < 20 && !ended; i++) {
+            s.asks.incrementAndGet();
+            String id = "h" + ids.getAndIncrement();
+            httpIds.put(id, a.number());
+            try {
+                if (kept.get() == null) {
+                    kept.set(Wire.to(http));
+                }
+                String body = body(a);
+                kept.get().say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: " + CLASSES[a.kind()]
+                        + "\r\nReq-Deadline: " + DEADLINES[a.kind()] + "\r\nX-Practice: north\r\nIdempotency-Key: M" + a.number()
+                        + "\r\nX-Envelope: dest=" + a.destination() + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                Request answer = kept.get().request();
+                if (answer != null) {
+                    if (i == 0) {
+                        httpMs.add((System.nanoTime() - due) / MS);
+                    }
+                    switch (answer.path()) {
+                        case "202" -> s.httpTaken.incrementAndGet();
+                        case "200" -> s.end("told delivered");
+                        case "500" -> s.end("told failed");
+                        default -> s.refusedAtOnce = true;
+                    }
+                    return;
+                }
+            } catch (IOException e) {
+                // below
+            }
+            httpIds.remove(id);
+            kept.remove();
+            pause(100);
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** One client's line: messages go out as they are due; what had no acknowledgement is sent again on the next connection. */
+    private final class Line {
+        private final Map<Integer, Arrival> unanswered = new LinkedHashMap<>();
+        private final Map<Integer, Long> due = new ConcurrentHashMap<>();
+        private Wire wire;
+
+        synchronized void send(Arrival a, long at) {
+            stories.get(a.number()).asks.incrementAndGet();
+            unanswered.put(a.number(), a);
+            due.put(a.number(), at);
+            try {
+                if (wire != null) {
+                    wire.frame(body(a));
+                }
+            } catch (IOException e) {
+                wire = null; // the reader connects again, and sends it
+            }
+        }
+
+        private synchronized void connect() throws IOException {
+            wire = Wire.to(hl7);
+            for (Arrival a : unanswered.values()) {
+                stories.get(a.number()).asks.incrementAndGet();
+                wire.frame(body(a));
+            }
+        }
+
+        void read() {
+            while (!ended) {
+                try {
+                    connect();
+                    for (String frame = wire.frame(); frame != null; frame = wire.frame()) {
+                        acknowledged(frame.split("\r")[1].split("\\|"));
+                    }
+                } catch (IOException e) {
+                    pause(100);
+                }
+            }
+        }
+
+        private synchronized void acknowledged(String[] msa) {
+            int n = Integer.parseInt(msa[2].substring(1));
+            Story s = stories.get(n);
+            Long at = due.remove(n);
+            if (at != null && msa[1].startsWith("C")) {
+                hl7Ms.add((System.nanoTime() - at) / MS);
+            }
+            switch (msa[1]) {
+                case "CA" -> s.hl7Taken.incrementAndGet();
+                case "CE", "CR" -> {
+                    s.refusedAtOnce = true;
+                    unanswered.remove(n);
+                }
+                default -> {
+                    s.finals.incrementAndGet();
+                    s.end(msa[1]);
+                    unanswered.remove(n);
+                }
+            }
+        }
+    }
+
+    // ---- the process ------------------------------------------------------------------------------------
+    private void start(String config, String conf) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "0", Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:SharedArchiveFile="
+                + "target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve", "--conf",
+                Files.writeString(folder.resolve("conf"), conf).toString()).redirectErrorStream(true);
+        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        process = builder.start();
+        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains("serves at")) {
+                http = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*?:(\\d+),.*", "$1")));
+                hl7 = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
+                Thread drain = new Thread(() -> log.lines().filter(l -> l.contains("Exception") || l.contains("does not hold"))
+                        .forEach(l -> count("log: " + l)));
+                drain.setDaemon(true);
+                drain.start();
+                return;
+            }
+        }
+        throw new IOException("the program did not start");
+    }
+
+    private void run(int seconds, double load) throws IOException, InterruptedException {
+        List<Arrival> plan = plan(seconds, load);
+        List<Peer> peers = new ArrayList<>();
+        StringBuilder list = new StringBuilder();
+        StringBuilder conf = new StringBuilder("""
+                [identity]
+                shared yes
+                http-practice X-Practice
+                [mllp a]
+                address 127.0.0.1:0
+                networks 127.0.0.0/8
+                in-flight 1000
+                [hl7]
+                most-held 1000
+                [practice north]
+                senders APP
+                [hl7-class order]
+                events ORM
+                [hl7-class status]
+                events ORU
+                [hl7-class payment]
+                events DFT
+                """);
+        for (int d = 0; d < DESTINATIONS; d++) {
+            conf.append("[hl7-destination ").append(FIRST + d).append("]\nreceivers LAB").append(FIRST + d).append('\n');
+            for (int e = 0; e < 2; e++) {
+                peers.add(endpoint());
+                list.append(list.isEmpty() ? "" : ",").append(("{\"name\":\"e%d-%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\","
+                        + "\"group\":%d,\"status\":\"active\"}").formatted(d, e, peers.get(peers.size() - 1).address(), FIRST + d));
+            }
+        }
+        Peer platform = platform();
+        String config = Setup.text(platform.address(), folder.resolve("state"), null, 8)
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"callSlots\": 20", "\"callSlots\": 60")
+                .replace("\"openCap\": 200", "\"openCap\": 1200").replace("\"deadlineS\": 20", "\"deadlineS\": 8")
+                .replace("\"deadlineS\": 6", "\"deadlineS\": 4").replace("\"deadlineS\": 28", "\"deadlineS\": 9")
+                .replace("\"known\": null", "\"known\": {\"index\":1,\"snapshot\":true,\"endpoints\":[" + list + "]}");
+        start(config, conf.toString());
+        ExecutorService web = Executors.newFixedThreadPool(64);
+        List<Line> lines = new ArrayList<>();
+        for (int i = 0; i < MLLP_LINES; i++) {
+            Line line = new Line();
+            lines.add(line);
+            Thread t = new Thread(line::read);
+            t.setDaemon(true);
+            t.start();
+        }
+        Thread.sleep(1500);
+        Thread killer = new Thread(() -> {
+            pause(seconds * 500L);
+            try {
+                process.destroyForcibly().waitFor();
+                pause(600);
+                start(config, conf.toString());
+            } catch (IOException | InterruptedException e) {
+                count("BROKEN no restart: " + e);
+            }
+        });
+        killer.start();
+        long begin = System.nanoTime();
+        long late = 0;
+        for (Arrival a : plan) {
+            long due = begin + a.at();
+            TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
+            late = Math.max(late, System.nanoTime() - due);
+            if (a.hl7()) {
+                lines.get(a.number() % MLLP_LINES).send(a, due);
+            } else {
+                web.execute(() -> overHttp(a, due));
+            }
+        }
+        killer.join();
+        Thread.sleep(13_000); // every deadline is past, every end told
+        ended = true;
+        web.shutdownNow();
+        process.destroyForcibly().waitFor();
+        System.out.println("## " + (mixed ? "both ports" : "HTTP alone") + ", " + seconds + " s at "
+                + Math.round(load * 100) + "% of " + Math.round(CAPACITY) + " messages a second, a kill in the middle; the plan was at most "
+                + late / MS + " ms late");
+        check(plan);
+        for (Peer p : peers) {
+            p.close();
+        }
+        platform.close();
+    }
+
+    private void check(List<Arrival> plan) {
+        long twice = plan.stream().filter(Arrival::again).count();
+        counts.put("messages", (long) stories.size());
+        counts.put("hand-ins of the plan a second time", twice);
+        stories.forEach((n, s) -> {
+            counts.merge("calls", (long) s.calls.get(), Long::sum);
+            boolean taken = s.httpTaken.get() + s.hl7Taken.get() > 0;
+            if (taken) {
+                count("taken on");
+            } else if (s.delivered.get() == 0) {
+                count("never taken on");
+            }
+            count(s.delivered.get() > 0 ? "delivered" : s.ends.contains("failed") || s.ends.contains("AE") ? "failed"
+                    : s.ends.contains("refused") || s.ends.contains("AR") || s.refusedAtOnce ? "refused" : "UNKNOWN end");
+            if (s.delivered.get() > 1) {
+                count("answered by an endpoint more than once, " + CLASSES[s.kind]);
+            }
+            if (s.delivered.get() == 0 && taken && s.ends.isEmpty()) {
+                count("BROKEN no end");
+                System.out.println("no end: M" + n + " asks " + s.asks + " http " + s.httpTaken + " hl7 " + s.hl7Taken + " calls " + s.calls);
+            }
+            if (s.hl7Taken.get() > 0 && s.finals.get() == 0) {
+                count("BROKEN an HL7 client without its end");
+            }
+            if (s.finals.get() > Math.max(1, s.hl7Taken.get())) {
+                count("BROKEN an HL7 client answered twice");
+            }
+            if (s.ends.contains("A") && s.delivered.get() > 0 && s.ends.matches(".*A[ER].*") && s.ends.contains("AA")) {
+                count("BROKEN two different ends");
+            }
+        });
+        counts.forEach((what, n) -> System.out.println("| " + what + " | " + n + " |"));
+        System.out.println("| taking-on by HTTP, ms | " + spread(httpMs) + " |");
+        System.out.println("| taking-on by HL7, ms | " + spread(hl7Ms) + " |");
+    }
+
+    private static String spread(List<Long> values) {
+        long[] all = values.stream().mapToLong(Long::longValue).sorted().toArray();
+        return all.length == 0 ? "none" : "median " + all[all.length / 2] + ", 99th percentile "
+                + all[(int) (0.99 * (all.length - 1))] + ", most " + all[all.length - 1] + " (of " + all.length + ")";
+    }
+
+    /** Arguments: http or mixed; seconds; load in percent; seed. Exit code 1 if a rule was broken. */
+    public static void main(String[] args) throws Exception {
+        MixedRun run = new MixedRun(args[0].equals("mixed"), Long.parseLong(args[3]));
+        run.run(Integer.parseInt(args[1]), Integer.parseInt(args[2]) / 100.0);
+        System.exit(run.counts.keySet().stream().noneMatch(k -> k.startsWith("BROKEN")) ? 0 : 1);
+    }
+}
--- a/src/test/java/lilaclever/program/OperatorFileTest.java
+++ b/src/test/java/lilaclever/program/OperatorFileTest.java
@@ -13,20 +13,24 @@
 
 /** The operator's file: every fault is told with file, line and key. */
 class OperatorFileTest {
+    private static Config config() throws Config.Bad {
+        return Setup.config("127.0.0.1:9", Path.of("nowhere"), null);
+    }
+
     private static Operator of(String text) throws Config.Bad {
-        return Operator.of(OperatorFile.parse("f", text.lines().toList()));
+        return Operator.of(OperatorFile.parse("f", text.lines().toList()), config());
     }
 
     @Test
     void whatIsAbsentIsAsThePlatformHasIt() throws Config.Bad {
-        assertEquals(Operator.none(), of("# nothing\n\n[journal]\n"));
-        assertEquals(Durability.NONE.how(), Operator.none().journal().durability().how());
+        assertEquals(Operator.none(config()), of("# nothing\n\n[journal]\n"));
+        assertEquals(Durability.NONE.how(), Operator.none(config()).journal().durability().how());
     }
 
     /** The file that is shipped says what holds without it. */
     @Test
     void theShippedFileIsGoodAndSaysTheDefaults() throws Exception {
-        assertEquals(Operator.none(), Operator.read(Path.of("deploy/lilaclever.conf")));
+        assertEquals(Operator.none(config()), Operator.read(Path.of("deploy/lilaclever.conf"), config()));
     }
 
     @Test
@@ -42,7 +46,7 @@
         "durability group              | f:1: durability: stands before the first [section]",
         "[journal]/durabilty group     | f:2: journal.durabilty: no such key; is durability meant?",
         "[jurnal]/durability group     | f:1: [jurnal]: no such section; is journal meant?",
-        "[zzz]                         | f:1: [zzz]: no such section; known are journal",
+        "[zzz]                         | f:1: [zzz]: no such section; known are hl7, hl7-class, hl7-destination, identity, journal, mllp, practice",
         "[journal]/durability often    | f:2: journal.durability: one of none, interval, group, not often",
         "[journal]/durability          | f:2: journal.durability: has no value",
         "[journal]/remember 5          | f:2: journal.remember: a time with its unit (us, ms, s, m, h or d), not 5",
@@ -62,6 +66,6 @@
     void whatIsNoTextIsRefused(@org.junit.jupiter.api.io.TempDir Path folder) throws Exception {
         Path file = Files.write(folder.resolve("x"), new byte[] {(byte) 0xc3, 0x28});
         assertEquals(List.of("--conf: " + file + " is not UTF-8"),
-                List.of(assertThrows(Config.Bad.class, () -> Operator.read(file)).getMessage()));
+                List.of(assertThrows(Config.Bad.class, () -> Operator.read(file, config())).getMessage()));
     }
 }
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -156,6 +156,24 @@
             say(all + (status.startsWith("204") ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body);
         }
 
+        /** Sends a message in a frame of MLLP. */
+        void frame(String message) throws IOException {
+            say("\u000b" + message + "\u001c\r");
+        }
+
+        /** The next message in a frame, or null at the end. */
+        String frame() throws IOException {
+            ByteArrayOutputStream message = new ByteArrayOutputStream();
+            for (int c = in.read(); c >= 0; c = in.read()) {
+                if (c == 0x1c) {
+                    in.read();
+                    return message.toString(StandardCharsets.ISO_8859_1).substring(1);
+                }
+                message.write(c);
+            }
+            return null;
+        }
+
         /** Hands a message in and gives the answer's first line and headers. */
         String handIn(String id, String kind, double deadline, String body) throws IOException {
             return handIn(id, kind, 7, deadline, body);
