--- /dev/null
+++ b/bench/java/lilaclever/protocol/mllp/MllpFuzzer.java
@@ -0,0 +1,69 @@
+package lilaclever.protocol.mllp;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import lilaclever.protocol.mllp.Acknowledgements.Code;
+import lilaclever.protocol.mllp.MllpSettings.Field;
+import lilaclever.routing.Verdict;
+
+/**
+ * What Jazzer is given to break: bytes of a connection go through frames, batches, header, fields and answers as they do
+ * in the program. Only {@link FrameReader.Spoilt} and {@link Hl7Fault} may come out, and no answer may hold a byte that
+ * ends a frame. {@code bench/fuzz} runs it.
+ */
+public final class MllpFuzzer {
+    private static final int LARGEST = 4096;
+    private static final Hl7Reader READER = new Hl7Reader(new MllpSettings(List.of(), Map.of("APP", "north"), true,
+            Map.of("ORM^O01", 0, "DFT", 2), 2, Map.of("LAB", 7), List.of(20L, 6L, 28L), Field.of("ORC-2"), Field.of("ZLC-1"),
+            Set.of("P"), Set.of("2.3", "2.3.1", "2.4", "2.5", "2.5.1"), 10, 1, 1), () -> 5, () -> 1_000_000);
+    private static final Acknowledgements ACKS = new Acknowledgements("L");
+
+    private MllpFuzzer() { }
+
+    /** One connection's bytes, read in two pieces. */
+    public static void fuzzerTestOneInput(byte[] data) {
+        FrameReader frames = new FrameReader(LARGEST);
+        int cut = data.length / 2;
+        try {
+            frames.read(java.util.Arrays.copyOf(data, cut)).forEach(MllpFuzzer::message);
+            frames.read(java.util.Arrays.copyOfRange(data, cut, data.length)).forEach(MllpFuzzer::message);
+        } catch (FrameReader.Spoilt e) {
+            message(data); // most inputs are no frames: what they hold is tried as a message
+        }
+    }
+
+    private static void message(byte[] frame) {
+        try {
+            for (byte[] message : frame.length > 0 && Batch.is(frame) ? Batch.split(frame) : List.of(frame)) {
+                one(message);
+            }
+        } catch (Hl7Fault e) {
+            check(ACKS.fault(Code.AR, Header.none(), e));
+        }
+    }
+
+    private static void one(byte[] message) {
+        Header header = Header.none();
+        try {
+            header = Header.read(message);
+            Request r = READER.read(header, message);
+            if (r.identity().isEmpty() || r.deliveryKey().length() > 128 || r.budgetMicros() < 0) {
+                throw new IllegalStateException("not in our terms: " + r);
+            }
+            check(ACKS.good(Code.CA, header));
+            check(ACKS.failed(Code.AE, header, Verdict.of(Verdict.Kind.FAILED)));
+            check(ACKS.comeBack(Code.AR, header, new Verdict(Verdict.Kind.REFUSED, 1_500_000, "busy|^~\\&")));
+        } catch (Hl7Fault e) {
+            check(ACKS.fault(Code.AE, header, e));
+        }
+    }
+
+    private static void check(byte[] answer) {
+        for (byte b : answer) {
+            if (b >= 0 && b < ' ' && b != '\r') {
+                throw new IllegalStateException("a control character in an answer");
+            }
+        }
+    }
+}
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -82,10 +82,14 @@
     }
 
     private void serve() throws Exception {
+        serve(CONF);
+    }
+
+    private void serve(String conf) throws Exception {
         // One message a call: the endpoint is asked for each on its own.
         Config config = Config.parse(Setup.text(platform.address(), state, endpoint.address(), 3)
                 .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"), java.util.Map.of());
-        forwarder = Forwarder.start(config, Operator.of(OperatorFile.parse("f", CONF.lines().toList()), config), null);
+        forwarder = Forwarder.start(config, Operator.of(OperatorFile.parse("f", conf.lines().toList()), config), null);
         http = forwarder.addresses().get(0);
         mllp = forwarder.addresses().get(1);
     }
@@ -407,6 +411,25 @@
         until("delivered", 2);
     }
 
+    /** A control id may be used again once its window is over: guards against a new message taken for an old one. */
+    @Test
+    void anIdentityIsFreeAgainAfterItsWindow() throws Exception {
+        forwarder.stop();
+        serve(CONF.replace("[mllp clinics]", "window-order 1s\n[mllp clinics]"));
+        fates.addAll(List.of("200 OK", "200 OK"));
+        try (Wire client = Wire.to(mllp)) {
+            assertEquals("AA M1", asks(client, order("APP", "M1", "NE|AL")));
+            String other = order("APP", "M1", "AL|AL") + "NTE|the next day\r";
+            String answer = asks(client, other);
+            while (answer.equals("CR M1")) { // its window is not over
+                answer = asks(client, other);
+            }
+            assertEquals("CA M1", answer);
+            assertEquals("AA M1", ack(client));
+        }
+        assertEquals(2, calls.size());
+    }
+
     // ---- bounds -----------------------------------------------------------------------------------------
     /** Guards against what is no frame, and half a frame, holding a connection. */
     @ParameterizedTest
--- /dev/null
+++ b/src/test/java/lilaclever/program/PortsRun.java
@@ -0,0 +1,204 @@
+package lilaclever.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+
+/**
+ * What each client port costs, outside CI: {@code bench/ports}. The program has one core; clients each hand in the next
+ * message when the last one is taken on; endpoints answer at once. Then idle connections are opened and counted.
+ */
+final class PortsRun {
+    private static final int CLIENTS = 16, WARM_S = 15, RUN_S = 15, IDLE = 1000, ENDPOINTS = 4;
+
+    private final Path folder = Files.createTempDirectory("ports");
+    private final AtomicLong calls = new AtomicLong();
+    private InetSocketAddress http, hl7;
+    private Process process;
+
+    private PortsRun() throws IOException { }
+
+    private void start(String config) throws IOException {
+        String conf = """
+                [identity]
+                shared yes
+                http-practice X-Practice
+                [mllp a]
+                address 127.0.0.1:0
+                networks 127.0.0.0/8
+                connections 2000
+                idle 1h
+                [hl7]
+                most-held 10000
+                most-owed 1
+                [practice north]
+                senders APP
+                [hl7-class order]
+                events ORM
+                [hl7-destination 7]
+                receivers LAB
+                """;
+        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "0", Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms32m", "-Xmx128m", "-Xss256k",
+                "-XX:SharedArchiveFile=target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve", "--conf",
+                Files.writeString(folder.resolve("conf"), conf).toString()).redirectErrorStream(true);
+        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        process = builder.start();
+        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains("serves at")) {
+                http = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*?:(\\d+),.*", "$1")));
+                hl7 = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
+                Thread drain = new Thread(() -> log.lines().forEach(l -> { }));
+                drain.setDaemon(true);
+                drain.start();
+                return;
+            }
+        }
+        throw new IOException("the program did not start");
+    }
+
+    /** Hands in one message and waits until it is taken on; true if it was. */
+    private interface Client {
+        boolean handIn(Wire wire, String id) throws IOException;
+    }
+
+    private static String body(String id, String wanted) {
+        return "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|" + id + "|P|2.5|||" + wanted + "\rORC|NW|1\rNTE|" + "x".repeat(200) + '\r';
+    }
+
+    private static Client web(String practice) {
+        return (wire, id) -> {
+            String body = body(id, "");
+            wire.say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: order\r\nReq-Deadline: 9\r\n" + practice
+                    + "Idempotency-Key: " + id + "\r\nX-Envelope: dest=7\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            Request answer = wire.request();
+            if (answer == null) {
+                throw new IOException("closed");
+            }
+            return answer.path().equals("202");
+        };
+    }
+
+    private static Client frames(String wanted) {
+        return (wire, id) -> {
+            wire.frame(body(id, wanted));
+            String ack = wire.frame();
+            while (ack != null && ack.contains("MSA|A")) { // an end of an earlier one
+                ack = wire.frame();
+            }
+            if (ack == null) {
+                throw new IOException("closed");
+            }
+            return ack.contains("MSA|CA");
+        };
+    }
+
+    private void measure(String what, InetSocketAddress address, Client client) throws InterruptedException {
+        List<long[]> all = new ArrayList<>();
+        AtomicLong refused = new AtomicLong();
+        long begin = System.nanoTime(), from = begin + WARM_S * 1_000_000_000L, to = from + RUN_S * 1_000_000_000L;
+        List<Thread> threads = new ArrayList<>();
+        for (int c = 0; c < CLIENTS; c++) {
+            String prefix = what.replaceAll("[^A-Za-z]", "") + c + "-";
+            Thread t = new Thread(() -> {
+                List<Long> took = new ArrayList<>();
+                Wire wire = null;
+                for (int n = 0; System.nanoTime() < to; n++) {
+                    long at = System.nanoTime();
+                    try {
+                        wire = wire == null ? Wire.to(address) : wire;
+                        if (!client.handIn(wire, prefix + n)) {
+                            refused.incrementAndGet();
+                        } else if (at > from) {
+                            took.add(System.nanoTime() - at);
+                        }
+                    } catch (IOException e) {
+                        wire = null;
+                    }
+                }
+                synchronized (all) {
+                    all.add(took.stream().mapToLong(Long::longValue).toArray());
+                }
+            });
+            threads.add(t);
+            t.start();
+        }
+        for (Thread t : threads) {
+            t.join();
+        }
+        long[] sorted = all.stream().flatMapToLong(java.util.Arrays::stream).sorted().toArray();
+        System.out.printf("| %s | %d | %.2f | %.2f | %d |%n", what, sorted.length / RUN_S, sorted[sorted.length / 2] / 1e6,
+                sorted[(int) (sorted.length * 0.99)] / 1e6, refused.get());
+    }
+
+    /** Bytes of objects that are live, by the machine's own histogram, which collects before it counts. */
+    private long live() throws IOException {
+        Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                Long.toString(process.pid()), "GC.class_histogram").start();
+        String total = new BufferedReader(new InputStreamReader(jcmd.getInputStream())).lines()
+                .filter(l -> l.startsWith("Total")).collect(Collectors.joining());
+        return Long.parseLong(total.trim().split("\\s+")[2]);
+    }
+
+    private void idle(String what, InetSocketAddress address, Client client) throws IOException, InterruptedException {
+        long before = live();
+        List<Wire> wires = new ArrayList<>();
+        for (int i = 0; i < IDLE; i++) {
+            Wire wire = Wire.to(address);
+            client.handIn(wire, "idle" + what.charAt(1) + i);
+            wires.add(wire);
+        }
+        Thread.sleep(1000);
+        System.out.println("| " + what + " | " + (live() - before) / IDLE + " |");
+        for (Wire wire : wires) {
+            wire.close();
+        }
+        Thread.sleep(1000);
+    }
+
+    private void run() throws IOException, InterruptedException {
+        StringBuilder list = new StringBuilder();
+        for (int e = 0; e < ENDPOINTS; e++) {
+            Peer peer = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    calls.incrementAndGet();
+                    wire.answer("200 OK", "");
+                }
+            });
+            list.append(e == 0 ? "" : ",").append(("{\"name\":\"e%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,"
+                    + "\"status\":\"active\"}").formatted(e, peer.address()));
+        }
+        Peer platform = Peer.platform("", new java.util.concurrent.LinkedBlockingQueue<>());
+        start(Setup.text(platform.address(), folder.resolve("state"), null, 64)
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"callSlots\": 20", "\"callSlots\": 64")
+                .replace("\"openCap\": 200", "\"openCap\": 5000").replace("\"disk_mb\": 64", "\"disk_mb\": 64, \"sockets\": 8192")
+                .replace("\"known\": null", "\"known\": {\"index\":1,\"snapshot\":true,\"endpoints\":[" + list + "]}"));
+        System.out.println("| port | messages a second | taking-on, median, ms | 99th percentile, ms | refused |\n| --- | --- | --- | --- | --- |");
+        for (int round = 1; round <= 2; round++) {
+            measure("HTTP, round " + "ab".charAt(round - 1), http, web(""));
+            measure("HTTP with identity, round " + "ab".charAt(round - 1), http, web("X-Practice: north\r\n"));
+            measure("HL7, AL and NE, round " + "ab".charAt(round - 1), hl7, frames("AL|NE"));
+            measure("HL7, AL and AL, round " + "ab".charAt(round - 1), hl7, frames("AL|AL"));
+        }
+        System.out.println("\n| idle connection of | bytes of live objects |\n| --- | --- |");
+        idle("HTTP", http, web(""));
+        idle("HL7 over MLLP", hl7, frames("AL|NE"));
+        process.destroyForcibly().waitFor();
+    }
+
+    /** No arguments. */
+    public static void main(String[] args) throws Exception {
+        new PortsRun().run();
+        System.exit(0);
+    }
+}
