--- a/src/main/java/lilaclever/program/OperatorFile.java
+++ b/src/main/java/lilaclever/conf/ConfFile.java
@@ -1,4 +1,4 @@
-package lilaclever.program;
+package lilaclever.conf;
 
 import java.io.IOException;
 import java.nio.charset.CharacterCodingException;
@@ -11,15 +11,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import lilaclever.program.Config.Bad;
 
 /**
- * Reads the operator's file: sections in brackets, a key and its value on a line, {@code #} begins a comment. A line
+ * Reads line-based files, the operator's and rehearsals': sections in brackets, a key and its value on a line, {@code #} begins a comment. A line
  * that begins with white space continues the value of the one before, as in the files of classic daemons. What a
  * section's keys mean is not known here; each is asked for by name, and what nobody has asked for is an error. All
  * messages name file, line and key.
  */
-final class OperatorFile {
+public final class ConfFile {
     private static final int LONGEST_LINE = 8192, MOST_LINES = 100_000;
 
     /** One setting and where it stands. */
@@ -28,17 +27,17 @@
     private final String name;
     private final Map<String, Section> sections = new LinkedHashMap<>();
 
-    private OperatorFile(String name) {
+    private ConfFile(String name) {
         this.name = name;
     }
 
     /** A file that sets nothing. */
-    static OperatorFile empty() {
-        return new OperatorFile("(no file)");
+    public static ConfFile empty() {
+        return new ConfFile("(no file)");
     }
 
     /** Reads the file. */
-    static OperatorFile read(Path path) throws Bad {
+    public static ConfFile read(Path path) throws Bad {
         try {
             return parse(path.toString(), Files.readAllLines(path));
         } catch (CharacterCodingException e) {
@@ -48,8 +47,8 @@
         }
     }
 
-    static OperatorFile parse(String name, List<String> lines) throws Bad {
-        OperatorFile file = new OperatorFile(name);
+    public static ConfFile parse(String name, List<String> lines) throws Bad {
+        ConfFile file = new ConfFile(name);
         file.parse(lines);
         return file;
     }
@@ -106,17 +105,17 @@
     }
 
     /** The section of that name; an empty one if the file has none. */
-    Section section(String title) {
+    public Section section(String title) {
         return sections.getOrDefault(title, new Section(title, 0));
     }
 
     /** The sections {@code [kind which]}, in the file's order. */
-    List<Section> sections(String kind) {
+    public List<Section> sections(String kind) {
         return sections.values().stream().filter(s -> s.title.startsWith(kind + " ")).toList();
     }
 
     /** Throws if anything stands in the file that nobody has asked for; to be called when all is read. */
-    void refuseUnknown(Set<String> kinds) throws Bad {
+    public void refuseUnknown(Set<String> kinds) throws Bad {
         for (Section s : sections.values()) {
             String kind = s.title.split(" ")[0];
             if (!kinds.contains(kind)) {
@@ -132,7 +131,7 @@
     }
 
     /** The known word that needs the fewest changes, if that is a few. */
-    static String nearest(String word, Set<String> known) {
+    public static String nearest(String word, Set<String> known) {
         String best = null;
         int least = Math.max(2, word.length() / 2) + 1;
         for (String k : known) {
@@ -165,7 +164,7 @@
     }
 
     /** One section. Values are asked for by key, with the value that holds where the key is absent. */
-    final class Section {
+    public final class Section {
         private final String title;
         private final int line;
         private final Map<String, Entry> entries = new LinkedHashMap<>();
@@ -177,12 +176,12 @@
         }
 
         /** What stands behind the kind in {@code [kind which]}. */
-        String which() {
+        public String which() {
             return title.contains(" ") ? title.split(" ")[1] : "";
         }
 
         /** True if the file has it. */
-        boolean isThere() {
+        public boolean isThere() {
             return line > 0;
         }
 
@@ -208,13 +207,13 @@
         }
 
         /** An error of this key: with its line, or the section's where the key is absent. */
-        Bad bad(String key, String problem) {
+        public Bad bad(String key, String problem) {
             Entry e = entries.get(key);
             return fault(e == null ? line : e.line(), title + "." + key, problem);
         }
 
         /** True if the file sets the key. */
-        boolean has(String key) {
+        public boolean has(String key) {
             return entries.containsKey(key);
         }
 
@@ -225,19 +224,19 @@
         }
 
         /** The text; {@code otherwise} may be null. */
-        String text(String key, String otherwise) {
+        public String text(String key, String otherwise) {
             String value = value(key);
             return value == null ? otherwise : value;
         }
 
         /** The words, separated by white space or commas. */
-        List<String> words(String key) {
+        public List<String> words(String key) {
             String value = value(key);
             return value == null ? List.of() : new ArrayList<>(List.of(value.split("[\\s,]+")));
         }
 
         /** One of the constants' names, in small letters. */
-        <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) throws Bad {
+        public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) throws Bad {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -254,7 +253,7 @@
         }
 
         /** yes or no. */
-        boolean flag(String key, boolean otherwise) throws Bad {
+        public boolean flag(String key, boolean otherwise) throws Bad {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -266,7 +265,7 @@
         }
 
         /** A whole number within bounds. */
-        long whole(String key, long otherwise, long least, long most) throws Bad {
+        public long whole(String key, long otherwise, long least, long most) throws Bad {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -282,12 +281,71 @@
             throw bad(key, "a whole number from " + least + " to " + most + ", not " + value);
         }
 
-        /** A time with its unit (us, ms, s, m, h, d), microseconds, within bounds. */
-        long time(String key, long otherwise, long least, long most) throws Bad {
+        /** A number with or without decimals, within bounds. */
+        public double real(String key, double otherwise, double least, double most) throws Bad {
             String value = value(key);
-            if (value == null) {
-                return otherwise;
+            return value == null ? otherwise : real(key, value, "", least, most);
+        }
+
+        /** Two numbers, the least and the most; one stands for both. */
+        public double[] range(String key, double low, double high, double least, double most) throws Bad {
+            List<String> words = words(key);
+            if (words.isEmpty()) {
+                return new double[] {low, high};
+            }
+            double[] range = {real(key, words.get(0), "", least, most), real(key, words.get(words.size() - 1), "", least, most)};
+            if (words.size() > 2 || range[0] > range[1]) {
+                throw bad(key, "one number, or the least and the most, not " + String.join(" ", words));
             }
+            return range;
+        }
+
+        /** A share such as 25%, from 0 to the most; 1 is the whole. */
+        public double share(String key, double otherwise, double most) throws Bad {
+            String value = value(key);
+            return value == null ? otherwise : share(key, value, most);
+        }
+
+        /** The same for a word of a value. */
+        public double share(String key, String word, double most) throws Bad {
+            return real(key, word, "%", 0, most * 100) / 100;
+        }
+
+        private double real(String key, String value, String unit, double least, double most) throws Bad {
+            if (value.matches("\\d{1,12}(\\.\\d{1,9})?" + unit)) {
+                double number = Double.parseDouble(value.substring(0, value.length() - unit.length()));
+                if (number >= least && number <= most) {
+                    return number;
+                }
+            }
+            throw bad(key, "from " + plain(least) + unit + " to " + plain(most) + unit + ", not " + value);
+        }
+
+        private static String plain(double number) {
+            return new java.math.BigDecimal(Double.toString(number)).stripTrailingZeros().toPlainString();
+        }
+
+        /** Two times, the least and the most; one stands for both. */
+        public long[] times(String key, long low, long high, long least, long most) throws Bad {
+            List<String> words = words(key);
+            if (words.isEmpty()) {
+                return new long[] {low, high};
+            }
+            long[] range = {time(key, words.get(0), least, most), time(key, words.get(words.size() - 1), least, most)};
+            if (words.size() > 2 || range[0] > range[1]) {
+                throw bad(key, "one time, or the least and the most, not " + String.join(" ", words));
+            }
+            return range;
+        }
+
+        /** A time with its unit (us, ms, s, m, h, d), microseconds, within bounds. */
+        public long time(String key, long otherwise, long least, long most) throws Bad {
+            String value = value(key);
+            return value == null ? otherwise : time(key, value, least, most);
+        }
+
+        /** The same for a word of a value. */
+        public long time(String key, String value, long least, long most) throws Bad {
             java.util.regex.Matcher m = java.util.regex.Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?) ?(us|ms|s|m|h|d)")
                     .matcher(value);
             if (!m.matches()) {
@@ -309,7 +367,7 @@
         }
 
         /** A size with its unit (B, KiB, MiB, GiB), bytes, within bounds. */
-        long size(String key, long otherwise, long least, long most) throws Bad {
+        public long size(String key, long otherwise, long least, long most) throws Bad {
             String value = value(key);
             if (value == null) {
                 return otherwise;
--- /dev/null
+++ b/src/main/java/lilaclever/lab/model/Allowance.java
@@ -0,0 +1,56 @@
+package lilaclever.lab.model;
+
+/** What a partner's limit lets through: a plain rate, or a count in each span of time. Times only go forward. */
+final class Allowance {
+    private final PartnerKind.Limit limit;
+    private final double perSecond;
+    private final long spanMicros;
+    private final boolean refusedCount;
+    private double left;
+    private long at;
+
+    /** {@code perSecond} in the mean; a rate lets a fifth of a second's calls through at once. */
+    Allowance(PartnerKind.Limit limit, double perSecond, long spanMicros, boolean refusedCount) {
+        this.limit = limit;
+        this.perSecond = perSecond;
+        this.spanMicros = spanMicros;
+        this.refusedCount = refusedCount;
+        left = most();
+    }
+
+    private double most() {
+        return limit == PartnerKind.Limit.RATE ? Math.max(1, perSecond / 5) : Math.max(1, Math.floor(perSecond * spanMicros / 1e6));
+    }
+
+    /** True if a call now is within the limit; it counts from now on. */
+    boolean take(long now) {
+        if (limit == PartnerKind.Limit.NONE) {
+            return true;
+        }
+        refill(now);
+        if (left >= 1) {
+            left--;
+            return true;
+        }
+        if (refusedCount && limit == PartnerKind.Limit.RATE) {
+            left = Math.max(-most(), left - 1);
+        }
+        return false;
+    }
+
+    private void refill(long now) {
+        if (limit == PartnerKind.Limit.RATE) {
+            left = Math.min(most(), left + (now - at) / 1e6 * perSecond);
+            at = now;
+        } else if (now / spanMicros != at / spanMicros) {
+            left = most();
+            at = now;
+        }
+    }
+
+    /** When there is room again if nobody else takes it. */
+    long roomAt(long now) {
+        return limit == PartnerKind.Limit.RATE ? now + (long) (Math.max(0, 1 - left) / perSecond * 1e6)
+                : (now / spanMicros + 1) * spanMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/model/Traffic.java
@@ -0,0 +1,112 @@
+package lilaclever.lab.model;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Draws all arrivals of a run ahead. Load is a share of the full load and changes along straight lines between the
+ * points of its shape; arrivals come by chance (a Poisson process, drawn by thinning), some of them in clumps for one
+ * destination.
+ */
+public final class Traffic {
+    /** The load from a time on, up to the next point. */
+    public record Point(long atMicros, double load) { }
+
+    private final List<Point> shape;
+    private final double perSecond, clumpShare;
+    private final double[] clumpSeconds;
+    private final List<MessageClass> classes;
+    private final double[] weights;
+    private final List<Partner> partners;
+
+    /** {@code weights}: of the destinations, summing to 1, in the partners' order. */
+    public Traffic(List<Point> shape, double perSecond, double clumpShare, double[] clumpSeconds, List<MessageClass> classes,
+            double[] weights, List<Partner> partners) {
+        this.shape = shape;
+        this.perSecond = perSecond;
+        this.clumpShare = clumpShare;
+        this.clumpSeconds = clumpSeconds;
+        this.classes = classes;
+        this.weights = weights;
+        this.partners = partners;
+    }
+
+    /** The load at a time, a share of the full load. */
+    public double load(long at) {
+        Point before = shape.get(0);
+        for (Point p : shape) {
+            if (p.atMicros() > at) {
+                double part = (double) (at - before.atMicros()) / (p.atMicros() - before.atMicros());
+                return before.load() + part * (p.load() - before.load());
+            }
+            before = p;
+        }
+        return before.load();
+    }
+
+    /** All arrivals up to the end, in order. */
+    public List<Arrival> draw(long endMicros, Draws draws) {
+        double most = shape.stream().mapToDouble(Point::load).max().orElse(0);
+        List<Arrival> all = new ArrayList<>();
+        double t = 0;
+        while (most > 0) {
+            t += draws.exponential(1e6 / (most * perSecond));
+            if (t >= endMicros) {
+                break;
+            }
+            if (!draws.chance(load((long) t) / most)) {
+                continue;
+            }
+            int at = pick(weights, draws.unit());
+            // Of all messages a share comes in clumps: the mean size of one is taken off the chance of beginning one.
+            double size = partners.get(at).capacity() * draws.in(clumpSeconds);
+            int count = clumpShare > 0 && draws.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
+            for (int i = 0; i < count; i++) {
+                all.add(arrival((long) (t + i * 1000.0), at, draws));
+            }
+        }
+        all.sort(Comparator.comparingLong(Arrival::atMicros));
+        List<Arrival> numbered = new ArrayList<>(all.size());
+        for (Arrival a : all) {
+            numbered.add(new Arrival(a.atMicros(), numbered.size(), a.messageClass(), a.destination(), a.workMicros()));
+        }
+        return numbered;
+    }
+
+    private Arrival arrival(long at, int partner, Draws draws) {
+        double[] shares = classes.stream().mapToDouble(MessageClass::share).toArray();
+        int c = pick(shares, draws.unit());
+        return new Arrival(at, 0, c, partners.get(partner).destination(), draws.in(classes.get(c).workMicros()));
+    }
+
+    /** The index whose part of the sum the number from 0 to 1 falls into. */
+    public static int pick(double[] parts, double unit) {
+        double sum = 0;
+        for (double p : parts) {
+            sum += p;
+        }
+        double left = unit * sum;
+        for (int i = 0; i < parts.length; i++) {
+            left -= parts[i];
+            if (left < 0) {
+                return i;
+            }
+        }
+        return parts.length - 1;
+    }
+
+    /** Parts that fall by Zipf's law with that exponent, summing to 1. */
+    public static double[] zipf(int count, double exponent) {
+        double[] parts = new double[count];
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            parts[i] = Math.pow(i + 1, -exponent);
+            sum += parts[i];
+        }
+        for (int i = 0; i < count; i++) {
+            parts[i] /= sum;
+        }
+        return parts;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/report/Page.java
@@ -0,0 +1,119 @@
+package lilaclever.lab.report;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import lilaclever.lab.audit.Breach;
+import lilaclever.lab.audit.Prices;
+import lilaclever.lab.audit.Service;
+import lilaclever.lab.model.MessageClass;
+import lilaclever.lab.virtual.Result;
+import org.HdrHistogram.Histogram;
+
+/** The page of a run: one file with its plots in it. */
+final class Page {
+    private static final double[] NONE = {};
+
+    private Page() { }
+
+    static String of(Result r) {
+        StringBuilder all = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
+                .append(escape(r.scenario().name())).append("</title><style>body{font:15px sans-serif;max-width:920px;margin:2em auto;"
+                + "padding:0 1em;color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .8em;text-align:right;"
+                + "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}img{max-width:100%}"
+                + ".bad{color:#a00}pre{background:#f6f6f6;padding:.6em;overflow:auto}</style></head><body>\n");
+        all.append("<h1>").append(escape(r.scenario().name())).append("</h1>\n<p>").append(escape(r.scenario().about()))
+                .append(". Seed ").append(r.seed()).append(".</p>\n");
+        figures(all, r);
+        rules(all, r);
+        plots(all, r);
+        classes(all, r);
+        partners(all, r);
+        return all.append("</body></html>\n").toString();
+    }
+
+    private static void figures(StringBuilder all, Result r) {
+        Service s = r.auditor().service();
+        all.append("<table><tr><th>service</th><th>whole run</th><th>worst 10 s</th><th>worst class</th><th>prices</th></tr><tr>");
+        for (double x : new double[] {s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)}) {
+            all.append("<td>").append(String.format(Locale.ROOT, "%.3f", x)).append("</td>");
+        }
+        all.append("</tr></table>\n<p>Service is 45% the whole run, 35% the worst ten seconds, 20% the worst class, less prices.</p>\n");
+    }
+
+    private static void rules(StringBuilder all, Result r) {
+        if (r.auditor().broken().isEmpty()) {
+            all.append("<p>All rules were kept.</p>\n");
+            return;
+        }
+        all.append("<h2 class=\"bad\">Broken rules</h2><ul>");
+        r.auditor().broken().forEach((rule, n) -> all.append("<li>").append(Report.name(rule)).append(", ").append(n)
+                .append(" times</li>"));
+        all.append("</ul>\n");
+        List<Breach> breaches = r.auditor().breaches();
+        for (Breach b : breaches.subList(0, Math.min(5, breaches.size()))) {
+            all.append("<p>").append(escape(b.what())).append("</p>");
+            if (!b.story().isEmpty()) {
+                all.append("<pre>").append(escape(String.join("\n", b.story()))).append("</pre>\n");
+            }
+        }
+    }
+
+    private static void plots(StringBuilder all, Result r) {
+        List<double[]> service = r.auditor().service().seconds();
+        double[] share = new double[service.size()];
+        for (int i = 0; i < share.length; i++) {
+            share[i] = service.get(i)[0] > 0 ? service.get(i)[1] / service.get(i)[0] : Double.NaN;
+        }
+        plot(all, "Service by the second of the first handing-in", Plots.overTime("share of worth", Map.of("service", share), r.events(), 1.05));
+        plot(all, "Messages a second", Plots.overTime("messages", pick(r, "arrived", "delivered", "refused", "failed", "turned_down"),
+                r.events(), 0));
+        plot(all, "Calls, and those that partners refused", Plots.overTime("calls a second", pick(r, "calls", "refusals"), r.events(), 0));
+        plot(all, "Messages held by all forwarders", Plots.overTime("messages", pick(r, "held"), r.events(), 0));
+        plot(all, "Time to delivery", Plots.latencies(r));
+    }
+
+    private static Map<String, double[]> pick(Result r, String... names) {
+        Map<String, double[]> picked = new LinkedHashMap<>();
+        for (String n : names) {
+            double[] values = r.series().getOrDefault(n, NONE);
+            if (values.length > 0) {
+                picked.put(n.replace('_', ' '), values);
+            }
+        }
+        return picked;
+    }
+
+    private static void plot(StringBuilder all, String title, String image) {
+        all.append("<h2>").append(title).append("</h2><img alt=\"").append(title).append("\" src=\"").append(image).append("\">\n");
+    }
+
+    private static void classes(StringBuilder all, Result r) {
+        all.append("<h2>Classes</h2><table><tr><th>class</th><th>service</th><th>delivered</th><th>median, ms</th><th>99%, ms</th>"
+                + "<th>most, ms</th></tr>");
+        for (int c = 0; c < r.scenario().classes().size(); c++) {
+            MessageClass mc = r.scenario().classes().get(c);
+            Histogram h = r.auditor().latency(c);
+            boolean none = h.getTotalCount() == 0;
+            all.append(String.format(Locale.ROOT, "<tr><td>%s</td><td>%.3f</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>",
+                    escape(mc.name()), r.auditor().service().ofClass(c), h.getTotalCount(), none ? 0 : h.getValueAtPercentile(50) / 1000,
+                    none ? 0 : h.getValueAtPercentile(99) / 1000, none ? 0 : h.getMaxValue() / 1000));
+        }
+        all.append("</table>\n");
+    }
+
+    private static void partners(StringBuilder all, Result r) {
+        all.append("<h2>Partners with the most traffic</h2><table><tr><th>destination</th><th>kind</th><th>messages a second, at most</th>"
+                + "<th>share of traffic</th><th>calls</th><th>refused</th><th>fallen over</th></tr>");
+        for (Result.PartnerRow p : r.partners().subList(0, Math.min(20, r.partners().size()))) {
+            all.append(String.format(Locale.ROOT, "<tr><td>%d</td><td>%s</td><td>%.1f</td><td>%.1f%%</td><td>%d</td><td>%d</td><td>%d</td></tr>",
+                    p.destination(), escape(p.kind()), p.capacity(), p.share() * 100, p.calls(), p.refused(), p.falls()));
+        }
+        all.append("</table>\n");
+    }
+
+    static String escape(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -0,0 +1,173 @@
+package lilaclever.lab.report;
+
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import lilaclever.lab.audit.Auditor;
+import lilaclever.lab.audit.Breach;
+import lilaclever.lab.audit.Prices;
+import lilaclever.lab.audit.Service;
+import lilaclever.lab.model.MessageClass;
+import lilaclever.lab.virtual.Result;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Writes a run's folder: {@code report.json} (figures; the same scenario and seed give the same bytes), {@code
+ * seconds.csv}, {@code partners.csv}, a latency log of each class, and {@code index.html} with plots.
+ */
+public final class Report {
+    private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
+
+    private Report() { }
+
+    /** Writes the folder. */
+    public static void write(Result r, Path folder) throws IOException {
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("report.json"), new GsonBuilder().setPrettyPrinting().create().toJson(json(r)) + '\n');
+        Files.writeString(folder.resolve("seconds.csv"), seconds(r));
+        Files.writeString(folder.resolve("partners.csv"), partners(r));
+        for (int c = 0; c < r.scenario().classes().size(); c++) {
+            try (OutputStream out = Files.newOutputStream(folder.resolve("latency-" + r.scenario().classes().get(c).name() + ".hgrm"));
+                    PrintStream text = new PrintStream(out, false, StandardCharsets.UTF_8)) {
+                r.auditor().latency(c).outputPercentileDistribution(text, 5, 1000.0); // milliseconds
+            }
+        }
+        Files.writeString(folder.resolve("index.html"), Page.of(r));
+    }
+
+    /** All figures. */
+    public static JsonObject json(Result r) {
+        Auditor a = r.auditor();
+        Service s = a.service();
+        JsonObject all = new JsonObject();
+        all.addProperty("scenario", r.scenario().name());
+        all.addProperty("seed", r.seed());
+        all.addProperty("service", round(s.figure(Prices.USUAL)));
+        all.addProperty("whole_run", round(s.whole()));
+        all.addProperty("worst_10_s", round(s.worstWindow()));
+        all.addProperty("worst_class", round(s.worstClass()));
+        all.addProperty("deductions", round(s.deductions(Prices.USUAL)));
+        JsonObject broken = new JsonObject();
+        a.broken().forEach((rule, n) -> broken.addProperty(name(rule), n));
+        all.add("broken_rules", broken);
+        JsonObject counts = new JsonObject();
+        a.counts().forEach(counts::addProperty);
+        counts.addProperty("new_connections", s.connections());
+        counts.addProperty("probes", s.probes());
+        counts.addProperty("partners_fallen_over", r.partners().stream().mapToInt(Result.PartnerRow::falls).sum());
+        all.add("counts", counts);
+        JsonObject classes = new JsonObject();
+        for (int c = 0; c < r.scenario().classes().size(); c++) {
+            classes.add(r.scenario().classes().get(c).name(), ofClass(r, c));
+        }
+        all.add("classes", classes);
+        JsonArray events = new JsonArray();
+        for (Result.Band b : r.events()) {
+            JsonObject e = new JsonObject();
+            e.addProperty("event", b.what());
+            e.addProperty("from_s", b.fromMicros() / 1e6);
+            e.addProperty("to_s", b.toMicros() / 1e6);
+            events.add(e);
+        }
+        all.add("events", events);
+        JsonArray stories = new JsonArray();
+        for (Breach b : a.breaches().subList(0, Math.min(20, a.breaches().size()))) {
+            JsonObject o = new JsonObject();
+            o.addProperty("rule", name(b.rule()));
+            o.addProperty("at_s", b.atMicros() / 1e6);
+            o.addProperty("what", b.what());
+            JsonArray lines = new JsonArray();
+            b.story().forEach(lines::add);
+            o.add("story", lines);
+            stories.add(o);
+        }
+        all.add("breaches", stories);
+        all.addProperty("virtual_seconds", r.endMicros() / 1_000_000);
+        all.addProperty("scheduled_events", r.scheduled());
+        return all;
+    }
+
+    private static JsonObject ofClass(Result r, int c) {
+        JsonObject o = new JsonObject();
+        o.addProperty("service", round(r.auditor().service().ofClass(c)));
+        Histogram h = r.auditor().latency(c);
+        o.addProperty("delivered", h.getTotalCount());
+        JsonObject latency = new JsonObject();
+        for (double p : PERCENTILES) {
+            latency.addProperty(p == 100 ? "most" : "p" + String.valueOf(p).replaceAll("\\.0$", ""),
+                    h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(p) / 1000);
+        }
+        o.add("latency_ms", latency);
+        return o;
+    }
+
+    static double round(double x) {
+        return Math.round(x * 10_000) / 10_000.0;
+    }
+
+    static String name(Breach.Rule rule) {
+        return rule.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static String seconds(Result r) {
+        List<String> names = new ArrayList<>(r.series().keySet());
+        int length = r.series().values().stream().mapToInt(v -> v.length).max().orElse(0);
+        StringBuilder all = new StringBuilder("second,service," + String.join(",", names) + "\n");
+        List<double[]> service = r.auditor().service().seconds();
+        for (int i = 0; i < length; i++) {
+            all.append(i).append(',').append(i < service.size() && service.get(i)[0] > 0
+                    ? String.valueOf(round(service.get(i)[1] / service.get(i)[0])) : "");
+            for (String n : names) {
+                all.append(',').append((long) r.series().get(n)[i]);
+            }
+            all.append('\n');
+        }
+        return all.toString();
+    }
+
+    private static String partners(Result r) {
+        StringBuilder all = new StringBuilder("destination,kind,messages_a_second_at_most,share_of_traffic,calls,refused,served,fallen_over\n");
+        for (Result.PartnerRow p : r.partners()) {
+            all.append(String.format(Locale.ROOT, "%d,%s,%.2f,%.4f,%d,%d,%d,%d%n", p.destination(), p.kind(), p.capacity(),
+                    p.share(), p.calls(), p.refused(), p.served(), p.falls()));
+        }
+        return all.toString();
+    }
+
+    /** A few lines for the terminal. */
+    public static String summary(Result r) {
+        Service s = r.auditor().service();
+        StringBuilder all = new StringBuilder(String.format(Locale.ROOT,
+                "%s, seed %d: service %.3f (whole run %.3f, worst 10 s %.3f, worst class %.3f, prices %.3f)%n", r.scenario().name(),
+                r.seed(), s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)));
+        Map<String, Long> counts = r.auditor().counts();
+        long messages = counts.getOrDefault("messages", 0L);
+        all.append(String.format(Locale.ROOT, "%d messages, %d delivered, %d attempts, %d restarts%n", messages,
+                counts.getOrDefault("fate_delivered", 0L), counts.getOrDefault("attempts", 0L), counts.getOrDefault("restarts", 0L)));
+        for (int c = 0; c < r.scenario().classes().size(); c++) {
+            MessageClass mc = r.scenario().classes().get(c);
+            Histogram h = r.auditor().latency(c);
+            all.append(String.format(Locale.ROOT, "  %-16s service %.3f, delivered in %d ms (median), %d ms (99th percentile)%n", mc.name(),
+                    s.ofClass(c), h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(50) / 1000,
+                    h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(99) / 1000));
+        }
+        if (r.auditor().broken().isEmpty()) {
+            return all + "all rules kept\n";
+        }
+        r.auditor().broken().forEach((rule, n) -> all.append("BROKEN ").append(name(rule)).append(", ").append(n).append(" times\n"));
+        Breach first = r.auditor().breaches().get(0);
+        all.append("first: ").append(first.what()).append('\n');
+        first.story().forEach(line -> all.append("    ").append(line).append('\n'));
+        return all.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/report/Sweep.java
@@ -0,0 +1,47 @@
+package lilaclever.lab.report;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Service against load: a point for each load, with the interval of 95% over the seeds. */
+public final class Sweep {
+    private final List<double[]> points = new ArrayList<>();
+    private final StringBuilder csv = new StringBuilder("load,service,low,high,runs,broken_rules\n");
+
+    /** The runs of one load; {@code broken}: rules broken in all of them. */
+    public String add(double load, List<Double> services, int broken) {
+        double mean = Comparison.mean(services);
+        double[] interval = Comparison.interval(services);
+        double low = interval == null ? mean : interval[0], high = interval == null ? mean : interval[1];
+        points.add(new double[] {load * 100, mean, low, high});
+        csv.append(String.format(Locale.ROOT, "%.4f,%.4f,%.4f,%.4f,%d,%d%n", load, mean, low, high, services.size(), broken));
+        return String.format(Locale.ROOT, "load %3.0f%%: service %.3f (%.3f to %.3f)%s", load * 100, mean, low, high,
+                broken > 0 ? ", BROKEN rules " + broken : "");
+    }
+
+    /** Writes {@code sweep.csv} and {@code sweep.png}. */
+    public void write(Path folder, String scenario) throws IOException {
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("sweep.csv"), csv);
+        Files.write(folder.resolve("sweep.png"), Plots.curve("load, % of the full load", "service", Map.of(scenario, points)));
+    }
+
+    /** The highest load at which the service is still at the aim, by a straight line between points; 0 if none is. */
+    public double keepsUpTo(double aim) {
+        double last = 0;
+        for (int i = 0; i < points.size(); i++) {
+            if (points.get(i)[1] >= aim) {
+                last = points.get(i)[0];
+            } else if (i > 0 && points.get(i - 1)[1] >= aim) {
+                double[] a = points.get(i - 1), b = points.get(i);
+                return a[0] + (a[1] - aim) / (a[1] - b[1]) * (b[0] - a[0]);
+            }
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -0,0 +1,56 @@
+package lilaclever.lab.scenario;
+
+import java.util.List;
+import lilaclever.lab.model.MessageClass;
+import lilaclever.lab.model.Partner;
+import lilaclever.lab.model.PartnerKind;
+import lilaclever.lab.model.Traffic;
+
+/**
+ * A rehearsal: a fleet, its partners, its traffic, and what happens. Two figures are the least and the most of what is
+ * drawn.
+ */
+public record Scenario(String name, String about, Fleet fleet, List<PartnerKind> kinds, List<MessageClass> classes,
+        TrafficPlan traffic, List<Happening> happenings) {
+    /**
+     * The forwarders and what they are allowed.
+     *
+     * @param ratePerSecond of the whole fleet at full load
+     * @param slotsRoom slots over what a forwarder's part of the full load keeps busy
+     * @param holdSeconds messages that a forwarder may hold, in seconds of its part of the full load
+     * @param directoryDelay how late the directory tells a change
+     * @param frontMemory how long the front goes on sending to a dead forwarder
+     * @param comesAgain how long a client waits before it hands in again what was refused, or what a dead forwarder had
+     */
+    public record Fleet(int forwarders, int destinations, double ratePerSecond, double zipf, double[] endpoints, double slotsRoom,
+            int leastSlots, double holdSeconds, int leastHeld, long roundMicros, int mostAttempts, long connectMicros,
+            long keepAliveMicros, long networkMicros, long handshakeMicros, long[] directoryDelay, long[] frontMemory,
+            int clientRetries, long[] comesAgain, Partner.Cold cold, long drainGraceMicros, long diskBytes) { }
+
+    /**
+     * What is handed in.
+     *
+     * @param clumps the share of messages that come in clumps, and a clump's size in seconds of its partner's capacity
+     */
+    public record TrafficPlan(long lengthMicros, List<Traffic.Point> shape, double clumps, double[] clumpSeconds) { }
+
+    /** What can happen. */
+    public enum What { RESTART, DRAIN, SILENT, FAILING, SHUT, DOWN, SLOW, HOT, DEAF }
+
+    /** Which partners it happens to. */
+    public enum Target { ANY, BUSIEST, SMALL }
+
+    /**
+     * Something that happens at a time, once or several times.
+     *
+     * @param at when it begins, drawn
+     * @param forMicros how long it lasts; with RESTART, DRAIN: over how long it is spread
+     * @param part of the forwarders (RESTART, HOT, DEAF), of the endpoints (DRAIN), of the partners (others)
+     * @param kind only partners of that kind; null: any
+     * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; HOT: the share
+     *     of all traffic
+     * @param downMicros with RESTART: how long one is away; with DRAIN: how long an endpoint drains
+     */
+    public record Happening(String name, What what, long[] at, long[] forMicros, double part, Target target, String kind,
+            double[] strength, long[] downMicros) { }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/virtual/MemoryDisk.java
@@ -0,0 +1,91 @@
+package lilaclever.lab.virtual;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import lilaclever.journal.Disk;
+
+/** A folder in memory that outlasts the forwarders that use it, one after the other. */
+final class MemoryDisk implements Disk {
+    private static final class Content {
+        private byte[] bytes = {};
+
+        private void grow(int length) {
+            if (length > bytes.length) {
+                bytes = Arrays.copyOf(bytes, length);
+            }
+        }
+    }
+
+    private final TreeMap<String, Content> files = new TreeMap<>();
+
+    @Override
+    public List<String> names() {
+        return List.copyOf(files.keySet());
+    }
+
+    @Override
+    public long length(String name) {
+        return files.get(name).bytes.length;
+    }
+
+    @Override
+    public DiskFile open(String name) {
+        return new MemoryFile(files.computeIfAbsent(name, n -> new Content()));
+    }
+
+    @Override
+    public void rename(String from, String to) {
+        files.put(to, files.remove(from));
+    }
+
+    @Override
+    public void delete(String name) {
+        files.remove(name);
+    }
+
+    @Override
+    public void forceNames() {
+        // the folder outlasts all
+    }
+
+    @Override
+    public void close() {
+        // and stays
+    }
+
+    private record MemoryFile(Content content) implements DiskFile {
+        @Override
+        public int read(ByteBuffer into, long position) {
+            int n = (int) Math.min(into.remaining(), content.bytes.length - position);
+            if (n <= 0) {
+                return -1;
+            }
+            into.put(content.bytes, (int) position, n);
+            return n;
+        }
+
+        @Override
+        public void write(ByteBuffer bytes, long position) {
+            int n = bytes.remaining();
+            content.grow((int) position + n);
+            bytes.get(content.bytes, (int) position, n);
+        }
+
+        @Override
+        public void truncate(long length) {
+            content.bytes = Arrays.copyOf(content.bytes, (int) length);
+        }
+
+        @Override
+        public void force() {
+            // the folder outlasts all
+        }
+
+        @Override
+        public void close() {
+            // and stays
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/virtual/Result.java
@@ -0,0 +1,24 @@
+package lilaclever.lab.virtual;
+
+import java.util.List;
+import java.util.TreeMap;
+import lilaclever.lab.audit.Auditor;
+import lilaclever.lab.scenario.Scenario;
+
+/**
+ * What a run has shown.
+ *
+ * @param events what happened, for people and for the bands of plots
+ * @param partners a row for each partner
+ * @param series figures by second: name to values
+ * @param scheduled events of the scheduler: the size of the run
+ */
+public record Result(Scenario scenario, long seed, Auditor auditor, List<Band> events, List<PartnerRow> partners,
+        TreeMap<String, double[]> series, long endMicros, long scheduled) {
+    /** Something that happened, from a time to a time. */
+    public record Band(String what, long fromMicros, long toMicros) { }
+
+    /** One partner's figures. */
+    public record PartnerRow(int destination, String kind, double capacity, double share, long calls, long refused, long served,
+            int falls) { }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/virtual/World.java
@@ -0,0 +1,542 @@
+package lilaclever.lab.virtual;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongConsumer;
+import lilaclever.Relay;
+import lilaclever.Relay.ListingKind;
+import lilaclever.Relay.Presence;
+import lilaclever.lab.audit.Auditor;
+import lilaclever.lab.audit.Breach.Rule;
+import lilaclever.lab.model.Arrival;
+import lilaclever.lab.model.Draws;
+import lilaclever.lab.model.MessageClass;
+import lilaclever.lab.model.Partner;
+import lilaclever.lab.model.Partner.Answer;
+import lilaclever.lab.model.PartnerKind;
+import lilaclever.lab.model.Traffic;
+import lilaclever.lab.scenario.Scenario;
+import lilaclever.lab.scenario.Scenario.Fleet;
+import lilaclever.lab.scenario.Scenario.Happening;
+import lilaclever.lab.scenario.Scenario.Target;
+import lilaclever.routing.Call;
+import lilaclever.routing.Core;
+import lilaclever.routing.Handin;
+
+/**
+ * A rehearsal in virtual time: the real cores with their modules and journals, and models of all that is around them, in one
+ * thread. The same scenario and seed give the same run, to the last event.
+ *
+ * <p>What it does not model: the forwarders' own processors (a turn takes no time), lost packets, and descriptors.
+ */
+public final class World {
+    private static final long SECOND = 1_000_000, AFTER_END = 35 * SECOND, START = 400_000, READY_SEEN = 100_000;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final Fault fault;
+    private final Scheduler scheduler = new Scheduler();
+    private final Auditor auditor;
+    private final Fleet fleet;
+    private final List<Partner> partners = new ArrayList<>();
+    private final double[] weights;
+    private final Map<Integer, Partner> byDestination = new HashMap<>();
+    private final Map<String, Relay.Entry> directory = new LinkedHashMap<>();
+    private final List<VirtualForwarder> forwarders = new ArrayList<>();
+    /** Since when the front knows that it is dead; absent: it sends there. */
+    private final Map<Integer, Long> frontKnowsDead = new HashMap<>();
+    private final long[] toldUntil, deafUntil;
+    private final double[] frontWeights;
+    private final Map<Integer, Integer> retriesLeft = new HashMap<>();
+    /** Hand-ins that a forwarder has and has not answered: if it dies they come again. */
+    private final Map<String, Integer> unanswered = new LinkedHashMap<>();
+    private final Map<Integer, Arrival> arrivals = new HashMap<>();
+    private final List<Result.Band> bands = new ArrayList<>();
+    private final Draws clientDraws, frontDraws, directoryDraws, eventDraws;
+    private final TreeMap<String, double[]> series = new TreeMap<>();
+    private final int seconds;
+    private long version = 1;
+    private int hostCount;
+
+    /** A world that has not begun. */
+    public World(Scenario scenario, long seed, Fault fault) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.fault = fault;
+        fleet = scenario.fleet();
+        auditor = new Auditor(scenario.classes(), fleet.drainGraceMicros());
+        clientDraws = new Draws(seed, "clients");
+        frontDraws = new Draws(seed, "front");
+        directoryDraws = new Draws(seed, "directory");
+        eventDraws = new Draws(seed, "events");
+        weights = Traffic.zipf(fleet.destinations(), fleet.zipf());
+        toldUntil = new long[fleet.forwarders()];
+        deafUntil = new long[fleet.forwarders()];
+        frontWeights = new double[fleet.forwarders()];
+        java.util.Arrays.fill(frontWeights, 1);
+        seconds = (int) ((scenario.traffic().lengthMicros() + AFTER_END) / SECOND) + 1;
+        makePartners();
+        Relay.Settings[] settings = settings();
+        for (int i = 0; i < fleet.forwarders(); i++) {
+            forwarders.add(new VirtualForwarder(this, i, settings[i], new Draws(seed, "forwarder " + i).below(1 << 30)));
+        }
+    }
+
+    // ---- what is there ----------------------------------------------------------------------------------
+    private void makePartners() {
+        Draws draws = new Draws(seed, "partners");
+        List<PartnerKind> kinds = new ArrayList<>();
+        for (PartnerKind k : scenario.kinds()) {
+            int n = (int) Math.round(k.share() * fleet.destinations());
+            for (int i = 0; i < n && kinds.size() < fleet.destinations(); i++) {
+                kinds.add(k);
+            }
+        }
+        while (kinds.size() < fleet.destinations()) {
+            kinds.add(scenario.kinds().get(scenario.kinds().size() - 1));
+        }
+        // Kinds that get much of the traffic stand where it is, the others anywhere.
+        List<double[]> order = new ArrayList<>();
+        for (int i = 0; i < kinds.size(); i++) {
+            order.add(new double[] {kinds.get(i).large() ? draws.unit() * 0.6 : draws.unit(), i});
+        }
+        order.sort(Comparator.comparingDouble(o -> o[0]));
+        double work = 0;
+        for (MessageClass c : scenario.classes()) {
+            work += c.share() * (c.workMicros()[0] + c.workMicros()[1]) / 2;
+        }
+        for (int rank = 0; rank < kinds.size(); rank++) {
+            int endpoints = (int) Math.round(draws.in(fleet.endpoints()) * (rank < kinds.size() / 4 ? 1 : 0.6) + 0.2);
+            Partner p = new Partner(rank, kinds.get((int) order.get(rank)[1]), Math.max(1, endpoints),
+                    weights[rank] * fleet.ratePerSecond(), work, fleet.cold(), new Draws(seed, "partner " + rank));
+            partners.add(p);
+            byDestination.put(rank, p);
+            for (int e = 0; e < Math.max(1, endpoints); e++) {
+                addEndpoint(p);
+            }
+        }
+    }
+
+    private Relay.Entry addEndpoint(Partner p) {
+        String host = "s-" + p.destination() + "-" + hostCount++;
+        p.add(host);
+        Relay.Entry e = new Relay.Entry(host, p.destination(), 0, scenario.kinds().indexOf(p.kind()), Presence.ACTIVE, 0,
+                now() == 0 ? 0 : now());
+        directory.put(host, e);
+        return e;
+    }
+
+    private Relay.Settings[] settings() {
+        double each = fleet.ratePerSecond() / fleet.forwarders();
+        double busy = 0;
+        for (int i = 0; i < partners.size(); i++) {
+            busy += weights[i] * each * partners.get(i).meanSeconds();
+        }
+        Relay.Limits limits = new Relay.Limits(fleet.mostAttempts(), Math.max(fleet.leastHeld(), (int) (fleet.holdSeconds() * each)),
+                Math.max(fleet.leastSlots(), (int) Math.ceil(fleet.slotsRoom() * busy)), true, true, false, 1, fleet.connectMicros(),
+                fleet.keepAliveMicros(), true, 2 * SECOND);
+        Relay.Rules rules = new Relay.Rules(20_000, 10 * SECOND, fleet.drainGraceMicros(), fleet.cold().from(),
+                fleet.cold().rampMicros(), fleet.cold().tipMultiple(), fleet.cold().overloadMicros(), 0);
+        List<Relay.Kind> kinds = scenario.kinds().stream().map(k -> new Relay.Kind(false, k.batch())).toList();
+        List<Relay.MessageClass> classes = scenario.classes().stream().map(MessageClass::terms).toList();
+        Relay.Settings[] all = new Relay.Settings[fleet.forwarders()];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = new Relay.Settings(i, all.length, 0, 1, fleet.roundMicros(), false, Relay.Weights.NONE, false, 0.1, classes,
+                    kinds, List.of(), limits, rules);
+        }
+        return all;
+    }
+
+    // ---- what forwarders ask ----------------------------------------------------------------------------
+    Scenario scenario() {
+        return scenario;
+    }
+
+    Fault fault() {
+        return fault;
+    }
+
+    Auditor auditor() {
+        return auditor;
+    }
+
+    long now() {
+        return scheduler.now();
+    }
+
+    long network() {
+        return fleet.networkMicros();
+    }
+
+    void at(long micros, Runnable action) {
+        scheduler.at(micros, action);
+    }
+
+    void after(long micros, Runnable action) {
+        scheduler.after(micros, action);
+    }
+
+    Partner partner(int destination) {
+        return byDestination.get(destination);
+    }
+
+    void disconnect(String host, int forwarder) {
+        Relay.Entry e = directory.get(host);
+        if (e != null) {
+            partner(e.destination()).disconnect(host, forwarder);
+        }
+    }
+
+    private static int number(String id) {
+        return Integer.parseInt(id.substring(1, id.indexOf('-')));
+    }
+
+    Answer call(Partner partner, String host, int forwarder, Call call) {
+        long[] work = call.messages.stream().mapToLong(m -> arrivals.get(number(m.id())).workMicros()).toArray();
+        add("calls", 1);
+        Answer answer = partner.call(host, forwarder, work, now());
+        if (fault == Fault.FLOODS && partner.warmth(now()) < 1) {
+            for (int i = 0; i < 4; i++) {
+                partner.call(host, forwarder, work, now());
+            }
+        }
+        if (answer.status() == Partner.Status.FULL) {
+            add("refusals", 1);
+        }
+        return answer;
+    }
+
+    void attempt(String id, int forwarder, String host, int destination) {
+        auditor.attempt(number(id), forwarder, host, destination, now());
+    }
+
+    void attemptOver(String id, String how, boolean neverRan) {
+        auditor.attemptOver(number(id), how, neverRan, now());
+    }
+
+    /** A partner has worked on a message; {@code heard}: its answer goes out on an open connection. */
+    void ran(String id, boolean heard) {
+        int n = number(id);
+        auditor.service().work(arrivals.get(n).workMicros(), !heard);
+        if (heard) {
+            auditor.attemptOver(n, "delivered", false, now());
+            auditor.delivered(n, now());
+            add("delivered", 1);
+        }
+    }
+
+    void noticed(String id, String status) {
+        auditor.noticed(number(id), status, now());
+        add(status.equals("deferred") ? "refused" : "failed", 1);
+        if (status.equals("deferred")) {
+            comesAgain(number(id), 0);
+        }
+    }
+
+    // ---- clients and the front --------------------------------------------------------------------------
+    private void arrive(Arrival a) {
+        arrivals.put(a.number(), a);
+        retriesLeft.put(a.number(), fleet.clientRetries());
+        auditor.arrives(a.number(), a.messageClass(), a.destination(), a.workMicros(), now());
+        add("arrived", 1);
+        handIn(a, 0);
+    }
+
+    private void handIn(Arrival a, int turn) {
+        long left = a.atMicros() + scenario.classes().get(a.messageClass()).terms().deadlineMicros() - now();
+        if (left <= 0) {
+            return;
+        }
+        int to = pickForwarder();
+        auditor.handedIn(a.number(), to, now());
+        String id = "m" + a.number() + "-" + turn;
+        Handin handin = new Handin(id, null, a.messageClass(), a.destination(), "k" + a.number(), new byte[64], false, false,
+                left - Math.min(120_000, left / 50));
+        scheduler.after(network(), () -> {
+            if (!forwarders.get(to).handIn(handin)) {
+                auditor.count("met_a_dead_forwarder");
+                scheduler.after(clientDraws.in(fleet.comesAgain()), () -> handIn(a, turn + 1));
+            } else {
+                unanswered.put(id, to);
+            }
+        });
+    }
+
+    private int pickForwarder() {
+        double[] parts = frontWeights.clone();
+        for (Map.Entry<Integer, Long> dead : frontKnowsDead.entrySet()) {
+            if (now() >= dead.getValue()) {
+                parts[dead.getKey()] = 0;
+            }
+        }
+        double sum = java.util.Arrays.stream(parts).sum();
+        double unit = frontDraws.unit();
+        return sum == 0 ? (int) (unit * parts.length) : Traffic.pick(parts, unit);
+    }
+
+    void taken(String id, int forwarder) {
+        unanswered.remove(id);
+        auditor.taken(number(id), forwarder, now());
+    }
+
+    void turnedDown(String id, long comeBackMicros) {
+        unanswered.remove(id);
+        auditor.turnedDown(number(id), now(), comeBackMicros);
+        add("turned_down", 1);
+        comesAgain(number(id), comeBackMicros);
+    }
+
+    private void comesAgain(int n, long comeBackMicros) {
+        int left = retriesLeft.get(n);
+        long after = Math.max(comeBackMicros, clientDraws.in(fleet.comesAgain()));
+        if (left > 0 && mayComeAgain(n, now() + after)) {
+            retriesLeft.put(n, left - 1);
+            scheduler.after(after, () -> handIn(arrivals.get(n), fleet.clientRetries() - left + 100));
+        }
+    }
+
+    /** A client does not hand in again what may have taken effect, or with a key only inside its window. */
+    private boolean mayComeAgain(int n, long at) {
+        long risk = auditor.riskAt(n);
+        Relay.MessageClass c = scenario.classes().get(arrivals.get(n).messageClass()).terms();
+        return risk < 0 || c.repeat() == Relay.Repeat.SAFE || c.repeat() == Relay.Repeat.KEYED && at <= risk + c.repeatWindowMicros();
+    }
+
+    // ---- lives ------------------------------------------------------------------------------------------
+    private void kill(int f) {
+        VirtualForwarder forwarder = forwarders.get(f);
+        if (!forwarder.isUp()) {
+            return;
+        }
+        forwarder.kill();
+        partners.forEach(p -> p.disconnectAll(f));
+        auditor.died(f, now());
+        frontKnowsDead.put(f, now() + frontDraws.in(fleet.frontMemory()));
+        List<String> lost = new ArrayList<>();
+        unanswered.forEach((id, to) -> {
+            if (to == f) {
+                lost.add(id);
+            }
+        });
+        for (String id : lost) {
+            unanswered.remove(id);
+            int turn = Integer.parseInt(id.substring(id.indexOf('-') + 1));
+            scheduler.after(clientDraws.in(fleet.comesAgain()), () -> handIn(arrivals.get(number(id)), turn + 1));
+        }
+    }
+
+    private void start(int f) {
+        VirtualForwarder forwarder = forwarders.get(f);
+        forwarder.start(list(forwarder), version);
+        auditor.ready(f, now());
+        for (Relay.Entry e : directory.values()) {
+            auditor.told(f, e.host(), e.presence() == Presence.ACTIVE, now());
+        }
+        scheduler.after(READY_SEEN, () -> frontKnowsDead.remove(f));
+    }
+
+    private List<Core.Listed> list(VirtualForwarder forwarder) {
+        return directory.values().stream().map(forwarder::listed).toList();
+    }
+
+    // ---- the directory ----------------------------------------------------------------------------------
+    /** Entries have changed: each forwarder is told in its own time, in the order of changes. */
+    private void tell(List<Relay.Entry> changed) {
+        long v = ++version;
+        for (VirtualForwarder f : forwarders) {
+            int n = f.number();
+            long at = Math.max(Math.max(now() + directoryDraws.in(fleet.directoryDelay()), toldUntil[n]), deafUntil[n]);
+            toldUntil[n] = at;
+            scheduler.at(at, () -> {
+                if (!f.isUp()) {
+                    return; // it gets the whole list when it starts
+                }
+                boolean deaf = fault == Fault.IGNORES_DRAINS;
+                List<Relay.Entry> heard = changed.stream().filter(e -> !deaf || e.presence() == Presence.ACTIVE).toList();
+                f.listing(ListingKind.CHANGES, v, heard.stream().map(f::listed).toList());
+                changed.forEach(e -> auditor.told(n, e.host(), e.presence() == Presence.ACTIVE, now()));
+            });
+        }
+    }
+
+    private Relay.Entry change(String host, Presence presence) {
+        Relay.Entry e = directory.get(host);
+        Relay.Entry changed = new Relay.Entry(host, e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros());
+        if (presence == Presence.LEFT) {
+            directory.remove(host);
+        } else {
+            directory.put(host, changed);
+        }
+        return changed;
+    }
+
+    private void replace(String host, long drainsFor) {
+        Relay.Entry e = directory.get(host);
+        if (e == null || e.presence() != Presence.ACTIVE) {
+            return;
+        }
+        Partner p = partner(e.destination());
+        tell(List.of(addEndpoint(p), change(host, Presence.LEAVING)));
+        // It stays until the last forwarder can have heard, and some time more.
+        scheduler.after(drainsFor + fleet.directoryDelay()[1] + fleet.drainGraceMicros() + SECOND, () -> {
+            p.remove(host);
+            tell(List.of(change(host, Presence.LEFT)));
+        });
+    }
+
+    // ---- what happens -----------------------------------------------------------------------------------
+    private void plan(Happening h) {
+        long at = eventDraws.in(h.at());
+        long length = eventDraws.in(h.forMicros());
+        switch (h.what()) {
+            case RESTART -> planRestarts(h, at, length);
+            case DRAIN -> planDrains(h, at, length);
+            case HOT -> planHot(h, at, length);
+            case DEAF -> {
+                for (int f : someForwarders(h.part())) {
+                    scheduler.at(at, () -> deafUntil[f] = now() + length);
+                }
+            }
+            default -> {
+                double strength = eventDraws.in(h.strength());
+                for (Partner p : some(h)) {
+                    Partner.Outage outage = Partner.Outage.valueOf(h.what().name());
+                    scheduler.at(at, () -> p.outage(outage, strength, now() + length));
+                }
+            }
+        }
+        bands.add(new Result.Band(h.name(), at, at + length));
+    }
+
+    private void planRestarts(Happening h, long at, long length) {
+        List<Integer> chosen = someForwarders(h.part());
+        for (int i = 0; i < chosen.size(); i++) {
+            int f = chosen.get(i);
+            scheduler.at(at + length * i / chosen.size(), () -> {
+                if (forwarders.get(f).isUp()) {
+                    kill(f);
+                    scheduler.after(eventDraws.in(h.downMicros()) + START, () -> start(f));
+                }
+            });
+        }
+    }
+
+    private void planDrains(Happening h, long at, long length) {
+        List<String> hosts = new ArrayList<>(directory.keySet());
+        shuffle(hosts);
+        int n = (int) Math.round(h.part() * hosts.size());
+        for (int i = 0; i < n; i++) {
+            String host = hosts.get(i);
+            long drains = eventDraws.in(h.downMicros());
+            scheduler.at(at + length * i / n, () -> replace(host, drains));
+        }
+    }
+
+    private void planHot(Happening h, long at, long length) {
+        List<Integer> hot = someForwarders(h.part());
+        double share = eventDraws.in(h.strength());
+        int others = fleet.forwarders() - hot.size();
+        if (others == 0) {
+            return;
+        }
+        // So heavy that together they get the share.
+        double weight = share / (1 - share) * others / hot.size();
+        scheduler.at(at, () -> hot.forEach(f -> frontWeights[f] = weight));
+        scheduler.at(at + length, () -> hot.forEach(f -> frontWeights[f] = 1));
+    }
+
+    private List<Integer> someForwarders(double part) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < fleet.forwarders(); i++) {
+            all.add(i);
+        }
+        shuffle(all);
+        return all.subList(0, Math.max(1, (int) Math.round(part * all.size())));
+    }
+
+    private List<Partner> some(Happening h) {
+        List<Partner> all = new ArrayList<>(partners);
+        all.removeIf(p -> h.kind() != null && !p.kind().name().equals(h.kind()));
+        if (h.target() == Target.ANY) {
+            shuffle(all);
+        } else if (h.target() == Target.SMALL) {
+            java.util.Collections.reverse(all);
+        }
+        return all.subList(0, Math.min(all.size(), Math.max(1, (int) Math.round(h.part() * all.size()))));
+    }
+
+    private <T> void shuffle(List<T> all) {
+        for (int i = all.size() - 1; i > 0; i--) {
+            java.util.Collections.swap(all, i, eventDraws.below(i + 1));
+        }
+    }
+
+    // ---- the run ----------------------------------------------------------------------------------------
+    private void add(String name, double n) {
+        int s = (int) (now() / SECOND);
+        if (s < seconds) {
+            series.computeIfAbsent(name, x -> new double[seconds])[s] += n;
+        }
+    }
+
+    private void everySecond(LongConsumer progress) {
+        auditor.sweep(now());
+        add("held", forwarders.stream().mapToInt(VirtualForwarder::held).sum());
+        add("forwarders_up", forwarders.stream().filter(VirtualForwarder::isUp).count());
+        int done = (int) (now() / SECOND) - 120;
+        if (done > 0 && done % 10 == 0) {
+            arrivals.keySet().removeIf(n -> arrivals.get(n).atMicros() < now() - 120 * SECOND);
+            retriesLeft.keySet().retainAll(arrivals.keySet());
+        }
+        progress.accept(now());
+        if (now() + SECOND < scenario.traffic().lengthMicros() + AFTER_END) {
+            scheduler.after(SECOND, () -> everySecond(progress));
+        }
+    }
+
+    /** Plays the run; {@code progress} hears the virtual time once a virtual second. */
+    public Result run(LongConsumer progress) {
+        long end = scenario.traffic().lengthMicros();
+        List<Arrival> plan = new Traffic(scenario.traffic().shape(), fleet.ratePerSecond(), scenario.traffic().clumps(),
+                scenario.traffic().clumpSeconds(), scenario.classes(), weights, partners).draw(end, new Draws(seed, "arrivals"));
+        for (VirtualForwarder f : forwarders) {
+            f.start(list(f), version);
+        }
+        scenario.happenings().forEach(this::plan);
+        feed(plan, 0);
+        everySecond(progress);
+        scheduler.runUntil(end + AFTER_END);
+        auditor.finish(now());
+        for (VirtualForwarder f : forwarders) {
+            if (f.broken() > 0) {
+                auditor.broken(Rule.INVARIANT, now(), "forwarder " + f.number() + ": " + f.broken() + " times");
+            }
+        }
+        List<Result.PartnerRow> rows = new ArrayList<>();
+        for (int i = 0; i < partners.size(); i++) {
+            Partner p = partners.get(i);
+            if (p.fallsByKnowing() > 0) {
+                auditor.broken(Rule.FAIL_BACK, now(), "destination " + p.destination() + " was pushed over " + p.fallsByKnowing()
+                        + " times by forwarders that saw it fail");
+            }
+            rows.add(new Result.PartnerRow(p.destination(), p.kind().name(), p.capacity(), weights[i], p.calls(), p.refused(),
+                    p.served(), p.falls()));
+        }
+        return new Result(scenario, seed, auditor, bands, rows, series, now(), scheduler.ran());
+    }
+
+    /** One arrival after the other: the plan is long, the queue of events need not be. */
+    private void feed(List<Arrival> plan, int next) {
+        if (next < plan.size()) {
+            scheduler.at(plan.get(next).atMicros(), () -> {
+                arrive(plan.get(next));
+                feed(plan, next + 1);
+            });
+        }
+    }
+}
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -15,6 +15,7 @@
 import lilaclever.Relay;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
+import lilaclever.conf.Bad;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.transport.Transport;
 
@@ -33,15 +34,6 @@
     /** Descriptors that the machine itself needs, and some for files of the journal. */
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
-    /** A configuration that can't be used; the message names the key at fault. */
-    static final class Bad extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Bad(String key, String problem) {
-            super(key + ": " + problem);
-        }
-    }
-
     /** Reads the configuration that the variables name. */
     static Config read(Map<String, String> variables) throws Bad {
         String path = variables.get("ROUTER_CONFIG");
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
+import lilaclever.conf.Bad;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.FolderDisk;
 import lilaclever.journal.SegmentedJournal;
@@ -43,7 +44,7 @@
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
-    private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, Config.Bad {
+    private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
         this.config = config;
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
@@ -97,21 +98,21 @@
         counters.figure("journal_damages", () -> journal.recovered().damages().size());
     }
 
-    private static Directory.Known known(Config config, Directory directory) throws Config.Bad {
+    private static Directory.Known known(Config config, Directory directory) throws Bad {
         try {
             return config.known() == null ? null : directory.read(config.known());
         } catch (RuntimeException e) {
-            throw new Config.Bad("known", "not a list of endpoints: " + e.getMessage());
+            throw new Bad("known", "not a list of endpoints: " + e.getMessage());
         }
     }
 
     /** Starts all parts as the platform has them; {@code mail} is null where the mail front is off. */
-    static Forwarder start(Config config, MailSettings mail) throws IOException, Config.Bad {
+    static Forwarder start(Config config, MailSettings mail) throws IOException, Bad {
         return start(config, Operator.none(config), mail);
     }
 
     /** Starts all parts. */
-    static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Config.Bad {
+    static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
         Forwarder forwarder = new Forwarder(config, operator, mail);
         System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
                 + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
@@ -142,7 +143,7 @@
                 notices.move(read.discovery());
             });
             System.err.println("lilaclever: configuration read again, discovery at " + read.discovery());
-        } catch (Config.Bad e) {
+        } catch (Bad e) {
             System.err.println("lilaclever: configuration: " + e.getMessage() + "; the old one stays");
         }
     }
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import lilaclever.conf.Bad;
 import lilaclever.protocol.mail.MailSettings;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -18,13 +19,14 @@
         Integer run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "serve|simhost|check-config|journal|selftest|version", handler = SubCommandHandler.class,
+    @Argument(required = true, metaVar = "serve|simhost|check-config|journal|rehearse|selftest|version", handler = SubCommandHandler.class,
             usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = ServeCommand.class),
         @SubCommand(name = "simhost", impl = SimhostCommand.class),
         @SubCommand(name = "check-config", impl = CheckCommand.class),
         @SubCommand(name = "journal", impl = JournalCommand.class),
+        @SubCommand(name = "rehearse", impl = RehearseCommand.class),
         @SubCommand(name = "selftest", impl = SelfTestCommand.class),
         @SubCommand(name = "version", impl = VersionCommand.class)
     })
@@ -40,14 +42,14 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("lilaclever: " + e.getMessage());
-            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|journal|selftest|version [options]");
+            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|journal|rehearse|selftest|version [options]");
             e.getParser().printUsage(System.err);
             System.exit(2);
         }
         Integer code;
         try {
             code = main.command.run();
-        } catch (Config.Bad e) {
+        } catch (Bad e) {
             System.err.println("lilaclever: configuration: " + e.getMessage());
             code = 2;
         }
@@ -95,7 +97,7 @@
         private Path conf;
 
         @Override
-        public Integer run() throws Config.Bad {
+        public Integer run() throws Bad {
             Config config = Config.read(System.getenv());
             if (mail != null) {
                 MailSettings read = config.readMail(mail);
--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -7,11 +7,12 @@
 import java.util.Map;
 import java.util.Set;
 import lilaclever.Relay;
+import lilaclever.conf.Bad;
+import lilaclever.conf.ConfFile.Section;
+import lilaclever.conf.ConfFile;
 import lilaclever.identity.Identity;
-import lilaclever.program.Config.Bad;
-import lilaclever.program.OperatorFile.Section;
-import lilaclever.protocol.mllp.MllpSettings;
 import lilaclever.protocol.mllp.MllpSettings.Field;
+import lilaclever.protocol.mllp.MllpSettings;
 import lilaclever.transport.AddressSet;
 import lilaclever.transport.Transport;
 
@@ -24,11 +25,11 @@
     /** What HTTP takes too: partners are told no larger ones. */
     private static final int LARGEST = 64 * 1024;
 
-    private final OperatorFile file;
+    private final ConfFile file;
     private final Config config;
     private final boolean shared;
 
-    MllpSections(OperatorFile file, Config config, boolean shared) {
+    MllpSections(ConfFile file, Config config, boolean shared) {
         this.file = file;
         this.config = config;
         this.shared = shared;
@@ -125,7 +126,7 @@
         for (Section s : file.sections("hl7-class")) {
             int number = config.classNames().indexOf(s.which());
             if (number < 0) {
-                throw s.bad("events", "no class of the settings: " + s.which() + OperatorFile.nearest(s.which(),
+                throw s.bad("events", "no class of the settings: " + s.which() + ConfFile.nearest(s.which(),
                         new LinkedHashSet<>(config.classNames())));
             }
             for (String event : s.words("events")) {
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -7,9 +7,10 @@
 import java.util.Locale;
 import java.util.Set;
 import lilaclever.Relay;
+import lilaclever.conf.Bad;
+import lilaclever.conf.ConfFile;
 import lilaclever.identity.Windows;
 import lilaclever.journal.Durability;
-import lilaclever.program.Config.Bad;
 import lilaclever.protocol.mllp.MllpSettings;
 
 /**
@@ -36,7 +37,7 @@
     /** What holds without a file. */
     static Operator none(Config config) {
         try {
-            return of(OperatorFile.empty(), config);
+            return of(ConfFile.empty(), config);
         } catch (Bad e) {
             throw new IllegalStateException("the defaults are good", e);
         }
@@ -44,10 +45,10 @@
 
     /** Reads and checks the file; classes and destinations are those of the platform's settings. */
     static Operator read(Path path, Config config) throws Bad {
-        return of(OperatorFile.read(path), config);
+        return of(ConfFile.read(path), config);
     }
 
-    static Operator of(OperatorFile file, Config config) throws Bad {
+    static Operator of(ConfFile file, Config config) throws Bad {
         JournalSettings journal = journal(file.section("journal"));
         IdentitySettings identity = identity(file.section("identity"), config, journal.rememberMicros());
         Operator read = new Operator(journal, identity, new MllpSections(file, config, identity.shared()).read());
@@ -57,7 +58,7 @@
         return read;
     }
 
-    private static IdentitySettings identity(OperatorFile.Section s, Config config, long remember) throws Bad {
+    private static IdentitySettings identity(ConfFile.Section s, Config config, long remember) throws Bad {
         boolean shared = s.flag("shared", false);
         String header = s.text("http-practice", null);
         if (header != null && !header.matches("[A-Za-z0-9-]{1,64}")) {
@@ -75,7 +76,7 @@
                 new Windows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
     }
 
-    private static JournalSettings journal(OperatorFile.Section s) throws Bad {
+    private static JournalSettings journal(ConfFile.Section s) throws Bad {
         Durability.How how = s.choice("durability", Durability.How.class, Durability.How.NONE);
         long every = s.time("interval", 50_000, 1000, 60 * SECOND);
         if (how != Durability.How.INTERVAL && s.has("interval")) {
--- /dev/null
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -0,0 +1,204 @@
+package lilaclever.program;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import lilaclever.conf.Bad;
+import lilaclever.lab.audit.Prices;
+import lilaclever.lab.model.Traffic;
+import lilaclever.lab.report.Comparison;
+import lilaclever.lab.report.Report;
+import lilaclever.lab.report.Sweep;
+import lilaclever.lab.scenario.Scenario;
+import lilaclever.lab.scenario.ScenarioReader;
+import lilaclever.lab.virtual.Fault;
+import lilaclever.lab.virtual.Result;
+import lilaclever.lab.virtual.World;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** {@code rehearse list|show|check|run|sweep|compare}: plays scenarios in virtual time and reports. */
+public final class RehearseCommand implements Main.Command {
+    private static final int GOOD = 0, BROKEN = 1, UNUSABLE = 2;
+
+    /** What to do. */
+    enum What { LIST, SHOW, CHECK, RUN, SWEEP, COMPARE }
+
+    @Argument(index = 0, required = true, metaVar = "list|show|check|run|sweep|compare", usage = "what to do")
+    private What what;
+
+    @Argument(index = 1, metaVar = "SCENARIO|FOLDER", usage = "a shipped scenario's name or a file; with compare: two folders of runs",
+            multiValued = true)
+    private List<String> names = new ArrayList<>();
+
+    @Option(name = "--seed", metaVar = "N", usage = "of the first run (default 1)")
+    private long seed = 1;
+
+    @Option(name = "--runs", metaVar = "N", usage = "how many runs, each with the next seed (default 1; sweep: 5)")
+    private int runs;
+
+    @Option(name = "--out", metaVar = "FOLDER", usage = "where reports go (default: rehearsals/NAME)")
+    private Path out;
+
+    @Option(name = "--load", metaVar = "FROM:TO:STEP", usage = "with sweep: loads in percent (default 40:160:10)")
+    private String loads = "40:160:10";
+
+    @Option(name = "--aim", metaVar = "N", usage = "with sweep: the service below which the aim is lost (default 0.9)")
+    private double aim = 0.9;
+
+    @Option(name = "--threads", metaVar = "N", usage = "runs side by side (default: the cores; it changes no figure)")
+    private int threads = Runtime.getRuntime().availableProcessors();
+
+    @Override
+    public Integer run() throws Bad {
+        try {
+            return switch (what) {
+                case LIST -> list();
+                case SHOW -> show();
+                case CHECK -> check();
+                case RUN -> play();
+                case SWEEP -> sweep();
+                case COMPARE -> compare();
+            };
+        } catch (IOException | ExecutionException e) {
+            System.err.println("lilaclever: rehearse: " + (e instanceof IOException ? e.getMessage() : e.getCause().toString()));
+            return UNUSABLE;
+        } catch (InterruptedException e) {
+            return UNUSABLE;
+        }
+    }
+
+    private static int list() throws Bad {
+        for (String name : ScenarioReader.SHIPPED) {
+            System.out.printf("%-30s %s%n", name, ScenarioReader.read(name).about());
+        }
+        return GOOD;
+    }
+
+    private String one() throws Bad {
+        if (names.size() != 1) {
+            throw new Bad("rehearse " + what.name().toLowerCase(Locale.ROOT), "one scenario, not " + names.size());
+        }
+        return names.get(0);
+    }
+
+    private int show() throws Bad, IOException {
+        String name = one();
+        System.out.print(ScenarioReader.SHIPPED.contains(name) ? ScenarioReader.text(name) : Files.readString(Path.of(name)));
+        return GOOD;
+    }
+
+    private int check() throws Bad {
+        for (String name : names.isEmpty() ? ScenarioReader.SHIPPED : names) {
+            Scenario s = ScenarioReader.read(name);
+            System.out.println(name + " is good: " + s.fleet().forwarders() + " forwarders, " + s.fleet().destinations()
+                    + " destinations, " + s.traffic().lengthMicros() / 1_000_000 + " s, " + s.happenings().size() + " events");
+        }
+        return GOOD;
+    }
+
+    private Path folder(Scenario s) {
+        return out != null ? out : Path.of("rehearsals", s.name());
+    }
+
+    private int play() throws Bad, IOException, InterruptedException, ExecutionException {
+        Scenario scenario = ScenarioReader.read(one());
+        int n = Math.max(1, runs);
+        boolean alone = n == 1;
+        AtomicInteger broken = new AtomicInteger();
+        List<Double> services = new ArrayList<>();
+        sideBySide(n, i -> {
+            Result r = new World(scenario, seed + i, Fault.NONE).run(alone ? this::progress : now -> { });
+            Report.write(r, alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i)));
+            return r;
+        }, r -> {
+            System.out.print(alone ? Report.summary(r) : Report.summary(r).lines().findFirst().orElse("") + "\n");
+            broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
+            services.add(r.auditor().service().figure(Prices.USUAL));
+        });
+        double[] interval = Comparison.interval(services);
+        if (interval != null) {
+            System.out.printf(Locale.ROOT, "%d runs: service %.3f, 95%% of chance %.3f to %.3f; rules broken in %d%n", n,
+                    services.stream().mapToDouble(Double::doubleValue).average().orElse(0), interval[0], interval[1], broken.get());
+        }
+        System.out.println("report: " + folder(scenario).resolve(alone ? "index.html" : ""));
+        return broken.get() == 0 ? GOOD : BROKEN;
+    }
+
+    private void progress(long now) {
+        if (System.console() != null && now % 10_000_000 == 0) {
+            System.err.print("\r" + now / 1_000_000 + " s ");
+        }
+    }
+
+    /** Plays runs on several threads and hands their results over in order. */
+    private void sideBySide(int n, Play play, java.util.function.Consumer<Result> each)
+            throws InterruptedException, ExecutionException {
+        ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, Math.min(n, threads)));
+        try {
+            List<Future<Result>> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                int index = i;
+                all.add(pool.submit(() -> play.run(index)));
+            }
+            for (int i = 0; i < n; i++) {
+                each.accept(all.get(i).get());
+                all.set(i, null); // a run is large: what was told goes
+            }
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private interface Play {
+        Result run(int index) throws IOException;
+    }
+
+    private int sweep() throws Bad, IOException, InterruptedException, ExecutionException {
+        Scenario scenario = ScenarioReader.read(one());
+        if (!loads.matches("\\d{1,4}:\\d{1,4}:[1-9]\\d{0,3}")) {
+            throw new Bad("--load", "FROM:TO:STEP in percent, such as 40:160:10, not " + loads);
+        }
+        String[] parts = loads.split(":");
+        int n = runs > 0 ? runs : 5;
+        Sweep sweep = new Sweep();
+        AtomicInteger allBroken = new AtomicInteger();
+        for (int percent = Integer.parseInt(parts[0]); percent <= Integer.parseInt(parts[1]); percent += Integer.parseInt(parts[2])) {
+            Scenario at = atLoad(scenario, percent / 100.0);
+            List<Double> services = new ArrayList<>();
+            AtomicInteger broken = new AtomicInteger();
+            sideBySide(n, i -> new World(at, seed + i, Fault.NONE).run(now -> { }), r -> {
+                services.add(r.auditor().service().figure(Prices.USUAL));
+                broken.addAndGet(r.auditor().broken().size());
+            });
+            allBroken.addAndGet(broken.get());
+            System.out.println(sweep.add(percent / 100.0, services, broken.get()));
+        }
+        sweep.write(folder(scenario), scenario.name());
+        System.out.printf(Locale.ROOT, "service stays at %.2f up to a load of %.0f%%%nplot: %s%n", aim, sweep.keepsUpTo(aim),
+                folder(scenario).resolve("sweep.png"));
+        return allBroken.get() == 0 ? GOOD : BROKEN;
+    }
+
+    /** The same scenario at one load all the time. */
+    private static Scenario atLoad(Scenario s, double load) {
+        return new Scenario(s.name(), s.about(), s.fleet(), s.kinds(), s.classes(), new Scenario.TrafficPlan(s.traffic().lengthMicros(),
+                List.of(new Traffic.Point(0, load)), s.traffic().clumps(), s.traffic().clumpSeconds()), s.happenings());
+    }
+
+    private int compare() throws Bad, IOException {
+        if (names.size() != 2) {
+            throw new Bad("rehearse compare", "two folders of runs, not " + names.size());
+        }
+        System.out.print(Comparison.of(Path.of(names.get(0)), Path.of(names.get(1))));
+        return GOOD;
+    }
+}
--- a/src/main/java/lilaclever/program/SelfTest.java
+++ b/src/main/java/lilaclever/program/SelfTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import lilaclever.conf.Bad;
 
 /**
  * Shows that the program can start and deliver on this machine: a forwarder with a made-up configuration on the
@@ -48,7 +49,7 @@
     }
 
     /** The exit code. */
-    static int run() throws IOException, InterruptedException, Config.Bad {
+    static int run() throws IOException, InterruptedException, Bad {
         Path state = Files.createTempDirectory("lilaclever");
         try {
             boolean good = new SelfTest().passes(state);
@@ -61,7 +62,7 @@
         }
     }
 
-    private boolean passes(Path state) throws IOException, InterruptedException, Config.Bad {
+    private boolean passes(Path state) throws IOException, InterruptedException, Bad {
         Thread accepting = new Thread(this::accept, "peer");
         accepting.setDaemon(true);
         accepting.start();
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
@@ -59,10 +58,18 @@
     private volatile boolean ended;
     private boolean closing;
     private int unsettled;
-    private long now = micros();
+    private final Pace pace;
+    private long now;
 
     /** A core that holds nothing yet. */
     public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, Windows windows) {
+        this(settings, seed, journal, counters, windows, Pace.system());
+    }
+
+    /** The same in a time of its own. */
+    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, Windows windows, Pace pace) {
+        this.pace = pace;
+        this.now = pace.micros();
         this.settings = settings;
         this.relay = Relay.create(settings, seed);
         this.journal = journal;
@@ -82,6 +89,7 @@
     /** Has the loop run the task in its next turn. From any thread. */
     public void post(Runnable task) {
         ready.add(task);
+        pace.posted();
     }
 
     /** The clock of this turn, microseconds; only goes forward. */
@@ -125,15 +133,31 @@
 
     /** Starts the loop: first what the journal says is owed, with the list as last known. */
     public void start(List<Listed> known, long version) {
-        now = micros();
+        begin(known, version);
+        thread = new Thread(this::loop, "loop");
+        thread.start();
+    }
+
+    /** The first turn, where a host in virtual time does the loop's part: {@link #due} and {@link #step}. */
+    public void begin(List<Listed> known, long version) {
+        now = pace.micros();
         listing(Relay.ListingKind.REMEMBERED, version, known);
-        long wall = wall();
+        long wall = pace.wall();
         for (Owed e : List.copyOf(journal.owed())) {
             resume(e, wall);
         }
         turn();
-        thread = new Thread(this::loop, "loop");
-        thread.start();
+    }
+
+    /** When the next turn is due: with a task waiting after the least spacing, else at the next deadline. */
+    public long due() {
+        return ready.isEmpty() ? deadlines.soonest(now + LONGEST_SLEEP) : now + settings.roundMicros();
+    }
+
+    /** One turn. */
+    public void step() {
+        now = pace.micros();
+        run(this::turn);
     }
 
     private void resume(Owed e, long wall) {
@@ -180,7 +204,7 @@
     /** Takes a hand-in from a front; the front hears of it by the end of the turn. Loop thread. */
     public Message handIn(Front front, Handin handin) {
         counters.add(Name.HANDED_IN);
-        long wall = wall();
+        long wall = pace.wall();
         Message m = new Message(handin, front, wall + handin.budgetMicros());
         Message under = held.get(handin.id());
         if (under != null && (handin.identity() == null || !handin.identity().equals(under.handin.identity()))) {
@@ -287,7 +311,7 @@
         }
         counters.ending(ending.name());
         if (!ending.neverRan()) {
-            m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), wall());
+            m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), pace.wall());
         }
         events.add(new Event.Outcome(m.id(), call.endpoint.host(), m.attempts - 1, ending, now - call.startedAt,
                 waitMicros, noSlot, over || ending == Ending.DELIVERED, null));
@@ -334,13 +358,13 @@
         while (!ended) {
             try {
                 long until = deadlines.soonest(now + LONGEST_SLEEP);
-                Runnable first = ready.poll(Math.max(0, until - micros()), TimeUnit.MICROSECONDS);
+                Runnable first = pace.await(ready, until);
                 // Turns keep the module's least spacing: what comes close together is decided together.
-                long early = now + settings.roundMicros() - micros();
+                long early = now + settings.roundMicros() - pace.micros();
                 if (early > 0) {
-                    TimeUnit.MICROSECONDS.sleep(early);
+                    pace.pause(early);
                 }
-                now = micros();
+                now = pace.micros();
                 run(first);
                 run(this::turn);
             } catch (InterruptedException e) {
@@ -374,7 +398,7 @@
             events = new ArrayList<>();
             carryOut(relay.decide(now, batch));
         }
-        run(() -> journal.tidy(wall()));
+        run(() -> journal.tidy(pace.wall()));
     }
 
     private void carryOut(List<Action> actions) {
@@ -407,7 +431,7 @@
             if (m.over || endedNow.contains(m.id())) {
                 continue;
             }
-            run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, wall()));
+            run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, pace.wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
                 refuse(claims.written(m), m);
@@ -468,7 +492,7 @@
         Verdict told = new Verdict(verdict.kind(), verdict.comeBackMicros(), m.lastWord);
         if (m.journaled) {
             counters.add(told.kind() == Kind.REFUSED ? Name.REFUSED : Name.FAILED);
-            counters.holds(m.resumed || wall() <= m.deadlineWall + OVERDUE, m.id() + " ended in time");
+            counters.holds(m.resumed || pace.wall() <= m.deadlineWall + OVERDUE, m.id() + " ended in time");
             end(m, told);
         } else {
             turnDown(m, told);
@@ -509,7 +533,7 @@
 
     /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
     private void start(Call call) {
-        long wall = wall();
+        long wall = pace.wall();
         boolean written = true;
         for (Message m : call.messages) {
             written &= journal.attempt(m.id(), call.endpoint.host(), call.endpoint.zone(), wall);
@@ -560,7 +584,7 @@
 
     private void end(Message m, Verdict verdict) {
         release(m);
-        claims.ended(m, verdict, wall());
+        claims.ended(m, verdict, pace.wall());
         boolean told = verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE;
         if (told || Identity.isShared(m.handin.identity())) { // a client that is away may be owed that it was delivered
             journal.verdict(m.id(), verdict);
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Pace.java
@@ -0,0 +1,55 @@
+package lilaclever.routing;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The time that the loop goes by, and how it waits: the machine's, or that of a host that runs many cores in virtual
+ * time on one thread.
+ */
+public interface Pace {
+    /** The monotonic clock, microseconds. */
+    long micros();
+
+    /** The wall clock, microseconds; it goes on from where it was at the beginning and does not jump. */
+    long wall();
+
+    /** Takes the next task, and waits for one until the given time at most; null if none came. */
+    Runnable await(BlockingQueue<Runnable> ready, long untilMicros) throws InterruptedException;
+
+    /** Lets the time pass. */
+    void pause(long micros) throws InterruptedException;
+
+    /** A task was added for the loop. Any thread. */
+    void posted();
+
+    /** The machine's time, for a loop on a thread of its own. */
+    static Pace system() {
+        return new Pace() {
+            @Override
+            public long micros() {
+                return Core.micros();
+            }
+
+            @Override
+            public long wall() {
+                return Core.wall();
+            }
+
+            @Override
+            public Runnable await(BlockingQueue<Runnable> ready, long untilMicros) throws InterruptedException {
+                return ready.poll(Math.max(0, untilMicros - Core.micros()), TimeUnit.MICROSECONDS);
+            }
+
+            @Override
+            public void pause(long micros) throws InterruptedException {
+                TimeUnit.MICROSECONDS.sleep(micros);
+            }
+
+            @Override
+            public void posted() {
+                // whoever waits for the queue wakes by it
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/lab/model/PartnerTest.java
@@ -0,0 +1,141 @@
+package lilaclever.lab.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import lilaclever.lab.model.Partner.Answer;
+import lilaclever.lab.model.Partner.Outage;
+import lilaclever.lab.model.Partner.Status;
+import lilaclever.lab.model.PartnerKind.Limit;
+import org.junit.jupiter.api.Test;
+
+/** The models of partners and traffic, without any host. */
+class PartnerTest {
+    private static final long S = 1_000_000;
+    private static final double[] ONE = {1, 1};
+
+    private static PartnerKind kind(Limit limit, double connections) {
+        return new PartnerKind("k", 1, false, limit, new double[] {1, 1}, ONE, 2 * S, new double[] {1.5, 1.5}, new double[] {0.5, 0.5},
+                1, new long[] {100_000, 100_000}, 1, new double[] {connections, connections}, new double[] {2, 2}, 0, 20, 0.5);
+    }
+
+    private static Partner partner(Limit limit) {
+        Partner p = new Partner(7, kind(limit, 0), 1, 10, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+        p.add("e");
+        return p;
+    }
+
+    private static Answer call(Partner p, int forwarder, long at) {
+        return p.call("e", forwarder, new long[] {100_000}, at);
+    }
+
+    @Test
+    void streamsOfASeedAreTheSameAndOfNamesDiffer() {
+        assertEquals(new Draws(1, "a").unit(), new Draws(1, "a").unit());
+        assertTrue(new Draws(1, "a").unit() != new Draws(1, "b").unit());
+        Draws d = new Draws(5, "x");
+        assertEquals(1, IntStream.range(0, 100_000).mapToDouble(i -> d.lognormal(0.5)).average().orElse(0), 0.01);
+    }
+
+    /** Twenty in a span of two seconds, and no more until the next begins; it tells when that is. */
+    @Test
+    void aWindowIsACountInASpan() {
+        Allowance a = new Allowance(Limit.WINDOW, 10, 2 * S, true);
+        assertEquals(20, IntStream.range(0, 50).filter(i -> a.take(i * 10_000L)).count());
+        assertEquals(2 * S, a.roomAt(S));
+        assertTrue(a.take(2 * S));
+    }
+
+    /** Where refused calls count, whoever goes on asking at a high rate gets nothing. */
+    @Test
+    void refusedCallsMayUseUpARate() {
+        Allowance counts = new Allowance(Limit.RATE, 10, S, true), forgives = new Allowance(Limit.RATE, 10, S, false);
+        assertTrue(IntStream.range(0, 1000).filter(i -> counts.take(i * 10_000L)).count() < 20);
+        assertEquals(102, IntStream.range(0, 1000).filter(i -> forgives.take(i * 10_000L)).count(), 3);
+    }
+
+    @Test
+    void whatItCanDoIsAllItDoes() {
+        Partner p = partner(Limit.NONE);
+        long done = IntStream.range(0, 10_000).mapToObj(i -> call(p, 0, i * 5000L)) // 200 a second for 50 s
+                .filter(a -> a.status() == Status.DELIVERED && a.atMicros() <= 50 * S).count();
+        assertEquals(p.capacity() * 50, done, p.capacity() * 2);
+    }
+
+    /** Guards against a partner that comes back at full strength: then nothing that is rehearsed would fall over. */
+    @Test
+    void itComesBackColdAndFallsOverWhereItIsFlooded() {
+        Partner p = partner(Limit.NONE);
+        p.outage(Outage.SHUT, 0, 10 * S);
+        assertEquals(Status.FULL, call(p, 3, 9 * S).status());
+        p.heardFailure(3, 9 * S);
+        assertTrue(p.isOut(9 * S));
+        assertEquals(0.25, p.warmth(10 * S), 0.01);
+        assertEquals(0.625, p.warmth(14 * S), 0.01);
+        for (int i = 0; i < 400 && p.falls() == 0; i++) {
+            call(p, 3, 10 * S + i * 10_000L);
+        }
+        assertEquals(1, p.falls());
+        assertEquals(1, p.fallsByKnowing()); // forwarder 3 had seen it refuse
+        assertTrue(p.isOut(60 * S));
+    }
+
+    @Test
+    void whoDidNotSeeItFailIsNotToBlame() {
+        Partner p = partner(Limit.NONE);
+        p.outage(Outage.DOWN, 0, 10 * S);
+        assertEquals(Status.NO_CONNECTION, call(p, 3, 9 * S).status());
+        p.heardFailure(3, 9 * S);
+        for (int i = 0; i < 400 && p.falls() == 0; i++) {
+            call(p, 4, 10 * S + i * 10_000L);
+        }
+        assertEquals(1, p.falls());
+        assertEquals(0, p.fallsByKnowing());
+    }
+
+    @Test
+    void outagesAnswerAsTheyAreNamed() {
+        Partner p = partner(Limit.NONE);
+        p.outage(Outage.SILENT, 0, S);
+        assertEquals(Status.NEVER, call(p, 0, 0).status());
+        assertFalse(p.answersStill("e", S / 2));
+        p.outage(Outage.FAILING, 1, 2 * S);
+        assertEquals(Status.ERROR, call(p, 0, S).status());
+        Partner slow = partner(Limit.NONE);
+        long usual = call(slow, 0, 0).atMicros();
+        slow.outage(Outage.SLOW, 4, 10 * S);
+        assertEquals(4 * usual, call(slow, 0, 5 * S).atMicros() - 5 * S, 4);
+        assertEquals(1, slow.warmth(11 * S)); // slow is no outage: it does not come back cold
+    }
+
+    @Test
+    void itTakesOnlySoManyConnections() {
+        Partner p = new Partner(7, kind(Limit.NONE, 1), 1, 1, 1000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+        p.add("e");
+        assertTrue(p.connect("e", 0) && p.connect("e", 1));
+        assertFalse(p.connect("e", 1));
+        p.disconnectAll(0);
+        assertTrue(p.connect("e", 1));
+    }
+
+    /** The load is kept, its shape too, and what comes in clumps counts as part of it. */
+    @Test
+    void trafficHasTheLoadThatWasAskedFor() {
+        List<MessageClass> classes = List.of(new MessageClass("a", 0.75, new long[] {1, 1}, null),
+                new MessageClass("b", 0.25, new long[] {1, 1}, null));
+        for (double clumps : new double[] {0, 0.3}) {
+            Traffic t = new Traffic(List.of(new Traffic.Point(0, 0.5), new Traffic.Point(100 * S, 1.5)), 50, clumps, new double[] {2, 2},
+                    classes, Traffic.zipf(2, 0), List.of(partner(Limit.NONE), partner(Limit.NONE)));
+            List<Arrival> all = t.draw(200 * S, new Draws(3, "arrivals"));
+            assertEquals(50 * 100 + 75 * 100, all.size(), 12_500 * (clumps == 0 ? 0.04 : 0.45));
+            assertEquals(0.25, all.stream().filter(a -> a.messageClass() == 1).count() / (double) all.size(), 0.02);
+            assertEquals(1.0, t.load(50 * S), 1e-9);
+            for (int i = 0; i < all.size(); i++) {
+                assertEquals(i, all.get(i).number());
+            }
+        }
+    }
+}
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import lilaclever.conf.Bad;
+import lilaclever.conf.ConfFile;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -108,7 +110,7 @@
     void aGroupCommitHoldsNothingBackForGood() throws Exception {
         try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
             Config config = Setup.config(platform.address(), state, endpoint.address());
-            Operator operator = Operator.of(OperatorFile.parse("f", List.of("[journal]", "durability group")), config);
+            Operator operator = Operator.of(ConfFile.parse("f", List.of("[journal]", "durability group")), config);
             forwarder = Forwarder.start(config, operator, null);
             address = forwarder.addresses().get(0);
             try (Wire client = Wire.to(address)) {
@@ -514,7 +516,7 @@
     void aFaultyKeyIsNamed(String good, String bad, String key) {
         String text = Setup.text("127.0.0.1:1", state, null, 3);
         assertTrue(text.contains(good));
-        assertTrue(assertThrows(Config.Bad.class, () -> Config.parse(text.replace(good, bad), Map.of())).getMessage()
+        assertTrue(assertThrows(Bad.class, () -> Config.parse(text.replace(good, bad), Map.of())).getMessage()
                 .contains(key));
     }
 }
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import lilaclever.conf.ConfFile;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -89,7 +90,7 @@
         // One message a call: the endpoint is asked for each on its own.
         Config config = Config.parse(Setup.text(platform.address(), state, endpoint.address(), 3)
                 .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"), java.util.Map.of());
-        forwarder = Forwarder.start(config, Operator.of(OperatorFile.parse("f", conf.lines().toList()), config), null);
+        forwarder = Forwarder.start(config, Operator.of(ConfFile.parse("f", conf.lines().toList()), config), null);
         http = forwarder.addresses().get(0);
         mllp = forwarder.addresses().get(1);
     }
--- a/src/test/java/lilaclever/program/OperatorFileTest.java
+++ b/src/test/java/lilaclever/program/OperatorTest.java
@@ -6,23 +6,25 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import lilaclever.conf.Bad;
+import lilaclever.conf.ConfFile;
 import lilaclever.journal.Durability;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The operator's file: every fault is told with file, line and key. */
-class OperatorFileTest {
-    private static Config config() throws Config.Bad {
+class OperatorTest {
+    private static Config config() throws Bad {
         return Setup.config("127.0.0.1:9", Path.of("nowhere"), null);
     }
 
-    private static Operator of(String text) throws Config.Bad {
-        return Operator.of(OperatorFile.parse("f", text.lines().toList()), config());
+    private static Operator of(String text) throws Bad {
+        return Operator.of(ConfFile.parse("f", text.lines().toList()), config());
     }
 
     @Test
-    void whatIsAbsentIsAsThePlatformHasIt() throws Config.Bad {
+    void whatIsAbsentIsAsThePlatformHasIt() throws Bad {
         assertEquals(Operator.none(config()), of("# nothing\n\n[journal]\n"));
         assertEquals(Durability.NONE.how(), Operator.none(config()).journal().durability().how());
     }
@@ -34,7 +36,7 @@
     }
 
     @Test
-    void valuesMayGoOnInTheNextLine() throws Config.Bad {
+    void valuesMayGoOnInTheNextLine() throws Bad {
         Operator read = of("[journal]\ndurability\tinterval # no: a comment has its own line".replaceAll(" #.*", "")
                 + "\ninterval 250\n  ms\nremember 90s\n");
         assertEquals(new Durability(Durability.How.INTERVAL, 250_000), read.journal().durability());
@@ -58,7 +60,7 @@
         "[journal]/a=b                 | f:2: a=b: not a key: small letters, digits and '-'",
         "[journal]/~more               | f:2: continues nothing: a key begins its line without a space"})
     void faultsAreToldWithFileLineAndKey(String text, String message) {
-        Config.Bad e = assertThrows(Config.Bad.class, () -> of(text.replace('/', '\n').replace('~', ' ')));
+        Bad e = assertThrows(Bad.class, () -> of(text.replace('/', '\n').replace('~', ' ')));
         assertEquals(message, e.getMessage());
     }
 
@@ -66,6 +68,6 @@
     void whatIsNoTextIsRefused(@org.junit.jupiter.api.io.TempDir Path folder) throws Exception {
         Path file = Files.write(folder.resolve("x"), new byte[] {(byte) 0xc3, 0x28});
         assertEquals(List.of("--conf: " + file + " is not UTF-8"),
-                List.of(assertThrows(Config.Bad.class, () -> Operator.read(file, config())).getMessage()));
+                List.of(assertThrows(Bad.class, () -> Operator.read(file, config())).getMessage()));
     }
 }
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import lilaclever.conf.Bad;
 
 /** Configurations of forwarders under test. */
 final class Setup {
@@ -38,7 +39,7 @@
                 endpoint == null ? "null" : list(endpoint));
     }
 
-    static Config config(String discovery, Path state, String endpoint) throws Config.Bad {
+    static Config config(String discovery, Path state, String endpoint) throws Bad {
         return Config.parse(text(discovery, state, endpoint, 3), Map.of());
     }
 
