--- a/src/main/java/lilaclever/lab/model/Traffic.java
+++ b/src/main/java/lilaclever/lab/model/Traffic.java
@@ -48,6 +48,12 @@
     /** All arrivals up to the end, in order. */
     public List<Arrival> draw(long endMicros, Draws draws) {
         double most = shape.stream().mapToDouble(Point::load).max().orElse(0);
+        double[] upTo = new double[weights.length];
+        double sum = 0;
+        for (int i = 0; i < weights.length; i++) {
+            sum += weights[i];
+            upTo[i] = sum;
+        }
         List<Arrival> all = new ArrayList<>();
         double t = 0;
         while (most > 0) {
@@ -58,7 +64,8 @@
             if (!draws.chance(load((long) t) / most)) {
                 continue;
             }
-            int at = pick(weights, draws.unit());
+            int found = java.util.Arrays.binarySearch(upTo, draws.unit() * sum);
+            int at = Math.min(weights.length - 1, found < 0 ? -found - 1 : found + 1);
             // Of all messages a share comes in clumps: the mean size of one is taken off the chance of beginning one.
             double size = partners.get(at).capacity() * draws.in(clumpSeconds);
             int count = clumpShare > 0 && draws.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
--- a/src/main/java/lilaclever/lab/report/Plots.java
+++ b/src/main/java/lilaclever/lab/report/Plots.java
@@ -15,7 +15,7 @@
 import org.HdrHistogram.Histogram;
 import org.jfree.chart.ChartFactory;
 import org.jfree.chart.JFreeChart;
-import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.axis.LogarithmicAxis;
 import org.jfree.chart.axis.NumberAxis;
 import org.jfree.chart.plot.IntervalMarker;
 import org.jfree.chart.plot.PlotOrientation;
@@ -67,6 +67,7 @@
             IntervalMarker marker = new IntervalMarker(b.fromMicros() / 1e6, b.toMicros() / 1e6, new Color(0xdd, 0xaa, 0x33, 50));
             marker.setLabel(b.what());
             marker.setLabelFont(SMALL);
+            marker.setLabelBackgroundColor(new Color(0, 0, 0, 0));
             marker.setLabelAnchor(RectangleAnchor.TOP_LEFT);
             marker.setLabelTextAnchor(TextAnchor.TOP_LEFT);
             marker.setLabelOffset(new org.jfree.chart.ui.RectangleInsets(2 + 14 * (shade++ % 4), 3, 2, 3));
@@ -91,9 +92,8 @@
             data.addSeries(s);
         }
         JFreeChart chart = chart("milliseconds from the first handing-in", "% that took longer", data);
-        LogAxis x = new LogAxis("milliseconds from the first handing-in");
-        LogAxis y = new LogAxis("% that took longer");
-        y.setSmallestValue(0.001);
+        LogarithmicAxis x = new LogarithmicAxis("milliseconds from the first handing-in");
+        LogarithmicAxis y = new LogarithmicAxis("% that took longer");
         chart.getXYPlot().setDomainAxis(x);
         chart.getXYPlot().setRangeAxis(y);
         style(chart);
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -36,6 +36,10 @@
 
     /** Runs the sub-command that the arguments name. */
     public static void main(String[] args) throws Exception {
+        if (Help.isWanted(args)) {
+            Help.print(args, System.out);
+            System.exit(args.length == 0 ? 2 : 0);
+        }
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
--- a/src/main/java/lilaclever/program/Signals.java
+++ b/src/main/java/lilaclever/program/Signals.java
@@ -1,6 +1,11 @@
 package lilaclever.program;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
 
 /**
  * Signals of the system. The one way to them in Java is {@code sun.misc.Signal} of the module jdk.unsupported; the
@@ -9,8 +14,21 @@
 final class Signals {
     private Signals() { }
 
+    /** True if whoever started this program has SIGHUP ignored (nohup does): then no handler is ever called. */
+    private static boolean isHangupIgnored() {
+        try (Stream<String> lines = Files.lines(Path.of("/proc/self/status"))) {
+            return lines.filter(l -> l.startsWith("SigIgn:")).anyMatch(l -> l.matches(".*[13579bdf]")); // signal 1 is the lowest bit
+        } catch (IOException | UncheckedIOException e) {
+            return false; // not on this system
+        }
+    }
+
     /** Has the task run at each SIGHUP, on a thread of its own; what it throws is told and ends nothing. */
     static void onHangup(Runnable task) {
+        if (isHangupIgnored()) {
+            System.err.println("lilaclever: SIGHUP is ignored by whoever started this program (nohup does that):"
+                    + " the configuration is never read again");
+        }
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -81,6 +81,15 @@
         return endpoint(wire -> wire.answer("200 OK", ""));
     }
 
+    /** Guards against a start by nohup after which no reload ever comes, and nobody knows why. */
+    @Test
+    void anIgnoredHangupIsToldAtTheStart() throws Exception {
+        try (Peer platform = Peer.platform("", notices)) {
+            process = Setup.process(state, Setup.text(platform.address(), state, null, 3), "trap '' HUP");
+            until(process.errorReader(), "SIGHUP is ignored by whoever started this program");
+        }
+    }
+
     @Test
     void aMessagePassesUnchangedOnAConnectionThatIsKept() throws Exception {
         AtomicInteger connections = new AtomicInteger();
--- a/src/test/java/lilaclever/program/MixedRun.java
+++ b/src/test/java/lilaclever/program/MixedRun.java
@@ -1,8 +1,6 @@
 package lilaclever.program;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -165,7 +163,7 @@
     /** Hands in over HTTP; what had no answer is handed in again, as after a forwarder's death. */
     private void overHttp(Arrival a, long due) {
         Story s = stories.get(a.number());
-        for (int i = 0; i < 20 && !ended; i++) {
+        for (int i = 0; i < 100 && !ended; i++) {
             s.asks.incrementAndGet();
             String id = "h" + ids.getAndIncrement();
             httpIds.put(id, a.number());
@@ -271,25 +269,14 @@
 
     // ---- the process ------------------------------------------------------------------------------------
     private void start(String config, String conf) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "0", Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:SharedArchiveFile="
-                + "target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve", "--conf",
-                Files.writeString(folder.resolve("conf"), conf).toString()).redirectErrorStream(true);
-        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
-        process = builder.start();
-        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
-        for (String line = log.readLine(); line != null; line = log.readLine()) {
-            if (line.contains("serves at")) {
-                http = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*?:(\\d+),.*", "$1")));
-                hl7 = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
-                Thread drain = new Thread(() -> log.lines().filter(l -> l.contains("Exception") || l.contains("does not hold"))
-                        .forEach(l -> count("log: " + l)));
-                drain.setDaemon(true);
-                drain.start();
-                return;
+        Setup.Served served = Setup.serve(folder, config, conf, true, 64, line -> {
+            if (line.contains("Exception") || line.contains("does not hold")) {
+                count("log: " + line);
             }
-        }
-        throw new IOException("the program did not start");
+        });
+        process = served.process();
+        http = served.addresses().get(0);
+        hl7 = served.addresses().get(1);
     }
 
     private void run(int seconds, double load) throws IOException, InterruptedException {
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -445,6 +445,19 @@
         until("entries_mllp_connections", 0);
     }
 
+    /** Only the networks that the operator names get in; the others are closed before anything is read. */
+    @Test
+    void strangersAreTurnedAway() throws Exception {
+        java.net.Socket socket = new java.net.Socket();
+        socket.bind(new java.net.InetSocketAddress("127.0.0.2", 0));
+        socket.connect(mllp, 5000);
+        try (Wire stranger = new Wire(socket)) {
+            assertNull(stranger.line());
+        }
+        until("mllp_turned_away", 1);
+        assertEquals(0, counter("entries_mllp_connections"));
+    }
+
     /** Messages that can't be read are answered, and whoever sends nothing else is sent away. */
     @Test
     void nonsenseIsAnsweredAndThenEnded() throws Exception {
--- a/src/test/java/lilaclever/program/PortsRun.java
+++ b/src/test/java/lilaclever/program/PortsRun.java
@@ -47,24 +47,10 @@
                 [hl7-destination 7]
                 receivers LAB
                 """;
-        ProcessBuilder builder = new ProcessBuilder("taskset", "-c", "0", Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms32m", "-Xmx128m", "-Xss256k",
-                "-XX:SharedArchiveFile=target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve", "--conf",
-                Files.writeString(folder.resolve("conf"), conf).toString()).redirectErrorStream(true);
-        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
-        process = builder.start();
-        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
-        for (String line = log.readLine(); line != null; line = log.readLine()) {
-            if (line.contains("serves at")) {
-                http = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*?:(\\d+),.*", "$1")));
-                hl7 = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
-                Thread drain = new Thread(() -> log.lines().forEach(l -> { }));
-                drain.setDaemon(true);
-                drain.start();
-                return;
-            }
-        }
-        throw new IOException("the program did not start");
+        Setup.Served served = Setup.serve(folder, config, conf, true, 128, line -> { });
+        process = served.process();
+        http = served.addresses().get(0);
+        hl7 = served.addresses().get(1);
     }
 
     /** Hands in one message and waits until it is taken on; true if it was. */
@@ -166,7 +152,17 @@
         Thread.sleep(1000);
     }
 
-    private void run() throws IOException, InterruptedException {
+    private void load() throws InterruptedException {
+        System.out.println("| port | messages a second | taking-on, median, ms | 99th percentile, ms | refused |\n| --- | --- | --- | --- | --- |");
+        for (int round = 1; round <= 2; round++) {
+            measure("HTTP, round " + "ab".charAt(round - 1), http, web(""));
+            measure("HTTP with identity, round " + "ab".charAt(round - 1), http, web("X-Practice: north\r\n"));
+            measure("HL7, AL and NE, round " + "ab".charAt(round - 1), hl7, frames("AL|NE"));
+            measure("HL7, AL and AL, round " + "ab".charAt(round - 1), hl7, frames("AL|AL"));
+        }
+    }
+
+    private void run(boolean load) throws IOException, InterruptedException {
         StringBuilder list = new StringBuilder();
         for (int e = 0; e < ENDPOINTS; e++) {
             Peer peer = new Peer(wire -> {
@@ -183,22 +179,22 @@
                 .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"callSlots\": 20", "\"callSlots\": 64")
                 .replace("\"openCap\": 200", "\"openCap\": 5000").replace("\"disk_mb\": 64", "\"disk_mb\": 64, \"sockets\": 8192")
                 .replace("\"known\": null", "\"known\": {\"index\":1,\"snapshot\":true,\"endpoints\":[" + list + "]}"));
-        System.out.println("| port | messages a second | taking-on, median, ms | 99th percentile, ms | refused |\n| --- | --- | --- | --- | --- |");
-        for (int round = 1; round <= 2; round++) {
-            measure("HTTP, round " + "ab".charAt(round - 1), http, web(""));
-            measure("HTTP with identity, round " + "ab".charAt(round - 1), http, web("X-Practice: north\r\n"));
-            measure("HL7, AL and NE, round " + "ab".charAt(round - 1), hl7, frames("AL|NE"));
-            measure("HL7, AL and AL, round " + "ab".charAt(round - 1), hl7, frames("AL|AL"));
+        if (load) {
+            load();
         }
         System.out.println("\n| idle connection of | bytes of live objects |\n| --- | --- |");
-        idle("HTTP", http, web(""));
-        idle("HL7 over MLLP", hl7, frames("AL|NE"));
+        Thread.sleep(20_000); // what the load has left is gone
+        idle("HL7 over MLLP", hl7, (wire, id) -> true);
+        idle("HTTP", http, (wire, id) -> {
+            wire.say("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            return wire.request() != null;
+        });
         process.destroyForcibly().waitFor();
     }
 
-    /** No arguments. */
+    /** {@code idle}: only what idle connections take. */
     public static void main(String[] args) throws Exception {
-        new PortsRun().run();
+        new PortsRun().run(args.length == 0);
         System.exit(0);
     }
 }
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -1,9 +1,15 @@
 package lilaclever.program;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import lilaclever.conf.Bad;
 
 /** Configurations of forwarders under test. */
@@ -45,13 +51,50 @@
 
     /** The real program in a process of its own, which can be killed, with so many descriptors. */
     static Process process(Path folder, String config, int descriptors) throws IOException {
+        return process(folder, config, "ulimit -n " + descriptors);
+    }
+
+    /** The same, where a shell has done something before. */
+    static Process process(Path folder, String config, String before) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
         ProcessBuilder builder = new ProcessBuilder("sh", "-c",
-                "ulimit -n " + descriptors + " && exec \"$@\"", "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                before + " && exec \"$@\"", "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 "lilaclever.program.Main", "serve");
         builder.environment().put("ROUTER_CONFIG", file.toString());
         builder.environment().put("ROUTER_DISCOVERY", config.replaceAll("(?s).*\"discovery\": \"([^\"]*)\".*", "$1"));
         return builder.start();
     }
+
+    /** A program that serves, and where: HTTP first. */
+    record Served(Process process, List<InetSocketAddress> addresses) { }
+
+    /**
+     * The built jar in a process of its own with the platform's flags, once it serves; on core 0 alone where that is
+     * asked for. Lines of its log go to {@code log}; {@code conf} may be null.
+     */
+    static Served serve(Path folder, String config, String conf, boolean oneCore, int heapMb, Consumer<String> log) throws IOException {
+        List<String> command = new ArrayList<>(oneCore ? List.of("taskset", "-c", "0") : List.of());
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m", "-Xss256k", "-XX:SharedArchiveFile=target/lilaclever.jsa",
+                "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve"));
+        if (conf != null) {
+            command.addAll(List.of("--conf", Files.writeString(folder.resolve("conf"), conf).toString()));
+        }
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        Process process = builder.start();
+        BufferedReader lines = process.inputReader();
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            log.accept(line);
+            if (line.contains("serves at")) {
+                Thread drain = new Thread(() -> lines.lines().forEach(log));
+                drain.setDaemon(true);
+                drain.start();
+                return new Served(process, Pattern.compile("/([0-9.]+):(\\d+)").matcher(line).results()
+                        .map(m -> new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2)))).toList());
+            }
+        }
+        throw new IOException("the program did not start");
+    }
 }
--- a/src/test/java/lilaclever/program/StrainRun.java
+++ b/src/test/java/lilaclever/program/StrainRun.java
@@ -1,8 +1,6 @@
 package lilaclever.program;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -225,26 +223,10 @@
     // ---- the process ------------------------------------------------------------------------------------
     private void start(String config) throws IOException {
         long began = System.nanoTime();
-        Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-XX:SharedArchiveFile="
-                + "target/lilaclever.jsa", "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve")
-                .redirectErrorStream(true);
-        builder.environment().put("ROUTER_CONFIG", file.toString());
-        process = builder.start();
-        BufferedReader log = new BufferedReader(new InputStreamReader(process.getInputStream()));
-        for (String line = log.readLine(); line != null; line = log.readLine()) {
-            note(line);
-            if (line.contains("serves at")) {
-                address = new InetSocketAddress(listen(), Integer.parseInt(line.replaceAll(".*:(\\d+)].*", "$1")));
-                findings.readyMs.add((System.nanoTime() - began) / MS);
-                Thread drain = new Thread(() -> log.lines().forEach(this::note));
-                drain.setDaemon(true);
-                drain.start();
-                return;
-            }
-        }
-        throw new IOException("the program did not start");
+        Setup.Served served = Setup.serve(folder, config, null, false, 64, this::note);
+        findings.readyMs.add((System.nanoTime() - began) / MS);
+        process = served.process();
+        address = served.addresses().get(0);
     }
 
     private String listen() {
