--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -375,6 +375,46 @@
         }
     }
 
+    /** Guards against a client of the other port that is never told the end, since the process was killed in between. */
+    @Test
+    void aClientThatJoinedIsToldAfterAKillToo() throws Exception {
+        Path folder = java.nio.file.Files.createDirectory(state.resolve("killed"));
+        String config = Setup.text(platform.address(), folder, endpoint.address(), 3).replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
+        Path conf = java.nio.file.Files.writeString(folder.resolve("conf"), CONF);
+        Process process = Setup.process(folder, config, "true", "--conf", conf.toString());
+        try {
+            List<java.net.InetSocketAddress> at = addresses(process);
+            try (Wire client = Wire.to(at.get(1)); Wire web = Wire.to(at.get(0))) {
+                assertEquals("CA M1", asks(client, payment("M1")));
+                call();
+                assertEquals("202", post(web, "h1", "payment", "north", "M1", payment("M1")));
+            }
+            process.destroyForcibly().waitFor();
+            process = Setup.process(folder, config, "true", "--conf", conf.toString());
+            at = addresses(process);
+            assertTrue(Peer.next(notices).contains("\"id\":\"h1\",\"status\":\"undeliverable\""));
+            try (Wire client = Wire.to(at.get(1))) {
+                client.frame(payment("M1")); // asks again, and hears the end
+                assertEquals("CA M1", ack(client));
+                assertEquals("AE M1", ack(client));
+            }
+        } finally {
+            process.destroyForcibly();
+            fates.add("drop");
+        }
+        assertNull(calls.poll());
+    }
+
+    private static List<java.net.InetSocketAddress> addresses(Process process) throws IOException {
+        for (String line = process.errorReader().readLine(); line != null; line = process.errorReader().readLine()) {
+            if (line.contains("serves at")) {
+                return java.util.regex.Pattern.compile(":(\\d+)").matcher(line.substring(line.indexOf("serves at"))).results()
+                        .map(m -> new java.net.InetSocketAddress("127.0.0.1", Integer.parseInt(m.group(1)))).toList();
+            }
+        }
+        throw new IOException("the program did not start");
+    }
+
     /** Guards against the second of two messages vanishing behind the first one's identity. */
     @Test
     void otherContentUnderAnIdentityIsRefused() throws Exception {
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -55,12 +55,13 @@
     }
 
     /** The same, where a shell has done something before. */
-    static Process process(Path folder, String config, String before) throws IOException {
+    static Process process(Path folder, String config, String before, String... more) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
-                before + " && exec \"$@\"", "sh", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "lilaclever.program.Main", "serve");
+        List<String> command = new ArrayList<>(List.of("sh", "-c", before + " && exec \"$@\"", "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea", "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "lilaclever.program.Main", "serve"));
+        command.addAll(List.of(more));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("ROUTER_CONFIG", file.toString());
         builder.environment().put("ROUTER_DISCOVERY", config.replaceAll("(?s).*\"discovery\": \"([^\"]*)\".*", "$1"));
         return builder.start();
