--- a/src/main/java/lilaclever/lab/audit/Service.java
+++ b/src/main/java/lilaclever/lab/audit/Service.java
@@ -106,9 +106,9 @@
         return Math.max(0, WHOLE * whole() + WORST_WINDOW * worstWindow() + WORST_CLASS * worstClass() - deductions(p));
     }
 
-    /** Worth asked for and delivered of each second. */
-    public List<double[]> seconds() {
-        return seconds;
+    /** The share of each second; no number where nothing was asked. */
+    public double[] bySecond() {
+        return seconds.stream().mapToDouble(s -> s[0] > 0 ? s[1] / s[0] : Double.NaN).toArray();
     }
 
     /** New connections so far. */
--- a/src/main/java/lilaclever/lab/report/Page.java
+++ b/src/main/java/lilaclever/lab/report/Page.java
@@ -61,12 +61,7 @@
     }
 
     private static void plots(StringBuilder all, Result r) {
-        List<double[]> service = r.auditor().service().seconds();
-        double[] share = new double[service.size()];
-        for (int i = 0; i < share.length; i++) {
-            share[i] = service.get(i)[0] > 0 ? service.get(i)[1] / service.get(i)[0] : Double.NaN;
-        }
-        plot(all, "Service by the second of the first handing-in", Plots.overTime("share of worth", Map.of("service", share), r.events(), 1.05));
+        plot(all, "Service by the second of the first handing-in", Plots.overTime("share of worth", Map.of("service", r.auditor().service().bySecond()), r.events(), 1.05));
         plot(all, "Messages a second", Plots.overTime("messages", pick(r, "arrived", "delivered", "refused", "failed", "turned_down"),
                 r.events(), 0));
         plot(all, "Calls, and those that partners refused", Plots.overTime("calls a second", pick(r, "calls", "refusals"), r.events(), 0));
@@ -95,10 +90,9 @@
         for (int c = 0; c < r.scenario().classes().size(); c++) {
             MessageClass mc = r.scenario().classes().get(c);
             Histogram h = r.auditor().latency(c);
-            boolean none = h.getTotalCount() == 0;
             all.append(String.format(Locale.ROOT, "<tr><td>%s</td><td>%.3f</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>",
-                    escape(mc.name()), r.auditor().service().ofClass(c), h.getTotalCount(), none ? 0 : h.getValueAtPercentile(50) / 1000,
-                    none ? 0 : h.getValueAtPercentile(99) / 1000, none ? 0 : h.getMaxValue() / 1000));
+                    escape(mc.name()), r.auditor().service().ofClass(c), h.getTotalCount(), h.getValueAtPercentile(50) / 1000,
+                    h.getValueAtPercentile(99) / 1000, h.getMaxValue() / 1000));
         }
         all.append("</table>\n");
     }
--- a/src/main/java/lilaclever/lab/report/Plots.java
+++ b/src/main/java/lilaclever/lab/report/Plots.java
@@ -91,11 +91,9 @@
             }
             data.addSeries(s);
         }
-        JFreeChart chart = chart("milliseconds from the first handing-in", "% that took longer", data);
-        LogarithmicAxis x = new LogarithmicAxis("milliseconds from the first handing-in");
-        LogarithmicAxis y = new LogarithmicAxis("% that took longer");
-        chart.getXYPlot().setDomainAxis(x);
-        chart.getXYPlot().setRangeAxis(y);
+        JFreeChart chart = chart("", "", data);
+        chart.getXYPlot().setDomainAxis(new LogarithmicAxis("milliseconds from the first handing-in"));
+        chart.getXYPlot().setRangeAxis(new LogarithmicAxis("% that took longer"));
         style(chart);
         return png(chart, WIDTH, HEIGHT);
     }
--- a/src/main/java/lilaclever/lab/report/Report.java
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -105,7 +105,7 @@
         JsonObject latency = new JsonObject();
         for (double p : PERCENTILES) {
             latency.addProperty(p == 100 ? "most" : "p" + String.valueOf(p).replaceAll("\\.0$", ""),
-                    h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(p) / 1000);
+                    h.getValueAtPercentile(p) / 1000);
         }
         o.add("latency_ms", latency);
         return o;
@@ -123,10 +123,10 @@
         List<String> names = new ArrayList<>(r.series().keySet());
         int length = r.series().values().stream().mapToInt(v -> v.length).max().orElse(0);
         StringBuilder all = new StringBuilder("second,service," + String.join(",", names) + "\n");
-        List<double[]> service = r.auditor().service().seconds();
+        double[] service = r.auditor().service().bySecond();
         for (int i = 0; i < length; i++) {
-            all.append(i).append(',').append(i < service.size() && service.get(i)[0] > 0
-                    ? String.valueOf(round(service.get(i)[1] / service.get(i)[0])) : "");
+            all.append(i).append(',').append(i < service.length && !Double.isNaN(service[i])
+                    ? String.valueOf(round(service[i])) : "");
             for (String n : names) {
                 all.append(',').append((long) r.series().get(n)[i]);
             }
@@ -158,8 +158,7 @@
             MessageClass mc = r.scenario().classes().get(c);
             Histogram h = r.auditor().latency(c);
             all.append(String.format(Locale.ROOT, "  %-16s service %.3f, delivered in %d ms (median), %d ms (99th percentile)%n", mc.name(),
-                    s.ofClass(c), h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(50) / 1000,
-                    h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(99) / 1000));
+                    s.ofClass(c), h.getValueAtPercentile(50) / 1000, h.getValueAtPercentile(99) / 1000));
         }
         if (r.auditor().broken().isEmpty()) {
             return all + "all rules kept\n";
--- a/src/main/java/lilaclever/lab/virtual/World.java
+++ b/src/main/java/lilaclever/lab/virtual/World.java
@@ -111,12 +111,12 @@
             work += c.share() * (c.workMicros()[0] + c.workMicros()[1]) / 2;
         }
         for (int rank = 0; rank < kinds.size(); rank++) {
-            int endpoints = (int) Math.round(draws.in(fleet.endpoints()) * (rank < kinds.size() / 4 ? 1 : 0.6) + 0.2);
-            Partner p = new Partner(rank, kinds.get((int) order.get(rank)[1]), Math.max(1, endpoints),
+            int endpoints = Math.max(1, (int) Math.round(draws.in(fleet.endpoints()) * (rank < kinds.size() / 4 ? 1 : 0.6) + 0.2));
+            Partner p = new Partner(rank, kinds.get((int) order.get(rank)[1]), endpoints,
                     weights[rank] * fleet.ratePerSecond(), work, fleet.cold(), new Draws(seed, "partner " + rank));
             partners.add(p);
             byDestination.put(rank, p);
-            for (int e = 0; e < Math.max(1, endpoints); e++) {
+            for (int e = 0; e < endpoints; e++) {
                 addEndpoint(p);
             }
         }
@@ -126,7 +126,7 @@
         String host = "s-" + p.destination() + "-" + hostCount++;
         p.add(host);
         Relay.Entry e = new Relay.Entry(host, p.destination(), 0, scenario.kinds().indexOf(p.kind()), Presence.ACTIVE, 0,
-                now() == 0 ? 0 : now());
+                now());
         directory.put(host, e);
         return e;
     }
--- a/src/main/java/lilaclever/protocol/mllp/Hl7Fault.java
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Fault.java
@@ -8,7 +8,7 @@
     enum Code {
         SEGMENT_SEQUENCE(100, "Segment sequence error"), MISSING(101, "Required field missing"),
         DATA_TYPE(102, "Data type error"), NOT_IN_TABLE(103, "Table value not found"),
-        MESSAGE_TYPE(200, "Unsupported message type"), EVENT(201, "Unsupported event code"),
+        EVENT(201, "Unsupported event code"),
         PROCESSING_ID(202, "Unsupported processing id"), VERSION(203, "Unsupported version id"),
         UNKNOWN_KEY(204, "Unknown key identifier"), DUPLICATE_KEY(205, "Duplicate key identifier"),
         INTERNAL(207, "Application internal error");
--- a/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
@@ -142,7 +142,7 @@
             throw missing(field);
         }
         if (value.length() > MOST_KEY) {
-            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "longer than " + MOST_KEY);
+            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), field.number(), "longer than " + MOST_KEY);
         }
         return word(value, MOST_KEY);
     }
@@ -158,11 +158,7 @@
     }
 
     private static Hl7Fault missing(Field field) {
-        return new Hl7Fault(Code.MISSING, field.segment(), number(field), "a field that is needed");
-    }
-
-    private static int number(Field field) {
-        return Integer.parseInt(field.path().split("-")[1]);
+        return new Hl7Fault(Code.MISSING, field.segment(), field.number(), "a field that is needed");
     }
 
     /** A field's value, escapes undone; empty where there is none. The library sees the header and that segment alone. */
@@ -177,7 +173,7 @@
                     + String.valueOf(header.separator()).repeat(6) + header.first(12) + '\r' + segment, field.path())[0];
             return value == null ? "" : Acknowledgements.ESCAPING.unescape(value, Acknowledgements.delimiters(header));
         } catch (HL7Exception e) {
-            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "can't be read");
+            throw new Hl7Fault(Code.DATA_TYPE, field.segment(), field.number(), "can't be read");
         }
     }
 
@@ -218,6 +214,6 @@
         } catch (DateTimeException e) {
             // told below
         }
-        throw new Hl7Fault(Code.DATA_TYPE, field.segment(), number(field), "neither seconds nor a time");
+        throw new Hl7Fault(Code.DATA_TYPE, field.segment(), field.number(), "neither seconds nor a time");
     }
 }
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -158,9 +158,9 @@
     void refuse(MllpSession session, Header to, Hl7Fault fault) {
         core.counters().add(Name.BAD_REQUESTS);
         Code code = code(to, false, fault.code() == Hl7Fault.Code.PROCESSING_ID || fault.code() == Hl7Fault.Code.VERSION
-                || fault.code() == Hl7Fault.Code.MESSAGE_TYPE || fault.code() == Hl7Fault.Code.EVENT);
+                || fault.code() == Hl7Fault.Code.EVENT);
         if (code != null) {
-            session.write(acks.fault(code, to, fault), () -> { }, () -> { });
+            session.write(acks.fault(code, to, fault));
         }
     }
 
@@ -176,25 +176,27 @@
     }
 
     void take(MllpSession session, Request r, boolean tooMany) {
-        if (!r.practice().equals(session.practice)) {
-            session.practice = r.practice();
-        }
+        session.practice = r.practice();
         Owed earlier = owed.withdraw(r.identity());
         if (earlier != null) {
             earlier.settled().run(); // the client asks for it: what follows is its answer
         }
         payOff(session, r.header());
         if (tooMany || held.getOrDefault(r.practice(), 0) >= settings.mostHeld()) {
-            session.answered();
-            notTaken(session, r, new Verdict(Kind.REFUSED, BUSY, "too many messages at once"));
+            busy(session, r, "too many messages at once");
         } else if (!core.knows(r.destination())) {
-            session.answered();
-            notTaken(session, r, new Verdict(Kind.REFUSED, BUSY, "no such destination now"));
+            busy(session, r, "no such destination now");
         } else {
             handIn(session, r);
         }
     }
 
+    /** The core is not asked. */
+    private void busy(MllpSession session, Request r, String why) {
+        session.answered();
+        notTaken(session, r, new Verdict(Kind.REFUSED, BUSY, why));
+    }
+
     private void handIn(MllpSession session, Request r) {
         long budget = Math.max(0, r.budgetMicros() - Math.max(0, Core.micros() - r.arrivedMicros()));
         Handin handin = new Handin(id(r), r.identity(), r.messageClass(), r.destination(), r.deliveryKey(),
@@ -238,12 +240,12 @@
         byte[] ack = refused ? acks.comeBack(code, r.header(), verdict)
                 : verdict.kind() == Kind.CLASH ? acks.fault(code, r.header(), clash())
                 : acks.failed(code, r.header(), verdict);
-        session.write(ack, () -> { }, () -> { });
+        session.write(ack);
     }
 
     private Hl7Fault clash() {
-        return new Hl7Fault(Hl7Fault.Code.DUPLICATE_KEY, settings.key().segment(),
-                Integer.parseInt(settings.key().path().split("-")[1]), "another message has it");
+        return new Hl7Fault(Hl7Fault.Code.DUPLICATE_KEY, settings.key().segment(), settings.key().number(),
+                "another message has it");
     }
 
     /** Its end is remembered: the client that asks again gets it again. */
@@ -253,12 +255,11 @@
             // Where no application acknowledgement is wanted, this one is all that can tell the end.
             boolean good = delivered || Request.wantsFinal(r.header(), false);
             if (Request.wantsAccept(r.header(), good)) {
-                session.write(good ? acks.good(Code.CA, r.header()) : acks.failed(Code.CR, r.header(), verdict),
-                        () -> { }, () -> { });
+                session.write(good ? acks.good(Code.CA, r.header()) : acks.failed(Code.CR, r.header(), verdict));
             }
         }
         if (Request.wantsFinal(r.header(), delivered)) {
-            session.write(last(r.header(), verdict), () -> { }, () -> { });
+            session.write(last(r.header(), verdict));
         }
     }
 
@@ -289,7 +290,7 @@
         }
         w.answered();
         if (Request.wantsAccept(w.request.header(), true)) {
-            w.session.write(acks.good(Code.CA, w.request.header()), () -> { }, () -> { });
+            w.session.write(acks.good(Code.CA, w.request.header()));
         }
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/MllpSession.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSession.java
@@ -115,6 +115,11 @@
         unanswered.decrementAndGet();
     }
 
+    /** Writes an acknowledgement that nothing depends on: where it is lost, its client asks again. */
+    void write(byte[] message) {
+        write(message, () -> { }, () -> { });
+    }
+
     /** Writes an acknowledgement; one of the two is run, on any thread. */
     void write(byte[] message, Runnable written, Runnable lost) {
         byte[] frame = FrameReader.frame(message);
--- a/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
@@ -40,6 +40,11 @@
 
     /** A field such as MSH-10 or ORC-2-1. */
     public record Field(String segment, String path) {
+        /** The field's number in its segment. */
+        int number() {
+            return Integer.parseInt(path.split("-")[1]);
+        }
+
         /** Reads one; null if the text is none. */
         public static Field of(String text) {
             return text.matches("[A-Z][A-Z0-9]{2}-[1-9][0-9]?(-[1-9][0-9]?)?")
