--- a/src/main/java/lilaclever/lab/model/Partner.java
+++ b/src/main/java/lilaclever/lab/model/Partner.java
@@ -46,6 +46,7 @@
         }
     }
 
+    private static final double MOST_STRETCH = 3;
     private static final long REFUSED_AFTER = 2_000, FAILS_AFTER = 5_000, DOWN_FOR = 3_600_000_000L;
 
     private final int destination;
@@ -79,11 +80,15 @@
         this.kind = kind;
         this.cold = cold;
         this.draws = draws;
-        pace = draws.lognormal(0.6);
+        double drawnPace = draws.lognormal(0.6);
         double limit = Math.max(draws.in(kind.leastRate()), draws.in(kind.headroom()) * ratePerSecond);
         double capacity = limit * (kind.limit() == PartnerKind.Limit.NONE ? 1 : draws.in(kind.spare()));
+        double needed = capacity * meanWorkMicros * drawnPace / 1e6 / endpointCount;
+        servers = Math.max(1, (int) Math.round(needed));
+        // Servers are whole: the pace makes up for it, so that what was drawn is what the partner can do. Of a partner so
+        // small that one server is mostly idle it makes up a part only.
+        pace = drawnPace * Math.min(MOST_STRETCH, servers / needed);
         double work = meanWorkMicros * pace / 1e6;
-        servers = Math.max(1, (int) Math.ceil(capacity * work / endpointCount));
         perSecond = servers * endpointCount / work;
         meanSeconds = work;
         depthMicros = (long) (draws.in(kind.depthSeconds()) * 1e6);
--- a/src/test/java/lilaclever/lab/model/PartnerTest.java
+++ b/src/test/java/lilaclever/lab/model/PartnerTest.java
@@ -32,6 +32,16 @@
         return p.call("e", forwarder, new long[] {100_000}, at);
     }
 
+    /** Whole servers gave a small partner four times the room that was drawn for it: no load was too much for the fleet. */
+    @Test
+    void aPartnerCanDoWhatWasDrawnForIt() {
+        for (int i = 0; i < 50; i++) {
+            Partner p = new Partner(7, kind(Limit.NONE, 0), 2, 60 + i, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S),
+                    new Draws(i, "p"));
+            assertEquals(60 + i, p.capacity(), 1e-6);
+        }
+    }
+
     @Test
     void streamsOfASeedAreTheSameAndOfNamesDiffer() {
         assertEquals(new Draws(1, "a").unit(), new Draws(1, "a").unit());
