Part the rehearsals' world from what plays it: a timeline and members of the fleet

The host on real sockets needs the same fleet, partners, directory, front, clients and auditor as virtual time; World had the scheduler and the forwarders in virtual time wired in.

World, Fault and Result are in lab.world behind Timeline and Member; VirtualTime plays them as before. What a restart draws is drawn ahead, so that a plan is the same whoever plays it. WorldTest is green, unchanged but for names.

--- a/src/main/java/lilaclever/lab/report/Page.java
+++ b/src/main/java/lilaclever/lab/report/Page.java
@@ -8,7 +8,7 @@
 import lilaclever.lab.audit.Prices;
 import lilaclever.lab.audit.Service;
 import lilaclever.lab.model.MessageClass;
-import lilaclever.lab.virtual.Result;
+import lilaclever.lab.world.Result;
 import org.HdrHistogram.Histogram;
 
 /** The page of a run: one file with its plots in it. */
--- a/src/main/java/lilaclever/lab/report/Plots.java
+++ b/src/main/java/lilaclever/lab/report/Plots.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import javax.imageio.ImageIO;
 import lilaclever.lab.model.MessageClass;
-import lilaclever.lab.virtual.Result;
+import lilaclever.lab.world.Result;
 import org.HdrHistogram.Histogram;
 import org.jfree.chart.ChartFactory;
 import org.jfree.chart.JFreeChart;
--- a/src/main/java/lilaclever/lab/report/Report.java
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -18,7 +18,7 @@
 import lilaclever.lab.audit.Prices;
 import lilaclever.lab.audit.Service;
 import lilaclever.lab.model.MessageClass;
-import lilaclever.lab.virtual.Result;
+import lilaclever.lab.world.Result;
 import org.HdrHistogram.Histogram;
 
 /**
--- a/src/main/java/lilaclever/lab/virtual/Scheduler.java
+++ b/src/main/java/lilaclever/lab/virtual/Scheduler.java
@@ -1,9 +1,11 @@
 package lilaclever.lab.virtual;
 
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
+import lilaclever.lab.world.Timeline;
 
 /** Virtual time: events in the order of their times, and of their scheduling where these are the same. One thread. */
-final class Scheduler {
+final class Scheduler implements Timeline {
     private record Event(long at, long order, Runnable action) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
@@ -15,8 +17,8 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long now, order, ran;
 
-    /** Microseconds since the beginning. */
-    long now() {
+    @Override
+    public long now() {
         return now;
     }
 
@@ -25,19 +27,17 @@
         return ran;
     }
 
-    /** Runs the action at the time, or now if that is past. */
-    void at(long micros, Runnable action) {
+    @Override
+    public void at(long micros, Runnable action) {
         events.add(new Event(Math.max(now, micros), order++, action));
     }
 
-    /** Runs the action after so long. */
-    void after(long micros, Runnable action) {
-        at(now + micros, action);
-    }
-
-    /** Runs all events up to the time. */
-    void runUntil(long end) {
+    /** Runs all events up to the time, or until it is told to stop. */
+    void runUntil(long end, BooleanSupplier stopped) {
         while (!events.isEmpty() && events.peek().at() <= end) {
+            if (stopped.getAsBoolean()) {
+                return;
+            }
             Event e = events.poll();
             now = e.at();
             ran++;
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -16,8 +16,12 @@
 import lilaclever.journal.Durability;
 import lilaclever.journal.SegmentedJournal;
 import lilaclever.journal.Times;
+import lilaclever.lab.model.Arrival;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.Partner.Answer;
+import lilaclever.lab.world.Fault;
+import lilaclever.lab.world.Member;
+import lilaclever.lab.world.World;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -32,10 +36,12 @@
  * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front and its deliverer
  * reach the world's models directly; what a wire would take is time here.
  */
-final class VirtualForwarder implements Front, Deliverer, Pace {
+final class VirtualForwarder implements Member, Front, Deliverer, Pace {
     /** The wall clock when a run begins: any day will do, and it is the same in each run. */
     private static final long WALL = 1_767_225_600_000_000L;
     private static final int MOST_IDLE = 64;
+    /** How long a process takes to serve. */
+    private static final long START = 400_000;
 
     /** A call on its way, as this side sees it. */
     private static final class Way {
@@ -66,27 +72,39 @@
         this.seed = seed;
     }
 
-    int number() {
+    @Override
+    public int number() {
         return number;
     }
 
-    boolean isUp() {
+    @Override
+    public boolean isUp() {
         return core != null;
     }
 
-    /** Messages that it holds. */
-    int held() {
+    @Override
+    public int held() {
         return core == null ? 0 : journal.owed().size();
     }
 
     /** Task failures and invariants broken, over all lives. */
-    long broken() {
+    @Override
+    public long broken() {
         return brokenBefore + (counters == null ? 0
                 : counters.get(Counters.Name.BROKEN_INVARIANTS) + counters.get(Counters.Name.TASKS_FAILED));
     }
 
     // ---- lives ------------------------------------------------------------------------------------------
-    void start(List<Core.Listed> known, long version) {
+    @Override
+    public void start(List<Relay.Entry> known, long version, boolean first) {
+        if (!first) {
+            later(world.now() + START, () -> begin(world.list(), world.version()));
+        } else {
+            begin(known, version);
+        }
+    }
+
+    private void begin(List<Relay.Entry> known, long version) {
         try {
             journal = new SegmentedJournal(disk, world.scenario().fleet().diskBytes(), Durability.NONE,
                     new Times(this::micros, this::wall, BootClock.UNKNOWN), new SplittableRandom(seed + life));
@@ -98,11 +116,13 @@
         lastStep = world.now();
         core = new Core(settings, seed * 31 + life, journal, counters, new Windows(List.of(), 3_600_000_000L, 100_000), this);
         core.add(this);
-        core.begin(known, version);
+        core.begin(known.stream().map(this::listed).toList(), version);
         schedule();
+        world.ready(number);
     }
 
-    void kill() {
+    @Override
+    public void kill() {
         brokenBefore = broken();
         for (Call call : out) {
             Way way = (Way) call.attachment;
@@ -181,11 +201,14 @@
         return "http";
     }
 
-    /** A client's request has come; false if nobody listens. */
-    boolean handIn(Handin handin) {
+    @Override
+    public void handIn(String id, Arrival a, long left) {
         if (core == null) {
-            return false;
+            world.metNobody(id);
+            return;
         }
+        Handin handin = new Handin(id, null, a.messageClass(), a.destination(), "k" + a.number(), new byte[64], false, false,
+                left - Math.min(120_000, left / 50));
         core.post(() -> {
             if (!core.knows(handin.destination())) {
                 world.turnedDown(handin.id(), 0);
@@ -193,7 +216,6 @@
                 core.handIn(this, handin);
             }
         });
-        return true;
     }
 
     @Override
@@ -224,11 +246,13 @@
     }
 
     // ---- the directory ----------------------------------------------------------------------------------
-    void listing(Relay.ListingKind kind, long version, List<Core.Listed> entries) {
-        core.post(() -> core.listing(kind, version, entries));
+    @Override
+    public void listing(long version, List<Relay.Entry> changes) {
+        List<Core.Listed> entries = changes.stream().map(this::listed).toList();
+        core.post(() -> core.listing(Relay.ListingKind.CHANGES, version, entries));
     }
 
-    Core.Listed listed(Relay.Entry e) {
+    private Core.Listed listed(Relay.Entry e) {
         return new Core.Listed(e, new Call.Endpoint(e.host(), e.host(), e.destination(), e.zone(),
                 settings.kinds().get(e.kind()).batch(), this));
     }
@@ -263,7 +287,7 @@
             overAll(call, "full", true);
             return;
         }
-        Answer answer = world.call(partner, host, number, call);
+        Answer answer = world.call(partner, host, number, call.messages.stream().map(Message::id).toList());
         switch (answer.status()) {
             case NO_CONNECTION -> {
                 overAll(call, "no connection", true);
--- a/src/main/java/lilaclever/lab/virtual/Fault.java
+++ b/src/main/java/lilaclever/lab/world/Fault.java
@@ -1,4 +1,4 @@
-package lilaclever.lab.virtual;
+package lilaclever.lab.world;
 
 /** What a forwarder under test does wrong on purpose: each must be found by the auditor. */
 public enum Fault {
--- /dev/null
+++ b/src/main/java/lilaclever/lab/world/Member.java
@@ -0,0 +1,49 @@
+package lilaclever.lab.world;
+
+import java.util.List;
+import lilaclever.Relay;
+import lilaclever.lab.model.Arrival;
+
+/**
+ * One forwarder of the fleet, as the world has it: a real core in virtual time, or a process on real sockets. All calls come
+ * on the timeline's thread, and what it tells the world it tells there.
+ */
+public interface Member {
+    /** Makes the fleet's forwarders. */
+    interface Maker {
+        /** One that is not started yet; {@code seed} is for what it draws itself. */
+        Member make(World world, int number, Relay.Settings settings, long seed);
+    }
+
+    /** Its number in the fleet, from 0. */
+    int number();
+
+    /** True from its start to its end, whether or not it answers already. */
+    boolean isUp();
+
+    /** Messages that it holds; -1 if that can't be seen from here. */
+    int held();
+
+    /** What must hold and did not, so far as it has told. */
+    long broken();
+
+    /**
+     * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#ready} once it
+     * serves.
+     */
+    void start(List<Relay.Entry> known, long version, boolean first);
+
+    /** Kills it without warning. */
+    void kill();
+
+    /**
+     * Hands a message in, under an id of this hand-in. What becomes of it is told by {@link World#taken}, {@link
+     * World#turnedDown}, {@link World#metNobody} or {@link World#lost}.
+     *
+     * @param leftMicros how long it may still be delivered
+     */
+    void handIn(String id, Arrival arrival, long leftMicros);
+
+    /** The directory tells changes. */
+    void listing(long version, List<Relay.Entry> changes);
+}
--- a/src/main/java/lilaclever/lab/virtual/Result.java
+++ b/src/main/java/lilaclever/lab/world/Result.java
@@ -1,4 +1,4 @@
-package lilaclever.lab.virtual;
+package lilaclever.lab.world;
 
 import java.util.List;
 import java.util.TreeMap;
@@ -12,9 +12,12 @@
  * @param partners a row for each partner
  * @param series figures by second: name to values
  * @param scheduled events of the scheduler: the size of the run
+ * @param partial cut short
+ * @param trust of a run in real time; null in virtual time
  */
 public record Result(Scenario scenario, long seed, Auditor auditor, List<Band> events, List<PartnerRow> partners,
-        TreeMap<String, double[]> series, long endMicros, long scheduled) {
+        TreeMap<String, double[]> series, long endMicros, long scheduled,
+        boolean partial, Trust trust) {
     /** Something that happened, from a time to a time. */
     public record Band(String what, long fromMicros, long toMicros) { }
 
--- a/src/main/java/lilaclever/lab/virtual/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -1,4 +1,4 @@
-package lilaclever.lab.virtual;
+package lilaclever.lab.world;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.function.LongConsumer;
 import lilaclever.Relay;
-import lilaclever.Relay.ListingKind;
 import lilaclever.Relay.Presence;
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.audit.Breach.Rule;
@@ -24,30 +23,27 @@
 import lilaclever.lab.scenario.Scenario.Fleet;
 import lilaclever.lab.scenario.Scenario.Happening;
 import lilaclever.lab.scenario.Scenario.Target;
-import lilaclever.routing.Call;
-import lilaclever.routing.Core;
-import lilaclever.routing.Handin;
 
 /**
- * A rehearsal in virtual time: the real cores with their modules and journals, and models of all that is around them, in one
- * thread. The same scenario and seed give the same run, to the last event.
- *
- * <p>What it does not model: the forwarders' own processors (a turn takes no time), lost packets, and descriptors.
+ * A rehearsal: a fleet of forwarders among models of all that is around them: partners, directory, front, clients. What
+ * plays it, in virtual time or on sockets, is behind {@link Timeline} and {@link Member}. One thread, the timeline's.
  */
 public final class World {
-    private static final long SECOND = 1_000_000, AFTER_END = 35 * SECOND, START = 400_000, READY_SEEN = 100_000;
+    private static final long SECOND = 1_000_000, AFTER_END = 35 * SECOND, READY_SEEN = 100_000, DEATH_SEEN = SECOND;
+    /** So much of a notice can come before its client has read that the message was taken on. */
+    private static final long CROSSING = 5_000, MOST_CROSSING = 500_000;
 
     private final Scenario scenario;
     private final long seed;
     private final Fault fault;
-    private final Scheduler scheduler = new Scheduler();
+    private final Timeline timeline;
     private final Auditor auditor;
     private final Fleet fleet;
     private final List<Partner> partners = new ArrayList<>();
     private final double[] weights;
     private final Map<Integer, Partner> byDestination = new HashMap<>();
     private final Map<String, Relay.Entry> directory = new LinkedHashMap<>();
-    private final List<VirtualForwarder> forwarders = new ArrayList<>();
+    private final List<Member> forwarders = new ArrayList<>();
     /** Since when the front knows that it is dead; absent: it sends there. */
     private final Map<Integer, Long> frontKnowsDead = new HashMap<>();
     private final long[] toldUntil, deafUntil;
@@ -60,11 +56,13 @@
     private final Draws clientDraws, frontDraws, directoryDraws, eventDraws;
     private final TreeMap<String, double[]> series = new TreeMap<>();
     private final int seconds;
+    private List<Arrival> plan = List.of();
     private long version = 1;
     private int hostCount;
 
     /** A world that has not begun. */
-    public World(Scenario scenario, long seed, Fault fault) {
+    public World(Scenario scenario, long seed, Fault fault, Timeline timeline, Member.Maker maker) {
+        this.timeline = timeline;
         this.scenario = scenario;
         this.seed = seed;
         this.fault = fault;
@@ -83,7 +81,7 @@
         makePartners();
         Relay.Settings[] settings = settings();
         for (int i = 0; i < fleet.forwarders(); i++) {
-            forwarders.add(new VirtualForwarder(this, i, settings[i], new Draws(seed, "forwarder " + i).below(1 << 30)));
+            forwarders.add(maker.make(this, i, settings[i], new Draws(seed, "forwarder " + i).below(1 << 30)));
         }
     }
 
@@ -153,39 +151,48 @@
     }
 
     // ---- what forwarders ask ----------------------------------------------------------------------------
-    Scenario scenario() {
+    /** What is played. */
+    public Scenario scenario() {
         return scenario;
     }
 
-    Fault fault() {
+    /** What the forwarders do wrong on purpose. */
+    public Fault fault() {
         return fault;
     }
 
-    Auditor auditor() {
+    /** Who watches. */
+    public Auditor auditor() {
         return auditor;
     }
 
-    long now() {
-        return scheduler.now();
+    /** Microseconds since the run began. */
+    public long now() {
+        return timeline.now();
     }
 
-    long network() {
+    /** How long the network takes, one way, microseconds. */
+    public long network() {
         return fleet.networkMicros();
     }
 
-    void at(long micros, Runnable action) {
-        scheduler.at(micros, action);
+    /** Runs the action at the time. */
+    public void at(long micros, Runnable action) {
+        timeline.at(micros, action);
     }
 
-    void after(long micros, Runnable action) {
-        scheduler.after(micros, action);
+    /** Runs the action after so long. */
+    public void after(long micros, Runnable action) {
+        timeline.after(micros, action);
     }
 
-    Partner partner(int destination) {
+    /** The partner behind a destination. */
+    public Partner partner(int destination) {
         return byDestination.get(destination);
     }
 
-    void disconnect(String host, int forwarder) {
+    /** A forwarder has closed an idle connection. */
+    public void disconnect(String host, int forwarder) {
         Relay.Entry e = directory.get(host);
         if (e != null) {
             partner(e.destination()).disconnect(host, forwarder);
@@ -196,8 +203,9 @@
         return Integer.parseInt(id.substring(1, id.indexOf('-')));
     }
 
-    Answer call(Partner partner, String host, int forwarder, Call call) {
-        long[] work = call.messages.stream().mapToLong(m -> arrivals.get(number(m.id())).workMicros()).toArray();
+    /** A call with these messages has come whole; tells what the partner makes of it. */
+    public Answer call(Partner partner, String host, int forwarder, List<String> ids) {
+        long[] work = ids.stream().mapToLong(id -> arrivals.get(number(id)).workMicros()).toArray();
         add("calls", 1);
         Answer answer = partner.call(host, forwarder, work, now());
         if (fault == Fault.FLOODS && partner.warmth(now()) < 1) {
@@ -211,16 +219,18 @@
         return answer;
     }
 
-    void attempt(String id, int forwarder, String host, int destination) {
+    /** A forwarder sends a message: the first byte of the call leaves. */
+    public void attempt(String id, int forwarder, String host, int destination) {
         auditor.attempt(number(id), forwarder, host, destination, now());
     }
 
-    void attemptOver(String id, String how, boolean neverRan) {
+    /** An attempt is over, as the partner knows it. */
+    public void attemptOver(String id, String how, boolean neverRan) {
         auditor.attemptOver(number(id), how, neverRan, now());
     }
 
     /** A partner has worked on a message; {@code heard}: its answer goes out on an open connection. */
-    void ran(String id, boolean heard) {
+    public void ran(String id, boolean heard) {
         int n = number(id);
         auditor.service().work(arrivals.get(n).workMicros(), !heard);
         if (heard) {
@@ -230,7 +240,16 @@
         }
     }
 
-    void noticed(String id, String status) {
+    /** The platform has had a notice. */
+    public void noticed(String id, String status) {
+        noticed(id, status, now());
+    }
+
+    private void noticed(String id, String status, long since) {
+        if (unanswered.containsKey(id) && now() - since < MOST_CROSSING) {
+            timeline.after(CROSSING, () -> noticed(id, status, since)); // the answer is still on its way to the client
+            return;
+        }
         auditor.noticed(number(id), status, now());
         add(status.equals("deferred") ? "refused" : "failed", 1);
         if (status.equals("deferred")) {
@@ -255,18 +274,41 @@
         int to = pickForwarder();
         auditor.handedIn(a.number(), to, now());
         String id = "m" + a.number() + "-" + turn;
-        Handin handin = new Handin(id, null, a.messageClass(), a.destination(), "k" + a.number(), new byte[64], false, false,
-                left - Math.min(120_000, left / 50));
-        scheduler.after(network(), () -> {
-            if (!forwarders.get(to).handIn(handin)) {
-                auditor.count("met_a_dead_forwarder");
-                scheduler.after(clientDraws.in(fleet.comesAgain()), () -> handIn(a, turn + 1));
-            } else {
-                unanswered.put(id, to);
-            }
+        timeline.after(network(), () -> {
+            unanswered.put(id, to);
+            forwarders.get(to).handIn(id, a, left);
         });
     }
 
+    /** Nobody listened: the client comes again. */
+    public void metNobody(String id) {
+        if (unanswered.remove(id) != null) {
+            auditor.count("met_a_dead_forwarder");
+            handInAgain(id);
+        }
+    }
+
+    /** No answer came in time, or the connection broke: the client comes again. */
+    public void lost(String id) {
+        if (unanswered.remove(id) != null) {
+            auditor.count("hand_ins_without_an_answer");
+            handInAgain(id);
+        }
+    }
+
+    private void handInAgain(String id) {
+        Arrival a = arrivals.get(number(id));
+        int turn = Integer.parseInt(id.substring(id.indexOf('-') + 1));
+        if (a != null) {
+            timeline.after(clientDraws.in(fleet.comesAgain()), () -> handIn(a, turn + 1));
+        }
+    }
+
+    /** True while the client that handed this in waits for its answer. */
+    public boolean isUnanswered(String id) {
+        return unanswered.containsKey(id);
+    }
+
     private int pickForwarder() {
         double[] parts = frontWeights.clone();
         for (Map.Entry<Integer, Long> dead : frontKnowsDead.entrySet()) {
@@ -279,12 +321,14 @@
         return sum == 0 ? (int) (unit * parts.length) : Traffic.pick(parts, unit);
     }
 
-    void taken(String id, int forwarder) {
+    /** A client has heard that its message is taken on. */
+    public void taken(String id, int forwarder) {
         unanswered.remove(id);
         auditor.taken(number(id), forwarder, now());
     }
 
-    void turnedDown(String id, long comeBackMicros) {
+    /** A client was turned away. */
+    public void turnedDown(String id, long comeBackMicros) {
         unanswered.remove(id);
         auditor.turnedDown(number(id), now(), comeBackMicros);
         add("turned_down", 1);
@@ -296,7 +340,7 @@
         long after = Math.max(comeBackMicros, clientDraws.in(fleet.comesAgain()));
         if (left > 0 && mayComeAgain(n, now() + after)) {
             retriesLeft.put(n, left - 1);
-            scheduler.after(after, () -> handIn(arrivals.get(n), fleet.clientRetries() - left + 100));
+            timeline.after(after, () -> handIn(arrivals.get(n), fleet.clientRetries() - left + 100));
         }
     }
 
@@ -309,11 +353,23 @@
 
     // ---- lives ------------------------------------------------------------------------------------------
     private void kill(int f) {
-        VirtualForwarder forwarder = forwarders.get(f);
+        Member forwarder = forwarders.get(f);
         if (!forwarder.isUp()) {
             return;
         }
         forwarder.kill();
+        gone(f);
+    }
+
+    /** A forwarder has died by itself: its connections are gone, and it is started again by whoever runs it. */
+    public void died(int f, String how) {
+        auditor.count("deaths");
+        auditor.broken(Rule.INVARIANT, now(), "forwarder " + f + " died: " + how);
+        gone(f);
+        timeline.after(DEATH_SEEN, () -> start(f, false));
+    }
+
+    private void gone(int f) {
         partners.forEach(p -> p.disconnectAll(f));
         auditor.died(f, now());
         frontKnowsDead.put(f, now() + frontDraws.in(fleet.frontMemory()));
@@ -325,40 +381,48 @@
         });
         for (String id : lost) {
             unanswered.remove(id);
-            int turn = Integer.parseInt(id.substring(id.indexOf('-') + 1));
-            scheduler.after(clientDraws.in(fleet.comesAgain()), () -> handIn(arrivals.get(number(id)), turn + 1));
+            handInAgain(id);
         }
     }
 
-    private void start(int f) {
-        VirtualForwarder forwarder = forwarders.get(f);
-        forwarder.start(list(forwarder), version);
+    private void start(int f, boolean first) {
+        forwarders.get(f).start(list(), version, first);
+    }
+
+    /** The directory's list as it is now. */
+    public List<Relay.Entry> list() {
+        return List.copyOf(directory.values());
+    }
+
+    /** Its version. */
+    public long version() {
+        return version;
+    }
+
+    /** A forwarder serves. */
+    public void ready(int f) {
         auditor.ready(f, now());
         for (Relay.Entry e : directory.values()) {
             auditor.told(f, e.host(), e.presence() == Presence.ACTIVE, now());
         }
-        scheduler.after(READY_SEEN, () -> frontKnowsDead.remove(f));
-    }
-
-    private List<Core.Listed> list(VirtualForwarder forwarder) {
-        return directory.values().stream().map(forwarder::listed).toList();
+        timeline.after(READY_SEEN, () -> frontKnowsDead.remove(f));
     }
 
     // ---- the directory ----------------------------------------------------------------------------------
     /** Entries have changed: each forwarder is told in its own time, in the order of changes. */
     private void tell(List<Relay.Entry> changed) {
         long v = ++version;
-        for (VirtualForwarder f : forwarders) {
+        for (Member f : forwarders) {
             int n = f.number();
             long at = Math.max(Math.max(now() + directoryDraws.in(fleet.directoryDelay()), toldUntil[n]), deafUntil[n]);
             toldUntil[n] = at;
-            scheduler.at(at, () -> {
+            timeline.at(at, () -> {
                 if (!f.isUp()) {
                     return; // it gets the whole list when it starts
                 }
                 boolean deaf = fault == Fault.IGNORES_DRAINS;
                 List<Relay.Entry> heard = changed.stream().filter(e -> !deaf || e.presence() == Presence.ACTIVE).toList();
-                f.listing(ListingKind.CHANGES, v, heard.stream().map(f::listed).toList());
+                f.listing(v, heard);
                 changed.forEach(e -> auditor.told(n, e.host(), e.presence() == Presence.ACTIVE, now()));
             });
         }
@@ -383,7 +447,7 @@
         Partner p = partner(e.destination());
         tell(List.of(addEndpoint(p), change(host, Presence.LEAVING)));
         // It stays until the last forwarder can have heard, and some time more.
-        scheduler.after(drainsFor + fleet.directoryDelay()[1] + fleet.drainGraceMicros() + SECOND, () -> {
+        timeline.after(drainsFor + fleet.directoryDelay()[1] + fleet.drainGraceMicros() + SECOND, () -> {
             p.remove(host);
             tell(List.of(change(host, Presence.LEFT)));
         });
@@ -399,14 +463,14 @@
             case HOT -> planHot(h, at, length);
             case DEAF -> {
                 for (int f : someForwarders(h.part())) {
-                    scheduler.at(at, () -> deafUntil[f] = now() + length);
+                    timeline.at(at, () -> deafUntil[f] = now() + length);
                 }
             }
             default -> {
                 double strength = eventDraws.in(h.strength());
                 for (Partner p : some(h)) {
                     Partner.Outage outage = Partner.Outage.valueOf(h.what().name());
-                    scheduler.at(at, () -> p.outage(outage, strength, now() + length));
+                    timeline.at(at, () -> p.outage(outage, strength, now() + length));
                 }
             }
         }
@@ -417,10 +481,11 @@
         List<Integer> chosen = someForwarders(h.part());
         for (int i = 0; i < chosen.size(); i++) {
             int f = chosen.get(i);
-            scheduler.at(at + length * i / chosen.size(), () -> {
+            long down = eventDraws.in(h.downMicros());
+            timeline.at(at + length * i / chosen.size(), () -> {
                 if (forwarders.get(f).isUp()) {
                     kill(f);
-                    scheduler.after(eventDraws.in(h.downMicros()) + START, () -> start(f));
+                    timeline.after(down, () -> start(f, false));
                 }
             });
         }
@@ -433,7 +498,7 @@
         for (int i = 0; i < n; i++) {
             String host = hosts.get(i);
             long drains = eventDraws.in(h.downMicros());
-            scheduler.at(at + length * i / n, () -> replace(host, drains));
+            timeline.at(at + length * i / n, () -> replace(host, drains));
         }
     }
 
@@ -446,8 +511,8 @@
         }
         // So heavy that together they get the share.
         double weight = share / (1 - share) * others / hot.size();
-        scheduler.at(at, () -> hot.forEach(f -> frontWeights[f] = weight));
-        scheduler.at(at + length, () -> hot.forEach(f -> frontWeights[f] = 1));
+        timeline.at(at, () -> hot.forEach(f -> frontWeights[f] = weight));
+        timeline.at(at + length, () -> hot.forEach(f -> frontWeights[f] = 1));
     }
 
     private List<Integer> someForwarders(double part) {
@@ -486,8 +551,11 @@
 
     private void everySecond(LongConsumer progress) {
         auditor.sweep(now());
-        add("held", forwarders.stream().mapToInt(VirtualForwarder::held).sum());
-        add("forwarders_up", forwarders.stream().filter(VirtualForwarder::isUp).count());
+        int held = forwarders.stream().mapToInt(Member::held).sum();
+        if (held >= 0) {
+            add("held", held);
+        }
+        add("forwarders_up", forwarders.stream().filter(Member::isUp).count());
         int done = (int) (now() / SECOND) - 120;
         if (done > 0 && done % 10 == 0) {
             arrivals.keySet().removeIf(n -> arrivals.get(n).atMicros() < now() - 120 * SECOND);
@@ -495,24 +563,46 @@
         }
         progress.accept(now());
         if (now() + SECOND < scenario.traffic().lengthMicros() + AFTER_END) {
-            scheduler.after(SECOND, () -> everySecond(progress));
+            timeline.after(SECOND, () -> everySecond(progress));
         }
     }
 
-    /** Plays the run; {@code progress} hears the virtual time once a virtual second. */
-    public Result run(LongConsumer progress) {
-        long end = scenario.traffic().lengthMicros();
-        List<Arrival> plan = new Traffic(scenario.traffic().shape(), fleet.ratePerSecond(), scenario.traffic().clumps(),
-                scenario.traffic().clumpSeconds(), scenario.classes(), weights, partners).draw(end, new Draws(seed, "arrivals"));
-        for (VirtualForwarder f : forwarders) {
-            f.start(list(f), version);
+    /** How long the run lasts, until the last end is due, microseconds. */
+    public long length() {
+        return scenario.traffic().lengthMicros() + AFTER_END;
+    }
+
+    /** Starts the forwarders; each tells when it is {@link #ready}. */
+    public void start() {
+        for (int f = 0; f < forwarders.size(); f++) {
+            start(f, true);
         }
+    }
+
+    /** All that will happen is planned from now on; {@code progress} hears the time once a second. */
+    public void begin(LongConsumer progress) {
+        plan = new Traffic(scenario.traffic().shape(), fleet.ratePerSecond(), scenario.traffic().clumps(),
+                scenario.traffic().clumpSeconds(), scenario.classes(), weights, partners).draw(scenario.traffic().lengthMicros(),
+                new Draws(seed, "arrivals"));
         scenario.happenings().forEach(this::plan);
-        feed(plan, 0);
+        feed(0);
         everySecond(progress);
-        scheduler.runUntil(end + AFTER_END);
+    }
+
+    /** What was drawn ahead: who hands in what, and when. */
+    public List<Arrival> plan() {
+        return plan;
+    }
+
+    /** All partners. */
+    public List<Partner> partners() {
+        return partners;
+    }
+
+    /** The run is over, or is cut short now: what it has shown. */
+    public Result finish(long scheduled, Trust trust) {
         auditor.finish(now());
-        for (VirtualForwarder f : forwarders) {
+        for (Member f : forwarders) {
             if (f.broken() > 0) {
                 auditor.broken(Rule.INVARIANT, now(), "forwarder " + f.number() + ": " + f.broken() + " times");
             }
@@ -527,15 +617,15 @@
             rows.add(new Result.PartnerRow(p.destination(), p.kind().name(), p.capacity(), weights[i], p.calls(), p.refused(),
                     p.served(), p.falls()));
         }
-        return new Result(scenario, seed, auditor, bands, rows, series, now(), scheduler.ran());
+        return new Result(scenario, seed, auditor, bands, rows, series, now(), scheduled, now() < length(), trust);
     }
 
     /** One arrival after the other: the plan is long, the queue of events need not be. */
-    private void feed(List<Arrival> plan, int next) {
+    private void feed(int next) {
         if (next < plan.size()) {
-            scheduler.at(plan.get(next).atMicros(), () -> {
+            timeline.at(plan.get(next).atMicros(), () -> {
                 arrive(plan.get(next));
-                feed(plan, next + 1);
+                feed(next + 1);
             });
         }
     }
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -19,9 +19,9 @@
 import lilaclever.lab.report.Sweep;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.ScenarioReader;
-import lilaclever.lab.virtual.Fault;
-import lilaclever.lab.virtual.Result;
-import lilaclever.lab.virtual.World;
+import lilaclever.lab.virtual.VirtualTime;
+import lilaclever.lab.world.Fault;
+import lilaclever.lab.world.Result;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
@@ -116,7 +116,7 @@
         AtomicInteger broken = new AtomicInteger();
         List<Double> services = new ArrayList<>();
         sideBySide(n, i -> {
-            Result r = new World(scenario, seed + i, Fault.NONE).run(alone ? this::progress : now -> { });
+            Result r = VirtualTime.run(scenario, seed + i, Fault.NONE, alone ? this::progress : now -> { }, () -> false);
             Report.write(r, alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i)));
             return r;
         }, r -> {
@@ -175,7 +175,7 @@
             Scenario at = atLoad(scenario, percent / 100.0);
             List<Double> services = new ArrayList<>();
             AtomicInteger broken = new AtomicInteger();
-            sideBySide(n, i -> new World(at, seed + i, Fault.NONE).run(now -> { }), r -> {
+            sideBySide(n, i -> VirtualTime.run(at, seed + i, Fault.NONE), r -> {
                 services.add(r.auditor().service().figure(Prices.USUAL));
                 broken.addAndGet(r.auditor().broken().size());
             });
--- a/src/test/java/lilaclever/lab/virtual/WorldTest.java
+++ b/src/test/java/lilaclever/lab/virtual/WorldTest.java
@@ -17,6 +17,8 @@
 import lilaclever.lab.report.Report;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.ScenarioReader;
+import lilaclever.lab.world.Fault;
+import lilaclever.lab.world.Result;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,7 +28,7 @@
 /** Whole rehearsals in virtual time: the real core, module and journal among models. */
 class WorldTest {
     private static Result run(Scenario s, long seed, Fault fault) {
-        return new World(s, seed, fault).run(now -> { });
+        return VirtualTime.run(s, seed, fault);
     }
 
     private static Result run(String name, Fault fault) throws Bad {
