Play rehearsals on real sockets: a process for each forwarder among stand-ins

How late the stand-ins were is kept: a run whose stand-ins did not keep up says so and exits with 3. A forwarder that dies is named with its last line and started again; one that can't start ends the run with the reason. Ctrl-C leaves a partial report.

--- a/src/main/java/lilaclever/lab/audit/Auditor.java
+++ b/src/main/java/lilaclever/lab/audit/Auditor.java
@@ -252,6 +252,12 @@
         }
     }
 
+    /** True while an attempt is out. */
+    public boolean isOut(int number) {
+        Story s = open.get(number);
+        return s != null && s.attempts.stream().anyMatch(a -> a.out);
+    }
+
     /** When the first attempt was made that may have run; -1 if none may have. */
     public long riskAt(int number) {
         Story s = open.get(number);
--- a/src/main/java/lilaclever/lab/model/Partner.java
+++ b/src/main/java/lilaclever/lab/model/Partner.java
@@ -170,6 +170,11 @@
         return now(now) != null && now(now) != Outage.SLOW;
     }
 
+    /** True while nobody can connect to it. */
+    public boolean isDown(long now) {
+        return now(now) == Outage.DOWN;
+    }
+
     // ---- calls ------------------------------------------------------------------------------------------
     /** A forwarder opens a connection; false if it holds as many as it takes. */
     public boolean connect(String host, int forwarder) {
--- a/src/main/java/lilaclever/lab/report/Page.java
+++ b/src/main/java/lilaclever/lab/report/Page.java
@@ -24,7 +24,14 @@
                 + "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}img{max-width:100%}"
                 + ".bad{color:#a00}pre{background:#f6f6f6;padding:.6em;overflow:auto}</style></head><body>\n");
         all.append("<h1>").append(escape(r.scenario().name())).append("</h1>\n<p>").append(escape(r.scenario().about()))
-                .append(". Seed ").append(r.seed()).append(".</p>\n");
+                .append(". Seed ").append(r.seed())
+                .append(r.trust() == null ? ", virtual time." : ", on sockets.").append("</p>\n");
+        if (r.partial()) {
+            all.append("<p class=\"bad\">Cut short after ").append(r.endMicros() / 1_000_000).append(" s: what follows is of that part.</p>\n");
+        }
+        if (r.trust() != null) {
+            all.append(r.trust().good() ? "<p>" : "<p class=\"bad\">").append(escape(r.trust().text())).append("</p>\n");
+        }
         figures(all, r);
         rules(all, r);
         plots(all, r);
--- a/src/main/java/lilaclever/lab/report/Report.java
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -19,6 +19,7 @@
 import lilaclever.lab.audit.Service;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.world.Result;
+import lilaclever.lab.world.Trust;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -52,6 +53,11 @@
         JsonObject all = new JsonObject();
         all.addProperty("scenario", r.scenario().name());
         all.addProperty("seed", r.seed());
+        all.addProperty("played", r.trust() == null ? "virtual time" : "sockets");
+        all.addProperty("partial", r.partial());
+        if (r.trust() != null) {
+            all.add("trust", trust(r.trust()));
+        }
         all.addProperty("service", round(s.figure(Prices.USUAL)));
         all.addProperty("whole_run", round(s.whole()));
         all.addProperty("worst_10_s", round(s.worstWindow()));
@@ -97,6 +103,18 @@
         return all;
     }
 
+    private static JsonObject trust(Trust t) {
+        JsonObject o = new JsonObject();
+        o.addProperty("good", t.good());
+        o.addProperty("tasks", t.tasks());
+        o.addProperty("late_share", round(t.lateShare()));
+        o.addProperty("late_ms_p50", t.medianMicros() / 1e3);
+        o.addProperty("late_ms_p99", t.p99Micros() / 1e3);
+        o.addProperty("late_ms_most", t.mostMicros() / 1e3);
+        o.addProperty("troubles", t.troubles());
+        return o;
+    }
+
     private static JsonObject ofClass(Result r, int c) {
         JsonObject o = new JsonObject();
         o.addProperty("service", round(r.auditor().service().ofClass(c)));
@@ -148,8 +166,8 @@
     public static String summary(Result r) {
         Service s = r.auditor().service();
         StringBuilder all = new StringBuilder(String.format(Locale.ROOT,
-                "%s, seed %d: service %.3f (whole run %.3f, worst 10 s %.3f, worst class %.3f, prices %.3f)%n", r.scenario().name(),
-                r.seed(), s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)));
+                "%s, seed %d%s: service %.3f (whole run %.3f, worst 10 s %.3f, worst class %.3f, prices %.3f)%n", r.scenario().name(),
+                r.seed(), r.partial() ? ", CUT SHORT after " + r.endMicros() / 1_000_000 + " s" : "", s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)));
         Map<String, Long> counts = r.auditor().counts();
         long messages = counts.getOrDefault("messages", 0L);
         all.append(String.format(Locale.ROOT, "%d messages, %d delivered, %d attempts, %d restarts%n", messages,
@@ -160,6 +178,9 @@
             all.append(String.format(Locale.ROOT, "  %-16s service %.3f, delivered in %d ms (median), %d ms (99th percentile)%n", mc.name(),
                     s.ofClass(c), h.getValueAtPercentile(50) / 1000, h.getValueAtPercentile(99) / 1000));
         }
+        if (r.trust() != null) {
+            all.append(r.trust().text()).append('\n');
+        }
         if (r.auditor().broken().isEmpty()) {
             return all + "all rules kept\n";
         }
--- /dev/null
+++ b/src/main/java/lilaclever/lab/sockets/Doors.java
@@ -0,0 +1,152 @@
+package lilaclever.lab.sockets;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import lilaclever.lab.model.Partner;
+import lilaclever.lab.world.World;
+
+/**
+ * The partners' doors: a listening socket for each endpoint and forwarder, so that it is known who calls. While a partner is
+ * down its doors are shut, and its connections are reset. All but the threads that wait for connections and bytes runs on
+ * the timeline's thread.
+ */
+final class Doors {
+    private static final long LOOK = 10_000;
+    private static final int BACKLOG = 256;
+
+    private final class Door {
+        final Partner partner;
+        final String host;
+        final int forwarder, port;
+        final Set<PartnerConnection> connections = new HashSet<>();
+        ServerSocket server;
+
+        Door(Partner partner, String host, int forwarder) throws IOException {
+            this.partner = partner;
+            this.host = host;
+            this.forwarder = forwarder;
+            server = bind(0);
+            port = server.getLocalPort();
+            accept(server);
+        }
+
+        private ServerSocket bind(int wanted) throws IOException {
+            ServerSocket s = new ServerSocket();
+            s.setReuseAddress(true);
+            s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), BACKLOG);
+            return s;
+        }
+
+        private void accept(ServerSocket from) {
+            Threads.start("door " + host, () -> {
+                while (true) {
+                    Socket socket = from.accept();
+                    time.post(() -> accepted(socket));
+                }
+            });
+        }
+
+        private void accepted(Socket socket) {
+            try {
+                if (server == null) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    return;
+                }
+                world.auditor().service().connection();
+                PartnerConnection c = new PartnerConnection(world, time, new Wire(socket), partner, host, forwarder,
+                        partner.connect(host, forwarder), connections::remove);
+                connections.add(c);
+                c.start();
+            } catch (IOException e) {
+                // it has gone already
+            }
+        }
+
+        void shut() {
+            try {
+                server.close();
+            } catch (IOException e) {
+                troubles++;
+            }
+            server = null;
+            List.copyOf(connections).forEach(PartnerConnection::cut);
+        }
+
+        void open() {
+            try {
+                server = bind(port);
+                accept(server);
+            } catch (IOException e) {
+                troubles++; // somebody has taken its port: the partner seems down for longer than it is
+            }
+        }
+    }
+
+    private final World world;
+    private final RealTime time;
+    private final Map<String, Door> doors = new HashMap<>();
+    private long troubles;
+
+    Doors(World world, RealTime time) {
+        this.world = world;
+        this.time = time;
+    }
+
+    /** Looks from now on, again and again, which partners are down. */
+    void watch() {
+        for (Door d : doors.values()) {
+            boolean down = d.partner.isDown(time.now());
+            if (down && d.server != null) {
+                d.shut();
+            } else if (!down && d.server == null) {
+                d.open();
+            }
+        }
+        time.after(LOOK, this::watch);
+    }
+
+    /** Where a forwarder finds an endpoint. */
+    String address(Partner partner, String host, int forwarder) {
+        Door door = doors.computeIfAbsent(host + ' ' + forwarder, k -> {
+            try {
+                return new Door(partner, host, forwarder);
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException("no port for a partner's endpoint", e);
+            }
+        });
+        return "127.0.0.1:" + door.port;
+    }
+
+    /** An endpoint is gone. */
+    void remove(String host, int forwarder) {
+        Door door = doors.remove(host + ' ' + forwarder);
+        if (door != null && door.server != null) {
+            door.shut();
+        }
+    }
+
+    /** What went wrong here. */
+    long troubles() {
+        return troubles;
+    }
+
+    /** Shuts all. */
+    void close() {
+        for (Door d : new ArrayList<>(doors.values())) {
+            if (d.server != null) {
+                d.shut();
+            }
+        }
+        doors.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
@@ -0,0 +1,251 @@
+package lilaclever.lab.sockets;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import lilaclever.lab.model.Partner;
+import lilaclever.lab.model.Partner.Answer;
+import lilaclever.lab.sockets.Wire.Head;
+import lilaclever.lab.world.World;
+
+/**
+ * A forwarder's connection to a partner's endpoint: reads calls, asks the partner's model, writes what it answers when it is
+ * due. One call at a time. A thread of its own reads; the rest runs on the timeline's thread.
+ */
+final class PartnerConnection {
+    /** A second copy may only seem one, as the threads that read overtake each other: so long it is waited for. */
+    private static final long OVERTAKEN = 5_000, MOST_OVERTAKEN = 50_000;
+
+    private final World world;
+    private final RealTime time;
+    private final Wire wire;
+    private final Partner partner;
+    private final String host;
+    private final int forwarder;
+    /** False: the partner holds as many connections as it takes. */
+    private final boolean welcome;
+    private final Consumer<PartnerConnection> ended;
+    private List<String> out = List.of();
+    private boolean first = true, closed, many;
+
+    PartnerConnection(World world, RealTime time, Wire wire, Partner partner, String host, int forwarder, boolean welcome,
+            Consumer<PartnerConnection> ended) {
+        this.world = world;
+        this.time = time;
+        this.wire = wire;
+        this.partner = partner;
+        this.host = host;
+        this.forwarder = forwarder;
+        this.welcome = welcome;
+        this.ended = ended;
+    }
+
+    void start() {
+        Threads.start("partner " + host, () -> {
+            try {
+                for (Head h = wire.read(); h != null; h = wire.read()) {
+                    Head read = h;
+                    time.post(() -> arrived(read));
+                }
+            } catch (IOException | NumberFormatException e) {
+                // reset, or no HTTP: it ends here
+            }
+            time.post(this::gone);
+        });
+    }
+
+    // ---- ends of the connection -------------------------------------------------------------------------
+    /** The other side has closed it: a call that is out is given up. */
+    private void gone() {
+        if (!closed) {
+            over(out, "given up", false);
+            if (!out.isEmpty()) {
+                partner.heardFailure(forwarder, time.now());
+            }
+            close();
+        }
+    }
+
+    /** The partner's machine is gone. */
+    void cut() {
+        if (!closed) {
+            over(out, "reset", false);
+            partner.heardFailure(forwarder, time.now());
+            wire.reset();
+            close();
+        }
+    }
+
+    private void close() {
+        closed = true;
+        out = List.of();
+        wire.close();
+        if (welcome) {
+            partner.disconnect(host, forwarder);
+        }
+        ended.accept(this);
+    }
+
+    private void write(String status, String headers, String body, boolean keep) {
+        try {
+            wire.answer(status, headers + (keep ? "" : "Connection: close\r\n"), body);
+        } catch (IOException e) {
+            keep = false; // it reads that itself
+        }
+        if (!keep) {
+            close();
+        }
+    }
+
+    // ---- calls ------------------------------------------------------------------------------------------
+    private void arrived(Head head) {
+        if (closed) {
+            return;
+        }
+        long at = Math.max(0, time.now() - (System.nanoTime() - head.firstByteNanos()) / 1000);
+        switch (head.method() + ' ' + head.target()) {
+            case "GET /health/live", "GET /stats" -> later(this::probed);
+            case "POST /receive" -> receive(List.of(head.header("Req-Id", "")), false, at, 0);
+            case "POST /receive-many" -> receive(ids(head.body()), true, at, 0);
+            default -> write("404 Not Found", "", "", true);
+        }
+    }
+
+    /** After what the network takes, and on a new connection its handshake. */
+    private void later(Runnable step) {
+        long network = world.network();
+        time.after(network + (first ? 2 * network + world.scenario().fleet().handshakeMicros() : 0), step);
+        first = false;
+    }
+
+    private void receive(List<String> ids, boolean asMany, long at, long waited) {
+        if (closed) {
+            return;
+        }
+        if (ids.isEmpty() || !ids.stream().allMatch(world::isCurrent)) {
+            world.auditor().count("calls_of_no_message");
+            write(ids.isEmpty() ? "400 Bad Request" : "410 Gone", "", "", true);
+            return;
+        }
+        if (waited < MOST_OVERTAKEN && ids.stream().anyMatch(id -> world.auditor().isOut(World.number(id)))) {
+            time.after(OVERTAKEN, () -> receive(ids, asMany, at, waited + OVERTAKEN)); // its end may be on its way to this thread
+            return;
+        }
+        out = ids;
+        many = asMany;
+        ids.forEach(id -> world.attempt(id, forwarder, host, partner.destination(), at));
+        later(() -> decide(ids));
+    }
+
+    private void decide(List<String> ids) {
+        if (closed) {
+            return;
+        }
+        if (!welcome) {
+            over(ids, "full", true);
+            partner.heardFailure(forwarder, time.now());
+            write("503 Service Unavailable", "", "", false);
+            return;
+        }
+        Answer a = world.call(partner, host, forwarder, ids);
+        switch (a.status()) {
+            case NO_CONNECTION -> cut();
+            case FULL -> time.at(a.atMicros(), () -> answer(ids, () -> full(ids, a.waitMicros())));
+            case ERROR -> time.at(a.atMicros(), () -> answer(ids, () -> {
+                over(ids, "error", false);
+                partner.heardFailure(forwarder, time.now());
+                write("500 Internal Server Error", "", "", true);
+            }));
+            case DELIVERED -> time.at(a.atMicros(), () -> delivered(ids, a));
+            default -> { } // nothing comes back
+        }
+    }
+
+    private void answer(List<String> ids, Runnable how) {
+        if (!closed && out == ids) {
+            how.run();
+            out = List.of();
+        }
+    }
+
+    private void full(List<String> ids, long wait) {
+        over(ids, "full", true);
+        partner.heardFailure(forwarder, time.now());
+        if (wait > 0) {
+            world.auditor().waitTold(forwarder, partner.destination(), time.now(), wait);
+            write("429 Too Many Requests", "X-Retry-In-Ms: " + (wait + 999) / 1000 + "\r\n", "", true);
+        } else {
+            write("503 Service Unavailable", "", "", true);
+        }
+    }
+
+    /** The partner has done the work, whether or not anybody still waits for its answer. */
+    private void delivered(List<String> ids, Answer a) {
+        if (closed || out != ids || !partner.answersStill(host, a.atMicros())) {
+            ids.forEach(id -> world.ran(id, false));
+            return;
+        }
+        ids.forEach(id -> world.ran(id, true));
+        out = List.of();
+        StringBuilder body = new StringBuilder();
+        if (many) {
+            ids.forEach(id -> body.append(id).append(" accepted\r\n"));
+        }
+        time.after(world.network(), () -> {
+            if (!closed) {
+                write("200 OK", "", body.toString(), true);
+            }
+        });
+    }
+
+    private void probed() {
+        if (closed) {
+            return;
+        }
+        world.auditor().service().probe();
+        Answer a = partner.call(host, forwarder, new long[] {1000}, time.now());
+        String status = switch (a.status()) {
+            case DELIVERED -> "200 OK";
+            case FULL -> "503 Service Unavailable";
+            case ERROR -> "500 Internal Server Error";
+            default -> null;
+        };
+        if (status != null) {
+            time.at(a.atMicros(), () -> {
+                if (!closed) {
+                    if (!status.startsWith("200")) {
+                        partner.heardFailure(forwarder, time.now());
+                    }
+                    write(status, "", "", true);
+                }
+            });
+        } else if (a.status() == Partner.Status.NO_CONNECTION) {
+            cut();
+        }
+    }
+
+    private void over(List<String> ids, String how, boolean neverRan) {
+        ids.forEach(id -> world.attemptOver(id, how, neverRan));
+    }
+
+    /** The ids in the body of a call with several messages; none if it can't be read. */
+    static List<String> ids(byte[] body) {
+        List<String> ids = new ArrayList<>();
+        int at = 0;
+        while (at < body.length) {
+            int end = at;
+            while (end < body.length && body[end] != '\n') {
+                end++;
+            }
+            String[] words = new String(body, at, end - at, StandardCharsets.ISO_8859_1).strip().split(" ");
+            if (words.length != 3 || !words[2].matches("\\d{1,7}") || ids.contains(words[0])) {
+                return List.of();
+            }
+            ids.add(words[0]);
+            at = end + 1 + Integer.parseInt(words[2]) + 2;
+        }
+        return at == body.length ? ids : List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -0,0 +1,212 @@
+package lilaclever.lab.sockets;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.Relay;
+import lilaclever.Relay.Presence;
+import lilaclever.lab.model.Arrival;
+import lilaclever.lab.sockets.Wire.Head;
+import lilaclever.lab.world.Member;
+import lilaclever.lab.world.World;
+
+/** One forwarder of the fleet: the real program in a process of its own. */
+final class SocketForwarder implements Member {
+    private static final Pattern BROKEN = Pattern.compile("(?m)^(?:broken_invariants|tasks_failed) (\\d+)$");
+    private static final long START_WITHIN = 30_000, LOOK = 10, END_WITHIN = 6;
+
+    private final World world;
+    private final RealTime time;
+    private final int number;
+    private final Relay.Settings settings;
+    private final long seed;
+    private final Path folder, log;
+    private final List<String> command;
+    private final Doors doors;
+    private final Agent agent;
+    private final Clients clients;
+    private final InetSocketAddress address;
+    private Process process;
+    private boolean served;
+    private String failure;
+    private int life;
+    private long broken;
+
+    SocketForwarder(World world, RealTime time, Doors doors, int number, Relay.Settings settings, long seed, Path folder,
+            List<String> command) {
+        this.world = world;
+        this.time = time;
+        this.doors = doors;
+        this.number = number;
+        this.settings = settings;
+        this.seed = seed;
+        this.folder = folder;
+        this.command = command;
+        log = folder.resolve("forwarder-" + number + ".log");
+        try {
+            Files.createDirectories(folder.resolve("state-" + number));
+            Files.writeString(log, "");
+            agent = new Agent(world, time, e -> doors.address(world.partner(e.destination()), e.host(), number));
+            address = freePort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        clients = new Clients(world, time, address);
+    }
+
+    /** A port that is free now, and the same for all lives. */
+    private static InetSocketAddress freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public boolean isUp() {
+        return process != null;
+    }
+
+    @Override
+    public int held() {
+        return -1;
+    }
+
+    @Override
+    public long broken() {
+        return broken;
+    }
+
+    /** Why it could not be started at all; null if it could. */
+    String failure() {
+        return failure;
+    }
+
+    // ---- lives ------------------------------------------------------------------------------------------
+    @Override
+    public void start(List<Relay.Entry> known, long version, boolean first) {
+        int mine = ++life;
+        agent.set(known, version);
+        try {
+            Path config = Files.writeString(folder.resolve("config-" + number + ".json"), Settings.config(world.scenario(), settings,
+                    "127.0.0.1:" + address.getPort(), agent.address(), folder.resolve("state-" + number), seed * 31 + life,
+                    agent.known()).toString());
+            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).redirectInput(new File("/dev/null"));
+            builder.environment().keySet().removeIf(k -> k.startsWith("ROUTER_"));
+            builder.environment().put("ROUTER_CONFIG", config.toString());
+            process = builder.start();
+        } catch (IOException e) {
+            failure = "forwarder " + number + " can't be started: " + e.getMessage();
+            return;
+        }
+        Process started = process;
+        started.onExit().thenRun(() -> time.post(() -> exited(mine, started.exitValue())));
+        Threads.start("start", () -> awaitReady(mine, started));
+    }
+
+    private void awaitReady(int mine, Process started) throws InterruptedException {
+        long until = System.currentTimeMillis() + START_WITHIN;
+        while (started.isAlive() && System.currentTimeMillis() < until) {
+            if (answersReady()) {
+                time.post(() -> {
+                    if (life == mine && process != null) {
+                        served = true;
+                        world.ready(number);
+                    }
+                });
+                return;
+            }
+            Thread.sleep(LOOK);
+        }
+    }
+
+    private boolean answersReady() {
+        try (Socket socket = new Socket()) {
+            socket.connect(address, 500);
+            Wire wire = new Wire(socket);
+            wire.patience(500);
+            wire.write("GET /health/ready HTTP/1.1\r\nHost: lilaclever\r\n\r\n", new byte[0]);
+            Head answer = wire.read();
+            return answer != null && answer.target().equals("200");
+        } catch (IOException e) {
+            return false; // not yet
+        }
+    }
+
+    private void exited(int mine, int code) {
+        if (life != mine || process == null) {
+            return; // it was killed
+        }
+        process = null;
+        String how = "exit code " + code + ", its last line: " + lastLine();
+        if (!served) {
+            failure = "forwarder " + number + " did not start: " + how;
+        } else {
+            world.died(number, how);
+        }
+    }
+
+    private String lastLine() {
+        try {
+            List<String> lines = Files.readAllLines(log);
+            return lines.isEmpty() ? "(none)" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    @Override
+    public void kill() {
+        process.destroyForcibly();
+        process = null;
+    }
+
+    /** Asks it to end, and reads what it counted. */
+    void stop() throws IOException, InterruptedException {
+        Process last = process;
+        process = null;
+        if (last != null) {
+            last.destroy();
+            if (!last.waitFor(END_WITHIN, TimeUnit.SECONDS)) {
+                last.destroyForcibly().waitFor();
+            }
+        }
+        agent.close();
+        clients.close();
+        Matcher m = BROKEN.matcher(Files.readString(log));
+        while (m.find()) {
+            broken += Long.parseLong(m.group(1));
+        }
+    }
+
+    // ---- what it is given -------------------------------------------------------------------------------
+    @Override
+    public void handIn(String id, Arrival arrival, long leftMicros) {
+        clients.handIn(id, arrival, leftMicros);
+    }
+
+    @Override
+    public void listing(long version, List<Relay.Entry> changes) {
+        agent.change(version, changes);
+        for (Relay.Entry e : changes) {
+            if (e.presence() == Presence.LEFT) {
+                doors.remove(e.host(), number);
+            }
+        }
+    }
+}
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -220,7 +220,7 @@
 
     @Override
     public void taken(Message message) {
-        world.taken(message.id(), number);
+        world.taken(message.id());
     }
 
     @Override
@@ -265,7 +265,7 @@
         Way way = new Way();
         call.attachment = way;
         out.add(call);
-        call.messages.forEach(m -> world.attempt(m.id(), number, host, call.endpoint.destination()));
+        call.messages.forEach(m -> world.attempt(m.id(), number, host, call.endpoint.destination(), world.now()));
         boolean kept = takeIdle(host);
         if (!kept) {
             world.auditor().service().connection();
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -46,12 +46,15 @@
     private final List<Member> forwarders = new ArrayList<>();
     /** Since when the front knows that it is dead; absent: it sends there. */
     private final Map<Integer, Long> frontKnowsDead = new HashMap<>();
+    private final java.util.Set<Integer> served = new java.util.HashSet<>();
     private final long[] toldUntil, deafUntil;
     private final double[] frontWeights;
     private final Map<Integer, Integer> retriesLeft = new HashMap<>();
     /** Hand-ins that a forwarder has and has not answered: if it dies they come again. */
     private final Map<String, Integer> unanswered = new LinkedHashMap<>();
     private final Map<Integer, Arrival> arrivals = new HashMap<>();
+    /** The last hand-in of each message: what comes under an earlier id counts for nothing. */
+    private final Map<Integer, String> current = new HashMap<>();
     private final List<Result.Band> bands = new ArrayList<>();
     private final Draws clientDraws, frontDraws, directoryDraws, eventDraws;
     private final TreeMap<String, double[]> series = new TreeMap<>();
@@ -199,7 +202,8 @@
         }
     }
 
-    private static int number(String id) {
+    /** The message's number in the id of a hand-in. */
+    public static int number(String id) {
         return Integer.parseInt(id.substring(1, id.indexOf('-')));
     }
 
@@ -220,8 +224,13 @@
     }
 
     /** A forwarder sends a message: the first byte of the call leaves. */
-    public void attempt(String id, int forwarder, String host, int destination) {
-        auditor.attempt(number(id), forwarder, host, destination, now());
+    public void attempt(String id, int forwarder, String host, int destination, long at) {
+        auditor.attempt(number(id), forwarder, host, destination, at);
+    }
+
+    /** True if a message of this id was handed in lately, and its client has not handed it in again since. */
+    public boolean isCurrent(String id) {
+        return id.matches("m\\d{1,9}-\\d{1,6}") && id.equals(current.get(number(id)));
     }
 
     /** An attempt is over, as the partner knows it. */
@@ -276,6 +285,7 @@
         String id = "m" + a.number() + "-" + turn;
         timeline.after(network(), () -> {
             unanswered.put(id, to);
+            current.put(a.number(), id);
             forwarders.get(to).handIn(id, a, left);
         });
     }
@@ -322,14 +332,18 @@
     }
 
     /** A client has heard that its message is taken on. */
-    public void taken(String id, int forwarder) {
-        unanswered.remove(id);
-        auditor.taken(number(id), forwarder, now());
+    public void taken(String id) {
+        Integer forwarder = unanswered.remove(id);
+        if (forwarder != null) {
+            auditor.taken(number(id), forwarder, now());
+        }
     }
 
     /** A client was turned away. */
     public void turnedDown(String id, long comeBackMicros) {
-        unanswered.remove(id);
+        if (unanswered.remove(id) == null) {
+            return; // it has handed in elsewhere since
+        }
         auditor.turnedDown(number(id), now(), comeBackMicros);
         add("turned_down", 1);
         comesAgain(number(id), comeBackMicros);
@@ -399,8 +413,14 @@
         return version;
     }
 
+    /** Forwarders that have served at all. */
+    public int readyCount() {
+        return served.size();
+    }
+
     /** A forwarder serves. */
     public void ready(int f) {
+        served.add(f);
         auditor.ready(f, now());
         for (Relay.Entry e : directory.values()) {
             auditor.told(f, e.host(), e.presence() == Presence.ACTIVE, now());
@@ -560,6 +580,7 @@
         if (done > 0 && done % 10 == 0) {
             arrivals.keySet().removeIf(n -> arrivals.get(n).atMicros() < now() - 120 * SECOND);
             retriesLeft.keySet().retainAll(arrivals.keySet());
+            current.keySet().retainAll(arrivals.keySet());
         }
         progress.accept(now());
         if (now() + SECOND < scenario.traffic().lengthMicros() + AFTER_END) {
--- /dev/null
+++ b/src/main/java/lilaclever/program/Own.java
@@ -0,0 +1,43 @@
+package lilaclever.program;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** How this program is started again, as a process of its own. */
+final class Own {
+    /** As the platform starts it, but for limits that depend on its machine. */
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms32m", "-Xmx64m",
+            "-XX:MaxDirectMemorySize=8m", "-Xss256k", "-XX:-UsePerfData", "-Xshare:auto");
+
+    private Own() { }
+
+    /** The command line of a sub-command. */
+    static List<String> command(String... words) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        Path archive = archive();
+        if (archive != null) {
+            command.add("-XX:SharedArchiveFile=" + archive);
+        }
+        command.addAll(List.of("-cp", absolute(System.getProperty("java.class.path")), Main.class.getName()));
+        command.addAll(List.of(words));
+        return command;
+    }
+
+    private static String absolute(String classPath) {
+        List<String> parts = new ArrayList<>();
+        for (String part : classPath.split(java.io.File.pathSeparator)) {
+            parts.add(Path.of(part).toAbsolutePath().toString());
+        }
+        return String.join(java.io.File.pathSeparator, parts);
+    }
+
+    /** The archive of classes beside the jar that this process runs from; null if there is none. */
+    private static Path archive() {
+        String classPath = System.getProperty("java.class.path");
+        Path archive = Path.of(classPath.replaceFirst("\\.jar$", ".jsa")).toAbsolutePath();
+        return classPath.endsWith(".jar") && java.nio.file.Files.exists(archive) ? archive : null;
+    }
+}
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -1,6 +1,7 @@
 package lilaclever.program;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongConsumer;
 import lilaclever.conf.Bad;
 import lilaclever.lab.audit.Prices;
 import lilaclever.lab.model.Traffic;
@@ -19,15 +21,16 @@
 import lilaclever.lab.report.Sweep;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.ScenarioReader;
+import lilaclever.lab.sockets.RealSockets;
 import lilaclever.lab.virtual.VirtualTime;
 import lilaclever.lab.world.Fault;
 import lilaclever.lab.world.Result;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** {@code rehearse list|show|check|run|sweep|compare}: plays scenarios in virtual time and reports. */
+/** {@code rehearse list|show|check|run|sweep|compare}: plays scenarios, in virtual time or on sockets, and reports. */
 public final class RehearseCommand implements Main.Command {
-    private static final int GOOD = 0, BROKEN = 1, UNUSABLE = 2;
+    private static final int GOOD = 0, BROKEN = 1, UNUSABLE = 2, DOUBTFUL = 3;
 
     /** What to do. */
     enum What { LIST, SHOW, CHECK, RUN, SWEEP, COMPARE }
@@ -57,6 +60,11 @@
     @Option(name = "--threads", metaVar = "N", usage = "runs side by side (default: the cores; it changes no figure)")
     private int threads = Runtime.getRuntime().availableProcessors();
 
+    @Option(name = "--sockets", usage = "with run: in real time, with a process for each forwarder and stand-ins on the loopback")
+    private boolean sockets;
+
+    private final Interrupt interrupt = new Interrupt();
+
     @Override
     public Integer run() throws Bad {
         try {
@@ -111,30 +119,60 @@
 
     private int play() throws Bad, IOException, InterruptedException, ExecutionException {
         Scenario scenario = ScenarioReader.read(one());
+        String tooLarge = sockets ? RealSockets.tooLarge(scenario) : null;
+        if (tooLarge != null) {
+            throw new Bad("--sockets", scenario.name() + " is too large for one machine: " + tooLarge + "; play it without");
+        }
         int n = Math.max(1, runs);
         boolean alone = n == 1;
-        AtomicInteger broken = new AtomicInteger();
+        AtomicInteger broken = new AtomicInteger(), doubtful = new AtomicInteger();
         List<Double> services = new ArrayList<>();
-        sideBySide(n, i -> {
-            Result r = VirtualTime.run(scenario, seed + i, Fault.NONE, alone ? this::progress : now -> { }, () -> false);
-            Report.write(r, alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i)));
-            return r;
-        }, r -> {
-            System.out.print(alone ? Report.summary(r) : Report.summary(r).lines().findFirst().orElse("") + "\n");
-            broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
-            services.add(r.auditor().service().figure(Prices.USUAL));
-        });
+        interrupt.watch();
+        try {
+            sideBySide(n, i -> {
+                Path to = alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i));
+                Result r = one(scenario, seed + i, to, alone);
+                Report.write(r, to);
+                return r;
+            }, r -> {
+                System.out.print(alone ? Report.summary(r) : Report.summary(r).lines().findFirst().orElse("") + "\n");
+                broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
+                if (r.trust() != null && !r.trust().good()) {
+                    doubtful.incrementAndGet();
+                    System.out.println(r.trust().text());
+                }
+                services.add(r.auditor().service().figure(Prices.USUAL));
+            });
+        } finally {
+            interrupt.done();
+        }
         double[] interval = Comparison.interval(services);
         if (interval != null) {
-            System.out.printf(Locale.ROOT, "%d runs: service %.3f, 95%% of chance %.3f to %.3f; rules broken in %d%n", n,
-                    services.stream().mapToDouble(Double::doubleValue).average().orElse(0), interval[0], interval[1], broken.get());
+            System.out.printf(Locale.ROOT, "%d runs: service %.3f (%.3f to %.3f), 95%% of chance %.3f to %.3f; rules broken in %d%n", n,
+                    services.stream().mapToDouble(Double::doubleValue).average().orElse(0),
+                    services.stream().mapToDouble(Double::doubleValue).min().orElse(0),
+                    services.stream().mapToDouble(Double::doubleValue).max().orElse(0), interval[0], interval[1], broken.get());
         }
         System.out.println("report: " + folder(scenario).resolve(alone ? "index.html" : ""));
-        return broken.get() == 0 ? GOOD : BROKEN;
+        return broken.get() > 0 ? BROKEN : doubtful.get() > 0 ? DOUBTFUL : GOOD;
+    }
+
+    private Result one(Scenario scenario, long itsSeed, Path to, boolean alone) throws IOException {
+        LongConsumer hears = alone ? this::progress : now -> { };
+        if (!sockets) {
+            return VirtualTime.run(scenario, itsSeed, Fault.NONE, hears, interrupt::come);
+        }
+        Path folder = Files.createDirectories(to.resolve("forwarders")).toAbsolutePath();
+        Path life = Files.createTempDirectory(folder, "run-");
+        try {
+            return RealSockets.run(scenario, itsSeed, life, Own.command("serve"), hears, interrupt::come);
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException("cut short");
+        }
     }
 
     private void progress(long now) {
-        if (System.console() != null && now % 10_000_000 == 0) {
+        if (System.console() != null && now / 1_000_000 % 10 == 0) {
             System.err.print("\r" + now / 1_000_000 + " s ");
         }
     }
