End a daemon that can't listen, and hand in by HL7 too in rehearsals on sockets

Four of ten rehearsals side by side never began: a forwarder's port had been given to another process, and the daemon stayed alive on its sockets' threads after the exception in main, serving nobody (Main.main; the log ended with the BindException). Whoever supervises it would not have started it again.

It now says which address it can't listen at and exits with 1. The stand-ins choose ports that the system does not give away, and a daemon that does not serve within 30 s ends the run. With [traffic] hl7 SHARE clients hand in over MLLP in enhanced mode.

--- a/src/main/java/lilaclever/lab/scenario/Scenario.java
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -31,8 +31,14 @@
      * What is handed in.
      *
      * @param clumps the share of messages that come in clumps, and a clump's size in seconds of its partner's capacity
+     * @param hl7 the share of messages whose clients speak HL7; in virtual time there is no wire, and it changes nothing
      */
-    public record TrafficPlan(long lengthMicros, List<Traffic.Point> shape, double clumps, double[] clumpSeconds) { }
+    public record TrafficPlan(long lengthMicros, List<Traffic.Point> shape, double clumps, double[] clumpSeconds, double hl7) {
+        /** True if the message comes by HL7: the same in each run. */
+        public boolean byHl7(int number) {
+            return (number * 0x9E3779B97F4A7C15L >>> 40) / (double) (1 << 24) < hl7;
+        }
+    }
 
     /** What can happen. */
     public enum What { RESTART, DRAIN, SILENT, FAILING, SHUT, DOWN, SLOW, HOT, DEAF }
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -116,7 +116,8 @@
         if (words.size() % 2 != 0 || shape.get(0).atMicros() != 0) {
             throw s.bad("load", "one share, or times and shares in turn from 0s on, such as 0s 45% 30s 110%");
         }
-        return new TrafficPlan(length, shape, s.share("clumps", 0.1, 1), s.range("clump-seconds", 1.7, 3.5, 0.1, 1000));
+        return new TrafficPlan(length, shape, s.share("clumps", 0.1, 1), s.range("clump-seconds", 1.7, 3.5, 0.1, 1000),
+                s.share("hl7", 0, 1));
     }
 
     private List<PartnerKind> kinds() throws Bad {
--- /dev/null
+++ b/src/main/java/lilaclever/lab/sockets/Hl7Line.java
@@ -0,0 +1,123 @@
+package lilaclever.lab.sockets;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.lab.model.Arrival;
+import lilaclever.lab.world.World;
+
+/**
+ * A clinic system's line to one forwarder: HL7 v2.5 over MLLP in enhanced mode, many messages in flight on one connection.
+ * It connects again whenever the connection ends, as ends may be owed there. A thread reads; the rest runs on the timeline's.
+ */
+final class Hl7Line {
+    private static final int START = 0x0b, END = 0x1c, CONNECT = 500, AGAIN = 50, MOST = 70_000;
+    private static final long PATIENCE = 400_000;
+    private static final Pattern MSA = Pattern.compile("\rMSA\\|(A[AER]|C[AER])\\|([^|\r]+)(?:\\|([^\r]*))?");
+    private static final Pattern COME_BACK = Pattern.compile("come again in ([0-9.]{1,9}) s");
+
+    private final World world;
+    private final RealTime time;
+    private final InetSocketAddress address;
+    private volatile Socket socket;
+    private volatile boolean closed;
+
+    Hl7Line(World world, RealTime time, InetSocketAddress address) {
+        this.world = world;
+        this.time = time;
+        this.address = address;
+        Threads.start("hl7 line", this::keep);
+    }
+
+    private void keep() throws InterruptedException {
+        while (!closed) {
+            try (Socket s = new Socket()) {
+                s.connect(address, CONNECT);
+                s.setTcpNoDelay(true);
+                socket = s;
+                InputStream in = new BufferedInputStream(s.getInputStream());
+                for (String frame = frame(in); frame != null; frame = frame(in)) {
+                    String read = frame;
+                    time.post(() -> acknowledged(read));
+                }
+            } catch (IOException e) {
+                // nobody there, or it has died
+            }
+            socket = null;
+            Thread.sleep(AGAIN);
+        }
+    }
+
+    private static String frame(InputStream in) throws IOException {
+        ByteArrayOutputStream frame = new ByteArrayOutputStream();
+        for (int c = in.read(); c >= 0 && frame.size() < MOST; c = in.read()) {
+            if (c == END) {
+                in.read();
+                return frame.toString(StandardCharsets.ISO_8859_1);
+            }
+            if (c != START) {
+                frame.write(c);
+            }
+        }
+        return null;
+    }
+
+    /** Hands a message in; what becomes of it is told to the world. */
+    void handIn(String id, Arrival a, long leftMicros) {
+        Socket s = socket;
+        if (s == null) {
+            world.metNobody(id);
+            return;
+        }
+        String message = "MSH|^~\\&|" + OperatorFile.SENDER + "|NORTH|" + OperatorFile.receiver(a.destination()) + "|PRAIRIE|20260101000000||"
+                + OperatorFile.event(a.messageClass()) + '|' + id + "|P|2.5|||AL|AL\rORC|NW|" + a.number() + "\rZLC|"
+                + String.format(Locale.ROOT, "%.3f", leftMicros / 1e6) + '\r';
+        try {
+            s.getOutputStream().write(((char) START + message + (char) END + '\r').getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            world.lost(id);
+            return;
+        }
+        time.after(PATIENCE, () -> world.lost(id)); // no more than a word if it has its answer by then
+    }
+
+    private void acknowledged(String frame) {
+        Matcher m = MSA.matcher(frame);
+        if (!m.find()) {
+            world.auditor().count("acknowledgements_that_can_not_be_read");
+            return;
+        }
+        String id = m.group(2);
+        if (!world.isCurrent(id)) {
+            world.auditor().count("acknowledgements_of_no_message");
+            return;
+        }
+        switch (m.group(1)) {
+            case "CA" -> world.taken(id);
+            case "CE", "CR" -> world.turnedDown(id, comeBack(frame));
+            case "AE" -> world.noticed(id, "undeliverable");
+            case "AR" -> world.noticed(id, "deferred");
+            default -> world.auditor().count("application_accepts");
+        }
+    }
+
+    private static long comeBack(String text) {
+        Matcher m = COME_BACK.matcher(text);
+        return m.find() ? (long) (Double.parseDouble(m.group(1)) * 1e6) : 0;
+    }
+
+    void close() throws IOException {
+        closed = true;
+        Socket s = socket;
+        if (s != null) {
+            s.close();
+        }
+    }
+}
--- a/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
+++ b/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.Partner.Answer;
@@ -18,6 +21,18 @@
     /** A second copy may only seem one, as the threads that read overtake each other: so long it is waited for. */
     private static final long OVERTAKEN = 5_000, MOST_OVERTAKEN = 50_000;
 
+    /** A message of a call, under the name that the wire has for it. */
+    record Item(String wireId, byte[] body) {
+        /** Its name among the hand-ins: an HL7 message has it in its header (MSH-10), as the forwarder gives it another. */
+        String id() {
+            String text = new String(body, 0, Math.min(body.length, MOST_HEADER), StandardCharsets.ISO_8859_1);
+            String[] fields = text.startsWith("MSH|") ? text.split("\\|", CONTROL_ID + 2) : new String[0];
+            return fields.length > CONTROL_ID ? fields[CONTROL_ID] : wireId;
+        }
+    }
+
+    private static final int MOST_HEADER = 300, CONTROL_ID = 9;
+
     private final World world;
     private final RealTime time;
     private final Wire wire;
@@ -28,7 +43,9 @@
     private final boolean welcome;
     private final Consumer<PartnerConnection> ended;
     private List<String> out = List.of();
-    private boolean first = true, closed, many;
+    /** The messages of the call that is out, where the answer must name each. */
+    private List<Item> named = List.of();
+    private boolean first = true, closed;
 
     PartnerConnection(World world, RealTime time, Wire wire, Partner partner, String host, int forwarder, boolean welcome,
             Consumer<PartnerConnection> ended) {
@@ -107,8 +124,8 @@
         long at = Math.max(0, time.now() - (System.nanoTime() - head.firstByteNanos()) / 1000);
         switch (head.method() + ' ' + head.target()) {
             case "GET /health/live", "GET /stats" -> later(this::probed);
-            case "POST /receive" -> receive(List.of(head.header("Req-Id", "")), false, at, 0);
-            case "POST /receive-many" -> receive(ids(head.body()), true, at, 0);
+            case "POST /receive" -> receive(List.of(new Item(head.header("Req-Id", ""), head.body())), false, at);
+            case "POST /receive-many" -> receive(items(head.body()), true, at);
             default -> write("404 Not Found", "", "", true);
         }
     }
@@ -120,7 +137,12 @@
         first = false;
     }
 
-    private void receive(List<String> ids, boolean asMany, long at, long waited) {
+    private void receive(List<Item> items, boolean asMany, long at) {
+        named = asMany ? items : List.of();
+        receive(items.stream().map(Item::id).toList(), at, 0);
+    }
+
+    private void receive(List<String> ids, long at, long waited) {
         if (closed) {
             return;
         }
@@ -130,11 +152,10 @@
             return;
         }
         if (waited < MOST_OVERTAKEN && ids.stream().anyMatch(id -> world.auditor().isOut(World.number(id)))) {
-            time.after(OVERTAKEN, () -> receive(ids, asMany, at, waited + OVERTAKEN)); // its end may be on its way to this thread
+            time.after(OVERTAKEN, () -> receive(ids, at, waited + OVERTAKEN)); // its end may be on its way to this thread
             return;
         }
         out = ids;
-        many = asMany;
         ids.forEach(id -> world.attempt(id, forwarder, host, partner.destination(), at));
         later(() -> decide(ids));
     }
@@ -190,9 +211,7 @@
         ids.forEach(id -> world.ran(id, true));
         out = List.of();
         StringBuilder body = new StringBuilder();
-        if (many) {
-            ids.forEach(id -> body.append(id).append(" accepted\r\n"));
-        }
+        named.forEach(i -> body.append(i.wireId()).append(" accepted\r\n"));
         time.after(world.network(), () -> {
             if (!closed) {
                 write("200 OK", "", body.toString(), true);
@@ -230,9 +249,10 @@
         ids.forEach(id -> world.attemptOver(id, how, neverRan));
     }
 
-    /** The ids in the body of a call with several messages; none if it can't be read. */
-    static List<String> ids(byte[] body) {
-        List<String> ids = new ArrayList<>();
+    /** The messages in the body of a call with several; none if it can't be read. */
+    static List<Item> items(byte[] body) {
+        List<Item> items = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
         int at = 0;
         while (at < body.length) {
             int end = at;
@@ -240,12 +260,16 @@
                 end++;
             }
             String[] words = new String(body, at, end - at, StandardCharsets.ISO_8859_1).strip().split(" ");
-            if (words.length != 3 || !words[2].matches("\\d{1,7}") || ids.contains(words[0])) {
+            if (words.length != 3 || !words[2].matches("\\d{1,7}") || !seen.add(words[0])) {
+                return List.of();
+            }
+            int from = end + 1, to = from + Integer.parseInt(words[2]);
+            if (to + 2 > body.length) {
                 return List.of();
             }
-            ids.add(words[0]);
-            at = end + 1 + Integer.parseInt(words[2]) + 2;
+            items.add(new Item(words[0], Arrays.copyOfRange(body, from, to)));
+            at = to + 2;
         }
-        return at == body.length ? ids : List.of();
+        return items;
     }
 }
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -9,7 +9,9 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -23,6 +25,7 @@
 /** One forwarder of the fleet: the real program in a process of its own. */
 final class SocketForwarder implements Member {
     private static final Pattern BROKEN = Pattern.compile("(?m)^(?:broken_invariants|tasks_failed) (\\d+)$");
+    private static final int FIRST_PORT = 20_000, PORTS = 12_000, MOST_TRIES = 100;
     private static final long START_WITHIN = 30_000, LOOK = 10, END_WITHIN = 6;
 
     private final World world;
@@ -35,6 +38,8 @@
     private final Doors doors;
     private final Agent agent;
     private final Clients clients;
+    /** Null where no message comes by HL7. */
+    private final Hl7Line line;
     private final InetSocketAddress address;
     private Process process;
     private boolean served;
@@ -51,7 +56,7 @@
         this.settings = settings;
         this.seed = seed;
         this.folder = folder;
-        this.command = command;
+        this.command = new ArrayList<>(command);
         log = folder.resolve("forwarder-" + number + ".log");
         try {
             Files.createDirectories(folder.resolve("state-" + number));
@@ -62,12 +67,31 @@
             throw new UncheckedIOException(e);
         }
         clients = new Clients(world, time, address);
+        line = world.scenario().traffic().hl7() > 0 ? hl7() : null;
     }
 
-    /** A port that is free now, and the same for all lives. */
+    /** A port that is free now, and the same for all lives: none of those that the system gives to whoever asks for any. */
     private static InetSocketAddress freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+            } catch (java.net.BindException e) {
+                continue; // taken
+            }
+        }
+        throw new IOException("no free port between " + FIRST_PORT + " and " + (FIRST_PORT + PORTS));
+    }
+
+    private Hl7Line hl7() {
+        try {
+            InetSocketAddress port = freePort();
+            Path conf = Files.writeString(folder.resolve("operator-" + number + ".conf"),
+                    OperatorFile.text(world.scenario(), "127.0.0.1:" + port.getPort()));
+            command.addAll(List.of("--conf", conf.toString()));
+            return new Hl7Line(world, time, port);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
@@ -133,6 +157,11 @@
             }
             Thread.sleep(LOOK);
         }
+        time.post(() -> {
+            if (life == mine && process != null && !served) {
+                failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: " + lastLine();
+            }
+        });
     }
 
     private boolean answersReady() {
@@ -188,6 +217,9 @@
         }
         agent.close();
         clients.close();
+        if (line != null) {
+            line.close();
+        }
         Matcher m = BROKEN.matcher(Files.readString(log));
         while (m.find()) {
             broken += Long.parseLong(m.group(1));
@@ -197,7 +229,11 @@
     // ---- what it is given -------------------------------------------------------------------------------
     @Override
     public void handIn(String id, Arrival arrival, long leftMicros) {
-        clients.handIn(id, arrival, leftMicros);
+        if (line != null && world.scenario().traffic().byHl7(arrival.number())) {
+            line.handIn(id, arrival, leftMicros);
+        } else {
+            clients.handIn(id, arrival, leftMicros);
+        }
     }
 
     @Override
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -29,7 +29,7 @@
  * plays it, in virtual time or on sockets, is behind {@link Timeline} and {@link Member}. One thread, the timeline's.
  */
 public final class World {
-    private static final long SECOND = 1_000_000, AFTER_END = 35 * SECOND, READY_SEEN = 100_000, DEATH_SEEN = SECOND;
+    private static final long SECOND = 1_000_000, AFTER_DEADLINES = 7 * SECOND, READY_SEEN = 100_000, DEATH_SEEN = SECOND;
     /** So much of a notice can come before its client has read that the message was taken on. */
     private static final long CROSSING = 5_000, MOST_CROSSING = 500_000;
 
@@ -80,7 +80,7 @@
         deafUntil = new long[fleet.forwarders()];
         frontWeights = new double[fleet.forwarders()];
         java.util.Arrays.fill(frontWeights, 1);
-        seconds = (int) ((scenario.traffic().lengthMicros() + AFTER_END) / SECOND) + 1;
+        seconds = (int) (length() / SECOND) + 1;
         makePartners();
         Relay.Settings[] settings = settings();
         for (int i = 0; i < fleet.forwarders(); i++) {
@@ -583,14 +583,15 @@
             current.keySet().retainAll(arrivals.keySet());
         }
         progress.accept(now());
-        if (now() + SECOND < scenario.traffic().lengthMicros() + AFTER_END) {
+        if (now() + SECOND < length()) {
             timeline.after(SECOND, () -> everySecond(progress));
         }
     }
 
     /** How long the run lasts, until the last end is due, microseconds. */
     public long length() {
-        return scenario.traffic().lengthMicros() + AFTER_END;
+        return scenario.traffic().lengthMicros() + AFTER_DEADLINES
+                + scenario.classes().stream().mapToLong(c -> c.terms().deadlineMicros()).max().orElse(0);
     }
 
     /** Starts the forwarders; each tells when it is {@link #ready}. */
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -1,5 +1,6 @@
 package lilaclever.program;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import lilaclever.conf.Bad;
@@ -56,6 +57,10 @@
         } catch (Bad e) {
             System.err.println("lilaclever: configuration: " + e.getMessage());
             code = 2;
+        } catch (IOException e) {
+            // Threads of sockets would keep a program alive that serves nobody.
+            System.err.println("lilaclever: " + e.getMessage());
+            code = 1;
         }
         if (code != null) {
             System.exit(code);
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -139,7 +139,9 @@
                 broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
                 if (r.trust() != null && !r.trust().good()) {
                     doubtful.incrementAndGet();
-                    System.out.println(r.trust().text());
+                    if (!alone) {
+                        System.out.println(r.trust().text());
+                    }
                 }
                 services.add(r.auditor().service().figure(Prices.USUAL));
             });
@@ -229,7 +231,7 @@
     /** The same scenario at one load all the time. */
     private static Scenario atLoad(Scenario s, double load) {
         return new Scenario(s.name(), s.about(), s.fleet(), s.kinds(), s.classes(), new Scenario.TrafficPlan(s.traffic().lengthMicros(),
-                List.of(new Traffic.Point(0, load)), s.traffic().clumps(), s.traffic().clumpSeconds()), s.happenings());
+                List.of(new Traffic.Point(0, load)), s.traffic().clumps(), s.traffic().clumpSeconds(), s.traffic().hl7()), s.happenings());
     }
 
     private int compare() throws Bad, IOException {
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -57,7 +57,11 @@
 
     /** Listens on the address; each connection gets the chain. */
     public TCPNIOServerConnection listen(SocketAddress address, FilterChain chain) throws IOException {
-        return TCPNIOBindingHandler.builder(tcp).processor(chain).build().bind(address, BACKLOG);
+        try {
+            return TCPNIOBindingHandler.builder(tcp).processor(chain).build().bind(address, BACKLOG);
+        } catch (IOException e) {
+            throw new IOException("can't listen at " + address + ": " + e.getMessage(), e);
+        }
     }
 
     /** Opens a connection; one of the two is called, on any thread. */
