Write the log through SLF4J: text as before or JSON lines, with levels and fields

Lines went to System.err from 25 places, without level, time or fields: a supervisor could not tell an error from a start, and nobody could follow one message.

lilaclever.log writes them through SLF4J on the JDK's own logging: the same text as before, or an object a line with event, message, partner and others; [log] in the operator's file sets form, level and times. With level debug each message's taking-on, attempts and outcomes are told. Control characters from outside make no lines of their own.

--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import lilaclever.journal.Format.Writer;
+import lilaclever.log.Logs;
 
 /**
  * The files of the log: full ones in their order, the one in use, and spare ones. A file is allocated in full, with
@@ -154,7 +155,7 @@
         try {
             activeFile.truncate(active.used);
         } catch (IOException e) {
-            System.err.println("lilaclever: journal: " + active.name + " could not be cut off: " + e);
+            Logs.warn("journal", "cut-failed", active.name + " could not be cut off: " + e, "segment", active.name);
         }
     }
 
@@ -208,7 +209,7 @@
             try {
                 file.close();
             } catch (IOException e) {
-                System.err.println("lilaclever: journal: a file did not close: " + e);
+                Logs.warn("journal", "close-failed", "a file did not close: " + e);
             }
         }
     }
@@ -286,7 +287,7 @@
         try {
             disk.delete(name);
         } catch (IOException e) {
-            System.err.println("lilaclever: journal: " + name + " could not be deleted: " + e);
+            Logs.warn("journal", "delete-failed", name + " could not be deleted: " + e, "segment", name);
         }
     }
 
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import lilaclever.journal.Format.Writer;
 import lilaclever.identity.Past;
+import lilaclever.log.Logs;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Journal;
 import lilaclever.routing.Owed;
@@ -57,7 +58,7 @@
         syncer = new Syncer(durability, disk, this::writeAllAgain);
         log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
         Recovery recovery = new Recovery(disk, held, times.boot(),
-                line -> System.err.println("lilaclever: journal: " + line));
+                line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
         carryOver(recovered.cleanUpTo());
@@ -246,7 +247,7 @@
                 syncer.wrote();
                 if (failing) {
                     failing = false;
-                    System.err.println("lilaclever: journal: the disk takes records again");
+                    Logs.info("journal", "disk-good", "the disk takes records again");
                 }
                 return true;
             } catch (SegmentLog.NoRoom e) {
@@ -265,8 +266,7 @@
         retryAt = micros.getAsLong() + Plan.PAUSE;
         if (!failing) {
             failing = true;
-            System.err.println("lilaclever: journal: the disk takes no records, asked again every "
-                    + Plan.PAUSE / 1000 + " ms: " + e);
+            Logs.error("journal", "disk-bad", "the disk takes no records, asked again every " + Plan.PAUSE / 1000 + " ms: " + e);
         }
     }
 
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import lilaclever.log.Logs;
 
 /**
  * Forces records to the disk on a thread of its own, all that came together in one go, and runs on the loop what waited
@@ -105,7 +106,7 @@
             return;
         }
         // The system may have dropped what it could not write: a second forcing of the same file would prove nothing.
-        System.err.println("lilaclever: journal: could not be forced to the disk, written again: " + failure);
+        Logs.error("journal", "force-failed", "could not be forced to the disk, written again: " + failure);
         failures++;
         covered.addAll(waiting);
         waiting = covered;
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -16,6 +16,7 @@
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
 import lilaclever.conf.Bad;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.transport.Transport;
 
@@ -64,7 +65,7 @@
                 return text("discovery", root, "discovery", null);
             }
         } catch (IOException e) {
-            System.err.println("lilaclever: " + NOTE + " can't be read: " + e); // as if there were none
+            Logs.warn("", "note-unreadable", NOTE + " can't be read: " + e); // as if there were none
         }
         return value(variables, "ROUTER_DISCOVERY", root, "discovery", null);
     }
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -14,6 +14,7 @@
 import lilaclever.journal.FolderDisk;
 import lilaclever.journal.SegmentedJournal;
 import lilaclever.journal.Times;
+import lilaclever.log.Logs;
 import lilaclever.protocol.http.Directory;
 import lilaclever.protocol.http.HttpDeliverer;
 import lilaclever.protocol.http.HttpFront;
@@ -114,10 +115,10 @@
     /** Starts all parts. */
     static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
         Forwarder forwarder = new Forwarder(config, operator, mail);
-        System.err.println("lilaclever: " + config.settings().limits().slots() + " slots, "
+        Logs.info("", "sizes", config.settings().limits().slots() + " slots, "
                 + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
                 + config.mostClients(mail != null, operator.mllpConnections()) + " for clients, " + config.mostIdle() + " idle to endpoints");
-        System.err.println("lilaclever: " + config.name() + " serves at " + forwarder.addresses);
+        Logs.info("", "serves", config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
 
@@ -131,20 +132,20 @@
         try {
             Config read = Config.reread(variables);
             for (String key : read.restartNeeded(config)) {
-                System.err.println("lilaclever: configuration: " + key + ": a change needs a restart; the old one stays");
+                Logs.warn("configuration", "needs-restart", key + ": a change needs a restart; the old one stays", "key", key);
             }
             try {
                 read.noteDiscovery(config.state());
             } catch (IOException e) {
-                System.err.println("lilaclever: a restart may go to the old discovery: " + e);
+                Logs.warn("", "discovery-not-noted", "a restart may go to the old discovery: " + e);
             }
             core.post(() -> {
                 directory.move(read.discovery());
                 notices.move(read.discovery());
             });
-            System.err.println("lilaclever: configuration read again, discovery at " + read.discovery());
+            Logs.info("", "reloaded", "configuration read again, discovery at " + read.discovery());
         } catch (Bad e) {
-            System.err.println("lilaclever: configuration: " + e.getMessage() + "; the old one stays");
+            Logs.error("configuration", "reload-refused", e.getMessage() + "; the old one stays");
         }
     }
 
@@ -158,7 +159,7 @@
             journal.close();
             transport.close();
         } catch (InterruptedException | IOException e) {
-            System.err.println("lilaclever: at the end: " + e);
+            Logs.error("", "end-failed", "at the end: " + e);
         }
     }
 
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import lilaclever.conf.Bad;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -79,6 +80,7 @@
         public Integer run() throws Exception {
             Config config = Config.read(System.getenv());
             Operator operator = conf == null ? Operator.none(config) : Operator.read(conf, config);
+            Logs.set(operator.log());
             CompletableFuture<Forwarder> serving = new CompletableFuture<>();
             // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
             Signals.onHangup(() -> serving.thenAccept(f -> f.reload(System.getenv())).join());
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -11,13 +11,14 @@
 import lilaclever.conf.ConfFile;
 import lilaclever.identity.Windows;
 import lilaclever.journal.Durability;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mllp.MllpSettings;
 
 /**
  * The operator's settings: what {@code serve --conf FILE} adds to what the platform tells. Each subsystem has a section
  * and a record here; a file that is absent leaves all as the platform has it.
  */
-record Operator(JournalSettings journal, IdentitySettings identity, MllpSettings mllp) {
+record Operator(JournalSettings journal, IdentitySettings identity, MllpSettings mllp, Logs.Settings log) {
     private static final long SECOND = 1_000_000, HOUR = 3600 * SECOND;
 
     /** {@code [journal]}: when records are forced, and how long the end of a message is remembered. */
@@ -51,9 +52,10 @@
     static Operator of(ConfFile file, Config config) throws Bad {
         JournalSettings journal = journal(file.section("journal"));
         IdentitySettings identity = identity(file.section("identity"), config, journal.rememberMicros());
-        Operator read = new Operator(journal, identity, new MllpSections(file, config, identity.shared()).read());
+        Operator read = new Operator(journal, identity, new MllpSections(file, config, identity.shared()).read(),
+                log(file.section("log")));
         Set<String> kinds = new HashSet<>(MllpSections.KINDS);
-        kinds.addAll(Set.of("journal", "identity"));
+        kinds.addAll(Set.of("journal", "identity", "log"));
         file.refuseUnknown(kinds);
         return read;
     }
@@ -76,6 +78,14 @@
                 new Windows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
     }
 
+    private static Logs.Settings log(ConfFile.Section s) throws Bad {
+        Logs.Form form = s.choice("form", Logs.Form.class, Logs.Form.TEXT);
+        if (form == Logs.Form.JSON && s.has("times")) {
+            throw s.bad("times", "is for form text: JSON lines have their times");
+        }
+        return new Logs.Settings(form, s.choice("level", Logs.Level.class, Logs.Level.INFO), s.flag("times", false));
+    }
+
     private static JournalSettings journal(ConfFile.Section s) throws Bad {
         Durability.How how = s.choice("durability", Durability.How.class, Durability.How.NONE);
         long every = s.time("interval", 50_000, 1000, 60 * SECOND);
--- a/src/main/java/lilaclever/program/Signals.java
+++ b/src/main/java/lilaclever/program/Signals.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
+import lilaclever.log.Logs;
 
 /**
  * Signals of the system. The one way to them in Java is {@code sun.misc.Signal} of the module jdk.unsupported; the
@@ -26,7 +27,7 @@
     /** Has the task run at each SIGHUP, on a thread of its own; what it throws is told and ends nothing. */
     static void onHangup(Runnable task) {
         if (isHangupIgnored()) {
-            System.err.println("lilaclever: SIGHUP is ignored by whoever started this program (nohup does that):"
+            Logs.warn("", "sighup-ignored", "SIGHUP is ignored by whoever started this program (nohup does that):"
                     + " the configuration is never read again");
         }
         try {
@@ -45,7 +46,7 @@
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
-            System.err.println("lilaclever: no SIGHUP here: " + e);
+            Logs.warn("", "no-sighup", "no SIGHUP here: " + e);
         }
     }
 
@@ -53,7 +54,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            System.err.println("lilaclever: at SIGHUP: " + e);
+            Logs.error("", "sighup-failed", "at SIGHUP: " + e);
         }
     }
 }
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import lilaclever.Relay;
+import lilaclever.log.Logs;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Deadlines;
@@ -98,7 +99,7 @@
                     watch();
                 } catch (JsonParseException | IllegalStateException | IllegalArgumentException
                         | NullPointerException | UnsupportedOperationException e) {
-                    System.err.println("lilaclever: directory: " + e);
+                    Logs.warn("directory", "unreadable", e.toString());
                     index = -1; // start over with the whole list
                     again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
                 }
--- a/src/main/java/lilaclever/protocol/http/Notices.java
+++ b/src/main/java/lilaclever/protocol/http/Notices.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
@@ -82,7 +83,7 @@
             public void answered(int status, Map<String, String> headers, byte[] answer) {
                 core.deadlines().cancel(again);
                 if (status != 204) {
-                    System.err.println("lilaclever: notices answered with " + status);
+                    Logs.warn("", "notices-refused", "notices answered with " + status);
                     later();
                     return;
                 }
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.Core;
 import lilaclever.routing.Front;
@@ -164,7 +165,7 @@
             return;
         }
         if (settings.route(mail.reversePath()) == null) {
-            System.err.println("lilaclever: no route for the report of " + failed + " to " + mail.reversePath());
+            Logs.warn("", "no-route", "no route for the report of " + failed + " to " + mail.reversePath(), "message", failed);
             settled.run();
             return;
         }
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import lilaclever.identity.Identity;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
@@ -149,7 +150,7 @@
     void bad(String address, String why) {
         core.counters().add(Name.BAD_REQUESTS);
         if (spoilt.incrementAndGet() % 100 == 1) { // the first, and then one in a hundred: a log is bounded too
-            System.err.println("lilaclever: mllp: " + address + ": " + why + ": closed");
+            Logs.warn("mllp", "bad-client", address + ": " + why + ": closed", "client", address);
         }
     }
 
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -16,6 +16,7 @@
 import lilaclever.identity.Identity;
 import lilaclever.identity.Ruling;
 import lilaclever.identity.Windows;
+import lilaclever.log.Logs;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Verdict.Kind;
 
@@ -164,7 +165,7 @@
         Front front = fronts.get(e.front());
         Message m = new Message(e.handin(), front, e.deadlineWall());
         if (front == null) {
-            System.err.println("lilaclever: nobody to answer for " + m.id() + ": no front " + e.front());
+            Logs.error("", "no-front", "nobody to answer for " + m.id() + ": no front " + e.front(), "message", m.id());
             journal.ended(m.id());
             return;
         }
@@ -310,6 +311,7 @@
             calls.remove(call);
         }
         counters.ending(ending.name());
+        trace(m, "outcome", ending.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '), call);
         if (!ending.neverRan()) {
             m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), pace.wall());
         }
@@ -383,7 +385,7 @@
         } catch (RuntimeException | Error e) {
             // One bad message, or one that needed more memory than there was, must not end the others.
             counters.add(Name.TASKS_FAILED);
-            e.printStackTrace();
+            Logs.error("", "task-failed", "a task failed: " + e, e);
         }
     }
 
@@ -434,6 +436,7 @@
             run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, pace.wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
+                trace(m, "taken", "taken on", null);
                 refuse(claims.written(m), m);
                 journal.whenDurable(() -> {
                     m.told = true;
@@ -479,7 +482,7 @@
         } else if (action instanceof Action.Probe a && endpoints.containsKey(a.host())) {
             endpoints.get(a.host()).deliverer().probe(endpoints.get(a.host()));
         } else if (action instanceof Action.Log a) {
-            System.err.println("lilaclever: " + a.text());
+            Logs.info("", "module", a.text());
         }
         // Watch and FetchList: the directory is watched all the time. Tell: nobody to tell.
     }
@@ -499,6 +502,13 @@
         }
     }
 
+    private static void trace(Message m, String event, String text, Call call) {
+        if (Logs.isDebug()) {
+            Logs.debug("", event, text, "message", m.id(), "partner", m.handin.destination(), "endpoint",
+                    call == null ? null : call.endpoint.host());
+        }
+    }
+
     private void send(Action.Send a, Map<String, Call> starting, List<Action> actions) {
         Message m = held.get(a.id());
         Call.Endpoint endpoint = endpoints.get(a.host());
@@ -537,6 +547,7 @@
         boolean written = true;
         for (Message m : call.messages) {
             written &= journal.attempt(m.id(), call.endpoint.host(), call.endpoint.zone(), wall);
+            trace(m, "attempt", "sent", call);
             counters.add(Name.ATTEMPTS);
         }
         calls.add(call);
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import lilaclever.log.Logs;
 
 /** What the program took in, sent and answered, and what should have held and did not. */
 public final class Counters {
@@ -57,7 +58,7 @@
         assert good : what;
         if (!good) {
             add(Name.BROKEN_INVARIANTS);
-            System.err.println("lilaclever: does not hold: " + what);
+            Logs.error("", "invariant", "does not hold: " + what);
         }
     }
 
--- /dev/null
+++ b/src/test/java/lilaclever/log/LogsTest.java
@@ -0,0 +1,103 @@
+package lilaclever.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.ResourceLock;
+import org.junit.jupiter.api.parallel.Resources;
+import org.slf4j.LoggerFactory;
+
+/** The log's lines, as people and machines read them. */
+@ResourceLock(Resources.SYSTEM_ERR)
+class LogsTest {
+    private interface Work {
+        void run();
+    }
+
+    private static String written(Logs.Settings settings, Work work) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            Logs.set(settings);
+            System.setErr(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+            work.run();
+        } finally {
+            System.setErr(before);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    @AfterEach
+    void asItWas() {
+        Logs.set(Logs.Settings.USUAL);
+    }
+
+    /** Tools and supervisors read these lines: their form is that of always. */
+    @Test
+    void textIsAsItAlwaysWas() {
+        assertEquals("lilaclever: n0 serves at [/127.0.0.1:1]\nlilaclever: journal: x.seg could not be deleted: why segment=x.seg\n",
+                written(Logs.Settings.USUAL, () -> {
+                    Logs.info("", "serves", "n0 serves at [/127.0.0.1:1]");
+                    Logs.warn("journal", "delete-failed", "x.seg could not be deleted: why", "segment", "x.seg", "other", null);
+                    Logs.debug("", "attempt", "not written");
+                }));
+    }
+
+    /** What came from outside must not make lines of its own. */
+    @Test
+    void aLineStaysOneLine() {
+        assertEquals("lilaclever: a?b message=m?1\n", written(Logs.Settings.USUAL, () -> Logs.info("", "x", "a\nb", "message", "m\r1")));
+    }
+
+    @Test
+    void textMayHaveTimes() {
+        String line = written(new Logs.Settings(Logs.Form.TEXT, Logs.Level.INFO, true), () -> Logs.warn("mllp", "x", "closed"));
+        assertTrue(line.matches("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d(\\.\\d+)?Z warning lilaclever: mllp: closed\n"), line);
+    }
+
+    @Test
+    void jsonHasTheFields() {
+        String line = written(new Logs.Settings(Logs.Form.JSON, Logs.Level.DEBUG, false),
+                () -> Logs.debug("", "attempt", "sent \"now\"\n", "message", "m1", "partner", 7));
+        JsonObject read = JsonParser.parseString(line).getAsJsonObject();
+        assertEquals("debug", read.get("level").getAsString());
+        assertEquals("attempt", read.get("event").getAsString());
+        assertEquals("m1", read.get("message").getAsString());
+        assertEquals("7", read.get("partner").getAsString());
+        assertEquals("sent \"now\"\n", read.get("text").getAsString());
+        assertEquals(1, line.lines().count());
+    }
+
+    @Test
+    void levelsHold() {
+        assertEquals("lilaclever: bad\n", written(new Logs.Settings(Logs.Form.TEXT, Logs.Level.ERROR, false), () -> {
+            Logs.warn("", "w", "not written");
+            Logs.error("", "e", "bad");
+        }));
+    }
+
+    /** Libraries write through SLF4J or the JDK: the same lines, told from ours by their name; their debugging stays out. */
+    @Test
+    void librariesUseTheSameLines() {
+        String lines = written(new Logs.Settings(Logs.Form.TEXT, Logs.Level.DEBUG, false), () -> {
+            Logs.debug("", "x", "ours");
+            LoggerFactory.getLogger("some.Library").debug("not written");
+            LoggerFactory.getLogger("some.Library").warn("odd {}", 5);
+            java.util.logging.Logger.getLogger("other").log(java.util.logging.Level.WARNING, "value {0}", "v");
+        });
+        assertEquals("lilaclever: ours\nlilaclever: some.Library: odd 5\nlilaclever: other: value v\n", lines);
+    }
+
+    @Test
+    void whatWasThrownIsThere() {
+        String lines = written(Logs.Settings.USUAL, () -> Logs.error("", "task-failed", "a task failed", new IllegalStateException("why")));
+        assertTrue(lines.startsWith("lilaclever: a task failed\njava.lang.IllegalStateException: why\n\tat "), lines);
+    }
+}
--- a/src/test/java/lilaclever/program/OperatorTest.java
+++ b/src/test/java/lilaclever/program/OperatorTest.java
@@ -48,7 +48,7 @@
         "durability group              | f:1: durability: stands before the first [section]",
         "[journal]/durabilty group     | f:2: journal.durabilty: no such key; is durability meant?",
         "[jurnal]/durability group     | f:1: [jurnal]: no such section; is journal meant?",
-        "[zzz]                         | f:1: [zzz]: no such section; known are hl7, hl7-class, hl7-destination, identity, journal, mllp, practice",
+        "[zzz]                         | f:1: [zzz]: no such section; known are hl7, hl7-class, hl7-destination, identity, journal, log, mllp, practice",
         "[journal]/durability often    | f:2: journal.durability: one of none, interval, group, not often",
         "[journal]/durability          | f:2: journal.durability: has no value",
         "[journal]/remember 5          | f:2: journal.remember: a time with its unit (us, ms, s, m, h or d), not 5",
