--- a/src/main/java/lilaclever/lab/report/Sweep.java
+++ b/src/main/java/lilaclever/lab/report/Sweep.java
@@ -8,19 +8,25 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Service against load: a point for each load, with the interval of 95% over the seeds. */
+/** Service against load or a setting: a point for each, with the interval of 95% over the seeds. */
 public final class Sweep {
     private final List<double[]> points = new ArrayList<>();
-    private final StringBuilder csv = new StringBuilder("load,service,low,high,runs,broken_rules\n");
+    private final StringBuilder csv = new StringBuilder("at,service,low,high,runs,broken_rules\n");
+    private final String axis;
 
-    /** The runs of one load; {@code broken}: rules broken in all of them. */
-    public String add(double load, List<Double> services, int broken) {
+    /** {@code axis}: what is swept. */
+    public Sweep(String axis) {
+        this.axis = axis;
+    }
+
+    /** The runs of one point; {@code broken}: rules broken in all of them. */
+    public String add(double at, String label, List<Double> services, int broken) {
         double mean = Comparison.mean(services);
         double[] interval = Comparison.interval(services);
         double low = interval == null ? mean : interval[0], high = interval == null ? mean : interval[1];
-        points.add(new double[] {load * 100, mean, low, high});
-        csv.append(String.format(Locale.ROOT, "%.4f,%.4f,%.4f,%.4f,%d,%d%n", load, mean, low, high, services.size(), broken));
-        return String.format(Locale.ROOT, "load %3.0f%%: service %.3f (%.3f to %.3f)%s", load * 100, mean, low, high,
+        points.add(new double[] {at, mean, low, high});
+        csv.append(String.format(Locale.ROOT, "%s,%.4f,%.4f,%.4f,%d,%d%n", at, mean, low, high, services.size(), broken));
+        return String.format(Locale.ROOT, "%s: service %.3f (%.3f to %.3f)%s", label, mean, low, high,
                 broken > 0 ? ", BROKEN rules " + broken : "");
     }
 
@@ -28,7 +34,7 @@
     public void write(Path folder, String scenario) throws IOException {
         Files.createDirectories(folder);
         Files.writeString(folder.resolve("sweep.csv"), csv);
-        Files.write(folder.resolve("sweep.png"), Plots.curve("load, % of the full load", "service", Map.of(scenario, points)));
+        Files.write(folder.resolve("sweep.png"), Plots.curve(axis, "service", Map.of(scenario, points)));
     }
 
     /** The highest load at which the service is still at the aim, by a straight line between points; 0 if none is. */
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -44,15 +44,29 @@
 
     /** Reads a shipped scenario by its name, or a file by its path. */
     public static Scenario read(String nameOrPath) throws Bad {
+        return read(nameOrPath, List.of());
+    }
+
+    /** The same with other settings in place of its own. */
+    public static Scenario read(String nameOrPath, List<Overrides.Setting> settings) throws Bad {
         if (SHIPPED.contains(nameOrPath)) {
-            return new ScenarioReader(ConfFile.parse(nameOrPath + ".conf", text(nameOrPath).lines().toList()), nameOrPath).read();
+            List<String> lines = Overrides.apply(text(nameOrPath).lines().toList(), settings);
+            return new ScenarioReader(ConfFile.parse(nameOrPath + ".conf", lines), nameOrPath).read();
         }
         Path path = Path.of(nameOrPath);
         if (!Files.exists(path)) {
             throw new Bad(nameOrPath, "neither a file nor a shipped scenario"
                     + ConfFile.nearest(nameOrPath, new java.util.LinkedHashSet<>(SHIPPED)));
         }
-        return new ScenarioReader(ConfFile.read(path), path.getFileName().toString().replaceFirst("\\.conf$", "")).read();
+        String name = path.getFileName().toString().replaceFirst("\\.conf$", "");
+        if (settings.isEmpty()) {
+            return new ScenarioReader(ConfFile.read(path), name).read();
+        }
+        try {
+            return new ScenarioReader(ConfFile.parse(path.toString(), Overrides.apply(Files.readAllLines(path), settings)), name).read();
+        } catch (IOException e) {
+            throw new Bad(path.toString(), "can't be read: " + e);
+        }
     }
 
     /** Reads a scenario from lines. */
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -19,6 +19,7 @@
 import lilaclever.lab.report.Comparison;
 import lilaclever.lab.report.Report;
 import lilaclever.lab.report.Sweep;
+import lilaclever.lab.scenario.Overrides;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.ScenarioReader;
 import lilaclever.lab.sockets.RealSockets;
@@ -57,6 +58,10 @@
     @Option(name = "--aim", metaVar = "N", usage = "with sweep: the service below which the aim is lost (default 0.9)")
     private double aim = 0.9;
 
+    @Option(name = "--set", metaVar = "SECTION.KEY=VALUE", usage = "in place of what the scenario says; with sweep, values parted by commas: "
+            + "one point of the curve each")
+    private List<String> sets = new ArrayList<>();
+
     @Option(name = "--threads", metaVar = "N", usage = "runs side by side (default: the cores; it changes no figure)")
     private int threads = Runtime.getRuntime().availableProcessors();
 
@@ -117,8 +122,16 @@
         return out != null ? out : Path.of("rehearsals", s.name());
     }
 
+    private Scenario scenario() throws Bad {
+        List<Overrides.Setting> settings = new ArrayList<>();
+        for (String s : sets) {
+            settings.add(Overrides.Setting.of(s));
+        }
+        return ScenarioReader.read(one(), settings);
+    }
+
     private int play() throws Bad, IOException, InterruptedException, ExecutionException {
-        Scenario scenario = ScenarioReader.read(one());
+        Scenario scenario = scenario();
         String tooLarge = sockets ? RealSockets.tooLarge(scenario) : null;
         if (tooLarge != null) {
             throw new Bad("--sockets", scenario.name() + " is too large for one machine: " + tooLarge + "; play it without");
@@ -202,30 +215,84 @@
         Result run(int index) throws IOException;
     }
 
+    /** A point of a sweep: the scenario there, its place on the axis, and what people call it. */
+    private record Point(Scenario scenario, double x, String label) { }
+
     private int sweep() throws Bad, IOException, InterruptedException, ExecutionException {
-        Scenario scenario = ScenarioReader.read(one());
+        boolean overLoad = sets.stream().noneMatch(s -> s.contains(","));
+        List<Point> points = overLoad ? loads() : settings();
+        Scenario first = points.get(0).scenario();
+        int n = runs > 0 ? runs : 5;
+        Sweep sweep = new Sweep(overLoad ? "load, % of the full load" : swept().substring(0, swept().indexOf('=')));
+        AtomicInteger allBroken = new AtomicInteger();
+        interrupt.watch();
+        try {
+            for (Point point : points) {
+                List<Double> services = new ArrayList<>();
+                AtomicInteger broken = new AtomicInteger();
+                sideBySide(n, i -> VirtualTime.run(point.scenario(), seed + i, Fault.NONE, now -> { }, interrupt::come), r -> {
+                    services.add(r.auditor().service().figure(Prices.USUAL));
+                    broken.addAndGet(r.auditor().broken().size());
+                });
+                if (interrupt.come()) {
+                    break; // a point of cut runs is none
+                }
+                allBroken.addAndGet(broken.get());
+                System.out.println(sweep.add(point.x(), point.label(), services, broken.get()));
+            }
+            sweep.write(folder(first), first.name());
+        } finally {
+            interrupt.done();
+        }
+        if (overLoad) {
+            System.out.printf(Locale.ROOT, "service stays at %.2f up to a load of %.0f%%%n", aim, sweep.keepsUpTo(aim));
+        }
+        System.out.println("plot: " + folder(first).resolve("sweep.png"));
+        return allBroken.get() == 0 ? GOOD : BROKEN;
+    }
+
+    private List<Point> loads() throws Bad {
         if (!loads.matches("\\d{1,4}:\\d{1,4}:[1-9]\\d{0,3}")) {
             throw new Bad("--load", "FROM:TO:STEP in percent, such as 40:160:10, not " + loads);
         }
         String[] parts = loads.split(":");
-        int n = runs > 0 ? runs : 5;
-        Sweep sweep = new Sweep();
-        AtomicInteger allBroken = new AtomicInteger();
+        Scenario scenario = scenario();
+        List<Point> points = new ArrayList<>();
         for (int percent = Integer.parseInt(parts[0]); percent <= Integer.parseInt(parts[1]); percent += Integer.parseInt(parts[2])) {
-            Scenario at = atLoad(scenario, percent / 100.0);
-            List<Double> services = new ArrayList<>();
-            AtomicInteger broken = new AtomicInteger();
-            sideBySide(n, i -> VirtualTime.run(at, seed + i, Fault.NONE), r -> {
-                services.add(r.auditor().service().figure(Prices.USUAL));
-                broken.addAndGet(r.auditor().broken().size());
-            });
-            allBroken.addAndGet(broken.get());
-            System.out.println(sweep.add(percent / 100.0, services, broken.get()));
+            points.add(new Point(atLoad(scenario, percent / 100.0), percent, "load " + percent + "%"));
         }
-        sweep.write(folder(scenario), scenario.name());
-        System.out.printf(Locale.ROOT, "service stays at %.2f up to a load of %.0f%%%nplot: %s%n", aim, sweep.keepsUpTo(aim),
-                folder(scenario).resolve("sweep.png"));
-        return allBroken.get() == 0 ? GOOD : BROKEN;
+        if (points.isEmpty()) {
+            throw new Bad("--load", "no load from " + parts[0] + " to " + parts[1]);
+        }
+        return points;
+    }
+
+    private String swept() {
+        return sets.stream().filter(s -> s.contains(",")).findFirst().orElse("");
+    }
+
+    /** A point for each value of the one setting that has several. */
+    private List<Point> settings() throws Bad {
+        String swept = swept();
+        if (sets.stream().filter(s -> s.contains(",")).count() > 1) {
+            throw new Bad("--set", "one setting with several values, not two");
+        }
+        Overrides.Setting form = Overrides.Setting.of(swept);
+        List<Overrides.Setting> others = new ArrayList<>();
+        for (String s : sets) {
+            if (!s.equals(swept)) {
+                others.add(Overrides.Setting.of(s));
+            }
+        }
+        List<Point> points = new ArrayList<>();
+        for (String value : form.value().split(",")) {
+            List<Overrides.Setting> settings = new ArrayList<>(others);
+            settings.add(new Overrides.Setting(form.section(), form.key(), value.strip()));
+            java.util.regex.Matcher number = java.util.regex.Pattern.compile("[0-9.]+").matcher(value);
+            points.add(new Point(ScenarioReader.read(one(), settings), number.find() ? Double.parseDouble(number.group()) : points.size(),
+                    form.key() + ' ' + value.strip()));
+        }
+        return points;
     }
 
     /** The same scenario at one load all the time. */
--- a/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
+++ b/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
@@ -56,4 +56,17 @@
     void anUnknownNameIsToldWithTheNearest() {
         assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("mondy")).getMessage().contains("is monday meant?"));
     }
+
+    /** Settings of the command line take the place of the file's, are checked like them, and touch nothing else. */
+    @Test
+    void settingsTakeTheFilesPlace() throws Bad {
+        Scenario s = ScenarioReader.read("month-end", List.of(Overrides.Setting.of("fleet.forwarders=8"),
+                Overrides.Setting.of("event one-restart.part=10%")));
+        assertEquals(8, s.fleet().forwarders());
+        assertEquals(0.1, s.happenings().get(0).part());
+        assertEquals(ScenarioReader.read("month-end").traffic().lengthMicros(), s.traffic().lengthMicros());
+        assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("quiet", List.of(Overrides.Setting.of("fleet.forwarder=8"))))
+                .getMessage().contains("is forwarders meant?"));
+        assertThrows(Bad.class, () -> Overrides.Setting.of("forwarders=8"));
+    }
 }
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -9,6 +9,9 @@
 import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -87,8 +90,12 @@
     }
 
     private void serve(String conf) throws Exception {
+        serve(conf, 3);
+    }
+
+    private void serve(String conf, double diskMb) throws Exception {
         // One message a call: the endpoint is asked for each on its own.
-        Config config = Config.parse(Setup.text(platform.address(), state, endpoint.address(), 3)
+        Config config = Config.parse(Setup.text(platform.address(), state, endpoint.address(), diskMb)
                 .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"), java.util.Map.of());
         forwarder = Forwarder.start(config, Operator.of(ConfFile.parse("f", conf.lines().toList()), config), null);
         http = forwarder.addresses().get(0);
@@ -163,6 +170,41 @@
         assertNull(calls.poll());
     }
 
+    /** The taking-on was told before the journal had the message: a client would hear CA for what is then refused. */
+    @Test
+    void whatTheJournalCanNotTakeIsNeverAccepted() throws Exception {
+        forwarder.stop();
+        serve(CONF, 0.3);
+        Map<String, Integer> codes = new TreeMap<>();
+        try (Wire wire = Wire.to(mllp)) {
+            for (int i = 0; i < 12; i++) {
+                String ack = asks(wire, order("B" + i) + "NTE|" + "x".repeat(50_000) + '\r');
+                assertEquals("B" + i, ack.substring(3), "one answer for each, in order");
+                codes.merge(ack.substring(0, 2), 1, Integer::sum);
+            }
+        }
+        assertEquals(Set.of("CA", "CE"), codes.keySet(), codes.toString());
+    }
+
+    /** In original mode an acknowledgement that nobody waits for would pass for that of another message. */
+    @Test
+    void anEndInOriginalModeIsForItsConnectionAlone() throws Exception {
+        try (Wire other = Wire.to(mllp)) {
+            Wire gone = Wire.to(mllp);
+            gone.frame(order("APP", "A1", ""));
+            call();
+            other.frame(order("APP", "B1", ""));
+            call();
+            gone.close();
+            until("entries_mllp_connections", 1);
+            fates.addAll(List.of("200 OK", "200 OK"));
+            assertEquals("AA B1", ack(other));
+            until("delivered", 2);
+            fates.add("200 OK");
+            assertEquals("AA B2", asks(other, order("APP", "B2", "")));
+        }
+    }
+
     /** In original mode the one acknowledgement is the end. */
     @Test
     void originalModeHasOneAcknowledgement() throws Exception {
