--- a/bench/java/lilaclever/journal/TurnRun.java
+++ b/bench/java/lilaclever/journal/TurnRun.java
@@ -23,10 +23,12 @@
  */
 public final class TurnRun {
     private static final int BODY = 300, LONGEST = 12;
+    private static final List<java.lang.management.GarbageCollectorMXBean> COLLECTORS =
+            java.lang.management.ManagementFactory.getGarbageCollectorMXBeans();
     private static final long MOST = 4L << 30;
 
-    /** What a turn took, nanoseconds: in all, of the processor, in the disk's operations, and in the longest of these. */
-    private record Turn(long all, long cpu, long disk, long longest, String operation) { }
+    /** What a turn took, nanoseconds: in all, of the processor, in the disk's operations, and in the longest of these; milliseconds of collections. */
+    private record Turn(long index, long all, long cpu, long disk, long longest, String operation, long collected) { }
 
     private final TimedDisk disk;
     private final SegmentedJournal journal;
@@ -95,6 +97,7 @@
         long mostCpu = 0, over = 0, overCpu = 0;
         for (long i = 0; i < turns; i++) {
             disk.begin();
+            long collectedBefore = collected();
             long cpuBegan = thread.getCurrentThreadCpuTime();
             long began = System.nanoTime();
             turn(held, () -> { });
@@ -103,7 +106,7 @@
             mostCpu = Math.max(mostCpu, cpu);
             over += all > 2_000_000 ? 1 : 0;
             overCpu += cpu > 2_000_000 ? 1 : 0;
-            longest.add(new Turn(all, cpu, disk.spent, disk.longest, disk.operation));
+            longest.add(new Turn(i, all, cpu, disk.spent, disk.longest, disk.operation, collected() - collectedBefore));
             if (longest.size() > LONGEST) {
                 longest.poll();
             }
@@ -113,12 +116,21 @@
         List<Turn> sorted = new ArrayList<>(longest);
         sorted.sort(Comparator.comparingLong(Turn::all).reversed());
         for (Turn t : sorted) {
-            System.out.printf("  %6.0f us in all, %6.0f of the processor, %6.0f in the disk's operations, the longest %s %6.0f%n", t.all / 1e3,
-                    t.cpu / 1e3, t.disk / 1e3, t.operation, t.longest / 1e3);
+            System.out.printf("  turn %d: %6.0f us in all, %6.0f of the processor, %6.0f in the disk's operations, the longest %s %6.0f, collections %d ms%n", t.index,
+                    t.all / 1e3,
+                    t.cpu / 1e3, t.disk / 1e3, t.operation, t.longest / 1e3, t.collected);
         }
         journal.close();
     }
 
+    private static long collected() {
+        long all = 0;
+        for (java.lang.management.GarbageCollectorMXBean g : COLLECTORS) {
+            all += g.getCollectionTime();
+        }
+        return all;
+    }
+
     private void steady(String how, int rate, int seconds) throws IOException {
         int held = 1000;
         fill(held);
--- a/src/main/java/lilaclever/lab/sockets/Agent.java
+++ b/src/main/java/lilaclever/lab/sockets/Agent.java
@@ -5,7 +5,6 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -56,7 +55,7 @@
         this.world = world;
         this.time = time;
         this.address = address;
-        server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        server = Ports.listen();
         Threads.start("agent", () -> {
             while (true) {
                 serve(server.accept());
--- a/src/main/java/lilaclever/lab/sockets/Doors.java
+++ b/src/main/java/lilaclever/lab/sockets/Doors.java
@@ -1,8 +1,6 @@
 package lilaclever.lab.sockets;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -21,7 +19,6 @@
  */
 final class Doors {
     private static final long LOOK = 10_000;
-    private static final int BACKLOG = 256;
 
     private final class Door {
         final Partner partner;
@@ -34,18 +31,11 @@
             this.partner = partner;
             this.host = host;
             this.forwarder = forwarder;
-            server = bind(0);
+            server = Ports.listen();
             port = server.getLocalPort();
             accept(server);
         }
 
-        private ServerSocket bind(int wanted) throws IOException {
-            ServerSocket s = new ServerSocket();
-            s.setReuseAddress(true);
-            s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), BACKLOG);
-            return s;
-        }
-
         private void accept(ServerSocket from) {
             Threads.start("door " + host, () -> {
                 while (true) {
@@ -84,7 +74,7 @@
 
         void open() {
             try {
-                server = bind(port);
+                server = Ports.listen(port);
                 accept(server);
             } catch (IOException e) {
                 troubles++; // somebody has taken its port: the partner seems down for longer than it is
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -3,15 +3,12 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,7 +22,6 @@
 /** One forwarder of the fleet: the real program in a process of its own. */
 final class SocketForwarder implements Member {
     private static final Pattern BROKEN = Pattern.compile("(?m)^(?:broken_invariants|tasks_failed) (\\d+)$");
-    private static final int FIRST_PORT = 20_000, PORTS = 12_000, MOST_TRIES = 100;
     private static final long START_WITHIN = 30_000, LOOK = 10, END_WITHIN = 6;
 
     private final World world;
@@ -62,7 +58,7 @@
             Files.createDirectories(folder.resolve("state-" + number));
             Files.writeString(log, "");
             agent = new Agent(world, time, e -> doors.address(world.partner(e.destination()), e.host(), number));
-            address = freePort();
+            address = Ports.free();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -70,22 +66,9 @@
         line = world.scenario().traffic().hl7() > 0 ? hl7() : null;
     }
 
-    /** A port that is free now, and the same for all lives: none of those that the system gives to whoever asks for any. */
-    private static InetSocketAddress freePort() throws IOException {
-        for (int tries = 0; tries < MOST_TRIES; tries++) {
-            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
-            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
-            } catch (java.net.BindException e) {
-                continue; // taken
-            }
-        }
-        throw new IOException("no free port between " + FIRST_PORT + " and " + (FIRST_PORT + PORTS));
-    }
-
     private Hl7Line hl7() {
         try {
-            InetSocketAddress port = freePort();
+            InetSocketAddress port = Ports.free();
             Path conf = Files.writeString(folder.resolve("operator-" + number + ".conf"),
                     OperatorFile.text(world.scenario(), "127.0.0.1:" + port.getPort()));
             command.addAll(List.of("--conf", conf.toString()));
