--- a/src/test/java/lilaclever/program/MixedRun.java
+++ b/src/test/java/lilaclever/program/MixedRun.java
@@ -66,6 +66,7 @@
     private final List<Long> httpMs = java.util.Collections.synchronizedList(new ArrayList<>());
     private final List<Long> hl7Ms = java.util.Collections.synchronizedList(new ArrayList<>());
     private final TreeMap<String, Long> counts = new TreeMap<>();
+    private final java.util.Set<String> noticed = ConcurrentHashMap.newKeySet();
     private final AtomicLong ids = new AtomicLong();
     private volatile InetSocketAddress http, hl7;
     private volatile boolean ended;
@@ -143,7 +144,11 @@
             for (Request r = wire.request(); r != null; r = wire.request()) {
                 if (r.path().equals("/status")) {
                     r.body().lines().forEach(l -> {
-                        Integer n = httpIds.remove(l.replaceAll(".*\"id\":\"([^\"]*)\".*", "$1"));
+                        String id = l.replaceAll(".*\"id\":\"([^\"]*)\".*", "$1");
+                        Integer n = httpIds.remove(id);
+                        if (!noticed.add(id)) {
+                            count("notices told once more after the kill, over HTTP");
+                        }
                         if (n != null) { // else told before: the platform passes a second notice over
                             stories.get(n).notices.incrementAndGet();
                             stories.get(n).end("notice " + (l.contains("deferred") ? "refused" : "failed"));
