--- a/src/main/java/lilaclever/lab/sockets/RealTime.java
+++ b/src/main/java/lilaclever/lab/sockets/RealTime.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import lilaclever.lab.world.Due;
 import lilaclever.lab.world.Timeline;
 import org.HdrHistogram.Histogram;
 
@@ -12,19 +13,11 @@
  * How late each was is kept, as the run's figures are worth no more than that. Time stands at 0 until {@link #begin}.
  */
 final class RealTime implements Timeline {
-    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     private record Posted(long atNanos, Runnable action) { }
 
     private static final long LONGEST_WAIT = 50_000, HOUR = 3_600_000_000L;
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final PriorityQueue<Due> events = new PriorityQueue<>();
     private final LinkedBlockingQueue<Posted> posted = new LinkedBlockingQueue<>();
     private final Histogram lateness = new Histogram(HOUR, 3);
     private volatile long zero = Long.MIN_VALUE;
@@ -42,7 +35,7 @@
 
     @Override
     public void at(long micros, Runnable action) {
-        events.add(new Event(micros, order++, action));
+        events.add(new Due(micros, order++, action));
     }
 
     /** Runs the action as soon as it is its turn. Any thread. */
@@ -63,7 +56,7 @@
     /** Runs what is due and what is posted until the time, or until it is told to stop. */
     void runUntil(long end, BooleanSupplier stopped) throws InterruptedException {
         while (now() < end && !stopped.getAsBoolean()) {
-            Event next = zero == Long.MIN_VALUE ? null : events.peek();
+            Due next = zero == Long.MIN_VALUE ? null : events.peek();
             long wait = next == null ? LONGEST_WAIT : Math.min(LONGEST_WAIT, next.at() - now());
             Posted task = wait > 0 ? posted.poll(wait, TimeUnit.MICROSECONDS) : posted.poll();
             if (task != null) {
--- a/src/main/java/lilaclever/lab/virtual/Scheduler.java
+++ b/src/main/java/lilaclever/lab/virtual/Scheduler.java
@@ -2,19 +2,12 @@
 
 import java.util.PriorityQueue;
 import java.util.function.BooleanSupplier;
+import lilaclever.lab.world.Due;
 import lilaclever.lab.world.Timeline;
 
 /** Virtual time: events in the order of their times, and of their scheduling where these are the same. One thread. */
 final class Scheduler implements Timeline {
-    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final PriorityQueue<Due> events = new PriorityQueue<>();
     private long now, order, ran;
 
     @Override
@@ -29,7 +22,7 @@
 
     @Override
     public void at(long micros, Runnable action) {
-        events.add(new Event(Math.max(now, micros), order++, action));
+        events.add(new Due(Math.max(now, micros), order++, action));
     }
 
     /** Runs all events up to the time, or until it is told to stop. */
@@ -38,7 +31,7 @@
             if (stopped.getAsBoolean()) {
                 return;
             }
-            Event e = events.poll();
+            Due e = events.poll();
             now = e.at();
             ran++;
             e.action().run();
