Leave a whole report when Ctrl-C ends a rehearsal

Tried by hand, a signal left report.json and no page, with 'Shutdown in progress': the report was written while the machine was ending, and AWT, which draws the plots, registers a hook of its own and is refused then (Interrupt.watch).

SIGINT and SIGTERM are handled now instead, as SIGHUP is: the first ends the run, and the exit code is 130; the second ends the program at once.

--- a/src/main/java/lilaclever/program/Interrupt.java
+++ b/src/main/java/lilaclever/program/Interrupt.java
@@ -1,25 +1,26 @@
 package lilaclever.program;
 
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-
-/** Ctrl-C (SIGINT) or SIGTERM during long work: it is told to end, and has some time to write what it has. */
+/**
+ * Ctrl-C (SIGINT) or SIGTERM during long work: the first tells it to end and to write what it has, the second ends the program
+ * at once. Not by a hook of the machine's end: plots can't be drawn while that runs.
+ */
 final class Interrupt {
-    private static final long PATIENCE = 30;
+    /** What a shell gives for a program that Ctrl-C has ended. */
+    static final int CODE = 130;
 
-    private final CountDownLatch done = new CountDownLatch(1);
-    private volatile boolean come;
+    private volatile boolean come, done;
 
-    /** From now on the end of the program waits for {@link #done}. */
+    /** From now on, until {@link #done}, signals are kept from ending the program. */
     void watch() {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            come = true;
-            try {
-                done.await(PATIENCE, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                // the program ends without it
-            }
-        }, "interrupt"));
+        Signals.on("INT", this::signal);
+        Signals.on("TERM", this::signal);
+    }
+
+    private void signal() {
+        if (come || done) {
+            Runtime.getRuntime().halt(CODE);
+        }
+        come = true;
     }
 
     /** True once the program was told to end. */
@@ -29,6 +30,6 @@
 
     /** The work is over. */
     void done() {
-        done.countDown();
+        done = true;
     }
 }
--- a/src/main/java/lilaclever/program/Signals.java
+++ b/src/main/java/lilaclever/program/Signals.java
@@ -30,6 +30,11 @@
             Logs.warn("", "sighup-ignored", "SIGHUP is ignored by whoever started this program (nohup does that):"
                     + " the configuration is never read again");
         }
+        on("HUP", task);
+    }
+
+    /** Has the task run at each such signal, on a thread of its own, in place of what the machine would do. */
+    static void on(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -41,12 +46,12 @@
                         }
                         case "hashCode" -> System.identityHashCode(self);
                         case "equals" -> self == arguments[0];
-                        default -> "SIGHUP";
+                        default -> "SIG" + name;
                     });
             signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
-            Logs.warn("", "no-sighup", "no SIGHUP here: " + e);
+            Logs.warn("", "no-signal", "no SIG" + name + " here: " + e, "signal", name);
         }
     }
 
@@ -54,7 +59,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            Logs.error("", "sighup-failed", "at SIGHUP: " + e);
+            Logs.error("", "signal-failed", "at a signal: " + e);
         }
     }
 }
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -109,6 +109,44 @@
         assertTrue(Report.json(r).get("partial").getAsBoolean());
     }
 
+    /** A hook of the machine's end could not draw the page: AWT refuses to begin then, and the report was half written. */
+    @Test
+    void ctrlCLeavesAWholeReportOfAPart() throws Exception {
+        List<String> command = new ArrayList<>(Own.command("rehearse", "run", "quiet", "--sockets", "--out", folder.resolve("out").toString()));
+        command.remove("-Xmx64m");
+        Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
+        try {
+            Path logs = folder.resolve("out/forwarders");
+            for (int i = 0; i < 3000 && !serves(logs); i++) {
+                Thread.sleep(10);
+            }
+            p.toHandle().destroy(); // SIGTERM is treated as Ctrl-C is
+            String out = new String(p.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+            assertEquals(Interrupt.CODE, p.waitFor(), out);
+            assertTrue(out.contains("CUT SHORT"), out);
+            assertTrue(java.nio.file.Files.readString(folder.resolve("out/index.html")).contains("Cut short after"));
+        } finally {
+            p.destroyForcibly();
+        }
+    }
+
+    private static boolean serves(Path logs) throws IOException {
+        if (!java.nio.file.Files.exists(logs)) {
+            return false;
+        }
+        try (java.util.stream.Stream<Path> files = java.nio.file.Files.walk(logs)) {
+            return files.anyMatch(f -> f.toString().endsWith(".log") && text(f).contains("serves at"));
+        }
+    }
+
+    private static String text(Path f) {
+        try {
+            return java.nio.file.Files.readString(f);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     /** Guards against false figures: stand-ins that were late say so, and by how much. */
     @Test
     void aRunWhoseStandInsWereLateIsNotTrusted() {
