Stop the rehearsal's clock where it is cut, before its forwarders end

Cut short by a signal at 11 s, a run reported two messages without an end: the forwarders took 11 s to end, the clock ran on meanwhile, and the auditor judged them by it (RealTime.now in World.finish). Time now stands still from the cut on. RealSocketsTest is green; the whole run's end is as it was, as its time is over then.

--- a/src/main/java/lilaclever/lab/sockets/RealSockets.java
+++ b/src/main/java/lilaclever/lab/sockets/RealSockets.java
@@ -76,6 +76,7 @@
                 world.begin(progress);
                 doors.watch();
                 time.runUntil(world.length(), () -> stopped.getAsBoolean() || failure() != null);
+                time.end();
             } finally {
                 for (SocketForwarder f : forwarders) {
                     f.stop();
--- a/src/main/java/lilaclever/lab/sockets/RealTime.java
+++ b/src/main/java/lilaclever/lab/sockets/RealTime.java
@@ -21,11 +21,17 @@
     private final LinkedBlockingQueue<Posted> posted = new LinkedBlockingQueue<>();
     private final Histogram lateness = new Histogram(HOUR, 3);
     private volatile long zero = Long.MIN_VALUE;
+    private volatile long ended = -1;
     private long order, ran;
 
     @Override
     public long now() {
-        return zero == Long.MIN_VALUE ? 0 : (System.nanoTime() - zero) / 1000;
+        return zero == Long.MIN_VALUE ? 0 : ended >= 0 ? ended : (System.nanoTime() - zero) / 1000;
+    }
+
+    /** Time stands still from now on: what ends later is not the run's. */
+    void end() {
+        ended = now();
     }
 
     /** Time runs from now on. */
