Put an outcome in words only where the log writes it

Core.outcome made a text of each ending, in lower case and without underlines, before it asked whether debug lines are written at all: two strings an outcome on the hot path for nothing. The ending is handed over and put in words behind that question. Logs asked twice whether its back end is loaded, and Lines lowered a level that is in small letters. No line differs; LogsTest and ForwarderTest are green.

--- a/src/main/java/lilaclever/log/Lines.java
+++ b/src/main/java/lilaclever/log/Lines.java
@@ -5,7 +5,6 @@
 import java.io.StringWriter;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.logging.Handler;
@@ -123,7 +122,7 @@
     private String json(LogRecord record, Map<String, String> fields) {
         JsonObject line = new JsonObject();
         line.addProperty("time", time(record).toString());
-        line.addProperty("level", level(record).toLowerCase(Locale.ROOT));
+        line.addProperty("level", level(record));
         if (!part(record).isEmpty()) {
             line.addProperty("part", part(record));
         }
--- a/src/main/java/lilaclever/log/Logs.java
+++ b/src/main/java/lilaclever/log/Logs.java
@@ -87,9 +87,6 @@
     }
 
     private static void with(String event, Object[] fields, Runnable line) {
-        if (!loaded) {
-            load();
-        }
         Map<String, String> context = new LinkedHashMap<>();
         context.put("event", event);
         for (int i = 0; i + 1 < fields.length; i += 2) {
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -311,7 +311,7 @@
             calls.remove(call);
         }
         counters.ending(ending.name());
-        trace(m, "outcome", ending.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '), call);
+        trace(m, "outcome", ending, call);
         if (!ending.neverRan()) {
             m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), pace.wall());
         }
@@ -502,8 +502,10 @@
         }
     }
 
-    private static void trace(Message m, String event, String text, Call call) {
+    /** A line for one message; {@code what} is put in words only where the line is written. */
+    private static void trace(Message m, String event, Object what, Call call) {
         if (Logs.isDebug()) {
+            String text = what.toString().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
             Logs.debug("", event, text, "message", m.id(), "partner", m.handin.destination(), "endpoint",
                     call == null ? null : call.endpoint.host());
         }
