Derive a message's practice on the HL7 port, and split headers without a pattern

The front kept each message's practice in a map beside the waiter whose request has it; both maps had the same keys. Header compiled a quoted pattern for each field it looked at, and a time was read with a formatter made for it. One map is gone, an escaped delimiter takes the short way of String.split, and the formatter is a constant. The gain was not measured.

--- a/src/main/java/lilaclever/protocol/mllp/Header.java
+++ b/src/main/java/lilaclever/protocol/mllp/Header.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
-import java.util.regex.Pattern;
 import lilaclever.protocol.mllp.Hl7Fault.Code;
 
 /** The first segment of a message: the fields as they were sent, in the sender's characters and delimiters. */
@@ -66,7 +65,7 @@
     }
 
     private static String[] split(String text, char separator) {
-        return text.split(Pattern.quote(String.valueOf(separator)), -1);
+        return text.split("\\" + separator, -1); // never a letter or a digit, so this is the character itself
     }
 
     /** Faults that need no more than the header: an answer to them has the sender's own header. */
--- a/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
@@ -23,6 +23,7 @@
 final class Hl7Reader {
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,6})?");
     private static final Pattern TIMESTAMP = Pattern.compile("([0-9]{14})(?:\\.([0-9]{1,4}))?([+-][0-9]{4})?");
+    private static final DateTimeFormatter TO_THE_SECOND = DateTimeFormatter.ofPattern("yyyyMMddHHmmss");
     private static final long LONGEST = 3_600_000_000L;
     private static final int MOST_KEY = 200;
 
@@ -206,7 +207,7 @@
         Matcher m = TIMESTAMP.matcher(value);
         try {
             if (m.matches()) {
-                LocalDateTime time = LocalDateTime.parse(m.group(1), DateTimeFormatter.ofPattern("yyyyMMddHHmmss"));
+                LocalDateTime time = LocalDateTime.parse(m.group(1), TO_THE_SECOND);
                 ZoneId zone = m.group(3) == null ? ZoneId.systemDefault() : ZoneOffset.of(m.group(3));
                 long at = time.atZone(zone).toInstant().toEpochMilli() * 1000;
                 return Math.max(0, Math.min(LONGEST, at - wall.getAsLong()));
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -73,7 +73,6 @@
     private final Map<Message, Waiter> waiters = new HashMap<>();
     /** Messages held of each practice that came on this port. */
     private final Map<String, Integer> held = new HashMap<>();
-    private final Map<Message, String> practices = new HashMap<>();
     private final Set<MllpSession> sessions = new LinkedHashSet<>();
     /** Connections of each listener, and of each address at each listener. */
     private final Map<String, Integer> connections = new HashMap<>();
@@ -215,8 +214,7 @@
         Waiter before = waiters.put(m, new Waiter(session, r));
         if (before != null) {
             before.answered();
-        }
-        if (practices.putIfAbsent(m, r.practice()) == null) {
+        } else {
             held.merge(r.practice(), 1, Integer::sum);
         }
         if (m.isTakenOn()) {
@@ -310,11 +308,11 @@
     }
 
     private Waiter forget(Message message) {
-        String practice = practices.remove(message);
-        if (practice != null) {
-            held.computeIfPresent(practice, (p, n) -> n > 1 ? n - 1 : null);
+        Waiter w = waiters.remove(message);
+        if (w != null) {
+            held.computeIfPresent(w.request.practice(), (p, n) -> n > 1 ? n - 1 : null);
         }
-        return waiters.remove(message);
+        return w;
     }
 
     @Override
