Open each segment once less at a start, and measure what is left in one place

Recovery opened each segment to see its version, again to ask where the one before it ends, and again to read it. The first look now answers both. SegmentLog asked a file's length twice, and worked out what is left of the file in use in three places.

--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -27,6 +27,9 @@
     /** One segment that was read, and how many records of each type it has. */
     record Found(Segment segment, Format.Header header, EnumMap<Type, Integer> counts) { }
 
+    /** A segment's name, and where the one before it ends as it says; -1 if it does not. */
+    private record Look(String name, long endOfPrevious) { }
+
     private final Disk disk;
     private final Held held;
     private final BootClock clock;
@@ -50,12 +53,11 @@
     /** Reads all. */
     Report scan() throws IOException {
         names = disk.names();
-        TreeMap<Long, String> segments = new TreeMap<>();
+        TreeMap<Long, Look> segments = new TreeMap<>();
         for (String name : names) {
             long sequence = Segment.sequence(name);
             if (sequence > 0) {
-                segments.put(sequence, name);
-                refuseNewer(name);
+                segments.put(sequence, look(name));
             }
         }
         carriedOver = names.contains(LegacyReader.NAME);
@@ -85,12 +87,14 @@
         }
     }
 
-    private void refuseNewer(String name) throws IOException {
+    /** Looks at a segment's beginning; one of a newer version is refused. */
+    private Look look(String name) throws IOException {
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             if (reader.header() != null && reader.header().version() > Format.VERSION) {
                 throw new JournalException(name + " is of format " + reader.header().version()
                         + ", and this program knows formats up to " + Format.VERSION + "; nothing was changed");
             }
+            return new Look(name, reader.endOfPrevious());
         }
     }
 
@@ -107,32 +111,22 @@
         found.add(new Found(all, null, new EnumMap<>(Type.class)));
     }
 
-    private void read(TreeMap<Long, String> segments, boolean legacy) throws IOException {
+    private void read(TreeMap<Long, Look> segments, boolean legacy) throws IOException {
         long expected = legacy && !segments.isEmpty() ? 1 : -1;
-        for (Map.Entry<Long, String> entry : segments.entrySet()) {
+        for (Map.Entry<Long, Look> entry : segments.entrySet()) {
             long gap = expected > 0 ? entry.getKey() - expected : 0;
             if (gap > 0) {
                 missing += (int) gap;
-                log.accept(gap + " files missing before " + entry.getValue()
+                log.accept(gap + " files missing before " + entry.getValue().name()
                         + "; what was out before counts as possibly run");
                 held.doubt();
             }
-            read(entry.getKey(), entry.getValue(), endOf(entry.getKey(), segments));
+            Look next = segments.get(entry.getKey() + 1);
+            read(entry.getKey(), entry.getValue().name(), next == null ? -1 : next.endOfPrevious());
             expected = entry.getKey() + 1;
         }
     }
 
-    /** Where a segment ends as the next one says; -1 if there is none or it does not say. */
-    private long endOf(long sequence, TreeMap<Long, String> segments) throws IOException {
-        String next = segments.get(sequence + 1);
-        if (next == null) {
-            return -1;
-        }
-        try (SegmentReader reader = new SegmentReader(disk, next)) {
-            return reader.endOfPrevious();
-        }
-    }
-
     private void read(long sequence, String name, long end) throws IOException {
         Segment segment = new Segment(sequence, name, Plan.blocks(disk.length(name)));
         EnumMap<Type, Integer> counts = new EnumMap<>(Type.class);
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -70,8 +70,9 @@
 
     /** A file that was kept aside for people to look at. */
     void foundAside(String name) throws IOException {
-        asideBytes += Plan.blocks(disk.length(name));
-        allocated += Plan.blocks(disk.length(name));
+        long bytes = Plan.blocks(disk.length(name));
+        asideBytes += bytes;
+        allocated += bytes;
     }
 
     private static long number(String spare) {
@@ -84,7 +85,7 @@
 
     // ---- figures ----------------------------------------------------------------------------------------
     Plan.Space space(Held held) {
-        long free = active == null ? 0 : active.length - active.used;
+        long free = left();
         for (Spare s : spares) {
             free += s.length() - Format.OVERHEAD;
         }
@@ -116,7 +117,7 @@
 
     /** True if the bytes fit into the file in use. */
     boolean fits(long bytes) {
-        return active != null && active.used + bytes <= active.length;
+        return active != null && bytes <= left();
     }
 
     /** True if a file for so many bytes can be had that leaves at least so many spare ones. */
