Rehearse the forwarder's own pool of idle connections, not a second one

VirtualForwarder had its own idle connections by endpoint, the last used first, with a bound and a time: ConnectionPool again, and HttpFront.budget again with its figures written out. The pool now takes any sort of connection; in virtual time that is the endpoint's name.

--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -1,11 +1,8 @@
 package lilaclever.lab.virtual;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
@@ -22,6 +19,7 @@
 import lilaclever.lab.world.Fault;
 import lilaclever.lab.world.Member;
 import lilaclever.lab.world.World;
+import lilaclever.protocol.http.HttpFront;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -31,6 +29,7 @@
 import lilaclever.routing.Message;
 import lilaclever.routing.Pace;
 import lilaclever.routing.Verdict;
+import lilaclever.transport.ConnectionPool;
 
 /**
  * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front and its deliverer
@@ -53,14 +52,13 @@
     private final Relay.Settings settings;
     private final MemoryDisk disk = new MemoryDisk();
     private final long seed;
-    /** Idle connections by endpoint, with the time since when. */
-    private final Map<String, ArrayDeque<Long>> idle = new HashMap<>();
-    private int idleCount;
     /** Calls that are out: a dying process resets them. */
     private final Set<Call> out = new LinkedHashSet<>();
     private Core core;
     private Counters counters;
     private SegmentedJournal journal;
+    /** Idle connections: all that is known of one is its endpoint. */
+    private ConnectionPool<String> idle;
     private int life;
     private long stepAt = Long.MAX_VALUE, lastStep = Long.MIN_VALUE;
     private long brokenBefore;
@@ -112,6 +110,8 @@
             throw new IllegalStateException("a disk in memory", e);
         }
         counters = new Counters();
+        idle = new ConnectionPool<>(settings.limits().keepAliveMicros(), MOST_IDLE, host -> true,
+                host -> world.disconnect(host, number));
         life++;
         lastStep = world.now();
         core = new Core(settings, seed * 31 + life, journal, counters, new Windows(List.of(), 3_600_000_000L, 100_000), this);
@@ -135,8 +135,6 @@
         journal = null;
         life++;
         stepAt = Long.MAX_VALUE;
-        idle.clear();
-        idleCount = 0;
     }
 
     /** Runs the task if this life goes on then. */
@@ -208,7 +206,7 @@
             return;
         }
         Handin handin = new Handin(id, null, a.messageClass(), a.destination(), "k" + a.number(), new byte[64], false, false,
-                left - Math.min(120_000, left / 50));
+                HttpFront.budget(left, 0));
         core.post(() -> {
             if (!core.knows(handin.destination())) {
                 world.turnedDown(handin.id(), 0);
@@ -266,7 +264,7 @@
         call.attachment = way;
         out.add(call);
         call.messages.forEach(m -> world.attempt(m.id(), number, host, call.endpoint.destination(), world.now()));
-        boolean kept = takeIdle(host);
+        boolean kept = idle.take(host, world.now()) != null;
         if (!kept) {
             world.auditor().service().connection();
         }
@@ -339,7 +337,8 @@
             world.partner(call.endpoint.destination()).heardFailure(number, world.now());
         }
         if (keeps) {
-            giveBack(call.endpoint.host());
+            idle.giveBack(call.endpoint.host(), call.endpoint.host(), world.now());
+            later(world.now() + settings.limits().keepAliveMicros(), () -> idle.sweep(world.now()));
         } else {
             world.partner(call.endpoint.destination()).disconnect(call.endpoint.host(), number);
         }
@@ -365,12 +364,7 @@
 
     @Override
     public void closeIdle(Call.Endpoint endpoint) {
-        ArrayDeque<Long> all = idle.remove(endpoint.host());
-        if (all != null) {
-            idleCount -= all.size();
-            Partner partner = world.partner(endpoint.destination());
-            all.forEach(x -> partner.disconnect(endpoint.host(), number));
-        }
+        idle.closeIdle(endpoint.host());
     }
 
     @Override
@@ -397,53 +391,4 @@
             });
         });
     }
-
-    // ---- connections ------------------------------------------------------------------------------------
-    private boolean takeIdle(String host) {
-        ArrayDeque<Long> all = idle.get(host);
-        if (all == null) {
-            return false;
-        }
-        Long last = all.pollLast();
-        idleCount--;
-        if (all.isEmpty()) {
-            idle.remove(host);
-        }
-        return last != null;
-    }
-
-    private void giveBack(String host) {
-        if (idleCount >= MOST_IDLE) {
-            dropOldest();
-        }
-        idle.computeIfAbsent(host, h -> new ArrayDeque<>()).addLast(world.now());
-        idleCount++;
-        later(world.now() + settings.limits().keepAliveMicros(), () -> expire(host));
-    }
-
-    private void expire(String host) {
-        ArrayDeque<Long> all = idle.get(host);
-        while (all != null && !all.isEmpty() && all.peekFirst() + settings.limits().keepAliveMicros() <= world.now()) {
-            all.removeFirst();
-            idleCount--;
-            world.disconnect(host, number);
-        }
-        if (all != null && all.isEmpty()) {
-            idle.remove(host);
-        }
-    }
-
-    private void dropOldest() {
-        String oldest = null;
-        for (Map.Entry<String, ArrayDeque<Long>> e : idle.entrySet()) {
-            oldest = oldest == null || e.getValue().peekFirst() < idle.get(oldest).peekFirst() ? e.getKey() : oldest;
-        }
-        ArrayDeque<Long> all = idle.get(oldest);
-        all.removeFirst();
-        idleCount--;
-        if (all.isEmpty()) {
-            idle.remove(oldest);
-        }
-        world.disconnect(oldest, number);
-    }
 }
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -41,7 +41,7 @@
     private final Transport transport;
     private final long connectMicros;
     private final int mostAnswer;
-    private final ConnectionPool pool;
+    private final ConnectionPool<Connection<?>> pool;
     private final FilterChain chain = Transport.chain(new AnswerFilter());
     private final Attribute<Link> links;
 
@@ -52,7 +52,7 @@
         this.transport = transport;
         this.connectMicros = connectMicros;
         this.mostAnswer = mostAnswer;
-        this.pool = new ConnectionPool((long) (KEEP_PART * keepAliveMicros), mostIdle);
+        this.pool = ConnectionPool.ofSockets((long) (KEEP_PART * keepAliveMicros), mostIdle);
         core.counters().gauge("idle_" + name, pool::size);
         this.links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpClient." + name);
     }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -41,7 +41,7 @@
     private final MailSettings settings;
     private final int zone;
     private final long connectMicros;
-    private final ConnectionPool pool;
+    private final ConnectionPool<Connection<?>> pool;
     private final FilterChain chain;
     private final Attribute<Session> sessions =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MailDeliverer.session");
@@ -55,7 +55,7 @@
         this.settings = settings;
         this.zone = zone;
         this.connectMicros = connectMicros;
-        this.pool = new ConnectionPool(keepAliveMicros / 2, mostIdle);
+        this.pool = ConnectionPool.ofSockets(keepAliveMicros / 2, mostIdle);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
