Derive what a rehearsal's world can derive, and name the sub-commands once

World kept a map of partners beside the list that they are numbered by, a question that nobody asked, and numbered a hand-in that came again by the retries left plus 100: a message that met a dead forwarder and was refused could get the same id twice where clients retry more than once. The number now follows the last hand-in's. The rehearse command walked over services three times, and read its settings in two places; the usage line repeated the list of sub-commands.

--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -41,7 +41,6 @@
     private final Fleet fleet;
     private final List<Partner> partners = new ArrayList<>();
     private final double[] weights;
-    private final Map<Integer, Partner> byDestination = new HashMap<>();
     private final Map<String, Relay.Entry> directory = new LinkedHashMap<>();
     private final List<Member> forwarders = new ArrayList<>();
     /** Since when the front knows that it is dead; absent: it sends there. */
@@ -116,7 +115,6 @@
             Partner p = new Partner(rank, kinds.get((int) order.get(rank)[1]), endpoints,
                     weights[rank] * fleet.ratePerSecond(), work, fleet.cold(), new Draws(seed, "partner " + rank));
             partners.add(p);
-            byDestination.put(rank, p);
             for (int e = 0; e < endpoints; e++) {
                 addEndpoint(p);
             }
@@ -191,7 +189,7 @@
 
     /** The partner behind a destination. */
     public Partner partner(int destination) {
-        return byDestination.get(destination);
+        return partners.get(destination); // they are numbered by their rank
     }
 
     /** A forwarder has closed an idle connection. */
@@ -207,6 +205,11 @@
         return Integer.parseInt(id.substring(1, id.indexOf('-')));
     }
 
+    /** Which of the message's hand-ins, from 0. */
+    private static int turn(String id) {
+        return Integer.parseInt(id.substring(id.indexOf('-') + 1));
+    }
+
     /** A call with these messages has come whole; tells what the partner makes of it. */
     public Answer call(Partner partner, String host, int forwarder, List<String> ids) {
         long[] work = ids.stream().mapToLong(id -> arrivals.get(number(id)).workMicros()).toArray();
@@ -272,17 +275,18 @@
         retriesLeft.put(a.number(), fleet.clientRetries());
         auditor.arrives(a.number(), a.messageClass(), a.destination(), a.workMicros(), now());
         add("arrived", 1);
-        handIn(a, 0);
+        handIn(a);
     }
 
-    private void handIn(Arrival a, int turn) {
+    private void handIn(Arrival a) {
         long left = a.atMicros() + scenario.classes().get(a.messageClass()).terms().deadlineMicros() - now();
         if (left <= 0) {
             return;
         }
         int to = pickForwarder();
         auditor.handedIn(a.number(), to, now());
-        String id = "m" + a.number() + "-" + turn;
+        String before = current.get(a.number());
+        String id = "m" + a.number() + '-' + (before == null ? 0 : turn(before) + 1);
         timeline.after(network(), () -> {
             unanswered.put(id, to);
             current.put(a.number(), id);
@@ -308,17 +312,11 @@
 
     private void handInAgain(String id) {
         Arrival a = arrivals.get(number(id));
-        int turn = Integer.parseInt(id.substring(id.indexOf('-') + 1));
         if (a != null) {
-            timeline.after(clientDraws.in(fleet.comesAgain()), () -> handIn(a, turn + 1));
+            timeline.after(clientDraws.in(fleet.comesAgain()), () -> handIn(a));
         }
     }
 
-    /** True while the client that handed this in waits for its answer. */
-    public boolean isUnanswered(String id) {
-        return unanswered.containsKey(id);
-    }
-
     private int pickForwarder() {
         double[] parts = frontWeights.clone();
         for (Map.Entry<Integer, Long> dead : frontKnowsDead.entrySet()) {
@@ -354,7 +352,7 @@
         long after = Math.max(comeBackMicros, clientDraws.in(fleet.comesAgain()));
         if (left > 0 && mayComeAgain(n, now() + after)) {
             retriesLeft.put(n, left - 1);
-            timeline.after(after, () -> handIn(arrivals.get(n), fleet.clientRetries() - left + 100));
+            timeline.after(after, () -> handIn(arrivals.get(n)));
         }
     }
 
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -16,12 +16,14 @@
 
 /** The command line: one sub-command, each with options of its own. */
 public final class Main {
+    private static final String NAMES = "serve|simhost|check-config|journal|rehearse|selftest|version";
+
     /** What a sub-command does; gives the exit code, or null while the program goes on running. */
     interface Command {
         Integer run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "serve|simhost|check-config|journal|rehearse|selftest|version", handler = SubCommandHandler.class,
+    @Argument(required = true, metaVar = NAMES, handler = SubCommandHandler.class,
             usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = ServeCommand.class),
@@ -48,7 +50,7 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("lilaclever: " + e.getMessage());
-            System.err.println("usage: java -jar lilaclever.jar serve|simhost|check-config|journal|rehearse|selftest|version [options]");
+            System.err.println("usage: java -jar lilaclever.jar " + NAMES + " [options]");
             e.getParser().printUsage(System.err);
             System.exit(2);
         }
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ExecutionException;
@@ -123,11 +124,18 @@
     }
 
     private Scenario scenario() throws Bad {
+        return ScenarioReader.read(one(), settingsBut(null));
+    }
+
+    /** What the command line sets, but for one. */
+    private List<Overrides.Setting> settingsBut(String swept) throws Bad {
         List<Overrides.Setting> settings = new ArrayList<>();
         for (String s : sets) {
-            settings.add(Overrides.Setting.of(s));
+            if (!s.equals(swept)) {
+                settings.add(Overrides.Setting.of(s));
+            }
         }
-        return ScenarioReader.read(one(), settings);
+        return settings;
     }
 
     private int play() throws Bad, IOException, InterruptedException, ExecutionException {
@@ -163,10 +171,9 @@
         }
         double[] interval = Comparison.interval(services);
         if (interval != null) {
+            DoubleSummaryStatistics all = services.stream().mapToDouble(Double::doubleValue).summaryStatistics();
             System.out.printf(Locale.ROOT, "%d runs: service %.3f (%.3f to %.3f), 95%% of chance %.3f to %.3f; rules broken in %d%n", n,
-                    services.stream().mapToDouble(Double::doubleValue).average().orElse(0),
-                    services.stream().mapToDouble(Double::doubleValue).min().orElse(0),
-                    services.stream().mapToDouble(Double::doubleValue).max().orElse(0), interval[0], interval[1], broken.get());
+                    all.getAverage(), all.getMin(), all.getMax(), interval[0], interval[1], broken.get());
         }
         System.out.println("report: " + folder(scenario).resolve(alone ? "index.html" : ""));
         return interrupt.come() ? Interrupt.CODE : broken.get() > 0 ? BROKEN : doubtful.get() > 0 ? DOUBTFUL : GOOD;
@@ -278,15 +285,9 @@
             throw new Bad("--set", "one setting with several values, not two");
         }
         Overrides.Setting form = Overrides.Setting.of(swept);
-        List<Overrides.Setting> others = new ArrayList<>();
-        for (String s : sets) {
-            if (!s.equals(swept)) {
-                others.add(Overrides.Setting.of(s));
-            }
-        }
         List<Point> points = new ArrayList<>();
         for (String value : form.value().split(",")) {
-            List<Overrides.Setting> settings = new ArrayList<>(others);
+            List<Overrides.Setting> settings = settingsBut(swept);
             settings.add(new Overrides.Setting(form.section(), form.key(), value.strip()));
             java.util.regex.Matcher number = java.util.regex.Pattern.compile("[0-9.]+").matcher(value);
             points.add(new Point(ScenarioReader.read(one(), settings), number.find() ? Double.parseDouble(number.group()) : points.size(),
