Let scripted peers and the rehearsals' stand-ins talk over one wire

The rehearsals' stand-ins read and wrote HTTP and MLLP frames a second time beside the tests' Peer.Wire, and Hl7Line framed by hand what both did. Peer.Wire now extends the stand-ins' Wire, which has frames, lines and the look whether the other side has closed; no assertion changed.

--- a/src/main/java/lilaclever/lab/sockets/Agent.java
+++ b/src/main/java/lilaclever/lab/sockets/Agent.java
@@ -198,7 +198,7 @@
 
     private static void answer(Wire wire, String status, String body) {
         try {
-            wire.answer(status, "", body);
+            wire.answer(status, body);
         } catch (IOException e) {
             wire.close();
         }
--- a/src/main/java/lilaclever/lab/sockets/Hl7Line.java
+++ b/src/main/java/lilaclever/lab/sockets/Hl7Line.java
@@ -1,12 +1,8 @@
 package lilaclever.lab.sockets;
 
-import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -18,7 +14,7 @@
  * It connects again whenever the connection ends, as ends may be owed there. A thread reads; the rest runs on the timeline's.
  */
 final class Hl7Line {
-    private static final int START = 0x0b, END = 0x1c, CONNECT = 500, AGAIN = 50, MOST = 70_000;
+    private static final int CONNECT = 500, AGAIN = 50;
     private static final long PATIENCE = 400_000;
     private static final Pattern MSA = Pattern.compile("\rMSA\\|(A[AER]|C[AER])\\|([^|\r]+)(?:\\|([^\r]*))?");
     private static final Pattern COME_BACK = Pattern.compile("come again in ([0-9.]{1,9}) s");
@@ -26,7 +22,7 @@
     private final World world;
     private final RealTime time;
     private final InetSocketAddress address;
-    private volatile Socket socket;
+    private volatile Wire wire;
     private volatile boolean closed;
 
     Hl7Line(World world, RealTime time, InetSocketAddress address) {
@@ -40,39 +36,24 @@
         while (!closed) {
             try (Socket s = new Socket()) {
                 s.connect(address, CONNECT);
-                s.setTcpNoDelay(true);
-                socket = s;
-                InputStream in = new BufferedInputStream(s.getInputStream());
-                for (String frame = frame(in); frame != null; frame = frame(in)) {
+                Wire up = new Wire(s);
+                wire = up;
+                for (String frame = up.frame(); frame != null; frame = up.frame()) {
                     String read = frame;
                     time.post(() -> acknowledged(read));
                 }
             } catch (IOException e) {
                 // nobody there, or it has died
             }
-            socket = null;
+            wire = null;
             Thread.sleep(AGAIN);
         }
     }
 
-    private static String frame(InputStream in) throws IOException {
-        ByteArrayOutputStream frame = new ByteArrayOutputStream();
-        for (int c = in.read(); c >= 0 && frame.size() < MOST; c = in.read()) {
-            if (c == END) {
-                in.read();
-                return frame.toString(StandardCharsets.ISO_8859_1);
-            }
-            if (c != START) {
-                frame.write(c);
-            }
-        }
-        return null;
-    }
-
     /** Hands a message in; what becomes of it is told to the world. */
     void handIn(String id, Arrival a, long leftMicros) {
-        Socket s = socket;
-        if (s == null) {
+        Wire to = wire;
+        if (to == null) {
             world.metNobody(id);
             return;
         }
@@ -80,7 +61,7 @@
                 + OperatorFile.event(a.messageClass()) + '|' + id + "|P|2.5|||AL|AL\rORC|NW|" + a.number() + "\rZLC|"
                 + String.format(Locale.ROOT, "%.3f", leftMicros / 1e6) + '\r';
         try {
-            s.getOutputStream().write(((char) START + message + (char) END + '\r').getBytes(StandardCharsets.ISO_8859_1));
+            to.frame(message);
         } catch (IOException e) {
             world.lost(id);
             return;
@@ -113,11 +94,11 @@
         return m.find() ? (long) (Double.parseDouble(m.group(1)) * 1e6) : 0;
     }
 
-    void close() throws IOException {
+    void close() {
         closed = true;
-        Socket s = socket;
-        if (s != null) {
-            s.close();
+        Wire last = wire;
+        if (last != null) {
+            last.close();
         }
     }
 }
--- a/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
+++ b/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
@@ -96,6 +96,9 @@
     }
 
     private void close() {
+        if (closed) {
+            return;
+        }
         closed = true;
         out = List.of();
         wire.close();
@@ -105,13 +108,10 @@
         ended.accept(this);
     }
 
-    private void write(String status, String headers, String body, boolean keep) {
+    private void write(String status, String body, String... headers) {
         try {
-            wire.answer(status, headers + (keep ? "" : "Connection: close\r\n"), body);
+            wire.answer(status, body, headers);
         } catch (IOException e) {
-            keep = false; // it reads that itself
-        }
-        if (!keep) {
             close();
         }
     }
@@ -126,7 +126,7 @@
             case "GET /health/live", "GET /stats" -> later(this::probed);
             case "POST /receive" -> receive(List.of(new Item(head.header("Req-Id", ""), head.body())), false, at);
             case "POST /receive-many" -> receive(items(head.body()), true, at);
-            default -> write("404 Not Found", "", "", true);
+            default -> write("404 Not Found", "");
         }
     }
 
@@ -148,7 +148,7 @@
         }
         if (ids.isEmpty() || !ids.stream().allMatch(world::isCurrent)) {
             world.auditor().count("calls_of_no_message");
-            write(ids.isEmpty() ? "400 Bad Request" : "410 Gone", "", "", true);
+            write(ids.isEmpty() ? "400 Bad Request" : "410 Gone", "");
             return;
         }
         if (waited < MOST_OVERTAKEN && ids.stream().anyMatch(id -> world.auditor().isOut(World.number(id)))) {
@@ -167,7 +167,8 @@
         if (!welcome) {
             over(ids, "full", true);
             partner.heardFailure(forwarder, time.now());
-            write("503 Service Unavailable", "", "", false);
+            write("503 Service Unavailable", "", "Connection: close");
+            close();
             return;
         }
         Answer a = world.call(partner, host, forwarder, ids);
@@ -177,7 +178,7 @@
             case ERROR -> time.at(a.atMicros(), () -> answer(ids, () -> {
                 over(ids, "error", false);
                 partner.heardFailure(forwarder, time.now());
-                write("500 Internal Server Error", "", "", true);
+                write("500 Internal Server Error", "");
             }));
             case DELIVERED -> time.at(a.atMicros(), () -> delivered(ids, a));
             default -> { } // nothing comes back
@@ -196,9 +197,9 @@
         partner.heardFailure(forwarder, time.now());
         if (wait > 0) {
             world.auditor().waitTold(forwarder, partner.destination(), time.now(), wait);
-            write("429 Too Many Requests", "X-Retry-In-Ms: " + (wait + 999) / 1000 + "\r\n", "", true);
+            write("429 Too Many Requests", "", "X-Retry-In-Ms: " + (wait + 999) / 1000);
         } else {
-            write("503 Service Unavailable", "", "", true);
+            write("503 Service Unavailable", "");
         }
     }
 
@@ -214,7 +215,7 @@
         named.forEach(i -> body.append(i.wireId()).append(" accepted\r\n"));
         time.after(world.network(), () -> {
             if (!closed) {
-                write("200 OK", "", body.toString(), true);
+                write("200 OK", body.toString());
             }
         });
     }
@@ -237,7 +238,7 @@
                     if (!status.startsWith("200")) {
                         partner.heardFailure(forwarder, time.now());
                     }
-                    write(status, "", "", true);
+                    write(status, "");
                 }
             });
         } else if (a.status() == Partner.Status.NO_CONNECTION) {
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -152,7 +152,7 @@
             socket.connect(address, 500);
             Wire wire = new Wire(socket);
             wire.patience(500);
-            wire.write("GET /health/ready HTTP/1.1\r\nHost: lilaclever\r\n\r\n", new byte[0]);
+            wire.say("GET /health/ready HTTP/1.1\r\nHost: lilaclever\r\n\r\n");
             Head answer = wire.read();
             return answer != null && answer.target().equals("200");
         } catch (IOException e) {
--- a/src/main/java/lilaclever/lab/sockets/Wire.java
+++ b/src/main/java/lilaclever/lab/sockets/Wire.java
@@ -5,17 +5,23 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
 
-/** One connection of a stand-in: as much of HTTP/1.1 as the platform's protocol needs, within bounds. */
-final class Wire implements AutoCloseable {
-    private static final int LONGEST_LINE = 8192, MOST_HEADERS = 100, MOST_BODY = 4 << 20;
+/**
+ * One connection of a stand-in, either side of it: as much of HTTP/1.1 and of MLLP as the protocols need, within bounds. It
+ * shares nothing with the program's own codecs, so that a fault of theirs is not made twice.
+ */
+public class Wire implements AutoCloseable {
+    private static final int LONGEST_LINE = 8192, MOST_HEADERS = 100, MOST_BODY = 4 << 20, MOST_FRAME = 70_000;
+    private static final char FRAME = 0x0b, FRAME_END = 0x1c;
 
     /** A request, or an answer with its status as the target. */
-    record Head(String method, String target, Map<String, String> headers, byte[] body, long firstByteNanos) {
-        String header(String name, String otherwise) {
+    public record Head(String method, String target, Map<String, String> headers, byte[] body, long firstByteNanos) {
+        /** A header's value. */
+        public String header(String name, String otherwise) {
             return headers.getOrDefault(name, otherwise);
         }
     }
@@ -23,22 +29,23 @@
     private final Socket socket;
     private final InputStream in;
 
-    Wire(Socket socket) throws IOException {
+    /** Talks over the socket, which is connected. */
+    public Wire(Socket socket) throws IOException {
         this.socket = socket;
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream());
     }
 
     /** The next request or answer; null if the other side has closed between two. */
-    Head read() throws IOException {
+    public final Head read() throws IOException {
         int first = in.read();
         if (first < 0) {
             return null;
         }
         long at = System.nanoTime();
-        String[] words = ((char) first + line()).split(" ", 3);
+        String[] words = ((char) first + wholeLine()).split(" ", 3);
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        for (String h = line(); !h.isEmpty(); h = line()) {
+        for (String h = wholeLine(); !h.isEmpty(); h = wholeLine()) {
             int colon = h.indexOf(':');
             if (colon < 1 || headers.size() >= MOST_HEADERS) {
                 throw new IOException("no header: " + h);
@@ -56,11 +63,23 @@
         return new Head(words[0], words[1], headers, body, at);
     }
 
-    private String line() throws IOException {
+    private String wholeLine() throws IOException {
+        String line = line();
+        if (line == null) {
+            throw new IOException("ended within a message");
+        }
+        return line;
+    }
+
+    /** The next line, or null at the end. */
+    public final String line() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0 || line.size() > LONGEST_LINE) {
-                throw new IOException(c < 0 ? "ended within a line" : "a line without end");
+            if (c < 0) {
+                return null;
+            }
+            if (line.size() > LONGEST_LINE) {
+                throw new IOException("a line without end");
             }
             if (c != '\r') {
                 line.write(c);
@@ -69,38 +88,87 @@
         return line.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** The next message in a frame of MLLP, or null at the end. */
+    public final String frame() throws IOException {
+        ByteArrayOutputStream message = new ByteArrayOutputStream();
+        for (int c = in.read(); c >= 0 && message.size() < MOST_FRAME; c = in.read()) {
+            if (c == FRAME_END) {
+                in.read();
+                return message.toString(StandardCharsets.ISO_8859_1);
+            }
+            if (c != FRAME) {
+                message.write(c);
+            }
+        }
+        return null;
+    }
+
+    /** Writes a message in a frame of MLLP. */
+    public final void frame(String message) throws IOException {
+        say(FRAME + message + FRAME_END + '\r');
+    }
+
+    /** Writes text, a byte for each character. */
+    public final void say(String text) throws IOException {
+        write(text, new byte[0]);
+    }
+
     /** Writes all of it at once. */
-    void write(String head, byte[] body) throws IOException {
+    public final void write(String head, byte[] body) throws IOException {
         byte[] first = head.getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = java.util.Arrays.copyOf(first, first.length + body.length);
         System.arraycopy(body, 0, all, first.length, body.length);
         socket.getOutputStream().write(all);
     }
 
-    /** Writes an answer; {@code headers} are whole lines. */
-    void answer(String status, String headers, String body) throws IOException {
+    /** Writes an answer. */
+    public final void answer(String status, String body, String... headers) throws IOException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        write("HTTP/1.1 " + status + "\r\n" + headers + (status.startsWith("204") ? "" : "Content-Length: " + bytes.length + "\r\n")
-                + "\r\n", bytes);
+        StringBuilder head = new StringBuilder("HTTP/1.1 " + status + "\r\n");
+        for (String h : headers) {
+            head.append(h).append("\r\n");
+        }
+        write(head + (status.startsWith("204") ? "" : "Content-Length: " + bytes.length + "\r\n") + "\r\n", bytes);
+    }
+
+    /** True if the other side has not closed it; only where nothing is expected from there now. */
+    public final boolean isOpen() {
+        try {
+            int patience = socket.getSoTimeout();
+            socket.setSoTimeout(1);
+            try {
+                return in.read() >= 0;
+            } catch (SocketTimeoutException e) {
+                return true;
+            } finally {
+                socket.setSoTimeout(patience);
+            }
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Waits so long at most for a byte. */
-    void patience(int millis) throws IOException {
+    public final void patience(int millis) throws IOException {
         socket.setSoTimeout(millis);
     }
 
     /** Closes it as a dying process would. */
-    void reset() {
+    public final void reset() {
         try {
             socket.setSoLinger(true, 0);
         } catch (IOException e) {
             // it is closed already
         }
-        close();
+        shut();
     }
 
     @Override
     public void close() {
+        shut();
+    }
+
+    private void shut() {
         try {
             socket.close();
         } catch (IOException e) {
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -84,17 +84,13 @@
 
     record Request(String path, Map<String, String> headers, String body) { }
 
-    /** One connection, either side of it. */
-    static final class Wire implements AutoCloseable {
-        private final Socket socket;
-        private final InputStream in;
-        private final OutputStream out;
+    /** One connection, either side of it: the stand-ins' own, with what scripts say and ask. */
+    static final class Wire extends lilaclever.lab.sockets.Wire {
+        private static final int PATIENCE = 30_000;
 
         Wire(Socket socket) throws IOException {
-            this.socket = socket;
-            socket.setSoTimeout(30_000);
-            in = new BufferedInputStream(socket.getInputStream());
-            out = socket.getOutputStream();
+            super(socket);
+            patience(PATIENCE);
         }
 
         static Wire to(java.net.SocketAddress address) throws IOException {
@@ -103,23 +99,6 @@
             return new Wire(socket);
         }
 
-        /** The next line, or null at the end. */
-        String line() throws IOException {
-            ByteArrayOutputStream line = new ByteArrayOutputStream();
-            for (int c = in.read(); c >= 0; c = in.read()) {
-                if (c == '\n') {
-                    return line.toString(StandardCharsets.ISO_8859_1).replace("\r", "");
-                }
-                line.write(c);
-            }
-            return null;
-        }
-
-        void say(String text) throws IOException {
-            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
-        }
-
         /** Says a line and gives the last line of the reply. */
         String ask(String line) throws IOException {
             say(line + "\r\n");
@@ -134,44 +113,10 @@
             return reply;
         }
 
+        /** The next request, or an answer with its status as the path; null at the end. */
         Request request() throws IOException {
-            String first = line();
-            if (first == null) {
-                return null;
-            }
-            Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-            for (String h = line(); h != null && !h.isEmpty(); h = line()) {
-                headers.put(h.substring(0, h.indexOf(':')), h.substring(h.indexOf(':') + 1).strip());
-            }
-            byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
-            return new Request(first.split(" ").length > 1 ? first.split(" ")[1] : first, headers,
-                    new String(body, StandardCharsets.ISO_8859_1));
-        }
-
-        void answer(String status, String body, String... headers) throws IOException {
-            StringBuilder all = new StringBuilder("HTTP/1.1 " + status + "\r\n");
-            for (String h : headers) {
-                all.append(h).append("\r\n");
-            }
-            say(all + (status.startsWith("204") ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body);
-        }
-
-        /** Sends a message in a frame of MLLP. */
-        void frame(String message) throws IOException {
-            say("\u000b" + message + "\u001c\r");
-        }
-
-        /** The next message in a frame, or null at the end. */
-        String frame() throws IOException {
-            ByteArrayOutputStream message = new ByteArrayOutputStream();
-            for (int c = in.read(); c >= 0; c = in.read()) {
-                if (c == 0x1c) {
-                    in.read();
-                    return message.toString(StandardCharsets.ISO_8859_1).substring(1);
-                }
-                message.write(c);
-            }
-            return null;
+            Head head = read();
+            return head == null ? null : new Request(head.target(), head.headers(), new String(head.body(), StandardCharsets.ISO_8859_1));
         }
 
         /** Hands a message in and gives the answer's first line and headers. */
@@ -188,27 +133,8 @@
         }
 
         @Override
-        public void close() throws IOException {
-            socket.setSoLinger(true, 0); // a dying process resets its connections
-            socket.close();
-        }
-
-        /** True if the other side has not closed it; only where nothing is expected from there now. */
-        boolean isOpen() {
-            try {
-                socket.setSoTimeout(1);
-                return in.read() >= 0;
-            } catch (java.net.SocketTimeoutException e) {
-                return true;
-            } catch (IOException e) {
-                return false;
-            } finally {
-                try {
-                    socket.setSoTimeout(30_000);
-                } catch (IOException e) {
-                    // closed on this side
-                }
-            }
+        public void close() {
+            reset(); // as a dying process would
         }
 
         void hang() throws IOException {
