Keep no idle connections in a large fleet, and no call past its window or end

Changed: in a fleet of many (the module's own bound) what came back idle is closed at the end of its round unless it is used in it; `closeUnused` kept it before as long as anything waited for the destination, even for a pause of seconds. A repeat within a window is dropped at the window's end and starts no later than a connection time-out before it (`retry`, `send`). A message of a call of several whose time is up, or that has ended, leaves the call while nothing of it is written (`Call.leave`, `HttpClient.Exchange.replaceBody`). Each has a test that fails without it.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -138,6 +139,8 @@
     private final LinkedHashSet<Call> calls = new LinkedHashSet<>();
     /** Waiting messages that were found to have no chance left, until they are ended in the same round. */
     private final List<Message> late = new ArrayList<>();
+    /** Endpoints that a call came back from in this round, and nothing went to since. */
+    private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>(
             Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
@@ -197,6 +200,8 @@
         }
         dueNow();
         long next = Math.min(sendAll(), askAt);
+        used.forEach(this::closeUnused);
+        used.clear();
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
         next = Math.max(next, now + settings.roundMicros());
         if (next < NEVER && (next < wakeAt || wakeAt <= now)) {
@@ -222,9 +227,7 @@
             askPause = ASK_FIRST;
         }
         if (e.kind() == ListingKind.ALL || e.kind() == ListingKind.REMEMBERED) {
-            for (Endpoint endpoint : endpoints.values()) {
-                endpoint.active = false;
-            }
+            endpoints.values().forEach(endpoint -> endpoint.active = false);
         }
         for (Entry entry : e.entries()) {
             Endpoint endpoint = endpoints.get(entry.host());
@@ -338,7 +341,6 @@
 
     /** Sends what may go, the most worth for a slot's time first; gives the time to look again. */
     private long sendAll() {
-        long next = NEVER;
         List<Pick> picks = new ArrayList<>();
         for (Queue queue : busy) {
             queue.lookAt = NEVER;
@@ -350,10 +352,7 @@
         late.forEach(this::end);
         late.clear();
         while (!picks.isEmpty() && slotsOut < settings.limits().slots()) {
-            Pick best = picks.get(0);
-            for (Pick p : picks) {
-                best = p.rank() > best.rank() ? p : best;
-            }
+            Pick best = Collections.max(picks, Comparator.comparingDouble(Pick::rank));
             picks.remove(best);
             // What went since it was picked may have taken its part of the slots.
             if (gate(best.message(), best.endpoint())) {
@@ -364,9 +363,7 @@
                 picks.add(again);
             }
         }
-        for (Queue queue : busy) {
-            next = Math.min(next, queue.lookAt);
-        }
+        long next = busy.stream().mapToLong(queue -> queue.lookAt).min().orElse(NEVER);
         return picks.isEmpty() ? next : Math.min(next, relieve(picks.size()));
     }
 
@@ -519,8 +516,11 @@
     }
 
     private boolean outsideWindow(Message m, long at) {
-        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED
-                && at >= m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros();
+        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED && at >= windowEnd(m);
+    }
+
+    private long windowEnd(Message m) {
+        return m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros();
     }
 
     /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
@@ -549,6 +549,7 @@
         endpoint.limit.lastSend = now;
         endpoint.lastSend = now;
         endpoint.idle.pollLast();
+        used.remove(endpoint);
     }
 
     private void send(Message m, Endpoint endpoint, Call call) {
@@ -561,19 +562,21 @@
         m.lastHost = endpoint;
         call.left++;
         long dropAt = Math.min(m.deadline, now + patience(m, endpoint.limit));
+        // A connection that comes up late must not carry it past its window.
+        dropAt = m.mayHaveRun && m.kind.repeat() == Repeat.KEYED ? Math.min(dropAt, windowEnd(m)) : dropAt;
         actions.add(new Action.Send(m.id, endpoint.host, dropAt));
     }
 
     /**
      * Idle connections fill what an endpoint takes from all relays. Closed where connects were turned away,
-     * and always where this relay will hardly use it again. Also holds against a destination that lowers its
-     * room. Costs a handshake in KEEP_CALLS of the calls there, or after an outage.
+     * always where this relay will hardly use it again, and by each of many relays: one each would fill an
+     * endpoint that takes few, and what each learns alone comes late. Costs a handshake a call there.
      */
     private void closeUnused(Endpoint endpoint) {
         double others = usual(endpoint.limit) / endpoint.limit.endpoints.size() - SECOND / USUAL;
         boolean rare = others * settings.limits().keepAliveMicros() < KEEP_CALLS * SECOND;
-        if ((rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
-                && endpoint.queue.waiting.isEmpty()) {
+        if ((many || rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
+                && (many || endpoint.queue.waiting.isEmpty())) {
             actions.add(new Action.CloseIdle(endpoint.host));
             endpoint.idle.clear();
         }
@@ -636,7 +639,7 @@
             if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.RESET
                     && e.ending() != Ending.NOT_SENT) {
                 endpoint.idle.addLast(now);
-                closeUnused(endpoint);
+                used.add(endpoint);
             }
         }
         boolean first = !call.told;
@@ -673,8 +676,9 @@
         m.notBefore = now + pause;
         if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
             long closes = m.riskAt + m.kind.repeatWindowMicros();
-            // A pause past the window would lose the message: come as late as still helps.
-            m.notBefore = Math.min(m.notBefore, Math.max(now, closes - 10 * settings.roundMicros()));
+            // A pause past the window would lose the message: come as late as a connection may still come up.
+            long latest = closes - settings.limits().connectTimeoutMicros();
+            m.notBefore = now < latest ? Math.min(m.notBefore, latest) : m.notBefore;
             dues.add(new Due(closes, order++, m));
         }
         if (m.attempts >= settings.limits().maxAttempts() || m.notBefore > m.deadline - LEAST_LEFT
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -1,6 +1,7 @@
 package lilaclever.protocol.http;
 
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
@@ -71,7 +72,8 @@
     /** Sends a request; headers by name. Connections are kept and found again under the owner's name. */
     Exchange send(String owner, String address, String method, String path, Map<String, String> headers, byte[] body,
             Listener listener) {
-        Exchange exchange = new Exchange(owner, address, Head.request(method, path, address, headers, body), listener);
+        Exchange exchange = new Exchange(owner, address, of -> Head.request(method, path, address, headers, of), body,
+                listener);
         exchange.begin();
         return exchange;
     }
@@ -149,21 +151,23 @@
     /** One request and what becomes of it. */
     final class Exchange {
         private final String owner, address;
-        private final byte[] request;
+        private final UnaryOperator<byte[]> form;
         private final Listener listener;
         private Deadlines.Key due;
         private boolean done;
         /** Guarded by this: a request that was given up is not written, one that is being written is not unsent. */
         private boolean givenUp;
+        private byte[] request;
         private Link link;
         /** Set on the selector thread before the answer can be read there. */
         private volatile boolean written;
         private volatile int status;
 
-        private Exchange(String owner, String address, byte[] request, Listener listener) {
+        private Exchange(String owner, String address, UnaryOperator<byte[]> form, byte[] body, Listener listener) {
             this.owner = owner;
             this.address = address;
-            this.request = request;
+            this.form = form;
+            this.request = form.apply(body);
             this.listener = listener;
         }
 
@@ -239,6 +243,15 @@
             }
         }
 
+        /** Has it carry another body; false if the first one may be on its way. */
+        synchronized boolean replaceBody(byte[] body) {
+            if (link != null || givenUp) {
+                return false;
+            }
+            request = form.apply(body);
+            return true;
+        }
+
         /** What the first line of the answer has said so far; else 0. */
         int status() {
             return status;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -70,8 +70,18 @@
             call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive", headers, m.handin.body(),
                     listener);
         } else {
-            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive-many", headers, many(messages),
-                    listener);
+            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive-many", headers,
+                    many(messages), listener);
+        }
+    }
+
+    @Override
+    public void leaveOut(Call call, Message m) {
+        HttpClient.Exchange exchange = (HttpClient.Exchange) call.attachment;
+        List<Message> rest = call.messages.stream().filter(x -> x != m).toList();
+        if (exchange != null && exchange.replaceBody(many(rest))) {
+            call.messages.remove(m);
+            core.post(() -> core.outcome(call, m, Ending.NOT_SENT, 0, false, false));
         }
     }
 
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -26,4 +26,11 @@
         this.dropAt = dropAt;
         this.startedAt = startedAt;
     }
+
+    /** Has a message that must not go any more leave, if others go and the call is not on its way yet. */
+    void leave(Message m) {
+        if (m.out == this && started && messages.size() > 1) {
+            endpoint.deliverer().leaveOut(this, m);
+        }
+    }
 }
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -541,6 +541,10 @@
         m.out = call;
         call.messages.add(m);
         call.open++;
+        if (a.dropAtMicros() < call.dropAt) {
+            Call shared = call;
+            deadlines.at(a.dropAtMicros(), () -> shared.leave(m));
+        }
     }
 
     /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
@@ -602,6 +606,9 @@
         if (told || Identity.isShared(m.handin.identity())) { // a client that is away may be owed that it was delivered
             journal.verdict(m.id(), verdict);
         }
+        if (m.out != null) {
+            m.out.leave(m);
+        }
         answer(m, verdict);
     }
 
--- a/src/main/java/lilaclever/routing/Deliverer.java
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -8,6 +8,13 @@
     /** Stops waiting for a call and closes its connection; the outcomes follow by the next turn. */
     void giveUp(Call call);
 
+    /**
+     * A message that travels with others must not go any more: it has ended, or its time for this attempt is up. It
+     * leaves the call, as one that was not sent, if none of the call's bytes can have left. A connection that comes up
+     * later must not carry it.
+     */
+    default void leaveOut(Call call, Message m) { }
+
     /** Closes idle connections to an endpoint. */
     void closeIdle(Call.Endpoint endpoint);
 
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -515,6 +515,33 @@
         assertTrue(rig.actions.stream().anyMatch(Action.CloseIdle.class::isInstance), rig.actions.toString());
     }
 
+    /** Guards against a fleet whose idle connections fill an endpoint that takes few: one each is enough for that. */
+    @Test
+    void inALargeFleetNoConnectionIsKeptIdle() {
+        rig = new Rig(Rig.settings(10, 50, 12, false, 200));
+        rig.list(ListingKind.REMEMBERED, Rig.entry("a1", 1, 0, 0));
+        rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED);
+        assertTrue(rig.actions.contains(new Action.CloseIdle("a1")), rig.actions.toString());
+    }
+
+    /** Guards against a repeat that its connection, late to come up, carries past the window in which it is dropped. */
+    @Test
+    void noAttemptOfAKeyedMessageStaysOpenPastItsWindow() {
+        String id = rig.submit(KEYED, 1);
+        long first = rig.now;
+        for (int attempt = 0; rig.checker.open().contains(id); attempt++) {
+            rig.outcome(id, "a1", attempt, Ending.ERROR);
+            rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED); // it is well otherwise
+            while (!rig.sent(id) && rig.checker.open().contains(id)) {
+                rig.pass(5 * MS);
+            }
+            for (Action action : rig.actions) {
+                assertTrue(!(action instanceof Action.Send s) || s.dropAtMicros() < first + 5 * S, action.toString());
+            }
+        }
+        assertTrue(rig.now > first + 3 * S, "it was sent late enough to matter");
+    }
+
     @Test
     void failedConnectsThatGoOnAreAnOutage() {
         Map<String, Integer> tries = new HashMap<>();
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.nio.file.Files;
@@ -226,25 +227,53 @@
         }
     }
 
+    /** Its list comes once the queue says so. */
+    private Peer platformThatTellsLater(LinkedBlockingQueue<String> watches, String endpoint) throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                if (r.path().equals("/status")) {
+                    notices.add(r.body());
+                    wire.answer("204 No Content", "");
+                } else if (!r.path().contains("?")) {
+                    Peer.next(watches);
+                    wire.answer("200 OK", Setup.list(endpoint));
+                }
+            }
+        });
+    }
+
+    /** Guards against sending on what was ended while the call's connection came up: its client may have it sent again. */
+    @Test
+    void aMessageThatEndsBeforeItsCallIsWrittenLeavesTheCall() throws Exception {
+        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Peer platform = platformThatTellsLater(watches, "127.0.0.1:" + endpoint.getLocalPort())) {
+            List<Socket> before = List.of(new Socket(), new Socket());
+            for (Socket each : before) {
+                each.connect(endpoint.getLocalSocketAddress()); // no room is left for the next until these are accepted
+            }
+            serve(platform.address(), null);
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("stays", "payment", 28, "x").startsWith("202"));
+                assertTrue(client.handIn("ends", "status", 0.8, "y").startsWith("202"));
+                watches.add("now");
+                assertTrue(Peer.next(notices).contains("ends"));
+                for (Socket each : before) {
+                    endpoint.accept().close();
+                    each.close();
+                }
+                try (Wire call = new Wire(endpoint.accept())) {
+                    assertEquals("stays k-stays 1\r\nx\r\n", call.request().body());
+                }
+            }
+        }
+    }
+
     @Test
     void whatGoesToOneEndpointInOneTurnSharesACall() throws Exception {
         LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
         try (Peer endpoint = endpoint(wire -> wire.answer("200 OK", "b fault\r\na accepted\r\nc deferred\r\n"));
-                Peer platform = new Peer(wire -> {
-                    for (Request r = wire.request(); r != null; r = wire.request()) {
-                        if (r.path().equals("/status")) {
-                            notices.add(r.body());
-                            wire.answer("204 No Content", "");
-                        } else if (!r.path().contains("?")) {
-                            try {
-                                Peer.next(watches); // told once all three are held
-                            } catch (InterruptedException e) {
-                                return;
-                            }
-                            wire.answer("200 OK", Setup.list(endpoint.address()));
-                        }
-                    }
-                })) {
+                Peer platform = platformThatTellsLater(watches, endpoint.address())) {
             serve(platform.address(), null);
             try (Wire client = Wire.to(address)) {
                 for (String id : new String[] {"a", "b", "c"}) {
