Hold a limit for five spread seconds after a refusal in a large fleet

After one refusal a forwarder kept to half of its usual rate, and `holdUntil` lasted for two calls at that rate: 40 s for one that sends to a partner every 10 s, where a clump lasts under 4 s.

Changed: with many relays a hold lasts the design's five quiet seconds, spread by chance so that those who were refused together come again apart (`refused`), and its pace does not bind beyond its end (`readyAt`). Smaller fleets: as before.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -223,9 +223,7 @@
             askPause = Math.min(askPause * 2, Math.min(ASK_LAST, settings.rules().askWithinMicros() / 3));
             return;
         }
-        if (e.kind() != ListingKind.REMEMBERED) {
-            askPause = ASK_FIRST;
-        }
+        askPause = e.kind() == ListingKind.REMEMBERED ? askPause : ASK_FIRST;
         if (e.kind() == ListingKind.ALL || e.kind() == ListingKind.REMEMBERED) {
             endpoints.values().forEach(endpoint -> endpoint.active = false);
         }
@@ -583,9 +581,8 @@
     }
 
     /**
-     * Endpoints of this kind take few connections, as seen by failed connects that soon turned into
-     * deliveries. There a failed connect is no outage; it is tried again, as pauses allow. May hurt for some
-     * seconds where a kind that was crowded goes down: failed connects that go on end it.
+     * Endpoints of this kind take few connections: failed connects soon turned into deliveries. There one is
+     * no outage, and is tried again as pauses allow. May hurt for seconds where such a kind goes down.
      */
     private boolean crowded(Endpoint endpoint) {
         return blips[endpoint.kind] > CROWDED;
@@ -833,9 +830,8 @@
         // A full queue, a limit used up by refused calls and a shut one look alike to a relay that comes by
         // once: the second refusal in a row, or the first with nothing left, sets the pace of an outage. Few
         // relays see each destination often enough to tell an outage by its length.
-        boolean usedUp = e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
-        limit.turned += usedUp ? 2 : many ? 1 : 0;
-        limit.usedUp = usedUp;
+        limit.usedUp = e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
+        limit.turned += limit.usedUp ? 2 : many ? 1 : 0;
         if (now >= limit.holdUntil) {
             limit.pace = CUT * limit.recent / CUT_PACE;
             limit.roof = Math.max(CUT * limit.recent, HOLD_PER_SECOND);
@@ -866,8 +862,10 @@
             // What was taken bounds the cut from below: with few messages to send it says little of the room.
             limit.pace = Math.max(least, Math.min(most, Math.max(CUT_PACE * limit.pace, CUT * limit.recent)));
         }
-        // Quiet seconds in which nothing could be sent say nothing: the hold lasts for two calls at its pace.
-        limit.holdUntil = now + (long) Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit)));
+        // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
+        // For one of many relays, which sends seldom, that is far longer than a clump.
+        limit.holdUntil = now + (long) (many ? QUIET * spread()
+                : Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit))));
     }
 
     /** Calls a second that a held limit surely has for this relay: all relays at this pace stay within it. */
@@ -988,7 +986,9 @@
         }
         long at = Math.max(Math.max(limit.waitUntil, limit.opensAt), endpoint.avoidUntil);
         double rate = held(limit);
-        rate = limit.turned > 1 ? Math.min(rate, budget(limit, 0, false) / limit.jitter) : rate;
+        long free = now < limit.holdUntil ? limit.holdUntil : NEVER;
+        at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSend + (long) (SECOND / rate)));
+        rate = limit.turned > 1 ? budget(limit, 0, false) / limit.jitter : NEVER;
         rate = limit.usedUp ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
         at = rate >= NEVER ? at : Math.max(at, limit.lastSend + (long) (SECOND / rate));
         rate = healed(endpoint);
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -524,6 +524,19 @@
         assertTrue(rig.actions.contains(new Action.CloseIdle("a1")), rig.actions.toString());
     }
 
+    /** Guards against a fleet that stays away from a partner for most of a minute after one refusal by each. */
+    @Test
+    void oneOfManyRelaysComesBackSoonAfterARefusal() {
+        rig = new Rig(Rig.settings(10, 50, 12, false, 200));
+        rig.list(ListingKind.REMEMBERED, Rig.entry("a1", 1, 0, 0));
+        String id = rig.submit(SAFE, 1);
+        rig.outcome(id, "a1", 0, Ending.FULL);
+        rig.pass(2 * S);
+        assertTrue(!rig.sent(id), "not while what others sent is still over the limit");
+        rig.pass(6 * S);
+        assertTrue(rig.sent(id), "five quiet seconds, spread, are enough");
+    }
+
     /** Guards against a repeat that its connection, late to come up, carries past the window in which it is dropped. */
     @Test
     void noAttemptOfAKeyedMessageStaysOpenPastItsWindow() {
