Serve operators at an address of their own, and take endpoints out by hand

Ruled out on the way: that suspended endpoints need a rule of their own in the module; as "leaving" they get nothing new from the next turn on.

The module is unchanged.

--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -8,30 +8,36 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import lilaclever.Relay;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
 import lilaclever.conf.Bad;
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
+import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.transport.Transport;
 
 /**
  * The one place where configuration is read, checked and given defaults. The file is named by {@code ROUTER_CONFIG};
  * the other variables override it.
  */
-record Config(String name, String listen, String discovery, Path state, long seed, long diskBytes,
+record Config(String name, String listen, String operator, String discovery, Path state, long seed, long diskBytes,
         int sockets, Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known) {
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
     private static final String NOTE = "discovery";
-    /** What the note takes on disk. */
-    static final long NOTE_BYTES = 512;
+    /** What the note takes on disk, and the one of endpoints out by hand, written beside the old one. */
+    private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * 7_168;
+    private static final String SUSPENDED = "suspended";
     /** Descriptors that the machine itself needs, and some for files of the journal. */
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
@@ -58,6 +64,28 @@
         Files.writeString(state.resolve(NOTE), discovery);
     }
 
+    /** What the notes take on disk. */
+    long noteBytes() {
+        return NOTE_BYTES + (operator == null ? 0 : SUSPENDED_BYTES);
+    }
+
+    /** Ids of endpoints that were taken out by hand in an earlier life. */
+    Set<String> suspended() throws Bad {
+        try {
+            Path note = state.resolve(SUSPENDED);
+            return Files.exists(note) ? new LinkedHashSet<>(Files.readAllLines(note)) : Set.of();
+        } catch (IOException e) {
+            // To start without it would send to what an operator has taken out.
+            throw new Bad("state", SUSPENDED + " can't be read: " + e);
+        }
+    }
+
+    /** Notes the ids of endpoints that are out by hand: the old note stays until the new one is whole. */
+    static void noteSuspended(Path state, Set<String> ids) throws IOException {
+        Path whole = Files.write(state.resolve(SUSPENDED + ".new"), ids);
+        Files.move(whole, state.resolve(SUSPENDED), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
     private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
         try {
             if (root.has("discovery") && Files.exists(state.resolve(NOTE))
@@ -92,7 +120,8 @@
 
     /** Connections of clients at most: what the program itself, calls, idle connections, mail and other fronts leave. */
     int mostClients(boolean mail, int otherFronts) {
-        return Math.max(1, sockets - OWN_SOCKETS - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0)
+        int operators = operator == null ? 0 : OperatorPort.MOST + 1;
+        return Math.max(1, sockets - OWN_SOCKETS - operators - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0)
                 - otherFronts);
     }
 
@@ -110,6 +139,9 @@
         if (!listen.equals(used.listen)) {
             keys.add("listen");
         }
+        if (!Objects.equals(operator, used.operator)) {
+            keys.add("operator");
+        }
         if (!state.equals(used.state)) {
             keys.add("state");
         }
@@ -153,8 +185,10 @@
         JsonObject known = root.has("known") && !root.get("known").isJsonNull()
                 ? object("known", root.get("known")) : null;
         Path state = Path.of(value(variables, "ROUTER_STATE", root, "state", null));
+        String operator = value(variables, "ROUTER_OPERATOR", root, "operator", "");
         return new Config(value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
                 address(value(variables, "ROUTER_LISTEN", root, "listen", null), "listen"),
+                operator.isEmpty() ? null : address(operator, "operator"),
                 address(discovery(variables, root, state), "discovery"), state,
                 seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), sockets, read, classNames,
                 strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known);
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -23,8 +23,10 @@
 import lilaclever.protocol.mail.MailFront;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.protocol.mllp.MllpFront;
+import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
+import lilaclever.routing.Suspensions;
 import lilaclever.transport.Transport;
 
 /** The parts of the serving program, put together, started and stopped. */
@@ -51,18 +53,19 @@
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
-        journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - Config.NOTE_BYTES,
+        journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - config.noteBytes(),
                 operator.journal().durability(),
                 new Times(Core::micros, Core::wall, BootClock.read(Core.wall())),
                 new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
         core = new Core(settings, config.seed(), journal, counters, operator.identity().windows());
+        Suspensions suspensions = new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(config.state(), ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
                 new Directory.Names(config.kinds(), config.zones(),
-                        settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep);
+                        settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep, suspensions::listing);
         front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null, operator.mllpConnections()), config.crowd(),
                 notices, operator.identity().practiceHeader());
         core.add(front);
@@ -80,8 +83,12 @@
         Directory.Known known = known(config, directory);
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
-        core.start(known == null ? List.of() : known.listed(), known == null ? 0 : known.index());
+        long version = known == null ? 0 : known.index();
+        core.start(suspensions.heard(Relay.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()), version);
         addresses.add(front.listen(transport, Transport.address(config.listen())));
+        if (config.operator() != null) {
+            addresses.add(new OperatorPort(core, suspensions).listen(transport, Transport.address(config.operator())));
+        }
         for (MailFront each : mailFronts) {
             addresses.addAll(each.listen(transport));
         }
@@ -122,7 +129,7 @@
         return forwarder;
     }
 
-    /** Where it listens: HTTP first, then SMTP and LMTP in the order of the mail file, then HL7. */
+    /** Where it listens: HTTP first, then the operators' address if there is one, then SMTP and LMTP in the order of the mail file, then HL7. */
     List<SocketAddress> addresses() {
         return addresses;
     }
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -26,6 +26,12 @@
     private static final long PAUSE = 50_000;
     private static final int MOST_ANSWER = 1 << 20;
 
+    /** Who hears what the list says. */
+    public interface Listener {
+        /** News of the list. */
+        void listing(Relay.ListingKind kind, long version, List<Core.Listed> news);
+    }
+
     /** A list as the platform writes it. */
     public record Known(long index, boolean whole, List<Core.Listed> listed) { }
 
@@ -33,6 +39,7 @@
     private final HttpClient client;
     private final Deliverer deliverer;
     private final Names names;
+    private final Listener listener;
     private String address;
     private long index = -1;
     /** The call that is out, and when it is given up or made again. */
@@ -44,8 +51,9 @@
 
     /** Watches the list at the address. */
     public Directory(Core core, Transport transport, String address, Deliverer deliverer, Names names,
-            long connectMicros, long keepAliveMicros) {
+            long connectMicros, long keepAliveMicros, Listener listener) {
         this.core = core;
+        this.listener = listener;
         this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros, 1, MOST_ANSWER);
         this.address = address;
         this.deliverer = deliverer;
@@ -92,7 +100,7 @@
                     Known news = read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
                             .getAsJsonObject());
                     if (index < 0 || news.whole() || !news.listed().isEmpty()) {
-                        core.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
+                        listener.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
                                 news.listed());
                     }
                     index = news.index();
--- /dev/null
+++ b/src/main/java/lilaclever/routing/Suspensions.java
@@ -0,0 +1,151 @@
+package lilaclever.routing;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import lilaclever.Relay;
+import lilaclever.log.Logs;
+
+/**
+ * Endpoints that operators have taken out by hand. Whatever the list says of one, the core hears that it is leaving,
+ * until it is put back: then it hears what the list says now. Noted before the operator is told so, since it outlasts
+ * the process. Between the directory and the core; loop thread.
+ */
+public final class Suspensions {
+    /** Ids that are remembered as listed, oldest first out: a call for one that was never listed is refused. */
+    private static final int MOST_KNOWN = 50_000;
+    /** Endpoints out at once: the note has to fit on the disk. */
+    public static final int MOST_OUT = 100;
+    /** Longer than any id, shorter than what would fill the note. */
+    private static final int LONGEST = 64;
+
+    /** Where the ids outlast the process. */
+    public interface Note {
+        /** Replaces the ids that are noted. */
+        void write(Set<String> ids) throws IOException;
+    }
+
+    /** A call that can't be carried out; the message is for the operator. */
+    public static final class Refused extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Refused(String problem) {
+            super(problem);
+        }
+    }
+
+    private final Core core;
+    private final Note note;
+    private final Set<String> out;
+    /** What the list said last of each endpoint; one that has left stays known by its name. */
+    private final Map<String, Core.Listed> listed = new LinkedHashMap<>();
+    private long version;
+
+    /** With the ids that an earlier life noted. */
+    public Suspensions(Core core, Set<String> noted, Note note) {
+        this.core = core;
+        this.note = note;
+        this.out = new LinkedHashSet<>(noted);
+        core.counters().gauge("suspended", out::size);
+        core.counters().gauge("listed", listed::size);
+    }
+
+    /** News of the list on their way to the core. */
+    public void listing(Relay.ListingKind kind, long version, List<Core.Listed> news) {
+        core.listing(kind, version, heard(kind, version, news));
+    }
+
+    /** The same where the core hears it from whoever asks: what it may hear. */
+    public List<Core.Listed> heard(Relay.ListingKind kind, long version, List<Core.Listed> news) {
+        this.version = version;
+        if (kind == Relay.ListingKind.ALL || kind == Relay.ListingKind.REMEMBERED) {
+            Map<String, Core.Listed> before = new LinkedHashMap<>(listed);
+            news.forEach(x -> before.remove(x.entry().host()));
+            before.replaceAll((host, x) -> as(x, Relay.Presence.LEFT));
+            listed.putAll(before);
+        }
+        for (Core.Listed x : news) {
+            listed.remove(x.entry().host()); // the last that was heard of goes last
+            listed.put(x.entry().host(), x);
+        }
+        for (var i = listed.entrySet().iterator(); listed.size() > MOST_KNOWN && i.hasNext();) {
+            if (i.next().getValue().entry().presence() == Relay.Presence.LEFT) {
+                i.remove();
+            }
+        }
+        return apply(news);
+    }
+
+    private List<Core.Listed> apply(List<Core.Listed> news) {
+        List<Core.Listed> told = new ArrayList<>(news);
+        told.replaceAll(x -> out.contains(x.entry().host()) && x.entry().presence() == Relay.Presence.ACTIVE
+                ? as(x, Relay.Presence.LEAVING) : x);
+        return told;
+    }
+
+    /** Takes the endpoint out, from the next turn on. A second call changes nothing. */
+    public void suspend(String id) throws Refused {
+        Core.Listed now = known(id);
+        if (out.contains(id)) {
+            return;
+        }
+        if (out.size() >= MOST_OUT || id.length() > LONGEST) {
+            throw new Refused("no more than " + MOST_OUT + " endpoints may be out at once");
+        }
+        out.add(id);
+        if (!noted()) {
+            out.remove(id);
+            throw new Refused(id + ": can't be noted on disk, so it stays in");
+        }
+        Logs.info("", "suspended", id + " is out by hand", "endpoint", id);
+        tell(now);
+    }
+
+    /** Puts it back, however often it was taken out. */
+    public void restore(String id) throws Refused {
+        Core.Listed now = known(id);
+        if (!out.remove(id)) {
+            return;
+        }
+        if (!noted()) {
+            out.add(id);
+            throw new Refused(id + ": can't be noted on disk, so it stays out");
+        }
+        Logs.info("", "restored", id + " is back", "endpoint", id);
+        tell(now);
+    }
+
+    private Core.Listed known(String id) throws Refused {
+        Core.Listed now = listed.get(id);
+        if (now == null && !out.contains(id)) {
+            throw new Refused(id + ": never listed");
+        }
+        return now;
+    }
+
+    private void tell(Core.Listed now) {
+        if (now != null && now.entry().presence() != Relay.Presence.LEFT) {
+            core.listing(Relay.ListingKind.CHANGES, version, apply(List.of(now)));
+        }
+    }
+
+    private boolean noted() {
+        try {
+            note.write(out);
+            return true;
+        } catch (IOException e) {
+            Logs.error("", "suspension-not-noted", "endpoints out by hand can't be noted: " + e);
+            return false;
+        }
+    }
+
+    private static Core.Listed as(Core.Listed x, Relay.Presence presence) {
+        Relay.Entry e = x.entry();
+        return new Core.Listed(new Relay.Entry(e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(),
+                e.sinceMicros()), x.endpoint());
+    }
+}
