Read the answer to a call of several as such however many messages are left in it

Seen in a reading of the change that has ended messages leave an unwritten call: with one message left, `outcomes` took the call for one of a single message and its 200 for "delivered", whatever the body said ("fault", "deferred").

Changed: HttpDeliverer keeps with a call whether it went out as one of several. The story of the message that leaves now answers "deferred" to the one that stays, and it has to come again. ForwarderTest and OperatorPortTest pass.

--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -23,6 +23,9 @@
     /** What an endpoint has to say is short; whatever says more is spoilt. */
     private static final int MOST_ANSWER = 64 * 1024;
 
+    /** What is out for a call; {@code several}: its answer tells the end of each message, however many are left. */
+    private record Out(HttpClient.Exchange exchange, boolean several) { }
+
     private final Core core;
     private final HttpClient client;
     private final long probeMicros;
@@ -42,12 +45,13 @@
     @Override
     public void start(Call call) {
         List<Message> messages = call.messages;
+        boolean several = messages.size() > 1;
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Req-Deadline", seconds(Math.max(0, call.dropAt - call.startedAt)));
         HttpClient.Listener listener = new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> answer, byte[] body) {
-                outcomes(call, status, answer, body);
+                outcomes(call, several, status, answer, body);
             }
 
             @Override
@@ -57,36 +61,36 @@
                 if (status != 0) {
                     core.counters().add(Counters.Name.SPOILT_ANSWERS);
                 }
-                all(call, saysDelivered(call, status) ? Ending.DELIVERED : written ? Ending.RESET
+                all(call, saysDelivered(several, status) ? Ending.DELIVERED : written ? Ending.RESET
                         : Ending.NO_CONNECTION, 0, false, false);
             }
         };
-        if (messages.size() == 1) {
+        byte[] body;
+        if (several) {
+            body = many(messages);
+        } else {
             Message m = messages.get(0);
             headers.put("Req-Id", m.id());
             if (m.handin.key() != null) {
                 headers.put("Idempotency-Key", m.handin.key());
             }
-            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive", headers, m.handin.body(),
-                    listener);
-        } else {
-            call.attachment = client.send(owner(call.endpoint), call.endpoint.address(), "POST", "/receive-many", headers,
-                    many(messages), listener);
+            body = m.handin.body();
         }
+        call.attachment = new Out(client.send(owner(call.endpoint), call.endpoint.address(), "POST",
+                several ? "/receive-many" : "/receive", headers, body, listener), several);
     }
 
     @Override
     public void leaveOut(Call call, Message m) {
-        HttpClient.Exchange exchange = (HttpClient.Exchange) call.attachment;
         List<Message> rest = call.messages.stream().filter(x -> x != m).toList();
-        if (exchange != null && exchange.replaceBody(many(rest))) {
+        if (call.attachment instanceof Out out && out.exchange().replaceBody(many(rest))) {
             call.messages.remove(m);
             core.post(() -> core.outcome(call, m, Ending.NOT_SENT, 0, false, false));
         }
     }
 
-    private static boolean saysDelivered(Call call, int status) {
-        return status == 200 && call.messages.size() == 1;
+    private static boolean saysDelivered(boolean several, int status) {
+        return status == 200 && !several;
     }
 
     private static byte[] many(List<Message> messages) {
@@ -102,14 +106,14 @@
         return out.toByteArray();
     }
 
-    private void outcomes(Call call, int status, Map<String, String> headers, byte[] body) {
+    private void outcomes(Call call, boolean several, int status, Map<String, String> headers, byte[] body) {
         long wait = wait(headers);
         switch (status) {
             case 200 -> {
-                if (call.messages.size() == 1) {
-                    all(call, Ending.DELIVERED, 0, false, false);
-                } else {
+                if (several) {
                     each(call, wait, new String(body, StandardCharsets.ISO_8859_1));
+                } else {
+                    all(call, Ending.DELIVERED, 0, false, false);
                 }
             }
             case 429, 503 -> {
@@ -159,9 +163,9 @@
 
     @Override
     public void giveUp(Call call) {
-        HttpClient.Exchange exchange = (HttpClient.Exchange) call.attachment;
-        boolean written = exchange != null && exchange.close();
-        boolean delivered = exchange != null && saysDelivered(call, exchange.status());
+        Out out = (Out) call.attachment;
+        boolean written = out != null && out.exchange().close();
+        boolean delivered = out != null && saysDelivered(out.several(), out.exchange().status());
         // The slot is free once the other side has seen the close: a call in this same turn would find none.
         core.post(() -> all(call, delivered ? Ending.DELIVERED : written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0,
                 false, false));
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -248,6 +248,7 @@
         LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
         try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Peer platform = platformThatTellsLater(watches, "127.0.0.1:" + endpoint.getLocalPort())) {
+            endpoint.setSoTimeout(20_000);
             List<Socket> before = List.of(new Socket(), new Socket());
             for (Socket each : before) {
                 each.connect(endpoint.getLocalSocketAddress()); // no room is left for the next until these are accepted
@@ -264,6 +265,10 @@
                 }
                 try (Wire call = new Wire(endpoint.accept())) {
                     assertEquals("stays k-stays 1\r\nx\r\n", call.request().body());
+                    call.answer("200 OK", "stays deferred\r\n"); // still the answer of a call of several
+                }
+                try (Wire again = new Wire(endpoint.accept())) {
+                    assertEquals("stays", again.request().headers().get("req-id"));
                 }
             }
         }
