Say where a repeat's window ends in one place, and simplify what reading the change found

The question whether a message has a window was asked beside its end (`outsideWindow`, `send`); the fleet's case of closing idle connections was tested twice; a whole list was copied to mark what it leaves out; the operators' line was taken apart and joined again; a test had a second platform beside the shared one.

Changed: `windowEnd` is never over where there is no window, and its callers compare; `closeUnused` names `many` once; `Suspensions` marks in place; `Peer.platform` takes a list that comes later. Behaviour is as before, no assertion changed.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -298,7 +298,7 @@
         m.mayHaveRun = prior.mayHaveRun();
         m.riskAt = prior.riskAtMicros();
         m.riskZone = prior.riskZone();
-        if (m.attempts >= settings.limits().maxAttempts() || outsideWindow(m, now)
+        if (m.attempts >= settings.limits().maxAttempts() || now >= windowEnd(m)
                 || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
             end(m);
         } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
@@ -325,7 +325,7 @@
             if (m.over) {
                 forgetLine(m);
             } else if (m.out == null) {
-                if (m.deadline - now <= LEAST_LEFT || outsideWindow(m, now)) {
+                if (m.deadline - now <= LEAST_LEFT || now >= windowEnd(m)) {
                     end(m);
                 }
             } else if (now >= m.deadline + settings.rules().answerSlackMicros() / 2) {
@@ -410,7 +410,7 @@
         for (Message m : soonest > now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
             // Nothing may go before its time is up, and no call is out whose outcome could change that: the
             // client is told now, and may find a relay that is not held.
-            if (soonest > m.deadline - LEAST_LEFT || outsideWindow(m, soonest)) {
+            if (soonest > m.deadline - LEAST_LEFT || soonest >= windowEnd(m)) {
                 late.add(m);
             }
         }
@@ -505,7 +505,7 @@
             if (m.kind.repeat() == Repeat.UNSAFE) {
                 return false;
             }
-            if (m.kind.repeat() == Repeat.KEYED && (outsideWindow(m, now)
+            if (m.kind.repeat() == Repeat.KEYED && (now >= windowEnd(m)
                     || m.kind.group() == Group.ZONE && endpoint.zone != m.riskZone)) {
                 return false;
             }
@@ -513,12 +513,10 @@
         return readyAt(endpoint) <= now;
     }
 
-    private boolean outsideWindow(Message m, long at) {
-        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED && at >= windowEnd(m);
-    }
-
+    /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
     private long windowEnd(Message m) {
-        return m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros();
+        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED
+                ? m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros() : Long.MAX_VALUE;
     }
 
     /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
@@ -559,9 +557,8 @@
         m.sentAt = now;
         m.lastHost = endpoint;
         call.left++;
-        long dropAt = Math.min(m.deadline, now + patience(m, endpoint.limit));
         // A connection that comes up late must not carry it past its window.
-        dropAt = m.mayHaveRun && m.kind.repeat() == Repeat.KEYED ? Math.min(dropAt, windowEnd(m)) : dropAt;
+        long dropAt = Math.min(Math.min(m.deadline, now + patience(m, endpoint.limit)), windowEnd(m));
         actions.add(new Action.Send(m.id, endpoint.host, dropAt));
     }
 
@@ -573,8 +570,8 @@
     private void closeUnused(Endpoint endpoint) {
         double others = usual(endpoint.limit) / endpoint.limit.endpoints.size() - SECOND / USUAL;
         boolean rare = others * settings.limits().keepAliveMicros() < KEEP_CALLS * SECOND;
-        if ((many || rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
-                && (many || endpoint.queue.waiting.isEmpty())) {
+        if (many || (rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
+                && endpoint.queue.waiting.isEmpty()) {
             actions.add(new Action.CloseIdle(endpoint.host));
             endpoint.idle.clear();
         }
@@ -679,7 +676,7 @@
             dues.add(new Due(closes, order++, m));
         }
         if (m.attempts >= settings.limits().maxAttempts() || m.notBefore > m.deadline - LEAST_LEFT
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE || outsideWindow(m, m.notBefore)) {
+                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE || m.notBefore >= windowEnd(m)) {
             end(m);
             return;
         }
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -83,7 +83,7 @@
     /** Notes the ids of endpoints that are out by hand: the old note stays until the new one is whole. */
     static void noteSuspended(Path state, Set<String> ids) throws IOException {
         Path whole = Files.write(state.resolve(SUSPENDED + ".new"), ids);
-        Files.move(whole, state.resolve(SUSPENDED), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(whole, state.resolve(SUSPENDED), StandardCopyOption.ATOMIC_MOVE);
     }
 
     private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -129,7 +129,10 @@
         return forwarder;
     }
 
-    /** Where it listens: HTTP first, then the operators' address if there is one, then SMTP and LMTP in the order of the mail file, then HL7. */
+    /**
+     * Where it listens: HTTP first, then the operators' address if there is one, then SMTP and LMTP in the order of the
+     * mail file, then HL7.
+     */
     List<SocketAddress> addresses() {
         return addresses;
     }
--- a/src/main/java/lilaclever/protocol/operator/OperatorPort.java
+++ b/src/main/java/lilaclever/protocol/operator/OperatorPort.java
@@ -4,7 +4,6 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import lilaclever.routing.Core;
 import lilaclever.routing.Suspensions;
 import lilaclever.transport.Transport;
@@ -121,7 +120,7 @@
     private String reply(String line) {
         String[] words = line.split(" +");
         try {
-            switch (String.join(" ", Arrays.copyOf(words, 1)) + '/' + words.length) {
+            switch (words[0] + '/' + words.length) {
                 case "STATUS/1" -> {
                     return "200 ready";
                 }
--- a/src/main/java/lilaclever/routing/Suspensions.java
+++ b/src/main/java/lilaclever/routing/Suspensions.java
@@ -59,14 +59,11 @@
         core.listing(kind, version, heard(kind, version, news));
     }
 
-    /** The same where the core hears it from whoever asks: what it may hear. */
+    /** Takes news in and gives what the core may hear of it: at the start the core is told by its host. */
     public List<Core.Listed> heard(Relay.ListingKind kind, long version, List<Core.Listed> news) {
         this.version = version;
         if (kind == Relay.ListingKind.ALL || kind == Relay.ListingKind.REMEMBERED) {
-            Map<String, Core.Listed> before = new LinkedHashMap<>(listed);
-            news.forEach(x -> before.remove(x.entry().host()));
-            before.replaceAll((host, x) -> as(x, Relay.Presence.LEFT));
-            listed.putAll(before);
+            listed.replaceAll((host, x) -> as(x, Relay.Presence.LEFT)); // but for what follows
         }
         for (Core.Listed x : news) {
             listed.remove(x.entry().host()); // the last that was heard of goes last
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -229,17 +229,10 @@
 
     /** Its list comes once the queue says so. */
     private Peer platformThatTellsLater(LinkedBlockingQueue<String> watches, String endpoint) throws IOException {
-        return new Peer(wire -> {
-            for (Request r = wire.request(); r != null; r = wire.request()) {
-                if (r.path().equals("/status")) {
-                    notices.add(r.body());
-                    wire.answer("204 No Content", "");
-                } else if (!r.path().contains("?")) {
-                    Peer.next(watches);
-                    wire.answer("200 OK", Setup.list(endpoint));
-                }
-            }
-        });
+        return Peer.platform(() -> {
+            Peer.next(watches);
+            return Setup.list(endpoint);
+        }, notices);
     }
 
     /** Guards against sending on what was ended while the call's connection came up: its client may have it sent again. */
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -62,13 +62,23 @@
 
     /** A platform: answers the directory's list, keeps notices, and hangs watches. */
     static Peer platform(String list, LinkedBlockingQueue<String> notices) throws IOException {
+        return platform(() -> list, notices);
+    }
+
+    /** Gives the directory's list once it is to be told. */
+    interface Lists {
+        String next() throws InterruptedException;
+    }
+
+    /** The same whose list may come later. */
+    static Peer platform(Lists lists, LinkedBlockingQueue<String> notices) throws IOException {
         return new Peer(wire -> {
             for (Request r = wire.request(); r != null; r = wire.request()) {
                 if (r.path.equals("/status")) {
                     r.body.lines().forEach(notices::add);
                     wire.answer("204 No Content", "");
                 } else if (!r.path.contains("?")) {
-                    wire.answer("200 OK", list);
+                    wire.answer("200 OK", lists.next());
                 } // a watch: nothing ever changes
             }
         });
