Write no call under a told wait, even if it was decided before the wait was told

The module decided by waits, but between its decision and a call's last byte nothing did: with a connection for each call, that may be long.

A wait in any answer but 429 and 503, in two headers, over 11 days, or in an answer cut short was dropped.

Change: routing.Waits knows told waits where bytes are read and written. An answer's wait is kept as soon as its head is read, whatever else it says and whoever still waits for it. A call is written only after a selection begun since, so that no answer lies unread; under a wait it goes back as WITHHELD, which counts no attempt and tells the module the wait. What is half written is cut off. A call that is given up is read once more first. As many endpoints as the largest fleets have (1,024, before 100) may be out by hand.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -642,6 +642,7 @@
             endpoint.takenSentAt = Math.max(endpoint.takenSentAt, m.sentAt);
         }
         learn(e, endpoint, first);
+        m.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0;
         if (ran && e.ending() != Ending.DELIVERED && !m.mayHaveRun) {
             m.mayHaveRun = true;
             m.riskAt = m.sentAt;
@@ -666,7 +667,7 @@
 
     /** The next try after the design's growing, spread pause; or the end, at once, if none can come. */
     private void retry(Message m) {
-        long pause = (long) (STEPS[Math.min(m.attempts - 1, STEPS.length - 1)] * spread());
+        long pause = (long) (STEPS[Math.max(0, Math.min(m.attempts, STEPS.length) - 1)] * spread());
         m.notBefore = now + pause;
         if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
             long closes = m.riskAt + m.kind.repeatWindowMicros();
@@ -777,7 +778,7 @@
             limit.reported = true;
             limit.left = e.report().left();
         }
-        if (e.ending() == Ending.FULL && e.waitMicros() > 0) {
+        if (e.waitMicros() > 0) {
             limit.waitUntil = Math.max(limit.waitUntil, now + e.waitMicros());
             limit.shortWaitAt = e.waitMicros() < SHUT_WAIT ? now : limit.shortWaitAt;
         }
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -47,6 +47,8 @@
     enum Ending {
         DELIVERED(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), RESET(false),
         CANCELED(false), NOT_SENT(true),
+        /** Not written, since a wait was told after it was decided: that attempt was none. */
+        WITHHELD(true),
         /** Turned down for good: no further attempt of this message can succeed. */
         REJECTED(true);
 
@@ -158,7 +160,10 @@
         /** The program ends: by the given time all calls that were started must have come back. */
         record Stopping(long untilMicros) implements Event { }
 
-        /** An attempt ended. {@code over}: the message is finished; {@code noSlot}: it was not sent for want of one. */
+        /**
+         * An attempt ended. {@code over}: the message is finished; {@code noSlot}: it was not sent for want of one;
+         * {@code waitMicros}: how long nothing may go there from now on, whatever the ending; 0: no wait.
+         */
         record Outcome(String id, String host, int attempt, Ending ending, long elapsedMicros, long waitMicros,
                 boolean noSlot, boolean over, Report report) implements Event { }
 
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -252,7 +252,7 @@
 
     private Core.Listed listed(Relay.Entry e) {
         return new Core.Listed(e, new Call.Endpoint(e.host(), e.host(), e.destination(), e.zone(),
-                settings.kinds().get(e.kind()).batch(), this));
+                settings.kinds().get(e.kind()).batch(), settings.kinds().get(e.kind()).ownLimits(), this));
     }
 
     // ---- calls ------------------------------------------------------------------------------------------
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -23,6 +23,7 @@
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.protocol.operator.OperatorPort;
+import lilaclever.routing.Suspensions;
 import lilaclever.transport.Transport;
 
 /**
@@ -36,7 +37,7 @@
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
     private static final String NOTE = "discovery";
     /** What the note takes on disk, and the one of endpoints out by hand, written beside the old one. */
-    private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * 7_168;
+    private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * Suspensions.NOTE_BYTES;
     private static final String SUSPENDED = "suspended";
     /** Descriptors that the machine itself needs, and some for files of the journal. */
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -64,8 +64,8 @@
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(core, transport, config.discovery(), deliverer,
-                new Directory.Names(config.kinds(), config.zones(),
-                        settings.kinds().stream().map(Relay.Kind::batch).toList()), connect, keep, suspensions::listing);
+                new Directory.Names(config.kinds(), config.zones(), settings.kinds()), connect, keep,
+                suspensions::listing);
         front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null, operator.mllpConnections()), config.crowd(),
                 notices, operator.identity().practiceHeader());
         core.add(front);
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -46,8 +46,14 @@
     private HttpClient.Exchange asking;
     private Deadlines.Key again;
 
-    /** What the settings call kinds and zones, in order. */
-    public record Names(List<String> kinds, List<String> zones, List<Integer> batches) { }
+    /** What the settings call kinds and zones, in order, and what they say of each kind. */
+    public record Names(List<String> kinds, List<String> zones, List<Relay.Kind> ofKinds) {
+        private static final Relay.Kind UNKNOWN = new Relay.Kind(false, 1);
+
+        Relay.Kind kind(int index) {
+            return index >= 0 && index < ofKinds.size() ? ofKinds.get(index) : UNKNOWN;
+        }
+    }
 
     /** Watches the list at the address. */
     public Directory(Core core, Transport transport, String address, Deliverer deliverer, Names names,
@@ -138,10 +144,10 @@
             long sinceMicros = since == 0 ? 0
                     : Math.max(1, core.now() - (System.currentTimeMillis() - since) * 1000);
             double weight = e.has("weight") ? e.get("weight").getAsDouble() : 1;
-            int batch = kind >= 0 && kind < names.batches().size() ? names.batches().get(kind) : 1;
             all.add(new Core.Listed(new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight,
                     sinceMicros), new Call.Endpoint(host, e.get("address").getAsString(),
-                    e.get("group").getAsInt(), zone, batch, deliverer)));
+                    e.get("group").getAsInt(), zone, names.kind(kind).batch(), names.kind(kind).ownLimits(),
+                    deliverer)));
         }
         return new Known(list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), all);
     }
--- a/src/main/java/lilaclever/protocol/http/Figures.java
+++ b/src/main/java/lilaclever/protocol/http/Figures.java
@@ -1,12 +1,15 @@
 package lilaclever.protocol.http;
 
 import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.util.regex.Pattern;
 
 /** Texts from outside: what may be a number or an id here. */
 final class Figures {
     /** Bounded before it is computed with: a short text such as 1e999999999 is a number of a billion digits. */
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{0,12})?");
+    /** Of any length: the reader's bound on a head is enough, as there is no exponent. */
+    private static final Pattern LONG_DECIMAL = Pattern.compile("[0-9]+(\\.[0-9]*)?");
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** Ids and keys travel in heads, in lines with spaces between, and in the journal. */
     private static final Pattern WORD = Pattern.compile("[!-~]{1,128}");
@@ -18,6 +21,12 @@
         return DECIMAL.matcher(text).matches() ? new BigDecimal(text).movePointRight(places).longValue() : null;
     }
 
+    /** The same rounded up, and the given figure at the most, however long the text; 0 if it is no such number. */
+    static long atLeast(String text, int places, long most) {
+        return LONG_DECIMAL.matcher(text).matches() ? new BigDecimal(text).movePointRight(places)
+                .setScale(0, RoundingMode.CEILING).min(BigDecimal.valueOf(most)).longValue() : 0;
+    }
+
     /** A whole number, not negative; null if it is none. */
     static Integer whole(String text) {
         return WHOLE.matcher(text).matches() ? Integer.valueOf(text) : null;
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -1,7 +1,11 @@
 package lilaclever.protocol.http;
 
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
@@ -36,6 +40,20 @@
          * {@code status}: what the answer's first line said, else 0.
          */
         void broke(boolean written, int status);
+
+        /**
+         * What an answer's head says, as soon as it is here, though the rest may never come or nobody may wait for it any
+         * more; of one that can't be read, the part that can. Selector thread.
+         */
+        default void head(Map<String, String> headers) { }
+
+        /** Whether the request may go out at this moment, when all that had come before was read. Selector thread. */
+        default boolean mayGo() {
+            return true;
+        }
+
+        /** It might not go out, so its last byte was not written: called in place of the others. */
+        default void withheld() { }
     }
 
     private final Core core;
@@ -45,6 +63,8 @@
     private final ConnectionPool<Connection<?>> pool;
     private final FilterChain chain = Transport.chain(new AnswerFilter());
     private final Attribute<Link> links;
+    /** Requests whose first bytes are written and whose last are not, as the other side reads slowly. */
+    private final Set<Exchange> partly = ConcurrentHashMap.newKeySet();
 
     /** A client whose answers have bodies up to so many bytes. */
     HttpClient(Core core, Transport transport, String name, long connectMicros, long keepAliveMicros, int mostIdle,
@@ -55,6 +75,7 @@
         this.mostAnswer = mostAnswer;
         this.pool = ConnectionPool.ofSockets((long) (KEEP_PART * keepAliveMicros), mostIdle);
         core.counters().gauge("idle_" + name, pool::size);
+        core.counters().gauge("partly_written_" + name, partly::size);
         this.links = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpClient." + name);
     }
 
@@ -85,6 +106,7 @@
         private volatile Exchange current;
         /** More came than was asked for: nobody may ask here again. */
         private volatile boolean spoilt;
+        private boolean headTold;
 
         Link(Connection<?> connection) {
             this.connection = connection;
@@ -97,21 +119,30 @@
                 connection.closeSilently();
                 return false;
             }
-            current = exchange;
-            exchange.write(this);
+            if (exchange.listener.mayGo()) {
+                current = exchange;
+                exchange.write(this);
+            } else {
+                exchange.withheld(connection);
+            }
             return true;
         }
 
         void bytes(byte[] in) {
             Exchange exchange = current;
-            if (exchange == null || !exchange.written) {
-                // Nobody asked, or has asked yet: what follows can't be told from an answer.
-                spoilt = true;
-                connection.closeSilently();
+            if (exchange == null) {
+                refuse(); // nobody asked: what follows can't be told from an answer
                 return;
             }
             try {
                 int at = reader.read(in, 0, in.length);
+                if (reader.hasHead()) {
+                    head(exchange);
+                }
+                if (!exchange.written) {
+                    refuse(); // it could not wait for the end of what it was asked
+                    return;
+                }
                 exchange.status = reader.status();
                 if (reader.isComplete()) {
                     complete(exchange, reader.keeps() && at == in.length);
@@ -119,16 +150,31 @@
                     exchange.begun();
                 }
             } catch (MessageReader.Spoilt e) {
-                exchange.status = reader.status();
-                spoilt = true;
-                connection.closeSilently();
+                exchange.status = exchange.written ? reader.status() : 0;
+                head(exchange);
+                refuse();
+            }
+        }
+
+        private void refuse() {
+            spoilt = true;
+            connection.closeSilently();
+        }
+
+        private void head(Exchange exchange) {
+            if (!headTold) {
+                headTold = true;
+                exchange.listener.head(reader.headers());
+                partly.forEach(Exchange::cutIfHeld);
             }
         }
 
         private void complete(Exchange exchange, boolean keep) {
             // From now on whatever comes is one too many, also before the loop has seen this answer.
             current = null;
+            headTold = false;
             spoilt |= !keep;
+            exchange.trace("answered");
             int status = reader.status();
             Map<String, String> headers = reader.headers();
             byte[] body = reader.body();
@@ -140,6 +186,10 @@
             Exchange exchange = current;
             current = null;
             spoilt = true;
+            if (exchange != null) {
+                partly.remove(exchange);
+                head(exchange);
+            }
             if (exchange != null && reader.status() != 0 && reader.ends()) {
                 complete(exchange, false);
             } else if (exchange != null) {
@@ -162,6 +212,8 @@
         /** Set on the selector thread before the answer can be read there. */
         private volatile boolean written;
         private volatile int status;
+        /** Its connection was closed before its last byte was written, since it might not go out any more. */
+        private volatile boolean cut;
 
         private Exchange(String owner, String address, UnaryOperator<byte[]> form, byte[] body, Listener listener) {
             this.owner = owner;
@@ -182,7 +234,7 @@
                 return;
             }
             Link kept = links.get(idle);
-            Transport.onSelector(idle, () -> {
+            Transport.afterReading(idle, () -> {
                 if (!kept.take(this)) {
                     core.post(this::begin); // nothing was written: another one
                 }
@@ -193,10 +245,11 @@
             due = core.deadlines().at(core.now() + connectMicros, this::broke);
             core.counters().add(Counters.Name.CONNECTIONS);
             transport.connect(Transport.address(address), chain, up -> {
+                trace("connected");
                 Link fresh = new Link(up);
                 links.set(up, fresh);
                 core.post(() -> core.deadlines().cancel(due));
-                Transport.onSelector(up, () -> {
+                Transport.afterReading(up, () -> {
                     if (!fresh.take(this)) {
                         core.post(this::broke);
                     }
@@ -210,7 +263,49 @@
                 return;
             }
             link = on;
-            Transport.write(on.connection, request, () -> written = true, on.connection::closeSilently);
+            Transport.write(on.connection, request, this::written, on.connection::closeSilently);
+            if (!written) {
+                partly.add(this);
+            }
+        }
+
+        private void written() {
+            written = true;
+            partly.remove(this);
+            trace("written");
+            if (!listener.mayGo()) {
+                core.post(() -> core.counters().holds(false, listener + " was written under no wait"));
+            }
+        }
+
+        /** The rest of a request that is half written must not follow. Selector thread. */
+        private void cutIfHeld() {
+            if (!written && !listener.mayGo()) {
+                cut = true;
+                partly.remove(this);
+                link.connection.terminateSilently(); // to close it would first write what is left
+            }
+        }
+
+        private void trace(String event) {
+            if (Logs.isDebug()) {
+                Logs.debug("", event, event + ": " + listener);
+            }
+        }
+
+        /** Nothing is written: the connection is as good as before. Selector thread. */
+        private void withheld(Connection<?> unused) {
+            trace("withheld");
+            core.post(() -> {
+                if (done) {
+                    unused.closeSilently();
+                    return;
+                }
+                done = true;
+                core.deadlines().cancel(due);
+                pool.giveBack(owner, unused, core.now());
+                listener.withheld();
+            });
         }
 
         /** The first line is here. Selector thread. */
@@ -239,7 +334,11 @@
         private void broke() {
             if (!done) {
                 close();
-                listener.broke(written, status);
+                if (cut) {
+                    listener.withheld();
+                } else {
+                    listener.broke(written, status);
+                }
             }
         }
 
@@ -257,16 +356,37 @@
             return status;
         }
 
-        /** Gives the request up by closing its connection; true if its last byte may have been written. */
-        boolean close() {
+        /** Gives the request up by closing its connection. */
+        void close() {
+            Link open = leave();
+            if (open != null) {
+                open.connection.terminateSilently(); // to close it would first write what is left
+            }
+        }
+
+        /**
+         * The same, once what its endpoint has said until now is read: that may be a wait. {@code closed} hears on the loop
+         * thread whether the request's last byte may have been written.
+         */
+        void giveUp(Consumer<Boolean> closed) {
+            Link open = leave();
+            if (open == null) {
+                core.post(() -> closed.accept(false));
+                return;
+            }
+            Transport.afterReading(open.connection, () -> {
+                open.connection.terminateSilently();
+                core.post(() -> closed.accept(true));
+            });
+        }
+
+        /** Nobody waits for the answer any more; gives the connection that it may be on its way on, or null. */
+        private Link leave() {
             done = true;
             core.deadlines().cancel(due);
             synchronized (this) {
                 givenUp = true;
-                if (link != null) {
-                    link.connection.closeSilently();
-                }
-                return link != null;
+                return link;
             }
         }
     }
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -7,13 +7,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Collectors;
 import lilaclever.Relay.Ending;
+import lilaclever.log.Logs;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
+import lilaclever.routing.Waits;
 import lilaclever.transport.Transport;
 
 /** Calls over the platform's protocol: requests out, answers to endings. */
@@ -22,6 +25,9 @@
     private static final byte[] CRLF = {'\r', '\n'};
     /** What an endpoint has to say is short; whatever says more is spoilt. */
     private static final int MOST_ANSWER = 64 * 1024;
+    /** Longer than any message lives or any process runs, and far from an overflow: ten years, microseconds. */
+    private static final long MOST_WAIT = 315_360_000_000_000L;
+    private static final long SWEEP = 500_000;
 
     /** What is out for a call; {@code several}: its answer tells the end of each message, however many are left. */
     private record Out(HttpClient.Exchange exchange, boolean several) { }
@@ -29,6 +35,7 @@
     private final Core core;
     private final HttpClient client;
     private final long probeMicros;
+    private final Waits waits = new Waits();
 
     /** A deliverer with connections of its own. */
     public HttpDeliverer(Core core, Transport transport, long connectMicros, long keepAliveMicros, int mostIdle) {
@@ -40,6 +47,13 @@
     /** Starts its housekeeping. */
     public void start() {
         client.start();
+        core.counters().gauge("waits", waits::size);
+        sweep();
+    }
+
+    private void sweep() {
+        waits.sweep(core.now());
+        core.deadlines().at(core.now() + SWEEP, this::sweep);
     }
 
     @Override
@@ -62,7 +76,28 @@
                     core.counters().add(Counters.Name.SPOILT_ANSWERS);
                 }
                 all(call, saysDelivered(several, status) ? Ending.DELIVERED : written ? Ending.RESET
-                        : Ending.NO_CONNECTION, 0, false, false);
+                        : Ending.NO_CONNECTION, false, false);
+            }
+
+            @Override
+            public void head(Map<String, String> answer) {
+                heed(call, answer);
+            }
+
+            @Override
+            public boolean mayGo() {
+                return waits.left(call.endpoint, Core.micros()) == 0;
+            }
+
+            @Override
+            public void withheld() {
+                all(call, Ending.WITHHELD, false, false);
+            }
+
+            @Override
+            public String toString() {
+                return "call to " + call.endpoint.host() + " of destination " + call.endpoint.destination()
+                        + " with message " + call.messages.stream().map(Message::id).collect(Collectors.joining(", "));
             }
         };
         byte[] body;
@@ -85,7 +120,7 @@
         List<Message> rest = call.messages.stream().filter(x -> x != m).toList();
         if (call.attachment instanceof Out out && out.exchange().replaceBody(many(rest))) {
             call.messages.remove(m);
-            core.post(() -> core.outcome(call, m, Ending.NOT_SENT, 0, false, false));
+            core.post(() -> outcome(call, m, Ending.NOT_SENT, false, false));
         }
     }
 
@@ -107,26 +142,25 @@
     }
 
     private void outcomes(Call call, boolean several, int status, Map<String, String> headers, byte[] body) {
-        long wait = wait(headers);
         switch (status) {
             case 200 -> {
                 if (several) {
-                    each(call, wait, new String(body, StandardCharsets.ISO_8859_1));
+                    each(call, new String(body, StandardCharsets.ISO_8859_1));
                 } else {
-                    all(call, Ending.DELIVERED, 0, false, false);
+                    all(call, Ending.DELIVERED, false, false);
                 }
             }
             case 429, 503 -> {
                 boolean noSlot = "1".equals(headers.get("x-no-slot"));
-                all(call, noSlot ? Ending.NOT_SENT : Ending.FULL, wait, noSlot, false);
+                all(call, noSlot ? Ending.NOT_SENT : Ending.FULL, noSlot, false);
             }
-            case 504, 413, 400 -> all(call, Ending.NOT_SENT, 0, false, false);
-            case 410 -> all(call, Ending.NOT_SENT, 0, false, true);
-            default -> all(call, Ending.ERROR, 0, false, false);
+            case 504, 413, 400 -> all(call, Ending.NOT_SENT, false, false);
+            case 410 -> all(call, Ending.NOT_SENT, false, true);
+            default -> all(call, Ending.ERROR, false, false);
         }
     }
 
-    private void each(Call call, long wait, String text) {
+    private void each(Call call, String text) {
         Map<String, String> ends = new HashMap<>();
         for (String line : text.split("\r?\n")) {
             int space = line.indexOf(' ');
@@ -137,23 +171,39 @@
         for (Message m : List.copyOf(call.messages)) {
             String end = ends.getOrDefault(m.id(), "fault"); // not told: it may have run
             switch (end) {
-                case "accepted" -> core.outcome(call, m, Ending.DELIVERED, 0, false, false);
-                case "deferred" -> core.outcome(call, m, Ending.FULL, wait, false, false);
-                case "expired" -> core.outcome(call, m, Ending.NOT_SENT, 0, false, true);
-                case "no_more" -> core.outcome(call, m, Ending.NOT_SENT, 0, false, false);
-                default -> core.outcome(call, m, Ending.ERROR, 0, false, false);
+                case "accepted" -> outcome(call, m, Ending.DELIVERED, false, false);
+                case "deferred" -> outcome(call, m, Ending.FULL, false, false);
+                case "expired" -> outcome(call, m, Ending.NOT_SENT, false, true);
+                case "no_more" -> outcome(call, m, Ending.NOT_SENT, false, false);
+                default -> outcome(call, m, Ending.ERROR, false, false);
             }
         }
     }
 
-    /** The wait that an answer tells, microseconds; what is no number, or none of a wait, is none. */
-    private static long wait(Map<String, String> headers) {
-        Long wait = Figures.decimal(headers.getOrDefault("x-retry-in-ms", ""), 3);
-        return wait == null ? 0 : wait;
+    /**
+     * Keeps the wait that an answer asks for, whatever else it says: the longest, if it names several. It runs from the
+     * answer's writing, so one counted from its reading ends no sooner. What is no number is none.
+     */
+    private void heed(Call call, Map<String, String> answer) {
+        long longest = 0;
+        for (String wait : answer.getOrDefault("x-retry-in-ms", "").split(",")) {
+            longest = Math.max(longest, Figures.atLeast(wait.strip(), 3, MOST_WAIT));
+        }
+        if (longest > 0) {
+            long now = Core.micros();
+            waits.told(call.endpoint, now + longest);
+            Logs.debug("", "wait", "told to wait until " + (now + longest), "partner", call.endpoint.destination(),
+                    "endpoint", call.endpoint.host());
+        }
+    }
+
+    private void all(Call call, Ending ending, boolean noSlot, boolean over) {
+        List.copyOf(call.messages).forEach(m -> outcome(call, m, ending, noSlot, over));
     }
 
-    private void all(Call call, Ending ending, long wait, boolean noSlot, boolean over) {
-        List.copyOf(call.messages).forEach(m -> core.outcome(call, m, ending, wait, noSlot, over));
+    /** Any outcome tells what is known of waits: a wait may have come with an answer that nobody waited for. */
+    private void outcome(Call call, Message m, Ending ending, boolean noSlot, boolean over) {
+        core.outcome(call, m, ending, waits.left(call.endpoint, core.now()), noSlot, over);
     }
 
     /** Seconds with decimals, as the protocol writes them. */
@@ -163,12 +213,13 @@
 
     @Override
     public void giveUp(Call call) {
-        Out out = (Out) call.attachment;
-        boolean written = out != null && out.exchange().close();
-        boolean delivered = out != null && saysDelivered(out.several(), out.exchange().status());
+        if (!(call.attachment instanceof Out out)) { // its start has failed
+            core.post(() -> all(call, Ending.NO_CONNECTION, false, false));
+            return;
+        }
         // The slot is free once the other side has seen the close: a call in this same turn would find none.
-        core.post(() -> all(call, delivered ? Ending.DELIVERED : written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, 0,
-                false, false));
+        out.exchange().giveUp(written -> all(call, saysDelivered(out.several(), out.exchange().status())
+                ? Ending.DELIVERED : written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, false, false));
     }
 
     @Override
--- a/src/main/java/lilaclever/protocol/http/MessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/MessageReader.java
@@ -276,6 +276,11 @@
         status = 0;
     }
 
+    /** True once the whole head has come. */
+    boolean hasHead() {
+        return part != Part.FIRST && part != Part.HEADER;
+    }
+
     boolean isComplete() {
         return part == Part.COMPLETE;
     }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -67,7 +67,7 @@
                 protocols.put(host, route.protocol());
                 core.add(new Core.Listed(new Relay.Entry(host, route.destination(), zone, -1,
                         Relay.Presence.ACTIVE, 1, 0), new Call.Endpoint(host, address, route.destination(),
-                                zone, 1, this)));
+                                zone, 1, false, this)));
             }
         }
         sweep();
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -18,8 +18,9 @@
     boolean started;
     Deadlines.Key deadline;
 
-    /** An endpoint of the list, with the deliverer that reaches it. */
-    public record Endpoint(String host, String address, int destination, int zone, int batch, Deliverer deliverer) { }
+    /** An endpoint of the list, with the deliverer that reaches it. {@code apart}: limits and told waits are its own. */
+    public record Endpoint(String host, String address, int destination, int zone, int batch, boolean apart,
+            Deliverer deliverer) { }
 
     Call(Endpoint endpoint, long dropAt, long startedAt) {
         this.endpoint = endpoint;
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -317,6 +317,7 @@
         }
         events.add(new Event.Outcome(m.id(), call.endpoint.host(), m.attempts - 1, ending, now - call.startedAt,
                 waitMicros, noSlot, over || ending == Ending.DELIVERED, null));
+        m.attempts -= ending == Ending.WITHHELD ? 1 : 0;
         if (m.over) {
             return;
         }
--- a/src/main/java/lilaclever/routing/Suspensions.java
+++ b/src/main/java/lilaclever/routing/Suspensions.java
@@ -18,10 +18,12 @@
 public final class Suspensions {
     /** Ids that are remembered as listed, oldest first out: a call for one that was never listed is refused. */
     private static final int MOST_KNOWN = 50_000;
-    /** Endpoints out at once: the note has to fit on the disk. */
-    public static final int MOST_OUT = 100;
+    /** Endpoints out at once, as many as the largest fleets have: the note has to fit on the disk. */
+    static final int MOST_OUT = 1_024;
     /** Longer than any id, shorter than what would fill the note. */
     private static final int LONGEST = 64;
+    /** What the note takes at the most, a line for each. */
+    public static final long NOTE_BYTES = MOST_OUT * (LONGEST + 1);
 
     /** Where the ids outlast the process. */
     public interface Note {
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -31,6 +31,8 @@
 public final class Transport implements AutoCloseable {
     private static final int BACKLOG = 512;
     private static final int BUFFER = 16 * 1024;
+    /** Nanoseconds: far less than an answer may be on its way before it must have been heeded (100 ms). */
+    private static final long LATELY = 20_000_000;
     private static final Pattern LITERAL = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]");
 
     private final TCPNIOTransport tcp;
@@ -87,6 +89,25 @@
         connection.executeInEventThread(IOEvent.WRITE, task);
     }
 
+    /**
+     * Has the task run on the selector thread after a selection that was begun once this was called, and lately: what had
+     * come on any connection by then has been read.
+     */
+    public static void afterReading(Connection<?> connection, Runnable task) {
+        onSelector(connection, () -> nextSelection(connection, task));
+    }
+
+    private static void nextSelection(Connection<?> connection, Runnable task) {
+        long before = System.nanoTime();
+        onSelector(connection, () -> {
+            if (System.nanoTime() - before > LATELY) {
+                nextSelection(connection, task); // that one took long: more may have come since
+            } else {
+                task.run();
+            }
+        });
+    }
+
     /**
      * True if the connection is open and the other side has said nothing more and has not closed it. On the selector
      * thread alone, since it reads.
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -165,6 +165,31 @@
         assertTrue(rig.sent(other) || rig.sent(id));
     }
 
+    /** A call that was decided before the wait and not written for it was no attempt, and goes once the wait is over. */
+    @Test
+    void aWithheldCallIsNoAttemptAndTellsTheWait() {
+        String id = rig.submit(UNSAFE, 1);
+        for (int i = 0; i < 8; i++) { // more often than a message may be attempted
+            rig.outcome(id, "a1", 0, Ending.WITHHELD, 500 * MS);
+            rig.pass(490 * MS);
+            assertEquals(List.of(), rig.sentTo());
+            rig.pass(600 * MS);
+            assertTrue(rig.sent(id));
+        }
+    }
+
+    /** A wait binds whatever else the answer that told it said. */
+    @Test
+    void aWaitToldWithAnyOutcomeBinds() {
+        String id = rig.submit(SAFE, 1);
+        String other = rig.submit(SAFE, 1);
+        rig.outcome(id, "a1", 0, Ending.DELIVERED, 1500 * MS);
+        rig.outcome(other, "a1", 0, Ending.ERROR, 0);
+        rig.submit(SAFE, 1);
+        rig.pass(1490 * MS);
+        assertEquals(List.of(), rig.sentTo());
+    }
+
     @Test
     void aToldWaitOfARouteApartLeavesTheOtherRoute() {
         rig.list(ListingKind.CHANGES, Rig.entry("b2", 2, 0, 1));
--- a/src/test/java/lilaclever/RuleChecker.java
+++ b/src/test/java/lilaclever/RuleChecker.java
@@ -181,7 +181,8 @@
             m.riskAt = m.sentAt;
             m.riskZone = hosts.get(m.outAt).zone;
         }
-        if (e.ending() == Ending.FULL && e.waitMicros() > 0) {
+        m.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0; // it was none
+        if (e.waitMicros() > 0) {
             waits.merge(limit(m.outAt), now + e.waitMicros(), Math::max);
         }
         if (m.key != null && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET
--- /dev/null
+++ b/src/test/java/lilaclever/program/WaitsTest.java
@@ -0,0 +1,226 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Told waits: whatever an endpoint's answer says besides, no byte of a call goes there before the wait is over. */
+class WaitsTest {
+    private static final long MS = 1_000_000;
+    @TempDir
+    private Path state;
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private Forwarder forwarder;
+    private SocketAddress address;
+
+    @AfterEach
+    void end() {
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+    }
+
+    private void serve(String platform, String endpoint) throws Exception {
+        forwarder = Forwarder.start(Setup.config(platform, state, endpoint), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    private static String counters(Wire client) throws IOException {
+        client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        return client.request().body();
+    }
+
+    private static void until(Wire client, String count) throws IOException {
+        String last = counters(client);
+        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end;) {
+            last = counters(client);
+        }
+        assertTrue(last.contains(count), last);
+    }
+
+    /** An endpoint whose queue of connections is full until some that wait in it are taken out. */
+    private static final class Narrow implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> before = List.of(new Socket(), new Socket());
+
+        Narrow() throws IOException {
+            server.setSoTimeout(20_000);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        Wire accept() throws IOException {
+            return new Wire(server.accept());
+        }
+
+        void fill() throws IOException {
+            for (Socket each : before) {
+                each.connect(server.getLocalSocketAddress());
+            }
+        }
+
+        void empty() throws IOException {
+            for (Socket each : before) {
+                server.accept().close();
+                each.close();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** Guards the rule where it broke: a call was decided, another one was told a wait, and then its connection came up. */
+    @Test
+    void aCallWhoseConnectionComesUpUnderAWaitIsNotWritten() throws Exception {
+        try (Peer platform = Peer.platform("", notices); Narrow endpoint = new Narrow()) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("first", "payment", 20, "x").startsWith("202"));
+                try (Wire first = endpoint.accept()) {
+                    assertEquals("first", first.request().headers().get("req-id"));
+                    endpoint.fill();
+                    assertTrue(client.handIn("second", "payment", 20, "y").startsWith("202"));
+                    until(client, "\ncalls 2\n");
+                    long told = System.nanoTime();
+                    first.say("HTTP/1.1 429 no\r\nX-Retry-In-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+                    endpoint.empty();
+                    try (Wire late = endpoint.accept()) {
+                        if (late.request() == null) { // closed without a byte
+                            try (Wire next = endpoint.accept()) {
+                                next.request();
+                            }
+                        }
+                    }
+                    assertTrue(System.nanoTime() - told >= 3000 * MS, "nothing within the wait");
+                    assertTrue(counters(client).contains("\nending_withheld 1\n"), "counted");
+                }
+            }
+        }
+    }
+
+    /** A wait binds in any answer, in whatever form, also if the rest of it can't be read; what is no figure is none. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000.4999~Content-Length: 0~~ | 1",
+        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~X-Retry-In-Ms: 0~Content-Length: 0~~ | 1",
+        "HTTP/1.1 429 no~X-Retry-In-Ms: soon, 60000~Content-Length: 0~~ | 1",
+        "HTTP/1.1 500 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~X-No-Slot: 1~Content-Length: 0~~ | 1",
+        "HTTP/1.1 504 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+        "HTTP/1.1 200 OK~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: 9~~half | 1",
+        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: many~~ | 1",
+        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~what | 1",
+        "HTTP/1.1 429 no~X-Retry-In-Ms: -60000~Content-Length: 0~~ | 0",
+        "HTTP/1.1 429 no~X-Retry-In-Ms: 6e4~Content-Length: 0~~ | 0"})
+    void aWaitBindsInAnyAnswer(String answer, int waits) throws Exception {
+        LinkedBlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    asked.add(r.headers().get("req-id"));
+                    wire.say(answer.replace("~", "\r\n"));
+                    if (answer.endsWith("half") || answer.endsWith("what")) {
+                        return; // the rest never comes
+                    }
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "status", 6, "").startsWith("202"));
+                assertEquals("a", Peer.next(asked));
+                until(client, "\nending_"); // its outcome is told
+                assertTrue(counters(client).contains("\nentries_waits " + waits + "\n"));
+                if (waits > 0) {
+                    assertTrue(client.handIn("b", "status", 6, "").startsWith("503"), "the module knows it too");
+                    assertEquals(0, asked.size());
+                }
+            }
+        }
+    }
+
+    /** One that waits for longer than any message lives is ended at once, and its client told so. */
+    @Test
+    void aWaitWithoutEndHoldsNoMessageBack() throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
+                while (wire.request() != null) {
+                    wire.say("HTTP/1.1 429 no\r\nX-Retry-In-Ms: " + "9".repeat(400) + "\r\nContent-Length: 0\r\n\r\n");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                long began = System.nanoTime();
+                assertTrue(client.handIn("a", "payment", 25, "").startsWith("202"));
+                assertTrue(Peer.next(notices).contains("deferred"));
+                assertTrue(client.handIn("b", "payment", 25, "").startsWith("503"), "told at once");
+                assertTrue(System.nanoTime() - began < 10_000 * MS, "not held until its time is up");
+                assertTrue(counters(client).contains("\ncalls 1\n"));
+            }
+        }
+    }
+
+    /** A call that is half written, as its endpoint reads slowly, does not get its last byte under a wait. */
+    @Test
+    void theRestOfACallDoesNotFollowUnderAWait() throws Exception {
+        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        try (ServerSocket endpoint = new ServerSocket()) {
+            endpoint.setReceiveBufferSize(4096);
+            endpoint.bind(null);
+            endpoint.setSoTimeout(20_000);
+            String where = "127.0.0.1:" + endpoint.getLocalPort();
+            try (Peer platform = Peer.platform(() -> {
+                    Peer.next(watches);
+                    return Setup.list(where);
+                }, notices)) {
+                forwarder = Forwarder.start(Config.parse(Setup.text(platform.address(), state, null, 40)
+                        .replace("\"kindBatch\": [20]", "\"kindBatch\": [100]"), Map.of()), null);
+                address = forwarder.addresses().get(0);
+                try (Wire client = Wire.to(address)) {
+                    String large = "x".repeat(60_000);
+                    for (int i = 0; i < 100; i++) { // more in one call than any buffer of the system takes
+                        String answer = client.handIn("m" + i, "payment", 20, large);
+                        assertTrue(answer.startsWith("202"), answer);
+                    }
+                    watches.add("now");
+                    try (Wire slow = new Wire(endpoint.accept())) {
+                        assertTrue(client.handIn("other", "payment", 20, "").startsWith("202"));
+                        try (Wire other = new Wire(endpoint.accept())) {
+                            assertEquals("other", other.request().headers().get("req-id"));
+                            until(client, "\nentries_partly_written_calls 1\n");
+                            long told = System.nanoTime();
+                            other.say("HTTP/1.1 429 no\r\nX-Retry-In-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
+                            until(client, "\nending_withheld 100\n");
+                            assertThrows(IOException.class, slow::request, "it ends before its last byte");
+                            try (Wire next = new Wire(endpoint.accept())) {
+                                next.request();
+                                assertTrue(System.nanoTime() - told >= 1500 * MS, "nothing within the wait");
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/transport/TransportTest.java
@@ -0,0 +1,59 @@
+package lilaclever.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.junit.jupiter.api.Test;
+
+class TransportTest {
+    /** Guards told waits on a busy machine: an answer that lay unread is heeded before a call goes out. */
+    @Test
+    void whatHasComeOnAnyConnectionIsReadBefore() throws Exception {
+        LinkedBlockingQueue<String> order = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<Connection<?>> up = new LinkedBlockingQueue<>();
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch free = new CountDownLatch(1);
+        try (Transport transport = new Transport();
+                ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            var chain = Transport.chain(new BaseFilter() {
+                @Override
+                public NextAction handleRead(FilterChainContext context) {
+                    order.add(new String(Transport.bytes(context.getMessage())));
+                    return context.getStopAction();
+                }
+            });
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            transport.connect(address, chain, up::add, Throwable::printStackTrace);
+            Connection<?> answered = up.poll(20, TimeUnit.SECONDS);
+            transport.connect(address, chain, up::add, Throwable::printStackTrace);
+            Connection<?> other = up.poll(20, TimeUnit.SECONDS);
+            Transport.onSelector(other, () -> {
+                busy.countDown();
+                try {
+                    free.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    order.add("interrupted");
+                }
+            });
+            busy.await(20, TimeUnit.SECONDS);
+            try (Socket peer = server.accept()) {
+                Transport.afterReading(other, () -> order.add("task"));
+                peer.getOutputStream().write("answer".getBytes());
+                peer.getOutputStream().flush();
+                free.countDown();
+                assertEquals("answer", order.poll(20, TimeUnit.SECONDS));
+                assertEquals("task", order.poll(20, TimeUnit.SECONDS));
+            }
+        }
+    }
+}
