Rehearse calls whose connection comes up under a told wait, and lift caps below 1,024

Need: the laboratory could not show a call written under a wait, as it was checked when decided; and no list of forwarders or servers may be capped below 1,024.

Change: in virtual time a call is written once its connection is up, by the same Waits, and the auditor checks waits as its last byte comes. A told wait counts from the next whole microsecond.

--- a/src/main/java/lilaclever/lab/audit/Auditor.java
+++ b/src/main/java/lilaclever/lab/audit/Auditor.java
@@ -220,15 +220,24 @@
             breach(Rule.DRAIN, at, "forwarder " + forwarder + " sends to " + host + " " + (at - gone) / 1000
                     + " ms after it was told that it drains or is gone", s);
         }
+        checkWait(forwarder, destination, at, s);
+        if (s != null) {
+            checkRepeat(s, at);
+            s.attempts.add(new Attempt(at, host));
+        }
+    }
+
+    /** The last byte of a call of this message comes, where that is later than its sending: no wait must bind it then either. */
+    public void comes(int number, int forwarder, int destination, long at) {
+        checkWait(forwarder, destination, at, open.get(number));
+    }
+
+    private void checkWait(int forwarder, int destination, long at, Story s) {
         long[] wait = waits.get(forwarder + " " + destination);
         if (wait != null && at > wait[0] + CROSSING && at < wait[1]) {
             breach(Rule.WAIT, at, "forwarder " + forwarder + " sends to destination " + destination + " "
                     + (wait[1] - at) / 1000 + " ms before the end of a wait that it was told", s);
         }
-        if (s != null) {
-            checkRepeat(s, at);
-            s.attempts.add(new Attempt(at, host));
-        }
     }
 
     private void checkRepeat(Story s, long at) {
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -95,9 +95,9 @@
     }
 
     private static Fleet fleet(Section s) throws Bad {
-        int forwarders = (int) s.whole("forwarders", 3, 1, 1000);
+        int forwarders = (int) s.whole("forwarders", 3, 1, 10_000);
         return new Fleet(forwarders, (int) s.whole("destinations", 18, 1, 100_000), s.real("rate", 65, 0.01, MOST),
-                s.real("zipf", 1, 0, 3), s.range("endpoints", 1, 3, 1, 100), s.real("slots-room", 2, 0.1, 100),
+                s.real("zipf", 1, 0, 3), s.range("endpoints", 1, 3, 1, 2_000), s.real("slots-room", 2, 0.1, 100),
                 (int) s.whole("least-slots", 4, 1, 10_000), s.real("hold", 5, 0.1, 1000),
                 (int) s.whole("least-held", 12, 1, 1_000_000), s.time("round", 5 * MS, 100, SECOND),
                 (int) s.whole("attempts", 8, 1, 100), s.time("connect-timeout", 1500 * MS, MS, 60 * SECOND),
--- a/src/main/java/lilaclever/lab/sockets/Agent.java
+++ b/src/main/java/lilaclever/lab/sockets/Agent.java
@@ -24,7 +24,7 @@
  * It knows what it has been told. A thread for each connection reads; the rest runs on the timeline's thread.
  */
 final class Agent {
-    private static final int MOST_CHANGES = 1000;
+    private static final int MOST_CHANGES = 4_096;
     private static final long MOST_WAIT = 60_000;
 
     private record Change(long version, List<Relay.Entry> entries) { }
--- a/src/main/java/lilaclever/lab/sockets/Ports.java
+++ b/src/main/java/lilaclever/lab/sockets/Ports.java
@@ -13,7 +13,9 @@
  * would call there.
  */
 final class Ports {
-    private static final int FIRST = 20_000, COUNT = 12_000, MOST_TRIES = 100, BACKLOG = 256;
+    /** How many there are. */
+    static final int COUNT = 12_000;
+    private static final int FIRST = 20_000, MOST_TRIES = 100, BACKLOG = 256;
 
     private Ports() { }
 
--- a/src/main/java/lilaclever/lab/sockets/RealSockets.java
+++ b/src/main/java/lilaclever/lab/sockets/RealSockets.java
@@ -20,7 +20,8 @@
  * same plan of arrivals and events; what the forwarders make of it depends on the machine.
  */
 public final class RealSockets {
-    private static final int MOST_FORWARDERS = 16, MOST_DOORS = 2000;
+    /** Processes as far as the machine has memory for them; sockets within the ports that a run takes, with room between. */
+    private static final int MOST_FORWARDERS = 1_024, MOST_DOORS = Ports.COUNT * 3 / 4;
     private static final double MOST_A_SECOND = 1000;
 
     private final RealTime time = new RealTime();
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -29,6 +29,7 @@
 import lilaclever.routing.Message;
 import lilaclever.routing.Pace;
 import lilaclever.routing.Verdict;
+import lilaclever.routing.Waits;
 import lilaclever.transport.ConnectionPool;
 
 /**
@@ -59,6 +60,7 @@
     private SegmentedJournal journal;
     /** Idle connections: all that is known of one is its endpoint. */
     private ConnectionPool<String> idle;
+    private Waits waits;
     private int life;
     private long stepAt = Long.MAX_VALUE, lastStep = Long.MIN_VALUE;
     private long brokenBefore;
@@ -110,6 +112,8 @@
             throw new IllegalStateException("a disk in memory", e);
         }
         counters = new Counters();
+        waits = new Waits();
+        counters.gauge("waits", waits::size);
         idle = new ConnectionPool<>(settings.limits().keepAliveMicros(), MOST_IDLE, host -> true,
                 host -> world.disconnect(host, number));
         life++;
@@ -270,7 +274,22 @@
         }
         long arrivesAt = world.now() + world.network() * (kept ? 1 : 3) + (kept ? 0 : world.scenario().fleet().handshakeMicros());
         boolean connected = kept || partner.connect(host, number);
-        later(arrivesAt, () -> arrive(call, way, partner, connected));
+        if (kept) {
+            later(arrivesAt, () -> arrive(call, way, partner, true));
+        } else {
+            later(arrivesAt - world.network(), () -> up(call, way, partner, connected));
+        }
+    }
+
+    /** The call's connection is up: it is written now, unless a wait was told since it was decided. */
+    private void up(Call call, Way way, Partner partner, boolean connected) {
+        long wait = waits.left(call.endpoint, world.now());
+        if (wait == 0) {
+            later(world.now() + world.network(), () -> arrive(call, way, partner, connected));
+        } else if (!way.closed) {
+            overAll(call, "withheld", true);
+            end(call, way, Ending.WITHHELD, wait, connected);
+        }
     }
 
     private void arrive(Call call, Way way, Partner partner, boolean connected) {
@@ -278,6 +297,7 @@
             return;
         }
         way.arrived = true;
+        call.messages.forEach(m -> world.comes(m.id(), number, call.endpoint.destination()));
         String host = call.endpoint.host();
         if (!connected && partner.hosts().contains(host) && !partner.isOut(world.now())) {
             // Too many connections: the partner says that it is full, and closes.
@@ -333,12 +353,18 @@
         }
         way.closed = true;
         out.remove(call);
-        if (ending != Ending.DELIVERED) {
+        if (wait > 0) {
+            waits.told(call.endpoint, world.now() + wait);
+        }
+        if (ending != Ending.DELIVERED && ending != Ending.WITHHELD) {
             world.partner(call.endpoint.destination()).heardFailure(number, world.now());
         }
         if (keeps) {
             idle.giveBack(call.endpoint.host(), call.endpoint.host(), world.now());
-            later(world.now() + settings.limits().keepAliveMicros(), () -> idle.sweep(world.now()));
+            later(world.now() + settings.limits().keepAliveMicros(), () -> {
+                idle.sweep(world.now());
+                waits.sweep(world.now());
+            });
         } else {
             world.partner(call.endpoint.destination()).disconnect(call.endpoint.host(), number);
         }
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -231,6 +231,11 @@
         auditor.attempt(number(id), forwarder, host, destination, at);
     }
 
+    /** The last byte of a message's call has come. */
+    public void comes(String id, int forwarder, int destination) {
+        auditor.comes(number(id), forwarder, destination, now());
+    }
+
     /** True if a message of this id was handed in lately, and its client has not handed it in again since. */
     public boolean isCurrent(String id) {
         return id.matches("m\\d{1,9}-\\d{1,6}") && id.equals(current.get(number(id)));
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -24,7 +24,8 @@
     private static final long WHOLE_BY = 1_000_000;
     /** Well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
-    private static final int MOST_ANSWER = 1 << 20;
+    /** A list of 20,000 endpoints; room is taken as it comes. */
+    private static final int MOST_ANSWER = 4 << 20;
 
     /** Who hears what the list says. */
     public interface Listener {
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -190,7 +190,7 @@
             longest = Math.max(longest, Figures.atLeast(wait.strip(), 3, MOST_WAIT));
         }
         if (longest > 0) {
-            long now = Core.micros();
+            long now = Core.micros() + 1; // the clock is cut to whole microseconds
             waits.told(call.endpoint, now + longest);
             Logs.debug("", "wait", "told to wait until " + (now + longest), "partner", call.endpoint.destination(),
                     "endpoint", call.endpoint.host());
--- a/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
+++ b/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
@@ -35,7 +35,7 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
-        "[fleet]/forwarders 0            | f:2: fleet.forwarders: a whole number from 1 to 1000, not 0",
+        "[fleet]/forwarders 0            | f:2: fleet.forwarders: a whole number from 1 to 10000, not 0",
         "[flet]                          | f:1: [flet]: no such section; is fleet meant?",
         "[traffic]/load 45               | f:2: traffic.load: from 0% to 10000%, not 45",
         "[traffic]/load 0s 45% 0s 50%    | f:2: traffic.load: times must grow: 0s",
--- a/src/test/java/lilaclever/lab/virtual/WorldTest.java
+++ b/src/test/java/lilaclever/lab/virtual/WorldTest.java
@@ -80,6 +80,16 @@
         assertTrue(rule == Rule.FAIL_BACK || r.auditor().breaches().stream().anyMatch(b -> b.rule() == rule && !b.story().isEmpty()));
     }
 
+    /** Connections that come up late carry no call under a wait that was told meanwhile: 46 did in a run of 120 forwarders. */
+    @Test
+    void aCallThatComesUpUnderAWaitIsWithheld() throws Bad {
+        Result r = run(ScenarioReader.parse("late", List.of("[fleet]", "forwarders 20", "destinations 12", "rate 200",
+                "handshake 150ms", "[traffic]", "length 20s", "load 110%", "[kind a]", "limit window", "tells-wait 100%",
+                "wait 500ms 3s")), 1, Fault.NONE);
+        assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
+        assertTrue(r.auditor().counts().getOrDefault("ended_withheld", 0L) > 0, () -> r.auditor().counts().toString());
+    }
+
     /** Where partners tell waits, a forwarder that does not hear them is caught. */
     @Test
     void aForwarderThatIgnoresWaitsIsCaught() throws Bad {
--- /dev/null
+++ b/src/test/java/lilaclever/program/ManyServersTest.java
@@ -0,0 +1,119 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One forwarder and as many servers as the largest fleets have. */
+class ManyServersTest {
+    private static final int SERVERS = 1_030, MOST_OUT = 1_024;
+    @TempDir
+    private Path state;
+
+    /** Each server has an address of its own on the loopback, and they share a port. */
+    private static String entries(int from, int to, int port) {
+        return IntStream.range(from, to).mapToObj(i -> "{\"name\":\"server-" + i + "\",\"address\":\"127.1." + i / 200 + '.'
+                + (1 + i % 200) + ':' + port + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":" + i
+                + ",\"status\":\"active\"}").collect(Collectors.joining(","));
+    }
+
+    /** A list that comes in pieces, with ids twice; a message to each server; and all but a few taken out by hand. */
+    @Test
+    void aThousandServersAreServedAndCanBeTakenOut() throws Exception {
+        Set<String> asked = ConcurrentHashMap.newKeySet();
+        LinkedBlockingQueue<String> got = new LinkedBlockingQueue<>();
+        try (ServerSocket all = new ServerSocket()) {
+            all.bind(new InetSocketAddress("0.0.0.0", 0), 512);
+            Thread accepts = new Thread(() -> {
+                try {
+                    while (true) {
+                        Wire wire = new Wire(all.accept());
+                        Thread serves = new Thread(() -> serve(wire, got));
+                        serves.setDaemon(true);
+                        serves.start();
+                    }
+                } catch (java.io.IOException e) {
+                    // closed: the test is over
+                }
+            });
+            accepts.setDaemon(true);
+            accepts.start();
+            int port = all.getLocalPort();
+            try (Peer platform = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        if (r.path().equals("/status")) {
+                            wire.answer("204 No Content", "");
+                        } else if (!r.path().contains("?")) {
+                            wire.answer("200 OK", "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + entries(0, 600, port) + "]}");
+                        } else if (r.path().contains("after=1&")) {
+                            wire.answer("200 OK", "{\"index\":2,\"snapshot\":false,\"endpoints\":[" + entries(500, SERVERS, port) + ','
+                                    + entries(0, 20, port) + "]}");
+                        } // a later watch: nothing ever changes
+                    }
+                })) {
+                Config config = Config.parse(Setup.text(platform.address(), state, null, 3)
+                        .replace("\"listen\"", "\"operator\": \"127.0.0.1:0\", \"listen\""), Map.of());
+                Forwarder forwarder = Forwarder.start(config, null);
+                try {
+                    SocketAddress address = forwarder.addresses().get(0);
+                    try (Wire client = Wire.to(address)) {
+                        until(client, "\nentries_endpoints " + SERVERS + "\n");
+                        for (int i = 0; i < SERVERS; i++) {
+                            String answer = client.handIn("m" + i, "status", i, 6, "");
+                            assertTrue(answer.startsWith("202"), answer);
+                            asked.add(Peer.next(got));
+                        }
+                        assertEquals(SERVERS, asked.size());
+                    }
+                    for (int i = 0; i < MOST_OUT; i++) {
+                        assertEquals("200 server-" + i, operator(forwarder, "SUSPEND server-" + i));
+                    }
+                    assertEquals("400 no more than 1024 endpoints may be out at once", operator(forwarder, "SUSPEND server-1024"));
+                } finally {
+                    forwarder.stop();
+                }
+                assertEquals(MOST_OUT, config.suspended().size());
+            }
+        }
+    }
+
+    private static void serve(Wire wire, LinkedBlockingQueue<String> got) {
+        try (wire) {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                got.add(r.headers().get("req-id"));
+                wire.answer("200 OK", "");
+            }
+        } catch (java.io.IOException e) {
+            // the forwarder has ended
+        }
+    }
+
+    private static String operator(Forwarder forwarder, String line) throws Exception {
+        try (Wire wire = Wire.to(forwarder.addresses().get(1))) {
+            return wire.ask(line);
+        }
+    }
+
+    private static void until(Wire client, String count) throws Exception {
+        String last = "";
+        for (long end = System.nanoTime() + 20_000_000_000L; !last.contains(count) && System.nanoTime() < end;) {
+            client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+            last = client.request().body();
+        }
+        assertTrue(last.contains(count), last);
+    }
+}
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -166,7 +166,7 @@
 
     @Test
     void whatIsTooLargeForOneMachineIsSaidSo() throws Bad {
-        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "forwarders 40"))).startsWith("forwarders: 40"));
+        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "forwarders 2000"))).startsWith("forwarders: 2000"));
         assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "destinations 5000"))).startsWith("destinations: about"));
         assertEquals(null, RealSockets.tooLarge(ScenarioReader.read("monday")));
     }
