Take new classes and allowed attempts over at SIGHUP, without a restart

Need: operators change classes and attempts while the forwarder runs; messages under way keep their class.

The module hears of it as an event; what has had all its attempts ends at once. A file without a key that was there before is refused, as is any faulty one, and nothing changes. The note takes 64 KiB of limits.disk_mb, or a sixteenth of a small one.

The simulated disk of the crash tests noted operations from two threads without a lock: one run of four on a busy machine lost one and failed falsely.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -129,7 +129,7 @@
     private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
     private static final long NEVER = Long.MAX_VALUE / 4;
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
@@ -190,6 +190,10 @@
                 over(messages.get(e.id()));
             } else if (event instanceof Event.Stopping e) {
                 stopAt = e.untilMicros();
+            } else if (event instanceof Event.Renewed e) {
+                settings = e.settings();
+                messages.values().stream().filter(m -> m.out == null
+                        && m.attempts >= settings.limits().maxAttempts()).toList().forEach(this::end);
             } else if (event instanceof Event.Timer) {
                 wakeAt = wakeAt <= now ? NEVER : wakeAt;
             }
@@ -730,9 +734,6 @@
 
     /** When a refused client should come again: when its destination will have room. */
     private long comeBack(Queue queue) {
-        if (!settings.limits().comeBack()) {
-            return 0;
-        }
         long wait = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
             if (endpoint.active) {
@@ -741,7 +742,7 @@
                         + (long) (queue.waiting.size() / rate * SECOND));
             }
         }
-        return Math.min(wait, settings.limits().maxComeBackMicros());
+        return settings.limits().comeBack() ? Math.min(wait, settings.limits().maxComeBackMicros()) : 0;
     }
 
     /** The hold is nearly full: what is worth least, and would wait longest, is answered now. */
--- /dev/null
+++ b/src/main/java/lilaclever/program/ClassTable.java
@@ -0,0 +1,67 @@
+package lilaclever.program;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import lilaclever.Relay.MessageClass;
+import lilaclever.conf.Bad;
+
+/**
+ * Classes by the numbers that they have in the module, in fronts and in the journal. Messages under way keep their class, so a
+ * number never gets another meaning: a class that is new or has changed gets the next one, and one that has vanished keeps
+ * its own without a name. What was renewed while running is noted, since messages outlast the process.
+ */
+record ClassTable(List<String> names, List<MessageClass> classes) {
+    /** Numbers at most, and what the note and the one written beside it take on disk. */
+    static final int MOST = 128;
+    static final long NOTE_BYTES = 2 * MOST * 256L;
+    private static final String NOTE = "classes";
+
+    /** The table in which these classes are those that may be handed in. */
+    ClassTable followedBy(List<String> nowNames, List<MessageClass> now) throws Bad {
+        List<String> allNames = new ArrayList<>(Collections.nCopies(classes.size(), ""));
+        List<MessageClass> all = new ArrayList<>(classes);
+        for (int i = 0; i < now.size(); i++) {
+            String name = nowNames.get(i);
+            int known = names.indexOf(name);
+            if (known >= 0 && classes.get(known).equals(now.get(i))) {
+                allNames.set(known, name);
+            } else {
+                allNames.add(name);
+                all.add(now.get(i));
+            }
+        }
+        if (all.size() > MOST) {
+            throw new Bad("settings.requestClasses", "with all that came before more than " + MOST
+                    + " classes; a start with an empty state folder counts anew");
+        }
+        return new ClassTable(List.copyOf(allNames), List.copyOf(all));
+    }
+
+    /** The table that was noted in the folder; null if there is none. */
+    static ClassTable noted(Path state) throws Bad {
+        Path note = state.resolve(NOTE);
+        try {
+            return Files.exists(note) ? new Gson().fromJson(Files.readString(note), ClassTable.class) : null;
+        } catch (IOException | JsonParseException e) {
+            // To start without it would take messages for those of another class.
+            throw new Bad("state", NOTE + " can't be read: " + e);
+        }
+    }
+
+    /** Notes the table in so many bytes at the most: the old note stays until the new one is whole. */
+    void note(Path state, long mostBytes) throws IOException {
+        String text = new Gson().toJson(this);
+        if (text.length() > mostBytes) {
+            throw new IOException(text.length() + " bytes are more than the " + mostBytes + " that limits.disk_mb leaves for it");
+        }
+        Path whole = Files.writeString(state.resolve(NOTE + ".new"), text);
+        Files.move(whole, state.resolve(NOTE), StandardCopyOption.ATOMIC_MOVE);
+    }
+}
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -31,7 +31,8 @@
  * the other variables override it.
  */
 record Config(String name, String listen, String operator, String discovery, Path state, long seed, long diskBytes,
-        int sockets, Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known) {
+        int sockets, Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known,
+        Set<String> keys) {
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
@@ -42,8 +43,15 @@
     /** Descriptors that the machine itself needs, and some for files of the journal. */
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
-    /** Reads the configuration that the variables name. */
+    /** Reads the configuration that the variables name, for a start. */
     static Config read(Map<String, String> variables) throws Bad {
+        Config read = readFile(variables, Set.of());
+        ClassTable noted = ClassTable.noted(read.state);
+        return noted == null ? read : read.with(noted.followedBy(read.classNames, read.settings.classes()), read.attempts());
+    }
+
+    /** {@code needed}: keys of the settings that must not be missing. */
+    private static Config readFile(Map<String, String> variables, Set<String> needed) throws Bad {
         String path = variables.get("ROUTER_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new Bad("ROUTER_CONFIG", "not set");
@@ -54,7 +62,7 @@
         } catch (IOException e) {
             throw new Bad("ROUTER_CONFIG", "can't be read: " + e);
         }
-        return parse(text, variables);
+        return parse(text, variables, needed);
     }
 
     /**
@@ -65,9 +73,23 @@
         Files.writeString(state.resolve(NOTE), discovery);
     }
 
+    /** What the note of classes, and the one written beside it, take on disk. */
+    private long classesBytes() {
+        return Math.min(ClassTable.NOTE_BYTES, diskBytes / 16);
+    }
+
+    /** Notes the classes, if there is room. */
+    void noteClasses() throws Bad {
+        try {
+            table().note(state, classesBytes() / 2);
+        } catch (IOException e) {
+            throw new Bad("settings", "can't be noted on disk: " + e.getMessage());
+        }
+    }
+
     /** What the notes take on disk. */
     long noteBytes() {
-        return NOTE_BYTES + (operator == null ? 0 : SUSPENDED_BYTES);
+        return NOTE_BYTES + classesBytes() + (operator == null ? 0 : SUSPENDED_BYTES);
     }
 
     /** Ids of endpoints that were taken out by hand in an earlier life. */
@@ -100,13 +122,61 @@
     }
 
     /**
-     * Reads the file again. What it says of discovery wins over the variable, which a running process keeps as it was
+     * Reads the file again, which must have every key of the settings in use. What it says of discovery wins over the variable, which a running process keeps as it was
      * at its start.
      */
-    static Config reread(Map<String, String> variables) throws Bad {
+    static Config reread(Map<String, String> variables, Config used) throws Bad {
         Map<String, String> others = new HashMap<>(variables);
         others.remove("ROUTER_DISCOVERY");
-        return read(others);
+        return readFile(others, used.keys);
+    }
+
+    /** How often a message may be attempted. */
+    private int attempts() {
+        return settings.limits().maxAttempts();
+    }
+
+    /** The same with other classes and attempts: what can change while the program runs. */
+    private Config with(ClassTable table, int attempts) {
+        Relay.Settings s = settings;
+        Relay.Limits l = s.limits();
+        Relay.Limits limits = new Relay.Limits(attempts, l.maxOpen(), l.slots(), l.cancel(), l.probing(), l.peers(),
+                l.callsPerConnection(), l.connectTimeoutMicros(), l.keepAliveMicros(), l.comeBack(), l.maxComeBackMicros());
+        return new Config(name, listen, operator, discovery, state, seed, diskBytes, sockets, new Relay.Settings(s.self(),
+                s.relays(), s.zone(), s.zones(), s.roundMicros(), s.askForList(), s.weights(), s.reports(), s.overShareWorth(),
+                table.classes(), s.kinds(), s.tenants(), limits, s.rules()), table.names(), kinds, zones, known, keys);
+    }
+
+    /** The classes by number. */
+    ClassTable table() {
+        return new ClassTable(classNames, settings.classes());
+    }
+
+    /** This one with what can be taken over of another while the program runs. */
+    Config renewed(Config read) throws Bad {
+        return with(table().followedBy(read.classNames, read.settings.classes()), read.attempts());
+    }
+
+    /** Keys of the settings, of objects in lists those that all of them have. */
+    private static Set<String> keys(JsonObject in, String path) {
+        Set<String> all = new LinkedHashSet<>();
+        in.entrySet().forEach(e -> {
+            all.add(path + e.getKey());
+            if (e.getValue().isJsonObject()) {
+                all.addAll(keys(e.getValue().getAsJsonObject(), path + e.getKey() + '.'));
+            } else if (e.getValue().isJsonArray()) {
+                Set<String> common = null;
+                for (JsonElement x : e.getValue().getAsJsonArray()) {
+                    Set<String> here = x.isJsonObject() ? keys(x.getAsJsonObject(), path + e.getKey() + '.') : Set.of();
+                    if (common == null) {
+                        common = new LinkedHashSet<>(here);
+                    }
+                    common.retainAll(here);
+                }
+                all.addAll(common == null ? Set.of() : common);
+            }
+        });
+        return all;
     }
 
     /** Idle connections to endpoints at most. */
@@ -131,7 +201,7 @@
         return sockets / CROWD_PART;
     }
 
-    /** The keys, but for discovery, whose values differ from those of a configuration in use: they need a restart. */
+    /** The keys, but for discovery, classes and attempts, whose values differ from those of a configuration in use: they need a restart. */
     List<String> restartNeeded(Config used) {
         List<String> keys = new ArrayList<>();
         if (!name.equals(used.name)) {
@@ -152,7 +222,7 @@
         if (sockets != used.sockets) {
             keys.add("limits.sockets");
         }
-        if (!settings.equals(used.settings) || !classNames.equals(used.classNames) || !kinds.equals(used.kinds)
+        if (!with(used.table(), used.attempts()).settings.equals(used.settings) || !kinds.equals(used.kinds)
                 || !zones.equals(used.zones)) {
             keys.add("settings");
         }
@@ -160,9 +230,19 @@
     }
 
     static Config parse(String text, Map<String, String> variables) throws Bad {
+        return parse(text, variables, Set.of());
+    }
+
+    private static Config parse(String text, Map<String, String> variables, Set<String> needed) throws Bad {
         JsonObject root = object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
         JsonObject settings = root.has("settings") ? object("settings", root.get("settings")) : new JsonObject();
         JsonObject limits = root.has("limits") ? object("limits", root.get("limits")) : new JsonObject();
+        Set<String> keys = keys(settings, "");
+        for (String key : needed) {
+            if (!keys.contains(key)) {
+                throw new Bad("settings." + key, "missing");
+            }
+        }
         Relay.Settings read;
         try {
             read = SettingsReader.read(settings.toString(), 0);
@@ -192,7 +272,8 @@
                 operator.isEmpty() ? null : address(operator, "operator"),
                 address(discovery(variables, root, state), "discovery"), state,
                 seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), sockets, read, classNames,
-                strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known);
+                strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known,
+                keys);
     }
 
     private static String value(Map<String, String> variables, String variable, JsonObject root, String key,
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -39,7 +39,8 @@
     private final SegmentedJournal journal;
     private final Core core;
     private final HttpFront front;
-    private final Config config;
+    /** As it is in force: renewed at SIGHUP. */
+    private Config config;
     private final Notices notices;
     private final Directory directory;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -140,7 +141,8 @@
     /** Takes a new configuration file on; a faulty one changes nothing. Any thread, one at a time. */
     synchronized void reload(Map<String, String> variables) {
         try {
-            Config read = Config.reread(variables);
+            Config read = Config.reread(variables, config);
+            renew(config.renewed(read));
             for (String key : read.restartNeeded(config)) {
                 Logs.warn("configuration", "needs-restart", key + ": a change needs a restart; the old one stays", "key", key);
             }
@@ -159,6 +161,28 @@
         }
     }
 
+    /** Has other classes and attempts hold, once they are noted; messages under way keep their class. */
+    private void renew(Config next) throws Bad {
+        if (next.equals(config)) {
+            return;
+        }
+        next.noteClasses();
+        config = next;
+        CountDownLatch inForce = new CountDownLatch(1);
+        core.post(() -> {
+            core.renew(next.settings());
+            front.renew(next.classNames(), next.settings().classes());
+            inForce.countDown();
+        });
+        try {
+            inForce.await(1, TimeUnit.SECONDS); // what is logged then is true
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Logs.info("", "renewed", "classes " + String.join(" ", next.classNames().stream().filter(n -> !n.isEmpty()).toList())
+                + ", " + next.settings().limits().maxAttempts() + " attempts");
+    }
+
     /** Ends well: nothing that the coming kill could cut is started, and the journal has the rest. */
     void stop() {
         try {
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -27,8 +27,7 @@
     private static final long UNREAD = 120_000, UNREAD_PART = 50;
 
     private final Core core;
-    private final List<String> classNames;
-    private final List<Relay.MessageClass> classes;
+    private volatile Classes classes;
     private final Notices notices;
     private final IntakeFilter intake;
     /** Who waits to hear that a message is taken on: more than one where it came again meanwhile. */
@@ -48,8 +47,7 @@
             int crowd, Notices notices, String practiceHeader) {
         this.core = core;
         this.practiceHeader = practiceHeader;
-        this.classNames = List.copyOf(classNames);
-        this.classes = List.copyOf(classes);
+        renew(classNames, classes);
         this.intake = new IntakeFilter(core, mostClients, crowd, this::request);
         this.notices = notices;
         core.counters().gauge("waiting_clients", waiting::size);
@@ -61,6 +59,14 @@
         return "http";
     }
 
+    /** Classes by number, and the names of those that may be handed in. */
+    private record Classes(List<String> names, List<Relay.MessageClass> all) { }
+
+    /** Other classes may be handed in from now on. Loop thread, once the module knows them. */
+    public void renew(List<String> classNames, List<Relay.MessageClass> all) {
+        classes = new Classes(List.copyOf(classNames), List.copyOf(all));
+    }
+
     /** Listens from now on. */
     public SocketAddress listen(Transport transport, SocketAddress address) throws IOException {
         var server = transport.listen(address, Transport.chain(intake));
@@ -133,8 +139,10 @@
         Map<String, String> headers = request.headers();
         String id = needed(headers, "req-id");
         check(Figures.isWord(id), "Req-Id: not an id");
-        int number = classNames.indexOf(needed(headers, "req-kind"));
-        check(number >= 0, "Req-Kind: unknown class");
+        Classes known = classes;
+        String kind = needed(headers, "req-kind");
+        int number = known.names().indexOf(kind);
+        check(number >= 0 && !kind.isEmpty(), "Req-Kind: unknown class");
         Integer destination = null;
         for (String part : needed(headers, "x-envelope").split("[,; ]+")) {
             if (part.startsWith("dest=")) {
@@ -148,7 +156,7 @@
         check(deadline != null && deadline <= LONGEST, "Req-Deadline: not a time to wait for");
         String key = headers.get("idempotency-key");
         // Among others a message without a key is written with a '-' in its place.
-        check(key == null ? classes.get(number).repeat() != Relay.Repeat.KEYED : Figures.isWord(key) && !key.equals("-"),
+        check(key == null ? known.all().get(number).repeat() != Relay.Repeat.KEYED : Figures.isWord(key) && !key.equals("-"),
                 "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
         return new Handin(id, identity(headers, key), number, destination, key, request.body(), !retry.isEmpty(), retry.equals("again"),
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -336,6 +336,11 @@
         events.add(new Event.Probed(host, ending, elapsedMicros, null));
     }
 
+    /** Other classes and attempts hold from now on, for what is handed in after this. Loop thread. */
+    public void renew(Relay.Settings renewed) {
+        events.add(new Event.Renewed(renewed));
+    }
+
     /** Takes nothing new from now on, and starts no call that could be out at the given time. Loop thread. */
     public void stopBy(long atMicros) {
         closing = true;
--- a/src/test/java/lilaclever/journal/SimDisk.java
+++ b/src/test/java/lilaclever/journal/SimDisk.java
@@ -55,7 +55,8 @@
         }
     }
 
-    private void add(Kind kind, int file, String name, String to, long position, byte[] bytes) {
+    /** Writers and the one who forces are two threads. */
+    private synchronized void add(Kind kind, int file, String name, String to, long position, byte[] bytes) {
         Op op = new Op(kind, file, name, to, position, bytes);
         ops.add(op);
         apply(op);
