--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -109,10 +109,6 @@
      * weight of one, the share above which single failures tell nothing, and the first guess for connects.
      */
     private static final double CROWD_WEIGHT = 0.3, CROWDED = 0.3, CROWD_GUESS = 0.45;
-    /** Idle connections are closed for so long after a connect was turned away there, microseconds; */
-    private static final long CLOSE_FOR = 20_000_000;
-    /** and always if under so many own calls are expected there within the keep-alive time. */
-    private static final double KEEP_CALLS = 0.3;
     /** An endpoint is passed over for so long after a hard failure, microseconds, doubled by the next. */
     private static final long AVOID_FIRST = 500_000, AVOID_DOUBLINGS = 2;
     /** A message is given up when so little time is left, microseconds: no call ends sooner. */
@@ -567,15 +563,12 @@
     }
 
     /**
-     * Idle connections fill what an endpoint takes from all relays. Closed where connects were turned away,
-     * always where this relay will hardly use it again, and by each of many relays: one each would fill an
-     * endpoint that takes few, and what each learns alone comes late. Costs a handshake a call there.
+     * Idle connections fill what an endpoint takes from all relays, and one that has its own there never hears
+     * of those that got none. So none is kept at a kind that has once turned this relay away for want of room,
+     * and none by each of many relays, as what each learns alone comes late. Costs a handshake a call there.
      */
     private void closeUnused(Endpoint endpoint) {
-        double others = usual(endpoint.limit) / endpoint.limit.endpoints.size() - SECOND / USUAL;
-        boolean rare = others * settings.limits().keepAliveMicros() < KEEP_CALLS * SECOND;
-        if (many || (rare && noRoom[endpoint.kind] || now - endpoint.limit.noRoomAt < CLOSE_FOR)
-                && endpoint.queue.waiting.isEmpty()) {
+        if (many || noRoom[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
             actions.add(new Action.CloseIdle(endpoint.host));
             endpoint.idle.clear();
         }
@@ -922,7 +915,6 @@
         boolean busyNow = now - endpoint.takenSentAt < BLIP && endpoint.fails < FAILS_IN_ROW;
         endpoint.turned |= many && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
-            limit.noRoomAt = now;
             noRoom[endpoint.kind] = true;
             if (crowded(endpoint)) {
                 long longer = many ? now - limit.badSince : 0;
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -94,7 +94,7 @@
         final List<Endpoint> endpoints = new ArrayList<>();
         int out;
         long lastSend = Long.MIN_VALUE / 4;
-        long waitUntil, opensAt, holdUntil, shortWaitAt = Long.MIN_VALUE / 4, noRoomAt = Long.MIN_VALUE / 4;
+        long waitUntil, opensAt, holdUntil, shortWaitAt = Long.MIN_VALUE / 4;
         long cutAt = Long.MIN_VALUE / 4;
         double pace, roof, jitter = 1;
         double told, left, recent, usual, unseen = 1;
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -214,6 +214,7 @@
         private volatile int status;
         /** Its connection was closed before its last byte was written, since it might not go out any more. */
         private volatile boolean cut;
+        private boolean fresh;
 
         private Exchange(String owner, String address, UnaryOperator<byte[]> form, byte[] body, Listener listener) {
             this.owner = owner;
@@ -242,6 +243,7 @@
         }
 
         private void connect() {
+            fresh = true;
             due = core.deadlines().at(core.now() + connectMicros, this::broke);
             core.counters().add(Counters.Name.CONNECTIONS);
             transport.connect(Transport.address(address), chain, up -> {
@@ -351,6 +353,11 @@
             return true;
         }
 
+        /** Whether its connection was opened for it. */
+        boolean isFresh() {
+            return fresh;
+        }
+
         /** What the first line of the answer has said so far; else 0. */
         int status() {
             return status;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -152,7 +152,8 @@
             }
             case 429, 503 -> {
                 boolean noSlot = "1".equals(headers.get("x-no-slot"));
-                all(call, noSlot ? Ending.NOT_SENT : Ending.FULL, noSlot, false);
+                all(call, noSlot ? Ending.NOT_SENT : noRoom(call, status, headers) ? Ending.NO_CONNECTION : Ending.FULL,
+                        noSlot, false);
             }
             case 504, 413, 400 -> all(call, Ending.NOT_SENT, false, false);
             case 410 -> all(call, Ending.NOT_SENT, false, true);
@@ -160,6 +161,15 @@
         }
     }
 
+    /**
+     * Whether it was the connection that the endpoint has no room for: it closes what was opened just now. One that is over
+     * its limit keeps the connection. To take the first for the second would slow all calls there, and change nothing.
+     */
+    private static boolean noRoom(Call call, int status, Map<String, String> headers) {
+        return status == 503 && call.attachment instanceof Out out && out.exchange().isFresh()
+                && "close".equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
+    }
+
     private void each(Call call, String text) {
         Map<String, String> ends = new HashMap<>();
         for (String line : text.split("\r?\n")) {
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -540,6 +540,22 @@
         assertTrue(rig.actions.stream().anyMatch(Action.CloseIdle.class::isInstance), rig.actions.toString());
     }
 
+    /** Guards against relays that have their connections and never hear of those that got none: they shut them out. */
+    @Test
+    void whereAKindTakesFewConnectionsABusyRelayKeepsNoneEither() {
+        rig = new Rig(Rig.settings(10, 50, 12, false, 14));
+        rig.list(ListingKind.REMEMBERED, Rig.entry("a1", 1, 0, 0), Rig.entry("c1", 3, 0, 0), Rig.entry("b1", 2, 0, 1));
+        for (int i = 0; i < 20; i++) {
+            rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED).pass(100 * MS);
+        }
+        assertTrue(rig.actions.stream().noneMatch(Action.CloseIdle.class::isInstance), rig.actions.toString());
+        rig.outcome(rig.submit(SAFE, 3), "c1", 0, Ending.NO_CONNECTION);
+        rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED);
+        assertTrue(rig.actions.contains(new Action.CloseIdle("a1")), rig.actions.toString());
+        rig.outcome(rig.submit(SAFE, 2), "b1", 0, Ending.DELIVERED);
+        assertTrue(rig.actions.stream().noneMatch(Action.CloseIdle.class::isInstance), "of another kind nothing is known");
+    }
+
     /** Guards against a fleet whose idle connections fill an endpoint that takes few: one each is enough for that. */
     @Test
     void inALargeFleetNoConnectionIsKeptIdle() {
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -168,6 +168,30 @@
         }
     }
 
+    /** Guards against a full table of connections that slows all calls to a partner, as if they were over its limit. */
+    @ParameterizedTest
+    @CsvSource({"1, 503, close, no_connection", "1, 503, keep-alive, full", "2, 503, close, full", "1, 429, close, full"})
+    void aFullTableOfConnectionsIsToldApartFromAFullPartner(int refusedCall, String status, String connection, String ending)
+            throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
+                if (count.incrementAndGet() == refusedCall) {
+                    wire.say("HTTP/1.1 " + status + " no\r\nConnection: " + connection + "\r\nContent-Length: 0\r\n\r\n");
+                } else {
+                    wire.answer("200 OK", "");
+                }
+            })) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.to(address)) {
+                for (int i = 1; i <= 2; i++) {
+                    assertTrue(client.handIn("m" + i, "status", 6, "").startsWith("202"));
+                    untilDelivered(client, i);
+                }
+                assertTrue(counters(client).contains("\nending_" + ending + " 1\n"), counters(client));
+            }
+        }
+    }
+
     @Test
     void aSilentEndpointIsGivenUpByClosingAndAPaymentIsNotSentAgain() throws Exception {
         LinkedBlockingQueue<String> closed = new LinkedBlockingQueue<>();
