--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -627,7 +627,7 @@
             endpoint.calls.remove(call);
             calls.remove(call);
             endpoint.limit.out--;
-            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.RESET
+            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.NO_ROOM && e.ending() != Ending.RESET
                     && e.ending() != Ending.NOT_SENT) {
                 endpoint.idle.addLast(now);
                 used.add(endpoint);
@@ -779,7 +779,7 @@
         switch (first ? e.ending() : Ending.NOT_SENT) {
             case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
             case FULL -> refused(limit, endpoint, e);
-            case ERROR, TIMED_OUT, RESET, NO_CONNECTION, CANCELED ->
+            case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
                 failed(limit, endpoint, e.ending(), e.elapsedMicros());
             default -> { }
         }
@@ -905,7 +905,7 @@
             endpoint.rampFrom = now;
         }
         endpoint.hung |= ending == Ending.TIMED_OUT && (endpoint.fails > 1 || !lossy());
-        boolean turnedAway = ending == Ending.NO_CONNECTION
+        boolean turnedAway = ending == Ending.NO_ROOM || ending == Ending.NO_CONNECTION
                 && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
         endpoint.blip = turnedAway ? endpoint.kind : blips.length - 1;
         endpoint.badSince = endpoint.badSince == 0 ? now : endpoint.badSince;
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -49,6 +49,8 @@
         CANCELED(false), NOT_SENT(true),
         /** Not written, since a wait was told after it was decided: that attempt was none. */
         WITHHELD(true),
+        /** Its endpoint answered that it has no room for a further connection. */
+        NO_ROOM(true),
         /** Turned down for good: no further attempt of this message can succeed. */
         REJECTED(true);
 
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -152,7 +152,7 @@
             }
             case 429, 503 -> {
                 boolean noSlot = "1".equals(headers.get("x-no-slot"));
-                all(call, noSlot ? Ending.NOT_SENT : noRoom(call, status, headers) ? Ending.NO_CONNECTION : Ending.FULL,
+                all(call, noSlot ? Ending.NOT_SENT : noRoom(call, status, headers) ? Ending.NO_ROOM : Ending.FULL,
                         noSlot, false);
             }
             case 504, 413, 400 -> all(call, Ending.NOT_SENT, false, false);
