--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -885,11 +885,15 @@
         limit.badSince = limit.badSince == 0 ? now : limit.badSince;
         limit.lasted = now - limit.badSince;
         limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
-        limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
-        limit.failedLast = endpoint;
-        limit.fails++;
         endpoint.fails++;
-        endpoint.ill += ILL_WEIGHT * (1 - endpoint.ill);
+        // One that has no room for a connection is there, and well; if it says only that for long, it may be shut.
+        boolean there = ending == Ending.NO_ROOM && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
+        if (!there) {
+            limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
+            limit.failedLast = endpoint;
+            limit.fails++;
+            endpoint.ill += ILL_WEIGHT * (1 - endpoint.ill);
+        }
         if (endpoint.fails > 1) {
             endpoint.avoidUntil = now
                     + (long) ((AVOID_FIRST << Math.min(endpoint.fails - 2, AVOID_DOUBLINGS)) * spread());
@@ -916,7 +920,7 @@
         endpoint.turned |= many && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
             noRoom[endpoint.kind] = true;
-            if (crowded(endpoint)) {
+            if (there || crowded(endpoint)) {
                 long longer = many ? now - limit.badSince : 0;
                 endpoint.avoidUntil = Math.max(endpoint.avoidUntil, now + (long) (longer * spread()));
                 return;
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -556,6 +556,25 @@
         assertTrue(rig.actions.stream().noneMatch(Action.CloseIdle.class::isInstance), "of another kind nothing is known");
     }
 
+    /** Guards against a return at the pace of a cold partner to one that only has no room for one more connection. */
+    @Test
+    void anAnswerThatThereIsNoRoomForAConnectionIsNoOutage() {
+        rig = new Rig(Rig.settings(10, 50, 12, false, 14));
+        rig.list(ListingKind.REMEMBERED, Rig.entry("a1", 1, 0, 0));
+        Map<String, Integer> tries = new HashMap<>();
+        String first = rig.submit(SAFE, 1);
+        rig.outcome(first, "a1", 0, Ending.NO_CONNECTION);
+        tries.put(first, 1);
+        answerAll(tries, 12 * S, Ending.NO_CONNECTION); // down: a failed connect is no sign of a full table any more
+        rig.pass(60 * S);
+        rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED).pass(15 * S); // back, and warm
+        List<String> ids = List.of(rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1));
+        ids.forEach(id -> rig.outcome(id, "a1", 0, Ending.NO_ROOM));
+        ids.forEach(id -> tries.put(id, 1));
+        assertEquals(5, answerAll(tries, 3 * S, Ending.DELIVERED), "all that waits goes once there is room");
+    }
+
     /** Guards against a fleet whose idle connections fill an endpoint that takes few: one each is enough for that. */
     @Test
     void inALargeFleetNoConnectionIsKeptIdle() {
