--- a/src/main/java/lilaclever/lab/model/Allowance.java
+++ b/src/main/java/lilaclever/lab/model/Allowance.java
@@ -8,6 +8,9 @@
     private final boolean refusedCount;
     private double left;
     private long at;
+    /** Part of its usual rate that it lets through until a time. */
+    private double part = 1;
+    private long partUntil = Long.MIN_VALUE;
 
     /** {@code perSecond} in the mean; a rate lets a fifth of a second's calls through at once. */
     Allowance(PartnerKind.Limit limit, double perSecond, long spanMicros, boolean refusedCount) {
@@ -15,11 +18,22 @@
         this.perSecond = perSecond;
         this.spanMicros = spanMicros;
         this.refusedCount = refusedCount;
-        left = most();
+        left = most(0);
     }
 
-    private double most() {
-        return limit == PartnerKind.Limit.RATE ? Math.max(1, perSecond / 5) : Math.max(1, Math.floor(perSecond * spanMicros / 1e6));
+    /** Lets only a part of the usual rate through until then. */
+    void lower(double toPart, long until) {
+        part = toPart;
+        partUntil = until;
+    }
+
+    private double rate(long now) {
+        return now < partUntil ? perSecond * part : perSecond;
+    }
+
+    private double most(long now) {
+        return limit == PartnerKind.Limit.RATE ? Math.max(1, rate(now) / 5)
+                : Math.max(1, Math.floor(rate(now) * spanMicros / 1e6));
     }
 
     /** True if a call now is within the limit; it counts from now on. */
@@ -33,24 +47,24 @@
             return true;
         }
         if (refusedCount && limit == PartnerKind.Limit.RATE) {
-            left = Math.max(-most(), left - 1);
+            left = Math.max(-most(now), left - 1);
         }
         return false;
     }
 
     private void refill(long now) {
         if (limit == PartnerKind.Limit.RATE) {
-            left = Math.min(most(), left + (now - at) / 1e6 * perSecond);
+            left = Math.min(most(now), left + (now - at) / 1e6 * rate(now));
             at = now;
         } else if (now / spanMicros != at / spanMicros) {
-            left = most();
+            left = most(now);
             at = now;
         }
     }
 
     /** When there is room again if nobody else takes it. */
     long roomAt(long now) {
-        return limit == PartnerKind.Limit.RATE ? now + (long) (Math.max(0, 1 - left) / perSecond * 1e6)
+        return limit == PartnerKind.Limit.RATE ? now + (long) (Math.max(0, 1 - left) / rate(now) * 1e6)
                 : (now / spanMicros + 1) * spanMicros;
     }
 }
--- a/src/main/java/lilaclever/lab/model/Partner.java
+++ b/src/main/java/lilaclever/lab/model/Partner.java
@@ -144,6 +144,11 @@
         }
     }
 
+    /** Lowers its limit to a part until the given time, without a word; that is no outage. */
+    public void lower(double toPart, long until) {
+        allowance.lower(toPart, until);
+    }
+
     private Outage now(long now) {
         if (outage != null && now >= outageUntil) {
             if (outage != Outage.SLOW) {
--- a/src/main/java/lilaclever/lab/scenario/Scenario.java
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -41,7 +41,7 @@
     }
 
     /** What can happen. */
-    public enum What { RESTART, DRAIN, SILENT, FAILING, SHUT, DOWN, SLOW, HOT, DEAF }
+    public enum What { RESTART, DRAIN, SILENT, FAILING, SHUT, DOWN, SLOW, LOWERED, HOT, DEAF }
 
     /** Which partners it happens to. */
     public enum Target { ANY, BUSIEST, SMALL }
@@ -53,7 +53,8 @@
      * @param forMicros how long it lasts; with RESTART, DRAIN: over how long it is spread
      * @param part of the forwarders (RESTART, HOT, DEAF), of the endpoints (DRAIN), of the partners (others)
      * @param kind only partners of that kind; null: any
-     * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; HOT: the share
+     * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; LOWERED: the part
+     *     of its limit that is left; HOT: the share
      *     of all traffic
      * @param downMicros with RESTART: how long one is away; with DRAIN: how long an endpoint drains
      */
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -199,7 +199,7 @@
         List<Happening> all = new ArrayList<>();
         for (Section s : file.sections("event")) {
             if (!s.has("what")) {
-                throw s.bad("what", "missing: one of restart, drain, silent, failing, shut, down, slow, hot, deaf");
+                throw s.bad("what", "missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf");
             }
             What what = s.choice("what", What.class, What.RESTART);
             if (!s.has("at")) {
@@ -212,6 +212,7 @@
             double[] strength = switch (what) {
                 case FAILING -> s.range("strength", 0.5, 1, 0, 1);
                 case SLOW -> s.range("strength", 3, 6, 1, 1000);
+                case LOWERED -> s.range("strength", 0.3, 0.7, 0, 1);
                 case HOT -> s.range("strength", 0.06, 0.22, 0, 1);
                 default -> new double[] {0, 0};
             };
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -300,8 +300,8 @@
         call.messages.forEach(m -> world.comes(m.id(), number, call.endpoint.destination()));
         String host = call.endpoint.host();
         if (!connected && partner.hosts().contains(host) && !partner.isOut(world.now())) {
-            // Too many connections: the partner says that it is full, and closes.
-            later(world.now() + world.network(), () -> end(call, way, Ending.FULL, 0, false));
+            // Too many connections: the partner says that it has no room, and closes.
+            later(world.now() + world.network(), () -> end(call, way, Ending.NO_ROOM, 0, false));
             overAll(call, "full", true);
             return;
         }
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -489,6 +489,10 @@
                     timeline.at(at, () -> deafUntil[f] = now() + length);
                 }
             }
+            case LOWERED -> {
+                double part = eventDraws.in(h.strength());
+                some(h).forEach(p -> timeline.at(at, () -> p.lower(part, now() + length)));
+            }
             default -> {
                 double strength = eventDraws.in(h.strength());
                 for (Partner p : some(h)) {
--- a/src/test/java/lilaclever/lab/model/PartnerTest.java
+++ b/src/test/java/lilaclever/lab/model/PartnerTest.java
@@ -59,6 +59,18 @@
         assertTrue(a.take(2 * S));
     }
 
+    /** Half of a limit is left for a while, and all of it afterwards, however the limit counts. */
+    @Test
+    void aLoweredLimitLetsAPartThroughAndIsRaisedAgain() {
+        for (Limit limit : List.of(Limit.WINDOW, Limit.RATE)) {
+            Allowance a = new Allowance(limit, 10, 2 * S, false);
+            a.lower(0.5, 10 * S);
+            a.take(0);
+            assertEquals(40, IntStream.range(0, 400).filter(i -> a.take(2 * S + i * 20_000L)).count(), 4, limit + " lowered");
+            assertEquals(100, IntStream.range(0, 500).filter(i -> a.take(10 * S + i * 20_000L)).count(), 4, limit + " raised");
+        }
+    }
+
     /** Where refused calls count, whoever goes on asking at a high rate gets nothing. */
     @Test
     void refusedCallsMayUseUpARate() {
--- a/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
+++ b/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
@@ -40,11 +40,11 @@
         "[traffic]/load 45               | f:2: traffic.load: from 0% to 10000%, not 45",
         "[traffic]/load 0s 45% 0s 50%    | f:2: traffic.load: times must grow: 0s",
         "[traffic]/load 5s 45%           | f:2: traffic.load: one share, or times and shares in turn from 0s on, such as 0s 45% 30s 110%",
-        "[event e]/at 5s                 | f:1: event e.what: missing: one of restart, drain, silent, failing, shut, down, slow, hot, deaf",
+        "[event e]/at 5s                 | f:1: event e.what: missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf",
         "[event e]/what silent           | f:1: event e.at: missing: a time, or the least and the most",
         "[event e]/what silent/at 9s 5s  | f:3: event e.at: one time, or the least and the most, not 9s 5s",
         "[event e]/what silent/at 5s/kind lab | f:4: event e.kind: no such kind of partner: lab",
-        "[event e]/what explode/at 5s    | f:2: event e.what: one of restart, drain, silent, failing, shut, down, slow, hot, deaf, not explode",
+        "[event e]/what explode/at 5s    | f:2: event e.what: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf, not explode",
         "[kind a]/share 50%              | f:2: kind a.share: the shares of all kinds are 50.0% together, not 100%",
         "[class a]/aim 30s/deadline 20s  | f:2: class a.aim: is after the deadline",
         "[fleet]/cold-form 1%            | f:2: fleet.cold-form: no such key; is cold-from meant?"})
