--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -563,9 +563,9 @@
     }
 
     /**
-     * Idle connections fill what an endpoint takes from all relays, and one that has its own there never hears
-     * of those that got none. So none is kept at a kind that has once turned this relay away for want of room,
-     * and none by each of many relays, as what each learns alone comes late. Costs a handshake a call there.
+     * Idle connections fill what an endpoint takes from all relays, and one that has its own there never
+     * hears of those that got none. So none is kept at a kind that has once turned this relay away for want
+     * of room, and none by each of many relays, as what each learns alone comes late. Costs a handshake a call.
      */
     private void closeUnused(Endpoint endpoint) {
         if (many || noRoom[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
@@ -627,8 +627,8 @@
             endpoint.calls.remove(call);
             calls.remove(call);
             endpoint.limit.out--;
-            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.NO_ROOM && e.ending() != Ending.RESET
-                    && e.ending() != Ending.NOT_SENT) {
+            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.NO_ROOM
+                    && e.ending() != Ending.RESET && e.ending() != Ending.NOT_SENT) {
                 endpoint.idle.addLast(now);
                 used.add(endpoint);
             }
@@ -886,8 +886,9 @@
         limit.lasted = now - limit.badSince;
         limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
         endpoint.fails++;
-        // One that has no room for a connection is there, and well; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
+        // One that has no room for a connection is there; if it says only that for long, it may be shut.
+        boolean there = ending == Ending.NO_ROOM
+                && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
         if (!there) {
             limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
             limit.failedLast = endpoint;
