--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -565,7 +565,7 @@
     /**
      * Idle connections fill what an endpoint takes from all relays, and one that has its own there never
      * hears of those that got none. So none is kept at a kind that has once turned this relay away for want
-     * of room, and none by each of many relays, as what each learns alone comes late. Costs a handshake a call.
+     * of room, and none by each of many relays, as what each learns alone comes late. Costs handshakes.
      */
     private void closeUnused(Endpoint endpoint) {
         if (many || noRoom[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
