--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -727,6 +727,9 @@
 
     /** When a refused client should come again: when its destination will have room. */
     private long comeBack(Queue queue) {
+        if (!settings.limits().comeBack()) {
+            return 0;
+        }
         long wait = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
             if (endpoint.active) {
@@ -735,7 +738,7 @@
                         + (long) (queue.waiting.size() / rate * SECOND));
             }
         }
-        return settings.limits().comeBack() ? Math.min(wait, settings.limits().maxComeBackMicros()) : 0;
+        return Math.min(wait, settings.limits().maxComeBackMicros());
     }
 
     /** The hold is nearly full: what is worth least, and would wait longest, is answered now. */
--- a/src/main/java/lilaclever/lab/scenario/Scenario.java
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -54,8 +54,7 @@
      * @param part of the forwarders (RESTART, HOT, DEAF), of the endpoints (DRAIN), of the partners (others)
      * @param kind only partners of that kind; null: any
      * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; LOWERED: the part
-     *     of its limit that is left; HOT: the share
-     *     of all traffic
+     *     of its limit that is left; HOT: the share of all traffic
      * @param downMicros with RESTART: how long one is away; with DRAIN: how long an endpoint drains
      */
     public record Happening(String name, What what, long[] at, long[] forMicros, double part, Target target, String kind,
--- a/src/main/java/lilaclever/program/ClassTable.java
+++ b/src/main/java/lilaclever/program/ClassTable.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -61,7 +60,6 @@
         if (text.length() > mostBytes) {
             throw new IOException(text.length() + " bytes are more than the " + mostBytes + " that limits.disk_mb leaves for it");
         }
-        Path whole = Files.writeString(state.resolve(NOTE + ".new"), text);
-        Files.move(whole, state.resolve(NOTE), StandardCopyOption.ATOMIC_MOVE);
+        Config.note(state, NOTE, text);
     }
 }
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 import lilaclever.Relay;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
@@ -103,10 +104,15 @@
         }
     }
 
-    /** Notes the ids of endpoints that are out by hand: the old note stays until the new one is whole. */
+    /** Notes the ids of endpoints that are out by hand. */
     static void noteSuspended(Path state, Set<String> ids) throws IOException {
-        Path whole = Files.write(state.resolve(SUSPENDED + ".new"), ids);
-        Files.move(whole, state.resolve(SUSPENDED), StandardCopyOption.ATOMIC_MOVE);
+        note(state, SUSPENDED, ids.stream().map(id -> id + System.lineSeparator()).collect(Collectors.joining()));
+    }
+
+    /** Writes a note in the state folder: the old one stays until the new one is whole. */
+    static void note(Path state, String name, String text) throws IOException {
+        Path whole = Files.writeString(state.resolve(name + ".new"), text);
+        Files.move(whole, state.resolve(name), StandardCopyOption.ATOMIC_MOVE);
     }
 
     private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
@@ -122,8 +128,8 @@
     }
 
     /**
-     * Reads the file again, which must have every key of the settings in use. What it says of discovery wins over the variable, which a running process keeps as it was
-     * at its start.
+     * Reads the file again, which must have every key of the settings in use. What it says of discovery wins over the
+     * variable, which a running process keeps as it was at its start.
      */
     static Config reread(Map<String, String> variables, Config used) throws Bad {
         Map<String, String> others = new HashMap<>(variables);
@@ -165,20 +171,25 @@
             if (e.getValue().isJsonObject()) {
                 all.addAll(keys(e.getValue().getAsJsonObject(), path + e.getKey() + '.'));
             } else if (e.getValue().isJsonArray()) {
-                Set<String> common = null;
-                for (JsonElement x : e.getValue().getAsJsonArray()) {
-                    Set<String> here = x.isJsonObject() ? keys(x.getAsJsonObject(), path + e.getKey() + '.') : Set.of();
-                    if (common == null) {
-                        common = new LinkedHashSet<>(here);
-                    }
-                    common.retainAll(here);
-                }
-                all.addAll(common == null ? Set.of() : common);
+                all.addAll(commonKeys(e.getValue().getAsJsonArray(), path + e.getKey() + '.'));
             }
         });
         return all;
     }
 
+    private static Set<String> commonKeys(JsonArray of, String path) {
+        Set<String> common = new LinkedHashSet<>();
+        for (int i = 0; i < of.size(); i++) {
+            Set<String> here = of.get(i).isJsonObject() ? keys(of.get(i).getAsJsonObject(), path) : Set.of();
+            if (i == 0) {
+                common.addAll(here);
+            } else {
+                common.retainAll(here);
+            }
+        }
+        return common;
+    }
+
     /** Idle connections to endpoints at most. */
     int mostIdle() {
         return sockets / IDLE_PART;
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -248,11 +248,11 @@
             core.counters().add(Counters.Name.CONNECTIONS);
             transport.connect(Transport.address(address), chain, up -> {
                 trace("connected");
-                Link fresh = new Link(up);
-                links.set(up, fresh);
+                Link opened = new Link(up);
+                links.set(up, opened);
                 core.post(() -> core.deadlines().cancel(due));
                 Transport.afterReading(up, () -> {
-                    if (!fresh.take(this)) {
+                    if (!opened.take(this)) {
                         core.post(this::broke);
                     }
                 });
--- a/src/test/java/lilaclever/program/RenewTest.java
+++ b/src/test/java/lilaclever/program/RenewTest.java
@@ -73,6 +73,14 @@
         address = forwarder.addresses().get(0);
     }
 
+    /** Serves with the usual classes, and has one message tried once; the endpoint answers so. */
+    private void serveAndTry(int answer, String id, String kind) throws Exception {
+        status.set(answer);
+        serve(text());
+        assertEquals("202", handIn(address, id, kind));
+        assertEquals(id, Peer.next(asked));
+    }
+
     private void renew(String text) throws IOException {
         write(text);
         forwarder.reload(variables);
@@ -100,10 +108,7 @@
     /** A class that changes is another one for what comes later: what may not be repeated any more still may if it was so. */
     @Test
     void aMessageUnderWayKeepsItsClass() throws Exception {
-        status.set(500);
-        serve(text());
-        assertEquals("202", handIn(address, "old", "status"));
-        assertEquals("old", Peer.next(asked));
+        serveAndTry(500, "old", "status");
         renew(text().replace("\"repeat\": \"read_like\"", "\"repeat\": \"non_idempotent\""));
         assertEquals("old", Peer.next(asked), "it is tried again");
         status.set(200);
@@ -117,10 +122,7 @@
     /** What has had as many attempts as are allowed now ends at once, and its client is told so. */
     @Test
     void fewerAttemptsEndWhatHasHadThem() throws Exception {
-        status.set(503);
-        serve(text());
-        assertEquals("202", handIn(address, "a", "payment"));
-        assertEquals("a", Peer.next(asked));
+        serveAndTry(503, "a", "payment");
         assertEquals("a", Peer.next(asked));
         renew(text().replace("\"maxAttempts\": 8", "\"maxAttempts\": 1"));
         assertTrue(Peer.next(notices).contains("\"deferred\""));
