Believe the monotonic clock only where it agrees with the machine's uptime

Cause: BootClock.read took the machine's uptime from /proc/uptime as the clock that nobody sets. Where the process's clocks are led by somebody else, and run faster or slower than the machine's, the wall clock less the uptime differs between two lives of a folder, and Recovery.shiftFrom moved every deadline and window by the difference: forward, so that ends were told late and orders went out after their window, or back, so that what a restart found was given up.

Change: the clock is System.nanoTime. It is believed to count from the boot only where the uptime lies between two of its readings; else wall clocks are believed. A machine that slept is such a case too, and nothing is moved there. The format is the same.

--- a/src/main/java/lilaclever/journal/BootClock.java
+++ b/src/main/java/lilaclever/journal/BootClock.java
@@ -4,34 +4,48 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.UUID;
+import java.util.function.LongSupplier;
 
 /**
- * Tells times of an earlier life by a clock that nobody sets: the time since the machine was started, which goes on
- * while it sleeps. All walls that a journal keeps are those of its life's clock; when the wall clock was set between
- * two lives of the same boot, they are moved by as much.
+ * Tells times of an earlier life by a clock that nobody sets: the monotonic one, where it counts from the machine's start.
+ * All walls that a journal keeps are those of its life's clock; when the wall clock was set between two lives of the same
+ * boot, they are moved by as much.
+ *
+ * <p>The monotonic clock's origin is its own affair, and it may stand still while the machine sleeps. So it is believed only
+ * where it agrees with the time since the start that the system tells; in a process whose clocks are led by somebody else
+ * it does not, and to move walls there would carry messages past their deadlines and windows.
  *
  * @param boot names this start of the machine; 0 where that is not known, and then wall clocks are believed
- * @param offsetMicros the wall clock less the time since the start
+ * @param offsetMicros the wall clock less the monotonic one
  */
 public record BootClock(long boot, long offsetMicros) {
     /** Less than this is reading, and slow adjustment. */
     private static final long NOTHING = 100_000;
+    /** The system tells the time since the start in hundredths of a second. */
+    private static final long UPTIME_STEP = 20_000;
 
     /** Without knowledge of the machine. */
     public static final BootClock UNKNOWN = new BootClock(0, 0);
 
-    /** The machine's, as Linux tells it; {@code wallMicros} is the wall clock now. */
-    public static BootClock read(long wallMicros) {
+    /** The machine's, as Linux tells it; the two clocks in microseconds. */
+    public static BootClock read(LongSupplier monotonic, LongSupplier wall) {
         try {
             UUID id = UUID.fromString(Files.readString(Path.of("/proc/sys/kernel/random/boot_id")).strip());
-            String uptime = Files.readString(Path.of("/proc/uptime")).split(" ")[0];
-            long boot = id.getMostSignificantBits() ^ id.getLeastSignificantBits();
-            return new BootClock(boot, wallMicros - (long) (Double.parseDouble(uptime) * 1e6));
+            long before = monotonic.getAsLong();
+            double uptime = Double.parseDouble(Files.readString(Path.of("/proc/uptime")).split(" ")[0]);
+            long after = monotonic.getAsLong();
+            return of(id.getMostSignificantBits() ^ id.getLeastSignificantBits(), before, (long) (uptime * 1e6), after,
+                    wall.getAsLong() - monotonic.getAsLong());
         } catch (IOException | RuntimeException e) {
             return UNKNOWN; // another system
         }
     }
 
+    /** The clock of the boot, if the uptime lies between two readings of the monotonic clock; all in microseconds. */
+    static BootClock of(long boot, long before, long uptime, long after, long offset) {
+        return before - UPTIME_STEP <= uptime && uptime <= after + UPTIME_STEP ? new BootClock(boot, offset) : UNKNOWN;
+    }
+
     /** What to add to a wall that was written under the other clock. */
     long shiftFrom(BootClock then) {
         long shift = offsetMicros - then.offsetMicros;
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -11,6 +11,7 @@
 import java.util.Base64;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
 import java.util.TreeMap;
 import lilaclever.identity.Past;
 import lilaclever.journal.Format.Type;
@@ -109,8 +110,10 @@
     }
 
     private static Times times() {
-        long wall = System.currentTimeMillis() * 1000;
-        return new Times(() -> System.nanoTime() / 1000, () -> wall, BootClock.read(wall));
+        LongSupplier micros = () -> System.nanoTime() / 1000;
+        long wallLessMicros = System.currentTimeMillis() * 1000 - micros.getAsLong();
+        LongSupplier wall = () -> wallLessMicros + micros.getAsLong();
+        return new Times(micros, wall, BootClock.read(micros, wall));
     }
 
     /** Prints what is owed and what is remembered, one JSON object a line. */
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -56,7 +56,7 @@
         transport = new Transport();
         journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - config.noteBytes(),
                 operator.journal().durability(),
-                new Times(Core::micros, Core::wall, BootClock.read(Core.wall())),
+                new Times(Core::micros, Core::wall, BootClock.read(Core::micros, Core::wall)),
                 new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
