Linger at every close to a client, and tell a call's end where it is written

Need: rare crossings between the loop and the selector thread, and between a close and bytes that come just then.

Seen: WaitsTest.theRestOfACallDoesNotFollowUnderAWait failed on a busy machine (client closed after 15 s during its hand-ins). Cause: IntakeFilter.Exchange told the connection that its answer was over in the write's completion; a client that already had the answer sent its next request before that, it was taken for a pipelined one, and over 16 KiB there was no room: the connection was never read again. That is a lost request, not a flaky test. Now the answer is over as it is written, under the connection's lock.

Now a lingering close (RFC 9112, 9.6), bounded in time, bytes and descriptors; what comes after the shutdown is dropped, what lay unread before it is answered. Now the pending connect is given up.

Two tests handed their list to the first call that had asked, which may have been given up by then; they now hand it to whichever asks.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
@@ -52,6 +51,11 @@
             return true;
         }
 
+        /** Whether its time is up: from then on it is not written. Selector thread. */
+        default boolean isTooLate() {
+            return false;
+        }
+
         /** It might not go out, so its last byte was not written: called in place of the others. */
         default void withheld() { }
     }
@@ -205,6 +209,8 @@
         private final Listener listener;
         private Deadlines.Key due;
         private boolean done;
+        /** What is run once it is closed after a giving up, unless its answer was there first. */
+        private Runnable givingUp;
         /** Guarded by this: a request that was given up is not written, one that is being written is not unsent. */
         private boolean givenUp;
         private byte[] request;
@@ -215,6 +221,8 @@
         /** Its connection was closed before its last byte was written, since it might not go out any more. */
         private volatile boolean cut;
         private boolean fresh;
+        /** Gives up a connection that is opened for it and is not up yet. */
+        private Runnable connecting = () -> { };
 
         private Exchange(String owner, String address, UnaryOperator<byte[]> form, byte[] body, Listener listener) {
             this.owner = owner;
@@ -244,9 +252,9 @@
 
         private void connect() {
             fresh = true;
-            due = core.deadlines().at(core.now() + connectMicros, this::broke);
+            due = core.deadlines().at(core.now() + connectMicros, this::late);
             core.counters().add(Counters.Name.CONNECTIONS);
-            transport.connect(Transport.address(address), chain, up -> {
+            connecting = transport.connect(Transport.address(address), chain, up -> {
                 trace("connected");
                 Link opened = new Link(up);
                 links.set(up, opened);
@@ -260,8 +268,8 @@
         }
 
         private synchronized void write(Link on) {
-            if (givenUp) {
-                on.connection.closeSilently();
+            if (givenUp || listener.isTooLate()) {
+                on.connection.closeSilently(); // the loop may be late with giving it up
                 return;
             }
             link = on;
@@ -315,14 +323,15 @@
             core.post(() -> {
                 if (!done) {
                     core.deadlines().cancel(due);
-                    due = core.deadlines().at(core.now() + REST_BY, this::broke);
+                    due = core.deadlines().at(core.now() + REST_BY, this::late);
                 }
             });
         }
 
         private void answered(int said, Map<String, String> headers, byte[] body) {
-            if (!done) {
+            if (!done || givingUp != null) { // it may have come before its connection was closed
                 done = true;
+                givingUp = null;
                 core.deadlines().cancel(due);
                 if (link.spoilt || !link.connection.isOpen()) {
                     link.connection.closeSilently();
@@ -336,11 +345,25 @@
         private void broke() {
             if (!done) {
                 close();
-                if (cut) {
-                    listener.withheld();
-                } else {
-                    listener.broke(written, status);
-                }
+                tellBroken();
+            }
+        }
+
+        private void tellBroken() {
+            if (cut) {
+                listener.withheld();
+            } else {
+                listener.broke(written, status);
+            }
+        }
+
+        /**
+         * Its time to connect, or to get the rest of its answer, is up. The selector thread may be writing it just now:
+         * only there it is known whether its last byte has gone.
+         */
+        private void late() {
+            if (!done) {
+                giveUp(this::tellBroken);
             }
         }
 
@@ -372,25 +395,40 @@
         }
 
         /**
-         * The same, once what its endpoint has said until now is read: that may be a wait. {@code closed} hears on the loop
-         * thread whether the request's last byte may have been written.
+         * The same, once what its endpoint has said until now is read: that may be a wait, or the whole answer, which is then
+         * told as ever. Else {@code closed} is run, on the loop thread; from then on {@link #isWritten} does not change.
          */
-        void giveUp(Consumer<Boolean> closed) {
+        void giveUp(Runnable closed) {
+            givingUp = closed;
             Link open = leave();
             if (open == null) {
-                core.post(() -> closed.accept(false));
+                core.post(this::givenUp);
                 return;
             }
             Transport.afterReading(open.connection, () -> {
-                open.connection.terminateSilently();
-                core.post(() -> closed.accept(true));
+                open.connection.terminateSilently(); // on this thread nothing is being written meanwhile
+                core.post(this::givenUp);
             });
         }
 
+        private void givenUp() {
+            Runnable closed = givingUp;
+            givingUp = null;
+            if (closed != null) {
+                closed.run();
+            }
+        }
+
+        /** Whether its last byte has been written. */
+        boolean isWritten() {
+            return written;
+        }
+
         /** Nobody waits for the answer any more; gives the connection that it may be on its way on, or null. */
         private Link leave() {
             done = true;
             core.deadlines().cancel(due);
+            connecting.run();
             synchronized (this) {
                 givenUp = true;
                 return link;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -29,6 +29,25 @@
     private static final long MOST_WAIT = 315_360_000_000_000L;
     private static final long SWEEP = 500_000;
 
+    /** A request of any sort to an endpoint: not written under a told wait, and a wait in its answer binds. */
+    private abstract class Heedful implements HttpClient.Listener {
+        private final Call.Endpoint endpoint;
+
+        Heedful(Call.Endpoint endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        @Override
+        public void head(Map<String, String> answer) {
+            heed(endpoint, answer);
+        }
+
+        @Override
+        public boolean mayGo() {
+            return waits.left(endpoint, Core.micros()) == 0;
+        }
+    }
+
     /** What is out for a call; {@code several}: its answer tells the end of each message, however many are left. */
     private record Out(HttpClient.Exchange exchange, boolean several) { }
 
@@ -62,7 +81,7 @@
         boolean several = messages.size() > 1;
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Req-Deadline", seconds(Math.max(0, call.dropAt - call.startedAt)));
-        HttpClient.Listener listener = new HttpClient.Listener() {
+        HttpClient.Listener listener = new Heedful(call.endpoint) {
             @Override
             public void answered(int status, Map<String, String> answer, byte[] body) {
                 outcomes(call, several, status, answer, body);
@@ -80,13 +99,8 @@
             }
 
             @Override
-            public void head(Map<String, String> answer) {
-                heed(call, answer);
-            }
-
-            @Override
-            public boolean mayGo() {
-                return waits.left(call.endpoint, Core.micros()) == 0;
+            public boolean isTooLate() {
+                return Core.micros() >= call.dropAt;
             }
 
             @Override
@@ -194,16 +208,16 @@
      * Keeps the wait that an answer asks for, whatever else it says: the longest, if it names several. It runs from the
      * answer's writing, so one counted from its reading ends no sooner. What is no number is none.
      */
-    private void heed(Call call, Map<String, String> answer) {
+    private void heed(Call.Endpoint endpoint, Map<String, String> answer) {
         long longest = 0;
         for (String wait : answer.getOrDefault("x-retry-in-ms", "").split(",")) {
             longest = Math.max(longest, Figures.atLeast(wait.strip(), 3, MOST_WAIT));
         }
         if (longest > 0) {
             long now = Core.micros() + 1; // the clock is cut to whole microseconds
-            waits.told(call.endpoint, now + longest);
-            Logs.debug("", "wait", "told to wait until " + (now + longest), "partner", call.endpoint.destination(),
-                    "endpoint", call.endpoint.host());
+            waits.told(endpoint, now + longest);
+            Logs.debug("", "wait", "told to wait until " + (now + longest), "partner", endpoint.destination(),
+                    "endpoint", endpoint.host());
         }
     }
 
@@ -228,8 +242,8 @@
             return;
         }
         // The slot is free once the other side has seen the close: a call in this same turn would find none.
-        out.exchange().giveUp(written -> all(call, saysDelivered(out.several(), out.exchange().status())
-                ? Ending.DELIVERED : written ? Ending.TIMED_OUT : Ending.NO_CONNECTION, false, false));
+        out.exchange().giveUp(() -> all(call, saysDelivered(out.several(), out.exchange().status()) ? Ending.DELIVERED
+                : out.exchange().isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, false, false));
     }
 
     @Override
@@ -246,12 +260,10 @@
     public void probe(Call.Endpoint endpoint) {
         long started = core.now();
         HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        Deadlines.Key late = core.deadlines().at(started + probeMicros, () -> {
-            exchange[0].close();
-            core.probed(endpoint.host(), Ending.TIMED_OUT, core.now() - started);
-        });
+        Deadlines.Key late = core.deadlines().at(started + probeMicros, () -> exchange[0].giveUp(() ->
+                probed(endpoint, exchange[0].isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, started)));
         exchange[0] = client.send(owner(endpoint), endpoint.address(), "GET", "/health/live", Map.of(), NOTHING,
-                new HttpClient.Listener() {
+                new Heedful(endpoint) {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
                 end(status == 200 ? Ending.DELIVERED : status == 503 ? Ending.FULL : Ending.ERROR);
@@ -262,10 +274,19 @@
                 end(written ? Ending.RESET : Ending.NO_CONNECTION);
             }
 
+            @Override
+            public void withheld() {
+                end(Ending.WITHHELD);
+            }
+
             private void end(Ending ending) {
                 core.deadlines().cancel(late);
-                core.probed(endpoint.host(), ending, core.now() - started);
+                probed(endpoint, ending, started);
             }
         });
     }
+
+    private void probed(Call.Endpoint endpoint, Ending ending, long started) {
+        core.probed(endpoint.host(), ending, core.now() - started);
+    }
 }
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -24,6 +24,8 @@
     private static final byte[] NOTHING = {};
     /** Nobody waits for longer. */
     private static final long LONGEST = 3_600_000_000L;
+    /** Selections at most in which those are accepted who came before the listener closes. */
+    private static final int MOST_WAITING = 512;
     private static final long UNREAD = 120_000, UNREAD_PART = 50;
 
     private final Core core;
@@ -76,15 +78,27 @@
 
     /** Accepts no more, and closes idle connections; the others close after their answers. */
     public void close() {
+        intake.close();
         if (listener != null) {
-            listener.closeSilently();
+            stopListening(MOST_WAITING);
         }
-        intake.close();
+    }
+
+    /** Closes the listener once nobody waits to be accepted there: those would be reset, and are turned down in words. */
+    private void stopListening(int most) {
+        int before = intake.accepted();
+        Transport.afterReading(listener, () -> {
+            if (most > 0 && intake.accepted() != before) {
+                stopListening(most - 1);
+            } else {
+                listener.closeSilently();
+            }
+        });
     }
 
     /** True once it has closed and no client waits for an answer. */
     public boolean isClosed() {
-        return intake.isClosed();
+        return (listener == null || !listener.isOpen()) && intake.isClosed();
     }
 
     // ---- requests: on the selector thread until they are posted -------------------------------------------
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -21,6 +21,9 @@
  * The server's side of HTTP: gathers requests and writes answers, one after the other on a connection. Whoever says
  * nothing, half a request or nonsense is answered with an error or closed in good time, and is not let take the room
  * of those who ask: so many connections, so many bytes of requests that are not whole, so much time for each.
+ *
+ * <p>Every close from this side is a lingering close (RFC 9112, 9.6): only our sending ends, what still comes is read and
+ * dropped, and the client closes. A close over unread bytes is a reset, which can destroy an answer on its way.
  */
 final class IntakeFilter extends BaseFilter {
     static final int LARGEST_BODY = 64 * 1024;
@@ -35,6 +38,10 @@
     private static final long LOOK = 500_000, LEAST_LOOK = 20_000;
     /** How long the first request of a new connection may be on its way when room is made. */
     private static final long NEW = 100_000;
+    /** How long, and over how many bytes, a connection whose sending we have ended waits for the client to close it. */
+    private static final long LINGER = 1_000_000, MOST_DROPPED = 1 << 20;
+    /** Part of the room for connections that is left for those that linger, and for newcomers who are told to come again. */
+    private static final int LEAVING_PART = 8;
     private static final byte[] NOTHING = {};
 
     /** One request; headers by lower-case name. */
@@ -45,9 +52,12 @@
     private final int most, crowd;
     private final Consumer<Request> handler;
     private final Set<Client> clients = new LinkedHashSet<>();
+    /** Those of them that are to close or linger, the first one first; guarded by the clients. */
+    private final Set<Client> leaving = new LinkedHashSet<>();
     private final Attribute<Client> clientOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("IntakeFilter.client");
     private final AtomicLong gathered = new AtomicLong();
     private volatile boolean closing;
+    private volatile int accepted;
 
     /**
      * At most so many connections. With more than {@code crowd} of them none stays idle: a platform with few
@@ -68,7 +78,10 @@
         private final AtomicLong counted = new AtomicLong();
         /** Since when it is as it is: opened, or the first byte of a request, or the end of an answer. */
         private volatile long since = Core.micros();
-        private volatile boolean asked, partial, answering, ended;
+        private volatile boolean asked, partial, answering, ended, lingering;
+        /** It came where all the room is taken by those who wait for an answer: it is told to come again. */
+        private volatile boolean tooMany;
+        private long dropped;
 
         Client(Connection<?> connection) {
             this.connection = connection;
@@ -76,6 +89,10 @@
 
         synchronized void bytes(byte[] in) {
             int at = 0;
+            dropped += ended ? in.length : 0;
+            if (dropped > MOST_DROPPED) {
+                connection.terminateSilently();
+            }
             while (at < in.length && !ended) {
                 if (answering) {
                     // Another request before the answer to the first waits for its turn, as far as there is room.
@@ -120,6 +137,10 @@
             partial = false;
             asked = true;
             answering = true;
+            if (tooMany) {
+                refuse(503);
+                return;
+            }
             Request request = new Request(reader.method(), reader.path(), reader.headers(), reader.body(),
                     Core.micros(), new Exchange(this, reader.keeps()));
             reader.next();
@@ -131,7 +152,8 @@
             if (!ended) {
                 ended = true;
                 core.counters().add(Name.BAD_REQUESTS);
-                Transport.write(connection, Head.answer(status, Map.of(), true, NOTHING), connection::closeSilently,
+                Map<String, String> headers = status == 503 ? Map.of("Retry-After", "1") : Map.of();
+                Transport.write(connection, Head.answer(status, headers, true, NOTHING), this::linger,
                         connection::closeSilently);
             }
         }
@@ -142,6 +164,22 @@
             byte[] waiting = ahead.toByteArray();
             ahead.reset();
             bytes(waiting);
+            if (closing) {
+                closeIfIdle(); // the others that were idle are closed already
+            }
+        }
+
+        /** Ends our sending, after what is written; what comes from now on is dropped, until the client closes. */
+        private synchronized void linger() {
+            if (!lingering && connection.isOpen()) {
+                ended = true;
+                lingering = true;
+                since = Core.micros();
+                synchronized (clients) {
+                    leaving.add(this);
+                }
+                Transport.endSending(connection);
+            }
         }
 
         private boolean isIdle() {
@@ -150,6 +188,9 @@
 
         /** When it has to go if it stays as it is. */
         private long due() {
+            if (lingering) {
+                return since + LINGER;
+            }
             if (answering) {
                 return Long.MAX_VALUE;
             }
@@ -158,23 +199,38 @@
         }
 
         /**
-         * Ends it if it still has to go. On the selector thread alone, where requests are read: what is there and is
-         * not read yet is sent again on another connection, what was read would be lost.
+         * Ends it if it still has to go. On the selector thread alone, once what had come is read: a request may have lain
+         * in the socket of one that looked idle. What comes after is sent again on another connection, and must not be read
+         * as a request here.
          */
-        private void over() {
-            if (Core.micros() >= due()) {
-                if (partial && !ended) {
-                    refuse(408);
-                } else {
-                    connection.closeSilently();
-                }
+        private synchronized void over() {
+            if (Core.micros() < due()) {
+                return;
+            }
+            if (lingering) {
+                connection.closeSilently();
+            } else if (partial) {
+                refuse(408);
+            } else {
+                linger();
             }
         }
 
         /** The same for one that is idle, whatever the time. */
-        private void closeIfIdle() {
+        private synchronized void closeIfIdle() {
             if (isIdle()) {
-                connection.closeSilently();
+                linger();
+            }
+        }
+
+        /** Makes room, unless it has asked meanwhile: then its answer closes it, as there is a crowd. */
+        private synchronized void makeRoom() {
+            if (isIdle()) {
+                linger();
+            } else if (!ended) {
+                synchronized (clients) {
+                    leaving.remove(this);
+                }
             }
         }
 
@@ -185,7 +241,7 @@
             }
             long now = core.now();
             if (now >= due()) {
-                Transport.onSelector(connection, this::over);
+                Transport.afterReading(connection, this::over);
             }
             core.deadlines().at(now + Math.max(LEAST_LOOK, Math.min(LOOK, due() - now)), this::look);
         }
@@ -205,19 +261,22 @@
             return !client.connection.isOpen();
         }
 
-        /** Writes the answer; {@code lost} is run if it could not be written. */
+        /**
+         * Writes the answer; {@code lost} is run if it could not be written. The client may have it, and send its next request,
+         * before this returns: that one must not be taken for one that came before its turn.
+         */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
-            boolean stay = keep && !closing && !client.ended && size() <= crowd;
-            Transport.write(client.connection, Head.answer(status, headers, !stay, body), () -> {
+            synchronized (client) {
+                boolean stay = keep && !closing && !client.ended && size() <= crowd;
+                Transport.write(client.connection, Head.answer(status, headers, !stay, body),
+                        stay ? () -> { } : client::linger, () -> {
+                            client.connection.closeSilently();
+                            lost.run();
+                        });
                 if (stay) {
                     client.answered();
-                } else {
-                    client.connection.closeSilently();
                 }
-            }, () -> {
-                client.connection.closeSilently();
-                lost.run();
-            });
+            }
         }
     }
 
@@ -235,7 +294,12 @@
         synchronized (clients) {
             all = List.copyOf(clients);
         }
-        all.forEach(c -> Transport.onSelector(c.connection, c::closeIfIdle));
+        all.forEach(c -> Transport.afterReading(c.connection, c::closeIfIdle));
+    }
+
+    /** How many connections have been accepted since the start. */
+    int accepted() {
+        return accepted;
     }
 
     /** True once no connection is left: until then a request may be read that still wants its answer. */
@@ -251,38 +315,55 @@
     private Client leastWanted(Client newest) {
         long now = Core.micros();
         Client silent = null, idle = null;
-        synchronized (clients) {
-            for (Client c : clients) {
-                if (!c.asked && c != newest && silent == null) {
-                    silent = c; // in the order of opening: the first is the oldest
-                }
-                if (c.asked && c.isIdle() && (idle == null || c.since < idle.since)) {
-                    idle = c;
-                }
+        for (Client c : clients) {
+            if (leaving.contains(c)) {
+                continue;
+            }
+            if (!c.asked && c != newest && silent == null) {
+                silent = c; // in the order of opening: the first is the oldest
+            }
+            if (c.asked && c.isIdle() && (idle == null || c.since < idle.since)) {
+                idle = c;
             }
         }
         return silent != null && (now - silent.since > NEW || idle == null) ? silent : idle != null ? idle : newest;
     }
 
+    /** Makes room for a newcomer: one of those who stay has to leave, and where there is no room for that either, one goes now. */
+    private void crowdOut(Client newest) {
+        Client out = null, gone = null;
+        synchronized (clients) {
+            if (clients.size() - leaving.size() > most - most / LEAVING_PART) {
+                out = leastWanted(newest);
+                out.tooMany = out == newest;
+                leaving.add(out);
+            }
+            if (clients.size() > most) {
+                gone = leaving.isEmpty() ? newest : leaving.iterator().next();
+            }
+        }
+        if (out != null) {
+            core.counters().add(Name.CROWDED_OUT);
+            if (out != newest) {
+                Transport.afterReading(out.connection, out::makeRoom);
+            }
+        }
+        if (gone != null) {
+            forget(gone);
+            gone.ended = true;
+            gone.connection.closeSilently();
+        }
+    }
+
     @Override
     public NextAction handleAccept(FilterChainContext context) {
         Client client = new Client(context.getConnection());
         clientOf.set(client.connection, client);
-        boolean full;
+        accepted++; // on the selector thread alone
         synchronized (clients) {
             clients.add(client);
-            full = clients.size() > most;
-        }
-        if (full) {
-            Client out = leastWanted(client);
-            core.counters().add(Name.CROWDED_OUT);
-            forget(out);
-            out.ended = true;
-            out.connection.closeSilently();
-        }
-        if (closing) {
-            client.connection.closeSilently(); // it was accepted while the listener closed: nobody will read it
         }
+        crowdOut(client);
         core.post(client::look);
         return context.getInvokeAction();
     }
@@ -291,6 +372,7 @@
         client.count(0);
         synchronized (clients) {
             clients.remove(client);
+            leaving.remove(client);
         }
     }
 
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -131,6 +131,7 @@
         private final ArrayDeque<String> early = new ArrayDeque<>();
         private Connection<?> connection;
         private Deadlines.Key connectBy;
+        private Runnable connecting;
         private Call call;
         private Mail mail;
         private int lines;
@@ -152,8 +153,11 @@
                 return;
             }
             core.counters().add(Counters.Name.CONNECTIONS);
-            connectBy = core.deadlines().at(core.now() + connectMicros, () -> end(Ending.NO_CONNECTION, ""));
-            transport.connect(Transport.address(endpoint.address()), chain, up -> {
+            connectBy = core.deadlines().at(core.now() + connectMicros, () -> {
+                connecting.run();
+                end(Ending.NO_CONNECTION, "");
+            });
+            connecting = transport.connect(Transport.address(endpoint.address()), chain, up -> {
                 sessions.set(up, this); // before the greeting can be read
                 core.post(() -> connected(up));
             }, problem -> core.post(() -> end(Ending.NO_CONNECTION, "")));
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -8,8 +8,10 @@
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.Filter;
@@ -33,6 +35,8 @@
     private static final int BUFFER = 16 * 1024;
     /** Nanoseconds: far less than an answer may be on its way before it must have been heeded (100 ms). */
     private static final long LATELY = 20_000_000;
+    /** Selections that may take longer before a task runs all the same: on a machine that is always busy none is short. */
+    private static final int MOST_SELECTIONS = 5;
     private static final Pattern LITERAL = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]");
 
     private final TCPNIOTransport tcp;
@@ -66,11 +70,14 @@
         }
     }
 
-    /** Opens a connection; one of the two is called, on any thread. */
+    /**
+     * Opens a connection; one of the two is called, on any thread. What is returned gives it up while it is not up yet, and
+     * then neither is called: one that never comes up holds its descriptor for as long as the system goes on trying.
+     */
     @SuppressWarnings("rawtypes")
-    public void connect(InetSocketAddress address, FilterChain chain, Consumer<Connection<?>> up,
+    public Runnable connect(InetSocketAddress address, FilterChain chain, Consumer<Connection<?>> up,
             Consumer<Throwable> failed) {
-        TCPNIOConnectorHandler.builder(tcp).processor(chain).build().connect(address,
+        GrizzlyFuture<Connection> pending = new Connector(tcp, chain).open(address,
                 new EmptyCompletionHandler<Connection>() {
                     @Override
                     public void completed(Connection connection) {
@@ -82,6 +89,20 @@
                         failed.accept(problem);
                     }
                 });
+        return () -> pending.cancel(false);
+    }
+
+    /** Opens connections that can be given up while they come up. */
+    @SuppressWarnings("rawtypes")
+    private static final class Connector extends TCPNIOConnectorHandler {
+        Connector(TCPNIOTransport tcp, FilterChain chain) {
+            super(tcp);
+            setProcessor(chain);
+        }
+
+        GrizzlyFuture<Connection> open(SocketAddress address, CompletionHandler<Connection> handler) {
+            return connectAsync(address, null, handler, true);
+        }
     }
 
     /** Has the task run on the selector thread, where the connection's bytes are read: never at once. */
@@ -91,17 +112,17 @@
 
     /**
      * Has the task run on the selector thread after a selection that was begun once this was called, and lately: what had
-     * come on any connection by then has been read.
+     * come on any connection by then has been read. Where all selections take long it is not put off for ever.
      */
     public static void afterReading(Connection<?> connection, Runnable task) {
-        onSelector(connection, () -> nextSelection(connection, task));
+        onSelector(connection, () -> nextSelection(connection, task, MOST_SELECTIONS));
     }
 
-    private static void nextSelection(Connection<?> connection, Runnable task) {
+    private static void nextSelection(Connection<?> connection, Runnable task, int left) {
         long before = System.nanoTime();
         onSelector(connection, () -> {
-            if (System.nanoTime() - before > LATELY) {
-                nextSelection(connection, task); // that one took long: more may have come since
+            if (left > 1 && System.nanoTime() - before > LATELY) {
+                nextSelection(connection, task, left - 1); // that one took long: more may have come since
             } else {
                 task.run();
             }
@@ -121,6 +142,18 @@
         }
     }
 
+    /**
+     * Ends the sending on a connection, once all that was written has gone; it is still read, until the other side closes. Any
+     * thread, after the write has completed.
+     */
+    public static void endSending(Connection<?> connection) {
+        try {
+            ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
+        } catch (IOException e) {
+            connection.closeSilently(); // it is gone already
+        }
+    }
+
     /** The bytes of a message from the socket; the buffer goes back to its pool. */
     public static byte[] bytes(Buffer buffer) {
         byte[] bytes = new byte[buffer.remaining()];
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -251,10 +252,10 @@
         }
     }
 
-    /** Its list comes once the queue says so. */
-    private Peer platformThatTellsLater(LinkedBlockingQueue<String> watches, String endpoint) throws IOException {
+    /** Its list comes once the latch says so, to whichever call asks: those before have been given up. */
+    private Peer platformThatTellsLater(CountDownLatch listed, String endpoint) throws IOException {
         return Peer.platform(() -> {
-            Peer.next(watches);
+            listed.await(20, TimeUnit.SECONDS);
             return Setup.list(endpoint);
         }, notices);
     }
@@ -262,9 +263,9 @@
     /** Guards against sending on what was ended while the call's connection came up: its client may have it sent again. */
     @Test
     void aMessageThatEndsBeforeItsCallIsWrittenLeavesTheCall() throws Exception {
-        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        CountDownLatch listed = new CountDownLatch(1);
         try (ServerSocket endpoint = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                Peer platform = platformThatTellsLater(watches, "127.0.0.1:" + endpoint.getLocalPort())) {
+                Peer platform = platformThatTellsLater(listed, "127.0.0.1:" + endpoint.getLocalPort())) {
             endpoint.setSoTimeout(20_000);
             List<Socket> before = List.of(new Socket(), new Socket());
             for (Socket each : before) {
@@ -274,7 +275,7 @@
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("stays", "payment", 28, "x").startsWith("202"));
                 assertTrue(client.handIn("ends", "status", 0.8, "y").startsWith("202"));
-                watches.add("now");
+                listed.countDown();
                 assertTrue(Peer.next(notices).contains("ends"));
                 for (Socket each : before) {
                     endpoint.accept().close();
@@ -293,16 +294,16 @@
 
     @Test
     void whatGoesToOneEndpointInOneTurnSharesACall() throws Exception {
-        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        CountDownLatch listed = new CountDownLatch(1);
         try (Peer endpoint = endpoint(wire -> wire.answer("200 OK", "b fault\r\na accepted\r\nc deferred\r\n"));
-                Peer platform = platformThatTellsLater(watches, endpoint.address())) {
+                Peer platform = platformThatTellsLater(listed, endpoint.address())) {
             serve(platform.address(), null);
             try (Wire client = Wire.to(address)) {
                 for (String id : new String[] {"a", "b", "c"}) {
                     assertTrue(client.handIn(id, "payment", 28, "body-" + id).startsWith("202"));
                 }
             }
-            watches.add("now");
+            listed.countDown();
             assertEquals("/receive-many null null a k-a 6\r\nbody-a\r\nb k-b 6\r\nbody-b\r\nc k-c 6\r\nbody-c\r\n",
                     Peer.next(calls));
             assertTrue(Peer.next(notices).contains("{\"id\":\"b\",\"status\":\"undeliverable\"}"));
--- a/src/test/java/lilaclever/program/WaitsTest.java
+++ b/src/test/java/lilaclever/program/WaitsTest.java
@@ -12,7 +12,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -184,14 +186,14 @@
     /** A call that is half written, as its endpoint reads slowly, does not get its last byte under a wait. */
     @Test
     void theRestOfACallDoesNotFollowUnderAWait() throws Exception {
-        LinkedBlockingQueue<String> watches = new LinkedBlockingQueue<>();
+        CountDownLatch listed = new CountDownLatch(1);
         try (ServerSocket endpoint = new ServerSocket()) {
             endpoint.setReceiveBufferSize(4096);
             endpoint.bind(null);
             endpoint.setSoTimeout(20_000);
             String where = "127.0.0.1:" + endpoint.getLocalPort();
             try (Peer platform = Peer.platform(() -> {
-                    Peer.next(watches);
+                    listed.await(20, TimeUnit.SECONDS); // whichever call asks: those before have been given up
                     return Setup.list(where);
                 }, notices)) {
                 forwarder = Forwarder.start(Config.parse(Setup.text(platform.address(), state, null, 40)
@@ -203,7 +205,7 @@
                         String answer = client.handIn("m" + i, "payment", 20, large);
                         assertTrue(answer.startsWith("202"), answer);
                     }
-                    watches.add("now");
+                    listed.countDown();
                     try (Wire slow = new Wire(endpoint.accept())) {
                         assertTrue(client.handIn("other", "payment", 20, "").startsWith("202"));
                         try (Wire other = new Wire(endpoint.accept())) {
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -0,0 +1,117 @@
+package lilaclever.protocol.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.SocketTimeoutException;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lilaclever.lab.sockets.Wire;
+import lilaclever.routing.Call;
+import org.junit.jupiter.api.Test;
+
+/** Requests and connections at the moments where the loop and the selector thread cross. */
+class HttpClientTest extends TwoThreads {
+    private HttpClient.Listener listener(boolean tooLate) {
+        return new HttpClient.Listener() {
+            @Override
+            public void answered(int status, Map<String, String> headers, byte[] body) {
+                told.add("answered " + status);
+            }
+
+            @Override
+            public void broke(boolean written, int status) {
+                told.add("broke " + written);
+            }
+
+            @Override
+            public boolean isTooLate() {
+                return tooLate;
+            }
+        };
+    }
+
+    private HttpClient.Exchange send(HttpClient client, boolean tooLate) throws InterruptedException {
+        HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
+        onLoop(() -> exchange[0] = client.send("e", address(), "POST", "/receive", Map.of(), new byte[0], listener(tooLate)));
+        return exchange[0];
+    }
+
+    private HttpClient client() {
+        return new HttpClient(core, transport, "test", 1_500_000, 15_000_000, 4, 64 * 1024);
+    }
+
+    /** The answer lay in the socket as its call was given up: it says what became of the call, the giving up does not. */
+    @Test
+    void anAnswerThatCameBeforeTheGivingUpIsTold() throws Exception {
+        HttpClient.Exchange exchange = send(client(), false);
+        try (Wire endpoint = accept()) {
+            endpoint.read();
+            CountDownLatch free = hold();
+            endpoint.answer("503 no", "");
+            onLoop(() -> exchange.giveUp(() -> told.add("given up")));
+            free.countDown();
+            assertEquals("answered 503", told.poll(20, TimeUnit.SECONDS));
+            assertNull(endpoint.read(), "closed");
+            onLoop(() -> { });
+            assertNull(told.poll());
+        }
+    }
+
+    /** The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was. */
+    @Test
+    void aRequestWhoseConnectionComesUpAtItsTimeOutHasEitherGoneOrNot() throws Exception {
+        HttpClient.Exchange exchange = send(client(), false);
+        try (Wire endpoint = accept()) {
+            endpoint.read(); // it has gone
+            onLoop(() -> exchange.giveUp(() -> told.add("written " + exchange.isWritten())));
+            assertEquals("written true", told.poll(20, TimeUnit.SECONDS));
+        }
+        CountDownLatch free = hold();
+        HttpClient.Exchange second = send(client(), false);
+        onLoop(() -> second.giveUp(() -> told.add("written " + second.isWritten())));
+        free.countDown();
+        assertEquals("written false", told.poll(20, TimeUnit.SECONDS));
+        server.accept().close(); // the one that held the thread
+        try (Wire endpoint = accept()) {
+            assertNull(endpoint.read(), "not a byte");
+        }
+    }
+
+    /** A request whose time is up is not written, though the loop has not come to give it up yet. */
+    @Test
+    void whatIsTooLateIsNotWritten() throws Exception {
+        send(client(), true);
+        try (Wire endpoint = accept()) {
+            assertNull(endpoint.read(), "not a byte");
+        }
+        assertEquals("broke false", told.poll(20, TimeUnit.SECONDS));
+    }
+
+    /** A probe is a call to its destination: a wait told in its answer binds, and none is written under a wait. */
+    @Test
+    void aProbeKeepsAndTellsWaits() throws Exception {
+        HttpDeliverer deliverer = new HttpDeliverer(core, transport, 1_500_000, 15_000_000, 4);
+        Call.Endpoint one = new Call.Endpoint("e1", address(), 7, 0, 1, false, deliverer);
+        Call.Endpoint other = new Call.Endpoint("e2", address(), 8, 0, 1, false, deliverer);
+        onLoop(deliverer::start);
+        onLoop(() -> deliverer.probe(one));
+        try (Wire first = accept()) {
+            first.read();
+            first.answer("503 no", "", "X-Retry-In-Ms: 60000");
+            while (!core.counters().text().contains("\nentries_idle_calls 1\n")) {
+                onLoop(() -> { }); // its answer is on its way
+            }
+            onLoop(() -> deliverer.probe(one));
+            onLoop(() -> deliverer.probe(other));
+            try (Wire second = accept()) {
+                second.read();
+                first.patience(50);
+                assertThrows(SocketTimeoutException.class, first::read, "nothing more came there");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/http/TwoThreads.java
@@ -0,0 +1,106 @@
+package lilaclever.protocol.http;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.benchlink.SettingsReader;
+import lilaclever.identity.Windows;
+import lilaclever.journal.BootClock;
+import lilaclever.journal.Durability;
+import lilaclever.journal.FolderDisk;
+import lilaclever.journal.SegmentedJournal;
+import lilaclever.journal.Times;
+import lilaclever.lab.sockets.Wire;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real loop and a real selector thread, either of which a test can have stand still while something else comes. */
+abstract class TwoThreads {
+    private static final String SETTINGS = """
+            {"roundS": 0.002, "groupSize": 1, "shapes": ["lab"], "zones": ["z"],
+             "familyInfo": {"callSlots": 20, "kindBatch": [1], "ownLimits": [false]},
+             "limits": {"maxAttempts": 8, "openCap": 200, "connectTimeoutS": 1.5, "keepaliveS": 15},
+             "requestClasses": [{"name": "status", "aimS": 0.4, "deadlineS": 6, "repeat": "read_like"}],
+             "rules": {"answerSlackS": 0.02, "coldFrom": 0.5, "tipMultiple": 1.5, "rampTimeS": 0.1,
+              "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}""";
+    @TempDir
+    private Path state;
+    final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private SegmentedJournal journal;
+    Core core;
+    Transport transport;
+    ServerSocket server;
+
+    @BeforeEach
+    void start() throws Exception {
+        journal = new SegmentedJournal(FolderDisk.take(state), 1 << 20, Durability.NONE,
+                new Times(Core::micros, Core::wall, BootClock.UNKNOWN), new SplittableRandom(1));
+        core = new Core(SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new Windows(List.of(), 0, 1));
+        transport = new Transport();
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(20_000);
+        core.start(List.of(), 0);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        core.end();
+        journal.close();
+        transport.close();
+        server.close();
+    }
+
+    final String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    final Wire accept() throws Exception {
+        Wire wire = new Wire(server.accept());
+        wire.patience(20_000);
+        return wire;
+    }
+
+    /** Runs the task on the loop and waits for it. */
+    final void onLoop(Runnable task) throws InterruptedException {
+        CountDownLatch ran = new CountDownLatch(1);
+        core.post(() -> {
+            task.run();
+            ran.countDown();
+        });
+        assertTrue(ran.await(20, TimeUnit.SECONDS));
+    }
+
+    /** Has the selector thread stand still until the latch is released. */
+    final CountDownLatch hold() throws InterruptedException {
+        LinkedBlockingQueue<Connection<?>> up = new LinkedBlockingQueue<>();
+        transport.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), Transport.chain(new BaseFilter() { }),
+                up::add, Throwable::printStackTrace);
+        Connection<?> any = up.poll(20, TimeUnit.SECONDS);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch free = new CountDownLatch(1);
+        Transport.onSelector(any, () -> {
+            held.countDown();
+            try {
+                free.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(held.await(20, TimeUnit.SECONDS));
+        return free;
+    }
+}
--- a/src/test/java/lilaclever/transport/TransportTest.java
+++ b/src/test/java/lilaclever/transport/TransportTest.java
@@ -1,14 +1,19 @@
 package lilaclever.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -16,6 +21,32 @@
 import org.junit.jupiter.api.Test;
 
 class TransportTest {
+    /** Guards a long day on which some connections never come up: each had kept its descriptor. */
+    @Test
+    void aConnectionThatIsGivenUpBeforeItIsUpFreesItsDescriptor() throws Exception {
+        try (Transport transport = new Transport();
+                ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket first = new Socket(full.getInetAddress(), full.getLocalPort());
+                Socket second = new Socket(full.getInetAddress(), full.getLocalPort())) {
+            InetSocketAddress address = new InetSocketAddress(full.getInetAddress(), full.getLocalPort());
+            long before = descriptors();
+            for (int i = 0; i < 50; i++) {
+                transport.connect(address, Transport.chain(new BaseFilter() { }), up -> { }, problem -> { }).run();
+            }
+            for (long end = System.nanoTime() + 10_000_000_000L; descriptors() > before + 5 && System.nanoTime() < end;) {
+                Thread.onSpinWait();
+            }
+            assertTrue(descriptors() <= before + 5, "of fifty, " + (descriptors() - before) + " are still open");
+            assertTrue(first.isConnected() && second.isConnected());
+        }
+    }
+
+    private static long descriptors() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
+            return open.count();
+        }
+    }
+
     /** Guards told waits on a busy machine: an answer that lay unread is heeded before a call goes out. */
     @Test
     void whatHasComeOnAnyConnectionIsReadBefore() throws Exception {
