Notice a silent watch in 2.4 s, and ask a silent discovery again at once

Need: a change counts as told 6 s after discovery had it, whatever failed, and what the agent gets at the return of discovery counts at once.

Cause, by reading: a watch waited 10 s and was given up after 11.5 s (Directory.WAIT, ANSWER_BY), and each call after a failed one waited as long again. An older list replaced the one held (Directory.watch, answered).

Change: a watch waits 2 s, a third of the 6 s, which leaves time to ask again some times; an answer without news costs nothing. After a failure the next call must answer within 300 ms. A list older than the one held is passed over, and the whole one asked for; after a minute of that discovery counts anew.

--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -18,10 +18,16 @@
 
 /** Watches the platform's list of endpoints. Loop thread. */
 public final class Directory {
-    /** A watch waits so long at the most; what it does not bring counts as told 2 s after that. */
-    private static final long WAIT = 10_000_000;
-    private static final long ANSWER_BY = WAIT + 1_500_000;
-    private static final long WHOLE_BY = 1_000_000;
+    /**
+     * A change counts as told 6 s after discovery had it, also where the watch that should bring it has fallen silent. A watch
+     * that waits for a third of that leaves time to find out, and to ask again some times. One that brings nothing costs nothing.
+     */
+    private static final long WAIT = 2_000_000;
+    private static final long ANSWER_BY = WAIT + 400_000;
+    /** What is answered at once or, while discovery is down, not at all; its return counts as told at once. */
+    private static final long LOOK_WAIT = 1_000, LOOK_BY = 300_000;
+    /** A list older than the one held is passed over for so long; then discovery counts anew. */
+    private static final long OLDER_FOR = 60_000_000;
     /** Well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
     /** A list of 20,000 endpoints; room is taken as it comes. */
@@ -42,7 +48,14 @@
     private final Names names;
     private final Listener listener;
     private String address;
+    /** The version of the list held; -1 before there is one. */
     private long index = -1;
+    /** No call has been answered yet, or the last one has failed: the next must tell at once whether discovery is there. */
+    private boolean doubtful = true;
+    /** What came can't be built on: the whole list is needed. */
+    private boolean lost;
+    /** Since when discovery tells older lists; 0 if it does not. */
+    private long olderSince;
     /** The call that is out, and when it is given up or made again. */
     private HttpClient.Exchange asking;
     private Deadlines.Key again;
@@ -81,6 +94,8 @@
         client.closeIdle(address);
         address = to;
         index = -1;
+        doubtful = true;
+        olderSince = 0;
         core.deadlines().cancel(again);
         if (asking != null) {
             asking.close();
@@ -89,13 +104,11 @@
     }
 
     private void watch() {
+        boolean whole = index < 0 || lost;
+        boolean look = whole || doubtful;
         String path = "/registry/instances"
-                + (index < 0 ? "" : "?after=" + index + "&wait_ms=" + WAIT / 1000);
-        // The whole list comes at once or, while discovery is down, not at all: then it is asked for again soon.
-        again = core.deadlines().at(core.now() + (index < 0 ? WHOLE_BY : ANSWER_BY), () -> {
-            asking.close();
-            watch(); // the agent is silent while discovery is down
-        });
+                + (whole ? "" : "?after=" + index + "&wait_ms=" + (look ? LOOK_WAIT : WAIT) / 1000);
+        again = core.deadlines().at(core.now() + (look ? LOOK_BY : ANSWER_BY), this::silent);
         asking = client.send(address, address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
@@ -104,30 +117,65 @@
                     if (status != 200) {
                         throw new JsonParseException("answered with " + status);
                     }
-                    Known news = read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
-                            .getAsJsonObject());
-                    if (index < 0 || news.whole() || !news.listed().isEmpty()) {
-                        listener.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
-                                news.listed());
-                    }
-                    index = news.index();
-                    watch();
+                    heard(read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject()));
                 } catch (JsonParseException | IllegalStateException | IllegalArgumentException
                         | NullPointerException | UnsupportedOperationException e) {
                     Logs.warn("directory", "unreadable", e.toString());
-                    index = -1; // start over with the whole list
-                    again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+                    lost = true;
+                    failed(PAUSE);
                 }
             }
 
             @Override
             public void broke(boolean written, int status) {
                 core.deadlines().cancel(again);
-                again = core.deadlines().at(core.now() + PAUSE, Directory.this::watch);
+                failed(PAUSE);
             }
         });
     }
 
+    /** The call has brought nothing in time: a watch that has fallen silent, or discovery is down. */
+    private void silent() {
+        if (asking.status() != 0) {
+            return; // its head is here, and the rest is due soon
+        }
+        asking.close();
+        doubtful = true;
+        watch();
+    }
+
+    private void failed(long pause) {
+        doubtful = true;
+        again = core.deadlines().at(core.now() + pause, this::watch);
+    }
+
+    private void heard(Known news) {
+        doubtful = false;
+        if (isOlder(news)) {
+            Logs.warn("directory", "older", "version " + news.index() + " is older than " + index + ", which is held");
+            lost = true;
+            failed(LOOK_BY);
+            return;
+        }
+        olderSince = 0;
+        lost = false;
+        if (index < 0 || news.whole() || !news.listed().isEmpty()) {
+            listener.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
+                    news.listed());
+        }
+        index = news.index();
+        watch();
+    }
+
+    /** A list that was overtaken on its way would bring back what has left. */
+    private boolean isOlder(Known news) {
+        if (index < 0 || news.index() >= index) {
+            return false;
+        }
+        olderSince = olderSince == 0 ? core.now() : olderSince;
+        return core.now() - olderSince < OLDER_FOR;
+    }
+
     /** Reads a list in the platform's form. */
     public Known read(JsonObject list) {
         List<Core.Listed> all = new ArrayList<>();
