Try what a restart found, however full the hold is; tests that force crossings

Decide.refuseLeastWorth made room by ending any waiting message, also one that an earlier life had taken on, as the module could not tell them: Message.submit passed a prior only where an attempt had been made.

Change: what outlived a process is told to the module, also untried, and is not ended to make room; a newcomer is.

CrossingsTest forces closes, silent and late discovery, older lists, full descriptors and restarts over loopback sockets.

--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -298,11 +298,12 @@
         m.mayHaveRun = prior.mayHaveRun();
         m.riskAt = prior.riskAtMicros();
         m.riskZone = prior.riskZone();
+        m.resumed = true;
         if (m.attempts >= settings.limits().maxAttempts() || now >= windowEnd(m)
                 || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
             end(m);
         } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            dues.add(new Due(m.riskAt + m.kind.repeatWindowMicros(), order++, m));
+            dues.add(new Due(windowEnd(m), order++, m));
         }
         return m.over;
     }
@@ -667,11 +668,10 @@
         long pause = (long) (STEPS[Math.max(0, Math.min(m.attempts, STEPS.length) - 1)] * spread());
         m.notBefore = now + pause;
         if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            long closes = m.riskAt + m.kind.repeatWindowMicros();
             // A pause past the window would lose the message: come as late as a connection may still come up.
-            long latest = closes - settings.limits().connectTimeoutMicros();
+            long latest = windowEnd(m) - settings.limits().connectTimeoutMicros();
             m.notBefore = now < latest ? Math.min(m.notBefore, latest) : m.notBefore;
-            dues.add(new Due(closes, order++, m));
+            dues.add(new Due(windowEnd(m), order++, m));
         }
         if (m.attempts >= settings.limits().maxAttempts() || m.notBefore > m.deadline - LEAST_LEFT
                 || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE || m.notBefore >= windowEnd(m)) {
@@ -741,7 +741,7 @@
         return Math.min(wait, settings.limits().maxComeBackMicros());
     }
 
-    /** The hold is nearly full: what is worth least, and would wait longest, is answered now. */
+    /** The hold is nearly full: what is worth least and waits longest ends, not what outlived a process. */
     private void refuseLeastWorth() {
         Message least = null;
         double lowest = 0;
@@ -750,7 +750,7 @@
             double crowd = 1 + queue.waiting.size() / (1 + 10 * flow);
             for (Message m : queue.waiting) {
                 double worth = m.worth / crowd * (m.mayHaveRun ? 4 : 1);
-                if (least == null || worth <= lowest) {
+                if (!m.resumed && (least == null || worth <= lowest)) {
                     least = m;
                     lowest = worth;
                 }
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -138,7 +138,7 @@
     /** What a destination told of its limit: share of the allowance left, and calls a second; 0 where unknown. */
     record Report(double left, double perSecond) { }
 
-    /** Attempts of an earlier life; if one may have run: where and when the first of these was sent. */
+    /** Attempts of an earlier life, maybe none; if one may have run: where and when the first of these was sent. */
     record Prior(int attempts, boolean mayHaveRun, String riskHost, int riskZone, long riskAtMicros) { }
 
     /** What has happened. */
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -54,7 +54,7 @@
         boolean mayHaveRun;
         long riskAt;
         int riskZone;
-        boolean over;
+        boolean over, resumed;
 
         Message(String id, MessageClass kind) {
             this.id = id;
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -80,8 +80,7 @@
     Relay.Event.Submit submit(long nowMono, long nowWall) {
         // An attempt can't be younger than now: the clock was set back, and it may be of any age.
         long since = nowWall < riskWall ? LONG_AGO : nowWall - riskWall;
-        Relay.Prior prior = attempts == 0 ? null
-                : new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since);
+        Relay.Prior prior = resumed ? new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since) : null;
         return new Relay.Event.Submit(id(), handin.messageClass(), handin.destination(), 0, null, handin.again(),
                 handin.inherited(), Math.max(0, Math.min(handin.budgetMicros(), deadlineWall - nowWall)), prior);
     }
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -943,6 +943,21 @@
         assertTrue(rig.round(resumed(Rig.KEYED, 1, true, 6 * S)).refused("r"));
     }
 
+    /** What a restart found is tried, however full the hold gets: room is made by others, or by turning newcomers away. */
+    @Test
+    void whatOutlivedAProcessIsNotGivenUpForRoom() {
+        rig.round(new Event.Listing(ListingKind.REMEMBERED, 2, List.of()));
+        List<Event> found = new ArrayList<>();
+        for (int i = 0; i < 49; i++) {
+            found.add(new Event.Submit("r" + i, SAFE, 1, 0, null, false, false, 20 * S, new Relay.Prior(0, false, "", 0, 0)));
+        }
+        rig.round(found.toArray(Event[]::new));
+        assertEquals(0, rig.actions.stream().filter(a -> a instanceof Action.Refuse).count(), "untried, with all their time left");
+        String fresh = rig.submit(SAFE, 1);
+        assertTrue(rig.refused(fresh), "the newcomer, whose client may find another forwarder");
+        assertEquals(1, rig.actions.stream().filter(a -> a instanceof Action.Refuse).count());
+    }
+
     @Test
     void attemptsOfAnEarlierLifeCount() {
         assertTrue(rig.round(resumed(SAFE, 6, false, 0)).refused("r"));
--- /dev/null
+++ b/src/test/java/lilaclever/program/CrossingsTest.java
@@ -0,0 +1,292 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What crosses a close, a silence or an end: bytes that come just then, and answers that come just after. */
+class CrossingsTest {
+    private static final long MS = 1_000_000;
+    @TempDir
+    private Path state;
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private Forwarder forwarder;
+    private Process process;
+    private SocketAddress address;
+
+    @AfterEach
+    void end() {
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void serve(String text) throws Exception {
+        forwarder = Forwarder.start(Config.parse(text, Map.of()), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    private void process(String text, int descriptors) throws IOException {
+        process = Setup.process(state, text, descriptors);
+        var log = process.errorReader();
+        String line = log.readLine();
+        while (!line.contains("serves at")) {
+            line = log.readLine();
+        }
+        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1")));
+    }
+
+    private Peer endpoint() throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                calls.add(r.headers().get("req-id"));
+                wire.answer("200 OK", "");
+            }
+        });
+    }
+
+    private static long next(LinkedBlockingQueue<Long> times) throws InterruptedException {
+        Long time = times.poll(20, TimeUnit.SECONDS);
+        assertNotNull(time, "nothing came");
+        return time;
+    }
+
+    private static String request(String id) {
+        return "POST /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: payment\r\nReq-Deadline: 20\r\nX-Envelope: dest=7\r\n"
+                + "Content-Length: 2\r\n\r\nok";
+    }
+
+    // ---- closing -------------------------------------------------------------------------------------------
+    /**
+     * A close over bytes that come just then is no reset, which could destroy an answer on its way, and what comes after the
+     * shutdown is not taken for a request. Each way to close: an answer with the last word, a refusal, and silence.
+     */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "POST /api HTTP/1.1~Req-Id: a~Req-Kind: payment~Req-Deadline: 5~X-Envelope: dest=7~Connection: close~Content-Length: 0~~ | 202",
+        "POST /api HTTP/1.1~Content-Length: 60000000~~abc | 413", "nonsense~~ | 400", "POST /api HTTP/1.1~Content-Length: 5~~ab | 408", "-|-"})
+    void whatCrossesACloseIsDroppedAndResetsNothing(String said, String status) throws Exception {
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint()) {
+            serve(Setup.text(platform.address(), state, endpoint.address(), 3));
+            try (Wire client = Wire.to(address)) {
+                if (!said.equals("-")) {
+                    client.say(said.replace("~", "\r\n"));
+                    assertEquals(status, client.request().path());
+                }
+                assertNull(client.request(), "closed from that side");
+                client.say(request("late"));
+                client.say(request("later")); // where the first one has met a reset, this one fails
+                assertNull(client.request());
+            }
+            try (Wire other = Wire.to(address)) {
+                assertTrue(other.handIn("z", "payment", 20, "").startsWith("202"));
+                while (!Peer.next(calls).equals("z")) {
+                    assertEquals("202", status, "only what was taken on before the close goes on");
+                }
+                assertEquals(0, calls.size());
+                until(other, "\nentries_clients 1\n"); // nothing lingers once the client has closed
+            }
+        }
+    }
+
+    /** A client that never closes its side is not waited for without end. */
+    @Test
+    void aClientThatDoesNotCloseIsLetGo() throws Exception {
+        try (Peer platform = Peer.platform("", notices)) {
+            serve(Setup.text(platform.address(), state, null, 3));
+            try (Wire stays = Wire.to(address); Wire client = Wire.to(address)) {
+                stays.say("nonsense\r\n\r\n");
+                assertEquals("400", stays.request().path());
+                assertNull(stays.request());
+                until(client, "\nentries_clients 1\n");
+            }
+        }
+    }
+
+    private static void until(Wire client, String count) throws IOException {
+        String last = "";
+        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end;) {
+            client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+            last = client.request().body();
+        }
+        assertTrue(last.contains(count), last);
+    }
+
+    /** Idle clients hold all that clients may, and discovery is down: once it is back its list is heard, and calls go out. */
+    @Test
+    void idleClientsDoNotTakeTheDescriptorsOfDiscoveryAndCalls() throws Exception {
+        LinkedBlockingQueue<String> lists = new LinkedBlockingQueue<>();
+        List<Wire> crowd = new ArrayList<>();
+        try (Peer endpoint = endpoint(); Peer platform = Peer.platform(() -> Peer.next(lists), notices)) {
+            process(Setup.text(platform.address(), state, null, 3)
+                    .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"), 100);
+            for (int i = 0; i < 150; i++) {
+                Wire wire = Wire.to(address);
+                crowd.add(wire);
+                wire.say("GET /health/ready HTTP/1.1\r\n\r\n");
+                assertEquals("200", wire.request().path(), "after " + i);
+            }
+            for (int i = 0; i < 150; i++) {
+                crowd.add(Wire.to(address)); // and such as never ask
+            }
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("m", "payment", 20, "").startsWith("202"));
+            }
+            String delivered = null;
+            for (int i = 0; delivered == null; i++) {
+                assertTrue(i < 200, "no list was heard");
+                lists.add(Setup.list(endpoint.address())); // to a call that was made meanwhile, or to the next
+                delivered = calls.poll(100, TimeUnit.MILLISECONDS);
+            }
+            assertEquals("m", delivered);
+        } finally {
+            crowd.forEach(Wire::close);
+        }
+    }
+
+    // ---- discovery -----------------------------------------------------------------------------------------
+    /** A watch that has fallen silent: what it misses is heard within the 6 s after which it counts as told. */
+    @Test
+    void aSilentWatchIsOpenedAnewInTime() throws Exception {
+        LinkedBlockingQueue<Long> silentSince = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<Long> heard = new LinkedBlockingQueue<>();
+        try (Peer second = endpoint(); Peer platform = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    if (!r.path().endsWith("wait_ms=1")) { // a watch: its changes never come
+                        silentSince.add(System.nanoTime());
+                        wire.hang();
+                    } else if (silentSince.isEmpty()) {
+                        wire.answer("200 OK", "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}");
+                    } else {
+                        heard.add(System.nanoTime());
+                        wire.answer("200 OK", Setup.list(second.address()).replace("e1", "e2").replace("\"index\":1", "\"index\":2"));
+                    }
+                }
+            })) {
+            serve(Setup.text(platform.address(), state, "127.0.0.1:9", 3));
+            assertTrue(-next(silentSince) + next(heard) < 5_000 * MS, "a second before it counts as told");
+            try (Wire client = Wire.to(address)) {
+                until(client, "\nlistings 2\n");
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                assertEquals("a", Peer.next(calls));
+            }
+        }
+    }
+
+    /** While discovery is silent it is asked again and again: what it has at its return counts as told at once. */
+    @Test
+    void aReturnOfDiscoveryIsHeardWithinTheGraceOfADrain() throws Exception {
+        LinkedBlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+        try (Peer platform = new Peer(wire -> {
+                while (wire.request() != null) {
+                    asked.add(System.nanoTime());
+                    wire.hang();
+                }
+            })) {
+            serve(Setup.text(platform.address(), state, "127.0.0.1:9", 3));
+            long first = next(asked);
+            for (int i = 0; i < 5; i++) {
+                next(asked);
+            }
+            assertTrue(System.nanoTime() - first < 5 * 500 * MS, "five times, each within the grace");
+        }
+    }
+
+    /** A list that is older than the one held brings nothing back and takes nothing away; the whole one is asked for. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anOlderListIsPassedOver(boolean whole) throws Exception {
+        LinkedBlockingQueue<String> paths = new LinkedBlockingQueue<>();
+        try (Peer endpoint = endpoint(); Peer platform = new Peer(wire -> {
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    paths.add(r.path());
+                    wire.answer("200 OK", "{\"index\":0,\"snapshot\":" + whole + ",\"endpoints\":["
+                            + (whole ? "" : "{\"name\":\"e1\",\"address\":\"" + endpoint.address()
+                            + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,\"status\":\"left\"}") + "]}");
+                }
+            })) {
+            serve(Setup.text(platform.address(), state, endpoint.address(), 3));
+            assertTrue(Peer.next(paths).contains("after=1"));
+            assertEquals("/registry/instances", Peer.next(paths));
+            assertEquals("/registry/instances", Peer.next(paths));
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                assertEquals("a", Peer.next(calls));
+            }
+        }
+    }
+
+    // ---- restarts ------------------------------------------------------------------------------------------
+    /** A window of one second, and a kill while the call is out: a repeat comes within the window or not at all. */
+    @Test
+    void aRestartKeepsAWindowOfOneSecond() throws Exception {
+        LinkedBlockingQueue<Long> times = new LinkedBlockingQueue<>();
+        String text = null;
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
+                while (wire.request() != null) {
+                    times.add(System.nanoTime());
+                    wire.hang();
+                }
+            })) {
+            text = Setup.text(platform.address(), state, endpoint.address(), 3)
+                    .replace("\"repeatWindowS\": 5", "\"repeatWindowS\": 1");
+            process(text, 1024);
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "order", 20, "").startsWith("202"));
+            }
+            long first = next(times);
+            process.destroyForcibly().waitFor();
+            process(text, 1024);
+            assertTrue(Peer.next(notices).contains("\"a\""), "its end is told");
+            for (Long again = times.poll(); again != null; again = times.poll()) {
+                assertTrue(again - first <= 1_050 * MS, "within the window");
+            }
+        }
+    }
+
+    /** What a restart finds untried is tried, also where it is more than the settings now let it hold. */
+    @Test
+    void whatARestartFindsUntriedIsTried() throws Exception {
+        Set<String> untried = new TreeSet<>();
+        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint()) {
+            String text = Setup.text(platform.address(), state, endpoint.address(), 3).replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
+            process(text.replace("active", "leaving"), 1024); // known, but nothing new may go there
+            try (Wire client = Wire.to(address)) {
+                for (int i = 0; i < 60; i++) {
+                    assertTrue(client.handIn("m" + i, "payment", 20, "").startsWith("202"));
+                    untried.add("m" + i);
+                }
+            }
+            process.destroyForcibly().waitFor();
+            process(text.replace("\"openCap\": 200", "\"openCap\": 50"), 1024);
+            while (!untried.isEmpty()) {
+                assertTrue(untried.remove(Peer.next(calls)));
+            }
+        }
+    }
+}
