Write a call only while all of its messages may go

Cause: Core.send gives a call the latest time of its messages, and takes each out at its own by a deadline on the loop. The first turn of a restart was longer than that, so the deadline had not run as the selector thread wrote the call.

Change: a call knows when the first of its messages must not go any more, and the writing thread goes by that. Such a call counts as not written, and its connection is kept.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -56,7 +56,7 @@
             return false;
         }
 
-        /** It might not go out, so its last byte was not written: called in place of the others. */
+        /** It might not go out any more, so its last byte was not written: called in place of the others. */
         default void withheld() { }
     }
 
@@ -123,7 +123,7 @@
                 connection.closeSilently();
                 return false;
             }
-            if (exchange.listener.mayGo()) {
+            if (exchange.listener.mayGo() && !exchange.listener.isTooLate()) { // the loop may be late with giving it up
                 current = exchange;
                 exchange.write(this);
             } else {
@@ -268,8 +268,8 @@
         }
 
         private synchronized void write(Link on) {
-            if (givenUp || listener.isTooLate()) {
-                on.connection.closeSilently(); // the loop may be late with giving it up
+            if (givenUp) {
+                on.connection.closeSilently();
                 return;
             }
             link = on;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -100,7 +100,7 @@
 
             @Override
             public boolean isTooLate() {
-                return Core.micros() >= call.dropAt;
+                return Core.micros() >= call.writeBy();
             }
 
             @Override
@@ -133,7 +133,7 @@
     public void leaveOut(Call call, Message m) {
         List<Message> rest = call.messages.stream().filter(x -> x != m).toList();
         if (call.attachment instanceof Out out && out.exchange().replaceBody(many(rest))) {
-            call.messages.remove(m);
+            call.leftOut(m);
             core.post(() -> outcome(call, m, Ending.NOT_SENT, false, false));
         }
     }
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -544,9 +544,7 @@
         }
         counters.holds(endpoint.equals(call.endpoint), a.id() + " goes where its call goes");
         m.attempts++;
-        m.out = call;
-        call.messages.add(m);
-        call.open++;
+        call.take(m, a.dropAtMicros());
         if (a.dropAtMicros() < call.dropAt) {
             Call shared = call;
             deadlines.at(a.dropAtMicros(), () -> shared.leave(m));
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -25,6 +25,8 @@
     boolean resumed;
     int attempts;
     Call out;
+    /** When it must not go with that call any more. */
+    long writeBy;
     boolean mayHaveRun;
     String riskHost = "";
     int riskZone;
