Tell nothing of a request after its owner has closed it; log how messages end

Cause, by reading the change before: Exchange.giveUp tells its owner later, and an owner that closed the request meanwhile (Notices after a second, Directory after a silence) was told still. Notices would then have sent a batch twice and struck as many notices from its list that had never gone.

With level debug there is a line for each end (ended), so that a lost message can be followed.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -386,8 +386,9 @@
             return status;
         }
 
-        /** Gives the request up by closing its connection. */
+        /** Gives the request up by closing its connection; nothing more is told of it. */
         void close() {
+            givingUp = null;
             Link open = leave();
             if (open != null) {
                 open.connection.terminateSilently(); // to close it would first write what is left
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -605,6 +605,7 @@
 
     private void end(Message m, Verdict verdict) {
         release(m);
+        trace(m, "ended", verdict.kind(), null);
         claims.ended(m, verdict, pace.wall());
         boolean told = verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE;
         if (told || Identity.isShared(m.handin.identity())) { // a client that is away may be owed that it was delivered
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -66,6 +66,24 @@
         }
     }
 
+    /** Whoever closes a request that is being given up has moved on: a word of it later would be taken for the next one's. */
+    @Test
+    void nothingIsToldAfterAClose() throws Exception {
+        HttpClient.Exchange exchange = send(client(), false);
+        try (Wire endpoint = accept()) {
+            endpoint.read();
+            CountDownLatch free = hold();
+            onLoop(() -> exchange.giveUp(() -> told.add("given up")));
+            onLoop(exchange::close);
+            free.countDown();
+            assertNull(endpoint.read(), "closed");
+            CountDownLatch after = hold(); // what was to be posted has been
+            after.countDown();
+            onLoop(() -> { });
+            assertNull(told.poll());
+        }
+    }
+
     /** The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was. */
     @Test
     void aRequestWhoseConnectionComesUpAtItsTimeOutHasEitherGoneOrNot() throws Exception {
