--- a/src/main/java/lilaclever/protocol/http/Notices.java
+++ b/src/main/java/lilaclever/protocol/http/Notices.java
@@ -13,8 +13,13 @@
 
 /** Tells the platform how messages ended, again and again until it says that it has heard. Loop thread. */
 public final class Notices {
-    private static final long ANSWER_BY = 1_000_000;
-    private static final long PAUSE = 100_000;
+    /**
+     * The platform answers at once, and an end counts as lost 300 ms after its message's time: a connection that has fallen
+     * silent or is closed must be noticed well within that. A platform that is slow is given longer, time and again twice as long.
+     */
+    private static final long FIRST_ANSWER_BY = 100_000, LAST_ANSWER_BY = 1_000_000;
+    private static final long FIRST_PAUSE = 10_000, LAST_PAUSE = 100_000;
+    private static final int MOST_DOUBLINGS = 4;
     private static final int MOST = 200;
     private static final int MOST_ANSWER = 16 * 1024;
 
@@ -25,6 +30,8 @@
     private final List<Notice> open = new ArrayList<>();
     private String address;
     private boolean busy;
+    /** Batches in a row that were not confirmed. */
+    private int failures;
     /** The batch that is on its way, and when it is given up or sent again. */
     private HttpClient.Exchange sending;
     private Deadlines.Key again;
@@ -73,7 +80,7 @@
         List<Notice> batch = List.copyOf(open.subList(0, Math.min(MOST, open.size())));
         StringBuilder body = new StringBuilder();
         batch.forEach(n -> body.append(n.line()));
-        again = core.deadlines().at(core.now() + ANSWER_BY, () -> {
+        again = core.deadlines().at(core.now() + Math.min(LAST_ANSWER_BY, FIRST_ANSWER_BY << failures), () -> {
             sending.close();
             later();
         });
@@ -87,6 +94,7 @@
                     later();
                     return;
                 }
+                failures = 0;
                 open.subList(0, batch.size()).clear();
                 batch.forEach(n -> {
                     core.counters().add(Counters.Name.NOTICES);
@@ -105,6 +113,7 @@
 
     private void later() {
         sending = null;
-        again = core.deadlines().at(core.now() + PAUSE, this::send);
+        again = core.deadlines().at(core.now() + Math.min(LAST_PAUSE, FIRST_PAUSE << failures), this::send);
+        failures = Math.min(failures + 1, MOST_DOUBLINGS);
     }
 }
--- a/src/test/java/lilaclever/FleetTest.java
+++ b/src/test/java/lilaclever/FleetTest.java
@@ -1,5 +1,6 @@
 package lilaclever;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static lilaclever.Rig.MS;
 import static lilaclever.Rig.S;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
@@ -153,4 +155,95 @@
     void theEndOfAToldWaitIsNotMetByAll() {
         outage(Ending.FULL, true, 1, 20 * S);
     }
+
+    /**
+     * A cold destination is not pushed over by the sum of what all relays send: in no window do more calls come than its
+     * budget of N, and 2 roots of N and 2 more for chance, most of them from relays that were told of the outage.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 6", "20, 20", "30, 6", "30, 20"})
+    void aFleetKeepsToTheBudgetOfAColdDestination(int size, int outageSeconds) {
+        for (long seed = 1; seed <= 5; seed++) {
+            ColdReturn day = new ColdReturn(size, seed);
+            day.play(1000 * S, 1030 * S, null);
+            day.play(1030 * S, (1030 + outageSeconds) * S, Ending.NO_CONNECTION);
+            day.play((1030 + outageSeconds) * S, (1045 + outageSeconds) * S, null);
+            assertEquals(List.of(), day.breaches, "seed " + seed);
+        }
+    }
+
+    /** Relays that share a destination which is well, out, and cold after that. */
+    private static final class ColdReturn {
+        private static final double CAPACITY = 10, LOAD = 0.75;
+        private final Relay.Rules rules;
+        private final List<Relay> fleet = new ArrayList<>();
+        private final List<List<Event>> events = new ArrayList<>();
+        private final Map<Integer, Long> due = new HashMap<>();
+        private final Map<String, Integer> tries = new HashMap<>();
+        private final Set<Integer> told = new HashSet<>();
+        private final List<long[]> sent = new ArrayList<>();
+        private final List<String> breaches = new ArrayList<>();
+        private final Random random;
+        private long outAt, backAt = Long.MAX_VALUE;
+        private int names;
+
+        ColdReturn(int size, long seed) {
+            random = new Random(seed);
+            Relay.Settings settings = Rig.settings(4, 50, 12, false, size);
+            rules = settings.rules();
+            for (int r = 0; r < size; r++) {
+                fleet.add(Relay.create(settings, seed * 1000 + r));
+                events.add(new ArrayList<>(List.of(new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))))));
+            }
+        }
+
+        /** {@code wrong}: how each call ends; null where it is well, or warms up. */
+        void play(long from, long to, Ending wrong) {
+            outAt = wrong != null ? from : outAt;
+            backAt = wrong == null && outAt > 0 ? from : Long.MAX_VALUE;
+            for (long now = from; now < to; now += TICK) {
+                if (random.nextDouble() < CAPACITY * LOAD * TICK / S) {
+                    events.get(random.nextInt(fleet.size())).add(new Event.Submit("m" + names++, SAFE, 1, 0, null, false, false, 20 * S));
+                }
+                for (int r = 0; r < fleet.size(); r++) {
+                    if (!events.get(r).isEmpty() || due.getOrDefault(r, Long.MAX_VALUE) <= now) {
+                        round(r, now, wrong);
+                    }
+                }
+            }
+        }
+
+        private void round(int r, long now, Ending wrong) {
+            due.remove(r);
+            List<Event> batch = List.copyOf(events.get(r));
+            events.get(r).clear();
+            if (batch.stream().anyMatch(e -> e instanceof Event.Outcome o && o.ending() != Ending.DELIVERED)) {
+                told.add(r);
+            }
+            for (Action action : fleet.get(r).decide(now, batch)) {
+                if (action instanceof Action.Wake w) {
+                    due.merge(r, now + w.afterMicros(), Math::min);
+                } else if (action instanceof Action.Send s) {
+                    Ending ending = wrong == null ? Ending.DELIVERED : wrong;
+                    events.get(r).add(new Event.Outcome(s.id(), s.host(), tries.merge(s.id(), 1, Integer::sum) - 1, ending, 20 * MS,
+                            0, false, ending == Ending.DELIVERED, null));
+                    if (now >= backAt) {
+                        count(r, now);
+                    }
+                }
+            }
+        }
+
+        private void count(int r, long now) {
+            sent.add(new long[] {now, told.contains(r) ? 1 : 0});
+            sent.removeIf(x -> x[0] <= now - rules.overloadMicros());
+            double warm = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, (now - backAt) / (double) rules.rampMicros());
+            double budget = rules.tipMultiple() * CAPACITY * warm * rules.overloadMicros() / S;
+            long knowing = sent.stream().filter(x -> x[1] == 1).count();
+            if (sent.size() > budget + 2 * Math.sqrt(budget) + 2 && knowing >= 2 * sent.size() / 3.0) {
+                breaches.add(sent.size() + " calls, " + knowing + " by relays that were told, for a budget of " + (int) budget + " after "
+                        + (now - backAt) / MS + " ms");
+            }
+        }
+    }
 }
--- a/src/test/java/lilaclever/program/CrossingsTest.java
+++ b/src/test/java/lilaclever/program/CrossingsTest.java
@@ -241,6 +241,38 @@
         }
     }
 
+    /** A notice whose connection has fallen silent, or breaks under it, is told again while its end still counts as in time. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNoticeOnASilentConnectionIsToldAgainInTime(boolean silent) throws Exception {
+        LinkedBlockingQueue<Long> told = new LinkedBlockingQueue<>();
+        try (Peer platform = new Peer(wire -> {
+                for (Request r = wire.request(); r != null && told.size() < 2; r = wire.request()) {
+                    if (!r.path().equals("/status")) {
+                        continue; // a watch: nothing ever changes
+                    }
+                    told.add(System.nanoTime());
+                    if (told.size() > 1) {
+                        wire.answer("204 No Content", "");
+                    } else if (silent) {
+                        wire.hang();
+                    } else {
+                        return;
+                    }
+                }
+            }); Peer endpoint = new Peer(wire -> {
+                while (wire.request() != null) {
+                    wire.answer("500 no", "");
+                }
+            })) {
+            serve(Setup.text(platform.address(), state, endpoint.address(), 3));
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+            }
+            assertTrue(-next(told) + next(told) < 300 * MS, "while it counts");
+        }
+    }
+
     // ---- restarts ------------------------------------------------------------------------------------------
     /** A window of one second, and a kill while the call is out: a repeat comes within the window or not at all. */
     @Test
