--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -803,6 +803,7 @@
         limit.fails = 0;
         limit.failsMany = false;
         limit.fulls /= 2;
+        boolean back = endpoint.outage || endpoint.turned && now - endpoint.badSince >= BLIP;
         endpoint.fails = 0;
         endpoint.turned = false;
         endpoint.hung = false;
@@ -811,8 +812,8 @@
         }
         endpoint.badSince = 0;
         endpoint.ill *= 1 - ILL_WEIGHT;
-        if (endpoint.outage) {
-            // Back from an outage: it is cold now, and its ramp starts here.
+        if (back) {
+            // Back from an outage, or from connects that failed for long: it is cold now, and ramps from here.
             endpoint.outage = false;
             endpoint.rampFrom = now;
             endpoint.ill = Math.min(endpoint.ill, STILL_ILL);
@@ -940,8 +941,7 @@
     }
 
     private void sick(Endpoint endpoint) {
-        long longer = Math.min(TRIAL_LAST, endpoint.trialPause * 3 / 2);
-        endpoint.trialPause = endpoint.outage ? longer : TRIAL_FIRST;
+        endpoint.trialPause = Math.min(TRIAL_LAST, endpoint.trialPause * (endpoint.outage ? 3 : 2) / 2);
         endpoint.outage = true;
     }
 
