--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/Decide.java
@@ -813,7 +813,7 @@
         endpoint.badSince = 0;
         endpoint.ill *= 1 - ILL_WEIGHT;
         if (back) {
-            // Back from an outage, or from connects that failed for long: it is cold now, and ramps from here.
+            // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
             endpoint.outage = false;
             endpoint.rampFrom = now;
             endpoint.ill = Math.min(endpoint.ill, STILL_ILL);
