Let an exit tell why a rehearsal's forwarder did not start

RealSocketsTest.aDaemonThatCanNotStartEndsTheRun failed once on a busy machine: "forwarder 1 does not serve after 30 s", 58 ms in. SocketForwarder.awaitReady left its loop as the process had ended, and its line was posted before the exit's. It now speaks of the time only where the process still runs.

--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -140,6 +140,9 @@
             }
             Thread.sleep(LOOK);
         }
+        if (!started.isAlive()) {
+            return; // its exit says more than that it does not serve
+        }
         time.post(() -> {
             if (life == mine && process != null && !served) {
                 failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: " + lastLine();
