--- a/bench/java/lilaclever/journal/JournalBench.java
+++ b/bench/java/lilaclever/journal/JournalBench.java
@@ -30,7 +30,9 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 2, time = 3)
 @Measurement(iterations = 4, time = 5)
-@Fork(value = 1, jvmArgsAppend = {"-Xmx10g", "-XX:+UseZGC"})
+@Fork(
+        value = 1,
+        jvmArgsAppend = {"-Xmx10g", "-XX:+UseZGC"})
 public class JournalBench {
     private static final int BODY = 300;
 
@@ -77,8 +79,11 @@
 
     /** Bytes that the process has handed to the system, by its own account. */
     private static long written() throws IOException {
-        return Files.readAllLines(Path.of("/proc/self/io")).stream().filter(l -> l.startsWith("wchar: "))
-                .mapToLong(l -> Long.parseLong(l.substring(7))).findFirst().orElse(0);
+        return Files.readAllLines(Path.of("/proc/self/io")).stream()
+                .filter(l -> l.startsWith("wchar: "))
+                .mapToLong(l -> Long.parseLong(l.substring(7)))
+                .findFirst()
+                .orElse(0);
     }
 
     /** Prints bytes a message, and how long opening takes. */
@@ -90,8 +95,9 @@
         for (int i = 0; i < 3; i++) {
             long began = System.nanoTime();
             try (Store again = Store.open(store, folder)) {
-                System.out.printf("FIGURE %s %d open-ms %d owed %d%n", store, held,
-                        (System.nanoTime() - began) / 1_000_000, again.owed());
+                System.out.printf(
+                        "FIGURE %s %d open-ms %d owed %d%n",
+                        store, held, (System.nanoTime() - began) / 1_000_000, again.owed());
             }
         }
         try (Stream<Path> files = Files.walk(folder)) {
--- a/bench/java/lilaclever/journal/OneFileJournal.java
+++ b/bench/java/lilaclever/journal/OneFileJournal.java
@@ -31,7 +31,15 @@
     /** A file under this size is not worth writing anew. */
     private static final long SMALL = 128 * 1024;
 
-    private enum Type { TAKEN, ATTEMPT, OUTCOME, VERDICT, ENDED, REMEMBERED, PAST }
+    private enum Type {
+        TAKEN,
+        ATTEMPT,
+        OUTCOME,
+        VERDICT,
+        ENDED,
+        REMEMBERED,
+        PAST
+    }
 
     /** What replay found of one message; fields as in the core's message. */
     public static final class Entry {
@@ -64,7 +72,7 @@
     }
 
     /** The end of a message whose resending gets it again, and when that is forgotten. */
-    record Remembered(Verdict verdict, long untilWall) { }
+    record Remembered(Verdict verdict, long untilWall) {}
 
     private interface Content {
         void write(DataOutputStream out) throws IOException;
@@ -74,6 +82,7 @@
     private final long most;
     /** What is owed, and what is remembered: the state that a compaction writes. */
     final Map<String, Entry> owed = new LinkedHashMap<>();
+
     final Map<String, Remembered> remembered = new LinkedHashMap<>();
     private FileChannel file;
     private long size;
@@ -401,8 +410,22 @@
         long deadline = in.readLong();
         byte[] body = in.readNBytes(in.readInt());
         live += recordSize;
-        owed.put(id, new Entry(front, new Handin(id, identity.isEmpty() ? null : identity, messageClass, destination,
-                key.isEmpty() ? null : key, body, again, inherited, budget), deadline, recordSize));
+        owed.put(
+                id,
+                new Entry(
+                        front,
+                        new Handin(
+                                id,
+                                identity.isEmpty() ? null : identity,
+                                messageClass,
+                                destination,
+                                key.isEmpty() ? null : key,
+                                body,
+                                again,
+                                inherited,
+                                budget),
+                        deadline,
+                        recordSize));
     }
 
     @Override
--- a/bench/java/lilaclever/journal/OpeningRun.java
+++ b/bench/java/lilaclever/journal/OpeningRun.java
@@ -11,7 +11,7 @@
  * remembered ends, {@code open KIND FOLDER} opens it and prints milliseconds and the most memory that the process had.
  */
 final class OpeningRun {
-    private OpeningRun() { }
+    private OpeningRun() {}
 
     public static void main(String[] args) throws IOException {
         switch (args[0]) {
@@ -40,12 +40,19 @@
     }
 
     private static void remember(int ends, Path folder) throws IOException {
-        try (SegmentedJournal journal = new SegmentedJournal(FolderDisk.take(folder), Store.MOST, Durability.NONE,
-                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN), new java.util.SplittableRandom())) {
+        try (SegmentedJournal journal = new SegmentedJournal(
+                FolderDisk.take(folder),
+                Store.MOST,
+                Durability.NONE,
+                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
+                new java.util.SplittableRandom())) {
             long longest = 0;
             for (int i = 0; i < ends; i++) {
-                journal.remember("<" + i + "@mail.example> frames@supplier.example", new lilaclever.routing.Verdict(
-                        lilaclever.routing.Verdict.Kind.DELIVERED, 0, "250 2.0.0 queued"), i < ends / 2 ? 1 : 1000);
+                journal.remember(
+                        "<" + i + "@mail.example> frames@supplier.example",
+                        new lilaclever.routing.Verdict(
+                                lilaclever.routing.Verdict.Kind.DELIVERED, 0, "250 2.0.0 queued"),
+                        i < ends / 2 ? 1 : 1000);
                 long began = System.nanoTime();
                 journal.tidy(0);
                 longest = i > 5000 ? Math.max(longest, System.nanoTime() - began) : 0;
@@ -66,9 +73,12 @@
         long began = System.nanoTime();
         try (Store store = Store.open(kind, folder)) {
             long ms = (System.nanoTime() - began) / 1_000_000;
-            String peak = Files.readAllLines(Path.of("/proc/self/status")).stream().filter(l -> l.startsWith("VmHWM"))
-                    .findFirst().orElse("?");
-            System.out.println(kind + " owed " + store.owed() + " opened in " + ms + " ms, " + peak.replaceAll("\\s+", " "));
+            String peak = Files.readAllLines(Path.of("/proc/self/status")).stream()
+                    .filter(l -> l.startsWith("VmHWM"))
+                    .findFirst()
+                    .orElse("?");
+            System.out.println(
+                    kind + " owed " + store.owed() + " opened in " + ms + " ms, " + peak.replaceAll("\\s+", " "));
         }
     }
 }
--- a/bench/java/lilaclever/journal/Store.java
+++ b/bench/java/lilaclever/journal/Store.java
@@ -48,7 +48,10 @@
         private final Journal journal;
 
         Segments(Path folder) throws IOException {
-            journal = new SegmentedJournal(FolderDisk.take(folder), MOST, Durability.NONE,
+            journal = new SegmentedJournal(
+                    FolderDisk.take(folder),
+                    MOST,
+                    Durability.NONE,
                     new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                     new SplittableRandom(1));
         }
@@ -144,7 +147,10 @@
 
         H2(Path folder) throws IOException {
             java.nio.file.Files.createDirectories(folder);
-            store = new MVStore.Builder().fileName(folder.resolve("store.mv").toString()).cacheSize(64).open();
+            store = new MVStore.Builder()
+                    .fileName(folder.resolve("store.mv").toString())
+                    .cacheSize(64)
+                    .open();
             owed = store.openMap("owed");
         }
 
--- a/bench/java/lilaclever/journal/TurnRun.java
+++ b/bench/java/lilaclever/journal/TurnRun.java
@@ -27,8 +27,11 @@
             java.lang.management.ManagementFactory.getGarbageCollectorMXBeans();
     private static final long MOST = 4L << 30;
 
-    /** What a turn took, nanoseconds: in all, of the processor, in the disk's operations, and in the longest of these; milliseconds of collections. */
-    private record Turn(long index, long all, long cpu, long disk, long longest, String operation, long collected) { }
+    /**
+     * What a turn took, nanoseconds: in all, of the processor, in the disk's operations, and in the longest of these;
+     * milliseconds of collections.
+     */
+    private record Turn(long index, long all, long cpu, long disk, long longest, String operation, long collected) {}
 
     private final TimedDisk disk;
     private final SegmentedJournal journal;
@@ -39,8 +42,12 @@
     private TurnRun(Path folder, Durability durability) throws IOException {
         new Random(1).nextBytes(body);
         disk = new TimedDisk(FolderDisk.take(folder));
-        journal = new SegmentedJournal(disk, MOST, durability,
-                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN), new SplittableRandom(1));
+        journal = new SegmentedJournal(
+                disk,
+                MOST,
+                durability,
+                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
+                new SplittableRandom(1));
         journal.attach(loop::add);
     }
 
@@ -52,8 +59,8 @@
                 new TurnRun(folder, Durability.NONE).turns(Integer.parseInt(args[1]), Long.parseLong(args[2]));
             } else {
                 Durability.How how = Durability.How.valueOf(args[1].toUpperCase(java.util.Locale.ROOT));
-                new TurnRun(folder, new Durability(how, 50_000)).steady(args[1], Integer.parseInt(args[2]),
-                        Integer.parseInt(args[3]));
+                new TurnRun(folder, new Durability(how, 50_000))
+                        .steady(args[1], Integer.parseInt(args[2]), Integer.parseInt(args[3]));
             }
         } finally {
             try (Stream<Path> files = Files.walk(folder)) {
@@ -90,7 +97,7 @@
     private void turns(int held, long turns) throws IOException {
         fill(held);
         for (long i = 0; i < turns / 4; i++) {
-            turn(held, () -> { });
+            turn(held, () -> {});
         }
         PriorityQueue<Turn> longest = new PriorityQueue<>(Comparator.comparingLong(Turn::all));
         java.lang.management.ThreadMXBean thread = java.lang.management.ManagementFactory.getThreadMXBean();
@@ -100,7 +107,7 @@
             long collectedBefore = collected();
             long cpuBegan = thread.getCurrentThreadCpuTime();
             long began = System.nanoTime();
-            turn(held, () -> { });
+            turn(held, () -> {});
             long all = System.nanoTime() - began;
             long cpu = thread.getCurrentThreadCpuTime() - cpuBegan;
             mostCpu = Math.max(mostCpu, cpu);
@@ -111,14 +118,17 @@
                 longest.poll();
             }
         }
-        System.out.printf("held %d, turns %d: over 2 ms %d, by the processor's time (the system's for it included) %d; "
-                + "most of the processor's time %.0f us%n", held, turns, over, overCpu, mostCpu / 1e3);
+        System.out.printf(
+                "held %d, turns %d: over 2 ms %d, by the processor's time (the system's for it included) %d; "
+                        + "most of the processor's time %.0f us%n",
+                held, turns, over, overCpu, mostCpu / 1e3);
         List<Turn> sorted = new ArrayList<>(longest);
         sorted.sort(Comparator.comparingLong(Turn::all).reversed());
         for (Turn t : sorted) {
-            System.out.printf("  turn %d: %6.0f us in all, %6.0f of the processor, %6.0f in the disk's operations, the longest %s %6.0f, collections %d ms%n", t.index,
-                    t.all / 1e3,
-                    t.cpu / 1e3, t.disk / 1e3, t.operation, t.longest / 1e3, t.collected);
+            System.out.printf(
+                    "  turn %d: %6.0f us in all, %6.0f of the processor, %6.0f in the disk's operations, the longest "
+                            + "%s %6.0f, collections %d ms%n",
+                    t.index, t.all / 1e3, t.cpu / 1e3, t.disk / 1e3, t.operation, t.longest / 1e3, t.collected);
         }
         journal.close();
     }
@@ -156,8 +166,13 @@
                 task.run();
             }
         }
-        System.out.printf("%s at %d turns a second: turn %s; until it may be told %s; forcings %d, each %s us%n", how, rate,
-                figures(took), figures(waited), disk.forcings.size(),
+        System.out.printf(
+                "%s at %d turns a second: turn %s; until it may be told %s; forcings %d, each %s us%n",
+                how,
+                rate,
+                figures(took),
+                figures(waited),
+                disk.forcings.size(),
                 figures(disk.forcings.stream().mapToLong(Long::longValue).toArray()));
         journal.close();
     }
@@ -165,8 +180,13 @@
     private static String figures(long[] nanos) {
         long[] sorted = nanos.clone();
         Arrays.sort(sorted);
-        return sorted.length == 0 ? "-" : String.format("%.0f / %.0f / %.0f us", sorted[sorted.length / 2] / 1e3,
-                sorted[sorted.length * 99 / 100] / 1e3, sorted[sorted.length - 1] / 1e3);
+        return sorted.length == 0
+                ? "-"
+                : String.format(
+                        "%.0f / %.0f / %.0f us",
+                        sorted[sorted.length / 2] / 1e3,
+                        sorted[sorted.length * 99 / 100] / 1e3,
+                        sorted[sorted.length - 1] / 1e3);
     }
 
     /** A disk that times its operations. */
--- a/bench/java/lilaclever/protocol/mllp/MllpFuzzer.java
+++ b/bench/java/lilaclever/protocol/mllp/MllpFuzzer.java
@@ -8,18 +8,33 @@
 import lilaclever.routing.Verdict;
 
 /**
- * What Jazzer is given to break: bytes of a connection go through frames, batches, header, fields and answers as they do
- * in the program. Only {@link FrameReader.Spoilt} and {@link Hl7Fault} may come out, and no answer may hold a byte that
- * ends a frame. {@code bench/fuzz} runs it.
+ * What Jazzer is given to break: bytes of a connection go through frames, batches, header, fields and answers as they
+ * do in the program. Only {@link FrameReader.Spoilt} and {@link Hl7Fault} may come out, and no answer may hold a byte
+ * that ends a frame. {@code bench/fuzz} runs it.
  */
 public final class MllpFuzzer {
     private static final int LARGEST = 4096;
-    private static final Hl7Reader READER = new Hl7Reader(new MllpSettings(List.of(), Map.of("APP", "north"), true,
-            Map.of("ORM^O01", 0, "DFT", 2), 2, Map.of("LAB", 7), List.of(20L, 6L, 28L), Field.of("ORC-2"), Field.of("ZLC-1"),
-            Set.of("P"), Set.of("2.3", "2.3.1", "2.4", "2.5", "2.5.1"), 10, 1, 1), () -> 5, () -> 1_000_000);
+    private static final Hl7Reader READER = new Hl7Reader(
+            new MllpSettings(
+                    List.of(),
+                    Map.of("APP", "north"),
+                    true,
+                    Map.of("ORM^O01", 0, "DFT", 2),
+                    2,
+                    Map.of("LAB", 7),
+                    List.of(20L, 6L, 28L),
+                    Field.of("ORC-2"),
+                    Field.of("ZLC-1"),
+                    Set.of("P"),
+                    Set.of("2.3", "2.3.1", "2.4", "2.5", "2.5.1"),
+                    10,
+                    1,
+                    1),
+            () -> 5,
+            () -> 1_000_000);
     private static final Acknowledgements ACKS = new Acknowledgements("L");
 
-    private MllpFuzzer() { }
+    private MllpFuzzer() {}
 
     /** One connection's bytes, read in two pieces. */
     public static void fuzzerTestOneInput(byte[] data) {
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/Relay.java
@@ -32,21 +32,44 @@
     }
 
     /** Which endpoints of a destination remember the key of a {@link Repeat#KEYED} message. */
-    enum Group { ALL, ZONE, DESTINATION }
+    enum Group {
+        ALL,
+        ZONE,
+        DESTINATION
+    }
 
     /** What the weight in a listing means. */
-    enum Weights { NONE, EXACT, ROUGH }
+    enum Weights {
+        NONE,
+        EXACT,
+        ROUGH
+    }
 
     /** How a destination's endpoints come and go in the list. */
-    enum Presence { ACTIVE, LEAVING, LEFT }
+    enum Presence {
+        ACTIVE,
+        LEAVING,
+        LEFT
+    }
 
     /** What a listing holds. */
-    enum ListingKind { CHANGES, ALL, REMEMBERED, REFUSED }
+    enum ListingKind {
+        CHANGES,
+        ALL,
+        REMEMBERED,
+        REFUSED
+    }
 
     /** How an attempt or a probe ended. */
     enum Ending {
-        DELIVERED(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), RESET(false),
-        CANCELED(false), NOT_SENT(true),
+        DELIVERED(false),
+        ERROR(false),
+        FULL(true),
+        TIMED_OUT(false),
+        NO_CONNECTION(true),
+        RESET(false),
+        CANCELED(false),
+        NOT_SENT(true),
         /** Not written, since a wait was told after it was decided: that attempt was none. */
         WITHHELD(true),
         /** Its endpoint answered that it has no room for a further connection. */
@@ -70,11 +93,25 @@
      * A class of messages: when it is wanted, what it is worth and how it may be repeated. After the aim its worth
      * falls to {@code lateShare}: by half with each further aim, or evenly up to the deadline.
      */
-    record MessageClass(long aimMicros, long deadlineMicros, double worth, Repeat repeat, Group group,
-            long repeatWindowMicros, boolean ordered, double lateShare, boolean halves) {
+    record MessageClass(
+            long aimMicros,
+            long deadlineMicros,
+            double worth,
+            Repeat repeat,
+            Group group,
+            long repeatWindowMicros,
+            boolean ordered,
+            double lateShare,
+            boolean halves) {
         /** A class whose worth falls evenly after the aim, to nothing at the deadline. */
-        public MessageClass(long aimMicros, long deadlineMicros, double worth, Repeat repeat, Group group,
-                long repeatWindowMicros, boolean ordered) {
+        public MessageClass(
+                long aimMicros,
+                long deadlineMicros,
+                double worth,
+                Repeat repeat,
+                Group group,
+                long repeatWindowMicros,
+                boolean ordered) {
             this(aimMicros, deadlineMicros, worth, repeat, group, repeatWindowMicros, ordered, 0, false);
         }
 
@@ -92,11 +129,20 @@
     }
 
     /** A tenant and the messages a second, over all relays, that are within its share. */
-    record Tenant(double share, double quotaPerSecond) { }
+    record Tenant(double share, double quotaPerSecond) {}
 
     /** What this relay may do. Slots are calls out at once; {@code maxOpen} counts messages held. */
-    record Limits(int maxAttempts, int maxOpen, int slots, boolean cancel, boolean probing, boolean peers,
-            int callsPerConnection, long connectTimeoutMicros, long keepAliveMicros, boolean comeBack,
+    record Limits(
+            int maxAttempts,
+            int maxOpen,
+            int slots,
+            boolean cancel,
+            boolean probing,
+            boolean peers,
+            int callsPerConnection,
+            long connectTimeoutMicros,
+            long keepAliveMicros,
+            boolean comeBack,
             long maxComeBackMicros) {
         public Limits {
             require(slots > 0, "limits.slots must be above 0");
@@ -106,19 +152,43 @@
     }
 
     /** Figures of the rules that a relay must keep. */
-    record Rules(long answerSlackMicros, long askWithinMicros, long drainGraceMicros, double coldFrom,
-            long rampMicros, double tipMultiple, long overloadMicros, long orderPauseMicros) {
+    record Rules(
+            long answerSlackMicros,
+            long askWithinMicros,
+            long drainGraceMicros,
+            double coldFrom,
+            long rampMicros,
+            double tipMultiple,
+            long overloadMicros,
+            long orderPauseMicros) {
         public Rules {
-            require(drainGraceMicros >= 0 && rampMicros >= 0 && overloadMicros >= 0 && orderPauseMicros >= 0
-                    && answerSlackMicros >= 0, "rules: times must not be negative");
+            require(
+                    drainGraceMicros >= 0
+                            && rampMicros >= 0
+                            && overloadMicros >= 0
+                            && orderPauseMicros >= 0
+                            && answerSlackMicros >= 0,
+                    "rules: times must not be negative");
             require(coldFrom > 0 && tipMultiple > 0, "rules: coldFrom and tipMultiple must be above 0");
         }
     }
 
     /** All that a relay is told at its start. {@code askForList}: changes come only after {@link Action.Watch}. */
-    record Settings(int self, int relays, int zone, int zones, long roundMicros, boolean askForList,
-            Weights weights, boolean reports, double overShareWorth, List<MessageClass> classes, List<Kind> kinds,
-            List<Tenant> tenants, Limits limits, Rules rules) {
+    record Settings(
+            int self,
+            int relays,
+            int zone,
+            int zones,
+            long roundMicros,
+            boolean askForList,
+            Weights weights,
+            boolean reports,
+            double overShareWorth,
+            List<MessageClass> classes,
+            List<Kind> kinds,
+            List<Tenant> tenants,
+            Limits limits,
+            Rules rules) {
         public Settings {
             require(!classes.isEmpty(), "classes must not be empty");
             require(relays > 0, "relays must be above 0");
@@ -132,95 +202,120 @@
     }
 
     /** One endpoint in a listing. */
-    record Entry(String host, int destination, int zone, int kind, Presence presence, double weight,
-            long sinceMicros) { }
+    record Entry(
+            String host, int destination, int zone, int kind, Presence presence, double weight, long sinceMicros) {}
 
     /** What a destination told of its limit: share of the allowance left, and calls a second; 0 where unknown. */
-    record Report(double left, double perSecond) { }
+    record Report(double left, double perSecond) {}
 
     /** Attempts of an earlier life, maybe none; if one may have run: where and when the first of these was sent. */
-    record Prior(int attempts, boolean mayHaveRun, String riskHost, int riskZone, long riskAtMicros) { }
+    record Prior(int attempts, boolean mayHaveRun, String riskHost, int riskZone, long riskAtMicros) {}
 
     /** What has happened. */
     sealed interface Event {
         /** News of the list of endpoints. */
-        record Listing(ListingKind kind, long version, List<Entry> entries) implements Event { }
+        record Listing(ListingKind kind, long version, List<Entry> entries) implements Event {}
 
         /**
          * A new message; {@code key} is null where the class keeps no order. {@code prior} is null but for one that
          * the host program took on before it was restarted.
          */
-        record Submit(String id, int messageClass, int destination, int tenant, String key, boolean again,
-                boolean inherited, long budgetMicros, Prior prior) implements Event {
+        record Submit(
+                String id,
+                int messageClass,
+                int destination,
+                int tenant,
+                String key,
+                boolean again,
+                boolean inherited,
+                long budgetMicros,
+                Prior prior)
+                implements Event {
             /** A message that no attempt was made for. */
-            public Submit(String id, int messageClass, int destination, int tenant, String key, boolean again,
-                    boolean inherited, long budgetMicros) {
+            public Submit(
+                    String id,
+                    int messageClass,
+                    int destination,
+                    int tenant,
+                    String key,
+                    boolean again,
+                    boolean inherited,
+                    long budgetMicros) {
                 this(id, messageClass, destination, tenant, key, again, inherited, budgetMicros, null);
             }
         }
 
         /**
-         * Other settings hold from now on. A class keeps its number, new ones follow behind; all that is not of classes and
-         * attempts is as before.
+         * Other settings hold from now on. A class keeps its number, new ones follow behind; all that is not of classes
+         * and attempts is as before.
          */
-        record Renewed(Settings settings) implements Event { }
+        record Renewed(Settings settings) implements Event {}
 
         /** The program ends: by the given time all calls that were started must have come back. */
-        record Stopping(long untilMicros) implements Event { }
+        record Stopping(long untilMicros) implements Event {}
 
         /**
          * An attempt ended. {@code over}: the message is finished; {@code noSlot}: it was not sent for want of one;
          * {@code waitMicros}: how long nothing may go there from now on, whatever the ending; 0: no wait.
          */
-        record Outcome(String id, String host, int attempt, Ending ending, long elapsedMicros, long waitMicros,
-                boolean noSlot, boolean over, Report report) implements Event { }
+        record Outcome(
+                String id,
+                String host,
+                int attempt,
+                Ending ending,
+                long elapsedMicros,
+                long waitMicros,
+                boolean noSlot,
+                boolean over,
+                Report report)
+                implements Event {}
 
         /** A probe ended. */
-        record Probed(String host, Ending ending, long elapsedMicros, Report report) implements Event { }
+        record Probed(String host, Ending ending, long elapsedMicros, Report report) implements Event {}
 
         /** A timer of {@link Action.Wake} has come. */
-        record Timer(long token) implements Event { }
+        record Timer(long token) implements Event {}
 
         /** The client has withdrawn the message. */
-        record Withdrawn(String id) implements Event { }
+        record Withdrawn(String id) implements Event {}
 
         /** Another relay has told something. */
-        record Heard(int from, byte[] content) implements Event { }
+        record Heard(int from, byte[] content) implements Event {}
     }
 
     /** What the host program must do. */
     sealed interface Action {
         /** Start an attempt and drop it at the given time. */
-        record Send(String id, String host, long dropAtMicros) implements Action { }
+        record Send(String id, String host, long dropAtMicros) implements Action {}
 
         /** End the message; the client may come again, best after the given time (0: no advice). */
-        record Refuse(String id, long comeBackMicros) implements Action { }
+        record Refuse(String id, long comeBackMicros) implements Action {}
 
         /** End the message; nothing is promised. */
-        record Fail(String id) implements Action { }
+        record Fail(String id) implements Action {}
 
         /** Stop waiting for an attempt. */
-        record Cancel(String id, int attempt) implements Action { }
+        record Cancel(String id, int attempt) implements Action {}
 
         /** Close idle connections to a host. */
-        record CloseIdle(String host) implements Action { }
+        record CloseIdle(String host) implements Action {}
 
         /** Give a {@link Event.Timer} after this time. */
-        record Wake(long afterMicros, long token) implements Action { }
+        record Wake(long afterMicros, long token) implements Action {}
 
         /** Ask for changes of the list from now on. */
-        record Watch(boolean on) implements Action { }
+        record Watch(boolean on) implements Action {}
 
         /** Ask for the whole list once. */
-        record FetchList() implements Action { }
+        record FetchList() implements Action {}
 
         /** Check a host. */
-        record Probe(String host) implements Action { }
+        record Probe(String host) implements Action {}
 
         /** Tell another relay something; -1 tells all. */
-        record Tell(int to, byte[] content) implements Action { }
+        record Tell(int to, byte[] content) implements Action {}
 
         /** A line for the log. */
-        record Log(String text) implements Action { }
+        record Log(String text) implements Action {}
     }
 }
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/State.java
@@ -8,11 +8,11 @@
 
 /** What a relay remembers: fields only. What they mean and how they change is decided in Decide.java. */
 final class State {
-    private State() { }
+    private State() {}
 
-    record Due(long at, long order, Message message) { }
+    record Due(long at, long order, Message message) {}
 
-    record Pick(Message message, Endpoint endpoint, double rank) { }
+    record Pick(Message message, Endpoint endpoint, double rank) {}
 
     /** A call that is out: messages without an outcome, and whether it has told anything. */
     static final class Call {
--- a/src/main/java/lilaclever/benchlink/Main.java
+++ b/src/main/java/lilaclever/benchlink/Main.java
@@ -18,7 +18,7 @@
 
 /** Plays relays on the bench's wire: standard input to events, actions to standard output. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /** Answers batches on standard input and output; gives the exit code. */
     public static int run() {
@@ -28,7 +28,8 @@
     /** Answers batches until the input ends; gives the exit code. */
     static int run(InputStream in, OutputStream out, PrintStream err) {
         try {
-            serve(new WireReader(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16)),
+            serve(
+                    new WireReader(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16)),
                     new WireWriter(new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8), 1 << 16)));
             return 0;
         } catch (WireException e) {
@@ -46,8 +47,11 @@
         while ((batch = reader.next(relays)) != null) {
             for (Map.Entry<String, WireReader.Life> entry : batch.lives().entrySet()) {
                 try {
-                    writer.actions(entry.getKey(),
-                            entry.getValue().relay().decide(batch.nowMicros(), entry.getValue().events()));
+                    writer.actions(
+                            entry.getKey(),
+                            entry.getValue()
+                                    .relay()
+                                    .decide(batch.nowMicros(), entry.getValue().events()));
                 } catch (RuntimeException e) {
                     StackTraceElement[] trace = e.getStackTrace();
                     writer.panic(entry.getKey(), e + (trace.length > 0 ? " at " + trace[0] : ""));
--- a/src/main/java/lilaclever/benchlink/SettingsReader.java
+++ b/src/main/java/lilaclever/benchlink/SettingsReader.java
@@ -50,7 +50,10 @@
 
     /** Seconds as whole microseconds, exactly; what lies between is rounded to the nearest. */
     static long micros(String seconds) {
-        long value = new BigDecimal(seconds).movePointRight(6).setScale(0, RoundingMode.HALF_UP).longValueExact();
+        long value = new BigDecimal(seconds)
+                .movePointRight(6)
+                .setScale(0, RoundingMode.HALF_UP)
+                .longValueExact();
         if (value < 0) {
             throw new NumberFormatException("negative");
         }
@@ -62,13 +65,66 @@
         SettingsReader limits = child("limits");
         SettingsReader rules = child("rules");
         SettingsReader report = child("report");
+        List<Relay.Kind> kinds = kinds(family);
+        List<Relay.MessageClass> classes = messageClasses(family);
+        List<Relay.Tenant> tenants = new ArrayList<>();
+        for (SettingsReader t : children("tenants")) {
+            tenants.add(new Relay.Tenant(t.real("portion", 0), t.real("quotaPerS", 0)));
+        }
+        Weights weights = switch (text("weights", "off")) {
+            case "off" -> Weights.NONE;
+            case "nominal" -> Weights.EXACT;
+            default -> Weights.ROUGH;
+        };
+        return new Relay.Settings(
+                whole("me", 0),
+                whole("groupSize", 1),
+                whole("az", 0),
+                array("zones").size(),
+                time("roundS"),
+                text("discovery", "push").equals("ask"),
+                weights,
+                report.text("via", "off").equals("inline"),
+                real("overShareWorth", 1),
+                classes,
+                kinds,
+                tenants,
+                new Relay.Limits(
+                        limits.whole("maxAttempts", 1),
+                        limits.whole("openCap", 1),
+                        family.whole("callSlots", 0),
+                        limits.bool("cancel"),
+                        limits.bool("probing"),
+                        limits.bool("mayTell"),
+                        limits.whole("streamsPerConn", 1),
+                        limits.time("connectTimeoutS"),
+                        limits.time("keepaliveS"),
+                        limits.bool("retryAfter"),
+                        limits.time("maxRetryAfterS")),
+                new Relay.Rules(
+                        rules.time("answerSlackS"),
+                        rules.time("askWithinS"),
+                        rules.time("drainGraceS"),
+                        rules.real("coldFrom", 1),
+                        rules.time("rampTimeS"),
+                        rules.real("tipMultiple", 1),
+                        rules.time("overloadForS"),
+                        rules.time("orderPauseS")));
+    }
+
+    private static List<Relay.Kind> kinds(SettingsReader family) throws WireException {
         List<Relay.Kind> kinds = new ArrayList<>();
         JsonArray own = family.array("ownLimits");
         JsonArray batch = family.array("kindBatch");
         for (int i = 0; i < Math.max(own.size(), batch.size()); i++) {
-            kinds.add(new Relay.Kind(i < own.size() && own.get(i).getAsBoolean(),
+            kinds.add(new Relay.Kind(
+                    i < own.size() && own.get(i).getAsBoolean(),
                     i < batch.size() ? batch.get(i).getAsInt() : 1));
         }
+        return kinds;
+    }
+
+    private List<Relay.MessageClass> messageClasses(SettingsReader family) throws WireException {
         List<Relay.MessageClass> classes = new ArrayList<>();
         for (SettingsReader c : children("requestClasses")) {
             Repeat repeat = switch (c.text("repeat", "non_idempotent")) {
@@ -83,29 +139,18 @@
                 case "cell" -> Group.DESTINATION;
                 default -> throw c.bad("group", "unknown value");
             };
-            classes.add(new Relay.MessageClass(c.time("aimS"), c.time("deadlineS"), c.real("credit", 1),
-                    repeat, group, c.time("repeatWindowS"), c.bool("byArrival"), c.real("lateShare", 0),
+            classes.add(new Relay.MessageClass(
+                    c.time("aimS"),
+                    c.time("deadlineS"),
+                    c.real("credit", 1),
+                    repeat,
+                    group,
+                    c.time("repeatWindowS"),
+                    c.bool("byArrival"),
+                    c.real("lateShare", 0),
                     family.text("decay", "line").equals("halves")));
         }
-        List<Relay.Tenant> tenants = new ArrayList<>();
-        for (SettingsReader t : children("tenants")) {
-            tenants.add(new Relay.Tenant(t.real("portion", 0), t.real("quotaPerS", 0)));
-        }
-        Weights weights = switch (text("weights", "off")) {
-            case "off" -> Weights.NONE;
-            case "nominal" -> Weights.EXACT;
-            default -> Weights.ROUGH;
-        };
-        return new Relay.Settings(whole("me", 0), whole("groupSize", 1), whole("az", 0), array("zones").size(),
-                time("roundS"), text("discovery", "push").equals("ask"), weights,
-                report.text("via", "off").equals("inline"), real("overShareWorth", 1), classes, kinds, tenants,
-                new Relay.Limits(limits.whole("maxAttempts", 1), limits.whole("openCap", 1),
-                        family.whole("callSlots", 0), limits.bool("cancel"), limits.bool("probing"),
-                        limits.bool("mayTell"), limits.whole("streamsPerConn", 1), limits.time("connectTimeoutS"),
-                        limits.time("keepaliveS"), limits.bool("retryAfter"), limits.time("maxRetryAfterS")),
-                new Relay.Rules(rules.time("answerSlackS"), rules.time("askWithinS"), rules.time("drainGraceS"),
-                        rules.real("coldFrom", 1), rules.time("rampTimeS"), rules.real("tipMultiple", 1),
-                        rules.time("overloadForS"), rules.time("orderPauseS")));
+        return classes;
     }
 
     private WireException bad(String key, String problem) {
--- a/src/main/java/lilaclever/benchlink/WireReader.java
+++ b/src/main/java/lilaclever/benchlink/WireReader.java
@@ -26,10 +26,10 @@
     private long lineNumber;
 
     /** One relay from its start on, with its events of this batch. */
-    record Life(Relay relay, List<Event> events) { }
+    record Life(Relay relay, List<Event> events) {}
 
     /** One batch: its clock and the relays that have events, in the order of their first event. */
-    record Batch(long nowMicros, Map<String, Life> lives) { }
+    record Batch(long nowMicros, Map<String, Life> lives) {}
 
     WireReader(BufferedReader in) {
         this.in = in;
@@ -67,8 +67,18 @@
             manifest(f);
             return;
         }
-        if (!List.of("HELLO", "CRASH_NOW", "BACKENDS_CHANGED", "SUBMIT", "REPLY", "REMINDER", "ABORTED", "PROBED",
-                "HEARD", "STARTED").contains(word)) {
+        if (!List.of(
+                        "HELLO",
+                        "CRASH_NOW",
+                        "BACKENDS_CHANGED",
+                        "SUBMIT",
+                        "REPLY",
+                        "REMINDER",
+                        "ABORTED",
+                        "PROBED",
+                        "HEARD",
+                        "STARTED")
+                .contains(word)) {
             throw new WireException(lineNumber, "message", "unknown message " + word);
         }
         String name = f.text("relay");
@@ -119,8 +129,9 @@
             Fields item = new Fields(text, lineNumber);
             item.expect("ITEM");
             int kind = item.number("classOfHost");
-            Presence presence = item.choice("stageState", Map.of("active", Presence.ACTIVE, "leaving",
-                    Presence.LEAVING, "left", Presence.LEFT));
+            Presence presence = item.choice(
+                    "stageState",
+                    Map.of("active", Presence.ACTIVE, "leaving", Presence.LEAVING, "left", Presence.LEFT));
             long since = item.time("sinceS");
             String host = item.text("host");
             double weight = item.real("powerHint");
@@ -133,8 +144,17 @@
     private Event listing(Fields f) throws WireException {
         long version = f.whole("version");
         String slot = f.text("slot");
-        ListingKind kind = f.choice("mode", Map.of("changes", ListingKind.CHANGES, "all", ListingKind.ALL,
-                "remembered", ListingKind.REMEMBERED, "refused", ListingKind.REFUSED));
+        ListingKind kind = f.choice(
+                "mode",
+                Map.of(
+                        "changes",
+                        ListingKind.CHANGES,
+                        "all",
+                        ListingKind.ALL,
+                        "remembered",
+                        ListingKind.REMEMBERED,
+                        "refused",
+                        ListingKind.REFUSED));
         if (kind == ListingKind.REFUSED) {
             return new Event.Listing(kind, version, List.of());
         }
@@ -158,8 +178,15 @@
         int messageClass = f.number("profile");
         f.time("costGuessS");
         long budget = f.time("budgetS");
-        return new Event.Submit(id, messageClass, dest, f.number("customer"), key, (marks & MARK_AGAIN) != 0,
-                (marks & MARK_INHERITED) != 0, budget);
+        return new Event.Submit(
+                id,
+                messageClass,
+                dest,
+                f.number("customer"),
+                key,
+                (marks & MARK_AGAIN) != 0,
+                (marks & MARK_INHERITED) != 0,
+                budget);
     }
 
     private static Event reply(Fields f) throws WireException {
@@ -171,8 +198,16 @@
         boolean over = f.bool("terminal");
         Ending ending = f.choice("status", ENDINGS);
         long wait = ending == Ending.FULL ? Math.multiplyExact(Math.max(0, note), 1000L) : 0;
-        return new Event.Outcome(id, host, attempt, ending, elapsed, wait,
-                ending == Ending.NOT_SENT && note == 1, over, f.report("serverStats"));
+        return new Event.Outcome(
+                id,
+                host,
+                attempt,
+                ending,
+                elapsed,
+                wait,
+                ending == Ending.NOT_SENT && note == 1,
+                over,
+                f.report("serverStats"));
     }
 
     private static Event probed(Fields f) throws WireException {
@@ -181,9 +216,23 @@
         return new Event.Probed(host, f.choice("status", ENDINGS), elapsed, f.report("serverStats"));
     }
 
-    private static final Map<String, Ending> ENDINGS = Map.of("Ok", Ending.DELIVERED, "Failed", Ending.ERROR,
-            "QueueFull", Ending.FULL, "TimedOut", Ending.TIMED_OUT, "ConnectError", Ending.NO_CONNECTION,
-            "ResetByPeer", Ending.RESET, "Canceled", Ending.CANCELED, "Ignored", Ending.NOT_SENT);
+    private static final Map<String, Ending> ENDINGS = Map.of(
+            "Ok",
+            Ending.DELIVERED,
+            "Failed",
+            Ending.ERROR,
+            "QueueFull",
+            Ending.FULL,
+            "TimedOut",
+            Ending.TIMED_OUT,
+            "ConnectError",
+            Ending.NO_CONNECTION,
+            "ResetByPeer",
+            Ending.RESET,
+            "Canceled",
+            Ending.CANCELED,
+            "Ignored",
+            Ending.NOT_SENT);
 
     private String line() throws IOException {
         String text = in.readLine();
--- a/src/main/java/lilaclever/conf/ConfFile.java
+++ b/src/main/java/lilaclever/conf/ConfFile.java
@@ -13,16 +13,16 @@
 import java.util.Set;
 
 /**
- * Reads line-based files, the operator's and rehearsals': sections in brackets, a key and its value on a line, {@code #} begins a comment. A line
- * that begins with white space continues the value of the one before, as in the files of classic daemons. What a
- * section's keys mean is not known here; each is asked for by name, and what nobody has asked for is an error. All
- * messages name file, line and key.
+ * Reads line-based files, the operator's and rehearsals': sections in brackets, a key and its value on a line,
+ * {@code #} begins a comment. A line that begins with white space continues the value of the one before, as in the
+ * files of classic daemons. What a section's keys mean is not known here; each is asked for by name, and what nobody
+ * has asked for is an error. All messages name file, line and key.
  */
 public final class ConfFile {
     private static final int LONGEST_LINE = 8192, MOST_LINES = 100_000;
 
     /** One setting and where it stands. */
-    private record Entry(int line, String value) { }
+    private record Entry(int line, String value) {}
 
     private final String name;
     private final Map<String, Section> sections = new LinkedHashMap<>();
@@ -111,7 +111,9 @@
 
     /** The sections {@code [kind which]}, in the file's order. */
     public List<Section> sections(String kind) {
-        return sections.values().stream().filter(s -> s.title.startsWith(kind + " ")).toList();
+        return sections.values().stream()
+                .filter(s -> s.title.startsWith(kind + " "))
+                .toList();
     }
 
     /** Throws if anything stands in the file that nobody has asked for; to be called when all is read. */
@@ -123,8 +125,10 @@
             }
             for (Map.Entry<String, Entry> e : s.entries.entrySet()) {
                 if (!s.asked.contains(e.getKey())) {
-                    throw fault(e.getValue().line(), s.title + "." + e.getKey(), "no such key"
-                            + nearest(e.getKey(), s.asked));
+                    throw fault(
+                            e.getValue().line(),
+                            s.title + "." + e.getKey(),
+                            "no such key" + nearest(e.getKey(), s.asked));
                 }
             }
         }
@@ -141,7 +145,8 @@
                 best = k;
             }
         }
-        return best == null ? "; known are " + String.join(", ", new java.util.TreeSet<>(known))
+        return best == null
+                ? "; known are " + String.join(", ", new java.util.TreeSet<>(known))
                 : "; is " + best + " meant?";
     }
 
@@ -293,7 +298,9 @@
             if (words.isEmpty()) {
                 return new double[] {low, high};
             }
-            double[] range = {real(key, words.get(0), "", least, most), real(key, words.get(words.size() - 1), "", least, most)};
+            double[] range = {
+                real(key, words.get(0), "", least, most), real(key, words.get(words.size() - 1), "", least, most)
+            };
             if (words.size() > 2 || range[0] > range[1]) {
                 throw bad(key, "one number, or the least and the most, not " + String.join(" ", words));
             }
@@ -322,7 +329,9 @@
         }
 
         private static String plain(double number) {
-            return new java.math.BigDecimal(Double.toString(number)).stripTrailingZeros().toPlainString();
+            return new java.math.BigDecimal(Double.toString(number))
+                    .stripTrailingZeros()
+                    .toPlainString();
         }
 
         /** Two times, the least and the most; one stands for both. */
--- a/src/main/java/lilaclever/identity/Fingerprint.java
+++ b/src/main/java/lilaclever/identity/Fingerprint.java
@@ -10,7 +10,10 @@
     public static Fingerprint of(int messageClass, int destination, byte[] body) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            digest.update(ByteBuffer.allocate(8).putInt(messageClass).putInt(destination).flip());
+            digest.update(ByteBuffer.allocate(8)
+                    .putInt(messageClass)
+                    .putInt(destination)
+                    .flip());
             ByteBuffer sum = ByteBuffer.wrap(digest.digest(body));
             return new Fingerprint(sum.getLong(), sum.getLong());
         } catch (NoSuchAlgorithmException e) {
--- a/src/main/java/lilaclever/identity/Identities.java
+++ b/src/main/java/lilaclever/identity/Identities.java
@@ -18,7 +18,7 @@
  * </ul>
  */
 public final class Identities<M, E> {
-    private record Held<M>(M message, Fingerprint content) { }
+    private record Held<M>(M message, Fingerprint content) {}
 
     private final Windows windows;
     private final Memory<E> memory;
--- a/src/main/java/lilaclever/identity/Identity.java
+++ b/src/main/java/lilaclever/identity/Identity.java
@@ -8,6 +8,7 @@
 public record Identity(String practice, String key) {
     /** No identity of a mail begins so: those begin with a Message-ID or with "report ". */
     private static final String MARK = "id/";
+
     private static final int LONGEST_PRACTICE = 64, LONGEST_KEY = 256;
 
     /** Checks both parts: words without white space or control characters, the practice without '/'. */
--- a/src/main/java/lilaclever/journal/BootClock.java
+++ b/src/main/java/lilaclever/journal/BootClock.java
@@ -7,13 +7,13 @@
 import java.util.function.LongSupplier;
 
 /**
- * Tells times of an earlier life by a clock that nobody sets: the monotonic one, where it counts from the machine's start.
- * All walls that a journal keeps are those of its life's clock; when the wall clock was set between two lives of the same
- * boot, they are moved by as much.
+ * Tells times of an earlier life by a clock that nobody sets: the monotonic one, where it counts from the machine's
+ * start. All walls that a journal keeps are those of its life's clock; when the wall clock was set between two lives of
+ * the same boot, they are moved by as much.
  *
- * <p>The monotonic clock's origin is its own affair, and it may stand still while the machine sleeps. So it is believed only
- * where it agrees with the time since the start that the system tells; in a process whose clocks are led by somebody else
- * it does not, and to move walls there would carry messages past their deadlines and windows.
+ * <p>The monotonic clock's origin is its own affair, and it may stand still while the machine sleeps. So it is believed
+ * only where it agrees with the time since the start that the system tells; in a process whose clocks are led by
+ * somebody else it does not, and to move walls there would carry messages past their deadlines and windows.
  *
  * @param boot names this start of the machine; 0 where that is not known, and then wall clocks are believed
  * @param offsetMicros the wall clock less the monotonic one
@@ -30,11 +30,17 @@
     /** The machine's, as Linux tells it; the two clocks in microseconds. */
     public static BootClock read(LongSupplier monotonic, LongSupplier wall) {
         try {
-            UUID id = UUID.fromString(Files.readString(Path.of("/proc/sys/kernel/random/boot_id")).strip());
+            UUID id = UUID.fromString(
+                    Files.readString(Path.of("/proc/sys/kernel/random/boot_id")).strip());
             long before = monotonic.getAsLong();
-            double uptime = Double.parseDouble(Files.readString(Path.of("/proc/uptime")).split(" ")[0]);
+            double uptime =
+                    Double.parseDouble(Files.readString(Path.of("/proc/uptime")).split(" ")[0]);
             long after = monotonic.getAsLong();
-            return of(id.getMostSignificantBits() ^ id.getLeastSignificantBits(), before, (long) (uptime * 1e6), after,
+            return of(
+                    id.getMostSignificantBits() ^ id.getLeastSignificantBits(),
+                    before,
+                    (long) (uptime * 1e6),
+                    after,
                     wall.getAsLong() - monotonic.getAsLong());
         } catch (IOException | RuntimeException e) {
             return UNKNOWN; // another system
--- a/src/main/java/lilaclever/journal/Durability.java
+++ b/src/main/java/lilaclever/journal/Durability.java
@@ -11,7 +11,11 @@
      * NONE: never. INTERVAL: every so often, and nothing waits for it. GROUP: all records of a turn together, and
      * nothing that a record comes before happens until then.
      */
-    public enum How { NONE, INTERVAL, GROUP }
+    public enum How {
+        NONE,
+        INTERVAL,
+        GROUP
+    }
 
     /** The platform's choice: its folder goes with its machine. */
     public static final Durability NONE = new Durability(How.NONE, 0);
--- a/src/main/java/lilaclever/journal/FolderDisk.java
+++ b/src/main/java/lilaclever/journal/FolderDisk.java
@@ -27,8 +27,8 @@
     /** Takes the folder for this program alone; it is made if it is not there. */
     public static FolderDisk take(Path folder) throws IOException {
         Files.createDirectories(folder);
-        FileChannel lockFile = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        FileChannel lockFile =
+                FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock;
         try {
             lock = lockFile.tryLock();
@@ -48,7 +48,10 @@
     @Override
     public List<String> names() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString()).sorted().toList();
+            return files.filter(Files::isRegularFile)
+                    .map(f -> f.getFileName().toString())
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -59,8 +62,8 @@
 
     @Override
     public DiskFile open(String name) throws IOException {
-        return new RealFile(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-                StandardOpenOption.READ, StandardOpenOption.WRITE));
+        return new RealFile(FileChannel.open(
+                folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE));
     }
 
     @Override
--- a/src/main/java/lilaclever/journal/Format.java
+++ b/src/main/java/lilaclever/journal/Format.java
@@ -6,7 +6,8 @@
 
 /**
  * The bytes of a segment. It begins with two copies of a header, 64 bytes apart: magic, format version, sequence
- * number, salt, time of making, which start of the machine and the wall clock's distance from it, CRC32C. Records follow, to the first byte that is none:
+ * number, salt, time of making, which start of the machine and the wall clock's distance from it, CRC32C. Records
+ * follow, to the first byte that is none:
  * <pre>
  *   marker (2) | type (1) | length of the content (4) | CRC32C (4) | content | length again (4) | end (1)
  * </pre>
@@ -37,11 +38,20 @@
     private static final int TRAILER = 5;
     /** The last byte of each record, never zero. */
     private static final byte END = 0x5a;
+
     private static final int TYPE_AT = 2, LENGTH_AT = 3, SUM_AT = 7, CONTENT_AT = 11;
 
     /** What a record says. The numbers are part of the format. */
     enum Type {
-        TAKEN(1), ATTEMPT(2), OUTCOME(3), VERDICT(4), ENDED(5), REMEMBERED(6), SNAPSHOT(7), PREVIOUS(8), JOINED(9);
+        TAKEN(1),
+        ATTEMPT(2),
+        OUTCOME(3),
+        VERDICT(4),
+        ENDED(5),
+        REMEMBERED(6),
+        SNAPSHOT(7),
+        PREVIOUS(8),
+        JOINED(9);
 
         private static final Type[] BY_CODE = new Type[10];
 
@@ -63,15 +73,19 @@
     }
 
     /** What a segment's header says. */
-    record Header(int version, long sequence, long salt, long madeWall, BootClock clock) { }
+    record Header(int version, long sequence, long salt, long madeWall, BootClock clock) {}
 
-    private Format() { }
+    private Format() {}
 
     static ByteBuffer header(Header h) {
         ByteBuffer all = ByteBuffer.allocate(HEADER);
         for (int at = 0; at < HEADER; at += COPY) {
             all.position(at);
-            all.putLong(MAGIC).putInt(h.version()).putLong(h.sequence()).putLong(h.salt()).putLong(h.madeWall());
+            all.putLong(MAGIC)
+                    .putInt(h.version())
+                    .putLong(h.sequence())
+                    .putLong(h.salt())
+                    .putLong(h.madeWall());
             all.putLong(h.clock().boot()).putLong(h.clock().offsetMicros());
             all.putInt(sum(all, at));
         }
@@ -87,17 +101,26 @@
     /** The header, from whichever copy is good; null if none is. */
     static Header readHeader(ByteBuffer bytes) {
         for (int at = 0; at < HEADER; at += COPY) {
-            if (bytes.limit() >= at + HEADER_CONTENT + 4 && bytes.getLong(at) == MAGIC
+            if (bytes.limit() >= at + HEADER_CONTENT + 4
+                    && bytes.getLong(at) == MAGIC
                     && bytes.getInt(at + HEADER_CONTENT) == sum(bytes, at)) {
-                return new Header(bytes.getInt(at + 8), bytes.getLong(at + 12), bytes.getLong(at + 20),
-                        bytes.getLong(at + 28), new BootClock(bytes.getLong(at + 36), bytes.getLong(at + 44)));
+                return new Header(
+                        bytes.getInt(at + 8),
+                        bytes.getLong(at + 12),
+                        bytes.getLong(at + 20),
+                        bytes.getLong(at + 28),
+                        new BootClock(bytes.getLong(at + 36), bytes.getLong(at + 44)));
             }
         }
         return null;
     }
 
     /** What stands at a place in a segment. */
-    enum Look { GOOD, BAD, MORE }
+    enum Look {
+        GOOD,
+        BAD,
+        MORE
+    }
 
     /**
      * GOOD: a whole record stands at the position. MORE: it may be one, if the buffer held more bytes. BAD: none.
@@ -122,7 +145,9 @@
 
     /** True if the bytes end as a record does that is as long as they are. */
     static boolean endsWhole(long length, ByteBuffer lastFive) {
-        return length >= FRAME && lastFive.remaining() == TRAILER && lastFive.getInt(0) == length - FRAME
+        return length >= FRAME
+                && lastFive.remaining() == TRAILER
+                && lastFive.getInt(0) == length - FRAME
                 && lastFive.get(TRAILER - 1) == END;
     }
 
@@ -223,7 +248,7 @@
         /** All records, with their checksums for a segment of this salt; valid until the next change. */
         ByteBuffer sealed(long salt) {
             ByteBuffer all = out.duplicate().flip();
-            for (int at = 0; at < all.limit();) {
+            for (int at = 0; at < all.limit(); ) {
                 int length = all.getInt(at + LENGTH_AT);
                 all.putInt(at + SUM_AT, sum(all, at, length, salt));
                 at += length + FRAME;
--- a/src/main/java/lilaclever/journal/Held.java
+++ b/src/main/java/lilaclever/journal/Held.java
@@ -50,6 +50,7 @@
     private final TreeSet<Expiry> expiries = new TreeSet<>();
     /** Counts of live records by the bits of their size: the largest is known without a sorted map. */
     private final int[] sizes = new int[Integer.SIZE];
+
     private long live, growth;
     /** What to add to walls that are read. */
     private long shift;
@@ -272,7 +273,11 @@
         if (h.key() != null) {
             out.text(h.key());
         }
-        out.flag(h.again()).flag(h.inherited()).number(h.budgetMicros()).number(o.deadlineWall()).bytes(h.body());
+        out.flag(h.again())
+                .flag(h.inherited())
+                .number(h.budgetMicros())
+                .number(o.deadlineWall())
+                .bytes(h.body());
     }
 
     private static void end(Writer out, Verdict v) {
@@ -306,11 +311,14 @@
                     long until = wall(in);
                     // Version 1 has no fingerprint.
                     boolean compared = in.hasRemaining() && Format.flag(in);
-                    put(identity, new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
-                            segment, size);
+                    put(
+                            identity,
+                            new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
+                            segment,
+                            size);
                 }
                 case ENDED -> drop(Format.text(in));
-                case PREVIOUS -> { }
+                case PREVIOUS -> {}
                 default -> applyToOne(type, in);
             }
             return true;
@@ -343,8 +351,10 @@
         boolean inherited = Format.flag(in);
         long budget = in.getLong();
         long deadline = wall(in);
-        return new Owed(front, new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again,
-                inherited, budget), deadline);
+        return new Owed(
+                front,
+                new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again, inherited, budget),
+                deadline);
     }
 
     private void readPast(ByteBuffer in, Owed o) {
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -11,10 +11,9 @@
 import java.util.Base64;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.LongSupplier;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import lilaclever.identity.Past;
-import lilaclever.journal.Format.Type;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -47,14 +46,19 @@
     public int inspect() throws IOException {
         try (FolderDisk disk = take()) {
             Held held = new Held();
-            Recovery recovery = new Recovery(disk, held, BootClock.UNKNOWN, line -> { });
+            Recovery recovery = new Recovery(disk, held, BootClock.UNKNOWN, line -> {});
             Recovery.Report report = recovery.scan();
             out.printf("%-26s %9s %9s %9s %7s  %s%n", "file", "bytes", "used", "live", "records", "of which");
             for (Recovery.Found f : recovery.found()) {
                 Segment s = f.segment();
                 Map<String, Integer> counts = new TreeMap<>();
                 f.counts().forEach((type, n) -> counts.put(type.name().toLowerCase(), n));
-                out.printf("%-26s %9d %9d %9d %7d  %s%s%n", s.name, s.length, s.used, s.liveBytes,
+                out.printf(
+                        "%-26s %9d %9d %9d %7d  %s%s%n",
+                        s.name,
+                        s.length,
+                        s.used,
+                        s.liveBytes,
                         f.counts().values().stream().mapToInt(Integer::intValue).sum(),
                         f.header() == null ? s.sequence == Segment.LEGACY ? "format 0" : "no header" : counts,
                         s.damaged ? " damaged" : "");
@@ -65,8 +69,12 @@
                 }
             }
             long out1 = held.owed.values().stream().filter(s -> s.value.isOut()).count();
-            long risky = held.owed.values().stream().filter(s -> s.value.mayHaveRun()).count();
-            long ends = held.owed.values().stream().filter(s -> s.value.verdict() != null).count();
+            long risky = held.owed.values().stream()
+                    .filter(s -> s.value.mayHaveRun())
+                    .count();
+            long ends = held.owed.values().stream()
+                    .filter(s -> s.value.verdict() != null)
+                    .count();
             out.println("owed " + held.owed.size() + ", of which out " + out1 + ", possibly run " + risky
                     + ", end decided " + ends);
             out.println("remembered ends " + held.remembered.size());
@@ -77,7 +85,7 @@
     /** Reads all and prints only what is wrong. */
     public int verify() throws IOException {
         try (FolderDisk disk = take()) {
-            return told(new Recovery(disk, new Held(), BootClock.UNKNOWN, line -> { }).scan());
+            return told(new Recovery(disk, new Held(), BootClock.UNKNOWN, line -> {}).scan());
         }
     }
 
@@ -89,16 +97,16 @@
             out.println("missing files " + report.missing());
         }
         boolean good = report.damages().isEmpty() && report.missing() == 0;
-        out.println((good ? "good: " : "not good: ") + report.records() + " records in " + report.segments()
-                + " segments");
+        out.println(
+                (good ? "good: " : "not good: ") + report.records() + " records in " + report.segments() + " segments");
         return good ? GOOD : DAMAGED;
     }
 
     /** Writes what is live into as few files as hold it; damaged files are kept aside. */
     public int compact(long mostBytes) throws IOException {
         FolderDisk disk = take();
-        try (SegmentedJournal journal = new SegmentedJournal(disk, mostBytes,
-                new Durability(Durability.How.GROUP, 0), times(), new SplittableRandom())) {
+        try (SegmentedJournal journal = new SegmentedJournal(
+                disk, mostBytes, new Durability(Durability.How.GROUP, 0), times(), new SplittableRandom())) {
             long before = journal.allocated();
             journal.compactAll();
             out.println("bytes before " + before + ", now " + journal.allocated() + ", files " + journal.files());
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -105,8 +105,19 @@
         long deadline = in.getLong();
         byte[] body = new byte[in.getInt()];
         in.get(body);
-        return new Owed(front, new Handin(id, identity.isEmpty() ? null : identity, messageClass, destination,
-                key.isEmpty() ? null : key, body, again, inherited, budget), deadline);
+        return new Owed(
+                front,
+                new Handin(
+                        id,
+                        identity.isEmpty() ? null : identity,
+                        messageClass,
+                        destination,
+                        key.isEmpty() ? null : key,
+                        body,
+                        again,
+                        inherited,
+                        budget),
+                deadline);
     }
 
     private static Verdict readVerdict(ByteBuffer in) {
--- a/src/main/java/lilaclever/journal/Plan.java
+++ b/src/main/java/lilaclever/journal/Plan.java
@@ -20,6 +20,7 @@
     static final int FOR_COPIES = 2;
     /** Files emptied for each that is taken into use, where room is scarce. */
     private static final int FORCED = 2;
+
     private static final long SLICE = 64 * 1024, HASTY_SLICE = 256 * 1024;
     /** How long to leave a disk alone that has failed a write, microseconds. */
     static final long PAUSE = 200_000;
@@ -35,8 +36,7 @@
      * @param largest the largest record that is live
      * @param spares files that are empty
      */
-    record Space(long most, long allocated, long free, long live, long growth, long largest,
-            int spares) { }
+    record Space(long most, long allocated, long free, long live, long growth, long largest, int spares) {}
 
     private final long segment;
 
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -18,17 +18,17 @@
  */
 public final class Recovery {
     /** A part of a file that could not be read. */
-    public record Damage(String file, long from, long to) { }
+    public record Damage(String file, long from, long to) {}
 
     /** What was found: whole records, files, damage, and the last file that must be left behind. */
-    public record Report(long records, int segments, List<Damage> damages, int missing, boolean carriedOver,
-            long cleanUpTo) { }
+    public record Report(
+            long records, int segments, List<Damage> damages, int missing, boolean carriedOver, long cleanUpTo) {}
 
     /** One segment that was read, and how many records of each type it has. */
-    record Found(Segment segment, Format.Header header, EnumMap<Type, Integer> counts) { }
+    record Found(Segment segment, Format.Header header, EnumMap<Type, Integer> counts) {}
 
     /** A segment's name, and where the one before it ends as it says; -1 if it does not. */
-    private record Look(String name, long endOfPrevious) { }
+    private record Look(String name, long endOfPrevious) {}
 
     private final Disk disk;
     private final Held held;
@@ -91,8 +91,9 @@
     private Look look(String name) throws IOException {
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             if (reader.header() != null && reader.header().version() > Format.VERSION) {
-                throw new JournalException(name + " is of format " + reader.header().version()
-                        + ", and this program knows formats up to " + Format.VERSION + "; nothing was changed");
+                throw new JournalException(
+                        name + " is of format " + reader.header().version() + ", and this program knows formats up to "
+                                + Format.VERSION + "; nothing was changed");
             }
             return new Look(name, reader.endOfPrevious());
         }
@@ -100,8 +101,7 @@
 
     /** The one file of the first format is read as the oldest segment, and copied forward like any other. */
     private void carryOver() throws IOException {
-        Segment all = new Segment(Segment.LEGACY, LegacyReader.NAME,
-                Plan.blocks(disk.length(LegacyReader.NAME)));
+        Segment all = new Segment(Segment.LEGACY, LegacyReader.NAME, Plan.blocks(disk.length(LegacyReader.NAME)));
         LegacyReader reader = new LegacyReader(held, all);
         all.used = reader.read(disk);
         cleanUpTo = Segment.LEGACY;
@@ -132,7 +132,10 @@
         EnumMap<Type, Integer> counts = new EnumMap<>(Type.class);
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             found.add(new Found(segment, reader.header(), counts));
-            held.shiftWalls(reader.header() == null ? 0 : clock.shiftFrom(reader.header().clock()));
+            held.shiftWalls(
+                    reader.header() == null
+                            ? 0
+                            : clock.shiftFrom(reader.header().clock()));
             segment.used = reader.read(end, new SegmentReader.Listener() {
                 @Override
                 public boolean record(Type type, ByteBuffer content, long position, int size) {
--- a/src/main/java/lilaclever/journal/Segment.java
+++ b/src/main/java/lilaclever/journal/Segment.java
@@ -10,9 +10,11 @@
     final String name;
     /** Bytes on disk, and how far records reach. */
     final long length;
+
     long used;
     /** Records that the state rests on, and their bytes. */
     int liveRecords;
+
     long liveBytes;
     /** Forcings that had begun when nothing rested on it any more; -1 until then. */
     long emptyAt = -1;
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -20,7 +20,7 @@
     private static final int ZEROS = 64 * 1024;
 
     /** A file without content, ready for use. */
-    private record Spare(String name, long length) { }
+    private record Spare(String name, long length) {}
 
     private final Disk disk;
     private final Plan plan;
@@ -31,6 +31,7 @@
     private final ArrayDeque<Spare> spares = new ArrayDeque<>();
     /** Files that hold records which may not outlast the machine yet. */
     private final List<Disk.DiskFile> unforced = new ArrayList<>();
+
     private final boolean forces;
     private boolean namesChanged;
     private Segment active;
@@ -90,8 +91,14 @@
             free += s.length() - Format.OVERHEAD;
         }
         // What can't grow now has all the room it will get.
-        return new Plan.Space((cannotGrow ? allocated : most) - asideBytes, allocated - asideBytes, free, held.live(),
-                held.growth(), held.largest(), spares.size());
+        return new Plan.Space(
+                (cannotGrow ? allocated : most) - asideBytes,
+                allocated - asideBytes,
+                free,
+                held.live(),
+                held.growth(),
+                held.largest(),
+                spares.size());
     }
 
     long allocated() {
@@ -170,8 +177,10 @@
         try {
             long nextSalt = random.nextLong();
             file = disk.open(spare.name());
-            file.write(Format.header(new Format.Header(Format.VERSION, sequence, nextSalt, times.wall().getAsLong(),
-                    times.boot())), 0);
+            file.write(
+                    Format.header(new Format.Header(
+                            Format.VERSION, sequence, nextSalt, times.wall().getAsLong(), times.boot())),
+                    0);
             Segment last = full.peekLast();
             Writer first = new Writer();
             Held.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
@@ -218,7 +227,7 @@
     // ---- files ------------------------------------------------------------------------------------------
     private Spare take(long bytes) throws IOException {
         long needed = bytes + Format.OVERHEAD;
-        for (Iterator<Spare> all = spares.iterator(); all.hasNext();) {
+        for (Iterator<Spare> all = spares.iterator(); all.hasNext(); ) {
             Spare spare = all.next();
             if (spare.length() >= needed) {
                 all.remove();
@@ -347,7 +356,7 @@
 
     // ---- durability -------------------------------------------------------------------------------------
     /** What must be forced so that all written so far outlasts the machine. */
-    record Pending(List<Disk.DiskFile> full, Disk.DiskFile active, boolean names) { }
+    record Pending(List<Disk.DiskFile> full, Disk.DiskFile active, boolean names) {}
 
     /** Hands over what is to be forced; the full files are closed by whoever forces them. */
     Pending pending() {
--- a/src/main/java/lilaclever/journal/SegmentReader.java
+++ b/src/main/java/lilaclever/journal/SegmentReader.java
@@ -106,8 +106,9 @@
         window(at);
         Look look = Format.look(window, header.salt());
         while (look == Look.MORE && windowAt + window.limit() < length) {
-            refill(at, window.limit() - window.position() < window.capacity() ? window.capacity()
-                    : 2 * window.capacity());
+            refill(
+                    at,
+                    window.limit() - window.position() < window.capacity() ? window.capacity() : 2 * window.capacity());
             look = Format.look(window, header.salt());
         }
         return look;
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import lilaclever.journal.Format.Writer;
 import lilaclever.identity.Past;
+import lilaclever.journal.Format.Writer;
 import lilaclever.log.Logs;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Journal;
@@ -28,6 +28,7 @@
 public final class SegmentedJournal implements Journal {
     /** Files may be asked for again after so long without room, microseconds. */
     private static final long ASK_AGAIN = 1_000_000;
+
     private static final int EXPIRE_A_TURN = 256;
 
     private final Disk disk;
@@ -41,6 +42,7 @@
     private final Recovery.Report recovered;
     /** Messages and remembered ends whose last change could not be written. */
     private final Set<String> unwritten = new LinkedHashSet<>(), unwrittenEnds = new LinkedHashSet<>();
+
     private boolean failing;
     private long retryAt, askAgainAt;
     private long copied, failures;
@@ -51,14 +53,14 @@
      * @param mostBytes what all its files may take together, each in whole blocks of 512 bytes
      * @param random where salts come from
      */
-    public SegmentedJournal(Disk disk, long mostBytes, Durability durability, Times times, RandomGenerator random) throws IOException {
+    public SegmentedJournal(Disk disk, long mostBytes, Durability durability, Times times, RandomGenerator random)
+            throws IOException {
         this.disk = disk;
         micros = times.micros();
         plan = new Plan(mostBytes);
         syncer = new Syncer(durability, disk, this::writeAllAgain);
         log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
-        Recovery recovery = new Recovery(disk, held, times.boot(),
-                line -> Logs.warn("journal", "recovery", line));
+        Recovery recovery = new Recovery(disk, held, times.boot(), line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
         carryOver(recovered.cleanUpTo());
@@ -266,7 +268,10 @@
         retryAt = micros.getAsLong() + Plan.PAUSE;
         if (!failing) {
             failing = true;
-            Logs.error("journal", "disk-bad", "the disk takes no records, asked again every " + Plan.PAUSE / 1000 + " ms: " + e);
+            Logs.error(
+                    "journal",
+                    "disk-bad",
+                    "the disk takes no records, asked again every " + Plan.PAUSE / 1000 + " ms: " + e);
         }
     }
 
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -68,8 +68,10 @@
 
     /** Begins a forcing if one is due and none is under way. */
     void turn(long nowMicros, SegmentLog log) {
-        boolean due = durability.how() == Durability.How.GROUP ? written || !waiting.isEmpty()
-                : durability.how() == Durability.How.INTERVAL && written
+        boolean due = durability.how() == Durability.How.GROUP
+                ? written || !waiting.isEmpty()
+                : durability.how() == Durability.How.INTERVAL
+                        && written
                         && nowMicros - lastBegun >= durability.everyMicros();
         if (!due || running) {
             return;
--- a/src/main/java/lilaclever/lab/audit/Auditor.java
+++ b/src/main/java/lilaclever/lab/audit/Auditor.java
@@ -14,15 +14,16 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Watches a run from outside of the forwarders: what clients, partners, directory and platform see. It knows the rules and
- * the service figure, and the story of each message until some time after its end. Whatever host plays the run tells it;
- * times in microseconds since the run began. One thread.
+ * Watches a run from outside of the forwarders: what clients, partners, directory and platform see. It knows the rules
+ * and the service figure, and the story of each message until some time after its end. Whatever host plays the run
+ * tells it; times in microseconds since the run began. One thread.
  */
 public final class Auditor {
     /** An end may come so late after a message's time, and so late after a restart. */
     private static final long NOTICE = 300_000, RESTART = 1_500_000;
     /** Every limit of time is so much longer, and calls that cross a told wait are let through. */
     private static final long SLACK = 50_000, CROSSING = 100_000;
+
     private static final long KEEP = 30_000_000;
     private static final int MOST_BREACHES = 1000, MOST_STORIES = 20;
 
@@ -50,6 +51,7 @@
         boolean refused;
         /** Attempts of earlier hand-ins: what may come again is the client's own choice. */
         int earlier;
+
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<String> lines = new ArrayList<>(6);
 
@@ -76,6 +78,7 @@
     private final TreeMap<String, Long> counts = new TreeMap<>();
     /** When a forwarder was told that an endpoint drains or is gone. */
     private final Map<String, Long> toldGone = new HashMap<>();
+
     private final Map<String, long[]> waits = new HashMap<>();
     /** Each forwarder's times of being away, the last while: from its death to some time after it is ready. */
     private final Map<Integer, ArrayDeque<long[]>> downs = new HashMap<>();
@@ -126,14 +129,16 @@
     private void breach(Rule rule, long at, String what, Story s) {
         broken.merge(rule, 1, Integer::sum);
         if (breaches.size() < MOST_BREACHES) {
-            breaches.add(new Breach(rule, at, what, s == null || breaches.size() >= MOST_STORIES ? List.of() : List.copyOf(s.lines)));
+            breaches.add(new Breach(
+                    rule, at, what, s == null || breaches.size() >= MOST_STORIES ? List.of() : List.copyOf(s.lines)));
         }
     }
 
     // ---- clients ----------------------------------------------------------------------------------------
     /** A message is handed in for the first time. */
     public void arrives(int number, int messageClass, int destination, long workMicros, long at) {
-        Story s = new Story(number, messageClass, at, at + classes.get(messageClass).terms().deadlineMicros(), workMicros);
+        Story s = new Story(
+                number, messageClass, at, at + classes.get(messageClass).terms().deadlineMicros(), workMicros);
         s.line(at, classes.get(messageClass).name() + " " + number + " for destination " + destination);
         open.put(number, s);
         service.offered(workMicros);
@@ -168,7 +173,9 @@
         Story s = open.get(number);
         if (s != null) {
             s.refused = true;
-            s.line(at, "turned down" + (comeBackMicros > 0 ? ", to come back in " + comeBackMicros / 1000 + " ms" : ""));
+            s.line(
+                    at,
+                    "turned down" + (comeBackMicros > 0 ? ", to come back in " + comeBackMicros / 1000 + " ms" : ""));
         }
     }
 
@@ -184,9 +191,14 @@
             breach(Rule.ONE_END, at, "message " + number + " has ended as " + s.noticed + " and as " + status, s);
         }
         s.noticed = status;
-        if (status.equals("deferred") && riskAt(number) >= 0
+        if (status.equals("deferred")
+                && riskAt(number) >= 0
                 && classes.get(s.messageClass).terms().repeat() == Repeat.UNSAFE) {
-            breach(Rule.REPEAT, at, "message " + number + " may have run, and its client is asked to hand it in again", s);
+            breach(
+                    Rule.REPEAT,
+                    at,
+                    "message " + number + " may have run, and its client is asked to hand it in again",
+                    s);
         }
         if (late(s, at)) {
             breach(Rule.ONE_END, at, "message " + number + " ended " + (at - s.due) / 1000 + " ms after its time", s);
@@ -217,8 +229,12 @@
             s.line(at, "forwarder " + forwarder + " sends it to " + host);
         }
         if (gone != null && at > gone + drainGrace + SLACK) {
-            breach(Rule.DRAIN, at, "forwarder " + forwarder + " sends to " + host + " " + (at - gone) / 1000
-                    + " ms after it was told that it drains or is gone", s);
+            breach(
+                    Rule.DRAIN,
+                    at,
+                    "forwarder " + forwarder + " sends to " + host + " " + (at - gone) / 1000
+                            + " ms after it was told that it drains or is gone",
+                    s);
         }
         checkWait(forwarder, destination, at, s);
         if (s != null) {
@@ -227,7 +243,10 @@
         }
     }
 
-    /** The last byte of a call of this message comes, where that is later than its sending: no wait must bind it then either. */
+    /**
+     * The last byte of a call of this message comes, where that is later than its sending: no wait must bind it then
+     * either.
+     */
     public void comes(int number, int forwarder, int destination, long at) {
         checkWait(forwarder, destination, at, open.get(number));
     }
@@ -235,8 +254,12 @@
     private void checkWait(int forwarder, int destination, long at, Story s) {
         long[] wait = waits.get(forwarder + " " + destination);
         if (wait != null && at > wait[0] + CROSSING && at < wait[1]) {
-            breach(Rule.WAIT, at, "forwarder " + forwarder + " sends to destination " + destination + " "
-                    + (wait[1] - at) / 1000 + " ms before the end of a wait that it was told", s);
+            breach(
+                    Rule.WAIT,
+                    at,
+                    "forwarder " + forwarder + " sends to destination " + destination + " " + (wait[1] - at) / 1000
+                            + " ms before the end of a wait that it was told",
+                    s);
         }
     }
 
@@ -251,10 +274,15 @@
         }
         MessageClass c = classes.get(s.messageClass);
         Repeat repeat = c.terms().repeat();
-        if (risk >= 0 && (repeat == Repeat.UNSAFE
-                || repeat == Repeat.KEYED && at > risk + c.terms().repeatWindowMicros() + SLACK)) {
-            breach(Rule.REPEAT, at, c.name() + " " + s.number + " is sent again " + (at - risk) / 1000
-                    + " ms after an attempt that may have run", s);
+        if (risk >= 0
+                && (repeat == Repeat.UNSAFE
+                        || repeat == Repeat.KEYED && at > risk + c.terms().repeatWindowMicros() + SLACK)) {
+            breach(
+                    Rule.REPEAT,
+                    at,
+                    c.name() + " " + s.number + " is sent again " + (at - risk) / 1000
+                            + " ms after an attempt that may have run",
+                    s);
         }
         if (s.noticed != null) {
             breach(Rule.ONE_END, at, "message " + s.number + " is sent after it has ended as " + s.noticed, s);
@@ -315,8 +343,7 @@
 
     /** A forwarder was told to wait. */
     public void waitTold(int forwarder, int destination, long at, long waitMicros) {
-        waits.merge(forwarder + " " + destination, new long[] {at, at + waitMicros},
-                (a, b) -> b[1] > a[1] ? b : a);
+        waits.merge(forwarder + " " + destination, new long[] {at, at + waitMicros}, (a, b) -> b[1] > a[1] ? b : a);
     }
 
     /** A forwarder was told of an endpoint. */
@@ -355,7 +382,7 @@
     // ---- the end ----------------------------------------------------------------------------------------
     /** Closes the stories of messages whose time was over long ago. Once a second is enough. */
     public void sweep(long now) {
-        for (Iterator<Story> i = open.values().iterator(); i.hasNext();) {
+        for (Iterator<Story> i = open.values().iterator(); i.hasNext(); ) {
             Story s = i.next();
             if (s.firstAt + KEEP > now || s.due + KEEP > now) {
                 if (s.firstAt + KEEP > now) {
@@ -376,14 +403,23 @@
     }
 
     private void close(Story s, long now) {
-        if (s.takenAt >= 0 && s.deliveredAt < 0 && s.noticed == null && now > s.due + NOTICE
+        if (s.takenAt >= 0
+                && s.deliveredAt < 0
+                && s.noticed == null
+                && now > s.due + NOTICE
                 && !away(s.forwarder, s.due, now)) {
             breach(Rule.ONE_END, s.due, "message " + s.number + " has no end", s);
         }
         MessageClass c = classes.get(s.messageClass);
         double got = s.deliveredAt < 0 ? 0 : c.worth(s.deliveredAt - s.firstAt);
         service.count(s.messageClass, s.firstAt, c.terms().worth(), got, got == 0 && s.noticed != null);
-        count(s.deliveredAt >= 0 ? "fate_delivered" : s.noticed != null ? "fate_" + s.noticed : s.refused ? "fate_turned_down"
-                : s.takenAt >= 0 ? "fate_unknown" : "fate_never_taken");
+        count(
+                s.deliveredAt >= 0
+                        ? "fate_delivered"
+                        : s.noticed != null
+                                ? "fate_" + s.noticed
+                                : s.refused
+                                        ? "fate_turned_down"
+                                        : s.takenAt >= 0 ? "fate_unknown" : "fate_never_taken");
     }
 }
--- a/src/main/java/lilaclever/lab/audit/Service.java
+++ b/src/main/java/lilaclever/lab/audit/Service.java
@@ -97,8 +97,11 @@
     /** What comes off, a share. */
     public double deductions(Prices p) {
         double tries = Math.max(1, firstTries);
-        return (p.connection() * Math.min(1, connections / tries) + p.probe() * Math.min(1, probes / tries)
-                + p.lateFail() * share0(lateFailed, sum(classAsked)) + p.waste() * Math.min(1, share0(workWasted, workOffered))) / 100;
+        return (p.connection() * Math.min(1, connections / tries)
+                        + p.probe() * Math.min(1, probes / tries)
+                        + p.lateFail() * share0(lateFailed, sum(classAsked))
+                        + p.waste() * Math.min(1, share0(workWasted, workOffered)))
+                / 100;
     }
 
     /** The figure, 0 to 1. */
@@ -108,7 +111,9 @@
 
     /** The share of each second; no number where nothing was asked. */
     public double[] bySecond() {
-        return seconds.stream().mapToDouble(s -> s[0] > 0 ? s[1] / s[0] : Double.NaN).toArray();
+        return seconds.stream()
+                .mapToDouble(s -> s[0] > 0 ? s[1] / s[0] : Double.NaN)
+                .toArray();
     }
 
     /** New connections so far. */
--- a/src/main/java/lilaclever/lab/model/Allowance.java
+++ b/src/main/java/lilaclever/lab/model/Allowance.java
@@ -10,6 +10,7 @@
     private long at;
     /** Part of its usual rate that it lets through until a time. */
     private double part = 1;
+
     private long partUntil = Long.MIN_VALUE;
 
     /** {@code perSecond} in the mean; a rate lets a fifth of a second's calls through at once. */
@@ -32,7 +33,8 @@
     }
 
     private double most(long now) {
-        return limit == PartnerKind.Limit.RATE ? Math.max(1, rate(now) / 5)
+        return limit == PartnerKind.Limit.RATE
+                ? Math.max(1, rate(now) / 5)
                 : Math.max(1, Math.floor(rate(now) * spanMicros / 1e6));
     }
 
@@ -64,7 +66,8 @@
 
     /** When there is room again if nobody else takes it. */
     long roomAt(long now) {
-        return limit == PartnerKind.Limit.RATE ? now + (long) (Math.max(0, 1 - left) / rate(now) * 1e6)
+        return limit == PartnerKind.Limit.RATE
+                ? now + (long) (Math.max(0, 1 - left) / rate(now) * 1e6)
                 : (now / spanMicros + 1) * spanMicros;
     }
 }
--- a/src/main/java/lilaclever/lab/model/Draws.java
+++ b/src/main/java/lilaclever/lab/model/Draws.java
@@ -7,8 +7,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Random numbers from a named stream of a seed. Each part of the world draws from a stream of its own, so that one part's
- * change does not move what the others draw.
+ * Random numbers from a named stream of a seed. Each part of the world draws from a stream of its own, so that one
+ * part's change does not move what the others draw.
  */
 public final class Draws {
     private final UniformRandomProvider random;
@@ -20,7 +20,9 @@
         CRC32C sum = new CRC32C();
         sum.update(name.getBytes(StandardCharsets.UTF_8));
         // SplitMix spreads neighbouring seeds; the generator then has the whole state from it.
-        long mixed = RandomSource.SPLIT_MIX_64.create(seed ^ sum.getValue() << 32 ^ name.hashCode()).nextLong();
+        long mixed = RandomSource.SPLIT_MIX_64
+                .create(seed ^ sum.getValue() << 32 ^ name.hashCode())
+                .nextLong();
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(mixed);
         exponential = ZigguratSampler.Exponential.of(random);
         gaussian = ZigguratSampler.NormalizedGaussian.of(random);
--- a/src/main/java/lilaclever/lab/model/MessageClass.java
+++ b/src/main/java/lilaclever/lab/model/MessageClass.java
@@ -18,7 +18,8 @@
             return terms.worth();
         }
         double late = sinceMicros - terms.aimMicros();
-        double left = terms.halves() ? Math.pow(0.5, late / terms.aimMicros())
+        double left = terms.halves()
+                ? Math.pow(0.5, late / terms.aimMicros())
                 : 1 - late / (terms.deadlineMicros() - terms.aimMicros()) * (1 - terms.lateShare());
         return terms.worth() * Math.max(terms.lateShare(), left);
     }
--- a/src/main/java/lilaclever/lab/model/Partner.java
+++ b/src/main/java/lilaclever/lab/model/Partner.java
@@ -18,7 +18,13 @@
  */
 public final class Partner {
     /** How a call ends at the partner. */
-    public enum Status { DELIVERED, ERROR, FULL, NEVER, NO_CONNECTION }
+    public enum Status {
+        DELIVERED,
+        ERROR,
+        FULL,
+        NEVER,
+        NO_CONNECTION
+    }
 
     /**
      * The answer to a call, or to one message of it.
@@ -26,16 +32,22 @@
      * @param atMicros when it is written; for {@link Status#NEVER} nothing is
      * @param waitMicros told with FULL; 0: none
      */
-    public record Answer(Status status, long atMicros, long waitMicros) { }
+    public record Answer(Status status, long atMicros, long waitMicros) {}
 
     /** What may be wrong with a partner. */
-    public enum Outage { SILENT, FAILING, SHUT, DOWN, SLOW }
+    public enum Outage {
+        SILENT,
+        FAILING,
+        SHUT,
+        DOWN,
+        SLOW
+    }
 
     /** What a fleet shares: how partners come back. */
-    public record Cold(double from, long rampMicros, double tipMultiple, long overloadMicros) { }
+    public record Cold(double from, long rampMicros, double tipMultiple, long overloadMicros) {}
 
     /** {@code work}: in messages that come alone. */
-    private record Arrival(long at, int forwarder, double work) { }
+    private record Arrival(long at, int forwarder, double work) {}
 
     private final class Endpoint {
         final long[] freeAt;
@@ -62,6 +74,7 @@
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Work since it came back, of the last while: what makes it fall over. */
     private final ArrayDeque<Arrival> lately = new ArrayDeque<>();
+
     private final Set<Integer> sawItFail = new HashSet<>();
     private Outage outage;
     private double strength;
@@ -74,7 +87,13 @@
      *
      * @param meanWorkMicros of a message at a partner of usual pace
      */
-    public Partner(int destination, PartnerKind kind, int endpointCount, double ratePerSecond, double meanWorkMicros, Cold cold,
+    public Partner(
+            int destination,
+            PartnerKind kind,
+            int endpointCount,
+            double ratePerSecond,
+            double meanWorkMicros,
+            Cold cold,
             Draws draws) {
         this.destination = destination;
         this.kind = kind;
@@ -85,14 +104,16 @@
         double capacity = limit * (kind.limit() == PartnerKind.Limit.NONE ? 1 : draws.in(kind.spare()));
         double needed = capacity * meanWorkMicros * drawnPace / 1e6 / endpointCount;
         servers = Math.max(1, (int) Math.round(needed));
-        // Servers are whole: the pace makes up for it, so that what was drawn is what the partner can do. Of a partner so
+        // Servers are whole: the pace makes up for it, so that what was drawn is what the partner can do. Of a partner
+        // so
         // small that one server is mostly idle it makes up a part only.
         pace = drawnPace * Math.min(MOST_STRETCH, servers / needed);
         double work = meanWorkMicros * pace / 1e6;
         perSecond = servers * endpointCount / work;
         meanSeconds = work;
         depthMicros = (long) (draws.in(kind.depthSeconds()) * 1e6);
-        connections = kind.connections()[1] == 0 ? Integer.MAX_VALUE
+        connections = kind.connections()[1] == 0
+                ? Integer.MAX_VALUE
                 : (int) Math.max(draws.in(kind.leastConnections()), draws.in(kind.connections()) * servers);
         tellsWait = draws.chance(kind.tellsWait());
         allowance = new Allowance(kind.limit(), limit, kind.spanMicros(), draws.chance(kind.refusedCount()));
@@ -154,7 +175,9 @@
             if (outage != Outage.SLOW) {
                 coldSince = outageUntil;
                 lately.clear();
-                endpoints.values().forEach(e -> java.util.Arrays.fill(e.freeAt, outageUntil)); // what was queued is dropped
+                endpoints
+                        .values()
+                        .forEach(e -> java.util.Arrays.fill(e.freeAt, outageUntil)); // what was queued is dropped
             }
             outage = null;
         }
@@ -213,7 +236,9 @@
         calls++;
         Outage wrong = now(now);
         Endpoint e = endpoints.get(host);
-        Answer answer = e == null || wrong == Outage.DOWN ? new Answer(Status.NO_CONNECTION, now, 0) : answer(e, work, wrong, now);
+        Answer answer = e == null || wrong == Outage.DOWN
+                ? new Answer(Status.NO_CONNECTION, now, 0)
+                : answer(e, work, wrong, now);
         if (wrong == null) {
             tip(forwarder, 1 + (work.length - 1) * kind.itemCost(), now);
         }
@@ -252,7 +277,8 @@
         for (int i = 0; i < work.length; i++) {
             all += work[i] * (i == 0 ? 1 : kind.itemCost());
         }
-        double took = all * pace * draws.lognormal(kind.variation()) / warmth(now) * (wrong == Outage.SLOW ? strength : 1);
+        double took =
+                all * pace * draws.lognormal(kind.variation()) / warmth(now) * (wrong == Outage.SLOW ? strength : 1);
         e.freeAt[soonest] = begin + (long) took;
         served += work.length;
         // An outage that begins before the answer takes it along; that is seen when the answer is due.
@@ -261,7 +287,8 @@
 
     private Answer full(long now) {
         refused++;
-        long wait = tellsWait && outage == null ? Math.max(draws.in(kind.waitMicros()), allowance.roomAt(now) - now) : 0;
+        long wait =
+                tellsWait && outage == null ? Math.max(draws.in(kind.waitMicros()), allowance.roomAt(now) - now) : 0;
         return new Answer(Status.FULL, now + REFUSED_AFTER, wait);
     }
 
@@ -283,7 +310,10 @@
         double sent = lately.stream().mapToDouble(Arrival::work).sum();
         // A little slack for chance, as a few calls are no flood.
         if (sent > 3 + cold.tipMultiple() * perSecond * warmth(now) * cold.overloadMicros() / 1e6) {
-            double knowing = lately.stream().filter(a -> sawItFail.contains(a.forwarder())).mapToDouble(Arrival::work).sum();
+            double knowing = lately.stream()
+                    .filter(a -> sawItFail.contains(a.forwarder()))
+                    .mapToDouble(Arrival::work)
+                    .sum();
             falls++;
             fallsByKnowing += knowing >= 2 * sent / 3 ? 1 : 0;
             fallenUntil = now + DOWN_FOR;
--- a/src/main/java/lilaclever/lab/model/PartnerKind.java
+++ b/src/main/java/lilaclever/lab/model/PartnerKind.java
@@ -15,9 +15,28 @@
  * @param batch messages in a call at most
  * @param itemCost work of a further message in a call, over that of the first
  */
-public record PartnerKind(String name, double share, boolean large, Limit limit, double[] headroom, double[] leastRate,
-        long spanMicros, double[] spare, double[] depthSeconds, double tellsWait, long[] waitMicros, double refusedCount,
-        double[] connections, double[] leastConnections, double variation, int batch, double itemCost) {
+public record PartnerKind(
+        String name,
+        double share,
+        boolean large,
+        Limit limit,
+        double[] headroom,
+        double[] leastRate,
+        long spanMicros,
+        double[] spare,
+        double[] depthSeconds,
+        double tellsWait,
+        long[] waitMicros,
+        double refusedCount,
+        double[] connections,
+        double[] leastConnections,
+        double variation,
+        int batch,
+        double itemCost) {
     /** Calls are not limited, limited by a plain rate, or by a count in each span of time. */
-    public enum Limit { NONE, RATE, WINDOW }
+    public enum Limit {
+        NONE,
+        RATE,
+        WINDOW
+    }
 }
--- a/src/main/java/lilaclever/lab/model/Traffic.java
+++ b/src/main/java/lilaclever/lab/model/Traffic.java
@@ -11,7 +11,7 @@
  */
 public final class Traffic {
     /** The load from a time on, up to the next point. */
-    public record Point(long atMicros, double load) { }
+    public record Point(long atMicros, double load) {}
 
     private final List<Point> shape;
     private final double perSecond, clumpShare;
@@ -21,8 +21,14 @@
     private final List<Partner> partners;
 
     /** {@code weights}: of the destinations, summing to 1, in the partners' order. */
-    public Traffic(List<Point> shape, double perSecond, double clumpShare, double[] clumpSeconds, List<MessageClass> classes,
-            double[] weights, List<Partner> partners) {
+    public Traffic(
+            List<Point> shape,
+            double perSecond,
+            double clumpShare,
+            double[] clumpSeconds,
+            List<MessageClass> classes,
+            double[] weights,
+            List<Partner> partners) {
         this.shape = shape;
         this.perSecond = perSecond;
         this.clumpShare = clumpShare;
@@ -84,7 +90,12 @@
     private Arrival arrival(long at, int partner, Draws draws) {
         double[] shares = classes.stream().mapToDouble(MessageClass::share).toArray();
         int c = pick(shares, draws.unit());
-        return new Arrival(at, 0, c, partners.get(partner).destination(), draws.in(classes.get(c).workMicros()));
+        return new Arrival(
+                at,
+                0,
+                c,
+                partners.get(partner).destination(),
+                draws.in(classes.get(c).workMicros()));
     }
 
     /** The index whose part of the sum the number from 0 to 1 falls into. */
--- a/src/main/java/lilaclever/lab/report/Page.java
+++ b/src/main/java/lilaclever/lab/report/Page.java
@@ -15,22 +15,35 @@
 final class Page {
     private static final double[] NONE = {};
 
-    private Page() { }
+    private Page() {}
 
     static String of(Result r) {
-        StringBuilder all = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
-                .append(escape(r.scenario().name())).append("</title><style>body{font:15px sans-serif;max-width:920px;margin:2em auto;"
-                + "padding:0 1em;color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .8em;text-align:right;"
-                + "border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}img{max-width:100%}"
-                + ".bad{color:#a00}pre{background:#f6f6f6;padding:.6em;overflow:auto}</style></head><body>\n");
-        all.append("<h1>").append(escape(r.scenario().name())).append("</h1>\n<p>").append(escape(r.scenario().about()))
-                .append(". Seed ").append(r.seed())
-                .append(r.trust() == null ? ", virtual time." : ", on sockets.").append("</p>\n");
+        StringBuilder all = new StringBuilder(
+                        "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
+                .append(escape(r.scenario().name()))
+                .append("</title><style>body{font:15px sans-serif;max-width:920px;margin:2em auto;"
+                        + "padding:0 1em;color:#222}table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em "
+                        + ".8em;text-align:right;"
+                        + "border-bottom:1px solid "
+                        + "#ddd}td:first-child,th:first-child{text-align:left}img{max-width:100%}"
+                        + ".bad{color:#a00}pre{background:#f6f6f6;padding:.6em;overflow:auto}</style></head><body>\n");
+        all.append("<h1>")
+                .append(escape(r.scenario().name()))
+                .append("</h1>\n<p>")
+                .append(escape(r.scenario().about()))
+                .append(". Seed ")
+                .append(r.seed())
+                .append(r.trust() == null ? ", virtual time." : ", on sockets.")
+                .append("</p>\n");
         if (r.partial()) {
-            all.append("<p class=\"bad\">Cut short after ").append(r.endMicros() / 1_000_000).append(" s: what follows is of that part.</p>\n");
+            all.append("<p class=\"bad\">Cut short after ")
+                    .append(r.endMicros() / 1_000_000)
+                    .append(" s: what follows is of that part.</p>\n");
         }
         if (r.trust() != null) {
-            all.append(r.trust().good() ? "<p>" : "<p class=\"bad\">").append(escape(r.trust().text())).append("</p>\n");
+            all.append(r.trust().good() ? "<p>" : "<p class=\"bad\">")
+                    .append(escape(r.trust().text()))
+                    .append("</p>\n");
         }
         figures(all, r);
         rules(all, r);
@@ -42,11 +55,16 @@
 
     private static void figures(StringBuilder all, Result r) {
         Service s = r.auditor().service();
-        all.append("<table><tr><th>service</th><th>whole run</th><th>worst 10 s</th><th>worst class</th><th>prices</th></tr><tr>");
-        for (double x : new double[] {s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)}) {
+        all.append("<table><tr><th>service</th><th>whole run</th><th>worst 10 s</th><th>worst class</th><th>prices</th>"
+                + "</tr><tr>");
+        for (double x : new double[] {
+            s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)
+        }) {
             all.append("<td>").append(String.format(Locale.ROOT, "%.3f", x)).append("</td>");
         }
-        all.append("</tr></table>\n<p>Service is 45% the whole run, 35% the worst ten seconds, 20% the worst class, less prices.</p>\n");
+        all.append(
+                "</tr></table>\n<p>Service is 45% the whole run, 35% the worst ten seconds, 20% the worst class, less "
+                        + "prices.</p>\n");
     }
 
     private static void rules(StringBuilder all, Result r) {
@@ -55,8 +73,13 @@
             return;
         }
         all.append("<h2 class=\"bad\">Broken rules</h2><ul>");
-        r.auditor().broken().forEach((rule, n) -> all.append("<li>").append(Report.name(rule)).append(", ").append(n)
-                .append(" times</li>"));
+        r.auditor()
+                .broken()
+                .forEach((rule, n) -> all.append("<li>")
+                        .append(Report.name(rule))
+                        .append(", ")
+                        .append(n)
+                        .append(" times</li>"));
         all.append("</ul>\n");
         List<Breach> breaches = r.auditor().breaches();
         for (Breach b : breaches.subList(0, Math.min(5, breaches.size()))) {
@@ -68,10 +91,26 @@
     }
 
     private static void plots(StringBuilder all, Result r) {
-        plot(all, "Service by the second of the first handing-in", Plots.overTime("share of worth", Map.of("service", r.auditor().service().bySecond()), r.events(), 1.05));
-        plot(all, "Messages a second", Plots.overTime("messages", pick(r, "arrived", "delivered", "refused", "failed", "turned_down"),
-                r.events(), 0));
-        plot(all, "Calls, and those that partners refused", Plots.overTime("calls a second", pick(r, "calls", "refusals"), r.events(), 0));
+        plot(
+                all,
+                "Service by the second of the first handing-in",
+                Plots.overTime(
+                        "share of worth",
+                        Map.of("service", r.auditor().service().bySecond()),
+                        r.events(),
+                        1.05));
+        plot(
+                all,
+                "Messages a second",
+                Plots.overTime(
+                        "messages",
+                        pick(r, "arrived", "delivered", "refused", "failed", "turned_down"),
+                        r.events(),
+                        0));
+        plot(
+                all,
+                "Calls, and those that partners refused",
+                Plots.overTime("calls a second", pick(r, "calls", "refusals"), r.events(), 0));
         plot(all, "Messages held by all forwarders", Plots.overTime("messages", pick(r, "held"), r.events(), 0));
         plot(all, "Time to delivery", Plots.latencies(r));
     }
@@ -88,33 +127,59 @@
     }
 
     private static void plot(StringBuilder all, String title, String image) {
-        all.append("<h2>").append(title).append("</h2><img alt=\"").append(title).append("\" src=\"").append(image).append("\">\n");
+        all.append("<h2>")
+                .append(title)
+                .append("</h2><img alt=\"")
+                .append(title)
+                .append("\" src=\"")
+                .append(image)
+                .append("\">\n");
     }
 
     private static void classes(StringBuilder all, Result r) {
-        all.append("<h2>Classes</h2><table><tr><th>class</th><th>service</th><th>delivered</th><th>median, ms</th><th>99%, ms</th>"
+        all.append("<h2>Classes</h2><table><tr><th>class</th><th>service</th><th>delivered</th><th>median, ms</th>"
+                + "<th>99%, ms</th>"
                 + "<th>most, ms</th></tr>");
         for (int c = 0; c < r.scenario().classes().size(); c++) {
             MessageClass mc = r.scenario().classes().get(c);
             Histogram h = r.auditor().latency(c);
-            all.append(String.format(Locale.ROOT, "<tr><td>%s</td><td>%.3f</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>",
-                    escape(mc.name()), r.auditor().service().ofClass(c), h.getTotalCount(), h.getValueAtPercentile(50) / 1000,
-                    h.getValueAtPercentile(99) / 1000, h.getMaxValue() / 1000));
+            all.append(String.format(
+                    Locale.ROOT,
+                    "<tr><td>%s</td><td>%.3f</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>",
+                    escape(mc.name()),
+                    r.auditor().service().ofClass(c),
+                    h.getTotalCount(),
+                    h.getValueAtPercentile(50) / 1000,
+                    h.getValueAtPercentile(99) / 1000,
+                    h.getMaxValue() / 1000));
         }
         all.append("</table>\n");
     }
 
     private static void partners(StringBuilder all, Result r) {
-        all.append("<h2>Partners with the most traffic</h2><table><tr><th>destination</th><th>kind</th><th>messages a second, at most</th>"
+        all.append("<h2>Partners with the most traffic</h2><table><tr><th>destination</th><th>kind</th><th>messages a "
+                + "second, at most</th>"
                 + "<th>share of traffic</th><th>calls</th><th>refused</th><th>fallen over</th></tr>");
-        for (Result.PartnerRow p : r.partners().subList(0, Math.min(20, r.partners().size()))) {
-            all.append(String.format(Locale.ROOT, "<tr><td>%d</td><td>%s</td><td>%.1f</td><td>%.1f%%</td><td>%d</td><td>%d</td><td>%d</td></tr>",
-                    p.destination(), escape(p.kind()), p.capacity(), p.share() * 100, p.calls(), p.refused(), p.falls()));
+        for (Result.PartnerRow p :
+                r.partners().subList(0, Math.min(20, r.partners().size()))) {
+            all.append(String.format(
+                    Locale.ROOT,
+                    "<tr><td>%d</td><td>%s</td><td>%.1f</td><td>%.1f%%</td><td>%d</td><td>%d</td><td>%d</td></tr>",
+                    p.destination(),
+                    escape(p.kind()),
+                    p.capacity(),
+                    p.share() * 100,
+                    p.calls(),
+                    p.refused(),
+                    p.falls()));
         }
         all.append("</table>\n");
     }
 
     static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 }
--- a/src/main/java/lilaclever/lab/report/Plots.java
+++ b/src/main/java/lilaclever/lab/report/Plots.java
@@ -33,15 +33,20 @@
 /** Draws plots as PNG images; no display is needed. */
 final class Plots {
     private static final int WIDTH = 900, HEIGHT = 300;
-    private static final Color[] COLOURS = {new Color(0x33, 0x66, 0xaa), new Color(0xcc, 0x66, 0x22), new Color(0x33, 0x88, 0x55),
-        new Color(0x88, 0x44, 0x99), new Color(0x77, 0x77, 0x77)};
+    private static final Color[] COLOURS = {
+        new Color(0x33, 0x66, 0xaa),
+        new Color(0xcc, 0x66, 0x22),
+        new Color(0x33, 0x88, 0x55),
+        new Color(0x88, 0x44, 0x99),
+        new Color(0x77, 0x77, 0x77)
+    };
     private static final Font SMALL = new Font(Font.SANS_SERIF, Font.PLAIN, 11);
 
     static {
         System.setProperty("java.awt.headless", "true");
     }
 
-    private Plots() { }
+    private Plots() {}
 
     /** A line for each series over the seconds of the run, with what happened as bands. */
     static String overTime(String yLabel, Map<String, double[]> lines, List<Result.Band> bands, double most) {
@@ -64,7 +69,8 @@
         }
         int shade = 0;
         for (Result.Band b : bands) {
-            IntervalMarker marker = new IntervalMarker(b.fromMicros() / 1e6, b.toMicros() / 1e6, new Color(0xdd, 0xaa, 0x33, 50));
+            IntervalMarker marker =
+                    new IntervalMarker(b.fromMicros() / 1e6, b.toMicros() / 1e6, new Color(0xdd, 0xaa, 0x33, 50));
             marker.setLabel(b.what());
             marker.setLabelFont(SMALL);
             marker.setLabelBackgroundColor(new Color(0, 0, 0, 0));
@@ -106,7 +112,8 @@
             points.forEach(p -> s.add(p[0], p[1], p[2], p[3]));
             data.addSeries(s);
         });
-        JFreeChart chart = ChartFactory.createXYLineChart(null, xLabel, yLabel, data, PlotOrientation.VERTICAL, true, false, false);
+        JFreeChart chart = ChartFactory.createXYLineChart(
+                null, xLabel, yLabel, data, PlotOrientation.VERTICAL, true, false, false);
         DeviationRenderer renderer = new DeviationRenderer(true, true);
         for (int i = 0; i < curves.size(); i++) {
             Color c = COLOURS[i % COLOURS.length];
@@ -121,7 +128,8 @@
     }
 
     private static JFreeChart chart(String x, String y, XYSeriesCollection data) {
-        JFreeChart chart = ChartFactory.createXYLineChart(null, x, y, data, PlotOrientation.VERTICAL, true, false, false);
+        JFreeChart chart =
+                ChartFactory.createXYLineChart(null, x, y, data, PlotOrientation.VERTICAL, true, false, false);
         style(chart);
         return chart;
     }
--- a/src/main/java/lilaclever/lab/report/Report.java
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -29,16 +29,19 @@
 public final class Report {
     private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
 
-    private Report() { }
+    private Report() {}
 
     /** Writes the folder. */
     public static void write(Result r, Path folder) throws IOException {
         Files.createDirectories(folder);
-        Files.writeString(folder.resolve("report.json"), new GsonBuilder().setPrettyPrinting().create().toJson(json(r)) + '\n');
+        Files.writeString(
+                folder.resolve("report.json"),
+                new GsonBuilder().setPrettyPrinting().create().toJson(json(r)) + '\n');
         Files.writeString(folder.resolve("seconds.csv"), seconds(r));
         Files.writeString(folder.resolve("partners.csv"), partners(r));
         for (int c = 0; c < r.scenario().classes().size(); c++) {
-            try (OutputStream out = Files.newOutputStream(folder.resolve("latency-" + r.scenario().classes().get(c).name() + ".hgrm"));
+            try (OutputStream out = Files.newOutputStream(folder.resolve(
+                            "latency-" + r.scenario().classes().get(c).name() + ".hgrm"));
                     PrintStream text = new PrintStream(out, false, StandardCharsets.UTF_8)) {
                 r.auditor().latency(c).outputPercentileDistribution(text, 5, 1000.0); // milliseconds
             }
@@ -70,7 +73,9 @@
         a.counts().forEach(counts::addProperty);
         counts.addProperty("new_connections", s.connections());
         counts.addProperty("probes", s.probes());
-        counts.addProperty("partners_fallen_over", r.partners().stream().mapToInt(Result.PartnerRow::falls).sum());
+        counts.addProperty(
+                "partners_fallen_over",
+                r.partners().stream().mapToInt(Result.PartnerRow::falls).sum());
         all.add("counts", counts);
         JsonObject classes = new JsonObject();
         for (int c = 0; c < r.scenario().classes().size(); c++) {
@@ -122,7 +127,8 @@
         o.addProperty("delivered", h.getTotalCount());
         JsonObject latency = new JsonObject();
         for (double p : PERCENTILES) {
-            latency.addProperty(p == 100 ? "most" : "p" + String.valueOf(p).replaceAll("\\.0$", ""),
+            latency.addProperty(
+                    p == 100 ? "most" : "p" + String.valueOf(p).replaceAll("\\.0$", ""),
                     h.getValueAtPercentile(p) / 1000);
         }
         o.add("latency_ms", latency);
@@ -143,8 +149,9 @@
         StringBuilder all = new StringBuilder("second,service," + String.join(",", names) + "\n");
         double[] service = r.auditor().service().bySecond();
         for (int i = 0; i < length; i++) {
-            all.append(i).append(',').append(i < service.length && !Double.isNaN(service[i])
-                    ? String.valueOf(round(service[i])) : "");
+            all.append(i)
+                    .append(',')
+                    .append(i < service.length && !Double.isNaN(service[i]) ? String.valueOf(round(service[i])) : "");
             for (String n : names) {
                 all.append(',').append((long) r.series().get(n)[i]);
             }
@@ -154,10 +161,20 @@
     }
 
     private static String partners(Result r) {
-        StringBuilder all = new StringBuilder("destination,kind,messages_a_second_at_most,share_of_traffic,calls,refused,served,fallen_over\n");
+        StringBuilder all = new StringBuilder(
+                "destination,kind,messages_a_second_at_most,share_of_traffic,calls,refused,served,fallen_over\n");
         for (Result.PartnerRow p : r.partners()) {
-            all.append(String.format(Locale.ROOT, "%d,%s,%.2f,%.4f,%d,%d,%d,%d%n", p.destination(), p.kind(), p.capacity(),
-                    p.share(), p.calls(), p.refused(), p.served(), p.falls()));
+            all.append(String.format(
+                    Locale.ROOT,
+                    "%d,%s,%.2f,%.4f,%d,%d,%d,%d%n",
+                    p.destination(),
+                    p.kind(),
+                    p.capacity(),
+                    p.share(),
+                    p.calls(),
+                    p.refused(),
+                    p.served(),
+                    p.falls()));
         }
         return all.toString();
     }
@@ -165,18 +182,36 @@
     /** A few lines for the terminal. */
     public static String summary(Result r) {
         Service s = r.auditor().service();
-        StringBuilder all = new StringBuilder(String.format(Locale.ROOT,
-                "%s, seed %d%s: service %.3f (whole run %.3f, worst 10 s %.3f, worst class %.3f, prices %.3f)%n", r.scenario().name(),
-                r.seed(), r.partial() ? ", CUT SHORT after " + r.endMicros() / 1_000_000 + " s" : "", s.figure(Prices.USUAL), s.whole(), s.worstWindow(), s.worstClass(), s.deductions(Prices.USUAL)));
+        StringBuilder all = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%s, seed %d%s: service %.3f (whole run %.3f, worst 10 s %.3f, worst class %.3f, prices %.3f)%n",
+                r.scenario().name(),
+                r.seed(),
+                r.partial() ? ", CUT SHORT after " + r.endMicros() / 1_000_000 + " s" : "",
+                s.figure(Prices.USUAL),
+                s.whole(),
+                s.worstWindow(),
+                s.worstClass(),
+                s.deductions(Prices.USUAL)));
         Map<String, Long> counts = r.auditor().counts();
         long messages = counts.getOrDefault("messages", 0L);
-        all.append(String.format(Locale.ROOT, "%d messages, %d delivered, %d attempts, %d restarts%n", messages,
-                counts.getOrDefault("fate_delivered", 0L), counts.getOrDefault("attempts", 0L), counts.getOrDefault("restarts", 0L)));
+        all.append(String.format(
+                Locale.ROOT,
+                "%d messages, %d delivered, %d attempts, %d restarts%n",
+                messages,
+                counts.getOrDefault("fate_delivered", 0L),
+                counts.getOrDefault("attempts", 0L),
+                counts.getOrDefault("restarts", 0L)));
         for (int c = 0; c < r.scenario().classes().size(); c++) {
             MessageClass mc = r.scenario().classes().get(c);
             Histogram h = r.auditor().latency(c);
-            all.append(String.format(Locale.ROOT, "  %-16s service %.3f, delivered in %d ms (median), %d ms (99th percentile)%n", mc.name(),
-                    s.ofClass(c), h.getValueAtPercentile(50) / 1000, h.getValueAtPercentile(99) / 1000));
+            all.append(String.format(
+                    Locale.ROOT,
+                    "  %-16s service %.3f, delivered in %d ms (median), %d ms (99th percentile)%n",
+                    mc.name(),
+                    s.ofClass(c),
+                    h.getValueAtPercentile(50) / 1000,
+                    h.getValueAtPercentile(99) / 1000));
         }
         if (r.trust() != null) {
             all.append(r.trust().text()).append('\n');
@@ -184,7 +219,13 @@
         if (r.auditor().broken().isEmpty()) {
             return all + "all rules kept\n";
         }
-        r.auditor().broken().forEach((rule, n) -> all.append("BROKEN ").append(name(rule)).append(", ").append(n).append(" times\n"));
+        r.auditor()
+                .broken()
+                .forEach((rule, n) -> all.append("BROKEN ")
+                        .append(name(rule))
+                        .append(", ")
+                        .append(n)
+                        .append(" times\n"));
         Breach first = r.auditor().breaches().get(0);
         all.append("first: ").append(first.what()).append('\n');
         first.story().forEach(line -> all.append("    ").append(line).append('\n'));
--- a/src/main/java/lilaclever/lab/report/Sweep.java
+++ b/src/main/java/lilaclever/lab/report/Sweep.java
@@ -25,8 +25,15 @@
         double[] interval = Comparison.interval(services);
         double low = interval == null ? mean : interval[0], high = interval == null ? mean : interval[1];
         points.add(new double[] {at, mean, low, high});
-        csv.append(String.format(Locale.ROOT, "%s,%.4f,%.4f,%.4f,%d,%d%n", at, mean, low, high, services.size(), broken));
-        return String.format(Locale.ROOT, "%s: service %.3f (%.3f to %.3f)%s", label, mean, low, high,
+        csv.append(
+                String.format(Locale.ROOT, "%s,%.4f,%.4f,%.4f,%d,%d%n", at, mean, low, high, services.size(), broken));
+        return String.format(
+                Locale.ROOT,
+                "%s: service %.3f (%.3f to %.3f)%s",
+                label,
+                mean,
+                low,
+                high,
                 broken > 0 ? ", BROKEN rules " + broken : "");
     }
 
--- a/src/main/java/lilaclever/lab/scenario/Overrides.java
+++ b/src/main/java/lilaclever/lab/scenario/Overrides.java
@@ -13,7 +13,7 @@
 public final class Overrides {
     private static final Pattern FORM = Pattern.compile("([a-z-]+(?: [A-Za-z0-9_-]+)?)\\.([a-z][a-z0-9-]*)=(.*)");
 
-    private Overrides() { }
+    private Overrides() {}
 
     /** One setting. */
     public record Setting(String section, String key, String value) {
@@ -47,7 +47,9 @@
         for (int i = section + 1; i < all.size() && !all.get(i).startsWith("["); i++) {
             if (all.get(i).matches(Pattern.quote(key) + "(\\s.*)?")) {
                 all.remove(i);
-                while (i < all.size() && !all.get(i).isBlank() && Character.isWhitespace(all.get(i).charAt(0))) {
+                while (i < all.size()
+                        && !all.get(i).isBlank()
+                        && Character.isWhitespace(all.get(i).charAt(0))) {
                     all.remove(i);
                 }
                 return;
--- a/src/main/java/lilaclever/lab/scenario/Scenario.java
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -10,8 +10,14 @@
  * A rehearsal: a fleet, its partners, its traffic, and what happens. Two figures are the least and the most of what is
  * drawn.
  */
-public record Scenario(String name, String about, Fleet fleet, List<PartnerKind> kinds, List<MessageClass> classes,
-        TrafficPlan traffic, List<Happening> happenings) {
+public record Scenario(
+        String name,
+        String about,
+        Fleet fleet,
+        List<PartnerKind> kinds,
+        List<MessageClass> classes,
+        TrafficPlan traffic,
+        List<Happening> happenings) {
     /**
      * The forwarders and what they are allowed.
      *
@@ -22,18 +28,39 @@
      * @param frontMemory how long the front goes on sending to a dead forwarder
      * @param comesAgain how long a client waits before it hands in again what was refused, or what a dead forwarder had
      */
-    public record Fleet(int forwarders, int destinations, double ratePerSecond, double zipf, double[] endpoints, double slotsRoom,
-            int leastSlots, double holdSeconds, int leastHeld, long roundMicros, int mostAttempts, long connectMicros,
-            long keepAliveMicros, long networkMicros, long handshakeMicros, long[] directoryDelay, long[] frontMemory,
-            int clientRetries, long[] comesAgain, Partner.Cold cold, long drainGraceMicros, long diskBytes) { }
+    public record Fleet(
+            int forwarders,
+            int destinations,
+            double ratePerSecond,
+            double zipf,
+            double[] endpoints,
+            double slotsRoom,
+            int leastSlots,
+            double holdSeconds,
+            int leastHeld,
+            long roundMicros,
+            int mostAttempts,
+            long connectMicros,
+            long keepAliveMicros,
+            long networkMicros,
+            long handshakeMicros,
+            long[] directoryDelay,
+            long[] frontMemory,
+            int clientRetries,
+            long[] comesAgain,
+            Partner.Cold cold,
+            long drainGraceMicros,
+            long diskBytes) {}
 
     /**
      * What is handed in.
      *
      * @param clumps the share of messages that come in clumps, and a clump's size in seconds of its partner's capacity
-     * @param hl7 the share of messages whose clients speak HL7; in virtual time there is no wire, and it changes nothing
+     * @param hl7 the share of messages whose clients speak HL7; in virtual time there is no wire, and it changes
+     * nothing
      */
-    public record TrafficPlan(long lengthMicros, List<Traffic.Point> shape, double clumps, double[] clumpSeconds, double hl7) {
+    public record TrafficPlan(
+            long lengthMicros, List<Traffic.Point> shape, double clumps, double[] clumpSeconds, double hl7) {
         /** True if the message comes by HL7: the same in each run. */
         public boolean byHl7(int number) {
             return (number * 0x9E3779B97F4A7C15L >>> 40) / (double) (1 << 24) < hl7;
@@ -41,10 +68,25 @@
     }
 
     /** What can happen. */
-    public enum What { RESTART, DRAIN, SILENT, FAILING, SHUT, DOWN, SLOW, LOWERED, HOT, DEAF }
+    public enum What {
+        RESTART,
+        DRAIN,
+        SILENT,
+        FAILING,
+        SHUT,
+        DOWN,
+        SLOW,
+        LOWERED,
+        HOT,
+        DEAF
+    }
 
     /** Which partners it happens to. */
-    public enum Target { ANY, BUSIEST, SMALL }
+    public enum Target {
+        ANY,
+        BUSIEST,
+        SMALL
+    }
 
     /**
      * Something that happens at a time, once or several times.
@@ -53,10 +95,18 @@
      * @param forMicros how long it lasts; with RESTART, DRAIN: over how long it is spread
      * @param part of the forwarders (RESTART, HOT, DEAF), of the endpoints (DRAIN), of the partners (others)
      * @param kind only partners of that kind; null: any
-     * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; LOWERED: the part
-     *     of its limit that is left; HOT: the share of all traffic
+     * @param strength SILENT and the like: none; FAILING: the share that fails; SLOW: how many times slower; LOWERED:
+     * the part of its limit that is left; HOT: the share of all traffic
      * @param downMicros with RESTART: how long one is away; with DRAIN: how long an endpoint drains
      */
-    public record Happening(String name, What what, long[] at, long[] forMicros, double part, Target target, String kind,
-            double[] strength, long[] downMicros) { }
+    public record Happening(
+            String name,
+            What what,
+            long[] at,
+            long[] forMicros,
+            double part,
+            Target target,
+            String kind,
+            double[] strength,
+            long[] downMicros) {}
 }
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -27,8 +27,17 @@
 /** Reads scenarios. What a file does not set is as at a small exchange of lens labs, suppliers and processors. */
 public final class ScenarioReader {
     /** The scenarios that are shipped, by name. */
-    public static final List<String> SHIPPED = List.of("quiet", "monday", "month-end", "restart-wave-with-silent-lab",
-            "silent-partner", "mass-return", "rolling-replacement", "hot-forwarder", "partners-refuse", "bad-afternoon");
+    public static final List<String> SHIPPED = List.of(
+            "quiet",
+            "monday",
+            "month-end",
+            "restart-wave-with-silent-lab",
+            "silent-partner",
+            "mass-return",
+            "rolling-replacement",
+            "hot-forwarder",
+            "partners-refuse",
+            "bad-afternoon");
 
     private static final long MS = 1000, SECOND = 1_000_000, HOUR = 3600 * SECOND;
     private static final double MOST = 1e6;
@@ -55,15 +64,19 @@
         }
         Path path = Path.of(nameOrPath);
         if (!Files.exists(path)) {
-            throw new Bad(nameOrPath, "neither a file nor a shipped scenario"
-                    + ConfFile.nearest(nameOrPath, new java.util.LinkedHashSet<>(SHIPPED)));
+            throw new Bad(
+                    nameOrPath,
+                    "neither a file nor a shipped scenario"
+                            + ConfFile.nearest(nameOrPath, new java.util.LinkedHashSet<>(SHIPPED)));
         }
         String name = path.getFileName().toString().replaceFirst("\\.conf$", "");
         if (settings.isEmpty()) {
             return new ScenarioReader(ConfFile.read(path), name).read();
         }
         try {
-            return new ScenarioReader(ConfFile.parse(path.toString(), Overrides.apply(Files.readAllLines(path), settings)), name).read();
+            return new ScenarioReader(
+                            ConfFile.parse(path.toString(), Overrides.apply(Files.readAllLines(path), settings)), name)
+                    .read();
         } catch (IOException e) {
             throw new Bad(path.toString(), "can't be read: " + e);
         }
@@ -88,7 +101,13 @@
         String about = file.section("about").text("text", "");
         List<PartnerKind> kinds = kinds();
         List<MessageClass> classes = classes();
-        Scenario read = new Scenario(name, about, fleet(file.section("fleet")), kinds, classes, traffic(file.section("traffic")),
+        Scenario read = new Scenario(
+                name,
+                about,
+                fleet(file.section("fleet")),
+                kinds,
+                classes,
+                traffic(file.section("traffic")),
                 happenings(kinds));
         file.refuseUnknown(SECTIONS);
         return read;
@@ -96,18 +115,33 @@
 
     private static Fleet fleet(Section s) throws Bad {
         int forwarders = (int) s.whole("forwarders", 3, 1, 10_000);
-        return new Fleet(forwarders, (int) s.whole("destinations", 18, 1, 100_000), s.real("rate", 65, 0.01, MOST),
-                s.real("zipf", 1, 0, 3), s.range("endpoints", 1, 3, 1, 2_000), s.real("slots-room", 2, 0.1, 100),
-                (int) s.whole("least-slots", 4, 1, 10_000), s.real("hold", 5, 0.1, 1000),
-                (int) s.whole("least-held", 12, 1, 1_000_000), s.time("round", 5 * MS, 100, SECOND),
-                (int) s.whole("attempts", 8, 1, 100), s.time("connect-timeout", 1500 * MS, MS, 60 * SECOND),
-                s.time("keep-alive", 15 * SECOND, 100 * MS, HOUR), s.time("network", MS / 2, 0, SECOND),
-                s.time("handshake", 2 * MS, 0, SECOND), s.times("directory-delay", SECOND, 4 * SECOND, 0, HOUR),
-                s.times("front-memory", 1300 * MS, 4 * SECOND, 0, HOUR), (int) s.whole("client-retries", 1, 0, 100),
+        return new Fleet(
+                forwarders,
+                (int) s.whole("destinations", 18, 1, 100_000),
+                s.real("rate", 65, 0.01, MOST),
+                s.real("zipf", 1, 0, 3),
+                s.range("endpoints", 1, 3, 1, 2_000),
+                s.real("slots-room", 2, 0.1, 100),
+                (int) s.whole("least-slots", 4, 1, 10_000),
+                s.real("hold", 5, 0.1, 1000),
+                (int) s.whole("least-held", 12, 1, 1_000_000),
+                s.time("round", 5 * MS, 100, SECOND),
+                (int) s.whole("attempts", 8, 1, 100),
+                s.time("connect-timeout", 1500 * MS, MS, 60 * SECOND),
+                s.time("keep-alive", 15 * SECOND, 100 * MS, HOUR),
+                s.time("network", MS / 2, 0, SECOND),
+                s.time("handshake", 2 * MS, 0, SECOND),
+                s.times("directory-delay", SECOND, 4 * SECOND, 0, HOUR),
+                s.times("front-memory", 1300 * MS, 4 * SECOND, 0, HOUR),
+                (int) s.whole("client-retries", 1, 0, 100),
                 s.times("comes-again", 770 * MS, 1900 * MS, MS, HOUR),
-                new Partner.Cold(s.share("cold-from", 0.24, 1), s.time("cold-ramp", 9500 * MS, 0, HOUR),
-                        s.real("tip", 1.5, 0.1, 100), s.time("tip-for", 3 * SECOND, 100 * MS, HOUR)),
-                s.time("drain-grace", 500 * MS, 0, 60 * SECOND), s.size("disk", 3 << 20, 1 << 17, 1L << 34));
+                new Partner.Cold(
+                        s.share("cold-from", 0.24, 1),
+                        s.time("cold-ramp", 9500 * MS, 0, HOUR),
+                        s.real("tip", 1.5, 0.1, 100),
+                        s.time("tip-for", 3 * SECOND, 100 * MS, HOUR)),
+                s.time("drain-grace", 500 * MS, 0, 60 * SECOND),
+                s.size("disk", 3 << 20, 1 << 17, 1L << 34));
     }
 
     private TrafficPlan traffic(Section s) throws Bad {
@@ -121,7 +155,8 @@
             words = List.of("0s", words.get(0));
         }
         for (int i = 0; i + 1 < words.size(); i += 2) {
-            Traffic.Point p = new Traffic.Point(s.time("load", words.get(i), 0, 48 * HOUR), s.share("load", words.get(i + 1), 100));
+            Traffic.Point p = new Traffic.Point(
+                    s.time("load", words.get(i), 0, 48 * HOUR), s.share("load", words.get(i + 1), 100));
             if (!shape.isEmpty() && p.atMicros() <= shape.get(shape.size() - 1).atMicros()) {
                 throw s.bad("load", "times must grow: " + words.get(i));
             }
@@ -130,7 +165,11 @@
         if (words.size() % 2 != 0 || shape.get(0).atMicros() != 0) {
             throw s.bad("load", "one share, or times and shares in turn from 0s on, such as 0s 45% 30s 110%");
         }
-        return new TrafficPlan(length, shape, s.share("clumps", 0.1, 1), s.range("clump-seconds", 1.7, 3.5, 0.1, 1000),
+        return new TrafficPlan(
+                length,
+                shape,
+                s.share("clumps", 0.1, 1),
+                s.range("clump-seconds", 1.7, 3.5, 0.1, 1000),
                 s.share("hl7", 0, 1));
     }
 
@@ -146,60 +185,120 @@
         }
         double sum = kinds.stream().mapToDouble(PartnerKind::share).sum();
         if (Math.abs(sum - 1) > 1e-6) {
-            throw sections.get(0).bad("share", "the shares of all kinds are " + Math.round(sum * 1000) / 10.0 + "% together, not 100%");
+            throw sections.get(0)
+                    .bad(
+                            "share",
+                            "the shares of all kinds are " + Math.round(sum * 1000) / 10.0 + "% together, not 100%");
         }
         return kinds;
     }
 
     private static PartnerKind kind(Section s, boolean lab) throws Bad {
         boolean absent = !s.isThere();
-        PartnerKind.Limit limit = s.choice("limit", PartnerKind.Limit.class,
-                lab ? PartnerKind.Limit.WINDOW : PartnerKind.Limit.NONE);
-        return new PartnerKind(absent ? lab ? "lens-lab" : "supplier" : s.which(),
-                s.share("share", absent ? lab ? 0.25 : 0.75 : 1, 1), s.flag("large", lab), limit,
-                s.range("headroom", 0.94, 1.9, 0.01, 1000), s.range("least-rate", 1.9, 4, 0.001, MOST),
-                s.time("span", 2 * SECOND, 10 * MS, HOUR), s.range("spare", 1.15, 1.6, 0.1, 100),
-                s.range("depth", 0.3, 1, 0, 1000), s.share("tells-wait", 0, 1), s.times("wait", 200 * MS, SECOND, 0, HOUR),
-                s.share("refused-count", 1, 1), s.range("connections", lab ? 0 : 2.3, lab ? 0 : 3.7, 0, MOST),
-                s.range("least-connections", 7.2, 15, 1, MOST), s.real("variation", 0.5, 0, 10),
-                (int) s.whole("batch", lab ? 20 : 1, 1, 1000), s.real("item-cost", 0.15, 0, 1));
+        PartnerKind.Limit limit =
+                s.choice("limit", PartnerKind.Limit.class, lab ? PartnerKind.Limit.WINDOW : PartnerKind.Limit.NONE);
+        return new PartnerKind(
+                absent ? lab ? "lens-lab" : "supplier" : s.which(),
+                s.share("share", absent ? lab ? 0.25 : 0.75 : 1, 1),
+                s.flag("large", lab),
+                limit,
+                s.range("headroom", 0.94, 1.9, 0.01, 1000),
+                s.range("least-rate", 1.9, 4, 0.001, MOST),
+                s.time("span", 2 * SECOND, 10 * MS, HOUR),
+                s.range("spare", 1.15, 1.6, 0.1, 100),
+                s.range("depth", 0.3, 1, 0, 1000),
+                s.share("tells-wait", 0, 1),
+                s.times("wait", 200 * MS, SECOND, 0, HOUR),
+                s.share("refused-count", 1, 1),
+                s.range("connections", lab ? 0 : 2.3, lab ? 0 : 3.7, 0, MOST),
+                s.range("least-connections", 7.2, 15, 1, MOST),
+                s.real("variation", 0.5, 0, 10),
+                (int) s.whole("batch", lab ? 20 : 1, 1, 1000),
+                s.real("item-cost", 0.15, 0, 1));
     }
 
     private List<MessageClass> classes() throws Bad {
         List<Section> sections = file.sections("class");
         List<MessageClass> classes = new ArrayList<>();
         if (sections.isEmpty()) {
-            classes.add(messageClass(file.section("class lens-order"), "lens-order", 0.57, 62, 110, 4000, 20, 0.5, 1, Relay.Repeat.KEYED));
-            classes.add(messageClass(file.section("class status-update"), "status-update", 0.23, 100, 180, 800, 6, 0, 1, Relay.Repeat.SAFE));
-            classes.add(messageClass(file.section("class payment"), "payment", 0.2, 62, 110, 4000, 28, 0.5, 3, Relay.Repeat.UNSAFE));
+            classes.add(messageClass(
+                    file.section("class lens-order"),
+                    "lens-order",
+                    0.57,
+                    62,
+                    110,
+                    4000,
+                    20,
+                    0.5,
+                    1,
+                    Relay.Repeat.KEYED));
+            classes.add(messageClass(
+                    file.section("class status-update"),
+                    "status-update",
+                    0.23,
+                    100,
+                    180,
+                    800,
+                    6,
+                    0,
+                    1,
+                    Relay.Repeat.SAFE));
+            classes.add(messageClass(
+                    file.section("class payment"), "payment", 0.2, 62, 110, 4000, 28, 0.5, 3, Relay.Repeat.UNSAFE));
         }
         for (Section s : sections) {
             classes.add(messageClass(s, s.which(), 1, 62, 110, 4000, 20, 0.5, 1, Relay.Repeat.UNSAFE));
         }
         double sum = classes.stream().mapToDouble(MessageClass::share).sum();
         if (Math.abs(sum - 1) > 1e-6) {
-            throw sections.get(0).bad("share", "the shares of all classes are " + Math.round(sum * 1000) / 10.0 + "% together, not 100%");
+            throw sections.get(0)
+                    .bad(
+                            "share",
+                            "the shares of all classes are " + Math.round(sum * 1000) / 10.0 + "% together, not 100%");
         }
         return classes;
     }
 
-    private static MessageClass messageClass(Section s, String name, double share, long leastMs, long mostMs, long aimMs,
-            long deadlineS, double late, double worth, Relay.Repeat repeat) throws Bad {
+    private static MessageClass messageClass(
+            Section s,
+            String name,
+            double share,
+            long leastMs,
+            long mostMs,
+            long aimMs,
+            long deadlineS,
+            double late,
+            double worth,
+            Relay.Repeat repeat)
+            throws Bad {
         long aim = s.time("aim", aimMs * MS, MS, HOUR);
         long deadline = s.time("deadline", deadlineS * SECOND, 10 * MS, HOUR);
         if (aim > deadline) {
             throw s.bad("aim", "is after the deadline");
         }
-        return new MessageClass(name, s.share("share", share, 1), s.times("work", leastMs * MS, mostMs * MS, 1, HOUR),
-                new Relay.MessageClass(aim, deadline, s.real("worth", worth, 0, MOST), s.choice("repeat", Relay.Repeat.class, repeat),
-                        Relay.Group.ALL, s.time("window", 5 * SECOND, 0, HOUR), false, s.share("late", late, 1), true));
+        return new MessageClass(
+                name,
+                s.share("share", share, 1),
+                s.times("work", leastMs * MS, mostMs * MS, 1, HOUR),
+                new Relay.MessageClass(
+                        aim,
+                        deadline,
+                        s.real("worth", worth, 0, MOST),
+                        s.choice("repeat", Relay.Repeat.class, repeat),
+                        Relay.Group.ALL,
+                        s.time("window", 5 * SECOND, 0, HOUR),
+                        false,
+                        s.share("late", late, 1),
+                        true));
     }
 
     private List<Happening> happenings(List<PartnerKind> kinds) throws Bad {
         List<Happening> all = new ArrayList<>();
         for (Section s : file.sections("event")) {
             if (!s.has("what")) {
-                throw s.bad("what", "missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf");
+                throw s.bad(
+                        "what",
+                        "missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf");
             }
             What what = s.choice("what", What.class, What.RESTART);
             if (!s.has("at")) {
@@ -216,12 +315,20 @@
                 case HOT -> s.range("strength", 0.06, 0.22, 0, 1);
                 default -> new double[] {0, 0};
             };
-            all.add(new Happening(s.which(), what, s.times("at", 0, 0, 0, 48 * HOUR),
+            all.add(new Happening(
+                    s.which(),
+                    what,
+                    s.times("at", 0, 0, 0, 48 * HOUR),
                     s.times("for", 10 * SECOND, 20 * SECOND, MS, 48 * HOUR),
                     s.share("part", what == What.RESTART || what == What.DRAIN ? 1 : 0.2, 1),
-                    s.choice("target", Target.class, Target.ANY), kind, strength,
-                    what == What.RESTART ? s.times("down", 300 * MS, 1500 * MS, MS, HOUR)
-                            : what == What.DRAIN ? s.times("down", 2 * SECOND, 6 * SECOND, 0, HOUR) : new long[] {0, 0}));
+                    s.choice("target", Target.class, Target.ANY),
+                    kind,
+                    strength,
+                    what == What.RESTART
+                            ? s.times("down", 300 * MS, 1500 * MS, MS, HOUR)
+                            : what == What.DRAIN
+                                    ? s.times("down", 2 * SECOND, 6 * SECOND, 0, HOUR)
+                                    : new long[] {0, 0}));
         }
         return all;
     }
--- a/src/main/java/lilaclever/lab/sockets/Agent.java
+++ b/src/main/java/lilaclever/lab/sockets/Agent.java
@@ -20,14 +20,15 @@
 import lilaclever.lab.world.World;
 
 /**
- * The platform as one forwarder sees it: the directory's agent beside it, with its list and its watch, and where notices go.
- * It knows what it has been told. A thread for each connection reads; the rest runs on the timeline's thread.
+ * The platform as one forwarder sees it: the directory's agent beside it, with its list and its watch, and where
+ * notices go. It knows what it has been told. A thread for each connection reads; the rest runs on the timeline's
+ * thread.
  */
 final class Agent {
     private static final int MOST_CHANGES = 4_096;
     private static final long MOST_WAIT = 60_000;
 
-    private record Change(long version, List<Relay.Entry> entries) { }
+    private record Change(long version, List<Relay.Entry> entries) {}
 
     private static final class Watch {
         final Wire wire;
@@ -164,12 +165,14 @@
     }
 
     private static long number(String target, String key, long otherwise) {
-        java.util.regex.Matcher m = java.util.regex.Pattern.compile("[?&]" + key + "=(-?\\d{1,15})").matcher(target);
+        java.util.regex.Matcher m =
+                java.util.regex.Pattern.compile("[?&]" + key + "=(-?\\d{1,15})").matcher(target);
         return m.find() ? Long.parseLong(m.group(1)) : otherwise;
     }
 
     private void tell(Watch watch) {
-        boolean inOrder = watch.after == version || !changes.isEmpty() && changes.stream().anyMatch(c -> c.version() == watch.after + 1);
+        boolean inOrder = watch.after == version
+                || !changes.isEmpty() && changes.stream().anyMatch(c -> c.version() == watch.after + 1);
         if (!inOrder) {
             answer(watch.wire, "200 OK", known().toString());
             return;
--- a/src/main/java/lilaclever/lab/sockets/Clients.java
+++ b/src/main/java/lilaclever/lab/sockets/Clients.java
@@ -4,7 +4,6 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -15,8 +14,8 @@
 import lilaclever.lab.world.World;
 
 /**
- * The clients of one forwarder: each hand-in on a connection of its own for that while, which is kept and used again. They
- * are never held up by earlier hand-ins.
+ * The clients of one forwarder: each hand-in on a connection of its own for that while, which is kept and used again.
+ * They are never held up by earlier hand-ins.
  */
 final class Clients {
     private static final int PATIENCE = 400, CONNECT = 1000, BODY = 200;
@@ -93,11 +92,13 @@
     private Runnable outcome(String id, Head answer) {
         return switch (answer.target()) {
             case "200", "202" -> () -> world.taken(id);
-            case "429", "503" -> () -> world.turnedDown(id, (long) (Double.parseDouble(answer.header("Retry-After", "0")) * 1e6));
-            default -> () -> {
-                world.auditor().count("hand_ins_answered_" + answer.target());
-                world.turnedDown(id, 0);
-            };
+            case "429", "503" ->
+                () -> world.turnedDown(id, (long) (Double.parseDouble(answer.header("Retry-After", "0")) * 1e6));
+            default ->
+                () -> {
+                    world.auditor().count("hand_ins_answered_" + answer.target());
+                    world.turnedDown(id, 0);
+                };
         };
     }
 
--- a/src/main/java/lilaclever/lab/sockets/Doors.java
+++ b/src/main/java/lilaclever/lab/sockets/Doors.java
@@ -13,9 +13,9 @@
 import lilaclever.lab.world.World;
 
 /**
- * The partners' doors: a listening socket for each endpoint and forwarder, so that it is known who calls. While a partner is
- * down its doors are shut, and its connections are reset. All but the threads that wait for connections and bytes runs on
- * the timeline's thread.
+ * The partners' doors: a listening socket for each endpoint and forwarder, so that it is known who calls. While a
+ * partner is down its doors are shut, and its connections are reset. All but the threads that wait for connections and
+ * bytes runs on the timeline's thread.
  */
 final class Doors {
     private static final long LOOK = 10_000;
@@ -53,8 +53,15 @@
                     return;
                 }
                 world.auditor().service().connection();
-                PartnerConnection c = new PartnerConnection(world, time, new Wire(socket), partner, host, forwarder,
-                        partner.connect(host, forwarder), connections::remove);
+                PartnerConnection c = new PartnerConnection(
+                        world,
+                        time,
+                        new Wire(socket),
+                        partner,
+                        host,
+                        forwarder,
+                        partner.connect(host, forwarder),
+                        connections::remove);
                 connections.add(c);
                 c.start();
             } catch (IOException e) {
--- a/src/main/java/lilaclever/lab/sockets/Hl7Line.java
+++ b/src/main/java/lilaclever/lab/sockets/Hl7Line.java
@@ -10,8 +10,9 @@
 import lilaclever.lab.world.World;
 
 /**
- * A clinic system's line to one forwarder: HL7 v2.5 over MLLP in enhanced mode, many messages in flight on one connection.
- * It connects again whenever the connection ends, as ends may be owed there. A thread reads; the rest runs on the timeline's.
+ * A clinic system's line to one forwarder: HL7 v2.5 over MLLP in enhanced mode, many messages in flight on one
+ * connection. It connects again whenever the connection ends, as ends may be owed there. A thread reads; the rest runs
+ * on the timeline's.
  */
 final class Hl7Line {
     private static final int CONNECT = 500, AGAIN = 50;
@@ -57,7 +58,8 @@
             world.metNobody(id);
             return;
         }
-        String message = "MSH|^~\\&|" + OperatorFile.SENDER + "|NORTH|" + OperatorFile.receiver(a.destination()) + "|PRAIRIE|20260101000000||"
+        String message = "MSH|^~\\&|" + OperatorFile.SENDER + "|NORTH|" + OperatorFile.receiver(a.destination())
+                + "|PRAIRIE|20260101000000||"
                 + OperatorFile.event(a.messageClass()) + '|' + id + "|P|2.5|||AL|AL\rORC|NW|" + a.number() + "\rZLC|"
                 + String.format(Locale.ROOT, "%.3f", leftMicros / 1e6) + '\r';
         try {
--- a/src/main/java/lilaclever/lab/sockets/OperatorFile.java
+++ b/src/main/java/lilaclever/lab/sockets/OperatorFile.java
@@ -7,17 +7,27 @@
 final class OperatorFile {
     static final String SENDER = "CLINIC";
 
-    private OperatorFile() { }
+    private OperatorFile() {}
 
     static String text(Scenario s, String address) {
         StringBuilder all = new StringBuilder("[identity]\nshared yes\n\n[mllp line]\naddress " + address
-                + "\nnetworks 127.0.0.0/8\nin-flight 1000\n\n[hl7]\ndeadline ZLC-1\nmost-held 100000\n\n[practice clinic]\nsenders " + SENDER
+                + "\nnetworks 127.0.0.0/8\nin-flight 1000\n\n[hl7]\ndeadline ZLC-1\nmost-held 100000\n\n[practice "
+                + "clinic]\nsenders "
+                + SENDER
                 + '\n');
         for (int c = 0; c < s.classes().size(); c++) {
-            all.append("\n[hl7-class ").append(s.classes().get(c).name()).append("]\nevents ").append(event(c)).append('\n');
+            all.append("\n[hl7-class ")
+                    .append(s.classes().get(c).name())
+                    .append("]\nevents ")
+                    .append(event(c))
+                    .append('\n');
         }
         for (int d = 0; d < s.fleet().destinations(); d++) {
-            all.append("\n[hl7-destination ").append(d).append("]\nreceivers ").append(receiver(d)).append('\n');
+            all.append("\n[hl7-destination ")
+                    .append(d)
+                    .append("]\nreceivers ")
+                    .append(receiver(d))
+                    .append('\n');
         }
         return all.toString();
     }
--- a/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
+++ b/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
@@ -14,8 +14,8 @@
 import lilaclever.lab.world.World;
 
 /**
- * A forwarder's connection to a partner's endpoint: reads calls, asks the partner's model, writes what it answers when it is
- * due. One call at a time. A thread of its own reads; the rest runs on the timeline's thread.
+ * A forwarder's connection to a partner's endpoint: reads calls, asks the partner's model, writes what it answers when
+ * it is due. One call at a time. A thread of its own reads; the rest runs on the timeline's thread.
  */
 final class PartnerConnection {
     /** A second copy may only seem one, as the threads that read overtake each other: so long it is waited for. */
@@ -23,7 +23,9 @@
 
     /** A message of a call, under the name that the wire has for it. */
     record Item(String wireId, byte[] body) {
-        /** Its name among the hand-ins: an HL7 message has it in its header (MSH-10), as the forwarder gives it another. */
+        /**
+         * Its name among the hand-ins: an HL7 message has it in its header (MSH-10), as the forwarder gives it another.
+         */
         String id() {
             String text = new String(body, 0, Math.min(body.length, MOST_HEADER), StandardCharsets.ISO_8859_1);
             String[] fields = text.startsWith("MSH|") ? text.split("\\|", CONTROL_ID + 2) : new String[0];
@@ -41,13 +43,22 @@
     private final int forwarder;
     /** False: the partner holds as many connections as it takes. */
     private final boolean welcome;
+
     private final Consumer<PartnerConnection> ended;
     private List<String> out = List.of();
     /** The messages of the call that is out, where the answer must name each. */
     private List<Item> named = List.of();
+
     private boolean first = true, closed;
 
-    PartnerConnection(World world, RealTime time, Wire wire, Partner partner, String host, int forwarder, boolean welcome,
+    PartnerConnection(
+            World world,
+            RealTime time,
+            Wire wire,
+            Partner partner,
+            String host,
+            int forwarder,
+            boolean welcome,
             Consumer<PartnerConnection> ended) {
         this.world = world;
         this.time = time;
@@ -151,8 +162,10 @@
             write(ids.isEmpty() ? "400 Bad Request" : "410 Gone", "");
             return;
         }
-        if (waited < MOST_OVERTAKEN && ids.stream().anyMatch(id -> world.auditor().isOut(World.number(id)))) {
-            time.after(OVERTAKEN, () -> receive(ids, at, waited + OVERTAKEN)); // its end may be on its way to this thread
+        if (waited < MOST_OVERTAKEN
+                && ids.stream().anyMatch(id -> world.auditor().isOut(World.number(id)))) {
+            time.after(
+                    OVERTAKEN, () -> receive(ids, at, waited + OVERTAKEN)); // its end may be on its way to this thread
             return;
         }
         out = ids;
@@ -175,13 +188,16 @@
         switch (a.status()) {
             case NO_CONNECTION -> cut();
             case FULL -> time.at(a.atMicros(), () -> answer(ids, () -> full(ids, a.waitMicros())));
-            case ERROR -> time.at(a.atMicros(), () -> answer(ids, () -> {
-                over(ids, "error", false);
-                partner.heardFailure(forwarder, time.now());
-                write("500 Internal Server Error", "");
-            }));
+            case ERROR ->
+                time.at(
+                        a.atMicros(),
+                        () -> answer(ids, () -> {
+                            over(ids, "error", false);
+                            partner.heardFailure(forwarder, time.now());
+                            write("500 Internal Server Error", "");
+                        }));
             case DELIVERED -> time.at(a.atMicros(), () -> delivered(ids, a));
-            default -> { } // nothing comes back
+            default -> {} // nothing comes back
         }
     }
 
@@ -260,7 +276,9 @@
             while (end < body.length && body[end] != '\n') {
                 end++;
             }
-            String[] words = new String(body, at, end - at, StandardCharsets.ISO_8859_1).strip().split(" ");
+            String[] words = new String(body, at, end - at, StandardCharsets.ISO_8859_1)
+                    .strip()
+                    .split(" ");
             if (words.length != 3 || !words[2].matches("\\d{1,7}") || !seen.add(words[0])) {
                 return List.of();
             }
--- a/src/main/java/lilaclever/lab/sockets/Ports.java
+++ b/src/main/java/lilaclever/lab/sockets/Ports.java
@@ -8,16 +8,17 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
- * Ports for a run, on the loopback: none of those that the system gives to whoever asks for any. A port that is given up,
- * such as that of an endpoint that is gone, would otherwise be another run's a moment later, and callers that have not heard
- * would call there.
+ * Ports for a run, on the loopback: none of those that the system gives to whoever asks for any. A port that is given
+ * up, such as that of an endpoint that is gone, would otherwise be another run's a moment later, and callers that have
+ * not heard would call there.
  */
 final class Ports {
     /** How many there are. */
     static final int COUNT = 12_000;
+
     private static final int FIRST = 20_000, MOST_TRIES = 100, BACKLOG = 256;
 
-    private Ports() { }
+    private Ports() {}
 
     /** Listens at a port that was free. */
     static ServerSocket listen() throws IOException {
--- a/src/main/java/lilaclever/lab/sockets/RealTime.java
+++ b/src/main/java/lilaclever/lab/sockets/RealTime.java
@@ -9,11 +9,12 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Real time: what is due, and what other threads post, runs on the thread that calls {@link #runUntil}, one after the other.
- * How late each was is kept, as the run's figures are worth no more than that. Time stands at 0 until {@link #begin}.
+ * Real time: what is due, and what other threads post, runs on the thread that calls {@link #runUntil}, one after the
+ * other. How late each was is kept, as the run's figures are worth no more than that. Time stands at 0 until
+ * {@link #begin}.
  */
 final class RealTime implements Timeline {
-    private record Posted(long atNanos, Runnable action) { }
+    private record Posted(long atNanos, Runnable action) {}
 
     private static final long LONGEST_WAIT = 50_000, HOUR = 3_600_000_000L;
 
--- a/src/main/java/lilaclever/lab/sockets/Settings.java
+++ b/src/main/java/lilaclever/lab/sockets/Settings.java
@@ -12,9 +12,15 @@
 final class Settings {
     static final String ZONE = "here";
 
-    private Settings() { }
+    private Settings() {}
 
-    static JsonObject config(Scenario s, Relay.Settings settings, String listen, String discovery, Path state, long seed,
+    static JsonObject config(
+            Scenario s,
+            Relay.Settings settings,
+            String listen,
+            String discovery,
+            Path state,
+            long seed,
             JsonObject known) {
         JsonObject root = new JsonObject();
         root.addProperty("name", "n" + settings.self());
@@ -96,11 +102,13 @@
         o.addProperty("credit", c.terms().worth());
         o.addProperty("lateShare", c.terms().lateShare());
         o.addProperty("group", "all");
-        o.addProperty("repeat", switch (c.terms().repeat()) {
-            case SAFE -> "read_like";
-            case KEYED -> "idempotency_key";
-            case UNSAFE -> "non_idempotent";
-        });
+        o.addProperty(
+                "repeat",
+                switch (c.terms().repeat()) {
+                    case SAFE -> "read_like";
+                    case KEYED -> "idempotency_key";
+                    case UNSAFE -> "non_idempotent";
+                });
         o.addProperty("repeatWindowS", c.terms().repeatWindowMicros() / 1e6);
         return o;
     }
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -36,6 +36,7 @@
     private final Clients clients;
     /** Null where no message comes by HL7. */
     private final Hl7Line line;
+
     private final InetSocketAddress address;
     private Process process;
     private boolean served;
@@ -43,7 +44,14 @@
     private int life;
     private long broken;
 
-    SocketForwarder(World world, RealTime time, Doors doors, int number, Relay.Settings settings, long seed, Path folder,
+    SocketForwarder(
+            World world,
+            RealTime time,
+            Doors doors,
+            int number,
+            Relay.Settings settings,
+            long seed,
+            Path folder,
             List<String> command) {
         this.world = world;
         this.time = time;
@@ -69,7 +77,8 @@
     private Hl7Line hl7() {
         try {
             InetSocketAddress port = Ports.free();
-            Path conf = Files.writeString(folder.resolve("operator-" + number + ".conf"),
+            Path conf = Files.writeString(
+                    folder.resolve("operator-" + number + ".conf"),
                     OperatorFile.text(world.scenario(), "127.0.0.1:" + port.getPort()));
             command.addAll(List.of("--conf", conf.toString()));
             return new Hl7Line(world, time, port);
@@ -109,11 +118,21 @@
         int mine = ++life;
         agent.set(known, version);
         try {
-            Path config = Files.writeString(folder.resolve("config-" + number + ".json"), Settings.config(world.scenario(), settings,
-                    "127.0.0.1:" + address.getPort(), agent.address(), folder.resolve("state-" + number), seed * 31 + life,
-                    agent.known()).toString());
-            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).redirectInput(new File("/dev/null"));
+            Path config = Files.writeString(
+                    folder.resolve("config-" + number + ".json"),
+                    Settings.config(
+                                    world.scenario(),
+                                    settings,
+                                    "127.0.0.1:" + address.getPort(),
+                                    agent.address(),
+                                    folder.resolve("state-" + number),
+                                    seed * 31 + life,
+                                    agent.known())
+                            .toString());
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .redirectInput(new File("/dev/null"));
             builder.environment().keySet().removeIf(k -> k.startsWith("ROUTER_"));
             builder.environment().put("ROUTER_CONFIG", config.toString());
             process = builder.start();
@@ -145,7 +164,8 @@
         }
         time.post(() -> {
             if (life == mine && process != null && !served) {
-                failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: " + lastLine();
+                failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: "
+                        + lastLine();
             }
         });
     }
--- a/src/main/java/lilaclever/lab/sockets/Threads.java
+++ b/src/main/java/lilaclever/lab/sockets/Threads.java
@@ -11,16 +11,20 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private Threads() { }
+    private Threads() {}
 
     static void start(String name, Task task) {
-        Thread thread = new Thread(null, () -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // the socket is closed: that ends it
-            }
-        }, name, STACK);
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException | InterruptedException e) {
+                        // the socket is closed: that ends it
+                    }
+                },
+                name,
+                STACK);
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/lilaclever/lab/sockets/Wire.java
+++ b/src/main/java/lilaclever/lab/sockets/Wire.java
@@ -11,8 +11,8 @@
 import java.util.TreeMap;
 
 /**
- * One connection of a stand-in, either side of it: as much of HTTP/1.1 and of MLLP as the protocols need, within bounds. It
- * shares nothing with the program's own codecs, so that a fault of theirs is not made twice.
+ * One connection of a stand-in, either side of it: as much of HTTP/1.1 and of MLLP as the protocols need, within
+ * bounds. It shares nothing with the program's own codecs, so that a fault of theirs is not made twice.
  */
 public class Wire implements AutoCloseable {
     private static final int LONGEST_LINE = 8192, MOST_HEADERS = 100, MOST_BODY = 4 << 20, MOST_FRAME = 70_000;
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -33,12 +33,13 @@
 import lilaclever.transport.ConnectionPool;
 
 /**
- * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front and its deliverer
- * reach the world's models directly; what a wire would take is time here.
+ * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front and its
+ * deliverer reach the world's models directly; what a wire would take is time here.
  */
 final class VirtualForwarder implements Member, Front, Deliverer, Pace {
     /** The wall clock when a run begins: any day will do, and it is the same in each run. */
     private static final long WALL = 1_767_225_600_000_000L;
+
     private static final int MOST_IDLE = 64;
     /** How long a process takes to serve. */
     private static final long START = 400_000;
@@ -55,11 +56,13 @@
     private final long seed;
     /** Calls that are out: a dying process resets them. */
     private final Set<Call> out = new LinkedHashSet<>();
+
     private Core core;
     private Counters counters;
     private SegmentedJournal journal;
     /** Idle connections: all that is known of one is its endpoint. */
     private ConnectionPool<String> idle;
+
     private Waits waits;
     private int life;
     private long stepAt = Long.MAX_VALUE, lastStep = Long.MIN_VALUE;
@@ -90,8 +93,10 @@
     /** Task failures and invariants broken, over all lives. */
     @Override
     public long broken() {
-        return brokenBefore + (counters == null ? 0
-                : counters.get(Counters.Name.BROKEN_INVARIANTS) + counters.get(Counters.Name.TASKS_FAILED));
+        return brokenBefore
+                + (counters == null
+                        ? 0
+                        : counters.get(Counters.Name.BROKEN_INVARIANTS) + counters.get(Counters.Name.TASKS_FAILED));
     }
 
     // ---- lives ------------------------------------------------------------------------------------------
@@ -106,19 +111,24 @@
 
     private void begin(List<Relay.Entry> known, long version) {
         try {
-            journal = new SegmentedJournal(disk, world.scenario().fleet().diskBytes(), Durability.NONE,
-                    new Times(this::micros, this::wall, BootClock.UNKNOWN), new SplittableRandom(seed + life));
+            journal = new SegmentedJournal(
+                    disk,
+                    world.scenario().fleet().diskBytes(),
+                    Durability.NONE,
+                    new Times(this::micros, this::wall, BootClock.UNKNOWN),
+                    new SplittableRandom(seed + life));
         } catch (IOException e) {
             throw new IllegalStateException("a disk in memory", e);
         }
         counters = new Counters();
         waits = new Waits();
         counters.gauge("waits", waits::size);
-        idle = new ConnectionPool<>(settings.limits().keepAliveMicros(), MOST_IDLE, host -> true,
-                host -> world.disconnect(host, number));
+        idle = new ConnectionPool<>(
+                settings.limits().keepAliveMicros(), MOST_IDLE, host -> true, host -> world.disconnect(host, number));
         life++;
         lastStep = world.now();
-        core = new Core(settings, seed * 31 + life, journal, counters, new Windows(List.of(), 3_600_000_000L, 100_000), this);
+        core = new Core(
+                settings, seed * 31 + life, journal, counters, new Windows(List.of(), 3_600_000_000L, 100_000), this);
         core.add(this);
         core.begin(known.stream().map(this::listed).toList(), version);
         schedule();
@@ -209,7 +219,15 @@
             world.metNobody(id);
             return;
         }
-        Handin handin = new Handin(id, null, a.messageClass(), a.destination(), "k" + a.number(), new byte[64], false, false,
+        Handin handin = new Handin(
+                id,
+                null,
+                a.messageClass(),
+                a.destination(),
+                "k" + a.number(),
+                new byte[64],
+                false,
+                false,
                 HttpFront.budget(left, 0));
         core.post(() -> {
             if (!core.knows(handin.destination())) {
@@ -232,8 +250,9 @@
 
     @Override
     public void ended(Message message, String id, Verdict verdict, Runnable settled) {
-        String status = verdict.kind() == Verdict.Kind.REFUSED ? "deferred" : verdict.kind() == Verdict.Kind.FAILED
-                ? "undeliverable" : null;
+        String status = verdict.kind() == Verdict.Kind.REFUSED
+                ? "deferred"
+                : verdict.kind() == Verdict.Kind.FAILED ? "undeliverable" : null;
         if (status == null || world.fault() == Fault.SILENT) {
             settled.run();
             return;
@@ -255,8 +274,16 @@
     }
 
     private Core.Listed listed(Relay.Entry e) {
-        return new Core.Listed(e, new Call.Endpoint(e.host(), e.host(), e.destination(), e.zone(),
-                settings.kinds().get(e.kind()).batch(), settings.kinds().get(e.kind()).ownLimits(), this));
+        return new Core.Listed(
+                e,
+                new Call.Endpoint(
+                        e.host(),
+                        e.host(),
+                        e.destination(),
+                        e.zone(),
+                        settings.kinds().get(e.kind()).batch(),
+                        settings.kinds().get(e.kind()).ownLimits(),
+                        this));
     }
 
     // ---- calls ------------------------------------------------------------------------------------------
@@ -272,7 +299,9 @@
         if (!kept) {
             world.auditor().service().connection();
         }
-        long arrivesAt = world.now() + world.network() * (kept ? 1 : 3) + (kept ? 0 : world.scenario().fleet().handshakeMicros());
+        long arrivesAt = world.now()
+                + world.network() * (kept ? 1 : 3)
+                + (kept ? 0 : world.scenario().fleet().handshakeMicros());
         boolean connected = kept || partner.connect(host, number);
         if (kept) {
             later(arrivesAt, () -> arrive(call, way, partner, true));
@@ -305,7 +334,8 @@
             overAll(call, "full", true);
             return;
         }
-        Answer answer = world.call(partner, host, number, call.messages.stream().map(Message::id).toList());
+        Answer answer = world.call(
+                partner, host, number, call.messages.stream().map(Message::id).toList());
         switch (answer.status()) {
             case NO_CONNECTION -> {
                 overAll(call, "no connection", true);
@@ -318,7 +348,9 @@
                         world.auditor().waitTold(number, call.endpoint.destination(), world.now(), answer.waitMicros());
                     }
                     boolean deaf = world.fault() == Fault.IGNORES_WAITS;
-                    later(world.now() + world.network(), () -> end(call, way, Ending.FULL, deaf ? 0 : answer.waitMicros(), true));
+                    later(
+                            world.now() + world.network(),
+                            () -> end(call, way, Ending.FULL, deaf ? 0 : answer.waitMicros(), true));
                 });
             }
             case ERROR -> {
@@ -326,7 +358,7 @@
                 later(answer.atMicros() + world.network(), () -> end(call, way, Ending.ERROR, 0, true));
             }
             case DELIVERED -> world.at(answer.atMicros(), () -> delivered(call, way, partner, answer));
-            default -> { } // nothing comes back
+            default -> {} // nothing comes back
         }
     }
 
@@ -407,8 +439,11 @@
                 case NO_CONNECTION -> Ending.NO_CONNECTION;
                 default -> Ending.TIMED_OUT;
             };
-            long at = ending == Ending.TIMED_OUT ? sent + settings.limits().connectTimeoutMicros()
-                    : Math.min(answer.atMicros() + world.network(), sent + settings.limits().connectTimeoutMicros());
+            long at = ending == Ending.TIMED_OUT
+                    ? sent + settings.limits().connectTimeoutMicros()
+                    : Math.min(
+                            answer.atMicros() + world.network(),
+                            sent + settings.limits().connectTimeoutMicros());
             later(at, () -> {
                 if (ending != Ending.DELIVERED) {
                     partner.heardFailure(number, world.now());
--- a/src/main/java/lilaclever/lab/virtual/VirtualTime.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualTime.java
@@ -8,24 +8,25 @@
 import lilaclever.lab.world.World;
 
 /**
- * Plays a rehearsal in virtual time: the real cores with their modules and journals, in one thread. The same scenario and
- * seed give the same run, to the last event.
+ * Plays a rehearsal in virtual time: the real cores with their modules and journals, in one thread. The same scenario
+ * and seed give the same run, to the last event.
  *
  * <p>What it does not model: the forwarders' own processors (a turn takes no time), lost packets, and descriptors.
  */
 public final class VirtualTime {
-    private VirtualTime() { }
+    private VirtualTime() {}
 
     /** Plays the run to its end. */
     public static Result run(Scenario scenario, long seed, Fault fault) {
-        return run(scenario, seed, fault, now -> { }, () -> false);
+        return run(scenario, seed, fault, now -> {}, () -> false);
     }
 
     /**
-     * Plays the run; {@code progress} hears the virtual time once a virtual second. When {@code stopped} says so the run is
-     * cut short, and the result is partial.
+     * Plays the run; {@code progress} hears the virtual time once a virtual second. When {@code stopped} says so the
+     * run is cut short, and the result is partial.
      */
-    public static Result run(Scenario scenario, long seed, Fault fault, LongConsumer progress, BooleanSupplier stopped) {
+    public static Result run(
+            Scenario scenario, long seed, Fault fault, LongConsumer progress, BooleanSupplier stopped) {
         Scheduler scheduler = new Scheduler();
         World world = new World(scenario, seed, fault, scheduler, VirtualForwarder::new);
         world.start();
--- a/src/main/java/lilaclever/lab/world/Member.java
+++ b/src/main/java/lilaclever/lab/world/Member.java
@@ -5,8 +5,8 @@
 import lilaclever.lab.model.Arrival;
 
 /**
- * One forwarder of the fleet, as the world has it: a real core in virtual time, or a process on real sockets. All calls come
- * on the timeline's thread, and what it tells the world it tells there.
+ * One forwarder of the fleet, as the world has it: a real core in virtual time, or a process on real sockets. All calls
+ * come on the timeline's thread, and what it tells the world it tells there.
  */
 public interface Member {
     /** Makes the fleet's forwarders. */
@@ -28,8 +28,8 @@
     long broken();
 
     /**
-     * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#ready} once it
-     * serves.
+     * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#ready} once
+     * it serves.
      */
     void start(List<Relay.Entry> known, long version, boolean first);
 
--- a/src/main/java/lilaclever/lab/world/Result.java
+++ b/src/main/java/lilaclever/lab/world/Result.java
@@ -15,13 +15,28 @@
  * @param partial cut short
  * @param trust of a run in real time; null in virtual time
  */
-public record Result(Scenario scenario, long seed, Auditor auditor, List<Band> events, List<PartnerRow> partners,
-        TreeMap<String, double[]> series, long endMicros, long scheduled,
-        boolean partial, Trust trust) {
+public record Result(
+        Scenario scenario,
+        long seed,
+        Auditor auditor,
+        List<Band> events,
+        List<PartnerRow> partners,
+        TreeMap<String, double[]> series,
+        long endMicros,
+        long scheduled,
+        boolean partial,
+        Trust trust) {
     /** Something that happened, from a time to a time. */
-    public record Band(String what, long fromMicros, long toMicros) { }
+    public record Band(String what, long fromMicros, long toMicros) {}
 
     /** One partner's figures. */
-    public record PartnerRow(int destination, String kind, double capacity, double share, long calls, long refused, long served,
-            int falls) { }
+    public record PartnerRow(
+            int destination,
+            String kind,
+            double capacity,
+            double share,
+            long calls,
+            long refused,
+            long served,
+            int falls) {}
 }
--- a/src/main/java/lilaclever/lab/world/Trust.java
+++ b/src/main/java/lilaclever/lab/world/Trust.java
@@ -4,8 +4,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Whether a run in real time can be believed: how late the stand-ins did what was due. A partner that answers late, or a
- * client that hands in late, is a slower one than the scenario's, and the figures are then of another day.
+ * Whether a run in real time can be believed: how late the stand-ins did what was due. A partner that answers late, or
+ * a client that hands in late, is a slower one than the scenario's, and the figures are then of another day.
  *
  * @param tasks what was due
  * @param lateShare the share of it that was over {@link #LATE} late
@@ -15,6 +15,7 @@
 public record Trust(long tasks, double lateShare, long medianMicros, long p99Micros, long mostMicros, long troubles) {
     /** Later than this counts as late, microseconds. */
     public static final long LATE = 10_000;
+
     private static final double MOST_LATE = 0.005;
     private static final long MOST = 500_000;
 
@@ -22,8 +23,13 @@
     public static Trust of(Histogram lateness, long troubles) {
         long tasks = lateness.getTotalCount();
         double late = tasks == 0 ? 0 : 1 - lateness.getCountBetweenValues(0, LATE) / (double) tasks;
-        return new Trust(tasks, late, lateness.getValueAtPercentile(50), lateness.getValueAtPercentile(99),
-                lateness.getMaxValue(), troubles);
+        return new Trust(
+                tasks,
+                late,
+                lateness.getValueAtPercentile(50),
+                lateness.getValueAtPercentile(99),
+                lateness.getMaxValue(),
+                troubles);
     }
 
     /** True if the figures are those of the scenario. */
@@ -33,9 +39,16 @@
 
     /** For people. */
     public String text() {
-        return String.format(Locale.ROOT, "%s: of %d tasks %.2f%% were over %d ms late; median %.1f ms, 99th percentile %.1f ms, most %.1f ms%s",
-                good() ? "the stand-ins kept up" : "NOT TO BE TRUSTED, the stand-ins did not keep up", tasks, lateShare * 100,
-                LATE / 1000, medianMicros / 1e3, p99Micros / 1e3, mostMicros / 1e3,
+        return String.format(
+                Locale.ROOT,
+                "%s: of %d tasks %.2f%% were over %d ms late; median %.1f ms, 99th percentile %.1f ms, most %.1f ms%s",
+                good() ? "the stand-ins kept up" : "NOT TO BE TRUSTED, the stand-ins did not keep up",
+                tasks,
+                lateShare * 100,
+                LATE / 1000,
+                medianMicros / 1e3,
+                p99Micros / 1e3,
+                mostMicros / 1e3,
                 troubles == 0 ? "" : "; troubles of their own: " + troubles);
     }
 }
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -29,7 +29,10 @@
  * plays it, in virtual time or on sockets, is behind {@link Timeline} and {@link Member}. One thread, the timeline's.
  */
 public final class World {
-    private static final long SECOND = 1_000_000, AFTER_DEADLINES = 7 * SECOND, READY_SEEN = 100_000, DEATH_SEEN = SECOND;
+    private static final long SECOND = 1_000_000,
+            AFTER_DEADLINES = 7 * SECOND,
+            READY_SEEN = 100_000,
+            DEATH_SEEN = SECOND;
     /** So much of a notice can come before its client has read that the message was taken on. */
     private static final long CROSSING = 5_000, MOST_CROSSING = 500_000;
 
@@ -45,15 +48,18 @@
     private final List<Member> forwarders = new ArrayList<>();
     /** Since when the front knows that it is dead; absent: it sends there. */
     private final Map<Integer, Long> frontKnowsDead = new HashMap<>();
+
     private final java.util.Set<Integer> served = new java.util.HashSet<>();
     private final long[] toldUntil, deafUntil;
     private final double[] frontWeights;
     private final Map<Integer, Integer> retriesLeft = new HashMap<>();
     /** Hand-ins that a forwarder has and has not answered: if it dies they come again. */
     private final Map<String, Integer> unanswered = new LinkedHashMap<>();
+
     private final Map<Integer, Arrival> arrivals = new HashMap<>();
     /** The last hand-in of each message: what comes under an earlier id counts for nothing. */
     private final Map<Integer, String> current = new HashMap<>();
+
     private final List<Result.Band> bands = new ArrayList<>();
     private final Draws clientDraws, frontDraws, directoryDraws, eventDraws;
     private final TreeMap<String, double[]> series = new TreeMap<>();
@@ -111,9 +117,16 @@
             work += c.share() * (c.workMicros()[0] + c.workMicros()[1]) / 2;
         }
         for (int rank = 0; rank < kinds.size(); rank++) {
-            int endpoints = Math.max(1, (int) Math.round(draws.in(fleet.endpoints()) * (rank < kinds.size() / 4 ? 1 : 0.6) + 0.2));
-            Partner p = new Partner(rank, kinds.get((int) order.get(rank)[1]), endpoints,
-                    weights[rank] * fleet.ratePerSecond(), work, fleet.cold(), new Draws(seed, "partner " + rank));
+            int endpoints = Math.max(1, (int)
+                    Math.round(draws.in(fleet.endpoints()) * (rank < kinds.size() / 4 ? 1 : 0.6) + 0.2));
+            Partner p = new Partner(
+                    rank,
+                    kinds.get((int) order.get(rank)[1]),
+                    endpoints,
+                    weights[rank] * fleet.ratePerSecond(),
+                    work,
+                    fleet.cold(),
+                    new Draws(seed, "partner " + rank));
             partners.add(p);
             for (int e = 0; e < endpoints; e++) {
                 addEndpoint(p);
@@ -124,8 +137,8 @@
     private Relay.Entry addEndpoint(Partner p) {
         String host = "s-" + p.destination() + "-" + hostCount++;
         p.add(host);
-        Relay.Entry e = new Relay.Entry(host, p.destination(), 0, scenario.kinds().indexOf(p.kind()), Presence.ACTIVE, 0,
-                now());
+        Relay.Entry e = new Relay.Entry(
+                host, p.destination(), 0, scenario.kinds().indexOf(p.kind()), Presence.ACTIVE, 0, now());
         directory.put(host, e);
         return e;
     }
@@ -136,17 +149,49 @@
         for (int i = 0; i < partners.size(); i++) {
             busy += weights[i] * each * partners.get(i).meanSeconds();
         }
-        Relay.Limits limits = new Relay.Limits(fleet.mostAttempts(), Math.max(fleet.leastHeld(), (int) (fleet.holdSeconds() * each)),
-                Math.max(fleet.leastSlots(), (int) Math.ceil(fleet.slotsRoom() * busy)), true, true, false, 1, fleet.connectMicros(),
-                fleet.keepAliveMicros(), true, 2 * SECOND);
-        Relay.Rules rules = new Relay.Rules(20_000, 10 * SECOND, fleet.drainGraceMicros(), fleet.cold().from(),
-                fleet.cold().rampMicros(), fleet.cold().tipMultiple(), fleet.cold().overloadMicros(), 0);
-        List<Relay.Kind> kinds = scenario.kinds().stream().map(k -> new Relay.Kind(false, k.batch())).toList();
-        List<Relay.MessageClass> classes = scenario.classes().stream().map(MessageClass::terms).toList();
+        Relay.Limits limits = new Relay.Limits(
+                fleet.mostAttempts(),
+                Math.max(fleet.leastHeld(), (int) (fleet.holdSeconds() * each)),
+                Math.max(fleet.leastSlots(), (int) Math.ceil(fleet.slotsRoom() * busy)),
+                true,
+                true,
+                false,
+                1,
+                fleet.connectMicros(),
+                fleet.keepAliveMicros(),
+                true,
+                2 * SECOND);
+        Relay.Rules rules = new Relay.Rules(
+                20_000,
+                10 * SECOND,
+                fleet.drainGraceMicros(),
+                fleet.cold().from(),
+                fleet.cold().rampMicros(),
+                fleet.cold().tipMultiple(),
+                fleet.cold().overloadMicros(),
+                0);
+        List<Relay.Kind> kinds = scenario.kinds().stream()
+                .map(k -> new Relay.Kind(false, k.batch()))
+                .toList();
+        List<Relay.MessageClass> classes =
+                scenario.classes().stream().map(MessageClass::terms).toList();
         Relay.Settings[] all = new Relay.Settings[fleet.forwarders()];
         for (int i = 0; i < all.length; i++) {
-            all[i] = new Relay.Settings(i, all.length, 0, 1, fleet.roundMicros(), false, Relay.Weights.NONE, false, 0.1, classes,
-                    kinds, List.of(), limits, rules);
+            all[i] = new Relay.Settings(
+                    i,
+                    all.length,
+                    0,
+                    1,
+                    fleet.roundMicros(),
+                    false,
+                    Relay.Weights.NONE,
+                    false,
+                    0.1,
+                    classes,
+                    kinds,
+                    List.of(),
+                    limits,
+                    rules);
         }
         return all;
     }
@@ -212,7 +257,9 @@
 
     /** A call with these messages has come whole; tells what the partner makes of it. */
     public Answer call(Partner partner, String host, int forwarder, List<String> ids) {
-        long[] work = ids.stream().mapToLong(id -> arrivals.get(number(id)).workMicros()).toArray();
+        long[] work = ids.stream()
+                .mapToLong(id -> arrivals.get(number(id)).workMicros())
+                .toArray();
         add("calls", 1);
         Answer answer = partner.call(host, forwarder, work, now());
         if (fault == Fault.FLOODS && partner.warmth(now()) < 1) {
@@ -284,7 +331,8 @@
     }
 
     private void handIn(Arrival a) {
-        long left = a.atMicros() + scenario.classes().get(a.messageClass()).terms().deadlineMicros() - now();
+        long left =
+                a.atMicros() + scenario.classes().get(a.messageClass()).terms().deadlineMicros() - now();
         if (left <= 0) {
             return;
         }
@@ -364,8 +412,11 @@
     /** A client does not hand in again what may have taken effect, or with a key only inside its window. */
     private boolean mayComeAgain(int n, long at) {
         long risk = auditor.riskAt(n);
-        Relay.MessageClass c = scenario.classes().get(arrivals.get(n).messageClass()).terms();
-        return risk < 0 || c.repeat() == Relay.Repeat.SAFE || c.repeat() == Relay.Repeat.KEYED && at <= risk + c.repeatWindowMicros();
+        Relay.MessageClass c =
+                scenario.classes().get(arrivals.get(n).messageClass()).terms();
+        return risk < 0
+                || c.repeat() == Relay.Repeat.SAFE
+                || c.repeat() == Relay.Repeat.KEYED && at <= risk + c.repeatWindowMicros();
     }
 
     // ---- lives ------------------------------------------------------------------------------------------
@@ -444,7 +495,9 @@
                     return; // it gets the whole list when it starts
                 }
                 boolean deaf = fault == Fault.IGNORES_DRAINS;
-                List<Relay.Entry> heard = changed.stream().filter(e -> !deaf || e.presence() == Presence.ACTIVE).toList();
+                List<Relay.Entry> heard = changed.stream()
+                        .filter(e -> !deaf || e.presence() == Presence.ACTIVE)
+                        .toList();
                 f.listing(v, heard);
                 changed.forEach(e -> auditor.told(n, e.host(), e.presence() == Presence.ACTIVE, now()));
             });
@@ -453,7 +506,8 @@
 
     private Relay.Entry change(String host, Presence presence) {
         Relay.Entry e = directory.get(host);
-        Relay.Entry changed = new Relay.Entry(host, e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros());
+        Relay.Entry changed =
+                new Relay.Entry(host, e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros());
         if (presence == Presence.LEFT) {
             directory.remove(host);
         } else {
@@ -597,8 +651,12 @@
 
     /** How long the run lasts, until the last end is due, microseconds. */
     public long length() {
-        return scenario.traffic().lengthMicros() + AFTER_DEADLINES
-                + scenario.classes().stream().mapToLong(c -> c.terms().deadlineMicros()).max().orElse(0);
+        return scenario.traffic().lengthMicros()
+                + AFTER_DEADLINES
+                + scenario.classes().stream()
+                        .mapToLong(c -> c.terms().deadlineMicros())
+                        .max()
+                        .orElse(0);
     }
 
     /** Starts the forwarders; each tells when it is {@link #ready}. */
@@ -610,9 +668,15 @@
 
     /** All that will happen is planned from now on; {@code progress} hears the time once a second. */
     public void begin(LongConsumer progress) {
-        plan = new Traffic(scenario.traffic().shape(), fleet.ratePerSecond(), scenario.traffic().clumps(),
-                scenario.traffic().clumpSeconds(), scenario.classes(), weights, partners).draw(scenario.traffic().lengthMicros(),
-                new Draws(seed, "arrivals"));
+        plan = new Traffic(
+                        scenario.traffic().shape(),
+                        fleet.ratePerSecond(),
+                        scenario.traffic().clumps(),
+                        scenario.traffic().clumpSeconds(),
+                        scenario.classes(),
+                        weights,
+                        partners)
+                .draw(scenario.traffic().lengthMicros(), new Draws(seed, "arrivals"));
         scenario.happenings().forEach(this::plan);
         feed(0);
         everySecond(progress);
@@ -640,11 +704,21 @@
         for (int i = 0; i < partners.size(); i++) {
             Partner p = partners.get(i);
             if (p.fallsByKnowing() > 0) {
-                auditor.broken(Rule.FAIL_BACK, now(), "destination " + p.destination() + " was pushed over " + p.fallsByKnowing()
-                        + " times by forwarders that saw it fail");
+                auditor.broken(
+                        Rule.FAIL_BACK,
+                        now(),
+                        "destination " + p.destination() + " was pushed over " + p.fallsByKnowing()
+                                + " times by forwarders that saw it fail");
             }
-            rows.add(new Result.PartnerRow(p.destination(), p.kind().name(), p.capacity(), weights[i], p.calls(), p.refused(),
-                    p.served(), p.falls()));
+            rows.add(new Result.PartnerRow(
+                    p.destination(),
+                    p.kind().name(),
+                    p.capacity(),
+                    weights[i],
+                    p.calls(),
+                    p.refused(),
+                    p.served(),
+                    p.falls()));
         }
         return new Result(scenario, seed, auditor, bands, rows, series, now(), scheduled, now() < length(), trust);
     }
--- a/src/main/java/lilaclever/log/Lines.java
+++ b/src/main/java/lilaclever/log/Lines.java
@@ -15,14 +15,15 @@
 import org.slf4j.MDC;
 
 /**
- * Writes lines to the standard error, one write for each, so that lines of several threads are not mixed. It is the JDK's
- * own logging that hands them over: of the back ends it costs a start the least, as the transport's library has loaded it
- * already.
+ * Writes lines to the standard error, one write for each, so that lines of several threads are not mixed. It is the
+ * JDK's own logging that hands them over: of the back ends it costs a start the least, as the transport's library has
+ * loaded it already.
  */
 final class Lines extends Handler {
     private static final String PROGRAM = "lilaclever";
     /** The fields come after the text in this order, others after these. */
     private static final String EVENT = "event";
+
     private static final int MOST_TEXT = 4000;
 
     private final Logs.Settings settings;
@@ -55,7 +56,8 @@
     @Override
     public void publish(LogRecord record) {
         Map<String, String> fields = MDC.getCopyOfContextMap();
-        String line = settings.form() == Logs.Form.JSON ? json(record, fields == null ? Map.of() : fields)
+        String line = settings.form() == Logs.Form.JSON
+                ? json(record, fields == null ? Map.of() : fields)
                 : text(record, fields == null ? Map.of() : fields);
         System.err.print(line + '\n');
     }
@@ -67,8 +69,9 @@
 
     private static String level(LogRecord record) {
         int value = record.getLevel().intValue();
-        return value >= Level.SEVERE.intValue() ? "error" : value >= Level.WARNING.intValue() ? "warning"
-                : value >= Level.INFO.intValue() ? "info" : "debug";
+        return value >= Level.SEVERE.intValue()
+                ? "error"
+                : value >= Level.WARNING.intValue() ? "warning" : value >= Level.INFO.intValue() ? "info" : "debug";
     }
 
     private static Instant time(LogRecord record) {
@@ -103,7 +106,9 @@
                 line.append(' ').append(name).append('=').append(printable(value));
             }
         });
-        return record.getThrown() == null ? line.toString() : line.append('\n').append(stack(record.getThrown())).toString().stripTrailing();
+        return record.getThrown() == null
+                ? line.toString()
+                : line.append('\n').append(stack(record.getThrown())).toString().stripTrailing();
     }
 
     /** A line stays one line, whatever came from outside. */
--- a/src/main/java/lilaclever/log/Logs.java
+++ b/src/main/java/lilaclever/log/Logs.java
@@ -7,18 +7,27 @@
 import org.slf4j.MDC;
 
 /**
- * The program's log: a line has a level, the part that it comes from, a text for people, and fields for machines: {@code
- * event}, what has happened, in a word that does not change, and where they are known {@code message} and {@code partner}.
+ * The program's log: a line has a level, the part that it comes from, a text for people, and fields for machines:
+ * {@code event}, what has happened, in a word that does not change, and where they are known {@code message} and
+ * {@code partner}.
  *
- * <p>Lines go through SLF4J, as those of libraries do. Its back end is loaded with the first line, so that a start does not
- * wait for it. Fields travel as the thread's diagnostic context.
+ * <p>Lines go through SLF4J, as those of libraries do. Its back end is loaded with the first line, so that a start does
+ * not wait for it. Fields travel as the thread's diagnostic context.
  */
 public final class Logs {
     /** How lines are written: for people, or a JSON object each. */
-    public enum Form { TEXT, JSON }
+    public enum Form {
+        TEXT,
+        JSON
+    }
 
     /** What is written: this level and those before it. */
-    public enum Level { ERROR, WARNING, INFO, DEBUG }
+    public enum Level {
+        ERROR,
+        WARNING,
+        INFO,
+        DEBUG
+    }
 
     /** {@code times}: text lines begin with time and level; those of a supervisor that does so itself need not. */
     public record Settings(Form form, Level level, boolean times) {
@@ -30,7 +39,7 @@
     private static volatile Settings settings = Settings.USUAL;
     private static volatile boolean loaded;
 
-    private Logs() { }
+    private Logs() {}
 
     /** From now on lines are written like this. */
     public static synchronized void set(Settings s) {
