--- a/src/main/java/lilaclever/program/ClassTable.java
+++ b/src/main/java/lilaclever/program/ClassTable.java
@@ -12,13 +12,14 @@
 import lilaclever.conf.Bad;
 
 /**
- * Classes by the numbers that they have in the module, in fronts and in the journal. Messages under way keep their class, so a
- * number never gets another meaning: a class that is new or has changed gets the next one, and one that has vanished keeps
- * its own without a name. What was renewed while running is noted, since messages outlast the process.
+ * Classes by the numbers that they have in the module, in fronts and in the journal. Messages under way keep their
+ * class, so a number never gets another meaning: a class that is new or has changed gets the next one, and one that has
+ * vanished keeps its own without a name. What was renewed while running is noted, since messages outlast the process.
  */
 record ClassTable(List<String> names, List<MessageClass> classes) {
     /** Numbers at most, and what the note and the one written beside it take on disk. */
     static final int MOST = 128;
+
     static final long NOTE_BYTES = 2 * MOST * 256L;
     private static final String NOTE = "classes";
 
@@ -37,8 +38,10 @@
             }
         }
         if (all.size() > MOST) {
-            throw new Bad("settings.requestClasses", "with all that came before more than " + MOST
-                    + " classes; a start with an empty state folder counts anew");
+            throw new Bad(
+                    "settings.requestClasses",
+                    "with all that came before more than " + MOST
+                            + " classes; a start with an empty state folder counts anew");
         }
         return new ClassTable(List.copyOf(allNames), List.copyOf(all));
     }
@@ -58,7 +61,8 @@
     void note(Path state, long mostBytes) throws IOException {
         String text = new Gson().toJson(this);
         if (text.length() > mostBytes) {
-            throw new IOException(text.length() + " bytes are more than the " + mostBytes + " that limits.disk_mb leaves for it");
+            throw new IOException(
+                    text.length() + " bytes are more than the " + mostBytes + " that limits.disk_mb leaves for it");
         }
         Config.note(state, NOTE, text);
     }
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -31,8 +31,20 @@
  * The one place where configuration is read, checked and given defaults. The file is named by {@code ROUTER_CONFIG};
  * the other variables override it.
  */
-record Config(String name, String listen, String operator, String discovery, Path state, long seed, long diskBytes,
-        int sockets, Relay.Settings settings, List<String> classNames, List<String> kinds, List<String> zones, JsonObject known,
+record Config(
+        String name,
+        String listen,
+        String operator,
+        String discovery,
+        Path state,
+        long seed,
+        long diskBytes,
+        int sockets,
+        Relay.Settings settings,
+        List<String> classNames,
+        List<String> kinds,
+        List<String> zones,
+        JsonObject known,
         Set<String> keys) {
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
@@ -40,6 +52,7 @@
     private static final String NOTE = "discovery";
     /** What the note takes on disk, and the one of endpoints out by hand, written beside the old one. */
     private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * Suspensions.NOTE_BYTES;
+
     private static final String SUSPENDED = "suspended";
     /** Descriptors that the machine itself needs, and some for files of the journal. */
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
@@ -48,7 +61,9 @@
     static Config read(Map<String, String> variables) throws Bad {
         Config read = readFile(variables, Set.of());
         ClassTable noted = ClassTable.noted(read.state);
-        return noted == null ? read : read.with(noted.followedBy(read.classNames, read.settings.classes()), read.attempts());
+        return noted == null
+                ? read
+                : read.with(noted.followedBy(read.classNames, read.settings.classes()), read.attempts());
     }
 
     /** {@code needed}: keys of the settings that must not be missing. */
@@ -106,7 +121,10 @@
 
     /** Notes the ids of endpoints that are out by hand. */
     static void noteSuspended(Path state, Set<String> ids) throws IOException {
-        note(state, SUSPENDED, ids.stream().map(id -> id + System.lineSeparator()).collect(Collectors.joining()));
+        note(
+                state,
+                SUSPENDED,
+                ids.stream().map(id -> id + System.lineSeparator()).collect(Collectors.joining()));
     }
 
     /** Writes a note in the state folder: the old one stays until the new one is whole. */
@@ -117,7 +135,8 @@
 
     private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
         try {
-            if (root.has("discovery") && Files.exists(state.resolve(NOTE))
+            if (root.has("discovery")
+                    && Files.exists(state.resolve(NOTE))
                     && Files.readString(state.resolve(NOTE)).equals(text("discovery", root, "discovery", null))) {
                 return text("discovery", root, "discovery", null);
             }
@@ -146,11 +165,47 @@
     private Config with(ClassTable table, int attempts) {
         Relay.Settings s = settings;
         Relay.Limits l = s.limits();
-        Relay.Limits limits = new Relay.Limits(attempts, l.maxOpen(), l.slots(), l.cancel(), l.probing(), l.peers(),
-                l.callsPerConnection(), l.connectTimeoutMicros(), l.keepAliveMicros(), l.comeBack(), l.maxComeBackMicros());
-        return new Config(name, listen, operator, discovery, state, seed, diskBytes, sockets, new Relay.Settings(s.self(),
-                s.relays(), s.zone(), s.zones(), s.roundMicros(), s.askForList(), s.weights(), s.reports(), s.overShareWorth(),
-                table.classes(), s.kinds(), s.tenants(), limits, s.rules()), table.names(), kinds, zones, known, keys);
+        Relay.Limits limits = new Relay.Limits(
+                attempts,
+                l.maxOpen(),
+                l.slots(),
+                l.cancel(),
+                l.probing(),
+                l.peers(),
+                l.callsPerConnection(),
+                l.connectTimeoutMicros(),
+                l.keepAliveMicros(),
+                l.comeBack(),
+                l.maxComeBackMicros());
+        return new Config(
+                name,
+                listen,
+                operator,
+                discovery,
+                state,
+                seed,
+                diskBytes,
+                sockets,
+                new Relay.Settings(
+                        s.self(),
+                        s.relays(),
+                        s.zone(),
+                        s.zones(),
+                        s.roundMicros(),
+                        s.askForList(),
+                        s.weights(),
+                        s.reports(),
+                        s.overShareWorth(),
+                        table.classes(),
+                        s.kinds(),
+                        s.tenants(),
+                        limits,
+                        s.rules()),
+                table.names(),
+                kinds,
+                zones,
+                known,
+                keys);
     }
 
     /** The classes by number. */
@@ -200,11 +255,20 @@
         return sockets / MAIL_PART;
     }
 
-    /** Connections of clients at most: what the program itself, calls, idle connections, mail and other fronts leave. */
+    /**
+     * Connections of clients at most: what the program itself, calls, idle connections, mail and other fronts leave.
+     */
     int mostClients(boolean mail, int otherFronts) {
         int operators = operator == null ? 0 : OperatorPort.MOST + 1;
-        return Math.max(1, sockets - OWN_SOCKETS - operators - settings.limits().slots() - mostIdle() - (mail ? 3 * mostMail() : 0)
-                - otherFronts);
+        return Math.max(
+                1,
+                sockets
+                        - OWN_SOCKETS
+                        - operators
+                        - settings.limits().slots()
+                        - mostIdle()
+                        - (mail ? 3 * mostMail() : 0)
+                        - otherFronts);
     }
 
     /** With more connections of clients than this none stays idle. */
@@ -212,7 +276,10 @@
         return sockets / CROWD_PART;
     }
 
-    /** The keys, but for discovery, classes and attempts, whose values differ from those of a configuration in use: they need a restart. */
+    /**
+     * The keys, but for discovery, classes and attempts, whose values differ from those of a configuration in use: they
+     * need a restart.
+     */
     List<String> restartNeeded(Config used) {
         List<String> keys = new ArrayList<>();
         if (!name.equals(used.name)) {
@@ -233,7 +300,8 @@
         if (sockets != used.sockets) {
             keys.add("limits.sockets");
         }
-        if (!with(used.table(), used.attempts()).settings.equals(used.settings) || !kinds.equals(used.kinds)
+        if (!with(used.table(), used.attempts()).settings.equals(used.settings)
+                || !kinds.equals(used.kinds)
                 || !zones.equals(used.zones)) {
             keys.add("settings");
         }
@@ -274,21 +342,29 @@
         if (sockets < LEAST_SOCKETS) {
             throw new Bad("limits.sockets", "must be " + LEAST_SOCKETS + " or more");
         }
-        JsonObject known = root.has("known") && !root.get("known").isJsonNull()
-                ? object("known", root.get("known")) : null;
+        JsonObject known =
+                root.has("known") && !root.get("known").isJsonNull() ? object("known", root.get("known")) : null;
         Path state = Path.of(value(variables, "ROUTER_STATE", root, "state", null));
         String operator = value(variables, "ROUTER_OPERATOR", root, "operator", "");
-        return new Config(value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
+        return new Config(
+                value(variables, "ROUTER_NAME", root, "name", "lilaclever"),
                 address(value(variables, "ROUTER_LISTEN", root, "listen", null), "listen"),
                 operator.isEmpty() ? null : address(operator, "operator"),
-                address(discovery(variables, root, state), "discovery"), state,
-                seed(text("seed", root, "seed", "0")), (long) (disk * MEGABYTE), sockets, read, classNames,
-                strings("settings.shapes", settings, "shapes"), strings("settings.zones", settings, "zones"), known,
+                address(discovery(variables, root, state), "discovery"),
+                state,
+                seed(text("seed", root, "seed", "0")),
+                (long) (disk * MEGABYTE),
+                sockets,
+                read,
+                classNames,
+                strings("settings.shapes", settings, "shapes"),
+                strings("settings.zones", settings, "zones"),
+                known,
                 keys);
     }
 
-    private static String value(Map<String, String> variables, String variable, JsonObject root, String key,
-            String otherwise) throws Bad {
+    private static String value(
+            Map<String, String> variables, String variable, JsonObject root, String key, String otherwise) throws Bad {
         String set = variables.get(variable);
         return set != null && !set.isEmpty() ? set : text(key, root, key, otherwise);
     }
@@ -332,7 +408,8 @@
         List<MailSettings.Listener> listeners = new ArrayList<>();
         for (JsonElement e : list("mail.listeners", root, "listeners")) {
             JsonObject o = object("mail.listeners", e);
-            listeners.add(new MailSettings.Listener(protocol("mail.listeners.protocol", o),
+            listeners.add(new MailSettings.Listener(
+                    protocol("mail.listeners.protocol", o),
                     address(text("mail.listeners.address", o, "address", null), "mail.listeners.address")));
         }
         List<MailSettings.Route> routes = new ArrayList<>();
@@ -349,13 +426,19 @@
             for (String a : addresses) {
                 address(a, "mail.routes.addresses");
             }
-            routes.add(new MailSettings.Route(text("mail.routes.domain", o, "domain", null), destination,
-                    protocol("mail.routes.protocol", o), addresses));
+            routes.add(new MailSettings.Route(
+                    text("mail.routes.domain", o, "domain", null),
+                    destination,
+                    protocol("mail.routes.protocol", o),
+                    addresses));
         }
         Map<String, Integer> classes = new HashMap<>();
         if (root.has("classes")) {
-            for (Map.Entry<String, JsonElement> e : object("mail.classes", root.get("classes")).entrySet()) {
-                classes.put(e.getKey(), classNumber("mail.classes." + e.getKey(), e.getValue().getAsString()));
+            for (Map.Entry<String, JsonElement> e :
+                    object("mail.classes", root.get("classes")).entrySet()) {
+                classes.put(
+                        e.getKey(),
+                        classNumber("mail.classes." + e.getKey(), e.getValue().getAsString()));
             }
         }
         int otherwise = unsafeClass();
@@ -364,14 +447,26 @@
         int mostRecipients = whole("mail.mostRecipients", root, "mostRecipients", DEFAULT_MOST_RECIPIENTS);
         double idle = number("mail.idleSeconds", root, "idleSeconds", DEFAULT_IDLE_SECONDS);
         if (mostBytes <= 0 || mostRecipients <= 0 || idle <= 0) {
-            throw new Bad(mostBytes <= 0 ? "mail.mostBytes" : mostRecipients <= 0 ? "mail.mostRecipients"
-                    : "mail.idleSeconds", "must be above 0");
-        }
-        return new MailSettings(text("mail.hostName", root, "hostName", name), listeners, routes,
-                text("mail.classHeader", root, "classHeader", DEFAULT_CLASS_HEADER), classes, otherwise,
-                dsn.isEmpty() ? otherwise : classNumber("mail.reportClass", dsn), mostBytes, mostRecipients,
+            throw new Bad(
+                    mostBytes <= 0
+                            ? "mail.mostBytes"
+                            : mostRecipients <= 0 ? "mail.mostRecipients" : "mail.idleSeconds",
+                    "must be above 0");
+        }
+        return new MailSettings(
+                text("mail.hostName", root, "hostName", name),
+                listeners,
+                routes,
+                text("mail.classHeader", root, "classHeader", DEFAULT_CLASS_HEADER),
+                classes,
+                otherwise,
+                dsn.isEmpty() ? otherwise : classNumber("mail.reportClass", dsn),
+                mostBytes,
+                mostRecipients,
                 (long) (idle * 1e6),
-                settings.classes().stream().map(Relay.MessageClass::deadlineMicros).toList());
+                settings.classes().stream()
+                        .map(Relay.MessageClass::deadlineMicros)
+                        .toList());
     }
 
     private int unsafeClass() throws Bad {
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -33,6 +33,7 @@
 final class Forwarder {
     /** After the signal: so long clients still come, so long calls may be out, and then the end. */
     private static final long ACCEPT = 500_000, CALLS_BY = 3_200_000, END = 3_400_000;
+
     private static final long LOOK = 20_000;
 
     private final Transport transport;
@@ -41,6 +42,7 @@
     private final HttpFront front;
     /** As it is in force: renewed at SIGHUP. */
     private Config config;
+
     private final Notices notices;
     private final Directory directory;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -54,21 +56,37 @@
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
-        journal = new SegmentedJournal(FolderDisk.take(config.state()), config.diskBytes() - config.noteBytes(),
+        journal = new SegmentedJournal(
+                FolderDisk.take(config.state()),
+                config.diskBytes() - config.noteBytes(),
                 operator.journal().durability(),
                 new Times(Core::micros, Core::wall, BootClock.read(Core::micros, Core::wall)),
                 new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
-        core = new Core(settings, config.seed(), journal, counters, operator.identity().windows());
-        Suspensions suspensions = new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(config.state(), ids));
+        core = new Core(
+                settings, config.seed(), journal, counters, operator.identity().windows());
+        Suspensions suspensions =
+                new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(config.state(), ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
-        directory = new Directory(core, transport, config.discovery(), deliverer,
-                new Directory.Names(config.kinds(), config.zones(), settings.kinds()), connect, keep,
+        directory = new Directory(
+                core,
+                transport,
+                config.discovery(),
+                deliverer,
+                new Directory.Names(config.kinds(), config.zones(), settings.kinds()),
+                connect,
+                keep,
                 suspensions::listing);
-        front = new HttpFront(core, config.classNames(), settings.classes(), config.mostClients(mail != null, operator.mllpConnections()), config.crowd(),
-                notices, operator.identity().practiceHeader());
+        front = new HttpFront(
+                core,
+                config.classNames(),
+                settings.classes(),
+                config.mostClients(mail != null, operator.mllpConnections()),
+                config.crowd(),
+                notices,
+                operator.identity().practiceHeader());
         core.add(front);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
@@ -85,7 +103,9 @@
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
         long version = known == null ? 0 : known.index();
-        core.start(suspensions.heard(Relay.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()), version);
+        core.start(
+                suspensions.heard(Relay.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()),
+                version);
         addresses.add(front.listen(transport, Transport.address(config.listen())));
         if (config.operator() != null) {
             addresses.add(new OperatorPort(core, suspensions).listen(transport, Transport.address(config.operator())));
@@ -123,9 +143,13 @@
     /** Starts all parts. */
     static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
         Forwarder forwarder = new Forwarder(config, operator, mail);
-        Logs.info("", "sizes", config.settings().limits().slots() + " slots, "
-                + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
-                + config.mostClients(mail != null, operator.mllpConnections()) + " for clients, " + config.mostIdle() + " idle to endpoints");
+        Logs.info(
+                "",
+                "sizes",
+                config.settings().limits().slots() + " slots, "
+                        + config.settings().limits().maxOpen() + " held, " + config.sockets() + " sockets: "
+                        + config.mostClients(mail != null, operator.mllpConnections()) + " for clients, "
+                        + config.mostIdle() + " idle to endpoints");
         Logs.info("", "serves", config.name() + " serves at " + forwarder.addresses);
         return forwarder;
     }
@@ -144,7 +168,12 @@
             Config read = Config.reread(variables, config);
             renew(config.renewed(read));
             for (String key : read.restartNeeded(config)) {
-                Logs.warn("configuration", "needs-restart", key + ": a change needs a restart; the old one stays", "key", key);
+                Logs.warn(
+                        "configuration",
+                        "needs-restart",
+                        key + ": a change needs a restart; the old one stays",
+                        "key",
+                        key);
             }
             try {
                 read.noteDiscovery(config.state());
@@ -179,8 +208,16 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Logs.info("", "renewed", "classes " + String.join(" ", next.classNames().stream().filter(n -> !n.isEmpty()).toList())
-                + ", " + next.settings().limits().maxAttempts() + " attempts");
+        Logs.info(
+                "",
+                "renewed",
+                "classes "
+                        + String.join(
+                                " ",
+                                next.classNames().stream()
+                                        .filter(n -> !n.isEmpty())
+                                        .toList()) + ", "
+                        + next.settings().limits().maxAttempts() + " attempts");
     }
 
     /** Ends well: nothing that the coming kill could cut is started, and the journal has the rest. */
--- a/src/main/java/lilaclever/program/Interrupt.java
+++ b/src/main/java/lilaclever/program/Interrupt.java
@@ -1,8 +1,8 @@
 package lilaclever.program;
 
 /**
- * Ctrl-C (SIGINT) or SIGTERM during long work: the first tells it to end and to write what it has, the second ends the program
- * at once. Not by a hook of the machine's end: plots can't be drawn while that runs.
+ * Ctrl-C (SIGINT) or SIGTERM during long work: the first tells it to end and to write what it has, the second ends the
+ * program at once. Not by a hook of the machine's end: plots can't be drawn while that runs.
  */
 final class Interrupt {
     /** What a shell gives for a program that Ctrl-C has ended. */
--- a/src/main/java/lilaclever/program/JournalCommand.java
+++ b/src/main/java/lilaclever/program/JournalCommand.java
@@ -1,8 +1,8 @@
 package lilaclever.program;
 
 import java.io.BufferedOutputStream;
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -16,7 +16,12 @@
     private static final long MEGABYTE = 1024 * 1024;
 
     /** What to do with the folder. */
-    enum What { INSPECT, VERIFY, COMPACT, EXPORT }
+    enum What {
+        INSPECT,
+        VERIFY,
+        COMPACT,
+        EXPORT
+    }
 
     @Argument(index = 0, required = true, metaVar = "inspect|verify|compact|export", usage = "what to do")
     private What what;
@@ -24,14 +29,16 @@
     @Argument(index = 1, required = true, metaVar = "FOLDER", usage = "the state folder")
     private Path folder;
 
-    @Option(name = "--disk-mb", metaVar = "N", usage = "what the files may take together while compact works"
-            + " (default 1024)")
+    @Option(
+            name = "--disk-mb",
+            metaVar = "N",
+            usage = "what the files may take together while compact works" + " (default 1024)")
     private long diskMegabytes = 1024;
 
     @Override
     public Integer run() {
-        try (PrintStream out = new PrintStream(new BufferedOutputStream(new FileOutputStream(FileDescriptor.out)), false,
-                StandardCharsets.UTF_8)) {
+        try (PrintStream out = new PrintStream(
+                new BufferedOutputStream(new FileOutputStream(FileDescriptor.out)), false, StandardCharsets.UTF_8)) {
             Inspection inspection = new Inspection(folder, out);
             return switch (what) {
                 case INSPECT -> inspection.inspect();
@@ -40,8 +47,8 @@
                 case EXPORT -> inspection.export();
             };
         } catch (IOException e) {
-            System.err.println("lilaclever: journal: " + (e instanceof lilaclever.journal.JournalException
-                    ? e.getMessage() : e.toString()));
+            System.err.println("lilaclever: journal: "
+                    + (e instanceof lilaclever.journal.JournalException ? e.getMessage() : e.toString()));
             return Inspection.UNUSABLE;
         }
     }
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -23,8 +23,7 @@
         Integer run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = NAMES, handler = SubCommandHandler.class,
-            usage = "what to do")
+    @Argument(required = true, metaVar = NAMES, handler = SubCommandHandler.class, usage = "what to do")
     @SubCommands({
         @SubCommand(name = "serve", impl = ServeCommand.class),
         @SubCommand(name = "simhost", impl = SimhostCommand.class),
@@ -36,7 +35,7 @@
     })
     private Command command;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the sub-command that the arguments name. */
     public static void main(String[] args) throws Exception {
@@ -85,7 +84,8 @@
             Logs.set(operator.log());
             CompletableFuture<Forwarder> serving = new CompletableFuture<>();
             // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
-            Signals.onHangup(() -> serving.thenAccept(f -> f.reload(System.getenv())).join());
+            Signals.onHangup(
+                    () -> serving.thenAccept(f -> f.reload(System.getenv())).join());
             Forwarder forwarder = Forwarder.start(config, operator, mail == null ? null : config.readMail(mail));
             Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
             serving.complete(forwarder);
@@ -122,7 +122,8 @@
                 System.out.println("operator's file is good: journal durability "
                         + read.journal().durability().how().name().toLowerCase());
             }
-            System.out.println("configuration of " + config.name() + " is good: " + config.classNames().size()
+            System.out.println("configuration of " + config.name() + " is good: "
+                    + config.classNames().size()
                     + " classes, " + config.settings().limits().slots() + " slots, journal up to "
                     + config.diskBytes() + " bytes in " + config.state());
             return 0;
--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -8,11 +8,11 @@
 import java.util.Set;
 import lilaclever.Relay;
 import lilaclever.conf.Bad;
-import lilaclever.conf.ConfFile.Section;
 import lilaclever.conf.ConfFile;
+import lilaclever.conf.ConfFile.Section;
 import lilaclever.identity.Identity;
-import lilaclever.protocol.mllp.MllpSettings.Field;
 import lilaclever.protocol.mllp.MllpSettings;
+import lilaclever.protocol.mllp.MllpSettings.Field;
 import lilaclever.transport.AddressSet;
 import lilaclever.transport.Transport;
 
@@ -58,7 +58,8 @@
             return null;
         }
         if (!shared) {
-            throw listenerFault("needs [identity] shared yes: a message must be known again on whichever port it comes");
+            throw listenerFault(
+                    "needs [identity] shared yes: a message must be known again on whichever port it comes");
         }
         if (practices.isEmpty() && !anySender) {
             throw listenerFault("nobody could send: needs a [practice NAME] with senders, or [hl7] any-sender yes");
@@ -66,9 +67,23 @@
         if (destinations.isEmpty()) {
             throw listenerFault("nothing could be delivered: needs a [hl7-destination NUMBER] with receivers");
         }
-        return new MllpSettings(listeners, practices, anySender, events, unsafe, destinations,
-                config.settings().classes().stream().map(Relay.MessageClass::deadlineMicros).toList(), key, deadline,
-                processing, versions, mostHeld, owe, mostOwed);
+        return new MllpSettings(
+                listeners,
+                practices,
+                anySender,
+                events,
+                unsafe,
+                destinations,
+                config.settings().classes().stream()
+                        .map(Relay.MessageClass::deadlineMicros)
+                        .toList(),
+                key,
+                deadline,
+                processing,
+                versions,
+                mostHeld,
+                owe,
+                mostOwed);
     }
 
     private Bad listenerFault(String problem) {
@@ -86,10 +101,16 @@
             throw s.bad("address", e.getMessage());
         }
         int connections = (int) s.whole("connections", 32, 1, 100_000);
-        return new MllpSettings.Listener(s.which(), address, networks(s), connections,
+        return new MllpSettings.Listener(
+                s.which(),
+                address,
+                networks(s),
+                connections,
                 (int) s.whole("connections-per-address", connections, 1, connections),
-                (int) s.whole("in-flight", 16, 1, 10_000), (int) s.size("largest", LARGEST, 512, LARGEST),
-                s.time("idle", 10 * MINUTE, SECOND, 24 * 60 * MINUTE), s.time("whole", 30 * SECOND, 100 * MS, 10 * MINUTE));
+                (int) s.whole("in-flight", 16, 1, 10_000),
+                (int) s.size("largest", LARGEST, 512, LARGEST),
+                s.time("idle", 10 * MINUTE, SECOND, 24 * 60 * MINUTE),
+                s.time("whole", 30 * SECOND, 100 * MS, 10 * MINUTE));
     }
 
     private static AddressSet networks(Section s) throws Bad {
@@ -126,8 +147,10 @@
         for (Section s : file.sections("hl7-class")) {
             int number = config.classNames().indexOf(s.which());
             if (number < 0) {
-                throw s.bad("events", "no class of the settings: " + s.which() + ConfFile.nearest(s.which(),
-                        new LinkedHashSet<>(config.classNames())));
+                throw s.bad(
+                        "events",
+                        "no class of the settings: " + s.which()
+                                + ConfFile.nearest(s.which(), new LinkedHashSet<>(config.classNames())));
             }
             for (String event : s.words("events")) {
                 if (!event.matches("[A-Z][A-Z0-9]{2}(\\^[A-Z][A-Z0-9]{2})?")) {
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -22,17 +22,21 @@
     private static final long SECOND = 1_000_000, HOUR = 3600 * SECOND;
 
     /** {@code [journal]}: when records are forced, and how long the end of a message is remembered. */
-    record JournalSettings(Durability durability, long rememberMicros) { }
+    record JournalSettings(Durability durability, long rememberMicros) {}
 
     /**
      * {@code [identity]}: whether a message is known again on all ports, the header that names its practice on HTTP
      * (null: HTTP has none), and how long ends are remembered.
      */
-    record IdentitySettings(boolean shared, String practiceHeader, Windows windows) { }
+    record IdentitySettings(boolean shared, String practiceHeader, Windows windows) {}
 
     /** Connections that the HL7 ports may have. */
     int mllpConnections() {
-        return mllp == null ? 0 : mllp.listeners().stream().mapToInt(MllpSettings.Listener::connections).sum();
+        return mllp == null
+                ? 0
+                : mllp.listeners().stream()
+                        .mapToInt(MllpSettings.Listener::connections)
+                        .sum();
     }
 
     /** What holds without a file. */
@@ -52,8 +56,8 @@
     static Operator of(ConfFile file, Config config) throws Bad {
         JournalSettings journal = journal(file.section("journal"));
         IdentitySettings identity = identity(file.section("identity"), config, journal.rememberMicros());
-        Operator read = new Operator(journal, identity, new MllpSections(file, config, identity.shared()).read(),
-                log(file.section("log")));
+        Operator read = new Operator(
+                journal, identity, new MllpSections(file, config, identity.shared()).read(), log(file.section("log")));
         Set<String> kinds = new HashSet<>(MllpSections.KINDS);
         kinds.addAll(Set.of("journal", "identity", "log"));
         file.refuseUnknown(kinds);
@@ -74,8 +78,9 @@
             boolean unsafe = config.settings().classes().get(i).repeat() == Relay.Repeat.UNSAFE;
             windows.add(s.time("window-" + config.classNames().get(i), unsafe ? 24 * HOUR : HOUR, SECOND, 240 * HOUR));
         }
-        return new IdentitySettings(shared, header == null ? null : header.toLowerCase(Locale.ROOT),
-                new Windows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
+        return new IdentitySettings(
+                shared, header == null ? null : header.toLowerCase(Locale.ROOT), new Windows(windows, remember, (int)
+                        s.whole("most", 100_000, 1, 10_000_000)));
     }
 
     private static Logs.Settings log(ConfFile.Section s) throws Bad {
@@ -90,7 +95,8 @@
         Durability.How how = s.choice("durability", Durability.How.class, Durability.How.NONE);
         long every = s.time("interval", 50_000, 1000, 60 * SECOND);
         if (how != Durability.How.INTERVAL && s.has("interval")) {
-            throw s.bad("interval", "needs durability interval, not " + how.name().toLowerCase());
+            throw s.bad(
+                    "interval", "needs durability interval, not " + how.name().toLowerCase());
         }
         return new JournalSettings(new Durability(how, every), s.time("remember", HOUR, SECOND, 240 * HOUR));
     }
--- a/src/main/java/lilaclever/program/Own.java
+++ b/src/main/java/lilaclever/program/Own.java
@@ -7,10 +7,17 @@
 /** How this program is started again, as a process of its own. */
 final class Own {
     /** As the platform starts it, but for limits that depend on its machine. */
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms32m", "-Xmx64m",
-            "-XX:MaxDirectMemorySize=8m", "-Xss256k", "-XX:-UsePerfData", "-Xshare:auto");
+    private static final List<String> FLAGS = List.of(
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xms32m",
+            "-Xmx64m",
+            "-XX:MaxDirectMemorySize=8m",
+            "-Xss256k",
+            "-XX:-UsePerfData",
+            "-Xshare:auto");
 
-    private Own() { }
+    private Own() {}
 
     /** The command line of a sub-command. */
     static List<String> command(String... words) {
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -35,12 +35,22 @@
     private static final int GOOD = 0, BROKEN = 1, UNUSABLE = 2, DOUBTFUL = 3;
 
     /** What to do. */
-    enum What { LIST, SHOW, CHECK, RUN, SWEEP, COMPARE }
+    enum What {
+        LIST,
+        SHOW,
+        CHECK,
+        RUN,
+        SWEEP,
+        COMPARE
+    }
 
     @Argument(index = 0, required = true, metaVar = "list|show|check|run|sweep|compare", usage = "what to do")
     private What what;
 
-    @Argument(index = 1, metaVar = "SCENARIO|FOLDER", usage = "a shipped scenario's name or a file; with compare: two folders of runs",
+    @Argument(
+            index = 1,
+            metaVar = "SCENARIO|FOLDER",
+            usage = "a shipped scenario's name or a file; with compare: two folders of runs",
             multiValued = true)
     private List<String> names = new ArrayList<>();
 
@@ -59,14 +69,19 @@
     @Option(name = "--aim", metaVar = "N", usage = "with sweep: the service below which the aim is lost (default 0.9)")
     private double aim = 0.9;
 
-    @Option(name = "--set", metaVar = "SECTION.KEY=VALUE", usage = "in place of what the scenario says; with sweep, values parted by commas: "
-            + "one point of the curve each")
+    @Option(
+            name = "--set",
+            metaVar = "SECTION.KEY=VALUE",
+            usage = "in place of what the scenario says; with sweep, values parted by commas: "
+                    + "one point of the curve each")
     private List<String> sets = new ArrayList<>();
 
     @Option(name = "--threads", metaVar = "N", usage = "runs side by side (default: the cores; it changes no figure)")
     private int threads = Runtime.getRuntime().availableProcessors();
 
-    @Option(name = "--sockets", usage = "with run: in real time, with a process for each forwarder and stand-ins on the loopback")
+    @Option(
+            name = "--sockets",
+            usage = "with run: in real time, with a process for each forwarder and stand-ins on the loopback")
     private boolean sockets;
 
     private final Interrupt interrupt = new Interrupt();
@@ -83,7 +98,8 @@
                 case COMPARE -> compare();
             };
         } catch (IOException | ExecutionException e) {
-            System.err.println("lilaclever: rehearse: " + (e instanceof IOException ? e.getMessage() : e.getCause().toString()));
+            System.err.println("lilaclever: rehearse: "
+                    + (e instanceof IOException ? e.getMessage() : e.getCause().toString()));
             return UNUSABLE;
         } catch (InterruptedException e) {
             return UNUSABLE;
@@ -106,15 +122,17 @@
 
     private int show() throws Bad, IOException {
         String name = one();
-        System.out.print(ScenarioReader.SHIPPED.contains(name) ? ScenarioReader.text(name) : Files.readString(Path.of(name)));
+        System.out.print(
+                ScenarioReader.SHIPPED.contains(name) ? ScenarioReader.text(name) : Files.readString(Path.of(name)));
         return GOOD;
     }
 
     private int check() throws Bad {
         for (String name : names.isEmpty() ? ScenarioReader.SHIPPED : names) {
             Scenario s = ScenarioReader.read(name);
-            System.out.println(name + " is good: " + s.fleet().forwarders() + " forwarders, " + s.fleet().destinations()
-                    + " destinations, " + s.traffic().lengthMicros() / 1_000_000 + " s, " + s.happenings().size() + " events");
+            System.out.println(name + " is good: " + s.fleet().forwarders() + " forwarders, "
+                    + s.fleet().destinations() + " destinations, " + s.traffic().lengthMicros() / 1_000_000 + " s, "
+                    + s.happenings().size() + " events");
         }
         return GOOD;
     }
@@ -142,7 +160,8 @@
         Scenario scenario = scenario();
         String tooLarge = sockets ? RealSockets.tooLarge(scenario) : null;
         if (tooLarge != null) {
-            throw new Bad("--sockets", scenario.name() + " is too large for one machine: " + tooLarge + "; play it without");
+            throw new Bad(
+                    "--sockets", scenario.name() + " is too large for one machine: " + tooLarge + "; play it without");
         }
         int n = Math.max(1, runs);
         boolean alone = n == 1;
@@ -150,37 +169,52 @@
         List<Double> services = new ArrayList<>();
         interrupt.watch();
         try {
-            sideBySide(n, i -> {
-                Path to = alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i));
-                Result r = one(scenario, seed + i, to, alone);
-                Report.write(r, to);
-                return r;
-            }, r -> {
-                System.out.print(alone ? Report.summary(r) : Report.summary(r).lines().findFirst().orElse("") + "\n");
-                broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
-                if (r.trust() != null && !r.trust().good()) {
-                    doubtful.incrementAndGet();
-                    if (!alone) {
-                        System.out.println(r.trust().text());
-                    }
-                }
-                services.add(r.auditor().service().figure(Prices.USUAL));
-            });
+            sideBySide(
+                    n,
+                    i -> {
+                        Path to = alone ? folder(scenario) : folder(scenario).resolve("seed-" + (seed + i));
+                        Result r = one(scenario, seed + i, to, alone);
+                        Report.write(r, to);
+                        return r;
+                    },
+                    r -> {
+                        System.out.print(
+                                alone
+                                        ? Report.summary(r)
+                                        : Report.summary(r).lines().findFirst().orElse("") + "\n");
+                        broken.addAndGet(r.auditor().broken().isEmpty() ? 0 : 1);
+                        if (r.trust() != null && !r.trust().good()) {
+                            doubtful.incrementAndGet();
+                            if (!alone) {
+                                System.out.println(r.trust().text());
+                            }
+                        }
+                        services.add(r.auditor().service().figure(Prices.USUAL));
+                    });
         } finally {
             interrupt.done();
         }
         double[] interval = Comparison.interval(services);
         if (interval != null) {
-            DoubleSummaryStatistics all = services.stream().mapToDouble(Double::doubleValue).summaryStatistics();
-            System.out.printf(Locale.ROOT, "%d runs: service %.3f (%.3f to %.3f), 95%% of chance %.3f to %.3f; rules broken in %d%n", n,
-                    all.getAverage(), all.getMin(), all.getMax(), interval[0], interval[1], broken.get());
+            DoubleSummaryStatistics all =
+                    services.stream().mapToDouble(Double::doubleValue).summaryStatistics();
+            System.out.printf(
+                    Locale.ROOT,
+                    "%d runs: service %.3f (%.3f to %.3f), 95%% of chance %.3f to %.3f; rules broken in %d%n",
+                    n,
+                    all.getAverage(),
+                    all.getMin(),
+                    all.getMax(),
+                    interval[0],
+                    interval[1],
+                    broken.get());
         }
         System.out.println("report: " + folder(scenario).resolve(alone ? "index.html" : ""));
         return interrupt.come() ? Interrupt.CODE : broken.get() > 0 ? BROKEN : doubtful.get() > 0 ? DOUBTFUL : GOOD;
     }
 
     private Result one(Scenario scenario, long itsSeed, Path to, boolean alone) throws IOException {
-        LongConsumer hears = alone ? this::progress : now -> { };
+        LongConsumer hears = alone ? this::progress : now -> {};
         if (!sockets) {
             return VirtualTime.run(scenario, itsSeed, Fault.NONE, hears, interrupt::come);
         }
@@ -223,7 +257,7 @@
     }
 
     /** A point of a sweep: the scenario there, its place on the axis, and what people call it. */
-    private record Point(Scenario scenario, double x, String label) { }
+    private record Point(Scenario scenario, double x, String label) {}
 
     private int sweep() throws Bad, IOException, InterruptedException, ExecutionException {
         boolean overLoad = sets.stream().noneMatch(s -> s.contains(","));
@@ -237,10 +271,13 @@
             for (Point point : points) {
                 List<Double> services = new ArrayList<>();
                 AtomicInteger broken = new AtomicInteger();
-                sideBySide(n, i -> VirtualTime.run(point.scenario(), seed + i, Fault.NONE, now -> { }, interrupt::come), r -> {
-                    services.add(r.auditor().service().figure(Prices.USUAL));
-                    broken.addAndGet(r.auditor().broken().size());
-                });
+                sideBySide(
+                        n,
+                        i -> VirtualTime.run(point.scenario(), seed + i, Fault.NONE, now -> {}, interrupt::come),
+                        r -> {
+                            services.add(r.auditor().service().figure(Prices.USUAL));
+                            broken.addAndGet(r.auditor().broken().size());
+                        });
                 if (interrupt.come()) {
                     break; // a point of cut runs is none
                 }
@@ -265,7 +302,9 @@
         String[] parts = loads.split(":");
         Scenario scenario = scenario();
         List<Point> points = new ArrayList<>();
-        for (int percent = Integer.parseInt(parts[0]); percent <= Integer.parseInt(parts[1]); percent += Integer.parseInt(parts[2])) {
+        for (int percent = Integer.parseInt(parts[0]);
+                percent <= Integer.parseInt(parts[1]);
+                percent += Integer.parseInt(parts[2])) {
             points.add(new Point(atLoad(scenario, percent / 100.0), percent, "load " + percent + "%"));
         }
         if (points.isEmpty()) {
@@ -289,8 +328,11 @@
         for (String value : form.value().split(",")) {
             List<Overrides.Setting> settings = settingsBut(swept);
             settings.add(new Overrides.Setting(form.section(), form.key(), value.strip()));
-            java.util.regex.Matcher number = java.util.regex.Pattern.compile("[0-9.]+").matcher(value);
-            points.add(new Point(ScenarioReader.read(one(), settings), number.find() ? Double.parseDouble(number.group()) : points.size(),
+            java.util.regex.Matcher number =
+                    java.util.regex.Pattern.compile("[0-9.]+").matcher(value);
+            points.add(new Point(
+                    ScenarioReader.read(one(), settings),
+                    number.find() ? Double.parseDouble(number.group()) : points.size(),
                     form.key() + ' ' + value.strip()));
         }
         return points;
@@ -298,8 +340,19 @@
 
     /** The same scenario at one load all the time. */
     private static Scenario atLoad(Scenario s, double load) {
-        return new Scenario(s.name(), s.about(), s.fleet(), s.kinds(), s.classes(), new Scenario.TrafficPlan(s.traffic().lengthMicros(),
-                List.of(new Traffic.Point(0, load)), s.traffic().clumps(), s.traffic().clumpSeconds(), s.traffic().hl7()), s.happenings());
+        return new Scenario(
+                s.name(),
+                s.about(),
+                s.fleet(),
+                s.kinds(),
+                s.classes(),
+                new Scenario.TrafficPlan(
+                        s.traffic().lengthMicros(),
+                        List.of(new Traffic.Point(0, load)),
+                        s.traffic().clumps(),
+                        s.traffic().clumpSeconds(),
+                        s.traffic().hl7()),
+                s.happenings());
     }
 
     private int compare() throws Bad, IOException {
--- a/src/main/java/lilaclever/program/SelfTest.java
+++ b/src/main/java/lilaclever/program/SelfTest.java
@@ -67,11 +67,13 @@
         accepting.setDaemon(true);
         accepting.start();
         Forwarder forwarder = Forwarder.start(Config.parse(CONFIG.formatted(address(), state, list), Map.of()), null);
-        Signals.onHangup(() -> { });
+        Signals.onHangup(() -> {});
         try (Socket client = new Socket()) {
             client.connect(forwarder.addresses().get(0), 5_000);
-            client.getOutputStream().write(("POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: any\r\nReq-Deadline: 5\r\n"
-                    + "X-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nhi").getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream()
+                    .write(("POST /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: any\r\nReq-Deadline: 5\r\n"
+                                    + "X-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nhi")
+                            .getBytes(StandardCharsets.US_ASCII));
             return reader(client).readLine().contains(" 202 ") && delivered.await(5, TimeUnit.SECONDS);
         }
     }
@@ -101,8 +103,9 @@
                 boolean watch = first.startsWith("GET") && first.contains("wait_ms");
                 if (!watch) { // nothing ever changes
                     String body = first.startsWith("GET") ? list : "";
-                    socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                            + body).getBytes(StandardCharsets.US_ASCII));
+                    socket.getOutputStream()
+                            .write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                                    .getBytes(StandardCharsets.US_ASCII));
                 }
                 if (first.startsWith("POST /receive ")) {
                     delivered.countDown();
--- a/src/main/java/lilaclever/program/Signals.java
+++ b/src/main/java/lilaclever/program/Signals.java
@@ -13,12 +13,13 @@
  * compiler warns of its use, and that warning can't be turned off, so it is reached by name.
  */
 final class Signals {
-    private Signals() { }
+    private Signals() {}
 
     /** True if whoever started this program has SIGHUP ignored (nohup does): then no handler is ever called. */
     private static boolean isHangupIgnored() {
         try (Stream<String> lines = Files.lines(Path.of("/proc/self/status"))) {
-            return lines.filter(l -> l.startsWith("SigIgn:")).anyMatch(l -> l.matches(".*[13579bdf]")); // signal 1 is the lowest bit
+            return lines.filter(l -> l.startsWith("SigIgn:"))
+                    .anyMatch(l -> l.matches(".*[13579bdf]")); // signal 1 is the lowest bit
         } catch (IOException | UncheckedIOException e) {
             return false; // not on this system
         }
@@ -27,8 +28,11 @@
     /** Has the task run at each SIGHUP, on a thread of its own; what it throws is told and ends nothing. */
     static void onHangup(Runnable task) {
         if (isHangupIgnored()) {
-            Logs.warn("", "sighup-ignored", "SIGHUP is ignored by whoever started this program (nohup does that):"
-                    + " the configuration is never read again");
+            Logs.warn(
+                    "",
+                    "sighup-ignored",
+                    "SIGHUP is ignored by whoever started this program (nohup does that):"
+                            + " the configuration is never read again");
         }
         on("HUP", task);
     }
@@ -38,7 +42,9 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
+            Object proxy = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(),
+                    new Class<?>[] {handler},
                     (self, method, arguments) -> switch (method.getName()) {
                         case "handle" -> {
                             run(task);
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -19,10 +19,12 @@
 /** Watches the platform's list of endpoints. Loop thread. */
 public final class Directory {
     /**
-     * A change counts as told 6 s after discovery had it, also where the watch that should bring it has fallen silent. A watch
-     * that waits for a third of that leaves time to find out, and to ask again some times. One that brings nothing costs nothing.
+     * A change counts as told 6 s after discovery had it, also where the watch that should bring it has fallen silent.
+     * A watch that waits for a third of that leaves time to find out, and to ask again some times. One that brings
+     * nothing costs nothing.
      */
     private static final long WAIT = 2_000_000;
+
     private static final long ANSWER_BY = WAIT + 400_000;
     /** What is answered at once or, while discovery is down, not at all; its return counts as told at once. */
     private static final long LOOK_WAIT = 1_000, LOOK_BY = 300_000;
@@ -40,7 +42,7 @@
     }
 
     /** A list as the platform writes it. */
-    public record Known(long index, boolean whole, List<Core.Listed> listed) { }
+    public record Known(long index, boolean whole, List<Core.Listed> listed) {}
 
     private final Core core;
     private final HttpClient client;
@@ -50,7 +52,9 @@
     private String address;
     /** The version of the list held; -1 before there is one. */
     private long index = -1;
-    /** No call has been answered yet, or the last one has failed: the next must tell at once whether discovery is there. */
+    /**
+     * No call has been answered yet, or the last one has failed: the next must tell at once whether discovery is there.
+     */
     private boolean doubtful = true;
     /** What came can't be built on: the whole list is needed. */
     private boolean lost;
@@ -58,6 +62,7 @@
     private long olderSince;
     /** The call that is out, and when it is given up or made again. */
     private HttpClient.Exchange asking;
+
     private Deadlines.Key again;
 
     /** What the settings call kinds and zones, in order, and what they say of each kind. */
@@ -70,8 +75,15 @@
     }
 
     /** Watches the list at the address. */
-    public Directory(Core core, Transport transport, String address, Deliverer deliverer, Names names,
-            long connectMicros, long keepAliveMicros, Listener listener) {
+    public Directory(
+            Core core,
+            Transport transport,
+            String address,
+            Deliverer deliverer,
+            Names names,
+            long connectMicros,
+            long keepAliveMicros,
+            Listener listener) {
         this.core = core;
         this.listener = listener;
         this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros, 1, MOST_ANSWER);
@@ -117,9 +129,13 @@
                     if (status != 200) {
                         throw new JsonParseException("answered with " + status);
                     }
-                    heard(read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject()));
-                } catch (JsonParseException | IllegalStateException | IllegalArgumentException
-                        | NullPointerException | UnsupportedOperationException e) {
+                    heard(read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                            .getAsJsonObject()));
+                } catch (JsonParseException
+                        | IllegalStateException
+                        | IllegalArgumentException
+                        | NullPointerException
+                        | UnsupportedOperationException e) {
                     Logs.warn("directory", "unreadable", e.toString());
                     lost = true;
                     failed(PAUSE);
@@ -160,8 +176,8 @@
         olderSince = 0;
         lost = false;
         if (index < 0 || news.whole() || !news.listed().isEmpty()) {
-            listener.listing(news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(),
-                    news.listed());
+            listener.listing(
+                    news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(), news.listed());
         }
         index = news.index();
         watch();
@@ -190,13 +206,18 @@
             };
             String host = e.get("name").getAsString();
             long since = e.has("since_ms") ? e.get("since_ms").getAsLong() : 0;
-            long sinceMicros = since == 0 ? 0
-                    : Math.max(1, core.now() - (System.currentTimeMillis() - since) * 1000);
+            long sinceMicros = since == 0 ? 0 : Math.max(1, core.now() - (System.currentTimeMillis() - since) * 1000);
             double weight = e.has("weight") ? e.get("weight").getAsDouble() : 1;
-            all.add(new Core.Listed(new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight,
-                    sinceMicros), new Call.Endpoint(host, e.get("address").getAsString(),
-                    e.get("group").getAsInt(), zone, names.kind(kind).batch(), names.kind(kind).ownLimits(),
-                    deliverer)));
+            all.add(new Core.Listed(
+                    new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight, sinceMicros),
+                    new Call.Endpoint(
+                            host,
+                            e.get("address").getAsString(),
+                            e.get("group").getAsInt(),
+                            zone,
+                            names.kind(kind).batch(),
+                            names.kind(kind).ownLimits(),
+                            deliverer)));
         }
         return new Known(list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), all);
     }
--- a/src/main/java/lilaclever/protocol/http/Figures.java
+++ b/src/main/java/lilaclever/protocol/http/Figures.java
@@ -10,21 +10,29 @@
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{0,12})?");
     /** Of any length: the reader's bound on a head is enough, as there is no exponent. */
     private static final Pattern LONG_DECIMAL = Pattern.compile("[0-9]+(\\.[0-9]*)?");
+
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
     /** Ids and keys travel in heads, in lines with spaces between, and in the journal. */
     private static final Pattern WORD = Pattern.compile("[!-~]{1,128}");
 
-    private Figures() { }
+    private Figures() {}
 
     /** A decimal, not negative, with the point moved to the right; null if it is none. */
     static Long decimal(String text, int places) {
-        return DECIMAL.matcher(text).matches() ? new BigDecimal(text).movePointRight(places).longValue() : null;
+        return DECIMAL.matcher(text).matches()
+                ? new BigDecimal(text).movePointRight(places).longValue()
+                : null;
     }
 
     /** The same rounded up, and the given figure at the most, however long the text; 0 if it is no such number. */
     static long atLeast(String text, int places, long most) {
-        return LONG_DECIMAL.matcher(text).matches() ? new BigDecimal(text).movePointRight(places)
-                .setScale(0, RoundingMode.CEILING).min(BigDecimal.valueOf(most)).longValue() : 0;
+        return LONG_DECIMAL.matcher(text).matches()
+                ? new BigDecimal(text)
+                        .movePointRight(places)
+                        .setScale(0, RoundingMode.CEILING)
+                        .min(BigDecimal.valueOf(most))
+                        .longValue()
+                : 0;
     }
 
     /** A whole number, not negative; null if it is none. */
--- a/src/main/java/lilaclever/protocol/http/Head.java
+++ b/src/main/java/lilaclever/protocol/http/Head.java
@@ -13,7 +13,10 @@
 
     /** A request; the body's length is told even if it is nothing. */
     static byte[] request(String method, String path, String host, Map<String, String> headers, byte[] body) {
-        return new Head(method + ' ' + path + " HTTP/1.1").with("Host", host).with(headers).end(body);
+        return new Head(method + ' ' + path + " HTTP/1.1")
+                .with("Host", host)
+                .with(headers)
+                .end(body);
     }
 
     /** An answer. */
@@ -52,7 +55,10 @@
     }
 
     private byte[] end(byte[] body) {
-        byte[] head = text.append("Content-Length: ").append(body.length).append("\r\n\r\n").toString()
+        byte[] head = text.append("Content-Length: ")
+                .append(body.length)
+                .append("\r\n\r\n")
+                .toString()
                 .getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[head.length + body.length];
         System.arraycopy(head, 0, all, 0, head.length);
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -41,10 +41,10 @@
         void broke(boolean written, int status);
 
         /**
-         * What an answer's head says, as soon as it is here, though the rest may never come or nobody may wait for it any
-         * more; of one that can't be read, the part that can. Selector thread.
+         * What an answer's head says, as soon as it is here, though the rest may never come or nobody may wait for it
+         * any more; of one that can't be read, the part that can. Selector thread.
          */
-        default void head(Map<String, String> headers) { }
+        default void head(Map<String, String> headers) {}
 
         /** Whether the request may go out at this moment, when all that had come before was read. Selector thread. */
         default boolean mayGo() {
@@ -57,7 +57,7 @@
         }
 
         /** It might not go out any more, so its last byte was not written: called in place of the others. */
-        default void withheld() { }
+        default void withheld() {}
     }
 
     private final Core core;
@@ -71,7 +71,13 @@
     private final Set<Exchange> partly = ConcurrentHashMap.newKeySet();
 
     /** A client whose answers have bodies up to so many bytes. */
-    HttpClient(Core core, Transport transport, String name, long connectMicros, long keepAliveMicros, int mostIdle,
+    HttpClient(
+            Core core,
+            Transport transport,
+            String name,
+            long connectMicros,
+            long keepAliveMicros,
+            int mostIdle,
             int mostAnswer) {
         this.core = core;
         this.transport = transport;
@@ -95,10 +101,16 @@
     }
 
     /** Sends a request; headers by name. Connections are kept and found again under the owner's name. */
-    Exchange send(String owner, String address, String method, String path, Map<String, String> headers, byte[] body,
+    Exchange send(
+            String owner,
+            String address,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
             Listener listener) {
-        Exchange exchange = new Exchange(owner, address, of -> Head.request(method, path, address, headers, of), body,
-                listener);
+        Exchange exchange =
+                new Exchange(owner, address, of -> Head.request(method, path, address, headers, of), body, listener);
         exchange.begin();
         return exchange;
     }
@@ -110,6 +122,7 @@
         private volatile Exchange current;
         /** More came than was asked for: nobody may ask here again. */
         private volatile boolean spoilt;
+
         private boolean headTold;
 
         Link(Connection<?> connection) {
@@ -213,16 +226,19 @@
         private Runnable givingUp;
         /** Guarded by this: a request that was given up is not written, one that is being written is not unsent. */
         private boolean givenUp;
+
         private byte[] request;
         private Link link;
         /** Set on the selector thread before the answer can be read there. */
         private volatile boolean written;
+
         private volatile int status;
         /** Its connection was closed before its last byte was written, since it might not go out any more. */
         private volatile boolean cut;
+
         private boolean fresh;
         /** Gives up a connection that is opened for it and is not up yet. */
-        private Runnable connecting = () -> { };
+        private Runnable connecting = () -> {};
 
         private Exchange(String owner, String address, UnaryOperator<byte[]> form, byte[] body, Listener listener) {
             this.owner = owner;
@@ -254,17 +270,21 @@
             fresh = true;
             due = core.deadlines().at(core.now() + connectMicros, this::late);
             core.counters().add(Counters.Name.CONNECTIONS);
-            connecting = transport.connect(Transport.address(address), chain, up -> {
-                trace("connected");
-                Link opened = new Link(up);
-                links.set(up, opened);
-                core.post(() -> core.deadlines().cancel(due));
-                Transport.afterReading(up, () -> {
-                    if (!opened.take(this)) {
-                        core.post(this::broke);
-                    }
-                });
-            }, problem -> core.post(this::broke));
+            connecting = transport.connect(
+                    Transport.address(address),
+                    chain,
+                    up -> {
+                        trace("connected");
+                        Link opened = new Link(up);
+                        links.set(up, opened);
+                        core.post(() -> core.deadlines().cancel(due));
+                        Transport.afterReading(up, () -> {
+                            if (!opened.take(this)) {
+                                core.post(this::broke);
+                            }
+                        });
+                    },
+                    problem -> core.post(this::broke));
         }
 
         private synchronized void write(Link on) {
@@ -395,9 +415,9 @@
         }
 
         /**
-         * The same, once what its endpoint has said until now is read: that may be a wait. An answer that crosses this counts
-         * for nothing: it comes after the time that the endpoint was told. {@code closed} is run on the loop thread; from then
-         * on {@link #isWritten} does not change.
+         * The same, once what its endpoint has said until now is read: that may be a wait. An answer that crosses this
+         * counts for nothing: it comes after the time that the endpoint was told. {@code closed} is run on the loop
+         * thread; from then on {@link #isWritten} does not change.
          */
         void giveUp(Runnable closed) {
             givingUp = closed;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -27,6 +27,7 @@
     private static final int MOST_ANSWER = 64 * 1024;
     /** Longer than any message lives or any process runs, and far from an overflow: ten years, microseconds. */
     private static final long MOST_WAIT = 315_360_000_000_000L;
+
     private static final long SWEEP = 500_000;
 
     /** A request of any sort to an endpoint: not written under a told wait, and a wait in its answer binds. */
@@ -49,7 +50,7 @@
     }
 
     /** What is out for a call; {@code several}: its answer tells the end of each message, however many are left. */
-    private record Out(HttpClient.Exchange exchange, boolean several) { }
+    private record Out(HttpClient.Exchange exchange, boolean several) {}
 
     private final Core core;
     private final HttpClient client;
@@ -94,8 +95,13 @@
                 if (status != 0) {
                     core.counters().add(Counters.Name.SPOILT_ANSWERS);
                 }
-                all(call, saysDelivered(several, status) ? Ending.DELIVERED : written ? Ending.RESET
-                        : Ending.NO_CONNECTION, false, false);
+                all(
+                        call,
+                        saysDelivered(several, status)
+                                ? Ending.DELIVERED
+                                : written ? Ending.RESET : Ending.NO_CONNECTION,
+                        false,
+                        false);
             }
 
             @Override
@@ -111,7 +117,8 @@
             @Override
             public String toString() {
                 return "call to " + call.endpoint.host() + " of destination " + call.endpoint.destination()
-                        + " with message " + call.messages.stream().map(Message::id).collect(Collectors.joining(", "));
+                        + " with message "
+                        + call.messages.stream().map(Message::id).collect(Collectors.joining(", "));
             }
         };
         byte[] body;
@@ -125,8 +132,16 @@
             }
             body = m.handin.body();
         }
-        call.attachment = new Out(client.send(owner(call.endpoint), call.endpoint.address(), "POST",
-                several ? "/receive-many" : "/receive", headers, body, listener), several);
+        call.attachment = new Out(
+                client.send(
+                        owner(call.endpoint),
+                        call.endpoint.address(),
+                        "POST",
+                        several ? "/receive-many" : "/receive",
+                        headers,
+                        body,
+                        listener),
+                several);
     }
 
     @Override
@@ -146,8 +161,7 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (Message m : messages) {
             String key = m.handin.key() == null ? "-" : m.handin.key();
-            out.writeBytes((m.id() + ' ' + key + ' ' + m.handin.body().length)
-                    .getBytes(StandardCharsets.ISO_8859_1));
+            out.writeBytes((m.id() + ' ' + key + ' ' + m.handin.body().length).getBytes(StandardCharsets.ISO_8859_1));
             out.writeBytes(CRLF);
             out.writeBytes(m.handin.body());
             out.writeBytes(CRLF);
@@ -166,8 +180,11 @@
             }
             case 429, 503 -> {
                 boolean noSlot = "1".equals(headers.get("x-no-slot"));
-                all(call, noSlot ? Ending.NOT_SENT : noRoom(call, status, headers) ? Ending.NO_ROOM : Ending.FULL,
-                        noSlot, false);
+                all(
+                        call,
+                        noSlot ? Ending.NOT_SENT : noRoom(call, status, headers) ? Ending.NO_ROOM : Ending.FULL,
+                        noSlot,
+                        false);
             }
             case 504, 413, 400 -> all(call, Ending.NOT_SENT, false, false);
             case 410 -> all(call, Ending.NOT_SENT, false, true);
@@ -176,12 +193,16 @@
     }
 
     /**
-     * Whether it was the connection that the endpoint has no room for: it closes what was opened just now. One that is over
-     * its limit keeps the connection. To take the first for the second would slow all calls there, and change nothing.
+     * Whether it was the connection that the endpoint has no room for: it closes what was opened just now. One that is
+     * over its limit keeps the connection. To take the first for the second would slow all calls there, and change
+     * nothing.
      */
     private static boolean noRoom(Call call, int status, Map<String, String> headers) {
-        return status == 503 && call.attachment instanceof Out out && out.exchange().isFresh()
-                && "close".equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
+        return status == 503
+                && call.attachment instanceof Out out
+                && out.exchange().isFresh()
+                && "close"
+                        .equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
     }
 
     private void each(Call call, String text) {
@@ -216,8 +237,14 @@
         if (longest > 0) {
             long now = Core.micros() + 1; // the clock is cut to whole microseconds
             waits.told(endpoint, now + longest);
-            Logs.debug("", "wait", "told to wait until " + (now + longest), "partner", endpoint.destination(),
-                    "endpoint", endpoint.host());
+            Logs.debug(
+                    "",
+                    "wait",
+                    "told to wait until " + (now + longest),
+                    "partner",
+                    endpoint.destination(),
+                    "endpoint",
+                    endpoint.host());
         }
     }
 
@@ -243,8 +270,14 @@
         }
         // The slot is free once the other side has seen the close: a call in this same turn would find none.
         boolean delivered = saysDelivered(out.several(), out.exchange().status()); // not what comes from now on
-        out.exchange().giveUp(() -> all(call, delivered ? Ending.DELIVERED
-                : out.exchange().isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, false, false));
+        out.exchange()
+                .giveUp(() -> all(
+                        call,
+                        delivered
+                                ? Ending.DELIVERED
+                                : out.exchange().isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION,
+                        false,
+                        false));
     }
 
     @Override
@@ -261,30 +294,33 @@
     public void probe(Call.Endpoint endpoint) {
         long started = core.now();
         HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        Deadlines.Key late = core.deadlines().at(started + probeMicros, () -> exchange[0].giveUp(() ->
-                probed(endpoint, exchange[0].isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, started)));
-        exchange[0] = client.send(owner(endpoint), endpoint.address(), "GET", "/health/live", Map.of(), NOTHING,
-                new Heedful(endpoint) {
-            @Override
-            public void answered(int status, Map<String, String> headers, byte[] body) {
-                end(status == 200 ? Ending.DELIVERED : status == 503 ? Ending.FULL : Ending.ERROR);
-            }
-
-            @Override
-            public void broke(boolean written, int status) {
-                end(written ? Ending.RESET : Ending.NO_CONNECTION);
-            }
-
-            @Override
-            public void withheld() {
-                end(Ending.WITHHELD);
-            }
-
-            private void end(Ending ending) {
-                core.deadlines().cancel(late);
-                probed(endpoint, ending, started);
-            }
-        });
+        Deadlines.Key late = core.deadlines()
+                .at(
+                        started + probeMicros,
+                        () -> exchange[0].giveUp(() -> probed(
+                                endpoint, exchange[0].isWritten() ? Ending.TIMED_OUT : Ending.NO_CONNECTION, started)));
+        exchange[0] = client.send(
+                owner(endpoint), endpoint.address(), "GET", "/health/live", Map.of(), NOTHING, new Heedful(endpoint) {
+                    @Override
+                    public void answered(int status, Map<String, String> headers, byte[] body) {
+                        end(status == 200 ? Ending.DELIVERED : status == 503 ? Ending.FULL : Ending.ERROR);
+                    }
+
+                    @Override
+                    public void broke(boolean written, int status) {
+                        end(written ? Ending.RESET : Ending.NO_CONNECTION);
+                    }
+
+                    @Override
+                    public void withheld() {
+                        end(Ending.WITHHELD);
+                    }
+
+                    private void end(Ending ending) {
+                        core.deadlines().cancel(late);
+                        probed(endpoint, ending, started);
+                    }
+                });
     }
 
     private void probed(Call.Endpoint endpoint, Ending ending, long started) {
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -26,6 +26,7 @@
     private static final long LONGEST = 3_600_000_000L;
     /** Selections at most in which those are accepted who came before the listener closes. */
     private static final int MOST_WAITING = 512;
+
     private static final long UNREAD = 120_000, UNREAD_PART = 50;
 
     private final Core core;
@@ -36,17 +37,24 @@
     private final Map<Message, List<Waiting>> waiting = new HashMap<>();
     /** The header that names the practice, in lower case, where identities are shared with other ports; else null. */
     private final String practiceHeader;
+
     private Connection<?> listener;
 
     /** A request that waits, under the id that it came with. */
-    private record Waiting(IntakeFilter.Exchange exchange, String id) { }
+    private record Waiting(IntakeFilter.Exchange exchange, String id) {}
 
     /**
      * Classes by the name that clients use; at most so many connections of clients, none idle above a crowd. Requests
      * with the header for the practice and a key are the same message as those with both on another port; null: none.
      */
-    public HttpFront(Core core, List<String> classNames, List<Relay.MessageClass> classes, int mostClients,
-            int crowd, Notices notices, String practiceHeader) {
+    public HttpFront(
+            Core core,
+            List<String> classNames,
+            List<Relay.MessageClass> classes,
+            int mostClients,
+            int crowd,
+            Notices notices,
+            String practiceHeader) {
         this.core = core;
         this.practiceHeader = practiceHeader;
         renew(classNames, classes);
@@ -62,7 +70,7 @@
     }
 
     /** Classes by number, and the names of those that may be handed in. */
-    private record Classes(List<String> names, List<Relay.MessageClass> all) { }
+    private record Classes(List<String> names, List<Relay.MessageClass> all) {}
 
     /** Other classes may be handed in from now on. Loop thread, once the module knows them. */
     public void renew(List<String> classNames, List<Relay.MessageClass> all) {
@@ -84,7 +92,9 @@
         }
     }
 
-    /** Closes the listener once nobody waits to be accepted there: those would be reset, and are turned down in words. */
+    /**
+     * Closes the listener once nobody waits to be accepted there: those would be reset, and are turned down in words.
+     */
     private void stopListening(int most) {
         int before = intake.accepted();
         Transport.afterReading(listener, () -> {
@@ -106,13 +116,15 @@
         switch (request.method() + ' ' + request.path()) {
             case "POST /api" -> check(request);
             case "GET /health/ready", "GET /health/live" -> answer(request.exchange(), 200, Map.of(), "ready\n");
-            case "GET /counters" -> core.post(() -> answer(request.exchange(), 200, Map.of(), core.counters().text()));
+            case "GET /counters" ->
+                core.post(() -> answer(
+                        request.exchange(), 200, Map.of(), core.counters().text()));
             default -> answer(request.exchange(), 404, Map.of(), "");
         }
     }
 
     private static void answer(IntakeFilter.Exchange exchange, int status, Map<String, String> headers, String body) {
-        exchange.answer(status, headers, body.getBytes(StandardCharsets.UTF_8), () -> { });
+        exchange.answer(status, headers, body.getBytes(StandardCharsets.UTF_8), () -> {});
     }
 
     /** What can't be a message is turned away here: nonsense that comes fast must not take the loop's time. */
@@ -141,7 +153,7 @@
         Message m = core.handIn(this, handin);
         if (m.isTakenOn()) {
             // Handed in under the same id before: it makes no second message, whoever asks.
-            core.whenDurable(() -> exchange.answer(202, Map.of(), NOTHING, () -> { }));
+            core.whenDurable(() -> exchange.answer(202, Map.of(), NOTHING, () -> {}));
         } else if (m.isOpen()) {
             waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(new Waiting(exchange, handin.id()));
         } else {
@@ -170,10 +182,21 @@
         check(deadline != null && deadline <= LONGEST, "Req-Deadline: not a time to wait for");
         String key = headers.get("idempotency-key");
         // Among others a message without a key is written with a '-' in its place.
-        check(key == null ? known.all().get(number).repeat() != Relay.Repeat.KEYED : Figures.isWord(key) && !key.equals("-"),
+        check(
+                key == null
+                        ? known.all().get(number).repeat() != Relay.Repeat.KEYED
+                        : Figures.isWord(key) && !key.equals("-"),
                 "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
-        return new Handin(id, identity(headers, key), number, destination, key, request.body(), !retry.isEmpty(), retry.equals("again"),
+        return new Handin(
+                id,
+                identity(headers, key),
+                number,
+                destination,
+                key,
+                request.body(),
+                !retry.isEmpty(),
+                retry.equals("again"),
                 budget(deadline, Core.micros() - request.arrivedMicros()));
     }
 
@@ -222,11 +245,16 @@
         Map<String, Integer> lost = new HashMap<>();
         all.forEach(w -> lost.merge(w.id(), 1, Integer::sum));
         for (Waiting w : all) {
-            w.exchange().answer(202, Map.of(), NOTHING, () -> core.post(() -> {
-                if (lost.merge(w.id(), -1, Integer::sum) == 0) {
-                    core.clientGone(message, this, w.id());
-                }
-            }));
+            w.exchange()
+                    .answer(
+                            202,
+                            Map.of(),
+                            NOTHING,
+                            () -> core.post(() -> {
+                                if (lost.merge(w.id(), -1, Integer::sum) == 0) {
+                                    core.clientGone(message, this, w.id());
+                                }
+                            }));
         }
     }
 
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -22,8 +22,8 @@
  * nothing, half a request or nonsense is answered with an error or closed in good time, and is not let take the room
  * of those who ask: so many connections, so many bytes of requests that are not whole, so much time for each.
  *
- * <p>Every close from this side is a lingering close (RFC 9112, 9.6): only our sending ends, what still comes is read and
- * dropped, and the client closes. A close over unread bytes is a reset, which can destroy an answer on its way.
+ * <p>Every close from this side is a lingering close (RFC 9112, 9.6): only our sending ends, what still comes is read
+ * and dropped, and the client closes. A close over unread bytes is a reset, which can destroy an answer on its way.
  */
 final class IntakeFilter extends BaseFilter {
     static final int LARGEST_BODY = 64 * 1024;
@@ -35,18 +35,28 @@
     private static final long SILENT = 2_000_000, WHOLE_BY = 2_000_000;
     /** A connection with no open request is closed after so long, and sooner where many are open. */
     private static final long IDLE = 15_000_000, IDLE_CROWDED = 2_200_000;
+
     private static final long LOOK = 500_000, LEAST_LOOK = 20_000;
     /** How long the first request of a new connection may be on its way when room is made. */
     private static final long NEW = 100_000;
     /** How long, and over how many bytes, a connection whose sending we have ended waits for the client to close it. */
     private static final long LINGER = 1_000_000, MOST_DROPPED = 1 << 20;
-    /** Part of the room for connections that is left for those that linger, and for newcomers who are told to come again. */
+    /**
+     * Part of the room for connections that is left for those that linger, and for newcomers who are told to come
+     * again.
+     */
     private static final int LEAVING_PART = 8;
+
     private static final byte[] NOTHING = {};
 
     /** One request; headers by lower-case name. */
-    record Request(String method, String path, Map<String, String> headers, byte[] body, long arrivedMicros,
-            Exchange exchange) { }
+    record Request(
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long arrivedMicros,
+            Exchange exchange) {}
 
     private final Core core;
     private final int most, crowd;
@@ -54,6 +64,7 @@
     private final Set<Client> clients = new LinkedHashSet<>();
     /** Those of them that are to close or linger, the first one first; guarded by the clients. */
     private final Set<Client> leaving = new LinkedHashSet<>();
+
     private final Attribute<Client> clientOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("IntakeFilter.client");
     private final AtomicLong gathered = new AtomicLong();
     private volatile boolean closing;
@@ -78,9 +89,11 @@
         private final AtomicLong counted = new AtomicLong();
         /** Since when it is as it is: opened, or the first byte of a request, or the end of an answer. */
         private volatile long since = Core.micros();
+
         private volatile boolean asked, partial, answering, ended, lingering;
         /** It came where all the room is taken by those who wait for an answer: it is told to come again. */
         private volatile boolean tooMany;
+
         private long dropped;
 
         Client(Connection<?> connection) {
@@ -120,7 +133,7 @@
                 } else if (reader.isComplete()) {
                     whole();
                 } else if (reader.awaitsContinue()) {
-                    Transport.write(connection, "HTTP/1.1 100 Continue\r\n\r\n".getBytes(), () -> { }, () -> { });
+                    Transport.write(connection, "HTTP/1.1 100 Continue\r\n\r\n".getBytes(), () -> {}, () -> {});
                 }
                 return at;
             } catch (MessageReader.Spoilt e) {
@@ -141,8 +154,13 @@
                 refuse(503);
                 return;
             }
-            Request request = new Request(reader.method(), reader.path(), reader.headers(), reader.body(),
-                    Core.micros(), new Exchange(this, reader.keeps()));
+            Request request = new Request(
+                    reader.method(),
+                    reader.path(),
+                    reader.headers(),
+                    reader.body(),
+                    Core.micros(),
+                    new Exchange(this, reader.keeps()));
             reader.next();
             handler.accept(request);
         }
@@ -153,7 +171,10 @@
                 ended = true;
                 core.counters().add(Name.BAD_REQUESTS);
                 Map<String, String> headers = status == 503 ? Map.of("Retry-After", "1") : Map.of();
-                Transport.write(connection, Head.answer(status, headers, true, NOTHING), this::linger,
+                Transport.write(
+                        connection,
+                        Head.answer(status, headers, true, NOTHING),
+                        this::linger,
                         connection::closeSilently);
             }
         }
@@ -199,9 +220,9 @@
         }
 
         /**
-         * Ends it if it still has to go. On the selector thread alone, once what had come is read: a request may have lain
-         * in the socket of one that looked idle. What comes after is sent again on another connection, and must not be read
-         * as a request here.
+         * Ends it if it still has to go. On the selector thread alone, once what had come is read: a request may have
+         * lain in the socket of one that looked idle. What comes after is sent again on another connection, and must
+         * not be read as a request here.
          */
         private synchronized void over() {
             if (Core.micros() < due()) {
@@ -262,14 +283,17 @@
         }
 
         /**
-         * Writes the answer; {@code lost} is run if it could not be written. The client may have it, and send its next request,
-         * before this returns: that one must not be taken for one that came before its turn.
+         * Writes the answer; {@code lost} is run if it could not be written. The client may have it, and send its next
+         * request, before this returns: that one must not be taken for one that came before its turn.
          */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
             synchronized (client) {
                 boolean stay = keep && !closing && !client.ended && size() <= crowd;
-                Transport.write(client.connection, Head.answer(status, headers, !stay, body),
-                        stay ? () -> { } : client::linger, () -> {
+                Transport.write(
+                        client.connection,
+                        Head.answer(status, headers, !stay, body),
+                        stay ? () -> {} : client::linger,
+                        () -> {
                             client.connection.closeSilently();
                             lost.run();
                         });
@@ -329,7 +353,10 @@
         return silent != null && (now - silent.since > NEW || idle == null) ? silent : idle != null ? idle : newest;
     }
 
-    /** Makes room for a newcomer: one of those who stay has to leave, and where there is no room for that either, one goes now. */
+    /**
+     * Makes room for a newcomer: one of those who stay has to leave, and where there is no room for that either, one
+     * goes now.
+     */
     private void crowdOut(Client newest) {
         Client out = null, gone = null;
         synchronized (clients) {
--- a/src/main/java/lilaclever/protocol/http/MessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/MessageReader.java
@@ -28,7 +28,17 @@
         }
     }
 
-    private enum Part { FIRST, HEADER, FIXED, SIZE, CHUNK, CHUNK_END, TRAILER, REST, COMPLETE }
+    private enum Part {
+        FIRST,
+        HEADER,
+        FIXED,
+        SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        REST,
+        COMPLETE
+    }
 
     private final boolean answers;
     private final int mostBody;
@@ -159,8 +169,11 @@
     }
 
     private void statusLine(String text) throws Spoilt {
-        boolean good = text.length() >= 12 && text.startsWith("HTTP/1.") && Character.isDigit(text.charAt(7))
-                && text.charAt(8) == ' ' && (text.length() == 12 || text.charAt(12) == ' ');
+        boolean good = text.length() >= 12
+                && text.startsWith("HTTP/1.")
+                && Character.isDigit(text.charAt(7))
+                && text.charAt(8) == ' '
+                && (text.length() == 12 || text.charAt(12) == ' ');
         for (int i = 9; good && i < 12; i++) {
             good = text.charAt(i) >= '0' && text.charAt(i) <= '9';
         }
@@ -180,14 +193,19 @@
             throw new Spoilt(431, "more than " + MOST_HEADERS + " headers");
         }
         // The same name twice gives a list; nothing that is one number or one id survives that.
-        headers.merge(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).strip(),
+        headers.merge(
+                text.substring(0, colon).toLowerCase(Locale.ROOT),
+                text.substring(colon + 1).strip(),
                 (a, b) -> a + ", " + b);
     }
 
     private static boolean isToken(String text) {
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
-            if (!(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || TOKEN_MARKS.indexOf(c) >= 0)) {
+            if (!(c >= 'a' && c <= 'z'
+                    || c >= 'A' && c <= 'Z'
+                    || c >= '0' && c <= '9'
+                    || TOKEN_MARKS.indexOf(c) >= 0)) {
                 return false;
             }
         }
@@ -207,7 +225,8 @@
         }
         String encoding = headers.get("transfer-encoding");
         String length = headers.get("content-length");
-        if (encoding != null && (length != null || !encoding.equalsIgnoreCase("chunked") || version.equals("HTTP/1.0"))) {
+        if (encoding != null
+                && (length != null || !encoding.equalsIgnoreCase("chunked") || version.equals("HTTP/1.0"))) {
             throw new Spoilt(length != null ? 400 : 501, "a length that is not clear");
         }
         if (answers && (status == 204 || status == 304)) {
@@ -292,7 +311,9 @@
 
     /** True if the client waits for a word before it sends the body. */
     boolean awaitsContinue() {
-        return !answers && (part == Part.FIXED || part == Part.SIZE) && bodyLength == 0
+        return !answers
+                && (part == Part.FIXED || part == Part.SIZE)
+                && bodyLength == 0
                 && "100-continue".equalsIgnoreCase(headers.get("expect"));
     }
 
--- a/src/main/java/lilaclever/protocol/http/Notices.java
+++ b/src/main/java/lilaclever/protocol/http/Notices.java
@@ -14,16 +14,18 @@
 /** Tells the platform how messages ended, again and again until it says that it has heard. Loop thread. */
 public final class Notices {
     /**
-     * The platform answers at once, and an end counts as lost 300 ms after its message's time: a connection that has fallen
-     * silent or is closed must be noticed well within that. A platform that is slow is given longer, time and again twice as long.
+     * The platform answers at once, and an end counts as lost 300 ms after its message's time: a connection that has
+     * fallen silent or is closed must be noticed well within that. A platform that is slow is given longer, time and
+     * again twice as long.
      */
     private static final long FIRST_ANSWER_BY = 100_000, LAST_ANSWER_BY = 1_000_000;
+
     private static final long FIRST_PAUSE = 10_000, LAST_PAUSE = 100_000;
     private static final int MOST_DOUBLINGS = 4;
     private static final int MOST = 200;
     private static final int MOST_ANSWER = 16 * 1024;
 
-    private record Notice(String line, Runnable settled) { }
+    private record Notice(String line, Runnable settled) {}
 
     private final Core core;
     private final HttpClient client;
@@ -34,6 +36,7 @@
     private int failures;
     /** The batch that is on its way, and when it is given up or sent again. */
     private HttpClient.Exchange sending;
+
     private Deadlines.Key again;
 
     /** Notices to the address. */
@@ -84,31 +87,37 @@
             sending.close();
             later();
         });
-        sending = client.send(address, address, "POST", "/status", Map.of("Content-Type", "application/json"),
-                body.toString().getBytes(StandardCharsets.UTF_8), new HttpClient.Listener() {
-            @Override
-            public void answered(int status, Map<String, String> headers, byte[] answer) {
-                core.deadlines().cancel(again);
-                if (status != 204) {
-                    Logs.warn("", "notices-refused", "notices answered with " + status);
-                    later();
-                    return;
-                }
-                failures = 0;
-                open.subList(0, batch.size()).clear();
-                batch.forEach(n -> {
-                    core.counters().add(Counters.Name.NOTICES);
-                    n.settled().run();
-                });
-                send();
-            }
+        sending = client.send(
+                address,
+                address,
+                "POST",
+                "/status",
+                Map.of("Content-Type", "application/json"),
+                body.toString().getBytes(StandardCharsets.UTF_8),
+                new HttpClient.Listener() {
+                    @Override
+                    public void answered(int status, Map<String, String> headers, byte[] answer) {
+                        core.deadlines().cancel(again);
+                        if (status != 204) {
+                            Logs.warn("", "notices-refused", "notices answered with " + status);
+                            later();
+                            return;
+                        }
+                        failures = 0;
+                        open.subList(0, batch.size()).clear();
+                        batch.forEach(n -> {
+                            core.counters().add(Counters.Name.NOTICES);
+                            n.settled().run();
+                        });
+                        send();
+                    }
 
-            @Override
-            public void broke(boolean written, int status) {
-                core.deadlines().cancel(again);
-                later();
-            }
-        });
+                    @Override
+                    public void broke(boolean written, int status) {
+                        core.deadlines().cancel(again);
+                        later();
+                    }
+                });
     }
 
     private void later() {
--- a/src/main/java/lilaclever/protocol/mail/LineFilter.java
+++ b/src/main/java/lilaclever/protocol/mail/LineFilter.java
@@ -35,8 +35,8 @@
             context.getConnection().closeSilently();
             return context.getStopAction();
         }
-        Buffer rest = from < bytes.length
-                ? Buffers.wrap(context.getMemoryManager(), bytes, from, bytes.length - from) : null;
+        Buffer rest =
+                from < bytes.length ? Buffers.wrap(context.getMemoryManager(), bytes, from, bytes.length - from) : null;
         buffer.tryDispose();
         if (lines.isEmpty()) {
             return context.getStopAction(rest);
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -34,7 +34,15 @@
     private static final long SWEEP = 500_000;
     private static final int MOST_LINES = 200;
 
-    private enum Step { GREETING, HELLO, HELO, MAIL, RCPT, DATA, CONTENT }
+    private enum Step {
+        GREETING,
+        HELLO,
+        HELO,
+        MAIL,
+        RCPT,
+        DATA,
+        CONTENT
+    }
 
     private final Core core;
     private final Transport transport;
@@ -48,8 +56,14 @@
     private final Map<String, MailSettings.Protocol> protocols = new HashMap<>();
 
     /** A deliverer for the routes of the mail file. */
-    public MailDeliverer(Core core, Transport transport, MailSettings settings, int zone, long connectMicros,
-            long keepAliveMicros, int mostIdle) {
+    public MailDeliverer(
+            Core core,
+            Transport transport,
+            MailSettings settings,
+            int zone,
+            long connectMicros,
+            long keepAliveMicros,
+            int mostIdle) {
         this.core = core;
         this.transport = transport;
         this.settings = settings;
@@ -65,9 +79,9 @@
             for (String address : route.addresses()) {
                 String host = route.host(address);
                 protocols.put(host, route.protocol());
-                core.add(new Core.Listed(new Relay.Entry(host, route.destination(), zone, -1,
-                        Relay.Presence.ACTIVE, 1, 0), new Call.Endpoint(host, address, route.destination(),
-                                zone, 1, false, this)));
+                core.add(new Core.Listed(
+                        new Relay.Entry(host, route.destination(), zone, -1, Relay.Presence.ACTIVE, 1, 0),
+                        new Call.Endpoint(host, address, route.destination(), zone, 1, false, this)));
             }
         }
         sweep();
@@ -115,10 +129,14 @@
     @Override
     public void probe(Call.Endpoint endpoint) {
         long started = core.now();
-        transport.connect(Transport.address(endpoint.address()), chain, up -> {
-            up.closeSilently();
-            core.post(() -> core.probed(endpoint.host(), Ending.DELIVERED, core.now() - started));
-        }, problem -> core.post(() -> core.probed(endpoint.host(), Ending.NO_CONNECTION, core.now() - started)));
+        transport.connect(
+                Transport.address(endpoint.address()),
+                chain,
+                up -> {
+                    up.closeSilently();
+                    core.post(() -> core.probed(endpoint.host(), Ending.DELIVERED, core.now() - started));
+                },
+                problem -> core.post(() -> core.probed(endpoint.host(), Ending.NO_CONNECTION, core.now() - started)));
     }
 
     /** One connection to a server, and the transaction on it. Loop thread, but for {@link #written}. */
@@ -129,6 +147,7 @@
         private final Set<String> offers = new HashSet<>();
         /** Lines that came before the connection was told to be up. */
         private final ArrayDeque<String> early = new ArrayDeque<>();
+
         private Connection<?> connection;
         private Deadlines.Key connectBy;
         private Runnable connecting;
@@ -157,10 +176,14 @@
                 connecting.run();
                 end(Ending.NO_CONNECTION, "");
             });
-            connecting = transport.connect(Transport.address(endpoint.address()), chain, up -> {
-                sessions.set(up, this); // before the greeting can be read
-                core.post(() -> connected(up));
-            }, problem -> core.post(() -> end(Ending.NO_CONNECTION, "")));
+            connecting = transport.connect(
+                    Transport.address(endpoint.address()),
+                    chain,
+                    up -> {
+                        sessions.set(up, this); // before the greeting can be read
+                        core.post(() -> connected(up));
+                    },
+                    problem -> core.post(() -> end(Ending.NO_CONNECTION, "")));
         }
 
         private void connected(Connection<?> up) {
@@ -236,10 +259,11 @@
 
         private void refused(Step step, Reply reply) {
             boolean odd = reply.code() < 400 || reply.code() > 599;
-            Ending ending = odd ? written ? Ending.ERROR : Ending.NO_CONNECTION
+            Ending ending = odd
+                    ? written ? Ending.ERROR : Ending.NO_CONNECTION
                     : reply.permanent() ? Ending.REJECTED : Ending.FULL;
             if (step != Step.GREETING) {
-                Transport.write(connection, "QUIT\r\n", () -> { }, () -> { });
+                Transport.write(connection, "QUIT\r\n", () -> {}, () -> {});
             }
             end(ending, reply.code() + " " + reply.text());
         }
@@ -284,7 +308,7 @@
 
         private void write(String text, Step... answers) {
             expected.addAll(List.of(answers));
-            Transport.write(connection, text, () -> { }, this::broken);
+            Transport.write(connection, text, () -> {}, this::broken);
         }
 
         private void broken() {
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -54,7 +54,7 @@
     private long count;
 
     /** Waits for the first answer to a hand-in: a {@link Reply} that says it is taken on, or its end. */
-    private record Waiter(Consumer<Reply> answer) { }
+    private record Waiter(Consumer<Reply> answer) {}
 
     /** A front that listens nowhere yet, with so many clients at most. */
     public MailFront(Core core, MailSettings settings, Protocol protocol, int mostSessions) {
@@ -99,22 +99,32 @@
 
     /** Hands a mail in for one recipient; the answer is given once, maybe at once. */
     void handIn(Mail mail, Consumer<Reply> answer) {
-        String identity = isKnowable(mail.content())
-                ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient() : null;
+        String identity =
+                isKnowable(mail.content()) ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient() : null;
         String named = Mail.header(mail.content(), settings.classHeader());
-        int messageClass = named == null ? settings.otherwise()
-                : settings.classes().getOrDefault(named, settings.otherwise());
+        int messageClass =
+                named == null ? settings.otherwise() : settings.classes().getOrDefault(named, settings.otherwise());
         handIn(mail, identity, messageClass, answer);
     }
 
     private void handIn(Mail mail, String identity, int messageClass, Consumer<Reply> answer) {
         String id = name() + '-' + life + '-' + Long.toString(count++, Character.MAX_RADIX);
-        Handin handin = new Handin(id, identity, messageClass, settings.route(mail.recipient()).destination(),
-                identity, mail.encode(), false, false, settings.budgets().get(messageClass));
+        Handin handin = new Handin(
+                id,
+                identity,
+                messageClass,
+                settings.route(mail.recipient()).destination(),
+                identity,
+                mail.encode(),
+                false,
+                false,
+                settings.budgets().get(messageClass));
         Message m = core.handIn(this, handin);
         if (!m.isOpen()) {
-            answer.accept(protocol == Protocol.SMTP && m.verdict().kind() == Verdict.Kind.DELIVERED
-                    ? new Reply(250, "2.0.0 taken on before") : Reply.of(m.verdict()));
+            answer.accept(
+                    protocol == Protocol.SMTP && m.verdict().kind() == Verdict.Kind.DELIVERED
+                            ? new Reply(250, "2.0.0 taken on before")
+                            : Reply.of(m.verdict()));
         } else if (m.front != this) {
             // The same mail is under way for a client of the other protocol: its end is known soon.
             answer.accept(new Reply(451, "4.3.0 already under way, come again"));
@@ -165,7 +175,12 @@
             return;
         }
         if (settings.route(mail.reversePath()) == null) {
-            Logs.warn("", "no-route", "no route for the report of " + failed + " to " + mail.reversePath(), "message", failed);
+            Logs.warn(
+                    "",
+                    "no-route",
+                    "no route for the report of " + failed + " to " + mail.reversePath(),
+                    "message",
+                    failed);
             settled.run();
             return;
         }
@@ -185,7 +200,9 @@
     }
 
     static String date() {
-        return DateTimeFormatter.RFC_1123_DATE_TIME.format(ZonedDateTime.now(ZoneOffset.UTC)).replace("GMT", "+0000");
+        return DateTimeFormatter.RFC_1123_DATE_TIME
+                .format(ZonedDateTime.now(ZoneOffset.UTC))
+                .replace("GMT", "+0000");
     }
 
     // ---- connections ------------------------------------------------------------------------------------
@@ -223,7 +240,8 @@
         public NextAction handleAccept(FilterChainContext context) {
             Connection<?> connection = context.getConnection();
             String peer = connection.getPeerAddress() instanceof InetSocketAddress a
-                    ? a.getAddress().getHostAddress() : "unknown";
+                    ? a.getAddress().getHostAddress()
+                    : "unknown";
             ServerSession session = new ServerSession(MailFront.this, connection, peer);
             sessionOf.set(connection, session);
             core.post(() -> opened(session));
--- a/src/main/java/lilaclever/protocol/mail/MailSettings.java
+++ b/src/main/java/lilaclever/protocol/mail/MailSettings.java
@@ -7,14 +7,26 @@
  * What the mail file says, checked. Classes are numbers in the settings' list; {@code otherwise} is the class of a
  * message whose header names none that is known.
  */
-public record MailSettings(String hostName, List<Listener> listeners, List<Route> routes, String classHeader,
-        Map<String, Integer> classes, int otherwise, int dsnClass, int mostBytes, int mostRecipients,
-        long idleMicros, List<Long> budgets) {
+public record MailSettings(
+        String hostName,
+        List<Listener> listeners,
+        List<Route> routes,
+        String classHeader,
+        Map<String, Integer> classes,
+        int otherwise,
+        int dsnClass,
+        int mostBytes,
+        int mostRecipients,
+        long idleMicros,
+        List<Long> budgets) {
     /** Which of the two protocols is spoken. */
-    public enum Protocol { SMTP, LMTP }
+    public enum Protocol {
+        SMTP,
+        LMTP
+    }
 
     /** Where clients connect. */
-    public record Listener(Protocol protocol, String address) { }
+    public record Listener(Protocol protocol, String address) {}
 
     /** Where the mail for a domain goes. */
     public record Route(String domain, int destination, Protocol protocol, List<String> addresses) {
@@ -26,6 +38,9 @@
 
     Route route(String recipient) {
         String domain = recipient.substring(recipient.lastIndexOf('@') + 1);
-        return routes.stream().filter(r -> r.domain().equalsIgnoreCase(domain)).findFirst().orElse(null);
+        return routes.stream()
+                .filter(r -> r.domain().equalsIgnoreCase(domain))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/lilaclever/protocol/mail/Reply.java
+++ b/src/main/java/lilaclever/protocol/mail/Reply.java
@@ -28,8 +28,8 @@
         }
         // A CR or LF alone must not pass on into replies and reports of ours.
         String text = line.length() > 4 ? line.substring(4).replaceAll("\\p{Cntrl}", " ") : "";
-        return new Reply(Integer.parseInt(line.substring(0, 3)),
-                text.length() > LONGEST ? text.substring(0, LONGEST) : text);
+        return new Reply(
+                Integer.parseInt(line.substring(0, 3)), text.length() > LONGEST ? text.substring(0, LONGEST) : text);
     }
 
     /** The enhanced status code in its text, or the most general one of its class. */
@@ -46,10 +46,17 @@
         Reply said = parse(verdict.detail());
         return switch (verdict.kind()) {
             case DELIVERED -> new Reply(250, "2.1.5 delivered");
-            case REFUSED, GONE -> new Reply(451, "4.4.7 not delivered, come again"
-                    + (verdict.comeBackMicros() > 0 ? " in " + (verdict.comeBackMicros() / 1_000_000 + 1) + " s" : ""));
-            case FAILED, CLASH -> said != null && said.permanent() ? said
-                    : new Reply(554, "5.4.0 delivery not confirmed; it may have happened");
+            case REFUSED, GONE ->
+                new Reply(
+                        451,
+                        "4.4.7 not delivered, come again"
+                                + (verdict.comeBackMicros() > 0
+                                        ? " in " + (verdict.comeBackMicros() / 1_000_000 + 1) + " s"
+                                        : ""));
+            case FAILED, CLASH ->
+                said != null && said.permanent()
+                        ? said
+                        : new Reply(554, "5.4.0 delivery not confirmed; it may have happened");
         };
     }
 }
--- a/src/main/java/lilaclever/protocol/mail/Report.java
+++ b/src/main/java/lilaclever/protocol/mail/Report.java
@@ -4,27 +4,45 @@
 
 /** Delivery status notifications: what a sender is told of a failure (RFC 3464). */
 final class Report {
-    private Report() { }
+    private Report() {}
 
     static Mail of(String hostName, Mail failed, Verdict verdict, String id, String date) {
         Reply said = Reply.parse(verdict.detail());
         boolean permanent = said != null && said.permanent() && verdict.kind() == Verdict.Kind.FAILED;
         String status = permanent ? said.status() : verdict.kind() == Verdict.Kind.REFUSED ? "4.4.7" : "5.4.0";
-        String why = permanent ? "The next server refused it: " + verdict.detail()
-                : verdict.kind() == Verdict.Kind.REFUSED ? "It could not be delivered in time, and was not."
-                : "Its delivery was not confirmed. It may have happened, so it was not tried again.";
+        String why = permanent
+                ? "The next server refused it: " + verdict.detail()
+                : verdict.kind() == Verdict.Kind.REFUSED
+                        ? "It could not be delivered in time, and was not."
+                        : "Its delivery was not confirmed. It may have happened, so it was not tried again.";
         String boundary = "report-" + id;
         StringBuilder text = new StringBuilder();
-        add(text, "From: Mail Delivery System <postmaster@" + hostName + '>', "To: <" + failed.reversePath() + '>',
-                "Subject: Delivery failed for " + failed.recipient(), "Date: " + date,
-                "Message-ID: <" + boundary + '@' + hostName + '>', "Auto-Submitted: auto-replied",
+        add(
+                text,
+                "From: Mail Delivery System <postmaster@" + hostName + '>',
+                "To: <" + failed.reversePath() + '>',
+                "Subject: Delivery failed for " + failed.recipient(),
+                "Date: " + date,
+                "Message-ID: <" + boundary + '@' + hostName + '>',
+                "Auto-Submitted: auto-replied",
                 "MIME-Version: 1.0",
-                "Content-Type: multipart/report; report-type=delivery-status;", "\tboundary=\"" + boundary + '"', "",
-                "--" + boundary, "Content-Type: text/plain; charset=us-ascii", "",
-                "Your message to <" + failed.recipient() + "> has failed.", why, "",
-                "--" + boundary, "Content-Type: message/delivery-status", "",
-                "Reporting-MTA: dns; " + hostName, "",
-                "Final-Recipient: rfc822; " + failed.recipient(), "Action: failed", "Status: " + status);
+                "Content-Type: multipart/report; report-type=delivery-status;",
+                "\tboundary=\"" + boundary + '"',
+                "",
+                "--" + boundary,
+                "Content-Type: text/plain; charset=us-ascii",
+                "",
+                "Your message to <" + failed.recipient() + "> has failed.",
+                why,
+                "",
+                "--" + boundary,
+                "Content-Type: message/delivery-status",
+                "",
+                "Reporting-MTA: dns; " + hostName,
+                "",
+                "Final-Recipient: rfc822; " + failed.recipient(),
+                "Action: failed",
+                "Status: " + status);
         if (said != null) {
             add(text, "Diagnostic-Code: smtp; " + verdict.detail());
         }
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -29,6 +29,7 @@
     private final boolean lmtp;
     /** Lines that came while an answer is awaited: they are read after it. */
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
+
     private final List<String> recipients = new ArrayList<>();
     private final AtomicLong unread = new AtomicLong();
     private Reply[] replies;
@@ -98,8 +99,11 @@
     private void rest() {
         front.core().deadlines().cancel(idle);
         if (!over && !awaiting) {
-            idle = front.core().deadlines().at(front.core().now() + settings.idleMicros(),
-                    () -> close("421 4.4.2 nothing came for too long\r\n"));
+            idle = front.core()
+                    .deadlines()
+                    .at(
+                            front.core().now() + settings.idleMicros(),
+                            () -> close("421 4.4.2 nothing came for too long\r\n"));
         }
     }
 
@@ -129,7 +133,7 @@
 
     private void write(String text) {
         if (!over) {
-            Transport.write(connection, text, () -> { }, connection::closeSilently);
+            Transport.write(connection, text, () -> {}, connection::closeSilently);
         }
     }
 
@@ -178,8 +182,11 @@
             reset();
             hello = name;
             String host = settings.hostName();
-            write(!extended ? "250 " + host + "\r\n" : "250-" + host + "\r\n250-PIPELINING\r\n250-8BITMIME\r\n250-SIZE "
-                    + settings.mostBytes() + "\r\n250 ENHANCEDSTATUSCODES\r\n");
+            write(
+                    !extended
+                            ? "250 " + host + "\r\n"
+                            : "250-" + host + "\r\n250-PIPELINING\r\n250-8BITMIME\r\n250-SIZE " + settings.mostBytes()
+                                    + "\r\n250 ENHANCEDSTATUSCODES\r\n");
         }
     }
 
@@ -213,7 +220,9 @@
         Matcher path = PATH.matcher(rest);
         if (reversePath == null) {
             reply(503, "5.5.1 MAIL comes first");
-        } else if (!rest.toUpperCase(Locale.ROOT).startsWith("TO:") || !path.matches() || path.group(1).isEmpty()) {
+        } else if (!rest.toUpperCase(Locale.ROOT).startsWith("TO:")
+                || !path.matches()
+                || path.group(1).isEmpty()) {
             reply(501, "5.5.4 RCPT TO:<path>");
         } else if (!path.group(2).isBlank()) {
             reply(555, "5.5.4 unknown parameter");
@@ -236,8 +245,11 @@
             bareEnd = false;
             came = 0;
             // A line now and then keeps the connection from being idle: all of them have a time as well.
-            whole = front.core().deadlines().at(front.core().now() + settings.idleMicros(),
-                    () -> close("421 4.4.2 the mail took too long\r\n"));
+            whole = front.core()
+                    .deadlines()
+                    .at(
+                            front.core().now() + settings.idleMicros(),
+                            () -> close("421 4.4.2 the mail took too long\r\n"));
             write("354 end with a dot on a line of its own\r\n");
         }
     }
@@ -272,7 +284,8 @@
     private void complete() {
         front.core().deadlines().cancel(whole);
         commands = 0;
-        Reply refusal = tooLarge ? new Reply(552, "5.3.4 at most " + settings.mostBytes() + " bytes")
+        Reply refusal = tooLarge
+                ? new Reply(552, "5.3.4 at most " + settings.mostBytes() + " bytes")
                 : bareEnd ? new Reply(550, "5.6.0 a line ends in CR or LF alone") : null;
         text = "Received: from " + hello + " ([" + peer + "]) by " + settings.hostName() + " with "
                 + (lmtp ? "LMTP" : "ESMTP") + "; " + MailFront.date() + "\r\n" + content;
--- a/src/main/java/lilaclever/protocol/mllp/Acknowledgements.java
+++ b/src/main/java/lilaclever/protocol/mllp/Acknowledgements.java
@@ -15,7 +15,14 @@
  */
 final class Acknowledgements {
     /** Codes of HL7's table 0008. */
-    enum Code { AA, AE, AR, CA, CE, CR }
+    enum Code {
+        AA,
+        AE,
+        AR,
+        CA,
+        CE,
+        CR
+    }
 
     static final Escaping ESCAPING = new DefaultEscaping();
     private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("yyyyMMddHHmmssZ");
@@ -42,24 +49,30 @@
     /** The message was refused, and nothing of it was done: it may come again after so long. */
     byte[] comeBack(Code code, Header to, Verdict verdict) {
         String seconds = seconds(verdict.comeBackMicros());
-        String text = text(to, (verdict.detail().isEmpty() ? "not done" : verdict.detail())
-                + (seconds.isEmpty() ? "; come again" : "; come again in " + seconds + " s"));
+        String text = text(
+                to,
+                (verdict.detail().isEmpty() ? "not done" : verdict.detail())
+                        + (seconds.isEmpty() ? "; come again" : "; come again in " + seconds + " s"));
         return of(code, to, text, err(to, "", 0, Hl7Fault.Code.INTERNAL, "come-again", seconds, text));
     }
 
     /** The message was taken on and is not known to be done: it may have been. */
     byte[] failed(Code code, Header to, Verdict verdict) {
-        String text = text(to, "not confirmed, so perhaps done" + (verdict.detail().isEmpty() ? "" : ": " + verdict.detail()));
+        String text = text(
+                to, "not confirmed, so perhaps done" + (verdict.detail().isEmpty() ? "" : ": " + verdict.detail()));
         return of(code, to, text, err(to, "", 0, Hl7Fault.Code.INTERNAL, "not-confirmed", "", text));
     }
 
     private static String seconds(long micros) {
-        return micros <= 0 ? "" : java.math.BigDecimal.valueOf((micros + 999) / 1000, 3).stripTrailingZeros().toPlainString();
+        return micros <= 0
+                ? ""
+                : java.math.BigDecimal.valueOf((micros + 999) / 1000, 3)
+                        .stripTrailingZeros()
+                        .toPlainString();
     }
 
     private static String text(Header to, String plain) {
-        return ESCAPING.escape(plain.replaceAll("[\\p{Cntrl}]", " "),
-                delimiters(to));
+        return ESCAPING.escape(plain.replaceAll("[\\p{Cntrl}]", " "), delimiters(to));
     }
 
     static EncodingCharacters delimiters(Header of) {
@@ -76,9 +89,26 @@
         String version = to.field(12);
         String type = "ACK" + (to.second(9).isEmpty() ? "" : c + to.second(9))
                 + (to.second(9).isEmpty() || to.first(12).equals("2.3") ? "" : c + "ACK");
-        String[] msh = {"MSH", to.encoding(), to.field(5), to.field(6), to.field(3), to.field(4),
-            TIME.format(ZonedDateTime.now(ZoneId.systemDefault())), "", type, life + count++, to.field(11), version, "", "",
-            Request.isOriginal(to) ? "" : "NE", Request.isOriginal(to) ? "" : "NE", to.field(17), to.field(18)};
+        String[] msh = {
+            "MSH",
+            to.encoding(),
+            to.field(5),
+            to.field(6),
+            to.field(3),
+            to.field(4),
+            TIME.format(ZonedDateTime.now(ZoneId.systemDefault())),
+            "",
+            type,
+            life + count++,
+            to.field(11),
+            version,
+            "",
+            "",
+            Request.isOriginal(to) ? "" : "NE",
+            Request.isOriginal(to) ? "" : "NE",
+            to.field(17),
+            to.field(18)
+        };
         StringBuilder all = new StringBuilder(256).append(join(s, msh)).append('\r');
         all.append(join(s, "MSA", code.name(), to.field(10), text)).append('\r').append(err);
         return printable(all).getBytes(to.charset());
@@ -95,18 +125,30 @@
         return all.toString();
     }
 
-    private static String err(Header to, String segment, int field, Hl7Fault.Code code, String application, String parameter,
+    private static String err(
+            Header to,
+            String segment,
+            int field,
+            Hl7Fault.Code code,
+            String application,
+            String parameter,
             String text) {
         char s = to.separator();
         String c = String.valueOf(to.encoding().charAt(0));
-        String place = segment.isEmpty() ? "" : segment + c + (segment.equals("MSH") ? "1" : "") + (field > 0 ? c + field : "");
+        String place = segment.isEmpty()
+                ? ""
+                : segment + c + (segment.equals("MSH") ? "1" : "") + (field > 0 ? c + field : "");
         String error = code.number + c + code.text + c + "HL70357";
         if (isAtLeast25(to)) {
             return join(s, "ERR", "", place, error, "E", application, parameter, "", text) + '\r';
         }
         String sub = to.encoding().substring(3, 4);
-        String[] parts = {segment, segment.equals("MSH") ? "1" : "", field > 0 ? Integer.toString(field) : "",
-            code.number + sub + code.text + sub + "HL70357"};
+        String[] parts = {
+            segment,
+            segment.equals("MSH") ? "1" : "",
+            field > 0 ? Integer.toString(field) : "",
+            code.number + sub + code.text + sub + "HL70357"
+        };
         return join(s, "ERR", String.join(c, parts)) + '\r';
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/Batch.java
+++ b/src/main/java/lilaclever/protocol/mllp/Batch.java
@@ -7,13 +7,13 @@
 import lilaclever.protocol.mllp.Hl7Fault.Code;
 
 /**
- * Messages that came in one frame between BHS and BTS, and FHS and FTS around them. Each is a message of its own with an
- * acknowledgement of its own; a batch that is not whole is refused whole, before any of it is taken on.
+ * Messages that came in one frame between BHS and BTS, and FHS and FTS around them. Each is a message of its own with
+ * an acknowledgement of its own; a batch that is not whole is refused whole, before any of it is taken on.
  */
 final class Batch {
     private static final int MOST = 100;
 
-    private Batch() { }
+    private Batch() {}
 
     /** True if the frame holds a batch. */
     static boolean is(byte[] frame) {
--- a/src/main/java/lilaclever/protocol/mllp/FrameReader.java
+++ b/src/main/java/lilaclever/protocol/mllp/FrameReader.java
@@ -23,7 +23,11 @@
         }
     }
 
-    private enum State { BETWEEN, INSIDE, ENDING }
+    private enum State {
+        BETWEEN,
+        INSIDE,
+        ENDING
+    }
 
     private final int largest;
     private State state = State.BETWEEN;
--- a/src/main/java/lilaclever/protocol/mllp/Header.java
+++ b/src/main/java/lilaclever/protocol/mllp/Header.java
@@ -10,10 +10,21 @@
 final class Header {
     private static final int LONGEST = 4096, FIELDS = 12, MOST_FIELDS = 40;
     /** HL7's table 0211, as far as one byte or UTF-8 goes. */
-    private static final Map<String, Charset> CHARSETS = Map.of("", StandardCharsets.ISO_8859_1,
-            "ASCII", StandardCharsets.ISO_8859_1, "8859/1", StandardCharsets.ISO_8859_1,
-            "8859/2", Charset.forName("ISO-8859-2"), "8859/15", Charset.forName("ISO-8859-15"),
-            "UNICODE", StandardCharsets.UTF_8, "UNICODE UTF-8", StandardCharsets.UTF_8);
+    private static final Map<String, Charset> CHARSETS = Map.of(
+            "",
+            StandardCharsets.ISO_8859_1,
+            "ASCII",
+            StandardCharsets.ISO_8859_1,
+            "8859/1",
+            StandardCharsets.ISO_8859_1,
+            "8859/2",
+            Charset.forName("ISO-8859-2"),
+            "8859/15",
+            Charset.forName("ISO-8859-15"),
+            "UNICODE",
+            StandardCharsets.UTF_8,
+            "UNICODE UTF-8",
+            StandardCharsets.UTF_8);
 
     private final char separator;
     private final String[] fields;
@@ -54,13 +65,15 @@
         if (raw.length > MOST_FIELDS) {
             throw new Hl7Fault(Code.DATA_TYPE, "MSH", MOST_FIELDS, "more than " + MOST_FIELDS + " fields");
         }
-        if (raw[1].length() < 4 || raw[1].chars().distinct().count() < raw[1].length()
+        if (raw[1].length() < 4
+                || raw[1].chars().distinct().count() < raw[1].length()
                 || raw[1].chars().anyMatch(c -> c <= ' ' || c == 0x7f || Character.isLetterOrDigit(c))) {
             throw new Hl7Fault(Code.DATA_TYPE, "MSH", 2, "not four different encoding characters");
         }
         String named = raw.length > 17 ? split(raw[17], raw[1].charAt(1))[0] : "";
         Charset charset = CHARSETS.get(named);
-        return charset == null ? new Header(separator, raw, StandardCharsets.ISO_8859_1)
+        return charset == null
+                ? new Header(separator, raw, StandardCharsets.ISO_8859_1)
                 : new Header(separator, split(new String(message, 0, end, charset), separator), charset);
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
@@ -54,22 +54,35 @@
         if (destination == null) {
             throw new Hl7Fault(Code.UNKNOWN_KEY, "MSH", 5, "no such receiver");
         }
-        return new Request(header, message, practice, key(header, message), number, destination,
-                budget(header, message, settings.budgets().get(number)), micros.getAsLong());
+        return new Request(
+                header,
+                message,
+                practice,
+                key(header, message),
+                number,
+                destination,
+                budget(header, message, settings.budgets().get(number)),
+                micros.getAsLong());
     }
 
     private void check(Header header) throws Hl7Fault {
         if (!settings.versions().contains(header.first(12))) {
-            throw new Hl7Fault(Code.VERSION, "MSH", 12, "versions read here are "
-                    + String.join(", ", settings.versions()));
+            throw new Hl7Fault(
+                    Code.VERSION, "MSH", 12, "versions read here are " + String.join(", ", settings.versions()));
         }
         if (!settings.processing().contains(header.first(11))) {
-            throw new Hl7Fault(Code.PROCESSING_ID, "MSH", 11, "processing ids taken here are "
-                    + String.join(", ", settings.processing()));
+            throw new Hl7Fault(
+                    Code.PROCESSING_ID,
+                    "MSH",
+                    11,
+                    "processing ids taken here are " + String.join(", ", settings.processing()));
         }
     }
 
-    /** Segments end in CR, have names, and hold no control characters: what a partner could read in two ways is not passed on. */
+    /**
+     * Segments end in CR, have names, and hold no control characters: what a partner could read in two ways is not
+     * passed on.
+     */
     private static void checkBytes(Header header, byte[] message) throws Hl7Fault {
         int start = 0;
         for (int i = 0; i <= message.length; i++) {
@@ -91,11 +104,16 @@
         if (start == to) {
             return;
         }
-        boolean good = to - start >= 3 && isLetter(message[start]) && isLetterOrDigit(message[start + 1])
+        boolean good = to - start >= 3
+                && isLetter(message[start])
+                && isLetterOrDigit(message[start + 1])
                 && isLetterOrDigit(message[start + 2])
                 && (to - start == 3 || message[start + 3] == (byte) header.separator());
         if (!good || start > 0 && message[start] == 'M' && message[start + 1] == 'S' && message[start + 2] == 'H') {
-            throw new Hl7Fault(Code.SEGMENT_SEQUENCE, name(message, start, to), 0,
+            throw new Hl7Fault(
+                    Code.SEGMENT_SEQUENCE,
+                    name(message, start, to),
+                    0,
                     good ? "a second header" : "a segment without a name");
         }
         for (int i = start; i < to; i++) {
@@ -148,30 +166,41 @@
         return word(value, MOST_KEY);
     }
 
-    /** The same text for the same value, fit for the journal and for a header of HTTP; a readable value stays itself. */
+    /**
+     * The same text for the same value, fit for the journal and for a header of HTTP; a readable value stays itself.
+     */
     static String word(String value, int most) {
         if (value.length() <= most && value.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '%')) {
             return value;
         }
         Fingerprint sum = Fingerprint.of(0, 0, value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        return "%" + Base64.getUrlEncoder().withoutPadding().encodeToString(
-                java.nio.ByteBuffer.allocate(16).putLong(sum.high()).putLong(sum.low()).array());
+        return "%"
+                + Base64.getUrlEncoder()
+                        .withoutPadding()
+                        .encodeToString(java.nio.ByteBuffer.allocate(16)
+                                .putLong(sum.high())
+                                .putLong(sum.low())
+                                .array());
     }
 
     private static Hl7Fault missing(Field field) {
         return new Hl7Fault(Code.MISSING, field.segment(), field.number(), "a field that is needed");
     }
 
-    /** A field's value, escapes undone; empty where there is none. The library sees the header and that segment alone. */
+    /**
+     * A field's value, escapes undone; empty where there is none. The library sees the header and that segment alone.
+     */
     private static String field(Header header, byte[] message, Field field) throws Hl7Fault {
         String segment = segment(header, message, field.segment());
         if (segment == null) {
             return "";
         }
         try {
-            String value = PreParser.getFields("MSH" + header.separator() + header.encoding() + header.separator()
-                    + "A" + header.separator() + "B" + header.separator() + "C" + header.separator() + "D"
-                    + String.valueOf(header.separator()).repeat(6) + header.first(12) + '\r' + segment, field.path())[0];
+            String value = PreParser.getFields(
+                    "MSH" + header.separator() + header.encoding() + header.separator()
+                            + "A" + header.separator() + "B" + header.separator() + "C" + header.separator() + "D"
+                            + String.valueOf(header.separator()).repeat(6) + header.first(12) + '\r' + segment,
+                    field.path())[0];
             return value == null ? "" : Acknowledgements.ESCAPING.unescape(value, Acknowledgements.delimiters(header));
         } catch (HL7Exception e) {
             throw new Hl7Fault(Code.DATA_TYPE, field.segment(), field.number(), "can't be read");
@@ -186,7 +215,9 @@
                 end++;
             }
             int from = start < end && message[start] == '\n' ? start + 1 : start;
-            if (end - from >= 3 && message[from] == name.charAt(0) && message[from + 1] == name.charAt(1)
+            if (end - from >= 3
+                    && message[from] == name.charAt(0)
+                    && message[from + 1] == name.charAt(1)
                     && message[from + 2] == name.charAt(2)) {
                 return new String(message, from, end - from, header.charset());
             }
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -39,6 +39,7 @@
     private static final long BUSY = 1_000_000, LOOK = 1_000_000;
     /** Answers owed from earlier that go out before a connection's next message is looked at. */
     private static final int AT_ONCE = 100;
+
     private static final int MOST_ID = 40;
 
     /** Who waits for a message's answers on this port: the last connection that asked. */
@@ -62,7 +63,7 @@
     }
 
     /** An end that could not be told. */
-    private record Owed(Header header, Message message, Verdict verdict, Runnable settled) { }
+    private record Owed(Header header, Message message, Verdict verdict, Runnable settled) {}
 
     private final Core core;
     private final MllpSettings settings;
@@ -73,9 +74,11 @@
     private final Map<Message, Waiter> waiters = new HashMap<>();
     /** Messages held of each practice that came on this port. */
     private final Map<String, Integer> held = new HashMap<>();
+
     private final Set<MllpSession> sessions = new LinkedHashSet<>();
     /** Connections of each listener, and of each address at each listener. */
     private final Map<String, Integer> connections = new HashMap<>();
+
     private final List<Connection<?>> listeners = new ArrayList<>();
     private final Attribute<MllpSession> sessionOf =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MllpFront.session");
@@ -112,8 +115,8 @@
     public List<SocketAddress> listen(Transport transport) throws IOException {
         List<SocketAddress> bound = new ArrayList<>();
         for (MllpSettings.Listener listener : settings.listeners()) {
-            var server = transport.listen(Transport.address(listener.address()),
-                    Transport.chain(new SessionFilter(listener)));
+            var server = transport.listen(
+                    Transport.address(listener.address()), Transport.chain(new SessionFilter(listener)));
             listeners.add(server);
             bound.add(server.getLocalAddress());
         }
@@ -157,8 +160,12 @@
     /** Nothing could be read of it that makes a message. */
     void refuse(MllpSession session, Header to, Hl7Fault fault) {
         core.counters().add(Name.BAD_REQUESTS);
-        Code code = code(to, false, fault.code() == Hl7Fault.Code.PROCESSING_ID || fault.code() == Hl7Fault.Code.VERSION
-                || fault.code() == Hl7Fault.Code.EVENT);
+        Code code = code(
+                to,
+                false,
+                fault.code() == Hl7Fault.Code.PROCESSING_ID
+                        || fault.code() == Hl7Fault.Code.VERSION
+                        || fault.code() == Hl7Fault.Code.EVENT);
         if (code != null) {
             session.write(acks.fault(code, to, fault));
         }
@@ -199,8 +206,16 @@
 
     private void handIn(MllpSession session, Request r) {
         long budget = Math.max(0, r.budgetMicros() - Math.max(0, Core.micros() - r.arrivedMicros()));
-        Handin handin = new Handin(id(r), r.identity(), r.messageClass(), r.destination(), r.deliveryKey(),
-                r.body(), false, false, budget);
+        Handin handin = new Handin(
+                id(r),
+                r.identity(),
+                r.messageClass(),
+                r.destination(),
+                r.deliveryKey(),
+                r.body(),
+                false,
+                false,
+                budget);
         Message m = core.handIn(this, handin);
         if (!m.isOpen()) {
             session.answered();
@@ -225,7 +240,10 @@
     /** The control id for people, and what makes it like no other. */
     private String id(Request r) {
         String control = r.header().field(10).replaceAll("[^A-Za-z0-9_-]", "");
-        return control.substring(0, Math.min(MOST_ID, control.length())) + '.' + life + '.'
+        return control.substring(0, Math.min(MOST_ID, control.length()))
+                + '.'
+                + life
+                + '.'
                 + Long.toString(count++, Character.MAX_RADIX);
     }
 
@@ -236,14 +254,19 @@
         if (code == null) {
             return;
         }
-        byte[] ack = refused ? acks.comeBack(code, r.header(), verdict)
-                : verdict.kind() == Kind.CLASH ? acks.fault(code, r.header(), clash())
-                : acks.failed(code, r.header(), verdict);
+        byte[] ack = refused
+                ? acks.comeBack(code, r.header(), verdict)
+                : verdict.kind() == Kind.CLASH
+                        ? acks.fault(code, r.header(), clash())
+                        : acks.failed(code, r.header(), verdict);
         session.write(ack);
     }
 
     private Hl7Fault clash() {
-        return new Hl7Fault(Hl7Fault.Code.DUPLICATE_KEY, settings.key().segment(), settings.key().number(),
+        return new Hl7Fault(
+                Hl7Fault.Code.DUPLICATE_KEY,
+                settings.key().segment(),
+                settings.key().number(),
                 "another message has it");
     }
 
@@ -366,7 +389,8 @@
             o.settled().run(); // in original mode an acknowledgement that nobody waits for would pass for another's
             return;
         }
-        owed.add(o.message().handin.identity(), practice, o, core.now()).forEach(x -> x.settled().run());
+        owed.add(o.message().handin.identity(), practice, o, core.now())
+                .forEach(x -> x.settled().run());
     }
 
     /** The practice is here and takes application acknowledgements: it gets those that are owed. */
--- a/src/main/java/lilaclever/protocol/mllp/MllpSession.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSession.java
@@ -16,6 +16,7 @@
     private static final long MOST_UNREAD = 256 * 1024;
     /** Frames in a row that were no message: a client that sends nothing else is sent away. */
     private static final int MOST_BAD = 8;
+
     private static final long LOOK = 500_000;
 
     private final MllpFront front;
@@ -117,7 +118,7 @@
 
     /** Writes an acknowledgement that nothing depends on: where it is lost, its client asks again. */
     void write(byte[] message) {
-        write(message, () -> { }, () -> { });
+        write(message, () -> {}, () -> {});
     }
 
     /** Writes an acknowledgement; one of the two is run, on any thread. */
@@ -133,13 +134,17 @@
             lost.run();
             return;
         }
-        Transport.write(connection, frame, () -> {
-            unread.addAndGet(-frame.length);
-            written.run();
-        }, () -> {
-            close();
-            lost.run();
-        });
+        Transport.write(
+                connection,
+                frame,
+                () -> {
+                    unread.addAndGet(-frame.length);
+                    written.run();
+                },
+                () -> {
+                    close();
+                    lost.run();
+                });
     }
 
     /** Looks now and then whether it has been silent or in a frame for too long. */
--- a/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
@@ -23,9 +23,21 @@
  * @param oweMicros how long an end is owed to a client that is away
  * @param mostOwed ends owed to clients that are away, in all
  */
-public record MllpSettings(List<Listener> listeners, Map<String, String> practices, boolean anySender,
-        Map<String, Integer> events, int unsafe, Map<String, Integer> destinations, List<Long> budgets, Field key,
-        Field deadline, Set<String> processing, Set<String> versions, int mostHeld, long oweMicros, int mostOwed) {
+public record MllpSettings(
+        List<Listener> listeners,
+        Map<String, String> practices,
+        boolean anySender,
+        Map<String, Integer> events,
+        int unsafe,
+        Map<String, Integer> destinations,
+        List<Long> budgets,
+        Field key,
+        Field deadline,
+        Set<String> processing,
+        Set<String> versions,
+        int mostHeld,
+        long oweMicros,
+        int mostOwed) {
     /**
      * Where clients connect.
      *
@@ -35,8 +47,16 @@
      * @param idleMicros a connection is closed after so long without a message
      * @param wholeMicros a frame that has begun must end within so long
      */
-    public record Listener(String name, String address, AddressSet networks, int connections, int connectionsPerAddress,
-            int inFlight, int largest, long idleMicros, long wholeMicros) { }
+    public record Listener(
+            String name,
+            String address,
+            AddressSet networks,
+            int connections,
+            int connectionsPerAddress,
+            int inFlight,
+            int largest,
+            long idleMicros,
+            long wholeMicros) {}
 
     /** A field such as MSH-10 or ORC-2-1. */
     public record Field(String segment, String path) {
@@ -48,7 +68,8 @@
         /** Reads one; null if the text is none. */
         public static Field of(String text) {
             return text.matches("[A-Z][A-Z0-9]{2}-[1-9][0-9]?(-[1-9][0-9]?)?")
-                    ? new Field(text.substring(0, 3), text) : null;
+                    ? new Field(text.substring(0, 3), text)
+                    : null;
         }
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/OwedAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/OwedAnswers.java
@@ -15,12 +15,13 @@
  * @param <T> what is told
  */
 final class OwedAnswers<T> {
-    private record Entry<T>(String practice, T answer, long until) { }
+    private record Entry<T>(String practice, T answer, long until) {}
 
     private final int most;
     private final long keepMicros;
     /** By identity, the oldest first: all are kept for the same time, so that is also the order of their ends. */
     private final Map<String, Entry<T>> entries = new LinkedHashMap<>();
+
     private long givenUp;
 
     /** So many in all, each for so long. */
--- a/src/main/java/lilaclever/protocol/mllp/Request.java
+++ b/src/main/java/lilaclever/protocol/mllp/Request.java
@@ -10,11 +10,21 @@
  * @param key what tells it from others of its practice
  * @param arrivedMicros when its last byte was read
  */
-record Request(Header header, byte[] body, String practice, String key, int messageClass, int destination,
-        long budgetMicros, long arrivedMicros) {
+record Request(
+        Header header,
+        byte[] body,
+        String practice,
+        String key,
+        int messageClass,
+        int destination,
+        long budgetMicros,
+        long arrivedMicros) {
     /** When a sender wants an acknowledgement; HL7's table 0155. */
     private enum Wanted {
-        ALWAYS, NEVER, ON_ERROR, ON_SUCCESS;
+        ALWAYS,
+        NEVER,
+        ON_ERROR,
+        ON_SUCCESS;
 
         static Wanted of(String field) {
             return switch (field.toUpperCase(Locale.ROOT)) {
@@ -35,7 +45,9 @@
         return new Identity(practice, key).text();
     }
 
-    /** The key for the partner: control ids are not each practice's own, and a partner drops what it takes for a repeat. */
+    /**
+     * The key for the partner: control ids are not each practice's own, and a partner drops what it takes for a repeat.
+     */
     String deliveryKey() {
         return Hl7Reader.word(practice + '.' + key, 128);
     }
--- a/src/main/java/lilaclever/protocol/operator/OperatorPort.java
+++ b/src/main/java/lilaclever/protocol/operator/OperatorPort.java
@@ -15,12 +15,13 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 
 /**
- * The address that serves operators alone: a line for each connection, and a line in answer. So many connections at most;
- * whoever connects and finishes no line makes room for the next caller, the oldest first.
+ * The address that serves operators alone: a line for each connection, and a line in answer. So many connections at
+ * most; whoever connects and finishes no line makes room for the next caller, the oldest first.
  */
 public final class OperatorPort extends BaseFilter {
     /** Connections at most: callers are few and ask once. */
     public static final int MOST = 8;
+
     private static final int LONGEST = 256;
     private static final long LINE_BY = 5_000_000;
 
@@ -137,7 +138,10 @@
     }
 
     private static void answer(Connection<?> connection, String reply) {
-        Transport.write(connection, (reply + "\r\n").getBytes(StandardCharsets.ISO_8859_1), connection::closeSilently,
+        Transport.write(
+                connection,
+                (reply + "\r\n").getBytes(StandardCharsets.ISO_8859_1),
+                connection::closeSilently,
                 connection::closeSilently);
     }
 }
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -13,16 +13,20 @@
     public final long dropAt, startedAt;
     /** What the deliverer keeps for it. */
     public Object attachment;
+
     int open;
     /** From then on one of its messages must not go any more, and so the call must not as it is. */
     private volatile long writeBy = Long.MAX_VALUE;
     /** True once the deliverer has it: its attempts are in the journal. */
     boolean started;
+
     Deadlines.Key deadline;
 
-    /** An endpoint of the list, with the deliverer that reaches it. {@code apart}: limits and told waits are its own. */
-    public record Endpoint(String host, String address, int destination, int zone, int batch, boolean apart,
-            Deliverer deliverer) { }
+    /**
+     * An endpoint of the list, with the deliverer that reaches it. {@code apart}: limits and told waits are its own.
+     */
+    public record Endpoint(
+            String host, String address, int destination, int zone, int batch, boolean apart, Deliverer deliverer) {}
 
     Call(Endpoint endpoint, long dropAt, long startedAt) {
         this.endpoint = endpoint;
--- a/src/main/java/lilaclever/routing/Claims.java
+++ b/src/main/java/lilaclever/routing/Claims.java
@@ -19,7 +19,7 @@
     static final int MOST_JOINED = 8;
 
     /** A front that is to tell the end, under the id that it knows the message by. */
-    record Claim(Front front, String id) { }
+    record Claim(Front front, String id) {}
 
     private final Journal journal;
     private final Counters counters;
@@ -58,7 +58,8 @@
 
     /** What the hand-in is. */
     Ruling<Message, Verdict> rule(Message m, long wall) {
-        return m.handin.identity() == null ? new Ruling.Fresh<>()
+        return m.handin.identity() == null
+                ? new Ruling.Fresh<>()
                 : identities.rule(m.handin.identity(), m.content(), wall);
     }
 
@@ -85,8 +86,7 @@
 
     /** The end that an earlier life remembered of a message that it did not get to end, or null. */
     Verdict earlierEnd(Message m) {
-        return rule(m, Long.MIN_VALUE) instanceof Ruling.Again<Message, Verdict> again
-                ? again.end() : null;
+        return rule(m, Long.MIN_VALUE) instanceof Ruling.Again<Message, Verdict> again ? again.end() : null;
     }
 
     /**
@@ -106,7 +106,9 @@
         return true;
     }
 
-    /** The message has just been written: so are those who joined it in the turn of its hand-in; gives who could not. */
+    /**
+     * The message has just been written: so are those who joined it in the turn of its hand-in; gives who could not.
+     */
     List<Claim> written(Message m) {
         List<Claim> refused = new ArrayList<>();
         for (Claim claim : m.claims) {
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -28,6 +28,7 @@
 public final class Core {
     /** What a client is told where the module was not asked: no room here, or the program ends. */
     private static final long COME_BACK = 1_000_000;
+
     private static final long LONGEST_SLEEP = 1_000_000;
     private static final long REMEMBER_DESTINATION = 60_000_000;
     /** An end this long after a message's time is a broken rule. */
@@ -36,7 +37,7 @@
     private static final long WALL_AT_START = System.currentTimeMillis() * 1000 - micros();
 
     /** An endpoint as the directory lists it. */
-    public record Listed(Relay.Entry entry, Call.Endpoint endpoint) { }
+    public record Listed(Relay.Entry entry, Call.Endpoint endpoint) {}
 
     private final Relay.Settings settings;
     private final Relay relay;
@@ -52,6 +53,7 @@
     private final Map<Integer, Long> destinations = new HashMap<>();
     /** Endpoints that stand in our own configuration and in no directory. */
     private final List<Listed> fixed = new ArrayList<>();
+
     private final Set<Call> calls = new HashSet<>();
     private final List<Message> fresh = new ArrayList<>();
     private List<Event> events = new ArrayList<>();
@@ -296,7 +298,9 @@
         all.forEach(x -> destinations.put(x.entry().destination(), now));
         Set<Integer> served = new HashSet<>();
         endpoints.values().forEach(x -> served.add(x.destination()));
-        destinations.entrySet().removeIf(d -> !served.contains(d.getKey()) && d.getValue() < now - REMEMBER_DESTINATION);
+        destinations
+                .entrySet()
+                .removeIf(d -> !served.contains(d.getKey()) && d.getValue() < now - REMEMBER_DESTINATION);
         events.add(new Event.Listing(kind, version, entries));
     }
 
@@ -315,8 +319,16 @@
         if (!ending.neverRan()) {
             m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), pace.wall());
         }
-        events.add(new Event.Outcome(m.id(), call.endpoint.host(), m.attempts - 1, ending, now - call.startedAt,
-                waitMicros, noSlot, over || ending == Ending.DELIVERED, null));
+        events.add(new Event.Outcome(
+                m.id(),
+                call.endpoint.host(),
+                m.attempts - 1,
+                ending,
+                now - call.startedAt,
+                waitMicros,
+                noSlot,
+                over || ending == Ending.DELIVERED,
+                null));
         m.attempts -= ending == Ending.WITHHELD ? 1 : 0;
         if (m.over) {
             return;
@@ -347,7 +359,9 @@
         events.add(new Event.Stopping(atMicros));
     }
 
-    /** True if nothing is held and every end has been told, but for so many owed to clients that are away. Loop thread. */
+    /**
+     * True if nothing is held and every end has been told, but for so many owed to clients that are away. Loop thread.
+     */
     public boolean quiet(int away) {
         return held.isEmpty() && calls.isEmpty() && unsettled <= away;
     }
@@ -355,7 +369,7 @@
     /** Ends the loop after this turn; the journal has what is left. From any thread. */
     public void end() throws InterruptedException {
         ended = true;
-        post(() -> { });
+        post(() -> {});
         if (thread != null) {
             thread.join();
         }
@@ -512,7 +526,15 @@
     private static void trace(Message m, String event, Object what, Call call) {
         if (Logs.isDebug()) {
             String text = what.toString().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
-            Logs.debug("", event, text, "message", m.id(), "partner", m.handin.destination(), "endpoint",
+            Logs.debug(
+                    "",
+                    event,
+                    text,
+                    "message",
+                    m.id(),
+                    "partner",
+                    m.handin.destination(),
+                    "endpoint",
                     call == null ? null : call.endpoint.host());
         }
     }
@@ -537,7 +559,8 @@
             long dropAt = a.dropAtMicros();
             for (Action other : actions) {
                 dropAt = other instanceof Action.Send b && b.host().equals(a.host())
-                        ? Math.max(dropAt, b.dropAtMicros()) : dropAt;
+                        ? Math.max(dropAt, b.dropAtMicros())
+                        : dropAt;
             }
             call = new Call(endpoint, dropAt, now);
             starting.put(a.host(), call);
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -12,8 +12,29 @@
 public final class Counters {
     /** What is counted. */
     public enum Name {
-        HANDED_IN, TAKEN, TURNED_DOWN, REFUSED, FAILED, DELIVERED, WITHDRAWN, RESUMED, CALLS, ATTEMPTS, CONNECTIONS,
-        NOTICES, LISTINGS, BAD_REQUESTS, CROWDED_OUT, SPOILT_ANSWERS, JOURNAL_FULL, JOINED, TOLD_AGAIN, CLASHES, BROKEN_INVARIANTS, TASKS_FAILED, TURNS
+        HANDED_IN,
+        TAKEN,
+        TURNED_DOWN,
+        REFUSED,
+        FAILED,
+        DELIVERED,
+        WITHDRAWN,
+        RESUMED,
+        CALLS,
+        ATTEMPTS,
+        CONNECTIONS,
+        NOTICES,
+        LISTINGS,
+        BAD_REQUESTS,
+        CROWDED_OUT,
+        SPOILT_ANSWERS,
+        JOURNAL_FULL,
+        JOINED,
+        TOLD_AGAIN,
+        CLASHES,
+        BROKEN_INVARIANTS,
+        TASKS_FAILED,
+        TURNS
     }
 
     private final Map<Name, LongAdder> values = new EnumMap<>(Name.class);
@@ -65,13 +86,22 @@
     /** One line a count. Loop thread, as it alone changes what is counted in entries, or after its end. */
     public synchronized String text() {
         StringBuilder all = new StringBuilder();
-        values.forEach((name, value) -> all.append(name.name().toLowerCase()).append(' ').append(value.sum())
+        values.forEach((name, value) -> all.append(name.name().toLowerCase())
+                .append(' ')
+                .append(value.sum())
                 .append('\n'));
-        endings.forEach((name, value) -> all.append("ending_").append(name.toLowerCase()).append(' ')
-                .append(value.sum()).append('\n'));
-        gauges.forEach((name, entries) -> all.append("entries_").append(name).append(' ').append(entries.getAsInt())
+        endings.forEach((name, value) -> all.append("ending_")
+                .append(name.toLowerCase())
+                .append(' ')
+                .append(value.sum())
                 .append('\n'));
-        figures.forEach((name, value) -> all.append(name).append(' ').append(value.getAsLong()).append('\n'));
+        gauges.forEach((name, entries) -> all.append("entries_")
+                .append(name)
+                .append(' ')
+                .append(entries.getAsInt())
+                .append('\n'));
+        figures.forEach((name, value) ->
+                all.append(name).append(' ').append(value.getAsLong()).append('\n'));
         return all.toString();
     }
 }
--- a/src/main/java/lilaclever/routing/Deadlines.java
+++ b/src/main/java/lilaclever/routing/Deadlines.java
@@ -37,13 +37,17 @@
 
     /** The earliest time, or the given one if that is sooner. */
     long soonest(long otherwise) {
-        return entries.isEmpty() ? otherwise : Math.min(otherwise, entries.firstKey().atMicros());
+        return entries.isEmpty()
+                ? otherwise
+                : Math.min(otherwise, entries.firstKey().atMicros());
     }
 
     /** Runs what is due, in order; what an action adds for the past waits for the next sweep. */
     void sweep(long nowMicros) {
         long last = order;
-        while (!entries.isEmpty() && entries.firstKey().atMicros() <= nowMicros && entries.firstKey().order() < last) {
+        while (!entries.isEmpty()
+                && entries.firstKey().atMicros() <= nowMicros
+                && entries.firstKey().order() < last) {
             entries.pollFirstEntry().getValue().run();
         }
     }
--- a/src/main/java/lilaclever/routing/Handin.java
+++ b/src/main/java/lilaclever/routing/Handin.java
@@ -8,5 +8,13 @@
  * @param key the idempotency key, or null
  * @param budgetMicros how long it may still be delivered
  */
-public record Handin(String id, String identity, int messageClass, int destination, String key, byte[] body,
-        boolean again, boolean inherited, long budgetMicros) { }
+public record Handin(
+        String id,
+        String identity,
+        int messageClass,
+        int destination,
+        String key,
+        byte[] body,
+        boolean again,
+        boolean inherited,
+        long budgetMicros) {}
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -18,6 +18,7 @@
     final long deadlineWall;
     /** Who is owed its end: whoever handed it in, and whoever handed in the same since. */
     final List<Claims.Claim> claims = new ArrayList<>(1);
+
     private Fingerprint content;
     boolean journaled;
     boolean told;
@@ -27,6 +28,7 @@
     Call out;
     /** When it must not go with that call any more. */
     long writeBy;
+
     boolean mayHaveRun;
     String riskHost = "";
     int riskZone;
@@ -83,7 +85,15 @@
         // An attempt can't be younger than now: the clock was set back, and it may be of any age.
         long since = nowWall < riskWall ? LONG_AGO : nowWall - riskWall;
         Relay.Prior prior = resumed ? new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since) : null;
-        return new Relay.Event.Submit(id(), handin.messageClass(), handin.destination(), 0, null, handin.again(),
-                handin.inherited(), Math.max(0, Math.min(handin.budgetMicros(), deadlineWall - nowWall)), prior);
+        return new Relay.Event.Submit(
+                id(),
+                handin.messageClass(),
+                handin.destination(),
+                0,
+                null,
+                handin.again(),
+                handin.inherited(),
+                Math.max(0, Math.min(handin.budgetMicros(), deadlineWall - nowWall)),
+                prior);
     }
 }
--- a/src/main/java/lilaclever/routing/Owed.java
+++ b/src/main/java/lilaclever/routing/Owed.java
@@ -7,7 +7,7 @@
 /** What the journal knows of a message that was taken on and has not ended. Used from one thread at a time. */
 public final class Owed {
     /** Somebody who is owed the end, beside whoever handed the message in first: a front, and its id there. */
-    public record Claim(String front, String id) { }
+    public record Claim(String front, String id) {}
 
     private final String front;
     private final Handin handin;
--- a/src/main/java/lilaclever/routing/Suspensions.java
+++ b/src/main/java/lilaclever/routing/Suspensions.java
@@ -45,6 +45,7 @@
     private final Set<String> out;
     /** What the list said last of each endpoint; one that has left stays known by its name. */
     private final Map<String, Core.Listed> listed = new LinkedHashMap<>();
+
     private long version;
 
     /** With the ids that an earlier life noted. */
@@ -71,7 +72,7 @@
             listed.remove(x.entry().host()); // the last that was heard of goes last
             listed.put(x.entry().host(), x);
         }
-        for (var i = listed.entrySet().iterator(); listed.size() > MOST_KNOWN && i.hasNext();) {
+        for (var i = listed.entrySet().iterator(); listed.size() > MOST_KNOWN && i.hasNext(); ) {
             if (i.next().getValue().entry().presence() == Relay.Presence.LEFT) {
                 i.remove();
             }
@@ -82,7 +83,8 @@
     private List<Core.Listed> apply(List<Core.Listed> news) {
         List<Core.Listed> told = new ArrayList<>(news);
         told.replaceAll(x -> out.contains(x.entry().host()) && x.entry().presence() == Relay.Presence.ACTIVE
-                ? as(x, Relay.Presence.LEAVING) : x);
+                ? as(x, Relay.Presence.LEAVING)
+                : x);
         return told;
     }
 
@@ -144,7 +146,8 @@
 
     private static Core.Listed as(Core.Listed x, Relay.Presence presence) {
         Relay.Entry e = x.entry();
-        return new Core.Listed(new Relay.Entry(e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(),
-                e.sinceMicros()), x.endpoint());
+        return new Core.Listed(
+                new Relay.Entry(e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
+                x.endpoint());
     }
 }
--- a/src/main/java/lilaclever/routing/Verdict.java
+++ b/src/main/java/lilaclever/routing/Verdict.java
@@ -6,7 +6,13 @@
      * The three ends; GONE: the client has withdrawn, nothing is owed; CLASH: not taken on, as another message has the
      * same identity. The order is part of the journal's format.
      */
-    public enum Kind { DELIVERED, REFUSED, FAILED, GONE, CLASH }
+    public enum Kind {
+        DELIVERED,
+        REFUSED,
+        FAILED,
+        GONE,
+        CLASH
+    }
 
     /** An end with nothing more to say. */
     public static Verdict of(Kind kind) {
--- a/src/main/java/lilaclever/routing/Waits.java
+++ b/src/main/java/lilaclever/routing/Waits.java
@@ -4,9 +4,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Until when nothing may go to a destination, or to one of its endpoints where these are routes apart, since it has asked
- * for that. The module has its own memory of it and decides by that; this one is for the place where answers are read and
- * calls are written: a call may have been decided before a wait was told, and come to its connection after. Any thread.
+ * Until when nothing may go to a destination, or to one of its endpoints where these are routes apart, since it has
+ * asked for that. The module has its own memory of it and decides by that; this one is for the place where answers are
+ * read and calls are written: a call may have been decided before a wait was told, and come to its connection after.
+ * Any thread.
  */
 public final class Waits {
     private final Map<Object, Long> ends = new ConcurrentHashMap<>();
--- a/src/main/java/lilaclever/transport/AddressSet.java
+++ b/src/main/java/lilaclever/transport/AddressSet.java
@@ -28,8 +28,11 @@
     private void add(String text) {
         IPAddress network = parse(text);
         IPAddress block = network.toPrefixBlock();
-        if (network.isPrefixed() && !network.equals(block) && !network.getLower().withoutPrefixLength()
-                .equals(block.getLower().withoutPrefixLength())) {
+        if (network.isPrefixed()
+                && !network.equals(block)
+                && !network.getLower()
+                        .withoutPrefixLength()
+                        .equals(block.getLower().withoutPrefixLength())) {
             throw new IllegalArgumentException("not a network: " + text + "; is " + block + " meant?");
         }
         if (block.isIPv4()) {
--- a/src/main/java/lilaclever/transport/ConnectionPool.java
+++ b/src/main/java/lilaclever/transport/ConnectionPool.java
@@ -15,7 +15,7 @@
  * @param <C> a connection: a socket's, or a rehearsal's in virtual time
  */
 public final class ConnectionPool<C> {
-    private record Idle<C>(C connection, long sinceMicros) { }
+    private record Idle<C>(C connection, long sinceMicros) {}
 
     private final long keepMicros;
     private final int most;
@@ -62,7 +62,10 @@
     private void dropOldest() {
         ArrayDeque<Idle<C>> oldest = null;
         for (ArrayDeque<Idle<C>> all : idle.values()) {
-            if (!all.isEmpty() && (oldest == null || all.peekFirst().sinceMicros() < oldest.peekFirst().sinceMicros())) {
+            if (!all.isEmpty()
+                    && (oldest == null
+                            || all.peekFirst().sinceMicros()
+                                    < oldest.peekFirst().sinceMicros())) {
                 oldest = all;
             }
         }
@@ -86,7 +89,7 @@
 
     /** Closes what has been idle for too long, and forgets what the other side has closed. */
     public void sweep(long nowMicros) {
-        for (Iterator<ArrayDeque<Idle<C>>> i = idle.values().iterator(); i.hasNext();) {
+        for (Iterator<ArrayDeque<Idle<C>>> i = idle.values().iterator(); i.hasNext(); ) {
             ArrayDeque<Idle<C>> all = i.next();
             all.removeIf(x -> {
                 boolean old = nowMicros - x.sinceMicros() >= keepMicros;
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -35,20 +35,34 @@
     private static final int BUFFER = 16 * 1024;
     /** Nanoseconds: far less than an answer may be on its way before it must have been heeded (100 ms). */
     private static final long LATELY = 20_000_000;
-    /** Selections that may take longer before a task runs all the same: on a machine that is always busy none is short. */
+    /**
+     * Selections that may take longer before a task runs all the same: on a machine that is always busy none is short.
+     */
     private static final int MOST_SELECTIONS = 5;
+
     private static final Pattern LITERAL = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]");
 
     private final TCPNIOTransport tcp;
 
     /** Starts the selector thread. */
     public Transport() throws IOException {
-        ThreadPoolConfig selector = ThreadPoolConfig.defaultConfig().copy().setPoolName("sockets").setCorePoolSize(1)
-                .setMaxPoolSize(1).setDaemon(true);
-        tcp = TCPNIOTransportBuilder.newInstance().setName("sockets").setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(selector).setIOStrategy(SameThreadIOStrategy.getInstance())
-                .setReuseAddress(true).setTcpNoDelay(true).setServerConnectionBackLog(BACKLOG)
-                .setReadBufferSize(BUFFER).setWriteBufferSize(BUFFER).build();
+        ThreadPoolConfig selector = ThreadPoolConfig.defaultConfig()
+                .copy()
+                .setPoolName("sockets")
+                .setCorePoolSize(1)
+                .setMaxPoolSize(1)
+                .setDaemon(true);
+        tcp = TCPNIOTransportBuilder.newInstance()
+                .setName("sockets")
+                .setSelectorRunnersCount(1)
+                .setSelectorThreadPoolConfig(selector)
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setReuseAddress(true)
+                .setTcpNoDelay(true)
+                .setServerConnectionBackLog(BACKLOG)
+                .setReadBufferSize(BUFFER)
+                .setWriteBufferSize(BUFFER)
+                .build();
         tcp.start();
     }
 
@@ -71,14 +85,15 @@
     }
 
     /**
-     * Opens a connection; one of the two is called, on any thread. What is returned gives it up while it is not up yet, and
-     * then neither is called: one that never comes up holds its descriptor for as long as the system goes on trying.
+     * Opens a connection; one of the two is called, on any thread. What is returned gives it up while it is not up yet,
+     * and then neither is called: one that never comes up holds its descriptor for as long as the system goes on
+     * trying.
      */
     @SuppressWarnings("rawtypes")
-    public Runnable connect(InetSocketAddress address, FilterChain chain, Consumer<Connection<?>> up,
-            Consumer<Throwable> failed) {
-        GrizzlyFuture<Connection> pending = new Connector(tcp, chain).open(address,
-                new EmptyCompletionHandler<Connection>() {
+    public Runnable connect(
+            InetSocketAddress address, FilterChain chain, Consumer<Connection<?>> up, Consumer<Throwable> failed) {
+        GrizzlyFuture<Connection> pending = new Connector(tcp, chain)
+                .open(address, new EmptyCompletionHandler<Connection>() {
                     @Override
                     public void completed(Connection connection) {
                         up.accept(connection);
@@ -111,8 +126,8 @@
     }
 
     /**
-     * Has the task run on the selector thread after a selection that was begun once this was called, and lately: what had
-     * come on any connection by then has been read. Where all selections take long it is not put off for ever.
+     * Has the task run on the selector thread after a selection that was begun once this was called, and lately: what
+     * had come on any connection by then has been read. Where all selections take long it is not put off for ever.
      */
     public static void afterReading(Connection<?> connection, Runnable task) {
         onSelector(connection, () -> nextSelection(connection, task, MOST_SELECTIONS));
@@ -135,16 +150,16 @@
      */
     public static boolean isQuiet(Connection<?> connection) {
         try {
-            return connection.isOpen() && ((SocketChannel) ((NIOConnection) connection).getChannel())
-                    .read(ByteBuffer.allocate(1)) == 0;
+            return connection.isOpen()
+                    && ((SocketChannel) ((NIOConnection) connection).getChannel()).read(ByteBuffer.allocate(1)) == 0;
         } catch (IOException e) {
             return false;
         }
     }
 
     /**
-     * Ends the sending on a connection, once all that was written has gone; it is still read, until the other side closes. Any
-     * thread, after the write has completed.
+     * Ends the sending on a connection, once all that was written has gone; it is still read, until the other side
+     * closes. Any thread, after the write has completed.
      */
     public static void endSending(Connection<?> connection) {
         try {
@@ -170,8 +185,8 @@
     /** Writes a message through the connection's filters; one of the two is run, on any thread. */
     @SuppressWarnings("unchecked")
     public static <M> void write(Connection<?> connection, M message, Runnable written, Runnable failed) {
-        ((Connection<SocketAddress>) connection).write(message,
-                new EmptyCompletionHandler<WriteResult<M, SocketAddress>>() {
+        ((Connection<SocketAddress>) connection)
+                .write(message, new EmptyCompletionHandler<WriteResult<M, SocketAddress>>() {
                     @Override
                     public void completed(WriteResult<M, SocketAddress> result) {
                         written.run();
@@ -190,8 +205,8 @@
         if (colon <= 0 || !LITERAL.matcher(hostAndPort.substring(0, colon)).matches()) {
             throw new IllegalArgumentException("not an IP address and a port: " + hostAndPort);
         }
-        return new InetSocketAddress(hostAndPort.substring(0, colon),
-                Integer.parseInt(hostAndPort.substring(colon + 1)));
+        return new InetSocketAddress(
+                hostAndPort.substring(0, colon), Integer.parseInt(hostAndPort.substring(colon + 1)));
     }
 
     @Override
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DecideTest.java
@@ -1,31 +1,31 @@
 package lilaclever;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static lilaclever.Rig.KEYED;
 import static lilaclever.Rig.MS;
 import static lilaclever.Rig.S;
 import static lilaclever.Rig.SAFE;
 import static lilaclever.Rig.UNSAFE;
 import static lilaclever.Rig.ZONED;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.EnumSource;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Entry;
 import lilaclever.Relay.Event;
 import lilaclever.Relay.ListingKind;
 import lilaclever.Relay.Presence;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Scripted cases: the design's steps and limits, each rule, each outcome for each repeat class. */
 class DecideTest {
@@ -76,8 +76,8 @@
             Relay relay = Relay.create(rig.settings, seed);
             relay.decide(0, List.of(new Event.Listing(ListingKind.ALL, 1, List.of(Rig.entry("a1", 1, 0, 0)))));
             relay.decide(S, List.of(new Event.Submit("m", SAFE, 1, 0, null, false, false, 20 * S)));
-            for (Action a : relay.decide(S, List.of(new Event.Outcome("m", "a1", 0, Ending.NOT_SENT, 1, 0,
-                    true, false, null)))) {
+            for (Action a : relay.decide(
+                    S, List.of(new Event.Outcome("m", "a1", 0, Ending.NOT_SENT, 1, 0, true, false, null)))) {
                 if (a instanceof Action.Wake w) {
                     pauses.add(w.afterMicros());
                 }
@@ -143,7 +143,7 @@
         rig.now += 1900 * MS; // its aim is 2 s
         String fresh = rig.submit(SAFE, 1);
         List<String> order = new ArrayList<>();
-        for (String id = out; id != null;) {
+        for (String id = out; id != null; ) {
             rig.outcome(id, "a1", 0, Ending.DELIVERED);
             id = null;
             for (String next : List.of(late, near, fresh)) {
@@ -165,7 +165,9 @@
         assertTrue(rig.sent(other) || rig.sent(id));
     }
 
-    /** A call that was decided before the wait and not written for it was no attempt, and goes once the wait is over. */
+    /**
+     * A call that was decided before the wait and not written for it was no attempt, and goes once the wait is over.
+     */
     @Test
     void aWithheldCallIsNoAttemptAndTellsTheWait() {
         String id = rig.submit(UNSAFE, 1);
@@ -224,7 +226,9 @@
 
     // ---- outcomes by repeat class ----
     @ParameterizedTest
-    @EnumSource(value = Ending.class, names = {"FULL", "NO_CONNECTION", "NOT_SENT"})
+    @EnumSource(
+            value = Ending.class,
+            names = {"FULL", "NO_CONNECTION", "NOT_SENT"})
     void whatNeverRanIsRepeatedInEachClass(Ending ending) {
         for (int c : new int[] {SAFE, KEYED, UNSAFE, ZONED}) {
             rig = Rig.started();
@@ -237,7 +241,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Ending.class, names = {"ERROR", "TIMED_OUT", "RESET", "CANCELED"})
+    @EnumSource(
+            value = Ending.class,
+            names = {"ERROR", "TIMED_OUT", "RESET", "CANCELED"})
     void whatMayHaveRunIsRepeatedUnlessUnsafe(Ending ending) {
         for (int c : new int[] {SAFE, KEYED, ZONED}) {
             rig = Rig.started();
@@ -293,7 +299,8 @@
         int refused = 0;
         for (int i = 0; i < 30; i++) {
             rig.submit(SAFE, 1);
-            refused += rig.actions.stream().filter(Action.Refuse.class::isInstance).count();
+            refused +=
+                    rig.actions.stream().filter(Action.Refuse.class::isInstance).count();
         }
         assertTrue(rig.checker.open().size() <= 20);
         assertEquals(30 - rig.checker.open().size(), refused);
@@ -444,7 +451,8 @@
             sentTogether(5, messageClass);
             assertEquals(5, rig.sentTo().size());
             rig.pass(5 * S);
-            long given = rig.actions.stream().filter(Action.Cancel.class::isInstance).count();
+            long given =
+                    rig.actions.stream().filter(Action.Cancel.class::isInstance).count();
             assertEquals(1, given, "one waits: one is given up, not all five");
             rig = Rig.started();
         }
@@ -509,7 +517,7 @@
     /** Lets time pass; every send comes back with this ending a round later. Gives the number of sends. */
     private int answerAll(Map<String, Integer> tries, long micros, Ending ending) {
         int sent = 0;
-        for (long until = rig.now + micros; rig.now < until;) {
+        for (long until = rig.now + micros; rig.now < until; ) {
             rig.now += 5 * MS;
             rig.round();
             // What an outcome lets go is answered too.
@@ -528,8 +536,12 @@
 
     @Test
     void fullConnectionTablesAreNoOutageAndIdleConnectionsAreGivenBack() {
-        List<String> ids = List.of(rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1),
-                rig.submit(SAFE, 1), rig.submit(SAFE, 1));
+        List<String> ids = List.of(
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1));
         ids.forEach(id -> rig.outcome(id, "a1", 0, Ending.NO_CONNECTION));
         Map<String, Integer> tries = new HashMap<>();
         ids.forEach(id -> tries.put(id, 1));
@@ -553,7 +565,8 @@
         rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED);
         assertTrue(rig.actions.contains(new Action.CloseIdle("a1")), rig.actions.toString());
         rig.outcome(rig.submit(SAFE, 2), "b1", 0, Ending.DELIVERED);
-        assertTrue(rig.actions.stream().noneMatch(Action.CloseIdle.class::isInstance), "of another kind nothing is known");
+        assertTrue(
+                rig.actions.stream().noneMatch(Action.CloseIdle.class::isInstance), "of another kind nothing is known");
     }
 
     /** Guards against a return at the pace of a cold partner to one that only has no room for one more connection. */
@@ -568,7 +581,11 @@
         answerAll(tries, 12 * S, Ending.NO_CONNECTION); // down: a failed connect is no sign of a full table any more
         rig.pass(60 * S);
         rig.outcome(rig.submit(SAFE, 1), "a1", 0, Ending.DELIVERED).pass(15 * S); // back, and warm
-        List<String> ids = List.of(rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1),
+        List<String> ids = List.of(
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
+                rig.submit(SAFE, 1),
                 rig.submit(SAFE, 1));
         ids.forEach(id -> rig.outcome(id, "a1", 0, Ending.NO_ROOM));
         ids.forEach(id -> tries.put(id, 1));
@@ -705,8 +722,16 @@
                 if (a instanceof Action.Send s) {
                     sent++;
                     rig.now += 5 * MS;
-                    rig.round(new Event.Outcome(s.id(), "a1", tries.merge(s.id(), 1, Integer::sum) - 1, Ending.FULL,
-                            5 * MS, 300 * MS, false, false, new Relay.Report(left, 10)));
+                    rig.round(new Event.Outcome(
+                            s.id(),
+                            "a1",
+                            tries.merge(s.id(), 1, Integer::sum) - 1,
+                            Ending.FULL,
+                            5 * MS,
+                            300 * MS,
+                            false,
+                            false,
+                            new Relay.Report(left, 10)));
                 }
             }
         }
@@ -794,14 +819,20 @@
 
     @Test
     void anOutageGetsFewTrialsAndAReturnStaysInItsBudget() {
-        List<String> ids = List.of(rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1),
-                rig.submit(SAFE, 1));
+        List<String> ids = List.of(rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1), rig.submit(SAFE, 1));
         ids.forEach(id -> rig.outcome(id, "a1", 0, Ending.ERROR));
         rig.pass(4 * S);
         assertEquals(1, rig.sentTo().size(), "one trial, whose outcome is still to come");
         rig.now += MS;
-        rig.outcome(((Action.Send) rig.actions.stream().filter(Action.Send.class::isInstance).findFirst()
-                .orElseThrow()).id(), "a1", 1, Ending.DELIVERED);
+        rig.outcome(
+                ((Action.Send) rig.actions.stream()
+                                .filter(Action.Send.class::isInstance)
+                                .findFirst()
+                                .orElseThrow())
+                        .id(),
+                "a1",
+                1,
+                Ending.DELIVERED);
         rig.checker.returned("a1", rig.now, 4);
         for (int i = 0; i < 600; i++) {
             rig.now += 5 * MS;
@@ -832,8 +863,10 @@
             } else {
                 rig.round();
             }
-            for (Action.Send s : rig.actions.stream().filter(Action.Send.class::isInstance)
-                    .map(Action.Send.class::cast).toList()) {
+            for (Action.Send s : rig.actions.stream()
+                    .filter(Action.Send.class::isInstance)
+                    .map(Action.Send.class::cast)
+                    .toList()) {
                 int n = attempts.merge(s.id(), 1, Integer::sum) - 1;
                 taken += s.host().equals("a2") ? 1 : 0;
                 rig.outcome(s.id(), s.host(), n, s.host().equals("a2") ? Ending.DELIVERED : Ending.NO_CONNECTION);
@@ -852,8 +885,10 @@
                 rig.outcome(id, "a1", 0, i % 5 < 2 ? Ending.RESET : Ending.DELIVERED);
             }
             rig.pass(300 * MS);
-            for (Action.Send s : rig.actions.stream().filter(Action.Send.class::isInstance)
-                    .map(Action.Send.class::cast).toList()) {
+            for (Action.Send s : rig.actions.stream()
+                    .filter(Action.Send.class::isInstance)
+                    .map(Action.Send.class::cast)
+                    .toList()) {
                 rig.outcome(s.id(), "a1", 1, Ending.DELIVERED);
             }
         }
@@ -919,14 +954,22 @@
     // ---- settings ----
     @Test
     void settingsThatMakeNoSenseAreNamed() {
-        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> Relay.create(Rig.settings(0, 50, 6, false), 1));
+        IllegalArgumentException e =
+                assertThrows(IllegalArgumentException.class, () -> Relay.create(Rig.settings(0, 50, 6, false), 1));
         assertTrue(e.getMessage().contains("slots"));
     }
 
     // ---- a program that restarts or ends ----
     private Event.Submit resumed(int messageClass, int attempts, boolean mayHaveRun, long riskAgo) {
-        return new Event.Submit("r", messageClass, 1, 0, null, false, false, 20 * S,
+        return new Event.Submit(
+                "r",
+                messageClass,
+                1,
+                0,
+                null,
+                false,
+                false,
+                20 * S,
                 new Relay.Prior(attempts, mayHaveRun, "a1", 0, rig.now - riskAgo));
     }
 
@@ -943,19 +986,26 @@
         assertTrue(rig.round(resumed(Rig.KEYED, 1, true, 6 * S)).refused("r"));
     }
 
-    /** What a restart found is tried, however full the hold gets: room is made by others, or by turning newcomers away. */
+    /**
+     * What a restart found is tried, however full the hold gets: room is made by others, or by turning newcomers away.
+     */
     @Test
     void whatOutlivedAProcessIsNotGivenUpForRoom() {
         rig.round(new Event.Listing(ListingKind.REMEMBERED, 2, List.of()));
         List<Event> found = new ArrayList<>();
         for (int i = 0; i < 49; i++) {
-            found.add(new Event.Submit("r" + i, SAFE, 1, 0, null, false, false, 20 * S, new Relay.Prior(0, false, "", 0, 0)));
+            found.add(new Event.Submit(
+                    "r" + i, SAFE, 1, 0, null, false, false, 20 * S, new Relay.Prior(0, false, "", 0, 0)));
         }
         rig.round(found.toArray(Event[]::new));
-        assertEquals(0, rig.actions.stream().filter(a -> a instanceof Action.Refuse).count(), "untried, with all their time left");
+        assertEquals(
+                0,
+                rig.actions.stream().filter(a -> a instanceof Action.Refuse).count(),
+                "untried, with all their time left");
         String fresh = rig.submit(SAFE, 1);
         assertTrue(rig.refused(fresh), "the newcomer, whose client may find another forwarder");
-        assertEquals(1, rig.actions.stream().filter(a -> a instanceof Action.Refuse).count());
+        assertEquals(
+                1, rig.actions.stream().filter(a -> a instanceof Action.Refuse).count());
     }
 
     @Test
--- a/src/test/java/lilaclever/FleetTest.java
+++ b/src/test/java/lilaclever/FleetTest.java
@@ -1,10 +1,10 @@
 package lilaclever;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static lilaclever.Rig.MS;
 import static lilaclever.Rig.S;
 import static lilaclever.Rig.SAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,15 +14,15 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.EnumSource;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Event;
 import lilaclever.Relay.ListingKind;
 import lilaclever.Relay.Report;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Many relays, each with a message now and then for one destination: what they do together. */
 class FleetTest {
@@ -45,7 +45,8 @@
         Random random = new Random(from + seed);
         for (long now = from; now < to; now += TICK) {
             if (random.nextDouble() < MESSAGES_PER_SECOND * TICK / S) {
-                inbox.get(random.nextInt(RELAYS)).add(new Event.Submit("m" + now, SAFE, 1, 0, null, false, false, 20 * S));
+                inbox.get(random.nextInt(RELAYS))
+                        .add(new Event.Submit("m" + now, SAFE, 1, 0, null, false, false, 20 * S));
             }
             for (int r = 0; r < RELAYS; r++) {
                 if (inbox.get(r).isEmpty() && wakes.getOrDefault(r, Long.MAX_VALUE) > now) {
@@ -63,9 +64,17 @@
                     } else if (action instanceof Action.Send s) {
                         bySeen += saw.contains(r) ? 1 : 0;
                         byOthers += saw.contains(r) ? 0 : 1;
-                        inbox.get(r).add(new Event.Outcome(s.id(), s.host(), attempts.merge(s.id(), 1, Integer::sum) - 1,
-                                ending, 20 * MS, ending == Ending.FULL ? Math.max(0, opensAt - now) : 0, false, false,
-                                ending == Ending.FULL ? PLENTY : null));
+                        inbox.get(r)
+                                .add(new Event.Outcome(
+                                        s.id(),
+                                        s.host(),
+                                        attempts.merge(s.id(), 1, Integer::sum) - 1,
+                                        ending,
+                                        20 * MS,
+                                        ending == Ending.FULL ? Math.max(0, opensAt - now) : 0,
+                                        false,
+                                        false,
+                                        ending == Ending.FULL ? PLENTY : null));
                     }
                 }
             }
@@ -81,8 +90,11 @@
             saw.clear();
             for (int r = 0; r < RELAYS; r++) {
                 relays.add(Relay.create(Rig.settings(4, 50, 12, false, RELAYS), r));
-                inbox.add(new ArrayList<>(List.of(new Event.Listing(ListingKind.REMEMBERED, 1,
-                        List.of(Rig.entry("a1", 1, 0, 0), Rig.entry("a2", 1, 0, 0)).subList(0, hosts)))));
+                inbox.add(new ArrayList<>(List.of(new Event.Listing(
+                        ListingKind.REMEMBERED,
+                        1,
+                        List.of(Rig.entry("a1", 1, 0, 0), Rig.entry("a2", 1, 0, 0))
+                                .subList(0, hosts)))));
             }
             int seen = bySeen;
             int others = byOthers;
@@ -101,7 +113,9 @@
      * takes few connections may also do when well.
      */
     @ParameterizedTest
-    @EnumSource(value = Ending.class, names = {"FULL", "NO_CONNECTION"})
+    @EnumSource(
+            value = Ending.class,
+            names = {"FULL", "NO_CONNECTION"})
     void aReturnIsNotPushedByThoseThatSawTheOutage(Ending ending) {
         outage(ending, false, 1, 20 * S);
     }
@@ -128,15 +142,16 @@
             long now = 1000 * S + r * 10 * MS;
             String id = "m" + r;
             int attempt = 0;
-            List<Event> events = List.of(new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))),
+            List<Event> events = List.of(
+                    new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))),
                     new Event.Submit(id, SAFE, 1, 0, null, false, false, 20 * S));
             for (; now < 1019 * S; now += TICK) {
                 List<Event> next = new ArrayList<>();
                 for (Action action : relay.decide(now, events)) {
                     if (action instanceof Action.Send s) {
                         sends.add(now - 1000 * S);
-                        next.add(new Event.Outcome(id, s.host(), attempt++, Ending.NO_CONNECTION, 20 * MS, 0, false, false,
-                                null));
+                        next.add(new Event.Outcome(
+                                id, s.host(), attempt++, Ending.NO_CONNECTION, 20 * MS, 0, false, false, null));
                     }
                 }
                 events = next;
@@ -145,7 +160,9 @@
         long most = 0;
         for (long from = S; from < 18 * S; from += 100 * MS) {
             long start = from;
-            most = Math.max(most, sends.stream().filter(t -> t >= start && t < start + S).count());
+            most = Math.max(
+                    most,
+                    sends.stream().filter(t -> t >= start && t < start + S).count());
         }
         assertTrue(most <= 30, most + " of 60 come again in one second");
     }
@@ -157,8 +174,8 @@
     }
 
     /**
-     * A cold destination is not pushed over by the sum of what all relays send: in no window do more calls come than its
-     * budget of N, and 2 roots of N and 2 more for chance, most of them from relays that were told of the outage.
+     * A cold destination is not pushed over by the sum of what all relays send: in no window do more calls come than
+     * its budget of N, and 2 roots of N and 2 more for chance, most of them from relays that were told of the outage.
      */
     @ParameterizedTest
     @CsvSource({"20, 6", "20, 20", "30, 6", "30, 20"})
@@ -193,7 +210,8 @@
             rules = settings.rules();
             for (int r = 0; r < size; r++) {
                 fleet.add(Relay.create(settings, seed * 1000 + r));
-                events.add(new ArrayList<>(List.of(new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))))));
+                events.add(new ArrayList<>(
+                        List.of(new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))))));
             }
         }
 
@@ -203,7 +221,8 @@
             backAt = wrong == null && outAt > 0 ? from : Long.MAX_VALUE;
             for (long now = from; now < to; now += TICK) {
                 if (random.nextDouble() < CAPACITY * LOAD * TICK / S) {
-                    events.get(random.nextInt(fleet.size())).add(new Event.Submit("m" + names++, SAFE, 1, 0, null, false, false, 20 * S));
+                    events.get(random.nextInt(fleet.size()))
+                            .add(new Event.Submit("m" + names++, SAFE, 1, 0, null, false, false, 20 * S));
                 }
                 for (int r = 0; r < fleet.size(); r++) {
                     if (!events.get(r).isEmpty() || due.getOrDefault(r, Long.MAX_VALUE) <= now) {
@@ -225,8 +244,17 @@
                     due.merge(r, now + w.afterMicros(), Math::min);
                 } else if (action instanceof Action.Send s) {
                     Ending ending = wrong == null ? Ending.DELIVERED : wrong;
-                    events.get(r).add(new Event.Outcome(s.id(), s.host(), tries.merge(s.id(), 1, Integer::sum) - 1, ending, 20 * MS,
-                            0, false, ending == Ending.DELIVERED, null));
+                    events.get(r)
+                            .add(new Event.Outcome(
+                                    s.id(),
+                                    s.host(),
+                                    tries.merge(s.id(), 1, Integer::sum) - 1,
+                                    ending,
+                                    20 * MS,
+                                    0,
+                                    false,
+                                    ending == Ending.DELIVERED,
+                                    null));
                     if (now >= backAt) {
                         count(r, now);
                     }
@@ -237,12 +265,13 @@
         private void count(int r, long now) {
             sent.add(new long[] {now, told.contains(r) ? 1 : 0});
             sent.removeIf(x -> x[0] <= now - rules.overloadMicros());
-            double warm = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, (now - backAt) / (double) rules.rampMicros());
+            double warm = rules.coldFrom()
+                    + (1 - rules.coldFrom()) * Math.min(1, (now - backAt) / (double) rules.rampMicros());
             double budget = rules.tipMultiple() * CAPACITY * warm * rules.overloadMicros() / S;
             long knowing = sent.stream().filter(x -> x[1] == 1).count();
             if (sent.size() > budget + 2 * Math.sqrt(budget) + 2 && knowing >= 2 * sent.size() / 3.0) {
-                breaches.add(sent.size() + " calls, " + knowing + " by relays that were told, for a budget of " + (int) budget + " after "
-                        + (now - backAt) / MS + " ms");
+                breaches.add(sent.size() + " calls, " + knowing + " by relays that were told, for a budget of "
+                        + (int) budget + " after " + (now - backAt) / MS + " ms");
             }
         }
     }
