--- a/src/test/java/lilaclever/RandomSequenceTest.java
+++ b/src/test/java/lilaclever/RandomSequenceTest.java
@@ -1,18 +1,15 @@
 package lilaclever;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static lilaclever.Rig.MS;
 import static lilaclever.Rig.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Entry;
@@ -20,6 +17,9 @@
 import lilaclever.Relay.ListingKind;
 import lilaclever.Relay.Presence;
 import lilaclever.Relay.Report;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Random events from fixed seeds, with no model of a destination behind them: the rules hold whatever comes. */
 class RandomSequenceTest {
@@ -27,15 +27,14 @@
     private static final String[] HOSTS = {"h0", "h1", "h2", "h3", "h4", "h5"};
 
     /** A call that is out, in the order sent. */
-    private record Out(String id, String host, int attempt, long sentAt, long dropAt) { }
+    private record Out(String id, String host, int attempt, long sentAt, long dropAt) {}
 
     private final List<String> trace = new ArrayList<>();
 
     private Rig play(long seed, int rounds) {
         Random random = new Random(seed);
         // The later seeds are relays of large fleets: two slots, hundreds of others.
-        Rig rig = new Rig(Rig.settings(seed > 8 ? 2 : 1 + random.nextInt(8), 20, 6, seed % 2 == 0,
-                seed > 8 ? 400 : 2));
+        Rig rig = new Rig(Rig.settings(seed > 8 ? 2 : 1 + random.nextInt(8), 20, 6, seed % 2 == 0, seed > 8 ? 400 : 2));
         rig.list(ListingKind.REMEMBERED, entries(random, false));
         List<Out> out = new ArrayList<>();
         Map<String, Integer> attempts = new LinkedHashMap<>();
@@ -53,25 +52,35 @@
                 boolean lost = seed % 3 == 0 && Math.floorMod((call.id + call.attempt).hashCode(), 3) == 0;
                 if (late || !lost && random.nextInt(12) == 0) {
                     out.remove(call);
-                    Ending ending = late ? Ending.TIMED_OUT
-                            : Ending.values()[random.nextInt(Ending.values().length)];
-                    events.add(new Event.Outcome(call.id, call.host, call.attempt, ending, rig.now - call.sentAt,
-                            ending == Ending.FULL ? random.nextInt(3) * 700 * MS : 0, ending == Ending.NOT_SENT,
+                    Ending ending = late ? Ending.TIMED_OUT : Ending.values()[random.nextInt(Ending.values().length)];
+                    events.add(new Event.Outcome(
+                            call.id,
+                            call.host,
+                            call.attempt,
+                            ending,
+                            rig.now - call.sentAt,
+                            ending == Ending.FULL ? random.nextInt(3) * 700 * MS : 0,
+                            ending == Ending.NOT_SENT,
                             ending == Ending.DELIVERED,
                             random.nextBoolean() ? new Report(random.nextDouble(), random.nextInt(9)) : null));
                 }
             }
             if (random.nextInt(8) == 0 && rig.checker.open().size() < 20) {
                 int kind = random.nextInt(4);
-                events.add(new Event.Submit("s" + i, kind, random.nextInt(4), random.nextInt(3) - 1,
-                        random.nextInt(4) == 0 ? null : "k" + random.nextInt(3), false,
+                events.add(new Event.Submit(
+                        "s" + i,
+                        kind,
+                        random.nextInt(4),
+                        random.nextInt(3) - 1,
+                        random.nextInt(4) == 0 ? null : "k" + random.nextInt(3),
+                        false,
                         random.nextInt(20) == 0,
                         random.nextInt(6) == 0 ? 50 * MS : (1 + random.nextInt(20)) * S));
             }
             if (random.nextInt(300) == 0) {
                 ListingKind kind = ListingKind.values()[random.nextInt(4)];
-                events.add(new Event.Listing(kind, i, kind == ListingKind.REFUSED ? List.of()
-                        : List.of(entries(random, true))));
+                events.add(new Event.Listing(
+                        kind, i, kind == ListingKind.REFUSED ? List.of() : List.of(entries(random, true))));
             }
             if (random.nextInt(200) == 0) {
                 rig.checker.open().stream().findFirst().ifPresent(id -> events.add(new Event.Withdrawn(id)));
--- a/src/test/java/lilaclever/Rig.java
+++ b/src/test/java/lilaclever/Rig.java
@@ -21,6 +21,7 @@
     static final long S = 1_000_000;
     /** Classes of {@link #settings}, by place. */
     static final int SAFE = 0;
+
     static final int KEYED = 1;
     static final int UNSAFE = 2;
     static final int ZONED = 3;
@@ -50,8 +51,18 @@
     }
 
     static Settings settings(int slots, int maxOpen, int maxAttempts, boolean ask, int relays) {
-        return new Settings(0, relays, 0, 2, 5 * MS, ask, Relay.Weights.NONE, true, 0.1,
-                List.of(new MessageClass(2 * S, 20 * S, 1, Repeat.SAFE, Group.ALL, 0, false),
+        return new Settings(
+                0,
+                relays,
+                0,
+                2,
+                5 * MS,
+                ask,
+                Relay.Weights.NONE,
+                true,
+                0.1,
+                List.of(
+                        new MessageClass(2 * S, 20 * S, 1, Repeat.SAFE, Group.ALL, 0, false),
                         new MessageClass(2 * S, 20 * S, 1, Repeat.KEYED, Group.ALL, 5 * S, false),
                         new MessageClass(2 * S, 20 * S, 1, Repeat.UNSAFE, Group.ALL, 0, true),
                         new MessageClass(2 * S, 20 * S, 1, Repeat.KEYED, Group.ZONE, 5 * S, false)),
@@ -88,7 +99,7 @@
     /** Lets time pass in rounds, as timers would. */
     Rig pass(long micros) {
         List<Action> all = new ArrayList<>();
-        for (long end = now + micros; now < end;) {
+        for (long end = now + micros; now < end; ) {
             now += 5 * MS;
             round();
             all.addAll(actions);
@@ -113,13 +124,16 @@
     }
 
     Rig outcome(String id, String host, int attempt, Ending ending, long wait) {
-        return round(new Event.Outcome(id, host, attempt, ending, 100 * MS, wait, false,
-                ending == Ending.DELIVERED, null));
+        return round(
+                new Event.Outcome(id, host, attempt, ending, 100 * MS, wait, false, ending == Ending.DELIVERED, null));
     }
 
     /** Hosts of the sends among the last actions, in order. */
     List<String> sentTo() {
-        return actions.stream().filter(Action.Send.class::isInstance).map(a -> ((Action.Send) a).host()).toList();
+        return actions.stream()
+                .filter(Action.Send.class::isInstance)
+                .map(a -> ((Action.Send) a).host())
+                .toList();
     }
 
     boolean sent(String id) {
--- a/src/test/java/lilaclever/RuleChecker.java
+++ b/src/test/java/lilaclever/RuleChecker.java
@@ -152,7 +152,8 @@
             HostSeen h = hosts.computeIfAbsent(entry.host(), k -> new HostSeen());
             h.destination = entry.destination();
             h.zone = entry.zone();
-            h.own = entry.kind() < settings.kinds().size() && settings.kinds().get(entry.kind()).ownLimits();
+            h.own = entry.kind() < settings.kinds().size()
+                    && settings.kinds().get(entry.kind()).ownLimits();
             h.goneAt = entry.presence() == Presence.ACTIVE ? Long.MAX_VALUE : Math.min(h.goneAt, now);
         }
     }
@@ -185,8 +186,8 @@
         if (e.waitMicros() > 0) {
             waits.merge(limit(m.outAt), now + e.waitMicros(), Math::max);
         }
-        if (m.key != null && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET
-                || e.ending() == Ending.CANCELED)) {
+        if (m.key != null
+                && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
             keyRest.put(m.key, now + settings.rules().orderPauseMicros());
             keyRestOwner.put(m.key, m);
         }
@@ -264,8 +265,10 @@
             breach(now, "lost", id + " is answered twice");
         }
         boolean mayRun = m.mayHaveRun || m.outAt != null;
-        if (refused && mayRun && (m.kind.repeat() == Repeat.UNSAFE
-                || m.kind.repeat() == Repeat.KEYED && m.kind.group() != Group.ALL)) {
+        if (refused
+                && mayRun
+                && (m.kind.repeat() == Repeat.UNSAFE
+                        || m.kind.repeat() == Repeat.KEYED && m.kind.group() != Group.ALL)) {
             breach(now, "effect", id + " may have run and is refused");
         }
         m.over = true;
@@ -279,8 +282,10 @@
         long from = now - settings.rules().overloadMicros();
         long sent = r.sends.stream().filter(t -> t > Math.max(from, r.at)).count();
         double since = (double) (now - r.at) / settings.rules().rampMicros();
-        double present = r.capacity * (settings.rules().coldFrom() + (1 - settings.rules().coldFrom()) * since);
-        double most = settings.rules().tipMultiple() * present * settings.rules().overloadMicros() / 1e6 + SLACK_CALLS;
+        double present = r.capacity
+                * (settings.rules().coldFrom() + (1 - settings.rules().coldFrom()) * since);
+        double most =
+                settings.rules().tipMultiple() * present * settings.rules().overloadMicros() / 1e6 + SLACK_CALLS;
         if (sent > most && !r.broken) {
             r.broken = true;
             breach(now, "fail-back", limit + " is sent " + sent + " calls, more than " + most);
--- a/src/test/java/lilaclever/RuleCheckerTest.java
+++ b/src/test/java/lilaclever/RuleCheckerTest.java
@@ -1,18 +1,18 @@
 package lilaclever;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static lilaclever.Rig.MS;
 import static lilaclever.Rig.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import org.junit.jupiter.api.Test;
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Entry;
 import lilaclever.Relay.Event;
 import lilaclever.Relay.ListingKind;
 import lilaclever.Relay.Presence;
+import org.junit.jupiter.api.Test;
 
 /** The checker finds each kind of breach, and none in what is allowed. */
 class RuleCheckerTest {
@@ -20,8 +20,14 @@
     private long now = S;
 
     RuleCheckerTest() {
-        events(new Event.Listing(ListingKind.ALL, 1, List.of(Rig.entry("a1", 1, 0, 0), Rig.entry("a2", 1, 1, 0),
-                Rig.entry("b1", 2, 0, 1), Rig.entry("b2", 2, 0, 1))));
+        events(new Event.Listing(
+                ListingKind.ALL,
+                1,
+                List.of(
+                        Rig.entry("a1", 1, 0, 0),
+                        Rig.entry("a2", 1, 1, 0),
+                        Rig.entry("b1", 2, 0, 1),
+                        Rig.entry("b2", 2, 0, 1))));
     }
 
     private void events(Event... events) {
@@ -46,7 +52,9 @@
 
     private void assertBreach(String rule) {
         assertEquals(1, checker.breaches().size(), checker.breaches().toString());
-        assertTrue(checker.breaches().get(0).startsWith(rule + ":"), checker.breaches().toString());
+        assertTrue(
+                checker.breaches().get(0).startsWith(rule + ":"),
+                checker.breaches().toString());
     }
 
     @Test
@@ -137,8 +145,7 @@
     @Test
     void findsASendToADrainedHost() {
         take("m", Rig.SAFE);
-        events(new Event.Listing(ListingKind.CHANGES, 2,
-                List.of(new Entry("a1", 1, 0, 0, Presence.LEAVING, 1, 0))));
+        events(new Event.Listing(ListingKind.CHANGES, 2, List.of(new Entry("a1", 1, 0, 0, Presence.LEAVING, 1, 0))));
         now += S + 1;
         send("m", "a1");
         assertBreach("drain");
--- a/src/test/java/lilaclever/SizeTest.java
+++ b/src/test/java/lilaclever/SizeTest.java
@@ -19,6 +19,8 @@
         List<String> lines = Files.readAllLines(Path.of("src/main/java/lilaclever/Decide.java"));
         long full = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(full <= MOST_LINES, "Decide.java has " + full + " lines that are not blank");
-        assertEquals(List.of(), lines.stream().filter(line -> line.length() > MOST_COLUMNS).toList());
+        assertEquals(
+                List.of(),
+                lines.stream().filter(line -> line.length() > MOST_COLUMNS).toList());
     }
 }
--- a/src/test/java/lilaclever/benchlink/MainTest.java
+++ b/src/test/java/lilaclever/benchlink/MainTest.java
@@ -28,7 +28,9 @@
     private String run(String input) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
-        code = Main.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        code = Main.run(
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                out,
                 new PrintStream(errors, true, StandardCharsets.UTF_8));
         err = errors.toString(StandardCharsets.UTF_8).trim();
         return out.toString(StandardCharsets.UTF_8);
@@ -64,23 +66,26 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "ROUND x|line 8, field clock: not a time: x",
-        "ROUND -1|line 8, field clock: not a time: -1",
-        "TICK 1|line 8, field message: expected ROUND, got TICK",
-        "ROUND 6;NEWS relay/3|line 9, field message: unknown message NEWS",
-        "ROUND 6;SUBMIT relay/3 t/a|line 9, field marks: missing",
-        "ROUND 6;SUBMIT relay/4 t/a|line 9, field relay: no HELLO came for relay/4",
-        "ROUND 6;REMINDER relay/3 7x|line 9, field ctx: not a whole number: 7x",
-        "ROUND 6;REPLY relay/3 t/a 0.1 h 0 - 1 Fine -|line 9, field status: unknown value Fine",
-        "ROUND 6;REPLY relay/3 t/a 0.1 h 0 - yes Ok -|line 9, field terminal: not 1 or 0: yes",
-        "ROUND 6;BACKENDS_CHANGED relay/3 2 7 all|line 9, field slot: no MANIFEST came with number 7",
-        "ROUND 6;HELLO relay/4 1 {oops|line 9, field conf: the settings are no JSON",
-        "ROUND 6;HELLO relay/4 1 {}|line 9, field conf: limits.slots must be above 0",
-        "ROUND 6;HELLO relay/4 1 {\"limits\": 3}|line 9, field conf.limits: not an object",
-        "ROUND 6;HELLO relay/4 1 {\"requestClasses\": [{\"aimS\": -1}]}|"
-                + "line 9, field conf.requestClasses.aimS: not a time",
-        "ROUND 6|line 8, field GO: the input ended inside a batch"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "ROUND x|line 8, field clock: not a time: x",
+                "ROUND -1|line 8, field clock: not a time: -1",
+                "TICK 1|line 8, field message: expected ROUND, got TICK",
+                "ROUND 6;NEWS relay/3|line 9, field message: unknown message NEWS",
+                "ROUND 6;SUBMIT relay/3 t/a|line 9, field marks: missing",
+                "ROUND 6;SUBMIT relay/4 t/a|line 9, field relay: no HELLO came for relay/4",
+                "ROUND 6;REMINDER relay/3 7x|line 9, field ctx: not a whole number: 7x",
+                "ROUND 6;REPLY relay/3 t/a 0.1 h 0 - 1 Fine -|line 9, field status: unknown value Fine",
+                "ROUND 6;REPLY relay/3 t/a 0.1 h 0 - yes Ok -|line 9, field terminal: not 1 or 0: yes",
+                "ROUND 6;BACKENDS_CHANGED relay/3 2 7 all|line 9, field slot: no MANIFEST came with number 7",
+                "ROUND 6;HELLO relay/4 1 {oops|line 9, field conf: the settings are no JSON",
+                "ROUND 6;HELLO relay/4 1 {}|line 9, field conf: limits.slots must be above 0",
+                "ROUND 6;HELLO relay/4 1 {\"limits\": 3}|line 9, field conf.limits: not an object",
+                "ROUND 6;HELLO relay/4 1 {\"requestClasses\": [{\"aimS\": -1}]}|"
+                        + "line 9, field conf.requestClasses.aimS: not a time",
+                "ROUND 6|line 8, field GO: the input ended inside a batch"
+            })
     void malformedInputIsNamed(String lines, String message) {
         String out = run(START + lines.replace(';', '\n') + "\n");
         assertEquals("FINISHED\n", out);
--- a/src/test/java/lilaclever/identity/IdentitiesTest.java
+++ b/src/test/java/lilaclever/identity/IdentitiesTest.java
@@ -43,7 +43,9 @@
 
         @Override
         public void forgetSoonest() {
-            all.remove(all.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().untilWall())).orElseThrow()
+            all.remove(all.entrySet().stream()
+                    .min(Comparator.comparingLong(e -> e.getValue().untilWall()))
+                    .orElseThrow()
                     .getKey());
         }
     }
@@ -119,13 +121,19 @@
     }
 
     /** One step: what happens to one of a few identities. */
-    record Step(int what, int identity, boolean other, int messageClass, int time) { }
+    record Step(int what, int identity, boolean other, int messageClass, int time) {}
 
     @Provide
     Arbitrary<List<Step>> steps() {
         Arbitrary<Integer> few = Arbitraries.integers().between(0, 4);
-        return Combinators.combine(Arbitraries.integers().between(0, 2), few, Arbitraries.of(true, false),
-                Arbitraries.integers().between(0, 1), Arbitraries.integers().between(0, 30)).as(Step::new).list()
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 2),
+                        few,
+                        Arbitraries.of(true, false),
+                        Arbitraries.integers().between(0, 1),
+                        Arbitraries.integers().between(0, 30))
+                .as(Step::new)
+                .list()
                 .ofMaxSize(80);
     }
 
@@ -147,8 +155,11 @@
                     Ruling<String, String> is = tested.rule(id, content, now);
                     Ruling<String, String> should = held.containsKey(id)
                             ? held.get(id).equals(content) ? new Ruling.Joins<>(id) : new Ruling.Clash<>(true)
-                            : !known ? new Ruling.Fresh<>()
-                            : past.content().equals(content) ? new Ruling.Again<>(past.end()) : new Ruling.Clash<>(false);
+                            : !known
+                                    ? new Ruling.Fresh<>()
+                                    : past.content().equals(content)
+                                            ? new Ruling.Again<>(past.end())
+                                            : new Ruling.Clash<>(false);
                     assertEquals(should, is);
                     if (is instanceof Ruling.Fresh<String, String>) {
                         tested.hold(id, content, id);
@@ -159,7 +170,9 @@
                     tested.release(id, id);
                     if (held.containsKey(id)) {
                         tested.ended(id, held.remove(id), s.messageClass(), "end at " + now, now);
-                        assertEquals(now + (s.messageClass() == 0 ? 100 : 10), kept.all.get(id).untilWall());
+                        assertEquals(
+                                now + (s.messageClass() == 0 ? 100 : 10),
+                                kept.all.get(id).untilWall());
                     }
                 }
                 default -> {
--- a/src/test/java/lilaclever/journal/BootClockTest.java
+++ b/src/test/java/lilaclever/journal/BootClockTest.java
@@ -12,21 +12,32 @@
     private static final long SECOND = 1_000_000;
 
     /**
-     * Guards messages of a restart where the process's clocks are led: there two seconds passed by both of its clocks and
-     * nine by the machine's. Deadlines and windows moved by the difference: messages were lost, and orders sent again late.
+     * Guards messages of a restart where the process's clocks are led: there two seconds passed by both of its clocks
+     * and nine by the machine's. Deadlines and windows moved by the difference: messages were lost, and orders sent
+     * again late.
      */
     @Test
     void clocksThatDoNotRunWithTheMachinesMoveNothing() throws IOException {
         SimDisk disk = new SimDisk();
-        long[] walls = {1_000 * SECOND, 1_002 * SECOND}, monotonic = {500 * SECOND, 502 * SECOND}, ups = {800 * SECOND, 809 * SECOND};
+        long[] walls = {1_000 * SECOND, 1_002 * SECOND},
+                monotonic = {500 * SECOND, 502 * SECOND},
+                ups = {800 * SECOND, 809 * SECOND};
         for (int life = 0; life < 2; life++) {
             long wall = walls[life];
             BootClock clock = BootClock.of(77, monotonic[life], ups[life], monotonic[life], wall - monotonic[life]);
             assertEquals(BootClock.UNKNOWN, clock);
-            try (SegmentedJournal journal = new SegmentedJournal(disk, 1 << 20, Durability.NONE, new Times(() -> 0, () -> wall, clock),
+            try (SegmentedJournal journal = new SegmentedJournal(
+                    disk,
+                    1 << 20,
+                    Durability.NONE,
+                    new Times(() -> 0, () -> wall, clock),
                     new SplittableRandom(life))) {
                 if (life == 0) {
-                    journal.taken("http", new Handin("m", null, 0, 7, null, new byte[3], false, false, 5 * SECOND), wall + 5 * SECOND, wall);
+                    journal.taken(
+                            "http",
+                            new Handin("m", null, 0, 7, null, new byte[3], false, false, 5 * SECOND),
+                            wall + 5 * SECOND,
+                            wall);
                     journal.attempt("m", "a", 0, wall + SECOND);
                 } else {
                     Owed m = journal.owed().iterator().next();
@@ -37,7 +48,10 @@
         }
     }
 
-    /** A machine that slept between: its wall clock was not set, so nothing is moved, though the monotonic one stood still. */
+    /**
+     * A machine that slept between: its wall clock was not set, so nothing is moved, though the monotonic one stood
+     * still.
+     */
     @Test
     void aMonotonicClockThatStoodStillIsNotBelieved() {
         assertEquals(BootClock.UNKNOWN, BootClock.of(77, 500 * SECOND, 560 * SECOND, 500 * SECOND, SECOND));
--- a/src/test/java/lilaclever/journal/CrashTest.java
+++ b/src/test/java/lilaclever/journal/CrashTest.java
@@ -29,7 +29,8 @@
             String state = Script.text(found, 0);
             assertEquals(List.of(), found.recovered().damages(), what);
             boolean good = strip(state).equals(strip(script.marks.get(k).state()))
-                    || k + 1 < script.marks.size() && strip(state).equals(strip(script.marks.get(k + 1).state()));
+                    || k + 1 < script.marks.size()
+                            && strip(state).equals(strip(script.marks.get(k + 1).state()));
             if (!good) {
                 assertEquals(script.marks.get(k).state(), state, what);
             }
@@ -104,7 +105,9 @@
                 script.run(8, 2000, 50);
                 boolean[] durable = {false};
                 journal.whenDurable(() -> durable[0] = true);
-                List<String> ids = journal.owed().stream().map(o -> o.handin().id() + " " + o.attempts()).toList();
+                List<String> ids = journal.owed().stream()
+                        .map(o -> o.handin().id() + " " + o.attempts())
+                        .toList();
                 while (!durable[0]) {
                     journal.tidy(script.now);
                     if (!durable[0]) {
@@ -121,7 +124,8 @@
                 int done = forcedAt.get(turn) + random.nextInt(next - forcedAt.get(turn) + 1);
                 SimDisk left = SimDisk.powerCut(disk.ops, done, random);
                 try (SegmentedJournal found = Script.open(left, 4 * MOST, Durability.NONE)) {
-                    List<String> there = found.owed().stream().map(o -> o.handin().id()).toList();
+                    List<String> there =
+                            found.owed().stream().map(o -> o.handin().id()).toList();
                     List<String> later = turn + 1 < idsThen.size() ? idsThen.get(turn + 1) : List.of();
                     for (String id : idsThen.get(turn)) {
                         // What ended since may be gone or not; all else must be there.
@@ -129,15 +133,19 @@
                         assertTrue(!stays || there.contains(id.split(" ")[0]), id + " cut at " + done);
                     }
                     for (Owed o : found.owed()) {
-                        for (String was : idsThen.get(turn)) {
-                            if (was.startsWith(o.handin().id() + " ")) {
-                                int attempts = Integer.parseInt(was.split(" ")[1]);
-                                assertTrue(o.attempts() >= attempts || o.mayHaveRun(), was + " " + Script.text(o));
-                            }
-                        }
+                        checkAttempts(o, idsThen.get(turn));
                     }
                 }
             }
         }
     }
+
+    private static void checkAttempts(Owed o, List<String> idsThen) {
+        for (String was : idsThen) {
+            if (was.startsWith(o.handin().id() + " ")) {
+                int attempts = Integer.parseInt(was.split(" ")[1]);
+                assertTrue(o.attempts() >= attempts || o.mayHaveRun(), was + " " + Script.text(o));
+            }
+        }
+    }
 }
--- a/src/test/java/lilaclever/journal/InspectionTest.java
+++ b/src/test/java/lilaclever/journal/InspectionTest.java
@@ -25,11 +25,13 @@
 class InspectionTest {
     @TempDir
     private Path folder;
+
     private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
     private Inspection inspection;
 
     private SegmentedJournal open() throws IOException {
-        return new SegmentedJournal(FolderDisk.take(folder), 1 << 20, Durability.NONE, Script.times(() -> 0), new SplittableRandom(1));
+        return new SegmentedJournal(
+                FolderDisk.take(folder), 1 << 20, Durability.NONE, Script.times(() -> 0), new SplittableRandom(1));
     }
 
     @BeforeEach
@@ -37,7 +39,8 @@
         inspection = new Inspection(folder, new PrintStream(printed, true, StandardCharsets.UTF_8));
         try (SegmentedJournal journal = open()) {
             for (int i = 0; i < 500; i++) {
-                journal.taken("http", new Handin("m" + i, null, 1, 7, "k", new byte[] {1, 2, 3}, false, false, 5), 7, 0);
+                journal.taken(
+                        "http", new Handin("m" + i, null, 1, 7, "k", new byte[] {1, 2, 3}, false, false, 5), 7, 0);
                 if (i > 1) {
                     journal.ended("m" + i);
                 }
@@ -60,10 +63,14 @@
         List<String> lines = printed().lines().toList();
         assertEquals(3, lines.size());
         JsonObject m0 = JsonParser.parseString(lines.get(0)).getAsJsonObject();
-        assertEquals("m0 lab-1 true AQID", m0.get("owed").getAsString() + " " + m0.get("last_endpoint").getAsString()
-                + " " + m0.get("possibly_run").getAsBoolean() + " " + m0.get("body").getAsString());
+        assertEquals(
+                "m0 lab-1 true AQID",
+                m0.get("owed").getAsString() + " " + m0.get("last_endpoint").getAsString() + " "
+                        + m0.get("possibly_run").getAsBoolean() + " "
+                        + m0.get("body").getAsString());
         assertTrue(lines.get(1).contains("\"end\":\"refused\",\"detail\":\"busy\""), lines.get(1));
-        assertEquals("{\"remembered\":\"a mail\",\"until\":\"1970-01-01T00:00:03Z\",\"end\":\"delivered\"}", lines.get(2));
+        assertEquals(
+                "{\"remembered\":\"a mail\",\"until\":\"1970-01-01T00:00:03Z\",\"end\":\"delivered\"}", lines.get(2));
     }
 
     @Test
--- a/src/test/java/lilaclever/journal/JournalProperties.java
+++ b/src/test/java/lilaclever/journal/JournalProperties.java
@@ -70,8 +70,11 @@
 
     /** On a disk that works no attempt and no end ever lacks room, whatever the sizes, also without a turn between. */
     @Property(tries = 30, seed = "4711", shrinking = ShrinkingMode.BOUNDED)
-    void whatWasTakenNeverLacksRoom(@ForAll @IntRange(min = 100, max = 66_000) int largest,
-            @ForAll @IntRange(min = 10, max = 600) int hold, @ForAll long seed) throws IOException {
+    void whatWasTakenNeverLacksRoom(
+            @ForAll @IntRange(min = 100, max = 66_000) int largest,
+            @ForAll @IntRange(min = 10, max = 600) int hold,
+            @ForAll long seed)
+            throws IOException {
         SimDisk disk = new SimDisk();
         Script script = new Script(disk, seed);
         try (SegmentedJournal journal = Script.open(disk, 3 * MOST, Durability.NONE)) {
@@ -95,7 +98,8 @@
     // ---- the plan ---------------------------------------------------------------------------------------
     /** What the plan promises fits, in whatever order the records come. */
     @Property(tries = 500, seed = "4711")
-    void whatIsPromisedFitsInAnyOrder(@ForAll @IntRange(min = 5, max = 200) int files,
+    void whatIsPromisedFitsInAnyOrder(
+            @ForAll @IntRange(min = 5, max = 200) int files,
             @ForAll @Size(min = 1, max = 300) List<@IntRange(min = 50, max = 20_000) Integer> sizes) {
         Plan plan = new Plan(3 << 20);
         long proper = plan.segment() - Format.OVERHEAD;
@@ -116,8 +120,11 @@
 
     /** Room is never promised where there is none, and a record more never gives room to a later one. */
     @Property(tries = 500, seed = "4711")
-    void roomShrinksWithWhatIsHeld(@ForAll @IntRange(max = 4 << 20) int allocated, @ForAll @IntRange(max = 4 << 20) int live,
-            @ForAll @IntRange(max = 1 << 20) int growth, @ForAll @IntRange(max = 70_000) int record) {
+    void roomShrinksWithWhatIsHeld(
+            @ForAll @IntRange(max = 4 << 20) int allocated,
+            @ForAll @IntRange(max = 4 << 20) int live,
+            @ForAll @IntRange(max = 1 << 20) int growth,
+            @ForAll @IntRange(max = 70_000) int record) {
         Plan plan = new Plan(4 << 20);
         Plan.Space s = new Plan.Space(4 << 20, allocated, 0, live, growth, 300, 0);
         Plan.Space fuller = new Plan.Space(4 << 20, allocated, 0, live + 1000, growth, 300, 0);
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -19,12 +19,13 @@
     private static final long BUDGET = 1000;
 
     /** What the model says after some step, and how many operations the disk had seen by then. */
-    record Mark(int ops, String state) { }
+    record Mark(int ops, String state) {}
 
     final List<Mark> marks = new ArrayList<>();
     private final SimDisk disk;
     /** Gives a number below the bound. */
     private final IntUnaryOperator random;
+
     private final TreeMap<String, Owed> owed = new TreeMap<>();
     private final TreeMap<String, Past<Verdict>> remembered = new TreeMap<>();
     private SegmentedJournal journal;
@@ -90,8 +91,16 @@
     private void take(int largest) {
         byte[] body = new byte[random.applyAsInt(20) == 0 ? largest : random.applyAsInt(80)];
         new java.util.Random(next).nextBytes(body);
-        Handin h = new Handin("m" + next, next % 3 == 0 ? "identity-" + next : null, next % 3, 7,
-                next % 2 == 0 ? "key\u00e9" : null, body, false, true, BUDGET);
+        Handin h = new Handin(
+                "m" + next,
+                next % 3 == 0 ? "identity-" + next : null,
+                next % 3,
+                7,
+                next % 2 == 0 ? "key\u00e9" : null,
+                body,
+                false,
+                true,
+                BUDGET);
         if (journal.taken("http", h, next + BUDGET, now)) {
             owed.put(h.id(), new Owed("http", h, next + BUDGET));
         } else {
@@ -126,8 +135,10 @@
             case 2 -> {
                 Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
                 if (o.handin().identity() != null && random.applyAsInt(2) == 0) {
-                    Past<Verdict> past = new Past<>(v, random.applyAsInt(2) == 0 ? null
-                            : new Fingerprint(now, next), now + 20 + random.applyAsInt(40)); // windows differ
+                    Past<Verdict> past = new Past<>(
+                            v,
+                            random.applyAsInt(2) == 0 ? null : new Fingerprint(now, next),
+                            now + 20 + random.applyAsInt(40)); // windows differ
                     journal.remember(o.handin().identity(), past);
                     remembered.put(o.handin().identity(), past);
                 } else {
@@ -170,10 +181,19 @@
 
     static String text(Owed o) {
         Handin h = o.handin();
-        return String.join(" ", o.front(), h.id(), h.identity(), h.key(), h.messageClass() + "/" + h.destination(),
-                "" + java.util.Arrays.hashCode(h.body()), "" + h.budgetMicros(), "" + o.deadlineWall(),
+        return String.join(
+                " ",
+                o.front(),
+                h.id(),
+                h.identity(),
+                h.key(),
+                h.messageClass() + "/" + h.destination(),
+                "" + java.util.Arrays.hashCode(h.body()),
+                "" + h.budgetMicros(),
+                "" + o.deadlineWall(),
                 o.attempts() + (o.isOut() ? " out" : "") + (o.attempts() > 0 ? " " + o.host() + o.sentWall() : ""),
                 o.mayHaveRun() ? "risk " + o.riskHost() + o.riskZone() + "@" + o.riskWall() : "",
-                String.valueOf(o.verdict()), o.joined().toString());
+                String.valueOf(o.verdict()),
+                o.joined().toString());
     }
 }
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -44,7 +44,10 @@
     }
 
     private static Owed owed(SegmentedJournal journal, String id) {
-        return journal.owed().stream().filter(o -> o.handin().id().equals(id)).findFirst().orElse(null);
+        return journal.owed().stream()
+                .filter(o -> o.handin().id().equals(id))
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
@@ -60,10 +63,14 @@
         for (int life = 0; life < 2; life++) {
             try (SegmentedJournal journal = open()) {
                 Owed e = owed(journal, "m");
-                assertEquals("3 true true b 2 200 99", e.attempts() + " " + e.isOut() + " " + e.mayHaveRun() + " "
-                        + e.riskHost() + " " + e.riskZone() + " " + e.riskWall() + " " + e.deadlineWall());
-                assertEquals("http key 7 2 10", e.front() + " " + e.handin().key() + " " + e.handin().destination()
-                        + " " + e.handin().messageClass() + " " + e.handin().body().length);
+                assertEquals(
+                        "3 true true b 2 200 99",
+                        e.attempts() + " " + e.isOut() + " " + e.mayHaveRun() + " " + e.riskHost() + " " + e.riskZone()
+                                + " " + e.riskWall() + " " + e.deadlineWall());
+                assertEquals(
+                        "http key 7 2 10",
+                        e.front() + " " + e.handin().key() + " " + e.handin().destination() + " "
+                                + e.handin().messageClass() + " " + e.handin().body().length);
             }
         }
     }
@@ -88,8 +95,11 @@
         }
         List<SimDisk.Op> ops = List.copyOf(disk.ops);
         String name = Segment.name(1);
-        int used = ops.stream().filter(o -> o.kind() == SimDisk.Kind.WRITE && o.bytes().length < 1000)
-                .mapToInt(o -> (int) o.position() + o.bytes().length).max().orElse(0);
+        int used = ops.stream()
+                .filter(o -> o.kind() == SimDisk.Kind.WRITE && o.bytes().length < 1000)
+                .mapToInt(o -> (int) o.position() + o.bytes().length)
+                .max()
+                .orElse(0);
         for (int at = 0; at < used; at += at < 700 ? 1 : 7) {
             SimDisk damaged = SimDisk.killed(ops, ops.size(), 0);
             byte[] content = damaged.content(name);
@@ -103,7 +113,8 @@
             }
             // What was found is carried over: the next life knows it without the damaged file.
             try (SegmentedJournal journal = Script.open(damaged, MOST, Durability.NONE)) {
-                assertTrue(journal.owed().size() >= 19 && journal.recovered().damages().isEmpty());
+                assertTrue(journal.owed().size() >= 19
+                        && journal.recovered().damages().isEmpty());
                 journal.owed().forEach(o -> assertTrue(o.isOut() || o.mayHaveRun()));
             }
         }
@@ -122,7 +133,9 @@
             assertEquals(1, journal.recovered().damages().size());
             Recovery.Damage damage = journal.recovered().damages().get(0);
             assertTrue(damage.from() <= 400 && damage.to() > 400 && damage.to() - damage.from() < 200);
-            assertTrue(disk.names().contains("damaged-" + damage.file()), disk.names().toString());
+            assertTrue(
+                    disk.names().contains("damaged-" + damage.file()),
+                    disk.names().toString());
         }
     }
 
@@ -147,7 +160,9 @@
             }
         }
         try (SegmentedJournal journal = open()) {
-            assertEquals(List.of("victim", "last"), journal.owed().stream().map(o -> o.handin().id()).toList());
+            assertEquals(
+                    List.of("victim", "last"),
+                    journal.owed().stream().map(o -> o.handin().id()).toList());
         }
     }
 
@@ -192,8 +207,11 @@
         content.accept(new DataOutputStream(bytes));
         CRC32 crc = new CRC32();
         crc.update(bytes.toByteArray());
-        return ByteBuffer.allocate(bytes.size() + 8).putInt(bytes.size()).putInt((int) crc.getValue())
-                .put(bytes.toByteArray()).array();
+        return ByteBuffer.allocate(bytes.size() + 8)
+                .putInt(bytes.size())
+                .putInt((int) crc.getValue())
+                .put(bytes.toByteArray())
+                .array();
     }
 
     private static byte[] legacyTaken(String id) {
@@ -244,8 +262,13 @@
     @Test
     void aFolderOfTheFirstFormatIsCarriedOverWhereverThatIsCut() throws IOException {
         byte[] torn = legacyTaken("torn");
-        disk.put("journal", all(legacyTaken("a"), legacyTaken("b"), legacyAttempt("a"),
-                java.util.Arrays.copyOf(torn, torn.length - 2)));
+        disk.put(
+                "journal",
+                all(
+                        legacyTaken("a"),
+                        legacyTaken("b"),
+                        legacyAttempt("a"),
+                        java.util.Arrays.copyOf(torn, torn.length - 2)));
         disk.put("journal.new", new byte[100]);
         int before = disk.ops.size();
         String state;
@@ -265,7 +288,10 @@
 
     @Test
     void aNewerFormatIsRefusedAndNothingIsTouched() throws IOException {
-        disk.put(Segment.name(1), Format.header(new Format.Header(Format.VERSION + 1, 1, 5, 0, BootClock.UNKNOWN)).array());
+        disk.put(
+                Segment.name(1),
+                Format.header(new Format.Header(Format.VERSION + 1, 1, 5, 0, BootClock.UNKNOWN))
+                        .array());
         disk.put("journal.new", new byte[3]);
         int before = disk.ops.size();
         JournalException e = assertThrows(JournalException.class, this::open);
@@ -278,22 +304,53 @@
     void whatVersionOneWroteIsRead() throws IOException {
         Format.Writer out = new Format.Writer();
         Held.previous(out, 0, 0);
-        out.begin(Format.Type.REMEMBERED).text("i").small(Verdict.Kind.FAILED.ordinal()).number(0).text("why").number(77).end();
-        out.begin(Format.Type.SNAPSHOT).text("http").text("s").flag(false).small(1).small(7).flag(false).flag(false).flag(false)
-                .number(20).number(99).bytes(new byte[3]).small(2).flag(true).text("h").small(0).number(5).flag(false).text("")
-                .small(0).number(0).flag(false).end();
+        out.begin(Format.Type.REMEMBERED)
+                .text("i")
+                .small(Verdict.Kind.FAILED.ordinal())
+                .number(0)
+                .text("why")
+                .number(77)
+                .end();
+        out.begin(Format.Type.SNAPSHOT)
+                .text("http")
+                .text("s")
+                .flag(false)
+                .small(1)
+                .small(7)
+                .flag(false)
+                .flag(false)
+                .flag(false)
+                .number(20)
+                .number(99)
+                .bytes(new byte[3])
+                .small(2)
+                .flag(true)
+                .text("h")
+                .small(0)
+                .number(5)
+                .flag(false)
+                .text("")
+                .small(0)
+                .number(0)
+                .flag(false)
+                .end();
         java.nio.ByteBuffer all = java.nio.ByteBuffer.allocate(16 * 1024);
         all.put(Format.header(new Format.Header(1, 1, 5, 0, BootClock.UNKNOWN))).put(out.sealed(5));
         disk.put(Segment.name(1), all.array());
         try (SegmentedJournal journal = open()) {
             assertEquals(List.of(), journal.recovered().damages());
-            assertEquals(new lilaclever.identity.Past<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
+            assertEquals(
+                    new lilaclever.identity.Past<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
                     journal.remembered("i"));
-            assertTrue(owed(journal, "s").isOut() && owed(journal, "s").attempts() == 2 && owed(journal, "s").joined().isEmpty());
+            assertTrue(owed(journal, "s").isOut()
+                    && owed(journal, "s").attempts() == 2
+                    && owed(journal, "s").joined().isEmpty());
             assertTrue(journal.joined("s", "mllp", "x"));
         }
         try (SegmentedJournal journal = open()) {
-            assertEquals(List.of(new lilaclever.routing.Owed.Claim("mllp", "x")), owed(journal, "s").joined());
+            assertEquals(
+                    List.of(new lilaclever.routing.Owed.Claim("mllp", "x")),
+                    owed(journal, "s").joined());
         }
     }
 
@@ -329,7 +386,8 @@
     @Test
     void aFolderIsForOneProgramAtATime(@TempDir Path folder) throws IOException {
         FolderDisk first = FolderDisk.take(folder);
-        assertTrue(assertThrows(JournalException.class, () -> FolderDisk.take(folder)).getMessage()
+        assertTrue(assertThrows(JournalException.class, () -> FolderDisk.take(folder))
+                .getMessage()
                 .contains("in use"));
         first.close();
         FolderDisk.take(folder).close();
@@ -349,11 +407,14 @@
         for (int life = 0; life < 3; life++) {
             long wall = walls[life];
             Times times = new Times(() -> 0, () -> wall, new BootClock(boots[life], wall - ups[life]));
-            try (SegmentedJournal journal = new SegmentedJournal(disk, MOST, Durability.NONE, times,
-                    new SplittableRandom(life))) {
+            try (SegmentedJournal journal =
+                    new SegmentedJournal(disk, MOST, Durability.NONE, times, new SplittableRandom(life))) {
                 if (life == 0) {
-                    journal.taken("http", new Handin("m", null, 2, 7, null, new byte[3], false, false, 28_000_000),
-                            wall + 28_000_000, wall);
+                    journal.taken(
+                            "http",
+                            new Handin("m", null, 2, 7, null, new byte[3], false, false, 28_000_000),
+                            wall + 28_000_000,
+                            wall);
                     journal.attempt("m", "a", 0, wall + 1_000_000);
                     journal.remember("i", Verdict.of(Verdict.Kind.DELIVERED), wall + hour);
                 } else {
@@ -383,7 +444,9 @@
             int held = journal.owed().size();
             for (int attempt = 0; attempt < 16; attempt++) {
                 for (Owed o : List.copyOf(journal.owed())) {
-                    assertTrue(journal.attempt(o.handin().id(), "an-endpoint", 0, 1), o.handin().id());
+                    assertTrue(
+                            journal.attempt(o.handin().id(), "an-endpoint", 0, 1),
+                            o.handin().id());
                     journal.outcome(o.handin().id(), true);
                     journal.tidy(0);
                     assertTrue(disk.total() <= MOST);
@@ -485,19 +548,26 @@
             assertTrue(take(journal, "after", 10));
         }
         try (SegmentedJournal journal = open()) {
-            assertEquals(List.of("after", "fails", "stays"),
+            assertEquals(
+                    List.of("after", "fails", "stays"),
                     journal.owed().stream().map(o -> o.handin().id()).sorted().toList());
             assertEquals(Verdict.Kind.FAILED, owed(journal, "fails").verdict().kind());
-            assertTrue(owed(journal, "stays").mayHaveRun() && !owed(journal, "stays").isOut());
-            assertEquals(Verdict.Kind.DELIVERED, journal.remembered("identity").end().kind());
+            assertTrue(owed(journal, "stays").mayHaveRun()
+                    && !owed(journal, "stays").isOut());
+            assertEquals(
+                    Verdict.Kind.DELIVERED, journal.remembered("identity").end().kind());
         }
     }
 
     /** A forcing that failed proves nothing of a later one: all is written again, and only then goes on. */
     @Test
     void afterAFailedForcingAllIsWrittenAgainBeforeAnythingHappens() throws Exception {
-        try (SegmentedJournal journal = new SegmentedJournal(disk, MOST, new Durability(Durability.How.GROUP, 0),
-                Script.times(() -> clock), new SplittableRandom(3))) {
+        try (SegmentedJournal journal = new SegmentedJournal(
+                disk,
+                MOST,
+                new Durability(Durability.How.GROUP, 0),
+                Script.times(() -> clock),
+                new SplittableRandom(3))) {
             java.util.concurrent.LinkedBlockingQueue<Runnable> loop = new java.util.concurrent.LinkedBlockingQueue<>();
             journal.attach(loop::add);
             take(journal, "m", 10);
--- a/src/test/java/lilaclever/journal/SimDisk.java
+++ b/src/test/java/lilaclever/journal/SimDisk.java
@@ -18,15 +18,24 @@
  */
 final class SimDisk implements Disk {
     /** What is done to the content of a file, by its number, or to names. */
-    record Op(Kind kind, int file, String name, String to, long position, byte[] bytes) { }
-
-    enum Kind { CREATE, WRITE, TRUNCATE, RENAME, DELETE, FORCE, FORCE_NAMES }
+    record Op(Kind kind, int file, String name, String to, long position, byte[] bytes) {}
+
+    enum Kind {
+        CREATE,
+        WRITE,
+        TRUNCATE,
+        RENAME,
+        DELETE,
+        FORCE,
+        FORCE_NAMES
+    }
 
     final List<Op> ops = new ArrayList<>();
     /** Bytes that all files may take together, and each; more is a failure of the system's. */
     long most = Long.MAX_VALUE, mostOfAFile = Long.MAX_VALUE;
     /** Every write fails, and every forcing. */
     boolean writesFail, forcesFail;
+
     private final TreeMap<String, Integer> names = new TreeMap<>();
     private final Map<Integer, byte[]> contents = new HashMap<>();
     private int nextFile;
@@ -51,7 +60,7 @@
             }
             case RENAME -> names.put(op.to(), names.remove(op.name()));
             case DELETE -> names.remove(op.name());
-            default -> { }
+            default -> {}
         }
     }
 
@@ -74,7 +83,12 @@
     }
 
     private static Op part(Op op, int from, int to) {
-        return new Op(op.kind(), op.file(), op.name(), op.to(), op.position() + from,
+        return new Op(
+                op.kind(),
+                op.file(),
+                op.name(),
+                op.to(),
+                op.position() + from,
                 Arrays.copyOfRange(op.bytes(), from, Math.min(to, op.bytes().length)));
     }
 
@@ -105,7 +119,7 @@
                 if (i < forced.getOrDefault(op.file(), -1) || op.kind() == Kind.TRUNCATE) {
                     disk.apply(op);
                 } else if (op.kind() == Kind.WRITE) {
-                    for (int at = 0; at < op.bytes().length;) {
+                    for (int at = 0; at < op.bytes().length; ) {
                         int to = at + Format.BLOCK - (int) ((op.position() + at) % Format.BLOCK);
                         if (random.nextBoolean()) {
                             disk.apply(part(op, at, to));
@@ -120,7 +134,9 @@
 
     // ---- as the journal sees it -------------------------------------------------------------------------
     long total() {
-        return names.values().stream().mapToLong(f -> Plan.blocks(contents.get(f).length)).sum();
+        return names.values().stream()
+                .mapToLong(f -> Plan.blocks(contents.get(f).length))
+                .sum();
     }
 
     byte[] content(String name) {
@@ -174,7 +190,7 @@
     }
 
     @Override
-    public void close() { }
+    public void close() {}
 
     private final class File implements DiskFile {
         private final int number;
@@ -211,8 +227,8 @@
                 add(Kind.WRITE, number, null, null, position, all);
             }
             if (all.length < asked) {
-                throw new IOException(position + all.length >= mostOfAFile ? "File too large"
-                        : "No space left on device");
+                throw new IOException(
+                        position + all.length >= mostOfAFile ? "File too large" : "No space left on device");
             }
         }
 
@@ -232,6 +248,6 @@
         }
 
         @Override
-        public void close() { }
+        public void close() {}
     }
 }
--- a/src/test/java/lilaclever/lab/audit/AuditorTest.java
+++ b/src/test/java/lilaclever/lab/audit/AuditorTest.java
@@ -15,12 +15,19 @@
     private static final long S = 1_000_000;
     private static final int ORDER = 0, STATUS = 1, PAYMENT = 2;
 
-    private final Auditor auditor = new Auditor(List.of(of("order", Relay.Repeat.KEYED, 4, 20, 0.5), of("status", Relay.Repeat.SAFE, 1, 6, 0),
-            of("payment", Relay.Repeat.UNSAFE, 4, 28, 0.5)), S / 2);
+    private final Auditor auditor = new Auditor(
+            List.of(
+                    of("order", Relay.Repeat.KEYED, 4, 20, 0.5),
+                    of("status", Relay.Repeat.SAFE, 1, 6, 0),
+                    of("payment", Relay.Repeat.UNSAFE, 4, 28, 0.5)),
+            S / 2);
 
     private static MessageClass of(String name, Relay.Repeat repeat, long aim, long deadline, double late) {
-        return new MessageClass(name, 1 / 3.0, new long[] {1, 1}, new Relay.MessageClass(aim * S, deadline * S, 1, repeat,
-                Relay.Group.ALL, 5 * S, false, late, true));
+        return new MessageClass(
+                name,
+                1 / 3.0,
+                new long[] {1, 1},
+                new Relay.MessageClass(aim * S, deadline * S, 1, repeat, Relay.Group.ALL, 5 * S, false, late, true));
     }
 
     private void taken(int n, int messageClass, long at) {
--- a/src/test/java/lilaclever/lab/model/PartnerTest.java
+++ b/src/test/java/lilaclever/lab/model/PartnerTest.java
@@ -18,12 +18,29 @@
     private static final double[] ONE = {1, 1};
 
     private static PartnerKind kind(Limit limit, double connections) {
-        return new PartnerKind("k", 1, false, limit, new double[] {1, 1}, ONE, 2 * S, new double[] {1.5, 1.5}, new double[] {0.5, 0.5},
-                1, new long[] {100_000, 100_000}, 1, new double[] {connections, connections}, new double[] {2, 2}, 0, 20, 0.5);
+        return new PartnerKind(
+                "k",
+                1,
+                false,
+                limit,
+                new double[] {1, 1},
+                ONE,
+                2 * S,
+                new double[] {1.5, 1.5},
+                new double[] {0.5, 0.5},
+                1,
+                new long[] {100_000, 100_000},
+                1,
+                new double[] {connections, connections},
+                new double[] {2, 2},
+                0,
+                20,
+                0.5);
     }
 
     private static Partner partner(Limit limit) {
-        Partner p = new Partner(7, kind(limit, 0), 1, 10, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+        Partner p = new Partner(
+                7, kind(limit, 0), 1, 10, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
         p.add("e");
         return p;
     }
@@ -32,11 +49,19 @@
         return p.call("e", forwarder, new long[] {100_000}, at);
     }
 
-    /** Whole servers gave a small partner four times the room that was drawn for it: no load was too much for the fleet. */
+    /**
+     * Whole servers gave a small partner four times the room that was drawn for it: no load was too much for the fleet.
+     */
     @Test
     void aPartnerCanDoWhatWasDrawnForIt() {
         for (int i = 0; i < 50; i++) {
-            Partner p = new Partner(7, kind(Limit.NONE, 0), 2, 60 + i, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S),
+            Partner p = new Partner(
+                    7,
+                    kind(Limit.NONE, 0),
+                    2,
+                    60 + i,
+                    100_000,
+                    new Partner.Cold(0.25, 8 * S, 1.5, 3 * S),
                     new Draws(i, "p"));
             assertEquals(60 + i, p.capacity(), 1e-6);
         }
@@ -47,7 +72,13 @@
         assertEquals(new Draws(1, "a").unit(), new Draws(1, "a").unit());
         assertTrue(new Draws(1, "a").unit() != new Draws(1, "b").unit());
         Draws d = new Draws(5, "x");
-        assertEquals(1, IntStream.range(0, 100_000).mapToDouble(i -> d.lognormal(0.5)).average().orElse(0), 0.01);
+        assertEquals(
+                1,
+                IntStream.range(0, 100_000)
+                        .mapToDouble(i -> d.lognormal(0.5))
+                        .average()
+                        .orElse(0),
+                0.01);
     }
 
     /** Twenty in a span of two seconds, and no more until the next begins; it tells when that is. */
@@ -66,8 +97,20 @@
             Allowance a = new Allowance(limit, 10, 2 * S, false);
             a.lower(0.5, 10 * S);
             a.take(0);
-            assertEquals(40, IntStream.range(0, 400).filter(i -> a.take(2 * S + i * 20_000L)).count(), 4, limit + " lowered");
-            assertEquals(100, IntStream.range(0, 500).filter(i -> a.take(10 * S + i * 20_000L)).count(), 4, limit + " raised");
+            assertEquals(
+                    40,
+                    IntStream.range(0, 400)
+                            .filter(i -> a.take(2 * S + i * 20_000L))
+                            .count(),
+                    4,
+                    limit + " lowered");
+            assertEquals(
+                    100,
+                    IntStream.range(0, 500)
+                            .filter(i -> a.take(10 * S + i * 20_000L))
+                            .count(),
+                    4,
+                    limit + " raised");
         }
     }
 
@@ -75,15 +118,21 @@
     @Test
     void refusedCallsMayUseUpARate() {
         Allowance counts = new Allowance(Limit.RATE, 10, S, true), forgives = new Allowance(Limit.RATE, 10, S, false);
-        assertTrue(IntStream.range(0, 1000).filter(i -> counts.take(i * 10_000L)).count() < 20);
-        assertEquals(102, IntStream.range(0, 1000).filter(i -> forgives.take(i * 10_000L)).count(), 3);
+        assertTrue(
+                IntStream.range(0, 1000).filter(i -> counts.take(i * 10_000L)).count() < 20);
+        assertEquals(
+                102,
+                IntStream.range(0, 1000).filter(i -> forgives.take(i * 10_000L)).count(),
+                3);
     }
 
     @Test
     void whatItCanDoIsAllItDoes() {
         Partner p = partner(Limit.NONE);
-        long done = IntStream.range(0, 10_000).mapToObj(i -> call(p, 0, i * 5000L)) // 200 a second for 50 s
-                .filter(a -> a.status() == Status.DELIVERED && a.atMicros() <= 50 * S).count();
+        long done = IntStream.range(0, 10_000)
+                .mapToObj(i -> call(p, 0, i * 5000L)) // 200 a second for 50 s
+                .filter(a -> a.status() == Status.DELIVERED && a.atMicros() <= 50 * S)
+                .count();
         assertEquals(p.capacity() * 50, done, p.capacity() * 2);
     }
 
@@ -135,7 +184,8 @@
 
     @Test
     void itTakesOnlySoManyConnections() {
-        Partner p = new Partner(7, kind(Limit.NONE, 1), 1, 1, 1000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+        Partner p = new Partner(
+                7, kind(Limit.NONE, 1), 1, 1, 1000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
         p.add("e");
         assertTrue(p.connect("e", 0) && p.connect("e", 1));
         assertFalse(p.connect("e", 1));
@@ -146,11 +196,18 @@
     /** The load is kept, its shape too, and what comes in clumps counts as part of it. */
     @Test
     void trafficHasTheLoadThatWasAskedFor() {
-        List<MessageClass> classes = List.of(new MessageClass("a", 0.75, new long[] {1, 1}, null),
+        List<MessageClass> classes = List.of(
+                new MessageClass("a", 0.75, new long[] {1, 1}, null),
                 new MessageClass("b", 0.25, new long[] {1, 1}, null));
         for (double clumps : new double[] {0, 0.3}) {
-            Traffic t = new Traffic(List.of(new Traffic.Point(0, 0.5), new Traffic.Point(100 * S, 1.5)), 50, clumps, new double[] {2, 2},
-                    classes, Traffic.zipf(2, 0), List.of(partner(Limit.NONE), partner(Limit.NONE)));
+            Traffic t = new Traffic(
+                    List.of(new Traffic.Point(0, 0.5), new Traffic.Point(100 * S, 1.5)),
+                    50,
+                    clumps,
+                    new double[] {2, 2},
+                    classes,
+                    Traffic.zipf(2, 0),
+                    List.of(partner(Limit.NONE), partner(Limit.NONE)));
             List<Arrival> all = t.draw(200 * S, new Draws(3, "arrivals"));
             assertEquals(50 * 100 + 75 * 100, all.size(), 12_500 * (clumps == 0 ? 0.04 : 0.45));
             assertEquals(0.25, all.stream().filter(a -> a.messageClass() == 1).count() / (double) all.size(), 0.02);
--- a/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
+++ b/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
@@ -27,46 +27,70 @@
     @Test
     void whatIsAbsentIsAsAtTheExchange() throws Bad {
         Scenario s = ScenarioReader.parse("f", List.of());
-        assertEquals(List.of("lens-lab", "supplier"), s.kinds().stream().map(k -> k.name()).toList());
-        assertEquals(List.of("lens-order", "status-update", "payment"), s.classes().stream().map(c -> c.name()).toList());
+        assertEquals(
+                List.of("lens-lab", "supplier"),
+                s.kinds().stream().map(k -> k.name()).toList());
+        assertEquals(
+                List.of("lens-order", "status-update", "payment"),
+                s.classes().stream().map(c -> c.name()).toList());
         assertEquals(3, s.fleet().forwarders());
         assertEquals(0.8, s.traffic().shape().get(0).load());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "[fleet]/forwarders 0            | f:2: fleet.forwarders: a whole number from 1 to 10000, not 0",
-        "[flet]                          | f:1: [flet]: no such section; is fleet meant?",
-        "[traffic]/load 45               | f:2: traffic.load: from 0% to 10000%, not 45",
-        "[traffic]/load 0s 45% 0s 50%    | f:2: traffic.load: times must grow: 0s",
-        "[traffic]/load 5s 45%           | f:2: traffic.load: one share, or times and shares in turn from 0s on, such as 0s 45% 30s 110%",
-        "[event e]/at 5s                 | f:1: event e.what: missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf",
-        "[event e]/what silent           | f:1: event e.at: missing: a time, or the least and the most",
-        "[event e]/what silent/at 9s 5s  | f:3: event e.at: one time, or the least and the most, not 9s 5s",
-        "[event e]/what silent/at 5s/kind lab | f:4: event e.kind: no such kind of partner: lab",
-        "[event e]/what explode/at 5s    | f:2: event e.what: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf, not explode",
-        "[kind a]/share 50%              | f:2: kind a.share: the shares of all kinds are 50.0% together, not 100%",
-        "[class a]/aim 30s/deadline 20s  | f:2: class a.aim: is after the deadline",
-        "[fleet]/cold-form 1%            | f:2: fleet.cold-form: no such key; is cold-from meant?"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "[fleet]/forwarders 0            | f:2: fleet.forwarders: a whole number from 1 to 10000, not 0",
+                "[flet]                          | f:1: [flet]: no such section; is fleet meant?",
+                "[traffic]/load 45               | f:2: traffic.load: from 0% to 10000%, not 45",
+                "[traffic]/load 0s 45% 0s 50%    | f:2: traffic.load: times must grow: 0s",
+                "[traffic]/load 5s 45%           | f:2: traffic.load: one share, or times and shares in turn from 0s "
+                        + "on, such as 0s 45% 30s 110%",
+                "[event e]/at 5s                 | f:1: event e.what: missing: one of restart, drain, silent, "
+                        + "failing, shut, down, slow, lowered, hot, deaf",
+                "[event e]/what silent           | f:1: event e.at: missing: a time, or the least and the most",
+                "[event e]/what silent/at 9s 5s  | f:3: event e.at: one time, or the least and the most, not 9s 5s",
+                "[event e]/what silent/at 5s/kind lab | f:4: event e.kind: no such kind of partner: lab",
+                "[event e]/what explode/at 5s    | f:2: event e.what: one of restart, drain, silent, failing, shut, "
+                        + "down, slow, lowered, hot, deaf, not explode",
+                "[kind a]/share 50%              | f:2: kind a.share: the shares of all kinds are 50.0% together, not "
+                        + "100%",
+                "[class a]/aim 30s/deadline 20s  | f:2: class a.aim: is after the deadline",
+                "[fleet]/cold-form 1%            | f:2: fleet.cold-form: no such key; is cold-from meant?"
+            })
     void faultsAreToldWithFileLineAndKey(String text, String message) {
-        assertEquals(message, assertThrows(Bad.class, () -> ScenarioReader.parse("f", List.of(text.split("/")))).getMessage());
+        assertEquals(
+                message,
+                assertThrows(Bad.class, () -> ScenarioReader.parse("f", List.of(text.split("/"))))
+                        .getMessage());
     }
 
     @Test
     void anUnknownNameIsToldWithTheNearest() {
-        assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("mondy")).getMessage().contains("is monday meant?"));
+        assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("mondy"))
+                .getMessage()
+                .contains("is monday meant?"));
     }
 
     /** Settings of the command line take the place of the file's, are checked like them, and touch nothing else. */
     @Test
     void settingsTakeTheFilesPlace() throws Bad {
-        Scenario s = ScenarioReader.read("month-end", List.of(Overrides.Setting.of("fleet.forwarders=8"),
-                Overrides.Setting.of("event one-restart.part=10%")));
+        Scenario s = ScenarioReader.read(
+                "month-end",
+                List.of(
+                        Overrides.Setting.of("fleet.forwarders=8"),
+                        Overrides.Setting.of("event one-restart.part=10%")));
         assertEquals(8, s.fleet().forwarders());
         assertEquals(0.1, s.happenings().get(0).part());
-        assertEquals(ScenarioReader.read("month-end").traffic().lengthMicros(), s.traffic().lengthMicros());
-        assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("quiet", List.of(Overrides.Setting.of("fleet.forwarder=8"))))
-                .getMessage().contains("is forwarders meant?"));
+        assertEquals(
+                ScenarioReader.read("month-end").traffic().lengthMicros(),
+                s.traffic().lengthMicros());
+        assertTrue(assertThrows(
+                        Bad.class,
+                        () -> ScenarioReader.read("quiet", List.of(Overrides.Setting.of("fleet.forwarder=8"))))
+                .getMessage()
+                .contains("is forwarders meant?"));
         assertThrows(Bad.class, () -> Overrides.Setting.of("forwarders=8"));
     }
 }
--- a/src/test/java/lilaclever/lab/virtual/WorldTest.java
+++ b/src/test/java/lilaclever/lab/virtual/WorldTest.java
@@ -51,13 +51,24 @@
         assertTrue(Files.readString(folder.resolve("a/index.html")).contains("data:image/png;base64,"));
         Report.write(run(ScenarioReader.read("bad-afternoon"), 2, Fault.NONE), folder.resolve("c"));
         assertNotEquals(-1, Files.mismatch(folder.resolve("a/report.json"), folder.resolve("c/report.json")));
-        assertTrue(Comparison.of(folder.resolve("a"), folder.resolve("b")).contains("1 of them of the same scenario and seed"));
+        assertTrue(Comparison.of(folder.resolve("a"), folder.resolve("b"))
+                .contains("1 of them of the same scenario and seed"));
     }
 
     /** What the forwarder is for: no rule is broken on any day that is shipped. */
     @ParameterizedTest
-    @ValueSource(strings = {"quiet", "monday", "month-end", "restart-wave-with-silent-lab", "silent-partner", "mass-return",
-        "rolling-replacement", "hot-forwarder", "partners-refuse"})
+    @ValueSource(
+            strings = {
+                "quiet",
+                "monday",
+                "month-end",
+                "restart-wave-with-silent-lab",
+                "silent-partner",
+                "mass-return",
+                "rolling-replacement",
+                "hot-forwarder",
+                "partners-refuse"
+            })
     void noRuleIsBroken(String name) throws Bad {
         Result r = run(name, Fault.NONE);
         assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
@@ -72,38 +83,84 @@
 
     /** Guards against an auditor that sees nothing: each fault is caught, and by the rule that it breaks. */
     @ParameterizedTest
-    @CsvSource({"silent-partner, RESENDS, REPEAT", "rolling-replacement, IGNORES_DRAINS, DRAIN", "month-end, ENDS_TWICE, ONE_END",
-        "mass-return, FLOODS, FAIL_BACK", "month-end, SILENT, ONE_END"})
+    @CsvSource({
+        "silent-partner, RESENDS, REPEAT",
+        "rolling-replacement, IGNORES_DRAINS, DRAIN",
+        "month-end, ENDS_TWICE, ONE_END",
+        "mass-return, FLOODS, FAIL_BACK",
+        "month-end, SILENT, ONE_END"
+    })
     void aBrokenForwarderIsCaughtAndNamed(String name, Fault fault, Rule rule) throws Bad {
         Result r = run(name, fault);
         assertTrue(r.auditor().broken().containsKey(rule), () -> Report.summary(r));
-        assertTrue(rule == Rule.FAIL_BACK || r.auditor().breaches().stream().anyMatch(b -> b.rule() == rule && !b.story().isEmpty()));
+        assertTrue(rule == Rule.FAIL_BACK
+                || r.auditor().breaches().stream()
+                        .anyMatch(b -> b.rule() == rule && !b.story().isEmpty()));
     }
 
-    /** Connections that come up late carry no call under a wait that was told meanwhile: 46 did in a run of 120 forwarders. */
+    /**
+     * Connections that come up late carry no call under a wait that was told meanwhile: 46 did in a run of 120
+     * forwarders.
+     */
     @Test
     void aCallThatComesUpUnderAWaitIsWithheld() throws Bad {
-        Result r = run(ScenarioReader.parse("late", List.of("[fleet]", "forwarders 20", "destinations 12", "rate 200",
-                "handshake 150ms", "[traffic]", "length 20s", "load 110%", "[kind a]", "limit window", "tells-wait 100%",
-                "wait 500ms 3s")), 1, Fault.NONE);
+        Result r = run(
+                ScenarioReader.parse(
+                        "late",
+                        List.of(
+                                "[fleet]",
+                                "forwarders 20",
+                                "destinations 12",
+                                "rate 200",
+                                "handshake 150ms",
+                                "[traffic]",
+                                "length 20s",
+                                "load 110%",
+                                "[kind a]",
+                                "limit window",
+                                "tells-wait 100%",
+                                "wait 500ms 3s")),
+                1,
+                Fault.NONE);
         assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
-        assertTrue(r.auditor().counts().getOrDefault("ended_withheld", 0L) > 0, () -> r.auditor().counts().toString());
+        assertTrue(
+                r.auditor().counts().getOrDefault("ended_withheld", 0L) > 0,
+                () -> r.auditor().counts().toString());
     }
 
     /** Where partners tell waits, a forwarder that does not hear them is caught. */
     @Test
     void aForwarderThatIgnoresWaitsIsCaught() throws Bad {
-        Scenario s = ScenarioReader.parse("waits", List.of("[traffic]", "length 40s", "load 140%", "[kind a]", "limit rate",
-                "tells-wait 100%", "wait 500ms 900ms"));
+        Scenario s = ScenarioReader.parse(
+                "waits",
+                List.of(
+                        "[traffic]",
+                        "length 40s",
+                        "load 140%",
+                        "[kind a]",
+                        "limit rate",
+                        "tells-wait 100%",
+                        "wait 500ms 900ms"));
         assertEquals(Set.of(), run(s, 1, Fault.NONE).auditor().broken().keySet());
-        assertEquals(Set.of(Rule.WAIT), run(s, 1, Fault.IGNORES_WAITS).auditor().broken().keySet());
+        assertEquals(
+                Set.of(Rule.WAIT),
+                run(s, 1, Fault.IGNORES_WAITS).auditor().broken().keySet());
     }
 
     /** A scenario that can never be served ends like any other, with its figure. */
     @Test
     void whatCanNeverBeServedEndsToo() throws Bad {
-        Scenario s = ScenarioReader.parse("hopeless", List.of("[traffic]", "length 20s", "load 500%", "[event all]", "what down",
-                "at 0s", "for 1h", "part 100%"));
+        Scenario s = ScenarioReader.parse(
+                "hopeless",
+                List.of(
+                        "[traffic]",
+                        "length 20s",
+                        "load 500%",
+                        "[event all]",
+                        "what down",
+                        "at 0s",
+                        "for 1h",
+                        "part 100%"));
         Result r = run(s, 1, Fault.NONE);
         assertEquals(0, r.auditor().service().whole());
         assertEquals(Map.of(), r.auditor().broken());
--- a/src/test/java/lilaclever/log/LogsTest.java
+++ b/src/test/java/lilaclever/log/LogsTest.java
@@ -42,10 +42,19 @@
     /** Tools and supervisors read these lines: their form is that of always. */
     @Test
     void textIsAsItAlwaysWas() {
-        assertEquals("lilaclever: n0 serves at [/127.0.0.1:1]\nlilaclever: journal: x.seg could not be deleted: why segment=x.seg\n",
+        assertEquals(
+                "lilaclever: n0 serves at [/127.0.0.1:1]\nlilaclever: journal: x.seg could not be deleted: why "
+                        + "segment=x.seg\n",
                 written(Logs.Settings.USUAL, () -> {
                     Logs.info("", "serves", "n0 serves at [/127.0.0.1:1]");
-                    Logs.warn("journal", "delete-failed", "x.seg could not be deleted: why", "segment", "x.seg", "other", null);
+                    Logs.warn(
+                            "journal",
+                            "delete-failed",
+                            "x.seg could not be deleted: why",
+                            "segment",
+                            "x.seg",
+                            "other",
+                            null);
                     Logs.debug("", "attempt", "not written");
                 }));
     }
@@ -53,18 +62,24 @@
     /** What came from outside must not make lines of its own. */
     @Test
     void aLineStaysOneLine() {
-        assertEquals("lilaclever: a?b message=m?1\n", written(Logs.Settings.USUAL, () -> Logs.info("", "x", "a\nb", "message", "m\r1")));
+        assertEquals(
+                "lilaclever: a?b message=m?1\n",
+                written(Logs.Settings.USUAL, () -> Logs.info("", "x", "a\nb", "message", "m\r1")));
     }
 
     @Test
     void textMayHaveTimes() {
-        String line = written(new Logs.Settings(Logs.Form.TEXT, Logs.Level.INFO, true), () -> Logs.warn("mllp", "x", "closed"));
-        assertTrue(line.matches("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d(\\.\\d+)?Z warning lilaclever: mllp: closed\n"), line);
+        String line = written(
+                new Logs.Settings(Logs.Form.TEXT, Logs.Level.INFO, true), () -> Logs.warn("mllp", "x", "closed"));
+        assertTrue(
+                line.matches("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d(\\.\\d+)?Z warning lilaclever: mllp: closed\n"),
+                line);
     }
 
     @Test
     void jsonHasTheFields() {
-        String line = written(new Logs.Settings(Logs.Form.JSON, Logs.Level.DEBUG, false),
+        String line = written(
+                new Logs.Settings(Logs.Form.JSON, Logs.Level.DEBUG, false),
                 () -> Logs.debug("", "attempt", "sent \"now\"\n", "message", "m1", "partner", 7));
         JsonObject read = JsonParser.parseString(line).getAsJsonObject();
         assertEquals("debug", read.get("level").getAsString());
@@ -83,7 +98,10 @@
         }));
     }
 
-    /** Libraries write through SLF4J or the JDK: the same lines, told from ours by their name; their debugging stays out. */
+    /**
+     * Libraries write through SLF4J or the JDK: the same lines, told from ours by their name; their debugging stays
+     * out.
+     */
     @Test
     void librariesUseTheSameLines() {
         String lines = written(new Logs.Settings(Logs.Form.TEXT, Logs.Level.DEBUG, false), () -> {
@@ -97,7 +115,9 @@
 
     @Test
     void whatWasThrownIsThere() {
-        String lines = written(Logs.Settings.USUAL, () -> Logs.error("", "task-failed", "a task failed", new IllegalStateException("why")));
+        String lines = written(
+                Logs.Settings.USUAL,
+                () -> Logs.error("", "task-failed", "a task failed", new IllegalStateException("why")));
         assertTrue(lines.startsWith("lilaclever: a task failed\njava.lang.IllegalStateException: why\n\tat "), lines);
     }
 }
--- a/src/test/java/lilaclever/program/CrossingsTest.java
+++ b/src/test/java/lilaclever/program/CrossingsTest.java
@@ -28,8 +28,10 @@
 /** What crosses a close, a silence or an end: bytes that come just then, and answers that come just after. */
 class CrossingsTest {
     private static final long MS = 1_000_000;
+
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private Forwarder forwarder;
@@ -77,21 +79,30 @@
     }
 
     private static String request(String id) {
-        return "POST /api HTTP/1.1\r\nReq-Id: " + id + "\r\nReq-Kind: payment\r\nReq-Deadline: 20\r\nX-Envelope: dest=7\r\n"
-                + "Content-Length: 2\r\n\r\nok";
+        return "POST /api HTTP/1.1\r\nReq-Id: " + id
+                + "\r\nReq-Kind: payment\r\nReq-Deadline: 20\r\nX-Envelope: dest=7\r\n" + "Content-Length: 2\r\n\r\nok";
     }
 
     // ---- closing -------------------------------------------------------------------------------------------
     /**
-     * A close over bytes that come just then is no reset, which could destroy an answer on its way, and what comes after the
-     * shutdown is not taken for a request. Each way to close: an answer with the last word, a refusal, and silence.
+     * A close over bytes that come just then is no reset, which could destroy an answer on its way, and what comes
+     * after the shutdown is not taken for a request. Each way to close: an answer with the last word, a refusal, and
+     * silence.
      */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "POST /api HTTP/1.1~Req-Id: a~Req-Kind: payment~Req-Deadline: 5~X-Envelope: dest=7~Connection: close~Content-Length: 0~~ | 202",
-        "POST /api HTTP/1.1~Content-Length: 60000000~~abc | 413", "nonsense~~ | 400", "POST /api HTTP/1.1~Content-Length: 5~~ab | 408", "-|-"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "POST /api HTTP/1.1~Req-Id: a~Req-Kind: payment~Req-Deadline: 5~X-Envelope: dest=7~Connection: "
+                        + "close~Content-Length: 0~~ | 202",
+                "POST /api HTTP/1.1~Content-Length: 60000000~~abc | 413",
+                "nonsense~~ | 400",
+                "POST /api HTTP/1.1~Content-Length: 5~~ab | 408",
+                "-|-"
+            })
     void whatCrossesACloseIsDroppedAndResetsNothing(String said, String status) throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint()) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint()) {
             serve(Setup.text(platform.address(), state, endpoint.address(), 3));
             try (Wire client = Wire.to(address)) {
                 if (!said.equals("-")) {
@@ -119,7 +130,8 @@
     void aClientThatDoesNotCloseIsLetGo() throws Exception {
         try (Peer platform = Peer.platform("", notices)) {
             serve(Setup.text(platform.address(), state, null, 3));
-            try (Wire stays = Wire.to(address); Wire client = Wire.to(address)) {
+            try (Wire stays = Wire.to(address);
+                    Wire client = Wire.to(address)) {
                 stays.say("nonsense\r\n\r\n");
                 assertEquals("400", stays.request().path());
                 assertNull(stays.request());
@@ -130,21 +142,27 @@
 
     private static void until(Wire client, String count) throws IOException {
         String last = "";
-        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end; ) {
             client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
             last = client.request().body();
         }
         assertTrue(last.contains(count), last);
     }
 
-    /** Idle clients hold all that clients may, and discovery is down: once it is back its list is heard, and calls go out. */
+    /**
+     * Idle clients hold all that clients may, and discovery is down: once it is back its list is heard, and calls go
+     * out.
+     */
     @Test
     void idleClientsDoNotTakeTheDescriptorsOfDiscoveryAndCalls() throws Exception {
         LinkedBlockingQueue<String> lists = new LinkedBlockingQueue<>();
         List<Wire> crowd = new ArrayList<>();
-        try (Peer endpoint = endpoint(); Peer platform = Peer.platform(() -> Peer.next(lists), notices)) {
-            process(Setup.text(platform.address(), state, null, 3)
-                    .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"), 100);
+        try (Peer endpoint = endpoint();
+                Peer platform = Peer.platform(() -> Peer.next(lists), notices)) {
+            process(
+                    Setup.text(platform.address(), state, null, 3)
+                            .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"),
+                    100);
             for (int i = 0; i < 150; i++) {
                 Wire wire = Wire.to(address);
                 crowd.add(wire);
@@ -175,19 +193,24 @@
     void aSilentWatchIsOpenedAnewInTime() throws Exception {
         LinkedBlockingQueue<Long> silentSince = new LinkedBlockingQueue<>();
         LinkedBlockingQueue<Long> heard = new LinkedBlockingQueue<>();
-        try (Peer second = endpoint(); Peer platform = new Peer(wire -> {
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    if (!r.path().endsWith("wait_ms=1")) { // a watch: its changes never come
-                        silentSince.add(System.nanoTime());
-                        wire.hang();
-                    } else if (silentSince.isEmpty()) {
-                        wire.answer("200 OK", "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}");
-                    } else {
-                        heard.add(System.nanoTime());
-                        wire.answer("200 OK", Setup.list(second.address()).replace("e1", "e2").replace("\"index\":1", "\"index\":2"));
+        try (Peer second = endpoint();
+                Peer platform = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        if (!r.path().endsWith("wait_ms=1")) { // a watch: its changes never come
+                            silentSince.add(System.nanoTime());
+                            wire.hang();
+                        } else if (silentSince.isEmpty()) {
+                            wire.answer("200 OK", "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}");
+                        } else {
+                            heard.add(System.nanoTime());
+                            wire.answer(
+                                    "200 OK",
+                                    Setup.list(second.address())
+                                            .replace("e1", "e2")
+                                            .replace("\"index\":1", "\"index\":2"));
+                        }
                     }
-                }
-            })) {
+                })) {
             serve(Setup.text(platform.address(), state, "127.0.0.1:9", 3));
             assertTrue(-next(silentSince) + next(heard) < 5_000 * MS, "a second before it counts as told");
             try (Wire client = Wire.to(address)) {
@@ -203,11 +226,11 @@
     void aReturnOfDiscoveryIsHeardWithinTheGraceOfADrain() throws Exception {
         LinkedBlockingQueue<Long> asked = new LinkedBlockingQueue<>();
         try (Peer platform = new Peer(wire -> {
-                while (wire.request() != null) {
-                    asked.add(System.nanoTime());
-                    wire.hang();
-                }
-            })) {
+            while (wire.request() != null) {
+                asked.add(System.nanoTime());
+                wire.hang();
+            }
+        })) {
             serve(Setup.text(platform.address(), state, "127.0.0.1:9", 3));
             long first = next(asked);
             for (int i = 0; i < 5; i++) {
@@ -217,19 +240,28 @@
         }
     }
 
-    /** A list that is older than the one held brings nothing back and takes nothing away; the whole one is asked for. */
+    /**
+     * A list that is older than the one held brings nothing back and takes nothing away; the whole one is asked for.
+     */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void anOlderListIsPassedOver(boolean whole) throws Exception {
         LinkedBlockingQueue<String> paths = new LinkedBlockingQueue<>();
-        try (Peer endpoint = endpoint(); Peer platform = new Peer(wire -> {
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    paths.add(r.path());
-                    wire.answer("200 OK", "{\"index\":0,\"snapshot\":" + whole + ",\"endpoints\":["
-                            + (whole ? "" : "{\"name\":\"e1\",\"address\":\"" + endpoint.address()
-                            + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,\"status\":\"left\"}") + "]}");
-                }
-            })) {
+        try (Peer endpoint = endpoint();
+                Peer platform = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        paths.add(r.path());
+                        wire.answer(
+                                "200 OK",
+                                "{\"index\":0,\"snapshot\":" + whole + ",\"endpoints\":["
+                                        + (whole
+                                                ? ""
+                                                : "{\"name\":\"e1\",\"address\":\"" + endpoint.address()
+                                                        + "\",\"zone\":\"z\",\"type\":\"lab\","
+                                                        + "\"group\":7,\"status\":\"left\"}")
+                                        + "]}");
+                    }
+                })) {
             serve(Setup.text(platform.address(), state, endpoint.address(), 3));
             assertTrue(Peer.next(paths).contains("after=1"));
             assertEquals("/registry/instances", Peer.next(paths));
@@ -241,30 +273,34 @@
         }
     }
 
-    /** A notice whose connection has fallen silent, or breaks under it, is told again while its end still counts as in time. */
+    /**
+     * A notice whose connection has fallen silent, or breaks under it, is told again while its end still counts as in
+     * time.
+     */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aNoticeOnASilentConnectionIsToldAgainInTime(boolean silent) throws Exception {
         LinkedBlockingQueue<Long> told = new LinkedBlockingQueue<>();
         try (Peer platform = new Peer(wire -> {
-                for (Request r = wire.request(); r != null && told.size() < 2; r = wire.request()) {
-                    if (!r.path().equals("/status")) {
-                        continue; // a watch: nothing ever changes
+                    for (Request r = wire.request(); r != null && told.size() < 2; r = wire.request()) {
+                        if (!r.path().equals("/status")) {
+                            continue; // a watch: nothing ever changes
+                        }
+                        told.add(System.nanoTime());
+                        if (told.size() > 1) {
+                            wire.answer("204 No Content", "");
+                        } else if (silent) {
+                            wire.hang();
+                        } else {
+                            return;
+                        }
                     }
-                    told.add(System.nanoTime());
-                    if (told.size() > 1) {
-                        wire.answer("204 No Content", "");
-                    } else if (silent) {
-                        wire.hang();
-                    } else {
-                        return;
+                });
+                Peer endpoint = new Peer(wire -> {
+                    while (wire.request() != null) {
+                        wire.answer("500 no", "");
                     }
-                }
-            }); Peer endpoint = new Peer(wire -> {
-                while (wire.request() != null) {
-                    wire.answer("500 no", "");
-                }
-            })) {
+                })) {
             serve(Setup.text(platform.address(), state, endpoint.address(), 3));
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
@@ -279,12 +315,13 @@
     void aRestartKeepsAWindowOfOneSecond() throws Exception {
         LinkedBlockingQueue<Long> times = new LinkedBlockingQueue<>();
         String text = null;
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
-                while (wire.request() != null) {
-                    times.add(System.nanoTime());
-                    wire.hang();
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = new Peer(wire -> {
+                    while (wire.request() != null) {
+                        times.add(System.nanoTime());
+                        wire.hang();
+                    }
+                })) {
             text = Setup.text(platform.address(), state, endpoint.address(), 3)
                     .replace("\"repeatWindowS\": 5", "\"repeatWindowS\": 1");
             process(text, 1024);
@@ -305,8 +342,10 @@
     @Test
     void whatARestartFindsUntriedIsTried() throws Exception {
         Set<String> untried = new TreeSet<>();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint()) {
-            String text = Setup.text(platform.address(), state, endpoint.address(), 3).replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint()) {
+            String text = Setup.text(platform.address(), state, endpoint.address(), 3)
+                    .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
             process(text.replace("active", "leaving"), 1024); // known, but nothing new may go there
             try (Wire client = Wire.to(address)) {
                 for (int i = 0; i < 60; i++) {
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -35,6 +35,7 @@
 class ForwarderTest {
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private Forwarder forwarder;
@@ -65,14 +66,19 @@
     }
 
     private static SocketAddress address(BufferedReader log) throws IOException {
-        return new InetSocketAddress("127.0.0.1",
-                Integer.parseInt(until(log, "serves at").replaceAll(".*:(\\d+)]", "$1")));
+        return new InetSocketAddress(
+                "127.0.0.1", Integer.parseInt(until(log, "serves at").replaceAll(".*:(\\d+)]", "$1")));
     }
 
     private Peer endpoint(Peer.Script afterRequest) throws IOException {
         return new Peer(wire -> {
             for (Request r = wire.request(); r != null; r = wire.request()) {
-                calls.add(r.path() + ' ' + r.headers().get("req-id") + ' ' + r.headers().get("idempotency-key") + ' '
+                calls.add(r.path()
+                        + ' '
+                        + r.headers().get("req-id")
+                        + ' '
+                        + r.headers().get("idempotency-key")
+                        + ' '
                         + r.body());
                 afterRequest.talk(wire);
             }
@@ -95,13 +101,14 @@
     @Test
     void aMessagePassesUnchangedOnAConnectionThatIsKept() throws Exception {
         AtomicInteger connections = new AtomicInteger();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
-                connections.incrementAndGet();
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    calls.add(r.headers().get("req-id") + r.headers().get("idempotency-key") + r.body());
-                    wire.answer("200 OK", "fine");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = new Peer(wire -> {
+                    connections.incrementAndGet();
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        calls.add(r.headers().get("req-id") + r.headers().get("idempotency-key") + r.body());
+                        wire.answer("200 OK", "fine");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 for (String id : new String[] {"a", "b", "c"}) {
@@ -119,14 +126,16 @@
     /** With records forced before their consequence, all goes as without, and a client that left is forgotten. */
     @Test
     void aGroupCommitHoldsNothingBackForGood() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = good()) {
             Config config = Setup.config(platform.address(), state, endpoint.address());
             Operator operator = Operator.of(ConfFile.parse("f", List.of("[journal]", "durability group")), config);
             forwarder = Forwarder.start(config, operator, null);
             address = forwarder.addresses().get(0);
             try (Wire client = Wire.to(address)) {
                 for (int i = 0; i < 20; i++) {
-                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "payment" : "status", 5, "x").startsWith("202"));
+                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "payment" : "status", 5, "x")
+                            .startsWith("202"));
                     assertTrue(Peer.next(calls).startsWith("/receive m" + i + " "));
                 }
                 untilDelivered(client, 20);
@@ -139,20 +148,27 @@
 
     /** What comes back decides what may be sent again: a reset or an error may have run, a full one never did. */
     @ParameterizedTest
-    @CsvSource({"payment, 503, 2, ''", "payment, 500, 1, undeliverable", "payment, drop, 1, undeliverable",
-        "status, drop, 2, ''", "order, 500, 2, ''", "payment, 410, 1, ''", "payment, 504, 2, ''"})
-    void outcomesDecideWhetherAMessageIsSentAgain(String kind, String first, int sent, String notice)
-            throws Exception {
+    @CsvSource({
+        "payment, 503, 2, ''",
+        "payment, 500, 1, undeliverable",
+        "payment, drop, 1, undeliverable",
+        "status, drop, 2, ''",
+        "order, 500, 2, ''",
+        "payment, 410, 1, ''",
+        "payment, 504, 2, ''"
+    })
+    void outcomesDecideWhetherAMessageIsSentAgain(String kind, String first, int sent, String notice) throws Exception {
         AtomicInteger count = new AtomicInteger();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
-                if (count.getAndIncrement() > 0) {
-                    wire.answer("200 OK", "");
-                } else if (first.equals("drop")) {
-                    wire.close();
-                } else {
-                    wire.answer(first + " no", "");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint(wire -> {
+                    if (count.getAndIncrement() > 0) {
+                        wire.answer("200 OK", "");
+                    } else if (first.equals("drop")) {
+                        wire.close();
+                    } else {
+                        wire.answer(first + " no", "");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", kind, 20, "").startsWith("202"));
@@ -172,16 +188,18 @@
     /** Guards against a full table of connections that slows all calls to a partner, as if they were over its limit. */
     @ParameterizedTest
     @CsvSource({"1, 503, close, no_room", "1, 503, keep-alive, full", "2, 503, close, full", "1, 429, close, full"})
-    void aFullTableOfConnectionsIsToldApartFromAFullPartner(int refusedCall, String status, String connection, String ending)
-            throws Exception {
+    void aFullTableOfConnectionsIsToldApartFromAFullPartner(
+            int refusedCall, String status, String connection, String ending) throws Exception {
         AtomicInteger count = new AtomicInteger();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
-                if (count.incrementAndGet() == refusedCall) {
-                    wire.say("HTTP/1.1 " + status + " no\r\nConnection: " + connection + "\r\nContent-Length: 0\r\n\r\n");
-                } else {
-                    wire.answer("200 OK", "");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint(wire -> {
+                    if (count.incrementAndGet() == refusedCall) {
+                        wire.say("HTTP/1.1 " + status + " no\r\nConnection: " + connection
+                                + "\r\nContent-Length: 0\r\n\r\n");
+                    } else {
+                        wire.answer("200 OK", "");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 for (int i = 1; i <= 2; i++) {
@@ -196,13 +214,14 @@
     @Test
     void aSilentEndpointIsGivenUpByClosingAndAPaymentIsNotSentAgain() throws Exception {
         LinkedBlockingQueue<String> closed = new LinkedBlockingQueue<>();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
-                try {
-                    wire.hang();
-                } finally {
-                    closed.add("closed");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint(wire -> {
+                    try {
+                        wire.hang();
+                    } finally {
+                        closed.add("closed");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 0.5, "").startsWith("202"));
@@ -222,7 +241,8 @@
 
     @Test
     void whereNothingListensAPaymentNeverRanAndTheClientIsToldToComeAgain() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Socket nobody = bound()) {
+        try (Peer platform = Peer.platform("", notices);
+                Socket nobody = bound()) {
             serve(platform.address(), "127.0.0.1:" + nobody.getLocalPort());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 1.5, "").startsWith("202"));
@@ -235,15 +255,16 @@
     void aNoticeIsToldUntilThePlatformSaysThatItHasHeard() throws Exception {
         AtomicInteger told = new AtomicInteger();
         try (Peer platform = new Peer(wire -> {
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    if (r.path().equals("/status") && told.incrementAndGet() == 1) {
-                        wire.close();
-                    } else if (r.path().equals("/status")) {
-                        notices.add(r.body());
-                        wire.answer(told.get() == 2 ? "500 not now" : "204 No Content", "");
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        if (r.path().equals("/status") && told.incrementAndGet() == 1) {
+                            wire.close();
+                        } else if (r.path().equals("/status")) {
+                            notices.add(r.body());
+                            wire.answer(told.get() == 2 ? "500 not now" : "204 No Content", "");
+                        }
                     }
-                }
-            }); Peer endpoint = endpoint(wire -> wire.answer("500 no", ""))) {
+                });
+                Peer endpoint = endpoint(wire -> wire.answer("500 no", ""))) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
@@ -254,13 +275,17 @@
 
     /** Its list comes once the latch says so, to whichever call asks: those before have been given up. */
     private Peer platformThatTellsLater(CountDownLatch listed, String endpoint) throws IOException {
-        return Peer.platform(() -> {
-            listed.await(20, TimeUnit.SECONDS);
-            return Setup.list(endpoint);
-        }, notices);
+        return Peer.platform(
+                () -> {
+                    listed.await(20, TimeUnit.SECONDS);
+                    return Setup.list(endpoint);
+                },
+                notices);
     }
 
-    /** Guards against sending on what was ended while the call's connection came up: its client may have it sent again. */
+    /**
+     * Guards against sending on what was ended while the call's connection came up: its client may have it sent again.
+     */
     @Test
     void aMessageThatEndsBeforeItsCallIsWrittenLeavesTheCall() throws Exception {
         CountDownLatch listed = new CountDownLatch(1);
@@ -304,7 +329,8 @@
                 }
             }
             listed.countDown();
-            assertEquals("/receive-many null null a k-a 6\r\nbody-a\r\nb k-b 6\r\nbody-b\r\nc k-c 6\r\nbody-c\r\n",
+            assertEquals(
+                    "/receive-many null null a k-a 6\r\nbody-a\r\nb k-b 6\r\nbody-b\r\nc k-c 6\r\nbody-c\r\n",
                     Peer.next(calls));
             assertTrue(Peer.next(notices).contains("{\"id\":\"b\",\"status\":\"undeliverable\"}"));
             assertTrue(Peer.next(calls).startsWith("/receive c "), "only what never ran comes again");
@@ -315,14 +341,15 @@
     void whatWasTakenOnOutlastsAKill() throws Exception {
         LinkedBlockingQueue<String> hanging = new LinkedBlockingQueue<>();
         AtomicInteger life = new AtomicInteger();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(wire -> {
-                if (life.get() == 0) {
-                    hanging.add("out");
-                    wire.hang();
-                } else {
-                    wire.answer("200 OK", "");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint(wire -> {
+                    if (life.get() == 0) {
+                        hanging.add("out");
+                        wire.hang();
+                    } else {
+                        wire.answer("200 OK", "");
+                    }
+                })) {
             start(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("pay", "payment", 28, "").startsWith("202"));
@@ -341,7 +368,9 @@
 
     @Test
     void atTheSignalItTakesNothingNewAndKeepsWhatItCanNotFinish() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer good = good(); Socket nobody = bound()) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer good = good();
+                Socket nobody = bound()) {
             BufferedReader log = start(platform.address(), "127.0.0.1:" + nobody.getLocalPort());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("held", "payment", 28, "").startsWith("202"));
@@ -360,12 +389,14 @@
     void atSighupTheNewFilesDiscoveryTakesOverAndNothingIsLost() throws Exception {
         LinkedBlockingQueue<String> moved = new LinkedBlockingQueue<>();
         LinkedBlockingQueue<String> fresh = new LinkedBlockingQueue<>();
-        try (Peer first = endpoint(wire -> wire.answer("500 no", "")); Peer second = new Peer(wire -> {
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    fresh.add(r.headers().get("req-id"));
-                    wire.answer("200 OK", "");
-                }
-            }); Peer before = new Peer(Wire::hang); // takes the watch and the notice, and answers neither
+        try (Peer first = endpoint(wire -> wire.answer("500 no", ""));
+                Peer second = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        fresh.add(r.headers().get("req-id"));
+                        wire.answer("200 OK", "");
+                    }
+                });
+                Peer before = new Peer(Wire::hang); // takes the watch and the notice, and answers neither
                 Peer after = Peer.platform(Setup.list(second.address()).replace("e1", "e2"), moved)) {
             Path file = state.resolve("config.json");
             BufferedReader log = start(before.address(), first.address());
@@ -387,13 +418,22 @@
             }
             // The next start has the variables of the first one, and the file as it is now.
             Map<String, String> variables = Map.of("ROUTER_DISCOVERY", before.address());
-            assertEquals(after.address(), Config.parse(Files.readString(file), variables).discovery());
-            assertEquals(before.address(), Config.parse(Setup.text("127.0.0.1:9", state, null, 3), variables).discovery());
+            assertEquals(
+                    after.address(),
+                    Config.parse(Files.readString(file), variables).discovery());
+            assertEquals(
+                    before.address(),
+                    Config.parse(Setup.text("127.0.0.1:9", state, null, 3), variables)
+                            .discovery());
         }
     }
 
     private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     private static String until(BufferedReader log, String part) throws IOException {
@@ -407,20 +447,36 @@
 
     /** Whoever can't be understood is told so, and nothing of it goes anywhere. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"Req-Id: x~ | | 400", "Req-Id: x | Req-Id: a b | 400",
-        "Req-Kind: order | Req-Kind: no-such | 400", "dest=7 | dest=8 | 503", "dest=7 | dest=-7 | 400",
-        "Req-Deadline: 5 | Req-Deadline: soon | 400", "Req-Deadline: 5 | Req-Deadline: 1e999999999 | 400",
-        "Req-Deadline: 5 | Req-Deadline: -1 | 400", "Key: k | Key: k#z | 400", "Key: k | Key: - | 400",
-        "Idempotency-Key: k | X: y | 400", "Content-Length: 2 | Content-Length: 60000000 | 413",
-        "Content-Length: 2 | Content-Length: 2~Transfer-Encoding: chunked | 400"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "Req-Id: x~ | | 400",
+                "Req-Id: x | Req-Id: a b | 400",
+                "Req-Kind: order | Req-Kind: no-such | 400",
+                "dest=7 | dest=8 | 503",
+                "dest=7 | dest=-7 | 400",
+                "Req-Deadline: 5 | Req-Deadline: soon | 400",
+                "Req-Deadline: 5 | Req-Deadline: 1e999999999 | 400",
+                "Req-Deadline: 5 | Req-Deadline: -1 | 400",
+                "Key: k | Key: k#z | 400",
+                "Key: k | Key: - | 400",
+                "Idempotency-Key: k | X: y | 400",
+                "Content-Length: 2 | Content-Length: 60000000 | 413",
+                "Content-Length: 2 | Content-Length: 2~Transfer-Encoding: chunked | 400"
+            })
     void aBadRequestIsToldSoAndGoesNowhere(String part, String instead, String status) throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = good()) {
             serve(platform.address(), endpoint.address());
-            String good = "POST /api HTTP/1.1~Req-Id: x~Req-Kind: order~Req-Deadline: 5~Idempotency-Key: k~X-Envelope: dest=7~"
+            String good = "POST /api HTTP/1.1~Req-Id: x~Req-Kind: order~Req-Deadline: 5~Idempotency-Key: k~X-Envelope: "
+                    + "dest=7~"
                     + "Content-Length: 2~~ok";
             assertTrue(good.contains(part));
             try (Wire client = Wire.to(address)) {
-                client.say(good.replace(part, instead == null ? "" : instead).replace("~", "\r\n").replace("#", "\0"));
+                client.say(good.replace(part, instead == null ? "" : instead)
+                        .replace("~", "\r\n")
+                        .replace("#", "\0"));
                 assertEquals(status, client.request().path());
             }
             try (Wire client = Wire.to(address)) {
@@ -434,10 +490,13 @@
 
     @Test
     void silenceAndHalfARequestAreEndedAndAnOpenIdMakesNoSecondMessage() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = endpoint(Wire::hang)) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = endpoint(Wire::hang)) {
             serve(platform.address(), endpoint.address());
             long began = System.nanoTime();
-            try (Wire silent = Wire.to(address); Wire half = Wire.to(address); Wire client = Wire.to(address);
+            try (Wire silent = Wire.to(address);
+                    Wire half = Wire.to(address);
+                    Wire client = Wire.to(address);
                     Wire other = Wire.to(address)) {
                 half.say("POST /api HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
                 assertTrue(client.handIn("a", "payment", 20, "mine").startsWith("202"));
@@ -458,9 +517,13 @@
     @CsvSource({"false", "true"})
     void aCrowdTakesNobodysRoom(boolean asksOnce) throws Exception {
         List<Wire> crowd = new ArrayList<>();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
-            process = Setup.process(state, Setup.text(platform.address(), state, endpoint.address(), 3)
-                    .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"), 100);
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = good()) {
+            process = Setup.process(
+                    state,
+                    Setup.text(platform.address(), state, endpoint.address(), 3)
+                            .replace("\"limits\": {\"disk", "\"limits\": {\"sockets\": 100, \"disk"),
+                    100);
             address = address(process.errorReader());
             for (int i = 0; i < 300; i++) {
                 Wire wire = Wire.to(address);
@@ -479,20 +542,31 @@
 
     /** A spoilt answer may have run; but to one message a first line with 200 is the truth. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"noise# | undeliverable", "HTTP/1.1 200 OK~what | ", "HTTP/1.1 503 no~what | undeliverable",
-        "HTTP/1.1 200 OK~Content-Length: 3000000000~~many | ", "HTTP/1.1 200 OK~a: | ", "HTTP/1.1 429 no~Content-Length: 9~~ | undeliverable",
-        "HTTP/1.1 100 Go on~~HTTP/1.1 500 no~Content-Length: 0~~ | undeliverable",
-        "HTTP/1.1 200 OK~Srv-Load: x0=?~Content-Length: 0~~HTTP/1.1 200 OK~Content-Length: 0~~ | "})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "noise# | undeliverable",
+                "HTTP/1.1 200 OK~what | ",
+                "HTTP/1.1 503 no~what | undeliverable",
+                "HTTP/1.1 200 OK~Content-Length: 3000000000~~many | ",
+                "HTTP/1.1 200 OK~a: | ",
+                "HTTP/1.1 429 no~Content-Length: 9~~ | undeliverable",
+                "HTTP/1.1 100 Go on~~HTTP/1.1 500 no~Content-Length: 0~~ | undeliverable",
+                "HTTP/1.1 200 OK~Srv-Load: x0=?~Content-Length: 0~~HTTP/1.1 200 OK~Content-Length: 0~~ | "
+            })
     void aSpoiltAnswerMayHaveRunAndItsConnectionIsNotUsedAgain(String answer, String notice) throws Exception {
         AtomicInteger connections = new AtomicInteger();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
-                int connection = connections.incrementAndGet();
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    calls.add(connection + r.headers().get("req-id"));
-                    wire.say(r.headers().get("req-id").equals("a") ? answer.replace("~", "\r\n").replace("#", "\0")
-                            : "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = new Peer(wire -> {
+                    int connection = connections.incrementAndGet();
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        calls.add(connection + r.headers().get("req-id"));
+                        wire.say(
+                                r.headers().get("req-id").equals("a")
+                                        ? answer.replace("~", "\r\n").replace("#", "\0")
+                                        : "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
@@ -506,7 +580,8 @@
                 if (!answer.contains("500")) {
                     assertEquals("2b", Peer.next(calls));
                 }
-                assertEquals("{\"id\":\"b\",\"status\":\"undeliverable\"}", Peer.next(notices), "no other answer's end");
+                assertEquals(
+                        "{\"id\":\"b\",\"status\":\"undeliverable\"}", Peer.next(notices), "no other answer's end");
             }
         }
     }
@@ -525,19 +600,24 @@
     /** Ever-new clients, ids and keys: of those that are over nothing is kept but the keys' ends, for their time. */
     @Test
     void whatIsOverLeavesNoEntries() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = good()) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = good()) {
             serve(platform.address(), endpoint.address());
             for (int i = 0; i < 200; i++) {
                 try (Wire client = Wire.to(address)) {
-                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "order" : "status", 20, "").startsWith("202"));
+                    assertTrue(client.handIn("m" + i, i % 2 == 0 ? "order" : "status", 20, "")
+                            .startsWith("202"));
                 }
             }
             try (Wire client = Wire.to(address)) {
                 untilDelivered(client, 200);
                 List<String> grown = List.of("unread");
-                for (long end = System.nanoTime() + 10_000_000_000L; !grown.isEmpty() && System.nanoTime() < end;) {
-                    grown = counters(client).lines().filter(x -> x.startsWith("entries_") && !x.contains("_remembered "))
-                            .filter(x -> Integer.parseInt(x.substring(x.indexOf(' ') + 1)) > 10).toList();
+                for (long end = System.nanoTime() + 10_000_000_000L; !grown.isEmpty() && System.nanoTime() < end; ) {
+                    grown = counters(client)
+                            .lines()
+                            .filter(x -> x.startsWith("entries_") && !x.contains("_remembered "))
+                            .filter(x -> Integer.parseInt(x.substring(x.indexOf(' ') + 1)) > 10)
+                            .toList();
                 }
                 assertEquals(List.of(), grown);
                 assertTrue(counters(client).contains("\nentries_held 0\n"));
@@ -571,13 +651,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"\"roundS\": 0.002 | \"roundS\": \"x\" | settings.roundS",
-        "\"disk_mb\": 3.0 | \"disk_mb\": -1 | limits.disk_mb", "\"listen\": \"127.0.0.1:0\" | \"listen\": \"x\" | listen",
-        "\"callSlots\": 20 | \"callSlots\": 0 | limits.slots", "\"seed\": \"0b\" | \"seed\": \"zz\" | seed"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"roundS\": 0.002 | \"roundS\": \"x\" | settings.roundS",
+                "\"disk_mb\": 3.0 | \"disk_mb\": -1 | limits.disk_mb",
+                "\"listen\": \"127.0.0.1:0\" | \"listen\": \"x\" | listen",
+                "\"callSlots\": 20 | \"callSlots\": 0 | limits.slots",
+                "\"seed\": \"0b\" | \"seed\": \"zz\" | seed"
+            })
     void aFaultyKeyIsNamed(String good, String bad, String key) {
         String text = Setup.text("127.0.0.1:1", state, null, 3);
         assertTrue(text.contains(good));
-        assertTrue(assertThrows(Bad.class, () -> Config.parse(text.replace(good, bad), Map.of())).getMessage()
+        assertTrue(assertThrows(Bad.class, () -> Config.parse(text.replace(good, bad), Map.of()))
+                .getMessage()
                 .contains(key));
     }
 }
--- a/src/test/java/lilaclever/program/HelpTest.java
+++ b/src/test/java/lilaclever/program/HelpTest.java
@@ -23,10 +23,17 @@
     @Test
     void eachSubCommandHasHelpWithAnExample() throws Exception {
         String all = help("--help");
-        for (SubCommand c : Main.class.getDeclaredField("command").getAnnotation(SubCommands.class).value()) {
+        for (SubCommand c : Main.class
+                .getDeclaredField("command")
+                .getAnnotation(SubCommands.class)
+                .value()) {
             assertTrue(all.contains("  " + c.name() + ' '), c.name());
             String one = help(c.name(), "--help");
-            assertTrue(one.startsWith(c.name() + ": ") && one.contains("example") && one.contains("lilaclever.jar " + c.name()), one);
+            assertTrue(
+                    one.startsWith(c.name() + ": ")
+                            && one.contains("example")
+                            && one.contains("lilaclever.jar " + c.name()),
+                    one);
         }
     }
 
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -31,6 +31,7 @@
 class MailTest {
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> mails = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private Peer platform;
@@ -59,8 +60,11 @@
 
     private void serve(int idleSeconds, String... routes) throws Exception {
         Config config = Setup.config(platform.address(), state, null);
-        forwarder = Forwarder.start(config, config.parseMail(Setup.MAIL.formatted(String.join(",", routes))
-                .replace("{\"hostName\"", "{\"idleSeconds\": " + idleSeconds + ", \"hostName\"")));
+        forwarder = Forwarder.start(
+                config,
+                config.parseMail(Setup.MAIL
+                        .formatted(String.join(",", routes))
+                        .replace("{\"hostName\"", "{\"idleSeconds\": " + idleSeconds + ", \"hostName\"")));
         http = forwarder.addresses().get(0);
         smtp = forwarder.addresses().get(1);
         lmtp = forwarder.addresses().get(2);
@@ -84,8 +88,8 @@
                 } else if (line.equals("DATA")) {
                     wire.say("354 go on\r\n");
                     StringBuilder text = new StringBuilder();
-                    for (line = wire.line(); !line.equals("."); line = wire.line()) {
-                        text.append(line).append('\n');
+                    for (String row = wire.line(); !row.equals("."); row = wire.line()) {
+                        text.append(row).append('\n');
                     }
                     reply = content.of(text.toString());
                 }
@@ -136,14 +140,14 @@
         Map<String, AtomicInteger> paid = new ConcurrentHashMap<>();
         AtomicInteger drops = new AtomicInteger();
         try (Peer server = server(r -> "250 good", text -> {
-                String id = text.replaceAll("(?s).*Message-ID: <(.*?)>.*", "$1");
-                paid.computeIfAbsent(id, x -> new AtomicInteger()).incrementAndGet();
-                if (id.startsWith("drop")) {
-                    drops.incrementAndGet();
-                    return null;
-                }
-                return "250 2.0.0 kept";
-            })) {
+            String id = text.replaceAll("(?s).*Message-ID: <(.*?)>.*", "$1");
+            paid.computeIfAbsent(id, x -> new AtomicInteger()).incrementAndGet();
+            if (id.startsWith("drop")) {
+                drops.incrementAndGet();
+                return null;
+            }
+            return "250 2.0.0 kept";
+        })) {
             String[] routes = new String[lanes];
             for (int i = 0; i < lanes; i++) {
                 routes[i] = route("lane" + i + ".test", i, "lmtp", server.address());
@@ -161,9 +165,13 @@
                             // One that is kept after each that is dropped: the server is not taken for dead.
                             for (String kind : new String[] {"drop", "keep"}) {
                                 String content = payment(kind + i + to);
-                                String first = send(wire, "a@b.test", content, to).get(0);
+                                String first =
+                                        send(wire, "a@b.test", content, to).get(0);
                                 assertTrue(first.startsWith(kind.equals("drop") ? "554 5.4.0" : "250"), first);
-                                assertEquals(first, send(wire, "a@b.test", content, to).get(0), "its resending");
+                                assertEquals(
+                                        first,
+                                        send(wire, "a@b.test", content, to).get(0),
+                                        "its resending");
                                 answers += 2;
                             }
                         }
@@ -201,7 +209,8 @@
     @Test
     void beforeTheEndOfDataAndAfterAny4xxAPaymentNeverRanAndIsSentAgain() throws Exception {
         AtomicInteger tries = new AtomicInteger();
-        try (Peer server = server(r -> tries.incrementAndGet() == 1 ? null : "250 good",
+        try (Peer server = server(
+                r -> tries.incrementAndGet() == 1 ? null : "250 good",
                 t -> tries.get() == 2 ? "451 4.3.0 later" : "250 2.0.0 kept")) {
             serve(route("a.test", 1, "smtp", server.address()));
             try (Wire wire = Wire.to(lmtp)) {
@@ -214,21 +223,35 @@
 
     @Test
     void aFinalFailureAfterSmtpTookItIsReportedToTheReversePathOnce() throws Exception {
-        try (Peer bad = server(r -> "550 5.1.1 nobody here", t -> "250 kept"); Peer good = good()) {
+        try (Peer bad = server(r -> "550 5.1.1 nobody here", t -> "250 kept");
+                Peer good = good()) {
             serve(route("bad.test", 1, "lmtp", bad.address()), route("sender.test", 2, "smtp", good.address()));
             try (Wire wire = Wire.to(smtp)) {
                 greet(wire, "EHLO");
-                assertEquals("250 2.0.0 taken on", send(wire, "", payment("n"), "x@bad.test").get(0));
-                assertEquals("250 2.0.0 taken on", send(wire, "me@sender.test", payment("m"), "x@bad.test").get(0));
+                assertEquals(
+                        "250 2.0.0 taken on",
+                        send(wire, "", payment("n"), "x@bad.test").get(0));
+                assertEquals(
+                        "250 2.0.0 taken on",
+                        send(wire, "me@sender.test", payment("m"), "x@bad.test").get(0));
                 String report = Peer.next(mails);
-                for (String part : List.of("To: <me@sender.test>", "report-type=delivery-status", "Status: 5.1.1",
-                        "Final-Recipient: rfc822; x@bad.test", "Diagnostic-Code: smtp; 550 5.1.1 nobody here",
+                for (String part : List.of(
+                        "To: <me@sender.test>",
+                        "report-type=delivery-status",
+                        "Status: 5.1.1",
+                        "Final-Recipient: rfc822; x@bad.test",
+                        "Diagnostic-Code: smtp; 550 5.1.1 nobody here",
                         "Message-ID: <m>")) {
                     assertTrue(report.contains(part), part + " in " + report);
                 }
-                assertTrue(send(wire, "me@sender.test", payment("m"), "x@bad.test").get(0).startsWith("550 5.1.1"),
+                assertTrue(
+                        send(wire, "me@sender.test", payment("m"), "x@bad.test")
+                                .get(0)
+                                .startsWith("550 5.1.1"),
                         "its resending hears the end");
-                assertTrue(send(wire, "me@sender.test", payment("o"), "y@sender.test").get(0).startsWith("250"));
+                assertTrue(send(wire, "me@sender.test", payment("o"), "y@sender.test")
+                        .get(0)
+                        .startsWith("250"));
                 assertTrue(Peer.next(mails).contains("Message-ID: <o>"), "no other report came in between");
             }
         }
@@ -241,15 +264,16 @@
         AtomicInteger tries = new AtomicInteger();
         CountDownLatch never = new CountDownLatch(1);
         try (Peer server = server(r -> "250 good", text -> {
-                if (tries.incrementAndGet() == 1) {
-                    await(never);
-                }
-                return "250 2.0.0 kept";
-            })) {
+            if (tries.incrementAndGet() == 1) {
+                await(never);
+            }
+            return "250 2.0.0 kept";
+        })) {
             serve(route("a.test", 1, "lmtp", server.address()));
             try (Wire wire = Wire.to(lmtp)) {
                 greet(wire, "LHLO");
-                String reply = send(wire, "", payment("x").replace("payment", kind), "till@a.test").get(0);
+                String reply = send(wire, "", payment("x").replace("payment", kind), "till@a.test")
+                        .get(0);
                 assertTrue(reply.startsWith(answer), reply);
                 assertEquals(sent, tries.get());
             }
@@ -270,14 +294,16 @@
     void whatSmtpTookOnOutlastsTheProcess() throws Exception {
         AtomicInteger life = new AtomicInteger();
         try (Peer server = server(r -> life.get() == 0 ? "450 4.2.1 not\rnow" : "250 good", text -> {
-                mails.add(text);
-                return "250 2.0.0 kept";
-            })) {
+            mails.add(text);
+            return "250 2.0.0 kept";
+        })) {
             String route = route("a.test", 1, "smtp", server.address());
             serve(route);
             try (Wire wire = Wire.to(smtp)) {
                 greet(wire, "EHLO");
-                assertEquals("250 2.0.0 taken on", send(wire, "", payment("x"), "till@a.test").get(0));
+                assertEquals(
+                        "250 2.0.0 taken on",
+                        send(wire, "", payment("x"), "till@a.test").get(0));
             }
             forwarder.stop();
             life.set(1);
@@ -291,7 +317,8 @@
         try (Peer good = good()) {
             serve(route("a.test", 1, "smtp", good.address()));
             try (Wire client = Wire.to(http)) {
-                assertTrue(client.handIn("a", "payment", 1_000_001, 20, "no mail").startsWith("202"));
+                assertTrue(
+                        client.handIn("a", "payment", 1_000_001, 20, "no mail").startsWith("202"));
                 assertEquals("{\"id\":\"a\",\"status\":\"undeliverable\"}", Peer.next(notices));
             }
         }
@@ -303,21 +330,36 @@
             serve(route("a.test", 1, "smtp", good.address()));
             try (Wire wire = Wire.to(smtp)) {
                 assertTrue(wire.reply().startsWith("220 mx.test ESMTP"));
-                String[][] talk = {{"MAIL FROM:<a@b>", "503 5.5.1"}, {"LHLO x", "500 5.5.1"}, {"EHLO x", "250 ENH"},
-                    {"RCPT TO:<x@a.test>", "503 5.5.1"}, {"MAIL FROM:<a@b> SIZE=99999999", "552 5.3.4"},
-                    {"MAIL FROM:a", "501 5.5.4"}, {"MAIL FROM:<a@b> SIZE=10 BODY=8BITMIME", "250 2.1.0"},
-                    {"DATA", "503 5.5.1"}, {"RCPT TO:<x@nowhere.test>", "550 5.1.2"},
-                    {"NOPE", "500 5.5.1"}, {"NOOP\nRSET", "500 5.5.2"},
-                    {"RCPT TO:<x@a.test>", "250 2.1.5"}, {"RSET", "250 2.0.0"}, {"DATA", "503 5.5.1"},
-                    {"VRFY x", "252 2.1.5"}};
+                String[][] talk = {
+                    {"MAIL FROM:<a@b>", "503 5.5.1"},
+                    {"LHLO x", "500 5.5.1"},
+                    {"EHLO x", "250 ENH"},
+                    {"RCPT TO:<x@a.test>", "503 5.5.1"},
+                    {"MAIL FROM:<a@b> SIZE=99999999", "552 5.3.4"},
+                    {"MAIL FROM:a", "501 5.5.4"},
+                    {"MAIL FROM:<a@b> SIZE=10 BODY=8BITMIME", "250 2.1.0"},
+                    {"DATA", "503 5.5.1"},
+                    {"RCPT TO:<x@nowhere.test>", "550 5.1.2"},
+                    {"NOPE", "500 5.5.1"},
+                    {"NOOP\nRSET", "500 5.5.2"},
+                    {"RCPT TO:<x@a.test>", "250 2.1.5"},
+                    {"RSET", "250 2.0.0"},
+                    {"DATA", "503 5.5.1"},
+                    {"VRFY x", "252 2.1.5"}
+                };
                 for (String[] turn : talk) {
                     String reply = wire.ask(turn[0]);
                     assertTrue(reply.startsWith(turn[1]), turn[0] + " gave " + reply);
                 }
-                assertTrue(send(wire, "", "a\n.\nMAIL FROM:<smuggled>", "x@a.test").get(0).startsWith("550 5.6.0"));
-                assertTrue(send(wire, "", "x".repeat(70_000).replaceAll("(.{900})", "$1\r\n"), "x@a.test").get(0)
+                assertTrue(send(wire, "", "a\n.\nMAIL FROM:<smuggled>", "x@a.test")
+                        .get(0)
+                        .startsWith("550 5.6.0"));
+                assertTrue(send(wire, "", "x".repeat(70_000).replaceAll("(.{900})", "$1\r\n"), "x@a.test")
+                        .get(0)
                         .startsWith("552 5.3.4"));
-                assertTrue(send(wire, "", "S: s\r\n\r\n..dot\r\n...\r\nend", "x@a.test").get(0).startsWith("250"));
+                assertTrue(send(wire, "", "S: s\r\n\r\n..dot\r\n...\r\nend", "x@a.test")
+                        .get(0)
+                        .startsWith("250"));
                 assertTrue(Peer.next(mails).endsWith("S: s\n\n..dot\n...\nend\n"), "dots travel stuffed");
                 assertTrue(wire.ask("QUIT").startsWith("221 2.0.0"));
                 assertEquals(null, wire.line());
@@ -327,8 +369,12 @@
 
     /** Commands without a mail, a content that is far too long or too slow, more while an answer is awaited. */
     @ParameterizedTest
-    @CsvSource({"300, , NOOP, 1000, 0, ", "300, DATA, x, 200000, 0, ", "1, DATA, x, 40, 200, 421 4.4.2 the mail",
-        "300, ., NOOP, 100000, 0, "})
+    @CsvSource({
+        "300, , NOOP, 1000, 0, ",
+        "300, DATA, x, 200000, 0, ",
+        "1, DATA, x, 40, 200, 421 4.4.2 the mail",
+        "300, ., NOOP, 100000, 0, "
+    })
     void whoeverSendsWithoutEndIsSentAway(int idle, String last, String line, int times, int pause, String farewell)
             throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
--- a/src/test/java/lilaclever/program/ManyServersTest.java
+++ b/src/test/java/lilaclever/program/ManyServersTest.java
@@ -21,14 +21,17 @@
 /** One forwarder and as many servers as the largest fleets have. */
 class ManyServersTest {
     private static final int SERVERS = 1_030, MOST_OUT = 1_024;
+
     @TempDir
     private Path state;
 
     /** Each server has an address of its own on the loopback, and they share a port. */
     private static String entries(int from, int to, int port) {
-        return IntStream.range(from, to).mapToObj(i -> "{\"name\":\"server-" + i + "\",\"address\":\"127.1." + i / 200 + '.'
-                + (1 + i % 200) + ':' + port + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":" + i
-                + ",\"status\":\"active\"}").collect(Collectors.joining(","));
+        return IntStream.range(from, to)
+                .mapToObj(i -> "{\"name\":\"server-" + i + "\",\"address\":\"127.1." + i / 200 + '.'
+                        + (1 + i % 200) + ':' + port + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":" + i
+                        + ",\"status\":\"active\"}")
+                .collect(Collectors.joining(","));
     }
 
     /** A list that comes in pieces, with ids twice; a message to each server; and all but a few taken out by hand. */
@@ -54,19 +57,25 @@
             accepts.start();
             int port = all.getLocalPort();
             try (Peer platform = new Peer(wire -> {
-                    for (Request r = wire.request(); r != null; r = wire.request()) {
-                        if (r.path().equals("/status")) {
-                            wire.answer("204 No Content", "");
-                        } else if (!r.path().contains("?")) {
-                            wire.answer("200 OK", "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + entries(0, 600, port) + "]}");
-                        } else if (r.path().contains("after=1&")) {
-                            wire.answer("200 OK", "{\"index\":2,\"snapshot\":false,\"endpoints\":[" + entries(500, SERVERS, port) + ','
-                                    + entries(0, 20, port) + "]}");
-                        } // a later watch: nothing ever changes
-                    }
-                })) {
-                Config config = Config.parse(Setup.text(platform.address(), state, null, 3)
-                        .replace("\"listen\"", "\"operator\": \"127.0.0.1:0\", \"listen\""), Map.of());
+                for (Request r = wire.request(); r != null; r = wire.request()) {
+                    if (r.path().equals("/status")) {
+                        wire.answer("204 No Content", "");
+                    } else if (!r.path().contains("?")) {
+                        wire.answer(
+                                "200 OK",
+                                "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + entries(0, 600, port) + "]}");
+                    } else if (r.path().contains("after=1&")) {
+                        wire.answer(
+                                "200 OK",
+                                "{\"index\":2,\"snapshot\":false,\"endpoints\":[" + entries(500, SERVERS, port) + ','
+                                        + entries(0, 20, port) + "]}");
+                    } // a later watch: nothing ever changes
+                }
+            })) {
+                Config config = Config.parse(
+                        Setup.text(platform.address(), state, null, 3)
+                                .replace("\"listen\"", "\"operator\": \"127.0.0.1:0\", \"listen\""),
+                        Map.of());
                 Forwarder forwarder = Forwarder.start(config, null);
                 try {
                     SocketAddress address = forwarder.addresses().get(0);
@@ -82,7 +91,9 @@
                     for (int i = 0; i < MOST_OUT; i++) {
                         assertEquals("200 server-" + i, operator(forwarder, "SUSPEND server-" + i));
                     }
-                    assertEquals("400 no more than 1024 endpoints may be out at once", operator(forwarder, "SUSPEND server-1024"));
+                    assertEquals(
+                            "400 no more than 1024 endpoints may be out at once",
+                            operator(forwarder, "SUSPEND server-1024"));
                 } finally {
                     forwarder.stop();
                 }
@@ -110,7 +121,7 @@
 
     private static void until(Wire client, String count) throws Exception {
         String last = "";
-        for (long end = System.nanoTime() + 20_000_000_000L; !last.contains(count) && System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + 20_000_000_000L; !last.contains(count) && System.nanoTime() < end; ) {
             client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
             last = client.request().body();
         }
--- a/src/test/java/lilaclever/program/MixedRun.java
+++ b/src/test/java/lilaclever/program/MixedRun.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,28 +23,34 @@
 
 /**
  * Both client ports over capacity with a kill in the middle, outside CI: {@code bench/mixed}. The same plan of
- * arrivals, drawn ahead, is played by HTTP alone or half by HL7; one message in twenty is handed in twice, on the other port
- * in the mixed run. Then each message's story is checked: one end, told once to each hand-in that was taken on, and
- * nothing delivered twice.
+ * arrivals, drawn ahead, is played by HTTP alone or half by HL7; one message in twenty is handed in twice, on the other
+ * port in the mixed run. Then each message's story is checked: one end, told once to each hand-in that was taken on,
+ * and nothing delivered twice.
  */
 final class MixedRun {
     private static final long MS = 1_000_000;
     private static final int DESTINATIONS = 6, FIRST = 7, AT_ONCE = 2, SERVICE_MS = 100, MLLP_LINES = 8;
     /** Two endpoints for each destination, each with so many calls at once. */
     private static final double CAPACITY = DESTINATIONS * 2 * AT_ONCE * 1000.0 / SERVICE_MS;
+
     private static final String[] CLASSES = {"order", "status", "payment"};
     private static final String[] EVENTS = {"ORM^O01", "ORU^R01", "DFT^P03"};
     private static final double[] DEADLINES = {8, 4, 9};
 
     /** One arrival of the plan: when, what, and on which port; {@code again}: its number is that of an earlier one. */
-    private record Arrival(long at, int number, int kind, int destination, boolean hl7, boolean again) { }
+    private record Arrival(long at, int number, int kind, int destination, boolean hl7, boolean again) {}
 
     /** What became of one message. */
     private static final class Story {
         final int kind;
-        final AtomicInteger calls = new AtomicInteger(), delivered = new AtomicInteger(), asks = new AtomicInteger(),
-                finals = new AtomicInteger(), notices = new AtomicInteger(), httpTaken = new AtomicInteger(),
-                hl7Taken = new AtomicInteger(), hl7Asks = new AtomicInteger();
+        final AtomicInteger calls = new AtomicInteger(),
+                delivered = new AtomicInteger(),
+                asks = new AtomicInteger(),
+                finals = new AtomicInteger(),
+                notices = new AtomicInteger(),
+                httpTaken = new AtomicInteger(),
+                hl7Taken = new AtomicInteger(),
+                hl7Asks = new AtomicInteger();
         volatile boolean mayHaveRun, refusedAtOnce, told, asksBeforeKill;
         volatile String ends = "";
 
@@ -177,9 +182,12 @@
                     kept.set(Wire.to(http));
                 }
                 String body = body(a);
-                kept.get().say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: " + CLASSES[a.kind()]
-                        + "\r\nReq-Deadline: " + DEADLINES[a.kind()] + "\r\nX-Practice: north\r\nIdempotency-Key: M" + a.number()
-                        + "\r\nX-Envelope: dest=" + a.destination() + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                kept.get()
+                        .say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: " + CLASSES[a.kind()]
+                                + "\r\nReq-Deadline: " + DEADLINES[a.kind()]
+                                + "\r\nX-Practice: north\r\nIdempotency-Key: M" + a.number()
+                                + "\r\nX-Envelope: dest=" + a.destination() + "\r\nContent-Length: " + body.length()
+                                + "\r\n\r\n" + body);
                 Request answer = kept.get().request();
                 if (answer != null) {
                     if (i == 0) {
@@ -210,7 +218,10 @@
         }
     }
 
-    /** One client's line: messages go out as they are due; what had no acknowledgement is sent again on the next connection. */
+    /**
+     * One client's line: messages go out as they are due; what had no acknowledgement is sent again on the next
+     * connection.
+     */
     private final class Line {
         private final Map<Integer, Arrival> unanswered = new LinkedHashMap<>();
         private final Map<Integer, Long> due = new ConcurrentHashMap<>();
@@ -310,41 +321,33 @@
                 events DFT
                 """);
         for (int d = 0; d < DESTINATIONS; d++) {
-            conf.append("[hl7-destination ").append(FIRST + d).append("]\nreceivers LAB").append(FIRST + d).append('\n');
+            conf.append("[hl7-destination ")
+                    .append(FIRST + d)
+                    .append("]\nreceivers LAB")
+                    .append(FIRST + d)
+                    .append('\n');
             for (int e = 0; e < 2; e++) {
                 peers.add(endpoint());
-                list.append(list.isEmpty() ? "" : ",").append(("{\"name\":\"e%d-%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\","
-                        + "\"group\":%d,\"status\":\"active\"}").formatted(d, e, peers.get(peers.size() - 1).address(), FIRST + d));
+                list.append(list.isEmpty() ? "" : ",")
+                        .append(("{\"name\":\"e%d-%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\","
+                                        + "\"group\":%d,\"status\":\"active\"}")
+                                .formatted(d, e, peers.get(peers.size() - 1).address(), FIRST + d));
             }
         }
         Peer platform = platform();
         String config = Setup.text(platform.address(), folder.resolve("state"), null, 8)
-                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"callSlots\": 20", "\"callSlots\": 60")
-                .replace("\"openCap\": 200", "\"openCap\": 1200").replace("\"deadlineS\": 20", "\"deadlineS\": 8")
-                .replace("\"deadlineS\": 6", "\"deadlineS\": 4").replace("\"deadlineS\": 28", "\"deadlineS\": 9")
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]")
+                .replace("\"callSlots\": 20", "\"callSlots\": 60")
+                .replace("\"openCap\": 200", "\"openCap\": 1200")
+                .replace("\"deadlineS\": 20", "\"deadlineS\": 8")
+                .replace("\"deadlineS\": 6", "\"deadlineS\": 4")
+                .replace("\"deadlineS\": 28", "\"deadlineS\": 9")
                 .replace("\"known\": null", "\"known\": {\"index\":1,\"snapshot\":true,\"endpoints\":[" + list + "]}");
         start(config, conf.toString());
         ExecutorService web = Executors.newFixedThreadPool(64);
-        List<Line> lines = new ArrayList<>();
-        for (int i = 0; i < MLLP_LINES; i++) {
-            Line line = new Line();
-            lines.add(line);
-            Thread t = new Thread(line::read);
-            t.setDaemon(true);
-            t.start();
-        }
+        List<Line> lines = connectLines();
         Thread.sleep(1500);
-        Thread killer = new Thread(() -> {
-            pause(seconds * 500L);
-            try {
-                stories.values().forEach(x -> x.asksBeforeKill = x.hl7Asks.get() > 0 && x.finals.get() == 0);
-                process.destroyForcibly().waitFor();
-                pause(600);
-                start(config, conf.toString());
-            } catch (IOException | InterruptedException e) {
-                count("BROKEN no restart: " + e);
-            }
-        });
+        Thread killer = killer(seconds, config, conf.toString());
         killer.start();
         long begin = System.nanoTime();
         long late = 0;
@@ -364,7 +367,8 @@
         web.shutdownNow();
         process.destroyForcibly().waitFor();
         System.out.println("## " + (mixed ? "both ports" : "HTTP alone") + ", " + seconds + " s at "
-                + Math.round(load * 100) + "% of " + Math.round(CAPACITY) + " messages a second, a kill in the middle; the plan was at most "
+                + Math.round(load * 100) + "% of " + Math.round(CAPACITY)
+                + " messages a second, a kill in the middle; the plan was at most "
                 + late / MS + " ms late");
         check(plan);
         for (Peer p : peers) {
@@ -373,6 +377,33 @@
         platform.close();
     }
 
+    private List<Line> connectLines() {
+        List<Line> lines = new ArrayList<>();
+        for (int i = 0; i < MLLP_LINES; i++) {
+            Line line = new Line();
+            lines.add(line);
+            Thread t = new Thread(line::read);
+            t.setDaemon(true);
+            t.start();
+        }
+        return lines;
+    }
+
+    /** Kills the process in the middle and starts it again. */
+    private Thread killer(int seconds, String config, String conf) {
+        return new Thread(() -> {
+            pause(seconds * 500L);
+            try {
+                stories.values().forEach(x -> x.asksBeforeKill = x.hl7Asks.get() > 0 && x.finals.get() == 0);
+                process.destroyForcibly().waitFor();
+                pause(600);
+                start(config, conf);
+            } catch (IOException | InterruptedException e) {
+                count("BROKEN no restart: " + e);
+            }
+        });
+    }
+
     private void check(List<Arrival> plan) {
         long twice = plan.stream().filter(Arrival::again).count();
         counts.put("messages", (long) stories.size());
@@ -385,27 +416,41 @@
             } else if (s.delivered.get() == 0) {
                 count("never taken on");
             }
-            count(s.delivered.get() > 0 ? "delivered" : s.ends.contains("failed") || s.ends.contains("AE") ? "failed"
-                    : s.ends.contains("refused") || s.ends.contains("AR") || s.refusedAtOnce ? "refused" : "UNKNOWN end");
+            count(
+                    s.delivered.get() > 0
+                            ? "delivered"
+                            : s.ends.contains("failed") || s.ends.contains("AE")
+                                    ? "failed"
+                                    : s.ends.contains("refused") || s.ends.contains("AR") || s.refusedAtOnce
+                                            ? "refused"
+                                            : "UNKNOWN end");
             if (s.delivered.get() > 1) {
                 count("answered by an endpoint more than once, " + CLASSES[s.kind]);
             }
             if (s.delivered.get() == 0 && taken && s.ends.isEmpty()) {
                 count("BROKEN no end");
-                System.out.println("no end: M" + n + " asks " + s.asks + " http " + s.httpTaken + " hl7 " + s.hl7Taken + " calls " + s.calls);
+                System.out.println("no end: M" + n + " asks " + s.asks + " http " + s.httpTaken + " hl7 " + s.hl7Taken
+                        + " calls " + s.calls);
             }
             if (s.hl7Taken.get() > 0 && s.finals.get() == 0) {
                 count("BROKEN an HL7 client without its end");
             }
             if (s.finals.get() > Math.max(1, s.hl7Taken.get())) {
-                // Each asking has an answer of its own. A kill between an end's last byte and the record that it was told
+                // Each asking has an answer of its own. A kill between an end's last byte and the record that it was
+                // told
                 // has the same end told once more; it must be the same.
-                boolean again = s.asksBeforeKill && s.finals.get() == s.hl7Asks.get() + 1
+                boolean again = s.asksBeforeKill
+                        && s.finals.get() == s.hl7Asks.get() + 1
                         && java.util.Arrays.stream(s.ends.split(" ")).distinct().count() == 1;
-                count(s.finals.get() <= s.hl7Asks.get() ? "asked again over HL7, and answered again"
-                        : again ? "the same end told once more after the kill, over HL7" : "BROKEN an HL7 client answered twice");
-                System.out.println("M" + n + ": asked over HL7 " + s.hl7Asks + ", over both " + s.asks + ", CA " + s.hl7Taken + ", ends " + s.ends
-                        + "calls " + s.calls + " delivered " + s.delivered + (s.asksBeforeKill ? ", first asked before the kill" : ""));
+                count(
+                        s.finals.get() <= s.hl7Asks.get()
+                                ? "asked again over HL7, and answered again"
+                                : again
+                                        ? "the same end told once more after the kill, over HL7"
+                                        : "BROKEN an HL7 client answered twice");
+                System.out.println("M" + n + ": asked over HL7 " + s.hl7Asks + ", over both " + s.asks + ", CA "
+                        + s.hl7Taken + ", ends " + s.ends + "calls " + s.calls + " delivered " + s.delivered
+                        + (s.asksBeforeKill ? ", first asked before the kill" : ""));
             }
             if (s.ends.contains("A") && s.delivered.get() > 0 && s.ends.matches(".*A[ER].*") && s.ends.contains("AA")) {
                 count("BROKEN two different ends");
@@ -418,8 +463,10 @@
 
     private static String spread(List<Long> values) {
         long[] all = values.stream().mapToLong(Long::longValue).sorted().toArray();
-        return all.length == 0 ? "none" : "median " + all[all.length / 2] + ", 99th percentile "
-                + all[(int) (0.99 * (all.length - 1))] + ", most " + all[all.length - 1] + " (of " + all.length + ")";
+        return all.length == 0
+                ? "none"
+                : "median " + all[all.length / 2] + ", 99th percentile " + all[(int) (0.99 * (all.length - 1))]
+                        + ", most " + all[all.length - 1] + " (of " + all.length + ")";
     }
 
     /** Arguments: http or mixed; seconds; load in percent; seed. Exit code 1 if a rule was broken. */
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -54,10 +54,12 @@
 
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<Request> calls = new LinkedBlockingQueue<>();
     /** What the endpoint answers next; it waits for it. */
     private final LinkedBlockingQueue<String> fates = new LinkedBlockingQueue<>();
+
     private Peer platform, endpoint;
     private Forwarder forwarder;
     private SocketAddress http, mllp;
@@ -95,9 +97,12 @@
 
     private void serve(String conf, double diskMb) throws Exception {
         // One message a call: the endpoint is asked for each on its own.
-        Config config = Config.parse(Setup.text(platform.address(), state, endpoint.address(), diskMb)
-                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"), java.util.Map.of());
-        forwarder = Forwarder.start(config, Operator.of(ConfFile.parse("f", conf.lines().toList()), config), null);
+        Config config = Config.parse(
+                Setup.text(platform.address(), state, endpoint.address(), diskMb)
+                        .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"),
+                java.util.Map.of());
+        forwarder = Forwarder.start(
+                config, Operator.of(ConfFile.parse("f", conf.lines().toList()), config), null);
         http = forwarder.addresses().get(0);
         mllp = forwarder.addresses().get(1);
     }
@@ -118,7 +123,11 @@
     /** The code and the control id of the next acknowledgement. */
     private static String ack(Wire wire) throws IOException {
         String frame = wire.frame();
-        return frame == null ? null : frame.split("\r")[1].split("\\|", 4)[1] + ' ' + frame.split("\r")[1].split("\\|", 4)[2];
+        return frame == null
+                ? null
+                : frame.split("\r")[1].split("\\|", 4)[1]
+                        + ' '
+                        + frame.split("\r")[1].split("\\|", 4)[2];
     }
 
     private static String asks(Wire wire, String message) throws IOException {
@@ -126,10 +135,13 @@
         return ack(wire);
     }
 
-    private static String post(Wire wire, String id, String kind, String practice, String key, String body) throws IOException {
-        wire.say("POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: 9"
-                + "\r\nX-Practice: " + practice + "\r\nIdempotency-Key: " + key + "\r\nX-Envelope: dest=7\r\nContent-Length: "
-                + body.length() + "\r\n\r\n" + body);
+    private static String post(Wire wire, String id, String kind, String practice, String key, String body)
+            throws IOException {
+        wire.say(
+                "POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind + "\r\nReq-Deadline: 9"
+                        + "\r\nX-Practice: " + practice + "\r\nIdempotency-Key: " + key
+                        + "\r\nX-Envelope: dest=7\r\nContent-Length: "
+                        + body.length() + "\r\n\r\n" + body);
         return wire.request().path();
     }
 
@@ -140,8 +152,13 @@
     private long counter(String name) throws IOException {
         try (Wire wire = Wire.to(http)) {
             wire.say("GET /counters HTTP/1.1\r\nHost: a\r\n\r\n");
-            return wire.request().body().lines().filter(l -> l.startsWith(name + ' '))
-                    .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1))).findFirst().orElse(-1);
+            return wire.request()
+                    .body()
+                    .lines()
+                    .filter(l -> l.startsWith(name + ' '))
+                    .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1)))
+                    .findFirst()
+                    .orElse(-1);
         }
     }
 
@@ -235,7 +252,11 @@
         fates.addAll(List.of("200 OK", "200 OK"));
         try (Wire client = Wire.to(mllp)) {
             client.frame("BHS|^~\\&|APP\r" + order("APP", "M1", "NE|AL") + order("APP", "M2", "NE|AL") + "BTS|2\r");
-            assertEquals(List.of("AA M1", "AA M2"), java.util.stream.Stream.of(ack(client), ack(client)).sorted().toList());
+            assertEquals(
+                    List.of("AA M1", "AA M2"),
+                    java.util.stream.Stream.of(ack(client), ack(client))
+                            .sorted()
+                            .toList());
             client.frame("BHS|^~\\&|APP\r" + order("M3") + "BTS|2\r");
             assertTrue(client.frame().contains("102^Data type error^HL70357"));
         }
@@ -321,7 +342,11 @@
         fates.add("200 OK");
         try (Wire client = Wire.to(mllp)) {
             client.frame(order("M3"));
-            assertEquals(List.of("AA M1", "AA M2"), java.util.stream.Stream.of(ack(client), ack(client)).sorted().toList());
+            assertEquals(
+                    List.of("AA M1", "AA M2"),
+                    java.util.stream.Stream.of(ack(client), ack(client))
+                            .sorted()
+                            .toList());
             assertEquals("CA M3", ack(client));
             assertEquals("AA M3", ack(client));
         }
@@ -333,7 +358,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void onBothPortsItIsOneMessage(boolean httpFirst) throws Exception {
-        try (Wire client = Wire.to(mllp); Wire web = Wire.to(http)) {
+        try (Wire client = Wire.to(mllp);
+                Wire web = Wire.to(http)) {
             if (httpFirst) {
                 assertEquals("202", post(web, "h1", "order", "north", "M1", order("M1")));
                 assertEquals("CA M1", asks(client, order("M1")));
@@ -361,7 +387,8 @@
         for (int i = 0; i < n; i++) {
             fates.add("200 OK");
         }
-        try (Wire client = Wire.to(mllp); Wire web = Wire.to(http)) {
+        try (Wire client = Wire.to(mllp);
+                Wire web = Wire.to(http)) {
             for (int i = 0; i < n; i++) {
                 String message = order("APP", "M" + i, "NE|AL");
                 CountDownLatch both = new CountDownLatch(2);
@@ -370,7 +397,8 @@
                     try {
                         both.countDown();
                         both.await();
-                        assertTrue(post(web, "h" + control, "order", "north", control, message).matches("20[02]"));
+                        assertTrue(post(web, "h" + control, "order", "north", control, message)
+                                .matches("20[02]"));
                     } catch (IOException | InterruptedException e) {
                         throw new IllegalStateException(e);
                     }
@@ -382,7 +410,8 @@
                 other.join();
             }
         }
-        assertEquals(n, calls.stream().map(r -> r.headers().get("req-id")).distinct().count());
+        assertEquals(
+                n, calls.stream().map(r -> r.headers().get("req-id")).distinct().count());
         assertEquals(n, calls.size());
         assertEquals(n, counter("delivered"));
     }
@@ -417,16 +446,20 @@
         }
     }
 
-    /** Guards against a client of the other port that is never told the end, since the process was killed in between. */
+    /**
+     * Guards against a client of the other port that is never told the end, since the process was killed in between.
+     */
     @Test
     void aClientThatJoinedIsToldAfterAKillToo() throws Exception {
         Path folder = java.nio.file.Files.createDirectory(state.resolve("killed"));
-        String config = Setup.text(platform.address(), folder, endpoint.address(), 3).replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
+        String config = Setup.text(platform.address(), folder, endpoint.address(), 3)
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
         Path conf = java.nio.file.Files.writeString(folder.resolve("conf"), CONF);
         Process process = Setup.process(folder, config, "true", "--conf", conf.toString());
         try {
             List<java.net.InetSocketAddress> at = addresses(process);
-            try (Wire client = Wire.to(at.get(1)); Wire web = Wire.to(at.get(0))) {
+            try (Wire client = Wire.to(at.get(1));
+                    Wire web = Wire.to(at.get(0))) {
                 assertEquals("CA M1", asks(client, payment("M1")));
                 call();
                 assertEquals("202", post(web, "h1", "payment", "north", "M1", payment("M1")));
@@ -448,10 +481,15 @@
     }
 
     private static List<java.net.InetSocketAddress> addresses(Process process) throws IOException {
-        for (String line = process.errorReader().readLine(); line != null; line = process.errorReader().readLine()) {
+        for (String line = process.errorReader().readLine();
+                line != null;
+                line = process.errorReader().readLine()) {
             if (line.contains("serves at")) {
-                return java.util.regex.Pattern.compile(":(\\d+)").matcher(line.substring(line.indexOf("serves at"))).results()
-                        .map(m -> new java.net.InetSocketAddress("127.0.0.1", Integer.parseInt(m.group(1)))).toList();
+                return java.util.regex.Pattern.compile(":(\\d+)")
+                        .matcher(line.substring(line.indexOf("serves at")))
+                        .results()
+                        .map(m -> new java.net.InetSocketAddress("127.0.0.1", Integer.parseInt(m.group(1))))
+                        .toList();
             }
         }
         throw new IOException("the program did not start");
@@ -460,7 +498,8 @@
     /** Guards against the second of two messages vanishing behind the first one's identity. */
     @Test
     void otherContentUnderAnIdentityIsRefused() throws Exception {
-        try (Wire client = Wire.to(mllp); Wire web = Wire.to(http)) {
+        try (Wire client = Wire.to(mllp);
+                Wire web = Wire.to(http)) {
             assertEquals("CA M1", asks(client, order("M1")));
             client.frame(order("M1") + "NTE|other\r");
             assertTrue(client.frame().contains("ERR||MSH^1^10|205^Duplicate key identifier^HL70357|E"));
@@ -474,11 +513,13 @@
     @Test
     void practicesMayUseTheSameControlIds() throws Exception {
         fates.addAll(List.of("200 OK", "200 OK"));
-        try (Wire one = Wire.to(mllp); Wire two = Wire.to(mllp)) {
+        try (Wire one = Wire.to(mllp);
+                Wire two = Wire.to(mllp)) {
             assertEquals("AA M1", asks(one, order("APP", "M1", "NE|AL")));
             assertEquals("AA M1", asks(two, order("SUD", "M1", "NE|AL")));
         }
-        assertFalse(call().headers().get("idempotency-key").equals(call().headers().get("idempotency-key")));
+        assertFalse(
+                call().headers().get("idempotency-key").equals(call().headers().get("idempotency-key")));
     }
 
     /** Without a practice HTTP is as it was: each Req-Id is a message of its own. */
@@ -555,7 +596,8 @@
     /** A client that sends more than it may is told to come again, and the others are served. */
     @Test
     void tooManyAtOnceAreToldToComeAgain() throws Exception {
-        try (Wire greedy = Wire.to(mllp); Wire other = Wire.to(mllp)) {
+        try (Wire greedy = Wire.to(mllp);
+                Wire other = Wire.to(mllp)) {
             for (int i = 0; i < 6; i++) {
                 assertEquals((i < 4 ? "CA M" : "CE M") + i, asks(greedy, order("M" + i)));
             }
--- a/src/test/java/lilaclever/program/OperatorPortTest.java
+++ b/src/test/java/lilaclever/program/OperatorPortTest.java
@@ -23,6 +23,7 @@
 class OperatorPortTest {
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private Forwarder forwarder;
@@ -33,8 +34,11 @@
     }
 
     private void serve(Peer platform, Peer endpoint) throws Exception {
-        forwarder = Forwarder.start(Config.parse(Setup.text(platform.address(), state, endpoint.address(), 3),
-                Map.of("ROUTER_OPERATOR", "127.0.0.1:0")), null);
+        forwarder = Forwarder.start(
+                Config.parse(
+                        Setup.text(platform.address(), state, endpoint.address(), 3),
+                        Map.of("ROUTER_OPERATOR", "127.0.0.1:0")),
+                null);
     }
 
     private SocketAddress operators() {
@@ -69,7 +73,8 @@
     /** Guards against sending to what an operator has taken out, in this life and in the next one, and for ever. */
     @Test
     void anEndpointOutByHandGetsNothingUntilItIsPutBackAlsoAfterARestart() throws Exception {
-        try (Peer endpoint = endpoint(); Peer platform = platform(endpoint)) {
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             assertTrue(ask("SUSPEND e1").startsWith("200"));
             assertTrue(ask("SUSPEND e1").startsWith("200"), "a second call out is harmless");
@@ -89,7 +94,8 @@
     /** Guards against a yes to what can't be done or is no call. */
     @Test
     void whatIsNoCallOrWasNeverListedIsRefusedWithItsName() throws Exception {
-        try (Peer endpoint = endpoint(); Peer platform = platform(endpoint)) {
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             assertEquals("200 ready", ask("STATUS"));
             assertEquals("400 e9: never listed", ask("SUSPEND e9"));
@@ -103,7 +109,8 @@
     /** Guards against callers who finish no line and hold the place of those who do. */
     @Test
     void callersWhoSayNothingMakeRoom() throws Exception {
-        try (Peer endpoint = endpoint(); Peer platform = platform(endpoint)) {
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             List<Wire> silent = new ArrayList<>();
             for (int i = 0; i < 3 * OperatorPort.MOST; i++) {
@@ -119,7 +126,8 @@
     /** Guards against a yes that the disk does not keep. */
     @Test
     void whatCanNotBeNotedStaysIn() throws Exception {
-        try (Peer endpoint = endpoint(); Peer platform = platform(endpoint)) {
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             Files.createDirectory(state.resolve("suspended.new"));
             assertEquals("400 e1: can't be noted on disk, so it stays in", ask("SUSPEND e1"));
@@ -131,7 +139,8 @@
     /** Guards against a start that forgets what was taken out, and an address that is none. */
     @Test
     void aNoteThatCanNotBeReadAndABadAddressAreNamed() throws Exception {
-        try (Peer endpoint = endpoint(); Peer platform = platform(endpoint)) {
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             String text = Setup.text(platform.address(), state, endpoint.address(), 3);
             Bad bad = assertThrows(Bad.class, () -> Config.parse(text, Map.of("ROUTER_OPERATOR", "nowhere")));
--- a/src/test/java/lilaclever/program/OperatorTest.java
+++ b/src/test/java/lilaclever/program/OperatorTest.java
@@ -26,7 +26,9 @@
     @Test
     void whatIsAbsentIsAsThePlatformHasIt() throws Bad {
         assertEquals(Operator.none(config()), of("# nothing\n\n[journal]\n"));
-        assertEquals(Durability.NONE.how(), Operator.none(config()).journal().durability().how());
+        assertEquals(
+                Durability.NONE.how(),
+                Operator.none(config()).journal().durability().how());
     }
 
     /** The file that is shipped says what holds without it. */
@@ -39,26 +41,33 @@
     void valuesMayGoOnInTheNextLine() throws Bad {
         Operator read = of("[journal]\ndurability\tinterval # no: a comment has its own line".replaceAll(" #.*", "")
                 + "\ninterval 250\n  ms\nremember 90s\n");
-        assertEquals(new Durability(Durability.How.INTERVAL, 250_000), read.journal().durability());
+        assertEquals(
+                new Durability(Durability.How.INTERVAL, 250_000), read.journal().durability());
         assertEquals(90_000_000, read.journal().rememberMicros());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "durability group              | f:1: durability: stands before the first [section]",
-        "[journal]/durabilty group     | f:2: journal.durabilty: no such key; is durability meant?",
-        "[jurnal]/durability group     | f:1: [jurnal]: no such section; is journal meant?",
-        "[zzz]                         | f:1: [zzz]: no such section; known are hl7, hl7-class, hl7-destination, identity, journal, log, mllp, practice",
-        "[journal]/durability often    | f:2: journal.durability: one of none, interval, group, not often",
-        "[journal]/durability          | f:2: journal.durability: has no value",
-        "[journal]/remember 5          | f:2: journal.remember: a time with its unit (us, ms, s, m, h or d), not 5",
-        "[journal]/remember 900d       | f:2: journal.remember: from 1000.0 ms to 8.64E8 ms, not 900d",
-        "[journal]/remember 2h/remember 3h | f:3: journal.remember: stands here again, first at line 2",
-        "[journal]//[journal]          | f:3: [journal]: stands here again, first at line 1",
-        "[journal]/interval 5ms        | f:2: journal.interval: needs durability interval, not none",
-        "[Journal]                     | f:1: [Journal]: not a section: [name] or [name which], in small letters",
-        "[journal]/a=b                 | f:2: a=b: not a key: small letters, digits and '-'",
-        "[journal]/~more               | f:2: continues nothing: a key begins its line without a space"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "durability group              | f:1: durability: stands before the first [section]",
+                "[journal]/durabilty group     | f:2: journal.durabilty: no such key; is durability meant?",
+                "[jurnal]/durability group     | f:1: [jurnal]: no such section; is journal meant?",
+                "[zzz]                         | f:1: [zzz]: no such section; known are hl7, hl7-class, "
+                        + "hl7-destination, identity, journal, log, mllp, practice",
+                "[journal]/durability often    | f:2: journal.durability: one of none, interval, group, not often",
+                "[journal]/durability          | f:2: journal.durability: has no value",
+                "[journal]/remember 5          | f:2: journal.remember: a time with its unit (us, ms, s, m, h or d), "
+                        + "not 5",
+                "[journal]/remember 900d       | f:2: journal.remember: from 1000.0 ms to 8.64E8 ms, not 900d",
+                "[journal]/remember 2h/remember 3h | f:3: journal.remember: stands here again, first at line 2",
+                "[journal]//[journal]          | f:3: [journal]: stands here again, first at line 1",
+                "[journal]/interval 5ms        | f:2: journal.interval: needs durability interval, not none",
+                "[Journal]                     | f:1: [Journal]: not a section: [name] or [name which], in small "
+                        + "letters",
+                "[journal]/a=b                 | f:2: a=b: not a key: small letters, digits and '-'",
+                "[journal]/~more               | f:2: continues nothing: a key begins its line without a space"
+            })
     void faultsAreToldWithFileLineAndKey(String text, String message) {
         Bad e = assertThrows(Bad.class, () -> of(text.replace('/', '\n').replace('~', ' ')));
         assertEquals(message, e.getMessage());
@@ -67,7 +76,9 @@
     @Test
     void whatIsNoTextIsRefused(@org.junit.jupiter.api.io.TempDir Path folder) throws Exception {
         Path file = Files.write(folder.resolve("x"), new byte[] {(byte) 0xc3, 0x28});
-        assertEquals(List.of("--conf: " + file + " is not UTF-8"),
-                List.of(assertThrows(Bad.class, () -> Operator.read(file, config())).getMessage()));
+        assertEquals(
+                List.of("--conf: " + file + " is not UTF-8"),
+                List.of(assertThrows(Bad.class, () -> Operator.read(file, config()))
+                        .getMessage()));
     }
 }
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -1,16 +1,11 @@
 package lilaclever.program;
 
-import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -92,7 +87,7 @@
         return value;
     }
 
-    record Request(String path, Map<String, String> headers, String body) { }
+    record Request(String path, Map<String, String> headers, String body) {}
 
     /** One connection, either side of it: the stand-ins' own, with what scripts say and ask. */
     static final class Wire extends lilaclever.lab.sockets.Wire {
@@ -126,7 +121,9 @@
         /** The next request, or an answer with its status as the path; null at the end. */
         Request request() throws IOException {
             Head head = read();
-            return head == null ? null : new Request(head.target(), head.headers(), new String(head.body(), StandardCharsets.ISO_8859_1));
+            return head == null
+                    ? null
+                    : new Request(head.target(), head.headers(), new String(head.body(), StandardCharsets.ISO_8859_1));
         }
 
         /** Hands a message in and gives the answer's first line and headers. */
--- a/src/test/java/lilaclever/program/PortsRun.java
+++ b/src/test/java/lilaclever/program/PortsRun.java
@@ -25,7 +25,7 @@
     private InetSocketAddress http, hl7;
     private Process process;
 
-    private PortsRun() throws IOException { }
+    private PortsRun() throws IOException {}
 
     private void start(String config) throws IOException {
         String conf = """
@@ -47,7 +47,7 @@
                 [hl7-destination 7]
                 receivers LAB
                 """;
-        Setup.Served served = Setup.serve(folder, config, conf, true, 128, line -> { });
+        Setup.Served served = Setup.serve(folder, config, conf, true, 128, line -> {});
         process = served.process();
         http = served.addresses().get(0);
         hl7 = served.addresses().get(1);
@@ -59,14 +59,16 @@
     }
 
     private static String body(String id, String wanted) {
-        return "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|" + id + "|P|2.5|||" + wanted + "\rORC|NW|1\rNTE|" + "x".repeat(200) + '\r';
+        return "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|" + id + "|P|2.5|||" + wanted + "\rORC|NW|1\rNTE|"
+                + "x".repeat(200) + '\r';
     }
 
     private static Client web(String practice) {
         return (wire, id) -> {
             String body = body(id, "");
-            wire.say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: order\r\nReq-Deadline: 9\r\n" + practice
-                    + "Idempotency-Key: " + id + "\r\nX-Envelope: dest=7\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            wire.say("POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: " + id + "\r\nReq-Kind: order\r\nReq-Deadline: 9\r\n"
+                    + practice + "Idempotency-Key: " + id + "\r\nX-Envelope: dest=7\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body);
             Request answer = wire.request();
             if (answer == null) {
                 throw new IOException("closed");
@@ -122,17 +124,28 @@
         for (Thread t : threads) {
             t.join();
         }
-        long[] sorted = all.stream().flatMapToLong(java.util.Arrays::stream).sorted().toArray();
-        System.out.printf("| %s | %d | %.2f | %.2f | %d |%n", what, sorted.length / RUN_S, sorted[sorted.length / 2] / 1e6,
-                sorted[(int) (sorted.length * 0.99)] / 1e6, refused.get());
+        long[] sorted =
+                all.stream().flatMapToLong(java.util.Arrays::stream).sorted().toArray();
+        System.out.printf(
+                "| %s | %d | %.2f | %.2f | %d |%n",
+                what,
+                sorted.length / RUN_S,
+                sorted[sorted.length / 2] / 1e6,
+                sorted[(int) (sorted.length * 0.99)] / 1e6,
+                refused.get());
     }
 
     /** Bytes of objects that are live, by the machine's own histogram, which collects before it counts. */
     private long live() throws IOException {
-        Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
-                Long.toString(process.pid()), "GC.class_histogram").start();
-        String total = new BufferedReader(new InputStreamReader(jcmd.getInputStream())).lines()
-                .filter(l -> l.startsWith("Total")).collect(Collectors.joining());
+        Process jcmd = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        Long.toString(process.pid()),
+                        "GC.class_histogram")
+                .start();
+        String total = new BufferedReader(new InputStreamReader(jcmd.getInputStream()))
+                .lines()
+                .filter(l -> l.startsWith("Total"))
+                .collect(Collectors.joining());
         return Long.parseLong(total.trim().split("\\s+")[2]);
     }
 
@@ -161,7 +174,9 @@
     }
 
     private void load() throws InterruptedException {
-        System.out.println("| port | messages a second | taking-on, median, ms | 99th percentile, ms | refused |\n| --- | --- | --- | --- | --- |");
+        System.out.println(
+                "| port | messages a second | taking-on, median, ms | 99th percentile, ms | refused |\n| --- | --- | "
+                        + "--- | --- | --- |");
         for (int round = 1; round <= 2; round++) {
             measure("HTTP, round " + "ab".charAt(round - 1), http, web(""));
             measure("HTTP with identity, round " + "ab".charAt(round - 1), http, web("X-Practice: north\r\n"));
@@ -179,18 +194,24 @@
                     wire.answer("200 OK", "");
                 }
             });
-            list.append(e == 0 ? "" : ",").append(("{\"name\":\"e%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,"
-                    + "\"status\":\"active\"}").formatted(e, peer.address()));
+            list.append(e == 0 ? "" : ",")
+                    .append(("{\"name\":\"e%d\",\"address\":\"%s\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,"
+                                    + "\"status\":\"active\"}")
+                            .formatted(e, peer.address()));
         }
         Peer platform = Peer.platform("", new java.util.concurrent.LinkedBlockingQueue<>());
         start(Setup.text(platform.address(), folder.resolve("state"), null, 64)
-                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"callSlots\": 20", "\"callSlots\": 64")
-                .replace("\"openCap\": 200", "\"openCap\": 5000").replace("\"disk_mb\": 64", "\"disk_mb\": 64, \"sockets\": 8192")
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]")
+                .replace("\"callSlots\": 20", "\"callSlots\": 64")
+                .replace("\"openCap\": 200", "\"openCap\": 5000")
+                .replace("\"disk_mb\": 64", "\"disk_mb\": 64, \"sockets\": 8192")
                 .replace("\"known\": null", "\"known\": {\"index\":1,\"snapshot\":true,\"endpoints\":[" + list + "]}"));
         if (load) {
             load();
         }
-        System.out.println("\n| idle connection of | bytes of live objects | still open | left when they are closed |\n| --- | --- | --- | --- |");
+        System.out.println(
+                "\n| idle connection of | bytes of live objects | still open | left when they are closed |\n| --- | "
+                        + "--- | --- | --- |");
         Thread.sleep(load ? 20_000 : 1_000); // what the load has left is gone
         idle("HL7 over MLLP", hl7, (wire, id) -> true);
         idle("HTTP", http, (wire, id) -> {
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -31,30 +31,65 @@
     Path folder;
 
     private static Scenario scenario(String... more) throws Bad {
-        List<String> lines = new ArrayList<>(List.of("[fleet]", "forwarders 2", "destinations 4", "rate 60", "[class a]", "share 60%",
-                "deadline 3s", "aim 1s", "repeat keyed", "work 5ms 20ms", "[class p]", "share 40%", "deadline 3s", "aim 1s",
-                "repeat unsafe", "work 5ms 20ms"));
+        List<String> lines = new ArrayList<>(List.of(
+                "[fleet]",
+                "forwarders 2",
+                "destinations 4",
+                "rate 60",
+                "[class a]",
+                "share 60%",
+                "deadline 3s",
+                "aim 1s",
+                "repeat keyed",
+                "work 5ms 20ms",
+                "[class p]",
+                "share 40%",
+                "deadline 3s",
+                "aim 1s",
+                "repeat unsafe",
+                "work 5ms 20ms"));
         lines.addAll(List.of(more));
         return ScenarioReader.parse("short", lines);
     }
 
     private Result run(Scenario s, List<String> command) throws IOException, InterruptedException {
-        return RealSockets.run(s, 1, folder, command, now -> { }, () -> false);
+        return RealSockets.run(s, 1, folder, command, now -> {}, () -> false);
     }
 
-    /** Both client protocols, a restart in the middle and a drain: each message has its end, and the plan is that of virtual time. */
+    /**
+     * Both client protocols, a restart in the middle and a drain: each message has its end, and the plan is that of
+     * virtual time.
+     */
     @Test
     void aDayOnSocketsHasThePlanOfVirtualTime() throws Exception {
-        Scenario s = scenario("[traffic]", "length 5s", "load 60%", "hl7 50%", "[event r]", "what restart", "at 2s", "for 1s", "part 50%",
-                "[event d]", "what drain", "at 1s", "for 2s", "part 30%");
+        Scenario s = scenario(
+                "[traffic]",
+                "length 5s",
+                "load 60%",
+                "hl7 50%",
+                "[event r]",
+                "what restart",
+                "at 2s",
+                "for 1s",
+                "part 50%",
+                "[event d]",
+                "what drain",
+                "at 1s",
+                "for 2s",
+                "part 30%");
         Result r = run(s, Own.command("serve"));
         Result v = VirtualTime.run(s, 1, Fault.NONE);
         assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
         assertEquals(v.auditor().counts().get("messages"), r.auditor().counts().get("messages"));
         assertEquals(v.events(), r.events());
         assertEquals(1, r.auditor().counts().get("restarts"));
-        assertTrue(r.auditor().counts().get("application_accepts") > 20, () -> r.auditor().counts().toString());
-        assertTrue(r.auditor().counts().get("fate_delivered") > 0.8 * r.auditor().counts().get("messages"), () -> Report.summary(r));
+        assertTrue(
+                r.auditor().counts().get("application_accepts") > 20,
+                () -> r.auditor().counts().toString());
+        assertTrue(
+                r.auditor().counts().get("fate_delivered")
+                        > 0.8 * r.auditor().counts().get("messages"),
+                () -> Report.summary(r));
         assertNotNull(r.trust());
         assertFalse(r.partial());
     }
@@ -65,17 +100,28 @@
         List<String> dies = new ArrayList<>(List.of("timeout", "-s", "KILL", "4"));
         dies.addAll(Own.command("serve"));
         Result r = run(scenario("[traffic]", "length 4s", "load 50%"), dies);
-        assertTrue(r.auditor().counts().get("deaths") >= 2, () -> r.auditor().counts().toString());
-        assertTrue(r.auditor().breaches().stream().anyMatch(b -> b.rule() == Rule.INVARIANT && b.what().contains("forwarder 0 died: exit code 137")),
+        assertTrue(
+                r.auditor().counts().get("deaths") >= 2,
+                () -> r.auditor().counts().toString());
+        assertTrue(
+                r.auditor().breaches().stream()
+                        .anyMatch(b ->
+                                b.rule() == Rule.INVARIANT && b.what().contains("forwarder 0 died: exit code 137")),
                 () -> r.auditor().breaches().toString());
     }
 
     /** A daemon that can't start, such as one whose port is taken, ends the rehearsal with its own words. */
     @Test
     void aDaemonThatCanNotStartEndsTheRun() throws Exception {
-        IOException e = assertThrows(IOException.class, () -> run(scenario("[traffic]", "length 4s"),
-                List.of("sh", "-c", "echo 'lilaclever: Address already in use'; exit 1")));
-        assertTrue(e.getMessage().matches("forwarder \\d did not start: exit code 1, its last line: lilaclever: Address already in use"),
+        IOException e = assertThrows(
+                IOException.class,
+                () -> run(
+                        scenario("[traffic]", "length 4s"),
+                        List.of("sh", "-c", "echo 'lilaclever: Address already in use'; exit 1")));
+        assertTrue(
+                e.getMessage()
+                        .matches("forwarder \\d did not start: exit code 1, its last line: lilaclever: Address already "
+                                + "in use"),
                 e.getMessage());
         assertThrows(IOException.class, () -> run(scenario("[traffic]", "length 4s"), List.of("no-such-program")));
     }
@@ -85,8 +131,11 @@
     void aDaemonWhosePortIsTakenSaysSoAndEnds() throws Exception {
         try (java.net.ServerSocket taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
             String address = "127.0.0.1:" + taken.getLocalPort();
-            Process p = Setup.process(folder, Setup.text("127.0.0.1:1", folder.resolve("state"), null, 3)
-                    .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + address + '"'), 256);
+            Process p = Setup.process(
+                    folder,
+                    Setup.text("127.0.0.1:1", folder.resolve("state"), null, 3)
+                            .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + address + '"'),
+                    256);
             try {
                 assertTrue(p.waitFor(30, java.util.concurrent.TimeUnit.SECONDS));
                 assertEquals(1, p.exitValue());
@@ -102,17 +151,30 @@
     @Test
     void aRunCutShortIsPartial() throws Exception {
         long[] now = {0};
-        Result r = RealSockets.run(scenario("[traffic]", "length 60s", "load 50%"), 1, folder, Own.command("serve"),
-                t -> now[0] = t, () -> now[0] >= 2_000_000);
+        Result r = RealSockets.run(
+                scenario("[traffic]", "length 60s", "load 50%"),
+                1,
+                folder,
+                Own.command("serve"),
+                t -> now[0] = t,
+                () -> now[0] >= 2_000_000);
         assertTrue(r.partial());
         assertTrue(Report.summary(r).contains("CUT SHORT after"), Report.summary(r));
         assertTrue(Report.json(r).get("partial").getAsBoolean());
     }
 
-    /** A hook of the machine's end could not draw the page: AWT refuses to begin then, and the report was half written. */
+    /**
+     * A hook of the machine's end could not draw the page: AWT refuses to begin then, and the report was half written.
+     */
     @Test
     void ctrlCLeavesAWholeReportOfAPart() throws Exception {
-        List<String> command = new ArrayList<>(Own.command("rehearse", "run", "quiet", "--sockets", "--out", folder.resolve("out").toString()));
+        List<String> command = new ArrayList<>(Own.command(
+                "rehearse",
+                "run",
+                "quiet",
+                "--sockets",
+                "--out",
+                folder.resolve("out").toString()));
         command.remove("-Xmx64m");
         Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
         try {
@@ -124,7 +186,8 @@
             String out = new String(p.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
             assertEquals(Interrupt.CODE, p.waitFor(), out);
             assertTrue(out.contains("CUT SHORT"), out);
-            assertTrue(java.nio.file.Files.readString(folder.resolve("out/index.html")).contains("Cut short after"));
+            assertTrue(java.nio.file.Files.readString(folder.resolve("out/index.html"))
+                    .contains("Cut short after"));
         } finally {
             p.destroyForcibly();
         }
@@ -155,7 +218,12 @@
         assertTrue(Trust.of(late, 0).good());
         late.recordValueWithCount(20_000, 10);
         assertFalse(Trust.of(late, 0).good());
-        assertTrue(Trust.of(late, 0).text().startsWith("NOT TO BE TRUSTED, the stand-ins did not keep up: of 1000 tasks 1.00% were over 10 ms late"),
+        assertTrue(
+                Trust.of(late, 0)
+                        .text()
+                        .startsWith(
+                                "NOT TO BE TRUSTED, the stand-ins did not keep up: of 1000 tasks 1.00% were over 10 "
+                                        + "ms late"),
                 Trust.of(late, 0).text());
         Histogram once = new Histogram(3_600_000_000L, 3);
         once.recordValueWithCount(100, 100_000);
@@ -166,8 +234,10 @@
 
     @Test
     void whatIsTooLargeForOneMachineIsSaidSo() throws Bad {
-        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "forwarders 2000"))).startsWith("forwarders: 2000"));
-        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "destinations 5000"))).startsWith("destinations: about"));
+        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "forwarders 2000")))
+                .startsWith("forwarders: 2000"));
+        assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "destinations 5000")))
+                .startsWith("destinations: about"));
         assertEquals(null, RealSockets.tooLarge(ScenarioReader.read("monday")));
     }
 }
--- a/src/test/java/lilaclever/program/RenewTest.java
+++ b/src/test/java/lilaclever/program/RenewTest.java
@@ -26,10 +26,14 @@
 
 /** New settings while the program runs: classes come, go and change, attempts drop, and broken files change nothing. */
 class RenewTest {
-    private static final String PAYMENT = "{\"name\": \"payment\", \"aimS\": 1, \"deadlineS\": 28, \"credit\": 3, \"repeat\": \"non_idempotent\"}";
-    private static final String RUSH = "{\"name\": \"rush\", \"aimS\": 0.1, \"deadlineS\": 28, \"repeat\": \"read_like\"}";
+    private static final String PAYMENT =
+            "{\"name\": \"payment\", \"aimS\": 1, \"deadlineS\": 28, \"credit\": 3, \"repeat\": \"non_idempotent\"}";
+    private static final String RUSH =
+            "{\"name\": \"rush\", \"aimS\": 0.1, \"deadlineS\": 28, \"repeat\": \"read_like\"}";
+
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> asked = new LinkedBlockingQueue<>();
     private final AtomicInteger status = new AtomicInteger(200);
@@ -105,7 +109,10 @@
         assertEquals("400", handIn(address, "e", "rush"));
     }
 
-    /** A class that changes is another one for what comes later: what may not be repeated any more still may if it was so. */
+    /**
+     * A class that changes is another one for what comes later: what may not be repeated any more still may if it was
+     * so.
+     */
     @Test
     void aMessageUnderWayKeepsItsClass() throws Exception {
         serveAndTry(500, "old", "status");
@@ -149,17 +156,25 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"\"maxAttempts\": 8, | | settings.limits.maxAttempts: missing",
-        "\"maxAttempts\": 8 | \"maxAttempts\": 0 | limits.maxAttempts", "\"deadlineS\": 20 | \"deadlineS\": 0 | deadline",
-        "\"deadlineS\": 20, | | settings.requestClasses.deadlineS: missing", "\"name\": \"order\", | | requestClasses.name",
-        "\"rules\": { | \"rules\": | no JSON"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"maxAttempts\": 8, | | settings.limits.maxAttempts: missing",
+                "\"maxAttempts\": 8 | \"maxAttempts\": 0 | limits.maxAttempts",
+                "\"deadlineS\": 20 | \"deadlineS\": 0 | deadline",
+                "\"deadlineS\": 20, | | settings.requestClasses.deadlineS: missing",
+                "\"name\": \"order\", | | requestClasses.name",
+                "\"rules\": { | \"rules\": | no JSON"
+            })
     void aBrokenFileChangesNothing(String part, String instead, String named) throws Exception {
         serve(text());
         assertTrue(text().contains(part));
         String bad = text().replace(PAYMENT, RUSH).replace(part, instead == null ? "" : instead);
         write(bad);
         Config used = Config.parse(text(), Map.of());
-        assertTrue(assertThrows(Bad.class, () -> Config.reread(variables, used)).getMessage().contains(named));
+        assertTrue(assertThrows(Bad.class, () -> Config.reread(variables, used))
+                .getMessage()
+                .contains(named));
         for (String broken : new String[] {bad, "", text().substring(0, 700)}) {
             renew(broken);
             assertEquals("400", handIn(address, "a", "rush"));
@@ -172,12 +187,22 @@
         Config config = Config.parse(text(), Map.of());
         ClassTable table = config.table();
         for (int i = 0; i < 62; i++) {
-            table = table.followedBy(table.names().subList(0, 0), table.classes().subList(0, 0))
-                    .followedBy(config.classNames().subList(0, 2), config.settings().classes().subList(0, 2));
+            table = table.followedBy(
+                            table.names().subList(0, 0), table.classes().subList(0, 0))
+                    .followedBy(
+                            config.classNames().subList(0, 2),
+                            config.settings().classes().subList(0, 2));
         }
         ClassTable full = table;
         assertEquals(127, full.names().size());
-        assertTrue(assertThrows(Bad.class, () -> full.followedBy(config.classNames(), config.settings().classes().stream()
-                .map(c -> config.settings().classes().get(0)).toList())).getMessage().contains("128"));
+        assertTrue(assertThrows(
+                        Bad.class,
+                        () -> full.followedBy(
+                                config.classNames(),
+                                config.settings().classes().stream()
+                                        .map(c -> config.settings().classes().get(0))
+                                        .toList()))
+                .getMessage()
+                .contains("128"));
     }
 }
