--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -14,7 +14,7 @@
 
 /** Configurations of forwarders under test. */
 final class Setup {
-    private Setup() { }
+    private Setup() {}
 
     static final String MAIL = """
             {"hostName": "mx.test", "classes": {"order": "order", "status": "status"}, "reportClass": "status",
@@ -29,7 +29,7 @@
 
     /** A configuration; the endpoint is known from the start, or null. */
     static String text(String discovery, Path state, String endpoint, double diskMb) {
-        return """
+        String template = """
                 {"name": "n0", "listen": "127.0.0.1:0", "discovery": "%s", "state": "%s", "seed": "0b",
                  "limits": {"disk_mb": %s}, "known": %s,
                  "settings": {"roundS": 0.002, "groupSize": 1, "shapes": ["lab"], "zones": ["z"],
@@ -41,8 +41,8 @@
                    {"name": "status", "aimS": 0.4, "deadlineS": 6, "repeat": "read_like"},
                    {"name": "payment", "aimS": 1, "deadlineS": 28, "credit": 3, "repeat": "non_idempotent"}],
                   "rules": {"answerSlackS": 0.02, "coldFrom": 0.5, "tipMultiple": 1.5, "rampTimeS": 0.1,
-                   "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}}""".formatted(discovery, state, diskMb,
-                endpoint == null ? "null" : list(endpoint));
+                   "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}}""";
+        return template.formatted(discovery, state, diskMb, endpoint == null ? "null" : list(endpoint));
     }
 
     static Config config(String discovery, Path state, String endpoint) throws Bad {
@@ -57,9 +57,18 @@
     /** The same, where a shell has done something before. */
     static Process process(Path folder, String config, String before, String... more) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        List<String> command = new ArrayList<>(List.of("sh", "-c", before + " && exec \"$@\"", "sh",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-ea", "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), "lilaclever.program.Main", "serve"));
+        List<String> command = new ArrayList<>(List.of(
+                "sh",
+                "-c",
+                before + " && exec \"$@\"",
+                "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-ea",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "lilaclever.program.Main",
+                "serve"));
         command.addAll(List.of(more));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("ROUTER_CONFIG", file.toString());
@@ -68,22 +77,35 @@
     }
 
     /** A program that serves, and where: HTTP first. */
-    record Served(Process process, List<InetSocketAddress> addresses) { }
+    record Served(Process process, List<InetSocketAddress> addresses) {}
 
     /**
      * The built jar in a process of its own with the platform's flags, once it serves; on core 0 alone where that is
      * asked for. Lines of its log go to {@code log}; {@code conf} may be null.
      */
-    static Served serve(Path folder, String config, String conf, boolean oneCore, int heapMb, Consumer<String> log) throws IOException {
+    static Served serve(Path folder, String config, String conf, boolean oneCore, int heapMb, Consumer<String> log)
+            throws IOException {
         List<String> command = new ArrayList<>(oneCore ? List.of("taskset", "-c", "0") : List.of());
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m", "-Xss256k", "-XX:SharedArchiveFile=target/lilaclever.jsa",
-                "-Xshare:auto", "-jar", "target/lilaclever.jar", "serve"));
+        command.addAll(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx" + heapMb + "m",
+                "-Xss256k",
+                "-XX:SharedArchiveFile=target/lilaclever.jsa",
+                "-Xshare:auto",
+                "-jar",
+                "target/lilaclever.jar",
+                "serve"));
         if (conf != null) {
-            command.addAll(List.of("--conf", Files.writeString(folder.resolve("conf"), conf).toString()));
+            command.addAll(List.of(
+                    "--conf", Files.writeString(folder.resolve("conf"), conf).toString()));
         }
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString());
+        builder.environment()
+                .put(
+                        "ROUTER_CONFIG",
+                        Files.writeString(folder.resolve("config.json"), config).toString());
         Process process = builder.start();
         BufferedReader lines = process.inputReader();
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
@@ -92,8 +114,13 @@
                 Thread drain = new Thread(() -> lines.lines().forEach(log));
                 drain.setDaemon(true);
                 drain.start();
-                return new Served(process, Pattern.compile("/([0-9.]+):(\\d+)").matcher(line).results()
-                        .map(m -> new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2)))).toList());
+                return new Served(
+                        process,
+                        Pattern.compile("/([0-9.]+):(\\d+)")
+                                .matcher(line)
+                                .results()
+                                .map(m -> new InetSocketAddress(m.group(1), Integer.parseInt(m.group(2))))
+                                .toList());
             }
         }
         throw new IOException("the program did not start");
--- a/src/test/java/lilaclever/program/StrainRun.java
+++ b/src/test/java/lilaclever/program/StrainRun.java
@@ -29,6 +29,7 @@
     private static final long MS = 1_000_000, NOTICE_GRACE = 400 * MS, RESTART_GRACE = 1500 * MS, WINDOW = 5_000 * MS;
     /** Of a thousand calls: so many are refused, up to so many fail, up to so many have their connection dropped. */
     private static final int FULL = 1, FAULT = 10, DROP = 20;
+
     private static final int DESTINATIONS = 6, FIRST = 7;
     private static final String[] CLASSES = {"order", "status", "payment"};
     private static final double[] DEADLINES = {8, 4, 9};
@@ -76,6 +77,7 @@
     private final String mode;
     /** Names the lane's messages, and its address: a port that one lane's process leaves may be the next one's. */
     private final int lane;
+
     private final Path folder;
     private final Map<String, Story> stories = new ConcurrentHashMap<>();
     private final AtomicLong ids = new AtomicLong();
@@ -202,8 +204,12 @@
                 String id = "m" + lane + "-" + ids.getAndIncrement();
                 Story s = new Story(kind, System.nanoTime());
                 stories.put(id, s);
-                String answer = wire.handIn(id, CLASSES[kind], FIRST + own.nextInt(DESTINATIONS),
-                        DEADLINES[kind], "x".repeat(200 + own.nextInt(200)));
+                String answer = wire.handIn(
+                        id,
+                        CLASSES[kind],
+                        FIRST + own.nextInt(DESTINATIONS),
+                        DEADLINES[kind],
+                        "x".repeat(200 + own.nextInt(200)));
                 long now = System.nanoTime();
                 s.add(now, answer.split(" ")[0]);
                 if (answer.startsWith("202")) {
@@ -253,7 +259,9 @@
     private void flip() throws IOException {
         List<Path> files;
         try (Stream<Path> all = Files.list(folder.resolve("state"))) {
-            files = all.filter(f -> f.getFileName().toString().startsWith("segment-")).sorted().toList();
+            files = all.filter(f -> f.getFileName().toString().startsWith("segment-"))
+                    .sorted()
+                    .toList();
         }
         Path file = files.get(random.nextInt(files.size()));
         byte[] content = Files.readAllBytes(file);
@@ -268,25 +276,29 @@
     }
 
     private void limitFiles(String bytes) throws IOException, InterruptedException {
-        new ProcessBuilder("prlimit", "--pid", "" + process.pid(), "--fsize=" + bytes + ":unlimited").inheritIO()
-                .start().waitFor();
+        new ProcessBuilder("prlimit", "--pid", "" + process.pid(), "--fsize=" + bytes + ":unlimited")
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     private void run(int cycles) throws IOException, InterruptedException {
-        try (Peer one = endpoint(random.nextLong()); Peer two = endpoint(random.nextLong());
+        try (Peer one = endpoint(random.nextLong());
+                Peer two = endpoint(random.nextLong());
                 Peer platform = platform("")) {
             StringBuilder list = new StringBuilder("{\"index\":1,\"snapshot\":true,\"endpoints\":[");
             for (int d = 0; d < DESTINATIONS; d++) {
                 for (Peer peer : List.of(one, two)) {
-                    list.append(list.toString().endsWith("[") ? "" : ",").append(("{\"name\":\"e%d-%s\",\"address\":\"%s\","
-                            + "\"zone\":\"z\",\"type\":\"lab\",\"group\":%d,\"status\":\"active\"}")
-                            .formatted(d, peer == one ? "a" : "b", peer.address(), FIRST + d));
+                    list.append(list.toString().endsWith("[") ? "" : ",")
+                            .append(("{\"name\":\"e%d-%s\",\"address\":\"%s\","
+                                            + "\"zone\":\"z\",\"type\":\"lab\",\"group\":%d,\"status\":\"active\"}")
+                                    .formatted(d, peer == one ? "a" : "b", peer.address(), FIRST + d));
                 }
             }
             String config = Setup.text(platform.address(), folder.resolve("state"), null, 3)
-                    .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]").replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + listen() + ":0\"")
-                    .replace("\"known\": null", "\"known\": "
-                    + list.append("]}"));
+                    .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]")
+                    .replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"" + listen() + ":0\"")
+                    .replace("\"known\": null", "\"known\": " + list.append("]}"));
             start(config);
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
@@ -332,8 +344,11 @@
             Thread.sleep(500);
             long from = System.nanoTime() - 1500 * MS;
             List<Story> lately = stories.values().stream()
-                    .filter(s -> s.sentAt > from && s.sentAt < from + 1000 * MS && s.sentAt > freed).toList();
-            long good = lately.stream().filter(s -> s.deliveredAt > 0 && s.deliveredAt - s.sentAt < 500 * MS).count();
+                    .filter(s -> s.sentAt > from && s.sentAt < from + 1000 * MS && s.sentAt > freed)
+                    .toList();
+            long good = lately.stream()
+                    .filter(s -> s.deliveredAt > 0 && s.deliveredAt - s.sentAt < 500 * MS)
+                    .count();
             if (lately.size() > 40 && good > 0.8 * lately.size()) {
                 break;
             }
@@ -353,8 +368,10 @@
             long due = s.sentAt + (long) (DEADLINES[s.kind] * 1000 * MS) + NOTICE_GRACE;
             if (s.deliveredAt == 0 && s.noticeAt == 0) {
                 findings.broken(mode.equals("flip") ? "lost (its record was hit)" : "lost", id, s);
-            } else if (Math.min(s.deliveredAt > 0 ? s.deliveredAt : Long.MAX_VALUE,
-                    s.noticeAt > 0 ? s.noticeAt : Long.MAX_VALUE) > due
+            } else if (Math.min(
+                                    s.deliveredAt > 0 ? s.deliveredAt : Long.MAX_VALUE,
+                                    s.noticeAt > 0 ? s.noticeAt : Long.MAX_VALUE)
+                            > due
                     && downs.stream().noneMatch(d -> d[0] < due && due < d[1])) {
                 findings.broken("ended late", id, s);
             }
@@ -366,8 +383,10 @@
 
     private static String spread(List<Long> values) {
         long[] all = values.stream().mapToLong(Long::longValue).sorted().toArray();
-        return all.length == 0 ? "none" : "median " + all[all.length / 2] + ", 99th percentile "
-                + all[(int) (0.99 * (all.length - 1))] + ", most " + all[all.length - 1] + " (of " + all.length + ")";
+        return all.length == 0
+                ? "none"
+                : "median " + all[all.length / 2] + ", 99th percentile " + all[(int) (0.99 * (all.length - 1))]
+                        + ", most " + all[all.length - 1] + " (of " + all.length + ")";
     }
 
     /** Arguments: kill, flip or full; how many cycles in all; lanes; seed. Exit code 1 if a rule was broken. */
@@ -403,7 +422,11 @@
         }
         findings.stories.forEach(System.out::println);
         failures.forEach(Throwable::printStackTrace);
-        System.exit(failures.isEmpty() && findings.counts.keySet().stream().noneMatch(k -> k.startsWith("BROKEN")
-                && !k.contains("record was hit")) ? 0 : 1);
+        System.exit(
+                failures.isEmpty()
+                                && findings.counts.keySet().stream()
+                                        .noneMatch(k -> k.startsWith("BROKEN") && !k.contains("record was hit"))
+                        ? 0
+                        : 1);
     }
 }
--- a/src/test/java/lilaclever/program/WaitsTest.java
+++ b/src/test/java/lilaclever/program/WaitsTest.java
@@ -26,8 +26,10 @@
 /** Told waits: whatever an endpoint's answer says besides, no byte of a call goes there before the wait is over. */
 class WaitsTest {
     private static final long MS = 1_000_000;
+
     @TempDir
     private Path state;
+
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private Forwarder forwarder;
     private SocketAddress address;
@@ -51,7 +53,7 @@
 
     private static void until(Wire client, String count) throws IOException {
         String last = counters(client);
-        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end; ) {
             last = counters(client);
         }
         assertTrue(last.contains(count), last);
@@ -93,10 +95,13 @@
         }
     }
 
-    /** Guards the rule where it broke: a call was decided, another one was told a wait, and then its connection came up. */
+    /**
+     * Guards the rule where it broke: a call was decided, another one was told a wait, and then its connection came up.
+     */
     @Test
     void aCallWhoseConnectionComesUpUnderAWaitIsNotWritten() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Narrow endpoint = new Narrow()) {
+        try (Peer platform = Peer.platform("", notices);
+                Narrow endpoint = new Narrow()) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("first", "payment", 20, "x").startsWith("202"));
@@ -122,33 +127,39 @@
         }
     }
 
-    /** A wait binds in any answer, in whatever form, also if the rest of it can't be read; what is no figure is none. */
+    /**
+     * A wait binds in any answer, in whatever form, also if the rest of it can't be read; what is no figure is none.
+     */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
-        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000.4999~Content-Length: 0~~ | 1",
-        "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~X-Retry-In-Ms: 0~Content-Length: 0~~ | 1",
-        "HTTP/1.1 429 no~X-Retry-In-Ms: soon, 60000~Content-Length: 0~~ | 1",
-        "HTTP/1.1 500 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
-        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~X-No-Slot: 1~Content-Length: 0~~ | 1",
-        "HTTP/1.1 504 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
-        "HTTP/1.1 200 OK~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
-        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: 9~~half | 1",
-        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: many~~ | 1",
-        "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~what | 1",
-        "HTTP/1.1 429 no~X-Retry-In-Ms: -60000~Content-Length: 0~~ | 0",
-        "HTTP/1.1 429 no~X-Retry-In-Ms: 6e4~Content-Length: 0~~ | 0"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+                "HTTP/1.1 429 no~X-Retry-In-Ms: 60000.4999~Content-Length: 0~~ | 1",
+                "HTTP/1.1 429 no~X-Retry-In-Ms: 60000~X-Retry-In-Ms: 0~Content-Length: 0~~ | 1",
+                "HTTP/1.1 429 no~X-Retry-In-Ms: soon, 60000~Content-Length: 0~~ | 1",
+                "HTTP/1.1 500 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+                "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~X-No-Slot: 1~Content-Length: 0~~ | 1",
+                "HTTP/1.1 504 no~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+                "HTTP/1.1 200 OK~X-Retry-In-Ms: 60000~Content-Length: 0~~ | 1",
+                "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: 9~~half | 1",
+                "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~Content-Length: many~~ | 1",
+                "HTTP/1.1 503 no~X-Retry-In-Ms: 60000~what | 1",
+                "HTTP/1.1 429 no~X-Retry-In-Ms: -60000~Content-Length: 0~~ | 0",
+                "HTTP/1.1 429 no~X-Retry-In-Ms: 6e4~Content-Length: 0~~ | 0"
+            })
     void aWaitBindsInAnyAnswer(String answer, int waits) throws Exception {
         LinkedBlockingQueue<String> asked = new LinkedBlockingQueue<>();
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
-                for (Request r = wire.request(); r != null; r = wire.request()) {
-                    asked.add(r.headers().get("req-id"));
-                    wire.say(answer.replace("~", "\r\n"));
-                    if (answer.endsWith("half") || answer.endsWith("what")) {
-                        return; // the rest never comes
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        asked.add(r.headers().get("req-id"));
+                        wire.say(answer.replace("~", "\r\n"));
+                        if (answer.endsWith("half") || answer.endsWith("what")) {
+                            return; // the rest never comes
+                        }
                     }
-                }
-            })) {
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 assertTrue(client.handIn("a", "status", 6, "").startsWith("202"));
@@ -166,11 +177,13 @@
     /** One that waits for longer than any message lives is ended at once, and its client told so. */
     @Test
     void aWaitWithoutEndHoldsNoMessageBack() throws Exception {
-        try (Peer platform = Peer.platform("", notices); Peer endpoint = new Peer(wire -> {
-                while (wire.request() != null) {
-                    wire.say("HTTP/1.1 429 no\r\nX-Retry-In-Ms: " + "9".repeat(400) + "\r\nContent-Length: 0\r\n\r\n");
-                }
-            })) {
+        try (Peer platform = Peer.platform("", notices);
+                Peer endpoint = new Peer(wire -> {
+                    while (wire.request() != null) {
+                        wire.say("HTTP/1.1 429 no\r\nX-Retry-In-Ms: " + "9".repeat(400)
+                                + "\r\nContent-Length: 0\r\n\r\n");
+                    }
+                })) {
             serve(platform.address(), endpoint.address());
             try (Wire client = Wire.to(address)) {
                 long began = System.nanoTime();
@@ -192,12 +205,18 @@
             endpoint.bind(null);
             endpoint.setSoTimeout(20_000);
             String where = "127.0.0.1:" + endpoint.getLocalPort();
-            try (Peer platform = Peer.platform(() -> {
-                    listed.await(20, TimeUnit.SECONDS); // whichever call asks: those before have been given up
-                    return Setup.list(where);
-                }, notices)) {
-                forwarder = Forwarder.start(Config.parse(Setup.text(platform.address(), state, null, 40)
-                        .replace("\"kindBatch\": [20]", "\"kindBatch\": [100]"), Map.of()), null);
+            try (Peer platform = Peer.platform(
+                    () -> {
+                        listed.await(20, TimeUnit.SECONDS); // whichever call asks: those before have been given up
+                        return Setup.list(where);
+                    },
+                    notices)) {
+                forwarder = Forwarder.start(
+                        Config.parse(
+                                Setup.text(platform.address(), state, null, 40)
+                                        .replace("\"kindBatch\": [20]", "\"kindBatch\": [100]"),
+                                Map.of()),
+                        null);
                 address = forwarder.addresses().get(0);
                 try (Wire client = Wire.to(address)) {
                     String large = "x".repeat(60_000);
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.SocketTimeoutException;
 import java.util.Map;
@@ -41,7 +40,8 @@
 
     private HttpClient.Exchange send(HttpClient client, boolean tooLate) throws InterruptedException {
         HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        onLoop(() -> exchange[0] = client.send("e", address(), "POST", "/receive", Map.of(), new byte[0], listener(tooLate)));
+        onLoop(() -> exchange[0] =
+                client.send("e", address(), "POST", "/receive", Map.of(), new byte[0], listener(tooLate)));
         return exchange[0];
     }
 
@@ -49,7 +49,9 @@
         return new HttpClient(core, transport, "test", 1_500_000, 15_000_000, 4, 64 * 1024);
     }
 
-    /** An answer that crosses the giving up of its call comes after the time that was told: only the giving up counts. */
+    /**
+     * An answer that crosses the giving up of its call comes after the time that was told: only the giving up counts.
+     */
     @Test
     void anAnswerThatCrossesTheGivingUpCountsForNothing() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -61,12 +63,15 @@
             free.countDown();
             assertEquals("given up", told.poll(20, TimeUnit.SECONDS));
             assertNull(endpoint.read(), "closed");
-            onLoop(() -> { });
+            onLoop(() -> {});
             assertNull(told.poll());
         }
     }
 
-    /** Whoever closes a request that is being given up has moved on: a word of it later would be taken for the next one's. */
+    /**
+     * Whoever closes a request that is being given up has moved on: a word of it later would be taken for the next
+     * one's.
+     */
     @Test
     void nothingIsToldAfterAClose() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -79,12 +84,14 @@
             assertNull(endpoint.read(), "closed");
             CountDownLatch after = hold(); // what was to be posted has been
             after.countDown();
-            onLoop(() -> { });
+            onLoop(() -> {});
             assertNull(told.poll());
         }
     }
 
-    /** The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was. */
+    /**
+     * The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was.
+     */
     @Test
     void aRequestWhoseConnectionComesUpAtItsTimeOutHasEitherGoneOrNot() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -127,7 +134,7 @@
             first.read();
             first.answer("503 no", "", "X-Retry-In-Ms: 60000");
             while (!core.counters().text().contains("\nentries_idle_calls 1\n")) {
-                onLoop(() -> { }); // its answer is on its way
+                onLoop(() -> {}); // its answer is on its way
             }
             onLoop(() -> deliverer.probe(one));
             onLoop(() -> deliverer.probe(other));
--- a/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
@@ -28,7 +28,8 @@
     private IntakeFilter intake;
 
     private InetSocketAddress listen(BaseFilter filter) throws IOException {
-        TCPNIOServerConnection listener = transport.listen(new InetSocketAddress("127.0.0.1", 0), Transport.chain(filter));
+        TCPNIOServerConnection listener =
+                transport.listen(new InetSocketAddress("127.0.0.1", 0), Transport.chain(filter));
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
@@ -43,14 +44,17 @@
     }
 
     private static void answer(IntakeFilter.Request request, String body) {
-        request.exchange().answer(200, Map.of(), body.getBytes(StandardCharsets.UTF_8), () -> { });
+        request.exchange().answer(200, Map.of(), body.getBytes(StandardCharsets.UTF_8), () -> {});
     }
 
     private static String asks(String path, int length) {
         return "GET " + path + " HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\n" + "x".repeat(length);
     }
 
-    /** Its write of an answer is over only once the next request has been read, or cannot be: the order that a race may take. */
+    /**
+     * Its write of an answer is over only once the next request has been read, or cannot be: the order that a race may
+     * take.
+     */
     private final class Late extends BaseFilter {
         private final CountDownLatch second = new CountDownLatch(2);
 
@@ -105,7 +109,9 @@
         }
     }
 
-    /** A request that lies unread in the socket of a connection that looks idle, as it is to close, is answered first. */
+    /**
+     * A request that lies unread in the socket of a connection that looks idle, as it is to close, is answered first.
+     */
     @Test
     void anUnreadRequestIsAnsweredBeforeItsConnectionCloses() throws Exception {
         intake = new IntakeFilter(core, 10, 10, requests::add);
--- a/src/test/java/lilaclever/protocol/http/MessageReaderTest.java
+++ b/src/test/java/lilaclever/protocol/http/MessageReaderTest.java
@@ -20,9 +20,12 @@
         } catch (MessageReader.Spoilt e) {
             return "spoilt " + (answers ? reader.status() : e.status);
         }
-        return !reader.isComplete() ? "more" : (answers ? reader.status() : reader.path()) + " "
-                + new String(reader.body(), StandardCharsets.ISO_8859_1) + (reader.keeps() ? " keeps " : " closes ")
-                + (in.length - at);
+        return !reader.isComplete()
+                ? "more"
+                : (answers ? reader.status() : reader.path()) + " "
+                        + new String(reader.body(), StandardCharsets.ISO_8859_1)
+                        + (reader.keeps() ? " keeps " : " closes ")
+                        + (in.length - at);
     }
 
     private static void expect(String expected, boolean answers, String text) {
@@ -33,51 +36,70 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "POST /api?x HTTP/1.1~Content-Length: 3~~abcGET | /api abc keeps 3",
-        "~GET /a HTTP/1.1~Connection: Close~~ | /a  closes 0",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~3;x~abc~2~de~0~t: u~~ | /a abcde keeps 0",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 3~~0~~ | spoilt 400",
-        "POST /a HTTP/1.1~Content-Length: 3~Content-Length: 3~~abc | spoilt 400",
-        "POST /a HTTP/1.1~Content-Length: -3~~abc | spoilt 400",
-        "POST /a HTTP/1.1~Content-Length: +3~~abc | spoilt 400",
-        "POST /a HTTP/1.1~Content-Length: 99999999999999999999~~ | spoilt 413",
-        "POST /a HTTP/1.1~Content-Length: 101~~ | spoilt 413",
-        "POST /a HTTP/1.1~Content-Length : 3~~abc | spoilt 400",
-        "POST /a HTTP/1.1~X: a~ b~Content-Length: 3~~abc | spoilt 400",
-        "POST /a HTTP/1.1~X: #~Content-Length: 3~~abc | spoilt 400",
-        "POST /a HTTP/1.1^Content-Length: 3^^abc | spoilt 400",
-        "POST /a HTTP/1.1~~ | spoilt 411",
-        "POST /a HTTP/1.1~Transfer-Encoding: gzip~~ | spoilt 501",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~FFFFFFFFF~ | spoilt 413",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~-1~ | spoilt 400",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~1~ab~ | spoilt 400",
-        "GET /a HTTP/2.7~~ | spoilt 505", "what is this~~ | spoilt 400", "POST /a HTTP/1.1~Content-Length: 3~~ab | more"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "POST /api?x HTTP/1.1~Content-Length: 3~~abcGET | /api abc keeps 3",
+                "~GET /a HTTP/1.1~Connection: Close~~ | /a  closes 0",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~~3;x~abc~2~de~0~t: u~~ | /a abcde keeps 0",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 3~~0~~ | spoilt 400",
+                "POST /a HTTP/1.1~Content-Length: 3~Content-Length: 3~~abc | spoilt 400",
+                "POST /a HTTP/1.1~Content-Length: -3~~abc | spoilt 400",
+                "POST /a HTTP/1.1~Content-Length: +3~~abc | spoilt 400",
+                "POST /a HTTP/1.1~Content-Length: 99999999999999999999~~ | spoilt 413",
+                "POST /a HTTP/1.1~Content-Length: 101~~ | spoilt 413",
+                "POST /a HTTP/1.1~Content-Length : 3~~abc | spoilt 400",
+                "POST /a HTTP/1.1~X: a~ b~Content-Length: 3~~abc | spoilt 400",
+                "POST /a HTTP/1.1~X: #~Content-Length: 3~~abc | spoilt 400",
+                "POST /a HTTP/1.1^Content-Length: 3^^abc | spoilt 400",
+                "POST /a HTTP/1.1~~ | spoilt 411",
+                "POST /a HTTP/1.1~Transfer-Encoding: gzip~~ | spoilt 501",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~~FFFFFFFFF~ | spoilt 413",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~~-1~ | spoilt 400",
+                "POST /a HTTP/1.1~Transfer-Encoding: chunked~~1~ab~ | spoilt 400",
+                "GET /a HTTP/2.7~~ | spoilt 505",
+                "what is this~~ | spoilt 400",
+                "POST /a HTTP/1.1~Content-Length: 3~~ab | more"
+            })
     void requests(String text, String expected) {
         expect(expected, false, text);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "HTTP/1.1 200 OK~Content-Length: 2~~okHTTP/1.1 200 OK~ | 200 ok keeps 17",
-        "HTTP/1.1 100 Go on~~HTTP/1.1 103 Hints~a: b~~HTTP/1.1 503 no~Content-Length: 0~~ | 503  keeps 0",
-        "HTTP/1.1 204 fine~~ | 204  keeps 0", "HTTP/1.1 200 OK~Content-Length: 3000000000~~xxx | spoilt 200",
-        "HTTP/1.1 200 OK~no header~ | spoilt 200", "HTTP/1.1 200 OK~Content-Length: -1~~ | spoilt 200",
-        "HTTP/1.1 101 Other~~ | spoilt 101", "HTTP/1.1 2x0 OK~ | spoilt 0", "noise#~ | spoilt 0",
-        "HTTP/1.1 200 OK~~what | more", "HTTP/1.1 200 OK | more"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "HTTP/1.1 200 OK~Content-Length: 2~~okHTTP/1.1 200 OK~ | 200 ok keeps 17",
+                "HTTP/1.1 100 Go on~~HTTP/1.1 103 Hints~a: b~~HTTP/1.1 503 no~Content-Length: 0~~ | 503  keeps 0",
+                "HTTP/1.1 204 fine~~ | 204  keeps 0",
+                "HTTP/1.1 200 OK~Content-Length: 3000000000~~xxx | spoilt 200",
+                "HTTP/1.1 200 OK~no header~ | spoilt 200",
+                "HTTP/1.1 200 OK~Content-Length: -1~~ | spoilt 200",
+                "HTTP/1.1 101 Other~~ | spoilt 101",
+                "HTTP/1.1 2x0 OK~ | spoilt 0",
+                "noise#~ | spoilt 0",
+                "HTTP/1.1 200 OK~~what | more",
+                "HTTP/1.1 200 OK | more"
+            })
     void answers(String text, String expected) {
         expect(expected, true, text);
     }
 
     @ParameterizedTest
-    @CsvSource({"POST /a HTTP/1.1~, x, 431", "POST /a HTTP/1.1~, x: y~, 431", "'', ~, 431", "GET /, x, 431",
-        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~, 1~a~, 413"})
+    @CsvSource({
+        "POST /a HTTP/1.1~, x, 431",
+        "POST /a HTTP/1.1~, x: y~, 431",
+        "'', ~, 431",
+        "GET /, x, 431",
+        "POST /a HTTP/1.1~Transfer-Encoding: chunked~~, 1~a~, 413"
+    })
     void nothingWithoutEndIsGathered(String begin, String again, int status) {
         assertEquals("spoilt " + status, read(false, (begin + again.repeat(9_000)).replace("~", "\r\n"), 1000));
     }
 
     @ParameterizedTest
-    @CsvSource({"1.5, 1500000", "0, 0", "1e999999999, ''", "-1, ''", "soon, ''", "1234567890, ''", "1.0000000000001, ''"})
+    @CsvSource({"1.5, 1500000", "0, 0", "1e999999999, ''", "-1, ''", "soon, ''", "1234567890, ''", "1.0000000000001, ''"
+    })
     void figuresAreBoundedBeforeTheyAreComputed(String text, String expected) {
         Long read = Figures.decimal(text, 6);
         assertEquals(expected, read == null ? "" : read.toString());
--- a/src/test/java/lilaclever/protocol/http/TwoThreads.java
+++ b/src/test/java/lilaclever/protocol/http/TwoThreads.java
@@ -37,8 +37,10 @@
              "requestClasses": [{"name": "status", "aimS": 0.4, "deadlineS": 6, "repeat": "read_like"}],
              "rules": {"answerSlackS": 0.02, "coldFrom": 0.5, "tipMultiple": 1.5, "rampTimeS": 0.1,
               "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}""";
+
     @TempDir
     private Path state;
+
     final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
     private SegmentedJournal journal;
     Core core;
@@ -47,8 +49,12 @@
 
     @BeforeEach
     void start() throws Exception {
-        journal = new SegmentedJournal(FolderDisk.take(state), 1 << 20, Durability.NONE,
-                new Times(Core::micros, Core::wall, BootClock.UNKNOWN), new SplittableRandom(1));
+        journal = new SegmentedJournal(
+                FolderDisk.take(state),
+                1 << 20,
+                Durability.NONE,
+                new Times(Core::micros, Core::wall, BootClock.UNKNOWN),
+                new SplittableRandom(1));
         core = new Core(SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new Windows(List.of(), 0, 1));
         transport = new Transport();
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
@@ -87,8 +93,11 @@
     /** Has the selector thread stand still until the latch is released. */
     final CountDownLatch hold() throws InterruptedException {
         LinkedBlockingQueue<Connection<?>> up = new LinkedBlockingQueue<>();
-        transport.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), Transport.chain(new BaseFilter() { }),
-                up::add, Throwable::printStackTrace);
+        transport.connect(
+                new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                Transport.chain(new BaseFilter() {}),
+                up::add,
+                Throwable::printStackTrace);
         Connection<?> any = up.poll(20, TimeUnit.SECONDS);
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch free = new CountDownLatch(1);
--- a/src/test/java/lilaclever/protocol/mllp/FrameReaderTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/FrameReaderTest.java
@@ -34,8 +34,12 @@
 
     @Provide
     Arbitrary<List<byte[]>> messages() {
-        return Arbitraries.bytes().filter(b -> b != FrameReader.VT && b != FrameReader.FS).array(byte[].class)
-                .ofMaxSize(1200).list().ofMaxSize(5);
+        return Arbitraries.bytes()
+                .filter(b -> b != FrameReader.VT && b != FrameReader.FS)
+                .array(byte[].class)
+                .ofMaxSize(1200)
+                .list()
+                .ofMaxSize(5);
     }
 
     /** However they are cut, all messages come out whole and in order, and nothing is left. */
--- a/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
@@ -29,9 +29,21 @@
             + "PID|1||77\rORC|NW|ORD\\F\\1\rZLC|12.5\r";
 
     private static Hl7Reader reader(String key, boolean anySender) {
-        MllpSettings settings = new MllpSettings(List.of(), Map.of("APP", "north", "APP|OTHER", "south"), anySender,
-                Map.of("ORM^O01", 0, "DFT", 2), 2, Map.of("LAB", 7), List.of(20L, 6L, 28L), Field.of(key), Field.of("ZLC-1"),
-                Set.of("P"), Set.of("2.3", "2.3.1", "2.4", "2.5", "2.5.1"), 10, 1, 1);
+        MllpSettings settings = new MllpSettings(
+                List.of(),
+                Map.of("APP", "north", "APP|OTHER", "south"),
+                anySender,
+                Map.of("ORM^O01", 0, "DFT", 2),
+                2,
+                Map.of("LAB", 7),
+                List.of(20L, 6L, 28L),
+                Field.of(key),
+                Field.of("ZLC-1"),
+                Set.of("P"),
+                Set.of("2.3", "2.3.1", "2.4", "2.5", "2.5.1"),
+                10,
+                1,
+                1);
         return new Hl7Reader(settings, () -> 5, () -> 1_000_000);
     }
 
@@ -46,15 +58,25 @@
     @Test
     void aMessageIsPutInOurTerms() throws Hl7Fault {
         Request r = read(GOOD, "MSH-10");
-        assertEquals(List.of("north", "M1", 0, 7, 12_500_000L, "id/north/M1", "north.M1"), List.of(r.practice(), r.key(),
-                r.messageClass(), r.destination(), r.budgetMicros(), r.identity(), r.deliveryKey()));
+        assertEquals(
+                List.of("north", "M1", 0, 7, 12_500_000L, "id/north/M1", "north.M1"),
+                List.of(
+                        r.practice(),
+                        r.key(),
+                        r.messageClass(),
+                        r.destination(),
+                        r.budgetMicros(),
+                        r.identity(),
+                        r.deliveryKey()));
         assertArrayEquals(bytes(GOOD), r.body());
         assertEquals("south", read(GOOD.replace("FAC", "OTHER"), "MSH-10").practice());
         assertEquals("ORD|1", read(GOOD, "ORC-2").key());
         assertEquals(2, read(GOOD.replace("ORM^O01", "DFT^P03"), "MSH-10").messageClass());
         assertEquals(2, read(GOOD.replace("ORM^O01", "ZZZ^Z99"), "MSH-10").messageClass()); // must not be repeated
         assertEquals(20, read(GOOD.replace("ZLC|12.5", "ZLC|"), "MSH-10").budgetMicros());
-        assertEquals(4_000_000, read(GOOD.replace("12.5", "19700101000005+0000"), "MSH-10").budgetMicros());
+        assertEquals(
+                4_000_000,
+                read(GOOD.replace("12.5", "19700101000005+0000"), "MSH-10").budgetMicros());
         String tabs = GOOD.replace('|', '\t').replace("M1", "x");
         assertThrows(Hl7Fault.class, () -> read(tabs, "MSH-10"));
         assertEquals("north", read(GOOD.replace('|', '#'), "MSH-10").practice());
@@ -67,30 +89,47 @@
         assertEquals(a, read(GOOD.replace("M1", "M 1"), "MSH-10").key());
         assertNotEquals(a, read(GOOD.replace("M1", "M  1"), "MSH-10").key());
         assertTrue(a.matches("[!-~]{1,200}"));
-        assertTrue(read(GOOD.replace("M1", "M".repeat(190)), "MSH-10").deliveryKey().matches("[!-~]{1,128}"));
+        assertTrue(read(GOOD.replace("M1", "M".repeat(190)), "MSH-10")
+                .deliveryKey()
+                .matches("[!-~]{1,128}"));
     }
 
     /** Each fault names its code, segment and field. */
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "PID|1; 100 MSH 0", "MSH; 100 MSH 0", "MSHAAAAAAAA; 102 MSH 1", "MSH|^~|A|B|C|D; 102 MSH 2",
-        "MSH|^~\\&|APP; 101 MSH 12", "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|9.9; 203 MSH 12",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|T|2.5; 202 MSH 11", "MSH|^~\\&|APP|F|LAB|L|||ORM^O01||P|2.5; 101 MSH 10",
-        "MSH|^~\\&|APP|F|LAB|L||||1|P|2.5; 101 MSH 9", "MSH|^~\\&|WHO|F|LAB|L|||ORM^O01|1|P|2.5; 204 MSH 3",
-        "MSH|^~\\&|APP|F|WHAT|L|||ORM^O01|1|P|2.5; 204 MSH 5",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5||||||KLINGON; 103 MSH 18",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~pid|1; 100  0", "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~PID|\u0000x; 102 PID 0",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~MSH|^~\\&|APP; 100 MSH 0",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~ZLC|soon; 102 ZLC 1",
-        "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~PID|1$ORC|1; 100 PID 0"})
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "PID|1; 100 MSH 0",
+                "MSH; 100 MSH 0",
+                "MSHAAAAAAAA; 102 MSH 1",
+                "MSH|^~|A|B|C|D; 102 MSH 2",
+                "MSH|^~\\&|APP; 101 MSH 12",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|9.9; 203 MSH 12",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|T|2.5; 202 MSH 11",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01||P|2.5; 101 MSH 10",
+                "MSH|^~\\&|APP|F|LAB|L||||1|P|2.5; 101 MSH 9",
+                "MSH|^~\\&|WHO|F|LAB|L|||ORM^O01|1|P|2.5; 204 MSH 3",
+                "MSH|^~\\&|APP|F|WHAT|L|||ORM^O01|1|P|2.5; 204 MSH 5",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5||||||KLINGON; 103 MSH 18",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~pid|1; 100  0",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~PID|\u0000x; 102 PID 0",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~MSH|^~\\&|APP; 100 MSH 0",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~ZLC|soon; 102 ZLC 1",
+                "MSH|^~\\&|APP|F|LAB|L|||ORM^O01|1|P|2.5~PID|1$ORC|1; 100 PID 0"
+            })
     void aFaultNamesItsPlace(String message, String place) {
         String text = message.replaceFirst("2\\.5~", "2.5\r").replace('$', '\n');
         Hl7Fault fault = assertThrows(Hl7Fault.class, () -> read(text, "MSH-10"));
-        assertEquals(place, fault.code().number + " " + fault.segment().replace("?", "") + ' ' + fault.field(), fault.getMessage());
+        assertEquals(
+                place,
+                fault.code().number + " " + fault.segment().replace("?", "") + ' ' + fault.field(),
+                fault.getMessage());
     }
 
     private static String ack(byte[] ack) {
-        return new String(ack, StandardCharsets.ISO_8859_1).replace('\r', '\n').replaceAll("\\|20\\d{12}[+-]\\d{4}\\|", "|TIME|");
+        return new String(ack, StandardCharsets.ISO_8859_1)
+                .replace('\r', '\n')
+                .replaceAll("\\|20\\d{12}[+-]\\d{4}\\|", "|TIME|");
     }
 
     /** The sender's own header turned round, in its delimiters and version; ERR as its version has it. */
@@ -98,17 +137,23 @@
     void acknowledgementsFollowTheSendersVersion() throws Hl7Fault {
         Acknowledgements acks = new Acknowledgements("L-");
         Header h = Header.read(bytes(GOOD));
-        assertEquals("MSH|^~\\&|LAB|LF|APP|FAC|TIME||ACK^O01^ACK|L-0|P|2.5|||NE|NE|CAN|8859/1\nMSA|CA|M1\n",
+        assertEquals(
+                "MSH|^~\\&|LAB|LF|APP|FAC|TIME||ACK^O01^ACK|L-0|P|2.5|||NE|NE|CAN|8859/1\nMSA|CA|M1\n",
                 ack(acks.good(Code.CA, h)));
         Hl7Fault fault = new Hl7Fault(Hl7Fault.Code.MISSING, "PID", 3, "a field | that is needed");
-        assertTrue(ack(acks.fault(Code.CR, h, fault)).endsWith("MSA|CR|M1|a field \\F\\ that is needed\n"
-                + "ERR||PID^^3|101^Required field missing^HL70357|E||||a field \\F\\ that is needed\n"));
+        assertTrue(ack(acks.fault(Code.CR, h, fault))
+                .endsWith("MSA|CR|M1|a field \\F\\ that is needed\n"
+                        + "ERR||PID^^3|101^Required field missing^HL70357|E||||a field \\F\\ that is needed\n"));
         Verdict busy = new Verdict(Verdict.Kind.REFUSED, 2_500_000, "no room");
-        assertTrue(ack(acks.comeBack(Code.AR, h, busy)).endsWith("MSA|AR|M1|no room; come again in 2.5 s\n"
-                + "ERR|||207^Application internal error^HL70357|E|come-again|2.5||no room; come again in 2.5 s\n"));
+        assertTrue(ack(acks.comeBack(Code.AR, h, busy))
+                .endsWith("MSA|AR|M1|no room; come again in 2.5 s\n"
+                        + "ERR|||207^Application internal error^HL70357|E|come-again|2.5||no room; "
+                        + "come again in 2.5 s\n"));
         Header old = Header.read(bytes("MSH#*~\\%#APP#FAC#LAB#LF###ORM*O01#M1#P#2.3\r"));
-        assertEquals("MSH#*~\\%#LAB#LF#APP#FAC#TIME##ACK*O01#L-3#P#2.3\nMSA#AE#M1#a field | that is needed\n"
-                + "ERR#PID**3*101%Required field missing%HL70357\n", ack(acks.fault(Code.AE, old, fault)).replaceAll("#20\\d{12}[+-]\\d{4}#", "#TIME#"));
+        assertEquals(
+                "MSH#*~\\%#LAB#LF#APP#FAC#TIME##ACK*O01#L-3#P#2.3\nMSA#AE#M1#a field | that is needed\n"
+                        + "ERR#PID**3*101%Required field missing%HL70357\n",
+                ack(acks.fault(Code.AE, old, fault)).replaceAll("#20\\d{12}[+-]\\d{4}#", "#TIME#"));
     }
 
     /** Guards against an answer that its reader takes for two. */
@@ -122,24 +167,41 @@
     /** Characters of two bytes come back as they were. */
     @Test
     void answersAreInTheSendersCharacters() throws Hl7Fault {
-        byte[] utf = GOOD.replace("8859/1", "UNICODE UTF-8").replace("FAC", "Qu\u00e9bec").getBytes(StandardCharsets.UTF_8);
+        byte[] utf = GOOD.replace("8859/1", "UNICODE UTF-8")
+                .replace("FAC", "Qu\u00e9bec")
+                .getBytes(StandardCharsets.UTF_8);
         byte[] ack = new Acknowledgements("").good(Code.AA, Header.read(utf));
         assertTrue(new String(ack, StandardCharsets.UTF_8).contains("|Qu\u00e9bec|"));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"BHS|^~\\&\rMSH|1\rPID|1\rMSH|2\rBTS|2\r", "FHS|^~\\&\rBHS|^~\\&\rMSH|1\rPID|1\rMSH|2\rBTS|2\rFTS|1\r"})
+    @ValueSource(
+            strings = {
+                "BHS|^~\\&\rMSH|1\rPID|1\rMSH|2\rBTS|2\r",
+                "FHS|^~\\&\rBHS|^~\\&\rMSH|1\rPID|1\rMSH|2\rBTS|2\rFTS|1\r"
+            })
     void aBatchIsItsMessages(String batch) throws Hl7Fault {
         assertTrue(Batch.is(bytes(batch)));
         List<byte[]> split = Batch.split(bytes(batch));
-        assertEquals(List.of("MSH|1\rPID|1\r", "MSH|2\r"),
-                split.stream().map(b -> new String(b, StandardCharsets.ISO_8859_1)).toList());
+        assertEquals(
+                List.of("MSH|1\rPID|1\r", "MSH|2\r"),
+                split.stream()
+                        .map(b -> new String(b, StandardCharsets.ISO_8859_1))
+                        .toList());
     }
 
     /** Guards against a part of a batch that was cut being taken for the whole. */
     @ParameterizedTest
-    @ValueSource(strings = {"BHS|^~\\&\rMSH|1\r", "BHS|^~\\&\rMSH|1\rBTS|2\r", "FHS|^~\\&\rMSH|1\rFTS|1\r", "BHS|^~\\&\rPID|1\rBTS|0",
-        "BHS|^~\\&\rBHS|^~\\&\rBTS|0\r", "BHS|^~\\&\rMSH|1\rBTS|1\rMSH|2\r", "FHS|^~\\&\rBHS|1\rMSH|1\rBTS|1\r"})
+    @ValueSource(
+            strings = {
+                "BHS|^~\\&\rMSH|1\r",
+                "BHS|^~\\&\rMSH|1\rBTS|2\r",
+                "FHS|^~\\&\rMSH|1\rFTS|1\r",
+                "BHS|^~\\&\rPID|1\rBTS|0",
+                "BHS|^~\\&\rBHS|^~\\&\rBTS|0\r",
+                "BHS|^~\\&\rMSH|1\rBTS|1\rMSH|2\r",
+                "FHS|^~\\&\rBHS|1\rMSH|1\rBTS|1\r"
+            })
     void aBatchThatIsNotWholeIsRefused(String batch) {
         assertThrows(Hl7Fault.class, () -> Batch.split(bytes(batch)));
     }
@@ -148,13 +210,16 @@
     Arbitrary<byte[]> nearlyGood() {
         byte[] good = bytes(GOOD);
         Arbitrary<Integer> places = Arbitraries.integers().between(0, good.length - 1);
-        return places.list().ofMinSize(1).ofMaxSize(6).flatMap(at -> Arbitraries.bytes().list().ofSize(at.size()).map(with -> {
-            byte[] spoilt = good.clone();
-            for (int i = 0; i < at.size(); i++) {
-                spoilt[at.get(i)] = with.get(i);
-            }
-            return spoilt;
-        }));
+        return places.list()
+                .ofMinSize(1)
+                .ofMaxSize(6)
+                .flatMap(at -> Arbitraries.bytes().list().ofSize(at.size()).map(with -> {
+                    byte[] spoilt = good.clone();
+                    for (int i = 0; i < at.size(); i++) {
+                        spoilt[at.get(i)] = with.get(i);
+                    }
+                    return spoilt;
+                }));
     }
 
     /** Whatever comes is read or refused with a fault, and can be answered in one frame; nothing else is thrown. */
--- a/src/test/java/lilaclever/routing/CallTest.java
+++ b/src/test/java/lilaclever/routing/CallTest.java
@@ -10,8 +10,8 @@
     }
 
     /**
-     * Guards windows where several share a call: a restart's first turn was long, the connection came up after the window of
-     * two of three messages, and all three were written, as the call itself may wait for the last of them.
+     * Guards windows where several share a call: a restart's first turn was long, the connection came up after the
+     * window of two of three messages, and all three were written, as the call itself may wait for the last of them.
      */
     @Test
     void aCallIsWrittenOnlyWhileAllOfItsMessagesMayGo() {
--- a/src/test/java/lilaclever/transport/TransportTest.java
+++ b/src/test/java/lilaclever/transport/TransportTest.java
@@ -31,9 +31,12 @@
             InetSocketAddress address = new InetSocketAddress(full.getInetAddress(), full.getLocalPort());
             long before = descriptors();
             for (int i = 0; i < 50; i++) {
-                transport.connect(address, Transport.chain(new BaseFilter() { }), up -> { }, problem -> { }).run();
+                transport
+                        .connect(address, Transport.chain(new BaseFilter() {}), up -> {}, problem -> {})
+                        .run();
             }
-            for (long end = System.nanoTime() + 10_000_000_000L; descriptors() > before + 5 && System.nanoTime() < end;) {
+            for (long end = System.nanoTime() + 10_000_000_000L;
+                    descriptors() > before + 5 && System.nanoTime() < end; ) {
                 Thread.onSpinWait();
             }
             assertTrue(descriptors() <= before + 5, "of fifty, " + (descriptors() - before) + " are still open");
