Believe an answer to a call of several only where a whole line for each message came

Need: of such a call delivery counts only with the whole answer. HttpDeliverer.each took every line that it found for true, also of an answer without a length that stopped short (MessageReader.ends at any close), and a message without a line, or with a cut one, for a fault; what was told as delivered so is counted as lost by the platform. Change: SeveralAnswer reads the body; unless there is one whole line, ended by CRLF, for each message of the call, all end as reset and the answer counts as spoilt. An answer without a length ends only by the other side's close, not by one from here (too much of it, or an answer before the request's last byte). Grizzly tells a reset and an end in order alike, so after a reset the lines decide. Tests: ForwarderTest.anAnswerToSeveralCountsOnlyWhole, 9 forms, of which 7 fail without the change (the other two, a length and chunks that are not all there, held before); HttpClientTest.anAnswerIsWholeByItsFraming, of whose 6 forms one fails without it.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -199,7 +199,8 @@
             core.post(() -> exchange.answered(status, headers, body));
         }
 
-        void closed() {
+        /** {@code remotely}: by the other side; an answer without a length ends so, and not by a close from here. */
+        void closed(boolean remotely) {
             Exchange exchange = current;
             current = null;
             spoilt = true;
@@ -207,7 +208,7 @@
                 partly.remove(exchange);
                 head(exchange);
             }
-            if (exchange != null && reader.status() != 0 && reader.ends()) {
+            if (exchange != null && exchange.written && remotely && reader.status() != 0 && reader.ends()) {
                 complete(exchange, false);
             } else if (exchange != null) {
                 core.post(exchange::broke);
@@ -475,7 +476,7 @@
         public NextAction handleClose(FilterChainContext context) {
             Link link = links.get(context.getConnection());
             if (link != null) {
-                link.closed();
+                link.closed(Transport.isEndedRemotely(context.getConnection()));
             }
             return context.getInvokeAction();
         }
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -2,11 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import lilaclever.Relay.Ending;
 import lilaclever.log.Logs;
@@ -173,7 +173,7 @@
         switch (status) {
             case 200 -> {
                 if (several) {
-                    each(call, new String(body, StandardCharsets.ISO_8859_1));
+                    each(call, body);
                 } else {
                     all(call, Ending.DELIVERED, false, false);
                 }
@@ -205,22 +205,22 @@
                         .equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
     }
 
-    private void each(Call call, String text) {
-        Map<String, String> ends = new HashMap<>();
-        for (String line : text.split("\r?\n")) {
-            int space = line.indexOf(' ');
-            if (space > 0) {
-                ends.put(line.substring(0, space), line.substring(space + 1).trim());
-            }
+    /** Ends each message as the answer says, or all as calls that may have run where the answer is not whole. */
+    private void each(Call call, byte[] body) {
+        Optional<SeveralAnswer> answer =
+                SeveralAnswer.parse(body).filter(x -> call.messages.stream().allMatch(m -> x.of(m.id()) != null));
+        if (answer.isEmpty()) {
+            core.counters().add(Counters.Name.SPOILT_ANSWERS);
+            all(call, Ending.RESET, false, false);
+            return;
         }
         for (Message m : List.copyOf(call.messages)) {
-            String end = ends.getOrDefault(m.id(), "fault"); // not told: it may have run
-            switch (end) {
-                case "accepted" -> outcome(call, m, Ending.DELIVERED, false, false);
-                case "deferred" -> outcome(call, m, Ending.FULL, false, false);
-                case "expired" -> outcome(call, m, Ending.NOT_SENT, false, true);
-                case "no_more" -> outcome(call, m, Ending.NOT_SENT, false, false);
-                default -> outcome(call, m, Ending.ERROR, false, false);
+            switch (answer.get().of(m.id())) {
+                case ACCEPTED -> outcome(call, m, Ending.DELIVERED, false, false);
+                case DEFERRED -> outcome(call, m, Ending.FULL, false, false);
+                case EXPIRED -> outcome(call, m, Ending.NOT_SENT, false, true);
+                case NO_MORE -> outcome(call, m, Ending.NOT_SENT, false, false);
+                case FAULT -> outcome(call, m, Ending.ERROR, false, false);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/SeveralAnswer.java
@@ -0,0 +1,66 @@
+package lilaclever.protocol.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The body of a 200 to a call of several messages: a line with id and result for each, ended by CRLF. It counts only as a
+ * whole: where a line is cut off, unknown, repeated or missing, nothing in it may be believed.
+ */
+final class SeveralAnswer {
+    private static final String LINE_END = "\r\n";
+
+    /** How an endpoint says that one of the messages ended. */
+    enum Result {
+        ACCEPTED,
+        FAULT,
+        DEFERRED,
+        EXPIRED,
+        NO_MORE
+    }
+
+    private static final Map<String, Result> WORDS = Map.of(
+            "accepted",
+            Result.ACCEPTED,
+            "fault",
+            Result.FAULT,
+            "deferred",
+            Result.DEFERRED,
+            "expired",
+            Result.EXPIRED,
+            "no_more",
+            Result.NO_MORE);
+
+    private final Map<String, Result> results;
+
+    private SeveralAnswer(Map<String, Result> results) {
+        this.results = results;
+    }
+
+    /** The results by message id; empty if the body is not a sequence of whole lines, each for another message. */
+    static Optional<SeveralAnswer> parse(byte[] body) {
+        String text = new String(body, StandardCharsets.ISO_8859_1);
+        Map<String, Result> results = new HashMap<>();
+        int at = 0;
+        while (at < text.length()) {
+            int end = text.indexOf(LINE_END, at);
+            int space = text.indexOf(' ', at);
+            if (end < 0 || space <= at || space > end) {
+                return Optional.empty();
+            }
+            Result result = WORDS.get(text.substring(space + 1, end).strip());
+            if (result == null || results.put(text.substring(at, space), result) != null) {
+                return Optional.empty();
+            }
+            at = end + LINE_END.length();
+        }
+        return Optional.of(new SeveralAnswer(results));
+    }
+
+    /** The result of the message, or null if the answer has none. */
+    Result of(String id) {
+        return results.get(id);
+    }
+}
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -8,6 +8,8 @@
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -157,6 +159,12 @@
         }
     }
 
+    /** True if the other side has ended the closed connection, in order or by a reset, which Grizzly does not tell apart. */
+    public static boolean isEndedRemotely(Connection<?> closed) {
+        CloseReason reason = closed.getCloseReason();
+        return reason != null && reason.getType() == CloseType.REMOTELY;
+    }
+
     /**
      * Ends the sending on a connection, once all that was written has gone; it is still read, until the other side
      * closes. Any thread, after the write has completed.
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -16,6 +16,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +32,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Stories of the forwarder between scripted clients, endpoints and a platform. */
 class ForwarderTest {
@@ -337,6 +340,51 @@
         }
     }
 
+    /**
+     * Of a call of several nothing is delivered unless the whole answer has come, a whole line for each message: what may
+     * have run ends by a notice where its class can't be repeated, and is never taken for delivered.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Connection: close~~a accepted~",
+                "Connection: close~~a accepted~b accepted~c accep",
+                "Connection: close~~a accepted~b accepted~c accepted",
+                "Connection: close~~a accepted~b accepted~c",
+                "Content-Length: 24~~a accepted~b accepted~",
+                "Content-Length: 36~~a accepted~b accepted~b accepted~",
+                "Content-Length: 36~~a accepted~b accepted~c accept_d~",
+                "Content-Length: 99~~a accepted~b accepted~c accepted~",
+                "Transfer-Encoding: chunked~~24~a accepted~b accepted~c accepted~~"
+            })
+    void anAnswerToSeveralCountsOnlyWhole(String answer) throws Exception {
+        CountDownLatch listed = new CountDownLatch(1);
+        try (ServerSocket endpoint = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+                Peer platform = platformThatTellsLater(listed, "127.0.0.1:" + endpoint.getLocalPort())) {
+            endpoint.setSoTimeout(20_000);
+            serve(platform.address(), null);
+            try (Wire client = Wire.to(address)) {
+                for (String id : new String[] {"a", "b", "c"}) {
+                    assertTrue(client.handIn(id, "payment", 28, "").startsWith("202"));
+                }
+            }
+            listed.countDown();
+            try (var call =
+                    new lilaclever.lab.sockets.Wire(endpoint.accept())) { // which closes in order, without a reset
+                assertEquals("/receive-many", call.read().target());
+                call.say("HTTP/1.1 200 OK\r\n" + answer.replace("~", "\r\n"));
+            }
+            Set<String> ended = new TreeSet<>();
+            for (int i = 0; i < 3; i++) {
+                ended.add(Peer.next(notices));
+            }
+            assertEquals(
+                    "[{\"id\":\"a\",\"status\":\"undeliverable\"}, {\"id\":\"b\",\"status\":\"undeliverable\"}, "
+                            + "{\"id\":\"c\",\"status\":\"undeliverable\"}]",
+                    ended.toString());
+        }
+    }
+
     @Test
     void whatWasTakenOnOutlastsAKill() throws Exception {
         LinkedBlockingQueue<String> hanging = new LinkedBlockingQueue<>();
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.SocketTimeoutException;
 import java.util.Map;
@@ -11,6 +12,8 @@
 import lilaclever.lab.sockets.Wire;
 import lilaclever.routing.Call;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Requests and connections at the moments where the loop and the selector thread cross. */
 class HttpClientTest extends TwoThreads {
@@ -122,6 +125,51 @@
         }
     }
 
+    /**
+     * An answer is believed only as a whole, as RFC 9112 says in section 8: without a length it ends with the connection;
+     * a length or chunks that are not all there are never whole, nor is what is cut off here as it is too much (#).
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "Connection: close~~a accepted~                         | false | answered 200",
+                "Connection: close~~#                                   | false | broke true",
+                "Content-Length: 99~~a accepted~                        | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~             | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~0~           | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~0~~         | true  | answered 200"
+            })
+    void anAnswerIsWholeByItsFraming(String rest, boolean reset, String expected) throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        onLoop(() -> client().send(
+                        "e", address(), "POST", "/receive-many", Map.of(), new byte[0], new HttpClient.Listener() {
+                            @Override
+                            public void answered(int status, Map<String, String> headers, byte[] body) {
+                                told.add("answered " + status);
+                            }
+
+                            @Override
+                            public void broke(boolean written, int status) {
+                                told.add("broke " + written);
+                            }
+
+                            @Override
+                            public void head(Map<String, String> headers) {
+                                read.countDown();
+                            }
+                        }));
+        try (Wire endpoint = accept()) {
+            endpoint.read();
+            endpoint.say("HTTP/1.1 200 OK\r\n" + rest.replace("~", "\r\n").replace("#", "x".repeat(70_000)));
+            assertTrue(read.await(20, TimeUnit.SECONDS), "a reset must not overtake it");
+            if (reset) {
+                endpoint.reset();
+            }
+        }
+        assertEquals(expected, told.poll(20, TimeUnit.SECONDS));
+    }
+
     /** A probe is a call to its destination: a wait told in its answer binds, and none is written under a wait. */
     @Test
     void aProbeKeepsAndTellsWaits() throws Exception {
