--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -220,7 +220,7 @@
                 case DEFERRED -> outcome(call, m, Ending.FULL, false, false);
                 case EXPIRED -> outcome(call, m, Ending.NOT_SENT, false, true);
                 case NO_MORE -> outcome(call, m, Ending.NOT_SENT, false, false);
-                case FAULT -> outcome(call, m, Ending.ERROR, false, false);
+                default -> outcome(call, m, Ending.ERROR, false, false);
             }
         }
     }
--- a/src/main/java/lilaclever/protocol/http/SeveralAnswer.java
+++ b/src/main/java/lilaclever/protocol/http/SeveralAnswer.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 /**
- * The body of a 200 to a call of several messages: a line with id and result for each, ended by CRLF. It counts only as a
- * whole: where a line is cut off, unknown, repeated or missing, nothing in it may be believed.
+ * The body of a 200 to a call of several messages: a line with id and result for each, ended by CRLF. It counts
+ * only as a whole: where a line is cut off, unknown, repeated or missing, nothing in it may be believed.
  */
 final class SeveralAnswer {
     private static final String LINE_END = "\r\n";
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -159,7 +159,10 @@
         }
     }
 
-    /** True if the other side has ended the closed connection, in order or by a reset, which Grizzly does not tell apart. */
+    /**
+     * True if the other side has ended the closed connection, in order or by a reset, which Grizzly does not
+     * tell apart.
+     */
     public static boolean isEndedRemotely(Connection<?> closed) {
         CloseReason reason = closed.getCloseReason();
         return reason != null && reason.getType() == CloseType.REMOTELY;
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -341,8 +341,8 @@
     }
 
     /**
-     * Of a call of several nothing is delivered unless the whole answer has come, a whole line for each message: what may
-     * have run ends by a notice where its class can't be repeated, and is never taken for delivered.
+     * Of a call of several nothing is delivered unless the whole answer has come, a whole line for each message:
+     * what may have run ends by a notice where its class can't be repeated, and is never taken for delivered.
      */
     @ParameterizedTest
     @ValueSource(
