--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -127,7 +127,8 @@
 
     /**
      * An answer is believed only as a whole, as RFC 9112 says in section 8: without a length it ends with the
-     * connection; a length or chunks that are not all there are never whole, nor is what is cut off here as it is too much (#).
+     * connection; a length or chunks that are not all there are never whole, nor is what is cut off here as it is too
+     * much (#).
      */
     @ParameterizedTest
     @CsvSource(
