Add the typed commands, events and permissions of destination ownership

Ownership of destinations by lease needs types that the controller, the holder and a fleet in virtual time share. Types only; nothing uses them yet.

--- /dev/null
+++ b/src/main/java/lilaclever/placement/MapDelta.java
@@ -0,0 +1,23 @@
+package lilaclever.placement;
+
+import java.util.List;
+
+/**
+ * What changed between two versions of a region's shard map.
+ *
+ * @param region               number of the region
+ * @param fromVersion          version that the changes apply to
+ * @param toVersion            version after the changes, greater than {@code fromVersion}
+ * @param configurationVersion version of the configuration that is in force with {@code toVersion}
+ * @param changes              the shards whose owner or epoch is another
+ */
+public record MapDelta(int region, long fromVersion, long toVersion, long configurationVersion,
+        List<OwnerChange> changes) {
+    /** A shard's owner from now on; {@code owner} is null while nobody may send for it. */
+    public record OwnerChange(int shard, MemberId owner, long epoch) { }
+
+    /** Copies the list. */
+    public MapDelta {
+        changes = List.copyOf(changes);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/placement/SendPermission.java
@@ -0,0 +1,23 @@
+package lilaclever.placement;
+
+/** Whether a forwarder may send for a shard now. */
+public sealed interface SendPermission {
+    /**
+     * It may, with the shard's fencing token, and the last byte has to be written before the given reading of the
+     * holder's monotonic clock, microseconds.
+     */
+    record Permitted(long epoch, long untilMicros) implements SendPermission { }
+
+    /** It may not. */
+    record Refused(Reason reason) implements SendPermission { }
+
+    /** Why a forwarder may not send. */
+    enum Reason {
+        /** The shard is not assigned to this forwarder. */
+        NOT_OWNER,
+        /** The shard is assigned, but no renewal has covered the assignment yet. */
+        NOT_COVERED,
+        /** The lease has ended, or ends within the margin. */
+        LEASE_EXPIRED
+    }
+}
