--- /dev/null
+++ b/src/main/java/lilaclever/placement/LeaseHolder.java
@@ -0,0 +1,286 @@
+package lilaclever.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The forwarder's side of ownership by lease: which shards one life of a forwarder's process may send for. It does no
+ * I/O and reads no clock; every reading that it is given is microseconds of one monotonic clock of the process.
+ *
+ * <p>A lease runs from the moment in which the heartbeat that it answers was sent, and covers the shards of one revision
+ * of the assignment. A holder that is cut off therefore stops by itself, before the controller grants its shards anew.
+ * Messages may be lost, doubled, late and in any order. A clock that is seen to step back ends all leases at once, as
+ * the time since the heartbeats is then unknown; a step that falls between two readings counts as drift.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class LeaseHolder {
+    /** How often a release is sent, with a heartbeat each time; if all are lost, the lease has to run out instead. */
+    static final int RELEASE_SENDS = 3;
+
+    private final MemberId member;
+    private final long incarnation;
+    private final LeaseTiming timing;
+    private final LeaseGuards guards;
+    private final SentHeartbeats heartbeats = new SentHeartbeats();
+    private final RenewalHistory renewals;
+
+    private final Map<Integer, AssignedShard> assigned = new HashMap<>();
+    /** The least epoch that may still be granted, for each shard that was ever assigned; bounded by the shards. */
+    private final Map<Integer, Long> leastEpoch = new HashMap<>();
+    /** Calls out for grants that were revoked; an entry goes with its last call. */
+    private final Map<ShardGrant, Integer> draining = new HashMap<>();
+    /** What is to be released, with how often it is still to be sent. */
+    private final Map<ShardGrant, Integer> releases = new LinkedHashMap<>();
+    private long appliedRevision;
+    private long latestReading = Long.MIN_VALUE;
+
+    /** A shard of the assignment. */
+    private static final class AssignedShard {
+        final long epoch;
+        final long grantedRevision;
+        int callsOut;
+
+        AssignedShard(long epoch, long grantedRevision) {
+            this.epoch = epoch;
+            this.grantedRevision = grantedRevision;
+        }
+    }
+
+    /**
+     * Makes a holder without shards.
+     *
+     * @param incarnation number of the process's life, the one that it registers with
+     */
+    public LeaseHolder(MemberId member, long incarnation, LeaseTiming timing) {
+        this(member, incarnation, timing, new LeaseGuards(timing));
+    }
+
+    LeaseHolder(MemberId member, long incarnation, LeaseTiming timing, LeaseGuards guards) {
+        this.member = member;
+        this.incarnation = incarnation;
+        this.timing = timing;
+        this.guards = guards;
+        this.renewals = new RenewalHistory(guards);
+    }
+
+    /** Makes the next heartbeat, which has to be sent now or later; its renewal counts from now. */
+    public ControllerCommand.Heartbeat heartbeat(long nowMicros) {
+        readClock(nowMicros);
+        return new ControllerCommand.Heartbeat(member, incarnation, heartbeats.sent(nowMicros), appliedRevision);
+    }
+
+    /** Takes in a renewal. It never shortens a lease, and never lengthens one beyond what its heartbeat gives. */
+    public HolderResult renewed(ControllerEvent.LeaseRenewed renewal, long nowMicros) {
+        readClock(nowMicros);
+        if (!addressed(renewal.member(), renewal.incarnation())) {
+            return HolderResult.NOT_ADDRESSED;
+        }
+        long sentMicros = heartbeats.sentAt(renewal.sequence());
+        if (sentMicros == SentHeartbeats.UNKNOWN) {
+            return HolderResult.UNKNOWN_HEARTBEAT;
+        }
+        long leaseMicros = Math.min(renewal.leaseMicros(), timing.leaseMicros());
+        long endMicros = sentMicros + guards.driftAllowed(leaseMicros);
+        if (guards.expired(nowMicros, guards.sendUntil(endMicros))) {
+            return HolderResult.LEASE_OVER;
+        }
+        renewals.renewed(renewal.revision(), endMicros, nowMicros);
+        return HolderResult.APPLIED;
+    }
+
+    /** Takes in a change of the assignment: as a whole, or not at all. What it revokes is stopped before this returns. */
+    public HolderResult assignmentChanged(ControllerEvent.AssignmentChanged change) {
+        if (!addressed(change.member(), change.incarnation())) {
+            return HolderResult.NOT_ADDRESSED;
+        }
+        if (change.toRevision() <= appliedRevision) {
+            return HolderResult.STALE_REVISION;
+        }
+        if (!change.whole() && change.fromRevision() != appliedRevision) {
+            return HolderResult.REVISION_GAP;
+        }
+        for (ShardGrant grant : change.granted()) {
+            if (guards.olderEpoch(grant.epoch(), leastEpoch.getOrDefault(grant.shard(), 0L))) {
+                return HolderResult.OLDER_EPOCH;
+            }
+        }
+        change.revoked().forEach(grant -> revoke(grant.shard(), grant.epoch()));
+        if (change.whole()) {
+            revokeAllBut(change.granted());
+        }
+        change.granted().forEach(grant -> grant(grant, change.toRevision()));
+        appliedRevision = change.toRevision();
+        return HolderResult.APPLIED;
+    }
+
+    /** Takes in a change of the map: a shard that another owns by now, under a newer epoch, is stopped at once. */
+    public HolderResult ownerChanged(MapDelta.OwnerChange change) {
+        AssignedShard held = assigned.get(change.shard());
+        boolean othersNow = change.owner() != null && !change.owner().equals(member);
+        if (held == null || !othersNow) {
+            return HolderResult.NOT_ADDRESSED;
+        }
+        if (!guards.olderEpoch(held.epoch, change.epoch())) {
+            return HolderResult.OLDER_EPOCH;
+        }
+        revoke(change.shard(), held.epoch);
+        leastEpoch.put(change.shard(), change.epoch() + 1);
+        return HolderResult.APPLIED;
+    }
+
+    /** Whether the forwarder may send for a shard now, and if so, under which epoch and until when. */
+    public SendPermission maySend(int shard, long nowMicros) {
+        readClock(nowMicros);
+        AssignedShard held = assigned.get(shard);
+        if (held == null) {
+            return new SendPermission.Refused(SendPermission.Reason.NOT_OWNER);
+        }
+        long endMicros = renewals.endOf(held.grantedRevision, appliedRevision);
+        if (endMicros == RenewalHistory.NOT_COVERED) {
+            return new SendPermission.Refused(SendPermission.Reason.NOT_COVERED);
+        }
+        long untilMicros = guards.sendUntil(endMicros);
+        if (guards.expired(nowMicros, untilMicros)) {
+            return new SendPermission.Refused(SendPermission.Reason.LEASE_EXPIRED);
+        }
+        return new SendPermission.Permitted(held.epoch, untilMicros);
+    }
+
+    /**
+     * Notes a call as out, under a permission that was given before.
+     *
+     * @return {@code APPLIED} if the call may go; {@code OLDER_EPOCH} if the permission is of an earlier grant, and
+     *         {@code NOT_PERMITTED} if there is none now
+     */
+    public HolderResult started(int shard, long epoch, long nowMicros) {
+        if (!(maySend(shard, nowMicros) instanceof SendPermission.Permitted)) {
+            return HolderResult.NOT_PERMITTED;
+        }
+        AssignedShard held = assigned.get(shard);
+        if (guards.olderEpoch(epoch, held.epoch)) {
+            return HolderResult.OLDER_EPOCH;
+        }
+        held.callsOut++;
+        return HolderResult.APPLIED;
+    }
+
+    /** Notes a call as ended, with an answer or without. A revoked shard is released with its last call. */
+    public HolderResult finished(int shard, long epoch) {
+        AssignedShard held = assigned.get(shard);
+        if (held != null && held.epoch == epoch) {
+            if (held.callsOut == 0) {
+                return HolderResult.UNKNOWN_CALL;
+            }
+            held.callsOut--;
+            return HolderResult.APPLIED;
+        }
+        return finishedDraining(new ShardGrant(shard, epoch));
+    }
+
+    private HolderResult finishedDraining(ShardGrant grant) {
+        Integer callsOut = draining.get(grant);
+        if (callsOut == null) {
+            return HolderResult.UNKNOWN_CALL;
+        }
+        if (callsOut == 1) {
+            draining.remove(grant);
+            releases.put(grant, RELEASE_SENDS);
+        } else {
+            draining.put(grant, callsOut - 1);
+        }
+        return HolderResult.APPLIED;
+    }
+
+    /**
+     * The shards to give back, if there are any: revoked, and without a call out. To be asked after an assignment has
+     * changed, after a call has ended and with each heartbeat; each shard is in {@value #RELEASE_SENDS} releases, as
+     * they may be lost.
+     */
+    public Optional<ControllerCommand.Release> release() {
+        if (releases.isEmpty()) {
+            return Optional.empty();
+        }
+        List<ShardGrant> shards = new ArrayList<>(releases.keySet());
+        releases.replaceAll((grant, sends) -> sends - 1);
+        releases.values().removeIf(sends -> sends == 0);
+        return Optional.of(new ControllerCommand.Release(member, incarnation, shards));
+    }
+
+    /** Revision of the assignment that is applied; 0 before the first. */
+    public long appliedRevision() {
+        return appliedRevision;
+    }
+
+    /** Number of shards assigned, whether a lease covers them or not. */
+    public int assignedShards() {
+        return assigned.size();
+    }
+
+    /** The shards assigned, whether a lease covers them or not; a copy. */
+    public Set<Integer> assignedShardNumbers() {
+        return Set.copyOf(assigned.keySet());
+    }
+
+    private boolean addressed(MemberId toMember, long toIncarnation) {
+        return member.equals(toMember) && incarnation == toIncarnation;
+    }
+
+    private void grant(ShardGrant grant, long revision) {
+        AssignedShard held = assigned.get(grant.shard());
+        if (held != null && held.epoch == grant.epoch()) {
+            return;
+        }
+        if (held != null) {
+            revoke(grant.shard(), held.epoch);
+        }
+        assigned.put(grant.shard(), new AssignedShard(grant.epoch(), revision));
+        leastEpoch.put(grant.shard(), grant.epoch());
+    }
+
+    private void revokeAllBut(List<ShardGrant> granted) {
+        Set<Integer> kept = new HashSet<>();
+        granted.forEach(grant -> kept.add(grant.shard()));
+        Iterator<Map.Entry<Integer, AssignedShard>> shards = assigned.entrySet().iterator();
+        while (shards.hasNext()) {
+            Map.Entry<Integer, AssignedShard> entry = shards.next();
+            if (!kept.contains(entry.getKey())) {
+                shards.remove();
+                drain(entry.getKey(), entry.getValue());
+            }
+        }
+    }
+
+    private void revoke(int shard, long epoch) {
+        AssignedShard held = assigned.get(shard);
+        if (held != null && held.epoch <= epoch) {
+            assigned.remove(shard);
+            drain(shard, held);
+        }
+    }
+
+    private void drain(int shard, AssignedShard held) {
+        leastEpoch.merge(shard, held.epoch + 1, Math::max);
+        ShardGrant grant = new ShardGrant(shard, held.epoch);
+        if (held.callsOut == 0) {
+            releases.put(grant, RELEASE_SENDS);
+        } else {
+            draining.put(grant, held.callsOut);
+        }
+    }
+
+    private void readClock(long nowMicros) {
+        if (nowMicros < latestReading) {
+            heartbeats.forget();
+            renewals.clear();
+        }
+        latestReading = nowMicros;
+    }
+}
