--- a/src/main/java/lilaclever/placement/HolderResult.java
+++ b/src/main/java/lilaclever/placement/HolderResult.java
@@ -8,6 +8,8 @@
     NOT_ADDRESSED,
     /** The assignment is at this revision or past it already. */
     STALE_REVISION,
+    /** The whole assignment at the present revision again: what has been stopped is released once more. */
+    REPEATED,
     /** The assignment follows on a revision that the holder has not got; its next heartbeat says which one it has. */
     REVISION_GAP,
     /** A grant has an older epoch than the holder has seen for the shard; the whole message is passed over. */
--- a/src/main/java/lilaclever/placement/LeaseHolder.java
+++ b/src/main/java/lilaclever/placement/LeaseHolder.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,9 +22,6 @@
  * <p>Not safe for use by several threads.
  */
 public final class LeaseHolder {
-    /** How often a release is sent, with a heartbeat each time; if all are lost, the lease has to run out instead. */
-    static final int RELEASE_SENDS = 3;
-
     private final MemberId member;
     private final long incarnation;
     private final LeaseTiming timing;
@@ -37,8 +34,8 @@
     private final Map<Integer, Long> leastEpoch = new HashMap<>();
     /** Calls out for grants that were revoked; an entry goes with its last call. */
     private final Map<ShardGrant, Integer> draining = new HashMap<>();
-    /** What is to be released, with how often it is still to be sent. */
-    private final Map<ShardGrant, Integer> releases = new LinkedHashMap<>();
+    /** What is to be released. */
+    private final Set<ShardGrant> releases = new LinkedHashSet<>();
     private long appliedRevision;
     private long latestReading = Long.MIN_VALUE;
 
@@ -101,6 +98,10 @@
         if (!addressed(change.member(), change.incarnation())) {
             return HolderResult.NOT_ADDRESSED;
         }
+        if (change.whole() && change.toRevision() == appliedRevision) {
+            change.revoked().forEach(this::giveBack);
+            return HolderResult.REPEATED;
+        }
         if (change.toRevision() <= appliedRevision) {
             return HolderResult.STALE_REVISION;
         }
@@ -112,7 +113,7 @@
                 return HolderResult.OLDER_EPOCH;
             }
         }
-        change.revoked().forEach(grant -> revoke(grant.shard(), grant.epoch()));
+        change.revoked().forEach(this::giveBack);
         if (change.whole()) {
             revokeAllBut(change.granted());
         }
@@ -192,7 +193,7 @@
         }
         if (callsOut == 1) {
             draining.remove(grant);
-            releases.put(grant, RELEASE_SENDS);
+            releases.add(grant);
         } else {
             draining.put(grant, callsOut - 1);
         }
@@ -201,16 +202,15 @@
 
     /**
      * The shards to give back, if there are any: revoked, and without a call out. To be asked after an assignment has
-     * changed, after a call has ended and with each heartbeat; each shard is in {@value #RELEASE_SENDS} releases, as
-     * they may be lost.
+     * changed and after a call has ended. If the release is lost, the controller repeats the assignment and is answered
+     * by another release.
      */
     public Optional<ControllerCommand.Release> release() {
         if (releases.isEmpty()) {
             return Optional.empty();
         }
-        List<ShardGrant> shards = new ArrayList<>(releases.keySet());
-        releases.replaceAll((grant, sends) -> sends - 1);
-        releases.values().removeIf(sends -> sends == 0);
+        List<ShardGrant> shards = new ArrayList<>(releases);
+        releases.clear();
         return Optional.of(new ControllerCommand.Release(member, incarnation, shards));
     }
 
@@ -258,6 +258,15 @@
         }
     }
 
+    /** Stops a grant and releases it, also one that was never seen or was released before. */
+    private void giveBack(ShardGrant grant) {
+        revoke(grant.shard(), grant.epoch());
+        leastEpoch.merge(grant.shard(), grant.epoch() + 1, Math::max);
+        if (!draining.containsKey(grant)) {
+            releases.add(grant);
+        }
+    }
+
     private void revoke(int shard, long epoch) {
         AssignedShard held = assigned.get(shard);
         if (held != null && held.epoch <= epoch) {
@@ -270,7 +279,7 @@
         leastEpoch.merge(shard, held.epoch + 1, Math::max);
         ShardGrant grant = new ShardGrant(shard, held.epoch);
         if (held.callsOut == 0) {
-            releases.put(grant, RELEASE_SENDS);
+            releases.add(grant);
         } else {
             draining.put(grant, held.callsOut);
         }
