--- a/src/main/java/lilaclever/placement/ControllerCommand.java
+++ b/src/main/java/lilaclever/placement/ControllerCommand.java
@@ -9,9 +9,14 @@
      *
      * @param incarnation number of the process's life; a restarted forwarder registers with a greater one
      * @param zone        zone within the region, from 0
-     * @param weight      share of the load relative to the other members, above 0
+     * @param weight      share of the load relative to the other members, from {@link ControllerSettings#MIN_WEIGHT} to
+     *                    {@link ControllerSettings#MAX_WEIGHT}
+     * @param previousProcessEnded true only if the process has proof that every earlier process of this forwarder has
+     *                    ended: it got the exclusive file lock on the data folder which the earlier ones held for life.
+     *                    Then it gets its shards back at once; otherwise they wait until the earlier lease has ended
      */
-    record Register(MemberId member, long incarnation, int zone, double weight) implements ControllerCommand { }
+    record Register(MemberId member, long incarnation, int zone, double weight, boolean previousProcessEnded)
+            implements ControllerCommand { }
 
     /**
      * A member is alive and asks for its lease to be renewed.
--- a/src/main/java/lilaclever/placement/LeaseTiming.java
+++ b/src/main/java/lilaclever/placement/LeaseTiming.java
@@ -24,6 +24,14 @@
         require(leaseMicros >= 2 * heartbeatMicros + 2 * marginMicros, "lease must last two heartbeats and two margins");
     }
 
+    /**
+     * Time after the arrival of a heartbeat, by the controller's clock, after which the lease that it renewed has surely
+     * ended at the holder: the lease by the slowest clock that the drift allows, and the margin.
+     */
+    public long surelyEndedAfterMicros() {
+        return (long) Math.ceil(leaseMicros / (1 - maxDrift)) + marginMicros;
+    }
+
     private static void require(boolean valid, String problem) {
         if (!valid) {
             throw new IllegalArgumentException("lease timing: " + problem);
--- /dev/null
+++ b/src/main/java/lilaclever/placement/MapCodec.java
@@ -0,0 +1,227 @@
+package lilaclever.placement;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import lilaclever.placement.MapDelta.OwnerChange;
+import lilaclever.placement.MapFormatException.Problem;
+
+/**
+ * The shard map on the wire. Numbers are written in groups of seven bits, the lowest first, with the eighth bit set on
+ * all bytes but the last (LEB128), and never longer than needed.
+ *
+ * <ul>
+ * <li>Delta: {@code 'D'}, region, from-version, versions from there to to-version, configuration version, number of
+ * changes, and for each change by ascending shard: distance from the shard before (the first from -1), owner's number
+ * plus 1 or 0 for none, epoch.
+ * <li>Snapshot: {@code 'S'}, region, version, configuration version, number of shards, and for each shard from 0: owner's
+ * number plus 1 or 0 for none, epoch.
+ * </ul>
+ */
+public final class MapCodec {
+    private static final byte DELTA = 'D';
+    private static final byte SNAPSHOT = 'S';
+    private static final int GROUP_BITS = 7;
+    private static final int GROUP_MASK = (1 << GROUP_BITS) - 1;
+    private static final int MORE = 1 << GROUP_BITS;
+    private static final int MAX_GROUPS = 9;
+    private static final int MIN_CHANGE_BYTES = 3;
+    private static final int MIN_SHARD_BYTES = 2;
+
+    private MapCodec() { }
+
+    /**
+     * Bytes of a delta.
+     *
+     * @throws IllegalArgumentException if the changes are not sorted by shard, a number is negative, or
+     *         {@code toVersion} is not after {@code fromVersion}
+     */
+    public static byte[] encode(MapDelta delta) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(DELTA);
+        write(out, delta.region());
+        write(out, delta.fromVersion());
+        requireAscending(delta.fromVersion(), delta.toVersion());
+        write(out, delta.toVersion() - delta.fromVersion());
+        write(out, delta.configurationVersion());
+        write(out, delta.changes().size());
+        int shard = -1;
+        for (OwnerChange change : delta.changes()) {
+            requireAscending(shard, change.shard());
+            write(out, change.shard() - shard);
+            write(out, change.owner() == null ? 0 : change.owner().number() + 1L);
+            write(out, change.epoch());
+            shard = change.shard();
+        }
+        return out.toByteArray();
+    }
+
+    /** Bytes of a snapshot. */
+    public static byte[] encode(MapSnapshot snapshot) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(SNAPSHOT);
+        write(out, snapshot.region());
+        write(out, snapshot.version());
+        write(out, snapshot.configurationVersion());
+        write(out, snapshot.shards());
+        for (int shard = 0; shard < snapshot.shards(); shard++) {
+            write(out, snapshot.ownerNumber(shard) + 1L);
+            write(out, snapshot.epochOf(shard));
+        }
+        return out.toByteArray();
+    }
+
+    /**
+     * Reads a delta.
+     *
+     * @throws MapFormatException if the bytes are not exactly one delta in the form that {@link #encode} writes
+     */
+    public static MapDelta decodeDelta(byte[] bytes) throws MapFormatException {
+        Reader in = new Reader(bytes, DELTA);
+        int region = in.readInt();
+        long fromVersion = in.readLong();
+        long versions = in.readLong();
+        if (versions == 0 || versions > Long.MAX_VALUE - fromVersion) {
+            throw in.failure(Problem.INVALID_NUMBER);
+        }
+        long configurationVersion = in.readLong();
+        int count = in.readCount(MIN_CHANGE_BYTES);
+        List<OwnerChange> changes = new ArrayList<>(count);
+        int shard = -1;
+        for (int i = 0; i < count; i++) {
+            int distance = in.readInt();
+            if (distance == 0) {
+                throw in.failure(Problem.UNSORTED);
+            }
+            if (distance >= ControllerSettings.MAX_SHARDS - shard) {
+                throw in.failure(Problem.INVALID_NUMBER);
+            }
+            shard += distance;
+            int owner = in.readOwner();
+            changes.add(new OwnerChange(shard, owner == MapSnapshot.NO_OWNER ? null : new MemberId(owner), in.readLong()));
+        }
+        in.requireEnd();
+        return new MapDelta(region, fromVersion, fromVersion + versions, configurationVersion, changes);
+    }
+
+    /**
+     * Reads a snapshot.
+     *
+     * @throws MapFormatException if the bytes are not exactly one snapshot in the form that {@link #encode} writes
+     */
+    public static MapSnapshot decodeSnapshot(byte[] bytes) throws MapFormatException {
+        Reader in = new Reader(bytes, SNAPSHOT);
+        int region = in.readInt();
+        long version = in.readLong();
+        long configurationVersion = in.readLong();
+        int shards = in.readCount(MIN_SHARD_BYTES);
+        if (shards == 0) {
+            throw in.failure(Problem.INVALID_NUMBER);
+        }
+        int[] owners = new int[shards];
+        long[] epochs = new long[shards];
+        for (int shard = 0; shard < shards; shard++) {
+            owners[shard] = in.readOwner();
+            epochs[shard] = in.readLong();
+        }
+        in.requireEnd();
+        return new MapSnapshot(region, version, configurationVersion, owners, epochs);
+    }
+
+    private static void requireAscending(long before, long after) {
+        if (after <= before) {
+            throw new IllegalArgumentException(after + " must be greater than " + before);
+        }
+    }
+
+    private static void write(ByteArrayOutputStream out, long number) {
+        if (number < 0) {
+            throw new IllegalArgumentException("number must not be negative: " + number);
+        }
+        long rest = number;
+        while (rest > GROUP_MASK) {
+            out.write((int) (rest & GROUP_MASK) | MORE);
+            rest >>>= GROUP_BITS;
+        }
+        out.write((int) rest);
+    }
+
+    /** Reads numbers from front to back and never past the end. */
+    private static final class Reader {
+        private final byte[] bytes;
+        private int offset;
+
+        Reader(byte[] bytes, byte kind) throws MapFormatException {
+            this.bytes = bytes;
+            if (bytes.length == 0) {
+                throw failure(Problem.TRUNCATED);
+            }
+            if (bytes[0] != kind) {
+                throw failure(Problem.WRONG_KIND);
+            }
+            offset = 1;
+        }
+
+        /** A number from 0 to {@link Long#MAX_VALUE}. */
+        long readLong() throws MapFormatException {
+            long number = 0;
+            for (int group = 0; group < MAX_GROUPS; group++) {
+                if (offset == bytes.length) {
+                    throw failure(Problem.TRUNCATED);
+                }
+                int next = bytes[offset++];
+                number |= (long) (next & GROUP_MASK) << group * GROUP_BITS;
+                if ((next & MORE) == 0) {
+                    if (next == 0 && group > 0) {
+                        throw failure(Problem.INVALID_NUMBER);
+                    }
+                    return number;
+                }
+            }
+            throw failure(Problem.INVALID_NUMBER);
+        }
+
+        int readInt() throws MapFormatException {
+            return readUpTo(Integer.MAX_VALUE);
+        }
+
+        /** An owner's number, or {@link MapSnapshot#NO_OWNER}. */
+        int readOwner() throws MapFormatException {
+            return (int) (readLongUpTo(Integer.MAX_VALUE + 1L) - 1);
+        }
+
+        /** How many entries follow, each of so many bytes at least. */
+        int readCount(int minEntryBytes) throws MapFormatException {
+            long count = readLong();
+            if (count > ControllerSettings.MAX_SHARDS) {
+                throw failure(Problem.OVERSIZED);
+            }
+            if (count > (bytes.length - offset) / minEntryBytes) {
+                throw failure(Problem.TRUNCATED);
+            }
+            return (int) count;
+        }
+
+        void requireEnd() throws MapFormatException {
+            if (offset != bytes.length) {
+                throw failure(Problem.TRAILING_BYTES);
+            }
+        }
+
+        MapFormatException failure(Problem problem) {
+            return new MapFormatException(problem, offset);
+        }
+
+        private int readUpTo(int bound) throws MapFormatException {
+            return (int) readLongUpTo(bound);
+        }
+
+        private long readLongUpTo(long bound) throws MapFormatException {
+            long number = readLong();
+            if (number > bound) {
+                throw failure(Problem.INVALID_NUMBER);
+            }
+            return number;
+        }
+    }
+}
--- a/src/main/java/lilaclever/placement/MapDelta.java
+++ b/src/main/java/lilaclever/placement/MapDelta.java
@@ -9,7 +9,7 @@
  * @param fromVersion          version that the changes apply to
  * @param toVersion            version after the changes, greater than {@code fromVersion}
  * @param configurationVersion version of the configuration that is in force with {@code toVersion}
- * @param changes              the shards whose owner or epoch is another
+ * @param changes              the shards whose owner or epoch is another, by ascending number, each at most once
  */
 public record MapDelta(int region, long fromVersion, long toVersion, long configurationVersion,
         List<OwnerChange> changes) {
@@ -20,4 +20,9 @@
     public MapDelta {
         changes = List.copyOf(changes);
     }
+
+    /** Size of this delta as {@link MapCodec} writes it, bytes. */
+    public int encodedBytes() {
+        return MapCodec.encode(this).length;
+    }
 }
--- a/src/main/java/lilaclever/placement/RejectionReason.java
+++ b/src/main/java/lilaclever/placement/RejectionReason.java
@@ -14,10 +14,14 @@
     UNKNOWN_REVISION,
     /** A shard's number is out of range, or it is not held by the member under this epoch. */
     NOT_HELD,
+    /** The member holds the shard under this epoch, but was not told to give it back. */
+    NOT_REVOKED,
     /** The zone is not one of the region's. */
     UNKNOWN_ZONE,
-    /** The weight is not a positive finite number. */
+    /** The weight is not a number from {@link ControllerSettings#MIN_WEIGHT} to {@link ControllerSettings#MAX_WEIGHT}. */
     INVALID_WEIGHT,
+    /** So many member numbers are known already as the controller keeps. */
+    REGION_FULL,
     /** The configuration's version is not greater than the one in force. */
     STALE_CONFIGURATION
 }
--- /dev/null
+++ b/src/main/java/lilaclever/placement/ShardAssignment.java
@@ -0,0 +1,114 @@
+package lilaclever.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Decides which member is to have a shard: the first in the shard's rendezvous order that has room. A member's capacity
+ * is its share by weight times the load bound, rounded down, but never less than its share rounded up; so the
+ * capacities always suffice for all shards, and a zone's load is bounded as those of its members are.
+ */
+final class ShardAssignment {
+    private final ControllerSettings settings;
+    private final ShardTable table;
+    private final RendezvousRanking ranking;
+    /** Members that take part and do not leave, by number. */
+    private final List<MemberState> active = new ArrayList<>();
+
+    ShardAssignment(ControllerSettings settings, ShardTable table) {
+        this.settings = settings;
+        this.table = table;
+        this.ranking = new RendezvousRanking(settings.region());
+    }
+
+    boolean hasMembers() {
+        return !active.isEmpty();
+    }
+
+    /** Lets a member take part; the capacities follow. */
+    void add(MemberState member) {
+        active.add(member);
+        active.sort(Comparator.comparing(other -> other.id));
+        updateCapacities();
+    }
+
+    /** Gives no more shards to a member; the capacities follow. */
+    void remove(MemberState member) {
+        if (active.remove(member)) {
+            member.capacity = 0;
+            updateCapacities();
+        }
+    }
+
+    /** Members that are to have more shards than they may. */
+    List<MemberState> membersOverCapacity() {
+        return active.stream().filter(MemberState::overCapacity).toList();
+    }
+
+    /** The member that is to have a shard which its present one can't keep; null if there is no other. */
+    MemberState choose(int shard) {
+        MemberState present = table.target(shard);
+        MemberState chosen = ranking.first(shard, active,
+                member -> member != present && member.occupied() < member.capacity);
+        if (chosen == null) {
+            // Members that still give shards back count twice for a moment; what they will have is what matters.
+            chosen = ranking.first(shard, active,
+                    member -> member != present && member.targeted.size() < member.capacity);
+        }
+        return chosen;
+    }
+
+    /**
+     * Retargets to a member the shards for which it goes before their present member, up to its capacity.
+     *
+     * @return the shards, ascending
+     */
+    int[] claimFor(MemberState member) {
+        List<Claim> claims = new ArrayList<>();
+        for (int shard = 0; shard < table.size(); shard++) {
+            MemberState target = table.target(shard);
+            if (target != null && target != member && ranking.precedes(shard, member, target)) {
+                claims.add(new Claim(shard, ranking.draw(shard, member)));
+            }
+        }
+        int room = Math.max(0, member.capacity - member.occupied());
+        int[] claimed = claims.stream().sorted(Claim.STRONGEST_FIRST).limit(room).mapToInt(Claim::shard).sorted()
+                .toArray();
+        for (int shard : claimed) {
+            table.setTarget(shard, member);
+        }
+        return claimed;
+    }
+
+    /** Of the shards that a member is to have, the one that it draws lowest for. */
+    int weakestShard(MemberState member) {
+        int weakest = member.targeted.get(0);
+        long weakestDraw = ranking.draw(weakest, member);
+        for (int i = 1; i < member.targeted.size(); i++) {
+            int shard = member.targeted.get(i);
+            long draw = ranking.draw(shard, member);
+            if (draw < weakestDraw) {
+                weakest = shard;
+                weakestDraw = draw;
+            }
+        }
+        return weakest;
+    }
+
+    private void updateCapacities() {
+        double weights = 0;
+        for (MemberState member : active) {
+            weights += member.weight;
+        }
+        for (MemberState member : active) {
+            double share = settings.shards() * (member.weight / weights);
+            member.capacity = (int) Math.max(Math.ceil(share), Math.floor(settings.loadBound() * share));
+        }
+    }
+
+    private record Claim(int shard, long draw) {
+        static final Comparator<Claim> STRONGEST_FIRST =
+                Comparator.comparingLong(Claim::draw).reversed().thenComparingInt(Claim::shard);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/placement/ShardSet.java
@@ -0,0 +1,59 @@
+package lilaclever.placement;
+
+import java.util.Arrays;
+
+/** Sorted set of shard numbers in an array: a member has few, and their order must not depend on chance. */
+final class ShardSet {
+    private static final int INITIAL_CAPACITY = 8;
+    private int[] shards = new int[INITIAL_CAPACITY];
+    private int size;
+
+    int size() {
+        return size;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+
+    /** The shard at a place in ascending order, from 0. */
+    int get(int index) {
+        return shards[index];
+    }
+
+    boolean contains(int shard) {
+        return Arrays.binarySearch(shards, 0, size, shard) >= 0;
+    }
+
+    void add(int shard) {
+        int found = Arrays.binarySearch(shards, 0, size, shard);
+        if (found >= 0) {
+            return;
+        }
+        if (size == shards.length) {
+            shards = Arrays.copyOf(shards, 2 * size);
+        }
+        int place = -found - 1;
+        System.arraycopy(shards, place, shards, place + 1, size - place);
+        shards[place] = shard;
+        size++;
+    }
+
+    void remove(int shard) {
+        int place = Arrays.binarySearch(shards, 0, size, shard);
+        if (place < 0) {
+            return;
+        }
+        System.arraycopy(shards, place + 1, shards, place, size - place - 1);
+        size--;
+    }
+
+    void clear() {
+        size = 0;
+    }
+
+    /** Copy in ascending order, for loops that change the set. */
+    int[] toArray() {
+        return Arrays.copyOf(shards, size);
+    }
+}
