--- /dev/null
+++ b/src/test/java/lilaclever/placement/AssignmentTest.java
@@ -0,0 +1,289 @@
+package lilaclever.placement;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import lilaclever.placement.ControllerCommand.AdvanceTime;
+import lilaclever.placement.ControllerCommand.Register;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Who gets which shards, how many of them move, and at which pace. */
+class AssignmentTest {
+    private static final long SECOND = 1_000_000;
+    private static final int ZONES = 3;
+    private static final int FAST = 1_000_000;
+    private static final int PATIENCE = 2000;
+
+    private static TestRegion region(int shards, int members, int pace) {
+        TestRegion region = new TestRegion(TestRegion.settings(shards, ZONES, pace));
+        for (int member = 0; member < members; member++) {
+            region.join(member, member % ZONES);
+        }
+        region.run(3 * SECOND);
+        assertEquals(0, region.unownedShards());
+        return region;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000, 1", "1000, 2", "1000, 3", "1000, 7", "1000, 60", "7000, 200", "500, 490", "10, 30"})
+    void noMemberHasMoreThanItsCapacity(int shards, int members) {
+        TestRegion region = region(shards, members, FAST);
+        double mean = (double) shards / members;
+        int capacity = (int) Math.max(Math.ceil(mean), Math.floor(1.25 * mean));
+        for (MemberId member : region.controller.members()) {
+            assertTrue(region.controller.shardsHeldBy(member) <= capacity, member::toString);
+            assertEquals(capacity, region.controller.capacityOf(member));
+        }
+        if (mean >= 4) {
+            assertTrue(region.fullestOverMean() <= 1.25, () -> "fullest over mean " + region.fullestOverMean());
+        }
+    }
+
+    @Test
+    void shardsFollowTheWeights() {
+        TestRegion region = new TestRegion(TestRegion.settings(4000, ZONES, FAST));
+        for (int member = 0; member < 20; member++) {
+            region.join(member, member % ZONES, member < 10 ? 1 : 3, false);
+        }
+        region.run(3 * SECOND);
+        int heavy = IntStream.range(10, 20).map(member -> region.controller.shardsHeldBy(new MemberId(member))).sum();
+        assertEquals(3000, heavy, 120);
+        for (MemberId member : region.controller.members()) {
+            int share = member.number() < 10 ? 100 : 300;
+            assertTrue(region.controller.shardsHeldBy(member) <= 1.25 * share);
+        }
+    }
+
+    @Test
+    void zonesHaveShardsInProportionToTheirMembers() {
+        TestRegion region = new TestRegion(TestRegion.settings(6000, ZONES, FAST));
+        int[] membersOfZone = {100, 60, 40};
+        int member = 0;
+        for (int zone = 0; zone < ZONES; zone++) {
+            for (int i = 0; i < membersOfZone[zone]; i++) {
+                region.join(member++, zone);
+            }
+        }
+        region.run(3 * SECOND);
+        int first = 0;
+        for (int members : membersOfZone) {
+            int held = IntStream.range(first, first + members)
+                    .map(number -> region.controller.shardsHeldBy(new MemberId(number))).sum();
+            assertEquals(30.0 * members, held, 0.05 * 30 * members);
+            first += members;
+        }
+    }
+
+    @Test
+    void lossMovesTheLostMembersShardsAndNoOther() {
+        TestRegion region = region(7000, 200, FAST);
+        int[] before = region.owners();
+        int lost = (int) Arrays.stream(before).filter(owner -> owner == 17).count();
+        region.kill(List.of(17));
+        region.run(10 * SECOND);
+        assertEquals(0, region.unownedShards());
+        assertEquals(lost, region.movedSince(before));
+    }
+
+    @Test
+    void joinMovesLittleMoreThanTheNewMembersShare() {
+        TestRegion region = region(7000, 200, FAST);
+        for (int member = 200; member < 220; member++) {
+            int[] before = region.owners();
+            region.join(member, member % ZONES);
+            region.run(SECOND);
+            int gained = region.controller.shardsHeldBy(new MemberId(member));
+            assertTrue(gained >= 20 && gained <= 43, "gained " + gained);
+            int moved = region.movedSince(before);
+            int atOldCapacity = evictionsFrom(before, region, member);
+            assertEquals(gained + atOldCapacity, moved, "what moves goes to the new member, or its owner was too full");
+        }
+    }
+
+    /** Shards that members had above the capacity that they have now, and did not give to the new member. */
+    private static int evictionsFrom(int[] before, TestRegion region, int joined) {
+        int[] now = region.owners();
+        int evictions = 0;
+        for (MemberId member : region.controller.members()) {
+            int had = (int) Arrays.stream(before).filter(owner -> owner == member.number()).count();
+            int toJoined = (int) IntStream.range(0, now.length)
+                    .filter(shard -> before[shard] == member.number() && now[shard] == joined).count();
+            evictions += Math.max(0, had - toJoined - region.controller.capacityOf(member));
+        }
+        return evictions;
+    }
+
+    @Test
+    void memberThatComesBackGetsMostOfItsShardsBack() {
+        TestRegion region = region(7000, 200, FAST);
+        int[] before = region.owners();
+        region.kill(List.of(17));
+        region.run(10 * SECOND);
+        region.join(17, 2);
+        region.run(3 * SECOND);
+        int lost = (int) Arrays.stream(before).filter(owner -> owner == 17).count();
+        int[] now = region.owners();
+        int back = (int) IntStream.range(0, now.length).filter(shard -> before[shard] == 17 && now[shard] == 17).count();
+        assertTrue(back >= 0.8 * lost, back + " of " + lost);
+    }
+
+    @Test
+    void restartWithinTheLeaseMovesNothing() {
+        TestRegion region = region(700, 20, FAST);
+        int[] before = region.owners();
+        region.kill(List.of(5));
+        region.run(600_000);
+        region.join(5, 5 % ZONES, 1, true);
+        assertEquals(0, region.movedSince(before));
+        assertEquals(0, region.controller.shardsWithoutHolder());
+        region.kill(List.of(6));
+        region.run(600_000);
+        region.join(6, 6 % ZONES, 1, false);
+        region.run(10 * SECOND);
+        assertEquals(0, region.movedSince(before));
+    }
+
+    @Test
+    void leaveOfAMemberLosesNoShardAndMovesOnlyItsOwn() {
+        TestRegion region = region(700, 20, FAST);
+        int[] before = region.owners();
+        int held = region.controller.shardsHeldBy(new MemberId(4));
+        region.leave(4);
+        assertEquals(0, region.unownedShards());
+        assertEquals(held, region.movedSince(before));
+        assertEquals(19, region.controller.members().size());
+    }
+
+    @Test
+    void lossOfAZoneIsSharedOutAtTheSetPaceAndEachShardMovesOnce() {
+        int pace = 500;
+        TestRegion slow = new TestRegion(TestRegion.settings(3000, ZONES, pace));
+        for (int member = 0; member < 90; member++) {
+            slow.join(member, member % ZONES);
+        }
+        slow.run(60 * SECOND);
+        assertEquals(0, slow.unownedShards());
+
+        int[] before = slow.owners();
+        List<Integer> zone = IntStream.range(0, 90).filter(member -> member % ZONES == 1).boxed().toList();
+        int lost = zone.stream().mapToInt(member -> slow.controller.shardsHeldBy(new MemberId(member))).sum();
+        slow.kill(zone);
+        slow.run(TestRegion.TIMING.surelyEndedAfterMicros() - SECOND);
+        assertEquals(0, slow.unownedShards());
+        slow.run(SECOND);
+        assertTrue(slow.unownedShards() > 0);
+        int seconds = 0;
+        while (slow.unownedShards() > 0) {
+            int unowned = slow.unownedShards();
+            slow.run(SECOND);
+            int granted = unowned - slow.unownedShards();
+            assertTrue(granted <= pace + pace / 10, "granted in a second: " + granted);
+            assertTrue(++seconds < 2 * lost / pace + 2, "too slow");
+        }
+        assertEquals(lost, slow.movedSince(before));
+        assertTrue(slow.fullestOverMean() <= 1.25, () -> "fullest over mean " + slow.fullestOverMean());
+    }
+
+    @Test
+    void shardsWithoutAnOwnerGoBeforeMovesToNewMembers() {
+        TestRegion region = new TestRegion(TestRegion.settings(3000, ZONES, 100));
+        for (int member = 0; member < 30; member++) {
+            region.join(member, member % ZONES);
+        }
+        region.run(90 * SECOND);
+        assertEquals(0, region.unownedShards());
+        region.kill(List.of(3, 4, 5));
+        region.run(TestRegion.TIMING.surelyEndedAfterMicros() - SECOND / 2);
+        int[] before = region.owners();
+        for (int member = 30; member < 33; member++) {
+            region.join(member, member % ZONES);
+        }
+        region.run(SECOND + SECOND / 2);
+        int unowned = region.unownedShards();
+        assertTrue(unowned > 0);
+        int taken = takenFromLiving(before, region);
+        region.run(SECOND);
+        assertTrue(region.unownedShards() < unowned);
+        assertEquals(taken, takenFromLiving(before, region), "a shard was moved while others had no owner");
+    }
+
+    private static int takenFromLiving(int[] before, TestRegion region) {
+        int[] now = region.owners();
+        return (int) IntStream.range(0, now.length).filter(shard -> (before[shard] < 3 || before[shard] > 5)
+                && now[shard] != before[shard]).count();
+    }
+
+    @Test
+    void randomComingsAndGoingsKeepTheBoundOnLoad() {
+        TestRegion region = region(3000, 60, FAST);
+        UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(32L);
+        List<Integer> present = new ArrayList<>(IntStream.range(0, 60).boxed().toList());
+        List<Integer> absent = new ArrayList<>(IntStream.range(60, 80).boxed().toList());
+        for (int step = 0; step < 60; step++) {
+            if (random.nextBoolean() && !absent.isEmpty()) {
+                int member = absent.remove(random.nextInt(absent.size()));
+                region.join(member, member % ZONES);
+                present.add(member);
+            } else {
+                int member = present.remove(random.nextInt(present.size()));
+                if (random.nextBoolean()) {
+                    region.leave(member);
+                } else {
+                    region.kill(List.of(member));
+                }
+                absent.add(member);
+            }
+            region.run(10 * SECOND);
+            assertEquals(0, region.unownedShards());
+            double fullest = region.fullestOverMean();
+            assertTrue(fullest <= 1.25, () -> "fullest over mean " + fullest);
+            assertEquals(present.size(), region.controller.members().size());
+        }
+    }
+
+    @Test
+    void assignmentDoesNotDependOnTheWayThereWhereNobodyIsFull() {
+        // Capacity is ten times the share here: rendezvous alone decides.
+        ControllerSettings settings = new ControllerSettings(0, 2000, 1, 10, TestRegion.TIMING, FAST);
+        TestRegion up = new TestRegion(settings);
+        TestRegion down = new TestRegion(settings);
+        for (int i = 0; i < 20; i++) {
+            up.join(i, 0);
+            down.join(19 - i, 0);
+        }
+        up.run(3 * SECOND);
+        down.run(3 * SECOND);
+        assertArrayEquals(up.owners(), down.owners());
+    }
+
+    @Test
+    void paceIsKeptForTheFirstAssignmentToo() {
+        PlacementController controller = new PlacementController(TestRegion.settings(1000, ZONES, 100));
+        controller.apply(new Register(new MemberId(1), 1, 0, 1, false), 0);
+        assertEquals(990, controller.shardsWithoutHolder());
+        assertEquals(100_000, controller.nextDueMicros());
+        controller.apply(new AdvanceTime(), 100_000);
+        assertEquals(980, controller.shardsWithoutHolder());
+    }
+
+    @Test
+    void regionBecomesWholeAgainAfterAllItsMembersAreLost() {
+        TestRegion region = region(100, 4, FAST);
+        region.kill(List.of(0, 1, 2, 3));
+        region.run(20 * SECOND);
+        assertEquals(100, region.unownedShards());
+        assertEquals(Long.MAX_VALUE, region.controller.nextDueMicros());
+        region.join(9, 0);
+        region.runUntilAllOwned(PATIENCE);
+        assertEquals(100, region.controller.shardsHeldBy(new MemberId(9)));
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/placement/PlacementControllerTest.java
@@ -0,0 +1,382 @@
+package lilaclever.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import lilaclever.placement.ControllerCommand.AdvanceTime;
+import lilaclever.placement.ControllerCommand.Heartbeat;
+import lilaclever.placement.ControllerCommand.Leave;
+import lilaclever.placement.ControllerCommand.PublishConfiguration;
+import lilaclever.placement.ControllerCommand.Register;
+import lilaclever.placement.ControllerCommand.Release;
+import lilaclever.placement.ControllerEvent.AssignmentChanged;
+import lilaclever.placement.ControllerEvent.CommandRejected;
+import lilaclever.placement.ControllerEvent.LeaseRenewed;
+import lilaclever.placement.ControllerEvent.LeaveCompleted;
+import lilaclever.placement.ControllerEvent.MapChanged;
+import lilaclever.placement.ControllerEvent.MemberExpired;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** When the controller grants, renews, revokes and rejects. Times are written out: they are the guards themselves. */
+class PlacementControllerTest {
+    private static final int SHARDS = 8;
+    private static final long SECOND = 1_000_000;
+    /** 1 s heartbeats, 4 s leases, a drift of one in five hundred, 0.25 s margin: 4,008,017 and 250,000 microseconds. */
+    private static final LeaseTiming TIMING = new LeaseTiming(SECOND, 4 * SECOND, 0.002, 250_000);
+    private static final long SURELY_ENDED = 4_258_017;
+    private static final MemberId A = new MemberId(1);
+    private static final MemberId B = new MemberId(2);
+
+    private final PlacementController controller =
+            new PlacementController(new ControllerSettings(0, SHARDS, 2, 1.25, TIMING, 1000));
+
+    private List<ControllerEvent> register(MemberId member, long incarnation, long now) {
+        return controller.apply(new Register(member, incarnation, 0, 1, false), now);
+    }
+
+    private List<ControllerEvent> heartbeat(MemberId member, long incarnation, long sequence, long revision, long now) {
+        return controller.apply(new Heartbeat(member, incarnation, sequence, revision), now);
+    }
+
+    private static <E> List<E> all(Class<E> type, List<ControllerEvent> events) {
+        return events.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private static <E> E only(Class<E> type, List<ControllerEvent> events) {
+        List<E> found = all(type, events);
+        assertEquals(1, found.size(), () -> type.getSimpleName() + " in " + events);
+        return found.get(0);
+    }
+
+    private static void assertRejected(RejectionReason reason, List<ControllerEvent> events) {
+        assertEquals(reason, only(CommandRejected.class, events).reason());
+    }
+
+    private static AssignmentChanged assignmentOf(MemberId member, List<ControllerEvent> events) {
+        List<AssignmentChanged> found =
+                all(AssignmentChanged.class, events).stream().filter(change -> change.member().equals(member)).toList();
+        assertEquals(1, found.size(), events::toString);
+        return found.get(0);
+    }
+
+    private static List<ShardGrant> allShards(long epoch) {
+        return IntStream.range(0, SHARDS).mapToObj(shard -> new ShardGrant(shard, epoch)).toList();
+    }
+
+    /** A has all shards, B has joined, and some of A's shards are being revoked for B. */
+    private AssignmentChanged revokeForB(long heartbeatOfA, long joinOfB) {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, heartbeatOfA);
+        AssignmentChanged change = assignmentOf(A, register(B, 1, joinOfB));
+        assertFalse(change.revoked().isEmpty());
+        return change;
+    }
+
+    @Test
+    void firstMemberGetsAllShardsAndItsFirstHeartbeatTheLease() {
+        List<ControllerEvent> events = register(A, 1, 0);
+        AssignmentChanged change = assignmentOf(A, events);
+        assertEquals(new AssignmentChanged(A, 1, 0, 2, true, allShards(1), List.of()), change);
+        assertTrue(all(LeaseRenewed.class, events).isEmpty());
+        assertEquals(SHARDS, only(MapChanged.class, events).delta().changes().size());
+        assertEquals(0, controller.shardsWithoutHolder());
+
+        assertEquals(List.of(new LeaseRenewed(A, 1, 1, 4 * SECOND, 2)), heartbeat(A, 1, 1, 2, 10));
+    }
+
+    @Test
+    void emptyRegionHasNoOwnersAndNothingDue() {
+        assertTrue(controller.apply(new AdvanceTime(), 5).isEmpty());
+        assertEquals(Long.MAX_VALUE, controller.nextDueMicros());
+        assertEquals(SHARDS, controller.shardsWithoutHolder());
+        assertNull(controller.snapshot().ownerOf(0));
+        assertTrue(controller.members().isEmpty());
+    }
+
+    @Test
+    void shardsOfASilentMemberAreGrantedWhenItsLeaseHasSurelyEndedAndNotBefore() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 500);
+        assertEquals(500 + SURELY_ENDED, leaseEndAfterRefreshOf(A));
+
+        assertTrue(controller.apply(new AdvanceTime(), 500 + SURELY_ENDED - 1).isEmpty());
+        List<ControllerEvent> events = controller.apply(new AdvanceTime(), 500 + SURELY_ENDED);
+        assertEquals(new MemberExpired(A, 1), only(MemberExpired.class, events));
+        assertEquals(SHARDS, controller.shardsWithoutHolder());
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, heartbeat(A, 1, 2, 2, 600 + SURELY_ENDED));
+
+        AssignmentChanged granted = assignmentOf(B, register(B, 1, 700 + SURELY_ENDED));
+        assertEquals(allShards(2), granted.granted());
+    }
+
+    /** The first wake-up may be for the time of the registration; it sets the next one to the true end. */
+    private long leaseEndAfterRefreshOf(MemberId member) {
+        assertEquals(SURELY_ENDED, controller.nextDueMicros());
+        assertTrue(controller.apply(new AdvanceTime(), SURELY_ENDED).isEmpty());
+        assertTrue(controller.members().contains(member));
+        return controller.nextDueMicros();
+    }
+
+    @Test
+    void revokedShardIsGrantedOnlyAfterItsReleaseUnderTheRightEpoch() {
+        AssignmentChanged change = revokeForB(10, 20);
+        ShardGrant revoked = change.revoked().get(0);
+        assertEquals(1, revoked.epoch());
+        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 30)).isEmpty());
+
+        ShardGrant wrongEpoch = new ShardGrant(revoked.shard(), 2);
+        assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 1, List.of(wrongEpoch)), 40));
+        ShardGrant olderEpoch = new ShardGrant(revoked.shard(), 0);
+        assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 1, List.of(olderEpoch)), 40));
+        assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(B, 1, List.of(revoked)), 40));
+
+        List<ControllerEvent> events = controller.apply(new Release(A, 1, List.of(revoked)), 50);
+        assertEquals(List.of(new ShardGrant(revoked.shard(), 2)), assignmentOf(B, events).granted());
+        assertEquals(B, controller.snapshot().ownerOf(revoked.shard()));
+        assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 1, List.of(revoked)), 60));
+    }
+
+    @Test
+    void shardThatWasNotRevokedIsNotTakenBack() {
+        register(A, 1, 0);
+        List<ControllerEvent> events = controller.apply(new Release(A, 1, List.of(new ShardGrant(0, 1))), 10);
+        assertRejected(RejectionReason.NOT_REVOKED, events);
+        assertEquals(0, controller.shardsWithoutHolder());
+    }
+
+    @Test
+    void releaseOutOfRangeIsRejectedAndTheOthersInItCount() {
+        ShardGrant revoked = revokeForB(10, 20).revoked().get(0);
+        List<ShardGrant> shards = List.of(new ShardGrant(-1, 1), new ShardGrant(SHARDS, 1), revoked);
+        List<ControllerEvent> events = controller.apply(new Release(A, 1, shards), 30);
+        assertRejected(RejectionReason.NOT_HELD, events);
+        assertEquals(B, controller.snapshot().ownerOf(revoked.shard()));
+    }
+
+    @Test
+    void renewalDoesNotExtendARevokedShard() {
+        AssignmentChanged change = revokeForB(1000, 2000);
+        long ended = 1000 + SURELY_ENDED;
+        heartbeat(B, 1, 1, 1, 3 * SECOND);
+        heartbeat(A, 1, 2, change.toRevision(), 3 * SECOND);
+        heartbeat(A, 1, 3, change.toRevision(), 4 * SECOND);
+
+        assertEquals(List.of(), all(AssignmentChanged.class, controller.apply(new AdvanceTime(), ended - 1)));
+        List<ControllerEvent> events = controller.apply(new AdvanceTime(), ended);
+        List<ShardGrant> granted = assignmentOf(B, events).granted();
+        assertEquals(change.revoked().stream().map(ShardGrant::shard).toList(),
+                granted.stream().map(ShardGrant::shard).toList());
+        assertEquals(List.of(A, B), controller.members());
+    }
+
+    @Test
+    void memberThatMissedAChangeIsSentItsWholeAssignmentBeforeTheRenewal() {
+        AssignmentChanged change = revokeForB(10, 20);
+        List<ControllerEvent> events = heartbeat(A, 1, 2, 2, SECOND);
+        AssignmentChanged whole = assignmentOf(A, events);
+        assertTrue(whole.whole());
+        assertEquals(2, whole.fromRevision());
+        assertEquals(change.toRevision(), whole.toRevision());
+        assertEquals(change.revoked(), whole.revoked());
+        List<ShardGrant> kept = new ArrayList<>(allShards(1));
+        kept.removeAll(change.revoked());
+        assertEquals(kept, whole.granted());
+        assertEquals(List.of(whole, new LeaseRenewed(A, 1, 2, 4 * SECOND, whole.toRevision())), events);
+    }
+
+    @Test
+    void revokedShardsThatWereNotReleasedAreAskedForAgain() {
+        AssignmentChanged change = revokeForB(10, 20);
+        AssignmentChanged again = assignmentOf(A, heartbeat(A, 1, 2, change.toRevision(), SECOND));
+        assertEquals(change.revoked(), again.revoked());
+        controller.apply(new Release(A, 1, again.revoked()), SECOND);
+        assertTrue(all(AssignmentChanged.class, heartbeat(A, 1, 3, change.toRevision(), 2 * SECOND)).isEmpty());
+    }
+
+    @Test
+    void grantIsCoveredByTheLastHeartbeatWithoutAnotherOne() {
+        AssignmentChanged change = revokeForB(10, 20);
+        heartbeat(B, 1, 7, 1, 30);
+        List<ControllerEvent> events = controller.apply(new Release(A, 1, change.revoked()), 40);
+        AssignmentChanged granted = assignmentOf(B, events);
+        assertEquals(new LeaseRenewed(B, 1, 7, 4 * SECOND, granted.toRevision()), only(LeaseRenewed.class, events));
+        assertTrue(events.indexOf(granted) < events.indexOf(only(LeaseRenewed.class, events)));
+        // The end that counts is that of the heartbeat, not of the grant.
+        heartbeat(A, 1, 2, change.toRevision(), 2 * SECOND);
+        controller.apply(new AdvanceTime(), 30 + SURELY_ENDED - 1);
+        assertEquals(List.of(A, B), controller.members());
+        controller.apply(new AdvanceTime(), 30 + SURELY_ENDED);
+        assertEquals(List.of(A), controller.members());
+    }
+
+    @Test
+    void restartedProcessWaitsForTheLeaseOfTheEarlierOne() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 100);
+        AssignmentChanged first = assignmentOf(A, register(A, 2, 600_000));
+        assertEquals(new AssignmentChanged(A, 2, 0, 1, true, List.of(), List.of()), first);
+        heartbeat(A, 2, 1, 1, 700_000);
+
+        assertRejected(RejectionReason.STALE_INCARNATION, heartbeat(A, 1, 2, 2, SECOND));
+        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 100 + SURELY_ENDED - 1)).isEmpty());
+        AssignmentChanged back = assignmentOf(A, controller.apply(new AdvanceTime(), 100 + SURELY_ENDED));
+        assertEquals(2, back.incarnation());
+        assertEquals(allShards(2), back.granted());
+    }
+
+    @Test
+    void restartedProcessThatProvesTheEndOfTheEarlierOneGetsItsShardsAtOnce() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 100);
+        List<ControllerEvent> events = controller.apply(new Register(A, 2, 0, 1, true), 600_000);
+        AssignmentChanged back = assignmentOf(A, events);
+        assertEquals(2, back.incarnation());
+        assertEquals(allShards(2), back.granted());
+    }
+
+    @Test
+    void earlierProcessMayStillReleaseWhatItHolds() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 100);
+        register(A, 2, 600_000);
+        AssignmentChanged back = assignmentOf(A, controller.apply(new Release(A, 1, allShards(1)), 700_000));
+        assertEquals(allShards(2), back.granted());
+        assertRejected(RejectionReason.STALE_INCARNATION, controller.apply(new Release(A, 1, allShards(1)), 700_001));
+        assertEquals(SHARDS, controller.shardsHeldBy(A));
+    }
+
+    @Test
+    void leaveHandsOverWithoutWaiting() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 10);
+        AssignmentChanged toB = assignmentOf(A, register(B, 1, 20));
+        controller.apply(new Release(A, 1, toB.revoked()), 30);
+
+        AssignmentChanged rest = assignmentOf(A, controller.apply(new Leave(A, 1), 40));
+        assertEquals(SHARDS, rest.revoked().size() + toB.revoked().size());
+        assertTrue(controller.apply(new Leave(A, 1), 41).isEmpty(), "a second leave changes nothing");
+        List<ControllerEvent> firstRelease = controller.apply(new Release(A, 1, rest.revoked().subList(0, 1)), 50);
+        assertEquals(1, assignmentOf(B, firstRelease).granted().size());
+        assertTrue(all(LeaveCompleted.class, firstRelease).isEmpty());
+
+        List<ShardGrant> others = rest.revoked().subList(1, rest.revoked().size());
+        List<ControllerEvent> last = controller.apply(new Release(A, 1, others), 60);
+        assertEquals(new LeaveCompleted(A, 1), only(LeaveCompleted.class, last));
+        assertEquals(SHARDS, controller.shardsHeldBy(B));
+        assertEquals(List.of(B), controller.members());
+
+        assertEquals(List.of(new LeaveCompleted(A, 1)), controller.apply(new Leave(A, 1), 70));
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, heartbeat(A, 1, 2, 2, 80));
+        assertRejected(RejectionReason.STALE_INCARNATION, register(A, 1, 90));
+    }
+
+    @Test
+    void lastMemberMayLeave() {
+        register(A, 1, 0);
+        AssignmentChanged change = assignmentOf(A, controller.apply(new Leave(A, 1), 10));
+        assertEquals(allShards(1), change.revoked());
+        List<ControllerEvent> events = controller.apply(new Release(A, 1, change.revoked()), 20);
+        only(LeaveCompleted.class, events);
+        assertEquals(SHARDS, controller.shardsWithoutHolder());
+        assertNull(controller.snapshot().ownerOf(3));
+        assertEquals(1, controller.snapshot().epochOf(3));
+        assertEquals(Long.MAX_VALUE, nextDueAfterAllIsSettled());
+
+        assertEquals(allShards(2), assignmentOf(B, register(B, 1, 2 * SURELY_ENDED)).granted());
+    }
+
+    private long nextDueAfterAllIsSettled() {
+        controller.apply(new AdvanceTime(), SURELY_ENDED);
+        return controller.nextDueMicros();
+    }
+
+    @Test
+    void commandsOfUnknownMembersAreRejected() {
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, heartbeat(A, 1, 1, 0, 0));
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, controller.apply(new Leave(A, 1), 0));
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, controller.apply(new Release(A, 1, allShards(1)), 0));
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, controller.apply(new Release(A, 1, List.of()), 0));
+        register(A, 1, 0);
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, heartbeat(A, 2, 1, 0, 0));
+    }
+
+    @Test
+    void doubledAndReorderedCommandsAreRejected() {
+        register(A, 5, 0);
+        assertRejected(RejectionReason.ALREADY_REGISTERED, register(A, 5, 1));
+        assertRejected(RejectionReason.STALE_INCARNATION, register(A, 4, 2));
+        heartbeat(A, 5, 3, 2, 10);
+        assertRejected(RejectionReason.STALE_SEQUENCE, heartbeat(A, 5, 3, 2, 3 * SECOND));
+        assertRejected(RejectionReason.STALE_SEQUENCE, heartbeat(A, 5, 2, 2, 3 * SECOND));
+        assertRejected(RejectionReason.UNKNOWN_REVISION, heartbeat(A, 5, 4, 3, 3 * SECOND));
+        assertRejected(RejectionReason.UNKNOWN_REVISION, heartbeat(A, 5, 4, -1, 3 * SECOND));
+        assertRejected(RejectionReason.STALE_INCARNATION, controller.apply(new Leave(A, 4), 3 * SECOND));
+        // None of them has renewed the lease.
+        only(MemberExpired.class, controller.apply(new AdvanceTime(), 10 + SURELY_ENDED));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, -1, Double.NaN, Double.POSITIVE_INFINITY, Double.MIN_VALUE, 0.0099, 100.1})
+    void weightOutOfBoundsIsRejected(double weight) {
+        assertRejected(RejectionReason.INVALID_WEIGHT, controller.apply(new Register(A, 1, 0, weight, false), 0));
+        assertTrue(controller.members().isEmpty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 2, Integer.MAX_VALUE})
+    void zoneOutOfRangeIsRejected(int zone) {
+        assertRejected(RejectionReason.UNKNOWN_ZONE, controller.apply(new Register(A, 1, zone, 1, false), 0));
+        assertTrue(controller.members().isEmpty());
+    }
+
+    @Test
+    void configurationVersionOnlyGrowsAndTravelsWithTheMap() {
+        MapDelta delta = only(MapChanged.class, controller.apply(new PublishConfiguration(7), 0)).delta();
+        assertEquals(new MapDelta(0, 0, 1, 7, List.of()), delta);
+        assertRejected(RejectionReason.STALE_CONFIGURATION, controller.apply(new PublishConfiguration(7), 1));
+        assertRejected(RejectionReason.STALE_CONFIGURATION, controller.apply(new PublishConfiguration(6), 1));
+        MapDelta next = only(MapChanged.class, register(A, 1, 2)).delta();
+        assertEquals(7, next.configurationVersion());
+        assertEquals(1, next.fromVersion());
+        assertEquals(2, next.toVersion());
+    }
+
+    @Test
+    void clockThatStepsBackDoesNotShortenALeaseOrBringItBack() {
+        register(A, 1, 10 * SECOND);
+        heartbeat(A, 1, 1, 2, 10 * SECOND);
+        heartbeat(A, 1, 2, 2, 3 * SECOND);
+        controller.apply(new AdvanceTime(), 3 * SECOND + SURELY_ENDED);
+        assertEquals(List.of(A), controller.members());
+        controller.apply(new AdvanceTime(), 10 * SECOND + SURELY_ENDED - 1);
+        assertEquals(List.of(A), controller.members());
+        only(MemberExpired.class, controller.apply(new AdvanceTime(), 10 * SECOND + SURELY_ENDED));
+        controller.apply(new AdvanceTime(), 0);
+        assertRejected(RejectionReason.UNKNOWN_MEMBER, heartbeat(A, 1, 3, 2, 0));
+    }
+
+    @Test
+    void settingsNameTheFieldAtFault() {
+        assertFieldNamed("region", () -> new ControllerSettings(-1, 1, 1, 1.25, TIMING, 1));
+        assertFieldNamed("shards", () -> new ControllerSettings(0, 0, 1, 1.25, TIMING, 1));
+        assertFieldNamed("shards", () -> new ControllerSettings(0, (1 << 20) + 1, 1, 1.25, TIMING, 1));
+        assertFieldNamed("zones", () -> new ControllerSettings(0, 1, 0, 1.25, TIMING, 1));
+        assertFieldNamed("loadBound", () -> new ControllerSettings(0, 1, 1, 0.99, TIMING, 1));
+        assertFieldNamed("loadBound", () -> new ControllerSettings(0, 1, 1, Double.NaN, TIMING, 1));
+        assertFieldNamed("timing", () -> new ControllerSettings(0, 1, 1, 1.25, null, 1));
+        assertFieldNamed("maxReassignmentsPerSecond", () -> new ControllerSettings(0, 1, 1, 1.25, TIMING, 0));
+    }
+
+    private static void assertFieldNamed(String field, org.junit.jupiter.api.function.Executable settings) {
+        String message = assertThrows(IllegalArgumentException.class, settings).getMessage();
+        assertTrue(message.startsWith(field + " "), message);
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/placement/RandomSchedule.java
@@ -0,0 +1,345 @@
+package lilaclever.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import lilaclever.placement.ControllerCommand.AdvanceTime;
+import lilaclever.placement.ControllerCommand.Heartbeat;
+import lilaclever.placement.ControllerCommand.Leave;
+import lilaclever.placement.ControllerCommand.PublishConfiguration;
+import lilaclever.placement.ControllerCommand.Register;
+import lilaclever.placement.ControllerCommand.Release;
+import lilaclever.placement.ControllerEvent.AssignmentChanged;
+import lilaclever.placement.ControllerEvent.CommandRejected;
+import lilaclever.placement.ControllerEvent.LeaseRenewed;
+import lilaclever.placement.ControllerEvent.LeaveCompleted;
+import lilaclever.placement.ControllerEvent.MapChanged;
+import lilaclever.placement.ControllerEvent.MemberExpired;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A controller and processes that talk over a network that delays, loses and doubles messages. The processes use their
+ * leases to the last microsecond by their own clocks, without any margin, so that nothing but the controller's waiting
+ * keeps two of them apart. Time is virtual and starts at the controller's true time 0.
+ */
+final class RandomSchedule {
+    private static final int SHARDS = 24;
+    private static final int MEMBERS = 6;
+    private static final int ZONES = 2;
+    private static final long HEARTBEAT = 1_000;
+    private static final long LEASE = 5_000;
+    private static final double DRIFT = 0.05;
+    private static final LeaseTiming TIMING = new LeaseTiming(HEARTBEAT, LEASE, DRIFT, 10);
+    private static final double LOSS = 0.05;
+    private static final double DOUBLED = 0.05;
+    private static final double LATE = 0.1;
+
+    private final UniformRandomProvider random;
+    private final PlacementController controller =
+            new PlacementController(new ControllerSettings(1, SHARDS, ZONES, 1.25, TIMING, 20_000));
+    private final PriorityQueue<Delivery> network = new PriorityQueue<>(Delivery.EARLIEST_FIRST);
+    private final List<Process> running = new ArrayList<>();
+    private final Map<Integer, Process> newest = new TreeMap<>();
+    private final Map<Integer, Long> lastEpochs = new HashMap<>();
+    private final ShardMap map = new ShardMap(1, SHARDS);
+    private final List<ControllerEvent> events = new ArrayList<>();
+    private final List<String> breaches = new ArrayList<>();
+    private final Counts counts = new Counts();
+    private long now;
+    private long deliveries;
+    private long clockStep;
+    private long configuration;
+
+    /** How much of each kind a schedule had. */
+    static final class Counts {
+        long grantsCovered;
+        long expiries;
+        long releases;
+        long leavesCompleted;
+        long restartsBesideTheOldProcess;
+        long rejections;
+        long shardsLookedAt;
+        long heldBySomebody;
+
+        void add(Counts other) {
+            grantsCovered += other.grantsCovered;
+            expiries += other.expiries;
+            releases += other.releases;
+            leavesCompleted += other.leavesCompleted;
+            restartsBesideTheOldProcess += other.restartsBesideTheOldProcess;
+            rejections += other.rejections;
+            shardsLookedAt += other.shardsLookedAt;
+            heldBySomebody += other.heldBySomebody;
+        }
+
+        @Override
+        public String toString() {
+            return "grants covered " + grantsCovered + ", expiries " + expiries + ", releases " + releases
+                    + ", leaves completed " + leavesCompleted + ", restarts beside the old process "
+                    + restartsBesideTheOldProcess + ", rejections " + rejections + ", held " + heldBySomebody + " of "
+                    + shardsLookedAt;
+        }
+    }
+
+    private record Delivery(long at, long number, Runnable action) {
+        static final Comparator<Delivery> EARLIEST_FIRST =
+                Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number);
+    }
+
+    /** A process of a forwarder: follows the contract of the events and nothing more. */
+    private final class Process {
+        final MemberId id;
+        final long incarnation;
+        final double clockRate;
+        final boolean remembersRenewals;
+        final Map<Integer, Long> assigned = new TreeMap<>();
+        final Map<Integer, Long> coveredUntil = new HashMap<>();
+        final Map<Long, Long> sentAt = new HashMap<>();
+        long sequence;
+        long revision;
+        LeaseRenewed early;
+
+        Process(int number, long incarnation) {
+            this.id = new MemberId(number);
+            this.incarnation = incarnation;
+            this.clockRate = 1 + DRIFT * (random.nextInt(3) - 1);
+            this.remembersRenewals = random.nextBoolean();
+        }
+
+        double clock() {
+            return now * clockRate;
+        }
+
+        boolean maySend(int shard) {
+            Long until = coveredUntil.get(shard);
+            return until != null && clock() < until;
+        }
+
+        void heartbeat() {
+            sequence++;
+            sentAt.put(sequence, (long) clock());
+            send(new Heartbeat(id, incarnation, sequence, revision));
+        }
+
+        void receive(AssignmentChanged change) {
+            if (change.incarnation() != incarnation) {
+                return;
+            }
+            if (change.whole() ? change.toRevision() < revision : change.fromRevision() != revision) {
+                return;
+            }
+            Map<Integer, Long> granted = new TreeMap<>();
+            change.granted().forEach(grant -> granted.put(grant.shard(), grant.epoch()));
+            if (change.whole()) {
+                assigned.entrySet().removeIf(entry -> !entry.getValue().equals(granted.get(entry.getKey())));
+            }
+            assigned.putAll(granted);
+            change.revoked().forEach(revoked -> assigned.remove(revoked.shard(), revoked.epoch()));
+            coveredUntil.keySet().retainAll(assigned.keySet());
+            revision = change.toRevision();
+            if (!change.revoked().isEmpty()) {
+                send(new Release(id, incarnation, change.revoked()));
+                counts.releases++;
+            }
+            if (early != null && early.revision() == revision) {
+                cover(early);
+            }
+        }
+
+        void receive(LeaseRenewed renewal) {
+            if (renewal.incarnation() != incarnation) {
+                return;
+            }
+            if (renewal.revision() == revision) {
+                cover(renewal);
+            } else if (remembersRenewals && renewal.revision() > revision) {
+                early = renewal;
+            }
+        }
+
+        private void cover(LeaseRenewed renewal) {
+            long until = sentAt.get(renewal.sequence()) + renewal.leaseMicros();
+            for (int shard : assigned.keySet()) {
+                if (!coveredUntil.containsKey(shard)) {
+                    counts.grantsCovered++;
+                }
+                coveredUntil.merge(shard, until, Math::max);
+            }
+        }
+    }
+
+    RandomSchedule(long seed) {
+        random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+    }
+
+    List<String> breaches() {
+        return breaches;
+    }
+
+    List<ControllerEvent> events() {
+        return events;
+    }
+
+    Counts counts() {
+        return counts;
+    }
+
+    /** Goes through so many steps: a chance event each, and all that happens until the next one. */
+    void run(int steps) {
+        for (int step = 0; step < steps; step++) {
+            chanceEvent();
+            long next = now + random.nextLong(2 * HEARTBEAT);
+            deliverUntil(next);
+            now = next;
+            check();
+        }
+    }
+
+    private void chanceEvent() {
+        int member = random.nextInt(MEMBERS);
+        Process process = newest.get(member);
+        int kind = random.nextInt(100);
+        if (process == null || kind < 4) {
+            restart(member, process);
+        } else if (kind < 6) {
+            send(new Leave(process.id, process.incarnation));
+        } else if (kind < 8) {
+            running.removeIf(other -> other.id.number() == member);
+            newest.remove(member);
+        } else if (kind < 10) {
+            clockStep -= random.nextLong(LEASE);
+        } else if (kind < 12) {
+            send(new PublishConfiguration(++configuration));
+        } else if (kind < 13) {
+            send(new Release(process.id, process.incarnation, List.of(
+                    new ShardGrant(random.nextInt(SHARDS), random.nextLong(1, 10)))));
+        }
+        for (Process each : List.copyOf(running)) {
+            each.heartbeat();
+        }
+    }
+
+    /** A new process registers; the old one has ended for sure, or may go on beside it. */
+    private void restart(int member, Process before) {
+        boolean ended = random.nextBoolean();
+        if (ended) {
+            running.removeIf(process -> process.id.number() == member);
+        } else if (before != null) {
+            counts.restartsBesideTheOldProcess++;
+        }
+        long incarnation = now * MEMBERS + member + 1;
+        if (before != null && incarnation <= before.incarnation) {
+            return;
+        }
+        Process process = new Process(member, incarnation);
+        running.add(process);
+        newest.put(member, process);
+        double weight = random.nextInt(4) == 0 ? 2 : 1;
+        send(new Register(process.id, incarnation, random.nextInt(ZONES), weight, ended));
+    }
+
+    private void send(ControllerCommand command) {
+        transmit(() -> apply(command));
+    }
+
+    private void transmit(Runnable delivery) {
+        if (random.nextDouble() < LOSS) {
+            return;
+        }
+        int copies = random.nextDouble() < DOUBLED ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            long bound = random.nextDouble() < LATE ? 2 * LEASE : HEARTBEAT / 4;
+            network.add(new Delivery(now + random.nextLong(bound), deliveries++, delivery));
+        }
+    }
+
+    private void deliverUntil(long end) {
+        while (true) {
+            long delivery = network.isEmpty() ? Long.MAX_VALUE : network.peek().at();
+            long due = controller.nextDueMicros() == Long.MAX_VALUE ? Long.MAX_VALUE
+                    : Math.max(now, controller.nextDueMicros() - clockStep);
+            if (Math.min(delivery, due) > end) {
+                return;
+            }
+            now = Math.min(delivery, due);
+            if (delivery <= due) {
+                network.remove().action().run();
+            } else {
+                apply(new AdvanceTime());
+            }
+            check();
+        }
+    }
+
+    private void apply(ControllerCommand command) {
+        for (ControllerEvent event : controller.apply(command, now + clockStep)) {
+            events.add(event);
+            if (event instanceof AssignmentChanged change) {
+                checkEpochs(change);
+                transmit(() -> running.stream().filter(process -> process.id.equals(change.member())).toList()
+                        .forEach(process -> process.receive(change)));
+            } else if (event instanceof LeaseRenewed renewal) {
+                transmit(() -> running.stream().filter(process -> process.id.equals(renewal.member()))
+                        .forEach(process -> process.receive(renewal)));
+            } else if (event instanceof LeaveCompleted completed) {
+                counts.leavesCompleted++;
+                running.removeIf(process -> process.id.equals(completed.member())
+                        && process.incarnation == completed.incarnation());
+                newest.values().removeIf(process -> process.incarnation == completed.incarnation());
+            } else if (event instanceof MapChanged changed) {
+                checkMap(changed.delta());
+            } else if (event instanceof MemberExpired) {
+                counts.expiries++;
+            } else if (event instanceof CommandRejected) {
+                counts.rejections++;
+            }
+        }
+    }
+
+    private void checkEpochs(AssignmentChanged change) {
+        if (change.whole()) {
+            return;
+        }
+        for (ShardGrant grant : change.granted()) {
+            long last = lastEpochs.getOrDefault(grant.shard(), 0L);
+            if (grant.epoch() <= last) {
+                breaches.add("epoch " + grant.epoch() + " of shard " + grant.shard() + " after " + last);
+            }
+            lastEpochs.put(grant.shard(), grant.epoch());
+        }
+    }
+
+    private void checkMap(MapDelta delta) {
+        if (map.apply(delta) != MapUpdate.APPLIED) {
+            breaches.add("delta " + delta + " does not follow on version " + map.version());
+        }
+        if (!map.snapshot().equals(controller.snapshot())) {
+            breaches.add("map at " + map.version() + " is not the controller's");
+        }
+    }
+
+    private void check() {
+        for (int shard = 0; shard < SHARDS; shard++) {
+            counts.shardsLookedAt++;
+            Process sender = null;
+            for (Process process : running) {
+                if (!process.maySend(shard)) {
+                    continue;
+                }
+                if (sender != null) {
+                    breaches.add("at " + now + " shard " + shard + " is sent for by " + sender.id + "/"
+                            + sender.incarnation + " and " + process.id + "/" + process.incarnation);
+                }
+                sender = process;
+            }
+            if (sender != null) {
+                counts.heldBySomebody++;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/placement/RandomScheduleProperties.java
@@ -0,0 +1,48 @@
+package lilaclever.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Random schedules of commands, with messages that are late, lost and doubled, and clocks at the bounds of the drift. */
+class RandomScheduleProperties {
+    private static final int STEPS = 400;
+
+    @Property(tries = 400, seed = "32")
+    void noShardHasTwoHoldersAndEpochsGrow(@ForAll long seed) {
+        RandomSchedule schedule = new RandomSchedule(seed);
+        schedule.run(STEPS);
+        assertEquals(List.of(), schedule.breaches(), () -> "seed " + seed);
+    }
+
+    @Property(tries = 20, seed = "33")
+    void sameCommandsGiveTheSameEvents(@ForAll long seed) {
+        RandomSchedule first = new RandomSchedule(seed);
+        first.run(STEPS);
+        RandomSchedule second = new RandomSchedule(seed);
+        second.run(STEPS);
+        assertTrue(first.events().size() > STEPS);
+        assertEquals(first.events(), second.events());
+    }
+
+    /** The schedules would show nothing if hardly anything was granted, handed over or expired in them. */
+    @Property(tries = 1)
+    void schedulesReachWhatTheyAreFor() {
+        RandomSchedule.Counts total = new RandomSchedule.Counts();
+        for (long seed = 1; seed <= 100; seed++) {
+            RandomSchedule schedule = new RandomSchedule(seed);
+            schedule.run(STEPS);
+            total.add(schedule.counts());
+        }
+        assertTrue(total.grantsCovered > 10_000, total::toString);
+        assertTrue(total.expiries > 500, total::toString);
+        assertTrue(total.releases > 2000, total::toString);
+        assertTrue(total.leavesCompleted > 50, total::toString);
+        assertTrue(total.restartsBesideTheOldProcess > 200, total::toString);
+        assertTrue(total.rejections > 500, total::toString);
+        assertTrue(total.heldBySomebody > total.shardsLookedAt / 4, total::toString);
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/placement/TestRegion.java
@@ -0,0 +1,180 @@
+package lilaclever.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import lilaclever.placement.ControllerCommand.AdvanceTime;
+import lilaclever.placement.ControllerCommand.Heartbeat;
+import lilaclever.placement.ControllerCommand.Leave;
+import lilaclever.placement.ControllerCommand.Register;
+import lilaclever.placement.ControllerCommand.Release;
+import lilaclever.placement.ControllerEvent.AssignmentChanged;
+import lilaclever.placement.ControllerEvent.LeaveCompleted;
+import lilaclever.placement.ControllerEvent.MapChanged;
+
+/** A controller with members that answer at once, for tests of what is assigned to whom and when. */
+final class TestRegion {
+    static final LeaseTiming TIMING = new LeaseTiming(1_000_000, 5_000_000, 0.01, 200_000);
+    private static final double WEIGHT = 1;
+
+    final PlacementController controller;
+    final ShardMap map;
+    final List<ControllerEvent> log = new ArrayList<>();
+    /** Owner changes of the map since the count was last set to 0; shards that lose their owner count too. */
+    long ownerChanges;
+    long nowMicros;
+    private final ControllerSettings settings;
+    private final Map<MemberId, Process> processes = new TreeMap<>();
+    private final Map<MemberId, Long> incarnations = new TreeMap<>();
+
+    private static final class Process {
+        final long incarnation;
+        long sequence;
+        long appliedRevision;
+
+        Process(long incarnation) {
+            this.incarnation = incarnation;
+        }
+    }
+
+    TestRegion(ControllerSettings settings) {
+        this.settings = settings;
+        controller = new PlacementController(settings);
+        map = new ShardMap(settings.region(), settings.shards());
+    }
+
+    static ControllerSettings settings(int shards, int zones, int pace) {
+        return new ControllerSettings(3, shards, zones, 1.25, TIMING, pace);
+    }
+
+    void join(int member, int zone) {
+        join(member, zone, WEIGHT, false);
+    }
+
+    void join(int member, int zone, double weight, boolean previousProcessEnded) {
+        MemberId id = new MemberId(member);
+        long incarnation = incarnations.merge(id, 1L, Long::sum);
+        processes.put(id, new Process(incarnation));
+        apply(new Register(id, incarnation, zone, weight, previousProcessEnded));
+        heartbeat(id);
+    }
+
+    void leave(int member) {
+        MemberId id = new MemberId(member);
+        apply(new Leave(id, processes.get(id).incarnation));
+    }
+
+    /** The members end without a word. */
+    void kill(Collection<Integer> members) {
+        members.forEach(member -> processes.remove(new MemberId(member)));
+    }
+
+    /** Lets time pass, with heartbeats of all members and the controller's own wake-ups. */
+    void run(long micros) {
+        long end = nowMicros + micros;
+        long nextHeartbeats = nowMicros + settings.timing().heartbeatMicros();
+        while (true) {
+            long due = Math.min(nextHeartbeats, controller.nextDueMicros());
+            if (due > end) {
+                nowMicros = end;
+                return;
+            }
+            nowMicros = Math.max(nowMicros, due);
+            if (due == nextHeartbeats) {
+                List.copyOf(processes.keySet()).forEach(this::heartbeat);
+                nextHeartbeats += settings.timing().heartbeatMicros();
+            } else {
+                apply(new AdvanceTime());
+            }
+        }
+    }
+
+    /** Lets time pass until each shard has an owner; fails after so many steps of a hundredth of a second. */
+    long runUntilAllOwned(int steps) {
+        long start = nowMicros;
+        for (int step = 0; step < steps; step++) {
+            if (unownedShards() == 0) {
+                return nowMicros - start;
+            }
+            run(10_000);
+        }
+        throw new AssertionError(unownedShards() + " shards have no owner");
+    }
+
+    int unownedShards() {
+        int unowned = 0;
+        for (int shard = 0; shard < settings.shards(); shard++) {
+            if (map.ownerOf(shard) == null) {
+                unowned++;
+            }
+        }
+        return unowned;
+    }
+
+    /** Shards of the fullest member, over the mean of all. */
+    double fullestOverMean() {
+        int fullest = controller.members().stream().mapToInt(controller::shardsHeldBy).max().orElse(0);
+        return fullest * (double) controller.members().size() / settings.shards();
+    }
+
+    int[] owners() {
+        int[] owners = new int[settings.shards()];
+        for (int shard = 0; shard < owners.length; shard++) {
+            owners[shard] = map.ownerOf(shard) == null ? -1 : map.ownerOf(shard).number();
+        }
+        return owners;
+    }
+
+    /** How many shards have another owner than before. */
+    int movedSince(int[] before) {
+        int[] now = owners();
+        int moved = 0;
+        for (int shard = 0; shard < now.length; shard++) {
+            if (now[shard] != before[shard]) {
+                moved++;
+            }
+        }
+        return moved;
+    }
+
+    List<ControllerEvent> apply(ControllerCommand command) {
+        List<ControllerEvent> events = controller.apply(command, nowMicros);
+        log.addAll(events);
+        for (ControllerEvent event : events) {
+            receive(event);
+        }
+        return events;
+    }
+
+    private void heartbeat(MemberId id) {
+        Process process = processes.get(id);
+        if (process != null) {
+            process.sequence++;
+            apply(new Heartbeat(id, process.incarnation, process.sequence, process.appliedRevision));
+        }
+    }
+
+    private void receive(ControllerEvent event) {
+        if (event instanceof MapChanged change) {
+            ownerChanges += change.delta().changes().size();
+            map.apply(change.delta());
+        } else if (event instanceof AssignmentChanged change) {
+            receive(change);
+        } else if (event instanceof LeaveCompleted completed) {
+            processes.remove(completed.member());
+        }
+    }
+
+    private void receive(AssignmentChanged change) {
+        Process process = processes.get(change.member());
+        if (process == null || process.incarnation != change.incarnation()) {
+            return;
+        }
+        process.appliedRevision = change.toRevision();
+        if (!change.revoked().isEmpty()) {
+            apply(new Release(change.member(), change.incarnation(), change.revoked()));
+        }
+    }
+}
