--- /dev/null
+++ b/src/test/java/lilaclever/placement/LeaseSchedule.java
@@ -0,0 +1,462 @@
+package lilaclever.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * One random schedule of a controller and three members in true time: messages are lost, doubled, late and overtake each
+ * other, clocks run at different rates and step back, processes are cut off, restarted (with and without proof that the
+ * earlier one has ended) and leave. Times are drawn near the edges of leases. After each step it is checked that no two
+ * processes may send for a shard, also while a writer that has stalled finishes, and that calls start in the order of
+ * their epochs. The seed decides everything.
+ */
+final class LeaseSchedule {
+    /** Which parts of the rules are in force; the faulty ones are to be caught. */
+    record Variant(Function<LeaseTiming, LeaseGuards> guards, Function<LeaseTiming, LeaseTiming> controllerTiming,
+            double driftFactor) {
+        static final Variant CORRECT = new Variant(LeaseGuards::new, timing -> timing, 1);
+    }
+
+    /** What was broken, and when. */
+    record Breach(Kind kind, int shard, long atMicros, String detail) {
+        enum Kind { TWO_MAY_SEND, SEND_DURING_ANOTHERS_WRITE, CALL_WITH_OLDER_EPOCH, GRANT_WITHOUT_NEWER_EPOCH }
+    }
+
+    /** What the schedule did, so that an empty one is noticed. */
+    record Coverage(long messages, long lost, long grants, long calls, long refusedOlderEpoch, long expirations,
+            long handovers) {
+        static final Coverage NONE = new Coverage(0, 0, 0, 0, 0, 0, 0);
+
+        Coverage plus(Coverage other) {
+            return new Coverage(messages + other.messages, lost + other.lost, grants + other.grants,
+                    calls + other.calls, refusedOlderEpoch + other.refusedOlderEpoch,
+                    expirations + other.expirations, handovers + other.handovers);
+        }
+    }
+
+    static final LeaseTiming TIMING = new LeaseTiming(2_000_000, 10_000_000, 0.002, 300_000);
+    private static final int MEMBERS = 3;
+    private static final int SHARDS = 4;
+    private static final long DURATION = 240_000_000;
+    private static final long MAX_STEP_BACK = 3_000_000;
+
+    private final UniformRandomProvider random;
+    private final Variant variant;
+    private final double lossProbability;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final PlacementController controller;
+    private final Clock controllerClock;
+    private final List<Process> processes = new ArrayList<>();
+    private final Process[] present = new Process[MEMBERS];
+    private final long[] cutOffUntil = new long[MEMBERS];
+    private final Process[] lastStarter = new Process[SHARDS];
+    private final long[] greatestGranted = new long[SHARDS];
+    private final long[] greatestStarted = new long[SHARDS];
+    private final List<Write> writes = new ArrayList<>();
+    private long trueMicros;
+    private long eventNumber;
+    private Breach breach;
+
+    private long messages;
+    private long lost;
+    private long grants;
+    private long calls;
+    private long refusedOlderEpoch;
+    private long expirations;
+    private long handovers;
+
+    private record Event(long atMicros, long number, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMicros, other.atMicros);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    private record Write(Process writer, int shard, long endMicros) { }
+
+    /** A monotonic clock that is fast or slow, and may step back. */
+    private final class Clock {
+        private final double rate;
+        private long offset;
+
+        Clock(double rate) {
+            this.rate = rate;
+        }
+
+        long now() {
+            return offset + (long) (trueMicros * rate);
+        }
+
+        void stepBack(long micros) {
+            offset -= micros;
+        }
+
+        /** True time that passes while the clock advances by so much. */
+        long trueMicrosOf(long clockMicros) {
+            return (long) Math.ceil(clockMicros / rate);
+        }
+    }
+
+    /** One life of a member's process. */
+    private final class Process {
+        final MemberId member;
+        final long incarnation;
+        final boolean previousEnded;
+        final Clock clock = newClock();
+        final LeaseHolder holder;
+        boolean ended;
+        boolean leaving;
+
+        Process(MemberId member, long incarnation, boolean previousEnded) {
+            this.member = member;
+            this.incarnation = incarnation;
+            this.previousEnded = previousEnded;
+            this.holder = new LeaseHolder(member, incarnation, TIMING, variant.guards().apply(TIMING));
+        }
+
+        boolean maySend(int shard) {
+            return !ended && holder.maySend(shard, clock.now()) instanceof SendPermission.Permitted;
+        }
+    }
+
+    LeaseSchedule(long seed, Variant variant) {
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        this.variant = variant;
+        this.lossProbability = random.nextInt(3) * 0.15;
+        this.controllerClock = newClock();
+        LeaseTiming timing = variant.controllerTiming().apply(TIMING);
+        this.controller = new PlacementController(new ControllerSettings(0, SHARDS, 2, 1.5, timing, 1000));
+    }
+
+    /** Plays the schedule to its end or to the first breach. */
+    Optional<Breach> run() {
+        for (int member = 0; member < MEMBERS; member++) {
+            int number = member;
+            at(random.nextInt(3_000_000), () -> start(number, true));
+            at(3_000_000 + random.nextInt(20_000_000), () -> disturb(number));
+        }
+        at(random.nextInt(30_000_000), this::stepControllerClock);
+        scheduleAdvance();
+        while (breach == null && !events.isEmpty() && events.peek().atMicros() <= DURATION) {
+            Event event = events.poll();
+            trueMicros = event.atMicros();
+            event.action().run();
+            checkPermissions();
+        }
+        return Optional.ofNullable(breach);
+    }
+
+    Coverage coverage() {
+        return new Coverage(messages, lost, grants, calls, refusedOlderEpoch, expirations, handovers);
+    }
+
+    private Clock newClock() {
+        double half = TIMING.maxDrift() / 2 * variant.driftFactor();
+        int[] choices = {-1, 0, 1};
+        return new Clock(1 + half * choices[random.nextInt(choices.length)]);
+    }
+
+    private void at(long delayMicros, Runnable action) {
+        events.add(new Event(trueMicros + delayMicros, eventNumber++, action));
+    }
+
+    // Processes
+
+    private void start(int member, boolean previousEnded) {
+        Process before = present[member];
+        long incarnation = before == null ? 1 : before.incarnation + 1;
+        if (previousEnded) {
+            endAll(member);
+        }
+        Process process = new Process(new MemberId(member), incarnation, previousEnded);
+        present[member] = process;
+        processes.add(process);
+        register(process);
+        beat(process);
+        at(random.nextInt(2_000_000), () -> tryCall(process));
+    }
+
+    /** Proof that the previous process has ended is proof for all before it: they held one lock, one after the other. */
+    private void endAll(int member) {
+        for (Process process : processes) {
+            if (process.member.number() == member) {
+                process.ended = true;
+            }
+        }
+    }
+
+    private void register(Process process) {
+        send(process, new ControllerCommand.Register(process.member, process.incarnation, process.member.number() % 2, 1,
+                process.previousEnded));
+    }
+
+    private void beat(Process process) {
+        if (process.ended) {
+            return;
+        }
+        if (process.holder.appliedRevision() == 0) {
+            register(process);
+        }
+        send(process, process.holder.heartbeat(process.clock.now()));
+        if (process.leaving) {
+            send(process, new ControllerCommand.Leave(process.member, process.incarnation));
+        }
+        at(process.clock.trueMicrosOf(TIMING.heartbeatMicros()), () -> beat(process));
+    }
+
+    /** Something happens to a member, and again later. */
+    private void disturb(int member) {
+        Process process = present[member];
+        switch (random.nextInt(6)) {
+            case 0 -> start(member, true);
+            case 1 -> start(member, false);
+            case 2 -> cutOffUntil[member] = trueMicros + random.nextInt(25_000_000);
+            case 3 -> process.leaving = true;
+            case 4 -> stepBack(process);
+            default -> process.ended = true;
+        }
+        if (process.ended && present[member] == process) {
+            at(random.nextInt(30_000_000), () -> start(member, random.nextBoolean()));
+        }
+        at(random.nextInt(40_000_000), () -> disturb(member));
+    }
+
+    /** The clock was read just before: a step that hides between two readings is drift beyond the bound. */
+    private void stepBack(Process process) {
+        process.maySend(0);
+        process.clock.stepBack(random.nextInt((int) MAX_STEP_BACK));
+    }
+
+    private void stepControllerClock() {
+        controllerClock.stepBack(random.nextInt((int) MAX_STEP_BACK));
+        at(random.nextInt(60_000_000), this::stepControllerClock);
+    }
+
+    // Calls
+
+    /** Asks for a permission and uses it at once, much later, or just before it ends. */
+    private void tryCall(Process process) {
+        if (process.ended) {
+            return;
+        }
+        int shard = random.nextInt(SHARDS);
+        long now = process.clock.now();
+        if (process.holder.maySend(shard, now) instanceof SendPermission.Permitted permitted) {
+            long left = Math.max(0, permitted.untilMicros() - 1 - now);
+            long[] waits = {0, left, random.nextInt((int) (3 * TIMING.leaseMicros()))};
+            long wait = process.clock.trueMicrosOf(waits[random.nextInt(waits.length)]);
+            at(wait, () -> startCall(process, shard, permitted.epoch()));
+            // The same permission once more, long after: a message that was queued.
+            at(random.nextInt((int) (8 * TIMING.leaseMicros())), () -> startCall(process, shard, permitted.epoch()));
+        }
+        at(random.nextInt(2_000_000), () -> tryCall(process));
+    }
+
+    private void startCall(Process process, int shard, long epoch) {
+        if (process.ended) {
+            return;
+        }
+        HolderResult result = process.holder.started(shard, epoch, process.clock.now());
+        if (result == HolderResult.OLDER_EPOCH) {
+            refusedOlderEpoch++;
+        }
+        if (result != HolderResult.APPLIED) {
+            return;
+        }
+        calls++;
+        if (epoch < greatestStarted[shard]) {
+            broken(Breach.Kind.CALL_WITH_OLDER_EPOCH, shard, process + " after " + greatestStarted[shard]);
+        }
+        greatestStarted[shard] = Math.max(greatestStarted[shard], epoch);
+        if (lastStarter[shard] != null && lastStarter[shard] != process) {
+            handovers++;
+        }
+        lastStarter[shard] = process;
+        // A writer may stall after its check for less than both margins together.
+        long stall = random.nextBoolean() ? 2 * TIMING.marginMicros() - 1 : random.nextInt(100_000);
+        long writeEnd = trueMicros + process.clock.trueMicrosOf(stall) - 1;
+        writes.add(new Write(process, shard, writeEnd));
+        long answerAfter = process.clock.trueMicrosOf(stall) + random.nextInt(3_000_000);
+        at(answerAfter, () -> finishCall(process, shard, epoch));
+    }
+
+    private void finishCall(Process process, int shard, long epoch) {
+        if (!process.ended) {
+            process.holder.finished(shard, epoch);
+            sendReleases(process);
+        }
+    }
+
+    // Messages
+
+    private void send(Process process, ControllerCommand command) {
+        deliver(process.member.number(), () -> apply(command));
+    }
+
+    private void apply(ControllerCommand command) {
+        for (ControllerEvent event : controller.apply(command, controllerClock.now())) {
+            dispatch(event);
+        }
+        scheduleAdvance();
+    }
+
+    private void scheduleAdvance() {
+        long due = controller.nextDueMicros();
+        if (due != Long.MAX_VALUE) {
+            long wait = Math.max(0, due - controllerClock.now());
+            at(controllerClock.trueMicrosOf(wait), this::advance);
+        }
+    }
+
+    private void advance() {
+        if (controller.nextDueMicros() <= controllerClock.now()) {
+            apply(new ControllerCommand.AdvanceTime());
+        }
+    }
+
+    private void dispatch(ControllerEvent event) {
+        if (event instanceof ControllerEvent.LeaseRenewed renewed) {
+            toMember(renewed.member(), renewed.incarnation(),
+                    process -> process.holder.renewed(renewed, process.clock.now()));
+        } else if (event instanceof ControllerEvent.AssignmentChanged changed) {
+            noteGrants(changed);
+            toMember(changed.member(), changed.incarnation(), process -> {
+                process.holder.assignmentChanged(changed);
+                sendReleases(process);
+            });
+        } else if (event instanceof ControllerEvent.MapChanged changed) {
+            for (MapDelta.OwnerChange change : changed.delta().changes()) {
+                ownerChanged(change);
+            }
+        } else if (event instanceof ControllerEvent.MemberExpired) {
+            expirations++;
+        } else if (event instanceof ControllerEvent.LeaveCompleted left) {
+            toMember(left.member(), left.incarnation(), this::endAndStartAgain);
+        } else if (event instanceof ControllerEvent.CommandRejected rejected
+                && rejected.reason() == RejectionReason.UNKNOWN_MEMBER
+                && rejected.command() instanceof ControllerCommand.Heartbeat heartbeat) {
+            toMember(heartbeat.member(), heartbeat.incarnation(), this::endAndStartAgain);
+        }
+    }
+
+    private void ownerChanged(MapDelta.OwnerChange change) {
+        for (int member = 0; member < MEMBERS; member++) {
+            int number = member;
+            deliver(number, () -> {
+                Process process = present[number];
+                if (process != null && !process.ended) {
+                    process.holder.ownerChanged(change);
+                    sendReleases(process);
+                }
+            });
+        }
+    }
+
+    private void noteGrants(ControllerEvent.AssignmentChanged changed) {
+        if (changed.whole()) {
+            changed.granted().forEach(
+                    grant -> greatestGranted[grant.shard()] = Math.max(greatestGranted[grant.shard()], grant.epoch()));
+            return;
+        }
+        for (ShardGrant grant : changed.granted()) {
+            grants++;
+            if (grant.epoch() <= greatestGranted[grant.shard()]) {
+                broken(Breach.Kind.GRANT_WITHOUT_NEWER_EPOCH, grant.shard(), changed.toString());
+            }
+            greatestGranted[grant.shard()] = grant.epoch();
+        }
+    }
+
+    private void endAndStartAgain(Process process) {
+        if (present[process.member.number()] == process) {
+            process.ended = true;
+            at(random.nextInt(5_000_000), () -> {
+                if (present[process.member.number()] == process) {
+                    start(process.member.number(), true);
+                }
+            });
+        }
+    }
+
+    private void sendReleases(Process process) {
+        process.holder.release().ifPresent(release -> send(process, release));
+    }
+
+    private interface Receipt {
+        void by(Process process);
+    }
+
+    private void toMember(MemberId member, long incarnation, Receipt receipt) {
+        deliver(member.number(), () -> {
+            for (Process process : processes) {
+                boolean addressed = process.member.equals(member) && process.incarnation == incarnation;
+                if (addressed && !process.ended) {
+                    receipt.by(process);
+                }
+            }
+        });
+    }
+
+    /** Brings a message over, once, twice or not at all. */
+    private void deliver(int member, Runnable receipt) {
+        messages++;
+        boolean cutOff = trueMicros < cutOffUntil[member];
+        if (cutOff || random.nextDouble() < lossProbability) {
+            lost++;
+            return;
+        }
+        at(delay(), receipt);
+        if (random.nextInt(10) == 0) {
+            at(delay(), receipt);
+        }
+    }
+
+    private long delay() {
+        return switch (random.nextInt(10)) {
+            case 0 -> random.nextInt((int) (1.5 * TIMING.leaseMicros()));
+            case 1, 2 -> random.nextInt(1_000_000);
+            case 3, 4, 5 -> random.nextInt(20_000);
+            default -> 0;
+        };
+    }
+
+    // Checks
+
+    private void checkPermissions() {
+        writes.removeIf(write -> write.endMicros() < trueMicros);
+        for (int shard = 0; shard < SHARDS; shard++) {
+            Process sender = null;
+            for (Process process : processes) {
+                if (!process.maySend(shard)) {
+                    continue;
+                }
+                if (sender != null) {
+                    broken(Breach.Kind.TWO_MAY_SEND, shard, sender.member + " and " + process.member);
+                }
+                sender = process;
+            }
+            checkWrites(shard, sender);
+        }
+    }
+
+    private void checkWrites(int shard, Process sender) {
+        for (Write write : writes) {
+            if (sender != null && write.shard() == shard && write.writer() != sender && !write.writer().ended) {
+                broken(Breach.Kind.SEND_DURING_ANOTHERS_WRITE, shard, write.writer().member + " writes until "
+                        + write.endMicros() + ", " + sender.member + " may send");
+            }
+        }
+    }
+
+    private void broken(Breach.Kind kind, int shard, String detail) {
+        if (breach == null) {
+            breach = new Breach(kind, shard, trueMicros, detail);
+        }
+    }
+}
