--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/ConfigurationLog.java
@@ -0,0 +1,83 @@
+package lilaclever.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+
+/** When each version of the configuration was published, and when the last forwarder that could be reached had it. */
+final class ConfigurationLog {
+    private final EventQueue queue;
+    private final List<Change> changes = new ArrayList<>();
+    private final Histogram reachableMillis = new Histogram(3);
+    private final Histogram cutOffMillis = new Histogram(3);
+    private long published;
+
+    /** A change: published when, and after how long in force at the last forwarder that was reachable throughout. */
+    static final class Change {
+        final long publishedMicros;
+        long slowestMicros;
+        int forwarders;
+
+        Change(long publishedMicros) {
+            this.publishedMicros = publishedMicros;
+        }
+    }
+
+    ConfigurationLog(EventQueue queue) {
+        this.queue = queue;
+    }
+
+    /** Publishes the next version and gives its number, from 1. */
+    long publish() {
+        changes.add(new Change(queue.now()));
+        published++;
+        return published;
+    }
+
+    long latest() {
+        return published;
+    }
+
+    long publishedAt(long version) {
+        return changes.get((int) (version - 1)).publishedMicros;
+    }
+
+    /** A process has gone from one version to a later one. */
+    void applied(ForwarderProcess process, long before, long after, long regionCutOffUntil) {
+        for (long version = before + 1; version <= after; version++) {
+            Change change = changes.get((int) (version - 1));
+            if (process.startedMicros >= change.publishedMicros) {
+                continue;
+            }
+            long micros = queue.now() - change.publishedMicros;
+            boolean reachable = process.forwarder.cutOffUntil < change.publishedMicros
+                    && regionCutOffUntil < change.publishedMicros;
+            (reachable ? reachableMillis : cutOffMillis).recordValue(micros / 1_000);
+            if (reachable) {
+                change.forwarders++;
+                change.slowestMicros = Math.max(change.slowestMicros, micros);
+            }
+        }
+    }
+
+    /** How long changes took to each forwarder that was reachable, milliseconds. */
+    Histogram reachableMillis() {
+        return reachableMillis;
+    }
+
+    /** How long changes took to forwarders that were cut off when they were published, or after, milliseconds. */
+    Histogram cutOffMillis() {
+        return cutOffMillis;
+    }
+
+    /** How long the changes that were published in a span took until the last reachable forwarder, milliseconds. */
+    Histogram everywhereMillis(long fromMicros, long toMicros) {
+        Histogram millis = new Histogram(3);
+        for (Change change : changes) {
+            if (change.publishedMicros >= fromMicros && change.publishedMicros < toMicros && change.forwarders > 0) {
+                millis.recordValue(change.slowestMicros / 1_000);
+            }
+        }
+        return millis;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/ConfigurationPublisher.java
@@ -0,0 +1,102 @@
+package lilaclever.lab.fleet;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+
+/** Publishes changes of the configuration to the controllers of all regions, and tells them each second that it is there. */
+final class ConfigurationPublisher {
+    private static final long SECOND = 1_000_000;
+    private static final long RETRY_MICROS = 300_000;
+    private static final double MICROS_PER_DAY = 86_400.0 * SECOND;
+
+    private final FleetSettings settings;
+    private final EventQueue queue;
+    private final Network network;
+    private final List<RegionControl> regions;
+    private final FleetForwarders forwarders;
+    private final FleetChecks checks;
+    private final ConfigurationLog log;
+    private final ZigguratSampler.Exponential exponential;
+
+    ConfigurationPublisher(FleetSettings settings, EventQueue queue, Network network, List<RegionControl> regions,
+            FleetForwarders forwarders, FleetChecks checks, ConfigurationLog log, UniformRandomProvider random) {
+        this.settings = settings;
+        this.queue = queue;
+        this.network = network;
+        this.regions = regions;
+        this.forwarders = forwarders;
+        this.checks = checks;
+        this.log = log;
+        this.exponential = ZigguratSampler.Exponential.of(random);
+    }
+
+    /** Age that a configuration may have with a forwarder which takes it to be current, microseconds. */
+    static long boundMicros(FleetSettings settings) {
+        return settings.timing().leaseMicros() + 4 * SECOND;
+    }
+
+    void start() {
+        tellAll();
+        scheduleNext();
+    }
+
+    private void scheduleNext() {
+        queue.after((long) (MICROS_PER_DAY / settings.configurationsPerDay() * exponential.sample()), () -> {
+            publish();
+            scheduleNext();
+        });
+    }
+
+    private void publish() {
+        long version = log.publish();
+        regions.forEach(region -> sendUntilArrived(region, version));
+        queue.after(boundMicros(settings), () -> checkAge(version));
+    }
+
+    private void sendUntilArrived(RegionControl region, long version) {
+        if (region.configurationVersion() >= version) {
+            return;
+        }
+        tell(region);
+        queue.after(RETRY_MICROS, () -> sendUntilArrived(region, version));
+    }
+
+    private void tellAll() {
+        regions.forEach(this::tell);
+        queue.after(SECOND, this::tellAll);
+    }
+
+    private void tell(RegionControl region) {
+        long version = log.latest();
+        long sent = queue.now();
+        if (isCutOff(region)) {
+            return;
+        }
+        network.betweenRegions(() -> {
+            if (!isCutOff(region)) {
+                region.publisherHeard(version, sent);
+            }
+        });
+    }
+
+    private boolean isCutOff(RegionControl region) {
+        return queue.now() < region.cutOffUntil;
+    }
+
+    private void checkAge(long version) {
+        checks.checked();
+        long published = log.publishedAt(version);
+        for (HollowForwarder forwarder : forwarders.all()) {
+            ForwarderProcess process = forwarder.process;
+            if (process == null || process.configurationFreshUntil <= queue.now()) {
+                continue;
+            }
+            long has = regions.get(forwarder.region).configurationOf(process);
+            if (has < version) {
+                checks.broken(new FleetBreach(FleetBreach.Kind.STALE_CONFIGURATION, queue.now(), forwarder.region,
+                        forwarder.id + " has " + has + ", not " + version + " of " + published));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/ControlTraffic.java
@@ -0,0 +1,113 @@
+package lilaclever.lab.fleet;
+
+import java.util.Arrays;
+
+/** Bytes and processor time of a region's control machines, and processor time of the forwarders' part. */
+final class ControlTraffic {
+    /** One of so many renewals is timed at the holder. */
+    private static final int HOLDER_SAMPLE = 64;
+
+    private final long[] relayBytes;
+    private long controllerBytes;
+    private long commands;
+    private long controllerNanos;
+    private long renewals;
+    private long sampledRenewals;
+    private long sampledHolderNanos;
+    private long deltas;
+    private long deltaNanos;
+    /** Members whose lease has ended, and versions of the map that were fetched instead of passed on. */
+    long expirations;
+    long fetches;
+
+    ControlTraffic(int relays) {
+        relayBytes = new long[relays];
+    }
+
+    /** A message between a forwarder and the controller: in and out at the relay, and once at the controller. */
+    void relayed(HollowForwarder forwarder, int bytes) {
+        relayBytes[forwarder.id.number() % relayBytes.length] += 2L * bytes;
+        controllerBytes += bytes;
+    }
+
+    void sentByController(int bytes) {
+        controllerBytes += bytes;
+    }
+
+    void fromPublisher(int bytes) {
+        controllerBytes += bytes;
+    }
+
+    void controllerTook(long nanos) {
+        commands++;
+        controllerNanos += nanos;
+    }
+
+    boolean sampleHolder() {
+        renewals++;
+        return renewals % HOLDER_SAMPLE == 0;
+    }
+
+    void holderTook(long nanos) {
+        sampledRenewals++;
+        sampledHolderNanos += nanos;
+    }
+
+    void deltaTook(long nanos) {
+        deltas++;
+        deltaNanos += nanos;
+    }
+
+    void reset() {
+        Arrays.fill(relayBytes, 0);
+        controllerBytes = 0;
+        commands = 0;
+        controllerNanos = 0;
+        renewals = 0;
+        sampledRenewals = 0;
+        sampledHolderNanos = 0;
+        deltas = 0;
+        deltaNanos = 0;
+        expirations = 0;
+        fetches = 0;
+    }
+
+    /** Bytes of the busiest machine: a relay or the controller. */
+    long busiestMachineBytes() {
+        long most = controllerBytes;
+        for (long bytes : relayBytes) {
+            most = Math.max(most, bytes);
+        }
+        return most;
+    }
+
+    long controllerBytes() {
+        return controllerBytes;
+    }
+
+    long commands() {
+        return commands;
+    }
+
+    long controllerNanos() {
+        return controllerNanos;
+    }
+
+    long deltas() {
+        return deltas;
+    }
+
+    long renewals() {
+        return renewals;
+    }
+
+    /** Processor time of all renewals at the holders of the region, estimated from those that were timed. */
+    double holderNanos() {
+        return sampledRenewals == 0 ? 0 : (double) sampledHolderNanos / sampledRenewals * renewals;
+    }
+
+    /** Processor time that one forwarder takes to read and apply all deltas. */
+    long deltaNanos() {
+        return deltaNanos;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/DestinationCounts.java
@@ -0,0 +1,31 @@
+package lilaclever.lab.fleet;
+
+import lilaclever.placement.ShardHasher;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** How many destinations of a region are in each of its shards, and how many of those are down. */
+final class DestinationCounts {
+    private final int[] all;
+    private final int[] down;
+
+    DestinationCounts(int region, int shards, int destinations, double downShare, UniformRandomProvider random) {
+        all = new int[shards];
+        down = new int[shards];
+        ShardHasher hasher = new ShardHasher(shards);
+        for (int destination = 0; destination < destinations; destination++) {
+            int shard = hasher.shardOf(region, destination);
+            all[shard]++;
+            if (random.nextDouble() < downShare) {
+                down[shard]++;
+            }
+        }
+    }
+
+    int of(int shard) {
+        return all[shard];
+    }
+
+    int downOf(int shard) {
+        return down[shard];
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/EventQueue.java
@@ -0,0 +1,99 @@
+package lilaclever.lab.fleet;
+
+import java.util.Arrays;
+
+/** What is to happen when, in virtual time. Events at the same time happen in the order in which they were added. */
+final class EventQueue {
+    private static final int INITIAL_CAPACITY = 1 << 12;
+    private long[] times = new long[INITIAL_CAPACITY];
+    private long[] numbers = new long[INITIAL_CAPACITY];
+    private Runnable[] actions = new Runnable[INITIAL_CAPACITY];
+    private int size;
+    private long added;
+    private long nowMicros;
+
+    /** The present virtual time, microseconds from the start. */
+    long now() {
+        return nowMicros;
+    }
+
+    /** How many events were added so far. */
+    long added() {
+        return added;
+    }
+
+    /** Lets something happen after a delay of 0 or more, microseconds. */
+    void after(long delayMicros, Runnable action) {
+        if (size == times.length) {
+            grow();
+        }
+        int place = size++;
+        long time = nowMicros + Math.max(0, delayMicros);
+        long number = added++;
+        while (place > 0) {
+            int parent = (place - 1) >>> 1;
+            if (before(times[parent], numbers[parent], time, number)) {
+                break;
+            }
+            move(parent, place);
+            place = parent;
+        }
+        set(place, time, number, action);
+    }
+
+    /** Lets everything happen that is due up to a time, and then advances to it. */
+    void runUntil(long endMicros) {
+        while (size > 0 && times[0] <= endMicros) {
+            nowMicros = times[0];
+            Runnable action = actions[0];
+            removeFirst();
+            action.run();
+        }
+        nowMicros = endMicros;
+    }
+
+    private void removeFirst() {
+        size--;
+        long time = times[size];
+        long number = numbers[size];
+        Runnable action = actions[size];
+        actions[size] = null;
+        if (size == 0) {
+            return;
+        }
+        int place = 0;
+        int child = 1;
+        while (child < size) {
+            if (child + 1 < size && before(times[child + 1], numbers[child + 1], times[child], numbers[child])) {
+                child++;
+            }
+            if (before(time, number, times[child], numbers[child])) {
+                break;
+            }
+            move(child, place);
+            place = child;
+            child = 2 * place + 1;
+        }
+        set(place, time, number, action);
+    }
+
+    private void move(int from, int to) {
+        set(to, times[from], numbers[from], actions[from]);
+    }
+
+    private void set(int place, long time, long number, Runnable action) {
+        times[place] = time;
+        numbers[place] = number;
+        actions[place] = action;
+    }
+
+    private void grow() {
+        times = Arrays.copyOf(times, 2 * size);
+        numbers = Arrays.copyOf(numbers, 2 * size);
+        actions = Arrays.copyOf(actions, 2 * size);
+    }
+
+    private static boolean before(long time, long number, long otherTime, long otherNumber) {
+        return time != otherTime ? time < otherTime : number < otherNumber;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/FleetChecks.java
@@ -0,0 +1,49 @@
+package lilaclever.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the checkers of all regions gather: breaches, and how many shards nobody may send for. */
+final class FleetChecks {
+    private static final int MAX_BREACHES = 100;
+    private final List<FleetBreach> breaches = new ArrayList<>();
+    private long checks;
+    private int unserved;
+    private int peakUnserved;
+
+    void checked() {
+        checks++;
+    }
+
+    long checks() {
+        return checks;
+    }
+
+    /** Keeps the first breaches; the number is bounded. */
+    void broken(FleetBreach breach) {
+        if (breaches.size() < MAX_BREACHES) {
+            breaches.add(breach);
+        }
+    }
+
+    List<FleetBreach> breaches() {
+        return List.copyOf(breaches);
+    }
+
+    void unservedChanged(int difference) {
+        unserved += difference;
+        peakUnserved = Math.max(peakUnserved, unserved);
+    }
+
+    int unserved() {
+        return unserved;
+    }
+
+    int peakUnserved() {
+        return peakUnserved;
+    }
+
+    void resetPeak() {
+        peakUnserved = unserved;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/FleetForwarders.java
@@ -0,0 +1,133 @@
+package lilaclever.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import lilaclever.placement.LeaseHolder;
+import lilaclever.placement.MemberId;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** All hollow forwarders of the fleet, and their processes' beginnings and ends. */
+final class FleetForwarders {
+    private static final long SECOND = 1_000_000;
+    /** How long a process takes from its end to the start of the next one. */
+    private static final long MIN_RESTART_MICROS = 3 * SECOND;
+    private static final int RESTART_SPREAD_MICROS = (int) (5 * SECOND);
+    /** How long the last call to a destination that is up, or down, is still out. */
+    private static final int CALL_MICROS = 500_000;
+    private static final int CALL_TO_DOWN_MICROS = (int) (5 * SECOND);
+
+    private final FleetSettings settings;
+    private final EventQueue queue;
+    private final UniformRandomProvider random;
+    private final List<HollowForwarder> all = new ArrayList<>();
+    private final List<List<HollowForwarder>> byRegion = new ArrayList<>();
+    private final List<DestinationCounts> destinations = new ArrayList<>();
+    private List<RegionControl> regions;
+
+    FleetForwarders(FleetSettings settings, EventQueue queue, RandomStreams streams) {
+        this.settings = settings;
+        this.queue = queue;
+        this.random = streams.stream("processes");
+        UniformRandomProvider clocks = streams.stream("clocks");
+        UniformRandomProvider downs = streams.stream("destinations");
+        for (int region = 0; region < settings.regions(); region++) {
+            byRegion.add(new ArrayList<>());
+            destinations.add(new DestinationCounts(region, settings.partOf(region, settings.shards()),
+                    settings.partOf(region, settings.destinations()), settings.downShare(), downs));
+        }
+        for (int number = 0; number < settings.forwarders(); number++) {
+            add(number, clocks);
+        }
+    }
+
+    private void add(int number, UniformRandomProvider clocks) {
+        int zone = (int) ((long) number * settings.zones() / settings.forwarders());
+        int firstOfZone = (int) (((long) zone * settings.forwarders() + settings.zones() - 1) / settings.zones());
+        int machine = (number - firstOfZone) / settings.forwardersPerMachine();
+        int region = settings.regionOf(zone);
+        HollowForwarder forwarder = new HollowForwarder(new MemberId(number), region, zone,
+                settings.zoneWithinRegion(zone), machine, machine / settings.machinesPerRack(),
+                clockOf(clocks, settings, queue));
+        all.add(forwarder);
+        byRegion.get(region).add(forwarder);
+    }
+
+    /** A clock within the bound: any two of them differ by the drift at most. */
+    static SimulatedClock clockOf(UniformRandomProvider random, FleetSettings settings, EventQueue queue) {
+        double drift = settings.timing().maxDrift() * (random.nextDouble() - 0.5);
+        return new SimulatedClock(queue, 1 + drift, random.nextInt(Integer.MAX_VALUE));
+    }
+
+    void regions(List<RegionControl> regionControls) {
+        regions = regionControls;
+    }
+
+    List<HollowForwarder> all() {
+        return all;
+    }
+
+    List<HollowForwarder> ofRegion(int region) {
+        return byRegion.get(region);
+    }
+
+    HollowForwarder byId(MemberId id) {
+        return all.get(id.number());
+    }
+
+    DestinationCounts destinationsOf(int region) {
+        return destinations.get(region);
+    }
+
+    /** Makes the next process of a forwarder; it takes the place of the present one, if there is one. */
+    ForwarderProcess newProcess(HollowForwarder forwarder, boolean previousProcessEnded) {
+        forwarder.incarnation++;
+        LeaseHolder holder = new LeaseHolder(forwarder.id, forwarder.incarnation, settings.timing());
+        forwarder.process = new ForwarderProcess(forwarder, forwarder.incarnation, previousProcessEnded, queue.now(),
+                holder);
+        return forwarder.process;
+    }
+
+    /** The process has handed its shards over: it ends and is started again. */
+    void left(ForwarderProcess process) {
+        if (!process.ended) {
+            end(process.forwarder);
+            startAfter(process.forwarder, restartMicros());
+        }
+    }
+
+    void crash(HollowForwarder forwarder) {
+        if (forwarder.running()) {
+            end(forwarder);
+            startAfter(forwarder, restartMicros());
+        }
+    }
+
+    void leave(HollowForwarder forwarder) {
+        if (forwarder.running()) {
+            forwarder.process.leaving = true;
+        }
+    }
+
+    void end(HollowForwarder forwarder) {
+        regions.get(forwarder.region).end(forwarder);
+    }
+
+    /** Starts a forwarder after a while, unless it runs by then. */
+    void startAfter(HollowForwarder forwarder, long delayMicros) {
+        queue.after(delayMicros, () -> {
+            if (!forwarder.running()) {
+                regions.get(forwarder.region).start(forwarder, true);
+            }
+        });
+    }
+
+    /** How long the last call for a shard is still out. */
+    long callMicros(int region, int shard) {
+        int most = destinations.get(region).downOf(shard) > 0 ? CALL_TO_DOWN_MICROS : CALL_MICROS;
+        return random.nextInt(most);
+    }
+
+    private long restartMicros() {
+        return MIN_RESTART_MICROS + random.nextInt(RESTART_SPREAD_MICROS);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/FleetSettings.java
@@ -0,0 +1,86 @@
+package lilaclever.lab.fleet;
+
+import lilaclever.placement.LeaseTiming;
+
+/**
+ * Size and manners of a simulated fleet.
+ *
+ * @param seed                     what all random choices follow from
+ * @param regions                  number of regions
+ * @param zones                    number of zones of the whole fleet, spread evenly over the regions
+ * @param forwarders               number of forwarders, spread evenly over the zones
+ * @param shards                   number of shards of the whole fleet, spread over the regions as the zones are
+ * @param destinations             number of destinations, spread in the same way
+ * @param downShare                share of the destinations that are down
+ * @param forwardersPerMachine     forwarders that fail together with their machine
+ * @param machinesPerRack          machines that fail together with their rack
+ * @param controlMachines          machines for control: a controller for each region, the rest relays
+ * @param timing                   times of the leases
+ * @param loadBound                bound on a forwarder's shards against its share
+ * @param reassignmentsPerSecond   pace of reassignment of a region
+ * @param treeDegree               most receivers of a forwarder in the distribution tree
+ * @param configurationBytes       size of a change of the configuration
+ * @param configurationsPerDay     changes of the configuration a day
+ * @param messageLoss              share of messages that are lost
+ * @param messageDuplication       share of messages that arrive twice
+ */
+public record FleetSettings(long seed, int regions, int zones, int forwarders, int shards, int destinations,
+        double downShare, int forwardersPerMachine, int machinesPerRack, int controlMachines, LeaseTiming timing,
+        double loadBound, int reassignmentsPerSecond, int treeDegree, int configurationBytes, int configurationsPerDay,
+        double messageLoss, double messageDuplication) {
+    /** Forwarders of the fleet at its coming size. */
+    public static final int FULL_FORWARDERS = 19_000;
+    /** Bound on a forwarder's shards against its share, unless another is asked for. */
+    public static final double LOAD_BOUND = 1.1;
+    private static final int FULL_SHARDS = 262_144;
+    private static final int FULL_DESTINATIONS = 7_100_000;
+    private static final int FULL_CONTROL_MACHINES = 42;
+    private static final int REGIONS = 9;
+    private static final int ZONES = 28;
+
+    /** The fleet with so many forwarders, and shards, destinations and control machines in proportion. */
+    public static FleetSettings ofSize(long seed, int forwarders) {
+        return of(seed, REGIONS, ZONES, forwarders);
+    }
+
+    /** A fleet with other numbers of regions and zones. */
+    public static FleetSettings of(long seed, int regions, int zones, int forwarders) {
+        double share = (double) forwarders / FULL_FORWARDERS;
+        int controlMachines = Math.max(2 * regions, (int) Math.round(FULL_CONTROL_MACHINES * share));
+        return new FleetSettings(seed, regions, zones, forwarders, (int) Math.round(FULL_SHARDS * share),
+                (int) Math.round(FULL_DESTINATIONS * share), 0.011, 8, 20, controlMachines,
+                new LeaseTiming(2_000_000, 8_000_000, 0.001, 500_000), LOAD_BOUND, 2_000, 16, 2_048, 17_000, 0.0005, 0.001);
+    }
+
+    /** The same fleet with another bound on load. */
+    public FleetSettings withLoadBound(double bound) {
+        return new FleetSettings(seed, regions, zones, forwarders, shards, destinations, downShare, forwardersPerMachine,
+                machinesPerRack, controlMachines, timing, bound, reassignmentsPerSecond, treeDegree, configurationBytes,
+                configurationsPerDay, messageLoss, messageDuplication);
+    }
+
+    /** Region of a zone. */
+    int regionOf(int zone) {
+        return zone % regions;
+    }
+
+    /** Number of a zone within its region, from 0. */
+    int zoneWithinRegion(int zone) {
+        return zone / regions;
+    }
+
+    /** How many zones a region has. */
+    int zonesOf(int region) {
+        return (zones - region + regions - 1) / regions;
+    }
+
+    /** A region's part of a number of things that are spread over the zones. */
+    int partOf(int region, int total) {
+        int zonesBefore = 0;
+        for (int other = 0; other < region; other++) {
+            zonesBefore += zonesOf(other);
+        }
+        long end = (long) total * (zonesBefore + zonesOf(region)) / zones;
+        return (int) (end - (long) total * zonesBefore / zones);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/HollowForwarder.java
@@ -0,0 +1,68 @@
+package lilaclever.lab.fleet;
+
+import lilaclever.placement.MemberId;
+
+/** A forwarder without sockets: its place, its clock, its present process if it runs, and its control traffic. */
+final class HollowForwarder {
+    private static final long WINDOW_MICROS = 10_000_000;
+
+    final MemberId id;
+    final int region;
+    final int zoneWithinRegion;
+    final int zone;
+    final int machine;
+    final int rack;
+    final SimulatedClock clock;
+    /** Null while it is down. */
+    ForwarderProcess process;
+    long incarnation;
+    /** Virtual time until which nothing reaches it or leaves it. */
+    long cutOffUntil;
+
+    private long bytes;
+    private long window;
+    private long windowBytes;
+    private long busiestWindowBytes;
+
+    HollowForwarder(MemberId id, int region, int zone, int zoneWithinRegion, int machine, int rack,
+            SimulatedClock clock) {
+        this.id = id;
+        this.region = region;
+        this.zone = zone;
+        this.zoneWithinRegion = zoneWithinRegion;
+        this.machine = machine;
+        this.rack = rack;
+        this.clock = clock;
+    }
+
+    boolean running() {
+        return process != null;
+    }
+
+    /** Counts bytes that it sent or received. */
+    void transferred(int count, long nowMicros) {
+        long present = nowMicros / WINDOW_MICROS;
+        if (present != window) {
+            window = present;
+            windowBytes = 0;
+        }
+        bytes += count;
+        windowBytes += count;
+        busiestWindowBytes = Math.max(busiestWindowBytes, windowBytes);
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    /** Bytes a second in the busiest ten seconds. */
+    double busiestBytesPerSecond() {
+        return busiestWindowBytes * 1e6 / WINDOW_MICROS;
+    }
+
+    void resetTraffic() {
+        bytes = 0;
+        windowBytes = 0;
+        busiestWindowBytes = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/Network.java
@@ -0,0 +1,67 @@
+package lilaclever.lab.fleet;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Brings messages over in virtual time: late, in another order, sometimes twice or not at all. */
+final class Network {
+    private static final long MIN_HOP_MICROS = 200;
+    private static final int HOP_SPREAD_MICROS = 1_800;
+    private static final double SLOW_SHARE = 0.001;
+    private static final int SLOW_SPREAD_MICROS = 200_000;
+    private static final long MIN_WIDE_AREA_MICROS = 30_000;
+    private static final int WIDE_AREA_SPREAD_MICROS = 120_000;
+
+    private final EventQueue queue;
+    private final UniformRandomProvider random;
+    private final double loss;
+    private final double duplication;
+    private long messages;
+    private long lost;
+
+    Network(EventQueue queue, UniformRandomProvider random, FleetSettings settings) {
+        this.queue = queue;
+        this.random = random;
+        this.loss = settings.messageLoss();
+        this.duplication = settings.messageDuplication();
+    }
+
+    /** Sends within a region, over so many machines in between. */
+    void withinRegion(int hops, Runnable receipt) {
+        if (isLost()) {
+            return;
+        }
+        queue.after(regionDelay(hops), receipt);
+        if (random.nextDouble() < duplication) {
+            queue.after(regionDelay(hops), receipt);
+        }
+    }
+
+    /** Sends from one region to another. */
+    void betweenRegions(Runnable receipt) {
+        if (!isLost()) {
+            queue.after(MIN_WIDE_AREA_MICROS + random.nextInt(WIDE_AREA_SPREAD_MICROS), receipt);
+        }
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    long lost() {
+        return lost;
+    }
+
+    private boolean isLost() {
+        messages++;
+        if (random.nextDouble() >= loss) {
+            return false;
+        }
+        lost++;
+        return true;
+    }
+
+    private long regionDelay(int hops) {
+        long delay = hops * MIN_HOP_MICROS + random.nextInt(hops * HOP_SPREAD_MICROS);
+        return random.nextDouble() < SLOW_SHARE ? delay + random.nextInt(SLOW_SPREAD_MICROS) : delay;
+    }
+}
--- a/src/main/java/lilaclever/placement/LeaseHolder.java
+++ b/src/main/java/lilaclever/placement/LeaseHolder.java
@@ -226,7 +226,7 @@
 
     /** The shards assigned, whether a lease covers them or not; a copy. */
     public Set<Integer> assignedShardNumbers() {
-        return Set.copyOf(assigned.keySet());
+        return new HashSet<>(assigned.keySet());
     }
 
     private boolean addressed(MemberId toMember, long toIncarnation) {
