--- a/src/main/java/lilaclever/lab/fleet/ControlTraffic.java
+++ b/src/main/java/lilaclever/lab/fleet/ControlTraffic.java
@@ -19,6 +19,8 @@
     /** Members whose lease has ended, and versions of the map that were fetched instead of passed on. */
     long expirations;
     long fetches;
+    /** Deltas that a receiver in the tree did not acknowledge in time. */
+    long resends;
 
     ControlTraffic(int relays) {
         relayBytes = new long[relays];
@@ -70,6 +72,7 @@
         deltaNanos = 0;
         expirations = 0;
         fetches = 0;
+        resends = 0;
     }
 
     /** Bytes of the busiest machine: a relay or the controller. */
--- a/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
@@ -13,7 +13,8 @@
 public final class FleetSimulation {
     private static final long SECOND = 1_000_000;
     private static final long WARM_UP_MICROS = 60 * SECOND;
-    private static final int START_SPREAD_MICROS = (int) SECOND;
+    /** All forwarders register within this time, so that few shards are placed before all members are known. */
+    private static final int START_SPREAD_MICROS = 50_000;
     private static final double PERCENTILE = 99.9;
 
     private final FleetSettings settings;
@@ -159,8 +160,9 @@
         figures.add(new Figure("events", queue.added()));
         figures.add(new Figure("messages", network.messages()));
         figures.add(new Figure("messages_lost", network.lost()));
-        figures.add(new Figure("map_versions", regions.stream().mapToLong(RegionControl::mapVersions).sum()));
+        figures.add(new Figure("map_batches", regions.stream().mapToLong(RegionControl::mapBatches).sum()));
         figures.add(new Figure("map_fetches", regions.stream().mapToLong(region -> region.traffic().fetches).sum()));
+        figures.add(new Figure("map_resends", regions.stream().mapToLong(region -> region.traffic().resends).sum()));
         figures.add(new Figure("expirations",
                 regions.stream().mapToLong(region -> region.traffic().expirations).sum()));
         figures.add(new Figure("moves", moves()));
--- a/src/main/java/lilaclever/lab/fleet/ForwarderProcess.java
+++ b/src/main/java/lilaclever/lab/fleet/ForwarderProcess.java
@@ -21,7 +21,7 @@
     long lastSequence;
     long lastSentReading;
 
-    /** Version of the region's map, and those that arrived before their predecessors. */
+    /** Number of the last batch of the region's map, and those that arrived before their predecessors. */
     long mapVersion;
     final TreeSet<Long> earlyVersions = new TreeSet<>();
     boolean fetchScheduled;
--- a/src/main/java/lilaclever/lab/fleet/MessageSizes.java
+++ b/src/main/java/lilaclever/lab/fleet/MessageSizes.java
@@ -12,6 +12,8 @@
     /** IPv6 and TCP headers with timestamps (72), TLS 1.3 record (22), length and kind (5), and a bare acknowledgement. */
     static final int OVERHEAD = 72 + 22 + 5 + 72;
     private static final int NUMBER = 8;
+    /** A version that has arrived; it carries the bare acknowledgement with it. */
+    static final int ACKNOWLEDGEMENT = 72 + 22 + 5 + NUMBER;
     private static final int HEARTBEAT = 4 * NUMBER;
     /** A renewal with the versions of map and configuration. */
     private static final int RENEWAL = 7 * NUMBER;
