--- a/src/main/java/lilaclever/lab/fleet/ConfigurationPublisher.java
+++ b/src/main/java/lilaclever/lab/fleet/ConfigurationPublisher.java
@@ -31,11 +31,6 @@
         this.exponential = ZigguratSampler.Exponential.of(random);
     }
 
-    /** Age that a configuration may have with a forwarder which takes it to be current, microseconds. */
-    static long boundMicros(FleetSettings settings) {
-        return settings.timing().leaseMicros() + 4 * SECOND;
-    }
-
     void start() {
         tellAll();
         scheduleNext();
@@ -51,7 +46,7 @@
     private void publish() {
         long version = log.publish();
         regions.forEach(region -> sendUntilArrived(region, version));
-        queue.after(boundMicros(settings), () -> checkAge(version));
+        queue.after(settings.configurationBoundMicros(), () -> checkAge(version));
     }
 
     private void sendUntilArrived(RegionControl region, long version) {
--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -24,6 +24,10 @@
     private Schedule schedule = Schedule.INCIDENTS;
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
+    @Option(name = "--reassignments", usage = "shards a second of a region that may get another owner")
+    private int reassignments = FleetSettings.REASSIGNMENTS_PER_SECOND;
+    @Option(name = "--memory", usage = "measure the heap of holders, maps and a controller instead")
+    private boolean memory;
     @Option(name = "--out", usage = "folder that the table is written to", metaVar = "FOLDER")
     private Path folder = Path.of("docs/scale/fleet");
 
@@ -40,13 +44,18 @@
             parser.printUsage(System.err);
             System.exit(USAGE_ERROR);
         }
+        if (main.memory) {
+            new ControlMemory(FleetSettings.ofSize(main.seed, main.forwarders)).print(System.out);
+            return;
+        }
         System.exit(main.play() ? 0 : BREACHES_FOUND);
     }
 
     private boolean play() {
         long begin = System.nanoTime();
         FleetFigures figures = new FleetSimulation(
-                FleetSettings.ofSize(seed, forwarders).withLoadBound(loadBound), schedule).run();
+                FleetSettings.ofSize(seed, forwarders).withLoadBound(loadBound).withReassignmentsPerSecond(reassignments),
+                schedule).run();
         double realSeconds = (System.nanoTime() - begin) / 1e9;
         Path file = folder.resolve(schedule.label() + "-" + forwarders + "-seed" + seed + ".tsv");
         try {
--- a/src/main/java/lilaclever/lab/fleet/RegionControl.java
+++ b/src/main/java/lilaclever/lab/fleet/RegionControl.java
@@ -49,7 +49,6 @@
     private final DeltaBatch batch = new DeltaBatch();
     private final ShardMap sampleMap;
     private final ControlTraffic traffic;
-    private final long mapBoundMicros;
     private DistributionTree tree;
     private long treeVersion;
     private boolean membersChanged = true;
@@ -75,7 +74,6 @@
                 settings.loadBound(), settings.timing(), settings.reassignmentsPerSecond()));
         sampleMap = new ShardMap(region, shards);
         traffic = new ControlTraffic(relays);
-        mapBoundMicros = settings.timing().leaseMicros();
     }
 
     OwnershipChecker checker() {
@@ -455,7 +453,7 @@
         }
         Passage passage = new Passage(version, MessageSizes.mapMessage(encoded.length + contents), tree);
         tree.heads().forEach(head -> sendDelta(null, head, passage));
-        queue.after(mapBoundMicros, () -> checkMapAge(version));
+        queue.after(settings.mapBoundMicros(), () -> checkMapAge(version));
     }
 
     /** What every forwarder does with a delta is done and timed once. */
--- /dev/null
+++ b/src/test/java/lilaclever/lab/fleet/FleetSimulationTest.java
@@ -0,0 +1,67 @@
+package lilaclever.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A small fleet: 200 forwarders in 2 regions of 3 zones, failures of each kind in a few minutes of virtual time. */
+class FleetSimulationTest {
+    private static final double LOAD_BOUND = 1.25;
+
+    @Test
+    void smallFleetKeepsTheRulesThroughFailuresOfEachKind() {
+        FleetFigures figures = play(1);
+        assertEquals(List.of(), figures.breaches());
+        assertTrue(figures.checks() > 5_000, "checks: " + figures.checks());
+        assertTrue(figures.figure("expirations") > 40, figures.toString());
+        assertTrue(figures.figure("messages_lost") > 50, figures.toString());
+        for (PhaseFigures phase : figures.phases()) {
+            assertTrue(phase.fullestShards() <= LOAD_BOUND, phase.toString());
+            assertTrue(phase.changeEverywhereWorstMillis() < 4_000, phase.toString());
+        }
+        PhaseFigures zoneLost = phase(figures, "zone_lost");
+        assertTrue(zoneLost.shardsLost() > 300, zoneLost.toString());
+        assertTrue(zoneLost.restoredSeconds() < 15, zoneLost.toString());
+        assertTrue(zoneLost.moves() <= 1.1 * zoneLost.leastMoves(), zoneLost.toString());
+    }
+
+    @Test
+    void oneSeedGivesTheSameRun() {
+        FleetFigures first = play(2);
+        FleetFigures second = play(2);
+        assertEquals(first.phases(), second.phases());
+        assertEquals(first.deterministic(), second.deterministic());
+        assertEquals(first.checks(), second.checks());
+        assertNotEquals(first.deterministic(), play(3).deterministic());
+    }
+
+    @Test
+    void mapsOlderThanTheirBoundAreBreaches() {
+        FleetSettings settings = FleetSettings.of(4, 2, 6, 200);
+        assertEquals(List.of(FleetBreach.Kind.STALE_MAP),
+                kinds(settings.withAgeBounds(1_000, settings.configurationBoundMicros())));
+    }
+
+    @Test
+    void configurationsOlderThanTheirBoundAreBreaches() {
+        FleetSettings settings = FleetSettings.of(4, 2, 6, 200);
+        assertEquals(List.of(FleetBreach.Kind.STALE_CONFIGURATION),
+                kinds(settings.withAgeBounds(settings.mapBoundMicros(), 20_000)));
+    }
+
+    private static List<FleetBreach.Kind> kinds(FleetSettings settings) {
+        return new FleetSimulation(settings, Schedule.SHORT).run().breaches().stream().map(FleetBreach::kind).distinct()
+                .toList();
+    }
+
+    private static FleetFigures play(long seed) {
+        return new FleetSimulation(FleetSettings.of(seed, 2, 6, 200), Schedule.SHORT).run();
+    }
+
+    private static PhaseFigures phase(FleetFigures figures, String name) {
+        return figures.phases().stream().filter(phase -> phase.name().equals(name)).findFirst().orElseThrow();
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/lab/fleet/OwnershipCheckerTest.java
@@ -0,0 +1,94 @@
+package lilaclever.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import lilaclever.placement.ControllerEvent;
+import lilaclever.placement.LeaseHolder;
+import lilaclever.placement.LeaseTiming;
+import lilaclever.placement.MemberId;
+import lilaclever.placement.ShardGrant;
+import org.junit.jupiter.api.Test;
+
+/** The checker notices what it is there for, from holders that are told what no controller would tell them. */
+class OwnershipCheckerTest {
+    private static final LeaseTiming TIMING = new LeaseTiming(2_000_000, 8_000_000, 0.001, 500_000);
+    private static final int SHARD = 2;
+
+    private final EventQueue queue = new EventQueue();
+    private final FleetChecks checks = new FleetChecks();
+    private final OwnershipChecker checker = new OwnershipChecker(0, 4, queue, checks);
+
+    @Test
+    void twoHoldersOfOneShardAreABreach() {
+        own(process(1), 1);
+        own(process(2), 2);
+        assertEquals(List.of(FleetBreach.Kind.TWO_SENDERS), kinds());
+    }
+
+    @Test
+    void holderThatResumesWhileAnotherSendsIsABreach() {
+        ForwarderProcess first = process(1);
+        own(first, 1);
+        queue.runUntil(9_000_000);
+        own(process(2), 2);
+        assertEquals(List.of(), kinds());
+        renew(first, 2);
+        assertEquals(List.of(FleetBreach.Kind.TWO_SENDERS, FleetBreach.Kind.EPOCH_NOT_GREATER), kinds());
+    }
+
+    @Test
+    void epochThatIsNotGreaterIsABreach() {
+        own(process(1), 5);
+        queue.runUntil(9_000_000);
+        own(process(2), 5);
+        assertEquals(List.of(FleetBreach.Kind.EPOCH_NOT_GREATER), kinds());
+    }
+
+    @Test
+    void gapCountsFromTheEndOfTheFormerLease() {
+        assertEquals(4, checker.unserved());
+        ForwarderProcess first = process(1);
+        own(first, 1);
+        assertEquals(3, checker.unserved());
+        first.permittedUntil = 7_000_000;
+        queue.runUntil(9_000_000);
+        own(process(2), 2);
+        assertEquals(2_000, checker.gapMillis().getMaxValue(), 10);
+        assertEquals(2, checker.moves());
+        assertEquals(List.of(), kinds());
+    }
+
+    @Test
+    void processThatEndsLeavesItsShardsWithoutAnOwner() {
+        ForwarderProcess process = process(1);
+        own(process, 1);
+        checker.ended(process);
+        assertEquals(4, checker.unserved());
+    }
+
+    private ForwarderProcess process(int number) {
+        MemberId id = new MemberId(number);
+        HollowForwarder forwarder = new HollowForwarder(id, 0, 0, 0, 0, 0, new SimulatedClock(queue, 1, 0));
+        return new ForwarderProcess(forwarder, 1, true, 0, new LeaseHolder(id, 1, TIMING));
+    }
+
+    private void own(ForwarderProcess process, long epoch) {
+        process.holder.assignmentChanged(new ControllerEvent.AssignmentChanged(process.forwarder.id, 1, 0, 1, true,
+                List.of(new ShardGrant(SHARD, epoch)), List.of()));
+        checker.assignmentChanged(process, Set.of());
+        renew(process, 1);
+    }
+
+    private void renew(ForwarderProcess process, long sequence) {
+        process.holder.heartbeat(process.forwarder.clock.now());
+        process.holder.renewed(new ControllerEvent.LeaseRenewed(process.forwarder.id, 1, sequence, TIMING.leaseMicros(),
+                1), process.forwarder.clock.now());
+        checker.renewed(process);
+    }
+
+    private List<FleetBreach.Kind> kinds() {
+        return checks.breaches().stream().map(FleetBreach::kind).toList();
+    }
+}
