--- /dev/null
+++ b/src/test/java/lilaclever/placement/RealSizeTest.java
@@ -0,0 +1,58 @@
+package lilaclever.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** A region of the fleet's coming size: 19,000 forwarders and 262,144 shards in 9 regions. */
+class RealSizeTest {
+    private static final long SECOND = 1_000_000;
+    private static final int MEMBERS = 2_111;
+    private static final int SHARDS = 29_128;
+    private static final int ZONES = 3;
+    private static final int PACE = 5_000;
+
+    @Test
+    void lossJoinAndZoneLossMoveLittleAndKeepTheBound() {
+        TestRegion region = new TestRegion(TestRegion.settings(SHARDS, ZONES, PACE));
+        for (int member = 0; member < MEMBERS; member++) {
+            region.join(member, member % ZONES);
+        }
+        region.runUntilAllOwned(2_000);
+        region.run(20 * SECOND);
+        assertBound(region);
+
+        int[] whole = region.owners();
+        int lost = (int) Arrays.stream(whole).filter(owner -> owner == 1000).count();
+        region.kill(List.of(1000));
+        region.run(10 * SECOND);
+        assertEquals(0, region.unownedShards());
+        assertEquals(lost, region.movedSince(whole));
+        assertBound(region);
+
+        int[] without = region.owners();
+        region.join(1000, 1000 % ZONES);
+        region.run(3 * SECOND);
+        assertEquals(region.controller.shardsHeldBy(new MemberId(1000)), region.movedSince(without));
+        assertBound(region);
+
+        int[] before = region.owners();
+        int lostZone = (int) Arrays.stream(before).filter(owner -> owner % ZONES == 1).count();
+        region.kill(IntStream.range(0, MEMBERS).filter(member -> member % ZONES == 1).boxed().toList());
+        region.run(TestRegion.TIMING.surelyEndedAfterMicros());
+        long micros = region.runUntilAllOwned(2_000);
+        assertTrue(micros <= (lostZone / PACE + 1) * SECOND, () -> "microseconds until all owned: " + micros);
+        region.run(SECOND);
+        assertEquals(lostZone, region.movedSince(before));
+        assertBound(region);
+    }
+
+    private static void assertBound(TestRegion region) {
+        double fullest = region.fullestOverMean();
+        assertTrue(fullest <= 1.25, () -> "fullest over mean " + fullest);
+    }
+}
--- a/src/test/java/lilaclever/placement/TestRegion.java
+++ b/src/test/java/lilaclever/placement/TestRegion.java
@@ -1,5 +1,7 @@
 package lilaclever.placement;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -13,6 +15,7 @@
 import lilaclever.placement.ControllerEvent.AssignmentChanged;
 import lilaclever.placement.ControllerEvent.LeaveCompleted;
 import lilaclever.placement.ControllerEvent.MapChanged;
+import lilaclever.placement.ControllerEvent.MemberExpired;
 
 /** A controller with members that answer at once, for tests of what is assigned to whom and when. */
 final class TestRegion {
@@ -21,10 +24,15 @@
 
     final PlacementController controller;
     final ShardMap map;
-    final List<ControllerEvent> log = new ArrayList<>();
-    /** Owner changes of the map since the count was last set to 0; shards that lose their owner count too. */
-    long ownerChanges;
+    /** Deltas of the map so far, and their bytes. */
+    long deltas;
+    long deltaBytes;
+    /** Longest processing time of a command since it was last set to 0, nanoseconds. */
+    long longestCommandNanos;
+    /** Processing time of the last command that found that a member's lease had ended, nanoseconds. */
+    long lastExpiryNanos;
     long nowMicros;
+    private long nextHeartbeats;
     private final ControllerSettings settings;
     private final Map<MemberId, Process> processes = new TreeMap<>();
     private final Map<MemberId, Long> incarnations = new TreeMap<>();
@@ -74,7 +82,6 @@
     /** Lets time pass, with heartbeats of all members and the controller's own wake-ups. */
     void run(long micros) {
         long end = nowMicros + micros;
-        long nextHeartbeats = nowMicros + settings.timing().heartbeatMicros();
         while (true) {
             long due = Math.min(nextHeartbeats, controller.nextDueMicros());
             if (due > end) {
@@ -140,11 +147,18 @@
     }
 
     List<ControllerEvent> apply(ControllerCommand command) {
+        long start = System.nanoTime();
         List<ControllerEvent> events = controller.apply(command, nowMicros);
-        log.addAll(events);
+        long nanos = System.nanoTime() - start;
+        longestCommandNanos = Math.max(longestCommandNanos, nanos);
+        if (events.stream().anyMatch(MemberExpired.class::isInstance)) {
+            lastExpiryNanos = nanos;
+        }
+        List<Release> answers = new ArrayList<>();
         for (ControllerEvent event : events) {
-            receive(event);
+            receive(event, answers);
         }
+        answers.forEach(this::apply);
         return events;
     }
 
@@ -156,25 +170,26 @@
         }
     }
 
-    private void receive(ControllerEvent event) {
+    private void receive(ControllerEvent event, List<Release> answers) {
         if (event instanceof MapChanged change) {
-            ownerChanges += change.delta().changes().size();
-            map.apply(change.delta());
+            deltas++;
+            deltaBytes += change.delta().encodedBytes();
+            assertEquals(MapUpdate.APPLIED, map.apply(change.delta()));
         } else if (event instanceof AssignmentChanged change) {
-            receive(change);
+            receive(change, answers);
         } else if (event instanceof LeaveCompleted completed) {
             processes.remove(completed.member());
         }
     }
 
-    private void receive(AssignmentChanged change) {
+    private void receive(AssignmentChanged change, List<Release> answers) {
         Process process = processes.get(change.member());
         if (process == null || process.incarnation != change.incarnation()) {
             return;
         }
         process.appliedRevision = change.toRevision();
         if (!change.revoked().isEmpty()) {
-            apply(new Release(change.member(), change.incarnation(), change.revoked()));
+            answers.add(new Release(change.member(), change.incarnation(), change.revoked()));
         }
     }
 }
