--- a/src/main/java/lilaclever/placement/PlacementController.java
+++ b/src/main/java/lilaclever/placement/PlacementController.java
@@ -1,11 +1,12 @@
 package lilaclever.placement;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
 import lilaclever.placement.ControllerCommand.AdvanceTime;
 import lilaclever.placement.ControllerCommand.Heartbeat;
@@ -142,7 +143,7 @@
     private void replace(MemberState before, MemberState member, boolean previousProcessEnded) {
         output.forget(before);
         if (before.leaving || before.weight != member.weight) {
-            reassigner.depart(before);
+            reassigner.depart(Set.of(before));
             reassigner.join(member);
         } else {
             reassigner.succeed(before, member);
@@ -260,7 +261,7 @@
     private void completeLeaves() {
         for (MemberState member : List.copyOf(reassigner.leavingMembers())) {
             if (member.held.isEmpty() && member.targeted.isEmpty()) {
-                removeMember(member);
+                removeMembers(Set.of(member));
                 incarnations.put(member.id, new LastIncarnation(member.incarnation, true));
                 output.add(new LeaveCompleted(member.id, member.incarnation));
             }
@@ -276,7 +277,7 @@
     }
 
     private void expireLeases() {
-        List<MemberState> expired = new ArrayList<>();
+        Set<MemberState> expired = new LinkedHashSet<>();
         while (!leaseChecks.isEmpty() && leaseChecks.peek().atMicros() <= nowMicros) {
             MemberState member = leaseChecks.poll().member();
             if (members.get(member.id) != member) {
@@ -289,7 +290,7 @@
             }
         }
         // All are taken out first, so that no shard is handed from one to the next.
-        expired.forEach(this::removeMember);
+        removeMembers(expired);
         expired.forEach(this::expire);
     }
 
@@ -300,10 +301,12 @@
         }
     }
 
-    private void removeMember(MemberState member) {
-        members.remove(member.id);
-        reassigner.depart(member);
-        output.forget(member);
+    private void removeMembers(Set<MemberState> removed) {
+        if (!removed.isEmpty()) {
+            removed.forEach(member -> members.remove(member.id));
+            removed.forEach(output::forget);
+            reassigner.depart(removed);
+        }
     }
 
     /** Why a command can't be of a member's present process; null if it can. */
--- a/src/main/java/lilaclever/placement/RendezvousRanking.java
+++ b/src/main/java/lilaclever/placement/RendezvousRanking.java
@@ -1,6 +1,7 @@
 package lilaclever.placement;
 
 import java.util.List;
+import java.util.function.Predicate;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
@@ -10,7 +11,12 @@
  */
 final class RendezvousRanking {
     private static final double HASH_VALUES = 1L << Integer.SIZE;
+    private static final int NONE = -1;
     private final int seed;
+    /** The members to choose from, and side by side what the ranking needs of each. */
+    private MemberState[] candidates = {};
+    private int[] numbers = {};
+    private double[] weights = {};
 
     RendezvousRanking(int region) {
         this.seed = MurmurHash3.hash32(region, 0);
@@ -18,43 +24,51 @@
 
     /** The member's draw for a shard, 0 to 2^32 - 1. */
     long draw(int shard, MemberState member) {
-        return Integer.toUnsignedLong(MurmurHash3.hash32(shard, member.id.number(), seed));
+        return draw(shard, member.id.number());
     }
 
     /** Whether a member goes before another one for a shard; of equal scores the lower member number is first. */
     boolean precedes(int shard, MemberState member, MemberState other) {
-        return precedes(member, draw(shard, member), other, draw(shard, other));
+        return precedes(member.weight, draw(shard, member), member.id.number(), other.weight, draw(shard, other),
+                other.id.number());
+    }
+
+    /** Sets the members that {@link #first} chooses from. */
+    void setMembers(List<MemberState> members) {
+        candidates = members.toArray(new MemberState[0]);
+        numbers = members.stream().mapToInt(member -> member.id.number()).toArray();
+        weights = members.stream().mapToDouble(member -> member.weight).toArray();
     }
 
     /** The first of the members that have room for the shard; null if there is none. */
-    MemberState first(int shard, List<MemberState> members, Room room) {
-        MemberState best = null;
+    MemberState first(int shard, Predicate<MemberState> hasRoom) {
+        int best = NONE;
         long bestDraw = 0;
-        for (MemberState member : members) {
-            if (!room.hasRoom(member)) {
-                continue;
-            }
-            long draw = draw(shard, member);
-            if (best == null || precedes(member, draw, best, bestDraw)) {
-                best = member;
+        for (int i = 0; i < numbers.length; i++) {
+            long draw = draw(shard, numbers[i]);
+            boolean ahead = best == NONE
+                    || precedes(weights[i], draw, numbers[i], weights[best], bestDraw, numbers[best]);
+            if (ahead && hasRoom.test(candidates[i])) {
+                best = i;
                 bestDraw = draw;
             }
         }
-        return best;
+        return best == NONE ? null : candidates[best];
     }
 
-    /** Whether a member may be given a further shard. */
-    interface Room {
-        boolean hasRoom(MemberState member);
+    private long draw(int shard, int number) {
+        long pair = (long) shard << Integer.SIZE | number;
+        return Integer.toUnsignedLong(MurmurHash3.hash32(pair, seed));
     }
 
-    private static boolean precedes(MemberState member, long draw, MemberState other, long otherDraw) {
-        if (member.weight == other.weight) {
-            return draw != otherDraw ? draw > otherDraw : member.id.compareTo(other.id) < 0;
+    private static boolean precedes(double weight, long draw, int number, double otherWeight, long otherDraw,
+            int otherNumber) {
+        if (weight == otherWeight) {
+            return draw != otherDraw ? draw > otherDraw : number < otherNumber;
         }
-        double score = score(member.weight, draw);
-        double otherScore = score(other.weight, otherDraw);
-        return score != otherScore ? score > otherScore : member.id.compareTo(other.id) < 0;
+        double score = score(weight, draw);
+        double otherScore = score(otherWeight, otherDraw);
+        return score != otherScore ? score > otherScore : number < otherNumber;
     }
 
     /** StrictMath gives the same result on every machine, so that replicas of a controller agree. */
--- a/src/main/java/lilaclever/placement/ShardAssignment.java
+++ b/src/main/java/lilaclever/placement/ShardAssignment.java
@@ -1,6 +1,7 @@
 package lilaclever.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 
@@ -33,10 +34,10 @@
         updateCapacities();
     }
 
-    /** Gives no more shards to a member; the capacities follow. */
-    void remove(MemberState member) {
-        if (active.remove(member)) {
-            member.capacity = 0;
+    /** Gives no more shards to some members; the capacities follow. */
+    void remove(Collection<MemberState> members) {
+        if (active.removeIf(members::contains)) {
+            members.forEach(member -> member.capacity = 0);
             updateCapacities();
         }
     }
@@ -49,12 +50,10 @@
     /** The member that is to have a shard which its present one can't keep; null if there is no other. */
     MemberState choose(int shard) {
         MemberState present = table.target(shard);
-        MemberState chosen = ranking.first(shard, active,
-                member -> member != present && member.occupied() < member.capacity);
+        MemberState chosen = ranking.first(shard, member -> member != present && member.occupied() < member.capacity);
         if (chosen == null) {
             // Members that still give shards back count twice for a moment; what they will have is what matters.
-            chosen = ranking.first(shard, active,
-                    member -> member != present && member.targeted.size() < member.capacity);
+            chosen = ranking.first(shard, member -> member != present && member.targeted.size() < member.capacity);
         }
         return chosen;
     }
@@ -97,6 +96,7 @@
     }
 
     private void updateCapacities() {
+        ranking.setMembers(active);
         double weights = 0;
         for (MemberState member : active) {
             weights += member.weight;
--- a/src/main/java/lilaclever/placement/ShardReassigner.java
+++ b/src/main/java/lilaclever/placement/ShardReassigner.java
@@ -44,7 +44,7 @@
 
     /** The process of a member was replaced: what it was to have is for its successor, which has the same weight. */
     void succeed(MemberState member, MemberState successor) {
-        assignment.remove(member);
+        assignment.remove(Set.of(member));
         for (int shard : member.targeted.toArray()) {
             table.setTarget(shard, successor);
         }
@@ -55,17 +55,19 @@
 
     /** A member's shards are to be handed over. */
     void leave(MemberState member) {
-        assignment.remove(member);
+        assignment.remove(Set.of(member));
         leaving.add(member);
         noteMembersOverCapacity();
     }
 
-    /** A member has gone: nothing is to be given to it any more. */
-    void depart(MemberState member) {
-        assignment.remove(member);
-        leaving.remove(member);
-        for (int shard : member.targeted.toArray()) {
-            table.setTarget(shard, mayKeep(shard, member) ? table.holder(shard) : null);
+    /** Members have gone: nothing is to be given to them any more. */
+    void depart(Set<MemberState> members) {
+        assignment.remove(members);
+        leaving.removeAll(members);
+        for (MemberState member : members) {
+            for (int shard : member.targeted.toArray()) {
+                table.setTarget(shard, mayKeep(shard, member) ? table.holder(shard) : null);
+            }
         }
         noteMembersOverCapacity();
     }
