--- a/src/main/java/lilaclever/lab/fleet/ConfigurationPublisher.java
+++ b/src/main/java/lilaclever/lab/fleet/ConfigurationPublisher.java
@@ -4,7 +4,10 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 
-/** Publishes changes of the configuration to the controllers of all regions, and tells them each second that it is there. */
+/**
+ * Publishes changes of the configuration to the controllers of all regions, and tells them each second that it is
+ * there.
+ */
 final class ConfigurationPublisher {
     private static final long SECOND = 1_000_000;
     private static final long RETRY_MICROS = 300_000;
@@ -19,8 +22,15 @@
     private final ConfigurationLog log;
     private final ZigguratSampler.Exponential exponential;
 
-    ConfigurationPublisher(FleetSettings settings, EventQueue queue, Network network, List<RegionControl> regions,
-            FleetForwarders forwarders, FleetChecks checks, ConfigurationLog log, UniformRandomProvider random) {
+    ConfigurationPublisher(
+            FleetSettings settings,
+            EventQueue queue,
+            Network network,
+            List<RegionControl> regions,
+            FleetForwarders forwarders,
+            FleetChecks checks,
+            ConfigurationLog log,
+            UniformRandomProvider random) {
         this.settings = settings;
         this.queue = queue;
         this.network = network;
@@ -89,7 +99,10 @@
             }
             long has = regions.get(forwarder.region).configurationOf(process);
             if (has < version) {
-                checks.broken(new FleetBreach(FleetBreach.Kind.STALE_CONFIGURATION, queue.now(), forwarder.region,
+                checks.broken(new FleetBreach(
+                        FleetBreach.Kind.STALE_CONFIGURATION,
+                        queue.now(),
+                        forwarder.region,
                         forwarder.id + " has " + has + ", not " + version + " of " + published));
             }
         }
--- a/src/main/java/lilaclever/lab/fleet/ControlMemory.java
+++ b/src/main/java/lilaclever/lab/fleet/ControlMemory.java
@@ -13,7 +13,9 @@
 import lilaclever.placement.ShardGrant;
 import lilaclever.placement.ShardMap;
 
-/** Heap of what ownership keeps in a forwarder and in a controller: used heap after full collections, with and without. */
+/**
+ * Heap of what ownership keeps in a forwarder and in a controller: used heap after full collections, with and without.
+ */
 final class ControlMemory {
     private static final int HOLDERS = 10_000;
     private static final int MAPS = 100;
@@ -60,16 +62,22 @@
         }
         holder.assignmentChanged(new ControllerEvent.AssignmentChanged(member, 1, 0, 1, true, grants, List.of()));
         holder.heartbeat(0);
-        holder.renewed(new ControllerEvent.LeaseRenewed(member, 1, 1, settings.timing().leaseMicros(), 1), 0);
+        holder.renewed(
+                new ControllerEvent.LeaseRenewed(member, 1, 1, settings.timing().leaseMicros(), 1), 0);
         return holder;
     }
 
     private PlacementController controller() {
-        PlacementController controller = new PlacementController(new ControllerSettings(0,
-                settings.partOf(0, settings.shards()), settings.zonesOf(0), settings.loadBound(), settings.timing(),
+        PlacementController controller = new PlacementController(new ControllerSettings(
+                0,
+                settings.partOf(0, settings.shards()),
+                settings.zonesOf(0),
+                settings.loadBound(),
+                settings.timing(),
                 ControllerSettings.MAX_REASSIGNMENTS));
         for (int number = 0; number < settings.partOf(0, settings.forwarders()); number++) {
-            controller.apply(new ControllerCommand.Register(new MemberId(number), 1, number % settings.zonesOf(0), 1, true),
+            controller.apply(
+                    new ControllerCommand.Register(new MemberId(number), 1, number % settings.zonesOf(0), 1, true),
                     number);
         }
         return controller;
--- a/src/main/java/lilaclever/lab/fleet/ControlTraffic.java
+++ b/src/main/java/lilaclever/lab/fleet/ControlTraffic.java
@@ -18,6 +18,7 @@
     private long deltaNanos;
     /** Members whose lease has ended, and versions of the map that were fetched instead of passed on. */
     long expirations;
+
     long fetches;
     /** Deltas that a receiver in the tree did not acknowledge in time. */
     long resends;
--- a/src/main/java/lilaclever/lab/fleet/Failures.java
+++ b/src/main/java/lilaclever/lab/fleet/Failures.java
@@ -29,7 +29,11 @@
     private List<HollowForwarder> affected = List.of();
     private long leastMoves;
 
-    Failures(FleetSettings settings, EventQueue queue, FleetForwarders forwarders, List<RegionControl> regions,
+    Failures(
+            FleetSettings settings,
+            EventQueue queue,
+            FleetForwarders forwarders,
+            List<RegionControl> regions,
             UniformRandomProvider random) {
         this.settings = settings;
         this.queue = queue;
@@ -49,13 +53,13 @@
             case MACHINE_LOST -> lose(other -> sameZone(chosen, other) && other.machine == chosen.machine);
             case RACK_LOST -> lose(other -> sameZone(chosen, other) && other.rack == chosen.rack);
             case ZONE_LOST -> lose(other -> sameZone(chosen, other));
-            case RETURN -> affected.forEach(other ->
-                    forwarders.startAfter(other, random.nextInt(START_SPREAD_MICROS)));
+            case RETURN -> affected.forEach(other -> forwarders.startAfter(other, random.nextInt(START_SPREAD_MICROS)));
             case REGION_CUT_OFF -> cutOffRegion(chosen.region, end);
             case MEMBERS_CUT_OFF -> cutOffMembers(chosen, end);
-            case RECONNECTED -> queue.after(0, () -> { });
+            case RECONNECTED -> queue.after(0, () -> {});
             case ORDINARY_FAILURES -> ordinaryFailures(end);
             case PLANNED_RESTARTS -> plannedRestarts(end);
+            default -> throw new IllegalStateException("unknown happening " + phase.happening());
         }
         return affected;
     }
@@ -137,8 +141,8 @@
                 select(other -> sameZone(chosen, other) && other.machine == chosen.machine && other.running());
         lost.forEach(this::noteMoves);
         lost.forEach(forwarders::end);
-        lost.forEach(other ->
-                forwarders.startAfter(other, MACHINE_REPAIR_MICROS + random.nextInt(START_SPREAD_MICROS)));
+        lost.forEach(
+                other -> forwarders.startAfter(other, MACHINE_REPAIR_MICROS + random.nextInt(START_SPREAD_MICROS)));
     }
 
     private void restartOne() {
--- a/src/main/java/lilaclever/lab/fleet/FleetFigures.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetFigures.java
@@ -13,10 +13,16 @@
  * @param deterministic figures of the whole run that follow from the seed alone, by name
  * @param measured  figures that depend on the machine, by name
  */
-public record FleetFigures(FleetSettings settings, String schedule, List<FleetBreach> breaches, long checks,
-        List<PhaseFigures> phases, List<Figure> deterministic, List<Figure> measured) {
+public record FleetFigures(
+        FleetSettings settings,
+        String schedule,
+        List<FleetBreach> breaches,
+        long checks,
+        List<PhaseFigures> phases,
+        List<Figure> deterministic,
+        List<Figure> measured) {
     /** A figure with its name and unit. */
-    public record Figure(String name, double value) { }
+    public record Figure(String name, double value) {}
 
     /** Copies the lists. */
     public FleetFigures {
--- a/src/main/java/lilaclever/lab/fleet/FleetForwarders.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetForwarders.java
@@ -11,9 +11,11 @@
     private static final long SECOND = 1_000_000;
     /** How long a process takes from its end to the start of the next one. */
     private static final long MIN_RESTART_MICROS = 3 * SECOND;
+
     private static final int RESTART_SPREAD_MICROS = (int) (5 * SECOND);
     /** How long the last call to a destination that is up, or down, is still out. */
     private static final int CALL_MICROS = 500_000;
+
     private static final int CALL_TO_DOWN_MICROS = (int) (5 * SECOND);
 
     private final FleetSettings settings;
@@ -32,8 +34,12 @@
         UniformRandomProvider downs = streams.stream("destinations");
         for (int region = 0; region < settings.regions(); region++) {
             byRegion.add(new ArrayList<>());
-            destinations.add(new DestinationCounts(region, settings.partOf(region, settings.shards()),
-                    settings.partOf(region, settings.destinations()), settings.downShare(), downs));
+            destinations.add(new DestinationCounts(
+                    region,
+                    settings.partOf(region, settings.shards()),
+                    settings.partOf(region, settings.destinations()),
+                    settings.downShare(),
+                    downs));
         }
         for (int number = 0; number < settings.forwarders(); number++) {
             add(number, clocks);
@@ -45,8 +51,13 @@
         int firstOfZone = (int) (((long) zone * settings.forwarders() + settings.zones() - 1) / settings.zones());
         int machine = (number - firstOfZone) / settings.forwardersPerMachine();
         int region = settings.regionOf(zone);
-        HollowForwarder forwarder = new HollowForwarder(new MemberId(number), region, zone,
-                settings.zoneWithinRegion(zone), machine, machine / settings.machinesPerRack(),
+        HollowForwarder forwarder = new HollowForwarder(
+                new MemberId(number),
+                region,
+                zone,
+                settings.zoneWithinRegion(zone),
+                machine,
+                machine / settings.machinesPerRack(),
                 clockOf(clocks, settings, queue));
         all.add(forwarder);
         byRegion.get(region).add(forwarder);
@@ -82,8 +93,8 @@
     ForwarderProcess newProcess(HollowForwarder forwarder, boolean previousProcessEnded) {
         forwarder.incarnation++;
         LeaseHolder holder = new LeaseHolder(forwarder.id, forwarder.incarnation, settings.timing());
-        forwarder.process = new ForwarderProcess(forwarder, forwarder.incarnation, previousProcessEnded, queue.now(),
-                holder);
+        forwarder.process =
+                new ForwarderProcess(forwarder, forwarder.incarnation, previousProcessEnded, queue.now(), holder);
         return forwarder.process;
     }
 
--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -18,20 +18,26 @@
 
     @Option(name = "--forwarders", usage = "number of forwarders")
     private int forwarders = FleetSettings.FULL_FORWARDERS;
+
     @Option(name = "--seed", usage = "seed of all random choices")
     private long seed = 1;
+
     @Option(name = "--schedule", usage = "INCIDENTS, ORDINARY_HOUR, RESTART_PACE or SHORT")
     private Schedule schedule = Schedule.INCIDENTS;
+
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
+
     @Option(name = "--reassignments", usage = "shards a second of a region that may get another owner")
     private int reassignments = FleetSettings.REASSIGNMENTS_PER_SECOND;
+
     @Option(name = "--memory", usage = "measure the heap of holders, maps and a controller instead")
     private boolean memory;
+
     @Option(name = "--out", usage = "folder that the table is written to", metaVar = "FOLDER")
     private Path folder = Path.of("docs/scale/fleet");
 
-    private FleetMain() { }
+    private FleetMain() {}
 
     /** Exit code 0 if no rule was broken, 1 if one was, 2 if the command line is wrong. */
     public static void main(String[] arguments) {
@@ -54,8 +60,11 @@
     private boolean play() {
         long begin = System.nanoTime();
         FleetFigures figures = new FleetSimulation(
-                FleetSettings.ofSize(seed, forwarders).withLoadBound(loadBound).withReassignmentsPerSecond(reassignments),
-                schedule).run();
+                        FleetSettings.ofSize(seed, forwarders)
+                                .withLoadBound(loadBound)
+                                .withReassignmentsPerSecond(reassignments),
+                        schedule)
+                .run();
         double realSeconds = (System.nanoTime() - begin) / 1e9;
         Path file = folder.resolve(schedule.label() + "-" + forwarders + "-seed" + seed + ".tsv");
         try {
--- a/src/main/java/lilaclever/lab/fleet/FleetSettings.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetSettings.java
@@ -26,16 +26,34 @@
  * @param mapBoundMicros           age of a map that no forwarder may take to be current: the lease
  * @param configurationBoundMicros the same for the configuration: the lease, and the publisher's silence and its delay
  */
-public record FleetSettings(long seed, int regions, int zones, int forwarders, int shards, int destinations,
-        double downShare, int forwardersPerMachine, int machinesPerRack, int controlMachines, LeaseTiming timing,
-        double loadBound, int reassignmentsPerSecond, int treeDegree, int configurationBytes, int configurationsPerDay,
-        double messageLoss, double messageDuplication, long mapBoundMicros, long configurationBoundMicros) {
+public record FleetSettings(
+        long seed,
+        int regions,
+        int zones,
+        int forwarders,
+        int shards,
+        int destinations,
+        double downShare,
+        int forwardersPerMachine,
+        int machinesPerRack,
+        int controlMachines,
+        LeaseTiming timing,
+        double loadBound,
+        int reassignmentsPerSecond,
+        int treeDegree,
+        int configurationBytes,
+        int configurationsPerDay,
+        double messageLoss,
+        double messageDuplication,
+        long mapBoundMicros,
+        long configurationBoundMicros) {
     /** Forwarders of the fleet at its coming size. */
     public static final int FULL_FORWARDERS = 19_000;
     /** Bound on a forwarder's shards against its share, unless another is asked for. */
     public static final double LOAD_BOUND = 1.1;
     /** Pace of reassignment, shards a second in a region, unless another is asked for. */
     public static final int REASSIGNMENTS_PER_SECOND = 2_000;
+
     private static final int FULL_SHARDS = 262_144;
     private static final int FULL_DESTINATIONS = 7_100_000;
     private static final int FULL_CONTROL_MACHINES = 42;
@@ -51,30 +69,101 @@
     public static FleetSettings of(long seed, int regions, int zones, int forwarders) {
         double share = (double) forwarders / FULL_FORWARDERS;
         int controlMachines = Math.max(2 * regions, (int) Math.round(FULL_CONTROL_MACHINES * share));
-        return new FleetSettings(seed, regions, zones, forwarders, (int) Math.round(FULL_SHARDS * share),
-                (int) Math.round(FULL_DESTINATIONS * share), 0.011, 8, 20, controlMachines,
-                new LeaseTiming(2_000_000, 8_000_000, 0.001, 500_000), LOAD_BOUND, REASSIGNMENTS_PER_SECOND, 16, 2_048, 17_000, 0.0005, 0.001, 8_000_000, 12_000_000);
+        return new FleetSettings(
+                seed,
+                regions,
+                zones,
+                forwarders,
+                (int) Math.round(FULL_SHARDS * share),
+                (int) Math.round(FULL_DESTINATIONS * share),
+                0.011,
+                8,
+                20,
+                controlMachines,
+                new LeaseTiming(2_000_000, 8_000_000, 0.001, 500_000),
+                LOAD_BOUND,
+                REASSIGNMENTS_PER_SECOND,
+                16,
+                2_048,
+                17_000,
+                0.0005,
+                0.001,
+                8_000_000,
+                12_000_000);
     }
 
     /** The same fleet with another bound on load. */
     public FleetSettings withLoadBound(double bound) {
-        return new FleetSettings(seed, regions, zones, forwarders, shards, destinations, downShare, forwardersPerMachine,
-                machinesPerRack, controlMachines, timing, bound, reassignmentsPerSecond, treeDegree, configurationBytes,
-                configurationsPerDay, messageLoss, messageDuplication, mapBoundMicros, configurationBoundMicros);
+        return new FleetSettings(
+                seed,
+                regions,
+                zones,
+                forwarders,
+                shards,
+                destinations,
+                downShare,
+                forwardersPerMachine,
+                machinesPerRack,
+                controlMachines,
+                timing,
+                bound,
+                reassignmentsPerSecond,
+                treeDegree,
+                configurationBytes,
+                configurationsPerDay,
+                messageLoss,
+                messageDuplication,
+                mapBoundMicros,
+                configurationBoundMicros);
     }
 
     /** The same fleet with another pace of reassignment, shards a second in a region. */
     public FleetSettings withReassignmentsPerSecond(int pace) {
-        return new FleetSettings(seed, regions, zones, forwarders, shards, destinations, downShare, forwardersPerMachine,
-                machinesPerRack, controlMachines, timing, loadBound, pace, treeDegree, configurationBytes,
-                configurationsPerDay, messageLoss, messageDuplication, mapBoundMicros, configurationBoundMicros);
+        return new FleetSettings(
+                seed,
+                regions,
+                zones,
+                forwarders,
+                shards,
+                destinations,
+                downShare,
+                forwardersPerMachine,
+                machinesPerRack,
+                controlMachines,
+                timing,
+                loadBound,
+                pace,
+                treeDegree,
+                configurationBytes,
+                configurationsPerDay,
+                messageLoss,
+                messageDuplication,
+                mapBoundMicros,
+                configurationBoundMicros);
     }
 
     /** The same fleet with other bounds on the age of map and configuration. */
     FleetSettings withAgeBounds(long mapMicros, long configurationMicros) {
-        return new FleetSettings(seed, regions, zones, forwarders, shards, destinations, downShare, forwardersPerMachine,
-                machinesPerRack, controlMachines, timing, loadBound, reassignmentsPerSecond, treeDegree,
-                configurationBytes, configurationsPerDay, messageLoss, messageDuplication, mapMicros,
+        return new FleetSettings(
+                seed,
+                regions,
+                zones,
+                forwarders,
+                shards,
+                destinations,
+                downShare,
+                forwardersPerMachine,
+                machinesPerRack,
+                controlMachines,
+                timing,
+                loadBound,
+                reassignmentsPerSecond,
+                treeDegree,
+                configurationBytes,
+                configurationsPerDay,
+                messageLoss,
+                messageDuplication,
+                mapMicros,
                 configurationMicros);
     }
 
--- a/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
@@ -15,6 +15,7 @@
     private static final long WARM_UP_MICROS = 60 * SECOND;
     /** All forwarders register within this time, so that few shards are placed before all members are known. */
     private static final int START_SPREAD_MICROS = 50_000;
+
     private static final double PERCENTILE = 99.9;
 
     private final FleetSettings settings;
@@ -41,11 +42,26 @@
         int relays = settings.controlMachines() - settings.regions();
         for (int region = 0; region < settings.regions(); region++) {
             int relaysOfRegion = relays / settings.regions() + (region < relays % settings.regions() ? 1 : 0);
-            regions.add(new RegionControl(region, settings, queue, network, forwarders, checks, configurations,
-                    FleetForwarders.clockOf(clocks, settings, queue), Math.max(1, relaysOfRegion)));
+            regions.add(new RegionControl(
+                    region,
+                    settings,
+                    queue,
+                    network,
+                    forwarders,
+                    checks,
+                    configurations,
+                    FleetForwarders.clockOf(clocks, settings, queue),
+                    Math.max(1, relaysOfRegion)));
         }
         forwarders.regions(regions);
-        publisher = new ConfigurationPublisher(settings, queue, network, regions, forwarders, checks, configurations,
+        publisher = new ConfigurationPublisher(
+                settings,
+                queue,
+                network,
+                regions,
+                forwarders,
+                checks,
+                configurations,
                 streams.stream("configurations"));
         failures = new Failures(settings, queue, forwarders, regions, streams.stream("failures"));
     }
@@ -64,8 +80,14 @@
             phases.add(play(phase));
         }
         double seconds = (queue.now() - started) / (double) SECOND;
-        return new FleetFigures(settings, schedule.label(), checks.breaches(), checks.checks(), phases,
-                deterministicFigures(seconds), measuredFigures(seconds));
+        return new FleetFigures(
+                settings,
+                schedule.label(),
+                checks.breaches(),
+                checks.checks(),
+                phases,
+                deterministicFigures(seconds),
+                measuredFigures(seconds));
     }
 
     private PhaseFigures play(Phase phase) {
@@ -79,11 +101,20 @@
         int lost = checks.unserved() - unservedBefore;
         queue.runUntil(began + phase.seconds() * SECOND);
         Histogram everywhere = configurations.everywhereMillis(began, queue.now());
-        return new PhaseFigures(phase.happening().name().toLowerCase(Locale.ROOT), phase.seconds(), lost,
-                restoredSeconds(began), share(checks.peakUnserved(), settings.shards()), peakUnservedInRegion(),
-                moves() - movesBefore, leastMoves(phase.happening(), affected, shardsBefore),
-                fullest(false), fullest(true), everywhere.getTotalCount(),
-                everywhere.getValueAtPercentile(PERCENTILE), everywhere.getMaxValue());
+        return new PhaseFigures(
+                phase.happening().name().toLowerCase(Locale.ROOT),
+                phase.seconds(),
+                lost,
+                restoredSeconds(began),
+                share(checks.peakUnserved(), settings.shards()),
+                peakUnservedInRegion(),
+                moves() - movesBefore,
+                leastMoves(phase.happening(), affected, shardsBefore),
+                fullest(false),
+                fullest(true),
+                everywhere.getTotalCount(),
+                everywhere.getValueAtPercentile(PERCENTILE),
+                everywhere.getMaxValue());
     }
 
     private double restoredSeconds(long began) {
@@ -100,7 +131,9 @@
     private double peakUnservedInRegion() {
         double peak = 0;
         for (RegionControl region : regions) {
-            peak = Math.max(peak, share(region.checker().peakUnserved(), region.checker().shards()));
+            peak = Math.max(
+                    peak,
+                    share(region.checker().peakUnserved(), region.checker().shards()));
         }
         return peak;
     }
@@ -125,7 +158,9 @@
             return shardsOf(affected).stream().mapToLong(Integer::longValue).sum();
         }
         return failures.leastMoves()
-                + affected.stream().mapToLong(forwarder -> shardsBefore.get(forwarder.id.number())).sum();
+                + affected.stream()
+                        .mapToLong(forwarder -> shardsBefore.get(forwarder.id.number()))
+                        .sum();
     }
 
     /** Load of the fullest forwarder against the mean of its region: of shards, or of destinations. */
@@ -136,13 +171,17 @@
             long total = 0;
             for (int shard = 0; shard < region.checker().shards(); shard++) {
                 ForwarderProcess sender = region.checker().senderOf(shard);
-                int load = byDestinations ? forwarders.destinationsOf(region.region).of(shard) : 1;
+                int load = byDestinations
+                        ? forwarders.destinationsOf(region.region).of(shard)
+                        : 1;
                 total += load;
                 if (sender != null) {
                     loads[sender.forwarder.id.number()] += load;
                 }
             }
-            long running = forwarders.ofRegion(region.region).stream().filter(this::reachable).count();
+            long running = forwarders.ofRegion(region.region).stream()
+                    .filter(this::reachable)
+                    .count();
             for (long load : loads) {
                 fullest = Math.max(fullest, load * (double) running / total);
             }
@@ -160,11 +199,20 @@
         figures.add(new Figure("events", queue.added()));
         figures.add(new Figure("messages", network.messages()));
         figures.add(new Figure("messages_lost", network.lost()));
-        figures.add(new Figure("map_batches", regions.stream().mapToLong(RegionControl::mapBatches).sum()));
-        figures.add(new Figure("map_fetches", regions.stream().mapToLong(region -> region.traffic().fetches).sum()));
-        figures.add(new Figure("map_resends", regions.stream().mapToLong(region -> region.traffic().resends).sum()));
-        figures.add(new Figure("expirations",
-                regions.stream().mapToLong(region -> region.traffic().expirations).sum()));
+        figures.add(new Figure(
+                "map_batches",
+                regions.stream().mapToLong(RegionControl::mapBatches).sum()));
+        figures.add(new Figure(
+                "map_fetches",
+                regions.stream().mapToLong(region -> region.traffic().fetches).sum()));
+        figures.add(new Figure(
+                "map_resends",
+                regions.stream().mapToLong(region -> region.traffic().resends).sum()));
+        figures.add(new Figure(
+                "expirations",
+                regions.stream()
+                        .mapToLong(region -> region.traffic().expirations)
+                        .sum()));
         figures.add(new Figure("moves", moves()));
         addChangeFigures(figures);
         addGapFigures(figures);
@@ -183,7 +231,9 @@
         figures.add(new Figure("change_at_forwarder_p50_ms", each.getValueAtPercentile(50)));
         figures.add(new Figure("change_at_forwarder_p999_ms", each.getValueAtPercentile(PERCENTILE)));
         figures.add(new Figure("change_at_forwarder_worst_ms", each.getMaxValue()));
-        figures.add(new Figure("change_at_cut_off_forwarder_worst_ms", configurations.cutOffMillis().getMaxValue()));
+        figures.add(new Figure(
+                "change_at_cut_off_forwarder_worst_ms",
+                configurations.cutOffMillis().getMaxValue()));
     }
 
     private void addGapFigures(List<Figure> figures) {
@@ -204,7 +254,8 @@
             most = Math.max(most, forwarder.bytes() / seconds);
             busiest = Math.max(busiest, forwarder.busiestBytesPerSecond());
         }
-        figures.add(new Figure("forwarder_bytes_per_s_mean", total / seconds / forwarders.all().size()));
+        figures.add(new Figure(
+                "forwarder_bytes_per_s_mean", total / seconds / forwarders.all().size()));
         figures.add(new Figure("forwarder_bytes_per_s_most", most));
         figures.add(new Figure("forwarder_bytes_per_s_busiest_10s", busiest));
         double controlMost = 0;
@@ -227,7 +278,8 @@
             deltaMost = Math.max(deltaMost, region.traffic().deltaNanos() / seconds / 1e7);
         }
         double holderMean = holderNanos / forwarders.all().size() / seconds / 1e7;
-        return List.of(new Figure("controller_core_percent_most", controllerMost),
+        return List.of(
+                new Figure("controller_core_percent_most", controllerMost),
                 new Figure("holder_core_percent_mean", holderMean),
                 new Figure("map_deltas_core_percent_most", deltaMost));
     }
--- a/src/main/java/lilaclever/lab/fleet/ForwarderProcess.java
+++ b/src/main/java/lilaclever/lab/fleet/ForwarderProcess.java
@@ -19,14 +19,17 @@
 
     /** Last heartbeat and the reading of the clock at which it was sent. */
     long lastSequence;
+
     long lastSentReading;
 
     /** Number of the last batch of the region's map, and those that arrived before their predecessors. */
     long mapVersion;
+
     final TreeSet<Long> earlyVersions = new TreeSet<>();
     boolean fetchScheduled;
     /** Virtual time until which the process takes its map, and its configuration, to be current. */
     long mapFreshUntil;
+
     long configurationFreshUntil;
 
     /** Virtual time until which it may send for the shards that the last renewal covered. */
@@ -34,7 +37,11 @@
     /** Whether the checker has it as the sender for all shards assigned to it. */
     boolean settled;
 
-    ForwarderProcess(HollowForwarder forwarder, long incarnation, boolean previousProcessEnded, long startedMicros,
+    ForwarderProcess(
+            HollowForwarder forwarder,
+            long incarnation,
+            boolean previousProcessEnded,
+            long startedMicros,
             LeaseHolder holder) {
         this.forwarder = forwarder;
         this.incarnation = incarnation;
@@ -45,8 +52,7 @@
 
     /** Whether it may send for a shard at this moment. */
     boolean maySend(int shard) {
-        return !ended && holder.maySend(shard, forwarder.clock.now())
-                instanceof SendPermission.Permitted;
+        return !ended && holder.maySend(shard, forwarder.clock.now()) instanceof SendPermission.Permitted;
     }
 
     /** Keeps a version that came early. */
--- a/src/main/java/lilaclever/lab/fleet/HollowForwarder.java
+++ b/src/main/java/lilaclever/lab/fleet/HollowForwarder.java
@@ -15,6 +15,7 @@
     final SimulatedClock clock;
     /** Null while it is down. */
     ForwarderProcess process;
+
     long incarnation;
     /** Virtual time until which nothing reaches it or leaves it. */
     long cutOffUntil;
@@ -24,8 +25,8 @@
     private long windowBytes;
     private long busiestWindowBytes;
 
-    HollowForwarder(MemberId id, int region, int zone, int zoneWithinRegion, int machine, int rack,
-            SimulatedClock clock) {
+    HollowForwarder(
+            MemberId id, int region, int zone, int zoneWithinRegion, int machine, int rack, SimulatedClock clock) {
         this.id = id;
         this.region = region;
         this.zone = zone;
--- a/src/main/java/lilaclever/lab/fleet/OwnershipChecker.java
+++ b/src/main/java/lilaclever/lab/fleet/OwnershipChecker.java
@@ -19,6 +19,7 @@
     private final long[] epochs;
     /** Since when nobody may send for the shard, or {@link #SERVED}. */
     private final long[] unservedSince;
+
     private final Histogram gapMillis = new Histogram(3);
     private int unserved;
     private int peakUnserved;
@@ -152,8 +153,9 @@
 
     private void checkFormer(ForwarderProcess before, ForwarderProcess process, int shard, long epoch) {
         if (before.maySend(shard)) {
-            broken(FleetBreach.Kind.TWO_SENDERS, "shard " + shard + ": " + before.forwarder.id + " and "
-                    + process.forwarder.id);
+            broken(
+                    FleetBreach.Kind.TWO_SENDERS,
+                    "shard " + shard + ": " + before.forwarder.id + " and " + process.forwarder.id);
         }
         if (epoch <= epochs[shard]) {
             broken(FleetBreach.Kind.EPOCH_NOT_GREATER, "shard " + shard + ": " + epoch + " after " + epochs[shard]);
--- a/src/main/java/lilaclever/lab/fleet/PhaseFigures.java
+++ b/src/main/java/lilaclever/lab/fleet/PhaseFigures.java
@@ -18,17 +18,42 @@
  * @param changeEverywhereMillis    99.9th of a hundred, of the times until a change was in force everywhere
  * @param changeEverywhereWorstMillis the longest of these
  */
-public record PhaseFigures(String name, double seconds, int shardsLost, double restoredSeconds, double peakUnserved,
-        double peakUnservedInRegion, long moves, long leastMoves, double fullestShards, double fullestDestinations,
-        long changes, long changeEverywhereMillis, long changeEverywhereWorstMillis) {
+public record PhaseFigures(
+        String name,
+        double seconds,
+        int shardsLost,
+        double restoredSeconds,
+        double peakUnserved,
+        double peakUnservedInRegion,
+        long moves,
+        long leastMoves,
+        double fullestShards,
+        double fullestDestinations,
+        long changes,
+        long changeEverywhereMillis,
+        long changeEverywhereWorstMillis) {
     /** Names of the columns, as {@link #row} gives them. */
-    public static final String HEADER = "phase\tseconds\tshards_lost\trestored_s\tpeak_unserved\tpeak_unserved_in_region"
-            + "\tmoves\tleast_moves\tfullest_shards\tfullest_destinations\tchanges\tchange_p999_ms\tchange_worst_ms";
+    public static final String HEADER =
+            "phase\tseconds\tshards_lost\trestored_s\tpeak_unserved\tpeak_unserved_in_region"
+                    + "\tmoves\tleast_moves\tfullest_shards\tfullest_destinations"
+                    + "\tchanges\tchange_p999_ms\tchange_worst_ms";
 
     /** One line of a table. */
     public String row() {
-        return String.format("%s\t%.0f\t%d\t%.3f\t%.6f\t%.6f\t%d\t%d\t%.3f\t%.3f\t%d\t%d\t%d", name, seconds, shardsLost,
-                restoredSeconds, peakUnserved, peakUnservedInRegion, moves, leastMoves, fullestShards,
-                fullestDestinations, changes, changeEverywhereMillis, changeEverywhereWorstMillis);
+        return String.format(
+                "%s\t%.0f\t%d\t%.3f\t%.6f\t%.6f\t%d\t%d\t%.3f\t%.3f\t%d\t%d\t%d",
+                name,
+                seconds,
+                shardsLost,
+                restoredSeconds,
+                peakUnserved,
+                peakUnservedInRegion,
+                moves,
+                leastMoves,
+                fullestShards,
+                fullestDestinations,
+                changes,
+                changeEverywhereMillis,
+                changeEverywhereWorstMillis);
     }
 }
--- a/src/main/java/lilaclever/lab/fleet/RandomStreams.java
+++ b/src/main/java/lilaclever/lab/fleet/RandomStreams.java
@@ -16,7 +16,9 @@
     UniformRandomProvider stream(String name) {
         CRC32C sum = new CRC32C();
         sum.update(name.getBytes(StandardCharsets.UTF_8));
-        long mixed = RandomSource.SPLIT_MIX_64.create(seed ^ sum.getValue() << Integer.SIZE).nextLong();
+        long mixed = RandomSource.SPLIT_MIX_64
+                .create(seed ^ sum.getValue() << Integer.SIZE)
+                .nextLong();
         return RandomSource.XO_RO_SHI_RO_128_PP.create(mixed);
     }
 }
--- a/src/main/java/lilaclever/lab/fleet/RegionControl.java
+++ b/src/main/java/lilaclever/lab/fleet/RegionControl.java
@@ -22,11 +22,13 @@
 final class RegionControl {
     /** Machines that a message between a forwarder and the controller passes: a relay, and the controller's own. */
     private static final int CONTROLLER_HOPS = 2;
+
     private static final int TREE_HOPS = 1;
     /** How long a forwarder waits for a version that is under way before it asks for it. */
     private static final long FETCH_DELAY_MICROS = 300_000;
     /** How long a sender in the tree waits for a receiver's acknowledgement. */
     private static final long ACKNOWLEDGE_MICROS = 300_000;
+
     private static final long FETCH_RETRY_MICROS = 1_000_000;
     /** The controller takes its configuration to be current for so long after word from the publisher. */
     private static final long PUBLISHER_SILENCE_MICROS = 3_000_000;
@@ -58,8 +60,16 @@
     /** Virtual time until which the region is cut off from the others. */
     long cutOffUntil;
 
-    RegionControl(int region, FleetSettings settings, EventQueue queue, Network network, FleetForwarders forwarders,
-            FleetChecks checks, ConfigurationLog configurations, SimulatedClock clock, int relays) {
+    RegionControl(
+            int region,
+            FleetSettings settings,
+            EventQueue queue,
+            Network network,
+            FleetForwarders forwarders,
+            FleetChecks checks,
+            ConfigurationLog configurations,
+            SimulatedClock clock,
+            int relays) {
         this.region = region;
         this.settings = settings;
         this.queue = queue;
@@ -70,8 +80,13 @@
         this.clock = clock;
         int shards = settings.partOf(region, settings.shards());
         checker = new OwnershipChecker(region, shards, queue, checks);
-        controller = new PlacementController(new ControllerSettings(region, shards, settings.zonesOf(region),
-                settings.loadBound(), settings.timing(), settings.reassignmentsPerSecond()));
+        controller = new PlacementController(new ControllerSettings(
+                region,
+                shards,
+                settings.zonesOf(region),
+                settings.loadBound(),
+                settings.timing(),
+                settings.reassignmentsPerSecond()));
         sampleMap = new ShardMap(region, shards);
         traffic = new ControlTraffic(relays);
     }
@@ -112,8 +127,14 @@
     }
 
     private void register(ForwarderProcess process) {
-        send(process, new ControllerCommand.Register(process.forwarder.id, process.incarnation,
-                process.forwarder.zoneWithinRegion, 1, process.previousProcessEnded));
+        send(
+                process,
+                new ControllerCommand.Register(
+                        process.forwarder.id,
+                        process.incarnation,
+                        process.forwarder.zoneWithinRegion,
+                        1,
+                        process.previousProcessEnded));
     }
 
     private void beat(ForwarderProcess process) {
@@ -152,7 +173,10 @@
         return queue.now() < process.forwarder.cutOffUntil;
     }
 
-    private void renewed(ForwarderProcess process, ControllerEvent.LeaseRenewed renewal, long mapVersion,
+    private void renewed(
+            ForwarderProcess process,
+            ControllerEvent.LeaseRenewed renewal,
+            long mapVersion,
             boolean configurationCurrent) {
         long reading = process.forwarder.clock.now();
         boolean sampled = traffic.sampleHolder();
@@ -162,13 +186,16 @@
             traffic.holderTook(System.nanoTime() - begin);
         }
         if (renewal.sequence() == process.lastSequence) {
-            long leaseMicros = (long) (settings.timing().leaseMicros() * (1 - settings.timing().maxDrift()));
+            long leaseMicros = (long)
+                    (settings.timing().leaseMicros() * (1 - settings.timing().maxDrift()));
             long until = process.forwarder.clock.virtualTimeOf(process.lastSentReading + leaseMicros);
-            process.permittedUntil = Math.max(process.permittedUntil, until - settings.timing().marginMicros());
+            process.permittedUntil =
+                    Math.max(process.permittedUntil, until - settings.timing().marginMicros());
             if (process.mapVersion >= mapVersion) {
                 process.mapFreshUntil = Math.max(process.mapFreshUntil, until);
                 process.configurationFreshUntil = configurationCurrent
-                        ? Math.max(process.configurationFreshUntil, until) : process.configurationFreshUntil;
+                        ? Math.max(process.configurationFreshUntil, until)
+                        : process.configurationFreshUntil;
             }
         }
         checker.renewed(process);
@@ -189,8 +216,7 @@
     private void startCalls(ForwarderProcess process, ControllerEvent.AssignmentChanged change) {
         long reading = process.forwarder.clock.now();
         change.revoked().forEach(grant -> {
-            if (process.holder.maySend(grant.shard(), reading)
-                    instanceof SendPermission.Permitted permitted) {
+            if (process.holder.maySend(grant.shard(), reading) instanceof SendPermission.Permitted permitted) {
                 process.holder.started(grant.shard(), permitted.epoch(), reading);
                 queue.after(forwarders.callMicros(region, grant.shard()), () -> {
                     process.holder.finished(grant.shard(), permitted.epoch());
@@ -258,7 +284,7 @@
     }
 
     /** A delta on its way through one tree. */
-    private record Passage(long version, int bytes, DistributionTree tree) { }
+    private record Passage(long version, int bytes, DistributionTree tree) {}
 
     /** Whoever gets a delta through a tree is in it, since the tree sends to its members only. */
     private void deltaArrived(ForwarderProcess process, Passage passage) {
@@ -279,8 +305,8 @@
     }
 
     /**
-     * Sends a delta on. If the receiver does not acknowledge it in time, it is sent once more, and to the receiver's own
-     * receivers in its place.
+     * Sends a delta on. If the receiver does not acknowledge it in time, it is sent once more, and to the receiver's
+     * own receivers in its place.
      *
      * @param sender a forwarder, or null for the controller
      */
@@ -360,8 +386,8 @@
         while (process.earlyVersions.remove(process.mapVersion + 1)) {
             process.mapVersion++;
         }
-        configurations.applied(process, history.configurationAt(before),
-                history.configurationAt(process.mapVersion), cutOffUntil);
+        configurations.applied(
+                process, history.configurationAt(before), history.configurationAt(process.mapVersion), cutOffUntil);
     }
 
     // Controller's side
@@ -413,7 +439,10 @@
         if (event instanceof ControllerEvent.LeaseRenewed renewal) {
             long version = history.latest();
             boolean current = queue.now() - publisherHeardMicros < PUBLISHER_SILENCE_MICROS;
-            toProcess(renewal.member(), renewal.incarnation(), bytes,
+            toProcess(
+                    renewal.member(),
+                    renewal.incarnation(),
+                    bytes,
                     process -> renewed(process, renewal, version, current));
         } else if (event instanceof ControllerEvent.AssignmentChanged change) {
             membersChanged |= change.fromRevision() == 0;
@@ -428,7 +457,10 @@
             toProcess(left.member(), left.incarnation(), bytes, process -> forwarders.left(process));
         } else if (event instanceof ControllerEvent.CommandRejected rejection
                 && rejection.command() instanceof ControllerCommand.Heartbeat heartbeat) {
-            toProcess(heartbeat.member(), heartbeat.incarnation(), bytes,
+            toProcess(
+                    heartbeat.member(),
+                    heartbeat.incarnation(),
+                    bytes,
                     process -> rejected(process, rejection.reason()));
         }
     }
@@ -482,7 +514,10 @@
         for (HollowForwarder forwarder : forwarders.ofRegion(region)) {
             ForwarderProcess process = forwarder.process;
             if (process != null && process.mapVersion < version && process.mapFreshUntil > queue.now()) {
-                checks.broken(new FleetBreach(FleetBreach.Kind.STALE_MAP, queue.now(), region,
+                checks.broken(new FleetBreach(
+                        FleetBreach.Kind.STALE_MAP,
+                        queue.now(),
+                        region,
                         forwarder.id + " has " + process.mapVersion + ", not " + version));
             }
         }
--- a/src/main/java/lilaclever/lab/fleet/Schedule.java
+++ b/src/main/java/lilaclever/lab/fleet/Schedule.java
@@ -7,29 +7,50 @@
 public enum Schedule {
     /** One failure of each kind after the other, each with its return. */
     INCIDENTS(List.of(
-            new Phase(Happening.QUIET, 120), new Phase(Happening.MACHINE_LOST, 60), new Phase(Happening.RETURN, 60),
-            new Phase(Happening.RACK_LOST, 60), new Phase(Happening.RETURN, 60),
-            new Phase(Happening.ZONE_LOST, 120), new Phase(Happening.RETURN, 180),
-            new Phase(Happening.REGION_CUT_OFF, 300), new Phase(Happening.RECONNECTED, 60),
-            new Phase(Happening.MEMBERS_CUT_OFF, 60), new Phase(Happening.RECONNECTED, 60))),
+            new Phase(Happening.QUIET, 120),
+            new Phase(Happening.MACHINE_LOST, 60),
+            new Phase(Happening.RETURN, 60),
+            new Phase(Happening.RACK_LOST, 60),
+            new Phase(Happening.RETURN, 60),
+            new Phase(Happening.ZONE_LOST, 120),
+            new Phase(Happening.RETURN, 180),
+            new Phase(Happening.REGION_CUT_OFF, 300),
+            new Phase(Happening.RECONNECTED, 60),
+            new Phase(Happening.MEMBERS_CUT_OFF, 60),
+            new Phase(Happening.RECONNECTED, 60))),
     /** The failures of an ordinary day at their usual pace, for an hour. */
     ORDINARY_HOUR(List.of(new Phase(Happening.ORDINARY_FAILURES, 3_600))),
     /** Planned restarts at the pace at which all are restarted within a day, for half an hour. */
     RESTART_PACE(List.of(new Phase(Happening.PLANNED_RESTARTS, 1_800))),
     /** Failures of each kind in a few minutes, for a small fleet. */
     SHORT(List.of(
-            new Phase(Happening.QUIET, 10), new Phase(Happening.MACHINE_LOST, 30), new Phase(Happening.RETURN, 20),
-            new Phase(Happening.ZONE_LOST, 40), new Phase(Happening.RETURN, 30),
-            new Phase(Happening.REGION_CUT_OFF, 30), new Phase(Happening.RECONNECTED, 20),
-            new Phase(Happening.MEMBERS_CUT_OFF, 30), new Phase(Happening.RECONNECTED, 20),
+            new Phase(Happening.QUIET, 10),
+            new Phase(Happening.MACHINE_LOST, 30),
+            new Phase(Happening.RETURN, 20),
+            new Phase(Happening.ZONE_LOST, 40),
+            new Phase(Happening.RETURN, 30),
+            new Phase(Happening.REGION_CUT_OFF, 30),
+            new Phase(Happening.RECONNECTED, 20),
+            new Phase(Happening.MEMBERS_CUT_OFF, 30),
+            new Phase(Happening.RECONNECTED, 20),
             new Phase(Happening.PLANNED_RESTARTS, 30)));
 
     /** What begins a phase, or goes on in it. */
-    enum Happening { QUIET, MACHINE_LOST, RACK_LOST, ZONE_LOST, RETURN, REGION_CUT_OFF, MEMBERS_CUT_OFF, RECONNECTED,
-        ORDINARY_FAILURES, PLANNED_RESTARTS }
+    enum Happening {
+        QUIET,
+        MACHINE_LOST,
+        RACK_LOST,
+        ZONE_LOST,
+        RETURN,
+        REGION_CUT_OFF,
+        MEMBERS_CUT_OFF,
+        RECONNECTED,
+        ORDINARY_FAILURES,
+        PLANNED_RESTARTS
+    }
 
     /** A phase, seconds. */
-    record Phase(Happening happening, int seconds) { }
+    record Phase(Happening happening, int seconds) {}
 
     private final List<Phase> phases;
 
--- a/src/main/java/lilaclever/placement/ControllerCommand.java
+++ b/src/main/java/lilaclever/placement/ControllerCommand.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 
-/** What the controller of a region is told. Commands may arrive late, twice and in another order than they were sent. */
+/**
+ * What the controller of a region is told. Commands may arrive late, twice and in another order than they were sent.
+ */
 public sealed interface ControllerCommand {
     /**
      * A forwarder's process asks to take part.
@@ -16,7 +18,7 @@
      *                    Then it gets its shards back at once; otherwise they wait until the earlier lease has ended
      */
     record Register(MemberId member, long incarnation, int zone, double weight, boolean previousProcessEnded)
-            implements ControllerCommand { }
+            implements ControllerCommand {}
 
     /**
      * A member is alive and asks for its lease to be renewed.
@@ -25,7 +27,7 @@
      * @param appliedRevision revision of the member's assignment that the member has applied
      */
     record Heartbeat(MemberId member, long incarnation, long sequence, long appliedRevision)
-            implements ControllerCommand { }
+            implements ControllerCommand {}
 
     /**
      * A member has stopped to send for shards that were revoked: they may be granted at once.
@@ -40,11 +42,11 @@
     }
 
     /** A member is about to be restarted or removed: its shards are handed over before it ends. */
-    record Leave(MemberId member, long incarnation) implements ControllerCommand { }
+    record Leave(MemberId member, long incarnation) implements ControllerCommand {}
 
     /** A new version of the configuration is in force; versions only grow. */
-    record PublishConfiguration(long version) implements ControllerCommand { }
+    record PublishConfiguration(long version) implements ControllerCommand {}
 
     /** Time has passed: expired leases are noticed, and reassignments that were held back go on. */
-    record AdvanceTime() implements ControllerCommand { }
+    record AdvanceTime() implements ControllerCommand {}
 }
--- a/src/main/java/lilaclever/placement/ControllerEvent.java
+++ b/src/main/java/lilaclever/placement/ControllerEvent.java
@@ -9,7 +9,7 @@
      * the shards of its assignment at the given revision, and no other.
      */
     record LeaseRenewed(MemberId member, long incarnation, long sequence, long leaseMicros, long revision)
-            implements ControllerEvent { }
+            implements ControllerEvent {}
 
     /**
      * To the member: its assignment has changed. It follows on {@code fromRevision}; a member that is at another one
@@ -19,8 +19,15 @@
      * @param granted shards that the member may send for once its lease covers {@code toRevision}
      * @param revoked shards that the member must stop to send for, and then release
      */
-    record AssignmentChanged(MemberId member, long incarnation, long fromRevision, long toRevision, boolean whole,
-            List<ShardGrant> granted, List<ShardGrant> revoked) implements ControllerEvent {
+    record AssignmentChanged(
+            MemberId member,
+            long incarnation,
+            long fromRevision,
+            long toRevision,
+            boolean whole,
+            List<ShardGrant> granted,
+            List<ShardGrant> revoked)
+            implements ControllerEvent {
         /** Copies the lists. */
         public AssignmentChanged {
             granted = List.copyOf(granted);
@@ -29,14 +36,14 @@
     }
 
     /** To all forwarders, through the distribution tree: the shard map or the configuration's version has changed. */
-    record MapChanged(MapDelta delta) implements ControllerEvent { }
+    record MapChanged(MapDelta delta) implements ControllerEvent {}
 
     /** A member's lease has surely ended without its leaving; its shards are granted to others. */
-    record MemberExpired(MemberId member, long incarnation) implements ControllerEvent { }
+    record MemberExpired(MemberId member, long incarnation) implements ControllerEvent {}
 
     /** To the member that is leaving: it holds no shard any more and may end. */
-    record LeaveCompleted(MemberId member, long incarnation) implements ControllerEvent { }
+    record LeaveCompleted(MemberId member, long incarnation) implements ControllerEvent {}
 
     /** To the sender: its command was passed over. */
-    record CommandRejected(ControllerCommand command, RejectionReason reason) implements ControllerEvent { }
+    record CommandRejected(ControllerCommand command, RejectionReason reason) implements ControllerEvent {}
 }
--- a/src/main/java/lilaclever/placement/ControllerOutput.java
+++ b/src/main/java/lilaclever/placement/ControllerOutput.java
@@ -93,13 +93,23 @@
         if (member.wholeAssignmentDue) {
             events.add(wholeAssignment(member));
         } else if (changed) {
-            events.add(new AssignmentChanged(member.id, member.incarnation, before, member.revision, false,
-                    member.newlyGranted, member.newlyRevoked));
+            events.add(new AssignmentChanged(
+                    member.id,
+                    member.incarnation,
+                    before,
+                    member.revision,
+                    false,
+                    member.newlyGranted,
+                    member.newlyRevoked));
         }
         // The renewal is for a heartbeat that was counted already: it covers new shards no longer than the old ones.
         if (member.lastSequence > 0 && (member.renewalDue || changed)) {
-            events.add(new LeaseRenewed(member.id, member.incarnation, member.lastSequence,
-                    settings.timing().leaseMicros(), member.revision));
+            events.add(new LeaseRenewed(
+                    member.id,
+                    member.incarnation,
+                    member.lastSequence,
+                    settings.timing().leaseMicros(),
+                    member.revision));
         }
         member.newlyGranted.clear();
         member.newlyRevoked.clear();
@@ -115,8 +125,8 @@
             List<ShardGrant> list = table.revoking(shard) ? revoked : granted;
             list.add(new ShardGrant(shard, table.epoch(shard)));
         }
-        return new AssignmentChanged(member.id, member.incarnation, member.appliedRevision, member.revision, true,
-                granted, revoked);
+        return new AssignmentChanged(
+                member.id, member.incarnation, member.appliedRevision, member.revision, true, granted, revoked);
     }
 
     private void writeMapChange() {
@@ -132,7 +142,8 @@
         if (changes.isEmpty() && map.configurationVersion() == configurationVersion) {
             return;
         }
-        MapDelta delta = new MapDelta(settings.region(), map.version(), map.version() + 1, configurationVersion, changes);
+        MapDelta delta =
+                new MapDelta(settings.region(), map.version(), map.version() + 1, configurationVersion, changes);
         map.apply(delta);
         events.add(new MapChanged(delta));
     }
--- a/src/main/java/lilaclever/placement/ControllerSettings.java
+++ b/src/main/java/lilaclever/placement/ControllerSettings.java
@@ -6,13 +6,14 @@
  * @param region                    number of the region, from 0
  * @param shards                    number of shards of the region, 1 to {@link #MAX_SHARDS}; it never changes
  * @param zones                     number of zones of the region, 1 to {@link #MAX_ZONES}
- * @param loadBound                 most shards of a member relative to its share by weight, 1 to {@link #MAX_LOAD_BOUND}
+ * @param loadBound                 most shards of a member relative to its share by weight, 1 to {@link
+ * #MAX_LOAD_BOUND}
  * @param timing                    times of the leases
  * @param maxReassignmentsPerSecond most shards a second that are given to another member than before, 1 to
  *                                  {@link #MAX_REASSIGNMENTS}
  */
-public record ControllerSettings(int region, int shards, int zones, double loadBound, LeaseTiming timing,
-        int maxReassignmentsPerSecond) {
+public record ControllerSettings(
+        int region, int shards, int zones, double loadBound, LeaseTiming timing, int maxReassignmentsPerSecond) {
     /** Most shards of a region. */
     public static final int MAX_SHARDS = 1 << 20;
     /** Most zones of a region. */
--- a/src/main/java/lilaclever/placement/DeltaBatch.java
+++ b/src/main/java/lilaclever/placement/DeltaBatch.java
@@ -6,8 +6,8 @@
 import lilaclever.placement.MapDelta.OwnerChange;
 
 /**
- * Gathers deltas of one region that follow on one another into one, so that many changes in a short time cost one message
- * through the tree. Of several changes of a shard only the last is kept.
+ * Gathers deltas of one region that follow on one another into one, so that many changes in a short time cost one
+ * message through the tree. Of several changes of a shard only the last is kept.
  */
 public final class DeltaBatch {
     private final TreeMap<Integer, OwnerChange> changes = new TreeMap<>();
@@ -48,8 +48,8 @@
             throw new IllegalStateException("no delta was added");
         }
         List<OwnerChange> merged = new ArrayList<>(changes.values());
-        MapDelta delta = new MapDelta(first.region(), first.fromVersion(), last.toVersion(), last.configurationVersion(),
-                merged);
+        MapDelta delta = new MapDelta(
+                first.region(), first.fromVersion(), last.toVersion(), last.configurationVersion(), merged);
         first = null;
         last = null;
         changes.clear();
--- a/src/main/java/lilaclever/placement/DistributionTree.java
+++ b/src/main/java/lilaclever/placement/DistributionTree.java
@@ -12,10 +12,10 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
- * Tree through which a region's controller sends deltas of the map to all forwarders. The controller sends to one forwarder
- * in each zone; below it, each forwarder sends to a bounded number of others of its zone. Everybody who has the same
- * member list and version builds the same tree; with another version others are the inner nodes, so that the cost of
- * passing on goes round.
+ * Tree through which a region's controller sends deltas of the map to all forwarders. The controller sends to one
+ * forwarder in each zone; below it, each forwarder sends to a bounded number of others of its zone. Everybody who has
+ * the same member list and version builds the same tree; with another version others are the inner nodes, so that the
+ * cost of passing on goes round.
  */
 public final class DistributionTree {
     /** Most children of a forwarder. */
@@ -27,9 +27,9 @@
     private int depth;
 
     /** A forwarder and its zone. */
-    public record TreeMember(MemberId id, int zone) { }
+    public record TreeMember(MemberId id, int zone) {}
 
-    private record Node(List<MemberId> zoneOrder, int place) { }
+    private record Node(List<MemberId> zoneOrder, int place) {}
 
     /**
      * Builds the tree.
--- a/src/main/java/lilaclever/placement/LeaseHolder.java
+++ b/src/main/java/lilaclever/placement/LeaseHolder.java
@@ -14,10 +14,10 @@
  * The forwarder's side of ownership by lease: which shards one life of a forwarder's process may send for. It does no
  * I/O and reads no clock; every reading that it is given is microseconds of one monotonic clock of the process.
  *
- * <p>A lease runs from the moment in which the heartbeat that it answers was sent, and covers the shards of one revision
- * of the assignment. A holder that is cut off therefore stops by itself, before the controller grants its shards anew.
- * Messages may be lost, doubled, late and in any order. A clock that is seen to step back ends all leases at once, as
- * the time since the heartbeats is then unknown; a step that falls between two readings counts as drift.
+ * <p>A lease runs from the moment in which the heartbeat that it answers was sent, and covers the shards of one
+ * revision of the assignment. A holder that is cut off therefore stops by itself, before the controller grants its
+ * shards anew. Messages may be lost, doubled, late and in any order. A clock that is seen to step back ends all leases
+ * at once, as the time since the heartbeats is then unknown; a step that falls between two readings counts as drift.
  *
  * <p>Not safe for use by several threads.
  */
@@ -36,6 +36,7 @@
     private final Map<ShardGrant, Integer> draining = new HashMap<>();
     /** What is to be released. */
     private final Set<ShardGrant> releases = new LinkedHashSet<>();
+
     private long appliedRevision;
     private long latestReading = Long.MIN_VALUE;
 
@@ -93,7 +94,9 @@
         return HolderResult.APPLIED;
     }
 
-    /** Takes in a change of the assignment: as a whole, or not at all. What it revokes is stopped before this returns. */
+    /**
+     * Takes in a change of the assignment: as a whole, or not at all. What it revokes is stopped before this returns.
+     */
     public HolderResult assignmentChanged(ControllerEvent.AssignmentChanged change) {
         if (!addressed(change.member(), change.incarnation())) {
             return HolderResult.NOT_ADDRESSED;
--- a/src/main/java/lilaclever/placement/LeaseTiming.java
+++ b/src/main/java/lilaclever/placement/LeaseTiming.java
@@ -6,7 +6,8 @@
  * @param heartbeatMicros time between two heartbeats of a member
  * @param leaseMicros     length of a lease, measured by the holder from the sending of the heartbeat that renewed it
  *                        and by the controller from that heartbeat's arrival
- * @param maxDrift        bound on how much the rates of two monotonic clocks differ, as a ratio (0.001 is 1 ms a second)
+ * @param maxDrift        bound on how much the rates of two monotonic clocks differ, as a ratio (0.001 is 1 ms a
+ * second)
  * @param marginMicros    how long before the end of its lease a holder stops to send, and how long after it the
  *                        controller waits before it grants the shard anew
  */
@@ -21,12 +22,14 @@
         require(heartbeatMicros > 0, "heartbeat must be above 0");
         require(marginMicros >= 0, "margin must not be negative");
         require(maxDrift >= 0 && maxDrift < 0.1, "drift must be in [0, 0.1)");
-        require(leaseMicros >= 2 * heartbeatMicros + 2 * marginMicros, "lease must last two heartbeats and two margins");
+        require(
+                leaseMicros >= 2 * heartbeatMicros + 2 * marginMicros,
+                "lease must last two heartbeats and two margins");
     }
 
     /**
-     * Time after the arrival of a heartbeat, by the controller's clock, after which the lease that it renewed has surely
-     * ended at the holder: the lease by the slowest clock that the drift allows, and the margin.
+     * Time after the arrival of a heartbeat, by the controller's clock, after which the lease that it renewed has
+     * surely ended at the holder: the lease by the slowest clock that the drift allows, and the margin.
      */
     public long surelyEndedAfterMicros() {
         return (long) Math.ceil(leaseMicros / (1 - maxDrift)) + marginMicros;
--- a/src/main/java/lilaclever/placement/MapCodec.java
+++ b/src/main/java/lilaclever/placement/MapCodec.java
@@ -14,8 +14,8 @@
  * <li>Delta: {@code 'D'}, region, from-version, versions from there to to-version, configuration version, number of
  * changes, and for each change by ascending shard: distance from the shard before (the first from -1), owner's number
  * plus 1 or 0 for none, epoch.
- * <li>Snapshot: {@code 'S'}, region, version, configuration version, number of shards, and for each shard from 0: owner's
- * number plus 1 or 0 for none, epoch.
+ * <li>Snapshot: {@code 'S'}, region, version, configuration version, number of shards, and for each shard from 0:
+ * owner's number plus 1 or 0 for none, epoch.
  * </ul>
  */
 public final class MapCodec {
@@ -28,7 +28,7 @@
     private static final int MIN_CHANGE_BYTES = 3;
     private static final int MIN_SHARD_BYTES = 2;
 
-    private MapCodec() { }
+    private MapCodec() {}
 
     /**
      * Bytes of a delta.
@@ -98,7 +98,8 @@
             }
             shard += distance;
             int owner = in.readOwner();
-            changes.add(new OwnerChange(shard, owner == MapSnapshot.NO_OWNER ? null : new MemberId(owner), in.readLong()));
+            changes.add(
+                    new OwnerChange(shard, owner == MapSnapshot.NO_OWNER ? null : new MemberId(owner), in.readLong()));
         }
         in.requireEnd();
         return new MapDelta(region, fromVersion, fromVersion + versions, configurationVersion, changes);
--- a/src/main/java/lilaclever/placement/MapDelta.java
+++ b/src/main/java/lilaclever/placement/MapDelta.java
@@ -11,10 +11,10 @@
  * @param configurationVersion version of the configuration that is in force with {@code toVersion}
  * @param changes              the shards whose owner or epoch is another, by ascending number, each at most once
  */
-public record MapDelta(int region, long fromVersion, long toVersion, long configurationVersion,
-        List<OwnerChange> changes) {
+public record MapDelta(
+        int region, long fromVersion, long toVersion, long configurationVersion, List<OwnerChange> changes) {
     /** A shard's owner from now on; {@code owner} is null while nobody may send for it. */
-    public record OwnerChange(int shard, MemberId owner, long epoch) { }
+    public record OwnerChange(int shard, MemberId owner, long epoch) {}
 
     /** Copies the list. */
     public MapDelta {
--- a/src/main/java/lilaclever/placement/MapSnapshot.java
+++ b/src/main/java/lilaclever/placement/MapSnapshot.java
@@ -69,8 +69,11 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof MapSnapshot snapshot && region == snapshot.region && version == snapshot.version
-                && configurationVersion == snapshot.configurationVersion && Arrays.equals(owners, snapshot.owners)
+        return other instanceof MapSnapshot snapshot
+                && region == snapshot.region
+                && version == snapshot.version
+                && configurationVersion == snapshot.configurationVersion
+                && Arrays.equals(owners, snapshot.owners)
                 && Arrays.equals(epochs, snapshot.epochs);
     }
 
--- a/src/main/java/lilaclever/placement/MemberState.java
+++ b/src/main/java/lilaclever/placement/MemberState.java
@@ -30,6 +30,7 @@
 
     /** Changes of its assignment in the command under way. */
     final List<ShardGrant> newlyGranted = new ArrayList<>();
+
     final List<ShardGrant> newlyRevoked = new ArrayList<>();
     /** It has to be sent its whole assignment, because it has registered or missed a change. */
     boolean wholeAssignmentDue;
--- a/src/main/java/lilaclever/placement/PlacementController.java
+++ b/src/main/java/lilaclever/placement/PlacementController.java
@@ -22,10 +22,10 @@
  * Controller of a region's shards: a deterministic state machine for one thread, without I/O and without a clock of its
  * own. The same commands at the same times give the same events, so that a replicated log can carry the commands.
  *
- * <p>At any time at most one process may send for a shard. A shard is granted only when nobody may send for it: before the
- * first grant, after its holder's release, after the holder's process is known to have ended, or after the last lease
- * that covered it has surely ended ({@link LeaseTiming#surelyEndedAfterMicros()} after the arrival of the heartbeat that
- * renewed it last). From the moment in which a shard is revoked, no renewal covers it.
+ * <p>At any time at most one process may send for a shard. A shard is granted only when nobody may send for it: before
+ * the first grant, after its holder's release, after the holder's process is known to have ended, or after the last
+ * lease that covered it has surely ended ({@link LeaseTiming#surelyEndedAfterMicros()} after the arrival of the
+ * heartbeat that renewed it last). From the moment in which a shard is revoked, no renewal covers it.
  */
 public final class PlacementController {
     /** Most member numbers whose incarnations are kept. */
@@ -40,6 +40,7 @@
     private final Map<MemberId, LastIncarnation> incarnations = new HashMap<>();
     /** For each member one entry, at its lease's end or earlier. */
     private final PriorityQueue<LeaseCheck> leaseChecks = new PriorityQueue<>(LeaseCheck.EARLIEST_FIRST);
+
     private long nowMicros = Long.MIN_VALUE;
 
     /** Controller of a region without members. */
@@ -54,7 +55,8 @@
     /**
      * Takes a command in.
      *
-     * @param nowMicros reading of a monotonic clock, microseconds; one before the latest that was given counts as that one
+     * @param nowMicros reading of a monotonic clock, microseconds; one before the latest that was given counts as that
+     * one
      * @return what follows, in the order in which each receiver has to get it
      */
     public List<ControllerEvent> apply(ControllerCommand command, long nowMicros) {
@@ -69,7 +71,8 @@
 
     /** When {@link AdvanceTime} is due at the latest, by the clock of {@link #apply}; Long.MAX_VALUE if never. */
     public long nextDueMicros() {
-        long leaseDue = leaseChecks.isEmpty() ? Long.MAX_VALUE : leaseChecks.peek().atMicros();
+        long leaseDue =
+                leaseChecks.isEmpty() ? Long.MAX_VALUE : leaseChecks.peek().atMicros();
         return Math.min(leaseDue, reassigner.nextDueMicros());
     }
 
@@ -121,8 +124,7 @@
             return;
         }
         MemberState before = members.get(command.member());
-        MemberState member =
-                new MemberState(command.member(), command.incarnation(), command.zone(), command.weight());
+        MemberState member = new MemberState(command.member(), command.incarnation(), command.zone(), command.weight());
         member.revision = 1;
         member.leaseSureEndMicros = leaseSureEnd();
         members.put(member.id, member);
@@ -137,8 +139,8 @@
     }
 
     /**
-     * A forwarder's process has a successor. That it registered does not prove that the earlier process has ended (it may
-     * be stopped, cut off, or on another machine): unless the successor knows, its shards wait for the lease's end.
+     * A forwarder's process has a successor. That it registered does not prove that the earlier process has ended (it
+     * may be stopped, cut off, or on another machine): unless the successor knows, its shards wait for the lease's end.
      */
     private void replace(MemberState before, MemberState member, boolean previousProcessEnded) {
         output.forget(before);
@@ -208,8 +210,8 @@
     }
 
     private void release(Release command) {
-        RejectionReason problem = command.shards().isEmpty()
-                ? problemOfSender(command.member(), command.incarnation()) : null;
+        RejectionReason problem =
+                command.shards().isEmpty() ? problemOfSender(command.member(), command.incarnation()) : null;
         for (ShardGrant grant : command.shards()) {
             RejectionReason grantProblem = problemOf(command, grant);
             if (grantProblem == null) {
@@ -237,7 +239,9 @@
             return false;
         }
         MemberState holder = table.holder(grant.shard());
-        return holder != null && holder.id.equals(command.member()) && holder.incarnation == command.incarnation()
+        return holder != null
+                && holder.id.equals(command.member())
+                && holder.incarnation == command.incarnation()
                 && table.epoch(grant.shard()) == grant.epoch();
     }
 
@@ -327,7 +331,7 @@
         return nowMicros + settings.timing().surelyEndedAfterMicros();
     }
 
-    private record LastIncarnation(long number, boolean left) { }
+    private record LastIncarnation(long number, boolean left) {}
 
     private record LeaseCheck(long atMicros, MemberState member) {
         static final Comparator<LeaseCheck> EARLIEST_FIRST =
--- a/src/main/java/lilaclever/placement/ReassignmentPacer.java
+++ b/src/main/java/lilaclever/placement/ReassignmentPacer.java
@@ -11,6 +11,7 @@
     private final long burst;
     /** Tokens times {@link #MICROS_PER_SECOND}: whole numbers, without rounding. */
     private long credit;
+
     private long refilledAtMicros;
     private boolean started;
 
--- a/src/main/java/lilaclever/placement/RendezvousRanking.java
+++ b/src/main/java/lilaclever/placement/RendezvousRanking.java
@@ -6,8 +6,9 @@
 
 /**
  * Weighted rendezvous hashing (highest random weight): for each shard every member draws a number, and the member with
- * the greatest score is first. The score is {@code -weight / ln(u)}, with u in (0, 1) from the hash of shard and member,
- * so that members are first in proportion to their weights, and a change of one member moves no shard between others.
+ * the greatest score is first. The score is {@code -weight / ln(u)}, with u in (0, 1) from the hash of shard and
+ * member, so that members are first in proportion to their weights, and a change of one member moves no shard between
+ * others.
  */
 final class RendezvousRanking {
     private static final double HASH_VALUES = 1L << Integer.SIZE;
@@ -15,6 +16,7 @@
     private final int seed;
     /** The members to choose from, and side by side what the ranking needs of each. */
     private MemberState[] candidates = {};
+
     private int[] numbers = {};
     private double[] weights = {};
 
@@ -29,7 +31,12 @@
 
     /** Whether a member goes before another one for a shard; of equal scores the lower member number is first. */
     boolean precedes(int shard, MemberState member, MemberState other) {
-        return precedes(member.weight, draw(shard, member), member.id.number(), other.weight, draw(shard, other),
+        return precedes(
+                member.weight,
+                draw(shard, member),
+                member.id.number(),
+                other.weight,
+                draw(shard, other),
                 other.id.number());
     }
 
@@ -46,8 +53,8 @@
         long bestDraw = 0;
         for (int i = 0; i < numbers.length; i++) {
             long draw = draw(shard, numbers[i]);
-            boolean ahead = best == NONE
-                    || precedes(weights[i], draw, numbers[i], weights[best], bestDraw, numbers[best]);
+            boolean ahead =
+                    best == NONE || precedes(weights[i], draw, numbers[i], weights[best], bestDraw, numbers[best]);
             if (ahead && hasRoom.test(candidates[i])) {
                 best = i;
                 bestDraw = draw;
@@ -61,8 +68,8 @@
         return Integer.toUnsignedLong(MurmurHash3.hash32(pair, seed));
     }
 
-    private static boolean precedes(double weight, long draw, int number, double otherWeight, long otherDraw,
-            int otherNumber) {
+    private static boolean precedes(
+            double weight, long draw, int number, double otherWeight, long otherDraw, int otherNumber) {
         if (weight == otherWeight) {
             return draw != otherDraw ? draw > otherDraw : number < otherNumber;
         }
--- a/src/main/java/lilaclever/placement/SendPermission.java
+++ b/src/main/java/lilaclever/placement/SendPermission.java
@@ -6,10 +6,10 @@
      * It may, with the shard's fencing token, and the last byte has to be written before the given reading of the
      * holder's monotonic clock, microseconds.
      */
-    record Permitted(long epoch, long untilMicros) implements SendPermission { }
+    record Permitted(long epoch, long untilMicros) implements SendPermission {}
 
     /** It may not. */
-    record Refused(Reason reason) implements SendPermission { }
+    record Refused(Reason reason) implements SendPermission {}
 
     /** Why a forwarder may not send. */
     enum Reason {
--- a/src/main/java/lilaclever/placement/ShardAssignment.java
+++ b/src/main/java/lilaclever/placement/ShardAssignment.java
@@ -72,7 +72,11 @@
             }
         }
         int room = Math.max(0, member.capacity - member.occupied());
-        int[] claimed = claims.stream().sorted(Claim.STRONGEST_FIRST).limit(room).mapToInt(Claim::shard).sorted()
+        int[] claimed = claims.stream()
+                .sorted(Claim.STRONGEST_FIRST)
+                .limit(room)
+                .mapToInt(Claim::shard)
+                .sorted()
                 .toArray();
         for (int shard : claimed) {
             table.setTarget(shard, member);
--- a/src/main/java/lilaclever/placement/ShardGrant.java
+++ b/src/main/java/lilaclever/placement/ShardGrant.java
@@ -6,4 +6,4 @@
  * @param shard number of the shard within its region, from 0
  * @param epoch fencing token of the shard: each grant of the shard has a greater one than all grants before
  */
-public record ShardGrant(int shard, long epoch) { }
+public record ShardGrant(int shard, long epoch) {}
--- a/src/main/java/lilaclever/placement/ShardHasher.java
+++ b/src/main/java/lilaclever/placement/ShardHasher.java
@@ -18,7 +18,8 @@
      */
     public ShardHasher(int shards) {
         if (shards < 1 || shards > ControllerSettings.MAX_SHARDS) {
-            throw new IllegalArgumentException("shards must be from 1 to " + ControllerSettings.MAX_SHARDS + ": " + shards);
+            throw new IllegalArgumentException(
+                    "shards must be from 1 to " + ControllerSettings.MAX_SHARDS + ": " + shards);
         }
         this.shards = shards;
     }
--- a/src/main/java/lilaclever/placement/ShardMap.java
+++ b/src/main/java/lilaclever/placement/ShardMap.java
@@ -18,7 +18,8 @@
      */
     public ShardMap(int region, int shards) {
         if (shards < 1 || shards > ControllerSettings.MAX_SHARDS) {
-            throw new IllegalArgumentException("shards must be from 1 to " + ControllerSettings.MAX_SHARDS + ": " + shards);
+            throw new IllegalArgumentException(
+                    "shards must be from 1 to " + ControllerSettings.MAX_SHARDS + ": " + shards);
         }
         this.region = region;
         owners = new int[shards];
@@ -43,7 +44,9 @@
         }
         check(delta);
         for (OwnerChange change : delta.changes()) {
-            owners[change.shard()] = change.owner() == null ? MapSnapshot.NO_OWNER : change.owner().number();
+            owners[change.shard()] = change.owner() == null
+                    ? MapSnapshot.NO_OWNER
+                    : change.owner().number();
             epochs[change.shard()] = change.epoch();
         }
         version = delta.toVersion();
@@ -60,7 +63,8 @@
     public MapUpdate load(MapSnapshot snapshot) {
         requireRegion(snapshot.region());
         if (snapshot.shards() != owners.length) {
-            throw new IllegalArgumentException("snapshot of " + snapshot.shards() + " shards for a map of " + owners.length);
+            throw new IllegalArgumentException(
+                    "snapshot of " + snapshot.shards() + " shards for a map of " + owners.length);
         }
         if (snapshot.version() <= version) {
             return MapUpdate.ALREADY_APPLIED;
@@ -105,16 +109,16 @@
 
     private void check(MapDelta delta) {
         if (delta.configurationVersion() < configurationVersion) {
-            throw new IllegalArgumentException("configuration version " + delta.configurationVersion() + " after "
-                    + configurationVersion);
+            throw new IllegalArgumentException(
+                    "configuration version " + delta.configurationVersion() + " after " + configurationVersion);
         }
         for (OwnerChange change : delta.changes()) {
             if (change.shard() < 0 || change.shard() >= owners.length) {
                 throw new IllegalArgumentException("shard " + change.shard() + " in a map of " + owners.length);
             }
             if (change.epoch() < epochs[change.shard()]) {
-                throw new IllegalArgumentException("epoch " + change.epoch() + " of shard " + change.shard() + " after "
-                        + epochs[change.shard()]);
+                throw new IllegalArgumentException(
+                        "epoch " + change.epoch() + " of shard " + change.shard() + " after " + epochs[change.shard()]);
             }
         }
     }
--- a/src/main/java/lilaclever/placement/ShardReassigner.java
+++ b/src/main/java/lilaclever/placement/ShardReassigner.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 
 /**
- * Carries out who is to have which shard, at a bounded pace: first the shards that nobody has, then those of members that
- * leave, then those of members over their capacity, then moves to members that joined. A shard that somebody has is
- * revoked first and granted anew only when it was released or when the lease on it has surely ended.
+ * Carries out who is to have which shard, at a bounded pace: first the shards that nobody has, then those of members
+ * that leave, then those of members over their capacity, then moves to members that joined. A shard that somebody has
+ * is revoked first and granted anew only when it was released or when the lease on it has surely ended.
  */
 final class ShardReassigner {
     private final ShardTable table;
@@ -89,7 +89,9 @@
         }
     }
 
-    /** The shard's holder gets no renewal for it any more; it is free at the end of the holder's lease at the latest. */
+    /**
+     * The shard's holder gets no renewal for it any more; it is free at the end of the holder's lease at the latest.
+     */
     void endAtLeaseEnd(int shard) {
         MemberState holder = table.holder(shard);
         table.startRevoking(shard, holder.leaseSureEndMicros);
@@ -179,7 +181,10 @@
     /** Whether a shard that was to move to the given member can stay where it is, as it was not revoked yet. */
     private boolean mayKeep(int shard, MemberState target) {
         MemberState holder = table.holder(shard);
-        return holder != null && holder != target && !table.revoking(shard) && !holder.leaving
+        return holder != null
+                && holder != target
+                && !table.revoking(shard)
+                && !holder.leaving
                 && holder.targeted.size() < holder.capacity;
     }
 
@@ -218,8 +223,8 @@
     }
 
     private record Revocation(long freeAtMicros, int shard, long epoch) {
-        static final Comparator<Revocation> EARLIEST_FIRST =
-                Comparator.comparingLong(Revocation::freeAtMicros).thenComparingInt(Revocation::shard)
-                        .thenComparingLong(Revocation::epoch);
+        static final Comparator<Revocation> EARLIEST_FIRST = Comparator.comparingLong(Revocation::freeAtMicros)
+                .thenComparingInt(Revocation::shard)
+                .thenComparingLong(Revocation::epoch);
     }
 }
--- a/src/test/java/lilaclever/lab/fleet/FleetSimulationTest.java
+++ b/src/test/java/lilaclever/lab/fleet/FleetSimulationTest.java
@@ -41,20 +41,22 @@
     @Test
     void mapsOlderThanTheirBoundAreBreaches() {
         FleetSettings settings = FleetSettings.of(4, 2, 6, 60);
-        assertEquals(List.of(FleetBreach.Kind.STALE_MAP),
+        assertEquals(
+                List.of(FleetBreach.Kind.STALE_MAP),
                 kinds(settings.withAgeBounds(1_000, settings.configurationBoundMicros())));
     }
 
     @Test
     void configurationsOlderThanTheirBoundAreBreaches() {
         FleetSettings settings = FleetSettings.of(4, 2, 6, 60);
-        assertEquals(List.of(FleetBreach.Kind.STALE_CONFIGURATION),
+        assertEquals(
+                List.of(FleetBreach.Kind.STALE_CONFIGURATION),
                 kinds(settings.withAgeBounds(settings.mapBoundMicros(), 20_000)));
     }
 
     private static List<FleetBreach.Kind> kinds(FleetSettings settings) {
-        return new FleetSimulation(settings, Schedule.SHORT).run().breaches().stream().map(FleetBreach::kind).distinct()
-                .toList();
+        return new FleetSimulation(settings, Schedule.SHORT)
+                .run().breaches().stream().map(FleetBreach::kind).distinct().toList();
     }
 
     private static FleetFigures play(long seed) {
@@ -62,6 +64,9 @@
     }
 
     private static PhaseFigures phase(FleetFigures figures, String name) {
-        return figures.phases().stream().filter(phase -> phase.name().equals(name)).findFirst().orElseThrow();
+        return figures.phases().stream()
+                .filter(phase -> phase.name().equals(name))
+                .findFirst()
+                .orElseThrow();
     }
 }
--- a/src/test/java/lilaclever/lab/fleet/OwnershipCheckerTest.java
+++ b/src/test/java/lilaclever/lab/fleet/OwnershipCheckerTest.java
@@ -75,16 +75,17 @@
     }
 
     private void own(ForwarderProcess process, long epoch) {
-        process.holder.assignmentChanged(new ControllerEvent.AssignmentChanged(process.forwarder.id, 1, 0, 1, true,
-                List.of(new ShardGrant(SHARD, epoch)), List.of()));
+        process.holder.assignmentChanged(new ControllerEvent.AssignmentChanged(
+                process.forwarder.id, 1, 0, 1, true, List.of(new ShardGrant(SHARD, epoch)), List.of()));
         checker.assignmentChanged(process, Set.of());
         renew(process, 1);
     }
 
     private void renew(ForwarderProcess process, long sequence) {
         process.holder.heartbeat(process.forwarder.clock.now());
-        process.holder.renewed(new ControllerEvent.LeaseRenewed(process.forwarder.id, 1, sequence, TIMING.leaseMicros(),
-                1), process.forwarder.clock.now());
+        process.holder.renewed(
+                new ControllerEvent.LeaseRenewed(process.forwarder.id, 1, sequence, TIMING.leaseMicros(), 1),
+                process.forwarder.clock.now());
         checker.renewed(process);
     }
 
--- a/src/test/java/lilaclever/placement/AssignmentTest.java
+++ b/src/test/java/lilaclever/placement/AssignmentTest.java
@@ -55,7 +55,9 @@
             region.join(member, member % ZONES, member < 10 ? 1 : 3, false);
         }
         region.run(3 * SECOND);
-        int heavy = IntStream.range(10, 20).map(member -> region.controller.shardsHeldBy(new MemberId(member))).sum();
+        int heavy = IntStream.range(10, 20)
+                .map(member -> region.controller.shardsHeldBy(new MemberId(member)))
+                .sum();
         assertEquals(3000, heavy, 120);
         for (MemberId member : region.controller.members()) {
             int share = member.number() < 10 ? 100 : 300;
@@ -63,7 +65,9 @@
         }
     }
 
-    /** Regions draw apart from each other: over all of them a zone's share is near its weight, in each within chance. */
+    /**
+     * Regions draw apart from each other: over all of them a zone's share is near its weight, in each within chance.
+     */
     @Test
     void zonesHaveShardsInProportionToTheirMembers() {
         int shards = 6000;
@@ -98,7 +102,8 @@
         int first = 0;
         for (int zone = 0; zone < ZONES; zone++) {
             held[zone] = IntStream.range(first, first + membersOfZone[zone])
-                    .map(number -> region.controller.shardsHeldBy(new MemberId(number))).sum();
+                    .map(number -> region.controller.shardsHeldBy(new MemberId(number)))
+                    .sum();
             first += membersOfZone[zone];
         }
         return held;
@@ -135,9 +140,12 @@
         int[] now = region.owners();
         int evictions = 0;
         for (MemberId member : region.controller.members()) {
-            int had = (int) Arrays.stream(before).filter(owner -> owner == member.number()).count();
+            int had = (int) Arrays.stream(before)
+                    .filter(owner -> owner == member.number())
+                    .count();
             int toJoined = (int) IntStream.range(0, now.length)
-                    .filter(shard -> before[shard] == member.number() && now[shard] == joined).count();
+                    .filter(shard -> before[shard] == member.number() && now[shard] == joined)
+                    .count();
             evictions += Math.max(0, had - toJoined - region.controller.capacityOf(member));
         }
         return evictions;
@@ -153,7 +161,9 @@
         region.run(3 * SECOND);
         int lost = (int) Arrays.stream(before).filter(owner -> owner == 17).count();
         int[] now = region.owners();
-        int back = (int) IntStream.range(0, now.length).filter(shard -> before[shard] == 17 && now[shard] == 17).count();
+        int back = (int) IntStream.range(0, now.length)
+                .filter(shard -> before[shard] == 17 && now[shard] == 17)
+                .count();
         assertTrue(back >= 0.8 * lost, back + " of " + lost);
     }
 
@@ -195,8 +205,13 @@
         assertEquals(0, slow.unownedShards());
 
         int[] before = slow.owners();
-        List<Integer> zone = IntStream.range(0, 90).filter(member -> member % ZONES == 1).boxed().toList();
-        int lost = zone.stream().mapToInt(member -> slow.controller.shardsHeldBy(new MemberId(member))).sum();
+        List<Integer> zone = IntStream.range(0, 90)
+                .filter(member -> member % ZONES == 1)
+                .boxed()
+                .toList();
+        int lost = zone.stream()
+                .mapToInt(member -> slow.controller.shardsHeldBy(new MemberId(member)))
+                .sum();
         slow.kill(zone);
         slow.run(TestRegion.TIMING.surelyEndedAfterMicros() - SECOND);
         assertEquals(0, slow.unownedShards());
@@ -239,8 +254,9 @@
 
     private static int takenFromLiving(int[] before, TestRegion region) {
         int[] now = region.owners();
-        return (int) IntStream.range(0, now.length).filter(shard -> (before[shard] < 3 || before[shard] > 5)
-                && now[shard] != before[shard]).count();
+        return (int) IntStream.range(0, now.length)
+                .filter(shard -> (before[shard] < 3 || before[shard] > 5) && now[shard] != before[shard])
+                .count();
     }
 
     @Test
--- a/src/test/java/lilaclever/placement/DeltaBatchTest.java
+++ b/src/test/java/lilaclever/placement/DeltaBatchTest.java
@@ -18,8 +18,15 @@
     void mergesDeltasIntoOneWithTheLastChangeOfEachShard() {
         batch.add(FIRST);
         batch.add(SECOND);
-        assertEquals(delta(0, 2, 5, new OwnerChange(3, id(2), 1), new OwnerChange(9, id(2), 2),
-                new OwnerChange(11, id(1), 1)), batch.take());
+        assertEquals(
+                delta(
+                        0,
+                        2,
+                        5,
+                        new OwnerChange(3, id(2), 1),
+                        new OwnerChange(9, id(2), 2),
+                        new OwnerChange(11, id(1), 1)),
+                batch.take());
         assertTrue(batch.isEmpty());
         assertThrows(IllegalStateException.class, batch::take);
     }
--- a/src/test/java/lilaclever/placement/LeaseHolderTest.java
+++ b/src/test/java/lilaclever/placement/LeaseHolderTest.java
@@ -13,6 +13,7 @@
     private static final LeaseTiming TIMING = new LeaseTiming(2 * SECOND, 10 * SECOND, 0.01, SECOND);
     /** From the sending of a heartbeat: 10 s, less 1% of drift, less 1 s of margin. */
     private static final long SEND_TIME = 8_900_000;
+
     private static final MemberId MEMBER = new MemberId(4);
     private static final MemberId OTHER = new MemberId(5);
     private static final long INCARNATION = 7;
@@ -104,10 +105,12 @@
     void wholeAssignmentReplacesWhatIsHeldAndReleasesTheRest() {
         assigned();
         renew(1, 1, 0);
-        apply(new ControllerEvent.AssignmentChanged(MEMBER, INCARNATION, 0, 5, true,
-                List.of(new ShardGrant(9, 2)), List.of()));
+        apply(new ControllerEvent.AssignmentChanged(
+                MEMBER, INCARNATION, 0, 5, true, List.of(new ShardGrant(9, 2)), List.of()));
         refused(SendPermission.Reason.NOT_OWNER, 0);
-        assertEquals(List.of(new ShardGrant(SHARD, 1)), holder.release().orElseThrow().shards());
+        assertEquals(
+                List.of(new ShardGrant(SHARD, 1)),
+                holder.release().orElseThrow().shards());
         assertEquals(5, holder.heartbeat(0).appliedRevision());
     }
 
@@ -125,8 +128,10 @@
     void olderEpochIsRefusedWithTheWholeMessage() {
         assigned();
         apply(change(1, 2, List.of(), grants(1)));
-        assertEquals(HolderResult.OLDER_EPOCH,
-                holder.assignmentChanged(change(2, 3, List.of(new ShardGrant(9, 1), new ShardGrant(SHARD, 1)), List.of())));
+        assertEquals(
+                HolderResult.OLDER_EPOCH,
+                holder.assignmentChanged(
+                        change(2, 3, List.of(new ShardGrant(9, 1), new ShardGrant(SHARD, 1)), List.of())));
         assertEquals(0, holder.assignedShards());
         assertEquals(2, holder.appliedRevision());
         apply(change(2, 3, grants(2), List.of()));
@@ -223,12 +228,16 @@
     @Test
     void messagesToAnotherMemberOrLifeArePassedOver() {
         assigned();
-        assertEquals(HolderResult.NOT_ADDRESSED,
+        assertEquals(
+                HolderResult.NOT_ADDRESSED,
                 holder.renewed(new ControllerEvent.LeaseRenewed(OTHER, INCARNATION, 1, 10 * SECOND, 1), 0));
-        assertEquals(HolderResult.NOT_ADDRESSED,
+        assertEquals(
+                HolderResult.NOT_ADDRESSED,
                 holder.renewed(new ControllerEvent.LeaseRenewed(MEMBER, INCARNATION - 1, 1, 10 * SECOND, 1), 0));
-        assertEquals(HolderResult.NOT_ADDRESSED, holder.assignmentChanged(
-                new ControllerEvent.AssignmentChanged(MEMBER, INCARNATION + 1, 1, 2, false, List.of(), grants(1))));
+        assertEquals(
+                HolderResult.NOT_ADDRESSED,
+                holder.assignmentChanged(new ControllerEvent.AssignmentChanged(
+                        MEMBER, INCARNATION + 1, 1, 2, false, List.of(), grants(1))));
         assertEquals(1, holder.assignedShards());
     }
 
@@ -254,16 +263,16 @@
     }
 
     private HolderResult renew(long sequence, long revision, long nowMicros) {
-        return holder.renewed(new ControllerEvent.LeaseRenewed(MEMBER, INCARNATION, sequence, 10 * SECOND, revision),
-                nowMicros);
+        return holder.renewed(
+                new ControllerEvent.LeaseRenewed(MEMBER, INCARNATION, sequence, 10 * SECOND, revision), nowMicros);
     }
 
     private static List<ShardGrant> grants(long epoch) {
         return List.of(new ShardGrant(SHARD, epoch));
     }
 
-    private static ControllerEvent.AssignmentChanged change(long from, long to, List<ShardGrant> granted,
-            List<ShardGrant> revoked) {
+    private static ControllerEvent.AssignmentChanged change(
+            long from, long to, List<ShardGrant> granted, List<ShardGrant> revoked) {
         return new ControllerEvent.AssignmentChanged(MEMBER, INCARNATION, from, to, false, granted, revoked);
     }
 
--- a/src/test/java/lilaclever/placement/LeaseSchedule.java
+++ b/src/test/java/lilaclever/placement/LeaseSchedule.java
@@ -9,33 +9,51 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * One random schedule of a controller and three members in true time: messages are lost, doubled, late and overtake each
- * other, clocks run at different rates and step back, processes are cut off, restarted (with and without proof that the
- * earlier one has ended) and leave. Times are drawn near the edges of leases. After each step it is checked that no two
- * processes may send for a shard, also while a writer that has stalled finishes, and that calls start in the order of
- * their epochs. The seed decides everything.
+ * One random schedule of a controller and three members in true time: messages are lost, doubled, late and overtake
+ * each other, clocks run at different rates and step back, processes are cut off, restarted (with and without proof
+ * that the earlier one has ended) and leave. Times are drawn near the edges of leases. After each step it is checked
+ * that no two processes may send for a shard, also while a writer that has stalled finishes, and that calls start in
+ * the order of their epochs. The seed decides everything.
  */
 final class LeaseSchedule {
     /** Which parts of the rules are in force; the faulty ones are to be caught. */
-    record Variant(Function<LeaseTiming, LeaseGuards> guards, Function<LeaseTiming, LeaseTiming> controllerTiming,
+    record Variant(
+            Function<LeaseTiming, LeaseGuards> guards,
+            Function<LeaseTiming, LeaseTiming> controllerTiming,
             double driftFactor) {
         static final Variant CORRECT = new Variant(LeaseGuards::new, timing -> timing, 1);
     }
 
     /** What was broken, and when. */
     record Breach(Kind kind, int shard, long atMicros, String detail) {
-        enum Kind { TWO_MAY_SEND, SEND_DURING_ANOTHERS_WRITE, CALL_WITH_OLDER_EPOCH, GRANT_WITHOUT_NEWER_EPOCH }
+        enum Kind {
+            TWO_MAY_SEND,
+            SEND_DURING_ANOTHERS_WRITE,
+            CALL_WITH_OLDER_EPOCH,
+            GRANT_WITHOUT_NEWER_EPOCH
+        }
     }
 
     /** What the schedule did, so that an empty one is noticed. */
-    record Coverage(long messages, long lost, long grants, long calls, long refusedOlderEpoch, long expirations,
+    record Coverage(
+            long messages,
+            long lost,
+            long grants,
+            long calls,
+            long refusedOlderEpoch,
+            long expirations,
             long handovers) {
         static final Coverage NONE = new Coverage(0, 0, 0, 0, 0, 0, 0);
 
         Coverage plus(Coverage other) {
-            return new Coverage(messages + other.messages, lost + other.lost, grants + other.grants,
-                    calls + other.calls, refusedOlderEpoch + other.refusedOlderEpoch,
-                    expirations + other.expirations, handovers + other.handovers);
+            return new Coverage(
+                    messages + other.messages,
+                    lost + other.lost,
+                    grants + other.grants,
+                    calls + other.calls,
+                    refusedOlderEpoch + other.refusedOlderEpoch,
+                    expirations + other.expirations,
+                    handovers + other.handovers);
         }
     }
 
@@ -78,7 +96,7 @@
         }
     }
 
-    private record Write(Process writer, int shard, long endMicros) { }
+    private record Write(Process writer, int shard, long endMicros) {}
 
     /** A monotonic clock that is fast or slow, and may step back. */
     private final class Clock {
@@ -117,7 +135,8 @@
             this.member = member;
             this.incarnation = incarnation;
             this.previousEnded = previousEnded;
-            this.holder = new LeaseHolder(member, incarnation, TIMING, variant.guards().apply(TIMING));
+            this.holder = new LeaseHolder(
+                    member, incarnation, TIMING, variant.guards().apply(TIMING));
         }
 
         boolean maySend(int shard) {
@@ -182,7 +201,9 @@
         at(random.nextInt(2_000_000), () -> tryCall(process));
     }
 
-    /** Proof that the previous process has ended is proof for all before it: they held one lock, one after the other. */
+    /**
+     * Proof that the previous process has ended is proof for all before it: they held one lock, one after the other.
+     */
     private void endAll(int member) {
         for (Process process : processes) {
             if (process.member.number() == member) {
@@ -192,8 +213,10 @@
     }
 
     private void register(Process process) {
-        send(process, new ControllerCommand.Register(process.member, process.incarnation, process.member.number() % 2, 1,
-                process.previousEnded));
+        send(
+                process,
+                new ControllerCommand.Register(
+                        process.member, process.incarnation, process.member.number() % 2, 1, process.previousEnded));
     }
 
     private void beat(Process process) {
@@ -322,7 +345,9 @@
 
     private void dispatch(ControllerEvent event) {
         if (event instanceof ControllerEvent.LeaseRenewed renewed) {
-            toMember(renewed.member(), renewed.incarnation(),
+            toMember(
+                    renewed.member(),
+                    renewed.incarnation(),
                     process -> process.holder.renewed(renewed, process.clock.now()));
         } else if (event instanceof ControllerEvent.AssignmentChanged changed) {
             noteGrants(changed);
@@ -360,8 +385,9 @@
 
     private void noteGrants(ControllerEvent.AssignmentChanged changed) {
         if (changed.whole()) {
-            changed.granted().forEach(
-                    grant -> greatestGranted[grant.shard()] = Math.max(greatestGranted[grant.shard()], grant.epoch()));
+            changed.granted()
+                    .forEach(grant ->
+                            greatestGranted[grant.shard()] = Math.max(greatestGranted[grant.shard()], grant.epoch()));
             return;
         }
         for (ShardGrant grant : changed.granted()) {
@@ -448,8 +474,11 @@
     private void checkWrites(int shard, Process sender) {
         for (Write write : writes) {
             if (sender != null && write.shard() == shard && write.writer() != sender && !write.writer().ended) {
-                broken(Breach.Kind.SEND_DURING_ANOTHERS_WRITE, shard, write.writer().member + " writes until "
-                        + write.endMicros() + ", " + sender.member + " may send");
+                broken(
+                        Breach.Kind.SEND_DURING_ANOTHERS_WRITE,
+                        shard,
+                        write.writer().member + " writes until " + write.endMicros() + ", " + sender.member
+                                + " may send");
             }
         }
     }
--- a/src/test/java/lilaclever/placement/LeaseScheduleTest.java
+++ b/src/test/java/lilaclever/placement/LeaseScheduleTest.java
@@ -46,48 +46,60 @@
 
     @Test
     void holderWithoutItsMarginIsCaught() {
-        assertEquals(Breach.Kind.SEND_DURING_ANOTHERS_WRITE, caught(withGuards(timing -> new LeaseGuards(timing) {
-            @Override
-            long sendUntil(long leaseEndMicros) {
-                return leaseEndMicros;
-            }
-        })).kind());
+        assertEquals(
+                Breach.Kind.SEND_DURING_ANOTHERS_WRITE,
+                caught(withGuards(timing -> new LeaseGuards(timing) {
+                            @Override
+                            long sendUntil(long leaseEndMicros) {
+                                return leaseEndMicros;
+                            }
+                        }))
+                        .kind());
     }
 
     @Test
     void holderThatIgnoresExpiryIsCaught() {
-        assertEquals(Breach.Kind.TWO_MAY_SEND, caught(withGuards(timing -> new LeaseGuards(timing) {
-            @Override
-            boolean expired(long nowMicros, long untilMicros) {
-                return false;
-            }
-        })).kind());
+        assertEquals(
+                Breach.Kind.TWO_MAY_SEND,
+                caught(withGuards(timing -> new LeaseGuards(timing) {
+                            @Override
+                            boolean expired(long nowMicros, long untilMicros) {
+                                return false;
+                            }
+                        }))
+                        .kind());
     }
 
     @Test
     void holderThatIgnoresEpochsIsCaught() {
-        assertEquals(Breach.Kind.CALL_WITH_OLDER_EPOCH, caught(withGuards(timing -> new LeaseGuards(timing) {
-            @Override
-            boolean olderEpoch(long epoch, long leastEpoch) {
-                return false;
-            }
-        })).kind());
+        assertEquals(
+                Breach.Kind.CALL_WITH_OLDER_EPOCH,
+                caught(withGuards(timing -> new LeaseGuards(timing) {
+                            @Override
+                            boolean olderEpoch(long epoch, long leastEpoch) {
+                                return false;
+                            }
+                        }))
+                        .kind());
     }
 
     @Test
     void holderWhoseRenewalsCoverEveryRevisionIsCaught() {
-        assertEquals(Breach.Kind.TWO_MAY_SEND, caught(withGuards(timing -> new LeaseGuards(timing) {
-            @Override
-            boolean covers(long renewedRevision, long grantedRevision, long appliedRevision) {
-                return true;
-            }
-        })).kind());
+        assertEquals(
+                Breach.Kind.TWO_MAY_SEND,
+                caught(withGuards(timing -> new LeaseGuards(timing) {
+                            @Override
+                            boolean covers(long renewedRevision, long grantedRevision, long appliedRevision) {
+                                return true;
+                            }
+                        }))
+                        .kind());
     }
 
     @Test
     void controllerWithoutMarginAndDriftAllowanceIsCaught() {
-        caught(new Variant(LeaseGuards::new, timing -> new LeaseTiming(timing.heartbeatMicros(), timing.leaseMicros(),
-                0, 0), 1));
+        caught(new Variant(
+                LeaseGuards::new, timing -> new LeaseTiming(timing.heartbeatMicros(), timing.leaseMicros(), 0, 0), 1));
     }
 
     @Test
--- a/src/test/java/lilaclever/placement/MapCodecProperties.java
+++ b/src/test/java/lilaclever/placement/MapCodecProperties.java
@@ -25,12 +25,22 @@
     @Provide
     Arbitrary<MapDelta> deltas() {
         Arbitrary<Long> versions = Arbitraries.longs().between(0, Long.MAX_VALUE / 2);
-        Arbitrary<List<Integer>> shards =
-                Arbitraries.integers().between(0, ControllerSettings.MAX_SHARDS - 1).list().uniqueElements().ofMaxSize(60);
+        Arbitrary<List<Integer>> shards = Arbitraries.integers()
+                .between(0, ControllerSettings.MAX_SHARDS - 1)
+                .list()
+                .uniqueElements()
+                .ofMaxSize(60);
         Arbitrary<Integer> owners = Arbitraries.integers().between(0, Integer.MAX_VALUE);
         Arbitrary<Long> epochs = Arbitraries.longs().between(0, Long.MAX_VALUE);
         Arbitrary<Long> steps = Arbitraries.longs().between(1, Long.MAX_VALUE / 2);
-        return Combinators.combine(owners, versions, steps, epochs, shards, owners.list().ofSize(60), epochs.list().ofSize(60))
+        return Combinators.combine(
+                        owners,
+                        versions,
+                        steps,
+                        epochs,
+                        shards,
+                        owners.list().ofSize(60),
+                        epochs.list().ofSize(60))
                 .as((region, from, step, configuration, numbers, ownerNumbers, epochNumbers) -> {
                     List<OwnerChange> changes = new ArrayList<>();
                     for (int shard : new TreeSet<>(numbers)) {
@@ -46,10 +56,15 @@
     Arbitrary<MapSnapshot> snapshots() {
         Arbitrary<Integer> owners = Arbitraries.integers().between(-1, Integer.MAX_VALUE);
         Arbitrary<Long> numbers = Arbitraries.longs().between(0, Long.MAX_VALUE);
-        return Arbitraries.integers().between(1, 50).flatMap(shards -> Combinators
-                .combine(Arbitraries.integers().between(0, 100), numbers, numbers,
-                        owners.array(int[].class).ofSize(shards), numbers.array(long[].class).ofSize(shards))
-                .as(MapSnapshot::new));
+        return Arbitraries.integers()
+                .between(1, 50)
+                .flatMap(shards -> Combinators.combine(
+                                Arbitraries.integers().between(0, 100),
+                                numbers,
+                                numbers,
+                                owners.array(int[].class).ofSize(shards),
+                                numbers.array(long[].class).ofSize(shards))
+                        .as(MapSnapshot::new));
     }
 
     @Property(tries = 500, seed = "1")
@@ -80,12 +95,16 @@
         byte[] bytes = MapCodec.encode(snapshot);
         for (int length = 0; length < bytes.length; length++) {
             byte[] part = Arrays.copyOf(bytes, length);
-            assertEquals(Problem.TRUNCATED,
-                    assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(part)).problem());
+            assertEquals(
+                    Problem.TRUNCATED,
+                    assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(part))
+                            .problem());
         }
         byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
-        assertEquals(Problem.TRAILING_BYTES,
-                assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(longer)).problem());
+        assertEquals(
+                Problem.TRAILING_BYTES,
+                assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(longer))
+                        .problem());
     }
 
     /** There is one way to write a delta: whatever bytes are read give the same bytes again. */
@@ -102,7 +121,8 @@
     }
 
     @Property(tries = 500, seed = "6")
-    void aChangedByteIsRefusedOrTheFormOfWhatItMeans(@ForAll("deltas") MapDelta delta, @ForAll int place, @ForAll byte value) {
+    void aChangedByteIsRefusedOrTheFormOfWhatItMeans(
+            @ForAll("deltas") MapDelta delta, @ForAll int place, @ForAll byte value) {
         byte[] bytes = MapCodec.encode(delta);
         bytes[Math.floorMod(place, bytes.length)] = value;
         try {
@@ -114,8 +134,8 @@
 
     @Example
     void formIsAsDocumented() {
-        MapDelta delta = new MapDelta(3, 300, 301, 7,
-                List.of(new OwnerChange(0, new MemberId(0), 1), new OwnerChange(200, null, 2)));
+        MapDelta delta = new MapDelta(
+                3, 300, 301, 7, List.of(new OwnerChange(0, new MemberId(0), 1), new OwnerChange(200, null, 2)));
         assertArrayEquals(bytes('D', 3, 0xac, 2, 1, 7, 2, 1, 1, 1, 0xc8, 1, 0, 2), MapCodec.encode(delta));
         ShardMap map = new ShardMap(3, 2);
         map.apply(new MapDelta(3, 0, 1, 7, List.of(new OwnerChange(1, new MemberId(127), 5))));
@@ -130,14 +150,22 @@
         assertEquals(Problem.UNSORTED, problemOfDelta(bytes('D', 0, 0, 1, 0, 1, 0, 1, 1)));
         assertEquals(Problem.INVALID_NUMBER, problemOfDelta(bytes('D', 0, 0, 0, 0, 0)), "no version passes");
         assertEquals(Problem.INVALID_NUMBER, problemOfDelta(bytes('D', 0x80, 0, 0, 1, 0, 0)), "longer than needed");
-        assertEquals(Problem.INVALID_NUMBER,
-                problemOfDelta(bytes('D', 0, 0, 1, 0, 1, 0x81, 0x80, 0x40, 1, 1)), "shard out of range");
-        assertEquals(Problem.INVALID_NUMBER,
-                problemOfDelta(bytes('D', 0x80, 0x80, 0x80, 0x80, 8, 0, 1, 0, 0)), "region out of range");
-        assertEquals(Problem.INVALID_NUMBER, problemOfDelta(
-                bytes('D', 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1, 1, 0, 0)), "above 63 bits");
-        assertEquals(Problem.INVALID_NUMBER,
-                assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(bytes('S', 0, 0, 0, 0))).problem());
+        assertEquals(
+                Problem.INVALID_NUMBER,
+                problemOfDelta(bytes('D', 0, 0, 1, 0, 1, 0x81, 0x80, 0x40, 1, 1)),
+                "shard out of range");
+        assertEquals(
+                Problem.INVALID_NUMBER,
+                problemOfDelta(bytes('D', 0x80, 0x80, 0x80, 0x80, 8, 0, 1, 0, 0)),
+                "region out of range");
+        assertEquals(
+                Problem.INVALID_NUMBER,
+                problemOfDelta(bytes('D', 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1, 1, 0, 0)),
+                "above 63 bits");
+        assertEquals(
+                Problem.INVALID_NUMBER,
+                assertThrows(MapFormatException.class, () -> MapCodec.decodeSnapshot(bytes('S', 0, 0, 0, 0)))
+                        .problem());
     }
 
     @Example
@@ -155,7 +183,8 @@
     }
 
     private static Problem problemOfDelta(byte[] bytes) {
-        return assertThrows(MapFormatException.class, () -> MapCodec.decodeDelta(bytes)).problem();
+        return assertThrows(MapFormatException.class, () -> MapCodec.decodeDelta(bytes))
+                .problem();
     }
 
     private static byte[] bytes(int... values) {
--- a/src/test/java/lilaclever/placement/PlacementControllerTest.java
+++ b/src/test/java/lilaclever/placement/PlacementControllerTest.java
@@ -29,8 +29,11 @@
 class PlacementControllerTest {
     private static final int SHARDS = 8;
     private static final long SECOND = 1_000_000;
-    /** 1 s heartbeats, 4 s leases, a drift of one in five hundred, 0.25 s margin: 4,008,017 and 250,000 microseconds. */
+    /**
+     * 1 s heartbeats, 4 s leases, a drift of one in five hundred, 0.25 s margin: 4,008,017 and 250,000 microseconds.
+     */
     private static final LeaseTiming TIMING = new LeaseTiming(SECOND, 4 * SECOND, 0.002, 250_000);
+
     private static final long SURELY_ENDED = 4_258_017;
     private static final MemberId A = new MemberId(1);
     private static final MemberId B = new MemberId(2);
@@ -61,14 +64,17 @@
     }
 
     private static AssignmentChanged assignmentOf(MemberId member, List<ControllerEvent> events) {
-        List<AssignmentChanged> found =
-                all(AssignmentChanged.class, events).stream().filter(change -> change.member().equals(member)).toList();
+        List<AssignmentChanged> found = all(AssignmentChanged.class, events).stream()
+                .filter(change -> change.member().equals(member))
+                .toList();
         assertEquals(1, found.size(), events::toString);
         return found.get(0);
     }
 
     private static List<ShardGrant> allShards(long epoch) {
-        return IntStream.range(0, SHARDS).mapToObj(shard -> new ShardGrant(shard, epoch)).toList();
+        return IntStream.range(0, SHARDS)
+                .mapToObj(shard -> new ShardGrant(shard, epoch))
+                .toList();
     }
 
     /** A has all shards, B has joined, and some of A's shards are being revoked for B. */
@@ -130,7 +136,8 @@
         AssignmentChanged change = revokeForB(10, 20);
         ShardGrant revoked = change.revoked().get(0);
         assertEquals(1, revoked.epoch());
-        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 30)).isEmpty());
+        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 30))
+                .isEmpty());
 
         ShardGrant wrongEpoch = new ShardGrant(revoked.shard(), 2);
         assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 1, List.of(wrongEpoch)), 40));
@@ -139,7 +146,9 @@
         assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(B, 1, List.of(revoked)), 40));
 
         List<ControllerEvent> events = controller.apply(new Release(A, 1, List.of(revoked)), 50);
-        assertEquals(List.of(new ShardGrant(revoked.shard(), 2)), assignmentOf(B, events).granted());
+        assertEquals(
+                List.of(new ShardGrant(revoked.shard(), 2)),
+                assignmentOf(B, events).granted());
         assertEquals(B, controller.snapshot().ownerOf(revoked.shard()));
         assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 1, List.of(revoked)), 60));
     }
@@ -172,7 +181,8 @@
         assertEquals(List.of(), all(AssignmentChanged.class, controller.apply(new AdvanceTime(), ended - 1)));
         List<ControllerEvent> events = controller.apply(new AdvanceTime(), ended);
         List<ShardGrant> granted = assignmentOf(B, events).granted();
-        assertEquals(change.revoked().stream().map(ShardGrant::shard).toList(),
+        assertEquals(
+                change.revoked().stream().map(ShardGrant::shard).toList(),
                 granted.stream().map(ShardGrant::shard).toList());
         assertEquals(List.of(A, B), controller.members());
     }
@@ -198,7 +208,8 @@
         AssignmentChanged again = assignmentOf(A, heartbeat(A, 1, 2, change.toRevision(), SECOND));
         assertEquals(change.revoked(), again.revoked());
         controller.apply(new Release(A, 1, again.revoked()), SECOND);
-        assertTrue(all(AssignmentChanged.class, heartbeat(A, 1, 3, change.toRevision(), 2 * SECOND)).isEmpty());
+        assertTrue(all(AssignmentChanged.class, heartbeat(A, 1, 3, change.toRevision(), 2 * SECOND))
+                .isEmpty());
     }
 
     @Test
@@ -226,7 +237,8 @@
         heartbeat(A, 2, 1, 1, 700_000);
 
         assertRejected(RejectionReason.STALE_INCARNATION, heartbeat(A, 1, 2, 2, SECOND));
-        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 100 + SURELY_ENDED - 1)).isEmpty());
+        assertTrue(all(AssignmentChanged.class, controller.apply(new AdvanceTime(), 100 + SURELY_ENDED - 1))
+                .isEmpty());
         AssignmentChanged back = assignmentOf(A, controller.apply(new AdvanceTime(), 100 + SURELY_ENDED));
         assertEquals(2, back.incarnation());
         assertEquals(allShards(2), back.granted());
@@ -263,7 +275,8 @@
         AssignmentChanged rest = assignmentOf(A, controller.apply(new Leave(A, 1), 40));
         assertEquals(SHARDS, rest.revoked().size() + toB.revoked().size());
         assertTrue(controller.apply(new Leave(A, 1), 41).isEmpty(), "a second leave changes nothing");
-        List<ControllerEvent> firstRelease = controller.apply(new Release(A, 1, rest.revoked().subList(0, 1)), 50);
+        List<ControllerEvent> firstRelease =
+                controller.apply(new Release(A, 1, rest.revoked().subList(0, 1)), 50);
         assertEquals(1, assignmentOf(B, firstRelease).granted().size());
         assertTrue(all(LeaveCompleted.class, firstRelease).isEmpty());
 
@@ -290,7 +303,8 @@
         assertEquals(1, controller.snapshot().epochOf(3));
         assertEquals(Long.MAX_VALUE, nextDueAfterAllIsSettled());
 
-        assertEquals(allShards(2), assignmentOf(B, register(B, 1, 2 * SURELY_ENDED)).granted());
+        assertEquals(
+                allShards(2), assignmentOf(B, register(B, 1, 2 * SURELY_ENDED)).granted());
     }
 
     private long nextDueAfterAllIsSettled() {
@@ -339,7 +353,8 @@
 
     @Test
     void configurationVersionOnlyGrowsAndTravelsWithTheMap() {
-        MapDelta delta = only(MapChanged.class, controller.apply(new PublishConfiguration(7), 0)).delta();
+        MapDelta delta = only(MapChanged.class, controller.apply(new PublishConfiguration(7), 0))
+                .delta();
         assertEquals(new MapDelta(0, 0, 1, 7, List.of()), delta);
         assertRejected(RejectionReason.STALE_CONFIGURATION, controller.apply(new PublishConfiguration(7), 1));
         assertRejected(RejectionReason.STALE_CONFIGURATION, controller.apply(new PublishConfiguration(6), 1));
--- a/src/test/java/lilaclever/placement/PlacementFigures.java
+++ b/src/test/java/lilaclever/placement/PlacementFigures.java
@@ -7,8 +7,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Measures a region's controller at a given size: {@code PlacementFigures MEMBERS SHARDS PACE}. Prints the time of a join
- * and of a loss, the shards that move, the load, and the bytes of the map; a zone's loss comes last. Not part of CI.
+ * Measures a region's controller at a given size: {@code PlacementFigures MEMBERS SHARDS PACE}. Prints the time of a
+ * join and of a loss, the shards that move, the load, and the bytes of the map; a zone's loss comes last. Not part of
+ * CI.
  */
 final class PlacementFigures {
     private static final long SECOND = 1_000_000;
@@ -16,7 +17,7 @@
     private static final int ROUNDS = 100;
     private static final int WARM_UP = 40;
 
-    private PlacementFigures() { }
+    private PlacementFigures() {}
 
     public static void main(String[] arguments) {
         int members = Integer.parseInt(arguments[0]);
@@ -31,8 +32,9 @@
         System.out.printf("all members join at once: %.0f ms, with the harness%n", (System.nanoTime() - start) / 1e6);
         region.runUntilAllOwned(100_000);
         region.run(30 * SECOND);
-        System.out.printf("fullest over mean %.3f, snapshot %d bytes%n", region.fullestOverMean(),
-                region.controller.snapshot().encodedBytes());
+        System.out.printf(
+                "fullest over mean %.3f, snapshot %d bytes%n",
+                region.fullestOverMean(), region.controller.snapshot().encodedBytes());
         printHeartbeats(region, members);
         region.measuring = true;
         printLossesAndJoins(region, members, shards);
@@ -43,7 +45,9 @@
     private static void printHeartbeats(TestRegion region, int members) {
         long start = System.nanoTime();
         region.run(10 * SECOND);
-        System.out.printf("heartbeat: %.2f microseconds, with the harness%n", (System.nanoTime() - start) / 1e3 / (10.0 * members));
+        System.out.printf(
+                "heartbeat: %.2f microseconds, with the harness%n",
+                (System.nanoTime() - start) / 1e3 / (10.0 * members));
     }
 
     private static void printLossesAndJoins(TestRegion region, int members, int shards) {
@@ -59,7 +63,8 @@
         for (int round = 0; round < WARM_UP + ROUNDS; round++) {
             int member = (int) (round * 7919L % members);
             int[] before = region.owners();
-            int lost = (int) Arrays.stream(before).filter(owner -> owner == member).count();
+            int lost =
+                    (int) Arrays.stream(before).filter(owner -> owner == member).count();
             region.kill(List.of(member));
             region.run(8 * SECOND);
             long lossNanos = region.lastExpiryNanos;
@@ -83,19 +88,26 @@
         }
         print("join", joinMicros);
         print("loss", lossMicros);
-        System.out.printf("a loss moves %.2f shards, the lost member had %.2f%n", lossMoves / (double) ROUNDS,
-                lostShards / (double) ROUNDS);
-        System.out.printf("a join moves %.2f shards, the new member gets %.2f, its share is %.2f%n",
+        System.out.printf(
+                "a loss moves %.2f shards, the lost member had %.2f%n",
+                lossMoves / (double) ROUNDS, lostShards / (double) ROUNDS);
+        System.out.printf(
+                "a join moves %.2f shards, the new member gets %.2f, its share is %.2f%n",
                 joinMoves / (double) ROUNDS, joinGains / (double) ROUNDS, shards / (double) members);
         System.out.printf("fullest over mean, worst of the rounds: %.3f%n", fullest);
-        System.out.printf("a loss and a join: %.1f deltas, %.0f bytes%n",
+        System.out.printf(
+                "a loss and a join: %.1f deltas, %.0f bytes%n",
                 (region.deltas - deltas) / (double) (WARM_UP + ROUNDS),
                 (region.deltaBytes - deltaBytes) / (double) (WARM_UP + ROUNDS));
     }
 
     private static void print(String name, Histogram micros) {
-        System.out.printf("%s: median %d, 99th %d, longest %d microseconds of processor time, %d times%n", name,
-                micros.getValueAtPercentile(50), micros.getValueAtPercentile(99), micros.getMaxValue(),
+        System.out.printf(
+                "%s: median %d, 99th %d, longest %d microseconds of processor time, %d times%n",
+                name,
+                micros.getValueAtPercentile(50),
+                micros.getValueAtPercentile(99),
+                micros.getMaxValue(),
                 micros.getTotalCount());
     }
 
@@ -103,28 +115,41 @@
         int[] before = region.owners();
         long deltaBytes = region.deltaBytes;
         long deltas = region.deltas;
-        List<Integer> zone = IntStream.range(0, members).filter(member -> member % ZONES == 1).boxed().toList();
-        int lost = (int) Arrays.stream(before).filter(owner -> owner % ZONES == 1).count();
+        List<Integer> zone = IntStream.range(0, members)
+                .filter(member -> member % ZONES == 1)
+                .boxed()
+                .toList();
+        int lost =
+                (int) Arrays.stream(before).filter(owner -> owner % ZONES == 1).count();
         long killed = region.nowMicros;
         region.kill(zone);
         region.run(TestRegion.TIMING.surelyEndedAfterMicros() - TestRegion.TIMING.heartbeatMicros());
         region.longestCommandNanos = 0;
         region.run(TestRegion.TIMING.heartbeatMicros() + 1);
         region.runUntilAllOwned(100_000);
-        System.out.printf("loss of a zone: %d members had %d shards; %d moved; all owned after %.2f s; "
-                + "longest command %.1f ms of processor time; %d deltas, %d bytes; fullest over mean %.3f%n", zone.size(), lost,
-                region.movedSince(before), (region.nowMicros - killed) / 1e6, region.longestCommandNanos / 1e6,
-                region.deltas - deltas, region.deltaBytes - deltaBytes, region.fullestOverMean());
+        System.out.printf(
+                "loss of a zone: %d members had %d shards; %d moved; all owned after %.2f s; "
+                        + "longest command %.1f ms of processor time; %d deltas, %d bytes; fullest over mean %.3f%n",
+                zone.size(),
+                lost,
+                region.movedSince(before),
+                (region.nowMicros - killed) / 1e6,
+                region.longestCommandNanos / 1e6,
+                region.deltas - deltas,
+                region.deltaBytes - deltaBytes,
+                region.fullestOverMean());
     }
 
     private static void printTree(int members) {
         List<TreeMember> list = IntStream.range(0, members)
-                .mapToObj(member -> new TreeMember(new MemberId(member), member % ZONES)).toList();
+                .mapToObj(member -> new TreeMember(new MemberId(member), member % ZONES))
+                .toList();
         for (int degree : new int[] {4, 8, 16}) {
             long start = System.nanoTime();
             DistributionTree tree = new DistributionTree(list, 1, degree);
-            System.out.printf("tree of degree %d: depth %d, built in %.1f ms%n", degree, tree.depth(),
-                    (System.nanoTime() - start) / 1e6);
+            System.out.printf(
+                    "tree of degree %d: depth %d, built in %.1f ms%n",
+                    degree, tree.depth(), (System.nanoTime() - start) / 1e6);
         }
     }
 }
--- a/src/test/java/lilaclever/placement/RandomSchedule.java
+++ b/src/test/java/lilaclever/placement/RandomSchedule.java
@@ -216,8 +216,10 @@
         } else if (kind < 12) {
             send(new PublishConfiguration(++configuration));
         } else if (kind < 13) {
-            send(new Release(process.id, process.incarnation, List.of(
-                    new ShardGrant(random.nextInt(SHARDS), random.nextLong(1, 10)))));
+            send(new Release(
+                    process.id,
+                    process.incarnation,
+                    List.of(new ShardGrant(random.nextInt(SHARDS), random.nextLong(1, 10)))));
         }
         for (Process each : List.copyOf(running)) {
             each.heartbeat();
@@ -261,7 +263,8 @@
     private void deliverUntil(long end) {
         while (true) {
             long delivery = network.isEmpty() ? Long.MAX_VALUE : network.peek().at();
-            long due = controller.nextDueMicros() == Long.MAX_VALUE ? Long.MAX_VALUE
+            long due = controller.nextDueMicros() == Long.MAX_VALUE
+                    ? Long.MAX_VALUE
                     : Math.max(now, controller.nextDueMicros() - clockStep);
             if (Math.min(delivery, due) > end) {
                 return;
@@ -281,15 +284,18 @@
             events.add(event);
             if (event instanceof AssignmentChanged change) {
                 checkEpochs(change);
-                transmit(() -> running.stream().filter(process -> process.id.equals(change.member())).toList()
+                transmit(() -> running.stream()
+                        .filter(process -> process.id.equals(change.member()))
+                        .toList()
                         .forEach(process -> process.receive(change)));
             } else if (event instanceof LeaseRenewed renewal) {
-                transmit(() -> running.stream().filter(process -> process.id.equals(renewal.member()))
+                transmit(() -> running.stream()
+                        .filter(process -> process.id.equals(renewal.member()))
                         .forEach(process -> process.receive(renewal)));
             } else if (event instanceof LeaveCompleted completed) {
                 counts.leavesCompleted++;
-                running.removeIf(process -> process.id.equals(completed.member())
-                        && process.incarnation == completed.incarnation());
+                running.removeIf(process ->
+                        process.id.equals(completed.member()) && process.incarnation == completed.incarnation());
                 newest.values().removeIf(process -> process.incarnation == completed.incarnation());
             } else if (event instanceof MapChanged changed) {
                 checkMap(changed.delta());
--- a/src/test/java/lilaclever/placement/RandomScheduleProperties.java
+++ b/src/test/java/lilaclever/placement/RandomScheduleProperties.java
@@ -7,7 +7,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
-/** Random schedules of commands, with messages that are late, lost and doubled, and clocks at the bounds of the drift. */
+/**
+ * Random schedules of commands, with messages that are late, lost and doubled, and clocks at the bounds of the drift.
+ */
 class RandomScheduleProperties {
     private static final int STEPS = 400;
 
--- a/src/test/java/lilaclever/placement/RealSizeTest.java
+++ b/src/test/java/lilaclever/placement/RealSizeTest.java
@@ -41,8 +41,12 @@
         assertBound(region);
 
         int[] before = region.owners();
-        int lostZone = (int) Arrays.stream(before).filter(owner -> owner % ZONES == 1).count();
-        region.kill(IntStream.range(0, MEMBERS).filter(member -> member % ZONES == 1).boxed().toList());
+        int lostZone =
+                (int) Arrays.stream(before).filter(owner -> owner % ZONES == 1).count();
+        region.kill(IntStream.range(0, MEMBERS)
+                .filter(member -> member % ZONES == 1)
+                .boxed()
+                .toList());
         region.run(TestRegion.TIMING.surelyEndedAfterMicros());
         long micros = region.runUntilAllOwned(2_000);
         assertTrue(micros <= (lostZone / PACE + 1) * SECOND, () -> "microseconds until all owned: " + micros);
--- a/src/test/java/lilaclever/placement/TestRegion.java
+++ b/src/test/java/lilaclever/placement/TestRegion.java
@@ -29,6 +29,7 @@
     final ShardMap map;
     /** Deltas of the map so far, and their bytes. */
     long deltas;
+
     long deltaBytes;
     /** Whether the processor time of commands is measured. */
     boolean measuring;
@@ -36,6 +37,7 @@
     long longestCommandNanos;
     /** Processor time of the last command that found that a member's lease had ended, nanoseconds. */
     long lastExpiryNanos;
+
     long nowMicros;
     private long nextHeartbeats;
     private final ControllerSettings settings;
@@ -127,7 +129,10 @@
 
     /** Shards of the fullest member, over the mean of all. */
     double fullestOverMean() {
-        int fullest = controller.members().stream().mapToInt(controller::shardsHeldBy).max().orElse(0);
+        int fullest = controller.members().stream()
+                .mapToInt(controller::shardsHeldBy)
+                .max()
+                .orElse(0);
         return fullest * (double) controller.members().size() / settings.shards();
     }
 
