Split the rehearsals' World by job: directory, load balancer, clients, lives, events, partners

Change: EndpointDirectory has the list and its news, LoadBalancer the choice of forwarder, SimulatedClients the submissions and retries, ForwarderFleet starts and deaths, EventPlanner what a scenario has happen, PartnerFactory and ForwarderSettings what a scenario gives, TimeSeries figures by second. World joins them and is what forwarders talk to, as before. Numbers that stood in the code have names.

--- /dev/null
+++ b/src/main/java/lilaclever/lab/world/ForwarderSettings.java
@@ -0,0 +1,84 @@
+package lilaclever.lab.world;
+
+import java.util.List;
+import lilaclever.Relay;
+import lilaclever.lab.model.MessageClass;
+import lilaclever.lab.model.Partner;
+import lilaclever.lab.scenario.Scenario;
+import lilaclever.lab.scenario.Scenario.Fleet;
+
+/** The settings that a scenario gives its forwarders. */
+final class ForwarderSettings {
+    private static final long SECOND = 1_000_000;
+    private static final long ANSWER_SLACK = 20_000;
+    private static final long ASK_WITHIN = 10 * SECOND;
+    private static final long LONGEST_COME_BACK = 2 * SECOND;
+    private static final double OVER_SHARE_WORTH = 0.1;
+
+    private final Scenario scenario;
+    private final Fleet fleet;
+    /** Messages a second of each forwarder at full load, and calls that these keep busy. */
+    private final double ratePerSecond, busyCalls;
+
+    ForwarderSettings(Scenario scenario, double[] weights, List<Partner> partners) {
+        this.scenario = scenario;
+        fleet = scenario.fleet();
+        ratePerSecond = fleet.ratePerSecond() / fleet.forwarders();
+        double busy = 0;
+        for (int i = 0; i < partners.size(); i++) {
+            busy += weights[i] * ratePerSecond * partners.get(i).meanSeconds();
+        }
+        busyCalls = busy;
+    }
+
+    /** Those of the forwarder with that number. */
+    Relay.Settings of(int number) {
+        List<Relay.Kind> kinds = scenario.kinds().stream()
+                .map(k -> new Relay.Kind(false, k.batch()))
+                .toList();
+        List<Relay.MessageClass> classes =
+                scenario.classes().stream().map(MessageClass::terms).toList();
+        return new Relay.Settings(
+                number,
+                fleet.forwarders(),
+                0,
+                1,
+                fleet.roundMicros(),
+                false,
+                Relay.Weights.NONE,
+                false,
+                OVER_SHARE_WORTH,
+                classes,
+                kinds,
+                List.of(),
+                limits(),
+                rules());
+    }
+
+    private Relay.Limits limits() {
+        return new Relay.Limits(
+                fleet.mostAttempts(),
+                Math.max(fleet.leastHeld(), (int) (fleet.holdSeconds() * ratePerSecond)),
+                Math.max(fleet.leastSlots(), (int) Math.ceil(fleet.slotsRoom() * busyCalls)),
+                true,
+                true,
+                false,
+                1,
+                fleet.connectMicros(),
+                fleet.keepAliveMicros(),
+                true,
+                LONGEST_COME_BACK);
+    }
+
+    private Relay.Rules rules() {
+        return new Relay.Rules(
+                ANSWER_SLACK,
+                ASK_WITHIN,
+                fleet.drainGraceMicros(),
+                fleet.cold().from(),
+                fleet.cold().rampMicros(),
+                fleet.cold().tipMultiple(),
+                fleet.cold().overloadMicros(),
+                0);
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/lab/world/LoadBalancer.java
@@ -0,0 +1,55 @@
+package lilaclever.lab.world;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import lilaclever.lab.model.Draws;
+import lilaclever.lab.model.Traffic;
+
+/** The front that spreads clients' messages over the forwarders. It finds out only after a time that one is dead. */
+final class LoadBalancer {
+    private final Timeline timeline;
+    private final Draws draws;
+    /** How long messages still go to a forwarder that has died, least and most, microseconds. */
+    private final long[] detectionDelay;
+
+    private final double[] weights;
+    /** Forwarders that have died, and from when on this is known. */
+    private final Map<Integer, Long> deadFrom = new HashMap<>();
+
+    LoadBalancer(Timeline timeline, Draws draws, int forwarders, long[] detectionDelay) {
+        this.timeline = timeline;
+        this.draws = draws;
+        this.detectionDelay = detectionDelay;
+        weights = new double[forwarders];
+        Arrays.fill(weights, 1);
+    }
+
+    /** The forwarder that gets the next message. If none is known to live, any. */
+    int pick() {
+        double[] shares = weights.clone();
+        for (Map.Entry<Integer, Long> dead : deadFrom.entrySet()) {
+            if (timeline.now() >= dead.getValue()) {
+                shares[dead.getKey()] = 0;
+            }
+        }
+        double sum = Arrays.stream(shares).sum();
+        double unit = draws.unit();
+        return sum == 0 ? (int) (unit * shares.length) : Traffic.pick(shares, unit);
+    }
+
+    /** Sets a forwarder's weight; 1 is usual. */
+    void setWeight(int forwarder, double weight) {
+        weights[forwarder] = weight;
+    }
+
+    /** A forwarder has died: that is known here after a while. */
+    void onDeath(int forwarder) {
+        deadFrom.put(forwarder, timeline.now() + draws.in(detectionDelay));
+    }
+
+    /** A forwarder is known to serve. */
+    void onReady(int forwarder) {
+        deadFrom.remove(forwarder);
+    }
+}
