--- a/bench/java/lilaclever/journal/Store.java
+++ b/bench/java/lilaclever/journal/Store.java
@@ -157,7 +157,7 @@
         @Override
         public void taken(String id, byte[] body) {
             Format.Writer w = new Format.Writer();
-            Held.taken(w, new lilaclever.routing.Owed("http", handin(id, body), 99));
+            RecordEncoder.taken(w, new lilaclever.routing.Owed("http", handin(id, body), 99));
             ByteBuffer all = w.sealed(0);
             byte[] bytes = new byte[all.remaining() + 60];
             all.get(bytes, 0, all.remaining());
--- /dev/null
+++ b/src/main/java/lilaclever/journal/Compactor.java
@@ -0,0 +1,158 @@
+package lilaclever.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lilaclever.journal.Format.Writer;
+
+/** Empties the log from its oldest segment on: copies forward what is live, and releases what nothing rests on. */
+final class Compactor implements LogAppender.RoomMaker {
+    private final SegmentLog log;
+    private final Plan plan;
+    private final Held held;
+    private final Syncer syncer;
+    private final LogAppender appender;
+    private final Writer copies = new Writer();
+    private long copied;
+
+    Compactor(SegmentLog log, Plan plan, Held held, Syncer syncer, LogAppender appender) {
+        this.log = log;
+        this.plan = plan;
+        this.held = held;
+        this.syncer = syncer;
+        this.appender = appender;
+    }
+
+    /**
+     * Copies all that is live out of the segments up to that number and releases them: damaged ones and those of the
+     * first format have no place in the log any more.
+     */
+    void carryOver(long upTo) throws IOException {
+        while (log.oldest() != null && log.oldest().sequence <= upTo) {
+            copyOldest("carry over");
+            if (log.oldest().liveRecords == 0) {
+                syncer.forceNow(log);
+                log.release(held);
+            }
+        }
+    }
+
+    /** Copies all that is live into as few segments as hold it, and gives up the others. */
+    void compactAll() throws IOException {
+        log.giveUpActive();
+        long last = log.newest();
+        while (log.oldest() != null && log.oldest().sequence <= last) {
+            copyOldest("copy");
+            syncer.forceNow(log);
+            log.release(held);
+        }
+        log.giveUpSpares();
+    }
+
+    private void copyOldest(String purpose) throws JournalException {
+        if (!copy(Long.MAX_VALUE)) {
+            throw new JournalException("no room to " + purpose + " " + log.oldest().name);
+        }
+    }
+
+    /** Empties segments where that can't wait for the turn's slice. */
+    @Override
+    public void makeRoom(long bytes) throws IOException {
+        int wanted = plan.forced(log.space(held));
+        for (int n = log.files(); n > 0 && log.oldest() != null; n--) {
+            boolean enough = wanted-- <= 0 && log.canTake(bytes, Plan.FOR_COPIES);
+            if (enough || !copy(Long.MAX_VALUE) || !releaseEmpty()) {
+                return;
+            }
+        }
+    }
+
+    /** Does one turn's part: copies a slice of the oldest segment if the plan wants that. */
+    void runSlice() throws IOException {
+        releaseEmpty();
+        long slice = plan.slice(log.space(held));
+        if (slice > 0 && log.oldest() != null) {
+            copy(slice);
+            releaseEmpty();
+        }
+    }
+
+    /** Copies live records of the oldest segment, so many bytes of them; false if they could not be written. */
+    private boolean copy(long most) {
+        Segment from = log.oldest();
+        return copy(held.owed, from, most, (out, id, o) -> RecordEncoder.snapshot(out, o))
+                && copy(held.remembered, from, most, RecordEncoder::remembered);
+    }
+
+    private interface Encoder<T> {
+        void write(Writer out, String key, T value);
+    }
+
+    private <T> boolean copy(Map<String, Held.Slot<T>> map, Segment from, long most, Encoder<T> encoder) {
+        long left = most;
+        while (left > 0) {
+            List<String> keys = new ArrayList<>();
+            List<Integer> sizes = new ArrayList<>();
+            fillBatch(map, from, left, encoder, keys, sizes);
+            if (keys.isEmpty()) {
+                return true;
+            }
+            if (!appender.appendCopies(copies)) {
+                return false;
+            }
+            for (int i = 0; i < keys.size(); i++) {
+                held.moved(map, keys.get(i), log.active(), sizes.get(i));
+            }
+            copied += copies.size();
+            left -= copies.size();
+        }
+        return true;
+    }
+
+    /** Fills {@link #copies} with records for one segment, and the lists with what they are of and their sizes. */
+    private <T> void fillBatch(
+            Map<String, Held.Slot<T>> map,
+            Segment from,
+            long most,
+            Encoder<T> encoder,
+            List<String> keys,
+            List<Integer> sizes) {
+        copies.clear();
+        for (Map.Entry<String, Held.Slot<T>> e : map.entrySet()) {
+            Held.Slot<T> slot = e.getValue();
+            if (slot.base != from || copies.size() >= most) {
+                break;
+            }
+            int before = copies.size();
+            encoder.write(copies, e.getKey(), slot.value);
+            if (!keys.isEmpty() && copies.size() > log.left()) {
+                copies.cut(before); // it goes into the next segment, and none of this one's room is lost to a batch
+                break;
+            }
+            keys.add(e.getKey());
+            sizes.add(copies.size() - before);
+        }
+    }
+
+    /** Takes segments out of the log on which nothing rests any more; true if there was one. */
+    private boolean releaseEmpty() throws IOException {
+        boolean any = false;
+        for (Segment s = log.oldest(); s != null && s.liveRecords == 0; s = log.oldest()) {
+            if (s.emptyAt < 0) {
+                s.emptyAt = syncer.begun();
+            }
+            if (!syncer.coversAfter(s.emptyAt)) {
+                break; // its records' copies might not outlast the machine yet
+            }
+            log.release(held);
+            any = true;
+        }
+        return any;
+    }
+
+    /** Bytes copied so far. */
+    long copied() {
+        return copied;
+    }
+}
--- a/src/main/java/lilaclever/journal/Held.java
+++ b/src/main/java/lilaclever/journal/Held.java
@@ -1,26 +1,23 @@
 package lilaclever.journal;
 
-import java.nio.ByteBuffer;
+import java.util.AbstractCollection;
+import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeSet;
-import lilaclever.identity.Fingerprint;
 import lilaclever.identity.Past;
-import lilaclever.journal.Format.Type;
-import lilaclever.journal.Format.Writer;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
 
 /**
  * The state that the records make: what is owed and what is remembered, each with the segment that it rests on. Both
- * maps are in the order of those segments. Knows how each record is written and what it changes; does no I/O.
+ * maps are in the order of those segments. Does no I/O.
  */
 final class Held {
     /** What a message's record may grow by: its attempts' hosts and its end, in a snapshot. */
     private static final int GROWTH = 640;
-    /** Of what an endpoint said for people, so many characters outlast the process. */
-    private static final int MOST_DETAIL = 160;
 
     /** Something live, and the record that it rests on. */
     static final class Slot<T> {
@@ -52,8 +49,6 @@
     private final int[] sizes = new int[Integer.SIZE];
 
     private long live, growth;
-    /** What to add to walls that are read. */
-    private long shift;
 
     /** When a remembered end is forgotten. */
     private record Expiry(long untilWall, String identity) implements Comparable<Expiry> {
@@ -104,7 +99,7 @@
     }
 
     private static long rememberedSize(String identity) {
-        return Format.FRAME + 3 * (long) (identity.length() + MOST_DETAIL) + 52;
+        return Format.FRAME + 3 * (long) (identity.length() + RecordEncoder.MOST_DETAIL) + 52;
     }
 
     private <T> void rest(Slot<T> slot, Segment on, int size) {
@@ -123,6 +118,32 @@
         return Integer.SIZE - Integer.numberOfLeadingZeros(size);
     }
 
+    /** All messages that are owed, as a view, in the order of {@link #owed}. */
+    Collection<Owed> messages() {
+        return new AbstractCollection<>() {
+            @Override
+            public Iterator<Owed> iterator() {
+                Iterator<Slot<Owed>> slots = owed.values().iterator();
+                return new Iterator<>() {
+                    @Override
+                    public boolean hasNext() {
+                        return slots.hasNext();
+                    }
+
+                    @Override
+                    public Owed next() {
+                        return slots.next().value;
+                    }
+                };
+            }
+
+            @Override
+            public int size() {
+                return owed.size();
+            }
+        };
+    }
+
     // ---- changes ----------------------------------------------------------------------------------------
     /** A message is taken on. What ended under its identity was past its time: it is not this one's end. */
     void taken(Owed o, Segment base, int size) {
@@ -204,177 +225,4 @@
     void doubt() {
         owed.values().forEach(slot -> slot.value.doubt());
     }
-
-    // ---- records ----------------------------------------------------------------------------------------
-    static void taken(Writer out, Owed o) {
-        out.begin(Type.TAKEN);
-        whole(out, o);
-        out.end();
-    }
-
-    static void attempt(Writer out, String id, String host, int zone, long wall) {
-        out.begin(Type.ATTEMPT).text(id).text(host).small(zone).number(wall).end();
-    }
-
-    static void outcome(Writer out, String id, boolean neverRan) {
-        out.begin(Type.OUTCOME).text(id).flag(neverRan).end();
-    }
-
-    static void verdict(Writer out, String id, Verdict v) {
-        out.begin(Type.VERDICT).text(id);
-        end(out, v);
-        out.end();
-    }
-
-    static void ended(Writer out, String id) {
-        out.begin(Type.ENDED).text(id).end();
-    }
-
-    static void remembered(Writer out, String identity, Past<Verdict> p) {
-        out.begin(Type.REMEMBERED).text(identity);
-        end(out, p.end());
-        out.number(p.untilWall()).flag(p.content() != null);
-        if (p.content() != null) {
-            out.number(p.content().high()).number(p.content().low());
-        }
-        out.end();
-    }
-
-    static void joined(Writer out, String id, Owed.Claim claim) {
-        out.begin(Type.JOINED).text(id).text(claim.front()).text(claim.id()).end();
-    }
-
-    /** All that is known of a message, in one record. */
-    static void snapshot(Writer out, Owed o) {
-        out.begin(Type.SNAPSHOT);
-        whole(out, o);
-        out.small(o.attempts()).flag(o.isOut()).text(o.host()).small(o.zone()).number(o.sentWall());
-        out.flag(o.mayHaveRun()).text(o.riskHost()).small(o.riskZone()).number(o.riskWall());
-        out.flag(o.verdict() != null);
-        if (o.verdict() != null) {
-            end(out, o.verdict());
-        }
-        out.small(o.joined().size());
-        o.joined().forEach(claim -> out.text(claim.front()).text(claim.id()));
-        out.end();
-    }
-
-    static void previous(Writer out, long sequence, long end) {
-        out.begin(Type.PREVIOUS).number(sequence).number(end).end();
-    }
-
-    private static void whole(Writer out, Owed o) {
-        Handin h = o.handin();
-        out.text(o.front()).text(h.id()).flag(h.identity() != null);
-        if (h.identity() != null) {
-            out.text(h.identity());
-        }
-        out.small(h.messageClass()).small(h.destination()).flag(h.key() != null);
-        if (h.key() != null) {
-            out.text(h.key());
-        }
-        out.flag(h.again())
-                .flag(h.inherited())
-                .number(h.budgetMicros())
-                .number(o.deadlineWall())
-                .bytes(h.body());
-    }
-
-    private static void end(Writer out, Verdict v) {
-        String detail = v.detail().substring(0, Math.min(v.detail().length(), MOST_DETAIL));
-        out.small(v.kind().ordinal()).number(v.comeBackMicros()).text(detail);
-    }
-
-    // ---- reading ----------------------------------------------------------------------------------------
-    /** The wall clock was set by so much since what is read from now on was written. */
-    void shiftWalls(long micros) {
-        shift = micros;
-    }
-
-    private long wall(ByteBuffer in) {
-        return in.getLong() + shift;
-    }
-
-    /** Applies a record; false if its content makes no sense. */
-    boolean apply(Type type, ByteBuffer in, Segment segment, int size) {
-        try {
-            switch (type) {
-                case TAKEN -> taken(readWhole(in), segment, size);
-                case SNAPSHOT -> {
-                    Owed o = readWhole(in);
-                    readPast(in, o);
-                    put(o, segment, size);
-                }
-                case REMEMBERED -> {
-                    String identity = Format.text(in);
-                    Verdict end = readEnd(in);
-                    long until = wall(in);
-                    // Version 1 has no fingerprint.
-                    boolean compared = in.hasRemaining() && Format.flag(in);
-                    put(
-                            identity,
-                            new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
-                            segment,
-                            size);
-                }
-                case ENDED -> drop(Format.text(in));
-                case PREVIOUS -> {}
-                default -> applyToOne(type, in);
-            }
-            return true;
-        } catch (RuntimeException e) { // too short, or a number out of its range
-            return false;
-        }
-    }
-
-    private void applyToOne(Type type, ByteBuffer in) {
-        Slot<Owed> slot = owed.get(Format.text(in));
-        if (slot == null) {
-            return; // its message has ended, or a later record tells all of it
-        }
-        switch (type) {
-            case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), wall(in));
-            case OUTCOME -> slot.value.outcome(Format.flag(in));
-            case JOINED -> join(slot.value, new Owed.Claim(Format.text(in), Format.text(in)));
-            default -> slot.value.verdict(readEnd(in));
-        }
-    }
-
-    private Owed readWhole(ByteBuffer in) {
-        String front = Format.text(in);
-        String id = Format.text(in);
-        String identity = Format.flag(in) ? Format.text(in) : null;
-        int messageClass = in.getInt();
-        int destination = in.getInt();
-        String key = Format.flag(in) ? Format.text(in) : null;
-        boolean again = Format.flag(in);
-        boolean inherited = Format.flag(in);
-        long budget = in.getLong();
-        long deadline = wall(in);
-        return new Owed(
-                front,
-                new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again, inherited, budget),
-                deadline);
-    }
-
-    private void readPast(ByteBuffer in, Owed o) {
-        o.past(in.getInt(), Format.flag(in), Format.text(in), in.getInt(), wall(in));
-        boolean mayHaveRun = Format.flag(in);
-        String host = Format.text(in);
-        int zone = in.getInt();
-        long wall = wall(in);
-        if (mayHaveRun) {
-            o.risk(host, zone, wall);
-        }
-        if (Format.flag(in)) {
-            o.verdict(readEnd(in));
-        }
-        for (int n = in.hasRemaining() ? in.getInt() : 0; n > 0; n--) { // version 1 knows nobody else
-            o.join(new Owed.Claim(Format.text(in), Format.text(in)));
-        }
-    }
-
-    private static Verdict readEnd(ByteBuffer in) {
-        return new Verdict(Verdict.Kind.values()[in.getInt()], in.getLong(), Format.text(in));
-    }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/journal/RecordDecoder.java
@@ -0,0 +1,112 @@
+package lilaclever.journal;
+
+import java.nio.ByteBuffer;
+import lilaclever.identity.Fingerprint;
+import lilaclever.identity.Past;
+import lilaclever.journal.Format.Type;
+import lilaclever.routing.Handin;
+import lilaclever.routing.Owed;
+import lilaclever.routing.Verdict;
+
+/** Reads the records that {@link RecordEncoder} writes, and applies them to the state. */
+final class RecordDecoder {
+    private final Held state;
+    /** What to add to walls that are read, microseconds. */
+    private long shift;
+
+    RecordDecoder(Held state) {
+        this.state = state;
+    }
+
+    /** The wall clock was set by so much since what is read from now on was written. */
+    void shiftWalls(long micros) {
+        shift = micros;
+    }
+
+    private long wall(ByteBuffer in) {
+        return in.getLong() + shift;
+    }
+
+    /** Applies a record; false if its content makes no sense. */
+    boolean apply(Type type, ByteBuffer in, Segment segment, int size) {
+        try {
+            switch (type) {
+                case TAKEN -> state.taken(readWhole(in), segment, size);
+                case SNAPSHOT -> {
+                    Owed o = readWhole(in);
+                    readPast(in, o);
+                    state.put(o, segment, size);
+                }
+                case REMEMBERED -> {
+                    String identity = Format.text(in);
+                    Verdict end = readEnd(in);
+                    long until = wall(in);
+                    // Version 1 has no fingerprint.
+                    boolean compared = in.hasRemaining() && Format.flag(in);
+                    state.put(
+                            identity,
+                            new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
+                            segment,
+                            size);
+                }
+                case ENDED -> state.drop(Format.text(in));
+                case PREVIOUS -> {}
+                default -> applyToOne(type, in);
+            }
+            return true;
+        } catch (RuntimeException e) { // too short, or a number out of its range
+            return false;
+        }
+    }
+
+    private void applyToOne(Type type, ByteBuffer in) {
+        Held.Slot<Owed> slot = state.owed.get(Format.text(in));
+        if (slot == null) {
+            return; // its message has ended, or a later record tells all of it
+        }
+        switch (type) {
+            case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), wall(in));
+            case OUTCOME -> slot.value.outcome(Format.flag(in));
+            case JOINED -> state.join(slot.value, new Owed.Claim(Format.text(in), Format.text(in)));
+            default -> slot.value.verdict(readEnd(in));
+        }
+    }
+
+    private Owed readWhole(ByteBuffer in) {
+        String front = Format.text(in);
+        String id = Format.text(in);
+        String identity = Format.flag(in) ? Format.text(in) : null;
+        int messageClass = in.getInt();
+        int destination = in.getInt();
+        String key = Format.flag(in) ? Format.text(in) : null;
+        boolean again = Format.flag(in);
+        boolean inherited = Format.flag(in);
+        long budget = in.getLong();
+        long deadline = wall(in);
+        return new Owed(
+                front,
+                new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again, inherited, budget),
+                deadline);
+    }
+
+    private void readPast(ByteBuffer in, Owed o) {
+        o.past(in.getInt(), Format.flag(in), Format.text(in), in.getInt(), wall(in));
+        boolean mayHaveRun = Format.flag(in);
+        String host = Format.text(in);
+        int zone = in.getInt();
+        long wall = wall(in);
+        if (mayHaveRun) {
+            o.risk(host, zone, wall);
+        }
+        if (Format.flag(in)) {
+            o.verdict(readEnd(in));
+        }
+        for (int n = in.hasRemaining() ? in.getInt() : 0; n > 0; n--) { // version 1 knows nobody else
+            o.join(new Owed.Claim(Format.text(in), Format.text(in)));
+        }
+    }
+
+    private static Verdict readEnd(ByteBuffer in) {
+        return new Verdict(Verdict.Kind.values()[in.getInt()], in.getLong(), Format.text(in));
+    }
+}
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -32,6 +32,7 @@
 
     private final Disk disk;
     private final Held held;
+    private final RecordDecoder decoder;
     private final BootClock clock;
     private final Consumer<String> log;
     private final List<Damage> damages = new ArrayList<>();
@@ -46,6 +47,7 @@
     Recovery(Disk disk, Held held, BootClock clock, Consumer<String> log) {
         this.disk = disk;
         this.held = held;
+        decoder = new RecordDecoder(held);
         this.clock = clock;
         this.log = log;
     }
@@ -132,7 +134,7 @@
         EnumMap<Type, Integer> counts = new EnumMap<>(Type.class);
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             found.add(new Found(segment, reader.header(), counts));
-            held.shiftWalls(
+            decoder.shiftWalls(
                     reader.header() == null
                             ? 0
                             : clock.shiftFrom(reader.header().clock()));
@@ -141,7 +143,7 @@
                 public boolean record(Type type, ByteBuffer content, long position, int size) {
                     records++;
                     counts.merge(type, 1, Integer::sum);
-                    return held.apply(type, content, segment, size);
+                    return decoder.apply(type, content, segment, size);
                 }
 
                 @Override
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -183,7 +183,7 @@
                     0);
             Segment last = full.peekLast();
             Writer first = new Writer();
-            Held.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
+            RecordEncoder.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
             file.write(first.sealed(nextSalt), Format.HEADER);
             disk.rename(spare.name(), next.name);
             namesChanged = true;
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -116,8 +116,18 @@
         onFailure.run();
     }
 
+    /** Forces what is written, now and on the caller's thread, where anything is to be forced at all. */
+    void forceNow(SegmentLog log) throws IOException {
+        if (forces()) {
+            IOException failure = force(disk, log.pending());
+            if (failure != null) {
+                throw failure;
+            }
+        }
+    }
+
     /** Forces the files, closes those that are full; gives what failed first, or null. */
-    static IOException force(Disk disk, SegmentLog.Pending pending) {
+    private static IOException force(Disk disk, SegmentLog.Pending pending) {
         IOException failure = null;
         try {
             for (Disk.DiskFile file : pending.full()) {
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -143,7 +143,7 @@
     @Test
     void aRecordInsideABodyIsNeverRead() throws IOException {
         Format.Writer forged = new Format.Writer();
-        Held.ended(forged, "victim");
+        RecordEncoder.ended(forged, "victim");
         ByteBuffer bytes = forged.sealed(0);
         byte[] body = new byte[bytes.remaining()];
         bytes.get(body);
@@ -303,7 +303,7 @@
     @Test
     void whatVersionOneWroteIsRead() throws IOException {
         Format.Writer out = new Format.Writer();
-        Held.previous(out, 0, 0);
+        RecordEncoder.previous(out, 0, 0);
         out.begin(Format.Type.REMEMBERED)
                 .text("i")
                 .small(Verdict.Kind.FAILED.ordinal())
