Split the MLLP front: connections, choice of reply, and the telling of final answers

Need: MllpFront had 450 lines: listeners and their limits, which acknowledgement a client gets, ends owed to clients that are away, and the core's front.

Change: MllpConnections, Replies and FinalAnswers have the first three; MllpFront is the core's front.

Measured: MllpTest (26), RenewTest (11), Hl7ReaderTest, FrameReaderTest and OwedAnswersTest are green.

--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -0,0 +1,106 @@
+package lilaclever.protocol.mllp;
+
+import lilaclever.identity.Identity;
+import lilaclever.routing.Core;
+import lilaclever.routing.Message;
+import lilaclever.routing.Verdict;
+
+/**
+ * Tells clients how their messages ended: on the connection that waits, on another one of the practice, or, while it
+ * has none, on its next. What a client that is away never comes for is given up after a time. Loop thread.
+ */
+final class FinalAnswers {
+    private static final long LOOK = 1_000_000;
+    /** Answers owed from earlier that go out before a connection's next message is looked at. */
+    private static final int AT_ONCE = 100;
+
+    /**
+     * An end that is to be told.
+     *
+     * @param header of the message that asked last
+     * @param settled run once it is told or given up
+     */
+    record Answer(Header header, Message message, Verdict verdict, Runnable settled) {
+        private String identity() {
+            return message.handin.identity();
+        }
+
+        private String practice() {
+            return Identity.parse(identity()).practice();
+        }
+    }
+
+    private final Core core;
+    private final MllpConnections connections;
+    private final Replies replies;
+    private final OwedAnswers<Answer> owed;
+
+    FinalAnswers(Core core, MllpSettings settings, MllpConnections connections, Replies replies) {
+        this.core = core;
+        this.connections = connections;
+        this.replies = replies;
+        owed = new OwedAnswers<>(settings.mostOwed(), settings.oweMicros());
+    }
+
+    /** From now on looks once a second for answers whose time is over. */
+    void startExpiry() {
+        core.post(this::expire);
+    }
+
+    private void expire() {
+        owed.expired(core.now()).forEach(answer -> answer.settled().run());
+        core.deadlines().at(core.now() + LOOK, this::expire);
+    }
+
+    /** Tells an end on the connection, or, if that is null, on another one of the practice; else it is owed. */
+    void tell(MllpSession session, Answer answer) {
+        String practice = answer.practice();
+        MllpSession to = session;
+        if (to == null && Request.takesLater(answer.header())) {
+            to = connections.latestOf(practice);
+        }
+        if (to == null) {
+            keep(answer, practice);
+            return;
+        }
+        to.write(
+                replies.finalStatus(answer.header(), answer.verdict()),
+                () -> core.post(answer.settled()),
+                () -> core.post(() -> keep(answer, practice)));
+    }
+
+    private void keep(Answer answer, String practice) {
+        if (!Request.takesLater(answer.header())) {
+            // In original mode an acknowledgement that nobody waits for would pass for another's.
+            answer.settled().run();
+            return;
+        }
+        owed.add(answer.identity(), practice, answer, core.now())
+                .forEach(givenUp -> givenUp.settled().run());
+    }
+
+    /** The client asks for it itself: what follows is its answer, and none is owed any more. */
+    void withdraw(String identity) {
+        Answer earlier = owed.withdraw(identity);
+        if (earlier != null) {
+            earlier.settled().run();
+        }
+    }
+
+    /** The session's practice is here: if it takes application acknowledgements, it gets those that are owed. */
+    void payOff(MllpSession session, Header header) {
+        if (Request.takesLater(header)) {
+            owed.take(session.practice, AT_ONCE).forEach(answer -> tell(session, answer));
+        }
+    }
+
+    /** Answers that are owed to clients that are away. */
+    int size() {
+        return owed.size();
+    }
+
+    /** Answers that were given up untold. */
+    long givenUp() {
+        return owed.givenUp();
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
@@ -0,0 +1,149 @@
+package lilaclever.protocol.mllp;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import lilaclever.routing.Core;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * The listeners of the front and their connections: who may connect, and how many. Loop thread, but for the filter,
+ * which runs on the selector thread.
+ */
+final class MllpConnections {
+    private final MllpFront front;
+    private final Core core;
+    private final Set<MllpSession> sessions = new LinkedHashSet<>();
+    /** Connections of each listener, and of each address at each listener. */
+    private final Map<String, Integer> counts = new HashMap<>();
+
+    private final List<Connection<?>> listeners = new ArrayList<>();
+    private final Attribute<MllpSession> sessionAttribute =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MllpFront.session");
+    private final AtomicLong turnedAway = new AtomicLong();
+    private boolean closing;
+
+    /** None yet. {@code front} gets the messages. */
+    MllpConnections(MllpFront front, Core core) {
+        this.front = front;
+        this.core = core;
+    }
+
+    /** Listens at an address; gives the one that is bound. */
+    SocketAddress listen(Transport transport, MllpSettings.Listener listener) throws IOException {
+        var server =
+                transport.listen(Transport.address(listener.address()), Transport.chain(new SessionFilter(listener)));
+        listeners.add(server);
+        return server.getLocalAddress();
+    }
+
+    /** Accepts no more connections. */
+    void close() {
+        closing = true;
+        listeners.forEach(Connection::closeSilently);
+    }
+
+    /** The latest open connection of that practice; null if it has none. */
+    MllpSession latestOf(String practice) {
+        MllpSession latest = null;
+        for (MllpSession session : sessions) {
+            latest = practice.equals(session.practice) && session.isOpen() ? session : latest;
+        }
+        return latest;
+    }
+
+    /** How many are open. */
+    int count() {
+        return sessions.size();
+    }
+
+    /** How many were closed at once: from a network that may not connect, or too many. Any thread. */
+    long turnedAway() {
+        return turnedAway.get();
+    }
+
+    private void onOpen(MllpSession session, MllpSettings.Listener listener) {
+        sessions.add(session);
+        int all = counts.merge(listener.name(), 1, Integer::sum);
+        int same = counts.merge(addressKey(session), 1, Integer::sum);
+        if (closing || all > listener.connections() || same > listener.connectionsPerAddress()) {
+            turnedAway.incrementAndGet();
+            session.close();
+            return;
+        }
+        session.look();
+    }
+
+    private void onClose(MllpSession session) {
+        if (sessions.remove(session)) {
+            for (String counted : List.of(session.listener().name(), addressKey(session))) {
+                counts.computeIfPresent(counted, (a, n) -> n > 1 ? n - 1 : null);
+            }
+        }
+    }
+
+    private static String addressKey(MllpSession session) {
+        return session.listener().name() + ' ' + session.address;
+    }
+
+    private final class SessionFilter extends BaseFilter {
+        private final MllpSettings.Listener listener;
+
+        SessionFilter(MllpSettings.Listener listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public NextAction handleAccept(FilterChainContext context) {
+            Connection<?> connection = context.getConnection();
+            InetAddress peer = connection.getPeerAddress() instanceof InetSocketAddress a ? a.getAddress() : null;
+            if (peer == null || !listener.networks().contains(peer)) {
+                turnedAway.incrementAndGet();
+                connection.closeSilently();
+                return context.getStopAction();
+            }
+            MllpSession session = new MllpSession(front, listener, connection, peer.getHostAddress());
+            sessionAttribute.set(connection, session);
+            core.post(() -> onOpen(session, listener));
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            MllpSession session = sessionAttribute.get(context.getConnection());
+            byte[] bytes = Transport.bytes(context.getMessage());
+            if (session != null) {
+                session.bytes(bytes);
+            }
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            MllpSession session = sessionAttribute.get(context.getConnection());
+            if (session != null) {
+                core.post(() -> onClose(session));
+            }
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext context, Throwable error) {
+            context.getConnection().closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/mllp/Replies.java
@@ -0,0 +1,100 @@
+package lilaclever.protocol.mllp;
+
+import java.util.ArrayList;
+import java.util.List;
+import lilaclever.protocol.mllp.Acknowledgements.Code;
+import lilaclever.protocol.mllp.MllpSettings.Field;
+import lilaclever.routing.Verdict;
+import lilaclever.routing.Verdict.Kind;
+
+/**
+ * Which acknowledgement a client gets for what became of its message: by its mode, and by the outcomes that its header
+ * wants to be told (MSH-15 and MSH-16). Loop thread.
+ */
+final class Replies {
+    private final Acknowledgements acknowledgements;
+    private final Field key;
+
+    /**
+     * Replies in the words of these acknowledgements.
+     *
+     * @param key the field that tells messages of a practice apart
+     */
+    Replies(Acknowledgements acknowledgements, Field key) {
+        this.acknowledgements = acknowledgements;
+        this.key = key;
+    }
+
+    /** For what could not be read as a message; null if none is wanted. */
+    byte[] unreadable(Header to, Hl7Fault fault) {
+        boolean rejected = switch (fault.code()) {
+            case PROCESSING_ID, VERSION, EVENT -> true;
+            default -> false;
+        };
+        Code code = notAcceptedCode(to, false, rejected);
+        return code == null ? null : acknowledgements.fault(code, to, fault);
+    }
+
+    /** For a message that was not taken on, with the reason; null if none is wanted. */
+    byte[] notAccepted(Header to, Verdict verdict) {
+        boolean refused = verdict.kind() == Kind.REFUSED;
+        Code code = notAcceptedCode(to, refused, false);
+        if (code == null) {
+            return null;
+        }
+        if (refused) {
+            return acknowledgements.comeBack(code, to, verdict);
+        }
+        return verdict.kind() == Kind.CLASH
+                ? acknowledgements.fault(code, to, duplicateKey())
+                : acknowledgements.failed(code, to, verdict);
+    }
+
+    /**
+     * The code for what was not taken on, as the sender wants to be told; null: not at all. {@code rejected}: AR in
+     * place of AE.
+     */
+    private static Code notAcceptedCode(Header to, boolean mayComeAgain, boolean rejected) {
+        if (Request.wantsAccept(to, false)) {
+            return mayComeAgain ? Code.CE : Code.CR;
+        }
+        if (!Request.wantsFinal(to, false)) {
+            return null;
+        }
+        return mayComeAgain || rejected ? Code.AR : Code.AE;
+    }
+
+    private Hl7Fault duplicateKey() {
+        return new Hl7Fault(Hl7Fault.Code.DUPLICATE_KEY, key.segment(), key.number(), "another message has it");
+    }
+
+    /** The accept acknowledgement of a message that was taken on; null if none is wanted. */
+    byte[] accepted(Header to) {
+        return Request.wantsAccept(to, true) ? acknowledgements.good(Code.CA, to) : null;
+    }
+
+    /** For a message whose end is remembered, delivered or failed: one, both or none. */
+    List<byte[]> remembered(Header to, Verdict verdict) {
+        List<byte[]> replies = new ArrayList<>();
+        boolean delivered = verdict.kind() == Kind.DELIVERED;
+        boolean wantsFinal = Request.wantsFinal(to, delivered);
+        // Where no application acknowledgement is wanted, the accept acknowledgement is all that can tell the end.
+        boolean good = delivered || Request.wantsFinal(to, false);
+        if (Request.wantsAccept(to, good)) {
+            replies.add(good ? acknowledgements.good(Code.CA, to) : acknowledgements.failed(Code.CR, to, verdict));
+        }
+        if (wantsFinal) {
+            replies.add(finalStatus(to, verdict));
+        }
+        return replies;
+    }
+
+    /** The application acknowledgement that tells how a message ended. */
+    byte[] finalStatus(Header to, Verdict verdict) {
+        return switch (verdict.kind()) {
+            case DELIVERED -> acknowledgements.good(Code.AA, to);
+            case REFUSED -> acknowledgements.comeBack(Code.AR, to, verdict);
+            default -> acknowledgements.failed(Code.AE, to, verdict);
+        };
+    }
+}
