Give the rehearsals' classes the names of the field

Change: Draws is RandomStream (one stream each), Doors is Listeners, Member is ForwarderHandle (what it reaches may also be a process, so not SimulatedForwarder), its Maker a Factory; Trust is TimingQuality, Happening is ScheduledEvent, What is EventType. Names alone: scenario files, reports and their keys are as they were.

--- a/src/main/java/lilaclever/lab/model/Partner.java
+++ b/src/main/java/lilaclever/lab/model/Partner.java
@@ -64,7 +64,7 @@
     private final int destination;
     private final PartnerKind kind;
     private final Cold cold;
-    private final Draws draws;
+    private final RandomStream random;
     private final double pace, perSecond, meanSeconds;
     private final int servers;
     private final long depthMicros;
@@ -94,14 +94,14 @@
             double ratePerSecond,
             double meanWorkMicros,
             Cold cold,
-            Draws draws) {
+            RandomStream random) {
         this.destination = destination;
         this.kind = kind;
         this.cold = cold;
-        this.draws = draws;
-        double drawnPace = draws.lognormal(0.6);
-        double limit = Math.max(draws.in(kind.leastRate()), draws.in(kind.headroom()) * ratePerSecond);
-        double capacity = limit * (kind.limit() == PartnerKind.Limit.NONE ? 1 : draws.in(kind.spare()));
+        this.random = random;
+        double drawnPace = random.lognormal(0.6);
+        double limit = Math.max(random.in(kind.leastRate()), random.in(kind.headroom()) * ratePerSecond);
+        double capacity = limit * (kind.limit() == PartnerKind.Limit.NONE ? 1 : random.in(kind.spare()));
         double needed = capacity * meanWorkMicros * drawnPace / 1e6 / endpointCount;
         servers = Math.max(1, (int) Math.round(needed));
         // Servers are whole: the pace makes up for it, so that what was drawn is what the partner can do. Of a partner
@@ -111,12 +111,12 @@
         double work = meanWorkMicros * pace / 1e6;
         perSecond = servers * endpointCount / work;
         meanSeconds = work;
-        depthMicros = (long) (draws.in(kind.depthSeconds()) * 1e6);
+        depthMicros = (long) (random.in(kind.depthSeconds()) * 1e6);
         connections = kind.connections()[1] == 0
                 ? Integer.MAX_VALUE
-                : (int) Math.max(draws.in(kind.leastConnections()), draws.in(kind.connections()) * servers);
-        tellsWait = draws.chance(kind.tellsWait());
-        allowance = new Allowance(kind.limit(), limit, kind.spanMicros(), draws.chance(kind.refusedCount()));
+                : (int) Math.max(random.in(kind.leastConnections()), random.in(kind.connections()) * servers);
+        tellsWait = random.chance(kind.tellsWait());
+        allowance = new Allowance(kind.limit(), limit, kind.spanMicros(), random.chance(kind.refusedCount()));
     }
 
     /** Its number. */
@@ -256,7 +256,7 @@
         if (wrong == Outage.SHUT) {
             return full(now);
         }
-        if (wrong == Outage.FAILING && draws.chance(strength)) {
+        if (wrong == Outage.FAILING && random.chance(strength)) {
             return new Answer(Status.ERROR, now + FAILS_AFTER, 0);
         }
         if (!allowance.take(now)) {
@@ -278,7 +278,7 @@
             all += work[i] * (i == 0 ? 1 : kind.itemCost());
         }
         double took =
-                all * pace * draws.lognormal(kind.variation()) / warmth(now) * (wrong == Outage.SLOW ? strength : 1);
+                all * pace * random.lognormal(kind.variation()) / warmth(now) * (wrong == Outage.SLOW ? strength : 1);
         e.freeAt[soonest] = begin + (long) took;
         served += work.length;
         // An outage that begins before the answer takes it along; that is seen when the answer is due.
@@ -288,7 +288,7 @@
     private Answer full(long now) {
         refused++;
         long wait =
-                tellsWait && outage == null ? Math.max(draws.in(kind.waitMicros()), allowance.roomAt(now) - now) : 0;
+                tellsWait && outage == null ? Math.max(random.in(kind.waitMicros()), allowance.roomAt(now) - now) : 0;
         return new Answer(Status.FULL, now + REFUSED_AFTER, wait);
     }
 
--- a/src/main/java/lilaclever/lab/model/Draws.java
+++ b/src/main/java/lilaclever/lab/model/RandomStream.java
@@ -10,13 +10,13 @@
  * Random numbers from a named stream of a seed. Each part of the world draws from a stream of its own, so that one
  * part's change does not move what the others draw.
  */
-public final class Draws {
+public final class RandomStream {
     private final UniformRandomProvider random;
     private final ZigguratSampler.Exponential exponential;
     private final ZigguratSampler.NormalizedGaussian gaussian;
 
     /** The stream of that name. */
-    public Draws(long seed, String name) {
+    public RandomStream(long seed, String name) {
         CRC32C sum = new CRC32C();
         sum.update(name.getBytes(StandardCharsets.UTF_8));
         // SplitMix spreads neighbouring seeds; the generator then has the whole state from it.
--- a/src/main/java/lilaclever/lab/model/Traffic.java
+++ b/src/main/java/lilaclever/lab/model/Traffic.java
@@ -52,7 +52,7 @@
     }
 
     /** All arrivals up to the end, in order. */
-    public List<Arrival> draw(long endMicros, Draws draws) {
+    public List<Arrival> draw(long endMicros, RandomStream random) {
         double most = shape.stream().mapToDouble(Point::load).max().orElse(0);
         double[] upTo = new double[weights.length];
         double sum = 0;
@@ -63,20 +63,20 @@
         List<Arrival> all = new ArrayList<>();
         double t = 0;
         while (most > 0) {
-            t += draws.exponential(1e6 / (most * perSecond));
+            t += random.exponential(1e6 / (most * perSecond));
             if (t >= endMicros) {
                 break;
             }
-            if (!draws.chance(load((long) t) / most)) {
+            if (!random.chance(load((long) t) / most)) {
                 continue;
             }
-            int found = java.util.Arrays.binarySearch(upTo, draws.unit() * sum);
+            int found = java.util.Arrays.binarySearch(upTo, random.unit() * sum);
             int at = Math.min(weights.length - 1, found < 0 ? -found - 1 : found + 1);
             // Of all messages a share comes in clumps: the mean size of one is taken off the chance of beginning one.
-            double size = partners.get(at).capacity() * draws.in(clumpSeconds);
-            int count = clumpShare > 0 && draws.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
+            double size = partners.get(at).capacity() * random.in(clumpSeconds);
+            int count = clumpShare > 0 && random.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
             for (int i = 0; i < count; i++) {
-                all.add(arrival((long) (t + i * 1000.0), at, draws));
+                all.add(arrival((long) (t + i * 1000.0), at, random));
             }
         }
         all.sort(Comparator.comparingLong(Arrival::atMicros));
@@ -87,15 +87,15 @@
         return numbered;
     }
 
-    private Arrival arrival(long at, int partner, Draws draws) {
+    private Arrival arrival(long at, int partner, RandomStream random) {
         double[] shares = classes.stream().mapToDouble(MessageClass::share).toArray();
-        int c = pick(shares, draws.unit());
+        int c = pick(shares, random.unit());
         return new Arrival(
                 at,
                 0,
                 c,
                 partners.get(partner).destination(),
-                draws.in(classes.get(c).workMicros()));
+                random.in(classes.get(c).workMicros()));
     }
 
     /** The index whose part of the sum the number from 0 to 1 falls into. */
--- a/src/main/java/lilaclever/lab/report/Report.java
+++ b/src/main/java/lilaclever/lab/report/Report.java
@@ -19,7 +19,7 @@
 import lilaclever.lab.audit.Service;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.world.Result;
-import lilaclever.lab.world.Trust;
+import lilaclever.lab.world.TimingQuality;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -108,7 +108,7 @@
         return all;
     }
 
-    private static JsonObject trust(Trust t) {
+    private static JsonObject trust(TimingQuality t) {
         JsonObject o = new JsonObject();
         o.addProperty("good", t.good());
         o.addProperty("tasks", t.tasks());
--- a/src/main/java/lilaclever/lab/scenario/Scenario.java
+++ b/src/main/java/lilaclever/lab/scenario/Scenario.java
@@ -17,7 +17,7 @@
         List<PartnerKind> kinds,
         List<MessageClass> classes,
         TrafficPlan traffic,
-        List<Happening> happenings) {
+        List<ScheduledEvent> events) {
     /**
      * The forwarders and what they are allowed.
      *
@@ -68,7 +68,7 @@
     }
 
     /** What can happen. */
-    public enum What {
+    public enum EventType {
         RESTART,
         DRAIN,
         SILENT,
@@ -99,9 +99,9 @@
      * the part of its limit that is left; HOT: the share of all traffic
      * @param downMicros with RESTART: how long one is away; with DRAIN: how long an endpoint drains
      */
-    public record Happening(
+    public record ScheduledEvent(
             String name,
-            What what,
+            EventType what,
             long[] at,
             long[] forMicros,
             double part,
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -18,11 +18,11 @@
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.PartnerKind;
 import lilaclever.lab.model.Traffic;
+import lilaclever.lab.scenario.Scenario.EventType;
 import lilaclever.lab.scenario.Scenario.Fleet;
-import lilaclever.lab.scenario.Scenario.Happening;
+import lilaclever.lab.scenario.Scenario.ScheduledEvent;
 import lilaclever.lab.scenario.Scenario.Target;
 import lilaclever.lab.scenario.Scenario.TrafficPlan;
-import lilaclever.lab.scenario.Scenario.What;
 
 /** Reads scenarios. What a file does not set is as at a small exchange of lens labs, suppliers and processors. */
 public final class ScenarioReader {
@@ -108,7 +108,7 @@
                 kinds,
                 classes,
                 traffic(file.section("traffic")),
-                happenings(kinds));
+                events(kinds));
         file.refuseUnknown(SECTIONS);
         return read;
     }
@@ -292,15 +292,15 @@
                         true));
     }
 
-    private List<Happening> happenings(List<PartnerKind> kinds) throws Bad {
-        List<Happening> all = new ArrayList<>();
+    private List<ScheduledEvent> events(List<PartnerKind> kinds) throws Bad {
+        List<ScheduledEvent> all = new ArrayList<>();
         for (Section s : file.sections("event")) {
             if (!s.has("what")) {
                 throw s.bad(
                         "what",
                         "missing: one of restart, drain, silent, failing, shut, down, slow, lowered, hot, deaf");
             }
-            What what = s.choice("what", What.class, What.RESTART);
+            EventType what = s.choice("what", EventType.class, EventType.RESTART);
             if (!s.has("at")) {
                 throw s.bad("at", "missing: a time, or the least and the most");
             }
@@ -315,18 +315,18 @@
                 case HOT -> s.range("strength", 0.06, 0.22, 0, 1);
                 default -> new double[] {0, 0};
             };
-            all.add(new Happening(
+            all.add(new ScheduledEvent(
                     s.which(),
                     what,
                     s.times("at", 0, 0, 0, 48 * HOUR),
                     s.times("for", 10 * SECOND, 20 * SECOND, MS, 48 * HOUR),
-                    s.share("part", what == What.RESTART || what == What.DRAIN ? 1 : 0.2, 1),
+                    s.share("part", what == EventType.RESTART || what == EventType.DRAIN ? 1 : 0.2, 1),
                     s.choice("target", Target.class, Target.ANY),
                     kind,
                     strength,
-                    what == What.RESTART
+                    what == EventType.RESTART
                             ? s.times("down", 300 * MS, 1500 * MS, MS, HOUR)
-                            : what == What.DRAIN
+                            : what == EventType.DRAIN
                                     ? s.times("down", 2 * SECOND, 6 * SECOND, 0, HOUR)
                                     : new long[] {0, 0}));
         }
--- a/src/main/java/lilaclever/lab/sockets/Doors.java
+++ b/src/main/java/lilaclever/lab/sockets/Listeners.java
@@ -13,21 +13,21 @@
 import lilaclever.lab.world.World;
 
 /**
- * The partners' doors: a listening socket for each endpoint and forwarder, so that it is known who calls. While a
- * partner is down its doors are shut, and its connections are reset. All but the threads that wait for connections and
- * bytes runs on the timeline's thread.
+ * The partners' listening sockets: one for each endpoint and forwarder, so that it is known who calls. While a partner
+ * is down they are closed, and its connections are reset. All but the threads that wait for connections and bytes runs
+ * on the timeline's thread.
  */
-final class Doors {
+final class Listeners {
     private static final long LOOK = 10_000;
 
-    private final class Door {
+    private final class Listener {
         final Partner partner;
         final String host;
         final int forwarder, port;
         final Set<PartnerConnection> connections = new HashSet<>();
         ServerSocket server;
 
-        Door(Partner partner, String host, int forwarder) throws IOException {
+        Listener(Partner partner, String host, int forwarder) throws IOException {
             this.partner = partner;
             this.host = host;
             this.forwarder = forwarder;
@@ -37,7 +37,7 @@
         }
 
         private void accept(ServerSocket from) {
-            Threads.start("door " + host, () -> {
+            Threads.start("listener " + host, () -> {
                 while (true) {
                     Socket socket = from.accept();
                     time.post(() -> accepted(socket));
@@ -91,22 +91,22 @@
 
     private final World world;
     private final RealTime time;
-    private final Map<String, Door> doors = new HashMap<>();
+    private final Map<String, Listener> listeners = new HashMap<>();
     private long troubles;
 
-    Doors(World world, RealTime time) {
+    Listeners(World world, RealTime time) {
         this.world = world;
         this.time = time;
     }
 
     /** Looks from now on, again and again, which partners are down. */
     void watch() {
-        for (Door d : doors.values()) {
-            boolean down = d.partner.isDown(time.now());
-            if (down && d.server != null) {
-                d.shut();
-            } else if (!down && d.server == null) {
-                d.open();
+        for (Listener l : listeners.values()) {
+            boolean down = l.partner.isDown(time.now());
+            if (down && l.server != null) {
+                l.shut();
+            } else if (!down && l.server == null) {
+                l.open();
             }
         }
         time.after(LOOK, this::watch);
@@ -114,21 +114,21 @@
 
     /** Where a forwarder finds an endpoint. */
     String address(Partner partner, String host, int forwarder) {
-        Door door = doors.computeIfAbsent(host + ' ' + forwarder, k -> {
+        Listener listener = listeners.computeIfAbsent(host + ' ' + forwarder, k -> {
             try {
-                return new Door(partner, host, forwarder);
+                return new Listener(partner, host, forwarder);
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException("no port for a partner's endpoint", e);
             }
         });
-        return "127.0.0.1:" + door.port;
+        return "127.0.0.1:" + listener.port;
     }
 
     /** An endpoint is gone. */
     void remove(String host, int forwarder) {
-        Door door = doors.remove(host + ' ' + forwarder);
-        if (door != null && door.server != null) {
-            door.shut();
+        Listener listener = listeners.remove(host + ' ' + forwarder);
+        if (listener != null && listener.server != null) {
+            listener.shut();
         }
     }
 
@@ -139,11 +139,11 @@
 
     /** Shuts all. */
     void close() {
-        for (Door d : new ArrayList<>(doors.values())) {
-            if (d.server != null) {
-                d.shut();
+        for (Listener l : new ArrayList<>(listeners.values())) {
+            if (l.server != null) {
+                l.shut();
             }
         }
-        doors.clear();
+        listeners.clear();
     }
 }
--- a/src/main/java/lilaclever/lab/sockets/RealSockets.java
+++ b/src/main/java/lilaclever/lab/sockets/RealSockets.java
@@ -11,7 +11,7 @@
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.world.Fault;
 import lilaclever.lab.world.Result;
-import lilaclever.lab.world.Trust;
+import lilaclever.lab.world.TimingQuality;
 import lilaclever.lab.world.World;
 
 /**
@@ -30,7 +30,7 @@
 
     private final RealTime time = new RealTime();
     private final List<SocketForwarder> forwarders = new ArrayList<>();
-    private Doors doors;
+    private Listeners listeners;
 
     private RealSockets() {}
 
@@ -80,8 +80,8 @@
         World world;
         try {
             world = new World(scenario, seed, Fault.NONE, time, (w, number, settings, itsSeed) -> {
-                doors = doors == null ? new Doors(w, time) : doors;
-                SocketForwarder f = new SocketForwarder(w, time, doors, number, settings, itsSeed, folder, command);
+                listeners = listeners == null ? new Listeners(w, time) : listeners;
+                SocketForwarder f = new SocketForwarder(w, time, listeners, number, settings, itsSeed, folder, command);
                 forwarders.add(f);
                 return f;
             });
@@ -95,19 +95,20 @@
                 }
                 time.begin();
                 world.begin(progress);
-                doors.watch();
+                listeners.watch();
                 time.runUntil(world.length(), () -> stopped.getAsBoolean() || failure() != null);
                 time.end();
             } finally {
                 for (SocketForwarder f : forwarders) {
                     f.stop();
                 }
-                doors.close();
+                listeners.close();
             }
         } catch (UncheckedIOException e) {
             throw e.getCause();
         }
-        return world.finish(time.ran(), Trust.of(time.lateness(), doors.troubles() + (failure() == null ? 0 : 1)));
+        return world.finish(
+                time.ran(), TimingQuality.of(time.lateness(), listeners.troubles() + (failure() == null ? 0 : 1)));
     }
 
     private String failure() {
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -16,11 +16,11 @@
 import lilaclever.Relay.Presence;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.sockets.Wire.Head;
-import lilaclever.lab.world.Member;
+import lilaclever.lab.world.ForwarderHandle;
 import lilaclever.lab.world.World;
 
 /** One forwarder of the fleet: the real program in a process of its own. */
-final class SocketForwarder implements Member {
+final class SocketForwarder implements ForwarderHandle {
     private static final Pattern BROKEN = Pattern.compile("(?m)^(?:broken_invariants|tasks_failed) (\\d+)$");
     private static final long START_WITHIN = 30_000, LOOK = 10, END_WITHIN = 6;
 
@@ -31,7 +31,7 @@
     private final long seed;
     private final Path folder, log;
     private final List<String> command;
-    private final Doors doors;
+    private final Listeners listeners;
     private final Agent agent;
     private final Clients clients;
     /** Null where no message comes by HL7. */
@@ -47,7 +47,7 @@
     SocketForwarder(
             World world,
             RealTime time,
-            Doors doors,
+            Listeners listeners,
             int number,
             Relay.Settings settings,
             long seed,
@@ -55,7 +55,7 @@
             List<String> command) {
         this.world = world;
         this.time = time;
-        this.doors = doors;
+        this.listeners = listeners;
         this.number = number;
         this.settings = settings;
         this.seed = seed;
@@ -65,7 +65,7 @@
         try {
             Files.createDirectories(folder.resolve("state-" + number));
             Files.writeString(log, "");
-            agent = new Agent(world, time, e -> doors.address(world.partner(e.destination()), e.host(), number));
+            agent = new Agent(world, time, e -> listeners.address(world.partner(e.destination()), e.host(), number));
             address = Ports.free();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -247,7 +247,7 @@
         agent.change(version, changes);
         for (Relay.Entry e : changes) {
             if (e.presence() == Presence.LEFT) {
-                doors.remove(e.host(), number);
+                listeners.remove(e.host(), number);
             }
         }
     }
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -12,7 +12,7 @@
 import lilaclever.journal.Times;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.world.Fault;
-import lilaclever.lab.world.Member;
+import lilaclever.lab.world.ForwarderHandle;
 import lilaclever.lab.world.World;
 import lilaclever.protocol.http.HttpFront;
 import lilaclever.routing.Call;
@@ -29,7 +29,7 @@
  * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front reaches the
  * world's models directly, and so does its {@link VirtualDeliverer}; what a wire would take is time here.
  */
-final class VirtualForwarder implements Member, Front, Pace {
+final class VirtualForwarder implements ForwarderHandle, Front, Pace {
     /** The wall clock when a run begins: any day will do, and it is the same in each run. */
     private static final long WALL = 1_767_225_600_000_000L;
 
--- a/src/main/java/lilaclever/lab/world/EndpointDirectory.java
+++ b/src/main/java/lilaclever/lab/world/EndpointDirectory.java
@@ -7,8 +7,8 @@
 import lilaclever.Relay;
 import lilaclever.Relay.Presence;
 import lilaclever.lab.audit.Auditor;
-import lilaclever.lab.model.Draws;
 import lilaclever.lab.model.Partner;
+import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.scenario.Scenario;
 
 /** The directory service of a run: the list of endpoints, its version, and the news of it that forwarders get. */
@@ -20,8 +20,8 @@
     private final Fault fault;
     private final Timeline timeline;
     private final Auditor auditor;
-    private final Draws draws;
-    private final List<Member> forwarders;
+    private final RandomStream random;
+    private final List<ForwarderHandle> forwarders;
     private final Map<String, Relay.Entry> entries = new LinkedHashMap<>();
     /** By forwarder: when the latest news arrives, and until when none does; microseconds. */
     private final long[] latestNewsAt, silentUntil;
@@ -31,12 +31,17 @@
 
     /** An empty list; {@code forwarders} are those that hear of its changes, by number. */
     EndpointDirectory(
-            Scenario scenario, Fault fault, Timeline timeline, Auditor auditor, Draws draws, List<Member> forwarders) {
+            Scenario scenario,
+            Fault fault,
+            Timeline timeline,
+            Auditor auditor,
+            RandomStream random,
+            List<ForwarderHandle> forwarders) {
         this.scenario = scenario;
         this.fault = fault;
         this.timeline = timeline;
         this.auditor = auditor;
-        this.draws = draws;
+        this.random = random;
         this.forwarders = forwarders;
         latestNewsAt = new long[scenario.fleet().forwarders()];
         silentUntil = new long[scenario.fleet().forwarders()];
@@ -123,16 +128,16 @@
     /** Entries have changed: each forwarder is told in its own time, in the order of changes. */
     private void tell(List<Relay.Entry> changed) {
         long newVersion = ++version;
-        for (Member forwarder : forwarders) {
+        for (ForwarderHandle forwarder : forwarders) {
             int number = forwarder.number();
-            long at = timeline.now() + draws.in(scenario.fleet().directoryDelay());
+            long at = timeline.now() + random.in(scenario.fleet().directoryDelay());
             at = Math.max(Math.max(at, latestNewsAt[number]), silentUntil[number]);
             latestNewsAt[number] = at;
             timeline.at(at, () -> deliver(forwarder, newVersion, changed));
         }
     }
 
-    private void deliver(Member forwarder, long newVersion, List<Relay.Entry> changed) {
+    private void deliver(ForwarderHandle forwarder, long newVersion, List<Relay.Entry> changed) {
         if (!forwarder.isUp()) {
             return; // it gets the whole list when it starts
         }
--- a/src/main/java/lilaclever/lab/world/EventPlanner.java
+++ b/src/main/java/lilaclever/lab/world/EventPlanner.java
@@ -5,16 +5,16 @@
 import java.util.List;
 import lilaclever.Relay;
 import lilaclever.Relay.Presence;
-import lilaclever.lab.model.Draws;
 import lilaclever.lab.model.Partner;
-import lilaclever.lab.scenario.Scenario.Happening;
+import lilaclever.lab.model.RandomStream;
+import lilaclever.lab.scenario.Scenario.ScheduledEvent;
 import lilaclever.lab.scenario.Scenario.Target;
 
 /** Draws when and whom a scenario's events hit, and puts them on the timeline. */
 final class EventPlanner {
     private final int forwarderCount;
     private final Timeline timeline;
-    private final Draws draws;
+    private final RandomStream random;
     private final List<Partner> partners;
     private final EndpointDirectory directory;
     private final LoadBalancer loadBalancer;
@@ -24,14 +24,14 @@
     EventPlanner(
             int forwarderCount,
             Timeline timeline,
-            Draws draws,
+            RandomStream random,
             List<Partner> partners,
             EndpointDirectory directory,
             LoadBalancer loadBalancer,
             ForwarderFleet forwarders) {
         this.forwarderCount = forwarderCount;
         this.timeline = timeline;
-        this.draws = draws;
+        this.random = random;
         this.partners = partners;
         this.directory = directory;
         this.loadBalancer = loadBalancer;
@@ -44,9 +44,9 @@
     }
 
     /** Plans an event. */
-    void plan(Happening event) {
-        long at = draws.in(event.at());
-        long length = draws.in(event.forMicros());
+    void plan(ScheduledEvent event) {
+        long at = random.in(event.at());
+        long length = random.in(event.forMicros());
         switch (event.what()) {
             case RESTART -> planRestarts(event, at, length);
             case DRAIN -> planDrains(event, at, length);
@@ -58,22 +58,22 @@
         bands.add(new Result.Band(event.name(), at, at + length));
     }
 
-    private void planRestarts(Happening event, long at, long length) {
+    private void planRestarts(ScheduledEvent event, long at, long length) {
         List<Integer> chosen = someForwarders(event.part());
         for (int i = 0; i < chosen.size(); i++) {
             int forwarder = chosen.get(i);
-            long down = draws.in(event.downMicros());
+            long down = random.in(event.downMicros());
             timeline.at(at + length * i / chosen.size(), () -> forwarders.restart(forwarder, down));
         }
     }
 
-    private void planDrains(Happening event, long at, long length) {
+    private void planDrains(ScheduledEvent event, long at, long length) {
         List<String> hosts = directory.hosts();
         shuffle(hosts);
         int count = (int) Math.round(event.part() * hosts.size());
         for (int i = 0; i < count; i++) {
             String host = hosts.get(i);
-            long drainsFor = draws.in(event.downMicros());
+            long drainsFor = random.in(event.downMicros());
             timeline.at(at + length * i / count, () -> drain(host, drainsFor));
         }
     }
@@ -85,9 +85,9 @@
         }
     }
 
-    private void planHotForwarders(Happening event, long at, long length) {
+    private void planHotForwarders(ScheduledEvent event, long at, long length) {
         List<Integer> hot = someForwarders(event.part());
-        double share = draws.in(event.strength());
+        double share = random.in(event.strength());
         int others = forwarderCount - hot.size();
         if (others == 0) {
             return;
@@ -98,21 +98,21 @@
         timeline.at(at + length, () -> hot.forEach(f -> loadBalancer.setWeight(f, 1)));
     }
 
-    private void planSilentDirectory(Happening event, long at, long length) {
+    private void planSilentDirectory(ScheduledEvent event, long at, long length) {
         for (int forwarder : someForwarders(event.part())) {
             timeline.at(at, () -> directory.silence(forwarder, timeline.now() + length));
         }
     }
 
-    private void planLowerLimits(Happening event, long at, long length) {
-        double part = draws.in(event.strength());
+    private void planLowerLimits(ScheduledEvent event, long at, long length) {
+        double part = random.in(event.strength());
         for (Partner partner : somePartners(event)) {
             timeline.at(at, () -> partner.lower(part, timeline.now() + length));
         }
     }
 
-    private void planOutages(Happening event, long at, long length) {
-        double strength = draws.in(event.strength());
+    private void planOutages(ScheduledEvent event, long at, long length) {
+        double strength = random.in(event.strength());
         Partner.Outage outage = Partner.Outage.valueOf(event.what().name());
         for (Partner partner : somePartners(event)) {
             timeline.at(at, () -> partner.outage(outage, strength, timeline.now() + length));
@@ -128,7 +128,7 @@
         return all.subList(0, atLeastOne(part, all.size()));
     }
 
-    private List<Partner> somePartners(Happening event) {
+    private List<Partner> somePartners(ScheduledEvent event) {
         List<Partner> all = new ArrayList<>(partners);
         all.removeIf(p -> event.kind() != null && !p.kind().name().equals(event.kind()));
         if (event.target() == Target.ANY) {
@@ -145,7 +145,7 @@
 
     private <T> void shuffle(List<T> all) {
         for (int i = all.size() - 1; i > 0; i--) {
-            Collections.swap(all, i, draws.below(i + 1));
+            Collections.swap(all, i, random.below(i + 1));
         }
     }
 }
--- a/src/main/java/lilaclever/lab/world/ForwarderFleet.java
+++ b/src/main/java/lilaclever/lab/world/ForwarderFleet.java
@@ -15,7 +15,7 @@
     /** How long one that died by itself is dead before it is started again, microseconds. */
     private static final long DEATH_DETECTION = SECOND;
 
-    private final List<Member> forwarders;
+    private final List<ForwarderHandle> forwarders;
     private final List<Partner> partners;
     private final EndpointDirectory directory;
     private final LoadBalancer loadBalancer;
@@ -26,7 +26,7 @@
 
     /** Of these forwarders, which stand at their numbers. */
     ForwarderFleet(
-            List<Member> forwarders,
+            List<ForwarderHandle> forwarders,
             List<Partner> partners,
             EndpointDirectory directory,
             LoadBalancer loadBalancer,
@@ -92,17 +92,17 @@
 
     /** Messages that all hold together; below 0 if that can't be seen from here. */
     int held() {
-        return forwarders.stream().mapToInt(Member::held).sum();
+        return forwarders.stream().mapToInt(ForwarderHandle::held).sum();
     }
 
     /** Forwarders that are up. */
     long upCount() {
-        return forwarders.stream().filter(Member::isUp).count();
+        return forwarders.stream().filter(ForwarderHandle::isUp).count();
     }
 
     /** Reports the invariants that forwarders have seen broken. */
     void reportBrokenInvariants() {
-        for (Member forwarder : forwarders) {
+        for (ForwarderHandle forwarder : forwarders) {
             if (forwarder.broken() > 0) {
                 auditor.broken(
                         Rule.INVARIANT,
--- a/src/main/java/lilaclever/lab/world/Member.java
+++ b/src/main/java/lilaclever/lab/world/ForwarderHandle.java
@@ -5,14 +5,14 @@
 import lilaclever.lab.model.Arrival;
 
 /**
- * One forwarder of the fleet, as the world has it: a real core in virtual time, or a process on real sockets. All calls
- * come on the timeline's thread, and what it tells the world it tells there.
+ * How the world reaches one forwarder of the fleet: a real core in virtual time, or a process on real sockets. All
+ * calls come on the timeline's thread, and what it tells the world it tells there.
  */
-public interface Member {
+public interface ForwarderHandle {
     /** Makes the fleet's forwarders. */
-    interface Maker {
+    interface Factory {
         /** One that is not started yet; {@code seed} is for what it draws itself. */
-        Member make(World world, int number, Relay.Settings settings, long seed);
+        ForwarderHandle make(World world, int number, Relay.Settings settings, long seed);
     }
 
     /** Its number in the fleet, from 0. */
--- a/src/main/java/lilaclever/lab/world/LoadBalancer.java
+++ b/src/main/java/lilaclever/lab/world/LoadBalancer.java
@@ -3,13 +3,13 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import lilaclever.lab.model.Draws;
+import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.model.Traffic;
 
 /** The front that spreads clients' messages over the forwarders. It finds out only after a time that one is dead. */
 final class LoadBalancer {
     private final Timeline timeline;
-    private final Draws draws;
+    private final RandomStream random;
     /** How long messages still go to a forwarder that has died, least and most, microseconds. */
     private final long[] detectionDelay;
 
@@ -17,9 +17,9 @@
     /** Forwarders that have died, and from when on this is known. */
     private final Map<Integer, Long> deadFrom = new HashMap<>();
 
-    LoadBalancer(Timeline timeline, Draws draws, int forwarders, long[] detectionDelay) {
+    LoadBalancer(Timeline timeline, RandomStream random, int forwarders, long[] detectionDelay) {
         this.timeline = timeline;
-        this.draws = draws;
+        this.random = random;
         this.detectionDelay = detectionDelay;
         weights = new double[forwarders];
         Arrays.fill(weights, 1);
@@ -34,7 +34,7 @@
             }
         }
         double sum = Arrays.stream(shares).sum();
-        double unit = draws.unit();
+        double unit = random.unit();
         return sum == 0 ? (int) (unit * shares.length) : Traffic.pick(shares, unit);
     }
 
@@ -45,7 +45,7 @@
 
     /** A forwarder has died: that is known here after a while. */
     void onDeath(int forwarder) {
-        deadFrom.put(forwarder, timeline.now() + draws.in(detectionDelay));
+        deadFrom.put(forwarder, timeline.now() + random.in(detectionDelay));
     }
 
     /** A forwarder is known to serve. */
--- a/src/main/java/lilaclever/lab/world/PartnerFactory.java
+++ b/src/main/java/lilaclever/lab/world/PartnerFactory.java
@@ -3,10 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import lilaclever.lab.model.Draws;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.PartnerKind;
+import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.Scenario.Fleet;
 
@@ -24,13 +24,13 @@
     private final Scenario scenario;
     private final Fleet fleet;
     private final long seed;
-    private final Draws draws;
+    private final RandomStream random;
 
     PartnerFactory(Scenario scenario, long seed) {
         this.scenario = scenario;
         this.seed = seed;
         fleet = scenario.fleet();
-        draws = new Draws(seed, "partners");
+        random = new RandomStream(seed, "partners");
     }
 
     /**
@@ -45,7 +45,7 @@
         List<Partner> partners = new ArrayList<>();
         for (int rank = 0; rank < kinds.size(); rank++) {
             double part = rank < kinds.size() / MANY_ENDPOINTS_PART ? 1 : FEWER_ENDPOINTS;
-            int endpoints = Math.max(1, (int) Math.round(draws.in(fleet.endpoints()) * part + ENDPOINT_ROUNDING));
+            int endpoints = Math.max(1, (int) Math.round(random.in(fleet.endpoints()) * part + ENDPOINT_ROUNDING));
             Partner partner = new Partner(
                     rank,
                     kinds.get(rank),
@@ -53,7 +53,7 @@
                     weights[rank] * fleet.ratePerSecond(),
                     meanWork,
                     fleet.cold(),
-                    new Draws(seed, "partner " + rank));
+                    new RandomStream(seed, "partner " + rank));
             partners.add(partner);
             for (int i = 0; i < endpoints; i++) {
                 directory.addEndpoint(partner);
@@ -67,7 +67,7 @@
         record Placed(PartnerKind kind, double place) {}
         List<Placed> placed = new ArrayList<>();
         for (PartnerKind kind : kindsByShare()) {
-            placed.add(new Placed(kind, kind.large() ? draws.unit() * LARGE_KINDS_WITHIN : draws.unit()));
+            placed.add(new Placed(kind, kind.large() ? random.unit() * LARGE_KINDS_WITHIN : random.unit()));
         }
         placed.sort(Comparator.comparingDouble(Placed::place));
         return placed.stream().map(Placed::kind).toList();
--- a/src/main/java/lilaclever/lab/world/Result.java
+++ b/src/main/java/lilaclever/lab/world/Result.java
@@ -25,7 +25,7 @@
         long endMicros,
         long scheduled,
         boolean partial,
-        Trust trust) {
+        TimingQuality trust) {
     /** Something that happened, from a time to a time. */
     public record Band(String what, long fromMicros, long toMicros) {}
 
--- a/src/main/java/lilaclever/lab/world/SimulatedClients.java
+++ b/src/main/java/lilaclever/lab/world/SimulatedClients.java
@@ -8,7 +8,7 @@
 import lilaclever.Relay;
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.model.Arrival;
-import lilaclever.lab.model.Draws;
+import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.scenario.Scenario;
 
 /**
@@ -27,8 +27,8 @@
     private final Auditor auditor;
     private final TimeSeries series;
     private final LoadBalancer loadBalancer;
-    private final List<Member> forwarders;
-    private final Draws draws;
+    private final List<ForwarderHandle> forwarders;
+    private final RandomStream random;
 
     private final Map<Integer, Arrival> arrivals = new HashMap<>();
     private final Map<Integer, Integer> retriesLeft = new HashMap<>();
@@ -43,15 +43,15 @@
             Auditor auditor,
             TimeSeries series,
             LoadBalancer loadBalancer,
-            List<Member> forwarders,
-            Draws draws) {
+            List<ForwarderHandle> forwarders,
+            RandomStream random) {
         this.scenario = scenario;
         this.timeline = timeline;
         this.auditor = auditor;
         this.series = series;
         this.loadBalancer = loadBalancer;
         this.forwarders = forwarders;
-        this.draws = draws;
+        this.random = random;
     }
 
     /** The message's number in the id of a submission. */
@@ -139,7 +139,7 @@
     private void resubmit(String id) {
         Arrival arrival = arrivals.get(number(id));
         if (arrival != null) {
-            timeline.after(draws.in(scenario.fleet().comesAgain()), () -> submit(arrival));
+            timeline.after(random.in(scenario.fleet().comesAgain()), () -> submit(arrival));
         }
     }
 
@@ -182,7 +182,7 @@
 
     private void retry(int number, long retryAfterMicros) {
         int left = retriesLeft.get(number);
-        long after = Math.max(retryAfterMicros, draws.in(scenario.fleet().comesAgain()));
+        long after = Math.max(retryAfterMicros, random.in(scenario.fleet().comesAgain()));
         if (left > 0 && mayRetry(number, timeline.now() + after)) {
             retriesLeft.put(number, left - 1);
             timeline.after(after, () -> submit(arrivals.get(number)));
--- a/src/main/java/lilaclever/lab/world/Trust.java
+++ b/src/main/java/lilaclever/lab/world/TimingQuality.java
@@ -12,7 +12,8 @@
  * @param mostMicros how late the latest was
  * @param troubles what else went wrong with the stand-ins
  */
-public record Trust(long tasks, double lateShare, long medianMicros, long p99Micros, long mostMicros, long troubles) {
+public record TimingQuality(
+        long tasks, double lateShare, long medianMicros, long p99Micros, long mostMicros, long troubles) {
     /** Later than this counts as late, microseconds. */
     public static final long LATE = 10_000;
 
@@ -20,10 +21,10 @@
     private static final long MOST = 500_000;
 
     /** From how late each task was, microseconds. */
-    public static Trust of(Histogram lateness, long troubles) {
+    public static TimingQuality of(Histogram lateness, long troubles) {
         long tasks = lateness.getTotalCount();
         double late = tasks == 0 ? 0 : 1 - lateness.getCountBetweenValues(0, LATE) / (double) tasks;
-        return new Trust(
+        return new TimingQuality(
                 tasks,
                 late,
                 lateness.getValueAtPercentile(50),
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -7,17 +7,17 @@
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.model.Arrival;
-import lilaclever.lab.model.Draws;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.Partner.Answer;
+import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.model.Traffic;
 import lilaclever.lab.scenario.Scenario;
 import lilaclever.lab.scenario.Scenario.Fleet;
 
 /**
  * A rehearsal: a fleet of forwarders among models of all that is around them: partners, directory, load balancer,
- * clients. What plays it, in virtual time or on sockets, is behind {@link Timeline} and {@link Member}; it tells here
- * what its forwarders do. One thread, the timeline's.
+ * clients. What plays it, in virtual time or on sockets, is behind {@link Timeline} and {@link ForwarderHandle}; it
+ * tells here what its forwarders do. One thread, the timeline's.
  */
 public final class World {
     private static final long SECOND = 1_000_000;
@@ -44,7 +44,7 @@
     private List<Arrival> plan = List.of();
 
     /** A world that has not begun. */
-    public World(Scenario scenario, long seed, Fault fault, Timeline timeline, Member.Maker maker) {
+    public World(Scenario scenario, long seed, Fault fault, Timeline timeline, ForwarderHandle.Factory maker) {
         this.timeline = timeline;
         this.scenario = scenario;
         this.seed = seed;
@@ -53,19 +53,26 @@
         auditor = new Auditor(scenario.classes(), fleet.drainGraceMicros());
         series = new TimeSeries(timeline, length());
         weights = Traffic.zipf(fleet.destinations(), fleet.zipf());
-        List<Member> members = new ArrayList<>();
-        directory = new EndpointDirectory(scenario, fault, timeline, auditor, new Draws(seed, "directory"), members);
+        List<ForwarderHandle> members = new ArrayList<>();
+        directory =
+                new EndpointDirectory(scenario, fault, timeline, auditor, new RandomStream(seed, "directory"), members);
         partners = new PartnerFactory(scenario, seed).make(weights, directory);
         LoadBalancer loadBalancer =
-                new LoadBalancer(timeline, new Draws(seed, "front"), fleet.forwarders(), fleet.frontMemory());
+                new LoadBalancer(timeline, new RandomStream(seed, "front"), fleet.forwarders(), fleet.frontMemory());
         clients = new SimulatedClients(
-                scenario, timeline, auditor, series, loadBalancer, members, new Draws(seed, "clients"));
+                scenario, timeline, auditor, series, loadBalancer, members, new RandomStream(seed, "clients"));
         forwarders = new ForwarderFleet(members, partners, directory, loadBalancer, clients, timeline, auditor);
         events = new EventPlanner(
-                fleet.forwarders(), timeline, new Draws(seed, "events"), partners, directory, loadBalancer, forwarders);
+                fleet.forwarders(),
+                timeline,
+                new RandomStream(seed, "events"),
+                partners,
+                directory,
+                loadBalancer,
+                forwarders);
         ForwarderSettings settings = new ForwarderSettings(scenario, weights, partners);
         for (int i = 0; i < fleet.forwarders(); i++) {
-            members.add(maker.make(this, i, settings.of(i), new Draws(seed, "forwarder " + i).below(1 << 30)));
+            members.add(maker.make(this, i, settings.of(i), new RandomStream(seed, "forwarder " + i).below(1 << 30)));
         }
     }
 
@@ -253,8 +260,8 @@
                 scenario.classes(),
                 weights,
                 partners);
-        plan = traffic.draw(scenario.traffic().lengthMicros(), new Draws(seed, "arrivals"));
-        scenario.happenings().forEach(events::plan);
+        plan = traffic.draw(scenario.traffic().lengthMicros(), new RandomStream(seed, "arrivals"));
+        scenario.events().forEach(events::plan);
         scheduleArrival(0);
         everySecond(progress);
     }
@@ -292,7 +299,7 @@
     }
 
     /** The run is over, or is cut short now: what it has shown. */
-    public Result finish(long scheduled, Trust trust) {
+    public Result finish(long scheduled, TimingQuality trust) {
         auditor.finish(now());
         forwarders.reportBrokenInvariants();
         partners.forEach(this::reportFailBacks);
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -132,7 +132,7 @@
             Scenario s = ScenarioReader.read(name);
             System.out.println(name + " is good: " + s.fleet().forwarders() + " forwarders, "
                     + s.fleet().destinations() + " destinations, " + s.traffic().lengthMicros() / 1_000_000 + " s, "
-                    + s.happenings().size() + " events");
+                    + s.events().size() + " events");
         }
         return GOOD;
     }
@@ -352,7 +352,7 @@
                         s.traffic().clumps(),
                         s.traffic().clumpSeconds(),
                         s.traffic().hl7()),
-                s.happenings());
+                s.events());
     }
 
     private int compare() throws Bad, IOException {
--- a/src/test/java/lilaclever/lab/model/PartnerTest.java
+++ b/src/test/java/lilaclever/lab/model/PartnerTest.java
@@ -40,7 +40,7 @@
 
     private static Partner partner(Limit limit) {
         Partner p = new Partner(
-                7, kind(limit, 0), 1, 10, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+                7, kind(limit, 0), 1, 10, 100_000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new RandomStream(1, "p"));
         p.add("e");
         return p;
     }
@@ -62,16 +62,16 @@
                     60 + i,
                     100_000,
                     new Partner.Cold(0.25, 8 * S, 1.5, 3 * S),
-                    new Draws(i, "p"));
+                    new RandomStream(i, "p"));
             assertEquals(60 + i, p.capacity(), 1e-6);
         }
     }
 
     @Test
     void streamsOfASeedAreTheSameAndOfNamesDiffer() {
-        assertEquals(new Draws(1, "a").unit(), new Draws(1, "a").unit());
-        assertTrue(new Draws(1, "a").unit() != new Draws(1, "b").unit());
-        Draws d = new Draws(5, "x");
+        assertEquals(new RandomStream(1, "a").unit(), new RandomStream(1, "a").unit());
+        assertTrue(new RandomStream(1, "a").unit() != new RandomStream(1, "b").unit());
+        RandomStream d = new RandomStream(5, "x");
         assertEquals(
                 1,
                 IntStream.range(0, 100_000)
@@ -185,7 +185,13 @@
     @Test
     void itTakesOnlySoManyConnections() {
         Partner p = new Partner(
-                7, kind(Limit.NONE, 1), 1, 1, 1000, new Partner.Cold(0.25, 8 * S, 1.5, 3 * S), new Draws(1, "p"));
+                7,
+                kind(Limit.NONE, 1),
+                1,
+                1,
+                1000,
+                new Partner.Cold(0.25, 8 * S, 1.5, 3 * S),
+                new RandomStream(1, "p"));
         p.add("e");
         assertTrue(p.connect("e", 0) && p.connect("e", 1));
         assertFalse(p.connect("e", 1));
@@ -208,7 +214,7 @@
                     classes,
                     Traffic.zipf(2, 0),
                     List.of(partner(Limit.NONE), partner(Limit.NONE)));
-            List<Arrival> all = t.draw(200 * S, new Draws(3, "arrivals"));
+            List<Arrival> all = t.draw(200 * S, new RandomStream(3, "arrivals"));
             assertEquals(50 * 100 + 75 * 100, all.size(), 12_500 * (clumps == 0 ? 0.04 : 0.45));
             assertEquals(0.25, all.stream().filter(a -> a.messageClass() == 1).count() / (double) all.size(), 0.02);
             assertEquals(1.0, t.load(50 * S), 1e-9);
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -20,7 +20,7 @@
 import lilaclever.lab.virtual.VirtualTime;
 import lilaclever.lab.world.Fault;
 import lilaclever.lab.world.Result;
-import lilaclever.lab.world.Trust;
+import lilaclever.lab.world.TimingQuality;
 import org.HdrHistogram.Histogram;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -215,21 +215,21 @@
     void aRunWhoseStandInsWereLateIsNotTrusted() {
         Histogram late = new Histogram(3_600_000_000L, 3);
         late.recordValueWithCount(100, 990);
-        assertTrue(Trust.of(late, 0).good());
+        assertTrue(TimingQuality.of(late, 0).good());
         late.recordValueWithCount(20_000, 10);
-        assertFalse(Trust.of(late, 0).good());
+        assertFalse(TimingQuality.of(late, 0).good());
         assertTrue(
-                Trust.of(late, 0)
+                TimingQuality.of(late, 0)
                         .text()
                         .startsWith(
                                 "NOT TO BE TRUSTED, the stand-ins did not keep up: of 1000 tasks 1.00% were over 10 "
                                         + "ms late"),
-                Trust.of(late, 0).text());
+                TimingQuality.of(late, 0).text());
         Histogram once = new Histogram(3_600_000_000L, 3);
         once.recordValueWithCount(100, 100_000);
         once.recordValue(800_000);
-        assertFalse(Trust.of(once, 0).good());
-        assertFalse(Trust.of(new Histogram(3_600_000_000L, 3), 1).good());
+        assertFalse(TimingQuality.of(once, 0).good());
+        assertFalse(TimingQuality.of(new Histogram(3_600_000_000L, 3), 1).good());
     }
 
     @Test
