Let the JSON tree of the known list go once it is read

The list is now read into typed values (EndpointList) by the configuration, which tells a fault by its key, and neither the configuration in force nor anything else of a running forwarder refers to it. One closure of the constructor did; the test found it. The file's text was not kept before, nor is it now (seen in a histogram of a running process). At SIGHUP the list is not read, as it counts for nothing then.

--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -22,6 +22,7 @@
 import lilaclever.benchlink.WireException;
 import lilaclever.conf.Bad;
 import lilaclever.log.Logs;
+import lilaclever.protocol.http.EndpointList;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.routing.Suspensions;
@@ -29,7 +30,8 @@
 
 /**
  * The one place where configuration is read, checked and given defaults. The file is named by {@code ROUTER_CONFIG};
- * the other variables override it.
+ * the other variables override it. {@code known} is the list of endpoints that a start begins with; it is null where the
+ * file has none, and in a configuration that was read again or is in force ({@link #withoutKnown}).
  */
 record Config(
         String name,
@@ -44,7 +46,7 @@
         List<String> classNames,
         List<String> kinds,
         List<String> zones,
-        JsonObject known,
+        EndpointList known,
         Set<String> keys) {
     private static final long MEGABYTE = 1024 * 1024;
     private static final double DEFAULT_DISK_MB = 3;
@@ -78,7 +80,7 @@
         } catch (IOException e) {
             throw new Bad("ROUTER_CONFIG", "can't be read: " + e);
         }
-        return parse(text, variables, needed);
+        return needed.isEmpty() ? parse(text, variables) : parse(rootOf(text), variables, needed);
     }
 
     /**
@@ -161,6 +163,29 @@
         return settings.limits().maxAttempts();
     }
 
+    /** The same without the list of endpoints, which grows with the fleet and is of use at the start alone. */
+    Config withoutKnown() {
+        return with((EndpointList) null);
+    }
+
+    private Config with(EndpointList list) {
+        return new Config(
+                name,
+                listen,
+                operator,
+                discovery,
+                state,
+                seed,
+                diskBytes,
+                sockets,
+                settings,
+                classNames,
+                kinds,
+                zones,
+                list,
+                keys);
+    }
+
     /** The same with other classes and attempts: what can change while the program runs. */
     private Config with(ClassTable table, int attempts) {
         Relay.Settings s = settings;
@@ -309,11 +334,29 @@
     }
 
     static Config parse(String text, Map<String, String> variables) throws Bad {
-        return parse(text, variables, Set.of());
+        JsonObject root = rootOf(text);
+        return parse(root, variables, Set.of()).with(known(root));
+    }
+
+    private static JsonObject rootOf(String text) throws Bad {
+        return object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
     }
 
-    private static Config parse(String text, Map<String, String> variables, Set<String> needed) throws Bad {
-        JsonObject root = object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
+    /** The list of endpoints that a start begins with, or null. */
+    private static EndpointList known(JsonObject root) throws Bad {
+        if (!root.has("known") || root.get("known").isJsonNull()) {
+            return null;
+        }
+        JsonObject list = object("known", root.get("known"));
+        try {
+            return EndpointList.read(list);
+        } catch (RuntimeException e) {
+            throw new Bad("known", "not a list of endpoints: " + e.getMessage());
+        }
+    }
+
+    /** All but the list of endpoints. */
+    private static Config parse(JsonObject root, Map<String, String> variables, Set<String> needed) throws Bad {
         JsonObject settings = root.has("settings") ? object("settings", root.get("settings")) : new JsonObject();
         JsonObject limits = root.has("limits") ? object("limits", root.get("limits")) : new JsonObject();
         Set<String> keys = keys(settings, "");
@@ -342,8 +385,6 @@
         if (sockets < LEAST_SOCKETS) {
             throw new Bad("limits.sockets", "must be " + LEAST_SOCKETS + " or more");
         }
-        JsonObject known =
-                root.has("known") && !root.get("known").isJsonNull() ? object("known", root.get("known")) : null;
         Path state = Path.of(value(variables, "ROUTER_STATE", root, "state", null));
         String operator = value(variables, "ROUTER_OPERATOR", root, "operator", "");
         return new Config(
@@ -359,7 +400,7 @@
                 classNames,
                 strings("settings.shapes", settings, "shapes"),
                 strings("settings.zones", settings, "zones"),
-                known,
+                null,
                 keys);
     }
 
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -51,7 +52,7 @@
     private final List<SocketAddress> addresses = new ArrayList<>();
 
     private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
-        this.config = config;
+        this.config = config.withoutKnown();
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
@@ -66,8 +67,8 @@
         figures(journal, counters);
         core = new Core(
                 settings, config.seed(), journal, counters, operator.identity().windows());
-        Suspensions suspensions =
-                new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(config.state(), ids));
+        Path state = config.state(); // what outlives this constructor must not refer to the list in the configuration
+        Suspensions suspensions = new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(state, ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(
@@ -99,7 +100,7 @@
             mllpFront = new MllpFront(core, operator.mllp());
             core.add(mllpFront);
         }
-        Directory.Known known = known(config, directory);
+        Directory.Known known = config.known() == null ? null : directory.known(config.known());
         deliverer.start();
         directory.start(known == null ? -1 : known.index());
         long version = known == null ? 0 : known.index();
@@ -127,14 +128,6 @@
         counters.figure("journal_damages", () -> journal.recovered().damages().size());
     }
 
-    private static Directory.Known known(Config config, Directory directory) throws Bad {
-        try {
-            return config.known() == null ? null : directory.read(config.known());
-        } catch (RuntimeException e) {
-            throw new Bad("known", "not a list of endpoints: " + e.getMessage());
-        }
-    }
-
     /** Starts all parts as the platform has them; {@code mail} is null where the mail front is off. */
     static Forwarder start(Config config, MailSettings mail) throws IOException, Bad {
         return start(config, Operator.none(config), mail);
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -1,7 +1,5 @@
 package lilaclever.protocol.http;
 
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.nio.charset.StandardCharsets;
@@ -129,8 +127,8 @@
                     if (status != 200) {
                         throw new JsonParseException("answered with " + status);
                     }
-                    heard(read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
-                            .getAsJsonObject()));
+                    heard(known(EndpointList.read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
+                            .getAsJsonObject())));
                 } catch (JsonParseException
                         | IllegalStateException
                         | IllegalArgumentException
@@ -192,33 +190,38 @@
         return core.now() - olderSince < OLDER_FOR;
     }
 
-    /** Reads a list in the platform's form. */
-    public Known read(JsonObject list) {
-        List<Core.Listed> all = new ArrayList<>();
-        for (JsonElement element : list.getAsJsonArray("endpoints")) {
-            JsonObject e = element.getAsJsonObject();
-            int kind = names.kinds().indexOf(e.get("type").getAsString());
-            int zone = Math.max(0, names.zones().indexOf(e.get("zone").getAsString()));
-            Relay.Presence presence = switch (e.get("status").getAsString()) {
-                case "active" -> Relay.Presence.ACTIVE;
-                case "leaving" -> Relay.Presence.LEAVING;
-                default -> Relay.Presence.LEFT;
-            };
-            String host = e.get("name").getAsString();
-            long since = e.has("since_ms") ? e.get("since_ms").getAsLong() : 0;
-            long sinceMicros = since == 0 ? 0 : Math.max(1, core.now() - (System.currentTimeMillis() - since) * 1000);
-            double weight = e.has("weight") ? e.get("weight").getAsDouble() : 1;
-            all.add(new Core.Listed(
-                    new Relay.Entry(host, e.get("group").getAsInt(), zone, kind, presence, weight, sinceMicros),
-                    new Call.Endpoint(
-                            host,
-                            e.get("address").getAsString(),
-                            e.get("group").getAsInt(),
-                            zone,
-                            names.kind(kind).batch(),
-                            names.kind(kind).ownLimits(),
-                            deliverer)));
-        }
-        return new Known(list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), all);
+    /** The list as this forwarder uses it: with the numbers of kinds and zones, and who delivers to each endpoint. */
+    public Known known(EndpointList list) {
+        List<Core.Listed> all = new ArrayList<>(list.endpoints().size());
+        list.endpoints().forEach(endpoint -> all.add(listed(endpoint)));
+        return new Known(list.version(), list.isWhole(), all);
+    }
+
+    private Core.Listed listed(EndpointList.Endpoint endpoint) {
+        int kind = names.kinds().indexOf(endpoint.type());
+        int zone = Math.max(0, names.zones().indexOf(endpoint.zone()));
+        Relay.Entry entry = new Relay.Entry(
+                endpoint.name(),
+                endpoint.destination(),
+                zone,
+                kind,
+                endpoint.presence(),
+                endpoint.weight(),
+                sinceMicros(endpoint.sinceMillis()));
+        return new Core.Listed(
+                entry,
+                new Call.Endpoint(
+                        endpoint.name(),
+                        endpoint.address(),
+                        endpoint.destination(),
+                        zone,
+                        names.kind(kind).batch(),
+                        names.kind(kind).ownLimits(),
+                        deliverer));
+    }
+
+    /** A moment of the wall clock on the loop's clock; 0 stays 0, which means that it is not known. */
+    private long sinceMicros(long sinceMillis) {
+        return sinceMillis == 0 ? 0 : Math.max(1, core.now() - (System.currentTimeMillis() - sinceMillis) * 1000);
     }
 }
