--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -30,8 +30,8 @@
 
 /**
  * The one place where configuration is read, checked and given defaults. The file is named by {@code ROUTER_CONFIG};
- * the other variables override it. {@code known} is the list of endpoints that a start begins with; it is null where the
- * file has none, and in a configuration that was read again or is in force ({@link #withoutKnown}).
+ * the other variables override it. {@code known} is the list of endpoints that a start begins with; it is null where
+ * the file has none, and in a configuration that was read again or is in force ({@link #withoutKnown}).
  */
 record Config(
         String name,
