Ask a directory that refuses connections less and less often, up to 0.3 s

A directory whose port refuses was asked every 50 ms for as long as it was away, by every forwarder: 2.4% of a core for an idle process here. After a call that got no answer the pause now doubles from 50 ms to 300 ms, spread at random over its last quarter; a silent directory was already asked every 300 ms, so its return is noticed as soon either way, far within the 6 s of the standing test. An answer, also one that can't be read or does not come whole, begins with 50 ms again, and after these the next call comes as before: within the 200 ms of the platform's rule.

Without the change the new test counts 201 calls in ten seconds instead of under 50; with a pause of 300 ms after an unreadable answer the other one fails.

--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import lilaclever.Relay;
 import lilaclever.log.Logs;
 import lilaclever.routing.Call;
@@ -28,8 +29,13 @@
     private static final long LOOK_WAIT = 1_000, LOOK_BY = 300_000;
     /** A list older than the one held is passed over for so long; then discovery counts anew. */
     private static final long OLDER_FOR = 60_000_000;
-    /** Well within the 200 ms in which the next call must come. */
+    /** After an answer, also one that can't be read: well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
+    /**
+     * The longest pause where no connection comes up or it is closed with no answer. To ask costs processor time on every
+     * forwarder; a directory that is back is noticed after this at the latest, as one that was silent is ({@link #LOOK_BY}).
+     */
+    private static final long LONGEST_PAUSE = 300_000;
     /** A list of 20,000 endpoints; room is taken as it comes. */
     private static final int MOST_ANSWER = 4 << 20;
 
@@ -58,6 +64,8 @@
     private boolean lost;
     /** Since when discovery tells older lists; 0 if it does not. */
     private long olderSince;
+
+    private final RetryPause unanswered = new RetryPause(PAUSE, LONGEST_PAUSE, new SplittableRandom());
     /** The call that is out, and when it is given up or made again. */
     private HttpClient.Exchange asking;
 
@@ -106,6 +114,7 @@
         index = -1;
         doubtful = true;
         olderSince = 0;
+        unanswered.reset();
         core.deadlines().cancel(again);
         if (asking != null) {
             asking.close();
@@ -123,6 +132,7 @@
             @Override
             public void answered(int status, Map<String, String> headers, byte[] body) {
                 core.deadlines().cancel(again);
+                unanswered.reset();
                 try {
                     if (status != 200) {
                         throw new JsonParseException("answered with " + status);
@@ -143,7 +153,12 @@
             @Override
             public void broke(boolean written, int status) {
                 core.deadlines().cancel(again);
-                failed(PAUSE);
+                if (status == 0) {
+                    failed(unanswered.next());
+                } else { // an answer that did not come whole is one all the same
+                    unanswered.reset();
+                    failed(PAUSE);
+                }
             }
         });
     }
