--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -32,8 +32,9 @@
     /** After an answer, also one that can't be read: well within the 200 ms in which the next call must come. */
     private static final long PAUSE = 50_000;
     /**
-     * The longest pause where no connection comes up or it is closed with no answer. To ask costs processor time on every
-     * forwarder; a directory that is back is noticed after this at the latest, as one that was silent is ({@link #LOOK_BY}).
+     * The longest pause where no connection comes up or it is closed with no answer. To ask costs processor time on
+     * every forwarder; a directory that is back is noticed after this at the latest, as one that was silent is ({@link
+     * #LOOK_BY}).
      */
     private static final long LONGEST_PAUSE = 300_000;
     /** A list of 20,000 endpoints; room is taken as it comes. */
--- a/src/main/java/lilaclever/protocol/http/RetryPause.java
+++ b/src/main/java/lilaclever/protocol/http/RetryPause.java
@@ -3,9 +3,9 @@
 import java.util.SplittableRandom;
 
 /**
- * How long to wait before a server that can't be reached is tried again: each pause is up to twice the one before, up to a
- * bound, and spread at random, so that clients of one server don't come all at once. All times in microseconds. Used from
- * one thread at a time.
+ * How long to wait before a server that can't be reached is tried again: each pause is up to twice the one before, up
+ * to a bound, and spread at random, so that clients of one server don't come all at once. All times in microseconds.
+ * Used from one thread at a time.
  */
 final class RetryPause {
     /** The least part of a step that a pause lasts. */
