--- a/src/main/java/lilaclever/identity/Past.java
+++ b/src/main/java/lilaclever/identity/CompletedMessage.java
@@ -7,4 +7,4 @@
  * @param content what it said; null where that is not compared
  * @param untilWall when it is forgotten, on the wall clock, microseconds
  */
-public record Past<E>(E end, Fingerprint content, long untilWall) {}
+public record CompletedMessage<E>(E end, Fingerprint content, long untilWall) {}
--- a/src/main/java/lilaclever/identity/Windows.java
+++ b/src/main/java/lilaclever/identity/IdempotencyWindows.java
@@ -9,9 +9,9 @@
  * @param otherwise for identities that are not shared (those of mails)
  * @param most ends remembered in all
  */
-public record Windows(List<Long> micros, long otherwise, int most) {
+public record IdempotencyWindows(List<Long> micros, long otherwise, int most) {
     /** A copy that nobody can change. */
-    public Windows {
+    public IdempotencyWindows {
         micros = List.copyOf(micros);
         if (most < 1) {
             throw new IllegalArgumentException("room for one end at least");
--- a/src/main/java/lilaclever/identity/Identities.java
+++ b/src/main/java/lilaclever/identity/Identities.java
@@ -20,13 +20,13 @@
 public final class Identities<M, E> {
     private record Held<M>(M message, Fingerprint content) {}
 
-    private final Windows windows;
+    private final IdempotencyWindows windows;
     private final Memory<E> memory;
     private final Map<String, Held<M>> held = new HashMap<>();
     private long forgottenEarly;
 
     /** Nothing is held yet. */
-    public Identities(Windows windows, Memory<E> memory) {
+    public Identities(IdempotencyWindows windows, Memory<E> memory) {
         this.windows = windows;
         this.memory = memory;
     }
@@ -36,16 +36,20 @@
      *
      * @param content what it says; null where that is not compared
      */
-    public Ruling<M, E> rule(String identity, Fingerprint content, long nowWall) {
+    public DuplicateCheck<M, E> rule(String identity, Fingerprint content, long nowWall) {
         Held<M> under = held.get(identity);
         if (under != null) {
-            return differs(content, under.content()) ? new Ruling.Clash<>(true) : new Ruling.Joins<>(under.message());
+            return differs(content, under.content())
+                    ? new DuplicateCheck.Clash<>(true)
+                    : new DuplicateCheck.Joins<>(under.message());
         }
-        Past<E> past = memory.past(identity);
+        CompletedMessage<E> past = memory.past(identity);
         if (past == null || past.untilWall() <= nowWall) {
-            return new Ruling.Fresh<>();
+            return new DuplicateCheck.Fresh<>();
         }
-        return differs(content, past.content()) ? new Ruling.Clash<>(false) : new Ruling.Again<>(past.end());
+        return differs(content, past.content())
+                ? new DuplicateCheck.Clash<>(false)
+                : new DuplicateCheck.Again<>(past.end());
     }
 
     private static boolean differs(Fingerprint a, Fingerprint b) {
@@ -68,14 +72,14 @@
 
     /** The message has ended so that whoever asks again gets this end. */
     public void ended(String identity, Fingerprint content, int messageClass, E end, long nowWall) {
-        Past<E> before = memory.past(identity);
+        CompletedMessage<E> before = memory.past(identity);
         if (before == null) {
             while (memory.size() >= windows.most()) {
                 memory.forgetSoonest();
                 forgottenEarly++;
             }
         }
-        memory.keep(identity, new Past<>(end, content, nowWall + windows.of(identity, messageClass)));
+        memory.keep(identity, new CompletedMessage<>(end, content, nowWall + windows.of(identity, messageClass)));
     }
 
     /** The message that is held under the identity, or null. */
--- a/src/main/java/lilaclever/identity/Memory.java
+++ b/src/main/java/lilaclever/identity/Memory.java
@@ -3,13 +3,13 @@
 /** Where ends are remembered; the journal, in the program. */
 public interface Memory<E> {
     /** The end remembered under the identity, or null; it may be past its time. */
-    Past<E> past(String identity);
+    CompletedMessage<E> past(String identity);
 
     /** How many are remembered. */
     int size();
 
     /** Remembers an end, in place of any earlier one. */
-    void keep(String identity, Past<E> past);
+    void keep(String identity, CompletedMessage<E> past);
 
     /** Forgets the one that would be forgotten next by time. */
     void forgetSoonest();
--- a/src/main/java/lilaclever/journal/Compactor.java
+++ b/src/main/java/lilaclever/journal/Compactor.java
@@ -10,16 +10,16 @@
 final class Compactor implements LogAppender.RoomMaker {
     private final SegmentLog log;
     private final Plan plan;
-    private final Held held;
+    private final JournalState state;
     private final Syncer syncer;
     private final LogAppender appender;
     private final Writer copies = new Writer();
     private long copied;
 
-    Compactor(SegmentLog log, Plan plan, Held held, Syncer syncer, LogAppender appender) {
+    Compactor(SegmentLog log, Plan plan, JournalState state, Syncer syncer, LogAppender appender) {
         this.log = log;
         this.plan = plan;
-        this.held = held;
+        this.state = state;
         this.syncer = syncer;
         this.appender = appender;
     }
@@ -33,7 +33,7 @@
             copyOldest("carry over");
             if (log.oldest().liveRecords == 0) {
                 syncer.forceNow(log);
-                log.release(held);
+                log.release(state);
             }
         }
     }
@@ -45,7 +45,7 @@
         while (log.oldest() != null && log.oldest().sequence <= last) {
             copyOldest("copy");
             syncer.forceNow(log);
-            log.release(held);
+            log.release(state);
         }
         log.giveUpSpares();
     }
@@ -59,7 +59,7 @@
     /** Empties segments where that can't wait for the turn's slice. */
     @Override
     public void makeRoom(long bytes) throws IOException {
-        int wanted = plan.forced(log.space(held));
+        int wanted = plan.forced(log.space(state));
         for (int n = log.files(); n > 0 && log.oldest() != null; n--) {
             boolean enough = wanted-- <= 0 && log.canTake(bytes, Plan.FOR_COPIES);
             if (enough || !copy(Long.MAX_VALUE) || !releaseEmpty()) {
@@ -71,7 +71,7 @@
     /** Does one turn's part: copies a slice of the oldest segment if the plan wants that. */
     void runSlice() throws IOException {
         releaseEmpty();
-        long slice = plan.slice(log.space(held));
+        long slice = plan.slice(log.space(state));
         if (slice > 0 && log.oldest() != null) {
             copy(slice);
             releaseEmpty();
@@ -81,15 +81,15 @@
     /** Copies live records of the oldest segment, so many bytes of them; false if they could not be written. */
     private boolean copy(long most) {
         Segment from = log.oldest();
-        return copy(held.owed, from, most, (out, id, o) -> RecordEncoder.snapshot(out, o))
-                && copy(held.remembered, from, most, RecordEncoder::remembered);
+        return copy(state.owed, from, most, (out, id, o) -> RecordEncoder.snapshot(out, o))
+                && copy(state.remembered, from, most, RecordEncoder::remembered);
     }
 
     private interface Encoder<T> {
         void write(Writer out, String key, T value);
     }
 
-    private <T> boolean copy(Map<String, Held.Slot<T>> map, Segment from, long most, Encoder<T> encoder) {
+    private <T> boolean copy(Map<String, JournalState.Slot<T>> map, Segment from, long most, Encoder<T> encoder) {
         long left = most;
         while (left > 0) {
             List<String> keys = new ArrayList<>();
@@ -102,7 +102,7 @@
                 return false;
             }
             for (int i = 0; i < keys.size(); i++) {
-                held.moved(map, keys.get(i), log.active(), sizes.get(i));
+                state.moved(map, keys.get(i), log.active(), sizes.get(i));
             }
             copied += copies.size();
             left -= copies.size();
@@ -112,15 +112,15 @@
 
     /** Fills {@link #copies} with records for one segment, and the lists with what they are of and their sizes. */
     private <T> void fillBatch(
-            Map<String, Held.Slot<T>> map,
+            Map<String, JournalState.Slot<T>> map,
             Segment from,
             long most,
             Encoder<T> encoder,
             List<String> keys,
             List<Integer> sizes) {
         copies.clear();
-        for (Map.Entry<String, Held.Slot<T>> e : map.entrySet()) {
-            Held.Slot<T> slot = e.getValue();
+        for (Map.Entry<String, JournalState.Slot<T>> e : map.entrySet()) {
+            JournalState.Slot<T> slot = e.getValue();
             if (slot.base != from || copies.size() >= most) {
                 break;
             }
@@ -145,7 +145,7 @@
             if (!syncer.coversAfter(s.emptyAt)) {
                 break; // its records' copies might not outlast the machine yet
             }
-            log.release(held);
+            log.release(state);
             any = true;
         }
         return any;
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -13,7 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -45,8 +45,8 @@
     /** Prints each file with what is in it, and what the whole says. */
     public int inspect() throws IOException {
         try (FolderDisk disk = take()) {
-            Held held = new Held();
-            Recovery recovery = new Recovery(disk, held, BootClock.UNKNOWN, line -> {});
+            JournalState state = new JournalState();
+            Recovery recovery = new Recovery(disk, state, BootClock.UNKNOWN, line -> {});
             Recovery.Report report = recovery.scan();
             out.printf("%-26s %9s %9s %9s %7s  %s%n", "file", "bytes", "used", "live", "records", "of which");
             for (Recovery.Found f : recovery.found()) {
@@ -68,16 +68,17 @@
                     out.printf("%-26s %9d%n", name, disk.length(name));
                 }
             }
-            long out1 = held.owed.values().stream().filter(s -> s.value.isOut()).count();
-            long risky = held.owed.values().stream()
+            long out1 =
+                    state.owed.values().stream().filter(s -> s.value.isOut()).count();
+            long risky = state.owed.values().stream()
                     .filter(s -> s.value.mayHaveRun())
                     .count();
-            long ends = held.owed.values().stream()
+            long ends = state.owed.values().stream()
                     .filter(s -> s.value.verdict() != null)
                     .count();
-            out.println("owed " + held.owed.size() + ", of which out " + out1 + ", possibly run " + risky
+            out.println("owed " + state.owed.size() + ", of which out " + out1 + ", possibly run " + risky
                     + ", end decided " + ends);
-            out.println("remembered ends " + held.remembered.size());
+            out.println("remembered ends " + state.remembered.size());
             return told(report);
         }
     }
@@ -85,7 +86,7 @@
     /** Reads all and prints only what is wrong. */
     public int verify() throws IOException {
         try (FolderDisk disk = take()) {
-            return told(new Recovery(disk, new Held(), BootClock.UNKNOWN, line -> {}).scan());
+            return told(new Recovery(disk, new JournalState(), BootClock.UNKNOWN, line -> {}).scan());
         }
     }
 
@@ -127,12 +128,12 @@
     /** Prints what is owed and what is remembered, one JSON object a line. */
     public int export() throws IOException {
         try (FolderDisk disk = take()) {
-            Held held = new Held();
-            Recovery.Report report = new Recovery(disk, held, BootClock.UNKNOWN, System.err::println).scan();
-            for (Held.Slot<Owed> slot : held.owed.values()) {
+            JournalState state = new JournalState();
+            Recovery.Report report = new Recovery(disk, state, BootClock.UNKNOWN, System.err::println).scan();
+            for (JournalState.Slot<Owed> slot : state.owed.values()) {
                 line(json -> owed(json, slot.value));
             }
-            for (Map.Entry<String, Held.Slot<Past<Verdict>>> e : held.remembered.entrySet()) {
+            for (Map.Entry<String, JournalState.Slot<CompletedMessage<Verdict>>> e : state.remembered.entrySet()) {
                 line(json -> {
                     json.name("remembered").value(e.getKey());
                     json.name("until").value(instant(e.getValue().value.untilWall()));
--- a/src/main/java/lilaclever/journal/Held.java
+++ b/src/main/java/lilaclever/journal/JournalState.java
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeSet;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -15,7 +15,7 @@
  * The state that the records make: what is owed and what is remembered, each with the segment that it rests on. Both
  * maps are in the order of those segments. Does no I/O.
  */
-final class Held {
+final class JournalState {
     /** What a message's record may grow by: its attempts' hosts and its end, in a snapshot. */
     private static final int GROWTH = 640;
 
@@ -42,7 +42,7 @@
     }
 
     final Map<String, Slot<Owed>> owed = new LinkedHashMap<>();
-    final Map<String, Slot<Past<Verdict>>> remembered = new LinkedHashMap<>();
+    final Map<String, Slot<CompletedMessage<Verdict>>> remembered = new LinkedHashMap<>();
     /** The same by their time: windows differ, so the order of writing tells nothing of it. */
     private final TreeSet<Expiry> expiries = new TreeSet<>();
     /** Counts of live records by the bits of their size: the largest is known without a sorted map. */
@@ -180,9 +180,9 @@
     }
 
     /** An end that is remembered stands in a record of the segment. */
-    void put(String identity, Past<Verdict> p, Segment base, int size) {
+    void put(String identity, CompletedMessage<Verdict> p, Segment base, int size) {
         forget(identity);
-        Slot<Past<Verdict>> slot = new Slot<>(p);
+        Slot<CompletedMessage<Verdict>> slot = new Slot<>(p);
         remembered.put(identity, slot);
         expiries.add(new Expiry(p.untilWall(), identity));
         rest(slot, base, size);
@@ -190,7 +190,7 @@
 
     /** The end is remembered no more. */
     void forget(String identity) {
-        Slot<Past<Verdict>> slot = remembered.remove(identity);
+        Slot<CompletedMessage<Verdict>> slot = remembered.remove(identity);
         if (slot != null) {
             expiries.remove(new Expiry(slot.value.untilWall(), identity));
             rest(slot, null, 0);
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -4,7 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -18,12 +18,12 @@
     private static final int HEAD = 8, LARGEST = 1 << 20;
     private static final int TAKEN = 0, ATTEMPT = 1, OUTCOME = 2, VERDICT = 3, REMEMBERED = 5, PAST = 6;
 
-    private final Held held;
+    private final JournalState state;
     private final Segment segment;
     private boolean damaged;
 
-    LegacyReader(Held held, Segment segment) {
-        this.held = held;
+    LegacyReader(JournalState state, Segment segment) {
+        this.state = state;
         this.segment = segment;
     }
 
@@ -61,15 +61,15 @@
     private void apply(ByteBuffer in, int size) {
         int type = in.get();
         if (type == TAKEN) {
-            held.put(readTaken(in), segment, size);
+            state.put(readTaken(in), segment, size);
             return;
         }
         String id = text(in);
         if (type == REMEMBERED) {
-            held.put(id, new Past<>(readVerdict(in), null, in.getLong()), segment, size);
+            state.put(id, new CompletedMessage<>(readVerdict(in), null, in.getLong()), segment, size);
             return;
         }
-        Held.Slot<Owed> slot = held.owed.get(id);
+        JournalState.Slot<Owed> slot = state.owed.get(id);
         if (slot == null) {
             return;
         }
@@ -88,7 +88,7 @@
                 }
             }
             case VERDICT -> owed.verdict(readVerdict(in));
-            default -> held.drop(id);
+            default -> state.drop(id);
         }
     }
 
--- a/src/main/java/lilaclever/journal/LogAppender.java
+++ b/src/main/java/lilaclever/journal/LogAppender.java
@@ -22,7 +22,7 @@
 
     private final SegmentLog log;
     private final Plan plan;
-    private final Held held;
+    private final JournalState state;
     private final Syncer syncer;
     private final LongSupplier micros;
 
@@ -30,10 +30,10 @@
     private long retryAt;
     private long failures;
 
-    LogAppender(SegmentLog log, Plan plan, Held held, Syncer syncer, LongSupplier micros) {
+    LogAppender(SegmentLog log, Plan plan, JournalState state, Syncer syncer, LongSupplier micros) {
         this.log = log;
         this.plan = plan;
-        this.held = held;
+        this.state = state;
         this.syncer = syncer;
         this.micros = micros;
     }
@@ -125,8 +125,8 @@
         if (isPaused()) {
             return false;
         }
-        while (!plan.hasRoom(log.space(held), record, growth)) {
-            if (plan.growth(log.space(held), record) == 0 || !log.grow(plan.lengthFor(record))) {
+        while (!plan.hasRoom(log.space(state), record, growth)) {
+            if (plan.growth(log.space(state), record) == 0 || !log.grow(plan.lengthFor(record))) {
                 return false;
             }
         }
--- a/src/main/java/lilaclever/journal/RecordDecoder.java
+++ b/src/main/java/lilaclever/journal/RecordDecoder.java
@@ -1,8 +1,8 @@
 package lilaclever.journal;
 
 import java.nio.ByteBuffer;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
-import lilaclever.identity.Past;
 import lilaclever.journal.Format.Type;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
@@ -10,11 +10,11 @@
 
 /** Reads the records that {@link RecordEncoder} writes, and applies them to the state. */
 final class RecordDecoder {
-    private final Held state;
+    private final JournalState state;
     /** What to add to walls that are read, microseconds. */
     private long shift;
 
-    RecordDecoder(Held state) {
+    RecordDecoder(JournalState state) {
         this.state = state;
     }
 
@@ -45,7 +45,8 @@
                     boolean compared = in.hasRemaining() && Format.flag(in);
                     state.put(
                             identity,
-                            new Past<>(end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
+                            new CompletedMessage<>(
+                                    end, compared ? new Fingerprint(in.getLong(), in.getLong()) : null, until),
                             segment,
                             size);
                 }
@@ -60,7 +61,7 @@
     }
 
     private void applyToOne(Type type, ByteBuffer in) {
-        Held.Slot<Owed> slot = state.owed.get(Format.text(in));
+        JournalState.Slot<Owed> slot = state.owed.get(Format.text(in));
         if (slot == null) {
             return; // its message has ended, or a later record tells all of it
         }
--- a/src/main/java/lilaclever/journal/RecordEncoder.java
+++ b/src/main/java/lilaclever/journal/RecordEncoder.java
@@ -1,6 +1,6 @@
 package lilaclever.journal;
 
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Type;
 import lilaclever.journal.Format.Writer;
 import lilaclever.routing.Handin;
@@ -44,7 +44,7 @@
     }
 
     /** An end that is remembered, under its identity. */
-    static void remembered(Writer out, String identity, Past<Verdict> p) {
+    static void remembered(Writer out, String identity, CompletedMessage<Verdict> p) {
         out.begin(Type.REMEMBERED).text(identity);
         end(out, p.end());
         out.number(p.untilWall()).flag(p.content() != null);
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -31,7 +31,7 @@
     private record Look(String name, long endOfPrevious) {}
 
     private final Disk disk;
-    private final Held held;
+    private final JournalState state;
     private final RecordDecoder decoder;
     private final BootClock clock;
     private final Consumer<String> log;
@@ -44,10 +44,10 @@
     private long cleanUpTo = -1;
 
     /** {@code log} hears of each damage, a line each. */
-    Recovery(Disk disk, Held held, BootClock clock, Consumer<String> log) {
+    Recovery(Disk disk, JournalState state, BootClock clock, Consumer<String> log) {
         this.disk = disk;
-        this.held = held;
-        decoder = new RecordDecoder(held);
+        this.state = state;
+        decoder = new RecordDecoder(state);
         this.clock = clock;
         this.log = log;
     }
@@ -104,7 +104,7 @@
     /** The one file of the first format is read as the oldest segment, and copied forward like any other. */
     private void carryOver() throws IOException {
         Segment all = new Segment(Segment.LEGACY, LegacyReader.NAME, Plan.blocks(disk.length(LegacyReader.NAME)));
-        LegacyReader reader = new LegacyReader(held, all);
+        LegacyReader reader = new LegacyReader(state, all);
         all.used = reader.read(disk);
         cleanUpTo = Segment.LEGACY;
         if (reader.damaged()) {
@@ -121,7 +121,7 @@
                 missing += (int) gap;
                 log.accept(gap + " files missing before " + entry.getValue().name()
                         + "; what was out before counts as possibly run");
-                held.doubt();
+                state.doubt();
             }
             Look next = segments.get(entry.getKey() + 1);
             read(entry.getKey(), entry.getValue().name(), next == null ? -1 : next.endOfPrevious());
@@ -163,6 +163,6 @@
         damages.add(new Damage(segment.name, from, to));
         log.accept(segment.name + " can't be read from byte " + from + " to " + to
                 + "; what follows is read, and what was out before counts as possibly run");
-        held.doubt();
+        state.doubt();
     }
 }
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -85,7 +85,7 @@
     }
 
     // ---- figures ----------------------------------------------------------------------------------------
-    Plan.Space space(Held held) {
+    Plan.Space space(JournalState state) {
         long free = left();
         for (Spare s : spares) {
             free += s.length() - Format.OVERHEAD;
@@ -95,9 +95,9 @@
                 (cannotGrow ? allocated : most) - asideBytes,
                 allocated - asideBytes,
                 free,
-                held.live(),
-                held.growth(),
-                held.largest(),
+                state.live(),
+                state.growth(),
+                state.largest(),
                 spares.size());
     }
 
@@ -302,14 +302,14 @@
     }
 
     /** Takes the oldest file, on which nothing rests any more, out of the log. */
-    void release(Held held) throws IOException {
+    void release(JournalState state) throws IOException {
         Segment s = full.peekFirst();
         assert s.liveRecords == 0 : s.name;
         if (s.damaged && asideBytes + s.length <= most / 8) {
             disk.rename(s.name, DAMAGED + s.name);
             full.pollFirst();
             asideBytes += s.length;
-        } else if (s.damaged || s.sequence == Segment.LEGACY || plan.surplus(space(held), s.length)) {
+        } else if (s.damaged || s.sequence == Segment.LEGACY || plan.surplus(space(state), s.length)) {
             disk.delete(s.name);
             full.pollFirst();
             allocated -= s.length;
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Writer;
 import lilaclever.log.Logs;
 import lilaclever.routing.Handin;
@@ -28,7 +28,7 @@
     private final Disk disk;
     private final Plan plan;
     private final SegmentLog log;
-    private final Held held = new Held();
+    private final JournalState state = new JournalState();
     private final Syncer syncer;
     private final LongSupplier micros;
     private final Writer writer = new Writer();
@@ -51,10 +51,10 @@
         plan = new Plan(mostBytes);
         syncer = new Syncer(durability, disk, this::writeAllAgain);
         log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
-        appender = new LogAppender(log, plan, held, syncer, micros);
-        compactor = new Compactor(log, plan, held, syncer, appender);
-        unwritten = new UnwrittenChanges(held, log, writer, records -> appender.append(records, compactor));
-        Recovery recovery = new Recovery(disk, held, times.boot(), line -> Logs.warn("journal", "recovery", line));
+        appender = new LogAppender(log, plan, state, syncer, micros);
+        compactor = new Compactor(log, plan, state, syncer, appender);
+        unwritten = new UnwrittenChanges(state, log, writer, records -> appender.append(records, compactor));
+        Recovery recovery = new Recovery(disk, state, times.boot(), line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
         compactor.carryOver(recovered.cleanUpTo());
@@ -71,10 +71,10 @@
         Owed owed = new Owed(front, handin, deadlineWall);
         RecordEncoder.taken(writer.clear(), owed);
         int size = writer.size();
-        if (size > Format.LARGEST || !appender.hasRoom(size, Held.growth(handin)) || !append()) {
+        if (size > Format.LARGEST || !appender.hasRoom(size, JournalState.growth(handin)) || !append()) {
             return false;
         }
-        held.taken(owed, log.active(), size);
+        state.taken(owed, log.active(), size);
         return true;
     }
 
@@ -84,7 +84,7 @@
         if (!append()) {
             return false;
         }
-        Held.Slot<Owed> slot = held.owed.get(id);
+        JournalState.Slot<Owed> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.attempt(host, zone, wall);
         }
@@ -93,7 +93,7 @@
 
     @Override
     public void outcome(String id, boolean neverRan) {
-        Held.Slot<Owed> slot = held.owed.get(id);
+        JournalState.Slot<Owed> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.outcome(neverRan);
             RecordEncoder.outcome(writer.clear(), id, neverRan);
@@ -103,7 +103,7 @@
 
     @Override
     public void verdict(String id, Verdict verdict) {
-        Held.Slot<Owed> slot = held.owed.get(id);
+        JournalState.Slot<Owed> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.verdict(verdict);
             RecordEncoder.verdict(writer.clear(), id, verdict);
@@ -113,8 +113,8 @@
 
     @Override
     public void ended(String id) {
-        if (held.owed.containsKey(id)) {
-            held.drop(id);
+        if (state.owed.containsKey(id)) {
+            state.drop(id);
             RecordEncoder.ended(writer.clear(), id);
             appendOrKeep(id);
         }
@@ -122,50 +122,50 @@
 
     @Override
     public boolean joined(String id, String front, String claim) {
-        Held.Slot<Owed> slot = held.owed.get(id);
+        JournalState.Slot<Owed> slot = state.owed.get(id);
         if (slot == null) {
             return false;
         }
         Owed.Claim joins = new Owed.Claim(front, claim);
         RecordEncoder.joined(writer.clear(), id, joins);
-        if (unwritten.hasMessage(id) || !appender.hasRoom(writer.size(), Held.growth(joins)) || !append()) {
+        if (unwritten.hasMessage(id) || !appender.hasRoom(writer.size(), JournalState.growth(joins)) || !append()) {
             return false;
         }
-        held.join(slot.value, joins);
+        state.join(slot.value, joins);
         return true;
     }
 
     @Override
-    public void remember(String identity, Past<Verdict> past) {
+    public void remember(String identity, CompletedMessage<Verdict> past) {
         RecordEncoder.remembered(writer.clear(), identity, past);
         int size = writer.size();
         if (append()) {
-            held.put(identity, past, log.active(), size);
+            state.put(identity, past, log.active(), size);
         } else {
-            held.put(identity, past, null, 0);
+            state.put(identity, past, null, 0);
             unwritten.addRemembered(identity);
         }
     }
 
     @Override
     public void forgetSoonest() {
-        held.forgetSoonest();
+        state.forgetSoonest();
     }
 
     @Override
-    public Past<Verdict> remembered(String identity) {
-        Held.Slot<Past<Verdict>> slot = held.remembered.get(identity);
+    public CompletedMessage<Verdict> remembered(String identity) {
+        JournalState.Slot<CompletedMessage<Verdict>> slot = state.remembered.get(identity);
         return slot == null ? null : slot.value;
     }
 
     @Override
     public Collection<Owed> owed() {
-        return held.messages();
+        return state.messages();
     }
 
     @Override
     public int rememberedCount() {
-        return held.remembered.size();
+        return state.remembered.size();
     }
 
     // ---- writing ----------------------------------------------------------------------------------------
@@ -187,14 +187,14 @@
             log.mayGrowAgain();
         }
         unwritten.write();
-        held.expire(nowWall, EXPIRE_A_TURN);
+        state.expire(nowWall, EXPIRE_A_TURN);
         if (!appender.isPausedAt(now)) {
             try {
                 compactor.runSlice();
             } catch (IOException e) {
                 appender.failed(e);
             }
-            if (log.active() != null && plan.wantsSpare(log.space(held))) { // nothing before the first record
+            if (log.active() != null && plan.wantsSpare(log.space(state))) { // nothing before the first record
                 log.grow(plan.segment());
             }
         }
--- a/src/main/java/lilaclever/journal/UnwrittenChanges.java
+++ b/src/main/java/lilaclever/journal/UnwrittenChanges.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.Predicate;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Writer;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -13,7 +13,7 @@
  * Each is written later as its state is then.
  */
 final class UnwrittenChanges {
-    private final Held held;
+    private final JournalState state;
     private final SegmentLog log;
     private final Writer writer;
     private final Predicate<Writer> append;
@@ -26,8 +26,8 @@
      * @param writer used for each record and left with the last
      * @param append writes what is in the writer, behind all other records; false if that is not possible now
      */
-    UnwrittenChanges(Held held, SegmentLog log, Writer writer, Predicate<Writer> append) {
-        this.held = held;
+    UnwrittenChanges(JournalState state, SegmentLog log, Writer writer, Predicate<Writer> append) {
+        this.state = state;
         this.log = log;
         this.writer = writer;
         this.append = append;
@@ -50,8 +50,8 @@
 
     /** Nothing that is written can be relied on. */
     void addAll() {
-        messages.addAll(held.owed.keySet());
-        remembered.addAll(held.remembered.keySet());
+        messages.addAll(state.owed.keySet());
+        remembered.addAll(state.remembered.keySet());
     }
 
     /** Writes what it can. */
@@ -64,7 +64,7 @@
     private boolean writeMessages() {
         while (!messages.isEmpty()) {
             String id = messages.iterator().next();
-            Held.Slot<Owed> slot = held.owed.get(id);
+            JournalState.Slot<Owed> slot = state.owed.get(id);
             if (slot == null) {
                 RecordEncoder.ended(writer.clear(), id);
             } else {
@@ -75,7 +75,7 @@
                 return false;
             }
             if (slot != null) {
-                held.moved(held.owed, id, log.active(), size);
+                state.moved(state.owed, id, log.active(), size);
             }
             messages.remove(id);
         }
@@ -85,14 +85,14 @@
     private void writeRemembered() {
         while (!remembered.isEmpty()) {
             String identity = remembered.iterator().next();
-            Held.Slot<Past<Verdict>> slot = held.remembered.get(identity);
+            JournalState.Slot<CompletedMessage<Verdict>> slot = state.remembered.get(identity);
             if (slot != null) {
                 RecordEncoder.remembered(writer.clear(), identity, slot.value);
                 int size = writer.size();
                 if (!append.test(writer)) {
                     return;
                 }
-                held.moved(held.remembered, identity, log.active(), size);
+                state.moved(state.remembered, identity, log.active(), size);
             }
             remembered.remove(identity);
         }
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import lilaclever.Relay;
-import lilaclever.identity.Windows;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
 import lilaclever.journal.SegmentedJournal;
@@ -107,7 +107,12 @@
         life++;
         lastStep = world.now();
         core = new Core(
-                settings, seed * 31 + life, journal, counters, new Windows(List.of(), 3_600_000_000L, 100_000), this);
+                settings,
+                seed * 31 + life,
+                journal,
+                counters,
+                new IdempotencyWindows(List.of(), 3_600_000_000L, 100_000),
+                this);
         deliverer = new VirtualDeliverer(world, number, settings, core, waits);
         core.add(this);
         core.begin(known.stream().map(this::listed).toList(), version);
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -9,7 +9,7 @@
 import lilaclever.Relay;
 import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
-import lilaclever.identity.Windows;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.Durability;
 import lilaclever.log.Logs;
 import lilaclever.protocol.mllp.MllpSettings;
@@ -28,7 +28,7 @@
      * {@code [identity]}: whether a message is known again on all ports, the header that names its practice on HTTP
      * (null: HTTP has none), and how long ends are remembered.
      */
-    record IdentitySettings(boolean shared, String practiceHeader, Windows windows) {}
+    record IdentitySettings(boolean shared, String practiceHeader, IdempotencyWindows windows) {}
 
     /** Connections that the HL7 ports may have. */
     int mllpConnections() {
@@ -79,8 +79,9 @@
             windows.add(s.time("window-" + config.classNames().get(i), unsafe ? 24 * HOUR : HOUR, SECOND, 240 * HOUR));
         }
         return new IdentitySettings(
-                shared, header == null ? null : header.toLowerCase(Locale.ROOT), new Windows(windows, remember, (int)
-                        s.whole("most", 100_000, 1, 10_000_000)));
+                shared,
+                header == null ? null : header.toLowerCase(Locale.ROOT),
+                new IdempotencyWindows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
     }
 
     private static Logs.Settings log(ConfFile.Section s) throws Bad {
--- a/src/main/java/lilaclever/routing/Claims.java
+++ b/src/main/java/lilaclever/routing/Claims.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import lilaclever.identity.CompletedMessage;
+import lilaclever.identity.DuplicateCheck;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.identity.Identities;
 import lilaclever.identity.Memory;
-import lilaclever.identity.Past;
-import lilaclever.identity.Ruling;
-import lilaclever.identity.Windows;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Verdict.Kind;
 
@@ -25,12 +25,12 @@
     private final Counters counters;
     private final Identities<Message, Verdict> identities;
 
-    Claims(Windows windows, Journal journal, Counters counters) {
+    Claims(IdempotencyWindows windows, Journal journal, Counters counters) {
         this.journal = journal;
         this.counters = counters;
         identities = new Identities<>(windows, new Memory<>() {
             @Override
-            public Past<Verdict> past(String identity) {
+            public CompletedMessage<Verdict> past(String identity) {
                 return journal.remembered(identity);
             }
 
@@ -40,7 +40,7 @@
             }
 
             @Override
-            public void keep(String identity, Past<Verdict> past) {
+            public void keep(String identity, CompletedMessage<Verdict> past) {
                 journal.remember(identity, past);
             }
 
@@ -57,9 +57,9 @@
     }
 
     /** What the hand-in is. */
-    Ruling<Message, Verdict> rule(Message m, long wall) {
+    DuplicateCheck<Message, Verdict> rule(Message m, long wall) {
         return m.handin.identity() == null
-                ? new Ruling.Fresh<>()
+                ? new DuplicateCheck.Fresh<>()
                 : identities.rule(m.handin.identity(), m.content(), wall);
     }
 
@@ -86,7 +86,7 @@
 
     /** The end that an earlier life remembered of a message that it did not get to end, or null. */
     Verdict earlierEnd(Message m) {
-        return rule(m, Long.MIN_VALUE) instanceof Ruling.Again<Message, Verdict> again ? again.end() : null;
+        return rule(m, Long.MIN_VALUE) instanceof DuplicateCheck.Again<Message, Verdict> again ? again.end() : null;
     }
 
     /**
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -13,9 +13,9 @@
 import lilaclever.Relay.Action;
 import lilaclever.Relay.Ending;
 import lilaclever.Relay.Event;
+import lilaclever.identity.DuplicateCheck;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.identity.Identity;
-import lilaclever.identity.Ruling;
-import lilaclever.identity.Windows;
 import lilaclever.log.Logs;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.Verdict.Kind;
@@ -65,12 +65,18 @@
     private long now;
 
     /** A core that holds nothing yet. */
-    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, Windows windows) {
+    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, IdempotencyWindows windows) {
         this(settings, seed, journal, counters, windows, Pace.system());
     }
 
     /** The same in a time of its own. */
-    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, Windows windows, Pace pace) {
+    public Core(
+            Relay.Settings settings,
+            long seed,
+            Journal journal,
+            Counters counters,
+            IdempotencyWindows windows,
+            Pace pace) {
         this.pace = pace;
         this.now = pace.micros();
         this.settings = settings;
@@ -213,15 +219,15 @@
         if (under != null && (handin.identity() == null || !handin.identity().equals(under.handin.identity()))) {
             return handin.identity() == null ? under : clash(m);
         }
-        Ruling<Message, Verdict> ruling = claims.rule(m, wall);
-        if (ruling instanceof Ruling.Joins<Message, Verdict> joins) {
+        DuplicateCheck<Message, Verdict> ruling = claims.rule(m, wall);
+        if (ruling instanceof DuplicateCheck.Joins<Message, Verdict> joins) {
             return join(joins.held(), m);
         }
-        if (ruling instanceof Ruling.Again<Message, Verdict> again) {
+        if (ruling instanceof DuplicateCheck.Again<Message, Verdict> again) {
             counters.add(Name.TOLD_AGAIN);
             return notHeld(m, again.end());
         }
-        if (ruling instanceof Ruling.Clash<Message, Verdict>) {
+        if (ruling instanceof DuplicateCheck.Clash<Message, Verdict>) {
             return clash(m);
         }
         if (closing || held.size() >= settings.limits().maxOpen()) {
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.concurrent.Executor;
-import lilaclever.identity.Past;
+import lilaclever.identity.CompletedMessage;
 
 /**
  * What the core asks of the log that outlasts the process: each record is written before its consequence. All is
@@ -37,15 +37,15 @@
     boolean joined(String id, String front, String claim);
 
     /** The end is to be given again to whoever resends the message, until its time. */
-    void remember(String identity, Past<Verdict> past);
+    void remember(String identity, CompletedMessage<Verdict> past);
 
     /** The same for an end whose message is not compared. */
     default void remember(String identity, Verdict verdict, long untilWall) {
-        remember(identity, new Past<>(verdict, null, untilWall));
+        remember(identity, new CompletedMessage<>(verdict, null, untilWall));
     }
 
     /** The end that is remembered of a message, or null. */
-    Past<Verdict> remembered(String identity);
+    CompletedMessage<Verdict> remembered(String identity);
 
     /** Forgets the remembered end whose time is up soonest. */
     void forgetSoonest();
--- a/src/test/java/lilaclever/identity/IdentitiesTest.java
+++ b/src/test/java/lilaclever/identity/IdentitiesTest.java
@@ -24,10 +24,10 @@
 
     /** Memory in a map. */
     private static final class Plain implements Memory<String> {
-        final Map<String, Past<String>> all = new HashMap<>();
+        final Map<String, CompletedMessage<String>> all = new HashMap<>();
 
         @Override
-        public Past<String> past(String identity) {
+        public CompletedMessage<String> past(String identity) {
             return all.get(identity);
         }
 
@@ -37,7 +37,7 @@
         }
 
         @Override
-        public void keep(String identity, Past<String> past) {
+        public void keep(String identity, CompletedMessage<String> past) {
             all.put(identity, past);
         }
 
@@ -52,45 +52,45 @@
 
     private final Plain memory = new Plain();
     private final Identities<String, String> identities =
-            new Identities<>(new Windows(List.of(100L, 10L), 50, 3), memory);
+            new Identities<>(new IdempotencyWindows(List.of(100L, 10L), 50, 3), memory);
 
     @Test
     void aMessageIsFreshThenHeldThenOver() {
-        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 0));
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule(ONE, A, 0));
         identities.hold(ONE, A, "m");
-        assertEquals(new Ruling.Joins<>("m"), identities.rule(ONE, A, 0));
+        assertEquals(new DuplicateCheck.Joins<>("m"), identities.rule(ONE, A, 0));
         identities.release(ONE, "m");
-        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 0)); // it was refused, say
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule(ONE, A, 0)); // it was refused, say
         identities.ended(ONE, A, 0, "delivered", 5);
-        assertEquals(new Ruling.Again<>("delivered"), identities.rule(ONE, A, 104));
-        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, A, 105));
+        assertEquals(new DuplicateCheck.Again<>("delivered"), identities.rule(ONE, A, 104));
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule(ONE, A, 105));
     }
 
     /** Guards against two practices that number their messages alike being taken for one. */
     @Test
     void practicesShareNoKeys() {
         identities.hold(ONE, A, "m");
-        assertEquals(new Ruling.Fresh<>(), identities.rule(TWO, A, 0));
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule(TWO, A, 0));
     }
 
     /** Guards against a second message vanishing behind the first one's answer. */
     @Test
     void otherContentClashesForAsLongAsTheFirstIsKnown() {
         identities.hold(ONE, A, "m");
-        assertEquals(new Ruling.Clash<>(true), identities.rule(ONE, B, 0));
+        assertEquals(new DuplicateCheck.Clash<>(true), identities.rule(ONE, B, 0));
         identities.release(ONE, "m");
         identities.ended(ONE, A, 1, "delivered", 0);
-        assertEquals(new Ruling.Clash<>(false), identities.rule(ONE, B, 9));
-        assertEquals(new Ruling.Fresh<>(), identities.rule(ONE, B, 10));
+        assertEquals(new DuplicateCheck.Clash<>(false), identities.rule(ONE, B, 9));
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule(ONE, B, 10));
     }
 
     /** Mail has no fingerprint, nor has what the first format remembered. */
     @Test
     void whatIsNotComparedNeverClashes() {
         identities.ended("<1@x> a@b", null, 1, "delivered", 0);
-        assertEquals(new Ruling.Again<>("delivered"), identities.rule("<1@x> a@b", null, 49));
-        assertEquals(new Ruling.Again<>("delivered"), identities.rule("<1@x> a@b", A, 49));
-        assertEquals(new Ruling.Fresh<>(), identities.rule("<1@x> a@b", null, 50));
+        assertEquals(new DuplicateCheck.Again<>("delivered"), identities.rule("<1@x> a@b", null, 49));
+        assertEquals(new DuplicateCheck.Again<>("delivered"), identities.rule("<1@x> a@b", A, 49));
+        assertEquals(new DuplicateCheck.Fresh<>(), identities.rule("<1@x> a@b", null, 50));
     }
 
     /** What is held is never forgotten for want of room, and what is forgotten is what would have gone first. */
@@ -141,27 +141,29 @@
     @Property(tries = 500, seed = "-1")
     void itSaysWhatAPlainModelSays(@ForAll("steps") List<Step> steps) {
         Plain kept = new Plain();
-        Identities<String, String> tested = new Identities<>(new Windows(List.of(100L, 10L), 50, 3), kept);
+        Identities<String, String> tested = new Identities<>(new IdempotencyWindows(List.of(100L, 10L), 50, 3), kept);
         Map<String, Fingerprint> held = new HashMap<>();
         long now = 0;
         for (Step s : steps) {
             now += s.time();
             String id = new Identity("p", "k" + s.identity()).text().intern(); // it is the message too
             Fingerprint content = s.other() ? B : A;
-            Past<String> past = kept.all.get(id);
+            CompletedMessage<String> past = kept.all.get(id);
             boolean known = past != null && past.untilWall() > now;
             switch (s.what()) {
                 case 0 -> {
-                    Ruling<String, String> is = tested.rule(id, content, now);
-                    Ruling<String, String> should = held.containsKey(id)
-                            ? held.get(id).equals(content) ? new Ruling.Joins<>(id) : new Ruling.Clash<>(true)
+                    DuplicateCheck<String, String> is = tested.rule(id, content, now);
+                    DuplicateCheck<String, String> should = held.containsKey(id)
+                            ? held.get(id).equals(content)
+                                    ? new DuplicateCheck.Joins<>(id)
+                                    : new DuplicateCheck.Clash<>(true)
                             : !known
-                                    ? new Ruling.Fresh<>()
+                                    ? new DuplicateCheck.Fresh<>()
                                     : past.content().equals(content)
-                                            ? new Ruling.Again<>(past.end())
-                                            : new Ruling.Clash<>(false);
+                                            ? new DuplicateCheck.Again<>(past.end())
+                                            : new DuplicateCheck.Clash<>(false);
                     assertEquals(should, is);
-                    if (is instanceof Ruling.Fresh<String, String>) {
+                    if (is instanceof DuplicateCheck.Fresh<String, String>) {
                         tested.hold(id, content, id);
                         held.put(id, content);
                     }
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -8,8 +8,8 @@
 import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
+import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
-import lilaclever.identity.Past;
 import lilaclever.routing.Handin;
 import lilaclever.routing.Owed;
 import lilaclever.routing.Verdict;
@@ -27,7 +27,7 @@
     private final IntUnaryOperator random;
 
     private final TreeMap<String, Owed> owed = new TreeMap<>();
-    private final TreeMap<String, Past<Verdict>> remembered = new TreeMap<>();
+    private final TreeMap<String, CompletedMessage<Verdict>> remembered = new TreeMap<>();
     private SegmentedJournal journal;
     private int next;
     long now;
@@ -135,7 +135,7 @@
             case 2 -> {
                 Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
                 if (o.handin().identity() != null && random.applyAsInt(2) == 0) {
-                    Past<Verdict> past = new Past<>(
+                    CompletedMessage<Verdict> past = new CompletedMessage<>(
                             v,
                             random.applyAsInt(2) == 0 ? null : new Fingerprint(now, next),
                             now + 20 + random.applyAsInt(40)); // windows differ
@@ -163,9 +163,9 @@
     static String text(SegmentedJournal j, long now) {
         TreeMap<String, Owed> owed = new TreeMap<>();
         j.owed().forEach(o -> owed.put(o.handin().id(), o));
-        TreeMap<String, Past<Verdict>> kept = new TreeMap<>();
+        TreeMap<String, CompletedMessage<Verdict>> kept = new TreeMap<>();
         for (int i = 0; i < 10_000; i += 3) {
-            Past<Verdict> r = j.remembered("identity-" + i);
+            CompletedMessage<Verdict> r = j.remembered("identity-" + i);
             if (r != null) {
                 kept.put("identity-" + i, r);
             }
@@ -173,7 +173,7 @@
         return text(owed, kept);
     }
 
-    static String text(Map<String, Owed> owed, Map<String, Past<Verdict>> remembered) {
+    static String text(Map<String, Owed> owed, Map<String, CompletedMessage<Verdict>> remembered) {
         StringBuilder all = new StringBuilder();
         owed.values().forEach(o -> all.append(text(o)).append('\n'));
         return all.append(remembered).toString();
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -340,7 +340,7 @@
         try (SegmentedJournal journal = open()) {
             assertEquals(List.of(), journal.recovered().damages());
             assertEquals(
-                    new lilaclever.identity.Past<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
+                    new lilaclever.identity.CompletedMessage<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
                     journal.remembered("i"));
             assertTrue(owed(journal, "s").isOut()
                     && owed(journal, "s").attempts() == 2
--- a/src/test/java/lilaclever/protocol/http/TwoThreads.java
+++ b/src/test/java/lilaclever/protocol/http/TwoThreads.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lilaclever.benchlink.SettingsReader;
-import lilaclever.identity.Windows;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
 import lilaclever.journal.FolderDisk;
@@ -55,7 +55,8 @@
                 Durability.NONE,
                 new Times(Core::micros, Core::wall, BootClock.UNKNOWN),
                 new SplittableRandom(1));
-        core = new Core(SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new Windows(List.of(), 0, 1));
+        core = new Core(
+                SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new IdempotencyWindows(List.of(), 0, 1));
         transport = new Transport();
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         server.setSoTimeout(20_000);
