--- a/src/main/java/lilaclever/conf/ConfFile.java
+++ b/src/main/java/lilaclever/conf/ConfFile.java
@@ -37,23 +37,23 @@
     }
 
     /** Reads the file. */
-    public static ConfFile read(Path path) throws Bad {
+    public static ConfFile read(Path path) throws ConfigurationException {
         try {
             return parse(path.toString(), Files.readAllLines(path));
         } catch (CharacterCodingException e) {
-            throw new Bad("--conf", path + " is not UTF-8");
+            throw new ConfigurationException("--conf", path + " is not UTF-8");
         } catch (IOException e) {
-            throw new Bad("--conf", path + " can't be read: " + e);
+            throw new ConfigurationException("--conf", path + " can't be read: " + e);
         }
     }
 
-    public static ConfFile parse(String name, List<String> lines) throws Bad {
+    public static ConfFile parse(String name, List<String> lines) throws ConfigurationException {
         ConfFile file = new ConfFile(name);
         file.parse(lines);
         return file;
     }
 
-    private void parse(List<String> lines) throws Bad {
+    private void parse(List<String> lines) throws ConfigurationException {
         if (lines.size() > MOST_LINES) {
             throw fault(MOST_LINES, "", "too many lines");
         }
@@ -86,7 +86,7 @@
         }
     }
 
-    private Section section(int line, String text) throws Bad {
+    private Section section(int line, String text) throws ConfigurationException {
         if (!text.matches("\\[[a-z][a-z0-9-]*( [^\\]\\s]+)?\\]")) {
             throw fault(line, text, "not a section: [name] or [name which], in small letters");
         }
@@ -100,8 +100,8 @@
         return made;
     }
 
-    private Bad fault(int line, String key, String problem) {
-        return new Bad(name + ":" + line + (key.isEmpty() ? "" : ": " + key), problem);
+    private ConfigurationException fault(int line, String key, String problem) {
+        return new ConfigurationException(name + ":" + line + (key.isEmpty() ? "" : ": " + key), problem);
     }
 
     /** The section of that name; an empty one if the file has none. */
@@ -117,7 +117,7 @@
     }
 
     /** Throws if anything stands in the file that nobody has asked for; to be called when all is read. */
-    public void refuseUnknown(Set<String> kinds) throws Bad {
+    public void refuseUnknown(Set<String> kinds) throws ConfigurationException {
         for (Section s : sections.values()) {
             String kind = s.title.split(" ")[0];
             if (!kinds.contains(kind)) {
@@ -190,7 +190,7 @@
             return line > 0;
         }
 
-        private String add(int number, String text) throws Bad {
+        private String add(int number, String text) throws ConfigurationException {
             String[] parts = text.split("\\s+", 2);
             if (!parts[0].matches("[a-z][a-z0-9-]*")) {
                 throw fault(number, parts[0], "not a key: small letters, digits and '-'");
@@ -212,7 +212,7 @@
         }
 
         /** An error of this key: with its line, or the section's where the key is absent. */
-        public Bad bad(String key, String problem) {
+        public ConfigurationException bad(String key, String problem) {
             Entry e = entries.get(key);
             return fault(e == null ? line : e.line(), title + "." + key, problem);
         }
@@ -241,7 +241,7 @@
         }
 
         /** One of the constants' names, in small letters. */
-        public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) throws Bad {
+        public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) throws ConfigurationException {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -258,7 +258,7 @@
         }
 
         /** yes or no. */
-        public boolean flag(String key, boolean otherwise) throws Bad {
+        public boolean flag(String key, boolean otherwise) throws ConfigurationException {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -270,7 +270,7 @@
         }
 
         /** A whole number within bounds. */
-        public long whole(String key, long otherwise, long least, long most) throws Bad {
+        public long whole(String key, long otherwise, long least, long most) throws ConfigurationException {
             String value = value(key);
             if (value == null) {
                 return otherwise;
@@ -287,13 +287,14 @@
         }
 
         /** A number with or without decimals, within bounds. */
-        public double real(String key, double otherwise, double least, double most) throws Bad {
+        public double real(String key, double otherwise, double least, double most) throws ConfigurationException {
             String value = value(key);
             return value == null ? otherwise : real(key, value, "", least, most);
         }
 
         /** Two numbers, the least and the most; one stands for both. */
-        public double[] range(String key, double low, double high, double least, double most) throws Bad {
+        public double[] range(String key, double low, double high, double least, double most)
+                throws ConfigurationException {
             List<String> words = words(key);
             if (words.isEmpty()) {
                 return new double[] {low, high};
@@ -308,17 +309,18 @@
         }
 
         /** A share such as 25%, from 0 to the most; 1 is the whole. */
-        public double share(String key, double otherwise, double most) throws Bad {
+        public double share(String key, double otherwise, double most) throws ConfigurationException {
             String value = value(key);
             return value == null ? otherwise : share(key, value, most);
         }
 
         /** The same for a word of a value. */
-        public double share(String key, String word, double most) throws Bad {
+        public double share(String key, String word, double most) throws ConfigurationException {
             return real(key, word, "%", 0, most * 100) / 100;
         }
 
-        private double real(String key, String value, String unit, double least, double most) throws Bad {
+        private double real(String key, String value, String unit, double least, double most)
+                throws ConfigurationException {
             if (value.matches("\\d{1,12}(\\.\\d{1,9})?" + unit)) {
                 double number = Double.parseDouble(value.substring(0, value.length() - unit.length()));
                 if (number >= least && number <= most) {
@@ -335,7 +337,7 @@
         }
 
         /** Two times, the least and the most; one stands for both. */
-        public long[] times(String key, long low, long high, long least, long most) throws Bad {
+        public long[] times(String key, long low, long high, long least, long most) throws ConfigurationException {
             List<String> words = words(key);
             if (words.isEmpty()) {
                 return new long[] {low, high};
@@ -348,13 +350,13 @@
         }
 
         /** A time with its unit (us, ms, s, m, h, d), microseconds, within bounds. */
-        public long time(String key, long otherwise, long least, long most) throws Bad {
+        public long time(String key, long otherwise, long least, long most) throws ConfigurationException {
             String value = value(key);
             return value == null ? otherwise : time(key, value, least, most);
         }
 
         /** The same for a word of a value. */
-        public long time(String key, String value, long least, long most) throws Bad {
+        public long time(String key, String value, long least, long most) throws ConfigurationException {
             java.util.regex.Matcher m = java.util.regex.Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?) ?(us|ms|s|m|h|d)")
                     .matcher(value);
             if (!m.matches()) {
@@ -376,7 +378,7 @@
         }
 
         /** A size with its unit (B, KiB, MiB, GiB), bytes, within bounds. */
-        public long size(String key, long otherwise, long least, long most) throws Bad {
+        public long size(String key, long otherwise, long least, long most) throws ConfigurationException {
             String value = value(key);
             if (value == null) {
                 return otherwise;
--- a/src/main/java/lilaclever/lab/scenario/Overrides.java
+++ b/src/main/java/lilaclever/lab/scenario/Overrides.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 
 /**
  * Settings on the command line in place of a scenario's own: {@code SECTION.KEY=VALUE}, such as {@code
@@ -18,10 +18,10 @@
     /** One setting. */
     public record Setting(String section, String key, String value) {
         /** Reads {@code SECTION.KEY=VALUE}. */
-        public static Setting of(String text) throws Bad {
+        public static Setting of(String text) throws ConfigurationException {
             Matcher m = FORM.matcher(text);
             if (!m.matches()) {
-                throw new Bad("--set", "SECTION.KEY=VALUE, such as fleet.forwarders=8, not " + text);
+                throw new ConfigurationException("--set", "SECTION.KEY=VALUE, such as fleet.forwarders=8, not " + text);
             }
             return new Setting(m.group(1), m.group(2), m.group(3).strip());
         }
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -11,9 +11,9 @@
 import java.util.List;
 import java.util.Set;
 import lilaclever.Relay;
-import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
 import lilaclever.conf.ConfFile.Section;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.PartnerKind;
@@ -52,19 +52,19 @@
     }
 
     /** Reads a shipped scenario by its name, or a file by its path. */
-    public static Scenario read(String nameOrPath) throws Bad {
+    public static Scenario read(String nameOrPath) throws ConfigurationException {
         return read(nameOrPath, List.of());
     }
 
     /** The same with other settings in place of its own. */
-    public static Scenario read(String nameOrPath, List<Overrides.Setting> settings) throws Bad {
+    public static Scenario read(String nameOrPath, List<Overrides.Setting> settings) throws ConfigurationException {
         if (SHIPPED.contains(nameOrPath)) {
             List<String> lines = Overrides.apply(text(nameOrPath).lines().toList(), settings);
             return new ScenarioReader(ConfFile.parse(nameOrPath + ".conf", lines), nameOrPath).read();
         }
         Path path = Path.of(nameOrPath);
         if (!Files.exists(path)) {
-            throw new Bad(
+            throw new ConfigurationException(
                     nameOrPath,
                     "neither a file nor a shipped scenario"
                             + ConfFile.nearest(nameOrPath, new java.util.LinkedHashSet<>(SHIPPED)));
@@ -78,12 +78,12 @@
                             ConfFile.parse(path.toString(), Overrides.apply(Files.readAllLines(path), settings)), name)
                     .read();
         } catch (IOException e) {
-            throw new Bad(path.toString(), "can't be read: " + e);
+            throw new ConfigurationException(path.toString(), "can't be read: " + e);
         }
     }
 
     /** Reads a scenario from lines. */
-    public static Scenario parse(String name, List<String> lines) throws Bad {
+    public static Scenario parse(String name, List<String> lines) throws ConfigurationException {
         return new ScenarioReader(ConfFile.parse(name, lines), name).read();
     }
 
@@ -97,7 +97,7 @@
         }
     }
 
-    private Scenario read() throws Bad {
+    private Scenario read() throws ConfigurationException {
         String about = file.section("about").text("text", "");
         List<PartnerKind> kinds = kinds();
         List<MessageClass> classes = classes();
@@ -113,7 +113,7 @@
         return read;
     }
 
-    private static Fleet fleet(Section s) throws Bad {
+    private static Fleet fleet(Section s) throws ConfigurationException {
         int forwarders = (int) s.whole("forwarders", 3, 1, 10_000);
         return new Fleet(
                 forwarders,
@@ -144,7 +144,7 @@
                 s.size("disk", 3 << 20, 1 << 17, 1L << 34));
     }
 
-    private TrafficPlan traffic(Section s) throws Bad {
+    private TrafficPlan traffic(Section s) throws ConfigurationException {
         long length = s.time("length", 60 * SECOND, SECOND, 48 * HOUR);
         List<Traffic.Point> shape = new ArrayList<>();
         List<String> words = s.words("load");
@@ -173,7 +173,7 @@
                 s.share("hl7", 0, 1));
     }
 
-    private List<PartnerKind> kinds() throws Bad {
+    private List<PartnerKind> kinds() throws ConfigurationException {
         List<Section> sections = file.sections("kind");
         List<PartnerKind> kinds = new ArrayList<>();
         for (Section s : sections) {
@@ -193,7 +193,7 @@
         return kinds;
     }
 
-    private static PartnerKind kind(Section s, boolean lab) throws Bad {
+    private static PartnerKind kind(Section s, boolean lab) throws ConfigurationException {
         boolean absent = !s.isThere();
         PartnerKind.Limit limit =
                 s.choice("limit", PartnerKind.Limit.class, lab ? PartnerKind.Limit.WINDOW : PartnerKind.Limit.NONE);
@@ -217,7 +217,7 @@
                 s.real("item-cost", 0.15, 0, 1));
     }
 
-    private List<MessageClass> classes() throws Bad {
+    private List<MessageClass> classes() throws ConfigurationException {
         List<Section> sections = file.sections("class");
         List<MessageClass> classes = new ArrayList<>();
         if (sections.isEmpty()) {
@@ -270,7 +270,7 @@
             double late,
             double worth,
             Relay.Repeat repeat)
-            throws Bad {
+            throws ConfigurationException {
         long aim = s.time("aim", aimMs * MS, MS, HOUR);
         long deadline = s.time("deadline", deadlineS * SECOND, 10 * MS, HOUR);
         if (aim > deadline) {
@@ -292,7 +292,7 @@
                         true));
     }
 
-    private List<ScheduledEvent> events(List<PartnerKind> kinds) throws Bad {
+    private List<ScheduledEvent> events(List<PartnerKind> kinds) throws ConfigurationException {
         List<ScheduledEvent> all = new ArrayList<>();
         for (Section s : file.sections("event")) {
             if (!s.has("what")) {
--- a/src/main/java/lilaclever/program/ClassTable.java
+++ b/src/main/java/lilaclever/program/ClassTable.java
@@ -9,7 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import lilaclever.Relay.MessageClass;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 
 /**
  * Classes by the numbers that they have in the module, in fronts and in the journal. Messages under way keep their
@@ -24,7 +24,7 @@
     private static final String NOTE = "classes";
 
     /** The table in which these classes are those that may be handed in. */
-    ClassTable followedBy(List<String> nowNames, List<MessageClass> now) throws Bad {
+    ClassTable followedBy(List<String> nowNames, List<MessageClass> now) throws ConfigurationException {
         List<String> allNames = new ArrayList<>(Collections.nCopies(classes.size(), ""));
         List<MessageClass> all = new ArrayList<>(classes);
         for (int i = 0; i < now.size(); i++) {
@@ -38,7 +38,7 @@
             }
         }
         if (all.size() > MOST) {
-            throw new Bad(
+            throw new ConfigurationException(
                     "settings.requestClasses",
                     "with all that came before more than " + MOST
                             + " classes; a start with an empty state folder counts anew");
@@ -47,13 +47,13 @@
     }
 
     /** The table that was noted in the folder; null if there is none. */
-    static ClassTable noted(Path state) throws Bad {
+    static ClassTable noted(Path state) throws ConfigurationException {
         Path note = state.resolve(NOTE);
         try {
             return Files.exists(note) ? new Gson().fromJson(Files.readString(note), ClassTable.class) : null;
         } catch (IOException | JsonParseException e) {
             // To start without it would take messages for those of another class.
-            throw new Bad("state", NOTE + " can't be read: " + e);
+            throw new ConfigurationException("state", NOTE + " can't be read: " + e);
         }
     }
 
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -20,7 +20,7 @@
 import lilaclever.Relay;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.protocol.operator.OperatorPort;
@@ -58,7 +58,7 @@
     private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
     /** Reads the configuration that the variables name, for a start. */
-    static Config read(Map<String, String> variables) throws Bad {
+    static Config read(Map<String, String> variables) throws ConfigurationException {
         Config read = readFile(variables, Set.of());
         ClassTable noted = ClassTable.noted(read.state);
         return noted == null
@@ -67,16 +67,16 @@
     }
 
     /** {@code needed}: keys of the settings that must not be missing. */
-    private static Config readFile(Map<String, String> variables, Set<String> needed) throws Bad {
+    private static Config readFile(Map<String, String> variables, Set<String> needed) throws ConfigurationException {
         String path = variables.get("ROUTER_CONFIG");
         if (path == null || path.isEmpty()) {
-            throw new Bad("ROUTER_CONFIG", "not set");
+            throw new ConfigurationException("ROUTER_CONFIG", "not set");
         }
         String text;
         try {
             text = Files.readString(Path.of(path));
         } catch (IOException e) {
-            throw new Bad("ROUTER_CONFIG", "can't be read: " + e);
+            throw new ConfigurationException("ROUTER_CONFIG", "can't be read: " + e);
         }
         return parse(text, variables, needed);
     }
@@ -95,11 +95,11 @@
     }
 
     /** Notes the classes, if there is room. */
-    void noteClasses() throws Bad {
+    void noteClasses() throws ConfigurationException {
         try {
             table().note(state, classesBytes() / 2);
         } catch (IOException e) {
-            throw new Bad("settings", "can't be noted on disk: " + e.getMessage());
+            throw new ConfigurationException("settings", "can't be noted on disk: " + e.getMessage());
         }
     }
 
@@ -109,13 +109,13 @@
     }
 
     /** Ids of endpoints that were taken out by hand in an earlier life. */
-    Set<String> suspended() throws Bad {
+    Set<String> suspended() throws ConfigurationException {
         try {
             Path note = state.resolve(SUSPENDED);
             return Files.exists(note) ? new LinkedHashSet<>(Files.readAllLines(note)) : Set.of();
         } catch (IOException e) {
             // To start without it would send to what an operator has taken out.
-            throw new Bad("state", SUSPENDED + " can't be read: " + e);
+            throw new ConfigurationException("state", SUSPENDED + " can't be read: " + e);
         }
     }
 
@@ -133,7 +133,8 @@
         Files.move(whole, state.resolve(name), StandardCopyOption.ATOMIC_MOVE);
     }
 
-    private static String discovery(Map<String, String> variables, JsonObject root, Path state) throws Bad {
+    private static String discovery(Map<String, String> variables, JsonObject root, Path state)
+            throws ConfigurationException {
         try {
             if (root.has("discovery")
                     && Files.exists(state.resolve(NOTE))
@@ -150,7 +151,7 @@
      * Reads the file again, which must have every key of the settings in use. What it says of discovery wins over the
      * variable, which a running process keeps as it was at its start.
      */
-    static Config reread(Map<String, String> variables, Config used) throws Bad {
+    static Config reread(Map<String, String> variables, Config used) throws ConfigurationException {
         Map<String, String> others = new HashMap<>(variables);
         others.remove("ROUTER_DISCOVERY");
         return readFile(others, used.keys);
@@ -214,7 +215,7 @@
     }
 
     /** This one with what can be taken over of another while the program runs. */
-    Config renewed(Config read) throws Bad {
+    Config renewed(Config read) throws ConfigurationException {
         return with(table().followedBy(read.classNames, read.settings.classes()), read.attempts());
     }
 
@@ -308,27 +309,28 @@
         return keys;
     }
 
-    static Config parse(String text, Map<String, String> variables) throws Bad {
+    static Config parse(String text, Map<String, String> variables) throws ConfigurationException {
         return parse(text, variables, Set.of());
     }
 
-    private static Config parse(String text, Map<String, String> variables, Set<String> needed) throws Bad {
+    private static Config parse(String text, Map<String, String> variables, Set<String> needed)
+            throws ConfigurationException {
         JsonObject root = object("ROUTER_CONFIG", parseJson("ROUTER_CONFIG", text));
         JsonObject settings = root.has("settings") ? object("settings", root.get("settings")) : new JsonObject();
         JsonObject limits = root.has("limits") ? object("limits", root.get("limits")) : new JsonObject();
         Set<String> keys = keys(settings, "");
         for (String key : needed) {
             if (!keys.contains(key)) {
-                throw new Bad("settings." + key, "missing");
+                throw new ConfigurationException("settings." + key, "missing");
             }
         }
         Relay.Settings read;
         try {
             read = SettingsReader.read(settings.toString(), 0);
         } catch (WireException e) {
-            throw new Bad(e.field().replaceFirst("^conf", "settings"), e.problem());
+            throw new ConfigurationException(e.field().replaceFirst("^conf", "settings"), e.problem());
         } catch (IllegalArgumentException e) {
-            throw new Bad("settings", e.getMessage());
+            throw new ConfigurationException("settings", e.getMessage());
         }
         List<String> classNames = new ArrayList<>();
         for (JsonElement c : list("settings.requestClasses", settings, "requestClasses")) {
@@ -336,11 +338,11 @@
         }
         double disk = number("limits.disk_mb", limits, "disk_mb", DEFAULT_DISK_MB);
         if (disk <= 0) {
-            throw new Bad("limits.disk_mb", "must be above 0");
+            throw new ConfigurationException("limits.disk_mb", "must be above 0");
         }
         int sockets = whole("limits.sockets", limits, "sockets", DEFAULT_SOCKETS);
         if (sockets < LEAST_SOCKETS) {
-            throw new Bad("limits.sockets", "must be " + LEAST_SOCKETS + " or more");
+            throw new ConfigurationException("limits.sockets", "must be " + LEAST_SOCKETS + " or more");
         }
         JsonObject known =
                 root.has("known") && !root.get("known").isJsonNull() ? object("known", root.get("known")) : null;
@@ -364,25 +366,26 @@
     }
 
     private static String value(
-            Map<String, String> variables, String variable, JsonObject root, String key, String otherwise) throws Bad {
+            Map<String, String> variables, String variable, JsonObject root, String key, String otherwise)
+            throws ConfigurationException {
         String set = variables.get(variable);
         return set != null && !set.isEmpty() ? set : text(key, root, key, otherwise);
     }
 
-    private static String address(String value, String key) throws Bad {
+    private static String address(String value, String key) throws ConfigurationException {
         try {
             Transport.address(value);
             return value;
         } catch (IllegalArgumentException e) {
-            throw new Bad(key, e.getMessage());
+            throw new ConfigurationException(key, e.getMessage());
         }
     }
 
-    private static long seed(String hex) throws Bad {
+    private static long seed(String hex) throws ConfigurationException {
         try {
             return Long.parseUnsignedLong(hex, 16);
         } catch (NumberFormatException e) {
-            throw new Bad("seed", "not hex digits: " + hex);
+            throw new ConfigurationException("seed", "not hex digits: " + hex);
         }
     }
 
@@ -395,15 +398,15 @@
     private static final int FIRST_MAIL_DESTINATION = 1_000_000;
 
     /** Reads the mail file; its classes are those of the settings. */
-    MailSettings readMail(Path path) throws Bad {
+    MailSettings readMail(Path path) throws ConfigurationException {
         try {
             return parseMail(Files.readString(path));
         } catch (IOException e) {
-            throw new Bad("--mail", "can't be read: " + e);
+            throw new ConfigurationException("--mail", "can't be read: " + e);
         }
     }
 
-    MailSettings parseMail(String text) throws Bad {
+    MailSettings parseMail(String text) throws ConfigurationException {
         JsonObject root = object("mail", parseJson("mail", text));
         List<MailSettings.Listener> listeners = new ArrayList<>();
         for (JsonElement e : list("mail.listeners", root, "listeners")) {
@@ -417,11 +420,12 @@
             JsonObject o = object("mail.routes", e);
             int destination = whole("mail.routes.destination", o, "destination", 0);
             if (destination < FIRST_MAIL_DESTINATION) {
-                throw new Bad("mail.routes.destination", "must be " + FIRST_MAIL_DESTINATION + " or more");
+                throw new ConfigurationException(
+                        "mail.routes.destination", "must be " + FIRST_MAIL_DESTINATION + " or more");
             }
             List<String> addresses = strings("mail.routes.addresses", o, "addresses");
             if (addresses.isEmpty()) {
-                throw new Bad("mail.routes.addresses", "must not be empty");
+                throw new ConfigurationException("mail.routes.addresses", "must not be empty");
             }
             for (String a : addresses) {
                 address(a, "mail.routes.addresses");
@@ -447,7 +451,7 @@
         int mostRecipients = whole("mail.mostRecipients", root, "mostRecipients", DEFAULT_MOST_RECIPIENTS);
         double idle = number("mail.idleSeconds", root, "idleSeconds", DEFAULT_IDLE_SECONDS);
         if (mostBytes <= 0 || mostRecipients <= 0 || idle <= 0) {
-            throw new Bad(
+            throw new ConfigurationException(
                     mostBytes <= 0
                             ? "mail.mostBytes"
                             : mostRecipients <= 0 ? "mail.mostRecipients" : "mail.idleSeconds",
@@ -469,95 +473,96 @@
                         .toList());
     }
 
-    private int unsafeClass() throws Bad {
+    private int unsafeClass() throws ConfigurationException {
         for (int i = 0; i < settings.classes().size(); i++) {
             if (settings.classes().get(i).repeat() == Relay.Repeat.UNSAFE) {
                 return i;
             }
         }
-        throw new Bad("settings.requestClasses", "mail of no known class needs one that must not be repeated");
+        throw new ConfigurationException(
+                "settings.requestClasses", "mail of no known class needs one that must not be repeated");
     }
 
-    private int classNumber(String key, String className) throws Bad {
+    private int classNumber(String key, String className) throws ConfigurationException {
         int number = classNames.indexOf(className);
         if (number < 0) {
-            throw new Bad(key, "no class of the settings: " + className);
+            throw new ConfigurationException(key, "no class of the settings: " + className);
         }
         return number;
     }
 
-    private static MailSettings.Protocol protocol(String key, JsonObject in) throws Bad {
+    private static MailSettings.Protocol protocol(String key, JsonObject in) throws ConfigurationException {
         String value = text(key, in, "protocol", null);
         return switch (value) {
             case "smtp" -> MailSettings.Protocol.SMTP;
             case "lmtp" -> MailSettings.Protocol.LMTP;
-            default -> throw new Bad(key, "smtp or lmtp, not " + value);
+            default -> throw new ConfigurationException(key, "smtp or lmtp, not " + value);
         };
     }
 
-    private static int whole(String path, JsonObject in, String key, int otherwise) throws Bad {
+    private static int whole(String path, JsonObject in, String key, int otherwise) throws ConfigurationException {
         double value = number(path, in, key, otherwise);
         if (value != (int) value) {
-            throw new Bad(path, "not a whole number");
+            throw new ConfigurationException(path, "not a whole number");
         }
         return (int) value;
     }
 
     // ---- JSON -------------------------------------------------------------------------------------------
-    static JsonElement parseJson(String key, String text) throws Bad {
+    static JsonElement parseJson(String key, String text) throws ConfigurationException {
         try {
             return JsonParser.parseString(text);
         } catch (JsonParseException e) {
-            throw new Bad(key, "no JSON: " + e.getMessage());
+            throw new ConfigurationException(key, "no JSON: " + e.getMessage());
         }
     }
 
-    static JsonObject object(String key, JsonElement value) throws Bad {
+    static JsonObject object(String key, JsonElement value) throws ConfigurationException {
         if (value == null || !value.isJsonObject()) {
-            throw new Bad(key, "not an object");
+            throw new ConfigurationException(key, "not an object");
         }
         return value.getAsJsonObject();
     }
 
-    static JsonArray list(String path, JsonObject in, String key) throws Bad {
+    static JsonArray list(String path, JsonObject in, String key) throws ConfigurationException {
         JsonElement value = in.get(key);
         if (value != null && !value.isJsonArray()) {
-            throw new Bad(path, "not a list");
+            throw new ConfigurationException(path, "not a list");
         }
         return value == null ? new JsonArray() : value.getAsJsonArray();
     }
 
-    static List<String> strings(String path, JsonObject in, String key) throws Bad {
+    static List<String> strings(String path, JsonObject in, String key) throws ConfigurationException {
         List<String> all = new ArrayList<>();
         for (JsonElement e : list(path, in, key)) {
             if (!e.isJsonPrimitive()) {
-                throw new Bad(path, "holds something that is no text");
+                throw new ConfigurationException(path, "holds something that is no text");
             }
             all.add(e.getAsString());
         }
         return all;
     }
 
-    static String text(String path, JsonObject in, String key, String otherwise) throws Bad {
+    static String text(String path, JsonObject in, String key, String otherwise) throws ConfigurationException {
         JsonElement value = in.get(key);
         if (value == null || value.isJsonNull()) {
             if (otherwise == null) {
-                throw new Bad(path, "missing");
+                throw new ConfigurationException(path, "missing");
             }
             return otherwise;
         }
         if (!value.isJsonPrimitive()) {
-            throw new Bad(path, "not a text");
+            throw new ConfigurationException(path, "not a text");
         }
         return value.getAsString();
     }
 
-    static double number(String path, JsonObject in, String key, double otherwise) throws Bad {
+    static double number(String path, JsonObject in, String key, double otherwise) throws ConfigurationException {
         String value = text(path, in, key, Double.toString(otherwise));
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new Bad(path, "not a number: " + value);
+            throw new ConfigurationException(path, "not a number: " + value);
         }
     }
 }
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lilaclever.Relay;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.FolderDisk;
 import lilaclever.journal.SegmentedJournal;
@@ -50,7 +50,7 @@
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
-    private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
+    private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, ConfigurationException {
         this.config = config;
         Relay.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
@@ -127,21 +127,22 @@
         counters.figure("journal_damages", () -> journal.recovered().damages().size());
     }
 
-    private static Directory.Known known(Config config, Directory directory) throws Bad {
+    private static Directory.Known known(Config config, Directory directory) throws ConfigurationException {
         try {
             return config.known() == null ? null : directory.read(config.known());
         } catch (RuntimeException e) {
-            throw new Bad("known", "not a list of endpoints: " + e.getMessage());
+            throw new ConfigurationException("known", "not a list of endpoints: " + e.getMessage());
         }
     }
 
     /** Starts all parts as the platform has them; {@code mail} is null where the mail front is off. */
-    static Forwarder start(Config config, MailSettings mail) throws IOException, Bad {
+    static Forwarder start(Config config, MailSettings mail) throws IOException, ConfigurationException {
         return start(config, Operator.none(config), mail);
     }
 
     /** Starts all parts. */
-    static Forwarder start(Config config, Operator operator, MailSettings mail) throws IOException, Bad {
+    static Forwarder start(Config config, Operator operator, MailSettings mail)
+            throws IOException, ConfigurationException {
         Forwarder forwarder = new Forwarder(config, operator, mail);
         Logs.info(
                 "",
@@ -185,13 +186,13 @@
                 notices.move(read.discovery());
             });
             Logs.info("", "reloaded", "configuration read again, discovery at " + read.discovery());
-        } catch (Bad e) {
+        } catch (ConfigurationException e) {
             Logs.error("configuration", "reload-refused", e.getMessage() + "; the old one stays");
         }
     }
 
     /** Has other classes and attempts hold, once they are noted; messages under way keep their class. */
-    private void renew(Config next) throws Bad {
+    private void renew(Config next) throws ConfigurationException {
         if (next.equals(config)) {
             return;
         }
--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings;
 import org.kohsuke.args4j.Argument;
@@ -56,7 +56,7 @@
         Integer code;
         try {
             code = main.command.run();
-        } catch (Bad e) {
+        } catch (ConfigurationException e) {
             System.err.println("lilaclever: configuration: " + e.getMessage());
             code = 2;
         } catch (IOException e) {
@@ -110,7 +110,7 @@
         private Path conf;
 
         @Override
-        public Integer run() throws Bad {
+        public Integer run() throws ConfigurationException {
             Config config = Config.read(System.getenv());
             if (mail != null) {
                 MailSettings read = config.readMail(mail);
--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 import lilaclever.Relay;
-import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
 import lilaclever.conf.ConfFile.Section;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.identity.Identity;
 import lilaclever.protocol.mllp.MllpSettings;
 import lilaclever.protocol.mllp.MllpSettings.Field;
@@ -36,7 +36,7 @@
     }
 
     /** The settings; null if there is no listener. */
-    MllpSettings read() throws Bad {
+    MllpSettings read() throws ConfigurationException {
         Section hl7 = file.section("hl7");
         List<MllpSettings.Listener> listeners = new ArrayList<>();
         for (Section s : file.sections("mllp")) {
@@ -86,11 +86,11 @@
                 mostOwed);
     }
 
-    private Bad listenerFault(String problem) {
+    private ConfigurationException listenerFault(String problem) {
         return file.sections("mllp").get(0).bad("address", problem);
     }
 
-    private MllpSettings.Listener listener(Section s) throws Bad {
+    private MllpSettings.Listener listener(Section s) throws ConfigurationException {
         String address = s.text("address", null);
         if (address == null) {
             throw s.bad("address", "missing");
@@ -113,7 +113,7 @@
                 s.time("whole", 30 * SECOND, 100 * MS, 10 * MINUTE));
     }
 
-    private static AddressSet networks(Section s) throws Bad {
+    private static AddressSet networks(Section s) throws ConfigurationException {
         List<String> networks = s.words("networks");
         if (networks.isEmpty()) {
             throw s.bad("networks", "missing: which networks may connect, such as 127.0.0.0/8 ::1");
@@ -125,7 +125,7 @@
         }
     }
 
-    private Map<String, String> practices() throws Bad {
+    private Map<String, String> practices() throws ConfigurationException {
         Map<String, String> practices = new HashMap<>();
         for (Section s : file.sections("practice")) {
             try {
@@ -142,7 +142,7 @@
         return practices;
     }
 
-    private Map<String, Integer> events() throws Bad {
+    private Map<String, Integer> events() throws ConfigurationException {
         Map<String, Integer> events = new HashMap<>();
         for (Section s : file.sections("hl7-class")) {
             int number = config.classNames().indexOf(s.which());
@@ -164,7 +164,7 @@
         return events;
     }
 
-    private Map<String, Integer> destinations() throws Bad {
+    private Map<String, Integer> destinations() throws ConfigurationException {
         Map<String, Integer> destinations = new HashMap<>();
         for (Section s : file.sections("hl7-destination")) {
             if (!s.which().matches("[0-9]{1,9}")) {
@@ -179,7 +179,7 @@
         return destinations;
     }
 
-    private int unsafeClass(Section hl7, boolean needed) throws Bad {
+    private int unsafeClass(Section hl7, boolean needed) throws ConfigurationException {
         List<Relay.MessageClass> classes = config.settings().classes();
         for (int i = 0; i < classes.size(); i++) {
             if (classes.get(i).repeat() == Relay.Repeat.UNSAFE) {
@@ -192,7 +192,7 @@
         return -1;
     }
 
-    private static Field field(Section s, String key, String otherwise) throws Bad {
+    private static Field field(Section s, String key, String otherwise) throws ConfigurationException {
         String text = s.text(key, otherwise);
         Field field = text == null ? null : Field.of(text);
         if (text != null && field == null) {
--- a/src/main/java/lilaclever/program/Operator.java
+++ b/src/main/java/lilaclever/program/Operator.java
@@ -7,8 +7,8 @@
 import java.util.Locale;
 import java.util.Set;
 import lilaclever.Relay;
-import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.Durability;
 import lilaclever.log.Logs;
@@ -43,17 +43,17 @@
     static Operator none(Config config) {
         try {
             return of(ConfFile.empty(), config);
-        } catch (Bad e) {
+        } catch (ConfigurationException e) {
             throw new IllegalStateException("the defaults are good", e);
         }
     }
 
     /** Reads and checks the file; classes and destinations are those of the platform's settings. */
-    static Operator read(Path path, Config config) throws Bad {
+    static Operator read(Path path, Config config) throws ConfigurationException {
         return of(ConfFile.read(path), config);
     }
 
-    static Operator of(ConfFile file, Config config) throws Bad {
+    static Operator of(ConfFile file, Config config) throws ConfigurationException {
         JournalSettings journal = journal(file.section("journal"));
         IdentitySettings identity = identity(file.section("identity"), config, journal.rememberMicros());
         Operator read = new Operator(
@@ -64,7 +64,8 @@
         return read;
     }
 
-    private static IdentitySettings identity(ConfFile.Section s, Config config, long remember) throws Bad {
+    private static IdentitySettings identity(ConfFile.Section s, Config config, long remember)
+            throws ConfigurationException {
         boolean shared = s.flag("shared", false);
         String header = s.text("http-practice", null);
         if (header != null && !header.matches("[A-Za-z0-9-]{1,64}")) {
@@ -84,7 +85,7 @@
                 new IdempotencyWindows(windows, remember, (int) s.whole("most", 100_000, 1, 10_000_000)));
     }
 
-    private static Logs.Settings log(ConfFile.Section s) throws Bad {
+    private static Logs.Settings log(ConfFile.Section s) throws ConfigurationException {
         Logs.Form form = s.choice("form", Logs.Form.class, Logs.Form.TEXT);
         if (form == Logs.Form.JSON && s.has("times")) {
             throw s.bad("times", "is for form text: JSON lines have their times");
@@ -92,7 +93,7 @@
         return new Logs.Settings(form, s.choice("level", Logs.Level.class, Logs.Level.INFO), s.flag("times", false));
     }
 
-    private static JournalSettings journal(ConfFile.Section s) throws Bad {
+    private static JournalSettings journal(ConfFile.Section s) throws ConfigurationException {
         Durability.How how = s.choice("durability", Durability.How.class, Durability.How.NONE);
         long every = s.time("interval", 50_000, 1000, 60 * SECOND);
         if (how != Durability.How.INTERVAL && s.has("interval")) {
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.lab.audit.Prices;
 import lilaclever.lab.model.Traffic;
 import lilaclever.lab.report.Comparison;
@@ -87,7 +87,7 @@
     private final Interrupt interrupt = new Interrupt();
 
     @Override
-    public Integer run() throws Bad {
+    public Integer run() throws ConfigurationException {
         try {
             return switch (what) {
                 case LIST -> list();
@@ -106,28 +106,29 @@
         }
     }
 
-    private static int list() throws Bad {
+    private static int list() throws ConfigurationException {
         for (String name : ScenarioReader.SHIPPED) {
             System.out.printf("%-30s %s%n", name, ScenarioReader.read(name).about());
         }
         return GOOD;
     }
 
-    private String one() throws Bad {
+    private String one() throws ConfigurationException {
         if (names.size() != 1) {
-            throw new Bad("rehearse " + what.name().toLowerCase(Locale.ROOT), "one scenario, not " + names.size());
+            throw new ConfigurationException(
+                    "rehearse " + what.name().toLowerCase(Locale.ROOT), "one scenario, not " + names.size());
         }
         return names.get(0);
     }
 
-    private int show() throws Bad, IOException {
+    private int show() throws ConfigurationException, IOException {
         String name = one();
         System.out.print(
                 ScenarioReader.SHIPPED.contains(name) ? ScenarioReader.text(name) : Files.readString(Path.of(name)));
         return GOOD;
     }
 
-    private int check() throws Bad {
+    private int check() throws ConfigurationException {
         for (String name : names.isEmpty() ? ScenarioReader.SHIPPED : names) {
             Scenario s = ScenarioReader.read(name);
             System.out.println(name + " is good: " + s.fleet().forwarders() + " forwarders, "
@@ -141,12 +142,12 @@
         return out != null ? out : Path.of("rehearsals", s.name());
     }
 
-    private Scenario scenario() throws Bad {
+    private Scenario scenario() throws ConfigurationException {
         return ScenarioReader.read(one(), settingsBut(null));
     }
 
     /** What the command line sets, but for one. */
-    private List<Overrides.Setting> settingsBut(String swept) throws Bad {
+    private List<Overrides.Setting> settingsBut(String swept) throws ConfigurationException {
         List<Overrides.Setting> settings = new ArrayList<>();
         for (String s : sets) {
             if (!s.equals(swept)) {
@@ -156,11 +157,11 @@
         return settings;
     }
 
-    private int play() throws Bad, IOException, InterruptedException, ExecutionException {
+    private int play() throws ConfigurationException, IOException, InterruptedException, ExecutionException {
         Scenario scenario = scenario();
         String tooLarge = sockets ? RealSockets.tooLarge(scenario) : null;
         if (tooLarge != null) {
-            throw new Bad(
+            throw new ConfigurationException(
                     "--sockets", scenario.name() + " is too large for one machine: " + tooLarge + "; play it without");
         }
         int n = Math.max(1, runs);
@@ -259,7 +260,7 @@
     /** A point of a sweep: the scenario there, its place on the axis, and what people call it. */
     private record Point(Scenario scenario, double x, String label) {}
 
-    private int sweep() throws Bad, IOException, InterruptedException, ExecutionException {
+    private int sweep() throws ConfigurationException, IOException, InterruptedException, ExecutionException {
         boolean overLoad = sets.stream().noneMatch(s -> s.contains(","));
         List<Point> points = overLoad ? loads() : settings();
         Scenario first = points.get(0).scenario();
@@ -295,9 +296,9 @@
         return interrupt.come() ? Interrupt.CODE : allBroken.get() == 0 ? GOOD : BROKEN;
     }
 
-    private List<Point> loads() throws Bad {
+    private List<Point> loads() throws ConfigurationException {
         if (!loads.matches("\\d{1,4}:\\d{1,4}:[1-9]\\d{0,3}")) {
-            throw new Bad("--load", "FROM:TO:STEP in percent, such as 40:160:10, not " + loads);
+            throw new ConfigurationException("--load", "FROM:TO:STEP in percent, such as 40:160:10, not " + loads);
         }
         String[] parts = loads.split(":");
         Scenario scenario = scenario();
@@ -308,7 +309,7 @@
             points.add(new Point(atLoad(scenario, percent / 100.0), percent, "load " + percent + "%"));
         }
         if (points.isEmpty()) {
-            throw new Bad("--load", "no load from " + parts[0] + " to " + parts[1]);
+            throw new ConfigurationException("--load", "no load from " + parts[0] + " to " + parts[1]);
         }
         return points;
     }
@@ -318,10 +319,10 @@
     }
 
     /** A point for each value of the one setting that has several. */
-    private List<Point> settings() throws Bad {
+    private List<Point> settings() throws ConfigurationException {
         String swept = swept();
         if (sets.stream().filter(s -> s.contains(",")).count() > 1) {
-            throw new Bad("--set", "one setting with several values, not two");
+            throw new ConfigurationException("--set", "one setting with several values, not two");
         }
         Overrides.Setting form = Overrides.Setting.of(swept);
         List<Point> points = new ArrayList<>();
@@ -355,9 +356,9 @@
                 s.events());
     }
 
-    private int compare() throws Bad, IOException {
+    private int compare() throws ConfigurationException, IOException {
         if (names.size() != 2) {
-            throw new Bad("rehearse compare", "two folders of runs, not " + names.size());
+            throw new ConfigurationException("rehearse compare", "two folders of runs, not " + names.size());
         }
         System.out.print(Comparison.of(Path.of(names.get(0)), Path.of(names.get(1))));
         return GOOD;
--- a/src/main/java/lilaclever/program/SelfTest.java
+++ b/src/main/java/lilaclever/program/SelfTest.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 
 /**
  * Shows that the program can start and deliver on this machine: a forwarder with a made-up configuration on the
@@ -49,7 +49,7 @@
     }
 
     /** The exit code. */
-    static int run() throws IOException, InterruptedException, Bad {
+    static int run() throws IOException, InterruptedException, ConfigurationException {
         Path state = Files.createTempDirectory("lilaclever");
         try {
             boolean good = new SelfTest().passes(state);
@@ -62,7 +62,7 @@
         }
     }
 
-    private boolean passes(Path state) throws IOException, InterruptedException, Bad {
+    private boolean passes(Path state) throws IOException, InterruptedException, ConfigurationException {
         Thread accepting = new Thread(this::accept, "peer");
         accepting.setDaemon(true);
         accepting.start();
--- a/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
+++ b/src/test/java/lilaclever/lab/scenario/ScenarioReaderTest.java
@@ -6,7 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -14,7 +14,7 @@
 /** Scenarios: those that are shipped are good, and each fault is told with its line and key. */
 class ScenarioReaderTest {
     @Test
-    void allThatIsShippedIsGood() throws Bad {
+    void allThatIsShippedIsGood() throws ConfigurationException {
         assertTrue(ScenarioReader.SHIPPED.size() >= 8);
         for (String name : ScenarioReader.SHIPPED) {
             Scenario s = ScenarioReader.read(name);
@@ -25,7 +25,7 @@
     }
 
     @Test
-    void whatIsAbsentIsAsAtTheExchange() throws Bad {
+    void whatIsAbsentIsAsAtTheExchange() throws ConfigurationException {
         Scenario s = ScenarioReader.parse("f", List.of());
         assertEquals(
                 List.of("lens-lab", "supplier"),
@@ -62,20 +62,20 @@
     void faultsAreToldWithFileLineAndKey(String text, String message) {
         assertEquals(
                 message,
-                assertThrows(Bad.class, () -> ScenarioReader.parse("f", List.of(text.split("/"))))
+                assertThrows(ConfigurationException.class, () -> ScenarioReader.parse("f", List.of(text.split("/"))))
                         .getMessage());
     }
 
     @Test
     void anUnknownNameIsToldWithTheNearest() {
-        assertTrue(assertThrows(Bad.class, () -> ScenarioReader.read("mondy"))
+        assertTrue(assertThrows(ConfigurationException.class, () -> ScenarioReader.read("mondy"))
                 .getMessage()
                 .contains("is monday meant?"));
     }
 
     /** Settings of the command line take the place of the file's, are checked like them, and touch nothing else. */
     @Test
-    void settingsTakeTheFilesPlace() throws Bad {
+    void settingsTakeTheFilesPlace() throws ConfigurationException {
         Scenario s = ScenarioReader.read(
                 "month-end",
                 List.of(
@@ -87,10 +87,10 @@
                 ScenarioReader.read("month-end").traffic().lengthMicros(),
                 s.traffic().lengthMicros());
         assertTrue(assertThrows(
-                        Bad.class,
+                        ConfigurationException.class,
                         () -> ScenarioReader.read("quiet", List.of(Overrides.Setting.of("fleet.forwarder=8"))))
                 .getMessage()
                 .contains("is forwarders meant?"));
-        assertThrows(Bad.class, () -> Overrides.Setting.of("forwarders=8"));
+        assertThrows(ConfigurationException.class, () -> Overrides.Setting.of("forwarders=8"));
     }
 }
--- a/src/test/java/lilaclever/lab/virtual/WorldTest.java
+++ b/src/test/java/lilaclever/lab/virtual/WorldTest.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.audit.Prices;
 import lilaclever.lab.report.Comparison;
@@ -31,7 +31,7 @@
         return VirtualTime.run(s, seed, fault);
     }
 
-    private static Result run(String name, Fault fault) throws Bad {
+    private static Result run(String name, Fault fault) throws ConfigurationException {
         return run(ScenarioReader.read(name), 1, fault);
     }
 
@@ -69,7 +69,7 @@
                 "hot-forwarder",
                 "partners-refuse"
             })
-    void noRuleIsBroken(String name) throws Bad {
+    void noRuleIsBroken(String name) throws ConfigurationException {
         Result r = run(name, Fault.NONE);
         assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
         long messages = r.auditor().counts().get("messages");
@@ -77,7 +77,7 @@
     }
 
     @Test
-    void aQuietDayIsServed() throws Bad {
+    void aQuietDayIsServed() throws ConfigurationException {
         assertTrue(run("quiet", Fault.NONE).auditor().service().figure(Prices.USUAL) > 0.9);
     }
 
@@ -90,7 +90,7 @@
         "mass-return, FLOODS, FAIL_BACK",
         "month-end, SILENT, ONE_END"
     })
-    void aBrokenForwarderIsCaughtAndNamed(String name, Fault fault, Rule rule) throws Bad {
+    void aBrokenForwarderIsCaughtAndNamed(String name, Fault fault, Rule rule) throws ConfigurationException {
         Result r = run(name, fault);
         assertTrue(r.auditor().broken().containsKey(rule), () -> Report.summary(r));
         assertTrue(rule == Rule.FAIL_BACK
@@ -103,7 +103,7 @@
      * forwarders.
      */
     @Test
-    void aCallThatComesUpUnderAWaitIsWithheld() throws Bad {
+    void aCallThatComesUpUnderAWaitIsWithheld() throws ConfigurationException {
         Result r = run(
                 ScenarioReader.parse(
                         "late",
@@ -130,7 +130,7 @@
 
     /** Where partners tell waits, a forwarder that does not hear them is caught. */
     @Test
-    void aForwarderThatIgnoresWaitsIsCaught() throws Bad {
+    void aForwarderThatIgnoresWaitsIsCaught() throws ConfigurationException {
         Scenario s = ScenarioReader.parse(
                 "waits",
                 List.of(
@@ -149,7 +149,7 @@
 
     /** A scenario that can never be served ends like any other, with its figure. */
     @Test
-    void whatCanNeverBeServedEndsToo() throws Bad {
+    void whatCanNeverBeServedEndsToo() throws ConfigurationException {
         Scenario s = ScenarioReader.parse(
                 "hopeless",
                 List.of(
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -21,8 +21,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
-import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -663,7 +663,7 @@
     void aFaultyKeyIsNamed(String good, String bad, String key) {
         String text = Setup.text("127.0.0.1:1", state, null, 3);
         assertTrue(text.contains(good));
-        assertTrue(assertThrows(Bad.class, () -> Config.parse(text.replace(good, bad), Map.of()))
+        assertTrue(assertThrows(ConfigurationException.class, () -> Config.parse(text.replace(good, bad), Map.of()))
                 .getMessage()
                 .contains(key));
     }
--- a/src/test/java/lilaclever/program/OperatorPortTest.java
+++ b/src/test/java/lilaclever/program/OperatorPortTest.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import lilaclever.protocol.operator.OperatorPort;
@@ -143,11 +143,12 @@
                 Peer platform = platform(endpoint)) {
             serve(platform, endpoint);
             String text = Setup.text(platform.address(), state, endpoint.address(), 3);
-            Bad bad = assertThrows(Bad.class, () -> Config.parse(text, Map.of("ROUTER_OPERATOR", "nowhere")));
+            ConfigurationException bad = assertThrows(
+                    ConfigurationException.class, () -> Config.parse(text, Map.of("ROUTER_OPERATOR", "nowhere")));
             assertTrue(bad.getMessage().contains("operator"), bad.getMessage());
             Files.createDirectory(state.resolve("suspended"));
             Config config = Config.parse(text, Map.of());
-            assertThrows(Bad.class, config::suspended);
+            assertThrows(ConfigurationException.class, config::suspended);
         }
     }
 }
--- a/src/test/java/lilaclever/program/OperatorTest.java
+++ b/src/test/java/lilaclever/program/OperatorTest.java
@@ -6,8 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import lilaclever.conf.Bad;
 import lilaclever.conf.ConfFile;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.journal.Durability;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,16 +15,16 @@
 
 /** The operator's file: every fault is told with file, line and key. */
 class OperatorTest {
-    private static Config config() throws Bad {
+    private static Config config() throws ConfigurationException {
         return Setup.config("127.0.0.1:9", Path.of("nowhere"), null);
     }
 
-    private static Operator of(String text) throws Bad {
+    private static Operator of(String text) throws ConfigurationException {
         return Operator.of(ConfFile.parse("f", text.lines().toList()), config());
     }
 
     @Test
-    void whatIsAbsentIsAsThePlatformHasIt() throws Bad {
+    void whatIsAbsentIsAsThePlatformHasIt() throws ConfigurationException {
         assertEquals(Operator.none(config()), of("# nothing\n\n[journal]\n"));
         assertEquals(
                 Durability.NONE.how(),
@@ -38,7 +38,7 @@
     }
 
     @Test
-    void valuesMayGoOnInTheNextLine() throws Bad {
+    void valuesMayGoOnInTheNextLine() throws ConfigurationException {
         Operator read = of("[journal]\ndurability\tinterval # no: a comment has its own line".replaceAll(" #.*", "")
                 + "\ninterval 250\n  ms\nremember 90s\n");
         assertEquals(
@@ -69,7 +69,8 @@
                 "[journal]/~more               | f:2: continues nothing: a key begins its line without a space"
             })
     void faultsAreToldWithFileLineAndKey(String text, String message) {
-        Bad e = assertThrows(Bad.class, () -> of(text.replace('/', '\n').replace('~', ' ')));
+        ConfigurationException e = assertThrows(
+                ConfigurationException.class, () -> of(text.replace('/', '\n').replace('~', ' ')));
         assertEquals(message, e.getMessage());
     }
 
@@ -78,7 +79,7 @@
         Path file = Files.write(folder.resolve("x"), new byte[] {(byte) 0xc3, 0x28});
         assertEquals(
                 List.of("--conf: " + file + " is not UTF-8"),
-                List.of(assertThrows(Bad.class, () -> Operator.read(file, config()))
+                List.of(assertThrows(ConfigurationException.class, () -> Operator.read(file, config()))
                         .getMessage()));
     }
 }
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -11,7 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.report.Report;
 import lilaclever.lab.scenario.Scenario;
@@ -30,7 +30,7 @@
     @TempDir
     Path folder;
 
-    private static Scenario scenario(String... more) throws Bad {
+    private static Scenario scenario(String... more) throws ConfigurationException {
         List<String> lines = new ArrayList<>(List.of(
                 "[fleet]",
                 "forwarders 2",
@@ -233,7 +233,7 @@
     }
 
     @Test
-    void whatIsTooLargeForOneMachineIsSaidSo() throws Bad {
+    void whatIsTooLargeForOneMachineIsSaidSo() throws ConfigurationException {
         assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "forwarders 2000")))
                 .startsWith("forwarders: 2000"));
         assertTrue(RealSockets.tooLarge(ScenarioReader.parse("x", List.of("[fleet]", "destinations 5000")))
--- a/src/test/java/lilaclever/program/RenewTest.java
+++ b/src/test/java/lilaclever/program/RenewTest.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -172,7 +172,7 @@
         String bad = text().replace(PAYMENT, RUSH).replace(part, instead == null ? "" : instead);
         write(bad);
         Config used = Config.parse(text(), Map.of());
-        assertTrue(assertThrows(Bad.class, () -> Config.reread(variables, used))
+        assertTrue(assertThrows(ConfigurationException.class, () -> Config.reread(variables, used))
                 .getMessage()
                 .contains(named));
         for (String broken : new String[] {bad, "", text().substring(0, 700)}) {
@@ -196,7 +196,7 @@
         ClassTable full = table;
         assertEquals(127, full.names().size());
         assertTrue(assertThrows(
-                        Bad.class,
+                        ConfigurationException.class,
                         () -> full.followedBy(
                                 config.classNames(),
                                 config.settings().classes().stream()
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 
 /** Configurations of forwarders under test. */
 final class Setup {
@@ -45,7 +45,7 @@
         return template.formatted(discovery, state, diskMb, endpoint == null ? "null" : list(endpoint));
     }
 
-    static Config config(String discovery, Path state, String endpoint) throws Bad {
+    static Config config(String discovery, Path state, String endpoint) throws ConfigurationException {
         return Config.parse(text(discovery, state, endpoint, 3), Map.of());
     }
 
