Name what the rehearsals' World is told after its events, and the MLLP front's pending answers

Change: metNobody, lost, taken, turnedDown, noticed, ready, died, comes, ran, attempt, attemptOver of World are onConnectionRefused, onNoAnswer, onAccepted, onRefused, onNotice, onReady, onUnexpectedDeath, onRequestReceived, onProcessed, onAttempt, onAttemptOver; list and version are endpoints and directoryVersion. OwedAnswers is PendingAnswers.

--- a/src/main/java/lilaclever/lab/sockets/Agent.java
+++ b/src/main/java/lilaclever/lab/sockets/Agent.java
@@ -191,7 +191,7 @@
             JsonElement read = JsonParser.parseString(line);
             String id = read.getAsJsonObject().get("id").getAsString();
             if (world.isCurrent(id)) {
-                world.noticed(id, read.getAsJsonObject().get("status").getAsString());
+                world.onNotice(id, read.getAsJsonObject().get("status").getAsString());
             } else {
                 world.auditor().count("notices_of_no_message");
             }
--- a/src/main/java/lilaclever/lab/sockets/Clients.java
+++ b/src/main/java/lilaclever/lab/sockets/Clients.java
@@ -58,9 +58,9 @@
             socket.connect(address, CONNECT);
             return ask(new Wire(socket), id, head, body, false);
         } catch (ConnectException e) {
-            return () -> world.metNobody(id);
+            return () -> world.onConnectionRefused(id);
         } catch (IOException e) {
-            return () -> world.lost(id);
+            return () -> world.onNoAnswer(id);
         }
     }
 
@@ -72,7 +72,7 @@
             Head answer = wire.read();
             if (answer == null) {
                 wire.close();
-                return kept ? null : () -> world.lost(id);
+                return kept ? null : () -> world.onNoAnswer(id);
             }
             if ("close".equalsIgnoreCase(answer.header("Connection", ""))) {
                 wire.close();
@@ -82,22 +82,22 @@
             return outcome(id, answer);
         } catch (java.net.SocketTimeoutException e) {
             wire.close();
-            return () -> world.lost(id);
+            return () -> world.onNoAnswer(id);
         } catch (IOException e) {
             wire.close();
-            return kept ? null : () -> world.lost(id);
+            return kept ? null : () -> world.onNoAnswer(id);
         }
     }
 
     private Runnable outcome(String id, Head answer) {
         return switch (answer.target()) {
-            case "200", "202" -> () -> world.taken(id);
+            case "200", "202" -> () -> world.onAccepted(id);
             case "429", "503" ->
-                () -> world.turnedDown(id, (long) (Double.parseDouble(answer.header("Retry-After", "0")) * 1e6));
+                () -> world.onRefused(id, (long) (Double.parseDouble(answer.header("Retry-After", "0")) * 1e6));
             default ->
                 () -> {
                     world.auditor().count("hand_ins_answered_" + answer.target());
-                    world.turnedDown(id, 0);
+                    world.onRefused(id, 0);
                 };
         };
     }
--- a/src/main/java/lilaclever/lab/sockets/Hl7Line.java
+++ b/src/main/java/lilaclever/lab/sockets/Hl7Line.java
@@ -55,7 +55,7 @@
     void handIn(String id, Arrival a, long leftMicros) {
         Wire to = wire;
         if (to == null) {
-            world.metNobody(id);
+            world.onConnectionRefused(id);
             return;
         }
         String message = "MSH|^~\\&|" + OperatorFile.SENDER + "|NORTH|" + OperatorFile.receiver(a.destination())
@@ -65,10 +65,10 @@
         try {
             to.frame(message);
         } catch (IOException e) {
-            world.lost(id);
+            world.onNoAnswer(id);
             return;
         }
-        time.after(PATIENCE, () -> world.lost(id)); // no more than a word if it has its answer by then
+        time.after(PATIENCE, () -> world.onNoAnswer(id)); // no more than a word if it has its answer by then
     }
 
     private void acknowledged(String frame) {
@@ -83,10 +83,10 @@
             return;
         }
         switch (m.group(1)) {
-            case "CA" -> world.taken(id);
-            case "CE", "CR" -> world.turnedDown(id, comeBack(frame));
-            case "AE" -> world.noticed(id, "undeliverable");
-            case "AR" -> world.noticed(id, "deferred");
+            case "CA" -> world.onAccepted(id);
+            case "CE", "CR" -> world.onRefused(id, comeBack(frame));
+            case "AE" -> world.onNotice(id, "undeliverable");
+            case "AR" -> world.onNotice(id, "deferred");
             default -> world.auditor().count("application_accepts");
         }
     }
--- a/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
+++ b/src/main/java/lilaclever/lab/sockets/PartnerConnection.java
@@ -169,7 +169,7 @@
             return;
         }
         out = ids;
-        ids.forEach(id -> world.attempt(id, forwarder, host, partner.destination(), at));
+        ids.forEach(id -> world.onAttempt(id, forwarder, host, partner.destination(), at));
         later(() -> decide(ids));
     }
 
@@ -222,10 +222,10 @@
     /** The partner has done the work, whether or not anybody still waits for its answer. */
     private void delivered(List<String> ids, Answer a) {
         if (closed || out != ids || !partner.answersStill(host, a.atMicros())) {
-            ids.forEach(id -> world.ran(id, false));
+            ids.forEach(id -> world.onProcessed(id, false));
             return;
         }
-        ids.forEach(id -> world.ran(id, true));
+        ids.forEach(id -> world.onProcessed(id, true));
         out = List.of();
         StringBuilder body = new StringBuilder();
         named.forEach(i -> body.append(i.wireId()).append(" accepted\r\n"));
@@ -263,7 +263,7 @@
     }
 
     private void over(List<String> ids, String how, boolean neverRan) {
-        ids.forEach(id -> world.attemptOver(id, how, neverRan));
+        ids.forEach(id -> world.onAttemptOver(id, how, neverRan));
     }
 
     /** The messages in the body of a call with several; none if it can't be read. */
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -152,7 +152,7 @@
                 time.post(() -> {
                     if (life == mine && process != null) {
                         served = true;
-                        world.ready(number);
+                        world.onReady(number);
                     }
                 });
                 return;
@@ -192,7 +192,7 @@
         if (!served) {
             failure = "forwarder " + number + " did not start: " + how;
         } else {
-            world.died(number, how);
+            world.onUnexpectedDeath(number, how);
         }
     }
 
--- a/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
@@ -84,7 +84,7 @@
         CallState state = new CallState();
         call.attachment = state;
         calls.add(call);
-        call.messages.forEach(m -> world.attempt(m.id(), number, host, call.endpoint.destination(), world.now()));
+        call.messages.forEach(m -> world.onAttempt(m.id(), number, host, call.endpoint.destination(), world.now()));
         boolean kept = idle.take(host, world.now()) != null;
         if (!kept) {
             world.auditor().service().connection();
@@ -116,7 +116,7 @@
             return;
         }
         state.arrived = true;
-        call.messages.forEach(m -> world.comes(m.id(), number, call.endpoint.destination()));
+        call.messages.forEach(m -> world.onRequestReceived(m.id(), number, call.endpoint.destination()));
         String host = call.endpoint.host();
         if (!connected && partner.hosts().contains(host) && !partner.isOut(world.now())) {
             // Too many connections: the partner says that it has no room, and closes.
@@ -155,15 +155,15 @@
     /** The partner has done the work, whether or not anybody still waits for its answer. */
     private void delivered(Call call, CallState state, Partner partner, Answer answer) {
         if (state.closed || !partner.answersStill(call.endpoint.host(), answer.atMicros())) {
-            call.messages.forEach(m -> world.ran(m.id(), false));
+            call.messages.forEach(m -> world.onProcessed(m.id(), false));
             return;
         }
-        call.messages.forEach(m -> world.ran(m.id(), true));
+        call.messages.forEach(m -> world.onProcessed(m.id(), true));
         later(world.now() + world.network(), () -> end(call, state, Ending.DELIVERED, 0, true));
     }
 
     private void attemptsOver(Call call, String how, boolean neverRan) {
-        call.messages.forEach(m -> world.attemptOver(m.id(), how, neverRan));
+        call.messages.forEach(m -> world.onAttemptOver(m.id(), how, neverRan));
     }
 
     /** The call's answer is here. */
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -84,7 +84,7 @@
     @Override
     public void start(List<Relay.Entry> known, long version, boolean first) {
         if (!first) {
-            later(world.now() + START, () -> begin(world.list(), world.version()));
+            later(world.now() + START, () -> begin(world.endpoints(), world.directoryVersion()));
         } else {
             begin(known, version);
         }
@@ -117,7 +117,7 @@
         core.add(this);
         core.begin(known.stream().map(this::listed).toList(), version);
         schedule();
-        world.ready(number);
+        world.onReady(number);
     }
 
     @Override
@@ -197,7 +197,7 @@
     @Override
     public void handIn(String id, Arrival a, long left) {
         if (core == null) {
-            world.metNobody(id);
+            world.onConnectionRefused(id);
             return;
         }
         Handin handin = new Handin(
@@ -212,7 +212,7 @@
                 HttpFront.budget(left, 0));
         core.post(() -> {
             if (!core.knows(handin.destination())) {
-                world.turnedDown(handin.id(), 0);
+                world.onRefused(handin.id(), 0);
             } else {
                 core.handIn(this, handin);
             }
@@ -221,12 +221,12 @@
 
     @Override
     public void taken(Message message) {
-        world.taken(message.id());
+        world.onAccepted(message.id());
     }
 
     @Override
     public void turnedDown(Message message, Verdict verdict) {
-        world.turnedDown(message.id(), verdict.comeBackMicros());
+        world.onRefused(message.id(), verdict.comeBackMicros());
     }
 
     @Override
@@ -239,9 +239,9 @@
             return;
         }
         later(world.now() + 2 * world.network(), () -> {
-            world.noticed(id, status);
+            world.onNotice(id, status);
             if (world.fault() == Fault.ENDS_TWICE) {
-                world.noticed(id, status.equals("deferred") ? "undeliverable" : "deferred");
+                world.onNotice(id, status.equals("deferred") ? "undeliverable" : "deferred");
             }
             core.post(settled);
         });
--- a/src/main/java/lilaclever/lab/world/ForwarderHandle.java
+++ b/src/main/java/lilaclever/lab/world/ForwarderHandle.java
@@ -28,8 +28,8 @@
     long broken();
 
     /**
-     * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#ready} once
-     * it serves.
+     * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#onReady}
+     * once it serves.
      */
     void start(List<Relay.Entry> known, long version, boolean first);
 
@@ -37,8 +37,8 @@
     void kill();
 
     /**
-     * Hands a message in, under an id of this hand-in. What becomes of it is told by {@link World#taken}, {@link
-     * World#turnedDown}, {@link World#metNobody} or {@link World#lost}.
+     * Hands a message in, under an id of this hand-in. What becomes of it is told by {@link World#onAccepted}, {@link
+     * World#onRefused}, {@link World#onConnectionRefused} or {@link World#onNoAnswer}.
      *
      * @param leftMicros how long it may still be delivered
      */
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -123,12 +123,12 @@
     }
 
     /** The directory's list as it is now. */
-    public List<Relay.Entry> list() {
+    public List<Relay.Entry> endpoints() {
         return directory.entries();
     }
 
     /** Its version. */
-    public long version() {
+    public long directoryVersion() {
         return directory.version();
     }
 
@@ -144,12 +144,12 @@
 
     // ---- calls to partners ------------------------------------------------------------------------------
     /** A forwarder sends a message: the first byte of the call leaves. */
-    public void attempt(String id, int forwarder, String host, int destination, long at) {
+    public void onAttempt(String id, int forwarder, String host, int destination, long at) {
         auditor.attempt(number(id), forwarder, host, destination, at);
     }
 
     /** The last byte of a message's call has come. */
-    public void comes(String id, int forwarder, int destination) {
+    public void onRequestReceived(String id, int forwarder, int destination) {
         auditor.comes(number(id), forwarder, destination, now());
     }
 
@@ -170,12 +170,12 @@
     }
 
     /** An attempt is over, as the partner knows it. */
-    public void attemptOver(String id, String how, boolean neverRan) {
+    public void onAttemptOver(String id, String how, boolean neverRan) {
         auditor.attemptOver(number(id), how, neverRan, now());
     }
 
     /** A partner has worked on a message; {@code heard}: its answer goes out on an open connection. */
-    public void ran(String id, boolean heard) {
+    public void onProcessed(String id, boolean heard) {
         auditor.service().work(clients.workMicros(id), !heard);
         if (heard) {
             int number = number(id);
@@ -195,38 +195,38 @@
 
     // ---- what clients and the platform hear -------------------------------------------------------------
     /** Nobody listened: the client comes again. */
-    public void metNobody(String id) {
+    public void onConnectionRefused(String id) {
         clients.onConnectionRefused(id);
     }
 
     /** No answer came in time, or the connection broke: the client comes again. */
-    public void lost(String id) {
+    public void onNoAnswer(String id) {
         clients.onNoAnswer(id);
     }
 
     /** A client has heard that its message is taken on. */
-    public void taken(String id) {
+    public void onAccepted(String id) {
         clients.onAccepted(id);
     }
 
     /** A client was turned away. */
-    public void turnedDown(String id, long comeBackMicros) {
+    public void onRefused(String id, long comeBackMicros) {
         clients.onRefused(id, comeBackMicros);
     }
 
     /** The platform has had a notice. */
-    public void noticed(String id, String status) {
+    public void onNotice(String id, String status) {
         clients.onNotice(id, status);
     }
 
     // ---- lives of forwarders ----------------------------------------------------------------------------
     /** A forwarder serves. */
-    public void ready(int forwarder) {
+    public void onReady(int forwarder) {
         forwarders.onReady(forwarder);
     }
 
     /** A forwarder has died by itself: its connections are gone, and it is started again by whoever runs it. */
-    public void died(int forwarder, String how) {
+    public void onUnexpectedDeath(int forwarder, String how) {
         forwarders.onUnexpectedDeath(forwarder, how);
     }
 
@@ -245,7 +245,7 @@
         return scenario.traffic().lengthMicros() + AFTER_DEADLINES + longestDeadline;
     }
 
-    /** Starts the forwarders; each tells when it is {@link #ready}. */
+    /** Starts the forwarders; each tells when it is {@link #onReady}. */
     public void start() {
         forwarders.startAll();
     }
--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -33,13 +33,13 @@
     private final Core core;
     private final MllpConnections connections;
     private final Replies replies;
-    private final OwedAnswers<Answer> owed;
+    private final PendingAnswers<Answer> owed;
 
     FinalAnswers(Core core, MllpSettings settings, MllpConnections connections, Replies replies) {
         this.core = core;
         this.connections = connections;
         this.replies = replies;
-        owed = new OwedAnswers<>(settings.mostOwed(), settings.oweMicros());
+        owed = new PendingAnswers<>(settings.mostOwed(), settings.oweMicros());
     }
 
     /** From now on looks once a second for answers whose time is over. */
--- a/src/main/java/lilaclever/protocol/mllp/OwedAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/PendingAnswers.java
@@ -14,7 +14,7 @@
  *
  * @param <T> what is told
  */
-final class OwedAnswers<T> {
+final class PendingAnswers<T> {
     private record Entry<T>(String practice, T answer, long until) {}
 
     private final int most;
@@ -25,7 +25,7 @@
     private long givenUp;
 
     /** So many in all, each for so long. */
-    OwedAnswers(int most, long keepMicros) {
+    PendingAnswers(int most, long keepMicros) {
         this.most = most;
         this.keepMicros = keepMicros;
     }
--- a/src/test/java/lilaclever/protocol/mllp/OwedAnswersTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/PendingAnswersTest.java
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.Test;
 
 /** Ends that are owed: each leaves by one way, and no more are kept than may be. */
-class OwedAnswersTest {
+class PendingAnswersTest {
     @Test
     void aPracticeGetsItsOwnInOrder() {
-        OwedAnswers<String> owed = new OwedAnswers<>(10, 100);
+        PendingAnswers<String> owed = new PendingAnswers<>(10, 100);
         owed.add("1", "north", "a", 0);
         owed.add("2", "south", "b", 0);
         owed.add("3", "north", "c", 0);
@@ -33,7 +33,7 @@
     /** Guards against clients that never come back filling the journal and the memory. */
     @Test
     void theOldestGoWhereTimeOrRoomIsOver() {
-        OwedAnswers<String> owed = new OwedAnswers<>(2, 100);
+        PendingAnswers<String> owed = new PendingAnswers<>(2, 100);
         owed.add("1", "p", "a", 0);
         owed.add("2", "p", "b", 50);
         assertEquals(List.of("a"), owed.add("3", "p", "c", 60));
@@ -51,7 +51,7 @@
     /** Each answer that went in comes out once, whatever happens in between. */
     @Property(tries = 300, seed = "-1")
     void nothingIsLostOrGivenTwice(@ForAll("steps") List<Integer> steps) {
-        OwedAnswers<Integer> owed = new OwedAnswers<>(4, 30);
+        PendingAnswers<Integer> owed = new PendingAnswers<>(4, 30);
         Map<Integer, Integer> out = new HashMap<>();
         int in = 0;
         long now = 0;
