--- a/src/test/java/lilaclever/program/KnownListTest.java
+++ b/src/test/java/lilaclever/program/KnownListTest.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import javax.management.ObjectName;
-import lilaclever.conf.Bad;
+import lilaclever.conf.ConfigurationException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -72,8 +72,8 @@
 
     @Test
     void aListThatCannotBeReadIsToldByItsKey() {
-        Bad bad = assertThrows(
-                Bad.class,
+        ConfigurationException bad = assertThrows(
+                ConfigurationException.class,
                 () -> Config.parse(text("127.0.0.1:9").replace("\"status\":\"active\"", "\"x\":1"), Map.of()));
         assertTrue(bad.getMessage().startsWith("known: not a list of endpoints"), bad.getMessage());
     }
--- a/src/test/java/lilaclever/protocol/http/DirectoryTest.java
+++ b/src/test/java/lilaclever/protocol/http/DirectoryTest.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import lilaclever.benchlink.SettingsReader;
-import lilaclever.identity.Windows;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
 import lilaclever.journal.FolderDisk;
@@ -101,7 +101,12 @@
                 new Times(clock::micros, clock::wall, BootClock.UNKNOWN),
                 new SplittableRandom(1));
         core = new Core(
-                SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new Windows(List.of(), 0, 1), clock);
+                SettingsReader.read(SETTINGS, 0),
+                1,
+                journal,
+                new Counters(),
+                new IdempotencyWindows(List.of(), 0, 1),
+                clock);
         core.begin(List.of(), 0);
         transport = new Transport();
     }
