--- /dev/null
+++ b/bench/java/lilaclever/scale/AgentStandIn.java
@@ -0,0 +1,87 @@
+package lilaclever.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lilaclever.lab.sockets.Wire;
+
+/** The platform's agent as an idle forwarder meets it: no change ever comes, and it may be out of order. */
+final class AgentStandIn implements AutoCloseable {
+    /** How the agent treats a call. */
+    enum Behaviour {
+        ANSWERS,
+        REFUSES,
+        SILENT,
+        UNREADABLE
+    }
+
+    private static final Pattern WAIT = Pattern.compile("wait_ms=(\\d+)");
+    private static final String NO_CHANGE = "{\"index\":1,\"snapshot\":false,\"endpoints\":[]}";
+
+    private final Behaviour behaviour;
+    private final ServerSocket server;
+    /** A port that is taken where nobody listens. */
+    private final Socket refusing;
+
+    AgentStandIn(Behaviour behaviour) throws IOException {
+        this.behaviour = behaviour;
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+        server = new ServerSocket();
+        refusing = new Socket();
+        if (behaviour == Behaviour.REFUSES) {
+            refusing.bind(any);
+        } else {
+            server.bind(any);
+            daemon(this::accept);
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + (behaviour == Behaviour.REFUSES ? refusing.getLocalPort() : server.getLocalPort());
+    }
+
+    static void daemon(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                daemon(() -> talk(socket));
+            }
+        } catch (IOException e) {
+            // closed: the run is over
+        }
+    }
+
+    private void talk(Socket socket) {
+        try (Wire wire = new Wire(socket)) {
+            for (Wire.Head call = wire.read(); call != null; call = wire.read()) {
+                if (call.target().equals("/status")) {
+                    wire.answer("204 No Content", "");
+                } else if (behaviour == Behaviour.UNREADABLE) {
+                    wire.answer("503 Service Unavailable", "");
+                } else if (behaviour == Behaviour.ANSWERS) {
+                    Matcher wait = WAIT.matcher(call.target());
+                    Thread.sleep(wait.find() ? Long.parseLong(wait.group(1)) : 0);
+                    wire.answer("200 OK", NO_CHANGE);
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // the forwarder has ended
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        refusing.close();
+    }
+}
--- /dev/null
+++ b/bench/java/lilaclever/scale/CountingDisk.java
@@ -0,0 +1,89 @@
+package lilaclever.scale;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import lilaclever.journal.Disk;
+
+/** A disk that counts the bytes that are written to it. */
+final class CountingDisk implements Disk {
+    private final Disk real;
+    private long written;
+
+    CountingDisk(Disk real) {
+        this.real = real;
+    }
+
+    long writtenBytes() {
+        return written;
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        return real.names();
+    }
+
+    @Override
+    public long length(String name) throws IOException {
+        return real.length(name);
+    }
+
+    @Override
+    public DiskFile open(String name) throws IOException {
+        return new CountingFile(real.open(name));
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        real.rename(from, to);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        real.delete(name);
+    }
+
+    @Override
+    public void forceNames() throws IOException {
+        real.forceNames();
+    }
+
+    @Override
+    public void close() throws IOException {
+        real.close();
+    }
+
+    private final class CountingFile implements DiskFile {
+        private final DiskFile file;
+
+        CountingFile(DiskFile file) {
+            this.file = file;
+        }
+
+        @Override
+        public int read(ByteBuffer into, long position) throws IOException {
+            return file.read(into, position);
+        }
+
+        @Override
+        public void write(ByteBuffer bytes, long position) throws IOException {
+            written += bytes.remaining();
+            file.write(bytes, position);
+        }
+
+        @Override
+        public void truncate(long length) throws IOException {
+            file.truncate(length);
+        }
+
+        @Override
+        public void force() throws IOException {
+            file.force();
+        }
+
+        @Override
+        public void close() throws IOException {
+            file.close();
+        }
+    }
+}
--- /dev/null
+++ b/bench/java/lilaclever/scale/EventRun.java
@@ -0,0 +1,144 @@
+package lilaclever.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import lilaclever.lab.sockets.Wire;
+import lilaclever.scale.AgentStandIn.Behaviour;
+
+/**
+ * What an event costs the built program over real sockets: {@code EventRun JAR EVENTS...}. Clients hand in one message after
+ * the other, and one endpoint takes each. Each line of the output is a {@link Sample}.
+ */
+final class EventRun {
+    private static final int CLIENTS = 4, WARM_UP = 10_000;
+    /** Each client hands in a message so often at most, so that none has to be refused: 800 a second by all. */
+    private static final long PACE_NANOS = 5_000_000;
+    /** Longer than the deadline of a message: what is not delivered by then never will be. */
+    private static final long MOST_WAIT_SECONDS = 10;
+
+    private static final String BODY = "x".repeat(300);
+
+    private EventRun() {}
+
+    public static void main(String[] args) throws Exception {
+        for (int i = 1; i < args.length; i++) {
+            measure(Path.of(args[0]).toAbsolutePath(), Integer.parseInt(args[i]));
+        }
+    }
+
+    private static void measure(Path jar, int events) throws Exception {
+        try (Endpoint endpoint = new Endpoint();
+                AgentStandIn agent = new AgentStandIn(Behaviour.ANSWERS);
+                ForwarderProcess forwarder = new ForwarderProcess(jar, agent.address(), 1, endpoint.address())) {
+            send(forwarder, endpoint, "warm-", WARM_UP);
+            double cpu = forwarder.cpuSeconds();
+            long bytes = forwarder.transferredBytes();
+            long began = System.nanoTime();
+            send(forwarder, endpoint, "event-", events);
+            double seconds = (System.nanoTime() - began) / 1e9;
+            Sample.print("process_event_cpu", events, forwarder.cpuSeconds() - cpu, "s");
+            Sample.print("process_event_bytes", events, forwarder.transferredBytes() - bytes, "bytes");
+            Sample.print("process_event_rate", events, events / seconds, "1/s");
+        }
+    }
+
+    private static void send(ForwarderProcess forwarder, Endpoint endpoint, String prefix, int events)
+            throws Exception {
+        CountDownLatch delivered = endpoint.expect(events);
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        List<Future<?>> done = new ArrayList<>();
+        for (int client = 0; client < CLIENTS; client++) {
+            String mine = prefix + client + "-";
+            done.add(clients.submit(() -> client(forwarder, mine, events / CLIENTS)));
+        }
+        try {
+            for (Future<?> each : done) {
+                each.get();
+            }
+            if (!delivered.await(MOST_WAIT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IOException(delivered.getCount() + " of " + events + " were not delivered");
+            }
+        } catch (ExecutionException e) {
+            throw new IOException("a client failed", e);
+        } finally {
+            clients.shutdownNow();
+        }
+    }
+
+    private static Void client(ForwarderProcess forwarder, String prefix, int events) throws IOException {
+        try (Wire wire = new Wire(
+                new Socket(forwarder.address().getAddress(), forwarder.address().getPort()))) {
+            long began = System.nanoTime();
+            for (int i = 0; i < events; i++) {
+                LockSupport.parkNanos(began + i * PACE_NANOS - System.nanoTime());
+                String id = prefix + i;
+                wire.say("POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id
+                        + "\r\nReq-Kind: status\r\nReq-Deadline: 6\r\n" + "Idempotency-Key: k-" + id
+                        + "\r\nX-Envelope: dest=0\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY);
+                Wire.Head answer = wire.read();
+                if (answer == null || !answer.target().startsWith("202")) {
+                    throw new IOException(id + " was not taken on: " + answer);
+                }
+            }
+        }
+        return null;
+    }
+
+    /** One endpoint that takes every message at once. */
+    private static final class Endpoint implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+        private volatile CountDownLatch expected = new CountDownLatch(0);
+
+        Endpoint() throws IOException {
+            AgentStandIn.daemon(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        CountDownLatch expect(int events) {
+            expected = new CountDownLatch(events / CLIENTS * CLIENTS);
+            return expected;
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    AgentStandIn.daemon(() -> talk(socket));
+                }
+            } catch (IOException e) {
+                // closed: the run is over
+            }
+        }
+
+        private void talk(Socket socket) {
+            try (Wire wire = new Wire(socket)) {
+                for (Wire.Head call = wire.read(); call != null; call = wire.read()) {
+                    wire.answer("200 OK", "");
+                    expected.countDown();
+                }
+            } catch (IOException e) {
+                // the forwarder has closed it
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
--- /dev/null
+++ b/bench/java/lilaclever/scale/HollowRun.java
@@ -0,0 +1,172 @@
+package lilaclever.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.Stream;
+import lilaclever.journal.FolderDisk;
+import lilaclever.routing.Counters;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Figures of hollow forwarders: {@code destinations SIZE...}, {@code held SIZE...} and {@code events SIZE...} by destinations
+ * listed, messages held for destinations that are down, and events delivered. Each line of the output is a {@link Sample}.
+ * Processor time is that of the loop alone: collections of the heap run on other threads.
+ */
+final class HollowRun {
+    /** What one owner has at the size that the fleet is planned for. */
+    private static final int OWNED = 374, DOWN = 4;
+
+    private static final int BODY = 300;
+    /** 1,842 events a second, in turns of 5 ms. */
+    private static final int EVENTS_IN_A_TURN = 9;
+
+    private static final int MESSAGES_IN_A_TURN = 1_000,
+            BUSY_TURNS = 200,
+            CHANGES = 100,
+            IDLE_SECONDS = 60,
+            WAITING_SECONDS = 10;
+    private static final int WARM_UP_EVENTS = 50_000, EVENTS_BY_DESTINATIONS = 50_000;
+    private static final double NANOS = 1e9;
+    private static final long MOST_TURN_NANOS = 60_000_000_000L;
+
+    private HollowRun() {}
+
+    public static void main(String[] args) throws IOException {
+        int[] sizes =
+                Arrays.stream(args, 1, args.length).mapToInt(Integer::parseInt).toArray();
+        events("", OWNED, WARM_UP_EVENTS); // compiled by the time that it is measured
+        for (int size : sizes) {
+            switch (args[0]) {
+                case "destinations" -> destinations(size);
+                case "held" -> held(size);
+                case "events" -> events("event", OWNED, size);
+                default -> throw new IllegalArgumentException("destinations, held or events, not " + args[0]);
+            }
+        }
+    }
+
+    private interface Step {
+        void run(Path folder) throws IOException;
+    }
+
+    private static void inFolder(Step step) throws IOException {
+        Path folder = Files.createTempDirectory("scale");
+        try {
+            step.run(folder);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder())
+                        .forEach(file -> file.toFile().delete());
+            }
+        }
+    }
+
+    private static void destinations(int size) throws IOException {
+        inFolder(folder -> {
+            long before = Usage.liveHeapBytes();
+            HollowForwarder[] started = new HollowForwarder[1];
+            double start = Usage.cpuSeconds(() -> started[0] = open(folder, size, size, 100));
+            try (HollowForwarder forwarder = started[0]) {
+                Sample.print("destination_heap", size, Usage.liveHeapBytes() - before, "bytes");
+                Sample.print("destination_start_cpu", size, start, "s");
+                double changes = Usage.cpuSeconds(() -> {
+                    for (int i = 0; i < CHANGES; i++) {
+                        forwarder.change(i, 2 + i);
+                    }
+                });
+                Sample.print("change_cpu", size, changes / CHANGES, "s");
+                double idle = Usage.cpuSeconds(() -> forwarder.pass(IDLE_SECONDS * HollowForwarder.SECOND));
+                Sample.print("idle_second_cpu", size, idle / IDLE_SECONDS, "s");
+            }
+        });
+        events("event_by_destinations", size, EVENTS_BY_DESTINATIONS);
+    }
+
+    private static HollowForwarder open(Path folder, int destinations, int firstDown, int mostHeld) {
+        try {
+            return new HollowForwarder(folder, destinations, firstDown, mostHeld);
+        } catch (IOException e) {
+            throw new IllegalStateException("a new folder", e);
+        }
+    }
+
+    private static void held(int size) throws IOException {
+        inFolder(folder -> {
+            long before = Usage.liveHeapBytes();
+            try (HollowForwarder forwarder = open(folder, 1 + DOWN, 1, 2 * size)) {
+                for (int i = 0; i < size; i++) {
+                    forwarder.handIn(1 + i % DOWN, new byte[BODY]);
+                    if (i % MESSAGES_IN_A_TURN == 0) {
+                        forwarder.turn();
+                    }
+                }
+                forwarder.turn();
+                requireHeld(forwarder, size);
+                Sample.print("held_heap", size, Usage.liveHeapBytes() - before, "bytes");
+                Sample.print("held_disk", size, forwarder.diskBytes(), "bytes");
+                double waiting = Usage.cpuSeconds(() -> forwarder.pass(WAITING_SECONDS * HollowForwarder.SECOND));
+                Sample.print("held_second_cpu", size, waiting / WAITING_SECONDS, "s");
+                Histogram turns = busyTurns(forwarder);
+                Sample.print("held_busy_turn_cpu", size, turns.getValueAtPercentile(50) / NANOS, "s");
+                Sample.print("held_busy_turn_p99_cpu", size, turns.getValueAtPercentile(99) / NANOS, "s");
+            }
+            HollowForwarder[] reopened = new HollowForwarder[1];
+            double recovery = Usage.cpuSeconds(() -> reopened[0] = open(folder, 1 + DOWN, 1, 2 * size));
+            try (HollowForwarder forwarder = reopened[0]) {
+                requireHeld(forwarder, size);
+                Sample.print("held_recovery_cpu", size, recovery, "s");
+            }
+        });
+    }
+
+    /** Turns in each of which one message for a healthy destination comes, while the others wait. */
+    private static Histogram busyTurns(HollowForwarder forwarder) {
+        Histogram turns = new Histogram(MOST_TURN_NANOS, 3);
+        for (int i = 0; i < BUSY_TURNS; i++) {
+            forwarder.handIn(0, new byte[BODY]);
+            turns.recordValue((long) (Usage.cpuSeconds(forwarder::turn) * NANOS));
+        }
+        forwarder.pass(HollowForwarder.SECOND);
+        return turns;
+    }
+
+    private static void requireHeld(HollowForwarder forwarder, int size) {
+        if (forwarder.held() != size) {
+            throw new IllegalStateException("held " + forwarder.held() + " of " + size);
+        }
+    }
+
+    /** Nothing is printed where the measure has no name. */
+    private static void events(String measure, int destinations, int events) throws IOException {
+        inFolder(folder -> {
+            CountingDisk disk = new CountingDisk(FolderDisk.take(folder));
+            UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
+            try (HollowForwarder forwarder = new HollowForwarder(disk, destinations, destinations, 10_000)) {
+                double cpu = Usage.cpuSeconds(() -> {
+                    for (int i = 0; i < events; i++) {
+                        forwarder.handIn(random.nextInt(destinations), new byte[BODY]);
+                        if (i % EVENTS_IN_A_TURN == 0) {
+                            forwarder.turn();
+                        }
+                    }
+                    forwarder.pass(HollowForwarder.SECOND);
+                });
+                if (forwarder.count(Counters.Name.DELIVERED) != events) {
+                    throw new IllegalStateException(
+                            "delivered " + forwarder.count(Counters.Name.DELIVERED) + " of " + events);
+                }
+                if (measure.equals("event")) {
+                    Sample.print("event_cpu", events, cpu, "s");
+                    Sample.print("event_journal_written", events, disk.writtenBytes(), "bytes");
+                } else if (!measure.isEmpty()) {
+                    Sample.print(measure + "_cpu", destinations, cpu / events, "s");
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/bench/java/lilaclever/scale/ProcessRun.java
@@ -0,0 +1,74 @@
+package lilaclever.scale;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import lilaclever.scale.AgentStandIn.Behaviour;
+
+/**
+ * Figures that need the built program in a process of its own: {@code listed JAR SIZE...} gives heap, memory and start by
+ * endpoints known, {@code idle JAR SECONDS SIZE...} the processor time of an idle process by endpoints known and by how its
+ * agent behaves. Each line of the output is a {@link Sample}.
+ */
+final class ProcessRun {
+    /** What a process does in its first seconds, such as compiling, is no part of being idle. */
+    private static final long SETTLE_MILLIS = 5_000;
+
+    private static final String NOBODY = "127.0.0.1:9";
+
+    private ProcessRun() {}
+
+    public static void main(String[] args) throws Exception {
+        Path jar = Path.of(args[1]).toAbsolutePath();
+        if (args[0].equals("listed")) {
+            for (int size : sizes(args, 2)) {
+                listed(jar, size);
+            }
+        } else {
+            for (int size : sizes(args, 3)) {
+                idle(jar, Behaviour.ANSWERS, size, Long.parseLong(args[2]));
+            }
+            for (Behaviour behaviour : List.of(Behaviour.REFUSES, Behaviour.SILENT, Behaviour.UNREADABLE)) {
+                idle(jar, behaviour, 1, Long.parseLong(args[2]));
+            }
+        }
+    }
+
+    private static int[] sizes(String[] args, int from) {
+        return Arrays.stream(args, from, args.length)
+                .mapToInt(Integer::parseInt)
+                .toArray();
+    }
+
+    private static void listed(Path jar, int size) throws IOException {
+        try (AgentStandIn agent = new AgentStandIn(Behaviour.ANSWERS);
+                ForwarderProcess forwarder = new ForwarderProcess(jar, agent.address(), size, NOBODY)) {
+            Sample.print("listed_start_wall", size, forwarder.startSeconds(), "s");
+            Sample.print("listed_start_cpu", size, forwarder.startCpuSeconds(), "s");
+            Sample.print("listed_peak_memory", size, forwarder.peakMemoryBytes(), "bytes");
+            Sample.print("listed_heap", size, forwarder.liveHeapBytes(), "bytes");
+        }
+    }
+
+    private static void idle(Path jar, Behaviour behaviour, int size, long seconds)
+            throws IOException, InterruptedException {
+        try (AgentStandIn agent = new AgentStandIn(behaviour);
+                ForwarderProcess forwarder = new ForwarderProcess(jar, agent.address(), size, NOBODY)) {
+            Thread.sleep(SETTLE_MILLIS);
+            double before = forwarder.cpuSeconds();
+            long bytesBefore = forwarder.transferredBytes();
+            long began = System.nanoTime();
+            Thread.sleep(seconds * 1_000);
+            double passed = (System.nanoTime() - began) / 1e9;
+            String agentDoes = behaviour.name().toLowerCase(Locale.ROOT);
+            Sample.print("idle_cpu_agent_" + agentDoes, size, (forwarder.cpuSeconds() - before) / passed, "core");
+            Sample.print(
+                    "idle_bytes_agent_" + agentDoes,
+                    size,
+                    (forwarder.transferredBytes() - bytesBefore) / passed,
+                    "bytes/s");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/scale/ScaleTest.java
@@ -0,0 +1,101 @@
+package lilaclever.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.ref.Reference;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import lilaclever.routing.Counters;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The small scale tests: what a forwarder keeps grows no faster than stated, and on a line. The long runs are bench/scale. */
+class ScaleTest {
+    /** Bytes of heap for each destination listed with one endpoint, without the program's own list: docs/CAPACITY.md. */
+    private static final double MOST_FOR_DESTINATION = 1_600;
+    /** Bytes of heap for each message held with a body of {@link #BODY}: docs/CAPACITY.md. */
+    private static final double MOST_FOR_MESSAGE = 1_500;
+
+    private static final int BODY = 300;
+    /** Heap moves in steps, as tables double: the largest distance from the line, as part of the largest value. */
+    private static final double STRAIGHT = 0.15;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void heapForEachDestinationListedIsUnderItsBoundAndOnALine() throws IOException {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int destinations : List.of(5_000, 10_000, 20_000, 40_000)) {
+            long before = Usage.liveHeapBytes();
+            try (HollowForwarder forwarder =
+                    new HollowForwarder(folder(destinations), destinations, destinations, 100)) {
+                points.add(new Slope.Point(destinations, Usage.liveHeapBytes() - before));
+                Reference.reachabilityFence(forwarder);
+            }
+        }
+        Slope slope = Slope.fit(points);
+        assertTrue(slope.perUnit() < MOST_FOR_DESTINATION && slope.perUnit() > 0, slope + " through " + points);
+        assertTrue(slope.worstPart() < STRAIGHT, slope + " through " + points);
+    }
+
+    @Test
+    void heapForEachMessageHeldIsUnderItsBoundAndOnALine() throws IOException {
+        List<Slope.Point> points = new ArrayList<>();
+        for (int messages : List.of(2_000, 4_000, 8_000, 16_000)) {
+            long before = Usage.liveHeapBytes();
+            try (HollowForwarder forwarder = new HollowForwarder(folder(messages), 1, 0, 2 * messages)) {
+                for (int i = 0; i < messages; i++) {
+                    forwarder.handIn(0, new byte[BODY]);
+                    if (i % 100 == 0) {
+                        forwarder.turn();
+                    }
+                }
+                forwarder.turn();
+                assertEquals(messages, forwarder.held());
+                points.add(new Slope.Point(messages, Usage.liveHeapBytes() - before));
+            }
+        }
+        Slope slope = Slope.fit(points);
+        assertTrue(slope.perUnit() < MOST_FOR_MESSAGE && slope.perUnit() > 0, slope + " through " + points);
+        assertTrue(slope.worstPart() < STRAIGHT, slope + " through " + points);
+    }
+
+    /** Without this the figures of events would be those of messages that wait. */
+    @Test
+    void aHollowForwarderDeliversWhatItGets() throws IOException {
+        try (HollowForwarder forwarder = new HollowForwarder(folder(1), 374, 374, 10_000)) {
+            for (int i = 0; i < 2_000; i++) {
+                forwarder.handIn(i % 374, new byte[BODY]);
+                if (i % 9 == 0) {
+                    forwarder.turn();
+                }
+            }
+            forwarder.pass(HollowForwarder.SECOND);
+            assertEquals(2_000, forwarder.count(Counters.Name.DELIVERED));
+            assertEquals(0, forwarder.held());
+        }
+    }
+
+    @Test
+    void aLineIsFoundAndWhatIsNoneIsSeen() {
+        Slope line = Slope.fit(List.of(new Slope.Point(1, 5), new Slope.Point(2, 7), new Slope.Point(4, 11)));
+        assertEquals(2, line.perUnit(), 1e-9);
+        assertEquals(3, line.atZero(), 1e-9);
+        assertEquals(23, line.at(10), 1e-9);
+        assertEquals(0, line.worstPart(), 1e-9);
+        Slope square = Slope.fit(List.of(new Slope.Point(1, 1), new Slope.Point(10, 100), new Slope.Point(20, 400)));
+        assertTrue(square.worstPart() > 0.1, square.toString());
+        assertThrows(
+                IllegalArgumentException.class, () -> Slope.fit(List.of(new Slope.Point(1, 1), new Slope.Point(1, 2))));
+    }
+
+    private Path folder(int number) throws IOException {
+        return Files.createDirectories(folder.resolve("journal-" + number));
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/scale/Usage.java
@@ -0,0 +1,27 @@
+package lilaclever.scale;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+
+/** What this process uses. */
+final class Usage {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final int COLLECTIONS = 2;
+
+    private Usage() {}
+
+    /** Bytes of the heap that are in use after full collections. */
+    static long liveHeapBytes() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /** Seconds of the processor that the task uses on this thread; collections of the heap run on others. */
+    static double cpuSeconds(Runnable task) {
+        long before = THREADS.getCurrentThreadCpuTime();
+        task.run();
+        return (THREADS.getCurrentThreadCpuTime() - before) / 1e9;
+    }
+}
