--- a/bench/java/lilaclever/scale/EventRun.java
+++ b/bench/java/lilaclever/scale/EventRun.java
@@ -18,8 +18,8 @@
 import lilaclever.scale.AgentStandIn.Behaviour;
 
 /**
- * What an event costs the built program over real sockets: {@code EventRun JAR EVENTS...}. Clients hand in one message after
- * the other, and one endpoint takes each. Each line of the output is a {@link Sample}.
+ * What an event costs the built program over real sockets: {@code EventRun JAR EVENTS...}. Clients hand in one message
+ * after the other, and one endpoint takes each. Each line of the output is a {@link Sample}.
  */
 final class EventRun {
     private static final int CLIENTS = 4, WARM_UP = 10_000;
--- a/bench/java/lilaclever/scale/FitRun.java
+++ b/bench/java/lilaclever/scale/FitRun.java
@@ -21,8 +21,8 @@
 import org.jfree.data.xy.XYSeriesCollection;
 
 /**
- * Lays a line through each measure of all {@code *.samples.tsv} in a folder, writes {@code fits.tsv} there, and a plot of each
- * measure that decides something. {@code FitRun FOLDER}.
+ * Lays a line through each measure of all {@code *.samples.tsv} in a folder, writes {@code fits.tsv} there, and a plot
+ * of each measure that decides something. {@code FitRun FOLDER}.
  */
 final class FitRun {
     private static final Set<String> PLOTTED = Set.of(
--- a/bench/java/lilaclever/scale/ForwarderProcess.java
+++ b/bench/java/lilaclever/scale/ForwarderProcess.java
@@ -34,7 +34,10 @@
     private final double startCpuSeconds;
     private int port;
 
-    /** Starts the jar, with its archive of classes beside it, with so many endpoints known, each of a destination of its own. */
+    /**
+     * Starts the jar, with its archive of classes beside it, with so many endpoints known, each of a destination of
+     * its own.
+     */
     ForwarderProcess(Path jar, String agent, int endpoints, String endpointAddress) throws IOException {
         folder = Files.createTempDirectory("scale");
         Path config = Files.writeString(folder.resolve("config.json"), config(agent, endpoints, endpointAddress));
@@ -75,8 +78,8 @@
                   "familyInfo": {"callSlots": 20, "kindBatch": [1], "ownLimits": [false]},
                   "limits": {"maxAttempts": 8, "openCap": 2000, "connectTimeoutS": 1.5, "keepaliveS": 15},
                   "requestClasses": [{"name": "status", "aimS": 0.8, "deadlineS": 6, "repeat": "read_like"}],
-                  "rules": {"answerSlackS": 0.02, "coldFrom": 0.24, "tipMultiple": 1.5, "rampTimeS": 9.5, "overloadForS": 3,
-                   "drainGraceS": 0.5, "askWithinS": 10}}}""".formatted(agent, list);
+                  "rules": {"answerSlackS": 0.02, "coldFrom": 0.24, "tipMultiple": 1.5, "rampTimeS": 9.5,
+                   "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}}""".formatted(agent, list);
     }
 
     private void awaitServing() throws IOException {
--- a/bench/java/lilaclever/scale/HollowRun.java
+++ b/bench/java/lilaclever/scale/HollowRun.java
@@ -13,9 +13,9 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Figures of hollow forwarders: {@code destinations SIZE...}, {@code held SIZE...} and {@code events SIZE...} by destinations
- * listed, messages held for destinations that are down, and events delivered. Each line of the output is a {@link Sample}.
- * Processor time is that of the loop alone: collections of the heap run on other threads.
+ * Figures of hollow forwarders: {@code destinations SIZE...}, {@code held SIZE...} and {@code events SIZE...} by
+ * destinations listed, messages held for destinations that are down, and events delivered. Each line of the output is
+ * a {@link Sample}. Processor time is that of the loop alone: collections of the heap run on other threads.
  */
 final class HollowRun {
     /** What one owner has at the size that the fleet is planned for. */
--- a/bench/java/lilaclever/scale/ProcessRun.java
+++ b/bench/java/lilaclever/scale/ProcessRun.java
@@ -8,9 +8,9 @@
 import lilaclever.scale.AgentStandIn.Behaviour;
 
 /**
- * Figures that need the built program in a process of its own: {@code listed JAR SIZE...} gives heap, memory and start by
- * endpoints known, {@code idle JAR SECONDS SIZE...} the processor time of an idle process by endpoints known and by how its
- * agent behaves. Each line of the output is a {@link Sample}.
+ * Figures that need the built program in a process of its own: {@code listed JAR SIZE...} gives heap, memory and start
+ * by endpoints known, {@code idle JAR SECONDS SIZE...} the processor time of an idle process by endpoints known and by
+ * how its agent behaves. Each line of the output is a {@link Sample}.
  */
 final class ProcessRun {
     /** What a process does in its first seconds, such as compiling, is no part of being idle. */
--- a/src/test/java/lilaclever/scale/HollowForwarder.java
+++ b/src/test/java/lilaclever/scale/HollowForwarder.java
@@ -26,8 +26,9 @@
 import lilaclever.routing.Verdict;
 
 /**
- * A forwarder without sockets: the real core, decision module and journal in virtual time, on the thread of whoever uses it.
- * Each endpoint has a destination of its own; its calls are delivered, or refused where the destination is down.
+ * A forwarder without sockets: the real core, decision module and journal in virtual time, on the thread of whoever
+ * uses it. Each endpoint has a destination of its own; its calls are delivered, or refused where the destination is
+ * down.
  */
 final class HollowForwarder implements Front, Deliverer, Pace, AutoCloseable {
     static final long SECOND = 1_000_000, ROUND = 5_000, DAY = 86_400 * SECOND;
@@ -48,7 +49,10 @@
     private long now;
     private long next;
 
-    /** Opens the folder's journal and starts with so many destinations listed, of which those from {@code firstDown} on are down. */
+    /**
+     * Opens the folder's journal and starts with so many destinations listed, of which those from {@code firstDown} on
+     * are down.
+     */
     HollowForwarder(Path folder, int destinations, int firstDown, int mostHeld) throws IOException {
         this(FolderDisk.take(folder), destinations, firstDown, mostHeld);
     }
--- a/src/test/java/lilaclever/scale/ScaleTest.java
+++ b/src/test/java/lilaclever/scale/ScaleTest.java
@@ -14,9 +14,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The small scale tests: what a forwarder keeps grows no faster than stated, and on a line. The long runs are bench/scale. */
+/**
+ * The small scale tests: what a forwarder keeps grows no faster than stated, and on a line. The long runs are
+ * bench/scale.
+ */
 class ScaleTest {
-    /** Bytes of heap for each destination listed with one endpoint, without the program's own list: docs/CAPACITY.md. */
+    /**
+     * Bytes of heap for each destination listed with one endpoint, without the program's own list: docs/CAPACITY.md.
+     */
     private static final double MOST_FOR_DESTINATION = 1_600;
     /** Bytes of heap for each message held with a body of {@link #BODY}: docs/CAPACITY.md. */
     private static final double MOST_FOR_MESSAGE = 1_500;
--- a/src/test/java/lilaclever/scale/Slope.java
+++ b/src/test/java/lilaclever/scale/Slope.java
@@ -4,8 +4,8 @@
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
- * A straight line through measured values by least squares: what one more of the size costs, and how far from a line the
- * values are.
+ * A straight line through measured values by least squares: what one more of the size costs, and how far from a line
+ * the values are.
  *
  * @param perUnit how much the value grows with each unit of the size
  * @param atZero the line's value at size 0
