--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -20,7 +20,7 @@
     private int forwarders = FleetSettings.FULL_FORWARDERS;
     @Option(name = "--seed", usage = "seed of all random choices")
     private long seed = 1;
-    @Option(name = "--schedule", usage = "INCIDENTS, ORDINARY_HOUR, RESTART_PACE or SHORT")
+    @Option(name = "--schedule", usage = "INCIDENTS, ORDINARY, RESTART_PACE or SHORT")
     private Schedule schedule = Schedule.INCIDENTS;
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
@@ -55,7 +55,7 @@
         long begin = System.nanoTime();
         FleetFigures figures = new FleetSimulation(
                 FleetSettings.ofSize(seed, forwarders).withLoadBound(loadBound).withReassignmentsPerSecond(reassignments),
-                schedule).run();
+                schedule).run(phase -> System.err.println(phase.row()));
         double realSeconds = (System.nanoTime() - begin) / 1e9;
         Path file = folder.resolve(schedule.label() + "-" + forwarders + "-seed" + seed + ".tsv");
         try {
--- a/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Consumer;
 import lilaclever.lab.fleet.FleetFigures.Figure;
 import lilaclever.lab.fleet.Schedule.Happening;
 import lilaclever.lab.fleet.Schedule.Phase;
@@ -52,6 +53,11 @@
 
     /** Plays the schedule from the start of all forwarders to its end. */
     public FleetFigures run() {
+        return run(phase -> { });
+    }
+
+    /** Plays the schedule, and tells of each phase as it ends. */
+    public FleetFigures run(Consumer<PhaseFigures> phaseEnded) {
         forwarders.all().forEach(forwarder -> forwarders.startAfter(forwarder, starts.nextInt(START_SPREAD_MICROS)));
         queue.runUntil(WARM_UP_MICROS);
         long started = queue.now();
@@ -61,7 +67,9 @@
         publisher.start();
         List<PhaseFigures> phases = new ArrayList<>();
         for (Phase phase : schedule.phases()) {
-            phases.add(play(phase));
+            PhaseFigures figures = play(phase);
+            phaseEnded.accept(figures);
+            phases.add(figures);
         }
         double seconds = (queue.now() - started) / (double) SECOND;
         return new FleetFigures(settings, schedule.label(), checks.breaches(), checks.checks(), phases,
