--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -2,69 +2,89 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
-/** Plays the fleet in virtual time from the command line and writes what it gave as a table. */
+/** Plays the fleet in virtual time from the command line and writes what it gave, a table for each run. */
 public final class FleetMain {
     private static final int USAGE_ERROR = 2;
     private static final int BREACHES_FOUND = 1;
 
-    @Option(name = "--forwarders", usage = "number of forwarders")
-    private int forwarders = FleetSettings.FULL_FORWARDERS;
-    @Option(name = "--seed", usage = "seed of all random choices")
-    private long seed = 1;
-    @Option(name = "--schedule", usage = "INCIDENTS, ORDINARY, RESTART_PACE or SHORT")
-    private Schedule schedule = Schedule.INCIDENTS;
+    @Argument(usage = "runs, each as SCHEDULE/FORWARDERS/SEED; schedules are incidents, ordinary, restart-pace and short",
+            metaVar = "RUN")
+    private List<String> runs = new ArrayList<>();
+    @Option(name = "--threads", usage = "runs that are played at the same time")
+    private int threads = 1;
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
     @Option(name = "--reassignments", usage = "shards a second of a region that may get another owner")
     private int reassignments = FleetSettings.REASSIGNMENTS_PER_SECOND;
     @Option(name = "--memory", usage = "measure the heap of holders, maps and a controller instead")
     private boolean memory;
-    @Option(name = "--out", usage = "folder that the table is written to", metaVar = "FOLDER")
+    @Option(name = "--out", usage = "folder that the tables are written to", metaVar = "FOLDER")
     private Path folder = Path.of("docs/scale/fleet");
 
     private FleetMain() { }
 
-    /** Exit code 0 if no rule was broken, 1 if one was, 2 if the command line is wrong. */
-    public static void main(String[] arguments) {
+    /** Exit code 0 if no rule was broken, 1 if one was or a run failed, 2 if the command line is wrong. */
+    public static void main(String[] arguments) throws InterruptedException {
         FleetMain main = new FleetMain();
         CmdLineParser parser = new CmdLineParser(main);
+        List<FleetRun> runs = new ArrayList<>();
         try {
             parser.parseArgument(arguments);
-        } catch (CmdLineException e) {
+            main.runs.forEach(run -> runs.add(FleetRun.parse(run)));
+        } catch (CmdLineException | IllegalArgumentException e) {
             System.err.println(e.getMessage());
             parser.printUsage(System.err);
             System.exit(USAGE_ERROR);
         }
         if (main.memory) {
-            new ControlMemory(FleetSettings.ofSize(main.seed, main.forwarders)).print(System.out);
+            new ControlMemory(FleetSettings.ofSize(1, FleetSettings.FULL_FORWARDERS)).print(System.out);
             return;
         }
-        System.exit(main.play() ? 0 : BREACHES_FOUND);
+        System.exit(main.playAll(runs) ? 0 : BREACHES_FOUND);
     }
 
-    private boolean play() {
+    private boolean playAll(List<FleetRun> all) throws InterruptedException {
+        ExecutorService executor = Executors.newFixedThreadPool(threads);
+        List<Future<Boolean>> results = new ArrayList<>();
+        all.forEach(run -> results.add(executor.submit(() -> play(run))));
+        executor.shutdown();
+        boolean passed = true;
+        for (Future<Boolean> result : results) {
+            try {
+                passed &= result.get();
+            } catch (ExecutionException e) {
+                e.printStackTrace();
+                passed = false;
+            }
+        }
+        return passed;
+    }
+
+    private boolean play(FleetRun run) throws IOException {
         long begin = System.nanoTime();
-        FleetFigures figures = new FleetSimulation(
-                FleetSettings.ofSize(seed, forwarders).withLoadBound(loadBound).withReassignmentsPerSecond(reassignments),
-                schedule).run(phase -> System.err.println(phase.row()));
+        FleetSettings settings = FleetSettings.ofSize(run.seed(), run.forwarders()).withLoadBound(loadBound)
+                .withReassignmentsPerSecond(reassignments);
+        FleetFigures figures = new FleetSimulation(settings, run.schedule())
+                .run(phase -> System.err.println(run.fileName() + "\t" + phase.row()));
         double realSeconds = (System.nanoTime() - begin) / 1e9;
-        Path file = folder.resolve(schedule.label() + "-" + forwarders + "-seed" + seed + ".tsv");
-        try {
-            Files.createDirectories(folder);
-            try (PrintStream out = new PrintStream(Files.newOutputStream(file), false, StandardCharsets.UTF_8)) {
-                write(figures, realSeconds, out);
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        Path file = folder.resolve(run.fileName());
+        Files.createDirectories(folder);
+        try (PrintStream out = new PrintStream(Files.newOutputStream(file), false, StandardCharsets.UTF_8)) {
+            write(figures, realSeconds, out);
         }
         System.out.println(file + ": " + figures.breaches().size() + " breaches in " + figures.checks() + " checks, "
                 + Math.round(realSeconds) + " s");
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/FleetRun.java
@@ -0,0 +1,27 @@
+package lilaclever.lab.fleet;
+
+import java.util.Locale;
+
+/** One run that is asked for on the command line, as {@code SCHEDULE/FORWARDERS/SEED}. */
+record FleetRun(Schedule schedule, int forwarders, long seed) {
+    private static final int PARTS = 3;
+
+    /**
+     * Reads a run.
+     *
+     * @throws IllegalArgumentException if it is not of that form, or the schedule is unknown
+     */
+    static FleetRun parse(String text) {
+        String[] parts = text.split("/");
+        if (parts.length != PARTS) {
+            throw new IllegalArgumentException("not SCHEDULE/FORWARDERS/SEED: " + text);
+        }
+        Schedule schedule = Schedule.valueOf(parts[0].toUpperCase(Locale.ROOT).replace('-', '_'));
+        return new FleetRun(schedule, Integer.parseInt(parts[1]), Long.parseLong(parts[2]));
+    }
+
+    /** Name of its table. */
+    String fileName() {
+        return schedule.label() + "-" + forwarders + "-seed" + seed + ".tsv";
+    }
+}
