--- a/src/main/java/lilaclever/lab/fleet/HollowForwarder.java
+++ b/src/main/java/lilaclever/lab/fleet/HollowForwarder.java
@@ -39,6 +39,11 @@
         return process != null;
     }
 
+    /** Whether nothing reaches it or leaves it at this time. */
+    boolean isCutOff(long nowMicros) {
+        return nowMicros < cutOffUntil;
+    }
+
     /** Counts bytes that it sent or received. */
     void transferred(int count, long nowMicros) {
         long present = nowMicros / WINDOW_MICROS;
--- /dev/null
+++ b/src/main/java/lilaclever/lab/fleet/MapDistribution.java
@@ -0,0 +1,284 @@
+package lilaclever.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import lilaclever.placement.DeltaBatch;
+import lilaclever.placement.DistributionTree;
+import lilaclever.placement.MapCodec;
+import lilaclever.placement.MapDelta;
+import lilaclever.placement.MapFormatException;
+import lilaclever.placement.MemberId;
+import lilaclever.placement.ShardMap;
+
+/** Brings the changes of a region's map, and with them the configuration, to all of its forwarders. */
+final class MapDistribution {
+    /** Machines that a message between a forwarder and the controller passes: a relay, and the controller's own. */
+    static final int CONTROLLER_HOPS = 2;
+    private static final int TREE_HOPS = 1;
+    /** How long a forwarder waits for a version that is under way before it asks for it. */
+    private static final long FETCH_DELAY_MICROS = 300_000;
+    /** How long a sender in the tree waits for a receiver's acknowledgement. */
+    private static final long ACKNOWLEDGE_MICROS = 300_000;
+    private static final long FETCH_RETRY_MICROS = 1_000_000;
+    /** Changes of the map are gathered for so long before they are sent through the tree as one. */
+    private static final long BATCH_MICROS = 100_000;
+    /** After so many batches the tree is built anew, so that the cost of passing on goes round. */
+    private static final int VERSIONS_PER_TREE = 4;
+
+    private final int region;
+    private final int shards;
+    private final FleetSettings settings;
+    private final EventQueue queue;
+    private final Network network;
+    private final FleetForwarders forwarders;
+    private final FleetChecks checks;
+    private final ConfigurationLog configurations;
+    private final ControlTraffic traffic;
+    private final Supplier<List<MemberId>> members;
+    private final LongSupplier regionCutOffUntil;
+    private final MapHistory history = new MapHistory();
+    private final DeltaBatch batch = new DeltaBatch();
+    private final ShardMap sampleMap;
+    private DistributionTree tree;
+    private long treeVersion;
+    private boolean membersChanged = true;
+
+    MapDistribution(int region, int shards, FleetSettings settings, EventQueue queue, Network network,
+            FleetForwarders forwarders, FleetChecks checks, ConfigurationLog configurations, ControlTraffic traffic,
+            Supplier<List<MemberId>> members, LongSupplier regionCutOffUntil) {
+        this.region = region;
+        this.shards = shards;
+        this.settings = settings;
+        this.queue = queue;
+        this.network = network;
+        this.forwarders = forwarders;
+        this.checks = checks;
+        this.configurations = configurations;
+        this.traffic = traffic;
+        this.members = members;
+        this.regionCutOffUntil = regionCutOffUntil;
+        sampleMap = new ShardMap(region, shards);
+    }
+
+    /** Number of the last batch that was sent. */
+    long latest() {
+        return history.latest();
+    }
+
+    /** Version of the configuration that a process has. */
+    long configurationOf(ForwarderProcess process) {
+        return history.configurationAt(process.mapVersion);
+    }
+
+    /** The members of the region have changed: the next batch goes through another tree. */
+    void membersChanged() {
+        membersChanged = true;
+    }
+
+    /** Takes a change of the map, which is sent with others in a moment. */
+    void changed(MapDelta delta) {
+        if (batch.isEmpty()) {
+            queue.after(BATCH_MICROS, this::publishBatch);
+        }
+        batch.add(delta);
+    }
+
+    private void publishBatch() {
+        MapDelta delta = batch.take();
+        byte[] encoded = MapCodec.encode(delta);
+        boolean configurationChanged = delta.configurationVersion() > history.configurationAt(history.latest());
+        int contents = configurationChanged ? settings.configurationBytes() : 0;
+        history.add(delta, encoded.length + contents);
+        applyToSample(encoded);
+        long version = history.latest();
+        if (membersChanged || version - treeVersion >= VERSIONS_PER_TREE) {
+            buildTree(version);
+        }
+        Passage passage = new Passage(version, MessageSizes.mapMessage(encoded.length + contents), tree);
+        tree.heads().forEach(head -> sendDelta(null, head, passage));
+        queue.after(settings.mapBoundMicros(), () -> checkMapAge(version));
+    }
+
+    /** What every forwarder does with a delta is done and timed once. */
+    private void applyToSample(byte[] encoded) {
+        long begin = System.nanoTime();
+        try {
+            sampleMap.apply(MapCodec.decodeDelta(encoded));
+        } catch (MapFormatException e) {
+            throw new IllegalStateException("delta that was just encoded", e);
+        }
+        traffic.deltaTook(System.nanoTime() - begin);
+    }
+
+    private void buildTree(long version) {
+        List<DistributionTree.TreeMember> treeMembers = new ArrayList<>();
+        for (MemberId member : members.get()) {
+            treeMembers.add(new DistributionTree.TreeMember(member, forwarders.byId(member).zoneWithinRegion));
+        }
+        tree = new DistributionTree(treeMembers, version, settings.treeDegree());
+        treeVersion = version;
+        membersChanged = false;
+    }
+
+    private void checkMapAge(long version) {
+        checks.checked();
+        for (HollowForwarder forwarder : forwarders.ofRegion(region)) {
+            ForwarderProcess process = forwarder.process;
+            if (process != null && process.mapVersion < version && process.mapFreshUntil > queue.now()) {
+                checks.broken(new FleetBreach(FleetBreach.Kind.STALE_MAP, queue.now(), region,
+                        forwarder.id + " has " + process.mapVersion + ", not " + version));
+            }
+        }
+    }
+
+    /** Lets a process that is behind ask for what it lacks, unless that comes by itself in time. */
+    void fetchIfBehind(ForwarderProcess process, long mapVersion) {
+        if (process.mapVersion < mapVersion && !process.fetchScheduled) {
+            process.fetchScheduled = true;
+            queue.after(FETCH_DELAY_MICROS, () -> fetch(process, mapVersion));
+        }
+    }
+
+    private void fetch(ForwarderProcess process, long mapVersion) {
+        if (process.ended || process.mapVersion >= mapVersion) {
+            process.fetchScheduled = false;
+            return;
+        }
+        process.forwarder.transferred(MessageSizes.OVERHEAD, queue.now());
+        traffic.fetches++;
+        if (!process.forwarder.isCutOff(queue.now())) {
+            network.withinRegion(CONTROLLER_HOPS, () -> answerFetch(process));
+        }
+        queue.after(FETCH_RETRY_MICROS, () -> fetch(process, mapVersion));
+    }
+
+    private void answerFetch(ForwarderProcess process) {
+        long version = history.latest();
+        long deltas = history.bytesBetween(process.mapVersion, version);
+        int bytes = MessageSizes.mapMessage((int) Math.min(deltas, snapshotBytes()));
+        traffic.relayed(process.forwarder, bytes);
+        if (process.forwarder.isCutOff(queue.now())) {
+            return;
+        }
+        network.withinRegion(CONTROLLER_HOPS, () -> {
+            if (!process.ended && !process.forwarder.isCutOff(queue.now())) {
+                process.forwarder.transferred(bytes, queue.now());
+                advance(process, version);
+            }
+        });
+    }
+
+    /** An estimate from the codec: two bytes for the owner and one for the epoch of each shard. */
+    private int snapshotBytes() {
+        return 3 * shards;
+    }
+
+    /** A delta on its way through one tree. */
+    private record Passage(long version, int bytes, DistributionTree tree) { }
+
+    /** Whoever gets a delta through a tree is in it, since the tree sends to its members only. */
+    private void deltaArrived(ForwarderProcess process, Passage passage) {
+        process.forwarder.transferred(passage.bytes(), queue.now());
+        long version = passage.version();
+        if (version <= process.mapVersion || process.earlyVersions.contains(version)) {
+            return;
+        }
+        for (MemberId child : passage.tree().childrenOf(process.forwarder.id)) {
+            sendDelta(process.forwarder, child, passage);
+        }
+        if (version == process.mapVersion + 1) {
+            advance(process, version);
+        } else {
+            process.keepEarly(version);
+            fetchIfBehind(process, version);
+        }
+    }
+
+    /**
+     * Sends a delta on. If the receiver does not acknowledge it in time, it is sent once more, and to the receiver's own
+     * receivers in its place.
+     *
+     * @param sender a forwarder, or null for the controller
+     */
+    private void sendDelta(HollowForwarder sender, MemberId receiver, Passage passage) {
+        Delivery delivery = new Delivery(sender, receiver, passage);
+        delivery.send();
+        queue.after(ACKNOWLEDGE_MICROS, delivery::resendUnlessAcknowledged);
+    }
+
+    private final class Delivery {
+        private final HollowForwarder sender;
+        private final MemberId receiver;
+        private final Passage passage;
+        private boolean acknowledged;
+
+        Delivery(HollowForwarder sender, MemberId receiver, Passage passage) {
+            this.sender = sender;
+            this.receiver = receiver;
+            this.passage = passage;
+        }
+
+        void send() {
+            countAtSender(passage.bytes());
+            if (!senderCutOff()) {
+                network.withinRegion(TREE_HOPS, this::arrived);
+            }
+        }
+
+        private void arrived() {
+            ForwarderProcess process = forwarders.byId(receiver).process;
+            if (process == null || process.forwarder.isCutOff(queue.now())) {
+                return;
+            }
+            deltaArrived(process, passage);
+            process.forwarder.transferred(MessageSizes.ACKNOWLEDGEMENT, queue.now());
+            network.withinRegion(TREE_HOPS, this::acknowledged);
+        }
+
+        private void acknowledged() {
+            if (!senderCutOff()) {
+                countAtSender(MessageSizes.ACKNOWLEDGEMENT);
+                acknowledged = true;
+            }
+        }
+
+        void resendUnlessAcknowledged() {
+            if (acknowledged || sender != null && !sender.running()) {
+                return;
+            }
+            traffic.resends++;
+            send();
+            for (MemberId next : passage.tree().childrenOf(receiver)) {
+                sendDelta(sender, next, passage);
+            }
+        }
+
+        private boolean senderCutOff() {
+            return sender != null && sender.isCutOff(queue.now());
+        }
+
+        private void countAtSender(int bytes) {
+            if (sender == null) {
+                traffic.sentByController(bytes);
+            } else {
+                sender.transferred(bytes, queue.now());
+            }
+        }
+    }
+
+    private void advance(ForwarderProcess process, long version) {
+        if (version <= process.mapVersion) {
+            return;
+        }
+        long before = process.mapVersion;
+        process.mapVersion = version;
+        process.earlyVersions.headSet(version, true).clear();
+        while (process.earlyVersions.remove(process.mapVersion + 1)) {
+            process.mapVersion++;
+        }
+        configurations.applied(process, history.configurationAt(before),
+                history.configurationAt(process.mapVersion), regionCutOffUntil.getAsLong());
+    }
+}
