--- a/src/main/java/lilaclever/placement/PlacementController.java
+++ b/src/main/java/lilaclever/placement/PlacementController.java
@@ -132,7 +132,10 @@
         if (before == null) {
             reassigner.join(member);
         } else {
-            replace(before, member, command.previousProcessEnded());
+            replace(before, member);
+        }
+        if (command.previousProcessEnded()) {
+            freeShardsOfEarlierProcesses(member);
         }
     }
 
@@ -140,7 +143,7 @@
      * A forwarder's process has a successor. That it registered does not prove that the earlier process has ended (it may
      * be stopped, cut off, or on another machine): unless the successor knows, its shards wait for the lease's end.
      */
-    private void replace(MemberState before, MemberState member, boolean previousProcessEnded) {
+    private void replace(MemberState before, MemberState member) {
         output.forget(before);
         if (before.leaving || before.weight != member.weight) {
             reassigner.depart(Set.of(before));
@@ -149,14 +152,21 @@
             reassigner.succeed(before, member);
         }
         for (int shard : before.held.toArray()) {
-            if (previousProcessEnded) {
-                reassigner.free(shard);
-            } else if (!table.revoking(shard)) {
+            if (!table.revoking(shard)) {
                 reassigner.endAtLeaseEnd(shard);
             }
         }
     }
 
+    private void freeShardsOfEarlierProcesses(MemberState member) {
+        for (int shard = 0; shard < table.size(); shard++) {
+            MemberState holder = table.holder(shard);
+            if (holder != null && holder != member && holder.id.equals(member.id)) {
+                reassigner.free(shard);
+            }
+        }
+    }
+
     private RejectionReason problemOf(Register command) {
         LastIncarnation last = incarnations.get(command.member());
         if (last != null && command.incarnation() == last.number() && members.containsKey(command.member())) {
--- a/src/test/java/lilaclever/placement/PlacementControllerTest.java
+++ b/src/test/java/lilaclever/placement/PlacementControllerTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.IntStream;
 import lilaclever.placement.ControllerCommand.AdvanceTime;
@@ -242,6 +243,16 @@
         assertEquals(allShards(2), back.granted());
     }
 
+    @Test
+    void proofOfTheEndCountsForAllEarlierProcesses() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 100);
+        register(A, 2, 600_000);
+        List<ControllerEvent> events = controller.apply(new Register(A, 3, 0, 1, true), 700_000);
+        assertEquals(allShards(2), assignmentOf(A, events).granted());
+        assertEquals(SHARDS, controller.shardsHeldBy(A));
+    }
+
     @Test
     void earlierProcessMayStillReleaseWhatItHolds() {
         register(A, 1, 0);
@@ -253,6 +264,36 @@
         assertEquals(SHARDS, controller.shardsHeldBy(A));
     }
 
+    @Test
+    void processCantReleaseWhatAnEarlierOneHolds() {
+        register(A, 1, 0);
+        heartbeat(A, 1, 1, 2, 100);
+        register(A, 2, 600_000);
+        assertRejected(RejectionReason.NOT_HELD, controller.apply(new Release(A, 2, allShards(1)), 700_000));
+        assertEquals(0, controller.shardsWithoutHolder());
+        assertEquals(0, controller.shardsHeldBy(A));
+    }
+
+    /** A never releases; as a third member registers, A's shards fall to B, and are to be the third one's at once. */
+    @Test
+    void shardThatIsGrantedAndRevokedByOneCommandIsOnlyToBeReleased() {
+        int both = 0;
+        for (int third = 3; third < 40; third++) {
+            PlacementController region =
+                    new PlacementController(new ControllerSettings(0, SHARDS, 2, 1.25, TIMING, 1000));
+            region.apply(new Register(A, 1, 0, 1, false), 0);
+            region.apply(new Register(B, 1, 0, 1, false), 20);
+            region.apply(new Heartbeat(A, 1, 1, 3), 4 * SECOND);
+            region.apply(new Heartbeat(B, 1, 1, 1), 4 * SECOND);
+            List<ControllerEvent> events =
+                    region.apply(new Register(new MemberId(third), 1, 0, 1, false), SURELY_ENDED);
+            AssignmentChanged change = assignmentOf(B, events);
+            both += change.revoked().size();
+            assertTrue(Collections.disjoint(change.granted(), change.revoked()), change::toString);
+        }
+        assertTrue(both > 10, "shards revoked by the command that granted them: " + both);
+    }
+
     @Test
     void leaveHandsOverWithoutWaiting() {
         register(A, 1, 0);
--- a/src/test/java/lilaclever/placement/PlacementFigures.java
+++ b/src/test/java/lilaclever/placement/PlacementFigures.java
@@ -22,6 +22,7 @@
         int members = Integer.parseInt(arguments[0]);
         int shards = Integer.parseInt(arguments[1]);
         int pace = Integer.parseInt(arguments[2]);
+        long emptyHeap = usedHeap();
         TestRegion region = new TestRegion(TestRegion.settings(shards, ZONES, pace));
         long start = System.nanoTime();
         for (int member = 0; member < members; member++) {
@@ -33,6 +34,7 @@
         region.run(30 * SECOND);
         System.out.printf("fullest over mean %.3f, snapshot %d bytes%n", region.fullestOverMean(),
                 region.controller.snapshot().encodedBytes());
+        System.out.printf("heap of controller, map and harness: %.1f MB%n", (usedHeap() - emptyHeap) / 1e6);
         printHeartbeats(region, members);
         region.measuring = true;
         printLossesAndJoins(region, members, shards);
@@ -40,6 +42,12 @@
         printTree(members);
     }
 
+    private static long usedHeap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
     private static void printHeartbeats(TestRegion region, int members) {
         long start = System.nanoTime();
         region.run(10 * SECOND);
