--- a/bench/java/lilaclever/journal/Store.java
+++ b/bench/java/lilaclever/journal/Store.java
@@ -48,7 +48,10 @@
         private final Journal journal;
 
         Segments(Path folder) throws IOException {
-            journal = new SegmentedJournal(FolderDisk.take(folder), MOST, Durability.NONE,
+            journal = new SegmentedJournal(
+                    FolderDisk.take(folder),
+                    MOST,
+                    Durability.NONE,
                     new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                     new SplittableRandom(1));
         }
@@ -144,14 +147,17 @@
 
         H2(Path folder) throws IOException {
             java.nio.file.Files.createDirectories(folder);
-            store = new MVStore.Builder().fileName(folder.resolve("store.mv").toString()).cacheSize(64).open();
+            store = new MVStore.Builder()
+                    .fileName(folder.resolve("store.mv").toString())
+                    .cacheSize(64)
+                    .open();
             owed = store.openMap("owed");
         }
 
         @Override
         public void taken(String id, byte[] body) {
             Format.Writer w = new Format.Writer();
-            Held.taken(w, new lilaclever.routing.Owed("http", handin(id, body), 99));
+            RecordEncoder.taken(w, new lilaclever.routing.Owed("http", handin(id, body), 99));
             ByteBuffer all = w.sealed(0);
             byte[] bytes = new byte[all.remaining() + 60];
             all.get(bytes, 0, all.remaining());
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -68,8 +68,10 @@
 
     /** Begins a forcing if one is due and none is under way. */
     void turn(long nowMicros, SegmentLog log) {
-        boolean due = durability.how() == Durability.How.GROUP ? written || !waiting.isEmpty()
-                : durability.how() == Durability.How.INTERVAL && written
+        boolean due = durability.how() == Durability.How.GROUP
+                ? written || !waiting.isEmpty()
+                : durability.how() == Durability.How.INTERVAL
+                        && written
                         && nowMicros - lastBegun >= durability.everyMicros();
         if (!due || running) {
             return;
@@ -114,8 +116,18 @@
         onFailure.run();
     }
 
+    /** Forces what is written, now and on the caller's thread, where anything is to be forced at all. */
+    void forceNow(SegmentLog log) throws IOException {
+        if (forces()) {
+            IOException failure = force(disk, log.pending());
+            if (failure != null) {
+                throw failure;
+            }
+        }
+    }
+
     /** Forces the files, closes those that are full; gives what failed first, or null. */
-    static IOException force(Disk disk, SegmentLog.Pending pending) {
+    private static IOException force(Disk disk, SegmentLog.Pending pending) {
         IOException failure = null;
         try {
             for (Disk.DiskFile file : pending.full()) {
--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -28,14 +28,16 @@
     private int threads = 1;
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
+
     @Option(name = "--reassignments", usage = "shards a second of a region that may get another owner")
     private int reassignments = FleetSettings.REASSIGNMENTS_PER_SECOND;
+
     @Option(name = "--memory", usage = "measure the heap of holders, maps and a controller instead")
     private boolean memory;
     @Option(name = "--out", usage = "folder that the tables are written to", metaVar = "FOLDER")
     private Path folder = Path.of("docs/scale/fleet");
 
-    private FleetMain() { }
+    private FleetMain() {}
 
     /** Exit code 0 if no rule was broken, 1 if one was or a run failed, 2 if the command line is wrong. */
     public static void main(String[] arguments) throws InterruptedException {
--- a/src/main/java/lilaclever/lab/fleet/RegionControl.java
+++ b/src/main/java/lilaclever/lab/fleet/RegionControl.java
@@ -32,8 +32,16 @@
     /** Virtual time until which the region is cut off from the others. */
     long cutOffUntil;
 
-    RegionControl(int region, FleetSettings settings, EventQueue queue, Network network, FleetForwarders forwarders,
-            FleetChecks checks, ConfigurationLog configurations, SimulatedClock clock, int relays) {
+    RegionControl(
+            int region,
+            FleetSettings settings,
+            EventQueue queue,
+            Network network,
+            FleetForwarders forwarders,
+            FleetChecks checks,
+            ConfigurationLog configurations,
+            SimulatedClock clock,
+            int relays) {
         this.region = region;
         this.settings = settings;
         this.queue = queue;
@@ -85,8 +93,14 @@
     }
 
     private void register(ForwarderProcess process) {
-        send(process, new ControllerCommand.Register(process.forwarder.id, process.incarnation,
-                process.forwarder.zoneWithinRegion, 1, process.previousProcessEnded));
+        send(
+                process,
+                new ControllerCommand.Register(
+                        process.forwarder.id,
+                        process.incarnation,
+                        process.forwarder.zoneWithinRegion,
+                        1,
+                        process.previousProcessEnded));
     }
 
     private void beat(ForwarderProcess process) {
@@ -131,13 +145,16 @@
             traffic.holderTook(System.nanoTime() - begin);
         }
         if (renewal.sequence() == process.lastSequence) {
-            long leaseMicros = (long) (settings.timing().leaseMicros() * (1 - settings.timing().maxDrift()));
+            long leaseMicros = (long)
+                    (settings.timing().leaseMicros() * (1 - settings.timing().maxDrift()));
             long until = process.forwarder.clock.virtualTimeOf(process.lastSentReading + leaseMicros);
-            process.permittedUntil = Math.max(process.permittedUntil, until - settings.timing().marginMicros());
+            process.permittedUntil =
+                    Math.max(process.permittedUntil, until - settings.timing().marginMicros());
             if (process.mapVersion >= mapVersion) {
                 process.mapFreshUntil = Math.max(process.mapFreshUntil, until);
                 process.configurationFreshUntil = configurationCurrent
-                        ? Math.max(process.configurationFreshUntil, until) : process.configurationFreshUntil;
+                        ? Math.max(process.configurationFreshUntil, until)
+                        : process.configurationFreshUntil;
             }
         }
         checker.renewed(process);
@@ -158,8 +175,7 @@
     private void startCalls(ForwarderProcess process, ControllerEvent.AssignmentChanged change) {
         long reading = process.forwarder.clock.now();
         change.revoked().forEach(grant -> {
-            if (process.holder.maySend(grant.shard(), reading)
-                    instanceof SendPermission.Permitted permitted) {
+            if (process.holder.maySend(grant.shard(), reading) instanceof SendPermission.Permitted permitted) {
                 process.holder.started(grant.shard(), permitted.epoch(), reading);
                 queue.after(forwarders.callMicros(region, grant.shard()), () -> {
                     process.holder.finished(grant.shard(), permitted.epoch());
@@ -232,7 +248,10 @@
         if (event instanceof ControllerEvent.LeaseRenewed renewal) {
             long version = map.latest();
             boolean current = queue.now() - publisherHeardMicros < PUBLISHER_SILENCE_MICROS;
-            toProcess(renewal.member(), renewal.incarnation(), bytes,
+            toProcess(
+                    renewal.member(),
+                    renewal.incarnation(),
+                    bytes,
                     process -> renewed(process, renewal, version, current));
         } else if (event instanceof ControllerEvent.AssignmentChanged change) {
             if (change.fromRevision() == 0) {
@@ -249,7 +268,10 @@
             toProcess(left.member(), left.incarnation(), bytes, process -> forwarders.left(process));
         } else if (event instanceof ControllerEvent.CommandRejected rejection
                 && rejection.command() instanceof ControllerCommand.Heartbeat heartbeat) {
-            toProcess(heartbeat.member(), heartbeat.incarnation(), bytes,
+            toProcess(
+                    heartbeat.member(),
+                    heartbeat.incarnation(),
+                    bytes,
                     process -> rejected(process, rejection.reason()));
         }
     }
--- a/src/main/java/lilaclever/lab/fleet/Schedule.java
+++ b/src/main/java/lilaclever/lab/fleet/Schedule.java
@@ -18,18 +18,33 @@
     RESTART_PACE(List.of(new Phase(Happening.PLANNED_RESTARTS, 600), new Phase(Happening.QUIET, 30))),
     /** Failures of each kind in a few minutes, for a small fleet. */
     SHORT(List.of(
-            new Phase(Happening.QUIET, 10), new Phase(Happening.MACHINE_LOST, 30), new Phase(Happening.RETURN, 20),
-            new Phase(Happening.ZONE_LOST, 40), new Phase(Happening.RETURN, 30),
-            new Phase(Happening.REGION_CUT_OFF, 30), new Phase(Happening.RECONNECTED, 20),
-            new Phase(Happening.MEMBERS_CUT_OFF, 30), new Phase(Happening.RECONNECTED, 20),
+            new Phase(Happening.QUIET, 10),
+            new Phase(Happening.MACHINE_LOST, 30),
+            new Phase(Happening.RETURN, 20),
+            new Phase(Happening.ZONE_LOST, 40),
+            new Phase(Happening.RETURN, 30),
+            new Phase(Happening.REGION_CUT_OFF, 30),
+            new Phase(Happening.RECONNECTED, 20),
+            new Phase(Happening.MEMBERS_CUT_OFF, 30),
+            new Phase(Happening.RECONNECTED, 20),
             new Phase(Happening.PLANNED_RESTARTS, 30)));
 
     /** What begins a phase, or goes on in it. */
-    enum Happening { QUIET, MACHINE_LOST, RACK_LOST, ZONE_LOST, RETURN, REGION_CUT_OFF, MEMBERS_CUT_OFF, RECONNECTED,
-        ORDINARY_FAILURES, PLANNED_RESTARTS }
+    enum Happening {
+        QUIET,
+        MACHINE_LOST,
+        RACK_LOST,
+        ZONE_LOST,
+        RETURN,
+        REGION_CUT_OFF,
+        MEMBERS_CUT_OFF,
+        RECONNECTED,
+        ORDINARY_FAILURES,
+        PLANNED_RESTARTS
+    }
 
     /** A phase, seconds. */
-    record Phase(Happening happening, int seconds) { }
+    record Phase(Happening happening, int seconds) {}
 
     private final List<Phase> phases;
 
--- a/src/main/java/lilaclever/lab/model/Traffic.java
+++ b/src/main/java/lilaclever/lab/model/Traffic.java
@@ -11,7 +11,7 @@
  */
 public final class Traffic {
     /** The load from a time on, up to the next point. */
-    public record Point(long atMicros, double load) { }
+    public record Point(long atMicros, double load) {}
 
     private final List<Point> shape;
     private final double perSecond, clumpShare;
@@ -21,8 +21,14 @@
     private final List<Partner> partners;
 
     /** {@code weights}: of the destinations, summing to 1, in the partners' order. */
-    public Traffic(List<Point> shape, double perSecond, double clumpShare, double[] clumpSeconds, List<MessageClass> classes,
-            double[] weights, List<Partner> partners) {
+    public Traffic(
+            List<Point> shape,
+            double perSecond,
+            double clumpShare,
+            double[] clumpSeconds,
+            List<MessageClass> classes,
+            double[] weights,
+            List<Partner> partners) {
         this.shape = shape;
         this.perSecond = perSecond;
         this.clumpShare = clumpShare;
@@ -46,7 +52,7 @@
     }
 
     /** All arrivals up to the end, in order. */
-    public List<Arrival> draw(long endMicros, Draws draws) {
+    public List<Arrival> draw(long endMicros, RandomStream random) {
         double most = shape.stream().mapToDouble(Point::load).max().orElse(0);
         double[] upTo = new double[weights.length];
         double sum = 0;
@@ -57,20 +63,20 @@
         List<Arrival> all = new ArrayList<>();
         double t = 0;
         while (most > 0) {
-            t += draws.exponential(1e6 / (most * perSecond));
+            t += random.exponential(1e6 / (most * perSecond));
             if (t >= endMicros) {
                 break;
             }
-            if (!draws.chance(load((long) t) / most)) {
+            if (!random.chance(load((long) t) / most)) {
                 continue;
             }
-            int found = java.util.Arrays.binarySearch(upTo, draws.unit() * sum);
+            int found = java.util.Arrays.binarySearch(upTo, random.unit() * sum);
             int at = Math.min(weights.length - 1, found < 0 ? -found - 1 : found + 1);
             // Of all messages a share comes in clumps: the mean size of one is taken off the chance of beginning one.
-            double size = partners.get(at).capacity() * draws.in(clumpSeconds);
-            int count = clumpShare > 0 && draws.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
+            double size = partners.get(at).capacity() * random.in(clumpSeconds);
+            int count = clumpShare > 0 && random.chance(clumpShare / Math.max(1, size)) ? Math.max(1, (int) size) : 1;
             for (int i = 0; i < count; i++) {
-                all.add(arrival((long) (t + i * 1000.0), at, draws));
+                all.add(arrival((long) (t + i * 1000.0), at, random));
             }
         }
         all.sort(Comparator.comparingLong(Arrival::atMicros));
@@ -81,10 +87,15 @@
         return numbered;
     }
 
-    private Arrival arrival(long at, int partner, Draws draws) {
+    private Arrival arrival(long at, int partner, RandomStream random) {
         double[] shares = classes.stream().mapToDouble(MessageClass::share).toArray();
-        int c = pick(shares, draws.unit());
-        return new Arrival(at, 0, c, partners.get(partner).destination(), draws.in(classes.get(c).workMicros()));
+        int c = pick(shares, random.unit());
+        return new Arrival(
+                at,
+                0,
+                c,
+                partners.get(partner).destination(),
+                random.in(classes.get(c).workMicros()));
     }
 
     /** The index whose part of the sum the number from 0 to 1 falls into. */
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -16,11 +16,11 @@
 import lilaclever.Relay.Presence;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.sockets.Wire.Head;
-import lilaclever.lab.world.Member;
+import lilaclever.lab.world.ForwarderHandle;
 import lilaclever.lab.world.World;
 
 /** One forwarder of the fleet: the real program in a process of its own. */
-final class SocketForwarder implements Member {
+final class SocketForwarder implements ForwarderHandle {
     private static final Pattern BROKEN = Pattern.compile("(?m)^(?:broken_invariants|tasks_failed) (\\d+)$");
     private static final long START_WITHIN = 30_000, LOOK = 10, END_WITHIN = 6;
 
@@ -31,11 +31,12 @@
     private final long seed;
     private final Path folder, log;
     private final List<String> command;
-    private final Doors doors;
+    private final Listeners listeners;
     private final Agent agent;
     private final Clients clients;
     /** Null where no message comes by HL7. */
     private final Hl7Line line;
+
     private final InetSocketAddress address;
     private Process process;
     private boolean served;
@@ -43,11 +44,18 @@
     private int life;
     private long broken;
 
-    SocketForwarder(World world, RealTime time, Doors doors, int number, Relay.Settings settings, long seed, Path folder,
+    SocketForwarder(
+            World world,
+            RealTime time,
+            Listeners listeners,
+            int number,
+            Relay.Settings settings,
+            long seed,
+            Path folder,
             List<String> command) {
         this.world = world;
         this.time = time;
-        this.doors = doors;
+        this.listeners = listeners;
         this.number = number;
         this.settings = settings;
         this.seed = seed;
@@ -57,7 +65,7 @@
         try {
             Files.createDirectories(folder.resolve("state-" + number));
             Files.writeString(log, "");
-            agent = new Agent(world, time, e -> doors.address(world.partner(e.destination()), e.host(), number));
+            agent = new Agent(world, time, e -> listeners.address(world.partner(e.destination()), e.host(), number));
             address = Ports.free();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -69,7 +77,8 @@
     private Hl7Line hl7() {
         try {
             InetSocketAddress port = Ports.free();
-            Path conf = Files.writeString(folder.resolve("operator-" + number + ".conf"),
+            Path conf = Files.writeString(
+                    folder.resolve("operator-" + number + ".conf"),
                     OperatorFile.text(world.scenario(), "127.0.0.1:" + port.getPort()));
             command.addAll(List.of("--conf", conf.toString()));
             return new Hl7Line(world, time, port);
@@ -109,11 +118,21 @@
         int mine = ++life;
         agent.set(known, version);
         try {
-            Path config = Files.writeString(folder.resolve("config-" + number + ".json"), Settings.config(world.scenario(), settings,
-                    "127.0.0.1:" + address.getPort(), agent.address(), folder.resolve("state-" + number), seed * 31 + life,
-                    agent.known()).toString());
-            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).redirectInput(new File("/dev/null"));
+            Path config = Files.writeString(
+                    folder.resolve("config-" + number + ".json"),
+                    Settings.config(
+                                    world.scenario(),
+                                    settings,
+                                    "127.0.0.1:" + address.getPort(),
+                                    agent.address(),
+                                    folder.resolve("state-" + number),
+                                    seed * 31 + life,
+                                    agent.known())
+                            .toString());
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .redirectInput(new File("/dev/null"));
             builder.environment().keySet().removeIf(k -> k.startsWith("ROUTER_"));
             builder.environment().put("ROUTER_CONFIG", config.toString());
             process = builder.start();
@@ -145,7 +164,8 @@
         }
         time.post(() -> {
             if (life == mine && process != null && !served) {
-                failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: " + lastLine();
+                failure = "forwarder " + number + " does not serve after " + START_WITHIN / 1000 + " s, its last line: "
+                        + lastLine();
             }
         });
     }
@@ -227,7 +247,7 @@
         agent.change(version, changes);
         for (Relay.Entry e : changes) {
             if (e.presence() == Presence.LEFT) {
-                doors.remove(e.host(), number);
+                listeners.remove(e.host(), number);
             }
         }
     }
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -12,6 +12,8 @@
 import lilaclever.lab.sockets.Wire;
 import lilaclever.routing.Call;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Requests and connections at the moments where the loop and the selector thread cross. */
 class HttpClientTest extends TwoThreads {
@@ -41,7 +43,8 @@
 
     private HttpClient.Exchange send(HttpClient client, boolean tooLate) throws InterruptedException {
         HttpClient.Exchange[] exchange = new HttpClient.Exchange[1];
-        onLoop(() -> exchange[0] = client.send("e", address(), "POST", "/receive", Map.of(), new byte[0], listener(tooLate)));
+        onLoop(() -> exchange[0] =
+                client.send("e", address(), "POST", "/receive", Map.of(), new byte[0], listener(tooLate)));
         return exchange[0];
     }
 
@@ -49,7 +52,9 @@
         return new HttpClient(core, transport, "test", 1_500_000, 15_000_000, 4, 64 * 1024);
     }
 
-    /** An answer that crosses the giving up of its call comes after the time that was told: only the giving up counts. */
+    /**
+     * An answer that crosses the giving up of its call comes after the time that was told: only the giving up counts.
+     */
     @Test
     void anAnswerThatCrossesTheGivingUpCountsForNothing() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -61,12 +66,15 @@
             free.countDown();
             assertEquals("given up", told.poll(20, TimeUnit.SECONDS));
             assertNull(endpoint.read(), "closed");
-            onLoop(() -> { });
+            onLoop(() -> {});
             assertNull(told.poll());
         }
     }
 
-    /** Whoever closes a request that is being given up has moved on: a word of it later would be taken for the next one's. */
+    /**
+     * Whoever closes a request that is being given up has moved on: a word of it later would be taken for the next
+     * one's.
+     */
     @Test
     void nothingIsToldAfterAClose() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -79,12 +87,14 @@
             assertNull(endpoint.read(), "closed");
             CountDownLatch after = hold(); // what was to be posted has been
             after.countDown();
-            onLoop(() -> { });
+            onLoop(() -> {});
             assertNull(told.poll());
         }
     }
 
-    /** The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was. */
+    /**
+     * The connection comes up as its time is up: whether the request went is told by the thread that writes, as it was.
+     */
     @Test
     void aRequestWhoseConnectionComesUpAtItsTimeOutHasEitherGoneOrNot() throws Exception {
         HttpClient.Exchange exchange = send(client(), false);
@@ -115,6 +125,52 @@
         }
     }
 
+    /**
+     * An answer is believed only as a whole, as RFC 9112 says in section 8: without a length it ends with the
+     * connection; a length or chunks that are not all there are never whole, nor is what is cut off here as it is too
+     * much (#).
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "Connection: close~~a accepted~                         | false | answered 200",
+                "Connection: close~~#                                   | false | broke true",
+                "Content-Length: 99~~a accepted~                        | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~             | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~0~           | false | broke true",
+                "Transfer-Encoding: chunked~~c~a accepted~~0~~         | true  | answered 200"
+            })
+    void anAnswerIsWholeByItsFraming(String rest, boolean reset, String expected) throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        onLoop(() -> client().send(
+                        "e", address(), "POST", "/receive-many", Map.of(), new byte[0], new HttpClient.Listener() {
+                            @Override
+                            public void answered(int status, Map<String, String> headers, byte[] body) {
+                                told.add("answered " + status);
+                            }
+
+                            @Override
+                            public void broke(boolean written, int status) {
+                                told.add("broke " + written);
+                            }
+
+                            @Override
+                            public void head(Map<String, String> headers) {
+                                read.countDown();
+                            }
+                        }));
+        try (Wire endpoint = accept()) {
+            endpoint.read();
+            endpoint.say("HTTP/1.1 200 OK\r\n" + rest.replace("~", "\r\n").replace("#", "x".repeat(70_000)));
+            assertTrue(read.await(20, TimeUnit.SECONDS), "a reset must not overtake it");
+            if (reset) {
+                endpoint.reset();
+            }
+        }
+        assertEquals(expected, told.poll(20, TimeUnit.SECONDS));
+    }
+
     /** A probe is a call to its destination: a wait told in its answer binds, and none is written under a wait. */
     @Test
     void aProbeKeepsAndTellsWaits() throws Exception {
@@ -127,7 +183,7 @@
             first.read();
             first.answer("503 no", "", "X-Retry-In-Ms: 60000");
             while (!core.counters().text().contains("\nentries_idle_calls 1\n")) {
-                onLoop(() -> { }); // its answer is on its way
+                onLoop(() -> {}); // its answer is on its way
             }
             onLoop(() -> deliverer.probe(one));
             onLoop(() -> deliverer.probe(other));
