--- a/src/main/java/lilaclever/lab/fleet/ControlMemory.java
+++ b/src/main/java/lilaclever/lab/fleet/ControlMemory.java
@@ -13,9 +13,7 @@
 import lilaclever.placement.ShardGrant;
 import lilaclever.placement.ShardMap;
 
-/**
- * Heap of what ownership keeps in a forwarder and in a controller: used heap after full collections, with and without.
- */
+/** Heap of what ownership keeps in a forwarder and in a controller: used after full collections, with and without. */
 final class ControlMemory {
     private static final int HOLDERS = 10_000;
     private static final int MAPS = 100;
--- a/src/main/java/lilaclever/lab/fleet/Failures.java
+++ b/src/main/java/lilaclever/lab/fleet/Failures.java
@@ -56,10 +56,12 @@
             case RETURN -> affected.forEach(other -> forwarders.startAfter(other, random.nextInt(START_SPREAD_MICROS)));
             case REGION_CUT_OFF -> cutOffRegion(chosen.region, end);
             case MEMBERS_CUT_OFF -> cutOffMembers(chosen, end);
-            case RECONNECTED -> queue.after(0, () -> {});
+            case RECONNECTED -> {
+                // What was cut off comes back by itself, at the time that was set when it was cut off.
+            }
             case ORDINARY_FAILURES -> ordinaryFailures(end);
             case PLANNED_RESTARTS -> plannedRestarts(end);
-            default -> throw new IllegalStateException("unknown happening " + phase.happening());
+            default -> throw new IllegalStateException("no such happening: " + phase.happening());
         }
         return affected;
     }
--- a/src/main/java/lilaclever/lab/fleet/FleetMain.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetMain.java
@@ -21,11 +21,14 @@
     private static final int USAGE_ERROR = 2;
     private static final int BREACHES_FOUND = 1;
 
-    @Argument(usage = "runs, each as SCHEDULE/FORWARDERS/SEED; schedules are incidents, ordinary, restart-pace and short",
+    @Argument(
+            usage = "runs, each as SCHEDULE/FORWARDERS/SEED; schedules are incidents, ordinary, restart-pace and short",
             metaVar = "RUN")
     private List<String> runs = new ArrayList<>();
+
     @Option(name = "--threads", usage = "runs that are played at the same time")
     private int threads = 1;
+
     @Option(name = "--load-bound", usage = "bound on a forwarder's shards against its share")
     private double loadBound = FleetSettings.LOAD_BOUND;
 
@@ -34,6 +37,7 @@
 
     @Option(name = "--memory", usage = "measure the heap of holders, maps and a controller instead")
     private boolean memory;
+
     @Option(name = "--out", usage = "folder that the tables are written to", metaVar = "FOLDER")
     private Path folder = Path.of("docs/scale/fleet");
 
@@ -78,7 +82,8 @@
 
     private boolean play(FleetRun run) throws IOException {
         long begin = System.nanoTime();
-        FleetSettings settings = FleetSettings.ofSize(run.seed(), run.forwarders()).withLoadBound(loadBound)
+        FleetSettings settings = FleetSettings.ofSize(run.seed(), run.forwarders())
+                .withLoadBound(loadBound)
                 .withReassignmentsPerSecond(reassignments);
         FleetFigures figures = new FleetSimulation(settings, run.schedule())
                 .run(phase -> System.err.println(run.fileName() + "\t" + phase.row()));
--- a/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
+++ b/src/main/java/lilaclever/lab/fleet/FleetSimulation.java
@@ -69,7 +69,7 @@
 
     /** Plays the schedule from the start of all forwarders to its end. */
     public FleetFigures run() {
-        return run(phase -> { });
+        return run(phase -> {});
     }
 
     /** Plays the schedule, and tells of each phase as it ends. */
--- a/src/main/java/lilaclever/lab/fleet/MapDistribution.java
+++ b/src/main/java/lilaclever/lab/fleet/MapDistribution.java
@@ -16,11 +16,13 @@
 final class MapDistribution {
     /** Machines that a message between a forwarder and the controller passes: a relay, and the controller's own. */
     static final int CONTROLLER_HOPS = 2;
+
     private static final int TREE_HOPS = 1;
     /** How long a forwarder waits for a version that is under way before it asks for it. */
     private static final long FETCH_DELAY_MICROS = 300_000;
     /** How long a sender in the tree waits for a receiver's acknowledgement. */
     private static final long ACKNOWLEDGE_MICROS = 300_000;
+
     private static final long FETCH_RETRY_MICROS = 1_000_000;
     /** Changes of the map are gathered for so long before they are sent through the tree as one. */
     private static final long BATCH_MICROS = 100_000;
@@ -45,9 +47,18 @@
     private long treeVersion;
     private boolean membersChanged = true;
 
-    MapDistribution(int region, int shards, FleetSettings settings, EventQueue queue, Network network,
-            FleetForwarders forwarders, FleetChecks checks, ConfigurationLog configurations, ControlTraffic traffic,
-            Supplier<List<MemberId>> members, LongSupplier regionCutOffUntil) {
+    MapDistribution(
+            int region,
+            int shards,
+            FleetSettings settings,
+            EventQueue queue,
+            Network network,
+            FleetForwarders forwarders,
+            FleetChecks checks,
+            ConfigurationLog configurations,
+            ControlTraffic traffic,
+            Supplier<List<MemberId>> members,
+            LongSupplier regionCutOffUntil) {
         this.region = region;
         this.shards = shards;
         this.settings = settings;
@@ -127,7 +138,10 @@
         for (HollowForwarder forwarder : forwarders.ofRegion(region)) {
             ForwarderProcess process = forwarder.process;
             if (process != null && process.mapVersion < version && process.mapFreshUntil > queue.now()) {
-                checks.broken(new FleetBreach(FleetBreach.Kind.STALE_MAP, queue.now(), region,
+                checks.broken(new FleetBreach(
+                        FleetBreach.Kind.STALE_MAP,
+                        queue.now(),
+                        region,
                         forwarder.id + " has " + process.mapVersion + ", not " + version));
             }
         }
@@ -176,7 +190,7 @@
     }
 
     /** A delta on its way through one tree. */
-    private record Passage(long version, int bytes, DistributionTree tree) { }
+    private record Passage(long version, int bytes, DistributionTree tree) {}
 
     /** Whoever gets a delta through a tree is in it, since the tree sends to its members only. */
     private void deltaArrived(ForwarderProcess process, Passage passage) {
@@ -197,8 +211,8 @@
     }
 
     /**
-     * Sends a delta on. If the receiver does not acknowledge it in time, it is sent once more, and to the receiver's own
-     * receivers in its place.
+     * Sends a delta on. If the receiver does not acknowledge it in time, it is sent once more, and to the receiver's
+     * own receivers in its place.
      *
      * @param sender a forwarder, or null for the controller
      */
@@ -278,7 +292,10 @@
         while (process.earlyVersions.remove(process.mapVersion + 1)) {
             process.mapVersion++;
         }
-        configurations.applied(process, history.configurationAt(before),
-                history.configurationAt(process.mapVersion), regionCutOffUntil.getAsLong());
+        configurations.applied(
+                process,
+                history.configurationAt(before),
+                history.configurationAt(process.mapVersion),
+                regionCutOffUntil.getAsLong());
     }
 }
--- a/src/main/java/lilaclever/lab/fleet/RegionControl.java
+++ b/src/main/java/lilaclever/lab/fleet/RegionControl.java
@@ -50,11 +50,26 @@
         this.clock = clock;
         int shards = settings.partOf(region, settings.shards());
         checker = new OwnershipChecker(region, shards, queue, checks);
-        controller = new PlacementController(new ControllerSettings(region, shards, settings.zonesOf(region),
-                settings.loadBound(), settings.timing(), settings.reassignmentsPerSecond()));
+        controller = new PlacementController(new ControllerSettings(
+                region,
+                shards,
+                settings.zonesOf(region),
+                settings.loadBound(),
+                settings.timing(),
+                settings.reassignmentsPerSecond()));
         traffic = new ControlTraffic(relays);
-        map = new MapDistribution(region, shards, settings, queue, network, forwarders, checks, configurations, traffic,
-                controller::members, () -> cutOffUntil);
+        map = new MapDistribution(
+                region,
+                shards,
+                settings,
+                queue,
+                network,
+                forwarders,
+                checks,
+                configurations,
+                traffic,
+                controller::members,
+                () -> cutOffUntil);
     }
 
     OwnershipChecker checker() {
@@ -135,7 +150,10 @@
         });
     }
 
-    private void renewed(ForwarderProcess process, ControllerEvent.LeaseRenewed renewal, long mapVersion,
+    private void renewed(
+            ForwarderProcess process,
+            ControllerEvent.LeaseRenewed renewal,
+            long mapVersion,
             boolean configurationCurrent) {
         long reading = process.forwarder.clock.now();
         boolean sampled = traffic.sampleHolder();
--- a/src/main/java/lilaclever/lab/fleet/Schedule.java
+++ b/src/main/java/lilaclever/lab/fleet/Schedule.java
@@ -7,11 +7,17 @@
 public enum Schedule {
     /** One failure of each kind after the other, each with its return. */
     INCIDENTS(List.of(
-            new Phase(Happening.QUIET, 120), new Phase(Happening.MACHINE_LOST, 60), new Phase(Happening.RETURN, 60),
-            new Phase(Happening.RACK_LOST, 60), new Phase(Happening.RETURN, 60),
-            new Phase(Happening.ZONE_LOST, 120), new Phase(Happening.RETURN, 180),
-            new Phase(Happening.REGION_CUT_OFF, 300), new Phase(Happening.RECONNECTED, 60),
-            new Phase(Happening.MEMBERS_CUT_OFF, 60), new Phase(Happening.RECONNECTED, 60))),
+            new Phase(Happening.QUIET, 120),
+            new Phase(Happening.MACHINE_LOST, 60),
+            new Phase(Happening.RETURN, 60),
+            new Phase(Happening.RACK_LOST, 60),
+            new Phase(Happening.RETURN, 60),
+            new Phase(Happening.ZONE_LOST, 120),
+            new Phase(Happening.RETURN, 180),
+            new Phase(Happening.REGION_CUT_OFF, 300),
+            new Phase(Happening.RECONNECTED, 60),
+            new Phase(Happening.MEMBERS_CUT_OFF, 60),
+            new Phase(Happening.RECONNECTED, 60))),
     /** The failures of an ordinary day at their usual pace, for half an hour. */
     ORDINARY(List.of(new Phase(Happening.ORDINARY_FAILURES, 1_800), new Phase(Happening.QUIET, 30))),
     /** Planned restarts at the pace at which all are restarted within a day, for ten minutes. */
--- a/src/test/java/lilaclever/placement/PlacementFigures.java
+++ b/src/test/java/lilaclever/placement/PlacementFigures.java
@@ -33,8 +33,9 @@
         System.out.printf("all members join at once: %.0f ms, with the harness%n", (System.nanoTime() - start) / 1e6);
         region.runUntilAllOwned(100_000);
         region.run(30 * SECOND);
-        System.out.printf("fullest over mean %.3f, snapshot %d bytes%n", region.fullestOverMean(),
-                region.controller.snapshot().encodedBytes());
+        System.out.printf(
+                "fullest over mean %.3f, snapshot %d bytes%n",
+                region.fullestOverMean(), region.controller.snapshot().encodedBytes());
         System.out.printf("heap of controller, map and harness: %.1f MB%n", (usedHeap() - emptyHeap) / 1e6);
         printHeartbeats(region, members);
         region.measuring = true;
--- a/src/test/java/lilaclever/placement/RandomSchedule.java
+++ b/src/test/java/lilaclever/placement/RandomSchedule.java
@@ -104,6 +104,7 @@
         long revision;
         /** End of the lease that lasts longest. */
         long leaseUntil;
+
         LeaseRenewed early;
 
         Process(int number, long incarnation) {
