--- a/src/main/java/lilaclever/lab/fleet/MessageSizes.java
+++ b/src/main/java/lilaclever/lab/fleet/MessageSizes.java
@@ -5,8 +5,8 @@
 
 /**
  * Sizes of the control messages, bytes. There is no transport for them yet: each is taken to be a message of its own
- * over TCP and TLS, with the acknowledgement that it causes, and its numbers in eight bytes each. Deltas and snapshots of the
- * map have the size in which {@code MapCodec} writes them.
+ * over TCP and TLS, with the acknowledgement that it causes, and its numbers in eight bytes each. Deltas and
+ * snapshots of the map have the size in which {@code MapCodec} writes them.
  */
 final class MessageSizes {
     /** IPv6 and TCP headers with timestamps (72), TLS 1.3 record (22), length and kind (5), a bare acknowledgement. */
