--- a/src/test/java/lilaclever/scale/HollowForwarder.java
+++ b/src/test/java/lilaclever/scale/HollowForwarder.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.stream.IntStream;
 import lilaclever.Relay;
-import lilaclever.identity.Windows;
+import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Disk;
 import lilaclever.journal.Durability;
@@ -66,7 +66,8 @@
                 Durability.NONE,
                 new Times(this::micros, this::wall, BootClock.UNKNOWN),
                 new SplittableRandom(SEED));
-        core = new Core(settings(mostHeld), SEED, journal, counters, new Windows(List.of(), SECOND, 1), this);
+        core = new Core(
+                settings(mostHeld), SEED, journal, counters, new IdempotencyWindows(List.of(), SECOND, 1), this);
         core.add(this);
         core.begin(list(destinations), 1);
     }
