--- a/bench/java/lilaclever/journal/OneFileJournal.java
+++ b/bench/java/lilaclever/journal/OneFileJournal.java
@@ -15,8 +15,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.zip.CRC32;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.Submission;
 
 /**
  * The journal as it was before the segments, kept to be measured beside them: one append-only file that is written anew
@@ -44,7 +44,7 @@
     /** What replay found of one message; fields as in the core's message. */
     public static final class Entry {
         final String front;
-        final Handin handin;
+        final Submission submission;
         final long deadlineWall;
         final int bytes;
         int attempts;
@@ -52,12 +52,12 @@
         String host = "", riskHost = "";
         int zone, riskZone;
         long sentWall, riskWall;
-        Verdict verdict;
+        FinalStatus verdict;
 
-        Entry(String front, Handin handin, long deadlineWall, int bytes) {
+        Entry(String front, Submission submission, long deadlineWall, int bytes) {
             this.bytes = bytes;
             this.front = front;
-            this.handin = handin;
+            this.submission = submission;
             this.deadlineWall = deadlineWall;
         }
 
@@ -72,7 +72,7 @@
     }
 
     /** The end of a message whose resending gets it again, and when that is forgotten. */
-    record Remembered(Verdict verdict, long untilWall) {}
+    record Remembered(FinalStatus verdict, long untilWall) {}
 
     private interface Content {
         void write(DataOutputStream out) throws IOException;
@@ -115,13 +115,13 @@
 
     // ---- writing ----------------------------------------------------------------------------------------
     /** Takes a message on; false if there is no room for it, and then nothing was written. */
-    boolean taken(String front, Handin handin, long deadlineWall, long nowWall) {
-        byte[] record = taken(front, handin, deadlineWall);
+    boolean taken(String front, Submission submission, long deadlineWall, long nowWall) {
+        byte[] record = taken(front, submission, deadlineWall);
         if (!room(record.length) && !(compactAgain(nowWall) && room(record.length)) || !append(record)) {
             return false;
         }
         live += record.length;
-        owed.put(handin.id(), new Entry(front, handin, deadlineWall, record.length));
+        owed.put(submission.id(), new Entry(front, submission, deadlineWall, record.length));
         return true;
     }
 
@@ -144,7 +144,7 @@
     }
 
     /** The message's end is decided and owed to its client. */
-    boolean verdict(String id, Verdict verdict) {
+    boolean verdict(String id, FinalStatus verdict) {
         return write(Type.VERDICT, out -> {
             out.writeUTF(id);
             write(out, verdict);
@@ -157,7 +157,7 @@
     }
 
     /** The end is to be given again to whoever resends the message. */
-    void remember(String identity, Verdict verdict, long untilWall) {
+    void remember(String identity, FinalStatus verdict, long untilWall) {
         write(Type.REMEMBERED, out -> remembered(out, identity, new Remembered(verdict, untilWall)));
     }
 
@@ -170,7 +170,7 @@
         return written;
     }
 
-    private static byte[] taken(String front, Handin h, long deadlineWall) {
+    private static byte[] taken(String front, Submission h, long deadlineWall) {
         return record(Type.TAKEN, out -> {
             out.writeUTF(front);
             out.writeUTF(h.id());
@@ -187,7 +187,7 @@
         });
     }
 
-    private static void write(DataOutputStream out, Verdict verdict) throws IOException {
+    private static void write(DataOutputStream out, FinalStatus verdict) throws IOException {
         out.writeByte(verdict.kind().ordinal());
         out.writeLong(verdict.comeBackMicros());
         out.writeUTF(verdict.detail());
@@ -218,7 +218,7 @@
 
     /** All attempts of a message in one record: what a compaction makes of them. */
     private static void past(DataOutputStream out, Entry e) throws IOException {
-        out.writeUTF(e.handin.id());
+        out.writeUTF(e.submission.id());
         out.writeInt(e.attempts);
         out.writeBoolean(e.out);
         out.writeUTF(e.host);
@@ -285,8 +285,8 @@
     private boolean compact() throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         for (Entry e : owed.values()) {
-            String id = e.handin.id();
-            all.write(taken(e.front, e.handin, e.deadlineWall));
+            String id = e.submission.id();
+            all.write(taken(e.front, e.submission, e.deadlineWall));
             if (e.attempts > 0) {
                 all.write(record(Type.PAST, out -> past(out, e)));
             }
@@ -393,8 +393,8 @@
         }
     }
 
-    private static Verdict readVerdict(DataInputStream in) throws IOException {
-        return new Verdict(Verdict.Kind.values()[in.readByte()], in.readLong(), in.readUTF());
+    private static FinalStatus readVerdict(DataInputStream in) throws IOException {
+        return new FinalStatus(FinalStatus.Kind.values()[in.readByte()], in.readLong(), in.readUTF());
     }
 
     private void readTaken(DataInputStream in, int recordSize) throws IOException {
@@ -414,7 +414,7 @@
                 id,
                 new Entry(
                         front,
-                        new Handin(
+                        new Submission(
                                 id,
                                 identity.isEmpty() ? null : identity,
                                 messageClass,
--- a/bench/java/lilaclever/journal/OpeningRun.java
+++ b/bench/java/lilaclever/journal/OpeningRun.java
@@ -44,14 +44,14 @@
                 FolderDisk.take(folder),
                 Store.MOST,
                 Durability.NONE,
-                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
+                new JournalClocks(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                 new java.util.SplittableRandom())) {
             long longest = 0;
             for (int i = 0; i < ends; i++) {
                 journal.remember(
                         "<" + i + "@mail.example> frames@supplier.example",
-                        new lilaclever.routing.Verdict(
-                                lilaclever.routing.Verdict.Kind.DELIVERED, 0, "250 2.0.0 queued"),
+                        new lilaclever.routing.FinalStatus(
+                                lilaclever.routing.FinalStatus.Kind.DELIVERED, 0, "250 2.0.0 queued"),
                         i < ends / 2 ? 1 : 1000);
                 long began = System.nanoTime();
                 journal.tidy(0);
--- a/bench/java/lilaclever/journal/Store.java
+++ b/bench/java/lilaclever/journal/Store.java
@@ -5,8 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Journal;
+import lilaclever.routing.Submission;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 
@@ -39,8 +39,8 @@
         };
     }
 
-    private static Handin handin(String id, byte[] body) {
-        return new Handin(id, null, 1, 7, "k-" + id, body, false, false, 20_000_000);
+    private static Submission submission(String id, byte[] body) {
+        return new Submission(id, null, 1, 7, "k-" + id, body, false, false, 20_000_000);
     }
 
     /** The journal of this project. */
@@ -52,13 +52,13 @@
                     FolderDisk.take(folder),
                     MOST,
                     Durability.NONE,
-                    new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
+                    new JournalClocks(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                     new SplittableRandom(1));
         }
 
         @Override
         public void taken(String id, byte[] body) {
-            if (!journal.taken("http", handin(id, body), 99, 0)) {
+            if (!journal.taken("http", submission(id, body), 99, 0)) {
                 throw new IllegalStateException("no room");
             }
         }
@@ -104,7 +104,7 @@
 
         @Override
         public void taken(String id, byte[] body) {
-            if (!journal.taken("http", handin(id, body), 99, 0)) {
+            if (!journal.taken("http", submission(id, body), 99, 0)) {
                 throw new IllegalStateException("no room");
             }
         }
@@ -157,7 +157,7 @@
         @Override
         public void taken(String id, byte[] body) {
             Format.Writer w = new Format.Writer();
-            RecordEncoder.taken(w, new lilaclever.routing.Owed("http", handin(id, body), 99));
+            RecordEncoder.taken(w, new lilaclever.routing.PendingMessage("http", submission(id, body), 99));
             ByteBuffer all = w.sealed(0);
             byte[] bytes = new byte[all.remaining() + 60];
             all.get(bytes, 0, all.remaining());
--- a/bench/java/lilaclever/journal/TurnRun.java
+++ b/bench/java/lilaclever/journal/TurnRun.java
@@ -13,7 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Stream;
-import lilaclever.routing.Handin;
+import lilaclever.routing.Submission;
 
 /**
  * Turns of the journal, and what the longest of them were spent on: each operation on the disk is timed, so that what
@@ -46,7 +46,7 @@
                 disk,
                 MOST,
                 durability,
-                new Times(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
+                new JournalClocks(() -> System.nanoTime() / 1000, () -> 0, BootClock.UNKNOWN),
                 new SplittableRandom(1));
         journal.attach(loop::add);
     }
@@ -81,7 +81,7 @@
 
     private void take() {
         String id = "message-" + next;
-        if (!journal.taken("http", new Handin(id, null, 1, 7, "k-" + id, body, false, false, 20_000_000), 99, 0)) {
+        if (!journal.taken("http", new Submission(id, null, 1, 7, "k-" + id, body, false, false, 20_000_000), 99, 0)) {
             throw new IllegalStateException("no room");
         }
     }
--- a/bench/java/lilaclever/protocol/mllp/MllpFuzzer.java
+++ b/bench/java/lilaclever/protocol/mllp/MllpFuzzer.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
 
 /**
  * What Jazzer is given to break: bytes of a connection go through frames, batches, header, fields and answers as they
@@ -67,8 +67,8 @@
                 throw new IllegalStateException("not in our terms: " + r);
             }
             check(ACKS.good(Code.CA, header));
-            check(ACKS.failed(Code.AE, header, Verdict.of(Verdict.Kind.FAILED)));
-            check(ACKS.comeBack(Code.AR, header, new Verdict(Verdict.Kind.REFUSED, 1_500_000, "busy|^~\\&")));
+            check(ACKS.failed(Code.AE, header, FinalStatus.of(FinalStatus.Kind.FAILED)));
+            check(ACKS.comeBack(Code.AR, header, new FinalStatus(FinalStatus.Kind.REFUSED, 1_500_000, "busy|^~\\&")));
         } catch (Hl7Fault e) {
             check(ACKS.fault(Code.AE, header, e));
         }
--- a/src/main/java/lilaclever/Relay.java
+++ b/src/main/java/lilaclever/DecisionModule.java
@@ -11,11 +11,11 @@
  * the same actions. All times are whole microseconds, on any clock that only goes forward.
  * Settings that make no sense are an {@link IllegalArgumentException} that names the setting.
  */
-public interface Relay {
+public interface DecisionModule {
 
     /** Makes a relay that knows no destination yet; feed it a {@link Event.Listing} first. */
-    static Relay create(Settings settings, long seed) {
-        return new Decide(settings, seed);
+    static DecisionModule create(Settings settings, long seed) {
+        return new DeliveryPolicy(settings, seed);
     }
 
     /** Takes the events that came in since the last call and gives the actions that take effect now. */
--- a/src/main/java/lilaclever/Decide.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -10,25 +10,25 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import lilaclever.State.Call;
-import lilaclever.State.Due;
-import lilaclever.State.Endpoint;
-import lilaclever.State.Limit;
-import lilaclever.State.Line;
-import lilaclever.State.Message;
-import lilaclever.State.Pick;
-import lilaclever.State.Queue;
+import lilaclever.PolicyState.Call;
+import lilaclever.PolicyState.Due;
+import lilaclever.PolicyState.Endpoint;
+import lilaclever.PolicyState.Limit;
+import lilaclever.PolicyState.Line;
+import lilaclever.PolicyState.Message;
+import lilaclever.PolicyState.Pick;
+import lilaclever.PolicyState.Queue;
 
 /**
- * All decisions of a relay. The interface (settings, events, actions, outcomes) is in Relay.java.
+ * All decisions of a relay. The interface (settings, events, actions, outcomes) is in DecisionModule.java.
  *
- * <p>Read from the top: constants, events, scheduling, sending, outcomes, limits and health. State.java has
- * the fields that are remembered.
+ * <p>Read from the top: constants, events, scheduling, sending, outcomes, limits and health. The fields
+ * that are remembered are in PolicyState.java.
  * A message waits in the queue of its destination. A Limit is what takes so many calls a second: the whole
  * destination, or one endpoint where endpoints are routes apart. Every send passes {@link #gate},
  * every message ends in {@link #end}.
  */
-final class Decide implements Relay {
+final class DeliveryPolicy implements DecisionModule {
 
     // ---- constants: the design's ------------------------------------------------------------------------
     /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
@@ -156,7 +156,7 @@
     private boolean started;
     private long askAt = NEVER, askPause = ASK_FIRST;
 
-    Decide(Settings settings, long seed) {
+    DeliveryPolicy(Settings settings, long seed) {
         this.settings = settings;
         this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
         this.many = settings.relays() > FLEET_FAILS;
--- a/src/main/java/lilaclever/State.java
+++ b/src/main/java/lilaclever/PolicyState.java
@@ -4,11 +4,11 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import lilaclever.Relay.MessageClass;
+import lilaclever.DecisionModule.MessageClass;
 
-/** What a relay remembers: fields only. What they mean and how they change is decided in Decide.java. */
-final class State {
-    private State() {}
+/** What a relay remembers: fields only. What they mean and how they change is decided in DeliveryPolicy.java. */
+final class PolicyState {
+    private PolicyState() {}
 
     record Due(long at, long order, Message message) {}
 
--- a/src/main/java/lilaclever/benchlink/Main.java
+++ b/src/main/java/lilaclever/benchlink/Main.java
@@ -14,7 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 
 /** Plays relays on the bench's wire: standard input to events, actions to standard output. */
 public final class Main {
@@ -42,7 +42,7 @@
     }
 
     private static void serve(WireReader reader, WireWriter writer) throws IOException, WireException {
-        Map<String, Relay> relays = new LinkedHashMap<>();
+        Map<String, DecisionModule> relays = new LinkedHashMap<>();
         WireReader.Batch batch;
         while ((batch = reader.next(relays)) != null) {
             for (Map.Entry<String, WireReader.Life> entry : batch.lives().entrySet()) {
--- a/src/main/java/lilaclever/benchlink/SettingsReader.java
+++ b/src/main/java/lilaclever/benchlink/SettingsReader.java
@@ -9,10 +9,10 @@
 import java.math.RoundingMode;
 import java.util.ArrayList;
 import java.util.List;
-import lilaclever.Relay;
-import lilaclever.Relay.Group;
-import lilaclever.Relay.Repeat;
-import lilaclever.Relay.Weights;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Group;
+import lilaclever.DecisionModule.Repeat;
+import lilaclever.DecisionModule.Weights;
 
 /** Turns the settings of a HELLO into a relay. Keys that are not known are skipped. */
 public final class SettingsReader {
@@ -27,12 +27,12 @@
         this.line = line;
     }
 
-    static Relay relay(String json, long seed, long line) throws WireException {
-        return Relay.create(read(json, line), seed);
+    static DecisionModule relay(String json, long seed, long line) throws WireException {
+        return DecisionModule.create(read(json, line), seed);
     }
 
     /** The settings in a JSON text that came on the given line. */
-    public static Relay.Settings read(String json, long line) throws WireException {
+    public static DecisionModule.Settings read(String json, long line) throws WireException {
         try {
             JsonElement root = JsonParser.parseString(json);
             if (!root.isJsonObject()) {
@@ -60,23 +60,23 @@
         return value;
     }
 
-    private Relay.Settings settings() throws WireException {
+    private DecisionModule.Settings settings() throws WireException {
         SettingsReader family = child("familyInfo");
         SettingsReader limits = child("limits");
         SettingsReader rules = child("rules");
         SettingsReader report = child("report");
-        List<Relay.Kind> kinds = kinds(family);
-        List<Relay.MessageClass> classes = messageClasses(family);
-        List<Relay.Tenant> tenants = new ArrayList<>();
+        List<DecisionModule.Kind> kinds = kinds(family);
+        List<DecisionModule.MessageClass> classes = messageClasses(family);
+        List<DecisionModule.Tenant> tenants = new ArrayList<>();
         for (SettingsReader t : children("tenants")) {
-            tenants.add(new Relay.Tenant(t.real("portion", 0), t.real("quotaPerS", 0)));
+            tenants.add(new DecisionModule.Tenant(t.real("portion", 0), t.real("quotaPerS", 0)));
         }
         Weights weights = switch (text("weights", "off")) {
             case "off" -> Weights.NONE;
             case "nominal" -> Weights.EXACT;
             default -> Weights.ROUGH;
         };
-        return new Relay.Settings(
+        return new DecisionModule.Settings(
                 whole("me", 0),
                 whole("groupSize", 1),
                 whole("az", 0),
@@ -89,7 +89,7 @@
                 classes,
                 kinds,
                 tenants,
-                new Relay.Limits(
+                new DecisionModule.Limits(
                         limits.whole("maxAttempts", 1),
                         limits.whole("openCap", 1),
                         family.whole("callSlots", 0),
@@ -101,7 +101,7 @@
                         limits.time("keepaliveS"),
                         limits.bool("retryAfter"),
                         limits.time("maxRetryAfterS")),
-                new Relay.Rules(
+                new DecisionModule.Rules(
                         rules.time("answerSlackS"),
                         rules.time("askWithinS"),
                         rules.time("drainGraceS"),
@@ -112,20 +112,20 @@
                         rules.time("orderPauseS")));
     }
 
-    private static List<Relay.Kind> kinds(SettingsReader family) throws WireException {
-        List<Relay.Kind> kinds = new ArrayList<>();
+    private static List<DecisionModule.Kind> kinds(SettingsReader family) throws WireException {
+        List<DecisionModule.Kind> kinds = new ArrayList<>();
         JsonArray own = family.array("ownLimits");
         JsonArray batch = family.array("kindBatch");
         for (int i = 0; i < Math.max(own.size(), batch.size()); i++) {
-            kinds.add(new Relay.Kind(
+            kinds.add(new DecisionModule.Kind(
                     i < own.size() && own.get(i).getAsBoolean(),
                     i < batch.size() ? batch.get(i).getAsInt() : 1));
         }
         return kinds;
     }
 
-    private List<Relay.MessageClass> messageClasses(SettingsReader family) throws WireException {
-        List<Relay.MessageClass> classes = new ArrayList<>();
+    private List<DecisionModule.MessageClass> messageClasses(SettingsReader family) throws WireException {
+        List<DecisionModule.MessageClass> classes = new ArrayList<>();
         for (SettingsReader c : children("requestClasses")) {
             Repeat repeat = switch (c.text("repeat", "non_idempotent")) {
                 case "read_like" -> Repeat.SAFE;
@@ -139,7 +139,7 @@
                 case "cell" -> Group.DESTINATION;
                 default -> throw c.bad("group", "unknown value");
             };
-            classes.add(new Relay.MessageClass(
+            classes.add(new DecisionModule.MessageClass(
                     c.time("aimS"),
                     c.time("deadlineS"),
                     c.real("credit", 1),
--- a/src/main/java/lilaclever/benchlink/WireReader.java
+++ b/src/main/java/lilaclever/benchlink/WireReader.java
@@ -7,13 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import lilaclever.Relay;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Entry;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.ListingKind;
-import lilaclever.Relay.Presence;
-import lilaclever.Relay.Report;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Entry;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.DecisionModule.Report;
 
 /** Reads batches of events off the wire. */
 final class WireReader {
@@ -26,7 +26,7 @@
     private long lineNumber;
 
     /** One relay from its start on, with its events of this batch. */
-    record Life(Relay relay, List<Event> events) {}
+    record Life(DecisionModule relay, List<Event> events) {}
 
     /** One batch: its clock and the relays that have events, in the order of their first event. */
     record Batch(long nowMicros, Map<String, Life> lives) {}
@@ -36,7 +36,7 @@
     }
 
     /** The next batch, or null at the end of the input. Starts and ends relays in the map as it reads. */
-    Batch next(Map<String, Relay> relays) throws IOException, WireException {
+    Batch next(Map<String, DecisionModule> relays) throws IOException, WireException {
         String first;
         do {
             first = line();
@@ -61,7 +61,7 @@
         }
     }
 
-    private void event(String word, Fields f, Map<String, Relay> relays, Batch batch)
+    private void event(String word, Fields f, Map<String, DecisionModule> relays, Batch batch)
             throws IOException, WireException {
         if (word.equals("MANIFEST")) {
             manifest(f);
@@ -84,12 +84,12 @@
         String name = f.text("relay");
         if (word.equals("HELLO")) {
             long seed = f.seed("initSeed");
-            Relay relay = SettingsReader.relay(f.rest("conf"), seed, lineNumber);
+            DecisionModule relay = SettingsReader.relay(f.rest("conf"), seed, lineNumber);
             relays.put(name, relay);
             batch.lives().put(name, new Life(relay, new ArrayList<>()));
             return;
         }
-        Relay relay = relays.get(name);
+        DecisionModule relay = relays.get(name);
         if (relay == null) {
             throw new WireException(lineNumber, "relay", "no HELLO came for " + name);
         }
--- a/src/main/java/lilaclever/benchlink/WireWriter.java
+++ b/src/main/java/lilaclever/benchlink/WireWriter.java
@@ -4,7 +4,7 @@
 import java.io.Writer;
 import java.util.HexFormat;
 import java.util.List;
-import lilaclever.Relay.Action;
+import lilaclever.DecisionModule.Action;
 
 /** Writes actions as lines of the wire; a reply is flushed once, at its end. */
 final class WireWriter {
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -14,9 +14,9 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import lilaclever.identity.CompletedMessage;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /**
  * What people do with the folder of a program that is stopped: look into it, check it, make it small, and read out what
@@ -118,11 +118,11 @@
         }
     }
 
-    private static Times times() {
+    private static JournalClocks times() {
         LongSupplier micros = () -> System.nanoTime() / 1000;
         long wallLessMicros = System.currentTimeMillis() * 1000 - micros.getAsLong();
         LongSupplier wall = () -> wallLessMicros + micros.getAsLong();
-        return new Times(micros, wall, BootClock.read(micros, wall));
+        return new JournalClocks(micros, wall, BootClock.read(micros, wall));
     }
 
     /** Prints what is owed and what is remembered, one JSON object a line. */
@@ -130,10 +130,10 @@
         try (FolderDisk disk = take()) {
             JournalState state = new JournalState();
             Recovery.Report report = new Recovery(disk, state, BootClock.UNKNOWN, System.err::println).scan();
-            for (JournalState.Slot<Owed> slot : state.owed.values()) {
+            for (JournalState.Slot<PendingMessage> slot : state.owed.values()) {
                 line(json -> owed(json, slot.value));
             }
-            for (Map.Entry<String, JournalState.Slot<CompletedMessage<Verdict>>> e : state.remembered.entrySet()) {
+            for (Map.Entry<String, JournalState.Slot<CompletedMessage<FinalStatus>>> e : state.remembered.entrySet()) {
                 line(json -> {
                     json.name("remembered").value(e.getKey());
                     json.name("until").value(instant(e.getValue().value.untilWall()));
@@ -158,8 +158,8 @@
         out.println(text);
     }
 
-    private static void owed(JsonWriter json, Owed o) throws IOException {
-        Handin h = o.handin();
+    private static void owed(JsonWriter json, PendingMessage o) throws IOException {
+        Submission h = o.submission();
         json.name("owed").value(h.id()).name("front").value(o.front());
         json.name("class").value(h.messageClass()).name("destination").value(h.destination());
         if (h.identity() != null) {
@@ -179,7 +179,7 @@
         }
         if (!o.joined().isEmpty()) {
             json.name("owed_also_to").beginArray();
-            for (Owed.Claim claim : o.joined()) {
+            for (PendingMessage.Claim claim : o.joined()) {
                 json.value(claim.front() + ' ' + claim.id());
             }
             json.endArray();
@@ -187,7 +187,7 @@
         json.name("body").value(Base64.getEncoder().encodeToString(h.body()));
     }
 
-    private static void verdict(JsonWriter json, Verdict v) throws IOException {
+    private static void verdict(JsonWriter json, FinalStatus v) throws IOException {
         json.name("end").value(v.kind().name().toLowerCase());
         if (!v.detail().isEmpty()) {
             json.name("detail").value(v.detail());
--- a/src/main/java/lilaclever/journal/JournalState.java
+++ b/src/main/java/lilaclever/journal/JournalState.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.TreeSet;
 import lilaclever.identity.CompletedMessage;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /**
  * The state that the records make: what is owed and what is remembered, each with the segment that it rests on. Both
@@ -41,8 +41,8 @@
         }
     }
 
-    final Map<String, Slot<Owed>> owed = new LinkedHashMap<>();
-    final Map<String, Slot<CompletedMessage<Verdict>>> remembered = new LinkedHashMap<>();
+    final Map<String, Slot<PendingMessage>> owed = new LinkedHashMap<>();
+    final Map<String, Slot<CompletedMessage<FinalStatus>>> remembered = new LinkedHashMap<>();
     /** The same by their time: windows differ, so the order of writing tells nothing of it. */
     private final TreeSet<Expiry> expiries = new TreeSet<>();
     /** Counts of live records by the bits of their size: the largest is known without a sorted map. */
@@ -81,18 +81,18 @@
     }
 
     /** What a message may need beyond the record of its taking on. */
-    static long growth(Handin h) {
+    static long growth(Submission h) {
         return GROWTH + (h.identity() == null ? 0 : rememberedSize(h.identity()));
     }
 
     /** What a claim on a message's end adds to its record. */
-    static long growth(Owed.Claim claim) {
+    static long growth(PendingMessage.Claim claim) {
         return 3 * (long) (claim.front().length() + claim.id().length()) + 8;
     }
 
-    private static long growth(Owed o) {
-        long all = growth(o.handin());
-        for (Owed.Claim claim : o.joined()) {
+    private static long growth(PendingMessage o) {
+        long all = growth(o.submission());
+        for (PendingMessage.Claim claim : o.joined()) {
             all += growth(claim);
         }
         return all;
@@ -119,11 +119,11 @@
     }
 
     /** All messages that are owed, as a view, in the order of {@link #owed}. */
-    Collection<Owed> messages() {
+    Collection<PendingMessage> messages() {
         return new AbstractCollection<>() {
             @Override
-            public Iterator<Owed> iterator() {
-                Iterator<Slot<Owed>> slots = owed.values().iterator();
+            public Iterator<PendingMessage> iterator() {
+                Iterator<Slot<PendingMessage>> slots = owed.values().iterator();
                 return new Iterator<>() {
                     @Override
                     public boolean hasNext() {
@@ -131,7 +131,7 @@
                     }
 
                     @Override
-                    public Owed next() {
+                    public PendingMessage next() {
                         return slots.next().value;
                     }
                 };
@@ -146,18 +146,18 @@
 
     // ---- changes ----------------------------------------------------------------------------------------
     /** A message is taken on. What ended under its identity was past its time: it is not this one's end. */
-    void taken(Owed o, Segment base, int size) {
-        if (o.handin().identity() != null) {
-            forget(o.handin().identity());
+    void taken(PendingMessage o, Segment base, int size) {
+        if (o.submission().identity() != null) {
+            forget(o.submission().identity());
         }
         put(o, base, size);
     }
 
     /** A message, or all that is known of one, stands in a record of the segment. */
-    void put(Owed o, Segment base, int size) {
-        String id = o.handin().id();
+    void put(PendingMessage o, Segment base, int size) {
+        String id = o.submission().id();
         drop(id);
-        Slot<Owed> slot = new Slot<>(o);
+        Slot<PendingMessage> slot = new Slot<>(o);
         owed.put(id, slot);
         growth += growth(o);
         rest(slot, base, size);
@@ -165,7 +165,7 @@
 
     /** The message has ended. */
     void drop(String id) {
-        Slot<Owed> slot = owed.remove(id);
+        Slot<PendingMessage> slot = owed.remove(id);
         if (slot != null) {
             growth -= growth(slot.value);
             rest(slot, null, 0);
@@ -173,16 +173,16 @@
     }
 
     /** Somebody else is owed the end of a message. */
-    void join(Owed o, Owed.Claim claim) {
+    void join(PendingMessage o, PendingMessage.Claim claim) {
         growth -= growth(o);
         o.join(claim);
         growth += growth(o);
     }
 
     /** An end that is remembered stands in a record of the segment. */
-    void put(String identity, CompletedMessage<Verdict> p, Segment base, int size) {
+    void put(String identity, CompletedMessage<FinalStatus> p, Segment base, int size) {
         forget(identity);
-        Slot<CompletedMessage<Verdict>> slot = new Slot<>(p);
+        Slot<CompletedMessage<FinalStatus>> slot = new Slot<>(p);
         remembered.put(identity, slot);
         expiries.add(new Expiry(p.untilWall(), identity));
         rest(slot, base, size);
@@ -190,7 +190,7 @@
 
     /** The end is remembered no more. */
     void forget(String identity) {
-        Slot<CompletedMessage<Verdict>> slot = remembered.remove(identity);
+        Slot<CompletedMessage<FinalStatus>> slot = remembered.remove(identity);
         if (slot != null) {
             expiries.remove(new Expiry(slot.value.untilWall(), identity));
             rest(slot, null, 0);
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -5,9 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
 import lilaclever.identity.CompletedMessage;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /**
  * Reads the one file of the first format: length, CRC32, content; no version and no marks, so nothing can be read
@@ -69,11 +69,11 @@
             state.put(id, new CompletedMessage<>(readVerdict(in), null, in.getLong()), segment, size);
             return;
         }
-        JournalState.Slot<Owed> slot = state.owed.get(id);
+        JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot == null) {
             return;
         }
-        Owed owed = slot.value;
+        PendingMessage owed = slot.value;
         switch (type) {
             case ATTEMPT -> owed.attempt(text(in), in.getInt(), in.getLong());
             case OUTCOME -> owed.outcome(in.get() != 0);
@@ -92,7 +92,7 @@
         }
     }
 
-    private static Owed readTaken(ByteBuffer in) {
+    private static PendingMessage readTaken(ByteBuffer in) {
         String front = text(in);
         String id = text(in);
         String identity = text(in);
@@ -105,9 +105,9 @@
         long deadline = in.getLong();
         byte[] body = new byte[in.getInt()];
         in.get(body);
-        return new Owed(
+        return new PendingMessage(
                 front,
-                new Handin(
+                new Submission(
                         id,
                         identity.isEmpty() ? null : identity,
                         messageClass,
@@ -120,8 +120,8 @@
                 deadline);
     }
 
-    private static Verdict readVerdict(ByteBuffer in) {
-        return new Verdict(Verdict.Kind.values()[in.get()], in.getLong(), text(in));
+    private static FinalStatus readVerdict(ByteBuffer in) {
+        return new FinalStatus(FinalStatus.Kind.values()[in.get()], in.getLong(), text(in));
     }
 
     /** As DataOutput.writeUTF writes it; ids of that time were plain. */
--- a/src/main/java/lilaclever/journal/RecordDecoder.java
+++ b/src/main/java/lilaclever/journal/RecordDecoder.java
@@ -4,9 +4,9 @@
 import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
 import lilaclever.journal.Format.Type;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /** Reads the records that {@link RecordEncoder} writes, and applies them to the state. */
 final class RecordDecoder {
@@ -33,13 +33,13 @@
             switch (type) {
                 case TAKEN -> state.taken(readWhole(in), segment, size);
                 case SNAPSHOT -> {
-                    Owed o = readWhole(in);
+                    PendingMessage o = readWhole(in);
                     readPast(in, o);
                     state.put(o, segment, size);
                 }
                 case REMEMBERED -> {
                     String identity = Format.text(in);
-                    Verdict end = readEnd(in);
+                    FinalStatus end = readEnd(in);
                     long until = wall(in);
                     // Version 1 has no fingerprint.
                     boolean compared = in.hasRemaining() && Format.flag(in);
@@ -61,19 +61,19 @@
     }
 
     private void applyToOne(Type type, ByteBuffer in) {
-        JournalState.Slot<Owed> slot = state.owed.get(Format.text(in));
+        JournalState.Slot<PendingMessage> slot = state.owed.get(Format.text(in));
         if (slot == null) {
             return; // its message has ended, or a later record tells all of it
         }
         switch (type) {
             case ATTEMPT -> slot.value.attempt(Format.text(in), in.getInt(), wall(in));
             case OUTCOME -> slot.value.outcome(Format.flag(in));
-            case JOINED -> state.join(slot.value, new Owed.Claim(Format.text(in), Format.text(in)));
+            case JOINED -> state.join(slot.value, new PendingMessage.Claim(Format.text(in), Format.text(in)));
             default -> slot.value.verdict(readEnd(in));
         }
     }
 
-    private Owed readWhole(ByteBuffer in) {
+    private PendingMessage readWhole(ByteBuffer in) {
         String front = Format.text(in);
         String id = Format.text(in);
         String identity = Format.flag(in) ? Format.text(in) : null;
@@ -84,13 +84,14 @@
         boolean inherited = Format.flag(in);
         long budget = in.getLong();
         long deadline = wall(in);
-        return new Owed(
+        return new PendingMessage(
                 front,
-                new Handin(id, identity, messageClass, destination, key, Format.bytes(in), again, inherited, budget),
+                new Submission(
+                        id, identity, messageClass, destination, key, Format.bytes(in), again, inherited, budget),
                 deadline);
     }
 
-    private void readPast(ByteBuffer in, Owed o) {
+    private void readPast(ByteBuffer in, PendingMessage o) {
         o.past(in.getInt(), Format.flag(in), Format.text(in), in.getInt(), wall(in));
         boolean mayHaveRun = Format.flag(in);
         String host = Format.text(in);
@@ -103,11 +104,11 @@
             o.verdict(readEnd(in));
         }
         for (int n = in.hasRemaining() ? in.getInt() : 0; n > 0; n--) { // version 1 knows nobody else
-            o.join(new Owed.Claim(Format.text(in), Format.text(in)));
+            o.join(new PendingMessage.Claim(Format.text(in), Format.text(in)));
         }
     }
 
-    private static Verdict readEnd(ByteBuffer in) {
-        return new Verdict(Verdict.Kind.values()[in.getInt()], in.getLong(), Format.text(in));
+    private static FinalStatus readEnd(ByteBuffer in) {
+        return new FinalStatus(FinalStatus.Kind.values()[in.getInt()], in.getLong(), Format.text(in));
     }
 }
--- a/src/main/java/lilaclever/journal/RecordEncoder.java
+++ b/src/main/java/lilaclever/journal/RecordEncoder.java
@@ -3,9 +3,9 @@
 import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Type;
 import lilaclever.journal.Format.Writer;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /** How each record is written; {@link RecordDecoder} reads them. */
 final class RecordEncoder {
@@ -15,7 +15,7 @@
     private RecordEncoder() {}
 
     /** A message is taken on. */
-    static void taken(Writer out, Owed o) {
+    static void taken(Writer out, PendingMessage o) {
         out.begin(Type.TAKEN);
         whole(out, o);
         out.end();
@@ -32,7 +32,7 @@
     }
 
     /** How the message has ended. */
-    static void verdict(Writer out, String id, Verdict v) {
+    static void verdict(Writer out, String id, FinalStatus v) {
         out.begin(Type.VERDICT).text(id);
         end(out, v);
         out.end();
@@ -44,7 +44,7 @@
     }
 
     /** An end that is remembered, under its identity. */
-    static void remembered(Writer out, String identity, CompletedMessage<Verdict> p) {
+    static void remembered(Writer out, String identity, CompletedMessage<FinalStatus> p) {
         out.begin(Type.REMEMBERED).text(identity);
         end(out, p.end());
         out.number(p.untilWall()).flag(p.content() != null);
@@ -55,12 +55,12 @@
     }
 
     /** Somebody else is owed the end of a message. */
-    static void joined(Writer out, String id, Owed.Claim claim) {
+    static void joined(Writer out, String id, PendingMessage.Claim claim) {
         out.begin(Type.JOINED).text(id).text(claim.front()).text(claim.id()).end();
     }
 
     /** All that is known of a message, in one record. */
-    static void snapshot(Writer out, Owed o) {
+    static void snapshot(Writer out, PendingMessage o) {
         out.begin(Type.SNAPSHOT);
         whole(out, o);
         out.small(o.attempts()).flag(o.isOut()).text(o.host()).small(o.zone()).number(o.sentWall());
@@ -79,8 +79,8 @@
         out.begin(Type.PREVIOUS).number(sequence).number(end).end();
     }
 
-    private static void whole(Writer out, Owed o) {
-        Handin h = o.handin();
+    private static void whole(Writer out, PendingMessage o) {
+        Submission h = o.submission();
         out.text(o.front()).text(h.id()).flag(h.identity() != null);
         if (h.identity() != null) {
             out.text(h.identity());
@@ -96,7 +96,7 @@
                 .bytes(h.body());
     }
 
-    private static void end(Writer out, Verdict v) {
+    private static void end(Writer out, FinalStatus v) {
         String detail = v.detail().substring(0, Math.min(v.detail().length(), MOST_DETAIL));
         out.small(v.kind().ordinal()).number(v.comeBackMicros()).text(detail);
     }
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -26,7 +26,7 @@
     private final Plan plan;
     private final long most;
     private final RandomGenerator random;
-    private final Times times;
+    private final JournalClocks times;
     private final ArrayDeque<Segment> full = new ArrayDeque<>();
     private final ArrayDeque<Spare> spares = new ArrayDeque<>();
     /** Files that hold records which may not outlast the machine yet. */
@@ -44,7 +44,7 @@
     private boolean cannotGrow;
 
     /** {@code forces}: files are to be forced, so they are kept open until then. */
-    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces, Times times) {
+    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces, JournalClocks times) {
         this.disk = disk;
         this.plan = plan;
         this.most = most;
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -8,10 +8,10 @@
 import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Writer;
 import lilaclever.log.Logs;
-import lilaclever.routing.Handin;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Journal;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /**
  * The journal: a log of segments that is emptied from its oldest end, a slice a turn, by copying forward what is live
@@ -44,7 +44,8 @@
      * @param mostBytes what all its files may take together, each in whole blocks of 512 bytes
      * @param random where salts come from
      */
-    public SegmentedJournal(Disk disk, long mostBytes, Durability durability, Times times, RandomGenerator random)
+    public SegmentedJournal(
+            Disk disk, long mostBytes, Durability durability, JournalClocks times, RandomGenerator random)
             throws IOException {
         this.disk = disk;
         micros = times.micros();
@@ -67,11 +68,11 @@
 
     // ---- records ----------------------------------------------------------------------------------------
     @Override
-    public boolean taken(String front, Handin handin, long deadlineWall, long nowWall) {
-        Owed owed = new Owed(front, handin, deadlineWall);
+    public boolean taken(String front, Submission submission, long deadlineWall, long nowWall) {
+        PendingMessage owed = new PendingMessage(front, submission, deadlineWall);
         RecordEncoder.taken(writer.clear(), owed);
         int size = writer.size();
-        if (size > Format.LARGEST || !appender.hasRoom(size, JournalState.growth(handin)) || !append()) {
+        if (size > Format.LARGEST || !appender.hasRoom(size, JournalState.growth(submission)) || !append()) {
             return false;
         }
         state.taken(owed, log.active(), size);
@@ -84,7 +85,7 @@
         if (!append()) {
             return false;
         }
-        JournalState.Slot<Owed> slot = state.owed.get(id);
+        JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.attempt(host, zone, wall);
         }
@@ -93,7 +94,7 @@
 
     @Override
     public void outcome(String id, boolean neverRan) {
-        JournalState.Slot<Owed> slot = state.owed.get(id);
+        JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.outcome(neverRan);
             RecordEncoder.outcome(writer.clear(), id, neverRan);
@@ -102,8 +103,8 @@
     }
 
     @Override
-    public void verdict(String id, Verdict verdict) {
-        JournalState.Slot<Owed> slot = state.owed.get(id);
+    public void verdict(String id, FinalStatus verdict) {
+        JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.verdict(verdict);
             RecordEncoder.verdict(writer.clear(), id, verdict);
@@ -122,11 +123,11 @@
 
     @Override
     public boolean joined(String id, String front, String claim) {
-        JournalState.Slot<Owed> slot = state.owed.get(id);
+        JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot == null) {
             return false;
         }
-        Owed.Claim joins = new Owed.Claim(front, claim);
+        PendingMessage.Claim joins = new PendingMessage.Claim(front, claim);
         RecordEncoder.joined(writer.clear(), id, joins);
         if (unwritten.hasMessage(id) || !appender.hasRoom(writer.size(), JournalState.growth(joins)) || !append()) {
             return false;
@@ -136,7 +137,7 @@
     }
 
     @Override
-    public void remember(String identity, CompletedMessage<Verdict> past) {
+    public void remember(String identity, CompletedMessage<FinalStatus> past) {
         RecordEncoder.remembered(writer.clear(), identity, past);
         int size = writer.size();
         if (append()) {
@@ -153,13 +154,13 @@
     }
 
     @Override
-    public CompletedMessage<Verdict> remembered(String identity) {
-        JournalState.Slot<CompletedMessage<Verdict>> slot = state.remembered.get(identity);
+    public CompletedMessage<FinalStatus> remembered(String identity) {
+        JournalState.Slot<CompletedMessage<FinalStatus>> slot = state.remembered.get(identity);
         return slot == null ? null : slot.value;
     }
 
     @Override
-    public Collection<Owed> owed() {
+    public Collection<PendingMessage> owed() {
         return state.messages();
     }
 
--- a/src/main/java/lilaclever/journal/UnwrittenChanges.java
+++ b/src/main/java/lilaclever/journal/UnwrittenChanges.java
@@ -5,8 +5,8 @@
 import java.util.function.Predicate;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.Format.Writer;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
 
 /**
  * What changed in memory while the disk took no records: messages and remembered ends whose last change is not written.
@@ -64,7 +64,7 @@
     private boolean writeMessages() {
         while (!messages.isEmpty()) {
             String id = messages.iterator().next();
-            JournalState.Slot<Owed> slot = state.owed.get(id);
+            JournalState.Slot<PendingMessage> slot = state.owed.get(id);
             if (slot == null) {
                 RecordEncoder.ended(writer.clear(), id);
             } else {
@@ -85,7 +85,7 @@
     private void writeRemembered() {
         while (!remembered.isEmpty()) {
             String identity = remembered.iterator().next();
-            JournalState.Slot<CompletedMessage<Verdict>> slot = state.remembered.get(identity);
+            JournalState.Slot<CompletedMessage<FinalStatus>> slot = state.remembered.get(identity);
             if (slot != null) {
                 RecordEncoder.remembered(writer.clear(), identity, slot.value);
                 int size = writer.size();
--- a/src/main/java/lilaclever/lab/audit/Auditor.java
+++ b/src/main/java/lilaclever/lab/audit/Auditor.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import lilaclever.Relay.Repeat;
+import lilaclever.DecisionModule.Repeat;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.model.MessageClass;
 import org.HdrHistogram.Histogram;
--- a/src/main/java/lilaclever/lab/model/MessageClass.java
+++ b/src/main/java/lilaclever/lab/model/MessageClass.java
@@ -1,6 +1,6 @@
 package lilaclever.lab.model;
 
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 
 /**
  * A class of messages as partners and operators see it.
@@ -8,7 +8,7 @@
  * @param share of all messages
  * @param workMicros the least and the most that a partner of usual pace works on one
  */
-public record MessageClass(String name, double share, long[] workMicros, Relay.MessageClass terms) {
+public record MessageClass(String name, double share, long[] workMicros, DecisionModule.MessageClass terms) {
     /** What a delivery is worth so long after the message was first handed in. */
     public double worth(long sinceMicros) {
         if (sinceMicros > terms.deadlineMicros()) {
--- a/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
+++ b/src/main/java/lilaclever/lab/scenario/ScenarioReader.java
@@ -10,7 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.conf.ConfFile;
 import lilaclever.conf.ConfFile.Section;
 import lilaclever.conf.ConfigurationException;
@@ -231,7 +231,7 @@
                     20,
                     0.5,
                     1,
-                    Relay.Repeat.KEYED));
+                    DecisionModule.Repeat.KEYED));
             classes.add(messageClass(
                     file.section("class status-update"),
                     "status-update",
@@ -242,12 +242,21 @@
                     6,
                     0,
                     1,
-                    Relay.Repeat.SAFE));
+                    DecisionModule.Repeat.SAFE));
             classes.add(messageClass(
-                    file.section("class payment"), "payment", 0.2, 62, 110, 4000, 28, 0.5, 3, Relay.Repeat.UNSAFE));
+                    file.section("class payment"),
+                    "payment",
+                    0.2,
+                    62,
+                    110,
+                    4000,
+                    28,
+                    0.5,
+                    3,
+                    DecisionModule.Repeat.UNSAFE));
         }
         for (Section s : sections) {
-            classes.add(messageClass(s, s.which(), 1, 62, 110, 4000, 20, 0.5, 1, Relay.Repeat.UNSAFE));
+            classes.add(messageClass(s, s.which(), 1, 62, 110, 4000, 20, 0.5, 1, DecisionModule.Repeat.UNSAFE));
         }
         double sum = classes.stream().mapToDouble(MessageClass::share).sum();
         if (Math.abs(sum - 1) > 1e-6) {
@@ -269,7 +278,7 @@
             long deadlineS,
             double late,
             double worth,
-            Relay.Repeat repeat)
+            DecisionModule.Repeat repeat)
             throws ConfigurationException {
         long aim = s.time("aim", aimMs * MS, MS, HOUR);
         long deadline = s.time("deadline", deadlineS * SECOND, 10 * MS, HOUR);
@@ -280,12 +289,12 @@
                 name,
                 s.share("share", share, 1),
                 s.times("work", leastMs * MS, mostMs * MS, 1, HOUR),
-                new Relay.MessageClass(
+                new DecisionModule.MessageClass(
                         aim,
                         deadline,
                         s.real("worth", worth, 0, MOST),
-                        s.choice("repeat", Relay.Repeat.class, repeat),
-                        Relay.Group.ALL,
+                        s.choice("repeat", DecisionModule.Repeat.class, repeat),
+                        DecisionModule.Group.ALL,
                         s.time("window", 5 * SECOND, 0, HOUR),
                         false,
                         s.share("late", late, 1),
--- a/src/main/java/lilaclever/lab/sockets/Settings.java
+++ b/src/main/java/lilaclever/lab/sockets/Settings.java
@@ -3,7 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.file.Path;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.model.PartnerKind;
 import lilaclever.lab.scenario.Scenario;
@@ -16,7 +16,7 @@
 
     static JsonObject config(
             Scenario s,
-            Relay.Settings settings,
+            DecisionModule.Settings settings,
             String listen,
             String discovery,
             Path state,
@@ -36,7 +36,7 @@
         return root;
     }
 
-    private static JsonObject settings(Scenario s, Relay.Settings t) {
+    private static JsonObject settings(Scenario s, DecisionModule.Settings t) {
         JsonObject o = new JsonObject();
         o.addProperty("me", t.self());
         o.addProperty("groupSize", t.relays());
@@ -68,7 +68,7 @@
         return o;
     }
 
-    private static JsonObject limits(Relay.Limits l) {
+    private static JsonObject limits(DecisionModule.Limits l) {
         JsonObject o = new JsonObject();
         o.addProperty("maxAttempts", l.maxAttempts());
         o.addProperty("openCap", l.maxOpen());
@@ -82,7 +82,7 @@
         return o;
     }
 
-    private static JsonObject rules(Relay.Rules r) {
+    private static JsonObject rules(DecisionModule.Rules r) {
         JsonObject o = new JsonObject();
         o.addProperty("answerSlackS", r.answerSlackMicros() / 1e6);
         o.addProperty("askWithinS", r.askWithinMicros() / 1e6);
--- a/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
+++ b/src/main/java/lilaclever/lab/sockets/SocketForwarder.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import lilaclever.Relay;
-import lilaclever.Relay.Presence;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Presence;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.sockets.Wire.Head;
 import lilaclever.lab.world.ForwarderHandle;
@@ -27,7 +27,7 @@
     private final World world;
     private final RealTime time;
     private final int number;
-    private final Relay.Settings settings;
+    private final DecisionModule.Settings settings;
     private final long seed;
     private final Path folder, log;
     private final List<String> command;
@@ -49,7 +49,7 @@
             RealTime time,
             Listeners listeners,
             int number,
-            Relay.Settings settings,
+            DecisionModule.Settings settings,
             long seed,
             Path folder,
             List<String> command) {
@@ -114,7 +114,7 @@
 
     // ---- lives ------------------------------------------------------------------------------------------
     @Override
-    public void start(List<Relay.Entry> known, long version, boolean first) {
+    public void start(List<DecisionModule.Entry> known, long version, boolean first) {
         int mine = ++life;
         agent.set(known, version);
         try {
@@ -243,9 +243,9 @@
     }
 
     @Override
-    public void listing(long version, List<Relay.Entry> changes) {
+    public void listing(long version, List<DecisionModule.Entry> changes) {
         agent.change(version, changes);
-        for (Relay.Entry e : changes) {
+        for (DecisionModule.Entry e : changes) {
             if (e.presence() == Presence.LEFT) {
                 listeners.remove(e.host(), number);
             }
--- a/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import lilaclever.Relay;
-import lilaclever.Relay.Ending;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Ending;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.Partner.Answer;
 import lilaclever.lab.world.Fault;
@@ -13,7 +13,7 @@
 import lilaclever.routing.Core;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
-import lilaclever.routing.Waits;
+import lilaclever.routing.RetryAfterTable;
 import lilaclever.transport.ConnectionPool;
 
 /** Makes the calls of one forwarder's one life: to the partners' models directly, with the time that a wire takes. */
@@ -31,9 +31,9 @@
 
     private final World world;
     private final int number;
-    private final Relay.Settings settings;
+    private final DecisionModule.Settings settings;
     private final Core core;
-    private final Waits waits;
+    private final RetryAfterTable waits;
     /** Idle connections: all that is known of one is its endpoint. */
     private final ConnectionPool<String> idle;
     /** Calls that are out: a dying process resets them. */
@@ -47,7 +47,7 @@
      * @param number of the forwarder
      * @param waits what partners have asked of this life
      */
-    VirtualDeliverer(World world, int number, Relay.Settings settings, Core core, Waits waits) {
+    VirtualDeliverer(World world, int number, DecisionModule.Settings settings, Core core, RetryAfterTable waits) {
         this.world = world;
         this.number = number;
         this.settings = settings;
--- a/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualForwarder.java
@@ -4,32 +4,32 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
+import lilaclever.journal.JournalClocks;
 import lilaclever.journal.SegmentedJournal;
-import lilaclever.journal.Times;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.world.Fault;
 import lilaclever.lab.world.ForwarderHandle;
 import lilaclever.lab.world.World;
 import lilaclever.protocol.http.HttpFront;
 import lilaclever.routing.Call;
+import lilaclever.routing.Clock;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
-import lilaclever.routing.Pace;
-import lilaclever.routing.Verdict;
-import lilaclever.routing.Waits;
+import lilaclever.routing.RetryAfterTable;
+import lilaclever.routing.Submission;
 
 /**
  * One forwarder of the fleet: the real core with its module and its journal, in virtual time. Its front reaches the
  * world's models directly, and so does its {@link VirtualDeliverer}; what a wire would take is time here.
  */
-final class VirtualForwarder implements ForwarderHandle, Front, Pace {
+final class VirtualForwarder implements ForwarderHandle, Front, Clock {
     /** The wall clock when a run begins: any day will do, and it is the same in each run. */
     private static final long WALL = 1_767_225_600_000_000L;
 
@@ -38,7 +38,7 @@
 
     private final World world;
     private final int number;
-    private final Relay.Settings settings;
+    private final DecisionModule.Settings settings;
     private final MemoryDisk disk = new MemoryDisk();
     private final long seed;
     private Core core;
@@ -49,7 +49,7 @@
     private long stepAt = Long.MAX_VALUE, lastStep = Long.MIN_VALUE;
     private long brokenBefore;
 
-    VirtualForwarder(World world, int number, Relay.Settings settings, long seed) {
+    VirtualForwarder(World world, int number, DecisionModule.Settings settings, long seed) {
         this.world = world;
         this.number = number;
         this.settings = settings;
@@ -82,7 +82,7 @@
 
     // ---- lives ------------------------------------------------------------------------------------------
     @Override
-    public void start(List<Relay.Entry> known, long version, boolean first) {
+    public void start(List<DecisionModule.Entry> known, long version, boolean first) {
         if (!first) {
             later(world.now() + START, () -> begin(world.endpoints(), world.directoryVersion()));
         } else {
@@ -90,19 +90,19 @@
         }
     }
 
-    private void begin(List<Relay.Entry> known, long version) {
+    private void begin(List<DecisionModule.Entry> known, long version) {
         try {
             journal = new SegmentedJournal(
                     disk,
                     world.scenario().fleet().diskBytes(),
                     Durability.NONE,
-                    new Times(this::micros, this::wall, BootClock.UNKNOWN),
+                    new JournalClocks(this::micros, this::wall, BootClock.UNKNOWN),
                     new SplittableRandom(seed + life));
         } catch (IOException e) {
             throw new IllegalStateException("a disk in memory", e);
         }
         counters = new Counters();
-        Waits waits = new Waits();
+        RetryAfterTable waits = new RetryAfterTable();
         counters.gauge("waits", waits::size);
         life++;
         lastStep = world.now();
@@ -200,7 +200,7 @@
             world.onConnectionRefused(id);
             return;
         }
-        Handin handin = new Handin(
+        Submission submission = new Submission(
                 id,
                 null,
                 a.messageClass(),
@@ -211,10 +211,10 @@
                 false,
                 HttpFront.budget(left, 0));
         core.post(() -> {
-            if (!core.knows(handin.destination())) {
-                world.onRefused(handin.id(), 0);
+            if (!core.knows(submission.destination())) {
+                world.onRefused(submission.id(), 0);
             } else {
-                core.handIn(this, handin);
+                core.handIn(this, submission);
             }
         });
     }
@@ -225,15 +225,15 @@
     }
 
     @Override
-    public void turnedDown(Message message, Verdict verdict) {
+    public void turnedDown(Message message, FinalStatus verdict) {
         world.onRefused(message.id(), verdict.comeBackMicros());
     }
 
     @Override
-    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
-        String status = verdict.kind() == Verdict.Kind.REFUSED
+    public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
+        String status = verdict.kind() == FinalStatus.Kind.REFUSED
                 ? "deferred"
-                : verdict.kind() == Verdict.Kind.FAILED ? "undeliverable" : null;
+                : verdict.kind() == FinalStatus.Kind.FAILED ? "undeliverable" : null;
         if (status == null || world.fault() == Fault.SILENT) {
             settled.run();
             return;
@@ -249,12 +249,12 @@
 
     // ---- the directory ----------------------------------------------------------------------------------
     @Override
-    public void listing(long version, List<Relay.Entry> changes) {
+    public void listing(long version, List<DecisionModule.Entry> changes) {
         List<Core.Listed> entries = changes.stream().map(this::listed).toList();
-        core.post(() -> core.listing(Relay.ListingKind.CHANGES, version, entries));
+        core.post(() -> core.listing(DecisionModule.ListingKind.CHANGES, version, entries));
     }
 
-    private Core.Listed listed(Relay.Entry e) {
+    private Core.Listed listed(DecisionModule.Entry e) {
         return new Core.Listed(
                 e,
                 new Call.Endpoint(
--- a/src/main/java/lilaclever/lab/world/EndpointDirectory.java
+++ b/src/main/java/lilaclever/lab/world/EndpointDirectory.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import lilaclever.Relay;
-import lilaclever.Relay.Presence;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Presence;
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.RandomStream;
@@ -22,7 +22,7 @@
     private final Auditor auditor;
     private final RandomStream random;
     private final List<ForwarderHandle> forwarders;
-    private final Map<String, Relay.Entry> entries = new LinkedHashMap<>();
+    private final Map<String, DecisionModule.Entry> entries = new LinkedHashMap<>();
     /** By forwarder: when the latest news arrives, and until when none does; microseconds. */
     private final long[] latestNewsAt, silentUntil;
 
@@ -48,12 +48,12 @@
     }
 
     /** The list as it is now. */
-    List<Relay.Entry> entries() {
+    List<DecisionModule.Entry> entries() {
         return List.copyOf(entries.values());
     }
 
     /** The entry of that endpoint; null if it is not in the list. */
-    Relay.Entry entry(String host) {
+    DecisionModule.Entry entry(String host) {
         return entries.get(host);
     }
 
@@ -68,11 +68,12 @@
     }
 
     /** A new endpoint of that partner. Nobody is told yet. */
-    Relay.Entry addEndpoint(Partner partner) {
+    DecisionModule.Entry addEndpoint(Partner partner) {
         String host = "s-" + partner.destination() + "-" + hostCount++;
         partner.add(host);
         int kind = scenario.kinds().indexOf(partner.kind());
-        Relay.Entry entry = new Relay.Entry(host, partner.destination(), 0, kind, Presence.ACTIVE, 0, timeline.now());
+        DecisionModule.Entry entry =
+                new DecisionModule.Entry(host, partner.destination(), 0, kind, Presence.ACTIVE, 0, timeline.now());
         entries.put(host, entry);
         return entry;
     }
@@ -98,18 +99,18 @@
 
     /** A forwarder has read the whole list. */
     void onReady(int forwarder) {
-        for (Relay.Entry entry : entries.values()) {
+        for (DecisionModule.Entry entry : entries.values()) {
             recordHeard(forwarder, entry);
         }
     }
 
-    private void recordHeard(int forwarder, Relay.Entry entry) {
+    private void recordHeard(int forwarder, DecisionModule.Entry entry) {
         auditor.told(forwarder, entry.host(), entry.presence() == Presence.ACTIVE, timeline.now());
     }
 
-    private Relay.Entry change(String host, Presence presence) {
-        Relay.Entry before = entries.get(host);
-        Relay.Entry changed = new Relay.Entry(
+    private DecisionModule.Entry change(String host, Presence presence) {
+        DecisionModule.Entry before = entries.get(host);
+        DecisionModule.Entry changed = new DecisionModule.Entry(
                 host,
                 before.destination(),
                 before.zone(),
@@ -126,7 +127,7 @@
     }
 
     /** Entries have changed: each forwarder is told in its own time, in the order of changes. */
-    private void tell(List<Relay.Entry> changed) {
+    private void tell(List<DecisionModule.Entry> changed) {
         long newVersion = ++version;
         for (ForwarderHandle forwarder : forwarders) {
             int number = forwarder.number();
@@ -137,12 +138,12 @@
         }
     }
 
-    private void deliver(ForwarderHandle forwarder, long newVersion, List<Relay.Entry> changed) {
+    private void deliver(ForwarderHandle forwarder, long newVersion, List<DecisionModule.Entry> changed) {
         if (!forwarder.isUp()) {
             return; // it gets the whole list when it starts
         }
         boolean dropsDrains = fault == Fault.IGNORES_DRAINS;
-        List<Relay.Entry> delivered = changed.stream()
+        List<DecisionModule.Entry> delivered = changed.stream()
                 .filter(e -> !dropsDrains || e.presence() == Presence.ACTIVE)
                 .toList();
         forwarder.listing(newVersion, delivered);
--- a/src/main/java/lilaclever/lab/world/EventPlanner.java
+++ b/src/main/java/lilaclever/lab/world/EventPlanner.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import lilaclever.Relay;
-import lilaclever.Relay.Presence;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Presence;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.model.RandomStream;
 import lilaclever.lab.scenario.Scenario.ScheduledEvent;
@@ -79,7 +79,7 @@
     }
 
     private void drain(String host, long drainsFor) {
-        Relay.Entry entry = directory.entry(host);
+        DecisionModule.Entry entry = directory.entry(host);
         if (entry != null && entry.presence() == Presence.ACTIVE) {
             directory.replaceEndpoint(host, partners.get(entry.destination()), drainsFor);
         }
--- a/src/main/java/lilaclever/lab/world/ForwarderHandle.java
+++ b/src/main/java/lilaclever/lab/world/ForwarderHandle.java
@@ -1,7 +1,7 @@
 package lilaclever.lab.world;
 
 import java.util.List;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.model.Arrival;
 
 /**
@@ -12,7 +12,7 @@
     /** Makes the fleet's forwarders. */
     interface Factory {
         /** One that is not started yet; {@code seed} is for what it draws itself. */
-        ForwarderHandle make(World world, int number, Relay.Settings settings, long seed);
+        ForwarderHandle make(World world, int number, DecisionModule.Settings settings, long seed);
     }
 
     /** Its number in the fleet, from 0. */
@@ -31,7 +31,7 @@
      * Starts it with the directory's list; {@code first} if it has not lived before. It tells {@link World#onReady}
      * once it serves.
      */
-    void start(List<Relay.Entry> known, long version, boolean first);
+    void start(List<DecisionModule.Entry> known, long version, boolean first);
 
     /** Kills it without warning. */
     void kill();
@@ -45,5 +45,5 @@
     void handIn(String id, Arrival arrival, long leftMicros);
 
     /** The directory tells changes. */
-    void listing(long version, List<Relay.Entry> changes);
+    void listing(long version, List<DecisionModule.Entry> changes);
 }
--- a/src/main/java/lilaclever/lab/world/ForwarderSettings.java
+++ b/src/main/java/lilaclever/lab/world/ForwarderSettings.java
@@ -1,7 +1,7 @@
 package lilaclever.lab.world;
 
 import java.util.List;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.model.MessageClass;
 import lilaclever.lab.model.Partner;
 import lilaclever.lab.scenario.Scenario;
@@ -32,20 +32,20 @@
     }
 
     /** Those of the forwarder with that number. */
-    Relay.Settings of(int number) {
-        List<Relay.Kind> kinds = scenario.kinds().stream()
-                .map(k -> new Relay.Kind(false, k.batch()))
+    DecisionModule.Settings of(int number) {
+        List<DecisionModule.Kind> kinds = scenario.kinds().stream()
+                .map(k -> new DecisionModule.Kind(false, k.batch()))
                 .toList();
-        List<Relay.MessageClass> classes =
+        List<DecisionModule.MessageClass> classes =
                 scenario.classes().stream().map(MessageClass::terms).toList();
-        return new Relay.Settings(
+        return new DecisionModule.Settings(
                 number,
                 fleet.forwarders(),
                 0,
                 1,
                 fleet.roundMicros(),
                 false,
-                Relay.Weights.NONE,
+                DecisionModule.Weights.NONE,
                 false,
                 OVER_SHARE_WORTH,
                 classes,
@@ -55,8 +55,8 @@
                 rules());
     }
 
-    private Relay.Limits limits() {
-        return new Relay.Limits(
+    private DecisionModule.Limits limits() {
+        return new DecisionModule.Limits(
                 fleet.mostAttempts(),
                 Math.max(fleet.leastHeld(), (int) (fleet.holdSeconds() * ratePerSecond)),
                 Math.max(fleet.leastSlots(), (int) Math.ceil(fleet.slotsRoom() * busyCalls)),
@@ -70,8 +70,8 @@
                 LONGEST_COME_BACK);
     }
 
-    private Relay.Rules rules() {
-        return new Relay.Rules(
+    private DecisionModule.Rules rules() {
+        return new DecisionModule.Rules(
                 ANSWER_SLACK,
                 ASK_WITHIN,
                 fleet.drainGraceMicros(),
--- a/src/main/java/lilaclever/lab/world/SimulatedClients.java
+++ b/src/main/java/lilaclever/lab/world/SimulatedClients.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.model.Arrival;
 import lilaclever.lab.model.RandomStream;
@@ -102,7 +102,7 @@
         });
     }
 
-    private Relay.MessageClass terms(Arrival arrival) {
+    private DecisionModule.MessageClass terms(Arrival arrival) {
         return scenario.classes().get(arrival.messageClass()).terms();
     }
 
@@ -195,7 +195,7 @@
         if (riskAt < 0) {
             return true;
         }
-        Relay.MessageClass terms = terms(arrivals.get(number));
+        DecisionModule.MessageClass terms = terms(arrivals.get(number));
         return switch (terms.repeat()) {
             case SAFE -> true;
             case KEYED -> at <= riskAt + terms.repeatWindowMicros();
--- a/src/main/java/lilaclever/lab/world/World.java
+++ b/src/main/java/lilaclever/lab/world/World.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.audit.Auditor;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.model.Arrival;
@@ -123,7 +123,7 @@
     }
 
     /** The directory's list as it is now. */
-    public List<Relay.Entry> endpoints() {
+    public List<DecisionModule.Entry> endpoints() {
         return directory.entries();
     }
 
@@ -187,7 +187,7 @@
 
     /** A forwarder has closed an idle connection. */
     public void disconnect(String host, int forwarder) {
-        Relay.Entry entry = directory.entry(host);
+        DecisionModule.Entry entry = directory.entry(host);
         if (entry != null) {
             partner(entry.destination()).disconnect(host, forwarder);
         }
--- a/src/main/java/lilaclever/program/Own.java
+++ b/src/main/java/lilaclever/program/ChildProcessCommand.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /** How this program is started again, as a process of its own. */
-final class Own {
+final class ChildProcessCommand {
     /** As the platform starts it, but for limits that depend on its machine. */
     private static final List<String> FLAGS = List.of(
             "-XX:+UseSerialGC",
@@ -17,7 +17,7 @@
             "-XX:-UsePerfData",
             "-Xshare:auto");
 
-    private Own() {}
+    private ChildProcessCommand() {}
 
     /** The command line of a sub-command. */
     static List<String> command(String... words) {
--- a/src/main/java/lilaclever/program/ClassTable.java
+++ b/src/main/java/lilaclever/program/ClassTable.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import lilaclever.Relay.MessageClass;
+import lilaclever.DecisionModule.MessageClass;
 import lilaclever.conf.ConfigurationException;
 
 /**
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -17,7 +17,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.benchlink.SettingsReader;
 import lilaclever.benchlink.WireException;
 import lilaclever.conf.ConfigurationException;
@@ -25,7 +25,7 @@
 import lilaclever.protocol.http.EndpointList;
 import lilaclever.protocol.mail.MailSettings;
 import lilaclever.protocol.operator.OperatorPort;
-import lilaclever.routing.Suspensions;
+import lilaclever.routing.ManualDrains;
 import lilaclever.transport.Transport;
 
 /**
@@ -42,7 +42,7 @@
         long seed,
         long diskBytes,
         int sockets,
-        Relay.Settings settings,
+        DecisionModule.Settings settings,
         List<String> classNames,
         List<String> kinds,
         List<String> zones,
@@ -53,7 +53,7 @@
     private static final int DEFAULT_SOCKETS = 1024, LEAST_SOCKETS = 64;
     private static final String NOTE = "discovery";
     /** What the note takes on disk, and the one of endpoints out by hand, written beside the old one. */
-    private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * Suspensions.NOTE_BYTES;
+    private static final long NOTE_BYTES = 512, SUSPENDED_BYTES = 2 * ManualDrains.NOTE_BYTES;
 
     private static final String SUSPENDED = "suspended";
     /** Descriptors that the machine itself needs, and some for files of the journal. */
@@ -189,9 +189,9 @@
 
     /** The same with other classes and attempts: what can change while the program runs. */
     private Config with(ClassTable table, int attempts) {
-        Relay.Settings s = settings;
-        Relay.Limits l = s.limits();
-        Relay.Limits limits = new Relay.Limits(
+        DecisionModule.Settings s = settings;
+        DecisionModule.Limits l = s.limits();
+        DecisionModule.Limits limits = new DecisionModule.Limits(
                 attempts,
                 l.maxOpen(),
                 l.slots(),
@@ -212,7 +212,7 @@
                 seed,
                 diskBytes,
                 sockets,
-                new Relay.Settings(
+                new DecisionModule.Settings(
                         s.self(),
                         s.relays(),
                         s.zone(),
@@ -367,7 +367,7 @@
                 throw new ConfigurationException("settings." + key, "missing");
             }
         }
-        Relay.Settings read;
+        DecisionModule.Settings read;
         try {
             read = SettingsReader.read(settings.toString(), 0);
         } catch (WireException e) {
@@ -510,13 +510,13 @@
                 mostRecipients,
                 (long) (idle * 1e6),
                 settings.classes().stream()
-                        .map(Relay.MessageClass::deadlineMicros)
+                        .map(DecisionModule.MessageClass::deadlineMicros)
                         .toList());
     }
 
     private int unsafeClass() throws ConfigurationException {
         for (int i = 0; i < settings.classes().size(); i++) {
-            if (settings.classes().get(i).repeat() == Relay.Repeat.UNSAFE) {
+            if (settings.classes().get(i).repeat() == DecisionModule.Repeat.UNSAFE) {
                 return i;
             }
         }
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -9,12 +9,12 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.conf.ConfigurationException;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
 import lilaclever.journal.SegmentedJournal;
-import lilaclever.journal.Times;
 import lilaclever.log.Logs;
 import lilaclever.protocol.http.Directory;
 import lilaclever.protocol.http.HttpDeliverer;
@@ -27,7 +27,7 @@
 import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
-import lilaclever.routing.Suspensions;
+import lilaclever.routing.ManualDrains;
 import lilaclever.transport.Transport;
 
 /** The parts of the serving program, put together, started and stopped. */
@@ -53,7 +53,7 @@
 
     private Forwarder(Config config, Operator operator, MailSettings mail) throws IOException, ConfigurationException {
         this.config = config.withoutKnown();
-        Relay.Settings settings = config.settings();
+        DecisionModule.Settings settings = config.settings();
         long connect = settings.limits().connectTimeoutMicros();
         long keep = settings.limits().keepAliveMicros();
         transport = new Transport();
@@ -61,14 +61,14 @@
                 FolderDisk.take(config.state()),
                 config.diskBytes() - config.noteBytes(),
                 operator.journal().durability(),
-                new Times(Core::micros, Core::wall, BootClock.read(Core::micros, Core::wall)),
+                new JournalClocks(Core::micros, Core::wall, BootClock.read(Core::micros, Core::wall)),
                 new SplittableRandom(config.seed() ^ System.nanoTime()));
         Counters counters = new Counters();
         figures(journal, counters);
         core = new Core(
                 settings, config.seed(), journal, counters, operator.identity().windows());
         Path state = config.state(); // what outlives this constructor must not refer to the list in the configuration
-        Suspensions suspensions = new Suspensions(core, config.suspended(), ids -> Config.noteSuspended(state, ids));
+        ManualDrains suspensions = new ManualDrains(core, config.suspended(), ids -> Config.noteSuspended(state, ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
         directory = new Directory(
@@ -105,7 +105,8 @@
         directory.start(known == null ? -1 : known.index());
         long version = known == null ? 0 : known.index();
         core.start(
-                suspensions.heard(Relay.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()),
+                suspensions.heard(
+                        DecisionModule.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()),
                 version);
         addresses.add(front.listen(transport, Transport.address(config.listen())));
         if (config.operator() != null) {
--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.conf.ConfFile;
 import lilaclever.conf.ConfFile.Section;
 import lilaclever.conf.ConfigurationException;
@@ -75,7 +75,7 @@
                 unsafe,
                 destinations,
                 config.settings().classes().stream()
-                        .map(Relay.MessageClass::deadlineMicros)
+                        .map(DecisionModule.MessageClass::deadlineMicros)
                         .toList(),
                 key,
                 deadline,
@@ -180,9 +180,9 @@
     }
 
     private int unsafeClass(Section hl7, boolean needed) throws ConfigurationException {
-        List<Relay.MessageClass> classes = config.settings().classes();
+        List<DecisionModule.MessageClass> classes = config.settings().classes();
         for (int i = 0; i < classes.size(); i++) {
-            if (classes.get(i).repeat() == Relay.Repeat.UNSAFE) {
+            if (classes.get(i).repeat() == DecisionModule.Repeat.UNSAFE) {
                 return i;
             }
         }
--- a/src/main/java/lilaclever/program/RehearseCommand.java
+++ b/src/main/java/lilaclever/program/RehearseCommand.java
@@ -222,7 +222,8 @@
         Path folder = Files.createDirectories(to.resolve("forwarders")).toAbsolutePath();
         Path life = Files.createTempDirectory(folder, "run-");
         try {
-            return RealSockets.run(scenario, itsSeed, life, Own.command("serve"), hears, interrupt::come);
+            return RealSockets.run(
+                    scenario, itsSeed, life, ChildProcessCommand.command("serve"), hears, interrupt::come);
         } catch (InterruptedException e) {
             throw new InterruptedIOException("cut short");
         }
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.log.Logs;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
@@ -43,7 +43,7 @@
     /** Who hears what the list says. */
     public interface Listener {
         /** News of the list. */
-        void listing(Relay.ListingKind kind, long version, List<Core.Listed> news);
+        void listing(DecisionModule.ListingKind kind, long version, List<Core.Listed> news);
     }
 
     /** A list as the platform writes it. */
@@ -73,10 +73,10 @@
     private Deadlines.Key again;
 
     /** What the settings call kinds and zones, in order, and what they say of each kind. */
-    public record Names(List<String> kinds, List<String> zones, List<Relay.Kind> ofKinds) {
-        private static final Relay.Kind UNKNOWN = new Relay.Kind(false, 1);
+    public record Names(List<String> kinds, List<String> zones, List<DecisionModule.Kind> ofKinds) {
+        private static final DecisionModule.Kind UNKNOWN = new DecisionModule.Kind(false, 1);
 
-        Relay.Kind kind(int index) {
+        DecisionModule.Kind kind(int index) {
             return index >= 0 && index < ofKinds.size() ? ofKinds.get(index) : UNKNOWN;
         }
     }
@@ -191,7 +191,9 @@
         lost = false;
         if (index < 0 || news.whole() || !news.listed().isEmpty()) {
             listener.listing(
-                    news.whole() ? Relay.ListingKind.ALL : Relay.ListingKind.CHANGES, news.index(), news.listed());
+                    news.whole() ? DecisionModule.ListingKind.ALL : DecisionModule.ListingKind.CHANGES,
+                    news.index(),
+                    news.listed());
         }
         index = news.index();
         watch();
@@ -216,7 +218,7 @@
     private Core.Listed listed(EndpointList.Endpoint endpoint) {
         int kind = names.kinds().indexOf(endpoint.type());
         int zone = Math.max(0, names.zones().indexOf(endpoint.zone()));
-        Relay.Entry entry = new Relay.Entry(
+        DecisionModule.Entry entry = new DecisionModule.Entry(
                 endpoint.name(),
                 endpoint.destination(),
                 zone,
--- a/src/main/java/lilaclever/protocol/http/EndpointList.java
+++ b/src/main/java/lilaclever/protocol/http/EndpointList.java
@@ -4,7 +4,7 @@
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 
 /**
  * A list of endpoints in the platform's form, read into values: nothing of the JSON tree that it came from is kept.
@@ -28,7 +28,7 @@
             int destination,
             String type,
             String zone,
-            Relay.Presence presence,
+            DecisionModule.Presence presence,
             double weight,
             long sinceMillis) {}
 
@@ -58,11 +58,11 @@
                 from.has("since_ms") ? from.get("since_ms").getAsLong() : 0);
     }
 
-    private static Relay.Presence presence(String status) {
+    private static DecisionModule.Presence presence(String status) {
         return switch (status) {
-            case "active" -> Relay.Presence.ACTIVE;
-            case "leaving" -> Relay.Presence.LEAVING;
-            default -> Relay.Presence.LEFT;
+            case "active" -> DecisionModule.Presence.ACTIVE;
+            case "leaving" -> DecisionModule.Presence.LEAVING;
+            default -> DecisionModule.Presence.LEFT;
         };
     }
 }
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import lilaclever.Relay.Ending;
+import lilaclever.DecisionModule.Ending;
 import lilaclever.log.Logs;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
@@ -16,7 +16,7 @@
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
-import lilaclever.routing.Waits;
+import lilaclever.routing.RetryAfterTable;
 import lilaclever.transport.Transport;
 
 /** Calls over the platform's protocol: requests out, answers to endings. */
@@ -55,7 +55,7 @@
     private final Core core;
     private final HttpClient client;
     private final long probeMicros;
-    private final Waits waits = new Waits();
+    private final RetryAfterTable waits = new RetryAfterTable();
 
     /** A deliverer with connections of its own. */
     public HttpDeliverer(Core core, Transport transport, long connectMicros, long keepAliveMicros, int mostIdle) {
@@ -127,10 +127,10 @@
         } else {
             Message m = messages.get(0);
             headers.put("Req-Id", m.id());
-            if (m.handin.key() != null) {
-                headers.put("Idempotency-Key", m.handin.key());
+            if (m.submission.key() != null) {
+                headers.put("Idempotency-Key", m.submission.key());
             }
-            body = m.handin.body();
+            body = m.submission.body();
         }
         call.attachment = new Out(
                 client.send(
@@ -160,10 +160,11 @@
     private static byte[] many(List<Message> messages) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (Message m : messages) {
-            String key = m.handin.key() == null ? "-" : m.handin.key();
-            out.writeBytes((m.id() + ' ' + key + ' ' + m.handin.body().length).getBytes(StandardCharsets.ISO_8859_1));
+            String key = m.submission.key() == null ? "-" : m.submission.key();
+            out.writeBytes(
+                    (m.id() + ' ' + key + ' ' + m.submission.body().length).getBytes(StandardCharsets.ISO_8859_1));
             out.writeBytes(CRLF);
-            out.writeBytes(m.handin.body());
+            out.writeBytes(m.submission.body());
             out.writeBytes(CRLF);
         }
         return out.toByteArray();
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -8,14 +8,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.identity.Identity;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 
@@ -50,7 +50,7 @@
     public HttpFront(
             Core core,
             List<String> classNames,
-            List<Relay.MessageClass> classes,
+            List<DecisionModule.MessageClass> classes,
             int mostClients,
             int crowd,
             Notices notices,
@@ -70,10 +70,10 @@
     }
 
     /** Classes by number, and the names of those that may be handed in. */
-    private record Classes(List<String> names, List<Relay.MessageClass> all) {}
+    private record Classes(List<String> names, List<DecisionModule.MessageClass> all) {}
 
     /** Other classes may be handed in from now on. Loop thread, once the module knows them. */
-    public void renew(List<String> classNames, List<Relay.MessageClass> all) {
+    public void renew(List<String> classNames, List<DecisionModule.MessageClass> all) {
         classes = new Classes(List.copyOf(classNames), List.copyOf(all));
     }
 
@@ -129,39 +129,39 @@
 
     /** What can't be a message is turned away here: nonsense that comes fast must not take the loop's time. */
     private void check(IntakeFilter.Request request) {
-        Handin handin;
+        Submission submission;
         try {
-            handin = handin(request);
+            submission = submission(request);
         } catch (IllegalArgumentException e) {
             core.counters().add(Name.BAD_REQUESTS);
             answer(request.exchange(), 400, Map.of(), e.getMessage() + "\n");
             return;
         }
-        core.post(() -> handIn(request, handin));
+        core.post(() -> handIn(request, submission));
     }
 
-    private void handIn(IntakeFilter.Request request, Handin handin) {
+    private void handIn(IntakeFilter.Request request, Submission submission) {
         IntakeFilter.Exchange exchange = request.exchange();
         if (exchange.gone()) {
             return; // the client has stopped waiting and hands it in again
         }
-        if (!core.knows(handin.destination())) {
+        if (!core.knows(submission.destination())) {
             // Discovery is seconds late: it may be new. Held it would wait for nothing, and its room is scarce.
             answer(exchange, 503, Map.of(), "X-Envelope: dest: no such destination\n");
             return;
         }
-        Message m = core.handIn(this, handin);
+        Message m = core.handIn(this, submission);
         if (m.isTakenOn()) {
             // Handed in under the same id before: it makes no second message, whoever asks.
             core.whenDurable(() -> exchange.answer(202, Map.of(), NOTHING, () -> {}));
         } else if (m.isOpen()) {
-            waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(new Waiting(exchange, handin.id()));
+            waiting.computeIfAbsent(m, x -> new ArrayList<>(1)).add(new Waiting(exchange, submission.id()));
         } else {
             refuse(exchange, m.verdict());
         }
     }
 
-    private Handin handin(IntakeFilter.Request request) {
+    private Submission submission(IntakeFilter.Request request) {
         Map<String, String> headers = request.headers();
         String id = needed(headers, "req-id");
         check(Figures.isWord(id), "Req-Id: not an id");
@@ -184,11 +184,11 @@
         // Among others a message without a key is written with a '-' in its place.
         check(
                 key == null
-                        ? known.all().get(number).repeat() != Relay.Repeat.KEYED
+                        ? known.all().get(number).repeat() != DecisionModule.Repeat.KEYED
                         : Figures.isWord(key) && !key.equals("-"),
                 "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
-        return new Handin(
+        return new Submission(
                 id,
                 identity(headers, key),
                 number,
@@ -259,7 +259,7 @@
     }
 
     @Override
-    public void turnedDown(Message message, Verdict verdict) {
+    public void turnedDown(Message message, FinalStatus verdict) {
         List<Waiting> all = waiting.remove(message);
         if (all != null) {
             all.forEach(w -> refuse(w.exchange(), verdict));
@@ -267,22 +267,22 @@
     }
 
     @Override
-    public void notJoined(Message message, String id, Verdict verdict) {
+    public void notJoined(Message message, String id, FinalStatus verdict) {
         List<Waiting> all = waiting.getOrDefault(message, List.of());
         all.stream().filter(w -> w.id().equals(id)).forEach(w -> refuse(w.exchange(), verdict));
         all.removeIf(w -> w.id().equals(id));
     }
 
-    private static void refuse(IntakeFilter.Exchange exchange, Verdict verdict) {
-        if (verdict.kind() == Verdict.Kind.REFUSED) {
+    private static void refuse(IntakeFilter.Exchange exchange, FinalStatus verdict) {
+        if (verdict.kind() == FinalStatus.Kind.REFUSED) {
             Map<String, String> headers = new LinkedHashMap<>();
             if (verdict.comeBackMicros() > 0) {
                 headers.put("Retry-After", HttpDeliverer.seconds(verdict.comeBackMicros()));
             }
             answer(exchange, 503, headers, "");
-        } else if (verdict.kind() == Verdict.Kind.DELIVERED) {
+        } else if (verdict.kind() == FinalStatus.Kind.DELIVERED) {
             answer(exchange, 200, Map.of(), ""); // it came before, and nothing more is owed
-        } else if (verdict.kind() == Verdict.Kind.CLASH) {
+        } else if (verdict.kind() == FinalStatus.Kind.CLASH) {
             answer(exchange, 409, Map.of(), "Idempotency-Key: another message has it\n");
         } else {
             answer(exchange, 500, Map.of(), "");
@@ -290,7 +290,7 @@
     }
 
     @Override
-    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
         switch (verdict.kind()) {
             case REFUSED -> notices.add(id, "deferred", verdict.comeBackMicros(), settled);
             case FAILED -> notices.add(id, "undeliverable", 0, settled);
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -7,8 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import lilaclever.Relay;
-import lilaclever.Relay.Ending;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Ending;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -80,7 +80,8 @@
                 String host = route.host(address);
                 protocols.put(host, route.protocol());
                 core.add(new Core.Listed(
-                        new Relay.Entry(host, route.destination(), zone, -1, Relay.Presence.ACTIVE, 1, 0),
+                        new DecisionModule.Entry(
+                                host, route.destination(), zone, -1, DecisionModule.Presence.ACTIVE, 1, 0),
                         new Call.Endpoint(host, address, route.destination(), zone, 1, false, this)));
             }
         }
@@ -96,7 +97,7 @@
     public void start(Call call) {
         Mail mail;
         try {
-            mail = Mail.decode(call.messages.get(0).handin.body());
+            mail = Mail.decode(call.messages.get(0).submission.body());
         } catch (IllegalArgumentException e) {
             // Handed in by a front that knows no envelopes: no attempt can ever succeed.
             core.outcome(call, call.messages.get(0), Ending.REJECTED, 0, false, false);
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -17,10 +17,10 @@
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.Core;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -109,7 +109,7 @@
 
     private void handIn(Mail mail, String identity, int messageClass, Consumer<Reply> answer) {
         String id = name() + '-' + life + '-' + Long.toString(count++, Character.MAX_RADIX);
-        Handin handin = new Handin(
+        Submission submission = new Submission(
                 id,
                 identity,
                 messageClass,
@@ -119,10 +119,10 @@
                 false,
                 false,
                 settings.budgets().get(messageClass));
-        Message m = core.handIn(this, handin);
+        Message m = core.handIn(this, submission);
         if (!m.isOpen()) {
             answer.accept(
-                    protocol == Protocol.SMTP && m.verdict().kind() == Verdict.Kind.DELIVERED
+                    protocol == Protocol.SMTP && m.verdict().kind() == FinalStatus.Kind.DELIVERED
                             ? new Reply(250, "2.0.0 taken on before")
                             : Reply.of(m.verdict()));
         } else if (m.front != this) {
@@ -150,18 +150,18 @@
     }
 
     @Override
-    public void turnedDown(Message message, Verdict verdict) {
+    public void turnedDown(Message message, FinalStatus verdict) {
         tell(message, Reply.of(verdict));
     }
 
     @Override
-    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
         if (protocol == Protocol.LMTP) {
             // Whoever has dropped the connection hands it in again, and hears the end that is remembered.
             tell(message, Reply.of(verdict));
             settled.run();
-        } else if (verdict.kind() == Verdict.Kind.REFUSED || verdict.kind() == Verdict.Kind.FAILED) {
-            report(id, Mail.decode(message.handin.body()), verdict, settled);
+        } else if (verdict.kind() == FinalStatus.Kind.REFUSED || verdict.kind() == FinalStatus.Kind.FAILED) {
+            report(id, Mail.decode(message.submission.body()), verdict, settled);
         } else {
             settled.run();
         }
@@ -169,7 +169,7 @@
 
     // ---- reports ----------------------------------------------------------------------------------------
     /** Sends a failure to the reverse path, again and again until the report is in the journal. */
-    private void report(String failed, Mail mail, Verdict verdict, Runnable settled) {
+    private void report(String failed, Mail mail, FinalStatus verdict, Runnable settled) {
         if (mail.reversePath().isEmpty()) {
             settled.run(); // no report of a report
             return;
@@ -196,7 +196,7 @@
 
     /** Reports a recipient that was turned down while others of its mail were taken on. */
     void turnedDownAlone(Mail mail, Runnable reported) {
-        report("turned-down-" + life + '-' + count++, mail, Verdict.of(Verdict.Kind.REFUSED), reported);
+        report("turned-down-" + life + '-' + count++, mail, FinalStatus.of(FinalStatus.Kind.REFUSED), reported);
     }
 
     static String date() {
--- a/src/main/java/lilaclever/protocol/mail/Reply.java
+++ b/src/main/java/lilaclever/protocol/mail/Reply.java
@@ -2,7 +2,7 @@
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
 
 /** A reply of SMTP or LMTP: a code, and a text that may begin with an enhanced status code. */
 record Reply(int code, String text) {
@@ -42,7 +42,7 @@
      * The final answer to one recipient. Refused: nothing ran, or a repeat is harmless, so come again. Failed without
      * a word of the server: it may have run, so whoever hands it in again must not be invited to.
      */
-    static Reply of(Verdict verdict) {
+    static Reply of(FinalStatus verdict) {
         Reply said = parse(verdict.detail());
         return switch (verdict.kind()) {
             case DELIVERED -> new Reply(250, "2.1.5 delivered");
--- a/src/main/java/lilaclever/protocol/mail/Report.java
+++ b/src/main/java/lilaclever/protocol/mail/Report.java
@@ -1,18 +1,18 @@
 package lilaclever.protocol.mail;
 
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
 
 /** Delivery status notifications: what a sender is told of a failure (RFC 3464). */
 final class Report {
     private Report() {}
 
-    static Mail of(String hostName, Mail failed, Verdict verdict, String id, String date) {
+    static Mail of(String hostName, Mail failed, FinalStatus verdict, String id, String date) {
         Reply said = Reply.parse(verdict.detail());
-        boolean permanent = said != null && said.permanent() && verdict.kind() == Verdict.Kind.FAILED;
-        String status = permanent ? said.status() : verdict.kind() == Verdict.Kind.REFUSED ? "4.4.7" : "5.4.0";
+        boolean permanent = said != null && said.permanent() && verdict.kind() == FinalStatus.Kind.FAILED;
+        String status = permanent ? said.status() : verdict.kind() == FinalStatus.Kind.REFUSED ? "4.4.7" : "5.4.0";
         String why = permanent
                 ? "The next server refused it: " + verdict.detail()
-                : verdict.kind() == Verdict.Kind.REFUSED
+                : verdict.kind() == FinalStatus.Kind.REFUSED
                         ? "It could not be delivered in time, and was not."
                         : "Its delivery was not confirmed. It may have happened, so it was not tried again.";
         String boundary = "report-" + id;
--- a/src/main/java/lilaclever/protocol/mllp/Acknowledgements.java
+++ b/src/main/java/lilaclever/protocol/mllp/Acknowledgements.java
@@ -6,7 +6,7 @@
 import java.time.ZoneId;
 import java.time.ZonedDateTime;
 import java.time.format.DateTimeFormatter;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
 
 /**
  * Writes acknowledgements: the sender's own header turned round, in its delimiters, version and characters, MSA, and
@@ -47,7 +47,7 @@
     }
 
     /** The message was refused, and nothing of it was done: it may come again after so long. */
-    byte[] comeBack(Code code, Header to, Verdict verdict) {
+    byte[] comeBack(Code code, Header to, FinalStatus verdict) {
         String seconds = seconds(verdict.comeBackMicros());
         String text = text(
                 to,
@@ -57,7 +57,7 @@
     }
 
     /** The message was taken on and is not known to be done: it may have been. */
-    byte[] failed(Code code, Header to, Verdict verdict) {
+    byte[] failed(Code code, Header to, FinalStatus verdict) {
         String text = text(
                 to, "not confirmed, so perhaps done" + (verdict.detail().isEmpty() ? "" : ": " + verdict.detail()));
         return of(code, to, text, err(to, "", 0, Hl7Fault.Code.INTERNAL, "not-confirmed", "", text));
--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -2,8 +2,8 @@
 
 import lilaclever.identity.Identity;
 import lilaclever.routing.Core;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Message;
-import lilaclever.routing.Verdict;
 
 /**
  * Tells clients how their messages ended: on the connection that waits, on another one of the practice, or, while it
@@ -20,9 +20,9 @@
      * @param header of the message that asked last
      * @param settled run once it is told or given up
      */
-    record Answer(Header header, Message message, Verdict verdict, Runnable settled) {
+    record Answer(Header header, Message message, FinalStatus verdict, Runnable settled) {
         private String identity() {
-            return message.handin.identity();
+            return message.submission.identity();
         }
 
         private String practice() {
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -10,11 +10,11 @@
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.FinalStatus.Kind;
 import lilaclever.routing.Front;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
-import lilaclever.routing.Verdict;
-import lilaclever.routing.Verdict.Kind;
+import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 
 /**
@@ -157,11 +157,11 @@
     /** The core is not asked. */
     private void busy(MllpSession session, Request r, String why) {
         session.answered();
-        writeIfAny(session, replies.notAccepted(r.header(), new Verdict(Kind.REFUSED, BUSY, why)));
+        writeIfAny(session, replies.notAccepted(r.header(), new FinalStatus(Kind.REFUSED, BUSY, why)));
     }
 
     private void handIn(MllpSession session, Request r) {
-        Message m = core.handIn(this, handin(r));
+        Message m = core.handIn(this, submission(r));
         if (!m.isOpen()) {
             session.answered();
             answerAtOnce(session, r.header(), m.verdict());
@@ -178,9 +178,9 @@
         }
     }
 
-    private Handin handin(Request r) {
+    private Submission submission(Request r) {
         long budget = Math.max(0, r.budgetMicros() - Math.max(0, Core.micros() - r.arrivedMicros()));
-        return new Handin(
+        return new Submission(
                 id(r),
                 r.identity(),
                 r.messageClass(),
@@ -203,7 +203,7 @@
     }
 
     /** The message was not taken on, or its end is remembered: the client that asks again gets it again. */
-    private void answerAtOnce(MllpSession session, Header to, Verdict verdict) {
+    private void answerAtOnce(MllpSession session, Header to, FinalStatus verdict) {
         if (verdict.kind() == Kind.DELIVERED || verdict.kind() == Kind.FAILED) {
             replies.remembered(to, verdict).forEach(session::write);
         } else {
@@ -233,7 +233,7 @@
     }
 
     @Override
-    public void turnedDown(Message message, Verdict verdict) {
+    public void turnedDown(Message message, FinalStatus verdict) {
         Waiter w = forget(message);
         if (w != null) {
             w.answered();
@@ -242,7 +242,7 @@
     }
 
     @Override
-    public void notJoined(Message message, String id, Verdict verdict) {
+    public void notJoined(Message message, String id, FinalStatus verdict) {
         turnedDown(message, verdict);
     }
 
@@ -255,7 +255,7 @@
     }
 
     @Override
-    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
         Waiter w = forget(message);
         Header header = w != null ? w.request.header() : header(message);
         if (w != null) {
@@ -272,7 +272,7 @@
     /** The header of a message whose client is not here, as its body has it. */
     private static Header header(Message message) {
         try {
-            return Header.read(message.handin.body());
+            return Header.read(message.submission.body());
         } catch (Hl7Fault e) {
             return null; // handed in on another port first: whoever joined it here sent the same bytes
         }
--- a/src/main/java/lilaclever/protocol/mllp/Replies.java
+++ b/src/main/java/lilaclever/protocol/mllp/Replies.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
-import lilaclever.routing.Verdict;
-import lilaclever.routing.Verdict.Kind;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.FinalStatus.Kind;
 
 /**
  * Which acknowledgement a client gets for what became of its message: by its mode, and by the outcomes that its header
@@ -36,7 +36,7 @@
     }
 
     /** For a message that was not taken on, with the reason; null if none is wanted. */
-    byte[] notAccepted(Header to, Verdict verdict) {
+    byte[] notAccepted(Header to, FinalStatus verdict) {
         boolean refused = verdict.kind() == Kind.REFUSED;
         Code code = notAcceptedCode(to, refused, false);
         if (code == null) {
@@ -74,7 +74,7 @@
     }
 
     /** For a message whose end is remembered, delivered or failed: one, both or none. */
-    List<byte[]> remembered(Header to, Verdict verdict) {
+    List<byte[]> remembered(Header to, FinalStatus verdict) {
         List<byte[]> replies = new ArrayList<>();
         boolean delivered = verdict.kind() == Kind.DELIVERED;
         boolean wantsFinal = Request.wantsFinal(to, delivered);
@@ -90,7 +90,7 @@
     }
 
     /** The application acknowledgement that tells how a message ended. */
-    byte[] finalStatus(Header to, Verdict verdict) {
+    byte[] finalStatus(Header to, FinalStatus verdict) {
         return switch (verdict.kind()) {
             case DELIVERED -> acknowledgements.good(Code.AA, to);
             case REFUSED -> acknowledgements.comeBack(Code.AR, to, verdict);
--- a/src/main/java/lilaclever/protocol/operator/OperatorPort.java
+++ b/src/main/java/lilaclever/protocol/operator/OperatorPort.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import lilaclever.routing.Core;
-import lilaclever.routing.Suspensions;
+import lilaclever.routing.ManualDrains;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -26,12 +26,12 @@
     private static final long LINE_BY = 5_000_000;
 
     private final Core core;
-    private final Suspensions suspensions;
+    private final ManualDrains suspensions;
     private final ArrayDeque<Caller> callers = new ArrayDeque<>();
     private final Attribute<Caller> callerOf = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("OperatorPort.caller");
 
     /** One that carries out calls on the loop's thread. */
-    public OperatorPort(Core core, Suspensions suspensions) {
+    public OperatorPort(Core core, ManualDrains suspensions) {
         this.core = core;
         this.suspensions = suspensions;
         core.counters().gauge("operators", this::size);
@@ -132,7 +132,7 @@
                 }
             }
             return "200 " + words[1];
-        } catch (Suspensions.Refused e) {
+        } catch (ManualDrains.Refused e) {
             return "400 " + e.getMessage();
         }
     }
--- a/src/main/java/lilaclever/routing/Pace.java
+++ b/src/main/java/lilaclever/routing/Clock.java
@@ -7,7 +7,7 @@
  * The time that the loop goes by, and how it waits: the machine's, or that of a host that runs many cores in virtual
  * time on one thread.
  */
-public interface Pace {
+public interface Clock {
     /** The monotonic clock, microseconds. */
     long micros();
 
@@ -24,8 +24,8 @@
     void posted();
 
     /** The machine's time, for a loop on a thread of its own. */
-    static Pace system() {
-        return new Pace() {
+    static Clock system() {
+        return new Clock() {
             @Override
             public long micros() {
                 return Core.micros();
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -9,16 +9,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
-import lilaclever.Relay;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Event;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Event;
 import lilaclever.identity.DuplicateCheck;
 import lilaclever.identity.IdempotencyWindows;
 import lilaclever.identity.Identity;
 import lilaclever.log.Logs;
 import lilaclever.routing.Counters.Name;
-import lilaclever.routing.Verdict.Kind;
+import lilaclever.routing.FinalStatus.Kind;
 
 /**
  * The core: knows messages, endpoints and deadlines, and no wire. One thread, the loop, owns all of it. Each turn it
@@ -37,17 +37,17 @@
     private static final long WALL_AT_START = System.currentTimeMillis() * 1000 - micros();
 
     /** An endpoint as the directory lists it. */
-    public record Listed(Relay.Entry entry, Call.Endpoint endpoint) {}
+    public record Listed(DecisionModule.Entry entry, Call.Endpoint endpoint) {}
 
-    private final Relay.Settings settings;
-    private final Relay relay;
+    private final DecisionModule.Settings settings;
+    private final DecisionModule relay;
     private final Journal journal;
     private final Counters counters;
     private final Deadlines deadlines = new Deadlines();
     private final LinkedBlockingQueue<Runnable> ready = new LinkedBlockingQueue<>();
     private final Map<String, Front> fronts = new HashMap<>();
     private final Map<String, Message> held = new LinkedHashMap<>();
-    private final Claims claims;
+    private final DeduplicationTable claims;
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
     /** Destinations that the list has named, and when last: one that has no endpoint now may have one soon. */
     private final Map<Integer, Long> destinations = new HashMap<>();
@@ -61,29 +61,34 @@
     private volatile boolean ended;
     private boolean closing;
     private int unsettled;
-    private final Pace pace;
+    private final Clock clock;
     private long now;
 
     /** A core that holds nothing yet. */
-    public Core(Relay.Settings settings, long seed, Journal journal, Counters counters, IdempotencyWindows windows) {
-        this(settings, seed, journal, counters, windows, Pace.system());
+    public Core(
+            DecisionModule.Settings settings,
+            long seed,
+            Journal journal,
+            Counters counters,
+            IdempotencyWindows windows) {
+        this(settings, seed, journal, counters, windows, Clock.system());
     }
 
     /** The same in a time of its own. */
     public Core(
-            Relay.Settings settings,
+            DecisionModule.Settings settings,
             long seed,
             Journal journal,
             Counters counters,
             IdempotencyWindows windows,
-            Pace pace) {
-        this.pace = pace;
-        this.now = pace.micros();
+            Clock clock) {
+        this.clock = clock;
+        this.now = clock.micros();
         this.settings = settings;
-        this.relay = Relay.create(settings, seed);
+        this.relay = DecisionModule.create(settings, seed);
         this.journal = journal;
         this.counters = counters;
-        this.claims = new Claims(windows, journal, counters);
+        this.claims = new DeduplicationTable(windows, journal, counters);
         counters.gauge("held", held::size);
         counters.gauge("endpoints", endpoints::size);
         counters.gauge("destinations", destinations::size);
@@ -98,7 +103,7 @@
     /** Has the loop run the task in its next turn. From any thread. */
     public void post(Runnable task) {
         ready.add(task);
-        pace.posted();
+        clock.posted();
     }
 
     /** The clock of this turn, microseconds; only goes forward. */
@@ -149,10 +154,10 @@
 
     /** The first turn, where a host in virtual time does the loop's part: {@link #due} and {@link #step}. */
     public void begin(List<Listed> known, long version) {
-        now = pace.micros();
-        listing(Relay.ListingKind.REMEMBERED, version, known);
-        long wall = pace.wall();
-        for (Owed e : List.copyOf(journal.owed())) {
+        now = clock.micros();
+        listing(DecisionModule.ListingKind.REMEMBERED, version, known);
+        long wall = clock.wall();
+        for (PendingMessage e : List.copyOf(journal.owed())) {
             resume(e, wall);
         }
         turn();
@@ -165,13 +170,13 @@
 
     /** One turn. */
     public void step() {
-        now = pace.micros();
+        now = clock.micros();
         run(this::turn);
     }
 
-    private void resume(Owed e, long wall) {
+    private void resume(PendingMessage e, long wall) {
         Front front = fronts.get(e.front());
-        Message m = new Message(e.handin(), front, e.deadlineWall());
+        Message m = new Message(e.submission(), front, e.deadlineWall());
         if (front == null) {
             Logs.error("", "no-front", "nobody to answer for " + m.id() + ": no front " + e.front(), "message", m.id());
             journal.ended(m.id());
@@ -181,13 +186,13 @@
         m.journaled = true;
         m.told = true;
         m.resumed = true;
-        for (Owed.Claim claim : e.joined()) {
+        for (PendingMessage.Claim claim : e.joined()) {
             if (fronts.containsKey(claim.front())) {
-                m.claims.add(new Claims.Claim(fronts.get(claim.front()), claim.id()));
+                m.claims.add(new DeduplicationTable.Claim(fronts.get(claim.front()), claim.id()));
             }
         }
         // A kill may have come between the remembering of its end and the record that the end is decided.
-        Verdict end = e.verdict() != null ? e.verdict() : claims.earlierEnd(m);
+        FinalStatus end = e.verdict() != null ? e.verdict() : claims.earlierEnd(m);
         if (end != null) {
             m.over = true;
             answer(m, end);
@@ -211,27 +216,28 @@
     }
 
     /** Takes a hand-in from a front; the front hears of it by the end of the turn. Loop thread. */
-    public Message handIn(Front front, Handin handin) {
+    public Message handIn(Front front, Submission submission) {
         counters.add(Name.HANDED_IN);
-        long wall = pace.wall();
-        Message m = new Message(handin, front, wall + handin.budgetMicros());
-        Message under = held.get(handin.id());
-        if (under != null && (handin.identity() == null || !handin.identity().equals(under.handin.identity()))) {
-            return handin.identity() == null ? under : clash(m);
-        }
-        DuplicateCheck<Message, Verdict> ruling = claims.rule(m, wall);
-        if (ruling instanceof DuplicateCheck.Joins<Message, Verdict> joins) {
+        long wall = clock.wall();
+        Message m = new Message(submission, front, wall + submission.budgetMicros());
+        Message under = held.get(submission.id());
+        if (under != null
+                && (submission.identity() == null || !submission.identity().equals(under.submission.identity()))) {
+            return submission.identity() == null ? under : clash(m);
+        }
+        DuplicateCheck<Message, FinalStatus> ruling = claims.rule(m, wall);
+        if (ruling instanceof DuplicateCheck.Joins<Message, FinalStatus> joins) {
             return join(joins.held(), m);
         }
-        if (ruling instanceof DuplicateCheck.Again<Message, Verdict> again) {
+        if (ruling instanceof DuplicateCheck.Again<Message, FinalStatus> again) {
             counters.add(Name.TOLD_AGAIN);
             return notHeld(m, again.end());
         }
-        if (ruling instanceof DuplicateCheck.Clash<Message, Verdict>) {
+        if (ruling instanceof DuplicateCheck.Clash<Message, FinalStatus>) {
             return clash(m);
         }
         if (closing || held.size() >= settings.limits().maxOpen()) {
-            turnDown(m, new Verdict(Kind.REFUSED, COME_BACK, "no room"));
+            turnDown(m, new FinalStatus(Kind.REFUSED, COME_BACK, "no room"));
             return m;
         }
         hold(m);
@@ -242,19 +248,19 @@
 
     /** Another hand-in of a message that is held: its front tells the end there too, where identities are shared. */
     private Message join(Message held, Message comer) {
-        if (Identity.isShared(held.handin.identity()) && !claims.join(held, comer.front, comer.id())) {
-            return notHeld(comer, new Verdict(Kind.REFUSED, COME_BACK, "already under way"));
+        if (Identity.isShared(held.submission.identity()) && !claims.join(held, comer.front, comer.id())) {
+            return notHeld(comer, new FinalStatus(Kind.REFUSED, COME_BACK, "already under way"));
         }
         return held;
     }
 
     private Message clash(Message m) {
         counters.add(Name.CLASHES);
-        return notHeld(m, Verdict.of(Kind.CLASH));
+        return notHeld(m, FinalStatus.of(Kind.CLASH));
     }
 
     /** Answers a hand-in that makes no message. */
-    private static Message notHeld(Message m, Verdict verdict) {
+    private static Message notHeld(Message m, FinalStatus verdict) {
         m.over = true;
         m.verdict = verdict;
         m.front.turnedDown(m, verdict);
@@ -268,7 +274,7 @@
 
     /** A client is gone before it heard that its message is taken on. Loop thread. */
     public void clientGone(Message m, Front front, String id) {
-        m.claims.remove(new Claims.Claim(front, id));
+        m.claims.remove(new DeduplicationTable.Claim(front, id));
         if (!m.over && m.claims.isEmpty()) {
             counters.add(Name.WITHDRAWN);
             events.add(new Event.Withdrawn(m.id()));
@@ -278,9 +284,9 @@
     }
 
     /** News of the list. Loop thread. */
-    public void listing(Relay.ListingKind kind, long version, List<Listed> listed) {
+    public void listing(DecisionModule.ListingKind kind, long version, List<Listed> listed) {
         counters.add(Name.LISTINGS);
-        boolean whole = kind == Relay.ListingKind.ALL || kind == Relay.ListingKind.REMEMBERED;
+        boolean whole = kind == DecisionModule.ListingKind.ALL || kind == DecisionModule.ListingKind.REMEMBERED;
         List<Listed> all = new ArrayList<>(listed);
         if (whole) {
             all.addAll(fixed);
@@ -289,15 +295,15 @@
             all.forEach(x -> old.remove(x.entry().host()));
             old.values().forEach(x -> x.deliverer().closeIdle(x));
         }
-        List<Relay.Entry> entries = new ArrayList<>();
+        List<DecisionModule.Entry> entries = new ArrayList<>();
         for (Listed x : all) {
             entries.add(x.entry());
             Call.Endpoint before = endpoints.put(x.entry().host(), x.endpoint());
-            if (x.entry().presence() != Relay.Presence.ACTIVE) {
+            if (x.entry().presence() != DecisionModule.Presence.ACTIVE) {
                 // Nothing new goes there: what is idle to it only takes room, here and there.
                 x.endpoint().deliverer().closeIdle(before == null ? x.endpoint() : before);
             }
-            if (x.entry().presence() == Relay.Presence.LEFT) {
+            if (x.entry().presence() == DecisionModule.Presence.LEFT) {
                 endpoints.remove(x.entry().host());
             }
         }
@@ -323,7 +329,7 @@
         counters.ending(ending.name());
         trace(m, "outcome", ending, call);
         if (!ending.neverRan()) {
-            m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), pace.wall());
+            m.mayHaveRun(call.endpoint.host(), call.endpoint.zone(), clock.wall());
         }
         events.add(new Event.Outcome(
                 m.id(),
@@ -341,9 +347,9 @@
         }
         if (ending == Ending.DELIVERED) {
             counters.add(Name.DELIVERED);
-            end(m, Verdict.of(Kind.DELIVERED));
+            end(m, FinalStatus.of(Kind.DELIVERED));
         } else if (over) {
-            end(m, Verdict.of(Kind.GONE));
+            end(m, FinalStatus.of(Kind.GONE));
         } else {
             journal.outcome(m.id(), ending.neverRan());
         }
@@ -355,7 +361,7 @@
     }
 
     /** Other classes and attempts hold from now on, for what is handed in after this. Loop thread. */
-    public void renew(Relay.Settings renewed) {
+    public void renew(DecisionModule.Settings renewed) {
         events.add(new Event.Renewed(renewed));
     }
 
@@ -386,13 +392,13 @@
         while (!ended) {
             try {
                 long until = deadlines.soonest(now + LONGEST_SLEEP);
-                Runnable first = pace.await(ready, until);
+                Runnable first = clock.await(ready, until);
                 // Turns keep the module's least spacing: what comes close together is decided together.
-                long early = now + settings.roundMicros() - pace.micros();
+                long early = now + settings.roundMicros() - clock.micros();
                 if (early > 0) {
-                    pace.pause(early);
+                    clock.pause(early);
                 }
-                now = pace.micros();
+                now = clock.micros();
                 run(first);
                 run(this::turn);
             } catch (InterruptedException e) {
@@ -426,7 +432,7 @@
             events = new ArrayList<>();
             carryOut(relay.decide(now, batch));
         }
-        run(() -> journal.tidy(pace.wall()));
+        run(() -> journal.tidy(clock.wall()));
     }
 
     private void carryOut(List<Action> actions) {
@@ -459,7 +465,7 @@
             if (m.over || endedNow.contains(m.id())) {
                 continue;
             }
-            run(() -> m.journaled = journal.taken(m.front.name(), m.handin, m.deadlineWall, pace.wall()));
+            run(() -> m.journaled = journal.taken(m.front.name(), m.submission, m.deadlineWall, clock.wall()));
             if (m.journaled) {
                 counters.add(Name.TAKEN);
                 trace(m, "taken", "taken on", null);
@@ -471,16 +477,17 @@
             } else {
                 counters.add(Name.JOURNAL_FULL);
                 events.add(new Event.Withdrawn(m.id()));
-                turnDown(m, new Verdict(Kind.REFUSED, COME_BACK, "no room on disk"));
+                turnDown(m, new FinalStatus(Kind.REFUSED, COME_BACK, "no room on disk"));
             }
         }
         fresh.clear();
     }
 
     /** Those who joined it and could not be written hear that they are not owed its end. */
-    private void refuse(List<Claims.Claim> refused, Message m) {
-        for (Claims.Claim claim : refused) {
-            run(() -> claim.front().notJoined(m, claim.id(), new Verdict(Kind.REFUSED, COME_BACK, "no room on disk")));
+    private void refuse(List<DeduplicationTable.Claim> refused, Message m) {
+        for (DeduplicationTable.Claim claim : refused) {
+            run(() -> claim.front()
+                    .notJoined(m, claim.id(), new FinalStatus(Kind.REFUSED, COME_BACK, "no room on disk")));
         }
     }
 
@@ -492,9 +499,9 @@
 
     private void carryOut(Action action) {
         if (action instanceof Action.Refuse a) {
-            ended(a.id(), new Verdict(Kind.REFUSED, a.comeBackMicros(), ""));
+            ended(a.id(), new FinalStatus(Kind.REFUSED, a.comeBackMicros(), ""));
         } else if (action instanceof Action.Fail a) {
-            ended(a.id(), Verdict.of(Kind.FAILED));
+            ended(a.id(), FinalStatus.of(Kind.FAILED));
         } else if (action instanceof Action.Cancel a) {
             Message m = held.get(a.id());
             if (m != null && m.out != null && m.attempts - 1 == a.attempt()) {
@@ -513,15 +520,15 @@
         // Watch and FetchList: the directory is watched all the time. Tell: nobody to tell.
     }
 
-    private void ended(String id, Verdict verdict) {
+    private void ended(String id, FinalStatus verdict) {
         Message m = held.get(id);
         if (m == null) {
             return;
         }
-        Verdict told = new Verdict(verdict.kind(), verdict.comeBackMicros(), m.lastWord);
+        FinalStatus told = new FinalStatus(verdict.kind(), verdict.comeBackMicros(), m.lastWord);
         if (m.journaled) {
             counters.add(told.kind() == Kind.REFUSED ? Name.REFUSED : Name.FAILED);
-            counters.holds(m.resumed || pace.wall() <= m.deadlineWall + OVERDUE, m.id() + " ended in time");
+            counters.holds(m.resumed || clock.wall() <= m.deadlineWall + OVERDUE, m.id() + " ended in time");
             end(m, told);
         } else {
             turnDown(m, told);
@@ -539,7 +546,7 @@
                     "message",
                     m.id(),
                     "partner",
-                    m.handin.destination(),
+                    m.submission.destination(),
                     "endpoint",
                     call == null ? null : call.endpoint.host());
         }
@@ -582,7 +589,7 @@
 
     /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
     private void start(Call call) {
-        long wall = pace.wall();
+        long wall = clock.wall();
         boolean written = true;
         for (Message m : call.messages) {
             written &= journal.attempt(m.id(), call.endpoint.host(), call.endpoint.zone(), wall);
@@ -625,19 +632,21 @@
         claims.release(m);
     }
 
-    private void turnDown(Message m, Verdict verdict) {
+    private void turnDown(Message m, FinalStatus verdict) {
         counters.add(Name.TURNED_DOWN);
         release(m);
         m.verdict = verdict;
         fronts(m).forEach(front -> run(() -> front.turnedDown(m, verdict)));
     }
 
-    private void end(Message m, Verdict verdict) {
+    private void end(Message m, FinalStatus verdict) {
         release(m);
         trace(m, "ended", verdict.kind(), null);
-        claims.ended(m, verdict, pace.wall());
+        claims.ended(m, verdict, clock.wall());
         boolean told = verdict.kind() != Kind.DELIVERED && verdict.kind() != Kind.GONE;
-        if (told || Identity.isShared(m.handin.identity())) { // a client that is away may be owed that it was delivered
+        if (told
+                || Identity.isShared(
+                        m.submission.identity())) { // a client that is away may be owed that it was delivered
             journal.verdict(m.id(), verdict);
         }
         if (m.out != null) {
@@ -646,14 +655,14 @@
         answer(m, verdict);
     }
 
-    private void answer(Message m, Verdict verdict) {
+    private void answer(Message m, FinalStatus verdict) {
         m.verdict = verdict;
         if (m.claims.isEmpty()) {
             journal.ended(m.id());
             return;
         }
         int[] open = {m.claims.size()};
-        for (Claims.Claim claim : m.claims) {
+        for (DeduplicationTable.Claim claim : m.claims) {
             unsettled++;
             journal.whenDurable(() -> run(() -> claim.front().ended(m, claim.id(), verdict, () -> {
                 unsettled--;
--- a/src/main/java/lilaclever/routing/Claims.java
+++ b/src/main/java/lilaclever/routing/DeduplicationTable.java
@@ -8,13 +8,13 @@
 import lilaclever.identity.Identities;
 import lilaclever.identity.Memory;
 import lilaclever.routing.Counters.Name;
-import lilaclever.routing.Verdict.Kind;
+import lilaclever.routing.FinalStatus.Kind;
 
 /**
  * Who is owed a message's end: whoever handed it in first, and whoever handed in the same message since, on whichever
  * port. {@link Identities} rules on what a hand-in is; here it is carried out and written to the journal. Loop thread.
  */
-final class Claims {
+final class DeduplicationTable {
     /** Whoever comes later is asked to come again: a message's record is bounded. */
     static final int MOST_JOINED = 8;
 
@@ -23,14 +23,14 @@
 
     private final Journal journal;
     private final Counters counters;
-    private final Identities<Message, Verdict> identities;
+    private final Identities<Message, FinalStatus> identities;
 
-    Claims(IdempotencyWindows windows, Journal journal, Counters counters) {
+    DeduplicationTable(IdempotencyWindows windows, Journal journal, Counters counters) {
         this.journal = journal;
         this.counters = counters;
         identities = new Identities<>(windows, new Memory<>() {
             @Override
-            public CompletedMessage<Verdict> past(String identity) {
+            public CompletedMessage<FinalStatus> past(String identity) {
                 return journal.remembered(identity);
             }
 
@@ -40,7 +40,7 @@
             }
 
             @Override
-            public void keep(String identity, CompletedMessage<Verdict> past) {
+            public void keep(String identity, CompletedMessage<FinalStatus> past) {
                 journal.remember(identity, past);
             }
 
@@ -57,36 +57,36 @@
     }
 
     /** What the hand-in is. */
-    DuplicateCheck<Message, Verdict> rule(Message m, long wall) {
-        return m.handin.identity() == null
+    DuplicateCheck<Message, FinalStatus> rule(Message m, long wall) {
+        return m.submission.identity() == null
                 ? new DuplicateCheck.Fresh<>()
-                : identities.rule(m.handin.identity(), m.content(), wall);
+                : identities.rule(m.submission.identity(), m.content(), wall);
     }
 
     /** The message is held from now on. */
     void hold(Message m) {
-        if (m.handin.identity() != null) {
-            identities.hold(m.handin.identity(), m.content(), m);
+        if (m.submission.identity() != null) {
+            identities.hold(m.submission.identity(), m.content(), m);
         }
     }
 
     /** The message is held no more. */
     void release(Message m) {
-        if (m.handin.identity() != null) {
-            identities.release(m.handin.identity(), m);
+        if (m.submission.identity() != null) {
+            identities.release(m.submission.identity(), m);
         }
     }
 
     /** The message was delivered or has failed: whoever hands it in again gets this end. */
-    void ended(Message m, Verdict verdict, long wall) {
-        if (m.handin.identity() != null && (verdict.kind() == Kind.DELIVERED || verdict.kind() == Kind.FAILED)) {
-            identities.ended(m.handin.identity(), m.content(), m.handin.messageClass(), verdict, wall);
+    void ended(Message m, FinalStatus verdict, long wall) {
+        if (m.submission.identity() != null && (verdict.kind() == Kind.DELIVERED || verdict.kind() == Kind.FAILED)) {
+            identities.ended(m.submission.identity(), m.content(), m.submission.messageClass(), verdict, wall);
         }
     }
 
     /** The end that an earlier life remembered of a message that it did not get to end, or null. */
-    Verdict earlierEnd(Message m) {
-        return rule(m, Long.MIN_VALUE) instanceof DuplicateCheck.Again<Message, Verdict> again ? again.end() : null;
+    FinalStatus earlierEnd(Message m) {
+        return rule(m, Long.MIN_VALUE) instanceof DuplicateCheck.Again<Message, FinalStatus> again ? again.end() : null;
     }
 
     /**
--- a/src/main/java/lilaclever/routing/Verdict.java
+++ b/src/main/java/lilaclever/routing/FinalStatus.java
@@ -1,7 +1,7 @@
 package lilaclever.routing;
 
 /** How a message ended; {@code comeBackMicros} goes with REFUSED (0: no advice). {@code detail} is for people. */
-public record Verdict(Kind kind, long comeBackMicros, String detail) {
+public record FinalStatus(Kind kind, long comeBackMicros, String detail) {
     /**
      * The three ends; GONE: the client has withdrawn, nothing is owed; CLASH: not taken on, as another message has the
      * same identity. The order is part of the journal's format.
@@ -15,7 +15,7 @@
     }
 
     /** An end with nothing more to say. */
-    public static Verdict of(Kind kind) {
-        return new Verdict(kind, 0, "");
+    public static FinalStatus of(Kind kind) {
+        return new FinalStatus(kind, 0, "");
     }
 }
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -9,7 +9,7 @@
     void taken(Message message);
 
     /** The message was turned down in the turn of its hand-in; nothing is owed. */
-    void turnedDown(Message message, Verdict verdict);
+    void turnedDown(Message message, FinalStatus verdict);
 
     /** True where a message that comes again is asked for by the same client: one claim on its end is enough. */
     default boolean asksAgain() {
@@ -17,7 +17,7 @@
     }
 
     /** A hand-in that joined a message could not be owed its end after all; of fronts whose identities are shared. */
-    default void notJoined(Message message, String id, Verdict verdict) {
+    default void notJoined(Message message, String id, FinalStatus verdict) {
         throw new IllegalStateException(name() + " shares no identities");
     }
 
@@ -26,5 +26,5 @@
      *
      * @param id the id under which it was handed in here: the message's own, or that of a hand-in that joined it
      */
-    void ended(Message message, String id, Verdict verdict, Runnable settled);
+    void ended(Message message, String id, FinalStatus verdict, Runnable settled);
 }
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -16,7 +16,7 @@
     void attach(Executor loop);
 
     /** Takes a message on; false if there is no room for it, and then it is not taken on. */
-    boolean taken(String front, Handin handin, long deadlineWall, long nowWall);
+    boolean taken(String front, Submission submission, long deadlineWall, long nowWall);
 
     /** An attempt is about to be made; false if that could not be written, and then it must not be made. */
     boolean attempt(String id, String host, int zone, long wall);
@@ -25,7 +25,7 @@
     void outcome(String id, boolean neverRan);
 
     /** The message's end is decided and owed to its client. */
-    void verdict(String id, Verdict verdict);
+    void verdict(String id, FinalStatus verdict);
 
     /** Nothing more is owed. */
     void ended(String id);
@@ -37,21 +37,21 @@
     boolean joined(String id, String front, String claim);
 
     /** The end is to be given again to whoever resends the message, until its time. */
-    void remember(String identity, CompletedMessage<Verdict> past);
+    void remember(String identity, CompletedMessage<FinalStatus> past);
 
     /** The same for an end whose message is not compared. */
-    default void remember(String identity, Verdict verdict, long untilWall) {
+    default void remember(String identity, FinalStatus verdict, long untilWall) {
         remember(identity, new CompletedMessage<>(verdict, null, untilWall));
     }
 
     /** The end that is remembered of a message, or null. */
-    CompletedMessage<Verdict> remembered(String identity);
+    CompletedMessage<FinalStatus> remembered(String identity);
 
     /** Forgets the remembered end whose time is up soonest. */
     void forgetSoonest();
 
     /** All that is owed an end, in the order of taking on or later. */
-    Collection<Owed> owed();
+    Collection<PendingMessage> owed();
 
     /** How many ends are remembered. */
     int rememberedCount();
--- a/src/main/java/lilaclever/routing/Suspensions.java
+++ b/src/main/java/lilaclever/routing/ManualDrains.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.log.Logs;
 
 /**
@@ -15,7 +15,7 @@
  * until it is put back: then it hears what the list says now. Noted before the operator is told so, since it outlasts
  * the process. Between the directory and the core; loop thread.
  */
-public final class Suspensions {
+public final class ManualDrains {
     /** Ids that are remembered as listed, oldest first out: a call for one that was never listed is refused. */
     private static final int MOST_KNOWN = 50_000;
     /** Endpoints out at once, as many as the largest fleets have: the note has to fit on the disk. */
@@ -49,7 +49,7 @@
     private long version;
 
     /** With the ids that an earlier life noted. */
-    public Suspensions(Core core, Set<String> noted, Note note) {
+    public ManualDrains(Core core, Set<String> noted, Note note) {
         this.core = core;
         this.note = note;
         this.out = new LinkedHashSet<>(noted);
@@ -58,22 +58,22 @@
     }
 
     /** News of the list on their way to the core. */
-    public void listing(Relay.ListingKind kind, long version, List<Core.Listed> news) {
+    public void listing(DecisionModule.ListingKind kind, long version, List<Core.Listed> news) {
         core.listing(kind, version, heard(kind, version, news));
     }
 
     /** Takes news in and gives what the core may hear of it: at the start the core is told by its host. */
-    public List<Core.Listed> heard(Relay.ListingKind kind, long version, List<Core.Listed> news) {
+    public List<Core.Listed> heard(DecisionModule.ListingKind kind, long version, List<Core.Listed> news) {
         this.version = version;
-        if (kind == Relay.ListingKind.ALL || kind == Relay.ListingKind.REMEMBERED) {
-            listed.replaceAll((host, x) -> as(x, Relay.Presence.LEFT)); // but for what follows
+        if (kind == DecisionModule.ListingKind.ALL || kind == DecisionModule.ListingKind.REMEMBERED) {
+            listed.replaceAll((host, x) -> as(x, DecisionModule.Presence.LEFT)); // but for what follows
         }
         for (Core.Listed x : news) {
             listed.remove(x.entry().host()); // the last that was heard of goes last
             listed.put(x.entry().host(), x);
         }
         for (var i = listed.entrySet().iterator(); listed.size() > MOST_KNOWN && i.hasNext(); ) {
-            if (i.next().getValue().entry().presence() == Relay.Presence.LEFT) {
+            if (i.next().getValue().entry().presence() == DecisionModule.Presence.LEFT) {
                 i.remove();
             }
         }
@@ -82,8 +82,8 @@
 
     private List<Core.Listed> apply(List<Core.Listed> news) {
         List<Core.Listed> told = new ArrayList<>(news);
-        told.replaceAll(x -> out.contains(x.entry().host()) && x.entry().presence() == Relay.Presence.ACTIVE
-                ? as(x, Relay.Presence.LEAVING)
+        told.replaceAll(x -> out.contains(x.entry().host()) && x.entry().presence() == DecisionModule.Presence.ACTIVE
+                ? as(x, DecisionModule.Presence.LEAVING)
                 : x);
         return told;
     }
@@ -129,8 +129,8 @@
     }
 
     private void tell(Core.Listed now) {
-        if (now != null && now.entry().presence() != Relay.Presence.LEFT) {
-            core.listing(Relay.ListingKind.CHANGES, version, apply(List.of(now)));
+        if (now != null && now.entry().presence() != DecisionModule.Presence.LEFT) {
+            core.listing(DecisionModule.ListingKind.CHANGES, version, apply(List.of(now)));
         }
     }
 
@@ -144,10 +144,11 @@
         }
     }
 
-    private static Core.Listed as(Core.Listed x, Relay.Presence presence) {
-        Relay.Entry e = x.entry();
+    private static Core.Listed as(Core.Listed x, DecisionModule.Presence presence) {
+        DecisionModule.Entry e = x.entry();
         return new Core.Listed(
-                new Relay.Entry(e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
+                new DecisionModule.Entry(
+                        e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
                 x.endpoint());
     }
 }
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.identity.Fingerprint;
 import lilaclever.identity.Identity;
 
@@ -11,13 +11,13 @@
     private static final long LONG_AGO = 86_400_000_000L;
 
     /** What the front handed in. */
-    public final Handin handin;
+    public final Submission submission;
     /** Where it came from. */
     public final Front front;
     /** When its time is up, on the wall clock, microseconds: this outlasts the process. */
     final long deadlineWall;
     /** Who is owed its end: whoever handed it in, and whoever handed in the same since. */
-    final List<Claims.Claim> claims = new ArrayList<>(1);
+    final List<DeduplicationTable.Claim> claims = new ArrayList<>(1);
 
     private Fingerprint content;
     boolean journaled;
@@ -33,28 +33,28 @@
     String riskHost = "";
     int riskZone;
     long riskWall;
-    Verdict verdict;
+    FinalStatus verdict;
     /** What the last endpoint said, for people. */
     public String lastWord = "";
 
-    Message(Handin handin, Front front, long deadlineWall) {
-        this.handin = handin;
+    Message(Submission submission, Front front, long deadlineWall) {
+        this.submission = submission;
         this.front = front;
         this.deadlineWall = deadlineWall;
-        claims.add(new Claims.Claim(front, handin.id()));
+        claims.add(new DeduplicationTable.Claim(front, submission.id()));
     }
 
     /** What it says, where that is compared; else null. */
     Fingerprint content() {
-        if (content == null && Identity.isShared(handin.identity())) {
-            content = Fingerprint.of(handin.messageClass(), handin.destination(), handin.body());
+        if (content == null && Identity.isShared(submission.identity())) {
+            content = Fingerprint.of(submission.messageClass(), submission.destination(), submission.body());
         }
         return content;
     }
 
     /** The id. */
     public String id() {
-        return handin.id();
+        return submission.id();
     }
 
     /** True until the message has ended. */
@@ -68,7 +68,7 @@
     }
 
     /** How it ended; null while it is open. */
-    public Verdict verdict() {
+    public FinalStatus verdict() {
         return verdict;
     }
 
@@ -81,19 +81,20 @@
         }
     }
 
-    Relay.Event.Submit submit(long nowMono, long nowWall) {
+    DecisionModule.Event.Submit submit(long nowMono, long nowWall) {
         // An attempt can't be younger than now: the clock was set back, and it may be of any age.
         long since = nowWall < riskWall ? LONG_AGO : nowWall - riskWall;
-        Relay.Prior prior = resumed ? new Relay.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since) : null;
-        return new Relay.Event.Submit(
+        DecisionModule.Prior prior =
+                resumed ? new DecisionModule.Prior(attempts, mayHaveRun, riskHost, riskZone, nowMono - since) : null;
+        return new DecisionModule.Event.Submit(
                 id(),
-                handin.messageClass(),
-                handin.destination(),
+                submission.messageClass(),
+                submission.destination(),
                 0,
                 null,
-                handin.again(),
-                handin.inherited(),
-                Math.max(0, Math.min(handin.budgetMicros(), deadlineWall - nowWall)),
+                submission.again(),
+                submission.inherited(),
+                Math.max(0, Math.min(submission.budgetMicros(), deadlineWall - nowWall)),
                 prior);
     }
 }
--- a/src/main/java/lilaclever/routing/Owed.java
+++ b/src/main/java/lilaclever/routing/PendingMessage.java
@@ -5,12 +5,12 @@
 import java.util.List;
 
 /** What the journal knows of a message that was taken on and has not ended. Used from one thread at a time. */
-public final class Owed {
+public final class PendingMessage {
     /** Somebody who is owed the end, beside whoever handed the message in first: a front, and its id there. */
     public record Claim(String front, String id) {}
 
     private final String front;
-    private final Handin handin;
+    private final Submission submission;
     private final long deadlineWall;
     private int attempts;
     private boolean out;
@@ -21,13 +21,13 @@
     private String riskHost = "";
     private int riskZone;
     private long riskWall;
-    private Verdict verdict;
+    private FinalStatus verdict;
     private List<Claim> joined = List.of();
 
     /** A message just taken on; the deadline on the wall clock, microseconds. */
-    public Owed(String front, Handin handin, long deadlineWall) {
+    public PendingMessage(String front, Submission submission, long deadlineWall) {
         this.front = front;
-        this.handin = handin;
+        this.submission = submission;
         this.deadlineWall = deadlineWall;
     }
 
@@ -37,8 +37,8 @@
     }
 
     /** What was handed in. */
-    public Handin handin() {
-        return handin;
+    public Submission submission() {
+        return submission;
     }
 
     /** When its time is up, on the wall clock, microseconds. */
@@ -92,7 +92,7 @@
     }
 
     /** The end that is decided and not yet told, or null. */
-    public Verdict verdict() {
+    public FinalStatus verdict() {
         return verdict;
     }
 
@@ -141,11 +141,11 @@
     /** Records are lost, an attempt's among them perhaps: it counts as one made, and run, as early as can be. */
     public void doubt() {
         attempts = Math.max(1, attempts);
-        risk(host, zone, deadlineWall - handin.budgetMicros());
+        risk(host, zone, deadlineWall - submission.budgetMicros());
     }
 
     /** The end is decided. */
-    public void verdict(Verdict end) {
+    public void verdict(FinalStatus end) {
         verdict = end;
     }
 
--- a/src/main/java/lilaclever/routing/Waits.java
+++ b/src/main/java/lilaclever/routing/RetryAfterTable.java
@@ -9,7 +9,7 @@
  * read and calls are written: a call may have been decided before a wait was told, and come to its connection after.
  * Any thread.
  */
-public final class Waits {
+public final class RetryAfterTable {
     private final Map<Object, Long> ends = new ConcurrentHashMap<>();
 
     /** What a wait told by this endpoint binds. */
--- a/src/main/java/lilaclever/routing/Handin.java
+++ b/src/main/java/lilaclever/routing/Submission.java
@@ -8,7 +8,7 @@
  * @param key the idempotency key, or null
  * @param budgetMicros how long it may still be delivered
  */
-public record Handin(
+public record Submission(
         String id,
         String identity,
         int messageClass,
--- a/src/test/java/lilaclever/DecideTest.java
+++ b/src/test/java/lilaclever/DeliveryPolicyTest.java
@@ -15,12 +15,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Entry;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.ListingKind;
-import lilaclever.Relay.Presence;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Entry;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,7 +28,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Scripted cases: the design's steps and limits, each rule, each outcome for each repeat class. */
-class DecideTest {
+class DeliveryPolicyTest {
     private final Map<String, Integer> attempts = new HashMap<>();
     private Rig rig = Rig.started();
 
@@ -73,7 +73,7 @@
     void pausesAreSpreadByChance() {
         List<Long> pauses = new ArrayList<>();
         for (int seed = 0; seed < 5; seed++) {
-            Relay relay = Relay.create(rig.settings, seed);
+            DecisionModule relay = DecisionModule.create(rig.settings, seed);
             relay.decide(0, List.of(new Event.Listing(ListingKind.ALL, 1, List.of(Rig.entry("a1", 1, 0, 0)))));
             relay.decide(S, List.of(new Event.Submit("m", SAFE, 1, 0, null, false, false, 20 * S)));
             for (Action a : relay.decide(
@@ -731,7 +731,7 @@
                             300 * MS,
                             false,
                             false,
-                            new Relay.Report(left, 10)));
+                            new DecisionModule.Report(left, 10)));
                 }
             }
         }
@@ -766,7 +766,8 @@
         rig = new Rig(Rig.settings(10, 50, 12, false, 100));
         rig.list(ListingKind.REMEMBERED, Rig.entry("a1", 1, 0, 0));
         String id = rig.submit(SAFE, 1);
-        rig.round(new Event.Outcome(id, "a1", 0, Ending.FULL, 5 * MS, 0, false, false, new Relay.Report(0, 10)));
+        rig.round(
+                new Event.Outcome(id, "a1", 0, Ending.FULL, 5 * MS, 0, false, false, new DecisionModule.Report(0, 10)));
         assertTrue(pauseUntilSent(id, 19 * S) >= 100 / (0.7 * 10) * S, "no more than 0.7 of the even share");
     }
 
@@ -788,12 +789,12 @@
     @Test
     void aReplacedHostIsUsedOnlyOnceListedAndTheOldOneNoMore() {
         rig = new Rig(Rig.settings(10, 400, 12, false, 200));
-        Relay.Entry[] many = new Relay.Entry[300];
+        DecisionModule.Entry[] many = new DecisionModule.Entry[300];
         for (int i = 0; i < many.length; i++) {
             many[i] = Rig.entry("h" + i, i, i % 2, 0);
         }
         rig.list(ListingKind.REMEMBERED, many);
-        rig.list(ListingKind.CHANGES, new Relay.Entry("h7", 7, 1, 0, Presence.LEFT, 1, 0));
+        rig.list(ListingKind.CHANGES, new DecisionModule.Entry("h7", 7, 1, 0, Presence.LEFT, 1, 0));
         String id = rig.submit(SAFE, 7);
         assertFalse(rig.sent(id), "its only host has gone");
         rig.list(ListingKind.CHANGES, Rig.entry("new", 7, 1, 0));
@@ -946,7 +947,7 @@
     }
 
     private Object field(String name) throws ReflectiveOperationException {
-        var field = Decide.class.getDeclaredField(name);
+        var field = DeliveryPolicy.class.getDeclaredField(name);
         field.setAccessible(true);
         return field.get(rig.relay);
     }
@@ -954,8 +955,8 @@
     // ---- settings ----
     @Test
     void settingsThatMakeNoSenseAreNamed() {
-        IllegalArgumentException e =
-                assertThrows(IllegalArgumentException.class, () -> Relay.create(Rig.settings(0, 50, 6, false), 1));
+        IllegalArgumentException e = assertThrows(
+                IllegalArgumentException.class, () -> DecisionModule.create(Rig.settings(0, 50, 6, false), 1));
         assertTrue(e.getMessage().contains("slots"));
     }
 
@@ -970,7 +971,7 @@
                 false,
                 false,
                 20 * S,
-                new Relay.Prior(attempts, mayHaveRun, "a1", 0, rig.now - riskAgo));
+                new DecisionModule.Prior(attempts, mayHaveRun, "a1", 0, rig.now - riskAgo));
     }
 
     @Test
@@ -995,7 +996,7 @@
         List<Event> found = new ArrayList<>();
         for (int i = 0; i < 49; i++) {
             found.add(new Event.Submit(
-                    "r" + i, SAFE, 1, 0, null, false, false, 20 * S, new Relay.Prior(0, false, "", 0, 0)));
+                    "r" + i, SAFE, 1, 0, null, false, false, 20 * S, new DecisionModule.Prior(0, false, "", 0, 0)));
         }
         rig.round(found.toArray(Event[]::new));
         assertEquals(
--- a/src/test/java/lilaclever/FleetTest.java
+++ b/src/test/java/lilaclever/FleetTest.java
@@ -14,11 +14,11 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.ListingKind;
-import lilaclever.Relay.Report;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Report;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -32,7 +32,7 @@
     /** A rate limit of 3 a second of which plenty is left. */
     private static final Report PLENTY = new Report(0.7, 3);
 
-    private final List<Relay> relays = new ArrayList<>();
+    private final List<DecisionModule> relays = new ArrayList<>();
     private final List<List<Event>> inbox = new ArrayList<>();
     private final Map<Integer, Long> wakes = new HashMap<>();
     private final Map<String, Integer> attempts = new LinkedHashMap<>();
@@ -89,7 +89,7 @@
             attempts.clear();
             saw.clear();
             for (int r = 0; r < RELAYS; r++) {
-                relays.add(Relay.create(Rig.settings(4, 50, 12, false, RELAYS), r));
+                relays.add(DecisionModule.create(Rig.settings(4, 50, 12, false, RELAYS), r));
                 inbox.add(new ArrayList<>(List.of(new Event.Listing(
                         ListingKind.REMEMBERED,
                         1,
@@ -138,7 +138,7 @@
     void aClumpThatFailedTogetherComesAgainApart() {
         List<Long> sends = new ArrayList<>();
         for (int r = 0; r < 60; r++) {
-            Relay relay = Relay.create(Rig.settings(4, 50, 12, false, RELAYS), r);
+            DecisionModule relay = DecisionModule.create(Rig.settings(4, 50, 12, false, RELAYS), r);
             long now = 1000 * S + r * 10 * MS;
             String id = "m" + r;
             int attempt = 0;
@@ -192,8 +192,8 @@
     /** Relays that share a destination which is well, out, and cold after that. */
     private static final class ColdReturn {
         private static final double CAPACITY = 10, LOAD = 0.75;
-        private final Relay.Rules rules;
-        private final List<Relay> fleet = new ArrayList<>();
+        private final DecisionModule.Rules rules;
+        private final List<DecisionModule> fleet = new ArrayList<>();
         private final List<List<Event>> events = new ArrayList<>();
         private final Map<Integer, Long> due = new HashMap<>();
         private final Map<String, Integer> tries = new HashMap<>();
@@ -206,10 +206,10 @@
 
         ColdReturn(int size, long seed) {
             random = new Random(seed);
-            Relay.Settings settings = Rig.settings(4, 50, 12, false, size);
+            DecisionModule.Settings settings = Rig.settings(4, 50, 12, false, size);
             rules = settings.rules();
             for (int r = 0; r < size; r++) {
-                fleet.add(Relay.create(settings, seed * 1000 + r));
+                fleet.add(DecisionModule.create(settings, seed * 1000 + r));
                 events.add(new ArrayList<>(
                         List.of(new Event.Listing(ListingKind.REMEMBERED, 1, List.of(Rig.entry("a1", 1, 0, 0))))));
             }
--- a/src/test/java/lilaclever/Rig.java
+++ b/src/test/java/lilaclever/Rig.java
@@ -3,17 +3,17 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Entry;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.Group;
-import lilaclever.Relay.Kind;
-import lilaclever.Relay.ListingKind;
-import lilaclever.Relay.MessageClass;
-import lilaclever.Relay.Presence;
-import lilaclever.Relay.Repeat;
-import lilaclever.Relay.Settings;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Entry;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.Group;
+import lilaclever.DecisionModule.Kind;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.DecisionModule.Repeat;
+import lilaclever.DecisionModule.Settings;
 
 /** A relay under test with its checker: hands in events, keeps the actions of the last round. */
 final class Rig {
@@ -27,7 +27,7 @@
     static final int ZONED = 3;
 
     final Settings settings;
-    Relay relay;
+    DecisionModule relay;
     RuleChecker checker;
     List<Action> actions = List.of();
     long now = 1000 * S;
@@ -35,7 +35,7 @@
 
     Rig(Settings settings) {
         this.settings = settings;
-        this.relay = Relay.create(settings, 11);
+        this.relay = DecisionModule.create(settings, 11);
         this.checker = new RuleChecker(settings);
     }
 
@@ -58,7 +58,7 @@
                 2,
                 5 * MS,
                 ask,
-                Relay.Weights.NONE,
+                DecisionModule.Weights.NONE,
                 true,
                 0.1,
                 List.of(
@@ -67,9 +67,9 @@
                         new MessageClass(2 * S, 20 * S, 1, Repeat.UNSAFE, Group.ALL, 0, true),
                         new MessageClass(2 * S, 20 * S, 1, Repeat.KEYED, Group.ZONE, 5 * S, false)),
                 List.of(new Kind(false, 1), new Kind(true, 1), new Kind(false, 5)),
-                List.of(new Relay.Tenant(0.5, 5), new Relay.Tenant(0.5, 5)),
-                new Relay.Limits(maxAttempts, maxOpen, slots, true, false, false, 1, S, 5 * S, true, 2 * S),
-                new Relay.Rules(20 * MS, 10 * S, S, 0.2, 10 * S, 2.5, 3 * S, 100 * MS));
+                List.of(new DecisionModule.Tenant(0.5, 5), new DecisionModule.Tenant(0.5, 5)),
+                new DecisionModule.Limits(maxAttempts, maxOpen, slots, true, false, false, 1, S, 5 * S, true, 2 * S),
+                new DecisionModule.Rules(20 * MS, 10 * S, S, 0.2, 10 * S, 2.5, 3 * S, 100 * MS));
     }
 
     /** The relay dies and starts again with nothing: no outcome of its former life comes any more. */
@@ -77,7 +77,7 @@
         if (!checker.breaches().isEmpty()) {
             throw new AssertionError(checker.breaches());
         }
-        relay = Relay.create(settings, 12);
+        relay = DecisionModule.create(settings, 12);
         checker = new RuleChecker(settings);
     }
 
--- a/src/test/java/lilaclever/RuleChecker.java
+++ b/src/test/java/lilaclever/RuleChecker.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.Group;
-import lilaclever.Relay.MessageClass;
-import lilaclever.Relay.Presence;
-import lilaclever.Relay.Repeat;
-import lilaclever.Relay.Settings;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.Group;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.DecisionModule.Repeat;
+import lilaclever.DecisionModule.Settings;
 
 /**
  * Watches the events a relay gets and the actions it takes, and notes each breach of the six rules. It holds no model
@@ -139,7 +139,7 @@
     }
 
     private void listing(long now, Event.Listing e) {
-        if (e.kind() == Relay.ListingKind.ALL || e.kind() == Relay.ListingKind.REMEMBERED) {
+        if (e.kind() == DecisionModule.ListingKind.ALL || e.kind() == DecisionModule.ListingKind.REMEMBERED) {
             Set<String> named = new LinkedHashSet<>();
             e.entries().forEach(x -> named.add(x.host()));
             hosts.forEach((host, h) -> {
@@ -148,7 +148,7 @@
                 }
             });
         }
-        for (Relay.Entry entry : e.entries()) {
+        for (DecisionModule.Entry entry : e.entries()) {
             HostSeen h = hosts.computeIfAbsent(entry.host(), k -> new HostSeen());
             h.destination = entry.destination();
             h.zone = entry.zone();
--- a/src/test/java/lilaclever/RuleCheckerTest.java
+++ b/src/test/java/lilaclever/RuleCheckerTest.java
@@ -6,12 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import lilaclever.Relay.Action;
-import lilaclever.Relay.Ending;
-import lilaclever.Relay.Entry;
-import lilaclever.Relay.Event;
-import lilaclever.Relay.ListingKind;
-import lilaclever.Relay.Presence;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.DecisionModule.Entry;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
 import org.junit.jupiter.api.Test;
 
 /** The checker finds each kind of breach, and none in what is allowed. */
--- a/src/test/java/lilaclever/SizeTest.java
+++ b/src/test/java/lilaclever/SizeTest.java
@@ -16,9 +16,9 @@
 
     @Test
     void theModuleStaysWithinItsSize() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/lilaclever/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/lilaclever/DeliveryPolicy.java"));
         long full = lines.stream().filter(line -> !line.isBlank()).count();
-        assertTrue(full <= MOST_LINES, "Decide.java has " + full + " lines that are not blank");
+        assertTrue(full <= MOST_LINES, "DeliveryPolicy.java has " + full + " lines that are not blank");
         assertEquals(
                 List.of(),
                 lines.stream().filter(line -> line.length() > MOST_COLUMNS).toList());
--- a/src/test/java/lilaclever/journal/BootClockTest.java
+++ b/src/test/java/lilaclever/journal/BootClockTest.java
@@ -4,8 +4,8 @@
 
 import java.io.IOException;
 import java.util.SplittableRandom;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 import org.junit.jupiter.api.Test;
 
 class BootClockTest {
@@ -30,17 +30,17 @@
                     disk,
                     1 << 20,
                     Durability.NONE,
-                    new Times(() -> 0, () -> wall, clock),
+                    new JournalClocks(() -> 0, () -> wall, clock),
                     new SplittableRandom(life))) {
                 if (life == 0) {
                     journal.taken(
                             "http",
-                            new Handin("m", null, 0, 7, null, new byte[3], false, false, 5 * SECOND),
+                            new Submission("m", null, 0, 7, null, new byte[3], false, false, 5 * SECOND),
                             wall + 5 * SECOND,
                             wall);
                     journal.attempt("m", "a", 0, wall + SECOND);
                 } else {
-                    Owed m = journal.owed().iterator().next();
+                    PendingMessage m = journal.owed().iterator().next();
                     assertEquals(1_005 * SECOND, m.deadlineWall());
                     assertEquals(1_001 * SECOND, m.sentWall());
                 }
--- a/src/test/java/lilaclever/journal/CrashTest.java
+++ b/src/test/java/lilaclever/journal/CrashTest.java
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import lilaclever.routing.Owed;
+import lilaclever.routing.PendingMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -106,7 +106,7 @@
                 boolean[] durable = {false};
                 journal.whenDurable(() -> durable[0] = true);
                 List<String> ids = journal.owed().stream()
-                        .map(o -> o.handin().id() + " " + o.attempts())
+                        .map(o -> o.submission().id() + " " + o.attempts())
                         .toList();
                 while (!durable[0]) {
                     journal.tidy(script.now);
@@ -125,14 +125,14 @@
                 SimDisk left = SimDisk.powerCut(disk.ops, done, random);
                 try (SegmentedJournal found = Script.open(left, 4 * MOST, Durability.NONE)) {
                     List<String> there =
-                            found.owed().stream().map(o -> o.handin().id()).toList();
+                            found.owed().stream().map(o -> o.submission().id()).toList();
                     List<String> later = turn + 1 < idsThen.size() ? idsThen.get(turn + 1) : List.of();
                     for (String id : idsThen.get(turn)) {
                         // What ended since may be gone or not; all else must be there.
                         boolean stays = later.stream().anyMatch(l -> l.split(" ")[0].equals(id.split(" ")[0]));
                         assertTrue(!stays || there.contains(id.split(" ")[0]), id + " cut at " + done);
                     }
-                    for (Owed o : found.owed()) {
+                    for (PendingMessage o : found.owed()) {
                         checkAttempts(o, idsThen.get(turn));
                     }
                 }
@@ -140,9 +140,9 @@
         }
     }
 
-    private static void checkAttempts(Owed o, List<String> idsThen) {
+    private static void checkAttempts(PendingMessage o, List<String> idsThen) {
         for (String was : idsThen) {
-            if (was.startsWith(o.handin().id() + " ")) {
+            if (was.startsWith(o.submission().id() + " ")) {
                 int attempts = Integer.parseInt(was.split(" ")[1]);
                 assertTrue(o.attempts() >= attempts || o.mayHaveRun(), was + " " + Script.text(o));
             }
--- a/src/test/java/lilaclever/journal/InspectionTest.java
+++ b/src/test/java/lilaclever/journal/InspectionTest.java
@@ -15,8 +15,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.Submission;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -40,14 +40,14 @@
         try (SegmentedJournal journal = open()) {
             for (int i = 0; i < 500; i++) {
                 journal.taken(
-                        "http", new Handin("m" + i, null, 1, 7, "k", new byte[] {1, 2, 3}, false, false, 5), 7, 0);
+                        "http", new Submission("m" + i, null, 1, 7, "k", new byte[] {1, 2, 3}, false, false, 5), 7, 0);
                 if (i > 1) {
                     journal.ended("m" + i);
                 }
             }
             journal.attempt("m0", "lab-1", 0, 3);
-            journal.verdict("m1", new Verdict(Verdict.Kind.REFUSED, 5, "busy"));
-            journal.remember("a mail", Verdict.of(Verdict.Kind.DELIVERED), 3_000_000);
+            journal.verdict("m1", new FinalStatus(FinalStatus.Kind.REFUSED, 5, "busy"));
+            journal.remember("a mail", FinalStatus.of(FinalStatus.Kind.DELIVERED), 3_000_000);
         }
     }
 
--- a/src/test/java/lilaclever/journal/JournalProperties.java
+++ b/src/test/java/lilaclever/journal/JournalProperties.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import lilaclever.routing.Owed;
+import lilaclever.routing.PendingMessage;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -90,8 +90,8 @@
     }
 
     private static String owed(SegmentedJournal journal) {
-        TreeMap<String, Owed> owed = new TreeMap<>();
-        journal.owed().forEach(o -> owed.put(o.handin().id(), o));
+        TreeMap<String, PendingMessage> owed = new TreeMap<>();
+        journal.owed().forEach(o -> owed.put(o.submission().id(), o));
         return Script.text(owed, Map.of());
     }
 
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -10,9 +10,9 @@
 import java.util.function.LongSupplier;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 
 /** A random run of a journal beside a plain model of what it must know. */
 final class Script {
@@ -26,8 +26,8 @@
     /** Gives a number below the bound. */
     private final IntUnaryOperator random;
 
-    private final TreeMap<String, Owed> owed = new TreeMap<>();
-    private final TreeMap<String, CompletedMessage<Verdict>> remembered = new TreeMap<>();
+    private final TreeMap<String, PendingMessage> owed = new TreeMap<>();
+    private final TreeMap<String, CompletedMessage<FinalStatus>> remembered = new TreeMap<>();
     private SegmentedJournal journal;
     private int next;
     long now;
@@ -46,8 +46,8 @@
         return new SegmentedJournal(disk, most, durability, times(() -> 0), new SplittableRandom(7));
     }
 
-    static Times times(LongSupplier micros) {
-        return new Times(micros, micros, BootClock.UNKNOWN);
+    static JournalClocks times(LongSupplier micros) {
+        return new JournalClocks(micros, micros, BootClock.UNKNOWN);
     }
 
     void use(SegmentedJournal opened) {
@@ -91,7 +91,7 @@
     private void take(int largest) {
         byte[] body = new byte[random.applyAsInt(20) == 0 ? largest : random.applyAsInt(80)];
         new java.util.Random(next).nextBytes(body);
-        Handin h = new Handin(
+        Submission h = new Submission(
                 "m" + next,
                 next % 3 == 0 ? "identity-" + next : null,
                 next % 3,
@@ -102,14 +102,14 @@
                 true,
                 BUDGET);
         if (journal.taken("http", h, next + BUDGET, now)) {
-            owed.put(h.id(), new Owed("http", h, next + BUDGET));
+            owed.put(h.id(), new PendingMessage("http", h, next + BUDGET));
         } else {
             refused++;
         }
         next++;
     }
 
-    private void change(String id, Owed o) {
+    private void change(String id, PendingMessage o) {
         switch (random.applyAsInt(4)) {
             case 0 -> {
                 if (!o.isOut() && o.verdict() == null) {
@@ -122,7 +122,7 @@
             }
             case 1 -> {
                 if (!o.isOut()) {
-                    Owed.Claim claim = new Owed.Claim("other", "claim-" + now);
+                    PendingMessage.Claim claim = new PendingMessage.Claim("other", "claim-" + now);
                     if (o.joined().size() < 3 && journal.joined(id, claim.front(), claim.id())) {
                         o.join(claim);
                     }
@@ -133,14 +133,14 @@
                 }
             }
             case 2 -> {
-                Verdict v = new Verdict(Verdict.Kind.REFUSED, 5, "busy");
-                if (o.handin().identity() != null && random.applyAsInt(2) == 0) {
-                    CompletedMessage<Verdict> past = new CompletedMessage<>(
+                FinalStatus v = new FinalStatus(FinalStatus.Kind.REFUSED, 5, "busy");
+                if (o.submission().identity() != null && random.applyAsInt(2) == 0) {
+                    CompletedMessage<FinalStatus> past = new CompletedMessage<>(
                             v,
                             random.applyAsInt(2) == 0 ? null : new Fingerprint(now, next),
                             now + 20 + random.applyAsInt(40)); // windows differ
-                    journal.remember(o.handin().identity(), past);
-                    remembered.put(o.handin().identity(), past);
+                    journal.remember(o.submission().identity(), past);
+                    remembered.put(o.submission().identity(), past);
                 } else {
                     journal.verdict(id, v);
                     o.verdict(v);
@@ -161,11 +161,11 @@
     }
 
     static String text(SegmentedJournal j, long now) {
-        TreeMap<String, Owed> owed = new TreeMap<>();
-        j.owed().forEach(o -> owed.put(o.handin().id(), o));
-        TreeMap<String, CompletedMessage<Verdict>> kept = new TreeMap<>();
+        TreeMap<String, PendingMessage> owed = new TreeMap<>();
+        j.owed().forEach(o -> owed.put(o.submission().id(), o));
+        TreeMap<String, CompletedMessage<FinalStatus>> kept = new TreeMap<>();
         for (int i = 0; i < 10_000; i += 3) {
-            CompletedMessage<Verdict> r = j.remembered("identity-" + i);
+            CompletedMessage<FinalStatus> r = j.remembered("identity-" + i);
             if (r != null) {
                 kept.put("identity-" + i, r);
             }
@@ -173,14 +173,14 @@
         return text(owed, kept);
     }
 
-    static String text(Map<String, Owed> owed, Map<String, CompletedMessage<Verdict>> remembered) {
+    static String text(Map<String, PendingMessage> owed, Map<String, CompletedMessage<FinalStatus>> remembered) {
         StringBuilder all = new StringBuilder();
         owed.values().forEach(o -> all.append(text(o)).append('\n'));
         return all.append(remembered).toString();
     }
 
-    static String text(Owed o) {
-        Handin h = o.handin();
+    static String text(PendingMessage o) {
+        Submission h = o.submission();
         return String.join(
                 " ",
                 o.front(),
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -16,9 +16,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.zip.CRC32;
-import lilaclever.routing.Handin;
-import lilaclever.routing.Owed;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -40,12 +40,12 @@
     }
 
     private static boolean take(SegmentedJournal journal, String id, int size) {
-        return journal.taken("http", new Handin(id, null, 2, 7, "key", new byte[size], false, true, 28), 99, 0);
+        return journal.taken("http", new Submission(id, null, 2, 7, "key", new byte[size], false, true, 28), 99, 0);
     }
 
-    private static Owed owed(SegmentedJournal journal, String id) {
+    private static PendingMessage owed(SegmentedJournal journal, String id) {
         return journal.owed().stream()
-                .filter(o -> o.handin().id().equals(id))
+                .filter(o -> o.submission().id().equals(id))
                 .findFirst()
                 .orElse(null);
     }
@@ -62,15 +62,17 @@
         }
         for (int life = 0; life < 2; life++) {
             try (SegmentedJournal journal = open()) {
-                Owed e = owed(journal, "m");
+                PendingMessage e = owed(journal, "m");
                 assertEquals(
                         "3 true true b 2 200 99",
                         e.attempts() + " " + e.isOut() + " " + e.mayHaveRun() + " " + e.riskHost() + " " + e.riskZone()
                                 + " " + e.riskWall() + " " + e.deadlineWall());
                 assertEquals(
                         "http key 7 2 10",
-                        e.front() + " " + e.handin().key() + " " + e.handin().destination() + " "
-                                + e.handin().messageClass() + " " + e.handin().body().length);
+                        e.front() + " " + e.submission().key() + " "
+                                + e.submission().destination() + " "
+                                + e.submission().messageClass() + " "
+                                + e.submission().body().length);
             }
         }
     }
@@ -107,7 +109,7 @@
             try (SegmentedJournal journal = Script.open(damaged, MOST, Durability.NONE)) {
                 int there = journal.owed().size();
                 assertTrue(there >= 19, "bit at " + at + ": " + there);
-                for (Owed o : journal.owed()) {
+                for (PendingMessage o : journal.owed()) {
                     assertTrue(o.isOut() || o.mayHaveRun(), "bit at " + at + ": " + Script.text(o));
                 }
             }
@@ -149,7 +151,7 @@
         bytes.get(body);
         try (SegmentedJournal journal = open()) {
             take(journal, "victim", 10);
-            journal.taken("http", new Handin("evil", null, 0, 7, null, body, false, false, 28), 99, 0);
+            journal.taken("http", new Submission("evil", null, 0, 7, null, body, false, false, 28), 99, 0);
             take(journal, "last", 10);
         }
         byte[] all = disk.content(Segment.name(1));
@@ -162,7 +164,7 @@
         try (SegmentedJournal journal = open()) {
             assertEquals(
                     List.of("victim", "last"),
-                    journal.owed().stream().map(o -> o.handin().id()).toList());
+                    journal.owed().stream().map(o -> o.submission().id()).toList());
         }
     }
 
@@ -275,7 +277,7 @@
         try (SegmentedJournal journal = open()) {
             assertTrue(journal.recovered().carriedOver());
             state = Script.text(journal, 0);
-            assertEquals("identity of a", owed(journal, "a").handin().identity());
+            assertEquals("identity of a", owed(journal, "a").submission().identity());
             assertTrue(owed(journal, "a").isOut() && owed(journal, "a").host().equals("host"));
         }
         assertFalse(disk.names().contains("journal"), disk.names().toString());
@@ -306,7 +308,7 @@
         RecordEncoder.previous(out, 0, 0);
         out.begin(Format.Type.REMEMBERED)
                 .text("i")
-                .small(Verdict.Kind.FAILED.ordinal())
+                .small(FinalStatus.Kind.FAILED.ordinal())
                 .number(0)
                 .text("why")
                 .number(77)
@@ -340,7 +342,8 @@
         try (SegmentedJournal journal = open()) {
             assertEquals(List.of(), journal.recovered().damages());
             assertEquals(
-                    new lilaclever.identity.CompletedMessage<>(new Verdict(Verdict.Kind.FAILED, 0, "why"), null, 77),
+                    new lilaclever.identity.CompletedMessage<>(
+                            new FinalStatus(FinalStatus.Kind.FAILED, 0, "why"), null, 77),
                     journal.remembered("i"));
             assertTrue(owed(journal, "s").isOut()
                     && owed(journal, "s").attempts() == 2
@@ -349,7 +352,7 @@
         }
         try (SegmentedJournal journal = open()) {
             assertEquals(
-                    List.of(new lilaclever.routing.Owed.Claim("mllp", "x")),
+                    List.of(new lilaclever.routing.PendingMessage.Claim("mllp", "x")),
                     owed(journal, "s").joined());
         }
     }
@@ -358,9 +361,9 @@
     @Test
     void remembersByTimeAndNotByOrder() throws IOException {
         try (SegmentedJournal journal = open()) {
-            journal.remember("long", Verdict.of(Verdict.Kind.DELIVERED), 1000);
-            journal.remember("short", Verdict.of(Verdict.Kind.DELIVERED), 10);
-            journal.remember("middle", Verdict.of(Verdict.Kind.DELIVERED), 500);
+            journal.remember("long", FinalStatus.of(FinalStatus.Kind.DELIVERED), 1000);
+            journal.remember("short", FinalStatus.of(FinalStatus.Kind.DELIVERED), 10);
+            journal.remember("middle", FinalStatus.of(FinalStatus.Kind.DELIVERED), 500);
             journal.tidy(10);
             assertNull(journal.remembered("short"));
             journal.forgetSoonest();
@@ -372,9 +375,9 @@
     /** Guards against the end of an earlier message being given to one that came under its identity later. */
     @Test
     void aNewMessageHasNotEndedThoughAnEarlierOneHas() throws IOException {
-        Handin h = new Handin("m2", "i", 0, 7, null, new byte[1], false, false, 20);
+        Submission h = new Submission("m2", "i", 0, 7, null, new byte[1], false, false, 20);
         try (SegmentedJournal journal = open()) {
-            journal.remember("i", Verdict.of(Verdict.Kind.DELIVERED), 10);
+            journal.remember("i", FinalStatus.of(FinalStatus.Kind.DELIVERED), 10);
             assertTrue(journal.taken("mllp", h, 99, 11)); // before the tidying that would have forgotten it
             assertNull(journal.remembered("i"));
         }
@@ -406,17 +409,17 @@
         long[] boots = {77, 77, 78};
         for (int life = 0; life < 3; life++) {
             long wall = walls[life];
-            Times times = new Times(() -> 0, () -> wall, new BootClock(boots[life], wall - ups[life]));
+            JournalClocks times = new JournalClocks(() -> 0, () -> wall, new BootClock(boots[life], wall - ups[life]));
             try (SegmentedJournal journal =
                     new SegmentedJournal(disk, MOST, Durability.NONE, times, new SplittableRandom(life))) {
                 if (life == 0) {
                     journal.taken(
                             "http",
-                            new Handin("m", null, 2, 7, null, new byte[3], false, false, 28_000_000),
+                            new Submission("m", null, 2, 7, null, new byte[3], false, false, 28_000_000),
                             wall + 28_000_000,
                             wall);
                     journal.attempt("m", "a", 0, wall + 1_000_000);
-                    journal.remember("i", Verdict.of(Verdict.Kind.DELIVERED), wall + hour);
+                    journal.remember("i", FinalStatus.of(FinalStatus.Kind.DELIVERED), wall + hour);
                 } else {
                     // The second life is 7 s later by the machine's clock. The third has started the machine anew,
                     // and must believe the wall clock of the segment that it finds.
@@ -443,11 +446,11 @@
             }
             int held = journal.owed().size();
             for (int attempt = 0; attempt < 16; attempt++) {
-                for (Owed o : List.copyOf(journal.owed())) {
+                for (PendingMessage o : List.copyOf(journal.owed())) {
                     assertTrue(
-                            journal.attempt(o.handin().id(), "an-endpoint", 0, 1),
-                            o.handin().id());
-                    journal.outcome(o.handin().id(), true);
+                            journal.attempt(o.submission().id(), "an-endpoint", 0, 1),
+                            o.submission().id());
+                    journal.outcome(o.submission().id(), true);
                     journal.tidy(0);
                     assertTrue(disk.total() <= MOST);
                 }
@@ -455,7 +458,7 @@
             assertFalse(take(journal, "more", large));
             assertEquals(0, journal.unwritten());
             for (int i = 0; i < small; i++) {
-                journal.verdict("a-message-of-" + i, new Verdict(Verdict.Kind.REFUSED, 1, "x".repeat(1000)));
+                journal.verdict("a-message-of-" + i, new FinalStatus(FinalStatus.Kind.REFUSED, 1, "x".repeat(1000)));
             }
             assertEquals(held, journal.owed().size());
         }
@@ -537,9 +540,9 @@
             assertFalse(take(journal, "refused", 10));
             assertFalse(journal.attempt("fails", "a", 0, 1));
             journal.ended("ends");
-            journal.verdict("fails", Verdict.of(Verdict.Kind.FAILED));
+            journal.verdict("fails", FinalStatus.of(FinalStatus.Kind.FAILED));
             journal.outcome("stays", false);
-            journal.remember("identity", Verdict.of(Verdict.Kind.DELIVERED), 1_000);
+            journal.remember("identity", FinalStatus.of(FinalStatus.Kind.DELIVERED), 1_000);
             assertEquals(4, journal.unwritten());
             disk.writesFail = false;
             clock += 2 * Plan.PAUSE;
@@ -550,12 +553,17 @@
         try (SegmentedJournal journal = open()) {
             assertEquals(
                     List.of("after", "fails", "stays"),
-                    journal.owed().stream().map(o -> o.handin().id()).sorted().toList());
-            assertEquals(Verdict.Kind.FAILED, owed(journal, "fails").verdict().kind());
+                    journal.owed().stream()
+                            .map(o -> o.submission().id())
+                            .sorted()
+                            .toList());
+            assertEquals(
+                    FinalStatus.Kind.FAILED, owed(journal, "fails").verdict().kind());
             assertTrue(owed(journal, "stays").mayHaveRun()
                     && !owed(journal, "stays").isOut());
             assertEquals(
-                    Verdict.Kind.DELIVERED, journal.remembered("identity").end().kind());
+                    FinalStatus.Kind.DELIVERED,
+                    journal.remembered("identity").end().kind());
         }
     }
 
--- a/src/test/java/lilaclever/lab/audit/AuditorTest.java
+++ b/src/test/java/lilaclever/lab/audit/AuditorTest.java
@@ -5,7 +5,7 @@
 
 import java.util.List;
 import java.util.Set;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.lab.audit.Breach.Rule;
 import lilaclever.lab.model.MessageClass;
 import org.junit.jupiter.api.Test;
@@ -17,17 +17,18 @@
 
     private final Auditor auditor = new Auditor(
             List.of(
-                    of("order", Relay.Repeat.KEYED, 4, 20, 0.5),
-                    of("status", Relay.Repeat.SAFE, 1, 6, 0),
-                    of("payment", Relay.Repeat.UNSAFE, 4, 28, 0.5)),
+                    of("order", DecisionModule.Repeat.KEYED, 4, 20, 0.5),
+                    of("status", DecisionModule.Repeat.SAFE, 1, 6, 0),
+                    of("payment", DecisionModule.Repeat.UNSAFE, 4, 28, 0.5)),
             S / 2);
 
-    private static MessageClass of(String name, Relay.Repeat repeat, long aim, long deadline, double late) {
+    private static MessageClass of(String name, DecisionModule.Repeat repeat, long aim, long deadline, double late) {
         return new MessageClass(
                 name,
                 1 / 3.0,
                 new long[] {1, 1},
-                new Relay.MessageClass(aim * S, deadline * S, 1, repeat, Relay.Group.ALL, 5 * S, false, late, true));
+                new DecisionModule.MessageClass(
+                        aim * S, deadline * S, 1, repeat, DecisionModule.Group.ALL, 5 * S, false, late, true));
     }
 
     private void taken(int n, int messageClass, long at) {
--- a/src/test/java/lilaclever/program/RealSocketsTest.java
+++ b/src/test/java/lilaclever/program/RealSocketsTest.java
@@ -77,7 +77,7 @@
                 "at 1s",
                 "for 2s",
                 "part 30%");
-        Result r = run(s, Own.command("serve"));
+        Result r = run(s, ChildProcessCommand.command("serve"));
         Result v = VirtualTime.run(s, 1, Fault.NONE);
         assertEquals(Map.of(), r.auditor().broken(), () -> Report.summary(r));
         assertEquals(v.auditor().counts().get("messages"), r.auditor().counts().get("messages"));
@@ -98,7 +98,7 @@
     @Test
     void aDaemonThatDiesIsNamed() throws Exception {
         List<String> dies = new ArrayList<>(List.of("timeout", "-s", "KILL", "4"));
-        dies.addAll(Own.command("serve"));
+        dies.addAll(ChildProcessCommand.command("serve"));
         Result r = run(scenario("[traffic]", "length 4s", "load 50%"), dies);
         assertTrue(
                 r.auditor().counts().get("deaths") >= 2,
@@ -155,7 +155,7 @@
                 scenario("[traffic]", "length 60s", "load 50%"),
                 1,
                 folder,
-                Own.command("serve"),
+                ChildProcessCommand.command("serve"),
                 t -> now[0] = t,
                 () -> now[0] >= 2_000_000);
         assertTrue(r.partial());
@@ -168,7 +168,7 @@
      */
     @Test
     void ctrlCLeavesAWholeReportOfAPart() throws Exception {
-        List<String> command = new ArrayList<>(Own.command(
+        List<String> command = new ArrayList<>(ChildProcessCommand.command(
                 "rehearse",
                 "run",
                 "quiet",
--- a/src/test/java/lilaclever/program/WaitsTest.java
+++ b/src/test/java/lilaclever/program/RetryAfterTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Told waits: whatever an endpoint's answer says besides, no byte of a call goes there before the wait is over. */
-class WaitsTest {
+class RetryAfterTest {
     private static final long MS = 1_000_000;
 
     @TempDir
--- a/src/test/java/lilaclever/protocol/http/DirectoryTest.java
+++ b/src/test/java/lilaclever/protocol/http/DirectoryTest.java
@@ -22,12 +22,12 @@
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
 import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
 import lilaclever.journal.SegmentedJournal;
-import lilaclever.journal.Times;
 import lilaclever.lab.sockets.Wire;
+import lilaclever.routing.Clock;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
-import lilaclever.routing.Pace;
 import lilaclever.transport.Transport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -53,7 +53,7 @@
               "overloadForS": 3, "drainGraceS": 0.5, "askWithinS": 10}}""";
 
     /** A clock that stands still until it is set, and tells that a task has come for the loop. */
-    private static final class SetClock implements Pace {
+    private static final class SetClock implements Clock {
         private final Semaphore posted = new Semaphore(0);
         private long micros = SECOND;
 
@@ -98,7 +98,7 @@
                 FolderDisk.take(state),
                 1 << 20,
                 Durability.NONE,
-                new Times(clock::micros, clock::wall, BootClock.UNKNOWN),
+                new JournalClocks(clock::micros, clock::wall, BootClock.UNKNOWN),
                 new SplittableRandom(1));
         core = new Core(
                 SettingsReader.read(SETTINGS, 0),
--- a/src/test/java/lilaclever/protocol/http/TwoThreads.java
+++ b/src/test/java/lilaclever/protocol/http/TwoThreads.java
@@ -16,8 +16,8 @@
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Durability;
 import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
 import lilaclever.journal.SegmentedJournal;
-import lilaclever.journal.Times;
 import lilaclever.lab.sockets.Wire;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -53,7 +53,7 @@
                 FolderDisk.take(state),
                 1 << 20,
                 Durability.NONE,
-                new Times(Core::micros, Core::wall, BootClock.UNKNOWN),
+                new JournalClocks(Core::micros, Core::wall, BootClock.UNKNOWN),
                 new SplittableRandom(1));
         core = new Core(
                 SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new IdempotencyWindows(List.of(), 0, 1));
--- a/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.FinalStatus;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -144,7 +144,7 @@
         assertTrue(ack(acks.fault(Code.CR, h, fault))
                 .endsWith("MSA|CR|M1|a field \\F\\ that is needed\n"
                         + "ERR||PID^^3|101^Required field missing^HL70357|E||||a field \\F\\ that is needed\n"));
-        Verdict busy = new Verdict(Verdict.Kind.REFUSED, 2_500_000, "no room");
+        FinalStatus busy = new FinalStatus(FinalStatus.Kind.REFUSED, 2_500_000, "no room");
         assertTrue(ack(acks.comeBack(Code.AR, h, busy))
                 .endsWith("MSA|AR|M1|no room; come again in 2.5 s\n"
                         + "ERR|||207^Application internal error^HL70357|E|come-again|2.5||no room; "
--- a/src/test/java/lilaclever/routing/CallTest.java
+++ b/src/test/java/lilaclever/routing/CallTest.java
@@ -6,7 +6,7 @@
 
 class CallTest {
     private static Message message(String id) {
-        return new Message(new Handin(id, null, 0, 7, null, new byte[0], false, false, 5_000_000), null, 0);
+        return new Message(new Submission(id, null, 0, 7, null, new byte[0], false, false, 5_000_000), null, 0);
     }
 
     /**
