--- a/src/test/java/lilaclever/scale/HollowForwarder.java
+++ b/src/test/java/lilaclever/scale/HollowForwarder.java
@@ -7,30 +7,30 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.stream.IntStream;
-import lilaclever.Relay;
+import lilaclever.DecisionModule;
 import lilaclever.identity.IdempotencyWindows;
 import lilaclever.journal.BootClock;
 import lilaclever.journal.Disk;
 import lilaclever.journal.Durability;
 import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
 import lilaclever.journal.SegmentedJournal;
-import lilaclever.journal.Times;
 import lilaclever.routing.Call;
+import lilaclever.routing.Clock;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deliverer;
+import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
-import lilaclever.routing.Handin;
 import lilaclever.routing.Message;
-import lilaclever.routing.Pace;
-import lilaclever.routing.Verdict;
+import lilaclever.routing.Submission;
 
 /**
  * A forwarder without sockets: the real core, decision module and journal in virtual time, on the thread of whoever
  * uses it. Each endpoint has a destination of its own; its calls are delivered, or refused where the destination is
  * down.
  */
-final class HollowForwarder implements Front, Deliverer, Pace, AutoCloseable {
+final class HollowForwarder implements Front, Deliverer, Clock, AutoCloseable {
     static final long SECOND = 1_000_000, ROUND = 5_000, DAY = 86_400 * SECOND;
     /** The wall clock at virtual time 0: any day will do. */
     private static final long WALL = 1_767_225_600L * SECOND;
@@ -64,7 +64,7 @@
                 disk,
                 MOST_DISK,
                 Durability.NONE,
-                new Times(this::micros, this::wall, BootClock.UNKNOWN),
+                new JournalClocks(this::micros, this::wall, BootClock.UNKNOWN),
                 new SplittableRandom(SEED));
         core = new Core(
                 settings(mostHeld), SEED, journal, counters, new IdempotencyWindows(List.of(), SECOND, 1), this);
@@ -72,50 +72,53 @@
         core.begin(list(destinations), 1);
     }
 
-    private static Relay.Settings settings(int mostHeld) {
-        Relay.MessageClass repeatable =
-                new Relay.MessageClass(SECOND, DAY, 1, Relay.Repeat.SAFE, Relay.Group.ALL, 0, false);
-        return new Relay.Settings(
+    private static DecisionModule.Settings settings(int mostHeld) {
+        DecisionModule.MessageClass repeatable = new DecisionModule.MessageClass(
+                SECOND, DAY, 1, DecisionModule.Repeat.SAFE, DecisionModule.Group.ALL, 0, false);
+        return new DecisionModule.Settings(
                 0,
                 FLEET,
                 0,
                 1,
                 ROUND,
                 false,
-                Relay.Weights.NONE,
+                DecisionModule.Weights.NONE,
                 false,
                 0.1,
                 List.of(repeatable),
-                List.of(new Relay.Kind(false, 1)),
+                List.of(new DecisionModule.Kind(false, 1)),
                 List.of(),
-                new Relay.Limits(
+                new DecisionModule.Limits(
                         MAX_ATTEMPTS, mostHeld, SLOTS, true, false, false, 1, SECOND, 5 * SECOND, true, 2 * SECOND),
-                new Relay.Rules(20_000, 10 * SECOND, SECOND / 2, 0.24, 9_500_000, 1.5, 3 * SECOND, 100_000));
+                new DecisionModule.Rules(20_000, 10 * SECOND, SECOND / 2, 0.24, 9_500_000, 1.5, 3 * SECOND, 100_000));
     }
 
     private List<Core.Listed> list(int destinations) {
         return IntStream.range(0, destinations)
-                .mapToObj(i -> listed(i, Relay.Presence.ACTIVE))
+                .mapToObj(i -> listed(i, DecisionModule.Presence.ACTIVE))
                 .toList();
     }
 
-    private Core.Listed listed(int destination, Relay.Presence presence) {
+    private Core.Listed listed(int destination, DecisionModule.Presence presence) {
         String host = "endpoint-" + destination;
         return new Core.Listed(
-                new Relay.Entry(host, destination, 0, 0, presence, 1, 0),
+                new DecisionModule.Entry(host, destination, 0, 0, presence, 1, 0),
                 new Call.Endpoint(host, "127.0.0.1:9", destination, 0, 1, false, this));
     }
 
     /** Has the list tell of one endpoint, as each change of it does, and runs the turn. */
     void change(int destination, long version) {
-        core.listing(Relay.ListingKind.CHANGES, version, List.of(listed(destination, Relay.Presence.ACTIVE)));
+        core.listing(
+                DecisionModule.ListingKind.CHANGES,
+                version,
+                List.of(listed(destination, DecisionModule.Presence.ACTIVE)));
         turn();
     }
 
     /** Hands one message in; what comes of it is told in later turns. */
     void handIn(int destination, byte[] body) {
         String id = "message-" + next++;
-        core.handIn(this, new Handin(id, null, 0, destination, "key-" + id, body, false, false, DAY));
+        core.handIn(this, new Submission(id, null, 0, destination, "key-" + id, body, false, false, DAY));
     }
 
     /** One turn of the loop, the least time after the last one. */
@@ -185,20 +188,21 @@
     }
 
     @Override
-    public void turnedDown(Message message, Verdict verdict) {
+    public void turnedDown(Message message, FinalStatus verdict) {
         throw new IllegalStateException(message.id() + " was turned down: " + verdict);
     }
 
     @Override
-    public void ended(Message message, String id, Verdict verdict, Runnable settled) {
+    public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
         settled.run();
     }
 
     // ---- calls ------------------------------------------------------------------------------------------
     @Override
     public void start(Call call) {
-        Relay.Ending ending =
-                call.endpoint.destination() < firstDown ? Relay.Ending.DELIVERED : Relay.Ending.NO_CONNECTION;
+        DecisionModule.Ending ending = call.endpoint.destination() < firstDown
+                ? DecisionModule.Ending.DELIVERED
+                : DecisionModule.Ending.NO_CONNECTION;
         List<Message> messages = new ArrayList<>(call.messages);
         core.post(() -> messages.forEach(message -> core.outcome(call, message, ending, 0, false, false)));
     }
@@ -206,8 +210,8 @@
     @Override
     public void giveUp(Call call) {
         List<Message> messages = new ArrayList<>(call.messages);
-        core.post(() ->
-                messages.forEach(message -> core.outcome(call, message, Relay.Ending.NO_CONNECTION, 0, false, false)));
+        core.post(() -> messages.forEach(
+                message -> core.outcome(call, message, DecisionModule.Ending.NO_CONNECTION, 0, false, false)));
     }
 
     @Override
@@ -217,7 +221,7 @@
 
     @Override
     public void probe(Call.Endpoint endpoint) {
-        core.post(() -> core.probed(endpoint.host(), Relay.Ending.NO_CONNECTION, 0));
+        core.post(() -> core.probed(endpoint.host(), DecisionModule.Ending.NO_CONNECTION, 0));
     }
 
     @Override
