Give a call of several up when the time of its first message is up, and tell the endpoint so

Change: a call has one time, that of its first message; it is told, and from then on no answer counts. A call that is not on its way goes on without that message, and tells the time of the others. Test: ForwarderTest.aCallOfSeveralIsOverWithTheTimeOfItsFirstMessage; it fails without the change.

--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -23,6 +23,7 @@
 public final class HttpDeliverer implements Deliverer {
     private static final byte[] NOTHING = {};
     private static final byte[] CRLF = {'\r', '\n'};
+    private static final String DEADLINE = "Req-Deadline";
     /** What an endpoint has to say is short; whatever says more is spoilt. */
     private static final int MOST_ANSWER = 64 * 1024;
     /** Longer than any message lives or any process runs, and far from an overflow: ten years, microseconds. */
@@ -49,8 +50,11 @@
         }
     }
 
-    /** What is out for a call; {@code several}: its answer tells the end of each message, however many are left. */
-    private record Out(HttpClient.Exchange exchange, boolean several) {}
+    /**
+     * What is out for a call, and the headers that it is written with; {@code several}: its answer tells the end of
+     * each message, however many are left.
+     */
+    private record Out(HttpClient.Exchange exchange, Map<String, String> headers, boolean several) {}
 
     private final Core core;
     private final HttpClient client;
@@ -81,7 +85,7 @@
         List<Message> messages = call.messages;
         boolean several = messages.size() > 1;
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("Req-Deadline", seconds(Math.max(0, call.dropAt - call.startedAt)));
+        headers.put(DEADLINE, waitOf(call, messages));
         HttpClient.Listener listener = new Heedful(call.endpoint) {
             @Override
             public void answered(int status, Map<String, String> answer, byte[] body) {
@@ -106,7 +110,7 @@
 
             @Override
             public boolean isTooLate() {
-                return Core.micros() >= call.writeBy();
+                return Core.micros() >= call.expiresAt();
             }
 
             @Override
@@ -141,15 +145,24 @@
                         headers,
                         body,
                         listener),
+                headers,
                 several);
     }
 
+    /** How long a call of the given messages waits for its answer, as its endpoint is told. */
+    private static String waitOf(Call call, List<Message> messages) {
+        return seconds(Math.max(0, Call.expiryOf(messages) - call.startedAt));
+    }
+
     @Override
     public void leaveOut(Call call, Message m) {
         List<Message> rest = call.messages.stream().filter(x -> x != m).toList();
-        if (call.attachment instanceof Out out && out.exchange().replaceBody(many(rest))) {
-            call.leftOut(m);
-            core.post(() -> outcome(call, m, Ending.NOT_SENT, false, false));
+        if (call.attachment instanceof Out out) {
+            out.headers().put(DEADLINE, waitOf(call, rest)); // written anew with the body, or not at all
+            if (out.exchange().replaceBody(many(rest))) {
+                call.leftOut(m);
+                core.post(() -> outcome(call, m, Ending.NOT_SENT, false, false));
+            }
         }
     }
 
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -9,14 +9,13 @@
     public final Endpoint endpoint;
     /** What travels in it. */
     public final List<Message> messages = new ArrayList<>();
-    /** When to give it up, and when it was started. */
-    public final long dropAt, startedAt;
+    /** When it was started, by the loop's clock, microseconds. */
+    public final long startedAt;
     /** What the deliverer keeps for it. */
     public Object attachment;
 
     int open;
-    /** From then on one of its messages must not go any more, and so the call must not as it is. */
-    private volatile long writeBy = Long.MAX_VALUE;
+    private volatile long expiresAt = Long.MAX_VALUE;
     /** True once the deliverer has it: its attempts are in the journal. */
     boolean started;
 
@@ -28,33 +27,45 @@
     public record Endpoint(
             String host, String address, int destination, int zone, int batch, boolean apart, Deliverer deliverer) {}
 
-    Call(Endpoint endpoint, long dropAt, long startedAt) {
+    Call(Endpoint endpoint, long startedAt) {
         this.endpoint = endpoint;
-        this.dropAt = dropAt;
         this.startedAt = startedAt;
     }
 
-    /** A message goes along, if the call is written by then. */
-    void take(Message m, long by) {
+    /** A message goes along; its attempt is over at the given time. */
+    void take(Message m, long expiresAt) {
         m.out = this;
-        m.writeBy = by;
+        m.attemptExpiresAt = expiresAt;
         messages.add(m);
         open++;
-        writeBy = Math.min(writeBy, by);
+        this.expiresAt = Math.min(this.expiresAt, expiresAt);
     }
 
     /** A message goes along no more. Loop thread. */
     public void leftOut(Message m) {
         messages.remove(m);
-        writeBy = messages.stream().mapToLong(x -> x.writeBy).min().orElse(Long.MAX_VALUE);
+        expiresAt = expiryOf(messages);
     }
 
-    /** When the first of its messages must not go any more: the loop may come late with taking it out. Any thread. */
-    public long writeBy() {
-        return writeBy;
+    /**
+     * When the time of the first of its messages is up, by the loop's clock, microseconds. A call has one time, which
+     * its endpoint is told: from then on it is not written, and no answer to it counts. Any thread.
+     */
+    public long expiresAt() {
+        return expiresAt;
+    }
+
+    /** What {@link #expiresAt} is for a call of the given messages of this one. */
+    public static long expiryOf(List<Message> messages) {
+        return messages.stream().mapToLong(m -> m.attemptExpiresAt).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** Has the messages whose time is up leave, if others go and the call is not on its way yet. */
+    void leaveExpired(long now) {
+        List.copyOf(messages).stream().filter(m -> m.attemptExpiresAt <= now).forEach(this::leave);
     }
 
-    /** Has a message that must not go any more leave, if others go and the call is not on its way yet. */
+    /** Has a message leave, if others go and the call is not on its way yet. */
     void leave(Message m) {
         if (m.out == this && started && messages.size() > 1) {
             endpoint.deliverer().leaveOut(this, m);
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -440,7 +440,7 @@
         Map<String, Call> starting = new LinkedHashMap<>();
         for (Action action : actions) {
             if (action instanceof Action.Send a) {
-                send(a, starting, actions);
+                send(a, starting);
                 continue;
             }
             run(() -> carryOut(action));
@@ -552,7 +552,7 @@
         }
     }
 
-    private void send(Action.Send a, Map<String, Call> starting, List<Action> actions) {
+    private void send(Action.Send a, Map<String, Call> starting) {
         Message m = held.get(a.id());
         Call.Endpoint endpoint = endpoints.get(a.host());
         if (m == null || endpoint == null || m.out != null) {
@@ -568,23 +568,12 @@
             call = null;
         }
         if (call == null) {
-            // The call is one fate: it waits as long as any of its messages may.
-            long dropAt = a.dropAtMicros();
-            for (Action other : actions) {
-                dropAt = other instanceof Action.Send b && b.host().equals(a.host())
-                        ? Math.max(dropAt, b.dropAtMicros())
-                        : dropAt;
-            }
-            call = new Call(endpoint, dropAt, now);
+            call = new Call(endpoint, now);
             starting.put(a.host(), call);
         }
         counters.holds(endpoint.equals(call.endpoint), a.id() + " goes where its call goes");
         m.attempts++;
         call.take(m, a.dropAtMicros());
-        if (a.dropAtMicros() < call.dropAt) {
-            Call shared = call;
-            deadlines.at(a.dropAtMicros(), () -> shared.leave(m));
-        }
     }
 
     /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
@@ -603,7 +592,7 @@
             return;
         }
         counters.add(Name.CALLS);
-        call.deadline = deadlines.at(call.dropAt, () -> giveUp(call));
+        call.deadline = deadlines.at(call.expiresAt(), () -> expire(call));
         journal.whenDurable(() -> {
             if (call.open > 0) { // else it was given up before its attempts were on the disk
                 call.started = true;
@@ -612,6 +601,18 @@
         });
     }
 
+    /**
+     * The time of the first message is up: a call that is not on its way yet goes without it, any other is given up.
+     */
+    private void expire(Call call) {
+        call.leaveExpired(now);
+        if (call.expiresAt() > now) {
+            call.deadline = deadlines.at(call.expiresAt(), () -> expire(call));
+        } else {
+            giveUp(call);
+        }
+    }
+
     private void giveUp(Call call) {
         if (call.started) {
             call.endpoint.deliverer().giveUp(call);
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -26,8 +26,8 @@
     boolean resumed;
     int attempts;
     Call out;
-    /** When it must not go with that call any more. */
-    long writeBy;
+    /** When the attempt with that call is over, by the loop's clock, microseconds. */
+    long attemptExpiresAt;
 
     boolean mayHaveRun;
     String riskHost = "";
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -385,6 +385,46 @@
         }
     }
 
+    /**
+     * A call of several has one time, that of its first message, and its endpoint is told it: an answer that comes
+     * later counts for none of its messages.
+     */
+    @Test
+    void aCallOfSeveralIsOverWithTheTimeOfItsFirstMessage() throws Exception {
+        CountDownLatch listed = new CountDownLatch(1);
+        try (ServerSocket endpoint = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+                Peer platform = platformThatTellsLater(listed, "127.0.0.1:" + endpoint.getLocalPort())) {
+            endpoint.setSoTimeout(20_000);
+            serve(platform.address(), null);
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 28, "").startsWith("202"));
+                assertTrue(client.handIn("b", "payment", 1.5, "").startsWith("202"));
+            }
+            listed.countDown();
+            Set<String> ended = new TreeSet<>();
+            try (var call = new lilaclever.lab.sockets.Wire(endpoint.accept())) {
+                var request = call.read();
+                assertEquals("/receive-many", request.target());
+                assertTrue(Double.parseDouble(request.header("Req-Deadline", "")) < 1.5);
+                ended.add(Peer.next(notices));
+                answerLate(call, "a accepted\r\nb accepted\r\n");
+            }
+            ended.add(Peer.next(notices));
+            assertEquals(
+                    "[{\"id\":\"a\",\"status\":\"undeliverable\"}, {\"id\":\"b\",\"status\":\"undeliverable\"}]",
+                    ended.toString());
+        }
+    }
+
+    /** Answers a call that may have been given up already. */
+    private static void answerLate(lilaclever.lab.sockets.Wire call, String body) {
+        try {
+            call.answer("200 OK", body);
+        } catch (IOException closed) {
+            // the forwarder does not wait any more
+        }
+    }
+
     @Test
     void whatWasTakenOnOutlastsAKill() throws Exception {
         LinkedBlockingQueue<String> hanging = new LinkedBlockingQueue<>();
--- a/src/test/java/lilaclever/routing/CallTest.java
+++ b/src/test/java/lilaclever/routing/CallTest.java
@@ -15,13 +15,13 @@
      */
     @Test
     void aCallIsWrittenOnlyWhileAllOfItsMessagesMayGo() {
-        Call call = new Call(new Call.Endpoint("e", "127.0.0.1:9", 7, 0, 20, false, null), 9_000_000, 1_000_000);
+        Call call = new Call(new Call.Endpoint("e", "127.0.0.1:9", 7, 0, 20, false, null), 1_000_000);
         Message first = message("first");
         Message last = message("last");
         call.take(last, 9_000_000);
         call.take(first, 3_000_000);
-        assertEquals(3_000_000, call.writeBy());
+        assertEquals(3_000_000, call.expiresAt());
         call.leftOut(first);
-        assertEquals(9_000_000, call.writeBy());
+        assertEquals(9_000_000, call.expiresAt());
     }
 }
