Have a call of several wait as long as any of its messages, up to the first one's own time

The cause asks for less: a call is over with the time of its first message, and waits as before until then. A message whose attempt is over leaves an unwritten call, as before.

--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -110,7 +110,7 @@
 
             @Override
             public boolean isTooLate() {
-                return Core.micros() >= call.expiresAt();
+                return Core.micros() >= call.writeBy();
             }
 
             @Override
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -15,7 +15,8 @@
     public Object attachment;
 
     int open;
-    private volatile long expiresAt = Long.MAX_VALUE;
+    private volatile long writeBy = Long.MAX_VALUE;
+    private long expiresAt = Long.MAX_VALUE;
     /** True once the deliverer has it: its attempts are in the journal. */
     boolean started;
 
@@ -32,24 +33,40 @@
         this.startedAt = startedAt;
     }
 
-    /** A message goes along; its attempt is over at the given time. */
-    void take(Message m, long expiresAt) {
+    /**
+     * A message goes along. All times by the loop's clock, microseconds.
+     *
+     * @param writeBy  from then on it must not go, and needs no answer for its own sake
+     * @param deadline when its time is up
+     */
+    void take(Message m, long writeBy, long deadline) {
         m.out = this;
-        m.attemptExpiresAt = expiresAt;
+        m.writeBy = writeBy;
+        m.deadline = deadline;
         messages.add(m);
         open++;
-        this.expiresAt = Math.min(this.expiresAt, expiresAt);
+        setTimes();
     }
 
     /** A message goes along no more. Loop thread. */
     public void leftOut(Message m) {
         messages.remove(m);
+        setTimes();
+    }
+
+    private void setTimes() {
+        writeBy = messages.stream().mapToLong(m -> m.writeBy).min().orElse(Long.MAX_VALUE);
         expiresAt = expiryOf(messages);
     }
 
+    /** When the first of its messages must not go any more: the loop may come late with taking it out. Any thread. */
+    public long writeBy() {
+        return writeBy;
+    }
+
     /**
-     * When the time of the first of its messages is up, by the loop's clock, microseconds. A call has one time, which
-     * its endpoint is told: from then on it is not written, and no answer to it counts. Any thread.
+     * When to give it up, by the loop's clock, microseconds: it waits as long as any of its messages may, but has one
+     * time, which its endpoint is told, and that is over with the first message whose time is up.
      */
     public long expiresAt() {
         return expiresAt;
@@ -57,12 +74,14 @@
 
     /** What {@link #expiresAt} is for a call of the given messages of this one. */
     public static long expiryOf(List<Message> messages) {
-        return messages.stream().mapToLong(m -> m.attemptExpiresAt).min().orElse(Long.MAX_VALUE);
+        long longestWait = messages.stream().mapToLong(m -> m.writeBy).max().orElse(Long.MAX_VALUE);
+        long firstDeadline = messages.stream().mapToLong(m -> m.deadline).min().orElse(Long.MAX_VALUE);
+        return Math.min(longestWait, firstDeadline);
     }
 
     /** Has the messages whose time is up leave, if others go and the call is not on its way yet. */
     void leaveExpired(long now) {
-        List.copyOf(messages).stream().filter(m -> m.attemptExpiresAt <= now).forEach(this::leave);
+        List.copyOf(messages).stream().filter(m -> m.writeBy <= now).forEach(this::leave);
     }
 
     /** Has a message leave, if others go and the call is not on its way yet. */
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -573,7 +573,21 @@
         }
         counters.holds(endpoint.equals(call.endpoint), a.id() + " goes where its call goes");
         m.attempts++;
-        call.take(m, a.dropAtMicros());
+        call.take(m, a.dropAtMicros(), now + m.deadlineWall - clock.wall());
+        if (endpoint.batch() > 1) {
+            Call shared = call;
+            deadlines.at(a.dropAtMicros(), () -> leave(m, shared));
+        }
+    }
+
+    /** The time of a message's attempt is up: it leaves a call that is not on its way yet, if others go. */
+    private void leave(Message m, Call call) {
+        long before = call.expiresAt();
+        call.leave(m);
+        if (call.expiresAt() != before) {
+            deadlines.cancel(call.deadline);
+            call.deadline = deadlines.at(call.expiresAt(), () -> expire(call));
+        }
     }
 
     /** Starts a call once the journal has its attempts; if it can't have them, nothing is sent. */
@@ -602,7 +616,7 @@
     }
 
     /**
-     * The time of the first message is up: a call that is not on its way yet goes without it, any other is given up.
+     * The call's time is up: one that is not on its way yet may go on without the first message, any other is given up.
      */
     private void expire(Call call) {
         call.leaveExpired(now);
@@ -651,7 +665,7 @@
             journal.verdict(m.id(), verdict);
         }
         if (m.out != null) {
-            m.out.leave(m);
+            leave(m, m.out);
         }
         answer(m, verdict);
     }
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -26,8 +26,10 @@
     boolean resumed;
     int attempts;
     Call out;
-    /** When the attempt with that call is over, by the loop's clock, microseconds. */
-    long attemptExpiresAt;
+    /** When it must not go with that call any more, and when its time is up, by the loop's clock, microseconds. */
+    long writeBy;
+
+    long deadline;
 
     boolean mayHaveRun;
     String riskHost = "";
