--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -229,6 +229,12 @@
         }
         for (Entry entry : e.entries()) {
             Endpoint endpoint = endpoints.get(entry.host());
+            if (endpoint != null && endpoint.queue != queues.get(entry.destination())) {
+                // It serves another destination now, and is a new endpoint there. Calls that are out keep the old one.
+                forget(endpoint);
+                endpoints.remove(entry.host());
+                endpoint = null;
+            }
             if (endpoint == null) {
                 if (entry.presence() != Presence.ACTIVE) {
                     continue;
@@ -264,8 +270,13 @@
             }
         }
         // A route that is listed again soon must still know its wait.
-        endpoints.values().removeIf(x -> !x.active && x.out == 0 && x.limit.waitUntil <= now
-                && x.queue.endpoints.remove(x) && x.limit.endpoints.remove(x));
+        endpoints.values().removeIf(x -> !x.active && x.out == 0 && x.limit.waitUntil <= now && forget(x));
+    }
+
+    /** Takes an endpoint out of its destination. */
+    private static boolean forget(Endpoint endpoint) {
+        endpoint.active = false;
+        return endpoint.queue.endpoints.remove(endpoint) && endpoint.limit.endpoints.remove(endpoint);
     }
 
     private void submit(Event.Submit e) {
@@ -658,6 +669,8 @@
             // The design: a permanent failure ends a row at once.
             actions.add(new Action.Fail(m.id));
             over(m);
+        } else if (e.ending() == Ending.WITHHELD && !endpoint.active) {
+            await(m); // its endpoint is leaving and got nothing: another may have it now
         } else {
             retry(m);
         }
--- a/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
+++ b/src/main/java/lilaclever/lab/virtual/VirtualDeliverer.java
@@ -26,7 +26,7 @@
 
     /** A call on its way, as this side sees it. */
     private static final class CallState {
-        boolean closed, arrived;
+        boolean closed, written, arrived;
     }
 
     private final World world;
@@ -94,6 +94,7 @@
                 + (kept ? 0 : world.scenario().fleet().handshakeMicros());
         boolean connected = kept || partner.connect(host, number);
         if (kept) {
+            state.written = true;
             later(arrivesAt, () -> arrive(call, state, partner, true));
         } else {
             later(arrivesAt - world.network(), () -> connectionUp(call, state, partner, connected));
@@ -104,6 +105,7 @@
     private void connectionUp(Call call, CallState state, Partner partner, boolean connected) {
         long wait = waits.left(call.endpoint, world.now());
         if (wait == 0) {
+            state.written = true;
             later(world.now() + world.network(), () -> arrive(call, state, partner, connected));
         } else if (!state.closed) {
             attemptsOver(call, "withheld", true);
@@ -208,6 +210,15 @@
         core.post(() -> messages.forEach(m -> core.outcome(call, m, ending, 0, false, false)));
     }
 
+    @Override
+    public void withdraw(Call call) {
+        CallState state = (CallState) call.attachment;
+        if (!state.closed && !state.written) {
+            attemptsOver(call, "withheld", true);
+            end(call, state, Ending.WITHHELD, 0, false);
+        }
+    }
+
     @Override
     public void closeIdle(Call.Endpoint endpoint) {
         idle.closeIdle(endpoint.host());
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -46,6 +46,11 @@
          */
         default void head(Map<String, String> headers) {}
 
+        /** Whether the server is to get nothing new and keep no connection. Selector thread and loop thread. */
+        default boolean isServerLeaving() {
+            return false;
+        }
+
         /** Whether the request may go out at this moment, when all that had come before was read. Selector thread. */
         default boolean mayGo() {
             return true;
@@ -136,7 +141,7 @@
                 connection.closeSilently();
                 return false;
             }
-            if (exchange.listener.mayGo() && !exchange.listener.isTooLate()) { // the loop may be late with giving it up
+            if (exchange.mayBegin()) {
                 current = exchange;
                 exchange.write(this);
             } else {
@@ -288,6 +293,11 @@
                     problem -> core.post(this::broke));
         }
 
+        /** The list, a wait or its own time may have changed since the loop began it. */
+        private boolean mayBegin() {
+            return !listener.isServerLeaving() && listener.mayGo() && !listener.isTooLate();
+        }
+
         private synchronized void write(Link on) {
             if (givenUp) {
                 on.connection.closeSilently();
@@ -334,7 +344,7 @@
                 }
                 done = true;
                 core.deadlines().cancel(due);
-                pool.giveBack(owner, unused, core.now());
+                keepOrClose(unused);
                 listener.withheld();
             });
         }
@@ -356,12 +366,20 @@
                 if (link.spoilt || !link.connection.isOpen()) {
                     link.connection.closeSilently();
                 } else {
-                    pool.giveBack(owner, link.connection, core.now());
+                    keepOrClose(link.connection);
                 }
                 listener.answered(said, headers, body);
             }
         }
 
+        private void keepOrClose(Connection<?> unused) {
+            if (listener.isServerLeaving()) {
+                unused.closeSilently();
+            } else {
+                pool.giveBack(owner, unused, core.now());
+            }
+        }
+
         private void broke() {
             if (!done) {
                 close();
@@ -441,6 +459,18 @@
             }
         }
 
+        /** Gives the request up if none of its bytes is written, and says whether it did; nothing more is told of it. */
+        boolean withdraw() {
+            synchronized (this) {
+                if (link != null || givenUp || done) {
+                    return false;
+                }
+                givenUp = true;
+            }
+            leave();
+            return true;
+        }
+
         /** Whether its last byte has been written. */
         boolean isWritten() {
             return written;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -31,7 +31,10 @@
 
     private static final long SWEEP = 500_000;
 
-    /** A request of any sort to an endpoint: not written under a told wait, and a wait in its answer binds. */
+    /**
+     * A request of any sort to an endpoint: not written while the endpoint drains or has asked for a wait, and a wait in
+     * its answer binds.
+     */
     private abstract class Heedful implements HttpClient.Listener {
         private final Call.Endpoint endpoint;
 
@@ -44,6 +47,11 @@
             heed(endpoint, answer);
         }
 
+        @Override
+        public boolean isServerLeaving() {
+            return !core.activeEndpoints().mayReceive(endpoint);
+        }
+
         @Override
         public boolean mayGo() {
             return waits.left(endpoint, Core.micros()) == 0;
@@ -294,6 +302,13 @@
                         false));
     }
 
+    @Override
+    public void withdraw(Call call) {
+        if (call.attachment instanceof Out out && out.exchange().withdraw()) {
+            core.post(() -> all(call, Ending.WITHHELD, false, false));
+        }
+    }
+
     @Override
     public void closeIdle(Call.Endpoint endpoint) {
         client.closeIdle(owner(endpoint));
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -121,6 +121,13 @@
         }
     }
 
+    @Override
+    public void withdraw(Call call) {
+        if (call.attachment instanceof Session session && session.call == call && session.connection == null) {
+            session.end(Ending.WITHHELD, "");
+        }
+    }
+
     @Override
     public void closeIdle(Call.Endpoint endpoint) {
         pool.closeIdle(endpoint.host());
@@ -192,6 +199,8 @@
             connection = up;
             if (call == null) {
                 close();
+            } else if (!core.activeEndpoints().mayReceive(endpoint)) {
+                end(Ending.WITHHELD, "");
             } else if (!up.isOpen()) {
                 closed();
             } else {
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -49,6 +49,7 @@
     private final Map<String, Message> held = new LinkedHashMap<>();
     private final DeduplicationTable claims;
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
+    private final ActiveEndpoints activeEndpoints = new ActiveEndpoints();
     /** Destinations that the list has named, and when last: one that has no endpoint now may have one soon. */
     private final Map<Integer, Long> destinations = new HashMap<>();
     /** Endpoints that stand in our own configuration and in no directory. */
@@ -121,6 +122,11 @@
         return counters;
     }
 
+    /** Which endpoints requests may be written to; for deliverers. */
+    public ActiveEndpoints activeEndpoints() {
+        return activeEndpoints;
+    }
+
     /** The monotonic clock, microseconds. */
     public static long micros() {
         return System.nanoTime() / 1000;
@@ -143,6 +149,7 @@
     public void add(Listed own) {
         fixed.add(own);
         endpoints.put(own.entry().host(), own.endpoint());
+        activeEndpoints.activate(own.endpoint());
     }
 
     /** Starts the loop: first what the journal says is owed, with the list as last known. */
@@ -299,7 +306,9 @@
         for (Listed x : all) {
             entries.add(x.entry());
             Call.Endpoint before = endpoints.put(x.entry().host(), x.endpoint());
-            if (x.entry().presence() != DecisionModule.Presence.ACTIVE) {
+            boolean isActive = x.entry().presence() == DecisionModule.Presence.ACTIVE;
+            if (!isActive
+                    || before != null && !before.address().equals(x.endpoint().address())) {
                 // Nothing new goes there: what is idle to it only takes room, here and there.
                 x.endpoint().deliverer().closeIdle(before == null ? x.endpoint() : before);
             }
@@ -307,6 +316,7 @@
                 endpoints.remove(x.entry().host());
             }
         }
+        activate(all, whole);
         all.forEach(x -> destinations.put(x.entry().destination(), now));
         Set<Integer> served = new HashSet<>();
         endpoints.values().forEach(x -> served.add(x.destination()));
@@ -314,6 +324,45 @@
                 .entrySet()
                 .removeIf(d -> !served.contains(d.getKey()) && d.getValue() < now - REMEMBER_DESTINATION);
         events.add(new Event.Listing(kind, version, entries));
+        withdrawCalls(); // the decision module hears of them after it has heard why
+    }
+
+    /** Has requests be written only to what is active now. */
+    private void activate(List<Listed> listed, boolean isWhole) {
+        if (isWhole) {
+            activeEndpoints.replaceAll(
+                    listed.stream().filter(Core::isActive).map(Listed::endpoint).toList());
+            return;
+        }
+        for (Listed each : listed) {
+            if (isActive(each)) {
+                activeEndpoints.activate(each.endpoint());
+            } else {
+                activeEndpoints.deactivate(each.endpoint());
+            }
+        }
+    }
+
+    private static boolean isActive(Listed listed) {
+        return listed.entry().presence() == DecisionModule.Presence.ACTIVE;
+    }
+
+    /** Takes back the calls to endpoints that have left the list, or drain, as long as nothing of them is written. */
+    private void withdrawCalls() {
+        for (Call call : List.copyOf(calls)) {
+            if (activeEndpoints.mayReceive(call.endpoint)) {
+                continue;
+            }
+            if (call.started) {
+                call.endpoint.deliverer().withdraw(call);
+            } else {
+                withhold(call);
+            }
+        }
+    }
+
+    private void withhold(Call call) {
+        List.copyOf(call.messages).forEach(m -> outcome(call, m, Ending.WITHHELD, 0, false, false));
     }
 
     /** One attempt of a call has ended. Loop thread. {@code over}: the endpoint says that nothing more is owed. */
@@ -555,9 +604,11 @@
     private void send(Action.Send a, Map<String, Call> starting) {
         Message m = held.get(a.id());
         Call.Endpoint endpoint = endpoints.get(a.host());
-        if (m == null || endpoint == null || m.out != null) {
+        boolean isElsewhere = m != null && endpoint != null && endpoint.destination() != m.submission.destination();
+        if (m == null || endpoint == null || m.out != null || isElsewhere) {
             // Not held any more, as its client has gone: the module must still hear of this attempt.
             counters.holds(m == null || m.out == null, a.id() + " has one attempt out at most");
+            counters.holds(!isElsewhere, a.id() + " goes to an endpoint of its destination");
             int attempt = m == null ? 0 : m.attempts++;
             events.add(new Event.Outcome(a.id(), a.host(), attempt, Ending.NOT_SENT, 0, 0, false, m == null, null));
             return;
--- a/src/main/java/lilaclever/routing/Deliverer.java
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -15,6 +15,12 @@
      */
     default void leaveOut(Call call, Message m) {}
 
+    /**
+     * The call's endpoint is draining or gone: takes the call back if none of its bytes is written yet. Its messages
+     * end as withheld by the next turn. A call that is on its way goes on.
+     */
+    void withdraw(Call call);
+
     /** Closes idle connections to an endpoint. */
     void closeIdle(Call.Endpoint endpoint);
 
--- /dev/null
+++ b/src/test/java/lilaclever/program/WithheldCallsTest.java
@@ -0,0 +1,233 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Calls that were decided before the list changed and come to their connection after: no byte of them is written. */
+class WithheldCallsTest {
+    private static final long MS = 1_000_000;
+    private static final int DESTINATION = 7;
+    /** A connection attempt is repeated by the system after 1 s; an endpoint that got none within this got none. */
+    private static final int NO_CONNECTION_MILLIS = 3_000;
+
+    @TempDir
+    private Path state;
+
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private Forwarder forwarder;
+    private SocketAddress address;
+
+    @AfterEach
+    void stop() {
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+    }
+
+    private void serve(String discovery, String endpoint) throws Exception {
+        String text = Setup.text(discovery, state, endpoint, 3)
+                .replace("\"connectTimeoutS\": 1.5", "\"connectTimeoutS\": 15")
+                .replace("\"ownLimits\": [false]", "\"ownLimits\": [true]");
+        forwarder = Forwarder.start(Config.parse(text, Map.of()), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    /** Discovery that tells each change once it is there; a watch without one ends with no change. */
+    private Peer discovery() throws IOException {
+        return new Peer(wire -> {
+            long index = 1;
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                if (r.path().equals("/status")) {
+                    r.body().lines().forEach(notices::add);
+                    wire.answer("204 No Content", "");
+                    continue;
+                }
+                boolean isLook = r.path().endsWith("wait_ms=1");
+                String entries = isLook ? null : changes.poll(1_500, TimeUnit.MILLISECONDS);
+                index += entries == null ? 0 : 1;
+                wire.answer("200 OK", list(index, entries == null ? "" : entries));
+            }
+        });
+    }
+
+    private static String list(long index, String entries) {
+        return "{\"index\":" + index + ",\"snapshot\":false,\"endpoints\":[" + entries + "]}";
+    }
+
+    private static String entry(String name, String at, int destination, String status) {
+        return "{\"name\":\"" + name + "\",\"address\":\"" + at + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":"
+                + destination + ",\"status\":\"" + status + "\"}";
+    }
+
+    private Peer endpoint() throws IOException {
+        return new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                calls.add(r.headers().get("req-id"));
+                wire.answer("200 OK", "");
+            }
+        });
+    }
+
+    private static String counters(Wire client) throws IOException {
+        client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        return client.request().body();
+    }
+
+    private static void until(Wire client, String count) throws IOException {
+        String last = counters(client);
+        for (long end = System.nanoTime() + 10_000 * MS; !last.contains(count) && System.nanoTime() < end; ) {
+            last = counters(client);
+        }
+        assertTrue(last.contains(count), last);
+    }
+
+    /** An endpoint to which connections come up only once its queue of connections has room. */
+    private static final class LateEndpoint implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> queued = List.of(new Socket(), new Socket());
+
+        LateEndpoint() throws IOException {
+            for (Socket each : queued) {
+                each.connect(server.getLocalSocketAddress());
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Lets connections come up and gives the first request that is read, or null where none comes. */
+        String firstRequest() throws IOException {
+            for (Socket each : queued) {
+                server.accept().close();
+                each.close();
+            }
+            server.setSoTimeout(NO_CONNECTION_MILLIS);
+            try (Wire late = new Wire(server.accept())) {
+                Request request = late.request();
+                return request == null ? null : request.headers().get("req-id");
+            } catch (SocketTimeoutException none) {
+                return null;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /**
+     * The call's connection is still coming up when its endpoint leaves: nothing is written there once it is up, and
+     * the message goes to another endpoint at once, its attempt not counted.
+     */
+    @ParameterizedTest
+    @CsvSource({"leaving, 7", "left, 7", "active, 8"})
+    void aCallWhoseConnectionComesUpAfterADrainIsNotWritten(String status, int destination) throws Exception {
+        try (Peer discovery = discovery();
+                Peer other = endpoint();
+                LateEndpoint draining = new LateEndpoint()) {
+            serve(discovery.address(), draining.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                until(client, "\ncalls 1\n");
+                long told = System.nanoTime();
+                changes.add(entry("e1", draining.address(), destination, status)
+                        + ','
+                        + entry("e2", other.address(), DESTINATION, "active"));
+                assertEquals("a", Peer.next(calls));
+                assertTrue(System.nanoTime() - told < 500 * MS, "at once");
+                assertNull(draining.firstRequest(), "nothing goes to the endpoint that has left");
+                assertTrue(counters(client).contains("\nending_withheld 1\n"), "counted as no attempt");
+            }
+        }
+    }
+
+    /** The same where the connection comes up as soon as the list is heard. */
+    @Test
+    void aConnectionThatComesUpRightAfterADrainCarriesNoCall() throws Exception {
+        try (Peer discovery = discovery();
+                LateEndpoint draining = new LateEndpoint()) {
+            serve(discovery.address(), draining.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                until(client, "\ncalls 1\n");
+                changes.add(entry("e1", draining.address(), DESTINATION, "leaving"));
+                until(client, "\nlistings 2\n");
+                assertNull(draining.firstRequest());
+            }
+        }
+    }
+
+    /** Its address has changed while the call's connection was coming up: the old address gets nothing. */
+    @Test
+    void aCallToAnAddressThatHasChangedGoesToTheNewOne() throws Exception {
+        try (Peer discovery = discovery();
+                Peer moved = endpoint();
+                LateEndpoint old = new LateEndpoint()) {
+            serve(discovery.address(), old.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("a", "payment", 20, "").startsWith("202"));
+                until(client, "\ncalls 1\n");
+                changes.add(entry("e1", moved.address(), DESTINATION, "active"));
+                assertEquals("a", Peer.next(calls));
+                assertNull(old.firstRequest());
+            }
+        }
+    }
+
+    /** A name that goes to another destination takes no message of the one it served before. */
+    @Test
+    void anEndpointThatChangesItsDestinationGetsNoMessageOfTheOldOne() throws Exception {
+        LinkedBlockingQueue<String> callsOfOther = new LinkedBlockingQueue<>();
+        try (Peer discovery = discovery();
+                Peer first = endpoint();
+                Peer second = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        callsOfOther.add(r.headers().get("req-id"));
+                        wire.answer("200 OK", "");
+                    }
+                })) {
+            serve(discovery.address(), first.address());
+            try (Wire client = Wire.to(address)) {
+                assertTrue(client.handIn("before", "payment", 20, "").startsWith("202"));
+                assertEquals("before", Peer.next(calls));
+                until(client, "\nlistings 1\n");
+                changes.add(entry("e1", second.address(), 8, "active")
+                        + ','
+                        + entry("e2", first.address(), DESTINATION, "active"));
+                until(client, "\nlistings 2\n");
+                for (int i = 0; i < 20; i++) {
+                    assertTrue(client.handIn("seven" + i, "payment", 7, 20, "").startsWith("202"));
+                    assertTrue(client.handIn("eight" + i, "payment", 8, 20, "").startsWith("202"));
+                }
+                for (int i = 0; i < 20; i++) {
+                    assertTrue(Peer.next(calls).startsWith("seven"));
+                    assertTrue(Peer.next(callsOfOther).startsWith("eight"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/routing/DrainBeforeStartTest.java
@@ -0,0 +1,193 @@
+package lilaclever.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.identity.IdempotencyWindows;
+import lilaclever.journal.BootClock;
+import lilaclever.journal.Durability;
+import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
+import lilaclever.journal.SegmentedJournal;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A call whose attempt is not yet durable when its endpoint drains: it is not started, and goes elsewhere. */
+class DrainBeforeStartTest {
+    private static final long SECOND = 1_000_000, ROUND = 5_000;
+    private static final int DESTINATION = 7;
+
+    @TempDir
+    private Path state;
+
+    private final Queue<Runnable> awaitingForce = new ArrayDeque<>();
+    private final List<String> started = new ArrayList<>();
+    private long now = SECOND;
+
+    /** Time that passes only as the test says. */
+    private final class VirtualClock implements Clock {
+        @Override
+        public long micros() {
+            return now;
+        }
+
+        @Override
+        public long wall() {
+            return now;
+        }
+
+        @Override
+        public Runnable await(BlockingQueue<Runnable> ready, long untilMicros) {
+            throw new IllegalStateException("the test runs the turns");
+        }
+
+        @Override
+        public void pause(long micros) {
+            throw new IllegalStateException("the test runs the turns");
+        }
+
+        @Override
+        public void posted() {
+            // the next turn takes it
+        }
+    }
+
+    /** Takes note of the calls that are started; none of them ends. */
+    private final class RecordingDeliverer implements Deliverer {
+        @Override
+        public void start(Call call) {
+            call.messages.forEach(m -> started.add(m.id() + " to " + call.endpoint.host()));
+        }
+
+        @Override
+        public void giveUp(Call call) {}
+
+        @Override
+        public void withdraw(Call call) {}
+
+        @Override
+        public void closeIdle(Call.Endpoint endpoint) {}
+
+        @Override
+        public void probe(Call.Endpoint endpoint) {}
+    }
+
+    /** A client that waits for nothing. */
+    private static final class SilentFront implements Front {
+        @Override
+        public String name() {
+            return "http";
+        }
+
+        @Override
+        public void taken(Message message) {}
+
+        @Override
+        public void turnedDown(Message message, FinalStatus verdict) {
+            throw new IllegalStateException(message.id() + " was turned down: " + verdict);
+        }
+
+        @Override
+        public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
+            settled.run();
+        }
+    }
+
+    private final RecordingDeliverer deliverer = new RecordingDeliverer();
+
+    private Core.Listed listed(String name, Presence presence) {
+        return new Core.Listed(
+                new DecisionModule.Entry(name, DESTINATION, 0, 0, presence, 1, 0),
+                new Call.Endpoint(name, "127.0.0.1:9", DESTINATION, 0, 1, false, deliverer));
+    }
+
+    private static DecisionModule.Settings settings() {
+        DecisionModule.MessageClass payment = new DecisionModule.MessageClass(
+                SECOND, 20 * SECOND, 1, DecisionModule.Repeat.UNSAFE, DecisionModule.Group.ALL, 0, false);
+        return new DecisionModule.Settings(
+                0,
+                1,
+                0,
+                1,
+                ROUND,
+                false,
+                DecisionModule.Weights.NONE,
+                false,
+                0.1,
+                List.of(payment),
+                List.of(new DecisionModule.Kind(false, 1)),
+                List.of(),
+                new DecisionModule.Limits(8, 200, 20, true, false, false, 1, SECOND, 5 * SECOND, true, 2 * SECOND),
+                new DecisionModule.Rules(20_000, 10 * SECOND, SECOND / 2, 0.24, 9_500_000, 1.5, 3 * SECOND, 100_000));
+    }
+
+    /** The real journal, whose records are durable once the test says so. */
+    private Journal journal() throws Exception {
+        VirtualClock clock = new VirtualClock();
+        Journal real = new SegmentedJournal(
+                FolderDisk.take(state),
+                3 << 20,
+                Durability.NONE,
+                new JournalClocks(clock::micros, clock::wall, BootClock.UNKNOWN),
+                new SplittableRandom(7));
+        return (Journal) Proxy.newProxyInstance(
+                Journal.class.getClassLoader(), new Class<?>[] {Journal.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("whenDurable")) {
+                        awaitingForce.add((Runnable) arguments[0]);
+                        return null;
+                    }
+                    try {
+                        return method.invoke(real, arguments);
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                });
+    }
+
+    private void turn(Core core) {
+        now += ROUND;
+        core.step();
+    }
+
+    private void force() {
+        while (!awaitingForce.isEmpty()) {
+            awaitingForce.poll().run();
+        }
+    }
+
+    @Test
+    void aCallThatWaitsForTheJournalIsNotStartedAfterItsEndpointDrains() throws Exception {
+        try (Journal journal = journal()) {
+            Counters counters = new Counters();
+            IdempotencyWindows windows = new IdempotencyWindows(List.of(), SECOND, 1);
+            Core core = new Core(settings(), 7, journal, counters, windows, new VirtualClock());
+            SilentFront front = new SilentFront();
+            core.add(front);
+            core.begin(List.of(listed("e1", Presence.ACTIVE)), 1);
+            byte[] body = new byte[0];
+            core.handIn(front, new Submission("m", null, 0, DESTINATION, null, body, false, false, 20 * SECOND));
+            turn(core);
+            assertEquals(1, counters.get(Counters.Name.CALLS), "decided, and its attempt written");
+
+            core.listing(
+                    DecisionModule.ListingKind.CHANGES,
+                    2,
+                    List.of(listed("e1", Presence.LEAVING), listed("e2", Presence.ACTIVE)));
+            turn(core);
+            force();
+
+            assertEquals(List.of("m to e2"), started);
+            assertEquals(1, journal.owed().size());
+        }
+    }
+}
--- a/src/test/java/lilaclever/scale/HollowForwarder.java
+++ b/src/test/java/lilaclever/scale/HollowForwarder.java
@@ -207,6 +207,10 @@
         core.post(() -> messages.forEach(message -> core.outcome(call, message, ending, 0, false, false)));
     }
 
+    /** Nothing drains here. */
+    @Override
+    public void withdraw(Call call) {}
+
     @Override
     public void giveUp(Call call) {
         List<Message> messages = new ArrayList<>(call.messages);
