--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -6,11 +6,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import lilaclever.DecisionModule;
 import lilaclever.lab.sockets.Wire;
 import lilaclever.routing.Call;
+import lilaclever.routing.Core;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -178,6 +182,7 @@
         Call.Endpoint one = new Call.Endpoint("e1", address(), 7, 0, 1, false, deliverer);
         Call.Endpoint other = new Call.Endpoint("e2", address(), 8, 0, 1, false, deliverer);
         onLoop(deliverer::start);
+        onLoop(() -> list(1, DecisionModule.Presence.ACTIVE, one, other));
         onLoop(() -> deliverer.probe(one));
         try (Wire first = accept()) {
             first.read();
@@ -194,4 +199,35 @@
             }
         }
     }
+
+    /** A probe is a call to its endpoint: it is not written to one that drains, also on a connection that is idle. */
+    @Test
+    void aProbeOfADrainingEndpointIsNotWritten() throws Exception {
+        HttpDeliverer deliverer = new HttpDeliverer(core, transport, 1_500_000, 15_000_000, 4);
+        Call.Endpoint one = new Call.Endpoint("e1", address(), 7, 0, 1, false, deliverer);
+        onLoop(deliverer::start);
+        onLoop(() -> list(1, DecisionModule.Presence.ACTIVE, one));
+        onLoop(() -> deliverer.probe(one));
+        try (Wire first = accept()) {
+            first.read();
+            first.answer("200 OK", "");
+            while (!core.counters().text().contains("\nentries_idle_calls 1\n")) {
+                onLoop(() -> {}); // its answer is on its way
+            }
+            CountDownLatch free = hold();
+            onLoop(() -> deliverer.probe(one));
+            onLoop(() -> list(2, DecisionModule.Presence.LEAVING, one));
+            free.countDown();
+            assertNull(first.read(), "closed without a byte");
+        }
+    }
+
+    private void list(long version, DecisionModule.Presence presence, Call.Endpoint... endpoints) {
+        List<Core.Listed> listed = new ArrayList<>();
+        for (Call.Endpoint each : endpoints) {
+            listed.add(new Core.Listed(
+                    new DecisionModule.Entry(each.host(), each.destination(), each.zone(), 0, presence, 1, 0), each));
+        }
+        core.listing(DecisionModule.ListingKind.CHANGES, version, listed);
+    }
 }
