--- a/src/main/java/lilaclever/program/Main.java
+++ b/src/main/java/lilaclever/program/Main.java
@@ -84,8 +84,17 @@
             Logs.set(operator.log());
             CompletableFuture<Forwarder> serving = new CompletableFuture<>();
             // Without a handler SIGHUP ends the machine: it is there before anybody can think that we are ready.
-            Signals.onHangup(
-                    () -> serving.thenAccept(f -> f.reload(System.getenv())).join());
+            Runnable reload =
+                    () -> serving.thenAccept(f -> f.reload(System.getenv())).join();
+            Signals.onHangup(reload);
+            if (Signals.isHangupIgnored()) {
+                Logs.warn(
+                        "",
+                        "sighup-ignored",
+                        "SIGHUP is ignored by whoever started this program (nohup does that): a new configuration is"
+                                + " taken on once its file changes, not at the signal");
+                FileWatch.start(Path.of(System.getenv("ROUTER_CONFIG")), reload);
+            }
             Forwarder forwarder = Forwarder.start(config, operator, mail == null ? null : config.readMail(mail));
             Runtime.getRuntime().addShutdownHook(new Thread(forwarder::stop, "stop"));
             serving.complete(forwarder);
--- a/src/main/java/lilaclever/program/Signals.java
+++ b/src/main/java/lilaclever/program/Signals.java
@@ -16,7 +16,7 @@
     private Signals() {}
 
     /** True if whoever started this program has SIGHUP ignored (nohup does): then no handler is ever called. */
-    private static boolean isHangupIgnored() {
+    static boolean isHangupIgnored() {
         try (Stream<String> lines = Files.lines(Path.of("/proc/self/status"))) {
             return lines.filter(l -> l.startsWith("SigIgn:"))
                     .anyMatch(l -> l.matches(".*[13579bdf]")); // signal 1 is the lowest bit
@@ -27,13 +27,6 @@
 
     /** Has the task run at each SIGHUP, on a thread of its own; what it throws is told and ends nothing. */
     static void onHangup(Runnable task) {
-        if (isHangupIgnored()) {
-            Logs.warn(
-                    "",
-                    "sighup-ignored",
-                    "SIGHUP is ignored by whoever started this program (nohup does that):"
-                            + " the configuration is never read again");
-        }
         on("HUP", task);
     }
 
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -92,12 +92,30 @@
         return endpoint(wire -> wire.answer("200 OK", ""));
     }
 
-    /** Guards against a start by nohup after which no reload ever comes, and nobody knows why. */
+    /**
+     * Guards against a start by nohup, or by a supervisor that has SIGHUP ignored: no signal ever comes, the program
+     * stayed with the old discovery for ever, and calls went on to what drained there. A file that has changed is read
+     * all the same; one that can't be read changes nothing.
+     */
     @Test
-    void anIgnoredHangupIsToldAtTheStart() throws Exception {
-        try (Peer platform = Peer.platform("", notices)) {
-            process = Setup.process(state, Setup.text(platform.address(), state, null, 3), "trap '' HUP");
-            until(process.errorReader(), "SIGHUP is ignored by whoever started this program");
+    void whereHangupIsIgnoredAChangedFileIsTakenOn() throws Exception {
+        LinkedBlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        try (Peer before = Peer.platform("", notices);
+                Peer after = new Peer(wire -> {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        asked.add(r.path());
+                    }
+                })) {
+            process = Setup.process(state, Setup.text(before.address(), state, null, 3), "trap '' HUP");
+            BufferedReader log = process.errorReader();
+            until(log, "SIGHUP is ignored by whoever started this program");
+            until(log, "serves at");
+            Path file = state.resolve("config.json");
+            Files.writeString(file, "{\"discovery\": ");
+            until(log, "stays");
+            Files.writeString(file, Setup.text(after.address(), state, null, 3));
+            until(log, "configuration read again");
+            assertEquals("/registry/instances", Peer.next(asked));
         }
     }
 
