--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -459,7 +459,7 @@
             }
         }
 
-        /** Gives the request up if none of its bytes is written, and says whether it did; nothing more is told of it. */
+        /** Gives the request up if none of its bytes is written, and says whether it did. */
         boolean withdraw() {
             synchronized (this) {
                 if (link != null || givenUp || done) {
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -31,10 +31,7 @@
 
     private static final long SWEEP = 500_000;
 
-    /**
-     * A request of any sort to an endpoint: not written while the endpoint drains or has asked for a wait, and a wait in
-     * its answer binds.
-     */
+    /** A request to an endpoint: not written while it drains or has asked for a wait; a wait in its answer binds. */
     private abstract class Heedful implements HttpClient.Listener {
         private final Call.Endpoint endpoint;
 
