--- /dev/null
+++ b/src/main/java/lilaclever/routing/EndpointMembership.java
@@ -0,0 +1,481 @@
+package lilaclever.routing;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.log.Logs;
+
+/**
+ * What is believed of the lists of endpoints, whichever order and shape they come in. No I/O of its own. Loop thread.
+ *
+ * <p>A departure is believed at once, whatever list it is in: an entry that is leaving or has left, an absence from a
+ * whole list, an entry that can't be used, entries that contradict each other. What has departed is active again only
+ * where a list says so that is later than every departure heard: of the same agent, with a higher index. The index of
+ * the list with the departure is not enough. Two kinds of departures count as one index lower, so that the next sound
+ * list of the same index can bring the endpoint back: entries that contradict each other or can't be used, and an
+ * absence where the same agent has called the endpoint active at that index. After {@link ListPosition#KEPT} any list
+ * counts: discovery may have begun to count anew. An endpoint that has not departed is active as soon as a list says so.
+ *
+ * <p>A list without an index counts as the newest that its agent has told for what departs, and brings nothing back.
+ * Departures that an earlier process noted, and those in the list that a start begins with, count as heard when this
+ * process hears its first list: nothing tells how the wall clock was set in between.
+ */
+public final class EndpointMembership {
+    /** Index of a list where it could not be read. */
+    public static final long NO_INDEX = -1;
+
+    private static final String PART = "directory";
+    /** Agents whose newest index is kept; the configuration names another one now and then. */
+    private static final int MOST_AGENTS = 16;
+    /** Names in one line of the log. */
+    private static final int MOST_LOGGED = 5;
+
+    /**
+     * One answer of a discovery agent, as far as it could be read.
+     *
+     * @param agent its address
+     * @param index version of the list; {@link #NO_INDEX} where it could not be read
+     * @param isWhole it names every endpoint
+     * @param isCut it ended early or was too large, so that an absent name says nothing
+     * @param entries what could be read
+     * @param unusable names whose entry could not be used: no address, no group, a status that is not known
+     */
+    public record ListUpdate(
+            String agent, long index, boolean isWhole, boolean isCut, List<Core.Listed> entries, Set<String> unusable) {
+        /** True if a name that is not in it has left. */
+        boolean isComplete() {
+            return isWhole && !isCut;
+        }
+    }
+
+    /** What the core is to hear; nothing if it is a change without entries. */
+    public record Change(ListingKind kind, long version, List<Core.Listed> entries) {}
+
+    /** Where departures outlast the process. */
+    public interface DepartureStore {
+        /**
+         * Replaces all that is stored.
+         *
+         * @param departures oldest name first, at most 4,096 names and four departures of each
+         */
+        void save(List<Departure> departures) throws IOException;
+    }
+
+    /**
+     * An endpoint that was heard to leave. One that several agents' lists said so of has a departure for each.
+     *
+     * @param agent address of the agent whose list it was
+     * @param index version of the list from which on the endpoint is out
+     * @param atMicros when it was heard, wall clock, microseconds since 1970
+     */
+    public record Departure(String name, String agent, long index, long atMicros) {}
+
+    /** An endpoint as last told, and the newest list of the agent that told its address and destination last. */
+    private record Known(Core.Listed listed, ListPosition position) {
+        boolean isActive() {
+            return listed.entry().presence() == Presence.ACTIVE;
+        }
+    }
+
+    /** What one list says of an endpoint. {@code isDisputed}: its entries contradict each other, or one can't be used. */
+    private record Statement(Core.Listed listed, boolean isDisputed) {
+        Presence presence() {
+            return listed.entry().presence();
+        }
+    }
+
+    private final DepartureStore store;
+    private final DepartureTable departures;
+    /** All endpoints but those that have left, by name. */
+    private final Map<String, Known> known = new HashMap<>();
+    /** Names of active endpoints by their address. */
+    private final Map<String, String> holders = new HashMap<>();
+    /** Names of endpoints that a list calls active, or has at another address, which is not believed yet. */
+    private final Set<String> withheld = new HashSet<>();
+    /** Those that the list being taken in has added. */
+    private final List<String> newlyWithheld = new ArrayList<>();
+    /** The newest index of each agent, the one that was heard first goes first. */
+    private final Map<String, ListPosition> newest = new LinkedHashMap<>();
+
+    private boolean isClockStarted;
+    private boolean isStoreFailing;
+    private boolean contradictsKnown;
+    /** Only a whole list can tell what holds. */
+    private boolean isDoubtful;
+    /** The list that is being taken in leaves a doubt. */
+    private boolean hasDoubt;
+
+    /** Of the newest list with an index, whatever its agent. */
+    private long version;
+
+    /**
+     * Begins without endpoints.
+     *
+     * @param noted departures that earlier processes noted, oldest first
+     * @param store takes them in whenever they change
+     */
+    public EndpointMembership(List<Departure> noted, DepartureStore store) {
+        this.departures = new DepartureTable(noted);
+        this.store = store;
+    }
+
+    /**
+     * The list that a start begins with, which may be out of date: what an earlier process heard to leave stays out,
+     * whenever that was.
+     */
+    public Change remembered(long version, List<Core.Listed> listed) {
+        this.version = version;
+        ListPosition position = new ListPosition(ListPosition.KNOWN_LIST, version, true, 0);
+        List<Core.Listed> told = new ArrayList<>(listed.size());
+        for (Statement statement : statements(listed, Set.of()).values()) {
+            isDoubtful |= statement.isDisputed();
+            boolean isActive = statement.presence() == Presence.ACTIVE;
+            if (isActive && departures.contains(name(statement.listed()))) {
+                contradictsKnown = true;
+                told.add(withhold(statement.listed(), position));
+            } else {
+                told.add(isActive ? keep(statement.listed(), position) : depart(statement, position));
+            }
+        }
+        return new Change(ListingKind.REMEMBERED, version, told);
+    }
+
+    /**
+     * Whether the list that the start began with calls an endpoint active that an earlier process heard to leave, and
+     * no whole list has come since: the whole list must be asked for.
+     */
+    public boolean contradictsKnown() {
+        return contradictsKnown;
+    }
+
+    /**
+     * Whether only the whole list can tell what holds: after contradictory or unusable entries, changes that are not
+     * in order, and once an endpoint is withheld for no reason but a departure that no longer counts. To be asked after
+     * each answer; the caller sets the pace.
+     */
+    public boolean needsWholeList(long nowMicros) {
+        return contradictsKnown || isDoubtful || withheld.stream().anyMatch(name -> isFree(name, nowMicros));
+    }
+
+    private boolean isFree(String name, long nowMicros) {
+        return departures.contains(name)
+                ? departures.isExpired(name, nowMicros)
+                : known.get(name).position().isExpired(nowMicros);
+    }
+
+    /** Endpoints that count as departed. */
+    public int departureCount() {
+        return departures.size();
+    }
+
+    /**
+     * Takes an answer in, and stores departures if they have changed.
+     *
+     * @param nowMicros the loop's clock
+     * @param wallMicros the wall clock
+     * @return what the core is to hear, never null; its entries may be empty
+     */
+    public Change update(ListUpdate update, long nowMicros, long wallMicros) {
+        startClock(nowMicros);
+        ListPosition position = position(update, nowMicros);
+        hasDoubt = update.isCut() || !update.unusable().isEmpty() || isOlderChange(update, position);
+        Map<String, Statement> statements = statements(update.entries(), update.unusable());
+        List<Core.Listed> told = new ArrayList<>(statements.size());
+        for (Map.Entry<String, Statement> statement : statements.entrySet()) {
+            told.addAll(heard(statement.getKey(), statement.getValue(), update, statements.keySet(), position));
+        }
+        if (update.isComplete()) {
+            removeAbsent(statements.keySet(), position);
+        }
+        settleDoubt(update);
+        remember(position);
+        logWithheld(position);
+        saveDepartures(nowMicros, wallMicros);
+        version = update.index() == NO_INDEX ? version : update.index();
+        return new Change(update.isComplete() ? ListingKind.ALL : ListingKind.CHANGES, version, told);
+    }
+
+    /** A whole list that is as doubtful as the one before of the same index need not be asked for again. */
+    private void settleDoubt(ListUpdate update) {
+        if (update.isComplete()) {
+            contradictsKnown = false;
+            isDoubtful = hasDoubt && !(isDoubtful && update.index() == version);
+        } else {
+            isDoubtful |= hasDoubt;
+        }
+    }
+
+    /** What was known before the first list counts as heard now. */
+    private void startClock(long nowMicros) {
+        if (!isClockStarted) {
+            isClockStarted = true;
+            departures.restartClock(nowMicros);
+            known.replaceAll((name, x) -> new Known(x.listed(), x.position().heardAt(nowMicros)));
+        }
+    }
+
+    private ListPosition position(ListUpdate update, long nowMicros) {
+        boolean isExact = update.index() != NO_INDEX;
+        ListPosition last = newest.get(update.agent());
+        long index = isExact || last == null ? update.index() : last.index();
+        return new ListPosition(update.agent(), index, isExact, nowMicros);
+    }
+
+    /** Changes build on the list before; those of an older list do not. */
+    private boolean isOlderChange(ListUpdate update, ListPosition position) {
+        ListPosition last = newest.get(update.agent());
+        return !update.isWhole() && last != null && isOlder(position, last);
+    }
+
+    private void remember(ListPosition position) {
+        ListPosition last = newest.get(position.agent());
+        if (last == null || last.index() <= position.index() || last.isExpired(position.heardMicros())) {
+            newest.put(position.agent(), position);
+        }
+        if (newest.size() > MOST_AGENTS) {
+            newest.remove(newest.keySet().iterator().next());
+        }
+    }
+
+    /** What the entries say of each name; null for names that have no entry that can be used. */
+    private Map<String, Statement> statements(List<Core.Listed> entries, Set<String> unusable) {
+        Map<String, Statement> statements = new LinkedHashMap<>(2 * entries.size());
+        Set<String> twice = new LinkedHashSet<>();
+        for (Core.Listed listed : entries) {
+            Statement before = statements.putIfAbsent(name(listed), new Statement(listed, false));
+            if (before != null) {
+                twice.add(name(listed));
+                statements.put(name(listed), joined(before, listed));
+            }
+        }
+        if (!twice.isEmpty()) {
+            Logs.warn(PART, "entry-twice", "more than one entry in a list: " + shortened(twice));
+        }
+        for (String name : unusable) {
+            Known before = known.get(name);
+            Statement statement = statements.get(name);
+            Core.Listed listed = statement != null ? statement.listed() : before != null ? before.listed() : null;
+            statements.put(name, listed == null ? null : new Statement(atLeastLeaving(listed), true));
+        }
+        return statements;
+    }
+
+    /** Two entries of one endpoint: the most cautious presence; without a clear address it can't be active. */
+    private Statement joined(Statement one, Core.Listed other) {
+        Presence presence = other.entry().presence();
+        if (isSameTarget(one.listed(), other)) {
+            boolean isSame = one.presence() == presence;
+            boolean isCautious = one.presence().compareTo(presence) >= 0;
+            return new Statement(isCautious ? one.listed() : other, one.isDisputed() || !isSame);
+        }
+        Core.Listed cautious = one.presence().compareTo(presence) >= 0 ? one.listed() : other;
+        return new Statement(atLeastLeaving(cautious), true);
+    }
+
+    private static Core.Listed atLeastLeaving(Core.Listed listed) {
+        return listed.entry().presence() == Presence.ACTIVE ? as(listed, Presence.LEAVING) : listed;
+    }
+
+    /** What the core is to hear for one statement: of the endpoint, and of another one whose address it has now. */
+    private List<Core.Listed> heard(
+            String name, Statement statement, ListUpdate update, Set<String> mentioned, ListPosition position) {
+        if (statement == null) {
+            departures.hearDisputed(name, position);
+            return List.of();
+        }
+        hasDoubt |= statement.isDisputed();
+        if (statement.presence() != Presence.ACTIVE) {
+            return List.of(depart(statement, position));
+        }
+        if (!departures.permits(name, position)) {
+            return List.of(withhold(statement.listed(), position));
+        }
+        Core.Listed removed = update.isComplete() ? null : removedHolder(statement.listed(), mentioned, position);
+        Core.Listed active = activate(statement.listed(), position);
+        return removed == null ? List.of(active) : List.of(removed, active);
+    }
+
+    private Core.Listed depart(Statement statement, ListPosition position) {
+        Core.Listed listed = statement.listed();
+        if (statement.isDisputed()) {
+            departures.hearDisputed(name(listed), position);
+        } else {
+            departures.hear(name(listed), position);
+        }
+        return putInactive(listed, position);
+    }
+
+    private Core.Listed withhold(Core.Listed listed, ListPosition position) {
+        boolean isNew = !withheld.contains(name(listed));
+        Core.Listed leaving = putInactive(as(listed, Presence.LEAVING), position);
+        withheld.add(name(listed));
+        if (isNew) {
+            newlyWithheld.add(name(listed));
+        }
+        return leaving;
+    }
+
+    private void logWithheld(ListPosition position) {
+        if (!newlyWithheld.isEmpty()) {
+            Logs.warn(
+                    PART,
+                    "not-believed",
+                    "list " + position.index() + " of " + position.agent() + " is not later than what it contradicts: "
+                            + shortened(newlyWithheld));
+            newlyWithheld.clear();
+        }
+    }
+
+    private static String shortened(Collection<String> names) {
+        String first = names.stream().limit(MOST_LOGGED).collect(Collectors.joining(", "));
+        return names.size() <= MOST_LOGGED ? first : first + " and " + (names.size() - MOST_LOGGED) + " others";
+    }
+
+    private Core.Listed putInactive(Core.Listed listed, ListPosition position) {
+        remove(name(listed));
+        if (listed.entry().presence() != Presence.LEFT) {
+            known.put(name(listed), new Known(listed, position));
+        }
+        return listed;
+    }
+
+    private void remove(String name) {
+        withheld.remove(name);
+        Known before = known.remove(name);
+        if (before != null) {
+            holders.remove(address(before.listed()), name);
+        }
+    }
+
+    private Core.Listed activate(Core.Listed listed, ListPosition position) {
+        departures.remove(name(listed));
+        Known before = known.get(name(listed));
+        if (before == null || !before.isActive() || !before.position().isExact()) {
+            return keep(listed, position);
+        }
+        if (isSameTarget(before.listed(), listed)) {
+            return keep(listed, isOlder(position, before.position()) ? before.position() : position);
+        }
+        if (!before.position().permits(position)) {
+            if (withheld.add(name(listed))) {
+                newlyWithheld.add(name(listed));
+            }
+            return before.listed();
+        }
+        return keep(listed, position);
+    }
+
+    /** Whether it is of the same agent and out of order, or of no order at all. */
+    private static boolean isOlder(ListPosition position, ListPosition than) {
+        boolean isOutOfOrder = position.agent().equals(than.agent()) && position.index() < than.index();
+        return (isOutOfOrder || !position.isExact()) && !than.isExpired(position.heardMicros());
+    }
+
+    private Core.Listed keep(Core.Listed listed, ListPosition position) {
+        remove(name(listed));
+        known.put(name(listed), new Known(listed, position));
+        holders.put(address(listed), name(listed));
+        return listed;
+    }
+
+    /**
+     * Has an endpoint depart whose address a list of changes gives to another name, if that list is later: two names
+     * share an address only where one list says so. Null if there is none.
+     */
+    private Core.Listed removedHolder(Core.Listed listed, Set<String> mentioned, ListPosition position) {
+        String holder = holders.get(address(listed));
+        if (holder == null || holder.equals(name(listed)) || mentioned.contains(holder) || isAt(listed)) {
+            return null;
+        }
+        hasDoubt = true;
+        Known before = known.get(holder);
+        if (!before.position().permits(position)) {
+            return null;
+        }
+        return depart(new Statement(as(before.listed(), Presence.LEAVING), true), position);
+    }
+
+    /** Whether the endpoint is active at that address already. */
+    private boolean isAt(Core.Listed listed) {
+        Known before = known.get(name(listed));
+        return before != null && before.isActive() && address(before.listed()).equals(address(listed));
+    }
+
+    /** A whole list: what it does not mention has left. */
+    private void removeAbsent(Set<String> mentioned, ListPosition position) {
+        departures.hearAbsent(mentioned, position);
+        for (Iterator<Map.Entry<String, Known>> all = known.entrySet().iterator(); all.hasNext(); ) {
+            Map.Entry<String, Known> entry = all.next();
+            String name = entry.getKey();
+            if (!mentioned.contains(name)) {
+                hearAbsent(name, entry.getValue(), position);
+                withheld.remove(name);
+                holders.remove(address(entry.getValue().listed()), name);
+                all.remove();
+            }
+        }
+    }
+
+    private void hearAbsent(String name, Known before, ListPosition position) {
+        ListPosition said = before.position();
+        boolean isContradiction = said.isExact() && position.isComparableWith(said) && position.index() == said.index();
+        if (departures.contains(name)) {
+            return; // heard with all others that had departed before
+        }
+        if (isContradiction || !position.isExact()) {
+            hasDoubt = true;
+            departures.hearDisputed(name, position);
+        } else {
+            departures.hear(name, position);
+        }
+    }
+
+    private void saveDepartures(long nowMicros, long wallMicros) {
+        if (!departures.isChanged()) {
+            return;
+        }
+        try {
+            store.save(departures.all(nowMicros, wallMicros));
+            departures.noted();
+            isStoreFailing = false;
+        } catch (IOException e) {
+            if (!isStoreFailing) {
+                Logs.error(PART, "departures-not-noted", "endpoints that have left can't be noted: " + e);
+            }
+            isStoreFailing = true; // they stay changed, so the next list tries again
+        }
+    }
+
+    private static String name(Core.Listed listed) {
+        return listed.entry().host();
+    }
+
+    private static String address(Core.Listed listed) {
+        return listed.endpoint().address();
+    }
+
+    private static boolean isSameTarget(Core.Listed one, Core.Listed other) {
+        return one.entry().destination() == other.entry().destination()
+                && address(one).equals(address(other));
+    }
+
+    private static Core.Listed as(Core.Listed listed, Presence presence) {
+        DecisionModule.Entry e = listed.entry();
+        return new Core.Listed(
+                new DecisionModule.Entry(
+                        e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
+                listed.endpoint());
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/routing/EndpointMembershipTest.java
@@ -0,0 +1,772 @@
+package lilaclever.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.routing.EndpointMembership.Change;
+import lilaclever.routing.EndpointMembership.Departure;
+import lilaclever.routing.EndpointMembership.ListUpdate;
+import org.junit.jupiter.api.Test;
+
+/** What is believed of lists of endpoints. */
+class EndpointMembershipTest {
+    private static final String AGENT = "10.0.0.1:8500", OTHER_AGENT = "10.0.0.2:8500";
+    private static final long SECOND = 1_000_000, KEPT = 60 * SECOND, WALL = 1_700_000_000 * SECOND;
+    private static final int GROUP = 3;
+
+    private final Store store = new Store();
+    private EndpointMembership membership = new EndpointMembership(List.of(), store);
+    /** What the core knows after all that it was told. */
+    private Map<String, Core.Listed> core = new TreeMap<>();
+
+    private long now = 5 * SECOND;
+    private long wall = WALL;
+
+    /** Stores in memory, or fails. */
+    private static final class Store implements EndpointMembership.DepartureStore {
+        private List<Departure> stored = List.of();
+        private boolean fails;
+        private int calls;
+
+        @Override
+        public void save(List<Departure> departures) throws IOException {
+            calls++;
+            if (fails) {
+                throw new IOException("No space left on device");
+            }
+            stored = List.copyOf(departures);
+        }
+
+        private Set<String> names() {
+            return stored.stream().map(Departure::name).collect(Collectors.toCollection(TreeSet::new));
+        }
+    }
+
+    private static Core.Listed listed(String name, Presence presence, String address, int group) {
+        return new Core.Listed(
+                new DecisionModule.Entry(name, group, 0, 0, presence, 1, 0),
+                new Call.Endpoint(name, address, group, 0, 1, false, null));
+    }
+
+    private static Core.Listed listed(String name, Presence presence) {
+        return listed(name, presence, "10.1.0.1:" + name, GROUP);
+    }
+
+    private static Core.Listed active(String name) {
+        return listed(name, Presence.ACTIVE);
+    }
+
+    private static Core.Listed leaving(String name) {
+        return listed(name, Presence.LEAVING);
+    }
+
+    private static Core.Listed left(String name) {
+        return listed(name, Presence.LEFT);
+    }
+
+    private Change whole(String agent, long index, Core.Listed... entries) {
+        return update(new ListUpdate(agent, index, true, false, List.of(entries), Set.of()));
+    }
+
+    private Change whole(long index, Core.Listed... entries) {
+        return whole(AGENT, index, entries);
+    }
+
+    private Change changes(String agent, long index, Core.Listed... entries) {
+        return update(new ListUpdate(agent, index, false, false, List.of(entries), Set.of()));
+    }
+
+    private Change changes(long index, Core.Listed... entries) {
+        return changes(AGENT, index, entries);
+    }
+
+    private Change unusable(String agent, long index, String name) {
+        return update(new ListUpdate(agent, index, false, false, List.of(), Set.of(name)));
+    }
+
+    private Change unusable(long index, boolean isWhole, String name, Core.Listed... entries) {
+        return update(new ListUpdate(AGENT, index, isWhole, false, List.of(entries), Set.of(name)));
+    }
+
+    private Change update(ListUpdate update) {
+        return told(membership.update(update, now, wall));
+    }
+
+    /** Does with it what the core does. */
+    private Change told(Change change) {
+        if (change.kind() != ListingKind.CHANGES) {
+            core.clear();
+        }
+        for (Core.Listed listed : change.entries()) {
+            core.put(listed.entry().host(), listed);
+        }
+        return change;
+    }
+
+    private void pass(long micros) {
+        now += micros;
+        wall += micros;
+    }
+
+    /** Ends the process and starts another, whose loop's clock begins anew. */
+    private void restart(long version, Core.Listed... known) {
+        membership = new EndpointMembership(store.stored, store);
+        now = SECOND;
+        core.clear();
+        told(membership.remembered(version, List.of(known)));
+    }
+
+    private void assertActive(String... names) {
+        assertEquals(
+                new TreeSet<>(Arrays.asList(names)),
+                core.values().stream()
+                        .filter(x -> x.entry().presence() == Presence.ACTIVE)
+                        .map(x -> x.entry().host())
+                        .collect(Collectors.toCollection(TreeSet::new)));
+    }
+
+    private Presence presence(String name) {
+        return core.get(name).entry().presence();
+    }
+
+    private static String logged(Runnable run) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(written, true, StandardCharsets.UTF_8));
+        try {
+            run.run();
+        } finally {
+            System.setErr(before);
+        }
+        return written.toString(StandardCharsets.UTF_8);
+    }
+
+    // ---- departures are heeded whatever list they are in
+
+    @Test
+    void departuresCountAtOnceWhateverTheIndexTheAgentAndTheOrder() {
+        whole(50, active("a"), active("b"), active("c"), active("d"), active("e"));
+        changes(51, leaving("a"));
+        assertActive("b", "c", "d", "e");
+        changes(40, left("b"));
+        assertActive("c", "d", "e");
+        changes(OTHER_AGENT, 3, leaving("c"));
+        assertActive("d", "e");
+        changes(EndpointMembership.NO_INDEX, leaving("d"));
+        assertActive("e");
+        assertEquals(Set.of("a", "b", "c", "d"), store.names());
+        assertEquals(4, membership.departureCount());
+    }
+
+    @Test
+    void anAbsenceFromAWholeListCountsWhateverItsIndex() {
+        whole(50, active("a"), active("b"), active("c"), active("d"));
+        assertEquals(
+                ListingKind.ALL,
+                whole(45, active("b"), active("c"), active("d")).kind());
+        assertActive("b", "c", "d");
+        whole(OTHER_AGENT, 2, active("c"), active("d"));
+        assertActive("c", "d");
+        whole(EndpointMembership.NO_INDEX, active("d"));
+        assertActive("d");
+        assertEquals(Set.of("a", "b", "c"), store.names());
+    }
+
+    @Test
+    void aListThatIsCutSaysNothingOfWhatItDoesNotName() {
+        whole(50, active("a"), active("b"));
+        Change cut = update(new ListUpdate(AGENT, 51, true, true, List.of(leaving("a")), Set.of()));
+        assertEquals(ListingKind.CHANGES, cut.kind());
+        assertActive("b");
+        assertTrue(membership.needsWholeList(now));
+    }
+
+    @Test
+    void anEntryThatCannotBeUsedTakesTheEndpointOut() {
+        whole(50, active("a"), active("b"));
+        Change change = unusable(51, false, "a");
+        assertEquals(
+                List.of("a"),
+                change.entries().stream().map(x -> x.entry().host()).toList());
+        assertEquals(Presence.LEAVING, presence("a"));
+        assertActive("b");
+        assertTrue(membership.needsWholeList(now));
+        unusable(52, true, "b");
+        assertEquals(Presence.LEAVING, presence("b"), "not absent: the list names it");
+        assertActive();
+    }
+
+    @Test
+    void anEntryThatCannotBeUsedAddsNoEndpoint() {
+        whole(50, active("a"));
+        assertEquals(List.of(), unusable(51, false, "b").entries());
+        assertActive("a");
+        changes(50, active("b"));
+        assertActive("a");
+        whole(51, active("a"), active("b"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void anEntryThatCannotBeUsedBesideOneThatCanTakesTheEndpointOut() {
+        whole(50, active("a"), active("b"));
+        unusable(51, false, "a", active("a"));
+        assertActive("b");
+        unusable(51, false, "b", left("b"));
+        assertEquals(Presence.LEFT, presence("b"));
+    }
+
+    // ---- what brings an endpoint back
+
+    @Test
+    void aListThatWasOvertakenBringsNothingBack() {
+        whole(50, active("a"), active("b"));
+        changes(51, leaving("a"));
+        changes(52, left("a"));
+        changes(50, active("a"));
+        assertActive("b");
+        whole(50, active("a"), active("b"));
+        assertActive("b");
+        assertEquals(Presence.LEAVING, presence("a"));
+        changes(52, active("a"));
+        assertActive("b");
+        changes(53, active("a"));
+        assertActive("a", "b");
+        assertEquals(Set.of(), store.names());
+    }
+
+    @Test
+    void anAbsenceHoldsBackTheListsBeforeItToo() {
+        whole(40, active("a"), active("b"));
+        changes(41, left("a"));
+        whole(50, active("b"));
+        changes(45, active("a"));
+        assertActive("b");
+        changes(51, active("a"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void aDepartureThatIsRepeatedHoldsBackTheListsBeforeItToo() {
+        whole(40, active("a"));
+        changes(41, leaving("a"));
+        changes(50, leaving("a"));
+        changes(45, active("a"));
+        assertActive();
+        changes(45, leaving("a"));
+        changes(50, active("a"));
+        assertActive();
+    }
+
+    @Test
+    void aDiscoveryThatCountsAnewIsBelievedAfterAMinute() {
+        whole(50, active("a"), active("b"));
+        changes(51, leaving("a"));
+        whole(2, active("a"), active("b"));
+        assertActive("b");
+        pass(KEPT - 1);
+        assertFalse(membership.needsWholeList(now));
+        whole(3, active("a"), active("b"));
+        assertActive("b");
+        pass(1);
+        assertTrue(membership.needsWholeList(now), "changes would not tell it again");
+        whole(3, active("a"), active("b"));
+        assertActive("a", "b");
+        assertFalse(membership.needsWholeList(now));
+    }
+
+    @Test
+    void aDepartureOfTheNewCountHoldsBackItsOlderLists() {
+        whole(50, active("a"));
+        changes(51, left("a"));
+        pass(KEPT - SECOND);
+        changes(5, leaving("a"));
+        pass(SECOND);
+        changes(4, active("a"));
+        assertActive();
+        changes(6, active("a"));
+        assertActive("a");
+    }
+
+    @Test
+    void anotherAgentBringsNothingBackForAMinute() {
+        whole(50, active("a"), active("b"));
+        changes(51, leaving("a"));
+        whole(OTHER_AGENT, 48, active("a"), active("b"));
+        assertActive("b");
+        changes(OTHER_AGENT, 90, active("a"));
+        assertActive("b");
+        pass(KEPT);
+        whole(OTHER_AGENT, 90, active("a"), active("b"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void theDeparturesOfSeveralAgentsAllCount() {
+        whole(50, active("a"));
+        changes(51, leaving("a"));
+        changes(OTHER_AGENT, 7, leaving("a"));
+        changes(OTHER_AGENT, 8, active("a"));
+        assertActive();
+        changes(52, active("a"));
+        assertActive();
+        pass(KEPT);
+        changes(OTHER_AGENT, 6, left("a"));
+        changes(OTHER_AGENT, 8, active("a"));
+        assertActive("a");
+    }
+
+    @Test
+    void manyCountsOfOneAgentAreBounded() {
+        whole(100, active("a"));
+        for (int index = 99; index > 50; index--) {
+            changes(index, leaving("a"));
+        }
+        assertTrue(store.stored.size() <= 4, "positions: " + store.stored.size());
+        changes(99, active("a"));
+        assertActive();
+        changes(100, active("a"));
+        assertActive("a");
+    }
+
+    @Test
+    void manyAgentsAreBounded() {
+        whole(100, active("a"));
+        for (int agent = 0; agent < 50; agent++) {
+            changes("10.0.1." + agent, 7, leaving("a"));
+        }
+        assertTrue(store.stored.size() <= 4, "positions: " + store.stored.size());
+        changes("10.0.1.49", 8, active("a"));
+        assertActive();
+        pass(KEPT);
+        changes("10.0.1.3", 2, active("a"));
+        assertActive("a");
+    }
+
+    @Test
+    void aDisputeWithOneAgentIsNoneWithAnother() {
+        whole(48, active("a"));
+        changes(49, left("a"));
+        unusable(OTHER_AGENT, 7, "a");
+        whole(50);
+        pass(KEPT - 1);
+        changes(OTHER_AGENT, 7, active("a"));
+        changes(50, active("a"));
+        assertActive();
+        changes(51, leaving("a"));
+        pass(1);
+        changes(52, active("a"));
+        assertActive("a");
+    }
+
+    @Test
+    void aListWithoutAnIndexBringsNothingBack() {
+        whole(50, active("a"), active("b"));
+        changes(51, leaving("a"));
+        changes(53);
+        changes(EndpointMembership.NO_INDEX, active("a"));
+        assertActive("b");
+        changes(EndpointMembership.NO_INDEX, leaving("b"));
+        changes(53, active("b"));
+        assertActive();
+        changes(54, active("a"), active("b"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void aListWithoutAnIndexThatLeavesAnEndpointOutGivesWayToTheNextSoundOne() {
+        whole(48, active("a"), active("b"));
+        changes(50);
+        whole(EndpointMembership.NO_INDEX, active("b"));
+        assertActive("b");
+        assertTrue(membership.needsWholeList(now));
+        whole(50, active("a"), active("b"));
+        assertActive("a", "b");
+    }
+
+    // ---- endpoints that have not departed
+
+    @Test
+    void whatNeverDepartedIsActiveWhateverTheIndex() {
+        whole(50, active("a"));
+        changes(45, active("a"), active("b"));
+        changes(OTHER_AGENT, 1, active("c"));
+        changes(EndpointMembership.NO_INDEX, active("d"));
+        assertActive("a", "b", "c", "d");
+    }
+
+    @Test
+    void anEndpointThatAnOvertakenListLeftOutComesBackWithTheNext() {
+        whole(50, active("a"), active("b"));
+        whole(45, active("a"));
+        assertActive("a");
+        changes(46, active("b"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void changesOfAnOlderListCallForTheWholeList() {
+        whole(50, active("a"));
+        assertFalse(membership.needsWholeList(now));
+        changes(45, active("b"));
+        assertTrue(membership.needsWholeList(now));
+        whole(50, active("a"), active("b"));
+        assertFalse(membership.needsWholeList(now));
+    }
+
+    @Test
+    void aWholeListThatContradictsOneOfTheSameIndexGivesWayToTheNext() {
+        whole(50, active("a"), active("b"));
+        whole(50, active("a"));
+        assertActive("a");
+        assertTrue(membership.needsWholeList(now));
+        whole(50, active("a"));
+        whole(50, active("a"), active("b"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void aSoundAbsenceHoldsBackListsOfTheSameIndex() {
+        whole(49, active("a"), active("b"));
+        whole(50, active("a"));
+        changes(50, active("b"));
+        assertActive("a");
+        changes(51, active("b"));
+        assertActive("a", "b");
+    }
+
+    // ---- entries twice
+
+    @Test
+    void ofTwoEntriesTheMostCautiousCounts() {
+        whole(50, active("a"), active("b"), active("c"));
+        changes(51, active("a"), leaving("a"), left("b"), active("b"), leaving("c"), left("c"), active("c"));
+        assertActive();
+        assertEquals(Presence.LEAVING, presence("a"));
+        assertEquals(Presence.LEFT, presence("b"));
+        assertEquals(Presence.LEFT, presence("c"));
+        assertTrue(membership.needsWholeList(now));
+        whole(51, active("a"), active("b"), active("c"));
+        assertActive("a", "b", "c");
+        assertFalse(membership.needsWholeList(now));
+    }
+
+    @Test
+    void twoAddressesOrDestinationsTakeTheEndpointOut() {
+        whole(50, active("a"), active("b"), active("c"));
+        changes(51, active("a"), listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP));
+        changes(51, active("b"), listed("b", Presence.ACTIVE, "10.1.0.1:b", GROUP + 1));
+        assertActive("c");
+        whole(51, active("a"), active("b"), active("c"));
+        assertActive("a", "b", "c");
+    }
+
+    @Test
+    void theSameEntryTwiceIsOne() {
+        Change change = whole(50, active("a"), active("a"));
+        assertEquals(1, change.entries().size());
+        assertActive("a");
+        assertFalse(membership.needsWholeList(now));
+    }
+
+    @Test
+    void entriesTwiceAreLoggedInOneLine() {
+        Core.Listed[] twice =
+                IntStream.range(0, 200).mapToObj(i -> active("s" + i % 100)).toArray(Core.Listed[]::new);
+        String log = logged(() -> whole(50, twice));
+        assertEquals(1, log.lines().count(), log);
+        assertTrue(log.contains("s0, s1, s2, s3, s4 and 95 others"), log);
+    }
+
+    @Test
+    void aListThatStaysDoubtfulIsAskedForAnewOnlyOnce() {
+        unusable(50, true, "a", active("b"));
+        assertTrue(membership.needsWholeList(now));
+        unusable(50, true, "a", active("b"));
+        assertFalse(membership.needsWholeList(now));
+        unusable(51, true, "a", active("b"));
+        assertTrue(membership.needsWholeList(now));
+    }
+
+    // ---- addresses and destinations
+
+    @Test
+    void anAddressOrDestinationThatChangesCountsInOrder() {
+        whole(50, active("a"), active("b"));
+        changes(51, listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP), listed("b", Presence.ACTIVE, "10.1.0.1:b", 8));
+        assertEquals("10.9.9.9:1", core.get("a").endpoint().address());
+        assertEquals(8, core.get("b").entry().destination());
+        assertActive("a", "b");
+    }
+
+    @Test
+    void anOlderListBringsNoOlderAddressBack() {
+        whole(50, active("a"));
+        Core.Listed moved = listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP + 1);
+        changes(51, moved);
+        whole(50, active("a"));
+        assertSame(moved, core.get("a"));
+        changes(51, active("a"));
+        assertSame(moved, core.get("a"));
+        whole(OTHER_AGENT, 99, active("a"));
+        assertSame(moved, core.get("a"));
+        changes(EndpointMembership.NO_INDEX, active("a"));
+        assertSame(moved, core.get("a"));
+        changes(52, active("a"));
+        assertEquals("10.1.0.1:a", core.get("a").endpoint().address());
+    }
+
+    @Test
+    void anAddressThatWasConfirmedLaterHoldsBackTheListsInBetween() {
+        Core.Listed moved = listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP);
+        whole(50, moved);
+        whole(55, moved);
+        whole(52, moved);
+        changes(53, active("a"));
+        assertEquals("10.9.9.9:1", core.get("a").endpoint().address());
+    }
+
+    @Test
+    void anotherAgentsAddressCountsAfterAMinute() {
+        whole(50, active("a"));
+        Core.Listed moved = listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP);
+        whole(OTHER_AGENT, 4, moved);
+        assertEquals("10.1.0.1:a", core.get("a").endpoint().address());
+        assertFalse(membership.needsWholeList(now));
+        pass(KEPT);
+        assertTrue(membership.needsWholeList(now));
+        whole(OTHER_AGENT, 4, moved);
+        assertSame(moved, core.get("a"));
+    }
+
+    @Test
+    void anAddressThatPassesToAnotherNameTakesTheFirstOneOut() {
+        whole(50, active("a"), active("b"));
+        changes(51, listed("c", Presence.ACTIVE, "10.1.0.1:a", GROUP));
+        assertActive("b", "c");
+        assertTrue(membership.needsWholeList(now));
+        whole(52, listed("d", Presence.ACTIVE, "10.1.0.1:b", GROUP), listed("c", Presence.ACTIVE, "10.1.0.1:a", GROUP));
+        assertActive("c", "d");
+        assertEquals(Set.of("a", "b"), store.names());
+    }
+
+    @Test
+    void anOlderListTakesNoAddressFromTheNameThatHasIt() {
+        whole(50, active("a"));
+        changes(45, listed("c", Presence.ACTIVE, "10.1.0.1:a", GROUP));
+        assertActive("a", "c");
+        assertTrue(membership.needsWholeList(now));
+    }
+
+    @Test
+    void namesThatOneListHasAtTheSameAddressStay() {
+        Core.Listed shared = listed("c", Presence.ACTIVE, "10.1.0.1:a", GROUP);
+        whole(50, active("a"), shared);
+        changes(51, shared);
+        changes(52, active("a"));
+        assertActive("a", "c");
+        changes(53, listed("e", Presence.ACTIVE, "10.1.0.1:a", GROUP), active("a"), shared);
+        assertActive("a", "c", "e");
+    }
+
+    @Test
+    void anAddressIsTakenFromNobodyWhoHasLeftIt() {
+        whole(50, active("a"), active("b"));
+        changes(51, listed("a", Presence.ACTIVE, "10.9.9.9:1", GROUP));
+        changes(52, left("b"));
+        changes(
+                53,
+                listed("c", Presence.ACTIVE, "10.1.0.1:a", GROUP),
+                listed("d", Presence.ACTIVE, "10.1.0.1:b", GROUP));
+        assertActive("a", "c", "d");
+    }
+
+    // ---- what is told
+
+    @Test
+    void kindsAndVersionsAreThoseOfTheList() {
+        Change all = whole(50, active("a"));
+        assertEquals(ListingKind.ALL, all.kind());
+        assertEquals(50, all.version());
+        Change none = changes(51);
+        assertEquals(ListingKind.CHANGES, none.kind());
+        assertEquals(51, none.version());
+        assertEquals(List.of(), none.entries());
+        assertEquals(51, changes(EndpointMembership.NO_INDEX, active("b")).version());
+    }
+
+    @Test
+    void nothingIsCopiedOfWhatIsBelieved() {
+        Core.Listed a = active("a");
+        assertSame(a, whole(50, a).entries().get(0));
+    }
+
+    @Test
+    void whatIsWithheldIsLoggedInOneLine() {
+        Core.Listed[] leaving =
+                IntStream.range(0, 100).mapToObj(i -> leaving("s" + i)).toArray(Core.Listed[]::new);
+        Core.Listed[] active =
+                IntStream.range(0, 100).mapToObj(i -> active("s" + i)).toArray(Core.Listed[]::new);
+        whole(50, leaving);
+        String log = logged(() -> whole(45, active));
+        assertEquals(1, log.lines().count(), log);
+        assertTrue(log.contains("list 45 of " + AGENT) && log.contains("and 95 others"), log);
+        assertEquals("", logged(() -> whole(46, active)), "each is logged once");
+    }
+
+    // ---- what outlasts the process
+
+    @Test
+    void aStaleKnownListBringsNothingBackAfterARestart() {
+        whole(50, active("a"), active("b"));
+        changes(51, leaving("a"));
+        assertEquals(List.of(new Departure("a", AGENT, 51, WALL)), store.stored);
+        restart(50, active("a"), active("b"));
+        assertActive("b");
+        assertEquals(Presence.LEAVING, presence("a"));
+        assertTrue(membership.contradictsKnown());
+        assertTrue(membership.needsWholeList(now));
+        changes(51);
+        assertTrue(membership.contradictsKnown());
+        whole(51, leaving("a"), active("b"));
+        assertFalse(membership.contradictsKnown());
+        assertActive("b");
+        changes(52, active("a"));
+        assertActive("a", "b");
+        assertEquals(List.of(), store.stored);
+        restart(50, active("a"), active("b"));
+        assertActive("a", "b");
+        assertFalse(membership.contradictsKnown());
+    }
+
+    @Test
+    void theKnownListIsOverlaidHoweverOldTheDepartureIsAndWhateverItsIndex() {
+        store.stored = List.of(new Departure("a", AGENT, 51, 0));
+        restart(99, active("a"), active("b"));
+        assertActive("b");
+    }
+
+    @Test
+    void aDepartureCountsForAMinuteAfterARestartHoweverTheWallClockWasSet() {
+        for (long step : new long[] {-3_600 * SECOND, 0, 3_600 * SECOND}) {
+            store.stored = List.of(new Departure("a", AGENT, 51, WALL));
+            wall = WALL + step;
+            restart(50, active("a"));
+            whole(OTHER_AGENT, 50, active("a"));
+            assertActive();
+            pass(KEPT - 1);
+            whole(OTHER_AGENT, 50, active("a"));
+            assertActive();
+            pass(1);
+            whole(OTHER_AGENT, 50, active("a"));
+            assertActive("a");
+        }
+    }
+
+    @Test
+    void whatTheKnownListCallsLeavingComesBackWithALaterListOfAnyAgent() {
+        restart(50, leaving("a"), active("b"));
+        assertActive("b");
+        changes(50, active("a"));
+        assertActive("b");
+        changes(OTHER_AGENT, 51, active("a"));
+        assertActive("a", "b");
+    }
+
+    @Test
+    void anEndpointThatTheKnownListHasAndTheWholeOneHasNotIsGone() {
+        restart(50, active("a"), active("b"));
+        whole(60, active("b"));
+        assertActive("b");
+        assertEquals(Set.of("a"), store.names());
+    }
+
+    @Test
+    void nothingIsStoredThatHasNotChanged() {
+        whole(50, active("a"), active("b"));
+        assertEquals(0, store.calls);
+        changes(51, leaving("a"));
+        assertEquals(1, store.calls);
+        pass(SECOND);
+        changes(51, leaving("a"));
+        changes(52);
+        changes(50, active("a"));
+        changes(53, active("b"));
+        assertEquals(1, store.calls);
+        whole(53, leaving("a"), active("b"));
+        assertEquals(2, store.calls, "from another index on");
+        whole(53, leaving("a"), active("b"));
+        assertEquals(2, store.calls);
+    }
+
+    @Test
+    void aStoreThatFailsIsLoggedOnceAndTriedAgain() {
+        whole(50, active("a"), active("b"), active("c"));
+        store.fails = true;
+        String log = logged(() -> changes(51, leaving("a")));
+        assertTrue(log.contains("No space left on device"), log);
+        assertActive("b", "c");
+        assertEquals("", logged(() -> changes(52, leaving("b"))));
+        assertActive("c");
+        assertEquals(2, membership.departureCount());
+        changes(51, active("a"));
+        assertActive("c");
+        store.fails = false;
+        changes(52);
+        assertEquals(Set.of("a", "b"), store.names());
+        changes(53, leaving("c"));
+        assertEquals(Set.of("a", "b", "c"), store.names());
+        store.fails = true;
+        assertFalse(logged(() -> changes(54, active("c"))).isEmpty(), "it had worked in between");
+    }
+
+    @Test
+    void departuresAreBoundedAndTheOldestGoFirst() {
+        int most = 4_096;
+        for (int i = 0; i < most + 3; i++) {
+            changes(i, left("s" + i));
+        }
+        assertEquals(most, membership.departureCount());
+        assertEquals(most, store.stored.size());
+        assertEquals("s3", store.stored.get(0).name());
+        assertEquals("s" + (most + 2), store.stored.get(most - 1).name());
+    }
+
+    // ---- many endpoints
+
+    @Test
+    void aChangeInALargeListTouchesNoOtherEndpoint() {
+        int many = 3_200;
+        Core.Listed[] all =
+                IntStream.range(0, many).mapToObj(i -> active("s" + i)).toArray(Core.Listed[]::new);
+        whole(1, all);
+        Map<String, Core.Listed> before = new HashMap<>(core);
+        List<Core.Listed> told = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            told.addAll(changes(2 + i, leaving("s" + i)).entries());
+        }
+        assertEquals(100, told.size());
+        for (int i = 100; i < many; i++) {
+            assertSame(before.get("s" + i), core.get("s" + i));
+        }
+    }
+}
