--- /dev/null
+++ b/src/main/java/lilaclever/program/DepartureNote.java
@@ -0,0 +1,129 @@
+package lilaclever.program;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import lilaclever.conf.ConfigurationException;
+import lilaclever.log.Logs;
+import lilaclever.routing.EndpointMembership.Departure;
+
+/**
+ * The file of endpoints that were heard to leave, in the state folder: {@code departures}, oldest first. A line has the
+ * endpoint's name, the agent's address, the index of the list and the time of the wall clock in microseconds, separated
+ * by tabs; name and address are percent-encoded. Where there is no room for all, the oldest are left out.
+ */
+final class DepartureNote {
+    /** What the file and the one that is written beside it take on disk at most. */
+    public static final long NOTE_BYTES = 96 * 1024;
+
+    static final String FILE = "departures";
+    /** Bytes of the file at most: some 900 endpoints. */
+    static final int FILE_BYTES = (int) NOTE_BYTES / 2;
+    /** Bytes of a line at most, with its end. */
+    static final int LINE_BYTES = 512;
+
+    private static final int FIELDS = 4;
+
+    private DepartureNote() {}
+
+    /**
+     * Reads the file in the folder; what is damaged is logged and passed over.
+     *
+     * @throws ConfigurationException if there is a file that can't be read: a start without it could send to what left
+     */
+    static List<Departure> read(Path state) throws ConfigurationException {
+        Path file = state.resolve(FILE);
+        try (InputStream in = Files.newInputStream(file)) {
+            byte[] bytes = in.readNBytes(FILE_BYTES + 1);
+            if (bytes.length > FILE_BYTES) {
+                skipped(file, "is longer than " + FILE_BYTES + " bytes, the rest is passed over");
+            }
+            return parse(file, new String(bytes, StandardCharsets.US_ASCII));
+        } catch (NoSuchFileException e) {
+            return List.of();
+        } catch (IOException e) {
+            throw new ConfigurationException("state", FILE + " can't be read: " + e);
+        }
+    }
+
+    private static List<Departure> parse(Path file, String text) {
+        List<Departure> departures = new ArrayList<>();
+        int number = 1;
+        int end;
+        for (int from = 0; from < text.length(); from = end + 1, number++) {
+            end = text.indexOf('\n', from);
+            if (end < 0) {
+                skipped(file, "line " + number + " has no end");
+                break;
+            }
+            try {
+                departures.add(departure(text.substring(from, end)));
+            } catch (IllegalArgumentException e) {
+                skipped(file, "line " + number + " is passed over: " + e.getMessage());
+            }
+        }
+        return departures;
+    }
+
+    private static Departure departure(String line) {
+        String[] fields = line.split("\t", -1);
+        if (fields.length != FIELDS || fields[0].isEmpty() || fields[1].isEmpty()) {
+            throw new IllegalArgumentException("not a name, an agent, an index and a time");
+        }
+        return new Departure(
+                decoded(fields[0]), decoded(fields[1]), Long.parseLong(fields[2]), Long.parseLong(fields[3]));
+    }
+
+    private static void skipped(Path file, String problem) {
+        Logs.warn("", "departures-damaged", file + " " + problem);
+    }
+
+    /** Replaces the file in the folder. A line that would be too long is left out; of the others the oldest are. */
+    static void write(Path state, List<Departure> departures) throws IOException {
+        List<String> lines = new ArrayList<>(departures.size());
+        int bytes = 0;
+        int left = 0;
+        for (int i = departures.size() - 1; i >= 0; i--) {
+            String line = line(departures.get(i));
+            boolean fits = line.length() <= LINE_BYTES && bytes + line.length() <= FILE_BYTES;
+            if (fits) {
+                bytes += line.length();
+                lines.add(line);
+            } else {
+                left++;
+            }
+        }
+        if (left > 0) {
+            Logs.warn("", "departures-too-many", left + " endpoints that have left do not fit into " + FILE);
+        }
+        Collections.reverse(lines);
+        Config.note(state, FILE, String.join("", lines));
+    }
+
+    private static String line(Departure departure) {
+        return encoded(departure.name())
+                + '\t'
+                + encoded(departure.agent())
+                + '\t'
+                + departure.index()
+                + '\t'
+                + departure.atMicros()
+                + '\n';
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private static String decoded(String text) {
+        return URLDecoder.decode(text, StandardCharsets.UTF_8);
+    }
+}
