--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -29,6 +29,8 @@
     /** Once a first line is here the rest follows at once, or the answer is spoilt. */
     private static final long REST_BY = 250_000;
 
+    private static final int TOO_LARGE = 413;
+
     /** How a request went; one of the two is called, once, on the loop thread. */
     interface Listener {
         /** The whole answer is here. */
@@ -65,10 +67,21 @@
         default void withheld() {}
     }
 
+    /**
+     * What had come of an answer that is not whole.
+     *
+     * @param status what its first line says
+     * @param headers by lower-case name, as far as they came
+     * @param body as far as it came, up to the client's bound
+     * @param isTooLarge whether it was refused because its body is longer than the bound
+     */
+    record PartialAnswer(int status, Map<String, String> headers, byte[] body, boolean isTooLarge) {}
+
     private final Core core;
     private final Transport transport;
     private final long connectMicros;
     private final int mostAnswer;
+    private final boolean keepsPartialAnswers;
     private final ConnectionPool<Connection<?>> pool;
     private final FilterChain chain = Transport.chain(new AnswerFilter());
     private final Attribute<Link> links;
@@ -84,6 +97,24 @@
             long keepAliveMicros,
             int mostIdle,
             int mostAnswer) {
+        this(core, transport, name, connectMicros, keepAliveMicros, mostIdle, mostAnswer, false);
+    }
+
+    /**
+     * The same. {@code keepsPartialAnswers}: what had come of an answer that breaks off, is given up or is too large
+     * is kept for the owner of its request ({@link Exchange#partialAnswer}), who alone bounds the time that an answer
+     * may take.
+     */
+    HttpClient(
+            Core core,
+            Transport transport,
+            String name,
+            long connectMicros,
+            long keepAliveMicros,
+            int mostIdle,
+            int mostAnswer,
+            boolean keepsPartialAnswers) {
+        this.keepsPartialAnswers = keepsPartialAnswers;
         this.core = core;
         this.transport = transport;
         this.connectMicros = connectMicros;
@@ -123,7 +154,7 @@
     /** A connection, and what is read from it. Selector thread. */
     private final class Link {
         private final Connection<?> connection;
-        private final MessageReader reader = new MessageReader(true, mostAnswer);
+        private final MessageReader reader = new MessageReader(true, mostAnswer, keepsPartialAnswers);
         private volatile Exchange current;
         /** More came than was asked for: nobody may ask here again. */
         private volatile boolean spoilt;
@@ -173,11 +204,20 @@
                 }
             } catch (MessageReader.Spoilt e) {
                 exchange.status = exchange.written ? reader.status() : 0;
+                keepPartial(exchange, e.status == TOO_LARGE);
                 head(exchange);
                 refuse();
             }
         }
 
+        /** Keeps what has come of the answer, before the connection is closed. Selector thread. */
+        private void keepPartial(Exchange exchange, boolean isTooLarge) {
+            if (keepsPartialAnswers && exchange.written && exchange.partialAnswer == null && reader.status() != 0) {
+                exchange.partialAnswer =
+                        new PartialAnswer(reader.status(), reader.headers(), reader.body(), isTooLarge);
+            }
+        }
+
         private void refuse() {
             spoilt = true;
             connection.closeSilently();
@@ -216,6 +256,7 @@
             if (exchange != null && exchange.written && remotely && reader.status() != 0 && reader.ends()) {
                 complete(exchange, false);
             } else if (exchange != null) {
+                keepPartial(exchange, false);
                 core.post(exchange::broke);
             }
         }
@@ -239,6 +280,8 @@
         private volatile boolean written;
 
         private volatile int status;
+        /** What had come of an answer that is not whole; null if nothing had, or nobody wants it. */
+        private volatile PartialAnswer partialAnswer;
         /** Its connection was closed before its last byte was written, since it might not go out any more. */
         private volatile boolean cut;
 
@@ -351,6 +394,9 @@
 
         /** The first line is here. Selector thread. */
         private void begun() {
+            if (keepsPartialAnswers) {
+                return; // the owner bounds the whole span of the answer
+            }
             core.post(() -> {
                 if (!done) {
                     core.deadlines().cancel(due);
@@ -419,6 +465,14 @@
             return fresh;
         }
 
+        /**
+         * What had come of an answer that is not whole, once it broke off or was given up; null if nothing had, or this
+         * client keeps none.
+         */
+        PartialAnswer partialAnswer() {
+            return partialAnswer;
+        }
+
         /** What the first line of the answer has said so far; else 0. */
         int status() {
             return status;
@@ -446,6 +500,9 @@
                 return;
             }
             Transport.afterReading(open.connection, () -> {
+                if (open.current == this) {
+                    open.keepPartial(this, false);
+                }
                 open.connection.terminateSilently(); // on this thread nothing is being written meanwhile
                 core.post(this::givenUp);
             });
--- a/src/main/java/lilaclever/protocol/http/MessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/MessageReader.java
@@ -42,6 +42,9 @@
 
     private final boolean answers;
     private final int mostBody;
+    /** Whether a body over the bound is taken up to it before the message is refused. */
+    private final boolean readsUpToBound;
+
     private Part part = Part.FIRST;
     private byte[] line = NOTHING;
     private int lineLength;
@@ -55,8 +58,17 @@
 
     /** Reads answers or else requests, with bodies up to so many bytes. */
     MessageReader(boolean answers, int mostBody) {
+        this(answers, mostBody, false);
+    }
+
+    /**
+     * The same. {@code readsUpToBound}: a body that is longer is taken up to the bound and refused there, also where
+     * its head announces the length; else it is refused from the head.
+     */
+    MessageReader(boolean answers, int mostBody, boolean readsUpToBound) {
         this.answers = answers;
         this.mostBody = mostBody;
+        this.readsUpToBound = readsUpToBound;
     }
 
     /** Takes bytes up to the end of the message; gives where the next one begins. */
@@ -85,8 +97,15 @@
 
     private void gather(byte[] in, int from, int size) throws Spoilt {
         if (bodyLength + size > mostBody) {
+            if (readsUpToBound) {
+                append(in, from, mostBody - bodyLength);
+            }
             throw new Spoilt(413, "a body of more than " + mostBody + " bytes");
         }
+        append(in, from, size);
+    }
+
+    private void append(byte[] in, int from, int size) {
         if (bodyLength + size > body.length) {
             // It grows with what has come, not with what is announced.
             body = Arrays.copyOf(body, Math.min(mostBody, Math.max(2 * body.length, bodyLength + size)));
@@ -236,7 +255,7 @@
             headLength = 0;
         } else if (length != null) {
             left = number(length);
-            if (left > mostBody) {
+            if (left > mostBody && !readsUpToBound) {
                 throw new Spoilt(413, "a body of more than " + mostBody + " bytes");
             }
             part = left == 0 ? Part.COMPLETE : Part.FIXED;
@@ -269,7 +288,7 @@
             throw new Spoilt(413, "a chunk that is too large");
         }
         left = Long.parseLong(size, 16);
-        if (bodyLength + left > mostBody) {
+        if (bodyLength + left > mostBody && !readsUpToBound) {
             throw new Spoilt(413, "a body of more than " + mostBody + " bytes");
         }
         part = left == 0 ? Part.TRAILER : Part.CHUNK;
