--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -57,7 +57,7 @@
 
     private static final String SUSPENDED = "suspended";
     /** Descriptors that the machine itself needs, and some for files of the journal. */
-    private static final int OWN_SOCKETS = 36, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
+    private static final int OWN_SOCKETS = 40, IDLE_PART = 4, CROWD_PART = 6, MAIL_PART = 16;
 
     /** Reads the configuration that the variables name, for a start. */
     static Config read(Map<String, String> variables) throws ConfigurationException {
@@ -107,7 +107,7 @@
 
     /** What the notes take on disk. */
     long noteBytes() {
-        return NOTE_BYTES + classesBytes() + (operator == null ? 0 : SUSPENDED_BYTES);
+        return NOTE_BYTES + classesBytes() + DepartureNote.NOTE_BYTES + (operator == null ? 0 : SUSPENDED_BYTES);
     }
 
     /** Ids of endpoints that were taken out by hand in an earlier life. */
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -27,6 +27,7 @@
 import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
+import lilaclever.routing.EndpointMembership;
 import lilaclever.routing.ManualDrains;
 import lilaclever.transport.Transport;
 
@@ -71,6 +72,9 @@
         ManualDrains suspensions = new ManualDrains(core, config.suspended(), ids -> Config.noteSuspended(state, ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
+        EndpointMembership membership =
+                new EndpointMembership(DepartureNote.read(state), departures -> DepartureNote.write(state, departures));
+        counters.gauge("departed", membership::departureCount);
         directory = new Directory(
                 core,
                 transport,
@@ -79,6 +83,7 @@
                 new Directory.Names(config.kinds(), config.zones(), settings.kinds()),
                 connect,
                 keep,
+                membership,
                 suspensions::listing);
         front = new HttpFront(
                 core,
@@ -102,11 +107,14 @@
         }
         Directory.Known known = config.known() == null ? null : directory.known(config.known());
         deliverer.start();
-        directory.start(known == null ? -1 : known.index());
+        List<Core.Listed> listed = known == null ? List.of() : known.listed();
+        directory.start(known == null ? -1 : known.index(), listed);
         long version = known == null ? 0 : known.index();
         core.start(
                 suspensions.heard(
-                        DecisionModule.ListingKind.REMEMBERED, version, known == null ? List.of() : known.listed()),
+                        DecisionModule.ListingKind.REMEMBERED,
+                        version,
+                        listed.stream().map(Forwarder::leaving).toList()),
                 version);
         addresses.add(front.listen(transport, Transport.address(config.listen())));
         if (config.operator() != null) {
@@ -120,6 +128,13 @@
         }
     }
 
+    /** Until discovery has answered nothing new goes to an endpoint that is only known. */
+    private static Core.Listed leaving(Core.Listed listed) {
+        return listed.entry().presence() == DecisionModule.Presence.ACTIVE
+                ? listed.withPresence(DecisionModule.Presence.LEAVING)
+                : listed;
+    }
+
     private static void figures(SegmentedJournal journal, Counters counters) {
         counters.gauge("unwritten", journal::unwritten);
         counters.figure("journal_files", journal::files);
--- a/src/main/java/lilaclever/protocol/http/Directory.java
+++ b/src/main/java/lilaclever/protocol/http/Directory.java
@@ -1,49 +1,34 @@
 package lilaclever.protocol.http;
 
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import lilaclever.DecisionModule;
-import lilaclever.log.Logs;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
+import lilaclever.routing.EndpointMembership;
 import lilaclever.transport.Transport;
 
-/** Watches the platform's list of endpoints. Loop thread. */
+/**
+ * Watches the platform's list of endpoints and tells its changes. How the agents are asked is {@link DiscoveryWatch}'s,
+ * what is believed of their answers {@link EndpointMembership}'s. Loop thread.
+ */
 public final class Directory {
     /**
-     * A change counts as told 6 s after discovery had it, also where the watch that should bring it has fallen silent.
-     * A watch that waits for a third of that leaves time to find out, and to ask again some times. One that brings
-     * nothing costs nothing.
+     * What the agent has counts as told from the first moment of a new process, so the known list alone, which may
+     * name endpoints that have left since, must not be acted upon while the agent may still answer. An agent answers
+     * at once; one that has not in this time is slow or down, and messages can't wait for it much longer.
      */
-    private static final long WAIT = 2_000_000;
-
-    private static final long ANSWER_BY = WAIT + 400_000;
-    /** What is answered at once or, while discovery is down, not at all; its return counts as told at once. */
-    private static final long LOOK_WAIT = 1_000, LOOK_BY = 300_000;
-    /** A list older than the one held is passed over for so long; then discovery counts anew. */
-    private static final long OLDER_FOR = 60_000_000;
-    /** After an answer, also one that can't be read: well within the 200 ms in which the next call must come. */
-    private static final long PAUSE = 50_000;
-    /**
-     * The longest pause where no connection comes up or it is closed with no answer. To ask costs processor time on
-     * every forwarder; a directory that is back is noticed after this at the latest, as one that was silent is ({@link
-     * #LOOK_BY}).
-     */
-    private static final long LONGEST_PAUSE = 300_000;
-    /** A list of 20,000 endpoints; room is taken as it comes. */
-    private static final int MOST_ANSWER = 4 << 20;
+    static final long FIRST_ANSWER_WAIT = 1_500_000;
+
+    private static final int MOST_IDLE = 1;
 
     /** Who hears what the list says. */
     public interface Listener {
-        /** News of the list. */
-        void listing(DecisionModule.ListingKind kind, long version, List<Core.Listed> news);
+        /** A change of the list; the first one is the remembered list. */
+        void listing(DecisionModule.ListingKind kind, long version, List<Core.Listed> entries);
     }
 
     /** A list as the platform writes it. */
@@ -53,24 +38,19 @@
     private final HttpClient client;
     private final Deliverer deliverer;
     private final Names names;
+    private final EndpointMembership membership;
     private final Listener listener;
-    private String address;
-    /** The version of the list held; -1 before there is one. */
-    private long index = -1;
-    /**
-     * No call has been answered yet, or the last one has failed: the next must tell at once whether discovery is there.
-     */
-    private boolean doubtful = true;
-    /** What came can't be built on: the whole list is needed. */
-    private boolean lost;
-    /** Since when discovery tells older lists; 0 if it does not. */
-    private long olderSince;
-
-    private final RetryPause unanswered = new RetryPause(PAUSE, LONGEST_PAUSE, new SplittableRandom());
-    /** The call that is out, and when it is given up or made again. */
-    private HttpClient.Exchange asking;
-
-    private Deadlines.Key again;
+    private final SplittableRandom random = new SplittableRandom();
+    /** The watch at the address in force. */
+    private DiscoveryWatch current;
+    /** The watch at an earlier address whose agent has answered, until the one in force has; else null. */
+    private DiscoveryWatch previous;
+    /** Whether the agent of the address in force has answered: where no version was known, with its whole list. */
+    private boolean isCurrentConfirmed;
+    /** What is told once the first answer is here, or is waited for no longer; null from then on. */
+    private List<EndpointMembership.Change> withheld = new ArrayList<>();
+
+    private Deadlines.Key firstAnswerDue;
 
     /** What the settings call kinds and zones, in order, and what they say of each kind. */
     public record Names(List<String> kinds, List<String> zones, List<DecisionModule.Kind> ofKinds) {
@@ -81,7 +61,7 @@
         }
     }
 
-    /** Watches the list at the address. */
+    /** Watches the list at the address; {@code membership} decides what is believed of it. */
     public Directory(
             Core core,
             Transport transport,
@@ -90,122 +70,114 @@
             Names names,
             long connectMicros,
             long keepAliveMicros,
+            EndpointMembership membership,
             Listener listener) {
         this.core = core;
         this.listener = listener;
-        this.client = new HttpClient(core, transport, "directory", connectMicros, keepAliveMicros, 1, MOST_ANSWER);
-        this.address = address;
+        this.client = new HttpClient(
+                core,
+                transport,
+                "directory",
+                connectMicros,
+                keepAliveMicros,
+                MOST_IDLE,
+                DiscoveryWatch.MOST_ANSWER,
+                true);
         this.deliverer = deliverer;
         this.names = names;
+        this.membership = membership;
+        this.current = watchAt(address);
     }
 
-    /** Starts to watch after the list that is known; without one it is fetched whole. */
-    public void start(long knownIndex) {
-        index = knownIndex;
-        watch();
+    /**
+     * Starts to watch after the list that is known; {@code knownIndex} is below 0 where there is none, and the list is
+     * fetched whole. The known list is told as remembered with the first answer, or after {@link #FIRST_ANSWER_WAIT};
+     * nothing is told before.
+     */
+    public void start(long knownIndex, List<Core.Listed> known) {
+        withheld.add(membership.remembered(Math.max(0, knownIndex), known));
+        firstAnswerDue = core.deadlines().at(core.now() + FIRST_ANSWER_WAIT, this::tellWithheld);
+        current.start(Math.max(EndpointList.NO_VERSION, knownIndex));
     }
 
     /**
-     * Watches at the new address at once. Another agent may count other versions, so it is asked for the whole list:
-     * what is not in it has gone. Until it answers the list stays as it is.
+     * Watches at another address at once; the address in force changes nothing. The new agent may count other versions,
+     * so it is asked for the whole list: what is not in it has gone. Until it has given that, the agent that answered
+     * last is watched too.
      */
     public void move(String to) {
-        client.closeIdle(address);
-        address = to;
-        index = -1;
-        doubtful = true;
-        olderSince = 0;
-        unanswered.reset();
-        core.deadlines().cancel(again);
-        if (asking != null) {
-            asking.close();
+        if (to.equals(current.address())) {
+            return;
+        }
+        boolean isReturn = previous != null && to.equals(previous.address());
+        DiscoveryWatch next = isReturn ? previous : watchAt(to);
+        if (isCurrentConfirmed) {
+            previous = current;
+        } else {
+            current.close();
+            previous = isReturn ? null : previous;
+        }
+        current = next;
+        isCurrentConfirmed = isReturn;
+        if (!isReturn) {
+            current.start(EndpointList.NO_VERSION);
         }
-        watch();
     }
 
-    private void watch() {
-        boolean whole = index < 0 || lost;
-        boolean look = whole || doubtful;
-        String path = "/registry/instances"
-                + (whole ? "" : "?after=" + index + "&wait_ms=" + (look ? LOOK_WAIT : WAIT) / 1000);
-        again = core.deadlines().at(core.now() + (look ? LOOK_BY : ANSWER_BY), this::silent);
-        asking = client.send(address, address, "GET", path, Map.of(), new byte[0], new HttpClient.Listener() {
-            @Override
-            public void answered(int status, Map<String, String> headers, byte[] body) {
-                core.deadlines().cancel(again);
-                unanswered.reset();
-                try {
-                    if (status != 200) {
-                        throw new JsonParseException("answered with " + status);
-                    }
-                    heard(known(EndpointList.read(JsonParser.parseString(new String(body, StandardCharsets.UTF_8))
-                            .getAsJsonObject())));
-                } catch (JsonParseException
-                        | IllegalStateException
-                        | IllegalArgumentException
-                        | NullPointerException
-                        | UnsupportedOperationException e) {
-                    Logs.warn("directory", "unreadable", e.toString());
-                    lost = true;
-                    failed(PAUSE);
-                }
-            }
-
-            @Override
-            public void broke(boolean written, int status) {
-                core.deadlines().cancel(again);
-                if (status == 0) {
-                    failed(unanswered.next());
-                } else { // an answer that did not come whole is one all the same
-                    unanswered.reset();
-                    failed(PAUSE);
-                }
-            }
-        });
+    private DiscoveryWatch watchAt(String address) {
+        return new DiscoveryWatch(core, client, address, random, this::onList);
     }
 
-    /** The call has brought nothing in time: a watch that has fallen silent, or discovery is down. */
-    private void silent() {
-        if (asking.status() != 0) {
-            return; // its head is here, and the rest is due soon
+    private void onList(DiscoveryWatch source, EndpointList list, boolean isInOrder) {
+        EndpointMembership.Change change = membership.update(
+                new EndpointMembership.ListUpdate(
+                        source.address(),
+                        list.version(),
+                        list.isWhole(),
+                        list.isCut(),
+                        known(list).listed(),
+                        list.unusable()),
+                core.now(),
+                Core.wall());
+        if (membership.needsWholeList(core.now())) {
+            source.requestWholeList();
+        }
+        if (isInOrder) {
+            tellWithheld();
+        }
+        if (withheld != null) {
+            withheld.add(change);
+        } else {
+            tell(change);
+        }
+        if (source == current && isInOrder) {
+            confirmCurrent();
         }
-        asking.close();
-        doubtful = true;
-        watch();
     }
 
-    private void failed(long pause) {
-        doubtful = true;
-        again = core.deadlines().at(core.now() + pause, this::watch);
+    private void tellWithheld() {
+        core.deadlines().cancel(firstAnswerDue);
+        if (withheld != null) {
+            List<EndpointMembership.Change> changes = withheld;
+            withheld = null;
+            changes.forEach(this::tell);
+        }
     }
 
-    private void heard(Known news) {
-        doubtful = false;
-        if (isOlder(news)) {
-            Logs.warn("directory", "older", "version " + news.index() + " is older than " + index + ", which is held");
-            lost = true;
-            failed(LOOK_BY);
-            return;
-        }
-        olderSince = 0;
-        lost = false;
-        if (index < 0 || news.whole() || !news.listed().isEmpty()) {
-            listener.listing(
-                    news.whole() ? DecisionModule.ListingKind.ALL : DecisionModule.ListingKind.CHANGES,
-                    news.index(),
-                    news.listed());
+    private void tell(EndpointMembership.Change change) {
+        if (change.kind() != DecisionModule.ListingKind.CHANGES
+                || !change.entries().isEmpty()) {
+            listener.listing(change.kind(), change.version(), change.entries());
         }
-        index = news.index();
-        watch();
     }
 
-    /** A list that was overtaken on its way would bring back what has left. */
-    private boolean isOlder(Known news) {
-        if (index < 0 || news.index() >= index) {
-            return false;
+    /** The agent in force tells all that there is: the one before is needed no longer. */
+    private void confirmCurrent() {
+        isCurrentConfirmed = true;
+        if (previous != null) {
+            previous.close();
+            previous = null;
         }
-        olderSince = olderSince == 0 ? core.now() : olderSince;
-        return core.now() - olderSince < OLDER_FOR;
     }
 
     /** The list as this forwarder uses it: with the numbers of kinds and zones, and who delivers to each endpoint. */
--- a/src/main/java/lilaclever/protocol/http/EndpointList.java
+++ b/src/main/java/lilaclever/protocol/http/EndpointList.java
@@ -2,18 +2,30 @@
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import lilaclever.DecisionModule;
 
 /**
- * A list of endpoints in the platform's form, read into values: nothing of the JSON tree that it came from is kept.
+ * A list of endpoints in the platform's form, read into values: nothing of the text that it came from is kept.
  *
- * @param version grows with each change of the list
- * @param isWhole false where only changes since an earlier version are listed
+ * @param version grows with each change of the list; {@link #NO_VERSION} where it can't be read
+ * @param isWhole false where only changes since an earlier version are listed, or where that can't be read
+ * @param isCut whether entries may be missing behind the last one: what is not listed may be there all the same
+ * @param endpoints entries that can be used, in the list's order; a name that comes twice is here twice
+ * @param unusable names of entries that can't be used
+ * @param faults what could not be read; empty for a list in order
  */
-public record EndpointList(long version, boolean isWhole, List<Endpoint> endpoints) {
-    private static final double DEFAULT_WEIGHT = 1;
+public record EndpointList(
+        long version,
+        boolean isWhole,
+        boolean isCut,
+        List<Endpoint> endpoints,
+        Set<String> unusable,
+        List<Fault> faults) {
+    /** The version of a list that tells none. */
+    public static final long NO_VERSION = -1;
 
     /**
      * One endpoint of the list.
@@ -33,36 +45,87 @@
             long sinceMillis) {}
 
     /**
-     * Reads a list.
+     * Something that could not be read.
      *
-     * @throws RuntimeException of some kind, where a key is missing or of another form
+     * @param entry number of the entry in the list, from 1; 0 for the list itself
+     * @param name the entry's name; null where that can't be read
+     * @param key the key at fault; null where it is the whole entry or list
+     * @param problem what is wrong, in words
+     */
+    public record Fault(int entry, String name, String key, String problem) {
+        private static final int LONGEST_NAME = 64;
+        /** What is said of a name that has come before in the list. */
+        static final String LISTED_TWICE = "listed twice";
+
+        /** Whether the list can be used all the same, the more cautious of two entries counting. */
+        boolean isRepetition() {
+            return LISTED_TWICE.equals(problem);
+        }
+
+        @Override
+        public String toString() {
+            String where = entry == 0 ? "list" : "entry " + entry;
+            String who = name == null ? "" : " (" + shortened(name) + ")";
+            return where + who + ": " + (key == null ? "" : key + ": ") + problem;
+        }
+
+        private static String shortened(String name) {
+            return name.length() <= LONGEST_NAME ? name : name.substring(0, LONGEST_NAME) + "...";
+        }
+    }
+
+    /** A text that is no list of endpoints at all, or one with faults where none is allowed. */
+    public static final class UnreadableListException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        UnreadableListException(String problem) {
+            super(problem);
+        }
+    }
+
+    /** The same list, where it is known from elsewhere that its end is missing. */
+    EndpointList cut() {
+        return new EndpointList(version, isWhole, true, endpoints, unusable, faults);
+    }
+
+    /**
+     * Reads a list that must be in order, such as one from a configuration; a name may come twice in it.
+     *
+     * @throws IllegalArgumentException names the first entry and key at fault
      */
     public static EndpointList read(JsonObject list) {
-        List<Endpoint> endpoints = new ArrayList<>();
-        for (JsonElement element : list.getAsJsonArray("endpoints")) {
-            endpoints.add(endpoint(element.getAsJsonObject()));
+        EndpointListBuilder builder = new EndpointListBuilder();
+        list.entrySet().stream()
+                .filter(member -> !member.getKey().equals(EndpointListBuilder.ENTRIES))
+                .forEach(member -> builder.member(member.getKey(), text(member.getValue())));
+        JsonElement entries = list.get(EndpointListBuilder.ENTRIES);
+        if (entries != null && entries.isJsonArray()) {
+            builder.beginEntries();
+            entries.getAsJsonArray().forEach(entry -> add(entry, builder));
         }
-        return new EndpointList(
-                list.get("index").getAsLong(), list.get("snapshot").getAsBoolean(), endpoints);
+        EndpointList read = builder.build();
+        read.faults().stream()
+                .filter(fault -> !fault.isRepetition())
+                .findFirst()
+                .ifPresent(fault -> {
+                    throw new IllegalArgumentException(fault.toString());
+                });
+        return read;
     }
 
-    private static Endpoint endpoint(JsonObject from) {
-        return new Endpoint(
-                from.get("name").getAsString(),
-                from.get("address").getAsString(),
-                from.get("group").getAsInt(),
-                from.get("type").getAsString(),
-                from.get("zone").getAsString(),
-                presence(from.get("status").getAsString()),
-                from.has("weight") ? from.get("weight").getAsDouble() : DEFAULT_WEIGHT,
-                from.has("since_ms") ? from.get("since_ms").getAsLong() : 0);
+    private static void add(JsonElement entry, EndpointListBuilder builder) {
+        if (!entry.isJsonObject()) {
+            builder.noEntry();
+            return;
+        }
+        builder.beginEntry();
+        for (Map.Entry<String, JsonElement> member : entry.getAsJsonObject().entrySet()) {
+            builder.entryMember(member.getKey(), text(member.getValue()));
+        }
+        builder.endEntry();
     }
 
-    private static DecisionModule.Presence presence(String status) {
-        return switch (status) {
-            case "active" -> DecisionModule.Presence.ACTIVE;
-            case "leaving" -> DecisionModule.Presence.LEAVING;
-            default -> DecisionModule.Presence.LEFT;
-        };
+    private static String text(JsonElement value) {
+        return value.isJsonPrimitive() ? value.getAsString() : null;
     }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/protocol/http/EndpointListBuilder.java
@@ -0,0 +1,327 @@
+package lilaclever.protocol.http;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import lilaclever.DecisionModule;
+import lilaclever.transport.Transport;
+
+/**
+ * Makes a list of endpoints from the members of its JSON objects, one after the other, and notes what can't be read of
+ * it. A value is given as its text, or as null where it is no text, number or truth value. Used from one thread.
+ */
+final class EndpointListBuilder {
+    /** Keys of the list. */
+    static final String VERSION = "index", WHOLE = "snapshot", ENTRIES = "endpoints";
+    /** Keys of an entry. */
+    private static final String NAME = "name",
+            ADDRESS = "address",
+            DESTINATION = "group",
+            STATUS = "status",
+            TYPE = "type",
+            ZONE = "zone",
+            WEIGHT = "weight",
+            SINCE = "since_ms";
+
+    private static final Set<String> LIST_KEYS = Set.of(VERSION, WHOLE);
+    private static final Set<String> ENTRY_KEYS = Set.of(NAME, ADDRESS, DESTINATION, STATUS, TYPE, ZONE, WEIGHT, SINCE);
+
+    private static final double DEFAULT_WEIGHT = 1;
+    /** What the kind or zone of an entry counts as that tells none: no name of the settings. */
+    private static final String UNNAMED = "";
+    /** The year 5138, milliseconds: larger ones would overflow in microseconds. */
+    private static final long LATEST_SINCE = 100_000_000_000_000L;
+
+    private static final int LARGEST_PORT = 65_535;
+
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])";
+    /** Anything else in digits and dots would be looked up as a name, which may take seconds. */
+    private static final Pattern IPV4 = Pattern.compile("(" + OCTET + "\\.){3}" + OCTET);
+
+    private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
+
+    private final Members list = new Members(LIST_KEYS);
+    private final List<EndpointList.Endpoint> endpoints = new ArrayList<>();
+    private final Set<String> names = new HashSet<>();
+    private final Set<String> unusable = new LinkedHashSet<>();
+    private final List<EndpointList.Fault> faults = new ArrayList<>();
+    private boolean hasEntries;
+    private boolean isCut;
+    private int number;
+    private Members entry;
+    private boolean entryIsUsable;
+
+    /** The members of one JSON object; of a key that comes twice with different values none counts. */
+    private static final class Members {
+        private final Set<String> keys;
+        private final Map<String, String> values = new HashMap<>();
+        private final Map<String, String> problems = new HashMap<>();
+
+        Members(Set<String> keys) {
+            this.keys = keys;
+        }
+
+        void add(String key, String value) {
+            if (!keys.contains(key)) {
+                return;
+            }
+            if (value == null) {
+                problems.put(key, "neither text nor number");
+            } else if (values.containsKey(key) && !values.get(key).equals(value)) {
+                problems.put(key, "comes twice");
+            } else {
+                values.put(key, value);
+            }
+        }
+
+        /** The value's text; null where there is none that counts. */
+        String text(String key) {
+            return problems.containsKey(key) ? null : values.get(key);
+        }
+
+        String problem(String key) {
+            return problems.getOrDefault(key, values.containsKey(key) ? "can't be read: " + excerpt(key) : "missing");
+        }
+
+        private String excerpt(String key) {
+            int longest = 40;
+            String value = values.get(key);
+            return value.length() <= longest ? value : value.substring(0, longest) + "...";
+        }
+    }
+
+    /** A member of the list itself, other than its entries. */
+    void member(String key, String value) {
+        list.add(key, value);
+    }
+
+    /** The list's entries follow. */
+    void beginEntries() {
+        hasEntries = true;
+    }
+
+    /** An entry's members follow. */
+    void beginEntry() {
+        number++;
+        entry = new Members(ENTRY_KEYS);
+    }
+
+    /** A member of the entry. */
+    void entryMember(String key, String value) {
+        entry.add(key, value);
+    }
+
+    /** All members of the entry are here. */
+    void endEntry() {
+        entryIsUsable = true;
+        String name = name();
+        String address = address();
+        int destination = destination();
+        DecisionModule.Presence presence = presence();
+        String type = named(TYPE);
+        String zone = named(ZONE);
+        double weight = weight();
+        long since = sinceMillis();
+        if (name != null && !names.add(name)) {
+            fault(name, NAME, EndpointList.Fault.LISTED_TWICE);
+        }
+        if (entryIsUsable) {
+            endpoints.add(new EndpointList.Endpoint(name, address, destination, type, zone, presence, weight, since));
+        } else if (name != null) {
+            unusable.add(name);
+        }
+    }
+
+    /** Something that is no entry stands in the place of one. */
+    void noEntry() {
+        number++;
+        fault(null, null, "not an object");
+    }
+
+    /** The text ends or can't be read from here on. */
+    void cut(String problem) {
+        isCut = true;
+        faults.add(new EndpointList.Fault(0, null, null, "cut behind entry " + number + ": " + problem));
+    }
+
+    /** Something about the list as a whole. */
+    void listFault(String problem) {
+        faults.add(new EndpointList.Fault(0, null, null, problem));
+    }
+
+    /** The list as far as it was given. */
+    EndpointList build() {
+        if (!hasEntries) {
+            isCut = true;
+            faults.add(new EndpointList.Fault(0, null, ENTRIES, "missing or not an array"));
+        }
+        return new EndpointList(version(), isWhole(), isCut, endpoints, unusable, faults);
+    }
+
+    // ---- the list's own values ----------------------------------------------------------------------------
+    private long version() {
+        Long version = wholeNumber(list.text(VERSION));
+        if (version == null || version < 0) {
+            faults.add(new EndpointList.Fault(0, null, VERSION, list.problem(VERSION)));
+            return EndpointList.NO_VERSION;
+        }
+        return version;
+    }
+
+    private boolean isWhole() {
+        String whole = list.text(WHOLE);
+        if ("true".equals(whole) || "false".equals(whole)) {
+            return whole.equals("true");
+        }
+        faults.add(new EndpointList.Fault(0, null, WHOLE, list.problem(WHOLE)));
+        return false;
+    }
+
+    // ---- an entry's values --------------------------------------------------------------------------------
+    private String name() {
+        String name = entry.text(NAME);
+        if (name == null || name.isEmpty()) {
+            entryIsUsable = false;
+            fault(null, NAME, entry.problem(NAME));
+            return null;
+        }
+        return name;
+    }
+
+    private String address() {
+        String address = entry.text(ADDRESS);
+        if (address == null || !isAddress(address)) {
+            unusable(ADDRESS);
+        }
+        return address;
+    }
+
+    private int destination() {
+        Long destination = wholeNumber(entry.text(DESTINATION));
+        if (destination == null || destination < Integer.MIN_VALUE || destination > Integer.MAX_VALUE) {
+            unusable(DESTINATION);
+            return 0;
+        }
+        return destination.intValue();
+    }
+
+    private DecisionModule.Presence presence() {
+        String status = entry.text(STATUS);
+        if (status != null) {
+            switch (status) {
+                case "active":
+                    return DecisionModule.Presence.ACTIVE;
+                case "leaving":
+                    return DecisionModule.Presence.LEAVING;
+                case "left":
+                    return DecisionModule.Presence.LEFT;
+                default:
+                    break;
+            }
+        }
+        unusable(STATUS);
+        return DecisionModule.Presence.LEFT;
+    }
+
+    private String named(String key) {
+        String value = entry.text(key);
+        if (value == null) {
+            defaulted(key);
+            return UNNAMED;
+        }
+        return value;
+    }
+
+    private double weight() {
+        if (isAbsent(WEIGHT)) {
+            return DEFAULT_WEIGHT;
+        }
+        Double weight = number(entry.text(WEIGHT));
+        if (weight == null || weight < 0) {
+            defaulted(WEIGHT);
+            return DEFAULT_WEIGHT;
+        }
+        return weight;
+    }
+
+    private long sinceMillis() {
+        if (isAbsent(SINCE)) {
+            return 0;
+        }
+        Long since = wholeNumber(entry.text(SINCE));
+        if (since == null || since < 0 || since > LATEST_SINCE) {
+            defaulted(SINCE);
+            return 0;
+        }
+        return since;
+    }
+
+    private boolean isAbsent(String key) {
+        return !entry.values.containsKey(key) && !entry.problems.containsKey(key);
+    }
+
+    /** The entry can't be used without this value. */
+    private void unusable(String key) {
+        entryIsUsable = false;
+        fault(entry.text(NAME), key, entry.problem(key));
+    }
+
+    /** The default stands in for this value. */
+    private void defaulted(String key) {
+        fault(entry.text(NAME), key, entry.problem(key) + "; the default counts");
+    }
+
+    private void fault(String name, String key, String problem) {
+        faults.add(new EndpointList.Fault(number, name, key, problem));
+    }
+
+    // ---- forms ----------------------------------------------------------------------------------------------
+    private static Long wholeNumber(String text) {
+        Double value = number(text);
+        if (value == null || value != Math.rint(value)) {
+            return null;
+        }
+        try {
+            return Long.valueOf(text);
+        } catch (NumberFormatException e) { // such as 7.0 or 7e3
+            return Math.abs(value) < Long.MAX_VALUE ? value.longValue() : null;
+        }
+    }
+
+    private static Double number(String text) {
+        if (text == null) {
+            return null;
+        }
+        try {
+            double value = Double.parseDouble(text);
+            return Double.isFinite(value) ? value : null;
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    /** Whether it is an IP address and a port that can be connected to; a name is not. */
+    static boolean isAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !PORT.matcher(text.substring(colon + 1)).matches()) {
+            return false;
+        }
+        int port = Integer.parseInt(text.substring(colon + 1));
+        String host = text.substring(0, colon);
+        if (port == 0
+                || port > LARGEST_PORT
+                || !host.startsWith("[") && !IPV4.matcher(host).matches()) {
+            return false;
+        }
+        try {
+            return !Transport.address(text).isUnresolved();
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+}
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -37,7 +37,21 @@
     private static final long WALL_AT_START = System.currentTimeMillis() * 1000 - micros();
 
     /** An endpoint as the directory lists it. */
-    public record Listed(DecisionModule.Entry entry, Call.Endpoint endpoint) {}
+    public record Listed(DecisionModule.Entry entry, Call.Endpoint endpoint) {
+        /** The same endpoint with another presence. */
+        public Listed withPresence(DecisionModule.Presence presence) {
+            return new Listed(
+                    new DecisionModule.Entry(
+                            entry.host(),
+                            entry.destination(),
+                            entry.zone(),
+                            entry.kind(),
+                            presence,
+                            entry.weight(),
+                            entry.sinceMicros()),
+                    endpoint);
+        }
+    }
 
     private final DecisionModule.Settings settings;
     private final DecisionModule relay;
--- a/src/main/java/lilaclever/routing/EndpointMembership.java
+++ b/src/main/java/lilaclever/routing/EndpointMembership.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import lilaclever.DecisionModule;
 import lilaclever.DecisionModule.ListingKind;
 import lilaclever.DecisionModule.Presence;
 import lilaclever.log.Logs;
@@ -26,7 +25,7 @@
  * the list with the departure is not enough. Two kinds of departures count as one index lower, so that the next sound
  * list of the same index can bring the endpoint back: entries that contradict each other or can't be used, and an
  * absence where the same agent has called the endpoint active at that index. After {@link ListPosition#KEPT} any list
- * counts: discovery may have begun to count anew. An endpoint that has not departed is active as soon as a list says so.
+ * counts: discovery may have begun to count anew. An endpoint that has not departed is active once a list says so.
  *
  * <p>A list without an index counts as the newest that its agent has told for what departs, and brings nothing back.
  * Departures that an earlier process noted, and those in the list that a start begins with, count as heard when this
@@ -89,7 +88,7 @@
         }
     }
 
-    /** What one list says of an endpoint. {@code isDisputed}: its entries contradict each other, or one can't be used. */
+    /** What one list says of an endpoint. {@code isDisputed}: its entries contradict each other or can't be used. */
     private record Statement(Core.Listed listed, boolean isDisputed) {
         Presence presence() {
             return listed.entry().presence();
@@ -285,7 +284,7 @@
     }
 
     private static Core.Listed atLeastLeaving(Core.Listed listed) {
-        return listed.entry().presence() == Presence.ACTIVE ? as(listed, Presence.LEAVING) : listed;
+        return listed.entry().presence() == Presence.ACTIVE ? listed.withPresence(Presence.LEAVING) : listed;
     }
 
     /** What the core is to hear for one statement: of the endpoint, and of another one whose address it has now. */
@@ -319,7 +318,7 @@
 
     private Core.Listed withhold(Core.Listed listed, ListPosition position) {
         boolean isNew = !withheld.contains(name(listed));
-        Core.Listed leaving = putInactive(as(listed, Presence.LEAVING), position);
+        Core.Listed leaving = putInactive(listed.withPresence(Presence.LEAVING), position);
         withheld.add(name(listed));
         if (isNew) {
             newlyWithheld.add(name(listed));
@@ -404,7 +403,7 @@
         if (!before.position().permits(position)) {
             return null;
         }
-        return depart(new Statement(as(before.listed(), Presence.LEAVING), true), position);
+        return depart(new Statement(before.listed().withPresence(Presence.LEAVING), true), position);
     }
 
     /** Whether the endpoint is active at that address already. */
@@ -470,12 +469,4 @@
         return one.entry().destination() == other.entry().destination()
                 && address(one).equals(address(other));
     }
-
-    private static Core.Listed as(Core.Listed listed, Presence presence) {
-        DecisionModule.Entry e = listed.entry();
-        return new Core.Listed(
-                new DecisionModule.Entry(
-                        e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
-                listed.endpoint());
-    }
 }
--- a/src/main/java/lilaclever/routing/ManualDrains.java
+++ b/src/main/java/lilaclever/routing/ManualDrains.java
@@ -66,7 +66,7 @@
     public List<Core.Listed> heard(DecisionModule.ListingKind kind, long version, List<Core.Listed> news) {
         this.version = version;
         if (kind == DecisionModule.ListingKind.ALL || kind == DecisionModule.ListingKind.REMEMBERED) {
-            listed.replaceAll((host, x) -> as(x, DecisionModule.Presence.LEFT)); // but for what follows
+            listed.replaceAll((host, x) -> x.withPresence(DecisionModule.Presence.LEFT)); // but for what follows
         }
         for (Core.Listed x : news) {
             listed.remove(x.entry().host()); // the last that was heard of goes last
@@ -83,7 +83,7 @@
     private List<Core.Listed> apply(List<Core.Listed> news) {
         List<Core.Listed> told = new ArrayList<>(news);
         told.replaceAll(x -> out.contains(x.entry().host()) && x.entry().presence() == DecisionModule.Presence.ACTIVE
-                ? as(x, DecisionModule.Presence.LEAVING)
+                ? x.withPresence(DecisionModule.Presence.LEAVING)
                 : x);
         return told;
     }
@@ -143,12 +143,4 @@
             return false;
         }
     }
-
-    private static Core.Listed as(Core.Listed x, DecisionModule.Presence presence) {
-        DecisionModule.Entry e = x.entry();
-        return new Core.Listed(
-                new DecisionModule.Entry(
-                        e.host(), e.destination(), e.zone(), e.kind(), presence, e.weight(), e.sinceMicros()),
-                x.endpoint());
-    }
 }
--- /dev/null
+++ b/src/test/java/lilaclever/program/DiscoveryFaultsTest.java
@@ -0,0 +1,161 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Lists of which a part can't be read: the rest counts, and the log says what is at fault. */
+class DiscoveryFaultsTest extends DiscoveryRig {
+    private static final Logger LOGGER = Logger.getLogger("lilaclever.directory");
+
+    private final LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord line) {
+            log.add(line.getMessage());
+        }
+
+        @Override
+        public void flush() {
+            // nothing is held back
+        }
+
+        @Override
+        public void close() {
+            // nothing to let go
+        }
+    };
+
+    @BeforeEach
+    void listen() {
+        LOGGER.addHandler(handler);
+    }
+
+    @AfterEach
+    void stopListening() {
+        LOGGER.removeHandler(handler);
+    }
+
+    private void untilLogged(String part) throws InterruptedException {
+        String line = next(log);
+        while (!line.contains(part)) {
+            line = next(log);
+        }
+    }
+
+    /** The bad entry is reported by number, name and key; the one before it leaves and the one behind it comes. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '#',
+            value = {
+                "\"status\":\"active\" | \"status\":\"resting\" | status: can't be read: resting",
+                "\"status\":\"active\" | \"status\":null | status: neither text nor number",
+                "\"status\":\"active\" | \"x\":1 | status: missing",
+                "\"group\":7 | \"group\":\"seven\" | group: can't be read: seven",
+                "\"address\":\"127.0.0.1:9\" | \"address\":\"lab.example:9\" | address: can't be read: lab.example:9",
+                "\"address\":\"127.0.0.1:9\" | \"address\":\"127.0.0.1:99999\" | address: can't be read",
+                "\"address\":\"127.0.0.1:9\" | \"address\":\"300.0.0.1:9\" | address: can't be read",
+                "\"zone\":\"z\" | \"zone\":{\"deep\":[1]} | zone: neither text nor number; the default counts",
+                "\"zone\":\"z\" | \"zone\":\"z\",\"weight\":\"much\" | weight: can't be read: much; the default",
+                "\"zone\":\"z\" | \"zone\":\"z\",\"since_ms\":1e30 | since_ms: can't be read: 1e30; the default",
+            })
+    void anEntryThatCannotBeReadIsNamedAndTheRestCounts(String good, String bad, String problem) throws Exception {
+        String e1 = endpoint("e1");
+        String e3 = endpoint("e3");
+        String faulty = entry("e2", "127.0.0.1:9", "active").replace(good, bad);
+        assertTrue(faulty.contains(bad));
+        Agent agent = new Agent(asked -> {
+            if (asked.number() == 1) {
+                asked.answer(whole(2, entry("e1", e1, "leaving"), faulty, entry("e3", e3, "active")));
+            }
+        });
+        start(agent, whole(1, entry("e1", e1, "active")));
+        handIn("a");
+        untilLogged("entry 2 (e2): " + problem);
+        agent.next();
+        Asked second = agent.next();
+        assertTrue(second.isWhole(), second.path());
+        assertEquals("e3 a", next(calls));
+        assertEquals(0, calls.size());
+    }
+
+    /** An endpoint whose entry has become unreadable gets nothing new. */
+    @Test
+    void anEndpointWhoseEntryCannotBeReadIsOut() throws Exception {
+        String e1 = endpoint("e1");
+        String e2 = endpoint("e2");
+        CountDownLatch handedIn = new CountDownLatch(1);
+        Agent agent = new Agent(asked -> {
+            if (asked.number() == 1) {
+                handedIn.await();
+                asked.answer(whole(2, entry("e1", e1, "drained"), entry("e2", e2, "active")));
+            }
+        });
+        start(agent, whole(1, entry("e1", e1, "active")));
+        handIn("a");
+        handedIn.countDown();
+        assertEquals("e2 a", next(calls));
+    }
+
+    /** Without its index or kind a list brings nothing, but what leaves there counts. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '#',
+            value = {
+                "\"index\":2 | \"index\":\"two\" | list: index: can't be read: two",
+                "\"snapshot\":true | \"snapshot\":1 | list: snapshot: can't be read: 1",
+            })
+    void whatLeavesInAListWithoutIndexOrKindCounts(String good, String bad, String problem) throws Exception {
+        String e1 = endpoint("e1");
+        Agent agent = new Agent(asked -> {
+            if (asked.number() == 1) {
+                asked.answer(whole(2, entry("e1", e1, "left")).replace(good, bad));
+            }
+        });
+        start(agent, whole(1, entry("e1", e1, "active")));
+        until("entries_endpoints 0");
+        untilLogged(problem);
+    }
+
+    /** A fault that stays has the whole list asked for seldom; between these calls changes are heard at once. */
+    @Test
+    void aFaultThatStaysIsAskedAboutSeldomAndChangesAreHeard() throws Exception {
+        String e1 = endpoint("e1");
+        String bad = entry("e2", "127.0.0.1:9", "resting");
+        CountDownLatch departs = new CountDownLatch(1);
+        Agent agent = new Agent(asked -> {
+            if (asked.isWhole()) {
+                asked.answer(whole(departs.getCount() == 0 ? 3 : 2, bad));
+            } else if (asked.isAfter(1)) {
+                asked.answer(changes(2, bad, entry("e1", e1, "active")));
+            } else if (departs.getCount() == 0 && asked.isAfter(2)) {
+                asked.answer(changes(3, entry("e1", e1, "left")));
+            }
+        });
+        serve(agent, whole(1, entry("e1", e1, "active")));
+        int wholes = 0;
+        int watches = 0;
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5); System.nanoTime() < end; ) {
+            Asked next = agent.next();
+            wholes += next.isWhole() ? 1 : 0;
+            watches += next.isAfter(2) ? 1 : 0;
+        }
+        assertTrue(wholes >= 2 && wholes <= 12, "whole lists in 5 s: " + wholes);
+        assertTrue(watches >= 2, "watches: " + watches);
+        departs.countDown();
+        until("entries_endpoints 0");
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/program/DiscoveryRig.java
@@ -0,0 +1,195 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A forwarder, endpoints, and agents of discovery whose answers a test scripts. */
+abstract class DiscoveryRig {
+    private static final long PATIENCE_MILLIS = 20_000;
+
+    /** One request to an agent, with the connection that it came on. */
+    record Asked(int number, String path, Wire wire) {
+        boolean isWhole() {
+            return !path.contains("?");
+        }
+
+        boolean isWatch() {
+            return path.contains("wait_ms=2000");
+        }
+
+        boolean isAfter(long index) {
+            return path.contains("?after=" + index + "&");
+        }
+
+        void answer(String list) throws IOException {
+            wire.answer("200 OK", list);
+        }
+    }
+
+    /** Answers a request, or leaves it open. */
+    interface Script {
+        void on(Asked asked) throws IOException, InterruptedException;
+    }
+
+    /** An agent of discovery; it notes what it is asked, and which requests' connections the forwarder has closed. */
+    final class Agent {
+        final LinkedBlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+        final LinkedBlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
+        private int count;
+        /** Answers the first request, which asks for the whole list, in place of the script; null if the script does. */
+        private volatile String first;
+
+        private final Peer peer;
+
+        Agent(Script script) throws IOException {
+            peer = new Peer(wire -> {
+                int last = 0;
+                try {
+                    for (Request r = wire.request(); r != null; r = wire.request()) {
+                        String list = takeFirst();
+                        if (list != null) {
+                            wire.answer("200 OK", list);
+                            continue;
+                        }
+                        Asked next = new Asked(number(), r.path(), wire);
+                        last = next.number();
+                        asked.add(next);
+                        script.on(next);
+                    }
+                } finally {
+                    closed.add(last);
+                }
+            });
+            open.add(peer);
+        }
+
+        private synchronized String takeFirst() {
+            String list = first;
+            first = null;
+            return list;
+        }
+
+        private synchronized int number() {
+            return ++count;
+        }
+
+        String address() {
+            return peer.address();
+        }
+
+        Asked next() throws InterruptedException {
+            return DiscoveryRig.next(asked);
+        }
+    }
+
+    @TempDir
+    Path state;
+
+    /** The name of the endpoint and the id of the message, of each call. */
+    final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+
+    private final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
+    private Forwarder forwarder;
+    private SocketAddress address;
+
+    @AfterEach
+    void end() throws Exception {
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    static <T> T next(LinkedBlockingQueue<T> queue) throws InterruptedException {
+        T value = queue.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        assertNotNull(value, "nothing came");
+        return value;
+    }
+
+    /** An endpoint of destination 7 that accepts what it gets; its entry is {@link #entry}'s. */
+    String endpoint(String name) throws IOException {
+        Peer peer = new Peer(wire -> {
+            for (Request r = wire.request(); r != null; r = wire.request()) {
+                calls.add(name + " " + r.headers().get("req-id"));
+                wire.answer("200 OK", "");
+            }
+        });
+        open.add(peer);
+        return peer.address();
+    }
+
+    static String entry(String name, String address, String status) {
+        return "{\"name\":\"" + name + "\",\"address\":\"" + address
+                + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,\"status\":\"" + status + "\"}";
+    }
+
+    static String whole(long index, String... entries) {
+        return list(index, true, entries);
+    }
+
+    static String changes(long index, String... entries) {
+        return list(index, false, entries);
+    }
+
+    private static String list(long index, boolean whole, String... entries) {
+        return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[" + String.join(",", entries) + "]}";
+    }
+
+    /** A configuration with this list as the known one, or "null". */
+    String text(Agent agent, String known) {
+        return Setup.text(agent.address(), state, null, 3).replace("\"known\": null", "\"known\": " + known);
+    }
+
+    /** Starts a forwarder whose known list is what the agent has too; the script's first request is a watch. */
+    void serve(Agent agent, String known) throws Exception {
+        agent.first = known.equals("null") ? null : known;
+        start(agent, known);
+    }
+
+    /** Starts a forwarder; the script gets all requests, and the first one asks for the whole list. */
+    void start(Agent agent, String known) throws Exception {
+        forwarder = Forwarder.start(Config.parse(text(agent, known), Map.of()), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    /** Has the configuration read again, with discovery at this agent. */
+    void reload(Agent agent, String known) throws IOException {
+        Path file = Files.writeString(state.resolve("config.json"), text(agent, known));
+        forwarder.reload(Map.of("ROUTER_CONFIG", file.toString()));
+    }
+
+    void handIn(String id) throws IOException {
+        try (Wire client = Wire.to(address)) {
+            assertTrue(client.handIn(id, "payment", 20, "").startsWith("202"));
+        }
+    }
+
+    /** Waits until the forwarder counts so many, as it writes a line of its counters. */
+    void until(String count) throws IOException {
+        String last = "";
+        try (Wire client = Wire.to(address)) {
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+            while (!last.contains("\n" + count + "\n") && System.nanoTime() < end) {
+                client.say("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                last = client.request().body();
+            }
+        }
+        assertTrue(last.contains("\n" + count + "\n"), last);
+    }
+}
--- a/src/test/java/lilaclever/program/Setup.java
+++ b/src/test/java/lilaclever/program/Setup.java
@@ -27,8 +27,17 @@
                 + "\",\"zone\":\"z\",\"type\":\"lab\",\"group\":7,\"status\":\"active\"}]}";
     }
 
+    /** The list that the last configuration had as known; empty where it had none. */
+    private static volatile String known = "";
+
+    /** What a platform says that has no list of its own: all is as the last configuration has it. */
+    static String known() {
+        return known;
+    }
+
     /** A configuration; the endpoint is known from the start, or null. */
     static String text(String discovery, Path state, String endpoint, double diskMb) {
+        known = endpoint == null ? "" : list(endpoint);
         String template = """
                 {"name": "n0", "listen": "127.0.0.1:0", "discovery": "%s", "state": "%s", "seed": "0b",
                  "limits": {"disk_mb": %s}, "known": %s,
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/http/EndpointListTest.java
@@ -0,0 +1,220 @@
+package lilaclever.protocol.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonParser;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.protocol.http.EndpointList.Endpoint;
+import lilaclever.protocol.http.EndpointList.Fault;
+import lilaclever.protocol.http.EndpointList.UnreadableListException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is read of lists that are in order, faulty or cut. */
+class EndpointListTest {
+    private static final String LIST = """
+            {"index":41,"snapshot":true,"endpoints":[
+              {"name":"e1","address":"10.1.0.18:3000","zone":"a","type":"m2","group":3,"status":"active","weight":0.5,
+               "since_ms":1700000000000},
+              {"name":"e2","address":"[::1]:3000","zone":"b","type":"m1","group":4,"status":"leaving"},
+              {"name":"e3","address":"10.1.0.20:3000","zone":"a","type":"m2","group":3,"status":"left","more":[{}]}]}
+            """;
+    private static final List<Endpoint> ENDPOINTS = List.of(
+            new Endpoint("e1", "10.1.0.18:3000", 3, "m2", "a", Presence.ACTIVE, 0.5, 1_700_000_000_000L),
+            new Endpoint("e2", "[::1]:3000", 4, "m1", "b", Presence.LEAVING, 1, 0),
+            new Endpoint("e3", "10.1.0.20:3000", 3, "m2", "a", Presence.LEFT, 1, 0));
+
+    private static EndpointList read(String text) throws UnreadableListException {
+        return EndpointListReader.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String replaced(String part, String by) {
+        assertTrue(LIST.contains(part), part);
+        return LIST.replace(part, by);
+    }
+
+    @Test
+    void aListInOrderIsReadInFull() throws Exception {
+        EndpointList expected = new EndpointList(41, true, false, ENDPOINTS, Set.of(), List.of());
+        assertEquals(expected, read(LIST));
+        assertEquals(expected, EndpointList.read(JsonParser.parseString(LIST).getAsJsonObject()));
+        assertEquals(expected, read(LIST.replace("\n", "\r\n    ")), "indented");
+    }
+
+    /** Of a list that ends anywhere, what had come in full counts, and it is never taken for a whole one. */
+    @Test
+    void aListThatIsCutAnywhereIsReadAsFarAsItGoes() {
+        byte[] bytes = LIST.strip().getBytes(StandardCharsets.UTF_8);
+        int seen = 0;
+        for (int length = 0; length < bytes.length; length++) {
+            try {
+                EndpointList cut = EndpointListReader.read(Arrays.copyOf(bytes, length));
+                assertTrue(cut.isCut(), "after " + length);
+                assertTrue(cut.endpoints().size() >= seen);
+                seen = cut.endpoints().size();
+                assertEquals(ENDPOINTS.subList(0, seen), cut.endpoints());
+                assertFalse(cut.faults().isEmpty());
+            } catch (UnreadableListException e) {
+                assertEquals(0, seen, "after " + length);
+            }
+        }
+        assertEquals(ENDPOINTS.size(), seen);
+    }
+
+    /** Whatever a byte turns into, reading ends in a list or the one exception that callers expect. */
+    @Test
+    void noByteThatIsSpoiltEndsInAnotherException() {
+        SplittableRandom random = new SplittableRandom(35);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = LIST.getBytes(StandardCharsets.UTF_8);
+            for (int spoilt = random.nextInt(1, 4); spoilt > 0; spoilt--) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+            }
+            try {
+                EndpointList list = EndpointListReader.read(bytes);
+                assertTrue(list.isCut()
+                        || list.endpoints().size() + list.unusable().size() <= ENDPOINTS.size());
+            } catch (UnreadableListException e) {
+                assertFalse(e.getMessage().isEmpty());
+            }
+        }
+    }
+
+    /** An entry is out of use where it can't be known what it is, with a default where that changes little. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '#',
+            value = {
+                "\"group\":4 | \"group\":4.5 | group | can't be read: 4.5 | false",
+                "\"group\":4 | \"group\":99999999999 | group | can't be read: 99999999999 | false",
+                "\"group\":4 | \"group\":true | group | can't be read: true | false",
+                "\"address\":\"[::1]:3000\" | \"address\":\"[::1::2]:3000\" | address | can't be read: [::1::2]:3000 | false",
+                "\"address\":\"[::1]:3000\" | \"address\":\"10.1.0.18\" | address | can't be read: 10.1.0.18 | false",
+                "\"address\":\"[::1]:3000\" | \"address\":\"10.1.0.18:0\" | address | can't be read: 10.1.0.18:0 | false",
+                "\"address\":\"[::1]:3000\" | \"address\":\"10.1.0:80\" | address | can't be read: 10.1.0:80 | false",
+                "\"status\":\"leaving\" | \"status\":\"Leaving\" | status | can't be read: Leaving | false",
+                "\"status\":\"leaving\" | \"status\":[\"leaving\"] | status | neither text nor number | false",
+                "\"zone\":\"b\" | \"zone\":null | zone | neither text nor number; the default counts | true",
+                "\"type\":\"m1\" | \"kind\":\"m1\" | type | missing; the default counts | true",
+                "\"group\":4 | \"group\":4,\"weight\":-1 | weight | can't be read: -1; the default counts | true",
+                "\"group\":4 | \"group\":4,\"weight\":\"NaN\" | weight | can't be read: NaN; the default counts | true",
+                "\"group\":4 | \"group\":4,\"since_ms\":-5 | since_ms | can't be read: -5; the default counts | true",
+            })
+    void aFaultIsNamedWithItsEntryAndKey(String good, String bad, String key, String problem, boolean isUsable)
+            throws Exception {
+        EndpointList list = read(replaced(good, bad));
+        assertEquals(List.of(new Fault(2, "e2", key, problem)), list.faults());
+        assertEquals(isUsable ? 3 : 2, list.endpoints().size());
+        assertEquals(isUsable ? Set.of() : Set.of("e2"), list.unusable());
+        assertFalse(list.isCut());
+        assertEquals(41, list.version());
+        IllegalArgumentException strict = assertThrows(
+                IllegalArgumentException.class,
+                () -> EndpointList.read(
+                        JsonParser.parseString(replaced(good, bad)).getAsJsonObject()),
+                "a configuration has no faults");
+        assertTrue(strict.getMessage().startsWith("entry 2 (e2): " + key + ": "), strict.getMessage());
+    }
+
+    @Test
+    void aKeyThatComesTwiceWithDifferentValuesCountsAsUnreadable() throws Exception {
+        EndpointList list = read(replaced("\"status\":\"leaving\"", "\"status\":\"leaving\",\"status\":\"active\""));
+        assertEquals(List.of(new Fault(2, "e2", "status", "comes twice")), list.faults());
+        assertEquals(Set.of("e2"), list.unusable());
+        assertEquals(
+                List.of(),
+                read(replaced("\"group\":4", "\"group\":4,\"group\":4")).faults());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\"name\":7.5e", "\"name\":null", "\"name\":\"\"", "\"nom\":\"e2\""})
+    void anEntryWithoutANameIsOutOfUse(String name) throws Exception {
+        EndpointList list = read(replaced("\"name\":\"e2\"", name));
+        if (name.endsWith("e")) { // no number, so nothing behind it can be told apart
+            assertTrue(list.isCut());
+            assertEquals(List.of(ENDPOINTS.get(0)), list.endpoints());
+        } else {
+            assertEquals(List.of(ENDPOINTS.get(0), ENDPOINTS.get(2)), list.endpoints());
+            assertEquals("entry 2", list.faults().get(0).toString().split(":")[0]);
+        }
+        assertEquals(Set.of(), list.unusable());
+    }
+
+    /** Which of the two counts is not decided here. */
+    @Test
+    void aNameThatComesTwiceIsReportedAndBothAreGivenOn() throws Exception {
+        EndpointList list = read(replaced("\"name\":\"e2\"", "\"name\":\"e1\""));
+        assertEquals(List.of(new Fault(2, "e1", "name", "listed twice")), list.faults());
+        assertEquals(
+                List.of(Presence.ACTIVE, Presence.LEAVING, Presence.LEFT),
+                list.endpoints().stream().map(Endpoint::presence).toList());
+    }
+
+    @Test
+    void whatIsNoEntryIsReportedByItsNumber() throws Exception {
+        EndpointList list = read(replaced("{\"name\":\"e2\"", "7,[[]],{\"name\":\"e2\""));
+        assertEquals(ENDPOINTS, list.endpoints());
+        assertEquals(
+                List.of(new Fault(2, null, null, "not an object"), new Fault(3, null, null, "not an object")),
+                list.faults());
+    }
+
+    /** Without its entries a list shows nobody to be absent. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"index\":1,\"snapshot\":true}", "{\"index\":1,\"snapshot\":true,\"endpoints\":{}}"})
+    void aListWithoutEntriesIsCut(String text) throws Exception {
+        EndpointList list = read(text);
+        assertTrue(list.isCut());
+        assertEquals("endpoints", list.faults().get(0).key());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\"index\":\"many\"", "\"index\":-3", "\"index\":1.5", "\"version\":41", "\"index\":null"})
+    void aListWithoutAnIndexHasNone(String index) throws Exception {
+        EndpointList list = read(replaced("\"index\":41", index));
+        assertEquals(EndpointList.NO_VERSION, list.version());
+        assertEquals("index", list.faults().get(0).key());
+        assertEquals(ENDPOINTS, list.endpoints());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\"snapshot\":\"yes\"", "\"snapshot\":0", "\"x\":true"})
+    void aListThatDoesNotSayWhetherItIsWholeHasChanges(String whole) throws Exception {
+        EndpointList list = read(replaced("\"snapshot\":true", whole));
+        assertFalse(list.isWhole());
+        assertEquals("snapshot", list.faults().get(0).key());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "null", "<html>", "7"})
+    void whatIsNoListIsRefused(String text) {
+        assertThrows(UnreadableListException.class, () -> read(text));
+    }
+
+    /** Levels without end would take room for each. */
+    @Test
+    void valuesNestedWithoutEndCutTheList() throws Exception {
+        EndpointList list = read(replaced("\"more\":[{}]", "\"more\":" + "[".repeat(2_000_000)));
+        assertTrue(list.isCut());
+        assertEquals(ENDPOINTS.subList(0, 2), list.endpoints());
+    }
+
+    @Test
+    void whatFollowsAListIsReported() throws Exception {
+        EndpointList list = read(LIST + "{}");
+        assertEquals(ENDPOINTS, list.endpoints());
+        assertEquals("list: something follows its end", list.faults().get(0).toString());
+        assertFalse(list.isCut());
+    }
+}
