--- /dev/null
+++ b/src/test/java/lilaclever/program/DrainEndpoint.java
@@ -0,0 +1,162 @@
+package lilaclever.program;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import lilaclever.lab.sockets.Wire;
+import lilaclever.program.DrainChange.Target;
+
+/**
+ * An endpoint on a socket that tells the auditor the first byte of each call. Its queue of connections can be filled:
+ * connections that are opened meanwhile come up about a second later, when the system sends their SYN again.
+ *
+ * <p>Ids of messages begin with the destination's number and a dash, as a call does not carry it.
+ */
+final class DrainEndpoint implements AutoCloseable {
+    private static final int QUEUE = 8;
+    private static final int FULL_AFTER_MS = 100;
+
+    /** How it answers a call. */
+    enum Manner {
+        DELIVERS("200 OK"),
+        TURNS_AWAY("503 full"),
+        FAILS("500 failed"),
+        /** Closes each connection once it has answered a call, without having said so. */
+        CLOSES_IDLE("200 OK");
+
+        private final String answer;
+
+        Manner(String answer) {
+            this.answer = answer;
+        }
+    }
+
+    private final ServerSocket server = new ServerSocket(0, QUEUE, InetAddress.getLoopbackAddress());
+    private final DrainAuditor auditor;
+    private final Semaphore accepting = new Semaphore(1);
+    private final Set<Wire> open = ConcurrentHashMap.newKeySet();
+    private final List<Socket> fillers = new ArrayList<>();
+    private boolean stopped;
+    private volatile Manner manner = Manner.DELIVERS;
+    private volatile int answerAfterMs = 80;
+
+    DrainEndpoint(DrainAuditor auditor) throws IOException {
+        this.auditor = auditor;
+        DrainThreads.start("endpoint " + address(), this::accept);
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    void answers(Manner now, int afterMs) {
+        manner = now;
+        answerAfterMs = afterMs;
+    }
+
+    /** Fills the queue of connections: no connection comes up until {@link #acceptAgain}. */
+    synchronized void stopAccepting() throws IOException, InterruptedException {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        accepting.acquire();
+        while (true) {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(server.getLocalSocketAddress(), FULL_AFTER_MS);
+            } catch (SocketTimeoutException e) {
+                filler.close();
+                return;
+            }
+        }
+    }
+
+    synchronized void acceptAgain() throws IOException {
+        if (!stopped) {
+            return;
+        }
+        stopped = false;
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        fillers.clear();
+        accepting.release();
+    }
+
+    /** Closes all connections, as an endpoint does with idle ones. */
+    void closeConnections() {
+        open.forEach(Wire::close);
+    }
+
+    private void accept() throws IOException, InterruptedException {
+        while (true) {
+            Socket socket = server.accept();
+            accepting.acquire();
+            accepting.release();
+            DrainThreads.start("call to " + address(), () -> serve(socket));
+        }
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try (Wire wire = new Wire(socket)) {
+            open.add(wire);
+            for (Wire.Head call = wire.read(); call != null; call = wire.read()) {
+                note(call);
+                Thread.sleep(answerAfterMs); // stands for the time that a call takes
+                answer(wire, call);
+                if (manner == Manner.CLOSES_IDLE) {
+                    return;
+                }
+            }
+        } finally {
+            open.removeIf(x -> !x.isOpen());
+        }
+    }
+
+    private void note(Wire.Head call) {
+        for (String id : ids(call)) {
+            int group = Integer.parseInt(id.substring(0, id.indexOf('-')));
+            auditor.called(id, new Target(address(), group), call.firstByteNanos());
+        }
+    }
+
+    private void answer(Wire wire, Wire.Head call) throws IOException {
+        StringBuilder ends = new StringBuilder();
+        if (isSeveral(call)) {
+            ids(call).forEach(id -> ends.append(id).append(" accepted\r\n"));
+        }
+        wire.answer(manner.answer, ends.toString());
+    }
+
+    private static boolean isSeveral(Wire.Head call) {
+        return call.target().equals("/receive-many");
+    }
+
+    /** The ids of a call's messages; bodies are without line ends. */
+    private static List<String> ids(Wire.Head call) {
+        if (!isSeveral(call)) {
+            return List.of(call.header("Req-Id", "?"));
+        }
+        List<String> ids = new ArrayList<>();
+        String[] lines = new String(call.body(), java.nio.charset.StandardCharsets.ISO_8859_1).split("\r\n", -1);
+        for (int i = 0; i + 1 < lines.length; i += 2) {
+            ids.add(lines[i].split(" ")[0]);
+        }
+        return ids;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        closeConnections();
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/program/DrainScheduleTest.java
@@ -0,0 +1,63 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import lilaclever.program.DrainSchedule.Fault;
+import lilaclever.program.DrainSchedule.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Random schedules of list changes, faults and restarts: no call is written to a draining or removed endpoint after its
+ * grace, and what is active gets its calls. {@link DrainSweep} plays more of them.
+ */
+class DrainScheduleTest {
+    /** So many run beside each other: a schedule is a few hundred small messages, and mostly waits. */
+    private static final int BESIDE = 9;
+
+    private record Play(Fault fault, long seed) {}
+
+    private static final List<Play> PLAYS = List.of(
+            new Play(Fault.NONE, 1),
+            new Play(Fault.VERY_SLOW, 2),
+            new Play(Fault.SILENT, 3),
+            new Play(Fault.TRICKLING, 4),
+            new Play(Fault.RESTARTED_LOWER, 5),
+            new Play(Fault.RELOAD_TO_ONE_BEHIND, 6),
+            new Play(Fault.OTHER_GROUP, 9),
+            new Play(Fault.UNREADABLE_ENTRY, 7),
+            new Play(Fault.RESTART, 8));
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void nothingGoesToDrainingOrRemovedEndpointsAfterTheGrace() throws Exception {
+        ExecutorService beside = Executors.newFixedThreadPool(BESIDE);
+        try {
+            List<Future<Result>> results = new ArrayList<>();
+            for (Play play : PLAYS) {
+                Path state = Files.createDirectory(folder.resolve(play.fault().name() + play.seed()));
+                results.add(beside.submit(() -> new DrainSchedule(play.fault(), play.seed(), state).play()));
+            }
+            List<String> failed = new ArrayList<>();
+            for (Future<Result> each : results) {
+                Result result = each.get();
+                assertTrue(result.calls() > 0, "calls were made: " + result);
+                if (!result.isClean()) {
+                    failed.add(result.toString());
+                }
+            }
+            assertTrue(failed.isEmpty(), () -> String.join("\n", failed));
+        } finally {
+            beside.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/program/DrainThreads.java
@@ -0,0 +1,27 @@
+package lilaclever.program;
+
+import java.io.IOException;
+
+/** Threads of stand-ins: they end with their sockets, and never keep the tests' process alive. */
+final class DrainThreads {
+    private DrainThreads() {}
+
+    interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    static Thread start(String name, Task task) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException | InterruptedException e) {
+                        // a closed socket ends a stand-in's thread
+                    }
+                },
+                name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/program/DrainTrial.java
@@ -0,0 +1,253 @@
+package lilaclever.program;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import lilaclever.program.DrainChange.Status;
+import lilaclever.program.Peer.Wire;
+
+/**
+ * A forwarder, its discovery, its endpoints and its clients on loopback sockets, all watched by an auditor. Endpoints
+ * are numbered; each change goes to discovery, which tells it to all agents.
+ */
+final class DrainTrial implements AutoCloseable {
+    private static final int CLIENTS = 3;
+    private static final int PAUSE_MS = 50;
+    private static final double DEADLINE_SECONDS = 5;
+
+    final DrainAuditor auditor = new DrainAuditor();
+    private final Path state;
+    private final int messagesInACall;
+    private final List<DrainEndpoint> endpoints = new ArrayList<>();
+    private final List<DrainAgent> agents = new ArrayList<>();
+    private final Map<String, DrainChange> membership = new LinkedHashMap<>();
+    private final List<DrainChange> history = new ArrayList<>();
+    private final AtomicInteger messages = new AtomicInteger();
+    private final Set<Integer> groups = ConcurrentHashMap.newKeySet();
+    private volatile SocketAddress address;
+    private volatile boolean closed;
+    private volatile List<String> classes = List.of("status", "order", "payment", "payment");
+    private Forwarder forwarder;
+    private Process process;
+    private DrainAgent watched;
+
+    /** A trial whose forwarders keep their state in the folder and send so many messages in a call at most. */
+    DrainTrial(Path state, int messagesInACall) {
+        this.state = state;
+        this.messagesInACall = messagesInACall;
+    }
+
+    // ---- membership ----------------------------------------------------------------------------------------
+    /** Adds an endpoint that is active; gives its number. */
+    int add(int group) throws IOException {
+        DrainEndpoint endpoint = new DrainEndpoint(auditor);
+        endpoints.add(endpoint);
+        int number = endpoints.size() - 1;
+        list("e" + number, endpoint.address(), group, Status.ACTIVE);
+        return number;
+    }
+
+    DrainEndpoint endpoint(int number) {
+        return endpoints.get(number);
+    }
+
+    void set(int number, Status status) {
+        DrainChange now = membership.get("e" + number);
+        list(now.name(), now.address(), now.group(), status);
+    }
+
+    /** The name of one endpoint is listed with another's address or another group from now on. */
+    void relist(int number, String address, int group) {
+        list("e" + number, address, group, Status.ACTIVE);
+    }
+
+    DrainChange now(int number) {
+        return membership.get("e" + number);
+    }
+
+    private synchronized void list(String name, String at, int group, Status status) {
+        DrainChange change = new DrainChange(history.size() + 1, name, at, group, status);
+        history.add(change);
+        membership.put(name, change);
+        auditor.changed(change, System.nanoTime());
+        agents.forEach(agent -> agent.tell(change));
+        groups.add(group);
+    }
+
+    /** How many changes there have been. */
+    synchronized int version() {
+        return history.size();
+    }
+
+    // ---- agents --------------------------------------------------------------------------------------------
+    /** An agent that has all of the membership. */
+    DrainAgent agent(long firstIndex) throws IOException {
+        return agent(firstIndex, version());
+    }
+
+    /** An agent that has the first so many changes, and gets none until it catches up. */
+    DrainAgent agentBehind(long firstIndex, int changes) throws IOException {
+        DrainAgent agent = agent(firstIndex, changes);
+        agent.fallBehind();
+        synchronized (this) {
+            history.subList(changes, history.size()).forEach(agent::tell);
+        }
+        return agent;
+    }
+
+    private synchronized DrainAgent agent(long firstIndex, int changes) throws IOException {
+        DrainAgent agent = new DrainAgent("a" + agents.size(), auditor, firstIndex, history.subList(0, changes));
+        agents.add(agent);
+        return agent;
+    }
+
+    // ---- the forwarder -------------------------------------------------------------------------------------
+    /** The list as an agent that had the first so many changes would write it. */
+    String listOf(long index, int changes) {
+        Map<String, DrainChange> all = new LinkedHashMap<>();
+        history.subList(0, changes).forEach(x -> all.put(x.name(), x));
+        return "{\"index\":" + index + ",\"snapshot\":true,\"endpoints\":["
+                + String.join(
+                        ",",
+                        all.values().stream()
+                                .filter(x -> x.status() != Status.LEFT)
+                                .map(DrainChange::json)
+                                .toList())
+                + "]}";
+    }
+
+    private String text(DrainAgent agent, String known) {
+        return Setup.text(agent.address(), state, null, 3)
+                .replace("\"aimS\": 1, \"deadlineS\": 28", "\"aimS\": 3, \"deadlineS\": 28")
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [" + messagesInACall + "]")
+                .replace("\"known\": null", "\"known\": " + known);
+    }
+
+    /** Starts a forwarder in this process; {@code known} may be {@code "null"}. */
+    void start(DrainAgent agent, String known) throws Exception {
+        watched = agent;
+        auditor.started(agent.name, System.nanoTime());
+        forwarder = Forwarder.start(Config.parse(text(agent, known), Map.of()), null);
+        address = forwarder.addresses().get(0);
+    }
+
+    /** Starts the real program in a process of its own, which can be killed, with these options of the JVM. */
+    void startProcess(DrainAgent agent, String known, String options) throws IOException {
+        watched = agent;
+        auditor.started(agent.name, System.nanoTime());
+        process = Setup.process(state, text(agent, known), "export JAVA_TOOL_OPTIONS='" + options + "'");
+        BufferedReader log = process.errorReader();
+        String line = log.readLine();
+        while (!line.contains("serves at")) {
+            line = log.readLine();
+        }
+        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1")));
+        DrainThreads.start("log", () -> log.lines().forEach(rest -> {}));
+    }
+
+    /** Ends the process as a crash would. */
+    void kill() throws InterruptedException {
+        address = null;
+        process.destroyForcibly().waitFor();
+        auditor.ended(System.nanoTime());
+    }
+
+    void stop() {
+        address = null;
+        forwarder.stop();
+        forwarder = null;
+        auditor.ended(System.nanoTime());
+    }
+
+    DrainAgent watched() {
+        return watched;
+    }
+
+    void reload(DrainAgent agent) throws IOException {
+        watched = agent;
+        Path file = Files.writeString(state.resolve("config.json"), text(agent, "null"));
+        auditor.reloaded(agent.name, System.nanoTime());
+        forwarder.reload(Map.of("ROUTER_CONFIG", file.toString()));
+    }
+
+    // ---- clients -------------------------------------------------------------------------------------------
+    /** Clients hand in messages for all groups in turn, until the trial is closed. */
+    void load() {
+        for (int i = 0; i < CLIENTS; i++) {
+            DrainThreads.start("client " + i, this::handIn);
+        }
+    }
+
+    private void handIn() throws InterruptedException {
+        while (!closed) {
+            SocketAddress to = address;
+            if (to != null) {
+                try (Wire client = Wire.to(to)) {
+                    while (to.equals(address) && !closed) {
+                        for (int group : groups) {
+                            int number = messages.incrementAndGet();
+                            String kind = classes.get(number % classes.size());
+                            client.handIn(group + "-" + number, kind, group, DEADLINE_SECONDS, "ok");
+                        }
+                        Thread.sleep(PAUSE_MS); // the rate of the load
+                    }
+                } catch (IOException e) {
+                    // the forwarder is going; the next one is tried
+                }
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    /** Clients hand in messages of these classes from now on. */
+    void classes(String... names) {
+        classes = List.of(names);
+    }
+
+    int handedIn() {
+        return messages.get();
+    }
+
+    /** True once a call has come to the endpoint since the moment. */
+    boolean gets(int number, long sinceNanos, long withinMs) throws InterruptedException {
+        long end = System.nanoTime() + withinMs * DrainAuditor.MS;
+        while (auditor.callsSince(now(number).target(), sinceNanos) == 0) {
+            if (System.nanoTime() > end) {
+                return false;
+            }
+            Thread.sleep(5);
+        }
+        return true;
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        address = null;
+        for (DrainEndpoint each : endpoints) {
+            each.acceptAgain();
+        }
+        if (forwarder != null) {
+            forwarder.stop();
+        }
+        if (process != null) {
+            process.destroyForcibly();
+        }
+        for (DrainAgent each : agents) {
+            each.close();
+        }
+        for (DrainEndpoint each : endpoints) {
+            each.close();
+        }
+    }
+}
