--- a/src/test/java/lilaclever/program/DrainAuditor.java
+++ b/src/test/java/lilaclever/program/DrainAuditor.java
@@ -127,12 +127,14 @@
         return written.size();
     }
 
+    /** The first byte of the first call to each target since the moment. */
     synchronized Map<Target, Long> firstCallsSince(long from) {
         return written.stream()
                 .filter(x -> x.firstByte() >= from)
                 .collect(Collectors.toMap(Written::target, Written::firstByte, Math::min));
     }
 
+    /** How many calls each target got. */
     synchronized Map<Target, Long> callsByTarget() {
         return written.stream().collect(Collectors.groupingBy(Written::target, Collectors.counting()));
     }
--- /dev/null
+++ b/src/test/java/lilaclever/program/DrainJournalTest.java
@@ -0,0 +1,229 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lilaclever.DecisionModule;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.journal.BootClock;
+import lilaclever.journal.Disk;
+import lilaclever.journal.Durability;
+import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
+import lilaclever.journal.SegmentedJournal;
+import lilaclever.program.DrainChange.Status;
+import lilaclever.program.DrainChange.Target;
+import lilaclever.protocol.http.HttpDeliverer;
+import lilaclever.routing.Call;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.Front;
+import lilaclever.routing.Message;
+import lilaclever.routing.Submission;
+import lilaclever.transport.Transport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A call waits for its attempt to be on the disk, and its endpoint drains meanwhile. */
+class DrainJournalTest {
+    private static final int GROUP = 7;
+    private static final long CONNECT = 1_500_000, KEEP_ALIVE = 15_000_000, BUDGET = 10_000_000;
+    private static final long DISK_BYTES = 3 << 20;
+
+    @TempDir
+    private Path state;
+
+    private final DrainAuditor auditor = new DrainAuditor();
+    private final CountDownLatch forcing = new CountDownLatch(1);
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    /** A folder in which nothing is forced until that is let go. */
+    private record HeldDisk(Disk disk, CountDownLatch released) implements Disk {
+        private record HeldFile(DiskFile file, CountDownLatch released) implements DiskFile {
+            @Override
+            public int read(ByteBuffer into, long position) throws IOException {
+                return file.read(into, position);
+            }
+
+            @Override
+            public void write(ByteBuffer bytes, long position) throws IOException {
+                file.write(bytes, position);
+            }
+
+            @Override
+            public void truncate(long length) throws IOException {
+                file.truncate(length);
+            }
+
+            @Override
+            public void force() throws IOException {
+                try {
+                    released.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+                file.force();
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        }
+
+        @Override
+        public List<String> names() throws IOException {
+            return disk.names();
+        }
+
+        @Override
+        public long length(String name) throws IOException {
+            return disk.length(name);
+        }
+
+        @Override
+        public DiskFile open(String name) throws IOException {
+            return new HeldFile(disk.open(name), released);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            disk.rename(from, to);
+        }
+
+        @Override
+        public void delete(String name) throws IOException {
+            disk.delete(name);
+        }
+
+        @Override
+        public void forceNames() throws IOException {
+            disk.forceNames();
+        }
+
+        @Override
+        public void close() throws IOException {
+            disk.close();
+        }
+    }
+
+    /** Clients that want nothing but to know that their message has ended. */
+    private final class QuietFront implements Front {
+        @Override
+        public String name() {
+            return "quiet";
+        }
+
+        @Override
+        public void taken(Message message) {}
+
+        @Override
+        public void turnedDown(Message message, FinalStatus verdict) {
+            ended.countDown();
+        }
+
+        @Override
+        public void ended(Message message, String id, FinalStatus verdict, Runnable settled) {
+            settled.run();
+            ended.countDown();
+        }
+    }
+
+    private Core.Listed listed(String name, DrainEndpoint endpoint, Presence presence, HttpDeliverer deliverer) {
+        return new Core.Listed(
+                new DecisionModule.Entry(name, GROUP, 0, 0, presence, 1, 0),
+                new Call.Endpoint(name, endpoint.address(), GROUP, 0, 1, false, deliverer));
+    }
+
+    private static DrainChange change(int version, String name, DrainEndpoint endpoint, Status status) {
+        return new DrainChange(version, name, endpoint.address(), GROUP, status);
+    }
+
+    private void told(DrainChange change) {
+        long now = System.nanoTime();
+        auditor.changed(change, now);
+        auditor.received("agent", change, now);
+    }
+
+    @Test
+    @Timeout(30)
+    void aCallThatWaitsForTheDiskIsNotWrittenToWhatDrainsMeanwhile() throws Exception {
+        Config config = Setup.config("127.0.0.1:9", state, null);
+        try (DrainEndpoint draining = new DrainEndpoint(auditor);
+                DrainEndpoint other = new DrainEndpoint(auditor);
+                Transport transport = new Transport();
+                SegmentedJournal journal = new SegmentedJournal(
+                        new HeldDisk(FolderDisk.take(state), forcing),
+                        DISK_BYTES,
+                        new Durability(Durability.How.GROUP, 0),
+                        new JournalClocks(Core::micros, Core::wall, BootClock.read(Core::micros, Core::wall)),
+                        new SplittableRandom(1))) {
+            Core core = new Core(
+                    config.settings(),
+                    1,
+                    journal,
+                    new Counters(),
+                    Operator.none(config).identity().windows());
+            Front front = new QuietFront();
+            core.add(front);
+            HttpDeliverer deliverer = new HttpDeliverer(core, transport, CONNECT, KEEP_ALIVE, 1);
+            deliverer.start();
+            auditor.started("agent", System.nanoTime());
+            told(change(1, "e0", draining, Status.ACTIVE));
+            told(change(2, "e1", other, Status.ACTIVE));
+            core.start(List.of(listed("e0", draining, Presence.ACTIVE, deliverer)), 1);
+            int payment = config.classNames().indexOf("payment");
+            core.post(() -> core.handIn(
+                    front, new Submission("7-1", null, payment, GROUP, null, new byte[0], false, false, BUDGET)));
+            CountDownLatch heard = new CountDownLatch(1);
+            untilACallWaits(core);
+            core.post(() -> {
+                core.listing(
+                        ListingKind.CHANGES,
+                        2,
+                        List.of(
+                                listed("e0", draining, Presence.LEAVING, deliverer),
+                                listed("e1", other, Presence.ACTIVE, deliverer)));
+                told(change(3, "e0", draining, Status.LEAVING));
+                heard.countDown();
+            });
+            assertTrue(heard.await(10, TimeUnit.SECONDS));
+            // The grace passes, and what socket timing is allowed on top of it.
+            TimeUnit.NANOSECONDS.sleep(DrainAuditor.GRACE + 2 * DrainAuditor.SOCKET_SLACK);
+            forcing.countDown();
+            assertTrue(ended.await(10, TimeUnit.SECONDS), "the message goes to the other endpoint");
+            core.end();
+            assertEquals(List.of(), auditor.violations());
+            assertEquals(Map.of(new Target(other.address(), GROUP), 1L), auditor.callsByTarget());
+        } finally {
+            forcing.countDown();
+        }
+    }
+
+    private static void untilACallWaits(Core core) throws InterruptedException {
+        String text = "";
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+                !text.contains("\ncalls 1\n") && System.nanoTime() < end; ) {
+            CountDownLatch read = new CountDownLatch(1);
+            String[] counted = new String[1];
+            core.post(() -> {
+                counted[0] = core.counters().text();
+                read.countDown();
+            });
+            read.await(1, TimeUnit.SECONDS);
+            text = counted[0];
+        }
+        assertTrue(text.contains("\ncalls 1\n"), text);
+    }
+}
