--- a/src/test/java/lilaclever/program/DrainAgent.java
+++ b/src/test/java/lilaclever/program/DrainAgent.java
@@ -38,6 +38,10 @@
         RESETTING(Answering.POORLY),
         /** The first half of the answer comes, then a byte now and then for as long as the connection lasts. */
         TRICKLING(Answering.POORLY),
+        /** The first half of the answer comes, then nothing. */
+        STALLING(Answering.POORLY),
+        /** Each connection ends after one answer, without having said so. */
+        CLOSING(Answering.AT_ONCE),
         /** The first half of the answer comes, then the connection ends. */
         CUT(Answering.POORLY),
         /** 503 instead of a list. */
@@ -249,6 +253,15 @@
                 wire.say(all.substring(0, half));
                 return false;
             }
+            case STALLING -> {
+                wire.say(all.substring(0, half));
+                Thread.sleep(Long.MAX_VALUE);
+                return false;
+            }
+            case CLOSING -> {
+                wire.say(all);
+                return false;
+            }
             case TRICKLING -> {
                 wire.say(all.substring(0, half));
                 for (int at = half; at < all.length(); at += PIECE) {
--- a/src/test/java/lilaclever/program/DrainSchedule.java
+++ b/src/test/java/lilaclever/program/DrainSchedule.java
@@ -24,6 +24,9 @@
     private static final long SETTLE_MS = 7_000;
 
     private static final long BEHIND_MS = 1_000;
+    /** What the start of a process takes on half a core, before the program's own first step. */
+    private static final long VIRTUAL_MACHINE_MS = 1_000;
+
     private static final long SERVED_WITHIN_MS = 3_000;
 
     /** What goes wrong with discovery in a schedule, besides all that goes wrong in every one. */
@@ -35,6 +38,8 @@
         REFUSING,
         RESETTING,
         TRICKLING,
+        STALLING,
+        CLOSING,
         CUT,
         BUSY,
         SILENT_WATCH,
@@ -238,6 +243,8 @@
                     REFUSING,
                     RESETTING,
                     TRICKLING,
+                    STALLING,
+                    CLOSING,
                     CUT,
                     BUSY,
                     TWICE,
@@ -266,7 +273,7 @@
     private void end(Fault which) throws Exception {
         note("end of " + which);
         switch (which) {
-            case SILENT, REFUSING, RESETTING, TRICKLING, CUT, BUSY -> first.answers(Manner.AT_ONCE);
+            case SILENT, REFUSING, RESETTING, TRICKLING, STALLING, CUT, BUSY -> first.answers(Manner.AT_ONCE);
             case RELOAD_TO_ONE_BEHIND -> {
                 trial.reload(second);
                 Thread.sleep(BEHIND_MS); // what the new agent does not know yet counts all the same
@@ -294,12 +301,13 @@
         }
     }
 
+    /** The configuration still names the list from before the first start. */
     private void restart() throws Exception {
-        int outdated = Math.max(GROUPS.length * ENDPOINTS_PER_GROUP, trial.version() - random.nextInt(1, 10));
+        int outdated = GROUPS.length * ENDPOINTS_PER_GROUP;
         String known = trial.listOf(FIRST_INDEX + outdated, outdated);
         trial.stop();
         note("restart with list " + outdated);
-        trial.start(trial.watched(), known);
+        trial.start(trial.watched(), known, fault == Fault.RESTART ? VIRTUAL_MACHINE_MS : 0);
     }
 
     // ---- the end ------------------------------------------------------------------------------------------
--- a/src/test/java/lilaclever/program/DrainScheduleTest.java
+++ b/src/test/java/lilaclever/program/DrainScheduleTest.java
@@ -19,9 +19,6 @@
  * grace, and what is active gets its calls. {@link DrainSweep} plays more of them.
  */
 class DrainScheduleTest {
-    /** So many run beside each other: a schedule is a few hundred small messages, and mostly waits. */
-    private static final int BESIDE = 9;
-
     private record Play(Fault fault, long seed) {}
 
     private static final List<Play> PLAYS = List.of(
@@ -33,14 +30,18 @@
             new Play(Fault.RELOAD_TO_ONE_BEHIND, 6),
             new Play(Fault.OTHER_GROUP, 9),
             new Play(Fault.UNREADABLE_ENTRY, 7),
-            new Play(Fault.RESTART, 8));
+            new Play(Fault.RESTART, 8),
+            new Play(Fault.KNOWN_OF_HIGHER_INDEX, 10),
+            new Play(Fault.CONTRADICTING, 11),
+            new Play(Fault.RELOADS, 12));
 
     @TempDir
     private Path folder;
 
     @Test
     void nothingGoesToDrainingOrRemovedEndpointsAfterTheGrace() throws Exception {
-        ExecutorService beside = Executors.newFixedThreadPool(BESIDE);
+        // All at once: a schedule is a few hundred small messages, and mostly waits.
+        ExecutorService beside = Executors.newFixedThreadPool(PLAYS.size());
         try {
             List<Future<Result>> results = new ArrayList<>();
             for (Play play : PLAYS) {
--- a/src/test/java/lilaclever/program/DrainTrial.java
+++ b/src/test/java/lilaclever/program/DrainTrial.java
@@ -135,8 +135,14 @@
 
     /** Starts a forwarder in this process; {@code known} may be {@code "null"}. */
     void start(DrainAgent agent, String known) throws Exception {
+        start(agent, known, 0);
+    }
+
+    /** The same as a process of its own whose virtual machine takes so long to start. */
+    void start(DrainAgent agent, String known, long virtualMachineMs) throws Exception {
         watched = agent;
         auditor.started(agent.name, System.nanoTime());
+        Thread.sleep(virtualMachineMs);
         forwarder = Forwarder.start(Config.parse(text(agent, known), Map.of()), null);
         address = forwarder.addresses().get(0);
     }
