--- a/src/test/java/lilaclever/program/DrainKinds.java
+++ b/src/test/java/lilaclever/program/DrainKinds.java
@@ -20,6 +20,7 @@
     private static final int GROUP = 7, OTHER_GROUP = 8;
     private static final int STAYS = 0, DRAINS = 1;
     private static final long AGENT_INDEX = 100, HIGHER_INDEX = 900, LOWER_INDEX = 1;
+    private static final int MANY_CHANGES = 200;
     /** Longer than after which any change counts as told, and its grace. */
     private static final long SETTLE_MS = 8_000;
 
@@ -59,6 +60,13 @@
         return known(trial, AGENT_INDEX + trial.version());
     }
 
+    /** The endpoint that stays is listed again and again, so that indices grow. */
+    private static void changeOften(DrainTrial trial) {
+        for (int i = 0; i < MANY_CHANGES; i++) {
+            trial.set(STAYS, Status.ACTIVE);
+        }
+    }
+
     // ---- discovery -----------------------------------------------------------------------------------------
     /** A drain once the agent has answered in this manner for so long. */
     private static Kind drainAfter(Manner manner, int delayMs, long millis) {
@@ -126,6 +134,14 @@
             trial.set(DRAINS, Status.LEAVING);
             pause(SETTLE_MS);
         }));
+        all.put("discovery restarted, and has passed the old index", served((trial, agent) -> {
+            agent.answers(Manner.REFUSING);
+            agent.restart(LOWER_INDEX);
+            trial.set(DRAINS, Status.LEFT);
+            changeOften(trial);
+            agent.answers(Manner.AT_ONCE);
+            pause(SETTLE_MS);
+        }));
         all.put("discovery restarted, refusing meanwhile", served((trial, agent) -> {
             agent.answers(Manner.REFUSING);
             pause(500);
@@ -246,6 +262,15 @@
             trial.load();
             pause(SETTLE_MS);
         });
+        all.put("known list of another agent's count, which this one has passed", trial -> {
+            DrainAgent agent = trial.agent(LOWER_INDEX);
+            String known = known(trial, LOWER_INDEX + MANY_CHANGES / 2);
+            trial.set(DRAINS, Status.LEFT);
+            changeOften(trial);
+            trial.start(agent, known);
+            trial.load();
+            pause(SETTLE_MS);
+        });
         all.put("oversize whole list at the start", trial -> {
             DrainAgent agent = trial.agent(AGENT_INDEX);
             agent.answers(Manner.OVERSIZE_WHOLE);
