--- a/src/test/java/lilaclever/program/DrainAgent.java
+++ b/src/test/java/lilaclever/program/DrainAgent.java
@@ -1,6 +1,7 @@
 package lilaclever.program;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -21,6 +23,8 @@
 /** A discovery agent on a socket, which tells a forwarder what it has received of the membership, as scripted. */
 final class DrainAgent implements AutoCloseable {
     private static final Pattern WATCH = Pattern.compile(".*\\?after=(-?\\d+)&wait_ms=(\\d+)");
+    private static final int QUEUE = 50;
+    private static final int BIND_TRIES = 1_000;
     private static final int PIECE = 1, PIECE_EVERY_MS = 100;
     /** More than any forwarder has to read of one list. */
     private static final int OVERSIZE = 5 << 20;
@@ -71,6 +75,9 @@
     private final DrainAuditor auditor;
     private final int port;
     private ServerSocket server;
+    /** Bound and not listening: while connections are refused nobody else gets the port. */
+    private Socket portKept;
+
     private final Set<Wire> open = ConcurrentHashMap.newKeySet();
     private volatile Manner manner = Manner.AT_ONCE;
     private volatile int delayMs;
@@ -95,7 +102,7 @@
         this.auditor = auditor;
         this.index = firstIndex;
         this.oldest = firstIndex;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.server = new ServerSocket(0, QUEUE, InetAddress.getLoopbackAddress());
         this.port = server.getLocalPort();
         has.forEach(this::learn);
         listen(server);
@@ -168,12 +175,14 @@
             manner = next;
             server.close();
             open.forEach(Wire::reset);
+            keepPort();
             return;
         }
         if (before == Manner.REFUSING) {
+            portKept.close();
             server = new ServerSocket();
             server.setReuseAddress(true);
-            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), QUEUE);
             listen(server);
         }
         synchronized (this) {
@@ -187,6 +196,23 @@
         }
     }
 
+    private void keepPort() throws IOException {
+        for (int tries = BIND_TRIES; ; tries--) {
+            portKept = new Socket();
+            portKept.setReuseAddress(true);
+            try {
+                portKept.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                return;
+            } catch (BindException e) { // the thread that accepts has not let go of it yet
+                portKept.close();
+                if (tries == 0) {
+                    throw e;
+                }
+                LockSupport.parkNanos(DrainAuditor.MS);
+            }
+        }
+    }
+
     private void catchUpAs(Manner next) {
         manner = next;
         if (!behind) {
--- a/src/test/java/lilaclever/program/DrainEndpoint.java
+++ b/src/test/java/lilaclever/program/DrainEndpoint.java
@@ -20,6 +20,7 @@
  * <p>Ids of messages begin with the destination's number and a dash, as a call does not carry it.
  */
 final class DrainEndpoint implements AutoCloseable {
+    private static final String CALL = "/receive";
     private static final int QUEUE = 8;
     private static final int FULL_AFTER_MS = 100;
 
@@ -110,6 +111,10 @@
         try (Wire wire = new Wire(socket)) {
             open.add(wire);
             for (Wire.Head call = wire.read(); call != null; call = wire.read()) {
+                if (!call.target().startsWith(CALL)) {
+                    wire.answer("404 no probes", "");
+                    continue;
+                }
                 note(call);
                 Thread.sleep(answerAfterMs); // stands for the time that a call takes
                 answer(wire, call);
--- a/src/test/java/lilaclever/program/DrainKinds.java
+++ b/src/test/java/lilaclever/program/DrainKinds.java
@@ -372,7 +372,7 @@
             trial.classes("payment");
             trial.endpoint(DRAINS).stopAccepting();
             trial.endpoint(DRAINS).closeConnections();
-            pause(100);
+            pause(250);
             trial.set(DRAINS, Status.LEAVING);
             trial.endpoint(DRAINS).acceptAgain();
             pause(2_500);
