--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -1,12 +1,16 @@
 package lilaclever.protocol.http;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
 import lilaclever.transport.Transport;
@@ -39,6 +43,8 @@
     private static final long LOOK = 500_000, LEAST_LOOK = 20_000;
     /** How long the first request of a new connection may be on its way when room is made. */
     private static final long NEW = 100_000;
+    /** A client has to take its last answer within this; after it the connection is closed over what is unwritten. */
+    private static final long WRITTEN_BY = 2_000_000;
     /** How long, and over how many bytes, a connection whose sending we have ended waits for the client to close it. */
     private static final long LINGER = 1_000_000, MOST_DROPPED = 1 << 20;
     /**
@@ -90,7 +96,16 @@
         /** Since when it is as it is: opened, or the first byte of a request, or the end of an answer. */
         private volatile long since = Core.micros();
 
-        private volatile boolean asked, partial, answering, ended, lingering;
+        private volatile boolean asked, partial, answering, lingering;
+        /** The last answer is given: what still comes is dropped. */
+        private volatile boolean ended;
+        /** Bytes that were read and are not looked at yet, as a request before them is being handled. */
+        private volatile int unprocessed;
+        /** More was sent ahead than there is room for, and what did not fit is gone. */
+        private boolean truncated;
+        /** Writes that are not wholly in the socket's buffer yet. */
+        private int writes;
+
         /** It came where all the room is taken by those who wait for an answer: it is told to come again. */
         private volatile boolean tooMany;
 
@@ -100,26 +115,43 @@
             this.connection = connection;
         }
 
-        synchronized void bytes(byte[] in) {
-            int at = 0;
-            dropped += ended ? in.length : 0;
-            if (dropped > MOST_DROPPED) {
-                connection.terminateSilently();
+        /** Takes what was read from the socket. */
+        synchronized void received(byte[] in) {
+            if (lingering) {
+                dropped += in.length;
+                if (dropped > MOST_DROPPED) {
+                    connection.terminateSilently();
+                }
+            } else if (!truncated) {
+                process(in);
             }
+        }
+
+        private void process(byte[] in) {
+            int at = 0;
             while (at < in.length && !ended) {
                 if (answering) {
-                    // Another request before the answer to the first waits for its turn, as far as there is room.
-                    if (ahead.size() + in.length - at > MOST_AHEAD) {
-                        ended = true;
-                    } else {
-                        ahead.write(in, at, in.length - at);
-                    }
-                    return;
+                    keepForLater(in, at);
+                    at = in.length;
+                } else {
+                    at = read(in, at);
+                }
+                unprocessed = in.length - at;
+                if (!answering && !ended && reader.isComplete()) {
+                    whole();
                 }
-                at = read(in, at);
             }
+            unprocessed = 0;
         }
 
+        /** Another request before the answer to the first waits for its turn, as far as there is room. */
+        private void keepForLater(byte[] in, int from) {
+            int size = Math.min(MOST_AHEAD - ahead.size(), in.length - from);
+            ahead.write(in, from, size);
+            truncated |= size < in.length - from;
+        }
+
+        /** Reads up to the end of a request; gives where the next one begins. */
         private int read(byte[] in, int from) {
             if (!partial) {
                 partial = true;
@@ -130,10 +162,8 @@
                 count(reader.isComplete() ? 0 : reader.size());
                 if (gathered.get() > MOST_GATHERED) {
                     refuse(503);
-                } else if (reader.isComplete()) {
-                    whole();
                 } else if (reader.awaitsContinue()) {
-                    Transport.write(connection, "HTTP/1.1 100 Continue\r\n\r\n".getBytes(), () -> {}, () -> {});
+                    write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII), () -> {});
                 }
                 return at;
             } catch (MessageReader.Spoilt e) {
@@ -162,20 +192,37 @@
                     Core.micros(),
                     new Exchange(this, reader.keeps()));
             reader.next();
-            handler.accept(request);
+            try {
+                handler.accept(request);
+            } catch (RuntimeException e) {
+                Logs.error("", "request-failed", "a request could not be handled: " + e, e);
+                request.exchange().answer(500, Map.of(), NOTHING, () -> {});
+            }
         }
 
         /** Tells what is wrong and closes: what follows on the connection can't be told from the rest of this. */
         private synchronized void refuse(int status) {
             if (!ended) {
-                ended = true;
                 core.counters().add(Name.BAD_REQUESTS);
                 Map<String, String> headers = status == 503 ? Map.of("Retry-After", "1") : Map.of();
-                Transport.write(
-                        connection,
-                        Head.answer(status, headers, true, NOTHING),
-                        this::linger,
-                        connection::closeSilently);
+                write(Head.answer(status, headers, true, NOTHING), () -> {});
+                closeOnceWritten();
+            }
+        }
+
+        /** Writes behind what is being written; {@code failed} is run if that could not be. */
+        private synchronized void write(byte[] bytes, Runnable failed) {
+            writes++;
+            Transport.write(connection, bytes, this::written, () -> {
+                connection.closeSilently();
+                failed.run();
+            });
+        }
+
+        private synchronized void written() {
+            writes--;
+            if (ended) {
+                linger();
             }
         }
 
@@ -184,16 +231,33 @@
             answering = false;
             byte[] waiting = ahead.toByteArray();
             ahead.reset();
-            bytes(waiting);
-            if (closing) {
+            if (waiting.length > 0) {
+                process(waiting);
+            }
+            if (truncated && !answering && unprocessed == 0) {
+                refuse(503); // the rest of what was sent ahead is not there
+            } else if (closing) {
                 closeIfIdle(); // the others that were idle are closed already
             }
         }
 
-        /** Ends our sending, after what is written; what comes from now on is dropped, until the client closes. */
-        private synchronized void linger() {
-            if (!lingering && connection.isOpen()) {
+        /** True if requests that were read, or parts of one, wait for this one's answer. */
+        private boolean hasMore() {
+            return ahead.size() > 0 || truncated || unprocessed > 0;
+        }
+
+        /** The last answer is given: what comes from now on is dropped, until the client closes. */
+        private synchronized void closeOnceWritten() {
+            if (!ended) {
                 ended = true;
+                since = Core.micros();
+                linger();
+            }
+        }
+
+        /** Ends our sending once all that was written has gone: an end before that would cut an answer off. */
+        private void linger() {
+            if (writes == 0 && !lingering && connection.isOpen()) {
                 lingering = true;
                 since = Core.micros();
                 synchronized (clients) {
@@ -204,7 +268,7 @@
         }
 
         private boolean isIdle() {
-            return !answering && !partial;
+            return !answering && !partial && unprocessed == 0;
         }
 
         /** When it has to go if it stays as it is. */
@@ -212,6 +276,9 @@
             if (lingering) {
                 return since + LINGER;
             }
+            if (ended) {
+                return since + WRITTEN_BY;
+            }
             if (answering) {
                 return Long.MAX_VALUE;
             }
@@ -228,26 +295,26 @@
             if (Core.micros() < due()) {
                 return;
             }
-            if (lingering) {
+            if (ended) {
                 connection.closeSilently();
             } else if (partial) {
                 refuse(408);
             } else {
-                linger();
+                closeOnceWritten();
             }
         }
 
         /** The same for one that is idle, whatever the time. */
         private synchronized void closeIfIdle() {
             if (isIdle()) {
-                linger();
+                closeOnceWritten();
             }
         }
 
         /** Makes room, unless it has asked meanwhile: then its answer closes it, as there is a crowd. */
         private synchronized void makeRoom() {
             if (isIdle()) {
-                linger();
+                closeOnceWritten();
             } else if (!ended) {
                 synchronized (clients) {
                     leaving.remove(this);
@@ -255,6 +322,16 @@
             }
         }
 
+        /** Closes it now, unless a request of it is open or its answer is not written yet; false then. */
+        private synchronized boolean closeNow() {
+            boolean free = lingering || isIdle() && writes == 0;
+            if (free) {
+                ended = true;
+                connection.closeSilently();
+            }
+            return free;
+        }
+
         /** Looks at it until it is closed. Loop thread. */
         private void look() {
             if (!connection.isOpen()) {
@@ -272,6 +349,8 @@
     final class Exchange {
         private final Client client;
         private final boolean keep;
+        /** Guarded by the client. */
+        private boolean answered;
 
         private Exchange(Client client, boolean keep) {
             this.client = client;
@@ -284,21 +363,21 @@
 
         /**
          * Writes the answer; {@code lost} is run if it could not be written. The client may have it, and send its next
-         * request, before this returns: that one must not be taken for one that came before its turn.
+         * request, before this returns: that one must not be taken for one that came before its turn. A connection
+         * that is to close does so behind the last request that was read whole. A second answer is passed over.
          */
         void answer(int status, Map<String, String> headers, byte[] body, Runnable lost) {
             synchronized (client) {
-                boolean stay = keep && !closing && !client.ended && size() <= crowd;
-                Transport.write(
-                        client.connection,
-                        Head.answer(status, headers, !stay, body),
-                        stay ? () -> {} : client::linger,
-                        () -> {
-                            client.connection.closeSilently();
-                            lost.run();
-                        });
+                if (answered) {
+                    return;
+                }
+                answered = true;
+                boolean stay = keep && !client.ended && (client.hasMore() || !closing && size() <= crowd);
+                client.write(Head.answer(status, headers, !stay, body), lost);
                 if (stay) {
                     client.answered();
+                } else {
+                    client.closeOnceWritten();
                 }
             }
         }
@@ -357,17 +436,16 @@
      * Makes room for a newcomer: one of those who stay has to leave, and where there is no room for that either, one
      * goes now.
      */
-    private void crowdOut(Client newest) {
-        Client out = null, gone = null;
+    private void evictFor(Client newest) {
+        Client out = null;
+        boolean full;
         synchronized (clients) {
             if (clients.size() - leaving.size() > most - most / LEAVING_PART) {
                 out = leastWanted(newest);
                 out.tooMany = out == newest;
                 leaving.add(out);
             }
-            if (clients.size() > most) {
-                gone = leaving.isEmpty() ? newest : leaving.iterator().next();
-            }
+            full = clients.size() > most;
         }
         if (out != null) {
             core.counters().add(Name.CROWDED_OUT);
@@ -375,11 +453,30 @@
                 Transport.afterReading(out.connection, out::makeRoom);
             }
         }
-        if (gone != null) {
-            forget(gone);
-            gone.ended = true;
-            gone.connection.closeSilently();
+        if (full) {
+            closeOneOfLeaving(newest);
+        }
+    }
+
+    /**
+     * Closes the first of those that leave and owe no answer; else the newcomer, of which nothing is read. One that was
+     * chosen to leave while it was idle may have asked since then, and has to be answered.
+     */
+    private void closeOneOfLeaving(Client newest) {
+        List<Client> candidates;
+        synchronized (clients) {
+            candidates = new ArrayList<>(leaving);
+        }
+        candidates.remove(newest);
+        candidates.sort(Comparator.comparing(each -> !each.lingering)); // stable: the first of each kind goes first
+        for (Client each : candidates) {
+            if (each.closeNow()) {
+                forget(each);
+                return;
+            }
         }
+        newest.closeNow();
+        forget(newest);
     }
 
     @Override
@@ -390,7 +487,7 @@
         synchronized (clients) {
             clients.add(client);
         }
-        crowdOut(client);
+        evictFor(client);
         core.post(client::look);
         return context.getInvokeAction();
     }
@@ -417,7 +514,7 @@
         Client client = clientOf.get(context.getConnection());
         byte[] bytes = Transport.bytes(context.getMessage());
         if (client != null) {
-            client.bytes(bytes);
+            client.received(bytes);
         }
         return context.getStopAction();
     }
--- a/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -21,6 +22,8 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients' connections at the moments where the loop and the selector thread cross. */
 class IntakeFilterTest extends TwoThreads {
@@ -155,4 +158,139 @@
             each.close();
         }
     }
+
+    // ---- requests that were read ---------------------------------------------------------------------------
+    private Wire answeredOnce(InetSocketAddress address, int number) throws Exception {
+        Wire wire = to(address);
+        wire.say(asks("/first" + number, 0));
+        answer(next(), "");
+        assertEquals("200", wire.read().target());
+        return wire;
+    }
+
+    /**
+     * Connections that were chosen for eviction while idle, and whose next request is read before they are closed: the
+     * request is answered, whoever else comes. The order of events within one selection is the system's: of several
+     * rounds nearly every one evicts a connection whose request is read in that same selection.
+     */
+    @Test
+    void anEvictedConnectionWhoseRequestWasReadIsAnswered() throws Exception {
+        for (int round = 0; round < 5; round++) {
+            intake = new IntakeFilter(core, 8, 8, requests::add); // seven stay, and one place is for those who leave
+            InetSocketAddress address = listen(intake);
+            Wire[] clients = new Wire[7];
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = answeredOnce(address, i);
+            }
+            CountDownLatch free = hold();
+            for (int i = 0; i < clients.length; i++) {
+                clients[i].say(asks("/" + i, 0));
+            }
+            Wire[] newcomers = {to(address), to(address), to(address)};
+            free.countDown();
+            for (IntakeFilter.Request r = requests.poll(2, TimeUnit.SECONDS);
+                    r != null;
+                    r = requests.poll(300, TimeUnit.MILLISECONDS)) {
+                answer(r, "");
+                Wire.Head head = clients[Integer.parseInt(r.path().substring(1))].read();
+                assertEquals("200", head == null ? "closed" : head.target(), "round " + round + " " + r.path());
+            }
+            for (Wire each : clients) {
+                each.close();
+            }
+            for (Wire each : newcomers) {
+                each.close();
+            }
+        }
+    }
+
+    /** Requests that were read while an earlier one was open are answered before the connection closes. */
+    @ParameterizedTest
+    @ValueSource(strings = {"shutdown", "many connections"})
+    void pipelinedRequestsAreAnsweredBeforeTheConnectionCloses(String cause) throws Exception {
+        intake = new IntakeFilter(core, 10, cause.equals("shutdown") ? 10 : 0, requests::add);
+        try (Wire client = to(listen(intake))) {
+            client.say(asks("/1", 0) + asks("/2", 0) + asks("/3", 0));
+            IntakeFilter.Request first = next();
+            if (cause.equals("shutdown")) {
+                onLoop(intake::close);
+            }
+            answer(first, "");
+            assertEquals("200", client.read().target());
+            for (String path : List.of("/2", "/3")) {
+                IntakeFilter.Request request = next();
+                assertEquals(path, request == null ? "none" : request.path());
+                answer(request, "");
+                assertEquals("200", client.read().target());
+            }
+            assertNull(client.read());
+        }
+    }
+
+    /** Of requests sent ahead those that fit are answered, and the one that does not is told to come again. */
+    @Test
+    void whatIsSentAheadBeyondTheRoomIsRefusedInWords() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        try (Wire client = to(listen(intake))) {
+            client.say(asks("/1", 0));
+            IntakeFilter.Request first = next();
+            client.say(asks("/2", 0) + asks("/3", 40_000));
+            CountDownLatch free = hold(); // all of it has been read by then
+            free.countDown();
+            answer(first, "");
+            assertEquals("200", client.read().target());
+            IntakeFilter.Request second = next();
+            assertEquals("/2", second == null ? "none" : second.path());
+            answer(second, "");
+            assertEquals("200", client.read().target());
+            assertEquals("503", client.read().target());
+            assertNull(client.read());
+        }
+    }
+
+    /** A request is answered whatever its client sends behind it. */
+    @Test
+    void muchThatFollowsARequestDoesNotCutItsAnswer() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        try (Wire client = to(listen(intake))) {
+            client.say(asks("/1", 0));
+            IntakeFilter.Request first = next();
+            client.write("", new byte[12 << 20]);
+            answer(first, "");
+            assertEquals("200", client.read().target());
+        }
+    }
+
+    /** A request whose handling fails is answered as failed. */
+    @Test
+    void aRequestWhoseHandlerFailsIsAnswered() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, request -> {
+            throw new IllegalStateException("a fault of the handler's");
+        });
+        try (Wire client = to(listen(intake))) {
+            client.say(asks("/1", 0));
+            Wire.Head head = client.read();
+            assertEquals("500", head == null ? "closed" : head.target());
+        }
+    }
+
+    /** A close while an answer is still being written, as its client reads slowly, waits for the answer's last byte. */
+    @Test
+    void aCloseWaitsForAnAnswerThatIsBeingWritten() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        InetSocketAddress address = listen(intake);
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4096);
+        socket.connect(address);
+        try (Wire client = new Wire(socket)) {
+            client.patience(20_000);
+            client.say(asks("/1", 0));
+            answer(next(), "x".repeat(4 << 20));
+            onLoop(intake::close);
+            hold().countDown(); // the close has been carried out
+            hold().countDown();
+            assertEquals(4 << 20, client.read().body().length);
+            assertNull(client.read());
+        }
+    }
 }
