--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -137,7 +137,17 @@
             answer(request.exchange(), 400, Map.of(), e.getMessage() + "\n");
             return;
         }
-        core.post(() -> handIn(request, submission));
+        core.post(() -> handInOrFail(request, submission));
+    }
+
+    /** A fault of the program's must not leave the client without an answer. */
+    private void handInOrFail(IntakeFilter.Request request, Submission submission) {
+        try {
+            handIn(request, submission);
+        } catch (RuntimeException e) {
+            answer(request.exchange(), 500, Map.of(), "");
+            throw e; // the loop counts and logs it
+        }
     }
 
     private void handIn(IntakeFilter.Request request, Submission submission) {
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/http/HttpFrontTest.java
@@ -0,0 +1,57 @@
+package lilaclever.protocol.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import lilaclever.benchlink.SettingsReader;
+import lilaclever.identity.IdempotencyWindows;
+import lilaclever.lab.sockets.Wire;
+import lilaclever.routing.Core;
+import lilaclever.routing.Counters;
+import lilaclever.routing.Journal;
+import org.junit.jupiter.api.Test;
+
+/** The clients' front where what is below it fails. */
+class HttpFrontTest extends TwoThreads {
+    /** A journal that fails where it is asked whether a message has ended before. */
+    private static Journal failingJournal() {
+        return (Journal) Proxy.newProxyInstance(
+                Journal.class.getClassLoader(), new Class<?>[] {Journal.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("remembered")) {
+                        throw new IllegalStateException("a fault of the journal's");
+                    }
+                    return switch (method.getName()) {
+                        case "owed" -> List.of();
+                        case "rememberedCount" -> 0;
+                        default -> null;
+                    };
+                });
+    }
+
+    /** A message that can't be taken in because of a fault of the program's is answered as failed. */
+    @Test
+    void aMessageWhoseTakingInFailsIsAnswered() throws Exception {
+        var settings = SettingsReader.read(SETTINGS, 0);
+        Core faulty = new Core(
+                settings, 1, failingJournal(), new Counters(), new IdempotencyWindows(List.of(), 60_000_000, 1));
+        HttpFront front = new HttpFront(faulty, List.of("status"), settings.classes(), 10, 10, null, "x-practice");
+        faulty.add(front);
+        faulty.start(List.of(), 0);
+        try {
+            InetSocketAddress address =
+                    (InetSocketAddress) front.listen(transport, new InetSocketAddress("127.0.0.1", 0));
+            try (Wire client = new Wire(new Socket(address.getAddress(), address.getPort()))) {
+                client.patience(10_000);
+                client.say("POST /api HTTP/1.1\r\nReq-Id: a\r\nReq-Kind: status\r\nReq-Deadline: 5\r\n"
+                        + "X-Practice: p\r\nIdempotency-Key: k\r\nX-Envelope: dest=7\r\nContent-Length: 0\r\n\r\n");
+                Wire.Head head = client.read();
+                assertEquals("500", head == null ? "closed" : head.target());
+            }
+        } finally {
+            faulty.end();
+        }
+    }
+}
--- a/src/test/java/lilaclever/protocol/http/TwoThreads.java
+++ b/src/test/java/lilaclever/protocol/http/TwoThreads.java
@@ -30,7 +30,7 @@
 
 /** A real loop and a real selector thread, either of which a test can have stand still while something else comes. */
 abstract class TwoThreads {
-    private static final String SETTINGS = """
+    static final String SETTINGS = """
             {"roundS": 0.002, "groupSize": 1, "shapes": ["lab"], "zones": ["z"],
              "familyInfo": {"callSlots": 20, "kindBatch": [1], "ownLimits": [false]},
              "limits": {"maxAttempts": 8, "openCap": 200, "connectTimeoutS": 1.5, "keepaliveS": 15},
