--- a/src/main/java/lilaclever/journal/Compactor.java
+++ b/src/main/java/lilaclever/journal/Compactor.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import lilaclever.journal.Format.Writer;
+import lilaclever.log.Logs;
 
 /** Empties the log from its oldest segment on: copies forward what is live, and releases what nothing rests on. */
 final class Compactor implements LogAppender.RoomMaker {
@@ -58,7 +59,16 @@
 
     /** Empties segments where that can't wait for the turn's slice. */
     @Override
-    public void makeRoom(long bytes) throws IOException {
+    public void makeRoom(long bytes) {
+        try {
+            emptySegments(bytes);
+        } catch (IOException e) {
+            // A segment that can't be renamed or deleted now stays; what is to be written may fit all the same.
+            Logs.warn("journal", "release-failed", "an empty segment could not be released: " + e);
+        }
+    }
+
+    private void emptySegments(long bytes) throws IOException {
         int wanted = plan.forced(log.space(state));
         for (int n = log.files(); n > 0 && log.oldest() != null; n--) {
             boolean enough = wanted-- <= 0 && log.canTake(bytes, Plan.FOR_COPIES);
--- a/src/main/java/lilaclever/journal/Format.java
+++ b/src/main/java/lilaclever/journal/Format.java
@@ -140,7 +140,8 @@
         if (in.remaining() < length + FRAME) {
             return Look.MORE;
         }
-        return in.getInt(at + SUM_AT) == sum(in, at, length, salt) ? Look.GOOD : Look.BAD;
+        boolean whole = in.get(at + length + FRAME - 1) == END; // else its last byte was never written
+        return whole && in.getInt(at + SUM_AT) == sum(in, at, length, salt) ? Look.GOOD : Look.BAD;
     }
 
     /** True if the bytes end as a record does that is as long as they are. */
--- a/src/main/java/lilaclever/journal/LogAppender.java
+++ b/src/main/java/lilaclever/journal/LogAppender.java
@@ -13,7 +13,7 @@
     /** Empties segments where a record finds no room. */
     interface RoomMaker {
         /** Makes room for so many bytes, if it can. */
-        void makeRoom(long bytes) throws IOException;
+        void makeRoom(long bytes);
     }
 
     private interface Step {
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -82,13 +82,21 @@
             if (name.startsWith(SegmentLog.DAMAGED)) {
                 to.foundAside(name);
             } else if (name.equals(LegacyReader.UNFINISHED)) {
-                disk.delete(name);
+                deleteIfPossible(name);
             } else if (name.startsWith(SegmentLog.SPARE)) {
                 to.foundSpare(name);
             }
         }
     }
 
+    private void deleteIfPossible(String name) {
+        try {
+            disk.delete(name);
+        } catch (IOException e) {
+            log.accept(name + " could not be deleted, which the next start does: " + e);
+        }
+    }
+
     /** Looks at a segment's beginning; one of a newer version is refused. */
     private Look look(String name) throws IOException {
         try (SegmentReader reader = new SegmentReader(disk, name)) {
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -22,6 +22,9 @@
     /** A file without content, ready for use. */
     private record Spare(String name, long length) {}
 
+    /** A file without content that could not be filled with zeros yet, as the disk failed. */
+    private record Unready(String name, long length) {}
+
     private final Disk disk;
     private final Plan plan;
     private final long most;
@@ -29,6 +32,7 @@
     private final JournalClocks times;
     private final ArrayDeque<Segment> full = new ArrayDeque<>();
     private final ArrayDeque<Spare> spares = new ArrayDeque<>();
+    private final ArrayDeque<Unready> unready = new ArrayDeque<>();
     /** Files that hold records which may not outlast the machine yet. */
     private final List<Disk.DiskFile> unforced = new ArrayList<>();
 
@@ -40,7 +44,7 @@
     private long allocated;
     private long nextSequence = 1;
     private long nextSpare;
-    private long asideBytes;
+    private long asideBytes, unreadyBytes;
     private boolean cannotGrow;
 
     /** {@code forces}: files are to be forced, so they are kept open until then. */
@@ -66,7 +70,7 @@
         nextSpare = Math.max(nextSpare, 1 + number(name));
         long length = disk.length(name);
         allocated += Plan.blocks(length);
-        ready(name, length);
+        prepareOrKeep(name, length);
     }
 
     /** A file that was kept aside for people to look at. */
@@ -92,8 +96,8 @@
         }
         // What can't grow now has all the room it will get.
         return new Plan.Space(
-                (cannotGrow ? allocated : most) - asideBytes,
-                allocated - asideBytes,
+                (cannotGrow ? allocated : most) - asideBytes - unreadyBytes,
+                allocated - asideBytes - unreadyBytes,
                 free,
                 state.live(),
                 state.growth(),
@@ -106,7 +110,7 @@
     }
 
     int files() {
-        return full.size() + spares.size() + (active == null ? 0 : 1);
+        return full.size() + spares.size() + unready.size() + (active == null ? 0 : 1);
     }
 
     Segment active() {
@@ -146,13 +150,13 @@
     }
 
     // ---- writing ----------------------------------------------------------------------------------------
-    /** Writes the records behind the others; on a failure the file in use is left as it is, and none is in use. */
+    /** Writes the records behind the others; on a failure the file is cut off before them and not used further. */
     void write(Writer records) throws IOException {
         try {
             activeFile.write(records.sealed(salt), active.used);
         } catch (IOException e) {
             cut();
-            leave();
+            leaveAfterFailure();
             throw e;
         }
         active.used += records.size();
@@ -167,6 +171,35 @@
         }
     }
 
+    /**
+     * A file with records stays in the log. An empty one becomes a spare again: it would be emptied only after all files
+     * before it, and a disk that fails for some time would use up all spares, with none left to copy what is live to.
+     */
+    private void leaveAfterFailure() {
+        if (active.used > Format.OVERHEAD) {
+            leave();
+            return;
+        }
+        String name = SPARE + nextSpare++;
+        try {
+            disk.rename(active.name, name);
+        } catch (IOException e) {
+            Logs.warn("journal", "rename-failed", active.name + " stays in use: " + e, "segment", active.name);
+            return;
+        }
+        namesChanged = true;
+        nextSequence = active.sequence;
+        if (forces) {
+            unforced.add(activeFile); // it may be under a forcing just now
+        } else {
+            close(activeFile);
+        }
+        long length = active.length;
+        active = null;
+        activeFile = null;
+        prepareOrKeep(name, length);
+    }
+
     /** Takes a file into use that has room for so many bytes, and notes in it where the last one ended. */
     void roll(long bytes) throws IOException {
         leave();
@@ -237,8 +270,9 @@
         long length = plan.lengthFor(bytes);
         while (allocated + length > most && !spares.isEmpty()) {
             // Spare files that are too short for this one record make way for a longer one.
-            Spare shortest = spares.pollFirst();
+            Spare shortest = spares.peekFirst();
             disk.delete(shortest.name());
+            spares.pollFirst();
             allocated -= Plan.blocks(shortest.length());
         }
         if (allocated + length > most) {
@@ -247,12 +281,10 @@
         if (length < needed) {
             throw new NoRoom();
         }
-        grow(length);
-        Spare made = spares.pollLast();
-        if (made == null || made.length() < needed) {
+        if (!grow(length)) {
             throw new NoRoom();
         }
-        return made;
+        return spares.pollLast();
     }
 
     /** No file is left to write to. */
@@ -272,7 +304,7 @@
             zero(file, 0, length);
             cannotGrow = false;
         } catch (IOException e) {
-            quietlyDelete(name);
+            deleteOrKeep(name, length);
             return false;
         }
         namesChanged = true;
@@ -293,14 +325,22 @@
         }
     }
 
-    private void quietlyDelete(String name) {
+    /** Deletes a file that could not be filled; where that fails too it counts, and is filled later. */
+    private void deleteOrKeep(String name, long length) {
         try {
             disk.delete(name);
         } catch (IOException e) {
             Logs.warn("journal", "delete-failed", name + " could not be deleted: " + e, "segment", name);
+            allocated += Plan.blocks(length);
+            keepUnready(name, length);
         }
     }
 
+    private void keepUnready(String name, long length) {
+        unready.addLast(new Unready(name, length));
+        unreadyBytes += Plan.blocks(length);
+    }
+
     /** Takes the oldest file, on which nothing rests any more, out of the log. */
     void release(JournalState state) throws IOException {
         Segment s = full.peekFirst();
@@ -317,31 +357,64 @@
             String name = SPARE + nextSpare++;
             disk.rename(s.name, name);
             full.pollFirst();
-            ready(name, s.length);
+            prepareOrKeep(name, s.length);
         }
         namesChanged = true;
     }
 
-    /** Fills a file with zeros; where that fails it is cut off there, and used if it is worth it. */
-    private void ready(String name, long length) throws IOException {
-        long good = length;
-        try (Disk.DiskFile file = disk.open(name)) {
+    /** Makes a file without content a spare, now or as soon as the disk allows that. */
+    private void prepareOrKeep(String name, long length) {
+        try {
+            prepare(name, length);
+        } catch (IOException e) {
+            Logs.warn("journal", "not-ready", name + " is made ready later: " + e, "segment", name);
+            keepUnready(name, length);
+        }
+    }
+
+    /** Tries again to make spares of files for which that failed, up to the first that fails again. */
+    void prepareUnready() {
+        for (Unready first = unready.peekFirst(); first != null; first = unready.peekFirst()) {
             try {
-                zero(file, 0, length);
+                prepare(first.name(), first.length());
             } catch (IOException e) {
-                good = firstThatFails(file, length) / Format.BLOCK * Format.BLOCK;
-                file.truncate(good);
+                return;
             }
+            unready.pollFirst();
+            unreadyBytes -= Plan.blocks(first.length());
         }
-        allocated -= Plan.blocks(length) - Plan.blocks(good);
-        if (good <= 2 * Format.OVERHEAD) {
+    }
+
+    /** Makes a file without content a spare; one of which little can be written is given up. On a failure as before. */
+    private void prepare(String name, long length) throws IOException {
+        long good = fillWithZeros(name, length);
+        boolean worthIt = good > 2 * Format.OVERHEAD;
+        if (!worthIt) {
             disk.delete(name);
-            allocated -= Plan.blocks(good);
-        } else {
+        }
+        allocated -= Plan.blocks(length) - (worthIt ? Plan.blocks(good) : 0);
+        if (worthIt) {
             spares.add(new Spare(name, good));
         }
     }
 
+    /** Fills a file with zeros and gives its length then: where only the rest of it fails, it is cut off there. */
+    private long fillWithZeros(String name, long length) throws IOException {
+        try (Disk.DiskFile file = disk.open(name)) {
+            try {
+                zero(file, 0, length);
+                return length;
+            } catch (IOException e) {
+                long good = firstThatFails(file, length) / Format.BLOCK * Format.BLOCK;
+                if (good == 0 && length > 0) {
+                    throw e; // it is the disk that fails, not this file's end
+                }
+                file.truncate(good);
+                return good;
+            }
+        }
+    }
+
     private static long firstThatFails(Disk.DiskFile file, long length) {
         long at = 0;
         try {
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -36,7 +36,8 @@
     private final LogAppender appender;
     private final Compactor compactor;
     private final UnwrittenChanges unwritten;
-    private long askAgainAt;
+    /** After the disk failed: when files are asked for, segments released and spare files made ready again. */
+    private long askAgainAt, releaseAgainAt, prepareAgainAt;
 
     /**
      * Opens the journal in the folder and reads what an earlier life left.
@@ -50,11 +51,12 @@
         this.disk = disk;
         micros = times.micros();
         plan = new Plan(mostBytes);
-        syncer = new Syncer(durability, disk, this::writeAllAgain);
+        syncer = new Syncer(durability, disk, new ForcingListener());
         log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
         appender = new LogAppender(log, plan, state, syncer, micros);
         compactor = new Compactor(log, plan, state, syncer, appender);
-        unwritten = new UnwrittenChanges(state, log, writer, records -> appender.append(records, compactor));
+        unwritten = new UnwrittenChanges(
+                state, log, writer, syncer.forces(), records -> appender.append(records, compactor));
         Recovery recovery = new Recovery(disk, state, times.boot(), line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
@@ -69,6 +71,9 @@
     // ---- records ----------------------------------------------------------------------------------------
     @Override
     public boolean taken(String front, Submission submission, long deadlineWall, long nowWall) {
+        if (unwritten.isRewriting()) {
+            return false; // it could not be promised to outlast the machine
+        }
         PendingMessage owed = new PendingMessage(front, submission, deadlineWall);
         RecordEncoder.taken(writer.clear(), owed);
         int size = writer.size();
@@ -81,6 +86,10 @@
 
     @Override
     public boolean attempt(String id, String host, int zone, long wall) {
+        // Behind an earlier change that is not written this record would hide when the message may first have run.
+        if (!unwritten.writeMessage(id)) {
+            return false;
+        }
         RecordEncoder.attempt(writer.clear(), id, host, zone, wall);
         if (!append()) {
             return false;
@@ -118,6 +127,7 @@
             state.drop(id);
             RecordEncoder.ended(writer.clear(), id);
             appendOrKeep(id);
+            unwritten.endWritten(id);
         }
     }
 
@@ -187,25 +197,53 @@
             askAgainAt = now + ASK_AGAIN;
             log.mayGrowAgain();
         }
+        if (now >= prepareAgainAt) {
+            prepareAgainAt = now + Plan.PAUSE;
+            log.prepareUnready(); // whether records are written or not: they may wait for just these files
+        }
         unwritten.write();
         state.expire(nowWall, EXPIRE_A_TURN);
         if (!appender.isPausedAt(now)) {
-            try {
-                compactor.runSlice();
-            } catch (IOException e) {
-                appender.failed(e);
-            }
+            compact(now);
             if (log.active() != null && plan.wantsSpare(log.space(state))) { // nothing before the first record
                 log.grow(plan.segment());
             }
         }
-        syncer.turn(now, log);
+        if (!unwritten.isRewriting()) {
+            syncer.turn(now, log); // else a good forcing would stand in for the one that failed
+        }
+    }
+
+    /** A segment that can't be released is tried again later; records are written meanwhile. */
+    private void compact(long now) {
+        if (now < releaseAgainAt) {
+            return;
+        }
+        try {
+            compactor.runSlice();
+        } catch (IOException e) {
+            releaseAgainAt = now + Plan.PAUSE;
+            Logs.warn("journal", "release-failed", "an empty segment could not be released, tried again later: " + e);
+        }
     }
 
-    /** A forcing has failed: nothing since the last good one can be relied on. */
-    private void writeAllAgain() {
-        log.giveUpActive();
-        unwritten.addAll();
+    private final class ForcingListener implements Syncer.Listener {
+        @Override
+        public void begun() {
+            unwritten.forcingBegun();
+        }
+
+        @Override
+        public void succeeded() {
+            unwritten.forcingSucceeded();
+        }
+
+        /** Nothing that was written since the last good one can be relied on. */
+        @Override
+        public void failed() {
+            log.giveUpActive();
+            unwritten.addAll();
+        }
     }
 
     // ---- durability -------------------------------------------------------------------------------------
@@ -246,6 +284,11 @@
         return appender.failures() + syncer.failures();
     }
 
+    /** True while a forcing is under way. */
+    boolean isForcing() {
+        return syncer.isRunning();
+    }
+
     /** Changes that are known in memory and not yet written. */
     public int unwritten() {
         return unwritten.count();
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -15,7 +15,7 @@
 final class Syncer {
     private final Durability durability;
     private final Disk disk;
-    private final Runnable onFailure;
+    private final Listener listener;
     private ExecutorService thread;
     private Executor loop = Runnable::run;
     private List<Runnable> waiting = new ArrayList<>();
@@ -25,11 +25,23 @@
     private long lastBegun;
     private long failures;
 
-    /** {@code onFailure}: what was to be forced must be written again, elsewhere. */
-    Syncer(Durability durability, Disk disk, Runnable onFailure) {
+    /** Hears of forcings, on the loop thread. */
+    interface Listener {
+        /** What is written so far is being forced. */
+        void begun();
+
+        /** What was written before the beginning outlasts the machine. */
+        void succeeded();
+
+        /** What was to be forced must be written again, elsewhere. */
+        void failed();
+    }
+
+    /** {@code listener} hears of each forcing but the last one, at the close. */
+    Syncer(Durability durability, Disk disk, Listener listener) {
         this.durability = durability;
         this.disk = disk;
-        this.onFailure = onFailure;
+        this.listener = listener;
     }
 
     void attach(Executor toLoop) {
@@ -50,6 +62,11 @@
         return !forces() || done > count;
     }
 
+    /** True while a forcing is under way. */
+    boolean isRunning() {
+        return running;
+    }
+
     long failures() {
         return failures;
     }
@@ -89,6 +106,7 @@
         }
         running = true;
         written = false;
+        listener.begun();
         lastBegun = nowMicros;
         long number = ++begun;
         List<Runnable> covered = waiting;
@@ -104,6 +122,7 @@
         running = false;
         if (failure == null) {
             done = number;
+            listener.succeeded();
             covered.forEach(Runnable::run);
             return;
         }
@@ -113,7 +132,7 @@
         covered.addAll(waiting);
         waiting = covered;
         written = true;
-        onFailure.run();
+        listener.failed();
     }
 
     /** Forces what is written, now and on the caller's thread, where anything is to be forced at all. */
--- /dev/null
+++ b/src/test/java/lilaclever/journal/DiskFailureTest.java
@@ -0,0 +1,210 @@
+package lilaclever.journal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.journal.StorageFaultTest.Step;
+import lilaclever.routing.FinalStatus;
+import lilaclever.routing.PendingMessage;
+import lilaclever.routing.Submission;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What a failing disk must not do, each case by itself. {@link StorageFaultTest} has the random runs. */
+class DiskFailureTest {
+    private static final long MOST = 1024 * 1024;
+    private static final Durability GROUP = new Durability(Durability.How.GROUP, 0);
+    private static final long TURN = 20_000, TEN_SECONDS = 10_000_000;
+
+    private final SimDisk disk = new SimDisk();
+    private final LinkedBlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
+    private long clock;
+
+    private SegmentedJournal open(Durability durability) throws IOException {
+        SegmentedJournal journal =
+                new SegmentedJournal(disk, MOST, durability, Script.times(() -> clock), new SplittableRandom(3));
+        journal.attach(loop::add);
+        return journal;
+    }
+
+    private static boolean take(SegmentedJournal journal, String id) {
+        return journal.taken("http", new Submission(id, null, 2, 7, "key", new byte[300], false, true, 28), 99, 0);
+    }
+
+    private void fail(Set<SimDisk.Kind> kinds) {
+        disk.faults = (kind, name) ->
+                kinds.contains(kind) ? new SimDisk.Failure(new IOException("Input/output error"), 0) : null;
+    }
+
+    private void recover() {
+        disk.faults = (kind, name) -> null;
+    }
+
+    private static List<String> ids(SegmentedJournal journal) {
+        return journal.owed().stream().map(m -> m.submission().id()).sorted().toList();
+    }
+
+    // ---- without forcing ------------------------------------------------------------------------------------
+    /** Files that can't be renamed or deleted for ten seconds keep nobody from writing records. */
+    @ParameterizedTest
+    @EnumSource(
+            value = SimDisk.Kind.class,
+            names = {"RENAME", "DELETE", "OPEN"})
+    void whatIsTakenIsDeliveredWhileEmptySegmentsCanNotBeReleased(SimDisk.Kind kind) throws IOException {
+        try (SegmentedJournal journal = open(Durability.NONE)) {
+            disk.faults = (failing, name) -> failing == kind && StorageFaultTest.stepNow() == Step.COMPACTION
+                    ? new SimDisk.Failure(new IOException("Input/output error"), 0)
+                    : null;
+            for (int turn = 0; turn * TURN < TEN_SECONDS; turn++) {
+                assertTrue(take(journal, "m" + turn), kind + " " + turn);
+                assertTrue(journal.attempt("m" + turn, "a", 0, 1), kind + " " + turn);
+                journal.ended("m" + turn);
+                journal.tidy(0);
+                clock += TURN;
+            }
+            assertEquals(0, journal.unwritten());
+            recover();
+        }
+    }
+
+    /**
+     * An attempt that may have run, whose outcome the disk did not take, and a further attempt that it takes: a restart
+     * still knows the first one's time, from which the window for repeats counts.
+     */
+    @Test
+    void anAttemptIsNotWrittenBeforeTheOutcomeOfTheOneBefore() throws IOException {
+        SegmentedJournal journal = open(Durability.NONE);
+        take(journal, "m");
+        journal.attempt("m", "a", 0, 100);
+        fail(EnumSet.of(SimDisk.Kind.WRITE));
+        journal.outcome("m", false);
+        recover();
+        clock += 2 * Plan.PAUSE;
+        assertTrue(journal.attempt("m", "b", 0, 5_000));
+        try (SegmentedJournal next = Script.open(SimDisk.killed(disk.ops, disk.ops.size(), 0), MOST, Durability.NONE)) {
+            PendingMessage m = next.owed().iterator().next();
+            assertEquals("2 true a 100", m.attempts() + " " + m.mayHaveRun() + " " + m.riskHost() + " " + m.riskWall());
+        }
+        journal.close();
+    }
+
+    /** The folder is read at a start though nothing in it can be changed, and is used once it can be. */
+    @Test
+    void aFolderThatCanNotBeChangedIsReadAndUsedLater() throws IOException {
+        try (SegmentedJournal journal = open(Durability.NONE)) {
+            for (int i = 0; i < 100; i++) {
+                take(journal, "m" + i);
+            }
+        }
+        disk.put("journal.new", new byte[5]);
+        fail(EnumSet.complementOf(EnumSet.of(SimDisk.Kind.OPEN)));
+        try (SegmentedJournal journal = open(Durability.NONE)) {
+            assertEquals(100, journal.owed().size());
+            assertFalse(take(journal, "refused"));
+            journal.ended("m0");
+            recover();
+            clock += 2 * Plan.PAUSE;
+            journal.tidy(0);
+            assertEquals(0, journal.unwritten());
+            assertTrue(take(journal, "after"));
+            assertTrue(disk.total() <= MOST);
+        }
+    }
+
+    // ---- with forcing ---------------------------------------------------------------------------------------
+    /** One turn, and the end of the forcing that it began, if it began one. */
+    private void turn(SegmentedJournal journal) throws InterruptedException {
+        journal.tidy(0);
+        clock += TURN;
+        finishForcing(journal);
+    }
+
+    private void finishForcing(SegmentedJournal journal) throws InterruptedException {
+        if (journal.isForcing()) {
+            Runnable ended = loop.poll(10, TimeUnit.SECONDS);
+            ended.run();
+        }
+    }
+
+    /** A forcing that went well proves nothing while what the failed one was for is not written again. */
+    @Test
+    void aGoodForcingDoesNotStandInForTheOneThatFailed() throws Exception {
+        SegmentedJournal journal = open(GROUP);
+        assertTrue(take(journal, "m"));
+        boolean[] told = {false};
+        journal.whenDurable(() -> told[0] = true);
+        fail(EnumSet.of(SimDisk.Kind.FORCE));
+        turn(journal);
+        fail(EnumSet.of(SimDisk.Kind.WRITE)); // forcings go well again, writes do not
+        for (int i = 0; i < 20; i++) {
+            turn(journal);
+            assertFalse(told[0], "in turn " + i);
+        }
+        recover();
+        for (int i = 0; i < 20; i++) {
+            turn(journal);
+        }
+        assertTrue(told[0]);
+        SimDisk left = SimDisk.powerCut(disk.ops, disk.ops.size(), new SplittableRandom(1));
+        try (SegmentedJournal next = Script.open(left, MOST, Durability.NONE)) {
+            assertEquals(List.of("m"), ids(next));
+        }
+        journal.close();
+    }
+
+    /** What ended before a forcing that failed stays ended: its record is written again too. */
+    @Test
+    void anEndThatWasNotForcedIsWrittenAgain() throws Exception {
+        SegmentedJournal journal = open(GROUP);
+        take(journal, "m");
+        take(journal, "other");
+        turn(journal);
+        journal.ended("m");
+        fail(EnumSet.of(SimDisk.Kind.FORCE));
+        turn(journal);
+        recover();
+        boolean[] durable = {false};
+        journal.whenDurable(() -> durable[0] = true);
+        for (int i = 0; i < 20; i++) {
+            turn(journal);
+        }
+        assertTrue(durable[0]);
+        for (int seed = 0; seed < 50; seed++) {
+            SimDisk left = SimDisk.powerCut(disk.ops, disk.ops.size(), new SplittableRandom(seed));
+            try (SegmentedJournal next = Script.open(left, MOST, Durability.NONE)) {
+                assertEquals(List.of("other"), ids(next), "seed " + seed);
+            }
+        }
+        journal.close();
+    }
+
+    /** While forcings fail no message is taken that could not be promised to outlast the machine. */
+    @Test
+    void newMessagesAreRefusedWhileForcingsFail() throws Exception {
+        SegmentedJournal journal = open(GROUP);
+        assertTrue(take(journal, "m"));
+        fail(EnumSet.of(SimDisk.Kind.FORCE));
+        turn(journal);
+        for (int i = 0; i < 50; i++) {
+            assertFalse(take(journal, "refused" + i));
+            turn(journal);
+        }
+        recover();
+        for (int i = 0; i < 20; i++) {
+            turn(journal);
+        }
+        assertTrue(take(journal, "after"));
+        journal.verdict("m", FinalStatus.of(FinalStatus.Kind.FAILED));
+        assertEquals(List.of("after", "m"), ids(journal));
+        journal.close();
+    }
+}
--- a/src/test/java/lilaclever/journal/Script.java
+++ b/src/test/java/lilaclever/journal/Script.java
@@ -155,6 +155,11 @@
         }
     }
 
+    /** What the model holds, by id. */
+    Map<String, PendingMessage> messages() {
+        return owed;
+    }
+
     /** What the model says now, without ends that may be forgotten at any time. */
     String model() {
         return text(owed, Map.of());
--- a/src/test/java/lilaclever/journal/SimDisk.java
+++ b/src/test/java/lilaclever/journal/SimDisk.java
@@ -27,9 +27,25 @@
         RENAME,
         DELETE,
         FORCE,
-        FORCE_NAMES
+        /** A forcing that failed: what was written before it may be lost, whatever is forced later. */
+        FORCE_FAILED,
+        FORCE_NAMES,
+        /** The opening of a file that is there: nothing is changed, and it may fail. */
+        OPEN
     }
 
+    /** How an operation fails, and how many bytes of a write are written before that. */
+    record Failure(IOException problem, int bytes) {}
+
+    /** Decides for each operation whether it fails. Any thread. */
+    interface FaultPlan {
+        /** How the operation fails, or null. */
+        Failure failureOf(Kind kind, String name);
+    }
+
+    /** Which operations fail, beside those that the fields below have fail. */
+    volatile FaultPlan faults = (kind, name) -> null;
+
     final List<Op> ops = new ArrayList<>();
     /** Bytes that all files may take together, and each; more is a failure of the system's. */
     long most = Long.MAX_VALUE, mostOfAFile = Long.MAX_VALUE;
@@ -64,6 +80,13 @@
         }
     }
 
+    private void mayFail(Kind kind, String name) throws IOException {
+        Failure failure = faults.failureOf(kind, name);
+        if (failure != null) {
+            throw failure.problem();
+        }
+    }
+
     /** Writers and the one who forces are two threads. */
     private synchronized void add(Kind kind, int file, String name, String to, long position, byte[] bytes) {
         Op op = new Op(kind, file, name, to, position, bytes);
@@ -98,13 +121,16 @@
      */
     static SimDisk powerCut(List<Op> ops, int done, SplittableRandom random) {
         int namesForced = 0;
-        Map<Integer, Integer> forced = new HashMap<>();
-        for (int i = 0; i < done; i++) {
-            if (ops.get(i).kind() == Kind.FORCE_NAMES) {
-                namesForced = i;
-            } else if (ops.get(i).kind() == Kind.FORCE) {
-                forced.put(ops.get(i).file(), i);
+        boolean[] forced = new boolean[done];
+        Map<Integer, Boolean> covered = new HashMap<>();
+        for (int i = done - 1; i >= 0; i--) {
+            Op op = ops.get(i);
+            if (op.kind() == Kind.FORCE_NAMES) {
+                namesForced = Math.max(namesForced, i);
+            } else if (op.kind() == Kind.FORCE || op.kind() == Kind.FORCE_FAILED) {
+                covered.put(op.file(), op.kind() == Kind.FORCE);
             }
+            forced[i] = covered.getOrDefault(op.file(), false);
         }
         int namesUntil = namesForced + random.nextInt(done - namesForced + 1);
         SimDisk disk = new SimDisk();
@@ -116,7 +142,7 @@
                 disk.apply(op);
                 known.add(op.file());
             } else if (!ofNames && known.contains(op.file())) {
-                if (i < forced.getOrDefault(op.file(), -1) || op.kind() == Kind.TRUNCATE) {
+                if (forced[i] || op.kind() == Kind.TRUNCATE) {
                     disk.apply(op);
                 } else if (op.kind() == Kind.WRITE) {
                     for (int at = 0; at < op.bytes().length; ) {
@@ -159,15 +185,17 @@
     }
 
     @Override
-    public DiskFile open(String name) {
+    public DiskFile open(String name) throws IOException {
+        mayFail(names.containsKey(name) ? Kind.OPEN : Kind.CREATE, name);
         if (!names.containsKey(name)) {
             add(Kind.CREATE, nextFile, name, null, 0, null);
         }
-        return new File(names.get(name));
+        return new File(names.get(name), name);
     }
 
     @Override
     public void rename(String from, String to) throws IOException {
+        mayFail(Kind.RENAME, from);
         if (!names.containsKey(from)) {
             throw new IOException("no file " + from);
         }
@@ -175,7 +203,8 @@
     }
 
     @Override
-    public void delete(String name) {
+    public void delete(String name) throws IOException {
+        mayFail(Kind.DELETE, name);
         if (names.containsKey(name)) {
             add(Kind.DELETE, names.get(name), name, null, 0, null);
         }
@@ -183,6 +212,7 @@
 
     @Override
     public void forceNames() throws IOException {
+        mayFail(Kind.FORCE_NAMES, null);
         if (forcesFail) {
             throw new IOException("Input/output error");
         }
@@ -194,9 +224,11 @@
 
     private final class File implements DiskFile {
         private final int number;
+        private final String name;
 
-        File(int number) {
+        File(int number, String name) {
             this.number = number;
+            this.name = name;
         }
 
         @Override
@@ -215,6 +247,11 @@
             if (writesFail) {
                 throw new IOException("Input/output error");
             }
+            Failure failure = faults.failureOf(Kind.WRITE, name);
+            if (failure != null) {
+                writePart(bytes, position, failure);
+                throw failure.problem();
+            }
             long length = contents.get(number).length;
             long room = Math.min(mostOfAFile - position, bytes.remaining());
             if (most < Long.MAX_VALUE && position + room > length) {
@@ -232,8 +269,17 @@
             }
         }
 
+        private void writePart(ByteBuffer bytes, long position, Failure failure) {
+            byte[] part = new byte[Math.max(0, Math.min(failure.bytes(), bytes.remaining() - 1))];
+            bytes.get(part);
+            if (part.length > 0 && position + part.length <= contents.get(number).length) {
+                add(Kind.WRITE, number, null, null, position, part);
+            }
+        }
+
         @Override
-        public void truncate(long length) {
+        public void truncate(long length) throws IOException {
+            mayFail(Kind.TRUNCATE, name);
             if (length < contents.get(number).length) {
                 add(Kind.TRUNCATE, number, null, null, length, null);
             }
@@ -241,7 +287,13 @@
 
         @Override
         public void force() throws IOException {
+            Failure failure = faults.failureOf(Kind.FORCE, name);
+            if (failure != null) {
+                add(Kind.FORCE_FAILED, number, null, null, 0, null);
+                throw failure.problem();
+            }
             if (forcesFail) {
+                add(Kind.FORCE_FAILED, number, null, null, 0, null);
                 throw new IOException("Input/output error");
             }
             add(Kind.FORCE, number, null, null, 0, null);
