--- a/src/main/java/lilaclever/journal/Segment.java
+++ b/src/main/java/lilaclever/journal/Segment.java
@@ -18,6 +18,8 @@
     long liveBytes;
     /** Forcings that had begun when nothing rested on it any more; -1 until then. */
     long emptyAt = -1;
+    /** Forcings that had begun when it was taken into use, and when it was written to last. */
+    long startedAt, writtenAt;
     /** True if a part of it can't be read: it is kept aside, not used again. */
     boolean damaged;
 
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.LongPredicate;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import lilaclever.journal.Format.Writer;
 import lilaclever.log.Logs;
@@ -22,8 +24,15 @@
     /** A file without content, ready for use. */
     private record Spare(String name, long length) {}
 
-    /** A file without content that could not be filled with zeros yet, as the disk failed. */
-    private record Unready(String name, long length) {}
+    /**
+     * A file without content that is not filled with zeros yet.
+     *
+     * @param forcing the forcings that had begun when it got its name: until a later one has ended well, a failure of the
+     *     machine may bring its old name back, and its old content has to be there then
+     */
+    private record Unready(String name, long length, long forcing) {}
+
+    private static final long AT_ONCE = -1;
 
     private final Disk disk;
     private final Plan plan;
@@ -37,7 +46,13 @@
     private final List<Disk.DiskFile> unforced = new ArrayList<>();
 
     private final boolean forces;
+    /** How many forcings have begun. */
+    private final LongSupplier forcings;
+
     private boolean namesChanged;
+    /** What the file in use begins with: its header and first record. */
+    private byte[] beginning;
+
     private Segment active;
     private Disk.DiskFile activeFile;
     private long salt;
@@ -48,12 +63,20 @@
     private boolean cannotGrow;
 
     /** {@code forces}: files are to be forced, so they are kept open until then. */
-    SegmentLog(Disk disk, Plan plan, long most, RandomGenerator random, boolean forces, JournalClocks times) {
+    SegmentLog(
+            Disk disk,
+            Plan plan,
+            long most,
+            RandomGenerator random,
+            boolean forces,
+            LongSupplier forcings,
+            JournalClocks times) {
         this.disk = disk;
         this.plan = plan;
         this.most = most;
         this.random = random;
         this.forces = forces;
+        this.forcings = forcings;
         this.times = times;
     }
 
@@ -160,6 +183,7 @@
             throw e;
         }
         active.used += records.size();
+        active.writtenAt = forcings.getAsLong();
     }
 
     /** What a failed write left of a record must not pass for one: its consequence has not happened. */
@@ -210,18 +234,15 @@
         try {
             long nextSalt = random.nextLong();
             file = disk.open(spare.name());
-            file.write(
-                    Format.header(new Format.Header(
-                            Format.VERSION, sequence, nextSalt, times.wall().getAsLong(), times.boot())),
-                    0);
-            Segment last = full.peekLast();
-            Writer first = new Writer();
-            RecordEncoder.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
-            file.write(first.sealed(nextSalt), Format.HEADER);
+            ByteBuffer start = beginning(sequence, nextSalt);
+            file.write(start.duplicate(), 0);
             disk.rename(spare.name(), next.name);
             namesChanged = true;
             nextSequence++;
             next.used = Format.OVERHEAD;
+            next.startedAt = forcings.getAsLong();
+            next.writtenAt = next.startedAt;
+            beginning = start.array();
             active = next;
             activeFile = file;
             salt = nextSalt;
@@ -232,6 +253,16 @@
         }
     }
 
+    private ByteBuffer beginning(long sequence, long nextSalt) {
+        ByteBuffer all = ByteBuffer.allocate(Format.OVERHEAD);
+        all.put(Format.header(new Format.Header(
+                Format.VERSION, sequence, nextSalt, times.wall().getAsLong(), times.boot())));
+        Segment last = full.peekLast();
+        Writer first = new Writer();
+        RecordEncoder.previous(first, last == null ? 0 : last.sequence, last == null ? 0 : last.used);
+        return all.put(first.sealed(nextSalt)).flip();
+    }
+
     /** Nothing more goes into the file in use. */
     private void leave() {
         if (active == null) {
@@ -332,12 +363,12 @@
         } catch (IOException e) {
             Logs.warn("journal", "delete-failed", name + " could not be deleted: " + e, "segment", name);
             allocated += Plan.blocks(length);
-            keepUnready(name, length);
+            keepUnready(name, length, AT_ONCE);
         }
     }
 
-    private void keepUnready(String name, long length) {
-        unready.addLast(new Unready(name, length));
+    private void keepUnready(String name, long length, long forcing) {
+        unready.addLast(new Unready(name, length, forcing));
         unreadyBytes += Plan.blocks(length);
     }
 
@@ -357,7 +388,11 @@
             String name = SPARE + nextSpare++;
             disk.rename(s.name, name);
             full.pollFirst();
-            prepareOrKeep(name, s.length);
+            if (forces) {
+                keepUnready(name, s.length, forcings.getAsLong());
+            } else {
+                prepareOrKeep(name, s.length);
+            }
         }
         namesChanged = true;
     }
@@ -368,13 +403,20 @@
             prepare(name, length);
         } catch (IOException e) {
             Logs.warn("journal", "not-ready", name + " is made ready later: " + e, "segment", name);
-            keepUnready(name, length);
+            keepUnready(name, length, AT_ONCE);
         }
     }
 
-    /** Tries again to make spares of files for which that failed, up to the first that fails again. */
-    void prepareUnready() {
+    /**
+     * Makes spares of files that are not ready yet, up to the first that fails or has to wait.
+     *
+     * @param covers true if a forcing that began after the given count has ended well
+     */
+    void prepareUnready(LongPredicate covers) {
         for (Unready first = unready.peekFirst(); first != null; first = unready.peekFirst()) {
+            if (first.forcing() != AT_ONCE && !covers.test(first.forcing())) {
+                return;
+            }
             try {
                 prepare(first.name(), first.length());
             } catch (IOException e) {
@@ -445,9 +487,36 @@
             disk.delete(s.name());
             allocated -= Plan.blocks(s.length());
         }
+        for (Unready u = unready.pollFirst(); u != null; u = unready.pollFirst()) {
+            disk.delete(u.name());
+            unreadyBytes -= Plan.blocks(u.length());
+            allocated -= Plan.blocks(u.length());
+        }
+    }
+
+    /**
+     * A forcing has failed, and the system may have dropped the beginning of the file in use: it is written again, so
+     * that the next forcing has something to write.
+     */
+    void writeBeginningAgain() {
+        namesChanged = true;
+        if (active != null) {
+            try {
+                activeFile.write(ByteBuffer.wrap(beginning), 0);
+            } catch (IOException e) {
+                leave();
+            }
+        }
+    }
+
+    /** A forcing has failed: what was copied from segments that are empty now may not outlast the machine. */
+    void keepEmptySegments() {
+        for (Segment s : full) {
+            s.emptyAt = -1;
+        }
     }
 
-    /** The file in use is not trusted any more. */
+    /** The file in use is not used further. */
     void giveUpActive() {
         leave();
     }
--- a/src/main/java/lilaclever/journal/SegmentReader.java
+++ b/src/main/java/lilaclever/journal/SegmentReader.java
@@ -33,14 +33,23 @@
             length = disk.length(name);
             ByteBuffer bytes = ByteBuffer.allocate(Format.HEADER);
             file.fill(bytes, 0);
-            header = Format.readHeader(bytes.flip());
+            header = ofSegment(name, Format.readHeader(bytes.flip()));
         } catch (IOException | RuntimeException e) {
             file.close();
             throw e;
         }
     }
 
-    /** The header; null if neither of its copies can be read. */
+    /**
+     * The header, if it is that of the segment by that name. Where a failure of the machine has kept a file's new name
+     * and not its new header, the old one is there, and records of the file's earlier use would pass for this one's.
+     */
+    private static Format.Header ofSegment(String name, Format.Header found) {
+        long sequence = Segment.sequence(name);
+        return found == null || sequence > 0 && found.sequence() != sequence ? null : found;
+    }
+
+    /** The header; null if neither of its copies can be read, or it is another segment's. */
     Format.Header header() {
         return header;
     }
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -52,11 +52,10 @@
         micros = times.micros();
         plan = new Plan(mostBytes);
         syncer = new Syncer(durability, disk, new ForcingListener());
-        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
+        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), syncer::begun, times);
         appender = new LogAppender(log, plan, state, syncer, micros);
         compactor = new Compactor(log, plan, state, syncer, appender);
-        unwritten = new UnwrittenChanges(
-                state, log, writer, syncer.forces(), records -> appender.append(records, compactor));
+        unwritten = new UnwrittenChanges(state, log, writer, syncer.forces(), this::appendUnwritten);
         Recovery recovery = new Recovery(disk, state, times.boot(), line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
@@ -81,6 +80,7 @@
             return false;
         }
         state.taken(owed, log.active(), size);
+        unwritten.messageWritten(submission.id());
         return true;
     }
 
@@ -94,6 +94,7 @@
         if (!append()) {
             return false;
         }
+        unwritten.messageWritten(id);
         JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.attempt(host, zone, wall);
@@ -127,7 +128,6 @@
             state.drop(id);
             RecordEncoder.ended(writer.clear(), id);
             appendOrKeep(id);
-            unwritten.endWritten(id);
         }
     }
 
@@ -143,6 +143,7 @@
             return false;
         }
         state.join(slot.value, joins);
+        unwritten.messageWritten(id);
         return true;
     }
 
@@ -152,6 +153,7 @@
         int size = writer.size();
         if (append()) {
             state.put(identity, past, log.active(), size);
+            unwritten.rememberedWritten(identity);
         } else {
             state.put(identity, past, null, 0);
             unwritten.addRemembered(identity);
@@ -183,6 +185,8 @@
     private void appendOrKeep(String id) {
         if (unwritten.hasMessage(id) || !append()) {
             unwritten.addMessage(id); // an earlier change of it is not written: only its whole state makes sense
+        } else {
+            unwritten.messageWritten(id);
         }
     }
 
@@ -190,6 +194,11 @@
         return appender.append(writer, compactor);
     }
 
+    /** What a failed forcing was for may use all the room: segments are released only once it is forced. */
+    private boolean appendUnwritten(Writer records) {
+        return unwritten.isRewriting() ? appender.appendCopies(records) : appender.append(records, compactor);
+    }
+
     @Override
     public void tidy(long nowWall) {
         long now = micros.getAsLong();
@@ -197,9 +206,10 @@
             askAgainAt = now + ASK_AGAIN;
             log.mayGrowAgain();
         }
-        if (now >= prepareAgainAt) {
+        if (now >= prepareAgainAt || syncer.forces()) {
             prepareAgainAt = now + Plan.PAUSE;
-            log.prepareUnready(); // whether records are written or not: they may wait for just these files
+            log.prepareUnready(
+                    syncer::coversAfter); // whether records are written or not: they may wait for just these files
         }
         unwritten.write();
         state.expire(nowWall, EXPIRE_A_TURN);
@@ -209,14 +219,14 @@
                 log.grow(plan.segment());
             }
         }
-        if (!unwritten.isRewriting()) {
+        if (syncer.isTrying() || !unwritten.isRewriting()) {
             syncer.turn(now, log); // else a good forcing would stand in for the one that failed
         }
     }
 
     /** A segment that can't be released is tried again later; records are written meanwhile. */
     private void compact(long now) {
-        if (now < releaseAgainAt) {
+        if (now < releaseAgainAt || unwritten.isRewriting()) {
             return;
         }
         try {
@@ -238,11 +248,28 @@
             unwritten.forcingSucceeded();
         }
 
-        /** Nothing that was written since the last good one can be relied on. */
         @Override
         public void failed() {
             log.giveUpActive();
-            unwritten.addAll();
+            log.keepEmptySegments();
+            unwritten.addUnforced(syncer.lastGood());
+        }
+
+        @Override
+        public void failedAgain() {
+            log.keepEmptySegments();
+            unwritten.waitForDisk();
+        }
+
+        @Override
+        public void trying() {
+            log.writeBeginningAgain();
+        }
+
+        @Override
+        public void worksAgain() {
+            log.writeBeginningAgain();
+            unwritten.addUnforced(syncer.lastGood());
         }
     }
 
--- a/src/main/java/lilaclever/journal/Syncer.java
+++ b/src/main/java/lilaclever/journal/Syncer.java
@@ -20,6 +20,11 @@
     private Executor loop = Runnable::run;
     private List<Runnable> waiting = new ArrayList<>();
     private boolean running;
+    /** True from a failed forcing to the next that covers what is written. */
+    private boolean failed;
+    /** From a second failed forcing until one has gone well that proves nothing but that the disk forces again. */
+    private boolean trying;
+
     private boolean written;
     private long begun, done;
     private long lastBegun;
@@ -33,8 +38,17 @@
         /** What was written before the beginning outlasts the machine. */
         void succeeded();
 
-        /** What was to be forced must be written again, elsewhere. */
+        /** What was written since the last good one must be written again, elsewhere. */
         void failed();
+
+        /** That one failed too: nothing is written again before the disk forces anything. */
+        void failedAgain();
+
+        /** A trial is about to begin: there has to be something to force. */
+        void trying();
+
+        /** The disk forces again: what was written since the last good one must be written again. */
+        void worksAgain();
     }
 
     /** {@code listener} hears of each forcing but the last one, at the close. */
@@ -52,6 +66,16 @@
         return durability.how() != Durability.How.NONE;
     }
 
+    /** True while the disk is not known to force again. */
+    boolean isTrying() {
+        return trying;
+    }
+
+    /** The number of the last forcing that went well. */
+    long lastGood() {
+        return done;
+    }
+
     /** Forcings begun so far: what is written now is covered by the next. */
     long begun() {
         return begun;
@@ -85,15 +109,17 @@
 
     /** Begins a forcing if one is due and none is under way. */
     void turn(long nowMicros, SegmentLog log) {
-        boolean due = durability.how() == Durability.How.GROUP
-                ? written || !waiting.isEmpty()
-                : durability.how() == Durability.How.INTERVAL
-                        && written
-                        && nowMicros - lastBegun >= durability.everyMicros();
-        if (!due || running) {
-            return;
+        if (!running && (trying ? nowMicros - lastBegun >= Plan.PAUSE : isDue(nowMicros))) {
+            begin(nowMicros, log);
         }
-        begin(nowMicros, log);
+    }
+
+    private boolean isDue(long nowMicros) {
+        return switch (durability.how()) {
+            case NONE -> false;
+            case GROUP -> written || !waiting.isEmpty();
+            case INTERVAL -> written && nowMicros - lastBegun >= durability.everyMicros();
+        };
     }
 
     private void begin(long nowMicros, SegmentLog log) {
@@ -105,34 +131,52 @@
             });
         }
         running = true;
-        written = false;
-        listener.begun();
         lastBegun = nowMicros;
         long number = ++begun;
-        List<Runnable> covered = waiting;
-        waiting = new ArrayList<>();
+        List<Runnable> covered = new ArrayList<>();
+        if (trying) {
+            listener.trying();
+        } else {
+            listener.begun();
+            written = false;
+            covered = waiting;
+            waiting = new ArrayList<>();
+        }
+        List<Runnable> consequences = covered;
         SegmentLog.Pending pending = log.pending();
         thread.execute(() -> {
             IOException failure = force(disk, pending);
-            loop.execute(() -> ended(number, covered, failure));
+            loop.execute(() -> ended(number, consequences, failure));
         });
     }
 
     private void ended(long number, List<Runnable> covered, IOException failure) {
         running = false;
+        if (failure == null && trying) {
+            trying = false;
+            listener.worksAgain();
+            return;
+        }
         if (failure == null) {
+            failed = false;
             done = number;
             listener.succeeded();
             covered.forEach(Runnable::run);
             return;
         }
         // The system may have dropped what it could not write: a second forcing of the same file would prove nothing.
-        Logs.error("journal", "force-failed", "could not be forced to the disk, written again: " + failure);
         failures++;
         covered.addAll(waiting);
         waiting = covered;
         written = true;
-        listener.failed();
+        if (failed) {
+            trying = true;
+            listener.failedAgain();
+        } else {
+            failed = true;
+            Logs.error("journal", "force-failed", "could not be forced to the disk, written again: " + failure);
+            listener.failed();
+        }
     }
 
     /** Forces what is written, now and on the caller's thread, where anything is to be forced at all. */
--- a/src/main/java/lilaclever/journal/UnwrittenChanges.java
+++ b/src/main/java/lilaclever/journal/UnwrittenChanges.java
@@ -1,6 +1,7 @@
 package lilaclever.journal;
 
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import lilaclever.identity.CompletedMessage;
@@ -20,11 +21,14 @@
     private final boolean forces;
     private final Set<String> messages = new LinkedHashSet<>();
     private final Set<String> remembered = new LinkedHashSet<>();
-    /** Messages whose end is written and not forced: since the last forcing began, and before it. */
-    private Set<String> endedSince = new LinkedHashSet<>(), endedBefore = new LinkedHashSet<>();
+    /** Messages and remembered ends with records that are not forced: before the last forcing began, and since. */
+    private final Set<String> messagesBefore = new LinkedHashSet<>(), messagesSince = new LinkedHashSet<>();
 
+    private final Set<String> rememberedBefore = new LinkedHashSet<>(), rememberedSince = new LinkedHashSet<>();
     /** True from a failed forcing until all that it was for is written again. */
-    private boolean rewriting;
+    private boolean unforced;
+    /** True while the disk is not known to force again. */
+    private boolean waitsForDisk;
 
     /**
      * None yet.
@@ -56,39 +60,65 @@
         remembered.add(identity);
     }
 
-    /** A message's end is written, and has to be written again if its forcing fails: the state has no trace of it. */
-    void endWritten(String id) {
+    /** A record of the message is written, or of its end: it has to be written again if its forcing fails. */
+    void messageWritten(String id) {
         if (forces) {
-            endedSince.add(id);
+            messagesSince.add(id);
+        }
+    }
+
+    /** A remembered end is written. */
+    void rememberedWritten(String identity) {
+        if (forces) {
+            rememberedSince.add(identity);
         }
     }
 
     /** What is written so far is being forced. */
     void forcingBegun() {
-        endedBefore.addAll(endedSince);
-        endedSince.clear();
+        messagesBefore.addAll(messagesSince);
+        messagesSince.clear();
+        rememberedBefore.addAll(rememberedSince);
+        rememberedSince.clear();
     }
 
     /** What was written before the forcing began outlasts the machine. */
     void forcingSucceeded() {
-        endedBefore.clear();
+        messagesBefore.clear();
+        rememberedBefore.clear();
     }
 
     /** True while a forcing would not cover all that consequences wait for. */
     boolean isRewriting() {
-        rewriting &= count() > 0;
-        return rewriting;
+        unforced &= waitsForDisk || count() > 0;
+        return unforced;
+    }
+
+    /** Nothing is written again before the disk forces again. */
+    void waitForDisk() {
+        unforced = true;
+        waitsForDisk = true;
     }
 
-    /** A forcing has failed: nothing that is written can be relied on. */
-    void addAll() {
-        rewriting = true;
-        messages.addAll(endedBefore);
-        messages.addAll(endedSince);
-        endedBefore.clear();
-        endedSince.clear();
-        messages.addAll(state.owed.keySet());
-        remembered.addAll(state.remembered.keySet());
+    /** A forcing has failed: all that is not forced since the last good one has to be written again. */
+    void addUnforced(long lastGood) {
+        unforced = true;
+        waitsForDisk = false;
+        forcingBegun();
+        messages.addAll(messagesBefore);
+        remembered.addAll(rememberedBefore);
+        forcingSucceeded();
+        addUnforced(state.owed, lastGood, messages);
+        addUnforced(state.remembered, lastGood, remembered);
+    }
+
+    /** Adds what rests on a segment that was written to since the last good forcing began: it may be a copy. */
+    private static <T> void addUnforced(Map<String, JournalState.Slot<T>> map, long lastGood, Set<String> to) {
+        map.forEach((key, slot) -> {
+            if (slot.base != null && slot.base.writtenAt >= lastGood) {
+                to.add(key);
+            }
+        });
     }
 
     /** Writes what it can. */
@@ -122,9 +152,8 @@
             }
             if (slot != null) {
                 state.moved(state.owed, id, log.active(), size);
-            } else {
-                endWritten(id);
             }
+            messageWritten(id);
             messages.remove(id);
         }
         return true;
@@ -141,6 +170,7 @@
                     return;
                 }
                 state.moved(state.remembered, identity, log.active(), size);
+                rememberedWritten(identity);
             }
             remembered.remove(identity);
         }
--- a/src/test/java/lilaclever/journal/DiskFailureTest.java
+++ b/src/test/java/lilaclever/journal/DiskFailureTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a failing disk must not do, each case by itself. {@link StorageFaultTest} has the random runs. */
 class DiskFailureTest {
@@ -207,4 +209,93 @@
         assertEquals(List.of("after", "m"), ids(journal));
         journal.close();
     }
+
+    /** A full folder whose forcings fail for ten seconds: once they go well, all that waited goes on. */
+    @Test
+    void aFullFolderOutlastsTenSecondsOfFailedForcings() throws Exception {
+        SegmentedJournal journal = open(GROUP);
+        int taken = 0;
+        while (take(journal, "m" + taken)) {
+            taken++;
+            turn(journal);
+        }
+        fail(EnumSet.of(SimDisk.Kind.FORCE));
+        boolean[] durable = {false};
+        for (int turn = 0; turn * TURN < TEN_SECONDS; turn++) {
+            String id = "m" + turn % taken;
+            if (turn == 0) {
+                assertTrue(journal.attempt(id, "a", 0, 1));
+                journal.whenDurable(() -> durable[0] = true);
+            }
+            turn(journal);
+            assertFalse(durable[0]);
+        }
+        recover();
+        for (int turn = 0; turn < 300; turn++) {
+            turn(journal);
+        }
+        assertTrue(durable[0]);
+        assertEquals(0, journal.unwritten());
+        for (int i = 0; i < taken; i++) {
+            assertTrue(journal.attempt("m" + i, "a", 0, 2), "m" + i + " of " + taken);
+            turn(journal);
+        }
+        journal.close();
+    }
+
+    /** Random runs in which forcings, writes and changes of names fail: what was confirmed outlasts a power cut. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void whatWasConfirmedOutlastsAPowerCutWhateverFailedBefore(long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        SegmentedJournal journal = open(GROUP);
+        Script script = new Script(disk, seed);
+        script.use(journal);
+        List<EnumSet<SimDisk.Kind>> faults = List.of(
+                EnumSet.noneOf(SimDisk.Kind.class),
+                EnumSet.of(SimDisk.Kind.FORCE),
+                EnumSet.of(SimDisk.Kind.FORCE_NAMES),
+                EnumSet.of(SimDisk.Kind.WRITE),
+                EnumSet.of(SimDisk.Kind.RENAME, SimDisk.Kind.DELETE),
+                EnumSet.allOf(SimDisk.Kind.class));
+        List<String> confirmed = new ArrayList<>();
+        Set<String> gone = new java.util.HashSet<>();
+        int cuts = 0;
+        for (int phase = 0; phase < 60; phase++) {
+            fail(faults.get(random.nextInt(faults.size())));
+            int turns = random.nextInt(10) == 0 ? (int) (TEN_SECONDS / TURN) : 1 + random.nextInt(20);
+            for (int i = 0; i < turns; i++) {
+                for (int step = 0; step < 3; step++) {
+                    script.runOn(1, 2000, 40);
+                    finishForcing(journal); // so that the order of operations is the same each time
+                }
+                List<String> now = ids(journal);
+                Set<String> known = new java.util.HashSet<>(now);
+                boolean allWritten = journal.unwritten() == 0;
+                journal.whenDurable(() -> {
+                    if (allWritten) { // an end that the disk did not take may be told all the same
+                        confirmed.stream().filter(id -> !known.contains(id)).forEach(gone::add);
+                    }
+                    confirmed.clear();
+                    confirmed.addAll(now);
+                });
+                turn(journal);
+            }
+            SimDisk left = SimDisk.powerCut(disk.ops, disk.ops.size(), random);
+            try (SegmentedJournal next = Script.open(left, 4 * MOST, Durability.NONE)) {
+                List<String> found = ids(next);
+                for (String id : confirmed) {
+                    boolean stays = script.messages().containsKey(id);
+                    assertTrue(!stays || found.contains(id), "phase " + phase + ": " + id + " is lost");
+                }
+                for (String id : gone) {
+                    assertFalse(found.contains(id), "phase " + phase + ": " + id + " is back");
+                }
+                cuts++;
+            }
+        }
+        assertEquals(60, cuts);
+        recover();
+        journal.close();
+    }
 }
