--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -79,7 +79,7 @@
 
     /** Listens from now on. */
     public SocketAddress listen(Transport transport, SocketAddress address) throws IOException {
-        var server = transport.listen(address, Transport.chain(intake));
+        var server = transport.listen(address, intake.chain());
         listener = server;
         return server.getLocalAddress();
     }
--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -1,6 +1,9 @@
 package lilaclever.protocol.http;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,10 +19,15 @@
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * The server's side of HTTP: gathers requests and writes answers, one after the other on a connection. Whoever says
@@ -53,7 +61,9 @@
      */
     private static final int LEAVING_PART = 8;
 
+    private static final int READ_BUFFER = 16 * 1024;
     private static final byte[] NOTHING = {};
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** One request; headers by lower-case name. */
     record Request(
@@ -99,10 +109,14 @@
         private volatile boolean asked, partial, answering, lingering;
         /** The last answer is given: what still comes is dropped. */
         private volatile boolean ended;
+        /** The client has ended its sending, and may still read. */
+        private volatile boolean inputEnded;
         /** Bytes that were read and are not looked at yet, as a request before them is being handled. */
         private volatile int unprocessed;
         /** More was sent ahead than there is room for, and what did not fit is gone. */
         private boolean truncated;
+        /** The open request is of HTTP/1.1. */
+        private boolean takesInterimAnswers;
         /** Writes that are not wholly in the socket's buffer yet. */
         private int writes;
 
@@ -127,6 +141,34 @@
             }
         }
 
+        /**
+         * The client has ended its sending (a TCP half-close) or has closed the connection, which can't be told apart
+         * before something is written: a client that has closed answers that with a reset. An interim answer, which any
+         * client of HTTP/1.1 has to pass over, tells in time; true if the connection stays open for an answer.
+         */
+        synchronized boolean endOfInput() {
+            boolean awaitsAnswer = (answering || writes > 0) && !lingering && takesInterimAnswers;
+            if (awaitsAnswer) {
+                inputEnded = true;
+                probe();
+            }
+            return awaitsAnswer;
+        }
+
+        private synchronized void probe() {
+            if (!ended) {
+                write(CONTINUE, () -> {});
+            }
+        }
+
+        /** True if nobody reads an answer any more, as far as is known. */
+        boolean isGone() {
+            if (inputEnded && connection.isOpen()) {
+                probe();
+            }
+            return !connection.isOpen();
+        }
+
         private void process(byte[] in) {
             int at = 0;
             while (at < in.length && !ended) {
@@ -163,7 +205,7 @@
                 if (gathered.get() > MOST_GATHERED) {
                     refuse(503);
                 } else if (reader.awaitsContinue()) {
-                    write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII), () -> {});
+                    write(CONTINUE, () -> {});
                 }
                 return at;
             } catch (MessageReader.Spoilt e) {
@@ -180,6 +222,7 @@
             partial = false;
             asked = true;
             answering = true;
+            takesInterimAnswers = reader.takesInterimAnswers();
             if (tooMany) {
                 refuse(503);
                 return;
@@ -236,6 +279,8 @@
             }
             if (truncated && !answering && unprocessed == 0) {
                 refuse(503); // the rest of what was sent ahead is not there
+            } else if (inputEnded && !answering && unprocessed == 0) {
+                closeOnceWritten(); // what is not whole will never be
             } else if (closing) {
                 closeIfIdle(); // the others that were idle are closed already
             }
@@ -264,6 +309,9 @@
                     leaving.add(this);
                 }
                 Transport.endSending(connection);
+                if (inputEnded) {
+                    connection.closeSilently(); // nothing is left to be read
+                }
             }
         }
 
@@ -358,7 +406,7 @@
         }
 
         boolean gone() {
-            return !client.connection.isOpen();
+            return client.isGone();
         }
 
         /**
@@ -372,7 +420,9 @@
                     return;
                 }
                 answered = true;
-                boolean stay = keep && !client.ended && (client.hasMore() || !closing && size() <= crowd);
+                boolean stay = keep
+                        && !client.ended
+                        && (client.hasMore() || !closing && !client.inputEnded && size() <= crowd);
                 client.write(Head.answer(status, headers, !stay, body), lost);
                 if (stay) {
                     client.answered();
@@ -383,6 +433,39 @@
         }
     }
 
+    /** The chain of a client's connection. */
+    FilterChain chain() {
+        return FilterChainBuilder.stateless().add(new SocketFilter()).add(this).build();
+    }
+
+    /** Reads and writes the socket. The end of a client's sending does not close the connection under an answer. */
+    private final class SocketFilter extends TransportFilter {
+        /** Used on the selector thread alone. */
+        private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BUFFER);
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) throws IOException {
+            NIOConnection connection = (NIOConnection) context.getConnection();
+            buffer.clear();
+            int size = ((SocketChannel) connection.getChannel()).read(buffer);
+            if (size > 0) {
+                byte[] bytes = new byte[size];
+                buffer.flip().get(bytes);
+                context.setMessage(bytes);
+                return context.getInvokeAction();
+            }
+            if (size < 0) {
+                Client client = clientOf.get(connection);
+                if (client != null && client.endOfInput()) {
+                    connection.disableIOEvent(IOEvent.READ); // or the end would be read again and again
+                } else {
+                    connection.terminateSilently();
+                }
+            }
+            return context.getStopAction();
+        }
+    }
+
     /** How many connections there are. */
     int size() {
         synchronized (clients) {
@@ -512,7 +595,7 @@
     @Override
     public NextAction handleRead(FilterChainContext context) {
         Client client = clientOf.get(context.getConnection());
-        byte[] bytes = Transport.bytes(context.getMessage());
+        byte[] bytes = context.getMessage();
         if (client != null) {
             client.received(bytes);
         }
--- a/src/main/java/lilaclever/protocol/http/MessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/MessageReader.java
@@ -317,6 +317,11 @@
                 && "100-continue".equalsIgnoreCase(headers.get("expect"));
     }
 
+    /** True if the other side speaks HTTP/1.1, and so passes over interim answers. */
+    boolean takesInterimAnswers() {
+        return version.equals("HTTP/1.1");
+    }
+
     /** True if the other side lets the connection stay. */
     boolean keeps() {
         String connection = headers.getOrDefault("connection", "").toLowerCase(Locale.ROOT);
--- a/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lilaclever.lab.sockets.Wire;
-import lilaclever.transport.Transport;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -31,8 +30,9 @@
     private IntakeFilter intake;
 
     private InetSocketAddress listen(BaseFilter filter) throws IOException {
-        TCPNIOServerConnection listener =
-                transport.listen(new InetSocketAddress("127.0.0.1", 0), Transport.chain(filter));
+        var chain = intake.chain();
+        chain.set(1, filter); // in the intake's place, which it calls
+        TCPNIOServerConnection listener = transport.listen(new InetSocketAddress("127.0.0.1", 0), chain);
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
@@ -293,4 +293,38 @@
             assertNull(client.read());
         }
     }
+    /** A client that ends its sending behind a request still reads, and gets its answer. */
+    @Test
+    void aClientThatEndsItsSendingIsAnswered() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        InetSocketAddress address = listen(intake);
+        try (Socket socket = new Socket(address.getAddress(), address.getPort());
+                Wire client = new Wire(socket)) {
+            client.patience(20_000);
+            client.say(asks("/1", 0));
+            socket.shutdownOutput();
+            IntakeFilter.Request first = next();
+            hold().countDown(); // the end of its sending has been read
+            answer(first, "");
+            Wire.Head head = client.read();
+            while (head != null && head.target().equals("100")) {
+                head = client.read();
+            }
+            assertEquals("200", head == null ? "closed" : head.target());
+            assertNull(client.read());
+        }
+    }
+
+    /** One that has closed its connection is gone: its message is not taken on, as it is handed in again. */
+    @Test
+    void aClientThatHasClosedIsGone() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        InetSocketAddress address = listen(intake);
+        Wire client = to(address);
+        client.say(asks("/1", 0));
+        IntakeFilter.Request first = next();
+        client.close();
+        hold().countDown(); // the end has been read
+        assertTrue(first.exchange().gone());
+    }
 }
