--- a/src/main/java/lilaclever/journal/BootClock.java
+++ b/src/main/java/lilaclever/journal/BootClock.java
@@ -19,8 +19,13 @@
  * @param offsetMicros the wall clock less the monotonic one
  */
 public record BootClock(long boot, long offsetMicros) {
-    /** Less than this is reading, and slow adjustment. */
-    private static final long NOTHING = 100_000;
+    /**
+     * Less than this is the reading of two clocks one after the other. All else is moved: the rules leave 50 ms, and the
+     * wall clock of a life does not follow slow adjustments either.
+     */
+    private static final long NOTHING = 1_000;
+
+    private static final int READINGS = 5;
     /** The system tells the time since the start in hundredths of a second. */
     private static final long UPTIME_STEP = 20_000;
 
@@ -41,12 +46,21 @@
                     before,
                     (long) (uptime * 1e6),
                     after,
-                    wall.getAsLong() - monotonic.getAsLong());
+                    offset(monotonic, wall));
         } catch (IOException | RuntimeException e) {
             return UNKNOWN; // another system
         }
     }
 
+    /** The wall clock less the monotonic one; a process that is held up between the two readings makes it too small. */
+    static long offset(LongSupplier monotonic, LongSupplier wall) {
+        long largest = Long.MIN_VALUE;
+        for (int i = 0; i < READINGS; i++) {
+            largest = Math.max(largest, wall.getAsLong() - monotonic.getAsLong());
+        }
+        return largest;
+    }
+
     /** The clock of the boot, if the uptime lies between two readings of the monotonic clock; all in microseconds. */
     static BootClock of(long boot, long before, long uptime, long after, long offset) {
         return before - UPTIME_STEP <= uptime && uptime <= after + UPTIME_STEP ? new BootClock(boot, offset) : UNKNOWN;
