--- a/src/main/java/lilaclever/protocol/http/IntakeFilter.java
+++ b/src/main/java/lilaclever/protocol/http/IntakeFilter.java
@@ -147,12 +147,15 @@
          * client of HTTP/1.1 has to pass over, tells in time; true if the connection stays open for an answer.
          */
         synchronized boolean endOfInput() {
-            boolean awaitsAnswer = (answering || writes > 0) && !lingering && takesInterimAnswers;
-            if (awaitsAnswer) {
-                inputEnded = true;
+            boolean isBeingWritten = writes > 0 && (ended || !answering) && !lingering;
+            boolean awaitsAnswer = answering && !ended && takesInterimAnswers;
+            inputEnded = isBeingWritten || awaitsAnswer;
+            if (isBeingWritten) {
+                closeOnceWritten();
+            } else if (awaitsAnswer) {
                 probe();
             }
-            return awaitsAnswer;
+            return inputEnded;
         }
 
         private synchronized void probe() {
--- a/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
@@ -315,6 +315,25 @@
         }
     }
 
+    /** The end of a client's sending does not cut an answer off that it is still reading. */
+    @Test
+    void aClientThatEndsItsSendingReadsItsAnswerToTheEnd() throws Exception {
+        intake = new IntakeFilter(core, 10, 10, requests::add);
+        InetSocketAddress address = listen(intake);
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4096);
+            socket.connect(address);
+            Wire client = new Wire(socket);
+            client.patience(20_000);
+            client.say(asks("/1", 0));
+            answer(next(), "x".repeat(4 << 20));
+            socket.shutdownOutput();
+            hold().countDown(); // the end of its sending has been read
+            assertEquals(4 << 20, client.read().body().length);
+            assertNull(client.read());
+        }
+    }
+
     /** One that has closed its connection is gone: its message is not taken on, as it is handed in again. */
     @Test
     void aClientThatHasClosedIsGone() throws Exception {
