--- a/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/IntakeFilterTest.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lilaclever.lab.sockets.Wire;
+import lilaclever.transport.Transport;
 import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -159,6 +161,19 @@
         }
     }
 
+    /** Waits until the selector thread has read what had come, so many times over. */
+    private void selections(int times) throws InterruptedException {
+        LinkedBlockingQueue<Connection<?>> up = new LinkedBlockingQueue<>();
+        InetSocketAddress anywhere = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        transport.connect(anywhere, Transport.chain(new BaseFilter() {}), up::add, Throwable::printStackTrace);
+        Connection<?> any = up.poll(20, TimeUnit.SECONDS);
+        for (int i = 0; i < times; i++) {
+            CountDownLatch read = new CountDownLatch(1);
+            Transport.afterReading(any, read::countDown);
+            assertTrue(read.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     // ---- requests that were read ---------------------------------------------------------------------------
     private Wire answeredOnce(InetSocketAddress address, int number) throws Exception {
         Wire wire = to(address);
@@ -235,8 +250,7 @@
             client.say(asks("/1", 0));
             IntakeFilter.Request first = next();
             client.say(asks("/2", 0) + asks("/3", 40_000));
-            CountDownLatch free = hold(); // all of it has been read by then
-            free.countDown();
+            selections(4); // each reads up to 16 KiB
             answer(first, "");
             assertEquals("200", client.read().target());
             IntakeFilter.Request second = next();
@@ -287,8 +301,7 @@
             client.say(asks("/1", 0));
             answer(next(), "x".repeat(4 << 20));
             onLoop(intake::close);
-            hold().countDown(); // the close has been carried out
-            hold().countDown();
+            selections(2); // the close has been carried out
             assertEquals(4 << 20, client.read().body().length);
             assertNull(client.read());
         }
@@ -304,7 +317,7 @@
             client.say(asks("/1", 0));
             socket.shutdownOutput();
             IntakeFilter.Request first = next();
-            hold().countDown(); // the end of its sending has been read
+            selections(1); // the end of its sending has been read
             answer(first, "");
             Wire.Head head = client.read();
             while (head != null && head.target().equals("100")) {
@@ -328,7 +341,7 @@
             client.say(asks("/1", 0));
             answer(next(), "x".repeat(4 << 20));
             socket.shutdownOutput();
-            hold().countDown(); // the end of its sending has been read
+            selections(1); // the end of its sending has been read
             assertEquals(4 << 20, client.read().body().length);
             assertNull(client.read());
         }
@@ -343,7 +356,7 @@
         client.say(asks("/1", 0));
         IntakeFilter.Request first = next();
         client.close();
-        hold().countDown(); // the end has been read
+        selections(1); // the end has been read
         assertTrue(first.exchange().gone());
     }
 }
