--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -36,7 +36,8 @@
     private final LogAppender appender;
     private final Compactor compactor;
     private final UnwrittenChanges unwritten;
-    private long askAgainAt;
+    /** After the disk failed: when files are asked for, segments released and spare files made ready again. */
+    private long askAgainAt, releaseAgainAt, prepareAgainAt;
 
     /**
      * Opens the journal in the folder and reads what an earlier life left.
@@ -50,11 +51,11 @@
         this.disk = disk;
         micros = times.micros();
         plan = new Plan(mostBytes);
-        syncer = new Syncer(durability, disk, this::writeAllAgain);
-        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), times);
+        syncer = new Syncer(durability, disk, new ForcingListener());
+        log = new SegmentLog(disk, plan, mostBytes, random, syncer.forces(), syncer::begun, times);
         appender = new LogAppender(log, plan, state, syncer, micros);
         compactor = new Compactor(log, plan, state, syncer, appender);
-        unwritten = new UnwrittenChanges(state, log, writer, records -> appender.append(records, compactor));
+        unwritten = new UnwrittenChanges(state, log, writer, syncer.forces(), this::appendUnwritten);
         Recovery recovery = new Recovery(disk, state, times.boot(), line -> Logs.warn("journal", "recovery", line));
         recovered = recovery.scan();
         recovery.settle(log);
@@ -69,6 +70,9 @@
     // ---- records ----------------------------------------------------------------------------------------
     @Override
     public boolean taken(String front, Submission submission, long deadlineWall, long nowWall) {
+        if (unwritten.isRewriting()) {
+            return false; // it could not be promised to outlast the machine
+        }
         PendingMessage owed = new PendingMessage(front, submission, deadlineWall);
         RecordEncoder.taken(writer.clear(), owed);
         int size = writer.size();
@@ -76,15 +80,21 @@
             return false;
         }
         state.taken(owed, log.active(), size);
+        unwritten.messageWritten(submission.id());
         return true;
     }
 
     @Override
     public boolean attempt(String id, String host, int zone, long wall) {
+        // Behind an earlier change that is not written this record would hide when the message may first have run.
+        if (!unwritten.writeMessage(id)) {
+            return false;
+        }
         RecordEncoder.attempt(writer.clear(), id, host, zone, wall);
         if (!append()) {
             return false;
         }
+        unwritten.messageWritten(id);
         JournalState.Slot<PendingMessage> slot = state.owed.get(id);
         if (slot != null) {
             slot.value.attempt(host, zone, wall);
@@ -133,6 +143,7 @@
             return false;
         }
         state.join(slot.value, joins);
+        unwritten.messageWritten(id);
         return true;
     }
 
@@ -142,6 +153,7 @@
         int size = writer.size();
         if (append()) {
             state.put(identity, past, log.active(), size);
+            unwritten.rememberedWritten(identity);
         } else {
             state.put(identity, past, null, 0);
             unwritten.addRemembered(identity);
@@ -173,6 +185,8 @@
     private void appendOrKeep(String id) {
         if (unwritten.hasMessage(id) || !append()) {
             unwritten.addMessage(id); // an earlier change of it is not written: only its whole state makes sense
+        } else {
+            unwritten.messageWritten(id);
         }
     }
 
@@ -180,6 +194,11 @@
         return appender.append(writer, compactor);
     }
 
+    /** What a failed forcing was for may use all the room: segments are released only once it is forced. */
+    private boolean appendUnwritten(Writer records) {
+        return unwritten.isRewriting() ? appender.appendCopies(records) : appender.append(records, compactor);
+    }
+
     @Override
     public void tidy(long nowWall) {
         long now = micros.getAsLong();
@@ -187,25 +206,71 @@
             askAgainAt = now + ASK_AGAIN;
             log.mayGrowAgain();
         }
+        if (now >= prepareAgainAt || syncer.forces()) {
+            prepareAgainAt = now + Plan.PAUSE;
+            log.prepareUnready(
+                    syncer::coversAfter); // whether records are written or not: they may wait for just these files
+        }
         unwritten.write();
         state.expire(nowWall, EXPIRE_A_TURN);
         if (!appender.isPausedAt(now)) {
-            try {
-                compactor.runSlice();
-            } catch (IOException e) {
-                appender.failed(e);
-            }
+            compact(now);
             if (log.active() != null && plan.wantsSpare(log.space(state))) { // nothing before the first record
                 log.grow(plan.segment());
             }
         }
-        syncer.turn(now, log);
+        if (syncer.isTrying() || !unwritten.isRewriting()) {
+            syncer.turn(now, log); // else a good forcing would stand in for the one that failed
+        }
     }
 
-    /** A forcing has failed: nothing since the last good one can be relied on. */
-    private void writeAllAgain() {
-        log.giveUpActive();
-        unwritten.addAll();
+    /** A segment that can't be released is tried again later; records are written meanwhile. */
+    private void compact(long now) {
+        if (now < releaseAgainAt || unwritten.isRewriting()) {
+            return;
+        }
+        try {
+            compactor.runSlice();
+        } catch (IOException e) {
+            releaseAgainAt = now + Plan.PAUSE;
+            Logs.warn("journal", "release-failed", "an empty segment could not be released, tried again later: " + e);
+        }
+    }
+
+    private final class ForcingListener implements Syncer.Listener {
+        @Override
+        public void begun() {
+            unwritten.forcingBegun();
+        }
+
+        @Override
+        public void succeeded() {
+            unwritten.forcingSucceeded();
+        }
+
+        @Override
+        public void failed() {
+            log.giveUpActive();
+            log.keepEmptySegments();
+            unwritten.addUnforced(syncer.lastGood());
+        }
+
+        @Override
+        public void failedAgain() {
+            log.keepEmptySegments();
+            unwritten.waitForDisk();
+        }
+
+        @Override
+        public void trying() {
+            log.writeBeginningAgain();
+        }
+
+        @Override
+        public void worksAgain() {
+            log.writeBeginningAgain();
+            unwritten.addUnforced(syncer.lastGood());
+        }
     }
 
     // ---- durability -------------------------------------------------------------------------------------
@@ -246,6 +311,11 @@
         return appender.failures() + syncer.failures();
     }
 
+    /** True while a forcing is under way. */
+    boolean isForcing() {
+        return syncer.isRunning();
+    }
+
     /** Changes that are known in memory and not yet written. */
     public int unwritten() {
         return unwritten.count();
--- a/src/main/java/lilaclever/journal/UnwrittenChanges.java
+++ b/src/main/java/lilaclever/journal/UnwrittenChanges.java
@@ -1,6 +1,7 @@
 package lilaclever.journal;
 
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import lilaclever.identity.CompletedMessage;
@@ -17,20 +18,31 @@
     private final SegmentLog log;
     private final Writer writer;
     private final Predicate<Writer> append;
+    private final boolean forces;
     private final Set<String> messages = new LinkedHashSet<>();
     private final Set<String> remembered = new LinkedHashSet<>();
+    /** Messages and remembered ends with records that are not forced: before the last forcing began, and since. */
+    private final Set<String> messagesBefore = new LinkedHashSet<>(), messagesSince = new LinkedHashSet<>();
+
+    private final Set<String> rememberedBefore = new LinkedHashSet<>(), rememberedSince = new LinkedHashSet<>();
+    /** True from a failed forcing until all that it was for is written again. */
+    private boolean unforced;
+    /** True while the disk is not known to force again. */
+    private boolean waitsForDisk;
 
     /**
      * None yet.
      *
      * @param writer used for each record and left with the last
+     * @param forces true where records are forced to the disk
      * @param append writes what is in the writer, behind all other records; false if that is not possible now
      */
-    UnwrittenChanges(JournalState state, SegmentLog log, Writer writer, Predicate<Writer> append) {
+    UnwrittenChanges(JournalState state, SegmentLog log, Writer writer, boolean forces, Predicate<Writer> append) {
         this.state = state;
         this.log = log;
         this.writer = writer;
         this.append = append;
+        this.forces = forces;
     }
 
     /** True if the message has a change that is not written. */
@@ -48,10 +60,65 @@
         remembered.add(identity);
     }
 
-    /** Nothing that is written can be relied on. */
-    void addAll() {
-        messages.addAll(state.owed.keySet());
-        remembered.addAll(state.remembered.keySet());
+    /** A record of the message is written, or of its end: it has to be written again if its forcing fails. */
+    void messageWritten(String id) {
+        if (forces) {
+            messagesSince.add(id);
+        }
+    }
+
+    /** A remembered end is written. */
+    void rememberedWritten(String identity) {
+        if (forces) {
+            rememberedSince.add(identity);
+        }
+    }
+
+    /** What is written so far is being forced. */
+    void forcingBegun() {
+        messagesBefore.addAll(messagesSince);
+        messagesSince.clear();
+        rememberedBefore.addAll(rememberedSince);
+        rememberedSince.clear();
+    }
+
+    /** What was written before the forcing began outlasts the machine. */
+    void forcingSucceeded() {
+        messagesBefore.clear();
+        rememberedBefore.clear();
+    }
+
+    /** True while a forcing would not cover all that consequences wait for. */
+    boolean isRewriting() {
+        unforced &= waitsForDisk || count() > 0;
+        return unforced;
+    }
+
+    /** Nothing is written again before the disk forces again. */
+    void waitForDisk() {
+        unforced = true;
+        waitsForDisk = true;
+    }
+
+    /** A forcing has failed: all that is not forced since the last good one has to be written again. */
+    void addUnforced(long lastGood) {
+        unforced = true;
+        waitsForDisk = false;
+        forcingBegun();
+        messages.addAll(messagesBefore);
+        remembered.addAll(rememberedBefore);
+        forcingSucceeded();
+        addUnforced(state.owed, lastGood, messages);
+        addUnforced(state.remembered, lastGood, remembered);
+    }
+
+    /** Adds what rests on a segment that was written to since the last good forcing began: it may be a copy. */
+    private static <T> void addUnforced(Map<String, JournalState.Slot<T>> map, long lastGood, Set<String> to) {
+        map.forEach((key, slot) -> {
+            if (slot.base != null && slot.base.writtenAt >= lastGood) {
+                to.add(key);
+            }
+        });
     }
 
     /** Writes what it can. */
@@ -63,7 +130,16 @@
 
     private boolean writeMessages() {
         while (!messages.isEmpty()) {
-            String id = messages.iterator().next();
+            if (!writeMessage(messages.iterator().next())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Writes the message's state if a change of it is not written; false if that is not possible now. */
+    boolean writeMessage(String id) {
+        if (hasMessage(id)) {
             JournalState.Slot<PendingMessage> slot = state.owed.get(id);
             if (slot == null) {
                 RecordEncoder.ended(writer.clear(), id);
@@ -77,6 +153,7 @@
             if (slot != null) {
                 state.moved(state.owed, id, log.active(), size);
             }
+            messageWritten(id);
             messages.remove(id);
         }
         return true;
@@ -93,6 +170,7 @@
                     return;
                 }
                 state.moved(state.remembered, identity, log.active(), size);
+                rememberedWritten(identity);
             }
             remembered.remove(identity);
         }
