--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -58,6 +58,7 @@
     private static final double GAIN = 0.2;
     /** Growth, in a second, of the pace that is kept to after a hold, and how long that is, microseconds. */
     private static final double ROOF_GROWTH = 1.1;
+
     private static final long ROOF_LASTS = 15_000_000;
     /** Refusals within this time cut the pace once, microseconds: they are one piece of news. */
     private static final long CUT_APART = 500_000;
@@ -95,6 +96,7 @@
     private static final double SCARCE_PATIENCE = 0.6;
     /** All slots taken, a call is given up after so many times the usual answer time, at the least this. */
     private static final double BEARABLE = 8, UNSAFE_BEARABLE = 24;
+
     private static final long LEAST_BEARABLE = 400_000, UNSAFE_LEAST_BEARABLE = 1_000_000;
     /** Part of its window that a keyed message's first attempt may take, so that a repeat fits in. */
     private static final double WINDOW_PART = 0.5;
@@ -123,6 +125,7 @@
     private static final double TENANT_BURST = 3;
     /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
     private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
+
     private static final long NEVER = Long.MAX_VALUE / 4;
 
     private Settings settings;
@@ -132,19 +135,23 @@
     private final Map<Integer, Queue> queues = new LinkedHashMap<>();
     /** Queues with messages that wait, and calls that are out: work follows these, not all that is known. */
     private final LinkedHashSet<Queue> busy = new LinkedHashSet<>();
+
     private final LinkedHashSet<Call> calls = new LinkedHashSet<>();
     /** Waiting messages that were found to have no chance left, until they are ended in the same round. */
     private final List<Message> late = new ArrayList<>();
     /** Endpoints that a call came back from in this round, and nothing went to since. */
     private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
+
     private final Map<String, Line> lines = new LinkedHashMap<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(
-            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     /** So many relays that each sees a destination too seldom to tell an outage by itself. */
     private final boolean many;
+
     private final double[] blips;
     /** All destinations together: their mean is a guess for one that nothing is known of. */
     private final Limit all = new Limit();
+
     private final boolean[] noRoom;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
@@ -188,8 +195,11 @@
                 stopAt = e.untilMicros();
             } else if (event instanceof Event.Renewed e) {
                 settings = e.settings();
-                messages.values().stream().filter(m -> m.out == null
-                        && m.attempts >= settings.limits().maxAttempts()).toList().forEach(this::end);
+                messages.values().stream()
+                        .filter(m ->
+                                m.out == null && m.attempts >= settings.limits().maxAttempts())
+                        .toList()
+                        .forEach(this::end);
             } else if (event instanceof Event.Timer) {
                 wakeAt = wakeAt <= now ? NEVER : wakeAt;
             }
@@ -220,7 +230,8 @@
             // The directory may be busy with every relay's call: ask later and later, spread by chance.
             askAt = settings.askForList() ? now + (long) (askPause * spread()) : NEVER;
             // Half the time after which the rules take a relay that does not ask as told, spread included.
-            askPause = Math.min(askPause * 2, Math.min(ASK_LAST, settings.rules().askWithinMicros() / 3));
+            askPause =
+                    Math.min(askPause * 2, Math.min(ASK_LAST, settings.rules().askWithinMicros() / 3));
             return;
         }
         askPause = e.kind() == ListingKind.REMEMBERED ? askPause : ASK_FIRST;
@@ -240,13 +251,14 @@
                     continue;
                 }
                 Queue queue = queues.computeIfAbsent(entry.destination(), d -> new Queue());
-                boolean known = entry.kind() >= 0 && entry.kind() < settings.kinds().size();
+                boolean known =
+                        entry.kind() >= 0 && entry.kind() < settings.kinds().size();
                 Kind kind = known ? settings.kinds().get(entry.kind()) : new Kind(false, 1);
                 if (queue.shared == null || kind.ownLimits()) {
                     queue.shared = new Limit();
                 }
-                endpoint = new Endpoint(entry.host(), queue, queue.shared, entry.zone(),
-                        known ? entry.kind() : 0, kind.batch());
+                endpoint = new Endpoint(
+                        entry.host(), queue, queue.shared, entry.zone(), known ? entry.kind() : 0, kind.batch());
                 endpoints.put(entry.host(), endpoint);
                 for (Endpoint x : queue.shared.endpoints) {
                     endpoint.outage |= x.outage;
@@ -310,7 +322,8 @@
         m.riskAt = prior.riskAtMicros();
         m.riskZone = prior.riskZone();
         m.resumed = true;
-        if (m.attempts >= settings.limits().maxAttempts() || now >= windowEnd(m)
+        if (m.attempts >= settings.limits().maxAttempts()
+                || now >= windowEnd(m)
                 || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
             end(m);
         } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
@@ -393,14 +406,17 @@
             if (left > 0 && !call.dropped) {
                 boolean unsafe = call.messages.stream().anyMatch(m -> m.kind.repeat() == Repeat.UNSAFE);
                 double usual = Math.max(usualLatency, call.endpoint.limit.latency);
-                long bearable = (long) (unsafe ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
-                        : Math.max(LEAST_BEARABLE, BEARABLE * usual));
+                long bearable = (long)
+                        (unsafe
+                                ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
+                                : Math.max(LEAST_BEARABLE, BEARABLE * usual));
                 if (call.sentAt + bearable > now) {
                     next = Math.min(next, call.sentAt + bearable);
                 } else {
                     call.dropped = true;
                     left--;
-                    call.messages.stream().filter(m -> m.call == call)
+                    call.messages.stream()
+                            .filter(m -> m.call == call)
                             .forEach(m -> actions.add(new Action.Cancel(m.id, m.attempts - 1)));
                 }
             }
@@ -459,7 +475,8 @@
         if (late < 0) {
             return m.worth * (1 + EDGE * (1 + late));
         }
-        double rest = c.halves() ? Math.pow(0.5, late)
+        double rest = c.halves()
+                ? Math.pow(0.5, late)
                 : 1 - late * c.aimMicros() / Math.max(1, c.deadlineMicros() - c.aimMicros());
         return m.worth * Math.max(c.lateShare(), rest);
     }
@@ -485,8 +502,10 @@
             if (!gate(m, endpoint)) {
                 continue;
             }
-            double cost = endpoint.out + (endpoint.zone == settings.zone() ? 0 : 1)
-                    + (warm(endpoint) ? 0 : 0.75) + (m.lastHost == endpoint ? 0.5 : 0);
+            double cost = endpoint.out
+                    + (endpoint.zone == settings.zone() ? 0 : 1)
+                    + (warm(endpoint) ? 0 : 0.75)
+                    + (m.lastHost == endpoint ? 0.5 : 0);
             if (best == null || cost < least) {
                 best = endpoint;
                 least = cost;
@@ -498,15 +517,18 @@
     // ---- sending ----------------------------------------------------------------------------------------
     /** Every send passes here: effects, windows, drains, waits, order, attempts; its call has a slot. */
     private boolean gate(Message m, Endpoint endpoint) {
-        if (m.over || m.out != null || m.attempts >= settings.limits().maxAttempts()
-                || now < m.notBefore || m.deadline - now < LEAST_LEFT || endpoint.queue != m.queue) {
+        if (m.over
+                || m.out != null
+                || m.attempts >= settings.limits().maxAttempts()
+                || now < m.notBefore
+                || m.deadline - now < LEAST_LEFT
+                || endpoint.queue != m.queue) {
             return false;
         }
         if (!endpoint.active || now < endpoint.limit.waitUntil) {
             return false;
         }
-        if (m.line != null && (m.line.messages.peek() != m
-                || m.line.restOwner != m && now < m.line.restUntil)) {
+        if (m.line != null && (m.line.messages.peek() != m || m.line.restOwner != m && now < m.line.restUntil)) {
             return false;
         }
         // A call that the end of the program could cut may have run: what can't come back in time stays held.
@@ -517,8 +539,8 @@
             if (m.kind.repeat() == Repeat.UNSAFE) {
                 return false;
             }
-            if (m.kind.repeat() == Repeat.KEYED && (now >= windowEnd(m)
-                    || m.kind.group() == Group.ZONE && endpoint.zone != m.riskZone)) {
+            if (m.kind.repeat() == Repeat.KEYED
+                    && (now >= windowEnd(m) || m.kind.group() == Group.ZONE && endpoint.zone != m.riskZone)) {
                 return false;
             }
         }
@@ -528,7 +550,8 @@
     /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
     private long windowEnd(Message m) {
         return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED
-                ? m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros() : Long.MAX_VALUE;
+                ? m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros()
+                : Long.MAX_VALUE;
     }
 
     /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
@@ -639,8 +662,10 @@
             endpoint.calls.remove(call);
             calls.remove(call);
             endpoint.limit.out--;
-            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.NO_ROOM
-                    && e.ending() != Ending.RESET && e.ending() != Ending.NOT_SENT) {
+            if (e.ending() != Ending.NO_CONNECTION
+                    && e.ending() != Ending.NO_ROOM
+                    && e.ending() != Ending.RESET
+                    && e.ending() != Ending.NOT_SENT) {
                 endpoint.idle.addLast(now);
                 used.add(endpoint);
             }
@@ -657,8 +682,8 @@
             m.riskAt = m.sentAt;
             m.riskZone = endpoint.zone;
         }
-        if (m.line != null && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET
-                || e.ending() == Ending.CANCELED)) {
+        if (m.line != null
+                && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
             m.line.restUntil = now + settings.rules().orderPauseMicros();
             m.line.restOwner = m;
             dues.add(new Due(m.line.restUntil, order++, m));
@@ -686,8 +711,10 @@
             m.notBefore = now < latest ? Math.min(m.notBefore, latest) : m.notBefore;
             dues.add(new Due(windowEnd(m), order++, m));
         }
-        if (m.attempts >= settings.limits().maxAttempts() || m.notBefore > m.deadline - LEAST_LEFT
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE || m.notBefore >= windowEnd(m)) {
+        if (m.attempts >= settings.limits().maxAttempts()
+                || m.notBefore > m.deadline - LEAST_LEFT
+                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE
+                || m.notBefore >= windowEnd(m)) {
             end(m);
             return;
         }
@@ -709,7 +736,8 @@
     /** The one place that ends a message: refused where that is harmless, else failed. */
     private void end(Message m) {
         boolean mayRun = m.mayHaveRun || m.out != null;
-        boolean harmless = !mayRun || m.kind.repeat() == Repeat.SAFE
+        boolean harmless = !mayRun
+                || m.kind.repeat() == Repeat.SAFE
                 || m.kind.repeat() == Repeat.KEYED && m.kind.group() == Group.ALL;
         actions.add(harmless ? new Action.Refuse(m.id, comeBack(m.queue)) : new Action.Fail(m.id));
         over(m);
@@ -747,8 +775,8 @@
         for (Endpoint endpoint : queue.endpoints) {
             if (endpoint.active) {
                 double rate = Math.max(share(endpoint.limit), flow(endpoint));
-                wait = Math.min(wait, Math.max(0, readyAt(endpoint) - now)
-                        + (long) (queue.waiting.size() / rate * SECOND));
+                wait = Math.min(
+                        wait, Math.max(0, readyAt(endpoint) - now) + (long) (queue.waiting.size() / rate * SECOND));
             }
         }
         return Math.min(wait, settings.limits().maxComeBackMicros());
@@ -797,15 +825,14 @@
             case FULL -> refused(limit, endpoint, e);
             case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
                 failed(limit, endpoint, e.ending(), e.elapsedMicros());
-            default -> { }
+            default -> {}
         }
     }
 
     private void taken(Limit limit, Endpoint endpoint, long elapsed) {
         count(limit, endpoint);
         count(all, endpoint);
-        limit.latency = limit.latency == 0 ? elapsed
-                : limit.latency + LATENCY_WEIGHT * (elapsed - limit.latency);
+        limit.latency = limit.latency == 0 ? elapsed : limit.latency + LATENCY_WEIGHT * (elapsed - limit.latency);
         double sane = usualLatency == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * usualLatency);
         usualLatency += (usualLatency == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - usualLatency);
         limit.patience = elapsed < 2 * limit.latency ? 1 : Math.max(1, limit.patience * 0.7);
@@ -839,7 +866,8 @@
         // A full queue, a limit used up by refused calls and a shut one look alike to a relay that comes by
         // once: the second refusal in a row, or the first with nothing left, sets the pace of an outage. Few
         // relays see each destination often enough to tell an outage by its length.
-        limit.usedUp = e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
+        limit.usedUp =
+                e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
         limit.turned += limit.usedUp ? 2 : many ? 1 : 0;
         if (now >= limit.holdUntil) {
             limit.pace = CUT * limit.recent / CUT_PACE;
@@ -849,8 +877,10 @@
         limit.lasted = now - limit.badSince;
         limit.jitter = many ? 1 + random.nextDouble() : 1;
         limit.fulls++;
-        if (wait >= SHUT_WAIT || limit.fulls >= FULLS_IN_ROW && now - limit.badSince >= SHUT_SPAN
-                && limit.shortWaitAt < limit.badSince) {
+        if (wait >= SHUT_WAIT
+                || limit.fulls >= FULLS_IN_ROW
+                        && now - limit.badSince >= SHUT_SPAN
+                        && limit.shortWaitAt < limit.badSince) {
             // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
             limit.endpoints.forEach(this::sick);
             if (wait >= SHUT_WAIT) {
@@ -873,8 +903,8 @@
         }
         // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
         // For one of many relays, which sends seldom, that is far longer than a clump.
-        limit.holdUntil = now + (long) (many ? QUIET * spread()
-                : Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit))));
+        limit.holdUntil = now
+                + (long) (many ? QUIET * spread() : Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit))));
     }
 
     /** Calls a second that a held limit surely has for this relay: all relays at this pace stay within it. */
@@ -904,8 +934,7 @@
         limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
         endpoint.fails++;
         // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM
-                && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
+        boolean there = ending == Ending.NO_ROOM && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
         if (!there) {
             limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
             limit.failedLast = endpoint;
@@ -913,8 +942,8 @@
             endpoint.ill += ILL_WEIGHT * (1 - endpoint.ill);
         }
         if (endpoint.fails > 1) {
-            endpoint.avoidUntil = now
-                    + (long) ((AVOID_FIRST << Math.min(endpoint.fails - 2, AVOID_DOUBLINGS)) * spread());
+            endpoint.avoidUntil =
+                    now + (long) ((AVOID_FIRST << Math.min(endpoint.fails - 2, AVOID_DOUBLINGS)) * spread());
         }
         if (ending == Ending.TIMED_OUT && endpoint.fails > 1) {
             // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
@@ -927,8 +956,9 @@
             endpoint.rampFrom = now;
         }
         endpoint.hung |= ending == Ending.TIMED_OUT && (endpoint.fails > 1 || !lossy());
-        boolean turnedAway = ending == Ending.NO_ROOM || ending == Ending.NO_CONNECTION
-                && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
+        boolean turnedAway = ending == Ending.NO_ROOM
+                || ending == Ending.NO_CONNECTION
+                        && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
         endpoint.blip = turnedAway ? endpoint.kind : blips.length - 1;
         endpoint.badSince = endpoint.badSince == 0 ? now : endpoint.badSince;
         blips[endpoint.blip] *= now - endpoint.badSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
@@ -975,7 +1005,8 @@
     }
 
     private boolean ramping(Endpoint endpoint) {
-        return endpoint.rampFrom > 0 && now - endpoint.rampFrom < settings.rules().rampMicros();
+        return endpoint.rampFrom > 0
+                && now - endpoint.rampFrom < settings.rules().rampMicros();
     }
 
     /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
@@ -983,8 +1014,7 @@
         Limit limit = endpoint.limit;
         int slots = settings.limits().slots();
         if (limit.out >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
-                || endpoint.out > 0 && (endpoint.outage
-                        || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
+                || endpoint.out > 0 && (endpoint.outage || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
             return NEVER;
         }
         if (clogged(endpoint)) {
@@ -1007,8 +1037,9 @@
         long healedAt = rate >= NEVER ? at : endpoint.lastSend + (long) (SECOND / rate);
         // A ramp's pace is at its slowest now: at its end the endpoint is free.
         boolean ends = ramping(endpoint) && !endpoint.outage && !endpoint.turned;
-        return Math.max(at, ends ? Math.min(healedAt, endpoint.rampFrom + settings.rules().rampMicros())
-                : healedAt);
+        return Math.max(
+                at,
+                ends ? Math.min(healedAt, endpoint.rampFrom + settings.rules().rampMicros()) : healedAt);
     }
 
     /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
@@ -1018,13 +1049,13 @@
         }
         // What waited must not come at once when the hold is over: it would be refused again.
         long after = now - limit.holdUntil;
-        return limit.roof == 0 || after > ROOF_LASTS ? NEVER
-                : limit.roof * Math.pow(ROOF_GROWTH, after / SECOND);
+        return limit.roof == 0 || after > ROOF_LASTS ? NEVER : limit.roof * Math.pow(ROOF_GROWTH, after / SECOND);
     }
 
     /** Calls a second that an endpoint may get in an outage and on its return; unbounded otherwise. */
     private double healed(Endpoint endpoint) {
-        long active = Math.max(1, endpoint.limit.endpoints.stream().filter(x -> x.active).count());
+        long active = Math.max(
+                1, endpoint.limit.endpoints.stream().filter(x -> x.active).count());
         if (endpoint.outage || endpoint.turned) {
             boolean sure = endpoint.turned || many && endpoint.limit.failsMany && !lossy();
             double rate = budget(endpoint.limit, 0, sure) / active;
