--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -11,13 +11,13 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import lilaclever.PolicyState.Call;
-import lilaclever.PolicyState.Due;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.DestinationQueue;
 import lilaclever.PolicyState.Endpoint;
-import lilaclever.PolicyState.Limit;
-import lilaclever.PolicyState.Line;
 import lilaclever.PolicyState.Message;
-import lilaclever.PolicyState.Pick;
-import lilaclever.PolicyState.Queue;
+import lilaclever.PolicyState.OrderedKey;
+import lilaclever.PolicyState.SendCandidate;
+import lilaclever.PolicyState.TimedCheck;
 
 /**
  * All decisions of a relay. The interface (settings, events, actions, outcomes) is in DecisionModule.java.
@@ -132,9 +132,9 @@
     private final SplittableRandom random;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
-    private final Map<Integer, Queue> queues = new LinkedHashMap<>();
+    private final Map<Integer, DestinationQueue> queues = new LinkedHashMap<>();
     /** Queues with messages that wait, and calls that are out: work follows these, not all that is known. */
-    private final LinkedHashSet<Queue> busy = new LinkedHashSet<>();
+    private final LinkedHashSet<DestinationQueue> queuesWaiting = new LinkedHashSet<>();
 
     private final LinkedHashSet<Call> calls = new LinkedHashSet<>();
     /** Waiting messages that were found to have no chance left, until they are ended in the same round. */
@@ -142,32 +142,32 @@
     /** Endpoints that a call came back from in this round, and nothing went to since. */
     private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
 
-    private final Map<String, Line> lines = new LinkedHashMap<>();
-    private final PriorityQueue<Due> dues =
-            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
+    private final PriorityQueue<TimedCheck> dues =
+            new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
     /** So many relays that each sees a destination too seldom to tell an outage by itself. */
-    private final boolean many;
+    private final boolean largeFleet;
 
     private final double[] blips;
     /** All destinations together: their mean is a guess for one that nothing is known of. */
-    private final Limit all = new Limit();
+    private final DestinationLimit all = new DestinationLimit();
 
-    private final boolean[] noRoom;
+    private final boolean[] connectionsScarce;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
     private List<Action> actions;
     private long now, order;
     private long wakeAt = NEVER, stopAt = NEVER;
-    private int slotsOut, held;
-    private double usualLatency;
+    private int slotsInUse, held;
+    private double usualAnswerTime;
     private boolean started;
     private long askAt = NEVER, askPause = ASK_FIRST;
 
     DeliveryPolicy(Settings settings, long seed) {
         this.settings = settings;
         this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
-        this.many = settings.relays() > FLEET_FAILS;
-        this.noRoom = new boolean[blips.length];
+        this.largeFleet = settings.relays() > FLEET_FAILS;
+        this.connectionsScarce = new boolean[blips.length];
         Arrays.fill(blips, 0, blips.length - 1, CROWD_GUESS);
         this.random = new SplittableRandom(seed);
         this.tenantTokens = new double[settings.tenants().size()];
@@ -196,8 +196,8 @@
             } else if (event instanceof Event.Renewed e) {
                 settings = e.settings();
                 messages.values().stream()
-                        .filter(m ->
-                                m.out == null && m.attempts >= settings.limits().maxAttempts())
+                        .filter(message -> message.inFlightTo == null
+                                && message.attempts >= settings.limits().maxAttempts())
                         .toList()
                         .forEach(this::end);
             } else if (event instanceof Event.Timer) {
@@ -250,39 +250,42 @@
                 if (entry.presence() != Presence.ACTIVE) {
                     continue;
                 }
-                Queue queue = queues.computeIfAbsent(entry.destination(), d -> new Queue());
+                DestinationQueue queue = queues.computeIfAbsent(entry.destination(), d -> new DestinationQueue());
                 boolean known =
                         entry.kind() >= 0 && entry.kind() < settings.kinds().size();
                 Kind kind = known ? settings.kinds().get(entry.kind()) : new Kind(false, 1);
-                if (queue.shared == null || kind.ownLimits()) {
-                    queue.shared = new Limit();
+                if (queue.sharedLimit == null || kind.ownLimits()) {
+                    queue.sharedLimit = new DestinationLimit();
                 }
                 endpoint = new Endpoint(
-                        entry.host(), queue, queue.shared, entry.zone(), known ? entry.kind() : 0, kind.batch());
+                        entry.host(), queue, queue.sharedLimit, entry.zone(), known ? entry.kind() : 0, kind.batch());
                 endpoints.put(entry.host(), endpoint);
-                for (Endpoint x : queue.shared.endpoints) {
-                    endpoint.outage |= x.outage;
-                    endpoint.rampFrom = Math.max(endpoint.rampFrom, x.rampFrom);
-                    endpoint.lastSend = Math.max(endpoint.lastSend, x.lastSend);
+                for (Endpoint each : queue.sharedLimit.endpoints) {
+                    endpoint.inOutage |= each.inOutage;
+                    endpoint.slowStartFrom = Math.max(endpoint.slowStartFrom, each.slowStartFrom);
+                    endpoint.lastSentAt = Math.max(endpoint.lastSentAt, each.lastSentAt);
                 }
-                if (many && queue.shared.badSince > 0) {
+                if (largeFleet && queue.sharedLimit.failingSince > 0) {
                     // A new host is no way round an outage, whatever it looked like, even if the old one has
                     // left the list: all relays hear of it at once, and would send what they hold.
-                    endpoint.turned = true;
-                    endpoint.lastSend = now;
+                    endpoint.refusingConnections = true;
+                    endpoint.lastSentAt = now;
                 }
                 endpoint.trialPause = TRIAL_FIRST;
                 queue.endpoints.add(endpoint);
-                queue.shared.endpoints.add(endpoint);
+                queue.sharedLimit.endpoints.add(endpoint);
             }
             endpoint.active = entry.presence() == Presence.ACTIVE;
-            if (settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.reported) {
+            if (settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.rateReported) {
                 // A rough figure may be half too high; what the destination reports itself is better.
-                endpoint.limit.told = entry.weight() / (settings.weights() == Weights.ROUGH ? ROUGH : 1);
+                endpoint.limit.toldRate = entry.weight() / (settings.weights() == Weights.ROUGH ? ROUGH : 1);
             }
         }
         // A route that is listed again soon must still know its wait.
-        endpoints.values().removeIf(x -> !x.active && x.out == 0 && x.limit.waitUntil <= now && forget(x));
+        endpoints
+                .values()
+                .removeIf(
+                        each -> !each.active && each.callsInFlight == 0 && each.limit.waitUntil <= now && forget(each));
     }
 
     /** Takes an endpoint out of its destination. */
@@ -293,43 +296,43 @@
 
     private void submit(Event.Submit e) {
         MessageClass c = settings.classes().get(e.messageClass());
-        Message m = new Message(e.id(), c);
-        m.takenAt = now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
-        m.deadline = now + e.budgetMicros();
-        m.queue = queues.computeIfAbsent(e.destination(), d -> new Queue());
-        m.worth = c.worth() * (overShare(e.tenant()) ? settings.overShareWorth() : 1);
+        Message message = new Message(e.id(), c);
+        message.acceptedAt = now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
+        message.deadline = now + e.budgetMicros();
+        message.queue = queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
+        message.worth = c.worth() * (overShare(e.tenant()) ? settings.overShareWorth() : 1);
         if (c.ordered() && e.key() != null) {
-            m.line = lines.computeIfAbsent(e.key(), k -> new Line());
-            m.line.messages.add(m);
-            m.key = e.key();
+            message.orderedKey = lines.computeIfAbsent(e.key(), k -> new OrderedKey());
+            message.orderedKey.messages.add(message);
+            message.key = e.key();
         }
-        messages.put(m.id, m);
+        messages.put(message.id, message);
         held++;
-        await(m);
-        if (e.prior() != null && resumed(m, e.prior())) {
+        await(message);
+        if (e.prior() != null && resumed(message, e.prior())) {
             return;
         }
-        dues.add(new Due(m.deadline - LEAST_LEFT, order++, m));
+        dues.add(new TimedCheck(message.deadline - LEAST_LEFT, order++, message));
         if (held > HOLD_PART * settings.limits().maxOpen()) {
             refuseLeastWorth();
         }
     }
 
     /** Takes over what an earlier life did with a message; true if that has ended it. */
-    private boolean resumed(Message m, Prior prior) {
-        m.attempts = prior.attempts();
-        m.mayHaveRun = prior.mayHaveRun();
-        m.riskAt = prior.riskAtMicros();
-        m.riskZone = prior.riskZone();
-        m.resumed = true;
-        if (m.attempts >= settings.limits().maxAttempts()
-                || now >= windowEnd(m)
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
-            end(m);
-        } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            dues.add(new Due(windowEnd(m), order++, m));
-        }
-        return m.over;
+    private boolean resumed(Message message, Prior prior) {
+        message.attempts = prior.attempts();
+        message.mayHaveRun = prior.mayHaveRun();
+        message.mayHaveRunSince = prior.riskAtMicros();
+        message.mayHaveRunZone = prior.riskZone();
+        message.resumed = true;
+        if (message.attempts >= settings.limits().maxAttempts()
+                || now >= windowEnd(message)
+                || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE) {
+            end(message);
+        } else if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
+            dues.add(new TimedCheck(windowEnd(message), order++, message));
+        }
+        return message.finished;
     }
 
     private boolean overShare(int tenant) {
@@ -346,47 +349,50 @@
     /** Ends what has run out of time. Every message has an entry here, so none is forgotten. */
     private void dueNow() {
         while (!dues.isEmpty() && dues.peek().at() <= now) {
-            Message m = dues.poll().message();
-            if (m.over) {
-                forgetLine(m);
-            } else if (m.out == null) {
-                if (m.deadline - now <= LEAST_LEFT || now >= windowEnd(m)) {
-                    end(m);
+            Message message = dues.poll().message();
+            if (message.finished) {
+                forgetLine(message);
+            } else if (message.inFlightTo == null) {
+                if (message.deadline - now <= LEAST_LEFT || now >= windowEnd(message)) {
+                    end(message);
                 }
-            } else if (now >= m.deadline + settings.rules().answerSlackMicros() / 2) {
-                end(m);
+            } else if (now >= message.deadline + settings.rules().answerSlackMicros() / 2) {
+                end(message);
             } else {
                 // The outcome comes at the deadline at the latest; if it doesn't, answer within the slack.
-                dues.add(new Due(m.deadline + settings.rules().answerSlackMicros() / 2, order++, m));
+                dues.add(new TimedCheck(message.deadline + settings.rules().answerSlackMicros() / 2, order++, message));
             }
         }
     }
 
     /** Sends what may go, the most worth for a slot's time first; gives the time to look again. */
     private long sendAll() {
-        List<Pick> picks = new ArrayList<>();
-        for (Queue queue : busy) {
-            queue.lookAt = NEVER;
-            Pick pick = pick(queue);
+        List<SendCandidate> picks = new ArrayList<>();
+        for (DestinationQueue queue : queuesWaiting) {
+            queue.nextCheckAt = NEVER;
+            SendCandidate pick = pick(queue);
             if (pick != null) {
                 picks.add(pick);
             }
         }
         late.forEach(this::end);
         late.clear();
-        while (!picks.isEmpty() && slotsOut < settings.limits().slots()) {
-            Pick best = Collections.max(picks, Comparator.comparingDouble(Pick::rank));
+        while (!picks.isEmpty() && slotsInUse < settings.limits().slots()) {
+            SendCandidate best = Collections.max(picks, Comparator.comparingDouble(SendCandidate::rank));
             picks.remove(best);
             // What went since it was picked may have taken its part of the slots.
             if (gate(best.message(), best.endpoint())) {
                 sendCall(best);
             }
-            Pick again = pick(best.message().queue);
+            SendCandidate again = pick(best.message().queue);
             if (again != null) {
                 picks.add(again);
             }
         }
-        long next = busy.stream().mapToLong(queue -> queue.lookAt).min().orElse(NEVER);
+        long next = queuesWaiting.stream()
+                .mapToLong(queue -> queue.nextCheckAt)
+                .min()
+                .orElse(NEVER);
         return picks.isEmpty() ? next : Math.min(next, relieve(picks.size()));
     }
 
@@ -400,12 +406,13 @@
         long next = NEVER;
         int left = settings.limits().cancel() ? wanted : 0;
         for (Call call : calls) {
-            left -= call.dropped ? 1 : 0;
+            left -= call.cancelled ? 1 : 0;
         }
         for (Call call : calls) {
-            if (left > 0 && !call.dropped) {
-                boolean unsafe = call.messages.stream().anyMatch(m -> m.kind.repeat() == Repeat.UNSAFE);
-                double usual = Math.max(usualLatency, call.endpoint.limit.latency);
+            if (left > 0 && !call.cancelled) {
+                boolean unsafe =
+                        call.messages.stream().anyMatch(message -> message.messageClass.repeat() == Repeat.UNSAFE);
+                double usual = Math.max(usualAnswerTime, call.endpoint.limit.answerTime);
                 long bearable = (long)
                         (unsafe
                                 ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
@@ -413,53 +420,53 @@
                 if (call.sentAt + bearable > now) {
                     next = Math.min(next, call.sentAt + bearable);
                 } else {
-                    call.dropped = true;
+                    call.cancelled = true;
                     left--;
                     call.messages.stream()
-                            .filter(m -> m.call == call)
-                            .forEach(m -> actions.add(new Action.Cancel(m.id, m.attempts - 1)));
+                            .filter(message -> message.call == call)
+                            .forEach(message -> actions.add(new Action.Cancel(message.id, message.attempts - 1)));
                 }
             }
         }
         return next;
     }
 
-    private Pick pick(Queue queue) {
+    private SendCandidate pick(DestinationQueue queue) {
         List<Endpoint> open = new ArrayList<>();
         long soonest = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
             long at = endpoint.active ? readyAt(endpoint) : NEVER;
-            soonest = Math.min(soonest, endpoint.out > 0 ? now : at);
+            soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? now : at);
             if (at <= now) {
                 open.add(endpoint);
             }
-            queue.lookAt = at <= now ? queue.lookAt : Math.min(queue.lookAt, at);
+            queue.nextCheckAt = at <= now ? queue.nextCheckAt : Math.min(queue.nextCheckAt, at);
         }
-        for (Message m : soonest > now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
+        for (Message message : soonest > now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
             // Nothing may go before its time is up, and no call is out whose outcome could change that: the
             // client is told now, and may find a relay that is not held.
-            if (soonest > m.deadline - LEAST_LEFT || soonest >= windowEnd(m)) {
-                late.add(m);
+            if (soonest > message.deadline - LEAST_LEFT || soonest >= windowEnd(message)) {
+                late.add(message);
             }
         }
-        Pick best = null;
+        SendCandidate best = null;
         int looked = 0;
-        for (Message m : queue.waiting) {
+        for (Message message : queue.waiting) {
             if (open.isEmpty() || looked >= LOOK) {
                 break;
             }
-            if (m.notBefore > now) {
-                queue.lookAt = Math.min(queue.lookAt, m.notBefore);
+            if (message.notBefore > now) {
+                queue.nextCheckAt = Math.min(queue.nextCheckAt, message.notBefore);
                 continue;
             }
             looked++;
-            if (best != null && rank(m, best.endpoint()) <= best.rank()) {
+            if (best != null && rank(message, best.endpoint()) <= best.rank()) {
                 continue;
             }
-            Endpoint endpoint = choose(m, open);
+            Endpoint endpoint = choose(message, open);
             if (endpoint != null) {
-                double rank = rank(m, endpoint);
-                best = best == null || rank > best.rank() ? new Pick(m, endpoint, rank) : best;
+                double rank = rank(message, endpoint);
+                best = best == null || rank > best.rank() ? new SendCandidate(message, endpoint, rank) : best;
             }
         }
         return best;
@@ -469,43 +476,45 @@
      * What a message is worth if it goes now, and a little more the closer its aim is. Where more waits than
      * goes, what is late already must not make all that is fresh late too.
      */
-    private double worthNow(Message m) {
-        MessageClass c = m.kind;
-        double late = (now - m.takenAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
+    private double worthNow(Message message) {
+        MessageClass c = message.messageClass;
+        double late = (now - message.acceptedAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
         if (late < 0) {
-            return m.worth * (1 + EDGE * (1 + late));
+            return message.worth * (1 + EDGE * (1 + late));
         }
         double rest = c.halves()
                 ? Math.pow(0.5, late)
                 : 1 - late * c.aimMicros() / Math.max(1, c.deadlineMicros() - c.aimMicros());
-        return m.worth * Math.max(c.lateShare(), rest);
+        return message.worth * Math.max(c.lateShare(), rest);
     }
 
     /** Worth for a slot's time. */
-    private double rank(Message m, Endpoint endpoint) {
-        Limit limit = endpoint.limit;
-        double worth = worthNow(m);
-        if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
+    private double rank(Message message, Endpoint endpoint) {
+        DestinationLimit limit = endpoint.limit;
+        double worth = worthNow(message);
+        if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
             worth *= 4; // its window is running: later is too late
         }
-        if ((endpoint.outage || endpoint.hung) && m.kind.repeat() != Repeat.SAFE && !m.mayHaveRun) {
+        if ((endpoint.inOutage || endpoint.timingOut)
+                && message.messageClass.repeat() != Repeat.SAFE
+                && !message.mayHaveRun) {
             // A call that fails may have run. Try a sick limit with what can be repeated.
-            worth *= m.kind.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
+            worth *= message.messageClass.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
         }
-        return worth / Math.max(1_000, limit.latency > 0 ? limit.latency : usualLatency);
+        return worth / Math.max(1_000, limit.answerTime > 0 ? limit.answerTime : usualAnswerTime);
     }
 
-    private Endpoint choose(Message m, List<Endpoint> open) {
+    private Endpoint choose(Message message, List<Endpoint> open) {
         Endpoint best = null;
         double least = 0;
         for (Endpoint endpoint : open) {
-            if (!gate(m, endpoint)) {
+            if (!gate(message, endpoint)) {
                 continue;
             }
-            double cost = endpoint.out
+            double cost = endpoint.callsInFlight
                     + (endpoint.zone == settings.zone() ? 0 : 1)
                     + (warm(endpoint) ? 0 : 0.75)
-                    + (m.lastHost == endpoint ? 0.5 : 0);
+                    + (message.lastEndpoint == endpoint ? 0.5 : 0);
             if (best == null || cost < least) {
                 best = endpoint;
                 least = cost;
@@ -516,31 +525,34 @@
 
     // ---- sending ----------------------------------------------------------------------------------------
     /** Every send passes here: effects, windows, drains, waits, order, attempts; its call has a slot. */
-    private boolean gate(Message m, Endpoint endpoint) {
-        if (m.over
-                || m.out != null
-                || m.attempts >= settings.limits().maxAttempts()
-                || now < m.notBefore
-                || m.deadline - now < LEAST_LEFT
-                || endpoint.queue != m.queue) {
+    private boolean gate(Message message, Endpoint endpoint) {
+        if (message.finished
+                || message.inFlightTo != null
+                || message.attempts >= settings.limits().maxAttempts()
+                || now < message.notBefore
+                || message.deadline - now < LEAST_LEFT
+                || endpoint.queue != message.queue) {
             return false;
         }
         if (!endpoint.active || now < endpoint.limit.waitUntil) {
             return false;
         }
-        if (m.line != null && (m.line.messages.peek() != m || m.line.restOwner != m && now < m.line.restUntil)) {
+        if (message.orderedKey != null
+                && (message.orderedKey.messages.peek() != message
+                        || message.orderedKey.pauseExempt != message && now < message.orderedKey.pausedUntil)) {
             return false;
         }
         // A call that the end of the program could cut may have run: what can't come back in time stays held.
-        if (stopAt < NEVER && now + patience(m, endpoint.limit) > stopAt) {
+        if (stopAt < NEVER && now + patience(message, endpoint.limit) > stopAt) {
             return false;
         }
-        if (m.mayHaveRun) {
-            if (m.kind.repeat() == Repeat.UNSAFE) {
+        if (message.mayHaveRun) {
+            if (message.messageClass.repeat() == Repeat.UNSAFE) {
                 return false;
             }
-            if (m.kind.repeat() == Repeat.KEYED
-                    && (now >= windowEnd(m) || m.kind.group() == Group.ZONE && endpoint.zone != m.riskZone)) {
+            if (message.messageClass.repeat() == Repeat.KEYED
+                    && (now >= windowEnd(message)
+                            || message.messageClass.group() == Group.ZONE && endpoint.zone != message.mayHaveRunZone)) {
                 return false;
             }
         }
@@ -548,14 +560,14 @@
     }
 
     /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
-    private long windowEnd(Message m) {
-        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED
-                ? m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros()
+    private long windowEnd(Message message) {
+        return message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED
+                ? message.mayHaveRunSince + message.messageClass.repeatWindowMicros() - settings.roundMicros()
                 : Long.MAX_VALUE;
     }
 
     /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
-    private void sendCall(Pick pick) {
+    private void sendCall(SendCandidate pick) {
         Call call = new Call();
         Endpoint endpoint = pick.endpoint();
         call.sentAt = now;
@@ -563,38 +575,38 @@
         endpoint.calls.add(call);
         calls.add(call);
         send(pick.message(), endpoint, call);
-        if (endpoint.batch > 1 && !endpoint.outage) {
+        if (endpoint.batch > 1 && !endpoint.inOutage) {
             // Limits count calls, so what goes along is free; only a trial, which may fail all, goes alone.
-            for (Message m : List.copyOf(pick.message().queue.waiting)) {
-                if (call.left >= endpoint.batch) {
+            for (Message message : List.copyOf(pick.message().queue.waiting)) {
+                if (call.outcomesDue >= endpoint.batch) {
                     break;
                 }
-                if (gate(m, endpoint)) {
-                    send(m, endpoint, call);
+                if (gate(message, endpoint)) {
+                    send(message, endpoint, call);
                 }
             }
         }
-        slotsOut++;
-        endpoint.out++;
-        endpoint.limit.out++;
-        endpoint.limit.lastSend = now;
-        endpoint.lastSend = now;
-        endpoint.idle.pollLast();
+        slotsInUse++;
+        endpoint.callsInFlight++;
+        endpoint.limit.callsInFlight++;
+        endpoint.limit.lastSentAt = now;
+        endpoint.lastSentAt = now;
+        endpoint.idleSince.pollLast();
         used.remove(endpoint);
     }
 
-    private void send(Message m, Endpoint endpoint, Call call) {
-        unawait(m);
-        m.attempts++;
-        m.out = endpoint;
-        m.call = call;
-        call.messages.add(m);
-        m.sentAt = now;
-        m.lastHost = endpoint;
-        call.left++;
+    private void send(Message message, Endpoint endpoint, Call call) {
+        unawait(message);
+        message.attempts++;
+        message.inFlightTo = endpoint;
+        message.call = call;
+        call.messages.add(message);
+        message.sentAt = now;
+        message.lastEndpoint = endpoint;
+        call.outcomesDue++;
         // A connection that comes up late must not carry it past its window.
-        long dropAt = Math.min(Math.min(m.deadline, now + patience(m, endpoint.limit)), windowEnd(m));
-        actions.add(new Action.Send(m.id, endpoint.host, dropAt));
+        long dropAt = Math.min(Math.min(message.deadline, now + patience(message, endpoint.limit)), windowEnd(message));
+        actions.add(new Action.Send(message.id, endpoint.host, dropAt));
     }
 
     /**
@@ -603,9 +615,9 @@
      * of room, and none by each of many relays, as what each learns alone comes late. Costs handshakes.
      */
     private void closeUnused(Endpoint endpoint) {
-        if (many || noRoom[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
+        if (largeFleet || connectionsScarce[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
             actions.add(new Action.CloseIdle(endpoint.host));
-            endpoint.idle.clear();
+            endpoint.idleSince.clear();
         }
     }
 
@@ -623,151 +635,153 @@
     }
 
     /** How long a call may take. */
-    private long patience(Message m, Limit limit) {
-        double usual = limit.latency > 0 ? PATIENCE * limit.latency : m.kind.aimMicros();
-        double time = Math.max(LEAST_PATIENCE * m.kind.aimMicros(), usual) * limit.patience;
-        if (m.kind.repeat() == Repeat.UNSAFE) {
+    private long patience(Message message, DestinationLimit limit) {
+        double usual = limit.answerTime > 0 ? PATIENCE * limit.answerTime : message.messageClass.aimMicros();
+        double time = Math.max(LEAST_PATIENCE * message.messageClass.aimMicros(), usual) * limit.timeoutFactor;
+        if (message.messageClass.repeat() == Repeat.UNSAFE) {
             return (long) Math.max(time * UNSAFE_PATIENCE, LEAST_LEFT);
         }
         // Where calls are lost everywhere, the last slot is worth more than a call that is likely lost.
-        time *= lossy() && slotsOut + 1 >= settings.limits().slots() ? SCARCE_PATIENCE : 1;
-        if (m.kind.repeat() == Repeat.KEYED && !m.mayHaveRun) {
-            time = Math.min(time, WINDOW_PART * m.kind.repeatWindowMicros());
+        time *= lossy() && slotsInUse + 1 >= settings.limits().slots() ? SCARCE_PATIENCE : 1;
+        if (message.messageClass.repeat() == Repeat.KEYED && !message.mayHaveRun) {
+            time = Math.min(time, WINDOW_PART * message.messageClass.repeatWindowMicros());
         }
         return (long) Math.max(time, LEAST_LEFT);
     }
 
     private boolean warm(Endpoint endpoint) {
         long keep = settings.limits().keepAliveMicros();
-        while (!endpoint.idle.isEmpty() && endpoint.idle.peekFirst() + keep <= now) {
-            endpoint.idle.removeFirst();
+        while (!endpoint.idleSince.isEmpty() && endpoint.idleSince.peekFirst() + keep <= now) {
+            endpoint.idleSince.removeFirst();
         }
-        return !endpoint.idle.isEmpty();
+        return !endpoint.idleSince.isEmpty();
     }
 
     // ---- outcomes ---------------------------------------------------------------------------------------
     private void outcome(Event.Outcome e) {
-        Message m = messages.get(e.id());
-        if (m == null || m.out == null || e.attempt() != m.attempts - 1) {
+        Message message = messages.get(e.id());
+        if (message == null || message.inFlightTo == null || e.attempt() != message.attempts - 1) {
             return;
         }
-        Endpoint endpoint = m.out;
-        Call call = m.call;
-        m.out = null;
-        m.call = null;
+        Endpoint endpoint = message.inFlightTo;
+        Call call = message.call;
+        message.inFlightTo = null;
+        message.call = null;
         boolean ran = !e.ending().neverRan();
-        if (--call.left == 0) {
-            slotsOut--;
-            endpoint.out--;
+        if (--call.outcomesDue == 0) {
+            slotsInUse--;
+            endpoint.callsInFlight--;
             endpoint.calls.remove(call);
             calls.remove(call);
-            endpoint.limit.out--;
+            endpoint.limit.callsInFlight--;
             if (e.ending() != Ending.NO_CONNECTION
                     && e.ending() != Ending.NO_ROOM
                     && e.ending() != Ending.RESET
                     && e.ending() != Ending.NOT_SENT) {
-                endpoint.idle.addLast(now);
+                endpoint.idleSince.addLast(now);
                 used.add(endpoint);
             }
         }
-        boolean first = !call.told;
-        call.told = true;
+        boolean first = !call.outcomeSeen;
+        call.outcomeSeen = true;
         if (e.ending() == Ending.DELIVERED) {
-            endpoint.takenSentAt = Math.max(endpoint.takenSentAt, m.sentAt);
+            endpoint.lastDeliveredSentAt = Math.max(endpoint.lastDeliveredSentAt, message.sentAt);
         }
         learn(e, endpoint, first);
-        m.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0;
-        if (ran && e.ending() != Ending.DELIVERED && !m.mayHaveRun) {
-            m.mayHaveRun = true;
-            m.riskAt = m.sentAt;
-            m.riskZone = endpoint.zone;
+        message.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0;
+        if (ran && e.ending() != Ending.DELIVERED && !message.mayHaveRun) {
+            message.mayHaveRun = true;
+            message.mayHaveRunSince = message.sentAt;
+            message.mayHaveRunZone = endpoint.zone;
         }
-        if (m.line != null
+        if (message.orderedKey != null
                 && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
-            m.line.restUntil = now + settings.rules().orderPauseMicros();
-            m.line.restOwner = m;
-            dues.add(new Due(m.line.restUntil, order++, m));
+            message.orderedKey.pausedUntil = now + settings.rules().orderPauseMicros();
+            message.orderedKey.pauseExempt = message;
+            dues.add(new TimedCheck(message.orderedKey.pausedUntil, order++, message));
         }
-        if (m.over || e.over() || e.ending() == Ending.DELIVERED) {
-            over(m);
+        if (message.finished || e.over() || e.ending() == Ending.DELIVERED) {
+            over(message);
         } else if (e.ending() == Ending.REJECTED) {
             // The design: a permanent failure ends a row at once.
-            actions.add(new Action.Fail(m.id));
-            over(m);
+            actions.add(new Action.Fail(message.id));
+            over(message);
         } else if (e.ending() == Ending.WITHHELD && !endpoint.active) {
-            await(m); // its endpoint is leaving and got nothing: another may have it now
+            await(message); // its endpoint is leaving and got nothing: another may have it now
         } else {
-            retry(m);
+            retry(message);
         }
     }
 
     /** The next try after the design's growing, spread pause; or the end, at once, if none can come. */
-    private void retry(Message m) {
-        long pause = (long) (STEPS[Math.max(0, Math.min(m.attempts, STEPS.length) - 1)] * spread());
-        m.notBefore = now + pause;
-        if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
+    private void retry(Message message) {
+        long pause = (long) (STEPS[Math.max(0, Math.min(message.attempts, STEPS.length) - 1)] * spread());
+        message.notBefore = now + pause;
+        if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
             // A pause past the window would lose the message: come as late as a connection may still come up.
-            long latest = windowEnd(m) - settings.limits().connectTimeoutMicros();
-            m.notBefore = now < latest ? Math.min(m.notBefore, latest) : m.notBefore;
-            dues.add(new Due(windowEnd(m), order++, m));
-        }
-        if (m.attempts >= settings.limits().maxAttempts()
-                || m.notBefore > m.deadline - LEAST_LEFT
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE
-                || m.notBefore >= windowEnd(m)) {
-            end(m);
+            long latest = windowEnd(message) - settings.limits().connectTimeoutMicros();
+            message.notBefore = now < latest ? Math.min(message.notBefore, latest) : message.notBefore;
+            dues.add(new TimedCheck(windowEnd(message), order++, message));
+        }
+        if (message.attempts >= settings.limits().maxAttempts()
+                || message.notBefore > message.deadline - LEAST_LEFT
+                || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE
+                || message.notBefore >= windowEnd(message)) {
+            end(message);
             return;
         }
-        await(m);
+        await(message);
     }
 
-    private void await(Message m) {
-        m.queue.waiting.add(m);
-        busy.add(m.queue);
+    private void await(Message message) {
+        message.queue.waiting.add(message);
+        queuesWaiting.add(message.queue);
     }
 
-    private void unawait(Message m) {
-        m.queue.waiting.remove(m);
-        if (m.queue.waiting.isEmpty()) {
-            busy.remove(m.queue);
+    private void unawait(Message message) {
+        message.queue.waiting.remove(message);
+        if (message.queue.waiting.isEmpty()) {
+            queuesWaiting.remove(message.queue);
         }
     }
 
     /** The one place that ends a message: refused where that is harmless, else failed. */
-    private void end(Message m) {
-        boolean mayRun = m.mayHaveRun || m.out != null;
+    private void end(Message message) {
+        boolean mayRun = message.mayHaveRun || message.inFlightTo != null;
         boolean harmless = !mayRun
-                || m.kind.repeat() == Repeat.SAFE
-                || m.kind.repeat() == Repeat.KEYED && m.kind.group() == Group.ALL;
-        actions.add(harmless ? new Action.Refuse(m.id, comeBack(m.queue)) : new Action.Fail(m.id));
-        over(m);
+                || message.messageClass.repeat() == Repeat.SAFE
+                || message.messageClass.repeat() == Repeat.KEYED && message.messageClass.group() == Group.ALL;
+        actions.add(harmless ? new Action.Refuse(message.id, comeBack(message.queue)) : new Action.Fail(message.id));
+        over(message);
     }
 
     /** Forgets a message that is finished, as soon as no attempt is out. */
-    private void over(Message m) {
-        if (!m.over) {
-            m.over = true;
+    private void over(Message message) {
+        if (!message.finished) {
+            message.finished = true;
             held--;
-            unawait(m);
+            unawait(message);
         }
-        if (m.out == null) {
-            messages.remove(m.id);
-            if (m.line != null) {
-                m.line.messages.remove(m);
+        if (message.inFlightTo == null) {
+            messages.remove(message.id);
+            if (message.orderedKey != null) {
+                message.orderedKey.messages.remove(message);
             }
-            forgetLine(m);
+            forgetLine(message);
         }
     }
 
     /** A key is forgotten when nothing of it is left and it has rested. */
-    private void forgetLine(Message m) {
-        if (m.line != null && m.line.messages.isEmpty() && m.line.restUntil <= now) {
-            lines.remove(m.key, m.line);
+    private void forgetLine(Message message) {
+        if (message.orderedKey != null
+                && message.orderedKey.messages.isEmpty()
+                && message.orderedKey.pausedUntil <= now) {
+            lines.remove(message.key, message.orderedKey);
         }
     }
 
     /** When a refused client should come again: when its destination will have room. */
-    private long comeBack(Queue queue) {
+    private long comeBack(DestinationQueue queue) {
         if (!settings.limits().comeBack()) {
             return 0;
         }
@@ -786,13 +800,13 @@
     private void refuseLeastWorth() {
         Message least = null;
         double lowest = 0;
-        for (Queue queue : busy) {
+        for (DestinationQueue queue : queuesWaiting) {
             double flow = queue.endpoints.stream().mapToDouble(this::flow).sum();
             double crowd = 1 + queue.waiting.size() / (1 + 10 * flow);
-            for (Message m : queue.waiting) {
-                double worth = m.worth / crowd * (m.mayHaveRun ? 4 : 1);
-                if (!m.resumed && (least == null || worth <= lowest)) {
-                    least = m;
+            for (Message message : queue.waiting) {
+                double worth = message.worth / crowd * (message.mayHaveRun ? 4 : 1);
+                if (!message.resumed && (least == null || worth <= lowest)) {
+                    least = message;
                     lowest = worth;
                 }
             }
@@ -810,11 +824,11 @@
     // ---- limits and health ------------------------------------------------------------------------------
     /** What an outcome tells of its limit and endpoint; messages of one call tell it once. */
     private void learn(Event.Outcome e, Endpoint endpoint, boolean first) {
-        Limit limit = endpoint.limit;
+        DestinationLimit limit = endpoint.limit;
         if (e.report() != null && e.report().perSecond() > 0) {
-            limit.told = e.report().perSecond();
-            limit.reported = true;
-            limit.left = e.report().left();
+            limit.toldRate = e.report().perSecond();
+            limit.rateReported = true;
+            limit.allowanceLeft = e.report().left();
         }
         if (e.waitMicros() > 0) {
             limit.waitUntil = Math.max(limit.waitUntil, now + e.waitMicros());
@@ -829,163 +843,168 @@
         }
     }
 
-    private void taken(Limit limit, Endpoint endpoint, long elapsed) {
+    private void taken(DestinationLimit limit, Endpoint endpoint, long elapsed) {
         count(limit, endpoint);
         count(all, endpoint);
-        limit.latency = limit.latency == 0 ? elapsed : limit.latency + LATENCY_WEIGHT * (elapsed - limit.latency);
-        double sane = usualLatency == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * usualLatency);
-        usualLatency += (usualLatency == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - usualLatency);
-        limit.patience = elapsed < 2 * limit.latency ? 1 : Math.max(1, limit.patience * 0.7);
-        limit.pace += GAIN;
-        limit.badSince = 0;
-        limit.turned = 0;
-        limit.usedUp = false;
-        limit.fails = 0;
-        limit.failsMany = false;
-        limit.fulls /= 2;
-        boolean back = endpoint.outage || endpoint.turned && now - endpoint.badSince >= BLIP;
-        endpoint.fails = 0;
-        endpoint.turned = false;
-        endpoint.hung = false;
-        if (endpoint.badSince > 0 && now - endpoint.badSince < BLIP) {
-            blips[endpoint.blip] += CROWD_WEIGHT * (1 - blips[endpoint.blip]);
-        }
-        endpoint.badSince = 0;
-        endpoint.ill *= 1 - ILL_WEIGHT;
+        limit.answerTime =
+                limit.answerTime == 0 ? elapsed : limit.answerTime + LATENCY_WEIGHT * (elapsed - limit.answerTime);
+        double sane = usualAnswerTime == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * usualAnswerTime);
+        usualAnswerTime += (usualAnswerTime == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - usualAnswerTime);
+        limit.timeoutFactor = elapsed < 2 * limit.answerTime ? 1 : Math.max(1, limit.timeoutFactor * 0.7);
+        limit.throttledRate += GAIN;
+        limit.failingSince = 0;
+        limit.refusalsAsOutage = 0;
+        limit.exhausted = false;
+        limit.failuresInRow = 0;
+        limit.severalFail = false;
+        limit.refusals /= 2;
+        boolean back = endpoint.inOutage || endpoint.refusingConnections && now - endpoint.failingSince >= BLIP;
+        endpoint.failuresInRow = 0;
+        endpoint.refusingConnections = false;
+        endpoint.timingOut = false;
+        if (endpoint.failingSince > 0 && now - endpoint.failingSince < BLIP) {
+            blips[endpoint.failureCause] += CROWD_WEIGHT * (1 - blips[endpoint.failureCause]);
+        }
+        endpoint.failingSince = 0;
+        endpoint.failureShare *= 1 - ILL_WEIGHT;
         if (back) {
             // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
-            endpoint.outage = false;
-            endpoint.rampFrom = now;
-            endpoint.ill = Math.min(endpoint.ill, STILL_ILL);
+            endpoint.inOutage = false;
+            endpoint.slowStartFrom = now;
+            endpoint.failureShare = Math.min(endpoint.failureShare, STILL_ILL);
         }
         endpoint.trialPause = TRIAL_FIRST;
     }
 
-    private void refused(Limit limit, Endpoint endpoint, Event.Outcome e) {
+    private void refused(DestinationLimit limit, Endpoint endpoint, Event.Outcome e) {
         long wait = e.waitMicros();
         // A full queue, a limit used up by refused calls and a shut one look alike to a relay that comes by
         // once: the second refusal in a row, or the first with nothing left, sets the pace of an outage. Few
         // relays see each destination often enough to tell an outage by its length.
-        limit.usedUp =
+        limit.exhausted =
                 e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
-        limit.turned += limit.usedUp ? 2 : many ? 1 : 0;
-        if (now >= limit.holdUntil) {
-            limit.pace = CUT * limit.recent / CUT_PACE;
-            limit.roof = Math.max(CUT * limit.recent, HOLD_PER_SECOND);
-        }
-        limit.badSince = limit.badSince == 0 ? now : limit.badSince;
-        limit.lasted = now - limit.badSince;
-        limit.jitter = many ? 1 + random.nextDouble() : 1;
-        limit.fulls++;
+        limit.refusalsAsOutage += limit.exhausted ? 2 : largeFleet ? 1 : 0;
+        if (now >= limit.throttledUntil) {
+            limit.throttledRate = CUT * limit.recentRate / CUT_PACE;
+            limit.rateCeiling = Math.max(CUT * limit.recentRate, HOLD_PER_SECOND);
+        }
+        limit.failingSince = limit.failingSince == 0 ? now : limit.failingSince;
+        limit.failingFor = now - limit.failingSince;
+        limit.paceSpread = largeFleet ? 1 + random.nextDouble() : 1;
+        limit.refusals++;
         if (wait >= SHUT_WAIT
-                || limit.fulls >= FULLS_IN_ROW
-                        && now - limit.badSince >= SHUT_SPAN
-                        && limit.shortWaitAt < limit.badSince) {
+                || limit.refusals >= FULLS_IN_ROW
+                        && now - limit.failingSince >= SHUT_SPAN
+                        && limit.shortWaitAt < limit.failingSince) {
             // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
             limit.endpoints.forEach(this::sick);
             if (wait >= SHUT_WAIT) {
                 // It told all relays when it opens, and they must not all come then. What one saw of it is
                 // short of what it lasted. Holds for any herd at a told time; a lone relay hardly waits.
-                limit.lasted = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.badSince);
+                limit.failingFor = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.failingSince);
                 double pause = SECOND / budget(limit, settings.rules().overloadMicros(), false);
-                limit.opensAt = limit.waitUntil + (long) (random.nextDouble() * pause);
+                limit.reopensAt = limit.waitUntil + (long) (random.nextDouble() * pause);
             }
         } else if (ramping(endpoint)) {
-            endpoint.rampFrom += (now - endpoint.rampFrom) / 2;
+            endpoint.slowStartFrom += (now - endpoint.slowStartFrom) / 2;
         }
-        if (now - limit.cutAt >= CUT_APART) {
-            limit.cutAt = now;
+        if (now - limit.reducedAt >= CUT_APART) {
+            limit.reducedAt = now;
             decay(limit, endpoint);
-            double most = limit.told > 0 ? Math.min(limit.told, HOLD_PER_SECOND) : HOLD_PER_SECOND;
+            double most = limit.toldRate > 0 ? Math.min(limit.toldRate, HOLD_PER_SECOND) : HOLD_PER_SECOND;
             double least = share(limit);
             // What was taken bounds the cut from below: with few messages to send it says little of the room.
-            limit.pace = Math.max(least, Math.min(most, Math.max(CUT_PACE * limit.pace, CUT * limit.recent)));
+            limit.throttledRate =
+                    Math.max(least, Math.min(most, Math.max(CUT_PACE * limit.throttledRate, CUT * limit.recentRate)));
         }
         // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
         // For one of many relays, which sends seldom, that is far longer than a clump.
-        limit.holdUntil = now
-                + (long) (many ? QUIET * spread() : Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit))));
+        limit.throttledUntil = now
+                + (long)
+                        (largeFleet
+                                ? QUIET * spread()
+                                : Math.max(QUIET, 2 * SECOND / Math.max(limit.throttledRate, share(limit))));
     }
 
     /** Calls a second that a held limit surely has for this relay: all relays at this pace stay within it. */
-    private double share(Limit limit) {
+    private double share(DestinationLimit limit) {
         // Nothing at all left: refused calls use up the limit, and any more keep it at nothing.
-        double shares = limit.told <= 0 ? FIRST_SHARES : limit.left > 0 ? NEVER : USED_UP_SHARES;
-        int quarters = Math.min(Math.max(0, limit.fulls - 1), 6);
+        double shares = limit.toldRate <= 0 ? FIRST_SHARES : limit.allowanceLeft > 0 ? NEVER : USED_UP_SHARES;
+        int quarters = Math.min(Math.max(0, limit.refusals - 1), 6);
         double least = Math.min(MOST_LEAST_PACE, shares * fair(limit)) / (1 << 2 * quarters);
         least = Math.max(least, Math.max(LEAST_PACE, Math.min(fair(limit), MOST_LEAST_PACE)));
         return Math.max(LEAST_PART * usual(limit), least);
     }
 
     /** This relay's even share of a limit, calls a second. */
-    private double fair(Limit limit) {
+    private double fair(DestinationLimit limit) {
         double untold = Math.max(UNTOLD_PACE / settings.relays(), MEAN_PART * usual(all) / queues.size());
-        return limit.told > 0 ? limit.told / settings.relays() : untold;
+        return limit.toldRate > 0 ? limit.toldRate / settings.relays() : untold;
     }
 
     /**
      * A call failed hard. Health is the endpoint's, as one may be bad alone; failures at several of a limit,
      * nothing taken between, speak of all. May hurt where all endpoints fail with successes between.
      */
-    private void failed(Limit limit, Endpoint endpoint, Ending how, long elapsed) {
+    private void failed(DestinationLimit limit, Endpoint endpoint, Ending how, long elapsed) {
         Ending ending = how == Ending.CANCELED ? Ending.TIMED_OUT : how; // given up for want of an answer too
-        limit.badSince = limit.badSince == 0 ? now : limit.badSince;
-        limit.lasted = now - limit.badSince;
-        limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
-        endpoint.fails++;
+        limit.failingSince = limit.failingSince == 0 ? now : limit.failingSince;
+        limit.failingFor = now - limit.failingSince;
+        limit.paceSpread = largeFleet ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
+        endpoint.failuresInRow++;
         // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
+        boolean there = ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || now - endpoint.failingSince < BLIP);
         if (!there) {
-            limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
-            limit.failedLast = endpoint;
-            limit.fails++;
-            endpoint.ill += ILL_WEIGHT * (1 - endpoint.ill);
+            limit.severalFail |= limit.failuresInRow > 0 && limit.lastFailedEndpoint != endpoint;
+            limit.lastFailedEndpoint = endpoint;
+            limit.failuresInRow++;
+            endpoint.failureShare += ILL_WEIGHT * (1 - endpoint.failureShare);
         }
-        if (endpoint.fails > 1) {
+        if (endpoint.failuresInRow > 1) {
             endpoint.avoidUntil =
-                    now + (long) ((AVOID_FIRST << Math.min(endpoint.fails - 2, AVOID_DOUBLINGS)) * spread());
+                    now + (long) ((AVOID_FIRST << Math.min(endpoint.failuresInRow - 2, AVOID_DOUBLINGS)) * spread());
         }
-        if (ending == Ending.TIMED_OUT && endpoint.fails > 1) {
+        if (ending == Ending.TIMED_OUT && endpoint.failuresInRow > 1) {
             // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
-            limit.patience = Math.min(MOST_PATIENCE, limit.patience * 2);
+            limit.timeoutFactor = Math.min(MOST_PATIENCE, limit.timeoutFactor * 2);
         }
         if (ending == Ending.NO_CONNECTION) {
-            endpoint.idle.clear();
+            endpoint.idleSince.clear();
         }
-        if (ramping(endpoint) && endpoint.ill >= STILL_ILL) {
-            endpoint.rampFrom = now;
+        if (ramping(endpoint) && endpoint.failureShare >= STILL_ILL) {
+            endpoint.slowStartFrom = now;
         }
-        endpoint.hung |= ending == Ending.TIMED_OUT && (endpoint.fails > 1 || !lossy());
+        endpoint.timingOut |= ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !lossy());
         boolean turnedAway = ending == Ending.NO_ROOM
                 || ending == Ending.NO_CONNECTION
                         && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
-        endpoint.blip = turnedAway ? endpoint.kind : blips.length - 1;
-        endpoint.badSince = endpoint.badSince == 0 ? now : endpoint.badSince;
-        blips[endpoint.blip] *= now - endpoint.badSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
+        endpoint.failureCause = turnedAway ? endpoint.kind : blips.length - 1;
+        endpoint.failingSince = endpoint.failingSince == 0 ? now : endpoint.failingSince;
+        blips[endpoint.failureCause] *= now - endpoint.failingSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
         // One that took a call just now and turns the next away is full, not down: a busy one must not be
         // left alone for it. In an outage this ends with the fourth failure in a row, or three seconds in.
-        boolean busyNow = now - endpoint.takenSentAt < BLIP && endpoint.fails < FAILS_IN_ROW;
-        endpoint.turned |= many && ending == Ending.NO_CONNECTION && !busyNow;
+        boolean busyNow = now - endpoint.lastDeliveredSentAt < BLIP && endpoint.failuresInRow < FAILS_IN_ROW;
+        endpoint.refusingConnections |= largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
-            noRoom[endpoint.kind] = true;
+            connectionsScarce[endpoint.kind] = true;
             if (there || crowded(endpoint)) {
-                long longer = many ? now - limit.badSince : 0;
+                long longer = largeFleet ? now - limit.failingSince : 0;
                 endpoint.avoidUntil = Math.max(endpoint.avoidUntil, now + (long) (longer * spread()));
                 return;
             }
         }
         int fleet = Math.max(1, FLEET_FAILS / settings.relays());
         int failsInRow = lossy() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
-        if (limit.failsMany && limit.fails >= failsInRow) {
-            limit.endpoints.stream().filter(x -> x.fails > 0).forEach(this::sick);
-        } else if (endpoint.fails >= failsInRow || endpoint.ill >= ILL) {
+        if (limit.severalFail && limit.failuresInRow >= failsInRow) {
+            limit.endpoints.stream().filter(each -> each.failuresInRow > 0).forEach(this::sick);
+        } else if (endpoint.failuresInRow >= failsInRow || endpoint.failureShare >= ILL) {
             sick(endpoint);
         }
     }
 
     private void sick(Endpoint endpoint) {
-        endpoint.trialPause = Math.min(TRIAL_LAST, endpoint.trialPause * (endpoint.outage ? 3 : 2) / 2);
-        endpoint.outage = true;
+        endpoint.trialPause = Math.min(TRIAL_LAST, endpoint.trialPause * (endpoint.inOutage ? 3 : 2) / 2);
+        endpoint.inOutage = true;
     }
 
     /**
@@ -994,27 +1013,28 @@
      * starve the rest; measured against the relay's usual answer time, so all slow together clog nothing.
      */
     private boolean clogged(Endpoint endpoint) {
-        double slow = SLOW_TIMES * usualLatency;
+        double slow = SLOW_TIMES * usualAnswerTime;
         for (Call call : endpoint.calls) {
             // A call that hangs while later ones come back says nothing of the endpoint.
-            if (usualLatency > 0 && call.sentAt > endpoint.takenSentAt && now - call.sentAt > slow) {
+            if (usualAnswerTime > 0 && call.sentAt > endpoint.lastDeliveredSentAt && now - call.sentAt > slow) {
                 return true;
             }
         }
-        return endpoint.outage || endpoint.hung || usualLatency > 0 && endpoint.limit.latency > slow;
+        return endpoint.inOutage || endpoint.timingOut || usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
     }
 
     private boolean ramping(Endpoint endpoint) {
-        return endpoint.rampFrom > 0
-                && now - endpoint.rampFrom < settings.rules().rampMicros();
+        return endpoint.slowStartFrom > 0
+                && now - endpoint.slowStartFrom < settings.rules().rampMicros();
     }
 
     /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
     private long readyAt(Endpoint endpoint) {
-        Limit limit = endpoint.limit;
+        DestinationLimit limit = endpoint.limit;
         int slots = settings.limits().slots();
-        if (limit.out >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
-                || endpoint.out > 0 && (endpoint.outage || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
+        if (limit.callsInFlight >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
+                || endpoint.callsInFlight > 0
+                        && (endpoint.inOutage || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
             return NEVER;
         }
         if (clogged(endpoint)) {
@@ -1026,42 +1046,48 @@
                 return NEVER;
             }
         }
-        long at = Math.max(Math.max(limit.waitUntil, limit.opensAt), endpoint.avoidUntil);
+        long at = Math.max(Math.max(limit.waitUntil, limit.reopensAt), endpoint.avoidUntil);
         double rate = held(limit);
-        long free = now < limit.holdUntil ? limit.holdUntil : NEVER;
-        at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSend + (long) (SECOND / rate)));
-        rate = limit.turned > 1 ? budget(limit, 0, false) / limit.jitter : NEVER;
-        rate = limit.usedUp ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
-        at = rate >= NEVER ? at : Math.max(at, limit.lastSend + (long) (SECOND / rate));
+        long free = now < limit.throttledUntil ? limit.throttledUntil : NEVER;
+        at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSentAt + (long) (SECOND / rate)));
+        rate = limit.refusalsAsOutage > 1 ? budget(limit, 0, false) / limit.paceSpread : NEVER;
+        rate = limit.exhausted ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
+        at = rate >= NEVER ? at : Math.max(at, limit.lastSentAt + (long) (SECOND / rate));
         rate = healed(endpoint);
-        long healedAt = rate >= NEVER ? at : endpoint.lastSend + (long) (SECOND / rate);
+        long healedAt = rate >= NEVER ? at : endpoint.lastSentAt + (long) (SECOND / rate);
         // A ramp's pace is at its slowest now: at its end the endpoint is free.
-        boolean ends = ramping(endpoint) && !endpoint.outage && !endpoint.turned;
+        boolean ends = ramping(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
         return Math.max(
                 at,
-                ends ? Math.min(healedAt, endpoint.rampFrom + settings.rules().rampMicros()) : healedAt);
+                ends
+                        ? Math.min(
+                                healedAt,
+                                endpoint.slowStartFrom + settings.rules().rampMicros())
+                        : healedAt);
     }
 
     /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
-    private double held(Limit limit) {
-        if (now < limit.holdUntil) {
-            return Math.min(HOLD_PER_SECOND, limit.pace);
+    private double held(DestinationLimit limit) {
+        if (now < limit.throttledUntil) {
+            return Math.min(HOLD_PER_SECOND, limit.throttledRate);
         }
         // What waited must not come at once when the hold is over: it would be refused again.
-        long after = now - limit.holdUntil;
-        return limit.roof == 0 || after > ROOF_LASTS ? NEVER : limit.roof * Math.pow(ROOF_GROWTH, after / SECOND);
+        long after = now - limit.throttledUntil;
+        return limit.rateCeiling == 0 || after > ROOF_LASTS
+                ? NEVER
+                : limit.rateCeiling * Math.pow(ROOF_GROWTH, after / SECOND);
     }
 
     /** Calls a second that an endpoint may get in an outage and on its return; unbounded otherwise. */
     private double healed(Endpoint endpoint) {
         long active = Math.max(
-                1, endpoint.limit.endpoints.stream().filter(x -> x.active).count());
-        if (endpoint.outage || endpoint.turned) {
-            boolean sure = endpoint.turned || many && endpoint.limit.failsMany && !lossy();
+                1, endpoint.limit.endpoints.stream().filter(each -> each.active).count());
+        if (endpoint.inOutage || endpoint.refusingConnections) {
+            boolean sure = endpoint.refusingConnections || largeFleet && endpoint.limit.severalFail && !lossy();
             double rate = budget(endpoint.limit, 0, sure) / active;
-            return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.jitter;
+            return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.paceSpread;
         }
-        return ramping(endpoint) ? budget(endpoint.limit, now - endpoint.rampFrom, false) / active : NEVER;
+        return ramping(endpoint) ? budget(endpoint.limit, now - endpoint.slowStartFrom, false) / active : NEVER;
     }
 
     /**
@@ -1069,36 +1095,36 @@
      * relays that saw a failure share it. They are no more than the relays, and than the messages since the
      * outage began: the rate times its length. So each has one part in that length of the rate, known or not.
      */
-    private double budget(Limit limit, long since, boolean once) {
+    private double budget(DestinationLimit limit, long since, boolean once) {
         Rules r = settings.rules();
         double warmed = Math.min(1.0, since / (double) Math.max(1, r.rampMicros()));
         double part = BUDGET_PART * r.tipMultiple() * (r.coldFrom() + (1 - r.coldFrom()) * warmed);
         // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
         double first = once ? LONG_OUTAGE * part / (1 + 1 / part) : TRIAL_FIRST;
-        double alone = SECOND / Math.max(first, limit.lasted);
+        double alone = SECOND / Math.max(first, limit.failingFor);
         return part * Math.max(Math.max(usual(limit), fair(limit)), alone);
     }
 
-    private void decay(Limit limit, Endpoint endpoint) {
-        double past = limit.countedAt == 0 ? 0 : now - limit.countedAt;
-        limit.recent *= Math.exp(-past / RECENT);
-        if (!endpoint.outage && !ramping(endpoint)) {
-            limit.usual *= Math.exp(-past / USUAL);
-            limit.unseen *= Math.exp(-past / USUAL);
-        }
-        limit.countedAt = now;
+    private void decay(DestinationLimit limit, Endpoint endpoint) {
+        double past = limit.ratesUpdatedAt == 0 ? 0 : now - limit.ratesUpdatedAt;
+        limit.recentRate *= Math.exp(-past / RECENT);
+        if (!endpoint.inOutage && !ramping(endpoint)) {
+            limit.usualRate *= Math.exp(-past / USUAL);
+            limit.usualUnseen *= Math.exp(-past / USUAL);
+        }
+        limit.ratesUpdatedAt = now;
     }
 
     /** Calls a second usually taken: the mean of what was seen, as the memory is empty at first. */
-    private double usual(Limit limit) {
-        return limit.usual / Math.max(LEAST_SEEN, 1 - limit.unseen);
+    private double usual(DestinationLimit limit) {
+        return limit.usualRate / Math.max(LEAST_SEEN, 1 - limit.usualUnseen);
     }
 
-    private void count(Limit limit, Endpoint endpoint) {
+    private void count(DestinationLimit limit, Endpoint endpoint) {
         decay(limit, endpoint);
-        limit.recent += SECOND / RECENT;
-        if (!endpoint.outage && !ramping(endpoint)) {
-            limit.usual += SECOND / USUAL;
+        limit.recentRate += SECOND / RECENT;
+        if (!endpoint.inOutage && !ramping(endpoint)) {
+            limit.usualRate += SECOND / USUAL;
         }
     }
 
--- a/src/main/java/lilaclever/PolicyState.java
+++ b/src/main/java/lilaclever/PolicyState.java
@@ -6,81 +6,132 @@
 import java.util.List;
 import lilaclever.DecisionModule.MessageClass;
 
-/** What a relay remembers: fields only. What they mean and how they change is decided in DeliveryPolicy.java. */
+/**
+ * What the decision module remembers of messages, calls, endpoints and limits: fields only. Times are microseconds on
+ * the module's clock, rates are calls a second. Each field names the module that decides about it where that is not
+ * plain from its place.
+ */
 final class PolicyState {
+    /** A time in the past that lies before all others, microseconds. */
+    static final long LONG_AGO = Long.MIN_VALUE / 4;
+
     private PolicyState() {}
 
-    record Due(long at, long order, Message message) {}
+    /** A message to look at again at a time; {@code order} keeps equal times in the order in which they were added. */
+    record TimedCheck(long at, long order, Message message) {}
 
-    record Pick(Message message, Endpoint endpoint, double rank) {}
+    /** A message that may go to an endpoint now; the highest rank goes first. */
+    record SendCandidate(Message message, Endpoint endpoint, double rank) {}
 
-    /** A call that is out: messages without an outcome, and whether it has told anything. */
+    /** A call that is in flight, with the messages that it carries. */
     static final class Call {
         final List<Message> messages = new ArrayList<>(1);
         Endpoint endpoint;
-        boolean dropped;
-        int left;
+        /** The host program was asked to give it up. */
+        boolean cancelled;
+        /** Messages whose outcome has not come yet. */
+        int outcomesDue;
+
         long sentAt;
-        boolean told;
+        /** The outcome of one of its messages has come; those of the others tell nothing new of the endpoint. */
+        boolean outcomeSeen;
     }
 
-    /** The messages of one key, in the order taken. */
-    static final class Line {
+    /** The messages of one key, in the order accepted. */
+    static final class OrderedKey {
         final ArrayDeque<Message> messages = new ArrayDeque<>();
-        long restUntil;
-        Message restOwner;
+        /** Until then only {@link #pauseExempt} may be sent: an attempt that was given up may still be running. */
+        long pausedUntil;
+
+        Message pauseExempt;
     }
 
-    /** A destination: what waits for it, and where it may go. */
-    static final class Queue {
+    /** A destination: the messages that wait for it, and its endpoints. */
+    static final class DestinationQueue {
         final LinkedHashSet<Message> waiting = new LinkedHashSet<>();
         final List<Endpoint> endpoints = new ArrayList<>();
-        Limit shared;
-        long lookAt;
+        /** The limit of all endpoints, or of the latest one where endpoints are routes with limits of their own. */
+        DestinationLimit sharedLimit;
+        /** When a message of this queue may be able to go that can't now. */
+        long nextCheckAt;
     }
 
+    /** A message that has no final answer yet, or whose call is still in flight. */
     static final class Message {
         final String id;
-        final MessageClass kind;
-        Queue queue;
-        Line line;
+        final MessageClass messageClass;
+        DestinationQueue queue;
+        /** Null where the class keeps no order. */
+        OrderedKey orderedKey;
+
         String key;
         double worth;
-        long takenAt, deadline, notBefore;
+        long acceptedAt, deadline;
+        /** The end of the pause before its next attempt. */
+        long notBefore;
+
         int attempts;
-        Endpoint out, lastHost;
+        /** Where its attempt is in flight; null while it waits. */
+        Endpoint inFlightTo;
+
+        Endpoint lastEndpoint;
         Call call;
         long sentAt;
+        /** An attempt may have taken effect; the first of these was sent at that time to that zone. */
         boolean mayHaveRun;
-        long riskAt;
-        int riskZone;
-        boolean over, resumed;
 
-        Message(String id, MessageClass kind) {
+        long mayHaveRunSince;
+        int mayHaveRunZone;
+        /** Its final answer was given. */
+        boolean finished;
+        /** It was accepted by an earlier process. */
+        boolean resumed;
+
+        Message(String id, MessageClass messageClass) {
             this.id = id;
-            this.kind = kind;
+            this.messageClass = messageClass;
         }
     }
 
+    /** A host that serves a destination. */
     static final class Endpoint {
         final String host;
-        final Queue queue;
-        final Limit limit;
+        final DestinationQueue queue;
+        final DestinationLimit limit;
         final int zone, kind, batch;
-        final ArrayDeque<Long> idle = new ArrayDeque<>();
+        /** Since when each idle connection to it has been idle, the longest first. */
+        final ArrayDeque<Long> idleSince = new ArrayDeque<>();
+
         final LinkedHashSet<Call> calls = new LinkedHashSet<>();
-        boolean active, hung, turned;
-        int out;
-        long lastSend = Long.MIN_VALUE / 4, takenSentAt = Long.MIN_VALUE / 4;
-        int fails;
-        double ill;
-        long avoidUntil, badSince;
-        int blip;
-        boolean outage;
+        /** Listed, and not being drained. */
+        boolean active;
+        /** Its last calls ran into their time-out. */
+        boolean timingOut;
+        /** Its connects fail in a large fleet: calls keep to the pace of an outage. */
+        boolean refusingConnections;
+
+        int callsInFlight;
+        long lastSentAt = LONG_AGO;
+        /** When the latest call that was delivered had been sent. */
+        long lastDeliveredSentAt = LONG_AGO;
+
+        int failuresInRow;
+        /** Moving share of outcomes that are hard failures, 0 to 1. */
+        double failureShare;
+        /** It is passed over until then. */
+        long avoidUntil;
+        /** The first failure since the last delivery; 0 where there is none. */
+        long failingSince;
+        /** Index of the kind of failure seen last, in the statistics of transient failures. */
+        int failureCause;
+
+        boolean inOutage;
+        /** Pause between trial calls in an outage. */
         long trialPause;
-        long rampFrom;
+        /** Start of slow start; 0 where it never came back from an outage. */
+        long slowStartFrom;
 
-        Endpoint(String host, Queue queue, Limit limit, int zone, int kind, int batch) {
+        Endpoint(String host, DestinationQueue queue, DestinationLimit limit, int zone, int kind, int batch) {
             this.host = host;
             this.queue = queue;
             this.limit = limit;
@@ -90,21 +141,57 @@
         }
     }
 
-    static final class Limit {
+    /** What takes so many calls a second: a destination, or one endpoint where endpoints are routes apart. */
+    static final class DestinationLimit {
         final List<Endpoint> endpoints = new ArrayList<>();
-        int out;
-        long lastSend = Long.MIN_VALUE / 4;
-        long waitUntil, opensAt, holdUntil, shortWaitAt = Long.MIN_VALUE / 4;
-        long cutAt = Long.MIN_VALUE / 4;
-        double pace, roof, jitter = 1;
-        double told, left, recent, usual, unseen = 1;
-        long countedAt;
-        double latency;
-        double patience = 1;
-        int fails;
-        boolean failsMany, usedUp, reported;
-        Endpoint failedLast;
-        int fulls, turned;
-        long badSince, lasted;
+        int callsInFlight;
+        long lastSentAt = LONG_AGO;
+        /** End of the wait that it told; nothing is sent before. */
+        long waitUntil;
+        /** A spread time after a long told wait; nothing is sent before. */
+        long reopensAt;
+        /** It refused as full: calls keep to {@link #throttledRate} until then. */
+        long throttledUntil;
+
+        double throttledRate;
+        /** Rate kept to for a while after it was throttled, growing; 0 where it never was. */
+        double rateCeiling;
+        /** When it last told a wait that is too short to mean that it is shut. */
+        long shortWaitAt = LONG_AGO;
+        /** When a refusal last reduced the rate. */
+        long reducedAt = LONG_AGO;
+        /** Random divisor of the pace in an outage, so that forwarders come at different times. */
+        double paceSpread = 1;
+        /** The rate that the list or the destination has told for all forwarders together; 0 where not told. */
+        double toldRate;
+        /** Share of its allowance that is left, as reported. */
+        double allowanceLeft;
+        /** The destination itself has reported its rate. */
+        boolean rateReported;
+        /** Its last refusal came with nothing left of its allowance. */
+        boolean exhausted;
+
+        double recentRate, usualRate;
+        /** The part of the usual rate's memory that nothing has filled yet, 0 to 1. */
+        double usualUnseen = 1;
+
+        long ratesUpdatedAt;
+        /** Mean time of a delivered call; 0 while there was none. */
+        double answerTime;
+        /** Factor on the time-out of its calls, at least 1. */
+        double timeoutFactor = 1;
+
+        int failuresInRow;
+        Endpoint lastFailedEndpoint;
+        /** Several of its endpoints failed with no delivery between. */
+        boolean severalFail;
+        /** Refusals as full in a row; a delivery halves it. */
+        int refusals;
+        /** Refusals in a row that may be those of an outage; above one, calls keep to an outage's pace. */
+        int refusalsAsOutage;
+        /** The first failure or refusal since the last delivery; 0 where there is none. */
+        long failingSince;
+        /** From there to the latest one; it stays when a delivery ends the row. */
+        long failingFor;
     }
 }
