--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -1,5 +1,8 @@
 package lilaclever;
 
+import static lilaclever.PolicyState.NEVER;
+import static lilaclever.PolicyState.SECOND;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -9,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.SplittableRandom;
 import lilaclever.PolicyState.Call;
 import lilaclever.PolicyState.DestinationLimit;
 import lilaclever.PolicyState.DestinationQueue;
@@ -33,15 +35,12 @@
     // ---- constants: the design's ------------------------------------------------------------------------
     /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
     private static final long[] STEPS = {200_000, 600_000, 2_400_000, 6_000_000};
-    /** Each pause is times a random factor in this range: what is refused together comes again apart. */
-    private static final double SPREAD_FROM = 0.5, SPREAD_TO = 1.5;
     /** Calls a second at most to a limit that has refused as full. */
     private static final double HOLD_PER_SECOND = 10;
     /** A hold ends after so long without a refusal, microseconds. */
     private static final long QUIET = 5_000_000;
 
     // ---- constants: departures --------------------------------------------------------------------------
-    private static final double SECOND = 1_000_000;
     /** Slowest pace to a held limit, calls a second: a quarter of the first by each refusal in a row ... */
     private static final double MOST_LEAST_PACE = 0.5, LEAST_PACE = 0.02;
     /** ... to an even share of the told rate or of this; first so many shares, if used up or not told. */
@@ -71,7 +70,7 @@
     /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
     private static final long LEAST_OUTAGE = 8_000_000, LONG_OUTAGE = 20_000_000;
     /** Hard failures in a row that mean an outage; many relays see fewer each: so many by all together. */
-    private static final int FAILS_IN_ROW = 4, FLEET_FAILS = 16;
+    private static final int FAILS_IN_ROW = 4, FLEET_FAILS = PolicyState.LARGE_FLEET;
     /** Refusals in a row, and over SHUT_SPAN, that mean shut rather than over the limit. */
     private static final long FULLS_IN_ROW = 4, SHUT_SPAN = 2_000_000;
     /** Weight of one outcome in the share that fails. */
@@ -126,18 +125,10 @@
     /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
     private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
 
-    private static final long NEVER = Long.MAX_VALUE / 4;
-
-    private Settings settings;
-    private final SplittableRandom random;
+    private final PolicyState state;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
-    private final Map<Integer, DestinationQueue> queues = new LinkedHashMap<>();
-    /** Queues with messages that wait, and calls that are out: work follows these, not all that is known. */
-    private final LinkedHashSet<DestinationQueue> queuesWaiting = new LinkedHashSet<>();
-
-    private final LinkedHashSet<Call> calls = new LinkedHashSet<>();
-    /** Waiting messages that were found to have no chance left, until they are ended in the same round. */
+    /** Waiting messages that were found to have no chance left, until they are ended. */
     private final List<Message> late = new ArrayList<>();
     /** Endpoints that a call came back from in this round, and nothing went to since. */
     private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
@@ -145,9 +136,6 @@
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
-    /** So many relays that each sees a destination too seldom to tell an outage by itself. */
-    private final boolean largeFleet;
-
     private final double[] blips;
     /** All destinations together: their mean is a guess for one that nothing is known of. */
     private final DestinationLimit all = new DestinationLimit();
@@ -155,21 +143,16 @@
     private final boolean[] connectionsScarce;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
-    private List<Action> actions;
-    private long now, order;
-    private long wakeAt = NEVER, stopAt = NEVER;
-    private int slotsInUse, held;
-    private double usualAnswerTime;
+    private long order;
+    private long wakeAt = NEVER;
     private boolean started;
     private long askAt = NEVER, askPause = ASK_FIRST;
 
     DeliveryPolicy(Settings settings, long seed) {
-        this.settings = settings;
+        this.state = new PolicyState(settings, seed);
         this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
-        this.largeFleet = settings.relays() > FLEET_FAILS;
         this.connectionsScarce = new boolean[blips.length];
         Arrays.fill(blips, 0, blips.length - 1, CROWD_GUESS);
-        this.random = new SplittableRandom(seed);
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
         for (int t = 0; t < tenantTokens.length; t++) {
@@ -180,8 +163,8 @@
     // ---- events -----------------------------------------------------------------------------------------
     @Override
     public List<Action> decide(long nowMicros, List<Event> events) {
-        now = nowMicros;
-        actions = new ArrayList<>();
+        state.now = nowMicros;
+        state.actions = new ArrayList<>();
         for (Event event : events) {
             if (event instanceof Event.Listing e) {
                 listing(e);
@@ -192,20 +175,20 @@
             } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
                 over(messages.get(e.id()));
             } else if (event instanceof Event.Stopping e) {
-                stopAt = e.untilMicros();
+                state.stopAt = e.untilMicros();
             } else if (event instanceof Event.Renewed e) {
-                settings = e.settings();
+                state.settings = e.settings();
                 messages.values().stream()
                         .filter(message -> message.inFlightTo == null
-                                && message.attempts >= settings.limits().maxAttempts())
+                                && message.attempts >= state.settings.limits().maxAttempts())
                         .toList()
                         .forEach(this::end);
             } else if (event instanceof Event.Timer) {
-                wakeAt = wakeAt <= now ? NEVER : wakeAt;
+                wakeAt = wakeAt <= state.now ? NEVER : wakeAt;
             }
         }
-        if (askAt <= now) {
-            actions.add(new Action.Watch(true));
+        if (askAt <= state.now) {
+            state.actions.add(new Action.Watch(true));
             askAt = NEVER;
         }
         dueNow();
@@ -213,25 +196,25 @@
         used.forEach(this::closeUnused);
         used.clear();
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
-        next = Math.max(next, now + settings.roundMicros());
-        if (next < NEVER && (next < wakeAt || wakeAt <= now)) {
-            actions.add(new Action.Wake(next - now, 0));
+        next = Math.max(next, state.now + state.settings.roundMicros());
+        if (next < NEVER && (next < wakeAt || wakeAt <= state.now)) {
+            state.actions.add(new Action.Wake(next - state.now, 0));
             wakeAt = next;
         }
-        return actions;
+        return state.actions;
     }
 
     private void listing(Event.Listing e) {
         if (!started) {
             started = true;
-            askAt = settings.askForList() ? now : NEVER;
+            askAt = state.settings.askForList() ? state.now : NEVER;
         }
         if (e.kind() == ListingKind.REFUSED) {
             // The directory may be busy with every relay's call: ask later and later, spread by chance.
-            askAt = settings.askForList() ? now + (long) (askPause * spread()) : NEVER;
+            askAt = state.settings.askForList() ? state.now + (long) (askPause * state.randomFactor()) : NEVER;
             // Half the time after which the rules take a relay that does not ask as told, spread included.
-            askPause =
-                    Math.min(askPause * 2, Math.min(ASK_LAST, settings.rules().askWithinMicros() / 3));
+            askPause = Math.min(
+                    askPause * 2, Math.min(ASK_LAST, state.settings.rules().askWithinMicros() / 3));
             return;
         }
         askPause = e.kind() == ListingKind.REMEMBERED ? askPause : ASK_FIRST;
@@ -240,7 +223,7 @@
         }
         for (Entry entry : e.entries()) {
             Endpoint endpoint = endpoints.get(entry.host());
-            if (endpoint != null && endpoint.queue != queues.get(entry.destination())) {
+            if (endpoint != null && endpoint.queue != state.queues.get(entry.destination())) {
                 // It serves another destination now, and is a new endpoint there. Calls that are out keep the old one.
                 forget(endpoint);
                 endpoints.remove(entry.host());
@@ -250,10 +233,10 @@
                 if (entry.presence() != Presence.ACTIVE) {
                     continue;
                 }
-                DestinationQueue queue = queues.computeIfAbsent(entry.destination(), d -> new DestinationQueue());
-                boolean known =
-                        entry.kind() >= 0 && entry.kind() < settings.kinds().size();
-                Kind kind = known ? settings.kinds().get(entry.kind()) : new Kind(false, 1);
+                DestinationQueue queue = state.queues.computeIfAbsent(entry.destination(), d -> new DestinationQueue());
+                boolean known = entry.kind() >= 0
+                        && entry.kind() < state.settings.kinds().size();
+                Kind kind = known ? state.settings.kinds().get(entry.kind()) : new Kind(false, 1);
                 if (queue.sharedLimit == null || kind.ownLimits()) {
                     queue.sharedLimit = new DestinationLimit();
                 }
@@ -265,27 +248,27 @@
                     endpoint.slowStartFrom = Math.max(endpoint.slowStartFrom, each.slowStartFrom);
                     endpoint.lastSentAt = Math.max(endpoint.lastSentAt, each.lastSentAt);
                 }
-                if (largeFleet && queue.sharedLimit.failingSince > 0) {
+                if (state.largeFleet && queue.sharedLimit.failingSince > 0) {
                     // A new host is no way round an outage, whatever it looked like, even if the old one has
                     // left the list: all relays hear of it at once, and would send what they hold.
                     endpoint.refusingConnections = true;
-                    endpoint.lastSentAt = now;
+                    endpoint.lastSentAt = state.now;
                 }
                 endpoint.trialPause = TRIAL_FIRST;
                 queue.endpoints.add(endpoint);
                 queue.sharedLimit.endpoints.add(endpoint);
             }
             endpoint.active = entry.presence() == Presence.ACTIVE;
-            if (settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.rateReported) {
+            if (state.settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.rateReported) {
                 // A rough figure may be half too high; what the destination reports itself is better.
-                endpoint.limit.toldRate = entry.weight() / (settings.weights() == Weights.ROUGH ? ROUGH : 1);
+                endpoint.limit.toldRate = entry.weight() / (state.settings.weights() == Weights.ROUGH ? ROUGH : 1);
             }
         }
         // A route that is listed again soon must still know its wait.
         endpoints
                 .values()
-                .removeIf(
-                        each -> !each.active && each.callsInFlight == 0 && each.limit.waitUntil <= now && forget(each));
+                .removeIf(each ->
+                        !each.active && each.callsInFlight == 0 && each.limit.waitUntil <= state.now && forget(each));
     }
 
     /** Takes an endpoint out of its destination. */
@@ -295,25 +278,25 @@
     }
 
     private void submit(Event.Submit e) {
-        MessageClass c = settings.classes().get(e.messageClass());
+        MessageClass c = state.settings.classes().get(e.messageClass());
         Message message = new Message(e.id(), c);
-        message.acceptedAt = now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
-        message.deadline = now + e.budgetMicros();
-        message.queue = queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
-        message.worth = c.worth() * (overShare(e.tenant()) ? settings.overShareWorth() : 1);
+        message.acceptedAt = state.now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
+        message.deadline = state.now + e.budgetMicros();
+        message.queue = state.queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
+        message.worth = c.worth() * (overShare(e.tenant()) ? state.settings.overShareWorth() : 1);
         if (c.ordered() && e.key() != null) {
             message.orderedKey = lines.computeIfAbsent(e.key(), k -> new OrderedKey());
             message.orderedKey.messages.add(message);
             message.key = e.key();
         }
         messages.put(message.id, message);
-        held++;
-        await(message);
+        state.openMessages++;
+        state.enqueue(message);
         if (e.prior() != null && resumed(message, e.prior())) {
             return;
         }
         dues.add(new TimedCheck(message.deadline - LEAST_LEFT, order++, message));
-        if (held > HOLD_PART * settings.limits().maxOpen()) {
+        if (state.openMessages > HOLD_PART * state.settings.limits().maxOpen()) {
             refuseLeastWorth();
         }
     }
@@ -325,8 +308,8 @@
         message.mayHaveRunSince = prior.riskAtMicros();
         message.mayHaveRunZone = prior.riskZone();
         message.resumed = true;
-        if (message.attempts >= settings.limits().maxAttempts()
-                || now >= windowEnd(message)
+        if (message.attempts >= state.settings.limits().maxAttempts()
+                || state.now >= windowEnd(message)
                 || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE) {
             end(message);
         } else if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
@@ -337,9 +320,9 @@
 
     private boolean overShare(int tenant) {
         if (tenant < 0 || tenant >= tenantTokens.length) return false;
-        double quota = settings.tenants().get(tenant).quotaPerSecond();
-        double tokens = tenantTokens[tenant] + (now - tenantSeen[tenant]) / SECOND * quota;
-        tenantSeen[tenant] = now;
+        double quota = state.settings.tenants().get(tenant).quotaPerSecond();
+        double tokens = tenantTokens[tenant] + (state.now - tenantSeen[tenant]) / SECOND * quota;
+        tenantSeen[tenant] = state.now;
         tokens = Math.min(tokens, TENANT_BURST * quota);
         tenantTokens[tenant] = tokens >= 1 ? tokens - 1 : tokens;
         return tokens < 1;
@@ -348,19 +331,20 @@
     // ---- scheduling -------------------------------------------------------------------------------------
     /** Ends what has run out of time. Every message has an entry here, so none is forgotten. */
     private void dueNow() {
-        while (!dues.isEmpty() && dues.peek().at() <= now) {
+        while (!dues.isEmpty() && dues.peek().at() <= state.now) {
             Message message = dues.poll().message();
             if (message.finished) {
                 forgetLine(message);
             } else if (message.inFlightTo == null) {
-                if (message.deadline - now <= LEAST_LEFT || now >= windowEnd(message)) {
+                if (message.deadline - state.now <= LEAST_LEFT || state.now >= windowEnd(message)) {
                     end(message);
                 }
-            } else if (now >= message.deadline + settings.rules().answerSlackMicros() / 2) {
+            } else if (state.now >= message.deadline + state.settings.rules().answerSlackMicros() / 2) {
                 end(message);
             } else {
                 // The outcome comes at the deadline at the latest; if it doesn't, answer within the slack.
-                dues.add(new TimedCheck(message.deadline + settings.rules().answerSlackMicros() / 2, order++, message));
+                dues.add(new TimedCheck(
+                        message.deadline + state.settings.rules().answerSlackMicros() / 2, order++, message));
             }
         }
     }
@@ -368,7 +352,7 @@
     /** Sends what may go, the most worth for a slot's time first; gives the time to look again. */
     private long sendAll() {
         List<SendCandidate> picks = new ArrayList<>();
-        for (DestinationQueue queue : queuesWaiting) {
+        for (DestinationQueue queue : state.queuesWaiting) {
             queue.nextCheckAt = NEVER;
             SendCandidate pick = pick(queue);
             if (pick != null) {
@@ -377,7 +361,7 @@
         }
         late.forEach(this::end);
         late.clear();
-        while (!picks.isEmpty() && slotsInUse < settings.limits().slots()) {
+        while (!picks.isEmpty() && state.slotsInUse < state.settings.limits().slots()) {
             SendCandidate best = Collections.max(picks, Comparator.comparingDouble(SendCandidate::rank));
             picks.remove(best);
             // What went since it was picked may have taken its part of the slots.
@@ -389,7 +373,7 @@
                 picks.add(again);
             }
         }
-        long next = queuesWaiting.stream()
+        long next = state.queuesWaiting.stream()
                 .mapToLong(queue -> queue.nextCheckAt)
                 .min()
                 .orElse(NEVER);
@@ -404,27 +388,27 @@
      */
     private long relieve(int wanted) {
         long next = NEVER;
-        int left = settings.limits().cancel() ? wanted : 0;
-        for (Call call : calls) {
+        int left = state.settings.limits().cancel() ? wanted : 0;
+        for (Call call : state.calls) {
             left -= call.cancelled ? 1 : 0;
         }
-        for (Call call : calls) {
+        for (Call call : state.calls) {
             if (left > 0 && !call.cancelled) {
                 boolean unsafe =
                         call.messages.stream().anyMatch(message -> message.messageClass.repeat() == Repeat.UNSAFE);
-                double usual = Math.max(usualAnswerTime, call.endpoint.limit.answerTime);
+                double usual = Math.max(state.usualAnswerTime, call.endpoint.limit.answerTime);
                 long bearable = (long)
                         (unsafe
                                 ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
                                 : Math.max(LEAST_BEARABLE, BEARABLE * usual));
-                if (call.sentAt + bearable > now) {
+                if (call.sentAt + bearable > state.now) {
                     next = Math.min(next, call.sentAt + bearable);
                 } else {
                     call.cancelled = true;
                     left--;
                     call.messages.stream()
                             .filter(message -> message.call == call)
-                            .forEach(message -> actions.add(new Action.Cancel(message.id, message.attempts - 1)));
+                            .forEach(message -> state.actions.add(new Action.Cancel(message.id, message.attempts - 1)));
                 }
             }
         }
@@ -436,13 +420,13 @@
         long soonest = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
             long at = endpoint.active ? readyAt(endpoint) : NEVER;
-            soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? now : at);
-            if (at <= now) {
+            soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? state.now : at);
+            if (at <= state.now) {
                 open.add(endpoint);
             }
-            queue.nextCheckAt = at <= now ? queue.nextCheckAt : Math.min(queue.nextCheckAt, at);
+            queue.nextCheckAt = at <= state.now ? queue.nextCheckAt : Math.min(queue.nextCheckAt, at);
         }
-        for (Message message : soonest > now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
+        for (Message message : soonest > state.now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
             // Nothing may go before its time is up, and no call is out whose outcome could change that: the
             // client is told now, and may find a relay that is not held.
             if (soonest > message.deadline - LEAST_LEFT || soonest >= windowEnd(message)) {
@@ -455,7 +439,7 @@
             if (open.isEmpty() || looked >= LOOK) {
                 break;
             }
-            if (message.notBefore > now) {
+            if (message.notBefore > state.now) {
                 queue.nextCheckAt = Math.min(queue.nextCheckAt, message.notBefore);
                 continue;
             }
@@ -478,7 +462,7 @@
      */
     private double worthNow(Message message) {
         MessageClass c = message.messageClass;
-        double late = (now - message.acceptedAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
+        double late = (state.now - message.acceptedAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
         if (late < 0) {
             return message.worth * (1 + EDGE * (1 + late));
         }
@@ -501,7 +485,7 @@
             // A call that fails may have run. Try a sick limit with what can be repeated.
             worth *= message.messageClass.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
         }
-        return worth / Math.max(1_000, limit.answerTime > 0 ? limit.answerTime : usualAnswerTime);
+        return worth / Math.max(1_000, limit.answerTime > 0 ? limit.answerTime : state.usualAnswerTime);
     }
 
     private Endpoint choose(Message message, List<Endpoint> open) {
@@ -512,7 +496,7 @@
                 continue;
             }
             double cost = endpoint.callsInFlight
-                    + (endpoint.zone == settings.zone() ? 0 : 1)
+                    + (endpoint.zone == state.settings.zone() ? 0 : 1)
                     + (warm(endpoint) ? 0 : 0.75)
                     + (message.lastEndpoint == endpoint ? 0.5 : 0);
             if (best == null || cost < least) {
@@ -528,22 +512,22 @@
     private boolean gate(Message message, Endpoint endpoint) {
         if (message.finished
                 || message.inFlightTo != null
-                || message.attempts >= settings.limits().maxAttempts()
-                || now < message.notBefore
-                || message.deadline - now < LEAST_LEFT
+                || message.attempts >= state.settings.limits().maxAttempts()
+                || state.now < message.notBefore
+                || message.deadline - state.now < LEAST_LEFT
                 || endpoint.queue != message.queue) {
             return false;
         }
-        if (!endpoint.active || now < endpoint.limit.waitUntil) {
+        if (!endpoint.active || state.now < endpoint.limit.waitUntil) {
             return false;
         }
         if (message.orderedKey != null
                 && (message.orderedKey.messages.peek() != message
-                        || message.orderedKey.pauseExempt != message && now < message.orderedKey.pausedUntil)) {
+                        || message.orderedKey.pauseExempt != message && state.now < message.orderedKey.pausedUntil)) {
             return false;
         }
         // A call that the end of the program could cut may have run: what can't come back in time stays held.
-        if (stopAt < NEVER && now + patience(message, endpoint.limit) > stopAt) {
+        if (state.stopAt < NEVER && state.now + patience(message, endpoint.limit) > state.stopAt) {
             return false;
         }
         if (message.mayHaveRun) {
@@ -551,18 +535,18 @@
                 return false;
             }
             if (message.messageClass.repeat() == Repeat.KEYED
-                    && (now >= windowEnd(message)
+                    && (state.now >= windowEnd(message)
                             || message.messageClass.group() == Group.ZONE && endpoint.zone != message.mayHaveRunZone)) {
                 return false;
             }
         }
-        return readyAt(endpoint) <= now;
+        return readyAt(endpoint) <= state.now;
     }
 
     /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
     private long windowEnd(Message message) {
         return message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED
-                ? message.mayHaveRunSince + message.messageClass.repeatWindowMicros() - settings.roundMicros()
+                ? message.mayHaveRunSince + message.messageClass.repeatWindowMicros() - state.settings.roundMicros()
                 : Long.MAX_VALUE;
     }
 
@@ -570,10 +554,10 @@
     private void sendCall(SendCandidate pick) {
         Call call = new Call();
         Endpoint endpoint = pick.endpoint();
-        call.sentAt = now;
+        call.sentAt = state.now;
         call.endpoint = endpoint;
         endpoint.calls.add(call);
-        calls.add(call);
+        state.calls.add(call);
         send(pick.message(), endpoint, call);
         if (endpoint.batch > 1 && !endpoint.inOutage) {
             // Limits count calls, so what goes along is free; only a trial, which may fail all, goes alone.
@@ -586,27 +570,28 @@
                 }
             }
         }
-        slotsInUse++;
+        state.slotsInUse++;
         endpoint.callsInFlight++;
         endpoint.limit.callsInFlight++;
-        endpoint.limit.lastSentAt = now;
-        endpoint.lastSentAt = now;
+        endpoint.limit.lastSentAt = state.now;
+        endpoint.lastSentAt = state.now;
         endpoint.idleSince.pollLast();
         used.remove(endpoint);
     }
 
     private void send(Message message, Endpoint endpoint, Call call) {
-        unawait(message);
+        state.dequeue(message);
         message.attempts++;
         message.inFlightTo = endpoint;
         message.call = call;
         call.messages.add(message);
-        message.sentAt = now;
+        message.sentAt = state.now;
         message.lastEndpoint = endpoint;
         call.outcomesDue++;
         // A connection that comes up late must not carry it past its window.
-        long dropAt = Math.min(Math.min(message.deadline, now + patience(message, endpoint.limit)), windowEnd(message));
-        actions.add(new Action.Send(message.id, endpoint.host, dropAt));
+        long dropAt =
+                Math.min(Math.min(message.deadline, state.now + patience(message, endpoint.limit)), windowEnd(message));
+        state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
     }
 
     /**
@@ -615,8 +600,8 @@
      * of room, and none by each of many relays, as what each learns alone comes late. Costs handshakes.
      */
     private void closeUnused(Endpoint endpoint) {
-        if (largeFleet || connectionsScarce[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
-            actions.add(new Action.CloseIdle(endpoint.host));
+        if (state.largeFleet || connectionsScarce[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
+            state.actions.add(new Action.CloseIdle(endpoint.host));
             endpoint.idleSince.clear();
         }
     }
@@ -642,7 +627,7 @@
             return (long) Math.max(time * UNSAFE_PATIENCE, LEAST_LEFT);
         }
         // Where calls are lost everywhere, the last slot is worth more than a call that is likely lost.
-        time *= lossy() && slotsInUse + 1 >= settings.limits().slots() ? SCARCE_PATIENCE : 1;
+        time *= lossy() && state.slotsInUse + 1 >= state.settings.limits().slots() ? SCARCE_PATIENCE : 1;
         if (message.messageClass.repeat() == Repeat.KEYED && !message.mayHaveRun) {
             time = Math.min(time, WINDOW_PART * message.messageClass.repeatWindowMicros());
         }
@@ -650,8 +635,8 @@
     }
 
     private boolean warm(Endpoint endpoint) {
-        long keep = settings.limits().keepAliveMicros();
-        while (!endpoint.idleSince.isEmpty() && endpoint.idleSince.peekFirst() + keep <= now) {
+        long keep = state.settings.limits().keepAliveMicros();
+        while (!endpoint.idleSince.isEmpty() && endpoint.idleSince.peekFirst() + keep <= state.now) {
             endpoint.idleSince.removeFirst();
         }
         return !endpoint.idleSince.isEmpty();
@@ -669,16 +654,16 @@
         message.call = null;
         boolean ran = !e.ending().neverRan();
         if (--call.outcomesDue == 0) {
-            slotsInUse--;
+            state.slotsInUse--;
             endpoint.callsInFlight--;
             endpoint.calls.remove(call);
-            calls.remove(call);
+            state.calls.remove(call);
             endpoint.limit.callsInFlight--;
             if (e.ending() != Ending.NO_CONNECTION
                     && e.ending() != Ending.NO_ROOM
                     && e.ending() != Ending.RESET
                     && e.ending() != Ending.NOT_SENT) {
-                endpoint.idleSince.addLast(now);
+                endpoint.idleSince.addLast(state.now);
                 used.add(endpoint);
             }
         }
@@ -696,7 +681,7 @@
         }
         if (message.orderedKey != null
                 && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
-            message.orderedKey.pausedUntil = now + settings.rules().orderPauseMicros();
+            message.orderedKey.pausedUntil = state.now + state.settings.rules().orderPauseMicros();
             message.orderedKey.pauseExempt = message;
             dues.add(new TimedCheck(message.orderedKey.pausedUntil, order++, message));
         }
@@ -704,10 +689,10 @@
             over(message);
         } else if (e.ending() == Ending.REJECTED) {
             // The design: a permanent failure ends a row at once.
-            actions.add(new Action.Fail(message.id));
+            state.actions.add(new Action.Fail(message.id));
             over(message);
         } else if (e.ending() == Ending.WITHHELD && !endpoint.active) {
-            await(message); // its endpoint is leaving and got nothing: another may have it now
+            state.enqueue(message); // its endpoint is leaving and got nothing: another may have it now
         } else {
             retry(message);
         }
@@ -715,34 +700,22 @@
 
     /** The next try after the design's growing, spread pause; or the end, at once, if none can come. */
     private void retry(Message message) {
-        long pause = (long) (STEPS[Math.max(0, Math.min(message.attempts, STEPS.length) - 1)] * spread());
-        message.notBefore = now + pause;
+        long pause = (long) (STEPS[Math.max(0, Math.min(message.attempts, STEPS.length) - 1)] * state.randomFactor());
+        message.notBefore = state.now + pause;
         if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
             // A pause past the window would lose the message: come as late as a connection may still come up.
-            long latest = windowEnd(message) - settings.limits().connectTimeoutMicros();
-            message.notBefore = now < latest ? Math.min(message.notBefore, latest) : message.notBefore;
+            long latest = windowEnd(message) - state.settings.limits().connectTimeoutMicros();
+            message.notBefore = state.now < latest ? Math.min(message.notBefore, latest) : message.notBefore;
             dues.add(new TimedCheck(windowEnd(message), order++, message));
         }
-        if (message.attempts >= settings.limits().maxAttempts()
+        if (message.attempts >= state.settings.limits().maxAttempts()
                 || message.notBefore > message.deadline - LEAST_LEFT
                 || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE
                 || message.notBefore >= windowEnd(message)) {
             end(message);
             return;
         }
-        await(message);
-    }
-
-    private void await(Message message) {
-        message.queue.waiting.add(message);
-        queuesWaiting.add(message.queue);
-    }
-
-    private void unawait(Message message) {
-        message.queue.waiting.remove(message);
-        if (message.queue.waiting.isEmpty()) {
-            queuesWaiting.remove(message.queue);
-        }
+        state.enqueue(message);
     }
 
     /** The one place that ends a message: refused where that is harmless, else failed. */
@@ -751,7 +724,8 @@
         boolean harmless = !mayRun
                 || message.messageClass.repeat() == Repeat.SAFE
                 || message.messageClass.repeat() == Repeat.KEYED && message.messageClass.group() == Group.ALL;
-        actions.add(harmless ? new Action.Refuse(message.id, comeBack(message.queue)) : new Action.Fail(message.id));
+        state.actions.add(
+                harmless ? new Action.Refuse(message.id, comeBack(message.queue)) : new Action.Fail(message.id));
         over(message);
     }
 
@@ -759,8 +733,8 @@
     private void over(Message message) {
         if (!message.finished) {
             message.finished = true;
-            held--;
-            unawait(message);
+            state.openMessages--;
+            state.dequeue(message);
         }
         if (message.inFlightTo == null) {
             messages.remove(message.id);
@@ -775,14 +749,14 @@
     private void forgetLine(Message message) {
         if (message.orderedKey != null
                 && message.orderedKey.messages.isEmpty()
-                && message.orderedKey.pausedUntil <= now) {
+                && message.orderedKey.pausedUntil <= state.now) {
             lines.remove(message.key, message.orderedKey);
         }
     }
 
     /** When a refused client should come again: when its destination will have room. */
     private long comeBack(DestinationQueue queue) {
-        if (!settings.limits().comeBack()) {
+        if (!state.settings.limits().comeBack()) {
             return 0;
         }
         long wait = NEVER;
@@ -790,17 +764,18 @@
             if (endpoint.active) {
                 double rate = Math.max(share(endpoint.limit), flow(endpoint));
                 wait = Math.min(
-                        wait, Math.max(0, readyAt(endpoint) - now) + (long) (queue.waiting.size() / rate * SECOND));
+                        wait,
+                        Math.max(0, readyAt(endpoint) - state.now) + (long) (queue.waiting.size() / rate * SECOND));
             }
         }
-        return Math.min(wait, settings.limits().maxComeBackMicros());
+        return Math.min(wait, state.settings.limits().maxComeBackMicros());
     }
 
     /** The hold is nearly full: what is worth least and waits longest ends, not what outlived a process. */
     private void refuseLeastWorth() {
         Message least = null;
         double lowest = 0;
-        for (DestinationQueue queue : queuesWaiting) {
+        for (DestinationQueue queue : state.queuesWaiting) {
             double flow = queue.endpoints.stream().mapToDouble(this::flow).sum();
             double crowd = 1 + queue.waiting.size() / (1 + 10 * flow);
             for (Message message : queue.waiting) {
@@ -831,8 +806,8 @@
             limit.allowanceLeft = e.report().left();
         }
         if (e.waitMicros() > 0) {
-            limit.waitUntil = Math.max(limit.waitUntil, now + e.waitMicros());
-            limit.shortWaitAt = e.waitMicros() < SHUT_WAIT ? now : limit.shortWaitAt;
+            limit.waitUntil = Math.max(limit.waitUntil, state.now + e.waitMicros());
+            limit.shortWaitAt = e.waitMicros() < SHUT_WAIT ? state.now : limit.shortWaitAt;
         }
         switch (first ? e.ending() : Ending.NOT_SENT) {
             case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
@@ -848,8 +823,8 @@
         count(all, endpoint);
         limit.answerTime =
                 limit.answerTime == 0 ? elapsed : limit.answerTime + LATENCY_WEIGHT * (elapsed - limit.answerTime);
-        double sane = usualAnswerTime == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * usualAnswerTime);
-        usualAnswerTime += (usualAnswerTime == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - usualAnswerTime);
+        double sane = state.usualAnswerTime == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * state.usualAnswerTime);
+        state.usualAnswerTime += (state.usualAnswerTime == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - state.usualAnswerTime);
         limit.timeoutFactor = elapsed < 2 * limit.answerTime ? 1 : Math.max(1, limit.timeoutFactor * 0.7);
         limit.throttledRate += GAIN;
         limit.failingSince = 0;
@@ -858,11 +833,11 @@
         limit.failuresInRow = 0;
         limit.severalFail = false;
         limit.refusals /= 2;
-        boolean back = endpoint.inOutage || endpoint.refusingConnections && now - endpoint.failingSince >= BLIP;
+        boolean back = endpoint.inOutage || endpoint.refusingConnections && state.now - endpoint.failingSince >= BLIP;
         endpoint.failuresInRow = 0;
         endpoint.refusingConnections = false;
         endpoint.timingOut = false;
-        if (endpoint.failingSince > 0 && now - endpoint.failingSince < BLIP) {
+        if (endpoint.failingSince > 0 && state.now - endpoint.failingSince < BLIP) {
             blips[endpoint.failureCause] += CROWD_WEIGHT * (1 - blips[endpoint.failureCause]);
         }
         endpoint.failingSince = 0;
@@ -870,7 +845,7 @@
         if (back) {
             // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
             endpoint.inOutage = false;
-            endpoint.slowStartFrom = now;
+            endpoint.slowStartFrom = state.now;
             endpoint.failureShare = Math.min(endpoint.failureShare, STILL_ILL);
         }
         endpoint.trialPause = TRIAL_FIRST;
@@ -883,18 +858,18 @@
         // relays see each destination often enough to tell an outage by its length.
         limit.exhausted =
                 e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
-        limit.refusalsAsOutage += limit.exhausted ? 2 : largeFleet ? 1 : 0;
-        if (now >= limit.throttledUntil) {
+        limit.refusalsAsOutage += limit.exhausted ? 2 : state.largeFleet ? 1 : 0;
+        if (state.now >= limit.throttledUntil) {
             limit.throttledRate = CUT * limit.recentRate / CUT_PACE;
             limit.rateCeiling = Math.max(CUT * limit.recentRate, HOLD_PER_SECOND);
         }
-        limit.failingSince = limit.failingSince == 0 ? now : limit.failingSince;
-        limit.failingFor = now - limit.failingSince;
-        limit.paceSpread = largeFleet ? 1 + random.nextDouble() : 1;
+        limit.failingSince = limit.failingSince == 0 ? state.now : limit.failingSince;
+        limit.failingFor = state.now - limit.failingSince;
+        limit.paceSpread = state.largeFleet ? 1 + state.random.nextDouble() : 1;
         limit.refusals++;
         if (wait >= SHUT_WAIT
                 || limit.refusals >= FULLS_IN_ROW
-                        && now - limit.failingSince >= SHUT_SPAN
+                        && state.now - limit.failingSince >= SHUT_SPAN
                         && limit.shortWaitAt < limit.failingSince) {
             // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
             limit.endpoints.forEach(this::sick);
@@ -902,14 +877,14 @@
                 // It told all relays when it opens, and they must not all come then. What one saw of it is
                 // short of what it lasted. Holds for any herd at a told time; a lone relay hardly waits.
                 limit.failingFor = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.failingSince);
-                double pause = SECOND / budget(limit, settings.rules().overloadMicros(), false);
-                limit.reopensAt = limit.waitUntil + (long) (random.nextDouble() * pause);
+                double pause = SECOND / budget(limit, state.settings.rules().overloadMicros(), false);
+                limit.reopensAt = limit.waitUntil + (long) (state.random.nextDouble() * pause);
             }
         } else if (ramping(endpoint)) {
-            endpoint.slowStartFrom += (now - endpoint.slowStartFrom) / 2;
+            endpoint.slowStartFrom += (state.now - endpoint.slowStartFrom) / 2;
         }
-        if (now - limit.reducedAt >= CUT_APART) {
-            limit.reducedAt = now;
+        if (state.now - limit.reducedAt >= CUT_APART) {
+            limit.reducedAt = state.now;
             decay(limit, endpoint);
             double most = limit.toldRate > 0 ? Math.min(limit.toldRate, HOLD_PER_SECOND) : HOLD_PER_SECOND;
             double least = share(limit);
@@ -919,10 +894,10 @@
         }
         // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
         // For one of many relays, which sends seldom, that is far longer than a clump.
-        limit.throttledUntil = now
+        limit.throttledUntil = state.now
                 + (long)
-                        (largeFleet
-                                ? QUIET * spread()
+                        (state.largeFleet
+                                ? QUIET * state.randomFactor()
                                 : Math.max(QUIET, 2 * SECOND / Math.max(limit.throttledRate, share(limit))));
     }
 
@@ -938,8 +913,8 @@
 
     /** This relay's even share of a limit, calls a second. */
     private double fair(DestinationLimit limit) {
-        double untold = Math.max(UNTOLD_PACE / settings.relays(), MEAN_PART * usual(all) / queues.size());
-        return limit.toldRate > 0 ? limit.toldRate / settings.relays() : untold;
+        double untold = Math.max(UNTOLD_PACE / state.settings.relays(), MEAN_PART * usual(all) / state.queues.size());
+        return limit.toldRate > 0 ? limit.toldRate / state.settings.relays() : untold;
     }
 
     /**
@@ -948,12 +923,14 @@
      */
     private void failed(DestinationLimit limit, Endpoint endpoint, Ending how, long elapsed) {
         Ending ending = how == Ending.CANCELED ? Ending.TIMED_OUT : how; // given up for want of an answer too
-        limit.failingSince = limit.failingSince == 0 ? now : limit.failingSince;
-        limit.failingFor = now - limit.failingSince;
-        limit.paceSpread = largeFleet ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
+        limit.failingSince = limit.failingSince == 0 ? state.now : limit.failingSince;
+        limit.failingFor = state.now - limit.failingSince;
+        limit.paceSpread =
+                state.largeFleet ? 1 + state.random.nextDouble() : 1; // a clump refused together comes again apart
         endpoint.failuresInRow++;
         // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || now - endpoint.failingSince < BLIP);
+        boolean there =
+                ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || state.now - endpoint.failingSince < BLIP);
         if (!there) {
             limit.severalFail |= limit.failuresInRow > 0 && limit.lastFailedEndpoint != endpoint;
             limit.lastFailedEndpoint = endpoint;
@@ -961,8 +938,9 @@
             endpoint.failureShare += ILL_WEIGHT * (1 - endpoint.failureShare);
         }
         if (endpoint.failuresInRow > 1) {
-            endpoint.avoidUntil =
-                    now + (long) ((AVOID_FIRST << Math.min(endpoint.failuresInRow - 2, AVOID_DOUBLINGS)) * spread());
+            endpoint.avoidUntil = state.now
+                    + (long) ((AVOID_FIRST << Math.min(endpoint.failuresInRow - 2, AVOID_DOUBLINGS))
+                            * state.randomFactor());
         }
         if (ending == Ending.TIMED_OUT && endpoint.failuresInRow > 1) {
             // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
@@ -972,28 +950,28 @@
             endpoint.idleSince.clear();
         }
         if (ramping(endpoint) && endpoint.failureShare >= STILL_ILL) {
-            endpoint.slowStartFrom = now;
+            endpoint.slowStartFrom = state.now;
         }
         endpoint.timingOut |= ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !lossy());
         boolean turnedAway = ending == Ending.NO_ROOM
                 || ending == Ending.NO_CONNECTION
-                        && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
+                        && elapsed < CONNECT_PART * state.settings.limits().connectTimeoutMicros();
         endpoint.failureCause = turnedAway ? endpoint.kind : blips.length - 1;
-        endpoint.failingSince = endpoint.failingSince == 0 ? now : endpoint.failingSince;
-        blips[endpoint.failureCause] *= now - endpoint.failingSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
+        endpoint.failingSince = endpoint.failingSince == 0 ? state.now : endpoint.failingSince;
+        blips[endpoint.failureCause] *= state.now - endpoint.failingSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
         // One that took a call just now and turns the next away is full, not down: a busy one must not be
         // left alone for it. In an outage this ends with the fourth failure in a row, or three seconds in.
-        boolean busyNow = now - endpoint.lastDeliveredSentAt < BLIP && endpoint.failuresInRow < FAILS_IN_ROW;
-        endpoint.refusingConnections |= largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
+        boolean busyNow = state.now - endpoint.lastDeliveredSentAt < BLIP && endpoint.failuresInRow < FAILS_IN_ROW;
+        endpoint.refusingConnections |= state.largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
             connectionsScarce[endpoint.kind] = true;
             if (there || crowded(endpoint)) {
-                long longer = largeFleet ? now - limit.failingSince : 0;
-                endpoint.avoidUntil = Math.max(endpoint.avoidUntil, now + (long) (longer * spread()));
+                long longer = state.largeFleet ? state.now - limit.failingSince : 0;
+                endpoint.avoidUntil = Math.max(endpoint.avoidUntil, state.now + (long) (longer * state.randomFactor()));
                 return;
             }
         }
-        int fleet = Math.max(1, FLEET_FAILS / settings.relays());
+        int fleet = Math.max(1, FLEET_FAILS / state.settings.relays());
         int failsInRow = lossy() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
         if (limit.severalFail && limit.failuresInRow >= failsInRow) {
             limit.endpoints.stream().filter(each -> each.failuresInRow > 0).forEach(this::sick);
@@ -1013,25 +991,27 @@
      * starve the rest; measured against the relay's usual answer time, so all slow together clog nothing.
      */
     private boolean clogged(Endpoint endpoint) {
-        double slow = SLOW_TIMES * usualAnswerTime;
+        double slow = SLOW_TIMES * state.usualAnswerTime;
         for (Call call : endpoint.calls) {
             // A call that hangs while later ones come back says nothing of the endpoint.
-            if (usualAnswerTime > 0 && call.sentAt > endpoint.lastDeliveredSentAt && now - call.sentAt > slow) {
+            if (state.usualAnswerTime > 0
+                    && call.sentAt > endpoint.lastDeliveredSentAt
+                    && state.now - call.sentAt > slow) {
                 return true;
             }
         }
-        return endpoint.inOutage || endpoint.timingOut || usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
+        return endpoint.inOutage || endpoint.timingOut || state.usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
     }
 
     private boolean ramping(Endpoint endpoint) {
         return endpoint.slowStartFrom > 0
-                && now - endpoint.slowStartFrom < settings.rules().rampMicros();
+                && state.now - endpoint.slowStartFrom < state.settings.rules().rampMicros();
     }
 
     /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
     private long readyAt(Endpoint endpoint) {
         DestinationLimit limit = endpoint.limit;
-        int slots = settings.limits().slots();
+        int slots = state.settings.limits().slots();
         if (limit.callsInFlight >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
                 || endpoint.callsInFlight > 0
                         && (endpoint.inOutage || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
@@ -1039,7 +1019,7 @@
         }
         if (clogged(endpoint)) {
             int clogging = 0;
-            for (Call call : calls) {
+            for (Call call : state.calls) {
                 clogging += clogged(call.endpoint) ? 1 : 0;
             }
             if (clogging >= Math.max(1, (int) (SICK_PART * slots))) {
@@ -1048,7 +1028,7 @@
         }
         long at = Math.max(Math.max(limit.waitUntil, limit.reopensAt), endpoint.avoidUntil);
         double rate = held(limit);
-        long free = now < limit.throttledUntil ? limit.throttledUntil : NEVER;
+        long free = state.now < limit.throttledUntil ? limit.throttledUntil : NEVER;
         at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSentAt + (long) (SECOND / rate)));
         rate = limit.refusalsAsOutage > 1 ? budget(limit, 0, false) / limit.paceSpread : NEVER;
         rate = limit.exhausted ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
@@ -1062,17 +1042,17 @@
                 ends
                         ? Math.min(
                                 healedAt,
-                                endpoint.slowStartFrom + settings.rules().rampMicros())
+                                endpoint.slowStartFrom + state.settings.rules().rampMicros())
                         : healedAt);
     }
 
     /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
     private double held(DestinationLimit limit) {
-        if (now < limit.throttledUntil) {
+        if (state.now < limit.throttledUntil) {
             return Math.min(HOLD_PER_SECOND, limit.throttledRate);
         }
         // What waited must not come at once when the hold is over: it would be refused again.
-        long after = now - limit.throttledUntil;
+        long after = state.now - limit.throttledUntil;
         return limit.rateCeiling == 0 || after > ROOF_LASTS
                 ? NEVER
                 : limit.rateCeiling * Math.pow(ROOF_GROWTH, after / SECOND);
@@ -1083,11 +1063,11 @@
         long active = Math.max(
                 1, endpoint.limit.endpoints.stream().filter(each -> each.active).count());
         if (endpoint.inOutage || endpoint.refusingConnections) {
-            boolean sure = endpoint.refusingConnections || largeFleet && endpoint.limit.severalFail && !lossy();
+            boolean sure = endpoint.refusingConnections || state.largeFleet && endpoint.limit.severalFail && !lossy();
             double rate = budget(endpoint.limit, 0, sure) / active;
             return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.paceSpread;
         }
-        return ramping(endpoint) ? budget(endpoint.limit, now - endpoint.slowStartFrom, false) / active : NEVER;
+        return ramping(endpoint) ? budget(endpoint.limit, state.now - endpoint.slowStartFrom, false) / active : NEVER;
     }
 
     /**
@@ -1096,7 +1076,7 @@
      * outage began: the rate times its length. So each has one part in that length of the rate, known or not.
      */
     private double budget(DestinationLimit limit, long since, boolean once) {
-        Rules r = settings.rules();
+        Rules r = state.settings.rules();
         double warmed = Math.min(1.0, since / (double) Math.max(1, r.rampMicros()));
         double part = BUDGET_PART * r.tipMultiple() * (r.coldFrom() + (1 - r.coldFrom()) * warmed);
         // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
@@ -1106,13 +1086,13 @@
     }
 
     private void decay(DestinationLimit limit, Endpoint endpoint) {
-        double past = limit.ratesUpdatedAt == 0 ? 0 : now - limit.ratesUpdatedAt;
+        double past = limit.ratesUpdatedAt == 0 ? 0 : state.now - limit.ratesUpdatedAt;
         limit.recentRate *= Math.exp(-past / RECENT);
         if (!endpoint.inOutage && !ramping(endpoint)) {
             limit.usualRate *= Math.exp(-past / USUAL);
             limit.usualUnseen *= Math.exp(-past / USUAL);
         }
-        limit.ratesUpdatedAt = now;
+        limit.ratesUpdatedAt = state.now;
     }
 
     /** Calls a second usually taken: the mean of what was seen, as the memory is empty at first. */
@@ -1127,8 +1107,4 @@
             limit.usualRate += SECOND / USUAL;
         }
     }
-
-    private double spread() {
-        return SPREAD_FROM + (SPREAD_TO - SPREAD_FROM) * random.nextDouble();
-    }
 }
--- a/src/main/java/lilaclever/PolicyState.java
+++ b/src/main/java/lilaclever/PolicyState.java
@@ -2,20 +2,80 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import lilaclever.DecisionModule.Action;
 import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.Settings;
 
 /**
- * What the decision module remembers of messages, calls, endpoints and limits: fields only. Times are microseconds on
- * the module's clock, rates are calls a second. Each field names the module that decides about it where that is not
- * plain from its place.
+ * What the parts of the decision module share: the settings in force, the present time, the random numbers, what waits
+ * and what is in flight; and the types of what is remembered of messages, calls, endpoints and limits. It decides
+ * nothing. Times are microseconds on the module's clock, rates are calls a second.
  */
 final class PolicyState {
+    /** A time that never comes, microseconds; as a rate: unlimited. */
+    static final long NEVER = Long.MAX_VALUE / 4;
     /** A time in the past that lies before all others, microseconds. */
     static final long LONG_AGO = Long.MIN_VALUE / 4;
+    /** Microseconds in a second. */
+    static final double SECOND = 1_000_000;
+    /** Fleets of more forwarders than this are large. */
+    static final int LARGE_FLEET = 16;
+    /** Range of a random factor: what failed or was refused together comes again apart (the design's). */
+    private static final double LEAST_FACTOR = 0.5, MOST_FACTOR = 1.5;
 
-    private PolicyState() {}
+    /** So many forwarders that each sees a destination too seldom to tell an outage by itself. */
+    final boolean largeFleet;
+    /** All chance of the module; the order of the draws is part of its behaviour. */
+    final SplittableRandom random;
+    /** By destination, in the order first heard of. */
+    final Map<Integer, DestinationQueue> queues = new LinkedHashMap<>();
+    /** Queues with messages that wait, and calls that are in flight: work follows these, not all that is known. */
+    final LinkedHashSet<DestinationQueue> queuesWaiting = new LinkedHashSet<>();
+
+    final LinkedHashSet<Call> calls = new LinkedHashSet<>();
+    Settings settings;
+    /** The time of the present round. */
+    long now;
+    /** When all calls must have come back, as the program ends. */
+    long stopAt = NEVER;
+    /** What the host program must do; a new list for each round. */
+    List<Action> actions = new ArrayList<>();
+    /** Calls in flight, each in one of the slots of the settings. */
+    int slotsInUse;
+    /** Messages without a final answer. */
+    int openMessages;
+    /** Mean time of a delivered call over all destinations; 0 while there was none. */
+    double usualAnswerTime;
+
+    PolicyState(Settings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.largeFleet = settings.relays() > LARGE_FLEET;
+    }
+
+    /** Draws a random factor from 0.5 to 1.5. */
+    double randomFactor() {
+        return LEAST_FACTOR + (MOST_FACTOR - LEAST_FACTOR) * random.nextDouble();
+    }
+
+    /** Has a message wait at the end of its destination's queue. */
+    void enqueue(Message message) {
+        message.queue.waiting.add(message);
+        queuesWaiting.add(message.queue);
+    }
+
+    /** Takes a message out of its destination's queue. */
+    void dequeue(Message message) {
+        message.queue.waiting.remove(message);
+        if (message.queue.waiting.isEmpty()) {
+            queuesWaiting.remove(message.queue);
+        }
+    }
 
     /** A message to look at again at a time; {@code order} keeps equal times in the order in which they were added. */
     record TimedCheck(long at, long order, Message message) {}
