--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -61,10 +61,6 @@
     private static final long ROOF_LASTS = 15_000_000;
     /** Refusals within this time cut the pace once, microseconds: they are one piece of news. */
     private static final long CUT_APART = 500_000;
-    /** Memory of the rate lately taken, microseconds: a few of the spans in which limits are counted. */
-    private static final double RECENT = 2_000_000;
-    /** Memory of the usual rate, microseconds: long beside a clump, short beside a day. */
-    private static final double USUAL = 15_000_000, LEAST_SEEN = 0.1;
     /** Limits are in calls a second, so room comes back within about that; a longer wait means shut. */
     private static final long SHUT_WAIT = 2_500_000;
     /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
@@ -126,6 +122,8 @@
     private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
 
     private final PolicyState state;
+    private final SlowStart slowStart;
+    private final RateEstimates rates;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -137,9 +135,6 @@
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
     private final double[] blips;
-    /** All destinations together: their mean is a guess for one that nothing is known of. */
-    private final DestinationLimit all = new DestinationLimit();
-
     private final boolean[] connectionsScarce;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
@@ -150,6 +145,9 @@
 
     DeliveryPolicy(Settings settings, long seed) {
         this.state = new PolicyState(settings, seed);
+        this.slowStart = new SlowStart(state);
+        this.rates = new RateEstimates(state, slowStart);
+        // parts end
         this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
         this.connectionsScarce = new boolean[blips.length];
         Arrays.fill(blips, 0, blips.length - 1, CROWD_GUESS);
@@ -793,7 +791,7 @@
 
     /** Calls a second that an endpoint is likely to take. */
     private double flow(Endpoint endpoint) {
-        return Math.min(usual(endpoint.limit), Math.min(held(endpoint.limit), healed(endpoint)));
+        return Math.min(rates.usual(endpoint.limit), Math.min(held(endpoint.limit), healed(endpoint)));
     }
 
     // ---- limits and health ------------------------------------------------------------------------------
@@ -819,8 +817,7 @@
     }
 
     private void taken(DestinationLimit limit, Endpoint endpoint, long elapsed) {
-        count(limit, endpoint);
-        count(all, endpoint);
+        rates.onDelivered(limit, endpoint);
         limit.answerTime =
                 limit.answerTime == 0 ? elapsed : limit.answerTime + LATENCY_WEIGHT * (elapsed - limit.answerTime);
         double sane = state.usualAnswerTime == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * state.usualAnswerTime);
@@ -845,7 +842,7 @@
         if (back) {
             // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
             endpoint.inOutage = false;
-            endpoint.slowStartFrom = state.now;
+            slowStart.begin(endpoint);
             endpoint.failureShare = Math.min(endpoint.failureShare, STILL_ILL);
         }
         endpoint.trialPause = TRIAL_FIRST;
@@ -880,12 +877,12 @@
                 double pause = SECOND / budget(limit, state.settings.rules().overloadMicros(), false);
                 limit.reopensAt = limit.waitUntil + (long) (state.random.nextDouble() * pause);
             }
-        } else if (ramping(endpoint)) {
-            endpoint.slowStartFrom += (state.now - endpoint.slowStartFrom) / 2;
+        } else if (slowStart.isActive(endpoint)) {
+            slowStart.setBack(endpoint);
         }
         if (state.now - limit.reducedAt >= CUT_APART) {
             limit.reducedAt = state.now;
-            decay(limit, endpoint);
+            rates.decay(limit, endpoint);
             double most = limit.toldRate > 0 ? Math.min(limit.toldRate, HOLD_PER_SECOND) : HOLD_PER_SECOND;
             double least = share(limit);
             // What was taken bounds the cut from below: with few messages to send it says little of the room.
@@ -906,15 +903,9 @@
         // Nothing at all left: refused calls use up the limit, and any more keep it at nothing.
         double shares = limit.toldRate <= 0 ? FIRST_SHARES : limit.allowanceLeft > 0 ? NEVER : USED_UP_SHARES;
         int quarters = Math.min(Math.max(0, limit.refusals - 1), 6);
-        double least = Math.min(MOST_LEAST_PACE, shares * fair(limit)) / (1 << 2 * quarters);
-        least = Math.max(least, Math.max(LEAST_PACE, Math.min(fair(limit), MOST_LEAST_PACE)));
-        return Math.max(LEAST_PART * usual(limit), least);
-    }
-
-    /** This relay's even share of a limit, calls a second. */
-    private double fair(DestinationLimit limit) {
-        double untold = Math.max(UNTOLD_PACE / state.settings.relays(), MEAN_PART * usual(all) / state.queues.size());
-        return limit.toldRate > 0 ? limit.toldRate / state.settings.relays() : untold;
+        double least = Math.min(MOST_LEAST_PACE, shares * rates.evenShare(limit)) / (1 << 2 * quarters);
+        least = Math.max(least, Math.max(LEAST_PACE, Math.min(rates.evenShare(limit), MOST_LEAST_PACE)));
+        return Math.max(LEAST_PART * rates.usual(limit), least);
     }
 
     /**
@@ -949,8 +940,8 @@
         if (ending == Ending.NO_CONNECTION) {
             endpoint.idleSince.clear();
         }
-        if (ramping(endpoint) && endpoint.failureShare >= STILL_ILL) {
-            endpoint.slowStartFrom = state.now;
+        if (slowStart.isActive(endpoint) && endpoint.failureShare >= STILL_ILL) {
+            slowStart.begin(endpoint);
         }
         endpoint.timingOut |= ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !lossy());
         boolean turnedAway = ending == Ending.NO_ROOM
@@ -1003,11 +994,6 @@
         return endpoint.inOutage || endpoint.timingOut || state.usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
     }
 
-    private boolean ramping(Endpoint endpoint) {
-        return endpoint.slowStartFrom > 0
-                && state.now - endpoint.slowStartFrom < state.settings.rules().rampMicros();
-    }
-
     /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
     private long readyAt(Endpoint endpoint) {
         DestinationLimit limit = endpoint.limit;
@@ -1031,19 +1017,13 @@
         long free = state.now < limit.throttledUntil ? limit.throttledUntil : NEVER;
         at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSentAt + (long) (SECOND / rate)));
         rate = limit.refusalsAsOutage > 1 ? budget(limit, 0, false) / limit.paceSpread : NEVER;
-        rate = limit.exhausted ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
+        rate = limit.exhausted ? Math.min(rate, USED_UP_PART * rates.evenShare(limit)) : rate;
         at = rate >= NEVER ? at : Math.max(at, limit.lastSentAt + (long) (SECOND / rate));
         rate = healed(endpoint);
         long healedAt = rate >= NEVER ? at : endpoint.lastSentAt + (long) (SECOND / rate);
         // A ramp's pace is at its slowest now: at its end the endpoint is free.
-        boolean ends = ramping(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
-        return Math.max(
-                at,
-                ends
-                        ? Math.min(
-                                healedAt,
-                                endpoint.slowStartFrom + state.settings.rules().rampMicros())
-                        : healedAt);
+        boolean ends = slowStart.isActive(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
+        return Math.max(at, ends ? Math.min(healedAt, slowStart.endsAt(endpoint)) : healedAt);
     }
 
     /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
@@ -1067,7 +1047,7 @@
             double rate = budget(endpoint.limit, 0, sure) / active;
             return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.paceSpread;
         }
-        return ramping(endpoint) ? budget(endpoint.limit, state.now - endpoint.slowStartFrom, false) / active : NEVER;
+        return slowStart.isActive(endpoint) ? budget(endpoint.limit, slowStart.age(endpoint), false) / active : NEVER;
     }
 
     /**
@@ -1082,29 +1062,6 @@
         // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
         double first = once ? LONG_OUTAGE * part / (1 + 1 / part) : TRIAL_FIRST;
         double alone = SECOND / Math.max(first, limit.failingFor);
-        return part * Math.max(Math.max(usual(limit), fair(limit)), alone);
-    }
-
-    private void decay(DestinationLimit limit, Endpoint endpoint) {
-        double past = limit.ratesUpdatedAt == 0 ? 0 : state.now - limit.ratesUpdatedAt;
-        limit.recentRate *= Math.exp(-past / RECENT);
-        if (!endpoint.inOutage && !ramping(endpoint)) {
-            limit.usualRate *= Math.exp(-past / USUAL);
-            limit.usualUnseen *= Math.exp(-past / USUAL);
-        }
-        limit.ratesUpdatedAt = state.now;
-    }
-
-    /** Calls a second usually taken: the mean of what was seen, as the memory is empty at first. */
-    private double usual(DestinationLimit limit) {
-        return limit.usualRate / Math.max(LEAST_SEEN, 1 - limit.usualUnseen);
-    }
-
-    private void count(DestinationLimit limit, Endpoint endpoint) {
-        decay(limit, endpoint);
-        limit.recentRate += SECOND / RECENT;
-        if (!endpoint.inOutage && !ramping(endpoint)) {
-            limit.usualRate += SECOND / USUAL;
-        }
+        return part * Math.max(Math.max(rates.usual(limit), rates.evenShare(limit)), alone);
     }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/SlowStart.java
@@ -0,0 +1,41 @@
+package lilaclever;
+
+import lilaclever.PolicyState.Endpoint;
+
+/**
+ * Slow start of endpoints that came back from an outage: for the time that the settings' rules give, an endpoint is
+ * cold and gets less than it usually takes. How much that is, {@link RecoveryPace} says.
+ */
+final class SlowStart {
+    private final PolicyState state;
+
+    SlowStart(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Whether the endpoint is in slow start now. */
+    boolean isActive(Endpoint endpoint) {
+        return endpoint.slowStartFrom > 0
+                && age(endpoint) < state.settings.rules().rampMicros();
+    }
+
+    /** How long ago the endpoint's slow start began, microseconds; only where it has had one. */
+    long age(Endpoint endpoint) {
+        return state.now - endpoint.slowStartFrom;
+    }
+
+    /** When the endpoint's slow start ends, microseconds on the module's clock. */
+    long endsAt(Endpoint endpoint) {
+        return endpoint.slowStartFrom + state.settings.rules().rampMicros();
+    }
+
+    /** Begins slow start, or begins it anew. */
+    void begin(Endpoint endpoint) {
+        endpoint.slowStartFrom = state.now;
+    }
+
+    /** Halves the age of a slow start: the endpoint takes less than was thought. */
+    void setBack(Endpoint endpoint) {
+        endpoint.slowStartFrom += age(endpoint) / 2;
+    }
+}
