--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -4,7 +4,6 @@
 import static lilaclever.PolicyState.SECOND;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -97,15 +96,8 @@
     private static final double WINDOW_PART = 0.5;
     /** Weight of one answer in the mean answer time. */
     private static final double LATENCY_WEIGHT = 0.1;
-    /** A delivery so soon after the first failure in a row means a blip, not an outage, microseconds. */
-    private static final long BLIP = 3_000_000;
     /** A connect that fails before this part of its time-out was turned away; later, nothing was there. */
     private static final double CONNECT_PART = 0.9;
-    /**
-     * Share of failures that are blips, for each kind's turned away connects and for all other failures:
-     * weight of one, the share above which single failures tell nothing, and the first guess for connects.
-     */
-    private static final double CROWD_WEIGHT = 0.3, CROWDED = 0.3, CROWD_GUESS = 0.45;
     /** An endpoint is passed over for so long after a hard failure, microseconds, doubled by the next. */
     private static final long AVOID_FIRST = 500_000, AVOID_DOUBLINGS = 2;
     /** A message is given up when so little time is left, microseconds: no call ends sooner. */
@@ -124,6 +116,7 @@
     private final PolicyState state;
     private final SlowStart slowStart;
     private final RateEstimates rates;
+    private final TransientFailures transientFailures;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -134,7 +127,6 @@
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
-    private final double[] blips;
     private final boolean[] connectionsScarce;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
@@ -147,10 +139,9 @@
         this.state = new PolicyState(settings, seed);
         this.slowStart = new SlowStart(state);
         this.rates = new RateEstimates(state, slowStart);
+        this.transientFailures = new TransientFailures(state);
         // parts end
-        this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
-        this.connectionsScarce = new boolean[blips.length];
-        Arrays.fill(blips, 0, blips.length - 1, CROWD_GUESS);
+        this.connectionsScarce = new boolean[Math.max(1, settings.kinds().size()) + 1];
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
         for (int t = 0; t < tenantTokens.length; t++) {
@@ -604,19 +595,6 @@
         }
     }
 
-    /**
-     * Endpoints of this kind take few connections: failed connects soon turned into deliveries. There one is
-     * no outage, and is tried again as pauses allow. May hurt for seconds where such a kind goes down.
-     */
-    private boolean crowded(Endpoint endpoint) {
-        return blips[endpoint.kind] > CROWDED;
-    }
-
-    /** Most failures are blips: calls are lost everywhere, and a single failure tells nothing. */
-    private boolean lossy() {
-        return blips[blips.length - 1] > CROWDED;
-    }
-
     /** How long a call may take. */
     private long patience(Message message, DestinationLimit limit) {
         double usual = limit.answerTime > 0 ? PATIENCE * limit.answerTime : message.messageClass.aimMicros();
@@ -625,7 +603,10 @@
             return (long) Math.max(time * UNSAFE_PATIENCE, LEAST_LEFT);
         }
         // Where calls are lost everywhere, the last slot is worth more than a call that is likely lost.
-        time *= lossy() && state.slotsInUse + 1 >= state.settings.limits().slots() ? SCARCE_PATIENCE : 1;
+        time *= transientFailures.callsOftenLost()
+                        && state.slotsInUse + 1 >= state.settings.limits().slots()
+                ? SCARCE_PATIENCE
+                : 1;
         if (message.messageClass.repeat() == Repeat.KEYED && !message.mayHaveRun) {
             time = Math.min(time, WINDOW_PART * message.messageClass.repeatWindowMicros());
         }
@@ -830,13 +811,11 @@
         limit.failuresInRow = 0;
         limit.severalFail = false;
         limit.refusals /= 2;
-        boolean back = endpoint.inOutage || endpoint.refusingConnections && state.now - endpoint.failingSince >= BLIP;
+        boolean back = endpoint.inOutage || endpoint.refusingConnections && !transientFailures.isBrief(endpoint);
         endpoint.failuresInRow = 0;
         endpoint.refusingConnections = false;
         endpoint.timingOut = false;
-        if (endpoint.failingSince > 0 && state.now - endpoint.failingSince < BLIP) {
-            blips[endpoint.failureCause] += CROWD_WEIGHT * (1 - blips[endpoint.failureCause]);
-        }
+        transientFailures.onDelivered(endpoint);
         endpoint.failingSince = 0;
         endpoint.failureShare *= 1 - ILL_WEIGHT;
         if (back) {
@@ -920,8 +899,7 @@
                 state.largeFleet ? 1 + state.random.nextDouble() : 1; // a clump refused together comes again apart
         endpoint.failuresInRow++;
         // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there =
-                ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || state.now - endpoint.failingSince < BLIP);
+        boolean there = ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || transientFailures.isBrief(endpoint));
         if (!there) {
             limit.severalFail |= limit.failuresInRow > 0 && limit.lastFailedEndpoint != endpoint;
             limit.lastFailedEndpoint = endpoint;
@@ -943,27 +921,28 @@
         if (slowStart.isActive(endpoint) && endpoint.failureShare >= STILL_ILL) {
             slowStart.begin(endpoint);
         }
-        endpoint.timingOut |= ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !lossy());
+        endpoint.timingOut |=
+                ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !transientFailures.callsOftenLost());
         boolean turnedAway = ending == Ending.NO_ROOM
                 || ending == Ending.NO_CONNECTION
                         && elapsed < CONNECT_PART * state.settings.limits().connectTimeoutMicros();
-        endpoint.failureCause = turnedAway ? endpoint.kind : blips.length - 1;
         endpoint.failingSince = endpoint.failingSince == 0 ? state.now : endpoint.failingSince;
-        blips[endpoint.failureCause] *= state.now - endpoint.failingSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
+        transientFailures.onFailure(endpoint, turnedAway);
         // One that took a call just now and turns the next away is full, not down: a busy one must not be
         // left alone for it. In an outage this ends with the fourth failure in a row, or three seconds in.
-        boolean busyNow = state.now - endpoint.lastDeliveredSentAt < BLIP && endpoint.failuresInRow < FAILS_IN_ROW;
+        boolean busyNow =
+                transientFailures.isBriefSince(endpoint.lastDeliveredSentAt) && endpoint.failuresInRow < FAILS_IN_ROW;
         endpoint.refusingConnections |= state.largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
             connectionsScarce[endpoint.kind] = true;
-            if (there || crowded(endpoint)) {
+            if (there || transientFailures.connectsOftenTurnedAway(endpoint)) {
                 long longer = state.largeFleet ? state.now - limit.failingSince : 0;
                 endpoint.avoidUntil = Math.max(endpoint.avoidUntil, state.now + (long) (longer * state.randomFactor()));
                 return;
             }
         }
         int fleet = Math.max(1, FLEET_FAILS / state.settings.relays());
-        int failsInRow = lossy() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
+        int failsInRow = transientFailures.callsOftenLost() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
         if (limit.severalFail && limit.failuresInRow >= failsInRow) {
             limit.endpoints.stream().filter(each -> each.failuresInRow > 0).forEach(this::sick);
         } else if (endpoint.failuresInRow >= failsInRow || endpoint.failureShare >= ILL) {
@@ -1000,7 +979,8 @@
         int slots = state.settings.limits().slots();
         if (limit.callsInFlight >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
                 || endpoint.callsInFlight > 0
-                        && (endpoint.inOutage || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
+                        && (endpoint.inOutage
+                                || transientFailures.connectsTurnedAwayMoreThanAssumed(endpoint) && !warm(endpoint))) {
             return NEVER;
         }
         if (clogged(endpoint)) {
@@ -1043,7 +1023,8 @@
         long active = Math.max(
                 1, endpoint.limit.endpoints.stream().filter(each -> each.active).count());
         if (endpoint.inOutage || endpoint.refusingConnections) {
-            boolean sure = endpoint.refusingConnections || state.largeFleet && endpoint.limit.severalFail && !lossy();
+            boolean sure = endpoint.refusingConnections
+                    || state.largeFleet && endpoint.limit.severalFail && !transientFailures.callsOftenLost();
             double rate = budget(endpoint.limit, 0, sure) / active;
             return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.paceSpread;
         }
