--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -80,28 +80,11 @@
     private static final double SLOT_PART = 0.6;
     /** Endpoints so many times slower than the relay's usual answer share SICK_PART of the slots. */
     private static final double SLOW_TIMES = 4, SICK_PART = 0.3;
-    /** A call is dropped after so many times the usual answer time of its limit ... */
-    private static final double PATIENCE = 6;
-    /** ... and at the least this part of the aim. Each time-out doubles it, up to MOST_PATIENCE times. */
-    private static final double LEAST_PATIENCE = 0.5, MOST_PATIENCE = 4;
-    /** An unsafe message is lost by a time-out, so it may take so many times as long. */
-    private static final double UNSAFE_PATIENCE = 2;
-    /** And part of that for a call that takes the last slot, where the next would wait for it. */
-    private static final double SCARCE_PATIENCE = 0.6;
-    /** All slots taken, a call is given up after so many times the usual answer time, at the least this. */
-    private static final double BEARABLE = 8, UNSAFE_BEARABLE = 24;
 
-    private static final long LEAST_BEARABLE = 400_000, UNSAFE_LEAST_BEARABLE = 1_000_000;
-    /** Part of its window that a keyed message's first attempt may take, so that a repeat fits in. */
-    private static final double WINDOW_PART = 0.5;
-    /** Weight of one answer in the mean answer time. */
-    private static final double LATENCY_WEIGHT = 0.1;
     /** A connect that fails before this part of its time-out was turned away; later, nothing was there. */
     private static final double CONNECT_PART = 0.9;
     /** An endpoint is passed over for so long after a hard failure, microseconds, doubled by the next. */
     private static final long AVOID_FIRST = 500_000, AVOID_DOUBLINGS = 2;
-    /** A message is given up when so little time is left, microseconds: no call ends sooner. */
-    private static final long LEAST_LEFT = 60_000;
     /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
     private static final double HOLD_PART = 0.95;
     /** What a message at the end of its aim is preferred by over a fresh one. */
@@ -117,6 +100,7 @@
     private final SlowStart slowStart;
     private final RateEstimates rates;
     private final TransientFailures transientFailures;
+    private final CallTimeouts timeouts;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -140,6 +124,7 @@
         this.slowStart = new SlowStart(state);
         this.rates = new RateEstimates(state, slowStart);
         this.transientFailures = new TransientFailures(state);
+        this.timeouts = new CallTimeouts(state, transientFailures);
         // parts end
         this.connectionsScarce = new boolean[Math.max(1, settings.kinds().size()) + 1];
         this.tenantTokens = new double[settings.tenants().size()];
@@ -284,7 +269,7 @@
         if (e.prior() != null && resumed(message, e.prior())) {
             return;
         }
-        dues.add(new TimedCheck(message.deadline - LEAST_LEFT, order++, message));
+        dues.add(new TimedCheck(message.deadline - CallTimeouts.SHORTEST, order++, message));
         if (state.openMessages > HOLD_PART * state.settings.limits().maxOpen()) {
             refuseLeastWorth();
         }
@@ -325,7 +310,7 @@
             if (message.finished) {
                 forgetLine(message);
             } else if (message.inFlightTo == null) {
-                if (message.deadline - state.now <= LEAST_LEFT || state.now >= windowEnd(message)) {
+                if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= windowEnd(message)) {
                     end(message);
                 }
             } else if (state.now >= message.deadline + state.settings.rules().answerSlackMicros() / 2) {
@@ -366,42 +351,7 @@
                 .mapToLong(queue -> queue.nextCheckAt)
                 .min()
                 .orElse(NEVER);
-        return picks.isEmpty() ? next : Math.min(next, relieve(picks.size()));
-    }
-
-    /**
-     * All slots are taken, and something could go: calls out for far longer than usual make room, at most as
-     * many as could be used. Guards against endpoints that hang at several destinations at once: each would
-     * hold a slot for a whole time-out, a hundred times what another message needs. May lose an unsafe one
-     * that is only slow.
-     */
-    private long relieve(int wanted) {
-        long next = NEVER;
-        int left = state.settings.limits().cancel() ? wanted : 0;
-        for (Call call : state.calls) {
-            left -= call.cancelled ? 1 : 0;
-        }
-        for (Call call : state.calls) {
-            if (left > 0 && !call.cancelled) {
-                boolean unsafe =
-                        call.messages.stream().anyMatch(message -> message.messageClass.repeat() == Repeat.UNSAFE);
-                double usual = Math.max(state.usualAnswerTime, call.endpoint.limit.answerTime);
-                long bearable = (long)
-                        (unsafe
-                                ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
-                                : Math.max(LEAST_BEARABLE, BEARABLE * usual));
-                if (call.sentAt + bearable > state.now) {
-                    next = Math.min(next, call.sentAt + bearable);
-                } else {
-                    call.cancelled = true;
-                    left--;
-                    call.messages.stream()
-                            .filter(message -> message.call == call)
-                            .forEach(message -> state.actions.add(new Action.Cancel(message.id, message.attempts - 1)));
-                }
-            }
-        }
-        return next;
+        return picks.isEmpty() ? next : Math.min(next, timeouts.cancelOverdue(picks.size()));
     }
 
     private SendCandidate pick(DestinationQueue queue) {
@@ -418,7 +368,7 @@
         for (Message message : soonest > state.now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
             // Nothing may go before its time is up, and no call is out whose outcome could change that: the
             // client is told now, and may find a relay that is not held.
-            if (soonest > message.deadline - LEAST_LEFT || soonest >= windowEnd(message)) {
+            if (soonest > message.deadline - CallTimeouts.SHORTEST || soonest >= windowEnd(message)) {
                 late.add(message);
             }
         }
@@ -503,7 +453,7 @@
                 || message.inFlightTo != null
                 || message.attempts >= state.settings.limits().maxAttempts()
                 || state.now < message.notBefore
-                || message.deadline - state.now < LEAST_LEFT
+                || message.deadline - state.now < CallTimeouts.SHORTEST
                 || endpoint.queue != message.queue) {
             return false;
         }
@@ -516,7 +466,7 @@
             return false;
         }
         // A call that the end of the program could cut may have run: what can't come back in time stays held.
-        if (state.stopAt < NEVER && state.now + patience(message, endpoint.limit) > state.stopAt) {
+        if (state.stopAt < NEVER && state.now + timeouts.timeout(message, endpoint.limit) > state.stopAt) {
             return false;
         }
         if (message.mayHaveRun) {
@@ -578,8 +528,8 @@
         message.lastEndpoint = endpoint;
         call.outcomesDue++;
         // A connection that comes up late must not carry it past its window.
-        long dropAt =
-                Math.min(Math.min(message.deadline, state.now + patience(message, endpoint.limit)), windowEnd(message));
+        long dropAt = Math.min(
+                Math.min(message.deadline, state.now + timeouts.timeout(message, endpoint.limit)), windowEnd(message));
         state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
     }
 
@@ -595,24 +545,6 @@
         }
     }
 
-    /** How long a call may take. */
-    private long patience(Message message, DestinationLimit limit) {
-        double usual = limit.answerTime > 0 ? PATIENCE * limit.answerTime : message.messageClass.aimMicros();
-        double time = Math.max(LEAST_PATIENCE * message.messageClass.aimMicros(), usual) * limit.timeoutFactor;
-        if (message.messageClass.repeat() == Repeat.UNSAFE) {
-            return (long) Math.max(time * UNSAFE_PATIENCE, LEAST_LEFT);
-        }
-        // Where calls are lost everywhere, the last slot is worth more than a call that is likely lost.
-        time *= transientFailures.callsOftenLost()
-                        && state.slotsInUse + 1 >= state.settings.limits().slots()
-                ? SCARCE_PATIENCE
-                : 1;
-        if (message.messageClass.repeat() == Repeat.KEYED && !message.mayHaveRun) {
-            time = Math.min(time, WINDOW_PART * message.messageClass.repeatWindowMicros());
-        }
-        return (long) Math.max(time, LEAST_LEFT);
-    }
-
     private boolean warm(Endpoint endpoint) {
         long keep = state.settings.limits().keepAliveMicros();
         while (!endpoint.idleSince.isEmpty() && endpoint.idleSince.peekFirst() + keep <= state.now) {
@@ -688,7 +620,7 @@
             dues.add(new TimedCheck(windowEnd(message), order++, message));
         }
         if (message.attempts >= state.settings.limits().maxAttempts()
-                || message.notBefore > message.deadline - LEAST_LEFT
+                || message.notBefore > message.deadline - CallTimeouts.SHORTEST
                 || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE
                 || message.notBefore >= windowEnd(message)) {
             end(message);
@@ -799,11 +731,7 @@
 
     private void taken(DestinationLimit limit, Endpoint endpoint, long elapsed) {
         rates.onDelivered(limit, endpoint);
-        limit.answerTime =
-                limit.answerTime == 0 ? elapsed : limit.answerTime + LATENCY_WEIGHT * (elapsed - limit.answerTime);
-        double sane = state.usualAnswerTime == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * state.usualAnswerTime);
-        state.usualAnswerTime += (state.usualAnswerTime == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - state.usualAnswerTime);
-        limit.timeoutFactor = elapsed < 2 * limit.answerTime ? 1 : Math.max(1, limit.timeoutFactor * 0.7);
+        timeouts.onDelivered(limit, elapsed);
         limit.throttledRate += GAIN;
         limit.failingSince = 0;
         limit.refusalsAsOutage = 0;
@@ -913,7 +841,7 @@
         }
         if (ending == Ending.TIMED_OUT && endpoint.failuresInRow > 1) {
             // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
-            limit.timeoutFactor = Math.min(MOST_PATIENCE, limit.timeoutFactor * 2);
+            timeouts.lengthen(limit);
         }
         if (ending == Ending.NO_CONNECTION) {
             endpoint.idleSince.clear();
@@ -961,7 +889,7 @@
      * starve the rest; measured against the relay's usual answer time, so all slow together clog nothing.
      */
     private boolean clogged(Endpoint endpoint) {
-        double slow = SLOW_TIMES * state.usualAnswerTime;
+        double slow = timeouts.slowAnswerTime();
         for (Call call : endpoint.calls) {
             // A call that hangs while later ones come back says nothing of the endpoint.
             if (state.usualAnswerTime > 0
