--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -7,7 +7,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -101,17 +100,15 @@
     private final RateEstimates rates;
     private final TransientFailures transientFailures;
     private final CallTimeouts timeouts;
+    private final ConnectionReuse connections;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
     private final List<Message> late = new ArrayList<>();
-    /** Endpoints that a call came back from in this round, and nothing went to since. */
-    private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
 
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
-    private final boolean[] connectionsScarce;
     private final double[] tenantTokens;
     private final long[] tenantSeen;
     private long order;
@@ -125,8 +122,8 @@
         this.rates = new RateEstimates(state, slowStart);
         this.transientFailures = new TransientFailures(state);
         this.timeouts = new CallTimeouts(state, transientFailures);
+        this.connections = new ConnectionReuse(state);
         // parts end
-        this.connectionsScarce = new boolean[Math.max(1, settings.kinds().size()) + 1];
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
         for (int t = 0; t < tenantTokens.length; t++) {
@@ -167,8 +164,7 @@
         }
         dueNow();
         long next = Math.min(sendAll(), askAt);
-        used.forEach(this::closeUnused);
-        used.clear();
+        connections.closeUnused();
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
         next = Math.max(next, state.now + state.settings.roundMicros());
         if (next < NEVER && (next < wakeAt || wakeAt <= state.now)) {
@@ -436,7 +432,7 @@
             }
             double cost = endpoint.callsInFlight
                     + (endpoint.zone == state.settings.zone() ? 0 : 1)
-                    + (warm(endpoint) ? 0 : 0.75)
+                    + (connections.isWarm(endpoint) ? 0 : 0.75)
                     + (message.lastEndpoint == endpoint ? 0.5 : 0);
             if (best == null || cost < least) {
                 best = endpoint;
@@ -514,8 +510,7 @@
         endpoint.limit.callsInFlight++;
         endpoint.limit.lastSentAt = state.now;
         endpoint.lastSentAt = state.now;
-        endpoint.idleSince.pollLast();
-        used.remove(endpoint);
+        connections.onSend(endpoint);
     }
 
     private void send(Message message, Endpoint endpoint, Call call) {
@@ -533,26 +528,6 @@
         state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
     }
 
-    /**
-     * Idle connections fill what an endpoint takes from all relays, and one that has its own there never
-     * hears of those that got none. So none is kept at a kind that has once turned this relay away for want
-     * of room, and none by each of many relays, as what each learns alone comes late. Costs handshakes.
-     */
-    private void closeUnused(Endpoint endpoint) {
-        if (state.largeFleet || connectionsScarce[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
-            state.actions.add(new Action.CloseIdle(endpoint.host));
-            endpoint.idleSince.clear();
-        }
-    }
-
-    private boolean warm(Endpoint endpoint) {
-        long keep = state.settings.limits().keepAliveMicros();
-        while (!endpoint.idleSince.isEmpty() && endpoint.idleSince.peekFirst() + keep <= state.now) {
-            endpoint.idleSince.removeFirst();
-        }
-        return !endpoint.idleSince.isEmpty();
-    }
-
     // ---- outcomes ---------------------------------------------------------------------------------------
     private void outcome(Event.Outcome e) {
         Message message = messages.get(e.id());
@@ -570,13 +545,7 @@
             endpoint.calls.remove(call);
             state.calls.remove(call);
             endpoint.limit.callsInFlight--;
-            if (e.ending() != Ending.NO_CONNECTION
-                    && e.ending() != Ending.NO_ROOM
-                    && e.ending() != Ending.RESET
-                    && e.ending() != Ending.NOT_SENT) {
-                endpoint.idleSince.addLast(state.now);
-                used.add(endpoint);
-            }
+            connections.onCallEnded(endpoint, e.ending());
         }
         boolean first = !call.outcomeSeen;
         call.outcomeSeen = true;
@@ -844,7 +813,7 @@
             timeouts.lengthen(limit);
         }
         if (ending == Ending.NO_CONNECTION) {
-            endpoint.idleSince.clear();
+            connections.onConnectFailed(endpoint);
         }
         if (slowStart.isActive(endpoint) && endpoint.failureShare >= STILL_ILL) {
             slowStart.begin(endpoint);
@@ -862,7 +831,7 @@
                 transientFailures.isBriefSince(endpoint.lastDeliveredSentAt) && endpoint.failuresInRow < FAILS_IN_ROW;
         endpoint.refusingConnections |= state.largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
         if (turnedAway) {
-            connectionsScarce[endpoint.kind] = true;
+            connections.onTurnedAway(endpoint);
             if (there || transientFailures.connectsOftenTurnedAway(endpoint)) {
                 long longer = state.largeFleet ? state.now - limit.failingSince : 0;
                 endpoint.avoidUntil = Math.max(endpoint.avoidUntil, state.now + (long) (longer * state.randomFactor()));
@@ -908,7 +877,8 @@
         if (limit.callsInFlight >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
                 || endpoint.callsInFlight > 0
                         && (endpoint.inOutage
-                                || transientFailures.connectsTurnedAwayMoreThanAssumed(endpoint) && !warm(endpoint))) {
+                                || transientFailures.connectsTurnedAwayMoreThanAssumed(endpoint)
+                                        && !connections.isWarm(endpoint))) {
             return NEVER;
         }
         if (clogged(endpoint)) {
--- /dev/null
+++ b/src/test/java/lilaclever/ConnectionReuseTest.java
@@ -0,0 +1,89 @@
+package lilaclever;
+
+import static lilaclever.Rig.S;
+import static lilaclever.Rig.SAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import lilaclever.DecisionModule.Action;
+import lilaclever.DecisionModule.Ending;
+import lilaclever.PolicyState.Endpoint;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The rig keeps idle connections for 5 s. */
+class ConnectionReuseTest {
+    private final PolicyFixture fixture = new PolicyFixture();
+    private final ConnectionReuse connections = new ConnectionReuse(fixture.state);
+    private final Endpoint endpoint = fixture.endpoint();
+
+    @Test
+    void aConnectionIsIdleUntilItIsUsedOrTooOld() {
+        assertFalse(connections.isWarm(endpoint));
+        connections.onCallEnded(endpoint, Ending.DELIVERED);
+        assertTrue(connections.isWarm(endpoint));
+        connections.onSend(endpoint);
+        assertFalse(connections.isWarm(endpoint));
+        connections.onCallEnded(endpoint, Ending.FULL);
+        fixture.later(5 * S - 1);
+        assertTrue(connections.isWarm(endpoint));
+        fixture.later(1);
+        assertFalse(connections.isWarm(endpoint));
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Ending.class,
+            names = {"NO_CONNECTION", "NO_ROOM", "RESET", "NOT_SENT"})
+    void theseEndingsLeaveNoConnection(Ending ending) {
+        connections.onCallEnded(endpoint, ending);
+        assertFalse(connections.isWarm(endpoint));
+    }
+
+    @Test
+    void afterAFailedConnectNoneIsLeft() {
+        connections.onCallEnded(endpoint, Ending.DELIVERED);
+        connections.onConnectFailed(endpoint);
+        assertFalse(connections.isWarm(endpoint));
+    }
+
+    @Test
+    void aSmallFleetKeepsItsConnections() {
+        connections.onCallEnded(endpoint, Ending.DELIVERED);
+        connections.closeUnused();
+        assertEquals(List.of(), fixture.state.actions);
+        assertTrue(connections.isWarm(endpoint));
+    }
+
+    @Test
+    void whereConnectionsAreScarceNoneIsKeptThatNothingWaitsFor() {
+        connections.onTurnedAway(endpoint);
+        fixture.message(SAFE);
+        connections.onCallEnded(endpoint, Ending.DELIVERED);
+        connections.closeUnused();
+        assertEquals(List.of(), fixture.state.actions, "a message waits for the destination");
+        fixture.state.dequeue(fixture.queue.waiting.iterator().next());
+        connections.closeUnused();
+        assertEquals(List.of(), fixture.state.actions, "only in the round in which the call came back");
+        connections.onCallEnded(endpoint, Ending.DELIVERED);
+        connections.closeUnused();
+        assertEquals(List.of(new Action.CloseIdle(endpoint.host)), fixture.state.actions);
+        assertFalse(connections.isWarm(endpoint));
+    }
+
+    @Test
+    void aLargeFleetKeepsNoneButThatOfACallInTheSameRound() {
+        PolicyFixture large = new PolicyFixture(PolicyFixture.LARGE);
+        ConnectionReuse reuse = new ConnectionReuse(large.state);
+        Endpoint first = large.endpoint();
+        Endpoint second = large.endpoint();
+        reuse.onCallEnded(first, Ending.DELIVERED);
+        reuse.onCallEnded(second, Ending.DELIVERED);
+        reuse.onSend(first);
+        reuse.closeUnused();
+        assertEquals(List.of(new Action.CloseIdle(second.host)), large.state.actions);
+    }
+}
