--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -63,27 +63,13 @@
     private static final long SHUT_WAIT = 2_500_000;
     /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
     private static final long LEAST_OUTAGE = 8_000_000, LONG_OUTAGE = 20_000_000;
-    /** Hard failures in a row that mean an outage; many relays see fewer each: so many by all together. */
-    private static final int FAILS_IN_ROW = 4, FLEET_FAILS = PolicyState.LARGE_FLEET;
     /** Refusals in a row, and over SHUT_SPAN, that mean shut rather than over the limit. */
     private static final long FULLS_IN_ROW = 4, SHUT_SPAN = 2_000_000;
-    /** Weight of one outcome in the share that fails. */
-    private static final double ILL_WEIGHT = 0.1;
-    /** Share failing above which an endpoint is in outage (half, and chance), and a ramp starts anew. */
-    private static final double ILL = 0.65, STILL_ILL = 0.5;
-    /** Part of the fail-back budget that is used: the rest is for chance and other relays' calls. */
-    private static final double BUDGET_PART = 0.85;
-    /** Pause between trial calls to a limit in outage, microseconds, growing to the second figure by half. */
-    private static final long TRIAL_FIRST = 500_000, TRIAL_LAST = 2_000_000;
     /** Part of the slots that calls to one limit may hold: one that hangs leaves room for the rest. */
     private static final double SLOT_PART = 0.6;
     /** Endpoints so many times slower than the relay's usual answer share SICK_PART of the slots. */
     private static final double SLOW_TIMES = 4, SICK_PART = 0.3;
 
-    /** A connect that fails before this part of its time-out was turned away; later, nothing was there. */
-    private static final double CONNECT_PART = 0.9;
-    /** An endpoint is passed over for so long after a hard failure, microseconds, doubled by the next. */
-    private static final long AVOID_FIRST = 500_000, AVOID_DOUBLINGS = 2;
     /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
     private static final double HOLD_PART = 0.95;
     /** What a message at the end of its aim is preferred by over a fresh one. */
@@ -101,6 +87,8 @@
     private final TransientFailures transientFailures;
     private final CallTimeouts timeouts;
     private final ConnectionReuse connections;
+    private final OutageDetection outages;
+    private final RecoveryPace recoveryPace;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -123,6 +111,8 @@
         this.transientFailures = new TransientFailures(state);
         this.timeouts = new CallTimeouts(state, transientFailures);
         this.connections = new ConnectionReuse(state);
+        this.outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
+        this.recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
         // parts end
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
@@ -224,7 +214,7 @@
                     endpoint.refusingConnections = true;
                     endpoint.lastSentAt = state.now;
                 }
-                endpoint.trialPause = TRIAL_FIRST;
+                endpoint.trialPause = OutageDetection.FIRST_TRIAL_PAUSE;
                 queue.endpoints.add(endpoint);
                 queue.sharedLimit.endpoints.add(endpoint);
             }
@@ -673,7 +663,8 @@
 
     /** Calls a second that an endpoint is likely to take. */
     private double flow(Endpoint endpoint) {
-        return Math.min(rates.usual(endpoint.limit), Math.min(held(endpoint.limit), healed(endpoint)));
+        return Math.min(
+                rates.usual(endpoint.limit), Math.min(held(endpoint.limit), recoveryPace.callsPerSecond(endpoint)));
     }
 
     // ---- limits and health ------------------------------------------------------------------------------
@@ -693,7 +684,7 @@
             case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
             case FULL -> refused(limit, endpoint, e);
             case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
-                failed(limit, endpoint, e.ending(), e.elapsedMicros());
+                outages.onFailure(limit, endpoint, e.ending(), e.elapsedMicros());
             default -> {}
         }
     }
@@ -702,26 +693,10 @@
         rates.onDelivered(limit, endpoint);
         timeouts.onDelivered(limit, elapsed);
         limit.throttledRate += GAIN;
-        limit.failingSince = 0;
         limit.refusalsAsOutage = 0;
         limit.exhausted = false;
-        limit.failuresInRow = 0;
-        limit.severalFail = false;
         limit.refusals /= 2;
-        boolean back = endpoint.inOutage || endpoint.refusingConnections && !transientFailures.isBrief(endpoint);
-        endpoint.failuresInRow = 0;
-        endpoint.refusingConnections = false;
-        endpoint.timingOut = false;
-        transientFailures.onDelivered(endpoint);
-        endpoint.failingSince = 0;
-        endpoint.failureShare *= 1 - ILL_WEIGHT;
-        if (back) {
-            // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
-            endpoint.inOutage = false;
-            slowStart.begin(endpoint);
-            endpoint.failureShare = Math.min(endpoint.failureShare, STILL_ILL);
-        }
-        endpoint.trialPause = TRIAL_FIRST;
+        outages.onDelivered(limit, endpoint);
     }
 
     private void refused(DestinationLimit limit, Endpoint endpoint, Event.Outcome e) {
@@ -736,21 +711,20 @@
             limit.throttledRate = CUT * limit.recentRate / CUT_PACE;
             limit.rateCeiling = Math.max(CUT * limit.recentRate, HOLD_PER_SECOND);
         }
-        limit.failingSince = limit.failingSince == 0 ? state.now : limit.failingSince;
-        limit.failingFor = state.now - limit.failingSince;
-        limit.paceSpread = state.largeFleet ? 1 + state.random.nextDouble() : 1;
+        outages.noteTrouble(limit);
         limit.refusals++;
         if (wait >= SHUT_WAIT
                 || limit.refusals >= FULLS_IN_ROW
                         && state.now - limit.failingSince >= SHUT_SPAN
                         && limit.shortWaitAt < limit.failingSince) {
             // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
-            limit.endpoints.forEach(this::sick);
+            limit.endpoints.forEach(outages::beginOutage);
             if (wait >= SHUT_WAIT) {
                 // It told all relays when it opens, and they must not all come then. What one saw of it is
                 // short of what it lasted. Holds for any herd at a told time; a lone relay hardly waits.
                 limit.failingFor = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.failingSince);
-                double pause = SECOND / budget(limit, state.settings.rules().overloadMicros(), false);
+                double pause = SECOND
+                        / recoveryPace.afterReturn(limit, state.settings.rules().overloadMicros());
                 limit.reopensAt = limit.waitUntil + (long) (state.random.nextDouble() * pause);
             }
         } else if (slowStart.isActive(endpoint)) {
@@ -784,74 +758,6 @@
         return Math.max(LEAST_PART * rates.usual(limit), least);
     }
 
-    /**
-     * A call failed hard. Health is the endpoint's, as one may be bad alone; failures at several of a limit,
-     * nothing taken between, speak of all. May hurt where all endpoints fail with successes between.
-     */
-    private void failed(DestinationLimit limit, Endpoint endpoint, Ending how, long elapsed) {
-        Ending ending = how == Ending.CANCELED ? Ending.TIMED_OUT : how; // given up for want of an answer too
-        limit.failingSince = limit.failingSince == 0 ? state.now : limit.failingSince;
-        limit.failingFor = state.now - limit.failingSince;
-        limit.paceSpread =
-                state.largeFleet ? 1 + state.random.nextDouble() : 1; // a clump refused together comes again apart
-        endpoint.failuresInRow++;
-        // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || transientFailures.isBrief(endpoint));
-        if (!there) {
-            limit.severalFail |= limit.failuresInRow > 0 && limit.lastFailedEndpoint != endpoint;
-            limit.lastFailedEndpoint = endpoint;
-            limit.failuresInRow++;
-            endpoint.failureShare += ILL_WEIGHT * (1 - endpoint.failureShare);
-        }
-        if (endpoint.failuresInRow > 1) {
-            endpoint.avoidUntil = state.now
-                    + (long) ((AVOID_FIRST << Math.min(endpoint.failuresInRow - 2, AVOID_DOUBLINGS))
-                            * state.randomFactor());
-        }
-        if (ending == Ending.TIMED_OUT && endpoint.failuresInRow > 1) {
-            // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
-            timeouts.lengthen(limit);
-        }
-        if (ending == Ending.NO_CONNECTION) {
-            connections.onConnectFailed(endpoint);
-        }
-        if (slowStart.isActive(endpoint) && endpoint.failureShare >= STILL_ILL) {
-            slowStart.begin(endpoint);
-        }
-        endpoint.timingOut |=
-                ending == Ending.TIMED_OUT && (endpoint.failuresInRow > 1 || !transientFailures.callsOftenLost());
-        boolean turnedAway = ending == Ending.NO_ROOM
-                || ending == Ending.NO_CONNECTION
-                        && elapsed < CONNECT_PART * state.settings.limits().connectTimeoutMicros();
-        endpoint.failingSince = endpoint.failingSince == 0 ? state.now : endpoint.failingSince;
-        transientFailures.onFailure(endpoint, turnedAway);
-        // One that took a call just now and turns the next away is full, not down: a busy one must not be
-        // left alone for it. In an outage this ends with the fourth failure in a row, or three seconds in.
-        boolean busyNow =
-                transientFailures.isBriefSince(endpoint.lastDeliveredSentAt) && endpoint.failuresInRow < FAILS_IN_ROW;
-        endpoint.refusingConnections |= state.largeFleet && ending == Ending.NO_CONNECTION && !busyNow;
-        if (turnedAway) {
-            connections.onTurnedAway(endpoint);
-            if (there || transientFailures.connectsOftenTurnedAway(endpoint)) {
-                long longer = state.largeFleet ? state.now - limit.failingSince : 0;
-                endpoint.avoidUntil = Math.max(endpoint.avoidUntil, state.now + (long) (longer * state.randomFactor()));
-                return;
-            }
-        }
-        int fleet = Math.max(1, FLEET_FAILS / state.settings.relays());
-        int failsInRow = transientFailures.callsOftenLost() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
-        if (limit.severalFail && limit.failuresInRow >= failsInRow) {
-            limit.endpoints.stream().filter(each -> each.failuresInRow > 0).forEach(this::sick);
-        } else if (endpoint.failuresInRow >= failsInRow || endpoint.failureShare >= ILL) {
-            sick(endpoint);
-        }
-    }
-
-    private void sick(Endpoint endpoint) {
-        endpoint.trialPause = Math.min(TRIAL_LAST, endpoint.trialPause * (endpoint.inOutage ? 3 : 2) / 2);
-        endpoint.inOutage = true;
-    }
-
     /**
      * Calls here hold slots and deliver little: an outage, a time-out, slow answers, or a call out for long.
      * All such endpoints share a part of the slots. Guards against several that hang or crawl at once and
@@ -894,10 +800,10 @@
         double rate = held(limit);
         long free = state.now < limit.throttledUntil ? limit.throttledUntil : NEVER;
         at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSentAt + (long) (SECOND / rate)));
-        rate = limit.refusalsAsOutage > 1 ? budget(limit, 0, false) / limit.paceSpread : NEVER;
+        rate = limit.refusalsAsOutage > 1 ? recoveryPace.inOutage(limit) / limit.paceSpread : NEVER;
         rate = limit.exhausted ? Math.min(rate, USED_UP_PART * rates.evenShare(limit)) : rate;
         at = rate >= NEVER ? at : Math.max(at, limit.lastSentAt + (long) (SECOND / rate));
-        rate = healed(endpoint);
+        rate = recoveryPace.callsPerSecond(endpoint);
         long healedAt = rate >= NEVER ? at : endpoint.lastSentAt + (long) (SECOND / rate);
         // A ramp's pace is at its slowest now: at its end the endpoint is free.
         boolean ends = slowStart.isActive(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
@@ -915,32 +821,4 @@
                 ? NEVER
                 : limit.rateCeiling * Math.pow(ROOF_GROWTH, after / SECOND);
     }
-
-    /** Calls a second that an endpoint may get in an outage and on its return; unbounded otherwise. */
-    private double healed(Endpoint endpoint) {
-        long active = Math.max(
-                1, endpoint.limit.endpoints.stream().filter(each -> each.active).count());
-        if (endpoint.inOutage || endpoint.refusingConnections) {
-            boolean sure = endpoint.refusingConnections
-                    || state.largeFleet && endpoint.limit.severalFail && !transientFailures.callsOftenLost();
-            double rate = budget(endpoint.limit, 0, sure) / active;
-            return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.paceSpread;
-        }
-        return slowStart.isActive(endpoint) ? budget(endpoint.limit, slowStart.age(endpoint), false) / active : NEVER;
-    }
-
-    /**
-     * This relay's part of what a destination that came back so long ago can be sent. All
-     * relays that saw a failure share it. They are no more than the relays, and than the messages since the
-     * outage began: the rate times its length. So each has one part in that length of the rate, known or not.
-     */
-    private double budget(DestinationLimit limit, long since, boolean once) {
-        Rules r = state.settings.rules();
-        double warmed = Math.min(1.0, since / (double) Math.max(1, r.rampMicros()));
-        double part = BUDGET_PART * r.tipMultiple() * (r.coldFrom() + (1 - r.coldFrom()) * warmed);
-        // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
-        double first = once ? LONG_OUTAGE * part / (1 + 1 / part) : TRIAL_FIRST;
-        double alone = SECOND / Math.max(first, limit.failingFor);
-        return part * Math.max(Math.max(rates.usual(limit), rates.evenShare(limit)), alone);
-    }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/OutageDetection.java
@@ -0,0 +1,176 @@
+package lilaclever;
+
+import lilaclever.DecisionModule.Ending;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.Endpoint;
+
+/**
+ * The circuit breaker: tells an outage of an endpoint from single failures, and ends it with a delivery. Health is the
+ * endpoint's, as one may be bad alone; failures at several of a limit, nothing delivered between, speak of all. May
+ * hurt where all endpoints fail with successes between.
+ */
+final class OutageDetection {
+    /** First pause between trial calls in an outage, microseconds. */
+    static final long FIRST_TRIAL_PAUSE = 500_000;
+    /** Longest pause between trial calls in an outage, microseconds. */
+    private static final long LAST_TRIAL_PAUSE = 2_000_000;
+    /** Hard failures in a row that mean an outage. */
+    private static final int FAILURES_IN_ROW = 4;
+    /** The same by all forwarders together: many forwarders see fewer each. */
+    private static final int FAILURES_IN_FLEET = PolicyState.LARGE_FLEET;
+    /** Weight of one outcome in the share that fails. */
+    private static final double OUTCOME_WEIGHT = 0.1;
+    /** Share failing from which an endpoint is in an outage: half, and chance. */
+    private static final double OUTAGE_SHARE = 0.65;
+    /** Share failing from which slow start begins anew, and the most that is remembered after an outage. */
+    private static final double UNHEALTHY_SHARE = 0.5;
+    /** A connect that fails before this part of its time-out was turned away; later, nothing was there. */
+    private static final double CONNECT_PART = 0.9;
+    /** An endpoint is passed over for so long after the second hard failure, microseconds; each further doubles it. */
+    private static final long FIRST_AVOIDANCE = 500_000;
+
+    private static final int MOST_DOUBLINGS = 2;
+
+    private final PolicyState state;
+    private final SlowStart slowStart;
+    private final TransientFailures transientFailures;
+    private final CallTimeouts timeouts;
+    private final ConnectionReuse connections;
+
+    OutageDetection(
+            PolicyState state,
+            SlowStart slowStart,
+            TransientFailures transientFailures,
+            CallTimeouts timeouts,
+            ConnectionReuse connections) {
+        this.state = state;
+        this.slowStart = slowStart;
+        this.transientFailures = transientFailures;
+        this.timeouts = timeouts;
+        this.connections = connections;
+    }
+
+    /** A call was delivered: failures in a row end, and so does an outage. */
+    void onDelivered(DestinationLimit limit, Endpoint endpoint) {
+        limit.failingSince = 0;
+        limit.failuresInRow = 0;
+        limit.severalFail = false;
+        boolean connectsFailedLong = endpoint.refusingConnections && !transientFailures.isBrief(endpoint);
+        boolean returned = endpoint.inOutage || connectsFailedLong;
+        endpoint.failuresInRow = 0;
+        endpoint.refusingConnections = false;
+        endpoint.timingOut = false;
+        transientFailures.onDelivered(endpoint);
+        endpoint.failingSince = 0;
+        endpoint.failureShare *= 1 - OUTCOME_WEIGHT;
+        if (returned) {
+            // Back from an outage, or from connects that failed for long: it is cold now.
+            endpoint.inOutage = false;
+            slowStart.begin(endpoint);
+            endpoint.failureShare = Math.min(endpoint.failureShare, UNHEALTHY_SHARE);
+        }
+        endpoint.trialPause = FIRST_TRIAL_PAUSE;
+    }
+
+    /** Notes that a limit has just refused or failed: since when it does, and a new spread of the pace. */
+    void noteTrouble(DestinationLimit limit) {
+        limit.failingSince = limit.failingSince == 0 ? state.now : limit.failingSince;
+        limit.failingFor = state.now - limit.failingSince;
+        // A burst that was refused together comes again apart.
+        limit.paceSpread = state.largeFleet ? 1 + state.random.nextDouble() : 1;
+    }
+
+    /** A call failed hard, {@code elapsed} microseconds after it was sent. */
+    void onFailure(DestinationLimit limit, Endpoint endpoint, Ending reported, long elapsed) {
+        // What was given up for want of an answer has timed out too.
+        Ending ending = reported == Ending.CANCELED ? Ending.TIMED_OUT : reported;
+        noteTrouble(limit);
+        endpoint.failuresInRow++;
+        // One that has no room for a connection is there; if it says only that for long, it may be shut.
+        boolean isThere =
+                ending == Ending.NO_ROOM && (endpoint.failingSince == 0 || transientFailures.isBrief(endpoint));
+        if (!isThere) {
+            count(limit, endpoint);
+        }
+        avoid(endpoint);
+        if (ending == Ending.TIMED_OUT) {
+            onTimeout(limit, endpoint);
+        }
+        if (ending == Ending.NO_CONNECTION) {
+            connections.onConnectFailed(endpoint);
+        }
+        if (slowStart.isActive(endpoint) && endpoint.failureShare >= UNHEALTHY_SHARE) {
+            slowStart.begin(endpoint);
+        }
+        boolean turnedAway = isTurnedAway(ending, elapsed);
+        endpoint.failingSince = endpoint.failingSince == 0 ? state.now : endpoint.failingSince;
+        transientFailures.onFailure(endpoint, turnedAway);
+        noteRefusedConnection(endpoint, ending);
+        if (turnedAway) {
+            connections.onTurnedAway(endpoint);
+            if (isThere || transientFailures.connectsOftenTurnedAway(endpoint)) {
+                avoidForAsLong(limit, endpoint);
+                return;
+            }
+        }
+        detect(limit, endpoint);
+    }
+
+    private void count(DestinationLimit limit, Endpoint endpoint) {
+        limit.severalFail |= limit.failuresInRow > 0 && limit.lastFailedEndpoint != endpoint;
+        limit.lastFailedEndpoint = endpoint;
+        limit.failuresInRow++;
+        endpoint.failureShare += OUTCOME_WEIGHT * (1 - endpoint.failureShare);
+    }
+
+    private void avoid(Endpoint endpoint) {
+        if (endpoint.failuresInRow > 1) {
+            int doublings = Math.min(endpoint.failuresInRow - 2, MOST_DOUBLINGS);
+            endpoint.avoidUntil = state.now + (long) ((FIRST_AVOIDANCE << doublings) * state.randomFactor());
+        }
+    }
+
+    private void onTimeout(DestinationLimit limit, Endpoint endpoint) {
+        if (endpoint.failuresInRow > 1) {
+            // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
+            timeouts.lengthen(limit);
+        }
+        endpoint.timingOut |= endpoint.failuresInRow > 1 || !transientFailures.callsOftenLost();
+    }
+
+    private boolean isTurnedAway(Ending ending, long elapsed) {
+        boolean early = elapsed < CONNECT_PART * state.settings.limits().connectTimeoutMicros();
+        return ending == Ending.NO_ROOM || ending == Ending.NO_CONNECTION && early;
+    }
+
+    private void noteRefusedConnection(Endpoint endpoint, Ending ending) {
+        // One that took a call just now and turns the next away is full, not down: a busy one must not be left alone
+        // for it. In an outage this ends with the fourth failure in a row, or three seconds in.
+        boolean busy = transientFailures.isBriefSince(endpoint.lastDeliveredSentAt)
+                && endpoint.failuresInRow < FAILURES_IN_ROW;
+        endpoint.refusingConnections |= state.largeFleet && ending == Ending.NO_CONNECTION && !busy;
+    }
+
+    private void avoidForAsLong(DestinationLimit limit, Endpoint endpoint) {
+        long longer = state.largeFleet ? state.now - limit.failingSince : 0;
+        long until = state.now + (long) (longer * state.randomFactor());
+        endpoint.avoidUntil = Math.max(endpoint.avoidUntil, until);
+    }
+
+    private void detect(DestinationLimit limit, Endpoint endpoint) {
+        int seenByEach = Math.max(1, FAILURES_IN_FLEET / state.settings.relays());
+        int needed = transientFailures.callsOftenLost() ? FAILURES_IN_ROW : Math.min(FAILURES_IN_ROW, seenByEach);
+        if (limit.severalFail && limit.failuresInRow >= needed) {
+            limit.endpoints.stream().filter(each -> each.failuresInRow > 0).forEach(this::beginOutage);
+        } else if (endpoint.failuresInRow >= needed || endpoint.failureShare >= OUTAGE_SHARE) {
+            beginOutage(endpoint);
+        }
+    }
+
+    /** Begins an outage of the endpoint, or goes on with it; the pause between trial calls grows by half. */
+    void beginOutage(Endpoint endpoint) {
+        long longer = endpoint.trialPause * (endpoint.inOutage ? 3 : 2) / 2;
+        endpoint.trialPause = Math.min(LAST_TRIAL_PAUSE, longer);
+        endpoint.inOutage = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/RecoveryPace.java
@@ -0,0 +1,74 @@
+package lilaclever;
+
+import static lilaclever.PolicyState.NEVER;
+import static lilaclever.PolicyState.SECOND;
+
+import lilaclever.DecisionModule.Rules;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.Endpoint;
+
+/**
+ * The pace of trial calls in an outage and of calls in slow start, so that the whole fleet stays within the budget that
+ * the settings' rules give a destination that comes back cold.
+ */
+final class RecoveryPace {
+    /** Part of the budget that is used: the rest is for chance and for other forwarders' calls. */
+    private static final double BUDGET_PART = 0.85;
+    /** How long all but few outages last where this forwarder can't know it, microseconds. */
+    private static final long LONG_OUTAGE = 20_000_000;
+
+    private final PolicyState state;
+    private final SlowStart slowStart;
+    private final RateEstimates rates;
+    private final TransientFailures transientFailures;
+
+    RecoveryPace(PolicyState state, SlowStart slowStart, RateEstimates rates, TransientFailures transientFailures) {
+        this.state = state;
+        this.slowStart = slowStart;
+        this.rates = rates;
+        this.transientFailures = transientFailures;
+    }
+
+    /** Calls a second that an endpoint may get in an outage and in slow start; {@link PolicyState#NEVER} otherwise. */
+    double callsPerSecond(Endpoint endpoint) {
+        DestinationLimit limit = endpoint.limit;
+        long active =
+                Math.max(1, limit.endpoints.stream().filter(each -> each.active).count());
+        if (endpoint.inOutage || endpoint.refusingConnections) {
+            double rate = budget(limit, 0, isSurelyOut(endpoint)) / active;
+            return Math.min(SECOND / endpoint.trialPause, rate) / limit.paceSpread;
+        }
+        return slowStart.isActive(endpoint) ? budget(limit, slowStart.age(endpoint), false) / active : NEVER;
+    }
+
+    private boolean isSurelyOut(Endpoint endpoint) {
+        boolean severalOut = state.largeFleet && endpoint.limit.severalFail && !transientFailures.callsOftenLost();
+        return endpoint.refusingConnections || severalOut;
+    }
+
+    /** Calls a second for a limit that is in an outage. */
+    double inOutage(DestinationLimit limit) {
+        return budget(limit, 0, false);
+    }
+
+    /** Calls a second for a limit that came back so many microseconds ago. */
+    double afterReturn(DestinationLimit limit, long age) {
+        return budget(limit, age, false);
+    }
+
+    /**
+     * This forwarder's part of what a destination that came back so long ago can be sent. All forwarders that saw a
+     * failure share it. They are no more than the forwarders, and than the messages since the outage began: the rate
+     * times its length. So each has one part in that length of the rate, known or not.
+     */
+    private double budget(DestinationLimit limit, long age, boolean surelyOut) {
+        Rules rules = state.settings.rules();
+        double warmed = Math.min(1.0, age / (double) Math.max(1, rules.rampMicros()));
+        double warmth = rules.coldFrom() + (1 - rules.coldFrom()) * warmed;
+        double part = BUDGET_PART * rules.tipMultiple() * warmth;
+        // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
+        double shortest = surelyOut ? LONG_OUTAGE * part / (1 + 1 / part) : OutageDetection.FIRST_TRIAL_PAUSE;
+        double alone = SECOND / Math.max(shortest, limit.failingFor);
+        return part * Math.max(Math.max(rates.usual(limit), rates.evenShare(limit)), alone);
+    }
+}
