--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -33,38 +33,11 @@
     // ---- constants: the design's ------------------------------------------------------------------------
     /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
     private static final long[] STEPS = {200_000, 600_000, 2_400_000, 6_000_000};
-    /** Calls a second at most to a limit that has refused as full. */
-    private static final double HOLD_PER_SECOND = 10;
-    /** A hold ends after so long without a refusal, microseconds. */
-    private static final long QUIET = 5_000_000;
 
     // ---- constants: departures --------------------------------------------------------------------------
-    /** Slowest pace to a held limit, calls a second: a quarter of the first by each refusal in a row ... */
-    private static final double MOST_LEAST_PACE = 0.5, LEAST_PACE = 0.02;
-    /** ... to an even share of the told rate or of this; first so many shares, if used up or not told. */
-    private static final double UNTOLD_PACE = 1.5, MEAN_PART = 0.25, USED_UP_SHARES = 2, FIRST_SHARES = 10;
     /** A rough rate in the list is at most so many times the true one. */
     private static final double ROUGH = 1.5;
-    /** Part of the told rate that all relays together keep to while nothing is left: so it fills again. */
-    private static final double USED_UP_PART = 0.7;
-    /** And no slower than this part of the usual rate: a limit may shrink, but seldom to nothing. */
-    private static final double LEAST_PART = 0.5;
-    /** A refusal lowers the pace to this part of what was lately taken, or of a pace that was not used up. */
-    private static final double CUT = 0.8, CUT_PACE = 0.6;
-    /** Pace gained by a call taken while held, calls a second: finds lost room again in a few seconds. */
-    private static final double GAIN = 0.2;
-    /** Growth, in a second, of the pace that is kept to after a hold, and how long that is, microseconds. */
-    private static final double ROOF_GROWTH = 1.1;
-
-    private static final long ROOF_LASTS = 15_000_000;
-    /** Refusals within this time cut the pace once, microseconds: they are one piece of news. */
-    private static final long CUT_APART = 500_000;
-    /** Limits are in calls a second, so room comes back within about that; a longer wait means shut. */
-    private static final long SHUT_WAIT = 2_500_000;
-    /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
-    private static final long LEAST_OUTAGE = 8_000_000, LONG_OUTAGE = 20_000_000;
-    /** Refusals in a row, and over SHUT_SPAN, that mean shut rather than over the limit. */
-    private static final long FULLS_IN_ROW = 4, SHUT_SPAN = 2_000_000;
+
     /** Part of the slots that calls to one limit may hold: one that hangs leaves room for the rest. */
     private static final double SLOT_PART = 0.6;
     /** Endpoints so many times slower than the relay's usual answer share SICK_PART of the slots. */
@@ -89,6 +62,7 @@
     private final ConnectionReuse connections;
     private final OutageDetection outages;
     private final RecoveryPace recoveryPace;
+    private final DestinationLimits limits;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -113,6 +87,7 @@
         this.connections = new ConnectionReuse(state);
         this.outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
         this.recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
+        this.limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
         // parts end
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
@@ -632,7 +607,7 @@
         long wait = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
             if (endpoint.active) {
-                double rate = Math.max(share(endpoint.limit), flow(endpoint));
+                double rate = Math.max(limits.assuredRate(endpoint.limit), flow(endpoint));
                 wait = Math.min(
                         wait,
                         Math.max(0, readyAt(endpoint) - state.now) + (long) (queue.waiting.size() / rate * SECOND));
@@ -664,25 +639,19 @@
     /** Calls a second that an endpoint is likely to take. */
     private double flow(Endpoint endpoint) {
         return Math.min(
-                rates.usual(endpoint.limit), Math.min(held(endpoint.limit), recoveryPace.callsPerSecond(endpoint)));
+                rates.usual(endpoint.limit),
+                Math.min(limits.allowedRate(endpoint.limit), recoveryPace.callsPerSecond(endpoint)));
     }
 
     // ---- limits and health ------------------------------------------------------------------------------
     /** What an outcome tells of its limit and endpoint; messages of one call tell it once. */
     private void learn(Event.Outcome e, Endpoint endpoint, boolean first) {
         DestinationLimit limit = endpoint.limit;
-        if (e.report() != null && e.report().perSecond() > 0) {
-            limit.toldRate = e.report().perSecond();
-            limit.rateReported = true;
-            limit.allowanceLeft = e.report().left();
-        }
-        if (e.waitMicros() > 0) {
-            limit.waitUntil = Math.max(limit.waitUntil, state.now + e.waitMicros());
-            limit.shortWaitAt = e.waitMicros() < SHUT_WAIT ? state.now : limit.shortWaitAt;
-        }
+        limits.onReport(limit, e.report());
+        limits.onWait(limit, e.waitMicros());
         switch (first ? e.ending() : Ending.NOT_SENT) {
             case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
-            case FULL -> refused(limit, endpoint, e);
+            case FULL -> limits.onRefused(limit, endpoint, e.waitMicros(), e.report());
             case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
                 outages.onFailure(limit, endpoint, e.ending(), e.elapsedMicros());
             default -> {}
@@ -692,72 +661,10 @@
     private void taken(DestinationLimit limit, Endpoint endpoint, long elapsed) {
         rates.onDelivered(limit, endpoint);
         timeouts.onDelivered(limit, elapsed);
-        limit.throttledRate += GAIN;
-        limit.refusalsAsOutage = 0;
-        limit.exhausted = false;
-        limit.refusals /= 2;
+        limits.onDelivered(limit);
         outages.onDelivered(limit, endpoint);
     }
 
-    private void refused(DestinationLimit limit, Endpoint endpoint, Event.Outcome e) {
-        long wait = e.waitMicros();
-        // A full queue, a limit used up by refused calls and a shut one look alike to a relay that comes by
-        // once: the second refusal in a row, or the first with nothing left, sets the pace of an outage. Few
-        // relays see each destination often enough to tell an outage by its length.
-        limit.exhausted =
-                e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
-        limit.refusalsAsOutage += limit.exhausted ? 2 : state.largeFleet ? 1 : 0;
-        if (state.now >= limit.throttledUntil) {
-            limit.throttledRate = CUT * limit.recentRate / CUT_PACE;
-            limit.rateCeiling = Math.max(CUT * limit.recentRate, HOLD_PER_SECOND);
-        }
-        outages.noteTrouble(limit);
-        limit.refusals++;
-        if (wait >= SHUT_WAIT
-                || limit.refusals >= FULLS_IN_ROW
-                        && state.now - limit.failingSince >= SHUT_SPAN
-                        && limit.shortWaitAt < limit.failingSince) {
-            // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
-            limit.endpoints.forEach(outages::beginOutage);
-            if (wait >= SHUT_WAIT) {
-                // It told all relays when it opens, and they must not all come then. What one saw of it is
-                // short of what it lasted. Holds for any herd at a told time; a lone relay hardly waits.
-                limit.failingFor = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.failingSince);
-                double pause = SECOND
-                        / recoveryPace.afterReturn(limit, state.settings.rules().overloadMicros());
-                limit.reopensAt = limit.waitUntil + (long) (state.random.nextDouble() * pause);
-            }
-        } else if (slowStart.isActive(endpoint)) {
-            slowStart.setBack(endpoint);
-        }
-        if (state.now - limit.reducedAt >= CUT_APART) {
-            limit.reducedAt = state.now;
-            rates.decay(limit, endpoint);
-            double most = limit.toldRate > 0 ? Math.min(limit.toldRate, HOLD_PER_SECOND) : HOLD_PER_SECOND;
-            double least = share(limit);
-            // What was taken bounds the cut from below: with few messages to send it says little of the room.
-            limit.throttledRate =
-                    Math.max(least, Math.min(most, Math.max(CUT_PACE * limit.throttledRate, CUT * limit.recentRate)));
-        }
-        // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
-        // For one of many relays, which sends seldom, that is far longer than a clump.
-        limit.throttledUntil = state.now
-                + (long)
-                        (state.largeFleet
-                                ? QUIET * state.randomFactor()
-                                : Math.max(QUIET, 2 * SECOND / Math.max(limit.throttledRate, share(limit))));
-    }
-
-    /** Calls a second that a held limit surely has for this relay: all relays at this pace stay within it. */
-    private double share(DestinationLimit limit) {
-        // Nothing at all left: refused calls use up the limit, and any more keep it at nothing.
-        double shares = limit.toldRate <= 0 ? FIRST_SHARES : limit.allowanceLeft > 0 ? NEVER : USED_UP_SHARES;
-        int quarters = Math.min(Math.max(0, limit.refusals - 1), 6);
-        double least = Math.min(MOST_LEAST_PACE, shares * rates.evenShare(limit)) / (1 << 2 * quarters);
-        least = Math.max(least, Math.max(LEAST_PACE, Math.min(rates.evenShare(limit), MOST_LEAST_PACE)));
-        return Math.max(LEAST_PART * rates.usual(limit), least);
-    }
-
     /**
      * Calls here hold slots and deliver little: an outage, a time-out, slow answers, or a call out for long.
      * All such endpoints share a part of the slots. Guards against several that hang or crawl at once and
@@ -796,29 +703,11 @@
                 return NEVER;
             }
         }
-        long at = Math.max(Math.max(limit.waitUntil, limit.reopensAt), endpoint.avoidUntil);
-        double rate = held(limit);
-        long free = state.now < limit.throttledUntil ? limit.throttledUntil : NEVER;
-        at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSentAt + (long) (SECOND / rate)));
-        rate = limit.refusalsAsOutage > 1 ? recoveryPace.inOutage(limit) / limit.paceSpread : NEVER;
-        rate = limit.exhausted ? Math.min(rate, USED_UP_PART * rates.evenShare(limit)) : rate;
-        at = rate >= NEVER ? at : Math.max(at, limit.lastSentAt + (long) (SECOND / rate));
-        rate = recoveryPace.callsPerSecond(endpoint);
+        long at = Math.max(limits.readyAt(limit), endpoint.avoidUntil);
+        double rate = recoveryPace.callsPerSecond(endpoint);
         long healedAt = rate >= NEVER ? at : endpoint.lastSentAt + (long) (SECOND / rate);
         // A ramp's pace is at its slowest now: at its end the endpoint is free.
         boolean ends = slowStart.isActive(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
         return Math.max(at, ends ? Math.min(healedAt, slowStart.endsAt(endpoint)) : healedAt);
     }
-
-    /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
-    private double held(DestinationLimit limit) {
-        if (state.now < limit.throttledUntil) {
-            return Math.min(HOLD_PER_SECOND, limit.throttledRate);
-        }
-        // What waited must not come at once when the hold is over: it would be refused again.
-        long after = state.now - limit.throttledUntil;
-        return limit.rateCeiling == 0 || after > ROOF_LASTS
-                ? NEVER
-                : limit.rateCeiling * Math.pow(ROOF_GROWTH, after / SECOND);
-    }
 }
