--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -38,11 +38,6 @@
     /** A rough rate in the list is at most so many times the true one. */
     private static final double ROUGH = 1.5;
 
-    /** Part of the slots that calls to one limit may hold: one that hangs leaves room for the rest. */
-    private static final double SLOT_PART = 0.6;
-    /** Endpoints so many times slower than the relay's usual answer share SICK_PART of the slots. */
-    private static final double SLOW_TIMES = 4, SICK_PART = 0.3;
-
     /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
     private static final double HOLD_PART = 0.95;
     /** What a message at the end of its aim is preferred by over a fresh one. */
@@ -63,6 +58,7 @@
     private final OutageDetection outages;
     private final RecoveryPace recoveryPace;
     private final DestinationLimits limits;
+    private final EndpointAvailability availability;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -88,6 +84,8 @@
         this.outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
         this.recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
         this.limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
+        this.availability = new EndpointAvailability(
+                state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
         // parts end
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
@@ -319,7 +317,7 @@
         List<Endpoint> open = new ArrayList<>();
         long soonest = NEVER;
         for (Endpoint endpoint : queue.endpoints) {
-            long at = endpoint.active ? readyAt(endpoint) : NEVER;
+            long at = endpoint.active ? availability.readyAt(endpoint) : NEVER;
             soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? state.now : at);
             if (at <= state.now) {
                 open.add(endpoint);
@@ -440,7 +438,7 @@
                 return false;
             }
         }
-        return readyAt(endpoint) <= state.now;
+        return availability.readyAt(endpoint) <= state.now;
     }
 
     /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
@@ -610,7 +608,8 @@
                 double rate = Math.max(limits.assuredRate(endpoint.limit), flow(endpoint));
                 wait = Math.min(
                         wait,
-                        Math.max(0, readyAt(endpoint) - state.now) + (long) (queue.waiting.size() / rate * SECOND));
+                        Math.max(0, availability.readyAt(endpoint) - state.now)
+                                + (long) (queue.waiting.size() / rate * SECOND));
             }
         }
         return Math.min(wait, state.settings.limits().maxComeBackMicros());
@@ -664,50 +663,4 @@
         limits.onDelivered(limit);
         outages.onDelivered(limit, endpoint);
     }
-
-    /**
-     * Calls here hold slots and deliver little: an outage, a time-out, slow answers, or a call out for long.
-     * All such endpoints share a part of the slots. Guards against several that hang or crawl at once and
-     * starve the rest; measured against the relay's usual answer time, so all slow together clog nothing.
-     */
-    private boolean clogged(Endpoint endpoint) {
-        double slow = timeouts.slowAnswerTime();
-        for (Call call : endpoint.calls) {
-            // A call that hangs while later ones come back says nothing of the endpoint.
-            if (state.usualAnswerTime > 0
-                    && call.sentAt > endpoint.lastDeliveredSentAt
-                    && state.now - call.sentAt > slow) {
-                return true;
-            }
-        }
-        return endpoint.inOutage || endpoint.timingOut || state.usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
-    }
-
-    /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
-    private long readyAt(Endpoint endpoint) {
-        DestinationLimit limit = endpoint.limit;
-        int slots = state.settings.limits().slots();
-        if (limit.callsInFlight >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
-                || endpoint.callsInFlight > 0
-                        && (endpoint.inOutage
-                                || transientFailures.connectsTurnedAwayMoreThanAssumed(endpoint)
-                                        && !connections.isWarm(endpoint))) {
-            return NEVER;
-        }
-        if (clogged(endpoint)) {
-            int clogging = 0;
-            for (Call call : state.calls) {
-                clogging += clogged(call.endpoint) ? 1 : 0;
-            }
-            if (clogging >= Math.max(1, (int) (SICK_PART * slots))) {
-                return NEVER;
-            }
-        }
-        long at = Math.max(limits.readyAt(limit), endpoint.avoidUntil);
-        double rate = recoveryPace.callsPerSecond(endpoint);
-        long healedAt = rate >= NEVER ? at : endpoint.lastSentAt + (long) (SECOND / rate);
-        // A ramp's pace is at its slowest now: at its end the endpoint is free.
-        boolean ends = slowStart.isActive(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
-        return Math.max(at, ends ? Math.min(healedAt, slowStart.endsAt(endpoint)) : healedAt);
-    }
 }
--- /dev/null
+++ b/src/main/java/lilaclever/EndpointAvailability.java
@@ -0,0 +1,102 @@
+package lilaclever;
+
+import static lilaclever.PolicyState.NEVER;
+import static lilaclever.PolicyState.SECOND;
+
+import lilaclever.PolicyState.Call;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.Endpoint;
+
+/** When an endpoint takes a further call: as its limit, its health and the slots that calls to it may occupy allow. */
+final class EndpointAvailability {
+    /** Part of the slots that calls to one limit may occupy: one that hangs leaves room for the rest. */
+    private static final double SLOT_PART_OF_LIMIT = 0.6;
+    /** Part of the slots that calls to all stalled endpoints together may occupy. */
+    private static final double SLOT_PART_OF_STALLED = 0.3;
+
+    private final PolicyState state;
+    private final SlowStart slowStart;
+    private final TransientFailures transientFailures;
+    private final CallTimeouts timeouts;
+    private final ConnectionReuse connections;
+    private final RecoveryPace recoveryPace;
+    private final DestinationLimits limits;
+
+    EndpointAvailability(
+            PolicyState state,
+            SlowStart slowStart,
+            TransientFailures transientFailures,
+            CallTimeouts timeouts,
+            ConnectionReuse connections,
+            RecoveryPace recoveryPace,
+            DestinationLimits limits) {
+        this.state = state;
+        this.slowStart = slowStart;
+        this.transientFailures = transientFailures;
+        this.timeouts = timeouts;
+        this.connections = connections;
+        this.recoveryPace = recoveryPace;
+        this.limits = limits;
+    }
+
+    /**
+     * When the endpoint takes a further call, microseconds on the module's clock: after its limit's wait and at its
+     * pace, and at its own after an outage. {@link PolicyState#NEVER} while that hangs on a call that is in flight.
+     */
+    long readyAt(Endpoint endpoint) {
+        if (!hasSlot(endpoint.limit) || awaitsOutcome(endpoint) || isStalled(endpoint) && !stalledHaveSlot()) {
+            return NEVER;
+        }
+        long limitReadyAt = Math.max(limits.readyAt(endpoint.limit), endpoint.avoidUntil);
+        double rate = recoveryPace.callsPerSecond(endpoint);
+        if (rate >= NEVER) {
+            return limitReadyAt;
+        }
+        long healthyAt = endpoint.lastSentAt + (long) (SECOND / rate);
+        // The pace of slow start is at its slowest now: at its end the endpoint is free.
+        boolean slowStartOnly = slowStart.isActive(endpoint) && !endpoint.inOutage && !endpoint.refusingConnections;
+        long readyAt = slowStartOnly ? Math.min(healthyAt, slowStart.endsAt(endpoint)) : healthyAt;
+        return Math.max(limitReadyAt, readyAt);
+    }
+
+    private boolean hasSlot(DestinationLimit limit) {
+        int slots = state.settings.limits().slots();
+        return limit.callsInFlight < Math.max(1, (int) Math.ceil(SLOT_PART_OF_LIMIT * slots));
+    }
+
+    /** A call is in flight whose outcome decides: a trial in an outage, or a connect where few are taken. */
+    private boolean awaitsOutcome(Endpoint endpoint) {
+        if (endpoint.callsInFlight == 0) {
+            return false;
+        }
+        boolean connectionsScarce = transientFailures.connectsTurnedAwayMoreThanAssumed(endpoint);
+        return endpoint.inOutage || connectionsScarce && !connections.isWarm(endpoint);
+    }
+
+    private boolean stalledHaveSlot() {
+        int stalled = 0;
+        for (Call call : state.calls) {
+            stalled += isStalled(call.endpoint) ? 1 : 0;
+        }
+        int slots = state.settings.limits().slots();
+        return stalled < Math.max(1, (int) (SLOT_PART_OF_STALLED * slots));
+    }
+
+    /**
+     * Calls here occupy slots and deliver little: an outage, a time-out, slow answers, or a call in flight for long.
+     * All such endpoints share a part of the slots. Guards against several that hang or crawl at once and starve the
+     * rest; measured against the forwarder's usual answer time, so where all are slow none is stalled.
+     */
+    private boolean isStalled(Endpoint endpoint) {
+        double slow = timeouts.slowAnswerTime();
+        for (Call call : endpoint.calls) {
+            // A call that hangs while later ones come back says nothing of the endpoint.
+            boolean latest = call.sentAt > endpoint.lastDeliveredSentAt;
+            if (state.usualAnswerTime > 0 && latest && state.now - call.sentAt > slow) {
+                return true;
+            }
+        }
+        boolean slowAnswers = state.usualAnswerTime > 0 && endpoint.limit.answerTime > slow;
+        return endpoint.inOutage || endpoint.timingOut || slowAnswers;
+    }
+}
--- /dev/null
+++ b/src/test/java/lilaclever/PolicyParts.java
@@ -0,0 +1,27 @@
+package lilaclever;
+
+/** The parts of the decision module on one state, for tests of those that need others. */
+final class PolicyParts {
+    final SlowStart slowStart;
+    final RateEstimates rates;
+    final TransientFailures transientFailures;
+    final CallTimeouts timeouts;
+    final ConnectionReuse connections;
+    final OutageDetection outages;
+    final RecoveryPace recoveryPace;
+    final DestinationLimits limits;
+    final EndpointAvailability availability;
+
+    PolicyParts(PolicyState state) {
+        slowStart = new SlowStart(state);
+        rates = new RateEstimates(state, slowStart);
+        transientFailures = new TransientFailures(state);
+        timeouts = new CallTimeouts(state, transientFailures);
+        connections = new ConnectionReuse(state);
+        outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
+        recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
+        limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
+        availability = new EndpointAvailability(
+                state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
+    }
+}
