--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -31,8 +31,6 @@
 final class DeliveryPolicy implements DecisionModule {
 
     // ---- constants: the design's ------------------------------------------------------------------------
-    /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
-    private static final long[] STEPS = {200_000, 600_000, 2_400_000, 6_000_000};
 
     // ---- constants: departures --------------------------------------------------------------------------
     /** A rough rate in the list is at most so many times the true one. */
@@ -59,6 +57,9 @@
     private final RecoveryPace recoveryPace;
     private final DestinationLimits limits;
     private final EndpointAvailability availability;
+    private final RetrySchedule retries;
+    private final KeyOrder keyOrder;
+    private final SendRules rules;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     /** Waiting messages that were found to have no chance left, until they are ended. */
@@ -86,6 +87,9 @@
         this.limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
         this.availability = new EndpointAvailability(
                 state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
+        this.retries = new RetrySchedule(state);
+        this.keyOrder = new KeyOrder(state, lines);
+        this.rules = new SendRules(state, timeouts, retries, keyOrder, availability);
         // parts end
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
@@ -218,9 +222,7 @@
         message.queue = state.queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
         message.worth = c.worth() * (overShare(e.tenant()) ? state.settings.overShareWorth() : 1);
         if (c.ordered() && e.key() != null) {
-            message.orderedKey = lines.computeIfAbsent(e.key(), k -> new OrderedKey());
-            message.orderedKey.messages.add(message);
-            message.key = e.key();
+            keyOrder.add(message, e.key());
         }
         messages.put(message.id, message);
         state.openMessages++;
@@ -228,7 +230,7 @@
         if (e.prior() != null && resumed(message, e.prior())) {
             return;
         }
-        dues.add(new TimedCheck(message.deadline - CallTimeouts.SHORTEST, order++, message));
+        checkAt(message.deadline - CallTimeouts.SHORTEST, message);
         if (state.openMessages > HOLD_PART * state.settings.limits().maxOpen()) {
             refuseLeastWorth();
         }
@@ -241,12 +243,10 @@
         message.mayHaveRunSince = prior.riskAtMicros();
         message.mayHaveRunZone = prior.riskZone();
         message.resumed = true;
-        if (message.attempts >= state.settings.limits().maxAttempts()
-                || state.now >= windowEnd(message)
-                || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE) {
+        if (retries.isExhausted(message) || state.now >= retries.windowEnd(message)) {
             end(message);
-        } else if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
-            dues.add(new TimedCheck(windowEnd(message), order++, message));
+        } else if (retries.hasWindow(message)) {
+            checkAt(retries.windowEnd(message), message);
         }
         return message.finished;
     }
@@ -267,17 +267,16 @@
         while (!dues.isEmpty() && dues.peek().at() <= state.now) {
             Message message = dues.poll().message();
             if (message.finished) {
-                forgetLine(message);
+                keyOrder.forget(message);
             } else if (message.inFlightTo == null) {
-                if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= windowEnd(message)) {
+                if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= retries.windowEnd(message)) {
                     end(message);
                 }
             } else if (state.now >= message.deadline + state.settings.rules().answerSlackMicros() / 2) {
                 end(message);
             } else {
                 // The outcome comes at the deadline at the latest; if it doesn't, answer within the slack.
-                dues.add(new TimedCheck(
-                        message.deadline + state.settings.rules().answerSlackMicros() / 2, order++, message));
+                checkAt(message.deadline + state.settings.rules().answerSlackMicros() / 2, message);
             }
         }
     }
@@ -298,7 +297,7 @@
             SendCandidate best = Collections.max(picks, Comparator.comparingDouble(SendCandidate::rank));
             picks.remove(best);
             // What went since it was picked may have taken its part of the slots.
-            if (gate(best.message(), best.endpoint())) {
+            if (rules.permit(best.message(), best.endpoint())) {
                 sendCall(best);
             }
             SendCandidate again = pick(best.message().queue);
@@ -327,7 +326,7 @@
         for (Message message : soonest > state.now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
             // Nothing may go before its time is up, and no call is out whose outcome could change that: the
             // client is told now, and may find a relay that is not held.
-            if (soonest > message.deadline - CallTimeouts.SHORTEST || soonest >= windowEnd(message)) {
+            if (soonest > message.deadline - CallTimeouts.SHORTEST || soonest >= retries.windowEnd(message)) {
                 late.add(message);
             }
         }
@@ -390,7 +389,7 @@
         Endpoint best = null;
         double least = 0;
         for (Endpoint endpoint : open) {
-            if (!gate(message, endpoint)) {
+            if (!rules.permit(message, endpoint)) {
                 continue;
             }
             double cost = endpoint.callsInFlight
@@ -406,48 +405,6 @@
     }
 
     // ---- sending ----------------------------------------------------------------------------------------
-    /** Every send passes here: effects, windows, drains, waits, order, attempts; its call has a slot. */
-    private boolean gate(Message message, Endpoint endpoint) {
-        if (message.finished
-                || message.inFlightTo != null
-                || message.attempts >= state.settings.limits().maxAttempts()
-                || state.now < message.notBefore
-                || message.deadline - state.now < CallTimeouts.SHORTEST
-                || endpoint.queue != message.queue) {
-            return false;
-        }
-        if (!endpoint.active || state.now < endpoint.limit.waitUntil) {
-            return false;
-        }
-        if (message.orderedKey != null
-                && (message.orderedKey.messages.peek() != message
-                        || message.orderedKey.pauseExempt != message && state.now < message.orderedKey.pausedUntil)) {
-            return false;
-        }
-        // A call that the end of the program could cut may have run: what can't come back in time stays held.
-        if (state.stopAt < NEVER && state.now + timeouts.timeout(message, endpoint.limit) > state.stopAt) {
-            return false;
-        }
-        if (message.mayHaveRun) {
-            if (message.messageClass.repeat() == Repeat.UNSAFE) {
-                return false;
-            }
-            if (message.messageClass.repeat() == Repeat.KEYED
-                    && (state.now >= windowEnd(message)
-                            || message.messageClass.group() == Group.ZONE && endpoint.zone != message.mayHaveRunZone)) {
-                return false;
-            }
-        }
-        return availability.readyAt(endpoint) <= state.now;
-    }
-
-    /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
-    private long windowEnd(Message message) {
-        return message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED
-                ? message.mayHaveRunSince + message.messageClass.repeatWindowMicros() - state.settings.roundMicros()
-                : Long.MAX_VALUE;
-    }
-
     /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
     private void sendCall(SendCandidate pick) {
         Call call = new Call();
@@ -463,7 +420,7 @@
                 if (call.outcomesDue >= endpoint.batch) {
                     break;
                 }
-                if (gate(message, endpoint)) {
+                if (rules.permit(message, endpoint)) {
                     send(message, endpoint, call);
                 }
             }
@@ -487,7 +444,8 @@
         call.outcomesDue++;
         // A connection that comes up late must not carry it past its window.
         long dropAt = Math.min(
-                Math.min(message.deadline, state.now + timeouts.timeout(message, endpoint.limit)), windowEnd(message));
+                Math.min(message.deadline, state.now + timeouts.timeout(message, endpoint.limit)),
+                retries.windowEnd(message));
         state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
     }
 
@@ -524,9 +482,8 @@
         }
         if (message.orderedKey != null
                 && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
-            message.orderedKey.pausedUntil = state.now + state.settings.rules().orderPauseMicros();
-            message.orderedKey.pauseExempt = message;
-            dues.add(new TimedCheck(message.orderedKey.pausedUntil, order++, message));
+            keyOrder.pause(message);
+            checkAt(message.orderedKey.pausedUntil, message);
         }
         if (message.finished || e.over() || e.ending() == Ending.DELIVERED) {
             over(message);
@@ -541,24 +498,21 @@
         }
     }
 
-    /** The next try after the design's growing, spread pause; or the end, at once, if none can come. */
+    /** The next try after a pause; or the end, at once, if none can come. */
     private void retry(Message message) {
-        long pause = (long) (STEPS[Math.max(0, Math.min(message.attempts, STEPS.length) - 1)] * state.randomFactor());
-        message.notBefore = state.now + pause;
-        if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
-            // A pause past the window would lose the message: come as late as a connection may still come up.
-            long latest = windowEnd(message) - state.settings.limits().connectTimeoutMicros();
-            message.notBefore = state.now < latest ? Math.min(message.notBefore, latest) : message.notBefore;
-            dues.add(new TimedCheck(windowEnd(message), order++, message));
-        }
-        if (message.attempts >= state.settings.limits().maxAttempts()
-                || message.notBefore > message.deadline - CallTimeouts.SHORTEST
-                || message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE
-                || message.notBefore >= windowEnd(message)) {
+        retries.pause(message);
+        if (retries.hasWindow(message)) {
+            checkAt(retries.windowEnd(message), message);
+        }
+        if (retries.canTryAgain(message)) {
+            state.enqueue(message);
+        } else {
             end(message);
-            return;
         }
-        state.enqueue(message);
+    }
+
+    private void checkAt(long at, Message message) {
+        dues.add(new TimedCheck(at, order++, message));
     }
 
     /** The one place that ends a message: refused where that is harmless, else failed. */
@@ -581,19 +535,7 @@
         }
         if (message.inFlightTo == null) {
             messages.remove(message.id);
-            if (message.orderedKey != null) {
-                message.orderedKey.messages.remove(message);
-            }
-            forgetLine(message);
-        }
-    }
-
-    /** A key is forgotten when nothing of it is left and it has rested. */
-    private void forgetLine(Message message) {
-        if (message.orderedKey != null
-                && message.orderedKey.messages.isEmpty()
-                && message.orderedKey.pausedUntil <= state.now) {
-            lines.remove(message.key, message.orderedKey);
+            keyOrder.remove(message);
         }
     }
 
--- /dev/null
+++ b/src/main/java/lilaclever/KeyOrder.java
@@ -0,0 +1,59 @@
+package lilaclever;
+
+import java.util.Map;
+import lilaclever.PolicyState.Message;
+import lilaclever.PolicyState.OrderedKey;
+
+/**
+ * The order of messages of one key, in classes that keep one: only the first of a key is sent, and after an attempt
+ * that was given up no other for a while, as that attempt may still be running.
+ */
+final class KeyOrder {
+    private final PolicyState state;
+    private final Map<String, OrderedKey> keys;
+
+    /** {@code keys}: where keys are remembered while messages of theirs are open or their pause lasts. */
+    KeyOrder(PolicyState state, Map<String, OrderedKey> keys) {
+        this.state = state;
+        this.keys = keys;
+    }
+
+    /** Puts a message behind all others of its key. */
+    void add(Message message, String key) {
+        message.orderedKey = keys.computeIfAbsent(key, k -> new OrderedKey());
+        message.orderedKey.messages.add(message);
+        message.key = key;
+    }
+
+    /** Whether the order allows the message to be sent now. */
+    boolean permits(Message message) {
+        OrderedKey key = message.orderedKey;
+        if (key == null) {
+            return true;
+        }
+        boolean paused = key.pauseExempt != message && state.now < key.pausedUntil;
+        return key.messages.peek() == message && !paused;
+    }
+
+    /** Pauses the key of a message whose attempt was given up, for all others of the key. */
+    void pause(Message message) {
+        message.orderedKey.pausedUntil = state.now + state.settings.rules().orderPauseMicros();
+        message.orderedKey.pauseExempt = message;
+    }
+
+    /** Takes a finished message out of its key, if it has one. */
+    void remove(Message message) {
+        if (message.orderedKey != null) {
+            message.orderedKey.messages.remove(message);
+        }
+        forget(message);
+    }
+
+    /** Forgets the message's key if nothing of it is left and its pause is over. */
+    void forget(Message message) {
+        OrderedKey key = message.orderedKey;
+        if (key != null && key.messages.isEmpty() && key.pausedUntil <= state.now) {
+            keys.remove(message.key, key);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lilaclever/RetrySchedule.java
@@ -0,0 +1,58 @@
+package lilaclever;
+
+import lilaclever.DecisionModule.Repeat;
+import lilaclever.PolicyState.Message;
+
+/**
+ * When a message is tried again: the design's growing pauses, spread by chance, up to the limit of attempts, the
+ * message's deadline and, for a keyed message that may have run, the end of its repeat window.
+ */
+final class RetrySchedule {
+    /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
+    private static final long[] STEPS = {200_000, 600_000, 2_400_000, 6_000_000};
+
+    private final PolicyState state;
+
+    RetrySchedule(PolicyState state) {
+        this.state = state;
+    }
+
+    /** Whether repeats of the message are bound to a window: it is keyed and may have run. */
+    boolean hasWindow(Message message) {
+        return message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED;
+    }
+
+    /**
+     * Until when a repeat is dropped by those who had the first, microseconds on the module's clock, less a round;
+     * {@link Long#MAX_VALUE} where there is no window.
+     */
+    long windowEnd(Message message) {
+        return hasWindow(message)
+                ? message.mayHaveRunSince + message.messageClass.repeatWindowMicros() - state.settings.roundMicros()
+                : Long.MAX_VALUE;
+    }
+
+    /** Whether no attempt may follow, at whatever time. */
+    boolean isExhausted(Message message) {
+        boolean unsafe = message.mayHaveRun && message.messageClass.repeat() == Repeat.UNSAFE;
+        return message.attempts >= state.settings.limits().maxAttempts() || unsafe;
+    }
+
+    /** Sets the pause after an attempt: the design's step times a random factor. */
+    void pause(Message message) {
+        int step = Math.max(0, Math.min(message.attempts, STEPS.length) - 1);
+        message.notBefore = state.now + (long) (STEPS[step] * state.randomFactor());
+        if (hasWindow(message)) {
+            // A pause past the window would lose the message: come as late as a connection may still come up.
+            long latest = windowEnd(message) - state.settings.limits().connectTimeoutMicros();
+            message.notBefore = state.now < latest ? Math.min(message.notBefore, latest) : message.notBefore;
+        }
+    }
+
+    /** Whether an attempt may follow after the pause, in time and within the window. */
+    boolean canTryAgain(Message message) {
+        return !isExhausted(message)
+                && message.notBefore <= message.deadline - CallTimeouts.SHORTEST
+                && message.notBefore < windowEnd(message);
+    }
+}
--- a/src/test/java/lilaclever/PolicyParts.java
+++ b/src/test/java/lilaclever/PolicyParts.java
@@ -1,5 +1,7 @@
 package lilaclever;
 
+import java.util.HashMap;
+
 /** The parts of the decision module on one state, for tests of those that need others. */
 final class PolicyParts {
     final SlowStart slowStart;
@@ -11,6 +13,9 @@
     final RecoveryPace recoveryPace;
     final DestinationLimits limits;
     final EndpointAvailability availability;
+    final RetrySchedule retries;
+    final KeyOrder keyOrder;
+    final SendRules rules;
 
     PolicyParts(PolicyState state) {
         slowStart = new SlowStart(state);
@@ -23,5 +28,8 @@
         limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
         availability = new EndpointAvailability(
                 state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
+        retries = new RetrySchedule(state);
+        keyOrder = new KeyOrder(state, new HashMap<>());
+        rules = new SendRules(state, timeouts, retries, keyOrder, availability);
     }
 }
