--- /dev/null
+++ b/src/main/java/lilaclever/CallDispatch.java
@@ -0,0 +1,134 @@
+package lilaclever;
+
+import static lilaclever.PolicyState.NEVER;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import lilaclever.DecisionModule.Action;
+import lilaclever.PolicyState.Call;
+import lilaclever.PolicyState.DestinationQueue;
+import lilaclever.PolicyState.Endpoint;
+import lilaclever.PolicyState.Message;
+import lilaclever.PolicyState.SendCandidate;
+
+/** Sends what may go, the highest rank first, while slots are free; and keeps the books of calls in flight. */
+final class CallDispatch {
+    private final PolicyState state;
+    private final CallTimeouts timeouts;
+    private final ConnectionReuse connections;
+    private final RetrySchedule retries;
+    private final SendRules rules;
+    private final EndpointSelection selection;
+
+    CallDispatch(
+            PolicyState state,
+            CallTimeouts timeouts,
+            ConnectionReuse connections,
+            RetrySchedule retries,
+            SendRules rules,
+            EndpointSelection selection) {
+        this.state = state;
+        this.timeouts = timeouts;
+        this.connections = connections;
+        this.retries = retries;
+        this.rules = rules;
+        this.selection = selection;
+    }
+
+    /** The best candidate of each destination that messages wait for, in the order in which they began to wait. */
+    List<SendCandidate> candidates() {
+        List<SendCandidate> candidates = new ArrayList<>();
+        for (DestinationQueue queue : state.queuesWaiting) {
+            queue.nextCheckAt = NEVER;
+            SendCandidate candidate = selection.select(queue);
+            if (candidate != null) {
+                candidates.add(candidate);
+            }
+        }
+        return candidates;
+    }
+
+    /**
+     * Sends the candidates and those that follow them, the highest rank first, until slots or candidates are used up;
+     * gives the time to look again, microseconds.
+     */
+    long send(List<SendCandidate> candidates) {
+        while (!candidates.isEmpty()
+                && state.slotsInUse < state.settings.limits().slots()) {
+            SendCandidate best = Collections.max(candidates, Comparator.comparingDouble(SendCandidate::rank));
+            candidates.remove(best);
+            // What went since it was selected may have taken its part of the slots.
+            if (rules.permit(best.message(), best.endpoint())) {
+                startCall(best.message(), best.endpoint());
+            }
+            SendCandidate following = selection.select(best.message().queue);
+            if (following != null) {
+                candidates.add(following);
+            }
+        }
+        long next = state.queuesWaiting.stream()
+                .mapToLong(queue -> queue.nextCheckAt)
+                .min()
+                .orElse(NEVER);
+        return candidates.isEmpty() ? next : Math.min(next, timeouts.cancelOverdue(candidates.size()));
+    }
+
+    /** One call: the selected message, and where calls carry several, others of its queue that may go along. */
+    private void startCall(Message message, Endpoint endpoint) {
+        Call call = new Call();
+        call.sentAt = state.now;
+        call.endpoint = endpoint;
+        endpoint.calls.add(call);
+        state.calls.add(call);
+        attempt(message, call);
+        if (endpoint.batch > 1 && !endpoint.inOutage) {
+            addOthers(call);
+        }
+        state.slotsInUse++;
+        endpoint.callsInFlight++;
+        endpoint.limit.callsInFlight++;
+        endpoint.limit.lastSentAt = state.now;
+        endpoint.lastSentAt = state.now;
+        connections.onSend(endpoint);
+    }
+
+    /** Limits count calls, so what goes along is free; only a trial, which may fail all, goes alone. */
+    private void addOthers(Call call) {
+        for (Message message : List.copyOf(call.endpoint.queue.waiting)) {
+            if (call.outcomesDue >= call.endpoint.batch) {
+                break;
+            }
+            if (rules.permit(message, call.endpoint)) {
+                attempt(message, call);
+            }
+        }
+    }
+
+    private void attempt(Message message, Call call) {
+        Endpoint endpoint = call.endpoint;
+        state.dequeue(message);
+        message.attempts++;
+        message.inFlightTo = endpoint;
+        message.call = call;
+        call.messages.add(message);
+        message.sentAt = state.now;
+        message.lastEndpoint = endpoint;
+        call.outcomesDue++;
+        // A connection that comes up late must not carry it past its window.
+        long timeoutAt = state.now + timeouts.timeout(message, endpoint.limit);
+        long dropAt = Math.min(Math.min(message.deadline, timeoutAt), retries.windowEnd(message));
+        state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
+    }
+
+    /** Frees the slot of a call, once the outcomes of all its messages have come. */
+    void end(Call call) {
+        Endpoint endpoint = call.endpoint;
+        state.slotsInUse--;
+        endpoint.callsInFlight--;
+        endpoint.calls.remove(call);
+        state.calls.remove(call);
+        endpoint.limit.callsInFlight--;
+    }
+}
--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -4,7 +4,6 @@
 import static lilaclever.PolicyState.SECOND;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,10 +37,6 @@
 
     /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
     private static final double HOLD_PART = 0.95;
-    /** What a message at the end of its aim is preferred by over a fresh one. */
-    private static final double EDGE = 0.5;
-    /** Messages looked at for one send: bounds the work of a long queue. */
-    private static final int LOOK = 500;
     /** Messages of a tenant beyond its quota that pass at once, seconds of its quota. */
     private static final double TENANT_BURST = 3;
     /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
@@ -60,11 +55,10 @@
     private final RetrySchedule retries;
     private final KeyOrder keyOrder;
     private final SendRules rules;
+    private final EndpointSelection selection;
+    private final CallDispatch dispatch;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
-    /** Waiting messages that were found to have no chance left, until they are ended. */
-    private final List<Message> late = new ArrayList<>();
-
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
@@ -90,6 +84,8 @@
         this.retries = new RetrySchedule(state);
         this.keyOrder = new KeyOrder(state, lines);
         this.rules = new SendRules(state, timeouts, retries, keyOrder, availability);
+        this.selection = new EndpointSelection(state, connections, retries, availability, rules);
+        this.dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
         // parts end
         this.tenantTokens = new double[settings.tenants().size()];
         this.tenantSeen = new long[settings.tenants().size()];
@@ -130,7 +126,10 @@
             askAt = NEVER;
         }
         dueNow();
-        long next = Math.min(sendAll(), askAt);
+        List<SendCandidate> candidates = dispatch.candidates();
+        selection.hopeless().forEach(this::end);
+        selection.clearHopeless();
+        long next = Math.min(dispatch.send(candidates), askAt);
         connections.closeUnused();
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
         next = Math.max(next, state.now + state.settings.roundMicros());
@@ -281,174 +280,6 @@
         }
     }
 
-    /** Sends what may go, the most worth for a slot's time first; gives the time to look again. */
-    private long sendAll() {
-        List<SendCandidate> picks = new ArrayList<>();
-        for (DestinationQueue queue : state.queuesWaiting) {
-            queue.nextCheckAt = NEVER;
-            SendCandidate pick = pick(queue);
-            if (pick != null) {
-                picks.add(pick);
-            }
-        }
-        late.forEach(this::end);
-        late.clear();
-        while (!picks.isEmpty() && state.slotsInUse < state.settings.limits().slots()) {
-            SendCandidate best = Collections.max(picks, Comparator.comparingDouble(SendCandidate::rank));
-            picks.remove(best);
-            // What went since it was picked may have taken its part of the slots.
-            if (rules.permit(best.message(), best.endpoint())) {
-                sendCall(best);
-            }
-            SendCandidate again = pick(best.message().queue);
-            if (again != null) {
-                picks.add(again);
-            }
-        }
-        long next = state.queuesWaiting.stream()
-                .mapToLong(queue -> queue.nextCheckAt)
-                .min()
-                .orElse(NEVER);
-        return picks.isEmpty() ? next : Math.min(next, timeouts.cancelOverdue(picks.size()));
-    }
-
-    private SendCandidate pick(DestinationQueue queue) {
-        List<Endpoint> open = new ArrayList<>();
-        long soonest = NEVER;
-        for (Endpoint endpoint : queue.endpoints) {
-            long at = endpoint.active ? availability.readyAt(endpoint) : NEVER;
-            soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? state.now : at);
-            if (at <= state.now) {
-                open.add(endpoint);
-            }
-            queue.nextCheckAt = at <= state.now ? queue.nextCheckAt : Math.min(queue.nextCheckAt, at);
-        }
-        for (Message message : soonest > state.now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
-            // Nothing may go before its time is up, and no call is out whose outcome could change that: the
-            // client is told now, and may find a relay that is not held.
-            if (soonest > message.deadline - CallTimeouts.SHORTEST || soonest >= retries.windowEnd(message)) {
-                late.add(message);
-            }
-        }
-        SendCandidate best = null;
-        int looked = 0;
-        for (Message message : queue.waiting) {
-            if (open.isEmpty() || looked >= LOOK) {
-                break;
-            }
-            if (message.notBefore > state.now) {
-                queue.nextCheckAt = Math.min(queue.nextCheckAt, message.notBefore);
-                continue;
-            }
-            looked++;
-            if (best != null && rank(message, best.endpoint()) <= best.rank()) {
-                continue;
-            }
-            Endpoint endpoint = choose(message, open);
-            if (endpoint != null) {
-                double rank = rank(message, endpoint);
-                best = best == null || rank > best.rank() ? new SendCandidate(message, endpoint, rank) : best;
-            }
-        }
-        return best;
-    }
-
-    /**
-     * What a message is worth if it goes now, and a little more the closer its aim is. Where more waits than
-     * goes, what is late already must not make all that is fresh late too.
-     */
-    private double worthNow(Message message) {
-        MessageClass c = message.messageClass;
-        double late = (state.now - message.acceptedAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
-        if (late < 0) {
-            return message.worth * (1 + EDGE * (1 + late));
-        }
-        double rest = c.halves()
-                ? Math.pow(0.5, late)
-                : 1 - late * c.aimMicros() / Math.max(1, c.deadlineMicros() - c.aimMicros());
-        return message.worth * Math.max(c.lateShare(), rest);
-    }
-
-    /** Worth for a slot's time. */
-    private double rank(Message message, Endpoint endpoint) {
-        DestinationLimit limit = endpoint.limit;
-        double worth = worthNow(message);
-        if (message.mayHaveRun && message.messageClass.repeat() == Repeat.KEYED) {
-            worth *= 4; // its window is running: later is too late
-        }
-        if ((endpoint.inOutage || endpoint.timingOut)
-                && message.messageClass.repeat() != Repeat.SAFE
-                && !message.mayHaveRun) {
-            // A call that fails may have run. Try a sick limit with what can be repeated.
-            worth *= message.messageClass.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
-        }
-        return worth / Math.max(1_000, limit.answerTime > 0 ? limit.answerTime : state.usualAnswerTime);
-    }
-
-    private Endpoint choose(Message message, List<Endpoint> open) {
-        Endpoint best = null;
-        double least = 0;
-        for (Endpoint endpoint : open) {
-            if (!rules.permit(message, endpoint)) {
-                continue;
-            }
-            double cost = endpoint.callsInFlight
-                    + (endpoint.zone == state.settings.zone() ? 0 : 1)
-                    + (connections.isWarm(endpoint) ? 0 : 0.75)
-                    + (message.lastEndpoint == endpoint ? 0.5 : 0);
-            if (best == null || cost < least) {
-                best = endpoint;
-                least = cost;
-            }
-        }
-        return best;
-    }
-
-    // ---- sending ----------------------------------------------------------------------------------------
-    /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
-    private void sendCall(SendCandidate pick) {
-        Call call = new Call();
-        Endpoint endpoint = pick.endpoint();
-        call.sentAt = state.now;
-        call.endpoint = endpoint;
-        endpoint.calls.add(call);
-        state.calls.add(call);
-        send(pick.message(), endpoint, call);
-        if (endpoint.batch > 1 && !endpoint.inOutage) {
-            // Limits count calls, so what goes along is free; only a trial, which may fail all, goes alone.
-            for (Message message : List.copyOf(pick.message().queue.waiting)) {
-                if (call.outcomesDue >= endpoint.batch) {
-                    break;
-                }
-                if (rules.permit(message, endpoint)) {
-                    send(message, endpoint, call);
-                }
-            }
-        }
-        state.slotsInUse++;
-        endpoint.callsInFlight++;
-        endpoint.limit.callsInFlight++;
-        endpoint.limit.lastSentAt = state.now;
-        endpoint.lastSentAt = state.now;
-        connections.onSend(endpoint);
-    }
-
-    private void send(Message message, Endpoint endpoint, Call call) {
-        state.dequeue(message);
-        message.attempts++;
-        message.inFlightTo = endpoint;
-        message.call = call;
-        call.messages.add(message);
-        message.sentAt = state.now;
-        message.lastEndpoint = endpoint;
-        call.outcomesDue++;
-        // A connection that comes up late must not carry it past its window.
-        long dropAt = Math.min(
-                Math.min(message.deadline, state.now + timeouts.timeout(message, endpoint.limit)),
-                retries.windowEnd(message));
-        state.actions.add(new Action.Send(message.id, endpoint.host, dropAt));
-    }
-
     // ---- outcomes ---------------------------------------------------------------------------------------
     private void outcome(Event.Outcome e) {
         Message message = messages.get(e.id());
@@ -461,11 +292,7 @@
         message.call = null;
         boolean ran = !e.ending().neverRan();
         if (--call.outcomesDue == 0) {
-            state.slotsInUse--;
-            endpoint.callsInFlight--;
-            endpoint.calls.remove(call);
-            state.calls.remove(call);
-            endpoint.limit.callsInFlight--;
+            dispatch.end(call);
             connections.onCallEnded(endpoint, e.ending());
         }
         boolean first = !call.outcomeSeen;
--- /dev/null
+++ b/src/main/java/lilaclever/EndpointSelection.java
@@ -0,0 +1,191 @@
+package lilaclever;
+
+import static lilaclever.PolicyState.NEVER;
+
+import java.util.ArrayList;
+import java.util.List;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.Repeat;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.DestinationQueue;
+import lilaclever.PolicyState.Endpoint;
+import lilaclever.PolicyState.Message;
+import lilaclever.PolicyState.SendCandidate;
+
+/**
+ * Which message of a destination goes next, and to which of its endpoints: the one that is worth most for the time that
+ * it takes a slot, to the endpoint with the fewest calls, in the own zone and with an idle connection if possible.
+ */
+final class EndpointSelection {
+    /** Messages looked at for one send: bounds the work of a long queue. */
+    private static final int MOST_MESSAGES_CONSIDERED = 500;
+    /** What a message at the end of its aim is preferred by over a fresh one. */
+    private static final double PREFERENCE_AT_AIM = 0.5;
+    /** Factor on the worth of a keyed message that may have run: its window is running, and later is too late. */
+    private static final double FACTOR_IN_WINDOW = 4;
+    /** Factors on the worth of messages that a failing call may lose, at endpoints that fail or hang. */
+    private static final double FACTOR_IF_UNSAFE = 0.01, FACTOR_IF_KEYED = 0.5;
+    /** Least time that a call is taken to occupy a slot, microseconds. */
+    private static final long LEAST_SLOT_TIME = 1_000;
+    /** Costs of an endpoint, in calls that are in flight there: in another zone, ... */
+    private static final double OTHER_ZONE_COST = 1;
+    /** ... without an idle connection, ... */
+    private static final double CONNECT_COST = 0.75;
+    /** ... and where the message's last attempt went. */
+    private static final double SAME_ENDPOINT_COST = 0.5;
+
+    private final PolicyState state;
+    private final ConnectionReuse connections;
+    private final RetrySchedule retries;
+    private final EndpointAvailability availability;
+    private final SendRules rules;
+    /** Waiting messages that were found to have no chance left, until they are taken out. */
+    private final List<Message> hopeless = new ArrayList<>();
+
+    EndpointSelection(
+            PolicyState state,
+            ConnectionReuse connections,
+            RetrySchedule retries,
+            EndpointAvailability availability,
+            SendRules rules) {
+        this.state = state;
+        this.connections = connections;
+        this.retries = retries;
+        this.availability = availability;
+        this.rules = rules;
+    }
+
+    /**
+     * Selects what may go from the queue now; null if nothing may. Lowers the queue's {@code nextCheckAt} to the time
+     * from which something may that can't now, and notes messages for which that is too late.
+     */
+    SendCandidate select(DestinationQueue queue) {
+        List<Endpoint> ready = new ArrayList<>();
+        long soonest = findReady(queue, ready);
+        if (soonest > state.now && soonest < NEVER) {
+            noteHopeless(queue, soonest);
+        }
+        return best(queue, ready);
+    }
+
+    /** Collects endpoints that take a call now; gives the time from which one does or may turn out to do. */
+    private long findReady(DestinationQueue queue, List<Endpoint> ready) {
+        long soonest = NEVER;
+        for (Endpoint endpoint : queue.endpoints) {
+            long at = endpoint.active ? availability.readyAt(endpoint) : NEVER;
+            soonest = Math.min(soonest, endpoint.callsInFlight > 0 ? state.now : at);
+            if (at <= state.now) {
+                ready.add(endpoint);
+            } else {
+                queue.nextCheckAt = Math.min(queue.nextCheckAt, at);
+            }
+        }
+        return soonest;
+    }
+
+    /**
+     * Nothing may go before {@code soonest}, and no call is in flight whose outcome could change that: clients of
+     * messages whose time is up by then are told now, and may find a forwarder that is not throttled.
+     */
+    private void noteHopeless(DestinationQueue queue, long soonest) {
+        for (Message message : queue.waiting) {
+            if (soonest > message.deadline - CallTimeouts.SHORTEST || soonest >= retries.windowEnd(message)) {
+                hopeless.add(message);
+            }
+        }
+    }
+
+    /** Messages without a chance left, noted since {@link #clearHopeless}: the caller ends them. */
+    List<Message> hopeless() {
+        return hopeless;
+    }
+
+    /** Forgets the messages of {@link #hopeless}. */
+    void clearHopeless() {
+        hopeless.clear();
+    }
+
+    private SendCandidate best(DestinationQueue queue, List<Endpoint> ready) {
+        SendCandidate best = null;
+        int considered = 0;
+        for (Message message : queue.waiting) {
+            if (ready.isEmpty() || considered >= MOST_MESSAGES_CONSIDERED) {
+                break;
+            }
+            if (message.notBefore > state.now) {
+                queue.nextCheckAt = Math.min(queue.nextCheckAt, message.notBefore);
+                continue;
+            }
+            considered++;
+            if (best != null && rank(message, best.endpoint()) <= best.rank()) {
+                continue;
+            }
+            best = better(message, ready, best);
+        }
+        return best;
+    }
+
+    /** The message as a candidate if it may go and ranks higher than {@code best}, which may be null; else that. */
+    private SendCandidate better(Message message, List<Endpoint> ready, SendCandidate best) {
+        Endpoint endpoint = choose(message, ready);
+        if (endpoint == null) {
+            return best;
+        }
+        double rank = rank(message, endpoint);
+        return best == null || rank > best.rank() ? new SendCandidate(message, endpoint, rank) : best;
+    }
+
+    /** The endpoint of least cost that the message may go to; the first of equal ones, null if there is none. */
+    Endpoint choose(Message message, List<Endpoint> ready) {
+        Endpoint best = null;
+        double least = 0;
+        for (Endpoint endpoint : ready) {
+            if (!rules.permit(message, endpoint)) {
+                continue;
+            }
+            double cost = cost(message, endpoint);
+            if (best == null || cost < least) {
+                best = endpoint;
+                least = cost;
+            }
+        }
+        return best;
+    }
+
+    private double cost(Message message, Endpoint endpoint) {
+        return endpoint.callsInFlight
+                + (endpoint.zone == state.settings.zone() ? 0 : OTHER_ZONE_COST)
+                + (connections.isWarm(endpoint) ? 0 : CONNECT_COST)
+                + (message.lastEndpoint == endpoint ? SAME_ENDPOINT_COST : 0);
+    }
+
+    /** Worth of a message at an endpoint for the time that it takes a slot, in worth per microsecond. */
+    double rank(Message message, Endpoint endpoint) {
+        DestinationLimit limit = endpoint.limit;
+        Repeat repeat = message.messageClass.repeat();
+        double worth = worthNow(message);
+        if (message.mayHaveRun && repeat == Repeat.KEYED) {
+            worth *= FACTOR_IN_WINDOW;
+        }
+        if ((endpoint.inOutage || endpoint.timingOut) && repeat != Repeat.SAFE && !message.mayHaveRun) {
+            // A call that fails may have run. Try a failing endpoint with what can be repeated.
+            worth *= repeat == Repeat.UNSAFE ? FACTOR_IF_UNSAFE : FACTOR_IF_KEYED;
+        }
+        return worth / Math.max(LEAST_SLOT_TIME, limit.answerTime > 0 ? limit.answerTime : state.usualAnswerTime);
+    }
+
+    /**
+     * What a message is worth if it goes now, and a little more the closer its aim is. Where more waits than goes, what
+     * is late already must not make all that is fresh late too.
+     */
+    private double worthNow(Message message) {
+        MessageClass kind = message.messageClass;
+        long aim = kind.aimMicros();
+        double late = (state.now - message.acceptedAt - aim) / (double) Math.max(1, aim);
+        if (late < 0) {
+            return message.worth * (1 + PREFERENCE_AT_AIM * (1 + late));
+        }
+        double rest = kind.halves() ? Math.pow(0.5, late) : 1 - late * aim / Math.max(1, kind.deadlineMicros() - aim);
+        return message.worth * Math.max(kind.lateShare(), rest);
+    }
+}
--- a/src/test/java/lilaclever/PolicyParts.java
+++ b/src/test/java/lilaclever/PolicyParts.java
@@ -16,6 +16,8 @@
     final RetrySchedule retries;
     final KeyOrder keyOrder;
     final SendRules rules;
+    final EndpointSelection selection;
+    final CallDispatch dispatch;
 
     PolicyParts(PolicyState state) {
         slowStart = new SlowStart(state);
@@ -31,5 +33,7 @@
         retries = new RetrySchedule(state);
         keyOrder = new KeyOrder(state, new HashMap<>());
         rules = new SendRules(state, timeouts, retries, keyOrder, availability);
+        selection = new EndpointSelection(state, connections, retries, availability, rules);
+        dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
     }
 }
