--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -1,7 +1,6 @@
 package lilaclever;
 
 import static lilaclever.PolicyState.NEVER;
-import static lilaclever.PolicyState.SECOND;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -35,10 +34,6 @@
     /** A rough rate in the list is at most so many times the true one. */
     private static final double ROUGH = 1.5;
 
-    /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
-    private static final double HOLD_PART = 0.95;
-    /** Messages of a tenant beyond its quota that pass at once, seconds of its quota. */
-    private static final double TENANT_BURST = 3;
     /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
     private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
 
@@ -57,13 +52,12 @@
     private final SendRules rules;
     private final EndpointSelection selection;
     private final CallDispatch dispatch;
+    private final Admission admission;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
-    private final double[] tenantTokens;
-    private final long[] tenantSeen;
     private long order;
     private long wakeAt = NEVER;
     private boolean started;
@@ -86,12 +80,8 @@
         this.rules = new SendRules(state, timeouts, retries, keyOrder, availability);
         this.selection = new EndpointSelection(state, connections, retries, availability, rules);
         this.dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
+        this.admission = new Admission(state, rates, recoveryPace, limits, availability);
         // parts end
-        this.tenantTokens = new double[settings.tenants().size()];
-        this.tenantSeen = new long[settings.tenants().size()];
-        for (int t = 0; t < tenantTokens.length; t++) {
-            tenantTokens[t] = TENANT_BURST * settings.tenants().get(t).quotaPerSecond();
-        }
     }
 
     // ---- events -----------------------------------------------------------------------------------------
@@ -219,7 +209,7 @@
         message.acceptedAt = state.now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
         message.deadline = state.now + e.budgetMicros();
         message.queue = state.queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
-        message.worth = c.worth() * (overShare(e.tenant()) ? state.settings.overShareWorth() : 1);
+        message.worth = c.worth() * (admission.isOverQuota(e.tenant()) ? state.settings.overShareWorth() : 1);
         if (c.ordered() && e.key() != null) {
             keyOrder.add(message, e.key());
         }
@@ -230,8 +220,11 @@
             return;
         }
         checkAt(message.deadline - CallTimeouts.SHORTEST, message);
-        if (state.openMessages > HOLD_PART * state.settings.limits().maxOpen()) {
-            refuseLeastWorth();
+        if (admission.isNearlyFull()) {
+            Message least = admission.leastWorth();
+            if (least != null) {
+                end(least);
+            }
         }
     }
 
@@ -250,16 +243,6 @@
         return message.finished;
     }
 
-    private boolean overShare(int tenant) {
-        if (tenant < 0 || tenant >= tenantTokens.length) return false;
-        double quota = state.settings.tenants().get(tenant).quotaPerSecond();
-        double tokens = tenantTokens[tenant] + (state.now - tenantSeen[tenant]) / SECOND * quota;
-        tenantSeen[tenant] = state.now;
-        tokens = Math.min(tokens, TENANT_BURST * quota);
-        tenantTokens[tenant] = tokens >= 1 ? tokens - 1 : tokens;
-        return tokens < 1;
-    }
-
     // ---- scheduling -------------------------------------------------------------------------------------
     /** Ends what has run out of time. Every message has an entry here, so none is forgotten. */
     private void dueNow() {
@@ -349,7 +332,9 @@
                 || message.messageClass.repeat() == Repeat.SAFE
                 || message.messageClass.repeat() == Repeat.KEYED && message.messageClass.group() == Group.ALL;
         state.actions.add(
-                harmless ? new Action.Refuse(message.id, comeBack(message.queue)) : new Action.Fail(message.id));
+                harmless
+                        ? new Action.Refuse(message.id, admission.comeBackAfter(message.queue))
+                        : new Action.Fail(message.id));
         over(message);
     }
 
@@ -366,51 +351,6 @@
         }
     }
 
-    /** When a refused client should come again: when its destination will have room. */
-    private long comeBack(DestinationQueue queue) {
-        if (!state.settings.limits().comeBack()) {
-            return 0;
-        }
-        long wait = NEVER;
-        for (Endpoint endpoint : queue.endpoints) {
-            if (endpoint.active) {
-                double rate = Math.max(limits.assuredRate(endpoint.limit), flow(endpoint));
-                wait = Math.min(
-                        wait,
-                        Math.max(0, availability.readyAt(endpoint) - state.now)
-                                + (long) (queue.waiting.size() / rate * SECOND));
-            }
-        }
-        return Math.min(wait, state.settings.limits().maxComeBackMicros());
-    }
-
-    /** The hold is nearly full: what is worth least and waits longest ends, not what outlived a process. */
-    private void refuseLeastWorth() {
-        Message least = null;
-        double lowest = 0;
-        for (DestinationQueue queue : state.queuesWaiting) {
-            double flow = queue.endpoints.stream().mapToDouble(this::flow).sum();
-            double crowd = 1 + queue.waiting.size() / (1 + 10 * flow);
-            for (Message message : queue.waiting) {
-                double worth = message.worth / crowd * (message.mayHaveRun ? 4 : 1);
-                if (!message.resumed && (least == null || worth <= lowest)) {
-                    least = message;
-                    lowest = worth;
-                }
-            }
-        }
-        if (least != null) {
-            end(least);
-        }
-    }
-
-    /** Calls a second that an endpoint is likely to take. */
-    private double flow(Endpoint endpoint) {
-        return Math.min(
-                rates.usual(endpoint.limit),
-                Math.min(limits.allowedRate(endpoint.limit), recoveryPace.callsPerSecond(endpoint)));
-    }
-
     // ---- limits and health ------------------------------------------------------------------------------
     /** What an outcome tells of its limit and endpoint; messages of one call tell it once. */
     private void learn(Event.Outcome e, Endpoint endpoint, boolean first) {
--- a/src/test/java/lilaclever/PolicyParts.java
+++ b/src/test/java/lilaclever/PolicyParts.java
@@ -18,6 +18,7 @@
     final SendRules rules;
     final EndpointSelection selection;
     final CallDispatch dispatch;
+    final Admission admission;
 
     PolicyParts(PolicyState state) {
         slowStart = new SlowStart(state);
@@ -35,5 +36,6 @@
         rules = new SendRules(state, timeouts, retries, keyOrder, availability);
         selection = new EndpointSelection(state, connections, retries, availability, rules);
         dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
+        admission = new Admission(state, rates, recoveryPace, limits, availability);
     }
 }
