--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -31,11 +31,6 @@
     // ---- constants: the design's ------------------------------------------------------------------------
 
     // ---- constants: departures --------------------------------------------------------------------------
-    /** A rough rate in the list is at most so many times the true one. */
-    private static final double ROUGH = 1.5;
-
-    /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
-    private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
 
     private final PolicyState state;
     private final SlowStart slowStart;
@@ -53,6 +48,7 @@
     private final EndpointSelection selection;
     private final CallDispatch dispatch;
     private final Admission admission;
+    private final EndpointDirectory directory;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
@@ -60,8 +56,6 @@
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
     private long order;
     private long wakeAt = NEVER;
-    private boolean started;
-    private long askAt = NEVER, askPause = ASK_FIRST;
 
     DeliveryPolicy(Settings settings, long seed) {
         this.state = new PolicyState(settings, seed);
@@ -81,6 +75,7 @@
         this.selection = new EndpointSelection(state, connections, retries, availability, rules);
         this.dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
         this.admission = new Admission(state, rates, recoveryPace, limits, availability);
+        this.directory = new EndpointDirectory(state, endpoints);
         // parts end
     }
 
@@ -91,7 +86,7 @@
         state.actions = new ArrayList<>();
         for (Event event : events) {
             if (event instanceof Event.Listing e) {
-                listing(e);
+                directory.onListing(e);
             } else if (event instanceof Event.Submit e) {
                 submit(e);
             } else if (event instanceof Event.Outcome e) {
@@ -111,15 +106,15 @@
                 wakeAt = wakeAt <= state.now ? NEVER : wakeAt;
             }
         }
-        if (askAt <= state.now) {
+        if (directory.askAt() <= state.now) {
             state.actions.add(new Action.Watch(true));
-            askAt = NEVER;
+            directory.onAsked();
         }
         dueNow();
         List<SendCandidate> candidates = dispatch.candidates();
         selection.hopeless().forEach(this::end);
         selection.clearHopeless();
-        long next = Math.min(dispatch.send(candidates), askAt);
+        long next = Math.min(dispatch.send(candidates), directory.askAt());
         connections.closeUnused();
         next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
         next = Math.max(next, state.now + state.settings.roundMicros());
@@ -130,79 +125,6 @@
         return state.actions;
     }
 
-    private void listing(Event.Listing e) {
-        if (!started) {
-            started = true;
-            askAt = state.settings.askForList() ? state.now : NEVER;
-        }
-        if (e.kind() == ListingKind.REFUSED) {
-            // The directory may be busy with every relay's call: ask later and later, spread by chance.
-            askAt = state.settings.askForList() ? state.now + (long) (askPause * state.randomFactor()) : NEVER;
-            // Half the time after which the rules take a relay that does not ask as told, spread included.
-            askPause = Math.min(
-                    askPause * 2, Math.min(ASK_LAST, state.settings.rules().askWithinMicros() / 3));
-            return;
-        }
-        askPause = e.kind() == ListingKind.REMEMBERED ? askPause : ASK_FIRST;
-        if (e.kind() == ListingKind.ALL || e.kind() == ListingKind.REMEMBERED) {
-            endpoints.values().forEach(endpoint -> endpoint.active = false);
-        }
-        for (Entry entry : e.entries()) {
-            Endpoint endpoint = endpoints.get(entry.host());
-            if (endpoint != null && endpoint.queue != state.queues.get(entry.destination())) {
-                // It serves another destination now, and is a new endpoint there. Calls that are out keep the old one.
-                forget(endpoint);
-                endpoints.remove(entry.host());
-                endpoint = null;
-            }
-            if (endpoint == null) {
-                if (entry.presence() != Presence.ACTIVE) {
-                    continue;
-                }
-                DestinationQueue queue = state.queues.computeIfAbsent(entry.destination(), d -> new DestinationQueue());
-                boolean known = entry.kind() >= 0
-                        && entry.kind() < state.settings.kinds().size();
-                Kind kind = known ? state.settings.kinds().get(entry.kind()) : new Kind(false, 1);
-                if (queue.sharedLimit == null || kind.ownLimits()) {
-                    queue.sharedLimit = new DestinationLimit();
-                }
-                endpoint = new Endpoint(
-                        entry.host(), queue, queue.sharedLimit, entry.zone(), known ? entry.kind() : 0, kind.batch());
-                endpoints.put(entry.host(), endpoint);
-                for (Endpoint each : queue.sharedLimit.endpoints) {
-                    endpoint.inOutage |= each.inOutage;
-                    endpoint.slowStartFrom = Math.max(endpoint.slowStartFrom, each.slowStartFrom);
-                    endpoint.lastSentAt = Math.max(endpoint.lastSentAt, each.lastSentAt);
-                }
-                if (state.largeFleet && queue.sharedLimit.failingSince > 0) {
-                    // A new host is no way round an outage, whatever it looked like, even if the old one has
-                    // left the list: all relays hear of it at once, and would send what they hold.
-                    endpoint.refusingConnections = true;
-                    endpoint.lastSentAt = state.now;
-                }
-                endpoint.trialPause = OutageDetection.FIRST_TRIAL_PAUSE;
-                queue.endpoints.add(endpoint);
-                queue.sharedLimit.endpoints.add(endpoint);
-            }
-            endpoint.active = entry.presence() == Presence.ACTIVE;
-            if (state.settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.rateReported) {
-                // A rough figure may be half too high; what the destination reports itself is better.
-                endpoint.limit.toldRate = entry.weight() / (state.settings.weights() == Weights.ROUGH ? ROUGH : 1);
-            }
-        }
-        // A route that is listed again soon must still know its wait.
-        endpoints
-                .values()
-                .removeIf(each ->
-                        !each.active && each.callsInFlight == 0 && each.limit.waitUntil <= state.now && forget(each));
-    }
-
-    /** Takes an endpoint out of its destination. */
-    private static boolean forget(Endpoint endpoint) {
-        endpoint.active = false;
-        return endpoint.queue.endpoints.remove(endpoint) && endpoint.limit.endpoints.remove(endpoint);
-    }
-
     private void submit(Event.Submit e) {
         MessageClass c = state.settings.classes().get(e.messageClass());
         Message message = new Message(e.id(), c);
--- /dev/null
+++ b/src/main/java/lilaclever/EndpointDirectory.java
@@ -0,0 +1,142 @@
+package lilaclever;
+
+import static lilaclever.PolicyState.NEVER;
+
+import java.util.Map;
+import lilaclever.DecisionModule.Entry;
+import lilaclever.DecisionModule.Event;
+import lilaclever.DecisionModule.Kind;
+import lilaclever.DecisionModule.ListingKind;
+import lilaclever.DecisionModule.Presence;
+import lilaclever.DecisionModule.Weights;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.DestinationQueue;
+import lilaclever.PolicyState.Endpoint;
+
+/** The list of endpoints as the platform has told it, and when the platform is asked for changes of it. */
+final class EndpointDirectory {
+    /** A rough rate in the list is at most so many times the true one. */
+    private static final double MOST_ROUGH_FACTOR = 1.5;
+    /** Pause before asking again after a refusal, microseconds; doubled by each. */
+    private static final long FIRST_ASK_PAUSE = 400_000, LAST_ASK_PAUSE = 4_000_000;
+
+    private final PolicyState state;
+    private final Map<String, Endpoint> endpoints;
+    private boolean started;
+    private long askAt = NEVER;
+    private long askPause = FIRST_ASK_PAUSE;
+
+    /** {@code endpoints}: where endpoints are remembered by host while they are listed or calls are in flight there. */
+    EndpointDirectory(PolicyState state, Map<String, Endpoint> endpoints) {
+        this.state = state;
+        this.endpoints = endpoints;
+    }
+
+    /** When the platform is to be asked for changes, microseconds; {@link PolicyState#NEVER} if it need not be. */
+    long askAt() {
+        return askAt;
+    }
+
+    /** Notes that the platform is being asked. */
+    void onAsked() {
+        askAt = NEVER;
+    }
+
+    /** Takes over news of the list, or that the platform has refused to tell it. */
+    void onListing(Event.Listing listing) {
+        if (!started) {
+            started = true;
+            askAt = state.settings.askForList() ? state.now : NEVER;
+        }
+        if (listing.kind() == ListingKind.REFUSED) {
+            askLater();
+            return;
+        }
+        boolean remembered = listing.kind() == ListingKind.REMEMBERED;
+        askPause = remembered ? askPause : FIRST_ASK_PAUSE;
+        if (listing.kind() == ListingKind.ALL || remembered) {
+            endpoints.values().forEach(endpoint -> endpoint.active = false);
+        }
+        listing.entries().forEach(this::take);
+        // A route that is listed again soon must still know its wait.
+        endpoints
+                .values()
+                .removeIf(each ->
+                        !each.active && each.callsInFlight == 0 && each.limit.waitUntil <= state.now && detach(each));
+    }
+
+    /** The directory may be busy with every forwarder's call: ask later and later, spread by chance. */
+    private void askLater() {
+        askAt = state.settings.askForList() ? state.now + (long) (askPause * state.randomFactor()) : NEVER;
+        // Half the time after which the rules take a forwarder that does not ask as told, spread included.
+        long longest = Math.min(LAST_ASK_PAUSE, state.settings.rules().askWithinMicros() / 3);
+        askPause = Math.min(askPause * 2, longest);
+    }
+
+    private void take(Entry entry) {
+        Endpoint endpoint = endpoints.get(entry.host());
+        if (endpoint != null && endpoint.queue != state.queues.get(entry.destination())) {
+            // It serves another destination now, and is a new endpoint there. Calls in flight keep the old one.
+            detach(endpoint);
+            endpoints.remove(entry.host());
+            endpoint = null;
+        }
+        boolean active = entry.presence() == Presence.ACTIVE;
+        if (endpoint == null) {
+            if (!active) {
+                return;
+            }
+            endpoint = add(entry);
+        }
+        endpoint.active = active;
+        takeRate(endpoint.limit, entry.weight());
+    }
+
+    private void takeRate(DestinationLimit limit, double weight) {
+        Weights weights = state.settings.weights();
+        if (weights != Weights.NONE && weight > 0 && !limit.rateReported) {
+            // A rough figure may be half too high; what the destination reports itself is better.
+            limit.toldRate = weight / (weights == Weights.ROUGH ? MOST_ROUGH_FACTOR : 1);
+        }
+    }
+
+    private Endpoint add(Entry entry) {
+        DestinationQueue queue = state.queues.computeIfAbsent(entry.destination(), d -> new DestinationQueue());
+        boolean known =
+                entry.kind() >= 0 && entry.kind() < state.settings.kinds().size();
+        Kind kind = known ? state.settings.kinds().get(entry.kind()) : new Kind(false, 1);
+        if (queue.sharedLimit == null || kind.ownLimits()) {
+            queue.sharedLimit = new DestinationLimit();
+        }
+        DestinationLimit limit = queue.sharedLimit;
+        int number = known ? entry.kind() : 0;
+        Endpoint endpoint = new Endpoint(entry.host(), queue, limit, entry.zone(), number, kind.batch());
+        endpoint.trialPause = OutageDetection.FIRST_TRIAL_PAUSE;
+        takeOverHealth(endpoint);
+        endpoints.put(entry.host(), endpoint);
+        queue.endpoints.add(endpoint);
+        limit.endpoints.add(endpoint);
+        return endpoint;
+    }
+
+    /** A new endpoint starts with the outage, slow start and pace of the others of its limit. */
+    private void takeOverHealth(Endpoint endpoint) {
+        for (Endpoint each : endpoint.limit.endpoints) {
+            endpoint.inOutage |= each.inOutage;
+            endpoint.slowStartFrom = Math.max(endpoint.slowStartFrom, each.slowStartFrom);
+            endpoint.lastSentAt = Math.max(endpoint.lastSentAt, each.lastSentAt);
+        }
+        if (state.largeFleet && endpoint.limit.failingSince > 0) {
+            // A new host is no way round an outage, whatever it looked like, even if the old one has left the list:
+            // all forwarders hear of it at once, and would send what they hold.
+            endpoint.refusingConnections = true;
+            endpoint.lastSentAt = state.now;
+        }
+    }
+
+    /** Takes an endpoint out of its destination. */
+    private static boolean detach(Endpoint endpoint) {
+        endpoint.active = false;
+        return endpoint.queue.endpoints.remove(endpoint) && endpoint.limit.endpoints.remove(endpoint);
+    }
+}
