--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -18,33 +18,32 @@
 import lilaclever.PolicyState.TimedCheck;
 
 /**
- * All decisions of a relay. The interface (settings, events, actions, outcomes) is in DecisionModule.java.
+ * The entry to all decisions: reads the events of a round, follows each message from its submission to its final
+ * answer, and gives the round's actions. What is decided on the way stands in a class for each job:
  *
- * <p>Read from the top: constants, events, scheduling, sending, outcomes, limits and health. The fields
- * that are remembered are in PolicyState.java.
- * A message waits in the queue of its destination. A Limit is what takes so many calls a second: the whole
- * destination, or one endpoint where endpoints are routes apart. Every send passes {@link #gate},
- * every message ends in {@link #end}.
+ * <ul>
+ *   <li>{@link EndpointDirectory}: which endpoints there are;
+ *   <li>{@link Admission}: quotas, and which message is refused under load;
+ *   <li>{@link EndpointSelection}, {@link CallDispatch}: which message goes next, and where;
+ *   <li>{@link SendRules}, {@link KeyOrder}: what every send must pass;
+ *   <li>{@link RetrySchedule}: when a message is tried again;
+ *   <li>{@link EndpointAvailability}: when an endpoint takes a call, from {@link DestinationLimits} (rate limits and
+ *       told waits), {@link OutageDetection}, {@link TransientFailures}, {@link RecoveryPace} and {@link SlowStart};
+ *   <li>{@link CallTimeouts}, {@link ConnectionReuse}, {@link RateEstimates}: times, connections and rates.
+ * </ul>
+ *
+ * <p>They share one {@link PolicyState}. A message waits in the queue of its destination. Every send passes
+ * {@link SendRules#permit}, every message that is given up ends in {@link #end}.
  */
 final class DeliveryPolicy implements DecisionModule {
-
-    // ---- constants: the design's ------------------------------------------------------------------------
-
-    // ---- constants: departures --------------------------------------------------------------------------
-
     private final PolicyState state;
-    private final SlowStart slowStart;
     private final RateEstimates rates;
-    private final TransientFailures transientFailures;
     private final CallTimeouts timeouts;
     private final ConnectionReuse connections;
     private final OutageDetection outages;
-    private final RecoveryPace recoveryPace;
     private final DestinationLimits limits;
-    private final EndpointAvailability availability;
     private final RetrySchedule retries;
     private final KeyOrder keyOrder;
-    private final SendRules rules;
     private final EndpointSelection selection;
     private final CallDispatch dispatch;
     private final Admission admission;
@@ -52,94 +51,103 @@
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
+    /** Messages to look at again, by time; each open message has an entry, so none is forgotten. */
     private final PriorityQueue<TimedCheck> dues =
             new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
-    private long order;
+
+    private long checksAdded;
+    /** When the host program gives the next timer, microseconds. */
     private long wakeAt = NEVER;
 
+    /** Makes a module that knows no endpoint yet; {@code seed} starts its random numbers. */
     DeliveryPolicy(Settings settings, long seed) {
-        this.state = new PolicyState(settings, seed);
-        this.slowStart = new SlowStart(state);
-        this.rates = new RateEstimates(state, slowStart);
-        this.transientFailures = new TransientFailures(state);
-        this.timeouts = new CallTimeouts(state, transientFailures);
-        this.connections = new ConnectionReuse(state);
-        this.outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
-        this.recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
-        this.limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
-        this.availability = new EndpointAvailability(
+        state = new PolicyState(settings, seed);
+        SlowStart slowStart = new SlowStart(state);
+        TransientFailures transientFailures = new TransientFailures(state);
+        rates = new RateEstimates(state, slowStart);
+        timeouts = new CallTimeouts(state, transientFailures);
+        connections = new ConnectionReuse(state);
+        outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
+        RecoveryPace recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
+        limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
+        EndpointAvailability availability = new EndpointAvailability(
                 state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
-        this.retries = new RetrySchedule(state);
-        this.keyOrder = new KeyOrder(state, lines);
-        this.rules = new SendRules(state, timeouts, retries, keyOrder, availability);
-        this.selection = new EndpointSelection(state, connections, retries, availability, rules);
-        this.dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
-        this.admission = new Admission(state, rates, recoveryPace, limits, availability);
-        this.directory = new EndpointDirectory(state, endpoints);
-        // parts end
+        retries = new RetrySchedule(state);
+        keyOrder = new KeyOrder(state, lines);
+        SendRules rules = new SendRules(state, timeouts, retries, keyOrder, availability);
+        selection = new EndpointSelection(state, connections, retries, availability, rules);
+        dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
+        admission = new Admission(state, rates, recoveryPace, limits, availability);
+        directory = new EndpointDirectory(state, endpoints);
     }
 
-    // ---- events -----------------------------------------------------------------------------------------
     @Override
     public List<Action> decide(long nowMicros, List<Event> events) {
         state.now = nowMicros;
         state.actions = new ArrayList<>();
         for (Event event : events) {
-            if (event instanceof Event.Listing e) {
-                directory.onListing(e);
-            } else if (event instanceof Event.Submit e) {
-                submit(e);
-            } else if (event instanceof Event.Outcome e) {
-                outcome(e);
-            } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
-                over(messages.get(e.id()));
-            } else if (event instanceof Event.Stopping e) {
-                state.stopAt = e.untilMicros();
-            } else if (event instanceof Event.Renewed e) {
-                state.settings = e.settings();
-                messages.values().stream()
-                        .filter(message -> message.inFlightTo == null
-                                && message.attempts >= state.settings.limits().maxAttempts())
-                        .toList()
-                        .forEach(this::end);
-            } else if (event instanceof Event.Timer) {
-                wakeAt = wakeAt <= state.now ? NEVER : wakeAt;
-            }
+            read(event);
         }
         if (directory.askAt() <= state.now) {
             state.actions.add(new Action.Watch(true));
             directory.onAsked();
         }
-        dueNow();
+        endOverdue();
         List<SendCandidate> candidates = dispatch.candidates();
         selection.hopeless().forEach(this::end);
         selection.clearHopeless();
         long next = Math.min(dispatch.send(candidates), directory.askAt());
         connections.closeUnused();
-        next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
-        next = Math.max(next, state.now + state.settings.roundMicros());
+        wakeFor(dues.isEmpty() ? next : Math.min(next, dues.peek().at()));
+        return state.actions;
+    }
+
+    private void read(Event event) {
+        if (event instanceof Event.Listing e) {
+            directory.onListing(e);
+        } else if (event instanceof Event.Submit e) {
+            onSubmit(e);
+        } else if (event instanceof Event.Outcome e) {
+            onOutcome(e);
+        } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
+            finish(messages.get(e.id()));
+        } else if (event instanceof Event.Stopping e) {
+            state.stopAt = e.untilMicros();
+        } else if (event instanceof Event.Renewed e) {
+            onRenewed(e);
+        } else if (event instanceof Event.Timer) {
+            wakeAt = wakeAt <= state.now ? NEVER : wakeAt;
+        }
+    }
+
+    /** Asks for a timer at that time, a round from now at the earliest, unless one comes by then. */
+    private void wakeFor(long time) {
+        long next = Math.max(time, state.now + state.settings.roundMicros());
         if (next < NEVER && (next < wakeAt || wakeAt <= state.now)) {
             state.actions.add(new Action.Wake(next - state.now, 0));
             wakeAt = next;
         }
-        return state.actions;
     }
 
-    private void submit(Event.Submit e) {
-        MessageClass c = state.settings.classes().get(e.messageClass());
-        Message message = new Message(e.id(), c);
-        message.acceptedAt = state.now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
-        message.deadline = state.now + e.budgetMicros();
-        message.queue = state.queues.computeIfAbsent(e.destination(), d -> new DestinationQueue());
-        message.worth = c.worth() * (admission.isOverQuota(e.tenant()) ? state.settings.overShareWorth() : 1);
-        if (c.ordered() && e.key() != null) {
-            keyOrder.add(message, e.key());
-        }
+    private void onRenewed(Event.Renewed event) {
+        state.settings = event.settings();
+        int maxAttempts = state.settings.limits().maxAttempts();
+        messages.values().stream()
+                .filter(message -> message.inFlightTo == null && message.attempts >= maxAttempts)
+                .toList()
+                .forEach(this::end);
+    }
+
+    private void onSubmit(Event.Submit event) {
+        Message message = message(event);
         messages.put(message.id, message);
         state.openMessages++;
         state.enqueue(message);
-        if (e.prior() != null && resumed(message, e.prior())) {
-            return;
+        if (event.prior() != null) {
+            resume(message, event.prior());
+            if (message.finished) {
+                return;
+            }
         }
         checkAt(message.deadline - CallTimeouts.SHORTEST, message);
         if (admission.isNearlyFull()) {
@@ -150,8 +158,21 @@
         }
     }
 
-    /** Takes over what an earlier life did with a message; true if that has ended it. */
-    private boolean resumed(Message message, Prior prior) {
+    private Message message(Event.Submit event) {
+        MessageClass kind = state.settings.classes().get(event.messageClass());
+        Message message = new Message(event.id(), kind);
+        message.acceptedAt = state.now - Math.max(0, kind.deadlineMicros() - event.budgetMicros());
+        message.deadline = state.now + event.budgetMicros();
+        message.queue = state.queues.computeIfAbsent(event.destination(), d -> new DestinationQueue());
+        message.worth = kind.worth() * (admission.isOverQuota(event.tenant()) ? state.settings.overShareWorth() : 1);
+        if (kind.ordered() && event.key() != null) {
+            keyOrder.add(message, event.key());
+        }
+        return message;
+    }
+
+    /** Takes over what an earlier process did with a message, and ends it if no attempt may follow. */
+    private void resume(Message message, Prior prior) {
         message.attempts = prior.attempts();
         message.mayHaveRun = prior.mayHaveRun();
         message.mayHaveRunSince = prior.riskAtMicros();
@@ -162,72 +183,116 @@
         } else if (retries.hasWindow(message)) {
             checkAt(retries.windowEnd(message), message);
         }
-        return message.finished;
     }
 
-    // ---- scheduling -------------------------------------------------------------------------------------
-    /** Ends what has run out of time. Every message has an entry here, so none is forgotten. */
-    private void dueNow() {
+    /** Ends messages whose deadline or window is over. */
+    private void endOverdue() {
         while (!dues.isEmpty() && dues.peek().at() <= state.now) {
-            Message message = dues.poll().message();
-            if (message.finished) {
-                keyOrder.forget(message);
-            } else if (message.inFlightTo == null) {
-                if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= retries.windowEnd(message)) {
-                    end(message);
-                }
-            } else if (state.now >= message.deadline + state.settings.rules().answerSlackMicros() / 2) {
+            check(dues.poll().message());
+        }
+    }
+
+    private void check(Message message) {
+        // The outcome of a call comes at the deadline at the latest; if it doesn't, answer within the slack.
+        long latestAnswerAt = message.deadline + state.settings.rules().answerSlackMicros() / 2;
+        if (message.finished) {
+            keyOrder.forget(message);
+        } else if (message.inFlightTo == null) {
+            if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= retries.windowEnd(message)) {
                 end(message);
-            } else {
-                // The outcome comes at the deadline at the latest; if it doesn't, answer within the slack.
-                checkAt(message.deadline + state.settings.rules().answerSlackMicros() / 2, message);
             }
+        } else if (state.now >= latestAnswerAt) {
+            end(message);
+        } else {
+            checkAt(latestAnswerAt, message);
         }
     }
 
-    // ---- outcomes ---------------------------------------------------------------------------------------
-    private void outcome(Event.Outcome e) {
-        Message message = messages.get(e.id());
-        if (message == null || message.inFlightTo == null || e.attempt() != message.attempts - 1) {
+    private void checkAt(long time, Message message) {
+        dues.add(new TimedCheck(time, checksAdded++, message));
+    }
+
+    private void onOutcome(Event.Outcome event) {
+        Message message = messages.get(event.id());
+        if (message == null || message.inFlightTo == null || event.attempt() != message.attempts - 1) {
             return;
         }
+        Endpoint endpoint = message.inFlightTo;
+        endAttempt(message, event);
+        noteRisk(message, endpoint, event.ending());
+        if (message.orderedKey != null && wasGivenUp(event.ending())) {
+            keyOrder.pause(message);
+            checkAt(message.orderedKey.pausedUntil, message);
+        }
+        if (message.finished || event.over() || event.ending() == Ending.DELIVERED) {
+            finish(message);
+        } else if (event.ending() == Ending.REJECTED) {
+            // The design: a permanent failure ends a row at once.
+            state.actions.add(new Action.Fail(message.id));
+            finish(message);
+        } else if (event.ending() == Ending.WITHHELD && !endpoint.active) {
+            // Its endpoint is leaving and got nothing: another may have it now.
+            state.enqueue(message);
+        } else {
+            retry(message);
+        }
+    }
+
+    /** Takes the message out of its call, and learns what the outcome tells of the endpoint. */
+    private void endAttempt(Message message, Event.Outcome event) {
         Endpoint endpoint = message.inFlightTo;
         Call call = message.call;
         message.inFlightTo = null;
         message.call = null;
-        boolean ran = !e.ending().neverRan();
-        if (--call.outcomesDue == 0) {
+        call.outcomesDue--;
+        if (call.outcomesDue == 0) {
             dispatch.end(call);
-            connections.onCallEnded(endpoint, e.ending());
+            connections.onCallEnded(endpoint, event.ending());
         }
-        boolean first = !call.outcomeSeen;
-        call.outcomeSeen = true;
-        if (e.ending() == Ending.DELIVERED) {
+        if (event.ending() == Ending.DELIVERED) {
             endpoint.lastDeliveredSentAt = Math.max(endpoint.lastDeliveredSentAt, message.sentAt);
         }
-        learn(e, endpoint, first);
-        message.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0;
-        if (ran && e.ending() != Ending.DELIVERED && !message.mayHaveRun) {
+        limits.onReport(endpoint.limit, event.report());
+        limits.onWait(endpoint.limit, event.waitMicros());
+        if (!call.outcomeSeen) {
+            call.outcomeSeen = true;
+            learn(endpoint, event);
+        }
+        if (event.ending() == Ending.WITHHELD) {
+            message.attempts--;
+        }
+    }
+
+    /** What a call tells of its limit and endpoint, by the first outcome of its messages. */
+    private void learn(Endpoint endpoint, Event.Outcome event) {
+        DestinationLimit limit = endpoint.limit;
+        switch (event.ending()) {
+            case DELIVERED -> {
+                rates.onDelivered(limit, endpoint);
+                timeouts.onDelivered(limit, event.elapsedMicros());
+                limits.onDelivered(limit);
+                outages.onDelivered(limit, endpoint);
+            }
+            case FULL -> limits.onRefused(limit, endpoint, event.waitMicros(), event.report());
+            case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
+                outages.onFailure(limit, endpoint, event.ending(), event.elapsedMicros());
+            default -> {}
+        }
+    }
+
+    /** Remembers the first attempt that may have taken effect without being known to. */
+    private static void noteRisk(Message message, Endpoint endpoint, Ending ending) {
+        boolean mayHaveRun = !ending.neverRan() && ending != Ending.DELIVERED;
+        if (mayHaveRun && !message.mayHaveRun) {
             message.mayHaveRun = true;
             message.mayHaveRunSince = message.sentAt;
             message.mayHaveRunZone = endpoint.zone;
         }
-        if (message.orderedKey != null
-                && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET || e.ending() == Ending.CANCELED)) {
-            keyOrder.pause(message);
-            checkAt(message.orderedKey.pausedUntil, message);
-        }
-        if (message.finished || e.over() || e.ending() == Ending.DELIVERED) {
-            over(message);
-        } else if (e.ending() == Ending.REJECTED) {
-            // The design: a permanent failure ends a row at once.
-            state.actions.add(new Action.Fail(message.id));
-            over(message);
-        } else if (e.ending() == Ending.WITHHELD && !endpoint.active) {
-            state.enqueue(message); // its endpoint is leaving and got nothing: another may have it now
-        } else {
-            retry(message);
-        }
+    }
+
+    /** Whether an attempt with this ending may still be running at its endpoint. */
+    private static boolean wasGivenUp(Ending ending) {
+        return ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELED;
     }
 
     /** The next try after a pause; or the end, at once, if none can come. */
@@ -243,25 +308,26 @@
         }
     }
 
-    private void checkAt(long at, Message message) {
-        dues.add(new TimedCheck(at, order++, message));
+    /** The one place that gives a message up: refused where that is harmless, else failed. */
+    private void end(Message message) {
+        if (isHarmlessToRefuse(message)) {
+            state.actions.add(new Action.Refuse(message.id, admission.comeBackAfter(message.queue)));
+        } else {
+            state.actions.add(new Action.Fail(message.id));
+        }
+        finish(message);
     }
 
-    /** The one place that ends a message: refused where that is harmless, else failed. */
-    private void end(Message message) {
+    /** Whether the client may come again with the message: no attempt may have run, or a repeat does no harm. */
+    private static boolean isHarmlessToRefuse(Message message) {
         boolean mayRun = message.mayHaveRun || message.inFlightTo != null;
-        boolean harmless = !mayRun
-                || message.messageClass.repeat() == Repeat.SAFE
-                || message.messageClass.repeat() == Repeat.KEYED && message.messageClass.group() == Group.ALL;
-        state.actions.add(
-                harmless
-                        ? new Action.Refuse(message.id, admission.comeBackAfter(message.queue))
-                        : new Action.Fail(message.id));
-        over(message);
+        Repeat repeat = message.messageClass.repeat();
+        boolean keyedEverywhere = repeat == Repeat.KEYED && message.messageClass.group() == Group.ALL;
+        return !mayRun || repeat == Repeat.SAFE || keyedEverywhere;
     }
 
-    /** Forgets a message that is finished, as soon as no attempt is out. */
-    private void over(Message message) {
+    /** Marks a message as answered, and forgets it as soon as no attempt is in flight. */
+    private void finish(Message message) {
         if (!message.finished) {
             message.finished = true;
             state.openMessages--;
@@ -272,26 +338,4 @@
             keyOrder.remove(message);
         }
     }
-
-    // ---- limits and health ------------------------------------------------------------------------------
-    /** What an outcome tells of its limit and endpoint; messages of one call tell it once. */
-    private void learn(Event.Outcome e, Endpoint endpoint, boolean first) {
-        DestinationLimit limit = endpoint.limit;
-        limits.onReport(limit, e.report());
-        limits.onWait(limit, e.waitMicros());
-        switch (first ? e.ending() : Ending.NOT_SENT) {
-            case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
-            case FULL -> limits.onRefused(limit, endpoint, e.waitMicros(), e.report());
-            case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
-                outages.onFailure(limit, endpoint, e.ending(), e.elapsedMicros());
-            default -> {}
-        }
-    }
-
-    private void taken(DestinationLimit limit, Endpoint endpoint, long elapsed) {
-        rates.onDelivered(limit, endpoint);
-        timeouts.onDelivered(limit, elapsed);
-        limits.onDelivered(limit);
-        outages.onDelivered(limit, endpoint);
-    }
 }
