--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -1,1077 +1,341 @@
 package lilaclever;
 
+import static lilaclever.PolicyState.NEVER;
+
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.SplittableRandom;
 import lilaclever.PolicyState.Call;
-import lilaclever.PolicyState.Due;
+import lilaclever.PolicyState.DestinationLimit;
+import lilaclever.PolicyState.DestinationQueue;
 import lilaclever.PolicyState.Endpoint;
-import lilaclever.PolicyState.Limit;
-import lilaclever.PolicyState.Line;
 import lilaclever.PolicyState.Message;
-import lilaclever.PolicyState.Pick;
-import lilaclever.PolicyState.Queue;
+import lilaclever.PolicyState.OrderedKey;
+import lilaclever.PolicyState.SendCandidate;
+import lilaclever.PolicyState.TimedCheck;
 
 /**
- * All decisions of a relay. The interface (settings, events, actions, outcomes) is in DecisionModule.java.
+ * The entry to all decisions: reads the events of a round, follows each message from its submission to its final
+ * answer, and gives the round's actions. What is decided on the way stands in a class for each job:
+ *
+ * <ul>
+ *   <li>{@link EndpointDirectory}: which endpoints there are;
+ *   <li>{@link Admission}: quotas, and which message is refused under load;
+ *   <li>{@link EndpointSelection}, {@link CallDispatch}: which message goes next, and where;
+ *   <li>{@link SendRules}, {@link KeyOrder}: what every send must pass;
+ *   <li>{@link RetrySchedule}: when a message is tried again;
+ *   <li>{@link EndpointAvailability}: when an endpoint takes a call, from {@link DestinationLimits} (rate limits and
+ *       told waits), {@link OutageDetection}, {@link TransientFailures}, {@link RecoveryPace} and {@link SlowStart};
+ *   <li>{@link CallTimeouts}, {@link ConnectionReuse}, {@link RateEstimates}: times, connections and rates.
+ * </ul>
  *
- * <p>Read from the top: constants, events, scheduling, sending, outcomes, limits and health. The fields
- * that are remembered are in PolicyState.java.
- * A message waits in the queue of its destination. A Limit is what takes so many calls a second: the whole
- * destination, or one endpoint where endpoints are routes apart. Every send passes {@link #gate},
- * every message ends in {@link #end}.
+ * <p>They share one {@link PolicyState}. A message waits in the queue of its destination. Every send passes
+ * {@link SendRules#permit}, every message that is given up ends in {@link #end}.
  */
 final class DeliveryPolicy implements DecisionModule {
-
-    // ---- constants: the design's ------------------------------------------------------------------------
-    /** Pauses between tries, microseconds: the design's four steps; the last one repeats. */
-    private static final long[] STEPS = {200_000, 600_000, 2_400_000, 6_000_000};
-    /** Each pause is times a random factor in this range: what is refused together comes again apart. */
-    private static final double SPREAD_FROM = 0.5, SPREAD_TO = 1.5;
-    /** Calls a second at most to a limit that has refused as full. */
-    private static final double HOLD_PER_SECOND = 10;
-    /** A hold ends after so long without a refusal, microseconds. */
-    private static final long QUIET = 5_000_000;
-
-    // ---- constants: departures --------------------------------------------------------------------------
-    private static final double SECOND = 1_000_000;
-    /** Slowest pace to a held limit, calls a second: a quarter of the first by each refusal in a row ... */
-    private static final double MOST_LEAST_PACE = 0.5, LEAST_PACE = 0.02;
-    /** ... to an even share of the told rate or of this; first so many shares, if used up or not told. */
-    private static final double UNTOLD_PACE = 1.5, MEAN_PART = 0.25, USED_UP_SHARES = 2, FIRST_SHARES = 10;
-    /** A rough rate in the list is at most so many times the true one. */
-    private static final double ROUGH = 1.5;
-    /** Part of the told rate that all relays together keep to while nothing is left: so it fills again. */
-    private static final double USED_UP_PART = 0.7;
-    /** And no slower than this part of the usual rate: a limit may shrink, but seldom to nothing. */
-    private static final double LEAST_PART = 0.5;
-    /** A refusal lowers the pace to this part of what was lately taken, or of a pace that was not used up. */
-    private static final double CUT = 0.8, CUT_PACE = 0.6;
-    /** Pace gained by a call taken while held, calls a second: finds lost room again in a few seconds. */
-    private static final double GAIN = 0.2;
-    /** Growth, in a second, of the pace that is kept to after a hold, and how long that is, microseconds. */
-    private static final double ROOF_GROWTH = 1.1;
-    private static final long ROOF_LASTS = 15_000_000;
-    /** Refusals within this time cut the pace once, microseconds: they are one piece of news. */
-    private static final long CUT_APART = 500_000;
-    /** Memory of the rate lately taken, microseconds: a few of the spans in which limits are counted. */
-    private static final double RECENT = 2_000_000;
-    /** Memory of the usual rate, microseconds: long beside a clump, short beside a day. */
-    private static final double USUAL = 15_000_000, LEAST_SEEN = 0.1;
-    /** Limits are in calls a second, so room comes back within about that; a longer wait means shut. */
-    private static final long SHUT_WAIT = 2_500_000;
-    /** How long outages last where this relay can't know it, microseconds: at least, and but for few. */
-    private static final long LEAST_OUTAGE = 8_000_000, LONG_OUTAGE = 20_000_000;
-    /** Hard failures in a row that mean an outage; many relays see fewer each: so many by all together. */
-    private static final int FAILS_IN_ROW = 4, FLEET_FAILS = 16;
-    /** Refusals in a row, and over SHUT_SPAN, that mean shut rather than over the limit. */
-    private static final long FULLS_IN_ROW = 4, SHUT_SPAN = 2_000_000;
-    /** Weight of one outcome in the share that fails. */
-    private static final double ILL_WEIGHT = 0.1;
-    /** Share failing above which an endpoint is in outage (half, and chance), and a ramp starts anew. */
-    private static final double ILL = 0.65, STILL_ILL = 0.5;
-    /** Part of the fail-back budget that is used: the rest is for chance and other relays' calls. */
-    private static final double BUDGET_PART = 0.85;
-    /** Pause between trial calls to a limit in outage, microseconds, growing to the second figure by half. */
-    private static final long TRIAL_FIRST = 500_000, TRIAL_LAST = 2_000_000;
-    /** Part of the slots that calls to one limit may hold: one that hangs leaves room for the rest. */
-    private static final double SLOT_PART = 0.6;
-    /** Endpoints so many times slower than the relay's usual answer share SICK_PART of the slots. */
-    private static final double SLOW_TIMES = 4, SICK_PART = 0.3;
-    /** A call is dropped after so many times the usual answer time of its limit ... */
-    private static final double PATIENCE = 6;
-    /** ... and at the least this part of the aim. Each time-out doubles it, up to MOST_PATIENCE times. */
-    private static final double LEAST_PATIENCE = 0.5, MOST_PATIENCE = 4;
-    /** An unsafe message is lost by a time-out, so it may take so many times as long. */
-    private static final double UNSAFE_PATIENCE = 2;
-    /** And part of that for a call that takes the last slot, where the next would wait for it. */
-    private static final double SCARCE_PATIENCE = 0.6;
-    /** All slots taken, a call is given up after so many times the usual answer time, at the least this. */
-    private static final double BEARABLE = 8, UNSAFE_BEARABLE = 24;
-    private static final long LEAST_BEARABLE = 400_000, UNSAFE_LEAST_BEARABLE = 1_000_000;
-    /** Part of its window that a keyed message's first attempt may take, so that a repeat fits in. */
-    private static final double WINDOW_PART = 0.5;
-    /** Weight of one answer in the mean answer time. */
-    private static final double LATENCY_WEIGHT = 0.1;
-    /** A delivery so soon after the first failure in a row means a blip, not an outage, microseconds. */
-    private static final long BLIP = 3_000_000;
-    /** A connect that fails before this part of its time-out was turned away; later, nothing was there. */
-    private static final double CONNECT_PART = 0.9;
-    /**
-     * Share of failures that are blips, for each kind's turned away connects and for all other failures:
-     * weight of one, the share above which single failures tell nothing, and the first guess for connects.
-     */
-    private static final double CROWD_WEIGHT = 0.3, CROWDED = 0.3, CROWD_GUESS = 0.45;
-    /** An endpoint is passed over for so long after a hard failure, microseconds, doubled by the next. */
-    private static final long AVOID_FIRST = 500_000, AVOID_DOUBLINGS = 2;
-    /** A message is given up when so little time is left, microseconds: no call ends sooner. */
-    private static final long LEAST_LEFT = 60_000;
-    /** Part of the hold at which the least worth is refused, so that what comes is not turned away unseen. */
-    private static final double HOLD_PART = 0.95;
-    /** What a message at the end of its aim is preferred by over a fresh one. */
-    private static final double EDGE = 0.5;
-    /** Messages looked at for one send: bounds the work of a long queue. */
-    private static final int LOOK = 500;
-    /** Messages of a tenant beyond its quota that pass at once, seconds of its quota. */
-    private static final double TENANT_BURST = 3;
-    /** Pause before asking the directory again, microseconds, doubled up to ASK_LAST. */
-    private static final long ASK_FIRST = 400_000, ASK_LAST = 4_000_000;
-    private static final long NEVER = Long.MAX_VALUE / 4;
-
-    private Settings settings;
-    private final SplittableRandom random;
+    private final PolicyState state;
+    private final RateEstimates rates;
+    private final CallTimeouts timeouts;
+    private final ConnectionReuse connections;
+    private final OutageDetection outages;
+    private final DestinationLimits limits;
+    private final RetrySchedule retries;
+    private final KeyOrder keyOrder;
+    private final EndpointSelection selection;
+    private final CallDispatch dispatch;
+    private final Admission admission;
+    private final EndpointDirectory directory;
     private final Map<String, Message> messages = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
-    private final Map<Integer, Queue> queues = new LinkedHashMap<>();
-    /** Queues with messages that wait, and calls that are out: work follows these, not all that is known. */
-    private final LinkedHashSet<Queue> busy = new LinkedHashSet<>();
-    private final LinkedHashSet<Call> calls = new LinkedHashSet<>();
-    /** Waiting messages that were found to have no chance left, until they are ended in the same round. */
-    private final List<Message> late = new ArrayList<>();
-    /** Endpoints that a call came back from in this round, and nothing went to since. */
-    private final LinkedHashSet<Endpoint> used = new LinkedHashSet<>();
-    private final Map<String, Line> lines = new LinkedHashMap<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(
-            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-    /** So many relays that each sees a destination too seldom to tell an outage by itself. */
-    private final boolean many;
-    private final double[] blips;
-    /** All destinations together: their mean is a guess for one that nothing is known of. */
-    private final Limit all = new Limit();
-    private final boolean[] noRoom;
-    private final double[] tenantTokens;
-    private final long[] tenantSeen;
-    private List<Action> actions;
-    private long now, order;
-    private long wakeAt = NEVER, stopAt = NEVER;
-    private int slotsOut, held;
-    private double usualLatency;
-    private boolean started;
-    private long askAt = NEVER, askPause = ASK_FIRST;
+    private final Map<String, OrderedKey> lines = new LinkedHashMap<>();
+    /** Messages to look at again, by time; each open message has an entry, so none is forgotten. */
+    private final PriorityQueue<TimedCheck> dues =
+            new PriorityQueue<>(Comparator.comparingLong(TimedCheck::at).thenComparingLong(TimedCheck::order));
 
+    private long checksAdded;
+    /** When the host program gives the next timer, microseconds. */
+    private long wakeAt = NEVER;
+
+    /** Makes a module that knows no endpoint yet; {@code seed} starts its random numbers. */
     DeliveryPolicy(Settings settings, long seed) {
-        this.settings = settings;
-        this.blips = new double[Math.max(1, settings.kinds().size()) + 1];
-        this.many = settings.relays() > FLEET_FAILS;
-        this.noRoom = new boolean[blips.length];
-        Arrays.fill(blips, 0, blips.length - 1, CROWD_GUESS);
-        this.random = new SplittableRandom(seed);
-        this.tenantTokens = new double[settings.tenants().size()];
-        this.tenantSeen = new long[settings.tenants().size()];
-        for (int t = 0; t < tenantTokens.length; t++) {
-            tenantTokens[t] = TENANT_BURST * settings.tenants().get(t).quotaPerSecond();
-        }
+        state = new PolicyState(settings, seed);
+        SlowStart slowStart = new SlowStart(state);
+        TransientFailures transientFailures = new TransientFailures(state);
+        rates = new RateEstimates(state, slowStart);
+        timeouts = new CallTimeouts(state, transientFailures);
+        connections = new ConnectionReuse(state);
+        outages = new OutageDetection(state, slowStart, transientFailures, timeouts, connections);
+        RecoveryPace recoveryPace = new RecoveryPace(state, slowStart, rates, transientFailures);
+        limits = new DestinationLimits(state, rates, slowStart, outages, recoveryPace);
+        EndpointAvailability availability = new EndpointAvailability(
+                state, slowStart, transientFailures, timeouts, connections, recoveryPace, limits);
+        retries = new RetrySchedule(state);
+        keyOrder = new KeyOrder(state, lines);
+        SendRules rules = new SendRules(state, timeouts, retries, keyOrder, availability);
+        selection = new EndpointSelection(state, connections, retries, availability, rules);
+        dispatch = new CallDispatch(state, timeouts, connections, retries, rules, selection);
+        admission = new Admission(state, rates, recoveryPace, limits, availability);
+        directory = new EndpointDirectory(state, endpoints);
     }
 
-    // ---- events -----------------------------------------------------------------------------------------
     @Override
     public List<Action> decide(long nowMicros, List<Event> events) {
-        now = nowMicros;
-        actions = new ArrayList<>();
+        state.now = nowMicros;
+        state.actions = new ArrayList<>();
         for (Event event : events) {
-            if (event instanceof Event.Listing e) {
-                listing(e);
-            } else if (event instanceof Event.Submit e) {
-                submit(e);
-            } else if (event instanceof Event.Outcome e) {
-                outcome(e);
-            } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
-                over(messages.get(e.id()));
-            } else if (event instanceof Event.Stopping e) {
-                stopAt = e.untilMicros();
-            } else if (event instanceof Event.Renewed e) {
-                settings = e.settings();
-                messages.values().stream().filter(m -> m.out == null
-                        && m.attempts >= settings.limits().maxAttempts()).toList().forEach(this::end);
-            } else if (event instanceof Event.Timer) {
-                wakeAt = wakeAt <= now ? NEVER : wakeAt;
-            }
-        }
-        if (askAt <= now) {
-            actions.add(new Action.Watch(true));
-            askAt = NEVER;
-        }
-        dueNow();
-        long next = Math.min(sendAll(), askAt);
-        used.forEach(this::closeUnused);
-        used.clear();
-        next = dues.isEmpty() ? next : Math.min(next, dues.peek().at());
-        next = Math.max(next, now + settings.roundMicros());
-        if (next < NEVER && (next < wakeAt || wakeAt <= now)) {
-            actions.add(new Action.Wake(next - now, 0));
+            read(event);
+        }
+        if (directory.askAt() <= state.now) {
+            state.actions.add(new Action.Watch(true));
+            directory.onAsked();
+        }
+        endOverdue();
+        List<SendCandidate> candidates = dispatch.candidates();
+        selection.hopeless().forEach(this::end);
+        selection.clearHopeless();
+        long next = Math.min(dispatch.send(candidates), directory.askAt());
+        connections.closeUnused();
+        wakeFor(dues.isEmpty() ? next : Math.min(next, dues.peek().at()));
+        return state.actions;
+    }
+
+    private void read(Event event) {
+        if (event instanceof Event.Listing e) {
+            directory.onListing(e);
+        } else if (event instanceof Event.Submit e) {
+            onSubmit(e);
+        } else if (event instanceof Event.Outcome e) {
+            onOutcome(e);
+        } else if (event instanceof Event.Withdrawn e && messages.containsKey(e.id())) {
+            finish(messages.get(e.id()));
+        } else if (event instanceof Event.Stopping e) {
+            state.stopAt = e.untilMicros();
+        } else if (event instanceof Event.Renewed e) {
+            onRenewed(e);
+        } else if (event instanceof Event.Timer) {
+            wakeAt = wakeAt <= state.now ? NEVER : wakeAt;
+        }
+    }
+
+    /** Asks for a timer at that time, a round from now at the earliest, unless one comes by then. */
+    private void wakeFor(long time) {
+        long next = Math.max(time, state.now + state.settings.roundMicros());
+        if (next < NEVER && (next < wakeAt || wakeAt <= state.now)) {
+            state.actions.add(new Action.Wake(next - state.now, 0));
             wakeAt = next;
         }
-        return actions;
-    }
-
-    private void listing(Event.Listing e) {
-        if (!started) {
-            started = true;
-            askAt = settings.askForList() ? now : NEVER;
-        }
-        if (e.kind() == ListingKind.REFUSED) {
-            // The directory may be busy with every relay's call: ask later and later, spread by chance.
-            askAt = settings.askForList() ? now + (long) (askPause * spread()) : NEVER;
-            // Half the time after which the rules take a relay that does not ask as told, spread included.
-            askPause = Math.min(askPause * 2, Math.min(ASK_LAST, settings.rules().askWithinMicros() / 3));
-            return;
-        }
-        askPause = e.kind() == ListingKind.REMEMBERED ? askPause : ASK_FIRST;
-        if (e.kind() == ListingKind.ALL || e.kind() == ListingKind.REMEMBERED) {
-            endpoints.values().forEach(endpoint -> endpoint.active = false);
-        }
-        for (Entry entry : e.entries()) {
-            Endpoint endpoint = endpoints.get(entry.host());
-            if (endpoint != null && endpoint.queue != queues.get(entry.destination())) {
-                // It serves another destination now, and is a new endpoint there. Calls that are out keep the old one.
-                forget(endpoint);
-                endpoints.remove(entry.host());
-                endpoint = null;
-            }
-            if (endpoint == null) {
-                if (entry.presence() != Presence.ACTIVE) {
-                    continue;
-                }
-                Queue queue = queues.computeIfAbsent(entry.destination(), d -> new Queue());
-                boolean known = entry.kind() >= 0 && entry.kind() < settings.kinds().size();
-                Kind kind = known ? settings.kinds().get(entry.kind()) : new Kind(false, 1);
-                if (queue.shared == null || kind.ownLimits()) {
-                    queue.shared = new Limit();
-                }
-                endpoint = new Endpoint(entry.host(), queue, queue.shared, entry.zone(),
-                        known ? entry.kind() : 0, kind.batch());
-                endpoints.put(entry.host(), endpoint);
-                for (Endpoint x : queue.shared.endpoints) {
-                    endpoint.outage |= x.outage;
-                    endpoint.rampFrom = Math.max(endpoint.rampFrom, x.rampFrom);
-                    endpoint.lastSend = Math.max(endpoint.lastSend, x.lastSend);
-                }
-                if (many && queue.shared.badSince > 0) {
-                    // A new host is no way round an outage, whatever it looked like, even if the old one has
-                    // left the list: all relays hear of it at once, and would send what they hold.
-                    endpoint.turned = true;
-                    endpoint.lastSend = now;
-                }
-                endpoint.trialPause = TRIAL_FIRST;
-                queue.endpoints.add(endpoint);
-                queue.shared.endpoints.add(endpoint);
-            }
-            endpoint.active = entry.presence() == Presence.ACTIVE;
-            if (settings.weights() != Weights.NONE && entry.weight() > 0 && !endpoint.limit.reported) {
-                // A rough figure may be half too high; what the destination reports itself is better.
-                endpoint.limit.told = entry.weight() / (settings.weights() == Weights.ROUGH ? ROUGH : 1);
-            }
-        }
-        // A route that is listed again soon must still know its wait.
-        endpoints.values().removeIf(x -> !x.active && x.out == 0 && x.limit.waitUntil <= now && forget(x));
     }
 
-    /** Takes an endpoint out of its destination. */
-    private static boolean forget(Endpoint endpoint) {
-        endpoint.active = false;
-        return endpoint.queue.endpoints.remove(endpoint) && endpoint.limit.endpoints.remove(endpoint);
+    private void onRenewed(Event.Renewed event) {
+        state.settings = event.settings();
+        int maxAttempts = state.settings.limits().maxAttempts();
+        messages.values().stream()
+                .filter(message -> message.inFlightTo == null && message.attempts >= maxAttempts)
+                .toList()
+                .forEach(this::end);
     }
 
-    private void submit(Event.Submit e) {
-        MessageClass c = settings.classes().get(e.messageClass());
-        Message m = new Message(e.id(), c);
-        m.takenAt = now - Math.max(0, c.deadlineMicros() - e.budgetMicros());
-        m.deadline = now + e.budgetMicros();
-        m.queue = queues.computeIfAbsent(e.destination(), d -> new Queue());
-        m.worth = c.worth() * (overShare(e.tenant()) ? settings.overShareWorth() : 1);
-        if (c.ordered() && e.key() != null) {
-            m.line = lines.computeIfAbsent(e.key(), k -> new Line());
-            m.line.messages.add(m);
-            m.key = e.key();
-        }
-        messages.put(m.id, m);
-        held++;
-        await(m);
-        if (e.prior() != null && resumed(m, e.prior())) {
-            return;
-        }
-        dues.add(new Due(m.deadline - LEAST_LEFT, order++, m));
-        if (held > HOLD_PART * settings.limits().maxOpen()) {
-            refuseLeastWorth();
-        }
-    }
-
-    /** Takes over what an earlier life did with a message; true if that has ended it. */
-    private boolean resumed(Message m, Prior prior) {
-        m.attempts = prior.attempts();
-        m.mayHaveRun = prior.mayHaveRun();
-        m.riskAt = prior.riskAtMicros();
-        m.riskZone = prior.riskZone();
-        m.resumed = true;
-        if (m.attempts >= settings.limits().maxAttempts() || now >= windowEnd(m)
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE) {
-            end(m);
-        } else if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            dues.add(new Due(windowEnd(m), order++, m));
-        }
-        return m.over;
-    }
-
-    private boolean overShare(int tenant) {
-        if (tenant < 0 || tenant >= tenantTokens.length) return false;
-        double quota = settings.tenants().get(tenant).quotaPerSecond();
-        double tokens = tenantTokens[tenant] + (now - tenantSeen[tenant]) / SECOND * quota;
-        tenantSeen[tenant] = now;
-        tokens = Math.min(tokens, TENANT_BURST * quota);
-        tenantTokens[tenant] = tokens >= 1 ? tokens - 1 : tokens;
-        return tokens < 1;
-    }
-
-    // ---- scheduling -------------------------------------------------------------------------------------
-    /** Ends what has run out of time. Every message has an entry here, so none is forgotten. */
-    private void dueNow() {
-        while (!dues.isEmpty() && dues.peek().at() <= now) {
-            Message m = dues.poll().message();
-            if (m.over) {
-                forgetLine(m);
-            } else if (m.out == null) {
-                if (m.deadline - now <= LEAST_LEFT || now >= windowEnd(m)) {
-                    end(m);
-                }
-            } else if (now >= m.deadline + settings.rules().answerSlackMicros() / 2) {
-                end(m);
-            } else {
-                // The outcome comes at the deadline at the latest; if it doesn't, answer within the slack.
-                dues.add(new Due(m.deadline + settings.rules().answerSlackMicros() / 2, order++, m));
-            }
-        }
-    }
-
-    /** Sends what may go, the most worth for a slot's time first; gives the time to look again. */
-    private long sendAll() {
-        List<Pick> picks = new ArrayList<>();
-        for (Queue queue : busy) {
-            queue.lookAt = NEVER;
-            Pick pick = pick(queue);
-            if (pick != null) {
-                picks.add(pick);
-            }
-        }
-        late.forEach(this::end);
-        late.clear();
-        while (!picks.isEmpty() && slotsOut < settings.limits().slots()) {
-            Pick best = Collections.max(picks, Comparator.comparingDouble(Pick::rank));
-            picks.remove(best);
-            // What went since it was picked may have taken its part of the slots.
-            if (gate(best.message(), best.endpoint())) {
-                sendCall(best);
-            }
-            Pick again = pick(best.message().queue);
-            if (again != null) {
-                picks.add(again);
-            }
-        }
-        long next = busy.stream().mapToLong(queue -> queue.lookAt).min().orElse(NEVER);
-        return picks.isEmpty() ? next : Math.min(next, relieve(picks.size()));
-    }
-
-    /**
-     * All slots are taken, and something could go: calls out for far longer than usual make room, at most as
-     * many as could be used. Guards against endpoints that hang at several destinations at once: each would
-     * hold a slot for a whole time-out, a hundred times what another message needs. May lose an unsafe one
-     * that is only slow.
-     */
-    private long relieve(int wanted) {
-        long next = NEVER;
-        int left = settings.limits().cancel() ? wanted : 0;
-        for (Call call : calls) {
-            left -= call.dropped ? 1 : 0;
-        }
-        for (Call call : calls) {
-            if (left > 0 && !call.dropped) {
-                boolean unsafe = call.messages.stream().anyMatch(m -> m.kind.repeat() == Repeat.UNSAFE);
-                double usual = Math.max(usualLatency, call.endpoint.limit.latency);
-                long bearable = (long) (unsafe ? Math.max(UNSAFE_LEAST_BEARABLE, UNSAFE_BEARABLE * usual)
-                        : Math.max(LEAST_BEARABLE, BEARABLE * usual));
-                if (call.sentAt + bearable > now) {
-                    next = Math.min(next, call.sentAt + bearable);
-                } else {
-                    call.dropped = true;
-                    left--;
-                    call.messages.stream().filter(m -> m.call == call)
-                            .forEach(m -> actions.add(new Action.Cancel(m.id, m.attempts - 1)));
-                }
-            }
-        }
-        return next;
-    }
-
-    private Pick pick(Queue queue) {
-        List<Endpoint> open = new ArrayList<>();
-        long soonest = NEVER;
-        for (Endpoint endpoint : queue.endpoints) {
-            long at = endpoint.active ? readyAt(endpoint) : NEVER;
-            soonest = Math.min(soonest, endpoint.out > 0 ? now : at);
-            if (at <= now) {
-                open.add(endpoint);
-            }
-            queue.lookAt = at <= now ? queue.lookAt : Math.min(queue.lookAt, at);
-        }
-        for (Message m : soonest > now && soonest < NEVER ? queue.waiting : List.<Message>of()) {
-            // Nothing may go before its time is up, and no call is out whose outcome could change that: the
-            // client is told now, and may find a relay that is not held.
-            if (soonest > m.deadline - LEAST_LEFT || soonest >= windowEnd(m)) {
-                late.add(m);
+    private void onSubmit(Event.Submit event) {
+        Message message = message(event);
+        messages.put(message.id, message);
+        state.openMessages++;
+        state.enqueue(message);
+        if (event.prior() != null) {
+            resume(message, event.prior());
+            if (message.finished) {
+                return;
             }
         }
-        Pick best = null;
-        int looked = 0;
-        for (Message m : queue.waiting) {
-            if (open.isEmpty() || looked >= LOOK) {
-                break;
-            }
-            if (m.notBefore > now) {
-                queue.lookAt = Math.min(queue.lookAt, m.notBefore);
-                continue;
-            }
-            looked++;
-            if (best != null && rank(m, best.endpoint()) <= best.rank()) {
-                continue;
-            }
-            Endpoint endpoint = choose(m, open);
-            if (endpoint != null) {
-                double rank = rank(m, endpoint);
-                best = best == null || rank > best.rank() ? new Pick(m, endpoint, rank) : best;
+        checkAt(message.deadline - CallTimeouts.SHORTEST, message);
+        if (admission.isNearlyFull()) {
+            Message least = admission.leastWorth();
+            if (least != null) {
+                end(least);
             }
         }
-        return best;
     }
 
-    /**
-     * What a message is worth if it goes now, and a little more the closer its aim is. Where more waits than
-     * goes, what is late already must not make all that is fresh late too.
-     */
-    private double worthNow(Message m) {
-        MessageClass c = m.kind;
-        double late = (now - m.takenAt - c.aimMicros()) / (double) Math.max(1, c.aimMicros());
-        if (late < 0) {
-            return m.worth * (1 + EDGE * (1 + late));
+    private Message message(Event.Submit event) {
+        MessageClass kind = state.settings.classes().get(event.messageClass());
+        Message message = new Message(event.id(), kind);
+        message.acceptedAt = state.now - Math.max(0, kind.deadlineMicros() - event.budgetMicros());
+        message.deadline = state.now + event.budgetMicros();
+        message.queue = state.queues.computeIfAbsent(event.destination(), d -> new DestinationQueue());
+        message.worth = kind.worth() * (admission.isOverQuota(event.tenant()) ? state.settings.overShareWorth() : 1);
+        if (kind.ordered() && event.key() != null) {
+            keyOrder.add(message, event.key());
         }
-        double rest = c.halves() ? Math.pow(0.5, late)
-                : 1 - late * c.aimMicros() / Math.max(1, c.deadlineMicros() - c.aimMicros());
-        return m.worth * Math.max(c.lateShare(), rest);
+        return message;
     }
 
-    /** Worth for a slot's time. */
-    private double rank(Message m, Endpoint endpoint) {
-        Limit limit = endpoint.limit;
-        double worth = worthNow(m);
-        if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            worth *= 4; // its window is running: later is too late
-        }
-        if ((endpoint.outage || endpoint.hung) && m.kind.repeat() != Repeat.SAFE && !m.mayHaveRun) {
-            // A call that fails may have run. Try a sick limit with what can be repeated.
-            worth *= m.kind.repeat() == Repeat.UNSAFE ? 0.01 : 0.5;
-        }
-        return worth / Math.max(1_000, limit.latency > 0 ? limit.latency : usualLatency);
-    }
-
-    private Endpoint choose(Message m, List<Endpoint> open) {
-        Endpoint best = null;
-        double least = 0;
-        for (Endpoint endpoint : open) {
-            if (!gate(m, endpoint)) {
-                continue;
-            }
-            double cost = endpoint.out + (endpoint.zone == settings.zone() ? 0 : 1)
-                    + (warm(endpoint) ? 0 : 0.75) + (m.lastHost == endpoint ? 0.5 : 0);
-            if (best == null || cost < least) {
-                best = endpoint;
-                least = cost;
-            }
+    /** Takes over what an earlier process did with a message, and ends it if no attempt may follow. */
+    private void resume(Message message, Prior prior) {
+        message.attempts = prior.attempts();
+        message.mayHaveRun = prior.mayHaveRun();
+        message.mayHaveRunSince = prior.riskAtMicros();
+        message.mayHaveRunZone = prior.riskZone();
+        message.resumed = true;
+        if (retries.isExhausted(message) || state.now >= retries.windowEnd(message)) {
+            end(message);
+        } else if (retries.hasWindow(message)) {
+            checkAt(retries.windowEnd(message), message);
         }
-        return best;
     }
 
-    // ---- sending ----------------------------------------------------------------------------------------
-    /** Every send passes here: effects, windows, drains, waits, order, attempts; its call has a slot. */
-    private boolean gate(Message m, Endpoint endpoint) {
-        if (m.over || m.out != null || m.attempts >= settings.limits().maxAttempts()
-                || now < m.notBefore || m.deadline - now < LEAST_LEFT || endpoint.queue != m.queue) {
-            return false;
-        }
-        if (!endpoint.active || now < endpoint.limit.waitUntil) {
-            return false;
-        }
-        if (m.line != null && (m.line.messages.peek() != m
-                || m.line.restOwner != m && now < m.line.restUntil)) {
-            return false;
-        }
-        // A call that the end of the program could cut may have run: what can't come back in time stays held.
-        if (stopAt < NEVER && now + patience(m, endpoint.limit) > stopAt) {
-            return false;
-        }
-        if (m.mayHaveRun) {
-            if (m.kind.repeat() == Repeat.UNSAFE) {
-                return false;
-            }
-            if (m.kind.repeat() == Repeat.KEYED && (now >= windowEnd(m)
-                    || m.kind.group() == Group.ZONE && endpoint.zone != m.riskZone)) {
-                return false;
-            }
+    /** Ends messages whose deadline or window is over. */
+    private void endOverdue() {
+        while (!dues.isEmpty() && dues.peek().at() <= state.now) {
+            check(dues.poll().message());
         }
-        return readyAt(endpoint) <= now;
     }
 
-    /** Until when a repeat is dropped by those who had the first; never over while nothing may have run. */
-    private long windowEnd(Message m) {
-        return m.mayHaveRun && m.kind.repeat() == Repeat.KEYED
-                ? m.riskAt + m.kind.repeatWindowMicros() - settings.roundMicros() : Long.MAX_VALUE;
-    }
-
-    /** One call: the picked message, and where calls carry several, others of its queue that may go along. */
-    private void sendCall(Pick pick) {
-        Call call = new Call();
-        Endpoint endpoint = pick.endpoint();
-        call.sentAt = now;
-        call.endpoint = endpoint;
-        endpoint.calls.add(call);
-        calls.add(call);
-        send(pick.message(), endpoint, call);
-        if (endpoint.batch > 1 && !endpoint.outage) {
-            // Limits count calls, so what goes along is free; only a trial, which may fail all, goes alone.
-            for (Message m : List.copyOf(pick.message().queue.waiting)) {
-                if (call.left >= endpoint.batch) {
-                    break;
-                }
-                if (gate(m, endpoint)) {
-                    send(m, endpoint, call);
-                }
+    private void check(Message message) {
+        // The outcome of a call comes at the deadline at the latest; if it doesn't, answer within the slack.
+        long latestAnswerAt = message.deadline + state.settings.rules().answerSlackMicros() / 2;
+        if (message.finished) {
+            keyOrder.forget(message);
+        } else if (message.inFlightTo == null) {
+            if (message.deadline - state.now <= CallTimeouts.SHORTEST || state.now >= retries.windowEnd(message)) {
+                end(message);
             }
+        } else if (state.now >= latestAnswerAt) {
+            end(message);
+        } else {
+            checkAt(latestAnswerAt, message);
         }
-        slotsOut++;
-        endpoint.out++;
-        endpoint.limit.out++;
-        endpoint.limit.lastSend = now;
-        endpoint.lastSend = now;
-        endpoint.idle.pollLast();
-        used.remove(endpoint);
-    }
-
-    private void send(Message m, Endpoint endpoint, Call call) {
-        unawait(m);
-        m.attempts++;
-        m.out = endpoint;
-        m.call = call;
-        call.messages.add(m);
-        m.sentAt = now;
-        m.lastHost = endpoint;
-        call.left++;
-        // A connection that comes up late must not carry it past its window.
-        long dropAt = Math.min(Math.min(m.deadline, now + patience(m, endpoint.limit)), windowEnd(m));
-        actions.add(new Action.Send(m.id, endpoint.host, dropAt));
-    }
-
-    /**
-     * Idle connections fill what an endpoint takes from all relays, and one that has its own there never
-     * hears of those that got none. So none is kept at a kind that has once turned this relay away for want
-     * of room, and none by each of many relays, as what each learns alone comes late. Costs handshakes.
-     */
-    private void closeUnused(Endpoint endpoint) {
-        if (many || noRoom[endpoint.kind] && endpoint.queue.waiting.isEmpty()) {
-            actions.add(new Action.CloseIdle(endpoint.host));
-            endpoint.idle.clear();
-        }
-    }
-
-    /**
-     * Endpoints of this kind take few connections: failed connects soon turned into deliveries. There one is
-     * no outage, and is tried again as pauses allow. May hurt for seconds where such a kind goes down.
-     */
-    private boolean crowded(Endpoint endpoint) {
-        return blips[endpoint.kind] > CROWDED;
-    }
-
-    /** Most failures are blips: calls are lost everywhere, and a single failure tells nothing. */
-    private boolean lossy() {
-        return blips[blips.length - 1] > CROWDED;
-    }
-
-    /** How long a call may take. */
-    private long patience(Message m, Limit limit) {
-        double usual = limit.latency > 0 ? PATIENCE * limit.latency : m.kind.aimMicros();
-        double time = Math.max(LEAST_PATIENCE * m.kind.aimMicros(), usual) * limit.patience;
-        if (m.kind.repeat() == Repeat.UNSAFE) {
-            return (long) Math.max(time * UNSAFE_PATIENCE, LEAST_LEFT);
-        }
-        // Where calls are lost everywhere, the last slot is worth more than a call that is likely lost.
-        time *= lossy() && slotsOut + 1 >= settings.limits().slots() ? SCARCE_PATIENCE : 1;
-        if (m.kind.repeat() == Repeat.KEYED && !m.mayHaveRun) {
-            time = Math.min(time, WINDOW_PART * m.kind.repeatWindowMicros());
-        }
-        return (long) Math.max(time, LEAST_LEFT);
     }
 
-    private boolean warm(Endpoint endpoint) {
-        long keep = settings.limits().keepAliveMicros();
-        while (!endpoint.idle.isEmpty() && endpoint.idle.peekFirst() + keep <= now) {
-            endpoint.idle.removeFirst();
-        }
-        return !endpoint.idle.isEmpty();
+    private void checkAt(long time, Message message) {
+        dues.add(new TimedCheck(time, checksAdded++, message));
     }
 
-    // ---- outcomes ---------------------------------------------------------------------------------------
-    private void outcome(Event.Outcome e) {
-        Message m = messages.get(e.id());
-        if (m == null || m.out == null || e.attempt() != m.attempts - 1) {
+    private void onOutcome(Event.Outcome event) {
+        Message message = messages.get(event.id());
+        if (message == null || message.inFlightTo == null || event.attempt() != message.attempts - 1) {
             return;
         }
-        Endpoint endpoint = m.out;
-        Call call = m.call;
-        m.out = null;
-        m.call = null;
-        boolean ran = !e.ending().neverRan();
-        if (--call.left == 0) {
-            slotsOut--;
-            endpoint.out--;
-            endpoint.calls.remove(call);
-            calls.remove(call);
-            endpoint.limit.out--;
-            if (e.ending() != Ending.NO_CONNECTION && e.ending() != Ending.NO_ROOM
-                    && e.ending() != Ending.RESET && e.ending() != Ending.NOT_SENT) {
-                endpoint.idle.addLast(now);
-                used.add(endpoint);
-            }
-        }
-        boolean first = !call.told;
-        call.told = true;
-        if (e.ending() == Ending.DELIVERED) {
-            endpoint.takenSentAt = Math.max(endpoint.takenSentAt, m.sentAt);
-        }
-        learn(e, endpoint, first);
-        m.attempts -= e.ending() == Ending.WITHHELD ? 1 : 0;
-        if (ran && e.ending() != Ending.DELIVERED && !m.mayHaveRun) {
-            m.mayHaveRun = true;
-            m.riskAt = m.sentAt;
-            m.riskZone = endpoint.zone;
+        Endpoint endpoint = message.inFlightTo;
+        endAttempt(message, event);
+        noteRisk(message, endpoint, event.ending());
+        if (message.orderedKey != null && wasGivenUp(event.ending())) {
+            keyOrder.pause(message);
+            checkAt(message.orderedKey.pausedUntil, message);
         }
-        if (m.line != null && (e.ending() == Ending.TIMED_OUT || e.ending() == Ending.RESET
-                || e.ending() == Ending.CANCELED)) {
-            m.line.restUntil = now + settings.rules().orderPauseMicros();
-            m.line.restOwner = m;
-            dues.add(new Due(m.line.restUntil, order++, m));
-        }
-        if (m.over || e.over() || e.ending() == Ending.DELIVERED) {
-            over(m);
-        } else if (e.ending() == Ending.REJECTED) {
+        if (message.finished || event.over() || event.ending() == Ending.DELIVERED) {
+            finish(message);
+        } else if (event.ending() == Ending.REJECTED) {
             // The design: a permanent failure ends a row at once.
-            actions.add(new Action.Fail(m.id));
-            over(m);
-        } else if (e.ending() == Ending.WITHHELD && !endpoint.active) {
-            await(m); // its endpoint is leaving and got nothing: another may have it now
+            state.actions.add(new Action.Fail(message.id));
+            finish(message);
+        } else if (event.ending() == Ending.WITHHELD && !endpoint.active) {
+            // Its endpoint is leaving and got nothing: another may have it now.
+            state.enqueue(message);
         } else {
-            retry(m);
+            retry(message);
         }
     }
 
-    /** The next try after the design's growing, spread pause; or the end, at once, if none can come. */
-    private void retry(Message m) {
-        long pause = (long) (STEPS[Math.max(0, Math.min(m.attempts, STEPS.length) - 1)] * spread());
-        m.notBefore = now + pause;
-        if (m.mayHaveRun && m.kind.repeat() == Repeat.KEYED) {
-            // A pause past the window would lose the message: come as late as a connection may still come up.
-            long latest = windowEnd(m) - settings.limits().connectTimeoutMicros();
-            m.notBefore = now < latest ? Math.min(m.notBefore, latest) : m.notBefore;
-            dues.add(new Due(windowEnd(m), order++, m));
-        }
-        if (m.attempts >= settings.limits().maxAttempts() || m.notBefore > m.deadline - LEAST_LEFT
-                || m.mayHaveRun && m.kind.repeat() == Repeat.UNSAFE || m.notBefore >= windowEnd(m)) {
-            end(m);
-            return;
+    /** Takes the message out of its call, and learns what the outcome tells of the endpoint. */
+    private void endAttempt(Message message, Event.Outcome event) {
+        Endpoint endpoint = message.inFlightTo;
+        Call call = message.call;
+        message.inFlightTo = null;
+        message.call = null;
+        call.outcomesDue--;
+        if (call.outcomesDue == 0) {
+            dispatch.end(call);
+            connections.onCallEnded(endpoint, event.ending());
         }
-        await(m);
-    }
-
-    private void await(Message m) {
-        m.queue.waiting.add(m);
-        busy.add(m.queue);
-    }
-
-    private void unawait(Message m) {
-        m.queue.waiting.remove(m);
-        if (m.queue.waiting.isEmpty()) {
-            busy.remove(m.queue);
+        if (event.ending() == Ending.DELIVERED) {
+            endpoint.lastDeliveredSentAt = Math.max(endpoint.lastDeliveredSentAt, message.sentAt);
         }
-    }
-
-    /** The one place that ends a message: refused where that is harmless, else failed. */
-    private void end(Message m) {
-        boolean mayRun = m.mayHaveRun || m.out != null;
-        boolean harmless = !mayRun || m.kind.repeat() == Repeat.SAFE
-                || m.kind.repeat() == Repeat.KEYED && m.kind.group() == Group.ALL;
-        actions.add(harmless ? new Action.Refuse(m.id, comeBack(m.queue)) : new Action.Fail(m.id));
-        over(m);
-    }
-
-    /** Forgets a message that is finished, as soon as no attempt is out. */
-    private void over(Message m) {
-        if (!m.over) {
-            m.over = true;
-            held--;
-            unawait(m);
+        limits.onReport(endpoint.limit, event.report());
+        limits.onWait(endpoint.limit, event.waitMicros());
+        if (!call.outcomeSeen) {
+            call.outcomeSeen = true;
+            learn(endpoint, event);
         }
-        if (m.out == null) {
-            messages.remove(m.id);
-            if (m.line != null) {
-                m.line.messages.remove(m);
-            }
-            forgetLine(m);
+        if (event.ending() == Ending.WITHHELD) {
+            message.attempts--;
         }
     }
 
-    /** A key is forgotten when nothing of it is left and it has rested. */
-    private void forgetLine(Message m) {
-        if (m.line != null && m.line.messages.isEmpty() && m.line.restUntil <= now) {
-            lines.remove(m.key, m.line);
-        }
-    }
-
-    /** When a refused client should come again: when its destination will have room. */
-    private long comeBack(Queue queue) {
-        if (!settings.limits().comeBack()) {
-            return 0;
-        }
-        long wait = NEVER;
-        for (Endpoint endpoint : queue.endpoints) {
-            if (endpoint.active) {
-                double rate = Math.max(share(endpoint.limit), flow(endpoint));
-                wait = Math.min(wait, Math.max(0, readyAt(endpoint) - now)
-                        + (long) (queue.waiting.size() / rate * SECOND));
-            }
-        }
-        return Math.min(wait, settings.limits().maxComeBackMicros());
-    }
-
-    /** The hold is nearly full: what is worth least and waits longest ends, not what outlived a process. */
-    private void refuseLeastWorth() {
-        Message least = null;
-        double lowest = 0;
-        for (Queue queue : busy) {
-            double flow = queue.endpoints.stream().mapToDouble(this::flow).sum();
-            double crowd = 1 + queue.waiting.size() / (1 + 10 * flow);
-            for (Message m : queue.waiting) {
-                double worth = m.worth / crowd * (m.mayHaveRun ? 4 : 1);
-                if (!m.resumed && (least == null || worth <= lowest)) {
-                    least = m;
-                    lowest = worth;
-                }
+    /** What a call tells of its limit and endpoint, by the first outcome of its messages. */
+    private void learn(Endpoint endpoint, Event.Outcome event) {
+        DestinationLimit limit = endpoint.limit;
+        switch (event.ending()) {
+            case DELIVERED -> {
+                rates.onDelivered(limit, endpoint);
+                timeouts.onDelivered(limit, event.elapsedMicros());
+                limits.onDelivered(limit);
+                outages.onDelivered(limit, endpoint);
             }
-        }
-        if (least != null) {
-            end(least);
-        }
-    }
-
-    /** Calls a second that an endpoint is likely to take. */
-    private double flow(Endpoint endpoint) {
-        return Math.min(usual(endpoint.limit), Math.min(held(endpoint.limit), healed(endpoint)));
-    }
-
-    // ---- limits and health ------------------------------------------------------------------------------
-    /** What an outcome tells of its limit and endpoint; messages of one call tell it once. */
-    private void learn(Event.Outcome e, Endpoint endpoint, boolean first) {
-        Limit limit = endpoint.limit;
-        if (e.report() != null && e.report().perSecond() > 0) {
-            limit.told = e.report().perSecond();
-            limit.reported = true;
-            limit.left = e.report().left();
-        }
-        if (e.waitMicros() > 0) {
-            limit.waitUntil = Math.max(limit.waitUntil, now + e.waitMicros());
-            limit.shortWaitAt = e.waitMicros() < SHUT_WAIT ? now : limit.shortWaitAt;
-        }
-        switch (first ? e.ending() : Ending.NOT_SENT) {
-            case DELIVERED -> taken(limit, endpoint, e.elapsedMicros());
-            case FULL -> refused(limit, endpoint, e);
+            case FULL -> limits.onRefused(limit, endpoint, event.waitMicros(), event.report());
             case ERROR, TIMED_OUT, RESET, NO_CONNECTION, NO_ROOM, CANCELED ->
-                failed(limit, endpoint, e.ending(), e.elapsedMicros());
-            default -> { }
+                outages.onFailure(limit, endpoint, event.ending(), event.elapsedMicros());
+            default -> {}
         }
     }
 
-    private void taken(Limit limit, Endpoint endpoint, long elapsed) {
-        count(limit, endpoint);
-        count(all, endpoint);
-        limit.latency = limit.latency == 0 ? elapsed
-                : limit.latency + LATENCY_WEIGHT * (elapsed - limit.latency);
-        double sane = usualLatency == 0 ? elapsed : Math.min(elapsed, SLOW_TIMES * usualLatency);
-        usualLatency += (usualLatency == 0 ? 1 : LATENCY_WEIGHT / 4) * (sane - usualLatency);
-        limit.patience = elapsed < 2 * limit.latency ? 1 : Math.max(1, limit.patience * 0.7);
-        limit.pace += GAIN;
-        limit.badSince = 0;
-        limit.turned = 0;
-        limit.usedUp = false;
-        limit.fails = 0;
-        limit.failsMany = false;
-        limit.fulls /= 2;
-        boolean back = endpoint.outage || endpoint.turned && now - endpoint.badSince >= BLIP;
-        endpoint.fails = 0;
-        endpoint.turned = false;
-        endpoint.hung = false;
-        if (endpoint.badSince > 0 && now - endpoint.badSince < BLIP) {
-            blips[endpoint.blip] += CROWD_WEIGHT * (1 - blips[endpoint.blip]);
-        }
-        endpoint.badSince = 0;
-        endpoint.ill *= 1 - ILL_WEIGHT;
-        if (back) {
-            // Back from an outage, or from connects that failed for long: it is cold now and ramps from here.
-            endpoint.outage = false;
-            endpoint.rampFrom = now;
-            endpoint.ill = Math.min(endpoint.ill, STILL_ILL);
+    /** Remembers the first attempt that may have taken effect without being known to. */
+    private static void noteRisk(Message message, Endpoint endpoint, Ending ending) {
+        boolean mayHaveRun = !ending.neverRan() && ending != Ending.DELIVERED;
+        if (mayHaveRun && !message.mayHaveRun) {
+            message.mayHaveRun = true;
+            message.mayHaveRunSince = message.sentAt;
+            message.mayHaveRunZone = endpoint.zone;
         }
-        endpoint.trialPause = TRIAL_FIRST;
     }
 
-    private void refused(Limit limit, Endpoint endpoint, Event.Outcome e) {
-        long wait = e.waitMicros();
-        // A full queue, a limit used up by refused calls and a shut one look alike to a relay that comes by
-        // once: the second refusal in a row, or the first with nothing left, sets the pace of an outage. Few
-        // relays see each destination often enough to tell an outage by its length.
-        limit.usedUp = e.report() != null && e.report().perSecond() > 0 && e.report().left() <= 0;
-        limit.turned += limit.usedUp ? 2 : many ? 1 : 0;
-        if (now >= limit.holdUntil) {
-            limit.pace = CUT * limit.recent / CUT_PACE;
-            limit.roof = Math.max(CUT * limit.recent, HOLD_PER_SECOND);
-        }
-        limit.badSince = limit.badSince == 0 ? now : limit.badSince;
-        limit.lasted = now - limit.badSince;
-        limit.jitter = many ? 1 + random.nextDouble() : 1;
-        limit.fulls++;
-        if (wait >= SHUT_WAIT || limit.fulls >= FULLS_IN_ROW && now - limit.badSince >= SHUT_SPAN
-                && limit.shortWaitAt < limit.badSince) {
-            // Refusals alone, none with a short wait, or a wait longer than any rate asks for: it is shut.
-            limit.endpoints.forEach(this::sick);
-            if (wait >= SHUT_WAIT) {
-                // It told all relays when it opens, and they must not all come then. What one saw of it is
-                // short of what it lasted. Holds for any herd at a told time; a lone relay hardly waits.
-                limit.lasted = Math.max(LEAST_OUTAGE, limit.waitUntil - limit.badSince);
-                double pause = SECOND / budget(limit, settings.rules().overloadMicros(), false);
-                limit.opensAt = limit.waitUntil + (long) (random.nextDouble() * pause);
-            }
-        } else if (ramping(endpoint)) {
-            endpoint.rampFrom += (now - endpoint.rampFrom) / 2;
-        }
-        if (now - limit.cutAt >= CUT_APART) {
-            limit.cutAt = now;
-            decay(limit, endpoint);
-            double most = limit.told > 0 ? Math.min(limit.told, HOLD_PER_SECOND) : HOLD_PER_SECOND;
-            double least = share(limit);
-            // What was taken bounds the cut from below: with few messages to send it says little of the room.
-            limit.pace = Math.max(least, Math.min(most, Math.max(CUT_PACE * limit.pace, CUT * limit.recent)));
-        }
-        // Quiet seconds in which nothing could be sent say nothing: a hold lasts for two calls at its pace.
-        // For one of many relays, which sends seldom, that is far longer than a clump.
-        limit.holdUntil = now + (long) (many ? QUIET * spread()
-                : Math.max(QUIET, 2 * SECOND / Math.max(limit.pace, share(limit))));
-    }
-
-    /** Calls a second that a held limit surely has for this relay: all relays at this pace stay within it. */
-    private double share(Limit limit) {
-        // Nothing at all left: refused calls use up the limit, and any more keep it at nothing.
-        double shares = limit.told <= 0 ? FIRST_SHARES : limit.left > 0 ? NEVER : USED_UP_SHARES;
-        int quarters = Math.min(Math.max(0, limit.fulls - 1), 6);
-        double least = Math.min(MOST_LEAST_PACE, shares * fair(limit)) / (1 << 2 * quarters);
-        least = Math.max(least, Math.max(LEAST_PACE, Math.min(fair(limit), MOST_LEAST_PACE)));
-        return Math.max(LEAST_PART * usual(limit), least);
-    }
-
-    /** This relay's even share of a limit, calls a second. */
-    private double fair(Limit limit) {
-        double untold = Math.max(UNTOLD_PACE / settings.relays(), MEAN_PART * usual(all) / queues.size());
-        return limit.told > 0 ? limit.told / settings.relays() : untold;
-    }
-
-    /**
-     * A call failed hard. Health is the endpoint's, as one may be bad alone; failures at several of a limit,
-     * nothing taken between, speak of all. May hurt where all endpoints fail with successes between.
-     */
-    private void failed(Limit limit, Endpoint endpoint, Ending how, long elapsed) {
-        Ending ending = how == Ending.CANCELED ? Ending.TIMED_OUT : how; // given up for want of an answer too
-        limit.badSince = limit.badSince == 0 ? now : limit.badSince;
-        limit.lasted = now - limit.badSince;
-        limit.jitter = many ? 1 + random.nextDouble() : 1; // a clump refused together comes again apart
-        endpoint.fails++;
-        // One that has no room for a connection is there; if it says only that for long, it may be shut.
-        boolean there = ending == Ending.NO_ROOM
-                && (endpoint.badSince == 0 || now - endpoint.badSince < BLIP);
-        if (!there) {
-            limit.failsMany |= limit.fails > 0 && limit.failedLast != endpoint;
-            limit.failedLast = endpoint;
-            limit.fails++;
-            endpoint.ill += ILL_WEIGHT * (1 - endpoint.ill);
-        }
-        if (endpoint.fails > 1) {
-            endpoint.avoidUntil = now
-                    + (long) ((AVOID_FIRST << Math.min(endpoint.fails - 2, AVOID_DOUBLINGS)) * spread());
-        }
-        if (ending == Ending.TIMED_OUT && endpoint.fails > 1) {
-            // All are slow: wait longer. A part that hangs while others answer must not hold slots longer.
-            limit.patience = Math.min(MOST_PATIENCE, limit.patience * 2);
-        }
-        if (ending == Ending.NO_CONNECTION) {
-            endpoint.idle.clear();
-        }
-        if (ramping(endpoint) && endpoint.ill >= STILL_ILL) {
-            endpoint.rampFrom = now;
-        }
-        endpoint.hung |= ending == Ending.TIMED_OUT && (endpoint.fails > 1 || !lossy());
-        boolean turnedAway = ending == Ending.NO_ROOM || ending == Ending.NO_CONNECTION
-                && elapsed < CONNECT_PART * settings.limits().connectTimeoutMicros();
-        endpoint.blip = turnedAway ? endpoint.kind : blips.length - 1;
-        endpoint.badSince = endpoint.badSince == 0 ? now : endpoint.badSince;
-        blips[endpoint.blip] *= now - endpoint.badSince < BLIP ? 1 : 1 - CROWD_WEIGHT;
-        // One that took a call just now and turns the next away is full, not down: a busy one must not be
-        // left alone for it. In an outage this ends with the fourth failure in a row, or three seconds in.
-        boolean busyNow = now - endpoint.takenSentAt < BLIP && endpoint.fails < FAILS_IN_ROW;
-        endpoint.turned |= many && ending == Ending.NO_CONNECTION && !busyNow;
-        if (turnedAway) {
-            noRoom[endpoint.kind] = true;
-            if (there || crowded(endpoint)) {
-                long longer = many ? now - limit.badSince : 0;
-                endpoint.avoidUntil = Math.max(endpoint.avoidUntil, now + (long) (longer * spread()));
-                return;
-            }
-        }
-        int fleet = Math.max(1, FLEET_FAILS / settings.relays());
-        int failsInRow = lossy() ? FAILS_IN_ROW : Math.min(FAILS_IN_ROW, fleet);
-        if (limit.failsMany && limit.fails >= failsInRow) {
-            limit.endpoints.stream().filter(x -> x.fails > 0).forEach(this::sick);
-        } else if (endpoint.fails >= failsInRow || endpoint.ill >= ILL) {
-            sick(endpoint);
-        }
-    }
-
-    private void sick(Endpoint endpoint) {
-        endpoint.trialPause = Math.min(TRIAL_LAST, endpoint.trialPause * (endpoint.outage ? 3 : 2) / 2);
-        endpoint.outage = true;
+    /** Whether an attempt with this ending may still be running at its endpoint. */
+    private static boolean wasGivenUp(Ending ending) {
+        return ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELED;
     }
 
-    /**
-     * Calls here hold slots and deliver little: an outage, a time-out, slow answers, or a call out for long.
-     * All such endpoints share a part of the slots. Guards against several that hang or crawl at once and
-     * starve the rest; measured against the relay's usual answer time, so all slow together clog nothing.
-     */
-    private boolean clogged(Endpoint endpoint) {
-        double slow = SLOW_TIMES * usualLatency;
-        for (Call call : endpoint.calls) {
-            // A call that hangs while later ones come back says nothing of the endpoint.
-            if (usualLatency > 0 && call.sentAt > endpoint.takenSentAt && now - call.sentAt > slow) {
-                return true;
-            }
-        }
-        return endpoint.outage || endpoint.hung || usualLatency > 0 && endpoint.limit.latency > slow;
-    }
-
-    private boolean ramping(Endpoint endpoint) {
-        return endpoint.rampFrom > 0 && now - endpoint.rampFrom < settings.rules().rampMicros();
-    }
-
-    /** When the endpoint takes a further call: after its limit's wait, at both paces, with slots left. */
-    private long readyAt(Endpoint endpoint) {
-        Limit limit = endpoint.limit;
-        int slots = settings.limits().slots();
-        if (limit.out >= Math.max(1, (int) Math.ceil(SLOT_PART * slots))
-                || endpoint.out > 0 && (endpoint.outage
-                        || blips[endpoint.kind] > CROWD_GUESS && !warm(endpoint))) {
-            return NEVER;
+    /** The next try after a pause; or the end, at once, if none can come. */
+    private void retry(Message message) {
+        retries.pause(message);
+        if (retries.hasWindow(message)) {
+            checkAt(retries.windowEnd(message), message);
         }
-        if (clogged(endpoint)) {
-            int clogging = 0;
-            for (Call call : calls) {
-                clogging += clogged(call.endpoint) ? 1 : 0;
-            }
-            if (clogging >= Math.max(1, (int) (SICK_PART * slots))) {
-                return NEVER;
-            }
-        }
-        long at = Math.max(Math.max(limit.waitUntil, limit.opensAt), endpoint.avoidUntil);
-        double rate = held(limit);
-        long free = now < limit.holdUntil ? limit.holdUntil : NEVER;
-        at = rate >= NEVER ? at : Math.max(at, Math.min(free, limit.lastSend + (long) (SECOND / rate)));
-        rate = limit.turned > 1 ? budget(limit, 0, false) / limit.jitter : NEVER;
-        rate = limit.usedUp ? Math.min(rate, USED_UP_PART * fair(limit)) : rate;
-        at = rate >= NEVER ? at : Math.max(at, limit.lastSend + (long) (SECOND / rate));
-        rate = healed(endpoint);
-        long healedAt = rate >= NEVER ? at : endpoint.lastSend + (long) (SECOND / rate);
-        // A ramp's pace is at its slowest now: at its end the endpoint is free.
-        boolean ends = ramping(endpoint) && !endpoint.outage && !endpoint.turned;
-        return Math.max(at, ends ? Math.min(healedAt, endpoint.rampFrom + settings.rules().rampMicros())
-                : healedAt);
-    }
-
-    /** Calls a second that a limit is held to after a refusal; unbounded on the ordinary path. */
-    private double held(Limit limit) {
-        if (now < limit.holdUntil) {
-            return Math.min(HOLD_PER_SECOND, limit.pace);
+        if (retries.canTryAgain(message)) {
+            state.enqueue(message);
+        } else {
+            end(message);
         }
-        // What waited must not come at once when the hold is over: it would be refused again.
-        long after = now - limit.holdUntil;
-        return limit.roof == 0 || after > ROOF_LASTS ? NEVER
-                : limit.roof * Math.pow(ROOF_GROWTH, after / SECOND);
     }
 
-    /** Calls a second that an endpoint may get in an outage and on its return; unbounded otherwise. */
-    private double healed(Endpoint endpoint) {
-        long active = Math.max(1, endpoint.limit.endpoints.stream().filter(x -> x.active).count());
-        if (endpoint.outage || endpoint.turned) {
-            boolean sure = endpoint.turned || many && endpoint.limit.failsMany && !lossy();
-            double rate = budget(endpoint.limit, 0, sure) / active;
-            return Math.min(SECOND / endpoint.trialPause, rate) / endpoint.limit.jitter;
+    /** The one place that gives a message up: refused where that is harmless, else failed. */
+    private void end(Message message) {
+        if (isHarmlessToRefuse(message)) {
+            state.actions.add(new Action.Refuse(message.id, admission.comeBackAfter(message.queue)));
+        } else {
+            state.actions.add(new Action.Fail(message.id));
         }
-        return ramping(endpoint) ? budget(endpoint.limit, now - endpoint.rampFrom, false) / active : NEVER;
+        finish(message);
     }
 
-    /**
-     * This relay's part of what a destination that came back so long ago can be sent. All
-     * relays that saw a failure share it. They are no more than the relays, and than the messages since the
-     * outage began: the rate times its length. So each has one part in that length of the rate, known or not.
-     */
-    private double budget(Limit limit, long since, boolean once) {
-        Rules r = settings.rules();
-        double warmed = Math.min(1.0, since / (double) Math.max(1, r.rampMicros()));
-        double part = BUDGET_PART * r.tipMultiple() * (r.coldFrom() + (1 - r.coldFrom()) * warmed);
-        // Pauses grow by 1 / part of what it lasted: the first is so long that a third try is past its end.
-        double first = once ? LONG_OUTAGE * part / (1 + 1 / part) : TRIAL_FIRST;
-        double alone = SECOND / Math.max(first, limit.lasted);
-        return part * Math.max(Math.max(usual(limit), fair(limit)), alone);
+    /** Whether the client may come again with the message: no attempt may have run, or a repeat does no harm. */
+    private static boolean isHarmlessToRefuse(Message message) {
+        boolean mayRun = message.mayHaveRun || message.inFlightTo != null;
+        Repeat repeat = message.messageClass.repeat();
+        boolean keyedEverywhere = repeat == Repeat.KEYED && message.messageClass.group() == Group.ALL;
+        return !mayRun || repeat == Repeat.SAFE || keyedEverywhere;
     }
 
-    private void decay(Limit limit, Endpoint endpoint) {
-        double past = limit.countedAt == 0 ? 0 : now - limit.countedAt;
-        limit.recent *= Math.exp(-past / RECENT);
-        if (!endpoint.outage && !ramping(endpoint)) {
-            limit.usual *= Math.exp(-past / USUAL);
-            limit.unseen *= Math.exp(-past / USUAL);
+    /** Marks a message as answered, and forgets it as soon as no attempt is in flight. */
+    private void finish(Message message) {
+        if (!message.finished) {
+            message.finished = true;
+            state.openMessages--;
+            state.dequeue(message);
         }
-        limit.countedAt = now;
-    }
-
-    /** Calls a second usually taken: the mean of what was seen, as the memory is empty at first. */
-    private double usual(Limit limit) {
-        return limit.usual / Math.max(LEAST_SEEN, 1 - limit.unseen);
-    }
-
-    private void count(Limit limit, Endpoint endpoint) {
-        decay(limit, endpoint);
-        limit.recent += SECOND / RECENT;
-        if (!endpoint.outage && !ramping(endpoint)) {
-            limit.usual += SECOND / USUAL;
+        if (message.inFlightTo == null) {
+            messages.remove(message.id);
+            keyOrder.remove(message);
         }
     }
-
-    private double spread() {
-        return SPREAD_FROM + (SPREAD_TO - SPREAD_FROM) * random.nextDouble();
-    }
 }
