--- a/src/main/java/lilaclever/journal/BootClock.java
+++ b/src/main/java/lilaclever/journal/BootClock.java
@@ -20,8 +20,8 @@
  */
 public record BootClock(long boot, long offsetMicros) {
     /**
-     * Less than this is the reading of two clocks one after the other. All else is moved: the rules leave 50 ms, and the
-     * wall clock of a life does not follow slow adjustments either.
+     * Less than this is the reading of two clocks one after the other. All else is moved: the rules leave 50 ms, and
+     * the wall clock of a life does not follow slow adjustments either.
      */
     private static final long NOTHING = 1_000;
 
--- a/src/main/java/lilaclever/journal/SegmentLog.java
+++ b/src/main/java/lilaclever/journal/SegmentLog.java
@@ -27,8 +27,8 @@
     /**
      * A file without content that is not filled with zeros yet.
      *
-     * @param forcing the forcings that had begun when it got its name: until a later one has ended well, a failure of the
-     *     machine may bring its old name back, and its old content has to be there then
+     * @param forcing the forcings that had begun when it got its name: until a later one has ended well, a failure of
+     *     the machine may bring its old name back, and its old content has to be there then
      */
     private record Unready(String name, long length, long forcing) {}
 
@@ -196,8 +196,9 @@
     }
 
     /**
-     * A file with records stays in the log. An empty one becomes a spare again: it would be emptied only after all files
-     * before it, and a disk that fails for some time would use up all spares, with none left to copy what is live to.
+     * A file with records stays in the log. An empty one becomes a spare again: it would be emptied only after
+     * all files before it, and a disk that fails for some time would use up all spares, with none left to copy
+     * what is live to.
      */
     private void leaveAfterFailure() {
         if (active.used > Format.OVERHEAD) {
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -96,6 +96,11 @@
         return Math.min(ClassTable.NOTE_BYTES, diskBytes / 16);
     }
 
+    /** What the note of departures, and the one written beside it, take on disk. */
+    long departuresBytes() {
+        return Math.min(DepartureNote.NOTE_BYTES, diskBytes / 16);
+    }
+
     /** Notes the classes, if there is room. */
     void noteClasses() throws ConfigurationException {
         try {
@@ -107,7 +112,7 @@
 
     /** What the notes take on disk. */
     long noteBytes() {
-        return NOTE_BYTES + classesBytes() + DepartureNote.NOTE_BYTES + (operator == null ? 0 : SUSPENDED_BYTES);
+        return NOTE_BYTES + classesBytes() + departuresBytes() + (operator == null ? 0 : SUSPENDED_BYTES);
     }
 
     /** Ids of endpoints that were taken out by hand in an earlier life. */
--- a/src/main/java/lilaclever/program/DepartureNote.java
+++ b/src/main/java/lilaclever/program/DepartureNote.java
@@ -86,14 +86,22 @@
         Logs.warn("", "departures-damaged", file + " " + problem);
     }
 
-    /** Replaces the file in the folder. A line that would be too long is left out; of the others the oldest are. */
+    /** Replaces the file in the folder by one of at most {@link #FILE_BYTES}. */
     static void write(Path state, List<Departure> departures) throws IOException {
+        write(state, departures, FILE_BYTES);
+    }
+
+    /**
+     * Replaces the file in the folder by one of so many bytes at most. A line that would be too long is left out; of
+     * the others the oldest are.
+     */
+    static void write(Path state, List<Departure> departures, long mostBytes) throws IOException {
         List<String> lines = new ArrayList<>(departures.size());
         int bytes = 0;
         int left = 0;
         for (int i = departures.size() - 1; i >= 0; i--) {
             String line = line(departures.get(i));
-            boolean fits = line.length() <= LINE_BYTES && bytes + line.length() <= FILE_BYTES;
+            boolean fits = line.length() <= LINE_BYTES && bytes + line.length() <= mostBytes;
             if (fits) {
                 bytes += line.length();
                 lines.add(line);
--- a/src/main/java/lilaclever/protocol/http/DiscoveryWatch.java
+++ b/src/main/java/lilaclever/protocol/http/DiscoveryWatch.java
@@ -108,8 +108,8 @@
     }
 
     /**
-     * Starts to watch with the whole list. A version that is known from elsewhere, else {@link EndpointList#NO_VERSION},
-     * counts only where the whole list can't be had: it may be of another agent's count.
+     * Starts to watch with the whole list. A version known from elsewhere, else {@link EndpointList#NO_VERSION}, counts
+     * only where the whole list can't be had: it may be of another agent's count.
      */
     void start(long knownVersion) {
         version = knownVersion;
--- a/src/test/java/lilaclever/journal/JournalClocksTest.java
+++ b/src/test/java/lilaclever/journal/JournalClocksTest.java
@@ -19,7 +19,7 @@
     private static final long MOST = 512 * 1024;
     /** Of the first life, as its clocks show the moment of the kill; the second one begins 2 s later. */
     private static final long WALL = 50_000 * HOUR, MONOTONIC = 7 * HOUR, DOWN = 2 * SECOND;
-    /** What is left of a message's time and of a remembered end's at the kill, and how long ago its attempt was made. */
+    /** What is left at the kill of a message's time and of a remembered end's, and how old its attempt is. */
     private static final long LEFT = 20 * SECOND, REMEMBERED = HOUR, AGE = 3 * SECOND;
 
     private final SimDisk disk = new SimDisk();
@@ -59,7 +59,7 @@
         }
     }
 
-    /** While it runs: a life's wall clock goes on from its beginning, and what a file's header says of it is for people. */
+    /** While it runs: a life's wall clock goes on from its beginning; what a file's header says of it is for people. */
     @ParameterizedTest
     @ValueSource(longs = {-HOUR, -5 * SECOND, 5 * SECOND, HOUR})
     void aStepWhileItRunsMovesNoSpan(long step) throws IOException {
--- a/src/test/java/lilaclever/journal/StorageFaultTest.java
+++ b/src/test/java/lilaclever/journal/StorageFaultTest.java
@@ -10,11 +10,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
 import lilaclever.routing.PendingMessage;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -275,6 +277,19 @@
         checkRecovered(what);
     }
 
+    /** How long operations fail, and whether the process is killed meanwhile. */
+    private record Outage(Duration duration, boolean hasKill) {}
+
+    /** Plays one combination; gives what was broken. */
+    private static Optional<String> runOne(Target target, String error, Outage outage, long seed) throws Exception {
+        try {
+            new StorageFaultTest().run(target, error, outage.duration(), outage.hasKill(), seed);
+            return Optional.empty();
+        } catch (AssertionError | RuntimeException e) {
+            return Optional.of(e.toString().lines().findFirst().orElse(""));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void everyStepOutlastsEveryFault(long seed) throws Exception {
@@ -282,18 +297,14 @@
         int runs = 0;
         List<Target> targets = new ArrayList<>(TARGETS);
         targets.add(null); // whatever the operation
+        List<Outage> outages = Stream.of(Duration.values())
+                .flatMap(duration -> Stream.of(new Outage(duration, false), new Outage(duration, true)))
+                .toList();
         for (Target target : targets) {
             for (String error : ERRORS) {
-                for (Duration duration : Duration.values()) {
-                    for (boolean kill : new boolean[] {false, true}) {
-                        StorageFaultTest each = new StorageFaultTest();
-                        runs++;
-                        try {
-                            each.run(target, error, duration, kill, 1000 * seed + runs);
-                        } catch (AssertionError | RuntimeException e) {
-                            broken.add(e.toString().lines().findFirst().orElse(""));
-                        }
-                    }
+                for (Outage outage : outages) {
+                    runs++;
+                    runOne(target, error, outage, 1000 * seed + runs).ifPresent(broken::add);
                 }
             }
         }
--- a/src/test/java/lilaclever/program/DiscoveryRig.java
+++ b/src/test/java/lilaclever/program/DiscoveryRig.java
@@ -50,7 +50,7 @@
         final LinkedBlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
         final LinkedBlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
         private int count;
-        /** Answers the first request, which asks for the whole list, in place of the script; null if the script does. */
+        /** Answers the first request, which asks for the whole list; null if the script does. */
         private volatile String first;
 
         private final Peer peer;
--- a/src/test/java/lilaclever/program/DrainKinds.java
+++ b/src/test/java/lilaclever/program/DrainKinds.java
@@ -12,9 +12,9 @@
 import lilaclever.program.DrainChange.Status;
 
 /**
- * Plays one kind of fault at a time against a forwarder under load, and prints what the auditor finds: {@code DrainKinds
- * [PART OF A NAME...]}, with {@code -Ddrain.debug=true} also what happens to each message. Outside the suite, since each
- * takes up to 20 s. Two endpoints of one group are active at first; the second one is drained.
+ * Plays one kind of fault at a time against a forwarder under load, and prints what the auditor finds:
+ * {@code DrainKinds [PART OF A NAME...]}, with {@code -Ddrain.debug=true} also what happens to each message. Outside
+ * the suite, since each takes up to 20 s. Two endpoints of one group are active at first; the second one is drained.
  */
 final class DrainKinds {
     private static final int GROUP = 7, OTHER_GROUP = 8;
