--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -72,8 +72,9 @@
         ManualDrains suspensions = new ManualDrains(core, config.suspended(), ids -> Config.noteSuspended(state, ids));
         HttpDeliverer deliverer = new HttpDeliverer(core, transport, connect, keep, config.mostIdle());
         notices = new Notices(core, transport, config.discovery(), connect, keep);
-        EndpointMembership membership =
-                new EndpointMembership(DepartureNote.read(state), departures -> DepartureNote.write(state, departures));
+        long noteBytes = config.departuresBytes() / 2; // the new note is written beside the old one
+        EndpointMembership membership = new EndpointMembership(
+                DepartureNote.read(state), departures -> DepartureNote.write(state, departures, noteBytes));
         counters.gauge("departed", membership::departureCount);
         directory = new Directory(
                 core,
--- a/src/test/java/lilaclever/program/DepartureNoteTest.java
+++ b/src/test/java/lilaclever/program/DepartureNoteTest.java
@@ -164,4 +164,19 @@
         assertThrows(IOException.class, () -> DepartureNote.write(state, List.of(SECOND)));
         assertEquals(List.of(FIRST), DepartureNote.read(state));
     }
+
+    /** A small disk has room for a part of them: the latest. */
+    @Test
+    void aSmallerBoundLeavesTheOldestOut() throws Exception {
+        List<Departure> all = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            all.add(new Departure("s-" + i, "10.2.0.1:8500", i, 1));
+        }
+        int bound = 1_000;
+        DepartureNote.write(state, all, bound);
+        assertTrue(Files.size(state.resolve(DepartureNote.FILE)) <= bound);
+        List<Departure> kept = DepartureNote.read(state);
+        assertTrue(!kept.isEmpty() && kept.size() < all.size(), "kept: " + kept.size());
+        assertEquals(all.subList(all.size() - kept.size(), all.size()), kept);
+    }
 }
