Add failing tests: answers and requests that arrive twice lose messages and run payments twice

An endpoint writes the answer of the call before just after it has read the next call, whose own answer differs. A message called on a connection of its own is not affected.

--- /dev/null
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -0,0 +1,189 @@
+package lilaclever.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import lilaclever.program.Peer.Request;
+import lilaclever.program.Peer.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Peers that write an answer again, or clients whose request arrives again; real processes. */
+class RepeatedAnswersTest {
+    private static final int SERVICE_MILLIS = 80;
+    /** Rests after which a connection may be in use again, up to the longest delay of a repeated answer. */
+    private static final int LONG_REST_MILLIS = 900;
+
+    private static final double DEADLINE_SECONDS = 4;
+    private static final int NOTICE_SLACK_MILLIS = 350;
+
+    @TempDir
+    private Path state;
+
+    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    /** How often an endpoint has run each message. */
+    private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
+
+    private Process process;
+    private SocketAddress address;
+
+    @AfterEach
+    void stop() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void startProcess(Peer platform, Peer endpoint) throws IOException {
+        startProcess(ForwarderSetup.configText(platform.address(), state, endpoint.address(), 3)
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"));
+    }
+
+    private void startProcess(String config) throws IOException {
+        process = ForwarderSetup.startProcess(state, config, 256);
+        var log = process.errorReader();
+        String line = log.readLine();
+        while (!line.contains("serves at")) {
+            line = log.readLine();
+        }
+        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1")));
+    }
+
+    private void run(Request request) {
+        runsById.computeIfAbsent(request.headers().get("req-id"), id -> new AtomicInteger())
+                .incrementAndGet();
+    }
+
+    private int runsOf(String id) {
+        return runsById.getOrDefault(id, new AtomicInteger()).get();
+    }
+
+    private boolean hasNotice(String id) {
+        return notices.stream().anyMatch(notice -> notice.contains("\"" + id + "\""));
+    }
+
+    private void submit(String id, String messageClass) throws IOException {
+        try (Wire client = Wire.connect(address)) {
+            assertTrue(client.submit(id, messageClass, DEADLINE_SECONDS, "").startsWith("202"));
+        }
+    }
+
+    private void awaitRun(String id) throws InterruptedException {
+        for (int i = 0; runsOf(id) == 0; i++) {
+            assertTrue(i < 1_000, id + " was not run");
+            Thread.sleep(10);
+        }
+    }
+
+    /** The first message's 200 comes again just after the second call, whose own answer is a refusal: it was lost. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, LONG_REST_MILLIS})
+    void messageIsNotLostWhenThePreviousAnswerIsRepeated(int restMillis) throws Exception {
+        Peer endpointScript = new Peer(wire -> {
+            int requests = 0;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                boolean refuses = ++requests > 1 && r.headers().get("req-id").startsWith("second");
+                if (refuses) {
+                    wire.writeResponse("200 OK", "");
+                }
+                Thread.sleep(SERVICE_MILLIS);
+                if (refuses) {
+                    wire.writeResponse("503 Service Unavailable", "");
+                } else {
+                    run(r);
+                    wire.writeResponse("200 OK", "");
+                }
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = Peer.platform("", notices)) {
+            startProcess(platform, endpoint);
+            for (String messageClass : List.of("status", "order", "payment")) {
+                String first = "first-" + messageClass;
+                submit(first, messageClass);
+                awaitRun(first);
+                Thread.sleep(restMillis);
+                submit("second-" + messageClass, messageClass);
+            }
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            for (String id : List.of("second-status", "second-order", "second-payment")) {
+                assertTrue(runsOf(id) > 0 || hasNotice(id), id + " has neither been delivered nor ended by a notice");
+            }
+        }
+    }
+
+    /** The refusal of the first payment comes again just after the second was written, which then ran twice. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, LONG_REST_MILLIS})
+    void paymentDoesNotRunTwiceWhenARefusalIsRepeated(int restMillis) throws Exception {
+        Peer endpointScript = new Peer(wire -> {
+            int requests = 0;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                boolean runs = ++requests > 1;
+                if (runs) {
+                    wire.writeResponse("503 Service Unavailable", "");
+                    run(r);
+                }
+                Thread.sleep(SERVICE_MILLIS);
+                wire.writeResponse(runs ? "200 OK" : "503 Service Unavailable", "");
+                if (!runs) {
+                    Thread.sleep(restMillis);
+                }
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = Peer.platform("", notices)) {
+            startProcess(platform, endpoint);
+            for (int i = 0; i < 6; i++) {
+                submit("payment-" + i, "payment");
+                Thread.sleep(SERVICE_MILLIS + restMillis / 2);
+            }
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            for (int i = 0; i < 6; i++) {
+                String id = "payment-" + i;
+                assertTrue(runsOf(id) <= 1, id + " ran " + runsOf(id) + " times");
+                assertTrue(runsOf(id) > 0 || hasNotice(id), id + " has neither been delivered nor ended by a notice");
+            }
+        }
+    }
+
+    /** A request whose bytes arrive a second time after its message was delivered ran a second time. */
+    @Test
+    void paymentDoesNotRunTwiceWhenItsRequestArrivesTwice() throws Exception {
+        Peer endpointScript = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                run(r);
+                wire.writeResponse("200 OK", "");
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = Peer.platform("", notices)) {
+            startProcess(platform, endpoint);
+            String request = "POST /api HTTP/1.1\r\nReq-Id: twice\r\nReq-Kind: payment\r\nReq-Deadline: 4\r\n"
+                    + "X-Envelope: dest=7\r\nContent-Length: 2\r\n\r\nok";
+            try (Wire client = Wire.connect(address)) {
+                client.writeText(request);
+                assertEquals("202", client.readRequest().path());
+                awaitRun("twice");
+                Thread.sleep(1_000);
+                client.writeText(request);
+                client.readRequest();
+            }
+            submit("after", "payment");
+            awaitRun("after");
+            assertEquals(1, runsOf("twice"));
+        }
+    }
+}
