Believe an answer only where it is its request's: by its place, its content or silence after it

Cause: an answer attributed by its place on the connection alone. HttpClient.ConnectionState.onBytes took the next answer on a connection for that of the request in flight; a copy that came just after the next request was written passed for its answer, and from then on each answer went to the wrong request. Class: correlation by order on a channel that may repeat. Evidence: RepeatedAnswersTest, with the real program: a 200 again just behind the next call lost the next message, a 503 again had a payment sent twice, both also after the connection had rested for 0.9 s. A copy on a resting connection did no harm: it is closed. Change (docs/answers.md): an answer that may repeat an earlier one of its connection waits until the connection has been silent for 0.6 s, or an answer that names its messages has come; whatever comes unasked refutes all that wait. A server that sent something unasked gets requests only on connections that have rested. Two counters, a gauge, and a debug line with the reason of each close. Why it works: if a copy was taken for an answer, the connection owes one answer more than was asked for, and that comes.

--- a/src/main/java/lilaclever/protocol/http/DiscoveryWatch.java
+++ b/src/main/java/lilaclever/protocol/http/DiscoveryWatch.java
@@ -399,10 +399,16 @@
             exchange = client.send(address, address, "GET", "/registry/instances" + query, Map.of(), new byte[0], this);
         }
 
+        /** A list has its version, and departures count from any list: no list is mistaken for another. */
         @Override
-        public void onResponse(int status, Map<String, String> headers, byte[] body) {
+        public boolean isOwnResponse(HttpResponse response) {
+            return true;
+        }
+
+        @Override
+        public void onResponse(HttpResponse response) {
             remove();
-            handleResponse(this, status, body);
+            handleResponse(this, response.status(), response.body());
         }
 
         @Override
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -1,5 +1,6 @@
 package lilaclever.protocol.http;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,6 +22,10 @@
 /**
  * HTTP/1.1 client with one request at a time on a connection. Requests are never resent: a failed request is reported
  * to its caller. Used on the event loop; requests are written and responses read on the selector thread.
+ *
+ * <p>A server may write a response again, and the copy may arrive after the next request was written. So a response
+ * that may repeat an earlier one is confirmed by its content or by silence after it ({@link UnconfirmedResponses}), and
+ * the connections of a server that does so rest before they are used again.
  */
 final class HttpClient {
     private static final long SWEEP_INTERVAL_MICROS = 500_000;
@@ -29,12 +34,37 @@
     /** After a status line the rest follows at once; otherwise the response is malformed. */
     private static final long REMAINDER_TIMEOUT_MICROS = 250_000;
 
+    /** How long the connections of a server rest between requests after it has sent something unasked. */
+    private static final long RESTING_PERIOD_MICROS = 60_000_000;
+
     private static final int CONTENT_TOO_LARGE = 413;
 
     /** Receives the outcome of a request. Exactly one of the outcome methods is called, once, on the event loop. */
     interface Listener {
-        /** The whole response has arrived. */
-        void onResponse(int status, Map<String, String> headers, byte[] body);
+        /**
+         * The whole response has arrived. If it needs confirmation, either {@link #onConfirmed} or {@link #onRefuted}
+         * follows.
+         */
+        void onResponse(HttpResponse response);
+
+        /** Whether its content shows that the response belongs to this request. Event loop. */
+        default boolean isOwnResponse(HttpResponse response) {
+            return false;
+        }
+
+        /** Whether the request has no outcome before the response is confirmed, which should then be soon. Event loop. */
+        default boolean holdsOutcome(HttpResponse response) {
+            return false;
+        }
+
+        /** The response belongs to this request. Event loop. */
+        default void onConfirmed() {}
+
+        /**
+         * It is not known whether the response belongs to this request, which may have been processed. The connection
+         * is closed. Event loop.
+         */
+        default void onRefuted() {}
 
         /**
          * No readable response will arrive. {@code written}: the request's last byte had been written. {@code status}:
@@ -90,6 +120,8 @@
     private final Attribute<ConnectionState> connectionStates;
     /** Requests of which some but not all bytes are written, as the server reads slowly. */
     private final Set<Exchange> partlyWritten = ConcurrentHashMap.newKeySet();
+    /** By pool key: when a server last sent something unasked. */
+    private final Map<String, Long> unsolicitedMicros = new HashMap<>();
 
     /** Creates a client that accepts response bodies up to the given size. */
     HttpClient(
@@ -121,7 +153,12 @@
         this.transport = transport;
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.maxResponseBytes = maxResponseBytes;
-        this.pool = ConnectionPool.ofSockets((long) (KEEP_ALIVE_FRACTION * keepAliveMicros), maxIdle);
+        this.pool = new ConnectionPool<>(
+                this::mayUse,
+                (long) (KEEP_ALIVE_FRACTION * keepAliveMicros),
+                maxIdle,
+                Connection::isOpen,
+                this::closeIdleConnection);
         core.counters().entryGauge("idle_" + name, pool::size);
         core.counters().entryGauge("partly_written_" + name, partlyWritten::size);
         this.connectionStates = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpClient." + name);
@@ -130,6 +167,7 @@
     /** Starts the periodic removal of connections that were idle for too long. */
     void start() {
         pool.closeExpired(core.nowMicros());
+        unsolicitedMicros.values().removeIf(seen -> core.nowMicros() - seen > RESTING_PERIOD_MICROS);
         core.deadlines().schedule(core.nowMicros() + SWEEP_INTERVAL_MICROS, this::start);
     }
 
@@ -138,6 +176,17 @@
         pool.closeIdle(poolKey);
     }
 
+    private void closeIdleConnection(Connection<?> idle) {
+        connectionStates.get(idle).closeWhenConfirmed();
+    }
+
+    private boolean mayUse(Connection<?> idle, long idleMicros) {
+        ConnectionState state = connectionStates.get(idle);
+        boolean hasRested = idleMicros >= UnconfirmedResponses.SILENCE_MICROS;
+        return !state.unconfirmed.needSilence(core.nowMicros())
+                && (hasRested || !unsolicitedMicros.containsKey(state.poolKey));
+    }
+
     /** Sends a request. Idle connections are pooled under the key. */
     Exchange send(
             String poolKey,
@@ -156,22 +205,35 @@
     /** A connection and the state of reading from it. Selector thread. */
     private final class ConnectionState {
         private final Connection<?> connection;
+        private final String poolKey;
+        /** Event loop. */
+        private final UnconfirmedResponses unconfirmed = new UnconfirmedResponses();
+
+        private Deadlines.Key silenceTimer;
+        /** Whether the connection is to close once its responses are confirmed. Event loop. */
+        private boolean isClosing;
+
+        /** How often something was read. Selector thread. */
+        private long readCount;
+
         private final HttpMessageReader reader = new HttpMessageReader(true, maxResponseBytes, keepsPartialResponses);
+        private final ResponseHistory history = new ResponseHistory();
         private volatile Exchange currentExchange;
         /** No further request may use this connection: it is to close or has received unsolicited bytes. */
         private volatile boolean isUnusable;
 
         private boolean isHeadReported;
 
-        ConnectionState(Connection<?> connection) {
+        ConnectionState(Connection<?> connection, String poolKey) {
             this.connection = connection;
+            this.poolKey = poolKey;
         }
 
         /** Writes the request, unless it was given up meanwhile or the connection is unusable. */
         boolean startExchange(Exchange exchange) {
             if (isUnusable || !Transport.isOpenAndSilent(connection)) {
                 // While idle it was closed or received unsolicited bytes, which must not be taken for this response.
-                connection.closeSilently();
+                discard("not silent before use");
                 return false;
             }
             if (exchange.mayStart()) {
@@ -185,8 +247,10 @@
 
         void onBytes(byte[] in) {
             Exchange exchange = currentExchange;
+            readCount++;
             if (exchange == null) {
-                discard(); // unsolicited bytes: what follows can't be distinguished from a response
+                reportUnsolicited();
+                discard("unsolicited bytes"); // what follows can't be distinguished from a response
                 return;
             }
             try {
@@ -195,23 +259,33 @@
                     reportHead(exchange);
                 }
                 if (!exchange.isWritten) {
-                    discard(); // a response before the end of its request
+                    reportUnsolicited();
+                    discard("response before the end of its request");
                     return;
                 }
-                exchange.status = reader.status();
+                noteStatus(exchange);
                 if (reader.isComplete()) {
-                    complete(exchange, reader.keepsConnection() && at == in.length);
+                    complete(exchange, at < in.length);
                 } else if (exchange.status != 0) {
                     exchange.onStatusLine();
                 }
             } catch (HttpMessageReader.InvalidMessageException e) {
-                exchange.status = exchange.isWritten ? reader.status() : 0;
+                if (exchange.isWritten) {
+                    noteStatus(exchange);
+                } else {
+                    exchange.status = 0;
+                }
                 savePartialResponse(exchange, e.status == CONTENT_TOO_LARGE);
                 reportHead(exchange);
-                discard();
+                discard("malformed response: " + e.getMessage());
             }
         }
 
+        private void noteStatus(Exchange exchange) {
+            exchange.mayBeRepetition = history.mayRepeat(reader.status(), Core.monotonicMicros());
+            exchange.status = reader.status();
+        }
+
         /** Saves what was received of the response, before the connection is closed. Selector thread. */
         private void savePartialResponse(Exchange exchange, boolean isTooLarge) {
             if (keepsPartialResponses
@@ -223,11 +297,18 @@
             }
         }
 
-        private void discard() {
+        private void discard(String reason) {
             isUnusable = true;
+            logClose(reason);
             connection.closeSilently();
         }
 
+        private void logClose(String reason) {
+            if (Logs.isDebug()) {
+                Logs.debug("", "closed", "connection to " + connection.getPeerAddress() + " closed: " + reason);
+            }
+        }
+
         private void reportHead(Exchange exchange) {
             if (!isHeadReported) {
                 isHeadReported = true;
@@ -236,17 +317,71 @@
             }
         }
 
-        private void complete(Exchange exchange, boolean keepAlive) {
+        private void reportUnsolicited() {
+            core.counters().add(Counters.Name.UNSOLICITED_ANSWERS);
+            core.post(() -> unsolicitedMicros.put(poolKey, core.nowMicros()));
+        }
+
+        /** {@code isFollowed}: further bytes have arrived behind the response. */
+        private void complete(Exchange exchange, boolean isFollowed) {
             // Any further bytes are unsolicited from now on, even before the event loop has processed this response.
             currentExchange = null;
             isHeadReported = false;
-            isUnusable |= !keepAlive;
-            exchange.trace("answered");
+            isUnusable |= !reader.keepsConnection();
+            // A response that announces a close repeats no earlier one, as the connection was used after those.
+            HttpResponse response = takeResponse(exchange.mayBeRepetition && reader.keepsConnection());
+            exchange.trace(response.needsConfirmation() ? "answered, to be confirmed" : "answered");
+            long reads = readCount;
+            core.post(() -> exchange.reportResponse(response, reads));
+            if (isFollowed) {
+                reportUnsolicited();
+                discard("bytes behind a response");
+            }
+        }
+
+        private HttpResponse takeResponse(boolean mayBeRepetition) {
+            long nowMicros = Core.monotonicMicros();
             int status = reader.status();
-            Map<String, String> headers = reader.headers();
             byte[] body = reader.body();
+            HttpResponse response = new HttpResponse(
+                    status, reader.headers(), body, mayBeRepetition, history.hasEqual(status, body, nowMicros));
+            history.add(status, body, nowMicros);
             reader.reset();
-            core.post(() -> exchange.reportResponse(status, headers, body));
+            return response;
+        }
+
+        /** Waits for silence after a response, during which the next request may be in flight. Event loop. */
+        private void awaitSilence(long reads) {
+            core.deadlines().cancel(silenceTimer);
+            silenceTimer = core.deadlines()
+                    .schedule(
+                            core.nowMicros() + UnconfirmedResponses.SILENCE_MICROS,
+                            () -> Transport.runAfterReading(connection, () -> {
+                                if (readCount == reads && connection.isOpen()) {
+                                    core.post(this::confirm);
+                                }
+                            }));
+        }
+
+        private void confirm() {
+            unconfirmed.confirmAll();
+            if (isClosing) {
+                connection.closeSilently();
+            }
+        }
+
+        /** The connection has ended. Event loop. */
+        private void refute() {
+            core.deadlines().cancel(silenceTimer);
+            unconfirmed.refuteAll();
+        }
+
+        /** Closes the connection, at once or after its responses are confirmed. Event loop. */
+        private void closeWhenConfirmed() {
+            isClosing = true;
+            if (unconfirmed.isEmpty()) {
+                connection.closeSilently();
+            }
         }
 
         /**
@@ -257,6 +392,9 @@
             Exchange exchange = currentExchange;
             currentExchange = null;
             isUnusable = true;
+            if (isRemoteClose) {
+                logClose("by the peer");
+            }
             if (exchange != null) {
                 partlyWritten.remove(exchange);
                 reportHead(exchange);
@@ -266,16 +404,17 @@
                     && isRemoteClose
                     && reader.status() != 0
                     && reader.completeAtClose()) {
-                complete(exchange, false);
+                complete(exchange, false); // its end says that the connection is not kept
             } else if (exchange != null) {
                 savePartialResponse(exchange, false);
                 core.post(exchange::fail);
             }
+            core.post(this::refute);
         }
     }
 
     /** One request and its outcome. */
-    final class Exchange {
+    final class Exchange implements UnconfirmedResponses.Listener {
         private final String poolKey, address;
         private final UnaryOperator<byte[]> encoder;
         private final Listener listener;
@@ -294,6 +433,9 @@
         private volatile boolean isWritten;
 
         private volatile int status;
+        /** Whether the response, as far as its status line tells, may be an earlier one repeated. */
+        private volatile boolean mayBeRepetition;
+
         /** What was received of an incomplete response; null if nothing was, or if this client keeps none. */
         private volatile PartialResponse partialResponse;
         /**
@@ -321,10 +463,14 @@
                 return;
             }
             Connection<?> idle = pool.acquire(poolKey, core.nowMicros());
-            if (idle == null) {
+            if (idle == null && listener.maySend()) {
                 connect();
                 return;
             }
+            if (idle == null) {
+                core.post(this::finishWithheld);
+                return;
+            }
             ConnectionState idleState = connectionStates.get(idle);
             Transport.runAfterReading(idle, () -> {
                 if (!idleState.startExchange(this)) {
@@ -342,7 +488,7 @@
                     chain,
                     up -> {
                         trace("connected");
-                        ConnectionState newState = new ConnectionState(up);
+                        ConnectionState newState = new ConnectionState(up, poolKey);
                         connectionStates.set(up, newState);
                         core.post(() -> core.deadlines().cancel(timeout));
                         Transport.runAfterReading(up, () -> {
@@ -407,11 +553,17 @@
                     unused.closeSilently();
                     return;
                 }
+                releaseConnection(unused);
+                finishWithheld();
+            });
+        }
+
+        private void finishWithheld() {
+            if (!isDone) {
                 isDone = true;
                 core.deadlines().cancel(timeout);
-                releaseConnection(unused);
                 listener.onWithheld();
-            });
+            }
         }
 
         /** The status line has arrived. Selector thread. */
@@ -427,22 +579,49 @@
             });
         }
 
-        private void reportResponse(int responseStatus, Map<String, String> headers, byte[] body) {
-            if (!isDone) {
-                isDone = true;
-                core.deadlines().cancel(timeout);
-                if (connectionState.isUnusable || !connectionState.connection.isOpen()) {
-                    connectionState.connection.closeSilently();
-                } else {
-                    releaseConnection(connectionState.connection);
-                }
-                listener.onResponse(responseStatus, headers, body);
+        private void reportResponse(HttpResponse received, long reads) {
+            if (isDone) {
+                return;
+            }
+            isDone = true;
+            core.deadlines().cancel(timeout);
+            HttpResponse response = received.needingConfirmation(needsConfirmation(received));
+            if (response.needsConfirmation()) {
+                connectionState.unconfirmed.add(this, listener.holdsOutcome(response), core.nowMicros());
+                connectionState.awaitSilence(reads);
+            }
+            if (connectionState.isUnusable || !connectionState.connection.isOpen()) {
+                connectionState.closeWhenConfirmed();
+            } else {
+                releaseConnection(connectionState.connection);
+            }
+            listener.onResponse(response);
+        }
+
+        private boolean needsConfirmation(HttpResponse response) {
+            UnconfirmedResponses earlier = connectionState.unconfirmed;
+            if (listener.isOwnResponse(response)) {
+                earlier.confirmAll(); // as many responses as requests have arrived on the connection
+                return false;
             }
+            return response.needsConfirmation() || !earlier.isEmpty();
+        }
+
+        @Override
+        public void onConfirmed() {
+            listener.onConfirmed();
+        }
+
+        @Override
+        public void onRefuted() {
+            trace("refuted");
+            core.counters().add(Counters.Name.DOUBTED_ANSWERS);
+            listener.onRefuted();
         }
 
         private void releaseConnection(Connection<?> unused) {
             if (listener.isServerDraining()) {
-                unused.closeSilently();
+                closeIdleConnection(unused);
             } else {
                 pool.release(poolKey, unused, core.nowMicros());
             }
@@ -500,6 +679,17 @@
             return status;
         }
 
+        /** Whether the response with that status may be an earlier one of the connection repeated. */
+        boolean mayBeRepetition() {
+            return mayBeRepetition;
+        }
+
+        /** The response belongs to another request: closes its connection, and nothing more is reported. */
+        void rejectResponse() {
+            unsolicitedMicros.put(poolKey, core.nowMicros());
+            close();
+        }
+
         /** Cancels the request by closing its connection; nothing more is reported. */
         void close() {
             onGivenUp = null;
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -58,11 +58,112 @@
         }
     }
 
+    /** A call of one message or several; reports the outcome of each to the core. */
+    private final class CallListener extends EndpointListener {
+        private final Call call;
+        private final boolean isBatch;
+        /** A response that has to be confirmed before its outcome is certain, else null. */
+        private HttpResponse unconfirmed;
+
+        CallListener(Call call, boolean isBatch) {
+            super(call.endpoint);
+            this.call = call;
+            this.isBatch = isBatch;
+        }
+
+        @Override
+        public void onResponse(HttpResponse response) {
+            boolean namesOtherMessages = isBatch
+                    && response.status() == 200
+                    && resultsFor(call, response).isEmpty();
+            if (!response.needsConfirmation() || namesOtherMessages) {
+                reportResponse(call, isBatch, response);
+                return;
+            }
+            unconfirmed = response;
+            if (confirmsDelivery(isBatch, response.status())) {
+                List.copyOf(call.messages)
+                        .forEach(m -> core.attemptDeliveredUnconfirmed(call, m, remainingRetryAfter(call)));
+            }
+        }
+
+        @Override
+        public boolean isOwnResponse(HttpResponse response) {
+            return isTiedByMessageIds(call, isBatch, response);
+        }
+
+        @Override
+        public boolean holdsOutcome(HttpResponse response) {
+            return !confirmsDelivery(isBatch, response.status());
+        }
+
+        @Override
+        public void onConfirmed() {
+            if (unconfirmed == null) {
+                return; // reported before
+            }
+            if (confirmsDelivery(isBatch, unconfirmed.status())) {
+                core.deliveryConfirmed(call);
+            } else {
+                reportResponse(call, isBatch, unconfirmed);
+            }
+        }
+
+        @Override
+        public void onRefuted() {
+            if (unconfirmed == null) {
+                return; // reported before
+            }
+            if (confirmsDelivery(isBatch, unconfirmed.status())) {
+                core.deliveryRefuted(call);
+            } else {
+                reportAll(call, AttemptResult.RESET, false, false);
+            }
+        }
+
+        @Override
+        public void onFailure(boolean written, int status) {
+            // Before its last byte is written the endpoint has not begun. After that the outcome is unknown, except
+            // that a status of 200 of this call's own confirms the delivery of a call of one message.
+            if (status != 0) {
+                core.counters().add(Counters.Name.SPOILT_ANSWERS);
+            }
+            boolean isDelivered = call.attachment instanceof PendingCall pending && pending.hasOwnStatusOfDelivery();
+            reportAll(
+                    call,
+                    isDelivered ? AttemptResult.DELIVERED : written ? AttemptResult.RESET : AttemptResult.NO_CONNECTION,
+                    false,
+                    false);
+        }
+
+        @Override
+        public boolean isExpired() {
+            return Core.monotonicMicros() >= call.writeByMicros();
+        }
+
+        @Override
+        public void onWithheld() {
+            reportAll(call, AttemptResult.WITHHELD, false, false);
+        }
+
+        @Override
+        public String toString() {
+            return "call to " + call.endpoint.host() + " of destination " + call.endpoint.destination()
+                    + " with message "
+                    + call.messages.stream().map(Message::id).collect(Collectors.joining(", "));
+        }
+    }
+
     /**
      * An in-flight call with the headers that it is written with. {@code isBatch}: its response has a result for each
      * message, however many are left.
      */
-    private record PendingCall(HttpClient.Exchange exchange, Map<String, String> headers, boolean isBatch) {}
+    private record PendingCall(HttpClient.Exchange exchange, Map<String, String> headers, boolean isBatch) {
+        /** Whether a status line has arrived that confirms the delivery and repeats no earlier one. */
+        boolean hasOwnStatusOfDelivery() {
+            return confirmsDelivery(isBatch, exchange.status()) && !exchange.mayBeRepetition();
+        }
+    }
 
     private final Core core;
     private final HttpClient client;
@@ -95,45 +196,6 @@
         boolean isBatch = messages.size() > 1;
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put(DEADLINE_HEADER, timeoutSeconds(call, messages));
-        HttpClient.Listener listener = new EndpointListener(call.endpoint) {
-            @Override
-            public void onResponse(int status, Map<String, String> responseHeaders, byte[] body) {
-                reportResponse(call, isBatch, status, responseHeaders, body);
-            }
-
-            @Override
-            public void onFailure(boolean written, int status) {
-                // Before its last byte is written the endpoint has not begun. After that the outcome is unknown, except
-                // that a status of 200 confirms the delivery of a call of one message.
-                if (status != 0) {
-                    core.counters().add(Counters.Name.SPOILT_ANSWERS);
-                }
-                reportAll(
-                        call,
-                        confirmsDelivery(isBatch, status)
-                                ? AttemptResult.DELIVERED
-                                : written ? AttemptResult.RESET : AttemptResult.NO_CONNECTION,
-                        false,
-                        false);
-            }
-
-            @Override
-            public boolean isExpired() {
-                return Core.monotonicMicros() >= call.writeByMicros();
-            }
-
-            @Override
-            public void onWithheld() {
-                reportAll(call, AttemptResult.WITHHELD, false, false);
-            }
-
-            @Override
-            public String toString() {
-                return "call to " + call.endpoint.host() + " of destination " + call.endpoint.destination()
-                        + " with message "
-                        + call.messages.stream().map(Message::id).collect(Collectors.joining(", "));
-            }
-        };
         byte[] body;
         if (isBatch) {
             body = encodeBatch(messages);
@@ -153,7 +215,7 @@
                         isBatch ? "/receive-many" : "/receive",
                         headers,
                         body,
-                        listener),
+                        new CallListener(call, isBatch)),
                 headers,
                 isBatch);
     }
@@ -193,11 +255,30 @@
         return out.toByteArray();
     }
 
-    private void reportResponse(Call call, boolean isBatch, int status, Map<String, String> headers, byte[] body) {
+    /**
+     * Whether the response names the messages of the call and is not equal to an earlier one, which may have named the
+     * same messages.
+     */
+    private static boolean isTiedByMessageIds(Call call, boolean isBatch, HttpResponse response) {
+        return isBatch
+                && response.status() == 200
+                && !response.hasEarlierEqual()
+                && resultsFor(call, response).isPresent();
+    }
+
+    /** The results of all messages of the call; empty if the response lacks one, or can't be read. */
+    private static Optional<BatchResponse> resultsFor(Call call, HttpResponse response) {
+        return BatchResponse.parse(response.body())
+                .filter(results -> call.messages.stream().allMatch(m -> results.resultOf(m.id()) != null));
+    }
+
+    private void reportResponse(Call call, boolean isBatch, HttpResponse response) {
+        Map<String, String> headers = response.headers();
+        int status = response.status();
         switch (status) {
             case 200 -> {
                 if (isBatch) {
-                    reportEach(call, body);
+                    reportEach(call, response);
                 } else {
                     reportAll(call, AttemptResult.DELIVERED, false, false);
                 }
@@ -231,17 +312,22 @@
                         .equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
     }
 
-    /** Reports the result of each message, or all messages as possibly executed if the response is incomplete. */
-    private void reportEach(Call call, byte[] body) {
-        Optional<BatchResponse> response =
-                BatchResponse.parse(body).filter(x -> call.messages.stream().allMatch(m -> x.resultOf(m.id()) != null));
-        if (response.isEmpty()) {
+    /**
+     * Reports the result of each message, or all messages as possibly executed if the response is incomplete or names
+     * others: then it answers another request, and so may all that follows on its connection.
+     */
+    private void reportEach(Call call, HttpResponse response) {
+        Optional<BatchResponse> results = resultsFor(call, response);
+        if (results.isEmpty()) {
             core.counters().add(Counters.Name.SPOILT_ANSWERS);
+            if (call.attachment instanceof PendingCall pending) {
+                pending.exchange().rejectResponse();
+            }
             reportAll(call, AttemptResult.RESET, false, false);
             return;
         }
         for (Message m : List.copyOf(call.messages)) {
-            switch (response.get().resultOf(m.id())) {
+            switch (results.get().resultOf(m.id())) {
                 case ACCEPTED -> report(call, m, AttemptResult.DELIVERED, false, false);
                 case DEFERRED -> report(call, m, AttemptResult.FULL, false, false);
                 case EXPIRED -> report(call, m, AttemptResult.NOT_SENT, false, true);
@@ -283,8 +369,11 @@
      * Each outcome carries the current retry-after, which may stem from a response that nothing waited for any more.
      */
     private void report(Call call, Message m, AttemptResult outcome, boolean noSlot, boolean finished) {
-        core.attemptEnded(
-                call, m, outcome, retryAfterTable.remainingMicros(call.endpoint, core.nowMicros()), noSlot, finished);
+        core.attemptEnded(call, m, outcome, remainingRetryAfter(call), noSlot, finished);
+    }
+
+    private long remainingRetryAfter(Call call) {
+        return retryAfterTable.remainingMicros(call.endpoint, core.nowMicros());
     }
 
     /** Formats seconds with decimals, as the protocol writes them. */
@@ -300,8 +389,7 @@
         }
         // The slot is free only once the other side has seen the close: a new call in this same turn would find none.
         // Responses that arrive from now on are ignored.
-        boolean delivered =
-                confirmsDelivery(pending.isBatch(), pending.exchange().status());
+        boolean delivered = pending.hasOwnStatusOfDelivery();
         pending.exchange()
                 .giveUp(() -> reportAll(
                         call,
@@ -353,12 +441,33 @@
                 Map.of(),
                 EMPTY_BODY,
                 new EndpointListener(endpoint) {
+                    private AttemptResult unconfirmed;
+
+                    @Override
+                    public boolean holdsOutcome(HttpResponse response) {
+                        return true;
+                    }
+
+                    @Override
+                    public void onResponse(HttpResponse response) {
+                        unconfirmed = response.status() == 200
+                                ? AttemptResult.DELIVERED
+                                : response.status() == 503 ? AttemptResult.FULL : AttemptResult.ERROR;
+                        if (response.needsConfirmation()) {
+                            core.deadlines().cancel(timeout); // it is confirmed or refuted in its time
+                        } else {
+                            finishProbe(unconfirmed);
+                        }
+                    }
+
+                    @Override
+                    public void onConfirmed() {
+                        finishProbe(unconfirmed);
+                    }
+
                     @Override
-                    public void onResponse(int status, Map<String, String> headers, byte[] body) {
-                        finishProbe(
-                                status == 200
-                                        ? AttemptResult.DELIVERED
-                                        : status == 503 ? AttemptResult.FULL : AttemptResult.ERROR);
+                    public void onRefuted() {
+                        finishProbe(AttemptResult.RESET);
                     }
 
                     @Override
--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -106,10 +106,13 @@
                 body.toString().getBytes(StandardCharsets.UTF_8),
                 new HttpClient.Listener() {
                     @Override
-                    public void onResponse(int status, Map<String, String> headers, byte[] responseBody) {
+                    public void onResponse(HttpResponse response) {
                         core.deadlines().cancel(timer);
-                        if (status != 204) {
-                            Logs.warn("", "notices-refused", "the platform answered notices with status " + status);
+                        if (response.status() != 204) {
+                            Logs.warn(
+                                    "",
+                                    "notices-refused",
+                                    "the platform answered notices with status " + response.status());
                             retryLater();
                             return;
                         }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -70,7 +70,7 @@
         this.settings = settings;
         this.zone = zone;
         this.connectTimeoutMicros = connectTimeoutMicros;
-        this.pool = ConnectionPool.ofSockets(keepAliveMicros / 2, maxIdleConnections);
+        this.pool = ConnectionPool.ofSockets((connection, idleMicros) -> true, keepAliveMicros / 2, maxIdleConnections);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -62,6 +62,9 @@
     private final Map<String, Front> fronts = new HashMap<>();
     private final Map<String, Message> pendingMessages = new LinkedHashMap<>();
     private final DeduplicationTable deduplication;
+    private final UnconfirmedDeliveries unconfirmedDeliveries =
+            new UnconfirmedDeliveries(deadlines, this::resumeUndelivered);
+
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
     private final ActiveEndpoints activeEndpoints = new ActiveEndpoints();
     /** When each destination was last listed: one that has no endpoint now may get one soon. */
@@ -109,6 +112,7 @@
         counters.entryGauge("destinations", destinationsLastListed::size);
         counters.entryGauge("calls", calls::size);
         counters.entryGauge("deadlines", deadlines::size);
+        counters.entryGauge("unconfirmed", unconfirmedDeliveries::size);
         counters.entryGauge("owed", () -> journal.pendingMessages().size());
         counters.entryGauge("remembered", journal::rememberedCount);
         journal.setLoop(this::post);
@@ -268,7 +272,8 @@
         if (check instanceof DuplicateCheckResult.Conflict<Message, FinalStatus>) {
             return rejectConflict(message);
         }
-        if (isShuttingDown || pendingMessages.size() >= settings.limits().maxOpenMessages()) {
+        int openMessages = pendingMessages.size() - unconfirmedDeliveries.size();
+        if (isShuttingDown || openMessages >= settings.limits().maxOpenMessages()) {
             reject(message, new FinalStatus(Kind.REFUSED, REJECTED_RETRY_AFTER_MICROS, "no room"));
             return message;
         }
@@ -407,9 +412,25 @@
      */
     public void attemptEnded(
             Call call, Message message, AttemptResult result, long retryAfterMicros, boolean noSlot, boolean finished) {
-        if (message.currentCall != call) {
+        if (!endAttempt(call, message, result, retryAfterMicros, noSlot, finished)) {
             return;
         }
+        if (result == AttemptResult.DELIVERED) {
+            counters.add(Name.DELIVERED);
+            finish(message, FinalStatus.of(Kind.DELIVERED));
+        } else if (finished) {
+            finish(message, FinalStatus.of(Kind.GONE));
+        } else {
+            journal.recordOutcome(message.id(), result.neverRan());
+        }
+    }
+
+    /** Ends a message's attempt for the decision module; returns whether the message is still open. */
+    private boolean endAttempt(
+            Call call, Message message, AttemptResult result, long retryAfterMicros, boolean noSlot, boolean finished) {
+        if (message.currentCall != call) {
+            return false;
+        }
         message.currentCall = null;
         if (--call.pendingOutcomes == 0) {
             deadlines.cancel(call.deadline);
@@ -418,7 +439,8 @@
         counters.addAttemptResult(result.name());
         trace(message, "outcome", result, call);
         if (!result.neverRan()) {
-            message.markMayHaveRun(call.endpoint.host(), call.endpoint.zone(), clock.wallMicros());
+            long sentWallMicros = clock.wallMicros() - (nowMicros - call.startedAtMicros);
+            message.markMayHaveRun(call.endpoint.host(), call.endpoint.zone(), sentWallMicros);
         }
         events.add(new Event.Outcome(
                 message.id(),
@@ -431,19 +453,44 @@
                 finished || result == AttemptResult.DELIVERED,
                 null));
         message.attemptCount -= result == AttemptResult.WITHHELD ? 1 : 0;
-        if (message.isFinished) {
-            return;
+        return !message.isFinished;
+    }
+
+    /**
+     * Reports that the message of a call was delivered by an answer that may belong to an earlier call. {@link
+     * #deliveryConfirmed} or {@link #deliveryRefuted} follows. Event loop.
+     */
+    public void attemptDeliveredUnconfirmed(Call call, Message message, long retryAfterMicros) {
+        if (endAttempt(call, message, AttemptResult.DELIVERED, retryAfterMicros, false, true)) {
+            unconfirmedDeliveries.add(call, message);
         }
-        if (result == AttemptResult.DELIVERED) {
+    }
+
+    /** The answer that reported the delivery was the call's own. Event loop. */
+    public void deliveryConfirmed(Call call) {
+        Message message = unconfirmedDeliveries.confirm(call);
+        if (message != null && !message.isFinished) {
             counters.add(Name.DELIVERED);
             finish(message, FinalStatus.of(Kind.DELIVERED));
-        } else if (finished) {
-            finish(message, FinalStatus.of(Kind.GONE));
-        } else {
-            journal.recordOutcome(message.id(), result.neverRan());
         }
     }
 
+    /** The answer that reported the delivery may have been another call's. Event loop. */
+    public void deliveryRefuted(Call call) {
+        unconfirmedDeliveries.refute(call);
+    }
+
+    /** Returns a message that the decision module has ended to it, as one that may have run. */
+    private void resumeUndelivered(Message message) {
+        if (message.isFinished) {
+            return;
+        }
+        trace(message, "doubted", "delivery not confirmed", null);
+        journal.recordOutcome(message.id(), false);
+        message.isResumed = true;
+        events.add(message.toSubmitEvent(nowMicros, clock.wallMicros()));
+    }
+
     /** Reports the end of a probe. Event loop. */
     public void probeEnded(String host, AttemptResult result, long elapsedMicros) {
         events.add(new Event.ProbeEnded(host, result, elapsedMicros, null));
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -28,6 +28,10 @@
         BAD_REQUESTS,
         CROWDED_OUT,
         SPOILT_ANSWERS,
+        /** Bytes read on a connection while no request of ours was in flight on it. */
+        UNSOLICITED_ANSWERS,
+        /** Answers that could not be tied to their request. */
+        DOUBTED_ANSWERS,
         JOURNAL_FULL,
         JOINED,
         TOLD_AGAIN,
--- a/src/main/java/lilaclever/simulation/virtual/VirtualDeliverer.java
+++ b/src/main/java/lilaclever/simulation/virtual/VirtualDeliverer.java
@@ -61,6 +61,7 @@
         this.core = core;
         this.retryAfterTable = retryAfterTable;
         idleConnections = new ConnectionPool<>(
+                (host, idleMicros) -> true,
                 settings.limits().keepAliveMicros(),
                 MAX_IDLE_CONNECTIONS,
                 host -> true,
--- a/src/main/java/lilaclever/transport/ConnectionPool.java
+++ b/src/main/java/lilaclever/transport/ConnectionPool.java
@@ -9,15 +9,21 @@
 import org.glassfish.grizzly.Connection;
 
 /**
- * Idle connections by endpoint; the most recently used is taken first. Used on the event loop only. A connection is
- * closed before the endpoint would close it: a request that crosses the endpoint's close ends as a connection reset,
- * and then it is not known whether it was processed.
+ * Idle connections by endpoint; of those that may be used, the most recently used is taken first. Used on the event
+ * loop only. A connection is closed before the endpoint would close it: a request that crosses the endpoint's close
+ * ends as a connection reset, and then it is not known whether it was processed.
  *
  * @param <C> the connection type: a socket, or a simulated connection in virtual time
  */
 public final class ConnectionPool<C> {
+    /** Tells whether an idle connection may be used yet. */
+    public interface Availability<C> {
+        boolean mayUse(C connection, long idleMicros);
+    }
+
     private record Idle<C>(C connection, long sinceMicros) {}
 
+    private final Availability<C> availability;
     private final long maxIdleMicros;
     private final int maxIdle;
     private final Predicate<C> isOpen;
@@ -25,8 +31,13 @@
     private final Map<String, ArrayDeque<Idle<C>>> idle = new HashMap<>();
     private int count;
 
-    /** Keeps idle connections up to the given time and total number, since file descriptors are limited. */
-    public ConnectionPool(long maxIdleMicros, int maxIdle, Predicate<C> isOpen, Consumer<C> close) {
+    /**
+     * Keeps idle connections up to the given time and total number, since file descriptors are limited, and gives out
+     * those that are available.
+     */
+    public ConnectionPool(
+            Availability<C> availability, long maxIdleMicros, int maxIdle, Predicate<C> isOpen, Consumer<C> close) {
+        this.availability = availability;
         this.maxIdleMicros = maxIdleMicros;
         this.maxIdle = maxIdle;
         this.isOpen = isOpen;
@@ -34,20 +45,28 @@
     }
 
     /** A pool of socket connections. */
-    public static ConnectionPool<Connection<?>> ofSockets(long maxIdleMicros, int maxIdle) {
-        return new ConnectionPool<>(maxIdleMicros, maxIdle, Connection::isOpen, Connection::closeSilently);
+    public static ConnectionPool<Connection<?>> ofSockets(
+            Availability<Connection<?>> availability, long maxIdleMicros, int maxIdle) {
+        return new ConnectionPool<>(
+                availability, maxIdleMicros, maxIdle, Connection::isOpen, Connection::closeSilently);
     }
 
-    /** Takes an idle connection to the endpoint out of the pool; null if there is none. */
+    /** Takes an available connection to the endpoint out of the pool; null if there is none. */
     public C acquire(String endpoint, long nowMicros) {
-        ArrayDeque<Idle<C>> connections = idle.get(endpoint);
-        while (connections != null && !connections.isEmpty()) {
-            Idle<C> last = connections.pollLast();
+        Iterator<Idle<C>> latestFirst =
+                idle.getOrDefault(endpoint, new ArrayDeque<>()).descendingIterator();
+        while (latestFirst.hasNext()) {
+            Idle<C> candidate = latestFirst.next();
+            long idleMicros = nowMicros - candidate.sinceMicros();
+            if (!availability.mayUse(candidate.connection(), idleMicros)) {
+                continue;
+            }
+            latestFirst.remove();
             count--;
-            if (isOpen.test(last.connection()) && nowMicros - last.sinceMicros() < maxIdleMicros) {
-                return last.connection();
+            if (isOpen.test(candidate.connection()) && idleMicros < maxIdleMicros) {
+                return candidate.connection();
             }
-            close.accept(last.connection());
+            close.accept(candidate.connection());
         }
         return null;
     }
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -24,8 +24,8 @@
     private HttpClient.Listener listener(boolean isExpired) {
         return new HttpClient.Listener() {
             @Override
-            public void onResponse(int status, Map<String, String> headers, byte[] body) {
-                reports.add("answered " + status);
+            public void onResponse(HttpResponse response) {
+                reports.add("answered " + response.status());
             }
 
             @Override
@@ -151,8 +151,8 @@
         runOnLoop(() -> client().send(
                         "e", address(), "POST", "/receive-many", Map.of(), new byte[0], new HttpClient.Listener() {
                             @Override
-                            public void onResponse(int status, Map<String, String> headers, byte[] body) {
-                                reports.add("answered " + status);
+                            public void onResponse(HttpResponse response) {
+                                reports.add("answered " + response.status());
                             }
 
                             @Override
