Tell a notice again whose confirmation may be that of an earlier one

Callers would see: a message that could not be delivered and whose notice the platform never read, lost. Cause: the same as for calls: NoticeSender settled a batch on the next 204 of its connection, which may be the 204 of the batch before again. Change: a batch whose 204 waits for confirmation settles with it, and goes out again where it is refuted; a notice for a message that is over does no harm. Batches follow each other after 10 ms, since each may need a new connection where connections rest.

--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -24,8 +24,13 @@
     private static final long INITIAL_TIMEOUT_MICROS = 100_000, MAX_TIMEOUT_MICROS = 1_000_000;
 
     private static final long INITIAL_RETRY_DELAY_MICROS = 10_000, MAX_RETRY_DELAY_MICROS = 100_000;
+    private static final int NO_CONTENT = 204;
     private static final int MAX_DOUBLINGS = 4;
     private static final int MAX_BATCH_SIZE = 200;
+    /** Notices of this time go together, as each request takes a connection that has rested, or a new one. */
+    private static final long BATCH_INTERVAL_MICROS = 10_000;
+
+    private static final int MAX_IDLE_CONNECTIONS = 4;
     private static final int MAX_RESPONSE_BYTES = 16 * 1024;
 
     private record Notice(String line, Runnable settled) {}
@@ -33,6 +38,9 @@
     private final Core core;
     private final HttpClient client;
     private final List<Notice> pending = new ArrayList<>();
+    /** Notices whose confirmation may be that of an earlier batch. */
+    private int unconfirmedCount;
+
     private String address;
     private boolean isSending;
     /** Consecutive batches that were not confirmed. */
@@ -47,9 +55,15 @@
             Core core, Transport transport, String address, long connectTimeoutMicros, long keepAliveMicros) {
         this.core = core;
         this.client = new HttpClient(
-                core, transport, "notices", connectTimeoutMicros, keepAliveMicros, 1, MAX_RESPONSE_BYTES);
+                core,
+                transport,
+                "notices",
+                connectTimeoutMicros,
+                keepAliveMicros,
+                MAX_IDLE_CONNECTIONS,
+                MAX_RESPONSE_BYTES);
         this.address = address;
-        core.counters().entryGauge("notices", pending::size);
+        core.counters().entryGauge("notices", () -> pending.size() + unconfirmedCount);
     }
 
     void add(String id, String status, long retryAfterMicros, Runnable settled) {
@@ -60,6 +74,10 @@
             line.addProperty("again_ms", (retryAfterMicros + 999) / 1000);
         }
         pending.add(new Notice(line.toString() + '\n', settled));
+        startSending();
+    }
+
+    private void startSending() {
         if (!isSending) {
             isSending = true;
             timer = core.deadlines().schedule(core.nowMicros() + 1, this::send); // batches all notices of this turn
@@ -104,33 +122,67 @@
                 "/status",
                 Map.of("Content-Type", "application/json"),
                 body.toString().getBytes(StandardCharsets.UTF_8),
-                new HttpClient.Listener() {
-                    @Override
-                    public void onResponse(HttpResponse response) {
-                        core.deadlines().cancel(timer);
-                        if (response.status() != 204) {
-                            Logs.warn(
-                                    "",
-                                    "notices-refused",
-                                    "the platform answered notices with status " + response.status());
-                            retryLater();
-                            return;
-                        }
-                        consecutiveFailures = 0;
-                        pending.subList(0, batch.size()).clear();
-                        batch.forEach(n -> {
-                            core.counters().add(Counters.Name.NOTICES);
-                            n.settled().run();
-                        });
-                        send();
-                    }
-
-                    @Override
-                    public void onFailure(boolean written, int status) {
-                        core.deadlines().cancel(timer);
-                        retryLater();
-                    }
-                });
+                new BatchListener(batch));
+    }
+
+    /** Hears how the platform answers a batch. */
+    private final class BatchListener implements HttpClient.Listener {
+        private final List<Notice> batch;
+        private boolean isUnconfirmed;
+
+        BatchListener(List<Notice> batch) {
+            this.batch = batch;
+        }
+
+        @Override
+        public void onResponse(HttpResponse response) {
+            core.deadlines().cancel(timer);
+            if (response.status() != NO_CONTENT) {
+                Logs.warn("", "notices-refused", "the platform answered notices with status " + response.status());
+                retryLater();
+                return;
+            }
+            consecutiveFailures = 0;
+            pending.subList(0, batch.size()).clear();
+            if (response.needsConfirmation()) {
+                isUnconfirmed = true;
+                unconfirmedCount += batch.size();
+            } else {
+                settle();
+            }
+            inFlight = null;
+            timer = core.deadlines().schedule(core.nowMicros() + BATCH_INTERVAL_MICROS, NoticeSender.this::send);
+        }
+
+        private void settle() {
+            batch.forEach(notice -> {
+                core.counters().add(Counters.Name.NOTICES);
+                notice.settled().run();
+            });
+        }
+
+        @Override
+        public void onConfirmed() {
+            if (isUnconfirmed) {
+                unconfirmedCount -= batch.size();
+                settle();
+            }
+        }
+
+        @Override
+        public void onRefuted() {
+            if (isUnconfirmed) {
+                unconfirmedCount -= batch.size();
+                pending.addAll(batch);
+                startSending();
+            }
+        }
+
+        @Override
+        public void onFailure(boolean written, int status) {
+            core.deadlines().cancel(timer);
+            retryLater();
+        }
     }
 
     private void retryLater() {
--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -159,6 +161,99 @@
         }
     }
 
+    /** The 204 of an earlier notice comes again, and was taken for that of a notice that the platform never read. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, LONG_REST_MILLIS})
+    void noticeIsNotLostWhenAnEarlierConfirmationIsRepeated(int restMillis) throws Exception {
+        Peer platformScript = new Peer(wire -> {
+            int noticeRequests = 0;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                if (r.path().equals("/status")) {
+                    boolean drops = ++noticeRequests > 1;
+                    wire.writeResponse("204 No Content", "");
+                    if (drops) {
+                        Thread.sleep(SERVICE_MILLIS);
+                        return;
+                    }
+                    r.body().lines().forEach(notices::add);
+                } else if (!r.path().contains("?")) {
+                    wire.writeResponse("200 OK", ForwarderSetup.knownList());
+                }
+            }
+        });
+        Peer failing = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                wire.writeResponse("500 Internal Server Error", "");
+            }
+        });
+        try (Peer endpoint = failing;
+                Peer platform = platformScript) {
+            startProcess(platform, endpoint);
+            for (int i = 0; i < 4; i++) {
+                submit("notice-" + i, "payment");
+                Thread.sleep(restMillis);
+            }
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            for (int i = 0; i < 4; i++) {
+                assertTrue(hasNotice("notice-" + i), "no notice of notice-" + i);
+            }
+        }
+    }
+
+    /** An earlier whole list comes again with its lower version, and brought back an endpoint that had left. */
+    @Test
+    void endpointStaysAwayWhenAnEarlierListIsRepeated() throws Exception {
+        AtomicReference<String> active = new AtomicReference<>();
+        CountDownLatch left = new CountDownLatch(1);
+        Peer platformScript = new Peer(wire -> {
+            int lists = 0;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                if (r.path().equals("/status")) {
+                    r.body().lines().forEach(notices::add);
+                    wire.writeResponse("204 No Content", "");
+                    continue;
+                }
+                lists++;
+                if (lists == 1 && left.getCount() > 0) {
+                    wire.writeResponse("200 OK", active.get());
+                    continue;
+                }
+                if (lists == 3) {
+                    wire.writeResponse("500 Internal Server Error", ""); // so that the whole list is asked for
+                    continue;
+                }
+                if (lists == 4) {
+                    wire.writeResponse("200 OK", active.get()); // the first answer again
+                }
+                Thread.sleep(LONG_REST_MILLIS);
+                wire.writeResponse("200 OK", "{\"index\":2,\"snapshot\":true,\"endpoints\":[]}");
+                left.countDown();
+            }
+        });
+        Peer endpointScript = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                run(r);
+                wire.writeResponse("200 OK", "");
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = platformScript) {
+            active.set(ForwarderSetup.endpointList(endpoint.address()));
+            startProcess(platform, endpoint);
+            submit("before", "payment");
+            awaitRun("before");
+            left.await();
+            for (int i = 0; i < 10; i++) {
+                Thread.sleep(SERVICE_MILLIS); // the list comes again and again meanwhile
+                submit("after-" + i, "payment");
+            }
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            for (int i = 0; i < 10; i++) {
+                assertEquals(0, runsOf("after-" + i), "after-" + i + " went to an endpoint that had left");
+            }
+        }
+    }
+
     /** A request whose bytes arrive a second time after its message was delivered ran a second time. */
     @Test
     void paymentDoesNotRunTwiceWhenItsRequestArrivesTwice() throws Exception {
