Answer a request that arrives a second time as its message ended, and run nothing

Callers saw: a payment ran twice where its request arrived a second time up to 1 s after the first. Cause: Core.submit knew the ids of pending messages only; on the platform's port a submission without a practice has no identity, so once the message had ended its Req-Id was free again. Class: a retried request taken for a new one. A request that arrives again is answered as the first ended: delivered, refused or failed.

--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -64,6 +64,8 @@
     private final DeduplicationTable deduplication;
     private final UnconfirmedDeliveries unconfirmedDeliveries =
             new UnconfirmedDeliveries(deadlines, this::resumeUndelivered);
+    /** Messages without an identity that ended, for requests that arrive twice. */
+    private final RecentlyEnded recentlyEnded = new RecentlyEnded();
 
     private final Map<String, Call.Endpoint> endpoints = new HashMap<>();
     private final ActiveEndpoints activeEndpoints = new ActiveEndpoints();
@@ -113,6 +115,7 @@
         counters.entryGauge("calls", calls::size);
         counters.entryGauge("deadlines", deadlines::size);
         counters.entryGauge("unconfirmed", unconfirmedDeliveries::size);
+        counters.entryGauge("recently_ended", recentlyEnded::size);
         counters.entryGauge("owed", () -> journal.pendingMessages().size());
         counters.entryGauge("remembered", journal::rememberedCount);
         journal.setLoop(this::post);
@@ -272,6 +275,12 @@
         if (check instanceof DuplicateCheckResult.Conflict<Message, FinalStatus>) {
             return rejectConflict(message);
         }
+        FinalStatus earlierStatus =
+                submission.identity() == null ? recentlyEnded.find(submission.id(), nowMicros) : null;
+        if (earlierStatus != null) {
+            counters.add(Name.TOLD_AGAIN);
+            return answerWithoutAccepting(message, earlierStatus);
+        }
         int openMessages = pendingMessages.size() - unconfirmedDeliveries.size();
         if (isShuttingDown || openMessages >= settings.limits().maxOpenMessages()) {
             reject(message, new FinalStatus(Kind.REFUSED, REJECTED_RETRY_AFTER_MICROS, "no room"));
@@ -807,15 +816,23 @@
 
     private void reject(Message message, FinalStatus finalStatus) {
         counters.add(Name.TURNED_DOWN);
+        rememberEnd(message, finalStatus);
         removePending(message);
         message.finalStatus = finalStatus;
         submitterFronts(message).forEach(front -> run(() -> front.onRejected(message, finalStatus)));
     }
 
+    private void rememberEnd(Message message, FinalStatus finalStatus) {
+        if (message.submission.identity() == null) {
+            recentlyEnded.add(message.id(), finalStatus, nowMicros);
+        }
+    }
+
     private void finish(Message message, FinalStatus finalStatus) {
         removePending(message);
         trace(message, "ended", finalStatus.kind(), null);
         deduplication.recordCompleted(message, finalStatus, clock.wallMicros());
+        rememberEnd(message, finalStatus);
         boolean needsNotification = finalStatus.kind() != Kind.DELIVERED && finalStatus.kind() != Kind.GONE;
         // With a shared identity, a client that is away may have to be notified of the delivery as well.
         if (needsNotification || Identity.isShared(message.submission.identity())) {
