Confirm a mail's final reply by silence where it equals an earlier reply of its transaction

Callers would see: a mail reported as delivered that the server had refused. Cause: replies are tied to commands by their order alone. A copy of the reply to RCPT that comes after the content passed for the reply to it. A shift from before DATA is noticed, since 354 answers no other command. Change: a final reply equal to an earlier one of its transaction is confirmed by 0.6 s of silence, and refuted by whatever comes before; then the mail goes on as one that may have been taken. A connection rests for 0.6 s between transactions, so that copies of the one before come in the rest. HL7 is served, and no HL7 peer is called, so nothing there waits for answers by order.

--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -34,6 +34,12 @@
     private static final long SWEEP_INTERVAL_MICROS = 500_000;
     private static final int MAX_REPLY_LINES = 200;
 
+    /** How long a connection rests before its next transaction, so that repeated replies arrive before it. */
+    private static final long REST_MICROS = 600_000;
+
+    /** Replies of which a repetition may still arrive. */
+    private static final int MAX_RECENT_REPLIES = 16;
+
     /** The step of the dialogue that a reply belongs to. {@code EXTENDED_HELLO} is EHLO or LHLO. */
     private enum Step {
         GREETING,
@@ -70,7 +76,8 @@
         this.settings = settings;
         this.zone = zone;
         this.connectTimeoutMicros = connectTimeoutMicros;
-        this.pool = ConnectionPool.ofSockets((connection, idleMicros) -> true, keepAliveMicros / 2, maxIdleConnections);
+        this.pool = ConnectionPool.ofSockets(
+                (connection, idleMicros) -> idleMicros >= REST_MICROS, keepAliveMicros / 2, maxIdleConnections);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
@@ -163,6 +170,13 @@
         private Deadlines.Key connectTimeout;
         private Runnable cancelConnect;
         private Call call;
+        /** The last call, while its final reply may be an earlier reply repeated. */
+        private Call unconfirmedCall;
+
+        private Deadlines.Key confirmation;
+        /** The last replies of this transaction, latest last. */
+        private final ArrayDeque<String> recentReplies = new ArrayDeque<>();
+
         private Mail mail;
         private int replyLines;
         private long serverSizeLimitBytes;
@@ -179,6 +193,7 @@
             contentWritten = false;
             mail = nextMail;
             if (connection != null) {
+                recentReplies.clear(); // it has rested, and 354 answers no other command than DATA
                 startTransaction();
                 return;
             }
@@ -224,6 +239,7 @@
         private void onLine(String line) {
             if (call == null) {
                 closeConnection(); // unsolicited line on an idle connection, usually a 421 before a close
+                refuteDelivery();
                 return;
             }
             Reply reply = Reply.parse(line);
@@ -240,10 +256,15 @@
             }
             expectedReplies.remove();
             replyLines = 0;
-            onReply(step, reply);
+            boolean mayBeRepetition = recentReplies.contains(line);
+            recentReplies.addLast(line);
+            if (recentReplies.size() > MAX_RECENT_REPLIES) {
+                recentReplies.removeFirst();
+            }
+            onReply(step, reply, mayBeRepetition);
         }
 
-        private void onReply(Step step, Reply reply) {
+        private void onReply(Step step, Reply reply, boolean mayBeRepetition) {
             if (step == Step.EXTENDED_HELLO && !lmtp && reply.isPermanentFailure()) {
                 writeCommand("HELO " + settings.hostName() + "\r\n", Step.HELO);
                 return;
@@ -267,7 +288,7 @@
                     expectedReplies.add(Step.CONTENT);
                     Transport.write(connection, mail.dotStuffed(), () -> contentWritten = true, this::onWriteFailed);
                 }
-                default -> onDelivered(reply);
+                default -> onDelivered(reply, mayBeRepetition);
             }
         }
 
@@ -282,13 +303,46 @@
             endCall(result, reply.code() + " " + reply.text());
         }
 
-        private void onDelivered(Reply reply) {
+        private void onDelivered(Reply reply, boolean mayBeRepetition) {
             Call finishedCall = call;
             call = null;
+            if (mayBeRepetition) {
+                awaitConfirmation(finishedCall, reply);
+                return;
+            }
             pool.release(endpoint.host(), connection, core.nowMicros());
             reportResult(finishedCall, AttemptResult.DELIVERED, reply.code() + " " + reply.text());
         }
 
+        /** The reply to the content itself would still arrive if this were the reply to an earlier command. */
+        private void awaitConfirmation(Call finishedCall, Reply reply) {
+            unconfirmedCall = finishedCall;
+            for (Message message : List.copyOf(finishedCall.messages)) {
+                message.lastResponseText = reply.code() + " " + reply.text();
+                core.attemptDeliveredUnconfirmed(finishedCall, message, 0);
+            }
+            confirmation = core.deadlines()
+                    .schedule(
+                            core.nowMicros() + REST_MICROS,
+                            () -> Transport.runAfterReading(connection, () -> core.post(this::confirmDelivery)));
+        }
+
+        private void confirmDelivery() {
+            if (unconfirmedCall != null) {
+                core.deliveryConfirmed(unconfirmedCall);
+                unconfirmedCall = null;
+                pool.release(endpoint.host(), connection, core.nowMicros());
+            }
+        }
+
+        private void refuteDelivery() {
+            if (unconfirmedCall != null) {
+                core.deadlines().cancel(confirmation);
+                core.deliveryRefuted(unconfirmedCall);
+                unconfirmedCall = null;
+            }
+        }
+
         private void startTransaction() {
             serverSizeLimitBytes = 0;
             boolean offersEightBit = false;
@@ -333,6 +387,7 @@
         void onClosed() {
             if (call == null) {
                 closeConnection();
+                refuteDelivery();
             } else if (connection != null) {
                 endCall(contentWritten ? AttemptResult.RESET : AttemptResult.NO_CONNECTION, "");
             }
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -195,6 +195,20 @@
         }
     }
 
+    /** The reply to the recipient comes again after the content, and was taken for the content's own, a refusal. */
+    @Test
+    void mailIsNotLostWhenTheReplyToItsRecipientIsRepeated() throws Exception {
+        try (Peer server = server(r -> "250 2.1.5 good", text -> "250 2.1.5 good\r\n452 4.3.1 no room")) {
+            serve(route("a.test", 0, "lmtp", server.address()));
+            try (Wire wire = Wire.connect(lmtp)) {
+                greet(wire, "LHLO");
+                String reply = send(wire, "a@b.test", payment("repeated"), "till@a.test")
+                        .get(0);
+                assertTrue(reply.startsWith("554"), reply);
+            }
+        }
+    }
+
     @Test
     void eachLmtpRecipientGetsItsOwnFinalReplyInOrder() throws Exception {
         try (Peer server = server(r -> r.contains("bad@") ? "550 5.1.1 nobody" : "250 good", t -> "250 2.0.0 kept")) {
