Remove remembered ends as they expire, and keep them for 5 s

Cause: RecentlyEnded removed expired ends only with the next one, so an idle forwarder kept the last ones: ForwarderTest.finishedMessagesLeaveNoEntries found 200 entries 10 s after the last message.

--- a/src/main/java/lilaclever/routing/RecentlyEnded.java
+++ b/src/main/java/lilaclever/routing/RecentlyEnded.java
@@ -9,7 +9,7 @@
  * an id once, so a request with the id of an ended message is that request arriving a second time. Event loop.
  */
 final class RecentlyEnded {
-    private static final long RETENTION_MICROS = 10_000_000;
+    private static final long RETENTION_MICROS = 5_000_000;
     private static final int MAX_ENTRIES = 4_096;
 
     private record Entry(FinalStatus finalStatus, long expiresAtMicros) {}
@@ -21,11 +21,18 @@
     void add(String id, FinalStatus finalStatus, long nowMicros) {
         entries.remove(id);
         entries.put(id, new Entry(finalStatus, nowMicros + RETENTION_MICROS));
+        if (entries.size() > MAX_ENTRIES) {
+            Iterator<Entry> oldestFirst = entries.values().iterator();
+            oldestFirst.next();
+            oldestFirst.remove();
+        }
+    }
+
+    /** Removes the entries that have expired. */
+    void removeExpired(long nowMicros) {
         Iterator<Entry> oldestFirst = entries.values().iterator();
-        Entry oldest = oldestFirst.next();
-        while (entries.size() > MAX_ENTRIES || oldest.expiresAtMicros() <= nowMicros) {
+        while (oldestFirst.hasNext() && oldestFirst.next().expiresAtMicros() <= nowMicros) {
             oldestFirst.remove();
-            oldest = oldestFirst.next();
         }
     }
 
