Prefer connections that have rested, and leave one silent in time for what is due on it

Change: a connection is left silent 0.6 s before the first message that is due on it; of those that have rested the one idle for longest is used.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -52,9 +52,9 @@
             return false;
         }
 
-        /** Whether the request has no outcome before the response is confirmed, which should then be soon. Event loop. */
-        default boolean holdsOutcome(HttpResponse response) {
-            return false;
+        /** By when the response should be confirmed if that is possible, microseconds. Event loop. */
+        default long confirmByMicros(HttpResponse response) {
+            return Long.MAX_VALUE;
         }
 
         /** The response belongs to this request. Event loop. */
@@ -154,7 +154,7 @@
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.maxResponseBytes = maxResponseBytes;
         this.pool = new ConnectionPool<>(
-                this::mayUse,
+                this::availability,
                 (long) (KEEP_ALIVE_FRACTION * keepAliveMicros),
                 maxIdle,
                 Connection::isOpen,
@@ -180,11 +180,17 @@
         connectionStates.get(idle).closeWhenConfirmed();
     }
 
-    private boolean mayUse(Connection<?> idle, long idleMicros) {
+    /** One that has rested, with all responses confirmed, is preferred: fewer of its next ones need confirmation. */
+    private ConnectionPool.Availability availability(Connection<?> idle, long idleMicros) {
         ConnectionState state = connectionStates.get(idle);
         boolean hasRested = idleMicros >= UnconfirmedResponses.SILENCE_MICROS;
-        return !state.unconfirmed.needSilence(core.nowMicros())
-                && (hasRested || !unsolicitedMicros.containsKey(state.poolKey));
+        if (state.unconfirmed.needSilence(core.nowMicros())
+                || !hasRested && unsolicitedMicros.containsKey(state.poolKey)) {
+            return ConnectionPool.Availability.RESTING;
+        }
+        return hasRested && state.unconfirmed.isEmpty()
+                ? ConnectionPool.Availability.PREFERRED
+                : ConnectionPool.Availability.USABLE;
     }
 
     /** Sends a request. Idle connections are pooled under the key. */
@@ -587,7 +593,7 @@
             core.deadlines().cancel(timeout);
             HttpResponse response = received.needingConfirmation(needsConfirmation(received));
             if (response.needsConfirmation()) {
-                connectionState.unconfirmed.add(this, listener.holdsOutcome(response), core.nowMicros());
+                connectionState.unconfirmed.add(this, listener.confirmByMicros(response), core.nowMicros());
                 connectionState.awaitSilence(reads);
             }
             if (connectionState.isUnusable || !connectionState.connection.isOpen()) {
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -93,8 +93,8 @@
         }
 
         @Override
-        public boolean holdsOutcome(HttpResponse response) {
-            return !confirmsDelivery(isBatch, response.status());
+        public long confirmByMicros(HttpResponse response) {
+            return confirmsDelivery(isBatch, response.status()) ? call.firstDeadlineMicros() : core.nowMicros();
         }
 
         @Override
@@ -444,8 +444,8 @@
                     private AttemptResult unconfirmed;
 
                     @Override
-                    public boolean holdsOutcome(HttpResponse response) {
-                        return true;
+                    public long confirmByMicros(HttpResponse response) {
+                        return core.nowMicros();
                     }
 
                     @Override
--- a/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
+++ b/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
@@ -12,7 +12,7 @@
     /** How long a connection stays silent after a response before the response is confirmed. */
     static final long SILENCE_MICROS = 600_000;
     /** A connection whose responses wait for longer is not used until they are confirmed. */
-    private static final long MAX_AGE_MICROS = 1_500_000;
+    static final long MAX_AGE_MICROS = 1_500_000;
 
     /** Hears what became of a response; one of the methods is called, once. */
     interface Listener {
@@ -22,13 +22,11 @@
     }
 
     private final List<Listener> waiting = new ArrayList<>();
-    private long oldestMicros;
-    private boolean isUrgent;
+    private long confirmByMicros = Long.MAX_VALUE;
 
-    /** Adds a response; {@code holdsOutcome}: its request has no outcome before it is confirmed. */
-    void add(Listener listener, boolean holdsOutcome, long nowMicros) {
-        oldestMicros = waiting.isEmpty() ? nowMicros : oldestMicros;
-        isUrgent |= holdsOutcome;
+    /** Adds a response that should be confirmed by the given time. */
+    void add(Listener listener, long byMicros, long nowMicros) {
+        confirmByMicros = Math.min(confirmByMicros, Math.min(byMicros, nowMicros + MAX_AGE_MICROS + SILENCE_MICROS));
         waiting.add(listener);
     }
 
@@ -38,7 +36,7 @@
 
     /** Whether the connection should be left silent. */
     boolean needSilence(long nowMicros) {
-        return !waiting.isEmpty() && (isUrgent || nowMicros - oldestMicros >= MAX_AGE_MICROS);
+        return nowMicros >= confirmByMicros - SILENCE_MICROS;
     }
 
     void confirmAll() {
@@ -52,7 +50,7 @@
     private List<Listener> takeAll() {
         List<Listener> all = List.copyOf(waiting);
         waiting.clear();
-        isUrgent = false;
+        confirmByMicros = Long.MAX_VALUE;
         return all;
     }
 }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -76,8 +76,7 @@
         this.settings = settings;
         this.zone = zone;
         this.connectTimeoutMicros = connectTimeoutMicros;
-        this.pool = ConnectionPool.ofSockets(
-                (connection, idleMicros) -> idleMicros >= REST_MICROS, keepAliveMicros / 2, maxIdleConnections);
+        this.pool = ConnectionPool.ofSockets(MailDeliverer::availability, keepAliveMicros / 2, maxIdleConnections);
         this.chain = Transport.chain(new LineFilter(), new SessionFilter());
     }
 
@@ -96,6 +95,10 @@
         closeExpiredConnections();
     }
 
+    private static ConnectionPool.Availability availability(Connection<?> idle, long idleMicros) {
+        return idleMicros < REST_MICROS ? ConnectionPool.Availability.RESTING : ConnectionPool.Availability.USABLE;
+    }
+
     private void closeExpiredConnections() {
         pool.closeExpired(core.nowMicros());
         core.deadlines().schedule(core.nowMicros() + SWEEP_INTERVAL_MICROS, this::closeExpiredConnections);
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -90,17 +90,25 @@
         return expiresAtMicros;
     }
 
+    /** The earliest deadline of its messages, on the event loop's clock, microseconds. */
+    public long firstDeadlineMicros() {
+        return firstDeadlineMicrosOf(messages);
+    }
+
+    private static long firstDeadlineMicrosOf(List<Message> messages) {
+        return messages.stream()
+                .mapToLong(message -> message.deadlineMicros)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** The value that {@link #expiresAtMicros} has for a call with these messages only. */
     public static long expiryMicrosOf(List<Message> messages) {
         long lastWriteByMicros = messages.stream()
                 .mapToLong(message -> message.writeByMicros)
                 .max()
                 .orElse(Long.MAX_VALUE);
-        long firstDeadlineMicros = messages.stream()
-                .mapToLong(message -> message.deadlineMicros)
-                .min()
-                .orElse(Long.MAX_VALUE);
-        return Math.min(lastWriteByMicros, firstDeadlineMicros);
+        return Math.min(lastWriteByMicros, firstDeadlineMicrosOf(messages));
     }
 
     /** Asks the deliverer to remove expired messages, as long as others remain and the call has not been sent. */
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -582,6 +582,7 @@
             events = new ArrayList<>();
             execute(decisionModule.decide(nowMicros, batch));
         }
+        recentlyEnded.removeExpired(nowMicros);
         run(() -> journal.maintain(clock.wallMicros()));
     }
 
--- a/src/main/java/lilaclever/simulation/virtual/VirtualDeliverer.java
+++ b/src/main/java/lilaclever/simulation/virtual/VirtualDeliverer.java
@@ -61,7 +61,7 @@
         this.core = core;
         this.retryAfterTable = retryAfterTable;
         idleConnections = new ConnectionPool<>(
-                (host, idleMicros) -> true,
+                (host, idleMicros) -> ConnectionPool.Availability.USABLE,
                 settings.limits().keepAliveMicros(),
                 MAX_IDLE_CONNECTIONS,
                 host -> true,
--- a/src/main/java/lilaclever/transport/ConnectionPool.java
+++ b/src/main/java/lilaclever/transport/ConnectionPool.java
@@ -9,21 +9,29 @@
 import org.glassfish.grizzly.Connection;
 
 /**
- * Idle connections by endpoint; of those that may be used, the most recently used is taken first. Used on the event
- * loop only. A connection is closed before the endpoint would close it: a request that crosses the endpoint's close
- * ends as a connection reset, and then it is not known whether it was processed.
+ * Idle connections by endpoint, of which a policy tells those that may be used. Used on the event loop only. A
+ * connection is closed before the endpoint would close it: a request that crosses the endpoint's close ends as a
+ * connection reset,
+ * and then it is not known whether it was processed.
  *
  * @param <C> the connection type: a socket, or a simulated connection in virtual time
  */
 public final class ConnectionPool<C> {
+    /** Whether an idle connection may be used. */
+    public enum Availability {
+        RESTING,
+        USABLE,
+        PREFERRED
+    }
+
     /** Tells whether an idle connection may be used yet. */
-    public interface Availability<C> {
-        boolean mayUse(C connection, long idleMicros);
+    public interface ReusePolicy<C> {
+        Availability availability(C connection, long idleMicros);
     }
 
     private record Idle<C>(C connection, long sinceMicros) {}
 
-    private final Availability<C> availability;
+    private final ReusePolicy<C> policy;
     private final long maxIdleMicros;
     private final int maxIdle;
     private final Predicate<C> isOpen;
@@ -36,8 +44,8 @@
      * those that are available.
      */
     public ConnectionPool(
-            Availability<C> availability, long maxIdleMicros, int maxIdle, Predicate<C> isOpen, Consumer<C> close) {
-        this.availability = availability;
+            ReusePolicy<C> policy, long maxIdleMicros, int maxIdle, Predicate<C> isOpen, Consumer<C> close) {
+        this.policy = policy;
         this.maxIdleMicros = maxIdleMicros;
         this.maxIdle = maxIdle;
         this.isOpen = isOpen;
@@ -46,24 +54,32 @@
 
     /** A pool of socket connections. */
     public static ConnectionPool<Connection<?>> ofSockets(
-            Availability<Connection<?>> availability, long maxIdleMicros, int maxIdle) {
-        return new ConnectionPool<>(
-                availability, maxIdleMicros, maxIdle, Connection::isOpen, Connection::closeSilently);
+            ReusePolicy<Connection<?>> policy, long maxIdleMicros, int maxIdle) {
+        return new ConnectionPool<>(policy, maxIdleMicros, maxIdle, Connection::isOpen, Connection::closeSilently);
     }
 
-    /** Takes an available connection to the endpoint out of the pool; null if there is none. */
+    /**
+     * Takes a connection to the endpoint out of the pool: of the preferred ones that which has been idle for longest,
+     * else of those that may be used the most recent one; null if there is none.
+     */
     public C acquire(String endpoint, long nowMicros) {
-        Iterator<Idle<C>> latestFirst =
-                idle.getOrDefault(endpoint, new ArrayDeque<>()).descendingIterator();
-        while (latestFirst.hasNext()) {
-            Idle<C> candidate = latestFirst.next();
+        ArrayDeque<Idle<C>> connections = idle.getOrDefault(endpoint, new ArrayDeque<>());
+        C preferred = take(connections.iterator(), Availability.PREFERRED, nowMicros);
+        return preferred != null ? preferred : take(connections.descendingIterator(), Availability.USABLE, nowMicros);
+    }
+
+    private C take(Iterator<Idle<C>> candidates, Availability atLeast, long nowMicros) {
+        while (candidates.hasNext()) {
+            Idle<C> candidate = candidates.next();
             long idleMicros = nowMicros - candidate.sinceMicros();
-            if (!availability.mayUse(candidate.connection(), idleMicros)) {
+            boolean isGood = isOpen.test(candidate.connection()) && idleMicros < maxIdleMicros;
+            if (isGood
+                    && policy.availability(candidate.connection(), idleMicros).compareTo(atLeast) < 0) {
                 continue;
             }
-            latestFirst.remove();
+            candidates.remove();
             count--;
-            if (isOpen.test(candidate.connection()) && idleMicros < maxIdleMicros) {
+            if (isGood) {
                 return candidate.connection();
             }
             close.accept(candidate.connection());
