--- a/src/test/java/lilaclever/program/StandInThreads.java
+++ b/src/test/java/lilaclever/program/StandInThreads.java
@@ -3,14 +3,16 @@
 import java.io.IOException;
 
 /** Daemon threads of stand-ins, which end when their sockets are closed. */
-final class StandInThreads {
+public final class StandInThreads {
     private StandInThreads() {}
 
-    interface Task {
+    /** A task that ends when its socket is closed. */
+    public interface Task {
         void run() throws IOException, InterruptedException;
     }
 
-    static Thread start(String name, Task task) {
+    /** Starts a daemon thread. */
+    public static Thread start(String name, Task task) {
         Thread thread = new Thread(
                 () -> {
                     try {
