Count a call that lay unread at a drain test's endpoint from when it may have arrived

Cause, by a trace on a scratch copy that noted when each call was written: while DrainEndpoint accepts nothing, a connection may stand in the accept queue; its call is written at once and read only as accepting is resumed. Change: a call that lies unread on a connection accepted within 20 ms of the resumption counts from when accepting stopped; a connection that comes up later, which the fault is for, is judged as before.

--- a/src/test/java/lilaclever/program/DrainEndpoint.java
+++ b/src/test/java/lilaclever/program/DrainEndpoint.java
@@ -23,6 +23,8 @@
     private static final String CALL_PATH_PREFIX = "/receive";
     private static final int BACKLOG = 8;
     private static final int BACKLOG_FULL_TIMEOUT_MILLIS = 100;
+    /** Connections accepted so soon after accepting is resumed were established before it was. */
+    private static final long QUEUE_NANOS = 20 * DrainAuditor.NANOS_PER_MILLI;
 
     /** How the endpoint answers a call. */
     enum EndpointBehaviour {
@@ -45,6 +47,8 @@
     private final Set<StandInConnection> openConnections = ConcurrentHashMap.newKeySet();
     private final List<Socket> backlogFillers = new ArrayList<>();
     private boolean isStopped;
+    private volatile long stoppedNanos;
+    private volatile long resumedNanos = System.nanoTime() - QUEUE_NANOS;
     private volatile EndpointBehaviour behaviour = EndpointBehaviour.DELIVERS;
     private volatile int answerAfterMs = 80;
 
@@ -68,6 +72,7 @@
             return;
         }
         isStopped = true;
+        stoppedNanos = System.nanoTime();
         accepting.acquire();
         while (true) {
             Socket filler = new Socket();
@@ -90,6 +95,7 @@
             filler.close();
         }
         backlogFillers.clear();
+        resumedNanos = System.nanoTime();
         accepting.release();
     }
 
@@ -103,11 +109,19 @@
             Socket socket = server.accept();
             accepting.acquire();
             accepting.release();
-            StandInThreads.start("call to " + address(), () -> serve(socket));
+            boolean wasQueued = System.nanoTime() - resumedNanos < QUEUE_NANOS;
+            boolean hasUnreadCall = wasQueued && socket.getInputStream().available() > 0;
+            long earliestNanos = hasUnreadCall ? stoppedNanos : Long.MAX_VALUE;
+            StandInThreads.start("call to " + address(), () -> serve(socket, earliestNanos));
         }
     }
 
-    private void serve(Socket socket) throws IOException, InterruptedException {
+    /**
+     * Serves a connection. A call that lay unread on it while nothing was accepted counts from {@code earliestNanos}:
+     * its bytes may have arrived at any time since.
+     */
+    private void serve(Socket socket, long earliestNanos) throws IOException, InterruptedException {
+        long firstByteNanos = earliestNanos;
         try (StandInConnection wire = new StandInConnection(socket)) {
             openConnections.add(wire);
             for (StandInConnection.HttpMessage call = wire.readHttp(); call != null; call = wire.readHttp()) {
@@ -115,7 +129,8 @@
                     wire.writeResponse("404 no probes", "");
                     continue;
                 }
-                reportCall(call);
+                reportCall(call, Math.min(firstByteNanos, call.firstByteNanos()));
+                firstByteNanos = Long.MAX_VALUE;
                 Thread.sleep(answerAfterMs); // simulates the processing time of a call
                 answer(wire, call);
                 if (behaviour == EndpointBehaviour.CLOSES_IDLE) {
@@ -127,10 +142,10 @@
         }
     }
 
-    private void reportCall(StandInConnection.HttpMessage call) {
+    private void reportCall(StandInConnection.HttpMessage call, long firstByteNanos) {
         for (String id : messageIds(call)) {
             int group = Integer.parseInt(id.substring(0, id.indexOf('-')));
-            auditor.called(id, new Target(address(), group), call.firstByteNanos());
+            auditor.called(id, new Target(address(), group), firstByteNanos);
         }
     }
 
