Keep a told wait that came unasked, and rest all connections once a server has repeated an answer

Change: the head of what comes unasked is read for a wait. Connections of all servers rest for 0.6 s before they are used again, once any server has sent something unasked, not those of that server alone; copies then come in the rest. Why: copies up to 0.6 s after their answer meet no request any more.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -1,6 +1,5 @@
 package lilaclever.protocol.http;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -34,7 +33,7 @@
     /** After a status line the rest follows at once; otherwise the response is malformed. */
     private static final long REMAINDER_TIMEOUT_MICROS = 250_000;
 
-    /** How long the connections of a server rest between requests after it has sent something unasked. */
+    /** How long connections rest between requests after a server has sent something unasked. */
     private static final long RESTING_PERIOD_MICROS = 60_000_000;
 
     private static final int CONTENT_TOO_LARGE = 413;
@@ -120,8 +119,8 @@
     private final Attribute<ConnectionState> connectionStates;
     /** Requests of which some but not all bytes are written, as the server reads slowly. */
     private final Set<Exchange> partlyWritten = ConcurrentHashMap.newKeySet();
-    /** By pool key: when a server last sent something unasked. */
-    private final Map<String, Long> unsolicitedMicros = new HashMap<>();
+    /** Until when connections rest between requests, since a server has sent something unasked. Event loop. */
+    private long restingUntilMicros;
 
     /** Creates a client that accepts response bodies up to the given size. */
     HttpClient(
@@ -167,7 +166,6 @@
     /** Starts the periodic removal of connections that were idle for too long. */
     void start() {
         pool.closeExpired(core.nowMicros());
-        unsolicitedMicros.values().removeIf(seen -> core.nowMicros() - seen > RESTING_PERIOD_MICROS);
         core.deadlines().schedule(core.nowMicros() + SWEEP_INTERVAL_MICROS, this::start);
     }
 
@@ -176,6 +174,10 @@
         pool.closeIdle(poolKey);
     }
 
+    private void restConnections() {
+        restingUntilMicros = core.nowMicros() + RESTING_PERIOD_MICROS;
+    }
+
     private void closeIdleConnection(Connection<?> idle) {
         connectionStates.get(idle).closeWhenConfirmed();
     }
@@ -184,8 +186,7 @@
     private ConnectionPool.Availability availability(Connection<?> idle, long idleMicros) {
         ConnectionState state = connectionStates.get(idle);
         boolean hasRested = idleMicros >= UnconfirmedResponses.SILENCE_MICROS;
-        if (state.unconfirmed.needSilence(core.nowMicros())
-                || !hasRested && unsolicitedMicros.containsKey(state.poolKey)) {
+        if (state.unconfirmed.needSilence(core.nowMicros()) || !hasRested && core.nowMicros() < restingUntilMicros) {
             return ConnectionPool.Availability.RESTING;
         }
         return hasRested && state.unconfirmed.isEmpty()
@@ -211,7 +212,6 @@
     /** A connection and the state of reading from it. Selector thread. */
     private final class ConnectionState {
         private final Connection<?> connection;
-        private final String poolKey;
         /** Event loop. */
         private final UnconfirmedResponses unconfirmed = new UnconfirmedResponses();
 
@@ -219,6 +219,9 @@
         /** Whether the connection is to close once its responses are confirmed. Event loop. */
         private boolean isClosing;
 
+        /** That of the latest request. Selector thread. */
+        private Listener lastListener;
+
         /** How often something was read. Selector thread. */
         private long readCount;
 
@@ -230,9 +233,8 @@
 
         private boolean isHeadReported;
 
-        ConnectionState(Connection<?> connection, String poolKey) {
+        ConnectionState(Connection<?> connection) {
             this.connection = connection;
-            this.poolKey = poolKey;
         }
 
         /** Writes the request, unless it was given up meanwhile or the connection is unusable. */
@@ -244,6 +246,7 @@
             }
             if (exchange.mayStart()) {
                 currentExchange = exchange;
+                lastListener = exchange.listener;
                 exchange.write(this);
             } else {
                 exchange.reportWithheld(connection);
@@ -255,7 +258,7 @@
             Exchange exchange = currentExchange;
             readCount++;
             if (exchange == null) {
-                reportUnsolicited();
+                reportUnsolicited(in, 0);
                 discard("unsolicited bytes"); // what follows can't be distinguished from a response
                 return;
             }
@@ -265,13 +268,17 @@
                     reportHead(exchange);
                 }
                 if (!exchange.isWritten) {
-                    reportUnsolicited();
+                    reportUnsolicited(in, in.length);
                     discard("response before the end of its request");
                     return;
                 }
                 noteStatus(exchange);
                 if (reader.isComplete()) {
-                    complete(exchange, at < in.length);
+                    complete(exchange);
+                    if (at < in.length) {
+                        reportUnsolicited(in, at);
+                        discard("bytes behind a response");
+                    }
                 } else if (exchange.status != 0) {
                     exchange.onStatusLine();
                 }
@@ -323,13 +330,21 @@
             }
         }
 
-        private void reportUnsolicited() {
+        /** The head of what arrived unasked may still hold a retry-after. */
+        private void reportUnsolicited(byte[] in, int from) {
             core.counters().add(Counters.Name.UNSOLICITED_ANSWERS);
-            core.post(() -> unsolicitedMicros.put(poolKey, core.nowMicros()));
+            try {
+                reader.read(in, from, in.length);
+            } catch (HttpMessageReader.InvalidMessageException e) {
+                logClose(e.getMessage());
+            }
+            if (lastListener != null) {
+                lastListener.onHead(reader.headers());
+            }
+            core.post(HttpClient.this::restConnections);
         }
 
-        /** {@code isFollowed}: further bytes have arrived behind the response. */
-        private void complete(Exchange exchange, boolean isFollowed) {
+        private void complete(Exchange exchange) {
             // Any further bytes are unsolicited from now on, even before the event loop has processed this response.
             currentExchange = null;
             isHeadReported = false;
@@ -339,10 +354,6 @@
             exchange.trace(response.needsConfirmation() ? "answered, to be confirmed" : "answered");
             long reads = readCount;
             core.post(() -> exchange.reportResponse(response, reads));
-            if (isFollowed) {
-                reportUnsolicited();
-                discard("bytes behind a response");
-            }
         }
 
         private HttpResponse takeResponse(boolean mayBeRepetition) {
@@ -410,7 +421,7 @@
                     && isRemoteClose
                     && reader.status() != 0
                     && reader.completeAtClose()) {
-                complete(exchange, false); // its end says that the connection is not kept
+                complete(exchange); // its end says that the connection is not kept
             } else if (exchange != null) {
                 savePartialResponse(exchange, false);
                 core.post(exchange::fail);
@@ -494,7 +505,7 @@
                     chain,
                     up -> {
                         trace("connected");
-                        ConnectionState newState = new ConnectionState(up, poolKey);
+                        ConnectionState newState = new ConnectionState(up);
                         connectionStates.set(up, newState);
                         core.post(() -> core.deadlines().cancel(timeout));
                         Transport.runAfterReading(up, () -> {
@@ -692,7 +703,7 @@
 
         /** The response belongs to another request: closes its connection, and nothing more is reported. */
         void rejectResponse() {
-            unsolicitedMicros.put(poolKey, core.nowMicros());
+            restConnections();
             close();
         }
 
--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -10,9 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
@@ -161,6 +163,89 @@
         }
     }
 
+    /** A wait in an answer that came behind a repeated one was dropped with it, and the next call broke it. */
+    @Test
+    void waitIsKeptWhereItsAnswerCameBehindARepeatedOne() throws Exception {
+        List<String> calledDuringWait = new CopyOnWriteArrayList<>();
+        AtomicLong waitEndNanos = new AtomicLong();
+        Peer endpointScript = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                String id = r.headers().get("req-id");
+                if (id.equals("second") && waitEndNanos.get() == 0) {
+                    waitEndNanos.set(System.nanoTime() + 2_000_000_000L);
+                    wire.writeResponse("200 OK", "");
+                    Thread.sleep(SERVICE_MILLIS);
+                    wire.writeResponse("429 Too Many Requests", "", "X-Retry-In-Ms: 2000");
+                } else {
+                    if (System.nanoTime() < waitEndNanos.get()) {
+                        calledDuringWait.add(id);
+                    }
+                    run(r);
+                    wire.writeResponse("200 OK", "");
+                }
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = Peer.platform("", notices)) {
+            startProcess(platform, endpoint);
+            submit("first", "payment");
+            awaitRun("first");
+            submit("second", "payment");
+            Thread.sleep(3 * SERVICE_MILLIS);
+            submit("third", "payment");
+            awaitRun("third");
+            assertEquals(List.of(), calledDuringWait);
+        }
+    }
+
+    /** A copy for a call that hangs is believed, unless no connection is used soon after an answer. */
+    @Test
+    void connectionsRestOnceAnyEndpointHasRepeatedAnAnswer() throws Exception {
+        AtomicInteger reusedEarly = new AtomicInteger();
+        Peer repeating = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                run(r);
+                wire.writeResponse("200 OK", "");
+                Thread.sleep(SERVICE_MILLIS);
+                wire.writeResponse("200 OK", "");
+            }
+        });
+        Peer plain = new Peer(wire -> {
+            long answeredNanos = System.nanoTime() - 10_000_000_000L;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                if (System.nanoTime() - answeredNanos < 500_000_000L) {
+                    reusedEarly.incrementAndGet();
+                }
+                run(r);
+                wire.writeResponse("200 OK", "");
+                answeredNanos = System.nanoTime();
+            }
+        });
+        AtomicReference<String> list = new AtomicReference<>();
+        try (Peer first = repeating;
+                Peer second = plain;
+                Peer platform = Peer.platform(list::get, notices)) {
+            String entry = ForwarderSetup.endpointList(second.address())
+                    .replaceAll(".*\\[(.*)].*", "$1")
+                    .replace("e1", "e2")
+                    .replace("\"group\":7", "\"group\":8");
+            list.set(ForwarderSetup.endpointList(first.address()).replace("}]}", "}," + entry + "]}"));
+            startProcess(ForwarderSetup.configText(platform.address(), state, first.address(), 3)
+                    .replaceAll("\"known\": .*\\]\\},", "\"known\": " + list.get() + ","));
+            submit("evidence", "payment");
+            awaitRun("evidence");
+            Thread.sleep(3 * SERVICE_MILLIS);
+            for (int i = 0; i < 5; i++) {
+                try (Wire client = Wire.connect(address)) {
+                    assertTrue(client.submit("other-" + i, "payment", 8, DEADLINE_SECONDS, "")
+                            .startsWith("202"));
+                }
+                awaitRun("other-" + i);
+            }
+            assertEquals(0, reusedEarly.get());
+        }
+    }
+
     /** The 204 of an earlier notice comes again, and was taken for that of a notice that the platform never read. */
     @ParameterizedTest
     @ValueSource(ints = {0, LONG_REST_MILLIS})
