Let the connections for notices rest from the start

The platform repeats its 204s (9 in 100, up to 131 ms later) and reads 5 in 100 notices without an answer. Cause: a 204 again for a batch that was dropped is followed by silence, which confirmed it; NoticeSender's client had not met a repeated answer before. Result: noticeIsNotLostWhenItIsDroppedBehindARepeatedConfirmation failed before (1 of 1, no notice of notice-1) and passes.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -174,8 +174,13 @@
         pool.closeIdle(poolKey);
     }
 
+    /** Lets connections rest between requests from the start, whatever the servers send. */
+    void restAlways() {
+        restingUntilMicros = Long.MAX_VALUE;
+    }
+
     private void restConnections() {
-        restingUntilMicros = core.nowMicros() + RESTING_PERIOD_MICROS;
+        restingUntilMicros = Math.max(restingUntilMicros, core.nowMicros() + RESTING_PERIOD_MICROS);
     }
 
     private void closeIdleConnection(Connection<?> idle) {
--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -62,6 +62,7 @@
                 keepAliveMicros,
                 MAX_IDLE_CONNECTIONS,
                 MAX_RESPONSE_BYTES);
+        client.restAlways(); // a confirmation again, for a batch that is dropped, would be followed by silence
         this.address = address;
         core.counters().entryGauge("notices", () -> pending.size() + unconfirmedCount);
     }
--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -30,6 +30,9 @@
     /** Rests after which a connection may be in use again, up to the longest delay of a repeated answer. */
     private static final int LONG_REST_MILLIS = 900;
 
+    /** The longest delay of a repeated answer. */
+    private static final long MAX_REPEAT_NANOS = 500_000_000;
+
     private static final double DEADLINE_SECONDS = 4;
     private static final int NOTICE_SLACK_MILLIS = 350;
 
@@ -246,6 +249,42 @@
         }
     }
 
+    /** The 204 of an earlier notice comes again for one that is dropped and never answered: silence follows. */
+    @Test
+    void noticeIsNotLostWhenItIsDroppedBehindARepeatedConfirmation() throws Exception {
+        Peer platformScript = new Peer(wire -> {
+            long answeredNanos = System.nanoTime() - MAX_REPEAT_NANOS;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                if (r.path().equals("/status")) {
+                    if (System.nanoTime() - answeredNanos >= MAX_REPEAT_NANOS) {
+                        r.body().lines().forEach(notices::add);
+                    }
+                    wire.writeResponse("204 No Content", ""); // else the one before again, and no other
+                    answeredNanos = System.nanoTime();
+                } else if (!r.path().contains("?")) {
+                    wire.writeResponse("200 OK", ForwarderSetup.knownList());
+                }
+            }
+        });
+        Peer failing = new Peer(wire -> {
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                wire.writeResponse("500 Internal Server Error", "", "Connection: close");
+            }
+        });
+        try (Peer endpoint = failing;
+                Peer platform = platformScript) {
+            startProcess(platform, endpoint);
+            for (int i = 0; i < 4; i++) {
+                submit("notice-" + i, "payment");
+                Thread.sleep(SERVICE_MILLIS); // a repeated answer may be later
+            }
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            for (int i = 0; i < 4; i++) {
+                assertTrue(hasNotice("notice-" + i), "no notice of notice-" + i);
+            }
+        }
+    }
+
     /** The 204 of an earlier notice comes again, and was taken for that of a notice that the platform never read. */
     @ParameterizedTest
     @ValueSource(ints = {0, LONG_REST_MILLIS})
