--- a/src/main/java/lilaclever/transport/ConnectionPool.java
+++ b/src/main/java/lilaclever/transport/ConnectionPool.java
@@ -11,8 +11,7 @@
 /**
  * Idle connections by endpoint, of which a policy tells those that may be used. Used on the event loop only. A
  * connection is closed before the endpoint would close it: a request that crosses the endpoint's close ends as a
- * connection reset,
- * and then it is not known whether it was processed.
+ * connection reset, and then it is not known whether it was processed.
  *
  * @param <C> the connection type: a socket, or a simulated connection in virtual time
  */
