--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -131,6 +131,35 @@
         }
     }
 
+    /** The first message's 200 comes again just after the second call, which hangs: silence follows, and it is lost. */
+    @Test
+    void messageIsNotLostWhenTheFirstRepeatedAnswerIsForACallThatHangs() throws Exception {
+        Peer endpointScript = new Peer(wire -> {
+            long answeredNanos = System.nanoTime() - MAX_REPEAT_NANOS;
+            for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                if (System.nanoTime() - answeredNanos < MAX_REPEAT_NANOS) {
+                    wire.writeResponse("200 OK", "");
+                    wire.readWithoutAnswering();
+                    return;
+                }
+                run(r);
+                wire.writeResponse("200 OK", "");
+                answeredNanos = System.nanoTime();
+            }
+        });
+        try (Peer endpoint = endpointScript;
+                Peer platform = Peer.platform("", notices)) {
+            startProcess(platform, endpoint);
+            submit("first", "status");
+            awaitRun("first");
+            submit("second", "status");
+            Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
+            assertTrue(
+                    runsOf("second") > 0 || hasNotice("second"),
+                    "second has neither been delivered nor ended by a notice");
+        }
+    }
+
     /** The refusal of the first payment comes again just after the second was written, which then ran twice. */
     @ParameterizedTest
     @ValueSource(ints = {0, LONG_REST_MILLIS})
