--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -3,29 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Peers that write an answer again, or clients whose request arrives again; real processes. */
-class RepeatedAnswersTest {
+class RepeatedAnswersTest extends RealProcessFixture {
     private static final int SERVICE_MILLIS = 80;
     /** Rests after which a connection may be in use again, up to the longest delay of a repeated answer. */
     private static final int LONG_REST_MILLIS = 900;
@@ -33,67 +24,6 @@
     /** The longest delay of a repeated answer. */
     private static final long MAX_REPEAT_NANOS = 500_000_000;
 
-    private static final double DEADLINE_SECONDS = 4;
-    private static final int NOTICE_SLACK_MILLIS = 350;
-
-    @TempDir
-    private Path state;
-
-    private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
-    /** How often an endpoint has run each message. */
-    private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
-
-    private Process process;
-    private SocketAddress address;
-
-    @AfterEach
-    void stop() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
-
-    private void startProcess(Peer platform, Peer endpoint) throws IOException {
-        startProcess(ForwarderSetup.configText(platform.address(), state, endpoint.address(), 3)
-                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"));
-    }
-
-    private void startProcess(String config) throws IOException {
-        process = ForwarderSetup.startProcess(state, config, 256);
-        var log = process.errorReader();
-        String line = log.readLine();
-        while (!line.contains("serves at")) {
-            line = log.readLine();
-        }
-        address = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.replaceAll(".*:(\\d+)]", "$1")));
-    }
-
-    private void run(Request request) {
-        runsById.computeIfAbsent(request.headers().get("req-id"), id -> new AtomicInteger())
-                .incrementAndGet();
-    }
-
-    private int runsOf(String id) {
-        return runsById.getOrDefault(id, new AtomicInteger()).get();
-    }
-
-    private boolean hasNotice(String id) {
-        return notices.stream().anyMatch(notice -> notice.contains("\"" + id + "\""));
-    }
-
-    private void submit(String id, String messageClass) throws IOException {
-        try (Wire client = Wire.connect(address)) {
-            assertTrue(client.submit(id, messageClass, DEADLINE_SECONDS, "").startsWith("202"));
-        }
-    }
-
-    private void awaitRun(String id) throws InterruptedException {
-        for (int i = 0; runsOf(id) == 0; i++) {
-            assertTrue(i < 1_000, id + " was not run");
-            Thread.sleep(10);
-        }
-    }
-
     /** The first message's 200 comes again just after the second call, whose own answer is a refusal: it was lost. */
     @ParameterizedTest
     @ValueSource(ints = {0, LONG_REST_MILLIS})
