Let what an answer forbids hold at once, and what it allows once it is confirmed

Cause: an answer that might be an earlier one repeated had no outcome before it was confirmed. If its connection or the process ended first, or our own timeout came, it counted as none, and with what it allowed went what it forbade: HttpDeliverer.CallListener.onRefuted reported every such answer as a reset, which most classes may repeat. The class of the fault: one certainty for two kinds of statement.

A status code that was cut, complete lines of a cut answer to several, and answers that cross our own giving up forbid and allow nothing. If an answer that forbids is among those refuted on a connection, none of their messages is called again, as it may be that of any of them. Why it works: nothing that comes after the answer is needed for what it forbids. A call is over for the module with its answer, so that an error or a refusal that waits holds no slot.

Each refuted answer is logged at the default level with status, endpoint, messages and the reason of the close.

--- a/src/main/java/lilaclever/DecisionModule.java
+++ b/src/main/java/lilaclever/DecisionModule.java
@@ -102,7 +102,16 @@
         /** The endpoint refused the connection because it has too many. */
         NO_ROOM(true),
         /** Refused permanently: no further attempt of this message can succeed. */
-        REJECTED(true);
+        REJECTED(true),
+        /** The endpoint reports that the message has had all its attempts. */
+        NO_ATTEMPTS_LEFT(true),
+        /** The attempt may have taken effect, and the endpoint may have forbidden any further one. */
+        FORBIDDEN(false);
+
+        /** Whether the message must not be sent again, whatever its class. */
+        public boolean forbidsAttempts() {
+            return this == REJECTED || this == NO_ATTEMPTS_LEFT || this == FORBIDDEN;
+        }
 
         private final boolean neverRan;
 
--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -240,6 +240,8 @@
             // A permanent failure ends a series of attempts at once.
             state.actions.add(new Action.Fail(message.id));
             finish(message);
+        } else if (event.result().forbidsAttempts()) {
+            giveUp(message);
         } else if (event.result() == AttemptResult.WITHHELD && !endpoint.active) {
             // The endpoint is draining and received nothing: another one may get the message without delay.
             state.enqueue(message);
--- a/src/main/java/lilaclever/protocol/http/BatchResponse.java
+++ b/src/main/java/lilaclever/protocol/http/BatchResponse.java
@@ -62,6 +62,28 @@
         return Optional.of(new BatchResponse(results));
     }
 
+    /**
+     * The results in the complete lines of a body of which the rest may be missing. They are not certain: the body may
+     * answer another call.
+     */
+    static Map<String, Result> completeLines(byte[] body) {
+        String text = new String(body, StandardCharsets.ISO_8859_1);
+        Map<String, Result> results = new HashMap<>();
+        int end = text.indexOf(LINE_END);
+        for (int at = 0; end >= 0; end = text.indexOf(LINE_END, at)) {
+            String line = text.substring(at, end);
+            int space = line.indexOf(' ');
+            Result result = space < 0
+                    ? null
+                    : RESULTS_BY_WORD.get(line.substring(space + 1).strip());
+            if (result != null) {
+                results.put(line.substring(0, space), result);
+            }
+            at = end + LINE_END.length();
+        }
+        return results;
+    }
+
     /** Returns the result of the message, or null if the response has none. */
     Result resultOf(String id) {
         return results.get(id);
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -62,8 +62,16 @@
         /**
          * It is not known whether the response belongs to this request, which may have been processed. The connection
          * is closed. Event loop.
+         *
+         * @param mayBeForbidden whether a response that forbids to send its request again arrived on the connection,
+         *     and may be this request's
          */
-        default void onRefuted() {}
+        default void onRefuted(boolean mayBeForbidden) {}
+
+        /** Whether a response with this status forbids to send its request again. Any thread. */
+        default boolean forbidsResending(int status) {
+            return false;
+        }
 
         /**
          * No readable response will arrive. {@code written}: the request's last byte had been written. {@code status}:
@@ -237,6 +245,11 @@
         private volatile boolean isUnusable;
 
         private boolean isHeadReported;
+        /** Whether a response that forbids to send its request again has arrived since all were confirmed. */
+        private volatile boolean hasForbidden;
+
+        /** Why the connection was closed, for the log. */
+        private volatile String closeReason = "by this side";
 
         ConnectionState(Connection<?> connection) {
             this.connection = connection;
@@ -300,16 +313,15 @@
         }
 
         private void noteStatus(Exchange exchange) {
-            exchange.mayBeRepetition = history.mayRepeat(reader.status(), Core.monotonicMicros());
+            exchange.mayBeRepetition = history.mayRepeat(reader.statusSoFar(), Core.monotonicMicros());
             exchange.status = reader.status();
+            exchange.statusSoFar = reader.statusSoFar();
+            hasForbidden |= exchange.listener.forbidsResending(reader.statusSoFar());
         }
 
         /** Saves what was received of the response, before the connection is closed. Selector thread. */
         private void savePartialResponse(Exchange exchange, boolean isTooLarge) {
-            if (keepsPartialResponses
-                    && exchange.isWritten
-                    && exchange.partialResponse == null
-                    && reader.status() != 0) {
+            if (exchange.isWritten && exchange.partialResponse == null && reader.status() != 0) {
                 exchange.partialResponse =
                         new PartialResponse(reader.status(), reader.headers(), reader.body(), isTooLarge);
             }
@@ -322,6 +334,7 @@
         }
 
         private void logClose(String reason) {
+            closeReason = reason;
             if (Logs.isDebug()) {
                 Logs.debug("", "closed", "connection to " + connection.getPeerAddress() + " closed: " + reason);
             }
@@ -345,6 +358,7 @@
             }
             if (lastListener != null) {
                 lastListener.onHead(reader.headers());
+                hasForbidden |= lastListener.forbidsResending(reader.statusSoFar());
             }
             core.post(HttpClient.this::restConnections);
         }
@@ -357,6 +371,8 @@
             // A response that announces a close repeats no earlier one, as the connection was used after those.
             HttpResponse response = takeResponse(exchange.mayBeRepetition && reader.keepsConnection());
             exchange.trace(response.needsConfirmation() ? "answered, to be confirmed" : "answered");
+            exchange.partialResponse =
+                    new PartialResponse(response.status(), response.headers(), response.body(), false);
             long reads = readCount;
             core.post(() -> exchange.reportResponse(response, reads));
         }
@@ -387,6 +403,7 @@
 
         private void confirm() {
             unconfirmed.confirmAll();
+            hasForbidden = false;
             if (isClosing) {
                 connection.closeSilently();
             }
@@ -395,7 +412,7 @@
         /** The connection has ended. Event loop. */
         private void refute() {
             core.deadlines().cancel(silenceTimer);
-            unconfirmed.refuteAll();
+            unconfirmed.refuteAll(hasForbidden);
         }
 
         /** Closes the connection, at once or after its responses are confirmed. Event loop. */
@@ -455,10 +472,12 @@
         private volatile boolean isWritten;
 
         private volatile int status;
+        /** The status, also from an incomplete status line. */
+        private volatile int statusSoFar;
         /** Whether the response, as far as its status line tells, may be an earlier one repeated. */
         private volatile boolean mayBeRepetition;
 
-        /** What was received of an incomplete response; null if nothing was, or if this client keeps none. */
+        /** What was received of the response; null if nothing was. */
         private volatile PartialResponse partialResponse;
         /**
          * The connection was closed before the last byte was written, since the request was no longer allowed to be
@@ -635,10 +654,14 @@
         }
 
         @Override
-        public void onRefuted() {
-            trace("refuted");
+        public void onRefuted(boolean mayBeForbidden) {
             core.counters().add(Counters.Name.DOUBTED_ANSWERS);
-            listener.onRefuted();
+            Logs.info(
+                    "",
+                    "answer-refuted",
+                    "status " + status + " may not be the answer to " + listener + "; connection closed: "
+                            + connectionState.closeReason);
+            listener.onRefuted(mayBeForbidden);
         }
 
         private void releaseConnection(Connection<?> unused) {
@@ -688,10 +711,7 @@
             return usesNewConnection;
         }
 
-        /**
-         * What was received of an incomplete response, after it failed or was given up; null if nothing was, or if this
-         * client keeps none.
-         */
+        /** What was received of the response, also if it is incomplete or came too late; null if nothing was. */
         PartialResponse partialResponse() {
             return partialResponse;
         }
@@ -701,9 +721,14 @@
             return status;
         }
 
-        /** Whether the response with that status may be an earlier one of the connection repeated. */
-        boolean mayBeRepetition() {
-            return mayBeRepetition;
+        /** The status, also from a status line of which the end has not arrived; 0 before that. */
+        int statusSoFar() {
+            return statusSoFar;
+        }
+
+        /** Whether the response with that status belongs to this request, as far as can be known now. Event loop. */
+        boolean isOwnStatus() {
+            return status != 0 && !mayBeRepetition && connectionState.unconfirmed.isEmpty();
         }
 
         /** The response belongs to another request: closes its connection, and nothing more is reported. */
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Collectors;
 import lilaclever.DecisionModule.AttemptResult;
 import lilaclever.log.Logs;
+import lilaclever.routing.Answer;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -62,8 +62,6 @@
     private final class CallListener extends EndpointListener {
         private final Call call;
         private final boolean isBatch;
-        /** A response that has to be confirmed before its outcome is certain, else null. */
-        private HttpResponse unconfirmed;
 
         CallListener(Call call, boolean isBatch) {
             super(call.endpoint);
@@ -73,67 +71,65 @@
 
         @Override
         public void onResponse(HttpResponse response) {
-            boolean namesOtherMessages = isBatch
-                    && response.status() == 200
-                    && resultsFor(call, response).isEmpty();
-            if (!response.needsConfirmation() || namesOtherMessages) {
-                reportResponse(call, isBatch, response);
+            Map<String, Answer> answers = CallAnswers.of(call, isBatch, response, usesNewConnection(call));
+            if (answers.isEmpty()) {
+                rejectResponse(call);
                 return;
             }
-            unconfirmed = response;
-            if (confirmsDelivery(isBatch, response.status())) {
-                List.copyOf(call.messages)
-                        .forEach(m -> core.attemptDeliveredUnconfirmed(call, m, remainingRetryAfter(call)));
-            }
+            List.copyOf(call.messages)
+                    .forEach(m -> core.answers()
+                            .received(
+                                    call,
+                                    m,
+                                    answers.get(m.id()),
+                                    !response.needsConfirmation(),
+                                    remainingRetryAfter(call)));
         }
 
         @Override
         public boolean isOwnResponse(HttpResponse response) {
-            return isTiedByMessageIds(call, isBatch, response);
+            return CallAnswers.areTiedByMessageIds(call, isBatch, response);
         }
 
         @Override
         public long confirmByMicros(HttpResponse response) {
-            return confirmsDelivery(isBatch, response.status()) ? call.firstDeadlineMicros() : core.nowMicros();
+            boolean isRetried = !isBatch && CallAnswers.mayBeRetriedAfter(response.status());
+            return isBatch || isRetried ? core.nowMicros() : call.firstDeadlineMicros();
         }
 
         @Override
         public void onConfirmed() {
-            if (unconfirmed == null) {
-                return; // reported before
-            }
-            if (confirmsDelivery(isBatch, unconfirmed.status())) {
-                core.deliveryConfirmed(call);
-            } else {
-                reportResponse(call, isBatch, unconfirmed);
-            }
+            core.answers().confirmed(call);
         }
 
         @Override
-        public void onRefuted() {
-            if (unconfirmed == null) {
-                return; // reported before
-            }
-            if (confirmsDelivery(isBatch, unconfirmed.status())) {
-                core.deliveryRefuted(call);
-            } else {
-                reportAll(call, AttemptResult.RESET, false, false);
-            }
+        public void onRefuted(boolean mayBeForbidden) {
+            core.answers().refuted(call, mayBeForbidden);
+        }
+
+        @Override
+        public boolean forbidsResending(int status) {
+            return CallAnswers.forbidsAttempts(status);
         }
 
         @Override
         public void onFailure(boolean written, int status) {
-            // Before its last byte is written the endpoint has not begun. After that the outcome is unknown, except
-            // that a status of 200 of this call's own confirms the delivery of a call of one message.
+            // Before its last byte is written the endpoint has not begun. After that the outcome is unknown, except as
+            // far as the part of the answer that has arrived tells it.
             if (status != 0) {
                 core.counters().add(Counters.Name.SPOILT_ANSWERS);
             }
-            boolean isDelivered = call.attachment instanceof PendingCall pending && pending.hasOwnStatusOfDelivery();
-            reportAll(
-                    call,
-                    isDelivered ? AttemptResult.DELIVERED : written ? AttemptResult.RESET : AttemptResult.NO_CONNECTION,
-                    false,
-                    false);
+            if (!written) {
+                reportAll(call, AttemptResult.NO_CONNECTION);
+            } else if (call.attachment instanceof PendingCall pending
+                    && !isBatch
+                    && pending.exchange().isOwnStatus()) {
+                Answer answer = CallAnswers.ofStatus(status, AttemptResult.RESET);
+                List.copyOf(call.messages)
+                        .forEach(m -> core.answers().received(call, m, answer, true, remainingRetryAfter(call)));
+            } else {
+                reportInPart(call, AttemptResult.RESET);
+            }
         }
 
         @Override
@@ -143,7 +139,7 @@
 
         @Override
         public void onWithheld() {
-            reportAll(call, AttemptResult.WITHHELD, false, false);
+            reportAll(call, AttemptResult.WITHHELD);
         }
 
         @Override
@@ -161,7 +157,7 @@
     private record PendingCall(HttpClient.Exchange exchange, Map<String, String> headers, boolean isBatch) {
         /** Whether a status line has arrived that confirms the delivery and repeats no earlier one. */
         boolean hasOwnStatusOfDelivery() {
-            return confirmsDelivery(isBatch, exchange.status()) && !exchange.mayBeRepetition();
+            return !isBatch && exchange.status() == CallAnswers.OK && exchange.isOwnStatus();
         }
     }
 
@@ -233,15 +229,11 @@
             pending.headers().put(DEADLINE_HEADER, timeoutSeconds(call, rest));
             if (pending.exchange().replaceBody(encodeBatch(rest))) {
                 call.removeMessage(m);
-                core.post(() -> report(call, m, AttemptResult.NOT_SENT, false, false));
+                core.post(() -> report(call, m, AttemptResult.NOT_SENT));
             }
         }
     }
 
-    private static boolean confirmsDelivery(boolean isBatch, int status) {
-        return status == 200 && !isBatch;
-    }
-
     private static byte[] encodeBatch(List<Message> messages) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (Message m : messages) {
@@ -255,85 +247,37 @@
         return out.toByteArray();
     }
 
-    /**
-     * Whether the response names the messages of the call and is not equal to an earlier one, which may have named the
-     * same messages.
-     */
-    private static boolean isTiedByMessageIds(Call call, boolean isBatch, HttpResponse response) {
-        return isBatch
-                && response.status() == 200
-                && !response.hasEarlierEqual()
-                && resultsFor(call, response).isPresent();
-    }
-
-    /** The results of all messages of the call; empty if the response lacks one, or can't be read. */
-    private static Optional<BatchResponse> resultsFor(Call call, HttpResponse response) {
-        return BatchResponse.parse(response.body())
-                .filter(results -> call.messages.stream().allMatch(m -> results.resultOf(m.id()) != null));
+    private static boolean usesNewConnection(Call call) {
+        return call.attachment instanceof PendingCall pending
+                && pending.exchange().usesNewConnection();
     }
 
-    private void reportResponse(Call call, boolean isBatch, HttpResponse response) {
-        Map<String, String> headers = response.headers();
-        int status = response.status();
-        switch (status) {
-            case 200 -> {
-                if (isBatch) {
-                    reportEach(call, response);
-                } else {
-                    reportAll(call, AttemptResult.DELIVERED, false, false);
-                }
-            }
-            case 429, 503 -> {
-                boolean noSlot = "1".equals(headers.get("x-no-slot"));
-                reportAll(
-                        call,
-                        noSlot
-                                ? AttemptResult.NOT_SENT
-                                : isConnectionLimit(call, status, headers) ? AttemptResult.NO_ROOM : AttemptResult.FULL,
-                        noSlot,
-                        false);
-            }
-            case 504, 413, 400 -> reportAll(call, AttemptResult.NOT_SENT, false, false);
-            case 410 -> reportAll(call, AttemptResult.NOT_SENT, false, true);
-            default -> reportAll(call, AttemptResult.ERROR, false, false);
+    /** The response answers another request, and so may all that follows on its connection. */
+    private void rejectResponse(Call call) {
+        core.counters().add(Counters.Name.SPOILT_ANSWERS);
+        if (call.attachment instanceof PendingCall pending) {
+            pending.exchange().rejectResponse();
         }
+        reportInPart(call, AttemptResult.RESET);
     }
 
     /**
-     * Whether the endpoint has reached its limit of connections: it closes a connection that was just opened. An
-     * endpoint over its call limit keeps the connection. Mistaking the first for the second would slow down all
-     * calls there without any benefit.
+     * Reports a call of which no certain answer arrived: {@code otherwise} for each message that the part which has
+     * arrived doesn't end.
      */
-    private static boolean isConnectionLimit(Call call, int status, Map<String, String> headers) {
-        return status == 503
-                && call.attachment instanceof PendingCall pending
-                && pending.exchange().usesNewConnection()
-                && "close"
-                        .equalsIgnoreCase(headers.getOrDefault("connection", "").strip());
-    }
-
-    /**
-     * Reports the result of each message, or all messages as possibly executed if the response is incomplete or names
-     * others: then it answers another request, and so may all that follows on its connection.
-     */
-    private void reportEach(Call call, HttpResponse response) {
-        Optional<BatchResponse> results = resultsFor(call, response);
-        if (results.isEmpty()) {
-            core.counters().add(Counters.Name.SPOILT_ANSWERS);
-            if (call.attachment instanceof PendingCall pending) {
-                pending.exchange().rejectResponse();
-            }
-            reportAll(call, AttemptResult.RESET, false, false);
+    private void reportInPart(Call call, AttemptResult otherwise) {
+        if (!(call.attachment instanceof PendingCall pending)) {
+            reportAll(call, otherwise);
             return;
         }
+        HttpClient.PartialResponse part = pending.exchange().partialResponse();
         for (Message m : List.copyOf(call.messages)) {
-            switch (results.get().resultOf(m.id())) {
-                case ACCEPTED -> report(call, m, AttemptResult.DELIVERED, false, false);
-                case DEFERRED -> report(call, m, AttemptResult.FULL, false, false);
-                case EXPIRED -> report(call, m, AttemptResult.NOT_SENT, false, true);
-                case NO_MORE -> report(call, m, AttemptResult.NOT_SENT, false, false);
-                default -> report(call, m, AttemptResult.ERROR, false, false);
-            }
+            Answer.Meaning meaning = CallAnswers.meaningInPart(
+                    m.id(),
+                    pending.isBatch(),
+                    pending.exchange().statusSoFar(),
+                    part == null ? EMPTY_BODY : part.body());
+            core.answers().receivedInPart(call, m, meaning, otherwise, remainingRetryAfter(call));
         }
     }
 
@@ -361,15 +305,15 @@
         }
     }
 
-    private void reportAll(Call call, AttemptResult outcome, boolean noSlot, boolean finished) {
-        List.copyOf(call.messages).forEach(m -> report(call, m, outcome, noSlot, finished));
+    private void reportAll(Call call, AttemptResult outcome) {
+        List.copyOf(call.messages).forEach(m -> report(call, m, outcome));
     }
 
     /**
      * Each outcome carries the current retry-after, which may stem from a response that nothing waited for any more.
      */
-    private void report(Call call, Message m, AttemptResult outcome, boolean noSlot, boolean finished) {
-        core.attemptEnded(call, m, outcome, remainingRetryAfter(call), noSlot, finished);
+    private void report(Call call, Message m, AttemptResult outcome) {
+        core.attemptEnded(call, m, outcome, remainingRetryAfter(call), false, false);
     }
 
     private long remainingRetryAfter(Call call) {
@@ -384,28 +328,29 @@
     @Override
     public void abort(Call call) {
         if (!(call.attachment instanceof PendingCall pending)) { // starting it failed
-            core.post(() -> reportAll(call, AttemptResult.NO_CONNECTION, false, false));
+            core.post(() -> reportAll(call, AttemptResult.NO_CONNECTION));
             return;
         }
         // The slot is free only once the other side has seen the close: a new call in this same turn would find none.
-        // Responses that arrive from now on are ignored.
-        boolean delivered = pending.hasOwnStatusOfDelivery();
-        pending.exchange()
-                .giveUp(() -> reportAll(
-                        call,
-                        delivered
-                                ? AttemptResult.DELIVERED
-                                : pending.exchange().isWritten()
-                                        ? AttemptResult.TIMED_OUT
-                                        : AttemptResult.NO_CONNECTION,
-                        false,
-                        false));
+        // What an answer allows that arrives from now on is ignored, as the endpoint was told to answer before.
+        boolean isDelivered = pending.hasOwnStatusOfDelivery();
+        pending.exchange().giveUp(() -> reportGivenUp(call, pending, isDelivered));
+    }
+
+    private void reportGivenUp(Call call, PendingCall pending, boolean isDelivered) {
+        if (isDelivered) {
+            reportAll(call, AttemptResult.DELIVERED);
+        } else if (pending.exchange().isWritten()) {
+            reportInPart(call, AttemptResult.TIMED_OUT);
+        } else {
+            reportAll(call, AttemptResult.NO_CONNECTION);
+        }
     }
 
     @Override
     public void cancelUnsent(Call call) {
         if (call.attachment instanceof PendingCall pending && pending.exchange().withdraw()) {
-            core.post(() -> reportAll(call, AttemptResult.WITHHELD, false, false));
+            core.post(() -> reportAll(call, AttemptResult.WITHHELD));
         }
     }
 
@@ -466,7 +411,7 @@
                     }
 
                     @Override
-                    public void onRefuted() {
+                    public void onRefuted(boolean mayBeForbidden) {
                         finishProbe(AttemptResult.RESET);
                     }
 
--- a/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Reads consecutive HTTP/1.1 messages from the bytes of one connection. It is strict, since a message that two readers
@@ -19,6 +20,9 @@
             MAX_CHUNK_SIZE_DIGITS = 7;
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
     private static final byte[] EMPTY = {};
+    private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.\\d [2-9]\\d\\d");
+    /** Where the status begins and ends in a status line. */
+    private static final int STATUS_START = 9, STATUS_END = 12;
 
     /** Thrown for a message that is malformed or too large; the status is for the response to a client. */
     static final class InvalidMessageException extends Exception {
@@ -360,6 +364,15 @@
         return status;
     }
 
+    /** The status, also from a status line whose end has not arrived; 0 before that. */
+    int statusSoFar() {
+        if (status != 0 || state != State.START_LINE || lineLength < STATUS_END) {
+            return status;
+        }
+        String text = new String(line, 0, STATUS_END, StandardCharsets.ISO_8859_1);
+        return STATUS_LINE_START.matcher(text).matches() ? Integer.parseInt(text.substring(STATUS_START)) : 0;
+    }
+
     String method() {
         return method;
     }
--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -171,7 +171,7 @@
         }
 
         @Override
-        public void onRefuted() {
+        public void onRefuted(boolean mayBeForbidden) {
             if (isUnconfirmed) {
                 unconfirmedCount -= batch.size();
                 pending.addAll(batch);
--- a/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
+++ b/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
@@ -18,7 +18,8 @@
     interface Listener {
         void onConfirmed();
 
-        void onRefuted();
+        /** {@code mayBeForbidden}: see {@link #refuteAll}. */
+        void onRefuted(boolean mayBeForbidden);
     }
 
     private final List<Listener> waiting = new ArrayList<>();
@@ -43,8 +44,12 @@
         takeAll().forEach(Listener::onConfirmed);
     }
 
-    void refuteAll() {
-        takeAll().forEach(Listener::onRefuted);
+    /**
+     * Refutes all. {@code mayBeForbidden}: a response that forbids to send its request again arrived on the connection,
+     * and may be that of any of these.
+     */
+    void refuteAll(boolean mayBeForbidden) {
+        takeAll().forEach(listener -> listener.onRefuted(mayBeForbidden));
     }
 
     private List<Listener> takeAll() {
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import lilaclever.DecisionModule;
 import lilaclever.DecisionModule.AttemptResult;
+import lilaclever.routing.Answer;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
@@ -322,7 +323,7 @@
             unconfirmedCall = finishedCall;
             for (Message message : List.copyOf(finishedCall.messages)) {
                 message.lastResponseText = reply.code() + " " + reply.text();
-                core.attemptDeliveredUnconfirmed(finishedCall, message, 0);
+                core.answers().received(finishedCall, message, Answer.DELIVERED, false, 0);
             }
             confirmation = core.deadlines()
                     .schedule(
@@ -332,7 +333,7 @@
 
         private void confirmDelivery() {
             if (unconfirmedCall != null) {
-                core.deliveryConfirmed(unconfirmedCall);
+                core.answers().confirmed(unconfirmedCall);
                 unconfirmedCall = null;
                 pool.release(endpoint.host(), connection, core.nowMicros());
             }
@@ -341,7 +342,7 @@
         private void refuteDelivery() {
             if (unconfirmedCall != null) {
                 core.deadlines().cancel(confirmation);
-                core.deliveryRefuted(unconfirmedCall);
+                core.answers().refuted(unconfirmedCall, false);
                 unconfirmedCall = null;
             }
         }
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -62,8 +62,7 @@
     private final Map<String, Front> fronts = new HashMap<>();
     private final Map<String, Message> pendingMessages = new LinkedHashMap<>();
     private final DeduplicationTable deduplication;
-    private final UnconfirmedDeliveries unconfirmedDeliveries =
-            new UnconfirmedDeliveries(deadlines, this::resumeUndelivered);
+    private final AnswerOutcomes answers;
     /** Messages without an identity that ended, for requests that arrive twice. */
     private final RecentlyEnded recentlyEnded = new RecentlyEnded();
 
@@ -108,13 +107,14 @@
         this.decisionModule = DecisionModule.create(settings, seed);
         this.journal = journal;
         this.counters = counters;
+        this.answers = new AnswerOutcomes(this, journal);
         this.deduplication = new DeduplicationTable(windows, journal, counters);
         counters.entryGauge("held", pendingMessages::size);
         counters.entryGauge("endpoints", endpoints::size);
         counters.entryGauge("destinations", destinationsLastListed::size);
         counters.entryGauge("calls", calls::size);
         counters.entryGauge("deadlines", deadlines::size);
-        counters.entryGauge("unconfirmed", unconfirmedDeliveries::size);
+        counters.entryGauge("unconfirmed", answers::size);
         counters.entryGauge("recently_ended", recentlyEnded::size);
         counters.entryGauge("owed", () -> journal.pendingMessages().size());
         counters.entryGauge("remembered", journal::rememberedCount);
@@ -143,6 +143,16 @@
         return counters;
     }
 
+    /** Takes the answers that deliverers receive. */
+    public AnswerOutcomes answers() {
+        return answers;
+    }
+
+    /** The time on the wall clock, microseconds. */
+    long wallClockMicros() {
+        return clock.wallMicros();
+    }
+
     /** The endpoints to which requests may be written; for deliverers. */
     public ActiveEndpoints activeEndpoints() {
         return activeEndpoints;
@@ -281,7 +291,7 @@
             counters.add(Name.TOLD_AGAIN);
             return answerWithoutAccepting(message, earlierStatus);
         }
-        int openMessages = pendingMessages.size() - unconfirmedDeliveries.size();
+        int openMessages = pendingMessages.size() - answers.size();
         if (isShuttingDown || openMessages >= settings.limits().maxOpenMessages()) {
             reject(message, new FinalStatus(Kind.REFUSED, REJECTED_RETRY_AFTER_MICROS, "no room"));
             return message;
@@ -425,17 +435,16 @@
             return;
         }
         if (result == AttemptResult.DELIVERED) {
-            counters.add(Name.DELIVERED);
-            finish(message, FinalStatus.of(Kind.DELIVERED));
+            finishDelivered(message);
         } else if (finished) {
-            finish(message, FinalStatus.of(Kind.GONE));
+            finishOver(message);
         } else {
             journal.recordOutcome(message.id(), result.neverRan());
         }
     }
 
     /** Ends a message's attempt for the decision module; returns whether the message is still open. */
-    private boolean endAttempt(
+    boolean endAttempt(
             Call call, Message message, AttemptResult result, long retryAfterMicros, boolean noSlot, boolean finished) {
         if (message.currentCall != call) {
             return false;
@@ -465,37 +474,28 @@
         return !message.isFinished;
     }
 
-    /**
-     * Reports that the message of a call was delivered by an answer that may belong to an earlier call. {@link
-     * #deliveryConfirmed} or {@link #deliveryRefuted} follows. Event loop.
-     */
-    public void attemptDeliveredUnconfirmed(Call call, Message message, long retryAfterMicros) {
-        if (endAttempt(call, message, AttemptResult.DELIVERED, retryAfterMicros, false, true)) {
-            unconfirmedDeliveries.add(call, message);
-        }
+    /** Ends a message that was delivered. */
+    void finishDelivered(Message message) {
+        counters.add(Name.DELIVERED);
+        finish(message, FinalStatus.of(Kind.DELIVERED));
     }
 
-    /** The answer that reported the delivery was the call's own. Event loop. */
-    public void deliveryConfirmed(Call call) {
-        Message message = unconfirmedDeliveries.confirm(call);
-        if (message != null && !message.isFinished) {
-            counters.add(Name.DELIVERED);
-            finish(message, FinalStatus.of(Kind.DELIVERED));
-        }
+    /** Ends a message for which nothing more is owed. */
+    void finishOver(Message message) {
+        finish(message, FinalStatus.of(Kind.GONE));
     }
 
-    /** The answer that reported the delivery may have been another call's. Event loop. */
-    public void deliveryRefuted(Call call) {
-        unconfirmedDeliveries.refute(call);
+    /** Ends a message that gets no further attempt; its client is notified. */
+    void finishFailed(Message message) {
+        finishUndelivered(message.id(), FinalStatus.of(Kind.FAILED));
     }
 
-    /** Returns a message that the decision module has ended to it, as one that may have run. */
-    private void resumeUndelivered(Message message) {
-        if (message.isFinished) {
-            return;
+    /** Returns a message to the decision module, which has ended it, after an attempt that was not delivered. */
+    void resubmit(Message message, boolean neverRan) {
+        if (!neverRan) {
+            message.markLastCallMayHaveRun();
         }
-        trace(message, "doubted", "delivery not confirmed", null);
-        journal.recordOutcome(message.id(), false);
+        journal.recordOutcome(message.id(), neverRan);
         message.isResumed = true;
         events.add(message.toSubmitEvent(nowMicros, clock.wallMicros()));
     }
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -38,6 +38,10 @@
     String uncertainHost = "";
     int uncertainZone;
     long uncertainSentWallMicros;
+    /** The last call, and when it was sent on the wall clock; set while its answer waits for confirmation. */
+    private Call.Endpoint lastEndpoint;
+
+    private long lastSentWallMicros;
     FinalStatus finalStatus;
     /** Human-readable response of the last endpoint. */
     public String lastResponseText = "";
@@ -86,6 +90,17 @@
         }
     }
 
+    /** Notes the call whose answer waits for confirmation. */
+    void noteCall(Call call, long nowMicros, long nowWallMicros) {
+        lastEndpoint = call.endpoint;
+        lastSentWallMicros = nowWallMicros - (nowMicros - call.startedAtMicros);
+    }
+
+    /** The noted call may have taken effect. */
+    void markLastCallMayHaveRun() {
+        markMayHaveRun(lastEndpoint.host(), lastEndpoint.zone(), lastSentWallMicros);
+    }
+
     DecisionModule.Event.Submit toSubmitEvent(long nowMicros, long nowWallMicros) {
         // An attempt in the future means that the clock was set back, so its age is not known.
         long ageMicros =
--- a/src/test/java/lilaclever/DeliveryPolicyTest.java
+++ b/src/test/java/lilaclever/DeliveryPolicyTest.java
@@ -1120,6 +1120,19 @@
         assertTrue(harness.reportOutcome(id, "a1", 0, AttemptResult.REJECTED).hasFailed(id));
     }
 
+    @Test
+    void aMessageWithoutAttemptsLeftIsRefusedAtOnceAsItNeverRan() {
+        String id = harness.submit(UNSAFE, 1);
+        assertTrue(harness.reportOutcome(id, "a1", 0, AttemptResult.NO_ATTEMPTS_LEFT)
+                .wasRefused(id));
+    }
+
+    @Test
+    void aMessageThatMustNotBeSentAgainAndMayHaveRunFailsAtOnce() {
+        String id = harness.submit(UNSAFE, 1);
+        assertTrue(harness.reportOutcome(id, "a1", 0, AttemptResult.FORBIDDEN).hasFailed(id));
+    }
+
     @Test
     void noCallIsStartedThatTheEndOfTheProgramCouldCutOff() {
         harness.runRound(new Event.Stopping(harness.nowMicros + 2 * SECOND_MICROS));
