Take back calls that are not written when their message ends

Change: Core.takeBack, from both places. Both new tests of UnsentCallsTest (DrainBeforeStartTest before, its test unchanged) fail without it.

--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -337,6 +337,7 @@
             counters.add(Name.WITHDRAWN);
             events.add(new Event.Withdrawn(message.id()));
             removePending(message);
+            takeBack(message);
             journal.recordSettled(message.id());
         }
     }
@@ -839,12 +840,26 @@
         if (needsNotification || Identity.isShared(message.submission.identity())) {
             journal.recordFinalStatus(message.id(), finalStatus);
         }
-        if (message.currentCall != null) {
-            removeFromCall(message, message.currentCall);
-        }
+        takeBack(message);
         notifySubmitters(message, finalStatus);
     }
 
+    /** Takes a message that has ended out of its call, as far as no byte of that call has been written. */
+    private void takeBack(Message message) {
+        Call call = message.currentCall;
+        if (call == null) {
+            return;
+        }
+        if (!call.isStarted) {
+            attemptEnded(call, message, AttemptResult.WITHHELD, 0, false, false);
+            call.removeMessage(message);
+        } else if (call.messages.size() > 1) {
+            removeFromCall(message, call);
+        } else {
+            call.endpoint.deliverer().cancelUnsent(call);
+        }
+    }
+
     private void notifySubmitters(Message message, FinalStatus finalStatus) {
         message.finalStatus = finalStatus;
         if (message.submitters.isEmpty()) {
--- a/src/test/java/lilaclever/routing/DrainBeforeStartTest.java
+++ b/src/test/java/lilaclever/routing/UnsentCallsTest.java
@@ -22,8 +22,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** If an endpoint drains before the attempt of a call to it is durable, the call goes to another endpoint. */
-class DrainBeforeStartTest {
+/** Calls that are not written yet when their endpoint drains or their message ends. */
+class UnsentCallsTest {
     private static final long SECOND_MICROS = 1_000_000, ROUND_MICROS = 5_000;
     private static final int DESTINATION = 7;
 
@@ -32,6 +32,7 @@
 
     private final Queue<Runnable> awaitingSync = new ArrayDeque<>();
     private final List<String> started = new ArrayList<>();
+    private final List<String> canceled = new ArrayList<>();
     private long nowMicros = SECOND_MICROS;
 
     /** Time that the test advances. */
@@ -73,7 +74,9 @@
         public void abort(Call call) {}
 
         @Override
-        public void cancelUnsent(Call call) {}
+        public void cancelUnsent(Call call) {
+            call.messages.forEach(m -> canceled.add(m.id()));
+        }
 
         @Override
         public void closeIdle(Call.Endpoint endpoint) {}
@@ -180,18 +183,56 @@
         }
     }
 
+    private final FrontWithoutClients front = new FrontWithoutClients();
+
+    private Core core(Journal journal, Counters counters) {
+        IdempotencyWindows windows = new IdempotencyWindows(List.of(), SECOND_MICROS, 1);
+        Core core = new Core(settings(), 7, journal, counters, windows, new VirtualClock());
+        core.add(front);
+        core.runFirstTurn(List.of(listed("e1", Presence.ACTIVE)), 1);
+        return core;
+    }
+
+    private Message submit(Core core) {
+        byte[] body = new byte[0];
+        Message message = core.submit(
+                front, new Submission("m", null, 0, DESTINATION, null, body, false, false, 20 * SECOND_MICROS));
+        runTurn(core);
+        return message;
+    }
+
+    /** A message's last client left while its call waited for the journal; the call was written all the same. */
+    @Test
+    void callAwaitingTheJournalIsNotStartedOnceItsMessageIsWithdrawn() throws Exception {
+        try (Journal journal = journal()) {
+            Core core = core(journal, new Counters());
+            core.withdrawSubmitter(submit(core), front, "m");
+            runTurn(core);
+            sync();
+            assertEquals(List.of(), started);
+            assertEquals(0, journal.pendingMessages().size());
+        }
+    }
+
+    /** A message's last client left while its call waited for a connection; the call was written all the same. */
+    @Test
+    void callAwaitingAConnectionIsTakenBackOnceItsMessageIsWithdrawn() throws Exception {
+        try (Journal journal = journal()) {
+            Core core = core(journal, new Counters());
+            Message message = submit(core);
+            sync();
+            core.withdrawSubmitter(message, front, "m");
+            runTurn(core);
+            assertEquals(List.of("m"), canceled);
+        }
+    }
+
     @Test
     void callAwaitingTheJournalIsNotStartedOnceItsEndpointDrains() throws Exception {
         try (Journal journal = journal()) {
             Counters counters = new Counters();
-            IdempotencyWindows windows = new IdempotencyWindows(List.of(), SECOND_MICROS, 1);
-            Core core = new Core(settings(), 7, journal, counters, windows, new VirtualClock());
-            FrontWithoutClients front = new FrontWithoutClients();
-            core.add(front);
-            core.runFirstTurn(List.of(listed("e1", Presence.ACTIVE)), 1);
-            byte[] body = new byte[0];
-            core.submit(front, new Submission("m", null, 0, DESTINATION, null, body, false, false, 20 * SECOND_MICROS));
-            runTurn(core);
+            Core core = core(journal, counters);
+            submit(core);
             assertEquals(1, counters.get(Counters.Name.CALLS), "decided, and its attempt recorded");
 
             core.updateEndpoints(
