Let a mail server's rejection hold from its first digits on, cut or crossing our giving up

Seen by a test: an LMTP client of a class that may be repeated heard 451, and the server got the mail again, after a 550 that was cut behind its code or its text, or of which only the first of several lines came. Cause: MailDeliverer looked at whole replies alone, and a close before the end of one counted as a reset. A reply that crossed our own giving up was dropped as well.

Change: a permanent failure counts from its first line on; LineFilter keeps the unfinished line, whose code counts at the close; a call is given up once what the server has sent is read; a rejection is recorded before anything else happens (AnswerOutcomes).

--- a/src/main/java/lilaclever/protocol/mail/LineFilter.java
+++ b/src/main/java/lilaclever/protocol/mail/LineFilter.java
@@ -5,6 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -19,6 +22,15 @@
     /** More than any line that the standards allow; a connection that exceeds it is closed. */
     private static final int MAX_LINE_BYTES = 16 * 1024;
 
+    private final Attribute<String> unfinishedLines =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("LineFilter.unfinishedLine");
+
+    /** What was received of a line that has not ended; empty if nothing was. */
+    String unfinishedLine(Connection<?> connection) {
+        String line = unfinishedLines.get(connection);
+        return line == null ? "" : line;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer buffer = context.getMessage();
@@ -40,6 +52,9 @@
                 ? Buffers.wrap(context.getMemoryManager(), bytes, lineStart, bytes.length - lineStart)
                 : null;
         buffer.tryDispose();
+        unfinishedLines.set(
+                context.getConnection(),
+                new String(bytes, lineStart, bytes.length - lineStart, StandardCharsets.ISO_8859_1));
         if (lines.isEmpty()) {
             return context.getStopAction(remainder);
         }
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -58,6 +58,7 @@
     private final int zone;
     private final long connectTimeoutMicros;
     private final ConnectionPool<Connection<?>> pool;
+    private final LineFilter lineFilter = new LineFilter();
     private final FilterChain chain;
     private final Attribute<ClientSession> sessions =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MailDeliverer.session");
@@ -78,7 +79,7 @@
         this.zone = zone;
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.pool = ConnectionPool.ofSockets(MailDeliverer::availability, keepAliveMicros / 2, maxIdleConnections);
-        this.chain = Transport.chain(new LineFilter(), new SessionFilter());
+        this.chain = Transport.chain(lineFilter, new SessionFilter());
     }
 
     /** Adds the routes' endpoints to the core and starts expiring idle connections. Call before the core starts. */
@@ -129,7 +130,7 @@
     @Override
     public void abort(Call call) {
         if (call.attachment instanceof ClientSession session && session.call == call) {
-            session.endCall(session.contentWritten ? AttemptResult.TIMED_OUT : AttemptResult.NO_CONNECTION, "");
+            session.abort(call);
         }
     }
 
@@ -241,12 +242,12 @@
         }
 
         private void onLine(String line) {
+            Reply reply = Reply.parse(line);
             if (call == null) {
                 closeConnection(); // unsolicited line on an idle connection, usually a 421 before a close
-                refuteDelivery();
+                refuteDelivery(reply != null && reply.isPermanentFailure());
                 return;
             }
-            Reply reply = Reply.parse(line);
             if (reply == null || expectedReplies.isEmpty() || ++replyLines > MAX_REPLY_LINES) {
                 endCall(contentWritten ? AttemptResult.ERROR : AttemptResult.NO_CONNECTION, "");
                 return;
@@ -255,8 +256,9 @@
             if (step == Step.EXTENDED_HELLO && reply.code() == 250) {
                 extensions.add(reply.text().toUpperCase(Locale.ROOT));
             }
-            if (line.length() > 3 && line.charAt(3) == '-') {
-                return; // more lines of this reply follow
+            boolean isRejection = reply.isPermanentFailure() && step != Step.EXTENDED_HELLO;
+            if (line.length() > 3 && line.charAt(3) == '-' && !isRejection) {
+                return; // more lines of this reply follow; a rejection holds from its first line on
             }
             expectedReplies.remove();
             replyLines = 0;
@@ -339,10 +341,10 @@
             }
         }
 
-        private void refuteDelivery() {
+        private void refuteDelivery(boolean mayBeRejected) {
             if (unconfirmedCall != null) {
                 core.deadlines().cancel(confirmation);
-                core.answers().refuted(unconfirmedCall, false);
+                core.answers().refuted(unconfirmedCall, mayBeRejected);
                 unconfirmedCall = null;
             }
         }
@@ -388,10 +390,29 @@
             core.post(this::onClosed);
         }
 
+        /** Gives the call up, once what the server has sent so far is read: a reply may end the message. */
+        void abort(Call aborted) {
+            if (connection == null || !contentWritten) {
+                endCall(AttemptResult.NO_CONNECTION, "");
+                return;
+            }
+            Transport.runAfterReading(
+                    connection,
+                    () -> core.post(() -> {
+                        if (call == aborted) {
+                            endCall(AttemptResult.TIMED_OUT, "");
+                        }
+                    }));
+        }
+
         void onClosed() {
+            Reply cut = connection == null ? null : Reply.parse(lineFilter.unfinishedLine(connection));
+            boolean isRejection = cut != null && cut.isPermanentFailure();
             if (call == null) {
                 closeConnection();
-                refuteDelivery();
+                refuteDelivery(isRejection);
+            } else if (isRejection && !expectedReplies.isEmpty() && expectedReplies.peek() != Step.EXTENDED_HELLO) {
+                endCall(AttemptResult.REJECTED, cut.code() + " " + cut.text());
             } else if (connection != null) {
                 endCall(contentWritten ? AttemptResult.RESET : AttemptResult.NO_CONNECTION, "");
             }
@@ -411,7 +432,11 @@
         private void reportResult(Call finishedCall, AttemptResult result, String responseText) {
             for (Message message : List.copyOf(finishedCall.messages)) {
                 message.lastResponseText = responseText;
-                core.attemptEnded(finishedCall, message, result, 0, false, false);
+                if (result == AttemptResult.REJECTED) {
+                    core.answers().received(finishedCall, message, Answer.REJECTED, true, 0);
+                } else {
+                    core.attemptEnded(finishedCall, message, result, 0, false, false);
+                }
             }
         }
 
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs the mail front between scripted clients and servers of SMTP and LMTP. */
 class MailTest {
@@ -209,6 +210,37 @@
         }
     }
 
+    /** A server's rejection that was cut counted as a reset, and the mail was sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"550", "550 5.7.1 not he", "550-5.7.1 not here\r\n"})
+    void mailIsNotSentAgainAfterARejectionThatWasCut(String part) throws Exception {
+        AtomicInteger contentCount = new AtomicInteger();
+        Peer server = new Peer(wire -> {
+            wire.writeText("220 stand-in\r\n");
+            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
+                wire.writeText(line.equals("DATA") ? "354 go on\r\n" : "250 good\r\n");
+                while (line.equals("DATA")) {
+                    if (".".equals(wire.readLine())) {
+                        contentCount.incrementAndGet();
+                        wire.writeText(part);
+                        Thread.sleep(100); // read before the connection ends
+                        return;
+                    }
+                }
+            }
+        });
+        try (server) {
+            serve(route("a.test", 1, "lmtp", server.address()));
+            try (Wire wire = Wire.connect(lmtp)) {
+                greet(wire, "LHLO");
+                String reply = send(wire, "", payment("x").replace("payment", "status"), "till@a.test")
+                        .get(0);
+                assertTrue(reply.startsWith("550"), reply);
+                assertEquals(1, contentCount.get());
+            }
+        }
+    }
+
     @Test
     void eachLmtpRecipientGetsItsOwnFinalReplyInOrder() throws Exception {
         try (Peer server = server(r -> r.contains("bad@") ? "550 5.1.1 nobody" : "250 good", t -> "250 2.0.0 kept")) {
