Send messages that were probably delivered again only where capacity is left

Cause: with the end of a connection all its unconfirmed answers are refuted, some ten for each end at a busy endpoint, and each message came back to be sent again like any other, a keyed one with four times its worth (EndpointSelection.rank).

Change: a refuted answer that said delivered, on a connection on which nothing unasked came, marks its message as probably delivered. The module sends it after all others and gives it up first when it is nearly full. It still gets a delivery or a notice; where something unasked came, it is sent again as before.

The new test of DeliveryPolicyTest fails with the factor at 1.

--- a/src/main/java/lilaclever/Admission.java
+++ b/src/main/java/lilaclever/Admission.java
@@ -80,8 +80,8 @@
 
     /**
      * Returns the waiting message of least worth, which is lower the longer its destination's queue is for the rate
-     * that the destination accepts; the last of several equal ones. Messages accepted before a restart are exempt; null
-     * if there are no others.
+     * that the destination accepts; the last of several equal ones. Messages that were probably delivered come first, and
+     * others that were accepted before a restart are exempt; null if there are no others.
      */
     Message leastWorthMessage() {
         Message leastWorthMessage = null;
@@ -91,8 +91,11 @@
                     queue.endpoints.stream().mapToDouble(this::expectedRate).sum();
             double backlogFactor = 1 + queue.waiting.size() / (1 + HALF_WORTH_QUEUE_SECONDS * rate);
             for (Message message : queue.waiting) {
-                double worth = message.worth / backlogFactor * (message.mayHaveRun ? UNCERTAIN_WORTH_FACTOR : 1);
-                if (!message.resumed && (leastWorthMessage == null || worth <= lowestWorth)) {
+                double worth = message.probablyDelivered
+                        ? 0
+                        : message.worth / backlogFactor * (message.mayHaveRun ? UNCERTAIN_WORTH_FACTOR : 1);
+                boolean isExempt = message.resumed && !message.probablyDelivered;
+                if (!isExempt && (leastWorthMessage == null || worth <= lowestWorth)) {
                     leastWorthMessage = message;
                     lowestWorth = worth;
                 }
--- a/src/main/java/lilaclever/DecisionModule.java
+++ b/src/main/java/lilaclever/DecisionModule.java
@@ -320,14 +320,27 @@
     record LimitReport(double allowanceLeft, double callsPerSecond) {}
 
     /**
-     * Attempts of a message before the program was restarted. An attempt is uncertain if it may have taken effect but
-     * isn't known to have; the last three components are of the first such attempt.
+     * Attempts of a message before the program was restarted, or before the message came back to the module. An attempt
+     * is uncertain if it may have taken effect but isn't known to have; host, zone and time are of the first such
+     * attempt.
      *
      * @param attempts number of attempts, possibly 0
      * @param mayHaveRun whether an attempt was uncertain
+     * @param probablyDelivered whether an uncertain attempt was answered as delivered
      */
     record PriorAttempts(
-            int attempts, boolean mayHaveRun, String uncertainHost, int uncertainZone, long uncertainSentAtMicros) {}
+            int attempts,
+            boolean mayHaveRun,
+            String uncertainHost,
+            int uncertainZone,
+            long uncertainSentAtMicros,
+            boolean probablyDelivered) {
+        /** Attempts of which none was answered as delivered. */
+        public PriorAttempts(
+                int attempts, boolean mayHaveRun, String uncertainHost, int uncertainZone, long uncertainSentAtMicros) {
+            this(attempts, mayHaveRun, uncertainHost, uncertainZone, uncertainSentAtMicros, false);
+        }
+    }
 
     /** Something that has happened outside the module. */
     sealed interface Event {
--- a/src/main/java/lilaclever/DeliveryPolicy.java
+++ b/src/main/java/lilaclever/DeliveryPolicy.java
@@ -185,6 +185,7 @@
         message.mayHaveRun = prior.mayHaveRun();
         message.uncertainSentAtMicros = prior.uncertainSentAtMicros();
         message.uncertainZone = prior.uncertainZone();
+        message.probablyDelivered = prior.probablyDelivered();
         message.resumed = true;
         if (retries.isExhausted(message) || state.nowMicros >= retries.repeatWindowEndMicros(message)) {
             giveUp(message);
--- a/src/main/java/lilaclever/EndpointSelection.java
+++ b/src/main/java/lilaclever/EndpointSelection.java
@@ -26,6 +26,8 @@
     private static final double REPEAT_WORTH_FACTOR = 4;
     /** Factors on the worth of messages that a failed call may lose, at endpoints that fail or time out. */
     private static final double UNSAFE_WORTH_FACTOR = 0.01, KEYED_WORTH_FACTOR = 0.5;
+    /** Factor on the worth of a message that was probably delivered: it is sent again where capacity is left. */
+    private static final double PROBABLY_DELIVERED_WORTH_FACTOR = 0.01;
     /** Shortest time that a call is assumed to use a slot. */
     private static final long MIN_SLOT_MICROS = 1_000;
     /** Cost of an endpoint in another zone, in calls in flight. */
@@ -168,7 +170,9 @@
         DestinationLimit limit = endpoint.limit;
         RepeatSafety repeat = message.messageClass.repeat();
         double worth = currentWorth(message);
-        if (message.mayHaveRun && repeat == RepeatSafety.KEYED) {
+        if (message.probablyDelivered) {
+            worth *= PROBABLY_DELIVERED_WORTH_FACTOR;
+        } else if (message.mayHaveRun && repeat == RepeatSafety.KEYED) {
             worth *= REPEAT_WORTH_FACTOR;
         }
         if ((endpoint.inOutage || endpoint.timingOut) && repeat != RepeatSafety.SAFE && !message.mayHaveRun) {
--- a/src/main/java/lilaclever/PolicyState.java
+++ b/src/main/java/lilaclever/PolicyState.java
@@ -149,6 +149,9 @@
         /** It was accepted before a restart. */
         boolean resumed;
 
+        /** Whether an uncertain attempt was answered as delivered. */
+        boolean probablyDelivered;
+
         Message(String id, MessageClass messageClass) {
             this.id = id;
             this.messageClass = messageClass;
--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -8,6 +8,7 @@
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
+import lilaclever.routing.Refutation;
 import lilaclever.transport.ConnectionPool;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -62,11 +63,8 @@
         /**
          * It is not known whether the response belongs to this request, which may have been processed. The connection
          * is closed. Event loop.
-         *
-         * @param mayBeForbidden whether a response that forbids to send its request again arrived on the connection,
-         *     and may be this request's
          */
-        default void onRefuted(boolean mayBeForbidden) {}
+        default void onRefuted(Refutation refutation) {}
 
         /** Whether a response with this status forbids to send its request again. Any thread. */
         default boolean forbidsResending(int status) {
@@ -248,6 +246,9 @@
         /** Whether a response that forbids to send its request again has arrived since all were confirmed. */
         private volatile boolean hasForbidden;
 
+        /** Whether something has arrived that no request asked for. */
+        private volatile boolean hasUnsolicited;
+
         /** Why the connection was closed, for the log. */
         private volatile String closeReason = "by this side";
 
@@ -351,6 +352,7 @@
         /** The head of what arrived unasked may still hold a retry-after. */
         private void reportUnsolicited(byte[] in, int from) {
             core.counters().add(Counters.Name.UNSOLICITED_ANSWERS);
+            hasUnsolicited = true;
             try {
                 reader.read(in, from, in.length);
             } catch (HttpMessageReader.InvalidMessageException e) {
@@ -412,7 +414,7 @@
         /** The connection has ended. Event loop. */
         private void refute() {
             core.deadlines().cancel(silenceTimer);
-            unconfirmed.refuteAll(hasForbidden);
+            unconfirmed.refuteAll(new Refutation(hasForbidden, hasUnsolicited));
         }
 
         /** Closes the connection, at once or after its responses are confirmed. Event loop. */
@@ -654,14 +656,14 @@
         }
 
         @Override
-        public void onRefuted(boolean mayBeForbidden) {
+        public void onRefuted(Refutation refutation) {
             core.counters().add(Counters.Name.DOUBTED_ANSWERS);
             Logs.info(
                     "",
                     "answer-refuted",
                     "status " + status + " may not be the answer to " + listener + "; connection closed: "
                             + connectionState.closeReason);
-            listener.onRefuted(mayBeForbidden);
+            listener.onRefuted(refutation);
         }
 
         private void releaseConnection(Connection<?> unused) {
@@ -734,6 +736,7 @@
         /** The response belongs to another request: closes its connection, and nothing more is reported. */
         void rejectResponse() {
             restConnections();
+            connectionState.hasUnsolicited = true;
             close();
         }
 
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -16,6 +16,7 @@
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
+import lilaclever.routing.Refutation;
 import lilaclever.routing.RetryAfterTable;
 import lilaclever.transport.Transport;
 
@@ -103,8 +104,8 @@
         }
 
         @Override
-        public void onRefuted(boolean mayBeForbidden) {
-            core.answers().refuted(call, mayBeForbidden);
+        public void onRefuted(Refutation refutation) {
+            core.answers().refuted(call, refutation);
         }
 
         @Override
@@ -411,7 +412,7 @@
                     }
 
                     @Override
-                    public void onRefuted(boolean mayBeForbidden) {
+                    public void onRefuted(Refutation refutation) {
                         finishProbe(AttemptResult.RESET);
                     }
 
--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -9,6 +9,7 @@
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Deadlines;
+import lilaclever.routing.Refutation;
 import lilaclever.transport.Transport;
 
 /**
@@ -171,7 +172,7 @@
         }
 
         @Override
-        public void onRefuted(boolean mayBeForbidden) {
+        public void onRefuted(Refutation refutation) {
             if (isUnconfirmed) {
                 unconfirmedCount -= batch.size();
                 pending.addAll(batch);
--- a/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
+++ b/src/main/java/lilaclever/protocol/http/UnconfirmedResponses.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import lilaclever.routing.Refutation;
 
 /**
  * The responses of one connection that may belong to other requests, oldest first. If one of them repeats an earlier
@@ -18,8 +19,7 @@
     interface Listener {
         void onConfirmed();
 
-        /** {@code mayBeForbidden}: see {@link #refuteAll}. */
-        void onRefuted(boolean mayBeForbidden);
+        void onRefuted(Refutation refutation);
     }
 
     private final List<Listener> waiting = new ArrayList<>();
@@ -44,12 +44,8 @@
         takeAll().forEach(Listener::onConfirmed);
     }
 
-    /**
-     * Refutes all. {@code mayBeForbidden}: a response that forbids to send its request again arrived on the connection,
-     * and may be that of any of these.
-     */
-    void refuteAll(boolean mayBeForbidden) {
-        takeAll().forEach(listener -> listener.onRefuted(mayBeForbidden));
+    void refuteAll(Refutation refutation) {
+        takeAll().forEach(listener -> listener.onRefuted(refutation));
     }
 
     private List<Listener> takeAll() {
--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -16,6 +16,7 @@
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.Deliverer;
 import lilaclever.routing.Message;
+import lilaclever.routing.Refutation;
 import lilaclever.transport.ConnectionPool;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -344,7 +345,7 @@
         private void refuteDelivery(boolean mayBeRejected) {
             if (unconfirmedCall != null) {
                 core.deadlines().cancel(confirmation);
-                core.answers().refuted(unconfirmedCall, mayBeRejected);
+                core.answers().refuted(unconfirmedCall, new Refutation(mayBeRejected, true));
                 unconfirmedCall = null;
             }
         }
--- a/src/main/java/lilaclever/routing/AnswerOutcomes.java
+++ b/src/main/java/lilaclever/routing/AnswerOutcomes.java
@@ -85,20 +85,17 @@
         }
     }
 
-    /**
-     * The answers to the call may be another call's.
-     *
-     * @param mayBeForbidden whether an answer that forbids further attempts came on the connection, which may be that
-     *     of any of its calls
-     */
-    public void refuted(Call call, boolean mayBeForbidden) {
-        List.copyOf(call.messages).forEach(message -> refuted(message, call, mayBeForbidden));
+    /** The answers to the call may be another call's. */
+    public void refuted(Call call, Refutation refutation) {
+        List.copyOf(call.messages).forEach(message -> refuted(message, call, refutation));
     }
 
-    private void refuted(Message message, Call call, boolean mayBeForbidden) {
+    private void refuted(Message message, Call call, Refutation refutation) {
         Unconfirmed entry = remove(message, call);
         if (entry != null && !message.isFinished) {
-            conclude(message, mayBeForbidden ? Answer.OVER : entry.answer(), Certainty.REFUTED);
+            boolean saysDelivered = entry.answer().meaning() == Meaning.DELIVERED;
+            message.isProbablyDelivered = saysDelivered && !refutation.isRepetitionSeen();
+            conclude(message, refutation.mayBeForbidden() ? Answer.OVER : entry.answer(), Certainty.REFUTED);
         }
     }
 
@@ -118,7 +115,9 @@
         }
         message.noteCall(call, core.nowMicros(), core.wallClockMicros());
         Deadlines.Key latest = core.deadlines()
-                .schedule(message.deadlineMicros + LATEST_AFTER_DEADLINE_MICROS, () -> refuted(message, call, false));
+                .schedule(
+                        message.deadlineMicros + LATEST_AFTER_DEADLINE_MICROS,
+                        () -> refuted(message, call, Refutation.BY_CLOSE));
         unconfirmed.put(message, new Unconfirmed(call, answer, latest));
     }
 
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -42,6 +42,9 @@
     private Call.Endpoint lastEndpoint;
 
     private long lastSentWallMicros;
+    /** Whether an answer said that it was delivered, and only the end of its connection left that in doubt. */
+    boolean isProbablyDelivered;
+
     FinalStatus finalStatus;
     /** Human-readable response of the last endpoint. */
     public String lastResponseText = "";
@@ -107,7 +110,12 @@
                 nowWallMicros < uncertainSentWallMicros ? UNKNOWN_AGE_MICROS : nowWallMicros - uncertainSentWallMicros;
         DecisionModule.PriorAttempts prior = isResumed
                 ? new DecisionModule.PriorAttempts(
-                        attemptCount, mayHaveRun, uncertainHost, uncertainZone, nowMicros - ageMicros)
+                        attemptCount,
+                        mayHaveRun,
+                        uncertainHost,
+                        uncertainZone,
+                        nowMicros - ageMicros,
+                        isProbablyDelivered)
                 : null;
         return new DecisionModule.Event.Submit(
                 id(),
--- a/src/test/java/lilaclever/DeliveryPolicyTest.java
+++ b/src/test/java/lilaclever/DeliveryPolicyTest.java
@@ -1133,6 +1133,36 @@
         assertTrue(harness.reportOutcome(id, "a1", 0, AttemptResult.FORBIDDEN).hasFailed(id));
     }
 
+    /** Its call took the slot of a message that nobody had answered yet. */
+    @Test
+    void aMessageThatWasProbablyDeliveredIsSentAgainAfterAllOthers() {
+        Event.Submit before = recoveredMessage(SAFE, 1, true, SECOND_MICROS);
+        DecisionModule.PriorAttempts prior = before.priorAttempts();
+        Event.Submit probablyDelivered = new Event.Submit(
+                before.id(),
+                before.messageClass(),
+                before.destination(),
+                before.tenant(),
+                null,
+                false,
+                false,
+                before.budgetMicros(),
+                new DecisionModule.PriorAttempts(
+                        prior.attempts(),
+                        true,
+                        prior.uncertainHost(),
+                        prior.uncertainZone(),
+                        prior.uncertainSentAtMicros(),
+                        true));
+        Event.Submit untried = new Event.Submit("untried", SAFE, 1, 0, null, false, false, before.budgetMicros());
+        harness.runRound(probablyDelivered, untried);
+        List<String> sentIds = harness.actions.stream()
+                .filter(action -> action instanceof Action.Send)
+                .map(action -> ((Action.Send) action).id())
+                .toList();
+        assertEquals(List.of("untried", "r"), sentIds);
+    }
+
     @Test
     void noCallIsStartedThatTheEndOfTheProgramCouldCutOff() {
         harness.runRound(new Event.Stopping(harness.nowMicros + 2 * SECOND_MICROS));
--- a/src/test/java/lilaclever/protocol/http/UnconfirmedResponsesTest.java
+++ b/src/test/java/lilaclever/protocol/http/UnconfirmedResponsesTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import lilaclever.routing.Refutation;
 import org.junit.jupiter.api.Test;
 
 /** Responses that wait for silence, and the history that they are compared with. */
@@ -25,7 +26,7 @@
                     }
 
                     @Override
-                    public void onRefuted(boolean mayBeForbidden) {
+                    public void onRefuted(Refutation refutation) {
                         heard.add(name + " refuted");
                     }
                 },
@@ -39,7 +40,7 @@
         add("b", Long.MAX_VALUE, 1);
         responses.confirmAll();
         add("c", Long.MAX_VALUE, 2);
-        responses.refuteAll(false);
+        responses.refuteAll(Refutation.BY_CLOSE);
         responses.confirmAll();
         assertEquals(List.of("a confirmed", "b confirmed", "c refuted"), heard);
         assertTrue(responses.isEmpty());
