Let the soak write 410, expired, 504, no_more and 502, and find calls after an end

Change: endpoints draw them (CallShares); rule AFTER_END: no call after a notice, a refusal to the client, or an answer that forbids calls, unless the process was killed within 0.15 s of it. Up to six forwarders; crowds of idle clients that leave and come back. SOAK_FAULTS=failing-calls plays six slots under 500s and resets, to measure what confirmation costs. Each bound has a record in SoakAccountTest that just keeps it and one that breaks it.

--- a/src/test/java/lilaclever/soak/SoakAccount.java
+++ b/src/test/java/lilaclever/soak/SoakAccount.java
@@ -19,6 +19,9 @@
     static final long RESTART_GRACE_NANOS = 1_500 * NANOS_PER_MILLI;
     static final long DRAIN_GRACE_NANOS = 500 * NANOS_PER_MILLI;
     static final long WAIT_GRACE_NANOS = 100 * NANOS_PER_MILLI;
+    /** An answer that was written this long before the process was killed has been read. */
+    static final long READ_BEFORE_KILL_NANOS = 150 * NANOS_PER_MILLI;
+
     static final long READY_LIMIT_NANOS = 30_000 * NANOS_PER_MILLI;
     private static final long NEVER = Long.MAX_VALUE / 4;
 
@@ -33,7 +36,19 @@
     enum CallEnd {
         DELIVERED,
         NEVER_RAN,
-        MAY_HAVE_RUN
+        MAY_HAVE_RUN,
+        /** The message is over: nothing more is owed, and no call may follow. */
+        OVER,
+        /** The message has had its attempts: its end is owed, and no call may follow. */
+        NO_ATTEMPTS_LEFT;
+
+        boolean neverRan() {
+            return this == NEVER_RAN || forbidsCalls();
+        }
+
+        boolean forbidsCalls() {
+            return this == OVER || this == NO_ATTEMPTS_LEFT;
+        }
     }
 
     /** The rules, by the names of the protocol page. */
@@ -42,6 +57,7 @@
         DUPLICATE,
         DRAIN,
         WAIT,
+        AFTER_END,
         UNANSWERED,
         CRASH,
         NOT_READY
@@ -70,7 +86,7 @@
 
         /** Whether it may have had an effect, as known at the given time. */
         boolean mayHaveRunAt(long nanos) {
-            return end != CallEnd.NEVER_RAN || endNanos > nanos;
+            return end == null || !end.neverRan() || endNanos > nanos;
         }
     }
 
@@ -78,7 +94,7 @@
         final String forwarder;
         final Repeat repeat;
         final long sentNanos, deadlineNanos, windowNanos;
-        long acceptedNanos = NEVER, deliveredNanos = NEVER, noticeNanos = NEVER;
+        long acceptedNanos = NEVER, deliveredNanos = NEVER, noticeNanos = NEVER, refusedNanos = NEVER;
         boolean endedWithoutAnswer;
         final List<CallRecord> calls = new ArrayList<>();
         final List<String> events = new ArrayList<>();
@@ -100,6 +116,7 @@
     private final Map<String, MessageRecord> messages = new LinkedHashMap<>();
     private final Map<String, List<Restart>> restarts = new LinkedHashMap<>();
     private final Map<String, Map<String, Long>> toldByForwarder = new LinkedHashMap<>();
+    private final Map<String, List<Long>> killsNanos = new LinkedHashMap<>();
     private final List<ToldWait> waits = new ArrayList<>();
     private final List<Violation> processViolations = new ArrayList<>();
     private final List<String> faults = new ArrayList<>();
@@ -124,6 +141,8 @@
         note(message, nanos, "answered " + status);
         if (status == 200 || status == 202) {
             message.acceptedNanos = Math.min(message.acceptedNanos, nanos);
+        } else if (message.acceptedNanos == NEVER) {
+            message.refusedNanos = Math.min(message.refusedNanos, nanos);
         }
     }
 
@@ -181,6 +200,11 @@
         restarts.computeIfAbsent(forwarder, f -> new ArrayList<>()).add(new Restart(signalNanos, readyNanos));
     }
 
+    /** The forwarder's process was killed. */
+    synchronized void killed(String forwarder, long nanos) {
+        killsNanos.computeIfAbsent(forwarder, f -> new ArrayList<>()).add(nanos);
+    }
+
     synchronized void crashed(String forwarder, String how) {
         processViolations.add(new Violation(Rule.CRASH, forwarder, how));
     }
@@ -221,6 +245,7 @@
             addIf(all, isDuplicate(message), Rule.DUPLICATE, id, message);
             addIf(all, isSentToDeparted(message), Rule.DRAIN, id, message);
             addIf(all, isSentWithinWait(message, limitByEndpoint), Rule.WAIT, id, message);
+            addIf(all, isSentAfterEnd(message), Rule.AFTER_END, id, message);
             addIf(all, message.endedWithoutAnswer, Rule.UNANSWERED, id, message);
         });
         return all;
@@ -233,7 +258,7 @@
     }
 
     private boolean isLost(MessageRecord message) {
-        if (message.acceptedNanos == NEVER) {
+        if (message.acceptedNanos == NEVER || message.calls.stream().anyMatch(call -> call.end == CallEnd.OVER)) {
             return false;
         }
         long dueNanos = message.sentNanos + message.deadlineNanos + LOST_AFTER_DEADLINE_NANOS + SOCKET_SLACK_NANOS;
@@ -270,6 +295,24 @@
         return false;
     }
 
+    /** Whether a call followed the message's notice, its refusal, or an answer that forbids further calls. */
+    private boolean isSentAfterEnd(MessageRecord message) {
+        long endNanos = Math.min(message.noticeNanos, message.refusedNanos);
+        for (CallRecord call : message.calls) {
+            if (call.end != null && call.end.forbidsCalls() && !wasKilledAt(message.forwarder, call.endNanos)) {
+                endNanos = Math.min(endNanos, call.endNanos);
+            }
+        }
+        long allowedNanos = endNanos + SOCKET_SLACK_NANOS;
+        return message.calls.stream().anyMatch(call -> call.firstByteNanos > allowedNanos);
+    }
+
+    /** Whether the process was killed so soon after the time that it may not have read what was written then. */
+    private boolean wasKilledAt(String forwarder, long nanos) {
+        return killsNanos.getOrDefault(forwarder, List.of()).stream()
+                .anyMatch(kill -> kill >= nanos && kill - nanos < READ_BEFORE_KILL_NANOS);
+    }
+
     private boolean isSentToDeparted(MessageRecord message) {
         Map<String, Long> told = toldByForwarder.getOrDefault(message.forwarder, Map.of());
         return message.calls.stream()
--- a/src/test/java/lilaclever/soak/SoakAccountTest.java
+++ b/src/test/java/lilaclever/soak/SoakAccountTest.java
@@ -103,6 +103,59 @@
         assertEquals(expected(isBroken, Rule.DUPLICATE), broken());
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "OVER, 55, 0, false",
+        "OVER, 55, 1, true",
+        "NO_ATTEMPTS_LEFT, 55, 0, false",
+        "NO_ATTEMPTS_LEFT, 55, 1, true",
+        "NEVER_RAN, 55, 1, false"
+    })
+    void noCallFollowsAnAnswerThatEndsItsMessage(CallEnd first, long againMillis, long nanos, boolean isBroken) {
+        take("m", Repeat.SAFE);
+        account.callEnded("m", call("m", "e0", 2 * MILLI), first, 5 * MILLI);
+        account.callEnded("m", call("m", "e1", againMillis * MILLI + nanos), CallEnd.DELIVERED, 99 * MILLI);
+        assertEquals(expected(isBroken, Rule.AFTER_END), broken());
+    }
+
+    /** What was written just before a kill may not have been read. */
+    @ParameterizedTest
+    @CsvSource({"154, 999999, false", "155, 0, true", "4, 999999, true"})
+    void aKillExcusesACallOnlyJustAfterTheAnswer(long killMillis, long killNanos, boolean isBroken) {
+        take("m", Repeat.SAFE);
+        account.callEnded("m", call("m", "e0", 2 * MILLI), CallEnd.OVER, 5 * MILLI);
+        account.killed("n0", killMillis * MILLI + killNanos);
+        account.callEnded("m", call("m", "e1", 900 * MILLI), CallEnd.DELIVERED, 901 * MILLI);
+        assertEquals(expected(isBroken, Rule.AFTER_END), broken());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"150, 0, false", "150, 1, true"})
+    void noCallFollowsANotice(long millis, long nanos, boolean isBroken) {
+        take("m", Repeat.SAFE);
+        account.noticed("m", "undeliverable", 100 * MILLI);
+        account.callEnded("m", call("m", "e0", millis * MILLI + nanos), CallEnd.MAY_HAVE_RUN, 200 * MILLI);
+        assertEquals(expected(isBroken, Rule.AFTER_END), broken());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"51, 0, false", "51, 1, true"})
+    void noCallFollowsARefusalToTheClient(long millis, long nanos, boolean isBroken) {
+        account.handedIn("m", "n0", Repeat.SAFE, 0, DEADLINE, WINDOW);
+        account.answered("m", 503, 1 * MILLI);
+        account.callEnded("m", call("m", "e0", millis * MILLI + nanos), CallEnd.MAY_HAVE_RUN, 200 * MILLI);
+        assertEquals(expected(isBroken, Rule.AFTER_END), broken());
+    }
+
+    /** 410 owes nothing more, 504 owes the end. */
+    @ParameterizedTest
+    @CsvSource({"OVER, false", "NO_ATTEMPTS_LEFT, true"})
+    void aMessageIsLostWithoutANoticeUnlessItIsOver(CallEnd end, boolean isBroken) {
+        take("m", Repeat.SAFE);
+        account.callEnded("m", call("m", "e0", 2 * MILLI), end, 5 * MILLI);
+        assertEquals(expected(isBroken, Rule.LOST), broken());
+    }
+
     /** A call may still run until its refusal is written. */
     @ParameterizedTest
     @CsvSource({"0, false", "1, true"})
@@ -175,6 +228,6 @@
 
     @Test
     void theSameSeedDrawsTheSamePlan() {
-        assertEquals(SoakPlan.draw(7, 30, true), SoakPlan.draw(7, 30, true));
+        assertEquals(SoakPlan.draw(7, 30, SoakPlan.Faults.DRAWN), SoakPlan.draw(7, 30, SoakPlan.Faults.DRAWN));
     }
 }
--- a/src/test/java/lilaclever/soak/SoakEndpoint.java
+++ b/src/test/java/lilaclever/soak/SoakEndpoint.java
@@ -19,8 +19,8 @@
  */
 final class SoakEndpoint implements AutoCloseable {
     private static final int BACKLOG = 128;
-    private static final int MIN_SERVICE_MILLIS = 10, MAX_SERVICE_MILLIS = 100;
-    private static final double FAILED_PER_REFUSED = 0.2, WAIT_SHARE = 0.3;
+    private static final double WAIT_SHARE = 0.3;
+    private static final double BAD_GATEWAY_SHARE = 0.3;
     private static final int MIN_WAIT_MILLIS = 150, MAX_WAIT_MILLIS = 700;
 
     /** How it deals with calls. */
@@ -38,7 +38,8 @@
     private final int destination;
     private final SoakAccount account;
     private final AnswerFaults faults;
-    private final double refusedShare;
+    private final SoakPlan.CallShares shares;
+    private final SoakPlan.Load load;
     private final SplittableRandom random;
     private final AtomicLong connectionCount;
     private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -49,7 +50,8 @@
             int destination,
             SoakAccount account,
             AnswerFaults faults,
-            double refusedShare,
+            SoakPlan.CallShares shares,
+            SoakPlan.Load load,
             SplittableRandom random,
             AtomicLong connectionCount)
             throws IOException {
@@ -57,7 +59,8 @@
         this.destination = destination;
         this.account = account;
         this.faults = faults;
-        this.refusedShare = refusedShare;
+        this.shares = shares;
+        this.load = load;
         this.random = random;
         this.connectionCount = connectionCount;
         StandInThreads.start(name, this::accept);
@@ -119,24 +122,32 @@
         if (state == State.HANGS) {
             Thread.sleep(Long.MAX_VALUE); // the forwarder gives the call up
         }
-        Thread.sleep(connectionRandom.nextInt(MIN_SERVICE_MILLIS, MAX_SERVICE_MILLIS));
+        Thread.sleep(connectionRandom.nextInt(load.minServiceMillis(), load.maxServiceMillis()));
         switch (whole) {
             case DELIVERED -> answerWorked(connection, isBatch, results);
             case NEVER_RAN -> answerRefused(connection, results, connectionRandom);
+            case OVER -> answer(connection, "410 Gone", results);
+            case NO_ATTEMPTS_LEFT -> answer(connection, "504 Gateway Timeout", results);
             default ->
-                connection.answer(
-                        "500 Internal Server Error", "", false, (isWritten, nanos) -> end(results, isWritten, nanos));
+                answer(
+                        connection,
+                        connectionRandom.nextDouble() < BAD_GATEWAY_SHARE
+                                ? "502 Bad Gateway"
+                                : "500 Internal Server Error",
+                        results);
         }
     }
 
+    private void answer(FaultyConnection connection, String status, List<Result> results)
+            throws IOException, InterruptedException {
+        connection.answer(status, "", false, (isWritten, nanos) -> end(results, isWritten, nanos));
+    }
+
     private CallEnd drawEnd(SplittableRandom connectionRandom) {
-        double drawn = connectionRandom.nextDouble();
-        if (state == State.REFUSES || drawn < refusedShare) {
+        if (state == State.REFUSES) {
             return CallEnd.NEVER_RAN;
         }
-        return state == State.FAILS || drawn < refusedShare * (1 + FAILED_PER_REFUSED)
-                ? CallEnd.MAY_HAVE_RUN
-                : CallEnd.DELIVERED;
+        return state == State.FAILS ? CallEnd.MAY_HAVE_RUN : shares.draw(connectionRandom.nextDouble());
     }
 
     private void answerWorked(FaultyConnection connection, boolean isBatch, List<Result> results)
@@ -156,6 +167,8 @@
             case DELIVERED -> "accepted";
             case NEVER_RAN -> "deferred";
             case MAY_HAVE_RUN -> "fault";
+            case OVER -> "expired";
+            case NO_ATTEMPTS_LEFT -> "no_more";
         };
     }
 
--- a/src/test/java/lilaclever/soak/SoakForwarder.java
+++ b/src/test/java/lilaclever/soak/SoakForwarder.java
@@ -149,6 +149,7 @@
 
     private void kill() throws InterruptedException {
         endedProcessorTime = endedProcessorTime.plus(currentProcessorTime());
+        account.killed(name, System.nanoTime());
         process.destroyForcibly().waitFor();
     }
 
--- a/src/test/java/lilaclever/soak/SoakMain.java
+++ b/src/test/java/lilaclever/soak/SoakMain.java
@@ -16,7 +16,7 @@
 final class SoakMain {
     private static final int DEFAULT_SECONDS = 30, MIN_SECONDS = 12, MAX_SECONDS = 3_600;
     private static final int MAX_RUNS = 10_000;
-    /** A run has up to four forwarders; more at once would exceed a few hundred processes or the cores. */
+    /** A run has up to six forwarders; more at once would exceed a few hundred processes or the cores. */
     private static final int MAX_AT_ONCE = 8;
 
     private static final int MAX_VIOLATIONS_PRINTED = 10;
@@ -24,7 +24,7 @@
     private SoakMain() {}
 
     /** Arguments as checked. */
-    record Arguments(long firstSeed, int count, int seconds, Path build, int runsAtOnce, boolean withFaults) {}
+    record Arguments(long firstSeed, int count, int seconds, Path build, int runsAtOnce, SoakPlan.Faults faults) {}
 
     public static void main(String[] args) throws Exception {
         Arguments arguments;
@@ -43,17 +43,23 @@
         if (args.length < 2 || args.length > 3) {
             throw new IllegalArgumentException("SEED COUNT [SECONDS]: " + args.length + " arguments were given");
         }
-        String faults = variables.getOrDefault("SOAK_FAULTS", "drawn");
-        if (!faults.equals("drawn") && !faults.equals("none")) {
-            throw new IllegalArgumentException("SOAK_FAULTS: neither drawn nor none: " + faults);
-        }
         return new Arguments(
                 number("SEED", args[0], 0, Long.MAX_VALUE),
                 (int) number("COUNT", args[1], 1, MAX_RUNS),
                 args.length < 3 ? DEFAULT_SECONDS : (int) number("SECONDS", args[2], MIN_SECONDS, MAX_SECONDS),
                 Path.of(variables.getOrDefault("SOAK_BUILD", ".")).toAbsolutePath(),
                 (int) number("SOAK_AT_ONCE", variables.getOrDefault("SOAK_AT_ONCE", "1"), 1, MAX_AT_ONCE),
-                faults.equals("drawn"));
+                faults(variables.getOrDefault("SOAK_FAULTS", "drawn")));
+    }
+
+    private static SoakPlan.Faults faults(String text) {
+        return switch (text) {
+            case "drawn" -> SoakPlan.Faults.DRAWN;
+            case "none" -> SoakPlan.Faults.NONE;
+            case "failing-calls" -> SoakPlan.Faults.FAILING_CALLS;
+            default ->
+                throw new IllegalArgumentException("SOAK_FAULTS: neither drawn, none nor failing-calls: " + text);
+        };
     }
 
     private static void requireJar(Path build) {
@@ -90,7 +96,7 @@
     }
 
     private static boolean play(Arguments arguments, long seed) throws Exception {
-        SoakPlan plan = SoakPlan.draw(seed, arguments.seconds(), arguments.withFaults());
+        SoakPlan plan = SoakPlan.draw(seed, arguments.seconds(), arguments.faults());
         Path folder = Files.createTempDirectory("soak-" + seed + "-");
         try (SoakRun run = new SoakRun(plan, arguments.build(), folder)) {
             SoakRun.Result result = run.play();
--- a/src/test/java/lilaclever/soak/SoakPlan.java
+++ b/src/test/java/lilaclever/soak/SoakPlan.java
@@ -12,8 +12,10 @@
  * @param polls whether the settings say that lists are polled
  * @param requestsTwice share of requests that arrive a second time, up to {@link #MAX_SECOND_REQUEST_MILLIS} later
  * @param noticesDropped share of notices that the platform reads and doesn't answer
- * @param callsRefused share of calls that an endpoint turns away, some with a wait
+ * @param endpoints how many there are, dealt to the destinations in turn
+ * @param callShares how many calls endpoints refuse, fail and end
  * @param idleClients clients that connect to each forwarder and send nothing
+ * @param hasRestlessClients whether these leave and come back all the time
  * @param events by time
  */
 record SoakPlan(
@@ -21,17 +23,19 @@
         int seconds,
         int forwarders,
         int destinations,
-        int endpointsPerDestination,
+        int endpoints,
         int maxBatchSize,
         int slots,
         boolean polls,
+        Load load,
         List<MessageClass> classes,
         AnswerFaults endpointFaults,
         AnswerFaults platformFaults,
         double requestsTwice,
         double noticesDropped,
-        double callsRefused,
+        CallShares callShares,
         int idleClients,
+        boolean hasRestlessClients,
         List<Event> events) {
     static final int MAX_SECOND_REQUEST_MILLIS = 1_000;
     private static final int MAX_REPEAT_DELAY_MILLIS = 500;
@@ -41,6 +45,43 @@
     /** A message class; {@code windowMillis} counts only where messages are keyed. */
     record MessageClass(String name, SoakAccount.Repeat repeat, int deadlineMillis, int windowMillis) {}
 
+    /** How many clients a forwarder has, and how long an endpoint takes for a call. */
+    record Load(int clientsPerForwarder, int minServiceMillis, int maxServiceMillis) {}
+
+    /**
+     * Shares of the messages that an endpoint turns away, some with a wait, and that it fails, says to be over, and says
+     * to have had all attempts.
+     */
+    record CallShares(double refused, double failed, double over, double exhausted) {
+        static final CallShares NONE = new CallShares(0, 0, 0, 0);
+
+        /** The end of a call for a number from 0 to 1. */
+        SoakAccount.CallEnd draw(double drawn) {
+            double left = drawn - refused;
+            if (left < 0) {
+                return SoakAccount.CallEnd.NEVER_RAN;
+            }
+            left -= failed;
+            if (left < 0) {
+                return SoakAccount.CallEnd.MAY_HAVE_RUN;
+            }
+            left -= over;
+            if (left < 0) {
+                return SoakAccount.CallEnd.OVER;
+            }
+            return left < exhausted ? SoakAccount.CallEnd.NO_ATTEMPTS_LEFT : SoakAccount.CallEnd.DELIVERED;
+        }
+    }
+
+    /** Which faults a run plays. */
+    enum Faults {
+        DRAWN,
+        /** The same sizes and settings without faults. */
+        NONE,
+        /** One forwarder with few slots, whose calls often fail and whose connections often end, and nothing else. */
+        FAILING_CALLS
+    }
+
     /** What happens at a moment of the run. */
     enum EventKind {
         TERM_THEN_KILL,
@@ -71,12 +112,14 @@
         }
     }
 
-    /** Draws the plan of a run; {@code withFaults} false: the same sizes and settings and no faults. */
-    static SoakPlan draw(long seed, int seconds, boolean withFaults) {
+    private static final Load USUAL_LOAD = new Load(4, 10, 100);
+
+    /** Draws the plan of a run. */
+    static SoakPlan draw(long seed, int seconds, Faults faults) {
         SplittableRandom random = new SplittableRandom(seed);
-        int forwarders = 2 + random.nextInt(3);
+        int forwarders = 2 + random.nextInt(5);
         int destinations = 2 + random.nextInt(3);
-        int endpointsPerDestination = 2 + random.nextInt(2);
+        int endpoints = destinations * (2 + random.nextInt(2));
         List<MessageClass> classes = List.of(
                 new MessageClass("status", SoakAccount.Repeat.SAFE, 800 + random.nextInt(3_000), 0),
                 new MessageClass(
@@ -93,19 +136,54 @@
                 seconds,
                 forwarders,
                 destinations,
-                endpointsPerDestination,
+                endpoints,
                 maxBatchSize,
                 slots,
                 polls,
+                USUAL_LOAD,
                 classes,
                 drawFaults(random, true),
                 drawFaults(random, false),
                 random.nextInt(2) * 0.02,
                 random.nextInt(2) * 0.05,
-                random.nextInt(4) * 0.01,
+                drawShares(random),
                 random.nextInt(4) == 0 ? 40 + random.nextInt(160) : 0,
-                drawEvents(random, seconds, forwarders, destinations * endpointsPerDestination));
-        return withFaults ? plan : plan.withoutFaults();
+                random.nextBoolean(),
+                drawEvents(random, seconds, forwarders, endpoints));
+        return switch (faults) {
+            case DRAWN -> plan;
+            case NONE -> plan.withoutFaults();
+            case FAILING_CALLS -> failingCalls(seed, seconds, classes);
+        };
+    }
+
+    private static SoakPlan failingCalls(long seed, int seconds, List<MessageClass> classes) {
+        int destinations = 6, endpoints = 9, slots = 6;
+        Load load = new Load(9, 30, 250);
+        return new SoakPlan(
+                seed,
+                seconds,
+                1,
+                destinations,
+                endpoints,
+                1,
+                slots,
+                false,
+                load,
+                classes,
+                new AnswerFaults(0, 0, 0, 0.04, 0, 0),
+                AnswerFaults.NONE,
+                0,
+                0,
+                new CallShares(0, 0.14, 0, 0),
+                0,
+                false,
+                List.of());
+    }
+
+    private static CallShares drawShares(SplittableRandom random) {
+        return new CallShares(
+                random.nextInt(4) * 0.01, random.nextInt(3) * 0.02, random.nextInt(4) * 0.02, random.nextInt(3) * 0.01);
     }
 
     private static AnswerFaults drawFaults(SplittableRandom random, boolean isEndpoint) {
@@ -147,17 +225,19 @@
                 seconds,
                 forwarders,
                 destinations,
-                endpointsPerDestination,
+                endpoints,
                 maxBatchSize,
                 slots,
                 polls,
+                load,
                 classes,
                 AnswerFaults.NONE,
                 AnswerFaults.NONE,
                 0,
                 0,
+                CallShares.NONE,
                 0,
-                0,
+                false,
                 List.of());
     }
 
@@ -168,7 +248,7 @@
     /** The faults in a few words. */
     String faults() {
         return "endpoints " + endpointFaults + "; platform " + platformFaults + "; requests twice " + requestsTwice
-                + "; notices dropped " + noticesDropped + "; calls refused " + callsRefused + "; idle clients "
-                + idleClients + "; " + events;
+                + "; notices dropped " + noticesDropped + "; " + callShares + "; idle clients "
+                + idleClients + (hasRestlessClients ? ", restless; " : "; ") + events;
     }
 }
--- a/src/test/java/lilaclever/soak/SoakRun.java
+++ b/src/test/java/lilaclever/soak/SoakRun.java
@@ -17,7 +17,6 @@
 
 /** One run of a plan: real forwarders, stand-ins around them, and the account of what they wrote and read. */
 final class SoakRun implements AutoCloseable {
-    private static final int CLIENTS_PER_FORWARDER = 4;
     private static final int SOCKETS = 384;
     /** Messages are sent until their deadlines and a restart's grace fit into the run. */
     private static final long TAIL_MILLIS = 1_000;
@@ -124,17 +123,16 @@
 
     // Start
     private void startEndpoints() throws IOException {
-        for (int destination = 0; destination < plan.destinations(); destination++) {
-            for (int i = 0; i < plan.endpointsPerDestination(); i++) {
-                endpoints.add(new SoakEndpoint(
-                        "e" + endpoints.size(),
-                        destination,
-                        account,
-                        plan.endpointFaults(),
-                        plan.callsRefused(),
-                        random.split(),
-                        connectionCount));
-            }
+        for (int i = 0; i < plan.endpoints(); i++) {
+            endpoints.add(new SoakEndpoint(
+                    "e" + i,
+                    i % plan.destinations(),
+                    account,
+                    plan.endpointFaults(),
+                    plan.callShares(),
+                    plan.load(),
+                    random.split(),
+                    connectionCount));
         }
     }
 
@@ -207,12 +205,12 @@
     private void startClients() throws IOException {
         AtomicInteger messageCount = new AtomicInteger();
         for (SoakForwarder forwarder : forwarders) {
-            for (int i = 0; i < CLIENTS_PER_FORWARDER; i++) {
+            for (int i = 0; i < plan.load().clientsPerForwarder(); i++) {
                 SoakClient client = new SoakClient(forwarder, plan, account, random.split(), messageCount);
                 clients.add(client);
                 StandInThreads.start("client of " + forwarder.name(), client::run);
             }
-            idleClients.connect(forwarder.address(), plan.idleClients());
+            idleClients.connect(forwarder.address(), plan.idleClients(), plan.hasRestlessClients());
         }
     }
 
