Trust a cut status line only on a connection without refuted answers, and heed answers that come early

Found on reading the change again: giving a call up closes its connection, which refutes the answers that wait there, and from then on a cut 503 behind them counted as evident, so that a payment could be sent again; a 410 that came before the last byte of its call was written was not looked at; and a 410 that was certain still counted against messages whose answers were refuted later on its connection.

Change: ConnectionState keeps whether it has refuted answers (Exchange.isOwnStatus); the status of an early answer counts for what it forbids; hasForbidden is reset once nothing waits. CallsAfterEndTest takes a whole and silent 200 as confirmed only if the process was killed 0.5 s after it or later, by the times: beside load its cells are played that much earlier than the kill (seen once, cells 1 and 3). No test plays these three by themselves. Measured: CallsAfterEndTest green, 4 tests.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -243,9 +243,12 @@
         private volatile boolean isUnusable;
 
         private boolean isHeadReported;
-        /** Whether a response that forbids to send its request again has arrived since all were confirmed. */
+        /** Whether a response that forbids to send its request again has arrived since no response waits. */
         private volatile boolean hasForbidden;
 
+        /** Whether responses were refuted. Event loop. */
+        private boolean hasRefuted;
+
         /** Whether something has arrived that no request asked for. */
         private volatile boolean hasUnsolicited;
 
@@ -287,6 +290,7 @@
                     reportHead(exchange);
                 }
                 if (!exchange.isWritten) {
+                    exchange.statusSoFar = reader.statusSoFar();
                     reportUnsolicited(in, in.length);
                     discard("response before the end of its request");
                     return;
@@ -414,6 +418,7 @@
         /** The connection has ended. Event loop. */
         private void refute() {
             core.deadlines().cancel(silenceTimer);
+            hasRefuted |= !unconfirmed.isEmpty();
             unconfirmed.refuteAll(new Refutation(hasForbidden, hasUnsolicited));
         }
 
@@ -632,6 +637,8 @@
             if (response.needsConfirmation()) {
                 connectionState.unconfirmed.add(this, listener.confirmByMicros(response), core.nowMicros());
                 connectionState.awaitSilence(reads);
+            } else {
+                connectionState.hasForbidden = false; // nothing waits that it could belong to
             }
             if (connectionState.isUnusable || !connectionState.connection.isOpen()) {
                 connectionState.closeWhenConfirmed();
@@ -730,7 +737,10 @@
 
         /** Whether the response with that status belongs to this request, as far as can be known now. Event loop. */
         boolean isOwnStatus() {
-            return status != 0 && !mayBeRepetition && connectionState.unconfirmed.isEmpty();
+            return status != 0
+                    && !mayBeRepetition
+                    && connectionState.unconfirmed.isEmpty()
+                    && !connectionState.hasRefuted;
         }
 
         /** The response belongs to another request: closes its connection, and nothing more is reported. */
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -120,16 +120,15 @@
             if (status != 0) {
                 core.counters().add(Counters.Name.SPOILT_ANSWERS);
             }
-            if (!written) {
-                reportAll(call, AttemptResult.NO_CONNECTION);
-            } else if (call.attachment instanceof PendingCall pending
+            if (written
+                    && call.attachment instanceof PendingCall pending
                     && !isBatch
                     && pending.exchange().isOwnStatus()) {
                 Answer answer = CallAnswers.ofStatus(status, AttemptResult.RESET);
                 List.copyOf(call.messages)
                         .forEach(m -> core.answers().received(call, m, answer, true, remainingRetryAfter(call)));
             } else {
-                reportInPart(call, AttemptResult.RESET);
+                reportInPart(call, written ? AttemptResult.RESET : AttemptResult.NO_CONNECTION);
             }
         }
 
@@ -341,10 +340,8 @@
     private void reportGivenUp(Call call, PendingCall pending, boolean isDelivered) {
         if (isDelivered) {
             reportAll(call, AttemptResult.DELIVERED);
-        } else if (pending.exchange().isWritten()) {
-            reportInPart(call, AttemptResult.TIMED_OUT);
         } else {
-            reportAll(call, AttemptResult.NO_CONNECTION);
+            reportInPart(call, pending.exchange().isWritten() ? AttemptResult.TIMED_OUT : AttemptResult.NO_CONNECTION);
         }
     }
 
--- a/src/test/java/lilaclever/program/CallsAfterEndTest.java
+++ b/src/test/java/lilaclever/program/CallsAfterEndTest.java
@@ -34,6 +34,12 @@
     /** A quarter of them may be idle connections, of which each cell needs one. */
     private static final int DESCRIPTORS = 1_024;
 
+    /** No answer is confirmed sooner. */
+    private static final long MIN_CONFIRMATION_NANOS = 500_000_000;
+
+    /** When the process was killed. */
+    private long endedNanos;
+
     /** What an endpoint answers. */
     private enum Meaning {
         DELIVERED("200 OK"),
@@ -86,6 +92,8 @@
         /** Whether a recent answer of the connection had the same status. */
         private volatile boolean mayBeRepetition;
 
+        private volatile long answeredNanos;
+
         Cell(int number, Meaning meaning, Fate fate, boolean playsSecond, String messageClass) throws IOException {
             this.number = number;
             this.meaning = meaning;
@@ -122,6 +130,7 @@
                 String answer = "HTTP/1.1 " + status + "\r\nServer: scripted\r\nContent-Length: 4\r\n\r\nbody";
                 if (isPlayed) {
                     run(r);
+                    answeredNanos = nowNanos;
                     play(wire, answer);
                 } else {
                     wire.writeText(answer);
@@ -188,8 +197,8 @@
             if (fate == Fate.STAYS && processEnd == ProcessEnd.NONE || isOwn() && processEnd != ProcessEnd.KILLED) {
                 return calls == 1 && !hasNotice;
             }
-            if (fate == Fate.STAYS && processEnd == ProcessEnd.TERMINATED) {
-                return mayRepeat() || calls == 1; // confirmed before the end of the process, or not
+            if (fate == Fate.STAYS && endedNanos - answeredNanos >= MIN_CONFIRMATION_NANOS && calls == 1) {
+                return true; // it may have been confirmed before the end of the process
             }
             return mayRepeat() ? calls > 1 || hasNotice || isOwn() : calls == 1 && (hasNotice || isOwn());
         }
@@ -242,6 +251,7 @@
             process.destroy();
             Thread.sleep(END_DELAY_MILLIS);
         }
+        endedNanos = System.nanoTime();
         process.destroyForcibly().waitFor();
         startProcess(config, DESCRIPTORS);
         Thread.sleep(START_MILLIS);
