Count an answer of the soak as written only on a connection that neither side has ended

Its forwarder's log has all that waited on that connection refuted by its end, and nothing that forbids was read on it; the endpoint plays "closed idle" by a timer, which may end a connection while the next call is served, or the forwarder gives the call up. The account took what was written after that for heard, also a 200, which hid messages that were never answered. The check is stricter now: such a call ended without an answer.

Notices are named in the log where their confirmation is refuted.

--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -185,6 +185,11 @@
             core.deadlines().cancel(timer);
             retryLater();
         }
+
+        @Override
+        public String toString() {
+            return batch.size() + " notices";
+        }
     }
 
     private void retryLater() {
--- a/src/test/java/lilaclever/soak/FaultyConnection.java
+++ b/src/test/java/lilaclever/soak/FaultyConnection.java
@@ -52,6 +52,10 @@
     synchronized AnswerFaults.Kind answer(
             String status, String body, boolean needsWhole, Decided decided, String... headers)
             throws IOException, InterruptedException {
+        if (!isOpen()) {
+            decided.accept(false, System.nanoTime());
+            throw new IOException("one side has ended the connection: nothing that is written now is read");
+        }
         AnswerFaults.Kind kind = faults.draw(random);
         String answer = text(status, body, body.length(), headers);
         switch (kind) {
