Take a refusal that was cut or spoilt for a call that may have run, as before

Change: AnswerRules has certainty CUT: it ends a message as a 200's first line does and forbids what 410 and 504 forbid, but a refusal allows nothing.

--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -126,7 +126,7 @@
                     && pending.exchange().isOwnStatus()) {
                 Answer answer = CallAnswers.ofStatus(status, AttemptResult.RESET);
                 List.copyOf(call.messages)
-                        .forEach(m -> core.answers().received(call, m, answer, true, remainingRetryAfter(call)));
+                        .forEach(m -> core.answers().receivedCut(call, m, answer, remainingRetryAfter(call)));
             } else {
                 reportInPart(call, written ? AttemptResult.RESET : AttemptResult.NO_CONNECTION);
             }
--- a/src/main/java/lilaclever/routing/AnswerOutcomes.java
+++ b/src/main/java/lilaclever/routing/AnswerOutcomes.java
@@ -61,6 +61,15 @@
         }
     }
 
+    /** The status line of an answer has arrived and is evidently this call's; the rest is missing or can't be read. */
+    public void receivedCut(Call call, Message message, Answer answer, long retryAfterMicros) {
+        if (AnswerRules.consequence(answer.meaning(), Certainty.CUT) == Consequence.RETRY_AS_POSSIBLY_RUN) {
+            core.attemptEnded(call, message, AttemptResult.RESET, retryAfterMicros, false, false);
+        } else {
+            received(call, message, answer, true, retryAfterMicros);
+        }
+    }
+
     /**
      * A part of an answer has arrived that may be another call's, or crossed our own giving up. It allows nothing.
      *
--- a/src/main/java/lilaclever/routing/AnswerRules.java
+++ b/src/main/java/lilaclever/routing/AnswerRules.java
@@ -11,6 +11,8 @@
     /** How certain it is that an answer belongs to its call. */
     enum Certainty {
         CERTAIN,
+        /** Its status line is evidently this call's, and the rest is missing or can't be read. */
+        CUT,
         /** It may be an earlier answer of the connection repeated; it will be confirmed or refuted. */
         UNCONFIRMED,
         /** It may be another call's, and nothing more will be known: refuted, cut, or not confirmed in time. */
@@ -45,6 +47,13 @@
                     case OVER -> Consequence.END_OVER;
                     case NO_FURTHER_ATTEMPT -> Consequence.GIVE_UP;
                 };
+            case CUT ->
+                switch (meaning) {
+                    case DELIVERED -> Consequence.END_DELIVERED;
+                    case MAY_HAVE_RUN, NEVER_RAN -> Consequence.RETRY_AS_POSSIBLY_RUN;
+                    case OVER -> Consequence.END_OVER;
+                    case NO_FURTHER_ATTEMPT -> Consequence.GIVE_UP;
+                };
             case UNCONFIRMED ->
                 switch (meaning) {
                     case DELIVERED, MAY_HAVE_RUN, NEVER_RAN -> Consequence.AWAIT_CONFIRMATION;
