--- a/src/main/java/lilaclever/Admission.java
+++ b/src/main/java/lilaclever/Admission.java
@@ -80,8 +80,8 @@
 
     /**
      * Returns the waiting message of least worth, which is lower the longer its destination's queue is for the rate
-     * that the destination accepts; the last of several equal ones. Messages that were probably delivered come first, and
-     * others that were accepted before a restart are exempt; null if there are no others.
+     * that the destination accepts; the last of several equal ones. Messages that were probably delivered come
+     * first, and others that were accepted before a restart are exempt; null if there are no others.
      */
     Message leastWorthMessage() {
         Message leastWorthMessage = null;
--- a/src/main/java/lilaclever/protocol/http/CallAnswers.java
+++ b/src/main/java/lilaclever/protocol/http/CallAnswers.java
@@ -8,7 +8,7 @@
 import lilaclever.routing.Answer.Meaning;
 import lilaclever.routing.Call;
 
-/** What the responses of endpoints, whole and in part, say of the messages of their calls, as the protocol defines it. */
+/** What the responses of endpoints, whole and in part, say of the messages of their calls. */
 final class CallAnswers {
     static final int OK = 200;
     private static final int BAD_REQUEST = 400, GONE = 410, CONTENT_TOO_LARGE = 413, TOO_MANY_REQUESTS = 429;
--- a/src/main/java/lilaclever/routing/Deliverer.java
+++ b/src/main/java/lilaclever/routing/Deliverer.java
@@ -16,8 +16,8 @@
     default void removeMessage(Call call, Message message) {}
 
     /**
-     * Cancels a call whose endpoint drains, or whose message has ended, if no byte of it has been written. Its attempts end as
-     * withheld by the next turn. A call that has been written, even in part, goes on.
+     * Cancels a call whose endpoint drains, or whose message has ended, if no byte of it has been written. Its attempts
+     * end as withheld by the next turn. A call that has been written, even in part, goes on.
      */
     void cancelUnsent(Call call);
 
--- a/src/test/java/lilaclever/soak/SoakPlan.java
+++ b/src/test/java/lilaclever/soak/SoakPlan.java
@@ -49,8 +49,8 @@
     record Load(int clientsPerForwarder, int minServiceMillis, int maxServiceMillis) {}
 
     /**
-     * Shares of the messages that an endpoint turns away, some with a wait, and that it fails, says to be over, and says
-     * to have had all attempts.
+     * Shares of the messages that an endpoint turns away, some with a wait, and that it fails, says to be over, and
+     * says to have had all attempts.
      */
     record CallShares(double refused, double failed, double over, double exhausted) {
         static final CallShares NONE = new CallShares(0, 0, 0, 0);
