--- a/review/3/case.py
+++ b/review/3/case.py
@@ -41,9 +41,13 @@
 
 
 def case(record, folder, started):
-    # The partner is shut and refuses all, in both runs: the messages end by a notice when their time is up.
-    endpoint = rig.Endpoint(record, "s-5be2a07c", lambda headers, body: "full")
-    platform = rig.Platform(record, [rig.entry("s-5be2a07c", endpoint.address, 7)])
+    # One partner is shut and refuses all, in both runs: its messages end by a notice when their time is up. It gets 6 of
+    # 20 messages and is shut for 15 s (the page: up to 32% of the traffic, for 8.6 to 20 s).
+    opens = [0.0]
+    shut = rig.Endpoint(record, "s-5be2a07c", lambda headers, body: "full" if time.monotonic() < opens[0] else "ok")
+    sound = rig.Endpoint(record, "s-0d9ae2dc", lambda headers, body: 0.08)
+    platform = rig.Platform(record, [rig.entry("s-5be2a07c", shut.address, 7),
+                                     rig.entry("s-0d9ae2dc", sound.address, 8)])
     hl7_port = rig.free_port()
     conf = os.path.join(folder, "operator.conf")
     with open(conf, "w") as f:
@@ -56,6 +60,9 @@
         raise rig.CannotRun("the forwarder did not start")
     time.sleep(1.2)
 
+    opens[0] = time.monotonic() + 15
+    for number in range(14):
+        rig.hand_in(record, forwarder, f"77c1{number:012x}", "status-update", 8, 4.0)
     due = {}
     for number, (kind, seconds) in enumerate([("status-update", 4.0), ("lens-order", 5.0), ("payment", 6.0)] * 2):
         message_id = f"9b1f03aa5c7e2d4{number}"
