--- a/src/main/java/lilaclever/DecisionModule.java
+++ b/src/main/java/lilaclever/DecisionModule.java
@@ -220,6 +220,22 @@
             require(maxOpenMessages > 0, "limits.maxOpen must be above 0");
             require(maxAttempts > 0, "limits.maxAttempts must be above 0");
         }
+
+        /** The same limits with another one of the attempts. */
+        public Limits withMaxAttempts(int attempts) {
+            return new Limits(
+                    attempts,
+                    maxOpenMessages,
+                    slots,
+                    mayCancel,
+                    mayProbe,
+                    mayMessagePeers,
+                    callsPerConnection,
+                    connectTimeoutMicros,
+                    keepAliveMicros,
+                    sendsRetryAfter,
+                    maxRetryAfterMicros);
+        }
     }
 
     /**
@@ -292,6 +308,34 @@
             require(!classes.isEmpty(), "classes must not be empty");
             require(forwarders > 0, "relays must be above 0");
         }
+
+        /** The same settings with other classes. */
+        public Settings withClasses(List<MessageClass> otherClasses) {
+            return with(otherClasses, limits);
+        }
+
+        /** The same settings with another limit of the attempts. */
+        public Settings withMaxAttempts(int attempts) {
+            return with(classes, limits.withMaxAttempts(attempts));
+        }
+
+        private Settings with(List<MessageClass> otherClasses, Limits otherLimits) {
+            return new Settings(
+                    self,
+                    forwarders,
+                    zone,
+                    zones,
+                    roundMicros,
+                    mustWatchList,
+                    weightMeaning,
+                    limitReports,
+                    overQuotaWorthFactor,
+                    otherClasses,
+                    kinds,
+                    tenants,
+                    otherLimits,
+                    rules);
+        }
     }
 
     private static void require(boolean isValid, String problem) {
--- a/src/main/java/lilaclever/identity/DuplicateDetector.java
+++ b/src/main/java/lilaclever/identity/DuplicateDetector.java
@@ -74,8 +74,9 @@
         }
     }
 
-    /** Remembers the result of a completed message for its duplicates. */
-    public void addCompleted(String identity, Fingerprint fingerprint, int messageClass, E result, long nowWallMicros) {
+    /** Remembers the result of a completed message for its duplicates, for this long. */
+    public void addCompleted(
+            String identity, Fingerprint fingerprint, long windowMicros, E result, long nowWallMicros) {
         CompletedMessage<E> previous = completed.find(identity);
         if (previous == null) {
             while (completed.size() >= windows.maxEntries()) {
@@ -83,10 +84,7 @@
                 removedEarly++;
             }
         }
-        completed.put(
-                identity,
-                new CompletedMessage<>(
-                        result, fingerprint, nowWallMicros + windows.windowMicros(identity, messageClass)));
+        completed.put(identity, new CompletedMessage<>(result, fingerprint, nowWallMicros + windowMicros));
     }
 
     /** The pending message of the identity, or null. */
--- a/src/main/java/lilaclever/journal/Inspection.java
+++ b/src/main/java/lilaclever/journal/Inspection.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import lilaclever.identity.CompletedMessage;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -167,7 +168,13 @@
     private static void pendingMessage(JsonWriter json, PendingMessage message) throws IOException {
         Submission submission = message.submission();
         json.name("owed").value(submission.id()).name("front").value(message.front());
-        json.name("class").value(submission.messageClass()).name("destination").value(submission.destination());
+        ClassVersion messageClass = submission.messageClass();
+        if (messageClass.definition() == null) {
+            json.name("class").value(messageClass.number()); // earlier formats have no name
+        } else {
+            json.name("class").value(messageClass.name());
+        }
+        json.name("destination").value(submission.destination());
         if (submission.identity() != null) {
             json.name("identity").value(submission.identity());
         }
--- a/src/main/java/lilaclever/journal/JournalState.java
+++ b/src/main/java/lilaclever/journal/JournalState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import lilaclever.identity.CompletedMessage;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -93,7 +94,7 @@
     }
 
     private static long growthBytes(PendingMessage message) {
-        long total = growthBytes(message.submission());
+        long total = growthBytes(message.submission()) + message.unrecordedClassBytes();
         for (PendingMessage.Submitter submitter : message.attachedSubmitters()) {
             total += growthBytes(submitter);
         }
@@ -185,6 +186,16 @@
         growthBytes += growthBytes(message);
     }
 
+    /** Sets the class of a message that was recovered. One that its record does not hold makes its snapshot larger. */
+    void assignClass(PendingMessage message, ClassVersion version) {
+        growthBytes -= growthBytes(message);
+        if (message.submission().messageClass().definition() == null) {
+            message.addUnrecordedClass(RecordEncoder.classBytes(version));
+        }
+        message.assignClass(version);
+        growthBytes += growthBytes(message);
+    }
+
     /** Adds or replaces a remembered result whose record is in this segment. */
     void put(String identity, CompletedMessage<FinalStatus> result, Segment segment, int size) {
         removeRemembered(identity);
--- a/src/main/java/lilaclever/journal/RecordDecoder.java
+++ b/src/main/java/lilaclever/journal/RecordDecoder.java
@@ -1,9 +1,15 @@
 package lilaclever.journal;
 
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import lilaclever.DecisionModule.KeyScope;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.RepeatSafety;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
 import lilaclever.journal.SegmentFormat.RecordType;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -13,6 +19,10 @@
     private final JournalState state;
     /** Added to decoded wall times, in microseconds. */
     private long wallShiftMicros;
+    /** The format version of the segment that is read. */
+    private int version = SegmentFormat.VERSION;
+    /** One instance of each class: messages of a class share it. */
+    private final Map<ClassVersion, ClassVersion> classes = new HashMap<>();
 
     RecordDecoder(JournalState state) {
         this.state = state;
@@ -26,6 +36,11 @@
         wallShiftMicros = shiftMicros;
     }
 
+    /** Sets the format version of the following records. */
+    void setVersion(int formatVersion) {
+        version = formatVersion;
+    }
+
     private long readWallMicros(ByteBuffer in) {
         return in.getLong() + wallShiftMicros;
     }
@@ -44,16 +59,8 @@
                     String identity = SegmentFormat.readText(in);
                     FinalStatus status = readFinalStatus(in);
                     long untilWallMicros = readWallMicros(in);
-                    // Version 1 has no fingerprint.
-                    boolean hasFingerprint = in.hasRemaining() && SegmentFormat.readFlag(in);
-                    state.put(
-                            identity,
-                            new CompletedMessage<>(
-                                    status,
-                                    hasFingerprint ? new Fingerprint(in.getLong(), in.getLong()) : null,
-                                    untilWallMicros),
-                            segment,
-                            size);
+                    Fingerprint fingerprint = readFingerprint(in);
+                    state.put(identity, new CompletedMessage<>(status, fingerprint, untilWallMicros), segment, size);
                 }
                 case ENDED -> state.removeMessage(SegmentFormat.readText(in));
                 case PREVIOUS -> {}
@@ -65,6 +72,14 @@
         }
     }
 
+    /** Returns null where there is none: duplicates of that message are then not compared by content. */
+    private Fingerprint readFingerprint(ByteBuffer in) {
+        boolean hasFingerprint = in.hasRemaining() && SegmentFormat.readFlag(in); // version 1 has no flag
+        Fingerprint fingerprint = hasFingerprint ? new Fingerprint(in.getLong(), in.getLong()) : null;
+        // An earlier fingerprint is of the class's number, which does not say whether the content is the same.
+        return version >= SegmentFormat.CLASSES_VERSION ? fingerprint : null;
+    }
+
     private void applyToMessage(RecordType type, ByteBuffer in) {
         JournalState.Entry<PendingMessage> entry = state.pending.get(SegmentFormat.readText(in));
         if (entry == null) {
@@ -85,7 +100,7 @@
         String front = SegmentFormat.readText(in);
         String id = SegmentFormat.readText(in);
         String identity = SegmentFormat.readFlag(in) ? SegmentFormat.readText(in) : null;
-        int messageClass = in.getInt();
+        ClassVersion messageClass = readClass(in);
         int destination = in.getInt();
         String key = SegmentFormat.readFlag(in) ? SegmentFormat.readText(in) : null;
         boolean resubmitted = SegmentFormat.readFlag(in);
@@ -107,6 +122,26 @@
                 deadlineWallMicros);
     }
 
+    private ClassVersion readClass(ByteBuffer in) {
+        ClassVersion read = version >= SegmentFormat.CLASSES_VERSION && SegmentFormat.readFlag(in)
+                ? new ClassVersion(ClassVersion.UNRESOLVED, SegmentFormat.readText(in), readDefinition(in))
+                : ClassVersion.ofNumber(in.getInt());
+        return classes.computeIfAbsent(read, c -> c);
+    }
+
+    private static MessageClass readDefinition(ByteBuffer in) {
+        return new MessageClass(
+                in.getLong(),
+                in.getLong(),
+                Double.longBitsToDouble(in.getLong()),
+                RepeatSafety.valueOf(SegmentFormat.readText(in)),
+                KeyScope.valueOf(SegmentFormat.readText(in)),
+                in.getLong(),
+                SegmentFormat.readFlag(in),
+                Double.longBitsToDouble(in.getLong()),
+                SegmentFormat.readFlag(in));
+    }
+
     private void readAttemptsAndStatus(ByteBuffer in, PendingMessage message) {
         message.restoreAttempts(
                 in.getInt(), SegmentFormat.readFlag(in), SegmentFormat.readText(in), in.getInt(), readWallMicros(in));
--- a/src/main/java/lilaclever/journal/RecordEncoder.java
+++ b/src/main/java/lilaclever/journal/RecordEncoder.java
@@ -1,8 +1,10 @@
 package lilaclever.journal;
 
+import lilaclever.DecisionModule.MessageClass;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.SegmentFormat.RecordType;
 import lilaclever.journal.SegmentFormat.RecordWriter;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -106,7 +108,8 @@
         if (submission.identity() != null) {
             out.putText(submission.identity());
         }
-        out.putInt(submission.messageClass()).putInt(submission.destination()).putFlag(submission.key() != null);
+        putClass(out, submission.messageClass());
+        out.putInt(submission.destination()).putFlag(submission.key() != null);
         if (submission.key() != null) {
             out.putText(submission.key());
         }
@@ -117,6 +120,33 @@
                 .putBytes(submission.body());
     }
 
+    /** The class with all its rules: what a record says must not depend on any other file or configuration. */
+    private static void putClass(RecordWriter out, ClassVersion messageClass) {
+        MessageClass definition = messageClass.definition();
+        out.putFlag(definition != null);
+        if (definition == null) {
+            out.putInt(messageClass.number());
+            return;
+        }
+        out.putText(messageClass.name())
+                .putLong(definition.aimMicros())
+                .putLong(definition.deadlineMicros())
+                .putLong(Double.doubleToLongBits(definition.worth()))
+                .putText(definition.repeat().name())
+                .putText(definition.group().name())
+                .putLong(definition.repeatWindowMicros())
+                .putFlag(definition.ordered())
+                .putLong(Double.doubleToLongBits(definition.lateShare()))
+                .putFlag(definition.halves());
+    }
+
+    /** The size of a class in a record, in bytes. */
+    static int classBytes(ClassVersion messageClass) {
+        RecordWriter out = new RecordWriter();
+        putClass(out, messageClass);
+        return out.size();
+    }
+
     private static void putFinalStatus(RecordWriter out, FinalStatus status) {
         String detail = status.detail().substring(0, Math.min(status.detail().length(), MAX_DETAIL_CHARS));
         out.putInt(status.kind().ordinal()).putLong(status.retryAfterMicros()).putText(detail);
--- a/src/main/java/lilaclever/journal/Recovery.java
+++ b/src/main/java/lilaclever/journal/Recovery.java
@@ -157,10 +157,14 @@
         EnumMap<RecordType, Integer> counts = new EnumMap<>(RecordType.class);
         try (SegmentReader reader = new SegmentReader(disk, name)) {
             scannedSegments.add(new ScannedSegment(segment, reader.header(), counts));
-            decoder.setWallShift(
-                    reader.header() == null
-                            ? 0
-                            : bootClock.wallShiftMicrosSince(reader.header().bootClock()));
+            if (reader.header() == null) {
+                decoder.setWallShift(0);
+                decoder.setVersion(SegmentFormat.VERSION); // without a salt no record of it is valid
+            } else {
+                decoder.setWallShift(
+                        bootClock.wallShiftMicrosSince(reader.header().bootClock()));
+                decoder.setVersion(reader.header().version());
+            }
             segment.usedBytes = reader.read(knownEnd, new SegmentReader.Listener() {
                 @Override
                 public boolean onRecord(RecordType type, ByteBuffer content, long position, int size) {
--- a/src/main/java/lilaclever/journal/SegmentFormat.java
+++ b/src/main/java/lilaclever/journal/SegmentFormat.java
@@ -19,9 +19,12 @@
 final class SegmentFormat {
     /**
      * Since version 2 several submitters may wait for the result of a message, and remembered results hold the
-     * fingerprint of their message.
+     * fingerprint of their message. Since version 3 a message's record holds its class instead of the class's number,
+     * and fingerprints are of the class's name.
      */
-    static final int VERSION = 2;
+    static final int VERSION = 3;
+    /** The first version whose records hold classes with their rules. */
+    static final int CLASSES_VERSION = 3;
     /** Offset of the first record. */
     static final int HEADER_BYTES = 128;
     /** Size of a record without its content. */
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.journal.SegmentFormat.RecordWriter;
 import lilaclever.log.Logs;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Journal;
 import lilaclever.routing.PendingMessage;
@@ -63,6 +65,17 @@
         compactor.migrateUpTo(recoveryReport.lastToMigrate());
     }
 
+    /**
+     * Gives the class of each recovered message its number in this process. Before the event loop starts.
+     *
+     * @param resolver returns the version with its number for one without; its definition is null in earlier formats
+     */
+    public void resolveClasses(UnaryOperator<ClassVersion> resolver) {
+        for (PendingMessage message : state.pendingMessages()) {
+            state.assignClass(message, resolver.apply(message.submission().messageClass()));
+        }
+    }
+
     /** Copies all live records into as few files as possible and deletes the others. For a stopped program. */
     void compactAll() throws IOException {
         compactor.compactAll();
--- a/src/main/java/lilaclever/program/Config.java
+++ b/src/main/java/lilaclever/program/Config.java
@@ -61,12 +61,7 @@
 
     /** Reads the configuration for a start from the file that the environment names. */
     static Config read(Map<String, String> variables) throws ConfigurationException {
-        Config read = readFile(variables, Set.of());
-        ClassTable savedClasses = ClassTable.read(read.state);
-        return savedClasses == null
-                ? read
-                : read.with(
-                        savedClasses.withCurrentClasses(read.classNames, read.settings.classes()), read.maxAttempts());
+        return readFile(variables, Set.of());
     }
 
     /** {@code requiredKeys}: keys of the settings that must be present. */
@@ -93,29 +88,15 @@
         Files.writeString(state.resolve(DISCOVERY_FILE), discovery);
     }
 
-    /** Returns the disk space for the class table and the new one that is written beside it. */
-    private long classesReservedBytes() {
-        return Math.min(ClassTable.RESERVED_BYTES, diskBytes / 16);
-    }
-
     /** Returns the disk space for the departures file and the new one that is written beside it. */
     long departuresReservedBytes() {
         return Math.min(DepartureFile.RESERVED_BYTES, diskBytes / 16);
     }
 
-    /** Saves the classes; fails if they exceed the space reserved for them. */
-    void saveClasses() throws ConfigurationException {
-        try {
-            classTable().write(state, classesReservedBytes() / 2);
-        } catch (IOException e) {
-            throw new ConfigurationException("settings", "can't be saved on disk: " + e.getMessage());
-        }
-    }
-
     /** Returns the disk space for all files in the state folder except the journal. */
     long stateFilesBytes() {
         return DISCOVERY_FILE_BYTES
-                + classesReservedBytes()
+                + EarlierClassTable.sizeBytes(state)
                 + departuresReservedBytes()
                 + (operator == null ? 0 : SUSPENDED_RESERVED_BYTES);
     }
@@ -198,22 +179,8 @@
                 keys);
     }
 
-    /** Returns a copy with other classes and attempts, the settings that can change at run time. */
-    private Config with(ClassTable table, int maxAttempts) {
-        DecisionModule.Settings oldSettings = settings;
-        DecisionModule.Limits oldLimits = oldSettings.limits();
-        DecisionModule.Limits limits = new DecisionModule.Limits(
-                maxAttempts,
-                oldLimits.maxOpenMessages(),
-                oldLimits.slots(),
-                oldLimits.mayCancel(),
-                oldLimits.mayProbe(),
-                oldLimits.mayMessagePeers(),
-                oldLimits.callsPerConnection(),
-                oldLimits.connectTimeoutMicros(),
-                oldLimits.keepAliveMicros(),
-                oldLimits.sendsRetryAfter(),
-                oldLimits.maxRetryAfterMicros());
+    /** Returns a copy with those settings of another configuration that can change at run time. */
+    Config withReloadableSettings(Config read) {
         return new Config(
                 name,
                 listen,
@@ -223,38 +190,14 @@
                 seed,
                 diskBytes,
                 sockets,
-                new DecisionModule.Settings(
-                        oldSettings.self(),
-                        oldSettings.forwarders(),
-                        oldSettings.zone(),
-                        oldSettings.zones(),
-                        oldSettings.roundMicros(),
-                        oldSettings.mustWatchList(),
-                        oldSettings.weightMeaning(),
-                        oldSettings.limitReports(),
-                        oldSettings.overQuotaWorthFactor(),
-                        table.classes(),
-                        oldSettings.kinds(),
-                        oldSettings.tenants(),
-                        limits,
-                        oldSettings.rules()),
-                table.names(),
+                settings.withClasses(read.settings.classes()).withMaxAttempts(read.maxAttempts()),
+                read.classNames,
                 kinds,
                 zones,
                 known,
                 keys);
     }
 
-    /** Returns the classes by number. */
-    ClassTable classTable() {
-        return new ClassTable(classNames, settings.classes());
-    }
-
-    /** Returns a copy with those settings of another configuration that can change at run time. */
-    Config withReloadableSettings(Config read) throws ConfigurationException {
-        return with(classTable().withCurrentClasses(read.classNames, read.settings.classes()), read.maxAttempts());
-    }
-
     /** Returns the paths of all keys; of objects in a list, those that all of them have. */
     private static Set<String> keys(JsonObject in, String path) {
         Set<String> paths = new LinkedHashSet<>();
@@ -339,7 +282,7 @@
         if (sockets != current.sockets) {
             changedKeys.add("limits.sockets");
         }
-        if (!with(current.classTable(), current.maxAttempts()).settings.equals(current.settings)
+        if (!withReloadableSettings(current).settings.equals(current.settings)
                 || !kinds.equals(current.kinds)
                 || !zones.equals(current.zones)) {
             changedKeys.add("settings");
@@ -490,16 +433,16 @@
                     protocol("mail.routes.protocol", o),
                     addresses));
         }
-        Map<String, Integer> classes = new HashMap<>();
+        Map<String, String> classes = new HashMap<>();
         if (root.has("classes")) {
             for (Map.Entry<String, JsonElement> e :
                     object("mail.classes", root.get("classes")).entrySet()) {
                 classes.put(
                         e.getKey(),
-                        classNumber("mail.classes." + e.getKey(), e.getValue().getAsString()));
+                        className("mail.classes." + e.getKey(), e.getValue().getAsString()));
             }
         }
-        int defaultClass = firstUnsafeClass();
+        requireUnsafeClass();
         String reportClass = text("mail.reportClass", root, "reportClass", "");
         int maxBytes = integer("mail.mostBytes", root, "mostBytes", DEFAULT_MAX_BYTES);
         int maxRecipients = integer("mail.mostRecipients", root, "mostRecipients", DEFAULT_MAX_RECIPIENTS);
@@ -515,32 +458,24 @@
                 routes,
                 text("mail.classHeader", root, "classHeader", DEFAULT_CLASS_HEADER),
                 classes,
-                defaultClass,
-                reportClass.isEmpty() ? defaultClass : classNumber("mail.reportClass", reportClass),
+                reportClass.isEmpty() ? null : className("mail.reportClass", reportClass),
                 maxBytes,
                 maxRecipients,
-                (long) (idleSeconds * 1e6),
-                settings.classes().stream()
-                        .map(DecisionModule.MessageClass::deadlineMicros)
-                        .toList());
+                (long) (idleSeconds * 1e6));
     }
 
-    private int firstUnsafeClass() throws ConfigurationException {
-        for (int i = 0; i < settings.classes().size(); i++) {
-            if (settings.classes().get(i).repeat() == DecisionModule.RepeatSafety.UNSAFE) {
-                return i;
-            }
+    private void requireUnsafeClass() throws ConfigurationException {
+        if (settings.classes().stream().noneMatch(c -> c.repeat() == DecisionModule.RepeatSafety.UNSAFE)) {
+            throw new ConfigurationException(
+                    "settings.requestClasses", "mail of unknown class needs a class that is non_idempotent");
         }
-        throw new ConfigurationException(
-                "settings.requestClasses", "mail of unknown class needs a class that is non_idempotent");
     }
 
-    private int classNumber(String key, String className) throws ConfigurationException {
-        int number = classNames.indexOf(className);
-        if (number < 0) {
+    private String className(String key, String className) throws ConfigurationException {
+        if (!classNames.contains(className)) {
             throw new ConfigurationException(key, "no class of the settings: " + className);
         }
-        return number;
+        return className;
     }
 
     private static MailSettings.Protocol protocol(String key, JsonObject in) throws ConfigurationException {
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -29,6 +29,7 @@
 import lilaclever.routing.Counters;
 import lilaclever.routing.EndpointMembership;
 import lilaclever.routing.ManualDrains;
+import lilaclever.routing.MessageClasses;
 import lilaclever.transport.Transport;
 
 /** Assembles, starts and stops the components of the forwarder. */
@@ -47,6 +48,7 @@
     private final SegmentedJournal journal;
     private final Core core;
     private final HttpFront httpFront;
+    private final MessageClasses classes;
     /** The configuration in use; a reload replaces it. */
     private Config config;
 
@@ -60,19 +62,14 @@
     private Forwarder(Config config, OperatorSettings operator, MailSettings mail)
             throws IOException, ConfigurationException {
         this.config = config.withoutKnown();
-        DecisionModule.Settings settings = config.settings();
-        long connect = settings.limits().connectTimeoutMicros();
-        long keepAlive = settings.limits().keepAliveMicros();
+        classes = new MessageClasses(config.classNames(), config.settings().classes());
+        DecisionModule.Limits limits = config.settings().limits();
+        long connect = limits.connectTimeoutMicros();
+        long keepAlive = limits.keepAliveMicros();
         transport = new Transport();
-        journal = new SegmentedJournal(
-                FolderDisk.lock(config.state()),
-                config.diskBytes() - config.stateFilesBytes(),
-                operator.journal().durability(),
-                new JournalClocks(
-                        Core::monotonicMicros,
-                        Core::wallMicros,
-                        BootClock.read(Core::monotonicMicros, Core::wallMicros)),
-                new SplittableRandom(config.seed() ^ System.nanoTime()));
+        journal = openJournal(config, operator);
+        new PendingClassResolver(config, classes).resolve(journal);
+        DecisionModule.Settings settings = config.settings().withClasses(classes.definitions());
         Counters counters = new Counters();
         registerJournalMetrics(journal, counters);
         core = new Core(
@@ -97,8 +94,7 @@
                 drains::updateEndpoints);
         httpFront = new HttpFront(
                 core,
-                config.classNames(),
-                settings.classes(),
+                classes,
                 config.maxClients(mail != null, operator.mllpConnections()),
                 config.keepAliveClientLimit(),
                 notices,
@@ -106,13 +102,13 @@
         core.add(httpFront);
         if (mail != null) {
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
-                mailFronts.add(new MailFront(core, mail, protocol, config.maxMail()));
+                mailFronts.add(new MailFront(core, mail, classes, protocol, config.maxMail()));
             }
             mailFronts.forEach(core::add);
             new MailDeliverer(core, transport, mail, settings.zone(), connect, keepAlive, config.maxMail()).start();
         }
         if (operator.mllp() != null) {
-            mllpFront = new MllpFront(core, operator.mllp());
+            mllpFront = new MllpFront(core, operator.mllp(), classes);
             core.add(mllpFront);
         }
         DirectoryClient.ResolvedList known = config.known() == null ? null : directory.resolve(config.known());
@@ -138,6 +134,18 @@
         }
     }
 
+    private static SegmentedJournal openJournal(Config config, OperatorSettings operator) throws IOException {
+        return new SegmentedJournal(
+                FolderDisk.lock(config.state()),
+                config.diskBytes() - config.stateFilesBytes(),
+                operator.journal().durability(),
+                new JournalClocks(
+                        Core::monotonicMicros,
+                        Core::wallMicros,
+                        BootClock.read(Core::monotonicMicros, Core::wallMicros)),
+                new SplittableRandom(config.seed() ^ System.nanoTime()));
+    }
+
     /**
      * Marks an active endpoint of the initial list as leaving, so that it gets no new messages until discovery has
      * answered.
@@ -219,17 +227,22 @@
         }
     }
 
-    /** Applies new classes and attempts after saving them; pending messages keep their class. */
+    /** Applies new classes and attempts; pending messages keep their class. */
     private void apply(Config next) throws ConfigurationException {
         if (next.equals(config)) {
             return;
         }
-        next.saveClasses();
+        MessageClasses.Update update;
+        try {
+            update = classes.prepare(next.classNames(), next.settings().classes());
+        } catch (MessageClasses.TooManyVersionsException e) {
+            throw new ConfigurationException("settings.requestClasses", e.getMessage());
+        }
         config = next;
         CountDownLatch applied = new CountDownLatch(1);
         core.post(() -> {
-            core.updateSettings(next.settings());
-            httpFront.updateClasses(next.classNames(), next.settings().classes());
+            core.updateSettings(next.settings().withClasses(update.definitions()));
+            classes.apply(update);
             applied.countDown();
         });
         try {
@@ -241,11 +254,7 @@
                 "",
                 "renewed",
                 "classes "
-                        + String.join(
-                                " ",
-                                next.classNames().stream()
-                                        .filter(n -> !n.isEmpty())
-                                        .toList()) + ", "
+                        + String.join(" ", next.classNames()) + ", "
                         + next.settings().limits().maxAttempts() + " attempts");
     }
 
--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -42,10 +42,10 @@
             listeners.add(listener(s));
         }
         Map<String, String> practices = practicesBySender();
-        Map<String, Integer> events = classesByEvent();
+        Map<String, String> events = classesByEvent();
         Map<String, Integer> destinations = destinationsByReceiver();
         boolean anySender = hl7.flag("any-sender", false);
-        int unsafeClass = hl7.flag("unknown-events", true) ? firstUnsafeClass(hl7, !listeners.isEmpty()) : -1;
+        boolean acceptsUnknownEvents = hl7.flag("unknown-events", true);
         Field key = field(hl7, "key", "MSH-10");
         Field deadline = field(hl7, "deadline", null);
         Set<String> processing = words(hl7, "processing", "P");
@@ -66,16 +66,16 @@
         if (destinations.isEmpty()) {
             throw listenerError("nothing could be delivered: needs a [hl7-destination NUMBER] with receivers");
         }
+        if (acceptsUnknownEvents && !hasUnsafeClass()) {
+            throw hl7.error("unknown-events", "no class of the settings is non_idempotent: set this to no");
+        }
         return new MllpSettings(
                 listeners,
                 practices,
                 anySender,
                 events,
-                unsafeClass,
+                acceptsUnknownEvents,
                 destinations,
-                config.settings().classes().stream()
-                        .map(DecisionModule.MessageClass::deadlineMicros)
-                        .toList(),
                 key,
                 deadline,
                 processing,
@@ -141,11 +141,10 @@
         return practices;
     }
 
-    private Map<String, Integer> classesByEvent() throws ConfigurationException {
-        Map<String, Integer> events = new HashMap<>();
+    private Map<String, String> classesByEvent() throws ConfigurationException {
+        Map<String, String> events = new HashMap<>();
         for (Section s : file.sections("hl7-class")) {
-            int number = config.classNames().indexOf(s.qualifier());
-            if (number < 0) {
+            if (!config.classNames().contains(s.qualifier())) {
                 throw s.error(
                         "events",
                         "no class of the settings: " + s.qualifier()
@@ -155,7 +154,7 @@
                 if (!event.matches("[A-Z][A-Z0-9]{2}(\\^[A-Z][A-Z0-9]{2})?")) {
                     throw s.error("events", "not an event such as ORM or ORM^O01: " + event);
                 }
-                if (events.put(event, number) != null) {
+                if (events.put(event, s.qualifier()) != null) {
                     throw s.error("events", event + " is listed twice");
                 }
             }
@@ -178,17 +177,8 @@
         return destinations;
     }
 
-    private int firstUnsafeClass(Section hl7, boolean needed) throws ConfigurationException {
-        List<DecisionModule.MessageClass> classes = config.settings().classes();
-        for (int i = 0; i < classes.size(); i++) {
-            if (classes.get(i).repeat() == DecisionModule.RepeatSafety.UNSAFE) {
-                return i;
-            }
-        }
-        if (needed) {
-            throw hl7.error("unknown-events", "no class of the settings is non_idempotent: set this to no");
-        }
-        return -1;
+    private boolean hasUnsafeClass() {
+        return config.settings().classes().stream().anyMatch(c -> c.repeat() == DecisionModule.RepeatSafety.UNSAFE);
     }
 
     private static Field field(Section s, String key, String defaultValue) throws ConfigurationException {
--- a/src/main/java/lilaclever/program/OperatorSettings.java
+++ b/src/main/java/lilaclever/program/OperatorSettings.java
@@ -1,10 +1,10 @@
 package lilaclever.program;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import lilaclever.DecisionModule;
 import lilaclever.conf.ConfFile;
@@ -74,14 +74,15 @@
         if (header != null && !shared) {
             throw s.error("http-practice", "needs shared yes");
         }
-        List<Long> windows = new ArrayList<>();
+        Map<String, Long> windows = new HashMap<>();
         for (int i = 0; i < config.classNames().size(); i++) {
             boolean unsafe = config.settings().classes().get(i).repeat() == DecisionModule.RepeatSafety.UNSAFE;
-            windows.add(s.durationMicros(
-                    "window-" + config.classNames().get(i),
-                    unsafe ? 24 * HOUR_MICROS : HOUR_MICROS,
-                    SECOND_MICROS,
-                    240 * HOUR_MICROS));
+            String key = "window-" + config.classNames().get(i);
+            long windowMicros = s.durationMicros(
+                    key, IdempotencyWindows.defaultForClassMicros(unsafe), SECOND_MICROS, 240 * HOUR_MICROS);
+            if (s.has(key)) {
+                windows.put(config.classNames().get(i), windowMicros);
+            }
         }
         return new IdentitySettings(
                 shared,
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -10,11 +10,13 @@
 import java.util.Map;
 import lilaclever.DecisionModule;
 import lilaclever.identity.Identity;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
 import lilaclever.routing.Message;
+import lilaclever.routing.MessageClasses;
 import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -33,7 +35,7 @@
     private static final long MAX_UNREAD_ALLOWANCE_MICROS = 120_000, UNREAD_ALLOWANCE_DIVISOR = 50;
 
     private final Core core;
-    private volatile MessageClasses classes;
+    private final MessageClasses classes;
     private final NoticeSender notices;
     private final HttpServerFilter serverFilter;
     /** Requests that wait for their message to be accepted; several where a client resubmitted it meanwhile. */
@@ -47,21 +49,20 @@
     private record WaitingRequest(HttpServerFilter.Exchange exchange, String id) {}
 
     /**
-     * Creates a front for classes under the names that clients use. At most {@code maxClients} client connections are
-     * open; above {@code keepAliveLimit} none is kept idle. Requests with the practice header and a key are the same
-     * message as those with both on another port; a null header disables that.
+     * Creates a front for these classes. At most {@code maxClients} client connections are open; above {@code
+     * keepAliveLimit} none is kept idle. Requests with the practice header and a key are the same message as those with
+     * both on another port; a null header disables that.
      */
     public HttpFront(
             Core core,
-            List<String> classNames,
-            List<DecisionModule.MessageClass> classes,
+            MessageClasses classes,
             int maxClients,
             int keepAliveLimit,
             NoticeSender notices,
             String practiceHeader) {
         this.core = core;
         this.practiceHeader = practiceHeader;
-        updateClasses(classNames, classes);
+        this.classes = classes;
         this.serverFilter = new HttpServerFilter(core, maxClients, keepAliveLimit, this::handle);
         this.notices = notices;
         core.counters().entryGauge("waiting_clients", waitingRequests::size);
@@ -73,14 +74,6 @@
         return "http";
     }
 
-    /** Message classes by number, and the names of those that clients may submit. */
-    private record MessageClasses(List<String> names, List<DecisionModule.MessageClass> classes) {}
-
-    /** Replaces the classes that clients may submit. Event loop, once the module knows the new ones. */
-    public void updateClasses(List<String> classNames, List<DecisionModule.MessageClass> allClasses) {
-        classes = new MessageClasses(List.copyOf(classNames), List.copyOf(allClasses));
-    }
-
     /** Starts to listen at the address. */
     public SocketAddress listen(Transport transport, SocketAddress address) throws IOException {
         var server = transport.listen(address, serverFilter.chain());
@@ -184,10 +177,8 @@
         Map<String, String> headers = request.headers();
         String id = requiredHeader(headers, "req-id");
         require(HeaderValues.isIdentifier(id), "Req-Id: not an id");
-        MessageClasses knownClasses = classes;
-        String className = requiredHeader(headers, "req-kind");
-        int classNumber = knownClasses.names().indexOf(className);
-        require(classNumber >= 0 && !className.isEmpty(), "Req-Kind: unknown class");
+        ClassVersion messageClass = classes.current(requiredHeader(headers, "req-kind"));
+        require(messageClass != null, "Req-Kind: unknown class");
         Integer destination = null;
         for (String part : requiredHeader(headers, "x-envelope").split("[,; ]+")) {
             if (part.startsWith("dest=")) {
@@ -205,14 +196,14 @@
         // In a call of several messages '-' stands for a missing key.
         require(
                 key == null
-                        ? knownClasses.classes().get(classNumber).repeat() != DecisionModule.RepeatSafety.KEYED
+                        ? messageClass.definition().repeat() != DecisionModule.RepeatSafety.KEYED
                         : HeaderValues.isIdentifier(key) && !key.equals("-"),
                 "Idempotency-Key: " + (key == null ? "missing" : "not a key"));
         String retry = headers.getOrDefault("req-retry", "");
         return new Submission(
                 id,
                 identity(headers, key),
-                classNumber,
+                messageClass,
                 destination,
                 key,
                 request.body(),
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -16,10 +16,12 @@
 import java.util.function.Consumer;
 import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings.Protocol;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.Core;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.Front;
 import lilaclever.routing.Message;
+import lilaclever.routing.MessageClasses;
 import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -42,6 +44,7 @@
 
     private final Core core;
     private final MailSettings settings;
+    private final MessageClasses classes;
     private final Protocol protocol;
     private final int maxSessions;
     private final Map<Message, List<Waiter>> waiters = new HashMap<>();
@@ -57,9 +60,10 @@
     private record Waiter(Consumer<Reply> answer) {}
 
     /** Creates a front that does not listen yet and accepts at most {@code maxSessions} clients at once. */
-    public MailFront(Core core, MailSettings settings, Protocol protocol, int maxSessions) {
+    public MailFront(Core core, MailSettings settings, MessageClasses classes, Protocol protocol, int maxSessions) {
         this.core = core;
         this.settings = settings;
+        this.classes = classes;
         this.protocol = protocol;
         this.maxSessions = maxSessions;
     }
@@ -102,14 +106,14 @@
         String identity = hasUsableMessageId(mail.content())
                 ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient()
                 : null;
-        String className = Mail.header(mail.content(), settings.classHeader());
-        int messageClass = className == null
-                ? settings.defaultClass()
-                : settings.classes().getOrDefault(className, settings.defaultClass());
-        submit(mail, identity, messageClass, answer);
+        String headerValue = Mail.header(mail.content(), settings.classHeader());
+        String className = headerValue == null ? null : settings.classes().get(headerValue);
+        submit(mail, identity, className, answer);
     }
 
-    private void submit(Mail mail, String identity, int messageClass, Consumer<Reply> answer) {
+    /** Submits a mail of the named class; one whose class is null or not configured any more is never repeated. */
+    private void submit(Mail mail, String identity, String className, Consumer<Reply> answer) {
+        ClassVersion messageClass = classes.currentOrUnsafe(className);
         String id = name() + '-' + runId + '-' + Long.toString(nextIdNumber++, Character.MAX_RADIX);
         Submission submission = new Submission(
                 id,
@@ -120,7 +124,7 @@
                 mail.encode(),
                 false,
                 false,
-                settings.budgetsMicros().get(messageClass));
+                messageClass.definition().deadlineMicros());
         Message message = core.submit(this, submission);
         if (!message.isOpen()) {
             answer.accept(
--- a/src/main/java/lilaclever/protocol/mail/MailSettings.java
+++ b/src/main/java/lilaclever/protocol/mail/MailSettings.java
@@ -4,26 +4,23 @@
 import java.util.Map;
 
 /**
- * The validated content of the mail file. Message classes are indexes into the settings' list of classes.
+ * The validated content of the mail file. Message classes are names, since a reload may change what they mean.
  *
  * @param classHeader the header field that names a mail's message class
- * @param defaultClass the class of a mail whose header names no known class
- * @param dsnClass the class of delivery status notifications
+ * @param classes the message class for each value of that header; other mails must not be repeated
+ * @param dsnClass the class of delivery status notifications, or null if they must not be repeated
  * @param idleTimeoutMicros a client connection is closed after so long without a line; also the limit for one content
- * @param budgetsMicros how long a message of each class may take to deliver
  */
 public record MailSettings(
         String hostName,
         List<Listener> listeners,
         List<Route> routes,
         String classHeader,
-        Map<String, Integer> classes,
-        int defaultClass,
-        int dsnClass,
+        Map<String, String> classes,
+        String dsnClass,
         int maxMessageBytes,
         int maxRecipients,
-        long idleTimeoutMicros,
-        List<Long> budgetsMicros) {
+        long idleTimeoutMicros) {
     /** A mail protocol. The names, in lower case, are the names of the fronts in the journal. */
     public enum Protocol {
         SMTP,
--- a/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
+++ b/src/main/java/lilaclever/protocol/mllp/Hl7Reader.java
@@ -15,6 +15,8 @@
 import lilaclever.identity.Fingerprint;
 import lilaclever.protocol.mllp.Hl7Fault.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
+import lilaclever.routing.ClassVersion;
+import lilaclever.routing.MessageClasses;
 
 /**
  * Reads the parts of HL7 messages that forwarding needs: the header and the fields named in the settings. The rest is
@@ -29,11 +31,13 @@
     private static final int MAX_KEY_LENGTH = 200;
 
     private final MllpSettings settings;
+    private final MessageClasses classes;
     private final LongSupplier monotonicMicros, wallMicros;
 
     /** The clocks, monotonic and wall, are those of the event loop, in microseconds. */
-    Hl7Reader(MllpSettings settings, LongSupplier monotonicMicros, LongSupplier wallMicros) {
+    Hl7Reader(MllpSettings settings, MessageClasses classes, LongSupplier monotonicMicros, LongSupplier wallMicros) {
         this.settings = settings;
+        this.classes = classes;
         this.monotonicMicros = monotonicMicros;
         this.wallMicros = wallMicros;
     }
@@ -45,12 +49,7 @@
         checkSegments(header, message);
         String practice = practice(header);
         String event = header.firstComponent(9) + '^' + header.secondComponent(9);
-        Integer messageClass = settings.events().get(event);
-        messageClass = messageClass == null ? settings.events().get(header.firstComponent(9)) : messageClass;
-        if (messageClass == null && settings.unknownEventClass() < 0) {
-            throw new Hl7Fault(Code.UNSUPPORTED_EVENT, "MSH", 9, "no class for " + event);
-        }
-        int classNumber = messageClass == null ? settings.unknownEventClass() : messageClass;
+        ClassVersion messageClass = messageClass(event, header.firstComponent(9));
         Integer destination =
                 MllpSettings.find(settings.destinations(), header.firstComponent(5), '|', header.firstComponent(6));
         if (destination == null) {
@@ -61,12 +60,26 @@
                 message,
                 practice,
                 key(header, message),
-                classNumber,
+                messageClass,
                 destination,
-                budgetMicros(header, message, settings.budgetsMicros().get(classNumber)),
+                budgetMicros(header, message, messageClass.definition().deadlineMicros()),
                 monotonicMicros.getAsLong());
     }
 
+    /** The class that the event's messages have now; a class that was removed makes its events unknown ones. */
+    private ClassVersion messageClass(String event, String messageCode) throws Hl7Fault {
+        String className =
+                settings.events().getOrDefault(event, settings.events().get(messageCode));
+        ClassVersion version = classes.current(className);
+        if (version == null && settings.acceptsUnknownEvents()) {
+            version = classes.unsafe();
+        }
+        if (version == null) {
+            throw new Hl7Fault(Code.UNSUPPORTED_EVENT, "MSH", 9, "no class for " + event);
+        }
+        return version;
+    }
+
     private void checkVersionAndProcessingId(Header header) throws Hl7Fault {
         if (!settings.versions().contains(header.firstComponent(12))) {
             throw new Hl7Fault(
@@ -182,7 +195,7 @@
         if (value.length() <= maxLength && value.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '%')) {
             return value;
         }
-        Fingerprint fingerprint = Fingerprint.of(0, 0, value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        Fingerprint fingerprint = Fingerprint.ofToken(value);
         return "%"
                 + Base64.getUrlEncoder()
                         .withoutPadding()
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -14,6 +14,7 @@
 import lilaclever.routing.FinalStatus.Kind;
 import lilaclever.routing.Front;
 import lilaclever.routing.Message;
+import lilaclever.routing.MessageClasses;
 import lilaclever.routing.Submission;
 import lilaclever.transport.Transport;
 
@@ -69,10 +70,10 @@
     private long nextIdNumber;
 
     /** Creates a front that does not listen yet. */
-    public MllpFront(Core core, MllpSettings settings) {
+    public MllpFront(Core core, MllpSettings settings, MessageClasses classes) {
         this.core = core;
         this.settings = settings;
-        reader = new Hl7Reader(settings, Core::monotonicMicros, Core::wallMicros);
+        reader = new Hl7Reader(settings, classes, Core::monotonicMicros, Core::wallMicros);
         replies = new Replies(new Acknowledgements(runId + '-'), settings.keyField());
         connections = new MllpConnections(this, core);
         finalAnswers = new FinalAnswers(core, settings, connections, replies);
--- a/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSettings.java
@@ -11,10 +11,9 @@
  * @param listeners the addresses where clients connect
  * @param practices the practice of each sender, by MSH-3 or MSH-3|MSH-4
  * @param anySender whether an unknown sender counts as a practice of its own; otherwise it is rejected
- * @param events the message class of each event, by MSH-9.1 or MSH-9.1^MSH-9.2
- * @param unknownEventClass the class, without repeats, of messages with other events; -1 rejects them
+ * @param events the name of the message class of each event, by MSH-9.1 or MSH-9.1^MSH-9.2
+ * @param acceptsUnknownEvents whether messages with other events are accepted, in a class without repeats
  * @param destinations the destination of each receiver, by MSH-5 or MSH-5|MSH-6
- * @param budgetsMicros how long a message of each class may take to deliver
  * @param keyField the field that identifies a message within its practice
  * @param deadlineField the field with the delivery deadline, or null
  * @param processingIds the accepted processing ids (MSH-11)
@@ -27,10 +26,9 @@
         List<Listener> listeners,
         Map<String, String> practices,
         boolean anySender,
-        Map<String, Integer> events,
-        int unknownEventClass,
+        Map<String, String> events,
+        boolean acceptsUnknownEvents,
         Map<String, Integer> destinations,
-        List<Long> budgetsMicros,
         Field keyField,
         Field deadlineField,
         Set<String> processingIds,
--- a/src/main/java/lilaclever/protocol/mllp/Request.java
+++ b/src/main/java/lilaclever/protocol/mllp/Request.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import lilaclever.identity.Identity;
+import lilaclever.routing.ClassVersion;
 
 /**
  * One message as submitted by a client.
@@ -15,7 +16,7 @@
         byte[] body,
         String practice,
         String key,
-        int messageClass,
+        ClassVersion messageClass,
         int destination,
         long budgetMicros,
         long arrivedMicros) {
--- a/src/main/java/lilaclever/routing/DeduplicationTable.java
+++ b/src/main/java/lilaclever/routing/DeduplicationTable.java
@@ -27,11 +27,13 @@
 
     private final Journal journal;
     private final Counters counters;
+    private final IdempotencyWindows windows;
     private final DuplicateDetector<Message, FinalStatus> detector;
 
     DeduplicationTable(IdempotencyWindows windows, Journal journal, Counters counters) {
         this.journal = journal;
         this.counters = counters;
+        this.windows = windows;
         detector = new DuplicateDetector<>(windows, new CompletedMessageStore<>() {
             @Override
             public CompletedMessage<FinalStatus> find(String identity) {
@@ -85,12 +87,11 @@
     void recordCompleted(Message message, FinalStatus finalStatus, long wallMicros) {
         if (message.submission.identity() != null
                 && (finalStatus.kind() == Kind.DELIVERED || finalStatus.kind() == Kind.FAILED)) {
+            ClassVersion messageClass = message.submission.messageClass();
+            long windowMicros = windows.windowMicros(
+                    message.submission.identity(), messageClass.name(), messageClass.isUnsafeToRepeat());
             detector.addCompleted(
-                    message.submission.identity(),
-                    message.fingerprint(),
-                    message.submission.messageClass(),
-                    finalStatus,
-                    wallMicros);
+                    message.submission.identity(), message.fingerprint(), windowMicros, finalStatus, wallMicros);
         }
     }
 
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -59,7 +59,7 @@
     /** The fingerprint of its content where duplicates are compared by content, else null. */
     Fingerprint fingerprint() {
         if (fingerprint == null && Identity.isShared(submission.identity())) {
-            fingerprint = Fingerprint.of(submission.messageClass(), submission.destination(), submission.body());
+            fingerprint = Fingerprint.of(submission.messageClass().name(), submission.destination(), submission.body());
         }
         return fingerprint;
     }
@@ -119,7 +119,7 @@
                 : null;
         return new DecisionModule.Event.Submit(
                 id(),
-                submission.messageClass(),
+                submission.messageClass().number(),
                 submission.destination(),
                 0,
                 null,
--- a/src/main/java/lilaclever/routing/PendingMessage.java
+++ b/src/main/java/lilaclever/routing/PendingMessage.java
@@ -10,7 +10,7 @@
     public record Submitter(String front, String id) {}
 
     private final String front;
-    private final Submission submission;
+    private Submission submission;
     private final long deadlineWallMicros;
     private int attempts;
     private boolean isInFlight;
@@ -23,6 +23,7 @@
     private long uncertainSentWallMicros;
     private FinalStatus finalStatus;
     private List<Submitter> attachedSubmitters = List.of();
+    private int unrecordedClassBytes;
 
     /** A message that was just accepted; the deadline is on the wall clock, microseconds. */
     public PendingMessage(String front, Submission submission, long deadlineWallMicros) {
@@ -41,6 +42,21 @@
         return submission;
     }
 
+    /** Sets the version of its class, with the number that it has in this process. */
+    public void assignClass(ClassVersion version) {
+        submission = submission.withClass(version);
+    }
+
+    /** Notes the size of a class that the message's record does not hold, and a further record will. */
+    public void addUnrecordedClass(int bytes) {
+        unrecordedClassBytes = bytes;
+    }
+
+    /** How many bytes its class adds to the record that it has. */
+    public int unrecordedClassBytes() {
+        return unrecordedClassBytes;
+    }
+
     /** The deadline on the wall clock, microseconds. */
     public long deadlineWallMicros() {
         return deadlineWallMicros;
--- a/src/main/java/lilaclever/simulation/virtual/VirtualForwarder.java
+++ b/src/main/java/lilaclever/simulation/virtual/VirtualForwarder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import lilaclever.DecisionModule;
@@ -116,7 +117,7 @@
                 seed * 31 + processRun,
                 journal,
                 counters,
-                new IdempotencyWindows(List.of(), 3_600_000_000L, 100_000),
+                new IdempotencyWindows(Map.of(), 3_600_000_000L, 100_000),
                 this);
         deliverer = new VirtualDeliverer(world, number, settings, core, retryAfterTable);
         core.add(this);
--- a/src/test/java/lilaclever/identity/DuplicateDetectorTest.java
+++ b/src/test/java/lilaclever/identity/DuplicateDetectorTest.java
@@ -19,7 +19,8 @@
 
 /** Duplicate detection, by its rules and by random sequences against a simple model. */
 class DuplicateDetectorTest {
-    private static final Fingerprint A = Fingerprint.of(0, 7, new byte[] {1}), B = Fingerprint.of(0, 7, new byte[] {2});
+    private static final Fingerprint A = Fingerprint.of("order", 7, new byte[] {1}),
+            B = Fingerprint.of("order", 7, new byte[] {2});
     private static final String ONE = new Identity("north", "k1").text(), TWO = new Identity("south", "k1").text();
 
     private static final class MapStore implements CompletedMessageStore<String> {
@@ -49,9 +50,31 @@
         }
     }
 
+    private static final IdempotencyWindows WINDOWS =
+            new IdempotencyWindows(Map.of("class0", 100L, "class1", 10L), 50, 3);
+
     private final MapStore store = new MapStore();
-    private final DuplicateDetector<String, String> detector =
-            new DuplicateDetector<>(new IdempotencyWindows(List.of(100L, 10L), 50, 3), store);
+    private final DuplicateDetector<String, String> detector = new DuplicateDetector<>(WINDOWS, store);
+
+    /** Completes a message; the windows are 100 for class 0 and 10 for class 1. */
+    private static void complete(
+            DuplicateDetector<String, String> detector,
+            String identity,
+            Fingerprint fingerprint,
+            int messageClass,
+            String result,
+            long nowMicros) {
+        long windowMicros = WINDOWS.windowMicros(identity, "class" + messageClass, false);
+        detector.addCompleted(identity, fingerprint, windowMicros, result, nowMicros);
+    }
+
+    /** Guards against payments being forgotten after an hour because their class came with a reload. */
+    @Test
+    void classWithoutAWindowHasTheDefaultOfItsKind() {
+        assertEquals(24 * 3_600_000_000L, WINDOWS.windowMicros(ONE, "payment", true));
+        assertEquals(3_600_000_000L, WINDOWS.windowMicros(ONE, "status", false));
+        assertEquals(50, WINDOWS.windowMicros("<1@x> a@b", "payment", true));
+    }
 
     @Test
     void messageIsNewThenPendingThenCompleted() {
@@ -60,7 +83,7 @@
         assertEquals(new DuplicateCheckResult.PendingDuplicate<>("m"), detector.check(ONE, A, 0));
         detector.removePending(ONE, "m");
         assertEquals(new DuplicateCheckResult.NewMessage<>(), detector.check(ONE, A, 0)); // as after a refusal
-        detector.addCompleted(ONE, A, 0, "delivered", 5);
+        complete(detector, ONE, A, 0, "delivered", 5);
         assertEquals(new DuplicateCheckResult.CompletedDuplicate<>("delivered"), detector.check(ONE, A, 104));
         assertEquals(new DuplicateCheckResult.NewMessage<>(), detector.check(ONE, A, 105));
     }
@@ -78,7 +101,7 @@
         detector.addPending(ONE, A, "m");
         assertEquals(new DuplicateCheckResult.Conflict<>(true), detector.check(ONE, B, 0));
         detector.removePending(ONE, "m");
-        detector.addCompleted(ONE, A, 1, "delivered", 0);
+        complete(detector, ONE, A, 1, "delivered", 0);
         assertEquals(new DuplicateCheckResult.Conflict<>(false), detector.check(ONE, B, 9));
         assertEquals(new DuplicateCheckResult.NewMessage<>(), detector.check(ONE, B, 10));
     }
@@ -86,7 +109,7 @@
     /** Mails have no fingerprint, nor have results remembered in the first journal format. */
     @Test
     void messageWithoutFingerprintNeverConflicts() {
-        detector.addCompleted("<1@x> a@b", null, 1, "delivered", 0);
+        complete(detector, "<1@x> a@b", null, 1, "delivered", 0);
         assertEquals(new DuplicateCheckResult.CompletedDuplicate<>("delivered"), detector.check("<1@x> a@b", null, 49));
         assertEquals(new DuplicateCheckResult.CompletedDuplicate<>("delivered"), detector.check("<1@x> a@b", A, 49));
         assertEquals(new DuplicateCheckResult.NewMessage<>(), detector.check("<1@x> a@b", null, 50));
@@ -95,14 +118,14 @@
     /** When the capacity is reached, the result that expires first is removed. */
     @Test
     void soonestExpiringIsEvictedWhenFull() {
-        detector.addCompleted("a", null, 0, "1", 0);
-        detector.addCompleted(ONE, A, 0, "2", 0);
-        detector.addCompleted(TWO, A, 1, "3", 0);
-        detector.addCompleted("b", null, 0, "4", 0);
+        complete(detector, "a", null, 0, "1", 0);
+        complete(detector, ONE, A, 0, "2", 0);
+        complete(detector, TWO, A, 1, "3", 0);
+        complete(detector, "b", null, 0, "4", 0);
         assertEquals(3, store.size());
         assertEquals(1, detector.removedEarly());
         assertFalse(store.all.containsKey(TWO)); // the window of its class is the shortest
-        detector.addCompleted("b", null, 0, "5", 1);
+        complete(detector, "b", null, 0, "5", 1);
         assertEquals(1, detector.removedEarly()); // replacing a result needs no further capacity
     }
 
@@ -140,8 +163,7 @@
     @Property(tries = 500, seed = "-1")
     void agreesWithASimpleModel(@ForAll("steps") List<Step> steps) {
         MapStore store = new MapStore();
-        DuplicateDetector<String, String> detector =
-                new DuplicateDetector<>(new IdempotencyWindows(List.of(100L, 10L), 50, 3), store);
+        DuplicateDetector<String, String> detector = new DuplicateDetector<>(WINDOWS, store);
         Map<String, Fingerprint> pending = new HashMap<>();
         long nowMicros = 0;
         for (Step step : steps) {
@@ -171,8 +193,13 @@
                 case 1 -> {
                     detector.removePending(id, id);
                     if (pending.containsKey(id)) {
-                        detector.addCompleted(
-                                id, pending.remove(id), step.messageClass(), "end at " + nowMicros, nowMicros);
+                        complete(
+                                detector,
+                                id,
+                                pending.remove(id),
+                                step.messageClass(),
+                                "end at " + nowMicros,
+                                nowMicros);
                         assertEquals(
                                 nowMicros + (step.messageClass() == 0 ? 100 : 10),
                                 store.all.get(id).untilWallMicros());
--- a/src/test/java/lilaclever/journal/RandomRun.java
+++ b/src/test/java/lilaclever/journal/RandomRun.java
@@ -8,8 +8,12 @@
 import java.util.TreeMap;
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
+import lilaclever.DecisionModule.KeyScope;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.RepeatSafety;
 import lilaclever.identity.CompletedMessage;
 import lilaclever.identity.Fingerprint;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -91,13 +95,25 @@
         }
     }
 
+    /** A class as records hold it; of class 0 only the number is known, as in earlier formats. */
+    private static ClassVersion messageClass(int number) {
+        if (number == 0) {
+            return ClassVersion.ofNumber(number);
+        }
+        RepeatSafety repeat = number == 1 ? RepeatSafety.SAFE : RepeatSafety.UNSAFE;
+        return new ClassVersion(
+                ClassVersion.UNRESOLVED,
+                "class-\u00e9" + number,
+                new MessageClass(number, 20, 0.5, repeat, KeyScope.ZONE, 3, true, 0.25, true));
+    }
+
     private void accept(int maxBodyBytes) {
         byte[] body = new byte[random.applyAsInt(20) == 0 ? maxBodyBytes : random.applyAsInt(80)];
         new java.util.Random(nextNumber).nextBytes(body);
         Submission submission = new Submission(
                 "m" + nextNumber,
                 nextNumber % 3 == 0 ? "identity-" + nextNumber : null,
-                nextNumber % 3,
+                messageClass(nextNumber % 3),
                 7,
                 nextNumber % 2 == 0 ? "key\u00e9" : null,
                 body,
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -16,6 +16,10 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.zip.CRC32;
+import lilaclever.DecisionModule.KeyScope;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.RepeatSafety;
+import lilaclever.routing.ClassVersion;
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
@@ -75,7 +79,7 @@
                         "http key 7 2 10",
                         message.front() + " " + message.submission().key() + " "
                                 + message.submission().destination() + " "
-                                + message.submission().messageClass() + " "
+                                + message.submission().messageClass().number() + " "
                                 + message.submission().body().length);
             }
         }
@@ -367,6 +371,8 @@
             assertTrue(pending(journal, "s").isInFlight()
                     && pending(journal, "s").attempts() == 2
                     && pending(journal, "s").attachedSubmitters().isEmpty());
+            assertEquals(
+                    ClassVersion.ofNumber(1), pending(journal, "s").submission().messageClass());
             assertTrue(journal.recordAttached("s", "mllp", "x"));
         }
         try (SegmentedJournal journal = open()) {
@@ -376,6 +382,36 @@
         }
     }
 
+    /**
+     * Guards against a message of an earlier format whose class is known only at the start: once copied, it has its
+     * class whatever the next start reads.
+     */
+    @Test
+    void resolvedClassIsKeptInTheCopyOfAMessageOfVersionTwo() throws IOException {
+        disk.putFile(Segment.fileName(1), EarlierFormat.segment("held", 2, 99, true));
+        ClassVersion payment =
+                new ClassVersion(4, "payment", new MessageClass(1, 2, 3, RepeatSafety.UNSAFE, KeyScope.ALL, 5, false));
+        try (SegmentedJournal journal = open()) {
+            journal.resolveClasses(stored -> stored.equals(ClassVersion.ofNumber(2)) ? payment : null);
+            journal.compactAll();
+        }
+        try (SegmentedJournal journal = open()) {
+            assertEquals(
+                    new ClassVersion(ClassVersion.UNRESOLVED, "payment", payment.definition()),
+                    pending(journal, "held").submission().messageClass());
+            assertTrue(pending(journal, "held").isInFlight());
+        }
+    }
+
+    /** Guards against a repeat that is rejected as other content because fingerprints were of a class's number. */
+    @Test
+    void fingerprintOfVersionTwoIsNotCompared() throws IOException {
+        disk.putFile(Segment.fileName(1), EarlierFormat.segment("held", 2, 99, true));
+        try (SegmentedJournal journal = open()) {
+            assertNull(journal.remembered(EarlierFormat.REMEMBERED_IDENTITY).fingerprint());
+        }
+    }
+
     /**
      * Repeat windows differ: guards against an expired result being kept, and reported, because an older one has not
      * expired.
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.SocketException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -196,6 +197,30 @@
         }
     }
 
+    /** Guards against a front that keeps the classes of its start: a mail ran twice after its class was tightened. */
+    @Test
+    void tightenedClassHoldsForLaterMails() throws Exception {
+        AtomicInteger deliveries = new AtomicInteger();
+        try (Peer server = server(r -> "250 good", text -> {
+            deliveries.incrementAndGet();
+            return null;
+        })) {
+            serve(route("a.test", 0, "lmtp", server.address()));
+            Path file = Files.writeString(
+                    state.resolve("config.json"),
+                    ForwarderSetup.configText(platform.address(), state, null, 3)
+                            .replace("read_like", "non_idempotent"));
+            forwarder.reload(Map.of("ROUTER_CONFIG", file.toString()));
+            try (Wire client = Wire.connect(lmtp)) {
+                greet(client, "LHLO");
+                String content = payment("once").replace("X-Message-Class: payment", "X-Message-Class: status");
+                String reply = send(client, "a@b.test", content, "till@a.test").get(0);
+                assertTrue(reply.startsWith("554 5.4.0"), reply);
+                assertEquals(1, deliveries.get());
+            }
+        }
+    }
+
     /** The reply to the recipient comes again after the content, and was taken for the content's own, a refusal. */
     @Test
     void mailIsNotLostWhenTheReplyToItsRecipientIsRepeated() throws Exception {
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -95,12 +96,14 @@
         serve(conf, 3);
     }
 
+    /** One message per call, so that the endpoint answers each separately. */
+    private String configText(double diskMb) {
+        return ForwarderSetup.configText(platform.address(), state, endpoint.address(), diskMb)
+                .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]");
+    }
+
     private void serve(String conf, double diskMb) throws Exception {
-        // One message per call, so that the endpoint answers each separately.
-        Config config = Config.parse(
-                ForwarderSetup.configText(platform.address(), state, endpoint.address(), diskMb)
-                        .replace("\"kindBatch\": [20]", "\"kindBatch\": [1]"),
-                java.util.Map.of());
+        Config config = Config.parse(configText(diskMb), java.util.Map.of());
         forwarder = Forwarder.start(
                 config, OperatorSettings.of(ConfFile.parse("f", conf.lines().toList()), config), null);
         http = forwarder.addresses().get(0);
@@ -169,6 +172,38 @@
         assertEquals(value, counter(name), name);
     }
 
+    // Reloads
+
+    /** Guards against a front that keeps the classes of its start: an order ran twice after its class was tightened. */
+    @Test
+    void tightenedClassHoldsForLaterMessages() throws Exception {
+        Path file = Files.writeString(
+                state.resolve("config.json"), configText(3).replace("idempotency_key", "non_idempotent"));
+        forwarder.reload(Map.of("ROUTER_CONFIG", file.toString()));
+        try (Wire client = Wire.connect(mllp)) {
+            assertEquals("CA R1", sendAndReadAck(client, order("R1")));
+            nextCall();
+            endpointAnswers.add("drop");
+            assertEquals("AE R1", readAck(client));
+            assertTrue(calls.isEmpty(), "it may have run");
+        }
+    }
+
+    /** Guards against a removed class that HL7 clients still submit: the events count as unknown, without repeats. */
+    @Test
+    void removedClassCountsAsUnknown() throws Exception {
+        String withoutOrders = configText(3).replaceAll("\\{\"name\": \"order\"[^}]*\\},", "");
+        Path file = Files.writeString(state.resolve("config.json"), withoutOrders);
+        forwarder.reload(Map.of("ROUTER_CONFIG", file.toString()));
+        try (Wire client = Wire.connect(mllp)) {
+            assertEquals("CA R1", sendAndReadAck(client, order("R1")));
+            nextCall();
+            endpointAnswers.add("drop");
+            assertEquals("AE R1", readAck(client));
+            assertTrue(calls.isEmpty(), "it may have run");
+        }
+    }
+
     // Acknowledgement modes
     @Test
     void enhancedModeAcknowledgesAcceptanceAndFinalStatus() throws Exception {
--- a/src/test/java/lilaclever/program/SettingsReloadTest.java
+++ b/src/test/java/lilaclever/program/SettingsReloadTest.java
@@ -34,12 +34,17 @@
     private static final String RUSH =
             "{\"name\": \"rush\", \"aimS\": 0.1, \"deadlineS\": 28, \"repeat\": \"read_like\"}";
 
+    private static final int HELD = 0;
+
     @TempDir
     private Path state;
 
     private final LinkedBlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    /** The status of the next answers; {@link #HELD}: each call waits for one of {@link #heldAnswers}. */
     private final AtomicInteger status = new AtomicInteger(200);
+
+    private final LinkedBlockingQueue<Integer> heldAnswers = new LinkedBlockingQueue<>();
     private Map<String, String> variables;
     private Peer platform, endpoint;
     private Forwarder forwarder;
@@ -51,7 +56,8 @@
         endpoint = new Peer(wire -> {
             for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
                 calls.add(r.headers().get("req-id"));
-                wire.writeResponse(status.get() + " as told", "");
+                int answer = status.get() == HELD ? heldAnswers.take() : status.get();
+                wire.writeResponse(answer + " as told", "");
             }
         });
         variables = Map.of("ROUTER_CONFIG", state.resolve("config.json").toString());
@@ -120,14 +126,16 @@
      */
     @Test
     void pendingMessageKeepsTheOldClassSettings() throws Exception {
-        serveAndAttempt(500, "old", "status");
+        serveAndAttempt(HELD, "old", "status");
         reload(configText().replace("\"repeat\": \"read_like\"", "\"repeat\": \"non_idempotent\""));
+        heldAnswers.add(500);
         assertEquals("old", Peer.take(calls), "it is retried");
-        status.set(200);
-        assertEquals("old", Peer.take(calls));
-        status.set(500);
+        heldAnswers.add(500);
+        assertEquals("old", Peer.take(calls), "it is retried");
+        heldAnswers.add(200);
         assertEquals("202", submit(address, "new", "status"));
         assertEquals("new", Peer.take(calls));
+        heldAnswers.add(500);
         assertEquals("{\"id\":\"new\",\"status\":\"undeliverable\"}", Peer.take(notices), "it may have run");
     }
 
@@ -190,27 +198,16 @@
         }
     }
 
+    /** Guards against a forwarder that takes reloads no longer after some time: equal classes need no new number. */
     @Test
-    void tooManyClassesAreRejected() throws Exception {
-        Config config = Config.parse(configText(), Map.of());
-        ClassTable table = config.classTable();
-        for (int i = 0; i < 62; i++) {
-            table = table.withCurrentClasses(
-                            table.names().subList(0, 0), table.classes().subList(0, 0))
-                    .withCurrentClasses(
-                            config.classNames().subList(0, 2),
-                            config.settings().classes().subList(0, 2));
+    void alternatingReloadsAreNeverRefused() throws Exception {
+        serve(configText());
+        for (int i = 0; i < 70; i++) {
+            reload(configText().replace(PAYMENT, RUSH));
+            reload(configText());
         }
-        ClassTable full = table;
-        assertEquals(127, full.names().size());
-        assertTrue(assertThrows(
-                        ConfigurationException.class,
-                        () -> full.withCurrentClasses(
-                                config.classNames(),
-                                config.settings().classes().stream()
-                                        .map(c -> config.settings().classes().get(0))
-                                        .toList()))
-                .getMessage()
-                .contains("128"));
+        assertEquals("202", submit(address, "a", "payment"));
+        reload(configText().replace(PAYMENT, RUSH));
+        assertEquals("202", submit(address, "b", "rush"));
     }
 }
--- a/src/test/java/lilaclever/protocol/http/DirectoryClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/DirectoryClientTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -107,7 +108,7 @@
                 1,
                 journal,
                 new Counters(),
-                new IdempotencyWindows(List.of(), 0, 1),
+                new IdempotencyWindows(Map.of(), 0, 1),
                 clock);
         core.runFirstTurn(List.of(), 0);
         transport = new Transport();
--- a/src/test/java/lilaclever/protocol/http/HttpFrontTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpFrontTest.java
@@ -6,10 +6,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.Map;
 import lilaclever.identity.IdempotencyWindows;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters;
 import lilaclever.routing.Journal;
+import lilaclever.routing.MessageClasses;
 import lilaclever.simhost.SettingsReader;
 import lilaclever.simulation.sockets.StandInConnection;
 import org.junit.jupiter.api.Test;
@@ -36,8 +38,9 @@
     void aMessageThatFailsToBeAcceptedGetsAnErrorResponse() throws Exception {
         var settings = SettingsReader.read(SETTINGS, 0);
         Core faulty = new Core(
-                settings, 1, failingJournal(), new Counters(), new IdempotencyWindows(List.of(), 60_000_000, 1));
-        HttpFront front = new HttpFront(faulty, List.of("status"), settings.classes(), 10, 10, null, "x-practice");
+                settings, 1, failingJournal(), new Counters(), new IdempotencyWindows(Map.of(), 60_000_000, 1));
+        HttpFront front = new HttpFront(
+                faulty, new MessageClasses(List.of("status"), settings.classes()), 10, 10, null, "x-practice");
         faulty.add(front);
         faulty.start(List.of(), 0);
         try {
--- a/src/test/java/lilaclever/protocol/http/TwoThreadFixture.java
+++ b/src/test/java/lilaclever/protocol/http/TwoThreadFixture.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -56,7 +57,7 @@
                 new JournalClocks(Core::monotonicMicros, Core::wallMicros, BootClock.UNKNOWN),
                 new SplittableRandom(1));
         core = new Core(
-                SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new IdempotencyWindows(List.of(), 0, 1));
+                SettingsReader.read(SETTINGS, 0), 1, journal, new Counters(), new IdempotencyWindows(Map.of(), 0, 1));
         transport = new Transport();
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         server.setSoTimeout(20_000);
--- a/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/Hl7ReaderTest.java
@@ -10,9 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import lilaclever.DecisionModule.KeyScope;
+import lilaclever.DecisionModule.MessageClass;
+import lilaclever.DecisionModule.RepeatSafety;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
 import lilaclever.routing.FinalStatus;
+import lilaclever.routing.MessageClasses;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -28,15 +32,24 @@
     private static final String GOOD = "MSH|^~\\&|APP|FAC|LAB|LF|20260101120000||ORM^O01|M1|P|2.5|||AL|AL|CAN|8859/1\r"
             + "PID|1||77\rORC|NW|ORD\\F\\1\rZLC|12.5\r";
 
+    private static MessageClass messageClass(long deadlineMicros, RepeatSafety repeat) {
+        return new MessageClass(1, deadlineMicros, 1, repeat, KeyScope.ALL, 5, false);
+    }
+
     private static Hl7Reader reader(String key, boolean anySender) {
+        MessageClasses classes = new MessageClasses(
+                List.of("order", "status", "payment"),
+                List.of(
+                        messageClass(20, RepeatSafety.KEYED),
+                        messageClass(6, RepeatSafety.SAFE),
+                        messageClass(28, RepeatSafety.UNSAFE)));
         MllpSettings settings = new MllpSettings(
                 List.of(),
                 Map.of("APP", "north", "APP|OTHER", "south"),
                 anySender,
-                Map.of("ORM^O01", 0, "DFT", 2),
-                2,
+                Map.of("ORM^O01", "order", "DFT", "payment"),
+                true,
                 Map.of("LAB", 7),
-                List.of(20L, 6L, 28L),
                 Field.parse(key),
                 Field.parse("ZLC-1"),
                 Set.of("P"),
@@ -44,7 +57,7 @@
                 10,
                 1,
                 1);
-        return new Hl7Reader(settings, () -> 5, () -> 1_000_000);
+        return new Hl7Reader(settings, classes, () -> 5, () -> 1_000_000);
     }
 
     private static byte[] bytes(String text) {
@@ -63,7 +76,7 @@
                 List.of(
                         r.practice(),
                         r.key(),
-                        r.messageClass(),
+                        r.messageClass().number(),
                         r.destination(),
                         r.budgetMicros(),
                         r.identity(),
@@ -71,8 +84,16 @@
         assertArrayEquals(bytes(GOOD), r.body());
         assertEquals("south", read(GOOD.replace("FAC", "OTHER"), "MSH-10").practice());
         assertEquals("ORD|1", read(GOOD, "ORC-2").key());
-        assertEquals(2, read(GOOD.replace("ORM^O01", "DFT^P03"), "MSH-10").messageClass());
-        assertEquals(2, read(GOOD.replace("ORM^O01", "ZZZ^Z99"), "MSH-10").messageClass()); // class without repeats
+        assertEquals(
+                2,
+                read(GOOD.replace("ORM^O01", "DFT^P03"), "MSH-10")
+                        .messageClass()
+                        .number());
+        assertEquals(
+                2,
+                read(GOOD.replace("ORM^O01", "ZZZ^Z99"), "MSH-10")
+                        .messageClass()
+                        .number()); // class without repeats
         assertEquals(20, read(GOOD.replace("ZLC|12.5", "ZLC|"), "MSH-10").budgetMicros());
         assertEquals(
                 4_000_000,
--- a/src/test/java/lilaclever/routing/UnsentCallsTest.java
+++ b/src/test/java/lilaclever/routing/UnsentCallsTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
@@ -186,7 +187,7 @@
     private final FrontWithoutClients front = new FrontWithoutClients();
 
     private Core core(Journal journal, Counters counters) {
-        IdempotencyWindows windows = new IdempotencyWindows(List.of(), SECOND_MICROS, 1);
+        IdempotencyWindows windows = new IdempotencyWindows(Map.of(), SECOND_MICROS, 1);
         Core core = new Core(settings(), 7, journal, counters, windows, new VirtualClock());
         core.add(front);
         core.runFirstTurn(List.of(listed("e1", Presence.ACTIVE)), 1);
--- a/src/test/java/lilaclever/scale/SocketlessForwarder.java
+++ b/src/test/java/lilaclever/scale/SocketlessForwarder.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.stream.IntStream;
@@ -70,7 +71,7 @@
                 SEED,
                 journal,
                 counters,
-                new IdempotencyWindows(List.of(), SECOND_MICROS, 1),
+                new IdempotencyWindows(Map.of(), SECOND_MICROS, 1),
                 this);
         core.add(this);
         core.runFirstTurn(listedEndpoints(destinations), 1);
