Read an HL7 client no faster than its messages are handled, and bound a turn's tasks

Cause: MllpSession.onMessage posted a task for each message it had read and went on reading; in-flight was compared in the task. A turn ran all that was queued when it began before it looked at deadlines and decisions (Core.processTurn).

Change: PacedInput reads a socket only while less than its share is read and not handled (in-flight messages or 64 KiB of a session, 128 or 1 MiB of all, InputBudget); those that wait for the others' share go on in turn. Of a message over in-flight only the header is read. A turn gives tasks 20 ms, then deadlines and decisions come. entries_mllp_unhandled shows what waits.

--- a/src/main/java/lilaclever/protocol/mllp/FrameReader.java
+++ b/src/main/java/lilaclever/protocol/mllp/FrameReader.java
@@ -1,8 +1,6 @@
 package lilaclever.protocol.mllp;
 
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
 
 /**
  * Reads the frames of MLLP (Minimal Lower Layer Protocol, release 1): VT, the message, FS, CR. Input may be fragmented
@@ -33,32 +31,47 @@
     private State state = State.BETWEEN_FRAMES;
     private byte[] buffer = {};
     private int size;
+    private byte[] message;
 
     /** Creates a reader that rejects messages of more than {@code maxMessageBytes}. */
     FrameReader(int maxMessageBytes) {
         this.maxMessageBytes = maxMessageBytes;
     }
 
-    /** Reads the next bytes and returns the messages they complete; messages completed before an error are lost. */
-    List<byte[]> read(byte[] bytes) throws MalformedFrameException {
-        List<byte[]> messages = new ArrayList<>(1);
-        for (byte b : bytes) {
+    /**
+     * Reads bytes from an offset up to the end of a message at most, and returns the offset of the next byte to read. A
+     * message that was completed is then returned by {@link #takeMessage}.
+     */
+    int read(byte[] bytes, int from) throws MalformedFrameException {
+        for (int at = from; at < bytes.length; at++) {
             switch (state) {
-                case BETWEEN_FRAMES -> readBetweenFrames(b);
-                case IN_MESSAGE -> readMessageByte(b);
+                case BETWEEN_FRAMES -> readBetweenFrames(bytes[at]);
+                case IN_MESSAGE -> readMessageByte(bytes[at]);
                 default -> {
-                    if (b != CR) {
-                        throw new MalformedFrameException("FS without CR");
-                    }
-                    messages.add(Arrays.copyOf(buffer, size));
-                    state = State.BETWEEN_FRAMES;
-                    size = 0;
-                    // Idle connections should hold little memory.
-                    buffer = buffer.length > INITIAL_BUFFER_BYTES ? new byte[0] : buffer;
+                    completeMessage(bytes[at]);
+                    return at + 1;
                 }
             }
         }
-        return messages;
+        return bytes.length;
+    }
+
+    /** Returns the message that the last read completed, once; null if it completed none. */
+    byte[] takeMessage() {
+        byte[] taken = message;
+        message = null;
+        return taken;
+    }
+
+    private void completeMessage(byte b) throws MalformedFrameException {
+        if (b != CR) {
+            throw new MalformedFrameException("FS without CR");
+        }
+        message = Arrays.copyOf(buffer, size);
+        state = State.BETWEEN_FRAMES;
+        size = 0;
+        // Idle connections should hold little memory.
+        buffer = buffer.length > INITIAL_BUFFER_BYTES ? new byte[0] : buffer;
     }
 
     private void readBetweenFrames(byte b) throws MalformedFrameException {
--- a/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import lilaclever.routing.Core;
+import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -25,6 +26,14 @@
  * loop, except the filter, which runs on the selector thread.
  */
 final class MllpConnections {
+    /**
+     * Limits of what all sessions together have read and the event loop has not handled: some 10 ms of its time, and a
+     * small part of the heap.
+     */
+    private static final int MAX_UNHANDLED_MESSAGES = 128;
+
+    private static final long MAX_UNHANDLED_BYTES = 1 << 20;
+
     private final MllpFront front;
     private final Core core;
     private final Set<MllpSession> sessions = new LinkedHashSet<>();
@@ -35,6 +44,7 @@
     private final Attribute<MllpSession> sessionAttribute =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MllpFront.session");
     private final AtomicLong rejected = new AtomicLong();
+    private final InputBudget inputBudget = new InputBudget(MAX_UNHANDLED_MESSAGES, MAX_UNHANDLED_BYTES);
     private boolean closing;
 
     /** Starts without listeners; messages are passed to {@code front}. */
@@ -76,6 +86,11 @@
         return rejected.get();
     }
 
+    /** The number of messages that have been read and not been handled yet. Any thread. */
+    int unhandledCount() {
+        return inputBudget.pieces();
+    }
+
     private void onOpen(MllpSession session, MllpSettings.Listener listener) {
         sessions.add(session);
         int listenerCount = connectionsByKey.merge(listener.name(), 1, Integer::sum);
@@ -118,7 +133,7 @@
                 connection.closeSilently();
                 return context.getStopAction();
             }
-            MllpSession session = new MllpSession(front, listener, connection, peer.getHostAddress());
+            MllpSession session = new MllpSession(front, listener, connection, peer.getHostAddress(), inputBudget);
             sessionAttribute.set(connection, session);
             core.post(() -> onOpen(session, listener));
             return context.getInvokeAction();
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -79,6 +79,7 @@
         finalAnswers = new FinalAnswers(core, settings, connections, replies);
         core.counters().entryGauge("mllp_connections", connections::count);
         core.counters().entryGauge("mllp_waiting", waiters::size);
+        core.counters().entryGauge("mllp_unhandled", connections::unhandledCount);
         core.counters().entryGauge("mllp_owed", finalAnswers::size);
         core.counters().entryGauge("mllp_practices", pendingByPractice::size);
         core.counters().valueGauge("mllp_owed_given_up", finalAnswers::discardedCount);
@@ -145,11 +146,16 @@
         }
     }
 
-    void handleRequest(MllpSession session, Request request, boolean tooMany) {
+    /** Rejects a message of a session that has too many without an answer. */
+    void rejectExcess(MllpSession session, Header requestHeader) {
+        writeIfPresent(session, replies.notAccepted(requestHeader, busy("too many messages at once")));
+    }
+
+    void handleRequest(MllpSession session, Request request) {
         session.practice = request.practice();
         finalAnswers.withdraw(request.identity());
         finalAnswers.sendPending(session, request.header());
-        if (tooMany || pendingByPractice.getOrDefault(request.practice(), 0) >= settings.maxPendingPerPractice()) {
+        if (pendingByPractice.getOrDefault(request.practice(), 0) >= settings.maxPendingPerPractice()) {
             replyBusy(session, request, "too many messages at once");
         } else if (!core.isKnownDestination(request.destination())) {
             replyBusy(session, request, "no such destination now");
@@ -161,9 +167,11 @@
     /** Rejects a message without submitting it to the core. */
     private void replyBusy(MllpSession session, Request request, String why) {
         session.onAnswered();
-        writeIfPresent(
-                session,
-                replies.notAccepted(request.header(), new FinalStatus(Kind.REFUSED, BUSY_RETRY_AFTER_MICROS, why)));
+        writeIfPresent(session, replies.notAccepted(request.header(), busy(why)));
+    }
+
+    private static FinalStatus busy(String why) {
+        return new FinalStatus(Kind.REFUSED, BUSY_RETRY_AFTER_MICROS, why);
     }
 
     private void submit(MllpSession session, Request request) {
--- a/src/main/java/lilaclever/protocol/mllp/MllpSession.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSession.java
@@ -4,12 +4,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import lilaclever.routing.Core;
+import lilaclever.transport.InputBudget;
+import lilaclever.transport.PacedInput;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 
 /**
  * One client connection. Bytes are read on the selector thread, messages are handled and answered on the event loop;
- * fields used by both are volatile or atomic.
+ * fields used by both are volatile or atomic. No more messages are read than may be in flight until the event loop has
+ * handled some: a client that sends faster than it is served has to wait, and its input takes neither memory nor the
+ * time of others.
  */
 final class MllpSession {
     /** Limit of acknowledgements that the client has not read yet. */
@@ -17,6 +21,9 @@
     /** A connection with more unacceptable messages in a row than this is closed. */
     private static final int MAX_CONSECUTIVE_BAD_MESSAGES = 8;
 
+    /** Limit of the bytes of messages that are read and not handled yet; one message more may exceed it. */
+    private static final long MAX_UNHANDLED_BYTES = 64 * 1024;
+
     private static final long TIMEOUT_CHECK_INTERVAL_MICROS = 500_000;
 
     private final MllpFront front;
@@ -24,6 +31,7 @@
     private final Connection<?> connection;
     final String address;
     private final FrameReader reader;
+    private final PacedInput input;
     private final AtomicLong unreadBytes = new AtomicLong();
     private final AtomicInteger unansweredMessages = new AtomicInteger();
     /** When the partial frame began or, without one, when bytes were last received. */
@@ -32,34 +40,50 @@
     private volatile boolean partialFrame, closed;
     /** Used by the selector thread only. */
     private int consecutiveBadMessages;
+    /** Whether further input is dropped since the connection is about to close; selector thread. */
+    private boolean dropsInput;
     /** The practice of the last request, null before the first one; used by the event loop only. */
     String practice;
 
-    MllpSession(MllpFront front, MllpSettings.Listener listener, Connection<?> connection, String address) {
+    MllpSession(
+            MllpFront front,
+            MllpSettings.Listener listener,
+            Connection<?> connection,
+            String address,
+            InputBudget budget) {
         this.front = front;
         this.listener = listener;
         this.connection = connection;
         this.address = address;
         reader = new FrameReader(listener.maxMessageBytes());
+        input = new PacedInput(connection, budget, listener.maxInFlight(), MAX_UNHANDLED_BYTES, this::parse);
     }
 
     // Selector thread
     void onBytes(byte[] bytes) {
-        if (closed) {
-            return;
+        input.received(bytes);
+    }
+
+    /** Reads one frame at most; returns the offset of the next byte, or the length if the rest is dropped. */
+    private int parse(byte[] bytes, int from) {
+        if (closed || dropsInput) {
+            return bytes.length;
         }
         boolean wasPartial = partialFrame;
         try {
-            for (byte[] frame : reader.read(bytes)) {
-                wasPartial = false;
+            int next = reader.read(bytes, from);
+            byte[] frame = reader.takeMessage();
+            if (frame != null) {
                 onFrame(frame);
             }
             partialFrame = reader.isPartial();
             // The timeout of a frame runs from its first byte.
             sinceMicros = partialFrame && wasPartial ? sinceMicros : Core.monotonicMicros();
+            return next;
         } catch (FrameReader.MalformedFrameException e) {
             front.recordBadClient(address, e.getMessage());
             close();
+            return bytes.length;
         }
     }
 
@@ -76,6 +100,7 @@
         }
         if (consecutiveBadMessages > MAX_CONSECUTIVE_BAD_MESSAGES) {
             front.recordBadClient(address, "too many bad messages in a row");
+            dropsInput = true;
             // The last answer is already posted to the event loop and is written before the close.
             front.core().post(() -> Transport.write(connection, new byte[0], this::close, this::close));
         }
@@ -88,17 +113,34 @@
                 throw batchFault;
             }
             header = Header.read(message);
+            if (unansweredMessages.get() >= listener.maxInFlight()) {
+                Header requestHeader = header; // nothing else is read of a message that is turned away
+                post(message.length, () -> front.rejectExcess(this, requestHeader));
+                return;
+            }
             Request request = front.reader().read(header, message);
             consecutiveBadMessages = 0;
-            boolean tooMany = unansweredMessages.incrementAndGet() > listener.maxInFlight();
-            front.core().post(() -> front.handleRequest(this, request, tooMany));
+            unansweredMessages.incrementAndGet();
+            post(message.length, () -> front.handleRequest(this, request));
         } catch (Hl7Fault e) {
             consecutiveBadMessages++;
             Header requestHeader = header;
-            front.core().post(() -> front.rejectUnreadable(this, requestHeader, e));
+            post(message.length, () -> front.rejectUnreadable(this, requestHeader, e));
         }
     }
 
+    /** Passes a message on to the event loop, where it counts as handled once the task has run. */
+    private void post(int messageBytes, Runnable task) {
+        input.begin(messageBytes);
+        front.core().post(() -> {
+            try {
+                task.run();
+            } finally {
+                input.handled(messageBytes);
+            }
+        });
+    }
+
     // Any thread
     MllpSettings.Listener listener() {
         return listener;
@@ -156,6 +198,9 @@
             return;
         }
         long nowMicros = Core.monotonicMicros();
+        if (input.isPaused()) {
+            sinceMicros = nowMicros; // the rest of a frame may wait in the socket
+        }
         if (partialFrame && nowMicros - sinceMicros >= listener.frameTimeoutMicros()) {
             front.recordBadClient(address, "frame not completed in time");
             close();
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -30,6 +30,12 @@
     private static final long REJECTED_RETRY_AFTER_MICROS = 1_000_000;
 
     private static final long MAX_SLEEP_MICROS = 1_000_000;
+    /**
+     * Time for queued tasks in one turn, after which deadlines and decisions come first: far below the 100 ms within
+     * which a received response has to take effect.
+     */
+    private static final long MAX_TASKS_MICROS = 20_000;
+
     private static final long DESTINATION_RETENTION_MICROS = 60_000_000;
     /** A final status later than this after a message's deadline breaks an invariant. */
     private static final long DEADLINE_TOLERANCE_MICROS = 250_000;
@@ -109,6 +115,7 @@
         this.counters = counters;
         this.answers = new AnswerOutcomes(this, journal);
         this.deduplication = new DeduplicationTable(windows, journal, counters);
+        counters.entryGauge("tasks", tasks::size);
         counters.entryGauge("held", pendingMessages::size);
         counters.entryGauge("endpoints", endpoints::size);
         counters.entryGauge("destinations", destinationsLastListed::size);
@@ -574,9 +581,7 @@
 
     private void processTurn() {
         counters.add(Name.TURNS);
-        for (int n = tasks.size(); n > 0; n--) {
-            run(tasks.poll());
-        }
+        runTasks();
         run(() -> deadlines.runDue(nowMicros));
         if (!events.isEmpty()) {
             List<Event> batch = events;
@@ -587,6 +592,17 @@
         run(() -> journal.maintain(clock.wallMicros()));
     }
 
+    /** Runs the tasks that are queued now, as far as there is time; the others run in the next turn. */
+    private void runTasks() {
+        long untilMicros = clock.monotonicMicros() + MAX_TASKS_MICROS;
+        for (int n = tasks.size(); n > 0; n--) {
+            run(tasks.poll());
+            if (clock.monotonicMicros() >= untilMicros) {
+                return;
+            }
+        }
+    }
+
     private void execute(List<Action> actions) {
         acceptNewMessages(actions);
         Map<String, Call> starting = new LinkedHashMap<>();
--- a/src/test/java/lilaclever/protocol/mllp/FrameReaderTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/FrameReaderTest.java
@@ -25,11 +25,23 @@
         return text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
     }
 
+    private static List<byte[]> readAll(FrameReader reader, byte[] input) throws MalformedFrameException {
+        List<byte[]> messages = new ArrayList<>();
+        for (int at = 0; at < input.length; ) {
+            at = reader.read(input, at);
+            byte[] message = reader.takeMessage();
+            if (message != null) {
+                messages.add(message);
+            }
+        }
+        return messages;
+    }
+
     /** Guards against reading on after malformed input, where another message could be smuggled in. */
     @ParameterizedTest
     @ValueSource(strings = {"MSH", "\u000bMSH\u000b", "\u000bMSH\u001cX", "\u000b0123456789", "\u000bA\u001c\rnoise"})
     void malformedInputIsRejected(String text) {
-        assertThrows(MalformedFrameException.class, () -> new FrameReader(8).read(bytes(text)));
+        assertThrows(MalformedFrameException.class, () -> readAll(new FrameReader(8), bytes(text)));
     }
 
     @Provide
@@ -57,7 +69,7 @@
         int at = 0;
         for (int i = 0; at < wire.length; i++) {
             int to = Math.min(wire.length, at + (cuts.isEmpty() ? wire.length : cuts.get(i % cuts.size())));
-            read.addAll(reader.read(Arrays.copyOfRange(wire, at, to)));
+            read.addAll(readAll(reader, Arrays.copyOfRange(wire, at, to)));
             at = to;
         }
         assertEquals(messages.size(), read.size());
@@ -77,7 +89,7 @@
     @ValueSource(strings = {"\u000b", "\u000bMSH", "\u000bMSH\u001c"})
     void partialFrameIsReported(String text) throws MalformedFrameException {
         FrameReader reader = new FrameReader(8);
-        assertTrue(reader.read(bytes(text)).isEmpty());
+        assertTrue(readAll(reader, bytes(text)).isEmpty());
         assertTrue(reader.isPartial());
     }
 }
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
@@ -0,0 +1,224 @@
+package lilaclever.protocol.mllp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.protocol.mllp.MllpSettings.Field;
+import lilaclever.routing.Clock;
+import lilaclever.routing.Core;
+import lilaclever.routing.MessageClasses;
+import lilaclever.routing.TestCore;
+import lilaclever.simulation.sockets.StandInConnection;
+import lilaclever.transport.AddressSet;
+import lilaclever.transport.Transport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What clients of the HL7 port can queue for the event loop, which the tests block meanwhile. */
+class MllpInputTest {
+    private static final int MAX_IN_FLIGHT = 16, MAX_CONNECTIONS = 100;
+    /** All sessions together: the event loop needs some 0.1 ms for each, so their time stays far below 100 ms. */
+    private static final int MAX_UNHANDLED = 200;
+    /** Tasks of the connections themselves, of timers and of the tests. */
+    private static final int OTHER_TASKS = MAX_CONNECTIONS + 10;
+    /** Each selection reads 16 KiB of a connection at most. */
+    private static final int SELECTIONS = 200;
+
+    private static final String ORDER = "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|%s|P|2.5|||AL|NE\rORC|NW|1\r";
+
+    private static final String EMPTY_BATCH = "BHS|^~\\&|APP\rBTS|0\r";
+
+    @TempDir
+    private Path state;
+
+    private final CountDownLatch loopMayGoOn = new CountDownLatch(1);
+    private Transport transport;
+    private Core core;
+    private MllpFront front;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void serve() throws Exception {
+        transport = new Transport();
+        core = TestCore.create(state, Clock.system());
+        MllpSettings settings = new MllpSettings(
+                List.of(new MllpSettings.Listener(
+                        "clinics",
+                        "127.0.0.1:0",
+                        new AddressSet(List.of("127.0.0.0/8")),
+                        MAX_CONNECTIONS,
+                        MAX_CONNECTIONS,
+                        MAX_IN_FLIGHT,
+                        64 * 1024,
+                        60_000_000,
+                        30_000_000)),
+                Map.of("APP", "north"),
+                false,
+                Map.of("ORM", TestCore.SAFE_CLASS),
+                true,
+                Map.of("LAB", 7),
+                Field.parse("MSH-10"),
+                null,
+                Set.of("P"),
+                Set.of("2.5"),
+                1000,
+                60_000_000,
+                1000);
+        MessageClasses classes = new MessageClasses(
+                List.of(TestCore.SAFE_CLASS, TestCore.UNSAFE_CLASS),
+                TestCore.settings().classes());
+        front = new MllpFront(core, settings, classes);
+        core.add(front);
+        core.start(List.of(), 0);
+        SocketAddress bound = front.listen(transport).get(0);
+        address = (InetSocketAddress) bound;
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loopMayGoOn.countDown();
+        core.stop();
+        transport.close();
+    }
+
+    private void blockLoop() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        core.post(() -> {
+            blocked.countDown();
+            try {
+                loopMayGoOn.await(60, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(blocked.await(20, TimeUnit.SECONDS));
+    }
+
+    private StandInConnection connect() throws IOException {
+        StandInConnection client = new StandInConnection(new Socket(address.getAddress(), address.getPort()));
+        client.setReadTimeout(20_000);
+        return client;
+    }
+
+    /** Waits until the selector has read all that it will of what is in the sockets now. */
+    private void awaitSelections() throws Exception {
+        LinkedBlockingQueue<Connection<?>> opened = new LinkedBlockingQueue<>();
+        transport.connect(address, Transport.chain(new BaseFilter() {}), opened::add, problem -> {});
+        Connection<?> connection = opened.poll(20, TimeUnit.SECONDS);
+        for (int i = 0; i < SELECTIONS; i++) {
+            CountDownLatch read = new CountDownLatch(1);
+            Transport.runAfterReading(connection, read::countDown);
+            assertTrue(read.await(20, TimeUnit.SECONDS));
+        }
+        connection.closeSilently();
+    }
+
+    private int queuedTasks() {
+        return core.counters()
+                .toText()
+                .lines()
+                .filter(line -> line.startsWith("entries_tasks "))
+                .mapToInt(line -> Integer.parseInt(line.substring("entries_tasks ".length())))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Sends orders, each behind a batch without messages, which nothing is posted for. */
+    private static void sendOrders(StandInConnection client, String prefix, int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            client.writeFrame(EMPTY_BATCH);
+            client.writeFrame(ORDER.formatted(prefix + i));
+        }
+    }
+
+    /** Reads acknowledgements until there is one for each message; returns how many said taken or come again. */
+    private static int readAcknowledgements(StandInConnection client, int count) throws IOException {
+        int good = 0;
+        for (int i = 0; i < count; i++) {
+            String frame = client.readFrame();
+            good += frame != null && frame.matches("(?s).*\rMSA\\|C[AE]\\|.*") ? 1 : 0;
+        }
+        return good;
+    }
+
+    /**
+     * Guards against clients that send faster than they are served: their messages filled the queue of the event loop,
+     * and the deadlines of others waited behind them. All are answered in the end: none is lost, none waits forever.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 5000", "60, 100"})
+    @Timeout(60)
+    void clientsAtFullSpeedQueueNoMoreThanTheirShare(int connections, int messagesOfEach) throws Exception {
+        List<StandInConnection> clients = new ArrayList<>();
+        for (int i = 0; i < connections; i++) {
+            clients.add(connect());
+        }
+        blockLoop();
+        ExecutorService threads = Executors.newFixedThreadPool(2 * connections);
+        List<Future<Integer>> answered = new ArrayList<>();
+        CountDownLatch begun = new CountDownLatch(connections);
+        for (StandInConnection client : clients) {
+            Callable<Void> sending = () -> {
+                begun.countDown();
+                sendOrders(client, "c" + clients.indexOf(client) + '.', messagesOfEach);
+                return null;
+            };
+            threads.submit(sending);
+            answered.add(threads.submit(() -> readAcknowledgements(client, messagesOfEach)));
+        }
+        assertTrue(begun.await(20, TimeUnit.SECONDS));
+        awaitSelections();
+        int queued = queuedTasks();
+        assertTrue(queued <= Math.min(MAX_UNHANDLED, connections * MAX_IN_FLIGHT) + OTHER_TASKS, "queued: " + queued);
+        assertTrue(queued >= Math.min(connections, MAX_IN_FLIGHT), "something was read: " + queued);
+        loopMayGoOn.countDown();
+        for (Future<Integer> each : answered) {
+            assertEquals(messagesOfEach, each.get(50, TimeUnit.SECONDS));
+        }
+        threads.shutdownNow();
+        for (StandInConnection client : clients) {
+            client.close();
+        }
+    }
+
+    /** Guards against sessions that keep the share of others: what a client that has left had sent counts no more. */
+    @Test
+    @Timeout(60)
+    void shareOfClientsThatHaveLeftIsFree() throws Exception {
+        blockLoop();
+        for (int i = 0; i < 60; i++) {
+            StandInConnection leaving = connect();
+            sendOrders(leaving, "left" + i + '.', MAX_IN_FLIGHT);
+            leaving.close();
+        }
+        awaitSelections();
+        loopMayGoOn.countDown();
+        try (StandInConnection client = connect()) {
+            sendOrders(client, "here", 100);
+            assertEquals(100, readAcknowledgements(client, 100));
+        }
+    }
+}
