Give reloaded classes their numbers when a reload is prepared, not when it takes effect

Seen on reading again: MessageClasses.prepare built on the state in effect, and a reload waits one second at most for the event loop. Where the loop took longer, a second reload gave the same number to another class, and a message of the first one that came back to the module (Core.resubmit) had the second one's rules.

Change: prepare takes the numbers at once, apply changes only which versions are current. MessageClassesTest.overlappingReloadsShareNoNumber red before (number 2 twice), green after.

--- a/src/main/java/lilaclever/routing/MessageClasses.java
+++ b/src/main/java/lilaclever/routing/MessageClasses.java
@@ -83,19 +83,23 @@
         return restored;
     }
 
-    /** Prepares a change to the classes of a reloaded configuration, which takes effect with {@link #apply}. */
+    /**
+     * Prepares a change to the classes of a reloaded configuration, which takes effect with {@link #apply}. New ones
+     * have their numbers from now on, so that a further change can be prepared before this one has taken effect.
+     */
     public synchronized Update prepare(List<String> names, List<MessageClass> definitions)
             throws TooManyVersionsException {
         State next = withCurrent(state, names, definitions);
         if (next.versions().size() > Math.max(MAX_VERSIONS, state.versions().size())) {
             throw new TooManyVersionsException();
         }
+        state = new State(next.versions(), state.current(), state.unsafe());
         return new Update(next);
     }
 
-    /** Puts a prepared change into effect; the decision module must know its definitions first. */
+    /** Puts a prepared change into effect, in the order of preparation; the decision module must know it first. */
     public synchronized void apply(Update update) {
-        state = update.state;
+        state = new State(state.versions(), update.state.current(), update.state.unsafe());
     }
 
     private static State withCurrent(State before, List<String> names, List<MessageClass> definitions) {
--- a/src/test/java/lilaclever/routing/MessageClassesTest.java
+++ b/src/test/java/lilaclever/routing/MessageClassesTest.java
@@ -38,6 +38,21 @@
         assertEquals(List.of(STATUS, PAYMENT, STATUS), classes.definitions());
     }
 
+    /** Guards against a number with two meanings where a second reload comes before the first has taken effect. */
+    @Test
+    void overlappingReloadsShareNoNumber() throws Exception {
+        MessageClass gentler = definition(2, RepeatSafety.SAFE);
+        MessageClass refund = definition(9, RepeatSafety.UNSAFE);
+        MessageClasses.Update first = classes.prepare(List.of("refund"), List.of(refund));
+        MessageClasses.Update second = classes.prepare(List.of("refund"), List.of(gentler));
+        classes.apply(first);
+        ClassVersion unsafe = classes.current("refund");
+        classes.apply(second);
+        assertEquals(new ClassVersion(2, "refund", refund), unsafe);
+        assertEquals(new ClassVersion(3, "refund", gentler), classes.current("refund"));
+        assertEquals(refund, second.definitions().get(unsafe.number()));
+    }
+
     /** Guards against a held message's class that clients could submit again although the configuration dropped it. */
     @Test
     void restoredVersionIsNotCurrent() {
