Run all queued tasks in the last turn of the event loop

Seen on reading again: with a turn's time for tasks over, the rest waits for the next turn, and a stop has none. Records that end what was told could stay unwritten, and their ends be told again after a restart. The last turn now runs all that is queued, as before. No test of its own; CoreTurnTest and MllpInputTest green.

--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -597,7 +597,7 @@
         long untilMicros = clock.monotonicMicros() + MAX_TASKS_MICROS;
         for (int n = tasks.size(); n > 0; n--) {
             run(tasks.poll());
-            if (clock.monotonicMicros() >= untilMicros) {
+            if (!isStopped && clock.monotonicMicros() >= untilMicros) {
                 return;
             }
         }
