--- a/src/main/java/lilaclever/program/EarlierClassTable.java
+++ b/src/main/java/lilaclever/program/EarlierClassTable.java
@@ -31,18 +31,16 @@
     }
 
     private final Table table;
-    private final List<String> configuredNames;
     private final List<MessageClass> configured;
 
-    private EarlierClassTable(Table table, List<String> configuredNames, List<MessageClass> configured) {
+    private EarlierClassTable(Table table, List<MessageClass> configured) {
         this.table = table;
-        this.configuredNames = configuredNames;
         this.configured = configured;
     }
 
     /** Reads the file in the folder, if there is one; without it, or if it is damaged, no number is certain. */
-    static EarlierClassTable read(Path state, List<String> configuredNames, List<MessageClass> configured) {
-        return new EarlierClassTable(readFile(state.resolve(FILE)), configuredNames, configured);
+    static EarlierClassTable read(Path state, List<MessageClass> configured) {
+        return new EarlierClassTable(readFile(state.resolve(FILE)), configured);
     }
 
     private static Table readFile(Path file) {
@@ -92,9 +90,8 @@
         if (table != null && number >= 0 && number < table.classes().size()) {
             return classes.restore(table.names().get(number), table.classes().get(number));
         }
-        boolean isConfigured = number >= 0 && number < configured.size();
-        MessageClass likely = isConfigured ? configured.get(number) : anyConfigured();
-        return classes.restore(isConfigured ? configuredNames.get(number) : "", unsafe(likely));
+        MessageClass likely = number >= 0 && number < configured.size() ? configured.get(number) : anyConfigured();
+        return classes.restore("", unsafe(likely)); // a name would make a repeat look like another message
     }
 
     private MessageClass anyConfigured() {
--- a/src/main/java/lilaclever/program/PendingClassResolver.java
+++ b/src/main/java/lilaclever/program/PendingClassResolver.java
@@ -22,8 +22,7 @@
     PendingClassResolver(Config config, MessageClasses classes) {
         this.config = config;
         this.classes = classes;
-        earlierTable = EarlierClassTable.read(
-                config.state(), config.classNames(), config.settings().classes());
+        earlierTable = EarlierClassTable.read(config.state(), config.settings().classes());
     }
 
     void resolve(SegmentedJournal journal) {
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -56,10 +56,11 @@
         submitters.add(new DeduplicationTable.Submitter(front, submission.id()));
     }
 
-    /** The fingerprint of its content where duplicates are compared by content, else null. */
+    /** The fingerprint of its content; null where duplicates are not compared by content or its class has no name. */
     Fingerprint fingerprint() {
-        if (fingerprint == null && Identity.isShared(submission.identity())) {
-            fingerprint = Fingerprint.of(submission.messageClass().name(), submission.destination(), submission.body());
+        String className = submission.messageClass().name();
+        if (fingerprint == null && Identity.isShared(submission.identity()) && !className.isEmpty()) {
+            fingerprint = Fingerprint.of(className, submission.destination(), submission.body());
         }
         return fingerprint;
     }
