Read mail clients no faster than their lines are handled

Over the bound the client was cut off with 421.

Change: a session reads through PacedInput, 16 KiB of lines with what they take in memory (LineBlock), and the socket is not read beyond that; all sessions of a port share enough for each, so that one that waits for replies takes nothing from others. A client that sent too much at once now waits where it was cut off.

--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -23,6 +23,7 @@
 import lilaclever.routing.Message;
 import lilaclever.routing.MessageClasses;
 import lilaclever.routing.Submission;
+import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -47,6 +48,9 @@
     private final MessageClasses classes;
     private final Protocol protocol;
     private final int maxSessions;
+    /** Enough for the share of each session, so that one that waits for its replies takes nothing from others. */
+    private final InputBudget inputBudget;
+
     private final Map<Message, List<Waiter>> waiters = new HashMap<>();
     private final Set<ServerSession> sessions = new HashSet<>();
     private final Attribute<ServerSession> sessionAttribute =
@@ -66,6 +70,9 @@
         this.classes = classes;
         this.protocol = protocol;
         this.maxSessions = maxSessions;
+        this.inputBudget =
+                new InputBudget(Integer.MAX_VALUE, (long) Math.max(1, maxSessions) * ServerSession.MAX_SESSION_BYTES);
+        core.counters().entryGauge(name() + "_unhandled", inputBudget::pieces);
     }
 
     @Override
@@ -76,7 +83,7 @@
     /** Listens at the addresses that the mail file has for this protocol; returns the bound addresses. */
     public List<SocketAddress> listen(Transport transport) throws IOException {
         List<SocketAddress> bound = new ArrayList<>();
-        FilterChain chain = Transport.chain(new LineFilter(), new SessionFilter());
+        FilterChain chain = Transport.chain(new TextFilter(), new SessionFilter());
         for (MailSettings.Listener listener : settings.listeners()) {
             if (listener.protocol() == protocol) {
                 var server = transport.listen(Transport.parseAddress(listener.address()), chain);
@@ -235,6 +242,11 @@
         return closing;
     }
 
+    /** The size of the lines of all sessions that have been read and not been handled yet. Any thread. */
+    long unhandledBytes() {
+        return inputBudget.bytes();
+    }
+
     void removeSession(ServerSession session) {
         sessions.remove(session);
     }
@@ -255,7 +267,7 @@
             String peer = connection.getPeerAddress() instanceof InetSocketAddress a
                     ? a.getAddress().getHostAddress()
                     : "unknown";
-            ServerSession session = new ServerSession(MailFront.this, connection, peer);
+            ServerSession session = new ServerSession(MailFront.this, connection, peer, inputBudget);
             sessionAttribute.set(connection, session);
             core.post(() -> onOpen(session));
             return context.getInvokeAction();
@@ -263,9 +275,9 @@
 
         @Override
         public NextAction handleRead(FilterChainContext context) {
-            List<String> lines = context.getMessage();
+            byte[] bytes = Transport.toBytes(context.getMessage());
             ServerSession session = sessionAttribute.get(context.getConnection());
-            session.onLines(lines);
+            session.onBytes(bytes);
             return context.getStopAction();
         }
 
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -4,19 +4,27 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.Deadlines;
+import lilaclever.transport.InputBudget;
+import lilaclever.transport.PacedInput;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 
-/** The server side of one client connection: SMTP or LMTP commands, one transaction at a time. Event loop. */
+/**
+ * The server side of one client connection: SMTP or LMTP commands, one transaction at a time. Event loop, except the
+ * reading of lines, which stops while too many of them are not handled.
+ */
 final class ServerSession {
     private static final Pattern PATH = Pattern.compile("(?i)(?:FROM|TO):\\s*<(?:@[^:>]*:)?([^<>\\s]*)>(.*)");
-    /** Limit of received bytes that are not processed yet, in addition to the size of one mail. */
-    private static final int MAX_QUEUED_BYTES = 64 * 1024;
+    /** Limit of the bytes of lines that are read and not handled yet; one block of lines more may exceed it. */
+    private static final int MAX_UNHANDLED_BYTES = 16 * 1024;
+    /** What one session can take at the most, with that block and the longest line in it. */
+    static final int MAX_SESSION_BYTES = 40 * 1024;
+
+    private static final int MAX_BLOCKS = 1_000;
     /** Limit of commands without a completed mail, in addition to one for each recipient. */
     private static final int MAX_COMMANDS = 100;
     /** A connection whose content exceeds this multiple of the largest mail is closed. */
@@ -27,28 +35,29 @@
     private final Connection<?> connection;
     private final String peer;
     private final boolean lmtp;
+    private final LineReader reader = new LineReader();
+    private final PacedInput input;
     /** Received lines that are not processed yet, such as those that arrive while replies are pending. */
-    private final ArrayDeque<String> queuedLines = new ArrayDeque<>();
+    private final ArrayDeque<LineBlock> queuedBlocks = new ArrayDeque<>();
 
     private final List<String> recipients = new ArrayList<>();
-    private final AtomicLong queuedBytes = new AtomicLong();
     private Reply[] replies;
     private String clientName;
     private String reversePath;
     private String contentWithTrace;
     private StringBuilder content;
     private boolean tooLarge, bareLineEnding, awaitingReplies, closed;
-    private volatile boolean queueOverflowed;
     private int commandCount;
     private long contentBytesReceived;
     private Deadlines.Key idleTimeout, contentTimeout;
 
-    ServerSession(MailFront front, Connection<?> connection, String peer) {
+    ServerSession(MailFront front, Connection<?> connection, String peer, InputBudget budget) {
         this.front = front;
         this.settings = front.settings();
         this.connection = connection;
         this.peer = peer;
         this.lmtp = front.protocol() == Protocol.LMTP;
+        input = new PacedInput(connection, budget, MAX_BLOCKS, MAX_UNHANDLED_BYTES, this::parse);
     }
 
     // Connection
@@ -57,35 +66,55 @@
         restartIdleTimeout();
     }
 
-    /** Queues lines from the socket, up to a limit that bounds memory use. Selector thread. */
-    void onLines(List<String> lines) {
-        if (queueOverflowed) {
-            return;
+    /** Reads bytes from the socket. Selector thread. */
+    void onBytes(byte[] bytes) {
+        input.received(bytes);
+    }
+
+    /** Reads lines until a block is full or the bytes are used up. Selector thread. */
+    private int parse(byte[] bytes, int from) {
+        LineBlock block = new LineBlock();
+        int at = from;
+        try {
+            while (at < bytes.length && !block.isFull()) {
+                at = reader.read(bytes, at);
+                String line = reader.takeLine();
+                if (line != null) {
+                    block.add(line);
+                }
+            }
+        } catch (LineReader.LineTooLongException e) {
+            connection.closeSilently();
+            return bytes.length;
         }
-        long bytes = 0;
-        for (String line : lines) {
-            bytes += lineBytes(line);
+        if (!block.isEmpty()) {
+            input.begin(block.bytes());
+            front.core().post(() -> queueBlock(block));
         }
-        queueOverflowed = queuedBytes.addAndGet(bytes) > MAX_QUEUED_BYTES + settings.maxMessageBytes();
-        front.core().post(queueOverflowed ? () -> close("421 4.3.0 too much at once\r\n") : () -> queueLines(lines));
+        return at;
     }
 
     private static int lineBytes(String line) {
         return line.length() + 2;
     }
 
-    private void queueLines(List<String> lines) {
+    private void queueBlock(LineBlock block) {
         if (closed) {
+            input.handled(block.bytes());
             return;
         }
-        queuedLines.addAll(lines);
+        queuedBlocks.add(block);
         processQueuedLines();
     }
 
     private void processQueuedLines() {
-        while (!awaitingReplies && !closed && !queuedLines.isEmpty()) {
-            String line = queuedLines.remove();
-            queuedBytes.addAndGet(-lineBytes(line));
+        while (!awaitingReplies && !closed && !queuedBlocks.isEmpty()) {
+            LineBlock block = queuedBlocks.peek();
+            String line = block.takeLine();
+            if (block.isEmpty()) {
+                queuedBlocks.remove();
+                input.handled(block.bytes());
+            }
             if (content != null) {
                 handleContentLine(line);
             } else {
@@ -126,7 +155,8 @@
         closed = true;
         front.core().deadlines().cancel(idleTimeout);
         front.core().deadlines().cancel(contentTimeout);
-        queuedLines.clear();
+        queuedBlocks.forEach(block -> input.handled(block.bytes()));
+        queuedBlocks.clear();
         content = null;
         front.removeSession(this);
     }
--- a/src/main/java/lilaclever/transport/InputBudget.java
+++ b/src/main/java/lilaclever/transport/InputBudget.java
@@ -25,6 +25,11 @@
         return pieces;
     }
 
+    /** The bytes of these pieces. */
+    public synchronized long bytes() {
+        return bytes;
+    }
+
     /** Whether one more piece may be read; if not, the input is resumed once it may. Those that wait go first. */
     synchronized boolean hasRoomOrWait(PacedInput input, boolean isNextInTurn) {
         boolean hasRoom = pieces < maxPieces && bytes < maxBytes && (isNextInTurn || waiting.isEmpty());
--- a/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lilaclever.protocol.mllp.MllpSettings.Field;
 import lilaclever.routing.Clock;
@@ -26,9 +25,8 @@
 import lilaclever.routing.TestCore;
 import lilaclever.simulation.sockets.StandInConnection;
 import lilaclever.transport.AddressSet;
+import lilaclever.transport.InputProbe;
 import lilaclever.transport.Transport;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,8 +42,6 @@
     private static final int MAX_UNHANDLED = 200;
     /** Tasks of timers and of the tests, beside the one for each connection that was opened. */
     private static final int OTHER_TASKS = 10;
-    /** Each selection reads 16 KiB of a connection at most. */
-    private static final int SELECTIONS = 200;
 
     private static final String ORDER = "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|%s|P|2.5|||AL|NE\rORC|NW|1\r";
 
@@ -54,11 +50,11 @@
     @TempDir
     private Path state;
 
-    private final CountDownLatch loopMayGoOn = new CountDownLatch(1);
     private Transport transport;
     private Core core;
     private MllpFront front;
     private InetSocketAddress address;
+    private InputProbe probe;
 
     @BeforeEach
     void serve() throws Exception {
@@ -95,57 +91,22 @@
         core.start(List.of(), 0);
         SocketAddress bound = front.listen(transport).get(0);
         address = (InetSocketAddress) bound;
+        probe = new InputProbe(core, transport, address);
     }
 
     @AfterEach
     void stop() throws Exception {
-        loopMayGoOn.countDown();
+        probe.close();
         core.stop();
         transport.close();
     }
 
-    private void blockLoop() throws InterruptedException {
-        CountDownLatch blocked = new CountDownLatch(1);
-        core.post(() -> {
-            blocked.countDown();
-            try {
-                loopMayGoOn.await(60, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        assertTrue(blocked.await(20, TimeUnit.SECONDS));
-    }
-
     private StandInConnection connect() throws IOException {
         StandInConnection client = new StandInConnection(new Socket(address.getAddress(), address.getPort()));
         client.setReadTimeout(20_000);
         return client;
     }
 
-    /** Waits until the selector has read all that it will of what is in the sockets now. */
-    private void awaitSelections() throws Exception {
-        LinkedBlockingQueue<Connection<?>> opened = new LinkedBlockingQueue<>();
-        transport.connect(address, Transport.chain(new BaseFilter() {}), opened::add, problem -> {});
-        Connection<?> connection = opened.poll(20, TimeUnit.SECONDS);
-        for (int i = 0; i < SELECTIONS; i++) {
-            CountDownLatch read = new CountDownLatch(1);
-            Transport.runAfterReading(connection, read::countDown);
-            assertTrue(read.await(20, TimeUnit.SECONDS));
-        }
-        connection.closeSilently();
-    }
-
-    private int queuedTasks() {
-        return core.counters()
-                .toText()
-                .lines()
-                .filter(line -> line.startsWith("entries_tasks "))
-                .mapToInt(line -> Integer.parseInt(line.substring("entries_tasks ".length())))
-                .findFirst()
-                .orElseThrow();
-    }
-
     /** Sends orders, each behind a batch without messages, which nothing is posted for. */
     private static void sendOrders(StandInConnection client, String prefix, int count) throws IOException {
         for (int i = 0; i < count; i++) {
@@ -173,7 +134,7 @@
         for (int i = 0; i < connections; i++) {
             clients.add(connect());
         }
-        blockLoop();
+        probe.blockLoop();
         ExecutorService threads = Executors.newFixedThreadPool(2 * connections);
         List<Future<Integer>> answered = new ArrayList<>();
         CountDownLatch begun = new CountDownLatch(connections);
@@ -187,12 +148,12 @@
             answered.add(threads.submit(() -> readAcknowledgements(client, messagesOfEach)));
         }
         assertTrue(begun.await(20, TimeUnit.SECONDS));
-        awaitSelections();
-        int queued = queuedTasks();
+        probe.awaitSelections();
+        int queued = probe.counter("entries_tasks");
         int maxQueued = Math.min(MAX_UNHANDLED, connections * MAX_IN_FLIGHT) + connections + OTHER_TASKS;
         assertTrue(queued <= maxQueued, "queued: " + queued);
         assertTrue(queued >= Math.min(connections, MAX_IN_FLIGHT), "something was read: " + queued);
-        loopMayGoOn.countDown();
+        probe.release();
         for (Future<Integer> each : answered) {
             assertEquals(messagesOfEach, each.get(50, TimeUnit.SECONDS));
         }
@@ -206,14 +167,14 @@
     @Test
     @Timeout(60)
     void shareOfClientsThatHaveLeftIsFree() throws Exception {
-        blockLoop();
+        probe.blockLoop();
         for (int i = 0; i < 60; i++) {
             StandInConnection leaving = connect();
             sendOrders(leaving, "left" + i + '.', MAX_IN_FLIGHT);
             leaving.close();
         }
-        awaitSelections();
-        loopMayGoOn.countDown();
+        probe.awaitSelections();
+        probe.release();
         try (StandInConnection client = connect()) {
             sendOrders(client, "here", 100);
             assertEquals(100, readAcknowledgements(client, 100));
--- /dev/null
+++ b/src/test/java/lilaclever/transport/InputProbe.java
@@ -0,0 +1,79 @@
+package lilaclever.transport;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lilaclever.routing.Core;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+
+/** Holds the event loop, and sees what clients of a listener can queue for it meanwhile. */
+public final class InputProbe implements AutoCloseable {
+    /** Each selection reads 16 KiB of a connection at most. */
+    private static final int SELECTIONS = 200;
+
+    private static final int TIMEOUT_SECONDS = 20;
+
+    private final Core core;
+    private final Transport transport;
+    private final InetSocketAddress address;
+    private final CountDownLatch loopMayGoOn = new CountDownLatch(1);
+
+    /** The address is one at which the transport listens. */
+    public InputProbe(Core core, Transport transport, InetSocketAddress address) {
+        this.core = core;
+        this.transport = transport;
+        this.address = address;
+    }
+
+    /** Holds the event loop until {@link #release}. */
+    public void blockLoop() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        core.post(() -> {
+            blocked.countDown();
+            try {
+                loopMayGoOn.await(2 * TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(blocked.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Lets the event loop go on. */
+    public void release() {
+        loopMayGoOn.countDown();
+    }
+
+    @Override
+    public void close() {
+        release();
+    }
+
+    /** Waits until the selector thread has read all that it will of what is in the sockets now. */
+    public void awaitSelections() throws Exception {
+        LinkedBlockingQueue<Connection<?>> opened = new LinkedBlockingQueue<>();
+        transport.connect(address, Transport.chain(new BaseFilter() {}), opened::add, problem -> {});
+        Connection<?> connection = opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        for (int i = 0; i < SELECTIONS; i++) {
+            CountDownLatch read = new CountDownLatch(1);
+            Transport.runAfterReading(connection, read::countDown);
+            assertTrue(read.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+        connection.closeSilently();
+    }
+
+    /** The value of a counter. */
+    public int counter(String name) {
+        return core.counters()
+                .toText()
+                .lines()
+                .filter(line -> line.startsWith(name + ' '))
+                .mapToInt(line -> Integer.parseInt(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+}
