Give the probe of the input tests a listener of its own

Cause, in the test: the probe that waits for selections connected to the tested listener. With 63 sessions open it was the 64th, and its close was seen by the event loop sometimes before and sometimes after the next client came, who then rightly heard 421 as one too many.

Change: the probe has a listener of its own on the same selector thread. All sessions and assertions of the tests are as before.

--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -66,7 +66,7 @@
         core.add(front);
         core.start(List.of(), 0);
         address = (InetSocketAddress) front.listen(transport).get(0);
-        probe = new InputProbe(core, transport, address);
+        probe = new InputProbe(core, transport);
     }
 
     @AfterEach
--- a/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
@@ -91,7 +91,7 @@
         core.start(List.of(), 0);
         SocketAddress bound = front.listen(transport).get(0);
         address = (InetSocketAddress) bound;
-        probe = new InputProbe(core, transport, address);
+        probe = new InputProbe(core, transport);
     }
 
     @AfterEach
--- a/src/test/java/lilaclever/transport/InputProbe.java
+++ b/src/test/java/lilaclever/transport/InputProbe.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -9,6 +10,7 @@
 import lilaclever.routing.Core;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /** Holds the event loop, and sees what clients of a listener can queue for it meanwhile. */
 public final class InputProbe implements AutoCloseable {
@@ -19,14 +21,16 @@
 
     private final Core core;
     private final Transport transport;
-    private final InetSocketAddress address;
+    /** Of the probe alone: its connections must not take any that the tested listener allows. */
+    private final TCPNIOServerConnection listener;
+
     private final CountDownLatch loopMayGoOn = new CountDownLatch(1);
 
-    /** The address is one at which the transport listens. */
-    public InputProbe(Core core, Transport transport, InetSocketAddress address) {
+    /** Starts a listener of its own on the transport's selector thread. */
+    public InputProbe(Core core, Transport transport) throws IOException {
         this.core = core;
         this.transport = transport;
-        this.address = address;
+        this.listener = transport.listen(new InetSocketAddress("127.0.0.1", 0), Transport.chain(new BaseFilter() {}));
     }
 
     /** Holds the event loop until {@link #release}. */
@@ -51,12 +55,17 @@
     @Override
     public void close() {
         release();
+        listener.closeSilently();
     }
 
     /** Waits until the selector thread has read all that it will of what is in the sockets now. */
     public void awaitSelections() throws Exception {
         LinkedBlockingQueue<Connection<?>> opened = new LinkedBlockingQueue<>();
-        transport.connect(address, Transport.chain(new BaseFilter() {}), opened::add, problem -> {});
+        transport.connect(
+                (InetSocketAddress) listener.getLocalAddress(),
+                Transport.chain(new BaseFilter() {}),
+                opened::add,
+                problem -> {});
         Connection<?> connection = opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         for (int i = 0; i < SELECTIONS; i++) {
             CountDownLatch read = new CountDownLatch(1);
