--- a/src/main/java/lilaclever/journal/SegmentFormat.java
+++ b/src/main/java/lilaclever/journal/SegmentFormat.java
@@ -153,7 +153,8 @@
         if (in.remaining() < length + FRAME_BYTES) {
             return RecordCheck.INCOMPLETE;
         }
-        boolean complete = in.get(at + length + FRAME_BYTES - 1) == END_MARKER; // else its last byte was never written
+        // Zero: its last byte was never written. Any other value was, and is damaged if it is not the end marker.
+        boolean complete = in.get(at + length + FRAME_BYTES - 1) != 0;
         return complete && in.getInt(at + CHECKSUM_OFFSET) == checksum(in, at, length, salt)
                 ? RecordCheck.VALID
                 : RecordCheck.INVALID;
--- a/src/test/java/lilaclever/journal/SegmentedJournalTest.java
+++ b/src/test/java/lilaclever/journal/SegmentedJournalTest.java
@@ -114,7 +114,8 @@
                 .mapToInt(operation -> (int) operation.position() + operation.bytes().length)
                 .max()
                 .orElse(0);
-        for (int at = 0; at < used; at += at < 700 ? 1 : 7) {
+        int lastRecords = used - 700;
+        for (int at = 0; at < used; at += at < 700 || at >= lastRecords ? 1 : 7) {
             SimDisk damaged = SimDisk.afterKill(recordedOperations, recordedOperations.size(), 0);
             byte[] content = damaged.content(name);
             content[at] ^= 4;
