Keep the name of a zone in each attempt, not its place in the settings

An attempt's record held the zone as its place in settings.zones. With the zones in another order after a restart, a keyed order whose class is remembered by zone (group zone) was called again in the other zone, within its window.

--- a/src/main/java/lilaclever/journal/JournalState.java
+++ b/src/main/java/lilaclever/journal/JournalState.java
@@ -17,7 +17,10 @@
  * current record. Both maps are in the order of those segments. Does no I/O.
  */
 final class JournalState {
-    /** How many bytes a message's record may grow by in a snapshot: the hosts of its attempts and its final status. */
+    /**
+     * How many bytes a message's record may grow by in a snapshot: the hosts and zones of its attempts and its final
+     * status.
+     */
     private static final int MESSAGE_GROWTH_BYTES = 640;
 
     /** A live entry, and the segment that holds its record. */
--- a/src/main/java/lilaclever/journal/LegacyReader.java
+++ b/src/main/java/lilaclever/journal/LegacyReader.java
@@ -8,6 +8,7 @@
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
+import lilaclever.routing.ZoneNames;
 
 /**
  * Reads the single file of the legacy format: length, CRC32, content. It has no version and no record markers, so
@@ -77,13 +78,13 @@
         }
         PendingMessage message = entry.value;
         switch (type) {
-            case ATTEMPT -> message.attemptStarted(readText(in), in.getInt(), in.getLong());
+            case ATTEMPT -> message.attemptStarted(readText(in), skipZone(in), in.getLong());
             case OUTCOME -> message.attemptEnded(in.get() != 0);
             case ATTEMPT_SUMMARY -> {
-                message.restoreAttempts(in.getInt(), in.get() != 0, readText(in), in.getInt(), in.getLong());
+                message.restoreAttempts(in.getInt(), in.get() != 0, readText(in), skipZone(in), in.getLong());
                 boolean mayHaveRun = in.get() != 0;
                 String host = readText(in);
-                int zone = in.getInt();
+                String zone = skipZone(in);
                 long wallMicros = in.getLong();
                 if (mayHaveRun) {
                     message.markMayHaveRun(host, zone, wallMicros);
@@ -122,6 +123,12 @@
                 deadlineWallMicros);
     }
 
+    /** That format has the zone's number, whose meaning is not certain. */
+    private static String skipZone(ByteBuffer in) {
+        in.getInt();
+        return ZoneNames.UNKNOWN_NAME;
+    }
+
     private static FinalStatus readFinalStatus(ByteBuffer in) {
         return new FinalStatus(FinalStatus.Kind.values()[in.get()], in.getLong(), readText(in));
     }
--- a/src/main/java/lilaclever/journal/RecordDecoder.java
+++ b/src/main/java/lilaclever/journal/RecordDecoder.java
@@ -13,6 +13,7 @@
 import lilaclever.routing.FinalStatus;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
+import lilaclever.routing.ZoneNames;
 
 /** Decodes the records that {@link RecordEncoder} writes, and applies them to the state. */
 final class RecordDecoder {
@@ -77,7 +78,7 @@
         boolean hasFingerprint = in.hasRemaining() && SegmentFormat.readFlag(in); // version 1 has no flag
         Fingerprint fingerprint = hasFingerprint ? new Fingerprint(in.getLong(), in.getLong()) : null;
         // An earlier fingerprint is of the class's number, which does not say whether the content is the same.
-        return version >= SegmentFormat.CLASSES_VERSION ? fingerprint : null;
+        return version >= SegmentFormat.NAMES_VERSION ? fingerprint : null;
     }
 
     private void applyToMessage(RecordType type, ByteBuffer in) {
@@ -86,7 +87,7 @@
             return; // its message is settled, or a later snapshot covers it
         }
         switch (type) {
-            case ATTEMPT -> entry.value.attemptStarted(SegmentFormat.readText(in), in.getInt(), readWallMicros(in));
+            case ATTEMPT -> entry.value.attemptStarted(SegmentFormat.readText(in), readZone(in), readWallMicros(in));
             case OUTCOME -> entry.value.attemptEnded(SegmentFormat.readFlag(in));
             case JOINED ->
                 state.addSubmitter(
@@ -123,12 +124,21 @@
     }
 
     private ClassVersion readClass(ByteBuffer in) {
-        ClassVersion read = version >= SegmentFormat.CLASSES_VERSION && SegmentFormat.readFlag(in)
+        ClassVersion read = version >= SegmentFormat.NAMES_VERSION && SegmentFormat.readFlag(in)
                 ? new ClassVersion(ClassVersion.UNRESOLVED, SegmentFormat.readText(in), readDefinition(in))
                 : ClassVersion.ofNumber(in.getInt());
         return classes.computeIfAbsent(read, c -> c);
     }
 
+    /** Earlier formats have a zone's number, whose meaning is not certain. */
+    private String readZone(ByteBuffer in) {
+        if (version >= SegmentFormat.NAMES_VERSION) {
+            return SegmentFormat.readText(in);
+        }
+        in.getInt();
+        return ZoneNames.UNKNOWN_NAME;
+    }
+
     private static MessageClass readDefinition(ByteBuffer in) {
         return new MessageClass(
                 in.getLong(),
@@ -144,10 +154,10 @@
 
     private void readAttemptsAndStatus(ByteBuffer in, PendingMessage message) {
         message.restoreAttempts(
-                in.getInt(), SegmentFormat.readFlag(in), SegmentFormat.readText(in), in.getInt(), readWallMicros(in));
+                in.getInt(), SegmentFormat.readFlag(in), SegmentFormat.readText(in), readZone(in), readWallMicros(in));
         boolean mayHaveRun = SegmentFormat.readFlag(in);
         String host = SegmentFormat.readText(in);
-        int zone = in.getInt();
+        String zone = readZone(in);
         long wallMicros = readWallMicros(in);
         if (mayHaveRun) {
             message.markMayHaveRun(host, zone, wallMicros);
--- a/src/main/java/lilaclever/journal/RecordEncoder.java
+++ b/src/main/java/lilaclever/journal/RecordEncoder.java
@@ -24,11 +24,11 @@
     }
 
     /** An attempt begins at this wall time, in microseconds. */
-    static void attempt(RecordWriter out, String id, String host, int zone, long wallMicros) {
+    static void attempt(RecordWriter out, String id, String host, String zone, long wallMicros) {
         out.beginRecord(RecordType.ATTEMPT)
                 .putText(id)
                 .putText(host)
-                .putInt(zone)
+                .putText(zone)
                 .putLong(wallMicros)
                 .endRecord();
     }
@@ -78,11 +78,11 @@
         out.putInt(message.attempts())
                 .putFlag(message.isInFlight())
                 .putText(message.lastHost())
-                .putInt(message.lastZone())
+                .putText(message.lastZone())
                 .putLong(message.lastAttemptWallMicros());
         out.putFlag(message.mayHaveRun())
                 .putText(message.uncertainHost())
-                .putInt(message.uncertainZone())
+                .putText(message.uncertainZone())
                 .putLong(message.uncertainSentWallMicros());
         out.putFlag(message.finalStatus() != null);
         if (message.finalStatus() != null) {
--- a/src/main/java/lilaclever/journal/SegmentFormat.java
+++ b/src/main/java/lilaclever/journal/SegmentFormat.java
@@ -20,11 +20,11 @@
     /**
      * Since version 2 several submitters may wait for the result of a message, and remembered results hold the
      * fingerprint of their message. Since version 3 a message's record holds its class instead of the class's number,
-     * and fingerprints are of the class's name.
+     * fingerprints are of the class's name, and attempts hold the name of the zone instead of its number.
      */
     static final int VERSION = 3;
-    /** The first version whose records hold classes with their rules. */
-    static final int CLASSES_VERSION = 3;
+    /** The first version whose records hold classes with their rules, and zones by name. */
+    static final int NAMES_VERSION = 3;
     /** Offset of the first record. */
     static final int HEADER_BYTES = 128;
     /** Size of a record without its content. */
--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
@@ -14,6 +15,7 @@
 import lilaclever.routing.Journal;
 import lilaclever.routing.PendingMessage;
 import lilaclever.routing.Submission;
+import lilaclever.routing.ZoneNames;
 
 /**
  * The journal: a log of segments that is compacted from its oldest end, one slice a turn, by copying live records
@@ -31,6 +33,7 @@
     private final SpacePolicy policy;
     private final SegmentLog log;
     private final JournalState state = new JournalState();
+    private ZoneNames zones = new ZoneNames(List.of());
     private final Syncer syncer;
     private final LongSupplier monotonicMicros;
     private final RecordWriter writer = new RecordWriter();
@@ -76,6 +79,11 @@
         }
     }
 
+    /** Sets the names under which the zones of attempts are stored. Before the event loop starts. */
+    public void useZones(ZoneNames names) {
+        zones = names;
+    }
+
     /** Copies all live records into as few files as possible and deletes the others. For a stopped program. */
     void compactAll() throws IOException {
         compactor.compactAll();
@@ -108,18 +116,24 @@
         if (!unwrittenChanges.writeMessage(id)) {
             return false;
         }
-        RecordEncoder.attempt(writer.clear(), id, host, zone, wallMicros);
+        String zoneName = zones.name(zone);
+        RecordEncoder.attempt(writer.clear(), id, host, zoneName, wallMicros);
         if (!append()) {
             return false;
         }
         unwrittenChanges.messageWritten(id);
         JournalState.Entry<PendingMessage> entry = state.pending.get(id);
         if (entry != null) {
-            entry.value.attemptStarted(host, zone, wallMicros);
+            entry.value.attemptStarted(host, zoneName, wallMicros);
         }
         return true;
     }
 
+    @Override
+    public int zoneNumber(String zoneName) {
+        return zones.number(zoneName);
+    }
+
     @Override
     public void recordOutcome(String id, boolean neverRan) {
         JournalState.Entry<PendingMessage> entry = state.pending.get(id);
--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -30,6 +30,7 @@
 import lilaclever.routing.EndpointMembership;
 import lilaclever.routing.ManualDrains;
 import lilaclever.routing.MessageClasses;
+import lilaclever.routing.ZoneNames;
 import lilaclever.transport.Transport;
 
 /** Assembles, starts and stops the components of the forwarder. */
@@ -68,6 +69,7 @@
         long keepAlive = limits.keepAliveMicros();
         transport = new Transport();
         journal = openJournal(config, operator);
+        journal.useZones(new ZoneNames(config.zones()));
         new PendingClassResolver(config, classes).resolve(journal);
         DecisionModule.Settings settings = config.settings().withClasses(classes.definitions());
         Counters counters = new Counters();
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -260,7 +260,10 @@
         }
         message.attemptCount = pending.attempts();
         if (pending.mayHaveRun()) {
-            message.markMayHaveRun(pending.uncertainHost(), pending.uncertainZone(), pending.uncertainSentWallMicros());
+            message.markMayHaveRun(
+                    pending.uncertainHost(),
+                    journal.zoneNumber(pending.uncertainZone()),
+                    pending.uncertainSentWallMicros());
         }
         addPending(message);
         events.add(message.toSubmitEvent(nowMicros, wallMicros));
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -21,6 +21,9 @@
     /** Records an attempt before it is made; false if it could not be written, and then it must not be made. */
     boolean recordAttempt(String id, String host, int zone, long wallMicros);
 
+    /** The number that a zone of a pending message has in this process, or {@link ZoneNames#UNKNOWN_NUMBER}. */
+    int zoneNumber(String zoneName);
+
     /** Records the end of an attempt. {@code neverRan}: the endpoint certainly did not process the message. */
     void recordOutcome(String id, boolean neverRan);
 
--- a/src/main/java/lilaclever/routing/PendingMessage.java
+++ b/src/main/java/lilaclever/routing/PendingMessage.java
@@ -15,11 +15,11 @@
     private int attempts;
     private boolean isInFlight;
     private String lastHost = "";
-    private int lastZone;
+    private String lastZone = ZoneNames.UNKNOWN_NAME;
     private long lastAttemptWallMicros;
     private boolean mayHaveRun;
     private String uncertainHost = "";
-    private int uncertainZone;
+    private String uncertainZone = ZoneNames.UNKNOWN_NAME;
     private long uncertainSentWallMicros;
     private FinalStatus finalStatus;
     private List<Submitter> attachedSubmitters = List.of();
@@ -77,8 +77,8 @@
         return lastHost;
     }
 
-    /** The zone of the last attempt. */
-    public int lastZone() {
+    /** The name of the zone of the last attempt. */
+    public String lastZone() {
         return lastZone;
     }
 
@@ -97,8 +97,8 @@
         return uncertainHost;
     }
 
-    /** The zone of that attempt. */
-    public int uncertainZone() {
+    /** The name of the zone of that attempt. */
+    public String uncertainZone() {
         return uncertainZone;
     }
 
@@ -128,7 +128,7 @@
     }
 
     /** Notes an attempt that is made. */
-    public void attemptStarted(String toHost, int toZone, long wallMicros) {
+    public void attemptStarted(String toHost, String toZone, long wallMicros) {
         attempts++;
         isInFlight = true;
         lastHost = toHost;
@@ -145,7 +145,7 @@
     }
 
     /** Notes an attempt that may have been processed; only the first one is kept. */
-    public void markMayHaveRun(String atHost, int atZone, long wallMicros) {
+    public void markMayHaveRun(String atHost, String atZone, long wallMicros) {
         if (!mayHaveRun) {
             mayHaveRun = true;
             uncertainHost = atHost;
@@ -168,7 +168,7 @@
     }
 
     /** Restores the state of the attempts from a record of the whole message. */
-    public void restoreAttempts(int attemptCount, boolean attemptInFlight, String host, int zone, long wallMicros) {
+    public void restoreAttempts(int attemptCount, boolean attemptInFlight, String host, String zone, long wallMicros) {
         attempts = attemptCount;
         isInFlight = attemptInFlight;
         lastHost = host;
--- a/src/test/java/lilaclever/journal/EarlierFormat.java
+++ b/src/test/java/lilaclever/journal/EarlierFormat.java
@@ -46,7 +46,12 @@
                 .putBytes(new byte[3])
                 .endRecord();
         if (isInFlight) {
-            RecordEncoder.attempt(out, id, "e1", 0, deadlineWallMicros - BUDGET_MICROS);
+            out.beginRecord(SegmentFormat.RecordType.ATTEMPT)
+                    .putText(id)
+                    .putText("e1")
+                    .putInt(0)
+                    .putLong(deadlineWallMicros - BUDGET_MICROS)
+                    .endRecord();
         }
         ByteBuffer all = ByteBuffer.allocate(SEGMENT_BYTES);
         all.put(SegmentFormat.encodeHeader(new SegmentFormat.Header(VERSION, 1, SALT, 0, BootClock.UNKNOWN)))
--- a/src/test/java/lilaclever/journal/RandomRun.java
+++ b/src/test/java/lilaclever/journal/RandomRun.java
@@ -133,7 +133,7 @@
             case 0 -> {
                 if (!message.isInFlight() && message.finalStatus() == null) {
                     if (journal.recordAttempt(id, "host-" + nextNumber % 5, 2, nowMicros)) {
-                        message.attemptStarted("host-" + nextNumber % 5, 2, nowMicros);
+                        message.attemptStarted("host-" + nextNumber % 5, "2", nowMicros);
                     } else {
                         rejectedAttempts++;
                     }
--- a/src/test/java/lilaclever/program/ClassMeaningTest.java
+++ b/src/test/java/lilaclever/program/ClassMeaningTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.stream.Stream;
 import lilaclever.journal.EarlierFormat;
 import lilaclever.program.Peer.Request;
 import lilaclever.program.Peer.Wire;
@@ -113,13 +112,7 @@
 
     /** A folder as a kill at this moment would leave it. */
     private Path copyOfFolder(Path state) throws IOException {
-        Path copy = state("after-kill");
-        try (Stream<Path> files = Files.list(state)) {
-            for (Path file : files.toList()) {
-                Files.copy(file, copy.resolve(file.getFileName()));
-            }
-        }
-        return copy;
+        return ForwarderSetup.copyState(state, state("after-kill"));
     }
 
     /** The payment was called once, so it ends by a notice and is not called again. */
--- a/src/test/java/lilaclever/program/ForwarderSetup.java
+++ b/src/test/java/lilaclever/program/ForwarderSetup.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import lilaclever.conf.ConfigurationException;
 
 /** Configurations and processes of forwarders under test. */
@@ -58,6 +59,16 @@
         return Config.parse(configText(discovery, state, endpoint, 3), Map.of());
     }
 
+    /** Copies a state folder while its forwarder runs: what a kill at this moment would leave. Returns the copy. */
+    static Path copyState(Path state, Path copy) throws IOException {
+        try (Stream<Path> files = Files.list(state)) {
+            for (Path file : files.toList()) {
+                Files.copy(file, copy.resolve(file.getFileName()));
+            }
+        }
+        return copy;
+    }
+
     /** Starts the real program in a process that can be killed, with this limit of file descriptors. */
     static Process startProcess(Path folder, String config, int descriptors) throws IOException {
         return startProcess(folder, config, "ulimit -n " + descriptors);
