Send held mail where the route of its recipient's domain says after a restart

A held mail's record has the destination number of the mail file. With the number given to another domain, or to none, at the next start, the mail went to that domain's servers, or nowhere.

Change: the core asks the front for the destination of a message that it resumes; the mail front looks up the domain's route, as for new mail. A domain without a route has no destination, and its mail ends at its time.

--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -43,6 +43,9 @@
     /** The longest line of RFC 5322: a longer Message-ID is invalid, and too long for the journal. */
     private static final int MAX_MESSAGE_ID_LENGTH = 998;
 
+    /** Of mail whose domain has no route any more; no endpoint has it. */
+    private static final int NO_DESTINATION = -1;
+
     private final Core core;
     private final MailSettings settings;
     private final MessageClasses classes;
@@ -148,6 +151,13 @@
         }
     }
 
+    /** The route of the recipient's domain counts, as the mail file may have given its number to another domain. */
+    @Override
+    public int destinationOf(Submission accepted) {
+        MailSettings.Route route = settings.route(Mail.decode(accepted.body()).recipient());
+        return route == null ? NO_DESTINATION : route.destination();
+    }
+
     private void answerWaiters(Message message, Reply reply) {
         List<Waiter> removed = waiters.remove(message);
         if (removed != null) {
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -226,17 +226,14 @@
 
     private void resume(PendingMessage pending, long wallMicros) {
         Front front = fronts.get(pending.front());
-        Message message = new Message(pending.submission(), front, pending.deadlineWallMicros());
+        String id = pending.submission().id();
         if (front == null) {
-            Logs.error(
-                    "",
-                    "no-front",
-                    "cannot answer for " + message.id() + ": no front " + pending.front(),
-                    "message",
-                    message.id());
-            journal.recordSettled(message.id());
+            Logs.error("", "no-front", "cannot answer for " + id + ": no front " + pending.front(), "message", id);
+            journal.recordSettled(id);
             return;
         }
+        Submission submission = pending.submission().withDestination(front.destinationOf(pending.submission()));
+        Message message = new Message(submission, front, pending.deadlineWallMicros());
         counters.add(Name.RESUMED);
         message.isJournaled = true;
         message.isAcceptanceDurable = true;
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -5,6 +5,11 @@
     /** The name that identifies this front in the journal. */
     String name();
 
+    /** The destination of a message that an earlier process accepted: routes may have changed since. */
+    default int destinationOf(Submission accepted) {
+        return accepted.destination();
+    }
+
     /** The message is recorded durably, so its acceptance may be reported to the client. */
     void onAccepted(Message message);
 
--- a/src/main/java/lilaclever/routing/Submission.java
+++ b/src/main/java/lilaclever/routing/Submission.java
@@ -44,6 +44,12 @@
                 budgetMicros);
     }
 
+    /** The same submission for another destination. */
+    Submission withDestination(int newDestination) {
+        return new Submission(
+                id, identity, messageClass, newDestination, key, body, resubmitted, inherited, budgetMicros);
+    }
+
     /** The same submission with another version of its class. */
     Submission withClass(ClassVersion version) {
         return new Submission(id, identity, version, destination, key, body, resubmitted, inherited, budgetMicros);
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -387,6 +387,37 @@
         }
     }
 
+    /** Guards against held mail that goes to another domain's servers as the mail file has given them its number. */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "2, 3"})
+    void mailStaysWithItsDomainWhenNumbersChangeOverARestart(int ownNumber, int otherNumber) throws Exception {
+        AtomicInteger processRun = new AtomicInteger();
+        LinkedBlockingQueue<String> misdirected = new LinkedBlockingQueue<>();
+        try (Peer server = server(r -> processRun.get() == 0 ? "450 4.2.1 not now" : "250 good", text -> {
+                    mails.add(text);
+                    return "250 2.0.0 kept";
+                });
+                Peer other = server(r -> "250 good", text -> {
+                    misdirected.add(text);
+                    return "250 2.0.0 kept";
+                })) {
+            serve(route("a.test", 1, "smtp", server.address()), route("b.test", 2, "smtp", other.address()));
+            try (Wire wire = Wire.connect(smtp)) {
+                greet(wire, "EHLO");
+                assertEquals(
+                        "250 2.0.0 taken on",
+                        send(wire, "", payment("x"), "till@a.test").get(0));
+            }
+            forwarder.stop();
+            processRun.set(1);
+            serve(
+                    route("b.test", otherNumber, "smtp", other.address()),
+                    route("a.test", ownNumber, "smtp", server.address()));
+            assertTrue(Peer.take(mails).contains("Message-ID: <x>"));
+            assertEquals(List.of(), List.copyOf(misdirected));
+        }
+    }
+
     @Test
     void messageWithoutAMailEnvelopeForAMailDestinationIsUndeliverable() throws Exception {
         try (Peer good = acceptingServer()) {
