Bound the HTTP requests that wait for the event loop, also of clients that have left

A request that was read whole was not counted any more: with the loop held, 200 of 200 requests of 64 KiB waited, and as many where each client had left; 688 clients may be open, so they could take 44 MB of a heap of 64 MB.

Change: a request counts from its reading until the loop has handled it, whether its connection is open or not, together with the incomplete and the pipelined ones: 6 MiB as before, and 4,096 requests. Above that 503 from the selector thread, which costs the loop nothing. entries_http_unhandled shows what waits.

--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -67,6 +67,7 @@
         this.notices = notices;
         core.counters().entryGauge("waiting_clients", waitingRequests::size);
         core.counters().entryGauge("clients", serverFilter::connectionCount);
+        core.counters().entryGauge("http_unhandled", serverFilter::unhandledCount);
     }
 
     @Override
@@ -115,8 +116,13 @@
             case "POST /api" -> parseAndPost(request);
             case "GET /health/ready", "GET /health/live" -> respond(request.exchange(), 200, Map.of(), "ready\n");
             case "GET /counters" ->
-                core.post(() -> respond(
-                        request.exchange(), 200, Map.of(), core.counters().toText()));
+                serverFilter.post(
+                        request,
+                        () -> respond(
+                                request.exchange(),
+                                200,
+                                Map.of(),
+                                core.counters().toText()));
             default -> respond(request.exchange(), 404, Map.of(), "");
         }
     }
@@ -136,7 +142,7 @@
             respond(request.exchange(), 400, Map.of(), e.getMessage() + "\n");
             return;
         }
-        core.post(() -> submitOrFail(request, submission));
+        serverFilter.post(request, () -> submitOrFail(request, submission));
     }
 
     /** An internal error must not leave the client without a response. */
--- a/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
+++ b/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
@@ -16,6 +16,7 @@
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
+import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -42,8 +43,12 @@
     static final int MAX_BODY_BYTES = 64 * 1024;
     /** Bytes of pipelined requests buffered while an earlier request is open. */
     private static final int MAX_PIPELINED_BYTES = 16 * 1024;
-    /** Bytes of incomplete requests over all connections. */
-    private static final long MAX_INCOMPLETE_BYTES = 6 << 20;
+    /** Requests, and their bytes, over all connections, that are incomplete or that the event loop has not handled. */
+    private static final long MAX_UNHANDLED_BYTES = 6 << 20;
+
+    private static final int MAX_UNHANDLED_REQUESTS = 4_096;
+    /** What a request takes in memory beside its body. */
+    private static final int REQUEST_OVERHEAD_BYTES = 1_024;
     /** Time for a new connection to send its first byte, and for a request to be complete. */
     private static final long FIRST_BYTE_TIMEOUT_MICROS = 2_000_000, REQUEST_TIMEOUT_MICROS = 2_000_000;
     /** Time that an idle connection stays open, and the shorter one above {@code keepAliveLimit}. */
@@ -75,7 +80,11 @@
             Map<String, String> headers,
             byte[] body,
             long arrivedMicros,
-            Exchange exchange) {}
+            Exchange exchange) {
+        private int unhandledBytes() {
+            return body.length + REQUEST_OVERHEAD_BYTES;
+        }
+    }
 
     private final Core core;
     private final int maxConnections, keepAliveLimit;
@@ -86,7 +95,11 @@
 
     private final Attribute<Client> clientAttribute =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("HttpServerFilter.client");
+    /** Bytes of incomplete and of pipelined requests. */
     private final AtomicLong incompleteBytes = new AtomicLong();
+    /** The requests that the event loop has not handled; they outlast their connections. */
+    private final InputBudget unhandled = new InputBudget(MAX_UNHANDLED_REQUESTS, MAX_UNHANDLED_BYTES);
+
     private volatile boolean isClosing;
     private volatile int acceptedCount;
 
@@ -200,8 +213,10 @@
 
         /** Buffers a pipelined request until the open one has its response, as far as there is room. */
         private void bufferPipelined(byte[] in, int from) {
-            int size = Math.min(MAX_PIPELINED_BYTES - pipelined.size(), in.length - from);
+            int room = isFull() ? 0 : MAX_PIPELINED_BYTES - pipelined.size();
+            int size = Math.min(room, in.length - from);
             pipelined.write(in, from, size);
+            countIncomplete(pipelined.size());
             isTruncated |= size < in.length - from;
         }
 
@@ -215,7 +230,7 @@
             try {
                 int at = reader.read(in, from, in.length);
                 countIncomplete(reader.isComplete() ? 0 : reader.bufferedBytes());
-                if (incompleteBytes.get() > MAX_INCOMPLETE_BYTES) {
+                if (isFull()) {
                     reject(503);
                 } else if (reader.awaitsContinue()) {
                     write(CONTINUE, () -> {});
@@ -460,6 +475,29 @@
         }
     }
 
+    /** Whether the requests of all connections take so much that no further one may be read. */
+    private boolean isFull() {
+        return !unhandled.hasRoom() || incompleteBytes.get() + unhandled.bytes() > MAX_UNHANDLED_BYTES;
+    }
+
+    /** Passes a request on to the event loop, where it counts as handled once the task has run. */
+    void post(Request request, Runnable task) {
+        int bytes = request.unhandledBytes();
+        unhandled.add(bytes);
+        core.post(() -> {
+            try {
+                task.run();
+            } finally {
+                unhandled.remove(1, bytes);
+            }
+        });
+    }
+
+    /** The number of requests that have been read whole and that the event loop has not handled. Any thread. */
+    int unhandledCount() {
+        return unhandled.pieces();
+    }
+
     /** Returns the filter chain of a client connection. */
     FilterChain chain() {
         return FilterChainBuilder.stateless().add(new SocketFilter()).add(this).build();
--- a/src/main/java/lilaclever/transport/InputBudget.java
+++ b/src/main/java/lilaclever/transport/InputBudget.java
@@ -32,19 +32,26 @@
 
     /** Whether one more piece may be read; if not, the input is resumed once it may. Those that wait go first. */
     synchronized boolean hasRoomOrWait(PacedInput input, boolean isNextInTurn) {
-        boolean hasRoom = pieces < maxPieces && bytes < maxBytes && (isNextInTurn || waiting.isEmpty());
-        if (!hasRoom) {
+        boolean mayRead = hasRoom() && (isNextInTurn || waiting.isEmpty());
+        if (!mayRead) {
             waiting.add(input);
         }
-        return hasRoom;
+        return mayRead;
     }
 
-    synchronized void add(int newBytes) {
+    /** Whether one more piece may be read, for input that is turned away and does not wait where there is no room. */
+    public synchronized boolean hasRoom() {
+        return pieces < maxPieces && bytes < maxBytes;
+    }
+
+    /** Counts a piece that has been read. */
+    public synchronized void add(int newBytes) {
         pieces++;
         bytes += newBytes;
     }
 
-    void remove(int handledPieces, long handledBytes) {
+    /** Counts pieces as handled, which lets the next input that waits go on. */
+    public void remove(int handledPieces, long handledBytes) {
         synchronized (this) {
             pieces -= handledPieces;
             bytes -= handledBytes;
@@ -56,7 +63,7 @@
     void resumeNext() {
         PacedInput next;
         synchronized (this) {
-            if (waiting.isEmpty() || pieces >= maxPieces || bytes >= maxBytes) {
+            if (waiting.isEmpty() || !hasRoom()) {
                 return;
             }
             next = waiting.iterator().next();
