Read mail servers no faster than their replies are handled

Each read of a server's lines was a task of its own, without a bound: a server that sends lines of a reply that never ends queued 2,660 tasks while the event loop was held.

Change: LineInput, split off ServerSession, reads the lines of clients and of servers in the same way: 16 KiB of a connection, 1 MiB of all servers. LineFilter is gone. entries_mail_replies_unhandled shows what waits.

Test: MailInputTest.linesOfAServerAreReadNoFasterThanHandled, red before, green after.

--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -18,6 +18,7 @@
 import lilaclever.routing.Message;
 import lilaclever.routing.Refutation;
 import lilaclever.transport.ConnectionPool;
+import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -35,6 +36,8 @@
 public final class MailDeliverer implements Deliverer {
     private static final long SWEEP_INTERVAL_MICROS = 500_000;
     private static final int MAX_REPLY_LINES = 200;
+    /** Limit of the lines of all servers that are read and not handled yet: a small part of the heap. */
+    private static final long MAX_UNHANDLED_REPLY_BYTES = 1 << 20;
 
     /** How long a connection rests before its next transaction, so that repeated replies arrive before it. */
     private static final long REST_MICROS = 600_000;
@@ -59,7 +62,7 @@
     private final int zone;
     private final long connectTimeoutMicros;
     private final ConnectionPool<Connection<?>> pool;
-    private final LineFilter lineFilter = new LineFilter();
+    private final InputBudget replyBudget = new InputBudget(Integer.MAX_VALUE, MAX_UNHANDLED_REPLY_BYTES);
     private final FilterChain chain;
     private final Attribute<ClientSession> sessions =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("MailDeliverer.session");
@@ -80,7 +83,7 @@
         this.zone = zone;
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.pool = ConnectionPool.ofSockets(MailDeliverer::availability, keepAliveMicros / 2, maxIdleConnections);
-        this.chain = Transport.chain(lineFilter, new SessionFilter());
+        this.chain = Transport.chain(new TextFilter(), new SessionFilter());
     }
 
     /** Adds the routes' endpoints to the core and starts expiring idle connections. Call before the core starts. */
@@ -96,6 +99,7 @@
             }
         }
         closeExpiredConnections();
+        core.counters().entryGauge("mail_replies_unhandled", replyBudget::pieces);
     }
 
     private static ConnectionPool.Availability availability(Connection<?> idle, long idleMicros) {
@@ -173,6 +177,9 @@
         private final ArrayDeque<String> earlyLines = new ArrayDeque<>();
 
         private Connection<?> connection;
+        /** Set before the greeting can be read. */
+        private volatile LineInput input;
+
         private Deadlines.Key connectTimeout;
         private Runnable cancelConnect;
         private Call call;
@@ -212,6 +219,7 @@
                     Transport.parseAddress(endpoint.address()),
                     chain,
                     opened -> {
+                        input = new LineInput(opened, replyBudget, lines -> core.post(() -> onLines(lines)));
                         sessions.set(opened, this); // before the greeting can be read
                         core.post(() -> onConnected(opened));
                     },
@@ -234,12 +242,16 @@
             }
         }
 
-        void onLines(List<String> lines) {
-            if (connection == null) {
-                earlyLines.addAll(lines);
-            } else {
-                lines.forEach(this::onLine);
+        private void onLines(LineBlock lines) {
+            while (!lines.isEmpty()) {
+                String line = lines.takeLine();
+                if (connection == null) {
+                    earlyLines.add(line);
+                } else {
+                    onLine(line);
+                }
             }
+            input.handled(lines);
         }
 
         private void onLine(String line) {
@@ -407,7 +419,7 @@
         }
 
         void onClosed() {
-            Reply cut = connection == null ? null : Reply.parse(lineFilter.unfinishedLine(connection));
+            Reply cut = connection == null ? null : Reply.parse(input.unfinishedLine());
             boolean isRejection = cut != null && cut.isPermanentFailure();
             if (call == null) {
                 closeConnection();
@@ -452,10 +464,10 @@
     private final class SessionFilter extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext context) {
-            List<String> lines = context.getMessage();
+            byte[] bytes = Transport.toBytes(context.getMessage());
             ClientSession session = sessions.get(context.getConnection());
             if (session != null) {
-                core.post(() -> session.onLines(lines));
+                session.input.received(bytes);
             }
             return context.getStopAction();
         }
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -74,7 +74,7 @@
         this.protocol = protocol;
         this.maxSessions = maxSessions;
         this.inputBudget =
-                new InputBudget(Integer.MAX_VALUE, (long) Math.max(1, maxSessions) * ServerSession.MAX_SESSION_BYTES);
+                new InputBudget(Integer.MAX_VALUE, (long) Math.max(1, maxSessions) * LineInput.MAX_CONNECTION_BYTES);
         core.counters().entryGauge(name() + "_unhandled", inputBudget::pieces);
     }
 
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -9,7 +9,6 @@
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.Deadlines;
 import lilaclever.transport.InputBudget;
-import lilaclever.transport.PacedInput;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
 
@@ -19,12 +18,6 @@
  */
 final class ServerSession {
     private static final Pattern PATH = Pattern.compile("(?i)(?:FROM|TO):\\s*<(?:@[^:>]*:)?([^<>\\s]*)>(.*)");
-    /** Limit of the bytes of lines that are read and not handled yet; one block of lines more may exceed it. */
-    private static final int MAX_UNHANDLED_BYTES = 16 * 1024;
-    /** What one session can take at the most, with that block and the longest line in it. */
-    static final int MAX_SESSION_BYTES = 40 * 1024;
-
-    private static final int MAX_BLOCKS = 1_000;
     /** Limit of commands without a completed mail, in addition to one for each recipient. */
     private static final int MAX_COMMANDS = 100;
     /** A connection whose content exceeds this multiple of the largest mail is closed. */
@@ -35,8 +28,7 @@
     private final Connection<?> connection;
     private final String peer;
     private final boolean lmtp;
-    private final LineReader reader = new LineReader();
-    private final PacedInput input;
+    private final LineInput input;
     /** Received lines that are not processed yet, such as those that arrive while replies are pending. */
     private final ArrayDeque<LineBlock> queuedBlocks = new ArrayDeque<>();
 
@@ -57,7 +49,7 @@
         this.connection = connection;
         this.peer = peer;
         this.lmtp = front.protocol() == Protocol.LMTP;
-        input = new PacedInput(connection, budget, MAX_BLOCKS, MAX_UNHANDLED_BYTES, this::parse);
+        input = new LineInput(connection, budget, block -> front.core().post(() -> queueBlock(block)));
     }
 
     // Connection
@@ -71,36 +63,13 @@
         input.received(bytes);
     }
 
-    /** Reads lines until a block is full or the bytes are used up. Selector thread. */
-    private int parse(byte[] bytes, int from) {
-        LineBlock block = new LineBlock();
-        int at = from;
-        try {
-            while (at < bytes.length && !block.isFull()) {
-                at = reader.read(bytes, at);
-                String line = reader.takeLine();
-                if (line != null) {
-                    block.add(line);
-                }
-            }
-        } catch (LineReader.LineTooLongException e) {
-            connection.closeSilently();
-            return bytes.length;
-        }
-        if (!block.isEmpty()) {
-            input.begin(block.bytes());
-            front.core().post(() -> queueBlock(block));
-        }
-        return at;
-    }
-
     private static int lineBytes(String line) {
         return line.length() + 2;
     }
 
     private void queueBlock(LineBlock block) {
         if (closed) {
-            input.handled(block.bytes());
+            input.handled(block);
             return;
         }
         queuedBlocks.add(block);
@@ -113,7 +82,7 @@
             String line = block.takeLine();
             if (block.isEmpty()) {
                 queuedBlocks.remove();
-                input.handled(block.bytes());
+                input.handled(block);
             }
             if (content != null) {
                 handleContentLine(line);
@@ -155,7 +124,7 @@
         closed = true;
         front.core().deadlines().cancel(idleTimeout);
         front.core().deadlines().cancel(contentTimeout);
-        queuedBlocks.forEach(block -> input.handled(block.bytes()));
+        queuedBlocks.forEach(block -> input.handled(block));
         queuedBlocks.clear();
         content = null;
         front.removeSession(this);
--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -1,19 +1,25 @@
 package lilaclever.protocol.mail;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.Clock;
 import lilaclever.routing.Core;
@@ -28,7 +34,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What clients of a mail port can queue for the event loop, which the tests hold meanwhile. */
+/** What clients of a mail port, and servers, can queue for the event loop, which the tests hold meanwhile. */
 class MailInputTest {
     private static final int MAX_SESSIONS = 64, MAX_MESSAGE_BYTES = 64 * 1024;
     /** An eighth of a heap of 64 MB, for the sessions of one port. */
@@ -36,9 +42,15 @@
 
     private static final int FLOOD_LINES = 60 * 1024;
 
+    private static final int FLOOD_CHUNK_LINES = 1_000, FLOOD_CHUNKS = 6_000;
+    /** A server's lines are read in tasks of 4 KiB, of which 16 KiB may wait; a few tasks are of timers and the test. */
+    private static final int MAX_REPLY_TASKS = 5 + 10;
+
     @TempDir
     private Path state;
 
+    private ServerSocket server;
+    private MailSettings settings;
     private Transport transport;
     private Core core;
     private MailFront front;
@@ -46,13 +58,16 @@
     private InputProbe probe;
 
     @BeforeEach
-    void serve() throws Exception {
+    void create() throws Exception {
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(20_000);
         transport = new Transport();
         core = TestCore.create(state, Clock.system());
-        MailSettings settings = new MailSettings(
+        settings = new MailSettings(
                 "mx.test",
                 List.of(new MailSettings.Listener(Protocol.LMTP, "127.0.0.1:0")),
-                List.of(new MailSettings.Route("a.test", 1_000_000, Protocol.LMTP, List.of("127.0.0.1:9"))),
+                List.of(new MailSettings.Route(
+                        "a.test", 1_000_000, Protocol.LMTP, List.of("127.0.0.1:" + server.getLocalPort()))),
                 "X-Message-Class",
                 Map.of(),
                 null,
@@ -64,9 +79,12 @@
                 TestCore.settings().classes());
         front = new MailFront(core, settings, classes, Protocol.LMTP, MAX_SESSIONS);
         core.add(front);
+        probe = new InputProbe(core, transport);
+    }
+
+    private void serve() throws IOException {
         core.start(List.of(), 0);
         address = (InetSocketAddress) front.listen(transport).get(0);
-        probe = new InputProbe(core, transport);
     }
 
     @AfterEach
@@ -74,6 +92,7 @@
         probe.close();
         core.stop();
         transport.close();
+        server.close();
     }
 
     private StandInConnection connect() throws IOException {
@@ -102,6 +121,7 @@
     @Test
     @Timeout(60)
     void linesOfManyClientsAreReadNoFasterThanHandled() throws Exception {
+        serve();
         List<StandInConnection> clients = new ArrayList<>();
         for (int i = 0; i < MAX_SESSIONS; i++) {
             clients.add(connectAndStartContent());
@@ -133,6 +153,7 @@
     @Test
     @Timeout(60)
     void clientIsServedWhileOthersWaitWithFullQueues() throws Exception {
+        serve();
         List<StandInConnection> waiting = new ArrayList<>();
         for (int i = 0; i < MAX_SESSIONS - 1; i++) {
             StandInConnection client = connectAndStartContent();
@@ -148,4 +169,55 @@
             client.close();
         }
     }
+
+    private StandInConnection accept() throws IOException {
+        StandInConnection wire = new StandInConnection(server.accept());
+        wire.setReadTimeout(20_000);
+        return wire;
+    }
+
+    /** Waits until the sender has to wait as the rest is not read, or all is written. */
+    private void awaitNoProgress(AtomicInteger chunksWritten) throws Exception {
+        int before = -1;
+        while (chunksWritten.get() == 0 || chunksWritten.get() != before) {
+            before = chunksWritten.get();
+            probe.awaitSelections();
+        }
+    }
+
+    /** Guards against a server that fills the event loop's queue with lines of a reply that never ends. */
+    @Test
+    @Timeout(60)
+    void linesOfAServerAreReadNoFasterThanHandled() throws Exception {
+        new MailDeliverer(core, transport, settings, 0, 1_500_000, 15_000_000, 8).start();
+        serve();
+        ExecutorService threads = Executors.newSingleThreadExecutor();
+        try (StandInConnection client = connectAndStartContent()) {
+            client.writeText("Message-ID: <m@a.test>\r\n\r\nx\r\n.\r\n");
+            try (StandInConnection flooding = accept()) {
+                probe.blockLoop();
+                AtomicInteger chunksWritten = new AtomicInteger();
+                Future<?> flood = threads.submit(() -> {
+                    String chunk = "220-x\r\n".repeat(FLOOD_CHUNK_LINES);
+                    for (int i = 0; i < FLOOD_CHUNKS; i++) {
+                        flooding.writeText(chunk);
+                        chunksWritten.incrementAndGet();
+                    }
+                    return null;
+                });
+                awaitNoProgress(chunksWritten);
+                int queued = probe.counter("entries_tasks");
+                assertTrue(queued > 0, "something was read");
+                assertTrue(queued <= MAX_REPLY_TASKS, "queued: " + queued);
+                assertFalse(flood.isDone(), "the server has to wait");
+                probe.release();
+                assertThrows(ExecutionException.class, () -> flood.get(50, TimeUnit.SECONDS), "the call is given up");
+            }
+            try (StandInConnection good = accept()) {
+                good.writeText("220 good\r\n");
+                assertTrue(good.readLine().startsWith("LHLO"), "the mail is sent again");
+            }
+        }
+        threads.shutdownNow();
+    }
 }
