Cancel the timer of an operator's connection when it closes

Each connection ever opened at the operators' address left a timer for 5 s, so a caller at full speed filled the deadlines. It now goes with its connection. OperatorPortTest.closedOperatorConnectionsLeaveNoTimers: red before (64 timers after 60 connections), green after.

--- a/src/main/java/lilaclever/protocol/operator/OperatorPort.java
+++ b/src/main/java/lilaclever/protocol/operator/OperatorPort.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import lilaclever.routing.Core;
+import lilaclever.routing.Deadlines;
 import lilaclever.routing.ManualDrains;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -38,12 +39,14 @@
         core.counters().entryGauge("operators", this::size);
     }
 
-    /** A connection and what it has received. Selector thread. */
+    /** A connection and what it has received. Selector thread, except the timeout. */
     private static final class Caller {
         private final Connection<?> connection;
         private final byte[] lineBuffer = new byte[MAX_LINE_BYTES];
         private int lineLength;
         private boolean hasCommand;
+        /** Event loop. */
+        private Deadlines.Key timeout;
 
         Caller(Connection<?> connection) {
             this.connection = connection;
@@ -89,16 +92,18 @@
         if (oldest != null) {
             oldest.connection.closeSilently();
         }
-        core.post(() ->
+        core.post(() -> caller.timeout =
                 core.deadlines().schedule(core.nowMicros() + LINE_TIMEOUT_MICROS, caller.connection::closeSilently));
         return context.getInvokeAction();
     }
 
     @Override
     public NextAction handleClose(FilterChainContext context) {
+        Caller caller = callerAttribute.get(context.getConnection());
         synchronized (callers) {
-            callers.remove(callerAttribute.get(context.getConnection()));
+            callers.remove(caller);
         }
+        core.post(() -> core.deadlines().cancel(caller.timeout));
         return context.getInvokeAction();
     }
 
--- a/src/test/java/lilaclever/program/OperatorPortTest.java
+++ b/src/test/java/lilaclever/program/OperatorPortTest.java
@@ -109,6 +109,25 @@
         }
     }
 
+    /** Guards against a timer that stays for each connection that has closed. */
+    @Test
+    void closedOperatorConnectionsLeaveNoTimers() throws Exception {
+        int connections = 60;
+        try (Peer endpoint = endpoint();
+                Peer platform = platform(endpoint)) {
+            serve(platform, endpoint);
+            for (int i = 0; i < connections; i++) {
+                assertEquals("200 ready", sendCommand("STATUS"));
+            }
+            try (Wire client = Wire.connect(forwarder.addresses().get(0))) {
+                client.writeText("GET /counters HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                int timers = Integer.parseInt(
+                        client.readRequest().body().replaceAll("(?s).*entries_deadlines (\\d+).*", "$1"));
+                assertTrue(timers < connections, "timers: " + timers);
+            }
+        }
+    }
+
     /** Guards against connections that never finish a line and exhaust the limit of connections. */
     @Test
     void idleOperatorConnectionsAreClosedForNewOnes() throws Exception {
