Count a mail server's lines as handled also where handling them fails

Seen on reading the change again: an internal error while a line was handled left its block counted, and with it a part of the share of all servers. The block now counts as handled when its turn has come, as on the clients' side. No test of its own; MailTest and MailInputTest guard the rest.

--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -243,6 +243,7 @@
         }
 
         private void onLines(LineBlock lines) {
+            input.handled(lines);
             while (!lines.isEmpty()) {
                 String line = lines.takeLine();
                 if (connection == null) {
@@ -251,7 +252,6 @@
                     onLine(line);
                 }
             }
-            input.handled(lines);
         }
 
         private void onLine(String line) {
