--- a/src/test/java/lilaclever/program/ZoneMeaningTest.java
+++ b/src/test/java/lilaclever/program/ZoneMeaningTest.java
@@ -70,7 +70,7 @@
         return Forwarder.start(Config.parse(text, Map.of()), null);
     }
 
-    /** Guards against a keyed order that runs twice, in two zones, after a restart that finds zones in another order. */
+    /** Guards against a keyed order that runs in two zones after a restart that finds zones in another order. */
     @Test
     void orderStaysInTheZoneOfItsFirstAttemptWhenZonesAreReordered() throws Exception {
         String north = ENDPOINT.formatted("n1", inNorth.address(), "north");
--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -43,7 +43,7 @@
     private static final int FLOOD_LINES = 60 * 1024;
 
     private static final int FLOOD_CHUNK_LINES = 1_000, FLOOD_CHUNKS = 6_000;
-    /** A server's lines are read in tasks of 4 KiB, of which 16 KiB may wait; a few tasks are of timers and the test. */
+    /** A server's lines are read in tasks of 4 KiB, of which 16 KiB may wait; a few tasks are of timers. */
     private static final int MAX_REPLY_TASKS = 5 + 10;
 
     @TempDir
