Say when a block of mail lines counts as handled

Seen on reading the change again: the comment of LineInput said after its lines are handled; both callers count the block when its turn has come, so that an internal error leaves nothing counted. Comment alone.

--- a/src/main/java/lilaclever/protocol/mail/LineInput.java
+++ b/src/main/java/lilaclever/protocol/mail/LineInput.java
@@ -20,7 +20,7 @@
     private final PacedInput input;
     private volatile String unfinishedLine = "";
 
-    /** Passes blocks of lines on; each has to be passed to {@link #handled} once its lines are handled. */
+    /** Passes blocks of lines on; each has to be passed to {@link #handled} when it is its turn. */
     LineInput(Connection<?> connection, InputBudget budget, Consumer<LineBlock> onBlock) {
         this.connection = connection;
         this.onBlock = onBlock;
