Repeat notices that are not answered within the time that they have

Batches that are read and not answered now stand in the record of a run.

Fix: the first four attempts have 60 ms each and follow each other by 10 ms, so that the fourth comes 210 ms after the first; doubling starts from there, up to 1 s as before, for a platform that is slow or gone.

--- a/src/main/java/lilaclever/protocol/http/NoticeSender.java
+++ b/src/main/java/lilaclever/protocol/http/NoticeSender.java
@@ -18,15 +18,17 @@
  */
 public final class NoticeSender {
     /**
-     * The platform answers at once, and a final status counts as lost 300 ms after its message's deadline: a connection
-     * that is closed or unresponsive must be noticed well within that. A slow platform gets a timeout that doubles with
-     * each failure.
+     * A final status counts as lost 300 ms after its message's deadline. The platform answers at once, so a batch
+     * without an answer is repeated early enough that {@link #PROMPT_ATTEMPTS} of them fit in that time.
      */
-    private static final long INITIAL_TIMEOUT_MICROS = 100_000, MAX_TIMEOUT_MICROS = 1_000_000;
+    private static final long INITIAL_TIMEOUT_MICROS = 60_000, MAX_TIMEOUT_MICROS = 1_000_000;
 
     private static final long INITIAL_RETRY_DELAY_MICROS = 10_000, MAX_RETRY_DELAY_MICROS = 100_000;
+    /** From then on timeouts and delays double with each failure, as the platform is slow or gone. */
+    private static final int PROMPT_ATTEMPTS = 4;
+
     private static final int NO_CONTENT = 204;
-    private static final int MAX_DOUBLINGS = 4;
+    private static final int MAX_DOUBLINGS = 5;
     private static final int MAX_BATCH_SIZE = 200;
     /** Notices of this time go together, as each request takes a connection that has rested, or a new one. */
     private static final long BATCH_INTERVAL_MICROS = 10_000;
@@ -112,8 +114,7 @@
         batch.forEach(n -> body.append(n.line()));
         timer = core.deadlines()
                 .schedule(
-                        core.nowMicros() + Math.min(MAX_TIMEOUT_MICROS, INITIAL_TIMEOUT_MICROS << consecutiveFailures),
-                        () -> {
+                        core.nowMicros() + Math.min(MAX_TIMEOUT_MICROS, INITIAL_TIMEOUT_MICROS << doublings()), () -> {
                             inFlight.close();
                             retryLater();
                         });
@@ -196,9 +197,12 @@
         inFlight = null;
         timer = core.deadlines()
                 .schedule(
-                        core.nowMicros()
-                                + Math.min(MAX_RETRY_DELAY_MICROS, INITIAL_RETRY_DELAY_MICROS << consecutiveFailures),
+                        core.nowMicros() + Math.min(MAX_RETRY_DELAY_MICROS, INITIAL_RETRY_DELAY_MICROS << doublings()),
                         this::send);
-        consecutiveFailures = Math.min(consecutiveFailures + 1, MAX_DOUBLINGS);
+        consecutiveFailures++;
+    }
+
+    private int doublings() {
+        return Math.min(Math.max(0, consecutiveFailures - PROMPT_ATTEMPTS + 1), MAX_DOUBLINGS);
     }
 }
--- a/src/test/java/lilaclever/program/ForwarderTest.java
+++ b/src/test/java/lilaclever/program/ForwarderTest.java
@@ -36,6 +36,10 @@
 
 /** Runs the forwarder between scripted clients, endpoints and a platform on loopback sockets. */
 class ForwarderTest {
+    private static final int UNANSWERED_BATCHES = 3;
+    /** A message counts as lost where its notice comes so long after its deadline. */
+    private static final int NOTICE_LIMIT_MILLIS = 300;
+
     @TempDir
     private Path state;
 
@@ -307,6 +311,34 @@
         }
     }
 
+    /** Guards against lost messages where three batches of notices in a row are read and not answered. */
+    @Test
+    void noticeIsConfirmedInTimeAfterThreeBatchesWithoutAnAnswer() throws Exception {
+        LinkedBlockingQueue<Long> readNanos = new LinkedBlockingQueue<>();
+        try (Peer platform = new Peer(wire -> {
+                    for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
+                        if (!r.path().equals("/status")) {
+                            continue;
+                        }
+                        readNanos.add(System.nanoTime());
+                        if (readNanos.size() > UNANSWERED_BATCHES) {
+                            wire.writeResponse("204 No Content", "");
+                            notices.add(r.body());
+                        }
+                    }
+                });
+                Peer endpoint = recordingEndpoint(wire -> wire.writeResponse("500 no", ""))) {
+            serve(platform.address(), endpoint.address());
+            try (Wire client = Wire.connect(address)) {
+                assertTrue(client.submit("a", "payment", 20, "").startsWith("202"));
+                assertEquals("{\"id\":\"a\",\"status\":\"undeliverable\"}\n", Peer.take(notices));
+            }
+            List<Long> all = List.copyOf(readNanos);
+            long tookMillis = (all.get(UNANSWERED_BATCHES) - all.get(0)) / 1_000_000;
+            assertTrue(tookMillis <= NOTICE_LIMIT_MILLIS, tookMillis + " ms from the first batch to the fourth");
+        }
+    }
+
     /**
      * A platform that gives its list once the latch is released, to whichever request is open then; earlier requests
      * have timed out.
--- a/src/test/java/lilaclever/soak/SoakPlatform.java
+++ b/src/test/java/lilaclever/soak/SoakPlatform.java
@@ -176,6 +176,8 @@
                 if (request.method().equals("POST")) {
                     if (connectionRandom.nextDouble() >= noticesDropped) {
                         confirmNotices(connection, request);
+                    } else {
+                        dropNotices(request);
                     }
                 } else {
                     sendList(connection, request.target());
@@ -188,10 +190,7 @@
 
     private void confirmNotices(FaultyConnection connection, HttpMessage request)
             throws IOException, InterruptedException {
-        List<JsonObject> notices = new String(request.body(), StandardCharsets.UTF_8)
-                .lines()
-                .map(line -> JsonParser.parseString(line).getAsJsonObject())
-                .toList();
+        List<JsonObject> notices = noticesOf(request);
         connection.answer("204 No Content", "", false, (isWritten, nanos) -> {
             if (isWritten) {
                 notices.forEach(notice -> account.noticed(
@@ -200,6 +199,20 @@
         });
     }
 
+    /** Notices that are read and not answered stand in the record, as how often that happened explains a late one. */
+    private void dropNotices(HttpMessage request) {
+        long nanos = System.nanoTime();
+        noticesOf(request)
+                .forEach(notice -> account.remark(notice.get("id").getAsString(), nanos, "notice read, not answered"));
+    }
+
+    private static List<JsonObject> noticesOf(HttpMessage request) {
+        return new String(request.body(), StandardCharsets.UTF_8)
+                .lines()
+                .map(line -> JsonParser.parseString(line).getAsJsonObject())
+                .toList();
+    }
+
     private void sendList(FaultyConnection connection, String target) throws IOException, InterruptedException {
         Matcher watch = WATCH_TARGET.matcher(target);
         awaitVoice();
