Test that held mail whose domain has no route any more is reported

Mail for a domain whose route is gone at the next start was only said to end at its time. The test is green on the code as it is: the mail goes to no other domain, and its sender gets a report.

--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -418,6 +418,27 @@
         }
     }
 
+    /** Guards against held mail that never ends, or goes elsewhere, where the mail file has lost its domain's route. */
+    @Test
+    void mailWhoseDomainHasLostItsRouteIsReportedAtItsDeadline() throws Exception {
+        try (Peer server = server(r -> "450 4.2.1 not now", text -> "250 2.0.0 kept");
+                Peer sender = acceptingServer()) {
+            serve(route("a.test", 1, "smtp", server.address()), route("b.test", 2, "smtp", sender.address()));
+            try (Wire wire = Wire.connect(smtp)) {
+                greet(wire, "EHLO");
+                String status = "Message-ID: <x>\r\nX-Message-Class: status\r\n\r\nready";
+                assertEquals(
+                        "250 2.0.0 taken on",
+                        send(wire, "clerk@b.test", status, "till@a.test").get(0));
+            }
+            forwarder.stop();
+            serve(route("b.test", 1, "smtp", sender.address()));
+            String report = Peer.take(mails);
+            assertTrue(report.contains("Final-Recipient: rfc822; till@a.test"), report);
+            assertEquals(List.of(), List.copyOf(mails), "the mail itself went to no other domain");
+        }
+    }
+
     @Test
     void messageWithoutAMailEnvelopeForAMailDestinationIsUndeliverable() throws Exception {
         try (Peer good = acceptingServer()) {
