Leave no tasks behind for connections that come and go

Cause: each accepted connection posted a task, on all ports but HTTP one more for its end, whether or not the loop had heard of it; nothing bounded them.

Fix: HTTP and the operators' address keep accepted connections in a set that one task works off, and one that ends before is taken out (AcceptQueue). A mail or HL7 port closes a connection at once, without the loop, while as many as it holds wait for the loop (UnhandledLimit); their tasks stay in order with those of their input, as before.

--- a/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
+++ b/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
@@ -16,6 +16,7 @@
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.Counters.Name;
+import lilaclever.transport.AcceptQueue;
 import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
 import org.glassfish.grizzly.Connection;
@@ -90,6 +91,7 @@
     private final int maxConnections, keepAliveLimit;
     private final Consumer<Request> handler;
     private final Set<Client> clients = new LinkedHashSet<>();
+    private final AcceptQueue<Client> acceptQueue;
     /** The clients that are to close or that linger, oldest first; guarded by {@code clients}. */
     private final Set<Client> closingClients = new LinkedHashSet<>();
 
@@ -112,6 +114,7 @@
         this.core = core;
         this.maxConnections = maxConnections;
         this.keepAliveLimit = keepAliveLimit;
+        this.acceptQueue = new AcceptQueue<>(core::post, Client::checkExpiry);
         this.handler = handler;
     }
 
@@ -639,7 +642,7 @@
             clients.add(client);
         }
         evictFor(client);
-        core.post(client::checkExpiry);
+        acceptQueue.add(client);
         return context.getInvokeAction();
     }
 
@@ -655,6 +658,7 @@
     public NextAction handleClose(FilterChainContext context) {
         Client client = clientAttribute.get(context.getConnection());
         if (client != null) {
+            acceptQueue.remove(client);
             remove(client);
         }
         return context.getInvokeAction();
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -25,6 +25,7 @@
 import lilaclever.routing.Submission;
 import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
+import lilaclever.transport.UnhandledLimit;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -54,6 +55,8 @@
     /** Enough for the share of each session, so that one that waits for its replies takes nothing from others. */
     private final InputBudget inputBudget;
 
+    private final UnhandledLimit acceptLimit;
+
     private final Map<Message, List<Waiter>> waiters = new HashMap<>();
     private final Set<ServerSession> sessions = new HashSet<>();
     private final Attribute<ServerSession> sessionAttribute =
@@ -73,6 +76,7 @@
         this.classes = classes;
         this.protocol = protocol;
         this.maxSessions = maxSessions;
+        this.acceptLimit = new UnhandledLimit(Math.max(1, maxSessions));
         this.inputBudget =
                 new InputBudget(Integer.MAX_VALUE, (long) Math.max(1, maxSessions) * LineInput.MAX_CONNECTION_BYTES);
         core.counters().entryGauge(name() + "_unhandled", inputBudget::pieces);
@@ -262,6 +266,7 @@
     }
 
     private void onOpen(ServerSession session) {
+        acceptLimit.handled();
         if (closing || sessions.size() >= maxSessions) {
             session.close("421 4.3.2 " + settings.hostName() + " takes no more connections\r\n");
             return;
@@ -274,6 +279,10 @@
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<?> connection = context.getConnection();
+            if (!acceptLimit.tryAdd()) {
+                connection.closeSilently();
+                return context.getStopAction();
+            }
             String peer = connection.getPeerAddress() instanceof InetSocketAddress a
                     ? a.getAddress().getHostAddress()
                     : "unknown";
@@ -287,7 +296,9 @@
         public NextAction handleRead(FilterChainContext context) {
             byte[] bytes = Transport.toBytes(context.getMessage());
             ServerSession session = sessionAttribute.get(context.getConnection());
-            session.onBytes(bytes);
+            if (session != null) {
+                session.onBytes(bytes);
+            }
             return context.getStopAction();
         }
 
--- a/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
@@ -14,6 +14,7 @@
 import lilaclever.routing.Core;
 import lilaclever.transport.InputBudget;
 import lilaclever.transport.Transport;
+import lilaclever.transport.UnhandledLimit;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -119,23 +120,28 @@
 
     private final class SessionFilter extends BaseFilter {
         private final MllpSettings.Listener listener;
+        private final UnhandledLimit acceptLimit;
 
         SessionFilter(MllpSettings.Listener listener) {
             this.listener = listener;
+            this.acceptLimit = new UnhandledLimit(listener.maxConnections());
         }
 
         @Override
         public NextAction handleAccept(FilterChainContext context) {
             Connection<?> connection = context.getConnection();
             InetAddress peer = connection.getPeerAddress() instanceof InetSocketAddress a ? a.getAddress() : null;
-            if (peer == null || !listener.networks().contains(peer)) {
+            if (peer == null || !listener.networks().contains(peer) || !acceptLimit.tryAdd()) {
                 rejected.incrementAndGet();
                 connection.closeSilently();
                 return context.getStopAction();
             }
             MllpSession session = new MllpSession(front, listener, connection, peer.getHostAddress(), inputBudget);
             sessionAttribute.set(connection, session);
-            core.post(() -> onOpen(session, listener));
+            core.post(() -> {
+                acceptLimit.handled();
+                onOpen(session, listener);
+            });
             return context.getInvokeAction();
         }
 
--- a/src/main/java/lilaclever/protocol/operator/OperatorPort.java
+++ b/src/main/java/lilaclever/protocol/operator/OperatorPort.java
@@ -7,7 +7,9 @@
 import lilaclever.routing.Core;
 import lilaclever.routing.Deadlines;
 import lilaclever.routing.ManualDrains;
+import lilaclever.transport.AcceptQueue;
 import lilaclever.transport.Transport;
+import lilaclever.transport.UnhandledLimit;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -29,6 +31,8 @@
     private final Core core;
     private final ManualDrains manualDrains;
     private final ArrayDeque<Caller> callers = new ArrayDeque<>();
+    private final AcceptQueue<Caller> acceptQueue;
+    private final UnhandledLimit commandLimit = new UnhandledLimit(MAX_CONNECTIONS);
     private final Attribute<Caller> callerAttribute =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("OperatorPort.caller");
 
@@ -36,6 +40,7 @@
     public OperatorPort(Core core, ManualDrains manualDrains) {
         this.core = core;
         this.manualDrains = manualDrains;
+        this.acceptQueue = new AcceptQueue<>(core::post, this::onAccepted);
         core.counters().entryGauge("operators", this::size);
     }
 
@@ -92,18 +97,24 @@
         if (oldest != null) {
             oldest.connection.closeSilently();
         }
-        core.post(() -> caller.timeout =
-                core.deadlines().schedule(core.nowMicros() + LINE_TIMEOUT_MICROS, caller.connection::closeSilently));
+        acceptQueue.add(caller);
         return context.getInvokeAction();
     }
 
+    private void onAccepted(Caller caller) {
+        caller.timeout =
+                core.deadlines().schedule(core.nowMicros() + LINE_TIMEOUT_MICROS, caller.connection::closeSilently);
+    }
+
     @Override
     public NextAction handleClose(FilterChainContext context) {
         Caller caller = callerAttribute.get(context.getConnection());
         synchronized (callers) {
             callers.remove(caller);
         }
-        core.post(() -> core.deadlines().cancel(caller.timeout));
+        if (!acceptQueue.remove(caller)) {
+            core.post(() -> core.deadlines().cancel(caller.timeout));
+        }
         return context.getInvokeAction();
     }
 
@@ -114,11 +125,22 @@
         String line = caller.hasCommand ? null : caller.append(bytes);
         if (line != null) {
             caller.hasCommand = true;
-            core.post(() -> answer(caller.connection, execute(line)));
+            submit(caller, line);
         }
         return context.getStopAction();
     }
 
+    private void submit(Caller caller, String line) {
+        if (!commandLimit.tryAdd()) {
+            caller.connection.closeSilently();
+            return;
+        }
+        core.post(() -> {
+            commandLimit.handled();
+            answer(caller.connection, execute(line));
+        });
+    }
+
     @Override
     public void exceptionOccurred(FilterChainContext context, Throwable error) {
         context.getConnection().closeSilently();
--- a/src/test/java/lilaclever/protocol/http/HttpInputTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpInputTest.java
@@ -92,6 +92,23 @@
         }
     }
 
+    /** Guards against clients that connect and leave, each of which left a task for the event loop behind. */
+    @Test
+    @Timeout(60)
+    void connectionsThatHaveEndedLeaveNoTasks() throws Exception {
+        probe.blockLoop();
+        for (int i = 0; i < CLIENTS; i++) {
+            new Socket(address.getAddress(), address.getPort()).close();
+        }
+        probe.awaitSelections();
+        int queued = probe.counter("entries_tasks");
+        assertTrue(queued <= OTHER_TASKS, "queued: " + queued);
+        probe.releaseAndAwaitTasks();
+        StandInConnection client = connectAndSend(0);
+        assertTrue(client.readHttp() != null, "a client that comes later is answered");
+        client.close();
+    }
+
     /** Guards against clients that leave and whose requests wait for the event loop without being counted. */
     @Test
     @Timeout(60)
--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -40,6 +40,9 @@
     /** An eighth of a heap of 64 MB, for the sessions of one port. */
     private static final long MAX_UNHANDLED_BYTES = 8 << 20;
 
+    /** Tasks of timers and of the test. */
+    private static final int OTHER_TASKS = 10;
+
     private static final int FLOOD_LINES = 60 * 1024;
 
     private static final int FLOOD_CHUNK_LINES = 1_000, FLOOD_CHUNKS = 6_000;
@@ -185,6 +188,22 @@
         }
     }
 
+    /** Guards against clients that connect and leave, each of which left tasks for the event loop behind. */
+    @Test
+    @Timeout(60)
+    void connectionsThatHaveEndedLeaveTasksWithinTheBound() throws Exception {
+        serve();
+        probe.blockLoop();
+        for (int i = 0; i < 10 * MAX_SESSIONS; i++) {
+            new Socket(address.getAddress(), address.getPort()).close();
+        }
+        probe.awaitSelections();
+        int queued = probe.counter("entries_tasks");
+        assertTrue(queued <= 2 * MAX_SESSIONS + OTHER_TASKS, "queued: " + queued);
+        probe.releaseAndAwaitTasks();
+        connect().close();
+    }
+
     /** Guards against a server that fills the event loop's queue with lines of a reply that never ends. */
     @Test
     @Timeout(60)
--- a/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
@@ -163,6 +163,24 @@
         }
     }
 
+    /** Guards against clients that connect and leave, each of which left tasks for the event loop behind. */
+    @Test
+    @Timeout(60)
+    void connectionsThatHaveEndedLeaveTasksWithinTheBound() throws Exception {
+        probe.blockLoop();
+        for (int i = 0; i < 10 * MAX_CONNECTIONS; i++) {
+            new Socket(address.getAddress(), address.getPort()).close();
+        }
+        probe.awaitSelections();
+        int queued = probe.counter("entries_tasks");
+        assertTrue(queued <= 2 * MAX_CONNECTIONS + OTHER_TASKS, "queued: " + queued);
+        probe.releaseAndAwaitTasks();
+        try (StandInConnection client = connect()) {
+            sendOrders(client, "later", 1);
+            assertEquals(1, readAcknowledgements(client, 1));
+        }
+    }
+
     /** Guards against clients that have left and still take the share of others. */
     @Test
     @Timeout(60)
--- a/src/test/java/lilaclever/transport/InputProbe.java
+++ b/src/test/java/lilaclever/transport/InputProbe.java
@@ -52,6 +52,14 @@
         loopMayGoOn.countDown();
     }
 
+    /** Lets the event loop go on, and waits until it has handled all that is queued now. */
+    public void releaseAndAwaitTasks() throws InterruptedException {
+        CountDownLatch handled = new CountDownLatch(1);
+        core.post(handled::countDown);
+        release();
+        assertTrue(handled.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    }
+
     @Override
     public void close() {
         release();
