Share what tests of unhandled input have in common, and tighten two bounds

Four tests set up and ended a core whose loop is held in the same lines, and three the clients that connect and leave; InputFixture has both now. The two bounds of HttpInputTest on requests allowed a task for each connection, which there are none of since: they no longer do.

--- a/src/test/java/lilaclever/protocol/http/HttpInputTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpInputTest.java
@@ -4,46 +4,27 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import lilaclever.routing.Clock;
-import lilaclever.routing.Core;
 import lilaclever.routing.MessageClasses;
 import lilaclever.routing.TestCore;
 import lilaclever.simulation.sockets.StandInConnection;
-import lilaclever.transport.InputProbe;
-import lilaclever.transport.Transport;
-import org.junit.jupiter.api.AfterEach;
+import lilaclever.transport.InputFixture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What clients of the HTTP port can queue for the event loop, which the tests hold meanwhile. */
-class HttpInputTest {
+class HttpInputTest extends InputFixture {
     private static final int BODY_BYTES = 64 * 1024;
     /** A tenth of a heap of 64 MB, as documented in docs/bounds.md. */
     private static final int MAX_UNHANDLED_BYTES = 6 << 20;
 
     private static final int CLIENTS = 200;
-    /** Tasks of timers and of the test, beside the one for each connection that was opened. */
-    private static final int OTHER_TASKS = 10;
-
-    @TempDir
-    private Path state;
-
-    private Transport transport;
-    private Core core;
-    private InetSocketAddress address;
-    private InputProbe probe;
 
     @BeforeEach
     void serve() throws Exception {
-        transport = new Transport();
-        core = TestCore.create(state, Clock.system());
         MessageClasses classes = new MessageClasses(
                 List.of(TestCore.SAFE_CLASS, TestCore.UNSAFE_CLASS),
                 TestCore.settings().classes());
@@ -51,19 +32,10 @@
         core.add(front);
         core.start(List.of(), 0);
         address = (InetSocketAddress) front.listen(transport, new InetSocketAddress("127.0.0.1", 0));
-        probe = new InputProbe(core, transport);
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        probe.close();
-        core.stop();
-        transport.close();
     }
 
     private StandInConnection connectAndSend(int number) throws IOException {
-        StandInConnection client = new StandInConnection(new Socket(address.getAddress(), address.getPort()));
-        client.setReadTimeout(20_000);
+        StandInConnection client = open();
         client.writeText("POST /api HTTP/1.1\r\nReq-Id: m" + number + "\r\nReq-Kind: " + TestCore.SAFE_CLASS
                 + "\r\nReq-Deadline: 3600\r\nX-Envelope: dest=7\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n"
                 + "x".repeat(BODY_BYTES));
@@ -82,7 +54,7 @@
         probe.awaitSelections();
         int queued = probe.counter("entries_tasks");
         int maxRequests = MAX_UNHANDLED_BYTES / BODY_BYTES;
-        assertTrue(queued <= maxRequests + CLIENTS + OTHER_TASKS, "queued: " + queued);
+        assertTrue(queued <= maxRequests + OTHER_TASKS, "queued: " + queued);
         assertTrue(queued >= maxRequests / 2, "something was read: " + queued);
         probe.release();
         for (StandInConnection client : clients) {
@@ -96,12 +68,7 @@
     @Test
     @Timeout(60)
     void connectionsThatHaveEndedLeaveNoTasks() throws Exception {
-        probe.blockLoop();
-        for (int i = 0; i < CLIENTS; i++) {
-            new Socket(address.getAddress(), address.getPort()).close();
-        }
-        probe.awaitSelections();
-        int queued = probe.counter("entries_tasks");
+        int queued = tasksLeftByConnections(CLIENTS, "");
         assertTrue(queued <= OTHER_TASKS, "queued: " + queued);
         probe.releaseAndAwaitTasks();
         StandInConnection client = connectAndSend(0);
@@ -119,7 +86,7 @@
         }
         probe.awaitSelections();
         int queued = probe.counter("entries_tasks");
-        assertTrue(queued <= MAX_UNHANDLED_BYTES / BODY_BYTES + CLIENTS + OTHER_TASKS, "queued: " + queued);
+        assertTrue(queued <= MAX_UNHANDLED_BYTES / BODY_BYTES + OTHER_TASKS, "queued: " + queued);
         probe.release();
         StandInConnection client = connectAndSend(CLIENTS);
         assertTrue(client.readHttp() != null, "a client that comes later is answered");
--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -9,8 +9,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -21,51 +19,35 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import lilaclever.protocol.mail.MailSettings.Protocol;
-import lilaclever.routing.Clock;
-import lilaclever.routing.Core;
 import lilaclever.routing.MessageClasses;
 import lilaclever.routing.TestCore;
 import lilaclever.simulation.sockets.StandInConnection;
-import lilaclever.transport.InputProbe;
-import lilaclever.transport.Transport;
+import lilaclever.transport.InputFixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What clients of a mail port, and servers, can queue for the event loop, which the tests hold meanwhile. */
-class MailInputTest {
+class MailInputTest extends InputFixture {
     private static final int MAX_SESSIONS = 64, MAX_MESSAGE_BYTES = 64 * 1024;
     /** An eighth of a heap of 64 MB, for the sessions of one port. */
     private static final long MAX_UNHANDLED_BYTES = 8 << 20;
 
-    /** Tasks of timers and of the test. */
-    private static final int OTHER_TASKS = 10;
-
     private static final int FLOOD_LINES = 60 * 1024;
 
     private static final int FLOOD_CHUNK_LINES = 1_000, FLOOD_CHUNKS = 6_000;
     /** A server's lines are read in tasks of 4 KiB, of which 16 KiB may wait; a few tasks are of timers. */
-    private static final int MAX_REPLY_TASKS = 5 + 10;
-
-    @TempDir
-    private Path state;
+    private static final int MAX_REPLY_TASKS = 5 + OTHER_TASKS;
 
     private ServerSocket server;
     private MailSettings settings;
-    private Transport transport;
-    private Core core;
     private MailFront front;
-    private InetSocketAddress address;
-    private InputProbe probe;
 
     @BeforeEach
     void create() throws Exception {
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         server.setSoTimeout(20_000);
-        transport = new Transport();
-        core = TestCore.create(state, Clock.system());
         settings = new MailSettings(
                 "mx.test",
                 List.of(new MailSettings.Listener(Protocol.LMTP, "127.0.0.1:0")),
@@ -82,7 +64,6 @@
                 TestCore.settings().classes());
         front = new MailFront(core, settings, classes, Protocol.LMTP, MAX_SESSIONS);
         core.add(front);
-        probe = new InputProbe(core, transport);
     }
 
     private void serve() throws IOException {
@@ -92,15 +73,11 @@
 
     @AfterEach
     void stop() throws Exception {
-        probe.close();
-        core.stop();
-        transport.close();
         server.close();
     }
 
     private StandInConnection connect() throws IOException {
-        StandInConnection client = new StandInConnection(new Socket(address.getAddress(), address.getPort()));
-        client.setReadTimeout(20_000);
+        StandInConnection client = open();
         assertTrue(client.readLine().startsWith("220"));
         return client;
     }
@@ -193,12 +170,7 @@
     @Timeout(60)
     void connectionsThatHaveEndedLeaveTasksWithinTheBound() throws Exception {
         serve();
-        probe.blockLoop();
-        for (int i = 0; i < 10 * MAX_SESSIONS; i++) {
-            new Socket(address.getAddress(), address.getPort()).close();
-        }
-        probe.awaitSelections();
-        int queued = probe.counter("entries_tasks");
+        int queued = tasksLeftByConnections(10 * MAX_SESSIONS, "");
         assertTrue(queued <= 2 * MAX_SESSIONS + OTHER_TASKS, "queued: " + queued);
         probe.releaseAndAwaitTasks();
         connect().close();
--- a/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/MllpInputTest.java
@@ -5,9 +5,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.SocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -19,47 +17,31 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import lilaclever.protocol.mllp.MllpSettings.Field;
-import lilaclever.routing.Clock;
-import lilaclever.routing.Core;
 import lilaclever.routing.MessageClasses;
 import lilaclever.routing.TestCore;
 import lilaclever.simulation.sockets.StandInConnection;
 import lilaclever.transport.AddressSet;
-import lilaclever.transport.InputProbe;
-import lilaclever.transport.Transport;
-import org.junit.jupiter.api.AfterEach;
+import lilaclever.transport.InputFixture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What clients of the HL7 port can queue for the event loop, which the tests block meanwhile. */
-class MllpInputTest {
+class MllpInputTest extends InputFixture {
     private static final int MAX_IN_FLIGHT = 16, MAX_CONNECTIONS = 100;
     /** All sessions together: the event loop needs some 0.1 ms for each, so their time stays far below 100 ms. */
     private static final int MAX_UNHANDLED = 200;
-    /** Tasks of timers and of the tests, beside the one for each connection that was opened. */
-    private static final int OTHER_TASKS = 10;
 
     private static final String ORDER = "MSH|^~\\&|APP|F|LAB|L|20260101||ORM^O01|%s|P|2.5|||AL|NE\rORC|NW|1\r";
 
     private static final String EMPTY_BATCH = "BHS|^~\\&|APP\rBTS|0\r";
 
-    @TempDir
-    private Path state;
-
-    private Transport transport;
-    private Core core;
     private MllpFront front;
-    private InetSocketAddress address;
-    private InputProbe probe;
 
     @BeforeEach
     void serve() throws Exception {
-        transport = new Transport();
-        core = TestCore.create(state, Clock.system());
         MllpSettings settings = new MllpSettings(
                 List.of(new MllpSettings.Listener(
                         "clinics",
@@ -91,20 +73,6 @@
         core.start(List.of(), 0);
         SocketAddress bound = front.listen(transport).get(0);
         address = (InetSocketAddress) bound;
-        probe = new InputProbe(core, transport);
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        probe.close();
-        core.stop();
-        transport.close();
-    }
-
-    private StandInConnection connect() throws IOException {
-        StandInConnection client = new StandInConnection(new Socket(address.getAddress(), address.getPort()));
-        client.setReadTimeout(20_000);
-        return client;
     }
 
     /** Sends orders, each behind a batch without messages, which nothing is posted for. */
@@ -132,7 +100,7 @@
     void clientsAtFullSpeedQueueNoMoreThanTheirShare(int connections, int messagesOfEach) throws Exception {
         List<StandInConnection> clients = new ArrayList<>();
         for (int i = 0; i < connections; i++) {
-            clients.add(connect());
+            clients.add(open());
         }
         probe.blockLoop();
         ExecutorService threads = Executors.newFixedThreadPool(2 * connections);
@@ -167,15 +135,10 @@
     @Test
     @Timeout(60)
     void connectionsThatHaveEndedLeaveTasksWithinTheBound() throws Exception {
-        probe.blockLoop();
-        for (int i = 0; i < 10 * MAX_CONNECTIONS; i++) {
-            new Socket(address.getAddress(), address.getPort()).close();
-        }
-        probe.awaitSelections();
-        int queued = probe.counter("entries_tasks");
+        int queued = tasksLeftByConnections(10 * MAX_CONNECTIONS, "");
         assertTrue(queued <= 2 * MAX_CONNECTIONS + OTHER_TASKS, "queued: " + queued);
         probe.releaseAndAwaitTasks();
-        try (StandInConnection client = connect()) {
+        try (StandInConnection client = open()) {
             sendOrders(client, "later", 1);
             assertEquals(1, readAcknowledgements(client, 1));
         }
@@ -187,13 +150,13 @@
     void shareOfClientsThatHaveLeftIsFree() throws Exception {
         probe.blockLoop();
         for (int i = 0; i < 60; i++) {
-            StandInConnection leaving = connect();
+            StandInConnection leaving = open();
             sendOrders(leaving, "left" + i + '.', MAX_IN_FLIGHT);
             leaving.close();
         }
         probe.awaitSelections();
         probe.release();
-        try (StandInConnection client = connect()) {
+        try (StandInConnection client = open()) {
             sendOrders(client, "here", 100);
             assertEquals(100, readAcknowledgements(client, 100));
         }
