--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -346,14 +346,23 @@
 
 
 class Partner(HttpServer):
-    """An endpoint of a partner: takes calls of one message, keeps what ran, and answers 200 after a while."""
+    """An endpoint of a partner: takes calls of one message, keeps what ran, and answers 200 after a while.
 
-    def __init__(self, record, name, group, work_s=0.08):
+    It drops repeats of an idempotency key for repeat_window seconds. answer_to(body) gives its answer: a status, or
+    None to hold the call without an answer.
+    """
+
+    def __init__(self, record, name, group, work_s=0.08, repeat_window=0.0, answer_to=None):
         self.record = record
         self.name = name
         self.group = group
         self.work_s = work_s
+        self.repeat_window = repeat_window
+        self.answer_to = answer_to or (lambda body: 200)
+        self.lock = threading.Lock()
+        self.first_run = {}
         self.runs = []  # (time, message id, key, body)
+        self.calls = []  # the same for all calls, also those that are dropped as repeats
         super().__init__()
 
     def entry(self, status="active"):
@@ -363,6 +372,17 @@
     def handle(self, method, path, headers, body, connection):
         if method != "POST" or path != "/receive":
             return answer(200 if path == "/health/live" else 404)
-        self.runs.append((time.monotonic(), headers.get("req-id"), headers.get("idempotency-key"), body))
+        call = (time.monotonic(), headers.get("req-id"), headers.get("idempotency-key"), body)
+        with self.lock:
+            key = call[2]
+            repeat = key in self.first_run and call[0] - self.first_run[key] < self.repeat_window
+            self.calls.append(call)
+            if not repeat:
+                self.first_run[key] = call[0]
+                self.runs.append(call)
+        status = self.answer_to(body)
+        if status is None:
+            connection.recv(1)  # until the forwarder gives the call up
+            return None
         time.sleep(self.work_s)
-        return answer(200)
+        return answer(status)
