--- a/review/lib2/hl7.py
+++ b/review/lib2/hl7.py
@@ -7,19 +7,20 @@
 from mail import connect
 
 
-def message(event, control_id, segment):
-    return ("MSH|^~\\&|CLINIC1|NORTH|LAB|PRAIRIE|20261201080000||%s|%s|P|2.5|||AL|AL\r%s\r" % (
-        event, control_id, segment)).encode()
+def message(event, control_id, segment, sender="CLINIC1", mode="|||AL|AL", receiver="LAB"):
+    """A message in enhanced mode with both acknowledgements, or in original mode with mode ""."""
+    return ("MSH|^~\\&|%s|NORTH|%s|PRAIRIE|20261201080000||%s|%s|P|2.5%s\r%s\r" % (
+        sender, receiver, event, control_id, mode, segment)).encode()
 
 
-def operator_file(port, destination):
+def operator_file(port, destination, *further):
     return "\n".join([
         "[identity]", "shared yes", "http-practice X-Practice",
         "[mllp clinics]", "address 127.0.0.1:%d" % port, "networks 127.0.0.0/8",
-        "[practice north]", "senders CLINIC1",
+        "[practice north]", "senders CLINIC1 CLINIC2",
         "[hl7-class lens-order]", "events ORM^O01",
         "[hl7-class payment]", "events DFT^P03",
-        "[hl7-destination %d]" % destination, "receivers LAB", ""])
+        "[hl7-destination %d]" % destination, "receivers LAB", *further, ""])
 
 
 class Client:
