--- a/review/10/play.py
+++ b/review/10/play.py
@@ -11,6 +11,7 @@
 DEADLINE = 28.0  # the class payment is given up at 28 s
 SLACK = 0.35  # 300 ms, and 50 ms for a time limit on sockets
 PAYMENT = "payment-1@clinics.example"
+SOUND_MAILS = 3  # to a sound partner: the clinic's server gets 1 of 5 messages, 20%; the brief has up to 32%
 
 
 def play(case):
@@ -25,6 +26,7 @@
 
     partner = mail.MailServer(record, "the partner's server", reply=partner_reply)
     clinic = mail.MailServer(record, "the clinic's server", reply=clinic_reply)
+    sound = mail.MailServer(record, "a sound partner's server")
     platform = kit.Platform(record)
     case.discovery_address = platform.address
     smtp_port = kit.free_port()
@@ -34,7 +36,8 @@
             [{"protocol": "smtp", "address": "127.0.0.1:%d" % smtp_port}],
             [{"domain": "frames.example", "destination": 1000001, "protocol": "smtp", "addresses": [partner.address]},
              {"domain": "clinics.example", "destination": 1000002, "protocol": "smtp",
-              "addresses": [clinic.address]}]), f)
+              "addresses": [clinic.address]},
+             {"domain": "lenses.example", "destination": 1000003, "protocol": "smtp", "addresses": [sound.address]}]), f)
     forwarder = kit.Forwarder(case, arguments="--mail " + mail_config).start()
     if case.trouble:
         shut_until[0] = time.monotonic() + SHUT
@@ -47,6 +50,11 @@
     if not reply.startswith("250"):
         raise kit.CannotRun("payment-1 was not taken on: " + reply)
 
+    for number in range(SOUND_MAILS):
+        record("the client hands in another mail and hears: " + client.send(
+            "pay@clinics.example", "desk@lenses.example",
+            mail.mail("order-%d@clinics.example" % number, "order", "one frame")))
+
     def reports():
         return [taken for taken in clinic.taken if PAYMENT in taken[3] or "desk@frames.example" in taken[3]]
 
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -95,6 +95,9 @@
         if late is None or late > SLACK_S:
             broken.append("%s was taken on, was not delivered, and has had %s" % (
                 message_id, "no end" if late is None else "its end %.2f s after its time" % late))
+    for partner in (shut, sound):
+        for at, message_id, _, _ in list(partner.calls):
+            record("%s was called at %.3f s with %s" % (partner.name, at - record.started, message_id))
     record("%d messages were delivered; replies to the mail clients: %s" % (len(delivered), counts))
     if not forwarder.is_running():
         broken.append("the forwarder has ended")
