Keep a message whose client has left until it is certain that it never ran

Cause: Core.withdrawSubmitter, which runs when the 202 can't be written, removed the message and its identity and settled its record, and only then tried to take its call back. Ruled out: different identities on the two ports (all that were not withdrawn joined), one message sent twice.

Change: a message without clients is withdrawn once no call is out, no attempt may have run and no answer waits for confirmation; until then it goes on as any other. Its client is owed the end again when it comes back under its id. Counter kept_without_client.

--- a/src/main/java/lilaclever/routing/AnswerOutcomes.java
+++ b/src/main/java/lilaclever/routing/AnswerOutcomes.java
@@ -35,6 +35,11 @@
         return unconfirmed.size();
     }
 
+    /** Whether the message waits for an answer to be confirmed. */
+    boolean isUnconfirmed(Message message) {
+        return unconfirmed.containsKey(message);
+    }
+
     /**
      * An answer has arrived. If it is not certain, {@link #confirmed} or {@link #refuted} follows.
      *
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -279,7 +279,7 @@
         Message existing = pendingMessages.get(submission.id());
         if (existing != null
                 && (submission.identity() == null || !submission.identity().equals(existing.submission.identity()))) {
-            return submission.identity() == null ? existing : rejectConflict(message);
+            return submission.identity() == null ? resubmitted(existing, front) : rejectConflict(message);
         }
         DuplicateCheckResult<Message, FinalStatus> check = deduplication.check(message, wallMicros);
         if (check instanceof DuplicateCheckResult.PendingDuplicate<Message, FinalStatus> duplicate) {
@@ -309,6 +309,15 @@
         return message;
     }
 
+    /** The pending message of an id that its client has submitted again, which may have left before. */
+    private static Message resubmitted(Message pending, Front front) {
+        DeduplicationTable.Submitter submitter = new DeduplicationTable.Submitter(front, pending.id());
+        if (front == pending.front && !pending.submitters.contains(submitter)) {
+            pending.submitters.add(submitter);
+        }
+        return pending;
+    }
+
     /** Attaches a duplicate to its pending message: if identities are shared, its front is notified as well. */
     private Message attach(Message pending, Message duplicate) {
         if (Identity.isShared(pending.submission.identity())
@@ -337,18 +346,35 @@
         journal.whenDurable(() -> run(consequence));
     }
 
-    /** Removes a submitter whose client left before the acceptance was reported to it. Event loop. */
+    /**
+     * Removes a submitter whose client left before the acceptance was reported to it. A message without submitters is
+     * withdrawn once it is certain that no attempt has run. Until then it goes on as any other, so that it is known
+     * again when its client comes back, on whichever port. Event loop.
+     */
     public void withdrawSubmitter(Message message, Front front, String id) {
         message.submitters.remove(new DeduplicationTable.Submitter(front, id));
-        if (!message.isFinished && message.submitters.isEmpty()) {
-            counters.add(Name.WITHDRAWN);
-            events.add(new Event.Withdrawn(message.id()));
-            removePending(message);
-            takeBack(message);
-            journal.recordSettled(message.id());
+        if (message.isFinished || !message.submitters.isEmpty()) {
+            return;
+        }
+        takeBack(message);
+        if (!withdrawIfUnwanted(message)) {
+            counters.add(Name.KEPT_WITHOUT_CLIENT);
         }
     }
 
+    /** Withdraws a message that has no submitter and that no endpoint can have run; returns whether it did. */
+    private boolean withdrawIfUnwanted(Message message) {
+        boolean mayHaveRun = message.mayHaveRun || message.currentCall != null || answers.isUnconfirmed(message);
+        if (message.isFinished || !message.submitters.isEmpty() || mayHaveRun) {
+            return message.isFinished;
+        }
+        counters.add(Name.WITHDRAWN);
+        events.add(new Event.Withdrawn(message.id()));
+        removePending(message);
+        journal.recordSettled(message.id());
+        return true;
+    }
+
     /** Applies a whole endpoint list or changes to it. Event loop. */
     public void updateEndpoints(DecisionModule.ListingKind kind, long version, List<ListedEndpoint> listed) {
         counters.add(Name.LISTINGS);
@@ -448,6 +474,9 @@
             finishOver(message);
         } else {
             journal.recordOutcome(message.id(), result.neverRan());
+            if (!result.forbidsAttempts()) { // else the decision module ends it, and that is remembered
+                withdrawIfUnwanted(message);
+            }
         }
     }
 
@@ -506,6 +535,7 @@
         journal.recordOutcome(message.id(), neverRan);
         message.isResumed = true;
         events.add(message.toSubmitEvent(nowMicros, clock.wallMicros()));
+        withdrawIfUnwanted(message);
     }
 
     /** Reports the end of a probe. Event loop. */
--- a/src/main/java/lilaclever/routing/Counters.java
+++ b/src/main/java/lilaclever/routing/Counters.java
@@ -19,6 +19,8 @@
         FAILED,
         DELIVERED,
         WITHDRAWN,
+        /** Messages whose last client left before their acceptance was told, while an attempt may have run. */
+        KEPT_WITHOUT_CLIENT,
         RESUMED,
         CALLS,
         ATTEMPTS,
--- a/src/main/java/lilaclever/routing/DeduplicationTable.java
+++ b/src/main/java/lilaclever/routing/DeduplicationTable.java
@@ -114,7 +114,9 @@
             return true;
         }
         if (message.submitters.size() > MAX_ATTACHED
-                || message.isJournaled && !journal.recordAttached(message.id(), front.name(), id)) {
+                || message.isJournaled
+                        && !isFirst(message, submitter)
+                        && !journal.recordAttached(message.id(), front.name(), id)) {
             return false;
         }
         counters.add(Name.JOINED);
@@ -122,6 +124,11 @@
         return true;
     }
 
+    /** Whether the message's own record names the submitter. */
+    private static boolean isFirst(Message message, Submitter submitter) {
+        return submitter.front() == message.front && submitter.id().equals(message.id());
+    }
+
     /**
      * Records the submitters that were attached in the same turn, once the message itself is recorded; removes and
      * returns those that could not be recorded.
@@ -129,9 +136,7 @@
     List<Submitter> recordAttached(Message message) {
         List<Submitter> rejected = new ArrayList<>();
         for (Submitter submitter : message.submitters) {
-            boolean isFirst =
-                    submitter.front() == message.front && submitter.id().equals(message.id());
-            if (!isFirst
+            if (!isFirst(message, submitter)
                     && !journal.recordAttached(message.id(), submitter.front().name(), submitter.id())) {
                 rejected.add(submitter);
             }
