Take a call back without closing on the answers before it, and drop unwritten requests

Cause: HttpClient.Exchange.write closed the idle connection of a call that had been taken back, and the end of a connection refutes the answers that wait on it. And ConnectionState.discard closed plainly after an answer before the end of its request: Grizzly first writes the rest, and nothing is reported until it has.

Change: such a connection closes once its answers are confirmed; discard drops what is not written.

--- a/src/main/java/lilaclever/protocol/http/HttpClient.java
+++ b/src/main/java/lilaclever/protocol/http/HttpClient.java
@@ -335,7 +335,7 @@
         private void discard(String reason) {
             isUnusable = true;
             logClose(reason);
-            connection.closeSilently();
+            connection.terminateSilently(); // a plain close would first write the rest of a request
         }
 
         private void logClose(String reason) {
@@ -558,7 +558,9 @@
 
         private synchronized void write(ConnectionState state) {
             if (isGivenUp) {
-                state.connection.closeSilently();
+                // Nothing was written, and answers that wait for confirmation on the connection are not in doubt.
+                state.currentExchange = null;
+                core.post(state::closeWhenConfirmed);
                 return;
             }
             connectionState = state;
@@ -598,7 +600,7 @@
             trace("withheld");
             core.post(() -> {
                 if (isDone) {
-                    unused.closeSilently();
+                    closeIdleConnection(unused);
                     return;
                 }
                 releaseConnection(unused);
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -5,15 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lilaclever.DecisionModule;
 import lilaclever.routing.Call;
 import lilaclever.routing.Core;
+import lilaclever.routing.Refutation;
 import lilaclever.simulation.sockets.StandInConnection;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,6 +24,9 @@
 
 /** Requests and connections where the event loop and the selector thread race. */
 class HttpClientTest extends TwoThreadFixture {
+    /** More than the socket buffers of both sides hold. */
+    private static final int LONG_REQUEST_BYTES = 32 << 20;
+
     private HttpClient.Listener listener(boolean isExpired) {
         return new HttpClient.Listener() {
             @Override
@@ -176,6 +182,67 @@
         assertEquals(expected, reports.poll(20, TimeUnit.SECONDS));
     }
 
+    /** After an answer before the end of a long request the close went on writing the rest, and nothing was reported. */
+    @Test
+    void restOfARequestIsNotWrittenAfterAnEarlyAnswer() throws Exception {
+        runOnLoop(() -> client().send(
+                        "e", address(), "POST", "/receive", Map.of(), new byte[LONG_REQUEST_BYTES], listener(false)));
+        try (StandInConnection endpoint = accept()) {
+            endpoint.readLine();
+            endpoint.writeResponse("503 Service Unavailable", "");
+            assertEquals("failed false", reports.poll(20, TimeUnit.SECONDS));
+            assertThrows(IOException.class, endpoint::readHttp, "the request ends before its last byte");
+        }
+    }
+
+    /** A request that was taken back closed its connection, and refuted the answer that waited for confirmation. */
+    @Test
+    void answerIsNotRefutedByALaterRequestThatIsTakenBack() throws Exception {
+        HttpClient client = client();
+        LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+        HttpClient.Listener confirmedLater = new HttpClient.Listener() {
+            @Override
+            public void onResponse(HttpResponse response) {
+                outcomes.add("answered " + response.needsConfirmation());
+            }
+
+            @Override
+            public void onConfirmed() {
+                outcomes.add("confirmed");
+            }
+
+            @Override
+            public void onRefuted(Refutation refutation) {
+                outcomes.add("refuted");
+            }
+
+            @Override
+            public void onFailure(boolean written, int status) {
+                outcomes.add("failed");
+            }
+        };
+        runOnLoop(() -> client.send("e", address(), "POST", "/1", Map.of(), new byte[0], confirmedLater));
+        try (StandInConnection endpoint = accept()) {
+            endpoint.readHttp();
+            endpoint.writeResponse("200 OK", "");
+            assertEquals("answered false", outcomes.poll(20, TimeUnit.SECONDS));
+            runOnLoop(() -> client.send("e", address(), "POST", "/2", Map.of(), new byte[0], confirmedLater));
+            endpoint.readHttp();
+            endpoint.writeResponse("200 OK", "");
+            assertEquals("answered true", outcomes.poll(20, TimeUnit.SECONDS));
+            CountDownLatch release = blockSelector();
+            runOnLoop(() -> {
+                HttpClient.Exchange taken =
+                        client.send("e", address(), "POST", "/3", Map.of(), new byte[0], listener(false));
+                reports.add("taken back " + taken.withdraw());
+            });
+            release.countDown();
+            assertEquals("taken back true", reports.poll(20, TimeUnit.SECONDS));
+            assertEquals("confirmed", outcomes.poll(20, TimeUnit.SECONDS));
+            assertNull(endpoint.readHttp(), "not a byte of the third request");
+        }
+    }
+
     /**
      * A probe is a call to its destination: a retry-after in its response is recorded, and none is written within such
      * a period.
