Drop the rest of a mail content whose call is given up

Cause: MailDeliverer told a call whose content was not wholly written as never sent, and closed plainly, which first writes what is queued. Whether the last byte was written was also read on the event loop while the selector thread could write.

Change: such a call is ended on the selector thread, where nothing is written meanwhile, and the connection drops what is queued. A 2xx before the end of the content no longer counts as a delivery.

--- a/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
+++ b/src/main/java/lilaclever/protocol/mail/MailDeliverer.java
@@ -193,6 +193,9 @@
         private Mail mail;
         private int replyLines;
         private long serverSizeLimitBytes;
+        private boolean isContentStarted;
+        /** Whether a reply made no sense, so that no further one counts. */
+        private boolean isBreakingOff;
         /** Whether the last byte of the content is written. Set by the writing thread before any close is posted. */
         private volatile boolean contentWritten;
 
@@ -203,6 +206,7 @@
 
         void startCall(Call nextCall, Mail nextMail) {
             call = nextCall;
+            isContentStarted = false;
             contentWritten = false;
             mail = nextMail;
             if (connection != null) {
@@ -255,6 +259,9 @@
         }
 
         private void onLine(String line) {
+            if (isBreakingOff) {
+                return;
+            }
             Reply reply = Reply.parse(line);
             if (call == null) {
                 closeConnection(); // unsolicited line on an idle connection, usually a 421 before a close
@@ -262,7 +269,7 @@
                 return;
             }
             if (reply == null || expectedReplies.isEmpty() || ++replyLines > MAX_REPLY_LINES) {
-                endCall(contentWritten ? AttemptResult.ERROR : AttemptResult.NO_CONNECTION, "");
+                breakOff(AttemptResult.ERROR, "");
                 return;
             }
             Step step = expectedReplies.peek();
@@ -305,21 +312,29 @@
                 case RCPT -> writeCommand("DATA\r\n", Step.DATA);
                 case DATA -> {
                     expectedReplies.add(Step.CONTENT);
+                    isContentStarted = true;
                     Transport.write(connection, mail.dotStuffed(), () -> contentWritten = true, this::onWriteFailed);
                 }
-                default -> onDelivered(reply, mayBeRepetition);
+                default -> {
+                    if (contentWritten) {
+                        onDelivered(reply, mayBeRepetition);
+                    } else {
+                        breakOff(AttemptResult.ERROR, "a reply before the end of the content");
+                    }
+                }
             }
         }
 
         private void onErrorReply(Step step, Reply reply) {
-            boolean unexpected = reply.code() < 400 || reply.code() > 599;
-            AttemptResult result = unexpected
-                    ? contentWritten ? AttemptResult.ERROR : AttemptResult.NO_CONNECTION
-                    : reply.isPermanentFailure() ? AttemptResult.REJECTED : AttemptResult.FULL;
+            String responseText = reply.code() + " " + reply.text();
+            if (reply.code() < 400 || reply.code() > 599) {
+                breakOff(AttemptResult.ERROR, responseText);
+                return;
+            }
             if (step != Step.GREETING) {
                 Transport.write(connection, "QUIT\r\n", () -> {}, () -> {});
             }
-            endCall(result, reply.code() + " " + reply.text());
+            endCall(reply.isPermanentFailure() ? AttemptResult.REJECTED : AttemptResult.FULL, responseText);
         }
 
         private void onDelivered(Reply reply, boolean mayBeRepetition) {
@@ -405,17 +420,36 @@
 
         /** Gives the call up, once what the server has sent so far is read: a reply may end the message. */
         void abort(Call aborted) {
-            if (connection == null || !contentWritten) {
+            if (connection == null || !isContentStarted) {
                 endCall(AttemptResult.NO_CONNECTION, "");
                 return;
             }
-            Transport.runAfterReading(
-                    connection,
-                    () -> core.post(() -> {
-                        if (call == aborted) {
-                            endCall(AttemptResult.TIMED_OUT, "");
-                        }
-                    }));
+            Transport.runAfterReading(connection, () -> endOnceClosed(aborted, AttemptResult.TIMED_OUT, ""));
+        }
+
+        /** Ends the call after a reply that makes no sense. */
+        private void breakOff(AttemptResult ifWritten, String responseText) {
+            if (!isContentStarted) {
+                endCall(AttemptResult.NO_CONNECTION, responseText);
+                return;
+            }
+            isBreakingOff = true;
+            Call ended = call;
+            Transport.runOnSelector(connection, () -> endOnceClosed(ended, ifWritten, responseText));
+        }
+
+        /**
+         * Closes the connection, and ends the call by whether the last byte of its content was written until then.
+         * Selector thread, on which nothing is being written meanwhile.
+         */
+        private void endOnceClosed(Call ended, AttemptResult ifWritten, String responseText) {
+            AttemptResult result = contentWritten ? ifWritten : AttemptResult.NO_CONNECTION;
+            core.post(() -> {
+                if (call == ended) {
+                    endCall(result, responseText);
+                }
+            });
+            connection.terminateSilently();
         }
 
         void onClosed() {
@@ -456,7 +490,7 @@
         private void closeConnection() {
             if (connection != null) {
                 sessions.remove(connection);
-                connection.closeSilently();
+                connection.terminateSilently(); // a plain close would first write the rest of a content
             }
         }
     }
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -31,6 +31,9 @@
 
 /** Runs the mail front between scripted clients and servers of SMTP and LMTP. */
 class MailTest {
+    /** More than the socket buffers hold, and less than the largest record of the journal. */
+    private static final int LONG_CONTENT_ROWS = 4_400;
+
     @TempDir
     private Path state;
 
@@ -331,6 +334,55 @@
         }
     }
 
+    /** A server stood still within the content: its call was given up as never sent, and the close wrote the rest. */
+    @Test
+    void restOfAContentIsNotWrittenAfterItsCallIsGivenUp() throws Exception {
+        CountDownLatch reported = new CountDownLatch(1);
+        LinkedBlockingQueue<Boolean> contentEnds = new LinkedBlockingQueue<>();
+        Peer standingStill = new Peer(wire -> {
+            wire.writeText("220 stand-in\r\n");
+            wire.readLine();
+            wire.writeText("250 stand-in\r\n");
+            for (String command = ""; !command.equals("DATA"); ) {
+                command = wire.readLine();
+                wire.writeText(command.equals("DATA") ? "354 go on\r\n" : "250 good\r\n");
+            }
+            await(reported);
+            String line = "";
+            try {
+                while (line != null && !line.equals(".")) {
+                    line = wire.readLine();
+                }
+            } catch (IOException e) {
+                line = null;
+            }
+            contentEnds.add(line != null);
+        });
+        try (Peer server = standingStill) {
+            String config = ForwarderSetup.configText(platform.address(), state, null, 200)
+                    .replace("\"deadlineS\": 6", "\"deadlineS\": 1.5");
+            Config parsed = Config.parse(config, Map.of());
+            forwarder = Forwarder.start(
+                    parsed,
+                    parsed.parseMail(ForwarderSetup.MAIL_CONFIG_TEMPLATE
+                            .formatted(route("lab.test", 1, "smtp", server.address()))
+                            .replace("{\"hostName\"", "{\"mostBytes\": 20000000, \"hostName\"")));
+            lmtp = forwarder.addresses().get(2);
+            try (Wire client = Wire.connect(lmtp)) {
+                greet(client, "LHLO");
+                String row = "x".repeat(900) + "\r\n";
+                List<String> replies = send(
+                        client,
+                        "a@b.test",
+                        "X-Message-Class: status\r\n\r\n" + row.repeat(LONG_CONTENT_ROWS),
+                        "c@lab.test");
+                assertTrue(replies.get(0).startsWith("451"), replies.get(0));
+                reported.countDown();
+                assertEquals(false, contentEnds.poll(20, TimeUnit.SECONDS), "the content does not come to its end");
+            }
+        }
+    }
+
     /** The server accepts the whole content and never replies: the mail is sent again only if its class allows it. */
     @ParameterizedTest
     @CsvSource({"payment, 1, 554 5.4.0", "unheard-of, 1, 554 5.4.0", "order, 2, 250 2.1.5", "status, 2, 250 2.1.5"})
