Let an HTTP client that reads no answers wait, and give connections turns

Cause: HttpServerFilter took the next request once an answer was handed to the transport, where what the socket does not take is queued without a bound. Of one read all requests, up to 400, were handled before other connections were read. Ruled out: log lines and new names (67 to 69 MB, 2 lines), the event loop's queue.

Change: above 16 KiB of unread answers of a client, 2 MiB of all, its requests wait and its socket is not read; 2 s without reading end it. A turn has 16 requests. A last answer that is not read ends its connection after 2 s, as documented; the plain close waited for the client. Figure http_unread_answer_bytes.

--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -68,6 +68,7 @@
         core.counters().entryGauge("waiting_clients", waitingRequests::size);
         core.counters().entryGauge("clients", serverFilter::connectionCount);
         core.counters().entryGauge("http_unhandled", serverFilter::unhandledCount);
+        core.counters().valueGauge("http_unread_answer_bytes", serverFilter::unreadAnswerBytes);
     }
 
     @Override
--- a/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
+++ b/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
@@ -48,6 +48,10 @@
     private static final long MAX_UNHANDLED_BYTES = 6 << 20;
 
     private static final int MAX_UNHANDLED_REQUESTS = 4_096;
+    /** Requests of one connection that are handled before the others' input is read. */
+    private static final int MAX_REQUESTS_PER_TURN = 16;
+    /** Bytes of answers that one client, and all together, have not read: above that their requests wait. */
+    private static final int MAX_UNREAD_ANSWER_BYTES = 16 * 1024, MAX_ALL_UNREAD_ANSWER_BYTES = 2 << 20;
     /** What a request takes in memory beside its body. */
     private static final int REQUEST_OVERHEAD_BYTES = 1_024;
     /** Time for a new connection to send its first byte, and for a request to be complete. */
@@ -102,6 +106,9 @@
     /** The requests that the event loop has not handled; they outlast their connections. */
     private final InputBudget unhandled = new InputBudget(MAX_UNHANDLED_REQUESTS, MAX_UNHANDLED_BYTES);
 
+    /** Bytes of answers that are not wholly in the sockets' buffers, over all connections. */
+    private final AtomicLong unreadAnswerBytes = new AtomicLong();
+
     private volatile boolean isClosing;
     private volatile int acceptedCount;
 
@@ -141,9 +148,19 @@
         private boolean isTruncated;
         /** Whether the open request is of HTTP/1.1. */
         private boolean acceptsInterimResponses;
-        /** Writes that are not wholly in the socket's buffer yet. */
+        /** Writes, and their bytes, that are not wholly in the socket's buffer yet. */
         private int pendingWrites;
 
+        private int pendingWriteBytes;
+        /** Since when the client, which has to read answers before its next request is handled, has read none; else 0. */
+        private volatile long backedUpSinceMicros;
+        /** Requests handled since the last turn of this connection began. */
+        private int requestsInTurn;
+
+        private boolean isTurnScheduled;
+        private boolean isReadingSuspended;
+        private boolean isRemoved;
+
         /** It arrived while all capacity was taken by clients waiting for a response, and is asked to retry later. */
         private volatile boolean isOverLimit;
 
@@ -161,7 +178,13 @@
                     connection.terminateSilently();
                 }
             } else if (!isTruncated) {
-                process(in);
+                requestsInTurn = 0;
+                if (pipelined.size() > 0) {
+                    bufferPipelined(in, 0);
+                } else {
+                    process(in);
+                }
+                updateReading();
             }
         }
 
@@ -173,7 +196,7 @@
          */
         synchronized boolean onEndOfInput() {
             boolean isBeingWritten = pendingWrites > 0 && (isFinished || !hasOpenRequest) && !isLingering;
-            boolean awaitsResponse = hasOpenRequest && !isFinished && acceptsInterimResponses;
+            boolean awaitsResponse = (hasOpenRequest || pipelined.size() > 0) && !isFinished && acceptsInterimResponses;
             isInputEnded = isBeingWritten || awaitsResponse;
             if (isBeingWritten) {
                 closeOnceWritten();
@@ -199,8 +222,8 @@
 
         private void process(byte[] in) {
             int at = 0;
-            while (at < in.length && !isFinished) {
-                if (hasOpenRequest) {
+            while (at < in.length && !isFinished && connection.isOpen()) {
+                if (hasOpenRequest || mustPause()) {
                     bufferPipelined(in, at);
                     at = in.length;
                 } else {
@@ -212,6 +235,56 @@
                 }
             }
             unprocessedBytes = 0;
+            if (!hasOpenRequest && requestsInTurn >= MAX_REQUESTS_PER_TURN && pipelined.size() > 0) {
+                scheduleTurn();
+            }
+        }
+
+        /** Whether no further request is handled now: others have their turn first, or answers are to be read first. */
+        private boolean mustPause() {
+            return requestsInTurn >= MAX_REQUESTS_PER_TURN || backedUpSinceMicros != 0;
+        }
+
+        private void scheduleTurn() {
+            if (!isTurnScheduled) {
+                isTurnScheduled = true;
+                Transport.runOnSelector(connection, this::processPipelined);
+            }
+        }
+
+        /** Handles buffered requests, once what they waited for is over. Selector thread. */
+        private synchronized void processPipelined() {
+            isTurnScheduled = false;
+            requestsInTurn = 0;
+            if (!hasOpenRequest && !isFinished) {
+                byte[] bytes = pipelined.toByteArray();
+                pipelined.reset();
+                countIncomplete(0);
+                process(bytes);
+                closeIfDone();
+            }
+            updateReading();
+        }
+
+        /**
+         * Suspends reading while requests wait for their turn or for the client to read: it has to wait as well. While
+         * a request is open input is read, which shows whether the client has left. Selector thread.
+         */
+        private void updateReading() {
+            boolean suspends = !hasOpenRequest && !isFinished && (pipelined.size() > 0 || backedUpSinceMicros != 0);
+            if (suspends == isReadingSuspended || isInputEnded || !connection.isOpen()) {
+                return;
+            }
+            isReadingSuspended = suspends;
+            try {
+                if (suspends) {
+                    connection.disableIOEvent(IOEvent.READ);
+                } else {
+                    connection.enableIOEvent(IOEvent.READ);
+                }
+            } catch (IOException e) {
+                connection.closeSilently(); // it is closed already
+            }
         }
 
         /** Buffers a pipelined request until the open one has its response, as far as there is room. */
@@ -253,6 +326,7 @@
             isPartlyRead = false;
             hasRequested = true;
             hasOpenRequest = true;
+            requestsInTurn++;
             acceptsInterimResponses = reader.acceptsInterimResponses();
             if (isOverLimit) {
                 reject(503);
@@ -286,31 +360,62 @@
 
         /** Queues bytes behind those being written; {@code onFailed} runs if they can't be written. */
         private synchronized void write(byte[] bytes, Runnable onFailed) {
-            pendingWrites++;
-            Transport.write(connection, bytes, this::onWritten, () -> {
+            countPendingWrite(1, bytes.length);
+            Transport.write(connection, bytes, () -> onWritten(bytes.length), () -> {
                 connection.closeSilently();
                 onFailed.run();
             });
         }
 
-        private synchronized void onWritten() {
-            pendingWrites--;
+        private void countPendingWrite(int writes, int bytes) {
+            pendingWrites += writes;
+            if (isRemoved) {
+                return;
+            }
+            pendingWriteBytes += bytes;
+            long all = unreadAnswerBytes.addAndGet(bytes);
+            boolean isBackedUp = pendingWriteBytes > MAX_UNREAD_ANSWER_BYTES
+                    || pendingWriteBytes > 0 && all > MAX_ALL_UNREAD_ANSWER_BYTES;
+            if (!isBackedUp) {
+                backedUpSinceMicros = 0;
+            } else if (backedUpSinceMicros == 0 || writes < 0) {
+                backedUpSinceMicros = Core.monotonicMicros();
+            }
+        }
+
+        private synchronized void onWritten(int bytes) {
+            boolean wasBackedUp = backedUpSinceMicros != 0;
+            countPendingWrite(-1, -bytes);
             if (isFinished) {
                 lingerOnceWritten();
+            } else if (wasBackedUp && backedUpSinceMicros == 0) {
+                scheduleTurn();
             }
         }
 
+        /** What was not written is not counted any more, as the connection has ended. */
+        private synchronized void forgetPendingWrites() {
+            isRemoved = true;
+            unreadAnswerBytes.addAndGet(-pendingWriteBytes);
+            pendingWriteBytes = 0;
+        }
+
         private synchronized void onResponded() {
             stateSinceMicros = Core.monotonicMicros();
             hasOpenRequest = false;
-            byte[] pipelinedBytes = pipelined.toByteArray();
-            pipelined.reset();
-            if (pipelinedBytes.length > 0) {
-                process(pipelinedBytes);
+            if (unprocessedBytes == 0 && (pipelined.size() > 0 || isReadingSuspended)) {
+                scheduleTurn();
+            } else {
+                closeIfDone();
             }
-            if (isTruncated && !hasOpenRequest && unprocessedBytes == 0) {
+        }
+
+        /** Closes the connection once all that can be read of its input is handled. */
+        private void closeIfDone() {
+            boolean isDone = !hasOpenRequest && unprocessedBytes == 0 && pipelined.size() == 0;
+            if (isTruncated && isDone) {
                 reject(503); // the rest of the pipelined data is lost
-            } else if (isInputEnded && !hasOpenRequest && unprocessedBytes == 0) {
+            } else if (isInputEnded && isDone) {
                 closeOnceWritten(); // an incomplete request will never be completed
             } else if (isClosing) {
                 closeIfIdle(); // the connections that were idle are closed already
@@ -347,7 +452,7 @@
         }
 
         private boolean isIdle() {
-            return !hasOpenRequest && !isPartlyRead && unprocessedBytes == 0;
+            return !hasOpenRequest && !isPartlyRead && unprocessedBytes == 0 && pipelined.size() == 0;
         }
 
         /** The time at which the connection expires unless its state changes. */
@@ -361,6 +466,10 @@
             if (hasOpenRequest) {
                 return Long.MAX_VALUE;
             }
+            long waitsSinceMicros = backedUpSinceMicros;
+            if (waitsSinceMicros != 0) {
+                return waitsSinceMicros + WRITE_TIMEOUT_MICROS;
+            }
             long timeoutMicros = isPartlyRead
                     ? REQUEST_TIMEOUT_MICROS
                     : !hasRequested
@@ -378,8 +487,8 @@
             if (Core.monotonicMicros() < expiresAtMicros()) {
                 return;
             }
-            if (isFinished) {
-                connection.closeSilently();
+            if (isFinished || backedUpSinceMicros != 0) {
+                connection.terminateSilently(); // a plain close would wait for the client to read
             } else if (isPartlyRead) {
                 reject(408);
             } else {
@@ -501,6 +610,11 @@
         return unhandled.pieces();
     }
 
+    /** The bytes of answers that clients have not read, beyond the sockets' buffers. Any thread. */
+    long unreadAnswerBytes() {
+        return unreadAnswerBytes.get();
+    }
+
     /** Returns the filter chain of a client connection. */
     FilterChain chain() {
         return FilterChainBuilder.stateless().add(new SocketFilter()).add(this).build();
@@ -648,6 +762,7 @@
 
     private void remove(Client client) {
         client.countIncomplete(0);
+        client.forgetPendingWrites();
         synchronized (clients) {
             clients.remove(client);
             closingClients.remove(client);
--- a/src/test/java/lilaclever/protocol/http/HttpInputTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpInputTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +23,8 @@
     private static final int MAX_UNHANDLED_BYTES = 6 << 20;
 
     private static final int CLIENTS = 200;
+    /** 16 KiB and one answer, as documented in docs/bounds.md. */
+    private static final int MAX_UNREAD_ANSWER_BYTES = 17 * 1024;
 
     @BeforeEach
     void serve() throws Exception {
@@ -92,4 +95,36 @@
         assertTrue(client.readHttp() != null, "a client that comes later is answered");
         client.close();
     }
+
+    /** One client wrote small requests and read no answer: its answers filled the heap, and the process ended. */
+    @Test
+    @Timeout(60)
+    void answersThatAClientDoesNotReadStayWithinTheBound() throws Exception {
+        int count = 200_000; // more answers than the sockets' buffers hold
+        StandInConnection client = open();
+        Thread writer = new Thread(() -> writeAll(client, "GET /health/live HTTP/1.1\r\n\r\n".repeat(count)));
+        writer.start();
+        while (probe.counter("http_unread_answer_bytes") == 0) {
+            probe.awaitSelections();
+        }
+        for (int i = 0; i < 20; i++) {
+            probe.awaitSelections();
+            int unread = probe.counter("http_unread_answer_bytes");
+            assertTrue(unread <= MAX_UNREAD_ANSWER_BYTES, "unread: " + unread);
+        }
+        for (int i = 0; i < count; i++) {
+            StandInConnection.HttpMessage answer = client.readHttp();
+            assertTrue(answer != null && answer.target().equals("200"), "answer " + i + ": " + answer);
+        }
+        writer.join();
+        client.close();
+    }
+
+    private static void writeAll(StandInConnection client, String text) {
+        try {
+            client.writeText(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
--- a/src/test/java/lilaclever/protocol/http/HttpServerFilterTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpServerFilterTest.java
@@ -28,6 +28,9 @@
 
 /** Client connections where the event loop and the selector thread race. */
 class HttpServerFilterTest extends TwoThreadFixture {
+    /** As documented in docs/bounds.md. */
+    private static final int MAX_REQUESTS_PER_TURN = 16;
+
     private final LinkedBlockingQueue<HttpServerFilter.Request> requests = new LinkedBlockingQueue<>();
     private HttpServerFilter serverFilter;
 
@@ -117,6 +120,42 @@
         }
     }
 
+    /** The requests of one client that had sent hundreds at once were all handled before any other client's. */
+    @Test
+    void oneClientsPipelinedRequestsDoNotHoldUpAnother() throws Exception {
+        LinkedBlockingQueue<String> handled = new LinkedBlockingQueue<>();
+        serverFilter = new HttpServerFilter(core, 10, 10, request -> {
+            handled.add(request.path());
+            respond(request, "");
+        });
+        InetSocketAddress address = listen(serverFilter);
+        int count = 160;
+        try (StandInConnection first = connect(address);
+                StandInConnection second = connect(address)) {
+            for (StandInConnection client : List.of(first, second)) {
+                client.writeText(requestText("/accepted", 0));
+                assertEquals("200", client.readHttp().target());
+            }
+            handled.clear();
+            CountDownLatch release = blockSelector();
+            first.writeText(requestText("/1", 0).repeat(count));
+            second.writeText(requestText("/2", 0).repeat(count));
+            release.countDown();
+            String previous = "";
+            int inARow = 0;
+            for (int i = 0; i < 2 * count; i++) {
+                String path = handled.poll(20, TimeUnit.SECONDS);
+                inARow = previous.equals(path) ? inARow + 1 : 1;
+                previous = path;
+                assertTrue(inARow <= MAX_REQUESTS_PER_TURN, inARow + " of " + path);
+            }
+            for (int i = 0; i < count; i++) {
+                assertEquals("200", first.readHttp().target());
+                assertEquals("200", second.readHttp().target());
+            }
+        }
+    }
+
     /** A request unread in the socket of a connection that looks idle is answered before the connection is closed. */
     @Test
     void anUnreadRequestIsAnsweredBeforeItsConnectionCloses() throws Exception {
