Count the heads of HTTP requests with what their fields take in memory

A request that waits for the event loop counted 1 KiB beside its body, whatever its head took, and outlasts its client; an incomplete one counted its current line and body. Fields of one name were not counted at all, and each was joined anew to all before it.

Cause: REQUEST_OVERHEAD_BYTES stood for the head; HttpMessageReader.bufferedBytes left the parsed fields out; the limit of 64 compared distinct names.

Change: each field counts its text and 160 bytes, in both places; 64 fields in all.

--- a/bench/clients/slow.py
+++ b/bench/clients/slow.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import multiprocessing
 import os
 import random
 import socket
@@ -23,6 +24,7 @@
 DESTINATION = 7
 MEMORY_MB = int(os.environ.get("MEMORY_MB", "128"))
 LATEST_ANSWER_S = 0.4
+PROCESSES = 4
 HEAD = "POST /api HTTP/1.1\r\nHost: app.svc\r\nReq-Id: slow-%d\r\nReq-Kind: status-update\r\nReq-Deadline: 6\r\n"
 
 
@@ -100,15 +102,26 @@
             waits.append(time.monotonic() - began)
             time.sleep(0.2)
 
-    threads = [threading.Thread(target=slow, args=(n,), daemon=True) for n in range(clients)]
-    threads.append(threading.Thread(target=honest))
-    for thread in threads:
-        thread.start()
+    def slow_clients(numbers):
+        threads = [threading.Thread(target=slow, args=(n,), daemon=True) for n in numbers]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    processes = [multiprocessing.Process(target=slow_clients, args=(range(n, clients, PROCESSES),), daemon=True)
+                 for n in range(PROCESSES)]  # so that they take no time of the honest client's process
+    for process in processes:
+        process.start()
+    honest_client = threading.Thread(target=honest)
+    honest_client.start()
     while time.monotonic() < ends and forwarder.is_running():
         now = status(forwarder.process.pid)
         peak = [max(a, b) for a, b in zip(peak, now)]
         time.sleep(0.5)
-    threads[-1].join()
+    honest_client.join()
+    for process in processes:
+        process.terminate()
     record("peak: %d MB resident, %d threads, %d descriptors" % tuple(peak))
     record("honest client: %s, median %.3f s, longest %.3f s" % (dict(answers), sorted(waits)[len(waits) // 2], max(waits)))
     broken = []
--- a/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
@@ -18,6 +18,9 @@
             MAX_HEADERS = 64,
             MAX_LENGTH_DIGITS = 10,
             MAX_CHUNK_SIZE_DIGITS = 7;
+    /** What a header takes in memory beside its text: two strings and their place in the map. */
+    private static final int HEADER_OVERHEAD_BYTES = 160;
+
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
     private static final byte[] EMPTY = {};
     private static final Pattern STATUS_LINE_START = Pattern.compile("HTTP/1\\.\\d [2-9]\\d\\d");
@@ -60,6 +63,9 @@
     private int bodyLength;
     private long remainingBytes;
     private Map<String, String> headers = new LinkedHashMap<>();
+    /** Headers read, also those of the same name, and what they take in memory. */
+    private int headerCount, headerBytes;
+
     private String method, target, version;
     private int status;
 
@@ -215,9 +221,10 @@
         if (colon <= 0 || !isToken(text.substring(0, colon))) {
             throw new InvalidMessageException(400, "invalid header");
         }
-        if (headers.size() >= MAX_HEADERS) {
+        if (++headerCount > MAX_HEADERS) {
             throw new InvalidMessageException(431, "more than " + MAX_HEADERS + " headers");
         }
+        headerBytes += text.length() + HEADER_OVERHEAD_BYTES;
         // Repeated headers are joined to a list, which is then invalid as a single number or id.
         headers.merge(
                 text.substring(0, colon).toLowerCase(Locale.ROOT),
@@ -245,7 +252,7 @@
                 throw new InvalidMessageException(502, "unsupported switch of protocols");
             }
             status = 0; // an interim response: the final one follows, within the same size limit
-            headers = new LinkedHashMap<>();
+            resetHeaders();
             state = State.START_LINE;
             return;
         }
@@ -317,10 +324,16 @@
         headLength = 0;
         body = EMPTY;
         bodyLength = 0;
-        headers = new LinkedHashMap<>();
+        resetHeaders();
         status = 0;
     }
 
+    private void resetHeaders() {
+        headers = new LinkedHashMap<>();
+        headerCount = 0;
+        headerBytes = 0;
+    }
+
     /** Whether the whole head has arrived. */
     boolean hasHead() {
         return state != State.START_LINE && state != State.HEADERS;
@@ -354,9 +367,14 @@
         return version.equals("HTTP/1.0") ? connection.contains("keep-alive") : !connection.contains("close");
     }
 
-    /** The number of bytes buffered for the message. */
+    /** The number of bytes that the message takes in memory so far. */
     int bufferedBytes() {
-        return line.length + body.length;
+        return line.length + headerBytes + body.length;
+    }
+
+    /** The number of bytes that its headers take in memory. */
+    int headerBytes() {
+        return headerBytes;
     }
 
     /** The status from the status line; 0 before that. */
--- a/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
+++ b/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
@@ -52,7 +52,7 @@
     private static final int MAX_REQUESTS_PER_TURN = 16;
     /** Bytes of answers that one client, and all together, have not read: above that their requests wait. */
     private static final int MAX_UNREAD_ANSWER_BYTES = 16 * 1024, MAX_ALL_UNREAD_ANSWER_BYTES = 2 << 20;
-    /** What a request takes in memory beside its body. */
+    /** What a request takes in memory beside its headers and its body. */
     private static final int REQUEST_OVERHEAD_BYTES = 1_024;
     /** Time for a new connection to send its first byte, and for a request to be complete. */
     private static final long FIRST_BYTE_TIMEOUT_MICROS = 2_000_000, REQUEST_TIMEOUT_MICROS = 2_000_000;
@@ -78,16 +78,17 @@
     private static final byte[] EMPTY_BODY = {};
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    /** A request; headers by lower-case name. */
+    /** A request; headers by lower-case name, {@code headerBytes} is what they take in memory. */
     record Request(
             String method,
             String path,
             Map<String, String> headers,
+            int headerBytes,
             byte[] body,
             long arrivedMicros,
             Exchange exchange) {
         private int unhandledBytes() {
-            return body.length + REQUEST_OVERHEAD_BYTES;
+            return headerBytes + body.length + REQUEST_OVERHEAD_BYTES;
         }
     }
 
@@ -336,6 +337,7 @@
                     reader.method(),
                     reader.path(),
                     reader.headers(),
+                    reader.headerBytes(),
                     reader.body(),
                     Core.monotonicMicros(),
                     new Exchange(this, reader.keepsConnection()));
--- a/src/test/java/lilaclever/protocol/http/HttpInputTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpInputTest.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import lilaclever.routing.MessageClasses;
 import lilaclever.routing.TestCore;
 import lilaclever.simulation.sockets.StandInConnection;
@@ -96,6 +98,28 @@
         client.close();
     }
 
+    /** Heads of many fields counted for 1 KiB, whatever they took, where their clients had left. */
+    @Test
+    @Timeout(60)
+    void requestsWithManyFieldsAreCountedWithTheirHeads() throws Exception {
+        String fields = IntStream.range(0, 59)
+                .mapToObj(i -> "f" + i + ": " + "x".repeat(120) + "\r\n")
+                .collect(Collectors.joining());
+        probe.blockLoop();
+        for (int i = 0; i < 1_200; i++) {
+            StandInConnection client = open();
+            client.writeText("POST /api HTTP/1.1\r\nReq-Id: m" + i + "\r\nReq-Kind: " + TestCore.SAFE_CLASS
+                    + "\r\nReq-Deadline: 3600\r\nX-Envelope: dest=7\r\nContent-Length: 0\r\n" + fields + "\r\n");
+            client.reset(); // its connection ends at once, and the request waits
+        }
+        probe.awaitSelections();
+        int queued = probe.counter("entries_tasks");
+        int maxRequests = MAX_UNHANDLED_BYTES / fields.length();
+        assertTrue(queued <= maxRequests + OTHER_TASKS, "queued: " + queued);
+        assertTrue(queued >= maxRequests / 4, "something was read: " + queued);
+        probe.release();
+    }
+
     /** One client wrote small requests and read no answer: its answers filled the heap, and the process ended. */
     @Test
     @Timeout(60)
--- a/src/test/java/lilaclever/protocol/http/HttpMessageReaderTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpMessageReaderTest.java
@@ -97,6 +97,13 @@
         assertEquals("invalid " + status, read(false, (begin + repeated.repeat(9_000)).replace("~", "\r\n"), 1000));
     }
 
+    /** Fields of one name were not counted, and each was joined anew to all before it. */
+    @ParameterizedTest
+    @CsvSource({"64, more", "65, invalid 431"})
+    void fieldsOfOneNameAreCounted(int fields, String expected) {
+        assertEquals(expected, read(false, "GET /a HTTP/1.1\r\n" + "x:\r\n".repeat(fields), 1000));
+    }
+
     @ParameterizedTest
     @CsvSource({"1.5, 1500000", "0, 0", "1e999999999, ''", "-1, ''", "soon, ''", "1234567890, ''", "1.0000000000001, ''"
     })
