Tell another process at a known name and address from its predecessor

Cause: idle connections were kept by name and address, and closed only where a change had another address; since_ms, the start of the process, was read and passed to the module alone.

HttpClientTest#anotherProcess...: red before in 4 of 4 forms, green after; 18 green, EndpointMembershipTest 48.

--- a/src/main/java/lilaclever/protocol/http/DirectoryClient.java
+++ b/src/main/java/lilaclever/protocol/http/DirectoryClient.java
@@ -205,6 +205,7 @@
                 new Call.Endpoint(
                         endpoint.name(),
                         endpoint.address(),
+                        endpoint.sinceMillis(),
                         endpoint.destination(),
                         zone,
                         kindsAndZones.settingsOfKind(kind).maxBatchSize(),
--- a/src/main/java/lilaclever/protocol/http/EndpointList.java
+++ b/src/main/java/lilaclever/protocol/http/EndpointList.java
@@ -32,7 +32,7 @@
      *
      * @param type name of its kind in the settings
      * @param zone name of its zone in the settings
-     * @param sinceMillis when it got this presence, wall clock, milliseconds since 1970; 0 where that is unknown
+     * @param sinceMillis when its process was last started, milliseconds since 1970; 0 where that is unknown
      */
     public record Endpoint(
             String name,
--- a/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
+++ b/src/main/java/lilaclever/protocol/http/HttpDeliverer.java
@@ -357,12 +357,15 @@
         client.closeIdle(poolKey(endpoint));
     }
 
-    /**
-     * The pool key of an endpoint. It has host and address, so that an endpoint at a reused address gets no connections
-     * of its predecessor.
-     */
+    /** The pool key of an endpoint: another process at its address gets no connections of its predecessor. */
     private static String poolKey(Call.Endpoint endpoint) {
-        return endpoint.host() + '@' + endpoint.address();
+        return endpoint.host()
+                + '@'
+                + endpoint.address()
+                + '#'
+                + endpoint.startedAtMillis()
+                + '/'
+                + endpoint.destination();
     }
 
     @Override
--- a/src/main/java/lilaclever/routing/Call.java
+++ b/src/main/java/lilaclever/routing/Call.java
@@ -22,10 +22,12 @@
     Deadlines.Key deadline;
 
     /**
-     * An endpoint of the list, with the deliverer that reaches it.
+     * A process that serves as an endpoint of the list, with the deliverer that reaches it. Another process under the
+     * same name and address differs in its start time or its destination.
      *
      * @param host the endpoint's unique name in the list
      * @param address where to connect
+     * @param startedAtMillis when it was last started by the list's clock, as listed; 0 where that is unknown
      * @param maxBatchSize the most messages that a call may carry
      * @param limitPerEndpoint true if limits and retry-after periods apply to this endpoint, not to its whole
      *     destination
@@ -33,11 +35,32 @@
     public record Endpoint(
             String host,
             String address,
+            long startedAtMillis,
             int destination,
             int zone,
             int maxBatchSize,
             boolean limitPerEndpoint,
-            Deliverer deliverer) {}
+            Deliverer deliverer) {
+        /** An endpoint whose start time is unknown. */
+        public Endpoint(
+                String host,
+                String address,
+                int destination,
+                int zone,
+                int maxBatchSize,
+                boolean limitPerEndpoint,
+                Deliverer deliverer) {
+            this(host, address, 0, destination, zone, maxBatchSize, limitPerEndpoint, deliverer);
+        }
+
+        /** Whether both are the same process, whatever else the list says of it. */
+        public boolean isSameProcess(Endpoint other) {
+            return host.equals(other.host)
+                    && address.equals(other.address)
+                    && startedAtMillis == other.startedAtMillis
+                    && destination == other.destination;
+        }
+    }
 
     Call(Endpoint endpoint, long startedAtMicros) {
         this.endpoint = endpoint;
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -380,23 +380,23 @@
         counters.add(Name.LISTINGS);
         boolean isWhole = kind == DecisionModule.ListingKind.ALL || kind == DecisionModule.ListingKind.REMEMBERED;
         List<ListedEndpoint> allListed = new ArrayList<>(listed);
+        Map<String, Call.Endpoint> previous = new HashMap<>(endpoints);
         if (isWhole) {
             allListed.addAll(configuredEndpoints);
-            Map<String, Call.Endpoint> absent = new HashMap<>(endpoints);
             endpoints.clear();
+            Map<String, Call.Endpoint> absent = new HashMap<>(previous);
             allListed.forEach(item -> absent.remove(item.entry().host()));
             absent.values().forEach(item -> item.deliverer().closeIdle(item));
         }
         List<DecisionModule.EndpointEntry> entries = new ArrayList<>();
         for (ListedEndpoint item : allListed) {
             entries.add(item.entry());
-            Call.Endpoint before = endpoints.put(item.entry().host(), item.endpoint());
+            endpoints.put(item.entry().host(), item.endpoint());
+            Call.Endpoint before = previous.getOrDefault(item.entry().host(), item.endpoint());
             boolean isActive = item.entry().presence() == DecisionModule.Presence.ACTIVE;
-            if (!isActive
-                    || before != null
-                            && !before.address().equals(item.endpoint().address())) {
+            if (!isActive || !before.isSameProcess(item.endpoint())) {
                 // No new calls go there, and idle connections would only use resources on both sides.
-                item.endpoint().deliverer().closeIdle(before == null ? item.endpoint() : before);
+                before.deliverer().closeIdle(before);
             }
             if (item.entry().presence() == DecisionModule.Presence.LEFT) {
                 endpoints.remove(item.entry().host());
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -293,13 +293,48 @@
         }
     }
 
+    /** Another process took an address over; what was meant for it went to the old one on a connection kept idle. */
+    @ParameterizedTest
+    @CsvSource({"2, 7, CHANGES", "1, 8, CHANGES", "2, 7, ALL", "1, 8, ALL"})
+    void anotherProcessAtAnAddressGetsNoConnectionOfItsPredecessor(
+            long startedAtMillis, int destination, DecisionModule.ListingKind kind) throws Exception {
+        HttpDeliverer deliverer = new HttpDeliverer(core, transport, 1_500_000, 15_000_000, 4);
+        Call.Endpoint old = new Call.Endpoint("e1", address(), 1, 7, 0, 1, false, deliverer);
+        Call.Endpoint successor =
+                new Call.Endpoint("e1", address(), startedAtMillis, destination, 0, 1, false, deliverer);
+        runOnLoop(deliverer::start);
+        runOnLoop(() -> list(1, DecisionModule.Presence.ACTIVE, old));
+        runOnLoop(() -> deliverer.probe(old));
+        try (StandInConnection first = accept()) {
+            first.readHttp();
+            first.writeResponse("200 OK", "");
+            while (!core.counters().toText().contains("\nentries_idle_calls 1\n")) {
+                runOnLoop(() -> {}); // its response is in flight
+            }
+            runOnLoop(() -> list(kind, 2, DecisionModule.Presence.ACTIVE, successor));
+            runOnLoop(() -> deliverer.probe(successor));
+            assertNull(first.readHttp(), "closed without a byte");
+            try (StandInConnection second = accept()) {
+                assertEquals("/health/live", second.readHttp().target());
+            }
+        }
+    }
+
     private void list(long version, DecisionModule.Presence presence, Call.Endpoint... endpoints) {
+        list(DecisionModule.ListingKind.CHANGES, version, presence, endpoints);
+    }
+
+    private void list(
+            DecisionModule.ListingKind kind,
+            long version,
+            DecisionModule.Presence presence,
+            Call.Endpoint... endpoints) {
         List<Core.ListedEndpoint> listed = new ArrayList<>();
         for (Call.Endpoint each : endpoints) {
             listed.add(new Core.ListedEndpoint(
                     new DecisionModule.EndpointEntry(each.host(), each.destination(), each.zone(), 0, presence, 1, 0),
                     each));
         }
-        core.updateEndpoints(DecisionModule.ListingKind.CHANGES, version, listed);
+        core.updateEndpoints(kind, version, listed);
     }
 }
