Fail a message with an identity that may have run instead of refusing it

Cause: the module refuses a keyed message that may have run, as a client that comes inside the window does no harm; a refusal is not remembered, and outside HTTP it says that nothing was done.

Change: Core turns such a refusal of a message with an identity into a failure, which is remembered. Messages without one, as on the platform, are refused as before.

MailTest#orderThat...: red before (451 4.4.7), green after (554 5.4.0, twice, no further attempt).

--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -723,13 +723,25 @@
         // Watch and FetchList: the directory is always watched. Tell: there are no other forwarders to notify.
     }
 
+    /**
+     * Whether the message must not be refused, which asks its client to submit it again and forgets its identity: it may
+     * have run, and endpoints recognize a repeat for a limited time at the most.
+     */
+    private static boolean mustNotComeAgain(Message message) {
+        DecisionModule.MessageClass definition =
+                message.submission.messageClass().definition();
+        boolean isHarmless = definition != null && definition.repeat() == DecisionModule.RepeatSafety.SAFE;
+        boolean mayHaveRun = message.mayHaveRun || message.currentCall != null;
+        return message.submission.identity() != null && mayHaveRun && !isHarmless;
+    }
+
     private void finishUndelivered(String id, FinalStatus finalStatus) {
         Message message = pendingMessages.get(id);
         if (message == null) {
             return;
         }
-        FinalStatus withDetail =
-                new FinalStatus(finalStatus.kind(), finalStatus.retryAfterMicros(), message.lastResponseText);
+        Kind kind = finalStatus.kind() == Kind.REFUSED && mustNotComeAgain(message) ? Kind.FAILED : finalStatus.kind();
+        FinalStatus withDetail = new FinalStatus(kind, finalStatus.retryAfterMicros(), message.lastResponseText);
         if (message.isJournaled) {
             counters.add(withDetail.kind() == Kind.REFUSED ? Name.REFUSED : Name.FAILED);
             counters.checkInvariant(
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -409,6 +409,32 @@
         }
     }
 
+    /** An order that may have run was told as not delivered after its repeat window, and ran again when it came again. */
+    @Test
+    void orderThatMayHaveRunIsNotRefused() throws Exception {
+        AtomicInteger attemptCount = new AtomicInteger();
+        CountDownLatch never = new CountDownLatch(1);
+        try (Peer server = server(r -> "250 good", text -> {
+            attemptCount.incrementAndGet();
+            await(never);
+            return null;
+        })) {
+            serve(route("a.test", 1, "lmtp", server.address()));
+            try (Wire wire = Wire.connect(lmtp)) {
+                greet(wire, "LHLO");
+                String order = payment("x").replace("payment", "order");
+                String reply = send(wire, "", order, "till@a.test").get(0);
+                assertTrue(reply.startsWith("554 5.4.0"), reply);
+                int attempts = attemptCount.get();
+                String again = send(wire, "", order, "till@a.test").get(0);
+                assertTrue(again.startsWith("554 5.4.0"), again);
+                assertEquals(attempts, attemptCount.get());
+            }
+        } finally {
+            never.countDown();
+        }
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             latch.await();
