Bound what chunk sizes may take beside the body of an HTTP message

Cause: each chunk size is read as a line, with two strings and a stream for one byte; the limit of the head began anew with each chunk, so that a body of 64 KB could have 64,000 of them.

Change: heads, and chunk sizes of a message, may take 8 KiB more than its body has; the digits are checked without a stream. Lists in chunks of 4 KiB stay far below.

--- a/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
+++ b/src/main/java/lilaclever/protocol/http/HttpMessageReader.java
@@ -133,8 +133,8 @@
         while (at < to) {
             byte b = in[at++];
             boolean isAfterCarriageReturn = lineLength > 0 && line[lineLength - 1] == '\r';
-            if (++headLength > MAX_HEAD_BYTES) {
-                throw new InvalidMessageException(431, "head of more than " + MAX_HEAD_BYTES + " bytes");
+            if (++headLength > MAX_HEAD_BYTES + bodyLength) { // a body in small chunks costs as much as many heads
+                throw new InvalidMessageException(431, "head or chunk sizes of more than " + MAX_HEAD_BYTES + " bytes");
             }
             if (b == '\n' && isAfterCarriageReturn) {
                 String text = new String(line, 0, lineLength - 1, StandardCharsets.ISO_8859_1);
@@ -177,7 +177,6 @@
                     throw new InvalidMessageException(400, "missing line break after a chunk");
                 }
                 state = State.CHUNK_SIZE;
-                headLength = 0;
             }
             default -> {
                 if (text.isEmpty()) {
@@ -295,7 +294,7 @@
     private void parseChunkSize(String text) throws InvalidMessageException {
         int end = text.indexOf(';');
         String size = (end < 0 ? text : text.substring(0, end)).strip();
-        if (size.isEmpty() || !size.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
+        if (!isHexadecimal(size)) {
             throw new InvalidMessageException(400, "invalid chunk size");
         }
         if (size.length() > MAX_CHUNK_SIZE_DIGITS) {
@@ -308,6 +307,16 @@
         state = remainingBytes == 0 ? State.TRAILER : State.CHUNK_DATA;
     }
 
+    private static boolean isHexadecimal(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F')) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
     /** Handles the end of the connection; returns whether the message is complete. */
     boolean completeAtClose() {
         if (state == State.BODY_UNTIL_CLOSE) {
--- a/src/test/java/lilaclever/protocol/http/HttpMessageReaderTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpMessageReaderTest.java
@@ -104,6 +104,26 @@
         assertEquals(expected, read(false, "GET /a HTTP/1.1\r\n" + "x:\r\n".repeat(fields), 1000));
     }
 
+    /** Bodies in chunks of a byte took the selector thread as long as many requests, and others waited for seconds. */
+    @ParameterizedTest
+    @CsvSource({"1, 60000, 431", "64, 64000, ", "4096, 4000000, "})
+    void chunkSizesMayNotTakeMuchMoreThanTheBody(int chunkBytes, int bodyBytes, Integer status) {
+        HttpMessageReader reader = new HttpMessageReader(false, bodyBytes);
+        byte[] in = ("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + (Integer.toHexString(chunkBytes) + "\r\n" + "x".repeat(chunkBytes) + "\r\n")
+                                .repeat(bodyBytes / chunkBytes)
+                        + "0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        Integer rejectedWith = null;
+        try {
+            reader.read(in, 0, in.length);
+        } catch (HttpMessageReader.InvalidMessageException e) {
+            rejectedWith = e.status;
+        }
+        assertEquals(status, rejectedWith);
+        assertEquals(status == null, reader.isComplete());
+    }
+
     @ParameterizedTest
     @CsvSource({"1.5, 1500000", "0, 0", "1e999999999, ''", "-1, ''", "soon, ''", "1234567890, ''", "1.0000000000001, ''"
     })
