--- a/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
+++ b/src/main/java/lilaclever/protocol/http/HttpServerFilter.java
@@ -153,7 +153,7 @@
         private int pendingWrites;
 
         private int pendingWriteBytes;
-        /** Since when the client, which has to read answers before its next request is handled, has read none; else 0. */
+        /** Since when the client has read none of the answers that its next request waits for; 0 if none waits. */
         private volatile long backedUpSinceMicros;
         /** Requests handled since the last turn of this connection began. */
         private int requestsInTurn;
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -724,7 +724,7 @@
     }
 
     /**
-     * Whether the message must not be refused, which asks its client to submit it again and forgets its identity: it may
+     * Whether the message must not be refused, which asks its client to submit it again, its identity forgotten: it may
      * have run, and endpoints recognize a repeat for a limited time at the most.
      */
     private static boolean mustNotComeAgain(Message message) {
--- a/src/test/java/lilaclever/program/MailTest.java
+++ b/src/test/java/lilaclever/program/MailTest.java
@@ -409,7 +409,7 @@
         }
     }
 
-    /** An order that may have run was told as not delivered after its repeat window, and ran again when it came again. */
+    /** An order that may have run was refused after its repeat window, and ran again when it came again. */
     @Test
     void orderThatMayHaveRunIsNotRefused() throws Exception {
         AtomicInteger attemptCount = new AtomicInteger();
--- a/src/test/java/lilaclever/protocol/http/HttpClientTest.java
+++ b/src/test/java/lilaclever/protocol/http/HttpClientTest.java
@@ -182,7 +182,7 @@
         assertEquals(expected, reports.poll(20, TimeUnit.SECONDS));
     }
 
-    /** After an answer before the end of a long request the close went on writing the rest, and nothing was reported. */
+    /** After an answer before the end of a long request the close wrote the rest first, and nothing was reported. */
     @Test
     void restOfARequestIsNotWrittenAfterAnEarlyAnswer() throws Exception {
         runOnLoop(() -> client().send(
