--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -44,6 +44,9 @@
     /** The longest line of RFC 5322: a longer Message-ID is invalid, and too long for the journal. */
     private static final int MAX_MESSAGE_ID_LENGTH = 998;
 
+    /** Begins the identity of a report; the id of the message that failed follows. */
+    private static final String REPORT_IDENTITY_PREFIX = "report ";
+
     /** Of mail whose domain has no route any more; no endpoint has it. */
     private static final int NO_DESTINATION = -1;
 
@@ -188,6 +191,9 @@
             answerWaiters(message, Reply.of(finalStatus));
             settled.run();
         } else if (finalStatus.kind() == FinalStatus.Kind.REFUSED || finalStatus.kind() == FinalStatus.Kind.FAILED) {
+            if (isReport(message)) {
+                logDroppedReport(message, finalStatus);
+            }
             sendReport(id, Mail.decode(message.submission.body()), finalStatus, settled);
         } else {
             settled.run();
@@ -195,6 +201,22 @@
     }
 
     // Delivery status notifications
+    private static boolean isReport(Message message) {
+        String identity = message.submission.identity();
+        return identity != null && identity.startsWith(REPORT_IDENTITY_PREFIX);
+    }
+
+    private static void logDroppedReport(Message report, FinalStatus finalStatus) {
+        Logs.warn(
+                "",
+                "report-dropped",
+                "the failure report " + report.submission.identity().substring(REPORT_IDENTITY_PREFIX.length()) + " to "
+                        + Mail.decode(report.submission.body()).recipient() + " is dropped: " + finalStatus.kind()
+                        + " after its time, " + report.lastResponseText,
+                "message",
+                report.id());
+    }
+
     /** Reports a failure to the reverse path; retries until the report is in the journal. */
     private void sendReport(String failedId, Mail mail, FinalStatus finalStatus, Runnable settled) {
         if (mail.reversePath().isEmpty()) {
@@ -212,7 +234,7 @@
             return;
         }
         Mail report = DeliveryStatusNotification.create(settings.hostName(), mail, finalStatus, failedId, date());
-        submit(report, "report " + failedId, settings.dsnClass(), reply -> {
+        submit(report, REPORT_IDENTITY_PREFIX + failedId, settings.dsnClass(), reply -> {
             if (reply.isPositive() || reply.isPermanentFailure()) {
                 settled.run();
             } else {
