Owe a failure report until its server takes it or refuses it for good

But the report was an ordinary message with the time of its class (6 s), and onFinalStatus dropped its end, as its reverse path is empty.

Refusals of reports are not ends and don't count as refused.

--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -23,6 +23,7 @@
 import lilaclever.protocol.mail.MailDeliverer;
 import lilaclever.protocol.mail.MailFront;
 import lilaclever.protocol.mail.MailSettings;
+import lilaclever.protocol.mail.ReportFront;
 import lilaclever.protocol.mllp.MllpFront;
 import lilaclever.protocol.operator.OperatorPort;
 import lilaclever.routing.Core;
@@ -57,6 +58,9 @@
     private final DirectoryClient directory;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private MllpFront mllpFront;
+    /** Null if mail is disabled. */
+    private ReportFront reports;
+
     private final List<MailFront> mailFronts = new ArrayList<>();
     private final List<SocketAddress> addresses = new ArrayList<>();
 
@@ -103,8 +107,17 @@
                 operator.identity().practiceHeader());
         core.add(httpFront);
         if (mail != null) {
+            reports = ReportFront.create(
+                    core,
+                    mail,
+                    classes,
+                    config.diskBytes(),
+                    limits.maxOpenMessages(),
+                    limits.slots(),
+                    new SplittableRandom(config.seed()));
+            core.add(reports);
             for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
-                mailFronts.add(new MailFront(core, mail, classes, protocol, config.maxMail()));
+                mailFronts.add(new MailFront(core, mail, classes, protocol, reports, config.maxMail()));
             }
             mailFronts.forEach(core::add);
             new MailDeliverer(core, transport, mail, settings.zone(), connect, keepAlive, config.maxMail()).start();
@@ -290,9 +303,14 @@
         });
     }
 
+    /** The number of final statuses owed to clients that can't be reached now. */
+    private int unreachableClients() {
+        int pendingAnswers = mllpFront == null ? 0 : mllpFront.pendingAnswerCount();
+        return pendingAnswers + (reports == null ? 0 : reports.waitingCount());
+    }
+
     private void awaitIdle(long deadlineMicros) {
-        if (core.nowMicros() >= deadlineMicros
-                || core.isIdle(mllpFront == null ? 0 : mllpFront.pendingAnswerCount()) && httpFront.isClosed()) {
+        if (core.nowMicros() >= deadlineMicros || core.isIdle(unreachableClients()) && httpFront.isClosed()) {
             stopped.countDown();
         } else {
             core.deadlines().schedule(core.nowMicros() + IDLE_CHECK_PERIOD_MICROS, () -> awaitIdle(deadlineMicros));
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.ClassVersion;
 import lilaclever.routing.Core;
@@ -40,20 +39,23 @@
  * client gets each recipient's final status, in the order of its RCPT commands. Event loop, except the filter.
  */
 public final class MailFront implements Front {
-    private static final long REPORT_RETRY_DELAY_MICROS = 1_000_000;
     /** The longest line of RFC 5322: a longer Message-ID is invalid, and too long for the journal. */
     private static final int MAX_MESSAGE_ID_LENGTH = 998;
 
-    /** Begins the identity of a report; the id of the message that failed follows. */
-    private static final String REPORT_IDENTITY_PREFIX = "report ";
+    /**
+     * Begins the identity of a report that an earlier version submitted to this front; the id of the message that failed
+     * follows.
+     */
+    private static final String EARLIER_REPORT_IDENTITY = "report ";
 
     /** Of mail whose domain has no route any more; no endpoint has it. */
-    private static final int NO_DESTINATION = -1;
+    static final int NO_DESTINATION = -1;
 
     private final Core core;
     private final MailSettings settings;
     private final MessageClasses classes;
     private final Protocol protocol;
+    private final ReportFront reports;
     private final int maxSessions;
     /** Enough for the share of each session, so that one that waits for its replies takes nothing from others. */
     private final InputBudget inputBudget;
@@ -73,11 +75,18 @@
     private record Waiter(Consumer<Reply> answer) {}
 
     /** Creates a front that does not listen yet and accepts at most {@code maxSessions} clients at once. */
-    public MailFront(Core core, MailSettings settings, MessageClasses classes, Protocol protocol, int maxSessions) {
+    public MailFront(
+            Core core,
+            MailSettings settings,
+            MessageClasses classes,
+            Protocol protocol,
+            ReportFront reports,
+            int maxSessions) {
         this.core = core;
         this.settings = settings;
         this.classes = classes;
         this.protocol = protocol;
+        this.reports = reports;
         this.maxSessions = maxSessions;
         this.acceptLimit = new UnhandledLimit(Math.max(1, maxSessions));
         this.inputBudget =
@@ -191,68 +200,37 @@
             answerWaiters(message, Reply.of(finalStatus));
             settled.run();
         } else if (finalStatus.kind() == FinalStatus.Kind.REFUSED || finalStatus.kind() == FinalStatus.Kind.FAILED) {
-            if (isReport(message)) {
-                logDroppedReport(message, finalStatus);
-            }
-            sendReport(id, Mail.decode(message.submission.body()), finalStatus, settled);
+            sendReport(message, id, finalStatus, settled);
         } else {
             settled.run();
         }
+        if (finalStatus.kind() == FinalStatus.Kind.DELIVERED) {
+            reports.onServerReachable(message.submission.destination());
+        }
     }
 
     // Delivery status notifications
-    private static boolean isReport(Message message) {
+    /** Owes a report of the failure to the reverse path; a null one has nobody to report to. */
+    private void sendReport(Message message, String failedId, FinalStatus finalStatus, Runnable settled) {
+        Mail mail = Mail.decode(message.submission.body());
         String identity = message.submission.identity();
-        return identity != null && identity.startsWith(REPORT_IDENTITY_PREFIX);
-    }
-
-    private static void logDroppedReport(Message report, FinalStatus finalStatus) {
-        Logs.warn(
-                "",
-                "report-dropped",
-                "the failure report " + report.submission.identity().substring(REPORT_IDENTITY_PREFIX.length()) + " to "
-                        + Mail.decode(report.submission.body()).recipient() + " is dropped: " + finalStatus.kind()
-                        + " after its time, " + report.lastResponseText,
-                "message",
-                report.id());
-    }
-
-    /** Reports a failure to the reverse path; retries until the report is in the journal. */
-    private void sendReport(String failedId, Mail mail, FinalStatus finalStatus, Runnable settled) {
-        if (mail.reversePath().isEmpty()) {
-            settled.run(); // a null reverse path: the failure of a report is not reported
-            return;
-        }
-        if (settings.route(mail.reversePath()) == null) {
-            Logs.warn(
-                    "",
-                    "no-route",
-                    "no route for the failure report of " + failedId + " to " + mail.reversePath(),
-                    "message",
-                    failedId);
+        if (!mail.reversePath().isEmpty()) {
+            reports.report(failedId, mail, finalStatus, settled);
+        } else if (identity != null && identity.startsWith(EARLIER_REPORT_IDENTITY)) {
+            reports.takeOver(identity.substring(EARLIER_REPORT_IDENTITY.length()), mail, settled);
+        } else {
             settled.run();
-            return;
         }
-        Mail report = DeliveryStatusNotification.create(settings.hostName(), mail, finalStatus, failedId, date());
-        submit(report, REPORT_IDENTITY_PREFIX + failedId, settings.dsnClass(), reply -> {
-            if (reply.isPositive() || reply.isPermanentFailure()) {
-                settled.run();
-            } else {
-                core.deadlines()
-                        .schedule(
-                                core.nowMicros() + REPORT_RETRY_DELAY_MICROS,
-                                () -> sendReport(failedId, mail, finalStatus, settled));
-            }
-        });
     }
 
     /** Reports a recipient that was rejected while others of the same mail were accepted. */
     void reportRejectedRecipient(Mail mail, Runnable reported) {
-        sendReport(
-                "turned-down-" + runId + '-' + nextIdNumber++,
-                mail,
-                FinalStatus.of(FinalStatus.Kind.REFUSED),
-                reported);
+        if (mail.reversePath().isEmpty()) {
+            reported.run();
+            return;
+        }
+        String id = "turned-down-" + runId + '-' + nextIdNumber++;
+        reports.report(id, mail, FinalStatus.of(FinalStatus.Kind.REFUSED), reported);
     }
 
     static String date() {
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -298,8 +298,7 @@
             counters.add(Name.TOLD_AGAIN);
             return answerWithoutAccepting(message, earlierStatus);
         }
-        int openMessages = pendingMessages.size() - answers.size();
-        if (isShuttingDown || openMessages >= settings.limits().maxOpenMessages()) {
+        if (!hasRoom()) {
             reject(message, new FinalStatus(Kind.REFUSED, REJECTED_RETRY_AFTER_MICROS, "no room"));
             return message;
         }
@@ -309,6 +308,53 @@
         return message;
     }
 
+    /**
+     * Records a message that its front will send by {@link #reopen}. The front hears of it as refused, now and after a
+     * restart, until it runs {@code settled}. False if there is no room for it. Event loop.
+     */
+    public boolean recordOwed(Front front, Submission submission) {
+        long wallMicros = clock.wallMicros();
+        Message message = new Message(submission, front, wallMicros + submission.budgetMicros());
+        if (!journal.recordAccepted(front.name(), submission, message.deadlineWallMicros, wallMicros)) {
+            counters.add(Name.JOURNAL_FULL);
+            return false;
+        }
+        counters.add(Name.TAKEN);
+        message.isJournaled = true;
+        message.isAcceptanceDurable = true;
+        message.isFinished = true;
+        FinalStatus notSent = FinalStatus.of(Kind.REFUSED);
+        journal.recordFinalStatus(message.id(), notSent);
+        notifySubmitters(message, notSent);
+        return true;
+    }
+
+    /**
+     * Submits a message again, with the whole time of its class, whose refusal its front has heard and not settled. The
+     * front hears the new end in place of the earlier one. False, without effect, while a call of the message is still
+     * out or there is no room. Event loop, before the turn's decisions.
+     */
+    public boolean reopen(Message refused) {
+        boolean isCallOut = refused.currentCall != null || answers.isUnconfirmed(refused);
+        if (isCallOut || !hasRoom()) {
+            return false;
+        }
+        long wallMicros = clock.wallMicros();
+        Submission submission = refused.submission.withDestination(refused.front.destinationOf(refused.submission));
+        Message message = new Message(submission, refused.front, wallMicros + submission.budgetMicros());
+        message.isJournaled = true;
+        message.isAcceptanceDurable = true;
+        unsettledCount--;
+        addPending(message);
+        events.add(message.toSubmitEvent(nowMicros, wallMicros));
+        return true;
+    }
+
+    private boolean hasRoom() {
+        int openMessages = pendingMessages.size() - answers.size();
+        return !isShuttingDown && openMessages < settings.limits().maxOpenMessages();
+    }
+
     /** The pending message of an id that its client has submitted again, which may have left before. */
     private static Message resubmitted(Message pending, Front front) {
         DeduplicationTable.Submitter submitter = new DeduplicationTable.Submitter(front, pending.id());
@@ -743,7 +789,7 @@
         Kind kind = finalStatus.kind() == Kind.REFUSED && mustNotComeAgain(message) ? Kind.FAILED : finalStatus.kind();
         FinalStatus withDetail = new FinalStatus(kind, finalStatus.retryAfterMicros(), message.lastResponseText);
         if (message.isJournaled) {
-            counters.add(withDetail.kind() == Kind.REFUSED ? Name.REFUSED : Name.FAILED);
+            countUndelivered(message, withDetail.kind());
             counters.checkInvariant(
                     message.isResumed || clock.wallMicros() <= message.deadlineWallMicros + DEADLINE_TOLERANCE_MICROS,
                     message.id() + " ended in time");
@@ -753,6 +799,14 @@
         }
     }
 
+    private void countUndelivered(Message message, Kind kind) {
+        if (kind == Kind.FAILED) {
+            counters.add(Name.FAILED);
+        } else if (!message.front.retriesRefused()) {
+            counters.add(Name.REFUSED);
+        }
+    }
+
     /** Writes a debug line for a message; {@code detail} is converted to text only if debug lines are enabled. */
     private static void trace(Message message, String event, Object detail, Call call) {
         if (Logs.isDebug()) {
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -24,6 +24,14 @@
         return false;
     }
 
+    /**
+     * True if a refused message has not ended: this front keeps it and takes it up again with {@link Core#reopen} until
+     * it is delivered or the front gives it up.
+     */
+    default boolean retriesRefused() {
+        return false;
+    }
+
     /**
      * A duplicate that was attached to a pending message could not be recorded and will not be notified. Called only on
      * fronts that use shared identities.
--- a/src/main/java/lilaclever/routing/Message.java
+++ b/src/main/java/lilaclever/routing/Message.java
@@ -85,6 +85,16 @@
         return finalStatus;
     }
 
+    /** Whether some endpoint may have processed it since it was last submitted or reopened. */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** When it was submitted, on the wall clock, microseconds. */
+    public long submittedWallMicros() {
+        return deadlineWallMicros - submission.budgetMicros();
+    }
+
     void markMayHaveRun(String host, int zone, long wallMicros) {
         if (!mayHaveRun) {
             mayHaveRun = true;
--- a/src/main/java/lilaclever/routing/PendingMessage.java
+++ b/src/main/java/lilaclever/routing/PendingMessage.java
@@ -127,9 +127,10 @@
         }
     }
 
-    /** Notes an attempt that is made. */
+    /** Notes an attempt that is made. One after a final status means that the message was reopened. */
     public void attemptStarted(String toHost, String toZone, long wallMicros) {
         attempts++;
+        finalStatus = null;
         isInFlight = true;
         lastHost = toHost;
         lastZone = toZone;
--- a/src/test/java/lilaclever/protocol/mail/MailInputTest.java
+++ b/src/test/java/lilaclever/protocol/mail/MailInputTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -62,7 +63,8 @@
         MessageClasses classes = new MessageClasses(
                 List.of(TestCore.SAFE_CLASS, TestCore.UNSAFE_CLASS),
                 TestCore.settings().classes());
-        front = new MailFront(core, settings, classes, Protocol.LMTP, MAX_SESSIONS);
+        ReportFront reports = ReportFront.create(core, settings, classes, 1 << 20, 200, 20, new SplittableRandom(1));
+        front = new MailFront(core, settings, classes, Protocol.LMTP, reports, MAX_SESSIONS);
         core.add(front);
     }
 
