Tell the end of a mail in the reply where its reverse path has no route

Seen: a client whose domain has no route in the mail file hears 250 and, where its mail fails, nothing more: until the report was left out with the line no-route, since then it waits for a route that may never come.

Here it is known at the hand-in that nothing can be told later. So SMTP now answers as LMTP does, once the end is known; the client remains responsible until that reply. A client that has left before it is owed a report, which waits for a route, also over restarts. One reply for several recipients tells a failure behind deliveries. A null reverse path wants no report and hears 250 at once, as before.

--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -13,7 +13,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.ClassVersion;
 import lilaclever.routing.Core;
@@ -71,8 +70,16 @@
     private boolean closing;
     private long nextIdNumber;
 
-    /** Receives the first answer to a submission: a {@link Reply} that it was accepted, or its final status. */
-    private record Waiter(Consumer<Reply> answer) {}
+    /** Receives the answer to a submission. */
+    interface ReplyListener {
+        /** Takes the reply; returns whether the client is still connected, so that it will get it. */
+        boolean onReply(Reply reply);
+    }
+
+    /**
+     * A client that waits for its answer: that the mail was accepted, or, with {@code forEnd}, its final status.
+     */
+    private record Waiter(ReplyListener listener, boolean forEnd) {}
 
     /** Creates a front that does not listen yet and accepts at most {@code maxSessions} clients at once. */
     public MailFront(
@@ -128,17 +135,17 @@
     }
 
     /** Submits a mail for one recipient; {@code answer} is called exactly once, possibly before this returns. */
-    void submit(Mail mail, Consumer<Reply> answer) {
+    void submit(Mail mail, ReplyListener listener) {
         String identity = hasUsableMessageId(mail.content())
                 ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient()
                 : null;
         String headerValue = Mail.header(mail.content(), settings.classHeader());
         String className = headerValue == null ? null : settings.classes().get(headerValue);
-        submit(mail, identity, className, answer);
+        submit(mail, identity, className, listener);
     }
 
     /** Submits a mail of the named class; one whose class is null or not configured any more is never repeated. */
-    private void submit(Mail mail, String identity, String className, Consumer<Reply> answer) {
+    private void submit(Mail mail, String identity, String className, ReplyListener listener) {
         ClassVersion messageClass = classes.currentOrUnsafe(className);
         String id = name() + '-' + runId + '-' + Long.toString(nextIdNumber++, Character.MAX_RADIX);
         Submission submission = new Submission(
@@ -152,21 +159,30 @@
                 false,
                 messageClass.definition().deadlineMicros());
         Message message = core.submit(this, submission);
+        boolean forEnd = tellsEndInReply(mail.reversePath());
         if (!message.isOpen()) {
-            answer.accept(
+            listener.onReply(
                     protocol == Protocol.SMTP && message.finalStatus().kind() == FinalStatus.Kind.DELIVERED
                             ? new Reply(250, "2.0.0 taken on before")
                             : Reply.of(message.finalStatus()));
         } else if (message.front != this) {
             // The same mail is pending for a client of the other protocol: its final status will be known soon.
-            answer.accept(new Reply(451, "4.3.0 already under way, come again"));
-        } else if (protocol == Protocol.SMTP && message.isAccepted()) {
-            answer.accept(new Reply(250, "2.0.0 taken on before"));
+            listener.onReply(new Reply(451, "4.3.0 already under way, come again"));
+        } else if (!forEnd && message.isAccepted()) {
+            listener.onReply(new Reply(250, "2.0.0 taken on before"));
         } else {
-            waiters.computeIfAbsent(message, x -> new ArrayList<>()).add(new Waiter(answer));
+            waiters.computeIfAbsent(message, x -> new ArrayList<>()).add(new Waiter(listener, forEnd));
         }
     }
 
+    /**
+     * Whether the reply to a mail's content tells its end. So it does in LMTP, and where a failure could not be reported
+     * later, as the reverse path has no route: then the client remains responsible for the mail until that reply.
+     */
+    boolean tellsEndInReply(String reversePath) {
+        return protocol == Protocol.LMTP || !reversePath.isEmpty() && settings.route(reversePath) == null;
+    }
+
     /** The route of the recipient's domain counts, as the mail file may have given its number to another domain. */
     @Override
     public int destinationOf(Submission accepted) {
@@ -174,18 +190,26 @@
         return route == null ? NO_DESTINATION : route.destination();
     }
 
-    private void answerWaiters(Message message, Reply reply) {
-        List<Waiter> removed = waiters.remove(message);
-        if (removed != null) {
-            removed.forEach(waiter -> waiter.answer().accept(reply));
+    /** Answers all that wait for the message; returns whether one of them is still connected. */
+    private boolean answerWaiters(Message message, Reply reply) {
+        boolean isTold = false;
+        for (Waiter waiter : waiters.getOrDefault(message, List.of())) {
+            isTold |= waiter.listener().onReply(reply);
         }
+        waiters.remove(message);
+        return isTold;
     }
 
     @Override
     public void onAccepted(Message message) {
-        if (protocol == Protocol.SMTP) {
-            answerWaiters(message, new Reply(250, "2.0.0 taken on"));
+        List<Waiter> waiting = waiters.getOrDefault(message, new ArrayList<>());
+        List<Waiter> forAcceptance =
+                waiting.stream().filter(waiter -> !waiter.forEnd()).toList();
+        waiting.removeAll(forAcceptance);
+        if (waiting.isEmpty()) {
+            waiters.remove(message);
         }
+        forAcceptance.forEach(waiter -> waiter.listener().onReply(new Reply(250, "2.0.0 taken on")));
     }
 
     @Override
@@ -195,9 +219,9 @@
 
     @Override
     public void onFinalStatus(Message message, String id, FinalStatus finalStatus, Runnable settled) {
-        if (protocol == Protocol.LMTP) {
+        boolean isTold = answerWaiters(message, Reply.of(finalStatus));
+        if (protocol == Protocol.LMTP || isTold) {
             // A client that has lost its connection submits the mail again and gets the remembered final status.
-            answerWaiters(message, Reply.of(finalStatus));
             settled.run();
         } else if (finalStatus.kind() == FinalStatus.Kind.REFUSED || finalStatus.kind() == FinalStatus.Kind.FAILED) {
             sendReport(message, id, finalStatus, settled);
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -305,12 +305,19 @@
         }
     }
 
-    /** Records one recipient's reply; once all are known, LMTP writes them in order and SMTP one for all. */
-    private void onRecipientReply(Reply[] transactionReplies, int index, Reply reply) {
+    /**
+     * Records one recipient's reply; once all are known, LMTP writes them in order and SMTP one for all. Returns whether
+     * the client is still connected.
+     */
+    private boolean onRecipientReply(Reply[] transactionReplies, int index, Reply reply) {
         transactionReplies[index] = reply;
-        if (transactionReplies != replies) {
-            return;
+        if (transactionReplies == replies) {
+            replyIfComplete(transactionReplies);
         }
+        return !closed;
+    }
+
+    private void replyIfComplete(Reply[] transactionReplies) {
         for (Reply each : transactionReplies) {
             if (each == null) {
                 return;
@@ -322,7 +329,9 @@
             }
             finishTransaction();
         } else {
-            Reply combined = combineReplies(transactionReplies);
+            Reply combined = front.tellsEndInReply(reversePath)
+                    ? combineFinalReplies(transactionReplies)
+                    : combineReplies(transactionReplies);
             int[] remaining = {1};
             Runnable replyWhenReported = () -> {
                 if (--remaining[0] == 0) {
@@ -354,6 +363,28 @@
         }
     }
 
+    /**
+     * The one reply of SMTP where it tells the end of all recipients: none of their failures is reported otherwise. A
+     * client that comes again gets the earlier end of the others, if its mail can be recognized.
+     */
+    private Reply combineFinalReplies(Reply[] transactionReplies) {
+        boolean recognizable = MailFront.hasUsableMessageId(contentWithTrace);
+        boolean isDeliveredToSome = false;
+        int worst = 0;
+        for (int i = 0; i < transactionReplies.length; i++) {
+            isDeliveredToSome |= transactionReplies[i].isPositive();
+            worst = transactionReplies[i].code() > transactionReplies[worst].code() ? i : worst;
+        }
+        Reply reply = transactionReplies[worst];
+        if (!isDeliveredToSome || reply.isPositive()) {
+            return reply;
+        }
+        boolean mayComeAgain = !reply.isPermanentFailure() && recognizable;
+        return mayComeAgain
+                ? reply
+                : new Reply(554, "5.3.0 delivered, but not to all: <" + recipients.get(worst) + "> " + reply.text());
+    }
+
     /**
      * SMTP has one reply for the whole mail. If some recipients were accepted and others rejected for now, the client
      * is asked to retry a mail that can be recognized: recipients already accepted get no second message.
--- a/src/test/java/lilaclever/program/OwedReportTest.java
+++ b/src/test/java/lilaclever/program/OwedReportTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -370,4 +371,67 @@
         assertEquals(Integer.toString(failures), counter("reports_delivered"));
         assertEquals(List.of(), new ArrayList<>(reports), "each is told once");
     }
+
+    /** Guards against a client that hears 250 although its failure can't be reported, as its domain has no route. */
+    @Test
+    void clientWithoutARouteHearsTheEndInTheReply() throws Exception {
+        serve();
+        assertEquals("550 5.2.1 takes no payments", handIn(smtp, "p", "pay@elsewhere.test"));
+        assertEquals("550 5.2.1 takes no payments", handIn(smtp, "p", "pay@elsewhere.test"), "when it comes again");
+        assertEquals("250 2.0.0 taken on", handIn(smtp, "q", ""), "a null reverse path wants no report");
+        awaitCounter("entries_owed", "0");
+        assertEquals("0", counter("entries_reports_owed"));
+    }
+
+    /** Guards against an end that is lost where a client without a route has left before the reply. */
+    @Test
+    void endIsOwedToAClientWithoutARouteThatHasLeft() throws Exception {
+        CountDownLatch left = new CountDownLatch(1);
+        Peer slowPartner = new Peer(wire -> {
+            wire.writeText("220 stand-in\r\n");
+            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
+                if (line.startsWith("RCPT")) {
+                    left.await();
+                }
+                wire.writeText(line.startsWith("RCPT") ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
+            }
+        });
+        try (slowPartner) {
+            String partnerRoute = route("frames.test", 1_000_001, slowPartner);
+            serve(partnerRoute, "status");
+            try (Wire wire = Wire.connect(smtp)) {
+                wire.readReply();
+                wire.sendCommand("EHLO client");
+                wire.sendCommand("MAIL FROM:<pay@clinics.test>");
+                wire.sendCommand("RCPT TO:<desk@frames.test>");
+                wire.sendCommand("DATA");
+                wire.writeText("Message-ID: <p>\r\nX-Message-Class: payment\r\n\r\npay\r\n.\r\n");
+                awaitCounter("entries_held", "1");
+            }
+            left.countDown();
+            awaitCounter("entries_reports_owed", "1");
+            assertTrue(logLines.stream().anyMatch(line -> line.contains("no route for report-")), logLines.toString());
+            forwarder.stop();
+            serve(partnerRoute + "," + route("clinics.test", 1_000_002, clinic), "status");
+            assertTrue(Peer.take(reports).contains("Message-ID: <p>"));
+        }
+    }
+
+    /** Guards against a failure that is hidden behind the 250 for another recipient of the same mail. */
+    @Test
+    void oneReplyTellsThatNotAllRecipientsWereServed() throws Exception {
+        serve();
+        try (Wire wire = Wire.connect(smtp)) {
+            wire.readReply();
+            wire.sendCommand("EHLO client");
+            wire.sendCommand("MAIL FROM:<pay@elsewhere.test>");
+            wire.sendCommand("RCPT TO:<till@clinics.test>");
+            wire.sendCommand("RCPT TO:<desk@frames.test>");
+            wire.sendCommand("DATA");
+            wire.writeText("Message-ID: <p>\r\nX-Message-Class: payment\r\n\r\npay\r\n.\r\n");
+            assertEquals(
+                    "554 5.3.0 delivered, but not to all: <desk@frames.test> 5.2.1 takes no payments",
+                    wire.readReply());
+        }
+    }
 }
