Retain only what tells an end of a message whose client can't be told yet

Seen: with 24 HL7 messages of 30 KB whose clients are away and 0.3 MB of disk, the third was turned away (CE, no room on disk); with failed HTTP messages whose notices the platform doesn't confirm the third too (503). Debts took the room of honest messages.

FinalAnswers and the settled task held the message too.

No record format changes.

--- a/src/main/java/lilaclever/journal/SegmentedJournal.java
+++ b/src/main/java/lilaclever/journal/SegmentedJournal.java
@@ -28,6 +28,8 @@
     private static final long ALLOCATION_RETRY_MICROS = 1_000_000;
 
     private static final int MAX_EXPIRIES_PER_TURN = 256;
+    /** A body is reduced if a new record of its message saves at least so much. */
+    private static final int MIN_REMOVED_BODY_BYTES = 1_024;
 
     private final Disk disk;
     private final SpacePolicy policy;
@@ -154,6 +156,29 @@
         }
     }
 
+    @Override
+    public void recordFinalStatus(String id, FinalStatus status, byte[] remainingBody) {
+        JournalState.Entry<PendingMessage> entry = state.pending.get(id);
+        if (entry == null) {
+            return;
+        }
+        int removedBytes = entry.value.submission().body().length - remainingBody.length;
+        if (removedBytes < MIN_REMOVED_BODY_BYTES) {
+            recordFinalStatus(id, status);
+            return;
+        }
+        entry.value.setFinalStatus(status);
+        entry.value.reduceBody(remainingBody);
+        RecordEncoder.snapshot(writer.clear(), entry.value);
+        int recordBytes = writer.size();
+        if (unwrittenChanges.hasMessage(id) || !append()) {
+            unwrittenChanges.addMessage(id);
+        } else {
+            state.recordMoved(state.pending, id, log.active(), recordBytes);
+            unwrittenChanges.messageWritten(id);
+        }
+    }
+
     @Override
     public void recordSettled(String id) {
         if (state.pending.containsKey(id)) {
--- a/src/main/java/lilaclever/protocol/http/HttpFront.java
+++ b/src/main/java/lilaclever/protocol/http/HttpFront.java
@@ -316,6 +316,12 @@
         }
     }
 
+    /** A notice has only the id. */
+    @Override
+    public byte[] bodyForNotification(Submission submission) {
+        return EMPTY_BODY;
+    }
+
     @Override
     public void onFinalStatus(Message message, String id, FinalStatus finalStatus, Runnable settled) {
         switch (finalStatus.kind()) {
--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -3,7 +3,6 @@
 import lilaclever.identity.Identity;
 import lilaclever.routing.Core;
 import lilaclever.routing.FinalStatus;
-import lilaclever.routing.Message;
 
 /**
  * Sends the final status of messages to clients: on the connection that waits for it, on another one of the practice
@@ -19,15 +18,12 @@
      * A final status to send to a client.
      *
      * @param header the header of the last request for this message
+     * @param identity the identity of the message
      * @param settled run once the answer is written or discarded
      */
-    record Answer(Header header, Message message, FinalStatus finalStatus, Runnable settled) {
-        private String identity() {
-            return message.submission.identity();
-        }
-
+    record Answer(Header header, String identity, FinalStatus finalStatus, Runnable settled) {
         private String practice() {
-            return Identity.parse(identity()).practice();
+            return Identity.parse(identity).practice();
         }
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/Header.java
+++ b/src/main/java/lilaclever/protocol/mllp/Header.java
@@ -41,6 +41,15 @@
         return new Header('|', split("MSH|^~\\&||||||||||2.5", '|'), StandardCharsets.ISO_8859_1);
     }
 
+    /** The bytes of the message up to the end of its header, from which {@link #read} reads the same header. */
+    static byte[] segment(byte[] message) {
+        int end = 0;
+        while (end < message.length && message[end] != '\r') {
+            end++;
+        }
+        return Arrays.copyOf(message, Math.min(message.length, end + 1));
+    }
+
     /** Reads the header of a message, leniently: it checks only what an answer to the sender depends on. */
     static Header read(byte[] message) throws Hl7Fault {
         if (message.length < 8 || message[0] != 'M' || message[1] != 'S' || message[2] != 'H') {
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -269,6 +269,11 @@
         return waiter;
     }
 
+    @Override
+    public byte[] bodyForNotification(Submission submission) {
+        return Header.segment(submission.body());
+    }
+
     @Override
     public void onFinalStatus(Message message, String id, FinalStatus finalStatus, Runnable settled) {
         Waiter waiter = removeWaiter(message);
@@ -281,7 +286,8 @@
             return;
         }
         MllpSession session = waiter != null && waiter.session.isOpen() ? waiter.session : null;
-        finalAnswers.send(session, new FinalAnswers.Answer(header, message, finalStatus, settled));
+        finalAnswers.send(
+                session, new FinalAnswers.Answer(header, message.submission.identity(), finalStatus, settled));
     }
 
     /** The header from the body of a message without a waiting session; null if the body has none. */
--- a/src/main/java/lilaclever/routing/Core.java
+++ b/src/main/java/lilaclever/routing/Core.java
@@ -950,7 +950,7 @@
         boolean needsNotification = finalStatus.kind() != Kind.DELIVERED && finalStatus.kind() != Kind.GONE;
         // With a shared identity, a client that is away may have to be notified of the delivery as well.
         if (needsNotification || Identity.isShared(message.submission.identity())) {
-            journal.recordFinalStatus(message.id(), finalStatus);
+            journal.recordFinalStatus(message.id(), finalStatus, bodyForNotification(message));
         }
         takeBack(message);
         notifySubmitters(message, finalStatus);
@@ -972,10 +972,21 @@
         }
     }
 
+    /** The longest part of the body that one of the submitters' fronts needs. */
+    private static byte[] bodyForNotification(Message message) {
+        byte[] longest = new byte[0];
+        for (Front front : submitterFronts(message)) {
+            byte[] needed = front.bodyForNotification(message.submission);
+            longest = needed.length > longest.length ? needed : longest;
+        }
+        return longest;
+    }
+
     private void notifySubmitters(Message message, FinalStatus finalStatus) {
+        String id = message.id(); // the message with its body must not be retained until it is settled
         message.finalStatus = finalStatus;
         if (message.submitters.isEmpty()) {
-            journal.recordSettled(message.id());
+            journal.recordSettled(id);
             return;
         }
         int[] unsettled = {message.submitters.size()};
@@ -985,7 +996,7 @@
                     run(() -> submitter.front().onFinalStatus(message, submitter.id(), finalStatus, () -> {
                         unsettledCount--;
                         if (--unsettled[0] == 0) {
-                            journal.recordSettled(message.id());
+                            journal.recordSettled(id);
                         }
                     })));
         }
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -32,6 +32,14 @@
         return false;
     }
 
+    /**
+     * The part of the body that this front needs to notify its client of the final status; the rest is not retained while
+     * the client can't be notified. A front that has not been restarted may use the whole body until it is notified.
+     */
+    default byte[] bodyForNotification(Submission submission) {
+        return submission.body();
+    }
+
     /**
      * A duplicate that was attached to a pending message could not be recorded and will not be notified. Called only on
      * fronts that use shared identities.
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -30,6 +30,12 @@
     /** Records the final status, of which the submitters are still to be notified. */
     void recordFinalStatus(String id, FinalStatus finalStatus);
 
+    /**
+     * Records the final status as {@link #recordFinalStatus(String, FinalStatus)} does, and retains of the body only what
+     * the submitters' fronts need: what a client is owed takes no more space than necessary from other messages.
+     */
+    void recordFinalStatus(String id, FinalStatus finalStatus, byte[] remainingBody);
+
     /** Records that nothing more is to be done for the message. */
     void recordSettled(String id);
 
--- a/src/main/java/lilaclever/routing/PendingMessage.java
+++ b/src/main/java/lilaclever/routing/PendingMessage.java
@@ -164,6 +164,11 @@
         markMayHaveRun(lastHost, lastZone, deadlineWallMicros - submission.budgetMicros());
     }
 
+    /** Retains only this of the body. */
+    public void reduceBody(byte[] remainingBody) {
+        submission = submission.withBody(remainingBody);
+    }
+
     public void setFinalStatus(FinalStatus status) {
         finalStatus = status;
     }
--- a/src/main/java/lilaclever/routing/Submission.java
+++ b/src/main/java/lilaclever/routing/Submission.java
@@ -44,6 +44,12 @@
                 budgetMicros);
     }
 
+    /** The same submission with another body. */
+    Submission withBody(byte[] newBody) {
+        return new Submission(
+                id, identity, messageClass, destination, key, newBody, resubmitted, inherited, budgetMicros);
+    }
+
     /** The same submission for another destination. */
     Submission withDestination(int newDestination) {
         return new Submission(
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -400,6 +400,33 @@
         assertEquals(3, calls.size() + 2);
     }
 
+    /** Guards against messages that are turned away since the ends owed to clients that are away fill the journal. */
+    @Test
+    void endsOwedToClientsThatAreAwayTakeNoRoomFromOtherMessages() throws Exception {
+        forwarder.stop();
+        serve(OPERATOR_FILE.replace("[hl7]", "[hl7]\nany-sender yes"), 0.3);
+        int absentClients = 24;
+        for (int i = 0; i < absentClients; i++) {
+            try (Wire client = Wire.connect(mllp)) {
+                String order = order("AWAY" + i, "B" + i, "AL|AL") + "NTE|" + "x".repeat(30_000) + '\r';
+                assertEquals("CA B" + i, sendAndReadAck(client, order));
+            }
+            awaitCounter("entries_mllp_connections", 0);
+            nextCall();
+            endpointAnswers.add("200 OK");
+            awaitCounter("entries_mllp_owed", i + 1);
+        }
+        forwarder.stop();
+        serve(OPERATOR_FILE.replace("[hl7]", "[hl7]\nany-sender yes"), 0.3);
+        awaitCounter("entries_mllp_owed", absentClients);
+        try (Wire client = Wire.connect(mllp)) {
+            client.writeFrame(order("AWAY3", "C", "AL|AL"));
+            assertEquals("AA B3", readAck(client));
+            assertEquals("CA C", readAck(client));
+        }
+        endpointAnswers.add("200 OK");
+    }
+
     // One message on two ports
     /** Guards against delivering a message twice that is submitted on both ports, whichever is first. */
     @ParameterizedTest
