--- a/src/main/java/lilaclever/program/MllpSections.java
+++ b/src/main/java/lilaclever/program/MllpSections.java
@@ -21,6 +21,7 @@
     static final Set<String> SECTION_KINDS = Set.of("mllp", "hl7", "hl7-class", "hl7-destination", "practice");
 
     private static final long MILLISECOND_MICROS = 1000, SECOND_MICROS = 1_000_000, MINUTE_MICROS = 60 * SECOND_MICROS;
+    private static final long DAY_MICROS = 24 * 60 * MINUTE_MICROS;
     /** The same limit as for HTTP: partners expect no larger messages. */
     private static final int MAX_MESSAGE_BYTES = 64 * 1024;
 
@@ -51,8 +52,7 @@
         Set<String> processing = words(hl7, "processing", "P");
         Set<String> versions = words(hl7, "versions", "2.3 2.3.1 2.4 2.5 2.5.1");
         int maxPendingMessages = (int) hl7.integer("most-held", 200, 1, 1_000_000);
-        long resultRetentionMicros =
-                hl7.durationMicros("owe", 10 * MINUTE_MICROS, SECOND_MICROS, 24 * 60 * MINUTE_MICROS);
+        long resultRetentionMicros = hl7.durationMicros("owe", 5 * DAY_MICROS, SECOND_MICROS, 30 * DAY_MICROS);
         int maxPendingResults = (int) hl7.integer("most-owed", 1000, 1, 1_000_000);
         if (listeners.isEmpty()) {
             return null;
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import lilaclever.log.Logs;
 import lilaclever.protocol.mail.MailSettings.Protocol;
 import lilaclever.routing.ClassVersion;
 import lilaclever.routing.Core;
@@ -222,6 +223,9 @@
         boolean isTold = answerWaiters(message, Reply.of(finalStatus));
         if (protocol == Protocol.LMTP || isTold) {
             // A client that has lost its connection submits the mail again and gets the remembered final status.
+            if (!isTold) {
+                logUntold(id, finalStatus);
+            }
             settled.run();
         } else if (finalStatus.kind() == FinalStatus.Kind.REFUSED || finalStatus.kind() == FinalStatus.Kind.FAILED) {
             sendReport(message, id, finalStatus, settled);
@@ -233,6 +237,13 @@
         }
     }
 
+    private static void logUntold(String id, FinalStatus finalStatus) {
+        String status = finalStatus.kind().name().toLowerCase(Locale.ROOT);
+        String text = "the end (" + status + ") of " + id
+                + " is not told yet: its LMTP client has left, and hears it when" + " it asks again";
+        Logs.info("", "end-untold", text, "message", id);
+    }
+
     // Delivery status notifications
     /** Owes a report of the failure to the reverse path; a null one has nobody to report to. */
     private void sendReport(Message message, String failedId, FinalStatus finalStatus, Runnable settled) {
--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -1,6 +1,8 @@
 package lilaclever.protocol.mllp;
 
+import java.util.Locale;
 import lilaclever.identity.Identity;
+import lilaclever.log.Logs;
 import lilaclever.routing.Core;
 import lilaclever.routing.FinalStatus;
 
@@ -45,7 +47,7 @@
     }
 
     private void expire() {
-        pending.expired(core.nowMicros()).forEach(answer -> answer.settled().run());
+        pending.expired(core.nowMicros()).forEach(answer -> discard(answer, "its client did not come in time"));
         core.deadlines().schedule(core.nowMicros() + EXPIRY_CHECK_INTERVAL_MICROS, this::expire);
     }
 
@@ -69,11 +71,38 @@
     private void retain(Answer answer, String practice) {
         if (!Request.wantsLaterAcknowledgements(answer.header())) {
             // In original mode a late acknowledgement would be taken for that of another message.
+            logLeftInOriginalMode(answer);
             answer.settled().run();
             return;
         }
-        pending.add(answer.identity(), practice, answer, core.nowMicros())
-                .forEach(discarded -> discarded.settled().run());
+        for (Answer discarded : pending.add(answer.identity(), practice, answer, core.nowMicros())) {
+            if (discarded.identity().equals(answer.identity())) {
+                discarded.settled().run(); // the later answer tells the client
+            } else {
+                discard(discarded, "too many are owed");
+            }
+        }
+    }
+
+    private static void discard(Answer answer, String reason) {
+        String controlId = answer.header().field(10);
+        Logs.warn("mllp", "end-dropped", describe(answer) + " is not told: " + reason, "message", controlId);
+        answer.settled().run();
+    }
+
+    private static void logLeftInOriginalMode(Answer answer) {
+        String text = " is not told yet: its client has left in original mode, and hears it when it asks again";
+        Logs.info(
+                "mllp",
+                "end-untold",
+                describe(answer) + text,
+                "message",
+                answer.header().field(10));
+    }
+
+    private static String describe(Answer answer) {
+        String status = answer.finalStatus().kind().name().toLowerCase(Locale.ROOT);
+        return "the end (" + status + ") of message " + answer.header().field(10) + " of practice " + answer.practice();
     }
 
     /** Drops the pending answer of a message that its client has sent again, as the repeat is answered itself. */
--- a/src/main/java/lilaclever/protocol/mllp/PendingAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/PendingAnswers.java
@@ -1,13 +1,16 @@
 package lilaclever.protocol.mllp;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Final answers retained for disconnected clients, with a limit and an expiry time. No I/O and no clock. Each entry is
+ * Final answers retained for disconnected clients, with a limit and an expiry time. At the limit the oldest answer of the
+ * practice with the most goes, so that one that stays away takes nothing from others. No I/O and no clock. Each entry is
  * removed in exactly one way: it is taken for sending, withdrawn because its client has sent the message again, or
  * discarded because it has expired, is replaced or the limit is reached. A client that sends the message again after
  * that gets the remembered final status.
@@ -22,6 +25,7 @@
     /** By identity, oldest first: all are retained for the same time, so this is also the order of expiry. */
     private final Map<String, Entry<T>> entries = new LinkedHashMap<>();
 
+    private final Map<String, Integer> countByPractice = new HashMap<>();
     private long discardedCount;
 
     /** Retains at most {@code maxEntries} answers, each for {@code retentionMicros}. */
@@ -36,17 +40,26 @@
         Entry<T> previous = entries.remove(identity);
         if (previous != null) {
             removed.add(previous.answer()); // replaced: only the latest answer for an identity counts
+            countDown(previous);
         }
         entries.put(identity, new Entry<>(practice, answer, nowMicros + retentionMicros));
-        Iterator<Entry<T>> oldest = entries.values().iterator();
+        countByPractice.merge(practice, 1, Integer::sum);
         while (entries.size() > maxEntries) {
-            removed.add(oldest.next().answer());
-            oldest.remove();
+            removed.addAll(removeOldest(practiceWithMost(), 1));
         }
         discardedCount += removed.size();
         return removed;
     }
 
+    private void countDown(Entry<T> removed) {
+        countByPractice.computeIfPresent(removed.practice(), (practice, count) -> count > 1 ? count - 1 : null);
+    }
+
+    private String practiceWithMost() {
+        return Collections.max(countByPractice.entrySet(), Map.Entry.comparingByValue())
+                .getKey();
+    }
+
     /** Removes and returns the expired answers. */
     List<T> expired(long nowMicros) {
         List<T> removed = new ArrayList<>();
@@ -58,6 +71,7 @@
             }
             removed.add(entry.answer());
             oldest.remove();
+            countDown(entry);
         }
         discardedCount += removed.size();
         return removed;
@@ -65,6 +79,10 @@
 
     /** Removes and returns the answers for a practice that has connected: at most {@code maxCount}, oldest first. */
     List<T> take(String practice, int maxCount) {
+        return removeOldest(practice, maxCount);
+    }
+
+    private List<T> removeOldest(String practice, int maxCount) {
         List<T> removed = new ArrayList<>();
         Iterator<Entry<T>> iterator = entries.values().iterator();
         while (removed.size() < maxCount && iterator.hasNext()) {
@@ -72,6 +90,7 @@
             if (entry.practice().equals(practice)) {
                 removed.add(entry.answer());
                 iterator.remove();
+                countDown(entry);
             }
         }
         return removed;
@@ -80,7 +99,11 @@
     /** Removes the answer for a message that its client has sent again; returns null if there was none. */
     T withdraw(String identity) {
         Entry<T> entry = entries.remove(identity);
-        return entry == null ? null : entry.answer();
+        if (entry == null) {
+            return null;
+        }
+        countDown(entry);
+        return entry.answer();
     }
 
     /** The number of retained answers. */
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -427,6 +427,32 @@
         endpointAnswers.add("200 OK");
     }
 
+    /** Guards against ends that are owed and dropped in silence. */
+    @Test
+    void endThatNobodyComesForIsLogged() throws Exception {
+        forwarder.stop();
+        serve(OPERATOR_FILE.replace("[hl7]", "[hl7]\nowe 1s"));
+        try (LogCapture log = new LogCapture()) {
+            try (Wire client = Wire.connect(mllp)) {
+                assertEquals("CA M1", sendAndReadAck(client, order("M1")));
+                client.writeFrame(order("SUD", "M2", ""));
+                nextCall();
+                nextCall();
+            }
+            awaitCounter("entries_mllp_connections", 0);
+            endpointAnswers.addAll(List.of("200 OK", "200 OK"));
+            awaitCounter("entries_owed", 0);
+            awaitCounter("mllp_owed_given_up", 1);
+            assertEquals(
+                    "the end (delivered) of message M1 of practice north is not told: its client did not come in time",
+                    log.lineWith("message M1"));
+            assertEquals(
+                    "the end (delivered) of message M2 of practice south is not told yet: its client has left in original"
+                            + " mode, and hears it when it asks again",
+                    log.lineWith("message M2"));
+        }
+    }
+
     // One message on two ports
     /** Guards against delivering a message twice that is submitted on both ports, whichever is first. */
     @ParameterizedTest
--- a/src/test/java/lilaclever/program/OwedReportTest.java
+++ b/src/test/java/lilaclever/program/OwedReportTest.java
@@ -17,9 +17,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import java.util.regex.Pattern;
 import lilaclever.program.Peer.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -58,7 +55,7 @@
     /** Message-IDs of all contents that were read, also of those that were not taken. */
     private final List<String> contents = new CopyOnWriteArrayList<>();
 
-    private final List<String> logLines = new CopyOnWriteArrayList<>();
+    private final LogCapture log = new LogCapture();
     private final AtomicInteger connections = new AtomicInteger();
     /** Mails that are being sent to the client's server, now and at most. */
     private final AtomicInteger transactions = new AtomicInteger(), maxTransactions = new AtomicInteger();
@@ -71,19 +68,6 @@
     private Forwarder forwarder;
     private SocketAddress http, smtp;
 
-    private final Handler logHandler = new Handler() {
-        @Override
-        public void publish(LogRecord line) {
-            logLines.add(line.getMessage());
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void close() {}
-    };
-
     @BeforeEach
     void startPeers() throws IOException {
         platform = Peer.platform("", new LinkedBlockingQueue<>());
@@ -94,7 +78,6 @@
             }
         });
         clinic = new Peer(this::serveClinic);
-        Logger.getLogger("").addHandler(logHandler);
     }
 
     @AfterEach
@@ -103,7 +86,7 @@
         platform.close();
         partner.close();
         clinic.close();
-        Logger.getLogger("").removeHandler(logHandler);
+        log.close();
     }
 
     private void serveClinic(Wire wire) throws IOException, InterruptedException {
@@ -232,10 +215,7 @@
     }
 
     private String dropLine() {
-        return logLines.stream()
-                .filter(line -> line.contains("is dropped"))
-                .findFirst()
-                .orElse("none of " + logLines);
+        return log.lineWith("is dropped");
     }
 
     /** Guards against a report that is dropped once the time of its class is over, though it has not been taken. */
@@ -289,7 +269,7 @@
         forwarder.stop();
         serve(route("frames.test", 1_000_001, partner), "status");
         awaitCounter("entries_reports_owed", "1");
-        assertTrue(logLines.stream().anyMatch(line -> line.contains("no route for report-")), logLines.toString());
+        assertTrue(log.lineWith("no route for report-").startsWith("no route"), log.lineWith("no route"));
         forwarder.stop();
         absence = null;
         serve();
@@ -410,7 +390,7 @@
             }
             left.countDown();
             awaitCounter("entries_reports_owed", "1");
-            assertTrue(logLines.stream().anyMatch(line -> line.contains("no route for report-")), logLines.toString());
+            assertTrue(log.lineWith("no route for report-").startsWith("no route"), log.lineWith("no route"));
             forwarder.stop();
             serve(partnerRoute + "," + route("clinics.test", 1_000_002, clinic), "status");
             assertTrue(Peer.take(reports).contains("Message-ID: <p>"));
--- a/src/test/java/lilaclever/protocol/mllp/PendingAnswersTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/PendingAnswersTest.java
@@ -43,6 +43,19 @@
         assertEquals(List.of("d"), pending.take("p", 5));
     }
 
+    /** Guards against a practice that stays away and pushes out what is owed to the others. */
+    @Test
+    void practiceThatStaysAwayTakesNoRoomFromOthers() {
+        PendingAnswers<String> pending = new PendingAnswers<>(3, 100);
+        pending.add("1", "north", "owed to north", 0);
+        List<String> discarded = new ArrayList<>();
+        for (int i = 2; i < 10; i++) {
+            discarded.addAll(pending.add("" + i, "south", "s" + i, i));
+        }
+        assertEquals(List.of("s2", "s3", "s4", "s5", "s6", "s7"), discarded);
+        assertEquals(List.of("owed to north"), pending.take("north", 5));
+    }
+
     @Provide
     Arbitrary<List<Integer>> steps() {
         return Arbitraries.integers().between(0, 399).list().ofMaxSize(120);
