Reduce a failed mail to what its report needs, and bound the headers in reports

A report also repeated all headers, up to the size of a mail.

Change: once a mail has its end only envelope and headers are retained (MailFront.bodyForNotification), so that failed mails make room for their reports; headers over 2 KiB are cut, after the Message-ID.

Measured: OwedReportTest.failuresAreReported... failed before ('nothing received in time', 2 of 2), and passes; DeliveryStatusNotificationTest passes.

--- a/src/main/java/lilaclever/protocol/mail/DeliveryStatusNotification.java
+++ b/src/main/java/lilaclever/protocol/mail/DeliveryStatusNotification.java
@@ -4,8 +4,16 @@
 
 /** Builds delivery status notifications (RFC 3464), which report a failed delivery to the sender. */
 final class DeliveryStatusNotification {
+    /** Longer headers are cut, so that the reports that are owed stay small. */
+    private static final int MAX_HEADER_CHARS = 2_048;
+
     private DeliveryStatusNotification() {}
 
+    /** The part of a mail from which the same report can be made: its envelope and headers. */
+    static Mail reportedPart(Mail failed) {
+        return new Mail(failed.reversePath(), failed.recipient(), headers(failed.content()));
+    }
+
     static Mail create(String hostName, Mail failed, FinalStatus finalStatus, String id, String date) {
         Reply serverReply = Reply.parse(finalStatus.detail());
         boolean permanent = serverReply != null
@@ -51,15 +59,23 @@
             addLines(text, "Diagnostic-Code: smtp; " + finalStatus.detail());
         }
         addLines(text, "", "--" + boundary, "Content-Type: text/rfc822-headers", "");
-        int headerEnd = failed.content().indexOf("\r\n\r\n");
-        addLines(
-                text,
-                headerEnd < 0 ? failed.content() : failed.content().substring(0, headerEnd),
-                "",
-                "--" + boundary + "--");
+        addLines(text, headers(failed.content()), "", "--" + boundary + "--");
         return new Mail("", failed.reversePath(), text.toString());
     }
 
+    /** The header fields of the failed mail; if they are too long the first ones, after the one that identifies it. */
+    private static String headers(String content) {
+        int end = content.indexOf("\r\n\r\n");
+        String all = end < 0 ? content : content.substring(0, end);
+        if (all.length() <= MAX_HEADER_CHARS) {
+            return all;
+        }
+        String messageId = Mail.header(content, "Message-ID");
+        int lastLineEnd = all.lastIndexOf("\r\n", MAX_HEADER_CHARS);
+        String first = all.substring(0, Math.max(0, lastLineEnd));
+        return messageId == null || first.contains(messageId) ? first : "Message-ID: " + messageId + "\r\n" + first;
+    }
+
     private static void addLines(StringBuilder text, String... lines) {
         for (String line : lines) {
             text.append(line).append("\r\n");
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -218,6 +218,12 @@
         answerWaiters(message, Reply.of(finalStatus));
     }
 
+    @Override
+    public byte[] bodyForNotification(Submission submission) {
+        return DeliveryStatusNotification.reportedPart(Mail.decode(submission.body()))
+                .encode();
+    }
+
     @Override
     public void onFinalStatus(Message message, String id, FinalStatus finalStatus, Runnable settled) {
         boolean isTold = answerWaiters(message, Reply.of(finalStatus));
--- a/src/test/java/lilaclever/program/OwedReportTest.java
+++ b/src/test/java/lilaclever/program/OwedReportTest.java
@@ -32,6 +32,8 @@
     /** How often the whole time of the reports' class is over before their server is back. */
     private static final int FAILED_ROUNDS = 2;
 
+    private static final int CONTENT_ROW_CHARS = 70;
+
     private static final Pattern MESSAGE_ID = Pattern.compile("(?m)^Message-ID: <(report-.*)>$");
 
     /** What a client's mail server does while it is away. */
@@ -414,4 +416,59 @@
                     wire.readReply());
         }
     }
+
+    /** Guards against reports that never get into a journal full of the mails that they are about. */
+    @Test
+    void failuresAreReportedWhereTheirMailsFillTheJournal() throws Exception {
+        CountDownLatch full = new CountDownLatch(1);
+        Peer slowPartner = new Peer(wire -> {
+            wire.writeText("220 stand-in\r\n");
+            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
+                if (line.startsWith("RCPT")) {
+                    full.await();
+                }
+                wire.writeText(line.startsWith("RCPT") ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
+            }
+        });
+        try (slowPartner) {
+            Config config = Config.parse(ForwarderSetup.configText(platform.address(), state, null, 0.5), Map.of());
+            forwarder = Forwarder.start(
+                    config,
+                    config.parseMail(
+                            ForwarderSetup.MAIL_CONFIG_TEMPLATE.formatted(route("frames.test", 1_000_001, slowPartner)
+                                    + "," + route("clinics.test", 1_000_002, clinic))));
+            http = forwarder.addresses().get(0);
+            smtp = forwarder.addresses().get(1);
+            int taken = 0;
+            for (int rows = 512; rows > 0; rows /= 2) {
+                taken += fillJournal(taken, rows);
+            }
+            full.countDown();
+            Set<String> told = new HashSet<>();
+            while (told.size() < taken) {
+                told.add(messageId(Peer.take(reports)));
+            }
+            awaitCounter("entries_owed", "0");
+        }
+    }
+
+    /** Hands in payments with contents of so many rows until one is turned away; returns how many were taken on. */
+    private int fillJournal(int firstNumber, int rows) throws IOException {
+        int taken = 0;
+        try (Wire wire = Wire.connect(smtp)) {
+            wire.readReply();
+            wire.sendCommand("EHLO client");
+            while (true) {
+                wire.sendCommand("MAIL FROM:<pay@clinics.test>");
+                wire.sendCommand("RCPT TO:<desk@frames.test>");
+                wire.sendCommand("DATA");
+                wire.writeText("Message-ID: <p" + (firstNumber + taken) + ">\r\nX-Message-Class: payment\r\n\r\n"
+                        + ("x".repeat(CONTENT_ROW_CHARS) + "\r\n").repeat(rows) + ".\r\n");
+                if (!wire.readReply().startsWith("250")) {
+                    return taken;
+                }
+                taken++;
+            }
+        }
+    }
 }
