--- a/src/test/java/lilaclever/program/OwedReportTest.java
+++ b/src/test/java/lilaclever/program/OwedReportTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,13 +13,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
+import lilaclever.journal.BootClock;
+import lilaclever.journal.Durability;
+import lilaclever.journal.FolderDisk;
+import lilaclever.journal.JournalClocks;
+import lilaclever.journal.SegmentedJournal;
 import lilaclever.program.Peer.Wire;
+import lilaclever.routing.ClassVersion;
+import lilaclever.routing.Core;
+import lilaclever.routing.Submission;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,12 +83,7 @@
     @BeforeEach
     void startPeers() throws IOException {
         platform = Peer.platform("", new LinkedBlockingQueue<>());
-        partner = new Peer(wire -> {
-            wire.writeText("220 stand-in\r\n");
-            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
-                wire.writeText(line.startsWith("RCPT") ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
-            }
-        });
+        partner = refusingPartner(new CountDownLatch(0));
         clinic = new Peer(this::serveClinic);
     }
 
@@ -91,6 +96,20 @@
         log.close();
     }
 
+    /** A mail server that refuses each recipient once the latch is open. */
+    private static Peer refusingPartner(CountDownLatch latch) throws IOException {
+        return new Peer(wire -> {
+            wire.writeText("220 stand-in\r\n");
+            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
+                boolean isRecipient = line.startsWith("RCPT");
+                if (isRecipient) {
+                    latch.await();
+                }
+                wire.writeText(isRecipient ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
+            }
+        });
+    }
+
     private void serveClinic(Wire wire) throws IOException, InterruptedException {
         connections.incrementAndGet();
         Absence away = absence;
@@ -369,15 +388,7 @@
     @Test
     void endIsOwedToAClientWithoutARouteThatHasLeft() throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        Peer slowPartner = new Peer(wire -> {
-            wire.writeText("220 stand-in\r\n");
-            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
-                if (line.startsWith("RCPT")) {
-                    left.await();
-                }
-                wire.writeText(line.startsWith("RCPT") ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
-            }
-        });
+        Peer slowPartner = refusingPartner(left);
         try (slowPartner) {
             String partnerRoute = route("frames.test", 1_000_001, slowPartner);
             serve(partnerRoute, "status");
@@ -421,15 +432,7 @@
     @Test
     void failuresAreReportedWhereTheirMailsFillTheJournal() throws Exception {
         CountDownLatch full = new CountDownLatch(1);
-        Peer slowPartner = new Peer(wire -> {
-            wire.writeText("220 stand-in\r\n");
-            for (String line = wire.readLine(); line != null; line = wire.readLine()) {
-                if (line.startsWith("RCPT")) {
-                    full.await();
-                }
-                wire.writeText(line.startsWith("RCPT") ? "550 5.2.1 takes no payments\r\n" : "250 2.0.0 good\r\n");
-            }
-        });
+        Peer slowPartner = refusingPartner(full);
         try (slowPartner) {
             Config config = Config.parse(ForwarderSetup.configText(platform.address(), state, null, 0.5), Map.of());
             forwarder = Forwarder.start(
@@ -471,4 +474,35 @@
             }
         }
     }
+
+    /** Guards against a report that an earlier version has submitted as a mail, and that is dropped with its class. */
+    @Test
+    void reportOfAnEarlierVersionIsOwedFromNowOn() throws Exception {
+        Config config = Config.parse(configText(), Map.of());
+        ClassVersion status =
+                new ClassVersion(1, "status", config.settings().classes().get(1));
+        String mail = "\npay@clinics.test\nMessage-ID: <report-smtp-a-0@mx.test>\r\n\r\nfailed";
+        String identity = "report smtp-a-0";
+        Submission report = new Submission(
+                "smtp-a-1",
+                identity,
+                status,
+                1_000_002,
+                identity,
+                mail.getBytes(StandardCharsets.ISO_8859_1),
+                false,
+                false,
+                1_000_000);
+        JournalClocks clocks = new JournalClocks(Core::monotonicMicros, Core::wallMicros, BootClock.UNKNOWN);
+        try (SegmentedJournal journal = new SegmentedJournal(
+                FolderDisk.lock(state), 3 << 20, Durability.NONE, clocks, new SplittableRandom(1))) {
+            assertTrue(journal.recordAccepted("smtp", report, Core.wallMicros(), Core.wallMicros()));
+        }
+        absence = Absence.REFUSES_THE_CONTENT;
+        serve();
+        awaitFailedRounds();
+        absence = null;
+        assertTrue(Peer.take(reports).contains("Message-ID: <report-smtp-a-0@mx.test>"));
+        awaitCounter("entries_owed", "0");
+    }
 }
