Report a failure to the client that heard 250 though another one hears it in its reply

Cause: onFinalStatus took any reply for the telling, not the one of the client that is owed the end. A report is now left out only if the message's own client is told in the reply. Due times of reports begin before any time of the clock.

Measured: OwedReportTest.reportIsOwedThough... fails with MailFront as before ('nothing received in time', 1 of 1), and passes.

--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -135,7 +135,7 @@
         return messageId != null && messageId.length() <= MAX_MESSAGE_ID_LENGTH;
     }
 
-    /** Submits a mail for one recipient; {@code answer} is called exactly once, possibly before this returns. */
+    /** Submits a mail for one recipient; the listener gets exactly one reply, possibly before this returns. */
     void submit(Mail mail, ReplyListener listener) {
         String identity = hasUsableMessageId(mail.content())
                 ? Mail.header(mail.content(), "Message-ID") + ' ' + mail.recipient()
@@ -227,14 +227,14 @@
     @Override
     public void onFinalStatus(Message message, String id, FinalStatus finalStatus, Runnable settled) {
         boolean isTold = answerWaiters(message, Reply.of(finalStatus));
-        if (protocol == Protocol.LMTP || isTold) {
+        if (protocol == Protocol.LMTP) {
             // A client that has lost its connection submits the mail again and gets the remembered final status.
             if (!isTold) {
                 logUntold(id, finalStatus);
             }
             settled.run();
         } else if (finalStatus.kind() == FinalStatus.Kind.REFUSED || finalStatus.kind() == FinalStatus.Kind.FAILED) {
-            sendReport(message, id, finalStatus, settled);
+            sendReport(message, id, finalStatus, isTold, settled);
         } else {
             settled.run();
         }
@@ -246,16 +246,23 @@
     private static void logUntold(String id, FinalStatus finalStatus) {
         String status = finalStatus.kind().name().toLowerCase(Locale.ROOT);
         String text = "the end (" + status + ") of " + id
-                + " is not told yet: its LMTP client has left, and hears it when" + " it asks again";
+                + " is not told yet: its LMTP client has left, and hears it when it asks again";
         Logs.info("", "end-untold", text, "message", id);
     }
 
     // Delivery status notifications
-    /** Owes a report of the failure to the reverse path; a null one has nobody to report to. */
-    private void sendReport(Message message, String failedId, FinalStatus finalStatus, Runnable settled) {
+    /**
+     * Owes a report of the failure to the reverse path; a null one has nobody to report to.
+     *
+     * @param isToldInReply whether a client has heard the failure in the reply to its content
+     */
+    private void sendReport(
+            Message message, String failedId, FinalStatus finalStatus, boolean isToldInReply, Runnable settled) {
         Mail mail = Mail.decode(message.submission.body());
         String identity = message.submission.identity();
-        if (!mail.reversePath().isEmpty()) {
+        if (isToldInReply && tellsEndInReply(mail.reversePath())) {
+            settled.run();
+        } else if (!mail.reversePath().isEmpty()) {
             reports.report(failedId, mail, finalStatus, settled);
         } else if (identity != null && identity.startsWith(EARLIER_REPORT_IDENTITY)) {
             reports.takeOver(identity.substring(EARLIER_REPORT_IDENTITY.length()), mail, settled);
--- a/src/main/java/lilaclever/protocol/mail/ReportSchedule.java
+++ b/src/main/java/lilaclever/protocol/mail/ReportSchedule.java
@@ -44,7 +44,7 @@
     private final class FailureSeries {
         private final long maxDelayMicros;
         private long sinceMicros = NEVER;
-        private long retryAtMicros;
+        private long retryAtMicros = Long.MIN_VALUE;
 
         FailureSeries(long maxDelayMicros) {
             this.maxDelayMicros = maxDelayMicros;
--- a/src/test/java/lilaclever/program/OwedReportTest.java
+++ b/src/test/java/lilaclever/program/OwedReportTest.java
@@ -410,6 +410,30 @@
         }
     }
 
+    /** Guards against a client that heard 250 and no report, as another one of the same mail heard the end. */
+    @Test
+    void reportIsOwedThoughAnotherClientHearsTheEndInItsReply() throws Exception {
+        CountDownLatch bothHaveSent = new CountDownLatch(1);
+        try (Peer slowPartner = refusingPartner(bothHaveSent)) {
+            serve(
+                    route("frames.test", 1_000_001, slowPartner) + "," + route("clinics.test", 1_000_002, clinic),
+                    "status");
+            handInAndHear250("p");
+            try (Wire wire = Wire.connect(smtp)) {
+                wire.readReply();
+                wire.sendCommand("EHLO client");
+                wire.sendCommand("MAIL FROM:<pay@elsewhere.test>");
+                wire.sendCommand("RCPT TO:<desk@frames.test>");
+                wire.sendCommand("DATA");
+                wire.writeText("Message-ID: <p>\r\nX-Message-Class: payment\r\n\r\npay\r\n.\r\n");
+                awaitCounter("handed_in", "2");
+                bothHaveSent.countDown();
+                assertEquals("550 5.2.1 takes no payments", wire.readReply());
+            }
+            assertTrue(Peer.take(reports).contains("Message-ID: <p>"));
+        }
+    }
+
     /** Guards against a failure that is hidden behind the 250 for another recipient of the same mail. */
     @Test
     void oneReplyTellsThatNotAllRecipientsWereServed() throws Exception {
