Send an HL7 end again if its connection breaks before its client has read it

What a client saw: an end (AA, AR, AE) that was written to the socket counted as told. A client that stood still or was killed with the end unread in its socket heard CA and never the end, unless it asked again; so did one whose connection was open at a restart, or idle until the port closed it.

Cause: FinalAnswers ran `settled` when the write had completed.

An idle connection with such an answer is ended by a half close and has five seconds to be closed by its client, which confirms it. 1,000 are kept, then the oldest counts as read. A repeat of a message whose end is owed keeps the debt until the answer to the repeat is with the client. Grizzly reports a reset as an end of the stream (seen: EOFException for both), so these connections are read by a transport filter that tells the two apart.

The test connection of Peer resets its connections when it closes them, "as a dying process would". Two older tests waited after that for all debts to be settled, which is no longer so for the last answer: their clients close in order now, the checks are the same.

--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -1,6 +1,7 @@
 package lilaclever.protocol.mllp;
 
 import java.util.Locale;
+import java.util.Optional;
 import lilaclever.identity.Identity;
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
@@ -8,20 +9,25 @@
 
 /**
  * Sends the final status of messages to clients: on the connection that waits for it, on another one of the practice
- * or, if there is none, on the next one that it opens. Answers that are not collected in time are discarded. Event
+ * or, if there is none, on the next one that it opens. An answer is settled once its client has shown that it has read
+ * it; if the connection breaks before, it is sent again. Answers that are not collected in time are discarded. Event
  * loop.
  */
 final class FinalAnswers {
     private static final long EXPIRY_CHECK_INTERVAL_MICROS = 1_000_000;
     /** Limit of pending answers that are sent before a message of their practice is handled. */
     private static final int MAX_PENDING_PER_MESSAGE = 100;
+    /** Limit of written answers that are retained until their client confirms them. */
+    private static final int MAX_UNCONFIRMED = 1_000;
+    /** A message received sooner after an answer was written may have been on its way before. */
+    private static final long MIN_READ_MICROS = 100_000;
 
     /**
      * A final status to send to a client.
      *
      * @param header the header of the last request for this message
      * @param identity the identity of the message
-     * @param settled run once the answer is written or discarded
+     * @param settled run once the client has the answer, or it is discarded
      */
     record Answer(Header header, String identity, FinalStatus finalStatus, Runnable settled) {
         private String practice() {
@@ -33,6 +39,9 @@
     private final MllpConnections connections;
     private final Replies replies;
     private final PendingAnswers<Answer> pending;
+    private final UnconfirmedAnswers<MllpSession, Answer> unconfirmed =
+            new UnconfirmedAnswers<>(MAX_UNCONFIRMED, MIN_READ_MICROS);
+    private long sentAgainCount;
 
     FinalAnswers(Core core, MllpSettings settings, MllpConnections connections, Replies replies) {
         this.core = core;
@@ -54,20 +63,59 @@
     /** Sends an answer on the session, or if that is null on another one of the practice; else keeps it pending. */
     void send(MllpSession session, Answer answer) {
         String practice = answer.practice();
-        MllpSession target = session;
-        if (target == null && Request.wantsLaterAcknowledgements(answer.header())) {
-            target = connections.latestOf(practice);
-        }
+        MllpSession target = session == null && Request.wantsLaterAcknowledgements(answer.header())
+                ? connections.latestOf(practice)
+                : session;
         if (target == null) {
             retain(answer, practice);
             return;
         }
         target.write(
                 replies.finalStatus(answer.header(), answer.finalStatus()),
-                () -> core.post(answer.settled()),
+                () -> core.post(() -> onWritten(target, answer)),
                 () -> core.post(() -> retain(answer, practice)));
     }
 
+    private void onWritten(MllpSession session, Answer answer) {
+        if (!Request.wantsLaterAcknowledgements(answer.header()) || session.end() == MllpSession.End.IN_ORDER) {
+            answer.settled().run();
+        } else if (session.end() == MllpSession.End.BROKEN) {
+            sendAgain(answer);
+        } else {
+            unconfirmed
+                    .add(session, answer.identity(), answer, core.nowMicros())
+                    .forEach(confirmed -> confirmed.settled().run());
+        }
+    }
+
+    /** The session has sent a message: its client has read what was written well before. */
+    void onMessage(MllpSession session, long receivedMicros) {
+        unconfirmed
+                .confirmedBy(session, receivedMicros)
+                .forEach(confirmed -> confirmed.settled().run());
+    }
+
+    /** The session has ended: a client that has closed its connection in order has read what was written. */
+    void onEnd(MllpSession session) {
+        for (Answer answer : unconfirmed.removeAll(session)) {
+            if (session.end() == MllpSession.End.IN_ORDER) {
+                answer.settled().run();
+            } else {
+                sendAgain(answer);
+            }
+        }
+    }
+
+    /** True if the client of the session has not confirmed yet all answers that were written to it. */
+    boolean awaitsConfirmation(MllpSession session) {
+        return unconfirmed.has(session);
+    }
+
+    private void sendAgain(Answer answer) {
+        sentAgainCount++;
+        send(null, answer);
+    }
+
     private void retain(Answer answer, String practice) {
         if (!Request.wantsLaterAcknowledgements(answer.header())) {
             // In original mode a late acknowledgement would be taken for that of another message.
@@ -105,12 +153,21 @@
         return "the end (" + status + ") of message " + answer.header().field(10) + " of practice " + answer.practice();
     }
 
-    /** Drops the pending answer of a message that its client has sent again, as the repeat is answered itself. */
-    void withdraw(String identity) {
-        Answer previous = pending.withdraw(identity);
-        if (previous != null) {
-            previous.settled().run();
+    /**
+     * Removes the answer that a client is owed for a message that it has sent again, as the repeat is answered itself.
+     * Returns what settles the debt, to be run once the answer to the repeat is with the client; empty if none is left.
+     */
+    Optional<Runnable> withdraw(String identity) {
+        Answer waiting = pending.withdraw(identity);
+        Answer owed = waiting != null ? waiting : unconfirmed.withdraw(identity);
+        if (owed == null) {
+            return Optional.empty();
         }
+        if (owed.finalStatus().kind() == FinalStatus.Kind.REFUSED) {
+            owed.settled().run(); // the repeat is a message of its own
+            return Optional.empty();
+        }
+        return Optional.of(owed.settled());
     }
 
     /** Sends pending answers to the session's practice, if it wants application acknowledgements. */
@@ -125,6 +182,16 @@
         return pending.size();
     }
 
+    /** The number of answers that are written and that their client has not confirmed yet. */
+    int unconfirmedCount() {
+        return unconfirmed.size();
+    }
+
+    /** The number of answers that were sent again since the connection broke after they were written. */
+    long sentAgainCount() {
+        return sentAgainCount;
+    }
+
     /** The number of answers discarded before they were sent. */
     long discardedCount() {
         return pending.discardedCount();
--- a/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpConnections.java
@@ -57,7 +57,8 @@
     /** Listens at an address; returns the bound address. */
     SocketAddress listen(Transport transport, MllpSettings.Listener listener) throws IOException {
         var server = transport.listen(
-                Transport.parseAddress(listener.address()), Transport.chain(new SessionFilter(listener)));
+                Transport.parseAddress(listener.address()),
+                Transport.chainDetectingResets(new SessionFilter(listener)));
         listeners.add(server);
         return server.getLocalAddress();
     }
@@ -106,8 +107,10 @@
         session.checkTimeouts();
     }
 
-    private void onClose(MllpSession session) {
+    private void onClose(MllpSession session, MllpSession.End end) {
         if (sessions.remove(session)) {
+            session.ended(end);
+            front.onEnd(session);
             for (String key : List.of(session.listener().name(), addressKey(session))) {
                 connectionsByKey.computeIfPresent(key, (a, n) -> n > 1 ? n - 1 : null);
             }
@@ -159,7 +162,9 @@
         public NextAction handleClose(FilterChainContext context) {
             MllpSession session = sessionAttribute.get(context.getConnection());
             if (session != null) {
-                core.post(() -> onClose(session));
+                boolean inOrder = Transport.isClosedInOrderByPeer(context.getConnection());
+                MllpSession.End end = inOrder ? MllpSession.End.IN_ORDER : MllpSession.End.BROKEN;
+                core.post(() -> onClose(session, end));
             }
             return context.getInvokeAction();
         }
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import lilaclever.log.Logs;
 import lilaclever.routing.Core;
@@ -81,8 +82,10 @@
         core.counters().entryGauge("mllp_waiting", waiters::size);
         core.counters().entryGauge("mllp_unhandled", connections::unhandledCount);
         core.counters().entryGauge("mllp_owed", finalAnswers::size);
+        core.counters().entryGauge("mllp_unconfirmed", finalAnswers::unconfirmedCount);
         core.counters().entryGauge("mllp_practices", pendingByPractice::size);
         core.counters().valueGauge("mllp_owed_given_up", finalAnswers::discardedCount);
+        core.counters().valueGauge("mllp_sent_again", finalAnswers::sentAgainCount);
         core.counters().valueGauge("mllp_turned_away", connections::rejectedCount);
         core.counters().valueGauge("mllp_spoilt", closedForBadInput::get);
     }
@@ -112,9 +115,9 @@
         connections.close();
     }
 
-    /** The number of final answers pending for disconnected clients; the journal retains them. */
+    /** The number of final answers that their clients do not have yet, or have not confirmed; the journal retains them. */
     public int pendingAnswerCount() {
-        return finalAnswers.size();
+        return finalAnswers.size() + finalAnswers.unconfirmedCount();
     }
 
     Core core() {
@@ -133,6 +136,16 @@
         }
     }
 
+    /** The session has ended. Event loop. */
+    void onEnd(MllpSession session) {
+        finalAnswers.onEnd(session);
+    }
+
+    /** True if the client of the session has not confirmed yet all answers that were written to it. Event loop. */
+    boolean awaitsConfirmation(MllpSession session) {
+        return finalAnswers.awaitsConfirmation(session);
+    }
+
     // Submissions
     /** Answers input that could not be read as an acceptable message. */
     void rejectUnreadable(MllpSession session, Header requestHeader, Hl7Fault fault) {
@@ -153,14 +166,17 @@
 
     void handleRequest(MllpSession session, Request request) {
         session.practice = request.practice();
-        finalAnswers.withdraw(request.identity());
+        finalAnswers.onMessage(session, request.arrivedMicros());
+        Optional<Runnable> owed = finalAnswers.withdraw(request.identity());
         finalAnswers.sendPending(session, request.header());
         if (pendingByPractice.getOrDefault(request.practice(), 0) >= settings.maxPendingPerPractice()) {
             replyBusy(session, request, "too many messages at once");
+            owed.ifPresent(Runnable::run); // the client is told to ask again
         } else if (!core.isKnownDestination(request.destination())) {
             replyBusy(session, request, "no such destination now");
+            owed.ifPresent(Runnable::run);
         } else {
-            submit(session, request);
+            submit(session, request, owed);
         }
     }
 
@@ -174,13 +190,14 @@
         return new FinalStatus(Kind.REFUSED, BUSY_RETRY_AFTER_MICROS, why);
     }
 
-    private void submit(MllpSession session, Request request) {
+    private void submit(MllpSession session, Request request, Optional<Runnable> owed) {
         Message message = core.submit(this, toSubmission(request));
         if (!message.isOpen()) {
             session.onAnswered();
-            answerImmediately(session, request.header(), message.finalStatus());
+            answerImmediately(session, request, message.finalStatus(), owed);
             return;
         }
+        owed.ifPresent(Runnable::run);
         Waiter previous = waiters.put(message, new Waiter(session, request));
         if (previous != null) {
             previous.markAnswered();
@@ -217,12 +234,27 @@
                 + Long.toString(nextIdNumber++, Character.MAX_RADIX);
     }
 
-    /** Answers a message that was not accepted, or whose final status is remembered from an earlier submission. */
-    private void answerImmediately(MllpSession session, Header requestHeader, FinalStatus finalStatus) {
-        if (finalStatus.kind() == Kind.DELIVERED || finalStatus.kind() == Kind.FAILED) {
-            replies.remembered(requestHeader, finalStatus).forEach(session::write);
+    /**
+     * Answers a message that was not accepted, or whose final status is remembered from an earlier submission.
+     *
+     * @param owed settles the debt of the final status, if the client has not confirmed it yet
+     */
+    private void answerImmediately(
+            MllpSession session, Request request, FinalStatus finalStatus, Optional<Runnable> owed) {
+        Header header = request.header();
+        boolean delivered = finalStatus.kind() == Kind.DELIVERED;
+        if (!delivered && finalStatus.kind() != Kind.FAILED) {
+            writeIfPresent(session, replies.notAccepted(header, finalStatus));
+            owed.ifPresent(Runnable::run);
+            return;
+        }
+        writeIfPresent(session, replies.rememberedAccept(header, finalStatus));
+        if (!Request.wantsApplicationAcknowledgement(header, delivered)) {
+            owed.ifPresent(Runnable::run);
+        } else if (owed.isPresent()) {
+            finalAnswers.send(session, new FinalAnswers.Answer(header, request.identity(), finalStatus, owed.get()));
         } else {
-            writeIfPresent(session, replies.notAccepted(requestHeader, finalStatus));
+            session.write(replies.finalStatus(header, finalStatus));
         }
     }
 
--- a/src/main/java/lilaclever/protocol/mllp/MllpSession.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpSession.java
@@ -16,6 +16,14 @@
  * time of others.
  */
 final class MllpSession {
+    /** How a connection has ended. */
+    enum End {
+        /** The client has closed it, and had read what was written to it. */
+        IN_ORDER,
+        /** It was reset, or was closed on this side. */
+        BROKEN
+    }
+
     /** Limit of acknowledgements that the client has not read yet. */
     private static final long MAX_UNREAD_BYTES = 256 * 1024;
     /** A connection with more unacceptable messages in a row than this is closed. */
@@ -25,6 +33,8 @@
     private static final long MAX_UNHANDLED_BYTES = 64 * 1024;
 
     private static final long TIMEOUT_CHECK_INTERVAL_MICROS = 500_000;
+    /** How long the client of an idle connection has to close its side, which confirms what was written to it. */
+    private static final long ORDERLY_CLOSE_MICROS = 5_000_000;
 
     private final MllpFront front;
     private final MllpSettings.Listener listener;
@@ -44,6 +54,8 @@
     private boolean dropsInput;
     /** The practice of the last request, null before the first one; used by the event loop only. */
     String practice;
+    /** Null while the connection is open; used by the event loop only. */
+    private End end;
 
     MllpSession(
             MllpFront front,
@@ -156,6 +168,17 @@
     }
 
     // Event loop
+    /** The connection has ended. */
+    void ended(End how) {
+        closed = true;
+        end = how;
+    }
+
+    /** How the connection has ended, or null. */
+    End end() {
+        return end;
+    }
+
     /** A message of this session has got its first answer. */
     void onAnswered() {
         unansweredMessages.decrementAndGet();
@@ -207,11 +230,21 @@
         } else if (!partialFrame
                 && unansweredMessages.get() == 0
                 && nowMicros - sinceMicros >= listener.idleTimeoutMicros()) {
-            close();
+            closeIdle();
         } else {
             front.core()
                     .deadlines()
                     .schedule(front.core().nowMicros() + TIMEOUT_CHECK_INTERVAL_MICROS, this::checkTimeouts);
         }
     }
+
+    private void closeIdle() {
+        if (!front.awaitsConfirmation(this)) {
+            close();
+            return;
+        }
+        closed = true; // nothing is read or written any more
+        Transport.shutdownOutput(connection);
+        front.core().deadlines().schedule(front.core().nowMicros() + ORDERLY_CLOSE_MICROS, this::close);
+    }
 }
--- a/src/main/java/lilaclever/protocol/mllp/Replies.java
+++ b/src/main/java/lilaclever/protocol/mllp/Replies.java
@@ -1,7 +1,5 @@
 package lilaclever.protocol.mllp;
 
-import java.util.ArrayList;
-import java.util.List;
 import lilaclever.protocol.mllp.Acknowledgements.Code;
 import lilaclever.protocol.mllp.MllpSettings.Field;
 import lilaclever.routing.FinalStatus;
@@ -76,23 +74,17 @@
                 : null;
     }
 
-    /** The acknowledgements, none to two, of a repeat of a message that is remembered as delivered or failed. */
-    List<byte[]> remembered(Header requestHeader, FinalStatus finalStatus) {
-        List<byte[]> replies = new ArrayList<>();
+    /** The accept acknowledgement of a repeat of a message remembered as delivered or failed, or null if none is wanted. */
+    byte[] rememberedAccept(Header requestHeader, FinalStatus finalStatus) {
         boolean delivered = finalStatus.kind() == Kind.DELIVERED;
-        boolean wantsFinal = Request.wantsApplicationAcknowledgement(requestHeader, delivered);
         // Without an application acknowledgement, only the accept acknowledgement can report the failure.
         boolean positive = delivered || Request.wantsApplicationAcknowledgement(requestHeader, false);
-        if (Request.wantsAcceptAcknowledgement(requestHeader, positive)) {
-            replies.add(
-                    positive
-                            ? acknowledgements.positive(Code.CA, requestHeader)
-                            : acknowledgements.notConfirmed(Code.CR, requestHeader, finalStatus));
-        }
-        if (wantsFinal) {
-            replies.add(finalStatus(requestHeader, finalStatus));
+        if (!Request.wantsAcceptAcknowledgement(requestHeader, positive)) {
+            return null;
         }
-        return replies;
+        return positive
+                ? acknowledgements.positive(Code.CA, requestHeader)
+                : acknowledgements.notConfirmed(Code.CR, requestHeader, finalStatus);
     }
 
     /** The application acknowledgement for the final status of a message. */
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -71,7 +71,16 @@
 
     /** A filter chain of the socket transport and the given filters. */
     public static FilterChain chain(Filter... filters) {
-        FilterChainBuilder builder = FilterChainBuilder.stateless().add(new TransportFilter());
+        return chain(new TransportFilter(), filters);
+    }
+
+    /** A filter chain whose connections tell an orderly close by the peer from a reset. */
+    public static FilterChain chainDetectingResets(Filter... filters) {
+        return chain(new OrderlyCloseFilter(), filters);
+    }
+
+    private static FilterChain chain(TransportFilter transportFilter, Filter... filters) {
+        FilterChainBuilder builder = FilterChainBuilder.stateless().add(transportFilter);
         for (Filter filter : filters) {
             builder.add(filter);
         }
@@ -173,6 +182,14 @@
         return reason != null && reason.getType() == CloseType.REMOTELY;
     }
 
+    /**
+     * True if the peer has closed a connection with {@link #chainDetectingResets} after it had read all that had reached
+     * it: a system resets the connection of a process that ends with bytes unread.
+     */
+    public static boolean isClosedInOrderByPeer(Connection<?> closed) {
+        return OrderlyCloseFilter.isClosedInOrder(closed);
+    }
+
     /**
      * Shuts down the output of a connection; it is still read until the peer closes it. Any thread, after the last
      * write has completed.
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -338,6 +338,7 @@
         try (Wire other = Wire.connect(mllp)) { // a connection of another practice
             other.writeFrame(order("SUD", "S1", "NE|AL"));
             assertEquals("AA S1", readAck(other));
+            other.closeInOrder();
         }
         endpointAnswers.add("200 OK");
         try (Wire client = Wire.connect(mllp)) {
@@ -345,6 +346,7 @@
             assertEquals("AA M1", readAck(client));
             assertEquals("CA M2", readAck(client));
             assertEquals("AA M2", readAck(client));
+            client.closeInOrder();
         }
         awaitCounter("entries_owed", 0);
     }
@@ -364,6 +366,7 @@
             assertEquals("AA M1", readAck(client));
             assertEquals("CA M2", sendAndReadAck(client, order("M2")));
             assertEquals("AA M2", readAck(client));
+            client.closeInOrder();
         }
         awaitCounter("entries_owed", 0);
     }
@@ -400,6 +403,102 @@
         assertEquals(3, calls.size() + 2);
     }
 
+    /** Submits an order and leaves its final acknowledgement unread in the socket; the connection is still open. */
+    private Wire submitAndLeaveTheEndUnread(String control) throws Exception {
+        Wire client = Wire.connect(mllp);
+        assertEquals("CA " + control, sendAndReadAck(client, order(control)));
+        nextCall();
+        endpointAnswers.add("200 OK");
+        client.awaitUnread();
+        return client;
+    }
+
+    /** The next connection of the practice hears the end of an earlier message before the answer to its own. */
+    private void assertThatNextConnectionHears(String end) throws Exception {
+        endpointAnswers.add("200 OK");
+        try (Wire client = Wire.connect(mllp)) {
+            client.writeFrame(order("NEXT"));
+            assertEquals(end, readAck(client));
+            assertEquals("CA NEXT", readAck(client));
+            assertEquals("AA NEXT", readAck(client));
+            client.closeInOrder();
+        }
+        awaitCounter("entries_owed", 0);
+    }
+
+    /** Guards against an end that counts as told once it is written, though its client dies before it reads it. */
+    @Test
+    void endIsSentAgainIfItsClientDiesBeforeReadingIt() throws Exception {
+        submitAndLeaveTheEndUnread("M1").close(); // with bytes unread the system resets the connection
+        awaitCounter("entries_mllp_connections", 0);
+        assertThatNextConnectionHears("AA M1");
+    }
+
+    /** Guards against an end that is lost with the process while its client has not read it. */
+    @Test
+    void unreadEndOutlastsARestart() throws Exception {
+        Wire client = submitAndLeaveTheEndUnread("M1");
+        forwarder.stop();
+        client.close();
+        serve();
+        assertThatNextConnectionHears("AA M1");
+    }
+
+    /** Guards against an end that is lost as its client dies before it reads the answer to its repeat. */
+    @Test
+    void endIsSentAgainIfItsClientDiesAfterAskingAgain() throws Exception {
+        submitAndLeaveTheEndUnread("M1").close();
+        awaitCounter("entries_mllp_connections", 0);
+        try (Wire client = Wire.connect(mllp)) {
+            client.writeFrame(order("M1"));
+            client.awaitUnread();
+        }
+        awaitCounter("entries_mllp_connections", 0);
+        awaitCounter("entries_mllp_owed", 1);
+        assertThatNextConnectionHears("AA M1");
+    }
+
+    /** Guards against an end on an idle connection that is closed on this side, which counts as read. */
+    @Test
+    void unreadEndIsSentAgainAfterTheIdleTimeout() throws Exception {
+        forwarder.stop();
+        serve(OPERATOR_FILE.replace("[mllp clinics]", "[mllp clinics]\nidle 1s"));
+        Wire client = submitAndLeaveTheEndUnread("M1");
+        awaitCounter("entries_mllp_connections", 0);
+        client.close();
+        assertThatNextConnectionHears("AA M1");
+    }
+
+    /** Guards against clients that hear an end twice though they have read it: later message, close, idle timeout. */
+    @Test
+    void readEndIsNotSentAgain() throws Exception {
+        forwarder.stop();
+        serve(OPERATOR_FILE.replace("[mllp clinics]", "[mllp clinics]\nidle 1s"));
+        endpointAnswers.addAll(List.of("200 OK", "200 OK", "200 OK"));
+        try (Wire client = Wire.connect(mllp)) {
+            assertEquals("CA M1", sendAndReadAck(client, order("M1")));
+            assertEquals("AA M1", readAck(client));
+            client.closeInOrder();
+        }
+        awaitCounter("entries_owed", 0);
+        try (Wire client = Wire.connect(mllp)) {
+            assertEquals("CA M2", sendAndReadAck(client, order("M2")));
+            assertEquals("AA M2", readAck(client));
+            assertNull(readAck(client)); // the idle timeout ends the output
+            client.closeInOrder();
+        }
+        awaitCounter("entries_owed", 0);
+        assertEquals(0, counter("mllp_sent_again"));
+        assertThatNextConnectionHearsNothingElse();
+    }
+
+    private void assertThatNextConnectionHearsNothingElse() throws Exception {
+        try (Wire client = Wire.connect(mllp)) {
+            assertEquals("CA M3", sendAndReadAck(client, order("M3")));
+            assertEquals("AA M3", readAck(client));
+        }
+    }
+
     /** Guards against messages that are turned away since the ends owed to clients that are away fill the journal. */
     @Test
     void endsOwedToClientsThatAreAwayTakeNoRoomFromOtherMessages() throws Exception {
--- a/src/test/java/lilaclever/program/Peer.java
+++ b/src/test/java/lilaclever/program/Peer.java
@@ -1,5 +1,7 @@
 package lilaclever.program;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -96,8 +98,11 @@
     static final class Wire extends lilaclever.simulation.sockets.StandInConnection {
         private static final int READ_TIMEOUT_MILLIS = 30_000;
 
+        private final Socket socket;
+
         Wire(Socket socket) throws IOException {
             super(socket);
+            this.socket = socket;
             setReadTimeout(READ_TIMEOUT_MILLIS);
         }
 
@@ -107,6 +112,14 @@
             return new Wire(socket);
         }
 
+        /** Waits until bytes have arrived, and leaves them unread in the socket. */
+        void awaitUnread() throws Exception {
+            for (int i = 0; i < READ_TIMEOUT_MILLIS && socket.getInputStream().available() == 0; i++) {
+                Thread.sleep(1);
+            }
+            assertTrue(socket.getInputStream().available() > 0, "nothing has arrived");
+        }
+
         /** Sends a line and returns the last line of the reply. */
         String sendCommand(String line) throws IOException {
             writeText(line + "\r\n");
@@ -149,6 +162,11 @@
             reset(); // resets the connection, as a dying process would
         }
 
+        /** Closes the connection in order, as a client does that has read everything. */
+        void closeInOrder() {
+            super.close();
+        }
+
         void readWithoutAnswering() throws IOException {
             while (readLine() != null) {
                 continue; // reads everything, answers nothing
--- /dev/null
+++ b/src/test/java/lilaclever/protocol/mllp/UnconfirmedAnswersTest.java
@@ -0,0 +1,49 @@
+package lilaclever.protocol.mllp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Answers that are written and not confirmed: each is returned once, and the limit holds. */
+class UnconfirmedAnswersTest {
+    private final UnconfirmedAnswers<String, String> answers = new UnconfirmedAnswers<>(3, 100);
+
+    /** Guards against an answer that counts as read since a message came that was sent before it. */
+    @Test
+    void messageConfirmsOnlyWhatWasWrittenWellBeforeOnItsSession() {
+        answers.add("s", "1", "a", 0);
+        answers.add("s", "2", "b", 50);
+        answers.add("other", "3", "c", 0);
+        assertEquals(List.of(), answers.confirmedBy("s", 99));
+        assertEquals(List.of("a"), answers.confirmedBy("s", 100));
+        assertEquals(List.of("b"), answers.removeAll("s"));
+        assertFalse(answers.has("s"));
+        assertTrue(answers.has("other"));
+    }
+
+    /** Guards against a debt that is settled twice, or never, when its answer is replaced or withdrawn. */
+    @Test
+    void answerIsReturnedOnce() {
+        answers.add("s", "1", "a", 0);
+        assertEquals(List.of("a"), answers.add("t", "1", "again", 0));
+        assertEquals("again", answers.withdraw("1"));
+        assertNull(answers.withdraw("1"));
+        assertEquals(List.of(), answers.removeAll("s"));
+        assertEquals(List.of(), answers.removeAll("t"));
+        assertEquals(0, answers.size());
+    }
+
+    /** Guards against clients that confirm nothing and fill the memory and the journal. */
+    @Test
+    void oldestCountsAsReadAtTheLimit() {
+        for (int i = 0; i < 3; i++) {
+            assertEquals(List.of(), answers.add("s", "" + i, "a" + i, 0));
+        }
+        assertEquals(List.of("a0"), answers.add("t", "3", "a3", 0));
+        assertEquals(3, answers.size());
+    }
+}
