--- a/src/test/java/lilaclever/program/RepeatedAnswersTest.java
+++ b/src/test/java/lilaclever/program/RepeatedAnswersTest.java
@@ -94,16 +94,21 @@
     @ParameterizedTest
     @ValueSource(ints = {0, LONG_REST_MILLIS})
     void paymentDoesNotRunTwiceWhenARefusalIsRepeated(int restMillis) throws Exception {
+        List<String> copies = new CopyOnWriteArrayList<>();
         Peer endpointScript = new Peer(wire -> {
             int requests = 0;
+            long answeredNanos = 0;
             for (Request r = wire.readRequest(); r != null; r = wire.readRequest()) {
                 boolean runs = ++requests > 1;
                 if (runs) {
                     wire.writeResponse("503 Service Unavailable", "");
+                    long ageMillis = (System.nanoTime() - answeredNanos) / 1_000_000;
+                    copies.add(r.headers().get("req-id") + " got a copy " + ageMillis + " ms after the answer before");
                     run(r);
                 }
                 Thread.sleep(SERVICE_MILLIS);
                 wire.writeResponse(runs ? "200 OK" : "503 Service Unavailable", "");
+                answeredNanos = System.nanoTime();
                 if (!runs) {
                     Thread.sleep(restMillis);
                 }
@@ -119,7 +124,7 @@
             Thread.sleep((long) (DEADLINE_SECONDS * 1_000) + NOTICE_SLACK_MILLIS);
             for (int i = 0; i < 6; i++) {
                 String id = "payment-" + i;
-                assertTrue(runsOf(id) <= 1, id + " ran " + runsOf(id) + " times");
+                assertTrue(runsOf(id) <= 1, id + " ran " + runsOf(id) + " times: " + copies + logLines);
                 assertTrue(runsOf(id) > 0 || hasNotice(id), id + " has neither been delivered nor ended by a notice");
             }
         }
