--- a/src/main/java/lilaclever/program/Forwarder.java
+++ b/src/main/java/lilaclever/program/Forwarder.java
@@ -107,20 +107,7 @@
                 operator.identity().practiceHeader());
         core.add(httpFront);
         if (mail != null) {
-            reports = ReportFront.create(
-                    core,
-                    mail,
-                    classes,
-                    config.diskBytes(),
-                    limits.maxOpenMessages(),
-                    limits.slots(),
-                    new SplittableRandom(config.seed()));
-            core.add(reports);
-            for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
-                mailFronts.add(new MailFront(core, mail, classes, protocol, reports, config.maxMail()));
-            }
-            mailFronts.forEach(core::add);
-            new MailDeliverer(core, transport, mail, settings.zone(), connect, keepAlive, config.maxMail()).start();
+            startMail(config, mail);
         }
         if (operator.mllp() != null) {
             mllpFront = new MllpFront(core, operator.mllp(), classes);
@@ -149,6 +136,33 @@
         }
     }
 
+    private void startMail(Config config, MailSettings mail) {
+        DecisionModule.Limits limits = config.settings().limits();
+        reports = ReportFront.create(
+                core,
+                mail,
+                classes,
+                config.diskBytes(),
+                limits.maxOpenMessages(),
+                limits.slots(),
+                new SplittableRandom(config.seed()));
+        core.add(reports);
+        for (MailSettings.Protocol protocol : MailSettings.Protocol.values()) {
+            mailFronts.add(new MailFront(core, mail, classes, protocol, reports, config.maxMail()));
+        }
+        mailFronts.forEach(core::add);
+        int zone = config.settings().zone();
+        new MailDeliverer(
+                        core,
+                        transport,
+                        mail,
+                        zone,
+                        limits.connectTimeoutMicros(),
+                        limits.keepAliveMicros(),
+                        config.maxMail())
+                .start();
+    }
+
     private static SegmentedJournal openJournal(Config config, OperatorSettings operator) throws IOException {
         return new SegmentedJournal(
                 FolderDisk.lock(config.state()),
--- a/src/main/java/lilaclever/protocol/mail/MailFront.java
+++ b/src/main/java/lilaclever/protocol/mail/MailFront.java
@@ -43,8 +43,8 @@
     private static final int MAX_MESSAGE_ID_LENGTH = 998;
 
     /**
-     * Begins the identity of a report that an earlier version submitted to this front; the id of the message that failed
-     * follows.
+     * Begins the identity of a report that an earlier version submitted to this front; the id of the message that
+     * failed follows.
      */
     private static final String EARLIER_REPORT_IDENTITY = "report ";
 
@@ -177,8 +177,9 @@
     }
 
     /**
-     * Whether the reply to a mail's content tells its end. So it does in LMTP, and where a failure could not be reported
-     * later, as the reverse path has no route: then the client remains responsible for the mail until that reply.
+     * Whether the reply to a mail's content tells its end. So it does in LMTP, and where a failure could not be
+     * reported later, as the reverse path has no route: then the client remains responsible for the mail until that
+     * reply.
      */
     boolean tellsEndInReply(String reversePath) {
         return protocol == Protocol.LMTP || !reversePath.isEmpty() && settings.route(reversePath) == null;
--- a/src/main/java/lilaclever/protocol/mail/ReportFront.java
+++ b/src/main/java/lilaclever/protocol/mail/ReportFront.java
@@ -16,9 +16,9 @@
 import lilaclever.routing.Submission;
 
 /**
- * Owes delivery status notifications to clients that were told that a mail is accepted. A report is in the journal until
- * a server has taken it or refuses it permanently, or it is dropped, which is logged. Meanwhile it is submitted again
- * and again, each time for the time of its class, as {@link ReportSchedule} says. Event loop.
+ * Owes delivery status notifications to clients that were told that a mail is accepted. A report is in the journal
+ * until a server has taken it or refuses it permanently, or it is dropped, which is logged. Meanwhile it is submitted
+ * again and again, each time for the time of its class, as {@link ReportSchedule} says. Event loop.
  */
 public final class ReportFront implements Front {
     private static final String ID_PREFIX = "report-";
--- a/src/main/java/lilaclever/protocol/mail/ReportSchedule.java
+++ b/src/main/java/lilaclever/protocol/mail/ReportSchedule.java
@@ -9,12 +9,13 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses which of the reports that are owed is sent next, when, and which one is dropped for want of space. Does no I/O
- * and reads no clock; all times are in microseconds on the caller's clock.
+ * Chooses which of the reports that are owed is sent next, when, and which one is dropped for want of space. Does no
+ * I/O and reads no clock; all times are in microseconds on the caller's clock.
  *
- * <p>A report that could not be delivered is sent again after a quarter of the time for which it has failed, so that it
- * arrives soon after an outage of any length. A server that has failed gets one report at a time until one is delivered;
- * each further delivery allows one more. So neither an outage nor its end takes the slots of other messages.
+ * <p>A report that could not be delivered is sent again after a quarter of the time for which it has failed, so that
+ * it arrives soon after an outage of any length. A server that has failed gets one report at a time until one is
+ * delivered; each further delivery allows one more. So neither an outage nor its end takes the slots of other
+ * messages.
  */
 final class ReportSchedule {
     /** RFC 5321, 4.5.4.1: a sender keeps trying for four to five days. */
@@ -202,7 +203,9 @@
         return report.id;
     }
 
-    /** When {@link #takeDue} or {@link #takeExpired} next has a report; {@code Long.MAX_VALUE}: not before another end. */
+    /**
+     * When {@link #takeDue} or {@link #takeExpired} next has a report; {@code Long.MAX_VALUE}: not before another end.
+     */
     long nextAtMicros() {
         long earliest = NEVER;
         for (Report report : reports.values()) {
--- a/src/main/java/lilaclever/protocol/mail/ServerSession.java
+++ b/src/main/java/lilaclever/protocol/mail/ServerSession.java
@@ -306,8 +306,8 @@
     }
 
     /**
-     * Records one recipient's reply; once all are known, LMTP writes them in order and SMTP one for all. Returns whether
-     * the client is still connected.
+     * Records one recipient's reply; once all are known, LMTP writes them in order and SMTP one for all. Returns
+     * whether the client is still connected.
      */
     private boolean onRecipientReply(Reply[] transactionReplies, int index, Reply reply) {
         transactionReplies[index] = reply;
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -115,7 +115,9 @@
         connections.close();
     }
 
-    /** The number of final answers that their clients do not have yet, or have not confirmed; the journal retains them. */
+    /**
+     * The number of final answers that their clients do not have yet, or have not confirmed; the journal retains them.
+     */
     public int pendingAnswerCount() {
         return finalAnswers.size() + finalAnswers.unconfirmedCount();
     }
--- a/src/main/java/lilaclever/protocol/mllp/PendingAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/PendingAnswers.java
@@ -9,11 +9,11 @@
 import java.util.Map;
 
 /**
- * Final answers retained for disconnected clients, with a limit and an expiry time. At the limit the oldest answer of the
- * practice with the most goes, so that one that stays away takes nothing from others. No I/O and no clock. Each entry is
- * removed in exactly one way: it is taken for sending, withdrawn because its client has sent the message again, or
- * discarded because it has expired, is replaced or the limit is reached. A client that sends the message again after
- * that gets the remembered final status.
+ * Final answers retained for disconnected clients, with a limit and an expiry time. At the limit the oldest answer of
+ * the practice with the most goes, so that one that stays away takes nothing from others. No I/O and no clock. Each
+ * entry is removed in exactly one way: it is taken for sending, withdrawn because its client has sent the message
+ * again, or discarded because it has expired, is replaced or the limit is reached. A client that sends the message
+ * again after that gets the remembered final status.
  *
  * @param <T> the type of the answers
  */
--- a/src/main/java/lilaclever/protocol/mllp/Replies.java
+++ b/src/main/java/lilaclever/protocol/mllp/Replies.java
@@ -74,7 +74,10 @@
                 : null;
     }
 
-    /** The accept acknowledgement of a repeat of a message remembered as delivered or failed, or null if none is wanted. */
+    /**
+     * The accept acknowledgement of a repeat of a message remembered as delivered or failed, or null if none is
+     * wanted.
+     */
     byte[] rememberedAccept(Header requestHeader, FinalStatus finalStatus) {
         boolean delivered = finalStatus.kind() == Kind.DELIVERED;
         // Without an application acknowledgement, only the accept acknowledgement can report the failure.
--- a/src/main/java/lilaclever/routing/Front.java
+++ b/src/main/java/lilaclever/routing/Front.java
@@ -33,8 +33,9 @@
     }
 
     /**
-     * The part of the body that this front needs to notify its client of the final status; the rest is not retained while
-     * the client can't be notified. A front that has not been restarted may use the whole body until it is notified.
+     * The part of the body that this front needs to notify its client of the final status; the rest is not retained
+     * while the client can't be notified. A front that has not been restarted may use the whole body until it is
+     * notified.
      */
     default byte[] bodyForNotification(Submission submission) {
         return submission.body();
--- a/src/main/java/lilaclever/routing/Journal.java
+++ b/src/main/java/lilaclever/routing/Journal.java
@@ -31,8 +31,8 @@
     void recordFinalStatus(String id, FinalStatus finalStatus);
 
     /**
-     * Records the final status as {@link #recordFinalStatus(String, FinalStatus)} does, and retains of the body only what
-     * the submitters' fronts need: what a client is owed takes no more space than necessary from other messages.
+     * Records the final status as {@link #recordFinalStatus(String, FinalStatus)} does, and retains of the body only
+     * what the submitters' fronts need: what a client is owed takes no more space than necessary from other messages.
      */
     void recordFinalStatus(String id, FinalStatus finalStatus, byte[] remainingBody);
 
--- a/src/main/java/lilaclever/simulation/sockets/LoopbackPorts.java
+++ b/src/main/java/lilaclever/simulation/sockets/LoopbackPorts.java
@@ -12,9 +12,9 @@
 
 /**
  * Ports on the loopback interface for a run, outside of the range of ephemeral ports. A port that is closed, such as
- * that of a removed endpoint, would otherwise soon be given to another run, and forwarders that have not learned of the
- * removal would call there. Ports are given out in a random order, and each again only after all others: an address that
- * is kept for later is not taken meanwhile.
+ * that of a removed endpoint, would otherwise soon be given to another run, and forwarders that have not learned of
+ * the removal would call there. Ports are given out in a random order, and each again only after all others: an
+ * address that is kept for later is not taken meanwhile.
  */
 final class LoopbackPorts {
     /** Ports in the range that is used. */
--- a/src/main/java/lilaclever/transport/OrderlyCloseFilter.java
+++ b/src/main/java/lilaclever/transport/OrderlyCloseFilter.java
@@ -14,8 +14,8 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
- * The transport filter of a chain that has to tell an orderly close by the peer from a reset, which Grizzly's own filter
- * reports alike. Selector thread.
+ * The transport filter of a chain that has to tell an orderly close by the peer from a reset, which Grizzly's own
+ * filter reports alike. Selector thread.
  */
 final class OrderlyCloseFilter extends TransportFilter {
     private static final int BUFFER_BYTES = 16 * 1024;
--- a/src/main/java/lilaclever/transport/Transport.java
+++ b/src/main/java/lilaclever/transport/Transport.java
@@ -183,8 +183,8 @@
     }
 
     /**
-     * True if the peer has closed a connection with {@link #chainDetectingResets} after it had read all that had reached
-     * it: a system resets the connection of a process that ends with bytes unread.
+     * True if the peer has closed a connection with {@link #chainDetectingResets} after it had read all that had
+     * reached it: a system resets the connection of a process that ends with bytes unread.
      */
     public static boolean isClosedInOrderByPeer(Connection<?> closed) {
         return OrderlyCloseFilter.isClosedInOrder(closed);
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -546,8 +546,8 @@
                     "the end (delivered) of message M1 of practice north is not told: its client did not come in time",
                     log.lineWith("message M1"));
             assertEquals(
-                    "the end (delivered) of message M2 of practice south is not told yet: its client has left in original"
-                            + " mode, and hears it when it asks again",
+                    "the end (delivered) of message M2 of practice south is not told yet: its client has left in"
+                            + " original mode, and hears it when it asks again",
                     log.lineWith("message M2"));
         }
     }
