Put an owed HL7 end back where a repeat is not answered with it, and log what is dropped

Cause, seen by reading again: - A repeat of a message whose end is owed settled the debt though it was answered with CE (busy) or CR (another message under its key). The end is put back now. endIsStillOwedAfterAConflict is red on ("CA NEXT" for "AA M1"), green now. - At 1,000 unconfirmed ends the oldest of all counted as read, without a line: a silent client pushed out the only one of another. Now the oldest of the session with most goes, with the line end-dropped (UnconfirmedAnswersTest; the test of the old rule is replaced). - An end whose write completed after the client's close was known counted as told. It is sent again; not played. readEndIsNotSentAgain claimed a later message and did not play one: laterMessageConfirmsAnEnd does, and was green before.

--- a/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/FinalAnswers.java
@@ -77,14 +77,22 @@
     }
 
     private void onWritten(MllpSession session, Answer answer) {
-        if (!Request.wantsLaterAcknowledgements(answer.header()) || session.end() == MllpSession.End.IN_ORDER) {
+        if (!Request.wantsLaterAcknowledgements(answer.header())) {
             answer.settled().run();
-        } else if (session.end() == MllpSession.End.BROKEN) {
-            sendAgain(answer);
+        } else if (session.end() != null) {
+            sendAgain(answer); // the client may have closed the connection before
         } else {
-            unconfirmed
-                    .add(session, answer.identity(), answer, core.nowMicros())
-                    .forEach(confirmed -> confirmed.settled().run());
+            retainUnconfirmed(session, answer);
+        }
+    }
+
+    private void retainUnconfirmed(MllpSession session, Answer answer) {
+        for (Answer removed : unconfirmed.add(session, answer.identity(), answer, core.nowMicros())) {
+            if (removed.identity().equals(answer.identity())) {
+                removed.settled().run(); // the later answer tells the client
+            } else {
+                discard(removed, "it is written, and too many are not known to be read");
+            }
         }
     }
 
@@ -155,19 +163,21 @@
 
     /**
      * Removes the answer that a client is owed for a message that it has sent again, as the repeat is answered itself.
-     * Returns what settles the debt, to be run once the answer to the repeat is with the client; empty if none is left.
+     * The caller settles it once the answer to the repeat is with the client, or puts it back.
      */
-    Optional<Runnable> withdraw(String identity) {
+    Optional<Answer> withdraw(String identity) {
         Answer waiting = pending.withdraw(identity);
         Answer owed = waiting != null ? waiting : unconfirmed.withdraw(identity);
-        if (owed == null) {
-            return Optional.empty();
-        }
-        if (owed.finalStatus().kind() == FinalStatus.Kind.REFUSED) {
+        if (owed != null && owed.finalStatus().kind() == FinalStatus.Kind.REFUSED) {
             owed.settled().run(); // the repeat is a message of its own
             return Optional.empty();
         }
-        return Optional.of(owed.settled());
+        return Optional.ofNullable(owed);
+    }
+
+    /** Owes a withdrawn answer again, as the repeat of its message was not answered with it. */
+    void putBack(Answer answer) {
+        retain(answer, answer.practice());
     }
 
     /** Sends pending answers to the session's practice, if it wants application acknowledgements. */
--- a/src/main/java/lilaclever/protocol/mllp/MllpFront.java
+++ b/src/main/java/lilaclever/protocol/mllp/MllpFront.java
@@ -169,14 +169,14 @@
     void handleRequest(MllpSession session, Request request) {
         session.practice = request.practice();
         finalAnswers.onMessage(session, request.arrivedMicros());
-        Optional<Runnable> owed = finalAnswers.withdraw(request.identity());
+        Optional<FinalAnswers.Answer> owed = finalAnswers.withdraw(request.identity());
         finalAnswers.sendPending(session, request.header());
         if (pendingByPractice.getOrDefault(request.practice(), 0) >= settings.maxPendingPerPractice()) {
             replyBusy(session, request, "too many messages at once");
-            owed.ifPresent(Runnable::run); // the client is told to ask again
+            owed.ifPresent(finalAnswers::putBack);
         } else if (!core.isKnownDestination(request.destination())) {
             replyBusy(session, request, "no such destination now");
-            owed.ifPresent(Runnable::run);
+            owed.ifPresent(finalAnswers::putBack);
         } else {
             submit(session, request, owed);
         }
@@ -192,14 +192,14 @@
         return new FinalStatus(Kind.REFUSED, BUSY_RETRY_AFTER_MICROS, why);
     }
 
-    private void submit(MllpSession session, Request request, Optional<Runnable> owed) {
+    private void submit(MllpSession session, Request request, Optional<FinalAnswers.Answer> owed) {
         Message message = core.submit(this, toSubmission(request));
         if (!message.isOpen()) {
             session.onAnswered();
             answerImmediately(session, request, message.finalStatus(), owed);
             return;
         }
-        owed.ifPresent(Runnable::run);
+        owed.ifPresent(answer -> answer.settled().run());
         Waiter previous = waiters.put(message, new Waiter(session, request));
         if (previous != null) {
             previous.markAnswered();
@@ -239,22 +239,23 @@
     /**
      * Answers a message that was not accepted, or whose final status is remembered from an earlier submission.
      *
-     * @param owed settles the debt of the final status, if the client has not confirmed it yet
+     * @param owed the answer that the client is owed for this message and has not confirmed yet
      */
     private void answerImmediately(
-            MllpSession session, Request request, FinalStatus finalStatus, Optional<Runnable> owed) {
+            MllpSession session, Request request, FinalStatus finalStatus, Optional<FinalAnswers.Answer> owed) {
         Header header = request.header();
         boolean delivered = finalStatus.kind() == Kind.DELIVERED;
         if (!delivered && finalStatus.kind() != Kind.FAILED) {
             writeIfPresent(session, replies.notAccepted(header, finalStatus));
-            owed.ifPresent(Runnable::run);
+            owed.ifPresent(finalAnswers::putBack);
             return;
         }
         writeIfPresent(session, replies.rememberedAccept(header, finalStatus));
         if (!Request.wantsApplicationAcknowledgement(header, delivered)) {
-            owed.ifPresent(Runnable::run);
+            owed.ifPresent(answer -> answer.settled().run());
         } else if (owed.isPresent()) {
-            finalAnswers.send(session, new FinalAnswers.Answer(header, request.identity(), finalStatus, owed.get()));
+            Runnable settled = owed.get().settled();
+            finalAnswers.send(session, new FinalAnswers.Answer(header, request.identity(), finalStatus, settled));
         } else {
             session.write(replies.finalStatus(header, finalStatus));
         }
--- a/src/main/java/lilaclever/protocol/mllp/UnconfirmedAnswers.java
+++ b/src/main/java/lilaclever/protocol/mllp/UnconfirmedAnswers.java
@@ -1,6 +1,8 @@
 package lilaclever.protocol.mllp;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -12,7 +14,7 @@
 /**
  * Final answers that are written to a connection whose client has not shown yet that it has read them. A client shows
  * it by a later message on the connection, or by closing it in order. No I/O and no clock. At the limit the oldest
- * answer counts as read, so that silent clients take no room from others.
+ * answer of the session with the most goes, so that silent clients take no room from others.
  *
  * @param <S> the type of the sessions, compared by identity
  * @param <T> the type of the answers
@@ -38,19 +40,25 @@
         this.minReadMicros = minReadMicros;
     }
 
-    /** Adds an answer that is written; returns those that count as read in its favour. */
+    /** Adds an answer that is written; returns those removed in its favour: replaced, or beyond the limit. */
     List<T> add(S session, String identity, T answer, long nowMicros) {
-        List<T> confirmed = new ArrayList<>();
+        List<T> removed = new ArrayList<>();
         T previous = withdraw(identity);
         if (previous != null) {
-            confirmed.add(previous);
+            removed.add(previous);
         }
         entries.put(identity, new Entry<>(session, answer, nowMicros));
         identitiesBySession.computeIfAbsent(session, s -> new LinkedHashSet<>()).add(identity);
         if (entries.size() > maxEntries) {
-            confirmed.add(withdraw(entries.keySet().iterator().next()));
+            removed.add(withdraw(oldestOfLargestSession()));
         }
-        return confirmed;
+        return removed;
+    }
+
+    private String oldestOfLargestSession() {
+        return Collections.max(identitiesBySession.values(), Comparator.comparingInt(Set::size))
+                .iterator()
+                .next();
     }
 
     /** Removes and returns the answers that a message received at {@code receivedMicros} confirms. */
--- a/src/test/java/lilaclever/program/MllpTest.java
+++ b/src/test/java/lilaclever/program/MllpTest.java
@@ -469,7 +469,41 @@
         assertThatNextConnectionHears("AA M1");
     }
 
-    /** Guards against clients that hear an end twice though they have read it: later message, close, idle timeout. */
+    /** Guards against an owed end that is dropped since another message came under its key. */
+    @Test
+    void endIsStillOwedAfterAConflict() throws Exception {
+        submitAndLeaveTheEndUnread("M1").close();
+        awaitCounter("entries_mllp_connections", 0);
+        try (Wire client = Wire.connect(mllp)) {
+            client.writeFrame(order("M1") + "NTE|other\r");
+            assertEquals("CR M1", readAck(client));
+        }
+        assertThatNextConnectionHears("AA M1");
+    }
+
+    /** Guards against ends that are told twice though a later message has shown that they were read. */
+    @Test
+    void laterMessageConfirmsAnEnd() throws Exception {
+        int sent = 0;
+        try (Wire client = Wire.connect(mllp)) {
+            while (sent < 2 || counter("entries_mllp_unconfirmed") == sent) {
+                assertTrue(sent < 1_000, "no end is confirmed");
+                String control = "K" + sent++;
+                endpointAnswers.add("200 OK");
+                assertEquals("CA " + control, sendAndReadAck(client, order(control)));
+                assertEquals("AA " + control, readAck(client));
+            }
+        }
+        awaitCounter("entries_mllp_connections", 0);
+        endpointAnswers.add("200 OK");
+        try (Wire client = Wire.connect(mllp)) {
+            client.writeFrame(order("NEXT"));
+            String first = readAck(client);
+            assertFalse(first.equals("AA K0"), first);
+        }
+    }
+
+    /** Guards against clients that hear an end twice though they have read it: orderly close, idle timeout. */
     @Test
     void readEndIsNotSentAgain() throws Exception {
         forwarder.stop();
--- a/src/test/java/lilaclever/protocol/mllp/UnconfirmedAnswersTest.java
+++ b/src/test/java/lilaclever/protocol/mllp/UnconfirmedAnswersTest.java
@@ -37,13 +37,14 @@
         assertEquals(0, answers.size());
     }
 
-    /** Guards against clients that confirm nothing and fill the memory and the journal. */
+    /** Guards against a silent client whose unread answers push out the only one of another client. */
     @Test
-    void oldestCountsAsReadAtTheLimit() {
-        for (int i = 0; i < 3; i++) {
-            assertEquals(List.of(), answers.add("s", "" + i, "a" + i, 0));
-        }
-        assertEquals(List.of("a0"), answers.add("t", "3", "a3", 0));
+    void oldestOfTheSessionWithTheMostGoesAtTheLimit() {
+        answers.add("honest", "1", "a", 0);
+        answers.add("silent", "2", "b", 0);
+        answers.add("silent", "3", "c", 0);
+        assertEquals(List.of("b"), answers.add("silent", "4", "d", 0));
         assertEquals(3, answers.size());
+        assertEquals(List.of("a"), answers.removeAll("honest"));
     }
 }
